--- /dev/null
+++ b/src/nutmeghook/internal/ledger/pins.py
@@ -0,0 +1,43 @@
+"""Which version each session stays on, as the version choice uses it."""
+
+import abc
+import datetime
+
+import msgspec
+
+from nutmeghook.internal.platform import engine
+
+
+class SessionKey(msgspec.Struct, frozen=True, kw_only=True):
+    """What a pin belongs to: one stage of one template for one session."""
+
+    team: str
+    template: str
+    stage_index: int
+    session: str
+
+
+class SessionPins(abc.ABC):
+    """Keeps each session on the version it started with."""
+
+    @abc.abstractmethod
+    async def pin(
+        self,
+        key: SessionKey,
+        *,
+        proposed: engine.ModelVersion,
+        unusable: frozenset[engine.ModelVersion],
+        timeout: datetime.timedelta,
+    ) -> engine.ModelVersion:
+        """Returns the session's version, pinning `proposed` if it has none.
+
+        Args:
+            key: The session and stage.
+            proposed: The version for a session that has no usable pin yet.
+            unusable: Withdrawn versions; a pin to one of them is replaced.
+            timeout: The most to wait for a pin to become durable.
+
+        Raises:
+            errors.CodedError: `STORE_OUT` if the session's pin can't be
+                found out or made durable.
+        """
--- a/src/nutmeghook/internal/routing/versions.py
+++ b/src/nutmeghook/internal/routing/versions.py
@@ -24,7 +24,7 @@
     """Chooses versions by the precedence in docs/design/precedence.md."""
 
     @abc.abstractmethod
-    def choose(
+    async def choose(
         self,
         *,
         template: documents.Template,
@@ -34,6 +34,8 @@
     ) -> VersionChoice:
         """Returns the version for a stage.
 
+        It waits only for a session's pin.
+
         Raises:
             errors.CodedError: `NO_CANDIDATE`, `NOT_ALLOWED` or
                 `STALE_CONFIG` where the stage has no version that may run.
