--- /dev/null
+++ b/src/nutmeghook/internal/inner/local.py
@@ -0,0 +1,241 @@
+"""A network inside one process, for tests and the experiment tool.
+
+It is part of the product package, not of the tests, because the experiment
+tool measures the same parts on it. Nothing that serves traffic uses it.
+
+All waits are on the given clock. Messages pass through the real codec, so
+that no struct is shared between two instances and none gets through that TCP
+would refuse.
+"""
+
+import asyncio
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner import serving
+
+_NO_DELAY = datetime.timedelta()
+
+
+class LocalNetwork:
+    """Instances by inner address, with faults on the links between them.
+
+    A link is one way: from one address to another.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_cut_links",
+        "_default_delay",
+        "_delays",
+        "_handlers",
+        "_thawed",
+        "_work",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        delay: datetime.timedelta = _NO_DELAY,
+    ):
+        self._clock = clock
+        self._default_delay = delay
+        self._delays: dict[tuple[str, str], datetime.timedelta] = {}
+        self._cut_links: set[tuple[str, str]] = set()
+        self._handlers: dict[str, peers.PeerHandlers] = {}
+        self._thawed: dict[str, asyncio.Event] = {}
+        self._work: set[asyncio.Task] = set()
+
+    def attach(
+        self, inner_address: str, handlers: peers.PeerHandlers
+    ) -> "LocalPeerCaller":
+        """Adds or restarts an instance and returns its way to call others."""
+        self._handlers[inner_address] = handlers
+        return LocalPeerCaller(network=self, inner_address=inner_address)
+
+    def detach(self, inner_address: str) -> None:
+        """Crashes an instance: calls to it fail at once."""
+        self._handlers.pop(inner_address, None)
+
+    def cut(self, source: str, target: str) -> None:
+        """Drops all that `source` sends to `target`, replies included."""
+        self._cut_links.add((source, target))
+
+    def cut_both_ways(self, one: str, other: str) -> None:
+        """Drops all that two instances send to each other."""
+        self.cut(one, other)
+        self.cut(other, one)
+
+    def heal(self, one: str, other: str) -> None:
+        """Ends the cuts between two instances, both ways."""
+        self._cut_links -= {(one, other), (other, one)}
+
+    def heal_all(self) -> None:
+        """Ends all cuts."""
+        self._cut_links.clear()
+
+    def set_delay(
+        self, source: str, target: str, delay: datetime.timedelta
+    ) -> None:
+        """Sets how long `source`'s messages take to `target`."""
+        self._delays[(source, target)] = delay
+
+    def freeze(self, inner_address: str) -> None:
+        """Holds an instance's calls, handlers and replies until thawed."""
+        self._thawed.setdefault(inner_address, asyncio.Event()).clear()
+
+    def thaw(self, inner_address: str) -> None:
+        """Lets a frozen instance go on with all that was held."""
+        event = self._thawed.pop(inner_address, None)
+        if event is not None:
+            event.set()
+
+    def clock_of(self, inner_address: str) -> "InstanceClock":
+        """Returns a clock whose sleepers stay asleep while it is frozen."""
+        return InstanceClock(
+            clock=self._clock, network=self, inner_address=inner_address
+        )
+
+    def has(self, inner_address: str) -> bool:
+        """Tells whether an instance is attached."""
+        return inner_address in self._handlers
+
+    async def carry(self, source: str, target: str) -> bool:
+        """Takes a message along a link; returns whether it arrives."""
+        if (source, target) in self._cut_links:
+            return False
+        delay = self._delays.get((source, target), self._default_delay)
+        if delay > _NO_DELAY:
+            await self._clock.sleep(delay)
+        if (source, target) in self._cut_links:
+            return False
+        await self.until_thawed(target)
+        return True
+
+    async def until_thawed(self, inner_address: str) -> None:
+        """Waits while an instance is frozen."""
+        while (event := self._thawed.get(inner_address)) is not None:
+            await event.wait()
+
+    async def exchange(
+        self,
+        source: str,
+        target: str,
+        request: bytes,
+        *,
+        timeout: datetime.timedelta,
+    ) -> bytes:
+        """Sends a request's bytes and returns the reply's.
+
+        The handler goes on when the caller gives up, as it would on another
+        machine.
+
+        Raises:
+            TimeoutError: No reply arrived.
+        """
+        reply: asyncio.Future[bytes] = (
+            asyncio.get_running_loop().create_future()
+        )
+        work = asyncio.create_task(
+            self._deliver(source, target, request, reply)
+        )
+        self._work.add(work)
+        work.add_done_callback(self._work.discard)
+        return await self._clock.wait_for(reply, timeout)
+
+    async def _deliver(
+        self,
+        source: str,
+        target: str,
+        request: bytes,
+        reply: asyncio.Future[bytes],
+    ) -> None:
+        if not await self.carry(source, target):
+            return
+        handlers = self._handlers.get(target)
+        if handlers is None:
+            return
+        message = codec.message_of(codec.decode(request))
+        result = await serving.reply_to(message, handlers=handlers)
+        answer = codec.encode(codec.envelope_of(result, sequence=1))
+        await self.until_thawed(target)
+        # An instance that crashed while its handler ran replies to nobody.
+        if self._handlers.get(target) is not handlers:
+            return
+        if await self.carry(target, source) and not reply.done():
+            reply.set_result(answer)
+
+
+class LocalPeerCaller(peers.PeerCaller):
+    """Calls from one instance of a `LocalNetwork`."""
+
+    __slots__ = ("_inner_address", "_network")
+
+    def __init__(self, *, network: LocalNetwork, inner_address: str):
+        self._network = network
+        self._inner_address = inner_address
+
+    async def call(
+        self,
+        inner_address: str,
+        request: peers.Message,
+        *,
+        timeout: datetime.timedelta,
+    ) -> peers.Message:
+        """Sends a request and returns the reply."""
+        network = self._network
+        data = codec.encode(
+            codec.envelope_of(request, sequence=1, wants_reply=True)
+        )
+        await network.until_thawed(self._inner_address)
+        if not network.has(inner_address):
+            raise peers.PeerUnreachableError(f"{inner_address} is not there")
+        try:
+            reply = await network.exchange(
+                self._inner_address, inner_address, data, timeout=timeout
+            )
+        except TimeoutError as error:
+            raise peers.PeerUnreachableError(
+                f"no reply from {inner_address} within {timeout}"
+            ) from error
+        finally:
+            # A frozen process notices its timeouts only when it runs again.
+            await network.until_thawed(self._inner_address)
+        return serving.result_of(codec.message_of(codec.decode(reply)))
+
+
+class InstanceClock(clock_module.Clock):
+    """A shared clock as a process that may be frozen sees it.
+
+    Time goes on while the process stands still, as under SIGSTOP: `monotonic`
+    jumps at the thaw, and sleepers wake late.
+    """
+
+    __slots__ = ("_clock", "_inner_address", "_network")
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        network: LocalNetwork,
+        inner_address: str,
+    ):
+        self._clock = clock
+        self._network = network
+        self._inner_address = inner_address
+
+    def now(self) -> datetime.datetime:
+        """Returns the shared clock's wall time."""
+        return self._clock.now()
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the shared clock's monotonic time."""
+        return self._clock.monotonic()
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Waits for `duration`, then until the instance is not frozen."""
+        await self._clock.sleep(duration)
+        await self._network.until_thawed(self._inner_address)
