--- /dev/null
+++ b/src/nutmeghook/internal/observe/logs.py
@@ -0,0 +1,37 @@
+"""JSON lines on standard error, by eliot, without secrets."""
+
+import re
+import sys
+from typing import TextIO
+
+import eliot
+
+# A caller's token that slips into a message (an echoed header, a URL) must
+# not reach the log: whoever reads logs could then act as that caller.
+_BEARER = re.compile(r"(?i)bearer\s+[^\s\"',]+")
+_SECRET_FIELDS = frozenset(
+    {"authorization", "token", "secret", "credential", "password"}
+)
+HIDDEN = "(hidden)"
+
+
+def start(*, out: TextIO = sys.stderr) -> None:
+    """Sends all log lines to a stream."""
+    eliot.to_file(out)
+
+
+def note(event: str, **fields: object) -> None:
+    """Logs one event; fields with secret names or bearer tokens are hidden."""
+    eliot.log_message(message_type=event, **_cleaned(fields))
+
+
+def _cleaned(fields: dict[str, object]) -> dict[str, object]:
+    return {name: _clean(name, value) for name, value in fields.items()}
+
+
+def _clean(name: str, value: object) -> object:
+    if name.lower() in _SECRET_FIELDS:
+        return HIDDEN
+    if isinstance(value, str):
+        return _BEARER.sub(f"Bearer {HIDDEN}", value)
+    return value
--- /dev/null
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -0,0 +1,185 @@
+"""All metrics of an instance, with names and units in one place.
+
+docs/METRICS.md is checked against `PAGE_ROWS`.
+"""
+
+import dataclasses
+import enum
+
+import aioprometheus
+from aioprometheus import collectors
+
+PREFIX = "nutmeghook_"
+
+
+class MetricKind(enum.Enum):
+    """What a metric is to its collector."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class MetricSpec:
+    """One metric's name, kind and meaning; the unit ends the name."""
+
+    name: str
+    kind: MetricKind
+    meaning: str
+    labels: tuple[str, ...] = ()
+    buckets: tuple[float, ...] = ()
+
+
+_LATENCY_BUCKETS_S = (
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.39,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+
+SPECS: tuple[MetricSpec, ...] = (
+    MetricSpec(
+        name="requests_total",
+        kind=MetricKind.COUNTER,
+        meaning="Requests that got their final answer, by result code.",
+        labels=("team", "template", "code"),
+    ),
+    MetricSpec(
+        name="first_token_seconds",
+        kind=MetricKind.HISTOGRAM,
+        meaning="From the request's arrival to its first token.",
+        labels=("template",),
+        buckets=_LATENCY_BUCKETS_S,
+    ),
+    MetricSpec(
+        name="answer_seconds",
+        kind=MetricKind.HISTOGRAM,
+        meaning="From the request's arrival to its last byte.",
+        labels=("template",),
+        buckets=_LATENCY_BUCKETS_S,
+    ),
+    MetricSpec(
+        name="attempts_total",
+        kind=MetricKind.COUNTER,
+        meaning="Attempts sent to backend servers, by outcome.",
+        labels=("outcome",),
+    ),
+    MetricSpec(
+        name="output_tokens_total",
+        kind=MetricKind.COUNTER,
+        meaning="Tokens given to callers, by version.",
+        labels=("model_version",),
+    ),
+    MetricSpec(
+        name="cost_micros_total",
+        kind=MetricKind.COUNTER,
+        meaning="Money spent on attempts, in millionths of a euro.",
+        labels=("team", "template"),
+    ),
+    MetricSpec(
+        name="ratings_dropped_total",
+        kind=MetricKind.COUNTER,
+        meaning="Answers not handed in for rating: the queue was full.",
+    ),
+    MetricSpec(
+        name="config_revision",
+        kind=MetricKind.GAUGE,
+        meaning="Revision of the configuration in force here.",
+    ),
+    MetricSpec(
+        name="config_confirmed_age_seconds",
+        kind=MetricKind.GAUGE,
+        meaning="Time since that revision was known to be the newest.",
+    ),
+    MetricSpec(
+        name="members",
+        kind=MetricKind.GAUGE,
+        meaning="Entry instances believed to be there, by health.",
+        labels=("health",),
+    ),
+    MetricSpec(
+        name="store_out",
+        kind=MetricKind.GAUGE,
+        meaning="1 while the table service is taken to be out.",
+    ),
+    MetricSpec(
+        name="bills_waiting",
+        kind=MetricKind.GAUGE,
+        meaning="Bills in the object store that wait for the table service.",
+    ),
+    MetricSpec(
+        name="leases_held",
+        kind=MetricKind.GAUGE,
+        meaning="Leases that this instance holds.",
+    ),
+)
+
+
+class Metrics:
+    """The collectors of one instance, found by name."""
+
+    __slots__ = ("_by_name", "registry")
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self._by_name: dict[str, collectors.Collector] = {}
+        for spec in SPECS:
+            collector = _collector(spec)
+            self.registry.register(collector)
+            self._by_name[spec.name] = collector
+
+    def add(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter."""
+        self._by_name[name].add(labels, amount)
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Sets a gauge."""
+        self._by_name[name].set(labels, value)
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Adds one value to a histogram."""
+        self._by_name[name].observe(labels, value)
+
+
+def _collector(spec: MetricSpec) -> collectors.Collector:
+    name = PREFIX + spec.name
+    if spec.kind is MetricKind.COUNTER:
+        return aioprometheus.Counter(name, spec.meaning)
+    if spec.kind is MetricKind.GAUGE:
+        return aioprometheus.Gauge(name, spec.meaning)
+    return aioprometheus.Histogram(
+        name, spec.meaning, buckets=list(spec.buckets)
+    )
+
+
+_HEAD = """# Metrics
+
+Each instance serves these at `/metrics` in the Prometheus text format. Names
+end in their unit; counts have none.
+
+| name | kind | labels | meaning |
+| --- | --- | --- | --- |
+"""
+
+
+def page() -> str:
+    """Returns docs/METRICS.md."""
+    rows = [
+        f"| `{PREFIX}{spec.name}` | {spec.kind.value} |"
+        f" {', '.join(spec.labels) or '-'} | {spec.meaning} |\n"
+        for spec in SPECS
+    ]
+    return _HEAD + "".join(rows)
+
+
+if __name__ == "__main__":
+    print(page(), end="")
