Add in-memory stand-ins for the platform's services

Cause: every part that talks to the platform needs something to test against that can be slow, be down, or lose an answer after the effect.

Ruled out: mocks set up in each test, which would each have their own idea of what a transaction or a rate limit is; and faults drawn at random inside the stand-ins, which would make a test's course depend on a seed.

Limits are token buckets of one second's worth.

--- a/src/nutmeghook/standins/__init__.py
+++ b/src/nutmeghook/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers, for tests."""
--- /dev/null
+++ b/src/nutmeghook/standins/memory_ratings.py
@@ -0,0 +1,94 @@
+"""The rating service in memory: late, and at times silent or biased."""
+
+import collections
+from collections.abc import Callable
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.platform import ratings
+from nutmeghook.standins import faults as faults_module
+
+
+class MemoryRatings(ratings.RatingService):
+    """Rates with a function of the task, some time after it came.
+
+    Attributes:
+        delay: Time from a task to its rating.
+        stopped: Tasks are taken, but no rating is given until it is False.
+        bias: Added to each quality; the sum is cut to 0 to 1.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_known",
+        "_quality",
+        "_ratings",
+        "_waiting",
+        "bias",
+        "delay",
+        "faults",
+        "stopped",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        quality: Callable[[ratings.RatingTask], float],
+        faults: faults_module.Faults | None = None,
+        delay: datetime.timedelta = datetime.timedelta(),
+    ):
+        self.faults = faults or faults_module.Faults(clock=clock)
+        self.delay = delay
+        self.stopped = False
+        self.bias = 0.0
+        self._clock = clock
+        self._quality = quality
+        self._known: set[tuple[str, int]] = set()
+        self._waiting: collections.deque[
+            tuple[datetime.timedelta, ratings.RatingTask]
+        ] = collections.deque()
+        self._ratings: list[ratings.Rating] = []
+
+    async def submit(self, tasks: list[ratings.RatingTask]) -> None:
+        """Hands in answers; one request and stage is rated only once."""
+        await self.faults.write(lambda: self._submit(tasks))
+
+    async def ratings_after(
+        self, cursor: int, *, limit: int = 1000
+    ) -> list[ratings.Rating]:
+        """Returns the ratings behind a cursor, in order."""
+        await self.faults.before_read()
+        self._rate_due_tasks()
+        start = max(0, cursor)  # The first rating's cursor is 1.
+        return self._ratings[start : start + limit]
+
+    def _submit(self, tasks: list[ratings.RatingTask]) -> None:
+        for task in tasks:
+            identity = (task.request_id, task.stage)
+            if identity not in self._known:
+                self._known.add(identity)
+                self._waiting.append((self._clock.monotonic(), task))
+
+    def _rate_due_tasks(self) -> None:
+        due_before = self._clock.monotonic() - self.delay
+        while (
+            self._waiting
+            and not self.stopped
+            and self._waiting[0][0] <= due_before
+        ):
+            self._rate(self._waiting.popleft()[1])
+
+    def _rate(self, task: ratings.RatingTask) -> None:
+        quality = self._quality(task) + self.bias
+        self._ratings.append(
+            ratings.Rating(
+                cursor=len(self._ratings) + 1,
+                request_id=task.request_id,
+                team=task.team,
+                template=task.template,
+                model_version=task.model_version,
+                stage=task.stage,
+                quality=min(1.0, max(0.0, quality)),
+            )
+        )
--- /dev/null
+++ b/src/nutmeghook/standins/memory_table.py
@@ -0,0 +1,138 @@
+"""The table service in memory, with its limits."""
+
+import bisect
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.platform import table
+from nutmeghook.standins import faults as faults_module
+from nutmeghook.standins import rate_limit
+
+WRITES_PER_S = 400
+READS_PER_S = 2000
+ROWS_PER_READ = 100
+
+
+class MemoryTable(table.TableService):
+    """Rows in a dict; a commit happens in one step of the event loop.
+
+    A commit counts one write for each put and delete, whether its conditions
+    hold or not, or one read where it has neither. A scan counts one read for
+    each 100 rows or part.
+
+    Attributes:
+        commits: Commits that took effect.
+    """
+
+    __slots__ = (
+        "_keys",
+        "_last_version",
+        "_read_limit",
+        "_rows",
+        "_write_limit",
+        "commits",
+        "faults",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        faults: faults_module.Faults | None = None,
+        writes_per_s: float = WRITES_PER_S,
+        reads_per_s: float = READS_PER_S,
+    ):
+        self.faults = faults or faults_module.Faults(clock=clock)
+        self._write_limit = rate_limit.RateLimit(
+            clock=clock, name="writes", per_s=writes_per_s
+        )
+        self._read_limit = rate_limit.RateLimit(
+            clock=clock, name="reads", per_s=reads_per_s
+        )
+        self._rows: dict[str, table.Row] = {}
+        self._keys: list[str] = []
+        self._last_version = table.ABSENT_VERSION
+        self.commits = 0
+
+    @property
+    def writes(self) -> int:
+        """Writes counted against the limit so far."""
+        return self._write_limit.used
+
+    @property
+    def reads(self) -> int:
+        """Reads counted against the limit so far."""
+        return self._read_limit.used
+
+    async def read(self, key: str) -> table.Row | None:
+        """Returns the row, or None where there is none."""
+        await self.faults.before_read()
+        self._read_limit.spend(1)
+        return self._rows.get(key)
+
+    async def scan(
+        self, *, prefix: str, after: str = "", limit: int = 1000
+    ) -> list[table.Row]:
+        """Returns rows whose key has the prefix, in order of their keys."""
+        await self.faults.before_read()
+        rows = self._scan(prefix, after, limit)
+        self._read_limit.spend(max(1, -(-len(rows) // ROWS_PER_READ)))
+        return rows
+
+    async def commit(
+        self, transaction: table.Transaction
+    ) -> table.CommitResult:
+        """Applies the transaction if all its conditions hold."""
+        return await self.faults.write(lambda: self._commit(transaction))
+
+    def _scan(self, prefix: str, after: str, limit: int) -> list[table.Row]:
+        start = bisect.bisect_left(self._keys, prefix)
+        start = max(start, bisect.bisect_right(self._keys, after))
+        rows = []
+        for index in range(start, min(start + limit, len(self._keys))):
+            key = self._keys[index]
+            if not key.startswith(prefix):
+                break
+            rows.append(self._rows[key])
+        return rows
+
+    def _commit(self, transaction: table.Transaction) -> table.CommitResult:
+        self._spend(transaction)
+        failed = [
+            condition.key
+            for condition in transaction.conditions
+            if self._version(condition.key) != condition.version
+        ]
+        if failed:
+            current = [self._rows[key] for key in failed if key in self._rows]
+            return table.CommitResult(committed=False, current=tuple(current))
+        for key in transaction.deletes:
+            self._delete(key)
+        versions = tuple(self._put(put) for put in transaction.puts)
+        self.commits += 1
+        return table.CommitResult(committed=True, versions=versions)
+
+    def _spend(self, transaction: table.Transaction) -> None:
+        writes = len(transaction.puts) + len(transaction.deletes)
+        if writes:
+            self._write_limit.spend(writes)
+        else:
+            self._read_limit.spend(1)
+
+    def _version(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.version if row else table.ABSENT_VERSION
+
+    def _put(self, put: table.Put) -> int:
+        # One count for all rows: a row that is deleted and made again never
+        # gets a version that it had before.
+        self._last_version += 1
+        if put.key not in self._rows:
+            bisect.insort(self._keys, put.key)
+        self._rows[put.key] = table.Row(
+            key=put.key, value=put.value, version=self._last_version
+        )
+        return self._last_version
+
+    def _delete(self, key: str) -> None:
+        if self._rows.pop(key, None) is not None:
+            del self._keys[bisect.bisect_left(self._keys, key)]
--- /dev/null
+++ b/src/nutmeghook/standins/rate_limit.py
@@ -0,0 +1,54 @@
+"""The platform's rate limits, as the stand-ins enforce them."""
+
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.platform import failures
+
+
+class RateLimit:
+    """A token bucket that holds one second's worth, and at least one.
+
+    Attributes:
+        per_s: Operations a second; may be changed at any time.
+        used: Operations let through so far.
+    """
+
+    __slots__ = ("_clock", "_filled_at", "_left", "_name", "per_s", "used")
+
+    def __init__(self, *, clock: clock_module.Clock, name: str, per_s: float):
+        if per_s <= 0:
+            raise ValueError(f"per_s is {per_s}; give more than 0")
+        self._clock = clock
+        self._name = name
+        self._left = max(1.0, per_s)
+        self._filled_at = clock.monotonic()
+        self.per_s = per_s
+        self.used = 0
+
+    def spend(self, operations: int) -> None:
+        """Takes leave for some operations.
+
+        Raises:
+            failures.NotDoneError: Over the limit; `retry_after` says when
+                there will be room, or is None if there never will.
+        """
+        now = self._clock.monotonic()
+        passed_s = (now - self._filled_at).total_seconds()
+        capacity = max(1.0, self.per_s)
+        self._filled_at = now
+        self._left = min(capacity, self._left + passed_s * self.per_s)
+        if operations <= self._left:
+            self._left -= operations
+            self.used += operations
+            return
+        retry_after = None
+        if operations <= capacity:
+            missing = operations - self._left
+            retry_after = datetime.timedelta(seconds=missing / self.per_s)
+        raise failures.NotDoneError(
+            f"{operations} {self._name} are over the limit of "
+            f"{self.per_s:g} a second",
+            retry_after=retry_after,
+            overloaded=True,
+        )
