--- /dev/null
+++ b/src/nutmeghook/experiment/checks.py
@@ -0,0 +1,266 @@
+"""The judges of a run: one check for each thing that must hold.
+
+Each check compares what callers saw with what backend servers and the bills
+say, and returns a violation for every contradiction. None of them trusts an
+instance's own word alone.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+import msgspec
+
+from nutmeghook.experiment import history
+
+
+class Rule(enum.Enum):
+    """What a violation is counted as."""
+
+    LOST = "lost"
+    DOUBLED = "doubled"
+    BILL_MISSING = "billed_missing"
+    BILLED_TWICE = "billed_twice"
+    NOT_ALLOWED = "not_allowed"
+    AFTER_WITHDRAWAL = "after_withdrawal"
+    SESSION_MOVED = "session_moved"
+    FALSE_NOT_RUN = "false_not_run"
+    RAN_TWICE = "ran_twice"
+    CROSSED = "crossed"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Violation:
+    """One contradiction between what must hold and what was seen."""
+
+    rule: Rule
+    marker: str
+    detail: str
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """One execution, as a backend server logged it.
+
+    Attributes:
+        request_id: The instance's id of the request.
+        marker: The work's marker, read from the prompt, path or body.
+        model_version: Empty for a plain service.
+    """
+
+    request_id: str
+    marker: str
+    started_ms: float
+    model_version: str = ""
+
+
+class BillSeen(msgspec.Struct, frozen=True, kw_only=True):
+    """One bill after reading the ledger back."""
+
+    request_id: str
+    team: str
+    key: str
+
+
+class Withdrawal(msgspec.Struct, frozen=True, kw_only=True):
+    """A version that may get no new work after a moment."""
+
+    model_version: str
+    in_force_ms: float
+
+
+class Evidence(msgspec.Struct, frozen=True, kw_only=True):
+    """All that the checks compare.
+
+    Attributes:
+        allowed: For each team, the models it may use.
+    """
+
+    works: list[history.Work]
+    runs: list[Run]
+    bills: list[BillSeen]
+    withdrawals: list[Withdrawal]
+    allowed: dict[str, set[str]]
+
+
+def check_all(evidence: Evidence) -> list[Violation]:
+    """Runs every check."""
+    violations: list[Violation] = []
+    for check in _CHECKS:
+        violations.extend(check(evidence))
+    return violations
+
+
+def check_nothing_lost(evidence: Evidence) -> Iterable[Violation]:
+    """Every piece of work ended in an answer or a true word about it."""
+    for work in evidence.works:
+        if work.last.outcome is history.TryOutcome.CUT:
+            yield Violation(
+                rule=Rule.LOST,
+                marker=work.marker,
+                detail=f"no word on its end after {len(work.tries)} tries",
+            )
+
+
+def check_answered_once(evidence: Evidence) -> Iterable[Violation]:
+    """Two answers to one key must be the same answer."""
+    for work in evidence.works:
+        texts = {answer.text for answer in work.answers}
+        if work.key and len(texts) > 1:
+            yield Violation(
+                rule=Rule.DOUBLED,
+                marker=work.marker,
+                detail=f"{len(texts)} different answers under one key",
+            )
+
+
+def check_own_answer(evidence: Evidence) -> Iterable[Violation]:
+    """An answer carries its own work's marker."""
+    for work in evidence.works:
+        for answer in work.answers:
+            if work.marker not in answer.text:
+                yield Violation(
+                    rule=Rule.CROSSED,
+                    marker=work.marker,
+                    detail=f"the answer is {answer.text[:80]!r}",
+                )
+
+
+def check_ran_once(evidence: Evidence) -> Iterable[Violation]:
+    """Work that may not be repeated ran at most once."""
+    runs: dict[str, int] = {}
+    for run in evidence.runs:
+        runs[run.marker] = runs.get(run.marker, 0) + 1
+    for work in evidence.works:
+        times = runs.get(work.marker, 0)
+        if work.once and work.key and times > 1:
+            yield Violation(
+                rule=Rule.RAN_TWICE,
+                marker=work.marker,
+                detail=f"backend servers ran it {times} times",
+            )
+
+
+def check_not_run_is_true(evidence: Evidence) -> Iterable[Violation]:
+    """A refusal that says "not run" is absent from backend servers' logs."""
+    ran = {run.request_id for run in evidence.runs}
+    for work in evidence.works:
+        for attempt in work.tries:
+            said = attempt.outcome is history.TryOutcome.NOT_RUN
+            if said and attempt.request_id and attempt.request_id in ran:
+                yield Violation(
+                    rule=Rule.FALSE_NOT_RUN,
+                    marker=work.marker,
+                    detail=f"{attempt.request_id} was run",
+                )
+
+
+def check_billed_once(evidence: Evidence) -> Iterable[Violation]:
+    """Every answered request has exactly one bill."""
+    times: dict[str, int] = {}
+    for bill in evidence.bills:
+        times[bill.request_id] = times.get(bill.request_id, 0) + 1
+    keyed = {(bill.team, bill.key) for bill in evidence.bills}
+    for request_id, count in times.items():
+        if count > 1:
+            yield Violation(
+                rule=Rule.BILLED_TWICE,
+                marker=request_id,
+                detail=f"{count} bills",
+            )
+    for work in evidence.works:
+        for answer in work.answers:
+            by_key = work.key and (work.team, work.key) in keyed
+            if not by_key and answer.request_id not in times:
+                yield Violation(
+                    rule=Rule.BILL_MISSING,
+                    marker=work.marker,
+                    detail=f"{answer.request_id} was answered, not billed",
+                )
+
+
+def check_key_billed_once(evidence: Evidence) -> Iterable[Violation]:
+    """One idempotency key never has two bills."""
+    seen: set[tuple[str, str]] = set()
+    for bill in evidence.bills:
+        identity = (bill.team, bill.key)
+        if identity in seen:
+            yield Violation(
+                rule=Rule.BILLED_TWICE,
+                marker=bill.key,
+                detail=f"a second bill is {bill.request_id}",
+            )
+        seen.add(identity)
+
+
+def check_allowed(evidence: Evidence) -> Iterable[Violation]:
+    """Runs and answers are on models that the team allows."""
+    team_of = {work.marker: work.team for work in evidence.works}
+    for run in evidence.runs:
+        team = team_of.get(run.marker)
+        model = run.model_version.partition("@")[0]
+        if model and team and model not in evidence.allowed[team]:
+            yield Violation(
+                rule=Rule.NOT_ALLOWED,
+                marker=run.marker,
+                detail=f"{run.model_version} ran for {team}",
+            )
+
+
+def check_withdrawn(evidence: Evidence) -> Iterable[Violation]:
+    """No run of a withdrawn version started after it was out of force."""
+    for withdrawal in evidence.withdrawals:
+        for run in evidence.runs:
+            if (
+                run.model_version == withdrawal.model_version
+                and run.started_ms > withdrawal.in_force_ms
+            ):
+                late_ms = run.started_ms - withdrawal.in_force_ms
+                yield Violation(
+                    rule=Rule.AFTER_WITHDRAWAL,
+                    marker=run.marker,
+                    detail=f"{run.model_version} ran {late_ms:.0f} ms late",
+                )
+
+
+def check_sessions_stay(evidence: Evidence) -> Iterable[Violation]:
+    """A session's answers of one model come from one version.
+
+    A withdrawal moves a session once, so a change away from a withdrawn
+    version is no violation.
+    """
+    withdrawn = {w.model_version for w in evidence.withdrawals}
+    pinned: dict[tuple[str, str, str, str], str] = {}
+    for work in _in_order(evidence.works):
+        for answer in work.answers:
+            model = answer.served_version.partition("@")[0]
+            if not (work.session and model):
+                continue
+            place = (work.team, work.template, work.session, model)
+            before = pinned.setdefault(place, answer.served_version)
+            if before == answer.served_version:
+                continue
+            pinned[place] = answer.served_version
+            if before not in withdrawn:
+                yield Violation(
+                    rule=Rule.SESSION_MOVED,
+                    marker=work.marker,
+                    detail=f"{before} became {answer.served_version}",
+                )
+
+
+def _in_order(works: list[history.Work]) -> list[history.Work]:
+    return sorted(works, key=lambda work: work.tries[0].started_ms)
+
+
+_CHECKS = (
+    check_nothing_lost,
+    check_answered_once,
+    check_own_answer,
+    check_ran_once,
+    check_not_run_is_true,
+    check_billed_once,
+    check_key_billed_once,
+    check_allowed,
+    check_withdrawn,
+    check_sessions_stay,
+)
--- /dev/null
+++ b/src/nutmeghook/internal/settings/flags.py
@@ -0,0 +1,50 @@
+"""Gives a command one flag for each setting, with help, from the list."""
+
+from collections.abc import Callable
+import functools
+import inspect
+
+import fire
+
+from nutmeghook.internal.settings import specs
+
+_INDENT = " " * 12
+
+
+def with_setting_flags(
+    command: Callable[..., None],
+) -> Callable[..., None]:
+    """Replaces `**flags` by a parameter a setting, for fire to read.
+
+    fire builds flags and help from a function's signature and docstring.
+    Writing 25 parameters by hand would be a second list of settings beside
+    `specs`, and lists that stand twice drift apart. Values stay text: fire
+    would turn `1,2` into a tuple and `0x1` into a number. The docstring's
+    line on `**flags` gives way to a line a setting.
+    """
+    own = [
+        parameter
+        for parameter in inspect.signature(command).parameters.values()
+        if parameter.kind is not inspect.Parameter.VAR_KEYWORD
+    ]
+    generated = [
+        inspect.Parameter(
+            spec.name, inspect.Parameter.KEYWORD_ONLY, default=None
+        )
+        for spec in specs.SERVE_SPECS
+    ]
+    lines = [
+        f"{_INDENT}{spec.name}: {spec.meaning} ({spec.kind.value})"
+        for spec in specs.SERVE_SPECS
+    ]
+
+    @functools.wraps(command)
+    def wrapper(*args: object, **flags: object) -> None:
+        command(*args, **flags)
+
+    del wrapper.__wrapped__
+    wrapper.__signature__ = inspect.Signature([*own, *generated])
+    wrapper.__doc__ = (command.__doc__ or "").replace(
+        f"{_INDENT}**flags: One flag a setting.", "\n".join(lines)
+    )
+    return fire.decorators.SetParseFn(str)(wrapper)
