Route to the less loaded of two backend servers

Requests need a backend server that has the version, is not leaving and was not tried before. The directory indexes backend servers by model version and plain service; a choice draws two of the nearest and takes the less loaded. A list that loses more than 40% of its live rows at once, or all of a service, is kept as it was and shows as one event: believing it would turn every request away although the backend servers are well.

Ruled out: filtering at choice time, whose cost grows with the backend servers that may not be used.

--- /dev/null
+++ b/bench/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of what surrounds the decisions, for the benchmarks."""
--- a/src/nutmeghook/internal/observe/events.py
+++ b/src/nutmeghook/internal/observe/events.py
@@ -38,6 +38,8 @@
     MEMBER_LEFT = "member left"
     BACKEND_EJECTED = "backend server ejected"
     BACKEND_LEAVING = "backend server leaving"
+    BACKEND_RESTORED = "backend server restored"
+    LIST_FAULT = "instance list fault"
     ROLLOUT_ADVANCED = "roll-out advanced"
     ROLLOUT_STOPPED = "roll-out stopped"
     VERSION_WITHDRAWN = "version withdrawn"
--- a/src/nutmeghook/internal/routing/backends.py
+++ b/src/nutmeghook/internal/routing/backends.py
@@ -8,7 +8,15 @@
 from nutmeghook.internal.platform import engine
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+class Nearness(enum.IntEnum):
+    """Where a backend server stands, seen from this instance."""
+
+    OWN_DATA_CENTRE = 0
+    OWN_REGION = 1
+    ELSEWHERE = 2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Backend:
     """One backend server and what is believed of it.
 
@@ -18,6 +26,11 @@
         report: Its newest load report; None before the first.
         reported_at: Monotonic time at which the report's figures were true.
         leaving: Listed as leaving, or said so itself; takes no new work.
+        ejected: Takes no new work until it has proved itself again.
+        nearness: Its place seen from this instance.
+        plain: It is a plain service's instance, not a model engine.
+        in_flight: Attempts of this instance that run on it now.
+        others_at_report: Attempts of other instances when it reported.
     """
 
     address: str
@@ -27,6 +40,11 @@
     report: engine.LoadReport | None = None
     reported_at: datetime.timedelta = datetime.timedelta()
     leaving: bool = False
+    ejected: bool = False
+    nearness: Nearness = Nearness.OWN_DATA_CENTRE
+    plain: bool = False
+    in_flight: int = 0
+    others_at_report: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- /dev/null
+++ b/src/nutmeghook/internal/routing/service.py
@@ -0,0 +1,65 @@
+"""Puts the parts together that know and choose backend servers."""
+
+import asyncio
+import dataclasses
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import instances
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import chooser as chooser_module
+from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import poller
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class BackendRouting:
+    """What the assembly needs of this package's part on backend servers."""
+
+    directory: directory_module.BackendDirectory
+    chooser: backends.BackendChooser
+    list_poller: poller.ListPoller
+    report_poller: poller.ReportPoller
+
+    async def run(self) -> None:
+        """Keeps the knowledge fresh until cancelled."""
+        await self.list_poller.poll_once()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.list_poller.run())
+            tasks.create_task(self.report_poller.run())
+
+
+def build_backend_routing(
+    *,
+    clock: clock_module.Clock,
+    events: events_module.EventRing,
+    place: directory_module.Place,
+    instance_list: instances.InstanceList,
+    connector: engine.EngineConnector,
+    rng: random.Random,
+) -> BackendRouting:
+    """Builds the directory, the chooser and the pollers that feed them."""
+    directory = directory_module.BackendDirectory(
+        clock=clock, events=events, place=place
+    )
+    return BackendRouting(
+        directory=directory,
+        chooser=chooser_module.LeastLoadedChooser(
+            directory=directory, clock=clock, rng=rng
+        ),
+        list_poller=poller.ListPoller(
+            instance_list=instance_list,
+            directory=directory,
+            clock=clock,
+            rng=rng,
+        ),
+        report_poller=poller.ReportPoller(
+            connector=connector,
+            directory=directory,
+            assignment=poller.AllReports(),
+            clock=clock,
+            rng=rng,
+        ),
+    )
