Add fair admission, retry budgets and token budgets

Cause: requests need a place before they run, and retries a bound.

Ruled out: strict priority alone (a team that marks all its work urgent starves the others); fairness alone (a dossier review is refused so that a lookup can be answered); a queue bounded by length only (what can't end in time waits to hear it).

Change: FairAdmission with a bounded queue in front of a settable number of places: start-time fair queueing among teams, most work picked by priority and a guaranteed share by fairness alone; requests that can't end in time are refused on arrival, with moments to return that are spread out. Retry budgets as a share of first attempts, one for each dependency. Token budgets enforce an equal share an instance.

--- /dev/null
+++ b/src/nutmeghook/internal/limits/concurrency_limit.py
@@ -0,0 +1,65 @@
+"""How many requests an instance lets run at once."""
+
+import abc
+import datetime
+
+
+class ConcurrencyLimit(abc.ABC):
+    """A number of places, which may follow measured service."""
+
+    @property
+    @abc.abstractmethod
+    def places(self) -> int:
+        """The number of requests that may run at once; at least 1."""
+
+    @abc.abstractmethod
+    def note(
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int,
+        running: int,
+    ) -> None:
+        """Takes in one finished attempt.
+
+        Args:
+            duration: How long the attempt ran.
+            overloaded: It met overload; `duration` is meaningless then.
+            work_tokens: The attempt's size, which durations are compared by.
+            running: Requests running when it ended.
+        """
+
+
+class FixedLimit(ConcurrencyLimit):
+    """A number that only its owner changes."""
+
+    __slots__ = ("_places",)
+
+    def __init__(self, *, places: int):
+        self._places = _checked(places)
+
+    @property
+    def places(self) -> int:
+        """The number given."""
+        return self._places
+
+    def set_places(self, places: int) -> None:
+        """Changes the number."""
+        self._places = _checked(places)
+
+    def note(
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int,
+        running: int,
+    ) -> None:
+        """Ignores it."""
+
+
+def _checked(places: int) -> int:
+    if places < 1:
+        raise ValueError(f"places is {places}; give 1 or more")
+    return places
--- /dev/null
+++ b/src/nutmeghook/internal/limits/fair_admission.py
@@ -0,0 +1,337 @@
+"""Admission by priority and deadline, fair among teams.
+
+Every request is answered as soon as its fate is clear. One that can't start
+in time, by the measured service rate and what waits ahead of it, is refused
+on arrival; one that is overtaken is refused when that shows; none waits for
+its deadline to hear that it was hopeless.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.limits import admission
+from nutmeghook.internal.limits import concurrency_limit
+from nutmeghook.internal.limits import fair_queue
+from nutmeghook.internal.limits import return_schedule
+from nutmeghook.internal.limits import service_rate
+from nutmeghook.internal.limits import token_budget
+
+_SECOND = datetime.timedelta(seconds=1)
+_ZERO = datetime.timedelta()
+_SHED_INTERVAL = datetime.timedelta(milliseconds=100)
+DEFAULT_MAX_WAITING = 1000
+
+
+class FairAdmission(admission.Admission):
+    """Places for running requests, and a queue in front of them."""
+
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_limit",
+        "_max_waiting",
+        "_queue",
+        "_rate",
+        "_returns",
+        "_running",
+        "_shed_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        randomness: random.Random,
+        limit: concurrency_limit.ConcurrencyLimit,
+        budgets: token_budget.TokenBudgets,
+        guaranteed_share: float = fair_queue.DEFAULT_GUARANTEED_SHARE,
+        max_waiting: int = DEFAULT_MAX_WAITING,
+    ):
+        """Starts with all places free.
+
+        Args:
+            clock: Deadlines are on its monotonic time.
+            randomness: Spreads the moments at which refused callers return.
+            limit: How many requests may run at once.
+            budgets: The templates' token budgets.
+            guaranteed_share: Share of the work picked by fairness alone.
+            max_waiting: Bounds the memory; deadlines bound the queue sooner.
+        """
+        if max_waiting < 1:
+            raise ValueError(f"max_waiting is {max_waiting}; give 1 or more")
+        self._clock = clock
+        self._limit = limit
+        self._budgets = budgets
+        self._max_waiting = max_waiting
+        self._queue = fair_queue.FairQueue(guaranteed_share=guaranteed_share)
+        self._rate = service_rate.ServiceRate()
+        self._returns = return_schedule.ReturnSchedule(
+            clock=clock, randomness=randomness
+        )
+        self._running = 0
+        self._shed_at = _ZERO
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a place."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue)
+
+    @contextlib.asynccontextmanager
+    async def admitted(
+        self, request: admission.AdmissionRequest
+    ) -> AsyncIterator[None]:
+        """Holds a place while the request runs."""
+        await self._enter(_checked(request))
+        started = self._clock.monotonic()
+        completed = False
+        try:
+            yield
+            completed = True
+        finally:
+            self._rate.note(
+                cost_tokens=request.cost_tokens,
+                duration=self._clock.monotonic() - started,
+                completed=completed,
+            )
+            self._leave()
+
+    def note_service(
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int = 1,
+    ) -> None:
+        """Takes in how long an attempt ran, or that it met overload."""
+        self._limit.note(
+            duration=duration,
+            overloaded=overloaded,
+            work_tokens=work_tokens,
+            running=self._running,
+        )
+        self._dispatch()
+
+    def reconcile(
+        self, request: admission.AdmissionRequest, *, used_tokens: int
+    ) -> None:
+        """Replaces the estimate of an admitted request by what it used."""
+        extra_tokens = used_tokens - request.cost_tokens
+        self._budgets.charge(request, extra_tokens)
+        self._queue.correct(request.team, extra_tokens)
+
+    async def _enter(self, request: admission.AdmissionRequest) -> None:
+        now = self._clock.monotonic()
+        if now >= request.deadline:
+            raise self._refusal(
+                codes.Code.DEADLINE_BEFORE_RUN, request, "on arrival"
+            )
+        self._check_budget(request)
+        if self._running < self._limit.places and not self._queue:
+            # Without a queue the estimate is not asked: after a brown-out it
+            # is too high, and only requests that run can bring it down.
+            self._queue.charge(request)
+            self._running += 1
+            self._budgets.charge(request, request.cost_tokens)
+            return
+        ticket = self._enqueue(request, now)
+        self._budgets.charge(request, request.cost_tokens)
+        try:
+            await self._wait(ticket, now)
+        except BaseException:
+            self._budgets.charge(request, -request.cost_tokens)
+            raise
+
+    def _enqueue(
+        self, request: admission.AdmissionRequest, now: datetime.timedelta
+    ) -> fair_queue.Ticket:
+        latest_start = self._latest_start(request)
+        if now + self._expected_wait(request) > latest_start:
+            raise self._refusal(
+                codes.Code.OVERLOADED, request, "it could not end in time"
+            )
+        if len(self._queue) >= self._max_waiting:
+            self._make_room(request)
+        ticket = fair_queue.Ticket(
+            request=request,
+            verdict=asyncio.get_running_loop().create_future(),
+            latest_start=latest_start,
+        )
+        self._queue.push(ticket)
+        self._dispatch()
+        return ticket
+
+    async def _wait(
+        self, ticket: fair_queue.Ticket, now: datetime.timedelta
+    ) -> None:
+        try:
+            verdict = await self._clock.wait_for(
+                asyncio.shield(ticket.verdict), ticket.latest_start - now
+            )
+        except TimeoutError:
+            verdict = self._verdict_after_timeout(ticket)
+        except BaseException:
+            self._abandon(ticket)
+            raise
+        if verdict is fair_queue.Verdict.TOO_LATE:
+            raise self._refusal(
+                codes.Code.DEADLINE_BEFORE_RUN,
+                ticket.request,
+                "while it waited it became too late to end in time",
+            )
+        if verdict is fair_queue.Verdict.SHED:
+            raise self._refusal(
+                codes.Code.OVERLOADED, ticket.request, "it was overtaken"
+            )
+
+    def _verdict_after_timeout(
+        self, ticket: fair_queue.Ticket
+    ) -> fair_queue.Verdict:
+        if ticket.verdict.done():
+            return ticket.verdict.result()
+        self._queue.remove(ticket)
+        return fair_queue.Verdict.TOO_LATE
+
+    def _abandon(self, ticket: fair_queue.Ticket) -> None:
+        """Frees what a cancelled request holds: its turn, or its place.
+
+        The place may have been given in the same turn of the event loop in
+        which the caller went away. Left alone it would be lost for ever, and
+        the instance would serve one request less with every such caller.
+        """
+        if not ticket.verdict.done():
+            self._queue.remove(ticket)
+            ticket.verdict.cancel()
+        elif ticket.verdict.result() is fair_queue.Verdict.RUN:
+            self._leave()
+
+    def _leave(self) -> None:
+        self._running -= 1
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        now = self._clock.monotonic()
+        while self._queue and self._running < self._limit.places:
+            ticket = self._queue.pop()
+            if ticket.latest_start < now:
+                self._queue.correct(
+                    ticket.request.team, -ticket.request.cost_tokens
+                )
+                ticket.verdict.set_result(fair_queue.Verdict.TOO_LATE)
+                continue
+            self._running += 1
+            ticket.verdict.set_result(fair_queue.Verdict.RUN)
+        self._shed_hopeless(now)
+
+    def _make_room(self, request: admission.AdmissionRequest) -> None:
+        """Sheds the newest of lowest priority, or refuses the newcomer."""
+        lowest = self._queue.newest_tickets()[0]
+        if lowest.request.priority >= request.priority:
+            raise self._refusal(
+                codes.Code.OVERLOADED, request, "the queue is full"
+            )
+        self._shed(lowest)
+
+    def _shed_hopeless(self, now: datetime.timedelta) -> None:
+        """Refuses those that others overtook, now and not at their deadline.
+
+        Of each team and priority the newest goes first: it has most before
+        it, and each one shed helps those that stay.
+        """
+        if now < self._shed_at or not self._queue:
+            return
+        self._shed_at = now + _SHED_INTERVAL
+        for newest in self._queue.newest_tickets():
+            ticket: fair_queue.Ticket | None = newest
+            while ticket is not None and self._is_hopeless(ticket, now):
+                self._shed(ticket)
+                ticket = self._queue.newest_like(ticket.request)
+
+    def _is_hopeless(
+        self, ticket: fair_queue.Ticket, now: datetime.timedelta
+    ) -> bool:
+        """Tells whether the newest of its kind can't end in time."""
+        self._queue.remove(ticket)
+        wait = self._expected_wait(ticket.request)
+        self._queue.push(ticket)
+        return now + wait > self._latest_start(ticket.request)
+
+    def _shed(self, ticket: fair_queue.Ticket) -> None:
+        self._queue.remove(ticket)
+        ticket.verdict.set_result(fair_queue.Verdict.SHED)
+
+    def _latest_start(
+        self, request: admission.AdmissionRequest
+    ) -> datetime.timedelta:
+        likely = self._rate.likely_duration(request.cost_tokens)
+        return request.deadline - likely
+
+    def _expected_wait(
+        self, request: admission.AdmissionRequest
+    ) -> datetime.timedelta:
+        tokens_per_s = self._rate.tokens_per_s(self._limit.places)
+        if not tokens_per_s:
+            return _ZERO
+        guaranteed = self._queue.guaranteed_share
+        by_priority = self._queue.cost_by_priority(request)
+        if self._queue.has_below(request.priority):
+            by_priority /= 1 - guaranteed
+        seconds = by_priority / tokens_per_s
+        if guaranteed:
+            by_fairness = self._queue.cost_by_fairness(request) / guaranteed
+            seconds = min(seconds, by_fairness / tokens_per_s)
+        return seconds * _SECOND
+
+    def _check_budget(self, request: admission.AdmissionRequest) -> None:
+        wait = self._budgets.wait_needed(request)
+        if wait > _ZERO:
+            raise errors.CodedError(
+                code=codes.Code.OVER_BUDGET,
+                detail=(
+                    f"template {request.template} has used its "
+                    f"{request.tokens_per_minute} tokens a minute"
+                ),
+                retry_after=self._returns.jittered(wait),
+            )
+
+    def _refusal(
+        self,
+        code: codes.Code,
+        request: admission.AdmissionRequest,
+        reason: str,
+    ) -> errors.CodedError:
+        retry_after = self._returns.next_return(
+            cost_tokens=request.cost_tokens,
+            tokens_per_s=self._rate.tokens_per_s(self._limit.places),
+            earliest=self._expected_wait(request),
+        )
+        return errors.CodedError(
+            code=code,
+            detail=f"{code.meaning} ({reason})",
+            retry_after=retry_after,
+        )
+
+
+def _checked(
+    request: admission.AdmissionRequest,
+) -> admission.AdmissionRequest:
+    """Checks what would otherwise spoil the queue's sums for everybody."""
+    if request.weight <= 0:
+        raise ValueError(f"weight is {request.weight}; give a number over 0")
+    if not 0 <= request.priority < fair_queue.PRIORITIES:
+        raise ValueError(f"priority is {request.priority}; give 0 to 9")
+    if request.cost_tokens < 1:
+        raise ValueError(
+            f"cost_tokens is {request.cost_tokens}; give 1 or more"
+        )
+    return request
--- /dev/null
+++ b/src/nutmeghook/internal/limits/retry_budget.py
@@ -0,0 +1,79 @@
+"""A retry budget: attempts beyond the first as a share of recent requests."""
+
+from nutmeghook.internal.limits import admission
+
+DEFAULT_SHARE = 0.1
+DEFAULT_BURST_ATTEMPTS = 5.0
+
+
+class ShareRetryBudget(admission.RetryBudget):
+    """A token bucket that first attempts fill.
+
+    Each first attempt adds `share` of a token and each retry or hedge takes a
+    whole one. No message between instances is needed: where no instance goes
+    beyond its share, the fleet doesn't either.
+
+    The bucket holds few tokens, on purpose. During a quiet, healthy hour no
+    retry is needed, and an unbounded bucket would save up enough to double
+    the load at the first minute of a brown-out.
+    """
+
+    __slots__ = ("_burst_attempts", "_share", "_tokens")
+
+    def __init__(
+        self,
+        *,
+        share: float = DEFAULT_SHARE,
+        burst_attempts: float = DEFAULT_BURST_ATTEMPTS,
+    ):
+        if not 0 <= share <= 1:
+            raise ValueError(f"share is {share}; give a number from 0 to 1")
+        if burst_attempts < 1:
+            raise ValueError(
+                f"burst_attempts is {burst_attempts}; give 1 or more, or no "
+                "retry would ever be allowed"
+            )
+        self._share = share
+        self._burst_attempts = burst_attempts
+        self._tokens = 1.0
+
+    def note_request(self) -> None:
+        """Counts a first attempt."""
+        self._tokens = min(self._burst_attempts, self._tokens + self._share)
+
+    def try_spend(self) -> bool:
+        """Takes leave for one more retry or hedge."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class RetryBudgets:
+    """One budget for each dependency (a model's pool, a plain service).
+
+    They are apart because a brown-out of one pool must not use up what the
+    requests of a healthy one may spend, nor draw on their number.
+    """
+
+    __slots__ = ("_budgets", "_burst_attempts", "_share")
+
+    def __init__(
+        self,
+        *,
+        share: float = DEFAULT_SHARE,
+        burst_attempts: float = DEFAULT_BURST_ATTEMPTS,
+    ):
+        self._share = share
+        self._burst_attempts = burst_attempts
+        self._budgets: dict[str, ShareRetryBudget] = {}
+
+    def budget_for(self, dependency: str) -> ShareRetryBudget:
+        """Returns the dependency's budget; names come from the catalogue."""
+        budget = self._budgets.get(dependency)
+        if budget is None:
+            budget = ShareRetryBudget(
+                share=self._share, burst_attempts=self._burst_attempts
+            )
+            self._budgets[dependency] = budget
+        return budget
--- /dev/null
+++ b/src/nutmeghook/internal/limits/return_schedule.py
@@ -0,0 +1,65 @@
+"""When refused callers are told to come back."""
+
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+
+DEFAULT_LONGEST = datetime.timedelta(seconds=60)
+_SHORTEST = datetime.timedelta(milliseconds=200)
+_JITTER_SHARE = 0.25
+
+
+class ReturnSchedule:
+    """Spreads returns so that they come at a rate that can be served.
+
+    If all callers refused in one second were told the same moment, they would
+    return as one herd and be refused again. Each is given the next free
+    moment instead: returns advance by the refused cost over a share of the
+    measured service rate. The rest of the rate is left to new requests.
+    """
+
+    __slots__ = ("_clock", "_free_at", "_longest", "_random", "_share")
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        randomness: random.Random,
+        share: float = 0.5,
+        longest: datetime.timedelta = DEFAULT_LONGEST,
+    ):
+        if not 0 < share <= 1:
+            raise ValueError(f"share is {share}; give a number over 0, up to 1")
+        self._clock = clock
+        self._random = randomness
+        self._share = share
+        self._longest = longest
+        self._free_at = datetime.timedelta()
+
+    def next_return(
+        self,
+        *,
+        cost_tokens: int,
+        tokens_per_s: float,
+        earliest: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Returns how long a refused caller should wait.
+
+        Args:
+            cost_tokens: The refused request's cost.
+            tokens_per_s: The measured service rate; 0 where unknown.
+            earliest: No sooner than this from now, for example when the
+                backlog will have been worked off.
+        """
+        now = self._clock.monotonic()
+        start = max(self._free_at, now + max(earliest, _SHORTEST))
+        start = min(start, now + self._longest)
+        if tokens_per_s > 0:
+            seconds = cost_tokens / (self._share * tokens_per_s)
+            self._free_at = start + datetime.timedelta(seconds=seconds)
+        return self.jittered(start - now)
+
+    def jittered(self, wait: datetime.timedelta) -> datetime.timedelta:
+        """Returns the wait made longer by a random part of itself."""
+        return wait * (1 + _JITTER_SHARE * self._random.random())
--- /dev/null
+++ b/src/nutmeghook/internal/limits/service_rate.py
@@ -0,0 +1,72 @@
+"""How fast admitted work is done, as measured here."""
+
+import datetime
+
+_SECOND = datetime.timedelta(seconds=1)
+_SMOOTHING = 0.05
+# With the mean alone every second request would take longer than expected.
+_DEVIATIONS = 2.0
+
+
+class ServiceRate:
+    """Moving averages of durations, costs, and how far durations stray.
+
+    The rate of one place is the ratio of two averages (cost over duration),
+    not the average of ratios: short requests would count too much in that.
+    """
+
+    __slots__ = ("_cost_tokens", "_deviation", "_duration_s")
+
+    def __init__(self):
+        self._cost_tokens = 0.0
+        self._duration_s = 0.0
+        self._deviation = 0.0
+
+    def note(
+        self,
+        *,
+        cost_tokens: int,
+        duration: datetime.timedelta,
+        completed: bool,
+    ) -> None:
+        """Takes in one request that gave its place back.
+
+        One that was broken off tells only that it would have taken at least
+        so long. It counts if that is longer than expected: in a brown-out
+        only requests cut at their deadline may be left to learn from.
+        """
+        if not completed and duration <= self._mean_duration(cost_tokens):
+            return
+        duration_s = max(duration / _SECOND, 1e-6)
+        if not self._cost_tokens:
+            self._cost_tokens = float(cost_tokens)
+            self._duration_s = duration_s
+            return
+        expected_s = cost_tokens * self._duration_s / self._cost_tokens
+        deviation = abs(duration_s - expected_s) / expected_s
+        self._deviation += _SMOOTHING * (deviation - self._deviation)
+        self._cost_tokens += _SMOOTHING * (cost_tokens - self._cost_tokens)
+        self._duration_s += _SMOOTHING * (duration_s - self._duration_s)
+
+    @property
+    def measured(self) -> bool:
+        """Whether any request has finished yet."""
+        return self._cost_tokens > 0
+
+    def tokens_per_s(self, places: int) -> float:
+        """Returns what so many places serve; 0 before the first measure."""
+        if not self.measured:
+            return 0.0
+        return places * self._cost_tokens / self._duration_s
+
+    def likely_duration(self, cost_tokens: int) -> datetime.timedelta:
+        """Returns a duration that most requests of this cost stay under."""
+        if not self.measured:
+            return datetime.timedelta()
+        mean = self._mean_duration(cost_tokens)
+        return (1 + _DEVIATIONS * self._deviation) * mean
+
+    def _mean_duration(self, cost_tokens: int) -> datetime.timedelta:
+        if not self.measured:
+            return datetime.timedelta.max
+        return cost_tokens * self._duration_s / self._cost_tokens * _SECOND
--- /dev/null
+++ b/src/nutmeghook/internal/limits/token_budget.py
@@ -0,0 +1,76 @@
+"""Token budgets of templates, as each instance enforces its part of them."""
+
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import admission
+from nutmeghook.internal.membership import members as members_module
+
+_MINUTE = datetime.timedelta(minutes=1)
+
+
+class _Bucket:
+    """What is left of one template's budget; negative while in debt."""
+
+    __slots__ = ("filled_at", "level_tokens")
+
+    def __init__(self, *, level_tokens: float, filled_at: datetime.timedelta):
+        self.level_tokens = level_tokens
+        self.filled_at = filled_at
+
+
+class TokenBudgets:
+    """A token bucket a template, filled with this instance's share.
+
+    A request is let in while the bucket isn't empty, whatever its size, and
+    the bucket may go into debt. Otherwise a budget whose share at one of 420
+    instances is smaller than one request would let nothing in at all.
+    """
+
+    __slots__ = ("_buckets", "_clock", "_members")
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        members: members_module.MemberView,
+    ):
+        self._clock = clock
+        self._members = members
+        self._buckets: dict[tuple[str, str], _Bucket] = {}
+
+    def wait_needed(
+        self, request: admission.AdmissionRequest
+    ) -> datetime.timedelta:
+        """Returns how long until the budget lets this in; zero for now."""
+        if not request.tokens_per_minute:
+            return datetime.timedelta()
+        bucket = self._filled(request)
+        if bucket.level_tokens > 0:
+            return datetime.timedelta()
+        missing_tokens = 1 - bucket.level_tokens
+        return missing_tokens / self._share(request) * _MINUTE
+
+    def charge(self, request: admission.AdmissionRequest, tokens: int) -> None:
+        """Takes tokens, or gives them back if negative."""
+        if request.tokens_per_minute:
+            bucket = self._filled(request)
+            bucket.level_tokens = min(
+                bucket.level_tokens - tokens, self._share(request)
+            )
+
+    def _share(self, request: admission.AdmissionRequest) -> float:
+        return request.tokens_per_minute / max(1, len(self._members.members()))
+
+    def _filled(self, request: admission.AdmissionRequest) -> _Bucket:
+        now = self._clock.monotonic()
+        share = self._share(request)
+        key = (request.team, request.template)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = _Bucket(level_tokens=share, filled_at=now)
+            self._buckets[key] = bucket
+        passed = (now - bucket.filled_at) / _MINUTE
+        bucket.level_tokens = min(share, bucket.level_tokens + passed * share)
+        bucket.filled_at = now
+        return bucket
