Choose versions by one written order of precedence

A request names a template; nothing decided yet which version it runs on. version_rules holds what forbids a version (team's models, fleet-wide and template withdrawal, freshness policy), read from the newest configuration and not from the request's copy, so that a request queued across a withdrawal is refused as not run. version_choice picks among the rest: the session's pin, leave for roll-outs, a share by a stable hash.

Ruled out: treating a stale configuration like a withdrawal for pins. It would have moved sessions for good because of one instance's fault; such a request is refused with STALE_CONFIG instead and the pin stays.

ExposureGate gains take_regardless (a session's pin goes before leave, so its answers are counted as a debt) and give_back (leave taken for a session that turns out to be pinned elsewhere).

--- a/src/nutmeghook/internal/rollout/exposure.py
+++ b/src/nutmeghook/internal/rollout/exposure.py
@@ -21,3 +21,57 @@
         It answers from leave fetched earlier, never waits, and starts
         fetching more in the background.
         """
+
+    @abc.abstractmethod
+    def take_regardless(
+        self,
+        *,
+        template: documents.Template,
+        model_version: engine.ModelVersion,
+    ) -> None:
+        """Counts an answer that is sent whether there is leave or not.
+
+        A session's pin goes before leave. What such answers take beyond the
+        leave is a debt that later leave pays off first, so that a new
+        session waits for it.
+        """
+
+    @abc.abstractmethod
+    def give_back(
+        self,
+        *,
+        template: documents.Template,
+        model_version: engine.ModelVersion,
+    ) -> None:
+        """Returns leave taken for an answer that will not be sent."""
+
+
+class NoExposureGate(ExposureGate):
+    """Never gives leave: no roll-out gets new sessions here."""
+
+    __slots__ = ()
+
+    def try_take(
+        self,
+        *,
+        template: documents.Template,
+        model_version: engine.ModelVersion,
+    ) -> bool:
+        """Refuses."""
+        return False
+
+    def take_regardless(
+        self,
+        *,
+        template: documents.Template,
+        model_version: engine.ModelVersion,
+    ) -> None:
+        """Counts nothing."""
+
+    def give_back(
+        self,
+        *,
+        template: documents.Template,
+        model_version: engine.ModelVersion,
+    ) -> None:
+        """Has nothing to take back."""
--- /dev/null
+++ b/src/nutmeghook/internal/routing/version_choice.py
@@ -0,0 +1,295 @@
+"""Chooses a stage's version by the precedence in docs/design/precedence.md."""
+
+import datetime
+
+import xxhash
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import pins as pins_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.rollout import exposure
+from nutmeghook.internal.routing import version_rules
+from nutmeghook.internal.routing import versions
+
+DEFAULT_PIN_TIMEOUT = datetime.timedelta(milliseconds=150)
+_WHOLE_PERCENT = 100.0
+_HASH_RANGE = 2.0**64
+# A pin may name a version that the template no longer lists; the second try
+# names it as unusable, and a third finds another instance doing the same.
+_PIN_TRIES = 3
+
+
+class ConfiguredVersionChooser(versions.VersionChooser):
+    """Chooses by the configuration in force, pins, leave and shares."""
+
+    __slots__ = ("_gate", "_pin_timeout", "_pins", "_rules")
+
+    def __init__(
+        self,
+        *,
+        view: view_module.ConfigView,
+        pins: pins_module.SessionPins,
+        gate: exposure.ExposureGate,
+        pin_timeout: datetime.timedelta = DEFAULT_PIN_TIMEOUT,
+    ):
+        self._rules = version_rules.VersionRules(view=view)
+        self._pins = pins
+        self._gate = gate
+        self._pin_timeout = pin_timeout
+
+    async def choose(
+        self,
+        *,
+        template: documents.Template,
+        stage_index: int,
+        session: str,
+        request_id: str,
+    ) -> versions.VersionChoice:
+        """Returns the version for a stage; waits only for a session's pin."""
+        model = template.stages[stage_index].model
+        listed = self._rules.listed(template=template, model=model)
+        usable = [v for v in listed if v.standing.usable]
+        if not usable:
+            raise _nothing_usable(listed, template=template, model=model)
+        share_key = session or request_id
+        wanted = _by_share(usable, key=share_key)
+        proposed = self._with_leave(template, usable, wanted, share_key)
+        if not session:
+            return _choice_of(proposed)
+        key = pins_module.SessionKey(
+            team=template.team,
+            template=template.name,
+            stage_index=stage_index,
+            session=session,
+        )
+        return await self._pinned(template, key, proposed, usable)
+
+    def check_dispatch(
+        self,
+        *,
+        template: documents.Template,
+        choice: versions.VersionChoice,
+    ) -> None:
+        """Checks against the newest configuration just before sending."""
+        standing = self._rules.standing(
+            template=template, model_version=choice.model_version
+        )
+        if not standing.usable:
+            raise version_rules.refusal(
+                standing, template=template, what=str(choice.model_version)
+            )
+
+    def _with_leave(
+        self,
+        template: documents.Template,
+        usable: list[version_rules.ListedVersion],
+        wanted: version_rules.ListedVersion,
+        share_key: str,
+    ) -> version_rules.ListedVersion:
+        """Returns `wanted` if it needs no leave or gets it."""
+        if wanted.standing is not version_rules.Standing.ROLLING_OUT:
+            return wanted
+        version = wanted.model_version
+        if self._gate.try_take(template=template, model_version=version):
+            return wanted
+        serving = _serving(usable)
+        if serving:
+            return _among_serving(serving, share_key)
+        # A template with nothing but roll-outs has nobody to fall back on;
+        # its operator chose that, and the answer still counts.
+        self._gate.take_regardless(template=template, model_version=version)
+        return wanted
+
+    async def _pinned(
+        self,
+        template: documents.Template,
+        key: pins_module.SessionKey,
+        proposed: version_rules.ListedVersion,
+        usable: list[version_rules.ListedVersion],
+    ) -> versions.VersionChoice:
+        try:
+            pinned = await self._find_pin(template, key, proposed)
+        except errors.CodedError as error:
+            if error.code is not codes.Code.STORE_OUT:
+                raise
+            self._settle_leave(template, taken=proposed, used=None)
+            return _choice_of(_without_store(usable, key, template))
+        choice = self._choice_now(template, pinned)
+        self._settle_leave(template, taken=proposed, used=choice)
+        return choice
+
+    async def _find_pin(
+        self,
+        template: documents.Template,
+        key: pins_module.SessionKey,
+        proposed: version_rules.ListedVersion,
+    ) -> engine.ModelVersion:
+        """Returns the session's version, replacing pins to unusable ones."""
+        unusable = {
+            listed.model_version
+            for listed in self._rules.listed(
+                template=template, model=proposed.model_version.model
+            )
+            if _beats_pin(listed.standing)
+        }
+        pinned = proposed.model_version
+        for _ in range(_PIN_TRIES):
+            pinned = await self._pins.pin(
+                key,
+                proposed=proposed.model_version,
+                unusable=frozenset(unusable),
+                timeout=self._pin_timeout,
+            )
+            standing = self._rules.standing(
+                template=template, model_version=pinned
+            )
+            if not _beats_pin(standing) or pinned == proposed.model_version:
+                break
+            unusable.add(pinned)
+        return pinned
+
+    def _choice_now(
+        self, template: documents.Template, pinned: engine.ModelVersion
+    ) -> versions.VersionChoice:
+        """Checks a pin against the configuration; it may be a newer one."""
+        standing = self._rules.standing(template=template, model_version=pinned)
+        if not standing.usable:
+            raise version_rules.refusal(
+                standing, template=template, what=str(pinned)
+            )
+        return versions.VersionChoice(
+            model_version=pinned,
+            rolling_out=standing is version_rules.Standing.ROLLING_OUT,
+        )
+
+    def _settle_leave(
+        self,
+        template: documents.Template,
+        *,
+        taken: version_rules.ListedVersion,
+        used: versions.VersionChoice | None,
+    ) -> None:
+        """Makes the leave taken agree with the version that will be used."""
+        had_leave = taken.standing is version_rules.Standing.ROLLING_OUT
+        if used is not None and used.model_version == taken.model_version:
+            return
+        if had_leave:
+            self._gate.give_back(
+                template=template, model_version=taken.model_version
+            )
+        if used is not None and used.rolling_out:
+            self._gate.take_regardless(
+                template=template, model_version=used.model_version
+            )
+
+
+def _beats_pin(standing: version_rules.Standing) -> bool:
+    """Tells whether a session has to leave a version for good.
+
+    A stale configuration is no reason: the version may well be fine, and the
+    session would have changed its version because of this instance's fault.
+    """
+    return not standing.usable and standing is not version_rules.Standing.STALE
+
+
+def _choice_of(
+    listed: version_rules.ListedVersion,
+) -> versions.VersionChoice:
+    return versions.VersionChoice(
+        model_version=listed.model_version,
+        rolling_out=listed.standing is version_rules.Standing.ROLLING_OUT,
+    )
+
+
+def _serving(
+    usable: list[version_rules.ListedVersion],
+) -> list[version_rules.ListedVersion]:
+    return [v for v in usable if v.standing is version_rules.Standing.SERVING]
+
+
+def _position_percent(key: str, salt: str) -> float:
+    """Places a key between 0 and 100, the same on every instance."""
+    digest = xxhash.xxh3_64_intdigest(f"{salt}\x00{key}".encode())
+    return digest / _HASH_RANGE * _WHOLE_PERCENT
+
+
+def _by_share(
+    usable: list[version_rules.ListedVersion], *, key: str
+) -> version_rules.ListedVersion:
+    """Returns the version whose share the key falls into.
+
+    Each version has its own hash and the share that earlier ones left over.
+    So a growing share only gains keys, and loses none of those it had.
+    """
+    rolling = [
+        v for v in usable if v.standing is version_rules.Standing.ROLLING_OUT
+    ]
+    left_percent = _WHOLE_PERCENT
+    for version in rolling:
+        position = _position_percent(key, str(version.model_version))
+        if position * left_percent < version.share_percent * _WHOLE_PERCENT:
+            return version
+        left_percent -= version.share_percent
+    return _among_serving(_serving(usable) or rolling, key)
+
+
+def _among_serving(
+    candidates: list[version_rules.ListedVersion], key: str
+) -> version_rules.ListedVersion:
+    total_percent = sum(v.share_percent for v in candidates)
+    position = _position_percent(key, "serving") / _WHOLE_PERCENT
+    remaining_percent = position * total_percent
+    for version in candidates:
+        if remaining_percent < version.share_percent:
+            return version
+        remaining_percent -= version.share_percent
+    return candidates[0]
+
+
+def _without_store(
+    usable: list[version_rules.ListedVersion],
+    key: pins_module.SessionKey,
+    template: documents.Template,
+) -> version_rules.ListedVersion:
+    """Chooses for a session whose pin can't be found out.
+
+    No configuration can be accepted while the store is out, so all instances
+    have the same one and choose alike. A rolling-out version is left out:
+    the session may be pinned elsewhere, and more exposure is the worse error.
+    """
+    serving = _serving(usable)
+    if not serving:
+        raise errors.CodedError(
+            code=codes.Code.STORE_OUT,
+            detail=(
+                f"session {key.session!r} of template {template.name!r} has"
+                " only versions in roll-out to run on; come back later"
+            ),
+            retry_after=datetime.timedelta(seconds=5),
+        )
+    return _among_serving(serving, key.session)
+
+
+def _nothing_usable(
+    listed: list[version_rules.ListedVersion],
+    *,
+    template: documents.Template,
+    model: str,
+) -> errors.CodedError:
+    standings = {v.standing for v in listed}
+    order = (
+        version_rules.Standing.NOT_ALLOWED,
+        version_rules.Standing.STALE,
+        version_rules.Standing.WITHDRAWN,
+    )
+    for standing in order:
+        if standing in standings:
+            return version_rules.refusal(
+                standing, template=template, what=model
+            )
+    return version_rules.refusal(
+        version_rules.Standing.NOT_LISTED, template=template, what=model
+    )
