Keep the configuration in rows and spread it

Operators' changes need one outcome each, for ever, and have to be in force on every instance within 4 s without a coordination service.

A change is one transaction conditional on the head row and on the absence of the operation's row, so retries, late writes and "abandoned" exclude each other. Replicas only move forward. Readers, random pushes and digest exchanges each bring news without the others.

--- /dev/null
+++ b/src/nutmeghook/internal/config/acceptance.py
@@ -0,0 +1,296 @@
+"""Accepts changes: each operation id has one outcome, for ever.
+
+A change is one transaction of the table service. Its conditions are that the
+head row is the one that the change was worked out on, and that the operation's
+row does not exist. Every way of ending an operation writes that row, so the
+first one wins and all others, however late, fail.
+"""
+
+import asyncio
+import datetime
+import random as random_module
+
+import msgspec
+
+from nutmeghook.internal.config import attempts
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import operations
+from nutmeghook.internal.config import planning
+from nutmeghook.internal.config import replica as replica_module
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.config import state as state_module
+from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import table
+
+_FIRST_PAUSE = datetime.timedelta(milliseconds=50)
+_LONGEST_PAUSE = datetime.timedelta(milliseconds=800)
+# Operators and roll-outs make 3,700 changes a day in the whole fleet: more
+# than this waiting on one instance is a fault of some client.
+_MOST_WAITING = 32
+
+
+class Accepter:
+    """Settles operations; any number of instances may do so at once."""
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_random",
+        "_replica",
+        "_store",
+        "_turn",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: store_module.ConfigStore,
+        replica: replica_module.ConfigReplica,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+        random: random_module.Random,
+    ):
+        self._store = store
+        self._replica = replica
+        self._clock = clock
+        self._events = events
+        self._random = random
+        self._turn = asyncio.Lock()
+        self._waiting = 0
+
+    async def accept(
+        self, operation: operations.Operation, *, timeout: datetime.timedelta
+    ) -> rows.OperationRecord:
+        """Accepts a change, or returns the outcome that its id has already.
+
+        Returns:
+            The settled outcome; `operations.error_of` tells what a refusal
+            means.
+
+        Raises:
+            errors.CodedError: `STORE_OUT` or `OVERLOADED` (nothing was
+                written and nothing will be), `OUTCOME_UNKNOWN` (ask by id),
+                or `OPERATION_REUSED`.
+        """
+        if self._waiting >= _MOST_WAITING:
+            raise _overloaded(f"{self._waiting} changes wait on this instance")
+        end = self._clock.monotonic() + timeout
+        self._waiting += 1
+        try:
+            # One at a time: changes of one instance would only make each
+            # other fail on the head row.
+            async with self._turn:
+                return await self._accept(operation, end)
+        finally:
+            self._waiting -= 1
+
+    async def draft(self, edit: edits.Edit) -> operations.Draft:
+        """Works a change out on the newest state and writes nothing.
+
+        Raises:
+            errors.CodedError: The edit can't be made, or `STORE_OUT`.
+        """
+        try:
+            _, state = await self._newest()
+            replacement = planning.plan(edit, state)
+        except failures.PlatformError as error:
+            raise _store_out(error) from error
+        except planning.StaleRevisionError as error:
+            raise errors.CodedError(
+                code=codes.Code.CONFLICT, detail=str(error)
+            ) from error
+        after = state.with_replacement(replacement, revision=state.revision)
+        return operations.Draft(
+            revision=state.revision,
+            faults=tuple(attempts.find_faults(edit, state, after)),
+            differences=attempts.find_differences(state, after, replacement),
+        )
+
+    async def outcome(
+        self, team: str, operation_id: str
+    ) -> rows.OperationRecord | None:
+        """Reads an operation's outcome; None if it is not settled yet.
+
+        Raises:
+            errors.CodedError: `STORE_OUT`.
+        """
+        try:
+            return await self._store.operation(team, operation_id)
+        except failures.PlatformError as error:
+            raise _store_out(error) from error
+
+    async def settle(
+        self,
+        author: rows.Author,
+        operation_id: str,
+        *,
+        grace: datetime.timedelta,
+    ) -> rows.OperationRecord:
+        """Makes an operation's outcome final, on any instance.
+
+        A read that finds nothing proves nothing: the write may still be on
+        its way. So after the grace "abandoned" is written where no row is;
+        either it gets there first and the late write fails, or it fails and
+        the outcome can be read.
+
+        Args:
+            author: Who asks; recorded if the operation ends abandoned.
+            operation_id: An id of the author's team.
+            grace: How long to let an instance finish that has just begun.
+
+        Raises:
+            errors.CodedError: `OUTCOME_UNKNOWN` while the store is out.
+        """
+        end = self._clock.monotonic() + grace
+        try:
+            while True:
+                record = await self._store.operation(author.team, operation_id)
+                if record is not None:
+                    return record
+                left = end - self._clock.monotonic()
+                if left <= datetime.timedelta():
+                    return await self._abandon(author, operation_id, "")
+                await self._clock.sleep(min(left, _LONGEST_PAUSE))
+        except failures.PlatformError as error:
+            raise _unsettled(operation_id) from error
+
+    async def _accept(
+        self, operation: operations.Operation, end: datetime.timedelta
+    ) -> rows.OperationRecord:
+        pause = _FIRST_PAUSE
+        in_doubt = False
+        last_error: failures.PlatformError | None = None
+        while self._clock.monotonic() < end:
+            try:
+                record = await self._try_once(operation)
+                if record is not None:
+                    return record
+            except attempts.LeaseLapsedError:
+                return await self._give_up(operation)
+            except failures.OutcomeUnknownError as error:
+                # Trying again is safe and settles it: both writes want the
+                # operation's row to be absent, so at most one takes effect.
+                in_doubt = True
+                last_error = error
+            except failures.PlatformError as error:
+                last_error = error
+            await self._clock.sleep(pause * self._random.uniform(0.5, 1.5))
+            pause = min(pause * 2, _LONGEST_PAUSE)
+        if in_doubt:
+            return await self._give_up(operation)
+        if last_error is None:
+            raise _overloaded("other changes got ahead of this one")
+        raise _store_out(last_error) from last_error
+
+    async def _give_up(
+        self, operation: operations.Operation
+    ) -> rows.OperationRecord:
+        digest = rows.edit_digest(operation.edit)
+        try:
+            record = await self._abandon(
+                operation.author, operation.operation_id, digest
+            )
+        except failures.PlatformError as error:
+            raise _unsettled(operation.operation_id) from error
+        return operations.first_outcome(record, operation)
+
+    async def _try_once(
+        self, operation: operations.Operation
+    ) -> rows.OperationRecord | None:
+        """Returns the settled outcome, or None if something got ahead."""
+        record = await self._store.operation(
+            operation.author.team, operation.operation_id
+        )
+        if record is not None:
+            return operations.first_outcome(record, operation)
+        head, state = await self._newest()
+        if state.revision != head.revision:
+            return None
+        attempt = await attempts.work_out(
+            operation,
+            head=head,
+            state=state,
+            store=self._store,
+            now=self._clock.now(),
+        )
+        result = await self._store.commit(attempt.transaction)
+        if not result.committed:
+            return None
+        if attempt.change is not None:
+            self._replica.apply_changes([attempt.change])
+            self._events.record(
+                events_module.EventKind.CONFIG_ACCEPTED,
+                operation.operation_id,
+                revision=str(attempt.change.revision),
+            )
+        return attempt.record
+
+    async def _newest(
+        self,
+    ) -> tuple[store_module.HeadReading, state_module.ConfigState]:
+        head = await self._store.head()
+        state = await self._store.caught_up(self._replica.state, head.revision)
+        self._replica.apply_state(state)
+        self._replica.confirm(head.revision, head.read_at)
+        return head, state
+
+    async def _abandon(
+        self, author: rows.Author, operation_id: str, digest: str
+    ) -> rows.OperationRecord:
+        """Writes "abandoned" unless there is an outcome; returns the one."""
+        record = rows.OperationRecord(
+            operation_id=operation_id,
+            outcome=rows.Outcome.ABANDONED,
+            author=author,
+            settled_at=self._clock.now(),
+            edit_digest=digest,
+            code_number=codes.Code.ABANDONED.number,
+            detail=codes.Code.ABANDONED.meaning,
+        )
+        result = await self._store.commit(
+            table.Transaction(
+                conditions=(
+                    attempts.absent_operation(author.team, operation_id),
+                ),
+                puts=(attempts.put_record(record),),
+            )
+        )
+        if result.committed:
+            return record
+        return msgspec.json.decode(
+            result.current[0].value, type=rows.OperationRecord
+        )
+
+
+def _store_out(error: failures.PlatformError) -> errors.CodedError:
+    retry_after = None
+    if isinstance(error, failures.NotDoneError):
+        retry_after = error.retry_after
+    return errors.CodedError(
+        code=codes.Code.STORE_OUT,
+        detail=f"the table service did not take or give it: {error}",
+        retry_after=retry_after or datetime.timedelta(seconds=2),
+    )
+
+
+def _unsettled(operation_id: str) -> errors.CodedError:
+    return errors.CodedError(
+        code=codes.Code.OUTCOME_UNKNOWN,
+        detail=f"operation {operation_id!r} is not settled: the table service "
+        f"is out; ask for its outcome by id later, on any instance",
+        retry_after=datetime.timedelta(seconds=5),
+    )
+
+
+def _overloaded(detail: str) -> errors.CodedError:
+    return errors.CodedError(
+        code=codes.Code.OVERLOADED,
+        detail=detail,
+        retry_after=datetime.timedelta(seconds=1),
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/config/distribution.py
@@ -0,0 +1,229 @@
+"""Keeps this instance's configuration new, and that of its peers.
+
+Three ways bring news, each able to do without the others: the readers of each
+data centre read the store's head; whoever learns something new pushes it to a
+few neighbours at random; and every instance exchanges digests, each second
+with the instance above it and now and then with any other.
+"""
+
+import asyncio
+import datetime
+import random as random_module
+
+import eliot
+
+from nutmeghook.internal.config import exchange as exchange_module
+from nutmeghook.internal.config import partners
+from nutmeghook.internal.config import replica as replica_module
+from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import failures
+
+_READ_EVERY = datetime.timedelta(milliseconds=500)
+_EXCHANGE_EVERY = datetime.timedelta(seconds=1)
+_EXCHANGE_ANYWHERE_EVERY = datetime.timedelta(seconds=3)
+# An instance that no peer keeps fresh reads the store itself. In good times
+# the tree keeps all ages under this; when the store is out for all, 420
+# instances trying at this pace are a tenth of its reads.
+_READ_MYSELF_AGE = datetime.timedelta(seconds=3)
+_READ_MYSELF_EVERY = datetime.timedelta(seconds=2)
+_PUSH_FAN_OUT = 4
+_PUSH_ROUNDS = 8
+_START_PEERS = 3
+
+
+class ConfigDistributor:
+    """Runs the tasks that spread the configuration."""
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_exchange",
+        "_members",
+        "_random",
+        "_read_at",
+        "_replica",
+        "_store",
+        "_store_out",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: store_module.ConfigStore,
+        replica: replica_module.ConfigReplica,
+        exchange: exchange_module.ConfigExchange,
+        members: members_module.MemberView,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+        random: random_module.Random,
+    ):
+        self._store = store
+        self._replica = replica
+        self._exchange = exchange
+        self._members = members
+        self._clock = clock
+        self._events = events
+        self._random = random
+        self._read_at: datetime.timedelta | None = None
+        self._store_out = False
+
+    async def run(self) -> None:
+        """Spreads the configuration until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._start())
+            tasks.create_task(self._read_repeatedly())
+            tasks.create_task(self._exchange_repeatedly())
+            tasks.create_task(self._exchange_anywhere_repeatedly())
+            tasks.create_task(self._push_repeatedly(tasks))
+
+    async def read_store(self) -> bool:
+        """Reads the head and what follows; returns whether that worked."""
+        self._read_at = self._clock.monotonic()
+        try:
+            head = await self._store.head()
+            state = await self._store.caught_up(
+                self._replica.state, head.revision
+            )
+        except failures.PlatformError as error:
+            self._note_store(out=True, detail=str(error))
+            return False
+        self._note_store(out=False, detail="")
+        self._replica.apply_state(state)
+        self._replica.confirm(head.revision, head.read_at)
+        return True
+
+    async def _start(self) -> None:
+        """Learns what peers know, at once; the store only if none knows.
+
+        After a power cut 420 instances start together: the few that no peer
+        can help read all documents, and the others learn from them.
+        """
+        others = self._others()
+        chosen = self._random.sample(others, min(_START_PEERS, len(others)))
+        await asyncio.gather(*(self._try_exchange(peer) for peer in chosen))
+        if self._replica.revision == 0:
+            await self.read_store()
+
+    async def _read_repeatedly(self) -> None:
+        while True:
+            await self._sleep(_READ_EVERY)
+            if partners.is_reader(self._members) or self._is_left_alone():
+                await self.read_store()
+
+    def _is_left_alone(self) -> bool:
+        age = self._replica.confirmed_age()
+        if age is not None and age < _READ_MYSELF_AGE:
+            return False
+        if self._read_at is None:
+            return True
+        return self._clock.monotonic() - self._read_at >= _READ_MYSELF_EVERY
+
+    async def _exchange_repeatedly(self) -> None:
+        while True:
+            await self._sleep(_EXCHANGE_EVERY)
+            parent = partners.parent(self._members) or self._far_reader()
+            if parent is None or await self._try_exchange(parent):
+                continue
+            # The one above is gone or frozen, and the members are not known
+            # to be so yet: a neighbour of another branch is as good.
+            neighbours = self._neighbours()
+            if neighbours:
+                await self._try_exchange(self._random.choice(neighbours))
+
+    async def _exchange_anywhere_repeatedly(self) -> None:
+        while True:
+            await self._sleep(_EXCHANGE_ANYWHERE_EVERY)
+            others = self._others()
+            if others:
+                await self._try_exchange(self._random.choice(others))
+
+    async def _push_repeatedly(self, tasks: asyncio.TaskGroup) -> None:
+        # Rounds overlap, so that a frozen neighbour does not hold up the next
+        # change; they are few, so that a burst of changes goes out together.
+        rounds = asyncio.Semaphore(_PUSH_ROUNDS)
+        pushed_revision = self._replica.revision
+        while True:
+            if self._replica.revision == pushed_revision:
+                await self._replica.wait_for_move()
+            await rounds.acquire()
+            after_revision = pushed_revision
+            pushed_revision = self._replica.revision
+            task = tasks.create_task(self._push_round(after_revision))
+            task.add_done_callback(lambda _: rounds.release())
+
+    async def _push_round(self, after_revision: int) -> None:
+        neighbours = self._neighbours()
+        count = min(_PUSH_FAN_OUT, len(neighbours))
+        chosen = self._random.sample(neighbours, count)
+        await asyncio.gather(
+            *(self._push(peer, after_revision) for peer in chosen)
+        )
+
+    async def _push(
+        self, peer: members_module.Member, after_revision: int
+    ) -> None:
+        try:
+            await self._exchange.push(
+                peer.inner_address, after_revision=after_revision
+            )
+        except (peers.PeerUnreachableError, peers.PeerRefusedError) as error:
+            _log_failed(peer, error)
+
+    async def _try_exchange(self, peer: members_module.Member) -> bool:
+        try:
+            await self._exchange.exchange(peer.inner_address)
+        except (peers.PeerUnreachableError, peers.PeerRefusedError) as error:
+            _log_failed(peer, error)
+            return False
+        return True
+
+    def _far_reader(self) -> members_module.Member | None:
+        """Returns a reader of another data centre, else the other one here."""
+        members = self._members.members()
+        here = self._members.myself.data_centre
+        elsewhere = [
+            name for name in partners.data_centres(members) if name != here
+        ]
+        chosen = self._random.choice(elsewhere) if elsewhere else here
+        mine = self._members.myself.inner_address
+        found = [
+            member
+            for member in partners.readers(members, chosen)
+            if member.inner_address != mine
+        ]
+        return self._random.choice(found) if found else None
+
+    def _others(self) -> list[members_module.Member]:
+        mine = self._members.myself.inner_address
+        return [
+            member
+            for member in self._members.members()
+            if member.inner_address != mine
+        ]
+
+    def _neighbours(self) -> list[members_module.Member]:
+        here = self._members.myself.data_centre
+        return [m for m in self._others() if m.data_centre == here]
+
+    async def _sleep(self, duration: datetime.timedelta) -> None:
+        # Instances that started together must not act together for ever.
+        await self._clock.sleep(duration * self._random.uniform(0.8, 1.2))
+
+    def _note_store(self, *, out: bool, detail: str) -> None:
+        if out == self._store_out:
+            return
+        self._store_out = out
+        kind = events_module.EventKind.STORE_BACK
+        if out:
+            kind = events_module.EventKind.STORE_OUT
+        self._events.record(kind, "configuration", detail=detail)
+
+
+def _log_failed(peer: members_module.Member, error: Exception) -> None:
+    eliot.log_message(
+        "config:exchange_failed", peer=peer.inner_address, reason=str(error)
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/config/in_force.py
@@ -0,0 +1,115 @@
+"""Finds out on which instances a revision is in force, by asking them."""
+
+import asyncio
+import contextlib
+import datetime
+
+import msgspec
+
+from nutmeghook.internal.config import exchange as exchange_module
+from nutmeghook.internal.config import partners
+from nutmeghook.internal.config import replica as replica_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.membership import members as members_module
+
+_ASK_AGAIN_EVERY = datetime.timedelta(milliseconds=250)
+_ASKED_AT_ONCE = 32
+
+
+class InForce(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a revision is in force; addresses of the inner protocol.
+
+    Attributes:
+        in_force: Instances that said they have this revision or a newer one.
+        unconfirmed: The others that are believed to run. They may have it:
+            nothing is known of them.
+    """
+
+    revision: int
+    in_force: tuple[str, ...]
+    unconfirmed: tuple[str, ...]
+
+
+class InForceInquiry:
+    """Asks all members; each question also brings the one asked up to date.
+
+    One accepted change costs one small exchange with each instance, which at
+    3,700 changes a day is nothing beside the ordinary exchanges.
+    """
+
+    __slots__ = ("_clock", "_exchange", "_members", "_replica")
+
+    def __init__(
+        self,
+        *,
+        replica: replica_module.ConfigReplica,
+        exchange: exchange_module.ConfigExchange,
+        members: members_module.MemberView,
+        clock: clock_module.Clock,
+    ):
+        self._replica = replica
+        self._exchange = exchange
+        self._members = members
+        self._clock = clock
+
+    async def ask(
+        self, revision: int, *, timeout: datetime.timedelta
+    ) -> InForce:
+        """Asks until all have the revision or the time is over.
+
+        The readers of each data centre are asked first: they pass the news
+        on while the others are still being asked.
+        """
+        confirmed: set[str] = set()
+        asking = asyncio.ensure_future(self._ask_all(revision, confirmed))
+        with contextlib.suppress(TimeoutError):
+            await self._clock.wait_for(asking, timeout)
+        addresses = [m.inner_address for m in self._members.members()]
+        return InForce(
+            revision=revision,
+            in_force=tuple(sorted(confirmed)),
+            unconfirmed=tuple(sorted(set(addresses) - confirmed)),
+        )
+
+    async def _ask_all(self, revision: int, confirmed: set[str]) -> None:
+        slots = asyncio.Semaphore(_ASKED_AT_ONCE)
+        while True:
+            if self._replica.revision >= revision:
+                confirmed.add(self._members.myself.inner_address)
+            missing = [a for a in self._in_order() if a not in confirmed]
+            if not missing:
+                return
+            await asyncio.gather(
+                *(self._ask(a, revision, confirmed, slots) for a in missing)
+            )
+            if all(a in confirmed for a in self._in_order()):
+                return
+            await self._clock.sleep(_ASK_AGAIN_EVERY)
+
+    async def _ask(
+        self,
+        inner_address: str,
+        revision: int,
+        confirmed: set[str],
+        slots: asyncio.Semaphore,
+    ) -> None:
+        if inner_address == self._members.myself.inner_address:
+            return
+        async with slots:
+            try:
+                theirs = await self._exchange.exchange(inner_address)
+            except (peers.PeerUnreachableError, peers.PeerRefusedError):
+                return
+        if theirs >= revision:
+            confirmed.add(inner_address)
+
+    def _in_order(self) -> list[str]:
+        members = self._members.members()
+        first = [
+            member.inner_address
+            for name in partners.data_centres(members)
+            for member in partners.readers(members, name)
+        ]
+        rest = [member.inner_address for member in members]
+        return list(dict.fromkeys([*first, *rest]))
--- /dev/null
+++ b/src/nutmeghook/internal/config/replica.py
@@ -0,0 +1,132 @@
+"""The configuration in force on this instance; it only moves forward."""
+
+import asyncio
+import collections
+import datetime
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.config import state as state_module
+from nutmeghook.internal.config import view
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import events as events_module
+
+# Changes kept for peers that are a little behind; others get the whole state.
+_KEPT_CHANGES = 64
+
+
+class ConfigReplica(view.ConfigView):
+    """Holds the newest state that this instance has heard of.
+
+    Whatever brings news (a read of the store, a push, an exchange with a
+    peer, a process that thaws after an hour) ends in `apply_changes` or
+    `apply_state`, and both ignore what is not newer. So no bearer of old news
+    can make it go back, and none has to be trusted not to try.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_confirmed_at",
+        "_events",
+        "_kept",
+        "_moved",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+    ):
+        self._clock = clock
+        self._events = events
+        self._state = state_module.EMPTY_STATE
+        self._confirmed_at: datetime.timedelta | None = None
+        self._kept: collections.deque[rows.Change] = collections.deque(
+            maxlen=_KEPT_CHANGES
+        )
+        self._moved = asyncio.Event()
+
+    @property
+    def state(self) -> state_module.ConfigState:
+        """The snapshot with its documents' revisions."""
+        return self._state
+
+    @property
+    def snapshot(self) -> documents.Snapshot:
+        """The configuration in force; its revision never goes back."""
+        return self._state.snapshot
+
+    @property
+    def revision(self) -> int:
+        """The snapshot's revision."""
+        return self._state.revision
+
+    @property
+    def confirmed_at(self) -> datetime.timedelta | None:
+        """Monotonic time up to which every committed change is included."""
+        return self._confirmed_at
+
+    def confirmed_age(self) -> datetime.timedelta | None:
+        """Time since the snapshot was known to be the newest."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock.monotonic() - self._confirmed_at
+
+    def apply_changes(self, changes: list[rows.Change]) -> bool:
+        """Takes in changes that follow on; returns whether any was new.
+
+        A gap is left for the next exchange to fill: applying past it would
+        skip another operator's change for good.
+        """
+        moved = False
+        for change in changes:
+            if change.revision != self.revision + 1:
+                continue
+            self._state = self._state.with_change(change)
+            self._kept.append(change)
+            moved = True
+        if moved:
+            self._note_move()
+        return moved
+
+    def apply_state(self, state: state_module.ConfigState) -> bool:
+        """Takes in a whole state; returns whether it was newer."""
+        if state.revision <= self.revision:
+            return False
+        self._state = state
+        self._kept.clear()
+        self._note_move()
+        return True
+
+    def confirm(self, revision: int, moment: datetime.timedelta) -> None:
+        """Notes that at `moment` no revision above `revision` was committed.
+
+        Args:
+            revision: Says nothing of this replica if it is behind it.
+            moment: Monotonic; must be no later than the proof.
+        """
+        if revision > self.revision:
+            return
+        if self._confirmed_at is None or moment > self._confirmed_at:
+            self._confirmed_at = moment
+
+    def kept_changes_after(self, revision: int) -> list[rows.Change] | None:
+        """Returns the changes behind a revision; None if not all are kept."""
+        if revision >= self.revision:
+            return []
+        if not self._kept or self._kept[0].revision > revision + 1:
+            return None
+        return [change for change in self._kept if change.revision > revision]
+
+    async def wait_for_move(self) -> None:
+        """Waits until the revision is higher than at the call."""
+        await self._moved.wait()
+
+    def _note_move(self) -> None:
+        self._moved.set()
+        self._moved = asyncio.Event()
+        self._events.record(
+            events_module.EventKind.CONFIG_APPLIED, str(self.revision)
+        )
--- /dev/null
+++ b/src/nutmeghook/internal/config/store.py
@@ -0,0 +1,208 @@
+"""Reads and writes the configuration's rows, each call within a time limit."""
+
+import datetime
+from typing import TypeVar
+
+import msgspec
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.config import state as state_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import table as table_module
+
+_T = TypeVar("_T")
+_PAGE_ROWS = 500
+# A replica further behind than this reads the documents instead of the log.
+_LONGEST_CATCH_UP = 1000
+
+
+class HeadReading(msgspec.Struct, frozen=True, kw_only=True):
+    """The head row as read.
+
+    Attributes:
+        version: The row's version, for the condition of the next change.
+        read_at: Monotonic time just before the read was sent: whatever was
+            committed by then is covered by `revision`.
+    """
+
+    revision: int
+    version: int
+    read_at: datetime.timedelta
+
+
+class ConfigStore:
+    """The configuration in the table service.
+
+    Reads raise `failures.PlatformError`. `commit` raises
+    `failures.NotDoneError` only if the write had no effect; a call that
+    outlasts the time limit raises `failures.OutcomeUnknownError`, because the
+    request may still be on its way.
+    """
+
+    __slots__ = ("_call_timeout", "_clock", "_table")
+
+    def __init__(
+        self,
+        *,
+        table: table_module.TableService,
+        clock: clock_module.Clock,
+        call_timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+    ):
+        self._table = table
+        self._clock = clock
+        self._call_timeout = call_timeout
+
+    async def head(self) -> HeadReading:
+        """Reads the newest revision's number."""
+        read_at = self._clock.monotonic()
+        row = await self._read(rows.HEAD_KEY)
+        if row is None:
+            return HeadReading(
+                revision=0,
+                version=table_module.ABSENT_VERSION,
+                read_at=read_at,
+            )
+        head = _decode(row, rows.Head)
+        return HeadReading(
+            revision=head.revision, version=row.version, read_at=read_at
+        )
+
+    async def change(self, revision: int) -> rows.Change | None:
+        """Reads one accepted change."""
+        row = await self._read(rows.change_key(revision))
+        if row is None:
+            return None
+        return _decode(row, rows.Change)
+
+    async def changes_after(
+        self, revision: int, *, limit: int = _LONGEST_CATCH_UP
+    ) -> list[rows.Change]:
+        """Reads the changes behind a revision, in order."""
+        found: list[rows.Change] = []
+        after = rows.change_key(revision)
+        while len(found) < limit:
+            page_rows = min(_PAGE_ROWS, limit - len(found))
+            page = await self._scan(rows.CHANGE_PREFIX, after, page_rows)
+            found += [_decode(row, rows.Change) for row in page]
+            if len(page) < page_rows:
+                break
+            after = page[-1].key
+        return found
+
+    async def operation(
+        self, team: str, operation_id: str
+    ) -> rows.OperationRecord | None:
+        """Reads what became of an operation; None if that is not settled."""
+        row = await self._read(rows.operation_key(team, operation_id))
+        if row is None:
+            return None
+        return _decode(row, rows.OperationRecord)
+
+    async def caught_up(
+        self, state: state_module.ConfigState, revision: int
+    ) -> state_module.ConfigState:
+        """Returns a state that is at `revision` or newer.
+
+        Raises:
+            failures.NotDoneError: Rows that the head promises are missing.
+        """
+        if revision - state.revision > _LONGEST_CATCH_UP:
+            state = await self._load()
+        while state.revision < revision:
+            changes = await self.changes_after(state.revision)
+            if not changes:
+                raise failures.NotDoneError(
+                    f"the head says {revision}, but no change follows "
+                    f"{state.revision}"
+                )
+            for change in changes:
+                state = state.with_change(change)
+        return state
+
+    async def commit(
+        self, transaction: table_module.Transaction
+    ) -> table_module.CommitResult:
+        """Commits within the time limit."""
+        try:
+            return await self._clock.wait_for(
+                self._table.commit(transaction), self._call_timeout
+            )
+        except TimeoutError as error:
+            raise failures.OutcomeUnknownError(
+                f"no answer to a commit within {self._call_timeout}"
+            ) from error
+
+    async def _load(self) -> state_module.ConfigState:
+        """Reads all documents.
+
+        The pages are read one after the other while changes go on, so some
+        documents are newer than others. The changes behind the first head,
+        applied in order by the caller, make the whole consistent again: each
+        replaces its documents whole.
+        """
+        head = await self.head()
+        state = state_module.EMPTY_STATE
+        after = ""
+        while True:
+            page = await self._scan(rows.DOCUMENT_PREFIX, after, _PAGE_ROWS)
+            for row in page:
+                state = _with_row(state, row)
+            if len(page) < _PAGE_ROWS:
+                break
+            after = page[-1].key
+        return state_module.ConfigState(
+            snapshot=msgspec.structs.replace(
+                state.snapshot, revision=head.revision
+            ),
+            document_revisions=state.document_revisions,
+        )
+
+    async def _read(self, key: str) -> table_module.Row | None:
+        return await self._within(self._table.read(key))
+
+    async def _scan(
+        self, prefix: str, after: str, limit: int
+    ) -> list[table_module.Row]:
+        return await self._within(
+            self._table.scan(prefix=prefix, after=after, limit=limit)
+        )
+
+    async def _within(self, reading) -> _T:
+        try:
+            return await self._clock.wait_for(reading, self._call_timeout)
+        except TimeoutError as error:
+            raise failures.NotDoneError(
+                f"no answer to a read within {self._call_timeout}"
+            ) from error
+
+
+def _decode(row: table_module.Row, row_type: type[_T]) -> _T:
+    # A row that this release can't read must not end the task that reads it:
+    # the instance goes on with what it has, and its age shows.
+    try:
+        return msgspec.json.decode(row.value, type=row_type)
+    except msgspec.MsgspecError as error:
+        raise failures.NotDoneError(f"row {row.key}: {error}") from error
+
+
+def _with_row(
+    state: state_module.ConfigState, row: table_module.Row
+) -> state_module.ConfigState:
+    document = _decode(row, rows.DocumentRow)
+    return state.with_replacement(
+        edits.Replacement(
+            fleet=document.fleet,
+            teams=_present(document.team),
+            templates=_present(document.template),
+        ),
+        revision=document.revision,
+    )
+
+
+def _present(
+    document: documents.Team | documents.Template | None,
+) -> tuple:
+    return () if document is None else (document,)
--- /dev/null
+++ b/tests/config_fleet.py
@@ -0,0 +1,144 @@
+"""A few instances' configuration on a fake clock, for tests."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+
+from nutmeghook.internal.config import assembly
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import operations
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import local
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events
+from nutmeghook.internal.platform import engine
+from nutmeghook.standins import memory_table
+
+SECOND = datetime.timedelta(seconds=1)
+TEAM = "agency"
+TEMPLATE = "dossier"
+OPERATOR = rows.Author(team=TEAM, name="night-shift")
+GOOD = engine.ModelVersion(model="inspector", version="v1")
+NEXT = engine.ModelVersion(model="inspector", version="v2")
+
+
+def template(**parameters) -> documents.Template:
+    """Returns a valid template with some parameters set."""
+    stage = documents.Stage(
+        model=GOOD.model,
+        versions=(documents.VersionEntry(version=GOOD.version),),
+    )
+    return documents.Template(
+        team=TEAM, name=TEMPLATE, **{"stages": (stage,), **parameters}
+    )
+
+
+def first_import(expected_revision: int = 0) -> edits.ImportDocuments:
+    """Returns the edit that sets up one team with one template."""
+    model = documents.ModelEntry(
+        name=GOOD.model, prompt_token_cost_micros=1, output_token_cost_micros=4
+    )
+    team = documents.Team(name=TEAM, allowed_models=(GOOD.model,))
+    return edits.ImportDocuments(
+        expected_revision=expected_revision,
+        fleet=documents.Fleet(models=(model,)),
+        teams=(team,),
+        templates=(template(),),
+    )
+
+
+def operation(
+    operation_id: str, edit: edits.Edit, author: rows.Author = OPERATOR
+) -> operations.Operation:
+    """Returns an operation with a reason."""
+    return operations.Operation(
+        operation_id=operation_id, author=author, reason="test", edit=edit
+    )
+
+
+class ConfigFleet:
+    """Instances over an in-process network and one table."""
+
+    def __init__(self, *, per_data_centre: int = 1, data_centres: int = 3):
+        self.clock = clock_module.FakeClock()
+        self.table = memory_table.MemoryTable(clock=self.clock)
+        self.network = local.LocalNetwork(clock=self.clock)
+        self.parts: dict[str, assembly.ConfigParts] = {}
+        self.members = [
+            members_module.Member(
+                inner_address=f"10.0.{centre}.{number}:7000",
+                incarnation=f"i{centre}-{number}",
+                region="test",
+                data_centre=f"dc{centre}",
+            )
+            for centre in range(data_centres)
+            for number in range(per_data_centre)
+        ]
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    @property
+    def addresses(self) -> list[str]:
+        """The inner addresses of all members, started or not."""
+        return [member.inner_address for member in self.members]
+
+    def start(self, *addresses: str, run: bool = True) -> None:
+        """Starts instances, or starts them anew; all of them if not named."""
+        for address in addresses or self.addresses:
+            clock = self.network.clock_of(address)
+            handlers = peers.PeerHandlers()
+            self.parts[address] = assembly.build(
+                table=self.table,
+                members=self._view(address),
+                caller=self.network.attach(address, handlers),
+                handlers=handlers,
+                clock=clock,
+                events=events.EventRing(clock=clock),
+                random=random.Random(address),
+            )
+            if run:
+                self._tasks[address] = asyncio.ensure_future(
+                    self.parts[address].distributor.run()
+                )
+
+    async def crash(self, address: str) -> None:
+        """Ends an instance as SIGKILL would."""
+        self.network.detach(address)
+        await self._cancel(self._tasks.pop(address))
+
+    async def stop(self) -> None:
+        """Ends all tasks."""
+        for task in self._tasks.values():
+            await self._cancel(task)
+
+    async def accept(
+        self, address: str, change: operations.Operation
+    ) -> rows.OperationRecord:
+        """Accepts a change while the clock runs."""
+        return await self.drive(
+            self.parts[address].accepter.accept(change, timeout=5 * SECOND)
+        )
+
+    async def drive(self, work):
+        """Awaits work, advancing the clock until it ends."""
+        task = asyncio.ensure_future(work)
+        while not task.done():
+            await self.clock.advance(SECOND / 20)
+        return await task
+
+    def revisions(self) -> list[int]:
+        """Returns the revision in force on each started instance."""
+        return [parts.replica.revision for parts in self.parts.values()]
+
+    def _view(self, address: str) -> members_module.MemberView:
+        myself = next(m for m in self.members if m.inner_address == address)
+        others = tuple(m for m in self.members if m is not myself)
+        return members_module.FixedMemberView(myself=myself, others=others)
+
+    async def _cancel(self, task: asyncio.Task) -> None:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
