--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -0,0 +1,270 @@
+"""One attempt on one engine: its chunks checked, its cuts resumed."""
+
+import contextlib
+import dataclasses
+import datetime
+import random
+
+import msgspec
+
+from nutmeghook.internal.dispatch import background as background_module
+from nutmeghook.internal.dispatch import consumers
+from nutmeghook.internal.dispatch import meter as meter_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import admission as admission_module
+from nutmeghook.internal.platform import engine as engine_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.routing import backends as backends_module
+
+MAX_RESUMES_WITHOUT_PROGRESS = 3
+FIRST_RESUME_DELAY = datetime.timedelta(milliseconds=50)
+CANCEL_TIMEOUT = datetime.timedelta(seconds=2)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class AttemptError(Exception):
+    """An attempt that gave no whole answer.
+
+    Attributes:
+        ran: False only if it provably did not run.
+        overloaded: The engine refused because of its load.
+        retry_after: When the engine asked to be called again, if it did.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        ran: bool,
+        overloaded: bool = False,
+        retry_after: datetime.timedelta | None = None,
+    ):
+        super().__init__(message)
+        self.ran = ran
+        self.overloaded = overloaded
+        self.retry_after = retry_after
+
+
+class _CutError(Exception):
+    """The stream ended, or jumped, before its last chunk."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One attempt under way.
+
+    Attributes:
+        next_token: Index of the first token not yet received.
+        last: The last chunk, once it came.
+    """
+
+    backend: backends_module.Backend
+    generation: engine_module.Generation
+    deadline: datetime.timedelta
+    next_token: int = 0
+    last: engine_module.Chunk | None = None
+
+
+class AttemptRunner:
+    """Runs attempts, and passes on what they tell about backend servers."""
+
+    __slots__ = (
+        "_admission",
+        "_backends",
+        "_background",
+        "_clock",
+        "_connector",
+        "_meter",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        connector: engine_module.EngineConnector,
+        backends: backends_module.BackendChooser,
+        admission: admission_module.Admission,
+        meter: meter_module.Meter,
+        background: background_module.BackgroundWork,
+        random_source: random.Random,
+    ):
+        self._clock = clock
+        self._connector = connector
+        self._backends = backends
+        self._admission = admission
+        self._meter = meter
+        self._background = background
+        self._random = random_source
+
+    async def run(
+        self, attempt: Attempt, consumer: consumers.Consumer
+    ) -> engine_module.Chunk:
+        """Runs an attempt to its last chunk, which is returned.
+
+        Raises:
+            AttemptError: It gave no whole answer.
+            consumers.TextMismatchError: The consumer won't have its text.
+        """
+        started = self._clock.monotonic()
+        self._backends.started(attempt.backend)
+        outcome = backends_module.AttemptOutcome.CANCELLED
+        try:
+            attempt.last = await self._receive(attempt, consumer)
+            outcome = backends_module.AttemptOutcome.ANSWERED
+            return attempt.last
+        except AttemptError as error:
+            outcome = _outcome_of(error)
+            raise
+        finally:
+            self._ended(attempt, outcome, self._clock.monotonic() - started)
+
+    def _ended(
+        self,
+        attempt: Attempt,
+        outcome: backends_module.AttemptOutcome,
+        duration: datetime.timedelta,
+    ) -> None:
+        self._backends.finished(
+            attempt.backend,
+            outcome=outcome,
+            duration=duration,
+            report=attempt.last.load if attempt.last else None,
+        )
+        self._meter.attempt_finished(outcome)
+        if outcome in _TELLS_OF_SERVICE:
+            self._admission.note_service(
+                duration=duration,
+                overloaded=outcome
+                is backends_module.AttemptOutcome.REFUSED_OVERLOAD,
+                work_tokens=max(1, attempt.next_token),
+            )
+        if outcome in _MAY_STILL_RUN:
+            self._background.start(self._cancel(attempt))
+
+    async def _cancel(self, attempt: Attempt) -> None:
+        engine = self._connector.connect(attempt.backend.address)
+        # An engine that can't be told stops at the attempt's own deadline,
+        # which it was given; nobody listens to its chunks any more.
+        with contextlib.suppress(failures.PlatformError, TimeoutError):
+            await self._clock.wait_for(
+                engine.cancel(attempt.generation.attempt_id), CANCEL_TIMEOUT
+            )
+
+    async def _receive(
+        self, attempt: Attempt, consumer: consumers.Consumer
+    ) -> engine_module.Chunk:
+        engine = self._connector.connect(attempt.backend.address)
+        resumes = 0
+        while True:
+            seen = attempt.next_token
+            try:
+                return await self._read(engine, attempt, consumer)
+            except (
+                failures.NotDoneError,
+                failures.OutcomeUnknownError,
+                _CutError,
+            ) as error:
+                resumes = 0 if attempt.next_token > seen else resumes
+                if not attempt.next_token or (
+                    resumes >= MAX_RESUMES_WITHOUT_PROGRESS
+                ):
+                    raise _attempt_error(error, attempt) from error
+            resumes += 1
+            await self._clock.sleep(self._resume_delay(resumes))
+            self._meter.stream_resumed()
+
+    async def _read(
+        self,
+        engine: engine_module.Engine,
+        attempt: Attempt,
+        consumer: consumers.Consumer,
+    ) -> engine_module.Chunk:
+        """Reads one connection's chunks; this loop is the hot path."""
+        attempt_id = attempt.generation.attempt_id
+        generation = self._generation_from_here(attempt)
+        async with contextlib.aclosing(engine.generate(generation)) as chunks:
+            async for chunk in chunks:
+                if (
+                    chunk.token_index != attempt.next_token
+                    or chunk.attempt_id != attempt_id
+                ):
+                    self._drop(chunk, attempt)
+                    continue
+                attempt.next_token += chunk.tokens
+                if chunk.text:
+                    await consumer.take(chunk.text)
+                if chunk.finish is not None:
+                    return _checked_last(chunk)
+        raise _CutError(f"stream ended at token {attempt.next_token}")
+
+    def _generation_from_here(
+        self, attempt: Attempt
+    ) -> engine_module.Generation:
+        remaining = attempt.deadline - self._clock.monotonic()
+        return msgspec.structs.replace(
+            attempt.generation,
+            resume_at_token=attempt.next_token,
+            deadline_ms=max(1, int(remaining / _MILLISECOND)),
+        )
+
+    def _drop(self, chunk: engine_module.Chunk, attempt: Attempt) -> None:
+        """Drops a chunk that is not the next one of this attempt.
+
+        The failures: a chunk of another attempt on a connection used again
+        (the caller would read another's answer), a chunk sent twice after a
+        resume (doubled text), a chunk that skips tokens (missing text). The
+        first two are dropped; the last ends this reading, and the resume
+        asks for the missing token.
+        """
+        self._meter.chunk_dropped()
+        if chunk.attempt_id != attempt.generation.attempt_id:
+            return
+        if chunk.token_index + chunk.tokens > attempt.next_token:
+            raise _CutError(
+                f"token {chunk.token_index} came where"
+                f" {attempt.next_token} was due"
+            )
+
+    def _resume_delay(self, resumes: int) -> datetime.timedelta:
+        longest = FIRST_RESUME_DELAY * 2 ** (resumes - 1)
+        return longest * self._random.uniform(0.5, 1.0)
+
+
+def _checked_last(chunk: engine_module.Chunk) -> engine_module.Chunk:
+    if chunk.finish in _WHOLE:
+        return chunk
+    raise AttemptError(
+        f"the engine ended the generation: {chunk.finish}", ran=True
+    )
+
+
+def _attempt_error(error: Exception, attempt: Attempt) -> AttemptError:
+    address = attempt.backend.address
+    if isinstance(error, failures.NotDoneError):
+        return AttemptError(
+            f"{address}: {error}",
+            ran=attempt.next_token > 0,
+            overloaded=error.overloaded,
+            retry_after=error.retry_after,
+        )
+    return AttemptError(f"{address}: {error}", ran=True)
+
+
+def _outcome_of(error: AttemptError) -> backends_module.AttemptOutcome:
+    if error.ran:
+        return backends_module.AttemptOutcome.FAILED
+    if error.overloaded:
+        return backends_module.AttemptOutcome.REFUSED_OVERLOAD
+    return backends_module.AttemptOutcome.UNREACHABLE
+
+
+_WHOLE = (engine_module.FinishReason.STOP, engine_module.FinishReason.LENGTH)
+_TELLS_OF_SERVICE = (
+    backends_module.AttemptOutcome.ANSWERED,
+    backends_module.AttemptOutcome.REFUSED_OVERLOAD,
+)
+_MAY_STILL_RUN = (
+    backends_module.AttemptOutcome.CANCELLED,
+    backends_module.AttemptOutcome.FAILED,
+)
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/consumers.py
@@ -0,0 +1,143 @@
+"""Where an attempt's text goes: held for judgement, or relayed at once."""
+
+import abc
+from collections.abc import Callable
+
+from nutmeghook.internal.dispatch import answers
+from nutmeghook.internal.dispatch import progress as progress_module
+from nutmeghook.internal.platform import engine
+
+
+class TextMismatchError(Exception):
+    """A repeated attempt's text is not the one that the caller has part of."""
+
+
+class Consumer(abc.ABC):
+    """Takes an attempt's text, checked to be complete and in order."""
+
+    @abc.abstractmethod
+    async def take(self, text: str) -> None:
+        """Takes the next piece."""
+
+    @abc.abstractmethod
+    def text(self) -> str:
+        """Returns all of the text so far."""
+
+    @abc.abstractmethod
+    def for_repeat(self) -> "Consumer":
+        """Returns the consumer for an attempt that starts from the front."""
+
+
+class Holder(Consumer):
+    """Holds a stage's text back: the answer may yet be judged too weak."""
+
+    __slots__ = ("_pieces",)
+
+    def __init__(self):
+        self._pieces: list[str] = []
+
+    async def take(self, text: str) -> None:
+        """Keeps the piece."""
+        self._pieces.append(text)
+
+    def text(self) -> str:
+        """Returns all of the text so far."""
+        return "".join(self._pieces)
+
+    def for_repeat(self) -> "Consumer":
+        """Returns an empty holder: nobody saw the earlier text."""
+        return Holder()
+
+
+class Relay(Consumer):
+    """Passes text on to the caller as it comes."""
+
+    __slots__ = ("_model_version", "_on_first", "_pieces", "_progress", "_sink")
+
+    def __init__(
+        self,
+        *,
+        sink: answers.AnswerSink,
+        model_version: engine.ModelVersion,
+        progress: progress_module.Progress,
+        on_first: Callable[[], None],
+    ):
+        self._sink = sink
+        self._model_version = model_version
+        self._progress = progress
+        self._on_first = on_first
+        self._pieces: list[str] = []
+
+    async def take(self, text: str) -> None:
+        """Sends the piece to the caller."""
+        if not self._pieces:
+            self._progress.relayed = True
+            self._on_first()
+        self._pieces.append(text)
+        await self._sink.take(text, self._model_version)
+
+    def text(self) -> str:
+        """Returns all of the text so far."""
+        return "".join(self._pieces)
+
+    def for_repeat(self) -> "Consumer":
+        """Returns a consumer that goes on where the caller's text ends."""
+        if not self._pieces:
+            return self
+        return PrefixCheck(relay=self)
+
+
+class PrefixCheck(Consumer):
+    """Lets a repeated attempt go on only if it repeats the text so far.
+
+    The failure: the engine is gone with half an answer given. A second
+    engine, though of the same version, may word it otherwise; going on from
+    the middle would splice two answers into one that neither gave. So the
+    repeat's text is held until it covers what the caller has, and is passed
+    on only if it begins with exactly that.
+    """
+
+    __slots__ = ("_caught_up", "_expected", "_held", "_relay")
+
+    def __init__(self, *, relay: Relay):
+        self._relay = relay
+        self._expected = relay.text()
+        self._held = ""
+        self._caught_up = False
+
+    async def take(self, text: str) -> None:
+        """Checks the piece against the caller's text, then relays the rest.
+
+        Raises:
+            TextMismatchError: The text differs.
+        """
+        if self._caught_up:
+            await self._relay.take(text)
+            return
+        self._held += text
+        if not self._matches():
+            raise TextMismatchError
+        if len(self._held) >= len(self._expected):
+            self._caught_up = True
+            rest = self._held[len(self._expected) :]
+            if rest:
+                await self._relay.take(rest)
+
+    def text(self) -> str:
+        """Returns all of the caller's text so far.
+
+        Raises:
+            TextMismatchError: The repeat ended short of the text given.
+        """
+        if not self._caught_up:
+            raise TextMismatchError
+        return self._relay.text()
+
+    def for_repeat(self) -> Consumer:
+        """Returns a fresh check against all that the caller has by now."""
+        return self._relay.for_repeat()
+
+    def _matches(self) -> bool:
+        return self._held.startswith(self._expected) or (
+            self._expected.startswith(self._held)
+        )
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/hedge.py
@@ -0,0 +1,167 @@
+"""A race of two attempts at one answer: the first token wins."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import datetime
+from typing import Any
+
+from nutmeghook.internal.dispatch import attempts
+from nutmeghook.internal.dispatch import consumers
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.platform import engine
+
+LaneWork = Coroutine[Any, Any, engine.Chunk]
+
+
+class LostRaceError(Exception):
+    """The other attempt's first token came earlier."""
+
+
+class Race:
+    """Which of several attempts may give its text to the caller."""
+
+    __slots__ = ("_consumer", "decided", "winner")
+
+    def __init__(self, *, consumer: consumers.Consumer):
+        self._consumer = consumer
+        self.winner: Lane | None = None
+        self.decided: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def lane(self) -> "Lane":
+        """Returns the consumer for one more attempt."""
+        return Lane(race=self, consumer=self._consumer)
+
+    def decide(self, lane: "Lane") -> None:
+        """Makes a lane the winner, or raises if another one is."""
+        if self.winner is not None:
+            raise LostRaceError
+        self.winner = lane
+        if not self.decided.done():
+            self.decided.set_result(None)
+
+
+class Lane(consumers.Consumer):
+    """One attempt's way to the shared consumer.
+
+    The check on each piece is what keeps the loser's late tokens out of the
+    answer; cancelling it only saves the engine's work.
+    """
+
+    __slots__ = ("_consumer", "_race")
+
+    def __init__(self, *, race: Race, consumer: consumers.Consumer):
+        self._race = race
+        self._consumer = consumer
+
+    async def take(self, text: str) -> None:
+        """Passes the piece on if this lane has won or wins now.
+
+        Raises:
+            LostRaceError: Another lane has won.
+        """
+        if self._race.winner is not self:
+            self._race.decide(self)
+        await self._consumer.take(text)
+
+    def text(self) -> str:
+        """Returns the shared consumer's text."""
+        return self._consumer.text()
+
+    def for_repeat(self) -> consumers.Consumer:
+        """Returns the shared consumer's own."""
+        return self._consumer.for_repeat()
+
+
+async def run_hedged(
+    *,
+    clock: clock_module.Clock,
+    hedge_after: datetime.timedelta,
+    consumer: consumers.Consumer,
+    first: Callable[[consumers.Consumer], LaneWork],
+    second: Callable[[consumers.Consumer], LaneWork | None],
+) -> engine.Chunk:
+    """Runs an attempt, and a second one if no token came in time.
+
+    Args:
+        clock: Measures `hedge_after`.
+        hedge_after: How long the first attempt has for its first token.
+        consumer: Takes the winner's text.
+        first: Starts the first attempt.
+        second: Starts the other one, or returns None if there may be none.
+
+    Returns:
+        The winner's last chunk.
+
+    Raises:
+        attempts.AttemptError: The winner failed, or all did without a token.
+    """
+    race = Race(consumer=consumer)
+    lane = race.lane()
+    lanes = {asyncio.ensure_future(first(lane)): lane}
+    timer = asyncio.ensure_future(clock.sleep(hedge_after))
+    try:
+        await asyncio.wait(
+            {*lanes, timer, race.decided}, return_when=asyncio.FIRST_COMPLETED
+        )
+        lane = race.lane()
+        work = second(lane) if _is_late(lanes, race) else None
+        if work is not None:
+            lanes[asyncio.ensure_future(work)] = lane
+        return await _winner(lanes, race)
+    finally:
+        timer.cancel()
+        await _stop(lanes)
+
+
+def _is_late(lanes: dict[asyncio.Future, Lane], race: Race) -> bool:
+    return race.winner is None and not any(task.done() for task in lanes)
+
+
+async def _winner(
+    lanes: dict[asyncio.Future, Lane], race: Race
+) -> engine.Chunk:
+    pending = dict(lanes)
+    faults: list[attempts.AttemptError] = []
+    while pending:
+        if race.winner is not None:
+            _cancel_losers(pending, race)
+            return await _task_of(lanes, race.winner)
+        done, _ = await asyncio.wait(
+            {*pending, race.decided}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done & pending.keys():
+            lane = pending.pop(task)
+            try:
+                last = task.result()
+            except attempts.AttemptError as error:
+                if race.winner is lane:
+                    raise
+                faults.append(error)
+                continue
+            if race.winner in (None, lane):
+                return last
+    raise _worst(faults)
+
+
+def _cancel_losers(pending: dict[asyncio.Future, Lane], race: Race) -> None:
+    for task, lane in pending.items():
+        if lane is not race.winner:
+            task.cancel()
+
+
+def _task_of(lanes: dict[asyncio.Future, Lane], winner: Lane) -> asyncio.Future:
+    return next(task for task, lane in lanes.items() if lane is winner)
+
+
+async def _stop(lanes: dict[asyncio.Future, Lane]) -> None:
+    for task in lanes:
+        task.cancel()
+    await asyncio.gather(*lanes, return_exceptions=True)
+
+
+def _worst(faults: list[attempts.AttemptError]) -> attempts.AttemptError:
+    """Returns a fault of an attempt that may have run, if there is one."""
+    return max(faults, key=lambda fault: fault.ran)
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -0,0 +1,229 @@
+"""A plain service's call: at most one send, unless it may be repeated."""
+
+import datetime
+import random
+
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dispatch import meter as meter_module
+from nutmeghook.internal.dispatch import progress as progress_module
+from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.limits import admission as admission_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import plain
+from nutmeghook.internal.routing import backends as backends_module
+
+MAX_SENDS = 4
+FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=10)
+RETRY_WITHOUT_BACKEND = datetime.timedelta(seconds=1)
+_SERVICE_ERROR_STATUS = 500
+
+
+class PlainCallPath:
+    """Takes a call through admission to a backend server of its service."""
+
+    __slots__ = (
+        "_admission",
+        "_backends",
+        "_clock",
+        "_config",
+        "_events",
+        "_meter",
+        "_random",
+        "_retry_budget",
+        "_services",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        config: view_module.ConfigView,
+        backends: backends_module.BackendChooser,
+        services: plain.PlainServiceConnector,
+        admission: admission_module.Admission,
+        retry_budget: admission_module.RetryBudget,
+        events: events_module.EventRing,
+        meter: meter_module.Meter,
+        random_source: random.Random,
+    ):
+        self._clock = clock
+        self._config = config
+        self._backends = backends
+        self._services = services
+        self._admission = admission
+        self._retry_budget = retry_budget
+        self._events = events
+        self._meter = meter
+        self._random = random_source
+
+    async def produce(
+        self,
+        request: requests.PlainRequest,
+        progress: progress_module.Progress,
+    ) -> plain.PlainAnswer:
+        """Returns the service's answer.
+
+        Raises:
+            errors.CodedError: There is none.
+        """
+        async with self._admission.admitted(_admission_request(request)):
+            self._events.record(
+                events_module.EventKind.REQUEST_ADMITTED,
+                request.call.request_id,
+                service=request.route.service,
+            )
+            self._retry_budget.note_request()
+            answer = await self._send_until_answered(request, progress)
+        if answer.status >= _SERVICE_ERROR_STATUS:
+            raise errors.CodedError(
+                code=codes.Code.SERVICE_ERROR,
+                detail=f"{request.route.service} answered {answer.status}",
+            )
+        return answer
+
+    async def _send_until_answered(
+        self,
+        request: requests.PlainRequest,
+        progress: progress_module.Progress,
+    ) -> plain.PlainAnswer:
+        tried: set[str] = set()
+        while True:
+            self._check_route(request)
+            backend = self._choose_backend(request, tried)
+            try:
+                return await self._send(request, progress, backend)
+            except failures.NotDoneError as error:
+                await self._allow_retry(request, progress, error)
+            except failures.OutcomeUnknownError as error:
+                # The failure: the connection broke after the call was
+                # written. A second send could book the same crew twice.
+                if not request.route.repeatable:
+                    raise errors.CodedError(
+                        code=codes.Code.BACKEND_FAILED, detail=str(error)
+                    ) from error
+                await self._allow_retry(request, progress, error)
+            tried.add(backend.address)
+
+    def _check_route(self, request: requests.PlainRequest) -> None:
+        """Checks just before sending that the team still has the route."""
+        team = self._config.snapshot.teams.get(request.team.name)
+        if team is None or request.route not in team.plain_routes:
+            raise errors.CodedError(
+                code=codes.Code.NOT_ALLOWED,
+                detail=f"the team's route to {request.route.service!r} was"
+                " changed meanwhile; send the request again",
+            )
+
+    def _choose_backend(
+        self, request: requests.PlainRequest, tried: set[str]
+    ) -> backends_module.Backend:
+        backend = self._backends.choose(_need(request, tried))
+        if backend is None and tried:
+            tried.clear()
+            backend = self._backends.choose(_need(request, tried))
+        if backend is None:
+            raise errors.CodedError(
+                code=codes.Code.NO_CANDIDATE,
+                detail=f"{request.route.service} has no backend server that"
+                " can take work",
+                retry_after=RETRY_WITHOUT_BACKEND,
+            )
+        return backend
+
+    async def _send(
+        self,
+        request: requests.PlainRequest,
+        progress: progress_module.Progress,
+        backend: backends_module.Backend,
+    ) -> plain.PlainAnswer:
+        self._events.record(
+            events_module.EventKind.REQUEST_DISPATCHED,
+            request.call.request_id,
+            backend=backend.address,
+        )
+        progress.start_attempt(request.call.request_id)
+        progress.must_finish = not request.route.repeatable
+        started = self._clock.monotonic()
+        self._backends.started(backend)
+        outcome = backends_module.AttemptOutcome.CANCELLED
+        overloaded = False
+        try:
+            answer = await self._services.call(backend.address, request.call)
+            outcome = backends_module.AttemptOutcome.ANSWERED
+            return answer
+        except failures.NotDoneError as error:
+            progress.attempt_not_run()
+            progress.must_finish = False
+            overloaded = error.overloaded
+            outcome = (
+                backends_module.AttemptOutcome.REFUSED_OVERLOAD
+                if overloaded
+                else backends_module.AttemptOutcome.UNREACHABLE
+            )
+            raise
+        except failures.OutcomeUnknownError:
+            outcome = backends_module.AttemptOutcome.FAILED
+            raise
+        finally:
+            duration = self._clock.monotonic() - started
+            self._backends.finished(backend, outcome=outcome, duration=duration)
+            self._meter.attempt_finished(outcome)
+            if overloaded:
+                # A call's duration says nothing beside those of generations,
+                # which are compared by the token.
+                self._admission.note_service(duration=duration, overloaded=True)
+
+    async def _allow_retry(
+        self,
+        request: requests.PlainRequest,
+        progress: progress_module.Progress,
+        error: failures.PlatformError,
+    ) -> None:
+        """Waits a little before the next send, or gives up.
+
+        Raises:
+            errors.CodedError: No further send is allowed.
+        """
+        if progress.attempts >= MAX_SENDS or not self._retry_budget.try_spend():
+            raise errors.CodedError(
+                code=codes.Code.BACKEND_FAILED
+                if progress.possibly_run
+                else codes.Code.BACKEND_REFUSED,
+                detail=str(error),
+                retry_after=RETRY_WITHOUT_BACKEND,
+            ) from error
+        self._meter.attempt_repeated(hedged=False)
+        self._events.record(
+            events_module.EventKind.REQUEST_RETRIED,
+            request.call.request_id,
+            reason=str(error),
+        )
+        longest = FIRST_RETRY_DELAY * 2 ** (progress.attempts - 1)
+        await self._clock.sleep(longest * self._random.uniform(0.5, 1.0))
+
+
+def _need(
+    request: requests.PlainRequest, tried: set[str]
+) -> backends_module.BackendNeed:
+    return backends_module.BackendNeed(
+        service=request.route.service,
+        priority=request.priority,
+        exclude=frozenset(tried),
+    )
+
+
+def _admission_request(
+    request: requests.PlainRequest,
+) -> admission_module.AdmissionRequest:
+    return admission_module.AdmissionRequest(
+        team=request.team.name,
+        template=request.route.service,
+        weight=request.team.weight,
+        priority=request.priority,
+        deadline=request.deadline,
+        cost_tokens=0,
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -0,0 +1,79 @@
+"""What a request's attempts have done so far, and what may be claimed."""
+
+import dataclasses
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.platform import engine
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Delivered:
+    """The part of an answer that the caller has taken."""
+
+    model_version: engine.ModelVersion
+    prompt_tokens: int
+    output_tokens: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Progress:
+    """Bookkeeping of one request.
+
+    Attributes:
+        attempts: Attempts started, whatever became of them.
+        possibly_run: Attempts that ran or may have run.
+        spent_micros: Cost of all of them.
+        relayed: Some text of the answer is on its way to the caller.
+        delivered: How much, as of the attempts that have ended.
+        must_finish: Work that no cancelling would undo is under way.
+        caller_left: The request was cancelled because nobody waits for it.
+    """
+
+    attempts: int = 0
+    possibly_run: int = 0
+    spent_micros: int = 0
+    relayed: bool = False
+    delivered: Delivered | None = None
+    must_finish: bool = False
+    caller_left: bool = False
+
+    def start_attempt(self, request_id: str) -> str:
+        """Counts an attempt as possibly run and returns its id.
+
+        It is counted before it is sent: should anything go wrong in between,
+        the caller hears `unknown` rather than a false `not_run`.
+        """
+        self.attempts += 1
+        self.possibly_run += 1
+        return f"{request_id}/{self.attempts}"
+
+    def attempt_not_run(self) -> None:
+        """Takes back an attempt that provably did not run."""
+        self.possibly_run -= 1
+
+    def final_error(self, error: errors.CodedError) -> errors.CodedError:
+        """Returns the error with a run state that is true of the request.
+
+        The raiser of an error sees one step; a refusal at a later step (a
+        retry that finds no backend server) must not say `not_run` when an
+        earlier attempt may have run.
+        """
+        if not self.possibly_run or (
+            error.run_state is not codes.RunState.NOT_RUN
+        ):
+            return error
+        code = _CODES_ONCE_SENT.get(error.code, error.code)
+        return errors.CodedError(
+            code=code,
+            detail=error.detail,
+            retry_after=error.retry_after,
+            run_state=codes.RunState.UNKNOWN,
+        )
+
+
+_CODES_ONCE_SENT = {
+    codes.Code.DEADLINE_BEFORE_RUN: codes.Code.DEADLINE_DURING_RUN,
+    codes.Code.BACKEND_REFUSED: codes.Code.BACKEND_FAILED,
+    codes.Code.NO_CANDIDATE: codes.Code.BACKEND_FAILED,
+}
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/requests.py
@@ -0,0 +1,77 @@
+"""A caller's request as the dispatcher takes it: checked and complete."""
+
+import dataclasses
+import datetime
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import plain
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class GenerationRequest:
+    """A request for a model's answer.
+
+    Attributes:
+        identity: What a retry of it would have in common with it.
+        team: The token's team, as the configuration had it at entry.
+        session: The caller's session id; empty for none.
+        priority: 0 to 9, never above the template's.
+        arrived: Monotonic time of arrival.
+        deadline: Monotonic time at which the answer is useless.
+    """
+
+    request_id: str
+    identity: ledger.RequestIdentity
+    team: documents.Team
+    template: documents.Template
+    messages: tuple[engine.Message, ...]
+    prompt_chars: int
+    max_tokens: int
+    session: str
+    priority: int
+    arrived: datetime.timedelta
+    deadline: datetime.timedelta
+
+    @property
+    def target(self) -> str:
+        """What the caller asked for, as metrics name it."""
+        return self.template.name
+
+    @property
+    def prompt_tokens_estimate(self) -> int:
+        """A guess, for attempts whose engine never said the size."""
+        return self.prompt_chars // _CHARS_PER_TOKEN + 1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class PlainRequest:
+    """A request for a plain service's answer.
+
+    Attributes:
+        arrived: Monotonic time of arrival.
+        deadline: Monotonic time at which the answer is useless.
+    """
+
+    identity: ledger.RequestIdentity
+    team: documents.Team
+    route: documents.PlainRoute
+    call: plain.PlainCall
+    priority: int
+    arrived: datetime.timedelta
+    deadline: datetime.timedelta
+
+    @property
+    def request_id(self) -> str:
+        """The id minted at entry."""
+        return self.call.request_id
+
+    @property
+    def target(self) -> str:
+        """What the caller asked for, as metrics name it."""
+        return self.route.service
+
+
+# The usual rule of thumb for Latin scripts.
+_CHARS_PER_TOKEN = 4
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -0,0 +1,348 @@
+"""One stage of a request: version, backend server, attempts until one ends."""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import functools
+import random
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dispatch import answers
+from nutmeghook.internal.dispatch import attempts as attempts_module
+from nutmeghook.internal.dispatch import billing
+from nutmeghook.internal.dispatch import consumers
+from nutmeghook.internal.dispatch import hedge
+from nutmeghook.internal.dispatch import meter as meter_module
+from nutmeghook.internal.dispatch import progress as progress_module
+from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.limits import admission as admission_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import backends as backends_module
+from nutmeghook.internal.routing import versions as versions_module
+
+MAX_ATTEMPTS_PER_STAGE = 4
+MAX_CHOICES_PER_SEND = 3
+FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=10)
+RETRY_WITHOUT_BACKEND = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StageCall:
+    """One stage of one request.
+
+    Attributes:
+        consumer_for: Makes the consumer for a version's text.
+        choice: The version chosen last.
+        consumer: The consumer of the attempt to come.
+        tried: Addresses that failed.
+    """
+
+    request: requests.GenerationRequest
+    progress: progress_module.Progress
+    stage_index: int
+    consumer_for: Callable[[engine.ModelVersion], consumers.Consumer]
+    choice: versions_module.VersionChoice | None = None
+    consumer: consumers.Consumer | None = None
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class StageRunner:
+    """Runs stages, retrying and hedging within bounds."""
+
+    __slots__ = (
+        "_attempts",
+        "_backends",
+        "_clock",
+        "_config",
+        "_events",
+        "_meter",
+        "_random",
+        "_retry_budget",
+        "_versions",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        config: view_module.ConfigView,
+        versions: versions_module.VersionChooser,
+        backends: backends_module.BackendChooser,
+        attempts: attempts_module.AttemptRunner,
+        retry_budget: admission_module.RetryBudget,
+        events: events_module.EventRing,
+        meter: meter_module.Meter,
+        random_source: random.Random,
+    ):
+        self._clock = clock
+        self._config = config
+        self._versions = versions
+        self._backends = backends
+        self._attempts = attempts
+        self._retry_budget = retry_budget
+        self._events = events
+        self._meter = meter
+        self._random = random_source
+
+    async def run(self, call: StageCall) -> answers.GeneratedAnswer:
+        """Returns the stage's whole answer.
+
+        Raises:
+            errors.CodedError: There is none, and no more attempts are left.
+        """
+        failed_attempts = 0
+        if not call.progress.attempts:
+            # Once a request: a long cascade must not earn more retries.
+            self._retry_budget.note_request()
+        while True:
+            await self._settle_choice(call)
+            backend = self._choose_backend(call)
+            try:
+                last = await self._send(call, backend)
+                return _answer(call, last)
+            except attempts_module.AttemptError as error:
+                failed_attempts += 1
+                await self._allow_retry(call, error, failed_attempts)
+            except consumers.TextMismatchError as error:
+                raise errors.CodedError(
+                    code=codes.Code.BACKEND_FAILED,
+                    detail="the backend server was lost in mid-answer and"
+                    " another one's answer is worded otherwise",
+                ) from error
+            call.tried.add(backend.address)
+            call.consumer = call.consumer.for_repeat()
+
+    async def _settle_choice(self, call: StageCall) -> None:
+        """Leaves a version in the call that may be sent to right now.
+
+        A request can wait (for admission, a backend server, a retry) while
+        its version is withdrawn. So the choice is checked against the newest
+        configuration just before each send, and made anew where it failed;
+        but not once the caller has text: another version's may not follow.
+        """
+        for _ in range(MAX_CHOICES_PER_SEND):
+            template = self._template_now(call)
+            if call.choice is None:
+                call.choice = await self._versions.choose(
+                    template=template,
+                    stage_index=min(call.stage_index, len(template.stages) - 1),
+                    session=call.request.session,
+                    request_id=call.request.request_id,
+                )
+                call.consumer = call.consumer_for(call.choice.model_version)
+            try:
+                self._versions.check_dispatch(
+                    template=self._template_now(call), choice=call.choice
+                )
+                return
+            except errors.CodedError:
+                if call.progress.relayed:
+                    raise
+                call.choice = None
+        raise errors.CodedError(
+            code=codes.Code.NO_CANDIDATE,
+            detail="each version chosen was withdrawn before it was sent to",
+            retry_after=RETRY_WITHOUT_BACKEND,
+        )
+
+    def _template_now(self, call: StageCall) -> documents.Template:
+        asked = call.request.template
+        template = self._config.snapshot.template(asked.team, asked.name)
+        if template is None:
+            raise errors.CodedError(
+                code=codes.Code.UNKNOWN_TEMPLATE,
+                detail=f"template {asked.name!r} was removed meanwhile",
+            )
+        return template
+
+    def _choose_backend(self, call: StageCall) -> backends_module.Backend:
+        backend = self._backends.choose(_need(call))
+        if backend is None and call.tried:
+            # In a small pool all may have refused once; a refusal passes.
+            call.tried.clear()
+            backend = self._backends.choose(_need(call))
+        if backend is None:
+            raise errors.CodedError(
+                code=codes.Code.NO_CANDIDATE,
+                detail=f"{call.choice.model_version} has no backend server"
+                " that can take work",
+                retry_after=RETRY_WITHOUT_BACKEND,
+            )
+        return backend
+
+    async def _send(
+        self, call: StageCall, backend: backends_module.Backend
+    ) -> engine.Chunk:
+        hedge_after_ms = call.request.template.hedge_after_ms
+        if not hedge_after_ms or call.progress.relayed or call.tried:
+            return await self._attempt(call, backend, call.consumer)
+        return await hedge.run_hedged(
+            clock=self._clock,
+            hedge_after=datetime.timedelta(milliseconds=hedge_after_ms),
+            consumer=call.consumer,
+            first=functools.partial(self._attempt, call, backend),
+            second=functools.partial(self._second_attempt, call, backend),
+        )
+
+    def _second_attempt(
+        self,
+        call: StageCall,
+        first: backends_module.Backend,
+        consumer: consumers.Consumer,
+    ) -> hedge.LaneWork | None:
+        """Starts a hedge on another backend server, if that may be."""
+        try:
+            self._versions.check_dispatch(
+                template=self._template_now(call), choice=call.choice
+            )
+        except errors.CodedError:
+            return None
+        backend = self._backends.choose(_need(call, first.address))
+        if backend is None or not self._retry_budget.try_spend():
+            return None
+        self._meter.attempt_repeated(hedged=True)
+        self._record_retry(call, "hedge")
+        return self._attempt(call, backend, consumer)
+
+    async def _attempt(
+        self,
+        call: StageCall,
+        backend: backends_module.Backend,
+        consumer: consumers.Consumer,
+    ) -> engine.Chunk:
+        request = call.request
+        attempt = attempts_module.Attempt(
+            backend=backend,
+            generation=_generation(call),
+            deadline=request.deadline,
+        )
+        self._events.record(
+            events_module.EventKind.REQUEST_DISPATCHED,
+            request.request_id,
+            backend=backend.address,
+            version=str(call.choice.model_version),
+        )
+        ran = True
+        try:
+            return await self._attempts.run(attempt, consumer)
+        except attempts_module.AttemptError as error:
+            ran = error.ran
+            raise
+        finally:
+            self._account(call, attempt, ran=ran)
+
+    def _account(
+        self, call: StageCall, attempt: attempts_module.Attempt, *, ran: bool
+    ) -> None:
+        progress = call.progress
+        if not ran:
+            progress.attempt_not_run()
+            return
+        last = attempt.last
+        prompt_tokens = (
+            last.prompt_tokens if last else call.request.prompt_tokens_estimate
+        )
+        version = attempt.generation.model_version
+        progress.spent_micros += billing.cost_micros(
+            self._config,
+            version,
+            prompt_tokens=prompt_tokens,
+            output_tokens=attempt.next_token,
+        )
+        delivered = progress.delivered
+        if progress.relayed and (
+            delivered is None or delivered.output_tokens < attempt.next_token
+        ):
+            progress.delivered = progress_module.Delivered(
+                model_version=version,
+                prompt_tokens=prompt_tokens,
+                output_tokens=attempt.next_token,
+            )
+
+    async def _allow_retry(
+        self,
+        call: StageCall,
+        error: attempts_module.AttemptError,
+        failed_attempts: int,
+    ) -> None:
+        """Waits a little before the next attempt, or gives up.
+
+        Raises:
+            errors.CodedError: No further attempt is allowed.
+        """
+        if (
+            failed_attempts >= MAX_ATTEMPTS_PER_STAGE
+            or not self._retry_budget.try_spend()
+        ):
+            raise errors.CodedError(
+                code=codes.Code.BACKEND_FAILED
+                if call.progress.possibly_run
+                else codes.Code.BACKEND_REFUSED,
+                detail=str(error),
+                retry_after=error.retry_after or RETRY_WITHOUT_BACKEND,
+            ) from error
+        self._meter.attempt_repeated(hedged=False)
+        self._record_retry(call, str(error))
+        longest = FIRST_RETRY_DELAY * 2 ** (failed_attempts - 1)
+        await self._clock.sleep(longest * self._random.uniform(0.5, 1.0))
+
+    def _record_retry(self, call: StageCall, reason: str) -> None:
+        self._events.record(
+            events_module.EventKind.REQUEST_RETRIED,
+            call.request.request_id,
+            reason=reason,
+        )
+
+
+def _need(call: StageCall, exclude: str = "") -> backends_module.BackendNeed:
+    request = call.request
+    excluded = call.tried | {exclude} if exclude else call.tried
+    return backends_module.BackendNeed(
+        model_version=call.choice.model_version,
+        affinity_key=_affinity_key(request),
+        priority=request.priority,
+        exclude=frozenset(excluded),
+    )
+
+
+def _affinity_key(request: requests.GenerationRequest) -> str:
+    """Returns what requests with a common cached prefix have in common."""
+    if request.session:
+        return f"{request.team.name}/{request.session}"
+    opening = request.messages[0].content[:_PREFIX_CHARS]
+    return f"{request.team.name}/{request.template.name}/{opening}"
+
+
+def _generation(call: StageCall) -> engine.Generation:
+    request = call.request
+    return engine.Generation(
+        attempt_id=call.progress.start_attempt(request.request_id),
+        model_version=call.choice.model_version,
+        messages=request.messages,
+        max_tokens=request.max_tokens,
+        priority=request.priority,
+        # Two teams' sessions of one name must not share a cached prefix.
+        session=f"{request.team.name}/{request.session}"
+        if request.session
+        else "",
+    )
+
+
+def _answer(call: StageCall, last: engine.Chunk) -> answers.GeneratedAnswer:
+    return answers.GeneratedAnswer(
+        text=call.consumer.text(),
+        model_version=call.choice.model_version,
+        finish=last.finish,
+        prompt_tokens=last.prompt_tokens,
+        output_tokens=last.token_index + last.tokens,
+    )
+
+
+# Long enough for a system prompt's start to tell templates of text apart,
+# short enough to be cheap to hash.
+_PREFIX_CHARS = 256
--- /dev/null
+++ b/src/nutmeghook/internal/entry/drain.py
@@ -0,0 +1,87 @@
+"""Leaving without cutting a request: first the balancer, then the door."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import datetime
+import enum
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.observe import events as events_module
+
+RETRY_ELSEWHERE = datetime.timedelta(milliseconds=100)
+
+
+class DrainState(enum.Enum):
+    """How far leaving has come."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    REFUSING = "refusing"
+
+
+class Drain:
+    """Counts the requests under way and says when new ones are refused.
+
+    The balancer hears of a failing `/readyz` late, and sends requests until
+    then. So this instance serves on through that lag; only what comes after
+    it is refused, as `DRAINING`, which is provably not run.
+    """
+
+    __slots__ = ("_clock", "_events", "_idle", "_in_flight", "state")
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+    ):
+        self._clock = clock
+        self._events = events
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.state = DrainState.SERVING
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return self._in_flight
+
+    @contextlib.contextmanager
+    def request(self) -> Iterator[None]:
+        """Counts a request while it is under way.
+
+        Raises:
+            errors.CodedError: `DRAINING`.
+        """
+        if self.state is DrainState.REFUSING:
+            raise errors.CodedError(
+                code=codes.Code.DRAINING, retry_after=RETRY_ELSEWHERE
+            )
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def leave(self, *, lag: datetime.timedelta) -> None:
+        """Leaves; returns when the last request is finished.
+
+        Args:
+            lag: How long the balancer may still send requests.
+        """
+        self.state = DrainState.LEAVING
+        self._events.record(
+            events_module.EventKind.DRAIN_STARTED,
+            "entry",
+            in_flight=str(self._in_flight),
+        )
+        await self._clock.sleep(lag)
+        self.state = DrainState.REFUSING
+        await self._idle.wait()
--- /dev/null
+++ b/src/nutmeghook/internal/entry/listener.py
@@ -0,0 +1,92 @@
+"""Listens for callers, and answers what is not HTTP with a coded error."""
+
+import asyncio
+
+from aiohttp import web
+
+from nutmeghook.internal.entry import replies
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+
+MAX_LINE_BYTES = 8190
+_CLOSE_TIMEOUT_S = 5.0
+
+
+class CodedRequestHandler(web.RequestHandler):
+    """One connection; a request that can't be parsed gets a coded body.
+
+    The library answers bad header lines (control characters, a header that
+    smuggles another) by itself, before any handler of ours, in plain text.
+    """
+
+    # The library's class has slots too.
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the answer to a request that could not be handled."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun; it can't be replaced")
+        code = codes.Code.BAD_HEADER if status < 500 else codes.Code.INTERNAL
+        response = replies.error_response(
+            errors.CodedError(code=code, detail=_first_line(message)),
+            request_id="",
+        )
+        response.force_close()
+        return response
+
+
+class Listener:
+    """The listening socket and its connections."""
+
+    __slots__ = ("_runner", "_server")
+
+    def __init__(self, *, application: web.Application):
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=_CLOSE_TIMEOUT_S,
+        )
+        self._server: asyncio.Server | None = None
+
+    async def start(self, *, host: str, port: int) -> None:
+        """Starts to listen; port 0 lets the system choose one."""
+        await self._runner.setup()
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CodedRequestHandler(
+                self._runner.server,
+                loop=loop,
+                access_log=None,
+                max_line_size=MAX_LINE_BYTES,
+                max_field_size=MAX_LINE_BYTES,
+            ),
+            host,
+            port,
+            reuse_address=True,
+        )
+
+    @property
+    def address(self) -> str:
+        """The `ip:port` listened on."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Closes the socket and what connections are left.
+
+        Call it after `Drain.leave`, when no request is under way any more.
+        """
+        if self._server is not None:
+            self._server.close()
+        await self._runner.cleanup()
+
+
+def _first_line(message: str | None) -> str:
+    return (message or "").partition("\n")[0][:200]
--- /dev/null
+++ b/src/nutmeghook/internal/entry/paths.py
@@ -0,0 +1,132 @@
+"""Which plain service a path leads to, and whether the team may call it."""
+
+from collections.abc import Mapping
+import dataclasses
+import re
+
+import yarl
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.entry import headers as headers_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+
+SERVICES_PREFIX = "/services/"
+
+# The failure: a path such as `/open/../bookings` or `/open/%2e%2e/bookings`
+# passes a prefix check here, and names another resource once the service has
+# normalized it. So what can be read in two ways is refused.
+_AMBIGUOUS = re.compile(
+    r"//|\\|(^|/)\.{1,2}(/|$)|%(2e|2f|5c|25|[01][0-9a-f]|7f)", re.I
+)
+
+_NOT_FORWARDED = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        headers_module.PRIORITY.lower(),
+        headers_module.DEADLINE_MS.lower(),
+        "x-request-id",
+    }
+)
+# Answers are read whole and decoded, so the encoding no longer holds.
+_NOT_RETURNED = _NOT_FORWARDED | {"content-encoding", "date", "server"}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ServiceTarget:
+    """Where a call is to go.
+
+    Attributes:
+        path: Absolute path at the service, as the caller encoded it.
+        path_and_query: The same with the query string, if there is one.
+    """
+
+    service: str
+    path: str
+    path_and_query: str
+
+
+def service_target(url: yarl.URL) -> ServiceTarget:
+    """Splits `/services/{service}/{path}?{query}`.
+
+    Raises:
+        errors.CodedError: `BAD_FIELD` for a path of two readings.
+    """
+    rest = url.raw_path.removeprefix(SERVICES_PREFIX)
+    service, _, path = rest.partition("/")
+    path = "/" + path
+    if _AMBIGUOUS.search(path):
+        raise errors.CodedError(
+            code=codes.Code.BAD_FIELD,
+            detail=f"path is {path[:100]!a}; send it without dot segments,"
+            " double slashes or encoded separators",
+        )
+    query = url.raw_query_string
+    return ServiceTarget(
+        service=service,
+        path=path,
+        path_and_query=f"{path}?{query}" if query else path,
+    )
+
+
+def route_for(
+    team: documents.Team, target: ServiceTarget
+) -> documents.PlainRoute:
+    """Returns the team's route with the longest prefix of the path.
+
+    Raises:
+        errors.CodedError: `NOT_ALLOWED`: the team has none.
+    """
+    routes = [
+        route
+        for route in team.plain_routes
+        if route.service == target.service
+        and _is_under(target.path, route.path_prefix)
+    ]
+    if not routes:
+        raise errors.CodedError(
+            code=codes.Code.NOT_ALLOWED,
+            detail=f"the team has no route to {target.service[:50]!a} at"
+            f" {target.path[:100]!a}",
+        )
+    return max(routes, key=lambda route: len(route.path_prefix))
+
+
+def forwarded_headers(
+    headers: Mapping[str, str],
+) -> tuple[tuple[str, str], ...]:
+    """Returns the request headers that the service gets to see."""
+    return _without(headers.items(), _NOT_FORWARDED)
+
+
+def returned_headers(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """Returns the service's response headers that the caller gets to see."""
+    return _without(headers, _NOT_RETURNED)
+
+
+def _without(headers, dropped: frozenset[str]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in dropped
+    )
+
+
+def _is_under(path: str, prefix: str) -> bool:
+    """Matches whole segments: `/book` does not cover `/bookings`."""
+    if not path.startswith(prefix):
+        return False
+    rest = path[len(prefix) :]
+    return not rest or prefix.endswith("/") or rest.startswith("/")
--- /dev/null
+++ b/src/nutmeghook/internal/entry/replies.py
@@ -0,0 +1,98 @@
+"""Errors as callers get them: a JSON body, and when to come again."""
+
+import datetime
+import math
+
+from aiohttp import web
+import msgspec
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+
+REQUEST_ID_HEADER = "X-Request-Id"
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_DEFAULT_RETRY_AFTER = datetime.timedelta(seconds=1)
+
+
+class ErrorFields(msgspec.Struct, frozen=True, kw_only=True):
+    """What went wrong.
+
+    Attributes:
+        code: The number in docs/RESULT_CODES.md.
+        type: The name again; OpenAI's clients show this field.
+        run_state: `not_run`, `ran` or `unknown`.
+        retry_after_ms: When the request may come again; null for never.
+    """
+
+    code: int
+    name: str
+    type: str
+    message: str
+    run_state: str
+    request_id: str
+    retry_after_ms: int | None
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of every answer that is an error."""
+
+    error: ErrorFields
+
+
+def error_body(error: errors.CodedError, *, request_id: str) -> bytes:
+    """Returns the JSON body for an error."""
+    retry_after = retry_after_of(error)
+    return msgspec.json.encode(
+        ErrorBody(
+            error=ErrorFields(
+                code=error.code.number,
+                name=error.code.name,
+                type=error.code.name,
+                message=error.detail,
+                run_state=error.run_state.value,
+                request_id=request_id,
+                retry_after_ms=None
+                if retry_after is None
+                else math.ceil(retry_after / _MILLISECOND),
+            )
+        )
+    )
+
+
+def error_response(
+    error: errors.CodedError, *, request_id: str
+) -> web.Response:
+    """Returns the HTTP answer for an error."""
+    retry_after = retry_after_of(error)
+    headers = {REQUEST_ID_HEADER: request_id}
+    if retry_after is not None:
+        headers["Retry-After"] = str(math.ceil(retry_after.total_seconds()))
+    # OpenAI's clients repeat a 409 or 5xx of their own accord unless told
+    # otherwise; work that may have run must not be sent again blindly.
+    headers["x-should-retry"] = "false" if retry_after is None else "true"
+    return web.Response(
+        status=error.code.http_status,
+        body=error_body(error, request_id=request_id),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def retry_after_of(error: errors.CodedError) -> datetime.timedelta | None:
+    """Returns when a request may come again, or None if it should not.
+
+    Only a request that was not run may be sent again as it is; what may have
+    run is for the caller to decide on.
+    """
+    if error.code is codes.Code.ALREADY_RUNNING:
+        return error.retry_after or _DEFAULT_RETRY_AFTER
+    if error.run_state is not codes.RunState.NOT_RUN:
+        return None
+    if error.retry_after is not None:
+        return error.retry_after
+    if error.code.http_status in _MAY_COME_AGAIN:
+        return _DEFAULT_RETRY_AFTER
+    return None
+
+
+_MAY_COME_AGAIN = frozenset({408, 429, 503, 504})
--- /dev/null
+++ b/src/nutmeghook/internal/entry/sinks.py
@@ -0,0 +1,190 @@
+"""A caller's side of an answer: streamed as server-sent events, or whole."""
+
+from aiohttp import web
+import msgspec
+
+from nutmeghook.internal.dispatch import answers
+from nutmeghook.internal.entry import replies
+from nutmeghook.internal.entry import shapes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.platform import engine
+
+_CHUNK = "chat.completion.chunk"
+_MARK = "\x00"
+_DONE = b"data: [DONE]\n\n"
+
+
+class WholeSink(answers.AnswerSink):
+    """Lets text go by: the whole answer comes at the end."""
+
+    __slots__ = ("_created_s", "_model", "_request_id")
+
+    def __init__(self, *, request_id: str, model: str, created_s: int):
+        self._request_id = request_id
+        self._model = model
+        self._created_s = created_s
+
+    async def take(self, text: str, model_version: engine.ModelVersion) -> None:
+        """Does nothing; the dispatcher keeps the text."""
+
+    def detach(self) -> None:
+        """Does nothing; there is nothing to hold back."""
+
+    def encode_whole(
+        self, answer: answers.GeneratedAnswer
+    ) -> ledger.KeptAnswer:
+        """Returns the answer as a completion's JSON."""
+        return ledger.KeptAnswer(
+            status=200,
+            content_type="application/json",
+            body=msgspec.json.encode(
+                shapes.completion(
+                    answer,
+                    request_id=self._request_id,
+                    model=self._model,
+                    created_s=self._created_s,
+                )
+            ),
+        )
+
+
+class StreamSink(WholeSink):
+    """Sends text as server-sent events while it comes.
+
+    All events of one answer are alike but for their text. So one is encoded
+    at the start and cut at the text's place; each piece of text then costs
+    the encoding of one string.
+    """
+
+    __slots__ = ("_after", "_before", "_detached", "_request", "_response")
+
+    def __init__(
+        self,
+        *,
+        request: web.Request,
+        request_id: str,
+        model: str,
+        created_s: int,
+    ):
+        super().__init__(
+            request_id=request_id, model=model, created_s=created_s
+        )
+        self._request = request
+        self._response: web.StreamResponse | None = None
+        self._detached = False
+        self._before = b""
+        self._after = b""
+
+    @property
+    def started(self) -> bool:
+        """Whether the response's head is on its way."""
+        return self._response is not None
+
+    async def take(self, text: str, model_version: engine.ModelVersion) -> None:
+        """Sends a piece of text."""
+        if self._detached:
+            return
+        if self._response is None:
+            await self._start(model_version)
+        await self._write(
+            self._before + msgspec.json.encode(text) + self._after
+        )
+
+    def detach(self) -> None:
+        """Stops sending."""
+        self._detached = True
+
+    async def finish(
+        self, answer: answers.GeneratedAnswer, *, include_usage: bool
+    ) -> web.StreamResponse:
+        """Sends the end; to be called only after the bill is durable."""
+        if self._response is None:
+            await self._start(answer.model_version)
+        last = [
+            self._event(
+                answer.model_version,
+                shapes.Delta(),
+                finish_reason=shapes.finish_reason(answer.finish),
+            )
+        ]
+        if include_usage:
+            last.append(self._usage_event(answer))
+        await self._write(b"".join([*last, _DONE]))
+        await self._response.write_eof()
+        return self._response
+
+    async def replay(self, kept: ledger.KeptAnswer) -> answers.GeneratedAnswer:
+        """Sends the text of an answer that was kept, and returns it."""
+        answer = shapes.answer_of(
+            msgspec.json.decode(kept.body, type=shapes.Completion)
+        )
+        if answer.text:
+            await self.take(answer.text, answer.model_version)
+        return answer
+
+    async def fail(self, error: errors.CodedError) -> web.StreamResponse:
+        """Ends a stream that has begun with the error as its last event."""
+        body = replies.error_body(error, request_id=self._request_id)
+        await self._write(b"data: " + body + b"\n\n" + _DONE)
+        await self._response.write_eof()
+        return self._response
+
+    async def _start(self, model_version: engine.ModelVersion) -> None:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream; charset=utf-8",
+                "Cache-Control": "no-cache",
+                replies.REQUEST_ID_HEADER: self._request_id,
+            }
+        )
+        await response.prepare(self._request)
+        self._response = response
+        pattern = self._event(model_version, shapes.Delta(content=_MARK))
+        self._before, self._after = pattern.split(_ENCODED_MARK)
+        await self._write(
+            self._event(
+                model_version, shapes.Delta(role="assistant", content="")
+            )
+        )
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._response.write(data)
+        except ConnectionError:
+            # The caller is gone. aiohttp cancels the handler too, which
+            # settles what becomes of the request; here only be quiet.
+            self._detached = True
+
+    def _event(
+        self,
+        model_version: engine.ModelVersion,
+        delta: shapes.Delta,
+        *,
+        finish_reason: str | None = None,
+    ) -> bytes:
+        choice = shapes.ChunkChoice(delta=delta, finish_reason=finish_reason)
+        return self._encoded(model_version, [choice], None)
+
+    def _usage_event(self, answer: answers.GeneratedAnswer) -> bytes:
+        return self._encoded(answer.model_version, [], shapes.usage(answer))
+
+    def _encoded(
+        self,
+        model_version: engine.ModelVersion,
+        choices: list[shapes.ChunkChoice],
+        usage: shapes.Usage | None,
+    ) -> bytes:
+        chunk = shapes.CompletionChunk(
+            id=self._request_id,
+            object=_CHUNK,
+            created=self._created_s,
+            model=self._model,
+            system_fingerprint=str(model_version),
+            choices=choices,
+            usage=usage,
+        )
+        return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+
+
+_ENCODED_MARK = msgspec.json.encode(_MARK)
--- a/src/nutmeghook/internal/foundation/codes.py
+++ b/src/nutmeghook/internal/foundation/codes.py
@@ -136,6 +136,13 @@
         "The plain service ran the call and answered with an error.",
     )
 
+    CALLER_GONE = (
+        4007,
+        499,
+        RunState.UNKNOWN,
+        "The caller closed its connection before the answer's end.",
+    )
+
     CONFLICT = (
         5000,
         409,
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,415 @@
+"""Minimal fakes of what the request path uses, driven by the test."""
+
+import asyncio
+import collections
+import dataclasses
+import datetime
+import random
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import tokens
+from nutmeghook.internal.config import view
+from nutmeghook.internal.dispatch import dispatcher
+from nutmeghook.internal.dispatch import meter
+from nutmeghook.internal.dispatch import ratings
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.limits import admission
+from nutmeghook.internal.observe import events
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import plain
+from nutmeghook.internal.platform import ratings as rating_service
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import cascade
+from nutmeghook.internal.routing import versions
+
+TOKEN = "token-of-agency"
+OTHER_TOKEN = "token-of-roster"
+VIEWER_TOKEN = "token-of-viewer"
+SMALL = engine.ModelVersion(model="small", version="1")
+LARGE = engine.ModelVersion(model="large", version="1")
+
+
+def snapshot(**template_fields) -> documents.Snapshot:
+    """A team `agency` with a template `review`, and a team without any."""
+    stages = tuple(
+        documents.Stage(
+            model=model, versions=(documents.VersionEntry(version="1"),)
+        )
+        for model in ("small", "large")
+    )
+    template_fields.setdefault("stages", stages)
+    template = documents.Template(
+        team="agency", name="review", **template_fields
+    )
+    routes = (
+        documents.PlainRoute(service="crew", path_prefix="/bookings"),
+        documents.PlainRoute(
+            service="crew", path_prefix="/bookings/open", repeatable=True
+        ),
+    )
+    teams = [
+        documents.Team(
+            name="agency",
+            tokens=(
+                _token("calls", documents.Role.CALLER, TOKEN),
+                _token("views", documents.Role.VIEWER, VIEWER_TOKEN),
+            ),
+            allowed_models=("small", "large"),
+            plain_routes=routes,
+        ),
+        documents.Team(
+            name="roster",
+            tokens=(_token("calls", documents.Role.CALLER, OTHER_TOKEN),),
+        ),
+    ]
+    return documents.Snapshot(
+        revision=1,
+        fleet=documents.Fleet(
+            models=(
+                documents.ModelEntry(
+                    name="small",
+                    prompt_token_cost_micros=1,
+                    output_token_cost_micros=10,
+                ),
+                documents.ModelEntry(
+                    name="large",
+                    prompt_token_cost_micros=10,
+                    output_token_cost_micros=100,
+                ),
+            )
+        ),
+        teams={team.name: team for team in teams},
+        templates={documents.template_key("agency", "review"): template},
+    )
+
+
+def _token(name: str, role: documents.Role, text: str) -> documents.TokenEntry:
+    return documents.TokenEntry(
+        name=name, role=role, sha256=tokens.digest(text)
+    )
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Script:
+    """What an engine does with the next `generate`.
+
+    Attributes:
+        words: One token each.
+        fails: Raised before the first chunk.
+        cut_after: Chunks after which the stream ends with no last chunk.
+        chunks: Sent as they are, in place of `words`.
+        gate: Waited for before the first chunk.
+    """
+
+    words: tuple[str, ...] = ("The ", "boiler ", "holds.")
+    fails: Exception | None = None
+    cut_after: int | None = None
+    chunks: list[engine.Chunk] | None = None
+    gate: asyncio.Event | None = None
+    finish: engine.FinishReason = engine.FinishReason.STOP
+
+
+class FakeEngine(engine.Engine):
+    """Plays scripts in order; then answers with the default one."""
+
+    def __init__(self):
+        self.scripts: collections.deque[Script] = collections.deque()
+        self.generations: list[engine.Generation] = []
+        self.cancelled: list[str] = []
+
+    async def generate(self, generation):
+        self.generations.append(generation)
+        script = self.scripts.popleft() if self.scripts else Script()
+        if script.gate is not None:
+            await script.gate.wait()
+        if script.fails is not None:
+            raise script.fails
+        chunks = script.chunks
+        if chunks is None:
+            chunks = chunks_of(generation, script)
+        for number, chunk in enumerate(chunks):
+            if number == script.cut_after:
+                raise failures.OutcomeUnknownError("connection reset")
+            yield chunk
+
+    async def cancel(self, attempt_id):
+        self.cancelled.append(attempt_id)
+
+    async def load_report(self):
+        raise NotImplementedError
+
+    async def order(self, order):
+        raise NotImplementedError
+
+    async def cache_events(self, after_sequence):
+        return []
+
+    async def export_cache(self, prefix_hash):
+        return None
+
+    async def import_cache(self, prefix_hash, content):
+        pass
+
+
+def chunks_of(
+    generation: engine.Generation, script: Script
+) -> list[engine.Chunk]:
+    """The chunks of an attempt from the token where it resumes."""
+    last = len(script.words) - 1
+    return [
+        engine.Chunk(
+            attempt_id=generation.attempt_id,
+            token_index=index,
+            tokens=1,
+            text=word,
+            finish=script.finish if index == last else None,
+            prompt_tokens=5 if index == last else 0,
+        )
+        for index, word in enumerate(script.words)
+        if index >= generation.resume_at_token
+    ]
+
+
+class FakeService(plain.PlainServiceConnector):
+    """Raises or returns the next of `outcomes`, then answers 200."""
+
+    def __init__(self):
+        self.calls: list[tuple[str, plain.PlainCall]] = []
+        self.outcomes: collections.deque = collections.deque()
+        self.gate: asyncio.Event | None = None
+
+    async def call(self, address, call):
+        self.calls.append((address, call))
+        if self.gate is not None:
+            await self.gate.wait()
+        outcome = self.outcomes.popleft() if self.outcomes else 200
+        if isinstance(outcome, Exception):
+            raise outcome
+        headers = (("Content-Type", "text/plain"), ("X-Crew", "7"))
+        return plain.PlainAnswer(status=outcome, headers=headers, body=b"ok")
+
+
+class FakeBackends(backends.BackendChooser):
+    """Gives the first backend server that is not excluded."""
+
+    def __init__(self, addresses=("e1:1", "e2:1")):
+        self.addresses = list(addresses)
+        self.outcomes: list[tuple[str, backends.AttemptOutcome]] = []
+
+    def choose(self, need):
+        for address in self.addresses:
+            if address not in need.exclude:
+                return backends.Backend(
+                    address=address, region="r", data_centre="r-1", service="s"
+                )
+        return None
+
+    def started(self, backend):
+        pass
+
+    def finished(self, backend, *, outcome, duration, report=None):
+        self.outcomes.append((backend.address, outcome))
+
+
+class FakeVersions(versions.VersionChooser):
+    """Chooses a stage's first version that is not in `withdrawn`."""
+
+    def __init__(self):
+        self.withdrawn: set[engine.ModelVersion] = set()
+        self.rolling_out = False
+
+    async def choose(self, *, template, stage_index, session, request_id):
+        stage = template.stages[stage_index]
+        for entry in stage.versions:
+            version = engine.ModelVersion(
+                model=stage.model, version=entry.version
+            )
+            if version not in self.withdrawn:
+                return versions.VersionChoice(
+                    model_version=version, rolling_out=self.rolling_out
+                )
+        raise errors.CodedError(code=codes.Code.NO_CANDIDATE)
+
+    def check_dispatch(self, *, template, choice):
+        if choice.model_version in self.withdrawn:
+            raise errors.CodedError(code=codes.Code.NOT_ALLOWED)
+
+
+class FakeCascade(cascade.CascadePolicy):
+    """Starts where told and accepts what it is told to."""
+
+    def __init__(self, *, first_stage=1, may_go_on=False):
+        self.cascade_plan = cascade.CascadePlan(
+            first_stage=first_stage, may_go_on=may_go_on
+        )
+        self.accepted = True
+        self.rated = False
+
+    def plan(self, question):
+        return self.cascade_plan
+
+    def accepts(self, question, *, stage_index, answer):
+        return self.accepted
+
+    def wants_rating(self, question, *, stage_index):
+        return self.rated
+
+    def learn(self, *, team, template, stage_index, quality):
+        pass
+
+
+class FakeBudget(admission.RetryBudget):
+    """Gives leave as often as told."""
+
+    def __init__(self, leave=100):
+        self.leave = leave
+
+    def note_request(self):
+        pass
+
+    def try_spend(self):
+        self.leave -= 1
+        return self.leave >= 0
+
+
+class FakeLedger(ledger.Ledger):
+    """Claims and bills in memory, with what the test makes go wrong."""
+
+    def __init__(self):
+        self.claims: dict[str, ledger.ClaimResult] = {}
+        self.claim_error: errors.CodedError | None = None
+        self.finish_error: errors.CodedError | None = None
+        self.finish_gate: asyncio.Event | None = None
+        self.bills: list[ledger.Bill] = []
+        self.kept: list[ledger.KeptAnswer | None] = []
+        self.released: list[str] = []
+        self.unknown: list[str] = []
+
+    async def claim(self, identity, *, request_id, timeout):
+        if self.claim_error is not None:
+            raise self.claim_error
+        won = ledger.ClaimResult(state=ledger.ClaimState.WON)
+        running = ledger.ClaimResult(state=ledger.ClaimState.RUNNING)
+        result = self.claims.get(identity.key, won)
+        self.claims.setdefault(identity.key, running)
+        return result
+
+    async def release(self, identity, *, request_id):
+        self.released.append(identity.key)
+        self.claims.pop(identity.key, None)
+
+    async def finish(self, *, bill, answer, timeout):
+        if self.finish_gate is not None:
+            await self.finish_gate.wait()
+        if self.finish_error is not None:
+            raise self.finish_error
+        self.bills.append(bill)
+        self.kept.append(answer)
+        self.claims[bill.identity.key] = ledger.ClaimResult(
+            state=ledger.ClaimState.ANSWERED, answer=answer
+        )
+
+    async def mark_unknown(self, identity, *, request_id):
+        self.unknown.append(identity.key)
+        self.claims[identity.key] = ledger.ClaimResult(
+            state=ledger.ClaimState.UNKNOWN
+        )
+
+
+class FakeRatings(rating_service.RatingService):
+    """Keeps what is handed in."""
+
+    def __init__(self):
+        self.tasks: list[rating_service.RatingTask] = []
+        self.fails: Exception | None = None
+
+    async def submit(self, tasks):
+        if self.fails is not None:
+            raise self.fails
+        self.tasks.extend(tasks)
+
+    async def ratings_after(self, cursor, *, limit=1000):
+        return []
+
+
+class CountingMeter(meter.NullMeter):
+    """Counts some of the calls."""
+
+    def __init__(self):
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def attempt_repeated(self, *, hedged):
+        self.counts["hedge" if hedged else "retry"] += 1
+
+    def stream_resumed(self):
+        self.counts["resume"] += 1
+
+    def chunk_dropped(self):
+        self.counts["chunk dropped"] += 1
+
+    def rating_dropped(self):
+        self.counts["rating dropped"] += 1
+
+
+class MutableConfigView(view.ConfigView):
+    """A configuration that the test replaces."""
+
+    def __init__(self, current: documents.Snapshot):
+        self.current = current
+
+    @property
+    def snapshot(self):
+        return self.current
+
+    def confirmed_age(self):
+        return datetime.timedelta()
+
+
+class Fixture(engine.EngineConnector):
+    """A dispatcher with all its surroundings."""
+
+    def __init__(self, *, clock=None, **template_fields):
+        self.clock = clock or clock_module.FakeClock()
+        self.config = MutableConfigView(snapshot(**template_fields))
+        self.engines = collections.defaultdict(FakeEngine)
+        self.services = FakeService()
+        self.backends = FakeBackends()
+        self.versions = FakeVersions()
+        self.cascade = FakeCascade()
+        self.budget = FakeBudget()
+        self.ledger = FakeLedger()
+        self.rating_service = FakeRatings()
+        self.meter = CountingMeter()
+        self.admission = admission.OpenAdmission()
+        self.events = events.EventRing(clock=self.clock)
+        self.ratings = ratings.RatingQueue(
+            service=self.rating_service,
+            clock=self.clock,
+            meter=self.meter,
+            capacity_tasks=2,
+        )
+
+    def connect(self, address):
+        return self.engines[address]
+
+    def dispatcher(self) -> dispatcher.Dispatcher:
+        return dispatcher.Dispatcher(
+            clock=self.clock,
+            config=self.config,
+            versions=self.versions,
+            backends=self.backends,
+            engines=self,
+            services=self.services,
+            cascade=self.cascade,
+            admission=self.admission,
+            retry_budget=self.budget,
+            ledger=self.ledger,
+            ratings=self.ratings,
+            events=self.events,
+            meter=self.meter,
+            random_source=random.Random(1),
+        )
