Let LoadDigest carry attempts in flight and what reports say

Peers that share load need each other's own attempts in flight, which change with each request, and the versions, capacity and leaving mark of reports that only one of them polls. All new fields are optional; numbers 1 to 3 keep their meaning. Addresses in the frequent part are 20 bits of a hash: three bytes in the compact protocol where the text takes eighteen.

--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -43,11 +43,17 @@
   2: string template_name,
   3: string model_version,
   4: i32 answers,
+  // Of the roll-out `rollout_id`: answers granted earlier that were not sent
+  // and now never will be.
+  5: optional i32 unused,
+  6: optional i64 rollout_id,
 }
 
 struct ExposureGrant {
   1: i32 answers,
   2: i64 valid_ms,
+  // Which roll-out of the version the leave is for.
+  3: optional i64 rollout_id,
 }
 
 // Replicas' loads, measured by the sender; parallel lists.
@@ -55,6 +61,18 @@
   1: list<string> addresses,
   2: list<i32> load_percent,
   3: i64 age_ms,
+  // What else the reports of `addresses` said; parallel to it. `loaded` holds
+  // model versions in their written form with commas between them.
+  4: optional list<i32> capacity,
+  5: optional list<string> loaded,
+  6: optional list<bool> leaving,
+  // The sender's own attempts in flight, for those backend servers where they
+  // changed; parallel lists. A backend server is named by 20 bits of a hash.
+  7: optional list<i32> address_hashes,
+  8: optional list<i32> in_flight,
+  // Backend servers that are not named have none of the sender's attempts.
+  9: optional bool complete,
+  10: optional string sender_address,
 }
 
 struct EventsPull {
