--- /dev/null
+++ b/src/nutmeghook/internal/leases/keeper.py
@@ -0,0 +1,351 @@
+"""Takes, renews and gives up one lease on behalf of this instance.
+
+No wall clocks are compared. An observer takes a lease over when the row's
+version has stood still for longer than the lease's duration on the observer's
+own monotonic clock; the take-over is conditional on that version, so a
+renewal that comes first wins. The holder counts from the start of its last
+renewal, so it stops before any observer may begin.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import datetime
+import random
+
+import msgspec
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import lease
+from nutmeghook.internal.leases import rows
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import table as table_module
+
+_ZERO = datetime.timedelta()
+_JITTER_SHARE = 0.1
+
+
+class LeaseKeeper(lease.Lease):
+    """One instance's side of one lease; `run` keeps it going.
+
+    Args:
+        name: The lease's name; the row's key follows from it.
+        incarnation: This process.
+        inner_address: Where others reach the holder.
+        rank: Returns this instance's preference, 0 for the most preferred,
+            None where it should not hold the lease. Asked again each time.
+        is_dead: Tells whether an incarnation is known to be gone. Given only
+            where every act of the holder is conditional on the lease's row:
+            then a take-over before the lease has lapsed is safe.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_inner_address",
+        "_is_dead",
+        "_listeners",
+        "_name",
+        "_outranked_since",
+        "_random",
+        "_rank",
+        "_row",
+        "_row_seen_at",
+        "_settings",
+        "_started_at",
+        "_stopped",
+        "_table",
+        "_valid_until",
+        "_version",
+        "_wake",
+        "_write_number",
+        "incarnation",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        inner_address: str,
+        table: table_module.TableService,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        events: events_module.EventRing,
+        rank: Callable[[], int | None],
+        settings: rows.LeaseSettings | None = None,
+        is_dead: Callable[[str], bool] | None = None,
+    ):
+        self.incarnation = incarnation
+        self._name = name
+        self._inner_address = inner_address
+        self._table = table
+        self._clock = clock
+        self._random = rng
+        self._events = events
+        self._rank = rank
+        self._settings = settings or rows.LeaseSettings()
+        self._is_dead = is_dead
+        self._row: rows.LeaseRow | None = None
+        self._version = table_module.ABSENT_VERSION
+        self._row_seen_at = clock.monotonic()
+        self._valid_until = _ZERO
+        # When each write that may yet turn out to be ours was begun.
+        self._started_at: dict[int, datetime.timedelta] = {}
+        self._outranked_since: datetime.timedelta | None = None
+        self._stopped = False
+        self._write_number = 0
+        self._listeners: list[Callable[[], None]] = []
+        self._wake = asyncio.Event()
+
+    @property
+    def name(self) -> str:
+        """The lease's name."""
+        return self._name
+
+    @property
+    def row_key(self) -> str:
+        """The key of the lease's row."""
+        return rows.row_key(self._name)
+
+    def row_version(self) -> int:
+        """The row's version as last seen."""
+        return self._version
+
+    def fencing_token(self) -> int | None:
+        """Returns the token while the lease surely holds, else None.
+
+        A process that was paused finds the time already past `valid_until`
+        here, before its renewal task has run at all.
+        """
+        if self._clock.monotonic() >= self._valid_until:
+            return None
+        return self.last_token()
+
+    def last_token(self) -> int | None:
+        """Returns the token while nothing shows that the lease is lost.
+
+        It may have lapsed: use it only for commits that are conditional on
+        the lease's row.
+        """
+        if self._is_mine(self._row):
+            return self._row.token
+        return None
+
+    def known_holder(self) -> rows.LeaseRow | None:
+        """Returns the row as last seen, for sending others to the holder."""
+        return self._row
+
+    def wake(self) -> None:
+        """Looks at the row now instead of at the next poll."""
+        self._wake.set()
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Has a function called whenever the lease is gained or lost."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Contends for the lease and renews it until cancelled."""
+        while not self._stopped:
+            # Where the store's answer is missing, the next step looks again.
+            with contextlib.suppress(failures.PlatformError):
+                await self.step()
+            await self._pause()
+
+    async def step(self) -> None:
+        """Does one look, renewal or take-over, as the moment calls for."""
+        if self.last_token() is not None:
+            await self._renew_or_hand_over()
+        elif self._rank() is not None:
+            await self.look()
+            if self._may_take():
+                await self._take()
+
+    async def look(self) -> None:
+        """Reads the row."""
+        row = await self._table.read(self.row_key)
+        # Counted from after the read: whoever wrote this version began to
+        # count before it, and so stops before us.
+        self._see(row)
+
+    async def release(self) -> None:
+        """Gives the lease up, so that another may take it at once.
+
+        Raises:
+            failures.PlatformError: The store did not answer; the lease then
+                lapses by itself.
+        """
+        self._stopped = True
+        await self._give_up()
+
+    def adopt(self, row: table_module.Row | None) -> bool:
+        """Takes in the row that a failed condition showed.
+
+        Returns:
+            Whether the lease is still this instance's.
+        """
+        self._see(row)
+        return self.last_token() is not None
+
+    async def _renew_or_hand_over(self) -> None:
+        if self._is_outranked():
+            await self._give_up()
+            return
+        await self._write(self._my_row(token=self._row.token))
+
+    async def _give_up(self) -> None:
+        if self.last_token() is None:
+            return
+        self._valid_until = _ZERO
+        # An earlier renewal in doubt must not make the lease count again.
+        self._started_at.clear()
+        released = msgspec.structs.replace(
+            self._my_row(token=self._row.token), released=True
+        )
+        await self._write(released)
+
+    def _is_outranked(self) -> bool:
+        """Whether another has been preferred for the settling time."""
+        if self._rank() == 0:
+            self._outranked_since = None
+            return False
+        now = self._clock.monotonic()
+        if self._outranked_since is None:
+            self._outranked_since = now
+        return now - self._outranked_since >= self._settings.settle
+
+    def _may_take(self) -> bool:
+        rank = self._rank()
+        if rank is None:
+            return False
+        # The preferred instance goes first; the others leave it the time.
+        patience = rank * self._settings.poll_every
+        unchanged_for = self._clock.monotonic() - self._row_seen_at
+        if self._row is None or self._row.released:
+            return unchanged_for >= patience
+        if self._is_dead is not None and self._is_dead(self._row.holder):
+            return unchanged_for >= patience
+        duration = datetime.timedelta(milliseconds=self._row.duration_ms)
+        return unchanged_for >= duration + self._settings.margin + patience
+
+    async def _take(self) -> None:
+        last = 0 if self._row is None else self._row.token
+        await self._write(self._my_row(token=last + 1))
+
+    async def _write(self, row: rows.LeaseRow) -> None:
+        """Writes the row on condition that it is still as last seen.
+
+        A write in doubt needs no settling of its own: the next write has the
+        same condition, so at most one of the two takes effect, and the row
+        that a failed condition shows tells which.
+        """
+        self._started_at[row.write_number] = self._clock.monotonic()
+        try:
+            result = await self._table.commit(
+                table_module.Transaction(
+                    conditions=(
+                        table_module.Condition(
+                            key=self.row_key, version=self._version
+                        ),
+                    ),
+                    puts=(
+                        table_module.Put(
+                            key=self.row_key, value=rows.encode(row)
+                        ),
+                    ),
+                )
+            )
+        except failures.NotDoneError:
+            self._started_at.pop(row.write_number, None)
+            raise
+        if result.committed:
+            self._see(
+                table_module.Row(
+                    key=self.row_key,
+                    value=rows.encode(row),
+                    version=result.versions[0],
+                )
+            )
+        else:
+            current = {found.key: found for found in result.current}
+            self._see(current.get(self.row_key))
+
+    def _see(self, found: table_module.Row | None) -> None:
+        """Takes in the row's present version, and what it means."""
+        version = found.version if found else table_module.ABSENT_VERSION
+        if version == self._version:
+            return
+        before = self.last_token()
+        self._version = version
+        self._row = rows.decode(found.value) if found else None
+        self._row_seen_at = self._clock.monotonic()
+        self._extend_validity()
+        self._forget_old_starts()
+        self._note_change(before)
+
+    def _extend_validity(self) -> None:
+        if not self._is_mine(self._row):
+            self._valid_until = _ZERO
+            return
+        # The row says which of our writes made it, so that a write whose
+        # answer was lost counts from its own start and not from a later one.
+        started = self._started_at.get(self._row.write_number)
+        if started is not None:
+            lasts = self._settings.duration - self._settings.margin
+            self._valid_until = max(self._valid_until, started + lasts)
+
+    def _forget_old_starts(self) -> None:
+        oldest = self._clock.monotonic() - self._settings.duration
+        self._started_at = {
+            number: started
+            for number, started in self._started_at.items()
+            if started > oldest
+        }
+
+    def _note_change(self, before: int | None) -> None:
+        after = self.last_token()
+        if before == after:
+            return
+        self._outranked_since = None
+        kind = (
+            events_module.EventKind.LEASE_LOST
+            if after is None
+            else events_module.EventKind.LEASE_ACQUIRED
+        )
+        self._events.record(kind, self._name, token=str(after or before))
+        for listener in self._listeners:
+            listener()
+
+    def _is_mine(self, row: rows.LeaseRow | None) -> bool:
+        return (
+            row is not None
+            and row.holder == self.incarnation
+            and not row.released
+        )
+
+    def _my_row(self, *, token: int) -> rows.LeaseRow:
+        self._write_number += 1
+        return rows.LeaseRow(
+            write_number=self._write_number,
+            holder=self.incarnation,
+            inner_address=self._inner_address,
+            token=token,
+            duration_ms=int(
+                self._settings.duration / datetime.timedelta(milliseconds=1)
+            ),
+        )
+
+    async def _pause(self) -> None:
+        held = self.last_token() is not None
+        usual = (
+            self._settings.renew_every if held else self._settings.poll_every
+        )
+        jitter = 1 + _JITTER_SHARE * (2 * self._random.random() - 1)
+        try:
+            await self._clock.wait_for(self._wake.wait(), usual * jitter)
+        except TimeoutError:
+            return
+        # Many callers may ask at once; the pause bounds what that costs.
+        self._wake.clear()
+        await self._clock.sleep(self._settings.poll_every / 10)
--- /dev/null
+++ b/src/nutmeghook/internal/leases/preference.py
@@ -0,0 +1,43 @@
+"""Which members should hold a lease: rendezvous hashing, no messages.
+
+Each member computes the same order from the same member list, so leases
+spread evenly, and a member that joins or leaves moves only its own share.
+"""
+
+import xxhash
+
+from nutmeghook.internal.membership import members
+
+# Only the first few look at a lease's row. The rest would cost the store
+# leases x instances reads; they move up as members before them are found dead.
+CANDIDATES = 3
+
+
+def rank_of_myself(lease_name: str, view: members.MemberView) -> int | None:
+    """Returns this instance's place in the order, 0 being preferred.
+
+    None where it is no candidate: too far down, or leaving.
+    """
+    order = candidates(lease_name, view)
+    for rank, member in enumerate(order):
+        if member.incarnation == view.myself.incarnation:
+            return rank
+    return None
+
+
+def candidates(
+    lease_name: str, view: members.MemberView
+) -> list[members.Member]:
+    """Returns the members that contend for a lease, preferred first."""
+    able = [
+        member
+        for member in view.members()
+        if member.health is members.MemberHealth.ALIVE
+    ]
+    able.sort(
+        key=lambda member: xxhash.xxh3_64_intdigest(
+            f"{lease_name}\n{member.incarnation}".encode()
+        ),
+        reverse=True,
+    )
+    return able[:CANDIDATES]
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/archive.py
@@ -0,0 +1,87 @@
+"""Bills that are older than the log's window, as objects in the object store.
+
+An object's key names the first and the last batch that it was made from, and
+batches never change: making it twice, by two holders, gives the same object.
+"""
+
+import msgspec
+
+from nutmeghook.internal.ledger import log as log_module
+from nutmeghook.internal.ledger import records
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import objects as objects_module
+from nutmeghook.internal.platform import table as table_module
+
+KEY_PREFIX = "bills/"
+
+
+class BillArchive:
+    """Moves bills from a partition's oldest rows into an object.
+
+    Args:
+        records_at_once: Rows are taken until they hold so many records.
+    """
+
+    __slots__ = ("_objects", "_records_at_once", "_table")
+
+    def __init__(
+        self,
+        *,
+        table: table_module.TableService,
+        objects: objects_module.ObjectStore,
+        records_at_once: int,
+    ):
+        self._table = table
+        self._objects = objects
+        self._records_at_once = records_at_once
+
+    async def keep(self, partition: int, rows: list[log_module.LogRow]) -> int:
+        """Makes the bills of the first rows durable in the object store.
+
+        Returns:
+            How many of the rows need not be kept any more; 0 if that can't
+            be said now, in which case the rows simply stay.
+        """
+        try:
+            taken, bills = await self._collect(rows)
+            if bills:
+                content = records.encoder.encode(
+                    records.BillBatch(partition=partition, records=bills)
+                )
+                key = _object_key(partition, taken)
+                # False means that an earlier try, whose answer was lost, or
+                # an earlier holder has stored the same.
+                await self._objects.put_if_absent(key, content)
+        except failures.PlatformError:
+            return 0
+        return len(taken)
+
+    async def _collect(
+        self, rows: list[log_module.LogRow]
+    ) -> tuple[list[log_module.LogRow], tuple[records.FinishRecord, ...]]:
+        taken: list[log_module.LogRow] = []
+        bills: list[records.FinishRecord] = []
+        for row in rows:
+            found = await self._table.read(row.key)
+            if found is None or found.version != row.version:
+                # Written over by a later holder: the rows are not ours.
+                return [], ()
+            bills.extend(
+                record
+                for record in records.decode_batch(found.value).records
+                if isinstance(record, records.FinishRecord)
+            )
+            taken.append(row)
+            if len(bills) >= self._records_at_once:
+                break
+        return taken, tuple(_without_answer(bill) for bill in bills)
+
+
+def _without_answer(record: records.FinishRecord) -> records.FinishRecord:
+    return msgspec.structs.replace(record, answer=None)
+
+
+def _object_key(partition: int, rows: list[log_module.LogRow]) -> str:
+    first = "{:08d}-{:08d}".format(*rows[0].position)
+    last = "{:08d}-{:08d}".format(*rows[-1].position)
+    return f"{KEY_PREFIX}{partition:03d}/{first}..{last}"
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/bills.py
@@ -0,0 +1,113 @@
+"""Reads all bills, wherever they are, each once."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+
+from nutmeghook.internal.ledger import archive
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.ledger import log
+from nutmeghook.internal.ledger import overflow
+from nutmeghook.internal.ledger import records
+from nutmeghook.internal.platform import objects as objects_module
+from nutmeghook.internal.platform import table as table_module
+
+_PAGE = 200
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TeamUsage:
+    """What one team's requests used and cost."""
+
+    team: str
+    requests: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cost_micros: int = 0
+    spent_micros: int = 0
+
+    def add(self, bill: ledger.Bill) -> None:
+        """Counts a bill in."""
+        self.requests += 1
+        self.prompt_tokens += bill.prompt_tokens
+        self.output_tokens += bill.output_tokens
+        self.cost_micros += bill.cost_micros
+        self.spent_micros += bill.spent_micros
+
+
+class BillReader:
+    """The union of the log, the archive and the overflow, by identity.
+
+    Bills move from the overflow to the log and from the log to the archive,
+    and are deleted behind only after. The places are read in that order, so
+    a bill that moves meanwhile is met at least once; the identity sees to it
+    that it counts once. The identities take about 100 bytes a bill.
+
+    Every method may raise `failures.NotDoneError`.
+    """
+
+    __slots__ = ("_objects", "_table")
+
+    def __init__(
+        self,
+        *,
+        table: table_module.TableService,
+        objects: objects_module.ObjectStore,
+    ):
+        self._table = table
+        self._objects = objects
+
+    async def bills(self) -> AsyncIterator[ledger.Bill]:
+        """Yields every bill once."""
+        met: set[str] = set()
+        async for record in self._all_records():
+            identity = records.entry_key(record.team, record.key)
+            if identity not in met:
+                met.add(identity)
+                yield records.bill_of(record)
+
+    async def usage(self) -> list[TeamUsage]:
+        """Returns the totals of each team, in order of their names."""
+        totals: dict[str, TeamUsage] = {}
+        async for bill in self.bills():
+            team = bill.identity.team
+            totals.setdefault(team, TeamUsage(team=team)).add(bill)
+        return [totals[team] for team in sorted(totals)]
+
+    async def _all_records(self) -> AsyncIterator[records.FinishRecord]:
+        async for record in self._in_objects(overflow.KEY_PREFIX):
+            yield record
+        async for record in self._in_log():
+            yield record
+        async for record in self._in_objects(archive.KEY_PREFIX):
+            yield record
+
+    async def _in_log(self) -> AsyncIterator[records.FinishRecord]:
+        after = ""
+        while True:
+            rows = await self._table.scan(
+                prefix=log.KEY_PREFIX, after=after, limit=_PAGE
+            )
+            for row in rows:
+                for record in records.decode_batch(row.value).records:
+                    if isinstance(record, records.FinishRecord):
+                        yield record
+            if len(rows) < _PAGE:
+                return
+            after = rows[-1].key
+
+    async def _in_objects(
+        self, prefix: str
+    ) -> AsyncIterator[records.FinishRecord]:
+        after = ""
+        while True:
+            keys = await self._objects.list_keys(
+                prefix=prefix, after=after, limit=_PAGE
+            )
+            for key in keys:
+                content = await self._objects.get(key)
+                if content is not None:
+                    for record in records.decode_bills(content).records:
+                        yield record
+            if len(keys) < _PAGE:
+                return
+            after = keys[-1]
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/budget.py
@@ -0,0 +1,45 @@
+"""A token bucket: how many writes may start now."""
+
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+
+
+class WriteBudget:
+    """Lets writes through at a rate, with a small reserve after a rest.
+
+    The reserve is what makes a write go out at once at low load.
+
+    Args:
+        per_s: Writes a second in the long run.
+        burst: Writes that may start at once after a rest.
+    """
+
+    __slots__ = ("_burst", "_clock", "_filled_at", "_left", "_per_s")
+
+    def __init__(self, *, clock: clock_module.Clock, per_s: float, burst: int):
+        self._clock = clock
+        self._per_s = per_s
+        self._burst = burst
+        self._left = float(burst)
+        self._filled_at = clock.monotonic()
+
+    async def take(self) -> None:
+        """Waits until a write may start, and counts it."""
+        self._refill()
+        # Taken before the wait, so that those who wait queue up in order.
+        self._left -= 1
+        if self._left < 0:
+            wait_s = -self._left / self._per_s
+            await self._clock.sleep(datetime.timedelta(seconds=wait_s))
+
+    def set_rate(self, per_s: float) -> None:
+        """Changes the rate from now on."""
+        self._refill()
+        self._per_s = per_s
+
+    def _refill(self) -> None:
+        now = self._clock.monotonic()
+        passed_s = (now - self._filled_at).total_seconds()
+        self._filled_at = now
+        self._left = min(self._burst, self._left + passed_s * self._per_s)
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/directory.py
@@ -0,0 +1,119 @@
+"""Where each partition's holder is, as far as this instance has learnt."""
+
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import preference
+from nutmeghook.internal.leases import rows
+from nutmeghook.internal.ledger import records
+from nutmeghook.internal.ledger import service as service_module
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import table as table_module
+
+_READ_EVERY = datetime.timedelta(milliseconds=500)
+
+
+class HolderDirectory:
+    """Finds holders by redirects, the preferred order, or the lease's row."""
+
+    __slots__ = (
+        "_clock",
+        "_known",
+        "_members",
+        "_partitions",
+        "_read_at",
+        "_table",
+        "_tries",
+    )
+
+    def __init__(
+        self,
+        *,
+        members: members_module.MemberView,
+        table: table_module.TableService,
+        clock: clock_module.Clock,
+        partitions: int,
+    ):
+        self._members = members
+        self._table = table
+        self._clock = clock
+        self._partitions = partitions
+        self._known: dict[int, str] = {}
+        self._read_at: dict[int, datetime.timedelta] = {}
+        self._tries: dict[int, int] = {}
+
+    def holder(self, partition: int) -> str:
+        """Returns the inner address to try; empty if there is no member."""
+        known = self._known.get(partition)
+        if known is not None:
+            return known
+        order = preference.candidates(
+            service_module.lease_name(partition), self._members
+        )
+        if not order:
+            return ""
+        # Successive tries go down the order: the preferred one may be cut
+        # off from here while another holds the lease.
+        return order[self._tries.get(partition, 0) % len(order)].inner_address
+
+    def confirm(self, partition: int, inner_address: str) -> None:
+        """Takes in that an instance answered as the holder."""
+        self._known[partition] = inner_address
+        self._tries.pop(partition, None)
+
+    async def correct(
+        self, partition: int, inner_address: str, hint: str
+    ) -> None:
+        """Takes in that an instance is not the holder, or is unreachable.
+
+        Args:
+            partition: The partition that was asked for.
+            inner_address: The instance that was asked.
+            hint: The holder by its word; empty if it does not know.
+        """
+        if self._known.get(partition) == inner_address:
+            del self._known[partition]
+        self._tries[partition] = self._tries.get(partition, 0) + 1
+        if hint and hint != inner_address:
+            self._known[partition] = hint
+            return
+        row = await self._read_row(partition)
+        if row is not None and row.inner_address != inner_address:
+            self._known[partition] = row.inner_address
+
+    def nearest(self, key: str) -> int:
+        """Returns a partition for a key that no other instance will use.
+
+        One whose holder is in this data centre, if any is known.
+        """
+        here = self._members.myself.data_centre
+        near = {
+            member.inner_address
+            for member in self._members.members()
+            if member.data_centre == here
+        }
+        local = [
+            partition
+            for partition, address in sorted(self._known.items())
+            if address in near
+        ]
+        if not local:
+            return records.partition_of(key, self._partitions)
+        return local[records.partition_of(key, len(local))]
+
+    async def _read_row(self, partition: int) -> rows.LeaseRow | None:
+        now = self._clock.monotonic()
+        last = self._read_at.get(partition)
+        if last is not None and now - last < _READ_EVERY:
+            return None
+        self._read_at[partition] = now
+        key = rows.row_key(service_module.lease_name(partition))
+        try:
+            row = await self._table.read(key)
+        except failures.PlatformError:
+            return None
+        if row is None:
+            return None
+        found = rows.decode(row.value)
+        return None if found.released else found
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/factory.py
@@ -0,0 +1,233 @@
+"""Puts one instance's ledger together."""
+
+import asyncio
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.leases import keeper as keeper_module
+from nutmeghook.internal.leases import preference
+from nutmeghook.internal.leases import rows
+from nutmeghook.internal.ledger import archive as archive_module
+from nutmeghook.internal.ledger import bills as bills_module
+from nutmeghook.internal.ledger import client as client_module
+from nutmeghook.internal.ledger import directory as directory_module
+from nutmeghook.internal.ledger import liveness as liveness_module
+from nutmeghook.internal.ledger import overflow as overflow_module
+from nutmeghook.internal.ledger import partition as partition_module
+from nutmeghook.internal.ledger import sender as sender_module
+from nutmeghook.internal.ledger import service as service_module
+from nutmeghook.internal.ledger import session_pins
+from nutmeghook.internal.ledger import settings as settings_module
+from nutmeghook.internal.ledger import store_health
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import objects as objects_module
+from nutmeghook.internal.platform import table as table_module
+
+_PROBE_KEY = "ledger-probe"
+
+
+class InstanceLedger:
+    """All ledger parts of one instance.
+
+    `run` has to run from the start; `drain` comes after the last request and
+    before `run` is cancelled.
+
+    Attributes:
+        client: Claims and bills for the dispatcher.
+        pins: Session pins for the choice of versions.
+        service: The partitions held here.
+        bill_reader: Bills of all instances, for administration.
+        table: The table service with timeouts, counted by `table_health`.
+        objects: The object store likewise.
+    """
+
+    __slots__ = (
+        "_overflow",
+        "bill_reader",
+        "client",
+        "objects",
+        "objects_health",
+        "pins",
+        "service",
+        "table",
+        "table_health",
+    )
+
+    def __init__(
+        self,
+        *,
+        members: members_module.MemberView,
+        table: table_module.TableService,
+        objects: objects_module.ObjectStore,
+        peer_caller: peers.PeerCaller,
+        handlers: peers.PeerHandlers,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        events: events_module.EventRing,
+        settings: settings_module.LedgerSettings | None = None,
+        lease_settings: rows.LeaseSettings | None = None,
+    ):
+        settings = settings or settings_module.LedgerSettings()
+        lease_settings = lease_settings or rows.LeaseSettings()
+        liveness = liveness_module.Liveness(members=members)
+        myself = members.myself
+        self.table_health = _health(
+            "table service",
+            lambda: self.table.read(_PROBE_KEY),
+            clock=clock,
+            events=events,
+            rng=rng,
+            settings=settings,
+        )
+        self.objects_health = _health(
+            "object store",
+            lambda: self.objects.get(_PROBE_KEY),
+            clock=clock,
+            events=events,
+            rng=rng,
+            settings=settings,
+        )
+        self.table = store_health.WatchedTable(
+            table=table,
+            health=self.table_health,
+            clock=clock,
+            timeout=settings.store_timeout,
+        )
+        self.objects = store_health.WatchedObjects(
+            objects=objects,
+            health=self.objects_health,
+            clock=clock,
+            timeout=settings.store_timeout,
+        )
+        archive = archive_module.BillArchive(
+            table=self.table,
+            objects=self.objects,
+            records_at_once=settings.fold_records,
+        )
+
+        def writer(partition: int) -> partition_module.PartitionWriter:
+            name = service_module.lease_name(partition)
+            lease = keeper_module.LeaseKeeper(
+                name=name,
+                incarnation=myself.incarnation,
+                inner_address=myself.inner_address,
+                table=self.table,
+                clock=clock,
+                rng=rng,
+                events=events,
+                rank=lambda: preference.rank_of_myself(name, members),
+                settings=lease_settings,
+                # All that a holder does is conditional on the lease's row.
+                is_dead=liveness.is_gone,
+            )
+            return partition_module.PartitionWriter(
+                partition=partition,
+                lease=lease,
+                table=self.table,
+                health=self.table_health,
+                archive=archive,
+                is_alive=liveness.is_alive,
+                clock=clock,
+                rng=rng,
+                settings=settings,
+            )
+
+        self.service = service_module.LedgerService(
+            writers=tuple(writer(p) for p in range(settings.partitions)),
+            clock=clock,
+        )
+        self.service.register(handlers)
+        directory = directory_module.HolderDirectory(
+            members=members,
+            table=self.table,
+            clock=clock,
+            partitions=settings.partitions,
+        )
+        senders = tuple(
+            sender_module.PartitionSender(
+                partition=partition,
+                my_address=myself.inner_address,
+                service=self.service,
+                directory=directory,
+                peer_caller=peer_caller,
+                clock=clock,
+                rng=rng,
+                settings=settings,
+            )
+            for partition in range(settings.partitions)
+        )
+        self._overflow = overflow_module.BillOverflow(
+            incarnation=myself.incarnation,
+            objects=self.objects,
+            table_health=self.table_health,
+            append=lambda record: self.client.append_bill(record),
+            share=lambda: (
+                settings.overflow_writes_per_s / max(1, len(members.members()))
+            ),
+            is_alive=liveness.is_alive,
+            may_sweep=lambda: self.service.writers[0].is_serving,
+            clock=clock,
+            rng=rng,
+            events=events,
+        )
+        self.client = client_module.LedgerClient(
+            incarnation=myself.incarnation,
+            senders=senders,
+            directory=directory,
+            overflow=self._overflow,
+            table_health=self.table_health,
+            objects_health=self.objects_health,
+            clock=clock,
+            rng=rng,
+            events=events,
+            settings=settings,
+        )
+        self.pins = session_pins.LedgerSessionPins(
+            senders=senders,
+            clock=clock,
+            refresh_after=settings.window / 4,
+            capacity=settings.pin_cache_entries,
+        )
+        self.bill_reader = bills_module.BillReader(
+            table=self.table, objects=self.objects
+        )
+
+    def accepting_work(self) -> bool:
+        """Whether a bill of new work could be made durable."""
+        return self.client.accepting_work()
+
+    async def run(self) -> None:
+        """Runs all parts until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.table_health.run())
+            group.create_task(self.objects_health.run())
+            group.create_task(self.service.run())
+            group.create_task(self._overflow.run())
+
+    async def drain(self, *, timeout: datetime.timedelta) -> None:
+        """Settles what is open, then hands the partitions over."""
+        await self.client.drain(timeout=timeout)
+        await self.service.drain(timeout=timeout)
+
+
+def _health(
+    name: str,
+    probe: store_health.Probe,
+    *,
+    clock: clock_module.Clock,
+    events: events_module.EventRing,
+    rng: random.Random,
+    settings: settings_module.LedgerSettings,
+) -> store_health.StoreHealth:
+    return store_health.StoreHealth(
+        name=name,
+        clock=clock,
+        events=events,
+        rng=rng,
+        failures_to_out=settings.failures_to_out,
+        probe=probe,
+        probe_every=settings.probe_every,
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/index.py
@@ -0,0 +1,377 @@
+"""A partition's claims, answers and pins, in the holder's memory.
+
+The index is what the partition's log says, plus the changes of the one batch
+that is being committed. Those are staged apart: they are merged when the
+commit is known to be durable and dropped when it is known not to be.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import sys
+
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.ledger import records
+
+# Tries of one key that were given up; older ones' late claims are long past.
+_CLOSED_KEPT = 8
+
+
+class EntryState(enum.IntEnum):
+    """What the log says of a request."""
+
+    OPEN = 0
+    CLAIMED = 1
+    UNKNOWN = 2
+    FINISHED = 3
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Entry:
+    """One request with a caller's key.
+
+    Attributes:
+        closed: Tries that were given up; a claim of theirs is void.
+        row_key: Row that holds the answer, once finished.
+        written_ms: Wall time of the last record.
+    """
+
+    state: EntryState
+    request_id: str = ""
+    claimant: str = ""
+    body_digest: str = ""
+    closed: tuple[str, ...] = ()
+    row_key: str = ""
+    written_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Pin:
+    """A session's version."""
+
+    model_version: str
+    written_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Decision:
+    """What a request comes to.
+
+    Attributes:
+        result: What to answer once everything it rests on is durable.
+        record: What has to be written first; None if nothing.
+        lasting: The result stays true even if this instance has lost the
+            partition meanwhile.
+        answer_row: Row from which the kept answer has to be read.
+    """
+
+    result: records.Result
+    record: records.Record | None = None
+    lasting: bool = False
+    answer_row: str = ""
+
+
+_RECORDED = records.Recorded()
+_NOTHING = Entry(state=EntryState.OPEN)
+_FULL = Decision(
+    result=records.Refused(reason=records.RefusalReason.FULL), lasting=True
+)
+
+
+def _claim_reply(state: ledger.ClaimState) -> records.ClaimReply:
+    return records.ClaimReply(state=state)
+
+
+class PartitionIndex:
+    """Decides requests by the log's state.
+
+    Args:
+        is_alive: Tells whether an incarnation is a member still.
+        max_entries: New claims and pins are refused beyond these.
+        window_ms: How long entries and pins are kept.
+        minted_window_ms: How long bills without a caller's key are.
+    """
+
+    __slots__ = (
+        "_entries",
+        "_is_alive",
+        "_max_entries",
+        "_minted",
+        "_minted_window_ms",
+        "_pins",
+        "_staged_entries",
+        "_staged_minted",
+        "_staged_pins",
+        "_window_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        is_alive: Callable[[str], bool],
+        max_entries: int,
+        window_ms: int,
+        minted_window_ms: int,
+    ):
+        self._is_alive = is_alive
+        self._max_entries = max_entries
+        self._window_ms = window_ms
+        self._minted_window_ms = minted_window_ms
+        self._entries: dict[str, Entry] = {}
+        self._pins: dict[str, Pin] = {}
+        self._minted: dict[str, int] = {}
+        self._staged_entries: dict[str, Entry] = {}
+        self._staged_pins: dict[str, Pin] = {}
+        self._staged_minted: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Returns how many claims and pins are kept."""
+        return len(self._entries) + len(self._pins)
+
+    def touches_staged(self, request: records.Request) -> bool:
+        """Whether the decision rests on a commit that is under way."""
+        if isinstance(request, records.PinRequest):
+            return records.pin_key(request) in self._staged_pins
+        key = records.entry_key(request.team, request.key)
+        return key in self._staged_entries or key in self._staged_minted
+
+    def decide(self, request: records.Request, *, now_ms: int) -> Decision:
+        """Returns what a request comes to now, and changes nothing."""
+        if isinstance(request, records.PinRequest):
+            return self._decide_pin(request, now_ms)
+        entry = self._entry(records.entry_key(request.team, request.key))
+        if isinstance(request, records.ClaimRecord):
+            return self._decide_claim(request, entry)
+        if isinstance(request, records.FinishRecord):
+            return self._decide_finish(request, entry)
+        return self._decide_close(request, entry)
+
+    def stage(
+        self, record: records.Record, *, row_key: str, written_ms: int
+    ) -> None:
+        """Applies a record of the batch that is about to be committed."""
+        self._put(
+            record,
+            row_key,
+            written_ms,
+            self._staged_entries,
+            self._staged_pins,
+            self._staged_minted,
+        )
+
+    def replay(
+        self, record: records.Record, *, row_key: str, written_ms: int
+    ) -> None:
+        """Applies a record read back from the log, in the log's order."""
+        self._put(
+            record,
+            row_key,
+            written_ms,
+            self._entries,
+            self._pins,
+            self._minted,
+        )
+
+    def merge_staged(self) -> None:
+        """Keeps the staged changes: their commit is durable."""
+        self._entries.update(self._staged_entries)
+        self._pins.update(self._staged_pins)
+        self._minted.update(self._staged_minted)
+        self.drop_staged()
+
+    def drop_staged(self) -> None:
+        """Forgets the staged changes: their commit surely failed."""
+        self._staged_entries.clear()
+        self._staged_pins.clear()
+        self._staged_minted.clear()
+
+    def expire(self, *, now_ms: int) -> None:
+        """Forgets what is older than the windows."""
+        oldest = now_ms - self._window_ms
+        for key in [
+            k for k, e in self._entries.items() if self._old(e, oldest)
+        ]:
+            del self._entries[key]
+        for key in [
+            k for k, pin in self._pins.items() if pin.written_ms < oldest
+        ]:
+            del self._pins[key]
+        oldest_minted = now_ms - self._minted_window_ms
+        for key in [k for k, at in self._minted.items() if at < oldest_minted]:
+            del self._minted[key]
+
+    def _old(self, entry: Entry, oldest_ms: int) -> bool:
+        return entry.written_ms < oldest_ms and not (
+            entry.state is EntryState.CLAIMED and self._is_alive(entry.claimant)
+        )
+
+    def _entry(self, key: str) -> Entry | None:
+        return self._staged_entries.get(key) or self._entries.get(key)
+
+    def _is_full(self) -> bool:
+        staged = len(self._staged_entries) + len(self._staged_pins)
+        return len(self) + staged >= self._max_entries
+
+    def _decide_claim(
+        self, claim: records.ClaimRecord, entry: Entry | None
+    ) -> Decision:
+        if entry is not None and claim.request_id in entry.closed:
+            # A claim that was given up and arrives after that: its sender
+            # has told its caller that nothing ran, so it must win nothing.
+            return Decision(result=_claim_reply(ledger.ClaimState.RUNNING))
+        if entry is None or entry.state is EntryState.OPEN:
+            if self._is_full():
+                return _FULL
+            return Decision(
+                result=_claim_reply(ledger.ClaimState.WON), record=claim
+            )
+        if entry.body_digest and entry.body_digest != claim.body_digest:
+            return Decision(
+                result=_claim_reply(ledger.ClaimState.BODY_DIFFERS),
+                lasting=True,
+            )
+        return self._decide_repeated(claim, entry)
+
+    def _decide_repeated(
+        self, claim: records.ClaimRecord, entry: Entry
+    ) -> Decision:
+        if entry.state is EntryState.FINISHED:
+            return Decision(
+                result=_claim_reply(ledger.ClaimState.ANSWERED),
+                lasting=True,
+                answer_row=entry.row_key,
+            )
+        if entry.state is EntryState.CLAIMED:
+            if entry.request_id == claim.request_id:
+                return Decision(result=_claim_reply(ledger.ClaimState.WON))
+            if self._is_alive(entry.claimant):
+                return Decision(result=_claim_reply(ledger.ClaimState.RUNNING))
+        # The claimant is gone or lost sight of the outcome. It may have
+        # sent the work, so nobody may ever run it again.
+        return Decision(result=_claim_reply(ledger.ClaimState.UNKNOWN))
+
+    def _decide_finish(
+        self, finish: records.FinishRecord, entry: Entry | None
+    ) -> Decision:
+        key = records.entry_key(finish.team, finish.key)
+        known = key in self._minted or key in self._staged_minted
+        finished = entry is not None and entry.state is EntryState.FINISHED
+        if known or finished:
+            return Decision(result=_RECORDED, lasting=True)
+        return Decision(result=_RECORDED, record=finish)
+
+    def _decide_close(
+        self,
+        request: records.ReleaseRecord | records.UnknownRecord,
+        entry: Entry | None,
+    ) -> Decision:
+        if entry is not None:
+            if request.request_id in entry.closed:
+                return Decision(result=_RECORDED, lasting=True)
+            mine = entry.request_id == request.request_id
+            if entry.state is EntryState.FINISHED or (
+                mine and entry.state is EntryState.UNKNOWN
+            ):
+                return Decision(result=_RECORDED, lasting=True)
+        return Decision(result=_RECORDED, record=request)
+
+    def _decide_pin(self, request: records.PinRequest, now_ms: int) -> Decision:
+        key = records.pin_key(request)
+        pin = self._staged_pins.get(key) or self._pins.get(key)
+        if pin is None and self._is_full():
+            return _FULL
+        if pin is None or pin.model_version in request.unusable:
+            return self._new_pin(request, request.proposed)
+        if now_ms - pin.written_ms > self._window_ms // 2:
+            # Still in use: written again, so that it outlives the window.
+            return self._new_pin(request, pin.model_version)
+        return Decision(
+            result=records.PinReply(model_version=pin.model_version),
+            lasting=True,
+        )
+
+    def _new_pin(
+        self, request: records.PinRequest, model_version: str
+    ) -> Decision:
+        return Decision(
+            result=records.PinReply(model_version=model_version),
+            record=records.PinRecord(
+                team=request.team,
+                template=request.template,
+                stage_index=request.stage_index,
+                session=request.session,
+                model_version=model_version,
+            ),
+        )
+
+    def _put(
+        self,
+        record: records.Record,
+        row_key: str,
+        written_ms: int,
+        entries: dict[str, Entry],
+        pins: dict[str, Pin],
+        minted: dict[str, int],
+    ) -> None:
+        if isinstance(record, records.PinRecord):
+            pins[records.pin_key(record)] = Pin(
+                model_version=sys.intern(record.model_version),
+                written_ms=written_ms,
+            )
+            return
+        key = records.entry_key(record.team, record.key)
+        if (
+            isinstance(record, records.FinishRecord)
+            and not record.given_by_caller
+        ):
+            minted[key] = written_ms
+            return
+        entry = self._entry(key) or _NOTHING
+        entries[key] = _after(entry, record, row_key, written_ms)
+
+
+def _after(
+    entry: Entry, record: records.Record, row_key: str, written_ms: int
+) -> Entry:
+    """Returns the entry as it is after a record."""
+    if isinstance(record, records.ClaimRecord):
+        return Entry(
+            state=EntryState.CLAIMED,
+            request_id=record.request_id,
+            claimant=sys.intern(record.claimant),
+            body_digest=record.body_digest,
+            closed=entry.closed,
+            written_ms=written_ms,
+        )
+    if isinstance(record, records.FinishRecord):
+        return Entry(
+            state=EntryState.FINISHED,
+            request_id=record.request_id,
+            body_digest=record.body_digest,
+            row_key=row_key,
+            written_ms=written_ms,
+        )
+    return _after_close(entry, record, written_ms)
+
+
+def _after_close(
+    entry: Entry,
+    record: records.ReleaseRecord | records.UnknownRecord,
+    written_ms: int,
+) -> Entry:
+    mine = entry.request_id == record.request_id
+    if isinstance(record, records.UnknownRecord):
+        if entry.state is EntryState.OPEN or mine:
+            return dataclasses.replace(
+                entry,
+                state=EntryState.UNKNOWN,
+                request_id=record.request_id,
+                written_ms=written_ms,
+            )
+        return entry
+    closed = (*entry.closed, record.request_id)[-_CLOSED_KEPT:]
+    if mine and entry.state is EntryState.CLAIMED:
+        return Entry(
+            state=EntryState.OPEN, closed=closed, written_ms=written_ms
+        )
+    return dataclasses.replace(entry, closed=closed, written_ms=written_ms)
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/partition.py
@@ -0,0 +1,349 @@
+"""The holder's side of one partition: takes requests, commits, answers.
+
+Requests wait until the next commit and are decided in their order. Nothing is
+answered before all that the answer rests on is durable: a holder killed
+between commit and reply has recorded what its successor reads back, and a
+repeated request gets the same answer there.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import keeper as keeper_module
+from nutmeghook.internal.ledger import archive as archive_module
+from nutmeghook.internal.ledger import budget as budget_module
+from nutmeghook.internal.ledger import index as index_module
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.ledger import log as log_module
+from nutmeghook.internal.ledger import records
+from nutmeghook.internal.ledger import settings as settings_module
+from nutmeghook.internal.ledger import store_health
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import table as table_module
+
+_RETRY_TAKE_OVER = datetime.timedelta(milliseconds=300)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Batches replayed before other tasks get a turn during a take-over.
+_REPLAY_BATCHES = 50
+_FOLDS_AT_ONCE = 8
+
+_STORE_OUT = records.Refused(reason=records.RefusalReason.STORE_OUT)
+_FULL = records.Refused(reason=records.RefusalReason.FULL)
+
+
+class _Waiting:
+    """A request and whoever waits for its result."""
+
+    __slots__ = ("decision", "reply", "request")
+
+    def __init__(self, request: records.Request):
+        self.request = request
+        self.decision: index_module.Decision | None = None
+        self.reply: asyncio.Future[index_module.Decision] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def answer(self, result: records.Result) -> None:
+        """Answers with a result that nothing rests on."""
+        self.resolve(index_module.Decision(result=result))
+
+    def resolve(self, decision: index_module.Decision) -> None:
+        """Answers with a decision whose grounds are durable."""
+        if not self.reply.done():
+            self.reply.set_result(decision)
+
+
+class PartitionWriter:
+    """Serves one partition while this instance holds its lease."""
+
+    __slots__ = (
+        "_archive",
+        "_budget",
+        "_clock",
+        "_health",
+        "_index",
+        "_is_alive",
+        "_lease",
+        "_log",
+        "_partition",
+        "_queue",
+        "_random",
+        "_settings",
+        "_stopping",
+        "_table",
+        "_token",
+        "_wake",
+        "commits",
+    )
+
+    def __init__(
+        self,
+        *,
+        partition: int,
+        lease: keeper_module.LeaseKeeper,
+        table: table_module.TableService,
+        health: store_health.StoreHealth,
+        archive: archive_module.BillArchive,
+        is_alive: Callable[[str], bool],
+        clock: clock_module.Clock,
+        rng: random.Random,
+        settings: settings_module.LedgerSettings,
+    ):
+        self._partition = partition
+        self._lease = lease
+        self._table = table
+        self._health = health
+        self._archive = archive
+        self._is_alive = is_alive
+        self._clock = clock
+        self._random = rng
+        self._settings = settings
+        self._budget = budget_module.WriteBudget(
+            clock=clock,
+            per_s=settings.writes_per_s / settings.partitions,
+            burst=settings.burst_writes,
+        )
+        self._queue: collections.deque[_Waiting] = collections.deque()
+        self._log: log_module.PartitionLog | None = None
+        self._index: index_module.PartitionIndex | None = None
+        self._token: int | None = None
+        self._stopping = False
+        self._wake = asyncio.Event()
+        self.commits = 0
+        lease.on_change(self._wake.set)
+
+    @property
+    def lease(self) -> keeper_module.LeaseKeeper:
+        """The partition's lease."""
+        return self._lease
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the log has been read and requests are decided here."""
+        return self._index is not None and not self._stopping
+
+    async def append(
+        self, requests: list[records.Request]
+    ) -> list[records.Result]:
+        """Decides requests and makes durable what has to be."""
+        waiting = [self._admit(request) for request in requests]
+        return [await self._result(item) for item in waiting]
+
+    async def run(self) -> None:
+        """Serves the partition whenever the lease is held, until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            try:
+                await self._serve()
+            except failures.PlatformError:
+                await self._clock.sleep(
+                    _RETRY_TAKE_OVER * (1 + self._random.random())
+                )
+                self._wake.set()
+
+    async def tidy(self) -> None:
+        """Moves old bills to the object store, so that rows can be reused."""
+        if self._index is None:
+            return
+        now_ms = self._now_ms()
+        self._index.expire(now_ms=now_ms)
+        before_ms = now_ms - self._settings.window // _MILLISECOND
+        for _ in range(_FOLDS_AT_ONCE):
+            if not await self._fold(before_ms):
+                return
+
+    async def _fold(self, before_ms: int) -> bool:
+        """Moves one object's worth of bills; returns whether it did."""
+        log = self._log
+        if log is None or self._health.is_out:
+            return False
+        rows = log.rows_before(
+            before_ms=before_ms, limit=self._settings.fold_records
+        )
+        if not rows:
+            return False
+        kept = await self._archive.keep(self._partition, rows)
+        if self._log is log:
+            log.free(kept)
+        return kept > 0
+
+    async def stop(self, *, timeout: datetime.timedelta) -> None:
+        """Finishes what waits, then hands the partition over."""
+        give_up_at = self._clock.monotonic() + timeout
+        while self._queue and self._clock.monotonic() < give_up_at:
+            await self._clock.sleep(timeout / 20)
+        self._stopping = True
+        self._refuse_queue(self._not_holder())
+        await self._lease.release()
+
+    def _admit(self, request: records.Request) -> _Waiting:
+        """Answers at once what needs no commit; queues the rest."""
+        item = _Waiting(request)
+        if not self.is_serving:
+            if self._lease.last_token() is None:
+                self._lease.wake()
+            item.answer(self._not_holder())
+            return item
+        decision = self._decide_now(request)
+        if decision is not None:
+            item.resolve(decision)
+        elif self._health.is_out:
+            item.answer(_STORE_OUT)
+        elif len(self._queue) >= self._settings.max_pending:
+            item.answer(_FULL)
+        else:
+            self._queue.append(item)
+            self._wake.set()
+        return item
+
+    def _decide_now(
+        self, request: records.Request
+    ) -> index_module.Decision | None:
+        if self._index.touches_staged(request):
+            return None
+        decision = self._index.decide(request, now_ms=self._now_ms())
+        if decision.record is not None:
+            return None
+        # Most results could be out of date if another instance has taken the
+        # partition over. Some can't: a pin, a finished request. Those are
+        # given from memory during an outage of the table service too.
+        if decision.lasting or self._lease.fencing_token() is not None:
+            return decision
+        return None
+
+    async def _result(self, item: _Waiting) -> records.Result:
+        decision = await item.reply
+        if not decision.answer_row:
+            return decision.result
+        try:
+            answer = await self._read_answer(decision.answer_row, item.request)
+        except failures.PlatformError:
+            return _STORE_OUT
+        return records.ClaimReply(
+            state=ledger.ClaimState.ANSWERED, answer=answer
+        )
+
+    async def _read_answer(
+        self, row_key: str, claim: records.ClaimRecord
+    ) -> ledger.KeptAnswer | None:
+        """Reads a kept answer back; the index holds no answers."""
+        row = await self._table.read(row_key)
+        if row is None:
+            return None
+        for record in records.decode_batch(row.value).records:
+            if (
+                isinstance(record, records.FinishRecord)
+                and record.key == claim.key
+                and record.team == claim.team
+            ):
+                return record.answer
+        return None
+
+    async def _serve(self) -> None:
+        if self._lease.last_token() != self._token:
+            self._drop()
+        if self._lease.last_token() is None:
+            return
+        if self._index is None:
+            await self._take_over(self._lease.last_token())
+        while self._queue and self._token == self._lease.last_token():
+            await self._commit_next()
+
+    def _drop(self) -> None:
+        """Forgets everything: the partition is another's now."""
+        self._index = None
+        self._log = None
+        self._token = None
+        self._refuse_queue(self._not_holder())
+
+    async def _take_over(self, token: int) -> None:
+        """Reads the log; until that is done, nothing is answered here."""
+        log = log_module.PartitionLog(
+            partition=self._partition,
+            token=token,
+            lease=self._lease,
+            table=self._table,
+            health=self._health,
+            budget=self._budget,
+            clock=self._clock,
+            rng=self._random,
+        )
+        index = index_module.PartitionIndex(
+            is_alive=self._is_alive,
+            max_entries=self._settings.max_entries,
+            window_ms=self._settings.window // _MILLISECOND,
+            minted_window_ms=self._settings.minted_window // _MILLISECOND,
+        )
+        for number, (row_key, batch) in enumerate(await log.read_all()):
+            if number % _REPLAY_BATCHES == 0:
+                await asyncio.sleep(0)
+            for record in batch.records:
+                index.replay(
+                    record, row_key=row_key, written_ms=batch.written_ms
+                )
+        index.expire(now_ms=self._now_ms())
+        if self._lease.last_token() == token:
+            self._log = log
+            self._index = index
+            self._token = token
+
+    async def _commit_next(self) -> None:
+        """Decides what waits, commits it as one row, and answers."""
+        batch = self._take_batch()
+        row = self._log.next_row()
+        now_ms = self._now_ms()
+        stored: list[records.Record] = []
+        for item in batch:
+            item.decision = self._index.decide(item.request, now_ms=now_ms)
+            if item.decision.record is not None:
+                stored.append(item.decision.record)
+                self._index.stage(
+                    item.decision.record, row_key=row.key, written_ms=now_ms
+                )
+        try:
+            # With nothing to store, a commit may still have to prove that
+            # this is the holder: the results rest on that.
+            if stored or self._lease.fencing_token() is None:
+                await self._log.commit(tuple(stored), written_ms=now_ms)
+                self.commits += 1
+        except log_module.LostPartitionError:
+            self._index.drop_staged()
+            _answer_all(batch, self._not_holder())
+            self._wake.set()
+        except log_module.StoreOutError:
+            self._index.drop_staged()
+            _answer_all(batch, _STORE_OUT)
+            self._refuse_queue(_STORE_OUT)
+        else:
+            self._index.merge_staged()
+            for item in batch:
+                item.resolve(item.decision)
+
+    def _take_batch(self) -> list[_Waiting]:
+        count = min(len(self._queue), self._settings.max_batch)
+        return [self._queue.popleft() for _ in range(count)]
+
+    def _refuse_queue(self, result: records.Result) -> None:
+        _answer_all(self._queue, result)
+        self._queue.clear()
+
+    def _not_holder(self) -> records.NotHolder:
+        row = self._lease.known_holder()
+        if row is None or row.released or row.holder == self._lease.incarnation:
+            return records.NotHolder()
+        return records.NotHolder(inner_address=row.inner_address)
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+
+def _answer_all(
+    items: collections.abc.Iterable[_Waiting], result: records.Result
+) -> None:
+    for item in items:
+        item.answer(result)
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/sender.py
@@ -0,0 +1,220 @@
+"""Sends an instance's requests to the holders of their partitions.
+
+Requests for one partition share messages. Each request is decided by what it
+says of itself (request id, identity), so sending it again after a lost reply
+is safe, to the same holder or to its successor.
+"""
+
+import asyncio
+import collections
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.ledger import directory as directory_module
+from nutmeghook.internal.ledger import records
+from nutmeghook.internal.ledger import service as service_module
+from nutmeghook.internal.ledger import settings as settings_module
+
+_MESSAGES_AT_ONCE = 4
+_MESSAGE_REQUESTS = 500
+_RETRY_PAUSE = datetime.timedelta(milliseconds=60)
+
+
+class NotAppendedError(Exception):
+    """A request got no result in time.
+
+    Attributes:
+        in_doubt: It may have been recorded, or may still be.
+    """
+
+    def __init__(self, *, in_doubt: bool):
+        super().__init__(f"no result; in doubt: {in_doubt}")
+        self.in_doubt = in_doubt
+
+
+class _Item:
+    """One request on its way.
+
+    Attributes:
+        in_doubt: Some message with it was sent and not answered.
+    """
+
+    __slots__ = ("in_doubt", "reply", "request")
+
+    def __init__(self, request: records.Request):
+        self.request = request
+        self.in_doubt = False
+        self.reply: asyncio.Future[records.Result] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class PartitionSender:
+    """The way from this instance to one partition's holder."""
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_in_flight",
+        "_my_address",
+        "_partition",
+        "_peers",
+        "_pending",
+        "_random",
+        "_service",
+        "_settings",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        *,
+        partition: int,
+        my_address: str,
+        service: service_module.LedgerService,
+        directory: directory_module.HolderDirectory,
+        peer_caller: peers.PeerCaller,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        settings: settings_module.LedgerSettings,
+    ):
+        self._partition = partition
+        self._my_address = my_address
+        self._service = service
+        self._directory = directory
+        self._peers = peer_caller
+        self._clock = clock
+        self._random = rng
+        self._settings = settings
+        self._pending: collections.deque[_Item] = collections.deque()
+        self._in_flight = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def append(
+        self, request: records.Request, *, timeout: datetime.timedelta
+    ) -> records.Result:
+        """Returns the holder's result.
+
+        Raises:
+            NotAppendedError: None came within the timeout, or the holder
+                refused.
+        """
+        item = _Item(request)
+        self._pending.append(item)
+        self._pump()
+        try:
+            result = await self._clock.wait_for(item.reply, timeout)
+        except TimeoutError as error:
+            if item in self._pending:
+                self._pending.remove(item)
+            raise NotAppendedError(in_doubt=item.in_doubt) from error
+        if isinstance(result, records.Refused):
+            raise NotAppendedError(in_doubt=item.in_doubt)
+        return result
+
+    def _pump(self) -> None:
+        """Starts messages while there are requests and places for them."""
+        while self._pending and self._in_flight < _MESSAGES_AT_ONCE:
+            self._in_flight += 1
+            task = asyncio.ensure_future(self._send_some())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _send_some(self) -> None:
+        try:
+            # One turn of the loop, so that requests that arrive together
+            # share a message.
+            await asyncio.sleep(0)
+            items = self._take()
+            if items and not await self._send(items):
+                await self._pause()
+        finally:
+            self._in_flight -= 1
+            self._pump()
+
+    def _take(self) -> list[_Item]:
+        items: list[_Item] = []
+        while self._pending and len(items) < _MESSAGE_REQUESTS:
+            item = self._pending.popleft()
+            # Whoever gave up waiting has settled it in another way.
+            if not item.reply.done():
+                items.append(item)
+        return items
+
+    async def _send(self, items: list[_Item]) -> bool:
+        """Sends one message; returns whether the holder answered it."""
+        address = self._directory.holder(self._partition)
+        results = await self._exchange(address, items)
+        if results is None:
+            self._put_back(items)
+            await self._directory.correct(self._partition, address, "")
+            return False
+        return await self._take_in(address, items, results)
+
+    async def _exchange(
+        self, address: str, items: list[_Item]
+    ) -> list[records.Result] | None:
+        """Returns the results, or None where none came."""
+        doubted_before = [item.in_doubt for item in items]
+        # In doubt from the moment of sending: whoever gives up waiting now
+        # must not take it that nothing happened.
+        for item in items:
+            item.in_doubt = True
+        try:
+            results = await self._call(address, [i.request for i in items])
+        except (
+            TimeoutError,
+            peers.PeerUnreachableError,
+            peers.PeerRefusedError,
+        ):
+            return None
+        for item, doubted in zip(items, doubted_before, strict=True):
+            item.in_doubt = doubted
+        return results
+
+    async def _call(
+        self, address: str, requests: list[records.Request]
+    ) -> list[records.Result]:
+        if address == self._my_address:
+            return await self._clock.wait_for(
+                self._service.append(self._partition, requests),
+                self._settings.call_timeout,
+            )
+        if not address:
+            raise peers.PeerUnreachableError("no member is known")
+        reply = await self._peers.call(
+            address,
+            ttypes.LedgerAppend(
+                partition=self._partition,
+                records=[records.encoder.encode(r) for r in requests],
+            ),
+            timeout=self._settings.call_timeout,
+        )
+        return records.decode_results(reply.results)
+
+    async def _take_in(
+        self, address: str, items: list[_Item], results: list[records.Result]
+    ) -> bool:
+        misdirected: list[_Item] = []
+        hint = ""
+        for item, result in zip(items, results, strict=True):
+            if isinstance(result, records.NotHolder):
+                misdirected.append(item)
+                hint = result.inner_address
+            elif not item.reply.done():
+                item.reply.set_result(result)
+        if not misdirected:
+            self._directory.confirm(self._partition, address)
+            return True
+        self._put_back(misdirected)
+        await self._directory.correct(self._partition, address, hint)
+        return False
+
+    def _put_back(self, items: list[_Item]) -> None:
+        self._pending.extendleft(reversed(items))
+
+    async def _pause(self) -> None:
+        await self._clock.sleep(_RETRY_PAUSE * (1 + self._random.random()))
--- /dev/null
+++ b/src/nutmeghook/internal/ledger/store_health.py
@@ -0,0 +1,209 @@
+"""Whether a store of the platform is out: one view for the whole instance.
+
+Work that needs the store first is refused at once while it is out, so that a
+long outage does not fill the instance with waiting requests.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import random
+from typing import TypeVar
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import objects as objects_module
+from nutmeghook.internal.platform import table as table_module
+
+_T = TypeVar("_T")
+Probe = Callable[[], Awaitable[object]]
+_JITTER_SHARE = 0.2
+
+
+class StoreHealth:
+    """Counts failures in a row; probes a store that is out until it answers.
+
+    Args:
+        name: The store's name on the time line.
+        failures_to_out: Failures in a row after which it counts as out.
+        probe: A cheap read; it raises `failures.PlatformError` while out.
+        probe_every: Time between probes, with jitter so that all instances
+            do not come back in the same moment.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_failures",
+        "_failures_to_out",
+        "_name",
+        "_out",
+        "_probe",
+        "_probe_every",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+        rng: random.Random,
+        failures_to_out: int,
+        probe: Probe,
+        probe_every: datetime.timedelta,
+    ):
+        self._name = name
+        self._clock = clock
+        self._events = events
+        self._random = rng
+        self._failures_to_out = failures_to_out
+        self._probe = probe
+        self._probe_every = probe_every
+        self._failures = 0
+        self._out = False
+
+    @property
+    def is_out(self) -> bool:
+        """Whether work that needs the store first should be refused."""
+        return self._out
+
+    def note_success(self) -> None:
+        """Takes in that the store answered."""
+        self._failures = 0
+        if self._out:
+            self._out = False
+            self._events.record(events_module.EventKind.STORE_BACK, self._name)
+
+    def note_failure(self) -> None:
+        """Takes in that a call failed or took too long."""
+        self._failures += 1
+        if self._failures >= self._failures_to_out and not self._out:
+            self._out = True
+            self._events.record(events_module.EventKind.STORE_OUT, self._name)
+
+    async def run(self) -> None:
+        """Probes the store while it is out, until cancelled."""
+        while True:
+            jitter = 1 + _JITTER_SHARE * (2 * self._random.random() - 1)
+            await self._clock.sleep(self._probe_every * jitter)
+            if self._out:
+                await self._try_probe()
+
+    async def _try_probe(self) -> None:
+        try:
+            await self._probe()
+        except failures.PlatformError:
+            return
+        self.note_success()
+
+
+class _Watch:
+    """Bounds a store's calls in time and tells its health of each."""
+
+    __slots__ = ("_clock", "_health", "_timeout")
+
+    def __init__(
+        self,
+        *,
+        health: StoreHealth,
+        clock: clock_module.Clock,
+        timeout: datetime.timedelta,
+    ):
+        self._health = health
+        self._clock = clock
+        self._timeout = timeout
+
+    async def call(self, work: Awaitable[_T], *, writes: bool) -> _T:
+        """Awaits a call; one that takes too long has an unknown outcome."""
+        try:
+            result = await self._clock.wait_for(work, self._timeout)
+        except TimeoutError as error:
+            self._health.note_failure()
+            message = f"no answer within {self._timeout}"
+            if writes:
+                raise failures.OutcomeUnknownError(message) from error
+            raise failures.NotDoneError(message) from error
+        except failures.NotDoneError as error:
+            if not error.overloaded:
+                self._health.note_failure()
+            raise
+        except failures.OutcomeUnknownError:
+            self._health.note_failure()
+            raise
+        self._health.note_success()
+        return result
+
+
+class WatchedTable(table_module.TableService):
+    """A table service whose every call has a timeout and is counted."""
+
+    __slots__ = ("_table", "_watch")
+
+    def __init__(
+        self,
+        *,
+        table: table_module.TableService,
+        health: StoreHealth,
+        clock: clock_module.Clock,
+        timeout: datetime.timedelta,
+    ):
+        self._table = table
+        self._watch = _Watch(health=health, clock=clock, timeout=timeout)
+
+    async def read(self, key: str) -> table_module.Row | None:
+        """Returns the row, or None where there is none."""
+        return await self._watch.call(self._table.read(key), writes=False)
+
+    async def scan(
+        self, *, prefix: str, after: str = "", limit: int = 1000
+    ) -> list[table_module.Row]:
+        """Returns rows whose key has the prefix, in order of their keys."""
+        work = self._table.scan(prefix=prefix, after=after, limit=limit)
+        return await self._watch.call(work, writes=False)
+
+    async def commit(
+        self, transaction: table_module.Transaction
+    ) -> table_module.CommitResult:
+        """Applies the transaction if all its conditions hold."""
+        work = self._table.commit(transaction)
+        return await self._watch.call(work, writes=True)
+
+
+class WatchedObjects(objects_module.ObjectStore):
+    """An object store whose every call has a timeout and is counted."""
+
+    __slots__ = ("_objects", "_watch")
+
+    def __init__(
+        self,
+        *,
+        objects: objects_module.ObjectStore,
+        health: StoreHealth,
+        clock: clock_module.Clock,
+        timeout: datetime.timedelta,
+    ):
+        self._objects = objects
+        self._watch = _Watch(health=health, clock=clock, timeout=timeout)
+
+    async def put_if_absent(self, key: str, content: bytes) -> bool:
+        """Stores the blob; returns False where the key exists already."""
+        work = self._objects.put_if_absent(key, content)
+        return await self._watch.call(work, writes=True)
+
+    async def get(self, key: str) -> bytes | None:
+        """Returns the blob, or None where there is none."""
+        return await self._watch.call(self._objects.get(key), writes=False)
+
+    async def list_keys(
+        self, *, prefix: str, after: str = "", limit: int = 1000
+    ) -> list[str]:
+        """Returns the keys with the prefix greater than `after`, in order."""
+        work = self._objects.list_keys(prefix=prefix, after=after, limit=limit)
+        return await self._watch.call(work, writes=False)
+
+    async def delete(self, key: str) -> None:
+        """Removes the blob, if it is there."""
+        await self._watch.call(self._objects.delete(key), writes=True)
