Administer the configuration over HTTP and by command

Operators need one way to draft, accept, withdraw, roll out and hand over that survives a lost answer.

The administration application takes typed edits under an operation id chosen by the client; the `admin` commands print the id before they send anything and repeat a call under it when no answer comes. A whole team document is for administrators, so that a team can't allow itself a model.

--- /dev/null
+++ b/src/nutmeghook/internal/administration/principals.py
@@ -0,0 +1,178 @@
+"""Who makes an administration call, and what that one may do."""
+
+from collections.abc import Mapping
+import dataclasses
+import hmac
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.config import tokens as tokens_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+
+BOOTSTRAP_NAME = "bootstrap"
+DEFAULT_PLATFORM_TEAM = "platform"
+_BEARER = "bearer "
+_READING = frozenset(
+    {
+        documents.Role.VIEWER,
+        documents.Role.OPERATOR,
+        documents.Role.ADMINISTRATOR,
+    }
+)
+_OPERATING = frozenset({documents.Role.OPERATOR, documents.Role.ADMINISTRATOR})
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Principal:
+    """A token's team, name and role.
+
+    Attributes:
+        administers: Holds the administrator's role in the platform's own
+            team; in any other team that role is worth an operator's.
+    """
+
+    team: str
+    name: str
+    role: documents.Role
+    administers: bool
+
+    @property
+    def author(self) -> rows.Author:
+        """The principal as changes name it."""
+        return rows.Author(team=self.team, name=self.name)
+
+    def check_may_read(self, team: str) -> None:
+        """Checks that the principal may see a team's documents.
+
+        Raises:
+            errors.CodedError: `NOT_ALLOWED`.
+        """
+        if self.administers:
+            return
+        if team != self.team or self.role not in _READING:
+            raise _not_allowed(self, f"read what is of team {team!r}")
+
+    def check_may_settle(self) -> None:
+        """Checks that the principal may end an operation of its team.
+
+        Raises:
+            errors.CodedError: `NOT_ALLOWED`.
+        """
+        if self.role not in _OPERATING:
+            raise _not_allowed(self, "settle operations")
+
+    def check_may_make(self, edit: edits.Edit) -> None:
+        """Checks that the principal may make an edit.
+
+        Raises:
+            errors.CodedError: `NOT_ALLOWED`.
+        """
+        if self.administers:
+            return
+        if self.role not in _OPERATING:
+            raise _not_allowed(self, "change anything")
+        team = _operators_team(edit)
+        if team is None:
+            raise _not_allowed(
+                self, "make this edit; it is for the platform's administrators"
+            )
+        if team != self.team:
+            raise _not_allowed(self, f"change what is of team {team!r}")
+
+
+class PrincipalFinder:
+    """Finds the principal of a bearer token."""
+
+    __slots__ = ("_bootstrap_sha256", "_platform_team", "_tokens")
+
+    def __init__(
+        self,
+        *,
+        tokens: tokens_module.TokenIndex,
+        platform_team: str = DEFAULT_PLATFORM_TEAM,
+        bootstrap_sha256: str = "",
+    ):
+        """Sets where tokens are looked up.
+
+        Args:
+            tokens: Of the configuration in force.
+            platform_team: The team whose administrators may change all.
+            bootstrap_sha256: Hash of a token from the settings that may
+                change all, for the first import and for the day when all
+                other tokens are lost; empty for none.
+        """
+        self._tokens = tokens
+        self._platform_team = platform_team
+        self._bootstrap_sha256 = bootstrap_sha256
+
+    def find(self, headers: Mapping[str, str]) -> Principal:
+        """Returns whose token a request bears.
+
+        Raises:
+            errors.CodedError: `BAD_TOKEN`, without telling a missing token
+                from a wrong one.
+        """
+        authorization = headers.get("Authorization", "")
+        if authorization[: len(_BEARER)].lower() == _BEARER:
+            principal = self._find(authorization[len(_BEARER) :].strip())
+            if principal is not None:
+                return principal
+        raise errors.CodedError(
+            code=codes.Code.BAD_TOKEN,
+            detail="send 'Authorization: Bearer' with an operator's token",
+        )
+
+    def _find(self, token_text: str) -> Principal | None:
+        hashed = tokens_module.digest(token_text)
+        if self._bootstrap_sha256 and hmac.compare_digest(
+            hashed, self._bootstrap_sha256
+        ):
+            return Principal(
+                team=self._platform_team,
+                name=BOOTSTRAP_NAME,
+                role=documents.Role.ADMINISTRATOR,
+                administers=True,
+            )
+        holder = self._tokens.find(token_text)
+        if holder is None:
+            return None
+        return Principal(
+            team=holder.team.name,
+            name=holder.token_name,
+            role=holder.role,
+            administers=(
+                holder.team.name == self._platform_team
+                and holder.role is documents.Role.ADMINISTRATOR
+            ),
+        )
+
+
+def _operators_team(edit: edits.Edit) -> str | None:
+    """Returns the team whose operators may make an edit; None for none.
+
+    What a team may use (its models, weight and routes) is not the team's own
+    to change, so whole team documents are for administrators.
+    """
+    if isinstance(edit, edits.PutTemplate):
+        return edit.template.team
+    if isinstance(edit, edits.PutToken | edits.RemoveToken):
+        return edit.team
+    if isinstance(
+        edit,
+        edits.RemoveTemplate
+        | edits.WithdrawVersion
+        | edits.RollOutVersion
+        | edits.SetRollOutShare
+        | edits.RollBackVersion,
+    ):
+        return edit.team or None
+    return None
+
+
+def _not_allowed(principal: Principal, what: str) -> errors.CodedError:
+    return errors.CodedError(
+        code=codes.Code.NOT_ALLOWED,
+        detail=f"{principal.author} ({principal.role.value}) may not {what}",
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/administration/reading_commands.py
@@ -0,0 +1,89 @@
+"""The `nutmeghook admin` commands that change nothing."""
+
+from nutmeghook.internal.administration import arguments
+from nutmeghook.internal.administration import rendering
+from nutmeghook.internal.administration import running
+from nutmeghook.internal.config import schema as schema_module
+
+
+class ReadingCommands(running.CommandRunner):
+    """Shows what is in force, what changed, and what became of a change."""
+
+    __slots__ = ()
+
+    @running.command
+    def status(self) -> None:
+        """Shows what is in force where, what rolls, what waits."""
+        self._show(lambda c: c.status(), rendering.status)
+
+    @running.command
+    def list(self) -> None:
+        """Lists the documents with their revisions."""
+        self._show(lambda c: c.list_documents(), rendering.documents)
+
+    @running.command
+    def show(self, document: str) -> None:
+        """Prints a document; `put` takes the printed form back.
+
+        Args:
+            document: For example template/agency/dossier.
+        """
+        self._show(
+            lambda c: c.document(arguments.document(document)),
+            rendering.document,
+        )
+
+    @running.command
+    def history(
+        self, document: str = "", before: str = "0", limit: str = "20"
+    ) -> None:
+        """Lists accepted changes, newest first.
+
+        Args:
+            document: Only changes of this document.
+            before: Only changes below this revision.
+            limit: The most to list.
+        """
+        self._show(
+            lambda c: c.history(
+                document=arguments.document(document) if document else "",
+                before=arguments.whole_number(before, "before"),
+                limit=arguments.whole_number(limit, "limit"),
+            ),
+            rendering.history,
+        )
+
+    @running.command
+    def change(self, revision: str) -> None:
+        """Shows field by field what an accepted change changed.
+
+        Args:
+            revision: As listed by `history`.
+        """
+        number = arguments.whole_number(revision, "revision")
+        self._show(lambda c: c.change(number), rendering.change)
+
+    @running.command
+    def outcome(self, operation_id: str) -> None:
+        """Tells for good what became of a change: accepted, or never.
+
+        Args:
+            operation_id: As printed when the change was asked for.
+        """
+        self._show(lambda c: c.settle(operation_id), rendering.operation)
+
+    @running.command
+    def draft(self, file: str) -> None:
+        """Checks a file as `put` would, without changing anything.
+
+        Args:
+            file: What `show` printed, edited; `-` for standard input.
+        """
+        self._show(
+            lambda c: c.draft(arguments.edit_in_file(file)), rendering.draft
+        )
+
+    @running.command
+    def schema(self) -> None:
+        """Prints the JSON schema of a configuration file."""
+        print(schema_module.configuration_file_schema())
--- /dev/null
+++ b/src/nutmeghook/internal/administration/status.py
@@ -0,0 +1,165 @@
+"""What a shift hands over to the next: one answer that fits a screen."""
+
+import abc
+import datetime
+
+import msgspec
+
+from nutmeghook.internal.administration import bodies
+from nutmeghook.internal.administration import principals
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import in_force
+from nutmeghook.internal.config import replica as replica_module
+from nutmeghook.internal.config import validation
+from nutmeghook.internal.platform import engine
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class RollingItem(msgspec.Struct, frozen=True, kw_only=True):
+    """A version in roll-out; `next_percent` is its policy's next step."""
+
+    template: str
+    model_version: str
+    share_percent: float
+    next_percent: float
+
+
+class WithdrawnItem(msgspec.Struct, frozen=True, kw_only=True):
+    """A version withdrawn in one template; all of them, if it is the fleet."""
+
+    document: str
+    model_version: str
+
+
+class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the configuration is in force, and what is under way.
+
+    Attributes:
+        confirmed_age_ms: How long ago the answering instance's revision was
+            known to be the newest; None if never.
+        waiting: What someone has to look at, a sentence each.
+    """
+
+    revision: int
+    confirmed_age_ms: int | None
+    where: in_force.InForce
+    rolling: tuple[RollingItem, ...]
+    withdrawn: tuple[WithdrawnItem, ...]
+    waiting: tuple[str, ...]
+    changes: tuple[bodies.HistoryItem, ...]
+
+
+class WaitingSource(abc.ABC):
+    """Another part that knows of something operators have to look at."""
+
+    @abc.abstractmethod
+    def waiting(self, team: str | None) -> list[str]:
+        """Returns a sentence each; for all teams if `team` is None."""
+
+
+def build(
+    principal: principals.Principal,
+    *,
+    replica: replica_module.ConfigReplica,
+    where: in_force.InForce,
+    changes: tuple[bodies.HistoryItem, ...],
+    sources: tuple[WaitingSource, ...],
+) -> StatusAnswer:
+    """Returns the status as a principal may see it."""
+    snapshot = replica.snapshot
+    templates = [
+        template
+        for template in snapshot.templates.values()
+        if principal.administers or template.team == principal.team
+    ]
+    team = None if principal.administers else principal.team
+    age = replica.confirmed_age()
+    return StatusAnswer(
+        revision=snapshot.revision,
+        confirmed_age_ms=None if age is None else age // _MILLISECOND,
+        where=where,
+        rolling=_rolling(templates),
+        withdrawn=_withdrawn(snapshot.fleet, templates),
+        waiting=(
+            *_unconfirmed(where),
+            *_faulty(snapshot, team),
+            *(text for source in sources for text in source.waiting(team)),
+        ),
+        changes=changes,
+    )
+
+
+def next_step_percent(
+    policy: documents.RollOutPolicy, share_percent: float
+) -> float:
+    """Returns the first step above a share; 100 behind the last."""
+    for step in policy.steps_percent:
+        if step > share_percent:
+            return step
+    return edits.FULL_SHARE_PERCENT
+
+
+def _rolling(
+    templates: list[documents.Template],
+) -> tuple[RollingItem, ...]:
+    return tuple(
+        RollingItem(
+            template=f"{template.team}/{template.name}",
+            model_version=_named(stage, entry),
+            share_percent=entry.share_percent,
+            next_percent=next_step_percent(
+                template.roll_out, entry.share_percent
+            ),
+        )
+        for template in templates
+        for stage in template.stages
+        for entry in stage.versions
+        if entry.state is documents.VersionState.ROLLING_OUT
+    )
+
+
+def _withdrawn(
+    fleet: documents.Fleet, templates: list[documents.Template]
+) -> tuple[WithdrawnItem, ...]:
+    everywhere = [
+        WithdrawnItem(document=edits.FLEET_DOCUMENT, model_version=str(named))
+        for named in fleet.withdrawn
+    ]
+    # Those of the fleet are listed once, not again for each template.
+    known = {item.model_version for item in everywhere}
+    here = [
+        WithdrawnItem(
+            document=edits.template_document(template.team, template.name),
+            model_version=_named(stage, entry),
+        )
+        for template in templates
+        for stage in template.stages
+        for entry in stage.versions
+        if entry.state is documents.VersionState.WITHDRAWN
+    ]
+    return (
+        *everywhere,
+        *(item for item in here if item.model_version not in known),
+    )
+
+
+def _unconfirmed(where: in_force.InForce) -> list[str]:
+    return [
+        f"{address} has not confirmed revision {where.revision}"
+        for address in where.unconfirmed
+    ]
+
+
+def _faulty(snapshot: documents.Snapshot, team: str | None) -> list[str]:
+    mine = () if team is None else (f"template/{team}/", f"team/{team}.")
+    return [
+        str(fault)
+        for fault in validation.find_faults(snapshot)
+        if team is None or fault.path.startswith(mine)
+    ]
+
+
+def _named(stage: documents.Stage, entry: documents.VersionEntry) -> str:
+    return str(engine.ModelVersion(model=stage.model, version=entry.version))
--- a/src/nutmeghook/internal/config/attempts.py
+++ b/src/nutmeghook/internal/config/attempts.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from nutmeghook.internal.config import differences
-from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import faults
 from nutmeghook.internal.config import operations
@@ -216,23 +215,12 @@
         operation_id=winner.operation_id if winner else "",
         accepted_at=winner.accepted_at if winner else None,
         differences=differences.between(
-            _document_in(read, error.document),
-            _document_in(winner, error.document),
+            state_module.document_in(read, error.document),
+            state_module.document_in(winner, error.document),
         ),
     )
 
 
-def _document_in(
-    change: rows.Change | None, document: str
-) -> documents.Fleet | documents.Team | documents.Template | None:
-    if change is None:
-        return None
-    replaced = state_module.EMPTY_STATE.with_replacement(
-        change.replacement, revision=change.revision
-    )
-    return replaced.document(document)
-
-
 def _fence_conditions(
     operation: operations.Operation,
 ) -> tuple[table.Condition, ...]:
--- a/src/nutmeghook/internal/config/state.py
+++ b/src/nutmeghook/internal/config/state.py
@@ -86,10 +86,23 @@
         for document in replacement.documents():
             revisions[document] = revision
         for removed in replacement.removed_templates:
-            del revisions[edits.template_document(removed.team, removed.name)]
+            document = edits.template_document(removed.team, removed.name)
+            revisions.pop(document, None)
         return revisions
 
 
 EMPTY_STATE = ConfigState(
     snapshot=documents.EMPTY_SNAPSHOT, document_revisions={}
 )
+
+
+def document_in(
+    change: rows.Change | None, name: str
+) -> documents.Fleet | documents.Team | documents.Template | None:
+    """Returns the document of this name that a change wrote, if any."""
+    if change is None:
+        return None
+    written = EMPTY_STATE.with_replacement(
+        change.replacement, revision=change.revision
+    )
+    return written.document(name)
