Add the inner protocol over TCP

Instances need calls to each other that a slow, dead or foreign peer fails without harm to others. Thrift's own servers were ruled out (threads, one call at a time a connection) and HTTP too (headers larger than the messages); the codec is thrift's, the streams are asyncio's.

One task a peer and one a connection, calls multiplexed by sequence, frames and requests in flight bounded, a shared credential in the first frame, failing fast while backing off, replies to running requests at a graceful close, byte counts by message kind. The codec now returns plain data classes in place of the generated union.

Seen to fail first, by undoing the line that makes it hold: the credential check, the match of replies by sequence, the frame limit, the list limit, the catch of a handler's fault, the bound in flight. Found by the tests: a close without grace left a traceback from the cancelled connection tasks.

--- a/src/nutmeghook/internal/inner/codec.py
+++ b/src/nutmeghook/internal/inner/codec.py
@@ -1,9 +1,10 @@
-"""Envelopes to bytes and back, in thrift's compact protocol.
+"""Messages to bytes and back, in thrift's compact protocol.
 
 The generated `Body` is a union; callers hand over and receive the one struct
 that it holds, so that a message's type says what it is.
 """
 
+import dataclasses
 from typing import Any
 
 from thrift.protocol import TCompactProtocol
@@ -12,8 +13,8 @@
 from nutmeghook.internal.inner.generated import ttypes
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-# A few bytes can declare a list of millions, for which the decoder would
-# take memory before it notices the end of the frame.
+# An empty struct takes one byte in a list and a hundred once decoded: without
+# this bound a frame of the allowed length could cost 400 MB.
 _MAX_LIST_ITEMS = 65536
 
 _FIELD_OF_TYPE: dict[type, str] = {
@@ -25,62 +26,76 @@
     """Bytes that are no envelope with exactly one known message."""
 
 
-def envelope_of(
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Encoded:
+    """An envelope's bytes.
+
+    Attributes:
+        kind: The message's kind, as traffic counts name it.
+    """
+
+    kind: str
+    data: bytes
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Received:
+    """An envelope that arrived.
+
+    Attributes:
+        message: A struct of `generated`; what the sender left out is None.
+    """
+
+    kind: str
+    message: Any
+    sequence: int
+    wants_reply: bool
+    credential: str
+
+
+def encode(
     message: Any,
     *,
     sequence: int,
     wants_reply: bool = False,
     credential: str | None = None,
-) -> ttypes.Envelope:
-    """Wraps a message.
+) -> Encoded:
+    """Returns the bytes of an envelope around a message.
 
     Raises:
-        TypeError: The message's type is not one of `Body`'s.
+        TypeError: The message is none of `Body`'s structs, or a field of it
+            has a wrong type.
+        ValueError: A field is out of range, or the envelope is too long.
     """
-    field = _FIELD_OF_TYPE.get(type(message))
-    if field is None:
+    kind = _FIELD_OF_TYPE.get(type(message))
+    if kind is None:
         raise TypeError(
             f"message is a {type(message).__name__}; give one of the structs "
             "that Body in messages.thrift lists"
         )
-    return ttypes.Envelope(
+    envelope = ttypes.Envelope(
         sequence=sequence,
-        body=ttypes.Body(**{field: message}),
+        body=ttypes.Body(**{kind: message}),
         wants_reply=wants_reply or None,
         credential=credential,
     )
-
-
-def message_of(envelope: ttypes.Envelope) -> Any:
-    """Returns the one message in an envelope.
-
-    Raises:
-        MalformedError: There is none, or more than one.
-    """
-    held = [
-        message
-        for field in _FIELD_OF_TYPE.values()
-        if (message := getattr(envelope.body, field, None)) is not None
-    ]
-    if len(held) != 1:
-        raise MalformedError(f"the body holds {len(held)} messages, not one")
-    return held[0]
-
-
-def encode(envelope: ttypes.Envelope) -> bytes:
-    """Returns an envelope's bytes."""
     transport = TTransport.TMemoryBuffer()
-    protocol = TCompactProtocol.TCompactProtocolAccelerated(transport)
-    envelope.write(protocol)
-    return transport.getvalue()
+    try:
+        envelope.write(TCompactProtocol.TCompactProtocolAccelerated(transport))
+    except OverflowError as error:
+        raise ValueError(f"{message!r} has a number out of range") from error
+    data = transport.getvalue()
+    if len(data) > MAX_FRAME_BYTES:
+        raise ValueError(
+            f"the {kind} message has {len(data)} bytes; split it to stay "
+            f"under {MAX_FRAME_BYTES}"
+        )
+    return Encoded(kind=kind, data=data)
 
 
-def decode(data: bytes) -> ttypes.Envelope:
+def decode(data: bytes) -> Received:
     """Returns the envelope in `data`.
 
-    Fields that the sender left out are None: a handler that needs them all
-    fails on its own request alone.
-
     Raises:
         MalformedError: `data` is no envelope.
     """
@@ -97,12 +112,24 @@
     # UnicodeDecodeError, OverflowError, TProtocolException and kin.
     except Exception as error:
         raise MalformedError(f"no envelope: {error!r}") from error
-    if envelope.sequence is None or envelope.body is None:
-        raise MalformedError("an envelope needs a sequence and a body")
-    message_of(envelope)
-    return envelope
+    if envelope.sequence is None:
+        raise MalformedError("the envelope has no sequence")
+    kind = _kind_in(envelope.body)
+    return Received(
+        kind=kind,
+        message=getattr(envelope.body, kind),
+        sequence=envelope.sequence,
+        wants_reply=bool(envelope.wants_reply),
+        credential=envelope.credential or "",
+    )
 
 
-def kind_of(message: Any) -> str:
-    """Returns a message's kind as traffic counts name it."""
-    return _FIELD_OF_TYPE.get(type(message), "unknown")
+def _kind_in(body: ttypes.Body | None) -> str:
+    held = [
+        kind
+        for kind in _FIELD_OF_TYPE.values()
+        if getattr(body, kind, None) is not None
+    ]
+    if len(held) != 1:
+        raise MalformedError(f"the body holds {len(held)} messages, not one")
+    return held[0]
--- a/src/nutmeghook/internal/inner/local.py
+++ b/src/nutmeghook/internal/inner/local.py
@@ -158,15 +158,15 @@
         handlers = self._handlers.get(target)
         if handlers is None:
             return
-        message = codec.message_of(codec.decode(request))
-        result = await serving.reply_to(message, handlers=handlers)
-        answer = codec.encode(codec.envelope_of(result, sequence=1))
+        answer = await serving.reply_to(
+            codec.decode(request), handlers=handlers
+        )
         await self.until_thawed(target)
         # An instance that crashed while its handler ran replies to nobody.
         if self._handlers.get(target) is not handlers:
             return
         if await self.carry(target, source) and not reply.done():
-            reply.set_result(answer)
+            reply.set_result(answer.data)
 
 
 class LocalPeerCaller(peers.PeerCaller):
@@ -187,9 +187,7 @@
     ) -> peers.Message:
         """Sends a request and returns the reply."""
         network = self._network
-        data = codec.encode(
-            codec.envelope_of(request, sequence=1, wants_reply=True)
-        )
+        data = codec.encode(request, sequence=1, wants_reply=True).data
         await network.until_thawed(self._inner_address)
         if not network.has(inner_address):
             raise peers.PeerUnreachableError(f"{inner_address} is not there")
@@ -204,7 +202,7 @@
         finally:
             # A frozen process notices its timeouts only when it runs again.
             await network.until_thawed(self._inner_address)
-        return serving.result_of(codec.message_of(codec.decode(reply)))
+        return serving.result_of(codec.decode(reply).message)
 
 
 class InstanceClock(clock_module.Clock):
--- a/src/nutmeghook/internal/inner/serving.py
+++ b/src/nutmeghook/internal/inner/serving.py
@@ -4,30 +4,29 @@
 
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner.generated import ttypes
 
 
 async def reply_to(
-    request: peers.Message, *, handlers: peers.PeerHandlers
-) -> peers.Message:
+    request: codec.Received, *, handlers: peers.PeerHandlers
+) -> codec.Encoded:
     """Returns the handler's reply, or a `Failure` in its place."""
-    handler = handlers.handler_for(request)
+    name = type(request.message).__name__
+    handler = handlers.handler_for(request.message)
     if handler is None:
-        return _failure(
-            codes.Code.NOT_FOUND, f"no handler for {type(request).__name__}"
-        )
+        return _failure(request, codes.Code.NOT_FOUND, f"no handler for {name}")
     try:
-        return await handler(request)
+        reply = await handler(request.message)
+        return codec.encode(reply, sequence=request.sequence)
     except errors.CodedError as error:
-        return _failure(error.code, error.detail)
-    # A fault in one handler must not end the connection that carries the
-    # other requests of the same peer.
+        return _failure(request, error.code, error.detail)
+    # A fault in one handler, or a reply that can't be encoded, must not end
+    # the connection that carries the other requests of the same peer.
     except Exception:
         eliot.write_traceback()
-        return _failure(
-            codes.Code.INTERNAL, f"{type(request).__name__} handler failed"
-        )
+        return _failure(request, codes.Code.INTERNAL, f"{name}: handler failed")
 
 
 def result_of(reply: peers.Message) -> peers.Message:
@@ -43,5 +42,8 @@
     return reply
 
 
-def _failure(code: codes.Code, detail: str) -> ttypes.Failure:
-    return ttypes.Failure(code_number=code.number, detail=detail)
+def _failure(
+    request: codec.Received, code: codes.Code, detail: str
+) -> codec.Encoded:
+    failure = ttypes.Failure(code_number=code.number, detail=detail)
+    return codec.encode(failure, sequence=request.sequence)
--- /dev/null
+++ b/src/nutmeghook/internal/inner/tcp_client.py
@@ -0,0 +1,285 @@
+"""Calls to other instances over kept TCP connections."""
+
+import asyncio
+import contextlib
+import datetime
+import itertools
+import random as random_module
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner import frames
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner import serving
+from nutmeghook.internal.inner import sockets
+from nutmeghook.internal.inner import traffic as traffic_module
+
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
+_IDLE_TIMEOUT = datetime.timedelta(seconds=60)
+_FIRST_BACKOFF = datetime.timedelta(milliseconds=50)
+_MAX_BACKOFF = datetime.timedelta(seconds=2)
+
+
+class TcpPeerCaller(peers.PeerCaller):
+    """One connection and one task for each peer that is called."""
+
+    __slots__ = (
+        "_clock",
+        "_closing",
+        "_credential",
+        "_max_in_flight",
+        "_peers",
+        "_random",
+        "_traffic",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        credential: str,
+        traffic: traffic_module.Traffic,
+        random: random_module.Random,
+        max_in_flight: int = 64,
+    ):
+        frames.check_credential(credential)
+        self._clock = clock
+        self._credential = credential
+        self._traffic = traffic
+        self._random = random
+        self._max_in_flight = max_in_flight
+        self._peers: dict[str, _Peer] = {}
+        self._closing = False
+
+    async def call(
+        self,
+        inner_address: str,
+        request: peers.Message,
+        *,
+        timeout: datetime.timedelta,
+    ) -> peers.Message:
+        """Sends a request and returns the reply."""
+        if self._closing:
+            raise peers.PeerUnreachableError("this instance is closing")
+        peer = self._peers.get(inner_address)
+        if peer is None or peer.task.done():
+            peer = self._add(inner_address)
+        try:
+            reply = await self._clock.wait_for(peer.exchange(request), timeout)
+        except TimeoutError as error:
+            raise peers.PeerUnreachableError(
+                f"no reply from {inner_address} within {timeout}"
+            ) from error
+        return serving.result_of(reply)
+
+    async def close(self, *, grace: datetime.timedelta) -> None:
+        """Ends: no new calls; waits at most `grace` for those running."""
+        self._closing = True
+        everyone = list(self._peers.values())
+        waiting = asyncio.gather(*(peer.until_quiet() for peer in everyone))
+        # Calls that take longer fail as unreachable, which is true of them.
+        with contextlib.suppress(TimeoutError):
+            await self._clock.wait_for(waiting, grace)
+        for peer in everyone:
+            peer.task.cancel()
+        await asyncio.gather(
+            *(peer.task for peer in everyone), return_exceptions=True
+        )
+
+    def _add(self, inner_address: str) -> "_Peer":
+        for address in [a for a, p in self._peers.items() if p.task.done()]:
+            del self._peers[address]
+        peer = _Peer(
+            inner_address=inner_address,
+            clock=self._clock,
+            credential=self._credential,
+            traffic=self._traffic,
+            random=self._random,
+            max_in_flight=self._max_in_flight,
+        )
+        self._peers[inner_address] = peer
+        peer.task = asyncio.create_task(peer.run())
+        return peer
+
+
+class _Peer:
+    """The connection to one peer: made when wanted, closed when idle."""
+
+    __slots__ = (
+        "_backoff",
+        "_backoff_until",
+        "_clock",
+        "_credential",
+        "_inner_address",
+        "_pending",
+        "_quiet",
+        "_random",
+        "_sequences",
+        "_slots",
+        "_traffic",
+        "_unsent",
+        "_wanted",
+        "_writer",
+        "task",
+    )
+
+    def __init__(
+        self,
+        *,
+        inner_address: str,
+        clock: clock_module.Clock,
+        credential: str,
+        traffic: traffic_module.Traffic,
+        random: random_module.Random,
+        max_in_flight: int,
+    ):
+        self._inner_address = inner_address
+        self._clock = clock
+        self._credential = credential
+        self._traffic = traffic
+        self._random = random
+        self._slots = asyncio.Semaphore(max_in_flight)
+        self._sequences = itertools.count(frames.HELLO_SEQUENCE + 1)
+        self._pending: dict[int, asyncio.Future[peers.Message]] = {}
+        self._unsent: dict[int, codec.Encoded] = {}
+        self._writer: asyncio.StreamWriter | None = None
+        self._wanted = asyncio.Event()
+        self._quiet = asyncio.Event()
+        self._quiet.set()
+        self._backoff = _FIRST_BACKOFF
+        self._backoff_until = clock.monotonic()
+        self.task: asyncio.Task | None = None
+
+    async def until_quiet(self) -> None:
+        """Waits until no call is running."""
+        await self._quiet.wait()
+
+    async def exchange(self, request: peers.Message) -> peers.Message:
+        """Sends a request and waits for its reply, a failure included."""
+        async with self._slots:
+            if self._clock.monotonic() < self._backoff_until:
+                raise peers.PeerUnreachableError(
+                    f"{self._inner_address} could not be reached just now"
+                )
+            sequence = next(self._sequences)
+            reply = asyncio.get_running_loop().create_future()
+            self._pending[sequence] = reply
+            self._quiet.clear()
+            try:
+                envelope = codec.encode(
+                    request, sequence=sequence, wants_reply=True
+                )
+                await self._submit(sequence, envelope)
+                return await reply
+            finally:
+                self._withdraw(sequence)
+
+    async def run(self) -> None:
+        """Connects when a call wants it; ends after a long idle time."""
+        try:
+            while await self._is_wanted():
+                try:
+                    await self._hold_connection()
+                except peers.PeerRefusedError as error:
+                    self._back_off()
+                    self._fail_pending(error)
+                except (
+                    OSError,
+                    codec.MalformedError,
+                    frames.StreamEndedError,
+                ) as error:
+                    self._back_off()
+                    self._fail_pending(self._unreachable(error))
+        finally:
+            self._fail_pending(self._unreachable("this instance is closing"))
+
+    async def _is_wanted(self) -> bool:
+        while not self._wanted.is_set():
+            try:
+                await self._clock.wait_for(self._wanted.wait(), _IDLE_TIMEOUT)
+            except TimeoutError:
+                return self._wanted.is_set()
+        return True
+
+    async def _submit(self, sequence: int, envelope: codec.Encoded) -> None:
+        if self._writer is None:
+            # Written once connected, unless its caller has given up by then.
+            self._unsent[sequence] = envelope
+            self._wanted.set()
+            return
+        frames.write(self._writer, envelope, traffic=self._traffic)
+        with contextlib.suppress(ConnectionError):
+            await self._writer.drain()
+
+    def _withdraw(self, sequence: int) -> None:
+        self._unsent.pop(sequence, None)
+        self._pending.pop(sequence, None)
+        if not self._pending:
+            self._quiet.set()
+
+    async def _hold_connection(self) -> None:
+        """Connects and reads replies until the connection ends.
+
+        Raises:
+            OSError: It could not be made, or broke; TimeoutError is one.
+            StreamEndedError: The peer closed it.
+            MalformedError: The peer sent no envelope.
+            PeerRefusedError: The peer does not know the credential.
+        """
+        host, _, port = self._inner_address.rpartition(":")
+        reader, writer = await self._clock.wait_for(
+            asyncio.open_connection(host, int(port)), _CONNECT_TIMEOUT
+        )
+        try:
+            self._prepare(writer)
+            while True:
+                await self._read_reply(reader)
+        except TimeoutError:
+            # Nothing came for longer than any call waits: close it quietly.
+            self._fail_pending(self._unreachable("the connection was idle"))
+        finally:
+            self._writer = None
+            self._wanted.clear()
+            writer.transport.abort()
+
+    def _prepare(self, writer: asyncio.StreamWriter) -> None:
+        sockets.set_options(writer)
+        frames.write(
+            writer, frames.hello(self._credential), traffic=self._traffic
+        )
+        for envelope in self._unsent.values():
+            frames.write(writer, envelope, traffic=self._traffic)
+        self._unsent.clear()
+        self._writer = writer
+
+    async def _read_reply(self, reader: asyncio.StreamReader) -> None:
+        received = await self._clock.wait_for(
+            frames.read(reader, traffic=self._traffic), _IDLE_TIMEOUT
+        )
+        if received.sequence == frames.HELLO_SEQUENCE:
+            serving.result_of(received.message)
+        self._backoff = _FIRST_BACKOFF
+        # A reply whose call has given up finds nobody.
+        reply = self._pending.get(received.sequence)
+        if reply is not None and not reply.done():
+            reply.set_result(received.message)
+
+    def _back_off(self) -> None:
+        """Makes the next calls fail at once, for a while.
+
+        420 instances that lost one peer at the same moment would otherwise
+        call it again at the same moments; the jitter spreads them.
+        """
+        wait = self._backoff * self._random.uniform(0.5, 1.5)
+        self._backoff_until = self._clock.monotonic() + wait
+        self._backoff = min(self._backoff * 2, _MAX_BACKOFF)
+
+    def _fail_pending(self, error: Exception) -> None:
+        self._wanted.clear()
+        self._unsent.clear()
+        for reply in self._pending.values():
+            if not reply.done():
+                reply.set_exception(error)
+
+    def _unreachable(self, reason: object) -> peers.PeerUnreachableError:
+        return peers.PeerUnreachableError(f"{self._inner_address}: {reason!r}")
--- /dev/null
+++ b/src/nutmeghook/internal/inner/tcp_server.py
@@ -0,0 +1,242 @@
+"""The side of the inner protocol that other instances connect to."""
+
+import asyncio
+import datetime
+
+import eliot
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner import frames
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner import serving
+from nutmeghook.internal.inner import sockets
+from nutmeghook.internal.inner import traffic as traffic_module
+from nutmeghook.internal.inner.generated import ttypes
+
+_HELLO_TIMEOUT = datetime.timedelta(seconds=5)
+# Longer than the callers' own idle limit, so that it is the caller who closes
+# and no request crosses with a close.
+_IDLE_TIMEOUT = datetime.timedelta(seconds=150)
+_WRITE_TIMEOUT = datetime.timedelta(seconds=10)
+
+
+class TcpServer:
+    """Accepts connections and runs one task for each."""
+
+    __slots__ = (
+        "_clock",
+        "_closing",
+        "_connections",
+        "_credential",
+        "_handlers",
+        "_max_connections",
+        "_max_in_flight",
+        "_server",
+        "_traffic",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        handlers: peers.PeerHandlers,
+        credential: str,
+        traffic: traffic_module.Traffic,
+        max_connections: int = 1024,
+        max_in_flight: int = 64,
+    ):
+        frames.check_credential(credential)
+        self._clock = clock
+        self._handlers = handlers
+        self._credential = credential
+        self._traffic = traffic
+        self._max_connections = max_connections
+        self._max_in_flight = max_in_flight
+        self._connections: dict[asyncio.Task, _Connection] = {}
+        self._server: asyncio.Server | None = None
+        self._closing = False
+
+    async def start(self, *, host: str, port: int) -> str:
+        """Listens, and returns `ip:port` with the port that was taken."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+        bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
+        return f"{bound_host}:{bound_port}"
+
+    async def close(self, *, grace: datetime.timedelta) -> None:
+        """Ends: no new requests, replies to those running, within `grace`."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections.values():
+            connection.stop_reading()
+        try:
+            await self._clock.wait_for(self._until_empty(), grace)
+        except TimeoutError:
+            eliot.log_message("inner:close_cut_replies")
+            for connection in self._connections.values():
+                connection.abort()
+            await self._until_empty()
+
+    async def _until_empty(self) -> None:
+        if self._connections:
+            await asyncio.wait(list(self._connections))
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._closing or len(self._connections) >= self._max_connections:
+            writer.close()
+            return
+        connection = _Connection(
+            clock=self._clock,
+            handlers=self._handlers,
+            credential=self._credential,
+            traffic=self._traffic,
+            max_in_flight=self._max_in_flight,
+            reader=reader,
+            writer=writer,
+        )
+        task = asyncio.current_task()
+        self._connections[task] = connection
+        try:
+            await connection.run()
+        finally:
+            del self._connections[task]
+
+
+class _Connection:
+    """One caller's connection."""
+
+    __slots__ = (
+        "_clock",
+        "_credential",
+        "_handlers",
+        "_reader",
+        "_reading",
+        "_running",
+        "_slots",
+        "_traffic",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        handlers: peers.PeerHandlers,
+        credential: str,
+        traffic: traffic_module.Traffic,
+        max_in_flight: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ):
+        self._clock = clock
+        self._handlers = handlers
+        self._credential = credential
+        self._traffic = traffic
+        self._slots = asyncio.Semaphore(max_in_flight)
+        self._reader = reader
+        self._writer = writer
+        self._running: set[asyncio.Task] = set()
+        self._reading: asyncio.Task | None = None
+
+    def stop_reading(self) -> None:
+        """Takes no further request; those running still get replies."""
+        if self._reading is not None:
+            self._reading.cancel()
+
+    def abort(self) -> None:
+        """Ends the handlers too; their callers learn nothing of them."""
+        self.stop_reading()
+        for task in self._running:
+            task.cancel()
+
+    async def run(self) -> None:
+        """Serves until either side ends or the caller errs."""
+        sockets.set_options(self._writer)
+        self._reading = asyncio.create_task(self._read_requests())
+        try:
+            await asyncio.wait({self._reading})
+            if self._running:
+                await asyncio.wait(self._running)
+        finally:
+            self.abort()
+            self._writer.close()
+
+    async def _read_requests(self) -> None:
+        try:
+            if not await self._greeted():
+                return
+            while True:
+                await self._read_request()
+        except frames.StreamEndedError:
+            return
+        except TimeoutError:
+            eliot.log_message("inner:connection_idle", peer=self._peer_name())
+        # Whoever sent this may be of another version or no instance at all;
+        # where its next frame starts is unknown, so the connection ends. It
+        # shares nothing with others, so nothing else is harmed.
+        except codec.MalformedError as error:
+            eliot.log_message(
+                "inner:malformed", peer=self._peer_name(), reason=str(error)
+            )
+
+    async def _greeted(self) -> bool:
+        first = await self._clock.wait_for(
+            frames.read(
+                self._reader,
+                traffic=self._traffic,
+                limit_bytes=frames.MAX_HELLO_BYTES,
+            ),
+            _HELLO_TIMEOUT,
+        )
+        if frames.shows_credential(first, self._credential):
+            return True
+        eliot.log_message("inner:credential_refused", peer=self._peer_name())
+        refusal = ttypes.Failure(
+            code_number=codes.Code.BAD_TOKEN.number,
+            detail="the inner credential differs; compare the settings",
+        )
+        await self._write(codec.encode(refusal, sequence=frames.HELLO_SEQUENCE))
+        return False
+
+    async def _read_request(self) -> None:
+        await self._slots.acquire()
+        try:
+            request = await self._clock.wait_for(
+                frames.read(self._reader, traffic=self._traffic),
+                _IDLE_TIMEOUT,
+            )
+        except BaseException:
+            self._slots.release()
+            raise
+        task = asyncio.create_task(self._handle(request))
+        self._running.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._running.discard(task)
+        self._slots.release()
+
+    async def _handle(self, request: codec.Received) -> None:
+        reply = await serving.reply_to(request, handlers=self._handlers)
+        if request.wants_reply:
+            await self._write(reply)
+
+    async def _write(self, reply: codec.Encoded) -> None:
+        """Sends a reply; a caller that does not read is cut off.
+
+        Its replies would otherwise fill this process's memory, up to the
+        bound of requests in flight for each such caller.
+        """
+        try:
+            frames.write(self._writer, reply, traffic=self._traffic)
+            await self._clock.wait_for(self._writer.drain(), _WRITE_TIMEOUT)
+        except (ConnectionError, TimeoutError):
+            self._writer.transport.abort()
+            self.stop_reading()
+
+    def _peer_name(self) -> str:
+        return str(self._writer.get_extra_info("peername"))
--- /dev/null
+++ b/src/nutmeghook/internal/inner/traffic.py
@@ -0,0 +1,51 @@
+"""Bytes between instances by message kind, to hold against the budget."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class KindTraffic:
+    """What went over the wire of one message kind, framing included."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+
+
+class Traffic:
+    """Counts of one process since its start; replies count as kinds too."""
+
+    __slots__ = ("_kinds",)
+
+    def __init__(self):
+        self._kinds: dict[str, KindTraffic] = {}
+
+    def count_sent(self, kind: str, size_bytes: int) -> None:
+        """Adds one message that was handed to the network."""
+        entry = self._kinds.setdefault(kind, KindTraffic())
+        entry.sent_messages += 1
+        entry.sent_bytes += size_bytes
+
+    def count_received(self, kind: str, size_bytes: int) -> None:
+        """Adds one message that arrived and was understood."""
+        entry = self._kinds.setdefault(kind, KindTraffic())
+        entry.received_messages += 1
+        entry.received_bytes += size_bytes
+
+    def kinds(self) -> dict[str, KindTraffic]:
+        """Returns copies of the counts, by kind."""
+        return {
+            kind: dataclasses.replace(entry)
+            for kind, entry in self._kinds.items()
+        }
+
+    def total(self) -> KindTraffic:
+        """Returns the sum over all kinds."""
+        sum_of_all = KindTraffic()
+        for entry in self._kinds.values():
+            sum_of_all.sent_messages += entry.sent_messages
+            sum_of_all.sent_bytes += entry.sent_bytes
+            sum_of_all.received_messages += entry.received_messages
+            sum_of_all.received_bytes += entry.received_bytes
+        return sum_of_all
