Serve requests end to end through separate processes

Cause: the parts stood alone; nothing ran. Ruled out: starting stand-ins inside the test's own process (kills and freezes need separate ones). Change: the assembly builds an instance from its settings; the experiment package starts stand-ins and instances, calls them and records what it saw.

--- /dev/null
+++ b/src/nutmeghook/experiment/balancer.py
@@ -0,0 +1,70 @@
+"""A stand-in of the platform's balancer, inside the load's process.
+
+It asks each instance's /readyz now and then and sends callers to a random
+instance that was ready when last asked, so it is wrong for up to one period.
+"""
+
+import asyncio
+import datetime
+import random
+
+import aiohttp
+
+from nutmeghook.internal.foundation import clock as clock_module
+
+ASK_EVERY = datetime.timedelta(milliseconds=500)
+ASK_TIMEOUT_S = 1.0
+
+
+class Balancer:
+    """Knows which instances were ready a moment ago."""
+
+    __slots__ = ("_clock", "_http", "_instances", "_randomness", "_ready")
+
+    def __init__(
+        self,
+        *,
+        http: aiohttp.ClientSession,
+        clock: clock_module.Clock,
+        randomness: random.Random,
+    ):
+        self._http = http
+        self._clock = clock
+        self._randomness = randomness
+        self._instances: set[str] = set()
+        self._ready: set[str] = set()
+
+    def add(self, address: str) -> None:
+        """Adds an instance, taken as ready until asked."""
+        self._instances.add(address)
+        self._ready.add(address)
+
+    def remove(self, address: str) -> None:
+        """Forgets an instance."""
+        self._instances.discard(address)
+        self._ready.discard(address)
+
+    def pick(self) -> str:
+        """Returns an instance's address; any, if none was ready."""
+        candidates = sorted(self._ready) or sorted(self._instances)
+        return self._randomness.choice(candidates)
+
+    async def run(self) -> None:
+        """Asks all instances again and again."""
+        while True:
+            await asyncio.gather(*(self._ask(a) for a in self._instances))
+            await self._clock.sleep(ASK_EVERY)
+
+    async def _ask(self, address: str) -> None:
+        try:
+            async with self._http.get(
+                f"http://{address}/readyz",
+                timeout=aiohttp.ClientTimeout(total=ASK_TIMEOUT_S),
+            ) as response:
+                ready = response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            ready = False
+        if ready and address in self._instances:
+            self._ready.add(address)
+        else:
+            self._ready.discard(address)
--- /dev/null
+++ b/src/nutmeghook/experiment/caller.py
@@ -0,0 +1,287 @@
+"""A well-behaved caller: sends work, retries as told, records what it saw."""
+
+import datetime
+import time
+
+import aiohttp
+import msgspec
+
+from nutmeghook.experiment import balancer as balancer_module
+from nutmeghook.experiment import history
+from nutmeghook.experiment import workload
+from nutmeghook.internal.foundation import clock as clock_module
+
+MOST_TRIES = 12
+LONGEST_WAIT_MS = 3_000
+DEFAULT_WAIT_MS = 200
+TRY_TIMEOUT_S = 40
+REQUEST_ID_HEADER = "X-Request-Id"
+_DONE = b"[DONE]"
+_DATA = b"data: "
+_OUTCOME_BY_STATE = {
+    "not_run": history.TryOutcome.NOT_RUN,
+    "ran": history.TryOutcome.RAN,
+    "unknown": history.TryOutcome.UNKNOWN,
+}
+
+
+class _ErrorBody(msgspec.Struct):
+    code: int
+    run_state: str
+    request_id: str = ""
+    retry_after_ms: int | None = None
+
+
+class _ErrorReply(msgspec.Struct):
+    error: _ErrorBody
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    message: _Delta | None = None
+
+
+class _Completion(msgspec.Struct):
+    model: str = ""
+    choices: list[_Choice] = []
+    error: _ErrorBody | None = None
+
+
+class Caller:
+    """Does assignments against the instances behind a balancer."""
+
+    __slots__ = ("_balancer", "_clock", "_history", "_http", "_tokens")
+
+    def __init__(
+        self,
+        *,
+        http: aiohttp.ClientSession,
+        balancer: balancer_module.Balancer,
+        clock: clock_module.Clock,
+        tokens: dict[str, str],
+        record: history.History,
+    ):
+        self._http = http
+        self._balancer = balancer
+        self._clock = clock
+        self._tokens = tokens
+        self._history = record
+
+    async def do(self, assignment: workload.Assignment) -> history.Work:
+        """Tries until there is an answer or a final word; records it."""
+        tries: list[history.Try] = []
+        while True:
+            attempt = await self._try(assignment)
+            tries.append(attempt)
+            if len(tries) >= MOST_TRIES or _is_final(assignment, attempt):
+                break
+            wait_ms = attempt.retry_after_ms or DEFAULT_WAIT_MS
+            await self._clock.sleep(
+                datetime.timedelta(milliseconds=min(wait_ms, LONGEST_WAIT_MS))
+            )
+        work = history.Work(
+            marker=assignment.marker,
+            kind=assignment.kind,
+            team=assignment.team,
+            template=assignment.target,
+            session=assignment.session,
+            key=assignment.key,
+            streamed=assignment.streamed,
+            once=assignment.once,
+            tries=tuple(tries),
+        )
+        self._history.add(work)
+        return work
+
+    async def _try(self, assignment: workload.Assignment) -> history.Try:
+        instance = self._balancer.pick()
+        seen = _Seen(instance=instance)
+        try:
+            async with self._http.request(
+                _method(assignment),
+                f"http://{instance}{_path(assignment)}",
+                headers=self._headers(assignment),
+                data=_body(assignment),
+                timeout=aiohttp.ClientTimeout(total=TRY_TIMEOUT_S),
+            ) as response:
+                seen.request_id = response.headers.get(REQUEST_ID_HEADER, "")
+                if response.status >= 400:
+                    seen.take_error(await response.read())
+                elif assignment.streamed:
+                    await _read_stream(response, seen)
+                else:
+                    _take_whole(assignment, await response.read(), seen)
+        except aiohttp.ClientConnectorError:
+            seen.outcome = history.TryOutcome.NOT_RUN
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            seen.outcome = history.TryOutcome.CUT
+        return seen.finished()
+
+    def _headers(self, assignment: workload.Assignment) -> dict[str, str]:
+        headers = {
+            "Authorization": f"Bearer {self._tokens[assignment.team]}",
+            "Content-Type": "application/json",
+        }
+        if assignment.key:
+            headers["Idempotency-Key"] = assignment.key
+        if assignment.session:
+            headers["X-Session-Id"] = assignment.session
+        return headers
+
+
+class _Seen:
+    """What one try has seen so far."""
+
+    __slots__ = (
+        "code_number",
+        "first_token_ms",
+        "instance",
+        "outcome",
+        "request_id",
+        "retry_after_ms",
+        "served_version",
+        "started_ms",
+        "text",
+    )
+
+    def __init__(self, *, instance: str):
+        self.instance = instance
+        self.started_ms = time.time() * 1000
+        self.outcome = history.TryOutcome.CUT
+        self.request_id = ""
+        self.code_number = 0
+        self.retry_after_ms = 0
+        self.served_version = ""
+        self.first_token_ms: float | None = None
+        self.text: list[str] = []
+
+    def take_error(self, body: bytes) -> None:
+        """Takes an error reply; one that can't be read says nothing."""
+        try:
+            error = msgspec.json.decode(body, type=_ErrorReply).error
+        except msgspec.MsgspecError:
+            return
+        self.take_coded(error)
+
+    def take_coded(self, error: _ErrorBody) -> None:
+        """Takes a numbered error."""
+        self.outcome = _OUTCOME_BY_STATE[error.run_state]
+        self.code_number = error.code
+        self.request_id = error.request_id or self.request_id
+        self.retry_after_ms = error.retry_after_ms or 0
+
+    def take_text(self, text: str, model: str) -> None:
+        """Takes a piece of the answer."""
+        if self.first_token_ms is None:
+            self.first_token_ms = time.time() * 1000 - self.started_ms
+        self.text.append(text)
+        self.served_version = model
+
+    def finished(self) -> history.Try:
+        """Returns the record of the try."""
+        return history.Try(
+            outcome=self.outcome,
+            started_ms=self.started_ms,
+            ended_ms=time.time() * 1000,
+            instance=self.instance,
+            request_id=self.request_id,
+            code_number=self.code_number,
+            retry_after_ms=self.retry_after_ms,
+            served_version=self.served_version,
+            first_token_ms=self.first_token_ms,
+            text="".join(self.text),
+        )
+
+
+def _is_final(assignment: workload.Assignment, attempt: history.Try) -> bool:
+    """Tells whether the caller would leave it at this.
+
+    A cut connection or an unknown outcome of keyed work is asked about again
+    under the same key, until the system itself says that it is unknown.
+    """
+    if attempt.outcome is history.TryOutcome.ANSWERED:
+        return True
+    if attempt.outcome is history.TryOutcome.NOT_RUN:
+        return attempt.code_number > 0 and not _may_come_back(attempt)
+    if attempt.outcome is history.TryOutcome.CUT:
+        return False
+    return bool(assignment.key)
+
+
+def _may_come_back(attempt: history.Try) -> bool:
+    return attempt.retry_after_ms > 0
+
+
+def _method(assignment: workload.Assignment) -> str:
+    if assignment.kind is history.WorkKind.PLAIN_READ:
+        return "GET"
+    return "POST"
+
+
+def _is_plain(assignment: workload.Assignment) -> bool:
+    return assignment.kind in (
+        history.WorkKind.PLAIN_READ,
+        history.WorkKind.PLAIN_BOOKING,
+    )
+
+
+def _path(assignment: workload.Assignment) -> str:
+    if _is_plain(assignment):
+        return f"/services/{assignment.target}?marker={assignment.marker}"
+    return "/v1/chat/completions"
+
+
+def _body(assignment: workload.Assignment) -> bytes | None:
+    if assignment.kind is history.WorkKind.PLAIN_READ:
+        return None
+    if assignment.kind is history.WorkKind.PLAIN_BOOKING:
+        return msgspec.json.encode({"marker": assignment.marker})
+    words = " ".join(["words"] * assignment.prompt_words)
+    return msgspec.json.encode(
+        {
+            "model": assignment.target,
+            "stream": assignment.streamed,
+            "max_tokens": assignment.max_tokens,
+            "messages": [
+                {"role": "system", "content": f"You serve {assignment.team}."},
+                {
+                    "role": "user",
+                    "content": f"marker={assignment.marker} {words}",
+                },
+            ],
+        }
+    )
+
+
+def _take_whole(
+    assignment: workload.Assignment, body: bytes, seen: _Seen
+) -> None:
+    if _is_plain(assignment):
+        seen.text.append(body.decode(errors="replace"))
+    else:
+        completion = msgspec.json.decode(body, type=_Completion)
+        message = completion.choices[0].message
+        seen.take_text((message and message.content) or "", completion.model)
+    seen.outcome = history.TryOutcome.ANSWERED
+
+
+async def _read_stream(response: aiohttp.ClientResponse, seen: _Seen) -> None:
+    """Reads the events; only `[DONE]` or an error event end it properly."""
+    async for line in response.content:
+        if not line.startswith(_DATA):
+            continue
+        event = line[len(_DATA) :].strip()
+        if event == _DONE:
+            seen.outcome = history.TryOutcome.ANSWERED
+            return
+        chunk = msgspec.json.decode(event, type=_Completion)
+        if chunk.error is not None:
+            seen.take_coded(chunk.error)
+            return
+        for choice in chunk.choices:
+            if choice.delta and choice.delta.content:
+                seen.take_text(choice.delta.content, chunk.model)
--- /dev/null
+++ b/src/nutmeghook/experiment/processes.py
@@ -0,0 +1,130 @@
+"""Starts, freezes and ends the processes of an experiment."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+from typing import TypeVar
+
+import msgspec
+
+_Ready = TypeVar("_Ready")
+READY_TIMEOUT_S = 30.0
+END_TIMEOUT_S = 30.0
+
+
+class StartError(RuntimeError):
+    """A process ended or said nothing instead of getting ready."""
+
+
+class ManagedProcess:
+    """One process of ours; its log goes to a file."""
+
+    __slots__ = ("_log", "_process", "name")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        process: asyncio.subprocess.Process,
+        log: pathlib.Path,
+    ):
+        self.name = name
+        self._process = process
+        self._log = log
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    @property
+    def exit_status(self) -> int | None:
+        """How it ended; None while it runs."""
+        return self._process.returncode
+
+    def kill(self) -> None:
+        """Ends it at once, with no chance to tidy up."""
+        self._process.send_signal(signal.SIGKILL)
+
+    def freeze(self) -> None:
+        """Stops it where it stands."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets it go on as if nothing had happened."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def ask_to_end(self) -> None:
+        """Asks it to leave gracefully."""
+        self._process.send_signal(signal.SIGTERM)
+
+    async def ended(self) -> int:
+        """Waits for its end and returns the exit status."""
+        return await self._process.wait()
+
+    async def end(self) -> int:
+        """Asks it to end, and kills it if it takes too long."""
+        if self._process.returncode is not None:
+            return self._process.returncode
+        self.thaw()
+        self.ask_to_end()
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                return await self.ended()
+        except TimeoutError:
+            self.kill()
+            return await self.ended()
+
+    def log_tail(self, lines: int = 20) -> str:
+        """Returns the end of its log, for error messages."""
+        return "\n".join(self._log.read_text().splitlines()[-lines:])
+
+
+async def start(
+    *,
+    name: str,
+    arguments: list[str],
+    folder: pathlib.Path,
+    ready_type: type[_Ready],
+    environment: dict[str, str] | None = None,
+    standard_input: bytes = b"",
+) -> tuple[ManagedProcess, _Ready]:
+    """Starts `python -m ...` and reads the line it prints when ready.
+
+    Args:
+        name: Names the log file too.
+        arguments: After `python -m`.
+        folder: Where the log file goes.
+        ready_type: What the first line of standard output decodes to.
+        environment: The whole environment; None for this process's own.
+        standard_input: Written to the process before anything is read.
+
+    Raises:
+        StartError: With the end of the log.
+    """
+    log = folder / f"{name}.log"
+    with log.open("wb") as log_file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            *arguments,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=log_file,
+            env=environment,
+        )
+    managed = ManagedProcess(name=name, process=process, log=log)
+    process.stdin.write(standard_input)
+    process.stdin.close()
+    try:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            line = await process.stdout.readline()
+        return managed, msgspec.json.decode(line, type=ready_type)
+    except (TimeoutError, msgspec.MsgspecError) as error:
+        if process.returncode is None:
+            managed.kill()
+        await process.wait()
+        raise StartError(
+            f"{name} did not get ready: {error!r}\n{managed.log_tail()}"
+        ) from error
--- /dev/null
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -0,0 +1,259 @@
+"""One entry instance: all parts, built in the order of their needs."""
+
+import asyncio
+import datetime
+import random
+
+from nutmeghook.internal.administration import application as admin_application
+from nutmeghook.internal.administration import principals
+from nutmeghook.internal.assembly import observation
+from nutmeghook.internal.assembly import platform_clients
+from nutmeghook.internal.config import assembly as config_assembly
+from nutmeghook.internal.config import tokens as tokens_module
+from nutmeghook.internal.dispatch import dispatcher as dispatcher_module
+from nutmeghook.internal.dispatch import ratings as rating_queue
+from nutmeghook.internal.entry import application as entry_application
+from nutmeghook.internal.entry import drain as drain_module
+from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.entry import shutdown
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import identifiers
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner import tcp_client
+from nutmeghook.internal.inner import tcp_server
+from nutmeghook.internal.inner import traffic
+from nutmeghook.internal.ledger import factory as ledger_factory
+from nutmeghook.internal.ledger import settings as ledger_settings
+from nutmeghook.internal.limits import fair_admission
+from nutmeghook.internal.limits import following_limit
+from nutmeghook.internal.limits import retry_budget
+from nutmeghook.internal.limits import token_budget
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.observe import request_meter
+from nutmeghook.internal.rollout import gate as gate_module
+from nutmeghook.internal.routing import cascade_fixed
+from nutmeghook.internal.routing import service as routing_service
+from nutmeghook.internal.routing import version_choice
+from nutmeghook.internal.settings import loading
+
+_CLOSE_GRACE = datetime.timedelta(seconds=2)
+_LEDGER_DRAIN = datetime.timedelta(seconds=5)
+
+
+class Instance:
+    """Builds the parts, runs them and takes them down in order."""
+
+    __slots__ = (
+        "_clients",
+        "_clock",
+        "_dispatcher",
+        "_drain",
+        "_gate",
+        "_handlers",
+        "_inner_server",
+        "_ledger",
+        "_listener",
+        "_random",
+        "_rating_queue",
+        "_routing",
+        "_settings",
+        "_traffic",
+        "caller",
+        "config",
+        "events",
+        "identifiers",
+        "inner_address",
+        "members",
+        "metrics",
+    )
+
+    def __init__(
+        self, *, settings: loading.Settings, clock: clock_module.Clock
+    ):
+        self._settings = settings
+        self._clock = clock
+        self.identifiers = identifiers.IdentifierSource()
+        self._random = random.Random(self.identifiers.incarnation)
+        self.events = events_module.EventRing(
+            clock=clock, capacity_events=settings.count("event_ring_events")
+        )
+        self.metrics = metrics_module.Metrics()
+        self._clients = platform_clients.open_clients(settings)
+        self._traffic = traffic.Traffic()
+        self._handlers = peers.PeerHandlers()
+        credential = settings.text("inner_credential")
+        self._inner_server = tcp_server.TcpServer(
+            clock=clock,
+            handlers=self._handlers,
+            credential=credential,
+            traffic=self._traffic,
+        )
+        self.caller = tcp_client.TcpPeerCaller(
+            clock=clock,
+            credential=credential,
+            traffic=self._traffic,
+            random=self._random,
+        )
+
+    async def start(self) -> str:
+        """Listens on both sides; returns the callers' address."""
+        host, _, port = self._settings.text("inner_address").rpartition(":")
+        self.inner_address = await self._inner_server.start(
+            host=host, port=int(port)
+        )
+        self.members = self._build_members()
+        self.config = config_assembly.build(
+            table=self._clients.table,
+            members=self.members,
+            caller=self.caller,
+            handlers=self._handlers,
+            clock=self._clock,
+            events=self.events,
+            random=self._random,
+        )
+        self._ledger = self._build_ledger()
+        self._routing = routing_service.build_backend_routing(
+            clock=self._clock,
+            events=self.events,
+            members=self.members,
+            caller=self.caller,
+            handlers=self._handlers,
+            instance_list=self._clients.instance_list,
+            connector=self._clients.engines,
+            rng=self._random,
+        )
+        self._build_request_path()
+        host, _, port = self._settings.text("listen_address").rpartition(":")
+        await self._listener.start(host=host, port=int(port))
+        self.events.record(
+            events_module.EventKind.PROCESS_STARTED,
+            self.identifiers.incarnation,
+            address=self._listener.address,
+        )
+        return self._listener.address
+
+    def _build_members(self) -> members_module.MemberView:
+        return members_module.FixedMemberView(
+            myself=members_module.Member(
+                inner_address=self.inner_address,
+                incarnation=self.identifiers.incarnation,
+                region=self._settings.text("region"),
+                data_centre=self._settings.text("data_centre"),
+            )
+        )
+
+    def _build_ledger(self) -> ledger_factory.InstanceLedger:
+        settings = self._settings
+        return ledger_factory.InstanceLedger(
+            members=self.members,
+            table=self._clients.table,
+            objects=self._clients.objects,
+            peer_caller=self.caller,
+            handlers=self._handlers,
+            clock=self._clock,
+            rng=self._random,
+            events=self.events,
+            settings=ledger_settings.LedgerSettings(
+                partitions=settings.count("ledger_partitions"),
+                writes_per_s=settings.count("ledger_writes_per_s"),
+                window=datetime.timedelta(
+                    seconds=settings.count("claim_retention_s")
+                ),
+            ),
+        )
+
+    def _build_request_path(self) -> None:
+        self._gate = gate_module.GrantedExposureGate(
+            caller=self.caller,
+            members=self.members,
+            clock=self._clock,
+            random_source=self._random,
+        )
+        meter = request_meter.MetricsMeter(metrics=self.metrics)
+        self._rating_queue = rating_queue.RatingQueue(
+            service=self._clients.ratings, clock=self._clock, meter=meter
+        )
+        self._dispatcher = dispatcher_module.Dispatcher(
+            clock=self._clock,
+            config=self.config.replica,
+            versions=version_choice.ConfiguredVersionChooser(
+                view=self.config.replica,
+                pins=self._ledger.pins,
+                gate=self._gate,
+            ),
+            backends=self._routing.chooser,
+            engines=self._clients.engines,
+            services=self._clients.services,
+            cascade=cascade_fixed.FixedCascade(),
+            admission=self._build_admission(),
+            retry_budget=retry_budget.ShareRetryBudget(),
+            ledger=self._ledger.client,
+            ratings=self._rating_queue,
+            events=self.events,
+            meter=meter,
+            random_source=self._random,
+        )
+        self._drain = drain_module.Drain(events=self.events)
+        tokens = tokens_module.TokenIndex(config=self.config.replica)
+        application = entry_application.build_application(
+            clock=self._clock,
+            config=self.config.replica,
+            tokens=tokens,
+            dispatcher=self._dispatcher,
+            drain=self._drain,
+            identifiers=self.identifiers,
+        )
+        finder = principals.PrincipalFinder(
+            tokens=tokens,
+            bootstrap_sha256=self._settings.text("administrator_token_sha256"),
+        )
+        application.add_subapp(
+            admin_application.PREFIX,
+            admin_application.build_application(
+                config=self.config, principals=finder
+            ),
+        )
+        observation.add_routes(application, metrics=self.metrics)
+        self._listener = listener_module.Listener(application=application)
+
+    def _build_admission(self) -> fair_admission.FairAdmission:
+        return fair_admission.FairAdmission(
+            clock=self._clock,
+            randomness=self._random,
+            limit=following_limit.FollowingLimit(
+                ceiling=self._settings.count("concurrent_requests")
+            ),
+            budgets=token_budget.TokenBudgets(
+                clock=self._clock, members=self.members
+            ),
+            max_waiting=self._settings.count("queued_requests"),
+        )
+
+    async def run(self) -> None:
+        """Runs what works in the background until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.config.distributor.run())
+            tasks.create_task(self._ledger.run())
+            tasks.create_task(self._routing.run())
+            tasks.create_task(self._rating_queue.run())
+
+    async def leave(self) -> None:
+        """Stops taking requests, finishes all, hands over what it held."""
+        await shutdown.shut_down(
+            clock=self._clock,
+            drain=self._drain,
+            listener=self._listener,
+            dispatcher=self._dispatcher,
+            lag=datetime.timedelta(
+                milliseconds=self._settings.count("drain_lag_ms")
+            ),
+        )
+        await self._ledger.drain(timeout=_LEDGER_DRAIN)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._inner_server.close(grace=_CLOSE_GRACE)
+        await self.caller.close(grace=_CLOSE_GRACE)
+        await self._clients.close()
--- a/src/nutmeghook/internal/dispatch/plain_calls.py
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -20,6 +20,9 @@
 FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=10)
 RETRY_WITHOUT_BACKEND = datetime.timedelta(seconds=1)
 _SERVICE_ERROR_STATUS = 500
+# A plain call has no tokens. For fairness among teams it counts as much as a
+# short generation, which keeps a place for about as long.
+_FAIRNESS_COST_TOKENS = 100
 
 
 class PlainCallPath:
@@ -225,5 +228,5 @@
         weight=request.team.weight,
         priority=request.priority,
         deadline=request.deadline,
-        cost_tokens=0,
+        cost_tokens=_FAIRNESS_COST_TOKENS,
     )
