--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -93,6 +93,14 @@
   3: i32 state,
   4: i64 number,
   5: i64 config_revision,
+  // Where it runs; absent where the receiver can be taken to know it.
+  6: optional string region,
+  7: optional string data_centre,
+}
+
+// All members that the sender believes to run; so is the reply.
+struct MemberTable {
+  1: list<MemberState> states,
 }
 
 struct Probe {
@@ -100,11 +108,14 @@
   2: list<MemberState> rumours,
   // Set on a probe that is to be passed on to a third instance.
   3: optional string target_address,
+  // Of the set of members that the sender believes to run.
+  4: optional i32 members_hash,
 }
 
 struct ProbeAck {
   1: MemberState sender,
   2: list<MemberState> rumours,
+  3: optional i32 members_hash,
 }
 
 struct Empty {}
@@ -131,6 +142,7 @@
   13: EventsPage events_page,
   14: Probe probe,
   15: ProbeAck probe_ack,
+  16: MemberTable member_table,
 }
 
 // One frame on a connection, or one datagram.
