Reach the platform and backend servers over HTTP, with stand-ins to try it on

Cause: the platform's interfaces had no adapters, and a run of real processes had nothing to talk to.

Ruled out: one connection kept for plain calls, because a refusal on it could not be told from a connection that broke; mapping every disconnection to "not done", which is false once the call was written; reading engine streams with a parser of our own.

Change: aiohttp adapters, one module an interface, that share one place where failures are sorted: "not done" only if no connection could be made or the other side says not_run. An order can carry the weight store's ticket.

--- a/src/nutmeghook/internal/platform/engine.py
+++ b/src/nutmeghook/internal/platform/engine.py
@@ -125,6 +125,8 @@
         fencing_token: Never less than that of any earlier holder's order.
         target: The version to load or unload, or the role's name.
         secret: Shown to engines that check who orders; may be empty.
+        ticket: For `LOAD`, the weight store's leave to download; empty where
+            the engine needs none.
     """
 
     order_id: str
@@ -132,6 +134,7 @@
     target: str
     fencing_token: int
     secret: str = ""
+    ticket: str = ""
 
 
 class OrderState(enum.Enum):
--- /dev/null
+++ b/src/nutmeghook/internal/platform/http_engine.py
@@ -0,0 +1,217 @@
+"""Model engines over HTTP; docs/PLATFORM.md has the contract."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import datetime
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import http_exchange
+
+GENERATE_PATH = "/v1/generate"
+CANCEL_PATH = "/v1/cancel"
+LOAD_PATH = "/v1/load"
+ORDER_PATH = "/v1/orders"
+CACHE_EVENTS_PATH = "/v1/cache/events"
+CACHE_CONTENT_PATH = "/v1/cache/content"
+
+# Longest silence on a stream, the wait in the engine's queue included.
+SILENCE_TIMEOUT = datetime.timedelta(seconds=60)
+# The end of the body comes right behind the last line; waiting so long for it
+# saves a new connection for the next generation.
+END_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class CancelBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Names the attempt to stop."""
+
+    attempt_id: str
+
+
+class EmptyAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer where there is nothing to say."""
+
+
+class OrderAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of an order so far."""
+
+    state: engine.OrderState
+
+
+class CacheEventsAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Events in the order of their sequence numbers."""
+
+    events: list[engine.CacheEvent]
+
+
+_encoder = msgspec.json.Encoder()
+_chunk_decoder = msgspec.json.Decoder(engine.Chunk)
+_empty_decoder = msgspec.json.Decoder(EmptyAnswer)
+_load_decoder = msgspec.json.Decoder(engine.LoadReport)
+_order_decoder = msgspec.json.Decoder(OrderAnswer)
+_events_decoder = msgspec.json.Decoder(CacheEventsAnswer)
+
+
+class HttpEngine(engine.Engine):
+    """One engine at one address; keeps connections for later calls."""
+
+    __slots__ = ("_address", "_exchange", "_session", "_timeout", "_url")
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        address: str,
+        connect_timeout: datetime.timedelta,
+        answer_timeout: datetime.timedelta,
+        silence_timeout: datetime.timedelta,
+    ):
+        self._session = session
+        self._address = address
+        self._exchange = http_exchange.HttpExchange(
+            session=session,
+            address=address,
+            connect_timeout=connect_timeout,
+            answer_timeout=answer_timeout,
+        )
+        self._url = f"http://{address}{GENERATE_PATH}"
+        self._timeout = aiohttp.ClientTimeout(
+            sock_connect=connect_timeout.total_seconds(),
+            sock_read=silence_timeout.total_seconds(),
+        )
+
+    async def generate(
+        self, generation: engine.Generation
+    ) -> AsyncIterator[engine.Chunk]:
+        """Runs the generation and yields its chunks as they come.
+
+        Leaving early closes the connection: a stream that was read in part is
+        never used again, so its late chunks can't reach another request. Use
+        `contextlib.aclosing` to make that happen at once.
+        """
+        response = None
+        try:
+            response = await self._session.post(
+                self._url,
+                data=_encoder.encode(generation),
+                headers=http_exchange.JSON_HEADERS,
+                timeout=self._timeout,
+                allow_redirects=False,
+            )
+            if response.status != 200:
+                raise await self._refusal(response)
+            async for chunk in self._chunks(response):
+                yield chunk
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise http_exchange.sorted_failure(error, self._address) from error
+        except msgspec.DecodeError as error:
+            raise failures.OutcomeUnknownError(
+                f"{self._address}: a chunk can't be read: {error}"
+            ) from error
+        finally:
+            if response is not None:
+                # Does nothing where the body was read to its end.
+                response.close()
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Stops an attempt, if it still runs."""
+        body = _encoder.encode(CancelBody(attempt_id=attempt_id))
+        await self._exchange.write(CANCEL_PATH, body, _empty_decoder)
+
+    async def load_report(self) -> engine.LoadReport:
+        """Returns the engine's latest figures."""
+        return await self._exchange.read(LOAD_PATH, _load_decoder)
+
+    async def order(self, order: engine.Order) -> engine.OrderState:
+        """Gives an order, or asks how an earlier one with its id stands."""
+        answer = await self._exchange.write(
+            ORDER_PATH, _encoder.encode(order), _order_decoder
+        )
+        return answer.state
+
+    async def cache_events(
+        self, after_sequence: int
+    ) -> list[engine.CacheEvent]:
+        """Returns the events after a sequence number that are still kept."""
+        answer = await self._exchange.read(
+            CACHE_EVENTS_PATH, _events_decoder, after=str(after_sequence)
+        )
+        return answer.events
+
+    async def export_cache(self, prefix_hash: str) -> bytes | None:
+        """Returns the KV cache of a prefix, if the engine has it."""
+        return await self._exchange.read_bytes(
+            CACHE_CONTENT_PATH, prefix_hash=prefix_hash
+        )
+
+    async def import_cache(self, prefix_hash: str, content: bytes) -> None:
+        """Gives the engine the KV cache of a prefix."""
+        await self._exchange.write(
+            CACHE_CONTENT_PATH, content, _empty_decoder, prefix_hash=prefix_hash
+        )
+
+    async def _chunks(
+        self, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[engine.Chunk]:
+        async for line in response.content:
+            chunk = _chunk_decoder.decode(line)
+            if chunk.finish is not None:
+                await _read_end(response)
+            yield chunk
+
+    async def _refusal(
+        self, response: aiohttp.ClientResponse
+    ) -> failures.PlatformError:
+        return http_exchange.refusal_error(
+            peer=self._address,
+            status=response.status,
+            body=await response.read(),
+        )
+
+
+class HttpEngineConnector(engine.EngineConnector):
+    """Reaches engines over one session."""
+
+    __slots__ = (
+        "_answer_timeout",
+        "_connect_timeout",
+        "_session",
+        "_silence_timeout",
+    )
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        connect_timeout: datetime.timedelta = http_exchange.CONNECT_TIMEOUT,
+        answer_timeout: datetime.timedelta = http_exchange.ANSWER_TIMEOUT,
+        silence_timeout: datetime.timedelta = SILENCE_TIMEOUT,
+    ):
+        self._session = session
+        self._connect_timeout = connect_timeout
+        self._answer_timeout = answer_timeout
+        self._silence_timeout = silence_timeout
+
+    def connect(self, address: str) -> engine.Engine:
+        """Returns the engine at `ip:port`; connects on first use."""
+        return HttpEngine(
+            session=self._session,
+            address=address,
+            connect_timeout=self._connect_timeout,
+            answer_timeout=self._answer_timeout,
+            silence_timeout=self._silence_timeout,
+        )
+
+
+async def _read_end(response: aiohttp.ClientResponse) -> None:
+    """Reads the body's end, so that the connection may be used again."""
+    if response.content.at_eof():
+        return
+    try:
+        async with asyncio.timeout(END_TIMEOUT.total_seconds()):
+            await response.content.readany()
+    except (TimeoutError, aiohttp.ClientError):
+        response.close()
--- /dev/null
+++ b/src/nutmeghook/internal/platform/http_exchange.py
@@ -0,0 +1,211 @@
+"""HTTP calls with JSON bodies, their failures sorted for the adapters.
+
+What counts as proof that a call had no effect stands here, once: the
+connection could not be made, or the other side answered a `Refusal`.
+"""
+
+import datetime
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.platform import failures
+
+_T = TypeVar("_T")
+
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+ANSWER_TIMEOUT = datetime.timedelta(seconds=5)
+# Shorter than the platform's own (docs/PLATFORM.md asks for 20 s or more), so
+# that it is nearly always our side that drops an idle connection. A call
+# written to one that the other side just closed has an unknown outcome.
+IDLE_CONNECTION_TIMEOUT = datetime.timedelta(seconds=10)
+JSON_HEADERS = {"Content-Type": "application/json"}
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of an answer that says: nothing was done.
+
+    Attributes:
+        not_run: The call had, and will have, no effect.
+        overloaded: It was refused because of load or a rate limit.
+        retry_after_ms: When to call again, if that may help.
+    """
+
+    not_run: bool = False
+    message: str = ""
+    overloaded: bool = False
+    retry_after_ms: float | None = None
+
+
+_refusal_decoder = msgspec.json.Decoder(Refusal)
+
+
+def open_session(*, reuse_connections: bool = True) -> aiohttp.ClientSession:
+    """Returns a session as the adapters need it; call it in a running loop.
+
+    Args:
+        reuse_connections: False makes a connection for each call, which
+            `http_plain` demands.
+    """
+    if reuse_connections:
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=IDLE_CONNECTION_TIMEOUT.total_seconds()
+        )
+    else:
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    # One session carries the calls of all teams: a cookie that a backend
+    # server sets in an answer to one must not be sent along for another.
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        trust_env=False,
+    )
+
+
+def timeouts(
+    *, connect: datetime.timedelta, answer: datetime.timedelta
+) -> aiohttp.ClientTimeout:
+    """Returns the library's form of two timeouts."""
+    if not datetime.timedelta() < connect < answer:
+        raise ValueError(
+            f"connect timeout is {connect} and answer timeout is {answer}; "
+            "give a connect timeout over 0 and a longer answer timeout"
+        )
+    return aiohttp.ClientTimeout(
+        total=answer.total_seconds(), sock_connect=connect.total_seconds()
+    )
+
+
+def sorted_failure(error: Exception, peer: str) -> failures.PlatformError:
+    """Returns the platform error that an HTTP client error stands for.
+
+    A reused connection that the other side closed meanwhile shows as a
+    disconnection, as does a crash in the middle of the call. They can't be
+    told apart, so both are unknown.
+    """
+    message = f"{peer}: {type(error).__name__}: {error}"
+    no_connection = (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    )
+    if isinstance(error, no_connection):
+        return failures.NotDoneError(message)
+    return failures.OutcomeUnknownError(message)
+
+
+def refusal_error(
+    *, peer: str, status: int, body: bytes
+) -> failures.PlatformError:
+    """Returns the platform error for an answer that is not a success."""
+    try:
+        refusal = _refusal_decoder.decode(body)
+    except msgspec.DecodeError:
+        refusal = Refusal()
+    message = f"{peer}: status {status}: {refusal.message or body[:200]!r}"
+    if not refusal.not_run:
+        return failures.OutcomeUnknownError(message)
+    retry_after = None
+    if refusal.retry_after_ms is not None:
+        retry_after = refusal.retry_after_ms * _MILLISECOND
+    return failures.NotDoneError(
+        message, retry_after=retry_after, overloaded=refusal.overloaded
+    )
+
+
+class HttpExchange:
+    """Calls to one address."""
+
+    __slots__ = ("_base_url", "_peer", "_session", "_timeout")
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        address: str,
+        connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
+        answer_timeout: datetime.timedelta = ANSWER_TIMEOUT,
+    ):
+        self._session = session
+        self._peer = checked_address(address)
+        self._base_url = f"http://{address}"
+        self._timeout = timeouts(connect=connect_timeout, answer=answer_timeout)
+
+    async def read(
+        self, path: str, decoder: msgspec.json.Decoder[_T], **params: str
+    ) -> _T:
+        """Makes a call without effects and decodes its answer.
+
+        Raises:
+            failures.NotDoneError: Whatever went wrong, a read did nothing.
+        """
+        body = await self.read_bytes(path, **params)
+        return self._decode_read(body or b"", decoder)
+
+    async def read_bytes(self, path: str, **params: str) -> bytes | None:
+        """Makes a call without effects; None stands for "no content"."""
+        try:
+            return await self._call("GET", path, b"", params)
+        except failures.OutcomeUnknownError as error:
+            raise failures.NotDoneError(str(error)) from error
+
+    async def write(
+        self,
+        path: str,
+        body: bytes,
+        decoder: msgspec.json.Decoder[_T],
+        **params: str,
+    ) -> _T:
+        """Makes a call that may have effects and decodes its answer."""
+        # Always POST: the library sends other methods again by itself when a
+        # kept connection breaks, and the second answer (a condition that
+        # fails by the first one's own write) would hide the first's success.
+        answer = await self._call("POST", path, body, params)
+        try:
+            return decoder.decode(answer or b"")
+        except msgspec.DecodeError as error:
+            raise failures.OutcomeUnknownError(
+                f"{self._peer}{path}: {error}"
+            ) from error
+
+    async def _call(
+        self, method: str, path: str, body: bytes, params: dict[str, str]
+    ) -> bytes | None:
+        try:
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                data=body if method == "POST" else None,
+                params=params,
+                headers=JSON_HEADERS if method == "POST" else None,
+                timeout=self._timeout,
+                allow_redirects=False,
+            ) as response:
+                answer = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise sorted_failure(error, self._peer + path) from error
+        if response.status == 204:
+            return None
+        if response.status != 200:
+            raise refusal_error(
+                peer=self._peer + path, status=response.status, body=answer
+            )
+        return answer
+
+    def _decode_read(
+        self, body: bytes, decoder: msgspec.json.Decoder[_T]
+    ) -> _T:
+        try:
+            return decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise failures.NotDoneError(f"{self._peer}: {error}") from error
+
+
+def checked_address(address: str) -> str:
+    """Returns the address if it is written as `ip:port`."""
+    host, separator, port = address.rpartition(":")
+    if not (host and separator and port.isdigit()) or "/" in host:
+        raise ValueError(f"address is {address!r}; write it as 'ip:port'")
+    return address
--- /dev/null
+++ b/src/nutmeghook/internal/platform/http_weights.py
@@ -0,0 +1,62 @@
+"""The weight store over HTTP; docs/PLATFORM.md has the contract."""
+
+import msgspec
+
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.platform import weights
+
+INFO_PATH = "/v1/weights"
+GRANT_PATH = "/v1/weights/grants"
+
+
+class InfoAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What the store knows of a version; null for an unknown one."""
+
+    info: weights.WeightInfo | None
+
+
+class GrantBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks for leave for one engine to download one version."""
+
+    model_version: engine.ModelVersion
+    address: str
+
+
+class GrantAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The ticket to hand to the engine."""
+
+    ticket: str
+
+
+_info_decoder = msgspec.json.Decoder(InfoAnswer)
+_grant_decoder = msgspec.json.Decoder(GrantAnswer)
+_encoder = msgspec.json.Encoder()
+
+
+class HttpWeights(weights.WeightStore):
+    """Calls a weight store at one address."""
+
+    __slots__ = ("_exchange",)
+
+    def __init__(self, *, exchange: http_exchange.HttpExchange):
+        self._exchange = exchange
+
+    async def describe(
+        self, model_version: engine.ModelVersion
+    ) -> weights.WeightInfo | None:
+        """Returns what the store knows, or None for an unknown version."""
+        answer = await self._exchange.read(
+            INFO_PATH, _info_decoder, model_version=str(model_version)
+        )
+        return answer.info
+
+    async def grant_download(
+        self, model_version: engine.ModelVersion, address: str
+    ) -> str:
+        """Returns a ticket with which the engine at `address` may download."""
+        body = GrantBody(model_version=model_version, address=address)
+        answer = await self._exchange.write(
+            GRANT_PATH, _encoder.encode(body), _grant_decoder
+        )
+        return answer.ticket
--- /dev/null
+++ b/src/nutmeghook/standins/answers.py
@@ -0,0 +1,108 @@
+"""The text of model engine stand-ins, which tells where it came from.
+
+Each token of an answer reads `MARKER/MODEL@VERSION/INDEX`, so that a checker
+can see an answer that is crossed, spliced of two versions, doubled or cut.
+"""
+
+import dataclasses
+import re
+
+import xxhash
+
+from nutmeghook.internal.platform import engine
+
+BAD_SIGN = "!bad"
+END_SIGN = "/end"
+# In a prompt `marker=w1` or `"marker": "w1"`; the same in a path or a body.
+_MARKER = re.compile(r"\bmarker\W{1,5}([\w.-]+)")
+_TOKEN = re.compile(
+    r"(?P<marker>[\w.-]+)/(?P<version>[^/\s]+@[^/\s!]+)(?P<bad>!bad)?"
+    r"/(?P<index>\d+)(?P<end>/end)?"
+)
+
+
+class DamagedAnswerError(ValueError):
+    """A text that is not a gapless piece of one answer."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SeenAnswer:
+    """What a text says of itself.
+
+    Attributes:
+        bad: It came from a version while that was bad.
+        whole: It starts at the first token and ends with the last.
+    """
+
+    marker: str
+    model_version: engine.ModelVersion
+    tokens: int
+    bad: bool
+    whole: bool
+
+
+def marker_of(text: str) -> str:
+    """Returns the marker in a prompt, path or body, else the text's hash."""
+    found = _MARKER.search(text)
+    return found[1] if found else xxhash.xxh64_hexdigest(text.encode())
+
+
+def prompt_of(generation: engine.Generation) -> str:
+    """Returns a generation's messages as one text."""
+    return "\n".join(
+        f"{message.role}: {message.content}" for message in generation.messages
+    )
+
+
+def token_text(
+    *,
+    marker: str,
+    model_version: engine.ModelVersion,
+    index: int,
+    bad: bool,
+    last: bool,
+) -> str:
+    """Returns the text of one token."""
+    sign = BAD_SIGN if bad else ""
+    end = END_SIGN if last else ""
+    return f"{marker}/{model_version}{sign}/{index}{end} "
+
+
+def read_answer(text: str) -> SeenAnswer:
+    """Reads an answer and checks that it is one piece.
+
+    Raises:
+        DamagedAnswerError: A token is garbled, missing, doubled, out of
+            order, or of another request, version or state than the first.
+    """
+    tokens = [_read_token(word) for word in text.split()]
+    if not tokens:
+        raise DamagedAnswerError("the answer is empty")
+    first = tokens[0]
+    for position, token in enumerate(tokens):
+        expected_index = int(first["index"]) + position
+        same = all(token[k] == first[k] for k in ("marker", "version", "bad"))
+        if not same or int(token["index"]) != expected_index:
+            raise DamagedAnswerError(
+                f"word {position} is {token[0]!r} after {first[0]!r}"
+            )
+    return SeenAnswer(
+        marker=first["marker"],
+        model_version=engine.ModelVersion.parse(first["version"]),
+        tokens=len(tokens),
+        bad=first["bad"] is not None,
+        whole=first["index"] == "0" and tokens[-1]["end"] is not None,
+    )
+
+
+def _read_token(word: str) -> re.Match[str]:
+    token = _TOKEN.fullmatch(word)
+    if token is None:
+        raise DamagedAnswerError(f"{word[:80]!r} is not a token")
+    return token
+
+
+def version_in(text: str) -> str:
+    """Returns the version that a text names first, as `model@version`."""
+    found = _TOKEN.match(text)
+    return found["version"] if found else ""
--- a/src/nutmeghook/standins/memory_ratings.py
+++ b/src/nutmeghook/standins/memory_ratings.py
@@ -16,17 +16,18 @@
         delay: Time from a task to its rating.
         stopped: Tasks are taken, but no rating is given until it is False.
         bias: Added to each quality; the sum is cut to 0 to 1.
+        quality: Gives the quality of a task's answer; may be replaced.
     """
 
     __slots__ = (
         "_clock",
         "_known",
-        "_quality",
         "_ratings",
         "_waiting",
         "bias",
         "delay",
         "faults",
+        "quality",
         "stopped",
     )
 
@@ -43,7 +44,7 @@
         self.stopped = False
         self.bias = 0.0
         self._clock = clock
-        self._quality = quality
+        self.quality = quality
         self._known: set[tuple[str, int]] = set()
         self._waiting: collections.deque[
             tuple[datetime.timedelta, ratings.RatingTask]
@@ -80,7 +81,7 @@
             self._rate(self._waiting.popleft()[1])
 
     def _rate(self, task: ratings.RatingTask) -> None:
-        quality = self._quality(task) + self.bias
+        quality = self.quality(task) + self.bias
         self._ratings.append(
             ratings.Rating(
                 cursor=len(self._ratings) + 1,
--- /dev/null
+++ b/src/nutmeghook/standins/quality.py
@@ -0,0 +1,49 @@
+"""How good the stand-ins' answers are, for the rating service."""
+
+import re
+
+import msgspec
+import xxhash
+
+from nutmeghook.internal.platform import ratings
+from nutmeghook.standins import answers
+
+# In a prompt `difficulty=0.7`; without it, `QualitySettings.difficulty`.
+_DIFFICULTY = re.compile(r"\bdifficulty\W{1,5}(0?\.\d+|[01])")
+
+
+class QualitySettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What decides an answer's quality.
+
+    Attributes:
+        strengths: For each model, how hard a prompt may be for it, 0 to 1.
+        strength: For models that are not named.
+        difficulty: Of prompts that name none.
+        good_quality: Of an answer by a model that is strong enough.
+        bad_quality: Of an answer that carries the bad sign.
+        noise: Qualities spread so far up and down, the same for one request
+            and stage on every run.
+    """
+
+    strengths: dict[str, float] = msgspec.field(default_factory=dict)
+    strength: float = 1.0
+    difficulty: float = 0.3
+    good_quality: float = 0.9
+    bad_quality: float = 0.1
+    noise: float = 0.05
+
+
+def quality_of(task: ratings.RatingTask, settings: QualitySettings) -> float:
+    """Returns the quality of an answer, before it is cut to 0 to 1."""
+    hashed = xxhash.xxh64_intdigest(f"{task.request_id} {task.stage}".encode())
+    noise = settings.noise * (hashed / 2**63 - 1)
+    if answers.BAD_SIGN in task.answer:
+        return settings.bad_quality + noise
+    found = _DIFFICULTY.search(task.prompt)
+    difficulty = float(found[1]) if found else settings.difficulty
+    strength = settings.strengths.get(
+        task.model_version.model, settings.strength
+    )
+    return settings.good_quality - max(0.0, difficulty - strength) + noise
--- /dev/null
+++ b/src/nutmeghook/standins/serving.py
@@ -0,0 +1,204 @@
+"""Serves one stand-in over HTTP, and makes its connections fail."""
+
+import abc
+import asyncio
+import enum
+
+from aiohttp import typedefs
+from aiohttp import web
+import msgspec
+
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import http_exchange
+from nutmeghook.standins import faults as faults_module
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+# Longer than our side keeps idle connections; docs/PLATFORM.md says why.
+KEEPALIVE_S = 30.0
+
+
+class DownMode(enum.Enum):
+    """How a stand-in that is down looks from outside.
+
+    `REFUSING` answers that it did nothing; `CUTTING` closes the connection
+    without an answer, having done nothing; `HANGING` never answers; `GONE`
+    does not listen, and an engine has lost its memory.
+    """
+
+    UP = "up"
+    REFUSING = "refusing"
+    CUTTING = "cutting"
+    HANGING = "hanging"
+    GONE = "gone"
+
+
+class HttpStandIn(abc.ABC):
+    """A stand-in's HTTP side.
+
+    Attributes:
+        role: The name of the interface that it stands in for.
+        faults: Those of the stand-in in memory.
+    """
+
+    role = ""
+    faults: faults_module.Faults
+
+    @abc.abstractmethod
+    def routes(self) -> list[web.RouteDef]:
+        """Returns what docs/PLATFORM.md lists."""
+
+    @abc.abstractmethod
+    def control_routes(self, base: str) -> list[web.RouteDef]:
+        """Returns what a test can do with it, under the path `base`."""
+
+    @abc.abstractmethod
+    def crash(self) -> None:
+        """Loses what a crash would lose."""
+
+
+class LastingStandIn(HttpStandIn):
+    """A stand-in for something whose state outlives its processes."""
+
+    def crash(self) -> None:
+        """Loses nothing."""
+
+
+class StandInServer:
+    """Listens for one stand-in on the loopback interface.
+
+    Attributes:
+        name: Unique in the process.
+        stand_in: What it serves.
+        down_mode: See `DownMode`; set it with `set_down_mode`.
+    """
+
+    __slots__ = (
+        "_host",
+        "_port",
+        "_runner",
+        "_site",
+        "down_mode",
+        "name",
+        "stand_in",
+    )
+
+    def __init__(self, *, name: str, stand_in: HttpStandIn, host: str):
+        self.name = name
+        self.stand_in = stand_in
+        self.down_mode = DownMode.UP
+        self._host = host
+        self._port = 0
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as `ip:port`."""
+        return f"{self._host}:{self._port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Starts to listen; port 0 lets the system choose."""
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._answer]
+        )
+        app.add_routes(self.stand_in.routes())
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=0.0,
+        )
+        await self._runner.setup()
+        self._port = port
+        await self._listen()
+
+    async def stop(self) -> None:
+        """Stops for good."""
+        self._cut_connections()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def set_down_mode(self, mode: DownMode) -> None:
+        """Makes it look as `mode` says."""
+        was_gone = self.down_mode is DownMode.GONE
+        self.down_mode = mode
+        self.stand_in.faults.down = mode is DownMode.REFUSING
+        if mode is DownMode.GONE and not was_gone:
+            await self._vanish()
+        elif was_gone and mode is not DownMode.GONE:
+            await self._listen()
+
+    async def crash(self) -> None:
+        """Dies and comes back at once, without its memory."""
+        await self._vanish()
+        await self._listen()
+
+    async def _vanish(self) -> None:
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        self._cut_connections()
+        self.stand_in.crash()
+
+    async def _listen(self) -> None:
+        if self._runner is None or self._site is not None:
+            return
+        self._site = web.TCPSite(self._runner, self._host, self._port)
+        await self._site.start()
+        if not self._port:
+            self._port = self._runner.addresses[0][1]
+
+    def _cut_connections(self) -> None:
+        if self._runner is None or self._runner.server is None:
+            return
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    @web.middleware
+    async def _answer(
+        self, request: web.Request, handler: typedefs.Handler
+    ) -> web.StreamResponse:
+        if self.down_mode is DownMode.HANGING:
+            await asyncio.Event().wait()
+        if self.down_mode is DownMode.CUTTING:
+            return cut(request)
+        try:
+            return await handler(request)
+        except failures.NotDoneError as error:
+            return refusal(error)
+        except failures.OutcomeUnknownError:
+            return cut(request)
+        except (msgspec.DecodeError, KeyError, ValueError) as error:
+            return refusal(failures.NotDoneError(f"bad call: {error!r}"))
+
+
+def cut(request: web.Request) -> web.Response:
+    """Cuts the connection; the response returned reaches nobody."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def refusal(error: failures.NotDoneError) -> web.Response:
+    """Returns the answer which says that nothing was done."""
+    retry_after_ms = None
+    if error.retry_after is not None:
+        retry_after_ms = error.retry_after.total_seconds() * 1000
+    body = http_exchange.Refusal(
+        not_run=True,
+        message=str(error),
+        overloaded=error.overloaded,
+        retry_after_ms=retry_after_ms,
+    )
+    return json_answer(body, status=429 if error.overloaded else 503)
+
+
+def json_answer(body: object, *, status: int = 200) -> web.Response:
+    """Returns an answer with a JSON body."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(body),
+        content_type="application/json",
+    )
