Run the whole system under faults with one command and judge it

Cause: whoever clones the repository has to see the main job run, and what must hold checked by something that does not trust the instances. Ruled out: counting from the instances' metrics (a killed one loses them). Change: `nutmeghook demo` drives both users' work through 3 instances while a template changes, a bad version rolls out, one instance is killed, one is drained and the table service is out for 10 s; backend servers' logs, bills and callers' records are compared; the time line is gathered over the inner protocol and drawn. An answer must be one whole piece of its own request.

--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -4,10 +4,14 @@
 import sys
 
 import fire
+from fire import decorators
 import uvloop
 
 import nutmeghook
+from nutmeghook.experiment import demo
+from nutmeghook.internal.administration import commands as admin_commands
 from nutmeghook.internal.assembly import serving
+from nutmeghook.internal.commands import timeline
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.settings import flags as setting_flags
 from nutmeghook.internal.settings import loading
@@ -23,6 +27,9 @@
     itself: `nutmeghook COMMAND --help`.
     """
 
+    # fire shows a class as a group of commands, with its own help.
+    admin = admin_commands.AdministrationCommands
+
     def version(self) -> str:
         """Prints the version."""
         return nutmeghook.__version__
@@ -55,6 +62,38 @@
         print("\n".join(settings.printable_lines()))
         print("all settings are good")
 
+    @decorators.SetParseFn(str)
+    def timeline(
+        self, about: str = "", html: str = "", url: str = "", token: str = ""
+    ) -> None:
+        """Prints what happened on all instances, in order of time.
+
+        Clocks are corrected by the time that asking each instance took. An
+        instance keeps its newest events only; what fell out shows as a gap.
+
+        Args:
+            about: Only what concerns this request, operation or version.
+            html: Also draw it, into this file.
+            url: Any instance or the balancer; else NUTMEGHOOK_ADMIN_URL.
+            token: An administrator's token; else NUTMEGHOOK_TOKEN.
+        """
+        timeline.run(about=about, html=html, url=url, token=token)
+
+    def demo(
+        self, folder: str = "out/demo", works: int = 2200, seed: int = 1
+    ) -> None:
+        """Runs the whole system on stand-ins, with faults, and judges it.
+
+        Ends with one JSON line, and with status 1 if something that must
+        hold did not.
+
+        Args:
+            folder: Where logs, the history and the time line go.
+            works: How many pieces of work callers ask for.
+            seed: Of the work drawn.
+        """
+        demo.main(folder=folder, works=works, seed=seed)
+
 
 def _checked(flags: dict[str, str]) -> loading.Settings:
     """Loads settings; on faults prints them all and ends the process."""
--- a/src/nutmeghook/experiment/caller.py
+++ b/src/nutmeghook/experiment/caller.py
@@ -10,6 +10,7 @@
 from nutmeghook.experiment import history
 from nutmeghook.experiment import workload
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.standins import answers
 
 MOST_TRIES = 12
 LONGEST_WAIT_MS = 3_000
@@ -46,7 +47,6 @@
 
 
 class _Completion(msgspec.Struct):
-    model: str = ""
     choices: list[_Choice] = []
     error: _ErrorBody | None = None
 
@@ -143,7 +143,6 @@
         "outcome",
         "request_id",
         "retry_after_ms",
-        "served_version",
         "started_ms",
         "text",
     )
@@ -155,7 +154,6 @@
         self.request_id = ""
         self.code_number = 0
         self.retry_after_ms = 0
-        self.served_version = ""
         self.first_token_ms: float | None = None
         self.text: list[str] = []
 
@@ -174,15 +172,15 @@
         self.request_id = error.request_id or self.request_id
         self.retry_after_ms = error.retry_after_ms or 0
 
-    def take_text(self, text: str, model: str) -> None:
+    def take_text(self, text: str) -> None:
         """Takes a piece of the answer."""
         if self.first_token_ms is None:
             self.first_token_ms = time.time() * 1000 - self.started_ms
         self.text.append(text)
-        self.served_version = model
 
     def finished(self) -> history.Try:
         """Returns the record of the try."""
+        text = "".join(self.text)
         return history.Try(
             outcome=self.outcome,
             started_ms=self.started_ms,
@@ -191,9 +189,9 @@
             request_id=self.request_id,
             code_number=self.code_number,
             retry_after_ms=self.retry_after_ms,
-            served_version=self.served_version,
+            served_version=answers.version_in(text),
             first_token_ms=self.first_token_ms,
-            text="".join(self.text),
+            text=text,
         )
 
 
@@ -223,10 +221,7 @@
 
 
 def _is_plain(assignment: workload.Assignment) -> bool:
-    return assignment.kind in (
-        history.WorkKind.PLAIN_READ,
-        history.WorkKind.PLAIN_BOOKING,
-    )
+    return assignment.kind in history.PLAIN_KINDS
 
 
 def _path(assignment: workload.Assignment) -> str:
@@ -265,7 +260,7 @@
     else:
         completion = msgspec.json.decode(body, type=_Completion)
         message = completion.choices[0].message
-        seen.take_text((message and message.content) or "", completion.model)
+        seen.take_text((message and message.content) or "")
     seen.outcome = history.TryOutcome.ANSWERED
 
 
@@ -284,4 +279,4 @@
             return
         for choice in chunk.choices:
             if choice.delta and choice.delta.content:
-                seen.take_text(choice.delta.content, chunk.model)
+                seen.take_text(choice.delta.content)
--- a/src/nutmeghook/experiment/checks.py
+++ b/src/nutmeghook/experiment/checks.py
@@ -12,6 +12,9 @@
 import msgspec
 
 from nutmeghook.experiment import history
+from nutmeghook.standins import answers
+
+FLEET_DOCUMENT = "fleet"
 
 
 class Rule(enum.Enum):
@@ -27,6 +30,7 @@
     FALSE_NOT_RUN = "false_not_run"
     RAN_TWICE = "ran_twice"
     CROSSED = "crossed"
+    CUT_SHORT = "cut_short"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -62,8 +66,13 @@
 
 
 class Withdrawal(msgspec.Struct, frozen=True, kw_only=True):
-    """A version that may get no new work after a moment."""
+    """A version that may get no new work after a moment.
+
+    Attributes:
+        document: `template/TEAM/NAME`, or `fleet` for all templates.
+    """
 
+    document: str
     model_version: str
     in_force_ms: float
 
@@ -114,17 +123,30 @@
 
 
 def check_own_answer(evidence: Evidence) -> Iterable[Violation]:
-    """An answer carries its own work's marker."""
+    """An answer is one piece, from first to last token, of its own work."""
     for work in evidence.works:
         for answer in work.answers:
-            if work.marker not in answer.text:
+            broken = _broken_rule(work, answer.text)
+            if broken:
                 yield Violation(
-                    rule=Rule.CROSSED,
+                    rule=broken,
                     marker=work.marker,
                     detail=f"the answer is {answer.text[:80]!r}",
                 )
 
 
+def _broken_rule(work: history.Work, text: str) -> Rule | None:
+    if work.kind in history.PLAIN_KINDS:
+        return None if work.marker in text else Rule.CROSSED
+    try:
+        seen = answers.read_answer(text)
+    except answers.DamagedAnswerError:
+        return Rule.CROSSED
+    if seen.marker != work.marker:
+        return Rule.CROSSED
+    return None if seen.whole else Rule.CUT_SHORT
+
+
 def check_ran_once(evidence: Evidence) -> Iterable[Violation]:
     """Work that may not be repeated ran at most once."""
     runs: dict[str, int] = {}
@@ -208,18 +230,25 @@
 
 def check_withdrawn(evidence: Evidence) -> Iterable[Violation]:
     """No run of a withdrawn version started after it was out of force."""
-    for withdrawal in evidence.withdrawals:
-        for run in evidence.runs:
-            if (
-                run.model_version == withdrawal.model_version
-                and run.started_ms > withdrawal.in_force_ms
-            ):
-                late_ms = run.started_ms - withdrawal.in_force_ms
-                yield Violation(
-                    rule=Rule.AFTER_WITHDRAWAL,
-                    marker=run.marker,
-                    detail=f"{run.model_version} ran {late_ms:.0f} ms late",
-                )
+    document_of = {
+        work.marker: f"template/{work.team}/{work.template}"
+        for work in evidence.works
+    }
+    in_force: dict[tuple[str, str], float] = {
+        (w.document, w.model_version): w.in_force_ms
+        for w in evidence.withdrawals
+    }
+    for run in evidence.runs:
+        for document in (document_of.get(run.marker, ""), FLEET_DOCUMENT):
+            limit_ms = in_force.get((document, run.model_version))
+            if limit_ms is None or run.started_ms <= limit_ms:
+                continue
+            late_ms = run.started_ms - limit_ms
+            yield Violation(
+                rule=Rule.AFTER_WITHDRAWAL,
+                marker=run.marker,
+                detail=f"{run.model_version} ran {late_ms:.0f} ms late",
+            )
 
 
 def check_sessions_stay(evidence: Evidence) -> Iterable[Violation]:
--- a/src/nutmeghook/experiment/example_fleet.py
+++ b/src/nutmeghook/experiment/example_fleet.py
@@ -223,7 +223,10 @@
             pool=pool,
             region=region,
             data_centre=data_centre(region, number),
-            loaded=tuple(f"{model}@1" for model in loaded),
+            loaded=(
+                *(f"{model}@1" for model in loaded),
+                *((str(NEW_VERSION),) if SMALL_MODEL in loaded else ()),
+            ),
             settings=engine_settings.EngineSettings(
                 step_ms=5.0,
                 prompt_token_ms=0.05,
--- a/src/nutmeghook/experiment/history.py
+++ b/src/nutmeghook/experiment/history.py
@@ -17,6 +17,9 @@
     PLAIN_BOOKING = "plain_booking"
 
 
+PLAIN_KINDS = frozenset({WorkKind.PLAIN_READ, WorkKind.PLAIN_BOOKING})
+
+
 class TryOutcome(enum.Enum):
     """How one HTTP request ended, as its caller can know."""
 
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -30,6 +30,7 @@
 from nutmeghook.internal.limits import token_budget
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.observe import gathering
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import request_meter
 from nutmeghook.internal.rollout import gate as gate_module
@@ -215,7 +216,18 @@
                 config=self.config, principals=finder
             ),
         )
-        observation.add_routes(application, metrics=self.metrics)
+        observation.add_routes(
+            application,
+            metrics=self.metrics,
+            gatherer=gathering.EventsGatherer(
+                ring=self.events,
+                members=self.members,
+                caller=self.caller,
+                handlers=self._handlers,
+                clock=self._clock,
+            ),
+            principals=finder,
+        )
         self._listener = listener_module.Listener(application=application)
 
     def _build_admission(self) -> fair_admission.FairAdmission:
--- a/src/nutmeghook/internal/assembly/observation.py
+++ b/src/nutmeghook/internal/assembly/observation.py
@@ -3,19 +3,44 @@
 from aiohttp import hdrs
 from aiohttp import web
 import aioprometheus
+import msgspec
 
+from nutmeghook.internal.administration import principals as principals_module
+from nutmeghook.internal.entry import replies
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.observe import gathering
 from nutmeghook.internal.observe import metrics as metrics_module
 
+TIMELINE_PATH = "/observe/v1/timeline"
+
 
 def add_routes(
-    application: web.Application, *, metrics: metrics_module.Metrics
+    application: web.Application,
+    *,
+    metrics: metrics_module.Metrics,
+    gatherer: gathering.EventsGatherer,
+    principals: principals_module.PrincipalFinder,
 ) -> None:
-    """Adds `/metrics`."""
+    """Adds `/metrics` and the time line's events."""
 
-    async def show(request: web.Request) -> web.Response:
+    async def show_metrics(request: web.Request) -> web.Response:
         body, headers = aioprometheus.render(
             metrics.registry, request.headers.getall(hdrs.ACCEPT, [])
         )
         return web.Response(body=body, headers=headers)
 
-    application.router.add_get("/metrics", show)
+    async def show_events(request: web.Request) -> web.Response:
+        try:
+            principal = principals.find(request.headers)
+            # Events name the requests of all teams.
+            principal.check_may_read("")
+        except errors.CodedError as error:
+            return replies.error_response(error, request_id="")
+        gathered = await gatherer.gather()
+        return web.Response(
+            body=msgspec.json.encode(gathered),
+            content_type="application/json",
+        )
+
+    application.router.add_get("/metrics", show_metrics)
+    application.router.add_get(TIMELINE_PATH, show_events)
--- /dev/null
+++ b/src/nutmeghook/internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of `nutmeghook` beside `serve` and `admin`."""
--- a/src/nutmeghook/internal/ledger/bills.py
+++ b/src/nutmeghook/internal/ledger/bills.py
@@ -59,7 +59,7 @@
     async def bills(self) -> AsyncIterator[ledger.Bill]:
         """Yields every bill once."""
         met: set[str] = set()
-        async for record in self._all_records():
+        async for record in self.all_records():
             identity = records.entry_key(record.team, record.key)
             if identity not in met:
                 met.add(identity)
@@ -73,7 +73,7 @@
             totals.setdefault(team, TeamUsage(team=team)).add(bill)
         return [totals[team] for team in sorted(totals)]
 
-    async def _all_records(self) -> AsyncIterator[records.FinishRecord]:
+    async def all_records(self) -> AsyncIterator[records.FinishRecord]:
         async for record in self._in_objects(overflow.KEY_PREFIX):
             yield record
         async for record in self._in_log():
--- a/src/nutmeghook/internal/observe/events.py
+++ b/src/nutmeghook/internal/observe/events.py
@@ -42,6 +42,8 @@
     LIST_FAULT = "instance list fault"
     ROLLOUT_ADVANCED = "roll-out advanced"
     ROLLOUT_STOPPED = "roll-out stopped"
+    ROLLOUT_WAITING = "roll-out waits for ratings"
+    ROLLOUT_STEP_REFUSED = "roll-out step refused"
     VERSION_WITHDRAWN = "version withdrawn"
     ORDER_SENT = "order sent"
 
--- a/tests/cover/test_history_checks.py
+++ b/tests/cover/test_history_checks.py
@@ -21,7 +21,7 @@
         "instance": "a",
         "request_id": f"req-{marker}",
         "served_version": "m@1",
-        "text": f"{marker} text",
+        "text": f"{marker}/m@1/0 {marker}/m@1/1/end ",
     }
     return history.Try(**(fields | changes))
 
@@ -93,13 +93,18 @@
         )
 
     def test_doubled_and_crossed(self):
-        work = one_work("a", one_try("a"), one_try("a", text="a other"))
+        work = one_work("a", one_try("a"), one_try("a", text="a/m@1/0/end "))
         self.assertEqual(
             rules_broken(evidence_of([work])), {checks.Rule.DOUBLED}
         )
-        crossed = one_work("a", one_try("a", text="b text"))
+        for text in ("b/m@1/0/end", "a/m@1/0 a/m@2/1/end", "a/m@1/0 a/m@1/2"):
+            crossed = one_work("a", one_try("a", text=text))
+            self.assertEqual(
+                rules_broken(evidence_of([crossed])), {checks.Rule.CROSSED}
+            )
+        short = one_work("a", one_try("a", text="a/m@1/0 a/m@1/1"))
         self.assertEqual(
-            rules_broken(evidence_of([crossed])), {checks.Rule.CROSSED}
+            rules_broken(evidence_of([short])), {checks.Rule.CUT_SHORT}
         )
 
     def test_ran_twice_and_false_not_run(self):
@@ -126,7 +131,11 @@
         withdrawn = evidence_of(
             [one_work("a")],
             withdrawals=[
-                checks.Withdrawal(model_version="m@1", in_force_ms=-1.0)
+                checks.Withdrawal(
+                    document="template/t/x",
+                    model_version="m@1",
+                    in_force_ms=-1.0,
+                )
             ],
         )
         self.assertEqual(
@@ -145,7 +154,11 @@
         self.assertEqual(
             rules_broken(evidence_of(works)), {checks.Rule.SESSION_MOVED}
         )
-        withdrawn = [checks.Withdrawal(model_version="m@1", in_force_ms=2.0)]
+        withdrawn = [
+            checks.Withdrawal(
+                document="fleet", model_version="m@1", in_force_ms=2.0
+            )
+        ]
         self.assertEqual(
             rules_broken(evidence_of(works, withdrawals=withdrawn)), set()
         )
