--- a/src/nutmeghook/standins/memory_engine.py
+++ b/src/nutmeghook/standins/memory_engine.py
@@ -108,6 +108,7 @@
     ) -> AsyncIterator[engine.Chunk]:
         """Runs the generation and yields its chunks as they come."""
         await self.faults.before_read()
+        self._forget_old_attempts()
         run = self._attempts.get(generation.attempt_id)
         if run is None:
             run = self._new_run(generation)
@@ -161,7 +162,6 @@
         )
 
     def _new_run(self, generation: engine.Generation) -> engine_runs.Run:
-        self._forget_old_attempts()
         self._refuse_if_unfit(generation)
         now = self._clock.monotonic()
         run = engine_runs.Run(
