Assemble membership and the roll-outs' lease into an instance

Cause: instances knew of no others, so a change's "in force" named one of them, and nobody held the roll-outs' lease. Ruled out: binding UDP on a second setting (one inner address is what the list and the members carry). Change: inner_side binds one port number over TCP and UDP and builds the membership; rollouts builds gate, lease, leave and controller.

--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -6,8 +6,10 @@
 
 from nutmeghook.internal.administration import application as admin_application
 from nutmeghook.internal.administration import principals
+from nutmeghook.internal.assembly import inner_side
 from nutmeghook.internal.assembly import observation
 from nutmeghook.internal.assembly import platform_clients
+from nutmeghook.internal.assembly import rollouts
 from nutmeghook.internal.config import assembly as config_assembly
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.dispatch import dispatcher as dispatcher_module
@@ -18,28 +20,21 @@
 from nutmeghook.internal.entry import shutdown
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identifiers
-from nutmeghook.internal.inner import peers
-from nutmeghook.internal.inner import tcp_client
-from nutmeghook.internal.inner import tcp_server
-from nutmeghook.internal.inner import traffic
 from nutmeghook.internal.ledger import factory as ledger_factory
 from nutmeghook.internal.ledger import settings as ledger_settings
 from nutmeghook.internal.limits import fair_admission
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
 from nutmeghook.internal.limits import token_budget
-from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.observe import gathering
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import request_meter
-from nutmeghook.internal.rollout import gate as gate_module
 from nutmeghook.internal.routing import cascade_fixed
 from nutmeghook.internal.routing import service as routing_service
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.internal.settings import loading
 
-_CLOSE_GRACE = datetime.timedelta(seconds=2)
 _LEDGER_DRAIN = datetime.timedelta(seconds=5)
 
 
@@ -51,21 +46,17 @@
         "_clock",
         "_dispatcher",
         "_drain",
-        "_gate",
-        "_handlers",
-        "_inner_server",
+        "_inner",
         "_ledger",
         "_listener",
         "_random",
         "_rating_queue",
+        "_rollouts",
         "_routing",
         "_settings",
-        "_traffic",
-        "caller",
         "config",
         "events",
         "identifiers",
-        "inner_address",
         "members",
         "metrics",
     )
@@ -82,34 +73,29 @@
         )
         self.metrics = metrics_module.Metrics()
         self._clients = platform_clients.open_clients(settings)
-        self._traffic = traffic.Traffic()
-        self._handlers = peers.PeerHandlers()
-        credential = settings.text("inner_credential")
-        self._inner_server = tcp_server.TcpServer(
-            clock=clock,
-            handlers=self._handlers,
-            credential=credential,
-            traffic=self._traffic,
-        )
-        self.caller = tcp_client.TcpPeerCaller(
-            clock=clock,
-            credential=credential,
-            traffic=self._traffic,
-            random=self._random,
+        self._inner = inner_side.InnerSide(
+            settings=settings, clock=clock, random_source=self._random
         )
 
+    @property
+    def inner_address(self) -> str:
+        """Where other instances reach this one; known once it started."""
+        return self._inner.address
+
     async def start(self) -> str:
         """Listens on both sides; returns the callers' address."""
-        host, _, port = self._settings.text("inner_address").rpartition(":")
-        self.inner_address = await self._inner_server.start(
-            host=host, port=int(port)
+        await self._inner.start(
+            ids=self.identifiers,
+            instance_list=self._clients.instance_list,
+            random_source=self._random,
+            events=self.events,
         )
-        self.members = self._build_members()
+        self.members = self._inner.membership
         self.config = config_assembly.build(
             table=self._clients.table,
             members=self.members,
-            caller=self.caller,
-            handlers=self._handlers,
+            caller=self._inner.caller,
+            handlers=self._inner.handlers,
             clock=self._clock,
             events=self.events,
             random=self._random,
@@ -119,8 +105,8 @@
             clock=self._clock,
             events=self.events,
             members=self.members,
-            caller=self.caller,
-            handlers=self._handlers,
+            caller=self._inner.caller,
+            handlers=self._inner.handlers,
             instance_list=self._clients.instance_list,
             connector=self._clients.engines,
             rng=self._random,
@@ -135,24 +121,14 @@
         )
         return self._listener.address
 
-    def _build_members(self) -> members_module.MemberView:
-        return members_module.FixedMemberView(
-            myself=members_module.Member(
-                inner_address=self.inner_address,
-                incarnation=self.identifiers.incarnation,
-                region=self._settings.text("region"),
-                data_centre=self._settings.text("data_centre"),
-            )
-        )
-
     def _build_ledger(self) -> ledger_factory.InstanceLedger:
         settings = self._settings
         return ledger_factory.InstanceLedger(
             members=self.members,
             table=self._clients.table,
             objects=self._clients.objects,
-            peer_caller=self.caller,
-            handlers=self._handlers,
+            peer_caller=self._inner.caller,
+            handlers=self._inner.handlers,
             clock=self._clock,
             rng=self._random,
             events=self.events,
@@ -166,10 +142,15 @@
         )
 
     def _build_request_path(self) -> None:
-        self._gate = gate_module.GrantedExposureGate(
-            caller=self.caller,
+        self._rollouts = rollouts.RollOuts(
             members=self.members,
+            config=self.config,
+            table=self._ledger.table,
+            ratings=self._clients.ratings,
+            caller=self._inner.caller,
+            handlers=self._inner.handlers,
             clock=self._clock,
+            events=self.events,
             random_source=self._random,
         )
         meter = request_meter.MetricsMeter(metrics=self.metrics)
@@ -182,7 +163,7 @@
             versions=version_choice.ConfiguredVersionChooser(
                 view=self.config.replica,
                 pins=self._ledger.pins,
-                gate=self._gate,
+                gate=self._rollouts.gate,
             ),
             backends=self._routing.chooser,
             engines=self._clients.engines,
@@ -222,8 +203,8 @@
             gatherer=gathering.EventsGatherer(
                 ring=self.events,
                 members=self.members,
-                caller=self.caller,
-                handlers=self._handlers,
+                caller=self._inner.caller,
+                handlers=self._inner.handlers,
                 clock=self._clock,
             ),
             principals=finder,
@@ -246,13 +227,16 @@
     async def run(self) -> None:
         """Runs what works in the background until cancelled."""
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.members.run())
             tasks.create_task(self.config.distributor.run())
+            tasks.create_task(self._rollouts.run())
             tasks.create_task(self._ledger.run())
             tasks.create_task(self._routing.run())
             tasks.create_task(self._rating_queue.run())
 
     async def leave(self) -> None:
         """Stops taking requests, finishes all, hands over what it held."""
+        self.members.announce_leaving()
         await shutdown.shut_down(
             clock=self._clock,
             drain=self._drain,
@@ -262,10 +246,10 @@
                 milliseconds=self._settings.count("drain_lag_ms")
             ),
         )
+        await self._rollouts.release()
         await self._ledger.drain(timeout=_LEDGER_DRAIN)
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._inner_server.close(grace=_CLOSE_GRACE)
-        await self.caller.close(grace=_CLOSE_GRACE)
+        await self._inner.close()
         await self._clients.close()
