Let the demo's bad version reach callers and be stopped

Cause: at 1% of one team's lookups the bad version got no session in a short run, so the demo proved nothing about its stop. Ruled out: a longer run (1% of about 100 lookups is one answer). Change: the demo's templates roll out in steps of 20, 50 and 100%; serving instances no longer load the experiment's modules.

--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -1,5 +1,10 @@
-"""The `nutmeghook` command."""
+"""The `nutmeghook` command.
 
+The experiment's modules are loaded by the commands that need them: a serving
+instance has 128 MB, and would hold stand-ins and checks that it never uses.
+"""
+
+import importlib
 import os
 import sys
 
@@ -8,7 +13,6 @@
 import uvloop
 
 import nutmeghook
-from nutmeghook.experiment import demo
 from nutmeghook.internal.administration import commands as admin_commands
 from nutmeghook.internal.assembly import serving
 from nutmeghook.internal.commands import timeline
@@ -92,6 +96,7 @@
             works: How many pieces of work callers ask for.
             seed: Of the work drawn.
         """
+        demo = importlib.import_module("nutmeghook.experiment.demo")
         demo.main(folder=folder, works=works, seed=seed)
 
 
--- a/src/nutmeghook/experiment/example_fleet.py
+++ b/src/nutmeghook/experiment/example_fleet.py
@@ -164,6 +164,9 @@
         start=start,
         priority=priority,
         freshness=documents.FreshnessPolicy.STOP_ROLL_OUTS,
+        roll_out=documents.RollOutPolicy(
+            steps_percent=(20.0, 50.0, 100.0), ratings_per_step=30
+        ),
     )
 
 
--- a/src/nutmeghook/experiment/report.py
+++ b/src/nutmeghook/experiment/report.py
@@ -1,7 +1,8 @@
 """The demo's report: for people, and one JSON line for programs."""
 
+import statistics
+
 import msgspec
-import numpy
 
 from nutmeghook.experiment import checks
 from nutmeghook.experiment import history
@@ -54,6 +55,7 @@
 
 
 MICROS_PER_EURO = 1_000_000
+_FEWEST_FOR_P95 = 20
 
 
 def summarize(
@@ -99,7 +101,9 @@
         for answer in work.answers
         if work.streamed and answer.first_token_ms is not None
     ]
-    return float(numpy.percentile(times, 95)) if times else 0.0
+    if len(times) < _FEWEST_FOR_P95:
+        return max(times, default=0.0)
+    return statistics.quantiles(times, n=20)[-1]
 
 
 def _is_bad(answer: history.Try) -> bool:
