Test leases, claims, bills and pins under failures

Cause: the thin ledger was shown to work only where nothing fails. Change: tests of a holder killed between commit and reply, frozen past its lease and thawed, lost answers, late effects, the table service down and slow, the object store down, both down, a claimant killed, callers that leave, hand-over at drain, rows written over.

--- a/src/nutmeghook/internal/ledger/bills.py
+++ b/src/nutmeghook/internal/ledger/bills.py
@@ -74,6 +74,7 @@
         return [totals[team] for team in sorted(totals)]
 
     async def all_records(self) -> AsyncIterator[records.FinishRecord]:
+        """Yields every place's records: a bill may come more than once."""
         async for record in self._in_objects(overflow.KEY_PREFIX):
             yield record
         async for record in self._in_log():
--- a/src/nutmeghook/internal/ledger/factory.py
+++ b/src/nutmeghook/internal/ledger/factory.py
@@ -45,6 +45,7 @@
     """
 
     __slots__ = (
+        "_liveness",
         "_overflow",
         "bill_reader",
         "client",
@@ -72,7 +73,8 @@
     ):
         settings = settings or settings_module.LedgerSettings()
         lease_settings = lease_settings or rows.LeaseSettings()
-        liveness = liveness_module.Liveness(members=members)
+        liveness = liveness_module.Liveness(members=members, clock=clock)
+        self._liveness = liveness
         myself = members.myself
         self.table_health = _health(
             "table service",
@@ -202,6 +204,7 @@
     async def run(self) -> None:
         """Runs all parts until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._liveness.run())
             group.create_task(self.table_health.run())
             group.create_task(self.objects_health.run())
             group.create_task(self.service.run())
--- a/src/nutmeghook/internal/ledger/liveness.py
+++ b/src/nutmeghook/internal/ledger/liveness.py
@@ -1,7 +1,12 @@
 """What the ledger concludes from the list of members."""
 
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.membership import members as members_module
 
+_LOOK_EVERY = datetime.timedelta(milliseconds=500)
+
 
 class Liveness:
     """Tells members that exist from those that are gone.
@@ -10,12 +15,21 @@
     list: it is neither alive nor gone.
     """
 
-    __slots__ = ("_members", "_seen")
+    __slots__ = ("_clock", "_members", "_seen")
 
-    def __init__(self, *, members: members_module.MemberView):
+    def __init__(
+        self, *, members: members_module.MemberView, clock: clock_module.Clock
+    ):
         self._members = members
+        self._clock = clock
         self._seen: set[str] = set()
 
+    async def run(self) -> None:
+        """Keeps in mind who was a member, until cancelled."""
+        while True:
+            self._present()
+            await self._clock.sleep(_LOOK_EVERY)
+
     def is_alive(self, incarnation: str) -> bool:
         """Whether an incarnation is a member now."""
         return incarnation in self._present()
--- /dev/null
+++ b/tests/cover/test_ledger_bills.py
@@ -0,0 +1,273 @@
+"""One bill a finished request, whatever happens to stores and instances."""
+
+import asyncio
+import unittest
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import archive
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.ledger import overflow
+from nutmeghook.internal.ledger import records
+from tests import ledger_cluster
+
+MS = ledger_cluster.MS
+SECOND = ledger_cluster.SECOND
+
+
+class BillTest(unittest.IsolatedAsyncioTestCase):
+    """Bills of requests without a caller's key, from several instances."""
+
+    async def asyncSetUp(self):
+        self.cluster = ledger_cluster.Cluster()
+        for name in "abc":
+            self.cluster.start(name)
+        self.holder = await self.cluster.until_held()
+        self.one, self.other = self.cluster.others(self.holder)
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+
+    def finishing(self, instance, key, *, given=False, patience=20):
+        return asyncio.ensure_future(
+            instance.client.finish(
+                bill=ledger_cluster.bill(key, given=given),
+                answer=None,
+                timeout=patience * SECOND,
+            )
+        )
+
+    async def finish(self, instance, *keys, **options):
+        tasks = [self.finishing(instance, key, **options) for key in keys]
+        await self.cluster.drive(asyncio.gather(*tasks))
+
+    async def billed_in_log(self):
+        found = await self.cluster.log_records()
+        return [
+            record.key
+            for record in found
+            if isinstance(record, records.FinishRecord)
+        ]
+
+    async def store_out(self):
+        """Takes the table service out and waits until that is noticed."""
+        self.cluster.table.faults.down = True
+        await self.cluster.until(
+            lambda: all(
+                instance.ledger.table_health.is_out
+                for instance in self.cluster.instances.values()
+            )
+        )
+
+    async def test_bills_that_come_together_share_a_commit(self):
+        before = self.cluster.table.commits
+        keys = [f"k{number:03d}" for number in range(200)]
+        await self.finish(self.one, *keys)
+        self.assertEqual(await self.cluster.billed(), keys)
+        self.assertLess(self.cluster.table.commits - before, 10)
+
+    async def test_holder_killed_between_commit_and_reply(self):
+        """A bill is committed, and the holder dies before it says so.
+
+        The instance sends it again, to the successor, which has read the
+        bill back from the log and records nothing twice.
+        """
+        self.cluster.table.faults.delay = 500 * MS
+        work = self.finishing(self.one, "k")
+        await self.cluster.pass_time(100 * MS)
+        self.cluster.table.faults.delay = 0 * MS
+        self.assertEqual(await self.billed_in_log(), ["k"])
+        self.cluster.kill(self.holder.address[0])
+        await self.cluster.drive(work)
+        self.assertEqual(await self.billed_in_log(), ["k"])
+        self.assertEqual(await self.cluster.billed(), ["k"])
+
+    async def test_table_out_bills_go_to_the_object_store_and_back(self):
+        """The table service is out for a minute while requests finish.
+
+        Their bills go to the object store, so they get their last byte. When
+        the table service is back the bills are moved to the log, once.
+        """
+        await self.store_out()
+        keys = [f"k{number}" for number in range(20)]
+        await self.finish(self.one, *keys)
+        self.assertTrue(self.one.ledger.accepting_work())
+        self.assertEqual(await self.cluster.billed(), sorted(keys))
+        await self.cluster.pass_time(60 * SECOND)
+        self.cluster.table.faults.down = False
+        await self.until_overflow_is_empty()
+        self.assertEqual(sorted(await self.billed_in_log()), sorted(keys))
+
+    async def test_killed_between_object_and_log(self):
+        """The instance dies while its bills are in the object store only.
+
+        The holder of partition 0 finds objects of an instance that is gone
+        and moves their bills to the log.
+        """
+        await self.store_out()
+        await self.finish(self.one, "k1", "k2")
+        self.cluster.kill(self.one.address[0])
+        self.cluster.table.faults.down = False
+        await self.until_overflow_is_empty()
+        self.assertEqual(sorted(await self.billed_in_log()), ["k1", "k2"])
+        self.assertEqual(await self.cluster.billed(), ["k1", "k2"])
+
+    async def test_killed_between_log_and_deletion_of_the_object(self):
+        """A bill is moved to the log, and its object's deletion fails.
+
+        It is in both places, and moved again by the sweep: one bill still.
+        """
+        await self.store_out()
+        await self.finish(self.one, "k")
+        self.cluster.objects.faults.lose_next_requests = 1
+        self.cluster.table.faults.down = False
+        await self.cluster.until(
+            lambda: self.cluster.objects.faults.lose_next_requests == 0
+        )
+        self.cluster.kill(self.one.address[0])
+        self.assertEqual(await self.cluster.billed(), ["k"])
+        await self.until_overflow_is_empty()
+        self.assertEqual(await self.billed_in_log(), ["k"])
+
+    async def test_answer_of_the_object_store_is_lost(self):
+        """The put of a bill takes effect and its answer is lost.
+
+        The same put is repeated until its outcome is certain: one bill.
+        """
+        await self.store_out()
+        self.cluster.objects.faults.lose_next_answers = 1
+        await self.finish(self.one, "k")
+        self.assertEqual(await self.cluster.billed(), ["k"])
+
+    async def test_both_stores_out(self):
+        """Both stores are out: the bill can't be made durable in time.
+
+        The caller is told that the work ran and its bill is unsettled, new
+        work is refused, and the bill is recorded once a store is back.
+        """
+        self.cluster.objects.faults.down = True
+        await self.store_out()
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.finish(self.one, "k", patience=5)
+        self.assertIs(raised.exception.code, codes.Code.BILL_UNSETTLED)
+        self.assertFalse(self.one.ledger.accepting_work())
+        self.assertEqual(self.one.client.unsettled, 1)
+        self.cluster.objects.faults.down = False
+        await self.cluster.until(lambda: self.one.client.unsettled == 0)
+        self.assertTrue(self.one.ledger.accepting_work())
+        self.assertEqual(await self.cluster.billed(), ["k"])
+
+    async def test_a_slow_table_service_bills_once(self):
+        """Each call to the table service takes longer than its timeout.
+
+        Every commit is in doubt, so the bill goes to the object store too;
+        when the service is quick again it is in one place or both, once.
+        """
+        self.cluster.table.faults.delay = 5 * SECOND
+        await self.finish(self.one, "k")
+        self.cluster.table.faults.delay = 0 * MS
+        await self.cluster.pass_time(30 * SECOND)
+        self.assertEqual(await self.cluster.billed(), ["k"])
+        self.assertEqual(await self.billed_in_log(), ["k"])
+
+    async def test_cut_from_the_holder(self):
+        """An instance can't reach the holder, only the stores.
+
+        Its bill goes to the object store and is counted from there.
+        """
+        self.cluster.network.cut_both_ways(
+            self.one.address, self.holder.address
+        )
+        await self.finish(self.one, "k")
+        self.assertEqual(await self.cluster.billed(), ["k"])
+
+    async def test_drain_moves_overflow_and_settles(self):
+        await self.store_out()
+        await self.finish(self.one, "k")
+        self.cluster.table.faults.down = False
+        await self.cluster.until(lambda: self.cluster.holder() is not None)
+        await self.cluster.drive(self.one.ledger.drain(timeout=SECOND))
+        await self.until_overflow_is_empty()
+        self.assertEqual(await self.billed_in_log(), ["k"])
+
+    async def until_overflow_is_empty(self):
+        for _ in range(100):
+            keys = await self.cluster.drive(
+                self.cluster.objects.list_keys(prefix=overflow.KEY_PREFIX)
+            )
+            if not keys:
+                return
+            await self.cluster.pass_time(SECOND)
+        self.fail("bills stay in the object store")
+
+
+class RetentionTest(unittest.IsolatedAsyncioTestCase):
+    """Rows are written over, and bills outlast them."""
+
+    async def asyncSetUp(self):
+        self.cluster = ledger_cluster.Cluster(window=60 * SECOND)
+        for name in "ab":
+            self.cluster.start(name)
+        self.holder = await self.cluster.until_held()
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+
+    async def finish(self, key):
+        await self.cluster.drive(
+            self.holder.client.finish(
+                bill=ledger_cluster.bill(key),
+                answer=ledger_cluster.ANSWER,
+                timeout=5 * SECOND,
+            )
+        )
+
+    async def test_rows_are_reused_and_bills_kept(self):
+        """A partition runs for five windows, with a take-over among them.
+
+        Old bills move to the object store, and the log's rows stay as few as
+        one window needs. Every bill is there once at the end.
+        """
+        keys = [f"k{number:02d}" for number in range(16)]
+        for number, key in enumerate(keys):
+            await self.finish(key)
+            await self.cluster.pass_time(20 * SECOND)
+            if number == 8:
+                self.cluster.kill(self.holder.address[0])
+                self.cluster.start("c")
+                self.holder = await self.cluster.until_held()
+        rows = await self.cluster.drive(
+            self.cluster.table.scan(prefix="ledger/")
+        )
+        self.assertLess(len(rows), 8)
+        archived = await self.cluster.drive(
+            self.cluster.objects.list_keys(prefix=archive.KEY_PREFIX)
+        )
+        self.assertGreater(len(archived), 5)
+        self.assertEqual(await self.cluster.billed(), keys)
+
+    async def test_usage_adds_up(self):
+        for key in ("k1", "k2"):
+            await self.finish(key)
+        [usage] = await self.cluster.drive(
+            self.holder.ledger.bill_reader.usage()
+        )
+        self.assertEqual(
+            (usage.team, usage.requests, usage.cost_micros),
+            ("agency", 2, 14),
+        )
+
+    async def test_a_key_is_forgotten_after_the_window(self):
+        identity = ledger_cluster.identity("k")
+        await self.finish("k")
+        for wait_s, state in (
+            (30, ledger.ClaimState.ANSWERED),
+            (60, ledger.ClaimState.WON),
+        ):
+            await self.cluster.pass_time(wait_s * SECOND)
+            result = await self.cluster.drive(
+                self.holder.client.claim(
+                    identity, request_id=f"r{wait_s}", timeout=SECOND
+                )
+            )
+            self.assertEqual(result.state, state)
--- a/tests/cover/test_ledger_claims.py
+++ b/tests/cover/test_ledger_claims.py
@@ -1,62 +1,284 @@
 """One run a key, whatever happens to the instances and the store."""
 
+import asyncio
 import unittest
 
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.ledger import records
 from tests import ledger_cluster
 
+MS = ledger_cluster.MS
+SECOND = ledger_cluster.SECOND
 WON = ledger.ClaimState.WON
 RUNNING = ledger.ClaimState.RUNNING
 ANSWERED = ledger.ClaimState.ANSWERED
 UNKNOWN = ledger.ClaimState.UNKNOWN
-TIMEOUT = 2 * ledger_cluster.SECOND
 
 
 class ClaimTest(unittest.IsolatedAsyncioTestCase):
     """Claims of one key from several instances."""
 
     async def asyncSetUp(self):
-        self.cluster = ledger_cluster.Cluster()
+        self.cluster = ledger_cluster.Cluster(max_entries=5)
         for name in "abc":
             self.cluster.start(name)
         self.holder = await self.cluster.until_held()
+        self.one, self.other = self.cluster.others(self.holder)
 
     async def asyncTearDown(self):
         await self.cluster.stop()
 
-    async def claim(self, instance, key, request_id, *, digest="d"):
-        result = await self.cluster.drive(
+    def claiming(
+        self, instance, request_id, *, digest="d", key="k", patience=2
+    ):
+        return asyncio.ensure_future(
             instance.client.claim(
                 ledger_cluster.identity(key, digest=digest),
                 request_id=request_id,
-                timeout=TIMEOUT,
+                timeout=patience * SECOND,
             )
         )
-        return result.state
 
-    async def finish(self, instance, key, request_id):
-        await self.cluster.drive(
-            instance.client.finish(
-                bill=ledger_cluster.bill(key, request_id=request_id),
-                answer=ledger_cluster.ANSWER,
-                timeout=TIMEOUT,
-            )
-        )
+    async def claim(self, instance, request_id, **options):
+        work = self.claiming(instance, request_id, **options)
+        return (await self.cluster.drive(work)).state
+
+    async def assert_refused(self, instance, request_id, **options):
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.claim(instance, request_id, **options)
+        self.assertIs(raised.exception.code, codes.Code.STORE_OUT)
+
+    async def claims_in_log(self):
+        found = await self.cluster.log_records()
+        return [
+            record.request_id
+            for record in found
+            if isinstance(record, records.ClaimRecord)
+        ]
 
     async def test_a_retry_elsewhere_gets_the_first_ones_answer(self):
-        one, other = self.cluster.others(self.holder)
-        self.assertEqual(await self.claim(one, "k", "r1"), WON)
-        self.assertEqual(await self.claim(other, "k", "r2"), RUNNING)
-        await self.finish(one, "k", "r1")
-        retried = await self.cluster.drive(
-            other.client.claim(
-                ledger_cluster.identity("k"), request_id="r3", timeout=TIMEOUT
+        """The caller's retry reaches another instance.
+
+        While the first try runs it is told so; after its end it gets the
+        first try's answer, and a different body is refused. One bill.
+        """
+        self.assertEqual(await self.claim(self.one, "r1"), WON)
+        self.assertEqual(await self.claim(self.other, "r2"), RUNNING)
+        await self.cluster.drive(
+            self.one.client.finish(
+                bill=ledger_cluster.bill("k", request_id="r1"),
+                answer=ledger_cluster.ANSWER,
+                timeout=2 * SECOND,
             )
         )
+        retried = await self.cluster.drive(self.claiming(self.other, "r3"))
         self.assertEqual(retried.state, ANSWERED)
         self.assertEqual(retried.answer, ledger_cluster.ANSWER)
         self.assertEqual(
-            await self.claim(other, "k", "r4", digest="other"),
+            await self.claim(self.other, "r4", digest="other"),
             ledger.ClaimState.BODY_DIFFERS,
         )
         self.assertEqual(await self.cluster.billed(), ["k"])
+
+    async def test_of_claims_at_once_one_wins(self):
+        tries = [
+            self.claiming(instance, f"r{number}")
+            for number, instance in enumerate(self.cluster.instances.values())
+        ]
+        results = await self.cluster.drive(asyncio.gather(*tries))
+        states = sorted(result.state.value for result in results)
+        self.assertEqual(states, ["running", "running", "won"])
+
+    async def test_holder_killed_between_commit_and_reply(self):
+        """The claimant hears nothing, for its holder dies after the commit.
+
+        It sends the claim again, to the successor, which has read it back
+        from the log: it has won, once, and nobody else can.
+        """
+        self.cluster.table.faults.delay = 500 * MS
+        won = self.claiming(self.one, "r1", patience=20)
+        await self.cluster.pass_time(100 * MS)
+        self.cluster.table.faults.delay = 0 * MS
+        self.assertEqual(await self.claims_in_log(), ["r1"])
+        self.assertFalse(won.done())
+        self.cluster.kill(self.holder.address[0])
+        self.assertEqual((await self.cluster.drive(won)).state, WON)
+        self.assertEqual(await self.claim(self.other, "r2"), RUNNING)
+        self.assertEqual(await self.claims_in_log(), ["r1"])
+
+    async def test_frozen_holder_thaws_and_writes(self):
+        """A holder is frozen with a claim in its hands, past its lease.
+
+        Another instance takes over and the claim is won there. When the old
+        holder thaws it decides the same claim by its old index; the store
+        refuses its commit, because the lease's row has changed.
+        """
+        self.cluster.network.freeze(self.holder.address)
+        won = self.claiming(self.one, "r1", patience=20)
+        self.assertEqual((await self.cluster.drive(won)).state, WON)
+        stale = asyncio.ensure_future(
+            self.holder.ledger.service.append(
+                0,
+                [
+                    records.ClaimRecord(
+                        team="agency",
+                        key="k",
+                        body_digest="d",
+                        request_id="r2",
+                        claimant=self.holder.member.incarnation,
+                    )
+                ],
+            )
+        )
+        await self.cluster.pass_time(SECOND)
+        self.cluster.network.thaw(self.holder.address)
+        [result] = await self.cluster.drive(stale)
+        self.assertIsInstance(result, records.NotHolder)
+        self.assertEqual(await self.claims_in_log(), ["r1"])
+
+    async def test_answer_lost_after_the_effect(self):
+        """The commit takes effect and its answer is lost.
+
+        The holder commits the same row again; the failed condition shows its
+        own batch, so the claim is answered as won and stands once.
+        """
+        self.cluster.table.faults.lose_next_answers = 1
+        self.assertEqual(await self.claim(self.one, "r1"), WON)
+        self.assertEqual(await self.claims_in_log(), ["r1"])
+
+    async def test_commit_that_takes_effect_late(self):
+        """A commit's outcome is lost and it takes effect a second later.
+
+        The holder's second commit has the same conditions and wins; the late
+        one then fails them. A claim made meanwhile stays.
+        """
+        self.cluster.table.faults.late_effect = SECOND
+        first = self.claiming(self.one, "r1", patience=5)
+        await self.cluster.pass_time(50 * MS)
+        self.cluster.table.faults.late_effect = None
+        self.assertEqual((await self.cluster.drive(first)).state, WON)
+        self.assertEqual(await self.claim(self.one, "r2", key="k2"), WON)
+        await self.cluster.pass_time(2 * SECOND)
+        self.assertEqual(await self.claims_in_log(), ["r1", "r2"])
+        self.assertEqual(await self.claim(self.other, "r3"), RUNNING)
+
+    async def test_store_down_refuses_at_once_and_truly(self):
+        """The table service is down: claims are refused as not run.
+
+        Once that is known no claim waits, and when the service is back the
+        refused keys can be claimed: nothing of them was recorded.
+        """
+        self.cluster.table.faults.down = True
+        await self.assert_refused(self.one, "r1")
+        await self.cluster.pass_time(3 * SECOND)
+        before = self.cluster.clock.monotonic()
+        for number in range(20):
+            await self.assert_refused(self.other, f"s{number}")
+        self.assertLess(self.cluster.clock.monotonic() - before, SECOND)
+        self.assertEqual(self.other.client.unsettled, 0)
+        self.cluster.table.faults.down = False
+        await self.cluster.pass_time(8 * SECOND)
+        self.assertEqual(await self.claim(self.one, "r2"), WON)
+
+    async def test_claim_in_doubt_is_voided(self):
+        """The reply to a claim is lost and the claimant gives up.
+
+        It says "not run", so the claim must not stay: it is voided when the
+        holder is reached again. A late copy of it wins nothing.
+        """
+        self.cluster.network.cut(self.holder.address, self.one.address)
+        await self.assert_refused(self.one, "r1")
+        self.assertEqual(await self.claims_in_log(), ["r1"])
+        self.cluster.network.heal_all()
+        await self.cluster.until(lambda: self.one.client.unsettled == 0)
+        [late] = await self.cluster.drive(
+            self.holder.ledger.service.append(
+                0,
+                [
+                    records.ClaimRecord(
+                        team="agency",
+                        key="k",
+                        body_digest="d",
+                        request_id="r1",
+                        claimant=self.one.member.incarnation,
+                    )
+                ],
+            )
+        )
+        self.assertNotEqual(late.state, WON)
+        self.assertEqual(await self.claim(self.other, "r2"), WON)
+
+    async def test_caller_that_leaves_while_claiming(self):
+        """A caller disconnects while its claim is on the way.
+
+        The claim takes effect, but nobody will run it; it is voided, so a
+        retry wins instead of waiting for a try that never ends.
+        """
+        self.cluster.table.faults.delay = 300 * MS
+        leaving = self.claiming(self.one, "r1")
+        await self.cluster.pass_time(100 * MS)
+        leaving.cancel()
+        await self.cluster.pass_time(10 * MS)
+        await self.cluster.until(lambda: self.one.client.unsettled == 0)
+        self.assertEqual(await self.claim(self.other, "r2"), WON)
+
+    async def test_claimant_killed_while_running(self):
+        """The instance that runs a request dies.
+
+        Whether the backend server ran it can't be known: retries are told
+        so, for ever, and none may run it again, also after a take-over.
+        """
+        self.assertEqual(await self.claim(self.one, "r1"), WON)
+        self.cluster.kill(self.one.address[0])
+        self.assertEqual(await self.claim(self.other, "r2"), UNKNOWN)
+        self.cluster.kill(self.holder.address[0])
+        self.assertEqual(
+            await self.claim(self.other, "r3", patience=20), UNKNOWN
+        )
+
+    async def test_lost_outcome_and_released_claim(self):
+        identity = ledger_cluster.identity("k")
+        self.assertEqual(await self.claim(self.one, "r1"), WON)
+        await self.cluster.drive(
+            self.one.client.release(identity, request_id="r1")
+        )
+        self.assertEqual(await self.claim(self.other, "r2"), WON)
+        await self.cluster.drive(
+            self.one.client.release(identity, request_id="r1")
+        )
+        self.assertEqual(await self.claim(self.one, "r3"), RUNNING)
+        await self.cluster.drive(
+            self.other.client.mark_unknown(identity, request_id="r2")
+        )
+        self.assertEqual(await self.claim(self.one, "r4"), UNKNOWN)
+
+    async def test_drain_hands_over_at_once(self):
+        """The holder leaves gracefully.
+
+        Its successor serves within a second, far sooner than the lease's
+        duration, and knows the earlier claims.
+        """
+        self.assertEqual(await self.claim(self.one, "r1"), WON)
+        self.cluster.members.remove(self.holder.member)
+        await self.cluster.drive(self.holder.ledger.drain(timeout=SECOND))
+        before = self.cluster.clock.monotonic()
+        self.assertEqual(await self.claim(self.other, "r2"), RUNNING)
+        passed = self.cluster.clock.monotonic() - before
+        self.assertLess(passed, 1.5 * SECOND)
+
+    async def test_full_partition_refuses_new_claims_only(self):
+        for number in range(5):
+            self.assertEqual(
+                await self.claim(self.one, f"r{number}", key=f"k{number}"), WON
+            )
+        await self.assert_refused(self.one, "r9", key="k9")
+        self.assertEqual(await self.claim(self.other, "s0", key="k0"), RUNNING)
+
+    async def test_foreign_partition_number_is_refused(self):
+        with self.assertRaisesRegex(ValueError, "partition is 7"):
+            await self.holder.ledger.service.handle(
+                ttypes.LedgerAppend(partition=7, records=[])
+            )
--- /dev/null
+++ b/tests/cover/test_ledger_pins.py
@@ -0,0 +1,103 @@
+"""A session keeps its version, on every instance and through outages."""
+
+import asyncio
+import unittest
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import pins
+from nutmeghook.internal.platform import engine
+from tests import ledger_cluster
+
+SECOND = ledger_cluster.SECOND
+V1 = engine.ModelVersion(model="small", version="1")
+V2 = engine.ModelVersion(model="small", version="2")
+V3 = engine.ModelVersion(model="small", version="3")
+
+
+class PinTest(unittest.IsolatedAsyncioTestCase):
+    """Pins asked for on several instances."""
+
+    async def asyncSetUp(self):
+        self.cluster = ledger_cluster.Cluster(window=120 * SECOND)
+        for name in "abc":
+            self.cluster.start(name)
+        self.holder = await self.cluster.until_held()
+        self.one, self.other = self.cluster.others(self.holder)
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+
+    def pinning(self, instance, proposed, *, unusable=(), session="s"):
+        return asyncio.ensure_future(
+            instance.ledger.pins.pin(
+                pins.SessionKey(
+                    team="agency",
+                    template="lookup",
+                    stage_index=0,
+                    session=session,
+                ),
+                proposed=proposed,
+                unusable=frozenset(unusable),
+                timeout=15 * SECOND,
+            )
+        )
+
+    async def pin(self, instance, proposed, **options):
+        return await self.cluster.drive(
+            self.pinning(instance, proposed, **options)
+        )
+
+    async def test_first_proposal_stays_for_all(self):
+        """Two instances propose versions at once, others later.
+
+        All get the one that was recorded first, also after the holder died.
+        """
+        first, second = await self.cluster.drive(
+            asyncio.gather(
+                self.pinning(self.one, V1), self.pinning(self.other, V2)
+            )
+        )
+        self.assertEqual(first, second)
+        self.assertEqual(await self.pin(self.holder, V3), first)
+        self.cluster.kill(self.holder.address[0])
+        late = self.cluster.start("d")
+        self.assertEqual(await self.pin(late, V3), first)
+
+    async def test_withdrawn_version_is_replaced_for_all(self):
+        await self.pin(self.one, V1)
+        self.assertEqual(await self.pin(self.other, V2, unusable=[V1]), V2)
+        self.assertEqual(await self.pin(self.one, V3, unusable=[V1]), V2)
+        self.assertEqual(await self.pin(self.holder, V3), V2)
+
+    async def test_outage_serves_known_pins_and_refuses_new_ones(self):
+        """The table service is down for longer than the leases last.
+
+        A session's pin is served from the holder's memory, also to an
+        instance that never asked before. A new session is refused.
+        """
+        await self.pin(self.one, V1)
+        self.cluster.table.faults.down = True
+        await self.cluster.pass_time(20 * SECOND)
+        self.assertEqual(await self.pin(self.other, V2), V1)
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.pin(self.other, V2, session="new")
+        self.assertIs(raised.exception.code, codes.Code.STORE_OUT)
+        self.cluster.table.faults.down = False
+        await self.cluster.pass_time(10 * SECOND)
+        self.assertEqual(await self.pin(self.other, V2, session="new"), V2)
+
+    async def test_a_session_in_use_outlives_the_window(self):
+        """A session is used now and then for five windows.
+
+        Its pin is written again before it would be forgotten, so a take-over
+        finds it; a session at rest is forgotten after the window.
+        """
+        await self.pin(self.one, V1)
+        await self.pin(self.one, V1, session="resting")
+        for _ in range(15):
+            await self.cluster.pass_time(40 * SECOND)
+            self.assertEqual(await self.pin(self.one, V2), V1)
+        self.cluster.kill(self.holder.address[0])
+        self.assertEqual(await self.pin(self.other, V2), V1)
+        self.assertEqual(await self.pin(self.other, V2, session="resting"), V2)
--- a/tests/ledger_cluster.py
+++ b/tests/ledger_cluster.py
@@ -2,18 +2,23 @@
 
 import asyncio
 from collections.abc import Awaitable
+import copy
 import datetime
 import random
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
+from nutmeghook.internal.ledger import bills
 from nutmeghook.internal.ledger import factory
 from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.ledger import log
+from nutmeghook.internal.ledger import records
 from nutmeghook.internal.ledger import settings as settings_module
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
 from nutmeghook.internal.platform import table as table_module
+from nutmeghook.standins import faults
 from nutmeghook.standins import memory_objects
 from nutmeghook.standins import memory_table
 
@@ -100,6 +105,8 @@
     """Instances over one table service and one object store."""
 
     def __init__(self, *, partitions: int = 1, seed: int = 1, **settings):
+        # IsolatedAsyncioTestCase sets debug mode, which is many times slower.
+        asyncio.get_running_loop().set_debug(False)
         self.clock = clock_module.FakeClock()
         self.network = local.LocalNetwork(clock=self.clock, delay=MS)
         self.table = memory_table.MemoryTable(clock=self.clock)
@@ -151,7 +158,7 @@
         instance.task.cancel()
         for task in instance.client._unsettled:
             task.cancel()
-        if noticed:
+        if noticed and instance.member in self.members:
             self.members.remove(instance.member)
 
     async def stop(self) -> None:
@@ -196,18 +203,22 @@
         return [i for i in self.instances.values() if i is not instance]
 
     async def billed(self) -> list[str]:
-        """Returns the billed keys as an administrator would read them."""
-        reader = factory.bills_module.BillReader(
-            table=self.table, objects=self.objects
-        )
+        """Returns the billed keys, read past any fault, in no time."""
+        table = copy.copy(self.table)
+        table.faults = faults.Faults(clock=self.clock)
+        objects = copy.copy(self.objects)
+        objects.faults = faults.Faults(clock=self.clock)
+        reader = bills.BillReader(table=table, objects=objects)
         return sorted([bill.identity.key async for bill in reader.bills()])
 
-    async def raw_bills(self) -> list[str]:
-        """Returns the keys of all bill records in the log, none merged."""
-        reader = factory.bills_module.BillReader(
-            table=self.table, objects=self.objects
-        )
-        return sorted([record.key async for record in reader._in_log()])
+    async def log_records(self) -> list[records.Record]:
+        """Returns all records of all logs, in the order of the commits."""
+        table = copy.copy(self.table)
+        table.faults = faults.Faults(clock=self.clock)
+        rows = await table.scan(prefix=log.KEY_PREFIX)
+        batches = [records.decode_batch(row.value) for row in rows]
+        batches.sort(key=lambda batch: (batch.token, batch.sequence))
+        return [record for batch in batches for record in batch.records]
 
 
 def identity(
