Prove operations and replicas under faults

A stateful machine lets Hypothesis choose operators, faults and time over three instances and judges the rows in the end: one outcome for each id, each change once, worked out on what stood before, no instance going back, all in force within 10 s of the healing. Four defects put in on purpose are found by it in a module of their own.

A holder whose lease lapsed was told "overloaded" by the first version; it is told "abandoned" now, and the operation's id is spent.

--- a/src/nutmeghook/internal/config/acceptance.py
+++ b/src/nutmeghook/internal/config/acceptance.py
@@ -221,6 +221,7 @@
         )
         result = await self._store.commit(attempt.transaction)
         if not result.committed:
+            attempts.check_fence(operation, result)
             return None
         if attempt.change is not None:
             self._replica.apply_changes([attempt.change])
--- a/src/nutmeghook/internal/config/attempts.py
+++ b/src/nutmeghook/internal/config/attempts.py
@@ -111,6 +111,24 @@
     )
 
 
+def check_fence(
+    operation: operations.Operation, result: table.CommitResult
+) -> None:
+    """Tells a lapsed lease from a change that got ahead.
+
+    Raises:
+        LeaseLapsedError: The lease's row is not at the version that the
+            holder believes in. A renewal of its own changes that version too,
+            so the row is compared with what the lease says now.
+    """
+    lease = operation.fence
+    if lease is None:
+        return
+    for row in result.current:
+        if row.key == lease.row_key and row.version != lease.row_version():
+            raise LeaseLapsedError(lease.name)
+
+
 def absent_operation(team: str, operation_id: str) -> table.Condition:
     """Returns the condition that an operation has no outcome yet."""
     return table.Condition(
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -32,9 +32,8 @@
         model=GOOD.model,
         versions=(documents.VersionEntry(version=GOOD.version),),
     )
-    return documents.Template(
-        team=TEAM, name=TEMPLATE, **{"stages": (stage,), **parameters}
-    )
+    fields = {"team": TEAM, "name": TEMPLATE, "stages": (stage,)}
+    return documents.Template(**(fields | parameters))
 
 
 def first_import(expected_revision: int = 0) -> edits.ImportDocuments:
--- /dev/null
+++ b/tests/slow/test_config_defects.py
@@ -0,0 +1,74 @@
+"""Each property's check can fail: a defect put in on purpose is found."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+import msgspec
+
+from nutmeghook.internal.config import acceptance
+from nutmeghook.internal.config import attempts
+from nutmeghook.internal.config import replica as replica_module
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.platform import table as table_module
+from tests import config_machine
+
+
+class SeededDefectTest(unittest.TestCase):
+    def assert_found(self, *messages: str) -> None:
+        settings = hypothesis.settings(
+            config_machine.SETTINGS,
+            max_examples=400,
+            phases=[hypothesis.Phase.generate],
+            report_multiple_bugs=False,
+        )
+        with self.assertRaises(AssertionError) as caught:
+            stateful.run_state_machine_as_test(
+                config_machine.ConfigMachine, settings=settings
+            )
+        self.assertIn(str(caught.exception), messages)
+
+    def test_outcome_settled_by_a_read_alone(self):
+        async def read_only(accepter, author, operation_id, digest):
+            return rows.OperationRecord(
+                operation_id=operation_id,
+                outcome=rows.Outcome.ABANDONED,
+                author=author,
+                settled_at=accepter._clock.now(),
+            )
+
+        with mock.patch.object(acceptance.Accepter, "_abandon", read_only):
+            self.assert_found("two outcomes", "untrue outcome")
+
+    def test_commit_that_does_not_ask_for_the_operations_absence(self):
+        nothing = table_module.Condition(key="config/nothing", version=0)
+        with mock.patch.object(
+            attempts, "absent_operation", lambda *_: nothing
+        ):
+            self.assert_found("made twice", "two outcomes", "untrue outcome")
+
+    def test_commit_that_does_not_name_the_head(self):
+        acceptance_of = attempts._acceptance
+
+        def headless(*args):
+            attempt = acceptance_of(*args)
+            transaction = msgspec.structs.replace(
+                attempt.transaction,
+                conditions=attempt.transaction.conditions[1:],
+            )
+            return dataclasses.replace(attempt, transaction=transaction)
+
+        with mock.patch.object(attempts, "_acceptance", headless):
+            self.assert_found("lost", "untrue outcome", "went back")
+
+    def test_replica_that_believes_a_lagging_peer(self):
+        def apply(replica, state):
+            replica._state = state
+            return True
+
+        with mock.patch.object(
+            replica_module.ConfigReplica, "apply_state", apply
+        ):
+            self.assert_found("went back")
