Roll versions out from rows, under a cap, and withdraw bad ones

A version in roll-out was only a share in a template: nothing moved it on, nothing bounded how many callers a bad one reached, nothing took it out.

The holder of the lease `rollouts` now reads the rating service by a cursor, pools the evidence of each version in one row, reserves leave there before it grants any, and moves templates on or withdraws a version through the same acceptance as operators' changes, fenced by the lease's row. Instances take leave ahead of use and never wait for it: out of leave means the serving version. Bad versions are proved by a mixture of test martingales over the moment of change (in roll-out; false stops bounded over the whole roll-out) and by the Shiryaev-Roberts statistic (at full share).

Ruled out: operation ids without the fencing token; one abandoned try would have blocked the step for every later holder.

--- /dev/null
+++ b/src/nutmeghook/internal/rollout/config_editor.py
@@ -0,0 +1,125 @@
+"""How the roll-out controller changes the configuration."""
+
+import abc
+import datetime
+import enum
+
+import msgspec
+
+from nutmeghook.internal.config import acceptance
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import operations
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.leases import lease as lease_module
+from nutmeghook.internal.rollout import pool as pool_module
+
+AUTHOR_NAME = "roll-out controller"
+_EDIT_TIMEOUT = datetime.timedelta(seconds=3)
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """A state that a version shall reach; reaching it twice does no harm.
+
+    Attributes:
+        rollout_id: The watch that the step belongs to.
+        share_percent: The share to serve; 0 withdraws the version.
+        reason: Shown to operators beside the change.
+    """
+
+    key: pool_module.VersionKey
+    rollout_id: int
+    share_percent: float
+    reason: str
+
+    @property
+    def withdraws(self) -> bool:
+        """Whether the step takes the version out."""
+        return self.share_percent == 0
+
+
+class StepOutcome(enum.Enum):
+    """What became of a step."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNSETTLED = "unsettled"
+
+
+class ConfigEditor(abc.ABC):
+    """Makes a step part of the configuration."""
+
+    @abc.abstractmethod
+    async def take(self, step: Step) -> StepOutcome:
+        """Accepts a step, on condition that the lease is still held.
+
+        Repeating a step whose outcome is `UNSETTLED` settles it.
+        """
+
+
+class AccepterEditor(ConfigEditor):
+    """Makes steps through the same acceptance as operators' changes.
+
+    The change is conditional on the lease's row. A holder that was paused
+    between its decision and the commit finds that row changed by its
+    successor; without that it could roll out what others have withdrawn.
+    """
+
+    __slots__ = ("_accepter", "_attempts", "_lease")
+
+    def __init__(
+        self, *, accepter: acceptance.Accepter, lease: lease_module.Lease
+    ):
+        self._accepter = accepter
+        self._lease = lease
+        # A settled refusal is for ever; the next try needs another id.
+        self._attempts: dict[pool_module.VersionKey, int] = {}
+
+    async def take(self, step: Step) -> StepOutcome:
+        """Accepts a step, on condition that the lease is still held."""
+        token = self._lease.fencing_token()
+        if token is None:
+            return StepOutcome.UNSETTLED
+        try:
+            record = await self._accepter.accept(
+                self._operation(step, token), timeout=_EDIT_TIMEOUT
+            )
+        except errors.CodedError as error:
+            if error.code is codes.Code.OPERATION_REUSED:
+                raise
+            return StepOutcome.UNSETTLED
+        if record.outcome is rows.Outcome.ACCEPTED:
+            self._attempts.pop(step.key, None)
+            return StepOutcome.ACCEPTED
+        self._attempts[step.key] = self._attempts.get(step.key, 0) + 1
+        return StepOutcome.REFUSED
+
+    def _operation(self, step: Step, token: int) -> operations.Operation:
+        attempt = self._attempts.get(step.key, 0)
+        return operations.Operation(
+            operation_id=(
+                f"rollout-{step.rollout_id}-{step.key.template}"
+                f"-{step.key.model_version}-{step.share_percent:g}"
+                f"-{token}-{attempt}"
+            ),
+            author=rows.Author(team=step.key.team, name=AUTHOR_NAME),
+            reason=step.reason,
+            edit=_edit(step),
+            fence=self._lease,
+        )
+
+
+def _edit(step: Step) -> edits.Edit:
+    if step.withdraws:
+        return edits.WithdrawVersion(
+            team=step.key.team,
+            template=step.key.template,
+            model_version=step.key.model_version,
+        )
+    return edits.SetRollOutShare(
+        team=step.key.team,
+        template=step.key.template,
+        model_version=step.key.model_version,
+        share_percent=step.share_percent,
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/rollout/controller.py
@@ -0,0 +1,260 @@
+"""Drives all roll-outs from the one instance that holds their lease.
+
+Nothing of a roll-out lives in this task: shares are in the templates, ratings
+and reserved leave in one row. Any instance that gets the lease goes on from
+there, and a step that two holders both try takes effect once.
+"""
+
+import datetime
+
+import msgspec
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import lease as lease_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import ratings as ratings_module
+from nutmeghook.internal.platform import table as table_module
+from nutmeghook.internal.rollout import config_editor
+from nutmeghook.internal.rollout import decisions
+from nutmeghook.internal.rollout import leave as leave_module
+from nutmeghook.internal.rollout import pool as pool_module
+
+TICK = datetime.timedelta(seconds=1)
+_RATINGS_PER_PAGE = 1000
+_PAGES_PER_TICK = 5
+
+
+class RolloutController:
+    """Reads ratings, reserves leave, and moves versions on or out."""
+
+    __slots__ = (
+        "_clock",
+        "_dirty",
+        "_editor",
+        "_events",
+        "_lease",
+        "_leave",
+        "_pool",
+        "_ratings",
+        "_refused_at",
+        "_row_version",
+        "_stalled",
+        "_table",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        view: view_module.ConfigView,
+        lease: lease_module.Lease,
+        table: table_module.TableService,
+        ratings: ratings_module.RatingService,
+        editor: config_editor.ConfigEditor,
+        leave: leave_module.LeaveKeeper,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+    ):
+        self._view = view
+        self._lease = lease
+        self._table = table
+        self._ratings = ratings
+        self._editor = editor
+        self._leave = leave
+        self._clock = clock
+        self._events = events
+        self._pool: pool_module.Pool | None = None
+        # The pool in memory is ahead of the row.
+        self._dirty = False
+        # Revision of the configuration that a step was refused on.
+        self._refused_at: dict[pool_module.VersionKey, int] = {}
+        self._row_version = table_module.ABSENT_VERSION
+        self._stalled: set[pool_module.VersionKey] = set()
+
+    async def run(self) -> None:
+        """Takes a step each tick until cancelled."""
+        while True:
+            await self.step()
+            await self._clock.sleep(TICK)
+
+    async def step(self) -> None:
+        """Does all that can be done now, if the lease is held.
+
+        Any failure of the platform ends the step; the next one starts from
+        the row again.
+        """
+        token = self._lease.fencing_token()
+        if token is None:
+            self._pool = None
+            return
+        try:
+            await self._step(token)
+        except failures.PlatformError:
+            # The outcome of a write may be unknown: only the row tells.
+            self._pool = None
+
+    async def _step(self, token: int) -> None:
+        self._leave.begin(token)
+        pool = self._pool
+        if pool is None:
+            pool = await self._read_pool()
+        new_ratings = await self._new_ratings(pool.cursor)
+        snapshot = self._view.snapshot
+        if snapshot.revision < pool.revision:
+            # This instance has yet to hear of a change that its predecessor
+            # acted on. It would take a running roll-out for a new one, with
+            # no answers out, and give its leave a second time.
+            return
+        after = pool_module.under_holder(pool, token)
+        # In this order: ratings that came before a roll-out began anew are
+        # not the new one's.
+        after = pool_module.with_ratings(after, new_ratings, snapshot)
+        after = pool_module.following(after, snapshot)
+        after = pool_module.matured(after, self._clock.now())
+        after = decisions.with_leave(after, snapshot, self._leave)
+        if (self._dirty or after != pool) and not await self._commit(after):
+            self._pool = None
+            return
+        self._pool = after
+        self._leave.publish(after)
+        self._note_verdicts(pool, after)
+        self._note_stalls(after, snapshot)
+        for step in decisions.steps(after, snapshot):
+            await self._take(step, snapshot.revision)
+
+    async def _read_pool(self) -> pool_module.Pool:
+        self._dirty = False
+        row = await self._table.read(pool_module.ROW_KEY)
+        if row is None:
+            self._row_version = table_module.ABSENT_VERSION
+            return pool_module.Pool()
+        self._row_version = row.version
+        return pool_module.decode(row.value)
+
+    async def _new_ratings(self, cursor: int) -> list[ratings_module.Rating]:
+        """Reads the ratings behind the cursor; none if the service is out.
+
+        Withdrawals that are already decided must not wait for the rating
+        service, so its failure does not end the step.
+        """
+        found: list[ratings_module.Rating] = []
+        for _ in range(_PAGES_PER_TICK):
+            try:
+                page = await self._ratings.ratings_after(
+                    cursor, limit=_RATINGS_PER_PAGE
+                )
+            except failures.PlatformError:
+                break
+            found += page
+            if len(page) < _RATINGS_PER_PAGE:
+                break
+            cursor = page[-1].cursor
+        return found
+
+    async def _commit(self, pool: pool_module.Pool) -> bool:
+        """Writes the row, unless the lease or the row has moved on."""
+        result = await self._table.commit(
+            table_module.Transaction(
+                conditions=(
+                    table_module.Condition(
+                        key=self._lease.row_key,
+                        version=self._lease.row_version(),
+                    ),
+                    table_module.Condition(
+                        key=pool_module.ROW_KEY, version=self._row_version
+                    ),
+                ),
+                puts=(
+                    table_module.Put(
+                        key=pool_module.ROW_KEY, value=pool_module.encode(pool)
+                    ),
+                ),
+            )
+        )
+        if result.committed:
+            self._row_version = result.versions[0]
+            self._dirty = False
+        return result.committed
+
+    async def _take(self, step: config_editor.Step, revision: int) -> None:
+        """Carries a step out, if the lease is held at this very moment.
+
+        A step that was refused (say, it would leave a stage without a
+        version) waits for the configuration to change: each try would add
+        one more refused operation to the store, every second.
+        """
+        if self._lease.fencing_token() is None:
+            return
+        if self._refused_at.get(step.key) == revision:
+            return
+        outcome = await self._editor.take(step)
+        if outcome is config_editor.StepOutcome.ACCEPTED:
+            self._refused_at.clear()
+            self._record(_accepted_kind(step), step)
+            self._forget_if_withdrawn(step)
+        elif outcome is config_editor.StepOutcome.REFUSED:
+            self._refused_at[step.key] = revision
+            self._record(events_module.EventKind.ROLLOUT_STEP_REFUSED, step)
+
+    def _forget_if_withdrawn(self, step: config_editor.Step) -> None:
+        """Ends the watch of a version that is out.
+
+        An operator may roll it out again at once; the old verdict must not
+        take it out a second time.
+        """
+        if not step.withdraws or self._pool is None:
+            return
+        watches = tuple(w for w in self._pool.watches if w.key != step.key)
+        self._pool = msgspec.structs.replace(self._pool, watches=watches)
+        self._dirty = True
+
+    def _note_verdicts(
+        self, before: pool_module.Pool, after: pool_module.Pool
+    ) -> None:
+        bad_before = before.bad_versions()
+        for watch in after.watches:
+            if watch.key in after.bad_versions() - bad_before:
+                self._events.record(
+                    events_module.EventKind.ROLLOUT_STOPPED,
+                    str(watch.key.model_version),
+                    template=f"{watch.key.team}/{watch.key.template}",
+                    ratings=str(watch.evidence.ratings),
+                    bad=str(watch.evidence.bad),
+                )
+
+    def _note_stalls(
+        self, pool: pool_module.Pool, snapshot: documents.Snapshot
+    ) -> None:
+        """Records once when a roll-out begins to wait for ratings."""
+        stalled = {
+            watch.key
+            for watch in pool.watches
+            if decisions.waits_for_ratings(watch, snapshot)
+        }
+        for key in stalled - self._stalled:
+            self._events.record(
+                events_module.EventKind.ROLLOUT_WAITING,
+                str(key.model_version),
+                template=f"{key.team}/{key.template}",
+            )
+        self._stalled = stalled
+
+    def _record(
+        self, kind: events_module.EventKind, step: config_editor.Step
+    ) -> None:
+        self._events.record(
+            kind,
+            str(step.key.model_version),
+            template=f"{step.key.team}/{step.key.template}",
+            share_percent=f"{step.share_percent:g}",
+            reason=step.reason,
+        )
+
+
+def _accepted_kind(step: config_editor.Step) -> events_module.EventKind:
+    if step.withdraws:
+        return events_module.EventKind.VERSION_WITHDRAWN
+    return events_module.EventKind.ROLLOUT_ADVANCED
--- /dev/null
+++ b/src/nutmeghook/internal/rollout/decisions.py
@@ -0,0 +1,116 @@
+"""What the pooled ratings call for: leave, the next share, a withdrawal."""
+
+import msgspec
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.rollout import config_editor
+from nutmeghook.internal.rollout import leave as leave_module
+from nutmeghook.internal.rollout import pool as pool_module
+
+_FULL_SHARE_PERCENT = 100.0
+# A version under suspicion stays at its share until that is settled: with
+# the threshold at 100 to 1, this is 10 to 1.
+_SUSPICION = 0.1
+# Leave made ready ahead, as a part of the cap: what a holder's death may
+# leave counted as sent for a while.
+_READY_PART_OF_CAP = 0.25
+
+
+def with_leave(
+    pool: pool_module.Pool,
+    snapshot: documents.Snapshot,
+    keeper: leave_module.LeaveKeeper,
+) -> pool_module.Pool:
+    """Returns the pool with as much leave reserved as the caps allow."""
+    watches = tuple(
+        _with_leave(watch, _policy(watch, snapshot), keeper.counts(watch.key))
+        for watch in pool.watches
+    )
+    return msgspec.structs.replace(pool, watches=watches)
+
+
+def steps(
+    pool: pool_module.Pool, snapshot: documents.Snapshot
+) -> list[config_editor.Step]:
+    """Returns the changes that are due, withdrawals first."""
+    found = [
+        step
+        for watch in pool.watches
+        if (step := _step(watch, _policy(watch, snapshot))) is not None
+    ]
+    return sorted(found, key=lambda step: not step.withdraws)
+
+
+def waits_for_ratings(
+    watch: pool_module.Watch, snapshot: documents.Snapshot
+) -> bool:
+    """Tells whether a roll-out stands still at its cap."""
+    policy = _policy(watch, snapshot)
+    return watch.rolling_out and watch.unrated_answers() >= policy.unrated_cap
+
+
+def _policy(
+    watch: pool_module.Watch, snapshot: documents.Snapshot
+) -> documents.RollOutPolicy:
+    template = snapshot.template(watch.key.team, watch.key.template)
+    return template.roll_out if template else documents.RollOutPolicy()
+
+
+def _with_leave(
+    watch: pool_module.Watch,
+    policy: documents.RollOutPolicy,
+    counts: leave_module.VersionLeave | None,
+) -> pool_module.Watch:
+    if not watch.rolling_out or watch.verdict is pool_module.Verdict.BAD:
+        return watch
+    granted = 0
+    if counts is not None and counts.rollout_id == watch.rollout_id:
+        granted = counts.granted
+        watch = msgspec.structs.replace(watch, unused_by_holder=counts.unused)
+    ready = watch.reserved_by_holder - granted
+    wanted = max(1, int(policy.unrated_cap * _READY_PART_OF_CAP)) - ready
+    room = policy.unrated_cap - watch.unrated_answers()
+    more = max(0, min(wanted, room))
+    return msgspec.structs.replace(
+        watch,
+        reserved=watch.reserved + more,
+        reserved_by_holder=watch.reserved_by_holder + more,
+    )
+
+
+def _step(
+    watch: pool_module.Watch, policy: documents.RollOutPolicy
+) -> config_editor.Step | None:
+    evidence = watch.evidence
+    if watch.verdict is pool_module.Verdict.BAD:
+        return config_editor.Step(
+            key=watch.key,
+            rollout_id=watch.rollout_id,
+            share_percent=0.0,
+            reason=f"{evidence.bad} of {evidence.ratings} ratings were bad",
+        )
+    if not watch.rolling_out or not _may_grow(watch, policy):
+        return None
+    return config_editor.Step(
+        key=watch.key,
+        rollout_id=watch.rollout_id,
+        share_percent=_next_share(watch.share_percent, policy),
+        reason=(
+            f"{watch.ratings_at_share} ratings at {watch.share_percent:g}%,"
+            f" {evidence.bad} of {evidence.ratings} in all were bad"
+        ),
+    )
+
+
+def _may_grow(
+    watch: pool_module.Watch, policy: documents.RollOutPolicy
+) -> bool:
+    if watch.ratings_at_share < policy.ratings_per_step:
+        return False
+    rule = pool_module.rule_for(watch, policy)
+    return rule.strength(watch.evidence) < _SUSPICION
+
+
+def _next_share(share_percent: float, policy: documents.RollOutPolicy) -> float:
+    larger = [s for s in policy.steps_percent if s > share_percent]
+    return min(larger, default=_FULL_SHARE_PERCENT)
--- /dev/null
+++ b/src/nutmeghook/internal/rollout/evidence.py
@@ -0,0 +1,142 @@
+"""When ratings prove that a version is bad, at whatever moment one looks.
+
+Looking at an error share after each rating and stopping at the first look
+above a threshold stops good versions too: each look is one more chance to err.
+The two rules here may be looked at after each rating. Both weigh the ratings
+so far against a handful of worse bad shares, for every moment at which the
+version may have turned bad:
+
+* `RollOutRule` bounds the probability that a version within tolerance is ever
+  stopped in its whole roll-out (a mixture of test martingales over the
+  moments of change, whose weights sum to 1; Ville's inequality).
+* `FullShareRule` watches without end, so it bounds the mean number of ratings
+  between false alarms (the Shiryaev-Roberts statistic).
+
+docs/design/rollouts.md compares both with a fixed threshold.
+"""
+
+import abc
+import math
+
+import msgspec
+
+# Bad shares to look for, as parts of the way from tolerated to always bad:
+# wide enough for a version that fails each tenth caller, or all.
+_ALTERNATIVES = (0.03, 0.08, 0.2, 0.45, 0.8)
+_RATINGS_UNTIL_CHANGE = 300.0
+_WEIGHT_BAD_FROM_START = 0.5
+# Sums stay far below this before a verdict; it only guards the arithmetic.
+_LARGEST_SUM = 1e200
+
+
+class Evidence(msgspec.Struct, frozen=True, kw_only=True):
+    """What the ratings of one version say so far; small enough for a row.
+
+    Attributes:
+        ratings: How many were taken in.
+        bad: How many of them were bad.
+        sums: One weighted sum of likelihood ratios for each alternative.
+    """
+
+    ratings: int = 0
+    bad: int = 0
+    sums: tuple[float, ...] = (0.0,) * len(_ALTERNATIVES)
+
+
+class Rule(abc.ABC):
+    """Folds ratings into evidence and tells when it suffices."""
+
+    __slots__ = ("_threshold", "_tolerated")
+
+    def __init__(self, *, tolerated_bad_share: float, threshold: float):
+        if not 0.0 < tolerated_bad_share < 1.0:
+            raise ValueError(
+                f"tolerated_bad_share is {tolerated_bad_share}; give a share"
+                " between 0 and 1, for example 0.05"
+            )
+        self._tolerated = tolerated_bad_share
+        self._threshold = threshold
+
+    def with_rating(self, evidence: Evidence, *, bad: bool) -> Evidence:
+        """Returns the evidence with one more rating."""
+        weight = self._weight_of_change(evidence.ratings)
+        sums = tuple(
+            min(_LARGEST_SUM, (old + weight) * self._ratio(part, bad))
+            for old, part in zip(evidence.sums, _ALTERNATIVES, strict=True)
+        )
+        return Evidence(
+            ratings=evidence.ratings + 1,
+            bad=evidence.bad + bad,
+            sums=sums,
+        )
+
+    def strength(self, evidence: Evidence) -> float:
+        """Returns how far the proof is: from 0 to 1, where it suffices."""
+        mean = sum(evidence.sums) / len(evidence.sums)
+        return min(1.0, mean / self._threshold)
+
+    def proves_bad(self, evidence: Evidence) -> bool:
+        """Tells whether the version has to go."""
+        return self.strength(evidence) >= 1.0
+
+    @abc.abstractmethod
+    def _weight_of_change(self, ratings_before: int) -> float:
+        """Returns the weight of a change just before the next rating."""
+
+    def _ratio(self, part: float, bad: bool) -> float:
+        alternative = self._tolerated + (1.0 - self._tolerated) * part
+        if bad:
+            return alternative / self._tolerated
+        return (1.0 - alternative) / (1.0 - self._tolerated)
+
+
+class RollOutRule(Rule):
+    """Stops a version that is in roll-out.
+
+    Args:
+        tolerated_bad_share: Share of bad ratings that is still fine.
+        false_stop_share: Largest probability that a version within tolerance
+            is stopped during its whole roll-out.
+    """
+
+    __slots__ = ()
+
+    def __init__(
+        self, *, tolerated_bad_share: float, false_stop_share: float = 0.01
+    ):
+        super().__init__(
+            tolerated_bad_share=tolerated_bad_share,
+            threshold=1.0 / false_stop_share,
+        )
+
+    def _weight_of_change(self, ratings_before: int) -> float:
+        if ratings_before == 0:
+            return _WEIGHT_BAD_FROM_START
+        rate = 1.0 / _RATINGS_UNTIL_CHANGE
+        later = 1.0 - _WEIGHT_BAD_FROM_START
+        return later * rate * math.exp(-rate * ratings_before)
+
+
+class FullShareRule(Rule):
+    """Notices that a version at full share has turned bad.
+
+    Args:
+        tolerated_bad_share: Share of bad ratings that is still fine.
+        ratings_between_false_alarms: The least mean number of them.
+    """
+
+    __slots__ = ()
+
+    def __init__(
+        self,
+        *,
+        tolerated_bad_share: float,
+        ratings_between_false_alarms: float = 100_000.0,
+    ):
+        super().__init__(
+            tolerated_bad_share=tolerated_bad_share,
+            threshold=ratings_between_false_alarms,
+        )
+
+    def _weight_of_change(self, ratings_before: int) -> float:
+        return 1.0
--- /dev/null
+++ b/tests/cover/test_rollout_evidence.py
@@ -0,0 +1,85 @@
+"""The rules that judge versions keep the bounds that they promise."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.rollout import evidence
+
+SHARES = strategies.floats(0.01, 0.4)
+PASTS = strategies.lists(strategies.booleans(), max_size=40)
+
+
+def after(rule, past):
+    """Returns the evidence after ratings."""
+    found = evidence.Evidence()
+    for bad in past:
+        found = rule.with_rating(found, bad=bad)
+    return found
+
+
+class BoundTest(unittest.TestCase):
+    """What makes the bounds hold is an equation, so it is tested as one."""
+
+    @hypothesis.given(SHARES, PASTS, strategies.floats(0, 1))
+    def test_within_tolerance_a_rating_adds_no_more_than_its_weight(
+        self, tolerated, past, part
+    ):
+        bad_share = tolerated * part
+        for rule, weights in (
+            (evidence.RollOutRule(tolerated_bad_share=tolerated), None),
+            (evidence.FullShareRule(tolerated_bad_share=tolerated), 1.0),
+        ):
+            before = after(rule, past)
+            expected = sum(
+                probability * sum(rule.with_rating(before, bad=bad).sums)
+                for bad, probability in (
+                    (True, bad_share),
+                    (False, 1 - bad_share),
+                )
+            )
+            weight = weights or rule._weight_of_change(len(past))
+            count = len(before.sums)
+            limit = sum(before.sums) + weight * count
+            self.assertLessEqual(expected, limit * (1 + 1e-9))
+
+    def test_the_weights_of_a_roll_out_sum_to_no_more_than_one(self):
+        rule = evidence.RollOutRule(tolerated_bad_share=0.05)
+        total = sum(rule._weight_of_change(n) for n in range(20_000))
+        self.assertLessEqual(total, 1.0)
+        self.assertGreater(total, 0.95)
+
+    def test_good_versions_are_rarely_stopped_and_bad_ones_soon(self):
+        """Versions just within tolerance are watched for 400 ratings each.
+
+        An operator looks after each rating. At most one in a hundred may be
+        stopped, while a version that fails each third caller is stopped
+        within 40 ratings in most runs, also when it turned bad late.
+        """
+        source = random.Random(11)
+        rule = evidence.RollOutRule(tolerated_bad_share=0.05)
+
+        def stopped_after(bad_share, found, ratings):
+            for number in range(ratings):
+                bad = source.random() < bad_share
+                found = rule.with_rating(found, bad=bad)
+                if rule.proves_bad(found):
+                    return number + 1
+            return None
+
+        false_stops = sum(
+            stopped_after(0.05, evidence.Evidence(), 400) is not None
+            for _ in range(400)
+        )
+        self.assertLessEqual(false_stops, 4)
+        good_past = after(rule, [False] * 150)
+        for past in (evidence.Evidence(), good_past):
+            delays = [stopped_after(0.33, past, 400) for _ in range(60)]
+            self.assertTrue(all(delays))
+            self.assertLess(sorted(delays)[30], 40)
+
+
+if __name__ == "__main__":
+    unittest.main()
