--- a/src/nutmeghook/internal/config/partners.py
+++ b/src/nutmeghook/internal/config/partners.py
@@ -6,10 +6,10 @@
 answers more than seven others.
 """
 
-import xxhash
-
 from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.membership import readers as readers_module
 
+PURPOSE = "configuration"
 READERS = 2
 FAN_OUT = 7
 
@@ -23,8 +23,12 @@
     for a moment there are a few readers more or less, which costs reads or
     time and harms nothing.
     """
-    local = [m for m in members if m.data_centre == data_centre]
-    return sorted(local, key=_rank)
+    return readers_module.elected_readers(
+        members,
+        data_centre=data_centre,
+        count=max(1, len(members)),
+        purpose=PURPOSE,
+    )
 
 
 def is_reader(view: members_module.MemberView) -> bool:
@@ -61,8 +65,3 @@
         if member.inner_address == view.myself.inner_address:
             return position
     return len(order)
-
-
-def _rank(member: members_module.Member) -> tuple[bool, int]:
-    healthy = member.health is members_module.MemberHealth.ALIVE
-    return not healthy, xxhash.xxh3_64_intdigest(member.inner_address.encode())
