Test concurrent commits through the table's adapter

Cause: conditions were tested one caller at a time; lost updates show only with several.

Ruled out: driving the table in memory alone, where a commit is one step and callers can't come between.

Change: eight callers count up one row over HTTP while ten outcomes are lost; sure successes must be in the sum once, unknown ones at most once. Two functions got their missing types.

Conclusion: no update is lost or doubled in this course of events.

--- a/src/nutmeghook/internal/platform/http_plain.py
+++ b/src/nutmeghook/internal/platform/http_plain.py
@@ -1,5 +1,6 @@
 """Plain services over HTTP; docs/PLATFORM.md has the contract."""
 
+from collections.abc import Collection
 import datetime
 
 import aiohttp
@@ -135,7 +136,10 @@
     return yarl.URL(f"http://{address}{path}", encoded=True)
 
 
-def _forwarded(headers) -> list[tuple[str, str]]:
+def _forwarded(
+    headers: Collection[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Returns the headers that do not belong to one connection."""
     named = {
         name.strip().lower()
         for key, value in headers
--- a/src/nutmeghook/standins/control.py
+++ b/src/nutmeghook/standins/control.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from aiohttp import typedefs
 from aiohttp import web
 import msgspec
 
@@ -85,7 +86,9 @@
 
 
 @web.middleware
-async def _explain_faults(request: web.Request, handler) -> web.StreamResponse:
+async def _explain_faults(
+    request: web.Request, handler: typedefs.Handler
+) -> web.StreamResponse:
     try:
         return await handler(request)
     except (msgspec.DecodeError, KeyError, ValueError) as error:
--- a/tests/cover/test_platform_stores.py
+++ b/tests/cover/test_platform_stores.py
@@ -1,6 +1,7 @@
 """The adapters of the platform's services against the stand-ins."""
 
 import asyncio
+import collections
 import contextlib
 import datetime
 import unittest
@@ -54,6 +55,43 @@
         self.assertFalse(repeated.committed)
         self.assertEqual(repeated.current, (row,))
 
+    async def test_concurrent_increments_are_neither_lost_nor_doubled(self):
+        """Eight callers count up one row; some outcomes are lost.
+
+        Each reads the row and commits one more on condition of its version.
+        Every sure success is in the sum once; an unknown one at most once.
+        """
+        service = http_table.HttpTable(exchange=self.exchange("table"))
+        await self.control(
+            "table", "faults", lose_next_answers=7, lose_next_requests=3
+        )
+        outcomes = collections.Counter()
+
+        async def increment():
+            row = await service.read("n")
+            count, version = (int(row.value), row.version) if row else (0, 0)
+            condition = table.Condition(key="n", version=version)
+            put = table.Put(key="n", value=str(count + 1).encode())
+            try:
+                result = await service.commit(
+                    table.Transaction(conditions=(condition,), puts=(put,))
+                )
+            except failures.OutcomeUnknownError:
+                outcomes["unknown"] += 1
+            else:
+                outcomes[result.committed] += 1
+
+        async def caller():
+            for _ in range(10):
+                await increment()
+
+        await asyncio.gather(*(caller() for _ in range(8)))
+        total = int((await service.read("n")).value)
+        self.assertEqual(outcomes["unknown"], 10)
+        self.assertEqual(sum(outcomes.values()), 80)
+        self.assertGreaterEqual(total, outcomes[True])
+        self.assertLessEqual(total, outcomes[True] + 7)
+
     async def test_each_way_of_being_down_is_told_rightly(self):
         """The caller sees "not done" only where that is proved.
 
