Add membership between instances

Instances must know one another without a consensus group, under crashes, freezes, cuts and a late or faulty instance list. The list gives addresses to try; who is a member is decided by probes over UDP, with rumours riding on them.

An instance that was taken for dead learns it from the first message of whoever believes it and outbids it with a higher number; is_confirmed() is false from the first moment after a long freeze. An instance that hears nobody keeps its conclusions to itself.

Found by the tests: a claim of this instance at a number above its own was taken for its own word. A safeguard against shrunken lists was dropped: no test could make it matter, because the dead are remembered anyway.

--- a/src/nutmeghook/internal/inner/local.py
+++ b/src/nutmeghook/internal/inner/local.py
@@ -93,10 +93,18 @@
         if event is not None:
             event.set()
 
-    def clock_of(self, inner_address: str) -> "InstanceClock":
+    def clock_of(
+        self,
+        inner_address: str,
+        *,
+        wall_clock_lag: datetime.timedelta = _NO_DELAY,
+    ) -> "InstanceClock":
         """Returns a clock whose sleepers stay asleep while it is frozen."""
         return InstanceClock(
-            clock=self._clock, network=self, inner_address=inner_address
+            clock=self._clock,
+            network=self,
+            inner_address=inner_address,
+            wall_clock_lag=wall_clock_lag,
         )
 
     def has(self, inner_address: str) -> bool:
@@ -212,7 +220,7 @@
     jumps at the thaw, and sleepers wake late.
     """
 
-    __slots__ = ("_clock", "_inner_address", "_network")
+    __slots__ = ("_clock", "_inner_address", "_network", "_wall_clock_lag")
 
     def __init__(
         self,
@@ -220,14 +228,16 @@
         clock: clock_module.Clock,
         network: LocalNetwork,
         inner_address: str,
+        wall_clock_lag: datetime.timedelta,
     ):
+        self._wall_clock_lag = wall_clock_lag
         self._clock = clock
         self._network = network
         self._inner_address = inner_address
 
     def now(self) -> datetime.datetime:
-        """Returns the shared clock's wall time."""
-        return self._clock.now()
+        """Returns the shared clock's wall time, less this one's lag."""
+        return self._clock.now() - self._wall_clock_lag
 
     def monotonic(self) -> datetime.timedelta:
         """Returns the shared clock's monotonic time."""
--- /dev/null
+++ b/src/nutmeghook/internal/membership/claims.py
@@ -0,0 +1,93 @@
+"""What one instance says of another, checked as it enters the process."""
+
+import dataclasses
+
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.membership import members as members_module
+
+
+class BadClaimError(ValueError):
+    """A state that lacks a field or holds an impossible one."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Claim:
+    """A member's state at a number of its own.
+
+    Only the member itself raises its number. What is said at a higher number
+    holds against all that was said at lower ones.
+    """
+
+    member: members_module.Member
+    number: int
+
+    @property
+    def order(self) -> tuple[int, str, members_module.MemberHealth]:
+        """What tells the newer of two claims on the same address.
+
+        The incarnation only settles a tie between two processes that started
+        at one address in the same millisecond: all must pick the same.
+        """
+        return self.number, self.member.incarnation, self.member.health
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the member is said to exist."""
+        return self.member.health is not members_module.MemberHealth.DEAD
+
+    @property
+    def has_place(self) -> bool:
+        """Whether the claim tells where the member is."""
+        return bool(self.member.data_centre)
+
+
+def to_state(claim: Claim, *, with_place: bool) -> ttypes.MemberState:
+    """Returns the message for a claim."""
+    member = claim.member
+    return ttypes.MemberState(
+        inner_address=member.inner_address,
+        incarnation=member.incarnation,
+        state=int(member.health),
+        number=claim.number,
+        config_revision=member.config_revision,
+        region=member.region if with_place else None,
+        data_centre=member.data_centre if with_place else None,
+    )
+
+
+def from_state(state: ttypes.MemberState) -> Claim:
+    """Returns the claim in a message.
+
+    Raises:
+        BadClaimError: A field is missing or impossible.
+    """
+    needed = (state.inner_address, state.incarnation, state.number)
+    if not all(needed) or state.number < 0:
+        raise BadClaimError(f"a field is missing in {state!r}")
+    host, _, port = state.inner_address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise BadClaimError(f"inner_address {state.inner_address!r}")
+    try:
+        health = members_module.MemberHealth(state.state)
+    except ValueError as error:
+        raise BadClaimError(f"state {state.state!r}") from error
+    member = members_module.Member(
+        inner_address=state.inner_address,
+        incarnation=state.incarnation,
+        region=state.region or "",
+        data_centre=state.data_centre or "",
+        health=health,
+        config_revision=state.config_revision or 0,
+    )
+    return Claim(member=member, number=state.number)
+
+
+def usable(states: list[ttypes.MemberState] | None) -> list[Claim]:
+    """Returns the sound claims of a list, leaving out the others."""
+    claims = []
+    for state in states or []:
+        try:
+            claims.append(from_state(state))
+        except BadClaimError:
+            continue
+    return claims
--- /dev/null
+++ b/src/nutmeghook/internal/membership/contacts.py
@@ -0,0 +1,151 @@
+"""Trying addresses at which a member may be that is believed dead."""
+
+import asyncio
+import random as random_module
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.membership import gossip as gossip_module
+from nutmeghook.internal.membership import listing
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.membership import readers
+from nutmeghook.internal.membership import table as table_module
+from nutmeghook.internal.membership import timing as timing_module
+
+LIST_READERS = 2
+_LIST_PURPOSE = "instance list"
+_TRIED_WHILE_ALONE = 3
+_DISPUTES_A_PERIOD = 10
+
+
+class Contacts:
+    """Finds the members that the others' rumours can't bring.
+
+    Few instances of each data centre read the list and try what is on it; an
+    instance that knows nobody does so too. Whoever answers is spread as a
+    rumour, so the others need not.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_disputed",
+        "_gossip",
+        "_hints",
+        "_queue",
+        "_random",
+        "_table",
+        "_tasks",
+        "_timing",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        random: random_module.Random,
+        view: members_module.MemberView,
+        table: table_module.MemberTable,
+        gossip: gossip_module.Gossip,
+        hints: listing.InstanceHints,
+        timing: timing_module.Timing,
+    ):
+        self._clock = clock
+        self._random = random
+        self._view = view
+        self._table = table
+        self._gossip = gossip
+        self._hints = hints
+        self._timing = timing
+        self._disputed: set[str] = set()
+        self._queue: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def dispute(self, inner_address: str) -> None:
+        """Has a member asked that some believe dead and some do not.
+
+        The question tells it that it is believed dead; its answer settles
+        the matter with a higher number.
+        """
+        self._disputed.add(inner_address)
+
+    async def run_list(self) -> None:
+        """Reads the list at the start, then as a reader; until cancelled."""
+        while True:
+            if not self._hints.was_read or self._is_reader():
+                await self._hints.read()
+            jitter = self._random.uniform(0.8, 1.2)
+            period = self._timing.list_period
+            if not self._hints.was_read:
+                period = self._timing.probe_period
+            await self._clock.sleep(period * jitter)
+
+    async def run_trials(self) -> None:
+        """Tries addresses, until cancelled."""
+        while True:
+            self._try_disputed()
+            if self._is_alone():
+                self._try_missing(_TRIED_WHILE_ALONE)
+                await self._clock.sleep(self._timing.probe_period)
+                continue
+            if self._is_reader():
+                self._try_missing(1)
+            self._table.forget_dead(self._timing.dead_retention)
+            jitter = self._random.uniform(0.8, 1.2)
+            await self._clock.sleep(self._timing.contact_period * jitter)
+
+    def stop(self) -> None:
+        """Ends all trials."""
+        for task in self._tasks:
+            task.cancel()
+
+    def missing(self) -> list[str]:
+        """Returns the addresses where a member may be that is not known."""
+        known = {
+            record.member.inner_address for record in self._table.running()
+        }
+        known.add(self._table.mine.member.inner_address)
+        wanted = self._hints.addresses() | set(self._table.dead_addresses())
+        return sorted(wanted - known)
+
+    def is_only_one(self) -> bool:
+        """Tells whether there is no other instance, as far as can be known.
+
+        A list without this instance may be faulty, and then its lack of
+        others means nothing.
+        """
+        myself = self._table.mine.member.inner_address
+        return (
+            self._is_alone()
+            and self._hints.lists(myself)
+            and not self.missing()
+        )
+
+    def _is_alone(self) -> bool:
+        return not self._table.running()
+
+    def _is_reader(self) -> bool:
+        return readers.is_elected(
+            self._view, count=LIST_READERS, purpose=_LIST_PURPOSE
+        )
+
+    def _try_disputed(self) -> None:
+        for _ in range(min(len(self._disputed), _DISPUTES_A_PERIOD)):
+            self._try(self._disputed.pop())
+
+    def _try_missing(self, count: int) -> None:
+        for _ in range(count):
+            if not self._queue:
+                self._queue = self.missing()
+                self._random.shuffle(self._queue)
+            if not self._queue:
+                return
+            self._try(self._queue.pop())
+
+    def _try(self, inner_address: str) -> None:
+        task = asyncio.create_task(
+            self._gossip.probe(
+                inner_address, timeout=self._timing.direct_timeout
+            )
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/nutmeghook/internal/membership/detector.py
@@ -0,0 +1,227 @@
+"""Finds members that no longer answer, and makes sure before it says so."""
+
+import asyncio
+import datetime
+import enum
+import random as random_module
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.membership import claims
+from nutmeghook.internal.membership import gossip as gossip_module
+from nutmeghook.internal.membership import listener as listener_module
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.membership import table as table_module
+from nutmeghook.internal.membership import timing as timing_module
+
+_HELPERS = 3
+# A cut region silences hundreds at once. More suspects than this wait their
+# turn, which bounds the bytes spent on them; others examine the rest.
+_EXAMINED_AT_ONCE = 4
+_PROBES_WHILE_UNCONFIRMED = 3
+# A wait that took this much longer than asked means that this process stood
+# still or starved, and that its timeouts prove nothing about others.
+_OVERSLEPT = datetime.timedelta(seconds=1)
+
+
+class _Round(enum.Enum):
+    ANSWERED = "answered"
+    SILENT = "silent"
+    VOID = "void"
+
+
+class FailureDetector:
+    """Probes the members in turn and examines the silent ones.
+
+    A suspicion stays with the instance that has it. Spreading it, as SWIM
+    does, lets every instance start a clock that only a refutation, spread
+    just as fast, can stop; here the one instance that suspects keeps asking,
+    directly and through three helpers, and only its conclusion is spread.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_examined",
+        "_examiners",
+        "_gossip",
+        "_listener",
+        "_queue",
+        "_random",
+        "_table",
+        "_tasks",
+        "_timing",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        random: random_module.Random,
+        table: table_module.MemberTable,
+        gossip: gossip_module.Gossip,
+        timing: timing_module.Timing,
+        listener: listener_module.MembershipListener,
+    ):
+        self._clock = clock
+        self._random = random
+        self._table = table
+        self._gossip = gossip
+        self._timing = timing
+        self._listener = listener
+        self._queue: list[str] = []
+        self._examined: set[str] = set()
+        self._examiners = asyncio.Semaphore(_EXAMINED_AT_ONCE)
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Probes one member in each period, until cancelled."""
+        while True:
+            jitter = self._random.uniform(0.9, 1.1)
+            await self._clock.sleep(self._timing.probe_period * jitter)
+            count = 1
+            if not self._gossip.is_confirmed():
+                # At the start, after a freeze, and while cut off.
+                count = _PROBES_WHILE_UNCONFIRMED
+            for _ in range(count):
+                self._probe_next()
+
+    def stop(self) -> None:
+        """Ends all examinations."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _probe_next(self) -> None:
+        """Probes in a shuffled order that is renewed when it is through.
+
+        So each member is probed within a bounded time, which drawing lots
+        anew each time would not give.
+        """
+        if not self._queue:
+            self._queue = [
+                record.member.inner_address for record in self._table.running()
+            ]
+            self._random.shuffle(self._queue)
+        while self._queue:
+            record = self._table.record(self._queue.pop())
+            if record is not None and record.claim.is_running:
+                self._start_check(record)
+                return
+
+    def _start_check(self, record: table_module.Record) -> None:
+        address = record.member.inner_address
+        if address in self._examined:
+            return
+        self._examined.add(address)
+        task = asyncio.create_task(self._check(record))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, record: table_module.Record) -> None:
+        address = record.member.inner_address
+        accused = record.claim
+        try:
+            if await self._round(accused.member) is not _Round.SILENT:
+                return
+            self._set_suspected(record, True)
+            async with self._examiners:
+                await self._examine(record, accused)
+        finally:
+            self._examined.discard(address)
+
+    async def _examine(
+        self, record: table_module.Record, accused: claims.Claim
+    ) -> None:
+        """Asks until the member answers, speaks for itself, or is dead."""
+        silent_rounds = 0
+        while silent_rounds < self._timing.confirmations:
+            started = self._clock.monotonic()
+            outcome = await self._round(accused.member)
+            if outcome is _Round.ANSWERED:
+                self._set_suspected(record, False)
+                return
+            if record.claim.order[:2] != accused.order[:2]:
+                return
+            if not record.claim.is_running:
+                return
+            if outcome is _Round.SILENT:
+                silent_rounds += 1
+            spent = self._clock.monotonic() - started
+            await self._clock.sleep(self._timing.round_timeout - spent)
+        self._condemn(accused)
+
+    def _condemn(self, accused: claims.Claim) -> None:
+        """Declares a member dead.
+
+        An instance that nobody answers may be the one that is cut off, even
+        if what it sends still arrives. It would take the whole fleet for dead
+        and talk the others into it, so it keeps its conclusion to itself.
+        """
+        claim = self._table.condemn(accused)
+        if claim is None:
+            return
+        if self._gossip.is_confirmed():
+            self._gossip.spread(claim)
+        self._listener.on_verdict(claim, table_module.Verdict.ADOPTED)
+
+    async def _round(self, member: members_module.Member) -> _Round:
+        """Asks twice directly, then once through helpers.
+
+        At 5% loss a tenth of the probes fail. The second direct one costs
+        two datagrams; going to three helpers at once would cost twelve.
+        """
+        started = self._clock.monotonic()
+        if await self._ask(member) or await self._ask(member):
+            return _Round.ANSWERED
+        if await self._ask_helpers(member):
+            return _Round.ANSWERED
+        took = self._clock.monotonic() - started
+        if took > self._timing.round_timeout + _OVERSLEPT:
+            return _Round.VOID
+        return _Round.SILENT
+
+    async def _ask(self, member: members_module.Member) -> bool:
+        return await self._gossip.probe(
+            member.inner_address, timeout=self._timing.direct_timeout
+        )
+
+    async def _ask_helpers(self, member: members_module.Member) -> bool:
+        answers = await asyncio.gather(
+            *(
+                self._gossip.probe(
+                    helper.inner_address,
+                    timeout=self._timing.indirect_timeout,
+                    target_address=member.inner_address,
+                )
+                for helper in self._helpers(member)
+            )
+        )
+        return any(answers)
+
+    def _helpers(
+        self, member: members_module.Member
+    ) -> list[members_module.Member]:
+        """Draws helpers, of as many regions as there are.
+
+        While two regions can't reach each other, a third one still reaches
+        both; helpers drawn blindly would often all be on this side of the
+        cut, and the two would take each other's members for dead.
+        """
+        others = [
+            record.member
+            for record in self._table.running()
+            if record.member.inner_address != member.inner_address
+            and not record.is_suspected
+        ]
+        self._random.shuffle(others)
+        by_region: dict[str, members_module.Member] = {}
+        for other in others:
+            by_region.setdefault(other.region, other)
+        first = list(by_region.values())
+        chosen = first + [other for other in others if other not in first]
+        return chosen[:_HELPERS]
+
+    def _set_suspected(
+        self, record: table_module.Record, suspected: bool
+    ) -> None:
+        if record.is_suspected != suspected and record.claim.is_running:
+            record.is_suspected = suspected
+            self._listener.on_suspicion(record.member)
--- /dev/null
+++ b/src/nutmeghook/internal/membership/exchange.py
@@ -0,0 +1,104 @@
+"""Whole tables between two members, where rumours left them different."""
+
+import datetime
+import random as random_module
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.membership import claims
+from nutmeghook.internal.membership import gossip as gossip_module
+from nutmeghook.internal.membership import table as table_module
+from nutmeghook.internal.membership import timing as timing_module
+
+_TIMEOUT = datetime.timedelta(seconds=3)
+
+
+class TableExchange:
+    """Swaps tables over TCP, at a bounded rate.
+
+    Only running members are told of. Deaths travel as rumours alone: a
+    region that was cut off would otherwise receive hundreds of its own
+    members' deaths on its first contact after the cut, and believe them.
+    """
+
+    __slots__ = (
+        "_caller",
+        "_clock",
+        "_gossip",
+        "_next_at",
+        "_random",
+        "_table",
+        "_taught",
+        "_timing",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        random: random_module.Random,
+        caller: peers.PeerCaller,
+        table: table_module.MemberTable,
+        gossip: gossip_module.Gossip,
+        timing: timing_module.Timing,
+    ):
+        self._clock = clock
+        self._random = random
+        self._caller = caller
+        self._table = table
+        self._gossip = gossip
+        self._timing = timing
+        self._next_at = clock.monotonic()
+        # Until one exchange went well this instance knows next to nothing.
+        self._taught = True
+
+    def take_turn(self) -> bool:
+        """Tells whether a difference from another member warrants a swap.
+
+        If so, the caller makes it at once; no other is due meanwhile.
+        """
+        now = self._clock.monotonic()
+        if now < self._next_at:
+            return False
+        # Rumours of a change are still on their way; they are cheaper.
+        settled = now - self._table.changed_at >= self._timing.settle
+        if not settled and not self._taught:
+            return False
+        self._next_at = now + _TIMEOUT
+        return True
+
+    async def swap_with(self, inner_address: str) -> None:
+        """Sends the table to a member and merges the one it returns."""
+        try:
+            reply = await self._caller.call(
+                inner_address, self._message(), timeout=_TIMEOUT
+            )
+        except (peers.PeerUnreachableError, peers.PeerRefusedError):
+            return
+        self._taught = self._merge(reply)
+        period = self._timing.sync_period
+        if self._taught:
+            period = self._timing.hurried_sync_period
+        jitter = self._random.uniform(0.8, 1.2)
+        self._next_at = self._clock.monotonic() + period * jitter
+
+    async def handle(self, request: ttypes.MemberTable) -> ttypes.MemberTable:
+        """Answers another member's swap."""
+        reply = self._message()
+        self._merge(request)
+        return reply
+
+    def _message(self) -> ttypes.MemberTable:
+        everyone = [record.claim for record in self._table.running()]
+        everyone.append(self._table.mine)
+        return ttypes.MemberTable(
+            states=[claims.to_state(c, with_place=True) for c in everyone]
+        )
+
+    def _merge(self, table: ttypes.MemberTable) -> bool:
+        """Merges a table; returns whether it taught anything."""
+        verdicts = [
+            self._gossip.believe(claim) for claim in claims.usable(table.states)
+        ]
+        return table_module.Verdict.ADOPTED in verdicts
--- /dev/null
+++ b/src/nutmeghook/internal/membership/listing.py
@@ -0,0 +1,57 @@
+"""The platform's instance list, as a source of addresses to try.
+
+A line on the list is a hint that somebody may be there, and the lack of one
+proves nothing: who is a member is decided by whether it answers. So a list
+that is late, out, empty or wrong removes nobody, and needs no safeguard here:
+members that were lost while it was faulty are tried from memory.
+"""
+
+import eliot
+
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import instances
+
+
+class InstanceHints:
+    """The addresses of the last list, and those of the settings."""
+
+    __slots__ = (
+        "_instance_list",
+        "_listed",
+        "_seed_addresses",
+        "was_read",
+    )
+
+    def __init__(
+        self,
+        *,
+        instance_list: instances.InstanceList,
+        seed_addresses: tuple[str, ...] = (),
+    ):
+        self._instance_list = instance_list
+        self._seed_addresses = frozenset(seed_addresses)
+        self._listed: frozenset[str] = frozenset()
+        self.was_read = False
+
+    def addresses(self) -> frozenset[str]:
+        """Returns the inner addresses to try."""
+        return self._listed | self._seed_addresses
+
+    def lists(self, inner_address: str) -> bool:
+        """Tells whether the last list names an instance."""
+        return inner_address in self._listed
+
+    async def read(self) -> bool:
+        """Reads the list; returns whether that went well."""
+        try:
+            rows = await self._instance_list.list_instances()
+        except failures.PlatformError as error:
+            eliot.log_message("membership:list_out", reason=str(error))
+            return False
+        self._listed = frozenset(
+            row.inner_address
+            for row in rows
+            if row.role is instances.InstanceRole.ENTRY and row.inner_address
+        )
+        self.was_read = True
+        return True
--- /dev/null
+++ b/src/nutmeghook/internal/membership/rumours.py
@@ -0,0 +1,54 @@
+"""News that travel with the probes, each a bounded number of times."""
+
+import dataclasses
+import heapq
+import math
+
+from nutmeghook.internal.membership import claims
+
+RUMOURS_A_MESSAGE = 8
+# Each instance repeats a rumour this often for each doubling of the fleet.
+# With 2 a rumour misses fewer than one instance in a hundred at 5% loss; those
+# find their members' hash different and ask for the table.
+_REPEATS_A_DOUBLING = 2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Rumour:
+    claim: claims.Claim
+    sent_times: int = 0
+
+
+class RumourQueue:
+    """The newest claim on each address that is still to be spread."""
+
+    __slots__ = ("_rumours",)
+
+    def __init__(self):
+        self._rumours: dict[str, _Rumour] = {}
+
+    def add(self, claim: claims.Claim) -> None:
+        """Spreads a claim in place of older ones on the same address."""
+        self._rumours[claim.member.inner_address] = _Rumour(claim=claim)
+
+    def pick(self, members_count: int) -> list[claims.Claim]:
+        """Returns what the next message carries, least often sent first."""
+        limit = repeats(members_count)
+        chosen = heapq.nsmallest(
+            RUMOURS_A_MESSAGE,
+            self._rumours.values(),
+            key=lambda rumour: rumour.sent_times,
+        )
+        for rumour in chosen:
+            rumour.sent_times += 1
+            if rumour.sent_times >= limit:
+                del self._rumours[rumour.claim.member.inner_address]
+        return [rumour.claim for rumour in chosen]
+
+    def __len__(self) -> int:
+        return len(self._rumours)
+
+
+def repeats(members_count: int) -> int:
+    """Returns how often each instance repeats a rumour."""
+    return math.ceil(_REPEATS_A_DOUBLING * math.log2(members_count + 1))
--- /dev/null
+++ b/src/nutmeghook/internal/membership/table.py
@@ -0,0 +1,257 @@
+"""All that this instance believes of the others, and of itself."""
+
+import dataclasses
+import datetime
+import enum
+
+import msgspec
+import xxhash
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.membership import claims
+from nutmeghook.internal.membership import members as members_module
+
+_HASH_MASK = 0x7FFFFFFF
+_DEAD = members_module.MemberHealth.DEAD
+_SUSPECT = members_module.MemberHealth.SUSPECT
+_ALIVE = members_module.MemberHealth.ALIVE
+
+
+class Verdict(enum.Enum):
+    """What became of a claim."""
+
+    KNOWN = "known"
+    ADOPTED = "adopted"
+    # It was about this instance and wrong; the number was raised above it.
+    REFUTED = "refuted"
+    # It says that a member runs at the number at which it is believed dead.
+    DISPUTED = "disputed"
+    # Of an unknown member, without its place.
+    UNPLACED = "unplaced"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Record:
+    """One address.
+
+    Attributes:
+        is_suspected: This instance alone suspects it; it tells nobody.
+        answered_at: When the last probe left that it answered, by the
+            monotonic clock.
+        died_at: When it was believed dead.
+    """
+
+    claim: claims.Claim
+    is_suspected: bool = False
+    answered_at: datetime.timedelta | None = None
+    died_at: datetime.timedelta | None = None
+
+    @property
+    def member(self) -> members_module.Member:
+        """The member with this instance's suspicion worked in."""
+        member = self.claim.member
+        if self.is_suspected and member.health is _ALIVE:
+            return msgspec.structs.replace(member, health=_SUSPECT)
+        return member
+
+
+class MemberTable:
+    """Merges claims; knows nothing of how they come and go."""
+
+    __slots__ = (
+        "_clock",
+        "_fresh_answer",
+        "_mine",
+        "_records",
+        "_running_hash",
+        "changed_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        myself: claims.Claim,
+        clock: clock_module.Clock,
+        fresh_answer: datetime.timedelta,
+    ):
+        self._mine = myself
+        self._clock = clock
+        self._fresh_answer = fresh_answer
+        self._records: dict[str, Record] = {}
+        self._running_hash: int | None = None
+        self.changed_at = clock.monotonic()
+
+    @property
+    def mine(self) -> claims.Claim:
+        """What this instance says of itself."""
+        return self._mine
+
+    def announce(self, health: members_module.MemberHealth) -> None:
+        """Says something new of this instance."""
+        member = msgspec.structs.replace(self._mine.member, health=health)
+        self._mine = claims.Claim(member=member, number=self._mine.number + 1)
+
+    def set_config_revision(self, revision: int) -> None:
+        """Sets what this instance has in force."""
+        member = msgspec.structs.replace(
+            self._mine.member, config_revision=revision
+        )
+        self._mine = claims.Claim(member=member, number=self._mine.number)
+
+    def record(self, inner_address: str) -> Record | None:
+        """Returns what is believed of another address."""
+        return self._records.get(inner_address)
+
+    def running(self) -> list[Record]:
+        """Returns the other members but the dead ones."""
+        return [r for r in self._records.values() if r.claim.is_running]
+
+    def dead_addresses(self) -> list[str]:
+        """Returns the addresses of remembered dead members."""
+        return [
+            address
+            for address, record in self._records.items()
+            if not record.claim.is_running
+        ]
+
+    def running_hash(self) -> int:
+        """Returns a hash of the set of running members, this one included.
+
+        Equal on two instances that believe in the same members, whatever
+        else they know of them.
+        """
+        if self._running_hash is None:
+            total = _hash_of(self._mine.member)
+            for record in self.running():
+                total ^= _hash_of(record.claim.member)
+            self._running_hash = total & _HASH_MASK
+        return self._running_hash
+
+    def believe(self, claim: claims.Claim) -> Verdict:
+        """Merges what anyone said of anyone."""
+        address = claim.member.inner_address
+        if address == self._mine.member.inner_address:
+            return self._believe_of_myself(claim)
+        record = self._records.get(address)
+        if record is None:
+            if claim.is_running and not claim.has_place:
+                return Verdict.UNPLACED
+            return self._adopt(Record(claim=claim))
+        if claim.order <= record.claim.order:
+            return self._learn_details(record, claim)
+        if self._contradicts_an_answer(record, claim):
+            return Verdict.KNOWN
+        return self._adopt(record, claim)
+
+    def note_answer(
+        self, inner_address: str, sent_at: datetime.timedelta
+    ) -> None:
+        """Notes that a member answered a probe that left at `sent_at`."""
+        record = self._records.get(inner_address)
+        if record is not None:
+            record.answered_at = sent_at
+
+    def condemn(self, suspected: claims.Claim) -> claims.Claim | None:
+        """Declares a member dead, unless it said something since.
+
+        Returns:
+            The new claim; None if the suspicion no longer holds.
+        """
+        record = self._records.get(suspected.member.inner_address)
+        if record is None or record.claim.order[:2] != suspected.order[:2]:
+            return None
+        member = msgspec.structs.replace(record.claim.member, health=_DEAD)
+        self._adopt(
+            record, claims.Claim(member=member, number=record.claim.number)
+        )
+        return record.claim
+
+    def forget_dead(self, retention: datetime.timedelta) -> None:
+        """Drops what is remembered of members that died long ago."""
+        oldest = self._clock.monotonic() - retention
+        self._records = {
+            address: record
+            for address, record in self._records.items()
+            if record.died_at is None or record.died_at > oldest
+        }
+
+    def _believe_of_myself(self, claim: claims.Claim) -> Verdict:
+        """Outbids whatever is said of this address and isn't so.
+
+        Either others took a frozen or cut instance for dead, or they still
+        hold to the process that had the address before. They take back
+        neither for less than a higher number.
+        """
+        mine = self._mine
+        says_the_same = (
+            claim.order[:2] == mine.order[:2]
+            and claim.member.health <= mine.member.health
+        )
+        if claim.number < mine.number or says_the_same:
+            return Verdict.KNOWN
+        self._mine = claims.Claim(member=mine.member, number=claim.number + 1)
+        return Verdict.REFUTED
+
+    def _learn_details(self, record: Record, claim: claims.Claim) -> Verdict:
+        known = record.claim
+        if claim.order[:2] != known.order[:2]:
+            return Verdict.KNOWN
+        if claim.is_running and not known.is_running:
+            return Verdict.DISPUTED
+        record.claim = _with_details(known, claim)
+        return Verdict.KNOWN
+
+    def _contradicts_an_answer(
+        self, record: Record, claim: claims.Claim
+    ) -> bool:
+        """Tells a mistaken accusation by this instance's own evidence.
+
+        An instance that can't be reached by the accuser, but just answered
+        this one, is alive; to believe the accuser would let one bad link
+        remove a member everywhere.
+        """
+        if claim.is_running or record.answered_at is None:
+            return False
+        if claim.order[:2] != record.claim.order[:2]:
+            return False
+        age = self._clock.monotonic() - record.answered_at
+        # A member that says itself that it ends is believed: see `announce`,
+        # which raises the number.
+        return age <= self._fresh_answer
+
+    def _adopt(
+        self, record: Record, claim: claims.Claim | None = None
+    ) -> Verdict:
+        if claim is not None:
+            if claim.member.incarnation != record.claim.member.incarnation:
+                record.answered_at = None
+            record.claim = _with_details(claim, record.claim)
+        record.is_suspected = False
+        now = self._clock.monotonic()
+        record.died_at = None if record.claim.is_running else now
+        self._records[record.claim.member.inner_address] = record
+        self._running_hash = None
+        self.changed_at = now
+        return Verdict.ADOPTED
+
+
+def _with_details(claim: claims.Claim, other: claims.Claim) -> claims.Claim:
+    """Returns a claim with what another one of the address can add to it."""
+    member = claim.member
+    if not claim.has_place and other.has_place:
+        member = msgspec.structs.replace(
+            member,
+            region=other.member.region,
+            data_centre=other.member.data_centre,
+        )
+    same_process = member.incarnation == other.member.incarnation
+    if same_process and other.member.config_revision > member.config_revision:
+        member = msgspec.structs.replace(
+            member, config_revision=other.member.config_revision
+        )
+    return claims.Claim(member=member, number=claim.number)
+
+
+def _hash_of(member: members_module.Member) -> int:
+    key = f"{member.inner_address}\n{member.incarnation}"
+    return xxhash.xxh64_intdigest(key.encode())
--- /dev/null
+++ b/tests/cover/test_membership_failures.py
@@ -0,0 +1,417 @@
+"""Membership under every failure it is meant for, on a fake clock."""
+
+import asyncio
+import datetime
+import functools
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from nutmeghook.internal.foundation import clock
+from nutmeghook.internal.inner import local_datagrams
+from nutmeghook.internal.membership import local_fleet
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events
+
+SECOND = datetime.timedelta(seconds=1)
+DETECTION_BOUND = 15 * SECOND
+DEAD = members_module.MemberHealth.DEAD
+LEAVING = members_module.MemberHealth.LEAVING
+ALIVE = members_module.MemberHealth.ALIVE
+
+
+class Scene:
+    """A fleet, its clock, and every change that any instance was told of."""
+
+    def __init__(self, count):
+        self.count = count
+        self.clock = clock.FakeClock()
+        self.fleet = local_fleet.LocalFleet(
+            clock=self.clock, random=random.Random(7), delay=SECOND / 100
+        )
+        self.fleet.list_all(count)
+        self.changes = []
+
+    def start(self, number, **options):
+        member = self.fleet.start(number, **options)
+        member.service.on_change(
+            lambda change: self.changes.append((number, change))
+        )
+        return member
+
+    def service(self, number):
+        return self.fleet.running[self.fleet.address(number)].service
+
+    def seen(self, observer, number):
+        """Returns how one instance sees another; None if not at all."""
+        address = self.fleet.address(number)
+        for member in self.service(observer).members():
+            if member.inner_address == address:
+                return member
+        return None
+
+    def deaths(self):
+        return {
+            change.inner_address
+            for _, change in self.changes
+            if change.health is DEAD
+        }
+
+    async def until(self, condition, *, at_most=DETECTION_BOUND):
+        """Advances until a condition holds; returns how long it took."""
+        start = self.clock.monotonic()
+        while not condition():
+            if self.clock.monotonic() - start >= at_most:
+                raise AssertionError(f"still not after {at_most}")
+            await self.clock.advance(SECOND / 4)
+        return self.clock.monotonic() - start
+
+    async def until_agreed(self, *, at_most=DETECTION_BOUND):
+        return await self.until(self.fleet.agrees, at_most=at_most)
+
+
+def scene(count, *, joined=True):
+    """Runs a test with a fleet in which, if `joined`, all know each other."""
+
+    def decorate(test):
+        @functools.wraps(test)
+        def run(self):
+            async def scenario():
+                this = Scene(count)
+                if joined:
+                    for number in range(count):
+                        this.start(number)
+                    await this.until_agreed()
+                    await this.clock.advance(5 * SECOND)
+                    this.changes.clear()
+                try:
+                    await test(self, this)
+                finally:
+                    this.fleet.stop()
+
+            asyncio.run(scenario())
+
+        return run
+
+    return decorate
+
+
+class JoinTest(unittest.TestCase):
+    @scene(7)
+    async def test_few_read_the_list_and_all_learn_of_a_new_instance(self, s):
+        s.fleet.list_all(8)
+        reads = s.fleet.instance_list.reads
+        s.start(7)
+        await s.until_agreed()
+        self.assertEqual(s.seen(0, 7).data_centre, "data-centre-7")
+        await s.clock.advance(60 * SECOND)
+        # Each of these 8 instances is alone in its data centre.
+        self.assertLess(s.fleet.instance_list.reads - reads, 8 * 16)
+        self.assertEqual(s.deaths(), set())
+
+    @scene(4, joined=False)
+    async def test_starting_while_the_list_is_out(self, s):
+        """Instances that start while the list is out find each other by seed
+        addresses, and one without seeds as soon as the list is back.
+
+        Until then it knows nobody, and does not take that for being alone;
+        nor does it when the list comes back empty at first.
+        """
+        s.fleet.instance_list.is_out = True
+        seeds = (s.fleet.address(0),)
+        for number in range(3):
+            s.start(number, seed_addresses=seeds)
+        await s.until_agreed()
+        s.start(3)
+        await s.clock.advance(20 * SECOND)
+        self.assertFalse(s.service(3).is_confirmed())
+        rows, s.fleet.instance_list.rows = s.fleet.instance_list.rows, []
+        s.fleet.instance_list.is_out = False
+        await s.clock.advance(20 * SECOND)
+        self.assertIsNone(s.seen(3, 0))
+        self.assertFalse(s.service(3).is_confirmed())
+        s.fleet.instance_list.rows = rows
+        await s.until_agreed()
+
+    @scene(5)
+    async def test_a_listed_but_dead_peer_is_no_member(self, s):
+        """The platform lists an instance for hours after its death.
+
+        It never answers, so it never becomes a member of anybody, and costs
+        the readers a probe each two seconds at most.
+        """
+        s.fleet.list_all(6)
+        await s.clock.advance(60 * SECOND)
+        self.assertTrue(s.fleet.agrees())
+        self.assertEqual(s.changes, [])
+
+    @scene(6)
+    async def test_a_faulty_list_removes_nobody(self, s):
+        """The platform's list loses its lines while the instances run.
+
+        It is empty, then holds one line, then is out. All stay members; and
+        a crash and a return during the fault are still noticed, because the
+        dead are tried again from memory.
+        """
+        rows = s.fleet.instance_list.rows
+        for faulty in ([], rows[:1]):
+            s.fleet.instance_list.rows = faulty
+            await s.clock.advance(30 * SECOND)
+            self.assertEqual(s.changes, [])
+        s.fleet.crash(3)
+        await s.until_agreed()
+        s.start(3)
+        await s.until_agreed()
+        self.assertEqual(s.deaths(), {s.fleet.address(3)})
+
+    @scene(1)
+    async def test_the_only_instance_is_sure_of_itself(self, s):
+        self.assertTrue(s.service(0).is_confirmed())
+
+
+class DeathTest(unittest.TestCase):
+    @scene(7)
+    async def test_a_crash_is_noticed_by_all(self, s):
+        s.fleet.crash(3)
+        await s.until_agreed()
+        self.assertEqual(s.deaths(), {s.fleet.address(3)})
+        kinds = [
+            event.kind
+            for event in s.fleet.running[s.fleet.address(0)].events.since(0)
+            if event.subject == s.fleet.address(3)
+        ]
+        self.assertEqual(kinds[-1], events.EventKind.MEMBER_LEFT)
+
+    @scene(2)
+    async def test_the_last_one_of_two_notices(self, s):
+        s.fleet.crash(1)
+        await s.until_agreed()
+
+    @scene(7)
+    async def test_a_restart_at_the_same_address(self, s):
+        """Others take the new process for a new member at once.
+
+        It restarts faster than anyone could miss the old one, on a machine
+        whose wall clock is hours behind, so its number is below its
+        predecessor's; the first acks tell it the number to outbid.
+        """
+        for wall_clock_lag in (datetime.timedelta(), 3600 * SECOND):
+            s.start(3, wall_clock_lag=wall_clock_lag)
+            new = s.service(3).myself.incarnation
+            await s.until(
+                lambda new=new: (
+                    all(
+                        s.seen(n, 3).incarnation == new
+                        for n in range(7)
+                        if s.seen(n, 3)
+                    )
+                    and s.fleet.agrees()
+                )
+            )
+        self.assertLessEqual(s.deaths(), {s.fleet.address(3)})
+
+    @scene(7)
+    async def test_leaving_and_ending_cause_no_suspicion(self, s):
+        """A draining instance is seen as leaving by all, then as gone.
+
+        It says so itself, so nobody has to miss its answers first.
+        """
+        s.service(3).announce_leaving()
+        await s.until(
+            lambda: all(s.seen(n, 3).health is LEAVING for n in range(7)),
+            at_most=6 * SECOND,
+        )
+        await s.clock.advance(10 * SECOND)
+        s.service(3).announce_end()
+        await s.clock.advance(SECOND / 10)
+        s.fleet.crash(3)
+        await s.until_agreed(at_most=6 * SECOND)
+        healths = {change.health for _, change in s.changes}
+        self.assertEqual(healths, {LEAVING, DEAD})
+
+
+class FreezeTest(unittest.TestCase):
+    @scene(7)
+    async def test_a_short_freeze_costs_nothing(self, s):
+        for freeze in (SECOND, 3 * SECOND):
+            s.fleet.network.freeze(s.fleet.address(2))
+            await s.clock.advance(freeze)
+            s.fleet.network.thaw(s.fleet.address(2))
+            await s.clock.advance(20 * SECOND)
+        self.assertEqual(s.deaths(), set())
+        self.assertTrue(s.fleet.agrees())
+
+    @scene(7)
+    async def test_a_long_freeze_is_a_death_that_the_frozen_one_learns_of(
+        self, s
+    ):
+        """The others drop a frozen instance; it comes back by itself.
+
+        It is stopped past the suspicion time and goes on. Before its first
+        task has run it already knows that it can't be sure to be a member;
+        the first ack tells it that it was taken for dead; it raises its
+        number and all take it back. It accuses nobody, though to its clock
+        everybody was silent for a minute.
+        """
+        frozen = s.service(2)
+        self.assertTrue(frozen.is_confirmed())
+        s.fleet.network.freeze(s.fleet.address(2))
+        await s.until(lambda: all(s.seen(n, 2) is None for n in (0, 1, 3, 6)))
+        await s.clock.advance(60 * SECOND)
+        s.fleet.network.thaw(s.fleet.address(2))
+        self.assertFalse(frozen.is_confirmed())
+        await s.until_agreed(at_most=8 * SECOND)
+        await s.until(frozen.is_confirmed, at_most=3 * SECOND)
+        await s.clock.advance(20 * SECOND)
+        self.assertTrue(s.fleet.agrees())
+        self.assertEqual(s.deaths(), {s.fleet.address(2)})
+
+    @scene(7)
+    async def test_a_starving_process_accuses_nobody(self, s):
+        """A process that runs for a fifth of a second in each five hears no
+        ack in time, and what comes while it stands still is lost.
+
+        To its clock all probes time out, round after round. It must not take
+        everybody for dead: a wait that took far longer than asked says that
+        it was itself that stood still.
+        """
+        starving = s.fleet.address(2)
+        others = [s.fleet.address(n) for n in range(7) if n != 2]
+        for other in others:
+            s.fleet.network.set_delay(other, starving, SECOND / 2)
+        for _ in range(12):
+            s.fleet.network.freeze(starving)
+            for other in others:
+                s.fleet.network.cut(other, starving)
+            await s.clock.advance(5 * SECOND)
+            s.fleet.network.thaw(starving)
+            s.fleet.network.heal_all()
+            await s.clock.advance(SECOND / 5)
+        told = [change.health for n, change in s.changes if n == 2]
+        self.assertEqual(told, [])
+
+
+class CutTest(unittest.TestCase):
+    @scene(7)
+    async def test_a_cut_between_two_removes_neither(self, s):
+        """One link fails, one way or both; both ends stay members to all.
+
+        Their probes fail, the helpers' don't.
+        """
+        one, other = s.fleet.address(1), s.fleet.address(5)
+        s.fleet.network.cut(one, other)
+        await s.clock.advance(60 * SECOND)
+        s.fleet.network.cut_both_ways(one, other)
+        await s.clock.advance(60 * SECOND)
+        self.assertEqual(s.deaths(), set())
+        self.assertTrue(s.fleet.agrees())
+
+    @scene(7)
+    async def test_a_deaf_instance_convinces_nobody(self, s):
+        """An instance hears nothing while what it sends arrives.
+
+        To it everybody is silent. It is the one that leaves the members, not
+        the six others on its word; it can't be sure of itself meanwhile, and
+        it is back soon after the links heal.
+        """
+        deaf = s.fleet.address(4)
+        for number in range(7):
+            s.fleet.network.cut(s.fleet.address(number), deaf)
+        await s.until(lambda: all(s.seen(n, 4) is None for n in (0, 1, 6)))
+        await s.clock.advance(60 * SECOND)
+        self.assertFalse(s.service(4).is_confirmed())
+        told = {c.inner_address for n, c in s.changes if n != 4}
+        self.assertEqual(told, {deaf})
+        s.fleet.network.heal_all()
+        await s.until_agreed()
+        self.assertTrue(s.service(4).is_confirmed())
+
+    @scene(15)
+    async def test_regions_that_can_not_reach_each_other_but_a_third(self, s):
+        """Two regions lose each other; a third, of one instance, reaches both.
+
+        Each probe across is carried by the helper of the third region, so
+        nobody is taken for dead. Helpers drawn without regard to regions
+        would often all be on the wrong side.
+        """
+        for number in (5, 8, 11, 14):
+            s.fleet.crash(number)
+        await s.until_agreed(at_most=30 * SECOND)
+        s.changes.clear()
+        for one in range(15):
+            for other in range(15):
+                regions = {s.fleet.region(one), s.fleet.region(other)}
+                if regions == {"region-0", "region-1"}:
+                    s.fleet.network.cut(
+                        s.fleet.address(one), s.fleet.address(other)
+                    )
+        await s.clock.advance(60 * SECOND)
+        self.assertEqual(s.deaths(), set())
+
+    @scene(6)
+    async def test_a_region_cut_off_and_healed(self, s):
+        """Each side goes on with its own members and finds the others again.
+
+        The list still names all, and says nothing of the cut. Meanwhile one
+        instance behind the cut is replaced by a new process. After the heal
+        all agree on who runs, and none was dropped by its own side.
+        """
+        s.fleet.cut_region("region-1", count=6)
+        inside, outside = {1, 4}, {0, 2, 3, 5}
+        await s.clock.advance(60 * SECOND)
+        s.start(4)
+        await s.clock.advance(60 * SECOND)
+        for side in (inside, outside):
+            expected = {s.fleet.address(number) for number in side}
+            for number in side:
+                members = s.service(number).members()
+                self.assertEqual({m.inner_address for m in members}, expected)
+        changes = len(s.changes)
+        s.fleet.network.heal_all()
+        await s.until_agreed(at_most=30 * SECOND)
+        after = [change for _, change in s.changes[changes:]]
+        self.assertEqual({change.health for change in after}, {ALIVE})
+
+
+class DatagramTest(unittest.TestCase):
+    @scene(30, joined=False)
+    async def test_datagrams_stay_below_the_mtu(self, s):
+        """However much there is to tell, no datagram may be fragmented.
+
+        30 instances with names of 100 characters join at once, so that each
+        message has more rumours to carry than fit.
+        """
+        sizes = []
+        send = local_datagrams.LocalDatagrams.send
+        list_row = local_fleet.LocalFleet.list_row
+
+        def measured_send(socket, target, data):
+            sizes.append(len(data))
+            send(socket, target, data)
+
+        def long_list_row(fleet, number):
+            return msgspec.structs.replace(
+                list_row(fleet, number),
+                region="r" * 100,
+                data_centre="d" * 100,
+            )
+
+        with (
+            mock.patch.object(
+                local_datagrams.LocalDatagrams, "send", measured_send
+            ),
+            mock.patch.object(
+                local_fleet.LocalFleet, "list_row", long_list_row
+            ),
+        ):
+            for number in range(30):
+                s.start(number)
+            await s.until_agreed(at_most=60 * SECOND)
+        self.assertGreater(max(sizes), 1000)
+        self.assertLessEqual(max(sizes), 1200)
+
+
+if __name__ == "__main__":
+    unittest.main()
