--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -83,6 +83,45 @@
         """
         timeline.run(about=about, html=html, url=url, token=token)
 
+    def load(
+        self,
+        template: str,
+        addresses: str = "127.0.0.1:8080",
+        token: str = "",
+        rate_per_s: float = 10.0,
+        duration_s: float = 10.0,
+        streamed: bool = True,
+        prompt_words: int = 40,
+        max_tokens: int = 64,
+    ) -> None:
+        """Sends steady load and prints what its callers saw, as JSON.
+
+        Ends with status 1 if a request was not answered.
+
+        Args:
+            template: The template that requests name as their model.
+            addresses: Instances or a balancer, ip:port, with commas.
+            token: A caller's token; else NUTMEGHOOK_TOKEN.
+            rate_per_s: Requests started a second.
+            duration_s: For how long.
+            streamed: Ask for streams.
+            prompt_words: Size of the prompts.
+            max_tokens: Largest answer.
+        """
+        load = importlib.import_module("nutmeghook.experiment.load")
+        load.main(
+            load.LoadSettings(
+                addresses=_split(addresses),
+                token=token,
+                template=template,
+                rate_per_s=rate_per_s,
+                duration_s=duration_s,
+                streamed=streamed,
+                prompt_words=prompt_words,
+                max_tokens=max_tokens,
+            )
+        )
+
     def demo(
         self, folder: str = "out/demo", works: int = 2200, seed: int = 1
     ) -> None:
@@ -100,6 +139,13 @@
         demo.main(folder=folder, works=works, seed=seed)
 
 
+def _split(addresses: object) -> list[str]:
+    """Reads a list with commas, which fire may have made a tuple."""
+    if isinstance(addresses, tuple):
+        return [str(address) for address in addresses]
+    return [part for part in str(addresses).split(",") if part]
+
+
 def _checked(flags: dict[str, str]) -> loading.Settings:
     """Loads settings; on faults prints them all and ends the process."""
     given = {name: text for name, text in flags.items() if text is not None}
--- a/src/nutmeghook/experiment/example_fleet.py
+++ b/src/nutmeghook/experiment/example_fleet.py
@@ -170,7 +170,7 @@
     )
 
 
-def stand_ins() -> fleet.FleetSpec:
+def stand_ins(*, mean_answer_tokens: int = 24) -> fleet.FleetSpec:
     """Returns the platform of both users: their replicas and services.
 
     Version 2 of the small inspection model is bad wherever it runs.
@@ -197,12 +197,14 @@
                 AGENCY_ENGINES,
                 region=AGENCY_REGION,
                 loaded=(SMALL_MODEL, LARGE_MODEL),
+                mean_answer_tokens=mean_answer_tokens,
             ),
             *_engines(
                 "rostering",
                 AIRLINE_ENGINES,
                 region=AIRLINE_REGION,
                 loaded=(FAST_MODEL, DEEP_MODEL),
+                mean_answer_tokens=mean_answer_tokens,
             ),
         ),
         plain_services=(
@@ -218,7 +220,12 @@
 
 
 def _engines(
-    pool: str, count: int, *, region: str, loaded: tuple[str, ...]
+    pool: str,
+    count: int,
+    *,
+    region: str,
+    loaded: tuple[str, ...],
+    mean_answer_tokens: int,
 ) -> list[fleet.EngineSpec]:
     return [
         fleet.EngineSpec(
@@ -234,6 +241,7 @@
                 step_ms=5.0,
                 prompt_token_ms=0.05,
                 bad_versions=(NEW_VERSION,),
+                mean_answer_tokens=mean_answer_tokens,
             ),
         )
         for number in range(count)
