Keep the outcome of each request true when parts of its way fail

Cause: the thin path had no tests of failures, and three faults showed as soon as it got them: two attempts of a hedge whose first tokens come in one turn of the event loop made the loser's lost race the request's fault; a refused body held its connection for 10 s; an error after a possible run told the caller to come again even under a key, which a repeat can't use. Ruled out: settling a failed claim before the error is given (a slow store would hold back the final answer); cancelling a keyed request when its caller goes (its retry would find an unknown instead of the answer).

--- a/src/nutmeghook/internal/dispatch/background.py
+++ b/src/nutmeghook/internal/dispatch/background.py
@@ -6,6 +6,8 @@
 
 import eliot
 
+from nutmeghook.internal.foundation import errors
+
 
 class BackgroundWork:
     """Keeps tasks alive until they end, and logs those that fail.
@@ -33,7 +35,7 @@
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            eliot.log_message(
-                "background work failed", error=repr(task.exception())
-            )
+        fault = None if task.cancelled() else task.exception()
+        # A coded error is an outcome, told and counted where it arose.
+        if fault is not None and not isinstance(fault, errors.CodedError):
+            eliot.log_message("background work failed", error=repr(fault))
--- a/src/nutmeghook/internal/dispatch/dispatcher.py
+++ b/src/nutmeghook/internal/dispatch/dispatcher.py
@@ -239,7 +239,7 @@
             self._record_end(request, codes.Code.CALLER_GONE, "")
             raise
         except Exception as error:
-            final = _final_error(progress, error)
+            final = _final_error(request, progress, error)
             self._record_end(request, final.code, final.detail)
             if final is error:
                 raise
@@ -330,10 +330,12 @@
 
 
 def _final_error(
-    progress: progress_module.Progress, error: Exception
+    request: _Request, progress: progress_module.Progress, error: Exception
 ) -> errors.CodedError:
     if isinstance(error, errors.CodedError):
-        return progress.final_error(error)
+        return progress.final_error(
+            error, may_be_sent_again=request.may_be_sent_again
+        )
     eliot.write_traceback()
     return errors.CodedError(
         code=codes.Code.INTERNAL,
--- a/src/nutmeghook/internal/dispatch/hedge.py
+++ b/src/nutmeghook/internal/dispatch/hedge.py
@@ -141,6 +141,8 @@
                     raise
                 faults.append(error)
                 continue
+            except LostRaceError:
+                continue
             if race.winner in (None, lane):
                 return last
     raise _worst(faults)
--- a/src/nutmeghook/internal/dispatch/progress.py
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -52,23 +52,30 @@
         """Takes back an attempt that provably did not run."""
         self.possibly_run -= 1
 
-    def final_error(self, error: errors.CodedError) -> errors.CodedError:
-        """Returns the error with a run state that is true of the request.
+    def final_error(
+        self, error: errors.CodedError, *, may_be_sent_again: bool
+    ) -> errors.CodedError:
+        """Returns the error as it is true of the whole request.
 
         The raiser of an error sees one step; a refusal at a later step (a
         retry that finds no backend server) must not say `not_run` when an
         earlier attempt may have run.
+
+        Args:
+            error: What the last step said.
+            may_be_sent_again: Whether the caller may repeat what may have
+                run; if not, it is not told when to come again.
         """
-        if not self.possibly_run or (
-            error.run_state is not codes.RunState.NOT_RUN
-        ):
+        if not self.possibly_run:
             return error
-        code = _CODES_ONCE_SENT.get(error.code, error.code)
+        state = error.run_state
+        if state is codes.RunState.NOT_RUN:
+            state = codes.RunState.UNKNOWN
         return errors.CodedError(
-            code=code,
+            code=_CODES_ONCE_SENT.get(error.code, error.code),
             detail=error.detail,
-            retry_after=error.retry_after,
-            run_state=codes.RunState.UNKNOWN,
+            retry_after=error.retry_after if may_be_sent_again else None,
+            run_state=state,
         )
 
 
--- a/src/nutmeghook/internal/dispatch/requests.py
+++ b/src/nutmeghook/internal/dispatch/requests.py
@@ -39,6 +39,15 @@
         """What the caller asked for, as metrics name it."""
         return self.template.name
 
+    @property
+    def may_be_sent_again(self) -> bool:
+        """Whether a caller may repeat it after its outcome was lost.
+
+        A generation has no effect but its answer. Under a key, though, a
+        repeat is only told that the first try's outcome is unknown.
+        """
+        return not self.identity.given_by_caller
+
     @property
     def prompt_tokens_estimate(self) -> int:
         """A guess, for attempts whose engine never said the size."""
@@ -72,6 +81,11 @@
         """What the caller asked for, as metrics name it."""
         return self.route.service
 
+    @property
+    def may_be_sent_again(self) -> bool:
+        """Whether a caller may repeat it after its outcome was lost."""
+        return self.route.repeatable and not self.identity.given_by_caller
+
 
 # The usual rule of thumb for Latin scripts.
 _CHARS_PER_TOKEN = 4
--- a/src/nutmeghook/internal/entry/drain.py
+++ b/src/nutmeghook/internal/entry/drain.py
@@ -6,7 +6,6 @@
 import datetime
 import enum
 
-from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.observe import events as events_module
@@ -30,15 +29,9 @@
     it is refused, as `DRAINING`, which is provably not run.
     """
 
-    __slots__ = ("_clock", "_events", "_idle", "_in_flight", "state")
+    __slots__ = ("_events", "_idle", "_in_flight", "state")
 
-    def __init__(
-        self,
-        *,
-        clock: clock_module.Clock,
-        events: events_module.EventRing,
-    ):
-        self._clock = clock
+    def __init__(self, *, events: events_module.EventRing):
         self._events = events
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -70,18 +63,19 @@
             if not self._in_flight:
                 self._idle.set()
 
-    async def leave(self, *, lag: datetime.timedelta) -> None:
-        """Leaves; returns when the last request is finished.
-
-        Args:
-            lag: How long the balancer may still send requests.
-        """
+    def start_leaving(self) -> None:
+        """Lets `/readyz` fail; requests are served as before."""
         self.state = DrainState.LEAVING
         self._events.record(
             events_module.EventKind.DRAIN_STARTED,
             "entry",
             in_flight=str(self._in_flight),
         )
-        await self._clock.sleep(lag)
+
+    def refuse(self) -> None:
+        """Refuses requests that come from now on."""
         self.state = DrainState.REFUSING
+
+    async def idle(self) -> None:
+        """Waits until no request is under way."""
         await self._idle.wait()
--- a/src/nutmeghook/internal/entry/intake.py
+++ b/src/nutmeghook/internal/entry/intake.py
@@ -137,7 +137,11 @@
             raise errors.CodedError(
                 code=codes.Code.BAD_FIELD, detail=str(error)
             ) from error
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             raise errors.CodedError(
                 code=codes.Code.BAD_JSON, detail=str(error)
             ) from error
--- a/src/nutmeghook/internal/entry/listener.py
+++ b/src/nutmeghook/internal/entry/listener.py
@@ -10,6 +10,9 @@
 
 MAX_LINE_BYTES = 8190
 _CLOSE_TIMEOUT_S = 5.0
+# How long the rest of a refused body is read and dropped, so that the caller
+# gets to read the refusal instead of a connection reset.
+_LINGERING_S = 0.5
 
 
 class CodedRequestHandler(web.RequestHandler):
@@ -42,9 +45,13 @@
 
 
 class Listener:
-    """The listening socket and its connections."""
+    """The listening socket and its connections.
 
-    __slots__ = ("_runner", "_server")
+    Attributes:
+        address: The `ip:port` listened on; empty before the start.
+    """
+
+    __slots__ = ("_runner", "_server", "address")
 
     def __init__(self, *, application: web.Application):
         self._runner = web.AppRunner(
@@ -54,6 +61,7 @@
             shutdown_timeout=_CLOSE_TIMEOUT_S,
         )
         self._server: asyncio.Server | None = None
+        self.address = ""
 
     async def start(self, *, host: str, port: int) -> None:
         """Starts to listen; port 0 lets the system choose one."""
@@ -64,6 +72,7 @@
                 self._runner.server,
                 loop=loop,
                 access_log=None,
+                lingering_time=_LINGERING_S,
                 max_line_size=MAX_LINE_BYTES,
                 max_field_size=MAX_LINE_BYTES,
             ),
@@ -71,20 +80,17 @@
             port,
             reuse_address=True,
         )
+        own_host, own_port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{own_host}:{own_port}"
 
-    @property
-    def address(self) -> str:
-        """The `ip:port` listened on."""
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
-
-    async def stop(self) -> None:
-        """Closes the socket and what connections are left.
-
-        Call it after `Drain.leave`, when no request is under way any more.
-        """
+    def close_door(self) -> None:
+        """Refuses new connections; those that exist go on."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Closes the socket and what connections are left."""
+        self.close_door()
         await self._runner.cleanup()
 
 
--- a/src/nutmeghook/internal/entry/replies.py
+++ b/src/nutmeghook/internal/entry/replies.py
@@ -79,18 +79,11 @@
 
 
 def retry_after_of(error: errors.CodedError) -> datetime.timedelta | None:
-    """Returns when a request may come again, or None if it should not.
-
-    Only a request that was not run may be sent again as it is; what may have
-    run is for the caller to decide on.
-    """
-    if error.code is codes.Code.ALREADY_RUNNING:
-        return error.retry_after or _DEFAULT_RETRY_AFTER
-    if error.run_state is not codes.RunState.NOT_RUN:
-        return None
+    """Returns when a request may come again, or None if it should not."""
     if error.retry_after is not None:
         return error.retry_after
-    if error.code.http_status in _MAY_COME_AGAIN:
+    not_run = error.run_state is codes.RunState.NOT_RUN
+    if not_run and error.code.http_status in _MAY_COME_AGAIN:
         return _DEFAULT_RETRY_AFTER
     return None
 
--- a/src/nutmeghook/internal/foundation/clock.py
+++ b/src/nutmeghook/internal/foundation/clock.py
@@ -52,6 +52,9 @@
             timer.cancel()
             if not work.done():
                 work.cancel()
+                # As `asyncio.timeout` does: what the work does on its way
+                # out has happened by the time that the caller goes on.
+                await asyncio.wait({work})
 
 
 class SystemClock(Clock):
--- /dev/null
+++ b/tests/cover/test_dispatch_generation.py
@@ -0,0 +1,414 @@
+"""A generation's outcome is whole, true and billed once, whatever fails."""
+
+import asyncio
+import datetime
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+from tests import fakes
+
+WORDS = ("The ", "boiler ", "holds ", "well.")
+WHOLE = "".join(WORDS)
+
+
+def refused() -> Exception:
+    return failures.NotDoneError("connection refused")
+
+
+def lost() -> Exception:
+    return failures.OutcomeUnknownError("connection reset")
+
+
+@strategies.composite
+def _scripts(draw) -> fakes.Script:
+    """One connection to an engine: refused, lost, cut, garbled or whole."""
+    kind = draw(
+        strategies.sampled_from(
+            ["refused", "lost", "cut", "garbled", "failed", "other", "whole"]
+        )
+    )
+    match kind:
+        case "refused":
+            return fakes.Script(fails=refused())
+        case "lost":
+            return fakes.Script(fails=lost())
+        case "cut":
+            return fakes.Script(
+                words=WORDS, cut_after=draw(strategies.integers(0, 3))
+            )
+        case "garbled":
+            order = draw(strategies.lists(strategies.integers(-1, 3)))
+            return fakes.Script(words=WORDS, order=order)
+        case "failed":
+            return fakes.Script(words=WORDS, finish=engine.FinishReason.FAILED)
+        case "other":
+            return fakes.Script(words=("Another ", "text."))
+    return fakes.Script(words=WORDS)
+
+
+class OutcomeTest(unittest.TestCase):
+    """Properties over random failures of all connections."""
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(
+        scripts=strategies.lists(
+            strategies.tuples(strategies.booleans(), _scripts()), max_size=7
+        ),
+        key=strategies.sampled_from(["", "finding-7"]),
+        hedge_after_ms=strategies.sampled_from([0, 20]),
+        may_go_on=strategies.booleans(),
+        leave=strategies.integers(0, 6),
+    )
+    def test_one_version_s_whole_text_or_a_true_error(
+        self, scripts, key, hedge_after_ms, may_go_on, leave
+    ):
+        """The caller reads a whole answer of one attempt, or an error.
+
+        Connections to two engines are refused, reset, cut in mid-answer,
+        carry chunks twice, out of order or of another request, or give
+        another text. What the caller has read must be the answer, or on an
+        error a prefix of one text; `not_run` must be provable; one bill for
+        an answer and none for an error; the claim must say the same.
+        """
+
+        async def scenario():
+            fixture = fakes.Fixture(hedge_after_ms=hedge_after_ms)
+            fixture.budget.leave = leave
+            fixture.cascade = fakes.FakeCascade(
+                first_stage=0, may_go_on=may_go_on
+            )
+            for second, script in scripts:
+                address = "e2:1" if second else "e1:1"
+                fixture.engines[address].scripts.append(script)
+            for address in fixture.backends.addresses:
+                fixture.engines[address].default = fakes.Script(words=WORDS)
+            sink = fakes.RecordingSink()
+            outcome = None
+            try:
+                outcome = await fakes.to_end(
+                    fixture.clock,
+                    fixture.dispatcher().generate(
+                        fakes.generation_request(fixture, key=key), sink
+                    ),
+                )
+            except errors.CodedError as error:
+                outcome = error
+            await fixture.clock.advance(datetime.timedelta(seconds=5))
+            return fixture, sink, outcome
+
+        fixture, sink, outcome = asyncio.run(scenario())
+        if isinstance(outcome, errors.CodedError):
+            self._check_error(fixture, sink, outcome, key)
+        else:
+            self._check_answer(fixture, sink, outcome)
+
+    def _check_answer(self, fixture, sink, answer):
+        self.assertEqual(sink.text, answer.text)
+        self.assertIn(answer.text, (WHOLE, "Another text."))
+        [bill] = fixture.ledger.bills
+        self.assertGreaterEqual(bill.spent_micros, bill.cost_micros)
+        self.assertEqual(fixture.ledger.unknown, [])
+        self.assertEqual(fixture.ledger.released, [])
+
+    def _check_error(self, fixture, sink, error, key):
+        whole_texts = (WHOLE, "Another text.")
+        self.assertTrue(any(t.startswith(sink.text) for t in whole_texts))
+        self.assertEqual(fixture.ledger.bills, [])
+        ran = any(fake.ran for fake in fixture.engines.values())
+        expected = codes.RunState.UNKNOWN if ran else codes.RunState.NOT_RUN
+        self.assertEqual(error.run_state, expected)
+        if key:
+            self.assertEqual(bool(fixture.ledger.unknown), ran)
+            self.assertEqual(bool(fixture.ledger.released), not ran)
+
+
+class FailureTest(unittest.IsolatedAsyncioTestCase):
+    """Single failures, told one by one."""
+
+    def setUp(self):
+        self.fixture = fakes.Fixture()
+        self.sink = fakes.RecordingSink()
+        self.first = self.fixture.engines["e1:1"]
+        self.second = self.fixture.engines["e2:1"]
+
+    def generate(self, **request_fields):
+        return self.fixture.dispatcher().generate(
+            fakes.generation_request(self.fixture, **request_fields),
+            self.sink,
+        )
+
+    async def ended(self, **request_fields):
+        return await fakes.to_end(
+            self.fixture.clock, self.generate(**request_fields)
+        )
+
+    async def test_the_end_waits_for_the_bill(self):
+        """The caller reads all text but not the end while the store is slow.
+
+        The engine's last chunk is relayed; the ledger has not yet made the
+        bill durable. Only its return lets the request end.
+        """
+        self.fixture.ledger.finish_gate = asyncio.Event()
+        ending = asyncio.ensure_future(self.generate())
+        await fakes.settle()
+        self.assertEqual(self.sink.text, "The boiler holds.")
+        self.assertFalse(ending.done())
+        self.fixture.ledger.finish_gate.set()
+        await ending
+        self.assertEqual(len(self.fixture.ledger.bills), 1)
+
+    async def test_an_unsettled_bill_holds_the_answer_back(self):
+        """The caller is told `ran` and gets no end: the store took no bill."""
+        self.fixture.ledger.finish_error = errors.CodedError(
+            code=codes.Code.BILL_UNSETTLED
+        )
+        with self.assertRaises(errors.CodedError) as caught:
+            await self.ended(key="finding-7")
+        self.assertEqual(caught.exception.run_state, codes.RunState.RAN)
+        self.assertEqual(self.fixture.ledger.unknown, [])
+
+    async def test_a_cut_stream_resumes_on_the_same_engine(self):
+        """The caller reads on after a pause; no word twice, none missing.
+
+        The connection breaks after one token. The engine still has the
+        attempt, and is asked for it from the next token on.
+        """
+        self.first.scripts.append(fakes.Script(cut_after=1))
+        answer = await self.ended()
+        self.assertEqual(answer.text, "The boiler holds.")
+        self.assertEqual(self.sink.text, answer.text)
+        self.assertEqual(
+            [(g.attempt_id, g.resume_at_token) for g in self.first.generations],
+            [("req-1/1", 0), ("req-1/1", 1)],
+        )
+        self.assertEqual(self.second.generations, [])
+
+    async def test_a_missing_chunk_is_asked_for_again(self):
+        """The caller misses nothing: token 1 was skipped, and is fetched."""
+        self.first.scripts.append(fakes.Script(order=[0, 2]))
+        answer = await self.ended()
+        self.assertEqual(self.sink.text, answer.text)
+        self.assertEqual(self.first.generations[1].resume_at_token, 1)
+
+    async def test_late_and_crossed_chunks_find_nobody(self):
+        """The caller reads its own answer only, each word once.
+
+        On the engine's connection come a chunk of another request, and one
+        of this attempt a second time.
+        """
+        self.first.scripts.append(fakes.Script(order=[0, -1, 0, 1, 2]))
+        await self.ended()
+        self.assertEqual(self.sink.text, "The boiler holds.")
+        self.assertEqual(self.fixture.meter.counts["chunk dropped"], 2)
+
+    async def test_an_engine_lost_before_the_first_token_is_replaced(self):
+        """The caller notices nothing: another engine, the same version."""
+        self.first.scripts.append(fakes.Script(fails=lost()))
+        answer = await self.ended(session="s-1")
+        self.assertEqual(answer.text, "The boiler holds.")
+        [repeat] = self.second.generations
+        self.assertEqual(repeat.attempt_id, "req-1/2")
+        self.assertEqual(repeat.model_version, fakes.LARGE)
+        self.assertEqual(self.first.cancelled, ["req-1/1"])
+
+    async def test_a_lost_engine_s_answer_goes_on_only_word_for_word(self):
+        """The caller reads on if the repeat says the same, else an error.
+
+        The engine is gone after two tokens were relayed. The second engine's
+        text begins with the same words, in other chunks; then, in a second
+        run, with other words: two texts must not be spliced.
+        """
+        gone = [fakes.Script(cut_after=2)] + [fakes.Script(fails=refused())] * 3
+        self.first.scripts.extend(gone)
+        self.second.scripts.append(
+            fakes.Script(words=("The boi", "ler holds", "."))
+        )
+        answer = await self.ended()
+        self.assertEqual(self.sink.text, "The boiler holds.")
+        self.assertEqual(answer.text, self.sink.text)
+        self.setUp()
+        self.first.scripts.extend(gone)
+        self.second.scripts.append(fakes.Script(words=("The ", "tank ", "is")))
+        with self.assertRaises(errors.CodedError) as caught:
+            await self.ended()
+        self.assertEqual(self.sink.text, "The boiler ")
+        self.assertEqual(caught.exception.code, codes.Code.BACKEND_FAILED)
+        self.assertEqual(self.fixture.ledger.bills, [])
+
+    async def test_retries_end_with_the_budget(self):
+        """The caller hears `not_run` and when to come again, at once.
+
+        Both engines refuse; the fleet's retry budget has leave for one more.
+        """
+        self.fixture.budget.leave = 1
+        for fake in (self.first, self.second):
+            fake.scripts.extend([fakes.Script(fails=refused())] * 9)
+        with self.assertRaises(errors.CodedError) as caught:
+            await self.ended(key="finding-7")
+        self.assertEqual(caught.exception.code, codes.Code.BACKEND_REFUSED)
+        self.assertEqual(caught.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertIsNotNone(caught.exception.retry_after)
+        calls = len(self.first.generations) + len(self.second.generations)
+        self.assertEqual(calls, 2)
+        self.assertEqual(self.fixture.ledger.released, ["finding-7"])
+
+    async def test_a_version_withdrawn_while_waiting_gets_no_work(self):
+        """The caller gets the next version's answer.
+
+        The choice was made; then the request waited to be retried; meanwhile
+        the version is withdrawn. The check just before the send must see it.
+        """
+        newer = engine.ModelVersion(model="large", version="2")
+        snapshot = self.fixture.config.snapshot
+        template = snapshot.template("agency", "review")
+        stage = template.stages[1]
+        versions = (
+            *stage.versions,
+            msgspec.structs.replace(stage.versions[0], version="2"),
+        )
+        stages = (
+            template.stages[0],
+            msgspec.structs.replace(stage, versions=versions),
+        )
+        template = msgspec.structs.replace(template, stages=stages)
+        self.fixture.config.current = msgspec.structs.replace(
+            snapshot, templates={"agency/review": template}
+        )
+        gate = asyncio.Event()
+        self.first.scripts.append(fakes.Script(gate=gate, fails=refused()))
+        ending = asyncio.ensure_future(self.generate())
+        await fakes.settle()
+        self.fixture.versions.withdrawn.add(fakes.LARGE)
+        gate.set()
+        answer = await fakes.to_end(self.fixture.clock, ending)
+        self.assertEqual(answer.model_version, newer)
+        [generation] = self.second.generations
+        self.assertEqual(generation.model_version, newer)
+
+    async def test_the_deadline_ends_a_silent_attempt(self):
+        """The caller hears `unknown` at its deadline; the engine is told."""
+        self.first.scripts.append(fakes.Script(gate=asyncio.Event()))
+        with self.assertRaises(errors.CodedError) as caught:
+            await self.ended(deadline_s=2)
+        self.assertEqual(caught.exception.code, codes.Code.DEADLINE_DURING_RUN)
+        await fakes.settle()
+        self.assertEqual(self.first.cancelled, ["req-1/1"])
+        self.assertEqual(self.first.generations[0].deadline_ms, 2000)
+
+    async def test_a_caller_that_goes_cancels_and_pays_what_it_took(self):
+        """Nobody reads on: the engine stops, the two tokens are billed."""
+        gate = asyncio.Event()
+        self.first.scripts.extend(
+            [fakes.Script(cut_after=2), fakes.Script(gate=gate)]
+        )
+        ending = asyncio.ensure_future(self.generate())
+        await self.fixture.clock.advance(datetime.timedelta(seconds=1))
+        self.assertEqual(self.sink.text, "The boiler ")
+        ending.cancel()
+        await fakes.settle()
+        self.assertEqual(self.first.cancelled, ["req-1/1"])
+        [bill] = self.fixture.ledger.bills
+        self.assertEqual(bill.output_tokens, 2)
+
+    async def test_a_keyed_request_is_finished_for_its_retry(self):
+        """The caller's connection breaks; its retry gets the answer.
+
+        The first try goes on without a reader, is billed, and is kept; the
+        retry with the same key reads that answer and nothing runs twice.
+        """
+        gate = asyncio.Event()
+        self.first.scripts.append(fakes.Script(gate=gate))
+        dispatcher = self.fixture.dispatcher()
+        request = fakes.generation_request(self.fixture, key="finding-7")
+        first_try = asyncio.ensure_future(
+            dispatcher.generate(request, self.sink)
+        )
+        await fakes.settle()
+        first_try.cancel()
+        await fakes.settle()
+        with self.assertRaises(errors.CodedError) as caught:
+            await dispatcher.generate(request, self.sink)
+        self.assertEqual(caught.exception.code, codes.Code.ALREADY_RUNNING)
+        gate.set()
+        await dispatcher.settled()
+        kept = await dispatcher.generate(request, self.sink)
+        self.assertEqual(kept.body, b"The boiler holds.")
+        self.assertEqual(self.sink.text, "")
+        self.assertEqual(len(self.first.generations), 1)
+        self.assertEqual(len(self.fixture.ledger.bills), 1)
+
+    async def test_a_weak_answer_is_never_seen(self):
+        """The caller reads the strong model's answer and pays for that one.
+
+        The cheap stage's whole answer is held, judged too weak, and dropped;
+        its cost is counted as spent.
+        """
+        self.fixture.cascade = fakes.FakeCascade(first_stage=0, may_go_on=True)
+        self.fixture.cascade.accepted = False
+        self.first.scripts.append(fakes.Script(words=("No ", "idea.")))
+        answer = await self.ended()
+        self.assertEqual(answer.model_version, fakes.LARGE)
+        self.assertEqual(self.sink.text, "The boiler holds.")
+        [bill] = self.fixture.ledger.bills
+        self.assertEqual(bill.cost_micros, 10 * 5 + 100 * 3)
+        self.assertEqual(bill.spent_micros, bill.cost_micros + 5 + 10 * 2)
+
+    async def test_a_full_rating_queue_costs_the_caller_nothing(self):
+        """All callers are answered; what can't be rated is counted."""
+        self.fixture.cascade.rated = True
+        for _ in range(3):
+            await self.ended()
+        self.assertEqual(self.fixture.meter.counts["rating dropped"], 1)
+        handing_in = asyncio.ensure_future(self.fixture.ratings.run())
+        await fakes.settle()
+        handing_in.cancel()
+        self.assertEqual(len(self.fixture.rating_service.tasks), 2)
+
+
+class HedgeTest(unittest.IsolatedAsyncioTestCase):
+    """A second attempt when the first is silent."""
+
+    async def asyncSetUp(self):
+        self.fixture = fakes.Fixture(hedge_after_ms=100)
+        self.sink = fakes.RecordingSink()
+        self.gates = [asyncio.Event(), asyncio.Event()]
+        words = (("First ", "text."), ("Second ", "text."))
+        for address, gate, text in zip(
+            ("e1:1", "e2:1"), self.gates, words, strict=True
+        ):
+            self.fixture.engines[address].scripts.append(
+                fakes.Script(gate=gate, words=text)
+            )
+        self.ending = asyncio.ensure_future(
+            self.fixture.dispatcher().generate(
+                fakes.generation_request(self.fixture), self.sink
+            )
+        )
+        await self.fixture.clock.advance(datetime.timedelta(milliseconds=150))
+
+    async def test_the_first_token_wins_and_the_loser_is_cancelled(self):
+        """The caller reads the hedge's answer only, billed once."""
+        self.gates[1].set()
+        answer = await self.ending
+        self.gates[0].set()
+        await fakes.settle()
+        self.assertEqual(answer.text, "Second text.")
+        self.assertEqual(self.sink.text, "Second text.")
+        self.assertEqual(self.fixture.engines["e1:1"].cancelled, ["req-1/1"])
+        self.assertEqual(len(self.fixture.ledger.bills), 1)
+        self.assertEqual(self.fixture.budget.leave, 99)
+
+    async def test_both_tokens_at_once_still_give_one_text(self):
+        """The caller reads one of the two texts: they come in one turn."""
+        for gate in self.gates:
+            gate.set()
+        answer = await self.ending
+        self.assertIn(self.sink.text, ("First text.", "Second text."))
+        self.assertEqual(self.sink.text, answer.text)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import datetime
 import random
@@ -9,12 +10,18 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import tokens
 from nutmeghook.internal.config import view
+from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import dispatcher
 from nutmeghook.internal.dispatch import meter
 from nutmeghook.internal.dispatch import ratings
+from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.entry import application
+from nutmeghook.internal.entry import drain as drain_module
+from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.limits import admission
 from nutmeghook.internal.observe import events
@@ -101,14 +108,15 @@
         words: One token each.
         fails: Raised before the first chunk.
         cut_after: Chunks after which the stream ends with no last chunk.
-        chunks: Sent as they are, in place of `words`.
+        order: Which of the attempt's chunks are sent, in place of those due;
+            a negative number is a chunk of another attempt.
         gate: Waited for before the first chunk.
     """
 
     words: tuple[str, ...] = ("The ", "boiler ", "holds.")
     fails: Exception | None = None
     cut_after: int | None = None
-    chunks: list[engine.Chunk] | None = None
+    order: list[int] | None = None
     gate: asyncio.Event | None = None
     finish: engine.FinishReason = engine.FinishReason.STOP
 
@@ -118,23 +126,30 @@
 
     def __init__(self):
         self.scripts: collections.deque[Script] = collections.deque()
+        self.default = Script()
+        self.texts: dict[str, tuple[str, ...]] = {}
+        self.ran = False
         self.generations: list[engine.Generation] = []
         self.cancelled: list[str] = []
 
     async def generate(self, generation):
         self.generations.append(generation)
-        script = self.scripts.popleft() if self.scripts else Script()
+        script = self.scripts.popleft() if self.scripts else self.default
         if script.gate is not None:
             await script.gate.wait()
         if script.fails is not None:
+            if not isinstance(script.fails, failures.NotDoneError):
+                self.ran = True
             raise script.fails
-        chunks = script.chunks
-        if chunks is None:
-            chunks = chunks_of(generation, script)
-        for number, chunk in enumerate(chunks):
+        self.ran = True
+        words = self.texts.setdefault(generation.attempt_id, script.words)
+        order = script.order
+        if order is None:
+            order = range(generation.resume_at_token, len(words))
+        for number, index in enumerate(order):
             if number == script.cut_after:
                 raise failures.OutcomeUnknownError("connection reset")
-            yield chunk
+            yield _chunk(generation.attempt_id, words, index, script.finish)
 
     async def cancel(self, attempt_id):
         self.cancelled.append(attempt_id)
@@ -155,23 +170,25 @@
         pass
 
 
-def chunks_of(
-    generation: engine.Generation, script: Script
-) -> list[engine.Chunk]:
-    """The chunks of an attempt from the token where it resumes."""
-    last = len(script.words) - 1
-    return [
-        engine.Chunk(
-            attempt_id=generation.attempt_id,
-            token_index=index,
-            tokens=1,
-            text=word,
-            finish=script.finish if index == last else None,
-            prompt_tokens=5 if index == last else 0,
+def _chunk(
+    attempt_id: str,
+    words: tuple[str, ...],
+    index: int,
+    finish: engine.FinishReason,
+) -> engine.Chunk:
+    if not 0 <= index < len(words):
+        return engine.Chunk(
+            attempt_id="req-0/1", token_index=0, tokens=1, text="crossed"
         )
-        for index, word in enumerate(script.words)
-        if index >= generation.resume_at_token
-    ]
+    is_last = index == len(words) - 1
+    return engine.Chunk(
+        attempt_id=attempt_id,
+        token_index=index,
+        tokens=1,
+        text=words[index],
+        finish=finish if is_last else None,
+        prompt_tokens=5 if is_last else 0,
+    )
 
 
 class FakeService(plain.PlainServiceConnector):
@@ -413,3 +430,95 @@
             meter=self.meter,
             random_source=random.Random(1),
         )
+
+
+class RecordingSink(answers.AnswerSink):
+    """Keeps what a caller would have read so far."""
+
+    def __init__(self):
+        self.text = ""
+        self.detached = False
+
+    async def take(self, text, model_version):
+        if not self.detached:
+            self.text += text
+
+    def detach(self):
+        self.detached = True
+
+    def encode_whole(self, answer):
+        return ledger.KeptAnswer(
+            status=200, content_type="text/plain", body=answer.text.encode()
+        )
+
+
+def generation_request(
+    fixture: Fixture,
+    *,
+    key: str = "",
+    session: str = "",
+    deadline_s: float = 30,
+) -> requests.GenerationRequest:
+    """A request to the template `review`."""
+    template = fixture.config.snapshot.template("agency", "review")
+    arrived = fixture.clock.monotonic()
+    return requests.GenerationRequest(
+        request_id="req-1",
+        identity=ledger.RequestIdentity(
+            team="agency", key=key or "req-1", given_by_caller=bool(key)
+        ),
+        team=fixture.config.snapshot.teams["agency"],
+        template=template,
+        messages=(engine.Message(role="user", content="Does it hold?"),),
+        prompt_chars=13,
+        max_tokens=100,
+        session=session,
+        priority=template.priority,
+        arrived=arrived,
+        deadline=arrived + datetime.timedelta(seconds=deadline_s),
+    )
+
+
+async def to_end(clock: clock_module.FakeClock, work):
+    """Moves time on until the work ends, and returns its result."""
+    task = asyncio.ensure_future(work)
+    for _ in range(2000):
+        await asyncio.sleep(0)
+        if task.done():
+            break
+        await clock.advance(datetime.timedelta(milliseconds=50))
+    return await task
+
+
+async def settle():
+    """Lets tasks run until each waits for something outside."""
+    for _ in range(50):
+        await asyncio.sleep(0)
+
+
+async def until(condition: Callable[[], object]):
+    """Waits for what happens over real connections."""
+    for _ in range(10_000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError("the condition did not come true")
+
+
+def listener(
+    fixture: Fixture,
+    *,
+    drain: drain_module.Drain | None = None,
+    on: dispatcher.Dispatcher | None = None,
+) -> listener_module.Listener:
+    """The HTTP side before the fixture's dispatcher, not yet started."""
+    return listener_module.Listener(
+        application=application.build_application(
+            clock=fixture.clock,
+            config=fixture.config,
+            tokens=tokens.TokenIndex(config=fixture.config),
+            dispatcher=on or fixture.dispatcher(),
+            drain=drain or drain_module.Drain(events=fixture.events),
+            identifiers=identifiers.IdentifierSource(),
+        )
+    )
--- a/tests/whole/test_openai_client.py
+++ b/tests/whole/test_openai_client.py
@@ -5,12 +5,7 @@
 
 import openai
 
-from nutmeghook.internal.config import tokens
-from nutmeghook.internal.entry import application
-from nutmeghook.internal.entry import drain
-from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.foundation import identifiers
 from tests import fakes
 
 QUESTION = [{"role": "user", "content": "Does the boiler hold?"}]
@@ -22,18 +17,7 @@
 
     async def asyncSetUp(self):
         self.fixture = fakes.Fixture(clock=clock.SystemClock())
-        self.listener = listener_module.Listener(
-            application=application.build_application(
-                clock=self.fixture.clock,
-                config=self.fixture.config,
-                tokens=tokens.TokenIndex(config=self.fixture.config),
-                dispatcher=self.fixture.dispatcher(),
-                drain=drain.Drain(
-                    clock=self.fixture.clock, events=self.fixture.events
-                ),
-                identifiers=identifiers.IdentifierSource(),
-            )
-        )
+        self.listener = fakes.listener(self.fixture)
         await self.listener.start(host="127.0.0.1", port=0)
         self.addAsyncCleanup(self.listener.stop)
         self.client = openai.AsyncOpenAI(
