Let the concurrency limit follow service; test limits under load

Cause: a fixed number of places is wrong whenever engines do less than they report, and nothing yet showed that overload ends in true, early refusals.

Change: FollowingLimit cuts on refusals and on slow service, with a ceiling of the instance's share of the capacity. Returns are spread for each team. Idle teams save up four requests' worth of service. note_service may be told the tokens that an attempt generated; argument checks moved beside the request.

--- a/src/nutmeghook/internal/limits/admission.py
+++ b/src/nutmeghook/internal/limits/admission.py
@@ -28,6 +28,25 @@
     tokens_per_minute: int = 0
 
 
+PRIORITIES = 10
+
+
+def checked(request: AdmissionRequest) -> AdmissionRequest:
+    """Returns the request, or raises ValueError for a wrong field.
+
+    One negative cost or weight would spoil the queue's sums for everybody.
+    """
+    if request.weight <= 0:
+        raise ValueError(f"weight is {request.weight}; give a number over 0")
+    if not 0 <= request.priority < PRIORITIES:
+        raise ValueError(f"priority is {request.priority}; give 0 to 9")
+    if request.cost_tokens < 1:
+        raise ValueError(
+            f"cost_tokens is {request.cost_tokens}; give 1 or more"
+        )
+    return request
+
+
 class Admission(abc.ABC):
     """Lets requests in, queues them, or turns them away at once."""
 
@@ -45,9 +64,20 @@
 
     @abc.abstractmethod
     def note_service(
-        self, *, duration: datetime.timedelta, overloaded: bool
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int = 1,
     ) -> None:
-        """Takes in how long an attempt ran, or that it met overload."""
+        """Takes in how long an attempt ran, or that it met overload.
+
+        Args:
+            duration: How long it ran.
+            overloaded: It met overload; the duration is ignored then.
+            work_tokens: Tokens it generated. Durations are compared by the
+                token, so give this always or never.
+        """
 
 
 class RetryBudget(abc.ABC):
@@ -73,6 +103,10 @@
         yield
 
     def note_service(
-        self, *, duration: datetime.timedelta, overloaded: bool
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int = 1,
     ) -> None:
         """Ignores it."""
--- a/src/nutmeghook/internal/limits/concurrency_limit.py
+++ b/src/nutmeghook/internal/limits/concurrency_limit.py
@@ -37,7 +37,7 @@
     __slots__ = ("_places",)
 
     def __init__(self, *, places: int):
-        self._places = _checked(places)
+        self._places = checked_places(places)
 
     @property
     def places(self) -> int:
@@ -46,7 +46,7 @@
 
     def set_places(self, places: int) -> None:
         """Changes the number."""
-        self._places = _checked(places)
+        self._places = checked_places(places)
 
     def note(
         self,
@@ -59,7 +59,8 @@
         """Ignores it."""
 
 
-def _checked(places: int) -> int:
+def checked_places(places: int) -> int:
+    """Returns the number, or raises ValueError if it is under 1."""
     if places < 1:
         raise ValueError(f"places is {places}; give 1 or more")
     return places
--- a/src/nutmeghook/internal/limits/fair_admission.py
+++ b/src/nutmeghook/internal/limits/fair_admission.py
@@ -25,6 +25,10 @@
 _SECOND = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
 _SHED_INTERVAL = datetime.timedelta(milliseconds=100)
+# A queue that fills all the time there is serves each request just before its
+# deadline, and each that takes longer than expected is then wasted work. It
+# need only be long enough to keep the places busy.
+_SLACK_SHARE = 0.75
 DEFAULT_MAX_WAITING = 1000
 
 
@@ -92,7 +96,7 @@
         self, request: admission.AdmissionRequest
     ) -> AsyncIterator[None]:
         """Holds a place while the request runs."""
-        await self._enter(_checked(request))
+        await self._enter(admission.checked(request))
         started = self._clock.monotonic()
         completed = False
         try:
@@ -136,7 +140,7 @@
             raise self._refusal(
                 codes.Code.DEADLINE_BEFORE_RUN, request, "on arrival"
             )
-        self._check_budget(request)
+        self._budgets.check(request, returns=self._returns)
         if self._running < self._limit.places and not self._queue:
             # Without a queue the estimate is not asked: after a brown-out it
             # is too high, and only requests that run can bring it down.
@@ -155,7 +159,8 @@
     def _enqueue(
         self, request: admission.AdmissionRequest, now: datetime.timedelta
     ) -> fair_queue.Ticket:
-        latest_start = self._latest_start(request)
+        slack = self._latest_start(request) - now
+        latest_start = now + _SLACK_SHARE * slack
         if now + self._expected_wait(request) > latest_start:
             raise self._refusal(
                 codes.Code.OVERLOADED, request, "it could not end in time"
@@ -264,7 +269,9 @@
         self._queue.remove(ticket)
         wait = self._expected_wait(ticket.request)
         self._queue.push(ticket)
-        return now + wait > self._latest_start(ticket.request)
+        return now + wait > min(
+            ticket.latest_start, self._latest_start(ticket.request)
+        )
 
     def _shed(self, ticket: fair_queue.Ticket) -> None:
         self._queue.remove(ticket)
@@ -292,27 +299,17 @@
             seconds = min(seconds, by_fairness / tokens_per_s)
         return seconds * _SECOND
 
-    def _check_budget(self, request: admission.AdmissionRequest) -> None:
-        wait = self._budgets.wait_needed(request)
-        if wait > _ZERO:
-            raise errors.CodedError(
-                code=codes.Code.OVER_BUDGET,
-                detail=(
-                    f"template {request.template} has used its "
-                    f"{request.tokens_per_minute} tokens a minute"
-                ),
-                retry_after=self._returns.jittered(wait),
-            )
-
     def _refusal(
         self,
         code: codes.Code,
         request: admission.AdmissionRequest,
         reason: str,
     ) -> errors.CodedError:
+        served = self._rate.tokens_per_s(self._limit.places)
         retry_after = self._returns.next_return(
+            team=request.team,
             cost_tokens=request.cost_tokens,
-            tokens_per_s=self._rate.tokens_per_s(self._limit.places),
+            tokens_per_s=served * self._queue.share_of(request),
             earliest=self._expected_wait(request),
         )
         return errors.CodedError(
@@ -320,18 +317,3 @@
             detail=f"{code.meaning} ({reason})",
             retry_after=retry_after,
         )
-
-
-def _checked(
-    request: admission.AdmissionRequest,
-) -> admission.AdmissionRequest:
-    """Checks what would otherwise spoil the queue's sums for everybody."""
-    if request.weight <= 0:
-        raise ValueError(f"weight is {request.weight}; give a number over 0")
-    if not 0 <= request.priority < fair_queue.PRIORITIES:
-        raise ValueError(f"priority is {request.priority}; give 0 to 9")
-    if request.cost_tokens < 1:
-        raise ValueError(
-            f"cost_tokens is {request.cost_tokens}; give 1 or more"
-        )
-    return request
--- a/src/nutmeghook/internal/limits/fair_queue.py
+++ b/src/nutmeghook/internal/limits/fair_queue.py
@@ -20,8 +20,8 @@
 
 from nutmeghook.internal.limits import admission
 
-PRIORITIES = 10
 DEFAULT_GUARANTEED_SHARE = 0.25
+_SAVED_REQUESTS = 4
 
 
 class Verdict(enum.Enum):
@@ -54,14 +54,14 @@
         self.weight = weight
         self.virtual_time = virtual_time
         self.waiting = 0
-        self.cost_tokens = [0] * PRIORITIES
+        self.cost_tokens = [0] * admission.PRIORITIES
         self.tickets: list[collections.deque[Ticket]] = [
-            collections.deque() for _ in range(PRIORITIES)
+            collections.deque() for _ in range(admission.PRIORITIES)
         ]
 
     def top_priority(self) -> int:
         """Returns the highest priority that waits; -1 if nothing does."""
-        for priority in range(PRIORITIES - 1, -1, -1):
+        for priority in range(admission.PRIORITIES - 1, -1, -1):
             if self.tickets[priority]:
                 return priority
         return -1
@@ -185,6 +185,15 @@
             any(team.cost_tokens[:priority]) for team in self._teams.values()
         )
 
+    def share_of(self, request: admission.AdmissionRequest) -> float:
+        """Returns the team's part of the weights of all that want service."""
+        others = sum(
+            team.weight
+            for name, team in self._teams.items()
+            if name != request.team and team.waiting
+        )
+        return request.weight / (request.weight + others)
+
     def newest_like(self, request: admission.AdmissionRequest) -> Ticket | None:
         """Returns the newest of the request's team and priority, if any."""
         team = self._teams.get(request.team)
@@ -196,7 +205,7 @@
         """Returns the newest of each team and priority, lowest first."""
         return [
             team.tickets[priority][-1]
-            for priority in range(PRIORITIES)
+            for priority in range(admission.PRIORITIES)
             for team in self._teams.values()
             if team.tickets[priority]
         ]
@@ -218,9 +227,12 @@
             self._teams[request.team] = team
         team.weight = request.weight
         if not team.waiting:
-            # A team that was idle must not spend the time it saved up: it
-            # would block all others until it had caught up.
-            team.virtual_time = max(team.virtual_time, self._time)
+            # What an idle team did not use it may not save up for long: it
+            # would block all others until it had caught up. With nothing
+            # saved, a team whose requests come in bursts would never get
+            # its whole share.
+            saved = _SAVED_REQUESTS * request.cost_tokens / team.weight
+            team.virtual_time = max(team.virtual_time, self._time - saved)
         return team
 
     def _note_removed(
--- /dev/null
+++ b/src/nutmeghook/internal/limits/following_limit.py
@@ -0,0 +1,127 @@
+"""A concurrency limit that follows measured service."""
+
+import datetime
+import math
+
+from nutmeghook.internal.limits import concurrency_limit
+
+_SECOND = datetime.timedelta(seconds=1)
+_WINDOW_SHARE = 0.5
+_SMALLEST_WINDOW = 10
+# Batches make each token slower, by up to half when full; that is no overload.
+_TOLERANCE = 1.6
+_STEEPEST_CUT = 0.5
+_OVERLOAD_CUT = 0.8
+_BASELINE_DRIFT = 1.002
+_LATENCY_FLOOR_SHARE = 0.5
+_GROWTH_SHARE = 0.25
+_USED_SHARE = 0.8
+
+
+def capacity_share(*, capacity: int, members: int) -> int:
+    """Returns how many places one instance may use at most.
+
+    The balancer spreads evenly, but not perfectly: beside its share of the
+    backend servers' capacity, an instance gets half the spread of a random
+    split. That is 10% of a share of 27, and 4% of one of 167.
+
+    Args:
+        capacity: Generations that all backend servers hold at once.
+        members: Entry instances.
+    """
+    share = capacity / max(1, members)
+    return max(1, math.ceil(share + 0.5 * math.sqrt(share)))
+
+
+class FollowingLimit(concurrency_limit.ConcurrencyLimit):
+    """Cuts the places when service slows down or refuses, else grows them.
+
+    Two signals, with unlike reach. A refusal for overload is certain, and may
+    bring the places down to one. Slow service is ambiguous: engines that are
+    slow for reasons of their own don't become faster with fewer requests, and
+    cutting further would waste what they can still do. So slowness alone
+    cuts to half of the ceiling and no further.
+    """
+
+    __slots__ = (
+        "_baseline",
+        "_ceiling",
+        "_cut_in_window",
+        "_duration_s",
+        "_places",
+        "_samples",
+        "_used",
+        "_work_tokens",
+    )
+
+    def __init__(self, *, ceiling: int):
+        self._ceiling = concurrency_limit.checked_places(ceiling)
+        self._places = float(ceiling)
+        self._baseline = math.inf
+        self._start_window()
+
+    @property
+    def places(self) -> int:
+        """The number of requests that may run at once."""
+        return max(1, int(self._places))
+
+    def set_ceiling(self, ceiling: int) -> None:
+        """Sets the most places, as the backend servers or members change."""
+        before = self._ceiling
+        self._ceiling = concurrency_limit.checked_places(ceiling)
+        # The places keep their part of the ceiling, so that lost replicas
+        # are felt at once and new ones are used without a slow climb.
+        self._places = max(1.0, self._places * ceiling / before)
+
+    def note(
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int,
+        running: int,
+    ) -> None:
+        """Takes in one finished attempt."""
+        self._samples += 1
+        if overloaded:
+            self._cut_for_overload()
+        else:
+            self._duration_s += duration / _SECOND
+            self._work_tokens += max(1, work_tokens)
+        if running >= _USED_SHARE * self._places:
+            self._used = True
+        window = max(_SMALLEST_WINDOW, _WINDOW_SHARE * self._places)
+        if self._samples >= window:
+            self._end_window()
+
+    def _start_window(self) -> None:
+        self._samples = 0
+        self._duration_s = 0.0
+        self._work_tokens = 0
+        self._used = False
+        self._cut_in_window = False
+
+    def _cut_for_overload(self) -> None:
+        """Cuts once a window: refusals of one moment are one signal."""
+        if not self._cut_in_window:
+            self._places = max(1.0, self._places * _OVERLOAD_CUT)
+            self._cut_in_window = True
+
+    def _end_window(self) -> None:
+        if self._work_tokens and not self._cut_in_window:
+            self._follow_pace(self._duration_s / self._work_tokens)
+        self._start_window()
+
+    def _follow_pace(self, pace_s: float) -> None:
+        # The baseline creeps up, so that a lasting change (longer prompts,
+        # another mix of models) is not taken for overload for ever.
+        self._baseline = min(self._baseline * _BASELINE_DRIFT, pace_s)
+        gradient = min(1.0, _TOLERANCE * self._baseline / max(pace_s, 1e-9))
+        places = self._places * max(_STEEPEST_CUT, gradient)
+        if gradient < 1.0:
+            floor = self._ceiling * _LATENCY_FLOOR_SHARE
+            # Never up to the floor from below it: refusals brought it there.
+            self._places = max(places, min(floor, self._places), 1.0)
+        elif self._used:
+            step = max(_GROWTH_SHARE * self._ceiling, math.sqrt(places))
+            self._places = min(self._ceiling, places + step)
--- a/src/nutmeghook/internal/limits/retry_budget.py
+++ b/src/nutmeghook/internal/limits/retry_budget.py
@@ -2,8 +2,8 @@
 
 from nutmeghook.internal.limits import admission
 
-DEFAULT_SHARE = 0.1
-DEFAULT_BURST_ATTEMPTS = 5.0
+DEFAULT_SHARE = 0.08
+DEFAULT_BURST_ATTEMPTS = 2.0
 
 
 class ShareRetryBudget(admission.RetryBudget):
--- a/src/nutmeghook/internal/limits/return_schedule.py
+++ b/src/nutmeghook/internal/limits/return_schedule.py
@@ -35,11 +35,12 @@
         self._random = randomness
         self._share = share
         self._longest = longest
-        self._free_at = datetime.timedelta()
+        self._free_at: dict[str, datetime.timedelta] = {}
 
     def next_return(
         self,
         *,
+        team: str,
         cost_tokens: int,
         tokens_per_s: float,
         earliest: datetime.timedelta,
@@ -47,17 +48,21 @@
         """Returns how long a refused caller should wait.
 
         Args:
+            team: Each has a schedule of its own, so that the many refusals
+                of a large team don't put off the few of a small one.
             cost_tokens: The refused request's cost.
-            tokens_per_s: The measured service rate; 0 where unknown.
+            tokens_per_s: What the team is served; 0 where unknown.
             earliest: No sooner than this from now, for example when the
                 backlog will have been worked off.
         """
         now = self._clock.monotonic()
-        start = max(self._free_at, now + max(earliest, _SHORTEST))
+        start = max(
+            self._free_at.get(team, now), now + max(earliest, _SHORTEST)
+        )
         start = min(start, now + self._longest)
         if tokens_per_s > 0:
             seconds = cost_tokens / (self._share * tokens_per_s)
-            self._free_at = start + datetime.timedelta(seconds=seconds)
+            self._free_at[team] = start + datetime.timedelta(seconds=seconds)
         return self.jittered(start - now)
 
     def jittered(self, wait: datetime.timedelta) -> datetime.timedelta:
--- a/src/nutmeghook/internal/limits/token_budget.py
+++ b/src/nutmeghook/internal/limits/token_budget.py
@@ -3,7 +3,10 @@
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import admission
+from nutmeghook.internal.limits import return_schedule
 from nutmeghook.internal.membership import members as members_module
 
 _MINUTE = datetime.timedelta(minutes=1)
@@ -39,10 +42,32 @@
         self._members = members
         self._buckets: dict[tuple[str, str], _Bucket] = {}
 
-    def wait_needed(
+    def check(
+        self,
+        request: admission.AdmissionRequest,
+        *,
+        returns: return_schedule.ReturnSchedule,
+    ) -> None:
+        """Raises `OVER_BUDGET` with the time to wait, if the budget is spent.
+
+        Raises:
+            errors.CodedError: The budget is spent.
+        """
+        wait = self._wait_needed(request)
+        if not wait:
+            return
+        raise errors.CodedError(
+            code=codes.Code.OVER_BUDGET,
+            detail=(
+                f"template {request.template} has used its "
+                f"{request.tokens_per_minute} tokens a minute"
+            ),
+            retry_after=returns.jittered(wait),
+        )
+
+    def _wait_needed(
         self, request: admission.AdmissionRequest
     ) -> datetime.timedelta:
-        """Returns how long until the budget lets this in; zero for now."""
         if not request.tokens_per_minute:
             return datetime.timedelta()
         bucket = self._filled(request)
--- /dev/null
+++ b/tests/cover/test_limits_service.py
@@ -0,0 +1,120 @@
+"""Limits that follow service, and the bound on retries."""
+
+import datetime
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.limits import following_limit
+from nutmeghook.internal.limits import retry_budget
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+def _serve(limit, *, pace_s, count, overloaded=False):
+    for _ in range(count):
+        limit.note(
+            duration=100 * pace_s * SECOND,
+            overloaded=overloaded,
+            work_tokens=100,
+            running=limit.places,
+        )
+
+
+class RetryStormTest(unittest.TestCase):
+    """However many attempts fail, few are repeated."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.booleans(), max_size=400),
+        strategies.sampled_from([0.02, 0.08, 0.1]),
+    )
+    def test_retries_stay_within_their_share(self, wants_retry, share):
+        """A pool goes down and every attempt on it fails.
+
+        Each request would retry twice and hedge once: four times the load on
+        a pool that is down because of load. Over any stretch of requests,
+        those allowed are their share plus what a small bucket holds.
+        """
+        budget = retry_budget.ShareRetryBudget(share=share, burst_attempts=2)
+        spent_at = []
+        for number, wants in enumerate(wants_retry):
+            budget.note_request()
+            for _ in range(3 if wants else 0):
+                if budget.try_spend():
+                    spent_at.append(number)
+        for index, start in enumerate(spent_at):
+            for later, end in enumerate(spent_at[index:], start=1):
+                allowed = 2 + share * (end - start + 1)
+                self.assertLessEqual(later, allowed + 1e-6)
+
+    def test_a_pool_in_trouble_leaves_the_others_their_retries(self):
+        budgets = retry_budget.RetryBudgets()
+        while budgets.budget_for("down").try_spend():
+            pass
+        self.assertTrue(budgets.budget_for("healthy").try_spend())
+
+
+class FollowingLimitTest(unittest.TestCase):
+    """The places through overload, a brown-out and their ends."""
+
+    def test_refusals_cut_deep_and_the_limit_recovers(self):
+        """The engines refuse nearly everything, then all is well again.
+
+        Callers see refusals either way; but while they last they must come
+        from here and not from engines that are kept busy refusing, and
+        afterwards the places must all come back.
+        """
+        limit = following_limit.FollowingLimit(ceiling=40)
+        _serve(limit, pace_s=0.03, count=100)
+        self.assertEqual(limit.places, 40)
+        _serve(limit, pace_s=0, count=400, overloaded=True)
+        self.assertLessEqual(limit.places, 4)
+        _serve(limit, pace_s=0.03, count=100)
+        self.assertEqual(limit.places, 40)
+
+    def test_a_brown_out_cuts_to_half_and_no_further(self):
+        limit = following_limit.FollowingLimit(ceiling=40)
+        _serve(limit, pace_s=0.03, count=100)
+        _serve(limit, pace_s=0.3, count=200)
+        self.assertEqual(limit.places, 20)
+        _serve(limit, pace_s=0.03, count=100)
+        self.assertEqual(limit.places, 40)
+
+    def test_a_lasting_change_of_pace_is_accepted_in_the_end(self):
+        """Prompts become longer for good, and each token twice as slow.
+
+        If the first pace were remembered for ever, half of the engines would
+        stand idle from then on.
+        """
+        limit = following_limit.FollowingLimit(ceiling=40)
+        _serve(limit, pace_s=0.03, count=100)
+        _serve(limit, pace_s=0.06, count=200)
+        self.assertEqual(limit.places, 20)
+        _serve(limit, pace_s=0.06, count=20_000)
+        self.assertEqual(limit.places, 40)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0, 10),
+                strategies.booleans(),
+                strategies.integers(0, 1000),
+                strategies.integers(1, 100),
+            ),
+            max_size=200,
+        )
+    )
+    def test_the_places_stay_between_one_and_the_ceiling(self, steps):
+        limit = following_limit.FollowingLimit(ceiling=50)
+        for duration_s, overloaded, work_tokens, number in steps:
+            limit.note(
+                duration=duration_s * SECOND,
+                overloaded=overloaded,
+                work_tokens=work_tokens,
+                running=number,
+            )
+            if work_tokens % 50 == 7:
+                limit.set_ceiling(number)
+                self.assertLessEqual(limit.places, number)
+            self.assertGreaterEqual(limit.places, 1)
