--- /dev/null
+++ b/bench/models/replicas.py
@@ -0,0 +1,75 @@
+"""Model engines as queues: a batch of slots, and a line before it."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from bench.models import simulation
+
+# An engine lets requests into its batch between two steps.
+STEP_S = 0.034
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Job:
+    """One generation.
+
+    Attributes:
+        work_s: Time that it holds a slot of the batch.
+        done: Called when it ends.
+    """
+
+    arrived_s: float
+    work_s: float
+    done: Callable[[], None] | None = None
+    waited_s: float = 0.0
+
+
+class Replica:
+    """An engine with a batch of fixed size; first come, first served.
+
+    Attributes:
+        slowness: Factor on the work of jobs that start from now on.
+    """
+
+    __slots__ = ("_line", "_simulation", "capacity", "running", "slowness")
+
+    def __init__(self, *, simulation: simulation.Simulation, capacity: int):
+        self._simulation = simulation
+        self._line: collections.deque[Job] = collections.deque()
+        self.capacity = capacity
+        self.running = 0
+        self.slowness = 1.0
+
+    @property
+    def waiting(self) -> int:
+        """Jobs that stand before the batch."""
+        return len(self._line)
+
+    @property
+    def load(self) -> int:
+        """All jobs here."""
+        return self.running + len(self._line)
+
+    def arrive(self, job: Job) -> None:
+        """Takes a job in."""
+        self._line.append(job)
+        self._fill()
+
+    def _fill(self) -> None:
+        while self._line and self.running < self.capacity:
+            self._start(self._line.popleft())
+
+    def _start(self, job: Job) -> None:
+        now_s = self._simulation.now_s
+        self.running += 1
+        to_next_step_s = STEP_S - now_s % STEP_S
+        job.waited_s = now_s + to_next_step_s - job.arrived_s
+        end_s = now_s + to_next_step_s + job.work_s * self.slowness
+        self._simulation.call_at(end_s, lambda: self._end(job))
+
+    def _end(self, job: Job) -> None:
+        self.running -= 1
+        self._fill()
+        if job.done is not None:
+            job.done()
--- a/src/nutmeghook/internal/routing/backends.py
+++ b/src/nutmeghook/internal/routing/backends.py
@@ -9,11 +9,16 @@
 
 
 class Nearness(enum.IntEnum):
-    """Where a backend server stands, seen from this instance."""
+    """Where a backend server stands, seen from this instance.
 
-    OWN_DATA_CENTRE = 0
-    OWN_REGION = 1
-    ELSEWHERE = 2
+    `OWN_CELL` is the part of the fleet that `cells` gives to this instance
+    and the few peers with which it shares its knowledge of load.
+    """
+
+    OWN_CELL = 0
+    OWN_DATA_CENTRE = 1
+    OWN_REGION = 2
+    ELSEWHERE = 3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -26,11 +31,17 @@
         report: Its newest load report; None before the first.
         reported_at: Monotonic time at which the report's figures were true.
         leaving: Listed as leaving, or said so itself; takes no new work.
-        ejected: Takes no new work until it has proved itself again.
+        leaving_since: Monotonic time at which that became known.
+        listed_leaving: It was listed as leaving.
+        ejected: Takes no new work for a while: its attempts failed.
+        on_trial: Was ejected, and is given one attempt at a time until one
+            succeeds.
         nearness: Its place seen from this instance.
         plain: It is a plain service's instance, not a model engine.
         in_flight: Attempts of this instance that run on it now.
-        others_at_report: Attempts of other instances when it reported.
+        peers_in_flight: Attempts that the peers of the cell say they have.
+        outside: Attempts that its reports show beyond those two.
+        outside_at: Monotonic time for which `outside` was worked out.
     """
 
     address: str
@@ -40,11 +51,21 @@
     report: engine.LoadReport | None = None
     reported_at: datetime.timedelta = datetime.timedelta()
     leaving: bool = False
+    leaving_since: datetime.timedelta = datetime.timedelta()
+    listed_leaving: bool = False
     ejected: bool = False
-    nearness: Nearness = Nearness.OWN_DATA_CENTRE
+    on_trial: bool = False
+    nearness: Nearness = Nearness.OWN_CELL
     plain: bool = False
     in_flight: int = 0
-    others_at_report: float = 0.0
+    peers_in_flight: int = 0
+    outside: float = 0.0
+    outside_at: datetime.timedelta = datetime.timedelta()
+
+    @property
+    def capacity(self) -> int:
+        """Generations that its batch holds; 1 where that is unknown."""
+        return max(1, self.report.capacity) if self.report else 1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/routing/chooser.py
+++ b/src/nutmeghook/internal/routing/chooser.py
@@ -1,4 +1,8 @@
-"""The choice of backend server for each attempt."""
+"""The choice of backend server for each attempt.
+
+docs/design/backend-choice.md tells what was weighed, and bench/balance.py
+measures it against the usual policies.
+"""
 
 import datetime
 import random
@@ -7,45 +11,61 @@
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import ejection
+from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.routing import pools
+from nutmeghook.internal.routing import sharing
 
-CANDIDATES = 2
+# Drawn from the own cell, whose load is known well, and from farther away,
+# where a choice among many would lead all instances to the same one.
+CELL_CANDIDATES = 4
+OUTER_CANDIDATES = 2
+# From this share of its batch on, a backend server counts as full: others
+# farther away are looked at, and affinity goes on to the next on the ring.
+FULL_SHARE = 1.0
+# What one step farther away must be emptier by, as a share of the batch.
+DISTANCE_COST_SHARE = 0.1
+# Backend servers that are looked at for a session before the least loaded.
+AFFINITY_TRIES = 3
 
 
 class LeastLoadedChooser(backends.BackendChooser):
-    """Draws a few backend servers and takes the least loaded of them."""
+    """Keeps sessions where they were, and else takes the least loaded."""
 
-    __slots__ = ("_clock", "_directory", "_rng")
+    __slots__ = ("_book", "_clock", "_directory", "_ejector", "_rng", "_sharer")
 
     def __init__(
         self,
         *,
         directory: directory_module.BackendDirectory,
+        book: load_book.LoadBook,
+        ejector: ejection.OutlierEjector,
+        sharer: sharing.LoadSharer | None,
         clock: clock_module.Clock,
         rng: random.Random,
     ):
         self._directory = directory
+        self._book = book
+        self._ejector = ejector
+        self._sharer = sharer
         self._clock = clock
         self._rng = rng
 
     def choose(self, need: backends.BackendNeed) -> backends.Backend | None:
         """Returns a backend server that may take new work now, or None."""
+        self._ejector.restore_due()
         pool = self._directory.pool(need)
         if pool is None:
             return None
-        for nearness in backends.Nearness:
-            drawn = pool.draw(
-                nearness=nearness,
-                count=CANDIDATES,
-                exclude=need.exclude,
-                rng=self._rng,
-            )
-            if drawn:
-                return min(drawn, key=_load)
-        return None
+        if need.affinity_key:
+            owner = self._owner_with_room(pool, need)
+            if owner is not None:
+                return owner
+        return self._least_loaded(pool, need)
 
     def started(self, backend: backends.Backend) -> None:
         """Notes that an attempt was sent."""
-        backend.in_flight += 1
+        self._note_own(backend, 1)
 
     def finished(
         self,
@@ -56,19 +76,69 @@
         report: engine.LoadReport | None = None,
     ) -> None:
         """Notes how it ended, with the load report that came along."""
-        backend.in_flight = max(0, backend.in_flight - 1)
+        self._note_own(backend, -1)
+        if self._directory.find(backend.address) is not backend:
+            return  # It was dropped or replaced while the attempt ran.
+        self._ejector.note(backend, outcome=outcome, duration=duration)
         if outcome is backends.AttemptOutcome.REFUSED_LEAVING:
             self._directory.note_leaving(backend)
+        elif outcome is backends.AttemptOutcome.REFUSED_OVERLOAD:
+            self._book.note_full(backend)
         if report is not None:
             age = datetime.timedelta(milliseconds=report.age_ms)
             self._directory.note_report(
                 backend, report, measured_at=self._clock.monotonic() - age
             )
 
+    def _note_own(self, backend: backends.Backend, attempts: int) -> None:
+        if self._directory.find(backend.address) is not backend:
+            return
+        self._book.note_own(backend, attempts)
+        if self._sharer is not None:
+            self._sharer.note_own_change(backend)
+
+    def _owner_with_room(
+        self, pool: pools.BackendPool, need: backends.BackendNeed
+    ) -> backends.Backend | None:
+        """Returns the first owner of the key that is not full.
+
+        Every instance goes through the same owners in the same order, so a
+        busy prompt prefix spreads over as many as it needs and no more.
+        """
+        for owner in pool.owners(need.affinity_key, limit=AFFINITY_TRIES):
+            if owner.address in need.exclude or _awaits_trial(owner):
+                continue
+            if self._book.fullness(owner) <= FULL_SHARE:
+                return owner
+        return None
+
+    def _least_loaded(
+        self, pool: pools.BackendPool, need: backends.BackendNeed
+    ) -> backends.Backend | None:
+        best = None
+        best_cost = 0.0
+        for nearness in backends.Nearness:
+            own_cell = nearness is backends.Nearness.OWN_CELL
+            for backend in pool.draw(
+                nearness=nearness,
+                count=CELL_CANDIDATES if own_cell else OUTER_CANDIDATES,
+                exclude=need.exclude,
+                rng=self._rng,
+            ):
+                cost = self._cost(backend)
+                if best is None or cost < best_cost:
+                    best, best_cost = backend, cost
+            if best is not None and (best.plain or best_cost <= FULL_SHARE):
+                break
+        return best
+
+    def _cost(self, backend: backends.Backend) -> float:
+        cost = self._book.fullness(backend)
+        if _awaits_trial(backend):
+            cost += 10.0
+        return cost + DISTANCE_COST_SHARE * backend.nearness
+
 
-def _load(backend: backends.Backend) -> float:
-    if backend.report is None:
-        return float(backend.in_flight)
-    report = backend.report
-    load = report.running + report.waiting + backend.in_flight
-    return load / max(1, report.capacity)
+def _awaits_trial(backend: backends.Backend) -> bool:
+    """Tells whether it is on trial and has its one attempt already."""
+    return backend.on_trial and backend.in_flight > 0
--- a/src/nutmeghook/internal/routing/directory.py
+++ b/src/nutmeghook/internal/routing/directory.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-import dataclasses
+from collections.abc import Callable
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -14,6 +14,7 @@
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import load_book
 from nutmeghook.internal.routing import pools
 
 # More live rows than this share gone from one list to the next is taken for
@@ -21,43 +22,56 @@
 SUDDEN_LOSS_SHARE = 0.4
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Place:
-    """Where this instance stands."""
-
-    region: str
-    data_centre: str
-
-    def nearness_of(self, row: instances.ListedInstance) -> backends.Nearness:
-        """Returns how near a listed instance is."""
-        if row.data_centre == self.data_centre:
-            return backends.Nearness.OWN_DATA_CENTRE
-        if row.region == self.region:
-            return backends.Nearness.OWN_REGION
-        return backends.Nearness.ELSEWHERE
-
+# A plain service sends no reports. When the list still calls an instance
+# live this long after it refused as leaving, it must have changed its mind.
+LEAVING_BELIEVED = datetime.timedelta(seconds=30)
+# The same for an engine, whose reports show it sooner. Reports measured
+# before it began to leave arrive for a few seconds more.
+LATE_REPORTS = datetime.timedelta(seconds=10)
 
 PoolKey = engine.ModelVersion | str
 
 
 class BackendDirectory:
-    """The backend servers, indexed by model version and by plain service."""
-
-    __slots__ = ("_backends", "_clock", "_events", "_fault", "_place", "_pools")
+    """The backend servers, indexed by model version and by plain service.
+
+    Attributes:
+        generation: Counts changes of which backend servers there are and of
+            what they serve.
+    """
+
+    __slots__ = (
+        "_backends",
+        "_book",
+        "_clock",
+        "_events",
+        "_fault",
+        "_forget_callbacks",
+        "_pools",
+        "_service_sizes",
+        "generation",
+    )
 
     def __init__(
         self,
         *,
         clock: clock_module.Clock,
         events: events_module.EventRing,
-        place: Place,
+        book: load_book.LoadBook,
     ):
         self._clock = clock
         self._events = events
-        self._place = place
+        self._book = book
         self._backends: dict[str, backends.Backend] = {}
         self._pools: dict[PoolKey, pools.BackendPool] = {}
+        self._service_sizes: collections.Counter[str] = collections.Counter()
+        self._forget_callbacks: list[Callable[[backends.Backend], None]] = []
         self._fault = False
+        self.generation = 0
+
+    def on_forget(self, callback: Callable[[backends.Backend], None]) -> None:
+        """Has a callback run for each backend server that is dropped."""
+        self._forget_callbacks.append(callback)
 
     def known(self) -> list[backends.Backend]:
         """Returns all known backend servers."""
@@ -67,6 +81,10 @@
         """Returns the backend server at `ip:port`, if it is known."""
         return self._backends.get(address)
 
+    def service_size(self, service: str) -> int:
+        """Returns how many backend servers of a service are known."""
+        return self._service_sizes[service]
+
     def pool(self, need: backends.BackendNeed) -> pools.BackendPool | None:
         """Returns those that may take this kind of work now."""
         if need.model_version is not None:
@@ -96,15 +114,23 @@
         measured_at: datetime.timedelta,
     ) -> None:
         """Takes in a load report, unless a newer one is known."""
-        if backend.report is not None and measured_at < backend.reported_at:
+        if backend.report is not None and measured_at <= backend.reported_at:
             return
         before = _served(backend)
         backend.report = report
         backend.reported_at = measured_at
+        self._book.note_total(
+            backend,
+            total=report.running + report.waiting,
+            measured_at=measured_at,
+        )
+        if _served(backend) != before:
+            self.generation += 1
+            self._unindex(backend, before)
         if report.leaving:
             self.note_leaving(backend)
-        elif _served(backend) != before:
-            self._unindex(backend, before)
+        elif measured_at > backend.leaving_since + LATE_REPORTS:
+            self._note_staying(backend)
         self._index(backend)
 
     def note_leaving(self, backend: backends.Backend) -> None:
@@ -112,6 +138,7 @@
         if backend.leaving:
             return
         backend.leaving = True
+        backend.leaving_since = self._clock.monotonic()
         self._unindex(backend, _served(backend))
         self._events.record(
             events_module.EventKind.BACKEND_LEAVING, backend.address
@@ -127,21 +154,49 @@
         backend.ejected = False
         self._index(backend)
 
+    def set_nearness(
+        self, backend: backends.Backend, nearness: backends.Nearness
+    ) -> None:
+        """Moves a backend server to another tier of its pools."""
+        if backend.nearness is nearness:
+            return
+        self._unindex(backend, _served(backend))
+        backend.nearness = nearness
+        self._index(backend)
+
     def _apply_row(self, row: instances.ListedInstance) -> None:
         backend = self._backends.get(row.address)
+        if backend is not None and _is_another(backend, row):
+            self._forget(backend)
+            backend = None
         if backend is None:
-            backend = backends.Backend(
-                address=row.address,
-                region=row.region,
-                data_centre=row.data_centre,
-                service=row.service,
-                nearness=self._place.nearness_of(row),
-                plain=row.role is instances.InstanceRole.PLAIN_SERVICE,
-            )
-            self._backends[row.address] = backend
+            backend = self._add(row)
         if row.state is instances.InstanceState.LEAVING:
+            backend.listed_leaving = True
             self.note_leaving(backend)
+        elif backend.plain:
+            since = self._clock.monotonic() - backend.leaving_since
+            if since > LEAVING_BELIEVED:
+                self._note_staying(backend)
+
+    def _add(self, row: instances.ListedInstance) -> backends.Backend:
+        backend = backends.Backend(
+            address=row.address,
+            region=row.region,
+            data_centre=row.data_centre,
+            service=row.service,
+            plain=row.role is instances.InstanceRole.PLAIN_SERVICE,
+        )
+        self._backends[row.address] = backend
+        self._service_sizes[row.service] += 1
+        self.generation += 1
         self._index(backend)
+        return backend
+
+    def _note_staying(self, backend: backends.Backend) -> None:
+        if backend.leaving and not backend.listed_leaving:
+            backend.leaving = False
+            self._index(backend)
 
     def _surely_gone(
         self, missing: list[backends.Backend]
@@ -173,6 +228,11 @@
     def _forget(self, backend: backends.Backend) -> None:
         self._unindex(backend, _served(backend))
         del self._backends[backend.address]
+        self._service_sizes[backend.service] -= 1
+        self.generation += 1
+        self._book.forget(backend)
+        for callback in self._forget_callbacks:
+            callback(backend)
 
     def _index(self, backend: backends.Backend) -> None:
         if backend.leaving or backend.ejected:
@@ -202,6 +262,20 @@
     return backend.report.loaded
 
 
+def _is_another(
+    backend: backends.Backend, row: instances.ListedInstance
+) -> bool:
+    """Tells whether the row is of a successor at the same address."""
+    returned = (
+        backend.listed_leaving and row.state is instances.InstanceState.LIVE
+    )
+    plain = row.role is instances.InstanceRole.PLAIN_SERVICE
+    return returned or (
+        (backend.service, backend.data_centre, backend.plain)
+        != (row.service, row.data_centre, plain)
+    )
+
+
 def _is_sudden_loss(
     unexplained: list[backends.Backend], live: list[backends.Backend]
 ) -> bool:
--- /dev/null
+++ b/src/nutmeghook/internal/routing/ejection.py
@@ -0,0 +1,203 @@
+"""Ejection of backend servers whose attempts fail, for a while.
+
+What one instance sees of a backend server stays with that instance. To
+share it was weighed and left out: an instance with a broken network would
+eject healthy backend servers for all the others.
+"""
+
+import collections
+import dataclasses
+import datetime
+import heapq
+import itertools
+import math
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import directory as directory_module
+
+FIRST_EJECTION = datetime.timedelta(seconds=1)
+LONGEST_EJECTION = datetime.timedelta(seconds=60)
+# Good behaviour for this long wipes out the record of earlier ejections.
+FORGIVEN_AFTER = datetime.timedelta(minutes=3)
+# A pool that fails as a whole (a bad network, a bad version, all slow) is
+# better used than given up: at most this share of a service is ejected.
+LARGEST_EJECTED_SHARE = 0.5
+
+FAILURES_IN_A_ROW = 3
+# A refused connection says more than a failed attempt.
+UNREACHABLE_IN_A_ROW = 2
+# Ejected as slow: this many times the service's typical duration, over this
+# many attempts. Answers differ in length, hence the width.
+SLOW_FACTOR = 4.0
+SLOW_ATTEMPTS = 20
+_DURATION_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Record:
+    """What this instance remembers of a backend server.
+
+    Attributes:
+        log_duration: Moving mean of the logarithm of the durations.
+        ejections: How many there were, one after the other.
+    """
+
+    failures: int = 0
+    unreachable: int = 0
+    attempts: int = 0
+    log_duration: float = 0.0
+    ejections: int = 0
+    restored_at: datetime.timedelta = datetime.timedelta()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class _Return:
+    """The end of an ejection."""
+
+    at: datetime.timedelta
+    order: int
+    address: str
+
+
+class OutlierEjector:
+    """Counts outcomes, ejects, and lets the ejected back on trial."""
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_ejected",
+        "_events",
+        "_order",
+        "_records",
+        "_returns",
+        "_service_log_duration",
+    )
+
+    def __init__(
+        self,
+        *,
+        directory: directory_module.BackendDirectory,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+    ):
+        self._directory = directory
+        self._clock = clock
+        self._events = events
+        self._records: dict[str, _Record] = {}
+        self._returns: list[_Return] = []
+        self._order = itertools.count()
+        self._ejected: collections.Counter[str] = collections.Counter()
+        self._service_log_duration: dict[str, float] = {}
+        directory.on_forget(self._forget)
+
+    def note(
+        self,
+        backend: backends.Backend,
+        *,
+        outcome: backends.AttemptOutcome,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Takes in how an attempt ended."""
+        record = self._records.setdefault(backend.address, _Record())
+        if outcome is backends.AttemptOutcome.ANSWERED:
+            self._note_answer(backend, record, duration)
+        elif outcome is backends.AttemptOutcome.FAILED:
+            record.failures += 1
+        elif outcome is backends.AttemptOutcome.UNREACHABLE:
+            record.unreachable += 1
+        reason = self._fault_of(backend, record)
+        if reason and not backend.ejected:
+            self._eject(backend, record, reason)
+
+    def restore_due(self) -> None:
+        """Lets those back whose time is over; cheap while there are none."""
+        if not self._returns:
+            return
+        now = self._clock.monotonic()
+        while self._returns and self._returns[0].at <= now:
+            due = heapq.heappop(self._returns)
+            self._restore(due.address, now)
+
+    def _forget(self, backend: backends.Backend) -> None:
+        self._records.pop(backend.address, None)
+        if backend.ejected:
+            self._ejected[backend.service] -= 1
+
+    def _note_answer(
+        self,
+        backend: backends.Backend,
+        record: _Record,
+        duration: datetime.timedelta,
+    ) -> None:
+        backend.on_trial = False
+        record.failures = 0
+        record.unreachable = 0
+        good_for = self._clock.monotonic() - record.restored_at
+        if record.ejections and good_for > FORGIVEN_AFTER:
+            record.ejections = 0
+        log_duration = math.log(max(duration.total_seconds(), 1e-3))
+        service = self._service_log_duration.setdefault(
+            backend.service, log_duration
+        )
+        self._service_log_duration[backend.service] = service + (
+            log_duration - service
+        ) * (_DURATION_WEIGHT / 4)
+        if record.attempts == 0:
+            record.log_duration = service
+        record.attempts += 1
+        record.log_duration += _DURATION_WEIGHT * (
+            log_duration - record.log_duration
+        )
+
+    def _fault_of(self, backend: backends.Backend, record: _Record) -> str:
+        if backend.on_trial and record.failures + record.unreachable:
+            return "failed on trial"
+        if record.unreachable >= UNREACHABLE_IN_A_ROW:
+            return "unreachable"
+        if record.failures >= FAILURES_IN_A_ROW:
+            return "failures in a row"
+        if record.attempts < SLOW_ATTEMPTS:
+            return ""
+        service = self._service_log_duration[backend.service]
+        slower = record.log_duration - service > math.log(SLOW_FACTOR)
+        return "slow" if slower else ""
+
+    def _eject(
+        self, backend: backends.Backend, record: _Record, reason: str
+    ) -> None:
+        known = self._directory.service_size(backend.service)
+        ejected = self._ejected[backend.service] + 1
+        if ejected > LARGEST_EJECTED_SHARE * known:
+            return
+        duration = min(FIRST_EJECTION * 2**record.ejections, LONGEST_EJECTION)
+        self._ejected[backend.service] = ejected
+        self._directory.eject(backend)
+        heapq.heappush(
+            self._returns,
+            _Return(
+                at=self._clock.monotonic() + duration,
+                order=next(self._order),
+                address=backend.address,
+            ),
+        )
+        self._records[backend.address] = _Record(
+            ejections=min(record.ejections + 1, 16)
+        )
+        self._events.record(
+            events_module.EventKind.BACKEND_EJECTED,
+            backend.address,
+            reason=reason,
+            seconds=str(duration.total_seconds()),
+        )
+
+    def _restore(self, address: str, now: datetime.timedelta) -> None:
+        backend = self._directory.find(address)
+        if backend is None or not backend.ejected:
+            return
+        self._ejected[backend.service] -= 1
+        self._records[address].restored_at = now
+        backend.on_trial = True
+        self._directory.restore(backend)
+        self._events.record(events_module.EventKind.BACKEND_RESTORED, address)
--- /dev/null
+++ b/src/nutmeghook/internal/routing/load_book.py
@@ -0,0 +1,148 @@
+"""What runs on each backend server now, as far as this instance can tell.
+
+An estimate is the sum of three parts: this instance's own attempts, known
+exactly; those of the peers in its cell, known a fraction of a second late;
+and those of everybody else, which only the backend server's own reports
+show, seconds late. See docs/design/backend-choice.md.
+"""
+
+import collections
+import dataclasses
+import datetime
+import math
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.routing import backends
+
+# Reports are at most this late; changes older than that are forgotten.
+HISTORY = datetime.timedelta(seconds=5)
+# With what speed an old report's difference from the mean stops to count.
+# Without it, frozen reports would draw all work to whoever was idle last.
+FADE_S = 2.0
+# How far a new report moves the estimate of what runs from outside.
+REPORT_WEIGHT = 0.5
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Change:
+    """A change of what is known to run."""
+
+    at: datetime.timedelta
+    attempts: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ServiceMean:
+    """The mean of `outside` over a service's reported backend servers."""
+
+    total: float = 0.0
+    count: int = 0
+
+    def value(self) -> float:
+        """Returns the mean, 0 before the first report."""
+        return max(0.0, self.total / self.count) if self.count else 0.0
+
+
+class LoadBook:
+    """Keeps the parts of the estimates, and what changed lately."""
+
+    __slots__ = ("_changes", "_clock", "_means", "_reported")
+
+    def __init__(self, *, clock: clock_module.Clock):
+        self._clock = clock
+        self._changes: dict[str, collections.deque[_Change]] = {}
+        self._means: dict[str, _ServiceMean] = {}
+        self._reported: set[str] = set()
+
+    def note_own(self, backend: backends.Backend, attempts: int) -> None:
+        """Adds to (or with a negative number takes from) the own attempts."""
+        backend.in_flight = max(0, backend.in_flight + attempts)
+        self._note_change(backend, attempts)
+
+    def note_peers(self, backend: backends.Backend, attempts: int) -> None:
+        """Adds to the attempts of the peers."""
+        backend.peers_in_flight = max(0, backend.peers_in_flight + attempts)
+        self._note_change(backend, attempts)
+
+    def note_total(
+        self,
+        backend: backends.Backend,
+        *,
+        total: int,
+        measured_at: datetime.timedelta,
+    ) -> None:
+        """Takes in how many attempts a report showed, at its own moment."""
+        known_then = backend.in_flight + backend.peers_in_flight
+        for change in reversed(self._changes.get(backend.address, ())):
+            if change.at <= measured_at:
+                break
+            known_then -= change.attempts
+        self.note_outside(
+            backend, outside=total - known_then, measured_at=measured_at
+        )
+
+    def note_outside(
+        self,
+        backend: backends.Backend,
+        *,
+        outside: float,
+        measured_at: datetime.timedelta,
+    ) -> None:
+        """Takes in how many attempts came from outside the cell."""
+        mean = self._means.setdefault(backend.service, _ServiceMean())
+        if backend.address in self._reported:
+            mean.total -= backend.outside
+            outside = backend.outside + REPORT_WEIGHT * (
+                outside - backend.outside
+            )
+        else:
+            self._reported.add(backend.address)
+            mean.count += 1
+        mean.total += outside
+        backend.outside = outside
+        backend.outside_at = measured_at
+
+    def note_full(self, backend: backends.Backend) -> None:
+        """Takes in that the backend server refused for its load."""
+        known = backend.in_flight + backend.peers_in_flight
+        missing = 1.0 + backend.capacity - known
+        self.note_outside(
+            backend,
+            outside=max(backend.outside, missing / REPORT_WEIGHT),
+            measured_at=self._clock.monotonic(),
+        )
+
+    def forget(self, backend: backends.Backend) -> None:
+        """Drops all that is kept of a backend server that is gone."""
+        self._changes.pop(backend.address, None)
+        if backend.address in self._reported:
+            self._reported.remove(backend.address)
+            mean = self._means[backend.service]
+            mean.total -= backend.outside
+            mean.count -= 1
+
+    def fullness(self, backend: backends.Backend) -> float:
+        """Returns the estimate with one attempt more, as a share of capacity.
+
+        For a plain service, whose capacity nobody knows, it is the number.
+        """
+        known = backend.in_flight + backend.peers_in_flight + 1
+        return (known + self._outside_now(backend)) / backend.capacity
+
+    def _outside_now(self, backend: backends.Backend) -> float:
+        mean = self._means.get(backend.service)
+        if mean is None:
+            return 0.0
+        age_s = (self._clock.monotonic() - backend.outside_at).total_seconds()
+        common = mean.value()
+        faded = (backend.outside - common) * math.exp(-age_s / FADE_S)
+        return max(0.0, common + faded)
+
+    def _note_change(self, backend: backends.Backend, attempts: int) -> None:
+        now = self._clock.monotonic()
+        changes = self._changes.get(backend.address)
+        if changes is None:
+            changes = self._changes[backend.address] = collections.deque()
+        changes.append(_Change(at=now, attempts=attempts))
+        while changes[0].at < now - HISTORY:
+            changes.popleft()
--- a/src/nutmeghook/internal/routing/poller.py
+++ b/src/nutmeghook/internal/routing/poller.py
@@ -1,6 +1,5 @@
 """Polls the instance list and the engines' load reports."""
 
-import abc
 import asyncio
 import datetime
 import random
@@ -10,30 +9,23 @@
 from nutmeghook.internal.platform import failures
 from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import sharing
 
 LIST_PERIOD = datetime.timedelta(seconds=1)
 LIST_TIMEOUT = datetime.timedelta(seconds=2)
-REPORT_PERIOD = datetime.timedelta(seconds=1)
 REPORT_TIMEOUT = datetime.timedelta(seconds=1)
-
-
-class ReportAssignment(abc.ABC):
-    """Says which engines' reports this instance polls."""
-
-    @abc.abstractmethod
-    def is_mine(self, backend: backends.Backend) -> bool:
-        """Tells whether this instance polls the backend server's report."""
-
-
-class AllReports(ReportAssignment):
-    """Every instance polls every report; fits a few instances only."""
-
-    __slots__ = ()
-
-    def is_mine(self, backend: backends.Backend) -> bool:
-        """Always."""
-        return True
+# Each report is polled this often, or as often as the budget lets all of
+# them be. At 10 reports an instance that is every 5 seconds.
+SHORTEST_REPORT_PERIOD = datetime.timedelta(seconds=1)
+LONGEST_REPORT_PERIOD = datetime.timedelta(seconds=6)
+BUDGET_BYTES_PER_S = 900
+# A request and its answer with their headers, as aiohttp sends them.
+POLL_BYTES = 450
+# An engine of another cell, drawn at random, is polled this often: to know
+# where work can go when the own cell is full.
+STRANGER_PERIOD = datetime.timedelta(seconds=2)
 
 
 class ListPoller:
@@ -76,11 +68,12 @@
     """Polls load reports, one task for each engine that it has to poll."""
 
     __slots__ = (
-        "_assignment",
+        "_cells",
         "_clock",
         "_connector",
         "_directory",
         "_rng",
+        "_sharer",
         "_tasks",
     )
 
@@ -89,13 +82,15 @@
         *,
         connector: engine.EngineConnector,
         directory: directory_module.BackendDirectory,
-        assignment: ReportAssignment,
+        cells: cells_module.CellView,
+        sharer: sharing.LoadSharer,
         clock: clock_module.Clock,
         rng: random.Random,
     ):
         self._connector = connector
         self._directory = directory
-        self._assignment = assignment
+        self._cells = cells
+        self._sharer = sharer
         self._clock = clock
         self._rng = rng
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -103,19 +98,36 @@
     async def run(self) -> None:
         """Starts and stops the engines' tasks until cancelled."""
         try:
-            while True:
-                self._match_tasks()
-                await self._clock.sleep(REPORT_PERIOD)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._poll_strangers())
+                while True:
+                    self._match_tasks()
+                    await self._clock.sleep(SHORTEST_REPORT_PERIOD)
         finally:
             for task in self._tasks.values():
                 task.cancel()
             self._tasks.clear()
 
+    async def poll_report(self, backend: backends.Backend) -> bool:
+        """Reads one report; False if that fails."""
+        asked_at = self._clock.monotonic()
+        try:
+            report = await self._clock.wait_for(
+                self._connector.connect(backend.address).load_report(),
+                REPORT_TIMEOUT,
+            )
+        except (failures.PlatformError, TimeoutError):
+            return False
+        age = datetime.timedelta(milliseconds=report.age_ms)
+        self._directory.note_report(backend, report, measured_at=asked_at - age)
+        self._sharer.note_polled(backend)
+        return True
+
     def _match_tasks(self) -> None:
         mine = {
             b.address: b
             for b in self._directory.known()
-            if not b.plain and self._assignment.is_mine(b)
+            if not b.plain and self._cells.reads(b)
         }
         for address in self._tasks.keys() - mine.keys():
             self._tasks.pop(address).cancel()
@@ -129,21 +141,27 @@
     async def _poll_engine(self, backend: backends.Backend) -> None:
         while self._directory.find(backend.address) is backend:
             await self.poll_report(backend)
-            await self._clock.sleep(jittered(REPORT_PERIOD, self._rng))
+            period = report_period(len(self._tasks))
+            await self._clock.sleep(jittered(period, self._rng))
 
-    async def poll_report(self, backend: backends.Backend) -> bool:
-        """Reads one report; False if that fails."""
-        asked_at = self._clock.monotonic()
-        try:
-            report = await self._clock.wait_for(
-                self._connector.connect(backend.address).load_report(),
-                REPORT_TIMEOUT,
-            )
-        except (failures.PlatformError, TimeoutError):
-            return False
-        age = datetime.timedelta(milliseconds=report.age_ms)
-        self._directory.note_report(backend, report, measured_at=asked_at - age)
-        return True
+    async def _poll_strangers(self) -> None:
+        while True:
+            strangers = [
+                b
+                for b in self._directory.known()
+                if not b.plain and b.nearness is not backends.Nearness.OWN_CELL
+            ]
+            if strangers:
+                await self.poll_report(self._rng.choice(strangers))
+            await self._clock.sleep(jittered(STRANGER_PERIOD, self._rng))
+
+
+def report_period(polled: int) -> datetime.timedelta:
+    """Returns how often each report is polled where one polls so many."""
+    period = datetime.timedelta(
+        seconds=polled * POLL_BYTES / BUDGET_BYTES_PER_S
+    )
+    return min(max(period, SHORTEST_REPORT_PERIOD), LONGEST_REPORT_PERIOD)
 
 
 def jittered(
--- a/src/nutmeghook/internal/routing/pools.py
+++ b/src/nutmeghook/internal/routing/pools.py
@@ -2,6 +2,7 @@
 
 import random
 
+from nutmeghook.internal.routing import affinity
 from nutmeghook.internal.routing import backends
 
 
@@ -9,45 +10,49 @@
     """Backend servers with one model version, or of one plain service.
 
     Adding, removing and drawing cost the same whatever the pool's size: a
-    removed backend server's place is taken by the last one.
+    removed backend server's place is taken by the last one. The ring, which
+    costs more to change, is made when the first key is looked up.
     """
 
-    __slots__ = ("_places", "_tiers")
+    __slots__ = ("_members", "_places", "_ring", "_tiers")
 
     def __init__(self):
         self._tiers: tuple[list[backends.Backend], ...] = tuple(
             [] for _ in backends.Nearness
         )
         self._places: dict[str, int] = {}
+        self._members: dict[str, backends.Backend] = {}
+        self._ring: affinity.AffinityRing | None = None
 
     def __len__(self) -> int:
-        return len(self._places)
+        return len(self._members)
 
     def __contains__(self, backend: backends.Backend) -> bool:
-        return backend.address in self._places
+        return backend.address in self._members
 
     def add(self, backend: backends.Backend) -> None:
         """Lets a backend server be drawn; it may be in already."""
         if backend in self:
             return
         tier = self._tiers[backend.nearness]
+        self._members[backend.address] = backend
         self._places[backend.address] = len(tier)
         tier.append(backend)
+        if self._ring is not None and _belongs_on_ring(backend):
+            self._ring.add(backend.address)
 
     def remove(self, backend: backends.Backend) -> None:
         """Stops a backend server from being drawn, if it is in."""
-        place = self._places.pop(backend.address, None)
-        if place is None:
+        if self._members.pop(backend.address, None) is None:
             return
+        place = self._places.pop(backend.address)
         tier = self._tiers[backend.nearness]
         last = tier.pop()
         if last is not backend:
             tier[place] = last
             self._places[last.address] = place
-
-    def tier(self, nearness: backends.Nearness) -> list[backends.Backend]:
-        """Returns those of one nearness, in no particular order."""
-        return self._tiers[nearness]
+        if self._ring is not None and _belongs_on_ring(backend):
+            self._ring.remove(backend.address)
 
     def draw(
         self,
@@ -63,11 +68,32 @@
         one more, and there are only as many as the request had attempts.
         """
         tier = self._tiers[nearness]
-        wanted = count + len(exclude)
-        if len(tier) > wanted:
-            drawn = rng.sample(tier, wanted)
-        else:
-            drawn = rng.sample(tier, len(tier))
+        wanted = min(len(tier), count + len(exclude))
+        if wanted == 0:
+            return []
+        drawn = rng.sample(tier, wanted)
         if exclude:
             drawn = [b for b in drawn if b.address not in exclude]
         return drawn[:count]
+
+    def owners(self, key: str, *, limit: int) -> list[backends.Backend]:
+        """Returns those that an affinity key belongs to, the first first."""
+        if self._ring is None:
+            self._ring = affinity.AffinityRing()
+            self._ring.add_all(
+                [
+                    b.address
+                    for b in self._members.values()
+                    if _belongs_on_ring(b)
+                ]
+            )
+        return [self._members[a] for a in self._ring.owners(key, limit=limit)]
+
+
+def _belongs_on_ring(backend: backends.Backend) -> bool:
+    """Tells whether affinity may lead to it.
+
+    The whole region shares one ring, so that a session's requests meet
+    whichever of the region's instances they enter by.
+    """
+    return backend.nearness is not backends.Nearness.ELSEWHERE
--- a/src/nutmeghook/internal/routing/service.py
+++ b/src/nutmeghook/internal/routing/service.py
@@ -5,13 +5,19 @@
 import random
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import peers as peers_module
+from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import chooser as chooser_module
 from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import ejection
+from nutmeghook.internal.routing import load_book
 from nutmeghook.internal.routing import poller
+from nutmeghook.internal.routing import sharing
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -22,11 +28,13 @@
     chooser: backends.BackendChooser
     list_poller: poller.ListPoller
     report_poller: poller.ReportPoller
+    sharer: sharing.LoadSharer
 
     async def run(self) -> None:
         """Keeps the knowledge fresh until cancelled."""
         await self.list_poller.poll_once()
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.sharer.run())
             tasks.create_task(self.list_poller.run())
             tasks.create_task(self.report_poller.run())
 
@@ -35,19 +43,42 @@
     *,
     clock: clock_module.Clock,
     events: events_module.EventRing,
-    place: directory_module.Place,
+    members: members_module.MemberView,
+    caller: peers_module.PeerCaller,
+    handlers: peers_module.PeerHandlers,
     instance_list: instances.InstanceList,
     connector: engine.EngineConnector,
     rng: random.Random,
 ) -> BackendRouting:
-    """Builds the directory, the chooser and the pollers that feed them."""
+    """Builds the directory, the chooser and all that feeds them.
+
+    Registers the handler for `LoadDigest` among `handlers`.
+    """
+    book = load_book.LoadBook(clock=clock)
     directory = directory_module.BackendDirectory(
-        clock=clock, events=events, place=place
+        clock=clock, events=events, book=book
+    )
+    cells = cells_module.CellView(members=members, directory=directory)
+    sharer = sharing.LoadSharer(
+        caller=caller,
+        handlers=handlers,
+        my_address=members.myself.inner_address,
+        cells=cells,
+        directory=directory,
+        book=book,
+        clock=clock,
     )
     return BackendRouting(
         directory=directory,
         chooser=chooser_module.LeastLoadedChooser(
-            directory=directory, clock=clock, rng=rng
+            directory=directory,
+            book=book,
+            ejector=ejection.OutlierEjector(
+                directory=directory, clock=clock, events=events
+            ),
+            sharer=sharer,
+            clock=clock,
+            rng=rng,
         ),
         list_poller=poller.ListPoller(
             instance_list=instance_list,
@@ -58,8 +89,10 @@
         report_poller=poller.ReportPoller(
             connector=connector,
             directory=directory,
-            assignment=poller.AllReports(),
+            cells=cells,
+            sharer=sharer,
             clock=clock,
             rng=rng,
         ),
+        sharer=sharer,
     )
--- a/tests/cover/test_routing_backends.py
+++ b/tests/cover/test_routing_backends.py
@@ -1,5 +1,6 @@
 """No request goes to a backend server that may not have it."""
 
+import asyncio
 import datetime
 import random
 import unittest
@@ -14,6 +15,8 @@
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import chooser as chooser_module
 from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import ejection
+from nutmeghook.internal.routing import load_book
 
 CHEAP = engine.ModelVersion(model="cheap", version="1")
 STRONG = engine.ModelVersion(model="strong", version="2")
@@ -50,20 +53,39 @@
     def __init__(self):
         self.clock = clock_module.FakeClock()
         self.events = events_module.EventRing(clock=self.clock)
+        self.book = load_book.LoadBook(clock=self.clock)
         self.directory = directory_module.BackendDirectory(
-            clock=self.clock,
-            events=self.events,
-            place=directory_module.Place(region="r", data_centre="r-0"),
+            clock=self.clock, events=self.events, book=self.book
+        )
+        self.ejector = ejection.OutlierEjector(
+            directory=self.directory, clock=self.clock, events=self.events
         )
         self.chooser = chooser_module.LeastLoadedChooser(
-            directory=self.directory, clock=self.clock, rng=random.Random(7)
+            directory=self.directory,
+            book=self.book,
+            ejector=self.ejector,
+            sharer=None,
+            clock=self.clock,
+            rng=random.Random(7),
         )
 
+    def find(self, number):
+        return self.directory.find(row(number).address)
+
     def report(self, number, said):
         self.directory.note_report(
-            self.directory.find(row(number).address),
-            said,
-            measured_at=self.clock.monotonic(),
+            self.find(number), said, measured_at=self.clock.monotonic()
+        )
+
+    def advance(self, **duration):
+        asyncio.run(self.clock.advance(datetime.timedelta(**duration)))
+
+    def end(self, backend, outcome, *, duration_s=1.0):
+        self.chooser.started(backend)
+        self.chooser.finished(
+            backend,
+            outcome=outcome,
+            duration=datetime.timedelta(seconds=duration_s),
         )
 
 
@@ -111,10 +133,141 @@
         scene.report(0, report(STRONG))
         need = backends.BackendNeed(model_version=STRONG)
         self.assertIsNotNone(scene.chooser.choose(need))
+        scene.advance(seconds=1)
         scene.report(0, report(CHEAP))
         self.assertIsNone(scene.chooser.choose(need))
 
 
+class EjectionTest(unittest.TestCase):
+    """A failing backend server is left alone for a while, few at a time."""
+
+    def setUp(self):
+        self.scene = Scene()
+        self.scene.directory.apply_list([row(n) for n in range(12)])
+        for number in range(12):
+            self.scene.report(number, report(CHEAP))
+        self.need = backends.BackendNeed(model_version=CHEAP)
+
+    def ejections(self):
+        return [
+            float(e.detail["seconds"])
+            for e in self.scene.events.since(0)
+            if e.kind is events_module.EventKind.BACKEND_EJECTED
+        ]
+
+    def test_flapping_one_stays_out_twice_as_long_each_time(self):
+        """Callers would see a failure each second, for ever.
+
+        One replica answers nothing: it is ejected, comes back on trial, and
+        fails its one attempt; each time it must stay out twice as long, up
+        to a minute, and on trial it must get one attempt at a time.
+        """
+        flapping = self.scene.find(3)
+        failed = backends.AttemptOutcome.FAILED
+        for _ in range(3):
+            self.scene.end(flapping, failed)
+        for expected_s in (1, 2, 4, 8, 16, 32, 60, 60):
+            self.assertTrue(flapping.ejected)
+            self.scene.advance(seconds=expected_s - 0.1)
+            self.scene.chooser.choose(self.need)
+            self.assertTrue(flapping.ejected)
+            self.scene.advance(seconds=0.2)
+            for number in range(12):
+                running = 0 if number == 3 else 12
+                self.scene.report(number, report(CHEAP, running=running))
+            chosen = [self.scene.chooser.choose(self.need) for _ in range(99)]
+            self.assertIn(flapping, chosen)
+            self.scene.chooser.started(flapping)
+            for _ in range(99):
+                self.assertIsNot(self.scene.chooser.choose(self.need), flapping)
+            self.scene.chooser.finished(
+                flapping, outcome=failed, duration=datetime.timedelta()
+            )
+        self.assertEqual(self.ejections(), [1, 2, 4, 8, 16, 32, 60, 60, 60])
+
+    @hypothesis.given(
+        factor=strategies.floats(1, 200),
+        fails=strategies.booleans(),
+        rounds=strategies.integers(20, 60),
+    )
+    def test_pool_that_is_slow_as_a_whole_stays_in(self, factor, fails, rounds):
+        """Callers would see no_candidate in place of a slow answer.
+
+        All replicas turn slow, or fail, at once. Slow ones must all stay in;
+        of failing ones at least half, for who can tell whose fault it is.
+        """
+        self.setUp()
+        known = self.scene.directory.known()
+        outcome = backends.AttemptOutcome.ANSWERED
+        for number in range(rounds):
+            slow = number >= rounds // 2
+            if slow and fails:
+                outcome = backends.AttemptOutcome.FAILED
+            for backend in known:
+                self.scene.end(
+                    backend, outcome, duration_s=factor if slow else 1.0
+                )
+        ejected = sum(b.ejected for b in known)
+        self.assertEqual(ejected, 6 if fails else 0)
+
+    def test_the_slow_one_of_many_is_ejected(self):
+        known = self.scene.directory.known()
+        for _ in range(40):
+            for number, backend in enumerate(known):
+                self.scene.end(
+                    backend,
+                    backends.AttemptOutcome.ANSWERED,
+                    duration_s=20.0 if number == 5 else 1.0,
+                )
+        self.assertEqual([b for b in known if b.ejected], [known[5]])
+
+
+class LoadTest(unittest.TestCase):
+    """Where work goes, by what is known of load."""
+
+    def test_frozen_reports_do_not_draw_all_work_to_one(self):
+        """Callers would wait behind each other on one replica.
+
+        One replica reports that it is idle, eleven that they are full; then
+        no report comes any more. After a while the old difference must not
+        count, so that work spreads evenly over all twelve.
+        """
+        scene = Scene()
+        scene.directory.apply_list([row(n) for n in range(12)])
+        for number in range(12):
+            scene.report(number, report(CHEAP, running=16 if number else 0))
+        scene.advance(seconds=30)
+        need = backends.BackendNeed(model_version=CHEAP)
+        for _ in range(120):
+            scene.chooser.started(scene.chooser.choose(need))
+        counts = [b.in_flight for b in scene.directory.known()]
+        self.assertLess(max(counts), 14)
+
+    @hypothesis.given(requests=strategies.integers(1, 150))
+    def test_hot_prefix_fills_no_replica_beyond_its_batch(self, requests):
+        scene = Scene()
+        scene.directory.apply_list([row(n) for n in range(12)])
+        for number in range(12):
+            scene.report(number, report(CHEAP))
+        need = backends.BackendNeed(model_version=CHEAP, affinity_key="hot")
+        for _ in range(requests):
+            scene.chooser.started(scene.chooser.choose(need))
+        counts = sorted(b.in_flight for b in scene.directory.known())
+        self.assertLessEqual(counts[-1], 16)
+        if requests <= 16:
+            self.assertEqual(counts[-1], requests)
+
+    def test_refused_for_overload_is_passed_over_for_a_while(self):
+        scene = Scene()
+        scene.directory.apply_list([row(n) for n in range(4)])
+        for number in range(4):
+            scene.report(number, report(CHEAP, running=8))
+        scene.end(scene.find(2), backends.AttemptOutcome.REFUSED_OVERLOAD)
+        need = backends.BackendNeed(model_version=CHEAP)
+        chosen = {scene.chooser.choose(need).address for _ in range(60)}
+        self.assertNotIn(scene.find(2).address, chosen)
+
+
 class ListFaultTest(unittest.TestCase):
     """A list that loses too much at once is not believed."""
 
@@ -145,6 +298,15 @@
         ]
         self.assertEqual(len(faults), 0 if believed else 1)
 
+    def test_successor_at_the_same_address_gets_work(self):
+        scene = Scene()
+        leaving = instances.InstanceState.LEAVING
+        scene.directory.apply_list([row(0, state=leaving, plain=True)])
+        need = backends.BackendNeed(service="registry")
+        self.assertIsNone(scene.chooser.choose(need))
+        scene.directory.apply_list([row(0, plain=True)])
+        self.assertIsNotNone(scene.chooser.choose(need))
+
     def test_rows_that_left_in_order_are_dropped(self):
         scene = Scene()
         scene.directory.apply_list([row(n) for n in range(9)])
--- /dev/null
+++ b/tests/cover/test_routing_sharing.py
@@ -0,0 +1,241 @@
+"""Cells and what the instances of a cell tell each other."""
+
+import asyncio
+import datetime
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner import local
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import instances
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import cells
+from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.routing import service
+from nutmeghook.internal.routing import sharing
+
+VERSION = engine.ModelVersion(model="m", version="1")
+
+
+def member(number):
+    return members_module.Member(
+        inner_address=f"10.0.0.{number}:7000",
+        incarnation=str(number),
+        region="r",
+        data_centre="r-0",
+    )
+
+
+def view(number, count):
+    return members_module.FixedMemberView(
+        myself=member(number),
+        others=tuple(member(n) for n in range(count) if n != number),
+    )
+
+
+def row(number):
+    return instances.ListedInstance(
+        address=f"10.1.0.{number}:8000",
+        role=instances.InstanceRole.MODEL_ENGINE,
+        state=instances.InstanceState.LIVE,
+        region="r",
+        data_centre="r-0",
+        service="engines",
+    )
+
+
+class CellTest(unittest.TestCase):
+    """Every instance works out its cell by itself."""
+
+    @hypothesis.settings(max_examples=15)
+    @hypothesis.given(
+        members=strategies.integers(1, 30), engines=strategies.integers(1, 40)
+    )
+    def test_cells_cover_all_and_are_read_by_one_each(self, members, engines):
+        cell_of = {}
+        readers = {row(n).address: set() for n in range(engines)}
+        in_cells = {row(n).address: set() for n in range(engines)}
+        for number in range(members):
+            clock = clock_module.FakeClock()
+            directory = directory_module.BackendDirectory(
+                clock=clock,
+                events=events_module.EventRing(clock=clock),
+                book=load_book.LoadBook(clock=clock),
+            )
+            directory.apply_list([row(n) for n in range(engines)])
+            seen = cells.CellView(
+                members=view(number, members), directory=directory
+            )
+            seen.refresh()
+            cell_of[member(number).inner_address] = seen.cell
+            for backend in directory.known():
+                if backend.nearness is backends.Nearness.OWN_CELL:
+                    in_cells[backend.address].add(seen.cell.index)
+                if seen.reads(backend):
+                    readers[backend.address].add(seen.cell.index)
+                    self.assertNotIn(
+                        (seen.cell.index, backend.address), self.read_twice
+                    )
+                    self.read_twice.add((seen.cell.index, backend.address))
+        self.read_twice.clear()
+        for address, cell in cell_of.items():
+            self.assertLessEqual(len(cell.peers), 9)
+            for peer in cell.peers:
+                self.assertIn(address, cell_of[peer].peers)
+        self.assertTrue(all(in_cells.values()))
+        self.assertEqual(readers, in_cells)
+
+    def setUp(self):
+        self.read_twice = set()
+
+
+class _Engine:
+    """Has the same load report for everybody, or none."""
+
+    def __init__(self):
+        self.report = engine.LoadReport(
+            loaded=(VERSION,), running=0, waiting=0, capacity=16
+        )
+
+    async def load_report(self):
+        if self.report is None:
+            raise failures.NotDoneError("refused")
+        return self.report
+
+
+class _Platform(engine.EngineConnector, instances.InstanceList):
+    """Engines and their list."""
+
+    def __init__(self, count):
+        self.rows = [row(n) for n in range(count)]
+        self.engines = {r.address: _Engine() for r in self.rows}
+
+    def connect(self, address):
+        return self.engines[address]
+
+    async def list_instances(self):
+        return self.rows
+
+
+class _CountingCaller(peers.PeerCaller):
+    """Counts the bytes of what it sends, with TCP's and IP's headers."""
+
+    def __init__(self, caller):
+        self.caller = caller
+        self.sent_bytes = 0
+
+    async def call(self, inner_address, request, *, timeout):
+        encoded = codec.encode(request, sequence=1, wants_reply=True)
+        self.sent_bytes += len(encoded.data) + 40
+        return await self.caller.call(inner_address, request, timeout=timeout)
+
+
+class SharingTest(unittest.IsolatedAsyncioTestCase):
+    """Instances of one cell over a network that can be cut."""
+
+    async def asyncSetUp(self):
+        self.clock = clock_module.FakeClock()
+        self.network = local.LocalNetwork(clock=self.clock)
+        self.platform = _Platform(6)
+        self.callers = []
+        self.routings = [self.build(n) for n in range(4)]
+        self.tasks = [asyncio.create_task(r.run()) for r in self.routings]
+        await self.advance(3)
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def build(self, number):
+        handlers = peers.PeerHandlers()
+        caller = _CountingCaller(
+            self.network.attach(member(number).inner_address, handlers)
+        )
+        self.callers.append(caller)
+        return service.build_backend_routing(
+            clock=self.clock,
+            events=events_module.EventRing(clock=self.clock),
+            members=view(number, 4),
+            caller=caller,
+            handlers=handlers,
+            instance_list=self.platform,
+            connector=self.platform,
+            rng=random.Random(number),
+        )
+
+    async def advance(self, seconds):
+        await self.clock.advance(datetime.timedelta(seconds=seconds))
+
+    def start(self, number, address):
+        routing = self.routings[number]
+        routing.chooser.started(routing.directory.find(address))
+
+    async def test_reports_polled_by_one_reach_all(self):
+        need = backends.BackendNeed(model_version=VERSION)
+        for routing in self.routings:
+            self.assertEqual(len(routing.directory.pool(need)), 6)
+
+    async def test_peers_agree_after_a_cut_is_over(self):
+        """Callers would wait behind work that an instance can't see.
+
+        Two instances can't reach each other while both send attempts to the
+        same replica; the cut heals. Then each must know of the other's.
+        """
+        address = row(2).address
+        self.start(0, address)
+        await self.advance(1)
+        self.network.cut_both_ways(
+            member(0).inner_address, member(1).inner_address
+        )
+        self.start(0, address)
+        self.start(1, address)
+        await self.advance(2)
+        known = [r.directory.find(address) for r in self.routings]
+        self.assertEqual([b.peers_in_flight for b in known], [0, 1, 3, 3])
+        self.network.heal_all()
+        await self.advance(3)
+        self.assertEqual([b.peers_in_flight for b in known], [1, 2, 3, 3])
+
+    async def test_silent_peer_is_forgotten(self):
+        """A replica would count as busy for ever, and get no work.
+
+        An instance dies with attempts in flight; nobody says that they
+        ended. After a few seconds they must not count any more.
+        """
+        self.start(3, row(2).address)
+        await self.advance(1)
+        known = self.routings[0].directory.find(row(2).address)
+        self.assertEqual(known.peers_in_flight, 1)
+        self.tasks[3].cancel()
+        await self.advance(8)
+        self.assertEqual(known.peers_in_flight, 0)
+
+    async def test_leaving_said_to_one_is_known_to_all_in_3_s(self):
+        leaving = engine.LoadReport(
+            loaded=(VERSION,), running=0, waiting=0, capacity=16, leaving=True
+        )
+        self.platform.engines[row(2).address].report = leaving
+        await self.advance(3)
+        for routing in self.routings:
+            self.assertTrue(routing.directory.find(row(2).address).leaving)
+
+    async def test_digests_keep_the_budget_of_bytes(self):
+        before = self.callers[0].sent_bytes
+        for _ in range(80):
+            for number in range(3):
+                self.start(0, row(number).address)
+            await self.advance(0.1)
+        sent = self.callers[0].sent_bytes - before
+        self.assertGreater(sent / 8, sharing.BUDGET_BYTES_PER_S / 4)
+        self.assertLess(sent / 8, sharing.BUDGET_BYTES_PER_S)
