Split judged trials and faults from the demo

Cause: the demo held load, faults and judging in one class; tests of failures need the same with other faults. Ruled out: a scenario language (functions read better). Conclusion: the whole-system tests can be tables of faults.

--- /dev/null
+++ b/src/nutmeghook/experiment/faults.py
@@ -0,0 +1,201 @@
+"""The faults that a trial can bring about, each with its own end."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import msgspec
+
+from nutmeghook.experiment import example_fleet
+from nutmeghook.experiment import trial as trial_module
+from nutmeghook.internal.administration import bodies
+from nutmeghook.internal.administration import client as client_module
+from nutmeghook.internal.config import edits
+from nutmeghook.standins import control
+from nutmeghook.standins import serving
+
+Fault = Callable[[trial_module.Trial], Awaitable[None]]
+
+# Longer than a lease lasts with its margin, so that others take over.
+FREEZE_S = 7.0
+OUTAGE_S = 4.0
+SLOW_MS = 400.0
+LOST_ANSWERS = 25
+RACES = 5
+
+
+async def kill_instance(trial: trial_module.Trial) -> None:
+    """SIGKILL for the newest instance; another takes its place."""
+    victim = trial.running()[-1]
+    victim.process.kill()
+    await victim.process.ended()
+    await trial.add_instance()
+    await trial.forget_instance(victim)
+
+
+async def freeze_instance(trial: trial_module.Trial) -> None:
+    """SIGSTOP past every lease, then SIGCONT."""
+    victim = trial.running()[-1]
+    victim.process.freeze()
+    await asyncio.sleep(FREEZE_S)
+    victim.process.thaw()
+
+
+async def drain_instance(trial: trial_module.Trial) -> None:
+    """SIGTERM; it must end with status 0 and cut nothing."""
+    victim = trial.running()[-1]
+    await trial.add_instance()
+    victim.process.ask_to_end()
+    status = await victim.process.ended()
+    await trial.forget_instance(victim)
+    if status != 0:
+        raise AssertionError(
+            f"{victim.name} ended with status {status}\n"
+            f"{victim.process.log_tail()}"
+        )
+
+
+async def table_down(trial: trial_module.Trial) -> None:
+    """The table service cuts every connection."""
+    await _outage(trial, "table", serving.DownMode.CUTTING)
+
+
+async def table_hangs(trial: trial_module.Trial) -> None:
+    """The table service takes requests and never answers."""
+    await _outage(trial, "table", serving.DownMode.HANGING)
+
+
+async def objects_down(trial: trial_module.Trial) -> None:
+    """The object store refuses everything."""
+    await _outage(trial, "objects", serving.DownMode.REFUSING)
+
+
+async def ratings_down(trial: trial_module.Trial) -> None:
+    """The rating service is out."""
+    await _outage(trial, "ratings", serving.DownMode.CUTTING)
+
+
+async def instance_list_down(trial: trial_module.Trial) -> None:
+    """The instance list is out."""
+    await _outage(trial, "instances", serving.DownMode.CUTTING)
+
+
+async def _outage(
+    trial: trial_module.Trial, name: str, mode: serving.DownMode
+) -> None:
+    await trial.system.set_faults(name, control.FaultSettings(down=mode))
+    await asyncio.sleep(OUTAGE_S)
+    await trial.system.set_faults(name, control.FaultSettings())
+
+
+async def table_slow(trial: trial_module.Trial) -> None:
+    """Every call of the table service takes 0.4 s longer."""
+    await trial.system.set_faults(
+        "table", control.FaultSettings(delay_ms=SLOW_MS)
+    )
+    await asyncio.sleep(OUTAGE_S)
+    await trial.system.set_faults("table", control.FaultSettings())
+
+
+async def table_loses_answers(trial: trial_module.Trial) -> None:
+    """The next commits take effect, but their answers are lost."""
+    await trial.system.set_faults(
+        "table", control.FaultSettings(lose_next_answers=LOST_ANSWERS)
+    )
+    await asyncio.sleep(OUTAGE_S)
+    await trial.system.set_faults("table", control.FaultSettings())
+
+
+async def table_effects_late(trial: trial_module.Trial) -> None:
+    """Commits lose their answers and take effect half a second later."""
+    await trial.system.set_faults(
+        "table", control.FaultSettings(late_effect_ms=500.0)
+    )
+    await asyncio.sleep(OUTAGE_S / 2)
+    await trial.system.set_faults("table", control.FaultSettings())
+
+
+async def engines_cut_streams(trial: trial_module.Trial) -> None:
+    """Each engine breaks five streams and crosses three."""
+    for name in engine_names(trial):
+        change = {"cut_next_streams": 5, "crossed_next_streams": 3}
+        await trial.system.control(
+            name, "settings", msgspec.json.encode(change)
+        )
+
+
+async def engine_crashes(trial: trial_module.Trial) -> None:
+    """One engine of each pool dies and comes back empty."""
+    for name in ("inspection-0", "rostering-0"):
+        await trial.system.control(name, "crash", b"")
+
+
+async def services_lose_answers(trial: trial_module.Trial) -> None:
+    """Plain services run the next calls and lose their answers."""
+    faults = control.FaultSettings(lose_next_answers=5)
+    for name in ("registry-0", "scheduler-0"):
+        await trial.system.set_faults(name, faults)
+
+
+async def operators_race(trial: trial_module.Trial) -> None:
+    """Two operators replace one template from the same revision."""
+    template = example_fleet.template_documents()[0]
+    for number in range(RACES):
+        async with trial.system.administration(trial.running()[0]) as client:
+            name = edits.template_document(template.team, template.name)
+            current = await client.document(name)
+        outcomes = await asyncio.gather(
+            *(
+                _race(trial, template, current.revision, number, rival)
+                for rival in range(2)
+            )
+        )
+        if sorted(outcomes) != [False, True]:
+            raise AssertionError(f"race {number} gave {outcomes}")
+
+
+async def _race(
+    trial: trial_module.Trial,
+    template: edits.documents.Template,
+    revision: int,
+    number: int,
+    rival: int,
+) -> bool:
+    running = trial.running()
+    through = running[rival % len(running)]
+    edit = edits.PutTemplate(
+        template=msgspec.structs.replace(
+            template, max_tokens=800 + 2 * number + rival
+        ),
+        expected_revision=revision,
+    )
+    async with trial.system.administration(through) as client:
+        try:
+            await client.submit(
+                f"race-{number:04d}-{rival}-{through.name}",
+                bodies.SubmitBody(edit=edit, reason="race"),
+            )
+        except client_module.RefusedError:
+            return False
+    return True
+
+
+async def bad_rollout(trial: trial_module.Trial) -> None:
+    """A version that is bad from its first answer on is rolled out."""
+    await trial.accept(
+        edits.RollOutVersion(
+            team=trial_module.ROLLOUT_TEAM,
+            template=trial_module.ROLLOUT_TEMPLATE,
+            model_version=example_fleet.NEW_VERSION,
+        ),
+        reason="new version",
+    )
+
+
+def engine_names(trial: trial_module.Trial) -> list[str]:
+    """Returns the names of all engine stand-ins."""
+    return [
+        served.name
+        for served in trial.system.addresses.stand_ins
+        if served.role == "engine"
+    ]
--- a/src/nutmeghook/experiment/processes.py
+++ b/src/nutmeghook/experiment/processes.py
@@ -1,6 +1,7 @@
 """Starts, freezes and ends the processes of an experiment."""
 
 import asyncio
+import collections.abc
 import pathlib
 import signal
 import sys
@@ -9,6 +10,7 @@
 import msgspec
 
 _Ready = TypeVar("_Ready")
+INTERPRETER = (sys.executable, "-m")
 READY_TIMEOUT_S = 30.0
 END_TIMEOUT_S = 30.0
 
@@ -87,16 +89,18 @@
     arguments: list[str],
     folder: pathlib.Path,
     ready_type: type[_Ready],
+    program: collections.abc.Sequence[str] = INTERPRETER,
     environment: dict[str, str] | None = None,
     standard_input: bytes = b"",
 ) -> tuple[ManagedProcess, _Ready]:
-    """Starts `python -m ...` and reads the line it prints when ready.
+    """Starts a process of ours and reads the line it prints when ready.
 
     Args:
         name: Names the log file too.
-        arguments: After `python -m`.
+        arguments: After `program`, which is `python -m` if not given.
         folder: Where the log file goes.
         ready_type: What the first line of standard output decodes to.
+        program: The executable, and arguments that come first.
         environment: The whole environment; None for this process's own.
         standard_input: Written to the process before anything is read.
 
@@ -106,8 +110,7 @@
     log = folder / f"{name}.log"
     with log.open("wb") as log_file:
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
+            *program,
             *arguments,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
--- a/src/nutmeghook/experiment/system.py
+++ b/src/nutmeghook/experiment/system.py
@@ -1,6 +1,7 @@
 """A whole running system: stand-ins and entry instances as processes."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import os
 import pathlib
@@ -20,6 +21,7 @@
 from nutmeghook.standins import control as control_module
 from nutmeghook.standins import fleet as fleet_module
 
+INSTANCE_PROGRAM = (*processes.INTERPRETER, "nutmeghook")
 READY_PATH = "/readyz"
 READY_TIMEOUT_S = 30.0
 CONFIG_WAIT_MS = 8_000
@@ -54,6 +56,7 @@
         "_folder",
         "_http",
         "_operations",
+        "_program",
         "_stand_in_process",
         "addresses",
         "administrator_token",
@@ -66,12 +69,14 @@
         folder: pathlib.Path,
         clock: clock_module.Clock,
         drain_lag_ms: int = 1_500,
+        program: collections.abc.Sequence[str] = INSTANCE_PROGRAM,
     ):
         self._folder = folder
         self._clock = clock
         self._drain_lag_ms = drain_lag_ms
         self._credential = secrets.token_urlsafe(24)
         self._operations = 0
+        self._program = program
         self.administrator_token = secrets.token_urlsafe(24)
         self.instances: list[RunningInstance] = []
 
@@ -93,7 +98,8 @@
         """Starts an entry instance and has it listed."""
         process, ready = await processes.start(
             name=name,
-            arguments=["nutmeghook", "serve"],
+            program=self._program,
+            arguments=["serve"],
             folder=self._folder,
             ready_type=serving.ReadyLine,
             environment=self._environment(region, data_centre),
