Measure balance, affinity, decisions and drain; spare dead engines trials

Reports that come along with answers are shared with the cell and spare a poll.

Seen to fail: the trial without a report, the piggybacked leaving mark.

--- /dev/null
+++ b/bench/affinity.py
@@ -0,0 +1,200 @@
+"""Prompt prefixes and sessions: cache hits, and what a change moves."""
+
+import collections
+import dataclasses
+import datetime
+import random
+
+from bench import report
+from bench.models import fleet
+from bench.models import replicas
+from bench.models import simulation
+from nutmeghook.internal.routing import affinity
+from nutmeghook.internal.routing import backends
+
+REPLICAS = 50
+SESSIONS = 20_000
+SEEDS = (1, 2, 3)
+# Prefixes that a replica's cache holds; the least recently used falls out.
+CACHE_PREFIXES = 40
+PREFIXES = 400
+# Popularity of the n-th prefix is 1 / n ** this.
+SKEW = 0.8
+REQUESTS = 12_000
+
+
+class PrefixCache:
+    """Which prefixes a replica holds; counts hits."""
+
+    __slots__ = ("_held", "hits")
+
+    def __init__(self):
+        self._held: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.hits = 0
+
+    def __contains__(self, prefix: str) -> bool:
+        return prefix in self._held
+
+    def use(self, prefix: str) -> None:
+        """Notes a request with the prefix."""
+        if prefix in self._held:
+            self.hits += 1
+        self._held[prefix] = None
+        self._held.move_to_end(prefix)
+        if len(self._held) > CACHE_PREFIXES:
+            self._held.popitem(last=False)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class CacheRun:
+    """What a policy gave."""
+
+    hit_share: float
+    fullest_load_share: float
+
+
+def run() -> list[report.Line]:
+    """Measures hit shares, the bound on load, and what moves."""
+    product = [_run_caches(seed, "product") for seed in SEEDS]
+    clairvoyant = [_run_caches(seed, "clairvoyant") for seed in SEEDS]
+    unaware = [_run_caches(seed, "unaware") for seed in SEEDS]
+    moved = [_moved_share(seed) for seed in SEEDS]
+    return [
+        _share("affinity.prefix_hit_share", _mean_hits(product)),
+        _share(
+            "affinity.prefix_hit_share.clairvoyant", _mean_hits(clairvoyant)
+        ),
+        _share("affinity.prefix_hit_share.no_affinity", _mean_hits(unaware)),
+        report.Line(
+            name="affinity.prefix_hit_vs_clairvoyant",
+            value=round(_mean_hits(product) / _mean_hits(clairvoyant), 3),
+            unit="ratio",
+            bound=0.8,
+            better=report.Better.HIGHER,
+        ),
+        report.Line(
+            name="affinity.fullest_replica_load_share",
+            value=round(max(r.fullest_load_share for r in product), 3),
+            unit="share of batch",
+            bound=1.5,
+        ),
+        report.Line(
+            name="affinity.sessions_moved_share",
+            value=round(max(moved), 4),
+            unit="share, worst seed",
+            bound=0.03,
+        ),
+    ]
+
+
+def _share(name: str, value: float) -> report.Line:
+    return report.Line(
+        name=name,
+        value=round(value, 3),
+        unit="share",
+        better=report.Better.HIGHER,
+    )
+
+
+def _mean_hits(runs: list[CacheRun]) -> float:
+    return sum(r.hit_share for r in runs) / len(runs)
+
+
+def _moved_share(seed: int) -> float:
+    """Returns the share of sessions whose owner changes when one replica goes.
+
+    Of 50 replicas one goes, drawn by the seed; a fair share is 0.02.
+    """
+    ring = affinity.AffinityRing()
+    ring.add_all(fleet.address_of(n) for n in range(REPLICAS))
+    before = [_owner(ring, n) for n in range(SESSIONS)]
+    gone = fleet.address_of(random.Random(seed).randrange(REPLICAS))
+    ring.remove(gone)
+    after = [_owner(ring, n) for n in range(SESSIONS)]
+    moved = sum(a != b for a, b in zip(before, after, strict=True))
+    return moved / SESSIONS
+
+
+def _owner(ring: affinity.AffinityRing, session: int) -> str:
+    return next(ring.owners(f"session-{session}", limit=1))
+
+
+def _run_caches(seed: int, policy: str) -> CacheRun:
+    """Runs 12 replicas with prefix caches at 70% load under one policy.
+
+    A hit saves nothing here: the load stays the same for all policies, so
+    that hit shares compare.
+    """
+    rng = random.Random(f"prefixes {seed}")
+    clock = simulation.Simulation()
+    shape = fleet.Shape(routers=1, replicas=12, capacity=16, bursts=False)
+    router = fleet.ProductRouter(
+        number=0, shape=shape, clock=clock, rng=random.Random(seed)
+    )
+    engines = [
+        replicas.Replica(simulation=clock, capacity=shape.capacity)
+        for _ in range(shape.replicas)
+    ]
+    caches = [PrefixCache() for _ in engines]
+    weights = [1 / (n + 1) ** SKEW for n in range(PREFIXES)]
+    work_s = fleet.MEAN_WORK_S
+    gap_s = work_s / (0.7 * shape.replicas * shape.capacity)
+    for number in range(shape.replicas):
+        router.take_report(number, fleet.report_of(engines[number]), 0.0)
+    numbers = {fleet.address_of(n): n for n in range(shape.replicas)}
+    fullest = 0.0
+    for _ in range(REQUESTS):
+        clock.run_until(clock.now_s + rng.expovariate(1 / gap_s))
+        prefix = f"prefix-{rng.choices(range(PREFIXES), weights)[0]}"
+        if policy == "clairvoyant":
+            chosen = _clairvoyant(engines, caches, prefix)
+            backend = router.directory.find(fleet.address_of(chosen))
+        else:
+            key = prefix if policy == "product" else ""
+            backend = router.chooser.choose(
+                backends.BackendNeed(
+                    model_version=fleet.VERSION, affinity_key=key
+                )
+            )
+            chosen = numbers[backend.address]
+        caches[chosen].use(prefix)
+        _send(router, backend, engines[chosen], clock, work_s)
+        fullest = max(fullest, engines[chosen].load / shape.capacity)
+    hits = sum(cache.hits for cache in caches)
+    return CacheRun(hit_share=hits / REQUESTS, fullest_load_share=fullest)
+
+
+def _clairvoyant(
+    engines: list[replicas.Replica], caches: list[PrefixCache], prefix: str
+) -> int:
+    """Returns the least loaded with the prefix and a free slot, or any."""
+    numbers = range(len(engines))
+    with_room = [
+        n
+        for n in numbers
+        if prefix in caches[n] and engines[n].load < engines[n].capacity
+    ]
+    return min(with_room or numbers, key=lambda n: engines[n].load)
+
+
+def _send(
+    router: fleet.ProductRouter,
+    backend: backends.Backend,
+    replica: replicas.Replica,
+    clock: simulation.Simulation,
+    work_s: float,
+) -> None:
+    router.chooser.started(backend)
+
+    def done() -> None:
+        router.chooser.finished(
+            backend,
+            outcome=backends.AttemptOutcome.ANSWERED,
+            duration=datetime.timedelta(seconds=work_s),
+        )
+
+    replica.arrive(
+        replicas.Job(arrived_s=clock.now_s, work_s=work_s, done=done)
+    )
--- a/bench/models/baselines.py
+++ b/bench/models/baselines.py
@@ -78,13 +78,18 @@
     return rule
 
 
-def clairvoyant(of_backend: dict[str, replicas.Replica]) -> Rule:
+def clairvoyant(fleet_replicas: list[replicas.Replica]) -> Rule:
     """The one with the truly least load; it is told of no report."""
 
     def rule(candidates: Candidates, rng: random.Random) -> backends.Backend:
-        return min(
-            candidates,
-            key=lambda b: (of_backend[b.address].load, rng.random()),
+        loads = [replica.load for replica in fleet_replicas]
+        least = min(loads)
+        return rng.choice(
+            [
+                b
+                for b, load in zip(candidates, loads, strict=True)
+                if load == least
+            ]
         )
 
     return rule
--- a/bench/models/fleet.py
+++ b/bench/models/fleet.py
@@ -273,12 +273,7 @@
 
     def _send_report(self, number: int) -> None:
         replica = self.replicas[number]
-        report = engine.LoadReport(
-            loaded=(VERSION,),
-            running=replica.running,
-            waiting=replica.waiting,
-            capacity=replica.capacity,
-        )
+        report = report_of(replica)
         measured_s = self.simulation.now_s
         if measured_s >= self.shape.reports_stop_s:
             return
@@ -336,6 +331,16 @@
             self.waits_s.append(job.waited_s)
 
 
+def report_of(replica: replicas.Replica) -> engine.LoadReport:
+    """Returns what a replica says of its load now."""
+    return engine.LoadReport(
+        loaded=(VERSION,),
+        running=replica.running,
+        waiting=replica.waiting,
+        capacity=replica.capacity,
+    )
+
+
 def address_of(number: int) -> str:
     """Returns a replica's address."""
     return f"10.1.{number // 250}.{number % 250}:8000"
--- /dev/null
+++ b/bench/models/leaving.py
@@ -0,0 +1,217 @@
+"""Backend servers that leave, behind a list and reports that lag."""
+
+import asyncio
+import dataclasses
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import local
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import instances
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import service
+
+VERSION = engine.ModelVersion(model="inspection", version="3")
+BACKENDS = 4
+ROUTERS = 3
+# Each router sends one request in each step.
+STEP_S = 0.1
+BEFORE_S = 4.0
+AFTER_S = 8.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Scenario:
+    """How one backend server leaves, and who tells of it when.
+
+    Attributes:
+        list_lag_s: The list shows the leaving this much later.
+        report_lag_s: Reports show it this much later; None for never.
+        refuses: It turns work away, saying that it leaves.
+        dead: It answers nobody any more; nor does it say that it leaves.
+    """
+
+    name: str
+    plain: bool = False
+    list_lag_s: float = 1.5
+    report_lag_s: float | None = 1.0
+    refuses: bool = False
+    dead: bool = False
+
+
+class _Engine:
+    """One engine's side of the reports."""
+
+    def __init__(self, *, place: "Place", address: str):
+        self._place = place
+        self._address = address
+
+    async def load_report(self) -> engine.LoadReport:
+        """Returns a report, or fails if the engine is dead."""
+        place = self._place
+        leaves = self._address == place.rows[0].address
+        if leaves and place.scenario.dead and place.left_for_s() >= 0:
+            raise failures.NotDoneError("connection refused")
+        lag_s = place.scenario.report_lag_s
+        shown = lag_s is not None and place.left_for_s() >= lag_s
+        return engine.LoadReport(
+            loaded=(VERSION,),
+            running=0,
+            waiting=0,
+            capacity=16,
+            leaving=leaves and shown and not place.scenario.dead,
+        )
+
+
+class Place(engine.EngineConnector, instances.InstanceList):
+    """The platform: its list, and its backend servers, of which one leaves."""
+
+    def __init__(
+        self,
+        *,
+        scenario: Scenario,
+        clock: clock_module.FakeClock,
+        leaves_at_s: float,
+    ):
+        self.scenario = scenario
+        self._clock = clock
+        self._leaves_at_s = leaves_at_s
+        self.rows = [_row(n, plain=scenario.plain) for n in range(BACKENDS)]
+
+    def left_for_s(self) -> float:
+        """Returns the seconds since the leaving began; negative before."""
+        return self._clock.monotonic().total_seconds() - self._leaves_at_s
+
+    def connect(self, address: str) -> engine.Engine:
+        """Returns the engine at an address."""
+        return _Engine(place=self, address=address)
+
+    async def list_instances(self) -> list[instances.ListedInstance]:
+        """Returns the list as it was `list_lag_s` ago."""
+        if self.left_for_s() < self.scenario.list_lag_s:
+            return self.rows
+        if self.scenario.dead:
+            return self.rows[1:]
+        leaving = _row(0, plain=self.scenario.plain, leaving=True)
+        return [leaving, *self.rows[1:]]
+
+    def outcome_at(self, address: str) -> backends.AttemptOutcome:
+        """Returns how an attempt ends."""
+        leaves = address == self.rows[0].address and self.left_for_s() >= 0
+        if leaves and self.scenario.dead:
+            return backends.AttemptOutcome.UNREACHABLE
+        if leaves and self.scenario.refuses:
+            return backends.AttemptOutcome.REFUSED_LEAVING
+        return backends.AttemptOutcome.ANSWERED
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Sent:
+    """What was sent to the leaving backend server after it began to leave.
+
+    Attributes:
+        last_s: Seconds after which the last attempt was sent to it.
+        attempts: How many were.
+    """
+
+    last_s: float = 0.0
+    attempts: int = 0
+
+
+async def run_scenario(scenario: Scenario, *, leaves_at_s: float) -> Sent:
+    """Runs the routers before, during and after the leaving."""
+    clock = clock_module.FakeClock()
+    network = local.LocalNetwork(clock=clock)
+    place = Place(scenario=scenario, clock=clock, leaves_at_s=leaves_at_s)
+    routers = [
+        _router(number, place=place, clock=clock, network=network)
+        for number in range(ROUTERS)
+    ]
+    tasks = [asyncio.create_task(router.run()) for router in routers]
+    sent = Sent()
+    try:
+        for _ in range(round((leaves_at_s + AFTER_S) / STEP_S)):
+            await clock.advance(datetime.timedelta(seconds=STEP_S))
+            for router in routers:
+                _send(router, place, sent)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return sent
+
+
+def _send(router: service.BackendRouting, place: Place, sent: Sent) -> None:
+    if place.scenario.plain:
+        need = backends.BackendNeed(service="registry")
+    else:
+        need = backends.BackendNeed(model_version=VERSION)
+    backend = router.chooser.choose(need)
+    if backend is None:
+        return
+    left_for_s = place.left_for_s()
+    if backend.address == place.rows[0].address and left_for_s >= 0:
+        sent.last_s = left_for_s
+        sent.attempts += 1
+    router.chooser.started(backend)
+    router.chooser.finished(
+        backend,
+        outcome=place.outcome_at(backend.address),
+        duration=datetime.timedelta(seconds=1),
+    )
+
+
+def _router(
+    number: int,
+    *,
+    place: Place,
+    clock: clock_module.FakeClock,
+    network: local.LocalNetwork,
+) -> service.BackendRouting:
+    members = [_member(n) for n in range(ROUTERS)]
+    myself = members.pop(number)
+    handlers = peers.PeerHandlers()
+    return service.build_backend_routing(
+        clock=clock,
+        events=events_module.EventRing(clock=clock),
+        members=members_module.FixedMemberView(
+            myself=myself, others=tuple(members)
+        ),
+        caller=network.attach(myself.inner_address, handlers),
+        handlers=handlers,
+        instance_list=place,
+        connector=place,
+        rng=random.Random(number),
+    )
+
+
+def _member(number: int) -> members_module.Member:
+    return members_module.Member(
+        inner_address=f"10.0.0.{number}:7000",
+        incarnation=str(number),
+        region="r",
+        data_centre="r-1",
+    )
+
+
+def _row(
+    number: int, *, plain: bool, leaving: bool = False
+) -> instances.ListedInstance:
+    live = instances.InstanceState.LIVE
+    return instances.ListedInstance(
+        address=f"10.1.0.{number}:8000",
+        role=(
+            instances.InstanceRole.PLAIN_SERVICE
+            if plain
+            else instances.InstanceRole.MODEL_ENGINE
+        ),
+        state=instances.InstanceState.LEAVING if leaving else live,
+        region="r",
+        data_centre="r-1",
+        service="registry" if plain else "engines",
+    )
--- a/src/nutmeghook/internal/routing/chooser.py
+++ b/src/nutmeghook/internal/routing/chooser.py
@@ -89,6 +89,8 @@
             self._directory.note_report(
                 backend, report, measured_at=self._clock.monotonic() - age
             )
+            if self._sharer is not None:
+                self._sharer.note_report(backend)
 
     def _note_own(self, backend: backends.Backend, attempts: int) -> None:
         if self._directory.find(backend.address) is not backend:
--- a/src/nutmeghook/internal/routing/ejection.py
+++ b/src/nutmeghook/internal/routing/ejection.py
@@ -42,6 +42,7 @@
     Attributes:
         log_duration: Moving mean of the logarithm of the durations.
         ejections: How many there were, one after the other.
+        awaits_report: It was unreachable: a report comes before a trial.
     """
 
     failures: int = 0
@@ -50,6 +51,8 @@
     log_duration: float = 0.0
     ejections: int = 0
     restored_at: datetime.timedelta = datetime.timedelta()
+    ejected_at: datetime.timedelta = datetime.timedelta()
+    awaits_report: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
@@ -125,6 +128,22 @@
         if backend.ejected:
             self._ejected[backend.service] -= 1
 
+    def _is_silent(
+        self, backend: backends.Backend, now: datetime.timedelta
+    ) -> bool:
+        """Tells whether an engine gave no sign of life since its ejection.
+
+        Trials of a dead engine would each cost a caller a retry, for as long
+        as the list shows it. Its reports are polled anyway. Should the fault
+        be with the reports, it gets its trial after the longest ejection.
+        """
+        record = self._records[backend.address]
+        return (
+            record.awaits_report
+            and backend.reported_at <= record.ejected_at
+            and now - record.ejected_at < LONGEST_EJECTION
+        )
+
     def _note_answer(
         self,
         backend: backends.Backend,
@@ -174,16 +193,11 @@
         duration = min(FIRST_EJECTION * 2**record.ejections, LONGEST_EJECTION)
         self._ejected[backend.service] = ejected
         self._directory.eject(backend)
-        heapq.heappush(
-            self._returns,
-            _Return(
-                at=self._clock.monotonic() + duration,
-                order=next(self._order),
-                address=backend.address,
-            ),
-        )
+        self._return_after(duration, backend.address)
         self._records[backend.address] = _Record(
-            ejections=min(record.ejections + 1, 16)
+            ejections=min(record.ejections + 1, 16),
+            ejected_at=self._clock.monotonic(),
+            awaits_report=record.unreachable > 0 and not backend.plain,
         )
         self._events.record(
             events_module.EventKind.BACKEND_EJECTED,
@@ -192,10 +206,23 @@
             seconds=str(duration.total_seconds()),
         )
 
+    def _return_after(self, duration: datetime.timedelta, address: str) -> None:
+        heapq.heappush(
+            self._returns,
+            _Return(
+                at=self._clock.monotonic() + duration,
+                order=next(self._order),
+                address=address,
+            ),
+        )
+
     def _restore(self, address: str, now: datetime.timedelta) -> None:
         backend = self._directory.find(address)
         if backend is None or not backend.ejected:
             return
+        if self._is_silent(backend, now):
+            self._return_after(FIRST_EJECTION, address)
+            return
         self._ejected[backend.service] -= 1
         self._records[address].restored_at = now
         backend.on_trial = True
--- a/src/nutmeghook/internal/routing/poller.py
+++ b/src/nutmeghook/internal/routing/poller.py
@@ -120,7 +120,7 @@
             return False
         age = datetime.timedelta(milliseconds=report.age_ms)
         self._directory.note_report(backend, report, measured_at=asked_at - age)
-        self._sharer.note_polled(backend)
+        self._sharer.note_report(backend)
         return True
 
     def _match_tasks(self) -> None:
@@ -140,8 +140,11 @@
 
     async def _poll_engine(self, backend: backends.Backend) -> None:
         while self._directory.find(backend.address) is backend:
-            await self.poll_report(backend)
             period = report_period(len(self._tasks))
+            # Answers bring reports along; a busy engine need not be polled.
+            age = self._clock.monotonic() - backend.reported_at
+            if backend.report is None or age >= period:
+                await self.poll_report(backend)
             await self._clock.sleep(jittered(period, self._rng))
 
     async def _poll_strangers(self) -> None:
--- a/src/nutmeghook/internal/routing/sharing.py
+++ b/src/nutmeghook/internal/routing/sharing.py
@@ -119,7 +119,7 @@
         for outbox in self._outboxes.values():
             outbox.changed.add(backend.address)
 
-    def note_polled(self, backend: backends.Backend) -> None:
+    def note_report(self, backend: backends.Backend) -> None:
         """Has the peers told of a report, if it says something new."""
         now = self._clock.monotonic()
         told = self._told.get(backend.address)
--- a/tests/cover/test_routing_backends.py
+++ b/tests/cover/test_routing_backends.py
@@ -185,6 +185,29 @@
             )
         self.assertEqual(self.ejections(), [1, 2, 4, 8, 16, 32, 60, 60, 60])
 
+    def test_dead_engine_gets_no_trial_before_a_report(self):
+        """Callers would wait for a retry each time the dead one is tried.
+
+        An engine dies and refuses connections; the list shows it for long.
+        It must get nothing more until a report says that it lives, or, in
+        case that only the reports are out, until a minute is over.
+        """
+        dead = self.scene.find(3)
+        for _ in range(2):
+            self.scene.end(dead, backends.AttemptOutcome.UNREACHABLE)
+        self.scene.advance(seconds=59)
+        self.scene.chooser.choose(self.need)
+        self.assertTrue(dead.ejected)
+        self.scene.report(3, report(CHEAP))
+        self.scene.advance(seconds=1)
+        self.scene.chooser.choose(self.need)
+        self.assertFalse(dead.ejected)
+        self.scene.end(dead, backends.AttemptOutcome.UNREACHABLE)
+        self.assertTrue(dead.ejected)
+        self.scene.advance(seconds=61)
+        self.scene.chooser.choose(self.need)
+        self.assertFalse(dead.ejected)
+
     @hypothesis.given(
         factor=strategies.floats(1, 200),
         fails=strategies.booleans(),
--- a/tests/cover/test_routing_sharing.py
+++ b/tests/cover/test_routing_sharing.py
@@ -230,6 +230,27 @@
         for routing in self.routings:
             self.assertTrue(routing.directory.find(row(2).address).leaving)
 
+    async def test_leaving_said_with_an_answer_is_known_to_all(self):
+        routing = self.routings[0]
+        backend = routing.directory.find(row(4).address)
+        self.platform.engines[backend.address].report = None
+        routing.chooser.started(backend)
+        routing.chooser.finished(
+            backend,
+            outcome=backends.AttemptOutcome.ANSWERED,
+            duration=datetime.timedelta(seconds=1),
+            report=engine.LoadReport(
+                loaded=(VERSION,),
+                running=0,
+                waiting=0,
+                capacity=16,
+                leaving=True,
+            ),
+        )
+        await self.advance(1)
+        for other in self.routings:
+            self.assertTrue(other.directory.find(row(4).address).leaving)
+
     async def test_digests_keep_the_budget_of_bytes(self):
         before = self.callers[0].sent_bytes
         for _ in range(80):
