Cap calls to a slow store, and build the ledger from smaller functions

Ruled out: a queue before the store (the callers' deadlines pass in it). Change: at most 128 calls to a store wait at once, the next is refused; the order of a lease's candidates is kept between calls; the events of claims and bills are left to the dispatcher.

--- a/src/nutmeghook/internal/leases/preference.py
+++ b/src/nutmeghook/internal/leases/preference.py
@@ -4,6 +4,8 @@
 spread evenly, and a member that joins or leaves moves only its own share.
 """
 
+import functools
+
 import xxhash
 
 from nutmeghook.internal.membership import members
@@ -29,15 +31,23 @@
     lease_name: str, view: members.MemberView
 ) -> list[members.Member]:
     """Returns the members that contend for a lease, preferred first."""
-    able = [
-        member
+    able = {
+        member.incarnation: member
         for member in view.members()
         if member.health is members.MemberHealth.ALIVE
-    ]
-    able.sort(
-        key=lambda member: xxhash.xxh3_64_intdigest(
-            f"{lease_name}\n{member.incarnation}".encode()
+    }
+    return [able[name] for name in _first(lease_name, tuple(able))]
+
+
+# Kept, because every keeper asks each second, and with 420 members the order
+# of 16 leases would take half a per cent of a core.
+@functools.lru_cache(maxsize=64)
+def _first(lease_name: str, incarnations: tuple[str, ...]) -> tuple[str, ...]:
+    ordered = sorted(
+        incarnations,
+        key=lambda incarnation: xxhash.xxh3_64_intdigest(
+            f"{lease_name}\n{incarnation}".encode()
         ),
         reverse=True,
     )
-    return able[:CANDIDATES]
+    return tuple(ordered[:CANDIDATES])
--- a/src/nutmeghook/internal/ledger/client.py
+++ b/src/nutmeghook/internal/ledger/client.py
@@ -16,7 +16,6 @@
 from nutmeghook.internal.ledger import sender as sender_module
 from nutmeghook.internal.ledger import settings as settings_module
 from nutmeghook.internal.ledger import store_health
-from nutmeghook.internal.observe import events as events_module
 
 _RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 _RETRY_AFTER = datetime.timedelta(seconds=1)
@@ -33,7 +32,6 @@
     __slots__ = (
         "_clock",
         "_directory",
-        "_events",
         "_incarnation",
         "_objects_health",
         "_overflow",
@@ -55,7 +53,6 @@
         objects_health: store_health.StoreHealth,
         clock: clock_module.Clock,
         rng: random.Random,
-        events: events_module.EventRing,
         settings: settings_module.LedgerSettings,
     ):
         self._incarnation = incarnation
@@ -66,7 +63,6 @@
         self._objects_health = objects_health
         self._clock = clock
         self._random = rng
-        self._events = events
         self._settings = settings
         self._unsettled: set[asyncio.Task[None]] = set()
 
@@ -114,7 +110,6 @@
             # The caller has gone. The claim may be on its way.
             self._void(identity, request_id)
             raise
-        self._note_claim(reply.state, request_id)
         return ledger.ClaimResult(state=reply.state, answer=reply.answer)
 
     async def release(
@@ -161,9 +156,6 @@
                 detail=f"the bill was not durable within {timeout}",
                 retry_after=_RETRY_AFTER,
             ) from error
-        self._events.record(
-            events_module.EventKind.BILL_RECORDED, bill.request_id
-        )
 
     async def append_bill(self, record: records.FinishRecord) -> bool:
         """Appends a bill to the log; returns whether it is durable there."""
@@ -250,14 +242,6 @@
             status=answer.status, content_type=answer.content_type, body=None
         )
 
-    def _note_claim(self, state: ledger.ClaimState, request_id: str) -> None:
-        kind = (
-            events_module.EventKind.CLAIM_WON
-            if state is ledger.ClaimState.WON
-            else events_module.EventKind.CLAIM_LOST
-        )
-        self._events.record(kind, request_id, state=state.value)
-
     async def _pause(self) -> None:
         await self._clock.sleep(_RETRY_PAUSE * (1 + self._random.random()))
 
--- a/src/nutmeghook/internal/ledger/factory.py
+++ b/src/nutmeghook/internal/ledger/factory.py
@@ -1,6 +1,7 @@
 """Puts one instance's ledger together."""
 
 import asyncio
+import dataclasses
 import datetime
 import random
 
@@ -29,6 +30,92 @@
 _PROBE_KEY = "ledger-probe"
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Parts:
+    """Builds the parts that come in numbers, from what all of them share."""
+
+    members: members_module.MemberView
+    clock: clock_module.Clock
+    rng: random.Random
+    events: events_module.EventRing
+    settings: settings_module.LedgerSettings
+    lease_settings: rows.LeaseSettings
+    liveness: liveness_module.Liveness
+
+    def health(
+        self, name: str, probe: store_health.Probe
+    ) -> store_health.StoreHealth:
+        return store_health.StoreHealth(
+            name=name,
+            clock=self.clock,
+            events=self.events,
+            rng=self.rng,
+            failures_to_out=self.settings.failures_to_out,
+            probe=probe,
+            probe_every=self.settings.probe_every,
+        )
+
+    def writer(
+        self,
+        partition: int,
+        *,
+        table: table_module.TableService,
+        health: store_health.StoreHealth,
+        archive: archive_module.BillArchive,
+    ) -> partition_module.PartitionWriter:
+        name = service_module.lease_name(partition)
+        lease = keeper_module.LeaseKeeper(
+            name=name,
+            incarnation=self.members.myself.incarnation,
+            inner_address=self.members.myself.inner_address,
+            table=table,
+            clock=self.clock,
+            rng=self.rng,
+            events=self.events,
+            rank=lambda: preference.rank_of_myself(name, self.members),
+            settings=self.lease_settings,
+            # All that a holder does is conditional on the lease's row.
+            is_dead=self.liveness.is_gone,
+        )
+        return partition_module.PartitionWriter(
+            partition=partition,
+            lease=lease,
+            table=table,
+            health=health,
+            archive=archive,
+            is_alive=self.liveness.is_alive,
+            clock=self.clock,
+            rng=self.rng,
+            settings=self.settings,
+        )
+
+    def senders(
+        self,
+        *,
+        service: service_module.LedgerService,
+        directory: directory_module.HolderDirectory,
+        peer_caller: peers.PeerCaller,
+    ) -> tuple[sender_module.PartitionSender, ...]:
+        return tuple(
+            sender_module.PartitionSender(
+                partition=partition,
+                my_address=self.members.myself.inner_address,
+                service=service,
+                directory=directory,
+                peer_caller=peer_caller,
+                clock=self.clock,
+                rng=self.rng,
+                settings=self.settings,
+            )
+            for partition in range(self.settings.partitions)
+        )
+
+    def overflow_share(self) -> float:
+        """Returns the puts a second that this instance may make."""
+        count = max(1, len(self.members.members()))
+        return self.settings.overflow_writes_per_s / count
+
+
 class InstanceLedger:
     """All ledger parts of one instance.
 
@@ -72,25 +159,21 @@
         lease_settings: rows.LeaseSettings | None = None,
     ):
         settings = settings or settings_module.LedgerSettings()
-        lease_settings = lease_settings or rows.LeaseSettings()
-        liveness = liveness_module.Liveness(members=members, clock=clock)
-        self._liveness = liveness
-        myself = members.myself
-        self.table_health = _health(
-            "table service",
-            lambda: self.table.read(_PROBE_KEY),
+        self._liveness = liveness_module.Liveness(members=members, clock=clock)
+        parts = _Parts(
+            members=members,
             clock=clock,
-            events=events,
             rng=rng,
-            settings=settings,
-        )
-        self.objects_health = _health(
-            "object store",
-            lambda: self.objects.get(_PROBE_KEY),
-            clock=clock,
             events=events,
-            rng=rng,
             settings=settings,
+            lease_settings=lease_settings or rows.LeaseSettings(),
+            liveness=self._liveness,
+        )
+        self.table_health = parts.health(
+            "table service", lambda: self.table.read(_PROBE_KEY)
+        )
+        self.objects_health = parts.health(
+            "object store", lambda: self.objects.get(_PROBE_KEY)
         )
         self.table = store_health.WatchedTable(
             table=table,
@@ -109,36 +192,16 @@
             objects=self.objects,
             records_at_once=settings.fold_records,
         )
-
-        def writer(partition: int) -> partition_module.PartitionWriter:
-            name = service_module.lease_name(partition)
-            lease = keeper_module.LeaseKeeper(
-                name=name,
-                incarnation=myself.incarnation,
-                inner_address=myself.inner_address,
-                table=self.table,
-                clock=clock,
-                rng=rng,
-                events=events,
-                rank=lambda: preference.rank_of_myself(name, members),
-                settings=lease_settings,
-                # All that a holder does is conditional on the lease's row.
-                is_dead=liveness.is_gone,
-            )
-            return partition_module.PartitionWriter(
-                partition=partition,
-                lease=lease,
-                table=self.table,
-                health=self.table_health,
-                archive=archive,
-                is_alive=liveness.is_alive,
-                clock=clock,
-                rng=rng,
-                settings=settings,
-            )
-
         self.service = service_module.LedgerService(
-            writers=tuple(writer(p) for p in range(settings.partitions)),
+            writers=tuple(
+                parts.writer(
+                    partition,
+                    table=self.table,
+                    health=self.table_health,
+                    archive=archive,
+                )
+                for partition in range(settings.partitions)
+            ),
             clock=clock,
         )
         self.service.register(handlers)
@@ -148,35 +211,23 @@
             clock=clock,
             partitions=settings.partitions,
         )
-        senders = tuple(
-            sender_module.PartitionSender(
-                partition=partition,
-                my_address=myself.inner_address,
-                service=self.service,
-                directory=directory,
-                peer_caller=peer_caller,
-                clock=clock,
-                rng=rng,
-                settings=settings,
-            )
-            for partition in range(settings.partitions)
+        senders = parts.senders(
+            service=self.service, directory=directory, peer_caller=peer_caller
         )
         self._overflow = overflow_module.BillOverflow(
-            incarnation=myself.incarnation,
+            incarnation=members.myself.incarnation,
             objects=self.objects,
             table_health=self.table_health,
             append=lambda record: self.client.append_bill(record),
-            share=lambda: (
-                settings.overflow_writes_per_s / max(1, len(members.members()))
-            ),
-            is_alive=liveness.is_alive,
+            share=parts.overflow_share,
+            is_alive=self._liveness.is_alive,
             may_sweep=lambda: self.service.writers[0].is_serving,
             clock=clock,
             rng=rng,
             events=events,
         )
         self.client = client_module.LedgerClient(
-            incarnation=myself.incarnation,
+            incarnation=members.myself.incarnation,
             senders=senders,
             directory=directory,
             overflow=self._overflow,
@@ -184,7 +235,6 @@
             objects_health=self.objects_health,
             clock=clock,
             rng=rng,
-            events=events,
             settings=settings,
         )
         self.pins = session_pins.LedgerSessionPins(
@@ -214,23 +264,3 @@
         """Settles what is open, then hands the partitions over."""
         await self.client.drain(timeout=timeout)
         await self.service.drain(timeout=timeout)
-
-
-def _health(
-    name: str,
-    probe: store_health.Probe,
-    *,
-    clock: clock_module.Clock,
-    events: events_module.EventRing,
-    rng: random.Random,
-    settings: settings_module.LedgerSettings,
-) -> store_health.StoreHealth:
-    return store_health.StoreHealth(
-        name=name,
-        clock=clock,
-        events=events,
-        rng=rng,
-        failures_to_out=settings.failures_to_out,
-        probe=probe,
-        probe_every=settings.probe_every,
-    )
--- a/src/nutmeghook/internal/ledger/store_health.py
+++ b/src/nutmeghook/internal/ledger/store_health.py
@@ -19,6 +19,8 @@
 _T = TypeVar("_T")
 Probe = Callable[[], Awaitable[object]]
 _JITTER_SHARE = 0.2
+# Calls at once; a slow store must not fill the instance with waiting calls.
+_CALLS_AT_ONCE = 128
 
 
 class StoreHealth:
@@ -103,7 +105,7 @@
 class _Watch:
     """Bounds a store's calls in time and tells its health of each."""
 
-    __slots__ = ("_clock", "_health", "_timeout")
+    __slots__ = ("_clock", "_health", "_in_flight", "_timeout")
 
     def __init__(
         self,
@@ -115,9 +117,23 @@
         self._health = health
         self._clock = clock
         self._timeout = timeout
+        self._in_flight = 0
+
+    async def call(
+        self, start: Callable[[], Awaitable[_T]], *, writes: bool
+    ) -> _T:
+        """Makes a call; one that takes too long has an unknown outcome."""
+        if self._in_flight >= _CALLS_AT_ONCE:
+            raise failures.NotDoneError(
+                f"{_CALLS_AT_ONCE} calls are waiting already", overloaded=True
+            )
+        self._in_flight += 1
+        try:
+            return await self._bounded(start(), writes=writes)
+        finally:
+            self._in_flight -= 1
 
-    async def call(self, work: Awaitable[_T], *, writes: bool) -> _T:
-        """Awaits a call; one that takes too long has an unknown outcome."""
+    async def _bounded(self, work: Awaitable[_T], *, writes: bool) -> _T:
         try:
             result = await self._clock.wait_for(work, self._timeout)
         except TimeoutError as error:
@@ -155,21 +171,27 @@
 
     async def read(self, key: str) -> table_module.Row | None:
         """Returns the row, or None where there is none."""
-        return await self._watch.call(self._table.read(key), writes=False)
+        return await self._watch.call(
+            lambda: self._table.read(key), writes=False
+        )
 
     async def scan(
         self, *, prefix: str, after: str = "", limit: int = 1000
     ) -> list[table_module.Row]:
         """Returns rows whose key has the prefix, in order of their keys."""
-        work = self._table.scan(prefix=prefix, after=after, limit=limit)
-        return await self._watch.call(work, writes=False)
+        return await self._watch.call(
+            lambda: self._table.scan(prefix=prefix, after=after, limit=limit),
+            writes=False,
+        )
 
     async def commit(
         self, transaction: table_module.Transaction
     ) -> table_module.CommitResult:
         """Applies the transaction if all its conditions hold."""
-        work = self._table.commit(transaction)
-        return await self._watch.call(work, writes=True)
+        return await self._watch.call(
+            lambda: self._table.commit(transaction),
+            writes=True,
+        )
 
 
 class WatchedObjects(objects_module.ObjectStore):
@@ -190,20 +212,28 @@
 
     async def put_if_absent(self, key: str, content: bytes) -> bool:
         """Stores the blob; returns False where the key exists already."""
-        work = self._objects.put_if_absent(key, content)
-        return await self._watch.call(work, writes=True)
+        return await self._watch.call(
+            lambda: self._objects.put_if_absent(key, content),
+            writes=True,
+        )
 
     async def get(self, key: str) -> bytes | None:
         """Returns the blob, or None where there is none."""
-        return await self._watch.call(self._objects.get(key), writes=False)
+        return await self._watch.call(
+            lambda: self._objects.get(key), writes=False
+        )
 
     async def list_keys(
         self, *, prefix: str, after: str = "", limit: int = 1000
     ) -> list[str]:
         """Returns the keys with the prefix greater than `after`, in order."""
-        work = self._objects.list_keys(prefix=prefix, after=after, limit=limit)
-        return await self._watch.call(work, writes=False)
+        return await self._watch.call(
+            lambda: self._objects.list_keys(
+                prefix=prefix, after=after, limit=limit
+            ),
+            writes=False,
+        )
 
     async def delete(self, key: str) -> None:
         """Removes the blob, if it is there."""
-        await self._watch.call(self._objects.delete(key), writes=True)
+        await self._watch.call(lambda: self._objects.delete(key), writes=True)
