--- /dev/null
+++ b/bench/models/admission_baselines.py
@@ -0,0 +1,84 @@
+"""What fair admission is measured against."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import contextlib
+import datetime
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.limits import admission
+
+_RETRY_AFTER = datetime.timedelta(seconds=1)
+
+
+class FifoAdmission(admission.Admission):
+    """A fixed number of places, and a queue bounded by its length only."""
+
+    __slots__ = ("_max_waiting", "_places", "_waiting")
+
+    def __init__(self, *, places: int, max_waiting: int):
+        self._places = places
+        self._max_waiting = max_waiting
+        self._waiting: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+
+    @contextlib.asynccontextmanager
+    async def admitted(
+        self, request: admission.AdmissionRequest
+    ) -> AsyncIterator[None]:
+        """Holds a place while the request runs."""
+        await self._enter()
+        try:
+            yield
+        finally:
+            self._leave()
+
+    def note_service(
+        self,
+        *,
+        duration: datetime.timedelta,
+        overloaded: bool,
+        work_tokens: int = 1,
+    ) -> None:
+        """Ignores it."""
+
+    async def _enter(self) -> None:
+        if self._places:
+            self._places -= 1
+            return
+        if len(self._waiting) >= self._max_waiting:
+            raise errors.CodedError(
+                code=codes.Code.OVERLOADED, retry_after=_RETRY_AFTER
+            )
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._leave()
+            raise
+
+    def _leave(self) -> None:
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._places += 1
+
+
+class NaiveRetries(admission.RetryBudget):
+    """Allows every retry; the dispatcher's attempt count is the only bound."""
+
+    __slots__ = ()
+
+    def note_request(self) -> None:
+        """Ignores it."""
+
+    def try_spend(self) -> bool:
+        """Always allows one more."""
+        return True
