Build one file that serves in one process, from memory

Cause: `make binary` had no tool behind it. Instances have no disks, and a process of ours starts no other; one-file packers start a child, unpack to disk, or could not import eliot.

Ruled out: PyInstaller one-file (two processes, unpacks), Nuitka one-file (fails at eliot's import); unpacking to a tmpfs (outlives the process, fails under noexec, a place that others may prepare); a zip archive for the machine's Python. docs/design/binary.md has the reasons and what was not tried.

Change: a launcher of 100 lines of C copies the interpreter and its libraries to memory files and replaces itself; modules are read from an archive behind it.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 binary: setup
 	$(RUN) -m tools.binary
+	TESTED_BINARY=dist/nutmeghook $(RUN) -m tests whole.test_binary
 
 format: setup
 	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/tools/binary.py
@@ -0,0 +1,157 @@
+"""Builds `dist/nutmeghook`: one file, one process, no disk.
+
+docs/design/binary.md says why it is built this way.
+"""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import zipfile
+
+from tools import libraries
+from tools import payload
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+RESULT = ROOT / "dist" / "nutmeghook"
+START_MODULE = "embedded_start.py"
+COMPILER_PACKAGE = "build-essential"
+EXECUTABLE_MODE = 0o755
+# The interpreter reads these before it can decompress anything.
+_LIST_FIRST_MODULES = (
+    "import sys, importlib.machinery, os, zipimport;"
+    "print(*sys.modules, sep='\\n')"
+)
+_DECOMPRESSOR = "zlib"
+# One moment for all entries: the same input gives the same file.
+_ENTRY_DATE = (1980, 1, 1, 0, 0, 0)
+
+
+def build(result: pathlib.Path) -> None:
+    """Builds the file.
+
+    Args:
+        result: Replaced at once, so that a running one is not disturbed.
+    """
+    _require_compiler()
+    files = payload.collect("nutmeghook", ROOT / "src")
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = pathlib.Path(folder)
+        unfinished = scratch / "result"
+        _compile_launcher(unfinished, files, scratch)
+        _append_archive(unfinished, files, scratch)
+        result.parent.mkdir(parents=True, exist_ok=True)
+        beside = result.with_suffix(".new")
+        shutil.copyfile(unfinished, beside)
+        beside.chmod(EXECUTABLE_MODE)
+        beside.replace(result)
+
+
+def _require_compiler() -> None:
+    """Installs the C compiler if the machine has none."""
+    if shutil.which("gcc") and shutil.which("strip"):
+        return
+    become_root = [] if os.geteuid() == 0 else ["sudo"]
+    for arguments in (["update"], ["install", "-y", COMPILER_PACKAGE]):
+        subprocess.run([*become_root, "apt-get", *arguments], check=True)
+
+
+def _compile_launcher(
+    result: pathlib.Path,
+    files: list[payload.SourceFile],
+    scratch: pathlib.Path,
+) -> None:
+    """Compiles the launcher around the interpreter and all libraries."""
+    interpreter = pathlib.Path(sys.executable).resolve()
+    extensions = [file.path for file in files if file.is_extension]
+    embedded = {"python": interpreter}
+    embedded |= libraries.needed_by([interpreter, *extensions])
+    for name, path in embedded.items():
+        content = libraries.stripped(path, scratch)
+        (scratch / f"{name}.embedded").write_bytes(content)
+    table = scratch / "embedded.S"
+    table.write_text(_assembly(list(embedded), scratch))
+    launcher = ROOT / "tools" / "launcher.c"
+    command = ["gcc", "-Os", "-s", "-Wall", "-Wextra", "-Werror", "-o", result]
+    subprocess.run([*command, launcher, table], check=True)
+
+
+def _assembly(names: list[str], scratch: pathlib.Path) -> str:
+    """Writes the table that launcher.c calls EMBEDDED."""
+    contents = [
+        f'name{i}: .asciz "{name}"\n'
+        f'start{i}: .incbin "{scratch}/{name}.embedded"\n'
+        f"end{i}:\n"
+        for i, name in enumerate(names)
+    ]
+    entries = [f".quad name{i}, start{i}, end{i}\n" for i in range(len(names))]
+    return "".join(
+        (
+            ".section .rodata\n",
+            *contents,
+            '.section .data.rel.ro, "aw"\n.balign 8\n',
+            ".globl EMBEDDED\nEMBEDDED:\n",
+            *entries,
+            ".quad 0, 0, 0\n",
+            '.section .note.GNU-stack, "", @progbits\n',
+        )
+    )
+
+
+def _append_archive(
+    result: pathlib.Path,
+    files: list[payload.SourceFile],
+    scratch: pathlib.Path,
+) -> None:
+    """Appends all Python modules; zip archives are read from their end."""
+    first = _first_modules()
+    start = payload.SourceFile(
+        path=ROOT / "tools" / START_MODULE,
+        place=pathlib.PurePath(START_MODULE),
+    )
+    with zipfile.ZipFile(result, "a") as archive:
+        for file in [start, *files]:
+            stored = file.module_name.removesuffix(".__init__") in first
+            entry = zipfile.ZipInfo(_entry_name(file), _ENTRY_DATE)
+            entry.compress_type = (
+                zipfile.ZIP_STORED if stored else zipfile.ZIP_DEFLATED
+            )
+            archive.writestr(entry, _content(file, scratch))
+        for folder in sorted(payload.namespace_folders(files)):
+            archive.writestr(zipfile.ZipInfo(f"{folder}/", _ENTRY_DATE), b"")
+
+
+def _first_modules() -> set[str]:
+    """Returns the modules that have to be readable without zlib."""
+    listing = subprocess.run(
+        [sys.executable, "-PSB", "-Xutf8", "-c", _LIST_FIRST_MODULES],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    start = pathlib.PurePath(START_MODULE).stem
+    return {*listing.stdout.split(), _DECOMPRESSOR, start}
+
+
+def _entry_name(file: payload.SourceFile) -> str:
+    if file.is_extension:
+        return f"extensions/{file.module_name}"
+    return str(file.place.with_suffix(".pyc"))
+
+
+def _content(file: payload.SourceFile, scratch: pathlib.Path) -> bytes:
+    if file.is_extension:
+        return libraries.stripped(file.path, scratch)
+    return payload.compiled(file)
+
+
+def main() -> None:
+    """Builds into `dist` and says where."""
+    build(RESULT)
+    print(f"built {RESULT.relative_to(ROOT)}: {RESULT.stat().st_size} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/launcher.c
@@ -0,0 +1,100 @@
+/* The machine code of dist/nutmeghook: turns itself into an interpreter.
+
+   The interpreter and its shared libraries are part of this program's image
+   (EMBEDDED, written by tools/binary.py). Each is copied into a file that
+   exists in memory only, and the process replaces itself by the interpreter:
+   same process id, no child, nothing in any file system. Python's modules
+   are in a zip archive behind the image, which the interpreter reads through
+   a descriptor of this file.
+
+   What fails is said on standard error with the system's reason, and the exit
+   status is 70 (EX_SOFTWARE of sysexits.h). */
+
+#define _GNU_SOURCE
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/mman.h>
+#include <sysexits.h>
+#include <unistd.h>
+
+struct embedded_file {
+  const char *name;
+  const char *start;
+  const char *end;
+};
+
+/* The interpreter, then the libraries, then an entry without a name. */
+extern const struct embedded_file EMBEDDED[];
+
+enum { PATH_BYTES = 64, PRELOAD_BYTES = 8192 };
+
+static char *const INTERPRETER_FLAGS[] = {
+    "nutmeghook", "-PSB", "-Xutf8", "-c", "import embedded_start"};
+enum { FLAG_COUNT = sizeof INTERPRETER_FLAGS / sizeof *INTERPRETER_FLAGS };
+
+static void give_up(const char *what) {
+  fprintf(stderr, "nutmeghook: %s: %s\n", what, strerror(errno));
+  exit(EX_SOFTWARE);
+}
+
+static int memory_file(const struct embedded_file *file, unsigned flags) {
+  int descriptor = memfd_create(file->name, flags);
+  if (descriptor < 0) give_up(file->name);
+  for (const char *next = file->start; next < file->end;) {
+    ssize_t written = write(descriptor, next, (size_t)(file->end - next));
+    if (written < 0) give_up(file->name);
+    next += written;
+  }
+  return descriptor;
+}
+
+static void descriptor_path(char path[PATH_BYTES], int descriptor) {
+  snprintf(path, PATH_BYTES, "/proc/self/fd/%d", descriptor);
+}
+
+/* The dynamic loader takes a preloaded library for every need of the same
+   name, so that the machine's libraries of that name are not looked at. */
+static void preload_libraries(void) {
+  char preload[PRELOAD_BYTES] = "";
+  size_t length = 0;
+  for (const struct embedded_file *file = EMBEDDED + 1; file->name; file++) {
+    char path[PATH_BYTES];
+    descriptor_path(path, memory_file(file, 0));
+    length += (size_t)snprintf(preload + length, PRELOAD_BYTES - length,
+                               "%s:", path);
+  }
+  const char *given = getenv("LD_PRELOAD");
+  length += (size_t)snprintf(preload + length, PRELOAD_BYTES - length, "%s",
+                             given ? given : "");
+  if (length >= PRELOAD_BYTES) {
+    errno = E2BIG;
+    give_up("LD_PRELOAD");
+  }
+  setenv("LD_PRELOAD", preload, 1);
+}
+
+static void point_to_archive(void) {
+  char path[PATH_BYTES];
+  int descriptor = open("/proc/self/exe", O_RDONLY);
+  if (descriptor < 0) give_up("/proc/self/exe");
+  descriptor_path(path, descriptor);
+  setenv("PYTHONPATH", path, 1);
+  /* Any other home lets the interpreter look for its library on the disk. */
+  setenv("PYTHONHOME", path, 1);
+}
+
+int main(int count, char **arguments) {
+  char **all = calloc((size_t)(FLAG_COUNT + count), sizeof *all);
+  if (!all) give_up("arguments");
+  memcpy(all, INTERPRETER_FLAGS, sizeof INTERPRETER_FLAGS);
+  for (int i = 1; i < count; i++) all[FLAG_COUNT + i - 1] = arguments[i];
+  point_to_archive();
+  preload_libraries();
+  char interpreter[PATH_BYTES];
+  descriptor_path(interpreter, memory_file(EMBEDDED, MFD_CLOEXEC));
+  execv(interpreter, all);
+  give_up("can't become the interpreter");
+}
--- /dev/null
+++ b/tools/payload.py
@@ -0,0 +1,171 @@
+"""Collects the Python modules that go into the one-file build."""
+
+import collections.abc
+import dataclasses
+import importlib.machinery
+import importlib.metadata
+import importlib.util
+import marshal
+import pathlib
+import sysconfig
+import types
+
+from packaging import requirements
+
+# Nothing that serves or administers needs these; they are half of the size.
+LEFT_OUT_FOLDERS = frozenset(
+    (
+        "__pycache__",
+        "curses",
+        "dbm",
+        "dist-packages",
+        "distutils",
+        "ensurepip",
+        "idlelib",
+        "lib2to3",
+        "pydoc_data",
+        "site-packages",
+        "sqlite3",
+        "test",
+        "tests",
+        "tkinter",
+        "turtledemo",
+        "venv",
+    )
+)
+# Of the standard library's compiled modules: tests, and what would bring a
+# shared library along that no code of ours calls.
+LEFT_OUT_EXTENSIONS = (
+    "_crypt",
+    "_ctypes_test",
+    "_curses",
+    "_dbm",
+    "_gdbm",
+    "_sqlite3",
+    "_test",
+    "_tkinter",
+    "_xx",
+    "nis",
+    "ossaudiodev",
+    "readline",
+    "xx",
+)
+_EXTENSION_SUFFIXES = tuple(importlib.machinery.EXTENSION_SUFFIXES)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SourceFile:
+    """One module, or the code of one package.
+
+    Attributes:
+        path: Where it is on the building machine.
+        place: Where it belongs, relative to the root of all modules.
+    """
+
+    path: pathlib.Path
+    place: pathlib.PurePath
+
+    @property
+    def is_extension(self) -> bool:
+        """Whether it is machine code."""
+        return self.path.name.endswith(_EXTENSION_SUFFIXES)
+
+    @property
+    def module_name(self) -> str:
+        """The dotted name it is imported by."""
+        bare = self.place.name.split(".")[0]
+        return ".".join((*self.place.parent.parts, bare))
+
+
+def collect(project: str, source: pathlib.Path) -> list[SourceFile]:
+    """Lists the standard library, a project's needs and its own modules.
+
+    Args:
+        project: The distribution whose requirements are followed.
+        source: The folder that holds its packages.
+    """
+    files = list(_standard_library())
+    for name in sorted(_requirements(project) - {project}):
+        files.extend(_distribution_files(name))
+    files.extend(_tree(source))
+    return sorted(files, key=lambda file: file.place)
+
+
+def namespace_folders(
+    files: collections.abc.Iterable[SourceFile],
+) -> set[pathlib.PurePath]:
+    """Returns the folders of packages that have no code of their own.
+
+    In an archive such a package (zope is one) is only found if its folder has
+    an entry; without it, importing what it holds fails.
+    """
+    places = {file.place for file in files}
+    folders = {folder for place in places for folder in place.parents}
+    folders.discard(pathlib.PurePath())
+    return {f for f in folders if f / "__init__.py" not in places}
+
+
+def compiled(file: SourceFile) -> bytes:
+    """Returns what a `.pyc` file holds, free of the building machine's paths.
+
+    The header says that it is never compared with its source: the source is
+    not there at run time.
+    """
+    code = compile(
+        file.path.read_bytes(), str(file.place), "exec", dont_inherit=True
+    )
+    return _pyc(code)
+
+
+def _pyc(code: types.CodeType) -> bytes:
+    unchecked_hash_flags = (1).to_bytes(4, "little")
+    no_hash = bytes(8)
+    return (
+        importlib.util.MAGIC_NUMBER
+        + unchecked_hash_flags
+        + no_hash
+        + marshal.dumps(code)
+    )
+
+
+def _standard_library() -> collections.abc.Iterator[SourceFile]:
+    yield from _tree(pathlib.Path(sysconfig.get_path("stdlib")))
+    extensions = pathlib.Path(sysconfig.get_config_var("DESTSHARED"))
+    for path in extensions.glob("*.so"):
+        if not path.name.startswith(LEFT_OUT_EXTENSIONS):
+            yield SourceFile(path=path, place=pathlib.PurePath(path.name))
+
+
+def _tree(folder: pathlib.Path) -> collections.abc.Iterator[SourceFile]:
+    for path in folder.rglob("*.py"):
+        place = path.relative_to(folder)
+        if LEFT_OUT_FOLDERS.isdisjoint(place.parts):
+            yield SourceFile(path=path, place=place)
+
+
+def _distribution_files(name: str) -> collections.abc.Iterator[SourceFile]:
+    distribution = importlib.metadata.distribution(name)
+    for file in distribution.files or ():
+        place = pathlib.PurePath(file)
+        wanted = file.name.endswith((".py", *_EXTENSION_SUFFIXES))
+        if wanted and LEFT_OUT_FOLDERS.isdisjoint(place.parts):
+            yield SourceFile(
+                path=pathlib.Path(distribution.locate_file(file)), place=place
+            )
+
+
+def _requirements(project: str) -> set[str]:
+    """Returns a project and all it needs, its extras left out."""
+    found: set[str] = set()
+    left = [project]
+    while left:
+        name = left.pop().lower().replace("_", "-")
+        if name in found:
+            continue
+        found.add(name)
+        for line in importlib.metadata.requires(name) or ():
+            needed = requirements.Requirement(line)
+            marker = needed.marker
+            if marker is None or marker.evaluate({"extra": ""}):
+                left.append(needed.name)
+    return found
