Order engines to hold the versions that the configuration wants

Cause: nothing loaded a version before a roll-out gave it share, or unloaded it after its withdrawal.

Ruled out: rows of orders in progress (a second truth beside the engines' own reports); one order id a target for ever (engines answer a known id with what became of it then, and would not load a second time); waiting out every stray order of a paused holder (it may come minutes late).

Change: the holder of the lease `orders` reads the engines back, derives the wanted replicas from the configuration, and sends what is missing: targets with its fencing token, ids that stay the same until answered, the lease checked just before each. A new holder first waits out the last orders of its predecessor; two replicas at least and one unload at a time for each version make a later stray order harmless. Grants of the weight store are paced and back off as told.

Left: role changes are not ordered, as nothing says which role is wanted; load by version is not measured, so replicas follow shares alone.

--- /dev/null
+++ b/src/nutmeghook/internal/orders/controller.py
@@ -0,0 +1,275 @@
+"""Brings the engines to the wanted state, on the holder of the lease.
+
+Nothing of it lives in this task. The target follows from the configuration,
+the present state from the engines' own reports; orders state targets. So any
+instance goes on from any point, and orders sent twice, late, or by two
+holders at once do no lasting harm: the next pass reads back and corrects.
+"""
+
+import datetime
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import lease as lease_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.orders import drain_wait
+from nutmeghook.internal.orders import fleet_reading
+from nutmeghook.internal.orders import order_book
+from nutmeghook.internal.orders import planning
+from nutmeghook.internal.orders import weight_grants
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+
+LEASE_NAME = "orders"
+ORDER_TIMEOUT = datetime.timedelta(seconds=5)
+# A new holder sends nothing for this long: its predecessor's last order has
+# arrived by then or never will, but for one that was paused on its way.
+TAKE_OVER_WAIT = 2 * ORDER_TIMEOUT
+LOADS_AT_ONCE = 4
+STALE_CONFIG = datetime.timedelta(seconds=10)
+AVOID_REFUSING = datetime.timedelta(seconds=10)
+AVOID_FORBIDDING = datetime.timedelta(minutes=5)
+
+_SHORTEST_PASS = datetime.timedelta(seconds=2)
+# Reading one engine back takes about 450 bytes; control has 3 KB a second.
+_PASS_PER_ENGINE = datetime.timedelta(milliseconds=500)
+
+
+class NotHolderError(Exception):
+    """The lease is not held any more; nothing may be ordered."""
+
+
+class OrderController:
+    """Reads back, plans, and gives the orders that limits allow."""
+
+    __slots__ = (
+        "_book",
+        "_clock",
+        "_connector",
+        "_drain",
+        "_engines",
+        "_events",
+        "_fenced_token",
+        "_grants",
+        "_lease",
+        "_quiet_until",
+        "_reader",
+        "_secret",
+        "_token",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        view: view_module.ConfigView,
+        lease: lease_module.Lease,
+        reader: fleet_reading.FleetReader,
+        connector: engine.EngineConnector,
+        grants: weight_grants.GrantPacer,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+        secret: str = "",
+    ):
+        self._view = view
+        self._lease = lease
+        self._reader = reader
+        self._connector = connector
+        self._grants = grants
+        self._clock = clock
+        self._events = events
+        self._secret = secret
+        self._engines = 0
+        self._quiet_until = datetime.timedelta()
+        self._fenced_token: int | None = None
+        self._forget()
+
+    async def run(self) -> None:
+        """Makes a pass each period until cancelled."""
+        while True:
+            await self.step()
+            period = max(_SHORTEST_PASS, self._engines * _PASS_PER_ENGINE)
+            await self._clock.sleep(period)
+
+    async def step(self) -> None:
+        """Makes one pass, if the lease is held."""
+        token = self._lease.fencing_token()
+        if token is None or token == self._fenced_token:
+            self._forget()
+            return
+        if token != self._token:
+            self._take_over(token)
+        if self._clock.monotonic() < self._quiet_until:
+            return
+        try:
+            await self._pass()
+        except NotHolderError:
+            self._forget()
+        except (failures.PlatformError, TimeoutError):
+            # There is no instance list. What is loaded goes on serving.
+            return
+
+    def _forget(self) -> None:
+        self._token: int | None = None
+        self._book = order_book.OrderBook(token=0)
+        self._drain = drain_wait.DrainWait()
+
+    def _take_over(self, token: int) -> None:
+        self._forget()
+        self._token = token
+        self._book = order_book.OrderBook(token=token)
+        self._quiet_until = self._clock.monotonic() + TAKE_OVER_WAIT
+
+    async def _pass(self) -> None:
+        found = await self._reader.read()
+        self._engines = len(found)
+        now = self._clock.monotonic()
+        engines = self._book.read_back(found, now)
+        snapshot = self._view.snapshot
+        plan = planning.make_plan(snapshot, engines)
+        self._drain.note(plan, now)
+        await self._ask_again()
+        for placement in plan.loads:
+            await self._load(placement)
+        if self._may_unload():
+            await self._unload_all(plan, engines, snapshot)
+
+    def _may_unload(self) -> bool:
+        """Tells whether the configuration is surely new enough.
+
+        An instance cut off from the others may hold one in which a version is
+        withdrawn that was put back since. Loading too much does no harm, so
+        only unloading waits.
+        """
+        age = self._view.confirmed_age()
+        return age is not None and age <= STALE_CONFIG
+
+    async def _ask_again(self) -> None:
+        """Repeats the open orders under their old ids.
+
+        That asks how they stand, and sends again those that were lost.
+        """
+        for entry in self._book.open_orders():
+            await self._send(entry)
+
+    async def _load(self, placement: planning.Placement) -> None:
+        now = self._clock.monotonic()
+        if self._book.loads_open() >= LOADS_AT_ONCE:
+            return
+        if self._book.is_avoided(placement.address, now):
+            return
+        self._check_lease()
+        ticket = await self._grants.ticket_for(placement)
+        if ticket is None:
+            return
+        entry = self._book.begin(
+            engine.OrderKind.LOAD,
+            placement,
+            secret=self._secret,
+            ticket=ticket,
+            now=now,
+        )
+        await self._send(entry)
+
+    async def _unload_all(
+        self,
+        plan: planning.Plan,
+        engines: planning.Engines,
+        snapshot: documents.Snapshot,
+    ) -> None:
+        now = self._clock.monotonic()
+        views = {view.address: view for view in engines}
+        for placement in plan.withdrawn:
+            view = views[placement.address]
+            if self._drain.has_drained(placement, view, snapshot, now):
+                await self._unload(placement)
+        for placement in plan.surplus:
+            if self._drain.stayed_surplus(placement, now):
+                await self._unload(placement)
+
+    async def _unload(self, placement: planning.Placement) -> None:
+        """Unloads one replica; the next one of its version waits for it.
+
+        With one order under way for each version, an order that arrives late
+        takes one replica too many at most, and the plan keeps two.
+        """
+        now = self._clock.monotonic()
+        if self._book.is_open(placement.model_version):
+            return
+        if self._book.is_avoided(placement.address, now):
+            return
+        entry = self._book.begin(
+            engine.OrderKind.UNLOAD, placement, secret=self._secret, now=now
+        )
+        await self._send(entry)
+
+    def _check_lease(self) -> None:
+        if self._lease.fencing_token() != self._token:
+            raise NotHolderError
+
+    async def _send(self, entry: order_book.OpenOrder) -> None:
+        """Sends an order and takes in the answer.
+
+        The lease is looked at just before: a process that was paused since
+        the pass began finds out here that its lease has lapsed.
+        """
+        self._check_lease()
+        address = entry.placement.address
+        try:
+            state = await self._clock.wait_for(
+                self._connector.connect(address).order(entry.order),
+                ORDER_TIMEOUT,
+            )
+        except failures.NotDoneError:
+            self._note_not_done(entry)
+            return
+        except (failures.OutcomeUnknownError, TimeoutError):
+            self._record(entry, "unknown")
+            return
+        self._record(entry, state.value)
+        self._note_state(entry, state)
+
+    def _note_not_done(self, entry: order_book.OpenOrder) -> None:
+        self._record(entry, "not done")
+        if entry.order.ticket and not entry.answered:
+            self._grants.give_back(entry.placement, entry.order.ticket)
+        self._give_up(entry, AVOID_REFUSING)
+
+    def _note_state(
+        self, entry: order_book.OpenOrder, state: engine.OrderState
+    ) -> None:
+        if state is engine.OrderState.FENCED:
+            # The engine has heard of a newer holder. Whatever this instance
+            # believes, it must not give another order under this token.
+            self._fenced_token = self._token
+            raise NotHolderError
+        if state is engine.OrderState.FORBIDDEN:
+            self._give_up(entry, AVOID_FORBIDDING)
+            return
+        entry.answered = True
+        age = self._clock.monotonic() - entry.sent_at
+        is_done = state is engine.OrderState.DONE
+        if is_done and age > order_book.REPORT_LAG:
+            # Done once, and yet its reports don't show it: a later order, or
+            # a restart, undid it. The plan starts anew from the reports.
+            self._book.finish(entry)
+
+    def _give_up(
+        self, entry: order_book.OpenOrder, pause: datetime.timedelta
+    ) -> None:
+        self._book.finish(entry)
+        self._book.avoid(
+            entry.placement.address, self._clock.monotonic() + pause
+        )
+
+    def _record(self, entry: order_book.OpenOrder, outcome: str) -> None:
+        order = entry.order
+        self._events.record(
+            events_module.EventKind.ORDER_SENT,
+            entry.placement.address,
+            order_id=order.order_id,
+            order_kind=order.kind.value,
+            target=order.target,
+            outcome=outcome,
+        )
--- /dev/null
+++ b/src/nutmeghook/internal/orders/planning.py
@@ -0,0 +1,162 @@
+"""Which loads and unloads lead from what is loaded to what is wanted.
+
+The same configuration and the same reports give the same plan on every
+instance, so a new holder of the lease goes on where the old one stopped.
+"""
+
+import collections
+import dataclasses
+import math
+
+import xxhash
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.orders import fleet_reading
+from nutmeghook.internal.orders import wishes
+from nutmeghook.internal.platform import engine
+
+MIN_REPLICAS = 2
+# The shares are of sessions, which don't all bring the same load.
+HEADROOM = 1.25
+# A surplus smaller than this part stays: shares move with each step of a
+# roll-out, and a load takes minutes and a grant of the weight store.
+SURPLUS_KEPT = 0.5
+
+Engines = list[fleet_reading.EngineView]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class Placement:
+    """A version on an engine."""
+
+    model_version: engine.ModelVersion
+    address: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Plan:
+    """What is missing and what is too much, most urgent first.
+
+    Attributes:
+        loads: To be ordered as soon as limits allow.
+        withdrawn: To be unloaded once their work has ended.
+        surplus: To be unloaded if they stay surplus for a while.
+    """
+
+    loads: tuple[Placement, ...] = ()
+    withdrawn: tuple[Placement, ...] = ()
+    surplus: tuple[Placement, ...] = ()
+
+
+def wanted_replicas(*, engines: int, share: float) -> int:
+    """Returns how many of a model's engines should hold a version.
+
+    At least two where there are two: an engine dies, or obeys a stray order
+    of a former holder, without the version becoming unreachable.
+    """
+    by_share = math.ceil(engines * share * HEADROOM)
+    return min(engines, max(MIN_REPLICAS, by_share))
+
+
+def make_plan(snapshot: documents.Snapshot, engines: Engines) -> Plan:
+    """Returns the plan for what was read back."""
+    usable = [view for view in engines if view.usable]
+    loads: list[tuple[float, Placement]] = []
+    surplus: list[Placement] = []
+    for version, share in sorted(wishes.wanted_shares(snapshot).items()):
+        candidates = _engines_of(version.model, usable)
+        wanted = wanted_replicas(engines=len(candidates), share=share)
+        having = [v for v in candidates if version in v.loaded]
+        coming = [v for v in candidates if version in v.loading - v.loaded]
+        missing = wanted - len(having) - len(coming)
+        urgency = len(having) / max(1, wanted)
+        loads += [
+            (urgency, placement)
+            for placement in _additions(version, candidates, missing)
+        ]
+        surplus += _removals(version, having, wanted)
+    return Plan(
+        loads=tuple(placement for _, placement in sorted(loads)),
+        withdrawn=_withdrawn(snapshot, usable),
+        surplus=tuple(surplus),
+    )
+
+
+def _engines_of(model: str, usable: Engines) -> Engines:
+    """Returns the engines that a model runs on.
+
+    Those are all of each pool in which any version of it is loaded; for a
+    model that is loaded nowhere, the pool of its name.
+    """
+    pools = {
+        view.pool
+        for view in usable
+        if any(v.model == model for v in view.loaded)
+    }
+    return [view for view in usable if view.pool in (pools or {model})]
+
+
+def _additions(
+    version: engine.ModelVersion, candidates: Engines, missing: int
+) -> list[Placement]:
+    """Chooses engines for new replicas, spread over the data centres."""
+    held = collections.Counter(
+        view.data_centre
+        for view in candidates
+        if version in view.loaded | view.loading
+    )
+    free = [
+        view
+        for view in candidates
+        if version not in view.loaded | view.loading and not view.avoided
+    ]
+    chosen: list[Placement] = []
+    while free and len(chosen) < missing:
+        best = min(
+            free,
+            key=lambda view: (
+                held[view.data_centre],
+                len(view.loaded | view.loading),
+                _rank(version, view),
+            ),
+        )
+        free.remove(best)
+        held[best.data_centre] += 1
+        chosen.append(Placement(model_version=version, address=best.address))
+    return chosen
+
+
+def _removals(
+    version: engine.ModelVersion, having: Engines, wanted: int
+) -> list[Placement]:
+    """Chooses replicas to give up, from the fullest data centre each time."""
+    if len(having) - wanted <= max(1, SURPLUS_KEPT * wanted):
+        return []
+    held = collections.Counter(view.data_centre for view in having)
+    left = list(having)
+    chosen: list[Placement] = []
+    while len(left) > wanted:
+        worst = max(
+            left,
+            key=lambda view: (held[view.data_centre], _rank(version, view)),
+        )
+        left.remove(worst)
+        held[worst.data_centre] -= 1
+        chosen.append(Placement(model_version=version, address=worst.address))
+    return chosen
+
+
+def _withdrawn(
+    snapshot: documents.Snapshot, usable: Engines
+) -> tuple[Placement, ...]:
+    withdrawn = wishes.withdrawn_versions(snapshot)
+    return tuple(
+        Placement(model_version=version, address=view.address)
+        for view in usable
+        for version in sorted(view.loaded & withdrawn)
+    )
+
+
+def _rank(version: engine.ModelVersion, view: fleet_reading.EngineView) -> int:
+    """Returns a rank that is the same on every instance."""
+    return xxhash.xxh64_intdigest(f"{version} {view.address}".encode())
--- /dev/null
+++ b/src/nutmeghook/internal/orders/service.py
@@ -0,0 +1,76 @@
+"""The orders' part of an instance: the controller and its lease."""
+
+import asyncio
+import random
+
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import keeper
+from nutmeghook.internal.leases import preference
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.orders import controller as controller_module
+from nutmeghook.internal.orders import fleet_reading
+from nutmeghook.internal.orders import weight_grants
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import instances
+from nutmeghook.internal.platform import table as table_module
+from nutmeghook.internal.platform import weights as weights_module
+
+
+class Orders:
+    """Gives orders to engines where this instance holds the lease."""
+
+    __slots__ = ("_controller", "_lease")
+
+    def __init__(
+        self,
+        *,
+        members: members_module.MemberView,
+        view: view_module.ConfigView,
+        table: table_module.TableService,
+        weights: weights_module.WeightStore,
+        instance_list: instances.InstanceList,
+        connector: engine.EngineConnector,
+        clock: clock_module.Clock,
+        events: events_module.EventRing,
+        random_source: random.Random,
+        secret: str,
+    ):
+        name = controller_module.LEASE_NAME
+        self._lease = keeper.LeaseKeeper(
+            name=name,
+            incarnation=members.myself.incarnation,
+            inner_address=members.myself.inner_address,
+            table=table,
+            clock=clock,
+            rng=random_source,
+            events=events,
+            # Engines can't check the lease's row, so no `is_dead`: a holder
+            # believed dead is waited out.
+            rank=lambda: preference.rank_of_myself(name, members),
+        )
+        self._controller = controller_module.OrderController(
+            view=view,
+            lease=self._lease,
+            reader=fleet_reading.FleetReader(
+                instance_list=instance_list, connector=connector, clock=clock
+            ),
+            connector=connector,
+            grants=weight_grants.GrantPacer(
+                store=weights, clock=clock, randomness=random_source
+            ),
+            clock=clock,
+            events=events,
+            secret=secret,
+        )
+
+    async def run(self) -> None:
+        """Takes part until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._lease.run())
+            tasks.create_task(self._controller.run())
+
+    async def release(self) -> None:
+        """Gives the lease up, so that another instance goes on at once."""
+        await self._lease.release()
--- /dev/null
+++ b/src/nutmeghook/internal/orders/weight_grants.py
@@ -0,0 +1,83 @@
+"""Leave of the weight store for downloads, paced over the whole fleet."""
+
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.orders import planning
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import weights
+
+GRANT_INTERVAL = datetime.timedelta(seconds=1)
+GRANT_TIMEOUT = datetime.timedelta(seconds=3)
+_FIRST_BACKOFF = datetime.timedelta(seconds=1)
+_LONGEST_BACKOFF = datetime.timedelta(seconds=60)
+
+
+class GrantPacer:
+    """Asks for grants no faster than allowed, and keeps unused tickets.
+
+    Only the holder of the orders' lease asks, so pacing here paces the fleet.
+    A former holder that still asks is refused by the store like anybody.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_clock",
+        "_interval",
+        "_not_before",
+        "_random",
+        "_store",
+        "_tickets",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: weights.WeightStore,
+        clock: clock_module.Clock,
+        randomness: random.Random,
+        interval: datetime.timedelta = GRANT_INTERVAL,
+    ):
+        self._store = store
+        self._clock = clock
+        self._random = randomness
+        self._interval = interval
+        self._not_before = datetime.timedelta()
+        self._backoff = _FIRST_BACKOFF
+        self._tickets: dict[planning.Placement, str] = {}
+
+    async def ticket_for(self, placement: planning.Placement) -> str | None:
+        """Returns a ticket, or None if there is none to be had now."""
+        kept = self._tickets.pop(placement, None)
+        if kept is not None:
+            return kept
+        if self._clock.monotonic() < self._not_before:
+            return None
+        try:
+            ticket = await self._clock.wait_for(
+                self._store.grant_download(
+                    placement.model_version, placement.address
+                ),
+                GRANT_TIMEOUT,
+            )
+        except (failures.PlatformError, TimeoutError) as error:
+            self._back_off(error)
+            return None
+        self._backoff = _FIRST_BACKOFF
+        self._not_before = self._clock.monotonic() + self._interval
+        return ticket
+
+    def give_back(self, placement: planning.Placement, ticket: str) -> None:
+        """Keeps a ticket whose order surely did not reach the engine."""
+        self._tickets[placement] = ticket
+
+    def _back_off(self, error: Exception) -> None:
+        """Waits as long as the store asks, else longer each time."""
+        wait = self._backoff
+        if isinstance(error, failures.NotDoneError) and error.retry_after:
+            wait = error.retry_after
+        else:
+            self._backoff = min(2 * self._backoff, _LONGEST_BACKOFF)
+        jitter = 1 + 0.25 * self._random.random()
+        self._not_before = self._clock.monotonic() + wait * jitter
