--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -23,6 +23,8 @@
 _PEAK_PER_S = 8400
 _INSTANCES = 21
 _PARTITIONS = 16
+# What docs/design/ledger.md recommends for the planned size.
+_PLANNED_PARTITIONS = 64
 _WARM_UP_S = 1
 _MEASURED_S = 3
 _TICKS_PER_S = 200
@@ -111,10 +113,13 @@
 
 
 async def _cluster(
-    clock: virtual_loop.LoopClock, *, instances: int
+    clock: virtual_loop.LoopClock,
+    *,
+    instances: int,
+    partitions: int = _PARTITIONS,
 ) -> ledger_cluster.Cluster:
     cluster = ledger_cluster.Cluster(
-        partitions=_PARTITIONS, clock=clock, max_entries=1_000_000
+        partitions=partitions, clock=clock, max_entries=1_000_000
     )
     for number in range(instances):
         cluster.start(f"i{number}")
@@ -124,11 +129,19 @@
     return cluster
 
 
-def _steady(*, per_s: int, instances: int, seconds: int) -> _Peak:
+def _steady(
+    *,
+    per_s: int,
+    instances: int,
+    seconds: int,
+    partitions: int = _PARTITIONS,
+) -> _Peak:
     measured: list[_Peak] = []
 
     async def scenario(clock: virtual_loop.LoopClock) -> None:
-        cluster = await _cluster(clock, instances=instances)
+        cluster = await _cluster(
+            clock, instances=instances, partitions=partitions
+        )
         warm_up = _Load(cluster=cluster, per_s=per_s)
         await warm_up.run(seconds=_WARM_UP_S, name="warm")
         load = _Load(cluster=cluster, per_s=per_s)
@@ -152,6 +165,12 @@
 def _peak_lines() -> list[report.Line]:
     """All requests have a caller's key: the dearest mix there is."""
     peak = _steady(per_s=_PEAK_PER_S, instances=_INSTANCES, seconds=_MEASURED_S)
+    planned = _steady(
+        per_s=_PEAK_PER_S,
+        instances=_INSTANCES,
+        seconds=_MEASURED_S,
+        partitions=_PLANNED_PARTITIONS,
+    )
     per_request = peak.writes / peak.requests
     return [
         # Claims and bills are records of the same commits, one each.
@@ -185,6 +204,18 @@
             unit="ms",
             bound=130,
         ),
+        report.Line(
+            name="ledger.claim_p95_ms_64_partitions",
+            value=_p95_ms(planned.load.claim_s),
+            unit="ms",
+            bound=450,
+        ),
+        report.Line(
+            name="ledger.store_writes_per_s_64_partitions",
+            value=round(planned.writes / planned.seconds, 1),
+            unit="writes/s",
+            bound=300,
+        ),
     ]
 
 
@@ -253,6 +284,11 @@
             value=_holder_cpu_us(),
             unit="us",
         ),
+        report.Line(
+            name="ledger.replay_cpu_us_per_record",
+            value=_replay_cpu_us(),
+            unit="us",
+        ),
         report.Line(
             name="ledger.wire_bytes_per_record",
             value=len(wire),
@@ -292,6 +328,42 @@
     return round(spent[0] * 1e6 / _CPU_RECORDS, 1)
 
 
+def _replay_cpu_us() -> float:
+    """Processor time of a take-over, a record, with 50 records a row."""
+    rows = [
+        records.encoder.encode(
+            records.Batch(
+                token=1,
+                sequence=number,
+                written_ms=0,
+                records=tuple(
+                    records.finish_record(
+                        ledger_cluster.bill(f"key-{number}-{place}"),
+                        ledger_cluster.ANSWER,
+                    )
+                    for place in range(50)
+                ),
+            )
+        )
+        for number in range(_MEMORY_ENTRIES // 50)
+    ]
+    kept = _empty_index()
+    start = time.process_time()
+    for number, row in enumerate(rows):
+        for record in records.decode_batch(row).records:
+            kept.replay(record, row_key=str(number), written_ms=0)
+    return round((time.process_time() - start) * 1e6 / len(kept), 1)
+
+
+def _empty_index() -> index.PartitionIndex:
+    return index.PartitionIndex(
+        is_alive=lambda _: True,
+        max_entries=_MEMORY_ENTRIES,
+        window_ms=3_600_000,
+        minted_window_ms=120_000,
+    )
+
+
 def _message(number: int) -> bytes:
     finish = records.finish_record(
         ledger_cluster.bill(f"key-{number}"), ledger_cluster.ANSWER
@@ -315,12 +387,7 @@
     """What a finished request with a caller's key takes at its holder."""
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    kept = index.PartitionIndex(
-        is_alive=lambda _: True,
-        max_entries=_MEMORY_ENTRIES,
-        window_ms=3_600_000,
-        minted_window_ms=120_000,
-    )
+    kept = _empty_index()
     for number in range(_MEMORY_ENTRIES):
         record = records.finish_record(
             ledger_cluster.bill(f"key-{number:024d}"), None
--- a/src/nutmeghook/internal/ledger/client.py
+++ b/src/nutmeghook/internal/ledger/client.py
@@ -105,7 +105,7 @@
         except sender_module.NotAppendedError as error:
             if error.in_doubt:
                 self._void(identity, request_id)
-            raise _store_out("the claim could not be made durable") from error
+            raise _refusal(error) from error
         except asyncio.CancelledError:
             # The caller has gone. The claim may be on its way.
             self._void(identity, request_id)
@@ -250,3 +250,13 @@
     return errors.CodedError(
         code=codes.Code.STORE_OUT, detail=detail, retry_after=_RETRY_AFTER
     )
+
+
+def _refusal(error: sender_module.NotAppendedError) -> errors.CodedError:
+    if error.full:
+        return errors.CodedError(
+            code=codes.Code.OVERLOADED,
+            detail="the ledger can't keep more claims now",
+            retry_after=_RETRY_AFTER,
+        )
+    return _store_out("the claim could not be made durable")
--- a/src/nutmeghook/internal/ledger/index.py
+++ b/src/nutmeghook/internal/ledger/index.py
@@ -7,43 +7,12 @@
 
 from collections.abc import Callable
 import dataclasses
-import enum
 import sys
 
+from nutmeghook.internal.ledger import entries as entries_module
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.ledger import records
 
-# Tries of one key that were given up; older ones' late claims are long past.
-_CLOSED_KEPT = 8
-
-
-class EntryState(enum.IntEnum):
-    """What the log says of a request."""
-
-    OPEN = 0
-    CLAIMED = 1
-    UNKNOWN = 2
-    FINISHED = 3
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Entry:
-    """One request with a caller's key.
-
-    Attributes:
-        closed: Tries that were given up; a claim of theirs is void.
-        row_key: Row that holds the answer, once finished.
-        written_ms: Wall time of the last record.
-    """
-
-    state: EntryState
-    request_id: str = ""
-    claimant: str = ""
-    body_digest: str = ""
-    closed: tuple[str, ...] = ()
-    row_key: str = ""
-    written_ms: int = 0
-
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Pin:
@@ -72,7 +41,6 @@
 
 
 _RECORDED = records.Recorded()
-_NOTHING = Entry(state=EntryState.OPEN)
 _FULL = Decision(
     result=records.Refused(reason=records.RefusalReason.FULL), lasting=True
 )
@@ -117,10 +85,10 @@
         self._max_entries = max_entries
         self._window_ms = window_ms
         self._minted_window_ms = minted_window_ms
-        self._entries: dict[str, Entry] = {}
+        self._entries: dict[str, entries_module.Entry] = {}
         self._pins: dict[str, Pin] = {}
         self._minted: dict[str, int] = {}
-        self._staged_entries: dict[str, Entry] = {}
+        self._staged_entries: dict[str, entries_module.Entry] = {}
         self._staged_pins: dict[str, Pin] = {}
         self._staged_minted: dict[str, int] = {}
 
@@ -200,12 +168,13 @@
         for key in [k for k, at in self._minted.items() if at < oldest_minted]:
             del self._minted[key]
 
-    def _old(self, entry: Entry, oldest_ms: int) -> bool:
+    def _old(self, entry: entries_module.Entry, oldest_ms: int) -> bool:
         return entry.written_ms < oldest_ms and not (
-            entry.state is EntryState.CLAIMED and self._is_alive(entry.claimant)
+            entry.state is entries_module.EntryState.CLAIMED
+            and self._is_alive(entry.claimant)
         )
 
-    def _entry(self, key: str) -> Entry | None:
+    def _entry(self, key: str) -> entries_module.Entry | None:
         return self._staged_entries.get(key) or self._entries.get(key)
 
     def _is_full(self) -> bool:
@@ -213,13 +182,13 @@
         return len(self) + staged >= self._max_entries
 
     def _decide_claim(
-        self, claim: records.ClaimRecord, entry: Entry | None
+        self, claim: records.ClaimRecord, entry: entries_module.Entry | None
     ) -> Decision:
         if entry is not None and claim.request_id in entry.closed:
             # A claim that was given up and arrives after that: its sender
             # has told its caller that nothing ran, so it must win nothing.
             return Decision(result=_claim_reply(ledger.ClaimState.RUNNING))
-        if entry is None or entry.state is EntryState.OPEN:
+        if entry is None or entry.state is entries_module.EntryState.OPEN:
             if self._is_full():
                 return _FULL
             return Decision(
@@ -233,15 +202,15 @@
         return self._decide_repeated(claim, entry)
 
     def _decide_repeated(
-        self, claim: records.ClaimRecord, entry: Entry
+        self, claim: records.ClaimRecord, entry: entries_module.Entry
     ) -> Decision:
-        if entry.state is EntryState.FINISHED:
+        if entry.state is entries_module.EntryState.FINISHED:
             return Decision(
                 result=_claim_reply(ledger.ClaimState.ANSWERED),
                 lasting=True,
                 answer_row=entry.row_key,
             )
-        if entry.state is EntryState.CLAIMED:
+        if entry.state is entries_module.EntryState.CLAIMED:
             if entry.request_id == claim.request_id:
                 return Decision(result=_claim_reply(ledger.ClaimState.WON))
             if self._is_alive(entry.claimant):
@@ -251,11 +220,14 @@
         return Decision(result=_claim_reply(ledger.ClaimState.UNKNOWN))
 
     def _decide_finish(
-        self, finish: records.FinishRecord, entry: Entry | None
+        self, finish: records.FinishRecord, entry: entries_module.Entry | None
     ) -> Decision:
         key = records.entry_key(finish.team, finish.key)
         known = key in self._minted or key in self._staged_minted
-        finished = entry is not None and entry.state is EntryState.FINISHED
+        finished = (
+            entry is not None
+            and entry.state is entries_module.EntryState.FINISHED
+        )
         if known or finished:
             return Decision(result=_RECORDED, lasting=True)
         return Decision(result=_RECORDED, record=finish)
@@ -263,14 +235,14 @@
     def _decide_close(
         self,
         request: records.ReleaseRecord | records.UnknownRecord,
-        entry: Entry | None,
+        entry: entries_module.Entry | None,
     ) -> Decision:
         if entry is not None:
             if request.request_id in entry.closed:
                 return Decision(result=_RECORDED, lasting=True)
             mine = entry.request_id == request.request_id
-            if entry.state is EntryState.FINISHED or (
-                mine and entry.state is EntryState.UNKNOWN
+            if entry.state is entries_module.EntryState.FINISHED or (
+                mine and entry.state is entries_module.EntryState.UNKNOWN
             ):
                 return Decision(result=_RECORDED, lasting=True)
         return Decision(result=_RECORDED, record=request)
@@ -309,7 +281,7 @@
         record: records.Record,
         row_key: str,
         written_ms: int,
-        entries: dict[str, Entry],
+        entries: dict[str, entries_module.Entry],
         pins: dict[str, Pin],
         minted: dict[str, int],
     ) -> None:
@@ -326,52 +298,5 @@
         ):
             minted[key] = written_ms
             return
-        entry = self._entry(key) or _NOTHING
-        entries[key] = _after(entry, record, row_key, written_ms)
-
-
-def _after(
-    entry: Entry, record: records.Record, row_key: str, written_ms: int
-) -> Entry:
-    """Returns the entry as it is after a record."""
-    if isinstance(record, records.ClaimRecord):
-        return Entry(
-            state=EntryState.CLAIMED,
-            request_id=record.request_id,
-            claimant=sys.intern(record.claimant),
-            body_digest=record.body_digest,
-            closed=entry.closed,
-            written_ms=written_ms,
-        )
-    if isinstance(record, records.FinishRecord):
-        return Entry(
-            state=EntryState.FINISHED,
-            request_id=record.request_id,
-            body_digest=record.body_digest,
-            row_key=row_key,
-            written_ms=written_ms,
-        )
-    return _after_close(entry, record, written_ms)
-
-
-def _after_close(
-    entry: Entry,
-    record: records.ReleaseRecord | records.UnknownRecord,
-    written_ms: int,
-) -> Entry:
-    mine = entry.request_id == record.request_id
-    if isinstance(record, records.UnknownRecord):
-        if entry.state is EntryState.OPEN or mine:
-            return dataclasses.replace(
-                entry,
-                state=EntryState.UNKNOWN,
-                request_id=record.request_id,
-                written_ms=written_ms,
-            )
-        return entry
-    closed = (*entry.closed, record.request_id)[-_CLOSED_KEPT:]
-    if mine and entry.state is EntryState.CLAIMED:
-        return Entry(
-            state=EntryState.OPEN, closed=closed, written_ms=written_ms
-        )
-    return dataclasses.replace(entry, closed=closed, written_ms=written_ms)
+        entry = self._entry(key) or entries_module.NOTHING
+        entries[key] = entries_module.after(entry, record, row_key, written_ms)
--- a/src/nutmeghook/internal/ledger/ledger.py
+++ b/src/nutmeghook/internal/ledger/ledger.py
@@ -75,7 +75,8 @@
     """Settles who runs a request, and records what it cost.
 
     All methods raise `errors.CodedError`: `STORE_OUT` where a claim can't be
-    made (nothing was claimed for good: a claim in doubt is abandoned), and
+    made (nothing was claimed for good: a claim in doubt is abandoned),
+    `OVERLOADED` where no more claims can be kept, and
     `BILL_UNSETTLED` where a bill could not be made durable in time.
     """
 
--- a/src/nutmeghook/internal/ledger/sender.py
+++ b/src/nutmeghook/internal/ledger/sender.py
@@ -31,11 +31,13 @@
 
     Attributes:
         in_doubt: It may have been recorded, or may still be.
+        full: The holder refused because its memory or its queue is full.
     """
 
-    def __init__(self, *, in_doubt: bool):
-        super().__init__(f"no result; in doubt: {in_doubt}")
+    def __init__(self, *, in_doubt: bool, full: bool = False):
+        super().__init__(f"no result; in doubt: {in_doubt}, full: {full}")
         self.in_doubt = in_doubt
+        self.full = full
 
 
 class _Item:
@@ -116,7 +118,8 @@
                 self._pending.remove(item)
             raise NotAppendedError(in_doubt=item.in_doubt) from error
         if isinstance(result, records.Refused):
-            raise NotAppendedError(in_doubt=item.in_doubt)
+            full = result.reason is records.RefusalReason.FULL
+            raise NotAppendedError(in_doubt=item.in_doubt, full=full)
         return result
 
     def _pump(self) -> None:
