Learn cascades per template from sampled late ratings

The fixed cascade goes on by one rule whatever the template's target. Now the holder of a lease folds ratings into tables by kind of request (prompt size), stage and score of the held answer, and publishes a plan for each template: the cheapest mix of "start here" and "go on below this score" whose mean rating meets the target on the cautious side. Instances read plans once a minute; a request keeps its course while plans change. Kind, first stage and score travel in the rating's id, since the rating service gives back nothing else. Without ratings the target rises after an hour until the strongest stage does all; an instance without fresh plans for six hours does the same.

So a template says which share may be held (held_share_percent); 5 by default, which keeps the target for 95 in 100. The fixed cascade heeds it as well.

--- /dev/null
+++ b/bench/cascade.py
@@ -0,0 +1,200 @@
+"""Cost of cascades at the quality target, against baselines and the best."""
+
+import random
+import statistics
+
+from bench import report
+from bench.models import quality
+from bench.models import quality_baselines
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.foundation import clock
+
+SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
+LEARNING_REQUESTS = 20_000
+MEASURED_REQUESTS = 20_000
+
+_FLEET = documents.Fleet(
+    models=(
+        documents.ModelEntry(
+            name="small", prompt_token_cost_micros=1, output_token_cost_micros=4
+        ),
+        documents.ModelEntry(
+            name="large",
+            prompt_token_cost_micros=10,
+            output_token_cost_micros=40,
+        ),
+    )
+)
+
+
+def _template(name: str, **fields) -> documents.Template:
+    version = (documents.VersionEntry(version="1"),)
+    return documents.Template(
+        team="team",
+        name=name,
+        stages=(
+            documents.Stage(model="small", versions=version),
+            documents.Stage(model="large", versions=version),
+        ),
+        **fields,
+    )
+
+
+# Lookups and legality checks are mostly easy, dossier reviews mostly hard.
+# The last two are Siamroster's choice for the first: few or no answers held.
+WORKLOADS = (
+    quality.Workload(
+        name="lookup",
+        template=_template(
+            "lookup", quality_target=0.9, held_share_percent=100.0
+        ),
+        fleet=_FLEET,
+        kind_shares=(0.7, 0.25, 0.05),
+        difficulty=(0.25, 0.4, 0.6),
+    ),
+    quality.Workload(
+        name="review",
+        template=_template(
+            "review", quality_target=0.9, held_share_percent=100.0
+        ),
+        fleet=_FLEET,
+        kind_shares=(0.1, 0.3, 0.6),
+        difficulty=(0.35, 0.5, 0.65),
+    ),
+    quality.Workload(
+        name="lookup_held_5_percent",
+        template=_template(
+            "lookup", quality_target=0.9, held_share_percent=5.0
+        ),
+        fleet=_FLEET,
+        kind_shares=(0.7, 0.25, 0.05),
+        difficulty=(0.25, 0.4, 0.6),
+    ),
+    quality.Workload(
+        name="lookup_held_none",
+        template=_template(
+            "lookup", quality_target=0.9, held_share_percent=0.0
+        ),
+        fleet=_FLEET,
+        kind_shares=(0.7, 0.25, 0.05),
+        difficulty=(0.25, 0.4, 0.6),
+    ),
+)
+
+
+def run() -> list[report.Line]:
+    """Returns the lines of all workloads, the two that are bound first."""
+    results = {
+        workload.name: [_seed(workload, seed) for seed in SEEDS]
+        for workload in WORKLOADS
+    }
+    free = [
+        _mean_cost_ratio(results[workload.name])
+        for workload in WORKLOADS
+        if workload.template.held_share_percent == 100.0
+    ]
+    shortfalls = [
+        statistics.mean(_shortfalls(workload, results[workload.name]))
+        for workload in WORKLOADS
+    ]
+    lines = [
+        report.Line(
+            name="cascade.cost_vs_best_at_target",
+            value=round(max(free), 4),
+            unit="ratio",
+            bound=1.15,
+        ),
+        report.Line(
+            name="cascade.quality_shortfall",
+            value=round(max(shortfalls), 5),
+            unit="rating",
+            bound=0.005,
+        ),
+    ]
+    for workload in WORKLOADS:
+        lines += _lines(workload, results[workload.name])
+    return lines
+
+
+def _mean_cost_ratio(outcomes: list[dict[str, quality.Outcome]]) -> float:
+    return statistics.mean(_cost_ratios(outcomes))
+
+
+def _cost_ratios(outcomes: list[dict[str, quality.Outcome]]) -> list[float]:
+    return [o["learned"].mean_cost / o["best"].mean_cost for o in outcomes]
+
+
+def _shortfalls(
+    workload: quality.Workload, outcomes: list[dict[str, quality.Outcome]]
+) -> list[float]:
+    target = workload.template.quality_target
+    return [max(0.0, target - o["learned"].mean_quality) for o in outcomes]
+
+
+def _lines(
+    workload: quality.Workload, outcomes: list[dict[str, quality.Outcome]]
+) -> list[report.Line]:
+    name = workload.name
+    ratios = _cost_ratios(outcomes)
+    shortfalls = _shortfalls(workload, outcomes)
+    lines = [
+        _reported(f"cascade.cost_vs_best.{name}", statistics.mean(ratios)),
+        _reported(f"cascade.cost_vs_best.least.{name}", min(ratios)),
+        _reported(f"cascade.cost_vs_best.most.{name}", max(ratios)),
+        _reported(
+            f"cascade.shortfall.{name}", statistics.mean(shortfalls), "rating"
+        ),
+        _reported(f"cascade.shortfall.most.{name}", max(shortfalls), "rating"),
+        _reported(
+            f"cascade.first_token_held_share.{name}",
+            statistics.mean(o["learned"].held_share for o in outcomes),
+        ),
+    ]
+    for policy in outcomes[0]:
+        lines += _baseline_lines(name, policy, [o[policy] for o in outcomes])
+    return lines
+
+
+def _baseline_lines(
+    name: str, policy: str, outcomes: list[quality.Outcome]
+) -> list[report.Line]:
+    return [
+        _reported(
+            f"cascade.cost.{policy}.{name}",
+            statistics.mean(o.mean_cost for o in outcomes),
+            "micros",
+        ),
+        _reported(
+            f"cascade.quality.{policy}.{name}",
+            statistics.mean(o.mean_quality for o in outcomes),
+            "rating",
+        ),
+    ]
+
+
+def _reported(name: str, value: float, unit: str = "ratio") -> report.Line:
+    return report.Line(name=name, value=round(value, 5), unit=unit)
+
+
+def _seed(workload: quality.Workload, seed: int) -> dict[str, quality.Outcome]:
+    source = random.Random(seed)
+    learning = quality.requests_of(
+        workload, count=LEARNING_REQUESTS, source=source
+    )
+    measured = quality.requests_of(
+        workload, count=MEASURED_REQUESTS, source=source
+    )
+    rated_run = quality.RatedRun(workload=workload, clock=clock.FakeClock())
+    while_learning = rated_run.serve(learning)
+    target = workload.template.quality_target
+    return {
+        "learned": rated_run.serve(measured),
+        "learned_while_new": while_learning,
+        "best": quality_baselines.best_thresholds(measured, target=target),
+        "best_each_request": quality_baselines.best_each_request(
+            measured, target=target
+        ),
+        "always_cheap": quality_baselines.always(measured, stage=0),
+        "always_strong": quality_baselines.always(measured, stage=1),
+        "fixed_cascade": quality_baselines.fixed_cascade(measured),
+    }
--- /dev/null
+++ b/bench/models/quality.py
@@ -0,0 +1,236 @@
+"""A model of requests, models' answers, scores and late sampled ratings.
+
+Each request has a difficulty that nobody sees. A stage's answer is as good as
+the stage is strong for that difficulty; the score of a cheap answer follows
+that with noise. An answer's quality is the rating that it would get, which has
+noise of its own. Ratings come for sampled answers only, and late.
+"""
+
+import collections
+import dataclasses
+import random
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.routing import cascade
+from nutmeghook.internal.routing import cascade_labels
+from nutmeghook.internal.routing import cascade_learned
+from nutmeghook.internal.routing import cascade_learner
+from nutmeghook.internal.routing import cascade_scorer
+from nutmeghook.internal.routing import cascade_tables
+
+PROMPT_CHARS = (600, 3_000, 12_000)
+_OUTPUT_TOKENS = 200
+_CHARS_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Workload:
+    """One template's requests and the models that answer them.
+
+    Attributes:
+        kind_shares: Shares of short, middle and long prompts.
+        difficulty: Mean difficulty of each, 0 to 1.
+        strengths: For each stage, the difficulty at which answers get poor.
+        score_noise: Spread of a score around what it should be.
+        rating_noise: Spread of ratings of answers that are equally good.
+        rating_delay: Requests that pass before a rating comes.
+    """
+
+    name: str
+    template: documents.Template
+    fleet: documents.Fleet
+    kind_shares: tuple[float, ...]
+    difficulty: tuple[float, ...]
+    strengths: tuple[float, ...] = (0.45, 0.95)
+    score_noise: float = 0.12
+    rating_noise: float = 0.08
+    rating_delay: int = 300
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Request:
+    """One request with all that the model, but no policy, knows."""
+
+    request_id: str
+    prompt_chars: int
+    qualities: tuple[float, ...]
+    scores: tuple[float, ...]
+    costs: tuple[float, ...]
+
+    @property
+    def kind(self) -> int:
+        """Size class of the prompt."""
+        return cascade_labels.kind_of(self.prompt_chars)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Outcome:
+    """What a policy did with many requests.
+
+    Attributes:
+        held: Requests whose first answer was held back.
+    """
+
+    cost: float = 0.0
+    quality: float = 0.0
+    held: int = 0
+    requests: int = 0
+
+    def add(self, *, cost: float, quality: float, held: bool) -> None:
+        """Counts a request."""
+        self.cost += cost
+        self.quality += quality
+        self.held += held
+        self.requests += 1
+
+    @property
+    def mean_quality(self) -> float:
+        """Mean quality of the answers given."""
+        return self.quality / self.requests
+
+    @property
+    def mean_cost(self) -> float:
+        """Mean cost of a request, all its stages together."""
+        return self.cost / self.requests
+
+    @property
+    def held_share(self) -> float:
+        """Share of requests whose first token came only after a judgement."""
+        return self.held / self.requests
+
+
+def requests_of(
+    workload: Workload, *, count: int, source: random.Random
+) -> list[Request]:
+    """Draws requests."""
+    return [_request(workload, n, source) for n in range(count)]
+
+
+def _request(workload: Workload, number: int, source: random.Random) -> Request:
+    kind = source.choices(range(len(PROMPT_CHARS)), workload.kind_shares)[0]
+    middle = workload.difficulty[kind]
+    difficulty = source.betavariate(4 * middle, 4 * (1 - middle))
+    goodness = tuple(
+        0.95 - 1.4 * max(0.0, difficulty - strength)
+        for strength in workload.strengths
+    )
+    return Request(
+        request_id=f"req-{source.getrandbits(64):x}-{number}",
+        prompt_chars=PROMPT_CHARS[kind],
+        qualities=tuple(
+            _between_0_and_1(g + source.gauss(0, workload.rating_noise))
+            for g in goodness
+        ),
+        scores=tuple(
+            _between_0_and_1(g + source.gauss(0, workload.score_noise))
+            for g in goodness
+        ),
+        costs=costs_of(workload, PROMPT_CHARS[kind]),
+    )
+
+
+def costs_of(workload: Workload, prompt_chars: int) -> tuple[float, ...]:
+    """Returns what one answer of each stage costs."""
+    models = {model.name: model for model in workload.fleet.models}
+    return tuple(
+        prompt_chars
+        / _CHARS_PER_TOKEN
+        * models[stage.model].prompt_token_cost_micros
+        + _OUTPUT_TOKENS * models[stage.model].output_token_cost_micros
+        for stage in workload.template.stages
+    )
+
+
+def _between_0_and_1(value: float) -> float:
+    return min(1.0, max(0.0, value))
+
+
+class ScoreInText(cascade_scorer.AnswerScorer):
+    """Reads the model's score of an answer from its text."""
+
+    def score(self, answer: cascade.CascadeAnswer) -> float:
+        """Returns the number that the text is."""
+        return float(answer.text)
+
+
+class RatedRun:
+    """Runs the product's learned policy over requests, with late ratings."""
+
+    def __init__(self, *, workload: Workload, clock, learn_every: int = 500):
+        self._workload = workload
+        self._learn_every = learn_every
+        self._policy = cascade_learned.LearnedCascade(
+            clock=clock, scorer=ScoreInText()
+        )
+        self._table = cascade_tables.empty_table(len(workload.template.stages))
+        self._waiting: collections.deque = collections.deque()
+        self._served = 0
+
+    def serve(self, requests: list[Request]) -> Outcome:
+        """Serves requests in order."""
+        outcome = Outcome()
+        for request in requests:
+            cost, quality, held = self._serve_one(request)
+            outcome.add(cost=cost, quality=quality, held=held)
+            self._served += 1
+            self._take_in_ratings()
+        return outcome
+
+    def _serve_one(self, request: Request) -> tuple[float, float, bool]:
+        question = cascade.CascadeQuestion(
+            template=self._workload.template,
+            request_id=request.request_id,
+            prompt_chars=request.prompt_chars,
+        )
+        plan = self._policy.plan(question)
+        last = len(request.costs) - 1
+        cost = 0.0
+        for stage in range(plan.first_stage, last + 1):
+            cost += request.costs[stage]
+            answer = cascade.CascadeAnswer(
+                text=str(request.scores[stage]),
+                output_tokens=_OUTPUT_TOKENS,
+                hit_length_limit=False,
+            )
+            self._hand_in(question, request, stage, answer)
+            if (
+                not plan.may_go_on
+                or stage == last
+                or self._policy.accepts(
+                    question, stage_index=stage, answer=answer
+                )
+            ):
+                break
+        return cost, request.qualities[stage], plan.may_go_on
+
+    def _hand_in(
+        self,
+        question: cascade.CascadeQuestion,
+        request: Request,
+        stage: int,
+        answer: cascade.CascadeAnswer,
+    ) -> None:
+        if not self._policy.wants_rating(question, stage_index=stage):
+            return
+        rating_id = self._policy.rating_id(
+            question, stage_index=stage, answer=answer
+        )
+        due = self._served + self._workload.rating_delay
+        self._waiting.append((due, stage, rating_id, request.qualities[stage]))
+
+    def _take_in_ratings(self) -> None:
+        while self._waiting and self._waiting[0][0] <= self._served:
+            _, stage, rating_id, rating = self._waiting.popleft()
+            self._table.add(
+                stage_index=stage,
+                label=cascade_labels.read(rating_id),
+                quality=rating,
+                now_s=0.0,
+            )
+        if self._served % self._learn_every == 0 and self._table.ratings:
+            template = self._workload.template
+            plan = cascade_learner.plan_for(
+                template, self._table, fleet=self._workload.fleet, now_s=0.0
+            )
+            key = documents.template_key(template.team, template.name)
+            self._policy.use_plans({key: plan})
--- /dev/null
+++ b/bench/models/quality_baselines.py
@@ -0,0 +1,136 @@
+"""Policies that the learned cascade is compared with."""
+
+from bench.models import quality
+from nutmeghook.internal.routing import cascade_labels
+from nutmeghook.internal.routing import cascade_options
+from nutmeghook.internal.routing import cascade_plans
+from nutmeghook.internal.routing import cascade_scorer
+
+_FIXED_THRESHOLD = 0.75
+
+
+def always(requests: list[quality.Request], *, stage: int) -> quality.Outcome:
+    """Runs one stage for all."""
+    outcome = quality.Outcome()
+    for request in requests:
+        outcome.add(
+            cost=request.costs[stage],
+            quality=request.qualities[stage],
+            held=False,
+        )
+    return outcome
+
+
+def fixed_cascade(requests: list[quality.Request]) -> quality.Outcome:
+    """Goes on below one score, whatever the template and its target."""
+    outcome = quality.Outcome()
+    for request in requests:
+        _run_cascade(outcome, request, request.scores[0] < _FIXED_THRESHOLD)
+    return outcome
+
+
+def best_each_request(
+    requests: list[quality.Request], *, target: float
+) -> quality.Outcome:
+    """Knows each answer's quality before it runs; nobody can do better.
+
+    Upgrades the requests that gain most quality for their cost until the
+    mean meets the target.
+    """
+    order = sorted(
+        requests,
+        key=lambda r: (
+            (r.costs[1] - r.costs[0])
+            / max(1e-9, r.qualities[1] - r.qualities[0])
+        ),
+    )
+    missing = target * len(requests) - sum(r.qualities[0] for r in requests)
+    outcome = quality.Outcome()
+    for request in order:
+        gain = request.qualities[1] - request.qualities[0]
+        stage = 1 if missing > 0 and gain > 0 else 0
+        missing -= gain * stage
+        outcome.add(
+            cost=request.costs[stage],
+            quality=request.qualities[stage],
+            held=False,
+        )
+    return outcome
+
+
+def best_thresholds(
+    requests: list[quality.Request], *, target: float
+) -> quality.Outcome:
+    """The best policy of the learned one's form, knowing all qualities.
+
+    For each kind of request it may start anywhere and go on below any score
+    bin, and mix two of these; it is told the exact mean of each choice.
+    """
+    kinds = [
+        [r for r in requests if r.kind == kind]
+        for kind in range(cascade_labels.KINDS)
+    ]
+    groups = [
+        cascade_plans.Group(
+            weight=len(members) / len(requests), options=_exact(members)
+        )
+        for members in kinds
+    ]
+    plans = cascade_plans.cheapest_mix(groups, target=target).plans
+    outcome = quality.Outcome()
+    for members, plan in zip(kinds, plans, strict=True):
+        upgraded = round(plan.upgraded_share * len(members))
+        for number, request in enumerate(members):
+            option = plan.upgraded if number < upgraded else plan.usual
+            _run_option(outcome, request, option)
+    return outcome
+
+
+def _exact(
+    members: list[quality.Request],
+) -> list[cascade_options.Option]:
+    forms = [(1, 0), *((0, b) for b in range(cascade_scorer.SCORE_BINS))]
+    found = []
+    for first_stage, go_on_below_bin in forms:
+        outcome = quality.Outcome()
+        planned = cascade_plans.PlannedOption(
+            first_stage=first_stage, go_on_below_bin=go_on_below_bin
+        )
+        for request in members:
+            _run_option(outcome, request, planned)
+        found.append(
+            cascade_options.Option(
+                first_stage=first_stage,
+                go_on_below_bin=go_on_below_bin,
+                cost=outcome.mean_cost,
+                quality=outcome.mean_quality,
+            )
+        )
+    return found
+
+
+def _run_option(
+    outcome: quality.Outcome,
+    request: quality.Request,
+    option: cascade_plans.PlannedOption,
+) -> None:
+    if option.first_stage == 1 or option.go_on_below_bin == 0:
+        stage = option.first_stage
+        outcome.add(
+            cost=request.costs[stage],
+            quality=request.qualities[stage],
+            held=False,
+        )
+        return
+    score_bin = cascade_scorer.bin_of(request.scores[0])
+    _run_cascade(outcome, request, score_bin < option.go_on_below_bin)
+
+
+def _run_cascade(
+    outcome: quality.Outcome, request: quality.Request, goes_on: bool
+) -> None:
+    outcome.add(
+        cost=request.costs[0] + goes_on * request.costs[1],
+        quality=request.qualities[1 if goes_on else 0],
+        held=True,
+    )
--- a/src/nutmeghook/internal/routing/cascade.py
+++ b/src/nutmeghook/internal/routing/cascade.py
@@ -65,6 +65,20 @@
     ) -> bool:
         """Tells whether this answer is to be handed in for rating."""
 
+    def rating_id(
+        self,
+        question: CascadeQuestion,
+        *,
+        stage_index: int,
+        answer: CascadeAnswer,
+    ) -> str:
+        """Returns the id under which to hand an answer in for rating.
+
+        The rating service gives back nothing but this id, so what the policy
+        must know of the answer besides its quality has to be in it.
+        """
+        return question.request_id
+
     @abc.abstractmethod
     def learn(
         self, *, team: str, template: str, stage_index: int, quality: float
--- a/src/nutmeghook/internal/routing/cascade_fixed.py
+++ b/src/nutmeghook/internal/routing/cascade_fixed.py
@@ -2,6 +2,7 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.routing import cascade
+from nutmeghook.internal.routing import cascade_places
 
 _LEAST_ANSWER_CHARS = 2
 
@@ -22,7 +23,9 @@
         if question.template.start is documents.StartPolicy.STRONGEST:
             first_stage = last_stage
         return cascade.CascadePlan(
-            first_stage=first_stage, may_go_on=first_stage < last_stage
+            first_stage=first_stage,
+            may_go_on=first_stage < last_stage
+            and cascade_places.may_hold(question),
         )
 
     def accepts(
--- /dev/null
+++ b/src/nutmeghook/internal/routing/cascade_learned.py
@@ -0,0 +1,200 @@
+"""Follows the plans that were learned from ratings of the whole fleet."""
+
+import collections
+import dataclasses
+import datetime
+import functools
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.routing import cascade
+from nutmeghook.internal.routing import cascade_fixed
+from nutmeghook.internal.routing import cascade_labels
+from nutmeghook.internal.routing import cascade_learner
+from nutmeghook.internal.routing import cascade_places
+from nutmeghook.internal.routing import cascade_plans
+from nutmeghook.internal.routing import cascade_scorer
+
+# More requests than one instance has under way; the oldest are forgotten,
+# and their answers judged by the plan of that moment.
+_REMEMBERED_REQUESTS = 4096
+_CHEAPEST = cascade_plans.PlannedOption(first_stage=0, go_on_below_bin=0)
+# Plans older than this are of no use: their writer, the store, or this
+# instance's link to it has been gone for hours.
+_PLANS_LAST = datetime.timedelta(hours=6)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Course:
+    """What was decided for one request; it keeps it while plans change.
+
+    Attributes:
+        explored: All stages run, to learn how the stronger would have done.
+        rated: Its answers are handed in.
+        score_bin: Of the first stage's held answer, once there is one.
+    """
+
+    option: cascade_plans.PlannedOption
+    kind: int
+    explored: bool
+    rated: bool
+    score_bin: int | None = None
+
+
+class LearnedCascade(cascade.CascadePolicy):
+    """Decides by published plans; does nothing that waits."""
+
+    __slots__ = (
+        "_clock",
+        "_courses",
+        "_fixed",
+        "_plans",
+        "_read_at",
+        "_scorer",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        scorer: cascade_scorer.AnswerScorer,
+    ):
+        self._clock = clock
+        self._scorer = scorer
+        self._fixed = cascade_fixed.FixedCascade()
+        self._plans: dict[str, cascade_plans.TemplatePlan] = {}
+        self._read_at = clock.monotonic()
+        self._courses: collections.OrderedDict[str, Course] = (
+            collections.OrderedDict()
+        )
+
+    def use_plans(self, plans: dict[str, cascade_plans.TemplatePlan]) -> None:
+        """Takes over plans, by template key, that are the newest now."""
+        self._plans = plans
+        self._read_at = self._clock.monotonic()
+
+    def plan(self, question: cascade.CascadeQuestion) -> cascade.CascadePlan:
+        """Returns where to start and whether the answer will be judged."""
+        if not _learns(question.template):
+            return self._fixed.plan(question)
+        course = self._course(question)
+        if course.explored:
+            return cascade.CascadePlan(first_stage=0, may_go_on=True)
+        return cascade.CascadePlan(
+            first_stage=course.option.first_stage,
+            may_go_on=course.option.go_on_below_bin > 0,
+        )
+
+    def accepts(
+        self,
+        question: cascade.CascadeQuestion,
+        *,
+        stage_index: int,
+        answer: cascade.CascadeAnswer,
+    ) -> bool:
+        """Tells whether a held answer is good enough to be given."""
+        if not _learns(question.template):
+            return self._fixed.accepts(
+                question, stage_index=stage_index, answer=answer
+            )
+        if stage_index >= len(question.template.stages) - 1:
+            return True
+        course = self._course(question)
+        if course.explored:
+            return False
+        if stage_index > course.option.first_stage:
+            return True
+        score_bin = cascade_scorer.bin_of(self._scorer.score(answer))
+        course.score_bin = score_bin
+        return score_bin >= course.option.go_on_below_bin
+
+    def wants_rating(
+        self, question: cascade.CascadeQuestion, *, stage_index: int
+    ) -> bool:
+        """Tells whether this answer is to be handed in for rating."""
+        if not _learns(question.template):
+            return self._fixed.wants_rating(question, stage_index=stage_index)
+        return self._course(question).rated
+
+    def rating_id(
+        self,
+        question: cascade.CascadeQuestion,
+        *,
+        stage_index: int,
+        answer: cascade.CascadeAnswer,
+    ) -> str:
+        """Returns an id that carries the request's kind and score."""
+        if not _learns(question.template):
+            return question.request_id
+        course = self._course(question)
+        first = 0 if course.explored else course.option.first_stage
+        held = course.explored or course.option.go_on_below_bin > 0
+        if held and stage_index == first:
+            score = self._scorer.score(answer)
+            course.score_bin = cascade_scorer.bin_of(score)
+        label = cascade_labels.RatingLabel(
+            kind=course.kind, first_stage=first, score_bin=course.score_bin
+        )
+        return cascade_labels.attach(question.request_id, label)
+
+    def learn(
+        self, *, team: str, template: str, stage_index: int, quality: float
+    ) -> None:
+        """Ignores it: one instance learns for all and publishes plans."""
+
+    def _course(self, question: cascade.CascadeQuestion) -> Course:
+        course = self._courses.get(question.request_id)
+        if course is None:
+            course = self._decide(question)
+            self._courses[question.request_id] = course
+            if len(self._courses) > _REMEMBERED_REQUESTS:
+                self._courses.popitem(last=False)
+        return course
+
+    def _decide(self, question: cascade.CascadeQuestion) -> Course:
+        template = question.template
+        plan = self._plan_of(template)
+        kind = cascade_labels.kind_of(question.prompt_chars)
+        place = functools.partial(cascade_places.place, question.request_id)
+        may_hold = cascade_places.may_hold(question)
+        group = (plan.holding if may_hold else plan.relaying)[kind]
+        upgraded = place("upgrade") < group.upgraded_share
+        option = group.upgraded if upgraded else group.usual
+        explored_share = (
+            plan.explored_shares[kind] if may_hold else plan.tried_shares[kind]
+        )
+        explored = place("explore") < explored_share
+        if explored and not may_hold:
+            # Running all stages would hold the answer back; so the cheap
+            # answer is given, which is the only way to hear how good it is.
+            option = _CHEAPEST
+        return Course(
+            option=option,
+            kind=kind,
+            explored=explored and may_hold and len(template.stages) > 1,
+            rated=explored or place("rate") < plan.rated_share,
+        )
+
+    def _plan_of(
+        self, template: documents.Template
+    ) -> cascade_plans.TemplatePlan:
+        key = documents.template_key(template.team, template.name)
+        plan = self._plans.get(key)
+        age = self._clock.monotonic() - self._read_at
+        stages = len(template.stages)
+        if plan is None or age > _PLANS_LAST or not _fits(plan, stages):
+            return cascade_learner.cautious_plan(stages)
+        return plan
+
+
+def _learns(template: documents.Template) -> bool:
+    return template.start is documents.StartPolicy.LEARNED
+
+
+def _fits(plan: cascade_plans.TemplatePlan, stages: int) -> bool:
+    """Tells whether a plan was made for a template of so many stages."""
+    return all(
+        option.first_stage < stages
+        for group in (*plan.holding, *plan.relaying)
+        for option in (group.usual, group.upgraded)
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/routing/cascade_learner.py
@@ -0,0 +1,159 @@
+"""Turns a template's tables into its plan."""
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.routing import cascade_labels
+from nutmeghook.internal.routing import cascade_options
+from nutmeghook.internal.routing import cascade_plans
+from nutmeghook.internal.routing import cascade_tables
+
+_CHARS_PER_TOKEN = 4
+# Only the ratio of the stages' costs matters for the choice.
+_TYPICAL_OUTPUT_TOKENS = 200
+_WHOLE_PERCENT = 100.0
+
+_LEAST_RATED_SHARE = 0.05
+_MOST_EXPLORED_SHARE = 0.2
+_MOST_TRIED_SHARE = 0.1
+_LEAST_TRIED_SHARE = 0.002
+# Once a template is no longer new, running all stages only to compare them
+# may add this part to its cost.
+_EXPLORING_PART_OF_COST = 0.02
+# Ratings of a template, and comparisons of a kind of request, after which it
+# is no longer new.
+_RATINGS_WHILE_NEW = 1_000.0
+_COMPARISONS_WHILE_NEW = 40.0
+
+# Without ratings the last plan stays for this long; then the target rises
+# until all is done by the strongest stage: requests may have changed, and
+# too good an answer costs money while too bad a one costs trust.
+_RATINGS_MAY_REST_S = 3_600.0
+_TARGET_RISES_PER_S = 0.02 / 3_600.0
+
+
+def plan_for(
+    template: documents.Template,
+    table: cascade_tables.TemplateTable,
+    *,
+    fleet: documents.Fleet,
+    now_s: float,
+) -> cascade_plans.TemplatePlan:
+    """Returns what to do with a template's requests from now on."""
+    held_share = template.held_share_percent / _WHOLE_PERCENT
+    groups = [
+        group
+        for may_hold, part in ((True, held_share), (False, 1.0 - held_share))
+        for group in _groups(template, table, fleet, may_hold, part)
+    ]
+    mix = cascade_plans.cheapest_mix(
+        groups, target=template.quality_target + _extra_target(table, now_s)
+    )
+    newness = _newness(table.ratings, _RATINGS_WHILE_NEW)
+    return cascade_plans.TemplatePlan(
+        holding=tuple(mix.plans[: cascade_labels.KINDS]),
+        relaying=tuple(mix.plans[cascade_labels.KINDS :]),
+        rated_share=max(_LEAST_RATED_SHARE, newness),
+        explored_shares=tuple(
+            _explored_share(
+                table.kinds[kind],
+                _costs(template, fleet, kind),
+                mix.cost,
+            )
+            for kind in range(cascade_labels.KINDS)
+        ),
+        tried_shares=tuple(_tried_share(stages) for stages in table.kinds),
+    )
+
+
+def cautious_plan(stages: int) -> cascade_plans.TemplatePlan:
+    """Returns the plan while nothing is known: the strongest stage."""
+    strongest = cascade_plans.PlannedOption(
+        first_stage=stages - 1, go_on_below_bin=0
+    )
+    group = cascade_plans.GroupPlan(usual=strongest, upgraded=strongest)
+    groups = (group,) * cascade_labels.KINDS
+    return cascade_plans.TemplatePlan(
+        holding=groups,
+        relaying=groups,
+        rated_share=1.0,
+        explored_shares=(_MOST_EXPLORED_SHARE,) * cascade_labels.KINDS,
+        tried_shares=(_MOST_TRIED_SHARE,) * cascade_labels.KINDS,
+    )
+
+
+def _explored_share(
+    stages: list[cascade_tables.StageTable],
+    costs: list[float],
+    mean_cost: float,
+) -> float:
+    """Returns how much of a kind to explore: a lot at first, then a little.
+
+    A kind that is rare needs as many comparisons as a common one.
+    """
+    compared = sum(cell.count for cell in stages[0].after)
+    newness = _newness(compared, _COMPARISONS_WHILE_NEW)
+    affordable = _EXPLORING_PART_OF_COST * mean_cost / max(sum(costs), 1.0)
+    return min(
+        _MOST_EXPLORED_SHARE,
+        max(affordable, _MOST_EXPLORED_SHARE * newness**2),
+    )
+
+
+def _tried_share(stages: list[cascade_tables.StageTable]) -> float:
+    """Returns how much of a kind to try the cheap answer on, unheld.
+
+    A caller may get a worse answer for it, so it ends sooner than exploring.
+    """
+    heard = stages[0].direct.count + sum(c.count for c in stages[0].held)
+    newness = _newness(heard, _COMPARISONS_WHILE_NEW)
+    return max(_LEAST_TRIED_SHARE, _MOST_TRIED_SHARE * newness**2)
+
+
+def _newness(count: float, while_new: float) -> float:
+    """Returns 1 for nothing known, falling to 0."""
+    return while_new / (while_new + count)
+
+
+def _groups(
+    template: documents.Template,
+    table: cascade_tables.TemplateTable,
+    fleet: documents.Fleet,
+    may_hold: bool,
+    part: float,
+) -> list[cascade_plans.Group]:
+    total = sum(table.requests) or 1.0
+    return [
+        cascade_plans.Group(
+            weight=part * table.requests[kind] / total,
+            options=cascade_options.options_of(
+                table.kinds[kind],
+                costs=_costs(template, fleet, kind),
+                may_hold=may_hold,
+            ),
+        )
+        for kind in range(cascade_labels.KINDS)
+    ]
+
+
+def _costs(
+    template: documents.Template, fleet: documents.Fleet, kind: int
+) -> list[float]:
+    prompt_tokens = cascade_labels.typical_chars(kind) / _CHARS_PER_TOKEN
+    models = {model.name: model for model in fleet.models}
+    return [
+        _cost(models.get(stage.model), prompt_tokens)
+        for stage in template.stages
+    ]
+
+
+def _cost(model: documents.ModelEntry | None, prompt_tokens: float) -> float:
+    if model is None:
+        return 0.0
+    return (
+        prompt_tokens * model.prompt_token_cost_micros
+        + _TYPICAL_OUTPUT_TOKENS * model.output_token_cost_micros
+    )
+
+
+def _extra_target(table: cascade_tables.TemplateTable, now_s: float) -> float:
+    resting_s = now_s - table.last_rating_at_s - _RATINGS_MAY_REST_S
+    return max(0.0, resting_s) * _TARGET_RISES_PER_S
--- /dev/null
+++ b/src/nutmeghook/internal/routing/cascade_options.py
@@ -0,0 +1,182 @@
+"""What a kind of request can be done with, at which cost and quality."""
+
+import dataclasses
+import math
+
+from nutmeghook.internal.routing import cascade_scorer
+from nutmeghook.internal.routing import cascade_tables
+
+# Qualities are taken this many standard errors lower than measured: a policy
+# that looks cheap by luck would be chosen over those that are.
+_CAUTION = 0.3
+_PRIOR_RATINGS = 2.0
+_LEAST_RATINGS = 20.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Option:
+    """One way through a template's stages.
+
+    Attributes:
+        first_stage: Where to start.
+        go_on_below_bin: Held answers that score under it are not given, and
+            the next stage runs; 0 if no answer is held.
+        cost: Mean cost of a request.
+        quality: Mean quality, on the cautious side.
+    """
+
+    first_stage: int
+    go_on_below_bin: int
+    cost: float
+    quality: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Estimate:
+    """A mean and the variance of its error."""
+
+    mean: float
+    variance: float
+
+    def cautious(self) -> float:
+        return self.mean - _CAUTION * math.sqrt(self.variance)
+
+
+def options_of(
+    stages: list[cascade_tables.StageTable],
+    *,
+    costs: list[float],
+    may_hold: bool,
+) -> list[Option]:
+    """Returns the ways that enough is known of, and always the strongest.
+
+    Args:
+        stages: What is known of one kind of request.
+        costs: Of one answer of each stage.
+        may_hold: Whether answers may be held back to be judged.
+    """
+    last = len(stages) - 1
+    found = [_strongest(stages, costs)]
+    for first in range(last):
+        estimate = _unheld_answers(stages[first])
+        if estimate is None:
+            continue
+        found.append(
+            Option(
+                first_stage=first,
+                go_on_below_bin=0,
+                cost=costs[first],
+                quality=estimate.cautious(),
+            )
+        )
+        if may_hold and _count(stages[first].after) >= _LEAST_RATINGS:
+            found += _cascades(stages, first, costs)
+    return found
+
+
+def _strongest(
+    stages: list[cascade_tables.StageTable], costs: list[float]
+) -> Option:
+    estimate = _last_stage(stages)
+    return Option(
+        first_stage=len(stages) - 1,
+        go_on_below_bin=0,
+        cost=costs[-1],
+        quality=estimate.cautious() if estimate else 0.0,
+    )
+
+
+def _cascades(
+    stages: list[cascade_tables.StageTable], first: int, costs: list[float]
+) -> list[Option]:
+    table = stages[first]
+    shares = _bin_shares(table)
+    given = [_cell_estimate(cell, table.held) for cell in table.held]
+    gone_on = [_cell_estimate(cell, table.after) for cell in table.after]
+    found = []
+    for threshold in range(1, cascade_scorer.SCORE_BINS):
+        parts = [*gone_on[:threshold], *given[threshold:]]
+        share_gone_on = sum(shares[:threshold])
+        found.append(
+            Option(
+                first_stage=first,
+                go_on_below_bin=threshold,
+                cost=costs[first] + share_gone_on * costs[first + 1],
+                quality=_stratified(parts, shares).cautious(),
+            )
+        )
+    return found
+
+
+def _unheld_answers(table: cascade_tables.StageTable) -> _Estimate | None:
+    """Estimates a stage's answers, from those held and those not."""
+    if _count(table.held) < _LEAST_RATINGS:
+        return _plain(table.direct)
+    parts = [_cell_estimate(cell, table.held) for cell in table.held]
+    return _combined(_stratified(parts, _bin_shares(table)), table.direct)
+
+
+def _last_stage(
+    stages: list[cascade_tables.StageTable],
+) -> _Estimate | None:
+    """Estimates the last stage's answers over all requests of the kind.
+
+    Those given after a cheap answer are of the harder requests; weighing
+    them by the cheap scores' own shares takes that out.
+    """
+    direct = stages[-1].direct
+    if len(stages) == 1:
+        return _plain(direct)
+    before = stages[-2]
+    if min(_count(before.held), _count(before.after)) < _LEAST_RATINGS:
+        return _plain(direct)
+    parts = [_cell_estimate(cell, before.after) for cell in before.after]
+    return _combined(_stratified(parts, _bin_shares(before)), direct)
+
+
+def _plain(cell: cascade_tables.Cell) -> _Estimate | None:
+    if cell.count < _LEAST_RATINGS:
+        return None
+    return _Estimate(mean=cell.mean, variance=cell.variance() / cell.count)
+
+
+def _count(cells: list[cascade_tables.Cell]) -> float:
+    return sum(cell.count for cell in cells)
+
+
+def _bin_shares(table: cascade_tables.StageTable) -> list[float]:
+    total = max(1.0, _count(table.held))
+    return [cell.count / total for cell in table.held]
+
+
+def _cell_estimate(
+    cell: cascade_tables.Cell, cells: list[cascade_tables.Cell]
+) -> _Estimate:
+    """Estimates one bin, leaning on all bins where it has few ratings."""
+    total = max(1.0, _count(cells))
+    prior = sum(c.count * c.mean for c in cells) / total
+    weight = cell.count + _PRIOR_RATINGS
+    mean = (cell.count * cell.mean + _PRIOR_RATINGS * prior) / weight
+    return _Estimate(mean=mean, variance=cell.variance() / weight)
+
+
+def _stratified(parts: list[_Estimate], shares: list[float]) -> _Estimate:
+    return _Estimate(
+        mean=sum(s * p.mean for s, p in zip(shares, parts, strict=True)),
+        variance=sum(
+            s * s * p.variance for s, p in zip(shares, parts, strict=True)
+        ),
+    )
+
+
+def _combined(estimate: _Estimate, cell: cascade_tables.Cell) -> _Estimate:
+    """Weighs an estimate with a cell's by how sure each is."""
+    other = _plain(cell)
+    if other is None:
+        return estimate
+    one = 1.0 / max(estimate.variance, 1e-9)
+    two = 1.0 / max(other.variance, 1e-9)
+    return _Estimate(
+        mean=(one * estimate.mean + two * other.mean) / (one + two),
+        variance=1.0 / (one + two),
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/routing/cascade_places.py
@@ -0,0 +1,23 @@
+"""Places requests at random, but alike on each instance and for retries."""
+
+import xxhash
+
+from nutmeghook.internal.routing import cascade
+
+_HASH_RANGE = 2.0**64
+_WHOLE_PERCENT = 100.0
+
+
+def place(request_id: str, purpose: str) -> float:
+    """Returns where a request lies between 0 and 1 for one purpose.
+
+    Places for different purposes are independent of each other.
+    """
+    digest = xxhash.xxh3_64_intdigest(f"{purpose}\x00{request_id}".encode())
+    return digest / _HASH_RANGE
+
+
+def may_hold(question: cascade.CascadeQuestion) -> bool:
+    """Tells whether the request is in the share that may wait for a judge."""
+    position_percent = place(question.request_id, "hold") * _WHOLE_PERCENT
+    return position_percent < question.template.held_share_percent
--- /dev/null
+++ b/src/nutmeghook/internal/routing/cascade_plans.py
@@ -0,0 +1,181 @@
+"""The cheapest mix of options whose mean quality meets the target.
+
+The target holds for the mean over a template's requests, so kinds of request
+trade with each other: quality is bought first where it costs least. The best
+mix lies on the convex hull of each kind's options, and all kinds but one use
+a single option; that one uses two, in a proportion that meets the target.
+"""
+
+import dataclasses
+import itertools
+
+import msgspec
+
+from nutmeghook.internal.routing import cascade_options
+
+
+class PlannedOption(msgspec.Struct, frozen=True, kw_only=True):
+    """An option as instances need it."""
+
+    first_stage: int
+    go_on_below_bin: int
+
+
+class GroupPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What to do with one group of requests.
+
+    Attributes:
+        upgraded: For `upgraded_share` of the requests; `usual` for the rest.
+    """
+
+    usual: PlannedOption
+    upgraded: PlannedOption
+    upgraded_share: float = 0.0
+
+
+class TemplatePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What to do with a template's requests.
+
+    Attributes:
+        holding: For each kind, where answers may be held.
+        relaying: For each kind, where they may not.
+        rated_share: Share of requests whose answers are handed in.
+        explored_shares: For each kind, the share whose answers of all stages
+            are wanted, where answers may be held.
+        tried_shares: For each kind, the share that gets the first stage's
+            answer to hear how good it is, where answers may not be held.
+    """
+
+    holding: tuple[GroupPlan, ...]
+    relaying: tuple[GroupPlan, ...]
+    rated_share: float
+    explored_shares: tuple[float, ...]
+    tried_shares: tuple[float, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Group:
+    """Requests that have the same options.
+
+    Attributes:
+        weight: Their share of the template's requests.
+        options: At least one.
+    """
+
+    weight: float
+    options: list[cascade_options.Option]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Upgrade:
+    """A step along one group's hull.
+
+    Attributes:
+        price: Cost of one unit of quality.
+        gain: Quality of the whole template that the step adds.
+    """
+
+    group_index: int
+    option: cascade_options.Option
+    price: float
+    gain: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Mix:
+    """A plan for each group, in their order, and its mean cost."""
+
+    plans: list[GroupPlan]
+    cost: float
+
+
+def cheapest_mix(groups: list[Group], *, target: float) -> Mix:
+    """Returns the cheapest mix that meets the target.
+
+    Where none does, each group gets its best option.
+    """
+    hulls = [_hull(group.options) for group in groups]
+    current = [hull[0] for hull in hulls]
+    plans = [_only(option) for option in current]
+    weights = [group.weight for group in groups]
+    cost = sum(w * o.cost for w, o in zip(weights, current, strict=True))
+    quality = sum(w * o.quality for w, o in zip(weights, current, strict=True))
+    for upgrade in _upgrades(hulls, weights):
+        missing = target - quality
+        if missing <= 0:
+            break
+        index = upgrade.group_index
+        if upgrade.gain >= missing:
+            share = missing / upgrade.gain
+            cost += share * upgrade.gain * upgrade.price
+            plans[index] = _between(current[index], upgrade.option, share)
+            break
+        quality += upgrade.gain
+        cost += upgrade.gain * upgrade.price
+        current[index] = upgrade.option
+        plans[index] = _only(upgrade.option)
+    return Mix(plans=plans, cost=cost)
+
+
+def _hull(
+    options: list[cascade_options.Option],
+) -> list[cascade_options.Option]:
+    """Returns the options that no mix of others beats, cheapest first."""
+    ordered = sorted(options, key=lambda o: (o.cost, -o.quality))
+    hull: list[cascade_options.Option] = []
+    for option in ordered:
+        if hull and option.quality <= hull[-1].quality:
+            continue
+        while len(hull) >= 2 and _price(hull[-2], hull[-1]) >= _price(
+            hull[-1], option
+        ):
+            hull.pop()
+        hull.append(option)
+    return hull
+
+
+def _upgrades(
+    hulls: list[list[cascade_options.Option]], weights: list[float]
+) -> list[_Upgrade]:
+    """Returns all steps along the hulls, cheapest quality first."""
+    found = [
+        _Upgrade(
+            group_index=index,
+            option=better,
+            price=_price(worse, better),
+            gain=weights[index] * (better.quality - worse.quality),
+        )
+        for index, hull in enumerate(hulls)
+        for worse, better in itertools.pairwise(hull)
+    ]
+    return sorted(found, key=lambda upgrade: upgrade.price)
+
+
+def _price(
+    worse: cascade_options.Option, better: cascade_options.Option
+) -> float:
+    return (better.cost - worse.cost) / (better.quality - worse.quality)
+
+
+def _only(option: cascade_options.Option) -> GroupPlan:
+    planned = _planned(option)
+    return GroupPlan(usual=planned, upgraded=planned)
+
+
+def _between(
+    usual: cascade_options.Option,
+    upgraded: cascade_options.Option,
+    share: float,
+) -> GroupPlan:
+    return GroupPlan(
+        usual=_planned(usual),
+        upgraded=_planned(upgraded),
+        upgraded_share=share,
+    )
+
+
+def _planned(option: cascade_options.Option) -> PlannedOption:
+    return PlannedOption(
+        first_stage=option.first_stage,
+        go_on_below_bin=option.go_on_below_bin,
+    )
