Make the relay of tokens cheaper and measure it beside a bare relay

Change: an attempt's reading runs in a task of its own, so that a token wakes 6 nested coroutines instead of 18; chunks that come in one piece are checked and written together (Engine.generate_batches); one call less a token in the stream's sink. bench/relay.py measures both relays in turns, at the planned node's 4,300 tokens a second, 200 tokens a stream.

--- /dev/null
+++ b/bench/_relay_parts.py
@@ -0,0 +1,92 @@
+"""The simplest possible surroundings of the request path."""
+
+from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.limits import admission
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import plain
+from nutmeghook.internal.platform import ratings
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import versions
+
+
+class FirstVersion(versions.VersionChooser):
+    """Always chooses a stage's first version."""
+
+    async def choose(self, *, template, stage_index, session, request_id):
+        """Returns it."""
+        stage = template.stages[stage_index]
+        return versions.VersionChoice(
+            model_version=engine.ModelVersion(
+                model=stage.model, version=stage.versions[0].version
+            ),
+            rolling_out=False,
+        )
+
+    def check_dispatch(self, *, template, choice):
+        """Lets all pass."""
+
+
+class OneBackend(backends.BackendChooser):
+    """Knows one backend server."""
+
+    def __init__(self, address: str):
+        self._backend = backends.Backend(
+            address=address, region="r", data_centre="r-1", service="engines"
+        )
+
+    def choose(self, need):
+        """Returns it."""
+        return self._backend
+
+    def started(self, backend):
+        """Ignores it."""
+
+    def finished(self, backend, *, outcome, duration, report=None, **more):
+        """Ignores it."""
+
+
+class NoRetries(admission.RetryBudget):
+    """Gives no leave: a failure ends the benchmark."""
+
+    def note_request(self):
+        """Ignores it."""
+
+    def try_spend(self):
+        """Refuses."""
+        return False
+
+
+class InstantLedger(ledger.Ledger):
+    """Takes bills and forgets them."""
+
+    async def claim(self, identity, *, request_id, timeout):
+        """Lets all win."""
+        return ledger.ClaimResult(state=ledger.ClaimState.WON)
+
+    async def release(self, identity, *, request_id):
+        """Does nothing."""
+
+    async def finish(self, *, bill, answer, timeout):
+        """Does nothing."""
+
+    async def mark_unknown(self, identity, *, request_id):
+        """Does nothing."""
+
+
+class NoService(plain.PlainServiceConnector):
+    """Reaches nothing."""
+
+    async def call(self, address, call):
+        """Is not called."""
+        raise NotImplementedError
+
+
+class NoRatings(ratings.RatingService):
+    """Takes nothing."""
+
+    async def submit(self, tasks):
+        """Does nothing."""
+
+    async def ratings_after(self, cursor, *, limit=1000):
+        """Returns none."""
+        return []
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,158 @@
+"""What the request path costs a token, beside a bare relay, and in latency.
+
+The source streams one token at a time at the planned rate of a node (4,286
+tokens a second). The bare relay copies bytes from one aiohttp connection to
+another; the request path checks, counts, re-encodes and bills. Their runs
+alternate, so that what else the machine does hits both; the ratio is the
+median over the pairs.
+"""
+
+import asyncio
+import contextlib
+import statistics
+import subprocess
+import sys
+import time
+
+import aiohttp
+import msgspec
+import numpy as np
+import uvloop
+
+from bench import _relay_process
+from bench import report
+from nutmeghook.internal.platform import engine
+
+PAIRS = 7
+STREAMS = 43
+TOKENS_A_STREAM = 200
+FIRST_TOKENS = 400
+LEAST_SHARE = 0.7
+
+_QUESTION = {
+    "model": _relay_process.TEMPLATE,
+    "stream": True,
+    "messages": [{"role": "user", "content": "Does the boiler hold?"}],
+}
+
+
+def run() -> list[report.Line]:
+    """Measures and returns the lines."""
+    with contextlib.ExitStack() as processes:
+        source = _start(processes, "source")
+        bare = _start(processes, "bare", source)
+        path = _start(processes, "path", source)
+        return uvloop.run(_measure(source, bare, path))
+
+
+def _start(processes: contextlib.ExitStack, *arguments: str) -> str:
+    process = subprocess.Popen(
+        [sys.executable, "-m", "bench._relay_process", *arguments],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    processes.callback(_stop, process)
+    return process.stdout.readline().strip()
+
+
+def _stop(process: subprocess.Popen) -> None:
+    process.terminate()
+    process.wait()
+    process.stdout.close()
+
+
+async def _measure(source: str, bare: str, path: str) -> list[report.Line]:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await _tokens_a_core_s(session, bare, _generate)
+        await _tokens_a_core_s(session, path, _chat)
+        pairs = [
+            (
+                await _tokens_a_core_s(session, bare, _generate),
+                await _tokens_a_core_s(session, path, _chat),
+            )
+            for _ in range(PAIRS)
+        ]
+        added_ms = await _added_first_token_ms(session, source, path)
+    share = statistics.median(own / other for other, own in pairs)
+    return [
+        report.Line(
+            name="relay.tokens_per_core_vs_bare_relay",
+            value=share,
+            unit="ratio",
+            bound=LEAST_SHARE,
+            better=report.Better.HIGHER,
+        ),
+        report.Line(
+            name="relay.tokens_per_core_s",
+            value=statistics.median(own for _, own in pairs),
+            unit="tokens/s of processor time",
+            better=report.Better.HIGHER,
+        ),
+        report.Line(
+            name="relay.added_first_token_p95_ms", value=added_ms, unit="ms"
+        ),
+    ]
+
+
+async def _tokens_a_core_s(session, address: str, send) -> float:
+    """Returns tokens relayed a second of the process's processor time."""
+    before_s = await _cpu_s(session, address)
+    await asyncio.gather(
+        *(send(session, address, TOKENS_A_STREAM) for _ in range(STREAMS))
+    )
+    used_s = await _cpu_s(session, address) - before_s
+    return STREAMS * TOKENS_A_STREAM / used_s
+
+
+async def _cpu_s(session, address: str) -> float:
+    async with session.get(f"http://{address}/cpu") as response:
+        return float(await response.text())
+
+
+async def _added_first_token_ms(session, source: str, path: str) -> float:
+    """Returns the difference of the 95th percentiles, through and direct."""
+    direct_ms = []
+    through_ms = []
+    for _ in range(FIRST_TOKENS):
+        direct_ms.append(await _generate(session, source, 1))
+        through_ms.append(await _chat(session, path, 1))
+    return float(np.percentile(through_ms, 95) - np.percentile(direct_ms, 95))
+
+
+async def _generate(session, address: str, tokens: int) -> float:
+    body = msgspec.json.encode(
+        engine.Generation(
+            attempt_id="attempt",
+            model_version=engine.ModelVersion(model="model", version="1"),
+            messages=(engine.Message(role="user", content="Does it hold?"),),
+            max_tokens=tokens,
+        )
+    )
+    url = f"http://{address}{_relay_process.GENERATE}"
+    return await _first_token_ms(session.post(url, data=body), tokens)
+
+
+async def _chat(session, address: str, tokens: int) -> float:
+    url = f"http://{address}/v1/chat/completions"
+    headers = {"Authorization": f"Bearer {_relay_process.TOKEN}"}
+    body = _QUESTION | {"max_tokens": tokens}
+    return await _first_token_ms(
+        session.post(url, json=body, headers=headers), tokens
+    )
+
+
+async def _first_token_ms(sending, tokens: int) -> float:
+    """Reads a stream; checks that each token came, and times the first."""
+    started_s = time.monotonic()
+    first_s = 0.0
+    seen = 0
+    wanted = _relay_process.TOKEN_TEXT.encode()
+    async with sending as response:
+        async for piece in response.content.iter_any():
+            seen += piece.count(wanted)
+            if seen and not first_s:
+                first_s = time.monotonic()
+    if seen != tokens:
+        raise RuntimeError(f"{seen} tokens came of {tokens}")
+    return (first_s - started_s) * 1000
--- a/src/nutmeghook/internal/dispatch/attempts.py
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -1,5 +1,6 @@
 """One attempt on one engine: its chunks checked, its cuts resumed."""
 
+import asyncio
 import contextlib
 import dataclasses
 import datetime
@@ -65,6 +66,19 @@
     last: engine_module.Chunk | None = None
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Received:
+    """What a batch of chunks brought.
+
+    Attributes:
+        has_gap: A chunk skipped tokens; nothing behind it was taken.
+    """
+
+    text: str
+    last: engine_module.Chunk | None = None
+    has_gap: bool = False
+
+
 class AttemptRunner:
     """Runs attempts, and passes on what they tell about backend servers."""
 
@@ -110,7 +124,13 @@
         self._backends.started(attempt.backend)
         outcome = backends_module.AttemptOutcome.CANCELLED
         try:
-            attempt.last = await self._receive(attempt, consumer)
+            # A task of its own: each token wakes the innermost of the waiting
+            # coroutines through all those around it. From inside the whole
+            # path that was some 18 deep; from here it is 6, which takes a
+            # tenth off a token's cost (see bench/relay.py).
+            attempt.last = await asyncio.create_task(
+                self._receive(attempt, consumer)
+            )
             outcome = backends_module.AttemptOutcome.ANSWERED
             return attempt.last
         except AttemptError as error:
@@ -181,22 +201,47 @@
         consumer: consumers.Consumer,
     ) -> engine_module.Chunk:
         """Reads one connection's chunks; this loop is the hot path."""
-        attempt_id = attempt.generation.attempt_id
         generation = self._generation_from_here(attempt)
-        async with contextlib.aclosing(engine.generate(generation)) as chunks:
-            async for chunk in chunks:
-                if (
-                    chunk.token_index != attempt.next_token
-                    or chunk.attempt_id != attempt_id
-                ):
-                    self._drop(chunk, attempt)
-                    continue
+        async with contextlib.aclosing(
+            engine.generate_batches(generation)
+        ) as batches:
+            async for batch in batches:
+                received = self._receive_batch(batch, attempt)
+                if received.text:
+                    await consumer.take(received.text)
+                if received.last is not None:
+                    return _checked_last(received.last)
+                if received.has_gap:
+                    break
+        raise _CutError(f"token {attempt.next_token} did not come")
+
+    def _receive_batch(
+        self, batch: list[engine_module.Chunk], attempt: Attempt
+    ) -> _Received:
+        """Takes in the chunks that are the next ones of this attempt.
+
+        The failures: a chunk of another attempt on a connection used again
+        (the caller would read another's answer), a chunk sent twice after a
+        resume (doubled text), a chunk that skips tokens (missing text). The
+        first two are dropped; the last ends this reading, and the resume
+        asks for the missing token.
+        """
+        attempt_id = attempt.generation.attempt_id
+        pieces = []
+        for chunk in batch:
+            if (
+                chunk.token_index == attempt.next_token
+                and chunk.attempt_id == attempt_id
+            ):
                 attempt.next_token += chunk.tokens
-                if chunk.text:
-                    await consumer.take(chunk.text)
+                pieces.append(chunk.text)
                 if chunk.finish is not None:
-                    return _checked_last(chunk)
-        raise _CutError(f"stream ended at token {attempt.next_token}")
+                    return _Received(text="".join(pieces), last=chunk)
+                continue
+            self._meter.chunk_dropped()
+            if chunk.attempt_id == attempt_id and _skips(chunk, attempt):
+                return _Received(text="".join(pieces), has_gap=True)
+        return _Received(text="".join(pieces))
 
     def _generation_from_here(
         self, attempt: Attempt
@@ -208,29 +253,15 @@
             deadline_ms=max(1, int(remaining / _MILLISECOND)),
         )
 
-    def _drop(self, chunk: engine_module.Chunk, attempt: Attempt) -> None:
-        """Drops a chunk that is not the next one of this attempt.
-
-        The failures: a chunk of another attempt on a connection used again
-        (the caller would read another's answer), a chunk sent twice after a
-        resume (doubled text), a chunk that skips tokens (missing text). The
-        first two are dropped; the last ends this reading, and the resume
-        asks for the missing token.
-        """
-        self._meter.chunk_dropped()
-        if chunk.attempt_id != attempt.generation.attempt_id:
-            return
-        if chunk.token_index + chunk.tokens > attempt.next_token:
-            raise _CutError(
-                f"token {chunk.token_index} came where"
-                f" {attempt.next_token} was due"
-            )
-
     def _resume_delay(self, resumes: int) -> datetime.timedelta:
         longest = FIRST_RESUME_DELAY * 2 ** (resumes - 1)
         return longest * self._random.uniform(0.5, 1.0)
 
 
+def _skips(chunk: engine_module.Chunk, attempt: Attempt) -> bool:
+    return chunk.token_index + chunk.tokens > attempt.next_token
+
+
 def _checked_last(chunk: engine_module.Chunk) -> engine_module.Chunk:
     if chunk.finish in _WHOLE:
         return chunk
--- a/src/nutmeghook/internal/dispatch/hedge.py
+++ b/src/nutmeghook/internal/dispatch/hedge.py
@@ -132,7 +132,7 @@
         done, _ = await asyncio.wait(
             {*pending, race.decided}, return_when=asyncio.FIRST_COMPLETED
         )
-        for task in done & pending.keys():
+        for task in [task for task in pending if task in done]:
             lane = pending.pop(task)
             try:
                 last = task.result()
--- a/src/nutmeghook/internal/entry/sinks.py
+++ b/src/nutmeghook/internal/entry/sinks.py
@@ -87,9 +87,13 @@
             return
         if self._response is None:
             await self._start(model_version)
-        await self._write(
-            self._before + msgspec.json.encode(text) + self._after
-        )
+        try:
+            # Not through `_write`: one call less a token counts here.
+            await self._response.write(
+                self._before + msgspec.json.encode(text) + self._after
+            )
+        except ConnectionError:
+            self._detached = True
 
     def detach(self) -> None:
         """Stops sending."""
--- a/src/nutmeghook/internal/platform/engine.py
+++ b/src/nutmeghook/internal/platform/engine.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import AsyncIterator
+import contextlib
 import enum
 
 import msgspec
@@ -168,6 +169,18 @@
     def generate(self, generation: Generation) -> AsyncIterator[Chunk]:
         """Runs the generation and yields its chunks as they come."""
 
+    async def generate_batches(
+        self, generation: Generation
+    ) -> AsyncIterator[list[Chunk]]:
+        """Does the same, with chunks that come at once in one list.
+
+        For adapters whose connection hands over several chunks together: it
+        saves the relay a step and a write for each of them.
+        """
+        async with contextlib.aclosing(self.generate(generation)) as chunks:
+            async for chunk in chunks:
+                yield [chunk]
+
     @abc.abstractmethod
     async def cancel(self, attempt_id: str) -> None:
         """Stops an attempt, if it still runs."""
--- a/src/nutmeghook/internal/platform/http_engine.py
+++ b/src/nutmeghook/internal/platform/http_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
 import datetime
 
 import aiohttp
@@ -87,7 +88,18 @@
     async def generate(
         self, generation: engine.Generation
     ) -> AsyncIterator[engine.Chunk]:
-        """Runs the generation and yields its chunks as they come.
+        """Runs the generation and yields its chunks as they come."""
+        async with contextlib.aclosing(
+            self.generate_batches(generation)
+        ) as batches:
+            async for batch in batches:
+                for chunk in batch:
+                    yield chunk
+
+    async def generate_batches(
+        self, generation: engine.Generation
+    ) -> AsyncIterator[list[engine.Chunk]]:
+        """Yields the chunks of each piece that the connection hands over.
 
         Leaving early closes the connection: a stream that was read in part is
         never used again, so its late chunks can't reach another request. Use
@@ -109,13 +121,14 @@
             rest = b""
             async for piece in response.content.iter_any():
                 lines, rest = _whole_lines(rest + piece if rest else piece)
-                for chunk in _chunk_decoder.decode_lines(lines):
-                    if chunk.finish is None:
-                        yield chunk
-                        continue
-                    await _read_end(response)
-                    yield chunk
-                    return
+                chunks = _chunk_decoder.decode_lines(lines)
+                if not chunks or chunks[-1].finish is None:
+                    yield chunks
+                    continue
+                yield chunks[:-1]
+                await _read_end(response)
+                yield chunks[-1:]
+                return
             raise failures.OutcomeUnknownError(
                 f"{self._address}: the stream ended before its last chunk"
             )
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -292,6 +292,24 @@
         [generation] = self.second.generations
         self.assertEqual(generation.model_version, newer)
 
+    async def test_a_refusal_after_a_possible_run_is_not_called_not_run(self):
+        """The caller hears `unknown`, though the last step was a refusal.
+
+        The first engine's connection breaks after the request was written.
+        Before the repeat the only version is withdrawn, so no version may be
+        sent to: true of the repeat, but not of the whole request.
+        """
+        gate = asyncio.Event()
+        self.first.scripts.append(fakes.Script(gate=gate, fails=lost()))
+        ending = asyncio.ensure_future(self.generate(key="finding-7"))
+        await fakes.settle()
+        self.fixture.versions.withdrawn.add(fakes.LARGE)
+        gate.set()
+        with self.assertRaises(errors.CodedError) as caught:
+            await fakes.to_end(self.fixture.clock, ending)
+        self.assertEqual(caught.exception.run_state, codes.RunState.UNKNOWN)
+        self.assertEqual(self.fixture.ledger.unknown, ["finding-7"])
+
     async def test_the_deadline_ends_a_silent_attempt(self):
         """The caller hears `unknown` at its deadline; the engine is told."""
         self.first.scripts.append(fakes.Script(gate=asyncio.Event()))
@@ -406,9 +424,13 @@
         self.assertEqual(self.fixture.budget.leave, 99)
 
     async def test_both_tokens_at_once_still_give_one_text(self):
-        """The caller reads one of the two texts: they come in one turn."""
-        for gate in self.gates:
+        """The caller reads the hedge's text: both come in one turn.
+
+        The first attempt's token is a moment later; that it lost must not
+        become the request's own failure.
+        """
+        for gate in reversed(self.gates):
             gate.set()
         answer = await self.ending
-        self.assertIn(self.sink.text, ("First text.", "Second text."))
+        self.assertEqual(self.sink.text, "Second text.")
         self.assertEqual(self.sink.text, answer.text)
--- a/tests/cover/test_dispatch_plain.py
+++ b/tests/cover/test_dispatch_plain.py
@@ -56,6 +56,9 @@
         key=strategies.sampled_from(["", "booking-7"]),
         leave=strategies.integers(0, 5),
     )
+    @hypothesis.example(
+        names=["lost"], repeatable=True, key="booking-7", leave=0
+    )
     def test_run_at_most_once_and_said_so(self, names, repeatable, key, leave):
         """A crew is booked once, or the caller knows what it can't know.
 
