--- a/bench/config.py
+++ b/bench/config.py
@@ -11,6 +11,7 @@
 import math
 import random
 import statistics
+import time
 
 import uvloop
 
@@ -43,6 +44,8 @@
 # Two readers a data centre, twice a second, with jitter on the pauses; at
 # nine data centres that is 45 of the store's 2,000 reads a second.
 READS_BOUND_PER_S = DATA_CENTRES * 2 * 2 * 1.25
+# Of the 4.6% of a core that a node may spend on all control.
+CPU_BOUND_PERCENT = 1.0
 # A quarter of the 3 KB/s that a node may spend on all control, both ways.
 BYTES_BOUND_PER_S = 768.0
 _TIMEOUT = datetime.timedelta(seconds=10)
@@ -51,7 +54,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Measured:
-    """What one fleet size gave; bytes are sent and received, a node."""
+    """What one fleet size gave.
+
+    Bytes are sent and received, a node; so is processor time, which holds
+    this bench's own and the table's.
+    """
 
     in_force_s: list[float]
     accept_s: list[float]
@@ -59,6 +66,8 @@
     idle_bytes_per_s: float
     busiest_idle_bytes_per_s: float
     bytes_per_change: float
+    idle_cpu_s_per_s: float
+    cpu_s_per_change: float
 
 
 class Node:
@@ -157,6 +166,16 @@
             value=measured.bytes_per_change,
             unit="B a node, both ways",
         ),
+        report.Line(
+            name=f"config.cpu_percent.{size}",
+            value=100
+            * (
+                measured.idle_cpu_s_per_s
+                + measured.cpu_s_per_change * PLANNED_CHANGES_PER_S
+            ),
+            unit="% of a core a node, at 3,700 changes a day",
+            bound=CPU_BOUND_PERCENT,
+        ),
     ]
 
 
@@ -173,14 +192,17 @@
     try:
         await _change(nodes, nodes[0], 0, [], [])
         await asyncio.sleep(2)
+        idle_cpu_s = time.process_time()
         idle_reads, idle_bytes = table.reads, [n.total_bytes() for n in nodes]
         await asyncio.sleep(IDLE_S)
+        idle_cpu_s_per_s = (time.process_time() - idle_cpu_s) / IDLE_S
         reads_per_s = (table.reads - idle_reads) / IDLE_S
         idle = [
             (node.total_bytes() - before) / IDLE_S
             for node, before in zip(nodes, idle_bytes, strict=True)
         ]
         begun_s = asyncio.get_running_loop().time()
+        begun_cpu_s = time.process_time()
         before = sum(node.total_bytes() for node in nodes)
         for number in range(1, CHANGES + 1):
             node = chooser.choice(nodes)
@@ -189,6 +211,8 @@
         elapsed_s = asyncio.get_running_loop().time() - begun_s
         spent = sum(node.total_bytes() for node in nodes) - before
         spent -= sum(idle) * elapsed_s
+        cpu_s = time.process_time() - begun_cpu_s
+        cpu_s -= idle_cpu_s_per_s * elapsed_s
     finally:
         await _stop(nodes, running)
     return Measured(
@@ -198,6 +222,8 @@
         idle_bytes_per_s=statistics.mean(idle),
         busiest_idle_bytes_per_s=max(idle),
         bytes_per_change=spent / size / CHANGES,
+        idle_cpu_s_per_s=idle_cpu_s_per_s / size,
+        cpu_s_per_change=cpu_s / size / CHANGES,
     )
 
 
