Read the documents whole, also across a change

Two faults of a start that reads documents, found on rereading. A change made between two pages left half of it in force until the next change: the state was given the head's number from before, and nobody applied what followed. And where old change rows had been cleared away, the missing row ended the task that keeps the configuration new.

The reading now ends with the changes up to a head read after the last page, and a log that does not begin where it should leads to reading the documents.

The commands say which setting is missing when they have no address, and list themselves in the help.

--- a/src/nutmeghook/internal/administration/commands.py
+++ b/src/nutmeghook/internal/administration/commands.py
@@ -25,6 +25,11 @@
 class AdministrationCommands(reading_commands.ReadingCommands):
     """Reads and changes the configuration.
 
+    Reading: status, list, show, history, change, outcome, draft, schema.
+    Changing: set, put, load, withdraw, roll_out, advance, roll_back,
+    remove_template, put_token, remove_token. Each explains itself:
+    `nutmeghook admin COMMAND --help`.
+
     Documents are named `fleet`, `team/TEAM` and `template/TEAM/NAME`;
     templates also `TEAM/NAME`. Versions are written `MODEL@VERSION`. Every
     change needs a --reason. Exit codes: 0 done, 1 not done, 2 wrong
@@ -74,15 +79,16 @@
     def set(
         self, template: str, reason: str, operation_id: str = "", **parameters
     ) -> None:
-        """Sets parameters of a template.
+        """Sets parameters of a template, each by a flag of its name.
+
+        For example --quality_target=0.9, or --roll_out='{"unrated_cap": 20}',
+        which leaves the other parameters of the roll-out as they are.
 
         Args:
             template: TEAM/NAME.
             reason: Why.
             operation_id: To repeat an earlier try; else a new one.
-            **parameters: For example --quality_target=0.9 or
-                --roll_out='{"unrated_cap": 20}', which leaves the other
-                parameters of the roll-out as they are.
+            **parameters: See docs/configuration-format.md.
         """
 
         async def edit(client: running.Client) -> edits.Edit:
--- a/src/nutmeghook/internal/administration/running.py
+++ b/src/nutmeghook/internal/administration/running.py
@@ -98,6 +98,12 @@
             print(rendering.operation(answer))
 
     def _run(self, call: Call, operation_id: str) -> msgspec.Struct:
+        if not self._url:
+            raise arguments.UsageError(
+                f"no address: set {URL_VARIABLE} or give --url, for example "
+                f"http://10.0.0.1:8080"
+            )
+
         async def run() -> msgspec.Struct:
             async with Client(
                 base_url=self._url,
--- a/src/nutmeghook/internal/config/store.py
+++ b/src/nutmeghook/internal/config/store.py
@@ -123,21 +123,18 @@
         Raises:
             failures.NotDoneError: Rows that the head promises are missing.
         """
-        reloaded = revision - state.revision > _LONGEST_CATCH_UP
-        if reloaded:
-            state = await self._load()
+        if revision - state.revision > _LONGEST_CATCH_UP:
+            return await self._reload()
         changes: list[rows.Change] = []
         while state.revision < revision:
             page = await self.changes_after(state.revision)
-            if not page:
-                raise failures.NotDoneError(
-                    f"the head says {revision}, but no change follows "
-                    f"{state.revision}"
-                )
+            if not _follows(page, state):
+                # Old changes may have been cleared out of the table.
+                return await self._reload()
             for change in page:
                 state = state.with_change(change)
             changes += page
-        return CatchUp(state=state, changes=None if reloaded else changes)
+        return CatchUp(state=state, changes=changes)
 
     async def commit(
         self, transaction: table_module.Transaction
@@ -152,15 +149,30 @@
                 f"no answer to a commit within {self._call_timeout}"
             ) from error
 
-    async def _load(self) -> state_module.ConfigState:
-        """Reads all documents.
+    async def _reload(self) -> CatchUp:
+        """Reads all documents and the changes made meanwhile.
 
         The pages are read one after the other while changes go on, so some
-        documents are newer than others. The changes behind the first head,
-        applied in order by the caller, make the whole consistent again: each
-        replaces its documents whole.
+        documents are newer than others. The changes from the head before to
+        the head after, applied in order, make the whole consistent again:
+        each replaces its documents whole.
         """
-        head = await self.head()
+        before = await self.head()
+        state = await self._load(before.revision)
+        after = await self.head()
+        while state.revision < after.revision:
+            page = await self.changes_after(state.revision)
+            if not _follows(page, state):
+                raise failures.NotDoneError(
+                    f"the head says {after.revision}, but what follows "
+                    f"{state.revision} is missing"
+                )
+            for change in page:
+                state = state.with_change(change)
+        return CatchUp(state=state, changes=None)
+
+    async def _load(self, revision: int) -> state_module.ConfigState:
+        """Reads all documents, to be called those of a revision."""
         state = state_module.EMPTY_STATE
         after = ""
         while True:
@@ -171,9 +183,7 @@
                 break
             after = page[-1].key
         return state_module.ConfigState(
-            snapshot=msgspec.structs.replace(
-                state.snapshot, revision=head.revision
-            ),
+            snapshot=msgspec.structs.replace(state.snapshot, revision=revision),
             document_revisions=state.document_revisions,
         )
 
@@ -196,6 +206,15 @@
             ) from error
 
 
+def _follows(
+    changes: list[rows.Change], state: state_module.ConfigState
+) -> bool:
+    """Tells whether there are changes and they follow on without a gap."""
+    first = state.revision + 1
+    expected = range(first, first + len(changes))
+    return bool(changes) and [c.revision for c in changes] == list(expected)
+
+
 def _decode(row: table_module.Row, row_type: type[_T]) -> _T:
     # A row that this release can't read must not end the task that reads it:
     # the instance goes on with what it has, and its age shows.
--- a/tests/cover/test_config_distribution.py
+++ b/tests/cover/test_config_distribution.py
@@ -5,11 +5,19 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
+from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import partners
+from nutmeghook.internal.config import rows
+from nutmeghook.internal.config import state as state_module
+from nutmeghook.internal.config import store as store_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.platform import table as table_module
+from nutmeghook.standins import memory_table
 from tests import config_fleet
 
 SECOND = config_fleet.SECOND
@@ -286,22 +294,81 @@
             await self.set_priority(priority)
         before = self.replica(only).state
         await self.fleet.crash(only)
-        with mock.patch.object(
-            config_fleet.assembly.store_module, "_LONGEST_CATCH_UP", 2
-        ):
+        with mock.patch.object(store_module, "_LONGEST_CATCH_UP", 2):
             self.fleet.start(only)
             await self.fleet.clock.advance(SECOND)
             self.assertEqual(self.replica(only).state, before)
 
+    async def test_start_when_old_changes_were_deleted(self):
+        """Callers are served as before.
+
+        Somebody cleared the audit's oldest rows out of the table. An instance
+        that starts alone finds that the log does not begin where it stands,
+        and reads the documents instead.
+        """
+        await self.start(per_data_centre=1, data_centres=1)
+        only = self.fleet.addresses[0]
+        await self.set_priority(8)
+        before = self.replica(only).state
+        await self.fleet.crash(only)
+        await self.fleet.table.commit(
+            table_module.Transaction(deletes=(rows.change_key(1),))
+        )
+        self.fleet.start(only)
+        await self.fleet.clock.advance(SECOND)
+        self.assertEqual(self.replica(only).state, before)
+
+    async def test_documents_read_across_a_change_are_whole(self):
+        """Callers never see half of a change.
+
+        A starting instance reads the documents page by page. Between two
+        pages a change replaces a document already read and one still to be
+        read. What it puts in force has both or none.
+        """
+        await self.start(per_data_centre=1, data_centres=2)
+        accepting, other = self.fleet.addresses
+        store = self.fleet.parts[other].store
+        both = msgspec.structs.replace(
+            config_fleet.first_import(expected_revision=1),
+            fleet=documents.Fleet(
+                models=config_fleet.first_import().fleet.models,
+                withdrawn=(config_fleet.NEXT,),
+            ),
+            templates=(config_fleet.template(priority=9),),
+        )
+        scan = memory_table.MemoryTable.scan
+        pages = []
+
+        async def scan_and_change(table, **arguments):
+            page = await scan(table, **arguments)
+            if arguments["prefix"] == rows.DOCUMENT_PREFIX:
+                pages.append(page)
+                if len(pages) == 1:
+                    await self.fleet.parts[accepting].accepter.accept(
+                        config_fleet.operation("op-between", both),
+                        timeout=SECOND,
+                    )
+            return page
+
+        with (
+            mock.patch.object(
+                memory_table.MemoryTable, "scan", scan_and_change
+            ),
+            mock.patch.object(store_module, "_PAGE_ROWS", 1),
+            mock.patch.object(store_module, "_LONGEST_CATCH_UP", 0),
+        ):
+            read = await store.catch_up(state_module.EMPTY_STATE, 1)
+        replica = self.replica(accepting)
+        self.assertEqual(replica.revision, 2)
+        self.assertEqual(read.state, replica.state)
+
     def test_ranks_agree_and_doubtful_members_do_not_read(self):
         members = config_fleet.ConfigFleet(per_data_centre=9).members
         first = partners.readers(members, "dc1")
         self.assertEqual(first, partners.readers(members[::-1], "dc1"))
         suspect = members_module.MemberHealth.SUSPECT
         doubted = [
-            m
-            if m not in first
-            else members_module.msgspec.structs.replace(m, health=suspect)
+            m if m not in first else msgspec.structs.replace(m, health=suspect)
             for m in members
         ]
         for reader in partners.readers(doubted, "dc1"):
@@ -310,6 +377,6 @@
 
 def down_table(fleet: config_fleet.ConfigFleet):
     """Returns a table that is down, for instances cut from the store."""
-    table = config_fleet.memory_table.MemoryTable(clock=fleet.clock)
+    table = memory_table.MemoryTable(clock=fleet.clock)
     table.faults.down = True
     return table
