--- a/src/nutmeghook/internal/config/planning.py
+++ b/src/nutmeghook/internal/config/planning.py
@@ -6,10 +6,10 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import shares
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 
 
 class StaleRevisionError(Exception):
@@ -125,9 +125,9 @@
 ) -> edits.Replacement:
     if edit.template:
         template = _template(state, edit.team, edit.template)
-        _stage_index(template, edit.model_version)
+        shares.stage_index(template, edit.model_version)
         return edits.Replacement(
-            templates=(_withdrawn_from(template, edit.model_version),)
+            templates=(shares.withdrawn_from(template, edit.model_version),)
         )
     fleet = state.snapshot.fleet
     withdrawn = {*fleet.withdrawn, edit.model_version}
@@ -136,9 +136,9 @@
             fleet, withdrawn=tuple(sorted(withdrawn))
         ),
         templates=tuple(
-            _withdrawn_from(template, edit.model_version)
+            shares.withdrawn_from(template, edit.model_version)
             for template in state.snapshot.templates.values()
-            if _uses(template, edit.model_version)
+            if shares.uses(template, edit.model_version)
         ),
     )
 
@@ -148,17 +148,17 @@
     edit: edits.RollOutVersion, state: state_module.ConfigState
 ) -> edits.Replacement:
     template = _template(state, edit.team, edit.template)
-    if _entry(template, edit.model_version) in (
+    if shares.state_of(template, edit.model_version) in (
         documents.VersionState.SERVING,
         documents.VersionState.ROLLING_OUT,
     ):
-        raise _refused(
+        raise shares.refused(
             f"{edit.model_version} is in template {template.name} already; "
             f"use set_roll_out_share to move a roll-out"
         )
     return edits.Replacement(
         templates=(
-            _with_entry(
+            shares.with_entry(
                 template,
                 edit.model_version,
                 documents.VersionState.ROLLING_OUT,
@@ -178,7 +178,7 @@
         entry_state = documents.VersionState.SERVING
     return edits.Replacement(
         templates=(
-            _with_entry(
+            shares.with_entry(
                 template, edit.model_version, entry_state, edit.share_percent
             ),
         )
@@ -191,7 +191,7 @@
 ) -> edits.Replacement:
     template = _rolling(state, edit)
     return edits.Replacement(
-        templates=(_withdrawn_from(template, edit.model_version),)
+        templates=(shares.withdrawn_from(template, edit.model_version),)
     )
 
 
@@ -228,10 +228,10 @@
     edit: edits.SetRollOutShare | edits.RollBackVersion,
 ) -> documents.Template:
     template = _template(state, edit.team, edit.template)
-    if _entry(template, edit.model_version) is not (
+    if shares.state_of(template, edit.model_version) is not (
         documents.VersionState.ROLLING_OUT
     ):
-        raise _refused(
+        raise shares.refused(
             f"{edit.model_version} is not rolling out in template "
             f"{template.name}; `show` tells what stands"
         )
@@ -245,116 +245,5 @@
     return edits.Replacement(teams=(team,))
 
 
-def _uses(
-    template: documents.Template, model_version: engine.ModelVersion
-) -> bool:
-    models = {stage.model for stage in template.stages}
-    return (
-        model_version.model in models
-        and _entry(template, model_version) is not None
-    )
-
-
-def _entry(
-    template: documents.Template, model_version: engine.ModelVersion
-) -> documents.VersionState | None:
-    """Returns the state of a version in a template; None if not named."""
-    stage = template.stages[_stage_index(template, model_version)]
-    for entry in stage.versions:
-        if entry.version == model_version.version:
-            return entry.state
-    return None
-
-
-def _stage_index(
-    template: documents.Template, model_version: engine.ModelVersion
-) -> int:
-    for index, stage in enumerate(template.stages):
-        if stage.model == model_version.model:
-            return index
-    raise _refused(
-        f"template {template.name} has no stage of model {model_version.model}"
-    )
-
-
-def _withdrawn_from(
-    template: documents.Template, model_version: engine.ModelVersion
-) -> documents.Template:
-    return _with_entry(
-        template, model_version, documents.VersionState.WITHDRAWN, 0.0
-    )
-
-
-def _with_entry(
-    template: documents.Template,
-    model_version: engine.ModelVersion,
-    entry_state: documents.VersionState,
-    share_percent: float,
-) -> documents.Template:
-    """Sets one version's entry; the others share the rest as before."""
-    index = _stage_index(template, model_version)
-    stage = template.stages[index]
-    others = [e for e in stage.versions if e.version != model_version.version]
-    rest_percent = edits.FULL_SHARE_PERCENT - share_percent
-    mine = documents.VersionEntry(
-        version=model_version.version,
-        state=entry_state,
-        share_percent=share_percent,
-    )
-    versions = (*_scaled(others, rest_percent), mine)
-    stages = list(template.stages)
-    stages[index] = msgspec.structs.replace(stage, versions=versions)
-    return msgspec.structs.replace(template, stages=tuple(stages))
-
-
-def _scaled(
-    entries: list[documents.VersionEntry], total_percent: float
-) -> list[documents.VersionEntry]:
-    """Scales the shares of serving versions so that all sum to a total.
-
-    Another version's roll-out keeps its share, which is what its exposure
-    was judged at, unless no serving version is left to take the rest.
-    """
-    taking = [e for e in entries if e.state is documents.VersionState.SERVING]
-    kept_percent = sum(
-        e.share_percent
-        for e in entries
-        if e.state is documents.VersionState.ROLLING_OUT
-    )
-    if not taking or kept_percent > total_percent:
-        taking = [
-            e
-            for e in entries
-            if e.state is not documents.VersionState.WITHDRAWN
-        ]
-        kept_percent = 0.0
-    return _divided(entries, taking, total_percent - kept_percent)
-
-
-def _divided(
-    entries: list[documents.VersionEntry],
-    taking: list[documents.VersionEntry],
-    total_percent: float,
-) -> list[documents.VersionEntry]:
-    sum_percent = sum(entry.share_percent for entry in taking)
-    divided = []
-    for entry in entries:
-        if entry in taking:
-            part = (
-                entry.share_percent / sum_percent
-                if sum_percent > 0
-                else 1 / len(taking)
-            )
-            entry = msgspec.structs.replace(
-                entry, share_percent=round(total_percent * part, 6)
-            )
-        divided.append(entry)
-    return divided
-
-
 def _not_found(detail: str) -> errors.CodedError:
     return errors.CodedError(code=codes.Code.NOT_FOUND, detail=detail)
-
-
-def _refused(detail: str) -> errors.CodedError:
-    return errors.CodedError(code=codes.Code.INVALID_TEMPLATE, detail=detail)
--- /dev/null
+++ b/src/nutmeghook/internal/config/shares.py
@@ -0,0 +1,128 @@
+"""Sets a version's state and share in a template; the others make room."""
+
+import msgspec
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import edits
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.platform import engine
+
+
+def uses(
+    template: documents.Template, model_version: engine.ModelVersion
+) -> bool:
+    """Tells whether a template names a version."""
+    models = {stage.model for stage in template.stages}
+    return (
+        model_version.model in models
+        and state_of(template, model_version) is not None
+    )
+
+
+def state_of(
+    template: documents.Template, model_version: engine.ModelVersion
+) -> documents.VersionState | None:
+    """Returns the state of a version in a template; None if not named."""
+    stage = template.stages[stage_index(template, model_version)]
+    for entry in stage.versions:
+        if entry.version == model_version.version:
+            return entry.state
+    return None
+
+
+def stage_index(
+    template: documents.Template, model_version: engine.ModelVersion
+) -> int:
+    """Returns the index of the version's stage.
+
+    Raises:
+        errors.CodedError: `INVALID_TEMPLATE`, there is none.
+    """
+    for index, stage in enumerate(template.stages):
+        if stage.model == model_version.model:
+            return index
+    raise refused(
+        f"template {template.name} has no stage of model {model_version.model}"
+    )
+
+
+def withdrawn_from(
+    template: documents.Template, model_version: engine.ModelVersion
+) -> documents.Template:
+    """Returns a template in which a version takes no new work."""
+    return with_entry(
+        template, model_version, documents.VersionState.WITHDRAWN, 0.0
+    )
+
+
+def with_entry(
+    template: documents.Template,
+    model_version: engine.ModelVersion,
+    entry_state: documents.VersionState,
+    share_percent: float,
+) -> documents.Template:
+    """Sets one version's entry; the others share the rest as before."""
+    index = stage_index(template, model_version)
+    stage = template.stages[index]
+    others = [e for e in stage.versions if e.version != model_version.version]
+    rest_percent = edits.FULL_SHARE_PERCENT - share_percent
+    mine = documents.VersionEntry(
+        version=model_version.version,
+        state=entry_state,
+        share_percent=share_percent,
+    )
+    versions = (*_scaled(others, rest_percent), mine)
+    stages = list(template.stages)
+    stages[index] = msgspec.structs.replace(stage, versions=versions)
+    return msgspec.structs.replace(template, stages=tuple(stages))
+
+
+def _scaled(
+    entries: list[documents.VersionEntry], total_percent: float
+) -> list[documents.VersionEntry]:
+    """Scales the shares of serving versions so that all sum to a total.
+
+    Another version's roll-out keeps its share, which is what its exposure
+    was judged at, unless no serving version is left to take the rest.
+    """
+    taking = [e for e in entries if e.state is documents.VersionState.SERVING]
+    kept_percent = sum(
+        e.share_percent
+        for e in entries
+        if e.state is documents.VersionState.ROLLING_OUT
+    )
+    if not taking or kept_percent > total_percent:
+        taking = [
+            e
+            for e in entries
+            if e.state is not documents.VersionState.WITHDRAWN
+        ]
+        kept_percent = 0.0
+    return _divided(entries, taking, total_percent - kept_percent)
+
+
+def _divided(
+    entries: list[documents.VersionEntry],
+    taking: list[documents.VersionEntry],
+    total_percent: float,
+) -> list[documents.VersionEntry]:
+    sum_percent = sum(entry.share_percent for entry in taking)
+    divided = []
+    for entry in entries:
+        if entry in taking:
+            part = (
+                entry.share_percent / sum_percent
+                if sum_percent > 0
+                else 1 / len(taking)
+            )
+            entry = msgspec.structs.replace(
+                entry, share_percent=round(total_percent * part, 6)
+            )
+        divided.append(entry)
+    return divided
+
+
+def refused(detail: str) -> errors.CodedError:
+    """Returns the error of an edit that does not fit the template."""
+    return errors.CodedError(code=codes.Code.INVALID_TEMPLATE, detail=detail)
