Bound the memory of large bodies, and check tokens before anything else

Cause: each caller may send 10 MB; a dozen at once would take an instance over its 128 MB, and every request on it down with it. The crossed chunk of the tests was also out of place, so that the check of the attempt's id was seen to fail by the property alone. Ruled out: a lower limit for all (the page of the product says 10 MB); a bound on the number of requests (admission has one; small ones are many). Change: bodies over 64 KB share 30 MB; the next one is told `OVERLOADED`, to come again. What has no known token holds no place. A chat request and the form of its answer are one typed value; null contents are taken as empty, as other services do. Seen to fail: with the bound, its release, the size limit, the attempt's id, the gap's end of reading and the deadline taken out one at a time. Conclusion: bad input costs a token look-up, or a bounded buffer.

--- a/src/nutmeghook/internal/entry/application.py
+++ b/src/nutmeghook/internal/entry/application.py
@@ -7,6 +7,7 @@
 import eliot
 import msgspec
 
+from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dispatch import answers
@@ -26,12 +27,16 @@
 
 _WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 _Handler = Callable[[web.Request, str], Awaitable[web.StreamResponse]]
+_WorkHandler = Callable[
+    [web.Request, str, documents.Team], Awaitable[web.StreamResponse]
+]
 
 
 class EntryHandlers:
     """The handlers of the paths that callers use."""
 
     __slots__ = (
+        "_bodies",
         "_clock",
         "_config",
         "_dispatcher",
@@ -50,6 +55,7 @@
         drain: drain_module.Drain,
         identifiers: identifiers_module.IdentifierSource,
     ):
+        self._bodies = bodies.BodyBudget()
         self._clock = clock
         self._config = config
         self._dispatcher = dispatcher
@@ -88,55 +94,61 @@
 
         return handle
 
-    def _work(self, handler: _Handler) -> _WebHandler:
-        """Wraps a handler that a drain has to wait for."""
+    def _work(self, handler: _WorkHandler) -> _WebHandler:
+        """Wraps a handler that a drain has to wait for.
+
+        The token comes first: what has none costs nothing else.
+        """
 
         async def handle(
             request: web.Request, request_id: str
         ) -> web.StreamResponse:
-            with self._drain.request():
-                return await handler(request, request_id)
+            team = self._intake.team(request)
+            with self._drain.request(), self._bodies.reserved(request):
+                return await handler(request, request_id, team)
 
         return self._coded(handle)
 
     async def _chat(
-        self, request: web.Request, request_id: str
+        self, request: web.Request, request_id: str, team: documents.Team
     ) -> web.StreamResponse:
-        generation, chat = await self._intake.chat(
-            request, request_id=request_id
+        chat = await self._intake.chat(
+            request, request_id=request_id, team=team
         )
         created_s = int(self._clock.now().timestamp())
-        if not chat.stream:
+        model = chat.generation.template.name
+        if not chat.is_streamed:
             sink = sinks.WholeSink(
-                request_id=request_id, model=chat.model, created_s=created_s
+                request_id=request_id,
+                model=model,
+                created_s=created_s,
             )
-            answer = await self._dispatcher.generate(generation, sink)
+            answer = await self._dispatcher.generate(chat.generation, sink)
             if isinstance(answer, answers.GeneratedAnswer):
                 answer = sink.encode_whole(answer)
             return _kept_response(answer, request_id)
         sink = sinks.StreamSink(
             request=request,
             request_id=request_id,
-            model=chat.model,
+            model=model,
             created_s=created_s,
         )
-        options = chat.stream_options or shapes.StreamOptions()
         try:
-            answer = await self._dispatcher.generate(generation, sink)
+            answer = await self._dispatcher.generate(chat.generation, sink)
             if isinstance(answer, ledger.KeptAnswer):
                 answer = await sink.replay(answer)
-            return await sink.finish(
-                answer, include_usage=options.include_usage
-            )
+            return await sink.finish(answer, include_usage=chat.include_usage)
         except errors.CodedError as error:
             if not sink.started:
                 raise
             return await sink.fail(error)
 
     async def _plain(
-        self, request: web.Request, request_id: str
+        self, request: web.Request, request_id: str, team: documents.Team
     ) -> web.StreamResponse:
-        call = await self._intake.plain(request, request_id=request_id)
+        call = await self._intake.plain(
+            request, request_id=request_id, team=team
+        )
         answer = await self._dispatcher.call_plain(call)
         if isinstance(answer, ledger.KeptAnswer):
             return _kept_response(answer, request_id)
--- a/src/nutmeghook/internal/entry/bodies.py
+++ b/src/nutmeghook/internal/entry/bodies.py
@@ -1,5 +1,7 @@
-"""Reading a request's body, within bounds of size and time."""
+"""Reading a request's body, within bounds of size, time and memory."""
 
+from collections.abc import Iterator
+import contextlib
 import datetime
 
 from aiohttp import web
@@ -10,6 +12,49 @@
 
 MAX_BODY_BYTES = 10 * 1024 * 1024
 BODY_TIMEOUT = datetime.timedelta(seconds=10)
+LARGE_BODY_BYTES = 64 * 1024
+LARGE_BODIES_BYTES = 3 * MAX_BODY_BYTES
+RETRY_AFTER_LARGE_BODIES = datetime.timedelta(seconds=1)
+
+
+class BodyBudget:
+    """Bounds the memory that the large bodies of all requests take.
+
+    The failure: a dozen callers send 10 MB each, as each of them may, and the
+    instance is over its 128 MB and killed, with the requests of all others.
+    Small bodies, which are nearly all, are bounded by admission.
+    """
+
+    __slots__ = ("_reserved_bytes",)
+
+    def __init__(self):
+        self._reserved_bytes = 0
+
+    @contextlib.contextmanager
+    def reserved(self, request: web.Request) -> Iterator[None]:
+        """Holds room for a request's body until the request ends.
+
+        Raises:
+            errors.CodedError: `TOO_LARGE`, or `OVERLOADED` while there is no
+                room.
+        """
+        size_bytes = _announced_bytes(request)
+        if size_bytes > MAX_BODY_BYTES:
+            raise _too_large()
+        if size_bytes < LARGE_BODY_BYTES:
+            yield
+            return
+        if self._reserved_bytes + size_bytes > LARGE_BODIES_BYTES:
+            raise errors.CodedError(
+                code=codes.Code.OVERLOADED,
+                detail="too many large bodies are being handled",
+                retry_after=RETRY_AFTER_LARGE_BODIES,
+            )
+        self._reserved_bytes += size_bytes
+        try:
+            yield
+        finally:
+            self._reserved_bytes -= size_bytes
 
 
 async def read_body(
@@ -21,8 +66,6 @@
         errors.CodedError: `TOO_LARGE`, or `SLOW_SENDER` if it was not there
             in time.
     """
-    if (request.content_length or 0) > MAX_BODY_BYTES:
-        raise _too_large()
     try:
         return await clock.wait_for(request.read(), BODY_TIMEOUT)
     except web.HTTPRequestEntityTooLarge as error:
@@ -34,6 +77,13 @@
         ) from error
 
 
+def _announced_bytes(request: web.Request) -> int:
+    """Returns the body's size; the most possible where it is not told."""
+    if request.content_length is not None:
+        return request.content_length
+    return MAX_BODY_BYTES if request.body_exists else 0
+
+
 def _too_large() -> errors.CodedError:
     return errors.CodedError(
         code=codes.Code.TOO_LARGE,
--- a/src/nutmeghook/internal/entry/intake.py
+++ b/src/nutmeghook/internal/entry/intake.py
@@ -1,5 +1,6 @@
 """Turns HTTP requests into checked requests for the dispatcher."""
 
+import dataclasses
 import datetime
 
 from aiohttp import web
@@ -24,6 +25,15 @@
 RETRY_UNCONFIGURED = datetime.timedelta(milliseconds=500)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ChatCall:
+    """A chat request, and the form that its answer is to have."""
+
+    generation: requests.GenerationRequest
+    is_streamed: bool
+    include_usage: bool
+
+
 class Intake:
     """Checks what callers send, cheapest check first."""
 
@@ -72,15 +82,14 @@
             )
 
     async def chat(
-        self, request: web.Request, *, request_id: str
-    ) -> tuple[requests.GenerationRequest, shapes.ChatRequest]:
+        self, request: web.Request, *, request_id: str, team: documents.Team
+    ) -> ChatCall:
         """Reads a chat request.
 
         Raises:
             errors.CodedError: Something in it is wrong.
         """
         arrived = self._clock.monotonic()
-        team = self.team(request)
         headers = headers_module.caller_headers(request.headers)
         body = await bodies.read_body(request, clock=self._clock)
         chat = self._decode_chat(body)
@@ -89,7 +98,7 @@
             engine.Message(role=m.role, content=m.plain_text())
             for m in chat.messages
         )
-        return requests.GenerationRequest(
+        generation = requests.GenerationRequest(
             request_id=request_id,
             identity=_identity(team, headers, request_id, (body,)),
             team=team,
@@ -103,10 +112,16 @@
             priority=_priority(headers, template.priority),
             arrived=arrived,
             deadline=arrived + _allowed(headers, template.deadline_ms),
-        ), chat
+        )
+        return ChatCall(
+            generation=generation,
+            is_streamed=bool(chat.stream),
+            include_usage=chat.stream_options is not None
+            and chat.stream_options.include_usage,
+        )
 
     async def plain(
-        self, request: web.Request, *, request_id: str
+        self, request: web.Request, *, request_id: str, team: documents.Team
     ) -> requests.PlainRequest:
         """Reads a call of a plain service.
 
@@ -114,7 +129,6 @@
             errors.CodedError: Something in it is wrong.
         """
         arrived = self._clock.monotonic()
-        team = self.team(request)
         headers = headers_module.caller_headers(request.headers)
         target = paths.service_target(request.rel_url)
         route = paths.route_for(team, target)
--- a/src/nutmeghook/internal/entry/shapes.py
+++ b/src/nutmeghook/internal/entry/shapes.py
@@ -21,7 +21,7 @@
     """One turn, as callers send it."""
 
     role: str
-    content: str | list[TextPart] = ""
+    content: str | list[TextPart] | None = None
 
     def plain_text(self) -> str:
         """Returns the content as one text.
@@ -29,6 +29,8 @@
         Raises:
             errors.CodedError: A part is not text.
         """
+        if self.content is None:
+            return ""
         if isinstance(self.content, str):
             return self.content
         for part in self.content:
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -191,8 +191,12 @@
         self.assertEqual(self.second.generations, [])
 
     async def test_a_missing_chunk_is_asked_for_again(self):
-        """The caller misses nothing: token 1 was skipped, and is fetched."""
-        self.first.scripts.append(fakes.Script(order=[0, 2]))
+        """The caller misses nothing: token 1 was skipped, and is fetched.
+
+        The connection stays open; waiting for its end would cost the caller
+        its deadline.
+        """
+        self.first.scripts.append(fakes.Script(order=[0, 2], goes_silent=True))
         answer = await self.ended()
         self.assertEqual(self.sink.text, answer.text)
         self.assertEqual(self.first.generations[1].resume_at_token, 1)
--- a/tests/cover/test_entry_http.py
+++ b/tests/cover/test_entry_http.py
@@ -16,6 +16,8 @@
 from nutmeghook.internal.foundation import errors
 from tests import fakes
 
+# Only ends a test that would hang for ever.
+HANGS_AFTER_S = 30
 CHAT = "/v1/chat/completions"
 HEADERS = {"Authorization": f"Bearer {fakes.TOKEN}"}
 QUESTION = {
@@ -57,7 +59,7 @@
         host, port = self.listener.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(request)
-        answer = await reader.read()
+        answer = await asyncio.wait_for(reader.read(), HANGS_AFTER_S)
         writer.close()
         return answer
 
@@ -121,6 +123,31 @@
         )
         self.assertIn(b"TOO_LARGE", answer)
 
+    async def test_large_bodies_can_t_fill_the_memory(self):
+        """The caller of the fourth 10 MB is told to come again.
+
+        Three others have announced as much and are slow to send it.
+        """
+        host, port = self.listener.address.split(":")
+        head = (
+            f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            f"Authorization: Bearer {fakes.TOKEN}\r\n"
+            f"Content-Length: {bodies.MAX_BODY_BYTES}\r\n\r\n".encode()
+        )
+        writers = []
+        for number in range(3):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head)
+            await fakes.until(lambda n=number: self.drain.in_flight > n)
+            writers.append(writer)
+        answer = await self.raw(head)
+        self.assertIn(b'"OVERLOADED"', answer)
+        for writer in writers:
+            writer.close()
+        await fakes.until(lambda: not self.drain.in_flight)
+        async with self.session.post(CHAT, data=b"x" * 100_000) as response:
+            await self.assert_coded(response, codes.Code.BAD_JSON)
+
     async def test_a_slow_sender_is_told_and_dropped(self):
         """The caller's body stops in mid-way; it holds no place for ever."""
         host, port = self.listener.address.split(":")
@@ -132,7 +159,8 @@
         )
         await fakes.until(lambda: self.drain.in_flight)
         await self.fixture.clock.advance(bodies.BODY_TIMEOUT)
-        self.assertIn(b"SLOW_SENDER", await reader.read())
+        answer = await asyncio.wait_for(reader.read(), HANGS_AFTER_S)
+        self.assertIn(b"SLOW_SENDER", answer)
         self.assertEqual(self.drain.in_flight, 0)
         writer.close()
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -111,6 +111,7 @@
         order: Which of the attempt's chunks are sent, in place of those due;
             a negative number is a chunk of another attempt.
         gate: Waited for before the first chunk.
+        goes_silent: The connection stays open behind the last chunk.
     """
 
     words: tuple[str, ...] = ("The ", "boiler ", "holds.")
@@ -118,6 +119,7 @@
     cut_after: int | None = None
     order: list[int] | None = None
     gate: asyncio.Event | None = None
+    goes_silent: bool = False
     finish: engine.FinishReason = engine.FinishReason.STOP
 
 
@@ -150,6 +152,8 @@
             if number == script.cut_after:
                 raise failures.OutcomeUnknownError("connection reset")
             yield _chunk(generation.attempt_id, words, index, script.finish)
+        if script.goes_silent:
+            await asyncio.get_running_loop().create_future()
 
     async def cancel(self, attempt_id):
         self.cancelled.append(attempt_id)
@@ -178,7 +182,10 @@
 ) -> engine.Chunk:
     if not 0 <= index < len(words):
         return engine.Chunk(
-            attempt_id="req-0/1", token_index=0, tokens=1, text="crossed"
+            attempt_id="req-0/1",
+            token_index=abs(index),
+            tokens=1,
+            text="crossed",
         )
     is_last = index == len(words) - 1
     return engine.Chunk(
