--- a/src/nutmeghook/experiment/demo.py
+++ b/src/nutmeghook/experiment/demo.py
@@ -64,7 +64,7 @@
         await asyncio.sleep(2)
         _say("accepting a template change")
         await self._change_template()
-        _say(f"rolling out {example_fleet.NEW_VERSION}, which is bad")
+        _say(f"rolling out {example_fleet.BAD_VERSION}, which is bad")
         await faults.bad_rollout(self._trial)
         await asyncio.sleep(3)
         _say("SIGKILL for one instance; a new one takes its place")
@@ -105,7 +105,7 @@
 
     async def _rollout_stopped(self) -> bool:
         withdrawn = await self._trial.withdrawn()
-        return str(example_fleet.NEW_VERSION) in withdrawn
+        return str(example_fleet.BAD_VERSION) in withdrawn
 
     async def _judge(self) -> report_module.Summary:
         _say("collecting the evidence")
--- a/src/nutmeghook/experiment/evidence.py
+++ b/src/nutmeghook/experiment/evidence.py
@@ -16,15 +16,12 @@
 from nutmeghook.standins import engine_runs
 from nutmeghook.standins import memory_plain
 
-ENGINE_ROLE = "engine"
-PLAIN_ROLE = "plain_service"
-
 
 async def runs_of(system: system_module.System) -> list[checks.Run]:
     """Returns all executions, as the backend servers logged them."""
     runs: list[checks.Run] = []
     for served in system.addresses.stand_ins:
-        if served.role == ENGINE_ROLE:
+        if served.role == system_module.ENGINE_ROLE:
             content = await system.read_control(served.name, "runs")
             runs += [
                 _engine_run(record)
@@ -32,7 +29,7 @@
                     content, type=list[engine_runs.RunRecord]
                 )
             ]
-        elif served.role == PLAIN_ROLE:
+        elif served.role == system_module.PLAIN_ROLE:
             content = await system.read_control(served.name, "runs")
             runs += [
                 _plain_run(record)
--- a/src/nutmeghook/experiment/example_fleet.py
+++ b/src/nutmeghook/experiment/example_fleet.py
@@ -19,8 +19,18 @@
 LARGE_MODEL = "inspect-large"
 FAST_MODEL = "roster-fast"
 DEEP_MODEL = "roster-deep"
-NEW_VERSION = engine.ModelVersion(model=SMALL_MODEL, version="2")
-GOOD_VERSION = engine.ModelVersion(model=SMALL_MODEL, version="1")
+# A version that is bad wherever it runs, and one that is as good as its
+# predecessor; both are loaded and wait for their roll-out.
+BAD_VERSION = engine.ModelVersion(model=SMALL_MODEL, version="2")
+GOOD_VERSION = engine.ModelVersion(model=FAST_MODEL, version="2")
+# The steps are large and few, so that a roll-out's end is seen within a short
+# run; the Agency asks for more ratings a step, as it fears bad versions more.
+AGENCY_ROLL_OUTS = documents.RollOutPolicy(
+    steps_percent=(20.0, 50.0, 100.0), ratings_per_step=30
+)
+AIRLINE_ROLL_OUTS = documents.RollOutPolicy(
+    steps_percent=(30.0, 60.0, 100.0), ratings_per_step=6
+)
 WEIGHT_BYTES = 10**9
 AGENCY_ENGINES = 6
 AIRLINE_ENGINES = 9
@@ -132,7 +142,12 @@
         ]
     for team in AIRLINE_TEAMS:
         templates += [
-            _template(team, "legality-check", (FAST_MODEL, DEEP_MODEL)),
+            _template(
+                team,
+                "legality-check",
+                (FAST_MODEL, DEEP_MODEL),
+                roll_out=AIRLINE_ROLL_OUTS,
+            ),
             _template(
                 team,
                 "full-rebuild",
@@ -151,6 +166,7 @@
     *,
     start: documents.StartPolicy = documents.StartPolicy.CHEAPEST,
     priority: int = 5,
+    roll_out: documents.RollOutPolicy = AGENCY_ROLL_OUTS,
 ) -> documents.Template:
     return documents.Template(
         team=team,
@@ -164,9 +180,7 @@
         start=start,
         priority=priority,
         freshness=documents.FreshnessPolicy.STOP_ROLL_OUTS,
-        roll_out=documents.RollOutPolicy(
-            steps_percent=(20.0, 50.0, 100.0), ratings_per_step=30
-        ),
+        roll_out=roll_out,
     )
 
 
@@ -235,12 +249,16 @@
             data_centre=data_centre(region, number),
             loaded=(
                 *(f"{model}@1" for model in loaded),
-                *((str(NEW_VERSION),) if SMALL_MODEL in loaded else ()),
+                *(
+                    str(version)
+                    for version in (BAD_VERSION, GOOD_VERSION)
+                    if version.model in loaded
+                ),
             ),
             settings=engine_settings.EngineSettings(
                 step_ms=5.0,
                 prompt_token_ms=0.05,
-                bad_versions=(NEW_VERSION,),
+                bad_versions=(BAD_VERSION,),
                 mean_answer_tokens=mean_answer_tokens,
             ),
         )
--- a/src/nutmeghook/experiment/faults.py
+++ b/src/nutmeghook/experiment/faults.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from nutmeghook.experiment import example_fleet
+from nutmeghook.experiment import system as system_module
 from nutmeghook.experiment import trial as trial_module
 from nutmeghook.internal.administration import bodies
 from nutmeghook.internal.administration import client as client_module
@@ -19,14 +20,22 @@
 # Longer than a lease lasts with its margin, so that others take over.
 FREEZE_S = 7.0
 OUTAGE_S = 4.0
+KILL_AFTER_S = 1.2
 SLOW_MS = 400.0
 LOST_ANSWERS = 25
+SERVICE_SLOW_MS = 800.0
+WITHDRAWN_AFTER_S = 4.0
 RACES = 5
 
 
 async def kill_instance(trial: trial_module.Trial) -> None:
-    """SIGKILL for the newest instance; another takes its place."""
+    """SIGKILL for the newest instance; another takes its place.
+
+    It comes a moment after the other faults of a pair, so that it finds their
+    work half done: bills that wait for a slow store, calls without an answer.
+    """
     victim = trial.running()[-1]
+    await asyncio.sleep(KILL_AFTER_S)
     victim.process.kill()
     await victim.process.ended()
     await trial.add_instance()
@@ -141,6 +150,21 @@
         await trial.system.set_faults(name, faults)
 
 
+async def services_slow(trial: trial_module.Trial) -> None:
+    """Each call of a plain service takes 0.8 s before it is answered."""
+    await _slow_services(trial, SERVICE_SLOW_MS)
+    await asyncio.sleep(OUTAGE_S)
+    await _slow_services(trial, 0.0)
+
+
+async def _slow_services(trial: trial_module.Trial, delay_ms: float) -> None:
+    for served in trial.system.addresses.stand_ins:
+        if served.role == system_module.PLAIN_ROLE:
+            await trial.system.set_faults(
+                served.name, control.FaultSettings(delay_ms=delay_ms)
+            )
+
+
 async def operators_race(trial: trial_module.Trial) -> None:
     """Two operators replace one template from the same revision."""
     template = example_fleet.template_documents()[0]
@@ -190,16 +214,42 @@
         edits.RollOutVersion(
             team=trial_module.ROLLOUT_TEAM,
             template=trial_module.ROLLOUT_TEMPLATE,
-            model_version=example_fleet.NEW_VERSION,
+            model_version=example_fleet.BAD_VERSION,
+        ),
+        reason="new version",
+    )
+
+
+async def good_rollout(trial: trial_module.Trial) -> None:
+    """A version that is as good as its predecessor is rolled out."""
+    await trial.accept(
+        edits.RollOutVersion(
+            team=trial_module.GOOD_ROLLOUT_TEAM,
+            template=trial_module.GOOD_ROLLOUT_TEMPLATE,
+            model_version=example_fleet.GOOD_VERSION,
         ),
         reason="new version",
     )
 
 
+async def withdrawal(trial: trial_module.Trial) -> None:
+    """A version rolls out, and an operator withdraws it half-way."""
+    await good_rollout(trial)
+    await asyncio.sleep(WITHDRAWN_AFTER_S)
+    await trial.accept(
+        edits.WithdrawVersion(
+            team=trial_module.GOOD_ROLLOUT_TEAM,
+            template=trial_module.GOOD_ROLLOUT_TEMPLATE,
+            model_version=example_fleet.GOOD_VERSION,
+        ),
+        reason="complaints",
+    )
+
+
 def engine_names(trial: trial_module.Trial) -> list[str]:
     """Returns the names of all engine stand-ins."""
     return [
         served.name
         for served in trial.system.addresses.stand_ins
-        if served.role == "engine"
+        if served.role == system_module.ENGINE_ROLE
     ]
--- a/src/nutmeghook/experiment/system.py
+++ b/src/nutmeghook/experiment/system.py
@@ -22,6 +22,8 @@
 from nutmeghook.standins import fleet as fleet_module
 
 INSTANCE_PROGRAM = (*processes.INTERPRETER, "nutmeghook")
+ENGINE_ROLE = "engine"
+PLAIN_ROLE = "plain_service"
 READY_PATH = "/readyz"
 READY_TIMEOUT_S = 30.0
 CONFIG_WAIT_MS = 8_000
--- a/src/nutmeghook/experiment/trial.py
+++ b/src/nutmeghook/experiment/trial.py
@@ -25,6 +25,8 @@
 MOST_AT_ONCE = 200
 ROLLOUT_TEAM = "inspectors-north"
 ROLLOUT_TEMPLATE = "certificate-lookup"
+GOOD_ROLLOUT_TEAM = "siam-charter"
+GOOD_ROLLOUT_TEMPLATE = "legality-check"
 
 
 class Trial:
--- a/src/nutmeghook/experiment/workload.py
+++ b/src/nutmeghook/experiment/workload.py
@@ -55,7 +55,7 @@
         share=0.6,
         streamed_share=0.5,
         keyed_share=0.3,
-        session_share=0.5,
+        session_share=0.8,
         prompt_words=40,
         max_tokens=24,
     ),
@@ -98,7 +98,7 @@
         share=0.6,
         streamed_share=0.5,
         keyed_share=0.3,
-        session_share=0.5,
+        session_share=0.8,
         prompt_words=60,
         max_tokens=24,
     ),
@@ -134,7 +134,10 @@
         once=True,
     ),
 )
-SESSIONS_PER_TEAM = 25
+# Sessions that are open at once, by how many pieces of work (of all teams) they
+# last. New ones begin all the time: only those may get a version that is
+# rolling out. Long ones are still open after its withdrawal.
+SESSION_LIVES_WORKS = (150, 420)
 
 
 class Workload:
@@ -180,8 +183,10 @@
     def _session(self, team: str, kind: KindOfWork) -> str:
         if not self._chance(kind.session_share):
             return ""
-        number = self._randomness.randrange(SESSIONS_PER_TEAM)
-        return f"{team}-{kind.target}-{number}"
+        life = self._randomness.choice(SESSION_LIVES_WORKS)
+        # An offset: long sessions begin in the middle of a run as well.
+        generation = (self._count + life // 2) // life
+        return f"{team}-{kind.target}-{life}-{generation}"
 
     def _chance(self, share: float) -> bool:
         return self._randomness.random() < share
--- a/tests/whole/test_trials_backends.py
+++ b/tests/whole/test_trials_backends.py
@@ -1,5 +1,6 @@
 """Engines and services that fail, and versions that are bad."""
 
+from nutmeghook.experiment import example_fleet
 from nutmeghook.experiment import faults
 from tests.whole import trial_case
 
@@ -30,3 +31,25 @@
         word or as soon as the list is back.
         """
         self.hold_under(faults.instance_list_down, faults.kill_instance)
+
+    def test_good_rollout_with_a_freeze(self):
+        """A good version goes from 30 to 60 to 100% of new sessions while an
+        instance stands still past its leases. A session that began on the
+        old version must stay there, on every instance, however the shares
+        move; the frozen one wakes with shares that are seconds old.
+        """
+        works = self.hold_under(faults.good_rollout, faults.freeze_instance)
+        versions = {a.served_version for w in works for a in w.answers}
+        self.assertIn(str(example_fleet.GOOD_VERSION), versions)
+
+    def test_withdrawal_half_way_with_a_freeze(self):
+        """An operator withdraws a version that is half rolled out, while an
+        instance stands still. When it wakes, its configuration is older than
+        the withdrawal, and requests wait in it that were admitted before; it
+        must not give the version new work once the change is to be in force.
+        """
+        works = self.hold_under(
+            faults.withdrawal, faults.freeze_instance, works=480
+        )
+        versions = {a.served_version for w in works for a in w.answers}
+        self.assertIn(str(example_fleet.GOOD_VERSION), versions)
--- a/tests/whole/test_trials_instances.py
+++ b/tests/whole/test_trials_instances.py
@@ -8,13 +8,13 @@
 class InstanceTrialsTest(trial_case.TrialCase):
     """Kills, freezes and drains of entry instances."""
 
-    def test_kill(self):
+    def test_kill_with_calls_under_way(self):
         """An instance dies with requests, claims and bills in its memory.
         Its callers' connections are cut; they ask again under the same key
         and hear the first answer, or that it is unknown: another instance
         must not run the work again, nor bill it twice.
         """
-        self.hold_under(faults.kill_instance)
+        self.hold_under(faults.services_slow, faults.kill_instance)
 
     def test_freeze_past_the_lease_with_a_kill(self):
         """An instance stands still for longer than its leases last, and
--- a/tests/whole/test_trials_stores.py
+++ b/tests/whole/test_trials_stores.py
@@ -33,3 +33,11 @@
         instance stands still past its leases and wakes.
         """
         self.hold_under(faults.table_slow, faults.freeze_instance)
+
+    def test_hanging_table_with_a_kill(self):
+        """The table service takes requests and never answers; an instance
+        dies while the bills of its answers wait. An answer that a caller has
+        whole must be billed: so none may have been given before its bill was
+        durable, here or in the object store.
+        """
+        self.hold_under(faults.table_hangs, faults.kill_instance)
--- a/tests/whole/trial_case.py
+++ b/tests/whole/trial_case.py
@@ -11,25 +11,28 @@
 WORKS = 250
 WORKS_PER_S = 40.0
 INSTANCES = 3
+SEED = 1
 FIRST_FAULT_AFTER_S = 1.0
 
 
 class TrialCase(unittest.TestCase):
     """A trial ends without a violation, whatever was answered or refused."""
 
-    def hold_under(self, *together: faults.Fault, seed: int = 1):
+    def hold_under(self, *together: faults.Fault, works: int = WORKS):
         """Brings faults about together under load and checks ten rules."""
         with tempfile.TemporaryDirectory() as folder:
-            works = asyncio.run(self._run(pathlib.Path(folder), together, seed))
-        self.assertGreaterEqual(len(works), WORKS)
-        return works
+            ended = asyncio.run(
+                self._run(pathlib.Path(folder), together, works)
+            )
+        self.assertEqual(len(ended), works)
+        return ended
 
-    async def _run(self, folder, together, seed):
-        trial = trial_module.Trial(folder=folder, seed=seed, drain_lag_ms=700)
+    async def _run(self, folder, together, works):
+        trial = trial_module.Trial(folder=folder, seed=SEED, drain_lag_ms=700)
         try:
             await trial.start(instances=INSTANCES)
             load = asyncio.create_task(
-                trial.load(works=WORKS, rate_per_s=WORKS_PER_S)
+                trial.load(works=works, rate_per_s=WORKS_PER_S)
             )
             await asyncio.sleep(FIRST_FAULT_AFTER_S)
             await asyncio.gather(*(fault(trial) for fault in together))
