--- a/bench/models/fleet.py
+++ b/bench/models/fleet.py
@@ -19,8 +19,8 @@
 from nutmeghook.internal.routing import directory as directory_module
 from nutmeghook.internal.routing import ejection
 from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.routing import load_digests
 from nutmeghook.internal.routing import poller
-from nutmeghook.internal.routing import sharing
 
 VERSION = engine.ModelVersion(model="inspection", version="3")
 REPORT_LAG_S = 1.0
@@ -202,7 +202,7 @@
                 self._clock.call_at(
                     now_s + NETWORK_S, lambda peer=peer: peer.hear(changes)
                 )
-        period = sharing.digest_period(
+        period = load_digests.period_for(
             peers=len(peers), entries=len(changes), reports=0
         )
         self._clock.call_at(
--- a/src/nutmeghook/internal/routing/service.py
+++ b/src/nutmeghook/internal/routing/service.py
@@ -19,6 +19,9 @@
 from nutmeghook.internal.routing import poller
 from nutmeghook.internal.routing import sharing
 
+# Of the cell's backend servers, so many must have been heard of.
+READY_SHARE = 0.5
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class BackendRouting:
@@ -30,6 +33,21 @@
     report_poller: poller.ReportPoller
     sharer: sharing.LoadSharer
 
+    def is_ready(self) -> bool:
+        """Tells whether enough is known to share work out evenly.
+
+        An instance that takes requests when it knows two of twelve engines
+        sends everything to these two; their queues then last for minutes.
+        Half is enough to go on with, and must be: dead ones never report.
+        """
+        known = [
+            b
+            for b in self.directory.known()
+            if b.nearness is backends.Nearness.OWN_CELL and not b.leaving
+        ]
+        heard_of = [b for b in known if b.plain or b.report is not None]
+        return bool(known) and len(heard_of) >= READY_SHARE * len(known)
+
     async def run(self) -> None:
         """Keeps the knowledge fresh until cancelled."""
         await self.list_poller.poll_once()
--- a/src/nutmeghook/internal/routing/sharing.py
+++ b/src/nutmeghook/internal/routing/sharing.py
@@ -4,8 +4,6 @@
 import dataclasses
 import datetime
 
-import xxhash
-
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers as peers_module
 from nutmeghook.internal.inner.generated import ttypes
@@ -14,12 +12,8 @@
 from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import directory as directory_module
 from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.routing import load_digests
 
-# Bytes a second that this instance may send for it in all; the period grows
-# until they suffice.
-BUDGET_BYTES_PER_S = 1200
-SHORTEST_PERIOD = datetime.timedelta(milliseconds=200)
-LONGEST_PERIOD = datetime.timedelta(seconds=2)
 # With nothing to tell, this often a digest says that the sender lives.
 SILENT_PERIOD = datetime.timedelta(seconds=1)
 # What a peer had in flight no longer counts after so much silence: it died,
@@ -33,11 +27,6 @@
 # One age is sent for all reports of a digest.
 SAME_AGE = datetime.timedelta(milliseconds=200)
 
-# Sizes on the wire, for the budget. A frame has 40 bytes of TCP and IP headers.
-_FRAME_BYTES = 80
-_ENTRY_BYTES = 4
-_REPORT_BYTES = 44
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Outbox:
@@ -149,7 +138,10 @@
         for address in self._tasks.keys() - peers:
             self._tasks.pop(address).cancel()
             del self._outboxes[address]
-        for address in peers - self._tasks.keys():
+        for address in peers:
+            task = self._tasks.get(address)
+            if task is not None and not task.done():
+                continue
             self._outboxes[address] = _Outbox(reports=set(self._told))
             self._tasks[address] = asyncio.create_task(
                 self._tell_peer(address, self._outboxes[address])
@@ -187,28 +179,21 @@
 
     def _apply_reports(self, digest: ttypes.LoadDigest) -> None:
         age = datetime.timedelta(milliseconds=digest.age_ms or 0)
-        for number, address in enumerate(digest.addresses or ()):
-            backend = self._directory.find(address)
-            if backend is None:
-                continue
-            capacity = digest.capacity[number]
-            report = engine.LoadReport(
-                loaded=_versions(digest.loaded[number]),
-                running=round(digest.load_percent[number] * capacity / 100),
-                waiting=0,
-                capacity=capacity,
-                leaving=digest.leaving[number],
-            )
-            self._directory.note_report(
-                backend, report, measured_at=self._clock.monotonic() - age
-            )
+        for told in load_digests.read_reports(digest):
+            backend = self._directory.find(told.address)
+            if backend is not None:
+                self._directory.note_report(
+                    backend,
+                    told.report,
+                    measured_at=self._clock.monotonic() - age,
+                )
 
     async def _tell_peer(self, address: str, outbox: _Outbox) -> None:
         while True:
             now = self._clock.monotonic()
             silent_for = now - outbox.told_at
             pending = outbox.changed or outbox.reports or outbox.complete
-            period = SHORTEST_PERIOD
+            period = load_digests.SHORTEST_PERIOD
             if pending or silent_for >= SILENT_PERIOD:
                 digest = self._take_digest(outbox)
                 outbox.told_at = now
@@ -222,7 +207,7 @@
                 ):
                     outbox.complete = True
                     outbox.reports.update(digest.addresses)
-                period = digest_period(
+                period = load_digests.period_for(
                     peers=len(self._outboxes),
                     entries=len(digest.in_flight),
                     reports=len(digest.addresses),
@@ -238,12 +223,8 @@
             found = map(self._directory.find, outbox.changed)
             changed = [b for b in found if b is not None]
         outbox.changed.clear()
-        digest = ttypes.LoadDigest(
-            addresses=[],
-            address_hashes=[address_hash(b.address) for b in changed],
-            in_flight=[b.in_flight for b in changed],
-            complete=complete or None,
-            sender_address=self._my_address,
+        digest = load_digests.write_in_flight(
+            changed, complete=complete, sender_address=self._my_address
         )
         self._add_reports(digest, outbox)
         return digest
@@ -258,22 +239,16 @@
         oldest = min(b.reported_at for b in told)
         told = [b for b in told if b.reported_at - oldest <= SAME_AGE]
         outbox.reports.difference_update(b.address for b in told)
-        digest.addresses = [b.address for b in told]
-        digest.load_percent = [_load_percent(b.report) for b in told]
-        digest.capacity = [b.report.capacity for b in told]
-        digest.loaded = [
-            ",".join(str(v) for v in b.report.loaded) for b in told
-        ]
-        digest.leaving = [b.report.leaving for b in told]
-        age = self._clock.monotonic() - oldest
-        digest.age_ms = age // datetime.timedelta(milliseconds=1)
+        load_digests.add_reports(
+            digest, told, age=self._clock.monotonic() - oldest
+        )
 
     def _backend_by_hash(self, number: int) -> backends.Backend | None:
         if self._generation != self._directory.generation:
             self._generation = self._directory.generation
             self._by_hash = {}
             for backend in self._directory.known():
-                key = address_hash(backend.address)
+                key = load_digests.address_hash(backend.address)
                 # Two with one hash: neither can be told of, and reports show
                 # what the peers run there.
                 taken = key in self._by_hash
@@ -286,20 +261,6 @@
             heard.in_flight.pop(backend.address, None)
 
 
-def digest_period(
-    *, peers: int, entries: int, reports: int
-) -> datetime.timedelta:
-    """Returns how long to wait after digests of a size to keep the budget."""
-    size_bytes = _FRAME_BYTES + _ENTRY_BYTES * entries + _REPORT_BYTES * reports
-    period = datetime.timedelta(seconds=size_bytes * peers / BUDGET_BYTES_PER_S)
-    return min(max(period, SHORTEST_PERIOD), LONGEST_PERIOD)
-
-
-def address_hash(address: str) -> int:
-    """Returns the 20 bits that stand for an address in digests."""
-    return xxhash.xxh32_intdigest(address.encode()) & 0xFFFFF
-
-
 def _is_news(
     backend: backends.Backend, told: _Told, now: datetime.timedelta
 ) -> bool:
@@ -314,15 +275,3 @@
         return True
     difference = abs(backend.outside - told.outside)
     return difference > TOLD_DIFFERENCE_SHARE * report.capacity
-
-
-def _load_percent(report: engine.LoadReport) -> int:
-    return round(
-        100 * (report.running + report.waiting) / max(1, report.capacity)
-    )
-
-
-def _versions(text: str) -> tuple[engine.ModelVersion, ...]:
-    return tuple(
-        engine.ModelVersion.parse(part) for part in text.split(",") if part
-    )
