Learn cascades in a running instance

Cause: instances ran the fixed cascade; what was learned had no home. Ruled out: each instance learning from its own answers (at 20 requests a second a node it would take hours; the rating service pools anyway). Change: assembly/cascades.py; the three lines that build a task's lease stand once in leases/preferred.py.

--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -6,6 +6,7 @@
 
 from nutmeghook.internal.administration import application as admin_application
 from nutmeghook.internal.administration import principals
+from nutmeghook.internal.assembly import cascades
 from nutmeghook.internal.assembly import inner_side
 from nutmeghook.internal.assembly import observation
 from nutmeghook.internal.assembly import platform_clients
@@ -30,7 +31,6 @@
 from nutmeghook.internal.observe import gathering
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import request_meter
-from nutmeghook.internal.routing import cascade_fixed
 from nutmeghook.internal.routing import service as routing_service
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.internal.settings import loading
@@ -42,6 +42,7 @@
     """Builds the parts, runs them and takes them down in order."""
 
     __slots__ = (
+        "_cascades",
         "_clients",
         "_clock",
         "_dispatcher",
@@ -153,6 +154,15 @@
             events=self.events,
             random_source=self._random,
         )
+        self._cascades = cascades.Cascades(
+            members=self.members,
+            view=self.config.replica,
+            table=self._ledger.table,
+            ratings=self._clients.ratings,
+            clock=self._clock,
+            events=self.events,
+            random_source=self._random,
+        )
         meter = request_meter.MetricsMeter(metrics=self.metrics)
         self._rating_queue = rating_queue.RatingQueue(
             service=self._clients.ratings, clock=self._clock, meter=meter
@@ -168,7 +178,7 @@
             backends=self._routing.chooser,
             engines=self._clients.engines,
             services=self._clients.services,
-            cascade=cascade_fixed.FixedCascade(),
+            cascade=self._cascades.policy,
             admission=self._build_admission(),
             retry_budget=retry_budget.ShareRetryBudget(),
             ledger=self._ledger.client,
@@ -230,6 +240,7 @@
             tasks.create_task(self.members.run())
             tasks.create_task(self.config.distributor.run())
             tasks.create_task(self._rollouts.run())
+            tasks.create_task(self._cascades.run())
             tasks.create_task(self._ledger.run())
             tasks.create_task(self._routing.run())
             tasks.create_task(self._rating_queue.run())
@@ -247,6 +258,7 @@
             ),
         )
         await self._rollouts.release()
+        await self._cascades.release()
         await self._ledger.drain(timeout=_LEDGER_DRAIN)
 
     async def close(self) -> None:
--- a/src/nutmeghook/internal/assembly/rollouts.py
+++ b/src/nutmeghook/internal/assembly/rollouts.py
@@ -6,8 +6,7 @@
 from nutmeghook.internal.config import assembly as config_assembly
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
-from nutmeghook.internal.leases import keeper
-from nutmeghook.internal.leases import preference
+from nutmeghook.internal.leases import preferred
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.platform import ratings as ratings_module
@@ -46,17 +45,13 @@
             clock=clock,
             random_source=random_source,
         )
-        self._lease = keeper.LeaseKeeper(
-            name=gate_module.LEASE_NAME,
-            incarnation=members.myself.incarnation,
-            inner_address=members.myself.inner_address,
+        self._lease = preferred.preferred_keeper(
+            gate_module.LEASE_NAME,
+            members=members,
             table=table,
             clock=clock,
-            rng=random_source,
             events=events,
-            rank=lambda: preference.rank_of_myself(
-                gate_module.LEASE_NAME, members
-            ),
+            random_source=random_source,
         )
         leave = leave_module.LeaveKeeper(lease=self._lease, members=members)
         leave.register(handlers)
--- /dev/null
+++ b/src/nutmeghook/internal/leases/preferred.py
@@ -0,0 +1,36 @@
+"""Builds the lease of a task that one instance does for all."""
+
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.leases import keeper
+from nutmeghook.internal.leases import preference
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import table as table_module
+
+
+def preferred_keeper(
+    name: str,
+    *,
+    members: members_module.MemberView,
+    table: table_module.TableService,
+    clock: clock_module.Clock,
+    events: events_module.EventRing,
+    random_source: random.Random,
+) -> keeper.LeaseKeeper:
+    """Returns a lease that the member preferred by rendezvous should hold.
+
+    A holder believed dead is waited out, not hurried: what such holders do
+    (orders to engines, for one) is not always conditional on the lease's row.
+    """
+    return keeper.LeaseKeeper(
+        name=name,
+        incarnation=members.myself.incarnation,
+        inner_address=members.myself.inner_address,
+        table=table,
+        clock=clock,
+        rng=random_source,
+        events=events,
+        rank=lambda: preference.rank_of_myself(name, members),
+    )
