Tell a leaving engine's refusal from an unreachable one; split dispatch

Cause: the choice of backend servers learns from refusals by a leaving one (REFUSED_LEAVING), but no refusal could say so. Answers were handed in for rating under the request's id, not the policy's own (rating_id), which carries what a learned cascade must know of them. Change: a refusal may carry `leaving`; the stand-in engine sends it; the dispatcher passes it on, for generations and plain calls alike. The checks of chunks, a stage's call and the end of a request have modules of their own, without change of what they do. Seen to fail: with `leaving` ignored, and again with the checks of attempt id, token index, gap and run state taken out one at a time after the split. Conclusion: one more piece of evidence that comes before list and report.

--- a/src/nutmeghook/internal/dispatch/attempts.py
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from nutmeghook.internal.dispatch import background as background_module
+from nutmeghook.internal.dispatch import chunks as chunks_module
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.foundation import clock as clock_module
@@ -28,7 +29,7 @@
 
     Attributes:
         ran: False only if it provably did not run.
-        overloaded: The engine refused because of its load.
+        refusal: How it refused, if it did.
         retry_after: When the engine asked to be called again, if it did.
     """
 
@@ -37,12 +38,14 @@
         message: str,
         *,
         ran: bool,
-        overloaded: bool = False,
+        refusal: backends_module.AttemptOutcome = (
+            backends_module.AttemptOutcome.UNREACHABLE
+        ),
         retry_after: datetime.timedelta | None = None,
     ):
         super().__init__(message)
         self.ran = ran
-        self.overloaded = overloaded
+        self.refusal = refusal
         self.retry_after = retry_after
 
 
@@ -66,19 +69,6 @@
     last: engine_module.Chunk | None = None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Received:
-    """What a batch of chunks brought.
-
-    Attributes:
-        has_gap: A chunk skipped tokens; nothing behind it was taken.
-    """
-
-    text: str
-    last: engine_module.Chunk | None = None
-    has_gap: bool = False
-
-
 class AttemptRunner:
     """Runs attempts, and passes on what they tell about backend servers."""
 
@@ -206,7 +196,14 @@
             engine.generate_batches(generation)
         ) as batches:
             async for batch in batches:
-                received = self._receive_batch(batch, attempt)
+                received = chunks_module.receive(
+                    batch,
+                    attempt_id=generation.attempt_id,
+                    next_token=attempt.next_token,
+                )
+                attempt.next_token = received.next_token
+                for _ in range(received.dropped):
+                    self._meter.chunk_dropped()
                 if received.text:
                     await consumer.take(received.text)
                 if received.last is not None:
@@ -215,34 +212,6 @@
                     break
         raise _CutError(f"token {attempt.next_token} did not come")
 
-    def _receive_batch(
-        self, batch: list[engine_module.Chunk], attempt: Attempt
-    ) -> _Received:
-        """Takes in the chunks that are the next ones of this attempt.
-
-        The failures: a chunk of another attempt on a connection used again
-        (the caller would read another's answer), a chunk sent twice after a
-        resume (doubled text), a chunk that skips tokens (missing text). The
-        first two are dropped; the last ends this reading, and the resume
-        asks for the missing token.
-        """
-        attempt_id = attempt.generation.attempt_id
-        pieces = []
-        for chunk in batch:
-            if (
-                chunk.token_index == attempt.next_token
-                and chunk.attempt_id == attempt_id
-            ):
-                attempt.next_token += chunk.tokens
-                pieces.append(chunk.text)
-                if chunk.finish is not None:
-                    return _Received(text="".join(pieces), last=chunk)
-                continue
-            self._meter.chunk_dropped()
-            if chunk.attempt_id == attempt_id and _skips(chunk, attempt):
-                return _Received(text="".join(pieces), has_gap=True)
-        return _Received(text="".join(pieces))
-
     def _generation_from_here(
         self, attempt: Attempt
     ) -> engine_module.Generation:
@@ -258,10 +227,6 @@
         return longest * self._random.uniform(0.5, 1.0)
 
 
-def _skips(chunk: engine_module.Chunk, attempt: Attempt) -> bool:
-    return chunk.token_index + chunk.tokens > attempt.next_token
-
-
 def _checked_last(chunk: engine_module.Chunk) -> engine_module.Chunk:
     if chunk.finish in _WHOLE:
         return chunk
@@ -276,7 +241,7 @@
         return AttemptError(
             f"{address}: {error}",
             ran=attempt.next_token > 0,
-            overloaded=error.overloaded,
+            refusal=refusal_outcome(error),
             retry_after=error.retry_after,
         )
     return AttemptError(f"{address}: {error}", ran=True)
@@ -285,6 +250,15 @@
 def _outcome_of(error: AttemptError) -> backends_module.AttemptOutcome:
     if error.ran:
         return backends_module.AttemptOutcome.FAILED
+    return error.refusal
+
+
+def refusal_outcome(
+    error: failures.NotDoneError,
+) -> backends_module.AttemptOutcome:
+    """Returns what a refusal tells of the backend server."""
+    if error.leaving:
+        return backends_module.AttemptOutcome.REFUSED_LEAVING
     if error.overloaded:
         return backends_module.AttemptOutcome.REFUSED_OVERLOAD
     return backends_module.AttemptOutcome.UNREACHABLE
--- a/src/nutmeghook/internal/dispatch/dispatcher.py
+++ b/src/nutmeghook/internal/dispatch/dispatcher.py
@@ -9,14 +9,13 @@
 from typing import Any
 from typing import TypeVar
 
-import eliot
-
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import background as background_module
 from nutmeghook.internal.dispatch import bills as bills_module
 from nutmeghook.internal.dispatch import claims as claims_module
+from nutmeghook.internal.dispatch import endings
 from nutmeghook.internal.dispatch import generations as generations_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import plain_calls as plain_calls_module
@@ -239,7 +238,7 @@
             self._record_end(request, codes.Code.CALLER_GONE, "")
             raise
         except Exception as error:
-            final = _final_error(request, progress, error)
+            final = endings.final_error(request, progress, error)
             self._record_end(request, final.code, final.detail)
             if final is error:
                 raise
@@ -316,7 +315,7 @@
         self, request: _Request, code: codes.Code, detail: str
     ) -> None:
         self._events.record(
-            _end_event(code),
+            endings.event_kind(code),
             request.request_id,
             code=code.name,
             detail=detail,
@@ -327,28 +326,3 @@
             code=code,
             duration=self._clock.monotonic() - request.arrived,
         )
-
-
-def _final_error(
-    request: _Request, progress: progress_module.Progress, error: Exception
-) -> errors.CodedError:
-    if isinstance(error, errors.CodedError):
-        return progress.final_error(
-            error, may_be_sent_again=request.may_be_sent_again
-        )
-    eliot.write_traceback()
-    return errors.CodedError(
-        code=codes.Code.INTERNAL,
-        detail=f"a fault of this instance: {type(error).__name__}",
-        run_state=codes.RunState.UNKNOWN
-        if progress.possibly_run
-        else codes.RunState.NOT_RUN,
-    )
-
-
-def _end_event(code: codes.Code) -> events_module.EventKind:
-    if code is codes.Code.OK:
-        return events_module.EventKind.REQUEST_ANSWERED
-    if code.run_state is codes.RunState.NOT_RUN:
-        return events_module.EventKind.REQUEST_REFUSED
-    return events_module.EventKind.REQUEST_UNKNOWN
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/endings.py
@@ -0,0 +1,38 @@
+"""How a request's end is told: to its caller, and on the time line."""
+
+import eliot
+
+from nutmeghook.internal.dispatch import progress as progress_module
+from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.observe import events as events_module
+
+
+def final_error(
+    request: requests.GenerationRequest | requests.PlainRequest,
+    progress: progress_module.Progress,
+    error: Exception,
+) -> errors.CodedError:
+    """Returns what to tell the caller of a fault on its request's way."""
+    if isinstance(error, errors.CodedError):
+        return progress.final_error(
+            error, may_be_sent_again=request.may_be_sent_again
+        )
+    eliot.write_traceback()
+    return errors.CodedError(
+        code=codes.Code.INTERNAL,
+        detail=f"a fault of this instance: {type(error).__name__}",
+        run_state=codes.RunState.UNKNOWN
+        if progress.possibly_run
+        else codes.RunState.NOT_RUN,
+    )
+
+
+def event_kind(code: codes.Code) -> events_module.EventKind:
+    """Returns the event that shows an outcome on the time line."""
+    if code is codes.Code.OK:
+        return events_module.EventKind.REQUEST_ANSWERED
+    if code.run_state is codes.RunState.NOT_RUN:
+        return events_module.EventKind.REQUEST_REFUSED
+    return events_module.EventKind.REQUEST_UNKNOWN
--- a/src/nutmeghook/internal/dispatch/generations.py
+++ b/src/nutmeghook/internal/dispatch/generations.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import ratings as ratings_module
 from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.dispatch import stage_calls
 from nutmeghook.internal.dispatch import stages as stages_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
@@ -114,7 +115,7 @@
         a byte is sent before the judgement. A stage that can't run at all is
         passed over, for the next one is no worse.
         """
-        call = stages_module.StageCall(
+        call = stage_calls.StageCall(
             request=request,
             progress=progress,
             stage_index=stage_index,
@@ -128,13 +129,7 @@
             raise
         self._offer_rating(question, stage_index, answer, call)
         accepted = self._cascade.accepts(
-            question,
-            stage_index=stage_index,
-            answer=cascade_module.CascadeAnswer(
-                text=answer.text,
-                output_tokens=answer.output_tokens,
-                hit_length_limit=answer.finish is engine.FinishReason.LENGTH,
-            ),
+            question, stage_index=stage_index, answer=_as_judged(answer)
         )
         return answer if accepted else None
 
@@ -147,7 +142,7 @@
         sink: answers.AnswerSink,
     ) -> answers.GeneratedAnswer:
         """Runs the last stage, whose text goes to the caller as it comes."""
-        call = stages_module.StageCall(
+        call = stage_calls.StageCall(
             request=request,
             progress=progress,
             stage_index=stage_index,
@@ -188,7 +183,7 @@
         question: cascade_module.CascadeQuestion,
         stage_index: int,
         answer: answers.GeneratedAnswer,
-        call: stages_module.StageCall,
+        call: stage_calls.StageCall,
     ) -> None:
         # Each answer of a rolling-out version is handed in: its exposure is
         # counted as unrated until the rating comes.
@@ -199,7 +194,11 @@
         request = call.request
         self._ratings.offer(
             rating_service.RatingTask(
-                request_id=request.request_id,
+                request_id=self._cascade.rating_id(
+                    question,
+                    stage_index=stage_index,
+                    answer=_as_judged(answer),
+                ),
                 team=request.team.name,
                 template=request.template.name,
                 model_version=answer.model_version,
@@ -210,6 +209,16 @@
         )
 
 
+def _as_judged(
+    answer: answers.GeneratedAnswer,
+) -> cascade_module.CascadeAnswer:
+    return cascade_module.CascadeAnswer(
+        text=answer.text,
+        output_tokens=answer.output_tokens,
+        hit_length_limit=answer.finish is engine.FinishReason.LENGTH,
+    )
+
+
 def _admission_request(
     request: requests.GenerationRequest,
 ) -> admission_module.AdmissionRequest:
--- a/src/nutmeghook/internal/dispatch/plain_calls.py
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -4,6 +4,7 @@
 import random
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import requests
@@ -162,11 +163,7 @@
             progress.attempt_not_run()
             progress.must_finish = False
             overloaded = error.overloaded
-            outcome = (
-                backends_module.AttemptOutcome.REFUSED_OVERLOAD
-                if overloaded
-                else backends_module.AttemptOutcome.UNREACHABLE
-            )
+            outcome = attempts_module.refusal_outcome(error)
             raise
         except failures.OutcomeUnknownError:
             outcome = backends_module.AttemptOutcome.FAILED
--- /dev/null
+++ b/src/nutmeghook/internal/dispatch/stage_calls.py
@@ -0,0 +1,83 @@
+"""One stage of one request, and what is made of it for its attempts."""
+
+from collections.abc import Callable
+import dataclasses
+
+from nutmeghook.internal.dispatch import answers
+from nutmeghook.internal.dispatch import consumers
+from nutmeghook.internal.dispatch import progress as progress_module
+from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import backends as backends_module
+from nutmeghook.internal.routing import versions as versions_module
+
+# Long enough for a system prompt's start to tell templates of text apart,
+# short enough to be cheap to hash.
+_PREFIX_CHARS = 256
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StageCall:
+    """One stage of one request.
+
+    Attributes:
+        consumer_for: Makes the consumer for a version's text.
+        choice: The version chosen last.
+        consumer: The consumer of the attempt to come.
+        tried: Addresses that failed.
+    """
+
+    request: requests.GenerationRequest
+    progress: progress_module.Progress
+    stage_index: int
+    consumer_for: Callable[[engine.ModelVersion], consumers.Consumer]
+    choice: versions_module.VersionChoice | None = None
+    consumer: consumers.Consumer | None = None
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+def need(call: StageCall, exclude: str = "") -> backends_module.BackendNeed:
+    """Returns what the next attempt needs of its backend server."""
+    request = call.request
+    excluded = call.tried | {exclude} if exclude else call.tried
+    return backends_module.BackendNeed(
+        model_version=call.choice.model_version,
+        affinity_key=_affinity_key(request),
+        priority=request.priority,
+        exclude=frozenset(excluded),
+    )
+
+
+def _affinity_key(request: requests.GenerationRequest) -> str:
+    """Returns what requests with a common cached prefix have in common."""
+    if request.session:
+        return f"{request.team.name}/{request.session}"
+    opening = request.messages[0].content[:_PREFIX_CHARS]
+    return f"{request.team.name}/{request.template.name}/{opening}"
+
+
+def generation(call: StageCall) -> engine.Generation:
+    """Counts a new attempt and returns what to send for it."""
+    request = call.request
+    return engine.Generation(
+        attempt_id=call.progress.start_attempt(request.request_id),
+        model_version=call.choice.model_version,
+        messages=request.messages,
+        max_tokens=request.max_tokens,
+        priority=request.priority,
+        # Two teams' sessions of one name must not share a cached prefix.
+        session=f"{request.team.name}/{request.session}"
+        if request.session
+        else "",
+    )
+
+
+def answer(call: StageCall, last: engine.Chunk) -> answers.GeneratedAnswer:
+    """Returns the whole answer whose last chunk has come."""
+    return answers.GeneratedAnswer(
+        text=call.consumer.text(),
+        model_version=call.choice.model_version,
+        finish=last.finish,
+        prompt_tokens=last.prompt_tokens,
+        output_tokens=last.token_index + last.tokens,
+    )
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -1,7 +1,5 @@
 """One stage of a request: version, backend server, attempts until one ends."""
 
-from collections.abc import Callable
-import dataclasses
 import datetime
 import functools
 import random
@@ -15,7 +13,7 @@
 from nutmeghook.internal.dispatch import hedge
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import progress as progress_module
-from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.dispatch import stage_calls
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
@@ -31,26 +29,6 @@
 RETRY_WITHOUT_BACKEND = datetime.timedelta(seconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class StageCall:
-    """One stage of one request.
-
-    Attributes:
-        consumer_for: Makes the consumer for a version's text.
-        choice: The version chosen last.
-        consumer: The consumer of the attempt to come.
-        tried: Addresses that failed.
-    """
-
-    request: requests.GenerationRequest
-    progress: progress_module.Progress
-    stage_index: int
-    consumer_for: Callable[[engine.ModelVersion], consumers.Consumer]
-    choice: versions_module.VersionChoice | None = None
-    consumer: consumers.Consumer | None = None
-    tried: set[str] = dataclasses.field(default_factory=set)
-
-
 class StageRunner:
     """Runs stages, retrying and hedging within bounds."""
 
@@ -89,7 +67,7 @@
         self._meter = meter
         self._random = random_source
 
-    async def run(self, call: StageCall) -> answers.GeneratedAnswer:
+    async def run(self, call: stage_calls.StageCall) -> answers.GeneratedAnswer:
         """Returns the stage's whole answer.
 
         Raises:
@@ -104,7 +82,7 @@
             backend = self._choose_backend(call)
             try:
                 last = await self._send(call, backend)
-                return _answer(call, last)
+                return stage_calls.answer(call, last)
             except attempts_module.AttemptError as error:
                 failed_attempts += 1
                 await self._allow_retry(call, error, failed_attempts)
@@ -117,7 +95,7 @@
             call.tried.add(backend.address)
             call.consumer = call.consumer.for_repeat()
 
-    async def _settle_choice(self, call: StageCall) -> None:
+    async def _settle_choice(self, call: stage_calls.StageCall) -> None:
         """Leaves a version in the call that may be sent to right now.
 
         A request can wait (for admission, a backend server, a retry) while
@@ -150,7 +128,7 @@
             retry_after=RETRY_WITHOUT_BACKEND,
         )
 
-    def _template_now(self, call: StageCall) -> documents.Template:
+    def _template_now(self, call: stage_calls.StageCall) -> documents.Template:
         asked = call.request.template
         template = self._config.snapshot.template(asked.team, asked.name)
         if template is None:
@@ -160,12 +138,14 @@
             )
         return template
 
-    def _choose_backend(self, call: StageCall) -> backends_module.Backend:
-        backend = self._backends.choose(_need(call))
+    def _choose_backend(
+        self, call: stage_calls.StageCall
+    ) -> backends_module.Backend:
+        backend = self._backends.choose(stage_calls.need(call))
         if backend is None and call.tried:
             # In a small pool all may have refused once; a refusal passes.
             call.tried.clear()
-            backend = self._backends.choose(_need(call))
+            backend = self._backends.choose(stage_calls.need(call))
         if backend is None:
             raise errors.CodedError(
                 code=codes.Code.NO_CANDIDATE,
@@ -176,7 +156,7 @@
         return backend
 
     async def _send(
-        self, call: StageCall, backend: backends_module.Backend
+        self, call: stage_calls.StageCall, backend: backends_module.Backend
     ) -> engine.Chunk:
         hedge_after_ms = call.request.template.hedge_after_ms
         if not hedge_after_ms or call.progress.relayed or call.tried:
@@ -191,7 +171,7 @@
 
     def _second_attempt(
         self,
-        call: StageCall,
+        call: stage_calls.StageCall,
         first: backends_module.Backend,
         consumer: consumers.Consumer,
     ) -> hedge.LaneWork | None:
@@ -202,7 +182,7 @@
             )
         except errors.CodedError:
             return None
-        backend = self._backends.choose(_need(call, first.address))
+        backend = self._backends.choose(stage_calls.need(call, first.address))
         if backend is None or not self._retry_budget.try_spend():
             return None
         self._meter.attempt_repeated(hedged=True)
@@ -211,14 +191,14 @@
 
     async def _attempt(
         self,
-        call: StageCall,
+        call: stage_calls.StageCall,
         backend: backends_module.Backend,
         consumer: consumers.Consumer,
     ) -> engine.Chunk:
         request = call.request
         attempt = attempts_module.Attempt(
             backend=backend,
-            generation=_generation(call),
+            generation=stage_calls.generation(call),
             deadline=request.deadline,
         )
         self._events.record(
@@ -237,7 +217,11 @@
             self._account(call, attempt, ran=ran)
 
     def _account(
-        self, call: StageCall, attempt: attempts_module.Attempt, *, ran: bool
+        self,
+        call: stage_calls.StageCall,
+        attempt: attempts_module.Attempt,
+        *,
+        ran: bool,
     ) -> None:
         progress = call.progress
         if not ran:
@@ -266,7 +250,7 @@
 
     async def _allow_retry(
         self,
-        call: StageCall,
+        call: stage_calls.StageCall,
         error: attempts_module.AttemptError,
         failed_attempts: int,
     ) -> None:
@@ -291,58 +275,9 @@
         longest = FIRST_RETRY_DELAY * 2 ** (failed_attempts - 1)
         await self._clock.sleep(longest * self._random.uniform(0.5, 1.0))
 
-    def _record_retry(self, call: StageCall, reason: str) -> None:
+    def _record_retry(self, call: stage_calls.StageCall, reason: str) -> None:
         self._events.record(
             events_module.EventKind.REQUEST_RETRIED,
             call.request.request_id,
             reason=reason,
         )
-
-
-def _need(call: StageCall, exclude: str = "") -> backends_module.BackendNeed:
-    request = call.request
-    excluded = call.tried | {exclude} if exclude else call.tried
-    return backends_module.BackendNeed(
-        model_version=call.choice.model_version,
-        affinity_key=_affinity_key(request),
-        priority=request.priority,
-        exclude=frozenset(excluded),
-    )
-
-
-def _affinity_key(request: requests.GenerationRequest) -> str:
-    """Returns what requests with a common cached prefix have in common."""
-    if request.session:
-        return f"{request.team.name}/{request.session}"
-    opening = request.messages[0].content[:_PREFIX_CHARS]
-    return f"{request.team.name}/{request.template.name}/{opening}"
-
-
-def _generation(call: StageCall) -> engine.Generation:
-    request = call.request
-    return engine.Generation(
-        attempt_id=call.progress.start_attempt(request.request_id),
-        model_version=call.choice.model_version,
-        messages=request.messages,
-        max_tokens=request.max_tokens,
-        priority=request.priority,
-        # Two teams' sessions of one name must not share a cached prefix.
-        session=f"{request.team.name}/{request.session}"
-        if request.session
-        else "",
-    )
-
-
-def _answer(call: StageCall, last: engine.Chunk) -> answers.GeneratedAnswer:
-    return answers.GeneratedAnswer(
-        text=call.consumer.text(),
-        model_version=call.choice.model_version,
-        finish=last.finish,
-        prompt_tokens=last.prompt_tokens,
-        output_tokens=last.token_index + last.tokens,
-    )
-
-
-# Long enough for a system prompt's start to tell templates of text apart,
-# short enough to be cheap to hash.
-_PREFIX_CHARS = 256
--- a/src/nutmeghook/internal/platform/failures.py
+++ b/src/nutmeghook/internal/platform/failures.py
@@ -21,6 +21,7 @@
     Attributes:
         retry_after: When the other side asked to be called again, if it did.
         overloaded: The other side refused because of its load or rate limit.
+        leaving: The other side refused because it is shutting down.
     """
 
     def __init__(
@@ -29,10 +30,12 @@
         *,
         retry_after: datetime.timedelta | None = None,
         overloaded: bool = False,
+        leaving: bool = False,
     ):
         super().__init__(message)
         self.retry_after = retry_after
         self.overloaded = overloaded
+        self.leaving = leaving
 
 
 class OutcomeUnknownError(PlatformError):
--- a/src/nutmeghook/internal/platform/http_exchange.py
+++ b/src/nutmeghook/internal/platform/http_exchange.py
@@ -30,12 +30,14 @@
     Attributes:
         not_run: The call had, and will have, no effect.
         overloaded: It was refused because of load or a rate limit.
+        leaving: It was refused because the other side is shutting down.
         retry_after_ms: When to call again, if that may help.
     """
 
     not_run: bool = False
     message: str = ""
     overloaded: bool = False
+    leaving: bool = False
     retry_after_ms: float | None = None
 
 
@@ -111,7 +113,10 @@
     if refusal.retry_after_ms is not None:
         retry_after = refusal.retry_after_ms * _MILLISECOND
     return failures.NotDoneError(
-        message, retry_after=retry_after, overloaded=refusal.overloaded
+        message,
+        retry_after=retry_after,
+        overloaded=refusal.overloaded,
+        leaving=refusal.leaving,
     )
 
 
--- a/src/nutmeghook/standins/memory_engine.py
+++ b/src/nutmeghook/standins/memory_engine.py
@@ -180,7 +180,9 @@
                 f"attempt {generation.attempt_id} is not kept here"
             )
         if self.settings.refuses_work:
-            raise failures.NotDoneError("no new work is taken")
+            raise failures.NotDoneError(
+                "no new work is taken", leaving=self.settings.leaving
+            )
         if generation.model_version not in self._orders.loaded():
             raise failures.NotDoneError(
                 f"{generation.model_version} is not loaded"
--- a/src/nutmeghook/standins/serving.py
+++ b/src/nutmeghook/standins/serving.py
@@ -190,6 +190,7 @@
         not_run=True,
         message=str(error),
         overloaded=error.overloaded,
+        leaving=error.leaving,
         retry_after_ms=retry_after_ms,
     )
     return json_answer(body, status=429 if error.overloaded else 503)
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import failures
+from nutmeghook.internal.routing import backends
 from tests import fakes
 
 WORDS = ("The ", "boiler ", "holds ", "well.")
@@ -246,6 +247,27 @@
         self.assertEqual(caught.exception.code, codes.Code.BACKEND_FAILED)
         self.assertEqual(self.fixture.ledger.bills, [])
 
+    async def test_a_refusal_tells_what_it_was(self):
+        """The caller is served elsewhere; the refusal counts as evidence.
+
+        An engine that is shutting down says so when it refuses: that is
+        known earlier than any list or report tells.
+        """
+        leaving = failures.NotDoneError("shutting down", leaving=True)
+        full = failures.NotDoneError("full", overloaded=True)
+        self.first.scripts.append(fakes.Script(fails=leaving))
+        self.second.scripts.append(fakes.Script(fails=full))
+        await self.ended()
+        outcomes = [outcome for _, outcome in self.fixture.backends.outcomes]
+        self.assertEqual(
+            outcomes,
+            [
+                backends.AttemptOutcome.REFUSED_LEAVING,
+                backends.AttemptOutcome.REFUSED_OVERLOAD,
+                backends.AttemptOutcome.ANSWERED,
+            ],
+        )
+
     async def test_retries_end_with_the_budget(self):
         """The caller hears `not_run` and when to come again, at once.
 
