--- a/bench/models/busy_fleet.py
+++ b/bench/models/busy_fleet.py
@@ -13,29 +13,22 @@
 import datetime
 import random
 
+from bench.models import busy_engine
 from bench.models import virtual_loop
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import admission
 
-IDLE_PACE_S = 0.024
-FULL_BATCH_SLOWDOWN = 0.5
 ATTEMPTS_AT_MOST = 3
 RETURNS_AT_MOST = 2
 _SECOND = datetime.timedelta(seconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Kind:
-    """A kind of request; sizes are gamma distributed and cut at 2 means."""
-
-    name: str
-    priority: int
-    mean_tokens: int
-    deadline_s: float
-
-
-LOOKUP = Kind(name="lookup", priority=5, mean_tokens=80, deadline_s=8.0)
-REVIEW = Kind(name="review", priority=8, mean_tokens=300, deadline_s=32.0)
+LOOKUP = busy_engine.Kind(
+    name="lookup", priority=5, mean_tokens=80, deadline_s=8.0
+)
+REVIEW = busy_engine.Kind(
+    name="review", priority=8, mean_tokens=300, deadline_s=32.0
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -43,22 +36,12 @@
     """What one team asks, as a share of the fleet's capacity."""
 
     team: str
-    kind: Kind
+    kind: busy_engine.Kind
     capacity_share: float
     from_s: float = 0.0
     until_s: float = float("inf")
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class BrownOut:
-    """All engines are slow, and fail some of their work."""
-
-    from_s: float
-    until_s: float
-    slowness: float
-    failed_share: float
-
-
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Scenario:
     """What is run; the fleet's size is that of today.
@@ -70,7 +53,7 @@
 
     demands: tuple[Demand, ...]
     duration_s: float
-    brown_out: BrownOut | None = None
+    brown_out: busy_engine.BrownOut | None = None
     instances: int = 7
     engines: int = 12
     engine_slots: int = 8
@@ -79,7 +62,7 @@
     @property
     def capacity_tokens_per_s(self) -> float:
         """What all engines generate with full batches."""
-        pace_s = IDLE_PACE_S * (1 + FULL_BATCH_SLOWDOWN)
+        pace_s = busy_engine.IDLE_PACE_S * (1 + busy_engine.FULL_BATCH_SLOWDOWN)
         return self.engines * self.engine_slots / pace_s
 
 
@@ -94,7 +77,7 @@
     """
 
     team: str
-    kind: Kind
+    kind: busy_engine.Kind
     tokens: int
     returns: int
     asked_s: float
@@ -126,92 +109,6 @@
 ]
 
 
-class EngineRefusedError(Exception):
-    """The engine's queue is full; nothing ran."""
-
-
-class EngineFailedError(Exception):
-    """The engine gave up on the work."""
-
-
-class Engine:
-    """A batch of slots and a bounded queue, higher priority first."""
-
-    __slots__ = (
-        "_brown_out",
-        "_clock",
-        "_random",
-        "_slots",
-        "_waiting",
-        "load",
-    )
-
-    def __init__(
-        self,
-        *,
-        clock: virtual_loop.LoopClock,
-        randomness: random.Random,
-        scenario: Scenario,
-    ):
-        self._clock = clock
-        self._random = randomness
-        self._brown_out = scenario.brown_out
-        self._slots = scenario.engine_slots
-        self._waiting: list[tuple[int, asyncio.Future[None]]] = []
-        self.load = 0
-
-    async def generate(self, kind: Kind, tokens: int) -> None:
-        """Generates the tokens.
-
-        Raises:
-            EngineRefusedError: Two batches are waiting already.
-            EngineFailedError: It broke off, in a brown-out.
-        """
-        if len(self._waiting) >= 2 * self._slots:
-            raise EngineRefusedError
-        self.load += 1
-        try:
-            if self.load > self._slots:
-                await self._turn(kind.priority)
-            await self._run(tokens)
-        finally:
-            self.load -= 1
-            self._wake_next()
-
-    async def _turn(self, priority: int) -> None:
-        turn = asyncio.get_running_loop().create_future()
-        self._waiting.append((priority, turn))
-        try:
-            await turn
-        finally:
-            self._waiting = [w for w in self._waiting if w[1] is not turn]
-
-    def _wake_next(self) -> None:
-        asleep = [(p, turn) for p, turn in self._waiting if not turn.done()]
-        running = self.load - len(asleep)
-        if asleep and running < self._slots:
-            max(asleep, key=lambda entry: entry[0])[1].set_result(None)
-
-    async def _run(self, tokens: int) -> None:
-        batch_share = min(1.0, self.load / self._slots)
-        pace_s = IDLE_PACE_S * (1 + FULL_BATCH_SLOWDOWN * batch_share)
-        brown_out = self._current_brown_out()
-        if brown_out is None:
-            await asyncio.sleep(tokens * pace_s)
-            return
-        if self._random.random() < brown_out.failed_share:
-            await asyncio.sleep(self._random.random() * tokens * pace_s)
-            raise EngineFailedError
-        await asyncio.sleep(tokens * pace_s * brown_out.slowness)
-
-    def _current_brown_out(self) -> BrownOut | None:
-        now_s = self._clock.monotonic() / _SECOND
-        brown_out = self._brown_out
-        if brown_out and brown_out.from_s <= now_s < brown_out.until_s:
-            return brown_out
-        return None
-
-
 class Fleet:
     """The instances' dispatchers and the callers."""
 
@@ -223,8 +120,11 @@
         self._random = random.Random(seed)
         self._scenario = scenario
         self._engines = [
-            Engine(
-                clock=self._clock, randomness=self._random, scenario=scenario
+            busy_engine.Engine(
+                clock=self._clock,
+                randomness=self._random,
+                slots=scenario.engine_slots,
+                brown_out=scenario.brown_out,
             )
             for _ in range(scenario.engines)
         ]
@@ -289,9 +189,9 @@
             one.refused = True
             one.waited_for_refusal_s = self._loop.time() - one.asked_s
             return (error.retry_after or _SECOND) / _SECOND
-        except (TimeoutError, EngineFailedError):
+        except (TimeoutError, busy_engine.EngineFailedError):
             return 0.0
-        except EngineRefusedError:
+        except busy_engine.EngineRefusedError:
             one.refused = True
             return 1.0
         one.answered_s = self._loop.time()
@@ -317,7 +217,10 @@
             try:
                 await self._attempt(one, limits)
                 return
-            except (EngineRefusedError, EngineFailedError):
+            except (
+                busy_engine.EngineRefusedError,
+                busy_engine.EngineFailedError,
+            ):
                 may_retry = attempt < ATTEMPTS_AT_MOST
                 if not (may_retry and limits.retries.try_spend()):
                     raise
@@ -329,7 +232,7 @@
         overloaded = False
         try:
             await engine.generate(one.kind, one.tokens)
-        except EngineRefusedError:
+        except busy_engine.EngineRefusedError:
             overloaded = True
             raise
         finally:
@@ -340,5 +243,5 @@
             )
 
 
-def _load(engine: Engine) -> int:
+def _load(engine: busy_engine.Engine) -> int:
     return engine.load
--- a/src/nutmeghook/internal/limits/admission.py
+++ b/src/nutmeghook/internal/limits/admission.py
@@ -79,6 +79,15 @@
                 token, so give this always or never.
         """
 
+    def reconcile(self, request: AdmissionRequest, *, used_tokens: int) -> None:
+        """Replaces the estimate of an admitted request by what it used.
+
+        Estimates count the longest answer allowed. Without this, budgets and
+        fair shares are charged for tokens that were never generated. An
+        admission that charges nothing has nothing to replace.
+        """
+        del request, used_tokens
+
 
 class RetryBudget(abc.ABC):
     """Bounds attempts beyond the first to a share of recent requests."""
--- a/src/nutmeghook/internal/limits/fair_admission.py
+++ b/src/nutmeghook/internal/limits/fair_admission.py
@@ -21,8 +21,8 @@
 from nutmeghook.internal.limits import return_schedule
 from nutmeghook.internal.limits import service_rate
 from nutmeghook.internal.limits import token_budget
+from nutmeghook.internal.limits import wait_estimate
 
-_SECOND = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
 _SHED_INTERVAL = datetime.timedelta(milliseconds=100)
 # A queue that fills all the time there is serves each request just before its
@@ -38,6 +38,7 @@
     __slots__ = (
         "_budgets",
         "_clock",
+        "_estimate",
         "_limit",
         "_max_waiting",
         "_queue",
@@ -75,6 +76,9 @@
         self._max_waiting = max_waiting
         self._queue = fair_queue.FairQueue(guaranteed_share=guaranteed_share)
         self._rate = service_rate.ServiceRate()
+        self._estimate = wait_estimate.WaitEstimate(
+            queue=self._queue, limit=limit, rate=self._rate
+        )
         self._returns = return_schedule.ReturnSchedule(
             clock=clock, randomness=randomness
         )
@@ -159,9 +163,9 @@
     def _enqueue(
         self, request: admission.AdmissionRequest, now: datetime.timedelta
     ) -> fair_queue.Ticket:
-        slack = self._latest_start(request) - now
+        slack = self._estimate.latest_start(request) - now
         latest_start = now + _SLACK_SHARE * slack
-        if now + self._expected_wait(request) > latest_start:
+        if now + self._estimate.expected_wait(request) > latest_start:
             raise self._refusal(
                 codes.Code.OVERLOADED, request, "it could not end in time"
             )
@@ -267,50 +271,27 @@
     ) -> bool:
         """Tells whether the newest of its kind can't end in time."""
         self._queue.remove(ticket)
-        wait = self._expected_wait(ticket.request)
+        wait = self._estimate.expected_wait(ticket.request)
         self._queue.push(ticket)
         return now + wait > min(
-            ticket.latest_start, self._latest_start(ticket.request)
+            ticket.latest_start, self._estimate.latest_start(ticket.request)
         )
 
     def _shed(self, ticket: fair_queue.Ticket) -> None:
         self._queue.remove(ticket)
         ticket.verdict.set_result(fair_queue.Verdict.SHED)
 
-    def _latest_start(
-        self, request: admission.AdmissionRequest
-    ) -> datetime.timedelta:
-        likely = self._rate.likely_duration(request.cost_tokens)
-        return request.deadline - likely
-
-    def _expected_wait(
-        self, request: admission.AdmissionRequest
-    ) -> datetime.timedelta:
-        tokens_per_s = self._rate.tokens_per_s(self._limit.places)
-        if not tokens_per_s:
-            return _ZERO
-        guaranteed = self._queue.guaranteed_share
-        by_priority = self._queue.cost_by_priority(request)
-        if self._queue.has_below(request.priority):
-            by_priority /= 1 - guaranteed
-        seconds = by_priority / tokens_per_s
-        if guaranteed:
-            by_fairness = self._queue.cost_by_fairness(request) / guaranteed
-            seconds = min(seconds, by_fairness / tokens_per_s)
-        return seconds * _SECOND
-
     def _refusal(
         self,
         code: codes.Code,
         request: admission.AdmissionRequest,
         reason: str,
     ) -> errors.CodedError:
-        served = self._rate.tokens_per_s(self._limit.places)
         retry_after = self._returns.next_return(
             team=request.team,
             cost_tokens=request.cost_tokens,
-            tokens_per_s=served * self._queue.share_of(request),
-            earliest=self._expected_wait(request),
+            tokens_per_s=self._estimate.team_tokens_per_s(request),
+            earliest=self._estimate.expected_wait(request),
         )
         return errors.CodedError(
             code=code,
--- a/tests/cover/test_limits_service.py
+++ b/tests/cover/test_limits_service.py
@@ -6,9 +6,14 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.foundation import clock
+from nutmeghook.internal.limits import ceiling
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
 from nutmeghook.internal.limits import service_rate
+from nutmeghook.internal.membership import members
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import backends
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -145,3 +150,48 @@
                 limit.set_ceiling(number)
                 self.assertLessEqual(limit.places, number)
             self.assertGreaterEqual(limit.places, 1)
+
+
+class CeilingTest(unittest.TestCase):
+    """The instance's share of what the engines can hold."""
+
+    def test_it_follows_engines_and_survives_the_loss_of_all_reports(self):
+        """Half of the engines leave; later all reports are missing.
+
+        The first must be felt at once. The second is a fault of reporting:
+        if it closed all places, no request would be served by engines that
+        are well.
+        """
+        known = [
+            backends.Backend(
+                address=f"10.0.1.{i}:80",
+                region="r",
+                data_centre="c",
+                service="pool",
+                report=engine.LoadReport(
+                    loaded=(), running=0, waiting=0, capacity=16
+                ),
+            )
+            for i in range(8)
+        ]
+        limit = following_limit.FollowingLimit(ceiling=1000)
+        myself = members.Member(
+            inner_address="a", incarnation="i", region="r", data_centre="c"
+        )
+        follower = ceiling.CeilingFollower(
+            limit=limit,
+            known=lambda: known,
+            members=members.FixedMemberView(myself=myself, others=(myself,)),
+            clock=clock.FakeClock(),
+            most_places=500,
+        )
+        follower.update()
+        self.assertEqual(limit.places, 68)
+        for backend in known[:4]:
+            backend.leaving = True
+        follower.update()
+        self.assertEqual(limit.places, 35)
+        for backend in known:
+            backend.report = None
+        follower.update()
+        self.assertEqual(limit.places, 35)
