Count ready replicas once a second, and tolerate a replaced engine

Cause: readiness is asked on requests of versions in roll-out, and counted all known engines each time; and at a full share it wanted every engine, so that one that was just replaced would have held up the roll-out.

Ruled out: counting on the directory's generation, which a leaving engine does not change.

Change: given a clock, Readiness keeps its counts for a second. A share may be carried by 0.8 of its part of the engines, two replicas at least.

--- a/src/nutmeghook/internal/orders/readiness.py
+++ b/src/nutmeghook/internal/orders/readiness.py
@@ -1,11 +1,30 @@
 """Whether a version has enough replicas for the share it is to get."""
 
+import collections
 from collections.abc import Callable
+import dataclasses
+import datetime
+import math
 
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.orders import planning
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 
+# A share may be carried by this part of what is planned for it: an engine that
+# was just replaced must not hold up a roll-out until it has loaded.
+READY_PART = 0.8
+_COUNTED_FOR = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Counts:
+    """What the reports show at one moment."""
+
+    replicas: collections.Counter[engine.ModelVersion]
+    engines: collections.Counter[str]
+    counted_at: datetime.timedelta
+
 
 class Readiness:
     """Counts replicas on the backend servers that this instance knows.
@@ -15,46 +34,67 @@
 
     Args:
         known: Returns all known backend servers.
+        clock: Counts are kept for a second on it, so that asking on each
+            request costs the same however many engines there are. Without
+            it they are made anew each time.
     """
 
-    __slots__ = ("_known",)
+    __slots__ = ("_clock", "_counts", "_known")
 
-    def __init__(self, *, known: Callable[[], list[backends.Backend]]):
+    def __init__(
+        self,
+        *,
+        known: Callable[[], list[backends.Backend]],
+        clock: clock_module.Clock | None = None,
+    ):
         self._known = known
+        self._clock = clock
+        self._counts: _Counts | None = None
 
     def ready_replicas(self, model_version: engine.ModelVersion) -> int:
-        """Returns how many engines can serve a version now."""
-        return len(self._having(model_version))
+        """Returns how many engines can serve a version."""
+        return self._current().replicas[model_version]
 
     def is_ready_for(
         self, model_version: engine.ModelVersion, *, share_percent: float
     ) -> bool:
         """Tells whether a version may get a share without overload."""
-        pools = {
-            backend.service
-            for backend in self._usable()
-            if _serves_model(backend, model_version.model)
-        }
-        engines = sum(b.service in pools for b in self._usable())
+        counts = self._current()
+        engines = counts.engines[model_version.model]
         if not engines:
             return False
-        wanted = planning.wanted_replicas(
-            engines=engines, share=share_percent / 100
+        needed = max(
+            min(engines, planning.MIN_REPLICAS),
+            math.ceil(READY_PART * engines * share_percent / 100),
         )
-        return self.ready_replicas(model_version) >= wanted
-
-    def _usable(self) -> list[backends.Backend]:
-        return [
-            backend
-            for backend in self._known()
-            if backend.report is not None and not backend.leaving
-        ]
+        return counts.replicas[model_version] >= needed
 
-    def _having(
-        self, model_version: engine.ModelVersion
-    ) -> list[backends.Backend]:
-        return [b for b in self._usable() if model_version in b.report.loaded]
+    def _current(self) -> _Counts:
+        now = self._clock.monotonic() if self._clock else datetime.timedelta()
+        counts = self._counts
+        if (
+            counts is None
+            or self._clock is None
+            or now - counts.counted_at >= _COUNTED_FOR
+        ):
+            counts = self._counts = _count(self._known(), now)
+        return counts
 
 
-def _serves_model(backend: backends.Backend, model: str) -> bool:
-    return any(version.model == model for version in backend.report.loaded)
+def _count(known: list[backends.Backend], now: datetime.timedelta) -> _Counts:
+    usable = [b for b in known if b.report is not None and not b.leaving]
+    replicas = collections.Counter(
+        version for b in usable for version in b.report.loaded
+    )
+    pools: dict[str, set[str]] = {}
+    for backend in usable:
+        for version in backend.report.loaded:
+            pools.setdefault(version.model, set()).add(backend.service)
+    sizes = collections.Counter(backend.service for backend in usable)
+    engines = collections.Counter(
+        {
+            model: sum(sizes[pool] for pool in names)
+            for model, names in pools.items()
+        }
+    )
+    return _Counts(replicas=replicas, engines=engines, counted_at=now)
--- a/tests/cover/test_orders_planning.py
+++ b/tests/cover/test_orders_planning.py
@@ -1,5 +1,6 @@
 """The wanted state of versions on engines, and the way to it."""
 
+import asyncio
 import dataclasses
 import datetime
 import unittest
@@ -8,6 +9,7 @@
 from hypothesis import strategies
 
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.foundation import clock
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import planning
 from nutmeghook.internal.orders import readiness
@@ -157,6 +159,9 @@
 
         known = [backend(i, 1) for i in range(8)]
         ready = readiness.Readiness(known=lambda: known)
+        fake = clock.FakeClock()
+        remembering = readiness.Readiness(known=lambda: known, clock=fake)
+        self.assertEqual(remembering.ready_replicas(version(2)), 0)
         self.assertFalse(ready.is_ready_for(version(2), share_percent=1))
         known += [backend(8, 1, 2), backend(9, 1, 2, leaving=True)]
         self.assertEqual(ready.ready_replicas(version(2)), 1)
@@ -164,6 +169,9 @@
         known.append(backend(10, 1, 2))
         self.assertTrue(ready.is_ready_for(version(2), share_percent=5))
         self.assertFalse(ready.is_ready_for(version(2), share_percent=50))
+        self.assertEqual(remembering.ready_replicas(version(2)), 0)
+        asyncio.run(fake.advance(datetime.timedelta(seconds=1)))
+        self.assertEqual(remembering.ready_replicas(version(2)), 2)
 
 
 def config_withdraws(config, placement):
