Load a roll-out's replicas within one pass, and at once in a new system

Cause: a pass gave one load, as the pace of grants refused the next, and at 12 engines a pass comes every 6 s; the very first holder also waited 10 s for a predecessor that never was. A roll-out accepted right after the start waited about 20 s for its two replicas.

Ruled out: more frequent passes (reading back is what costs bytes).

Change: within a pass, loads wait for the pace of grants up to two seconds each.

--- a/src/nutmeghook/internal/orders/controller.py
+++ b/src/nutmeghook/internal/orders/controller.py
@@ -26,11 +26,14 @@
 # A new holder sends nothing for this long: its predecessor's last order has
 # arrived by then or never will, but for one that was paused on its way.
 TAKE_OVER_WAIT = 2 * ORDER_TIMEOUT
+# The lease's first holder ever has no predecessor.
+FIRST_TOKEN = 1
 LOADS_AT_ONCE = 4
 STALE_CONFIG = datetime.timedelta(seconds=10)
 AVOID_REFUSING = datetime.timedelta(seconds=10)
 AVOID_FORBIDDING = datetime.timedelta(minutes=5)
 
+_LONGEST_WAIT_IN_PASS = datetime.timedelta(seconds=2)
 _SHORTEST_PASS = datetime.timedelta(seconds=2)
 # Reading one engine back takes about 450 bytes; control has 3 KB a second.
 _PASS_PER_ENGINE = datetime.timedelta(milliseconds=500)
@@ -119,7 +122,9 @@
         self._forget()
         self._token = token
         self._book = order_book.OrderBook(token=token)
-        self._quiet_until = self._clock.monotonic() + TAKE_OVER_WAIT
+        self._quiet_until = self._clock.monotonic()
+        if token != FIRST_TOKEN:
+            self._quiet_until += TAKE_OVER_WAIT
 
     async def _pass(self) -> None:
         found = await self._reader.read()
@@ -130,8 +135,7 @@
         plan = planning.make_plan(snapshot, engines)
         self._drain.note(plan, now)
         await self._ask_again()
-        for placement in plan.loads:
-            await self._load(placement)
+        await self._load_all(plan)
         if self._may_unload():
             await self._unload_all(plan, engines, snapshot)
 
@@ -153,10 +157,23 @@
         for entry in self._book.open_orders():
             await self._send(entry)
 
+    async def _load_all(self, plan: planning.Plan) -> None:
+        """Orders loads, waiting for the pace of grants between them.
+
+        Where the weight store asks for a longer wait, the next pass goes on:
+        the plan would be too old by then.
+        """
+        for placement in plan.loads:
+            if self._book.loads_open() >= LOADS_AT_ONCE:
+                return
+            wait = self._grants.next_in()
+            if wait > _LONGEST_WAIT_IN_PASS:
+                return
+            await self._clock.sleep(wait)
+            await self._load(placement)
+
     async def _load(self, placement: planning.Placement) -> None:
         now = self._clock.monotonic()
-        if self._book.loads_open() >= LOADS_AT_ONCE:
-            return
         if self._book.is_avoided(placement.address, now):
             return
         self._check_lease()
--- a/src/nutmeghook/internal/orders/weight_grants.py
+++ b/src/nutmeghook/internal/orders/weight_grants.py
@@ -47,12 +47,17 @@
         self._backoff = _FIRST_BACKOFF
         self._tickets: dict[planning.Placement, str] = {}
 
+    def next_in(self) -> datetime.timedelta:
+        """Returns how long until the store may be asked again."""
+        wait = self._not_before - self._clock.monotonic()
+        return max(datetime.timedelta(), wait)
+
     async def ticket_for(self, placement: planning.Placement) -> str | None:
         """Returns a ticket, or None if there is none to be had now."""
         kept = self._tickets.pop(placement, None)
         if kept is not None:
             return kept
-        if self._clock.monotonic() < self._not_before:
+        if self.next_in():
             return None
         try:
             ticket = await self._clock.wait_for(
--- a/tests/cover/test_orders_controller.py
+++ b/tests/cover/test_orders_controller.py
@@ -197,7 +197,7 @@
             floor = Floor(2)
             for one in floor.engines.values():
                 setattr(one.faults, fault, 1)
-            await floor.run(floor.holder(FakeLease(1)), 60)
+            await floor.run(floor.holder(FakeLease(3)), 60)
             self.assertEqual(len(await floor.replicas(V2)), 2)
             self.assertEqual(floor.weights.asked, 2)
             ids = {record.order_id for record in floor.orders()}
@@ -245,7 +245,7 @@
         async def scenario(**fault):
             floor = Floor(12, download_bytes_per_ms=0.2)
             config = planning_case.snapshot(v1="serving:95", v2="rolling_out:5")
-            holder = floor.holder(FakeLease(1), config=config)
+            holder = floor.holder(FakeLease(3), config=config)
             await floor.run(holder, 40)
             victims = [one for one in floor.engines.values() if one.orders]
             self.assertEqual(len(victims), controller_module.LOADS_AT_ONCE)
@@ -266,13 +266,13 @@
 
         async def scenario():
             floor = Floor()
-            plan_first = floor.holder(FakeLease(1))
+            plan_first = floor.holder(FakeLease(3))
             await floor.run(plan_first, 30)
             first = set(await floor.replicas(V2))
             floor = Floor()
             for address in first:
                 floor.engines[address].settings.secret = "other"
-            await floor.run(floor.holder(FakeLease(1)), 90)
+            await floor.run(floor.holder(FakeLease(3)), 90)
             replicas = set(await floor.replicas(V2))
             self.assertEqual(len(replicas), 2)
             self.assertFalse(replicas & first)
@@ -295,7 +295,7 @@
             config = planning_case.snapshot(
                 v1="serving:50", v2="rolling_out:50"
             )
-            holder = floor.holder(FakeLease(1), config=config)
+            holder = floor.holder(FakeLease(3), config=config)
             await floor.run(holder, 70)
             self.assertLessEqual(floor.weights.asked, 8)
             floor.weights.faults.down = False
@@ -317,13 +317,14 @@
             config = planning_case.snapshot(
                 v1="serving:50", v2="rolling_out:50"
             )
-            holder = floor.holder(FakeLease(1), config=config)
+            holder = floor.holder(FakeLease(3), config=config)
             asked = []
             for _ in range(30):
                 await floor.run(holder, 2)
                 asked.append(floor.weights.asked)
             self.assertEqual(asked[-1], controller_module.LOADS_AT_ONCE)
             steps = [b - a for a, b in itertools.pairwise(asked)]
+            # A grant a second at most, and two seconds between the samples.
             self.assertLessEqual(max(steps), 2)
 
         _run(scenario)
@@ -341,18 +342,18 @@
 
         async def scenario():
             floor = Floor()
-            await floor.run(floor.holder(FakeLease(2)), 60)
+            await floor.run(floor.holder(FakeLease(4)), 60)
             for one in floor.engines.values():
                 await one.order(
                     engine.Order(
                         order_id="newer",
                         kind=engine.OrderKind.SET_ROLE,
                         target="any",
-                        fencing_token=2,
+                        fencing_token=4,
                     )
                 )
             other = planning_case.snapshot(v2="serving:100")
-            late = floor.holder(FakeLease(1), config=other)
+            late = floor.holder(FakeLease(3), config=other)
             await floor.run(late, 60)
             fenced = [
                 r for r in floor.orders() if r.state is engine.OrderState.FENCED
@@ -395,7 +396,7 @@
 
         async def scenario():
             floor = Floor()
-            held = FakeLease(1)
+            held = FakeLease(3)
             holder = floor.holder(held)
             floor.weights.faults.delay = 2 * SECOND
             task = asyncio.ensure_future(holder.run())
@@ -408,12 +409,15 @@
 
         _run(scenario)
 
-    def test_a_new_holder_first_waits(self):
+    def test_a_new_holder_first_waits_unless_there_was_none_before(self):
         async def scenario():
             floor = Floor()
             wait_s = controller_module.TAKE_OVER_WAIT / SECOND
-            await floor.run(floor.holder(FakeLease(1)), wait_s - 1)
+            await floor.run(floor.holder(FakeLease(3)), wait_s - 1)
             self.assertEqual(floor.weights.asked, 0)
+            first = FakeLease(controller_module.FIRST_TOKEN)
+            await floor.run(floor.holder(first), 2)
+            self.assertGreater(floor.weights.asked, 0)
 
         _run(scenario)
 
@@ -447,7 +451,7 @@
 
             reading = asyncio.ensure_future(caller())
             config = planning_case.snapshot(v1="withdrawn", v2="serving:100")
-            holder = floor.holder(FakeLease(1), config=config)
+            holder = floor.holder(FakeLease(3), config=config)
             await floor.run(holder, 35)
             kinds = {record.kind for record in busy.orders}
             self.assertNotIn(engine.OrderKind.UNLOAD, kinds)
@@ -467,7 +471,7 @@
         async def scenario():
             floor = Floor(3)
             config = planning_case.snapshot(v1="withdrawn", v2="serving:100")
-            holder = floor.holder(FakeLease(1), config=config, age_s=60)
+            holder = floor.holder(FakeLease(3), config=config, age_s=60)
             await floor.run(holder, 300)
             self.assertEqual(len(await floor.replicas(V1)), 3)
             self.assertEqual(len(await floor.replicas(V2)), 3)
