--- a/src/nutmeghook/internal/dispatch/chunks.py
+++ b/src/nutmeghook/internal/dispatch/chunks.py
@@ -1,12 +1,11 @@
 """Which of the chunks that come are the next ones of an attempt."""
 
-import dataclasses
+import msgspec
 
 from nutmeghook.internal.platform import engine
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Received:
+class Received(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """What a batch of chunks brought.
 
     Attributes:
--- a/src/nutmeghook/internal/platform/http_engine.py
+++ b/src/nutmeghook/internal/platform/http_engine.py
@@ -60,7 +60,14 @@
 class HttpEngine(engine.Engine):
     """One engine at one address; keeps connections for later calls."""
 
-    __slots__ = ("_address", "_exchange", "_session", "_timeout", "_url")
+    __slots__ = (
+        "_address",
+        "_exchange",
+        "_session",
+        "_silence_s",
+        "_timeout",
+        "_url",
+    )
 
     def __init__(
         self,
@@ -81,9 +88,9 @@
         )
         self._url = f"http://{address}{GENERATE_PATH}"
         self._timeout = aiohttp.ClientTimeout(
-            sock_connect=connect_timeout.total_seconds(),
-            sock_read=silence_timeout.total_seconds(),
+            total=None, sock_connect=connect_timeout.total_seconds()
         )
+        self._silence_s = silence_timeout.total_seconds()
 
     async def generate(
         self, generation: engine.Generation
@@ -106,20 +113,24 @@
         `contextlib.aclosing` to make that happen at once.
         """
         response = None
+        watch = None
         try:
-            response = await self._session.post(
-                self._url,
-                data=_encoder.encode(generation),
-                headers=http_exchange.JSON_HEADERS,
-                timeout=self._timeout,
-                allow_redirects=False,
-            )
+            async with asyncio.timeout(self._silence_s):
+                response = await self._session.post(
+                    self._url,
+                    data=_encoder.encode(generation),
+                    headers=http_exchange.JSON_HEADERS,
+                    timeout=self._timeout,
+                    allow_redirects=False,
+                )
+            watch = _SilenceWatch(response, self._silence_s)
             if response.status != 200:
                 raise await self._refusal(response)
             # Pieces, not lines: reading line by line cost a fifth more
             # processor time a token, and this is the hot path.
             rest = b""
             async for piece in response.content.iter_any():
+                watch.note_piece()
                 lines, rest = _whole_lines(rest + piece if rest else piece)
                 chunks = _chunk_decoder.decode_lines(lines)
                 if not chunks or chunks[-1].finish is None:
@@ -139,6 +150,8 @@
                 f"{self._address}: a chunk can't be read: {error}"
             ) from error
         finally:
+            if watch is not None:
+                watch.stop()
             if response is not None:
                 # Does nothing where the body was read to its end.
                 response.close()
@@ -190,6 +203,38 @@
         )
 
 
+class _SilenceWatch:
+    """Closes a response on which nothing has come for too long.
+
+    The library's own read timeout sets a timer anew with each piece, at 2 us
+    each; this one looks now and then when the last piece came.
+    """
+
+    __slots__ = ("_last_s", "_limit_s", "_loop", "_response", "_timer")
+
+    def __init__(self, response: aiohttp.ClientResponse, limit_s: float):
+        self._loop = asyncio.get_running_loop()
+        self._response = response
+        self._limit_s = limit_s
+        self._last_s = self._loop.time()
+        self._timer = self._loop.call_later(limit_s, self._look)
+
+    def note_piece(self) -> None:
+        """Notes that something came."""
+        self._last_s = self._loop.time()
+
+    def stop(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        left_s = self._last_s + self._limit_s - self._loop.time()
+        if left_s <= 0:
+            self._response.close()
+            return
+        self._timer = self._loop.call_later(left_s, self._look)
+
+
 class HttpEngineConnector(engine.EngineConnector):
     """Reaches engines over one session."""
 
--- /dev/null
+++ b/tests/cover/test_dispatch_silent_engine.py
@@ -0,0 +1,72 @@
+"""An engine that falls silent is given up, before and after its head."""
+
+import asyncio
+import datetime
+import unittest
+
+from aiohttp import web
+import msgspec
+
+from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import http_engine
+from nutmeghook.internal.platform import http_exchange
+
+GENERATION = engine.Generation(
+    attempt_id="req-1/1",
+    model_version=engine.ModelVersion(model="small", version="1"),
+    messages=(),
+    max_tokens=9,
+)
+SILENCE_LIMIT = datetime.timedelta(milliseconds=100)
+# Only ends a test that would hang for ever.
+HANGS_AFTER_S = 30
+
+
+class SilentEngineTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        application = web.Application()
+        application.router.add_post(http_engine.GENERATE_PATH, self.answer)
+        self.listener = listener_module.Listener(application=application)
+        await self.listener.start(host="127.0.0.1", port=0)
+        self.addAsyncCleanup(self.listener.stop)
+        session = http_exchange.open_session()
+        self.addAsyncCleanup(session.close)
+        connector = http_engine.HttpEngineConnector(
+            session=session, silence_timeout=SILENCE_LIMIT
+        )
+        self.engine = connector.connect(self.listener.address)
+        self.speaks_first = True
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        if self.speaks_first:
+            chunk = engine.Chunk(
+                attempt_id="req-1/1", token_index=0, tokens=1, text="The "
+            )
+            await response.prepare(request)
+            await response.write(msgspec.json.encode(chunk) + b"\n")
+        await asyncio.get_running_loop().create_future()
+        return response
+
+    async def read(self) -> list[str]:
+        texts = []
+        with self.assertRaises(failures.OutcomeUnknownError):
+            async with asyncio.timeout(HANGS_AFTER_S):
+                async for chunk in self.engine.generate(GENERATION):
+                    texts.append(chunk.text)
+        return texts
+
+    async def test_silence_in_mid_stream_is_a_cut(self):
+        """The caller's stream is resumed instead of hanging to its deadline.
+
+        One chunk comes, then nothing, on a connection that stays open: the
+        engine's host is gone without a word. The reading must end as a cut.
+        """
+        self.assertEqual(await self.read(), ["The "])
+
+    async def test_silence_before_the_head_is_an_unknown_outcome(self):
+        """The attempt is given up; what it did is not known."""
+        self.speaks_first = False
+        self.assertEqual(await self.read(), [])
