Judge a roll-out's next step by answers sent at the present share

The model of roll-outs showed a fault. Now ratings of answers that were out at a step don't count for the next one.

A second cause: a version was only held where the proof against it was nearly complete. It is now held at its share while more ratings are bad than two standard deviations over the tolerated share. Holding costs a good version some time at worst.

--- a/src/nutmeghook/internal/rollout/decisions.py
+++ b/src/nutmeghook/internal/rollout/decisions.py
@@ -1,5 +1,7 @@
 """What the pooled ratings call for: leave, the next share, a withdrawal."""
 
+import math
+
 import msgspec
 
 from nutmeghook.internal.config import documents
@@ -11,6 +13,10 @@
 # A version under suspicion stays at its share until that is settled: with
 # the threshold at 100 to 1, this is 10 to 1.
 _SUSPICION = 0.1
+# So many standard deviations more bad ratings at a share than tolerated hold
+# the version there. It costs a good version time at worst, so it may be far
+# less strict than the proof that stops one.
+_HELD_AT_DEVIATIONS = 2.0
 # Leave made ready ahead, as a part of the cap: what a holder's death may
 # leave counted as sent for a while.
 _READY_PART_OF_CAP = 0.25
@@ -107,10 +113,19 @@
 ) -> bool:
     if watch.ratings_at_share < policy.ratings_per_step:
         return False
+    if watch.bad_at_share > _most_bad(watch.ratings_at_share, policy):
+        return False
     rule = pool_module.rule_for(watch, policy)
     return rule.strength(watch.evidence) < _SUSPICION
 
 
+def _most_bad(ratings: int, policy: documents.RollOutPolicy) -> float:
+    """Returns how many bad ratings a version may have and still grow."""
+    share = policy.tolerated_bad_share
+    deviation = math.sqrt(ratings * share * (1.0 - share))
+    return ratings * share + _HELD_AT_DEVIATIONS * deviation
+
+
 def _next_share(share_percent: float, policy: documents.RollOutPolicy) -> float:
     larger = [s for s in policy.steps_percent if s > share_percent]
     return min(larger, default=_FULL_SHARE_PERCENT)
--- a/src/nutmeghook/internal/rollout/pool.py
+++ b/src/nutmeghook/internal/rollout/pool.py
@@ -45,7 +45,11 @@
         rollout_id: Revision at which the watch began; a version that is
             rolled out again after a withdrawal gets another.
         rolling_out: In roll-out; else it serves at its full share.
-        share_percent: The share that `ratings_at_share` were given at.
+        share_percent: The version's share now.
+        ratings_at_share: Ratings of answers that were sent at this share.
+            Below 0 while ratings of earlier answers are still to come: those
+            say nothing of a version that turns bad at a larger share.
+        bad_at_share: Those of them, from 0 on, that were bad.
         rated: Ratings since the watch began.
         reserved: Answers for which leave was ever made ready.
         reserved_by_holder: Those of them by the present lease holder.
@@ -60,6 +64,7 @@
     rolling_out: bool
     share_percent: float
     ratings_at_share: int = 0
+    bad_at_share: int = 0
     rated: int = 0
     evidence: evidence_module.Evidence = evidence_module.Evidence()
     verdict: Verdict = Verdict.OPEN
@@ -248,7 +253,10 @@
         )
     if watch.share_percent != entry.share_percent:
         return msgspec.structs.replace(
-            watch, share_percent=entry.share_percent, ratings_at_share=0
+            watch,
+            share_percent=entry.share_percent,
+            ratings_at_share=-watch.unrated_answers(),
+            bad_at_share=0,
         )
     return watch
 
@@ -269,4 +277,5 @@
         verdict=verdict,
         rated=watch.rated + 1,
         ratings_at_share=watch.ratings_at_share + 1,
+        bad_at_share=watch.bad_at_share + (bad and watch.ratings_at_share >= 0),
     )
--- a/tests/cover/test_rollout_evidence.py
+++ b/tests/cover/test_rollout_evidence.py
@@ -6,7 +6,12 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import ratings
+from nutmeghook.internal.rollout import decisions
 from nutmeghook.internal.rollout import evidence
+from nutmeghook.internal.rollout import pool
 
 SHARES = strategies.floats(0.01, 0.4)
 PASTS = strategies.lists(strategies.booleans(), max_size=40)
@@ -81,5 +86,85 @@
             self.assertLess(sorted(delays)[30], 40)
 
 
+class GrowthTest(unittest.TestCase):
+    """When a version may go on to its next share."""
+
+    def _snapshot(self, percent):
+        entries = (
+            documents.VersionEntry(version="1", share_percent=100 - percent),
+            documents.VersionEntry(
+                version="2",
+                state=documents.VersionState.ROLLING_OUT,
+                share_percent=percent,
+            ),
+        )
+        template = documents.Template(
+            team="t",
+            name="n",
+            stages=(documents.Stage(model="m", versions=entries),),
+        )
+        return documents.Snapshot(
+            revision=1,
+            fleet=documents.Fleet(),
+            teams={},
+            templates={"t/n": template},
+        )
+
+    @hypothesis.given(strategies.integers(0, 40), strategies.integers(0, 59))
+    def test_ratings_of_earlier_answers_do_not_count_for_the_next_share(
+        self, out_unrated, rated_since
+    ):
+        """The version goes to 50%, where it turns bad.
+
+        Ratings of answers sent at 25% still come in, all good. Had they
+        counted, callers would all have got the version before a single
+        answer sent at 50% was rated.
+        """
+        version = engine.ModelVersion(model="m", version="2")
+        key = pool.VersionKey(team="t", template="n", model_version=version)
+        watch = pool.Watch(
+            key=key,
+            rollout_id=1,
+            rolling_out=True,
+            share_percent=25.0,
+            ratings_at_share=60,
+            rated=60,
+            reserved=60 + out_unrated,
+        )
+        found = pool.Pool(watches=(watch,))
+        snapshot = self._snapshot(50.0)
+        found = pool.following(found, snapshot)
+        for bad in [False] * out_unrated + [False] * rated_since:
+            found = self._rated(found, snapshot, bad)
+        self.assertEqual(decisions.steps(found, snapshot), [])
+        for _ in range(60 - rated_since):
+            found = self._rated(found, snapshot, False)
+        self.assertEqual(len(decisions.steps(found, snapshot)), 1)
+
+    def test_many_bad_ratings_hold_a_version_before_they_prove_it_bad(self):
+        snapshot = self._snapshot(50.0)
+        found = pool.following(pool.Pool(), snapshot)
+        for _ in range(200):
+            found = self._rated(found, snapshot, bad=False)
+        found = pool.following(found, self._snapshot(25.0))
+        found = pool.following(found, snapshot)
+        for number in range(60):
+            found = self._rated(found, snapshot, bad=number % 8 == 0)
+        self.assertIs(found.watches[0].verdict, pool.Verdict.OPEN)
+        self.assertEqual(decisions.steps(found, snapshot), [])
+
+    def _rated(self, found, snapshot, bad):
+        rating = ratings.Rating(
+            cursor=1,
+            request_id="",
+            team="t",
+            template="n",
+            model_version=engine.ModelVersion(model="m", version="2"),
+            stage=0,
+            quality=0.0 if bad else 1.0,
+        )
+        return pool.with_ratings(found, [rating], snapshot)
+
+
 if __name__ == "__main__":
     unittest.main()
