Keep cut instances from taking a lease from each other

Cause: a ledger lease could be taken at once from a holder that the member list no longer showed. Two instances cut off from each other, and not from the store, each take the other for dead: they would have taken each partition from each other every second, reading its log each time. Ruled out: dropping the shorter wait for known deaths (5.5 s for all); asking a third instance (it may be cut off too; the store shows the renewals). Change: a holder taken for dead must also have missed two renewals. Random histories now let instances take living ones for dead. Conclusion: under a cut the lease stays with whoever renews it.

--- a/src/nutmeghook/internal/leases/keeper.py
+++ b/src/nutmeghook/internal/leases/keeper.py
@@ -24,6 +24,10 @@
 
 _ZERO = datetime.timedelta()
 _JITTER_SHARE = 0.1
+# Two instances that are cut off from each other, and not from the store, take
+# each other for dead. If that were enough they would take the lease from each
+# other without end; a holder that still renews is not dead.
+_MISSED_RENEWALS = 2
 
 
 class LeaseKeeper(lease.Lease):
@@ -225,9 +229,10 @@
         if self._row is None or self._row.released:
             return unchanged_for >= patience
         if self._is_dead is not None and self._is_dead(self._row.holder):
-            return unchanged_for >= patience
-        duration = datetime.timedelta(milliseconds=self._row.duration_ms)
-        return unchanged_for >= duration + self._settings.margin + patience
+            lapse = _MISSED_RENEWALS * self._settings.renew_every
+        else:
+            lapse = datetime.timedelta(milliseconds=self._row.duration_ms)
+        return unchanged_for >= lapse + self._settings.margin + patience
 
     async def _take(self) -> None:
         last = 0 if self._row is None else self._row.token
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -161,9 +161,31 @@
     async def test_known_death_shortens_the_wait(self):
         heir = self.contender("heir", is_dead=lambda holder: holder == "one")
         await heir.step()
+        self.assertFalse(heir.acts())
+        await self.clock.advance(2500 * MS)
+        await heir.step()
         self.assertTrue(heir.acts())
         self.assertFalse(await self.condition_holds(self.one))
 
+    async def test_cut_instances_do_not_rob_each_other(self):
+        """Two instances are cut off from each other, not from the store.
+
+        Each takes the other for dead and itself for preferred. The holder
+        still renews, which the other sees: the lease stays where it is.
+        """
+        both = [
+            self.contender(name, is_dead=lambda holder: holder != "one")
+            for name in ("left", "right")
+        ]
+        await self.one.keeper.release()
+        await both[0].step()
+        for _ in range(20):
+            await both[1].step()
+            await self.clock.advance(SECOND)
+            await both[0].step()
+            self.assertTrue(both[0].acts())
+        self.assertEqual(both[0].keeper.fencing_token(), 2)
+
 
 class LeaseHistoryTest(unittest.TestCase):
     """Random schedules of steps, freezes and lost writes."""
--- a/tests/ledger_history.py
+++ b/tests/ledger_history.py
@@ -218,6 +218,7 @@
                 self._freeze,
                 self._thaw,
                 self._cut,
+                self._mistake,
                 self._heal,
                 self._lose,
                 self._make_late,
@@ -261,7 +262,12 @@
     def _cut(self) -> None:
         self.cluster.network.cut(self._some_address(), self._some_address())
 
+    def _mistake(self) -> None:
+        viewer, viewed = self.random.sample(_NAMES, 2)
+        self.cluster.hidden.add((f"{viewer}:1", f"{viewed}:1"))
+
     def _heal(self) -> None:
+        self.cluster.hidden.clear()
         self.cluster.network.heal_all()
 
     def _lose(self) -> None:
@@ -292,6 +298,7 @@
         return f"{self.random.choice(_NAMES)}:1"
 
     def _end_faults(self) -> None:
+        self.cluster.hidden.clear()
         self.cluster.network.heal_all()
         for name in _NAMES:
             self.cluster.network.thaw(f"{name}:1")
