--- a/bench/affinity.py
+++ b/bench/affinity.py
@@ -7,7 +7,9 @@
 
 from bench import report
 from bench.models import fleet
+from bench.models import fleet_parts
 from bench.models import replicas
+from bench.models import routers
 from bench.models import simulation
 from nutmeghook.internal.routing import affinity
 from nutmeghook.internal.routing import backends
@@ -108,9 +110,9 @@
     Of 50 replicas one goes, drawn by the seed; a fair share is 0.02.
     """
     ring = affinity.AffinityRing()
-    ring.add_all(fleet.address_of(n) for n in range(REPLICAS))
+    ring.add_all(fleet_parts.address_of(n) for n in range(REPLICAS))
     before = [_owner(ring, n) for n in range(SESSIONS)]
-    gone = fleet.address_of(random.Random(seed).randrange(REPLICAS))
+    gone = fleet_parts.address_of(random.Random(seed).randrange(REPLICAS))
     ring.remove(gone)
     after = [_owner(ring, n) for n in range(SESSIONS)]
     moved = sum(a != b for a, b in zip(before, after, strict=True))
@@ -129,8 +131,8 @@
     """
     rng = random.Random(f"prefixes {seed}")
     clock = simulation.Simulation()
-    shape = fleet.Shape(routers=1, replicas=12, capacity=16, bursts=False)
-    router = fleet.ProductRouter(
+    shape = fleet_parts.Shape(routers=1, replicas=12, capacity=16, bursts=False)
+    router = routers.ProductRouter(
         number=0, shape=shape, clock=clock, rng=random.Random(seed)
     )
     engines = [
@@ -142,20 +144,20 @@
     work_s = fleet.MEAN_WORK_S
     gap_s = work_s / (0.7 * shape.replicas * shape.capacity)
     for number in range(shape.replicas):
-        router.take_report(number, fleet.report_of(engines[number]), 0.0)
-    numbers = {fleet.address_of(n): n for n in range(shape.replicas)}
+        router.take_report(number, fleet_parts.report_of(engines[number]), 0.0)
+    numbers = {fleet_parts.address_of(n): n for n in range(shape.replicas)}
     fullest = 0.0
     for _ in range(REQUESTS):
         clock.run_until(clock.now_s + rng.expovariate(1 / gap_s))
         prefix = f"prefix-{rng.choices(range(PREFIXES), weights)[0]}"
         if policy == "clairvoyant":
             chosen = _clairvoyant(engines, caches, prefix)
-            backend = router.directory.find(fleet.address_of(chosen))
+            backend = router.directory.find(fleet_parts.address_of(chosen))
         else:
             key = prefix if policy == "product" else ""
             backend = router.chooser.choose(
                 backends.BackendNeed(
-                    model_version=fleet.VERSION, affinity_key=key
+                    model_version=fleet_parts.VERSION, affinity_key=key
                 )
             )
             chosen = numbers[backend.address]
@@ -180,7 +182,7 @@
 
 
 def _send(
-    router: fleet.ProductRouter,
+    router: routers.ProductRouter,
     backend: backends.Backend,
     replica: replicas.Replica,
     clock: simulation.Simulation,
--- a/bench/balance.py
+++ b/bench/balance.py
@@ -13,13 +13,17 @@
 from bench import report
 from bench.models import baselines
 from bench.models import fleet
+from bench.models import fleet_parts
+from bench.models import routers
 
 # Today's fleets: 7 routers, 12 replicas.
-TODAY_BURSTS = fleet.Shape(routers=7, replicas=12, capacity=16, bursts=True)
+TODAY_BURSTS = fleet_parts.Shape(
+    routers=7, replicas=12, capacity=16, bursts=True
+)
 TODAY_STEADY = dataclasses.replace(TODAY_BURSTS, bursts=False)
 TODAY_SMALL_BATCH = dataclasses.replace(TODAY_STEADY, capacity=8)
 # A tenth of the planned fleet, in one data centre and of one version.
-TENTH = fleet.Shape(
+TENTH = fleet_parts.Shape(
     routers=42,
     replicas=440,
     capacity=16,
@@ -29,7 +33,7 @@
 )
 # A tenth of it again, but as one of the 13 versions: fewer replicas than
 # routers, so that each cell has five of them.
-ONE_VERSION = fleet.Shape(
+ONE_VERSION = fleet_parts.Shape(
     routers=42,
     replicas=36,
     capacity=16,
@@ -54,7 +58,7 @@
     unevenness: float
 
 
-def measure(shape: fleet.Shape, policy: str, seed: int) -> Outcome:
+def measure(shape: fleet_parts.Shape, policy: str, seed: int) -> Outcome:
     """Runs one policy on one seed."""
     run_of_fleet = fleet.Fleet(
         shape=shape, seed=seed, build_router=_builder(policy)
@@ -69,7 +73,7 @@
 
 
 def ratios(
-    shape: fleet.Shape, policy: str, best: dict[int, Outcome]
+    shape: fleet_parts.Shape, policy: str, best: dict[int, Outcome]
 ) -> list[float]:
     """Returns p95 wait over the clairvoyant's, for each of its seeds."""
     return [
@@ -79,7 +83,7 @@
 
 
 def clairvoyant_outcomes(
-    shape: fleet.Shape, seeds: tuple[int, ...]
+    shape: fleet_parts.Shape, seeds: tuple[int, ...]
 ) -> dict[int, Outcome]:
     """Returns the clairvoyant's outcome by seed."""
     return {seed: measure(shape, CLAIRVOYANT, seed) for seed in seeds}
@@ -117,7 +121,7 @@
 
 def _lines(
     suffix: str,
-    shape: fleet.Shape,
+    shape: fleet_parts.Shape,
     seeds: tuple[int, ...],
     *,
     bound: float | None,
@@ -154,17 +158,17 @@
     )
 
 
-def _builder(policy: str) -> Callable[[fleet.Fleet, int], fleet.Router]:
-    def build(of_fleet: fleet.Fleet, number: int) -> fleet.Router:
+def _builder(policy: str) -> Callable[[fleet.Fleet, int], routers.Router]:
+    def build(of_fleet: fleet.Fleet, number: int) -> routers.Router:
         rng = random.Random(f"{policy} {number}")
         if policy == PRODUCT:
-            return fleet.ProductRouter(
+            return routers.ProductRouter(
                 number=number,
                 shape=of_fleet.shape,
                 clock=of_fleet.simulation,
                 rng=rng,
             )
-        return fleet.BaselineRouter(
+        return routers.BaselineRouter(
             shape=of_fleet.shape, rule=_rule(policy, of_fleet), rng=rng
         )
 
--- a/bench/decision.py
+++ b/bench/decision.py
@@ -11,8 +11,9 @@
 import time
 
 from bench import report
-from bench.models import fleet
+from bench.models import fleet_parts
 from bench.models import replicas
+from bench.models import routers
 from bench.models import simulation
 from nutmeghook.internal.routing import backends
 
@@ -30,16 +31,18 @@
 
     def __init__(self, *, size: int):
         self._clock = simulation.Simulation()
-        shape = fleet.Shape(routers=1, replicas=size, capacity=16, bursts=False)
-        self._router = fleet.ProductRouter(
+        shape = fleet_parts.Shape(
+            routers=1, replicas=size, capacity=16, bursts=False
+        )
+        self._router = routers.ProductRouter(
             number=0, shape=shape, clock=self._clock, rng=random.Random(1)
         )
         idle = replicas.Replica(simulation=self._clock, capacity=16)
         for number in range(size):
-            self._router.take_report(number, fleet.report_of(idle), 0.0)
+            self._router.take_report(number, fleet_parts.report_of(idle), 0.0)
         self._needs = [
             backends.BackendNeed(
-                model_version=fleet.VERSION,
+                model_version=fleet_parts.VERSION,
                 affinity_key=f"session-{number}" if number % 2 else "",
             )
             for number in range(DECISIONS)
--- /dev/null
+++ b/bench/models/routers.py
@@ -0,0 +1,222 @@
+"""Routers of the fleet's model: the usual policies, and the product's."""
+
+import abc
+import datetime
+import random
+
+from bench.models import baselines
+from bench.models import fleet_parts
+from bench.models import replicas
+from bench.models import simulation
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import backends
+from nutmeghook.internal.routing import cells as cells_module
+from nutmeghook.internal.routing import chooser as chooser_module
+from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import ejection
+from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.routing import load_digests
+from nutmeghook.internal.routing import poller
+
+
+class Surroundings(abc.ABC):
+    """What a router may reach of the fleet around it.
+
+    Attributes:
+        rng: For what happens around the traffic.
+        routers: All of the fleet, the router itself among them.
+        by_address: The replicas.
+    """
+
+    rng: random.Random
+    routers: list["Router"]
+    by_address: dict[str, replicas.Replica]
+
+
+class Router(abc.ABC):
+    """One router with its own knowledge.
+
+    Attributes:
+        chooser: Its policy.
+    """
+
+    chooser: backends.BackendChooser
+
+    @abc.abstractmethod
+    def take_report(
+        self, number: int, report: engine.LoadReport, measured_s: float
+    ) -> None:
+        """Takes in a replica's report."""
+
+    @abc.abstractmethod
+    def start(self, fleet: Surroundings) -> None:
+        """Starts what the router does by itself."""
+
+
+class BaselineRouter(Router):
+    """A router with one of the usual policies."""
+
+    def __init__(
+        self,
+        *,
+        shape: fleet_parts.Shape,
+        rule: baselines.Rule,
+        rng: random.Random,
+    ):
+        self._backends = [
+            backends.Backend(
+                address=fleet_parts.address_of(number),
+                region="r",
+                data_centre="r-1",
+                service="engines",
+            )
+            for number in range(shape.replicas)
+        ]
+        self.chooser = baselines.BaselineChooser(
+            candidates=self._backends, rule=rule, rng=rng
+        )
+
+    def start(self, fleet: Surroundings) -> None:
+        """Does nothing by itself."""
+
+    def take_report(
+        self, number: int, report: engine.LoadReport, measured_s: float
+    ) -> None:
+        """Keeps it for the rule."""
+        self._backends[number].report = report
+
+
+class ProductRouter(Router):
+    """The product's own parts; only its digests' way is modelled.
+
+    A digest reaches the peers of the cell after the network's delay, as
+    often as the product's budget of bytes allows. With `shares` False the
+    router tells its peers nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        shape: fleet_parts.Shape,
+        clock: simulation.Simulation,
+        rng: random.Random,
+        shares: bool = True,
+    ):
+        self.address = fleet_parts.inner_address_of(number)
+        self._clock = clock
+        self._shares = shares
+        self._book = load_book.LoadBook(clock=clock)
+        events = events_module.EventRing(clock=clock, capacity_events=16)
+        self.directory = directory_module.BackendDirectory(
+            clock=clock, events=events, book=self._book
+        )
+        self.directory.apply_list(
+            [fleet_parts.listed(number) for number in range(shape.replicas)]
+        )
+        self._cells = cells_module.CellView(
+            members=members_module.FixedMemberView(
+                myself=fleet_parts.member(number),
+                others=tuple(
+                    fleet_parts.member(n)
+                    for n in range(shape.routers)
+                    if n != number
+                ),
+            ),
+            directory=self.directory,
+        )
+        self._told: dict[str, int] = {}
+        self.digests = 0
+        self.chooser = chooser_module.LeastLoadedChooser(
+            directory=self.directory,
+            book=self._book,
+            ejector=ejection.OutlierEjector(
+                directory=self.directory, clock=clock, events=events
+            ),
+            sharer=None,
+            clock=clock,
+            rng=rng,
+        )
+
+    def start(self, fleet: Surroundings) -> None:
+        """Begins to send digests to the peers of the cell."""
+        self._cells.refresh()
+        peers = [
+            router
+            for router in fleet.routers
+            if router.address in self._cells.cell.peers
+        ]
+        if self._shares:
+            self._tell(peers)
+        self._clock.call_every(1.0, self._cells.refresh, first_s=1.0)
+        self._clock.call_every(
+            poller.STRANGER_PERIOD.total_seconds(),
+            lambda: self._poll_stranger(fleet),
+            first_s=fleet.rng.random(),
+        )
+
+    def take_report(
+        self, number: int, report: engine.LoadReport, measured_s: float
+    ) -> None:
+        """Gives the directory what the cell's pollers would have brought."""
+        backend = self.directory.find(fleet_parts.address_of(number))
+        if backend.nearness is backends.Nearness.OWN_CELL:
+            self._note_report(backend, report, measured_s)
+
+    def _note_report(
+        self,
+        backend: backends.Backend,
+        report: engine.LoadReport,
+        measured_s: float,
+    ) -> None:
+        self.directory.note_report(
+            backend,
+            report,
+            measured_at=datetime.timedelta(seconds=measured_s),
+        )
+
+    def _poll_stranger(self, fleet: Surroundings) -> None:
+        """Polls a replica of another cell, as the product's poller does."""
+        strangers = [
+            b
+            for b in self.directory.known()
+            if b.nearness is not backends.Nearness.OWN_CELL
+        ]
+        if not strangers:
+            return
+        backend = fleet.rng.choice(strangers)
+        report = fleet_parts.report_of(fleet.by_address[backend.address])
+        measured_s = self._clock.now_s
+        self._clock.call_at(
+            measured_s + fleet_parts.REPORT_LAG_S,
+            lambda: self._note_report(backend, report, measured_s),
+        )
+
+    def hear(self, changes: dict[str, int]) -> None:
+        """Takes in a peer's digest."""
+        for address, change in changes.items():
+            self._book.note_peers(self.directory.find(address), change)
+
+    def _tell(self, peers: list["ProductRouter"]) -> None:
+        changes = {}
+        for backend in self.directory.known():
+            change = backend.in_flight - self._told.get(backend.address, 0)
+            if change:
+                changes[backend.address] = change
+                self._told[backend.address] = backend.in_flight
+        now_s = self._clock.now_s
+        if changes:
+            self.digests += 1
+            for peer in peers:
+                self._clock.call_at(
+                    now_s + fleet_parts.NETWORK_S,
+                    lambda peer=peer: peer.hear(changes),
+                )
+        period = load_digests.period_for(
+            peers=len(peers), entries=len(changes), reports=0
+        )
+        self._clock.call_at(
+            now_s + period.total_seconds(), lambda: self._tell(peers)
+        )
