Write the roll-outs' row only when a successor must know

The row with all versions under watch was written each second in which a rating came. Ratings can be read again from the rating service behind the row's cursor, so only reserved leave, verdicts and shares have to be in the row at once; the rest follows every ten seconds.

During a roll-out leave is still reserved in most seconds, and the row holds all templates; one row for each template is what would close that.

Seen to fail with reserved leave, and with verdicts, left out of what is written at once. 18 tests of roll-outs pass.

--- a/src/nutmeghook/internal/rollout/controller.py
+++ b/src/nutmeghook/internal/rollout/controller.py
@@ -25,6 +25,9 @@
 TICK = datetime.timedelta(seconds=1)
 _RATINGS_PER_PAGE = 1000
 _PAGES_PER_TICK = 5
+# Ratings that change nothing yet are written this seldom. A successor reads
+# them from the rating service again, from the row's cursor on.
+_WRITE_EVERY = datetime.timedelta(seconds=10)
 
 
 class RolloutController:
@@ -44,6 +47,7 @@
         "_stalled",
         "_table",
         "_view",
+        "_written_at",
     )
 
     def __init__(
@@ -72,6 +76,7 @@
         # Revision of the configuration that a step was refused on.
         self._refused_at: dict[pool_module.VersionKey, int] = {}
         self._row_version = table_module.ABSENT_VERSION
+        self._written_at = clock.monotonic() - _WRITE_EVERY
         self._stalled: set[pool_module.VersionKey] = set()
 
     async def run(self) -> None:
@@ -115,7 +120,8 @@
         after = pool_module.following(after, snapshot)
         after = pool_module.matured(after, self._clock.now())
         after = decisions.with_leave(after, snapshot, self._leave)
-        if (self._dirty or after != pool) and not await self._commit(after):
+        self._dirty = self._dirty or after != pool
+        if self._must_write(pool, after) and not await self._commit(after):
             self._pool = None
             return
         self._pool = after
@@ -125,6 +131,21 @@
         for step in decisions.steps(after, snapshot):
             await self._take(step, snapshot.revision)
 
+    def _must_write(
+        self, before: pool_module.Pool, after: pool_module.Pool
+    ) -> bool:
+        """Tells whether the row has to follow the pool now.
+
+        Leave is granted and versions are withdrawn only on what the row says;
+        else a successor would not know of it.
+        """
+        if not self._dirty:
+            return False
+        waited = self._clock.monotonic() - self._written_at
+        return waited >= _WRITE_EVERY or pool_module.binds_successor(
+            before, after
+        )
+
     async def _read_pool(self) -> pool_module.Pool:
         self._dirty = False
         row = await self._table.read(pool_module.ROW_KEY)
@@ -176,6 +197,7 @@
         )
         if result.committed:
             self._row_version = result.versions[0]
+            self._written_at = self._clock.monotonic()
             self._dirty = False
         return result.committed
 
--- a/src/nutmeghook/internal/rollout/pool.py
+++ b/src/nutmeghook/internal/rollout/pool.py
@@ -197,6 +197,29 @@
     return msgspec.structs.replace(pool, checkpoint_at=now, watches=watches)
 
 
+def binds_successor(before: Pool, after: Pool) -> bool:
+    """Tells whether a change has to be known to the next holder.
+
+    All but ratings has: those can be read again.
+    """
+    return _binding(before) != _binding(after)
+
+
+def _binding(pool: Pool) -> list[Watch]:
+    return [
+        Watch(
+            key=watch.key,
+            rollout_id=watch.rollout_id,
+            rolling_out=watch.rolling_out,
+            share_percent=watch.share_percent,
+            verdict=watch.verdict,
+            reserved=watch.reserved,
+            reserved_by_holder=watch.reserved_by_holder,
+        )
+        for watch in pool.watches
+    ]
+
+
 def rule_for(
     watch: Watch, policy: documents.RollOutPolicy
 ) -> evidence_module.Rule:
