--- /dev/null
+++ b/bench/models/rollouts.py
@@ -0,0 +1,273 @@
+"""A model of one roll-out: traffic, answers that turn bad, late ratings.
+
+Time goes in steps of a second. The product's own pool and decisions run on
+it; the fleet's gates are taken together as one that uses all leave at once.
+"""
+
+import abc
+import collections
+import dataclasses
+import heapq
+import random
+
+import msgspec
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import ratings as ratings_module
+from nutmeghook.internal.rollout import decisions
+from nutmeghook.internal.rollout import leave
+from nutmeghook.internal.rollout import pool
+
+_OLD = documents.VersionEntry(version="1")
+_NEW = engine.ModelVersion(model="small", version="2")
+_KEY = pool.VersionKey(team="team", template="lookup", model_version=_NEW)
+FULL_PERCENT = 100.0
+# Versions up to this are not run on at their full share.
+_STAYS_GOOD = 0.05
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Place:
+    """Where a version is rolled out.
+
+    Attributes:
+        requests_per_s: Of the template, over the whole fleet.
+        rating_delay_s: Mean time from an answer to its rating; at least half
+            of it, and exponential beyond.
+        in_force_s: From a decision to its being in force everywhere.
+        full_rated_share: Share of answers rated at full share; in roll-out
+            all are.
+    """
+
+    name: str
+    policy: documents.RollOutPolicy
+    requests_per_s: int = 8
+    rating_delay_s: float = 30.0
+    in_force_s: int = 3
+    full_rated_share: float = 0.05
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Version:
+    """How good a version is.
+
+    Attributes:
+        bad_share: Of its answers once it is bad; before that, `good_share`.
+        bad_from_percent: Roll-out share from which it is bad.
+    """
+
+    bad_share: float
+    bad_from_percent: float = 0.0
+    good_share: float = 0.02
+
+    def share_at(self, percent: float) -> float:
+        """Returns the share of bad answers at a roll-out share."""
+        if percent >= self.bad_from_percent:
+            return self.bad_share
+        return self.good_share
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RunResult:
+    """What a roll-out came to.
+
+    Attributes:
+        bad_answers: Given while the version was bad.
+        stopped: It was withdrawn before it had its full share.
+        seconds: Until it was withdrawn or had its full share.
+    """
+
+    bad_answers: int = 0
+    stopped: bool = False
+    seconds: int | None = None
+
+
+class Driver(abc.ABC):
+    """Decides on shares and leave from ratings."""
+
+    @abc.abstractmethod
+    def may_send(self, wanted: int) -> int:
+        """Returns how many of the answers wanted may be sent."""
+
+    @abc.abstractmethod
+    def decide(self, new_ratings: list[bool], percent: float) -> float | None:
+        """Takes ratings in (True for bad); returns a new share, if any."""
+
+
+class ProductDriver(Driver):
+    """The product's pool, decisions and leave."""
+
+    def __init__(self, policy: documents.RollOutPolicy):
+        self._template = documents.Template(
+            team="team", name="lookup", stages=(), roll_out=policy
+        )
+        self._pool = pool.Pool()
+        self._leave = leave.VersionLeave(rollout_id=1)
+
+    def counts(self, key: pool.VersionKey) -> leave.VersionLeave:
+        """Returns the leave counts, as the product's keeper does."""
+        return self._leave
+
+    def may_send(self, wanted: int) -> int:
+        """Grants what is ready."""
+        granted = min(wanted, self._leave.ready)
+        self._leave.granted += granted
+        return granted
+
+    def decide(self, new_ratings: list[bool], percent: float) -> float | None:
+        """Runs one step of the product's decisions."""
+        snapshot = self._snapshot(percent)
+        after = pool.following(self._pool, snapshot)
+        after = pool.with_ratings(
+            after, [_rating(bad) for bad in new_ratings], snapshot
+        )
+        after = decisions.with_leave(after, snapshot, self)
+        self._pool = after
+        self._leave.reserved = after.watch(_KEY).reserved_by_holder
+        steps = decisions.steps(after, snapshot)
+        return steps[0].share_percent if steps else None
+
+    def _snapshot(self, percent: float) -> documents.Snapshot:
+        state = documents.VersionState.ROLLING_OUT
+        if percent == FULL_PERCENT:
+            state = documents.VersionState.SERVING
+        new = documents.VersionEntry(
+            version="2", state=state, share_percent=percent
+        )
+        stage = documents.Stage(model="small", versions=(_OLD, new))
+        template = msgspec.structs.replace(self._template, stages=(stage,))
+        return documents.Snapshot(
+            revision=1,
+            fleet=documents.Fleet(),
+            teams={},
+            templates={"team/lookup": template},
+        )
+
+
+def _rating(bad: bool) -> ratings_module.Rating:
+    return ratings_module.Rating(
+        cursor=0,
+        request_id="",
+        team="team",
+        template="lookup",
+        model_version=_NEW,
+        stage=0,
+        quality=0.0 if bad else 1.0,
+    )
+
+
+class FixedThresholdDriver(Driver):
+    """Stops at an error share over the last ratings; no cap."""
+
+    def __init__(
+        self,
+        policy: documents.RollOutPolicy,
+        *,
+        threshold: float,
+        window: int = 100,
+        least_ratings: int = 20,
+    ):
+        self._policy = policy
+        self._threshold = threshold
+        self._least_ratings = least_ratings
+        self._last: collections.deque[bool] = collections.deque(maxlen=window)
+        self._at_share = 0
+        self._percent = 0.0
+
+    def may_send(self, wanted: int) -> int:
+        """Sends all."""
+        return wanted
+
+    def decide(self, new_ratings: list[bool], percent: float) -> float | None:
+        """Compares the error share with the threshold after each rating."""
+        if percent != self._percent:
+            self._percent, self._at_share = percent, 0
+        for bad in new_ratings:
+            self._last.append(bad)
+            self._at_share += 1
+            enough = len(self._last) >= self._least_ratings
+            if enough and sum(self._last) / len(self._last) > self._threshold:
+                return 0.0
+        if self._at_share < self._policy.ratings_per_step:
+            return None
+        larger = [s for s in self._policy.steps_percent if s > percent]
+        return min(larger, default=None)
+
+
+class Run:
+    """One version's way from its first answer to its withdrawal or the end.
+
+    A version that reaches its full share bad is run on until it is withdrawn.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        version: Version,
+        driver: Driver,
+        source: random.Random,
+    ):
+        self._place = place
+        self._version = version
+        self._driver = driver
+        self._source = source
+        self._percent = place.policy.steps_percent[0]
+        self._due: list[tuple[float, bool]] = []
+        self._change: tuple[int, float] | None = None
+        self._result = RunResult()
+
+    def result(self, *, limit_s: int = 20_000) -> RunResult:
+        """Runs to the end."""
+        for second in range(limit_s):
+            if self._is_over(second):
+                break
+            self._answer(second)
+            self._decide(second)
+        return self._result
+
+    def _is_over(self, second: int) -> bool:
+        if self._change is not None and second >= self._change[0]:
+            self._percent, self._change = self._change[1], None
+        if self._percent not in (0.0, FULL_PERCENT):
+            return False
+        if self._result.seconds is None:
+            self._result.seconds = second
+            self._result.stopped = self._percent == 0.0
+        stays_good = self._version.bad_share <= _STAYS_GOOD
+        return self._percent == 0.0 or stays_good
+
+    def _answer(self, second: int) -> None:
+        place, source = self._place, self._source
+        wanted = _binomial(place.requests_per_s, self._percent / 100, source)
+        is_full = self._percent == FULL_PERCENT
+        rated_share = place.full_rated_share if is_full else 1.0
+        bad_share = self._version.share_at(self._percent)
+        count = wanted if is_full else self._driver.may_send(wanted)
+        for _ in range(count):
+            bad = source.random() < bad_share
+            if bad and bad_share == self._version.bad_share:
+                self._result.bad_answers += 1
+            if source.random() < rated_share:
+                due_at = second + _delay(place, source)
+                heapq.heappush(self._due, (due_at, bad))
+
+    def _decide(self, second: int) -> None:
+        new_ratings = []
+        while self._due and self._due[0][0] <= second:
+            new_ratings.append(heapq.heappop(self._due)[1])
+        decided = self._driver.decide(new_ratings, self._percent)
+        if decided is None:
+            return
+        # A withdrawal goes before a step that is on its way.
+        if self._change is None or decided == 0.0 < self._change[1]:
+            self._change = (second + self._place.in_force_s, decided)
+
+
+def _delay(place: Place, source: random.Random) -> float:
+    half = place.rating_delay_s / 2
+    return half + source.expovariate(1 / half)
+
+
+def _binomial(count: int, share: float, source: random.Random) -> int:
+    return sum(source.random() < share for _ in range(count))
--- a/src/nutmeghook/internal/rollout/decisions.py
+++ b/src/nutmeghook/internal/rollout/decisions.py
@@ -16,7 +16,7 @@
 # So many standard deviations more bad ratings at a share than tolerated hold
 # the version there. It costs a good version time at worst, so it may be far
 # less strict than the proof that stops one.
-_HELD_AT_DEVIATIONS = 2.0
+_HELD_AT_DEVIATIONS = 1.0
 # Leave made ready ahead, as a part of the cap: what a holder's death may
 # leave counted as sent for a while.
 _READY_PART_OF_CAP = 0.25
