Ask the instance list for changes only

Cause: each instance read the whole list each second. At the planned size (4,400 engines and 420 entry instances) that is 753,368 bytes a read, where 3,000 bytes a second are there for all of control.

Change: reads carry the last list's entity tag and ask for changes. The answer is 304, the changed lines, or the whole list, as the service can. Changes that don't fit the known list (other tag, wrong total) are not believed; all is read in the same call. The stand-in knows both. One read can serve all parts of a process (SharedInstanceList; not yet wired).

--- a/src/nutmeghook/internal/platform/http_exchange.py
+++ b/src/nutmeghook/internal/platform/http_exchange.py
@@ -4,6 +4,7 @@
 connection could not be made, or the other side answered a `Refusal`.
 """
 
+import dataclasses
 import datetime
 from typing import TypeVar
 
@@ -21,9 +22,25 @@
 # written to one that the other side just closed has an unknown outcome.
 IDLE_CONNECTION_TIMEOUT = datetime.timedelta(seconds=10)
 JSON_HEADERS = {"Content-Type": "application/json"}
+# Reads that are made each second by every instance say no more than needed;
+# the library's own headers are half of their bytes.
+_LEAN_HEADERS = {"Accept-Encoding": "identity"}
+_SKIPPED_HEADERS = ("Accept", "User-Agent")
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class TaggedBody:
+    """A body and what to ask with whether it has changed.
+
+    Attributes:
+        entity_tag: The `ETag` as it came; empty if there was none.
+    """
+
+    body: bytes
+    entity_tag: str
+
+
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
     """The body of an answer that says: nothing was done.
 
@@ -156,6 +173,47 @@
         except failures.OutcomeUnknownError as error:
             raise failures.NotDoneError(str(error)) from error
 
+    async def read_if_changed(
+        self, path: str, *, entity_tag: str, **params: str
+    ) -> TaggedBody | None:
+        """Makes a conditional call without effects.
+
+        Args:
+            path: Of the call.
+            entity_tag: Of the body that is known; empty asks unconditionally.
+            **params: The query.
+
+        Returns:
+            The body, or None if the known one still holds.
+
+        Raises:
+            failures.NotDoneError: Whatever went wrong, a read did nothing.
+        """
+        headers = dict(_LEAN_HEADERS)
+        if entity_tag:
+            headers["If-None-Match"] = entity_tag
+        try:
+            async with self._session.get(
+                self._base_url + path,
+                params=params,
+                headers=headers,
+                skip_auto_headers=_SKIPPED_HEADERS,
+                timeout=self._timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise failures.NotDoneError(
+                f"{self._peer}{path}: {type(error).__name__}: {error}"
+            ) from error
+        if response.status == 304 and entity_tag:
+            return None
+        if response.status != 200:
+            raise self._read_refusal(path, response.status, body)
+        return TaggedBody(
+            body=body, entity_tag=response.headers.get("ETag", "")
+        )
+
     async def write(
         self,
         path: str,
@@ -199,6 +257,14 @@
             )
         return answer
 
+    def _read_refusal(
+        self, path: str, status: int, body: bytes
+    ) -> failures.NotDoneError:
+        error = refusal_error(peer=self._peer + path, status=status, body=body)
+        if isinstance(error, failures.NotDoneError):
+            return error
+        return failures.NotDoneError(str(error))
+
     def _decode_read(
         self, body: bytes, decoder: msgspec.json.Decoder[_T]
     ) -> _T:
--- a/src/nutmeghook/internal/platform/http_instances.py
+++ b/src/nutmeghook/internal/platform/http_instances.py
@@ -1,31 +1,105 @@
-"""The instance list over HTTP; docs/PLATFORM.md has the contract."""
+"""The instance list over HTTP; docs/PLATFORM.md has the contract.
+
+Every instance reads the list each second, and at the planned size it is
+720 KB. So a read names the last list's entity tag, and the answer is "not
+modified" or the changed lines; docs/design/instance-list.md has the figures.
+A service that knows neither gives whole lists, which always works.
+"""
+
+import dataclasses
 
 import msgspec
 
+from nutmeghook.internal.platform import failures
 from nutmeghook.internal.platform import http_exchange
 from nutmeghook.internal.platform import instances
 
 LIST_PATH = "/v1/instances"
+# Query parameter: the changed lines will do.
+CHANGES_ONLY = "changes"
 
 
 class InstancesAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The whole list."""
+    """The whole list, or what has changed in it.
+
+    Attributes:
+        instances: All lines; with `since`, those that are new or changed.
+        since: The entity tag of the list that this is the change of.
+        removed: With `since`, the addresses that are on the list no more.
+        total: With `since`, how many lines the list has after the change.
+    """
 
     instances: list[instances.ListedInstance]
+    since: str | None = None
+    removed: tuple[str, ...] = ()
+    total: int | None = None
+
+
+_Lines = dict[str, instances.ListedInstance]
+
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _KnownList:
+    """A list as it was read; never changed, so reads may overlap."""
 
+    entity_tag: str
+    lines: _Lines
+
+
+_NOTHING_KNOWN = _KnownList(entity_tag="", lines={})
 _decoder = msgspec.json.Decoder(InstancesAnswer)
 
 
 class HttpInstances(instances.InstanceList):
-    """Asks for the list at one address."""
+    """Asks for the list at one address, and keeps the last one."""
 
-    __slots__ = ("_exchange",)
+    __slots__ = ("_exchange", "_known")
 
     def __init__(self, *, exchange: http_exchange.HttpExchange):
         self._exchange = exchange
+        self._known = _NOTHING_KNOWN
 
     async def list_instances(self) -> list[instances.ListedInstance]:
         """Returns all instances; may raise `failures.NotDoneError`."""
-        answer = await self._exchange.read(LIST_PATH, _decoder)
-        return answer.instances
+        read = await self._read(self._known)
+        if read is None:
+            # The changes don't fit to what is known. Kept, they would hide
+            # a line for as long as the tag matches; so all is read anew.
+            read = await self._read(_NOTHING_KNOWN)
+        if read is None:
+            self._known = _NOTHING_KNOWN
+            raise failures.NotDoneError(
+                f"{LIST_PATH}: changes came where the whole list was asked for"
+            )
+        self._known = read
+        return list(read.lines.values())
+
+    async def _read(self, known: _KnownList) -> _KnownList | None:
+        """Returns the list after `known`; None if the answer doesn't fit."""
+        params = {CHANGES_ONLY: "1"} if known.entity_tag else {}
+        tagged = await self._exchange.read_if_changed(
+            LIST_PATH, entity_tag=known.entity_tag, **params
+        )
+        if tagged is None:
+            return known
+        try:
+            answer = _decoder.decode(tagged.body)
+        except msgspec.DecodeError as error:
+            raise failures.NotDoneError(f"{LIST_PATH}: {error}") from error
+        lines = _lines_after(known, answer)
+        if lines is None:
+            return None
+        return _KnownList(entity_tag=tagged.entity_tag, lines=lines)
+
+
+def _lines_after(known: _KnownList, answer: InstancesAnswer) -> _Lines | None:
+    """Returns the lines that an answer stands for; None if it doesn't fit."""
+    changed = {line.address: line for line in answer.instances}
+    if answer.since is None:
+        return changed
+    if not known.entity_tag or answer.since != known.entity_tag:
+        return None
+    lines = known.lines | changed
+    for address in answer.removed:
+        lines.pop(address, None)
+    return lines if len(lines) == answer.total else None
--- /dev/null
+++ b/src/nutmeghook/internal/platform/shared_instances.py
@@ -0,0 +1,85 @@
+"""One reader of the instance list for all parts of a process."""
+
+import dataclasses
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.platform import instances
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _LastRead:
+    """A list, and when it was asked for."""
+
+    listed: tuple[instances.ListedInstance, ...]
+    asked_at: datetime.timedelta
+
+
+class SharedInstanceList(instances.InstanceList):
+    """Passes each read on, and keeps the answer for `recent` views.
+
+    The part that reads most often (routing, each second) gets this object.
+    The others get views, and so cost nothing as long as that part reads.
+    Lists are handed on as they are, also empty ones: whether one is a fault
+    is for each part to judge.
+    """
+
+    __slots__ = ("_clock", "_instance_list", "_last")
+
+    def __init__(
+        self,
+        *,
+        instance_list: instances.InstanceList,
+        clock: clock_module.Clock,
+    ):
+        self._instance_list = instance_list
+        self._clock = clock
+        self._last: _LastRead | None = None
+
+    async def list_instances(self) -> list[instances.ListedInstance]:
+        """Reads the list; may raise `failures.NotDoneError`."""
+        asked_at = self._clock.monotonic()
+        listed = await self._instance_list.list_instances()
+        # A slow read may end after one that began later.
+        if self._last is None or asked_at >= self._last.asked_at:
+            self._last = _LastRead(listed=tuple(listed), asked_at=asked_at)
+        return listed
+
+    def recent(self, max_age: datetime.timedelta) -> instances.InstanceList:
+        """Returns a view that reads only if the last read is older.
+
+        Raises:
+            ValueError: `max_age` is not over 0.
+        """
+        if max_age <= datetime.timedelta():
+            raise ValueError(f"max_age is {max_age}; give one over 0")
+        return _RecentInstanceList(shared=self, max_age=max_age)
+
+    def last_within(
+        self, max_age: datetime.timedelta
+    ) -> list[instances.ListedInstance] | None:
+        """Returns the last list if it was asked for lately."""
+        if self._last is None:
+            return None
+        if self._clock.monotonic() - self._last.asked_at > max_age:
+            return None
+        return list(self._last.listed)
+
+
+class _RecentInstanceList(instances.InstanceList):
+    """Reads only where nobody did lately."""
+
+    __slots__ = ("_max_age", "_shared")
+
+    def __init__(
+        self, *, shared: SharedInstanceList, max_age: datetime.timedelta
+    ):
+        self._shared = shared
+        self._max_age = max_age
+
+    async def list_instances(self) -> list[instances.ListedInstance]:
+        """Returns a recent list; may raise `failures.NotDoneError`."""
+        recent = self._shared.last_within(self._max_age)
+        if recent is not None:
+            return recent
+        return await self._shared.list_instances()
--- a/src/nutmeghook/standins/platform_apps.py
+++ b/src/nutmeghook/standins/platform_apps.py
@@ -13,6 +13,7 @@
 from nutmeghook.internal.platform import http_weights
 from nutmeghook.internal.platform import instances
 from nutmeghook.internal.platform import table
+from nutmeghook.standins import listed_changes
 from nutmeghook.standins import memory_instances
 from nutmeghook.standins import memory_objects
 from nutmeghook.standins import memory_ratings
@@ -178,6 +179,7 @@
     def __init__(self, *, memory: memory_instances.MemoryInstances):
         self.memory = memory
         self.faults = memory.faults
+        self._changes = listed_changes.ListedChanges()
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the path of `http_instances`."""
@@ -194,9 +196,17 @@
 
     async def _list(self, request: web.Request) -> web.Response:
         listed = await self.memory.list_instances()
-        return serving.json_answer(
-            http_instances.InstancesAnswer(instances=listed)
+        answer = self._changes.answer(
+            listed,
+            known_tag=request.headers.get("If-None-Match", ""),
+            changes_only=http_instances.CHANGES_ONLY in request.query,
         )
+        headers = {"ETag": answer.entity_tag}
+        if answer.body is None:
+            return web.Response(status=304, headers=headers)
+        response = serving.json_answer(answer.body)
+        response.headers.update(headers)
+        return response
 
     async def _put(self, request: web.Request) -> web.Response:
         body = await request.read()
