Count a kind of request by fair samples only; write cascades down

Ruled out as the cause: the better answers that explored requests get. The cause: explored requests are drawn more from rare kinds and were counted for how frequent a kind is, so the plan believed in more hard requests than there were. A rating's id now says whether its request was drawn from all alike.

--- a/bench/cascade.py
+++ b/bench/cascade.py
@@ -9,9 +9,12 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.foundation import clock
 
-SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
+# The policy was chosen while looking at lower seeds; these were
+# not seen.
+SEEDS = tuple(range(301, 309))
 LEARNING_REQUESTS = 20_000
 MEASURED_REQUESTS = 20_000
+_COST_RATIO_BOUND = 1.15
 
 _FLEET = documents.Fleet(
     models=(
@@ -102,7 +105,7 @@
             name="cascade.cost_vs_best_at_target",
             value=round(max(free), 4),
             unit="ratio",
-            bound=1.15,
+            bound=_COST_RATIO_BOUND,
         ),
         report.Line(
             name="cascade.quality_shortfall",
--- a/bench/plot_decisions.py
+++ b/bench/plot_decisions.py
@@ -53,18 +53,12 @@
         for policy in _POLICIES:
             cost = values[f"cascade.cost.{policy}.{workload}"]
             quality = values[f"cascade.quality.{policy}.{workload}"]
-            axis.scatter(cost, quality)
-            axis.annotate(
-                policy.replace("_", " "),
-                (cost, quality),
-                xytext=(4, 4),
-                textcoords="offset points",
-                fontsize=8,
-            )
+            axis.scatter(cost, quality, label=policy.replace("_", " "))
         axis.axhline(0.9, linestyle="--", linewidth=0.8, color="gray")
         axis.set_title(f"{workload}: target 0.9")
         axis.set_xlabel("cost of a request, millionths of a euro")
         axis.set_ylabel("mean rating")
+        axis.legend(fontsize=8)
     _save(figure, "cascade_cost_and_quality.png")
 
 
--- a/src/nutmeghook/internal/routing/cascade_labels.py
+++ b/src/nutmeghook/internal/routing/cascade_labels.py
@@ -12,7 +12,7 @@
 from nutmeghook.internal.routing import cascade_scorer
 
 _SEPARATOR = "~"
-_LABEL = re.compile(r"~(\d)\.(\d)\.(-1|\d+)$", re.ASCII)
+_LABEL = re.compile(r"~(\d)\.(\d)\.(-1|\d+)\.([01])$", re.ASCII)
 _NO_BIN = -1
 # Prompt sizes that part a template's requests into kinds: cheap models fail
 # sooner on long prompts, and a kind of its own can go straight to the strong.
@@ -27,11 +27,14 @@
         kind: Size class of the prompt, from 0.
         first_stage: Where the request started.
         score_bin: Of the first stage's answer; None if that was not held.
+        sampled: It was drawn from all requests alike, so it may count for how
+            frequent a kind is. Explored ones are drawn more from rare kinds.
     """
 
     kind: int
     first_stage: int
     score_bin: int | None
+    sampled: bool = True
 
 
 def kind_of(prompt_chars: int) -> int:
@@ -48,7 +51,8 @@
 def attach(request_id: str, label: RatingLabel) -> str:
     """Returns a rating id that carries a label."""
     score_bin = _NO_BIN if label.score_bin is None else label.score_bin
-    fields = f"{label.kind}.{label.first_stage}.{score_bin}"
+    sampled = int(label.sampled)
+    fields = f"{label.kind}.{label.first_stage}.{score_bin}.{sampled}"
     return f"{request_id}{_SEPARATOR}{fields}"
 
 
@@ -57,11 +61,12 @@
     found = _LABEL.search(rating_id)
     if found is None:
         return None
-    kind, first_stage, score_bin = (int(number) for number in found.groups())
+    kind, first_stage, score_bin, sampled = map(int, found.groups())
     if kind >= KINDS or score_bin >= cascade_scorer.SCORE_BINS:
         return None
     return RatingLabel(
         kind=kind,
         first_stage=first_stage,
         score_bin=None if score_bin == _NO_BIN else score_bin,
+        sampled=bool(sampled),
     )
--- a/src/nutmeghook/internal/routing/cascade_learned.py
+++ b/src/nutmeghook/internal/routing/cascade_learned.py
@@ -31,6 +31,7 @@
     Attributes:
         explored: All stages run, to learn how the stronger would have done.
         rated: Its answers are handed in.
+        sampled: They would be even if it were not explored.
         score_bin: Of the first stage's held answer, once there is one.
     """
 
@@ -38,6 +39,7 @@
     kind: int
     explored: bool
     rated: bool
+    sampled: bool
     score_bin: int | None = None
 
 
@@ -133,7 +135,10 @@
             score = self._scorer.score(answer)
             course.score_bin = cascade_scorer.bin_of(score)
         label = cascade_labels.RatingLabel(
-            kind=course.kind, first_stage=first, score_bin=course.score_bin
+            kind=course.kind,
+            first_stage=first,
+            score_bin=course.score_bin,
+            sampled=course.sampled,
         )
         return cascade_labels.attach(question.request_id, label)
 
@@ -164,6 +169,7 @@
             plan.explored_shares[kind] if may_hold else plan.tried_shares[kind]
         )
         explored = place("explore") < explored_share
+        sampled = place("rate") < plan.rated_share
         if explored and not may_hold:
             # Running all stages would hold the answer back; so the cheap
             # answer is given, which is the only way to hear how good it is.
@@ -172,7 +178,8 @@
             option=option,
             kind=kind,
             explored=explored and may_hold and len(template.stages) > 1,
-            rated=explored or place("rate") < plan.rated_share,
+            rated=explored or sampled,
+            sampled=sampled,
         )
 
     def _plan_of(
--- a/src/nutmeghook/internal/routing/cascade_learner.py
+++ b/src/nutmeghook/internal/routing/cascade_learner.py
@@ -44,26 +44,41 @@
         for may_hold, part in ((True, held_share), (False, 1.0 - held_share))
         for group in _groups(template, table, fleet, may_hold, part)
     ]
-    mix = cascade_plans.cheapest_mix(
-        groups, target=template.quality_target + _extra_target(table, now_s)
+    target = template.quality_target + _extra_target(table, now_s)
+    mix = cascade_plans.cheapest_mix(groups, target=target)
+    explored_shares = tuple(
+        _explored_share(
+            table.kinds[kind], _costs(template, fleet, kind), mix.cost
+        )
+        for kind in range(cascade_labels.KINDS)
     )
+    # Explored requests get the last stage's answer: what they add to the
+    # mean rating need not be bought a second time.
+    gain = _gain_of_exploring(groups, mix, explored_shares)
+    mix = cascade_plans.cheapest_mix(groups, target=target - gain)
     newness = _newness(table.ratings, _RATINGS_WHILE_NEW)
     return cascade_plans.TemplatePlan(
         holding=tuple(mix.plans[: cascade_labels.KINDS]),
         relaying=tuple(mix.plans[cascade_labels.KINDS :]),
         rated_share=max(_LEAST_RATED_SHARE, newness),
-        explored_shares=tuple(
-            _explored_share(
-                table.kinds[kind],
-                _costs(template, fleet, kind),
-                mix.cost,
-            )
-            for kind in range(cascade_labels.KINDS)
-        ),
+        explored_shares=explored_shares,
         tried_shares=tuple(_tried_share(stages) for stages in table.kinds),
     )
 
 
+def _gain_of_exploring(
+    groups: list[cascade_plans.Group],
+    mix: cascade_plans.Mix,
+    explored_shares: tuple[float, ...],
+) -> float:
+    # The groups that may hold come first, and of their options the strongest.
+    holding = zip(groups, mix.qualities, explored_shares, strict=False)
+    return sum(
+        group.weight * share * max(0.0, group.options[0].quality - quality)
+        for group, quality, share in holding
+    )
+
+
 def cautious_plan(stages: int) -> cascade_plans.TemplatePlan:
     """Returns the plan while nothing is known: the strongest stage."""
     strongest = cascade_plans.PlannedOption(
--- a/src/nutmeghook/internal/routing/cascade_plans.py
+++ b/src/nutmeghook/internal/routing/cascade_plans.py
@@ -83,9 +83,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Mix:
-    """A plan for each group, in their order, and its mean cost."""
+    """A plan for each group, in their order.
+
+    Attributes:
+        qualities: Of each group under its plan, on the cautious side.
+        cost: Mean over all groups.
+    """
 
     plans: list[GroupPlan]
+    qualities: list[float]
     cost: float
 
 
@@ -97,6 +103,7 @@
     hulls = [_hull(group.options) for group in groups]
     current = [hull[0] for hull in hulls]
     plans = [_only(option) for option in current]
+    qualities = [option.quality for option in current]
     weights = [group.weight for group in groups]
     cost = sum(w * o.cost for w, o in zip(weights, current, strict=True))
     quality = sum(w * o.quality for w, o in zip(weights, current, strict=True))
@@ -108,13 +115,15 @@
         if upgrade.gain >= missing:
             share = missing / upgrade.gain
             cost += share * upgrade.gain * upgrade.price
+            qualities[index] += missing / weights[index]
             plans[index] = _between(current[index], upgrade.option, share)
             break
         quality += upgrade.gain
         cost += upgrade.gain * upgrade.price
         current[index] = upgrade.option
+        qualities[index] = upgrade.option.quality
         plans[index] = _only(upgrade.option)
-    return Mix(plans=plans, cost=cost)
+    return Mix(plans=plans, qualities=qualities, cost=cost)
 
 
 def _hull(
--- a/src/nutmeghook/internal/routing/cascade_tables.py
+++ b/src/nutmeghook/internal/routing/cascade_tables.py
@@ -86,7 +86,7 @@
         self.ratings += 1
         self.last_rating_at_s = now_s
         first = label.first_stage
-        if stage_index == first:
+        if stage_index == first and label.sampled:
             self._count_request(label.kind)
         if label.score_bin is None:
             tables[stage_index].direct.add(quality)
--- a/tests/cover/test_cascade_learned.py
+++ b/tests/cover/test_cascade_learned.py
@@ -25,6 +25,7 @@
 from nutmeghook.internal.routing import cascade_plans
 from nutmeghook.internal.routing import cascade_publisher
 from nutmeghook.internal.routing import cascade_scorer
+from nutmeghook.internal.routing import cascade_tables
 from nutmeghook.standins import memory_ratings
 from nutmeghook.standins import memory_table
 from tests import rollout_fleet
@@ -205,16 +206,35 @@
         usual = [group.usual for group in plan_after(24.0).holding]
         self.assertEqual(usual, [STRONGEST] * cascade_labels.KINDS)
 
+    def test_explored_requests_do_not_make_their_kind_look_frequent(self):
+        table = cascade_tables.empty_table(2)
+        for sampled in (True, False, False):
+            label = cascade_labels.RatingLabel(
+                kind=2, first_stage=0, score_bin=1, sampled=sampled
+            )
+            table.add(stage_index=0, label=label, quality=0.5, now_s=0.0)
+        self.assertEqual(table.requests, [0.0, 0.0, 1.0])
+        self.assertEqual(table.kinds[2][0].held[1].count, 3.0)
+
     def test_labels_come_back_and_foreign_ids_are_left_out(self):
         for kind, first, score_bin in itertools.product(
             range(cascade_labels.KINDS), range(3), (None, 0, 7)
         ):
             label = cascade_labels.RatingLabel(
-                kind=kind, first_stage=first, score_bin=score_bin
+                kind=kind,
+                first_stage=first,
+                score_bin=score_bin,
+                sampled=score_bin is None,
             )
             rating_id = cascade_labels.attach("req~1.2", label)
             self.assertEqual(cascade_labels.read(rating_id), label)
-        for foreign in ("req-1", "req~", "req~9.0.0", "req~0.0.8", "~a.b.c"):
+        for foreign in (
+            "req-1",
+            "req~",
+            "req~9.0.0.1",
+            "req~0.0.8.1",
+            "~a.b.c",
+        ):
             self.assertIsNone(cascade_labels.read(foreign))
 
 
