--- a/bench/capacity/budgets.py
+++ b/bench/capacity/budgets.py
@@ -2,12 +2,17 @@
 
 import dataclasses
 
+from bench.capacity import data_path
 from bench.capacity import figures
 from bench.capacity import ledger_holder
 from bench.capacity import node
 from bench.capacity import planned
 from bench.capacity import platform_load
 
+_LIST = "routing/directory"
+_RANKS = "leases/preference"
+# Of the node's processor time, what an idle process of today hardly shows.
+_GROWING = (_LIST, _RANKS, "routing/cells", "routing/poller", "limits/ceiling")
 _LARGE = ("instance list for routing", "cascades' plans")
 _LEDGER_INDEX = "memory of a full index (100,000 claims)"
 
@@ -43,16 +48,16 @@
 def _processor(facts: figures.Facts) -> list[Check]:
     parts = node.processor(facts)
     total = sum(part.value for part in parts)
-    ranks = next(p.value for p in parts if p.mechanism == "leases/preference")
+    growing = {
+        mechanism: sum(p.value for p in parts if p.mechanism == mechanism)
+        for mechanism in _GROWING
+    }
+    idle = facts.value("node.control_core_percent")
+    grown = idle + sum(growing.values())
     cached_us = facts.at("footprint.lease_rank_of_19_us", planned.NODES)
     cached = cached_us * planned.LEASES * 1e-4
-    idle = facts.value("node.control_core_percent")
-    growing = [
-        part.value
-        for part in parts
-        if part.mechanism
-        in ("routing/directory", "leases/preference", "routing/cells")
-    ]
+    with_cache = grown - growing[_RANKS] + cached
+    with_changes = with_cache - growing[_LIST]
     runs = ("node", "footprint", "membership", "config")
 
     def check(name, value, basis):
@@ -73,19 +78,24 @@
         ),
         check(
             "control, idle process of today and what grows",
-            idle + sum(growing),
-            "node measured + list, lease ranks, cell",
+            grown,
+            "node measured + list, lease ranks, cells, ceiling",
         ),
         check(
             "the latter, if the ranks' cache held all leases",
-            idle + sum(growing) - ranks + cached,
+            with_cache,
             "ranks as measured with 19 leases, x 67",
         ),
         check(
-            "the latter, if the list came as changes too",
-            idle + cached,
+            "and the list came as changes",
+            with_changes,
             "the list's part left out",
         ),
+        check(
+            "and ranks were worked out when members change only",
+            with_changes - cached,
+            "the ranks' part left out",
+        ),
     ]
 
 
@@ -98,8 +108,8 @@
     )
     streams = next(
         part.value
-        for part in node.data_path(facts)
-        if part.name == "open streams"
+        for part in data_path.all_figures(facts)
+        if part.name == data_path.STREAMS
     )
 
     def check(name, value, basis):
--- /dev/null
+++ b/bench/capacity/fleet_work.py
@@ -0,0 +1,152 @@
+"""Processor time of periodic work that grows with the replicas."""
+
+from collections.abc import Callable
+
+from bench import report
+from bench.capacity import memory
+from bench.capacity import processor
+from bench.capacity import samples
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import ceiling
+from nutmeghook.internal.limits import following_limit
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.orders import fleet_reading
+from nutmeghook.internal.orders import planning
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import cells
+from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import load_book
+
+MEMBERS = 420
+# Engines of one model: 4,400 of five models at the planned size.
+ENGINES_OF_A_MODEL = (12, 110, 220, 440, 880)
+_MODEL = "inspection-large"
+_SERVING = engine.ModelVersion(model=_MODEL, version="2026.10")
+
+
+def lines() -> list[report.Line]:
+    """Returns medians over rounds."""
+    replicas = memory.REPLICAS
+    models = ENGINES_OF_A_MODEL
+    return [
+        *processor.series("cell_refresh", replicas, _cell_refresh),
+        *processor.series("whose_report", replicas, _whose_report),
+        *processor.series("ceiling", replicas, _ceiling),
+        *processor.series("orders_plan", models, _plan_of_what_is),
+        *processor.series("orders_plan_new", models, _plan_of_new_version),
+    ]
+
+
+def _members() -> members_module.FixedMemberView:
+    return members_module.FixedMemberView(
+        myself=samples.member(0),
+        others=tuple(samples.member(n) for n in range(1, MEMBERS)),
+    )
+
+
+def _directory(count: int) -> directory_module.BackendDirectory:
+    clock = clock_module.SystemClock()
+    directory = directory_module.BackendDirectory(
+        clock=clock,
+        events=events_module.EventRing(clock=clock),
+        book=load_book.LoadBook(clock=clock),
+    )
+    directory.apply_list([samples.listed_engine(n) for n in range(count)])
+    report_of_all = engine.LoadReport(
+        loaded=(samples.VERSION,), running=4, waiting=0, capacity=16
+    )
+    for backend in directory.known():
+        directory.note_report(
+            backend, report_of_all, measured_at=clock.monotonic()
+        )
+    return directory
+
+
+def _cell_refresh(count: int) -> Callable[[], int]:
+    """Works the cell's replicas out again, as after any change of one."""
+    directory = _directory(count)
+    view = cells.CellView(members=_members(), directory=directory)
+
+    def act() -> int:
+        directory.generation += 1
+        view.refresh()
+        return 1
+
+    return act
+
+
+def _whose_report(count: int) -> Callable[[], int]:
+    """Asks of each replica whether its report is to be polled here."""
+    directory = _directory(count)
+    view = cells.CellView(members=_members(), directory=directory)
+    view.refresh()
+
+    def act() -> int:
+        for backend in directory.known():
+            view.reads(backend)
+        return 1
+
+    return act
+
+
+def _ceiling(count: int) -> Callable[[], int]:
+    follower = ceiling.CeilingFollower(
+        limit=following_limit.FollowingLimit(ceiling=512),
+        known=_directory(count).known,
+        members=_members(),
+        clock=clock_module.SystemClock(),
+        most_places=512,
+    )
+
+    def act() -> int:
+        follower.update()
+        return 1
+
+    return act
+
+
+def _plan_of_what_is(count: int) -> Callable[[], int]:
+    """Plans while all that is wanted is loaded."""
+    return _plan(count, loaded=frozenset((_SERVING, samples.VERSION)))
+
+
+def _plan_of_new_version(count: int) -> Callable[[], int]:
+    """Plans while a version that all engines are to hold is on none."""
+    return _plan(count, loaded=frozenset((_SERVING,)))
+
+
+def _plan(
+    count: int, *, loaded: frozenset[engine.ModelVersion]
+) -> Callable[[], int]:
+    engines = [
+        fleet_reading.EngineView(
+            address=line.address,
+            pool="engines-large",
+            data_centre=line.data_centre,
+            loaded=loaded,
+            idle=True,
+        )
+        for line in (samples.listed_engine(n) for n in range(count))
+    ]
+    stage = documents.Stage(
+        model=_MODEL,
+        versions=tuple(
+            documents.VersionEntry(version=v.version, share_percent=100.0)
+            for v in (_SERVING, samples.VERSION)
+        ),
+    )
+    template = documents.Template(team="team-1", name="review", stages=(stage,))
+    snapshot = documents.Snapshot(
+        revision=1,
+        fleet=documents.Fleet(),
+        teams={},
+        templates={"team-1/review": template},
+    )
+
+    def act() -> int:
+        planning.make_plan(snapshot, engines)
+        return 1
+
+    return act
--- a/bench/capacity/ledger_holder.py
+++ b/bench/capacity/ledger_holder.py
@@ -41,6 +41,7 @@
     inner_us = facts.value("footprint.inner_call_both_sides_us")
     questions = planned.REQUESTS_PER_S * planned.SESSION_SHARE
     per_s = records_a_partition() + questions / planned.PARTITIONS
+    holder_percent = per_s * (record_us + inner_us / 2) * _US_PERCENT
     entry_bytes = facts.slope("footprint.claim_memory_bytes")
     pin_bytes = facts.slope("footprint.pin_memory_bytes")
     wanted = entries_a_partition()
@@ -71,11 +72,12 @@
         ),
         row(
             "processor time",
-            per_s * (record_us + inner_us / 2) * _US_PERCENT,
+            holder_percent,
             "% of a core",
             "messages of one record each, plus half an inner call",
             "ledger/partition",
             ("ledger", "footprint"),
+            missed=holder_percent > planned.CONTROL_CPU_PERCENT,
         ),
         row(
             "bytes with other instances",
@@ -123,6 +125,15 @@
             (),
             missed=full_after_s() < _LEDGER.window.total_seconds(),
         ),
+        row(
+            "the same with 16 partitions, the default",
+            full_after_s() / 4,
+            "s at the peak",
+            "a quarter",
+            "ledger/index",
+            (),
+            missed=full_after_s() / 4 < _LEDGER.window.total_seconds(),
+        ),
         row(
             "memory of a full index (100,000 claims)",
             allowed * entry_bytes / planned.MB,
@@ -181,10 +192,11 @@
         ),
         row(
             "processor time of a holder with 16 partitions",
-            4 * per_s * (record_us + inner_us / 2) * _US_PERCENT,
+            4 * holder_percent,
             "% of a core",
             "four times the above",
             "ledger/partition",
             ("ledger", "footprint"),
+            missed=4 * holder_percent > planned.CONTROL_CPU_PERCENT,
         ),
     ]
--- a/bench/capacity/node.py
+++ b/bench/capacity/node.py
@@ -10,16 +10,12 @@
 MEMORY = "node-memory"
 TRAFFIC = "node-traffic"
 PROCESSOR = "node-processor"
-DATA_PATH = "node-data-path"
 
 _MIB = 1024 * 1024 / planned.MB
 _US_PERCENT = 1e-4
 # First token, answer, and requests by their code, for each template.
 _METRIC_SERIES_A_TEMPLATE = 2
 _CELL_PEERS = 5
-# What a request records on the time line and in the metrics.
-_EVENTS_A_REQUEST = 6
-_METRICS_A_REQUEST = 8
 _REPLICAS_A_NODE = planned.REPLICAS / planned.NODES
 LISTED = planned.REPLICAS + planned.NODES
 
@@ -212,6 +208,26 @@
             "fit at 420 members",
             "routing/cells",
         ),
+        row(
+            "its cell's replicas, when any replica changed",
+            facts.at("footprint.cell_refresh_us", planned.REPLICAS)
+            * _US_PERCENT,
+            "fit at 4,400 replicas; once a second at most",
+            "routing/cells",
+        ),
+        row(
+            "whose report it polls, asked each second",
+            facts.at("footprint.whose_report_us", planned.REPLICAS)
+            * _US_PERCENT,
+            "fit at 4,400 replicas",
+            "routing/poller",
+        ),
+        row(
+            "the ceiling of its places, each second",
+            facts.at("footprint.ceiling_us", planned.REPLICAS) * _US_PERCENT,
+            "fit at 4,400 replicas",
+            "limits/ceiling",
+        ),
         row(
             "in-flight digests to and from five peers",
             _CELL_PEERS * inner_us * _US_PERCENT,
@@ -233,106 +249,10 @@
     ]
 
 
-def data_path(facts: figures.Facts) -> list[figures.Figure]:
-    """Returns what goes with requests and tokens."""
-    requests = planned.NODE_REQUESTS_PER_S
-
-    def percent(name, us, basis, mechanism, runs=("footprint",)):
-        return figures.Figure(
-            group=DATA_PATH,
-            name=name,
-            value=us * _US_PERCENT,
-            unit="% of a core",
-            basis=basis,
-            runs=runs,
-            mechanism=mechanism,
-        )
-
-    tokens_per_core = facts.value("relay.tokens_per_core_s")
-    ledger_us = facts.value("footprint.ledger_message_us")
-    inner_us = facts.value("footprint.inner_call_both_sides_us")
-    messages = 2 + planned.SESSION_SHARE
-    message_bytes = (
-        facts.value("footprint.claim_bytes")
-        + facts.value("footprint.bill_with_answer_bytes")
-        + planned.SESSION_SHARE * facts.value("footprint.pin_bytes")
-    )
-    return [
-        percent(
-            "relay of 4,286 tokens a second",
-            planned.NODE_TOKENS_PER_S / tokens_per_core * 1e6,
-            "tokens / tokens a second of processor",
-            "dispatch/generations, entry/sinks",
-            ("relay",),
-        ),
-        percent(
-            "choice of backend server",
-            requests * facts.largest("decision.cost_us"),
-            "20 a second, 4,400 replicas in one cell",
-            "routing/chooser",
-            ("decision",),
-        ),
-        percent(
-            "admission",
-            requests * facts.value("footprint.admission_us"),
-            "20 a second",
-            "limits/fair_admission",
-        ),
-        percent(
-            "claim, bill and pin: the sender's part",
-            requests * messages * (ledger_us + inner_us / 2),
-            "20 x 2.5 messages a second",
-            "ledger/sender",
-        ),
-        percent(
-            "time line's events",
-            requests * _EVENTS_A_REQUEST * facts.value("footprint.event_us"),
-            f"20 x {_EVENTS_A_REQUEST} a second",
-            "observe/events",
-        ),
-        percent(
-            "metrics",
-            requests * _METRICS_A_REQUEST * facts.value("footprint.metric_us"),
-            f"20 x {_METRICS_A_REQUEST} a second",
-            "observe/metrics",
-        ),
-        figures.Figure(
-            group=DATA_PATH,
-            name="whole process under a node's share of the load",
-            value=facts.value("node.load_core_percent"),
-            unit="% of a core",
-            basis="measured: 20 requests a second at today's fleet size",
-            runs=("node",),
-            mechanism="assembly/instance",
-        ),
-        figures.Figure(
-            group=DATA_PATH,
-            name="open streams",
-            value=facts.slope("footprint.stream_memory_bytes")
-            * planned.NODE_STREAMS
-            / planned.MB,
-            unit="MB",
-            basis=f"slope x {planned.NODE_STREAMS:.0f} streams",
-            runs=("footprint",),
-            mechanism="entry/sinks, dispatch/generations",
-        ),
-        figures.Figure(
-            group=DATA_PATH,
-            name="claims, bills with answers, pins on the wire",
-            value=requests * message_bytes,
-            unit="B/s",
-            basis="20 a second, sent and received",
-            runs=("footprint",),
-            mechanism="ledger/sender",
-        ),
-    ]
-
-
 def all_figures(facts: figures.Facts) -> list[figures.Figure]:
     """Returns all of the above."""
     return [
         *memory(facts),
         *traffic(facts),
         *processor(facts),
-        *data_path(facts),
     ]
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -6,6 +6,7 @@
 
 from bench.capacity import bad_days
 from bench.capacity import budgets
+from bench.capacity import data_path
 from bench.capacity import figures
 from bench.capacity import fits
 from bench.capacity import node
@@ -52,6 +53,19 @@
         name="footprint.lease_rank_of_19_us", of="members", planned_size=420
     ),
     Series(name="footprint.cell_us", of="members", planned_size=420),
+    Series(name="footprint.cell_refresh_us", of="replicas", planned_size=4400),
+    Series(name="footprint.whose_report_us", of="replicas", planned_size=4400),
+    Series(name="footprint.ceiling_us", of="replicas", planned_size=4400),
+    Series(
+        name="footprint.orders_plan_us",
+        of="engines of a model",
+        planned_size=880,
+    ),
+    Series(
+        name="footprint.orders_plan_new_us",
+        of="engines of a model",
+        planned_size=880,
+    ),
     Series(
         name="footprint.nearest_partition_us", of="members", planned_size=420
     ),
@@ -131,6 +145,7 @@
     """Returns every figure of the page's role and failure tables."""
     return [
         *node.all_figures(facts),
+        *data_path.all_figures(facts),
         *roles.all_figures(facts),
         *platform_load.all_figures(facts),
         *bad_days.all_figures(facts),
--- a/bench/capacity/processor.py
+++ b/bench/capacity/processor.py
@@ -46,12 +46,12 @@
 def lines() -> list[report.Line]:
     """Returns medians over rounds, in processor time."""
     return [
-        *_series("list_poll", memory.REPLICAS, _list_poll),
-        *_series("change", memory.TEMPLATES, _change),
-        *_series("lease_rank", memory.MEMBERS, _lease_rank),
-        *_series("lease_rank_of_19", memory.MEMBERS, _few_lease_ranks),
-        *_series("cell", memory.MEMBERS, _cell),
-        *_series("nearest_partition", memory.MEMBERS, _nearest_partition),
+        *series("list_poll", memory.REPLICAS, _list_poll),
+        *series("change", memory.TEMPLATES, _change),
+        *series("lease_rank", memory.MEMBERS, _lease_rank),
+        *series("lease_rank_of_19", memory.MEMBERS, _few_lease_ranks),
+        *series("cell", memory.MEMBERS, _cell),
+        *series("nearest_partition", memory.MEMBERS, _nearest_partition),
         _one("event_us", _event),
         _one("metric_us", _metric),
         _one("ledger_message_us", _ledger_message),
@@ -61,11 +61,12 @@
     ]
 
 
-def _series(
+def series(
     name: str,
     sizes: tuple[int, ...],
     prepare: Callable[[int], Callable[[], int]],
 ) -> list[report.Line]:
+    """Measures what `prepare` returns, for each size."""
     return [
         _one(f"{name}_us.{size}", lambda size=size: prepare(size))
         for size in sizes
--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -24,6 +24,8 @@
 _HEAD_READS_PER_S = 2
 # An order that comes later than this holds a roll-out's step up for long.
 _LONGEST_PASS_S = 300
+# A longer stand of the event loop keeps a first token waiting for too long.
+_LONGEST_STAND_S = 0.1
 
 
 def configuration(facts: figures.Facts) -> list[figures.Figure]:
@@ -96,12 +98,15 @@
     """Returns what holders of the leases of fleet-wide tasks spend."""
     row = functools.partial(figures.row, HOLDERS)
     publish_s = cascade_publisher.PUBLISH_EVERY.total_seconds()
+    read_s = cascade_publisher.READ_EVERY.total_seconds()
+    plan_bytes = facts.slope("footprint.plans_row_bytes")
     plan_s = facts.at("footprint.plan_us", planned.TEMPLATES) / 1e6
     tables_bytes = facts.at("footprint.tables_row_bytes", planned.TEMPLATES)
     leave_bytes = facts.value("footprint.leave_bytes")
     questions = _QUESTIONS_PER_S * planned.ROLL_OUTS_AT_ONCE
     pass_s = planned.REPLICAS * 0.5
     report_bytes = facts.value("footprint.load_report_bytes")
+    new_plan_s = facts.largest("footprint.orders_plan_new_us") / 1e6
     inner_us = facts.value("footprint.inner_call_both_sides_us")
     budget = planned.CONTROL_BYTES_PER_S
     return [
@@ -155,7 +160,23 @@
             f"fit at 3,000 templates, each {publish_s:.0f} s",
             "routing/cascade_learner",
             ("footprint",),
-            missed=plan_s > 0.5,
+            missed=plan_s > _LONGEST_STAND_S,
+        ),
+        row(
+            "cascades: plans alone use the budget of bytes from",
+            budget * read_s * (3 / 4) / plan_bytes,
+            "templates",
+            f"3,000 B/s x {read_s:.0f} s x 3/4 / slope",
+            "routing/cascade_publisher",
+            ("footprint",),
+        ),
+        row(
+            "cascades: planning stands for 0.1 s from",
+            _LONGEST_STAND_S * 1e6 / facts.slope("footprint.plan_us"),
+            "templates",
+            "0.1 s / slope",
+            "routing/cascade_learner",
+            ("footprint",),
         ),
         row(
             "orders: one pass over all engines",
@@ -170,10 +191,27 @@
             "orders: bytes of a pass",
             report_bytes / 0.5,
             "B/s",
-            "a report each 0.5 s; without the list",
+            "a report each 0.5 s in the mean, 16 at once; without the list",
             "orders/fleet_reading",
             ("footprint",),
         ),
+        row(
+            "orders: the event loop stands while it plans a new version",
+            new_plan_s,
+            "s",
+            "largest size measured, 880 engines; grows with their square",
+            "orders/planning",
+            ("footprint",),
+            missed=new_plan_s > _LONGEST_STAND_S,
+        ),
+        row(
+            "orders: the same, nothing to be loaded",
+            facts.largest("footprint.orders_plan_us") / 1e6,
+            "s",
+            "largest size measured, 880 engines of one model",
+            "orders/planning",
+            ("footprint",),
+        ),
     ]
 
 
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -7,6 +7,7 @@
 
 from bench import report
 from bench.capacity import calls
+from bench.capacity import fleet_work
 from bench.capacity import learning
 from bench.capacity import memory
 from bench.capacity import messages
@@ -18,6 +19,7 @@
     """Measures all; takes about a minute."""
     return [
         *processor.lines(),
+        *fleet_work.lines(),
         *memory.lines(),
         *messages.lines(),
         *streams.lines(),
