Refuse what could not be billed; follow capacity; be ready when loads are known

Ruled out: failing /readyz while both stores are out (all instances would leave the balancer at once, and callers would not hear when to come back).

--- a/src/nutmeghook/experiment/report.py
+++ b/src/nutmeghook/experiment/report.py
@@ -20,6 +20,8 @@
         config_in_force_s: The slowest accepted change, from the submission
             to the last instance's word that it has it.
         violations: All rules together.
+        by_rule: Violations of each rule; the fields of the same names above
+            repeat those that the users count.
     """
 
     sent: int
@@ -32,11 +34,6 @@
     billed_twice: int
     not_allowed: int
     after_withdrawal: int
-    session_moved: int
-    false_not_run: int
-    ran_twice: int
-    crossed: int
-    cut_short: int
     exposed: int
     cost: float
     spent: float
@@ -46,6 +43,7 @@
     drained_clean: bool
     rollout_stopped: bool
     violations: int
+    by_rule: dict[str, int]
 
     def holds(self) -> bool:
         """Tells whether all that must hold did."""
@@ -89,7 +87,13 @@
         drained_clean=drained_clean,
         rollout_stopped=rollout_stopped,
         violations=len(violations),
-        **counts,
+        by_rule=counts,
+        lost=counts[checks.Rule.LOST.value],
+        doubled=counts[checks.Rule.DOUBLED.value],
+        billed_missing=counts[checks.Rule.BILL_MISSING.value],
+        billed_twice=counts[checks.Rule.BILLED_TWICE.value],
+        not_allowed=counts[checks.Rule.NOT_ALLOWED.value],
+        after_withdrawal=counts[checks.Rule.AFTER_WITHDRAWAL.value],
     )
 
 
--- /dev/null
+++ b/src/nutmeghook/internal/assembly/gauges.py
@@ -0,0 +1,50 @@
+"""Sets the gauges of an instance's state when it is scraped."""
+
+import collections
+
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.ledger import factory as ledger_factory
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.observe import metrics as metrics_module
+
+# Shown while the revision was never known to be the newest, as after a start
+# during an outage; an alarm on age then fires as it should.
+NEVER_CONFIRMED_S = 1e9
+
+
+class Gauges:
+    """Reads the state of the parts; nothing is measured between scrapes."""
+
+    __slots__ = ("_config", "_ledger", "_members", "_metrics")
+
+    def __init__(
+        self,
+        *,
+        metrics: metrics_module.Metrics,
+        config: view_module.ConfigView,
+        members: members_module.MemberView,
+        ledger: ledger_factory.InstanceLedger,
+    ):
+        self._metrics = metrics
+        self._config = config
+        self._members = members
+        self._ledger = ledger
+
+    def refresh(self) -> None:
+        """Sets all gauges to what is so now."""
+        age = self._config.confirmed_age()
+        self._metrics.set("config_revision", self._config.snapshot.revision)
+        self._metrics.set(
+            "config_confirmed_age_seconds",
+            NEVER_CONFIRMED_S if age is None else age.total_seconds(),
+        )
+        healths = collections.Counter(
+            member.health for member in self._members.members()
+        )
+        for health in members_module.MemberHealth:
+            self._metrics.set(
+                "members", healths[health], health=health.name.lower()
+            )
+        self._metrics.set("store_out", int(self._ledger.table_health.is_out))
+        self._metrics.set("bills_waiting", self._ledger.bills_waiting())
+        self._metrics.set("leases_held", self._ledger.service.held())
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.administration import application as admin_application
 from nutmeghook.internal.administration import principals
 from nutmeghook.internal.assembly import cascades
+from nutmeghook.internal.assembly import gauges
 from nutmeghook.internal.assembly import inner_side
 from nutmeghook.internal.assembly import observation
 from nutmeghook.internal.assembly import platform_clients
@@ -23,6 +24,7 @@
 from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.ledger import factory as ledger_factory
 from nutmeghook.internal.ledger import settings as ledger_settings
+from nutmeghook.internal.limits import ceiling
 from nutmeghook.internal.limits import fair_admission
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
@@ -46,6 +48,7 @@
 
     __slots__ = (
         "_cascades",
+        "_ceiling",
         "_clients",
         "_clock",
         "_dispatcher",
@@ -201,9 +204,11 @@
             dispatcher=self._dispatcher,
             drain=self._drain,
             identifiers=self.identifiers,
+            knows_backends=self._routing.is_ready,
         )
         finder = principals.PrincipalFinder(
             tokens=tokens,
+            platform_team=self._settings.text("platform_team"),
             bootstrap_sha256=self._settings.text("administrator_token_sha256"),
         )
         application.add_subapp(
@@ -215,6 +220,12 @@
         observation.add_routes(
             application,
             metrics=self.metrics,
+            gauges=gauges.Gauges(
+                metrics=self.metrics,
+                config=self.config.replica,
+                members=self.members,
+                ledger=self._ledger,
+            ),
             gatherer=gathering.EventsGatherer(
                 ring=self.events,
                 members=self.members,
@@ -227,7 +238,9 @@
         self._listener = listener_module.Listener(application=application)
 
     def _ready_gate(self) -> ready_gate.ReadyExposureGate:
-        known = readiness.Readiness(known=self._routing.directory.known)
+        known = readiness.Readiness(
+            known=self._routing.directory.known, clock=self._clock
+        )
         return ready_gate.ReadyExposureGate(
             gate=self._rollouts.gate,
             is_ready=lambda version, percent: known.is_ready_for(
@@ -250,12 +263,19 @@
         )
 
     def _build_admission(self) -> fair_admission.FairAdmission:
+        most_places = self._settings.count("concurrent_requests")
+        limit = following_limit.FollowingLimit(ceiling=most_places)
+        self._ceiling = ceiling.CeilingFollower(
+            limit=limit,
+            known=self._routing.directory.known,
+            members=self.members,
+            clock=self._clock,
+            most_places=most_places,
+        )
         return fair_admission.FairAdmission(
             clock=self._clock,
             randomness=self._random,
-            limit=following_limit.FollowingLimit(
-                ceiling=self._settings.count("concurrent_requests")
-            ),
+            limit=limit,
             budgets=token_budget.TokenBudgets(
                 clock=self._clock, members=self.members
             ),
@@ -273,6 +293,7 @@
             tasks.create_task(self._ledger.run())
             tasks.create_task(self._routing.run())
             tasks.create_task(self._rating_queue.run())
+            tasks.create_task(self._ceiling.run())
 
     async def leave(self) -> None:
         """Stops taking requests, finishes all, hands over what it held."""
--- a/src/nutmeghook/internal/assembly/observation.py
+++ b/src/nutmeghook/internal/assembly/observation.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from nutmeghook.internal.administration import principals as principals_module
+from nutmeghook.internal.assembly import gauges as gauges_module
 from nutmeghook.internal.entry import replies
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.observe import gathering
@@ -18,12 +19,14 @@
     application: web.Application,
     *,
     metrics: metrics_module.Metrics,
+    gauges: gauges_module.Gauges,
     gatherer: gathering.EventsGatherer,
     principals: principals_module.PrincipalFinder,
 ) -> None:
     """Adds `/metrics` and the time line's events."""
 
     async def show_metrics(request: web.Request) -> web.Response:
+        gauges.refresh()
         body, headers = aioprometheus.render(
             metrics.registry, request.headers.getall(hdrs.ACCEPT, [])
         )
--- a/src/nutmeghook/internal/dispatch/claims.py
+++ b/src/nutmeghook/internal/dispatch/claims.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.ledger import ledger as ledger_module
 from nutmeghook.internal.observe import events as events_module
 
+RETRY_UNBILLABLE = datetime.timedelta(seconds=1)
 RETRY_WHILE_RUNNING = datetime.timedelta(seconds=1)
 # A claim whose commit is in doubt can be settled only once the store answers
 # again. Without a bound of its own, callers with long deadlines sat through a
@@ -46,6 +47,15 @@
         Raises:
             errors.CodedError: Neither; the code says why.
         """
+        if not self._ledger.accepting_work():
+            # Work that ran could not be billed, and its answer would be held
+            # back to the deadline; so it is not run, and the caller hears so
+            # at once.
+            raise errors.CodedError(
+                code=codes.Code.STORE_OUT,
+                detail="no bill could be recorded now; come back",
+                retry_after=RETRY_UNBILLABLE,
+            )
         if not identity.given_by_caller:
             return None
         result = await self._ledger.claim(
--- a/src/nutmeghook/internal/entry/application.py
+++ b/src/nutmeghook/internal/entry/application.py
@@ -43,6 +43,7 @@
         "_drain",
         "_identifiers",
         "_intake",
+        "_knows_backends",
     )
 
     def __init__(
@@ -54,6 +55,7 @@
         dispatcher: dispatcher_module.Dispatcher,
         drain: drain_module.Drain,
         identifiers: identifiers_module.IdentifierSource,
+        knows_backends: Callable[[], bool],
     ):
         self._bodies = bodies.BodyBudget()
         self._clock = clock
@@ -61,6 +63,7 @@
         self._dispatcher = dispatcher
         self._drain = drain
         self._identifiers = identifiers
+        self._knows_backends = knows_backends
         self._intake = intake_module.Intake(
             clock=clock, config=config, tokens=tokens
         )
@@ -184,6 +187,8 @@
             return web.Response(status=503, text="leaving\n")
         if not self._config.snapshot.revision:
             return web.Response(status=503, text="no configuration yet\n")
+        if not self._knows_backends():
+            return web.Response(status=503, text="no load reports yet\n")
         return web.Response(text="ready\n")
 
 
@@ -195,6 +200,7 @@
     dispatcher: dispatcher_module.Dispatcher,
     drain: drain_module.Drain,
     identifiers: identifiers_module.IdentifierSource,
+    knows_backends: Callable[[], bool] = lambda: True,
 ) -> web.Application:
     """Returns the application with all paths of callers.
 
@@ -212,6 +218,7 @@
         dispatcher=dispatcher,
         drain=drain,
         identifiers=identifiers,
+        knows_backends=knows_backends,
     )
     handlers.add_routes(application)
     return application
--- a/src/nutmeghook/internal/ledger/factory.py
+++ b/src/nutmeghook/internal/ledger/factory.py
@@ -251,6 +251,10 @@
         """Whether a bill of new work could be made durable."""
         return self.client.accepting_work()
 
+    def bills_waiting(self) -> int:
+        """Objects with this instance's bills that wait for the log."""
+        return self._overflow.stored_objects
+
     async def run(self) -> None:
         """Runs all parts until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/nutmeghook/internal/ledger/ledger.py
+++ b/src/nutmeghook/internal/ledger/ledger.py
@@ -80,6 +80,13 @@
     `BILL_UNSETTLED` where a bill could not be made durable in time.
     """
 
+    def accepting_work(self) -> bool:
+        """Tells whether a bill of new work could be made durable in time.
+
+        A ledger without limits always can.
+        """
+        return True
+
     @abc.abstractmethod
     async def claim(
         self,
--- a/src/nutmeghook/internal/ledger/service.py
+++ b/src/nutmeghook/internal/ledger/service.py
@@ -39,6 +39,10 @@
         """One for each partition, held or not."""
         return self._writers
 
+    def held(self) -> int:
+        """How many partitions this instance writes now."""
+        return sum(writer.is_serving for writer in self._writers)
+
     def register(self, handlers: peers.PeerHandlers) -> None:
         """Takes requests from other instances."""
         handlers.register(ttypes.LedgerAppend, self.handle)
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -133,12 +133,12 @@
     MetricSpec(
         name="bills_waiting",
         kind=MetricKind.GAUGE,
-        meaning="Bills in the object store that wait for the table service.",
+        meaning="Objects with bills that wait for the table service.",
     ),
     MetricSpec(
         name="leases_held",
         kind=MetricKind.GAUGE,
-        meaning="Leases that this instance holds.",
+        meaning="Ledger partitions that this instance writes.",
     ),
 )
 
--- a/src/nutmeghook/internal/settings/specs.py
+++ b/src/nutmeghook/internal/settings/specs.py
@@ -114,6 +114,12 @@
         ),
         default="",
     ),
+    Spec(
+        name="platform_team",
+        kind=Kind.TEXT,
+        meaning="The team whose administrators may change everything.",
+        default="platform",
+    ),
     Spec(
         name="orders_secret",
         kind=Kind.TEXT,
--- a/tests/cover/test_dispatch_claims.py
+++ b/tests/cover/test_dispatch_claims.py
@@ -64,3 +64,37 @@
             self.assertIs(caught.exception.run_state, codes.RunState.NOT_RUN)
 
         asyncio.run(scenario())
+
+
+class FullLedger(fakes.FakeLedger):
+    """A ledger that could make no bill durable."""
+
+    def accepting_work(self):
+        return False
+
+
+class UnbillableWorkTest(unittest.TestCase):
+    @hypothesis.given(strategies.booleans())
+    def test_nothing_runs_that_could_not_be_billed(self, keyed):
+        """Both of the platform's stores are out. Work sent to an engine now
+        could not be billed, so its answer would be held back until the
+        deadline and then be refused. The caller hears "not run" at once, and
+        when to come back, with an idempotency key or without.
+        """
+        claimed = claims.Claims(
+            ledger=FullLedger(),
+            events=events.EventRing(clock=clock_module.FakeClock()),
+        )
+        identity = ledger_module.RequestIdentity(
+            team="agency", key="k", given_by_caller=keyed
+        )
+        with self.assertRaises(errors.CodedError) as caught:
+            asyncio.run(
+                claimed.claim(
+                    identity,
+                    request_id="req-1",
+                    timeout=datetime.timedelta(seconds=30),
+                )
+            )
+        self.assertIs(caught.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertIsNotNone(caught.exception.retry_after)
--- a/tests/cover/test_entry_start.py
+++ b/tests/cover/test_entry_start.py
@@ -1,7 +1,13 @@
 """An instance that has only just started."""
 
+import aiohttp
+
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.config import tokens
+from nutmeghook.internal.entry import application as entry_application
+from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import identifiers
 from tests import fakes
 from tests.cover import test_entry_http
 
@@ -35,3 +41,30 @@
             headers={"Authorization": "Bearer other"},
         )
         await self.assert_coded(response, codes.Code.BAD_TOKEN)
+
+    async def test_not_ready_before_load_reports_are_in(self):
+        """A new instance knows two of twelve engines so far. If the balancer
+        sent it requests, all would go to these two, whose queues would last
+        for minutes; so /readyz fails until enough is known.
+        """
+        self.fixture.config.current = fakes.snapshot()
+        knows = False
+        application = entry_application.build_application(
+            clock=self.fixture.clock,
+            config=self.fixture.config,
+            tokens=tokens.TokenIndex(config=self.fixture.config),
+            dispatcher=self.dispatcher,
+            drain=self.drain,
+            identifiers=identifiers.IdentifierSource(),
+            knows_backends=lambda: knows,
+        )
+        listener = listener_module.Listener(application=application)
+        await listener.start(host="127.0.0.1", port=0)
+        self.addAsyncCleanup(listener.stop)
+        url = f"http://{listener.address}/readyz"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as response:
+                self.assertEqual(response.status, 503)
+            knows = True
+            async with session.get(url) as response:
+                self.assertEqual(response.status, 200)
