Total the bills for administrators: nutmeghook admin bills

GET /admin/v1/usage now gives each team's totals by that reader, to administrators of the platform's team, and the command prints them. While a store can't be read the answer is STORE_OUT: totals that lack bills would look like lost money.

Ruled out: totals kept by each instance, which die with it.

Test: a bill that stands in two objects counts once; operators of a team are refused; a store that is out gives no totals.

--- a/src/nutmeghook/internal/administration/application.py
+++ b/src/nutmeghook/internal/administration/application.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import bills as bills_module
 
 PREFIX = "/admin/v1"
 OPERATION_HEADER = "Operation-Id"
@@ -56,10 +57,13 @@
         config: assembly.ConfigParts,
         principals: principals.PrincipalFinder,
         sources: tuple[status_module.WaitingSource, ...] = (),
+        bills: bills_module.BillReader | None = None,
     ):
         self._config = config
         self._principals = principals
-        self._queries = queries_module.Queries(config=config, sources=sources)
+        self._queries = queries_module.Queries(
+            config=config, sources=sources, bills=bills
+        )
 
     def add_routes(self, application: web.Application) -> None:
         """Adds all paths."""
@@ -73,6 +77,7 @@
         router.add_get("/changes", self._answered(self._history))
         router.add_get("/changes/{revision}", self._answered(self._change))
         router.add_get("/status", self._answered(self._status))
+        router.add_get("/usage", self._answered(self._usage))
 
     def _answered(
         self, handler: _Handler
@@ -205,17 +210,23 @@
     ) -> status_module.StatusAnswer:
         return await self._queries.status(principal)
 
+    async def _usage(
+        self, request: web.Request, principal: principals.Principal
+    ) -> bodies.UsageAnswer:
+        return await self._queries.usage(principal)
+
 
 def build_application(
     *,
     config: assembly.ConfigParts,
     principals: principals.PrincipalFinder,
     sources: tuple[status_module.WaitingSource, ...] = (),
+    bills: bills_module.BillReader | None = None,
 ) -> web.Application:
     """Returns the application, to be mounted under `PREFIX`."""
     application = web.Application(client_max_size=MAX_BODY_BYTES)
     AdministrationHandlers(
-        config=config, principals=principals, sources=sources
+        config=config, principals=principals, sources=sources, bills=bills
     ).add_routes(application)
     return application
 
--- a/src/nutmeghook/internal/administration/bodies.py
+++ b/src/nutmeghook/internal/administration/bodies.py
@@ -113,6 +113,23 @@
     differences: tuple[faults.Difference, ...]
 
 
+class UsageItem(msgspec.Struct, frozen=True, kw_only=True):
+    """What one team's requests used; money in millionths of a euro."""
+
+    team: str
+    requests: int
+    prompt_tokens: int
+    output_tokens: int
+    cost_micros: int
+    spent_micros: int
+
+
+class UsageAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The totals of all bills that are kept, each bill counted once."""
+
+    teams: tuple[UsageItem, ...]
+
+
 class ErrorFields(msgspec.Struct, frozen=True, kw_only=True):
     """What went wrong; codes are in docs/RESULT_CODES.md."""
 
--- a/src/nutmeghook/internal/administration/client.py
+++ b/src/nutmeghook/internal/administration/client.py
@@ -153,6 +153,10 @@
         """Returns what a shift hands over."""
         return await self._get("/status", status_module.StatusAnswer)
 
+    async def usage(self) -> bodies.UsageAnswer:
+        """Returns the totals of all bills."""
+        return await self._get("/usage", bodies.UsageAnswer)
+
     async def _get(self, path: str, answer_type: type[_T]) -> _T:
         return await self._call("GET", path, None, answer_type, {})
 
--- a/src/nutmeghook/internal/administration/commands.py
+++ b/src/nutmeghook/internal/administration/commands.py
@@ -25,7 +25,7 @@
 class AdministrationCommands(reading_commands.ReadingCommands):
     """Reads and changes the configuration.
 
-    Reading: status, list, show, history, change, outcome, draft, schema.
+    Reading: status, list, show, history, change, outcome, bills, draft, schema.
     Changing: set, put, load, withdraw, roll_out, advance, roll_back,
     remove_template, put_token, remove_token. Each explains itself:
     `nutmeghook admin COMMAND --help`.
--- a/src/nutmeghook/internal/administration/queries.py
+++ b/src/nutmeghook/internal/administration/queries.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.ledger import bills as bills_module
 from nutmeghook.internal.platform import failures
 
 MOST_CHANGES = 200
@@ -30,16 +31,18 @@
 class Queries:
     """Answers questions of operators, each as far as its principal may see."""
 
-    __slots__ = ("_config", "_sources")
+    __slots__ = ("_bills", "_config", "_sources")
 
     def __init__(
         self,
         *,
         config: assembly.ConfigParts,
         sources: tuple[status_module.WaitingSource, ...] = (),
+        bills: bills_module.BillReader | None = None,
     ):
         self._config = config
         self._sources = sources
+        self._bills = bills
 
     def list_documents(
         self, principal: principals.Principal
@@ -160,6 +163,29 @@
             sources=self._sources,
         )
 
+    async def usage(
+        self, principal: principals.Principal
+    ) -> bodies.UsageAnswer:
+        """Returns the totals of all bills, for administrators.
+
+        Raises:
+            errors.CodedError: `NOT_ALLOWED`; `STORE_OUT` where a bill can't
+                be read, because totals without it would be wrong.
+        """
+        principal.check_may_read("")
+        if self._bills is None:
+            raise _not_found("this instance keeps no bills")
+        try:
+            totals = await self._bills.usage()
+        except failures.PlatformError as error:
+            raise _store_out(error) from error
+        return bodies.UsageAnswer(
+            teams=tuple(
+                msgspec.convert(total, bodies.UsageItem, from_attributes=True)
+                for total in totals
+            )
+        )
+
     async def _changes(self, after: int, last: int) -> list[rows.Change]:
         try:
             return await self._config.store.changes_after(
@@ -224,6 +250,6 @@
 def _store_out(error: failures.PlatformError) -> errors.CodedError:
     return errors.CodedError(
         code=codes.Code.STORE_OUT,
-        detail=f"the table service did not give it: {error}",
+        detail=f"the platform's store did not give it: {error}",
         retry_after=datetime.timedelta(seconds=2),
     )
--- a/src/nutmeghook/internal/administration/reading_commands.py
+++ b/src/nutmeghook/internal/administration/reading_commands.py
@@ -16,6 +16,14 @@
         """Shows what is in force where, what rolls, what waits."""
         self._show(lambda c: c.status(), rendering.status)
 
+    @running.command
+    def bills(self) -> None:
+        """Shows what each team's requests used and cost, each billed once.
+
+        For administrators. Reads all bills that are kept, wherever they are.
+        """
+        self._show(lambda c: c.usage(), rendering.usage)
+
     @running.command
     def list(self) -> None:
         """Lists the documents with their revisions."""
--- a/src/nutmeghook/internal/administration/rendering.py
+++ b/src/nutmeghook/internal/administration/rendering.py
@@ -11,6 +11,7 @@
 
 _MOST_ADDRESSES = 6
 _MOST_ROWS = 8
+_MICROS_PER_EURO = 1_000_000
 
 
 def operation(answer: bodies.OperationAnswer) -> str:
@@ -112,6 +113,21 @@
     return "\n".join(sections)
 
 
+def usage(answer: bodies.UsageAnswer) -> str:
+    """Returns the totals, a team a line."""
+    lines = [
+        f"{'requests':>9} {'prompt tokens':>13} {'output tokens':>13} "
+        f"{'cost EUR':>12} {'spent EUR':>12}  team"
+    ]
+    lines += [
+        f"{item.requests:>9} {item.prompt_tokens:>13} {item.output_tokens:>13} "
+        f"{item.cost_micros / _MICROS_PER_EURO:>12.6f} "
+        f"{item.spent_micros / _MICROS_PER_EURO:>12.6f}  {item.team}"
+        for item in answer.teams
+    ]
+    return "\n".join(lines) if answer.teams else "no bills"
+
+
 def _section(title: str, lines: list[str]) -> list[str]:
     if not lines:
         return [f"{title}: none"]
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -214,7 +214,9 @@
         application.add_subapp(
             admin_application.PREFIX,
             admin_application.build_application(
-                config=self.config, principals=finder
+                config=self.config,
+                principals=finder,
+                bills=self._ledger.bill_reader,
             ),
         )
         observation.add_routes(
--- a/tests/cover/test_administration_commands.py
+++ b/tests/cover/test_administration_commands.py
@@ -23,9 +23,14 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
+from nutmeghook.internal.ledger import bills
+from nutmeghook.internal.ledger import overflow
+from nutmeghook.internal.ledger import records
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
+from nutmeghook.standins import memory_objects
 from nutmeghook.standins import memory_table
+from tests import ledger_cluster
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "docs" / "examples"
 BOOTSTRAP = "bootstrap-secret"
@@ -37,6 +42,7 @@
     def __init__(self):
         self.clock = clock_module.SystemClock()
         self.table = memory_table.MemoryTable(clock=self.clock)
+        self.objects = memory_objects.MemoryObjects(clock=self.clock)
         self.lose_replies = 0
         self._loop = asyncio.new_event_loop()
         self._ready = threading.Event()
@@ -78,7 +84,11 @@
         whole = web.Application(middlewares=[self._losing])
         whole.add_subapp(
             application.PREFIX,
-            application.build_application(config=parts, principals=finder),
+            application.build_application(
+                config=parts,
+                principals=finder,
+                bills=bills.BillReader(table=self.table, objects=self.objects),
+            ),
         )
         runner = web.AppRunner(whole)
         await runner.setup()
@@ -262,3 +272,49 @@
         self.assertEqual(code, 1)
         self.assertIn("priority is 70; give 0 to 9", err)
         self.assertIn("quality_target is 2.0; give 0 to 1", err)
+
+    def put_bills(self, object_name: str, *keys: str) -> None:
+        """Puts bills where they wait for the table service."""
+        batch = records.BillBatch(
+            partition=0,
+            records=tuple(
+                records.finish_record(ledger_cluster.bill(key), None)
+                for key in keys
+            ),
+        )
+        asyncio.run(
+            self.server.objects.put_if_absent(
+                f"{overflow.KEY_PREFIX}{object_name}",
+                records.encoder.encode(batch),
+            )
+        )
+
+    def test_bills_are_totalled_once_each_for_administrators_only(self):
+        """The operator sees: each bill once, or no totals at all.
+
+        A bill was put in the object store twice, as by an instance whose
+        first put was in doubt. It counts once. While a store is out the
+        totals would lack bills, so they are refused.
+        """
+        self.load_example()
+        self.put_bills("a/1", "k1", "k2")
+        self.put_bills("b/1", "k2", "k3")
+        code, out, err = self.admin("bills", "--json")
+        self.assertEqual(code, 0, err)
+        (team,) = json.loads(out)["teams"]
+        self.assertEqual(
+            (team["team"], team["requests"], team["cost_micros"]),
+            ("agency", 3, 21),
+        )
+        _, shown, _ = self.admin("bills")
+        self.assertIn("0.000021", shown)
+        _, out, _ = self.admin(
+            "put_token", "agency", "day", "operator", "--reason=r"
+        )
+        secret = out.splitlines()[0].split(": ")[1]
+        code, _, err = self.admin("bills", token=secret)
+        self.assertIn("2005 NOT_ALLOWED", err)
+        self.server.objects.faults.down = True
+        code, _, err = self.admin("bills")
+        self.assertIn("3004 STORE_OUT", err)
+        self.assertEqual(code, 1)
