Prove that no answer goes before its bill, whichever moment kills

Cause: the trial with a hanging table service caught the defect "answer before its bill" in one run and missed it in another, since bills reach the object store within milliseconds once the table service is known to be out.

Ruled out: a later kill in that trial; the window stays short.

Change: a trial in which both stores take requests and never answer and an instance dies a second later.

--- a/src/nutmeghook/experiment/faults.py
+++ b/src/nutmeghook/experiment/faults.py
@@ -92,6 +92,11 @@
     await _outage(trial, "objects", serving.DownMode.REFUSING)
 
 
+async def objects_hang(trial: trial_module.Trial) -> None:
+    """The object store takes requests and never answers."""
+    await _outage(trial, "objects", serving.DownMode.HANGING)
+
+
 async def ratings_down(trial: trial_module.Trial) -> None:
     """The rating service is out."""
     await _outage(trial, "ratings", serving.DownMode.CUTTING)
