Charge budgets and fair shares what a generation really used

Cause: admission charges a request its prompt and its longest answer, and nothing replaced that when the request ended. A template whose answers are short was told OVER_BUDGET after a small part of its budget, and a team's fair share shrank with its max_tokens.

Ruled out: charging the billed tokens only. A lost hedge, a failed attempt and a rejected cheap stage are work of the engines too.

Change: the path of a generation reconciles its estimate when it ends, answered, failed or cancelled, before its place is given on. What counts are the tokens of prompt and output of all attempts that ran or may have run; of an attempt that never said its prompt's size, the estimate.

Before: of a budget of 120 tokens a minute, with answers of 8 tokens that may take 104, the third request was refused at the latest; now 15 are served.

Conclusion: budgets follow use.

--- a/src/nutmeghook/internal/dispatch/generations.py
+++ b/src/nutmeghook/internal/dispatch/generations.py
@@ -63,13 +63,21 @@
         Raises:
             errors.CodedError: There is none.
         """
-        async with self._admission.admitted(_admission_request(request)):
+        asked = _admission_request(request)
+        async with self._admission.admitted(asked):
             self._events.record(
                 events_module.EventKind.REQUEST_ADMITTED,
                 request.request_id,
                 template=request.template.name,
             )
-            return await self._cascade_stages(request, progress, sink)
+            try:
+                return await self._cascade_stages(request, progress, sink)
+            finally:
+                # Whatever the outcome, and before the place is given to the
+                # next one: who is next depends on what teams have used.
+                self._admission.reconcile(
+                    asked, used_tokens=progress.used_tokens
+                )
 
     async def _cascade_stages(
         self,
--- a/src/nutmeghook/internal/dispatch/progress.py
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -24,6 +24,8 @@
         attempts: Attempts started, whatever became of them.
         possibly_run: Attempts that ran or may have run.
         spent_micros: Cost of all of them.
+        used_tokens: Tokens of prompt and output of all of them, as far as
+            they are known.
         relayed: Some text of the answer is on its way to the caller.
         delivered: How much, as of the attempts that have ended.
         must_finish: Work that no cancelling would undo is under way.
@@ -33,6 +35,7 @@
     attempts: int = 0
     possibly_run: int = 0
     spent_micros: int = 0
+    used_tokens: int = 0
     relayed: bool = False
     delivered: Delivered | None = None
     must_finish: bool = False
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -232,6 +232,7 @@
             last.prompt_tokens if last else call.request.prompt_tokens_estimate
         )
         version = attempt.generation.model_version
+        progress.used_tokens += prompt_tokens + attempt.next_token
         progress.spent_micros += billing.cost_micros(
             self._config,
             version,
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import random
 import unittest
 
 import hypothesis
@@ -10,6 +11,9 @@
 
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.limits import concurrency_limit
+from nutmeghook.internal.limits import fair_admission
+from nutmeghook.internal.limits import token_budget
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import failures
 from nutmeghook.internal.routing import backends
@@ -109,6 +113,9 @@
             self._check_error(fixture, sink, outcome, key)
         else:
             self._check_answer(fixture, sink, outcome)
+        [used_tokens] = fixture.admission.used
+        ran = any(fake.ran for fake in fixture.engines.values())
+        self.assertEqual(bool(used_tokens), ran)
 
     def _check_answer(self, fixture, sink, answer):
         self.assertEqual(sink.text, answer.text)
@@ -117,6 +124,8 @@
         self.assertGreaterEqual(bill.spent_micros, bill.cost_micros)
         self.assertEqual(fixture.ledger.unknown, [])
         self.assertEqual(fixture.ledger.released, [])
+        billed_tokens = bill.prompt_tokens + bill.output_tokens
+        self.assertGreaterEqual(fixture.admission.used[0], billed_tokens)
 
     def _check_error(self, fixture, sink, error, key):
         whole_texts = (WHOLE, "Another text.")
@@ -285,6 +294,27 @@
         self.assertEqual(calls, 2)
         self.assertEqual(self.fixture.ledger.released, ["finding-7"])
 
+    async def test_a_budget_is_charged_what_was_used(self):
+        """Callers of a small budget are served until it is really spent.
+
+        Each answer may take 104 tokens and takes 8. Of 120 tokens a minute,
+        the last begins with 8 left; the next one is told `OVER_BUDGET`.
+        """
+        fixture = self.fixture = fakes.Fixture(tokens_per_minute=120)
+        fixture.admission = fair_admission.FairAdmission(
+            clock=fixture.clock,
+            randomness=random.Random(1),
+            limit=concurrency_limit.FixedLimit(places=1),
+            budgets=token_budget.TokenBudgets(
+                clock=fixture.clock, members=fakes.one_member()
+            ),
+        )
+        for _ in range(15):
+            await self.generate()
+        with self.assertRaises(errors.CodedError) as caught:
+            await self.generate()
+        self.assertEqual(caught.exception.code, codes.Code.OVER_BUDGET)
+
     async def test_a_version_withdrawn_while_waiting_gets_no_work(self):
         """The caller gets the next version's answer.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,6 +24,7 @@
 from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.limits import admission
+from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import failures
@@ -300,6 +301,28 @@
         return self.leave >= 0
 
 
+def one_member() -> members.FixedMemberView:
+    """An instance alone."""
+    return members.FixedMemberView(
+        myself=members.Member(
+            inner_address="i1:1",
+            incarnation="1",
+            region="r",
+            data_centre="r-1",
+        )
+    )
+
+
+class RecordingAdmission(admission.OpenAdmission):
+    """Lets all in and keeps what they are charged in the end."""
+
+    def __init__(self):
+        self.used: list[int] = []
+
+    def reconcile(self, request, *, used_tokens):
+        self.used.append(used_tokens)
+
+
 class FakeLedger(ledger.Ledger):
     """Claims and bills in memory, with what the test makes go wrong."""
 
@@ -408,7 +431,7 @@
         self.ledger = FakeLedger()
         self.rating_service = FakeRatings()
         self.meter = CountingMeter()
-        self.admission = admission.OpenAdmission()
+        self.admission = RecordingAdmission()
         self.events = events.EventRing(clock=self.clock)
         self.ratings = ratings.RatingQueue(
             service=self.rating_service,
