Fall back to the version that served last, not to all former ones

Cause: where only serving versions of share 0 were left after a withdrawal, the freed share was divided equally among them. After v1, v3 and v2 had been promoted in turn, withdrawing v2 gave 50% each to v3 and to v1, which had been replaced long before.

Ruled out: a field with the time of promotion (documents written by hand would have to fill it in, and it could contradict the order of the entries) and the log of changes (it may be cleared).

Change: if no entry that takes the share has one, the last such entry gets all of it. Shares in proportion stay as they were.

Seen to fail first: the new property, over promotions and withdrawals in any order, failed on the old function with {v1: 50, v3: 50} where {v3: 100} was due.

--- a/src/nutmeghook/internal/config/shares.py
+++ b/src/nutmeghook/internal/config/shares.py
@@ -107,15 +107,20 @@
     taking: list[documents.VersionEntry],
     total_percent: float,
 ) -> list[documents.VersionEntry]:
+    """Divides a total in the proportion of the shares that entries have.
+
+    Where all of them have none, they are former versions, kept to fall back
+    to. The one that served last takes everything: it is what callers had
+    before. `with_entry` puts each version that it moves at the end, so that
+    one is the last. Equal parts would bring back versions long replaced.
+    """
     sum_percent = sum(entry.share_percent for entry in taking)
+    if sum_percent <= 0:
+        taking = taking[-1:]
     divided = []
     for entry in entries:
         if entry in taking:
-            part = (
-                entry.share_percent / sum_percent
-                if sum_percent > 0
-                else 1 / len(taking)
-            )
+            part = entry.share_percent / sum_percent if sum_percent > 0 else 1
             entry = msgspec.structs.replace(
                 entry, share_percent=round(total_percent * part, 6)
             )
--- a/tests/cover/test_config_validation.py
+++ b/tests/cover/test_config_validation.py
@@ -13,6 +13,7 @@
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import planning
 from nutmeghook.internal.config import schema
+from nutmeghook.internal.config import shares
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.config import validation
 from nutmeghook.internal.foundation import errors
@@ -21,6 +22,7 @@
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
 SHA = "0" * 64
+SERVING = ("serving", 100)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -148,6 +150,41 @@
                     if entry.version == named.version:
                         self.assertEqual(entry.share_percent, 0)
 
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(versions, strategies.booleans()), max_size=16
+        )
+    )
+    def test_withdrawal_falls_back_to_the_version_that_served_last(
+        self, chosen
+    ):
+        """Callers' answers turn bad after a promotion, and an operator
+        withdraws the version. Versions that served before it stand at share
+        0. New sessions get the one that served last before it, and no share
+        goes to an older one, whatever was rolled out and withdrawn before.
+        """
+        served = [config_fleet.GOOD]
+        template = config_fleet.template()
+        for version, withdraws in chosen:
+            if withdraws and served != [version]:
+                template = shares.withdrawn_from(template, version)
+                served = [other for other in served if other != version]
+            elif not withdraws and version not in served:
+                for state, share_percent in (("rolling_out", 5), SERVING):
+                    template = shares.with_entry(
+                        template,
+                        version,
+                        documents.VersionState(state),
+                        share_percent,
+                    )
+                served.append(version)
+            found = {
+                entry.version: entry.share_percent
+                for entry in template.stages[0].versions
+                if entry.share_percent
+            }
+            self.assertEqual(found, {served[-1].version: 100})
+
     def test_each_wrong_parameter_is_named(self):
         for wrong in WRONG_TEMPLATES:
             with self.subTest(field=wrong.field):
