Let the orders' holder learn from the cells what is loaded

Cause: the holder read every engine's report by itself, 450 bytes each. At 900 bytes a second a pass over 4,400 engines took 37 minutes (computed), and as long did lost orders and unloads wait.

Ruled out: a lease and plans for each data centre. Nine leases have nine sequences of fencing tokens, so an engine whose holder changes would refuse orders for ever; nine holders ask the weight store at nine times the pace; today's 6 engines in 3 data centres would get every version everywhere; and 490 engines would still take 4 minutes. The holder's own routing knows 63 of 4,400.

Change: the holder asks one member of each routing cell (a second one if it is silent) for what is loaded on the cell's engines, and names the page it has (messages LoadedPull and LoadedPage). It reads by itself engines with an order under way, those from which something may be unloaded, and those that no cell tells of, 60 a pass in turn. One lease, one plan, one pace of grants stay. Without the source of pages, as in the assembly until it gives one, all engines are read by the holder, 60 a pass at most where it was all.

A fault found on the way: an order was closed as "done, but not shown" by the time since it was sent, so a load of over 10 s whose end fell between the reading and the question was ordered a second time where the next report was late. It is now closed by a report that was measured 10 s after the engine first said "done". test_no_load_is_ordered_twice failed before.

--- /dev/null
+++ b/bench/orders.py
@@ -0,0 +1,222 @@
+"""What the orders' holder spends to learn what is loaded on all engines.
+
+The holder's real reader asks stand-ins of the other cells' members over a
+network in one process, which counts the frames' bytes. The engines' own load
+reports are not asked for, as in a fleet whose cells all have members.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import time
+
+from bench import report
+from bench.capacity import samples
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import local
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner import traffic as traffic_module
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.membership import members as members_module
+from nutmeghook.internal.orders import cell_reports
+from nutmeghook.internal.orders import fleet_reading
+from nutmeghook.internal.orders import report_pages
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import instances
+from nutmeghook.internal.routing import backends
+
+# Members and engines; the first is today's.
+_SIZES = ((7, 12), (42, 440), (420, 4400))
+_VERSIONS = 13
+# A page that changed holds all engines of its cell; in a roll-out so many do
+# from one pass to the next.
+_CHANGED_CELLS = 4
+_BOUND_BYTES_PER_S = 900
+# What TCP and IP add to a frame.
+_HEADER_BYTES = 40
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Pass:
+    """One reading of the fleet.
+
+    Attributes:
+        size_bytes: Both directions, with TCP's and IP's headers.
+        lasts_s: How long the holder waits for the next one.
+    """
+
+    size_bytes: int
+    lasts_s: float
+    processor_ms: float
+
+
+class _Cell:
+    """Answers for one cell."""
+
+    def __init__(self, *, clock: clock_module.Clock, numbers: range):
+        self._clock = clock
+        self._known = [_backend(number, clock) for number in numbers]
+
+    def change(self) -> None:
+        """Has a version loaded on one engine more."""
+        first = self._known[0]
+        loaded = (*first.report.loaded, _version(99))
+        self._known[0] = dataclasses.replace(
+            first, report=_report(loaded), reported_at=self._clock.monotonic()
+        )
+
+    async def answer(self, pull: ttypes.LoadedPull) -> ttypes.LoadedPage:
+        """As `cell_reports.CellReports` does, without a directory."""
+        now = self._clock.monotonic()
+        page = report_pages.page_of(self._known, now)
+        return report_pages.write_page(
+            page, known_hash=pull.known_hash, now=now
+        )
+
+    def known(self) -> list[backends.Backend]:
+        """Returns the engines of the cell."""
+        return self._known
+
+
+class _Platform(engine.EngineConnector, instances.InstanceList):
+    """The list of the engines; none of them may be asked."""
+
+    def __init__(self, count: int):
+        self._rows = [samples.listed_engine(number) for number in range(count)]
+
+    async def list_instances(self) -> list[instances.ListedInstance]:
+        """Returns all engines."""
+        return self._rows
+
+    def connect(self, address: str) -> engine.Engine:
+        """Fails: a cell did not tell of an engine."""
+        raise RuntimeError(f"{address} is read one by one")
+
+
+def run() -> list[report.Line]:
+    """Measures all sizes; takes some seconds."""
+    lines = []
+    for members, engines in _SIZES:
+        first, still, changed = asyncio.run(_measure(members, engines))
+        lines += [
+            _line(f"first_pass.{engines}", first.size_bytes, "bytes"),
+            *_pass_lines(f"unchanged_pass.{engines}", still),
+            *_pass_lines(f"changed_pass.{engines}", changed),
+            _line(
+                f"pass_processor.{engines}",
+                still.processor_ms,
+                "ms of processor",
+            ),
+        ]
+    return lines
+
+
+def _pass_lines(name: str, one: _Pass) -> list[report.Line]:
+    return [
+        _line(name, one.size_bytes, "bytes"),
+        _line(f"{name}.lasts", one.lasts_s, "s"),
+        _line(
+            f"{name}.rate",
+            round(one.size_bytes / one.lasts_s),
+            "bytes/s",
+            bound=_BOUND_BYTES_PER_S,
+        ),
+    ]
+
+
+async def _measure(members: int, engines: int) -> tuple[_Pass, _Pass, _Pass]:
+    clock = clock_module.FakeClock()
+    network = local.LocalNetwork(clock=clock)
+    everyone = [samples.member(number) for number in range(members)]
+    view = members_module.FixedMemberView(
+        myself=everyone[0], others=tuple(everyone[1:])
+    )
+    handlers = peers.PeerHandlers()
+    traffic = traffic_module.Traffic()
+    caller = network.attach(
+        view.myself.inner_address, handlers, traffic=traffic
+    )
+    found = cell_reports.cells_among(tuple(everyone))
+    cells: list[_Cell] = []
+    for index, addresses in enumerate(found):
+        numbers = range(
+            index * engines // len(found), (index + 1) * engines // len(found)
+        )
+        cells.append(_Cell(clock=clock, numbers=numbers))
+        for address in addresses:
+            if address == view.myself.inner_address:
+                own = cells[-1]
+                continue
+            answering = peers.PeerHandlers()
+            answering.register(ttypes.LoadedPull, cells[-1].answer)
+            network.attach(address, answering)
+    platform = _Platform(engines)
+    reader = fleet_reading.FleetReader(
+        instance_list=platform,
+        connector=platform,
+        clock=clock,
+        reports=cell_reports.CellReports(
+            members=view,
+            caller=caller,
+            handlers=handlers,
+            known=own.known,
+            clock=clock,
+        ),
+    )
+
+    async def read() -> _Pass:
+        before = _bytes_so_far(traffic)
+        started = time.process_time()
+        views = await reader.read()
+        processor_s = time.process_time() - started
+        if any(view.loaded is None for view in views):
+            raise RuntimeError("an engine was not told of")
+        # As `OrderController.run`.
+        lasts = max(datetime.timedelta(seconds=2), reader.cost)
+        return _Pass(
+            size_bytes=_bytes_so_far(traffic) - before,
+            lasts_s=lasts.total_seconds(),
+            processor_ms=round(processor_s * 1000, 1),
+        )
+
+    first = await read()
+    still = await read()
+    for cell in cells[:_CHANGED_CELLS]:
+        cell.change()
+    return first, still, await read()
+
+
+def _bytes_so_far(traffic: traffic_module.Traffic) -> int:
+    total = traffic.total()
+    frames = total.sent_messages + total.received_messages
+    return total.sent_bytes + total.received_bytes + frames * _HEADER_BYTES
+
+
+def _backend(number: int, clock: clock_module.Clock) -> backends.Backend:
+    row = samples.listed_engine(number)
+    return backends.Backend(
+        address=row.address,
+        region=row.region,
+        data_centre=row.data_centre,
+        service=row.service,
+        report=_report((_version(number), _version(number + 1))),
+        reported_at=clock.monotonic(),
+    )
+
+
+def _report(loaded: tuple[engine.ModelVersion, ...]) -> engine.LoadReport:
+    return engine.LoadReport(loaded=loaded, running=9, waiting=0, capacity=64)
+
+
+def _version(number: int) -> engine.ModelVersion:
+    return engine.ModelVersion(
+        model=f"inspection-{number % _VERSIONS}", version="2026.11"
+    )
+
+
+def _line(
+    name: str, value: float, unit: str, *, bound: float | None = None
+) -> report.Line:
+    return report.Line(
+        name=f"orders.{name}", value=value, unit=unit, bound=bound
+    )
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -75,6 +75,26 @@
   10: optional string sender_address,
 }
 
+// Asks what is loaded on the engines of the receiver's cell.
+struct LoadedPull {
+  // Of the page that the sender has; 0: none.
+  1: i64 known_hash,
+}
+
+// The answer; the lists are left out where `content_hash` is the known one.
+struct LoadedPage {
+  1: i64 content_hash,
+  // Of the oldest of the reports.
+  2: i64 age_ms,
+  3: optional list<string> addresses,
+  // Each distinct set of model versions, with commas between them, and which
+  // of them each address has; parallel to `addresses`.
+  4: optional list<string> version_sets,
+  5: optional list<i32> set_numbers,
+  // Positions in `addresses`.
+  6: optional list<i32> leaving,
+}
+
 struct EventsPull {
   1: i64 after_sequence,
 }
@@ -143,6 +163,8 @@
   14: Probe probe,
   15: ProbeAck probe_ack,
   16: MemberTable member_table,
+  17: LoadedPull loaded_pull,
+  18: LoadedPage loaded_page,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/orders/controller.py
+++ b/src/nutmeghook/internal/orders/controller.py
@@ -35,8 +35,6 @@
 _LONGEST_WAIT_IN_PASS = datetime.timedelta(seconds=2)
 _LOOK_AT_CONFIG = datetime.timedelta(seconds=1)
 _SHORTEST_PASS = datetime.timedelta(seconds=2)
-# Reading one engine back takes about 450 bytes; control has 3 KB a second.
-_PASS_PER_ENGINE = datetime.timedelta(milliseconds=500)
 
 
 class NotHolderError(Exception):
@@ -94,7 +92,7 @@
         """Makes a pass each period until cancelled."""
         while True:
             await self.step()
-            period = max(_SHORTEST_PASS, len(self._found) * _PASS_PER_ENGINE)
+            period = max(_SHORTEST_PASS, self._reader.cost)
             next_pass = self._clock.monotonic() + period
             while self._clock.monotonic() < next_pass:
                 await self._clock.sleep(_LOOK_AT_CONFIG)
@@ -142,7 +140,16 @@
             self._quiet_until += TAKE_OVER_WAIT
 
     async def _pass(self) -> None:
-        self._found = await self._reader.read()
+        self._found = await self._reader.read(
+            urgent=frozenset(
+                entry.placement.address for entry in self._book.open_orders()
+            ),
+            # What may be unloaded must have its work ended, and its fellows
+            # at hand: second-hand reports won't do.
+            exactly=frozenset(
+                placement.address for placement in self._drain.placements()
+            ),
+        )
         plan = self._plan()
         self._drain.note(plan, self._clock.monotonic())
         await self._ask_again()
@@ -278,12 +285,8 @@
             self._give_up(entry, AVOID_FORBIDDING)
             return
         entry.answered = True
-        age = self._clock.monotonic() - entry.sent_at
-        is_done = state is engine.OrderState.DONE
-        if is_done and age > order_book.REPORT_LAG:
-            # Done once, and yet its reports don't show it: a later order, or
-            # a restart, undid it. The plan starts anew from the reports.
-            self._book.finish(entry)
+        if state is engine.OrderState.DONE and entry.done_at is None:
+            entry.done_at = self._clock.monotonic()
 
     def _give_up(
         self, entry: order_book.OpenOrder, pause: datetime.timedelta
--- a/src/nutmeghook/internal/orders/drain_wait.py
+++ b/src/nutmeghook/internal/orders/drain_wait.py
@@ -32,6 +32,10 @@
             placement: self._since.get(placement, now) for placement in current
         }
 
+    def placements(self) -> list[planning.Placement]:
+        """Returns the replicas that were too much when last noted."""
+        return list(self._since)
+
     def has_drained(
         self,
         placement: planning.Placement,
--- a/src/nutmeghook/internal/orders/fleet_reading.py
+++ b/src/nutmeghook/internal/orders/fleet_reading.py
@@ -1,16 +1,32 @@
-"""Reads back what is loaded where, from the engines themselves."""
+"""Reads back what is loaded where: from the cells, or engine by engine."""
 
 import asyncio
+from collections.abc import Set
 import dataclasses
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.orders import cell_reports
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import failures
 from nutmeghook.internal.platform import instances
 
 LIST_TIMEOUT = datetime.timedelta(seconds=3)
 REPORT_TIMEOUT = datetime.timedelta(seconds=2)
+# Engines that no cell tells of, and those whose load matters, are read one by
+# one, so many in a pass; the others of them by the reports of earlier passes.
+DIRECT_READS = 60
+# Orders may take 900 bytes a second. A reading takes about 450 bytes, both
+# directions with their headers; a call to a cell 120, and 1,750 more if
+# something has changed there (bench/orders.py).
+READ_COST = datetime.timedelta(milliseconds=500)
+CALL_COST = datetime.timedelta(milliseconds=135)
+PAGE_COST = datetime.timedelta(seconds=2)
+# To a new holder all pages are new. It may not wait for minutes to see what
+# became of its first orders.
+MOST_PAGES_COST = datetime.timedelta(seconds=30)
+# What was read counts for so long where it was not the engine's turn since.
+KEPT_REPORT = datetime.timedelta(minutes=10)
 _READS_AT_ONCE = 16
 
 
@@ -43,9 +59,21 @@
 
 
 class FleetReader:
-    """Reads the instance list, then each engine's report."""
+    """Reads the instance list, then finds out about each engine.
 
-    __slots__ = ("_clock", "_connector", "_instance_list")
+    Attributes:
+        cost: How long the traffic of the last reading has to last for.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_connector",
+        "_instance_list",
+        "_read_views",
+        "_reports",
+        "_tried_at",
+        "cost",
+    )
 
     def __init__(
         self,
@@ -53,14 +81,30 @@
         instance_list: instances.InstanceList,
         connector: engine.EngineConnector,
         clock: clock_module.Clock,
+        reports: cell_reports.ReportSource | None = None,
     ):
         self._instance_list = instance_list
         self._connector = connector
         self._clock = clock
+        self._reports = reports or cell_reports.NoReports()
+        # What was read one by one, and when that was last tried.
+        self._read_views: dict[str, EngineView] = {}
+        self._tried_at: dict[str, datetime.timedelta] = {}
+        self.cost = datetime.timedelta()
 
-    async def read(self) -> list[EngineView]:
+    async def read(
+        self,
+        *,
+        urgent: frozenset[str] = frozenset(),
+        exactly: frozenset[str] = frozenset(),
+    ) -> list[EngineView]:
         """Returns all listed engines, those without a report among them.
 
+        Args:
+            urgent: Addresses of engines with an order under way, which are
+                always read.
+            exactly: Others whose own reports are wanted, in turn.
+
         Raises:
             failures.PlatformError: There is no list.
             TimeoutError: The list took too long.
@@ -68,36 +112,107 @@
         rows = await self._clock.wait_for(
             self._instance_list.list_instances(), LIST_TIMEOUT
         )
-        gate = asyncio.Semaphore(_READS_AT_ONCE)
-        return await asyncio.gather(
-            *(
-                self._read_engine(row, gate)
-                for row in rows
-                if row.role is instances.InstanceRole.MODEL_ENGINE
-            )
+        engines = {
+            row.address: row
+            for row in rows
+            if row.role is instances.InstanceRole.MODEL_ENGINE
+        }
+        gathered = await self._reports.gather()
+        told = _told_views(gathered, engines)
+        untold = engines.keys() - told.keys()
+        reads = self._choose(
+            urgent & engines.keys(), exactly & engines.keys(), untold
+        )
+        await self._read_one_by_one([engines[address] for address in reads])
+        self.cost = (
+            len(reads) * READ_COST
+            + gathered.calls * CALL_COST
+            + min(gathered.changed * PAGE_COST, MOST_PAGES_COST)
+        )
+        self._forget_all_but(engines)
+        return [
+            self._newest(row, told.get(address))
+            for address, row in engines.items()
+        ]
+
+    def _choose(
+        self, urgent: Set[str], exactly: Set[str], untold: Set[str]
+    ) -> list[str]:
+        """Returns those to read now.
+
+        Neither of two groups that are too large for one pass keeps the other
+        from its turn.
+        """
+        half = DIRECT_READS // 2
+        exact = self._in_turn(exactly - urgent)
+        others = self._in_turn(untold - exactly - urgent)
+        chosen = [*sorted(urgent), *exact[:half], *others, *exact[half:]]
+        return chosen[:DIRECT_READS]
+
+    def _in_turn(self, wanted: Set[str]) -> list[str]:
+        """Returns the ones tried longest ago first."""
+        never = datetime.timedelta.min
+        return sorted(
+            wanted,
+            key=lambda address: (self._tried_at.get(address, never), address),
         )
 
+    async def _read_one_by_one(
+        self, rows: list[instances.ListedInstance]
+    ) -> None:
+        gate = asyncio.Semaphore(_READS_AT_ONCE)
+        await asyncio.gather(*(self._read_engine(row, gate) for row in rows))
+
+    def _forget_all_but(
+        self, engines: dict[str, instances.ListedInstance]
+    ) -> None:
+        for kept in (self._read_views, self._tried_at):
+            for address in kept.keys() - engines.keys():
+                del kept[address]
+
+    def _newest(
+        self, row: instances.ListedInstance, told: EngineView | None
+    ) -> EngineView:
+        """Returns the newest of what is known of an engine.
+
+        A cell's page may be older than what an order has already been seen
+        to bring about. Believed, it would have the order given again.
+        """
+        read = self._read_views.get(row.address)
+        if read is not None and self._is_too_old(read):
+            read = None
+        views = [view for view in (told, read) if view is not None]
+        if not views:
+            return _view_without_report(row)
+        newest = max(views, key=lambda view: view.measured_at)
+        leaving = row.state is instances.InstanceState.LEAVING
+        return dataclasses.replace(newest, leaving=newest.leaving or leaving)
+
+    def _is_too_old(self, read: EngineView) -> bool:
+        return self._clock.monotonic() - read.measured_at > KEPT_REPORT
+
     async def _read_engine(
         self, row: instances.ListedInstance, gate: asyncio.Semaphore
-    ) -> EngineView:
+    ) -> None:
         async with gate:
+            self._tried_at[row.address] = self._clock.monotonic()
             report = await self._report(row.address)
-        leaving = row.state is instances.InstanceState.LEAVING
-        view = EngineView(
-            address=row.address,
-            pool=row.service,
-            data_centre=row.data_centre,
-            loaded=None,
-            leaving=leaving,
-        )
+        self._read_views[row.address] = self._view(row, report)
+
+    def _view(
+        self, row: instances.ListedInstance, report: engine.LoadReport | None
+    ) -> EngineView:
         if report is None:
-            return view
+            # Newer than what a cell told: it may be dead by now.
+            return dataclasses.replace(
+                _view_without_report(row), measured_at=self._clock.monotonic()
+            )
         age = datetime.timedelta(milliseconds=report.age_ms)
         return dataclasses.replace(
-            view,
+            _view_without_report(row),
             loaded=frozenset(report.loaded),
             idle=not (report.running or report.waiting),
-            leaving=leaving or report.leaving,
+            leaving=report.leaving,
             measured_at=self._clock.monotonic() - age,
         )
 
@@ -108,3 +223,33 @@
             )
         except (failures.PlatformError, TimeoutError):
             return None
+
+
+def _view_without_report(row: instances.ListedInstance) -> EngineView:
+    return EngineView(
+        address=row.address,
+        pool=row.service,
+        data_centre=row.data_centre,
+        loaded=None,
+        leaving=row.state is instances.InstanceState.LEAVING,
+    )
+
+
+def _told_views(
+    gathered: cell_reports.Gathered,
+    engines: dict[str, instances.ListedInstance],
+) -> dict[str, EngineView]:
+    """Returns what the cells told of listed engines, the newest of each."""
+    views: dict[str, EngineView] = {}
+    # While members differ about the cells, two may tell of one engine.
+    for page in sorted(gathered.pages, key=lambda page: page.oldest_at):
+        for told in page.engines:
+            row = engines.get(told.address)
+            if row is not None:
+                views[told.address] = dataclasses.replace(
+                    _view_without_report(row),
+                    loaded=told.loaded,
+                    leaving=told.leaving,
+                    measured_at=page.oldest_at,
+                )
+    return views
--- a/src/nutmeghook/internal/orders/order_book.py
+++ b/src/nutmeghook/internal/orders/order_book.py
@@ -19,12 +19,14 @@
 
     Attributes:
         answered: The engine said that it has it.
+        done_at: When it first said that it is done.
     """
 
     order: engine.Order
     placement: planning.Placement
     sent_at: datetime.timedelta
     answered: bool = False
+    done_at: datetime.timedelta | None = None
 
 
 class OrderBook:
@@ -152,6 +154,12 @@
         return True
     if view.loaded is None:
         return now - entry.sent_at > REPORT_LAG
+    done_at = entry.done_at
+    if done_at is not None and view.measured_at > done_at + REPORT_LAG:
+        # Shown, or undone since by a later order or a restart: the plan
+        # starts anew from the reports. A report from before that moment may
+        # not show what was done, and the order would be given again.
+        return True
     shown = entry.placement.model_version in view.loaded
     if entry.order.kind is engine.OrderKind.LOAD:
         return shown
--- /dev/null
+++ b/src/nutmeghook/internal/orders/report_pages.py
@@ -0,0 +1,161 @@
+"""What is loaded on the engines of one cell, as its members tell it."""
+
+import dataclasses
+import datetime
+
+import xxhash
+
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import backends
+
+# A cell's reports are polled each 6 s at the longest and repeated to its
+# members each 5 s. An engine whose report is older than this gives none.
+OLDEST_REPORT = datetime.timedelta(seconds=20)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Thrift's i64 is signed, and 0 stands for "no page".
+_HASH_BITS = (1 << 63) - 1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ReportedEngine:
+    """What an engine's report said.
+
+    The load is left out: it changes all the time, and digests round it so
+    that an engine with little work can't be told from an idle one.
+    """
+
+    address: str
+    loaded: frozenset[engine.ModelVersion]
+    leaving: bool
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ReportPage:
+    """The engines of one cell.
+
+    Attributes:
+        content_hash: Of `engines`.
+        oldest_at: When the oldest of the reports was measured, monotonic.
+    """
+
+    engines: tuple[ReportedEngine, ...]
+    content_hash: int
+    oldest_at: datetime.timedelta
+
+
+def page_of(
+    known: list[backends.Backend], now: datetime.timedelta
+) -> ReportPage:
+    """Returns the page of this instance's own cell."""
+    reported = [
+        backend
+        for backend in known
+        if backend.nearness is backends.Nearness.OWN_CELL
+        and not backend.plain
+        and backend.report is not None
+        and now - backend.reported_at <= OLDEST_REPORT
+    ]
+    engines = tuple(
+        ReportedEngine(
+            address=backend.address,
+            loaded=frozenset(backend.report.loaded),
+            leaving=backend.leaving or backend.report.leaving,
+        )
+        for backend in sorted(reported, key=_address)
+    )
+    return ReportPage(
+        engines=engines,
+        content_hash=_hash(engines),
+        oldest_at=min((b.reported_at for b in reported), default=now),
+    )
+
+
+def write_page(
+    page: ReportPage, *, known_hash: int, now: datetime.timedelta
+) -> ttypes.LoadedPage:
+    """Returns the answer to one who has the page of `known_hash`."""
+    message = ttypes.LoadedPage(
+        content_hash=page.content_hash,
+        # Rounded up: younger than they are, reports would count too long.
+        age_ms=-(-(now - page.oldest_at) // _MILLISECOND),
+    )
+    if known_hash == page.content_hash:
+        return message
+    texts = [_text(one) for one in page.engines]
+    message.version_sets = sorted(set(texts))
+    numbers = {text: i for i, text in enumerate(message.version_sets)}
+    message.addresses = [one.address for one in page.engines]
+    message.set_numbers = [numbers[text] for text in texts]
+    message.leaving = [i for i, one in enumerate(page.engines) if one.leaving]
+    return message
+
+
+def read_page(
+    message: ttypes.LoadedPage,
+    *,
+    known: ReportPage | None,
+    asked_at: datetime.timedelta,
+) -> ReportPage | None:
+    """Returns the page that an answer stands for.
+
+    Args:
+        message: The answer.
+        known: The page that the question named.
+        asked_at: When the question was sent. The age was true later, so this
+            errs on the old side.
+
+    Returns:
+        None if the answer says "unchanged" of a page that was not named, or
+        its fields are out of range or don't fit together.
+    """
+    if message.age_ms is None or message.age_ms < 0:
+        return None
+    oldest_at = asked_at - message.age_ms * _MILLISECOND
+    if message.addresses is None:
+        if known is None or known.content_hash != message.content_hash:
+            return None
+        return dataclasses.replace(known, oldest_at=oldest_at)
+    try:
+        engines = _engines_in(message)
+    except (IndexError, ValueError, TypeError):
+        return None
+    return ReportPage(
+        engines=engines,
+        content_hash=message.content_hash,
+        oldest_at=oldest_at,
+    )
+
+
+def _engines_in(message: ttypes.LoadedPage) -> tuple[ReportedEngine, ...]:
+    sets = [
+        frozenset(
+            engine.ModelVersion.parse(part) for part in text.split(",") if part
+        )
+        for text in message.version_sets
+    ]
+    leaving = frozenset(message.leaving)
+    if min(message.set_numbers, default=0) < 0:
+        raise IndexError("a set number is below 0")
+    pairs = zip(message.addresses, message.set_numbers, strict=True)
+    return tuple(
+        ReportedEngine(
+            address=address, loaded=sets[number], leaving=position in leaving
+        )
+        for position, (address, number) in enumerate(pairs)
+    )
+
+
+def _hash(engines: tuple[ReportedEngine, ...]) -> int:
+    text = "\n".join(
+        f"{one.address} {one.leaving} {_text(one)}" for one in engines
+    )
+    return (xxhash.xxh3_64_intdigest(text.encode()) & _HASH_BITS) or 1
+
+
+def _text(one: ReportedEngine) -> str:
+    return ",".join(sorted(map(str, one.loaded)))
+
+
+def _address(backend: backends.Backend) -> str:
+    return backend.address
--- a/src/nutmeghook/internal/orders/service.py
+++ b/src/nutmeghook/internal/orders/service.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.leases import preference
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.orders import cell_reports
 from nutmeghook.internal.orders import controller as controller_module
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import weight_grants
@@ -36,6 +37,7 @@
         events: events_module.EventRing,
         random_source: random.Random,
         secret: str,
+        reports: cell_reports.ReportSource | None = None,
     ):
         name = controller_module.LEASE_NAME
         self._lease = keeper.LeaseKeeper(
@@ -54,7 +56,10 @@
             view=view,
             lease=self._lease,
             reader=fleet_reading.FleetReader(
-                instance_list=instance_list, connector=connector, clock=clock
+                instance_list=instance_list,
+                connector=connector,
+                clock=clock,
+                reports=reports,
             ),
             connector=connector,
             grants=weight_grants.GrantPacer(
--- a/tests/cover/test_orders_controller.py
+++ b/tests/cover/test_orders_controller.py
@@ -109,13 +109,25 @@
     def connect(self, address):
         return self.engines[address]
 
-    def holder(self, held, *, config=ROLL_OUT, secret="", age_s=0, view=None):
+    def holder(
+        self,
+        held,
+        *,
+        config=ROLL_OUT,
+        secret="",
+        age_s=0,
+        view=None,
+        reports=None,
+    ):
         return controller_module.OrderController(
             view=view
             or view_module.FixedConfigView(snapshot=config, age=age_s * SECOND),
             lease=held,
             reader=fleet_reading.FleetReader(
-                instance_list=self.list, connector=self, clock=self.clock
+                instance_list=self.list,
+                connector=self,
+                clock=self.clock,
+                reports=reports,
             ),
             connector=self,
             grants=weight_grants.GrantPacer(
--- /dev/null
+++ b/tests/cover/test_orders_pages.py
@@ -0,0 +1,240 @@
+"""What one cell tells, and orders that are planned by it."""
+
+import asyncio
+import copy
+import datetime
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.orders import cell_reports
+from nutmeghook.internal.orders import report_pages
+from nutmeghook.internal.platform import engine
+from nutmeghook.internal.routing import backends
+from tests.cover import test_orders_controller as controller_case
+from tests.cover import test_orders_planning as planning_case
+
+SECOND = datetime.timedelta(seconds=1)
+V1, V2 = planning_case.version(1), planning_case.version(2)
+
+
+class LatePages(cell_reports.ReportSource):
+    """Tells what was loaded on a floor's engines some time ago."""
+
+    def __init__(self, floor, *, lag_s):
+        self._floor = floor
+        self._lag = lag_s * SECOND
+        self._pages = []
+
+    async def gather(self):
+        now = self._floor.clock.monotonic()
+        engines = [
+            report_pages.ReportedEngine(
+                address=address,
+                loaded=frozenset((await one.load_report()).loaded),
+                leaving=False,
+            )
+            for address, one in self._floor.engines.items()
+        ]
+        self._pages.append(
+            report_pages.ReportPage(
+                engines=tuple(engines), content_hash=1, oldest_at=now
+            )
+        )
+        late = [p for p in self._pages if now - p.oldest_at >= self._lag]
+        return cell_reports.Gathered(pages=tuple(late[-1:]))
+
+
+class LatePagesTest(unittest.TestCase):
+    """The holder orders by what the cells told 20 s late."""
+
+    def test_no_load_is_ordered_twice(self):
+        """A load is done, and the cells' pages don't show it yet.
+
+        Its engine says "done" when it is asked again. By the pages alone the
+        holder would take the load for undone since, and order it anew.
+        """
+
+        async def scenario():
+            floor = controller_case.Floor()
+            pages = LatePages(floor, lag_s=20)
+            await pages.gather()
+            await floor.clock.advance(30 * SECOND)
+            holder = floor.holder(controller_case.FakeLease(1), reports=pages)
+            await floor.run(holder, 150)
+            self.assertEqual(len(await floor.replicas(V2)), 2)
+            ids = {record.order_id for record in floor.orders()}
+            self.assertEqual(len(ids), 2)
+
+        asyncio.run(scenario())
+
+    def test_a_load_that_is_done_makes_room_for_the_next(self):
+        """Eight loads, four at once, of ten seconds each.
+
+        Engines with an order under way are read by the holder itself: the
+        second four must not wait for the pages to show the first.
+        """
+
+        async def scenario():
+            floor = controller_case.Floor(8, grants_per_s=100.0)
+            pages = LatePages(floor, lag_s=20)
+            await pages.gather()
+            await floor.clock.advance(30 * SECOND)
+            config = planning_case.snapshot(
+                v1="serving:50", v2="rolling_out:50"
+            )
+            holder = floor.holder(
+                controller_case.FakeLease(1), config=config, reports=pages
+            )
+            await floor.run(holder, 40)
+            self.assertEqual(len(await floor.replicas(V2)), 8)
+
+        asyncio.run(scenario())
+
+    def test_a_load_that_was_undone_before_anyone_saw_it(self):
+        """An order of a former holder unloads what was just loaded.
+
+        The engine goes on to say "done" to the load, and its reports never
+        show it. The load must be ordered anew, under another id, and not
+        when the order times out a quarter of an hour later.
+        """
+
+        async def scenario():
+            floor = controller_case.Floor(2)
+            pages = LatePages(floor, lag_s=20)
+            holder = floor.holder(controller_case.FakeLease(1), reports=pages)
+            running = asyncio.ensure_future(holder.run())
+            while not (loaded := await floor.replicas(V2)):
+                await floor.clock.advance(0.01 * SECOND)
+            await floor.engines[loaded[0]].order(
+                engine.Order(
+                    order_id="late",
+                    kind=engine.OrderKind.UNLOAD,
+                    target=str(V2),
+                    fencing_token=1,
+                )
+            )
+            await floor.clock.advance(60 * SECOND)
+            running.cancel()
+            self.assertEqual(len(await floor.replicas(V2)), 2)
+
+        asyncio.run(scenario())
+
+    def test_a_withdrawn_version_goes_as_soon_as_its_engine_is_idle(self):
+        """Pages don't say that an engine is idle; it has to be asked itself.
+
+        Without that the version stays for twice the longest deadline.
+        """
+
+        async def scenario():
+            floor = controller_case.Floor(3)
+            for one in floor.engines.values():
+                await one.order(
+                    engine.Order(
+                        order_id="before",
+                        kind=engine.OrderKind.LOAD,
+                        target=str(V2),
+                        fencing_token=1,
+                        ticket=await floor.weights.grant_download(V2, "any"),
+                    )
+                )
+                await floor.clock.advance(SECOND)
+            pages = LatePages(floor, lag_s=20)
+            await pages.gather()
+            await floor.clock.advance(30 * SECOND)
+            config = planning_case.snapshot(v1="withdrawn", v2="serving:100")
+            holder = floor.holder(
+                controller_case.FakeLease(1), config=config, reports=pages
+            )
+            await floor.run(holder, 40)
+            self.assertEqual(await floor.replicas(V1), [])
+            self.assertEqual(len(await floor.replicas(V2)), 3)
+
+        asyncio.run(scenario())
+
+
+_REPORTED = strategies.lists(
+    strategies.tuples(
+        strategies.sets(strategies.sampled_from([V1, V2])),
+        strategies.booleans(),
+    ),
+    max_size=8,
+)
+
+
+class PageTest(unittest.TestCase):
+    """Pages over the wire."""
+
+    @hypothesis.given(_REPORTED, strategies.integers(0, 19_000))
+    def test_they_arrive_as_they_were(self, reported, age_ms):
+        now = 100 * SECOND
+        age = datetime.timedelta(milliseconds=age_ms)
+        known = [
+            backends.Backend(
+                address=f"10.0.1.{number}:80",
+                region="r",
+                data_centre="c0",
+                service="pool",
+                leaving=leaving,
+                report=engine.LoadReport(
+                    loaded=tuple(loaded), running=0, waiting=0, capacity=8
+                ),
+                reported_at=now - age,
+            )
+            for number, (loaded, leaving) in enumerate(reported)
+        ]
+        # Polled now and then; its own cell tells of it, and sooner.
+        stranger = backends.Backend(
+            address="10.0.2.1:80",
+            region="r",
+            data_centre="c0",
+            service="pool",
+            nearness=backends.Nearness.OWN_DATA_CENTRE,
+            report=engine.LoadReport(
+                loaded=(V1,), running=0, waiting=0, capacity=8
+            ),
+            reported_at=now,
+        )
+        page = report_pages.page_of([*known, stranger], now)
+        self.assertEqual(len(page.engines), len(known))
+        for known_page in (None, page):
+            message = report_pages.write_page(
+                page,
+                known_hash=known_page.content_hash if known_page else 0,
+                now=now,
+            )
+            data = codec.encode(message, sequence=1).data
+            got = report_pages.read_page(
+                codec.decode(data).message, known=known_page, asked_at=now
+            )
+            self.assertEqual(got, page)
+
+    def test_what_does_not_fit_is_no_page(self):
+        page = ttypes.LoadedPage(
+            content_hash=5,
+            age_ms=0,
+            addresses=["a"],
+            version_sets=[""],
+            set_numbers=[0],
+            leaving=[],
+        )
+        for name, value in (
+            ("addresses", None),
+            ("addresses", ["a", "b"]),
+            ("set_numbers", [1]),
+            ("set_numbers", [-1]),
+            ("version_sets", ["no version"]),
+            ("version_sets", None),
+            ("leaving", None),
+            ("age_ms", None),
+            ("age_ms", -1),
+        ):
+            wrong = copy.copy(page)
+            setattr(wrong, name, value)
+            with self.subTest(name, value=value):
+                self.assertIsNone(
+                    report_pages.read_page(wrong, known=None, asked_at=SECOND)
+                )
