Keep fire's mark on the admin commands out of their help

Fire's decorator keeps how flags are read in an attribute of what it decorates, here the class, and lists a class's attributes as groups.

Ruled out: the decorator on the methods alone.

Change: the mark sits on the class's metaclass, where Fire finds it and does not list it.

--- a/src/nutmeghook/internal/administration/commands.py
+++ b/src/nutmeghook/internal/administration/commands.py
@@ -2,8 +2,6 @@
 
 import secrets
 
-from fire import decorators
-
 from nutmeghook.internal.administration import arguments
 from nutmeghook.internal.administration import reading_commands
 from nutmeghook.internal.administration import running
@@ -20,8 +18,6 @@
     return edit
 
 
-# Versions such as 1.10 must not become numbers on the way: Fire would guess.
-@decorators.SetParseFn(str)
 class AdministrationCommands(reading_commands.ReadingCommands):
     """Reads and changes the configuration.
 
--- a/src/nutmeghook/internal/administration/running.py
+++ b/src/nutmeghook/internal/administration/running.py
@@ -47,7 +47,20 @@
     return decorators.SetParseFn(str)(run)
 
 
-class CommandRunner:
+@decorators.SetParseFn(str)
+class _TextFlags(type):
+    """Has Fire read the flags of a class's constructor as text.
+
+    Fire looks for the decorator's mark on the class, not on `__init__`, and
+    shows a mark that is the class's own attribute in the help, as a group
+    FIRE_METADATA. On the metaclass Fire finds it and does not list it. Without
+    any mark a token such as 1.10 would be sent as 1.1.
+    """
+
+    __slots__ = ()
+
+
+class CommandRunner(metaclass=_TextFlags):
     """Makes the call behind a command and prints what came of it."""
 
     __slots__ = ("_json", "_token", "_url")
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from nutmeghook import cli
+from nutmeghook.internal.administration import running
 
 COMMANDS = ("admin", "check_settings", "load", "serve", "timeline", "version")
 
@@ -38,6 +39,26 @@
         for command in COMMANDS:
             self.assertIn(f"\n     {command}\n", text)
 
+    def test_help_of_admin_shows_nothing_of_the_library(self):
+        """An operator asks for help and sees a group FIRE_METADATA, which is
+        no command: fire listed the attribute in which it keeps how the
+        class's flags are read.
+        """
+        text, status = printed("admin", "--help")
+        self.assertEqual(status, 0)
+        self.assertIn("--token", text)
+        self.assertNotIn("GROUP", text)
+        self.assertNotIn("FIRE", text)
+
+    def test_a_token_that_looks_like_a_number_stays_as_it_is(self):
+        """An operator's token is 1.10. Read as a number it would be sent as
+        1.1, and the operator refused as unknown.
+        """
+        client = mock.Mock(side_effect=ValueError("no server"))
+        with mock.patch.object(running, "Client", client):
+            printed("admin", "status", "--url=http://10.0.0.1", "--token=1.10")
+        self.assertEqual(client.call_args.kwargs["token"], "1.10")
+
     def test_wrong_settings_end_before_anything_starts(self):
         text, status = printed("serve", "--listen-address=nowhere")
         self.assertEqual(status, cli.EXIT_WRONG_SETTINGS)
