Take back a version's choice of which no caller got any text

Cause: leave for exposure was taken when a version in roll-out was chosen, and nothing took it back if the choice came to nothing: refused by all engines, at its deadline, or withdrawn before the send. Such an answer is never rated, so it counted as unrated until it was written off, and with many refusals a roll-out stood still.

Ruled out: giving back for each refused attempt or lost hedge. A choice is one leave, whatever attempts it takes, and another attempt may still answer. Giving back after a failure in mid-answer: the caller has read some of it.

Change: VersionChooser.give_back, which does nothing unless a chooser counts exposure. The stage calls it once, when it fails with no text on its way to the caller, and when it chooses again after a failed check.

Before: the property on random failures found a choice kept for a request that ended with an error and no text; it and two more tests failed on the code as it was. With the check for sent text taken out, the property and the test of a caller that hangs up in mid-answer fail. The tests of dispatch, entry, limits, roll-out, versions and the thin path pass (93).

Conclusion: the dispatcher says truly which choices came to nothing. Leave goes back only once the configured chooser passes it on.

--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -73,6 +73,16 @@
         Raises:
             errors.CodedError: There is none, and no more attempts are left.
         """
+        try:
+            return await self._until_answered(call)
+        except BaseException:
+            if not call.progress.relayed:
+                self._give_back(call)
+            raise
+
+    async def _until_answered(
+        self, call: stage_calls.StageCall
+    ) -> answers.GeneratedAnswer:
         failed_attempts = 0
         if not call.progress.attempts:
             # Once a request: a long cascade must not earn more retries.
@@ -121,13 +131,27 @@
             except errors.CodedError:
                 if call.progress.relayed:
                     raise
-                call.choice = None
+                self._give_back(call)
         raise errors.CodedError(
             code=codes.Code.NO_CANDIDATE,
             detail="each version chosen was withdrawn before it was sent to",
             retry_after=RETRY_WITHOUT_BACKEND,
         )
 
+    def _give_back(self, call: stage_calls.StageCall) -> None:
+        """Takes back a choice of which no text has left this instance.
+
+        The failure: leave for an answer that nobody got is never rated, so
+        it counts as unrated until it is written off, and the roll-out waits.
+        A choice is one answer's leave, however many attempts and hedges it
+        takes; so it goes back once, when none of them gave the answer.
+        """
+        if call.choice is not None:
+            self._versions.give_back(
+                template=call.request.template, choice=call.choice
+            )
+            call.choice = None
+
     def _template_now(self, call: stage_calls.StageCall) -> documents.Template:
         asked = call.request.template
         template = self._config.snapshot.template(asked.team, asked.name)
--- a/src/nutmeghook/internal/routing/versions.py
+++ b/src/nutmeghook/internal/routing/versions.py
@@ -53,3 +53,16 @@
         Raises:
             errors.CodedError: The version may not get new work any more.
         """
+
+    def give_back(
+        self,
+        *,
+        template: documents.Template,
+        choice: VersionChoice,
+    ) -> None:
+        """Takes back a choice that came to nothing.
+
+        Only for a choice of which provably no text reached a caller, and
+        once. A chooser that counts no exposure has nothing to do.
+        """
+        del template, choice
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -113,6 +113,7 @@
             self._check_error(fixture, sink, outcome, key)
         else:
             self._check_answer(fixture, sink, outcome)
+        self._check_leave(fixture, sink, outcome)
         [used_tokens] = fixture.admission.used
         ran = any(fake.ran for fake in fixture.engines.values())
         self.assertEqual(bool(used_tokens), ran)
@@ -127,6 +128,14 @@
         billed_tokens = bill.prompt_tokens + bill.output_tokens
         self.assertGreaterEqual(fixture.admission.used[0], billed_tokens)
 
+    def _check_leave(self, fixture, sink, outcome):
+        """Leave goes back exactly for choices that gave nobody anything."""
+        chosen, back = fixture.versions.chosen, fixture.versions.given_back
+        self.assertEqual(back, chosen[: len(back)])
+        answered = not isinstance(outcome, errors.CodedError)
+        kept = chosen[len(back) :]
+        self.assertEqual(len(kept), int(answered or bool(sink.text)))
+
     def _check_error(self, fixture, sink, error, key):
         whole_texts = (WHOLE, "Another text.")
         self.assertTrue(any(t.startswith(sink.text) for t in whole_texts))
@@ -345,6 +354,7 @@
         gate.set()
         answer = await fakes.to_end(self.fixture.clock, ending)
         self.assertEqual(answer.model_version, newer)
+        self.assertEqual(self.fixture.versions.given_back, [fakes.LARGE])
         [generation] = self.second.generations
         self.assertEqual(generation.model_version, newer)
 
@@ -375,6 +385,7 @@
         await fakes.settle()
         self.assertEqual(self.first.cancelled, ["req-1/1"])
         self.assertEqual(self.first.generations[0].deadline_ms, 2000)
+        self.assertEqual(self.fixture.versions.given_back, [fakes.LARGE])
 
     async def test_a_caller_that_goes_cancels_and_pays_what_it_took(self):
         """Nobody reads on: the engine stops, the two tokens are billed."""
@@ -390,6 +401,7 @@
         self.assertEqual(self.first.cancelled, ["req-1/1"])
         [bill] = self.fixture.ledger.bills
         self.assertEqual(bill.output_tokens, 2)
+        self.assertEqual(self.fixture.versions.given_back, [])
 
     async def test_a_keyed_request_is_finished_for_its_retry(self):
         """The caller's connection breaks; its retry gets the answer.
@@ -478,6 +490,7 @@
         self.assertEqual(self.fixture.engines["e1:1"].cancelled, ["req-1/1"])
         self.assertEqual(len(self.fixture.ledger.bills), 1)
         self.assertEqual(self.fixture.budget.leave, 99)
+        self.assertEqual(self.fixture.versions.given_back, [])
 
     async def test_both_tokens_at_once_still_give_one_text(self):
         """The caller reads the hedge's text: both come in one turn.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -246,6 +246,8 @@
     def __init__(self):
         self.withdrawn: set[engine.ModelVersion] = set()
         self.rolling_out = False
+        self.chosen: list[engine.ModelVersion] = []
+        self.given_back: list[engine.ModelVersion] = []
 
     async def choose(self, *, template, stage_index, session, request_id):
         stage = template.stages[stage_index]
@@ -254,6 +256,7 @@
                 model=stage.model, version=entry.version
             )
             if version not in self.withdrawn:
+                self.chosen.append(version)
                 return versions.VersionChoice(
                     model_version=version, rolling_out=self.rolling_out
                 )
@@ -263,6 +266,9 @@
         if choice.model_version in self.withdrawn:
             raise errors.CodedError(code=codes.Code.NOT_ALLOWED)
 
+    def give_back(self, *, template, choice):
+        self.given_back.append(choice.model_version)
+
 
 class FakeCascade(cascade.CascadePolicy):
     """Starts where told and accepts what it is told to."""
