Guess no session's version while its pin can't be found out

The session began while the table service was out and was answered by the serving version, chosen by a hash without a pin; right after the outage its next request fell into the share of the version in roll-out and was pinned to that. Ruled out: choosing the serving version for some seconds after an outage (an instance that was cut off alone knows of no outage); pinning afterwards alone (the other instance may ask first); a holder that pins the serving version while it is fresh (a proposal may be in doubt in its commit meanwhile). Change: without a pin, a stage with one usable version answers and the session is pinned within a second of the store's return; a stage with more refuses the session as not run.

--- a/src/nutmeghook/internal/ledger/factory.py
+++ b/src/nutmeghook/internal/ledger/factory.py
@@ -263,6 +263,7 @@
             group.create_task(self.objects_health.run())
             group.create_task(self.service.run())
             group.create_task(self._overflow.run())
+            group.create_task(self.pins.run())
 
     async def drain(self, *, timeout: datetime.timedelta) -> None:
         """Settles what is open, then hands the partitions over."""
--- a/src/nutmeghook/internal/ledger/pins.py
+++ b/src/nutmeghook/internal/ledger/pins.py
@@ -41,3 +41,14 @@
             errors.CodedError: `STORE_OUT` if the session's pin can't be
                 found out or made durable.
         """
+
+    def pin_later(
+        self, key: SessionKey, *, version: engine.ModelVersion
+    ) -> None:
+        """Has a session pinned as soon as that is possible.
+
+        For sessions that were answered while their pin could neither be
+        found out nor made durable. Pins that last no longer than the process
+        need nothing more.
+        """
+        del key, version
--- a/src/nutmeghook/internal/ledger/session_pins.py
+++ b/src/nutmeghook/internal/ledger/session_pins.py
@@ -1,7 +1,9 @@
 """Session pins as each instance uses them."""
 
+import asyncio
 import collections
 import datetime
+import itertools
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
@@ -12,6 +14,9 @@
 from nutmeghook.internal.platform import engine
 
 _RETRY_AFTER = datetime.timedelta(seconds=1)
+_LATER_PAUSE = datetime.timedelta(milliseconds=500)
+_LATER_TIMEOUT = datetime.timedelta(seconds=2)
+_LATER_AT_ONCE = 50
 
 
 class LedgerSessionPins(pins.SessionPins):
@@ -29,6 +34,7 @@
     __slots__ = (
         "_capacity",
         "_clock",
+        "_later",
         "_refresh_after",
         "_remembered",
         "_senders",
@@ -46,6 +52,9 @@
         self._clock = clock
         self._refresh_after = refresh_after
         self._capacity = capacity
+        self._later: collections.OrderedDict[
+            pins.SessionKey, engine.ModelVersion
+        ] = collections.OrderedDict()
         self._remembered: collections.OrderedDict[
             pins.SessionKey, tuple[engine.ModelVersion, datetime.timedelta]
         ] = collections.OrderedDict()
@@ -86,6 +95,48 @@
         self._remember(key, version)
         return version
 
+    def pin_later(
+        self, key: pins.SessionKey, *, version: engine.ModelVersion
+    ) -> None:
+        """Has a session pinned as soon as that is possible.
+
+        Sessions beyond the capacity are forgotten, the oldest first: memory
+        is bounded, and an outage may last for hours.
+        """
+        self._later[key] = version
+        while len(self._later) > self._capacity:
+            self._later.popitem(last=False)
+
+    async def run(self) -> None:
+        """Pins what was left for later, until cancelled."""
+        while True:
+            await self._clock.sleep(_LATER_PAUSE)
+            while self._later and await self._pin_some():
+                pass
+
+    async def _pin_some(self) -> bool:
+        """Pins a few; returns whether all of them are durable now."""
+        chosen = list(itertools.islice(self._later.items(), _LATER_AT_ONCE))
+        pinned = await asyncio.gather(
+            *(self._pin_now(key, version) for key, version in chosen)
+        )
+        return all(pinned)
+
+    async def _pin_now(
+        self, key: pins.SessionKey, version: engine.ModelVersion
+    ) -> bool:
+        try:
+            await self.pin(
+                key,
+                proposed=version,
+                unusable=frozenset(),
+                timeout=_LATER_TIMEOUT,
+            )
+        except errors.CodedError:
+            return False
+        self._later.pop(key, None)
+        return True
+
     def _usable(
         self, key: pins.SessionKey, unusable: frozenset[engine.ModelVersion]
     ) -> engine.ModelVersion | None:
--- a/src/nutmeghook/internal/routing/version_choice.py
+++ b/src/nutmeghook/internal/routing/version_choice.py
@@ -20,6 +20,7 @@
 # A pin may name a version that the template no longer lists; the second try
 # names it as unusable, and a third finds another instance doing the same.
 _PIN_TRIES = 3
+_RETRY_UNKNOWN_PIN = datetime.timedelta(seconds=2)
 
 
 class ConfiguredVersionChooser(versions.VersionChooser):
@@ -82,6 +83,18 @@
                 standing, template=template, what=str(choice.model_version)
             )
 
+    def give_back(
+        self,
+        *,
+        template: documents.Template,
+        choice: versions.VersionChoice,
+    ) -> None:
+        """Returns the leave of a choice of which no caller got any text."""
+        if choice.rolling_out:
+            self._gate.give_back(
+                template=template, model_version=choice.model_version
+            )
+
     def _with_leave(
         self,
         template: documents.Template,
@@ -112,12 +125,15 @@
     ) -> versions.VersionChoice:
         try:
             pinned = await self._find_pin(template, key, proposed)
-        except errors.CodedError as error:
-            if error.code is not codes.Code.STORE_OUT:
-                raise
+            choice = self._choice_now(template, pinned)
+        except BaseException as error:
+            # Cancelled at its deadline included: nothing will be sent.
             self._settle_leave(template, taken=proposed, used=None)
-            return _choice_of(_without_store(usable, key, template))
-        choice = self._choice_now(template, pinned)
+            if not _is_store_out(error):
+                raise
+            chosen = _without_store(usable, key, template)
+            self._pins.pin_later(key, version=chosen.model_version)
+            return _choice_of(chosen)
         self._settle_leave(template, taken=proposed, used=choice)
         return choice
 
@@ -195,6 +211,13 @@
     return not standing.usable and standing is not version_rules.Standing.STALE
 
 
+def _is_store_out(error: BaseException) -> bool:
+    return (
+        isinstance(error, errors.CodedError)
+        and error.code is codes.Code.STORE_OUT
+    )
+
+
 def _choice_of(
     listed: version_rules.ListedVersion,
 ) -> versions.VersionChoice:
@@ -256,21 +279,22 @@
 ) -> version_rules.ListedVersion:
     """Chooses for a session whose pin can't be found out.
 
-    No configuration can be accepted while the store is out, so all instances
-    have the same one and choose alike. A rolling-out version is left out:
-    the session may be pinned elsewhere, and more exposure is the worse error.
+    Only where there is nothing to choose: with two usable versions the
+    session may be pinned to either, and the wrong guess would change its
+    version. Choosing the serving one by a hash, equal on all instances, was
+    tried: sessions that began during an outage were pinned to the version in
+    roll-out right after it, and their versions changed.
     """
-    serving = _serving(usable)
-    if not serving:
-        raise errors.CodedError(
-            code=codes.Code.STORE_OUT,
-            detail=(
-                f"session {key.session!r} of template {template.name!r} has"
-                " only versions in roll-out to run on; come back later"
-            ),
-            retry_after=datetime.timedelta(seconds=5),
-        )
-    return _among_serving(serving, key.session)
+    if len(usable) == 1:
+        return usable[0]
+    raise errors.CodedError(
+        code=codes.Code.STORE_OUT,
+        detail=(
+            f"session {key.session!r} of template {template.name!r} may be on"
+            f" any of {len(usable)} versions; come back later"
+        ),
+        retry_after=_RETRY_UNKNOWN_PIN,
+    )
 
 
 def _nothing_usable(
--- a/tests/cover/test_ledger_pins.py
+++ b/tests/cover/test_ledger_pins.py
@@ -64,6 +64,22 @@
         late = self.cluster.start("d")
         self.assertEqual(await self.pin(late, V3), first)
 
+    async def test_a_session_answered_during_an_outage_is_pinned_after_it(self):
+        """The table service is down when a session begins; the only version
+        answers it, unpinned. The service comes back, a new version rolls
+        out, and another instance proposes it for the session. The session
+        must stay on the version that answered it.
+        """
+        self.cluster.table.faults.down = True
+        key = pins.SessionKey(
+            team="agency", template="lookup", stage_index=0, session="s"
+        )
+        self.one.ledger.pins.pin_later(key, version=V1)
+        await self.cluster.clock.advance(20 * SECOND)
+        self.cluster.table.faults.down = False
+        await self.cluster.clock.advance(10 * SECOND)
+        self.assertEqual(await self.pin(self.other, V2), V1)
+
     async def test_withdrawn_version_is_replaced_for_all(self):
         await self.pin(self.one, V1)
         self.assertEqual(await self.pin(self.other, V2, unusable=[V1]), V2)
