Let shared steps of runs and shared header names stand once

Cause: four places started the example's instances, imported its configuration and did drawn works in the same lines; two listed the header fields of one connection. Change: System.import_example and start_agency_instance, load.do_drawn_works, foundation/http_headers.py. Ruled out: one list for both directions of headers (each adds its own names).

--- a/bench/node.py
+++ b/bench/node.py
@@ -16,7 +16,6 @@
 from nutmeghook.experiment import example_fleet
 from nutmeghook.experiment import load as load_module
 from nutmeghook.experiment import system as system_module
-from nutmeghook.internal.config import edits
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import metrics as metrics_module
 
@@ -47,26 +46,9 @@
         example_fleet.stand_ins(mean_answer_tokens=TOKENS_PER_REQUEST)
     )
     try:
-        for number in range(INSTANCES):
-            await system.start_instance(
-                name=f"entry-{number}",
-                region=example_fleet.AGENCY_REGION,
-                data_centre=example_fleet.data_centre(
-                    example_fleet.AGENCY_REGION, number
-                ),
-            )
-        await system.accept(
-            edits.ImportDocuments(
-                expected_revision=0,
-                fleet=example_fleet.fleet_document(),
-                teams=example_fleet.team_documents(tokens),
-                templates=example_fleet.template_documents(),
-            ),
-            reason="benchmark",
-            through=system.instances[0],
-        )
-        for instance in system.instances:
-            await system.until_ready(instance)
+        for _ in range(INSTANCES):
+            await system.start_agency_instance()
+        await system.import_example(tokens)
         return await _figures(system, tokens)
     finally:
         await system.end()
--- a/src/nutmeghook/experiment/load.py
+++ b/src/nutmeghook/experiment/load.py
@@ -11,6 +11,7 @@
 
 from nutmeghook.experiment import balancer as balancer_module
 from nutmeghook.experiment import caller as caller_module
+from nutmeghook.experiment import example_fleet
 from nutmeghook.experiment import history as history_module
 from nutmeghook.experiment import report
 from nutmeghook.experiment import workload
@@ -22,6 +23,40 @@
 MOST_AT_ONCE = 2000
 
 
+async def do_drawn_works(
+    *,
+    addresses: list[str],
+    tokens: dict[str, str],
+    works: int,
+    run_name: str,
+    seed: int = 2,
+) -> list[history_module.Work]:
+    """Does works of both example users, all at once, and returns them."""
+    clock = clock_module.SystemClock()
+    record = history_module.History()
+    async with aiohttp.ClientSession() as http:
+        balancer = balancer_module.Balancer(
+            http=http, clock=clock, randomness=random.Random(seed)
+        )
+        for address in addresses:
+            balancer.add(address)
+        caller = caller_module.Caller(
+            http=http,
+            balancer=balancer,
+            clock=clock,
+            tokens=tokens,
+            record=record,
+        )
+        drawn = workload.Workload(
+            randomness=random.Random(seed),
+            run_name=run_name,
+            agency_teams=example_fleet.AGENCY_TEAMS,
+            airline_teams=example_fleet.AIRLINE_TEAMS,
+        )
+        await asyncio.gather(*(caller.do(drawn.draw()) for _ in range(works)))
+    return record.works
+
+
 class LoadSettings(msgspec.Struct, frozen=True, kw_only=True):
     """What to send where.
 
--- a/src/nutmeghook/experiment/system.py
+++ b/src/nutmeghook/experiment/system.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from nutmeghook.experiment import example_fleet
 from nutmeghook.experiment import processes
 from nutmeghook.internal.administration import bodies
 from nutmeghook.internal.administration import client as client_module
@@ -194,6 +195,34 @@
                 ),
             )
 
+    async def import_example(
+        self, tokens: dict[str, str]
+    ) -> bodies.OperationAnswer:
+        """Imports the example's configuration, and waits for its use."""
+        answer = await self.accept(
+            edits.ImportDocuments(
+                expected_revision=0,
+                fleet=example_fleet.fleet_document(),
+                teams=example_fleet.team_documents(tokens),
+                templates=example_fleet.template_documents(),
+            ),
+            reason="first import",
+            through=self.instances[0],
+        )
+        for instance in self.instances:
+            await self.until_ready(instance)
+        return answer
+
+    async def start_agency_instance(self) -> RunningInstance:
+        """Starts the next instance, in the next of the Agency's centres."""
+        number = len(self.instances)
+        region = example_fleet.AGENCY_REGION
+        return await self.start_instance(
+            name=f"entry-{number}",
+            region=region,
+            data_centre=example_fleet.data_centre(region, number),
+        )
+
     def administration(
         self, through: RunningInstance
     ) -> client_module.AdministrationClient:
--- a/src/nutmeghook/experiment/trial.py
+++ b/src/nutmeghook/experiment/trial.py
@@ -98,17 +98,7 @@
         )
         for _ in range(instances):
             await self.add_instance()
-        await self.accept(
-            edits.ImportDocuments(
-                expected_revision=0,
-                fleet=example_fleet.fleet_document(),
-                teams=self.teams(),
-                templates=example_fleet.template_documents(),
-            ),
-            reason="first import",
-        )
-        for instance in self.system.instances:
-            await self.system.until_ready(instance)
+        await self.system.import_example(self._tokens)
         self._asking = asyncio.create_task(self._balancer.run())
 
     def teams(self) -> tuple[documents.Team, ...]:
@@ -117,14 +107,7 @@
 
     async def add_instance(self) -> system_module.RunningInstance:
         """Starts one more entry instance behind the balancer."""
-        number = len(self.system.instances)
-        instance = await self.system.start_instance(
-            name=f"entry-{number}",
-            region=example_fleet.AGENCY_REGION,
-            data_centre=example_fleet.data_centre(
-                example_fleet.AGENCY_REGION, number
-            ),
-        )
+        instance = await self.system.start_agency_instance()
         self._balancer.add(instance.listen_address)
         return instance
 
--- a/src/nutmeghook/internal/entry/paths.py
+++ b/src/nutmeghook/internal/entry/paths.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.entry import headers as headers_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.foundation import http_headers
 
 SERVICES_PREFIX = "/services/"
 
@@ -20,26 +21,12 @@
     r"//|\\|(^|/)\.{1,2}(/|$)|%(2e|2f|5c|25|[01][0-9a-f]|7f)", re.I
 )
 
-_NOT_FORWARDED = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        headers_module.PRIORITY.lower(),
-        headers_module.DEADLINE_MS.lower(),
-        "x-request-id",
-    }
-)
+_NOT_FORWARDED = http_headers.CONNECTION_FIELDS | {
+    "authorization",
+    headers_module.PRIORITY.lower(),
+    headers_module.DEADLINE_MS.lower(),
+    "x-request-id",
+}
 # Answers are read whole and decoded, so the encoding no longer holds.
 _NOT_RETURNED = _NOT_FORWARDED | {"content-encoding", "date", "server"}
 
--- a/src/nutmeghook/internal/platform/http_plain.py
+++ b/src/nutmeghook/internal/platform/http_plain.py
@@ -6,6 +6,7 @@
 import aiohttp
 import yarl
 
+from nutmeghook.internal.foundation import http_headers
 from nutmeghook.internal.platform import failures
 from nutmeghook.internal.platform import http_exchange
 from nutmeghook.internal.platform import plain
@@ -15,25 +16,10 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _REFUSING_STATUSES = (429, 503)
 _JSON = "application/json"
-# They belong to one connection, or are set anew by the library.
-_NOT_FORWARDED = frozenset(
-    {
-        "accept-encoding",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        REQUEST_ID_HEADER.lower(),
-    }
-)
+_NOT_FORWARDED = http_headers.CONNECTION_FIELDS | {
+    "accept-encoding",
+    REQUEST_ID_HEADER.lower(),
+}
 
 
 class HttpPlainServices(plain.PlainServiceConnector):
--- a/tests/whole/test_binary.py
+++ b/tests/whole/test_binary.py
@@ -4,23 +4,18 @@
 import dataclasses
 import os
 import pathlib
-import random
 import re
 import subprocess
 import sys
 import tempfile
 import unittest
 
-import aiohttp
 import psutil
 
-from nutmeghook.experiment import balancer
-from nutmeghook.experiment import caller
 from nutmeghook.experiment import example_fleet
 from nutmeghook.experiment import history
+from nutmeghook.experiment import load
 from nutmeghook.experiment import system as system_module
-from nutmeghook.experiment import workload
-from nutmeghook.internal.config import edits
 from nutmeghook.internal.foundation import clock as clock_module
 from tools import binary
 
@@ -165,18 +160,13 @@
             ),
         )
         tokens = example_fleet.new_tokens()
-        await system.accept(
-            edits.ImportDocuments(
-                expected_revision=0,
-                fleet=example_fleet.fleet_document(),
-                teams=example_fleet.team_documents(tokens),
-                templates=example_fleet.template_documents(),
-            ),
-            reason="first import",
-            through=instance,
+        await system.import_example(tokens)
+        works = await load.do_drawn_works(
+            addresses=[instance.listen_address],
+            tokens=tokens,
+            works=WORKS,
+            run_name="packed",
         )
-        await system.until_ready(instance)
-        works = await _call(instance, clock, tokens)
         process = psutil.Process(instance.process.pid)
         return Observed(
             works=works,
@@ -188,27 +178,3 @@
         )
     finally:
         await system.end()
-
-
-async def _call(instance, clock, tokens):
-    async with aiohttp.ClientSession() as http:
-        chosen = balancer.Balancer(
-            http=http, clock=clock, randomness=random.Random(1)
-        )
-        chosen.add(instance.listen_address)
-        record = history.History()
-        calls = caller.Caller(
-            http=http,
-            balancer=chosen,
-            clock=clock,
-            tokens=tokens,
-            record=record,
-        )
-        drawn = workload.Workload(
-            randomness=random.Random(2),
-            run_name="packed",
-            agency_teams=example_fleet.AGENCY_TEAMS,
-            airline_teams=example_fleet.AIRLINE_TEAMS,
-        )
-        await asyncio.gather(*(calls.do(drawn.draw()) for _ in range(WORKS)))
-        return record.works
