Add sources of what a shift has to look at to the status

Cause: `WaitingSource` had no implementation, so `admin status` said nothing of a store that is out, of bills that wait, of a roll-out that stands still for want of ratings, or of a configuration that nobody confirmed.

Ruled out: the roll-out controller's own set of stalled roll-outs. Only the holder of the lease has it, and any instance may be asked; the row of the roll-outs tells it everywhere, with ratings up to ten seconds old. Reading it makes `waiting` a coroutine; where it can't be read the status says so.

Change: one source each for the stores, the confirmed age (over 4 s, the time in which a change has to be in force), the roll-outs of a team, and, for administrators, the bills.

--- a/src/nutmeghook/internal/administration/queries.py
+++ b/src/nutmeghook/internal/administration/queries.py
@@ -155,7 +155,7 @@
             changes = history.changes
         except errors.CodedError:
             changes = ()
-        return status_module.build(
+        return await status_module.build(
             principal,
             replica=replica,
             where=where,
--- a/src/nutmeghook/internal/administration/status.py
+++ b/src/nutmeghook/internal/administration/status.py
@@ -55,11 +55,11 @@
     """Another part that knows of something operators have to look at."""
 
     @abc.abstractmethod
-    def waiting(self, team: str | None) -> list[str]:
+    async def waiting(self, team: str | None) -> list[str]:
         """Returns a sentence each; for all teams if `team` is None."""
 
 
-def build(
+async def build(
     principal: principals.Principal,
     *,
     replica: replica_module.ConfigReplica,
@@ -85,7 +85,7 @@
         waiting=(
             *_unconfirmed(where),
             *_faulty(snapshot, team),
-            *(text for source in sources for text in source.waiting(team)),
+            *[t for source in sources for t in await source.waiting(team)],
         ),
         changes=changes,
     )
--- /dev/null
+++ b/src/nutmeghook/internal/assembly/waiting.py
@@ -0,0 +1,134 @@
+"""What the parts of an instance know that a shift has to look at."""
+
+import datetime
+
+import msgspec
+
+from nutmeghook.internal.administration import status
+from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.ledger import factory as ledger_factory
+from nutmeghook.internal.platform import failures
+from nutmeghook.internal.platform import table as table_module
+from nutmeghook.internal.rollout import decisions
+from nutmeghook.internal.rollout import pool as pool_module
+
+# Changes are to be in force everywhere within this time. An instance that
+# was not confirmed for longer may lack one.
+LONGEST_UNCONFIRMED = datetime.timedelta(seconds=4)
+
+
+class UnconfirmedConfiguration(status.WaitingSource):
+    """Tells that this instance can't know whether a newer change exists."""
+
+    __slots__ = ("_view",)
+
+    def __init__(self, *, view: view_module.ConfigView):
+        self._view = view
+
+    async def waiting(self, team: str | None) -> list[str]:
+        """Returns a sentence while the confirmed age is too large."""
+        age = self._view.confirmed_age()
+        if age is None:
+            return ["the configuration of this instance was never confirmed"]
+        if age <= LONGEST_UNCONFIRMED:
+            return []
+        return [
+            f"the configuration of this instance was last confirmed "
+            f"{age.total_seconds():.0f} s ago"
+        ]
+
+
+class StoresOut(status.WaitingSource):
+    """Tells which stores this instance takes to be out."""
+
+    __slots__ = ("_ledger",)
+
+    def __init__(self, *, ledger: ledger_factory.InstanceLedger):
+        self._ledger = ledger
+
+    async def waiting(self, team: str | None) -> list[str]:
+        """Returns a sentence for each store that is out."""
+        found = []
+        if self._ledger.table_health.is_out:
+            found.append("this instance takes the table service to be out")
+        if self._ledger.objects_health.is_out:
+            found.append("this instance takes the object store to be out")
+        return found
+
+
+class BillsWaiting(status.WaitingSource):
+    """Tells administrators of bills that are not in the log yet."""
+
+    __slots__ = ("_ledger",)
+
+    def __init__(self, *, ledger: ledger_factory.InstanceLedger):
+        self._ledger = ledger
+
+    async def waiting(self, team: str | None) -> list[str]:
+        """Returns a sentence while this instance's bills wait."""
+        count = self._ledger.bills_waiting()
+        # They hold bills of all teams, and only administrators can act.
+        if team is not None or count == 0:
+            return []
+        return [
+            f"objects with bills of this instance that wait for the table "
+            f"service: {count}"
+        ]
+
+
+class RollOutsWaiting(status.WaitingSource):
+    """Tells which roll-outs stand still until ratings come.
+
+    It reads the row of the roll-outs: only the holder of their lease has them
+    in memory, and any instance may be asked. Ratings of the last ten seconds
+    may be missing from the row.
+    """
+
+    __slots__ = ("_table", "_view")
+
+    def __init__(
+        self,
+        *,
+        view: view_module.ConfigView,
+        table: table_module.TableService,
+    ):
+        self._view = view
+        self._table = table
+
+    async def waiting(self, team: str | None) -> list[str]:
+        """Returns a sentence for each roll-out that waits."""
+        try:
+            row = await self._table.read(pool_module.ROW_KEY)
+            pool = pool_module.decode(row.value) if row else pool_module.Pool()
+        except (failures.PlatformError, msgspec.MsgspecError):
+            return ["which roll-outs wait for ratings can't be read now"]
+        snapshot = self._view.snapshot
+        return [
+            _sentence(watch)
+            for watch in pool.watches
+            if team in (None, watch.key.team)
+            and decisions.waits_for_ratings(watch, snapshot)
+        ]
+
+
+def _sentence(watch: pool_module.Watch) -> str:
+    key = watch.key
+    return (
+        f"{key.model_version} in template {key.team}/{key.template} waits for "
+        f"ratings at {watch.share_percent:g}%: {watch.unrated_answers()} "
+        f"answers are unrated"
+    )
+
+
+def sources(
+    *,
+    view: view_module.ConfigView,
+    ledger: ledger_factory.InstanceLedger,
+) -> tuple[status.WaitingSource, ...]:
+    """Returns all sources of an instance, the most urgent first."""
+    return (
+        StoresOut(ledger=ledger),
+        UnconfirmedConfiguration(view=view),
+        RollOutsWaiting(view=view, table=ledger.table),
+        BillsWaiting(ledger=ledger),
+    )
