Have the configuration's state machine bring races about

Cause: test_config_defects failed two of its four tests once and passed a minute later, with edits to other files in between. It asks that a defect put in on purpose is found within 400 examples. Two defects needed hundreds, as no rule brought their fault about: the fake store took a write into effect at once and waited afterwards, so nothing came between the reading of the head and the commit. And Hypothesis mixes the constants of the product's modules into the examples, so that an edit anywhere gives others, some of which miss.

Ruled out: the speed of the machine and the hash seed (20 runs alone on one commit, each with a hash seed of its own, and 10 beside six other modules at a load of 11 to 15: all passed); real clocks, sleeps and unseeded randomness (there are none in the test). That the one failure was this cause is inferred: its output was not kept.

Change: a rule in which two instances put a template at once or nearly so, by two operators or by one who repeats the operation; and a slow write takes up to 250 ms until its effect. The assertions and the 400 examples stay, and the machine's own run over the right code has the new rule and faults as well.

--- a/tests/config_machine.py
+++ b/tests/config_machine.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.foundation import errors
+from nutmeghook.standins import faults as faults_module
 from tests import config_fleet
 
 SECOND = config_fleet.SECOND
@@ -25,6 +26,22 @@
 moments = strategies.integers(1, 80).map(lambda n: n * SECOND / 20)
 
 
+class TravellingWrites(faults_module.Faults):
+    """A slow store's writes also take time until their effect.
+
+    Between reading the head and the effect of the commit another instance
+    may get ahead; with all of the delay behind the effect none ever could.
+    """
+
+    __slots__ = ()
+
+    async def write(self, effect):
+        # Less than a call's timeout, so that a write of a very slow store
+        # takes effect although its answer is not waited for.
+        await self._clock.sleep(min(self.delay, SECOND / 4))
+        return await super().write(effect)
+
+
 class ConfigMachine(stateful.RuleBasedStateMachine):
     """Three instances, one table, and everything that may go wrong."""
 
@@ -42,6 +59,7 @@
 
     async def _set_up(self) -> config_fleet.ConfigFleet:
         fleet = config_fleet.ConfigFleet(data_centres=INSTANCES)
+        fleet.table.faults = TravellingWrites(clock=fleet.clock)
         fleet.start()
         first = config_fleet.operation("first-op", config_fleet.first_import())
         await fleet.accept(fleet.addresses[0], first)
@@ -76,6 +94,28 @@
         accepter = self.parts(index).accepter
         self._call(lambda: accepter.accept(operation, timeout=4 * SECOND))
 
+    @stateful.rule(
+        one=instances,
+        further=strategies.integers(1, INSTANCES - 1),
+        repeats=strategies.booleans(),
+        apart=strategies.integers(0, 3),
+    )
+    def race(self, one, further, repeats, apart):
+        """Two instances put the template at once while the store is slow.
+
+        Either two operators ask for it, or one who repeats the operation.
+        """
+        faults = self.fleet.table.faults
+        faults.delay = max(faults.delay, SECOND / 20)
+        number = len(self.calls)
+        self.submit(one, f"race-operation-{number}", 1, False)
+        # Half a call apart, one reads what the other is about to change.
+        self.run(self._advance(apart * faults.delay / 2))
+        other = (one + further) % INSTANCES
+        number += not repeats
+        self.submit(other, f"race-operation-{number}", 1, False)
+        self.run(self._advance(SECOND / 2))
+
     @stateful.rule(index=instances, operation_id=operation_ids)
     def settle(self, index, operation_id):
         """The next shift asks what became of an operation."""
--- a/tests/slow/test_config_defects.py
+++ b/tests/slow/test_config_defects.py
@@ -19,6 +19,10 @@
 
 class SeededDefectTest(unittest.TestCase):
     def assert_found(self, *messages: str) -> None:
+        # Hypothesis mixes the constants of the product's modules into the
+        # examples, so an edit anywhere changes them. Over 20 seeds a defect
+        # was found within 90 examples; should one need hundreds, a rule is
+        # missing that brings the fault about.
         settings = hypothesis.settings(
             config_machine.SETTINGS,
             max_examples=400,
