Let places grow back from a fraction over a whole number

Cause: places are kept as a fraction and given out as a whole number. They grow only if four fifths of them are used, and that was asked of the fraction: of 1.34 places one request at most can run, less than four fifths. An instance that refusals had cut to between 1.25 and 2 places (or 2.5 and 3, 3.75 and 4) was left there for good. Found by a test of places for plain calls.

Ruled out: rounding the places when they are cut; small cuts would then do nothing or too much.

Change: used is asked of the whole places, which are those given out.

Before: the new property failed (most=2, one window of refusals: 1 place for ever); now all places come back from any cut tried. The tests of limits pass.

Conclusion: a healthy pool's places all come back.

--- a/src/nutmeghook/internal/limits/following_limit.py
+++ b/src/nutmeghook/internal/limits/following_limit.py
@@ -88,7 +88,9 @@
         else:
             self._duration_s += duration / _SECOND
             self._work_tokens += max(1, work_tokens)
-        if running >= _USED_SHARE * self._places:
+        # Of the whole places: of 1.3, no number that runs is four fifths, and
+        # an instance cut to one place would never get a second one.
+        if running >= _USED_SHARE * self.places:
             self._used = True
         window = max(_SMALLEST_WINDOW, _WINDOW_SHARE * self._places)
         if self._samples >= window:
--- a/tests/cover/test_limits_service.py
+++ b/tests/cover/test_limits_service.py
@@ -105,6 +105,18 @@
         _serve(limit, pace_s=0.03, count=100)
         self.assertEqual(limit.places, 40)
 
+    @hypothesis.given(strategies.integers(1, 60), strategies.integers(0, 40))
+    def test_places_come_back_from_any_cut(self, most, refusals):
+        """Callers of a healthy engine pool wait for places that stay cut.
+
+        Refusals cut the places to a fraction over a whole number. All whole
+        places are taken from then on, and the places must all come back.
+        """
+        limit = following_limit.FollowingLimit(ceiling=most)
+        _serve(limit, pace_s=0, count=10 * refusals, overloaded=True)
+        _serve(limit, pace_s=0.03, count=400)
+        self.assertEqual(limit.places, most)
+
     def test_a_brown_out_cuts_to_half_and_no_further(self):
         limit = following_limit.FollowingLimit(ceiling=40)
         _serve(limit, pace_s=0.03, count=100)
