Keep calls of plain services and each dependency's retries apart

Cause: generations and calls of plain services took places from one admission, whose number stands for the engines. Calls that hung in a slow service kept generations waiting with engines idle. One bucket of retries served all dependencies, so a service that was down used up the retries of the models.

Ruled out: one admission with a reserve for generations: its estimate of waits and its pace would still mix two kinds of work. An admission for each service: more settings than anybody would set; one that hangs still holds up others. Following the duration of calls: services differ in pace by nature.

Change: the dispatcher takes plain_admission and retry_budgets. Calls have their own places, setting concurrent_plain_calls (512). Answers are noted to it at an even pace, for without them a refusal's cut would last for ever. Each model and service has its own retry budget, which earns by its own first attempts: each stage of a cascade earns for its model (it was once a request).

Now the generation starts at once, the places come back, the retry is made. The tests of dispatch, entry, limits, roll-out, versions, settings, the thin path and the binary pass.

Conclusion: trouble of plain services stays with them. They still share one set of places among each other.

--- a/bench/_relay_parts.py
+++ b/bench/_relay_parts.py
@@ -45,9 +45,13 @@
         """Ignores it."""
 
 
-class NoRetries(admission.RetryBudget):
+class NoRetries(admission.RetryBudget, admission.RetryBudgets):
     """Gives no leave: a failure ends the benchmark."""
 
+    def budget_for(self, dependency):
+        """Returns the only one."""
+        return self
+
     def note_request(self):
         """Ignores it."""
 
--- a/bench/_relay_process.py
+++ b/bench/_relay_process.py
@@ -105,7 +105,8 @@
         services=_relay_parts.NoService(),
         cascade=cascade_fixed.FixedCascade(),
         admission=admission.OpenAdmission(),
-        retry_budget=_relay_parts.NoRetries(),
+        plain_admission=admission.OpenAdmission(),
+        retry_budgets=_relay_parts.NoRetries(),
         ledger=_relay_parts.InstantLedger(),
         ratings=ratings_module.RatingQueue(
             service=_relay_parts.NoRatings(), clock=clock, meter=meter
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -25,6 +25,7 @@
 from nutmeghook.internal.ledger import factory as ledger_factory
 from nutmeghook.internal.ledger import settings as ledger_settings
 from nutmeghook.internal.limits import ceiling
+from nutmeghook.internal.limits import concurrency_limit
 from nutmeghook.internal.limits import fair_admission
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
@@ -188,7 +189,12 @@
             services=self._clients.services,
             cascade=self._cascades.policy,
             admission=self._build_admission(),
-            retry_budget=retry_budget.ShareRetryBudget(),
+            plain_admission=self._fair_admission(
+                following_limit.FollowingLimit(
+                    ceiling=self._settings.count("concurrent_plain_calls")
+                )
+            ),
+            retry_budgets=retry_budget.RetryBudgets(),
             ledger=self._ledger.client,
             ratings=self._rating_queue,
             events=self.events,
@@ -274,6 +280,11 @@
             clock=self._clock,
             most_places=most_places,
         )
+        return self._fair_admission(limit)
+
+    def _fair_admission(
+        self, limit: concurrency_limit.ConcurrencyLimit
+    ) -> fair_admission.FairAdmission:
         return fair_admission.FairAdmission(
             clock=self._clock,
             randomness=self._random,
--- a/src/nutmeghook/internal/dispatch/dispatcher.py
+++ b/src/nutmeghook/internal/dispatch/dispatcher.py
@@ -71,13 +71,19 @@
         services: plain.PlainServiceConnector,
         cascade: cascade_module.CascadePolicy,
         admission: admission_module.Admission,
-        retry_budget: admission_module.RetryBudget,
+        plain_admission: admission_module.Admission,
+        retry_budgets: admission_module.RetryBudgets,
         ledger: ledger_module.Ledger,
         ratings: ratings_module.RatingQueue,
         events: events_module.EventRing,
         meter: meter_module.Meter,
         random_source: random.Random,
     ):
+        """Builds both paths on the same claims and bills.
+
+        `admission` holds the places of generations, `plain_admission` those
+        of calls: calls that hang in a slow service must not keep engines idle.
+        """
         self._clock = clock
         self._events = events
         self._meter = meter
@@ -105,7 +111,7 @@
             versions=versions,
             backends=backends,
             attempts=attempts,
-            retry_budget=retry_budget,
+            retry_budgets=retry_budgets,
             events=events,
             meter=meter,
             random_source=random_source,
@@ -124,8 +130,8 @@
             config=config,
             backends=backends,
             services=services,
-            admission=admission,
-            retry_budget=retry_budget,
+            admission=plain_admission,
+            retry_budgets=retry_budgets,
             events=events,
             meter=meter,
             random_source=random_source,
--- a/src/nutmeghook/internal/dispatch/plain_calls.py
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -21,9 +21,16 @@
 FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=10)
 RETRY_WITHOUT_BACKEND = datetime.timedelta(seconds=1)
 _SERVICE_ERROR_STATUS = 500
-# A plain call has no tokens. For fairness among teams it counts as much as a
-# short generation, which keeps a place for about as long.
-_FAIRNESS_COST_TOKENS = 100
+# A call has no tokens; among calls each counts the same.
+_EVEN_COST_TOKENS = 1
+# Places come back only where service is noted, else each refusal for overload
+# would take some for good. But services differ in pace by their nature, and a
+# change of their mix is no overload: so all are noted as equally quick.
+_EVEN_PACE = datetime.timedelta(seconds=1)
+_TELLS_OF_SERVICE = (
+    backends_module.AttemptOutcome.ANSWERED,
+    backends_module.AttemptOutcome.REFUSED_OVERLOAD,
+)
 
 
 class PlainCallPath:
@@ -37,7 +44,7 @@
         "_events",
         "_meter",
         "_random",
-        "_retry_budget",
+        "_retry_budgets",
         "_services",
     )
 
@@ -49,7 +56,7 @@
         backends: backends_module.BackendChooser,
         services: plain.PlainServiceConnector,
         admission: admission_module.Admission,
-        retry_budget: admission_module.RetryBudget,
+        retry_budgets: admission_module.RetryBudgets,
         events: events_module.EventRing,
         meter: meter_module.Meter,
         random_source: random.Random,
@@ -59,7 +66,7 @@
         self._backends = backends
         self._services = services
         self._admission = admission
-        self._retry_budget = retry_budget
+        self._retry_budgets = retry_budgets
         self._events = events
         self._meter = meter
         self._random = random_source
@@ -80,7 +87,7 @@
                 request.call.request_id,
                 service=request.route.service,
             )
-            self._retry_budget.note_request()
+            self._retry_budget(request).note_request()
             answer = await self._send_until_answered(request, progress)
         if answer.status >= _SERVICE_ERROR_STATUS:
             raise errors.CodedError(
@@ -112,6 +119,13 @@
                 await self._allow_retry(request, progress, error)
             tried.add(backend.address)
 
+    def _retry_budget(
+        self, request: requests.PlainRequest
+    ) -> admission_module.RetryBudget:
+        return self._retry_budgets.budget_for(
+            f"service {request.route.service}"
+        )
+
     def _check_route(self, request: requests.PlainRequest) -> None:
         """Checks just before sending that the team still has the route."""
         team = self._config.snapshot.teams.get(request.team.name)
@@ -154,7 +168,6 @@
         started = self._clock.monotonic()
         self._backends.started(backend)
         outcome = backends_module.AttemptOutcome.CANCELLED
-        overloaded = False
         try:
             answer = await self._services.call(backend.address, request.call)
             outcome = backends_module.AttemptOutcome.ANSWERED
@@ -162,7 +175,6 @@
         except failures.NotDoneError as error:
             progress.attempt_not_run()
             progress.must_finish = False
-            overloaded = error.overloaded
             outcome = attempts_module.refusal_outcome(error)
             raise
         except failures.OutcomeUnknownError:
@@ -172,10 +184,12 @@
             duration = self._clock.monotonic() - started
             self._backends.finished(backend, outcome=outcome, duration=duration)
             self._meter.attempt_finished(outcome)
-            if overloaded:
-                # A call's duration says nothing beside those of generations,
-                # which are compared by the token.
-                self._admission.note_service(duration=duration, overloaded=True)
+            if outcome in _TELLS_OF_SERVICE:
+                self._admission.note_service(
+                    duration=_EVEN_PACE,
+                    overloaded=outcome
+                    is backends_module.AttemptOutcome.REFUSED_OVERLOAD,
+                )
 
     async def _allow_retry(
         self,
@@ -188,7 +202,10 @@
         Raises:
             errors.CodedError: No further send is allowed.
         """
-        if progress.attempts >= MAX_SENDS or not self._retry_budget.try_spend():
+        if (
+            progress.attempts >= MAX_SENDS
+            or not self._retry_budget(request).try_spend()
+        ):
             raise errors.CodedError(
                 code=codes.Code.BACKEND_FAILED
                 if progress.possibly_run
@@ -225,5 +242,5 @@
         weight=request.team.weight,
         priority=request.priority,
         deadline=request.deadline,
-        cost_tokens=_FAIRNESS_COST_TOKENS,
+        cost_tokens=_EVEN_COST_TOKENS,
     )
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -40,7 +40,7 @@
         "_events",
         "_meter",
         "_random",
-        "_retry_budget",
+        "_retry_budgets",
         "_versions",
     )
 
@@ -52,7 +52,7 @@
         versions: versions_module.VersionChooser,
         backends: backends_module.BackendChooser,
         attempts: attempts_module.AttemptRunner,
-        retry_budget: admission_module.RetryBudget,
+        retry_budgets: admission_module.RetryBudgets,
         events: events_module.EventRing,
         meter: meter_module.Meter,
         random_source: random.Random,
@@ -62,7 +62,7 @@
         self._versions = versions
         self._backends = backends
         self._attempts = attempts
-        self._retry_budget = retry_budget
+        self._retry_budgets = retry_budgets
         self._events = events
         self._meter = meter
         self._random = random_source
@@ -84,11 +84,11 @@
         self, call: stage_calls.StageCall
     ) -> answers.GeneratedAnswer:
         failed_attempts = 0
-        if not call.progress.attempts:
-            # Once a request: a long cascade must not earn more retries.
-            self._retry_budget.note_request()
         while True:
             await self._settle_choice(call)
+            if not failed_attempts:
+                # Of each stage: it is one more first attempt at its model.
+                self._retry_budget(call).note_request()
             backend = self._choose_backend(call)
             try:
                 last = await self._send(call, backend)
@@ -152,6 +152,13 @@
             )
             call.choice = None
 
+    def _retry_budget(
+        self, call: stage_calls.StageCall
+    ) -> admission_module.RetryBudget:
+        return self._retry_budgets.budget_for(
+            f"model {call.choice.model_version.model}"
+        )
+
     def _template_now(self, call: stage_calls.StageCall) -> documents.Template:
         asked = call.request.template
         template = self._config.snapshot.template(asked.team, asked.name)
@@ -207,7 +214,7 @@
         except errors.CodedError:
             return None
         backend = self._backends.choose(stage_calls.need(call, first.address))
-        if backend is None or not self._retry_budget.try_spend():
+        if backend is None or not self._retry_budget(call).try_spend():
             return None
         self._meter.attempt_repeated(hedged=True)
         self._record_retry(call, "hedge")
@@ -286,7 +293,7 @@
         """
         if (
             failed_attempts >= MAX_ATTEMPTS_PER_STAGE
-            or not self._retry_budget.try_spend()
+            or not self._retry_budget(call).try_spend()
         ):
             raise errors.CodedError(
                 code=codes.Code.BACKEND_FAILED
--- a/src/nutmeghook/internal/limits/admission.py
+++ b/src/nutmeghook/internal/limits/admission.py
@@ -101,6 +101,14 @@
         """Takes leave for one more retry or hedge."""
 
 
+class RetryBudgets(abc.ABC):
+    """A retry budget for each dependency."""
+
+    @abc.abstractmethod
+    def budget_for(self, dependency: str) -> RetryBudget:
+        """Returns the budget of a model's pool or of a plain service."""
+
+
 class OpenAdmission(Admission):
     """Lets everything in; for tests and as a baseline."""
 
--- a/src/nutmeghook/internal/limits/retry_budget.py
+++ b/src/nutmeghook/internal/limits/retry_budget.py
@@ -49,7 +49,7 @@
         return True
 
 
-class RetryBudgets:
+class RetryBudgets(admission.RetryBudgets):
     """One budget for each dependency (a model's pool, a plain service).
 
     They are apart because a brown-out of one pool must not use up what the
--- a/src/nutmeghook/internal/settings/specs.py
+++ b/src/nutmeghook/internal/settings/specs.py
@@ -153,14 +153,21 @@
     Spec(
         name="concurrent_requests",
         kind=Kind.COUNT,
-        meaning="Most requests that run at once on this instance.",
+        meaning="Most generations that run at once on this instance.",
+        default="512",
+        least=1,
+    ),
+    Spec(
+        name="concurrent_plain_calls",
+        kind=Kind.COUNT,
+        meaning="Most calls of plain services at once on this instance.",
         default="512",
         least=1,
     ),
     Spec(
         name="queued_requests",
         kind=Kind.COUNT,
-        meaning="Most requests that wait to run on this instance.",
+        meaning="Most generations, and most calls, that wait here to run.",
         default="1024",
     ),
     Spec(
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import random
 import unittest
 
 import hypothesis
@@ -12,8 +11,6 @@
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import concurrency_limit
-from nutmeghook.internal.limits import fair_admission
-from nutmeghook.internal.limits import token_budget
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import failures
 from nutmeghook.internal.routing import backends
@@ -310,13 +307,8 @@
         the last begins with 8 left; the next one is told `OVER_BUDGET`.
         """
         fixture = self.fixture = fakes.Fixture(tokens_per_minute=120)
-        fixture.admission = fair_admission.FairAdmission(
-            clock=fixture.clock,
-            randomness=random.Random(1),
-            limit=concurrency_limit.FixedLimit(places=1),
-            budgets=token_budget.TokenBudgets(
-                clock=fixture.clock, members=fakes.one_member()
-            ),
+        fixture.admission = fakes.fair_admission_with(
+            fixture.clock, concurrency_limit.FixedLimit(places=1)
         )
         for _ in range(15):
             await self.generate()
--- a/tests/cover/test_dispatch_plain.py
+++ b/tests/cover/test_dispatch_plain.py
@@ -12,6 +12,9 @@
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import ledger
+from nutmeghook.internal.limits import concurrency_limit
+from nutmeghook.internal.limits import following_limit
+from nutmeghook.internal.limits import retry_budget
 from nutmeghook.internal.platform import failures
 from nutmeghook.internal.platform import plain
 from tests import fakes
@@ -149,3 +152,102 @@
         self.assertEqual(caught.exception.code, codes.Code.NOT_ALLOWED)
         self.assertEqual(caught.exception.run_state, codes.RunState.NOT_RUN)
         self.assertEqual(len(services.calls), 1)
+
+
+class ApartTest(unittest.IsolatedAsyncioTestCase):
+    """Trouble of a plain service stays away from the engines' work."""
+
+    def setUp(self):
+        self.fixture = fakes.Fixture()
+        self.limit = following_limit.FollowingLimit(ceiling=8)
+        self.fixture.admission = fakes.fair_admission_with(
+            self.fixture.clock, concurrency_limit.FixedLimit(places=2)
+        )
+        self.fixture.plain_admission = fakes.fair_admission_with(
+            self.fixture.clock, self.limit
+        )
+
+    async def call_together(self, dispatcher) -> None:
+        """Makes 8 calls, all there before the first is answered."""
+        gate = self.fixture.services.gate = asyncio.Event()
+        calls = [
+            asyncio.ensure_future(
+                dispatcher.call_plain(plain_request(self.fixture))
+            )
+            for _ in range(8)
+        ]
+        await fakes.settle()
+        gate.set()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    async def generated(self, dispatcher) -> str:
+        answer = await fakes.to_end(
+            self.fixture.clock,
+            dispatcher.generate(
+                fakes.generation_request(self.fixture), fakes.RecordingSink()
+            ),
+        )
+        return answer.text
+
+    async def test_slow_services_leave_the_engines_their_places(self):
+        """Calls hang in a slow service; generations are answered at once.
+
+        More calls than there are places for generations wait for the
+        service, and more still for a place among calls. The engines are idle.
+        """
+        self.fixture.services.gate = asyncio.Event()
+        dispatcher = self.fixture.dispatcher()
+        calls = [
+            asyncio.ensure_future(
+                dispatcher.call_plain(plain_request(self.fixture))
+            )
+            for _ in range(12)
+        ]
+        await fakes.settle()
+        generating = asyncio.ensure_future(
+            dispatcher.generate(
+                fakes.generation_request(self.fixture), fakes.RecordingSink()
+            )
+        )
+        await fakes.settle()
+        self.assertTrue(generating.done())
+        self.assertEqual(len(self.fixture.services.calls), 8)
+        self.fixture.services.gate.set()
+        for answer in await asyncio.gather(*calls):
+            self.assertEqual(answer.status, 200)
+
+    async def test_places_of_calls_come_back_after_an_overload(self):
+        """Callers wait for few places, but only while the service refuses.
+
+        A service refuses calls for overload, which cuts the places. Then it
+        answers again; without a note of that the cut would last for ever.
+        """
+        dispatcher = self.fixture.dispatcher()
+        busy = failures.NotDoneError("busy", overloaded=True)
+        self.fixture.budget.leave = 0
+        self.fixture.services.outcomes.extend([busy] * 80)
+        for _ in range(10):
+            await self.call_together(dispatcher)
+        self.assertLess(self.limit.places, 4)
+        for _ in range(20):
+            await self.call_together(dispatcher)
+        self.assertEqual(self.limit.places, 8)
+
+    async def test_a_service_s_retries_are_not_the_engines(self):
+        """A service is down; a caller of an engine still gets its retry.
+
+        The calls of the service use up all retries that they may. Then one
+        engine refuses a generation, which the next engine would take.
+        """
+        self.fixture.budget = retry_budget.RetryBudgets()
+        dispatcher = self.fixture.dispatcher()
+        down = failures.NotDoneError("connection refused")
+        self.fixture.services.outcomes.extend([down] * 30)
+        for _ in range(10):
+            with self.assertRaises(errors.CodedError):
+                await fakes.to_end(
+                    self.fixture.clock,
+                    dispatcher.call_plain(plain_request(self.fixture)),
+                )
+        self.fixture.engines["e1:1"].scripts.append(fakes.Script(fails=down))
+        self.assertEqual(await self.generated(dispatcher), "The boiler holds.")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,6 +24,9 @@
 from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.limits import admission
+from nutmeghook.internal.limits import concurrency_limit
+from nutmeghook.internal.limits import fair_admission
+from nutmeghook.internal.limits import token_budget
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
 from nutmeghook.internal.platform import engine
@@ -293,12 +296,15 @@
         pass
 
 
-class FakeBudget(admission.RetryBudget):
-    """Gives leave as often as told."""
+class FakeBudget(admission.RetryBudget, admission.RetryBudgets):
+    """Gives leave as often as told, whatever the dependency."""
 
     def __init__(self, leave=100):
         self.leave = leave
 
+    def budget_for(self, dependency):
+        return self
+
     def note_request(self):
         pass
 
@@ -307,15 +313,20 @@
         return self.leave >= 0
 
 
-def one_member() -> members.FixedMemberView:
-    """An instance alone."""
-    return members.FixedMemberView(
-        myself=members.Member(
-            inner_address="i1:1",
-            incarnation="1",
-            region="r",
-            data_centre="r-1",
-        )
+def fair_admission_with(
+    clock: clock_module.Clock, limit: concurrency_limit.ConcurrencyLimit
+) -> fair_admission.FairAdmission:
+    """The real admission of an instance that is alone."""
+    alone = members.Member(
+        inner_address="i1:1", incarnation="1", region="r", data_centre="r-1"
+    )
+    return fair_admission.FairAdmission(
+        clock=clock,
+        randomness=random.Random(1),
+        limit=limit,
+        budgets=token_budget.TokenBudgets(
+            clock=clock, members=members.FixedMemberView(myself=alone)
+        ),
     )
 
 
@@ -438,6 +449,7 @@
         self.rating_service = FakeRatings()
         self.meter = CountingMeter()
         self.admission = RecordingAdmission()
+        self.plain_admission = admission.OpenAdmission()
         self.events = events.EventRing(clock=self.clock)
         self.ratings = ratings.RatingQueue(
             service=self.rating_service,
@@ -459,7 +471,8 @@
             services=self.services,
             cascade=self.cascade,
             admission=self.admission,
-            retry_budget=self.budget,
+            plain_admission=self.plain_admission,
+            retry_budgets=self.budget,
             ledger=self.ledger,
             ratings=self.ratings,
             events=self.events,
