--- a/src/nutmeghook/internal/observe/events.py
+++ b/src/nutmeghook/internal/observe/events.py
@@ -15,6 +15,7 @@
     PROCESS_STARTED = "process started"
     DRAIN_STARTED = "drain started"
     PROCESS_STOPPED = "process stopped"
+    PROCESS_STOOD_STILL = "process stood still"
     REQUEST_ADMITTED = "request admitted"
     REQUEST_DISPATCHED = "request dispatched"
     REQUEST_RETRIED = "request retried"
--- a/src/nutmeghook/internal/routing/chooser.py
+++ b/src/nutmeghook/internal/routing/chooser.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.routing import load_book
 from nutmeghook.internal.routing import pools
 from nutmeghook.internal.routing import sharing
+from nutmeghook.internal.routing import standstill as standstill_module
 
 # Drawn from the own cell, whose load is known well, and from farther away,
 # where a choice among many would lead all instances to the same one.
@@ -32,7 +33,15 @@
 class LeastLoadedChooser(backends.BackendChooser):
     """Keeps sessions where they were, and else takes the least loaded."""
 
-    __slots__ = ("_book", "_clock", "_directory", "_ejector", "_rng", "_sharer")
+    __slots__ = (
+        "_book",
+        "_clock",
+        "_directory",
+        "_ejector",
+        "_rng",
+        "_sharer",
+        "_standstill",
+    )
 
     def __init__(
         self,
@@ -43,6 +52,7 @@
         sharer: sharing.LoadSharer | None,
         clock: clock_module.Clock,
         rng: random.Random,
+        standstill: standstill_module.StandstillWatch | None = None,
     ):
         self._directory = directory
         self._book = book
@@ -50,9 +60,12 @@
         self._sharer = sharer
         self._clock = clock
         self._rng = rng
+        self._standstill = standstill
 
     def choose(self, need: backends.BackendNeed) -> backends.Backend | None:
         """Returns a backend server that may take new work now, or None."""
+        if self._standstill is not None and not self._standstill.may_send():
+            return None
         self._ejector.restore_due()
         pool = self._directory.pool(need)
         if pool is None:
--- a/src/nutmeghook/internal/routing/service.py
+++ b/src/nutmeghook/internal/routing/service.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.routing import load_book
 from nutmeghook.internal.routing import poller
 from nutmeghook.internal.routing import sharing
+from nutmeghook.internal.routing import standstill as standstill_module
 
 # Of the cell's backend servers, so many must have been heard of.
 READY_SHARE = 0.5
@@ -32,6 +33,7 @@
     list_poller: poller.ListPoller
     report_poller: poller.ReportPoller
     sharer: sharing.LoadSharer
+    standstill: standstill_module.StandstillWatch
 
     def is_ready(self) -> bool:
         """Tells whether enough is known to share work out evenly.
@@ -40,6 +42,8 @@
         sends everything to these two; their queues then last for minutes.
         Half is enough to go on with, and must be: dead ones never report.
         """
+        if not self.standstill.may_send():
+            return False
         known = [
             b
             for b in self.directory.known()
@@ -52,6 +56,7 @@
         """Keeps the knowledge fresh until cancelled."""
         await self.list_poller.poll_once()
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.standstill.run())
             tasks.create_task(self.sharer.run())
             tasks.create_task(self.list_poller.run())
             tasks.create_task(self.report_poller.run())
@@ -86,6 +91,7 @@
         book=book,
         clock=clock,
     )
+    standstill = standstill_module.StandstillWatch(clock=clock, events=events)
     return BackendRouting(
         directory=directory,
         chooser=chooser_module.LeastLoadedChooser(
@@ -97,6 +103,7 @@
             sharer=sharer,
             clock=clock,
             rng=rng,
+            standstill=standstill,
         ),
         list_poller=poller.ListPoller(
             instance_list=instance_list,
@@ -113,4 +120,5 @@
             rng=rng,
         ),
         sharer=sharer,
+        standstill=standstill,
     )
--- /dev/null
+++ b/tests/cover/test_guarantees_standstill.py
@@ -0,0 +1,68 @@
+"""An instance that was paused sends nothing by what it knew before."""
+
+import asyncio
+import contextlib
+import datetime
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import local
+from nutmeghook.internal.observe import events as events_module
+from nutmeghook.internal.routing import standstill
+
+MS = datetime.timedelta(milliseconds=1)
+ADDRESS = "10.0.0.1:7000"
+
+
+class StandstillTest(unittest.TestCase):
+    """The watch of one instance that is frozen and thawed."""
+
+    @hypothesis.given(
+        ran_ms=strategies.integers(0, 5_000),
+        pause_ms=strategies.integers(0, 10_000),
+        asked_first=strategies.booleans(),
+    )
+    @hypothesis.example(ran_ms=0, pause_ms=10_000, asked_first=True)
+    @hypothesis.example(ran_ms=10, pause_ms=10_000, asked_first=False)
+    def test_a_long_pause_holds_new_work_back(
+        self, ran_ms, pause_ms, asked_first
+    ):
+        """Callers of an instance that wakes hear "not run" for a while.
+
+        It is paused for longer than 2 s. Whether a request or its own timer
+        is served first after that, no work goes out by the old knowledge.
+        After a pause that is too short for that it goes on at once.
+        """
+        asyncio.run(self.pause(ran_ms * MS, pause_ms * MS, asked_first))
+
+    async def pause(self, ran, pause, asked_first):
+        clock = clock_module.FakeClock()
+        network = local.LocalNetwork(clock=clock)
+        own = network.clock_of(ADDRESS)
+        events = events_module.EventRing(clock=own)
+        watch = standstill.StandstillWatch(clock=own, events=events)
+        self.assertTrue(watch.may_send())
+        ticking = asyncio.create_task(watch.run())
+        await clock.advance(ran)
+        self.assertTrue(watch.may_send())
+        network.freeze(ADDRESS)
+        await clock.advance(pause)
+        if not asked_first:
+            network.thaw(ADDRESS)
+            await clock.advance(0 * MS)
+        long = pause >= standstill.SHORTEST
+        self.assertEqual(watch.may_send(), not long)
+        network.thaw(ADDRESS)
+        await clock.advance(standstill.CATCH_UP - MS)
+        self.assertEqual(watch.may_send(), not long)
+        await clock.advance(MS)
+        self.assertTrue(watch.may_send())
+        kinds = [event.kind for event in events.since(0)]
+        stood_still = [events_module.EventKind.PROCESS_STOOD_STILL]
+        self.assertEqual(kinds, stood_still if long else [])
+        ticking.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await ticking
--- a/tests/whole/guarantee_case.py
+++ b/tests/whole/guarantee_case.py
@@ -134,9 +134,13 @@
 
 
 async def own_caller(
-    trial: trial_module.Trial, http: aiohttp.ClientSession, team: str
+    trial: trial_module.Trial,
+    http: aiohttp.ClientSession,
+    *,
+    team: str,
+    instances: list[system_module.RunningInstance],
 ) -> caller_module.Caller:
-    """Returns a caller of one team that spreads tries over all instances.
+    """Returns a caller of one team that spreads tries over some instances.
 
     It asks nobody whether they are ready, so that a frozen instance gets its
     share of requests, which it takes up when it wakes.
@@ -146,7 +150,7 @@
         edits.PutToken(
             team=team,
             token=documents.TokenEntry(
-                name="guarantees",
+                name=f"guarantees-{secrets.token_hex(4)}",
                 role=documents.Role.CALLER,
                 sha256=tokens_module.digest(token),
             ),
@@ -157,7 +161,7 @@
     balancer = balancer_module.Balancer(
         http=http, clock=clock, randomness=random.Random(SEED)
     )
-    for instance in trial.running():
+    for instance in instances:
         balancer.add(instance.listen_address)
     return caller_module.Caller(
         http=http,
--- a/tests/whole/test_guarantees_leaving.py
+++ b/tests/whole/test_guarantees_leaving.py
@@ -3,21 +3,26 @@
 import asyncio
 import time
 
+import aiohttp
 import msgspec
 
 from nutmeghook.experiment import checks
 from nutmeghook.experiment import faults
 from nutmeghook.experiment import history
 from nutmeghook.experiment import trial as trial_module
+from nutmeghook.experiment import workload
 from tests.whole import guarantee_case
 
 NO_NEW_WORK_AFTER_S = 3.0
 LEAVE_AFTER_S = 2.0
 WORKS_PER_S = 40.0
-LEAVING_WORKS = 300
+LEAVING_WORKS = 240
 DRAIN_WORKS = 150
 DRAIN_WORKS_PER_S = 18.0
 DRAIN_APART_S = 0.5
+TEAM = "inspectors-north"
+KIND = workload.AGENCY_WORK[0]
+WAITING_WORKS = 60
 REPORTING_POOL = "inspection-"
 LISTED_POOLS = ("rostering-", "registry-")
 
@@ -25,13 +30,15 @@
 class LeavingBackendTest(guarantee_case.GuaranteeCase):
     """Backend servers' own logs after they have said that they leave."""
 
-    def test_no_new_work_with_a_kill(self):
+    def test_no_new_work_with_a_kill_and_a_freeze(self):
         """Callers would be cut off when the backend server ends.
 
         One engine says in its reports that it leaves, another engine and a
         plain service are marked on the platform's list, whose news is a
         second old. Meanwhile an instance dies and its successor starts from
-        the list. Three seconds later none of the three may begin new work.
+        the list, and another stands still for 7 s with requests waiting in
+        its sockets. Three seconds after their word none of the three may
+        begin new work, not even by the one that wakes and never heard it.
         """
         self.departures: list[checks.Departure] = []
         self.run_trial(self._leave)
@@ -60,7 +67,11 @@
                 "leaving",
                 msgspec.json.encode({"address": address}),
             )
-        await faults.kill_instance(trial)
+        await asyncio.gather(
+            faults.kill_instance(trial),
+            faults.freeze_instance(trial),
+            _ask_the_frozen_one(trial),
+        )
         await load
         for name in (reports, *listed):
             self.departures.append(
@@ -72,6 +83,21 @@
             )
 
 
+async def _ask_the_frozen_one(trial: trial_module.Trial) -> None:
+    """Sends requests that wait in its sockets until it wakes."""
+    async with aiohttp.ClientSession() as http:
+        caller = await guarantee_case.own_caller(
+            trial, http, team=TEAM, instances=[trial.running()[1]]
+        )
+        await asyncio.sleep(NO_NEW_WORK_AFTER_S)
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(WAITING_WORKS):
+                assignment = guarantee_case.generation(
+                    marker=f"waits{number}", team=TEAM, kind=KIND, session=""
+                )
+                tasks.create_task(caller.do(assignment))
+
+
 async def _busiest(trial: trial_module.Trial, pool: str) -> str:
     """Returns the backend server that had most work, and so may get more."""
     work = {}
--- a/tests/whole/test_guarantees_versions.py
+++ b/tests/whole/test_guarantees_versions.py
@@ -22,9 +22,10 @@
 SESSIONS = 16
 PAUSE_S = 0.05
 BEFORE_S = 1.5
-# The instance wakes after the bound, and some time is left to judge it by.
+# The instance wakes after the bound, and takes work again before the end.
 FREEZE_S = 5.0
-AFTER_S = 6.5
+AFTER_S = 11.5
+ASKED_AFTER_S = 3.0
 IN_FORCE_S = 4.5
 
 
@@ -36,9 +37,10 @@
 
         An instance stands still from before the withdrawal until a second
         after its bound, with requests of these sessions waiting in its sockets.
-        When it wakes, its configuration still says that the version serves.
-        Callers must hear "not run" there until it has caught up, and get the
-        other version's answers everywhere else.
+        When it wakes, its configuration still says that the version serves,
+        and the template's policy is to keep serving whatever its age. Callers
+        must hear "not run" there until it has caught up, and get the other
+        version's answers everywhere else.
         """
         works = self.run_trial(self._withdraw)
         sessions = {w.session for w in works if w.session}
@@ -49,7 +51,12 @@
     async def _withdraw(self, trial: trial_module.Trial) -> None:
         await _let_both_versions_serve(trial)
         async with aiohttp.ClientSession() as http:
-            caller = await guarantee_case.own_caller(trial, http, TEAM)
+            caller = await guarantee_case.own_caller(
+                trial, http, team=TEAM, instances=trial.running()
+            )
+            frozen = await guarantee_case.own_caller(
+                trial, http, team=TEAM, instances=[trial.running()[1]]
+            )
             ends_s = time.monotonic() + BEFORE_S + AFTER_S
             async with asyncio.TaskGroup() as tasks:
                 for number in range(SESSIONS):
@@ -65,6 +72,9 @@
                     ),
                     reason="complaints",
                 )
+                await asyncio.sleep(ASKED_AFTER_S)
+                for number in range(SESSIONS):
+                    tasks.create_task(_ask(frozen, number, "waits"))
 
 
 async def _freeze(process: processes.ManagedProcess) -> None:
@@ -85,7 +95,7 @@
     template = msgspec.structs.replace(
         current.template,
         stages=(msgspec.structs.replace(first, versions=both), *others),
-        freshness=documents.FreshnessPolicy.STOP_NEW_WORK,
+        freshness=documents.FreshnessPolicy.KEEP_SERVING,
     )
     await trial.accept(
         edits.PutTemplate(
@@ -99,17 +109,21 @@
     count = 0
     while time.monotonic() < ends_s:
         count += 1
-        await caller.do(
-            guarantee_case.generation(
-                marker=f"g{number}x{count}",
-                team=TEAM,
-                kind=KIND,
-                session=f"session-{number}",
-            )
-        )
+        await _ask(caller, number, str(count))
         await asyncio.sleep(PAUSE_S)
 
 
+async def _ask(caller, number: int, mark: str) -> None:
+    await caller.do(
+        guarantee_case.generation(
+            marker=f"g{number}x{mark}",
+            team=TEAM,
+            kind=KIND,
+            session=f"session-{number}",
+        )
+    )
+
+
 class ConfigurationTest(guarantee_case.GuaranteeCase):
     """What each instance says it has in force, asked ten times a second."""
 
