Count the answers of an only version in roll-out while the store is out

Cause: leave taken by a session's choice was given back when the store of pins was out, as the version in roll-out was then never used. Since the only usable version serves without the store, it may be one in roll-out: its answers were sent uncounted, and a failed one would have given back leave it didn't have.

Ruled out: refusing such sessions; there is only one version to be on.

Change: leave is settled once, with the choice made in either way, or given back whole if there is none.

Conclusion: what is sent counts, with the store or without.

--- a/src/nutmeghook/internal/routing/version_choice.py
+++ b/src/nutmeghook/internal/routing/version_choice.py
@@ -124,18 +124,31 @@
         usable: list[version_rules.ListedVersion],
     ) -> versions.VersionChoice:
         try:
-            pinned = await self._find_pin(template, key, proposed)
-            choice = self._choice_now(template, pinned)
-        except BaseException as error:
+            choice = await self._pinned_or_only(template, key, proposed, usable)
+        except BaseException:
             # Cancelled at its deadline included: nothing will be sent.
             self._settle_leave(template, taken=proposed, used=None)
-            if not _is_store_out(error):
+            raise
+        self._settle_leave(template, taken=proposed, used=choice)
+        return choice
+
+    async def _pinned_or_only(
+        self,
+        template: documents.Template,
+        key: pins_module.SessionKey,
+        proposed: version_rules.ListedVersion,
+        usable: list[version_rules.ListedVersion],
+    ) -> versions.VersionChoice:
+        """Returns the session's version, or the only one without the store."""
+        try:
+            pinned = await self._find_pin(template, key, proposed)
+        except errors.CodedError as error:
+            if error.code is not codes.Code.STORE_OUT:
                 raise
             chosen = _without_store(usable, key, template)
             self._pins.pin_later(key, version=chosen.model_version)
             return _choice_of(chosen)
-        self._settle_leave(template, taken=proposed, used=choice)
-        return choice
+        return self._choice_now(template, pinned)
 
     async def _find_pin(
         self,
@@ -211,13 +224,6 @@
     return not standing.usable and standing is not version_rules.Standing.STALE
 
 
-def _is_store_out(error: BaseException) -> bool:
-    return (
-        isinstance(error, errors.CodedError)
-        and error.code is codes.Code.STORE_OUT
-    )
-
-
 def _choice_of(
     listed: version_rules.ListedVersion,
 ) -> versions.VersionChoice:
--- a/tests/cover/test_versions.py
+++ b/tests/cover/test_versions.py
@@ -373,6 +373,22 @@
             fleet.chooser().give_back(template=template, choice=choice)
         self.assertEqual(fleet.gate.used, 2 * leave)
 
+    def test_an_only_roll_out_s_answers_count_without_the_store_too(self):
+        """The store is out; callers get the only version, which rolls out.
+
+        Its answers go unrated for now and must count under the cap; and the
+        leave that a failed one gives back must be leave that it had.
+        """
+        config = snapshot(old_state=State.WITHDRAWN, new_percent=100.0)
+        fleet = Fleet(FixedView(config))
+        fleet.pins.out = True
+        choice = fleet.choose(session="s")
+        self.assertTrue(choice.rolling_out)
+        self.assertEqual(fleet.gate.used, 1)
+        template = config.templates["agency/lookup"]
+        fleet.chooser().give_back(template=template, choice=choice)
+        self.assertEqual(fleet.gate.used, 0)
+
     def test_a_choice_that_fails_keeps_no_leave(self):
         """The roll-out goes on; the caller hears of its deadline or the fault.
 
