Read the instance list once a process; let orders learn from the cells

Cause: three parts polled the platform's list each second (753,368 bytes a read at 4,820 rows), and the orders' holder read every engine itself (37 min a pass at 4,400). Both have mechanisms now that were not assembled. Three settings (body_limit_bytes, lease_duration_ms, log_requests) were checked and shown, but nothing read them. Ruled out: wiring lease_duration_ms (margin and renewal have to change with it; one number would break them).

--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.assembly import observation
 from nutmeghook.internal.assembly import platform_clients
 from nutmeghook.internal.assembly import rollouts
+from nutmeghook.internal.assembly import waiting
 from nutmeghook.internal.config import assembly as config_assembly
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.dispatch import dispatcher as dispatcher_module
@@ -34,13 +35,18 @@
 from nutmeghook.internal.observe import gathering
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import request_meter
+from nutmeghook.internal.orders import cell_reports
 from nutmeghook.internal.orders import readiness
 from nutmeghook.internal.orders import service as orders_service
+from nutmeghook.internal.platform import shared_instances
 from nutmeghook.internal.rollout import ready_gate
 from nutmeghook.internal.routing import service as routing_service
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.internal.settings import loading
 
+# One read of the platform's list serves all parts; these take one this old.
+_MEMBERSHIP_LIST_AGE = datetime.timedelta(seconds=3)
+_ORDERS_LIST_AGE = datetime.timedelta(seconds=1.5)
 _LEDGER_DRAIN = datetime.timedelta(seconds=5)
 
 
@@ -55,6 +61,7 @@
         "_dispatcher",
         "_drain",
         "_inner",
+        "_instances",
         "_ledger",
         "_listener",
         "_orders",
@@ -82,6 +89,9 @@
         )
         self.metrics = metrics_module.Metrics()
         self._clients = platform_clients.open_clients(settings)
+        self._instances = shared_instances.SharedInstanceList(
+            instance_list=self._clients.instance_list, clock=clock
+        )
         self._inner = inner_side.InnerSide(
             settings=settings, clock=clock, random_source=self._random
         )
@@ -95,7 +105,7 @@
         """Listens on both sides; returns the callers' address."""
         await self._inner.start(
             ids=self.identifiers,
-            instance_list=self._clients.instance_list,
+            instance_list=self._instances.recent(_MEMBERSHIP_LIST_AGE),
             random_source=self._random,
             events=self.events,
         )
@@ -116,7 +126,7 @@
             members=self.members,
             caller=self._inner.caller,
             handlers=self._inner.handlers,
-            instance_list=self._clients.instance_list,
+            instance_list=self._instances,
             connector=self._clients.engines,
             rng=self._random,
         )
@@ -222,6 +232,9 @@
             admin_application.build_application(
                 config=self.config,
                 principals=finder,
+                sources=waiting.sources(
+                    view=self.config.replica, ledger=self._ledger
+                ),
                 bills=self._ledger.bill_reader,
             ),
         )
@@ -262,8 +275,15 @@
             view=self.config.replica,
             table=self._ledger.table,
             weights=self._clients.weights,
-            instance_list=self._clients.instance_list,
+            instance_list=self._instances.recent(_ORDERS_LIST_AGE),
             connector=self._clients.engines,
+            reports=cell_reports.CellReports(
+                members=self.members,
+                caller=self._inner.caller,
+                handlers=self._inner.handlers,
+                known=self._routing.directory.known,
+                clock=self._clock,
+            ),
             clock=self._clock,
             events=self.events,
             random_source=self._random,
--- a/src/nutmeghook/internal/settings/loading.py
+++ b/src/nutmeghook/internal/settings/loading.py
@@ -7,8 +7,6 @@
 from nutmeghook.internal.settings import specs
 
 MASK = "********"
-_TRUE = {"true", "1", "yes", "on"}
-_FALSE = {"false", "0", "no", "off"}
 
 
 class SettingError(ValueError):
@@ -38,10 +36,6 @@
         """Returns a whole number."""
         return int(self._texts[name])
 
-    def flag(self, name: str) -> bool:
-        """Returns a truth value."""
-        return self._texts[name].lower() in _TRUE
-
     def addresses(self, name: str) -> list[str]:
         """Returns the parts of a list of addresses."""
         return [a.strip() for a in self._texts[name].split(",") if a.strip()]
@@ -167,16 +161,10 @@
         raise ValueError(f"it is not within {spec.least} to {spec.most}")
 
 
-def _check_flag(spec: specs.Spec, text: str) -> None:
-    if text.lower() not in _TRUE | _FALSE:
-        raise ValueError("it is neither true nor false")
-
-
 _CHECKS = {
     specs.Kind.TEXT: _check_text,
     specs.Kind.ADDRESS: _check_address,
     specs.Kind.ADDRESSES: _check_addresses,
     specs.Kind.URL: _check_url,
     specs.Kind.COUNT: _check_count,
-    specs.Kind.FLAG: _check_flag,
 }
--- a/src/nutmeghook/internal/settings/specs.py
+++ b/src/nutmeghook/internal/settings/specs.py
@@ -16,7 +16,6 @@
     ADDRESSES = "ip:port, separated by commas"
     URL = "http URL"
     COUNT = "whole number"
-    FLAG = "true or false"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -143,13 +142,6 @@
         default="3000",
         most=600_000,
     ),
-    Spec(
-        name="body_limit_bytes",
-        kind=Kind.COUNT,
-        meaning="Largest request body.",
-        default="2000000",
-        least=1024,
-    ),
     Spec(
         name="concurrent_requests",
         kind=Kind.COUNT,
@@ -192,13 +184,6 @@
         default="3600",
         least=60,
     ),
-    Spec(
-        name="lease_duration_ms",
-        kind=Kind.COUNT,
-        meaning="How long a lease holds after its last renewal.",
-        default="3000",
-        least=500,
-    ),
     Spec(
         name="event_ring_events",
         kind=Kind.COUNT,
@@ -206,10 +191,4 @@
         default="8192",
         least=1,
     ),
-    Spec(
-        name="log_requests",
-        kind=Kind.FLAG,
-        meaning="Log a line for each request, not only for faults.",
-        default="false",
-    ),
 )
