Split the tests' fakes by concern

Ruled out for now: moving the engine and its scripts too.

No definition changed: the 28 top-level ones, compared as syntax trees with their module prefixes taken off, are equal before and after.

--- a/tests/cover/test_dispatch_claims.py
+++ b/tests/cover/test_dispatch_claims.py
@@ -13,14 +13,14 @@
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import ledger as ledger_module
 from nutmeghook.internal.observe import events
-from tests import fakes
+from tests import fake_platform
 
 IDENTITY = ledger_module.RequestIdentity(
     team="agency", key="k", given_by_caller=True
 )
 
 
-class SilentStoreLedger(fakes.FakeLedger):
+class SilentStoreLedger(fake_platform.FakeLedger):
     """A ledger whose store does not answer within any timeout."""
 
     def __init__(self, clock):
@@ -66,7 +66,7 @@
         asyncio.run(scenario())
 
 
-class FullLedger(fakes.FakeLedger):
+class FullLedger(fake_platform.FakeLedger):
     """A ledger that could make no bill durable."""
 
     def accepting_work(self):
--- a/tests/cover/test_entry_http.py
+++ b/tests/cover/test_entry_http.py
@@ -14,12 +14,14 @@
 from nutmeghook.internal.entry import shutdown
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from tests import entry_fixture
+from tests import fake_config
 from tests import fakes
 
 # Only ends a test that would hang for ever.
 HANGS_AFTER_S = 30
 CHAT = "/v1/chat/completions"
-HEADERS = {"Authorization": f"Bearer {fakes.TOKEN}"}
+HEADERS = {"Authorization": f"Bearer {fake_config.TOKEN}"}
 QUESTION = {
     "model": "review",
     "messages": [{"role": "user", "content": "Does it hold?"}],
@@ -33,7 +35,7 @@
         self.fixture = fakes.Fixture()
         self.drain = drain_module.Drain(events=self.fixture.events)
         self.dispatcher = self.fixture.dispatcher()
-        self.listener = fakes.listener(
+        self.listener = entry_fixture.listener(
             self.fixture, drain=self.drain, on=self.dispatcher
         )
         await self.listener.start(host="127.0.0.1", port=0)
@@ -69,8 +71,8 @@
 
     async def test_bodies_and_headers(self):
         long_key = "k" * 201
-        other = {"Authorization": f"Bearer {fakes.OTHER_TOKEN}"}
-        viewer = {"Authorization": f"Bearer {fakes.VIEWER_TOKEN}"}
+        other = {"Authorization": f"Bearer {fake_config.OTHER_TOKEN}"}
+        viewer = {"Authorization": f"Bearer {fake_config.VIEWER_TOKEN}"}
         cases = [
             ("not JSON", {}, codes.Code.BAD_JSON),
             ('{"x":' + "[" * 100_000, {}, codes.Code.BAD_JSON),
@@ -106,7 +108,7 @@
         for line in (b"X-Session-Id: a\x00b", b"Bad Name: x", b"X-A\x0b: x"):
             answer = await self.raw(
                 b"POST " + CHAT.encode() + b" HTTP/1.1\r\nHost: a\r\n"
-                b"Authorization: Bearer " + fakes.TOKEN.encode() + b"\r\n"
+                b"Authorization: Bearer " + fake_config.TOKEN.encode() + b"\r\n"
                 b"Content-Length: 2\r\n" + line + b"\r\n\r\n{}"
             )
             head, _, body = answer.partition(b"\r\n\r\n")
@@ -118,7 +120,7 @@
         size = bodies.MAX_BODY_BYTES + 1
         answer = await self.raw(
             f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-            f"Authorization: Bearer {fakes.TOKEN}\r\n"
+            f"Authorization: Bearer {fake_config.TOKEN}\r\n"
             f"Content-Length: {size}\r\n\r\n".encode()
         )
         self.assertIn(b"TOO_LARGE", answer)
@@ -131,20 +133,20 @@
         host, port = self.listener.address.split(":")
         head = (
             f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-            f"Authorization: Bearer {fakes.TOKEN}\r\n"
+            f"Authorization: Bearer {fake_config.TOKEN}\r\n"
             f"Content-Length: {bodies.MAX_BODY_BYTES}\r\n\r\n".encode()
         )
         writers = []
         for number in range(3):
             _, writer = await asyncio.open_connection(host, int(port))
             writer.write(head)
-            await fakes.until(lambda n=number: self.drain.in_flight > n)
+            await entry_fixture.until(lambda n=number: self.drain.in_flight > n)
             writers.append(writer)
         answer = await self.raw(head)
         self.assertIn(b'"OVERLOADED"', answer)
         for writer in writers:
             writer.close()
-        await fakes.until(lambda: not self.drain.in_flight)
+        await entry_fixture.until(lambda: not self.drain.in_flight)
         async with self.session.post(CHAT, data=b"x" * 100_000) as response:
             await self.assert_coded(response, codes.Code.BAD_JSON)
 
@@ -154,10 +156,10 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
             f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-            f"Authorization: Bearer {fakes.TOKEN}\r\n"
+            f"Authorization: Bearer {fake_config.TOKEN}\r\n"
             "Content-Length: 99\r\n\r\n{".encode()
         )
-        await fakes.until(lambda: self.drain.in_flight)
+        await entry_fixture.until(lambda: self.drain.in_flight)
         await self.fixture.clock.advance(bodies.BODY_TIMEOUT)
         answer = await asyncio.wait_for(reader.read(), HANGS_AFTER_S)
         self.assertIn(b"SLOW_SENDER", answer)
@@ -245,7 +247,7 @@
         for path, code in cases.items():
             answer = await self.raw(
                 f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-                f"Authorization: Bearer {fakes.TOKEN}\r\n\r\n".encode()
+                f"Authorization: Bearer {fake_config.TOKEN}\r\n\r\n".encode()
             )
             self.assertIn(f'"{code.name}"'.encode(), answer, path)
         self.assertEqual(self.fixture.services.calls, [])
@@ -277,10 +279,10 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
             f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-            f"Authorization: Bearer {fakes.TOKEN}\r\n"
+            f"Authorization: Bearer {fake_config.TOKEN}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
         )
-        await fakes.until(lambda: self.drain.in_flight)
+        await entry_fixture.until(lambda: self.drain.in_flight)
         leaving = asyncio.ensure_future(
             shutdown.shut_down(
                 clock=self.fixture.clock,
@@ -313,7 +315,7 @@
         while b"boiler" not in await response.content.readline():
             pass
         response.close()
-        await fakes.until(lambda: fake.cancelled)
+        await entry_fixture.until(lambda: fake.cancelled)
         await self.dispatcher.settled()
         self.assertEqual(len(self.fixture.ledger.bills), 1)
         self.assertEqual(self.drain.in_flight, 0)
@@ -331,7 +333,7 @@
         streaming = asyncio.ensure_future(
             self.session.post(CHAT, json=QUESTION | {"stream": True})
         )
-        await fakes.until(lambda: fake.generations)
+        await entry_fixture.until(lambda: fake.generations)
         lag = datetime.timedelta(seconds=3)
         leaving = asyncio.ensure_future(
             shutdown.shut_down(
--- a/tests/cover/test_entry_start.py
+++ b/tests/cover/test_entry_start.py
@@ -8,7 +8,7 @@
 from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import identifiers
-from tests import fakes
+from tests import fake_config
 from tests.cover import test_entry_http
 
 
@@ -34,7 +34,7 @@
         await self.assert_coded(response, codes.Code.STALE_CONFIG)
 
     async def test_a_wrong_token_is_told_once_there_is_a_configuration(self):
-        self.fixture.config.current = fakes.snapshot()
+        self.fixture.config.current = fake_config.snapshot()
         response = await self.session.post(
             test_entry_http.CHAT,
             json=test_entry_http.QUESTION,
@@ -47,7 +47,7 @@
         sent it requests, all would go to these two, whose queues would last
         for minutes; so /readyz fails until enough is known.
         """
-        self.fixture.config.current = fakes.snapshot()
+        self.fixture.config.current = fake_config.snapshot()
         knows = False
         application = entry_application.build_application(
             clock=self.fixture.clock,
--- /dev/null
+++ b/tests/entry_fixture.py
@@ -0,0 +1,40 @@
+"""The HTTP side before a fixture's dispatcher, and waits for it."""
+
+import asyncio
+from collections.abc import Callable
+
+from nutmeghook.internal.config import tokens
+from nutmeghook.internal.dispatch import dispatcher
+from nutmeghook.internal.entry import application
+from nutmeghook.internal.entry import drain as drain_module
+from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.foundation import identifiers
+from tests import fakes
+
+
+def listener(
+    fixture: fakes.Fixture,
+    *,
+    drain: drain_module.Drain | None = None,
+    on: dispatcher.Dispatcher | None = None,
+) -> listener_module.Listener:
+    """The HTTP side before the fixture's dispatcher, not yet started."""
+    return listener_module.Listener(
+        application=application.build_application(
+            clock=fixture.clock,
+            config=fixture.config,
+            tokens=tokens.TokenIndex(config=fixture.config),
+            dispatcher=on or fixture.dispatcher(),
+            drain=drain or drain_module.Drain(events=fixture.events),
+            identifiers=identifiers.IdentifierSource(),
+        )
+    )
+
+
+async def until(condition: Callable[[], object]):
+    """Waits for what happens over real connections."""
+    for _ in range(10_000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError("the condition did not come true")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,26 +2,18 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
 import dataclasses
 import datetime
 import random
 
-from nutmeghook.internal.config import documents
-from nutmeghook.internal.config import tokens
-from nutmeghook.internal.config import view
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import dispatcher
 from nutmeghook.internal.dispatch import meter
 from nutmeghook.internal.dispatch import ratings
 from nutmeghook.internal.dispatch import requests
-from nutmeghook.internal.entry import application
-from nutmeghook.internal.entry import drain as drain_module
-from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.limits import admission
 from nutmeghook.internal.limits import concurrency_limit
@@ -31,79 +23,16 @@
 from nutmeghook.internal.observe import events
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import plain
-from nutmeghook.internal.platform import ratings as rating_service
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cascade
 from nutmeghook.internal.routing import versions
+from tests import fake_config
+from tests import fake_platform
 
-TOKEN = "token-of-agency"
-OTHER_TOKEN = "token-of-roster"
-VIEWER_TOKEN = "token-of-viewer"
 SMALL = engine.ModelVersion(model="small", version="1")
 LARGE = engine.ModelVersion(model="large", version="1")
 
 
-def snapshot(**template_fields) -> documents.Snapshot:
-    """A team `agency` with a template `review`, and a team without any."""
-    stages = tuple(
-        documents.Stage(
-            model=model, versions=(documents.VersionEntry(version="1"),)
-        )
-        for model in ("small", "large")
-    )
-    template_fields.setdefault("stages", stages)
-    template = documents.Template(
-        team="agency", name="review", **template_fields
-    )
-    routes = (
-        documents.PlainRoute(service="crew", path_prefix="/bookings"),
-        documents.PlainRoute(
-            service="crew", path_prefix="/bookings/open", repeatable=True
-        ),
-    )
-    teams = [
-        documents.Team(
-            name="agency",
-            tokens=(
-                _token("calls", documents.Role.CALLER, TOKEN),
-                _token("views", documents.Role.VIEWER, VIEWER_TOKEN),
-            ),
-            allowed_models=("small", "large"),
-            plain_routes=routes,
-        ),
-        documents.Team(
-            name="roster",
-            tokens=(_token("calls", documents.Role.CALLER, OTHER_TOKEN),),
-        ),
-    ]
-    return documents.Snapshot(
-        revision=1,
-        fleet=documents.Fleet(
-            models=(
-                documents.ModelEntry(
-                    name="small",
-                    prompt_token_cost_micros=1,
-                    output_token_cost_micros=10,
-                ),
-                documents.ModelEntry(
-                    name="large",
-                    prompt_token_cost_micros=10,
-                    output_token_cost_micros=100,
-                ),
-            )
-        ),
-        teams={team.name: team for team in teams},
-        templates={documents.template_key("agency", "review"): template},
-    )
-
-
-def _token(name: str, role: documents.Role, text: str) -> documents.TokenEntry:
-    return documents.TokenEntry(
-        name=name, role=role, sha256=tokens.digest(text)
-    )
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Script:
     """What an engine does with the next `generate`.
@@ -202,25 +131,6 @@
     )
 
 
-class FakeService(plain.PlainServiceConnector):
-    """Raises or returns the next of `outcomes`, then answers 200."""
-
-    def __init__(self):
-        self.calls: list[tuple[str, plain.PlainCall]] = []
-        self.outcomes: collections.deque = collections.deque()
-        self.gate: asyncio.Event | None = None
-
-    async def call(self, address, call):
-        self.calls.append((address, call))
-        if self.gate is not None:
-            await self.gate.wait()
-        outcome = self.outcomes.popleft() if self.outcomes else 200
-        if isinstance(outcome, Exception):
-            raise outcome
-        headers = (("Content-Type", "text/plain"), ("X-Crew", "7"))
-        return plain.PlainAnswer(status=outcome, headers=headers, body=b"ok")
-
-
 class FakeBackends(backends.BackendChooser):
     """Gives the first backend server that is not excluded."""
 
@@ -340,66 +250,6 @@
         self.used.append(used_tokens)
 
 
-class FakeLedger(ledger.Ledger):
-    """Claims and bills in memory, with what the test makes go wrong."""
-
-    def __init__(self):
-        self.claims: dict[str, ledger.ClaimResult] = {}
-        self.claim_error: errors.CodedError | None = None
-        self.finish_error: errors.CodedError | None = None
-        self.finish_gate: asyncio.Event | None = None
-        self.bills: list[ledger.Bill] = []
-        self.kept: list[ledger.KeptAnswer | None] = []
-        self.released: list[str] = []
-        self.unknown: list[str] = []
-
-    async def claim(self, identity, *, request_id, timeout):
-        if self.claim_error is not None:
-            raise self.claim_error
-        won = ledger.ClaimResult(state=ledger.ClaimState.WON)
-        running = ledger.ClaimResult(state=ledger.ClaimState.RUNNING)
-        result = self.claims.get(identity.key, won)
-        self.claims.setdefault(identity.key, running)
-        return result
-
-    async def release(self, identity, *, request_id):
-        self.released.append(identity.key)
-        self.claims.pop(identity.key, None)
-
-    async def finish(self, *, bill, answer, timeout):
-        if self.finish_gate is not None:
-            await self.finish_gate.wait()
-        if self.finish_error is not None:
-            raise self.finish_error
-        self.bills.append(bill)
-        self.kept.append(answer)
-        self.claims[bill.identity.key] = ledger.ClaimResult(
-            state=ledger.ClaimState.ANSWERED, answer=answer
-        )
-
-    async def mark_unknown(self, identity, *, request_id):
-        self.unknown.append(identity.key)
-        self.claims[identity.key] = ledger.ClaimResult(
-            state=ledger.ClaimState.UNKNOWN
-        )
-
-
-class FakeRatings(rating_service.RatingService):
-    """Keeps what is handed in."""
-
-    def __init__(self):
-        self.tasks: list[rating_service.RatingTask] = []
-        self.fails: Exception | None = None
-
-    async def submit(self, tasks):
-        if self.fails is not None:
-            raise self.fails
-        self.tasks.extend(tasks)
-
-    async def ratings_after(self, cursor, *, limit=1000):
-        return []
-
-
 class CountingMeter(meter.NullMeter):
     """Counts some of the calls."""
 
@@ -419,34 +269,22 @@
         self.counts["rating dropped"] += 1
 
 
-class MutableConfigView(view.ConfigView):
-    """A configuration that the test replaces."""
-
-    def __init__(self, current: documents.Snapshot):
-        self.current = current
-
-    @property
-    def snapshot(self):
-        return self.current
-
-    def confirmed_age(self):
-        return datetime.timedelta()
-
-
 class Fixture(engine.EngineConnector):
     """A dispatcher with all its surroundings."""
 
     def __init__(self, *, clock=None, **template_fields):
         self.clock = clock or clock_module.FakeClock()
-        self.config = MutableConfigView(snapshot(**template_fields))
+        self.config = fake_config.MutableConfigView(
+            fake_config.snapshot(**template_fields)
+        )
         self.engines = collections.defaultdict(FakeEngine)
-        self.services = FakeService()
+        self.services = fake_platform.FakeService()
         self.backends = FakeBackends()
         self.versions = FakeVersions()
         self.cascade = FakeCascade()
         self.budget = FakeBudget()
-        self.ledger = FakeLedger()
-        self.rating_service = FakeRatings()
+        self.ledger = fake_platform.FakeLedger()
+        self.rating_service = fake_platform.FakeRatings()
         self.meter = CountingMeter()
         self.admission = RecordingAdmission()
         self.plain_admission = admission.OpenAdmission()
@@ -543,31 +381,3 @@
     """Lets tasks run until each waits for something outside."""
     for _ in range(50):
         await asyncio.sleep(0)
-
-
-async def until(condition: Callable[[], object]):
-    """Waits for what happens over real connections."""
-    for _ in range(10_000):
-        if condition():
-            return
-        await asyncio.sleep(0.001)
-    raise AssertionError("the condition did not come true")
-
-
-def listener(
-    fixture: Fixture,
-    *,
-    drain: drain_module.Drain | None = None,
-    on: dispatcher.Dispatcher | None = None,
-) -> listener_module.Listener:
-    """The HTTP side before the fixture's dispatcher, not yet started."""
-    return listener_module.Listener(
-        application=application.build_application(
-            clock=fixture.clock,
-            config=fixture.config,
-            tokens=tokens.TokenIndex(config=fixture.config),
-            dispatcher=on or fixture.dispatcher(),
-            drain=drain or drain_module.Drain(events=fixture.events),
-            identifiers=identifiers.IdentifierSource(),
-        )
-    )
--- a/tests/whole/test_openai_client.py
+++ b/tests/whole/test_openai_client.py
@@ -6,6 +6,8 @@
 import openai
 
 from nutmeghook.internal.foundation import clock
+from tests import entry_fixture
+from tests import fake_config
 from tests import fakes
 
 QUESTION = [{"role": "user", "content": "Does the boiler hold?"}]
@@ -17,12 +19,12 @@
 
     async def asyncSetUp(self):
         self.fixture = fakes.Fixture(clock=clock.SystemClock())
-        self.listener = fakes.listener(self.fixture)
+        self.listener = entry_fixture.listener(self.fixture)
         await self.listener.start(host="127.0.0.1", port=0)
         self.addAsyncCleanup(self.listener.stop)
         self.client = openai.AsyncOpenAI(
             base_url=f"http://{self.listener.address}/v1",
-            api_key=fakes.TOKEN,
+            api_key=fake_config.TOKEN,
             max_retries=0,
         )
         self.addAsyncCleanup(self.client.close)
