Split the tests of orders to engines by what they are about

Change: the floor of engines, the lease and the view that tests share are in orders_floor.py. Test classes were compared with those before by their syntax trees: equal but for the qualifier of the shared names.

All tests of orders (33, before and after) and of the docs pass.

--- /dev/null
+++ b/tests/cover/test_orders_holders.py
@@ -0,0 +1,105 @@
+"""Orders of two instances that both believe that they hold the lease."""
+
+import asyncio
+import datetime
+import unittest
+
+from nutmeghook.internal.orders import controller as controller_module
+from nutmeghook.internal.platform import engine
+from tests.cover import orders_floor
+from tests.cover import test_orders_planning as planning_case
+
+SECOND = datetime.timedelta(seconds=1)
+V1, V2 = planning_case.version(1), planning_case.version(2)
+
+
+class HolderTest(unittest.TestCase):
+    """Two instances believe that they hold the lease."""
+
+    def test_paused_holder_meets_engines_that_check_the_token(self):
+        """A holder is paused, another takes over, the first wakes.
+
+        It still believes in its lease. The first engine that it orders has
+        heard of the newer token and says so; it must not try the others.
+        """
+
+        async def scenario():
+            floor = orders_floor.Floor()
+            await floor.run(floor.holder(orders_floor.FakeLease(4)), 60)
+            for one in floor.engines.values():
+                await one.order(
+                    engine.Order(
+                        order_id="newer",
+                        kind=engine.OrderKind.SET_ROLE,
+                        target="any",
+                        fencing_token=4,
+                    )
+                )
+            other = planning_case.snapshot(v2="serving:100")
+            late = floor.holder(orders_floor.FakeLease(3), config=other)
+            await floor.run(late, 60)
+            fenced = [
+                r for r in floor.orders() if r.state is engine.OrderState.FENCED
+            ]
+            self.assertEqual(len(fenced), 1)
+            self.assertEqual(len(await floor.replicas(V2)), 2)
+
+        orders_floor.run(scenario)
+
+    def test_late_order_of_a_paused_holder_on_engines_that_ignore_tokens(self):
+        """The order of a paused holder leaves its process minutes late.
+
+        The engine ignores tokens and unloads a replica that is in use. With
+        one such order under way at most, another replica is left; and the
+        present holder reads back and loads again.
+        """
+
+        async def scenario():
+            floor = orders_floor.Floor(honours_fencing=False)
+            holder = floor.holder(orders_floor.FakeLease(2))
+            await floor.run(holder, 60)
+            address = (await floor.replicas(V2))[0]
+            await floor.engines[address].order(
+                engine.Order(
+                    order_id="late",
+                    kind=engine.OrderKind.UNLOAD,
+                    target=str(V2),
+                    fencing_token=1,
+                )
+            )
+            await floor.clock.advance(1 * SECOND)
+            self.assertEqual(len(await floor.replicas(V2)), 1)
+            await floor.run(holder, 60)
+            self.assertEqual(len(await floor.replicas(V2)), 2)
+
+        orders_floor.run(scenario)
+
+    def test_lease_lapsing_within_a_pass_stops_the_orders(self):
+        """The lease lapses while the holder waits for the weight store."""
+
+        async def scenario():
+            floor = orders_floor.Floor()
+            held = orders_floor.FakeLease(3)
+            holder = floor.holder(held)
+            floor.weights.faults.delay = 2 * SECOND
+            task = asyncio.ensure_future(holder.run())
+            await floor.clock.advance(11 * SECOND)
+            self.assertEqual(floor.weights.asked, 1)
+            held.token = None
+            await floor.clock.advance(60 * SECOND)
+            task.cancel()
+            self.assertEqual(floor.orders(), [])
+
+        orders_floor.run(scenario)
+
+    def test_a_new_holder_first_waits_unless_there_was_none_before(self):
+        async def scenario():
+            floor = orders_floor.Floor()
+            wait_s = controller_module.TAKE_OVER_WAIT / SECOND
+            await floor.run(floor.holder(orders_floor.FakeLease(3)), wait_s - 1)
+            self.assertEqual(floor.weights.asked, 0)
+            first = orders_floor.FakeLease(controller_module.FIRST_TOKEN)
+            await floor.run(floor.holder(first), 2)
+            self.assertGreater(floor.weights.asked, 0)
+
+        orders_floor.run(scenario)
--- a/tests/cover/test_orders_pages.py
+++ b/tests/cover/test_orders_pages.py
@@ -14,7 +14,7 @@
 from nutmeghook.internal.orders import report_pages
 from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
-from tests.cover import test_orders_controller as controller_case
+from tests.cover import orders_floor
 from tests.cover import test_orders_planning as planning_case
 
 SECOND = datetime.timedelta(seconds=1)
@@ -59,11 +59,11 @@
         """
 
         async def scenario():
-            floor = controller_case.Floor()
+            floor = orders_floor.Floor()
             pages = LatePages(floor, lag_s=20)
             await pages.gather()
             await floor.clock.advance(30 * SECOND)
-            holder = floor.holder(controller_case.FakeLease(1), reports=pages)
+            holder = floor.holder(orders_floor.FakeLease(1), reports=pages)
             await floor.run(holder, 150)
             self.assertEqual(len(await floor.replicas(V2)), 2)
             ids = {record.order_id for record in floor.orders()}
@@ -79,7 +79,7 @@
         """
 
         async def scenario():
-            floor = controller_case.Floor(8, grants_per_s=100.0)
+            floor = orders_floor.Floor(8, grants_per_s=100.0)
             pages = LatePages(floor, lag_s=20)
             await pages.gather()
             await floor.clock.advance(30 * SECOND)
@@ -87,7 +87,7 @@
                 v1="serving:50", v2="rolling_out:50"
             )
             holder = floor.holder(
-                controller_case.FakeLease(1), config=config, reports=pages
+                orders_floor.FakeLease(1), config=config, reports=pages
             )
             await floor.run(holder, 40)
             self.assertEqual(len(await floor.replicas(V2)), 8)
@@ -103,9 +103,9 @@
         """
 
         async def scenario():
-            floor = controller_case.Floor(2)
+            floor = orders_floor.Floor(2)
             pages = LatePages(floor, lag_s=20)
-            holder = floor.holder(controller_case.FakeLease(1), reports=pages)
+            holder = floor.holder(orders_floor.FakeLease(1), reports=pages)
             running = asyncio.ensure_future(holder.run())
             while not (loaded := await floor.replicas(V2)):
                 await floor.clock.advance(0.01 * SECOND)
@@ -130,7 +130,7 @@
         """
 
         async def scenario():
-            floor = controller_case.Floor(3)
+            floor = orders_floor.Floor(3)
             for one in floor.engines.values():
                 await one.order(
                     engine.Order(
@@ -147,7 +147,7 @@
             await floor.clock.advance(30 * SECOND)
             config = planning_case.snapshot(v1="withdrawn", v2="serving:100")
             holder = floor.holder(
-                controller_case.FakeLease(1), config=config, reports=pages
+                orders_floor.FakeLease(1), config=config, reports=pages
             )
             await floor.run(holder, 40)
             self.assertEqual(await floor.replicas(V1), [])
--- /dev/null
+++ b/tests/cover/test_orders_unloads.py
@@ -0,0 +1,111 @@
+"""Versions leave the engines after their work, and never in haste."""
+
+import asyncio
+import datetime
+import itertools
+import unittest
+
+from nutmeghook.internal.platform import engine
+from tests.cover import orders_floor
+from tests.cover import test_orders_planning as planning_case
+
+SECOND = datetime.timedelta(seconds=1)
+V1, V2 = planning_case.version(1), planning_case.version(2)
+
+
+class UnloadTest(unittest.TestCase):
+    """Withdrawn versions go, after their work."""
+
+    def test_work_of_a_withdrawn_version_ends_first(self):
+        """A version is withdrawn while an engine still generates with it.
+
+        Its caller is to get the whole answer. Reports don't say which version
+        the work is of; so the engine must have been idle, or the deadlines
+        past, before the version is unloaded.
+        """
+
+        async def scenario():
+            floor = orders_floor.Floor(
+                3, step_ms=1000.0, mean_answer_tokens=400
+            )
+            busy = floor.engines["10.0.1.0:80"]
+            chunks = []
+
+            async def caller():
+                async for chunk in busy.generate(
+                    engine.Generation(
+                        attempt_id="a1",
+                        model_version=V1,
+                        messages=(engine.Message(role="user", content="x"),),
+                        max_tokens=40,
+                    )
+                ):
+                    chunks.append(chunk)
+
+            reading = asyncio.ensure_future(caller())
+            config = planning_case.snapshot(v1="withdrawn", v2="serving:100")
+            holder = floor.holder(orders_floor.FakeLease(3), config=config)
+            await floor.run(holder, 35)
+            kinds = {record.kind for record in busy.orders}
+            self.assertNotIn(engine.OrderKind.UNLOAD, kinds)
+            await floor.run(holder, 60)
+            await reading
+            self.assertEqual(sum(chunk.tokens for chunk in chunks), 40)
+            self.assertEqual(await floor.replicas(V1), [])
+
+        orders_floor.run(scenario)
+
+    def test_stale_configuration_unloads_nothing(self):
+        """An instance cut off holds the lease of a store it can't reach.
+
+        The withdrawal that it knows may have been taken back since.
+        """
+
+        async def scenario():
+            floor = orders_floor.Floor(3)
+            config = planning_case.snapshot(v1="withdrawn", v2="serving:100")
+            holder = floor.holder(
+                orders_floor.FakeLease(3), config=config, age_s=60
+            )
+            await floor.run(holder, 300)
+            self.assertEqual(len(await floor.replicas(V1)), 3)
+            self.assertEqual(len(await floor.replicas(V2)), 3)
+
+        orders_floor.run(scenario)
+
+    def test_surplus_stays_for_a_while_then_goes_one_by_one(self):
+        """A version's share went to zero, and it is still listed.
+
+        Sessions may be pinned to it, so two replicas stay, and a third as a
+        surplus too small to matter. The others go after five minutes, each
+        after the one before it is read back as gone: then an order that
+        arrives late takes one too many at most.
+        """
+
+        async def scenario():
+            floor = orders_floor.Floor()
+            for one in floor.engines.values():
+                await one.order(
+                    engine.Order(
+                        order_id="before",
+                        kind=engine.OrderKind.LOAD,
+                        target=str(V2),
+                        fencing_token=1,
+                        ticket=await floor.weights.grant_download(V2, "any"),
+                    )
+                )
+                await floor.clock.advance(1 * SECOND)
+            await floor.clock.advance(20 * SECOND)
+            config = planning_case.snapshot(v1="serving:100", v2="serving:0")
+            holder = floor.holder(orders_floor.FakeLease(2), config=config)
+            await floor.run(holder, 300)
+            self.assertEqual(floor.orders(engine.OrderKind.UNLOAD), [])
+            await floor.run(holder, 60)
+            unloads = floor.orders(engine.OrderKind.UNLOAD)
+            moments = sorted(record.received_ms for record in unloads)
+            self.assertEqual(len(unloads), 3)
+            gaps = [b - a for a, b in itertools.pairwise(moments)]
+            self.assertGreaterEqual(min(gaps), 1000)
+            self.assertEqual(len(await floor.replicas(V2)), 3)
+
+        orders_floor.run(scenario)
