Split the tests of joining from those of membership's failures

Change: the fleet that the tests share is in membership_scene.py; how instances find each other, whatever the list says, has a file of its own. Test classes were compared with those before by their syntax trees: equal but for the qualifier of the shared name.

--- a/tests/cover/test_membership_failures.py
+++ b/tests/cover/test_membership_failures.py
@@ -1,194 +1,25 @@
 """Membership under every failure it is meant for, on a fake clock."""
 
-import asyncio
 import datetime
-import functools
-import random
 import unittest
 from unittest import mock
 
 import msgspec
 
-from nutmeghook.internal.foundation import clock
 from nutmeghook.internal.inner import local_datagrams
-from nutmeghook.internal.membership import listing
 from nutmeghook.internal.membership import local_fleet
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events
+from tests.cover import membership_scene
 
 SECOND = datetime.timedelta(seconds=1)
-DETECTION_BOUND = 15 * SECOND
 DEAD = members_module.MemberHealth.DEAD
 LEAVING = members_module.MemberHealth.LEAVING
 ALIVE = members_module.MemberHealth.ALIVE
 
 
-class Scene:
-    """A fleet, its clock, and every change that any instance was told of."""
-
-    def __init__(self, count):
-        self.count = count
-        self.clock = clock.FakeClock()
-        self.fleet = local_fleet.LocalFleet(
-            clock=self.clock, random=random.Random(7), delay=SECOND / 100
-        )
-        self.fleet.list_all(count)
-        self.changes = []
-
-    def start(self, number, **options):
-        member = self.fleet.start(number, **options)
-        member.service.on_change(
-            lambda change: self.changes.append((number, change))
-        )
-        return member
-
-    def service(self, number):
-        return self.fleet.running[self.fleet.address(number)].service
-
-    def seen(self, observer, number):
-        """Returns how one instance sees another; None if not at all."""
-        address = self.fleet.address(number)
-        for member in self.service(observer).members():
-            if member.inner_address == address:
-                return member
-        return None
-
-    def deaths(self):
-        return {
-            change.inner_address
-            for _, change in self.changes
-            if change.health is DEAD
-        }
-
-    async def until(self, condition, *, at_most=DETECTION_BOUND):
-        """Advances until a condition holds; returns how long it took."""
-        start = self.clock.monotonic()
-        while not condition():
-            if self.clock.monotonic() - start >= at_most:
-                raise AssertionError(f"still not after {at_most}")
-            await self.clock.advance(SECOND / 4)
-        return self.clock.monotonic() - start
-
-    async def until_agreed(self, *, at_most=DETECTION_BOUND):
-        return await self.until(self.fleet.agrees, at_most=at_most)
-
-
-def scene(count, *, joined=True):
-    """Runs a test with a fleet in which, if `joined`, all know each other."""
-
-    def decorate(test):
-        @functools.wraps(test)
-        def run(self):
-            async def scenario():
-                this = Scene(count)
-                if joined:
-                    for number in range(count):
-                        this.start(number)
-                    await this.until_agreed()
-                    await this.clock.advance(5 * SECOND)
-                    this.changes.clear()
-                try:
-                    await test(self, this)
-                finally:
-                    this.fleet.stop()
-
-            asyncio.run(scenario())
-
-        return run
-
-    return decorate
-
-
-class JoinTest(unittest.TestCase):
-    @scene(7)
-    async def test_few_read_the_list_and_all_learn_of_a_new_instance(self, s):
-        s.fleet.list_all(8)
-        reads = s.fleet.instance_list.reads
-        s.start(7)
-        await s.until_agreed()
-        self.assertEqual(s.seen(0, 7).data_centre, "data-centre-7")
-        await s.clock.advance(60 * SECOND)
-        # Each of these 8 instances is alone in its data centre.
-        self.assertLess(s.fleet.instance_list.reads - reads, 8 * 16)
-        self.assertEqual(s.deaths(), set())
-
-    @scene(4, joined=False)
-    async def test_starting_while_the_list_is_out(self, s):
-        """Instances that start while the list is out find each other by seed
-        addresses, and one without seeds as soon as the list is back.
-
-        Until then it knows nobody, and does not take that for being alone;
-        nor does it when the list comes back empty at first.
-        """
-        s.fleet.instance_list.is_out = True
-        seeds = (s.fleet.address(0),)
-        for number in range(3):
-            s.start(number, seed_addresses=seeds)
-        await s.until_agreed()
-        s.start(3)
-        await s.clock.advance(20 * SECOND)
-        self.assertFalse(s.service(3).is_confirmed())
-        rows, s.fleet.instance_list.rows = s.fleet.instance_list.rows, []
-        s.fleet.instance_list.is_out = False
-        await s.clock.advance(20 * SECOND)
-        self.assertIsNone(s.seen(3, 0))
-        self.assertFalse(s.service(3).is_confirmed())
-        s.fleet.instance_list.rows = rows
-        await s.until_agreed()
-
-    @scene(5)
-    async def test_a_listed_but_dead_peer_is_no_member(self, s):
-        """The platform lists an instance for hours after its death.
-
-        It never answers, so it never becomes a member of anybody, and costs
-        the readers a probe each two seconds at most.
-        """
-        s.fleet.list_all(6)
-        await s.clock.advance(60 * SECOND)
-        self.assertTrue(s.fleet.agrees())
-        self.assertEqual(s.changes, [])
-
-    def test_lines_without_a_usable_inner_address_are_left_out(self):
-        fleet = local_fleet.LocalFleet(
-            clock=clock.FakeClock(), random=random.Random(1)
-        )
-        fleet.list_all(2)
-        for bad in ("", "host:7000", "10.0.0.1", "10.0.0.1:0", "::1:70000"):
-            fleet.instance_list.rows.append(
-                msgspec.structs.replace(fleet.list_row(9), inner_address=bad)
-            )
-        hints = listing.InstanceHints(instance_list=fleet.instance_list)
-        asyncio.run(hints.read())
-        self.assertEqual(
-            hints.addresses(), {fleet.address(0), fleet.address(1)}
-        )
-
-    @scene(6)
-    async def test_a_faulty_list_removes_nobody(self, s):
-        """The platform's list loses its lines while the instances run.
-
-        It is empty, then holds one line, then is out. All stay members; and
-        a crash and a return during the fault are still noticed, because the
-        dead are tried again from memory.
-        """
-        rows = s.fleet.instance_list.rows
-        for faulty in ([], rows[:1]):
-            s.fleet.instance_list.rows = faulty
-            await s.clock.advance(30 * SECOND)
-            self.assertEqual(s.changes, [])
-        s.fleet.crash(3)
-        await s.until_agreed()
-        s.start(3)
-        await s.until_agreed()
-        self.assertEqual(s.deaths(), {s.fleet.address(3)})
-
-    @scene(1)
-    async def test_the_only_instance_is_sure_of_itself(self, s):
-        self.assertTrue(s.service(0).is_confirmed())
-
-
 class DeathTest(unittest.TestCase):
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_crash_is_noticed_by_all(self, s):
         def faulty_callback(change):
             raise RuntimeError("of the test")
@@ -207,12 +38,12 @@
         ]
         self.assertEqual(kinds[-1], events.EventKind.MEMBER_LEFT)
 
-    @scene(2)
+    @membership_scene.scene(2)
     async def test_the_last_one_of_two_notices(self, s):
         s.fleet.crash(1)
         await s.until_agreed()
 
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_restart_at_the_same_address(self, s):
         """Others take the new process for a new member at once.
 
@@ -235,7 +66,7 @@
             )
         self.assertLessEqual(s.deaths(), {s.fleet.address(3)})
 
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_leaving_and_ending_cause_no_suspicion(self, s):
         """A draining instance is seen as leaving by all, then as gone.
 
@@ -256,7 +87,7 @@
 
 
 class FreezeTest(unittest.TestCase):
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_short_freeze_costs_nothing(self, s):
         for freeze in (SECOND, 3 * SECOND):
             s.fleet.network.freeze(s.fleet.address(2))
@@ -266,7 +97,7 @@
         self.assertEqual(s.deaths(), set())
         self.assertTrue(s.fleet.agrees())
 
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_long_freeze_is_a_death_that_the_frozen_one_learns_of(
         self, s
     ):
@@ -291,7 +122,7 @@
         self.assertTrue(s.fleet.agrees())
         self.assertEqual(s.deaths(), {s.fleet.address(2)})
 
-    @scene(4)
+    @membership_scene.scene(4)
     async def test_an_old_ack_confirms_nothing(self, s):
         """An ack that lay in the socket during a freeze is of the time before.
 
@@ -312,7 +143,7 @@
             await s.clock.advance(SECOND / 100)
             self.assertFalse(s.service(2).is_confirmed())
 
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_starving_process_accuses_nobody(self, s):
         """A process that runs for a fifth of a second in each five hears no
         ack in time, and what comes while it stands still is lost.
@@ -338,7 +169,7 @@
 
 
 class CutTest(unittest.TestCase):
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_cut_between_two_removes_neither(self, s):
         """One link fails, one way or both; both ends stay members to all.
 
@@ -352,7 +183,7 @@
         self.assertEqual(s.deaths(), set())
         self.assertTrue(s.fleet.agrees())
 
-    @scene(7)
+    @membership_scene.scene(7)
     async def test_a_deaf_instance_convinces_nobody(self, s):
         """An instance hears nothing while what it sends arrives.
 
@@ -372,7 +203,7 @@
         await s.until_agreed()
         self.assertTrue(s.service(4).is_confirmed())
 
-    @scene(15)
+    @membership_scene.scene(15)
     async def test_regions_that_can_not_reach_each_other_but_a_third(self, s):
         """Two regions lose each other; a third, of one instance, reaches both.
 
@@ -394,7 +225,7 @@
         await s.clock.advance(60 * SECOND)
         self.assertEqual(s.deaths(), set())
 
-    @scene(6)
+    @membership_scene.scene(6)
     async def test_a_region_cut_off_and_healed(self, s):
         """Each side goes on with its own members and finds the others again.
 
@@ -420,7 +251,7 @@
 
 
 class DatagramTest(unittest.TestCase):
-    @scene(30, joined=False)
+    @membership_scene.scene(30, joined=False)
     async def test_datagrams_stay_below_the_mtu(self, s):
         """However much there is to tell, no datagram may be fragmented.
 
--- /dev/null
+++ b/tests/cover/test_membership_joining.py
@@ -0,0 +1,107 @@
+"""Instances find each other, whatever the platform's list says."""
+
+import asyncio
+import datetime
+import random
+import unittest
+
+import msgspec
+
+from nutmeghook.internal.foundation import clock
+from nutmeghook.internal.membership import listing
+from nutmeghook.internal.membership import local_fleet
+from tests.cover import membership_scene
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class JoinTest(unittest.TestCase):
+    @membership_scene.scene(7)
+    async def test_few_read_the_list_and_all_learn_of_a_new_instance(self, s):
+        s.fleet.list_all(8)
+        reads = s.fleet.instance_list.reads
+        s.start(7)
+        await s.until_agreed()
+        self.assertEqual(s.seen(0, 7).data_centre, "data-centre-7")
+        await s.clock.advance(60 * SECOND)
+        # Each of these 8 instances is alone in its data centre.
+        self.assertLess(s.fleet.instance_list.reads - reads, 8 * 16)
+        self.assertEqual(s.deaths(), set())
+
+    @membership_scene.scene(4, joined=False)
+    async def test_starting_while_the_list_is_out(self, s):
+        """Instances that start while the list is out find each other by seed
+        addresses, and one without seeds as soon as the list is back.
+
+        Until then it knows nobody, and does not take that for being alone;
+        nor does it when the list comes back empty at first.
+        """
+        s.fleet.instance_list.is_out = True
+        seeds = (s.fleet.address(0),)
+        for number in range(3):
+            s.start(number, seed_addresses=seeds)
+        await s.until_agreed()
+        s.start(3)
+        await s.clock.advance(20 * SECOND)
+        self.assertFalse(s.service(3).is_confirmed())
+        rows, s.fleet.instance_list.rows = s.fleet.instance_list.rows, []
+        s.fleet.instance_list.is_out = False
+        await s.clock.advance(20 * SECOND)
+        self.assertIsNone(s.seen(3, 0))
+        self.assertFalse(s.service(3).is_confirmed())
+        s.fleet.instance_list.rows = rows
+        await s.until_agreed()
+
+    @membership_scene.scene(5)
+    async def test_a_listed_but_dead_peer_is_no_member(self, s):
+        """The platform lists an instance for hours after its death.
+
+        It never answers, so it never becomes a member of anybody, and costs
+        the readers a probe each two seconds at most.
+        """
+        s.fleet.list_all(6)
+        await s.clock.advance(60 * SECOND)
+        self.assertTrue(s.fleet.agrees())
+        self.assertEqual(s.changes, [])
+
+    def test_lines_without_a_usable_inner_address_are_left_out(self):
+        fleet = local_fleet.LocalFleet(
+            clock=clock.FakeClock(), random=random.Random(1)
+        )
+        fleet.list_all(2)
+        for bad in ("", "host:7000", "10.0.0.1", "10.0.0.1:0", "::1:70000"):
+            fleet.instance_list.rows.append(
+                msgspec.structs.replace(fleet.list_row(9), inner_address=bad)
+            )
+        hints = listing.InstanceHints(instance_list=fleet.instance_list)
+        asyncio.run(hints.read())
+        self.assertEqual(
+            hints.addresses(), {fleet.address(0), fleet.address(1)}
+        )
+
+    @membership_scene.scene(6)
+    async def test_a_faulty_list_removes_nobody(self, s):
+        """The platform's list loses its lines while the instances run.
+
+        It is empty, then holds one line, then is out. All stay members; and
+        a crash and a return during the fault are still noticed, because the
+        dead are tried again from memory.
+        """
+        rows = s.fleet.instance_list.rows
+        for faulty in ([], rows[:1]):
+            s.fleet.instance_list.rows = faulty
+            await s.clock.advance(30 * SECOND)
+            self.assertEqual(s.changes, [])
+        s.fleet.crash(3)
+        await s.until_agreed()
+        s.start(3)
+        await s.until_agreed()
+        self.assertEqual(s.deaths(), {s.fleet.address(3)})
+
+    @membership_scene.scene(1)
+    async def test_the_only_instance_is_sure_of_itself(self, s):
+        self.assertTrue(s.service(0).is_confirmed())
+
+
+if __name__ == "__main__":
+    unittest.main()
