Page through new ratings in one place

The roll-outs' controller and the cascades' publisher each held the same loop that reads ratings page by page until a short page, a failure of the service or their own most pages. It is now ratings.read_new; each keeps its own number of pages and its own reason why a failure ends no step.

Ruled out: a method of RatingService, which would have been in every implementation's reach to override; it needs nothing but ratings_after.

No behaviour changed: pages of 1000, 5 pages a tick, 10 a step, as before.

--- a/src/nutmeghook/internal/platform/ratings.py
+++ b/src/nutmeghook/internal/platform/ratings.py
@@ -5,6 +5,9 @@
 import msgspec
 
 from nutmeghook.internal.platform import engine
+from nutmeghook.internal.platform import failures
+
+_RATINGS_PER_PAGE = 1000
 
 
 class RatingTask(msgspec.Struct, frozen=True, kw_only=True):
@@ -48,3 +51,31 @@
         self, cursor: int, *, limit: int = 1000
     ) -> list[Rating]:
         """Returns the ratings behind a cursor, in order."""
+
+
+async def read_new(
+    service: RatingService, cursor: int, *, most_pages: int
+) -> list[Rating]:
+    """Reads the ratings behind a cursor, page by page.
+
+    Args:
+        service: Where from.
+        cursor: The last rating that the caller has.
+        most_pages: Of 1000 ratings each; what is behind them is left for the
+            next time.
+
+    Returns:
+        The ratings in order. If the service fails, those read before: none
+        or some, so that a caller goes on with its other work.
+    """
+    found: list[Rating] = []
+    for _ in range(most_pages):
+        try:
+            page = await service.ratings_after(cursor, limit=_RATINGS_PER_PAGE)
+        except failures.PlatformError:
+            break
+        found += page
+        if len(page) < _RATINGS_PER_PAGE:
+            break
+        cursor = page[-1].cursor
+    return found
--- a/src/nutmeghook/internal/rollout/controller.py
+++ b/src/nutmeghook/internal/rollout/controller.py
@@ -23,7 +23,6 @@
 from nutmeghook.internal.rollout import pool as pool_module
 
 TICK = datetime.timedelta(seconds=1)
-_RATINGS_PER_PAGE = 1000
 _PAGES_PER_TICK = 5
 # Ratings that change nothing yet are written this seldom. A successor reads
 # them from the rating service again, from the row's cursor on.
@@ -161,19 +160,9 @@
         Withdrawals that are already decided must not wait for the rating
         service, so its failure does not end the step.
         """
-        found: list[ratings_module.Rating] = []
-        for _ in range(_PAGES_PER_TICK):
-            try:
-                page = await self._ratings.ratings_after(
-                    cursor, limit=_RATINGS_PER_PAGE
-                )
-            except failures.PlatformError:
-                break
-            found += page
-            if len(page) < _RATINGS_PER_PAGE:
-                break
-            cursor = page[-1].cursor
-        return found
+        return await ratings_module.read_new(
+            self._ratings, cursor, most_pages=_PAGES_PER_TICK
+        )
 
     async def _commit(self, pool: pool_module.Pool) -> bool:
         """Writes the row, unless the lease or the row has moved on."""
--- a/src/nutmeghook/internal/routing/cascade_publisher.py
+++ b/src/nutmeghook/internal/routing/cascade_publisher.py
@@ -40,7 +40,6 @@
 # hundreds of commits one would fail so in most steps, and end them.
 _COMMIT_ATTEMPTS = 3
 _COMMIT_PAUSE = datetime.timedelta(milliseconds=100)
-_RATINGS_PER_PAGE = 1000
 _PAGES_PER_STEP = 10
 
 _RowT = TypeVar("_RowT", bound=msgspec.Struct)
@@ -214,19 +213,9 @@
 
         Plans are written all the same: without ratings they grow cautious.
         """
-        found: list[ratings_module.Rating] = []
-        for _ in range(_PAGES_PER_STEP):
-            try:
-                page = await self._ratings.ratings_after(
-                    cursor, limit=_RATINGS_PER_PAGE
-                )
-            except failures.PlatformError:
-                break
-            found += page
-            if len(page) < _RATINGS_PER_PAGE:
-                break
-            cursor = page[-1].cursor
-        return found
+        return await ratings_module.read_new(
+            self._ratings, cursor, most_pages=_PAGES_PER_STEP
+        )
 
     async def _write(
         self,
