Split the ledger's bench into its load, its costs and its lines

Change: bench/models/ledger_load.py starts the instances and puts a steady rate or a death on them; bench/models/ledger_costs.py measures what one record costs; bench/ledger.py keeps the lines and their bounds.

Ruled out: any other change.

--- /dev/null
+++ b/bench/models/ledger_costs.py
@@ -0,0 +1,128 @@
+"""What one record of the ledger costs: processor time and memory.
+
+Processor time is this machine's.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+import time
+import tracemalloc
+
+from bench.models import ledger_load
+from bench.models import virtual_loop
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.ledger import index
+from nutmeghook.internal.ledger import log
+from nutmeghook.internal.ledger import records
+from tests import ledger_cluster
+
+_CPU_RECORDS = 6000
+_MEMORY_ENTRIES = 20_000
+
+
+def holder_cpu_us(*, records_per_message: int) -> float:
+    """Processor time of a holder a record, by the records in a message.
+
+    At the planned size a node has few records a second for any one
+    partition, and each comes alone. It includes the thrift codec, not the
+    socket.
+    """
+    spent: list[float] = []
+
+    async def scenario(clock: virtual_loop.LoopClock) -> None:
+        cluster = await ledger_load.start_cluster(clock, instances=1)
+        [instance] = cluster.instances.values()
+        messages = [
+            _message(range(first, first + records_per_message))
+            for first in range(0, _CPU_RECORDS, records_per_message)
+        ]
+        start = time.process_time()
+        for at in range(0, len(messages), 50):
+            await asyncio.gather(
+                *(_serve(instance, data) for data in messages[at : at + 50])
+            )
+        spent.append(time.process_time() - start)
+        await cluster.stop()
+
+    ledger_load.virtually(scenario)
+    return round(spent[0] * 1e6 / _CPU_RECORDS, 1)
+
+
+def replay_cpu_us() -> float:
+    """Processor time of a take-over, a record, with 50 records a row."""
+    rows = [
+        records.encoder.encode(
+            records.Batch(
+                token=1,
+                sequence=number,
+                written_ms=0,
+                records=tuple(
+                    records.finish_record(
+                        ledger_cluster.bill(f"key-{number}-{place}"),
+                        ledger_cluster.ANSWER,
+                    )
+                    for place in range(50)
+                ),
+            )
+        )
+        for number in range(_MEMORY_ENTRIES // 50)
+    ]
+    kept = _empty_index()
+    start = time.process_time()
+    for number, row in enumerate(rows):
+        for record in records.decode_batch(row).records:
+            kept.replay(record, row_key=str(number), written_ms=0)
+    return round((time.process_time() - start) * 1e6 / len(kept), 1)
+
+
+def _empty_index() -> index.PartitionIndex:
+    return index.PartitionIndex(
+        is_alive=lambda _: True,
+        max_entries=_MEMORY_ENTRIES,
+        window_ms=3_600_000,
+        minted_window_ms=120_000,
+    )
+
+
+def _message(numbers: range) -> bytes:
+    message = ttypes.LedgerAppend(
+        partition=0,
+        records=[
+            records.encoder.encode(
+                records.finish_record(
+                    ledger_cluster.bill(f"key-{number}"), ledger_cluster.ANSWER
+                )
+            )
+            for number in numbers
+        ],
+    )
+    return codec.encode(message, sequence=1, wants_reply=True).data
+
+
+def _serve(instance: ledger_cluster.Instance, data: bytes) -> Awaitable[object]:
+    async def serve() -> None:
+        message = codec.decode(data).message
+        reply = await instance.ledger.service.handle(message)
+        codec.encode(reply, sequence=1)
+
+    return serve()
+
+
+def memory_bytes_per_entry() -> float:
+    """What a finished request with a caller's key takes at its holder."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = _empty_index()
+    for number in range(_MEMORY_ENTRIES):
+        record = records.finish_record(
+            ledger_cluster.bill(f"key-{number:024d}"), None
+        )
+        kept.replay(
+            record,
+            row_key=f"{log.partition_prefix(0)}{number // 50:08d}",
+            written_ms=number,
+        )
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return round((after - before) / len(kept))
