Build the orders' lease with the piece that the other tasks use

Cause: leases/preferred.py builds the lease of a task that one instance does for all; orders built the same one by hand, with the same reason for waiting a dead holder out (preferred.py gives it, naming orders). Ruled out: sharing with the ledger's partitions (they hurry a dead holder, since all they do is conditional on the lease's row). Change: orders/service.py calls preferred_keeper; no behaviour changed.

--- a/src/nutmeghook/internal/orders/service.py
+++ b/src/nutmeghook/internal/orders/service.py
@@ -5,8 +5,7 @@
 
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.leases import keeper
-from nutmeghook.internal.leases import preference
+from nutmeghook.internal.leases import preferred
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.orders import cell_reports
@@ -39,18 +38,13 @@
         secret: str,
         reports: cell_reports.ReportSource | None = None,
     ):
-        name = controller_module.LEASE_NAME
-        self._lease = keeper.LeaseKeeper(
-            name=name,
-            incarnation=members.myself.incarnation,
-            inner_address=members.myself.inner_address,
+        self._lease = preferred.preferred_keeper(
+            controller_module.LEASE_NAME,
+            members=members,
             table=table,
             clock=clock,
-            rng=random_source,
             events=events,
-            # Engines can't check the lease's row, so no `is_dead`: a holder
-            # believed dead is waited out.
-            rank=lambda: preference.rank_of_myself(name, members),
+            random_source=random_source,
         )
         self._controller = controller_module.OrderController(
             view=view,
