--- a/bench/_relay_parts.py
+++ b/bench/_relay_parts.py
@@ -1,10 +1,10 @@
 """The simplest possible surroundings of the request path."""
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.dependencies import ratings
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.limits import admission
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import plain
-from nutmeghook.internal.platform import ratings
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import versions
 
--- a/bench/_relay_process.py
+++ b/bench/_relay_process.py
@@ -21,6 +21,7 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.config import view
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import dispatcher as dispatcher_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import ratings as ratings_module
@@ -31,10 +32,9 @@
 from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.limits import admission
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import http_engine
-from nutmeghook.internal.platform import http_exchange
 from nutmeghook.internal.routing import cascade_fixed
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_exchange
 
 TOKEN = "benchmark"
 TEMPLATE = "review"
--- a/bench/capacity/calls.py
+++ b/bench/capacity/calls.py
@@ -12,7 +12,7 @@
 from bench.capacity import streams
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner.generated import ttypes
-from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.standin_http import http_exchange
 
 ROUNDS = 9
 CALLS = 200
--- a/bench/capacity/fleet_work.py
+++ b/bench/capacity/fleet_work.py
@@ -7,6 +7,7 @@
 from bench.capacity import processor
 from bench.capacity import samples
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import ceiling
 from nutmeghook.internal.limits import following_limit
@@ -14,7 +15,6 @@
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import planning
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import cells
 from nutmeghook.internal.routing import directory as directory_module
 from nutmeghook.internal.routing import load_book
--- a/bench/capacity/messages.py
+++ b/bench/capacity/messages.py
@@ -9,6 +9,8 @@
 from bench.capacity import samples
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import rows as config_rows
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner.generated import ttypes
@@ -16,8 +18,6 @@
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.ledger import records
 from nutmeghook.internal.observe import events
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import table
 
 # A frame's length and the headers of TCP and IP.
 FRAME_BYTES = 44
--- a/bench/capacity/processor.py
+++ b/bench/capacity/processor.py
@@ -13,6 +13,7 @@
 from bench.capacity import memory
 from bench.capacity import samples
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner.generated import ttypes
@@ -26,7 +27,6 @@
 from nutmeghook.internal.limits import token_budget
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import cells
 from nutmeghook.internal.routing import directory as directory_module
 from nutmeghook.internal.routing import load_book
--- a/bench/capacity/samples.py
+++ b/bench/capacity/samples.py
@@ -5,6 +5,8 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import state
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.ledger import log
 from nutmeghook.internal.ledger import records
@@ -12,8 +14,6 @@
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
 from nutmeghook.internal.observe import metrics as metrics_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 
 REGIONS = 3
 DATA_CENTRES = 9
--- a/bench/instance_list.py
+++ b/bench/instance_list.py
@@ -14,13 +14,13 @@
 from bench import report
 from bench.capacity import planned
 from bench.capacity import samples
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_instances
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import directory as directory_module
 from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_instances
 from nutmeghook.standins import memory_instances
 from nutmeghook.standins import platform_apps
 from nutmeghook.standins import serving
--- a/bench/models/baselines.py
+++ b/bench/models/baselines.py
@@ -9,7 +9,7 @@
 import random
 
 from bench.models import replicas
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.routing import backends
 
 Candidates = list[backends.Backend]
--- a/bench/models/fleet_parts.py
+++ b/bench/models/fleet_parts.py
@@ -3,9 +3,9 @@
 import dataclasses
 
 from bench.models import replicas
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.membership import members as members_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 
 VERSION = engine.ModelVersion(model="inspection", version="3")
 REPORT_LAG_S = 1.0
--- a/bench/models/rollouts.py
+++ b/bench/models/rollouts.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import ratings as ratings_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import ratings as ratings_module
 from nutmeghook.internal.rollout import decisions
 from nutmeghook.internal.rollout import leave
 from nutmeghook.internal.rollout import pool
--- a/bench/models/routers.py
+++ b/bench/models/routers.py
@@ -8,9 +8,9 @@
 from bench.models import fleet_parts
 from bench.models import replicas
 from bench.models import simulation
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import chooser as chooser_module
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -14,6 +14,8 @@
 from bench import report
 from bench.capacity import samples
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
@@ -24,8 +26,6 @@
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import planning
 from nutmeghook.internal.orders import report_pages
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 
 # Members and engines; the first is today's.
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -21,7 +21,7 @@
 
 from bench import _relay_process
 from bench import report
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 PAIRS = 7
 STREAMS = 43
--- a/src/nutmeghook/experiment/evidence.py
+++ b/src/nutmeghook/experiment/evidence.py
@@ -10,9 +10,9 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.ledger import bills as bills_module
 from nutmeghook.internal.ledger import records
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_objects
-from nutmeghook.internal.platform import http_table
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_objects
+from nutmeghook.internal.standin_http import http_table
 from nutmeghook.standins import engine_runs
 from nutmeghook.standins import memory_plain
 
--- a/src/nutmeghook/experiment/example_fleet.py
+++ b/src/nutmeghook/experiment/example_fleet.py
@@ -4,7 +4,7 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import tokens as tokens_module
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.standins import engine_settings
 from nutmeghook.standins import fleet
 from nutmeghook.standins import platform_apps
--- a/src/nutmeghook/experiment/system.py
+++ b/src/nutmeghook/experiment/system.py
@@ -17,8 +17,8 @@
 from nutmeghook.internal.assembly import serving
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import tokens as tokens_module
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import instances
 from nutmeghook.standins import control as control_module
 from nutmeghook.standins import fleet as fleet_module
 
--- a/src/nutmeghook/internal/administration/arguments.py
+++ b/src/nutmeghook/internal/administration/arguments.py
@@ -10,8 +10,8 @@
 from nutmeghook.internal.administration import status as status_module
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 
 _T = TypeVar("_T")
 _TRUE = ("true", "1", "yes")
--- a/src/nutmeghook/internal/administration/queries.py
+++ b/src/nutmeghook/internal/administration/queries.py
@@ -14,10 +14,10 @@
 from nutmeghook.internal.config import faults
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.config import state as state_module
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import bills as bills_module
-from nutmeghook.internal.platform import failures
 
 MOST_CHANGES = 200
 _STATUS_CHANGES = 5
--- a/src/nutmeghook/internal/administration/status.py
+++ b/src/nutmeghook/internal/administration/status.py
@@ -12,7 +12,7 @@
 from nutmeghook.internal.config import in_force
 from nutmeghook.internal.config import replica as replica_module
 from nutmeghook.internal.config import validation
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
--- a/src/nutmeghook/internal/assembly/cascades.py
+++ b/src/nutmeghook/internal/assembly/cascades.py
@@ -4,12 +4,12 @@
 import random
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import ratings as ratings_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import preferred
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import ratings as ratings_module
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.internal.routing import cascade_learned
 from nutmeghook.internal.routing import cascade_publisher
 from nutmeghook.internal.routing import cascade_reader
--- a/src/nutmeghook/internal/assembly/inner_side.py
+++ b/src/nutmeghook/internal/assembly/inner_side.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identifiers
 from nutmeghook.internal.inner import datagrams
@@ -13,7 +14,6 @@
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.membership import service as membership_service
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.settings import loading
 
 _CLOSE_GRACE = datetime.timedelta(seconds=2)
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.assembly import waiting
 from nutmeghook.internal.config import assembly as config_assembly
 from nutmeghook.internal.config import tokens as tokens_module
+from nutmeghook.internal.dependencies import shared_instances
 from nutmeghook.internal.dispatch import dispatcher as dispatcher_module
 from nutmeghook.internal.dispatch import ratings as rating_queue
 from nutmeghook.internal.entry import application as entry_application
@@ -38,7 +39,6 @@
 from nutmeghook.internal.orders import cell_reports
 from nutmeghook.internal.orders import readiness
 from nutmeghook.internal.orders import service as orders_service
-from nutmeghook.internal.platform import shared_instances
 from nutmeghook.internal.rollout import ready_gate
 from nutmeghook.internal.routing import service as routing_service
 from nutmeghook.internal.routing import version_choice
--- a/src/nutmeghook/internal/assembly/platform_clients.py
+++ b/src/nutmeghook/internal/assembly/platform_clients.py
@@ -5,22 +5,22 @@
 
 import aiohttp
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import http_engine
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_instances
-from nutmeghook.internal.platform import http_objects
-from nutmeghook.internal.platform import http_plain
-from nutmeghook.internal.platform import http_ratings
-from nutmeghook.internal.platform import http_table
-from nutmeghook.internal.platform import http_weights
-from nutmeghook.internal.platform import instances
-from nutmeghook.internal.platform import objects
-from nutmeghook.internal.platform import plain
-from nutmeghook.internal.platform import ratings
-from nutmeghook.internal.platform import table
-from nutmeghook.internal.platform import weights
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.dependencies import objects
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.dependencies import ratings
+from nutmeghook.internal.dependencies import table
+from nutmeghook.internal.dependencies import weights
 from nutmeghook.internal.settings import loading
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_instances
+from nutmeghook.internal.standin_http import http_objects
+from nutmeghook.internal.standin_http import http_plain
+from nutmeghook.internal.standin_http import http_ratings
+from nutmeghook.internal.standin_http import http_table
+from nutmeghook.internal.standin_http import http_weights
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/assembly/rollouts.py
+++ b/src/nutmeghook/internal/assembly/rollouts.py
@@ -4,13 +4,13 @@
 import random
 
 from nutmeghook.internal.config import assembly as config_assembly
+from nutmeghook.internal.dependencies import ratings as ratings_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.leases import preferred
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import ratings as ratings_module
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.internal.rollout import config_editor
 from nutmeghook.internal.rollout import controller as controller_module
 from nutmeghook.internal.rollout import gate as gate_module
--- a/src/nutmeghook/internal/assembly/waiting.py
+++ b/src/nutmeghook/internal/assembly/waiting.py
@@ -6,9 +6,9 @@
 
 from nutmeghook.internal.administration import status
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.ledger import factory as ledger_factory
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.internal.rollout import decisions
 from nutmeghook.internal.rollout import pool as pool_module
 
--- a/src/nutmeghook/internal/config/acceptance.py
+++ b/src/nutmeghook/internal/config/acceptance.py
@@ -20,12 +20,12 @@
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table
 
 _FIRST_PAUSE = datetime.timedelta(milliseconds=50)
 _LONGEST_PAUSE = datetime.timedelta(milliseconds=800)
--- a/src/nutmeghook/internal/config/assembly.py
+++ b/src/nutmeghook/internal/config/assembly.py
@@ -10,11 +10,11 @@
 from nutmeghook.internal.config import in_force
 from nutmeghook.internal.config import replica as replica_module
 from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import table as table_module
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/config/attempts.py
+++ b/src/nutmeghook/internal/config/attempts.py
@@ -14,9 +14,9 @@
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.config import store as store_module
 from nutmeghook.internal.config import validation
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import table
 
 
 class LeaseLapsedError(Exception):
--- a/src/nutmeghook/internal/config/distribution.py
+++ b/src/nutmeghook/internal/config/distribution.py
@@ -16,11 +16,11 @@
 from nutmeghook.internal.config import partners
 from nutmeghook.internal.config import replica as replica_module
 from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
 
 _READ_EVERY = datetime.timedelta(milliseconds=500)
 _EXCHANGE_EVERY = datetime.timedelta(seconds=1)
--- a/src/nutmeghook/internal/config/documents.py
+++ b/src/nutmeghook/internal/config/documents.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class VersionState(enum.Enum):
--- a/src/nutmeghook/internal/config/edits.py
+++ b/src/nutmeghook/internal/config/edits.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 FULL_SHARE_PERCENT = 100.0
 
--- a/src/nutmeghook/internal/config/shares.py
+++ b/src/nutmeghook/internal/config/shares.py
@@ -4,9 +4,9 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 
 
 def uses(
--- a/src/nutmeghook/internal/config/store.py
+++ b/src/nutmeghook/internal/config/store.py
@@ -10,9 +10,9 @@
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.config import state as state_module
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 
 _T = TypeVar("_T")
 _PAGE_ROWS = 500
--- a/src/nutmeghook/internal/config/template_rules.py
+++ b/src/nutmeghook/internal/config/template_rules.py
@@ -7,7 +7,7 @@
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import faults
 from nutmeghook.internal.config import field_rules
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 MAX_STAGES = 8
 MAX_STALENESS_MS = 3_600_000
--- a/src/nutmeghook/internal/platform/ratings.py
+++ b/src/nutmeghook/internal/dependencies/ratings.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 
 _RATINGS_PER_PAGE = 1000
 
--- a/src/nutmeghook/internal/platform/shared_instances.py
+++ b/src/nutmeghook/internal/dependencies/shared_instances.py
@@ -3,8 +3,8 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import instances
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/platform/weights.py
+++ b/src/nutmeghook/internal/dependencies/weights.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class WeightInfo(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/dispatch/answers.py
+++ b/src/nutmeghook/internal/dispatch/answers.py
@@ -3,8 +3,8 @@
 import abc
 import dataclasses
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.ledger import ledger
-from nutmeghook.internal.platform import engine
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/dispatch/attempts.py
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import engine as engine_module
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dispatch import background as background_module
 from nutmeghook.internal.dispatch import chunks as chunks_module
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import admission as admission_module
-from nutmeghook.internal.platform import engine as engine_module
-from nutmeghook.internal.platform import failures
 from nutmeghook.internal.routing import backends as backends_module
 
 MAX_RESUMES_WITHOUT_PROGRESS = 3
--- a/src/nutmeghook/internal/dispatch/billing.py
+++ b/src/nutmeghook/internal/dispatch/billing.py
@@ -1,7 +1,7 @@
 """Prices, from the fleet's catalogue of models."""
 
 from nutmeghook.internal.config import view as view_module
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 def cost_micros(
--- a/src/nutmeghook/internal/dispatch/bills.py
+++ b/src/nutmeghook/internal/dispatch/bills.py
@@ -3,6 +3,7 @@
 import datetime
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import billing
 from nutmeghook.internal.dispatch import meter as meter_module
@@ -11,7 +12,6 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.ledger import ledger as ledger_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import plain
 
 # An answer that is whole just before its deadline still gets this long for
 # its bill: to throw it away would cost more than the little delay.
--- a/src/nutmeghook/internal/dispatch/chunks.py
+++ b/src/nutmeghook/internal/dispatch/chunks.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class Received(msgspec.Struct, frozen=True, kw_only=True, gc=False):
--- a/src/nutmeghook/internal/dispatch/consumers.py
+++ b/src/nutmeghook/internal/dispatch/consumers.py
@@ -3,9 +3,9 @@
 import abc
 from collections.abc import Callable
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import progress as progress_module
-from nutmeghook.internal.platform import engine
 
 
 class TextMismatchError(Exception):
--- a/src/nutmeghook/internal/dispatch/dispatcher.py
+++ b/src/nutmeghook/internal/dispatch/dispatcher.py
@@ -10,6 +10,8 @@
 from typing import TypeVar
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import background as background_module
@@ -29,8 +31,6 @@
 from nutmeghook.internal.ledger import ledger as ledger_module
 from nutmeghook.internal.limits import admission as admission_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import plain
 from nutmeghook.internal.routing import backends as backends_module
 from nutmeghook.internal.routing import cascade as cascade_module
 from nutmeghook.internal.routing import versions as versions_module
--- a/src/nutmeghook/internal/dispatch/generations.py
+++ b/src/nutmeghook/internal/dispatch/generations.py
@@ -2,6 +2,8 @@
 
 import functools
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import ratings as rating_service
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import meter as meter_module
@@ -15,8 +17,6 @@
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import admission as admission_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import ratings as rating_service
 from nutmeghook.internal.routing import cascade as cascade_module
 
 
--- a/src/nutmeghook/internal/dispatch/hedge.py
+++ b/src/nutmeghook/internal/dispatch/hedge.py
@@ -6,10 +6,10 @@
 import datetime
 from typing import Any
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import attempts
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
 
 LaneWork = Coroutine[Any, Any, engine.Chunk]
 
--- a/src/nutmeghook/internal/dispatch/plain_calls.py
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -4,6 +4,8 @@
 import random
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import progress as progress_module
@@ -13,8 +15,6 @@
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import admission as admission_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import plain
 from nutmeghook.internal.routing import backends as backends_module
 
 MAX_SENDS = 4
--- a/src/nutmeghook/internal/dispatch/progress.py
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/dispatch/ratings.py
+++ b/src/nutmeghook/internal/dispatch/ratings.py
@@ -3,10 +3,10 @@
 import asyncio
 import datetime
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import ratings as ratings_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import ratings as ratings_module
 
 BATCH_TASKS = 50
 SUBMIT_TIMEOUT = datetime.timedelta(seconds=5)
--- a/src/nutmeghook/internal/dispatch/requests.py
+++ b/src/nutmeghook/internal/dispatch/requests.py
@@ -4,9 +4,9 @@
 import datetime
 
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.ledger import ledger
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import plain
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/dispatch/stage_calls.py
+++ b/src/nutmeghook/internal/dispatch/stage_calls.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 import dataclasses
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import requests
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends as backends_module
 from nutmeghook.internal.routing import versions as versions_module
 
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -6,6 +6,7 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import billing
@@ -19,7 +20,6 @@
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import admission as admission_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends as backends_module
 from nutmeghook.internal.routing import versions as versions_module
 
--- a/src/nutmeghook/internal/entry/intake.py
+++ b/src/nutmeghook/internal/entry/intake.py
@@ -10,6 +10,8 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import requests
 from nutmeghook.internal.entry import bodies
 from nutmeghook.internal.entry import headers as headers_module
@@ -19,8 +21,6 @@
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import ledger
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import plain
 
 RETRY_UNCONFIGURED = datetime.timedelta(milliseconds=500)
 
--- a/src/nutmeghook/internal/entry/shapes.py
+++ b/src/nutmeghook/internal/entry/shapes.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 
 MAX_MESSAGES = 1000
 
--- a/src/nutmeghook/internal/entry/sinks.py
+++ b/src/nutmeghook/internal/entry/sinks.py
@@ -3,12 +3,12 @@
 from aiohttp import web
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.entry import replies
 from nutmeghook.internal.entry import shapes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import ledger
-from nutmeghook.internal.platform import engine
 
 _CHUNK = "chat.completion.chunk"
 _MARK = "\x00"
--- /dev/null
+++ b/src/nutmeghook/internal/following/follower.py
@@ -0,0 +1,144 @@
+"""Follows a table: reads it whole once, then takes in its changes."""
+
+import abc
+import datetime
+import random
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.following import source
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
+
+# A feed that falls silent for good on an open connection shows only by this
+# limit. It has to be well under the time in which a change must be in force
+# (2 s and more), and each call costs, so it is no shorter.
+FEED_WAIT = datetime.timedelta(seconds=2)
+# After a failed call. The first returns quickly, since many failures are one
+# broken connection; then a store that is out is asked about once a second.
+FIRST_PAUSE = datetime.timedelta(milliseconds=100)
+LONGEST_PAUSE = datetime.timedelta(seconds=1)
+
+
+class TableReader(abc.ABC):
+    """Takes in what a follower reads."""
+
+    @abc.abstractmethod
+    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in the whole table; what is missing is gone."""
+
+    @abc.abstractmethod
+    def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in changes, in order."""
+
+
+class StoreWatch:
+    """What this instance's own calls tell of the store.
+
+    Attributes:
+        away: The newest call failed.
+        returned_at: When it last answered again after a failure; None if
+            it never failed.
+        time_offset: The store's steady clock less ours.
+    """
+
+    __slots__ = ("_clock", "away", "returned_at", "time_offset")
+
+    def __init__(self, *, clock: clock_module.Clock):
+        self._clock = clock
+        self.away = False
+        self.returned_at: datetime.timedelta | None = None
+        self.time_offset: datetime.timedelta | None = None
+
+    def note_answer(self, store_time: datetime.timedelta) -> None:
+        """Takes in an answer."""
+        now = self._clock.monotonic()
+        if self.away:
+            self.away = False
+            self.returned_at = now
+            logs.note("store:back")
+        offset = store_time - now
+        # Answers arrive late, never early: the largest offset is the truest.
+        # It is let down slowly, in case this clock runs ahead.
+        if self.time_offset is None or offset > self.time_offset:
+            self.time_offset = offset
+        else:
+            self.time_offset += (offset - self.time_offset) * 0.02
+
+    def note_failure(self, error: Exception) -> None:
+        """Takes in a failed call."""
+        if not self.away:
+            self.away = True
+            logs.note("store:away", error=str(error))
+
+    def store_time(self) -> datetime.timedelta | None:
+        """Returns the store's steady time now, if it was ever heard."""
+        if self.time_offset is None:
+            return None
+        return self._clock.monotonic() + self.time_offset
+
+
+class TableFollower:
+    """Keeps a reader up to date with one table.
+
+    Attributes:
+        revision: All changes up to here were taken in; -1 before the first.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_random",
+        "_reader",
+        "_table",
+        "_wait",
+        "_watch",
+        "confirmed_at",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        *,
+        table: source.FollowedTable,
+        reader: TableReader,
+        watch: StoreWatch,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+        wait: datetime.timedelta = FEED_WAIT,
+    ):
+        self._table = table
+        self._reader = reader
+        self._watch = watch
+        self._clock = clock
+        self._random = random_source
+        self._wait = wait
+        self.revision = -1
+        self.confirmed_at: datetime.timedelta | None = None
+
+    async def run(self) -> None:
+        """Follows the table until cancelled."""
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                await self._step()
+                pause = FIRST_PAUSE
+            except source.HistoryGoneError:
+                logs.note("store:history_gone", table=self._table.name)
+                self.revision = -1
+            except failures.PlatformError as error:
+                self._watch.note_failure(error)
+                jitter = 0.75 + 0.5 * self._random.random()
+                await self._clock.sleep(pause * jitter)
+                pause = min(pause * 2, LONGEST_PAUSE)
+
+    async def _step(self) -> None:
+        if self.revision < 0:
+            page = await self._table.read_all()
+            self._watch.note_answer(page.store_time)
+            self._reader.replace(page.rows)
+        else:
+            page = await self._table.changes(self.revision, self._wait)
+            self._watch.note_answer(page.store_time)
+            if page.rows:
+                self._reader.change(page.rows)
+        self.revision = page.revision
+        self.confirmed_at = self._clock.monotonic()
--- a/src/nutmeghook/internal/leases/keeper.py
+++ b/src/nutmeghook/internal/leases/keeper.py
@@ -15,12 +15,12 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import lease
 from nutmeghook.internal.leases import rows
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 
 _ZERO = datetime.timedelta()
 _JITTER_SHARE = 0.1
--- a/src/nutmeghook/internal/leases/preferred.py
+++ b/src/nutmeghook/internal/leases/preferred.py
@@ -2,12 +2,12 @@
 
 import random
 
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import keeper
 from nutmeghook.internal.leases import preference
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import table as table_module
 
 
 def preferred_keeper(
--- a/src/nutmeghook/internal/ledger/archive.py
+++ b/src/nutmeghook/internal/ledger/archive.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import objects as objects_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.ledger import log as log_module
 from nutmeghook.internal.ledger import records
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import objects as objects_module
-from nutmeghook.internal.platform import table as table_module
 
 KEY_PREFIX = "bills/"
 
--- a/src/nutmeghook/internal/ledger/bills.py
+++ b/src/nutmeghook/internal/ledger/bills.py
@@ -3,13 +3,13 @@
 from collections.abc import AsyncIterator
 import dataclasses
 
+from nutmeghook.internal.dependencies import objects as objects_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.ledger import archive
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.ledger import log
 from nutmeghook.internal.ledger import overflow
 from nutmeghook.internal.ledger import records
-from nutmeghook.internal.platform import objects as objects_module
-from nutmeghook.internal.platform import table as table_module
 
 _PAGE = 200
 
--- a/src/nutmeghook/internal/ledger/directory.py
+++ b/src/nutmeghook/internal/ledger/directory.py
@@ -2,14 +2,14 @@
 
 import datetime
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import preference
 from nutmeghook.internal.leases import rows
 from nutmeghook.internal.ledger import records
 from nutmeghook.internal.ledger import service as service_module
 from nutmeghook.internal.membership import members as members_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 
 _READ_EVERY = datetime.timedelta(milliseconds=500)
 
--- a/src/nutmeghook/internal/ledger/factory.py
+++ b/src/nutmeghook/internal/ledger/factory.py
@@ -5,6 +5,8 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import objects as objects_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.leases import keeper as keeper_module
@@ -24,8 +26,6 @@
 from nutmeghook.internal.ledger import store_health
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import objects as objects_module
-from nutmeghook.internal.platform import table as table_module
 
 _PROBE_KEY = "ledger-probe"
 
--- a/src/nutmeghook/internal/ledger/log.py
+++ b/src/nutmeghook/internal/ledger/log.py
@@ -12,13 +12,13 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import keeper as keeper_module
 from nutmeghook.internal.ledger import budget as budget_module
 from nutmeghook.internal.ledger import records
 from nutmeghook.internal.ledger import store_health
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 
 KEY_PREFIX = "ledger/"
 _PAGE_ROWS = 200
--- a/src/nutmeghook/internal/ledger/overflow.py
+++ b/src/nutmeghook/internal/ledger/overflow.py
@@ -14,13 +14,13 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import objects as objects_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.ledger import budget as budget_module
 from nutmeghook.internal.ledger import records
 from nutmeghook.internal.ledger import store_health
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import objects as objects_module
 
 KEY_PREFIX = "bills-overflow/"
 _BATCH_RECORDS = 500
--- a/src/nutmeghook/internal/ledger/partition.py
+++ b/src/nutmeghook/internal/ledger/partition.py
@@ -12,6 +12,8 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import keeper as keeper_module
 from nutmeghook.internal.ledger import archive as archive_module
@@ -22,8 +24,6 @@
 from nutmeghook.internal.ledger import records
 from nutmeghook.internal.ledger import settings as settings_module
 from nutmeghook.internal.ledger import store_health
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 
 _RETRY_TAKE_OVER = datetime.timedelta(milliseconds=300)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
--- a/src/nutmeghook/internal/ledger/pins.py
+++ b/src/nutmeghook/internal/ledger/pins.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class SessionKey(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/ledger/service.py
+++ b/src/nutmeghook/internal/ledger/service.py
@@ -4,12 +4,12 @@
 import contextlib
 import datetime
 
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.ledger import partition as partition_module
 from nutmeghook.internal.ledger import records
-from nutmeghook.internal.platform import failures
 
 LEASE_PREFIX = "ledger/"
 _TIDY_EVERY = datetime.timedelta(seconds=5)
--- a/src/nutmeghook/internal/ledger/session_pins.py
+++ b/src/nutmeghook/internal/ledger/session_pins.py
@@ -5,13 +5,13 @@
 import datetime
 import itertools
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import pins
 from nutmeghook.internal.ledger import records
 from nutmeghook.internal.ledger import sender as sender_module
-from nutmeghook.internal.platform import engine
 
 _RETRY_AFTER = datetime.timedelta(seconds=1)
 _LATER_PAUSE = datetime.timedelta(milliseconds=500)
--- a/src/nutmeghook/internal/ledger/store_health.py
+++ b/src/nutmeghook/internal/ledger/store_health.py
@@ -10,11 +10,11 @@
 import random
 from typing import TypeVar
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import objects as objects_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import objects as objects_module
-from nutmeghook.internal.platform import table as table_module
 
 _T = TypeVar("_T")
 Probe = Callable[[], Awaitable[object]]
--- /dev/null
+++ b/src/nutmeghook/internal/limits/window_budget.py
@@ -0,0 +1,97 @@
+"""A retry budget over a sliding window, as a share of its requests."""
+
+import collections
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import admission
+
+
+class WindowRetryBudget(admission.RetryBudget):
+    """Allows further attempts up to a share of the window's requests.
+
+    No message between instances is needed: where no instance goes beyond its
+    share of its own requests, the fleet doesn't either.
+
+    Args:
+        ratio: Further attempts per request.
+        window: Both are counted over it.
+        burst: Allowed beside the ratio, so that a single request of a quiet
+            instance may be tried again.
+    """
+
+    __slots__ = ("_burst", "_clock", "_ratio", "_requests", "_spent", "_window")
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        window: datetime.timedelta,
+        burst: int,
+        clock: clock_module.Clock,
+    ):
+        if ratio < 0 or burst < 0:
+            raise ValueError(
+                f"ratio is {ratio} and burst {burst}; give numbers from 0"
+            )
+        self._ratio = ratio
+        self._window = window
+        self._burst = burst
+        self._clock = clock
+        self._requests: collections.deque[datetime.timedelta] = (
+            collections.deque()
+        )
+        self._spent: collections.deque[datetime.timedelta] = collections.deque()
+
+    def note_request(self) -> None:
+        """Counts a first attempt."""
+        self._requests.append(self._clock.monotonic())
+
+    def left(self) -> float:
+        """Returns how many further attempts may be made now."""
+        oldest = self._clock.monotonic() - self._window
+        for times in (self._requests, self._spent):
+            while times and times[0] <= oldest:
+                times.popleft()
+        allowed = self._ratio * len(self._requests) + self._burst
+        return allowed - len(self._spent)
+
+    def try_spend(self) -> bool:
+        """Takes leave for one more attempt."""
+        if self.left() < 1:
+            return False
+        self._spent.append(self._clock.monotonic())
+        return True
+
+
+class WindowRetryBudgets(admission.RetryBudgets):
+    """One window for each service."""
+
+    __slots__ = ("_budgets", "_burst", "_clock", "_ratio", "_window")
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        window: datetime.timedelta,
+        burst: int,
+        clock: clock_module.Clock,
+    ):
+        self._ratio = ratio
+        self._window = window
+        self._burst = burst
+        self._clock = clock
+        self._budgets: dict[str, WindowRetryBudget] = {}
+
+    def budget_for(self, dependency: str) -> WindowRetryBudget:
+        """Returns the service's budget; names come from the configuration."""
+        budget = self._budgets.get(dependency)
+        if budget is None:
+            budget = WindowRetryBudget(
+                ratio=self._ratio,
+                window=self._window,
+                burst=self._burst,
+                clock=self._clock,
+            )
+            self._budgets[dependency] = budget
+        return budget
--- a/src/nutmeghook/internal/membership/listing.py
+++ b/src/nutmeghook/internal/membership/listing.py
@@ -8,9 +8,9 @@
 
 import eliot
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.inner import addresses
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
 
 
 class InstanceHints:
--- a/src/nutmeghook/internal/membership/local_fleet.py
+++ b/src/nutmeghook/internal/membership/local_fleet.py
@@ -7,6 +7,8 @@
 import datetime
 import random as random_module
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import local_datagrams
@@ -15,8 +17,6 @@
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.membership import service as service_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
 
 _CREDENTIAL = "local fleet"
 _REGIONS = 3
--- a/src/nutmeghook/internal/membership/service.py
+++ b/src/nutmeghook/internal/membership/service.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams as datagrams_module
 from nutmeghook.internal.inner import peers
@@ -22,7 +23,6 @@
 from nutmeghook.internal.membership import table as table_module
 from nutmeghook.internal.membership import timing as timing_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import instances
 
 ChangeCallback = Callable[[members_module.Member], None]
 
--- a/src/nutmeghook/internal/observe/logs.py
+++ b/src/nutmeghook/internal/observe/logs.py
@@ -1,5 +1,6 @@
-"""JSON lines on standard error, by eliot, without secrets."""
+"""JSON lines by eliot, without secrets."""
 
+from collections.abc import Callable
 import re
 import sys
 from typing import TextIO
@@ -20,6 +21,11 @@
     eliot.to_file(out)
 
 
+def start_with(destination: Callable[[dict[str, object]], None]) -> None:
+    """Sends all log lines to a destination of our own."""
+    eliot.add_destinations(destination)
+
+
 def note(event: str, **fields: object) -> None:
     """Logs one event; fields with secret names or bearer tokens are hidden."""
     eliot.log_message(message_type=event, **_cleaned(fields))
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -104,6 +104,19 @@
         kind=MetricKind.COUNTER,
         meaning="Cost of all attempts of billed requests, same unit.",
     ),
+    MetricSpec(
+        name="relayed_total",
+        kind=MetricKind.COUNTER,
+        meaning="Relayed requests that ended, by route and outcome.",
+        labels=("route", "outcome"),
+    ),
+    MetricSpec(
+        name="relayed_seconds",
+        kind=MetricKind.HISTOGRAM,
+        meaning="From a relayed request's arrival to its end.",
+        labels=("route",),
+        buckets=_LATENCY_BUCKETS_S,
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/orders/controller.py
+++ b/src/nutmeghook/internal/orders/controller.py
@@ -9,6 +9,8 @@
 import datetime
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import lease as lease_module
 from nutmeghook.internal.observe import events as events_module
@@ -17,8 +19,6 @@
 from nutmeghook.internal.orders import order_book
 from nutmeghook.internal.orders import planning
 from nutmeghook.internal.orders import weight_grants
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
 
 LEASE_NAME = "orders"
 ORDER_TIMEOUT = datetime.timedelta(seconds=5)
--- a/src/nutmeghook/internal/orders/fleet_reading.py
+++ b/src/nutmeghook/internal/orders/fleet_reading.py
@@ -5,11 +5,11 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.orders import cell_reports
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
 
 LIST_TIMEOUT = datetime.timedelta(seconds=3)
 REPORT_TIMEOUT = datetime.timedelta(seconds=2)
--- a/src/nutmeghook/internal/orders/order_book.py
+++ b/src/nutmeghook/internal/orders/order_book.py
@@ -4,9 +4,9 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import planning
-from nutmeghook.internal.platform import engine
 
 LOAD_TIMEOUT = datetime.timedelta(minutes=15)
 # An engine's report may be this much older than its answer to an order.
--- a/src/nutmeghook/internal/orders/planning.py
+++ b/src/nutmeghook/internal/orders/planning.py
@@ -11,9 +11,9 @@
 import xxhash
 
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import wishes
-from nutmeghook.internal.platform import engine
 
 MIN_REPLICAS = 2
 # The shares are of sessions, which don't all bring the same load.
--- a/src/nutmeghook/internal/orders/readiness.py
+++ b/src/nutmeghook/internal/orders/readiness.py
@@ -6,9 +6,9 @@
 import datetime
 import math
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.orders import planning
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 
 # A share may be carried by this part of what is planned for it: an engine that
--- a/src/nutmeghook/internal/orders/report_pages.py
+++ b/src/nutmeghook/internal/orders/report_pages.py
@@ -5,8 +5,8 @@
 
 import xxhash
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.inner.generated import ttypes
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 
 # A cell's reports are polled each 6 s at the longest and repeated to its
--- a/src/nutmeghook/internal/orders/service.py
+++ b/src/nutmeghook/internal/orders/service.py
@@ -4,6 +4,10 @@
 import random
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.dependencies import weights as weights_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import preferred
 from nutmeghook.internal.membership import members as members_module
@@ -12,10 +16,6 @@
 from nutmeghook.internal.orders import controller as controller_module
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import weight_grants
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
-from nutmeghook.internal.platform import table as table_module
-from nutmeghook.internal.platform import weights as weights_module
 
 
 class Orders:
--- a/src/nutmeghook/internal/orders/weight_grants.py
+++ b/src/nutmeghook/internal/orders/weight_grants.py
@@ -3,10 +3,10 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import weights
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.orders import planning
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import weights
 
 GRANT_INTERVAL = datetime.timedelta(seconds=1)
 GRANT_TIMEOUT = datetime.timedelta(seconds=3)
--- a/src/nutmeghook/internal/orders/wishes.py
+++ b/src/nutmeghook/internal/orders/wishes.py
@@ -1,7 +1,7 @@
 """How widely the configuration wants each version loaded."""
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 _WHOLE_PERCENT = 100.0
 
--- /dev/null
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -0,0 +1,262 @@
+"""Prepares each attempt from the newest knowledge, and allows repeats."""
+
+import dataclasses
+import datetime
+import random
+
+import xxhash
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import window_budget
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import rejections
+from nutmeghook.internal.relay import wire
+from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import outcomes
+from nutmeghook.internal.upstream import sender as sender_module
+from nutmeghook.internal.version_plans import view as view_module
+
+# Attempts of any outcome. Refusals cost little, but a request that several
+# replicas refused is better sent back than tried on all of a large fleet.
+MAX_TRIES = 6
+# When a refused caller is to come back, spread so that those refused together
+# don't return together. Callers follow it up to a third of their time left.
+_EARLIEST_RETURN_S = 0.25
+_LATEST_RETURN_S = 0.75
+_LEAST_URGENT = 9
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Prepared:
+    """An attempt that is ready to be sent."""
+
+    replica: directory_module.Replica
+    outgoing: sender_module.Outgoing
+
+
+class AttemptPlanner:
+    """Chooses where the next attempt of a request goes."""
+
+    __slots__ = (
+        "_budgets",
+        "_chooser",
+        "_clock",
+        "_configuration",
+        "_random",
+        "_versions",
+        "_wire_format",
+    )
+
+    def __init__(
+        self,
+        *,
+        configuration: in_force_module.ConfigurationInForce,
+        chooser: choice_module.ReplicaChooser,
+        versions: view_module.VersionView,
+        budgets: window_budget.WindowRetryBudgets,
+        wire_format: wire.WireFormat,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+    ):
+        self._configuration = configuration
+        self._chooser = chooser
+        self._versions = versions
+        self._budgets = budgets
+        self._wire_format = wire_format
+        self._clock = clock
+        self._random = random_source
+
+    def prepare(self, job: job_module.Job) -> Prepared:
+        """Returns the next attempt.
+
+        Route and key are looked up again: a request may have waited, or been
+        sent before, while the operator took one of them away.
+
+        Raises:
+            rejections.RejectedError: There is to be no further attempt.
+        """
+        route = self._checked_route(job)
+        job.service = _service_for(route, job)
+        replica = self._choose(job)
+        if replica is None:
+            raise self.given_up(job, reason="no replica can take it")
+        first = not job.tries
+        if first:
+            self._budgets.budget_for(job.service).note_request()
+        job.tries += 1
+        job.tried.add(replica.entry.replica_id)
+        logs.note(
+            "attempt:sent",
+            request=job.log_id,
+            replica=replica.entry.replica_id,
+            version=replica.entry.version,
+            model=_model_name(job),
+            configuration=self._configuration.current.version,
+            in_flight=replica.in_flight,
+            after_event=job.last_event_id,
+            attempt=job.tries,
+        )
+        return Prepared(replica=replica, outgoing=self._outgoing(job, replica))
+
+    def allow_repeat(
+        self, job: job_module.Job, error: outcomes.AttemptError
+    ) -> None:
+        """Returns if another attempt may follow a failed one.
+
+        Raises:
+            rejections.RejectedError: None may.
+        """
+        job.note_failure(error)
+        logs.note(
+            "attempt:failed",
+            request=job.log_id,
+            attempt=job.tries,
+            outcome=type(error).__name__,
+            error=str(error),
+        )
+        may_have_run = isinstance(error, outcomes.UnknownOutcomeError)
+        if may_have_run and not _may_run_again(job):
+            raise self.given_up(job, reason="its outcome is unknown")
+        if job.tries >= MAX_TRIES:
+            raise self.given_up(job, reason="too many attempts failed")
+        if isinstance(error, outcomes.NotSentError):
+            return
+        if not self.try_spend(job):
+            raise self.given_up(job, reason="the retry budget is spent")
+
+    def try_spend(self, job: job_module.Job) -> bool:
+        """Takes leave for one more attempt from the service's budget."""
+        return self._budgets.budget_for(job.service).try_spend()
+
+    def given_up(
+        self, job: job_module.Job, *, reason: str
+    ) -> rejections.RejectedError:
+        """Returns the end of a request that gets no further attempt."""
+        if job.possibly_run:
+            return rejections.RejectedError(
+                wire.FixedResponse.FAILED_PERHAPS_RUN, reason=reason
+            )
+        return rejections.RejectedError(
+            wire.FixedResponse.NOT_RUN,
+            reason=reason,
+            retry_after=self.return_after(),
+        )
+
+    def return_after(self) -> datetime.timedelta:
+        """Returns when a refused caller is to come back."""
+        return datetime.timedelta(
+            seconds=self._random.uniform(_EARLIEST_RETURN_S, _LATEST_RETURN_S)
+        )
+
+    def time_left(self, job: job_module.Job) -> datetime.timedelta:
+        """Returns the time until the request's deadline."""
+        return job.deadline - self._clock.monotonic()
+
+    def _checked_route(self, job: job_module.Job) -> model.Route:
+        configuration = self._configuration.current
+        route = configuration.find(job.incoming.host_name, job.incoming.path)
+        if route is None:
+            raise self._withdrawn(job, wire.FixedResponse.NO_ROUTE)
+        key = job.incoming.facts.api_key
+        teams = configuration.teams_by_key
+        if route.needs_key and teams and teams.get(key or "") is None:
+            raise self._withdrawn(job, wire.FixedResponse.BAD_KEY)
+        return route
+
+    def _withdrawn(
+        self, job: job_module.Job, response: wire.FixedResponse
+    ) -> rejections.RejectedError:
+        if job.possibly_run:
+            response = wire.FixedResponse.FAILED_PERHAPS_RUN
+        return rejections.RejectedError(
+            response, reason="route or key was taken away meanwhile"
+        )
+
+    def _choose(self, job: job_module.Job) -> directory_module.Replica | None:
+        accepts = self._versions.accepts(
+            job.service,
+            session=job.incoming.facts.session or job.log_id,
+        )
+        replica = self._chooser.choose(
+            choice_module.Need(
+                service=job.service,
+                accepts=accepts,
+                affinity=_affinity(job),
+                exclude=frozenset(job.tried),
+            )
+        )
+        return replica
+
+    def _outgoing(
+        self, job: job_module.Job, replica: directory_module.Replica
+    ) -> sender_module.Outgoing:
+        incoming = job.incoming
+        attempt = wire.AttemptFacts(
+            replica_id=replica.entry.replica_id,
+            time_left=self.time_left(job),
+            team=job.team.name if job.team else None,
+            urgency=_urgency(job),
+            model=_model_name(job),
+            last_event_id=job.last_event_id,
+        )
+        return sender_module.Outgoing(
+            request_id=incoming.facts.request_id,
+            method=incoming.method,
+            target=incoming.target,
+            host=incoming.host,
+            headers=self._wire_format.attempt_headers(incoming.facts, attempt),
+            body=incoming.body,
+            repeatable=job.route.repeatable,
+        )
+
+
+def _may_run_again(job: job_module.Job) -> bool:
+    return job.route.repeatable and job.runs < job.route.attempts
+
+
+def _service_for(route: model.Route, job: job_module.Job) -> str:
+    """Returns the request's service: the same at each attempt if it may."""
+    shares = [share for share in route.shares if share.weight > 0]
+    if any(share.service == job.service for share in shares):
+        return job.service
+    shares = shares or list(route.shares)
+    total = sum(share.weight for share in shares) or 1.0
+    digest = xxhash.xxh64_intdigest(job.log_id.encode())
+    point = digest / 2.0**64 * total
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
+
+
+def _model_name(job: job_module.Job) -> str | None:
+    if not job.route.models or not job.incoming.facts.any_model:
+        return None
+    return job.route.models[job.model_index]
+
+
+def _affinity(job: job_module.Job) -> str | None:
+    """Returns what requests with the same shared prompt have in common.
+
+    The last part belongs to the request or its session alone, so the one
+    before it is the deepest that others share.
+    """
+    prompt = job.incoming.facts.prompt
+    if prompt is None or not prompt.parts:
+        return None
+    shared = prompt.parts[:-1] or prompt.parts
+    return f"{_model_name(job)}/{shared[-1].part_id}"
+
+
+def _urgency(job: job_module.Job) -> int | None:
+    if job.incoming.facts.prompt is None:
+        return None
+    rank = job.route.priority
+    if job.team is not None and job.team.priority is not None:
+        rank = job.team.priority
+    return max(0, min(_LEAST_URGENT, rank))
--- /dev/null
+++ b/src/nutmeghook/internal/relay/events.py
@@ -0,0 +1,56 @@
+"""Splits a stream of server-sent events into whole events."""
+
+import dataclasses
+
+_ENDS = (b"\n\n", b"\r\n\r\n")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class StreamEvent:
+    """One whole event, as it came, with its final empty line.
+
+    Attributes:
+        event_id: None if the event has none.
+    """
+
+    raw: bytes
+    event_id: str | None
+
+
+class EventSplitter:
+    """Collects bytes and gives out the events that are whole."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self):
+        self._rest = b""
+
+    @property
+    def has_rest(self) -> bool:
+        """Tells whether the bytes so far end inside an event."""
+        return bool(self._rest)
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Takes in bytes and returns the events that they complete."""
+        self._rest += data
+        events = []
+        while (end := _first_end(self._rest)) is not None:
+            raw = self._rest[:end]
+            self._rest = self._rest[end:]
+            events.append(StreamEvent(raw=raw, event_id=_id_of(raw)))
+        return events
+
+
+def _first_end(data: bytes) -> int | None:
+    ends = [
+        found + len(mark) for mark in _ENDS if (found := data.find(mark)) >= 0
+    ]
+    return min(ends, default=None)
+
+
+def _id_of(raw: bytes) -> str | None:
+    found = None
+    for line in raw.splitlines():
+        if line.startswith(b"id:"):
+            found = line[3:].strip().decode("latin-1")
+    return found
--- /dev/null
+++ b/src/nutmeghook/internal/relay/job.py
@@ -0,0 +1,71 @@
+"""What is known of a request while it is under way."""
+
+import datetime
+
+from nutmeghook.internal.relay import incoming as incoming_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import outcomes
+
+
+class Job:
+    """A request that was let in, and its attempts so far.
+
+    Attributes:
+        deadline: Monotonic time at which it gets its final answer at last.
+        service: The service chosen for it; None before its first attempt.
+        model_index: Index into the route's models.
+        tried: Ids of the replicas that were tried.
+        tries: Attempts of any outcome.
+        runs: Attempts that may have run.
+        last_event_id: The last event passed on; None before the first.
+    """
+
+    __slots__ = (
+        "deadline",
+        "incoming",
+        "last_event_id",
+        "model_index",
+        "route",
+        "runs",
+        "service",
+        "sink",
+        "team",
+        "tried",
+        "tries",
+    )
+
+    def __init__(
+        self,
+        *,
+        incoming: incoming_module.Incoming,
+        sink: incoming_module.AnswerSink,
+        route: model.Route,
+        team: model.Team | None,
+        deadline: datetime.timedelta,
+    ):
+        self.incoming = incoming
+        self.sink = sink
+        self.route = route
+        self.team = team
+        self.deadline = deadline
+        self.service: str | None = None
+        self.model_index = 0
+        self.tried: set[str] = set()
+        self.tries = 0
+        self.runs = 0
+        self.last_event_id: str | None = None
+
+    @property
+    def possibly_run(self) -> bool:
+        """Tells whether a replica may have begun to work on it."""
+        return self.runs > 0
+
+    @property
+    def log_id(self) -> str:
+        """The caller's id of the request, for logs."""
+        return self.incoming.facts.request_id
+
+    def note_failure(self, error: outcomes.AttemptError) -> None:
+        """Counts how an attempt without an answer ended."""
+        if isinstance(error, outcomes.UnknownOutcomeError):
+            self.runs += 1
--- /dev/null
+++ b/src/nutmeghook/internal/relay/path.py
@@ -0,0 +1,164 @@
+"""One request's way: route, key, attempts, answer."""
+
+import asyncio
+import datetime
+import traceback
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import incoming as incoming_module
+from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import rejections
+from nutmeghook.internal.relay import streams
+from nutmeghook.internal.relay import whole_answers
+from nutmeghook.internal.relay import wire
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.routes import model
+
+# An instance that knows no configuration yet learns one within a second
+# unless the store is out.
+_RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(milliseconds=500)
+
+
+class RequestPath:
+    """Serves one request after the other, each in its own task."""
+
+    __slots__ = ("_clock", "_configuration", "_metrics", "_streams", "_wholes")
+
+    def __init__(
+        self,
+        *,
+        configuration: in_force_module.ConfigurationInForce,
+        stream_path: streams.StreamPath,
+        whole_path: whole_answers.WholeAnswerPath,
+        metrics: metrics_module.Metrics,
+        clock: clock_module.Clock,
+    ):
+        self._configuration = configuration
+        self._streams = stream_path
+        self._wholes = whole_path
+        self._metrics = metrics
+        self._clock = clock
+
+    async def serve(
+        self,
+        incoming: incoming_module.Incoming,
+        sink: incoming_module.AnswerSink,
+    ) -> None:
+        """Answers a request, whatever happens to it."""
+        route_name = ""
+        reason = "answered"
+        job: job_module.Job | None = None
+        try:
+            job = self._admit(incoming, sink)
+            route_name = job.route.name
+            if job.route.kind is model.RouteKind.STREAM:
+                await self._streams.run(job)
+            else:
+                await self._wholes.run(job)
+        except rejections.RejectedError as rejection:
+            reason = rejection.reason
+            await _reject(sink, rejection)
+        except asyncio.CancelledError:
+            reason = "the caller left"
+            raise
+        except ConnectionError as error:
+            reason = f"the caller's connection broke: {error}"
+            raise
+        except Exception as error:
+            # A fault of ours; the caller still gets an answer at once.
+            reason = f"internal fault: {error!r}"
+            logs.note("request:fault", trace=traceback.format_exc())
+            await _reject(sink, _fault(job))
+        finally:
+            self._note_end(incoming, job, route_name, reason)
+
+    def _admit(
+        self,
+        incoming: incoming_module.Incoming,
+        sink: incoming_module.AnswerSink,
+    ) -> job_module.Job:
+        configuration = self._configuration.current
+        if configuration is None:
+            raise rejections.RejectedError(
+                wire.FixedResponse.NOT_RUN,
+                reason="no configuration is known yet",
+                retry_after=_RETRY_WITHOUT_CONFIGURATION,
+            )
+        route = configuration.find(incoming.host_name, incoming.path)
+        if route is None:
+            raise rejections.RejectedError(
+                wire.FixedResponse.NO_ROUTE, reason="no route matches"
+            )
+        team = _team(configuration, route, incoming.facts.api_key)
+        limit = route.time_limit
+        if incoming.facts.time_left is not None:
+            limit = min(limit, incoming.facts.time_left)
+        return job_module.Job(
+            incoming=incoming,
+            sink=sink,
+            route=route,
+            team=team,
+            deadline=incoming.arrived_at + limit,
+        )
+
+    def _note_end(
+        self,
+        incoming: incoming_module.Incoming,
+        job: job_module.Job | None,
+        route_name: str,
+        reason: str,
+    ) -> None:
+        duration = self._clock.monotonic() - incoming.arrived_at
+        logs.note(
+            "request:ended",
+            request=incoming.facts.request_id,
+            route=route_name,
+            outcome=reason,
+            attempts=job.tries if job else 0,
+            duration_ms=round(duration / datetime.timedelta(milliseconds=1)),
+        )
+        self._metrics.add("relayed_total", route=route_name, outcome=reason)
+        self._metrics.observe(
+            "relayed_seconds", duration.total_seconds(), route=route_name
+        )
+
+
+def _team(
+    configuration: model.Configuration, route: model.Route, key: str | None
+) -> model.Team | None:
+    if not route.needs_key or not configuration.teams_by_key:
+        return None
+    team = configuration.teams_by_key.get(key or "")
+    if team is None:
+        raise rejections.RejectedError(
+            wire.FixedResponse.BAD_KEY, reason="the key is unknown"
+        )
+    return team
+
+
+def _fault(job: job_module.Job | None) -> rejections.RejectedError:
+    """Returns the end of a request that met a fault of this program."""
+    not_sent = job is None or not job.tries
+    return rejections.RejectedError(
+        wire.FixedResponse.NOT_RUN
+        if not_sent
+        else wire.FixedResponse.FAILED_PERHAPS_RUN,
+        reason="internal fault",
+        retry_after=_RETRY_WITHOUT_CONFIGURATION if not_sent else None,
+    )
+
+
+async def _reject(
+    sink: incoming_module.AnswerSink, rejection: rejections.RejectedError
+) -> None:
+    if sink.begun:
+        # The head promised success: only a cut tells the caller otherwise.
+        sink.cut()
+        return
+    await sink.refuse(
+        rejection.response,
+        detail=rejection.reason,
+        retry_after=rejection.retry_after,
+    )
--- /dev/null
+++ b/src/nutmeghook/internal/relay/rejections.py
@@ -0,0 +1,27 @@
+"""Ends of a request other than a replica's answer."""
+
+import datetime
+
+from nutmeghook.internal.relay import wire
+
+
+class RejectedError(Exception):
+    """The request ends with a response of our own.
+
+    Attributes:
+        response: What the caller is told, and whether the work may have run.
+        reason: A short name for logs and counters.
+        retry_after: When to come back.
+    """
+
+    def __init__(
+        self,
+        response: wire.FixedResponse,
+        *,
+        reason: str,
+        retry_after: datetime.timedelta | None = None,
+    ):
+        super().__init__(reason)
+        self.response = response
+        self.reason = reason
+        self.retry_after = retry_after
--- /dev/null
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -0,0 +1,236 @@
+"""Requests answered by a stream of events, passed on one by one."""
+
+from collections.abc import Awaitable
+import contextlib
+import datetime
+import enum
+from typing import TypeVar
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import attempts as attempts_module
+from nutmeghook.internal.relay import events as events_module
+from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import model_choice
+from nutmeghook.internal.relay import rejections
+from nutmeghook.internal.relay import wire
+from nutmeghook.internal.upstream import outcomes
+from nutmeghook.internal.upstream import sender as sender_module
+
+# A stream that may be resumed is taken up at another replica after a silence
+# of this many targets before its first event, or of this many longest pauses
+# after it. Engines fall silent under load as well, so it is well above what
+# still counts as on time.
+_SILENT_TARGETS = 2.5
+_SILENT_PAUSES = 2.5
+_OK_STATUS = 200
+_T = TypeVar("_T")
+
+
+class _Step(enum.Enum):
+    """What follows an attempt."""
+
+    DONE = "done"
+    AGAIN = "again"
+    LARGER_MODEL = "larger model"
+
+
+class StreamPath:
+    """Passes events on, resumes cut streams, and replaces weak answers."""
+
+    __slots__ = ("_clock", "_models", "_planner", "_sender", "_wire_format")
+
+    def __init__(
+        self,
+        *,
+        planner: attempts_module.AttemptPlanner,
+        sender: sender_module.Sender,
+        models: model_choice.ModelChoice,
+        wire_format: wire.WireFormat,
+        clock: clock_module.Clock,
+    ):
+        self._planner = planner
+        self._sender = sender
+        self._models = models
+        self._wire_format = wire_format
+        self._clock = clock
+
+    async def run(self, job: job_module.Job) -> None:
+        """Answers the request.
+
+        Raises:
+            rejections.RejectedError: It can't be begun, or can't go on.
+        """
+        if job.route.models and job.incoming.facts.any_model:
+            job.model_index = self._models.first(job.route)
+        while True:
+            prepared = self._planner.prepare(job)
+            try:
+                step = await self._attempt(job, prepared)
+            except outcomes.AttemptError as error:
+                self._planner.allow_repeat(job, error)
+                continue
+            if step is _Step.DONE:
+                return
+
+    async def _attempt(
+        self, job: job_module.Job, prepared: attempts_module.Prepared
+    ) -> _Step:
+        async with contextlib.AsyncExitStack() as stack:
+            answer = await self._bounded(
+                job,
+                stack.enter_async_context(
+                    self._sender.attempt(prepared.replica, prepared.outgoing)
+                ),
+                silence=job.route.target * _SILENT_TARGETS,
+            )
+            if answer.head.status != _OK_STATUS:
+                return await self._failed_answer(job, answer)
+            if not answer.facts.sealed or answer.facts.encoded:
+                raise outcomes.UnknownOutcomeError("the answer is not sealed")
+            if self._is_weak(job, answer):
+                return _Step.LARGER_MODEL
+            await self._pass_on(job, answer)
+            prepared.replica.health.note_success()
+            return _Step.DONE
+
+    async def _failed_answer(
+        self, job: job_module.Job, answer: sender_module.Answer
+    ) -> _Step:
+        """Passes a replica's failure on, if nothing better can be had."""
+        body = await self._bounded(
+            job, answer.read_whole(), silence=job.route.target
+        )
+        answer.replica.health.note_failure(self._clock.monotonic())
+        error = outcomes.UnknownOutcomeError(
+            f"the replica answered {answer.head.status}"
+        )
+        try:
+            self._planner.allow_repeat(job, error)
+        except rejections.RejectedError:
+            if job.sink.begun:
+                raise
+            await job.sink.send_whole(
+                answer.head.status,
+                self._wire_format.answer_headers(answer.head.headers),
+                body,
+            )
+            return _Step.DONE
+        return _Step.AGAIN
+
+    def _is_weak(
+        self, job: job_module.Job, answer: sender_module.Answer
+    ) -> bool:
+        """Decides whether a larger model is asked instead.
+
+        Only before the caller has a byte: an answer that was begun is never
+        replaced. The dropped attempt counts as run.
+        """
+        if job.sink.begun or not job.route.models:
+            return False
+        if not job.incoming.facts.any_model:
+            return False
+        larger = self._models.next_after(
+            job.route, job.model_index, answer.facts.confidence
+        )
+        if larger is None or job.runs + 1 >= job.route.attempts:
+            return False
+        if not self._planner.try_spend(job):
+            return False
+        logs.note(
+            "attempt:weak",
+            request=job.log_id,
+            confidence=answer.facts.confidence,
+            model=job.route.models[job.model_index],
+            next_model=job.route.models[larger],
+        )
+        answer.replica.health.note_success()
+        job.model_index = larger
+        job.runs += 1
+        job.tried.clear()
+        return True
+
+    async def _pass_on(
+        self, job: job_module.Job, answer: sender_module.Answer
+    ) -> None:
+        """Passes whole events on until the stream is complete.
+
+        The failure: a replica breaks off inside an event. Only whole events
+        are passed on, so that another replica can go on after the last one.
+        """
+        splitter = events_module.EventSplitter()
+        silence = job.route.target * _SILENT_TARGETS
+        while True:
+            data = await self._bounded(
+                job, answer.head.body.readany(), silence=silence
+            )
+            if not data:
+                break
+            for event in splitter.feed(data):
+                await self._pass_event(job, answer, event)
+            silence = job.route.longest_pause * _SILENT_PAUSES
+        if splitter.has_rest:
+            raise outcomes.UnknownOutcomeError("the stream ends in an event")
+        await self._begin_once(job, answer)
+        await job.sink.end()
+
+    async def _pass_event(
+        self,
+        job: job_module.Job,
+        answer: sender_module.Answer,
+        event: events_module.StreamEvent,
+    ) -> None:
+        if _is_repeated(event.event_id, job.last_event_id):
+            return
+        await self._begin_once(job, answer)
+        await job.sink.write(event.raw)
+        if event.event_id is not None:
+            job.last_event_id = event.event_id
+
+    async def _begin_once(
+        self, job: job_module.Job, answer: sender_module.Answer
+    ) -> None:
+        if job.sink.begun:
+            return
+        await job.sink.begin(
+            answer.head.status,
+            self._wire_format.answer_headers(answer.head.headers),
+        )
+
+    async def _bounded(
+        self,
+        job: job_module.Job,
+        work: Awaitable[_T],
+        *,
+        silence: datetime.timedelta,
+    ) -> _T:
+        """Awaits a replica's next sign of life.
+
+        Raises:
+            rejections.RejectedError: The time limit passed.
+            outcomes.UnknownOutcomeError: It was silent for too long, and
+                another replica may take over.
+        """
+        left = self._planner.time_left(job)
+        may_move = job.route.resumable and job.runs + 1 < job.route.attempts
+        patience = min(left, silence) if may_move else left
+        try:
+            return await self._clock.wait_for(work, patience)
+        except TimeoutError as error:
+            if patience >= left:
+                raise rejections.RejectedError(
+                    wire.FixedResponse.LATE_PERHAPS_RUN,
+                    reason="the time limit passed during a run",
+                ) from error
+            raise outcomes.UnknownOutcomeError(
+                f"silent for {patience}"
+            ) from error
+
+
+def _is_repeated(event_id: str | None, last_passed: str | None) -> bool:
+    """Tells whether an event came already; ids are numbers that grow."""
+    if event_id is None or last_passed is None:
+        return False
+    if not (event_id.isdigit() and last_passed.isdigit()):
+        return False
+    return int(event_id) <= int(last_passed)
--- /dev/null
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -0,0 +1,146 @@
+"""What the relay needs to know of messages, however they are spelled.
+
+Callers and replicas of different deployments name the same facts by different
+headers. The relay decides on these types; an implementation of `WireFormat`
+translates.
+"""
+
+import abc
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import enum
+
+Headers = Sequence[tuple[str, str]]
+
+
+class FixedResponse(enum.Enum):
+    """What a refusal or failure of our own tells the caller."""
+
+    BAD_REQUEST = 400
+    BAD_KEY = 401
+    NO_ROUTE = 404
+    SLOW_SENDER = 408
+    TOO_LARGE = 413
+    OVERLOADED = 429
+    FAILED_PERHAPS_RUN = 502
+    NOT_RUN = 503
+    LATE_PERHAPS_RUN = 504
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class PromptPart:
+    """A leading part of a prompt; equal ids are equal text."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Prompt:
+    """The size of a generation and what it shares with others."""
+
+    input_tokens: int
+    max_output_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class CallerFacts:
+    """What a caller's headers say.
+
+    Attributes:
+        request_id: The caller's id for this try; empty if it gave none.
+        time_left: How long the caller waits; None if it does not say.
+        api_key: The team's key; None if there is none.
+        session: Requests of one session stay on one version.
+        any_model: The caller leaves the model to us.
+        last_event_id: The stream goes on after this event.
+        forwarded: The headers that a replica is to see as they came.
+    """
+
+    request_id: str
+    time_left: datetime.timedelta | None
+    api_key: str | None
+    session: str | None
+    any_model: bool
+    prompt: Prompt | None
+    last_event_id: str | None
+    forwarded: Headers
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class AttemptFacts:
+    """What an attempt tells its replica beside the caller's own headers.
+
+    Attributes:
+        replica_id: Another replica at the same address refuses.
+        time_left: When it passes, the replica stops.
+        urgency: 0 is the most urgent, 9 the least.
+        last_event_id: The event after which a stream is resumed; None leaves
+            what the caller sent.
+    """
+
+    replica_id: str
+    time_left: datetime.timedelta
+    team: str | None
+    urgency: int | None
+    model: str | None
+    last_event_id: str | None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ReportedLoad:
+    """A replica's own count of its work."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class AnswerFacts:
+    """What an answer's headers say.
+
+    Attributes:
+        request_id: The id that the replica echoes.
+        not_run: The replica's own word that it did not run the request.
+        sealed: It bears the replica's proof of origin.
+        encoded: The body is not as the replica made it.
+        confidence: The model's opinion of its answer, 0 to 100.
+        idle_limit_s: How long the replica keeps the connection.
+    """
+
+    request_id: str | None
+    not_run: bool
+    sealed: bool
+    encoded: bool
+    confidence: int | None
+    load: ReportedLoad | None
+    idle_limit_s: float | None
+
+
+class WireFormat(abc.ABC):
+    """Translates headers of one deployment."""
+
+    @abc.abstractmethod
+    def read_caller(self, headers: Headers) -> CallerFacts:
+        """Reads a request's headers.
+
+        Raises:
+            ValueError: One is malformed; the text says which.
+        """
+
+    @abc.abstractmethod
+    def attempt_headers(
+        self, caller: CallerFacts, attempt: AttemptFacts
+    ) -> Headers:
+        """Returns the headers of a request to a replica."""
+
+    @abc.abstractmethod
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Reads an answer's headers."""
+
+    @abc.abstractmethod
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Returns the headers of an answer that the caller is to see."""
--- a/src/nutmeghook/internal/rollout/controller.py
+++ b/src/nutmeghook/internal/rollout/controller.py
@@ -11,12 +11,12 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import ratings as ratings_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import lease as lease_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import ratings as ratings_module
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.internal.rollout import config_editor
 from nutmeghook.internal.rollout import decisions
 from nutmeghook.internal.rollout import leave as leave_module
--- a/src/nutmeghook/internal/rollout/exposure.py
+++ b/src/nutmeghook/internal/rollout/exposure.py
@@ -3,7 +3,7 @@
 import abc
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class ExposureGate(abc.ABC):
--- a/src/nutmeghook/internal/rollout/gate.py
+++ b/src/nutmeghook/internal/rollout/gate.py
@@ -6,12 +6,12 @@
 import random
 
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.leases import preference
 from nutmeghook.internal.membership import members as members_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.rollout import exposure
 from nutmeghook.internal.rollout import pool as pool_module
 
--- a/src/nutmeghook/internal/rollout/leave.py
+++ b/src/nutmeghook/internal/rollout/leave.py
@@ -3,13 +3,13 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.leases import lease as lease_module
 from nutmeghook.internal.membership import members as members_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.rollout import pool as pool_module
 
 GRANT_VALID = datetime.timedelta(seconds=60)
--- a/src/nutmeghook/internal/rollout/pool.py
+++ b/src/nutmeghook/internal/rollout/pool.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import ratings as ratings_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import ratings as ratings_module
 from nutmeghook.internal.rollout import evidence as evidence_module
 
 ROW_KEY = "rollouts/pool"
--- a/src/nutmeghook/internal/rollout/ready_gate.py
+++ b/src/nutmeghook/internal/rollout/ready_gate.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.rollout import exposure
 
 # Tells whether enough backend servers hold a version for a share in percent.
--- /dev/null
+++ b/src/nutmeghook/internal/routes/model.py
@@ -0,0 +1,130 @@
+"""What a configuration says: routes, services, teams and limits."""
+
+import dataclasses
+import datetime
+import enum
+
+
+class RouteKind(enum.Enum):
+    """What a request of a route is, and so whether it may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ServiceShare:
+    """A service that takes part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Route:
+    """Requests of one host below one path prefix.
+
+    Attributes:
+        shares: The services that take the requests, by weight.
+        time_limit: The longest that the operator lets a request wait.
+        target: An answer within it has its full worth.
+        attempts: The most replicas that one request may be sent to.
+        priority: 0 is the most urgent.
+        resumable: A cut stream may go on at another replica.
+        longest_pause: Pauses between events beyond it make a stream late.
+        models: The models to choose from, smallest first; empty if callers
+            name the model themselves.
+        needs_key: Only teams' keys are let in.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    time_limit: datetime.timedelta
+    target: datetime.timedelta
+    attempts: int
+    priority: int
+    resumable: bool = False
+    longest_pause: datetime.timedelta = datetime.timedelta(seconds=1)
+    models: tuple[str, ...] = ()
+    needs_key: bool = True
+
+    @property
+    def repeatable(self) -> bool:
+        """Tells whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Service:
+    """Replicas that serve alike.
+
+    Attributes:
+        max_connections: What one replica accepts from all callers together.
+        model_costs: Price of each model for 1,000 generated tokens.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Team:
+    """A team and its rank; the rank goes before the route's."""
+
+    name: str
+    priority: int | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_time: datetime.timedelta = datetime.timedelta(seconds=3)
+    idle_time: datetime.timedelta = datetime.timedelta(seconds=15)
+
+
+class Configuration:
+    """One version of the configuration, with its look-ups.
+
+    Attributes:
+        version: Grows with each change.
+        teams_by_key: Teams by API key; empty if no team is configured.
+    """
+
+    __slots__ = ("_by_host", "limits", "services", "teams_by_key", "version")
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: tuple[Route, ...],
+        services: dict[str, Service],
+        teams_by_key: dict[str, Team],
+        limits: CallerLimits,
+    ):
+        self.version = version
+        self.services = services
+        self.teams_by_key = teams_by_key
+        self.limits = limits
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for host_routes in self._by_host.values():
+            host_routes.sort(key=lambda route: -len(route.prefix))
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of the path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- a/src/nutmeghook/internal/routing/backends.py
+++ b/src/nutmeghook/internal/routing/backends.py
@@ -5,7 +5,7 @@
 import datetime
 import enum
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class Nearness(enum.IntEnum):
--- a/src/nutmeghook/internal/routing/cascade_intake.py
+++ b/src/nutmeghook/internal/routing/cascade_intake.py
@@ -1,7 +1,7 @@
 """Takes ratings into the tables of their templates, bucket by bucket."""
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import ratings as ratings_module
+from nutmeghook.internal.dependencies import ratings as ratings_module
 from nutmeghook.internal.routing import cascade_labels
 from nutmeghook.internal.routing import cascade_rows
 from nutmeghook.internal.routing import cascade_tables
--- a/src/nutmeghook/internal/routing/cascade_publisher.py
+++ b/src/nutmeghook/internal/routing/cascade_publisher.py
@@ -13,11 +13,11 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import ratings as ratings_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import lease as lease_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import ratings as ratings_module
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.internal.routing import cascade_intake
 from nutmeghook.internal.routing import cascade_learner
 from nutmeghook.internal.routing import cascade_plans
--- a/src/nutmeghook/internal/routing/cascade_reader.py
+++ b/src/nutmeghook/internal/routing/cascade_reader.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.internal.routing import cascade_learned
 from nutmeghook.internal.routing import cascade_plans
 from nutmeghook.internal.routing import cascade_rows
--- a/src/nutmeghook/internal/routing/chooser.py
+++ b/src/nutmeghook/internal/routing/chooser.py
@@ -7,8 +7,8 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import directory as directory_module
 from nutmeghook.internal.routing import ejection
--- a/src/nutmeghook/internal/routing/directory.py
+++ b/src/nutmeghook/internal/routing/directory.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 import datetime
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import load_book
 from nutmeghook.internal.routing import pools
--- a/src/nutmeghook/internal/routing/load_digests.py
+++ b/src/nutmeghook/internal/routing/load_digests.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.inner.generated import ttypes
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 
 # Bytes a second that an instance may send for digests in all; the period
--- a/src/nutmeghook/internal/routing/poller.py
+++ b/src/nutmeghook/internal/routing/poller.py
@@ -4,10 +4,10 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import directory as directory_module
--- a/src/nutmeghook/internal/routing/service.py
+++ b/src/nutmeghook/internal/routing/service.py
@@ -4,12 +4,12 @@
 import dataclasses
 import random
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers as peers_module
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import chooser as chooser_module
--- a/src/nutmeghook/internal/routing/sharing.py
+++ b/src/nutmeghook/internal/routing/sharing.py
@@ -4,10 +4,10 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers as peers_module
 from nutmeghook.internal.inner.generated import ttypes
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import directory as directory_module
--- a/src/nutmeghook/internal/routing/version_rules.py
+++ b/src/nutmeghook/internal/routing/version_rules.py
@@ -10,9 +10,9 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 
 
 class Standing(enum.Enum):
--- a/src/nutmeghook/internal/routing/versions.py
+++ b/src/nutmeghook/internal/routing/versions.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/platform/http_engine.py
+++ b/src/nutmeghook/internal/standin_http/http_engine.py
@@ -8,9 +8,9 @@
 import aiohttp
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.standin_http import http_exchange
 
 GENERATE_PATH = "/v1/generate"
 CANCEL_PATH = "/v1/cancel"
--- a/src/nutmeghook/internal/platform/http_exchange.py
+++ b/src/nutmeghook/internal/standin_http/http_exchange.py
@@ -11,7 +11,7 @@
 import aiohttp
 import msgspec
 
-from nutmeghook.internal.platform import failures
+from nutmeghook.internal.dependencies import failures
 
 _T = TypeVar("_T")
 
--- a/src/nutmeghook/internal/platform/http_instances.py
+++ b/src/nutmeghook/internal/standin_http/http_instances.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import instances
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.standin_http import http_exchange
 
 LIST_PATH = "/v1/instances"
 # Query parameter: the changed lines will do.
--- a/src/nutmeghook/internal/platform/http_objects.py
+++ b/src/nutmeghook/internal/standin_http/http_objects.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import objects
+from nutmeghook.internal.dependencies import objects
+from nutmeghook.internal.standin_http import http_exchange
 
 BLOB_PATH = "/v1/objects/blob"
 DELETE_PATH = "/v1/objects/delete"
--- a/src/nutmeghook/internal/platform/http_plain.py
+++ b/src/nutmeghook/internal/standin_http/http_plain.py
@@ -6,10 +6,10 @@
 import aiohttp
 import yarl
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.foundation import http_headers
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import plain
+from nutmeghook.internal.standin_http import http_exchange
 
 REQUEST_ID_HEADER = "X-Request-Id"
 ANSWER_TIMEOUT = datetime.timedelta(seconds=60)
--- a/src/nutmeghook/internal/platform/http_ratings.py
+++ b/src/nutmeghook/internal/standin_http/http_ratings.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import ratings
+from nutmeghook.internal.dependencies import ratings
+from nutmeghook.internal.standin_http import http_exchange
 
 TASKS_PATH = "/v1/ratings/tasks"
 RATINGS_PATH = "/v1/ratings"
--- a/src/nutmeghook/internal/platform/http_table.py
+++ b/src/nutmeghook/internal/standin_http/http_table.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import table
+from nutmeghook.internal.dependencies import table
+from nutmeghook.internal.standin_http import http_exchange
 
 READ_PATH = "/v1/table/row"
 SCAN_PATH = "/v1/table/scan"
--- a/src/nutmeghook/internal/platform/http_weights.py
+++ b/src/nutmeghook/internal/standin_http/http_weights.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import weights
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import weights
+from nutmeghook.internal.standin_http import http_exchange
 
 INFO_PATH = "/v1/weights"
 GRANT_PATH = "/v1/weights/grants"
--- /dev/null
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -0,0 +1,233 @@
+"""One connection to a replica, which carries one exchange at a time.
+
+Parsing is aiohttp's; what the library's own client would decide is decided
+here. The client repeats a GET by itself after a broken connection, takes a
+reset for the end of a body without length, and hands bytes that arrive on an
+idle connection to the next request. Each of these can give a caller an answer
+that is not its own, or run a request twice.
+"""
+
+import asyncio
+from collections.abc import Iterable
+
+from aiohttp import base_protocol
+from aiohttp import http_exceptions
+from aiohttp import http_parser
+from aiohttp import streams
+
+from nutmeghook.internal.upstream import outcomes
+
+# Above this many unread bytes of an answer the socket is read no further: the
+# caller is slower than the replica, and memory is bounded by this.
+READ_BUFFER_BYTES = 64 * 1024
+# Longest header line and field of an answer. Replicas send a few hundred
+# bytes; this only bounds what a faulty one can make us keep.
+MAX_HEADER_FIELD_BYTES = 16 * 1024
+
+
+class AnswerHead:
+    """Status and headers of an answer, with the reader of its body."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: streams.StreamReader,
+    ):
+        self.status = status
+        self.headers = tuple(headers)
+        self.body = body
+
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header; the name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class ReplicaConnection(base_protocol.BaseProtocol):
+    """A connection and what is known of its exchange.
+
+    Attributes:
+        written: A byte of the present exchange was handed to the system.
+        sound: It may carry another exchange once this one is complete.
+        idle_since_s: Loop time since which it has been idle.
+        idle_limit_s: How long the replica keeps it open when idle.
+    """
+
+    __slots__ = (
+        "_answers",
+        "_head",
+        "_payload",
+        "idle_limit_s",
+        "idle_since_s",
+        "sound",
+        "written",
+    )
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self._head: asyncio.Future[AnswerHead] | None = None
+        self._payload: streams.StreamReader | None = None
+        self._answers = 0
+        self.written = False
+        self.sound = True
+        self.idle_since_s = 0.0
+        self.idle_limit_s = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Tells whether both sides hold the connection."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of the request that the system has not taken yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    async def exchange(self, message: bytes, *, has_body: bool) -> AnswerHead:
+        """Sends a request and returns the head of its answer.
+
+        Args:
+            message: The whole request as it goes on the wire.
+            has_body: Answers to this method have one (not so for HEAD).
+
+        Raises:
+            outcomes.NotSentError: The connection was closed before.
+            outcomes.UnknownOutcomeError: It broke afterwards.
+        """
+        if not self.is_open or not self.sound:
+            raise outcomes.NotSentError("the connection is closed")
+        self._parser = http_parser.HttpResponseParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            payload_exception=outcomes.UnknownOutcomeError,
+            response_with_body=has_body,
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_FIELD_BYTES,
+            max_field_size=MAX_HEADER_FIELD_BYTES,
+        )
+        self._head = self._loop.create_future()
+        self._payload = None
+        self._answers = 0
+        self.written = True
+        self.transport.write(message)
+        return await self._head
+
+    def finish_exchange(self) -> bool:
+        """Ends the exchange; returns whether another may follow.
+
+        The failure: the replica answers before it has read the whole
+        request, and reads on later. Another request written now would be
+        taken for the rest of the first one's body. So a connection is kept
+        only if the system has taken every byte of the request.
+        """
+        payload = self._payload
+        complete = payload is not None and payload.is_eof()
+        if payload is not None and payload.exception() is not None:
+            complete = False
+        self._head = None
+        self._payload = None
+        self._parser = None
+        if not complete or not self.sound or self.unsent_bytes:
+            self.abort()
+            return False
+        self.written = False
+        self.idle_since_s = self._loop.time()
+        return self.is_open
+
+    def abort(self) -> None:
+        """Drops the connection at once, with whatever is under way."""
+        self.sound = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what belongs to the exchange; anything else ends it all.
+
+        The failure: a faulty replica sends a second answer, or bytes after
+        the end of one. Kept, they would be read as the answer to the next
+        request, which is another caller's.
+        """
+        if self._parser is None:
+            self.abort()
+            return
+        try:
+            messages, upgraded, tail = self._parser.feed_data(data)
+        except http_exceptions.HttpProcessingError as error:
+            self._fail(outcomes.UnknownOutcomeError(f"not HTTP: {error}"))
+            return
+        except Exception as error:  # the parser raises the body's errors too
+            self._fail(outcomes.UnknownOutcomeError(f"bad answer: {error}"))
+            return
+        if upgraded or tail:
+            self.sound = False
+        for message, payload in messages:
+            self._take(message, payload)
+
+    def eof_received(self) -> None:
+        """Lets the transport close; `connection_lost` sorts out the rest."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the exchange; only a clean close can complete a body.
+
+        The failure: an answer without length is reset half way. By the
+        library's parser it would end as complete, and a caller would file
+        half a finding as a whole one.
+        """
+        self.sound = False
+        if exc is None and self._parser is not None:
+            try:
+                self._parser.feed_eof()
+            except Exception as error:  # the parser's types vary by framing
+                exc = error
+        reason = str(exc) if exc is not None else "closed by the replica"
+        self._fail(outcomes.UnknownOutcomeError(f"connection lost: {reason}"))
+        self._parser = None
+        super().connection_lost(exc)
+
+    def _take(
+        self,
+        message: http_parser.RawResponseMessage,
+        payload: streams.StreamReader,
+    ) -> None:
+        if 100 <= message.code < 200:
+            return
+        self._answers += 1
+        if self._answers > 1 or self._head is None:
+            self.sound = False
+            return
+        self._payload = payload
+        if message.should_close:
+            self.sound = False
+        if not self._head.done():
+            self._head.set_result(
+                AnswerHead(
+                    status=message.code,
+                    headers=[
+                        (name.decode("latin-1"), value.decode("latin-1"))
+                        for name, value in message.raw_headers
+                    ],
+                    body=payload,
+                )
+            )
+
+    def _fail(self, error: outcomes.UnknownOutcomeError) -> None:
+        self.sound = False
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(error)
+            # Nobody may be waiting any more: the caller has gone.
+            self._head.exception()
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -0,0 +1,129 @@
+"""Connections to replicas, kept between exchanges."""
+
+import asyncio
+import datetime
+import socket
+
+from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.internal.upstream import outcomes
+
+# A replica that does not accept a connection this long is dark or swamped.
+# Data centres of a region are 1 ms apart and an accept takes 1 ms, so even a
+# lost first packet (sent again after 200 ms or more by most systems) fits;
+# beyond it another replica serves sooner.
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=600)
+# How long an idle connection is used again if the replica does not say how
+# long it keeps one.
+DEFAULT_IDLE_LIMIT_S = 2.0
+# Part of the stated idle time that is relied on: a request that crosses the
+# replica's close on the wire may have run, and can't be repeated.
+IDLE_SHARE = 0.6
+# Idle connections kept a replica. More than a few are left over from a burst.
+MAX_IDLE_A_REPLICA = 24
+
+
+class ConnectionPool:
+    """Opens connections, lends them, and keeps the sound ones."""
+
+    __slots__ = ("_idle", "_loop", "opened")
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop):
+        self._loop = loop
+        self._idle: dict[str, list[connection_module.ReplicaConnection]] = {}
+        self.opened = 0
+
+    async def acquire(
+        self, address: str, *, longest_idle_s: float
+    ) -> connection_module.ReplicaConnection:
+        """Returns a connection, the one idle for the shortest time if any.
+
+        Args:
+            address: The replica's `ip:port`.
+            longest_idle_s: Take none that was idle for longer. Requests that
+                may run only once ask for a fresh one, because a kept one may
+                break as they are written.
+
+        Raises:
+            outcomes.NotSentError: The replica did not accept.
+        """
+        kept = self._idle.get(address)
+        now_s = self._loop.time()
+        while kept:
+            candidate = kept.pop()
+            idle_s = now_s - candidate.idle_since_s
+            limit_s = min(candidate.idle_limit_s, longest_idle_s)
+            if candidate.is_open and candidate.sound and idle_s < limit_s:
+                return candidate
+            candidate.abort()
+        return await self._open(address)
+
+    def release(
+        self,
+        address: str,
+        connection: connection_module.ReplicaConnection,
+        *,
+        idle_limit_s: float | None,
+    ) -> None:
+        """Takes a connection back after a complete exchange.
+
+        Args:
+            address: The replica's `ip:port`.
+            connection: The connection.
+            idle_limit_s: How long the replica says it keeps it, if it does.
+        """
+        if not connection.finish_exchange():
+            return
+        stated_s = idle_limit_s or DEFAULT_IDLE_LIMIT_S / IDLE_SHARE
+        connection.idle_limit_s = stated_s * IDLE_SHARE
+        kept = self._idle.setdefault(address, [])
+        if len(kept) >= MAX_IDLE_A_REPLICA:
+            connection.abort()
+            return
+        kept.append(connection)
+
+    def forget(self, address: str) -> None:
+        """Closes the idle connections of a replica that is gone."""
+        for connection in self._idle.pop(address, []):
+            connection.abort()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for address in list(self._idle):
+            self.forget(address)
+
+    async def _open(self, address: str) -> connection_module.ReplicaConnection:
+        host, _, port = address.rpartition(":")
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                transport, protocol = await self._loop.create_connection(
+                    lambda: connection_module.ReplicaConnection(
+                        loop=self._loop
+                    ),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError) as error:
+            raise outcomes.NotSentError(
+                f"{address} did not accept a connection: {error!r}"
+            ) from error
+        _bound_silence(transport)
+        return protocol
+
+
+def _bound_silence(transport: asyncio.BaseTransport) -> None:
+    """Lets the system notice a peer that no longer acknowledges.
+
+    The failure: the path to a replica is cut without a reset. Without this
+    the connection would look open for many minutes; with it, it breaks a few
+    seconds after the first byte that nobody acknowledges.
+    """
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000)
--- /dev/null
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -0,0 +1,188 @@
+"""Sends a request to one replica, once, and says what is known of it."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.relay import wire
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.internal.upstream import outcomes
+from nutmeghook.internal.upstream import pool as pool_module
+
+# A request that may run only once goes on a connection that was just used or
+# on a new one: a replica may close an idle one as the request is written, and
+# then nobody knows whether it ran.
+LONGEST_IDLE_FOR_ONCE_S = 0.5
+LONGEST_IDLE_S = 60.0
+# Whole answers are held in memory until they are checked. Those of plain
+# services have some kilobytes; this bounds what a faulty one can use.
+MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Outgoing:
+    """A request as a replica gets it.
+
+    Attributes:
+        target: Path and query exactly as the caller sent them.
+        repeatable: It may run more than once.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: wire.Headers
+    body: bytes
+    repeatable: bool
+
+    def encoded(self) -> bytes:
+        """Returns the whole message."""
+        lines = [f"{self.method} {self.target} HTTP/1.1", f"Host: {self.host}"]
+        lines.extend(f"{name}: {value}" for name, value in self.headers)
+        if self.body or self.method not in ("GET", "HEAD", "DELETE"):
+            lines.append(f"Content-Length: {len(self.body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        return head.encode("latin-1") + self.body
+
+
+class Answer:
+    """An answer whose head has arrived.
+
+    Attributes:
+        head: Status and headers as the replica sent them.
+        facts: What the headers say.
+        replica: Who answered.
+    """
+
+    __slots__ = ("facts", "head", "replica")
+
+    def __init__(
+        self,
+        *,
+        head: connection_module.AnswerHead,
+        facts: wire.AnswerFacts,
+        replica: directory_module.Replica,
+    ):
+        self.head = head
+        self.facts = facts
+        self.replica = replica
+
+    async def read_whole(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            outcomes.UnknownOutcomeError: It did not come whole.
+        """
+        pieces = []
+        left_bytes = MAX_WHOLE_ANSWER_BYTES
+        while piece := await self.head.body.readany():
+            pieces.append(piece)
+            left_bytes -= len(piece)
+            if left_bytes < 0:
+                raise outcomes.UnknownOutcomeError("the answer is too large")
+        return b"".join(pieces)
+
+
+class Sender:
+    """Makes single attempts and keeps count of them."""
+
+    __slots__ = ("_clock", "_pool", "_wire_format")
+
+    def __init__(
+        self,
+        *,
+        pool: pool_module.ConnectionPool,
+        wire_format: wire.WireFormat,
+        clock: clock_module.Clock,
+    ):
+        self._pool = pool
+        self._wire_format = wire_format
+        self._clock = clock
+
+    @contextlib.asynccontextmanager
+    async def attempt(
+        self, replica: directory_module.Replica, outgoing: Outgoing
+    ) -> AsyncIterator[Answer]:
+        """Sends once; the answer's body is to be read inside the context.
+
+        Leaving the context early drops the connection, so that the replica
+        stops working for nobody.
+
+        Raises:
+            outcomes.NotSentError: Nothing was written.
+            outcomes.RefusedError: The replica says that it did not run it.
+            outcomes.UnknownOutcomeError: It may have run.
+        """
+        address = replica.entry.address
+        connection = None
+        answer = None
+        replica.in_flight += 1
+        try:
+            connection = await self._connect(replica, outgoing)
+            answer = await self._exchange(connection, replica, outgoing)
+            yield answer
+        except outcomes.UnknownOutcomeError:
+            replica.health.note_failure(self._clock.monotonic())
+            raise
+        finally:
+            replica.in_flight -= 1
+            if connection is not None:
+                self._give_back(address, connection, answer)
+
+    async def _connect(
+        self, replica: directory_module.Replica, outgoing: Outgoing
+    ) -> connection_module.ReplicaConnection:
+        longest_idle_s = (
+            LONGEST_IDLE_S if outgoing.repeatable else LONGEST_IDLE_FOR_ONCE_S
+        )
+        try:
+            return await self._pool.acquire(
+                replica.entry.address, longest_idle_s=longest_idle_s
+            )
+        except outcomes.NotSentError:
+            replica.health.note_unreachable(self._clock.monotonic())
+            raise
+
+    async def _exchange(
+        self,
+        connection: connection_module.ReplicaConnection,
+        replica: directory_module.Replica,
+        outgoing: Outgoing,
+    ) -> Answer:
+        head = await connection.exchange(
+            outgoing.encoded(), has_body=outgoing.method != "HEAD"
+        )
+        facts = self._wire_format.read_answer(head.status, head.headers)
+        answer = Answer(head=head, facts=facts, replica=replica)
+        # A late answer to an earlier request arrives where this one's is
+        # due. The echoed id tells them apart; this request may have run.
+        if facts.request_id not in (None, outgoing.request_id):
+            connection.sound = False
+            raise outcomes.UnknownOutcomeError(
+                f"the answer is to request {facts.request_id!r}"
+            )
+        if facts.load is not None:
+            replica.note_load(
+                facts.load.running + facts.load.waiting,
+                self._clock.monotonic(),
+            )
+        if facts.not_run:
+            await answer.read_whole()
+            raise outcomes.RefusedError(
+                f"{replica.entry.replica_id} refused with {head.status}",
+                status=head.status,
+                wrong_replica=head.status == 421,
+            )
+        return answer
+
+    def _give_back(
+        self,
+        address: str,
+        connection: connection_module.ReplicaConnection,
+        answer: Answer | None,
+    ) -> None:
+        idle_limit_s = answer.facts.idle_limit_s if answer else None
+        self._pool.release(address, connection, idle_limit_s=idle_limit_s)
--- /dev/null
+++ b/src/nutmeghook/platform/configuration.py
@@ -0,0 +1,149 @@
+"""Decodes the operator's configuration."""
+
+import datetime
+
+import msgspec
+
+from nutmeghook.internal.routes import model
+
+_KINDS = {
+    "idempotent": model.RouteKind.IDEMPOTENT,
+    "non_idempotent": model.RouteKind.ONCE,
+    "streaming": model.RouteKind.STREAM,
+}
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    route_kind: str
+    timeout_ms: float
+    service: str = ""
+    split: list[_Share] = []
+    slo_ms: float = 1000.0
+    attempts: int = 1
+    # 0 is the most urgent rank.
+    priority: int = 0
+    resumable: bool = False
+    gap_target_ms: float = 1000.0
+    # Names of models, smallest first.
+    sizes: list[str] = []
+    # True where no key is asked for.
+    anonymous: bool = False
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    cost: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Team(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Team] = []
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode(value: bytes) -> model.Configuration:
+    """Returns the configuration.
+
+    Raises:
+        ValueError: It is malformed; the text says where.
+    """
+    try:
+        wire = _DECODER.decode(value)
+        routes = tuple(_route(route) for route in wire.routes)
+    except (msgspec.MsgspecError, KeyError) as error:
+        raise ValueError(f"malformed configuration: {error!r}") from error
+    return model.Configuration(
+        version=wire.version,
+        routes=routes,
+        services={s.name: _service(s) for s in wire.services},
+        teams_by_key={
+            key: model.Team(name=team.name, priority=team.priority)
+            for team in wire.tenants
+            for key in team.api_keys
+        },
+        limits=_limits(wire.limits),
+    )
+
+
+def _route(wire: _Route) -> model.Route:
+    shares = tuple(
+        model.ServiceShare(service=share.service, weight=share.weight)
+        for share in wire.split
+    )
+    if not shares:
+        shares = (model.ServiceShare(service=wire.service, weight=1.0),)
+    return model.Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=_KINDS[wire.route_kind],
+        shares=shares,
+        time_limit=_milliseconds(wire.timeout_ms),
+        target=_milliseconds(wire.slo_ms),
+        attempts=max(1, wire.attempts),
+        priority=wire.priority,
+        resumable=wire.resumable,
+        longest_pause=_milliseconds(wire.gap_target_ms),
+        models=tuple(wire.sizes),
+        needs_key=not wire.anonymous,
+    )
+
+
+def _service(wire: _Service) -> model.Service:
+    models = wire.engine.models if wire.engine else []
+    return model.Service(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_conns,
+        model_costs={entry.name: entry.cost for entry in models},
+    )
+
+
+def _limits(wire: _Limits) -> model.CallerLimits:
+    return model.CallerLimits(
+        header_bytes=wire.max_header_bytes,
+        body_bytes=wire.max_body_bytes,
+        header_time=_milliseconds(wire.header_timeout_ms),
+        idle_time=_milliseconds(wire.idle_timeout_ms),
+    )
+
+
+def _milliseconds(number: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=number)
--- /dev/null
+++ b/src/nutmeghook/platform/headers.py
@@ -0,0 +1,199 @@
+"""Headers of the users' platform, read and written.
+
+Requests carry facts for the router, facts for the replica, and headers that
+only the router may set. A caller's copy of the last kind is dropped: passed
+on, it could reserve memory, pin prompts or choose a version in our name.
+"""
+
+import datetime
+import re
+
+from nutmeghook.internal.foundation import http_headers
+from nutmeghook.internal.relay import wire
+
+REQUEST_ID = "X-Attempt-Id"
+TIME_LEFT = "X-Deadline-Ms"
+TEAM = "X-Tenant"
+MODEL = "X-Model"
+# Prompt tokens and the largest number of output tokens.
+TOKEN_COUNTS = "X-Token-Counts"
+PROMPT_PARTS = "X-Prompt-Prefix"
+LAST_EVENT = "Last-Event-Id"
+EXPECTED_REPLICA = "X-Expect-Replica"
+URGENCY = "X-Request-Urgency"
+SEAL = "X-Replica-Seal"
+NOT_RUN = "X-Not-Executed"
+LOAD = "X-Replica-Load"
+CONFIDENCE = "X-Confidence"
+SESSION = "Session"
+ANY_MODEL = "*"
+KEY_SCHEME = "token"
+WRONG_REPLICA_STATUS = 421
+
+# Set by the router alone, or meant for it alone.
+_NEVER_FORWARDED = http_headers.CONNECTION_FIELDS | {
+    "authorization",
+    "x-tenant",
+    "x-deadline-ms",
+    "x-expect-replica",
+    "x-expect-version",
+    "x-request-urgency",
+    "x-pin-ms",
+    "x-kv-hold",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "wait-ms",
+}
+# Of one connection, or wrong once the body is framed anew.
+_NOT_RETURNED = http_headers.CONNECTION_FIELDS | {"x-replica-load"}
+_IDLE_LIMIT = re.compile(r"timeout=(\d+)", re.IGNORECASE)
+
+
+class PlatformHeaders(wire.WireFormat):
+    """The platform's spelling of the relay's facts."""
+
+    __slots__ = ()
+
+    def read_caller(self, headers: wire.Headers) -> wire.CallerFacts:
+        """Reads a request's headers."""
+        values = {name.lower(): value for name, value in headers}
+        return wire.CallerFacts(
+            request_id=values.get(REQUEST_ID.lower(), ""),
+            time_left=_milliseconds(values.get(TIME_LEFT.lower())),
+            api_key=_key(values.get("authorization")),
+            session=values.get(SESSION.lower()),
+            any_model=values.get(MODEL.lower()) == ANY_MODEL,
+            prompt=_prompt(values),
+            last_event_id=values.get(LAST_EVENT.lower()),
+            forwarded=_forwarded(headers, _NEVER_FORWARDED),
+        )
+
+    def attempt_headers(
+        self, caller: wire.CallerFacts, attempt: wire.AttemptFacts
+    ) -> wire.Headers:
+        """Returns the headers of a request to a replica."""
+        replaced = set()
+        own = [
+            (TIME_LEFT, str(max(1, _whole_ms(attempt.time_left)))),
+            (EXPECTED_REPLICA, attempt.replica_id),
+        ]
+        if attempt.team is not None:
+            own.append((TEAM, attempt.team))
+        if attempt.urgency is not None:
+            own.append((URGENCY, str(attempt.urgency)))
+        if attempt.model is not None:
+            own.append((MODEL, attempt.model))
+            replaced.add(MODEL.lower())
+        if attempt.last_event_id is not None:
+            own.append((LAST_EVENT, attempt.last_event_id))
+            replaced.add(LAST_EVENT.lower())
+        kept = [
+            (name, value)
+            for name, value in caller.forwarded
+            if name.lower() not in replaced
+        ]
+        return kept + own
+
+    def read_answer(
+        self, status: int, headers: wire.Headers
+    ) -> wire.AnswerFacts:
+        """Reads an answer's headers."""
+        values = {name.lower(): value for name, value in headers}
+        return wire.AnswerFacts(
+            request_id=values.get(REQUEST_ID.lower()),
+            not_run=NOT_RUN.lower() in values or status == WRONG_REPLICA_STATUS,
+            sealed=bool(values.get(SEAL.lower())),
+            encoded="content-encoding" in values,
+            confidence=_whole(values.get(CONFIDENCE.lower())),
+            load=_load(values.get(LOAD.lower())),
+            idle_limit_s=_idle_limit_s(values.get("keep-alive")),
+        )
+
+    def answer_headers(self, headers: wire.Headers) -> wire.Headers:
+        """Returns the headers of an answer that the caller is to see."""
+        return _forwarded(headers, _NOT_RETURNED)
+
+
+def _forwarded(
+    headers: wire.Headers, left_out: frozenset[str]
+) -> list[tuple[str, str]]:
+    """Leaves out what concerns one connection, also by its own word."""
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in left_out and name.lower() not in named
+    ]
+
+
+def _key(authorization: str | None) -> str | None:
+    if authorization is None:
+        return None
+    scheme, _, key = authorization.partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME else None
+
+
+def _prompt(values: dict[str, str]) -> wire.Prompt | None:
+    counts = values.get(TOKEN_COUNTS.lower())
+    if counts is None:
+        return None
+    numbers = [_whole(part) for part in counts.split(",")]
+    if len(numbers) != 2 or None in numbers:
+        raise ValueError(
+            f"{TOKEN_COUNTS} is {counts!r}; give two whole numbers"
+        )
+    return wire.Prompt(
+        input_tokens=numbers[0],
+        max_output_tokens=numbers[1],
+        parts=_parts(values.get(PROMPT_PARTS.lower(), "")),
+    )
+
+
+def _parts(text: str) -> tuple[wire.PromptPart, ...]:
+    parts = []
+    for entry in text.split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        count = _whole(tokens)
+        if part_id and count is not None:
+            parts.append(wire.PromptPart(part_id=part_id, tokens=count))
+    return tuple(parts)
+
+
+def _load(text: str | None) -> wire.ReportedLoad | None:
+    numbers = [_whole(part) for part in (text or "").split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    return wire.ReportedLoad(
+        running=numbers[0], waiting=numbers[1], slots=numbers[2]
+    )
+
+
+def _whole(text: str | None) -> int | None:
+    if text is None:
+        return None
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _milliseconds(text: str | None) -> datetime.timedelta | None:
+    if text is None:
+        return None
+    number = _whole(text)
+    if number is None:
+        raise ValueError(f"{TIME_LEFT} is {text!r}; give a whole number")
+    return datetime.timedelta(milliseconds=min(number, 86_400_000))
+
+
+def _whole_ms(duration: datetime.timedelta) -> int:
+    return int(duration / datetime.timedelta(milliseconds=1))
+
+
+def _idle_limit_s(text: str | None) -> float | None:
+    found = _IDLE_LIMIT.search(text or "")
+    return float(found[1]) if found else None
--- /dev/null
+++ b/src/nutmeghook/platform/rollout_rows.py
@@ -0,0 +1,56 @@
+"""Decodes orders to roll out, and encodes how they stand."""
+
+import msgspec
+
+from nutmeghook.internal.version_plans import orders
+
+ORDER_PREFIX = "rollout/"
+_STATES = {
+    orders.OrderState.RUNNING: "in_progress",
+    orders.OrderState.COMPLETED: "completed",
+    orders.OrderState.REVERTED: "reverted",
+}
+
+
+class _Order(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    # The version that replicas are to have in the end.
+    to: str
+    # Seconds from the order to its end.
+    within_s: float
+
+
+class _Status(msgspec.Struct, frozen=True):
+    service: str
+    to: str
+    state: str
+
+
+_DECODER = msgspec.json.Decoder(_Order)
+
+
+def decode_order(value: bytes, row_version: int) -> orders.RollOutOrder:
+    """Returns the order.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    try:
+        wire = _DECODER.decode(value)
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"malformed order: {error}") from error
+    return orders.RollOutOrder(
+        service=wire.service,
+        version=wire.to,
+        within_s=wire.within_s,
+        order_id=row_version,
+    )
+
+
+def encode_status(
+    order: orders.RollOutOrder, state: orders.OrderState
+) -> bytes:
+    """Returns the value of the row that the operator reads."""
+    return msgspec.json.encode(
+        _Status(service=order.service, to=order.version, state=_STATES[state])
+    )
--- /dev/null
+++ b/src/nutmeghook/platform/store.py
@@ -0,0 +1,298 @@
+"""The platform's store: rows, conditional writes and feeds over HTTP."""
+
+import base64
+import datetime
+import urllib.parse
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.following import source
+
+# The store answers in 4 ms; on its slow days some 60 times as long. A call
+# that takes longer than this is better made anew: the answer may be lost.
+CALL_TIMEOUT = datetime.timedelta(milliseconds=1200)
+# Beyond the time that a feed was asked to wait.
+FEED_SLACK = datetime.timedelta(milliseconds=600)
+_ROWS_A_PAGE = 500
+_HISTORY_GONE_STATUS = 410
+_CONDITION_FAILED_STATUS = 412
+_REFUSING_STATUSES = (429, 503)
+
+
+class _Row(msgspec.Struct, frozen=True, rename="camel"):
+    key: str
+    table: str = ""
+    part: str = ""
+    value: str = ""
+    row_version: int = 0
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct, frozen=True, rename="camel"):
+    rows: list[_Row] = []
+    # The newest version of any row, up to which this answer is complete.
+    row_version: int = 0
+    now_ms: float = 0.0
+    has_more: bool = False
+
+
+class _RowRef(msgspec.Struct, frozen=True, rename="camel"):
+    table: str
+    key: str
+    part: str = ""
+
+
+class _Expected(msgspec.Struct, frozen=True, rename="camel"):
+    table: str
+    key: str
+    # 0: the row must not exist.
+    row_version: int
+    part: str = ""
+
+
+class _Write(msgspec.Struct, frozen=True, rename="camel"):
+    table: str
+    key: str
+    value: str
+    part: str = ""
+
+
+class _Transaction(msgspec.Struct, frozen=True, rename="camel"):
+    # Named a revision on the wire, though each entry is a row's condition.
+    expected_rev: list[_Expected]
+    write: list[_Write]
+    remove: list[_RowRef]
+
+
+_ROWS = msgspec.json.Decoder(_Rows)
+
+
+class StoreClient:
+    """Calls to the store; one for the whole process."""
+
+    __slots__ = ("_address", "_session", "calls")
+
+    def __init__(self, *, session: aiohttp.ClientSession, address: str):
+        self._session = session
+        self._address = address
+        self.calls = 0
+
+    async def get(
+        self, path: str, query: dict[str, str], *, timeout: datetime.timedelta
+    ) -> _Rows:
+        """Makes a call that changes nothing."""
+        status, body = await self._call(
+            "GET", f"{path}?{urllib.parse.urlencode(query)}", None, timeout
+        )
+        if status == _HISTORY_GONE_STATUS:
+            raise source.HistoryGoneError
+        if status != 200:
+            raise failures.NotDoneError(
+                f"the store answered {status} to {path}",
+                overloaded=status in _REFUSING_STATUSES,
+            )
+        return _decoded(body)
+
+    async def post(
+        self, path: str, transaction: _Transaction
+    ) -> tuple[bool, _Rows]:
+        """Makes a conditional write; False if a condition did not hold."""
+        status, body = await self._call(
+            "POST", path, msgspec.json.encode(transaction), CALL_TIMEOUT
+        )
+        if status in _REFUSING_STATUSES:
+            raise failures.NotDoneError(
+                f"the store answered {status}", overloaded=True
+            )
+        if status not in (200, _CONDITION_FAILED_STATUS):
+            raise failures.OutcomeUnknownError(f"the store answered {status}")
+        return status == 200, _decoded(body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout: datetime.timedelta,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        try:
+            async with self._session.request(
+                method,
+                f"http://{self._address}{path}",
+                data=body,
+                headers={"Content-Type": "application/json"} if body else {},
+                timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
+                allow_redirects=False,
+            ) as response:
+                return response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise failures.NotDoneError(
+                f"the store can't be reached: {error!r}"
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise failures.OutcomeUnknownError(
+                f"no answer of the store: {error!r}"
+            ) from error
+
+
+class PlatformTable(table_module.TableService, source.FollowedTable):
+    """One table of the store; all rows in its nameless part."""
+
+    __slots__ = ("_client", "_name")
+
+    def __init__(self, *, client: StoreClient, name: str):
+        self._client = client
+        self._name = name
+
+    @property
+    def name(self) -> str:
+        """The table's name."""
+        return self._name
+
+    async def read(self, key: str) -> table_module.Row | None:
+        """Returns the row, or None where there is none."""
+        # The end of a range is left out of it; no key lies between these.
+        rows = await self._rows(first=key, end=key + "\0", limit=1)
+        found = [row for row in rows.rows if row.key == key]
+        return _row(found[0]) if found else None
+
+    async def scan(
+        self, *, prefix: str, after: str = "", limit: int = 1000
+    ) -> list[table_module.Row]:
+        """Returns rows whose key has the prefix, in order of their keys."""
+        found: list[table_module.Row] = []
+        first = max(prefix, after + "\0") if after else prefix
+        while len(found) < limit:
+            page = await self._rows(
+                first=first, limit=min(limit - len(found), _ROWS_A_PAGE)
+            )
+            matching = [r for r in page.rows if r.key.startswith(prefix)]
+            found.extend(_row(row) for row in matching)
+            if not page.has_more or len(matching) < len(page.rows):
+                break
+            first = page.rows[-1].key + "\0"
+        return found
+
+    async def commit(
+        self, transaction: table_module.Transaction
+    ) -> table_module.CommitResult:
+        """Applies the transaction if all its conditions hold."""
+        committed, rows = await self._client.post(
+            "/v1/rows-tx",
+            _Transaction(
+                expected_rev=[
+                    _Expected(
+                        table=self._name,
+                        key=condition.key,
+                        row_version=condition.version,
+                    )
+                    for condition in transaction.conditions
+                ],
+                write=[
+                    _Write(
+                        table=self._name,
+                        key=put.key,
+                        value=base64.b64encode(put.value).decode(),
+                    )
+                    for put in transaction.puts
+                ],
+                remove=[
+                    _RowRef(table=self._name, key=key)
+                    for key in transaction.deletes
+                ],
+            ),
+        )
+        if committed:
+            return table_module.CommitResult(
+                committed=True,
+                versions=(rows.row_version,) * len(transaction.puts),
+            )
+        return table_module.CommitResult(
+            committed=False,
+            current=tuple(
+                _row(r) for r in rows.rows if r.row_version and not r.deleted
+            ),
+        )
+
+    async def read_all(self) -> source.Page:
+        """Returns all rows as of one moment, or of a few close ones.
+
+        Later pages may be newer than the first; the revision returned is the
+        first page's, so the feed repeats whatever changed in between.
+        """
+        page = await self._rows()
+        revision = page.row_version
+        rows = list(page.rows)
+        while page.has_more and page.rows:
+            page = await self._rows(first=page.rows[-1].key + "\0")
+            rows.extend(page.rows)
+        return _page(rows, revision, page.now_ms)
+
+    async def changes(
+        self, since: int, wait: datetime.timedelta
+    ) -> source.Page:
+        """Returns the changes after a revision as soon as there is one."""
+        wait_ms = int(wait / datetime.timedelta(milliseconds=1))
+        answer = await self._client.get(
+            "/v1/rows-feed",
+            {
+                "table": self._name,
+                "sinceRev": str(since),
+                "waitMs": str(wait_ms),
+            },
+            timeout=wait + FEED_SLACK,
+        )
+        return _page(answer.rows, max(since, answer.row_version), answer.now_ms)
+
+    async def _rows(
+        self,
+        *,
+        first: str = "",
+        end: str = "",
+        limit: int = _ROWS_A_PAGE,
+    ) -> _Rows:
+        query = {"table": self._name, "part": "", "limit": str(limit)}
+        if first:
+            query["source"] = first
+        if end:
+            query["to"] = end
+        return await self._client.get(
+            "/v1/rows-get", query, timeout=CALL_TIMEOUT
+        )
+
+
+def _decoded(body: bytes) -> _Rows:
+    try:
+        return _ROWS.decode(body)
+    except msgspec.MsgspecError as error:
+        raise failures.OutcomeUnknownError(
+            f"malformed answer of the store: {error}"
+        ) from error
+
+
+def _row(row: _Row) -> table_module.Row:
+    return table_module.Row(
+        key=row.key,
+        value=base64.b64decode(row.value),
+        version=row.row_version,
+    )
+
+
+def _page(rows: list[_Row], revision: int, now_ms: float) -> source.Page:
+    return source.Page(
+        rows=tuple(
+            source.FollowedRow(
+                key=row.key,
+                value=base64.b64decode(row.value),
+                version=row.row_version,
+                deleted=row.deleted,
+            )
+            for row in rows
+        ),
+        revision=revision,
+        store_time=datetime.timedelta(milliseconds=now_ms),
+    )
--- /dev/null
+++ b/src/nutmeghook/platform/tables.py
@@ -0,0 +1,91 @@
+"""Feeds rows of the platform's tables into the router."""
+
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import source
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.version_plans import orders as orders_module
+from nutmeghook.platform import configuration as configuration_wire
+from nutmeghook.platform import replicas as replicas_wire
+from nutmeghook.platform import rollout_rows
+
+OPERATOR_TABLE = "op"
+REPLICA_TABLE = "servers"
+STATUS_TABLE = "status"
+CONFIGURATION_KEY = "config"
+_FROM_STORE = "store"
+
+
+class OperatorRows(follower.TableReader):
+    """Takes in the operator's configuration and orders."""
+
+    __slots__ = ("_configuration", "_orders")
+
+    def __init__(
+        self,
+        *,
+        configuration: in_force_module.ConfigurationInForce,
+        orders: orders_module.OrderBook,
+    ):
+        self._configuration = configuration
+        self._orders = orders
+
+    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in the whole table."""
+        self.change(rows)
+
+    def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in changes; a malformed row leaves what is in force."""
+        for row in rows:
+            try:
+                self._take(row)
+            except ValueError as error:
+                logs.note("operator:bad_row", key=row.key, error=str(error))
+
+    def _take(self, row: source.FollowedRow) -> None:
+        if row.key == CONFIGURATION_KEY and not row.deleted:
+            self._configuration.offer(
+                configuration_wire.decode(row.value), source=_FROM_STORE
+            )
+        elif row.key.startswith(rollout_rows.ORDER_PREFIX):
+            service = row.key.removeprefix(rollout_rows.ORDER_PREFIX)
+            if row.deleted:
+                self._orders.withdraw(service)
+            else:
+                self._orders.place(
+                    rollout_rows.decode_order(row.value, row.version)
+                )
+
+
+class ReplicaRows(follower.TableReader):
+    """Takes in the replica list."""
+
+    __slots__ = ("_directory",)
+
+    def __init__(self, *, directory: directory_module.ReplicaDirectory):
+        self._directory = directory
+
+    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in the whole list."""
+        found = [_entry(row) for row in rows if not row.deleted]
+        self._directory.replace(e for e in found if e is not None)
+
+    def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in changes."""
+        for row in rows:
+            if row.deleted:
+                self._directory.remove(row.key)
+                continue
+            entry = _entry(row)
+            if entry is not None:
+                self._directory.put(entry)
+
+
+def _entry(row: source.FollowedRow) -> entries.ReplicaEntry | None:
+    try:
+        return replicas_wire.decode(row.key, row.value)
+    except ValueError as error:
+        logs.note("replica:bad_row", key=row.key, error=str(error))
+        return None
--- a/src/nutmeghook/standins/answers.py
+++ b/src/nutmeghook/standins/answers.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 BAD_SIGN = "!bad"
 END_SIGN = "/end"
--- a/src/nutmeghook/standins/backend_apps.py
+++ b/src/nutmeghook/standins/backend_apps.py
@@ -5,11 +5,11 @@
 from aiohttp import web
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_engine
-from nutmeghook.internal.platform import http_plain
-from nutmeghook.internal.platform import plain
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_plain
 from nutmeghook.standins import engine_settings
 from nutmeghook.standins import memory_engine
 from nutmeghook.standins import memory_plain
--- a/src/nutmeghook/standins/engine_batch.py
+++ b/src/nutmeghook/standins/engine_batch.py
@@ -6,9 +6,9 @@
 import heapq
 import itertools
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
 from nutmeghook.standins import answers
 from nutmeghook.standins import engine_cache
 from nutmeghook.standins import engine_runs
--- a/src/nutmeghook/standins/engine_cache.py
+++ b/src/nutmeghook/standins/engine_cache.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.standins import engine_settings
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
--- a/src/nutmeghook/standins/engine_orders.py
+++ b/src/nutmeghook/standins/engine_orders.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import weights
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import weights
 from nutmeghook.standins import engine_settings
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
--- a/src/nutmeghook/standins/engine_runs.py
+++ b/src/nutmeghook/standins/engine_runs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.standins import answers
 
 
--- a/src/nutmeghook/standins/engine_settings.py
+++ b/src/nutmeghook/standins/engine_settings.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 
 
 class EngineSettings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
--- a/src/nutmeghook/standins/faults.py
+++ b/src/nutmeghook/standins/faults.py
@@ -6,8 +6,8 @@
 import datetime
 from typing import TypeVar
 
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
 
 _T = TypeVar("_T")
 _NO_TIME = datetime.timedelta()
--- a/src/nutmeghook/standins/fleet.py
+++ b/src/nutmeghook/standins/fleet.py
@@ -6,9 +6,9 @@
 from aiohttp import web
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 from nutmeghook.standins import backend_apps
 from nutmeghook.standins import control
 from nutmeghook.standins import engine_settings
--- a/src/nutmeghook/standins/listed_changes.py
+++ b/src/nutmeghook/standins/listed_changes.py
@@ -5,8 +5,8 @@
 import msgspec
 import xxhash
 
-from nutmeghook.internal.platform import http_instances
-from nutmeghook.internal.platform import instances
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.standin_http import http_instances
 
 # A reader that is further behind gets the whole list.
 LISTS_KEPT = 16
--- a/src/nutmeghook/standins/memory_engine.py
+++ b/src/nutmeghook/standins/memory_engine.py
@@ -7,9 +7,9 @@
 import msgspec
 import xxhash
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
 from nutmeghook.standins import answers
 from nutmeghook.standins import engine_batch
 from nutmeghook.standins import engine_cache
--- a/src/nutmeghook/standins/memory_instances.py
+++ b/src/nutmeghook/standins/memory_instances.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import instances
 from nutmeghook.standins import faults as faults_module
 
 _Listed = dict[str, instances.ListedInstance]
--- a/src/nutmeghook/standins/memory_plain.py
+++ b/src/nutmeghook/standins/memory_plain.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import plain
 from nutmeghook.standins import answers
 from nutmeghook.standins import faults as faults_module
 
--- a/src/nutmeghook/standins/memory_ratings.py
+++ b/src/nutmeghook/standins/memory_ratings.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 import datetime
 
+from nutmeghook.internal.dependencies import ratings
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import ratings
 from nutmeghook.standins import faults as faults_module
 
 
--- a/src/nutmeghook/standins/memory_table.py
+++ b/src/nutmeghook/standins/memory_table.py
@@ -2,8 +2,8 @@
 
 import bisect
 
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import table
 from nutmeghook.standins import faults as faults_module
 from nutmeghook.standins import rate_limit
 
--- a/src/nutmeghook/standins/memory_weights.py
+++ b/src/nutmeghook/standins/memory_weights.py
@@ -1,9 +1,9 @@
 """The weight store in memory, with its limit on downloads."""
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import weights
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import weights
 from nutmeghook.standins import faults as faults_module
 from nutmeghook.standins import rate_limit
 
--- a/src/nutmeghook/standins/platform_apps.py
+++ b/src/nutmeghook/standins/platform_apps.py
@@ -5,14 +5,14 @@
 from aiohttp import web
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import http_instances
-from nutmeghook.internal.platform import http_objects
-from nutmeghook.internal.platform import http_ratings
-from nutmeghook.internal.platform import http_table
-from nutmeghook.internal.platform import http_weights
-from nutmeghook.internal.platform import instances
-from nutmeghook.internal.platform import table
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.dependencies import table
+from nutmeghook.internal.standin_http import http_instances
+from nutmeghook.internal.standin_http import http_objects
+from nutmeghook.internal.standin_http import http_ratings
+from nutmeghook.internal.standin_http import http_table
+from nutmeghook.internal.standin_http import http_weights
 from nutmeghook.standins import listed_changes
 from nutmeghook.standins import memory_instances
 from nutmeghook.standins import memory_objects
--- a/src/nutmeghook/standins/quality.py
+++ b/src/nutmeghook/standins/quality.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from nutmeghook.internal.platform import ratings
+from nutmeghook.internal.dependencies import ratings
 from nutmeghook.standins import answers
 
 # In a prompt `difficulty=0.7`; without it, `QualitySettings.difficulty`.
--- a/src/nutmeghook/standins/rate_limit.py
+++ b/src/nutmeghook/standins/rate_limit.py
@@ -2,8 +2,8 @@
 
 import datetime
 
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
 
 
 class RateLimit:
--- a/src/nutmeghook/standins/serving.py
+++ b/src/nutmeghook/standins/serving.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 import msgspec
 
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.standin_http import http_exchange
 from nutmeghook.standins import faults as faults_module
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -10,12 +10,12 @@
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import operations
 from nutmeghook.internal.config import rows
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events
-from nutmeghook.internal.platform import engine
 from nutmeghook.standins import memory_table
 
 SECOND = datetime.timedelta(seconds=1)
--- a/tests/cover/dispatch_errors.py
+++ b/tests/cover/dispatch_errors.py
@@ -1,6 +1,6 @@
 """How a connection to an engine fails, for tests."""
 
-from nutmeghook.internal.platform import failures
+from nutmeghook.internal.dependencies import failures
 
 
 def refused() -> Exception:
--- a/tests/cover/orders_floor.py
+++ b/tests/cover/orders_floor.py
@@ -5,6 +5,8 @@
 import random
 
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import lease
 from nutmeghook.internal.membership import members
@@ -13,8 +15,6 @@
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import service
 from nutmeghook.internal.orders import weight_grants
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 from nutmeghook.standins import engine_settings
 from nutmeghook.standins import memory_engine
 from nutmeghook.standins import memory_instances
--- a/tests/cover/platform_case.py
+++ b/tests/cover/platform_case.py
@@ -3,9 +3,9 @@
 import datetime
 import unittest
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.standin_http import http_exchange
 from nutmeghook.standins import engine_settings
 from nutmeghook.standins import fleet
 
--- a/tests/cover/test_cascade_learned.py
+++ b/tests/cover/test_cascade_learned.py
@@ -14,9 +14,9 @@
 from bench.models import quality
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import ratings
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import ratings
 from nutmeghook.internal.routing import cascade
 from nutmeghook.internal.routing import cascade_labels
 from nutmeghook.internal.routing import cascade_learned
--- a/tests/cover/test_cascade_publishing.py
+++ b/tests/cover/test_cascade_publishing.py
@@ -13,11 +13,11 @@
 from bench import cascade as cascade_bench
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import ratings
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import ratings
-from nutmeghook.internal.platform import table
 from nutmeghook.internal.routing import cascade_labels
 from nutmeghook.internal.routing import cascade_learned
 from nutmeghook.internal.routing import cascade_learner
--- a/tests/cover/test_config_acceptance.py
+++ b/tests/cover/test_config_acceptance.py
@@ -8,10 +8,10 @@
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import operations
 from nutmeghook.internal.config import rows
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.leases import lease
-from nutmeghook.internal.platform import table
 from nutmeghook.standins import memory_table
 from tests import config_fleet
 
--- a/tests/cover/test_config_distribution.py
+++ b/tests/cover/test_config_distribution.py
@@ -13,10 +13,10 @@
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.membership import members as members_module
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.standins import memory_table
 from tests import config_fleet
 
--- a/tests/cover/test_config_validation.py
+++ b/tests/cover/test_config_validation.py
@@ -16,8 +16,8 @@
 from nutmeghook.internal.config import shares
 from nutmeghook.internal.config import state as state_module
 from nutmeghook.internal.config import validation
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 from tests import config_fleet
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.limits import concurrency_limit
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
 from nutmeghook.internal.routing import backends
 from tests import fakes
 from tests.cover import dispatch_errors
--- a/tests/cover/test_dispatch_outcomes.py
+++ b/tests/cover/test_dispatch_outcomes.py
@@ -7,9 +7,9 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.platform import engine
 from tests import fakes
 from tests.cover import dispatch_errors
 
--- a/tests/cover/test_dispatch_plain.py
+++ b/tests/cover/test_dispatch_plain.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import requests
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
@@ -15,8 +17,6 @@
 from nutmeghook.internal.limits import concurrency_limit
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import plain
 from tests import fakes
 
 OUTCOMES = {
--- a/tests/cover/test_dispatch_silent_engine.py
+++ b/tests/cover/test_dispatch_silent_engine.py
@@ -7,11 +7,11 @@
 from aiohttp import web
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.entry import listener as listener_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_engine
-from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_exchange
 
 GENERATION = engine.Generation(
     attempt_id="req-1/1",
--- a/tests/cover/test_guarantees_withdrawal.py
+++ b/tests/cover/test_guarantees_withdrawal.py
@@ -7,10 +7,10 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import pins as pins_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.rollout import exposure
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.standins import faults as faults_module
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -7,14 +7,14 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.leases import keeper
 from nutmeghook.internal.leases import preference
 from nutmeghook.internal.leases import rows
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.standins import memory_table
 from tests import ledger_cluster
 
--- a/tests/cover/test_ledger_pins.py
+++ b/tests/cover/test_ledger_pins.py
@@ -3,10 +3,10 @@
 import asyncio
 import unittest
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import pins
-from nutmeghook.internal.platform import engine
 from tests import ledger_cluster
 
 SECOND = ledger_cluster.SECOND
--- a/tests/cover/test_limits_service.py
+++ b/tests/cover/test_limits_service.py
@@ -6,13 +6,13 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock
 from nutmeghook.internal.limits import ceiling
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
 from nutmeghook.internal.limits import service_rate
 from nutmeghook.internal.membership import members
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 
 SECOND = datetime.timedelta(seconds=1)
--- a/tests/cover/test_orders_cells.py
+++ b/tests/cover/test_orders_cells.py
@@ -5,6 +5,9 @@
 import datetime
 import unittest
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
@@ -13,9 +16,6 @@
 from nutmeghook.internal.orders import cell_reports
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import report_pages
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cells as cells_module
 from nutmeghook.internal.routing import directory as directory_module
--- a/tests/cover/test_orders_holders.py
+++ b/tests/cover/test_orders_holders.py
@@ -4,8 +4,8 @@
 import datetime
 import unittest
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.orders import controller as controller_module
-from nutmeghook.internal.platform import engine
 from tests.cover import orders_floor
 from tests.cover import test_orders_planning as planning_case
 
--- a/tests/cover/test_orders_pages.py
+++ b/tests/cover/test_orders_pages.py
@@ -8,11 +8,11 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.orders import cell_reports
 from nutmeghook.internal.orders import report_pages
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 from tests.cover import orders_floor
 from tests.cover import test_orders_planning as planning_case
--- a/tests/cover/test_orders_planning.py
+++ b/tests/cover/test_orders_planning.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies
 
 from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock
 from nutmeghook.internal.orders import fleet_reading
 from nutmeghook.internal.orders import planning
 from nutmeghook.internal.orders import readiness
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.routing import backends
 
 
--- a/tests/cover/test_orders_unloads.py
+++ b/tests/cover/test_orders_unloads.py
@@ -5,7 +5,7 @@
 import itertools
 import unittest
 
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 from tests.cover import orders_floor
 from tests.cover import test_orders_planning as planning_case
 
--- a/tests/cover/test_platform_engine.py
+++ b/tests/cover/test_platform_engine.py
@@ -5,10 +5,10 @@
 import aiohttp
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_engine
-from nutmeghook.internal.platform import http_exchange
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_exchange
 from nutmeghook.standins import answers
 from tests.cover import platform_case
 
--- a/tests/cover/test_platform_instances.py
+++ b/tests/cover/test_platform_instances.py
@@ -10,12 +10,12 @@
 from hypothesis import strategies
 import msgspec
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.dependencies import shared_instances
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_instances
-from nutmeghook.internal.platform import instances
-from nutmeghook.internal.platform import shared_instances
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_instances
 from nutmeghook.standins import memory_instances
 from nutmeghook.standins import platform_apps
 from nutmeghook.standins import serving
--- a/tests/cover/test_platform_plain.py
+++ b/tests/cover/test_platform_plain.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_plain
-from nutmeghook.internal.platform import plain
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_plain
 from tests.cover import platform_case
 
 
--- a/tests/cover/test_platform_stores.py
+++ b/tests/cover/test_platform_stores.py
@@ -9,16 +9,16 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import ratings
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_instances
-from nutmeghook.internal.platform import http_objects
-from nutmeghook.internal.platform import http_ratings
-from nutmeghook.internal.platform import http_table
-from nutmeghook.internal.platform import http_weights
-from nutmeghook.internal.platform import ratings
-from nutmeghook.internal.platform import table
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_instances
+from nutmeghook.internal.standin_http import http_objects
+from nutmeghook.internal.standin_http import http_ratings
+from nutmeghook.internal.standin_http import http_table
+from nutmeghook.internal.standin_http import http_weights
 from nutmeghook.standins import fleet
 from tests.cover import platform_case
 
--- a/tests/cover/test_platform_strange.py
+++ b/tests/cover/test_platform_strange.py
@@ -7,14 +7,14 @@
 from aiohttp import web
 import msgspec
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import http_engine
-from nutmeghook.internal.platform import http_exchange
-from nutmeghook.internal.platform import http_plain
-from nutmeghook.internal.platform import http_table
-from nutmeghook.internal.platform import plain
-from nutmeghook.internal.platform import table
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.dependencies import table
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_plain
+from nutmeghook.internal.standin_http import http_table
 from tests.cover import platform_case
 
 
--- a/tests/cover/test_ratings_reading.py
+++ b/tests/cover/test_ratings_reading.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import ratings
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import ratings
 
 MOST_PAGES = 4
 
--- a/tests/cover/test_rollout_evidence.py
+++ b/tests/cover/test_rollout_evidence.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import ratings
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import ratings
 from nutmeghook.internal.rollout import decisions
 from nutmeghook.internal.rollout import evidence
 from nutmeghook.internal.rollout import pool
--- a/tests/cover/test_rollout_ready.py
+++ b/tests/cover/test_rollout_ready.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from nutmeghook.internal.config import documents
-from nutmeghook.internal.platform import engine
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.rollout import exposure
 from nutmeghook.internal.rollout import ready_gate
 
--- a/tests/cover/test_routing_backends.py
+++ b/tests/cover/test_routing_backends.py
@@ -8,10 +8,10 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import chooser as chooser_module
 from nutmeghook.internal.routing import directory as directory_module
--- a/tests/cover/test_routing_sharing.py
+++ b/tests/cover/test_routing_sharing.py
@@ -8,15 +8,15 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cells
 from nutmeghook.internal.routing import directory as directory_module
--- a/tests/cover/test_standins_engine.py
+++ b/tests/cover/test_standins_engine.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies
 import msgspec
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import weights
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import weights
 from nutmeghook.standins import answers
 from nutmeghook.standins import engine_settings
 from nutmeghook.standins import memory_engine
--- a/tests/cover/test_standins_memory.py
+++ b/tests/cover/test_standins_memory.py
@@ -8,12 +8,12 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.dependencies import ratings
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
-from nutmeghook.internal.platform import instances
-from nutmeghook.internal.platform import ratings
-from nutmeghook.internal.platform import table
 from nutmeghook.standins import faults
 from nutmeghook.standins import memory_instances
 from nutmeghook.standins import memory_ratings
--- a/tests/cover/versions_fleet.py
+++ b/tests/cover/versions_fleet.py
@@ -6,10 +6,10 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import pins as pins_module
-from nutmeghook.internal.platform import engine
 from nutmeghook.internal.rollout import exposure
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.internal.routing import versions
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.dependencies import ratings as rating_service
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import ledger
-from nutmeghook.internal.platform import plain
-from nutmeghook.internal.platform import ratings as rating_service
 
 
 class FakeService(plain.PlainServiceConnector):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,8 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import dispatcher
 from nutmeghook.internal.dispatch import meter
@@ -21,8 +23,6 @@
 from nutmeghook.internal.limits import token_budget
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import failures
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cascade
 from nutmeghook.internal.routing import versions
--- a/tests/ledger_cluster.py
+++ b/tests/ledger_cluster.py
@@ -6,6 +6,7 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
@@ -17,7 +18,6 @@
 from nutmeghook.internal.ledger import settings as settings_module
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
-from nutmeghook.internal.platform import table as table_module
 from nutmeghook.standins import faults
 from nutmeghook.standins import memory_objects
 from nutmeghook.standins import memory_table
--- a/tests/ledger_history.py
+++ b/tests/ledger_history.py
@@ -12,10 +12,10 @@
 import datetime
 import random
 
+from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.ledger import pins
-from nutmeghook.internal.platform import engine
 from tests import ledger_cluster
 
 _SECOND = ledger_cluster.SECOND
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -12,15 +12,15 @@
 from nutmeghook.internal.config import replica as replica_module
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.config import store as store_module
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import ratings
+from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import local
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.leases import lease as lease_module
 from nutmeghook.internal.membership import members
 from nutmeghook.internal.observe import events
-from nutmeghook.internal.platform import engine
-from nutmeghook.internal.platform import ratings
-from nutmeghook.internal.platform import table
 from nutmeghook.internal.rollout import config_editor
 from nutmeghook.internal.rollout import controller
 from nutmeghook.internal.rollout import gate
--- a/tests/slow/test_config_defects.py
+++ b/tests/slow/test_config_defects.py
@@ -12,7 +12,7 @@
 from nutmeghook.internal.config import attempts
 from nutmeghook.internal.config import replica as replica_module
 from nutmeghook.internal.config import rows
-from nutmeghook.internal.platform import table as table_module
+from nutmeghook.internal.dependencies import table as table_module
 from tests import config_machine
 from tests.cover import test_config_replica
 
