--- a/tools/binary.py
+++ b/tools/binary.py
@@ -3,6 +3,7 @@
 docs/design/binary.md says why it is built this way.
 """
 
+import collections.abc
 import os
 import pathlib
 import shutil
@@ -17,6 +18,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RESULT = ROOT / "dist" / "nutmeghook"
 START_MODULE = "embedded_start.py"
+LIBRARIES = "libraries/"
+COMPILE = ("gcc", "-Os", "-s", "-Wall", "-Wextra", "-Werror", "-o")
 COMPILER_PACKAGE = "build-essential"
 EXECUTABLE_MODE = 0o755
 # The interpreter reads these before it can decompress anything.
@@ -40,7 +43,7 @@
     with tempfile.TemporaryDirectory() as folder:
         scratch = pathlib.Path(folder)
         unfinished = scratch / "result"
-        _compile_launcher(unfinished, files, scratch)
+        _compile_launcher(unfinished, scratch)
         _append_archive(unfinished, files, scratch)
         result.parent.mkdir(parents=True, exist_ok=True)
         beside = result.with_suffix(".new")
@@ -58,24 +61,39 @@
         subprocess.run([*become_root, "apt-get", *arguments], check=True)
 
 
-def _compile_launcher(
-    result: pathlib.Path,
-    files: list[payload.SourceFile],
-    scratch: pathlib.Path,
-) -> None:
-    """Compiles the launcher around the interpreter and all libraries."""
+def _compile_launcher(result: pathlib.Path, scratch: pathlib.Path) -> None:
+    """Compiles the launcher around the interpreter.
+
+    Python's machine code is in the interpreter itself, or in a library that
+    a small interpreter of ours opens.
+    """
     interpreter = pathlib.Path(sys.executable).resolve()
-    extensions = [file.path for file in files if file.is_extension]
-    embedded = {"python": interpreter}
-    embedded |= libraries.needed_by([interpreter, *extensions])
+    needed = list(libraries.needed_by([interpreter]).values())
+    if not needed:
+        embedded = {"python": interpreter}
+    elif len(needed) == 1:
+        embedded = {"python": _own_interpreter(scratch), "library": needed[0]}
+    else:
+        raise libraries.MissingLibraryError(
+            f"{interpreter.name} is linked to {len(needed)} libraries, "
+            f"{', '.join(str(path) for path in needed)}; build with a Python "
+            "that is linked to its own library at most"
+        )
     for name, path in embedded.items():
         content = libraries.stripped(path, scratch)
         (scratch / f"{name}.embedded").write_bytes(content)
     table = scratch / "embedded.S"
     table.write_text(_assembly(list(embedded), scratch))
     launcher = ROOT / "tools" / "launcher.c"
-    command = ["gcc", "-Os", "-s", "-Wall", "-Wextra", "-Werror", "-o", result]
-    subprocess.run([*command, launcher, table], check=True)
+    subprocess.run([*COMPILE, result, launcher, table], check=True)
+
+
+def _own_interpreter(scratch: pathlib.Path) -> pathlib.Path:
+    """Compiles the interpreter that opens Python's library."""
+    result = scratch / "interpreter"
+    source = ROOT / "tools" / "interpreter.c"
+    subprocess.run([*COMPILE, result, source], check=True)
+    return result
 
 
 def _assembly(names: list[str], scratch: pathlib.Path) -> str:
@@ -119,10 +137,25 @@
                 zipfile.ZIP_STORED if stored else zipfile.ZIP_DEFLATED
             )
             archive.writestr(entry, _content(file, scratch))
+        for number, content in enumerate(_libraries(files, scratch)):
+            # Read before anything can be decompressed, hence stored. The
+            # number keeps their order.
+            entry = zipfile.ZipInfo(f"{LIBRARIES}{number:03}", _ENTRY_DATE)
+            archive.writestr(entry, content)
         for folder in sorted(payload.namespace_folders(files)):
             archive.writestr(zipfile.ZipInfo(f"{folder}/", _ENTRY_DATE), b"")
 
 
+def _libraries(
+    files: list[payload.SourceFile], scratch: pathlib.Path
+) -> collections.abc.Iterator[bytes]:
+    """Yields the libraries that compiled modules need, in load order."""
+    extensions = [file.path for file in files if file.is_extension]
+    needed = libraries.needed_by(extensions)
+    for name in libraries.in_load_order(needed):
+        yield libraries.stripped(needed[name], scratch)
+
+
 def _first_modules() -> set[str]:
     """Returns the modules that have to be readable without zlib."""
     listing = subprocess.run(
--- a/tools/embedded_start.py
+++ b/tools/embedded_start.py
@@ -5,6 +5,7 @@
 where it has a slow substitute in Python, keep that for good.
 """
 
+import _imp
 import importlib.machinery
 import os
 import sys
@@ -12,7 +13,13 @@
 
 EXTENSIONS = "extensions/"
 EXIT_NOT_HERE = 2
-_LAUNCHER_VARIABLES = ("LD_PRELOAD", "PYTHONHOME", "PYTHONPATH")
+MOST_LIBRARIES = 1000
+LIBRARIES = "libraries/"
+_LAUNCHER_VARIABLES = (
+    "NUTMEGHOOK_PYTHON_LIBRARY",
+    "PYTHONHOME",
+    "PYTHONPATH",
+)
 
 
 class EmbeddedExtensionFinder:
@@ -54,6 +61,36 @@
     return f"/proc/self/fd/{descriptor}"
 
 
+def _load_libraries(archive: zipimport.zipimporter) -> None:
+    """Loads the shared libraries that compiled modules need.
+
+    The dynamic loader takes a library that is loaded already for every later
+    need of the same name, so it does not look at the machine's own. Without
+    this, a machine with another version of one could fail to start us.
+    """
+    for number in range(MOST_LIBRARIES):
+        name = f"{LIBRARIES}{number:03}"
+        try:
+            content = archive.get_data(name)
+        except OSError:
+            return
+        _load_library(_memory_file(name, content))
+
+
+def _load_library(path: str) -> None:
+    """Loads a shared library that is no Python module.
+
+    The interpreter opens it, finds no module in it and leaves it open.
+    """
+    loader = importlib.machinery.ExtensionFileLoader("library", path)
+    spec = importlib.machinery.ModuleSpec("library", loader, origin=path)
+    try:
+        _imp.create_dynamic(spec)
+    except ImportError as error:
+        if "does not define module export function" not in str(error):
+            raise
+
+
 def _name_process() -> None:
     # Else `ps` and `top` show the number of a descriptor.
     with open("/proc/self/comm", "w") as name:
@@ -65,9 +102,9 @@
     sys.path[:] = [archive_path]
     for variable in _LAUNCHER_VARIABLES:
         os.environ.pop(variable, None)
-    finder = EmbeddedExtensionFinder(
-        archive=zipimport.zipimporter(archive_path)
-    )
+    archive = zipimport.zipimporter(archive_path)
+    _load_libraries(archive)
+    finder = EmbeddedExtensionFinder(archive=archive)
     sys.meta_path.append(finder)
     _name_process()
     # At a terminal fire shows help through the program that PAGER names; this
--- a/tools/launcher.c
+++ b/tools/launcher.c
@@ -1,11 +1,11 @@
 /* The machine code of dist/nutmeghook: turns itself into an interpreter.
 
-   The interpreter and its shared libraries are part of this program's image
-   (EMBEDDED, written by tools/binary.py). Each is copied into a file that
-   exists in memory only, and the process replaces itself by the interpreter:
-   same process id, no child, nothing in any file system. Python's modules
-   are in a zip archive behind the image, which the interpreter reads through
-   a descriptor of this file.
+   The interpreter is part of this program's image (EMBEDDED, written by
+   tools/binary.py). It is copied into a file that exists in memory only, and
+   the process replaces itself by it: same process id, no child, nothing in any
+   file system. Python's modules and the shared libraries that they need are in
+   a zip archive behind the image, which the interpreter reads through a
+   descriptor of this file.
 
    What fails is said on standard error with the system's reason, and the exit
    status is 70 (EX_SOFTWARE of sysexits.h). */
@@ -26,10 +26,10 @@
   const char *end;
 };
 
-/* The interpreter, then the libraries, then an entry without a name. */
+/* The interpreter, its library if it has one, then an entry without a name. */
 extern const struct embedded_file EMBEDDED[];
 
-enum { PATH_BYTES = 64, PRELOAD_BYTES = 8192 };
+enum { PATH_BYTES = 64 };
 
 static char *const INTERPRETER_FLAGS[] = {
     "nutmeghook", "-PSB", "-Xutf8", "-c", "import embedded_start"};
@@ -55,25 +55,11 @@
   snprintf(path, PATH_BYTES, "/proc/self/fd/%d", descriptor);
 }
 
-/* The dynamic loader takes a preloaded library for every need of the same
-   name, so that the machine's libraries of that name are not looked at. */
-static void preload_libraries(void) {
-  char preload[PRELOAD_BYTES] = "";
-  size_t length = 0;
-  for (const struct embedded_file *file = EMBEDDED + 1; file->name; file++) {
-    char path[PATH_BYTES];
-    descriptor_path(path, memory_file(file, 0));
-    length += (size_t)snprintf(preload + length, PRELOAD_BYTES - length,
-                               "%s:", path);
-  }
-  const char *given = getenv("LD_PRELOAD");
-  length += (size_t)snprintf(preload + length, PRELOAD_BYTES - length, "%s",
-                             given ? given : "");
-  if (length >= PRELOAD_BYTES) {
-    errno = E2BIG;
-    give_up("LD_PRELOAD");
-  }
-  setenv("LD_PRELOAD", preload, 1);
+static void name_library(const struct embedded_file *library) {
+  char path[PATH_BYTES];
+  if (!library->name) return;
+  descriptor_path(path, memory_file(library, 0));
+  setenv("NUTMEGHOOK_PYTHON_LIBRARY", path, 1);
 }
 
 static void point_to_archive(void) {
@@ -92,7 +78,7 @@
   memcpy(all, INTERPRETER_FLAGS, sizeof INTERPRETER_FLAGS);
   for (int i = 1; i < count; i++) all[FLAG_COUNT + i - 1] = arguments[i];
   point_to_archive();
-  preload_libraries();
+  name_library(EMBEDDED + 1);
   char interpreter[PATH_BYTES];
   descriptor_path(interpreter, memory_file(EMBEDDED, MFD_CLOEXEC));
   execv(interpreter, all);
--- a/tools/libraries.py
+++ b/tools/libraries.py
@@ -38,6 +38,17 @@
     return found
 
 
+def in_load_order(libraries: dict[str, pathlib.Path]) -> list[str]:
+    """Returns the names so that each comes after those it needs itself.
+
+    All that a library needs is needed by whatever needs the library, so it
+    needs fewer.
+    """
+    return sorted(
+        libraries, key=lambda name: (len(needed_by([libraries[name]])), name)
+    )
+
+
 def stripped(path: pathlib.Path, scratch: pathlib.Path) -> bytes:
     """Returns machine code without what only a debugger reads.
 
