Carry out roll-outs: shares by the store's clock, verdicts by pooled evidence

Change: one plan row a service (insert-if-absent, conditional verdict, status in the same transaction), evidence rows only where bad answers are seen, sessions that are under way stay where they are in the first half.

--- a/src/nutmeghook/internal/following/follower.py
+++ b/src/nutmeghook/internal/following/follower.py
@@ -1,6 +1,7 @@
 """Follows a table: reads it whole once, then takes in its changes."""
 
 import abc
+from collections.abc import Callable
 import datetime
 import random
 
@@ -34,19 +35,26 @@
 class StoreWatch:
     """What this instance's own calls tell of the store.
 
+    Args:
+        clock: Measures time.
+        on_return: Called when the store answers again after a failure.
+
     Attributes:
         away: The newest call failed.
-        returned_at: When it last answered again after a failure; None if
-            it never failed.
         time_offset: The store's steady clock less ours.
     """
 
-    __slots__ = ("_clock", "away", "returned_at", "time_offset")
+    __slots__ = ("_clock", "_on_return", "away", "time_offset")
 
-    def __init__(self, *, clock: clock_module.Clock):
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        on_return: Callable[[], None] = lambda: None,
+    ):
         self._clock = clock
+        self._on_return = on_return
         self.away = False
-        self.returned_at: datetime.timedelta | None = None
         self.time_offset: datetime.timedelta | None = None
 
     def note_answer(self, store_time: datetime.timedelta) -> None:
@@ -54,8 +62,8 @@
         now = self._clock.monotonic()
         if self.away:
             self.away = False
-            self.returned_at = now
             logs.note("store:back")
+            self._on_return()
         offset = store_time - now
         # Answers arrive late, never early: the largest offset is the truest.
         # It is let down slowly, in case this clock runs ahead.
@@ -86,6 +94,7 @@
 
     __slots__ = (
         "_clock",
+        "_pause",
         "_random",
         "_reader",
         "_table",
@@ -111,26 +120,30 @@
         self._clock = clock
         self._random = random_source
         self._wait = wait
+        self._pause = FIRST_PAUSE
         self.revision = -1
         self.confirmed_at: datetime.timedelta | None = None
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
-        pause = FIRST_PAUSE
         while True:
-            try:
-                await self._step()
-                pause = FIRST_PAUSE
-            except source.HistoryGoneError:
-                logs.note("store:history_gone", table=self._table.name)
-                self.revision = -1
-            except failures.PlatformError as error:
-                self._watch.note_failure(error)
-                jitter = 0.75 + 0.5 * self._random.random()
-                await self._clock.sleep(pause * jitter)
-                pause = min(pause * 2, LONGEST_PAUSE)
-
-    async def _step(self) -> None:
+            await self.step()
+
+    async def step(self) -> None:
+        """Reads once; after a failure it waits a little instead."""
+        try:
+            await self._read()
+            self._pause = FIRST_PAUSE
+        except source.HistoryGoneError:
+            logs.note("store:history_gone", table=self._table.name)
+            self.revision = -1
+        except failures.PlatformError as error:
+            self._watch.note_failure(error)
+            jitter = 0.75 + 0.5 * self._random.random()
+            await self._clock.sleep(self._pause * jitter)
+            self._pause = min(self._pause * 2, LONGEST_PAUSE)
+
+    async def _read(self) -> None:
         if self.revision < 0:
             page = await self._table.read_all()
             self._watch.note_answer(page.store_time)
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -32,10 +32,16 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Prepared:
-    """An attempt that is ready to be sent."""
+    """An attempt that is ready to be sent.
+
+    Attributes:
+        kind: Answers of one kind should take about as long.
+    """
 
     replica: directory_module.Replica
     outgoing: sender_module.Outgoing
+    sent_at: datetime.timedelta
+    kind: str
 
 
 class AttemptPlanner:
@@ -89,6 +95,11 @@
             self._budgets.budget_for(job.service).note_request()
         job.tries += 1
         job.tried.add(replica.entry.replica_id)
+        session = job.incoming.facts.session
+        if session is not None:
+            self._versions.note_sent(
+                job.service, session=session, entry=replica.entry
+            )
         logs.note(
             "attempt:sent",
             request=job.log_id,
@@ -100,7 +111,24 @@
             after_event=job.last_event_id,
             attempt=job.tries,
         )
-        return Prepared(replica=replica, outgoing=self._outgoing(job, replica))
+        return Prepared(
+            replica=replica,
+            outgoing=self._outgoing(job, replica),
+            sent_at=self._clock.monotonic(),
+            kind=f"{route.name}/{_model_name(job) or ''}",
+        )
+
+    def note_answer(self, prepared: Prepared, *, failed: bool) -> None:
+        """Takes in that a replica began to answer, or failed."""
+        now = self._clock.monotonic()
+        if failed:
+            prepared.replica.health.note_failure(now)
+        self._versions.note_answer(
+            prepared.replica.entry,
+            kind=prepared.kind,
+            failed=failed,
+            duration=now - prepared.sent_at,
+        )
 
     def allow_repeat(
         self, job: job_module.Job, error: outcomes.AttemptError
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -85,9 +85,10 @@
                 silence=job.route.target * _SILENT_TARGETS,
             )
             if answer.head.status != _OK_STATUS:
-                return await self._failed_answer(job, answer)
+                return await self._failed_answer(job, prepared, answer)
             if not answer.facts.sealed or answer.facts.encoded:
                 raise outcomes.UnknownOutcomeError("the answer is not sealed")
+            self._planner.note_answer(prepared, failed=False)
             if self._is_weak(job, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, answer)
@@ -95,13 +96,16 @@
             return _Step.DONE
 
     async def _failed_answer(
-        self, job: job_module.Job, answer: sender_module.Answer
+        self,
+        job: job_module.Job,
+        prepared: attempts_module.Prepared,
+        answer: sender_module.Answer,
     ) -> _Step:
         """Passes a replica's failure on, if nothing better can be had."""
         body = await self._bounded(
             job, answer.read_whole(), silence=job.route.target
         )
-        answer.replica.health.note_failure(self._clock.monotonic())
+        self._planner.note_answer(prepared, failed=True)
         error = outcomes.UnknownOutcomeError(
             f"the replica answered {answer.head.status}"
         )
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -88,9 +88,8 @@
             self._planner.allow_repeat(job, error)
             return None
         job.runs += 1
-        if answer.failed:
-            prepared.replica.health.note_failure(self._clock.monotonic())
-        else:
+        self._planner.note_answer(prepared, failed=answer.failed)
+        if not answer.failed:
             prepared.replica.health.note_success()
         return answer
 
--- /dev/null
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -0,0 +1,284 @@
+"""Writes plans, evidence and verdicts, and reads those of the others."""
+
+import abc
+import asyncio
+import datetime
+import random
+
+import msgspec
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import source
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.version_plans import evidence as evidence_module
+from nutmeghook.internal.version_plans import orders as orders_module
+from nutmeghook.internal.version_plans import plan as plan_module
+from nutmeghook.internal.version_plans import rollouts as rollouts_module
+from nutmeghook.internal.version_plans import schedule as schedule_module
+
+TABLE = "rollouts"
+PLAN_PREFIX = "plan/"
+EVIDENCE_PREFIX = "evidence/"
+# How often a verdict is looked for. A proof acts on this instance at once;
+# this only bounds how soon the others hear of it.
+_STEP = datetime.timedelta(milliseconds=200)
+# Evidence is published this often at most, and only if it has grown by a bad
+# answer: a good version costs no writes.
+_PUBLISH_EVERY = datetime.timedelta(milliseconds=600)
+
+
+class StatusRows(abc.ABC):
+    """Spells what the operator reads of an order."""
+
+    @abc.abstractmethod
+    def put(
+        self, order: orders_module.RollOutOrder, state: orders_module.OrderState
+    ) -> table_module.Put:
+        """Returns the write of the state."""
+
+
+class PlanRows(follower.TableReader):
+    """Takes in plans and the others' evidence."""
+
+    __slots__ = ("_instance_id", "_orders", "_rollouts")
+
+    def __init__(
+        self,
+        *,
+        rollouts: rollouts_module.RollOuts,
+        orders: orders_module.OrderBook,
+        instance_id: str,
+    ):
+        self._rollouts = rollouts
+        self._orders = orders
+        self._instance_id = instance_id
+
+    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in the whole table."""
+        self.change(rows)
+
+    def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
+        """Takes in changes."""
+        for row in rows:
+            if row.deleted:
+                continue
+            try:
+                self._take(row)
+            except (msgspec.MsgspecError, ValueError) as error:
+                logs.note("roll_out:bad_row", key=row.key, error=str(error))
+
+    def _take(self, row: source.FollowedRow) -> None:
+        if row.key.startswith(PLAN_PREFIX):
+            plan = msgspec.json.decode(row.value, type=plan_module.PlanRow)
+            self._rollouts.take_plan(plan)
+            logs.note(
+                "roll_out:plan",
+                service=plan.service,
+                order=plan.order_id,
+                verdict=plan.verdict.value,
+                reason=plan.reason,
+            )
+            return
+        service, _, instance_id = row.key.removeprefix(
+            EVIDENCE_PREFIX
+        ).partition("/")
+        order = self._orders.of_service(service)
+        if order is None or instance_id == self._instance_id:
+            return
+        counted = msgspec.json.decode(
+            row.value, type=evidence_module.EvidenceRow
+        )
+        self._rollouts.evidence_of(order).merge(instance_id, counted)
+
+
+class RollOutDriver:
+    """Moves every open order on, a step at a time."""
+
+    __slots__ = (
+        "_clock",
+        "_follower",
+        "_instance_id",
+        "_orders",
+        "_published_at",
+        "_published_bad",
+        "_random",
+        "_rollouts",
+        "_status",
+        "_table",
+        "_watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        table: table_module.TableService,
+        plans: follower.TableFollower,
+        rollouts: rollouts_module.RollOuts,
+        orders: orders_module.OrderBook,
+        status: StatusRows,
+        watch: follower.StoreWatch,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+        instance_id: str,
+    ):
+        self._table = table
+        self._follower = plans
+        self._rollouts = rollouts
+        self._orders = orders
+        self._status = status
+        self._watch = watch
+        self._clock = clock
+        self._random = random_source
+        self._instance_id = instance_id
+        self._published_at = datetime.timedelta()
+        self._published_bad: dict[int, int] = {}
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow_while_open())
+            tasks.create_task(self._drive())
+
+    async def _follow_while_open(self) -> None:
+        """Reads plans and evidence only while an order is open."""
+        while True:
+            if self._open_orders():
+                await self._follower.step()
+            else:
+                await self._clock.sleep(_STEP)
+
+    async def _drive(self) -> None:
+        while True:
+            # Spread, so that one instance writes and the others read of it.
+            await self._clock.sleep(_STEP * self._random.uniform(0.5, 2.0))
+            if self._watch.away:
+                continue
+            for order in self._open_orders():
+                try:
+                    await self._step(order)
+                except failures.PlatformError as error:
+                    logs.note("roll_out:store_failed", error=str(error))
+
+    def _open_orders(self) -> list[orders_module.RollOutOrder]:
+        return [
+            order
+            for order in self._orders.all()
+            if (plan := self._rollouts.plan_of(order)) is None
+            or plan.verdict is plan_module.Verdict.OPEN
+        ]
+
+    async def _step(self, order: orders_module.RollOutOrder) -> None:
+        plan = self._rollouts.plan_of(order)
+        if plan is None:
+            await self._begin(order)
+            return
+        await self._publish(order)
+        reason = self._rollouts.judge(order)
+        if reason is not None:
+            await self._conclude(order, plan_module.Verdict.BAD, reason)
+        elif self._rollouts.part_of(plan) >= schedule_module.COMPLETE_AT:
+            await self._conclude(
+                order, plan_module.Verdict.GOOD, "nothing bad was proven"
+            )
+
+    async def _begin(self, order: orders_module.RollOutOrder) -> None:
+        """Writes the plan's start unless another instance has."""
+        store_time = self._watch.store_time()
+        if store_time is None or self._follower.revision < 0:
+            return
+        row = await self._table.read(_plan_key(order.service))
+        if row is not None:
+            known = msgspec.json.decode(row.value, type=plan_module.PlanRow)
+            if known.order_id >= order.order_id:
+                self._rollouts.take_plan(known)
+                return
+        plan = plan_module.PlanRow(
+            order_id=order.order_id,
+            service=order.service,
+            version=order.version,
+            started_ms=store_time / datetime.timedelta(milliseconds=1),
+            within_s=order.within_s,
+        )
+        version = row.version if row else table_module.ABSENT_VERSION
+        await self._write_plan(order, plan, version)
+
+    async def _conclude(
+        self,
+        order: orders_module.RollOutOrder,
+        verdict: plan_module.Verdict,
+        reason: str,
+    ) -> None:
+        """Writes a verdict, unless another instance has.
+
+        The failure: two instances conclude differently, one of them after a
+        freeze. The condition lets the first stand; the other reads it.
+        """
+        row = await self._table.read(_plan_key(order.service))
+        if row is None:
+            return
+        plan = msgspec.json.decode(row.value, type=plan_module.PlanRow)
+        if plan.order_id != order.order_id:
+            return
+        if plan.verdict is not plan_module.Verdict.OPEN:
+            self._rollouts.take_plan(plan)
+            return
+        plan = msgspec.structs.replace(plan, verdict=verdict, reason=reason)
+        await self._write_plan(order, plan, row.version)
+
+    async def _write_plan(
+        self,
+        order: orders_module.RollOutOrder,
+        plan: plan_module.PlanRow,
+        version: int,
+    ) -> None:
+        """Writes the plan and what the operator reads, both or neither.
+
+        The failure: the writer dies between the two, and the operator waits
+        for a roll-out that was decided long ago.
+        """
+        key = _plan_key(plan.service)
+        result = await self._table.commit(
+            table_module.Transaction(
+                conditions=(table_module.Condition(key=key, version=version),),
+                puts=(
+                    table_module.Put(key=key, value=msgspec.json.encode(plan)),
+                    self._status.put(order, plan.state),
+                ),
+            )
+        )
+        if not result.committed:
+            return
+        self._rollouts.take_plan(plan)
+        logs.note(
+            "roll_out:decided",
+            service=plan.service,
+            order=plan.order_id,
+            verdict=plan.verdict.value,
+            reason=plan.reason,
+        )
+
+    async def _publish(self, order: orders_module.RollOutOrder) -> None:
+        own = self._rollouts.evidence_of(order).own
+        bad = sum(count.bad for count in own.routes.values())
+        if bad <= self._published_bad.get(order.order_id, 0):
+            return
+        now = self._clock.monotonic()
+        if now - self._published_at < _PUBLISH_EVERY:
+            return
+        self._published_at = now
+        key = f"{TABLE}/{EVIDENCE_PREFIX}{order.service}/{self._instance_id}"
+        await self._table.commit(
+            table_module.Transaction(
+                puts=(
+                    table_module.Put(key=key, value=msgspec.json.encode(own)),
+                )
+            )
+        )
+        self._published_bad[order.order_id] = bad
+
+
+def _plan_key(service: str) -> str:
+    return f"{TABLE}/{PLAN_PREFIX}{service}"
--- /dev/null
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -0,0 +1,220 @@
+"""Carries out orders: shares by the clock, verdicts by pooled evidence.
+
+Nobody is in charge. The first instance that sees an order writes the plan's
+start, insert-if-absent; from then on each instance works out the share from
+the store's steady clock. Each counts what it sees of the new version and
+publishes it when there is something bad; whoever finds the proof writes the
+verdict, conditional on the plan being open. An instance that was killed,
+frozen or cut off therefore holds nothing up, and its late writes fail.
+"""
+
+from collections.abc import Callable
+import datetime
+
+import xxhash
+
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.version_plans import evidence as evidence_module
+from nutmeghook.internal.version_plans import orders as orders_module
+from nutmeghook.internal.version_plans import plan as plan_module
+from nutmeghook.internal.version_plans import schedule as schedule_module
+from nutmeghook.internal.version_plans import sessions as sessions_module
+from nutmeghook.internal.version_plans import view
+
+
+class RollOuts(view.VersionView):
+    """What this instance knows of all roll-outs."""
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_durations",
+        "_evidence",
+        "_local_verdicts",
+        "_orders",
+        "_plans",
+        "_schedule",
+        "_sessions",
+        "_watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        orders: orders_module.OrderBook,
+        directory: directory_module.ReplicaDirectory,
+        watch: follower.StoreWatch,
+        schedule: schedule_module.Schedule,
+        session_time: datetime.timedelta,
+        clock: clock_module.Clock,
+    ):
+        self._orders = orders
+        self._directory = directory
+        self._watch = watch
+        self._schedule = schedule
+        self._sessions = sessions_module.SessionVersions(
+            session_time=session_time
+        )
+        self._clock = clock
+        self._plans: dict[str, plan_module.PlanRow] = {}
+        self._evidence: dict[str, evidence_module.PooledEvidence] = {}
+        self._durations = evidence_module.TypicalDurations()
+        # Proofs found here act here at once, before the verdict is written.
+        self._local_verdicts: dict[str, str] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Tells whether every order's plan is known.
+
+        The failure: an instance restarts in the middle of a roll-out. Not
+        knowing how far it is, it would move sessions back.
+        """
+        return all(
+            self.plan_of(order) is not None for order in self._orders.all()
+        )
+
+    def plan_of(
+        self, order: orders_module.RollOutOrder
+    ) -> plan_module.PlanRow | None:
+        """Returns the order's plan, if it is known here."""
+        plan = self._plans.get(order.service)
+        if plan is None or plan.order_id != order.order_id:
+            return None
+        return plan
+
+    def take_plan(self, plan: plan_module.PlanRow) -> None:
+        """Takes in a plan's row; a verdict is never taken back."""
+        known = self._plans.get(plan.service)
+        if known is not None and (
+            known.order_id > plan.order_id
+            or (
+                known.order_id == plan.order_id
+                and known.verdict is not plan_module.Verdict.OPEN
+            )
+        ):
+            return
+        self._plans[plan.service] = plan
+        if known is None or known.order_id != plan.order_id:
+            self._local_verdicts.pop(plan.service, None)
+
+    def evidence_of(
+        self, order: orders_module.RollOutOrder
+    ) -> evidence_module.PooledEvidence:
+        """Returns what is known of the order's version."""
+        pooled = self._evidence.get(order.service)
+        if pooled is None or pooled.order_id != order.order_id:
+            pooled = evidence_module.PooledEvidence(order_id=order.order_id)
+            self._evidence[order.service] = pooled
+        return pooled
+
+    def judge(self, order: orders_module.RollOutOrder) -> str | None:
+        """Returns why the version is bad, or None while it isn't proven."""
+        if order.service in self._local_verdicts:
+            return self._local_verdicts[order.service]
+        replicas = sum(
+            replica.entry.version == order.version
+            for replica in self._directory.of_service(order.service)
+        )
+        reason = self.evidence_of(order).proven_bad(replicas)
+        if reason is not None:
+            self._local_verdicts[order.service] = reason
+        return reason
+
+    def part_of(self, plan: plan_module.PlanRow) -> float:
+        """Returns which part of a plan's time has passed."""
+        store_time = self._watch.store_time()
+        return 0.0 if store_time is None else plan.part_at(store_time)
+
+    def accepts(
+        self, service: str, *, session: str
+    ) -> Callable[[entries.ReplicaEntry], bool]:
+        """Returns a test for the replicas that may run a request."""
+        order = self._orders.of_service(service)
+        if order is None:
+            return _any_version
+        if self._uses_new(order, session):
+            wanted = _is_version(order.version)
+            if self._some(service, wanted):
+                return wanted
+            return _any_version
+        wanted = _is_not_version(order.version)
+        if self._some(service, wanted) or self._is_withdrawn(order):
+            return wanted
+        return _any_version
+
+    def note_sent(
+        self, service: str, *, session: str, entry: entries.ReplicaEntry
+    ) -> None:
+        """Takes in which version a request goes to."""
+        self._sessions.note(
+            service, session, entry.version, self._clock.monotonic()
+        )
+
+    def note_answer(
+        self,
+        entry: entries.ReplicaEntry,
+        *,
+        kind: str,
+        failed: bool,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Takes in an answer, or a failure that the replica reports."""
+        order = self._orders.of_service(entry.service)
+        duration_s = duration.total_seconds()
+        if order is None or entry.version != order.version:
+            if not failed:
+                self._durations.note(kind, duration_s)
+            return
+        plan = self.plan_of(order)
+        if plan is None or plan.verdict is not plan_module.Verdict.OPEN:
+            return
+        bad = failed or self._durations.is_slow(kind, duration_s)
+        self.evidence_of(order).note(kind, entry.replica_id, bad=bad)
+
+    def _uses_new(
+        self, order: orders_module.RollOutOrder, session: str
+    ) -> bool:
+        plan = self.plan_of(order)
+        if plan is None or self._is_withdrawn(order):
+            return False
+        if plan.verdict is plan_module.Verdict.GOOD:
+            return True
+        part = self.part_of(plan)
+        last = self._sessions.version_of(
+            order.service, session, self._clock.monotonic()
+        )
+        if last == order.version:
+            return True
+        if last is not None and part < schedule_module.MAY_MOVE_SESSIONS_AT:
+            return False
+        point = xxhash.xxh64_intdigest(f"{order.order_id}/{session}".encode())
+        return point / 2.0**64 < self._schedule.share_at(part)
+
+    def _is_withdrawn(self, order: orders_module.RollOutOrder) -> bool:
+        plan = self.plan_of(order)
+        if plan is not None and plan.verdict is plan_module.Verdict.BAD:
+            return True
+        return self.judge(order) is not None
+
+    def _some(
+        self, service: str, wanted: Callable[[entries.ReplicaEntry], bool]
+    ) -> bool:
+        return any(
+            wanted(replica.entry) and not replica.entry.leaving
+            for replica in self._directory.of_service(service)
+        )
+
+
+def _any_version(entry: entries.ReplicaEntry) -> bool:
+    return True
+
+
+def _is_version(version: str) -> Callable[[entries.ReplicaEntry], bool]:
+    return lambda entry: entry.version == version
+
+
+def _is_not_version(version: str) -> Callable[[entries.ReplicaEntry], bool]:
+    return lambda entry: entry.version != version
--- /dev/null
+++ b/src/nutmeghook/internal/version_plans/sessions.py
@@ -0,0 +1,48 @@
+"""Which version each session was last sent to by this instance."""
+
+import collections
+import dataclasses
+import datetime
+
+# Sessions remembered; at 20 requests a second and instance this is minutes
+# more than a session's time.
+MOST_SESSIONS = 20_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class LastUse:
+    """A session's last request."""
+
+    version: str
+    at: datetime.timedelta
+
+
+class SessionVersions:
+    """Remembers sessions that are under way, by service and session."""
+
+    __slots__ = ("_last", "_session_time")
+
+    def __init__(self, *, session_time: datetime.timedelta):
+        self._session_time = session_time
+        self._last: collections.OrderedDict[tuple[str, str], LastUse] = (
+            collections.OrderedDict()
+        )
+
+    def note(
+        self, service: str, session: str, version: str, now: datetime.timedelta
+    ) -> None:
+        """Takes in that a session's request goes to a version."""
+        key = (service, session)
+        self._last[key] = LastUse(version=version, at=now)
+        self._last.move_to_end(key)
+        if len(self._last) > MOST_SESSIONS:
+            self._last.popitem(last=False)
+
+    def version_of(
+        self, service: str, session: str, now: datetime.timedelta
+    ) -> str | None:
+        """Returns the version of a session that is under way."""
+        last = self._last.get((service, session))
+        if last is None or now - last.at > self._session_time:
+            return None
+        return last.version
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+import datetime
 
 from nutmeghook.internal.replicas import entries
 
@@ -20,6 +21,30 @@
             session: Requests with the same one get the same version.
         """
 
+    @abc.abstractmethod
+    def note_sent(
+        self, service: str, *, session: str, entry: entries.ReplicaEntry
+    ) -> None:
+        """Takes in which version a request goes to."""
+
+    @abc.abstractmethod
+    def note_answer(
+        self,
+        entry: entries.ReplicaEntry,
+        *,
+        kind: str,
+        failed: bool,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Takes in an answer, or a failure that the replica reports.
+
+        Args:
+            entry: Who answered.
+            kind: Answers of one kind should take about as long.
+            failed: The replica says that it failed.
+            duration: From sending to the first sign of the answer.
+        """
+
 
 class AnyVersion(VersionView):
     """Lets every version run everything; for tests."""
@@ -31,3 +56,18 @@
     ) -> Callable[[entries.ReplicaEntry], bool]:
         """Accepts all."""
         return lambda entry: True
+
+    def note_sent(
+        self, service: str, *, session: str, entry: entries.ReplicaEntry
+    ) -> None:
+        """Ignores it."""
+
+    def note_answer(
+        self,
+        entry: entries.ReplicaEntry,
+        *,
+        kind: str,
+        failed: bool,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Ignores it."""
--- a/src/nutmeghook/platform/rollout_rows.py
+++ b/src/nutmeghook/platform/rollout_rows.py
@@ -2,8 +2,11 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import table
+from nutmeghook.internal.version_plans import driver
 from nutmeghook.internal.version_plans import orders
 
+STATUS_TABLE = "status"
 ORDER_PREFIX = "rollout/"
 _STATES = {
     orders.OrderState.RUNNING: "in_progress",
@@ -47,10 +50,19 @@
     )
 
 
-def encode_status(
-    order: orders.RollOutOrder, state: orders.OrderState
-) -> bytes:
-    """Returns the value of the row that the operator reads."""
-    return msgspec.json.encode(
-        _Status(service=order.service, to=order.version, state=_STATES[state])
-    )
+class PlatformStatusRows(driver.StatusRows):
+    """The rows in which the operator reads how its orders stand."""
+
+    __slots__ = ()
+
+    def put(
+        self, order: orders.RollOutOrder, state: orders.OrderState
+    ) -> table.Put:
+        """Returns the write of the state."""
+        status = _Status(
+            service=order.service, to=order.version, state=_STATES[state]
+        )
+        return table.Put(
+            key=f"{STATUS_TABLE}/{ORDER_PREFIX}{order.service}",
+            value=msgspec.json.encode(status),
+        )
--- a/src/nutmeghook/platform/router.py
+++ b/src/nutmeghook/platform/router.py
@@ -27,9 +27,12 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import sender as sender_module
+from nutmeghook.internal.version_plans import driver
 from nutmeghook.internal.version_plans import orders as orders_module
-from nutmeghook.internal.version_plans import view as view_module
+from nutmeghook.internal.version_plans import rollouts as rollouts_module
+from nutmeghook.internal.version_plans import schedule as schedule_module
 from nutmeghook.platform import headers
+from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import settings as settings_module
 from nutmeghook.platform import store
 from nutmeghook.platform import tables
@@ -65,15 +68,28 @@
         self._store = store.StoreClient(
             session=self._session, address=settings.store_address
         )
-        self._watch = follower.StoreWatch(clock=clock)
+        self._watch = follower.StoreWatch(
+            clock=clock, on_return=self._distrust_list
+        )
         self.configuration = in_force_module.ConfigurationInForce()
         self.orders = orders_module.OrderBook()
         self._pool = pool_module.ConnectionPool(loop=loop)
         self.directory = directory_module.ReplicaDirectory(
             clock=clock, on_gone=self._pool.forget
         )
+        self.rollouts = rollouts_module.RollOuts(
+            orders=self.orders,
+            directory=self.directory,
+            watch=self._watch,
+            schedule=schedule_module.Schedule(
+                largest_bad_share=settings.roll_outs.largest_share
+            ),
+            session_time=settings.session_time,
+            clock=clock,
+        )
         self.metrics = metrics_module.Metrics()
         self.leaving = False
+        self._was_ready = False
         self._wire_format = headers.PlatformHeaders()
         self.listener = listener_module.CallerListener(
             path=self._build_path(),
@@ -92,7 +108,7 @@
                 data_centre=settings.data_centre,
                 clock=self._clock,
             ),
-            versions=view_module.AnyVersion(),
+            versions=self.rollouts,
             budgets=window_budget.WindowRetryBudgets(
                 ratio=settings.retries.ratio * _RETRY_RATIO_USED,
                 window=settings.retries.window,
@@ -131,12 +147,17 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tells whether callers should be sent here."""
-        return (
-            not self.leaving
-            and self.configuration.current is not None
+        """Tells whether callers should be sent here.
+
+        Once ready it stays so until it leaves: what it knows only gets older
+        while the store is out, and all instances grow old alike.
+        """
+        self._was_ready = self._was_ready or (
+            self.configuration.current is not None
             and self.directory.known
+            and self.rollouts.is_ready
         )
+        return self._was_ready and not self.leaving
 
     async def start(self) -> None:
         """Opens the listening sockets."""
@@ -161,6 +182,7 @@
                     tables.ReplicaRows(directory=self.directory),
                 ).run()
             )
+            tasks.create_task(self._rollout_driver().run())
 
     async def leave(self) -> None:
         """Finishes what is under way, as far as the time until SIGKILL lasts.
@@ -189,6 +211,30 @@
         self._pool.close()
         await self._session.close()
 
+    def _rollout_driver(self) -> driver.RollOutDriver:
+        rows = driver.PlanRows(
+            rollouts=self.rollouts,
+            orders=self.orders,
+            instance_id=self._settings.instance_id,
+        )
+        return driver.RollOutDriver(
+            table=store.StoreRows(client=self._store),
+            plans=self._follower(driver.TABLE, rows),
+            rollouts=self.rollouts,
+            orders=self.orders,
+            status=rollout_rows.PlatformStatusRows(),
+            watch=self._watch,
+            clock=self._clock,
+            random_source=self._random,
+            instance_id=self._settings.instance_id,
+        )
+
+    def _distrust_list(self) -> None:
+        """Holds deletions back after a store outage; entries lapse in it."""
+        self.directory.distrust_deletions(
+            self._clock.monotonic() + directory_module.LAPSE_GRACE
+        )
+
     def _follower(
         self, table: str, reader: follower.TableReader
     ) -> follower.TableFollower:
--- a/src/nutmeghook/platform/store.py
+++ b/src/nutmeghook/platform/store.py
@@ -139,39 +139,43 @@
             ) from error
 
 
-class PlatformTable(table_module.TableService, source.FollowedTable):
-    """One table of the store; all rows in its nameless part."""
+class StoreRows(table_module.TableService):
+    """Rows of all tables, each under the key `TABLE/KEY`.
 
-    __slots__ = ("_client", "_name")
+    Only rows of nameless parts are read and written.
+    """
 
-    def __init__(self, *, client: StoreClient, name: str):
-        self._client = client
-        self._name = name
+    __slots__ = ("_client",)
 
-    @property
-    def name(self) -> str:
-        """The table's name."""
-        return self._name
+    def __init__(self, *, client: StoreClient):
+        self._client = client
 
     async def read(self, key: str) -> table_module.Row | None:
         """Returns the row, or None where there is none."""
+        table, row_key = _split_key(key)
         # The end of a range is left out of it; no key lies between these.
-        rows = await self._rows(first=key, end=key + "\0", limit=1)
-        found = [row for row in rows.rows if row.key == key]
-        return _row(found[0]) if found else None
+        rows = await _range(
+            self._client, table, first=row_key, end=row_key + "\0", limit=1
+        )
+        found = [row for row in rows.rows if row.key == row_key]
+        return _row(found[0], table) if found else None
 
     async def scan(
         self, *, prefix: str, after: str = "", limit: int = 1000
     ) -> list[table_module.Row]:
         """Returns rows whose key has the prefix, in order of their keys."""
+        table, start = _split_key(prefix)
         found: list[table_module.Row] = []
-        first = max(prefix, after + "\0") if after else prefix
+        first = max(start, _split_key(after)[1] + "\0") if after else start
         while len(found) < limit:
-            page = await self._rows(
-                first=first, limit=min(limit - len(found), _ROWS_A_PAGE)
+            page = await _range(
+                self._client,
+                table,
+                first=first,
+                limit=min(limit - len(found), _ROWS_A_PAGE),
             )
-            matching = [r for r in page.rows if r.key.startswith(prefix)]
-            found.extend(_row(row) for row in matching)
+            matching = [r for r in page.rows if r.key.startswith(start)]
+            found.extend(_row(row, table) for row in matching)
             if not page.has_more or len(matching) < len(page.rows):
                 break
             first = page.rows[-1].key + "\0"
@@ -182,29 +186,7 @@
     ) -> table_module.CommitResult:
         """Applies the transaction if all its conditions hold."""
         committed, rows = await self._client.post(
-            "/v1/rows-tx",
-            _Transaction(
-                expected_rev=[
-                    _Expected(
-                        table=self._name,
-                        key=condition.key,
-                        row_version=condition.version,
-                    )
-                    for condition in transaction.conditions
-                ],
-                write=[
-                    _Write(
-                        table=self._name,
-                        key=put.key,
-                        value=base64.b64encode(put.value).decode(),
-                    )
-                    for put in transaction.puts
-                ],
-                remove=[
-                    _RowRef(table=self._name, key=key)
-                    for key in transaction.deletes
-                ],
-            ),
+            "/v1/rows-tx", _encoded(transaction)
         )
         if committed:
             return table_module.CommitResult(
@@ -214,21 +196,40 @@
         return table_module.CommitResult(
             committed=False,
             current=tuple(
-                _row(r) for r in rows.rows if r.row_version and not r.deleted
+                _row(row, row.table)
+                for row in rows.rows
+                if row.row_version and not row.deleted
             ),
         )
 
+
+class PlatformTable(source.FollowedTable):
+    """One table of the store, to be followed; its keys are the rows' own."""
+
+    __slots__ = ("_client", "_name")
+
+    def __init__(self, *, client: StoreClient, name: str):
+        self._client = client
+        self._name = name
+
+    @property
+    def name(self) -> str:
+        """The table's name."""
+        return self._name
+
     async def read_all(self) -> source.Page:
         """Returns all rows as of one moment, or of a few close ones.
 
         Later pages may be newer than the first; the revision returned is the
         first page's, so the feed repeats whatever changed in between.
         """
-        page = await self._rows()
+        page = await _range(self._client, self._name)
         revision = page.row_version
         rows = list(page.rows)
         while page.has_more and page.rows:
-            page = await self._rows(first=page.rows[-1].key + "\0")
+            page = await _range(
+                self._client, self._name, first=page.rows[-1].key + "\0"
+            )
             rows.extend(page.rows)
         return _page(rows, revision, page.now_ms)
 
@@ -248,21 +249,48 @@
         )
         return _page(answer.rows, max(since, answer.row_version), answer.now_ms)
 
-    async def _rows(
-        self,
-        *,
-        first: str = "",
-        end: str = "",
-        limit: int = _ROWS_A_PAGE,
-    ) -> _Rows:
-        query = {"table": self._name, "part": "", "limit": str(limit)}
-        if first:
-            query["source"] = first
-        if end:
-            query["to"] = end
-        return await self._client.get(
-            "/v1/rows-get", query, timeout=CALL_TIMEOUT
+
+async def _range(
+    client: StoreClient,
+    table: str,
+    *,
+    first: str = "",
+    end: str = "",
+    limit: int = _ROWS_A_PAGE,
+) -> _Rows:
+    query = {"table": table, "part": "", "limit": str(limit)}
+    if first:
+        query["source"] = first
+    if end:
+        query["to"] = end
+    return await client.get("/v1/rows-get", query, timeout=CALL_TIMEOUT)
+
+
+def _split_key(key: str) -> tuple[str, str]:
+    table, separator, row_key = key.partition("/")
+    if not separator:
+        raise ValueError(f"key is {key!r}; give TABLE/KEY")
+    return table, row_key
+
+
+def _encoded(transaction: table_module.Transaction) -> _Transaction:
+    expected = []
+    for condition in transaction.conditions:
+        table, key = _split_key(condition.key)
+        expected.append(
+            _Expected(table=table, key=key, row_version=condition.version)
         )
+    writes = []
+    for put in transaction.puts:
+        table, key = _split_key(put.key)
+        value = base64.b64encode(put.value).decode()
+        writes.append(_Write(table=table, key=key, value=value))
+    removed = [_split_key(key) for key in transaction.deletes]
+    return _Transaction(
+        expected_rev=expected,
+        write=writes,
+        remove=[_RowRef(table=table, key=key) for table, key in removed],
+    )
 
 
 def _decoded(body: bytes) -> _Rows:
@@ -274,9 +302,9 @@
         ) from error
 
 
-def _row(row: _Row) -> table_module.Row:
+def _row(row: _Row, table: str) -> table_module.Row:
     return table_module.Row(
-        key=row.key,
+        key=f"{table}/{row.key}",
         value=base64.b64decode(row.value),
         version=row.row_version,
     )
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -13,7 +13,6 @@
 
 OPERATOR_TABLE = "op"
 REPLICA_TABLE = "servers"
-STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
 _FROM_STORE = "store"
 
