Take no request late in a stop; tell a masked reset from an end of file

Change: answers close their connections from SIGTERM on; after the balancer's lag the door and the idle connections are closed. The socket still holds the error: it is asked.

--- a/bench/capacity/node.py
+++ b/bench/capacity/node.py
@@ -138,7 +138,7 @@
             "instance list for routing",
             facts.value("instance_list.node_average.4400"),
             "measured with 4,400 replicas, asked for changes each second",
-            "platform/http_instances",
+            "standin_http/http_instances",
             ("instance_list",),
         ),
         row(
@@ -239,7 +239,7 @@
             "load reports and list over HTTP",
             polls * http_us * _US_PERCENT,
             f"{polls:.1f} calls a second",
-            "platform/http_engine",
+            "standin_http/http_engine",
         ),
         row(
             "leases' calls over HTTP",
--- a/bench/capacity/platform_load.py
+++ b/bench/capacity/platform_load.py
@@ -137,14 +137,14 @@
             list_reads_per_s(),
             "1/s",
             "420 instances each second, 18 readers each 5 s",
-            "platform/http_instances",
+            "standin_http/http_instances",
         ),
         row(
             "instance list: bytes",
             planned.NODES * list_bytes / planned.MB,
             "MB/s",
             "420 x a node's average, asked for changes; the readers' not in it",
-            "platform/http_instances",
+            "standin_http/http_instances",
             ("instance_list",),
         ),
         row(
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -72,6 +72,12 @@
         self._stop_timer()
         super().connection_lost(exc)
 
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is under way on it."""
+        waits = self._waiter is not None and not self._waiter.done()
+        if waits and not self._messages:
+            self.force_close()
+
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -230,9 +236,15 @@
         self.address = f"{own_host}:{own_port}"
 
     def close_door(self) -> None:
-        """Refuses new connections; those that exist go on."""
+        """Takes no new request; those under way go on.
+
+        Requests that cross the close were not read, and callers may send
+        them again elsewhere, also those that may run only once.
+        """
         if self._socket is not None:
             self._socket.close()
+        for connection in self._server.connections:
+            connection.close_if_idle()
 
     async def stop(self) -> None:
         """Closes all connections."""
@@ -248,6 +260,8 @@
             self.in_flight -= 1
         if sink.response is None:
             raise ConnectionResetError("no answer was begun")
+        if self.closing:
+            sink.response.force_close()
         return sink.response
 
     async def _serve(self, request: web.BaseRequest, sink: CallerSink) -> None:
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -9,6 +9,8 @@
 
 import asyncio
 from collections.abc import Iterable
+import os
+import socket
 
 from aiohttp import base_protocol
 from aiohttp import http_exceptions
@@ -63,6 +65,7 @@
         "_answers",
         "_head",
         "_payload",
+        "_reset",
         "idle_limit_s",
         "idle_since_s",
         "sound",
@@ -73,6 +76,7 @@
         super().__init__(loop)
         self._head: asyncio.Future[AnswerHead] | None = None
         self._payload: streams.StreamReader | None = None
+        self._reset: OSError | None = None
         self._answers = 0
         self.written = False
         self.sound = True
@@ -174,7 +178,18 @@
             self._take(message, payload)
 
     def eof_received(self) -> None:
-        """Lets the transport close; `connection_lost` sorts out the rest."""
+        """Lets the transport close, and notes if it was a reset in truth.
+
+        The failure: a replica sends part of an answer without length and
+        resets the connection. Where both arrive in one moment, the event loop
+        reads the part and reports an end of file; the part would pass for the
+        whole. The socket still holds the error.
+        """
+        raw = self.transport.get_extra_info("socket")
+        if raw is not None:
+            error = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self._reset = OSError(error, os.strerror(error))
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only a clean close can complete a body.
@@ -184,6 +199,7 @@
         half a finding as a whole one.
         """
         self.sound = False
+        exc = exc or self._reset
         if exc is None and self._parser is not None:
             try:
                 self._parser.feed_eof()
--- a/src/nutmeghook/platform/router.py
+++ b/src/nutmeghook/platform/router.py
@@ -42,8 +42,8 @@
 _RETRY_RATIO_USED = 0.9
 _RETRY_BURST = 2
 # After SIGTERM callers are still sent here until the balancer has missed two
-# answers a second apart; answers close their connections from then on.
-_BALANCER_LAG = datetime.timedelta(seconds=2.5)
+# answers, which it asks for a second apart.
+_BALANCER_LAG = datetime.timedelta(seconds=2.4)
 # Kept back from the time until SIGKILL, to close and end by ourselves.
 _STOP_RESERVE = datetime.timedelta(milliseconds=700)
 _POLL = datetime.timedelta(milliseconds=50)
@@ -188,18 +188,17 @@
         """Finishes what is under way, as far as the time until SIGKILL lasts.
 
         The balancer sends callers here until it has missed two answers, so
-        the door stays open for that long and everything is served.
+        the door stays open for that long and everything is served; each
+        answer closes its connection. A request taken any later could run
+        into SIGKILL.
         """
-        started = self._clock.monotonic()
-        end = started + self._settings.stop_time - _STOP_RESERVE
+        end = self._clock.monotonic() + self._settings.stop_time - _STOP_RESERVE
         self.leaving = True
+        self.listener.closing = True
         logs.note("process:leaving", in_flight=self.listener.in_flight)
         await self._clock.sleep(_BALANCER_LAG)
-        self.listener.closing = True
-        while self._clock.monotonic() < end:
-            settled = self._clock.monotonic() - started > 2 * _BALANCER_LAG
-            if settled and not self.listener.in_flight:
-                break
+        self.listener.close_door()
+        while self.listener.in_flight and self._clock.monotonic() < end:
             await self._clock.sleep(_POLL)
         logs.note("process:closing", in_flight=self.listener.in_flight)
         await self.listener.stop()
