--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -165,9 +165,7 @@
         self.registry = aioprometheus.Registry()
         self._by_name: dict[str, collectors.Collector] = {}
         for spec in SPECS:
-            collector = _collector(spec)
-            self.registry.register(collector)
-            self._by_name[spec.name] = collector
+            self._by_name[spec.name] = _collector(spec, self.registry)
 
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds to a counter."""
@@ -182,14 +180,17 @@
         self._by_name[name].observe(labels, value)
 
 
-def _collector(spec: MetricSpec) -> collectors.Collector:
+def _collector(
+    spec: MetricSpec, registry: aioprometheus.Registry
+) -> collectors.Collector:
+    """Returns the collector, which registers itself."""
     name = PREFIX + spec.name
     if spec.kind is MetricKind.COUNTER:
-        return aioprometheus.Counter(name, spec.meaning)
+        return aioprometheus.Counter(name, spec.meaning, registry=registry)
     if spec.kind is MetricKind.GAUGE:
-        return aioprometheus.Gauge(name, spec.meaning)
+        return aioprometheus.Gauge(name, spec.meaning, registry=registry)
     return aioprometheus.Histogram(
-        name, spec.meaning, buckets=list(spec.buckets)
+        name, spec.meaning, registry=registry, buckets=list(spec.buckets)
     )
 
 
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -57,12 +57,16 @@
         self._head_timer: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Starts the time limit with a head's first byte."""
+        """Starts the time limit with a head's first byte.
+
+        A body's bytes start none: they may come before its request's handler
+        has begun, and the limit would end that request in the middle.
+        """
         before = self._request_count
         super().data_received(data)
         if self._request_count > before:
             self._stop_timer()
-        elif not self._request_in_progress and self._head_timer is None:
+        elif self._is_idle and self._head_timer is None:
             self._head_timer = self._loop.call_later(
                 self._limits.header_time.total_seconds(), self._head_is_late
             )
@@ -74,10 +78,15 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is under way on it."""
-        waits = self._waiter is not None and not self._waiter.done()
-        if waits and not self._messages:
+        if self._is_idle:
             self.force_close()
 
+    @property
+    def _is_idle(self) -> bool:
+        """Tells whether the connection waits for a request."""
+        waits = self._waiter is not None and not self._waiter.done()
+        return waits and not self._messages
+
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
--- /dev/null
+++ b/src/nutmeghook/standins/users_replica.py
@@ -0,0 +1,267 @@
+"""A replica of the users' platform, with its faults, on a real socket.
+
+It writes its bytes by hand: wrong framing, a second answer or a reset in the
+middle are what it is for, and no library sends those.
+"""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+
+from nutmeghook.platform import headers
+
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SeenRequest:
+    """A request as it arrived, and the connection it came on."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id of the request."""
+        return self.headers.get(headers.REQUEST_ID.lower(), "")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Reply:
+    """What the replica does with one request.
+
+    Attributes:
+        status: Of the answer.
+        body: Of a whole answer; ignored if there are events.
+        events: Numbers of the events of a stream.
+        after: The stream begins after the caller's last event, if it names
+            one; else with the first of `events`.
+        sealed: The answer bears the seal.
+        not_run: It says that the request was not run.
+        confidence: Of the model.
+        framed: The length is told, or chunks are used.
+        send_bytes: Break off after so many bytes of the body.
+        reset: Break off by a reset and not by closing.
+        answer_id: Another request's id instead of the echo.
+        extra: Bytes after the whole answer.
+        silent: No byte is sent until the caller leaves.
+        pause_s: Before each event.
+    """
+
+    status: int = 200
+    body: bytes = b"done"
+    events: tuple[int, ...] = ()
+    sealed: bool = True
+    not_run: bool = False
+    confidence: int | None = None
+    framed: bool = True
+    send_bytes: int | None = None
+    reset: bool = False
+    answer_id: str | None = None
+    extra: bytes = b""
+    silent: bool = False
+    pause_s: float = 0.0
+
+
+def event(number: int) -> bytes:
+    """Returns the whole event of a number."""
+    return b"id: %d\ndata: part %d\n\n" % (number, number)
+
+
+class StandInReplica:
+    """Answers by a list of replies, the last of them for all that follow.
+
+    Attributes:
+        address: Where it listens.
+        seen: The requests that arrived.
+        left: Requests whose caller left before the end of the answer.
+        noticed: Set whenever `left` grows.
+        arrived: Set whenever `seen` grows.
+    """
+
+    __slots__ = (
+        "_connections",
+        "_replies",
+        "_server",
+        "_tasks",
+        "_writers",
+        "address",
+        "arrived",
+        "left",
+        "noticed",
+        "replica_id",
+        "seen",
+    )
+
+    def __init__(self, *, replica_id: str, replies: list[Reply] | None = None):
+        self.replica_id = replica_id
+        self._replies = replies or [Reply()]
+        self._server: asyncio.Server | None = None
+        self._connections = 0
+        self._writers: list[asyncio.StreamWriter] = []
+        self._tasks: list[asyncio.Task] = []
+        self.address = ""
+        self.seen: list[SeenRequest] = []
+        self.left: list[str] = []
+        self.noticed = asyncio.Event()
+        self.arrived = asyncio.Event()
+
+    def reply_from(self, replies: list[Reply]) -> None:
+        """Takes replies from a list that it may share with others."""
+        self._replies = replies
+
+    async def start(self) -> None:
+        """Listens on a port that the system chooses."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, limit=1024 * 1024
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening and breaks all connections, as a crash does."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.gather(*self._tasks)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._connections += 1
+        number = self._connections
+        self._writers.append(writer)
+        self._tasks.append(asyncio.current_task())
+        try:
+            while await self._serve_one(reader, writer, number):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: int,
+    ) -> bool:
+        request = await _read_request(reader, connection)
+        self.seen.append(request)
+        self.arrived.set()
+        reply = self._replies[0]
+        if len(self._replies) > 1:
+            self._replies.pop(0)
+        expected = request.headers.get(headers.EXPECTED_REPLICA.lower())
+        if expected != self.replica_id:
+            reply = Reply(status=421, body=b"")
+        if reply.silent:
+            await reader.read(1)
+            self._note_left(request)
+            return False
+        return await self._answer(reply, request, reader, writer)
+
+    def _note_left(self, request: SeenRequest) -> None:
+        self.left.append(request.request_id)
+        self.noticed.set()
+
+    async def _answer(
+        self,
+        reply: Reply,
+        request: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(_head(reply, request))
+        sent = 0
+        for piece in _pieces(reply, request):
+            if reply.pause_s and await _left_within(reader, reply.pause_s):
+                self._note_left(request)
+                return False
+            if reply.send_bytes is not None:
+                piece = piece[: reply.send_bytes - sent]
+            sent += len(piece)
+            writer.write(_chunk(piece) if _is_chunked(reply) else piece)
+            if reply.send_bytes is not None and sent >= reply.send_bytes:
+                await writer.drain()
+                _break_off(writer, reset=reply.reset)
+                return False
+        if _is_chunked(reply):
+            writer.write(b"0\r\n\r\n")
+        writer.write(reply.extra)
+        await writer.drain()
+        return reply.framed
+
+
+async def _read_request(
+    reader: asyncio.StreamReader, connection: int
+) -> SeenRequest:
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ")
+    fields = {}
+    for line in lines:
+        name, separator, value = line.partition(":")
+        if separator:
+            fields[name.lower()] = value.strip()
+    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    return SeenRequest(
+        method=method,
+        target=target,
+        headers=fields,
+        body=body,
+        connection=connection,
+    )
+
+
+def _head(reply: Reply, request: SeenRequest) -> bytes:
+    lines = [f"HTTP/1.1 {reply.status} Stand-in"]
+    lines.append(
+        f"{headers.REQUEST_ID}: {reply.answer_id or request.request_id}"
+    )
+    if reply.sealed and not reply.not_run:
+        lines.append(f"{headers.SEAL}: seal-of-{request.request_id}")
+    if reply.not_run:
+        lines.append(f"{headers.NOT_RUN}: 1")
+    if reply.confidence is not None:
+        lines.append(f"{headers.CONFIDENCE}: {reply.confidence}")
+    if _is_chunked(reply):
+        lines.append("Transfer-Encoding: chunked")
+    elif reply.framed:
+        lines.append(f"Content-Length: {len(reply.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _is_chunked(reply: Reply) -> bool:
+    return bool(reply.events) and reply.framed
+
+
+def _pieces(reply: Reply, request: SeenRequest) -> list[bytes]:
+    if not reply.events:
+        return [reply.body]
+    last = int(request.headers.get(headers.LAST_EVENT.lower(), "-1"))
+    return [event(number) for number in reply.events if number > last]
+
+
+def _chunk(piece: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(piece), piece) if piece else b""
+
+
+async def _left_within(reader: asyncio.StreamReader, pause_s: float) -> bool:
+    """Waits; returns whether the caller closed the connection meanwhile."""
+    try:
+        async with asyncio.timeout(pause_s):
+            return await reader.read(1) == b""
+    except TimeoutError:
+        return False
+
+
+def _break_off(writer: asyncio.StreamWriter, *, reset: bool) -> None:
+    raw = writer.get_extra_info("socket")
+    if reset:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.close()
--- /dev/null
+++ b/src/nutmeghook/standins/users_store.py
@@ -0,0 +1,233 @@
+"""The users' platform's store, in memory, over HTTP, with its faults."""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+
+from aiohttp import web
+import msgspec
+
+
+class StoreFault(enum.Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    REFUSING = "refusing"
+    BUSY = "busy"
+    SILENT = "silent"
+    LOSING_ANSWERS = "losing answers"
+    LATE_WRITES = "late writes"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Change:
+    version: int
+    table: str
+    key: str
+    value: bytes
+    deleted: bool
+
+
+class StandInStore:
+    """Rows by table and key, with their history.
+
+    Attributes:
+        fault: What happens to calls from now on.
+        calls: Every call that came, by path.
+        late: Writes that are done only when a test says so.
+    """
+
+    def __init__(self):
+        self._rows: dict[tuple[str, str], _Change] = {}
+        self._history: list[_Change] = []
+        self._forgotten = 0
+        self._version = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.fault = StoreFault.NONE
+        self.calls: list[str] = []
+        self.late: list[dict] = []
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listens on a port that the system chooses."""
+        application = web.Application()
+        application.router.add_get("/v1/rows-get", self._get)
+        application.router.add_get("/v1/rows-feed", self._feed)
+        application.router.add_post("/v1/rows-tx", self._transact)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.05)
+        await site.start()
+        host, port = site._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        await self._runner.cleanup()
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Writes a row as the operator or a replica does."""
+        return self._apply([(table, key, value)], [])
+
+    def delete(self, table: str, key: str) -> int:
+        """Deletes a row."""
+        return self._apply([], [(table, key)])
+
+    def value(self, table: str, key: str) -> bytes | None:
+        """Returns a row's value."""
+        row = self._rows.get((table, key))
+        return row.value if row else None
+
+    def forget_history(self) -> None:
+        """Drops all history; feeds from before get 410."""
+        self._forgotten = self._version
+        self._history.clear()
+
+    def do_late_writes(self) -> None:
+        """Does the writes that were left for later, if they still may be."""
+        for transaction in self.late:
+            self._try(transaction)
+        self.late.clear()
+
+    def _apply(
+        self,
+        puts: list[tuple[str, str, bytes]],
+        deletes: list[tuple[str, str]],
+    ) -> int:
+        self._version += 1
+        for table, key, value in puts:
+            change = _Change(
+                version=self._version,
+                table=table,
+                key=key,
+                value=value,
+                deleted=False,
+            )
+            self._rows[(table, key)] = change
+            self._history.append(change)
+        for table, key in deletes:
+            if self._rows.pop((table, key), None) is None:
+                continue
+            self._history.append(
+                _Change(
+                    version=self._version,
+                    table=table,
+                    key=key,
+                    value=b"",
+                    deleted=True,
+                )
+            )
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self._version
+
+    def _try(self, transaction: dict) -> bool:
+        for wanted in transaction["expectedRev"]:
+            row = self._rows.get((wanted["table"], wanted["key"]))
+            if (row.version if row else 0) != wanted["rowVersion"]:
+                return False
+        self._apply(
+            [
+                (put["table"], put["key"], base64.b64decode(put["value"]))
+                for put in transaction["write"]
+            ],
+            [(row["table"], row["key"]) for row in transaction["remove"]],
+        )
+        return True
+
+    async def _meet_fault(self, request: web.Request) -> web.Response | None:
+        self.calls.append(request.path)
+        if self.fault is StoreFault.REFUSING:
+            return web.Response(status=503)
+        if self.fault is StoreFault.BUSY:
+            return web.Response(status=429)
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(3600)
+        return None
+
+    async def _get(self, request: web.Request) -> web.Response:
+        if refusal := await self._meet_fault(request):
+            return refusal
+        query = request.query
+        first, end = query.get("source", ""), query.get("to")
+        limit = int(query.get("limit", "500"))
+        found = sorted(
+            (row for row in self._rows.values() if row.table == query["table"]),
+            key=lambda row: row.key,
+        )
+        found = [
+            row
+            for row in found
+            if row.key >= first and (end is None or row.key < end)
+        ]
+        return self._answer(found[:limit], more=len(found) > limit)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        if refusal := await self._meet_fault(request):
+            return refusal
+        since = int(request.query["sinceRev"])
+        table = request.query["table"]
+        if since < self._forgotten:
+            return web.Response(status=410)
+        deadline = int(request.query.get("waitMs", "0")) / 1000
+        try:
+            async with asyncio.timeout(deadline):
+                while not (found := self._changes(table, since)):
+                    await self._changed.wait()
+        except TimeoutError:
+            found = []
+        return self._answer(found, more=False)
+
+    def _changes(self, table: str, since: int) -> list[_Change]:
+        return [
+            change
+            for change in self._history
+            if change.table == table and change.version > since
+        ]
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        if refusal := await self._meet_fault(request):
+            return refusal
+        transaction = msgspec.json.decode(await request.read())
+        if self.fault is StoreFault.LATE_WRITES:
+            self.late.append(transaction)
+            request.transport.abort()
+            return web.Response(status=500)
+        done = self._try(transaction)
+        if self.fault is StoreFault.LOSING_ANSWERS:
+            request.transport.abort()
+        if done:
+            return self._answer([], more=False)
+        wanted = [
+            self._rows[(row["table"], row["key"])]
+            for row in transaction["expectedRev"]
+            if (row["table"], row["key"]) in self._rows
+        ]
+        return self._answer(wanted, more=False, status=412)
+
+    def _answer(
+        self, rows: list[_Change], *, more: bool, status: int = 200
+    ) -> web.Response:
+        body = {
+            "rows": [
+                {
+                    "table": row.table,
+                    "part": "",
+                    "key": row.key,
+                    "value": base64.b64encode(row.value).decode(),
+                    "rowVersion": row.version,
+                    "deleted": row.deleted,
+                }
+                for row in rows
+            ],
+            "hasMore": more,
+            "rowVersion": self._version,
+            "nowMs": asyncio.get_running_loop().time() * 1000,
+        }
+        return web.Response(
+            status=status,
+            body=msgspec.json.encode(body),
+            content_type="application/json",
+        )
--- /dev/null
+++ b/tests/cover/test_relay_callers.py
@@ -0,0 +1,227 @@
+"""Callers that send too much, too slowly, or what is not theirs to send."""
+
+import asyncio
+import datetime
+import unittest
+from unittest import mock
+
+from nutmeghook.internal.relay import listener as listener_module
+from nutmeghook.internal.routes import model
+from nutmeghook.platform import headers
+from nutmeghook.standins import users_replica
+from tests import relay_fixture
+
+ONCE = model.RouteKind.ONCE
+IDEMPOTENT = model.RouteKind.IDEMPOTENT
+
+
+class CallersTest(relay_fixture.RelayCase):
+    def limit(self, **changes) -> None:
+        """Puts a configuration with other limits in force."""
+        self.configuration.offer(
+            relay_fixture.configuration(
+                version=self.configuration.current.version + 1,
+                limits=model.CallerLimits(**changes),
+            ),
+            source="test",
+        )
+
+    async def test_without_a_configuration_nothing_is_denied(self):
+        """An instance has just started and the store is away.
+        It can't know what is allowed, so it says "not run", never 404.
+        """
+        self.configuration.current = None
+        self.listener._limits = model.CallerLimits
+        answer = await self.ask(ONCE)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertIn(b"Retry-After", answer)
+
+    async def test_unknown_hosts_paths_and_keys(self):
+        cases = (
+            (404, {"target": "/nowhere/x"}),
+            (401, {"extra": ()}),
+            (401, {"extra": (("Authorization", "Token wrong"),)}),
+            (401, {"extra": (("Authorization", "Bearer a-key"),)}),
+        )
+        for status, options in cases:
+            with self.subTest(options=options):
+                answer = await self.ask(ONCE, **options)
+                self.assertEqual(relay_fixture.status_of(answer), status)
+        self.assertEqual(self.seen(), [])
+
+    async def test_a_key_that_is_taken_away_is_refused_on_a_kept_connection(
+        self,
+    ):
+        """A caller's connection stays open while its key is taken away.
+        The next request on it is refused; the connection proves nothing.
+        """
+        host, _, port = self.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        message = (
+            f"POST /once/x HTTP/1.1\r\nHost: {relay_fixture.HOST}\r\n"
+            f"{headers.REQUEST_ID}: 1\r\nContent-Length: 0\r\n"
+            f"Authorization: Token {relay_fixture.KEY}\r\n\r\n"
+        ).encode()
+        writer.write(message)
+        first = await reader.readuntil(b"done")
+        self.configuration.offer(
+            relay_fixture.configuration(
+                version=2,
+                teams_by_key={"other": model.Team(name="other")},
+            ),
+            source="test",
+        )
+        writer.write(message)
+        second = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        self.assertEqual(relay_fixture.status_of(first), 200)
+        self.assertEqual(relay_fixture.status_of(second), 401)
+
+    async def test_what_only_the_router_may_set_is_dropped(self):
+        """A caller sends headers that reserve memory or name a team.
+        Passed on, it would act in the router's or in another team's name.
+        """
+        forged = (
+            "X-Kv-Hold",
+            "X-Pin-Ms",
+            "X-Kv-Backup",
+            "Kv-From",
+            "Kv-Fetch",
+            "X-Expect-Version",
+            "X-Request-Urgency",
+        )
+        await self.ask(
+            ONCE,
+            extra=(
+                relay_fixture.AUTHORIZATION,
+                ("X-Tenant", "another"),
+                ("X-Expect-Replica", "another"),
+                *((name, "1") for name in forged),
+            ),
+        )
+        (seen,) = self.seen()
+        self.assertEqual(seen.headers["x-tenant"], relay_fixture.TEAM)
+        self.assertNotIn("authorization", seen.headers)
+        self.assertNotEqual(seen.headers["x-expect-replica"], "another")
+        for name in forged:
+            self.assertNotIn(name.lower(), seen.headers)
+
+    async def test_a_target_passes_as_it_came(self):
+        """The path holds what a library would normalise.
+        The replica must see the caller's own bytes, or another resource runs.
+        """
+        target = "/idempotent/a%2fb/../c//d?x=%41&x=1+2"
+        await self.ask(IDEMPOTENT, target=target)
+        self.assertEqual(self.seen()[0].target, target)
+
+    async def test_headers_are_neither_added_nor_lost(self):
+        await self.ask(
+            IDEMPOTENT,
+            extra=(
+                relay_fixture.AUTHORIZATION,
+                ("X-Own", "one"),
+                ("Connection", "x-hop"),
+                ("X-Hop", "of this connection"),
+            ),
+        )
+        (seen,) = self.seen()
+        self.assertEqual(seen.headers["x-own"], "one")
+        for name in ("x-hop", "user-agent", "accept-encoding", "accept"):
+            self.assertNotIn(name, seen.headers)
+
+    async def test_length_and_chunks_together_are_refused(self):
+        """A message has two ends, to hide a second one behind the first.
+        It is refused; nothing of it reaches a replica.
+        """
+        answer = await self.ask(
+            ONCE,
+            extra=(
+                relay_fixture.AUTHORIZATION,
+                ("Transfer-Encoding", "chunked"),
+            ),
+            body=b"0\r\n\r\nPOST /once/hidden HTTP/1.1\r\n\r\n",
+        )
+        self.assertEqual(relay_fixture.status_of(answer), 400)
+        self.assertEqual(self.seen(), [])
+
+    async def test_a_body_over_the_limit_is_refused(self):
+        self.limit(body_bytes=10)
+        answer = await self.ask(ONCE, body=b"x" * 11)
+        self.assertEqual(relay_fixture.status_of(answer), 413)
+        self.assertEqual(self.seen(), [])
+
+    async def test_a_malformed_time_limit_is_named(self):
+        answer = await self.ask(
+            ONCE,
+            extra=(relay_fixture.AUTHORIZATION, (headers.TIME_LEFT, "soon")),
+        )
+        self.assertEqual(relay_fixture.status_of(answer), 400)
+        self.assertIn(b"soon", relay_fixture.body_of(answer))
+
+    async def test_half_a_head_is_not_waited_for(self):
+        """A caller sends half a head and nothing more.
+        After the limit its connection is closed; some hundred of these would
+        use up all descriptors.
+        """
+        self.limit(header_time=datetime.timedelta(milliseconds=50))
+        answer = await self.raw(b"POST /once/x HTTP/1.1\r\nHost: callers")
+        self.assertEqual(answer, b"")
+
+    async def test_a_body_that_comes_after_its_head_is_not_a_late_head(self):
+        """A caller's body comes in a packet of its own, before the handler
+        of its request has begun. It was taken for the beginning of another
+        head, and the time limit for heads cut the answer in the middle.
+        """
+        self.limit(header_time=datetime.timedelta(milliseconds=50))
+        self.reply_with(users_replica.Reply(events=(0, 1), pause_s=0.1))
+        loop = asyncio.get_running_loop()
+        connection = listener_module.CallerConnection(
+            server=self.listener._server,
+            loop=loop,
+            limits=self.configuration.current.limits,
+        )
+        transport = mock.Mock(spec=asyncio.Transport)
+        transport.is_closing.return_value = False
+        connection.connection_made(transport)
+        await asyncio.sleep(0)
+        connection.data_received(
+            f"POST /stream/x HTTP/1.1\r\nHost: {relay_fixture.HOST}\r\n"
+            f"{headers.REQUEST_ID}: 1\r\nContent-Length: 4\r\n"
+            f"Authorization: Token {relay_fixture.KEY}\r\n\r\n".encode()
+        )
+        connection.data_received(b"body")
+        self.assertIsNone(connection._head_timer)
+        connection.connection_lost(None)
+
+    async def test_the_time_left_is_passed_on(self):
+        await self.ask(
+            ONCE,
+            extra=(relay_fixture.AUTHORIZATION, (headers.TIME_LEFT, "800")),
+        )
+        (seen,) = self.seen()
+        left_ms = int(seen.headers[headers.TIME_LEFT.lower()])
+        self.assertTrue(0 < left_ms <= 800)
+
+    async def test_after_the_door_is_closed_requests_under_way_end(self):
+        """The instance stops while a stream is under way and a kept
+        connection is idle. The idle one is closed, the stream comes whole,
+        and its connection is closed after it.
+        """
+        self.reply_with(
+            users_replica.Reply(events=(0, 1, 2), pause_s=0.05),
+        )
+        host, _, port = self.listener.address.rpartition(":")
+        idle, idle_writer = await asyncio.open_connection(host, int(port))
+        stream = asyncio.create_task(
+            self.ask(model.RouteKind.STREAM, body=b"prompt")
+        )
+        await self.arrival()
+        self.listener.closing = True
+        self.listener.close_door()
+        self.assertEqual(await idle.read(), b"")
+        idle_writer.close()
+        self.assertTrue(relay_fixture.is_complete(await stream))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cover/test_relay_streams.py
@@ -0,0 +1,182 @@
+"""Streams through a relay: whole events, resuming, weak answers."""
+
+import asyncio
+import unittest
+
+from nutmeghook.internal.routes import model
+from nutmeghook.platform import headers
+from nutmeghook.standins import users_replica
+from tests import relay_fixture
+
+STREAM = model.RouteKind.STREAM
+Reply = users_replica.Reply
+EVENTS = (0, 1, 2, 3)
+WHOLE = [users_replica.event(number) for number in EVENTS]
+MODELS = ("small", "middle", "large")
+ANY_MODEL = (relay_fixture.AUTHORIZATION, ("X-Model", "*"))
+
+
+class StreamsTest(relay_fixture.RelayCase):
+    async def ask_stream(self, **options) -> bytes:
+        """Asks for a stream and returns all that comes back."""
+        return await self.ask(STREAM, body=b"prompt", **options)
+
+    async def test_a_stream_comes_whole(self):
+        self.reply_with(Reply(events=EVENTS))
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(answer))
+
+    async def test_a_cut_stream_goes_on_after_its_last_whole_event(self):
+        """A replica breaks off inside its third event.
+        The caller gets the first two whole; another replica is asked to go
+        on after them, and each event comes once, in order, under the first
+        replica's seal.
+        """
+        inside = len(WHOLE[0]) * 2 + 5
+        self.reply_with(
+            Reply(events=EVENTS, send_bytes=inside, reset=True),
+            Reply(events=EVENTS),
+        )
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(answer.count(b"X-Replica-Seal"), 1)
+        resumed = [
+            seen.headers.get(headers.LAST_EVENT.lower()) for seen in self.seen()
+        ]
+        self.assertEqual(set(resumed), {None, "1"})
+
+    async def test_a_stream_that_may_not_be_resumed_is_cut(self):
+        """A replica breaks off a stream that may run only once.
+        What came is not ended as complete, and no other replica is asked.
+        """
+        self.configuration.offer(
+            relay_fixture.configuration(
+                relay_fixture.route(STREAM, resumable=False), version=2
+            ),
+            source="test",
+        )
+        self.reply_with(Reply(events=EVENTS, send_bytes=30))
+        answer = await self.ask_stream()
+        self.assertFalse(relay_fixture.is_complete(answer))
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_a_stream_without_an_answer_left_is_cut(self):
+        """All replicas break off every run of a stream.
+        After as many runs as the route allows, the caller's stream is cut,
+        never ended as if it were whole.
+        """
+        self.reply_with(Reply(events=EVENTS, send_bytes=30))
+        answer = await self.ask_stream()
+        self.assertFalse(relay_fixture.is_complete(answer))
+        self.assertLessEqual(len(self.seen()), 3)
+
+    async def test_a_stream_that_ends_inside_an_event_is_not_whole(self):
+        """A replica ends its stream properly, but inside an event.
+        The rest is asked for at another replica.
+        """
+        self.reply_with(Reply(events=(0, 1), extra=b""), Reply(events=EVENTS))
+        half = users_replica.Reply(body=WHOLE[0] + b"id: 1\ndata:")
+        self.reply_with(half, Reply(events=EVENTS))
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def test_a_silent_stream_is_taken_up_elsewhere(self):
+        """A replica goes dark after two events.
+        Longer than any pause that counts as on time, the relay leaves it and
+        resumes at another replica.
+        """
+        self.configuration.offer(
+            relay_fixture.configuration(
+                relay_fixture.route(
+                    STREAM,
+                    target=relay_fixture._SECOND / 20,
+                    longest_pause=relay_fixture._SECOND / 50,
+                ),
+                version=2,
+            ),
+            source="test",
+        )
+        self.reply_with(
+            Reply(events=EVENTS, pause_s=30.0), Reply(events=EVENTS)
+        )
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def test_a_caller_that_leaves_frees_the_replica(self):
+        """The caller closes its connection in the middle of a stream.
+        The replica's connection is dropped, so that it stops working.
+        """
+        self.reply_with(Reply(events=tuple(range(1000)), pause_s=0.01))
+        host, _, port = self.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST /stream/x HTTP/1.1\r\nHost: {relay_fixture.HOST}\r\n"
+            f"{headers.REQUEST_ID}: gone\r\n"
+            f"Authorization: Token {relay_fixture.KEY}\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        await reader.readuntil(b"data: part 1")
+        writer.close()
+        noticed = [
+            asyncio.create_task(replica.noticed.wait())
+            for replica in self.replicas
+        ]
+        await asyncio.wait(noticed, return_when=asyncio.FIRST_COMPLETED)
+        self.assertEqual(self.listener.in_flight, 0)
+
+
+class WeakAnswersTest(relay_fixture.RelayCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.configuration.offer(
+            relay_fixture.configuration(
+                relay_fixture.route(STREAM, models=MODELS), version=2
+            ),
+            source="test",
+        )
+
+    def models_asked(self) -> list[str]:
+        """Returns the models that replicas were asked for."""
+        return sorted(
+            seen.headers[headers.MODEL.lower()] for seen in self.seen()
+        )
+
+    async def test_a_sure_answer_of_the_smallest_model_is_kept(self):
+        self.reply_with(Reply(events=EVENTS, confidence=90))
+        answer = await self.ask(STREAM, extra=ANY_MODEL)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(self.models_asked(), ["small"])
+
+    async def test_no_byte_of_a_dropped_answer_reaches_the_caller(self):
+        """The small model answers and is not sure.
+        Its answer is dropped before the caller has a byte, and the largest
+        model's comes whole, under its own seal.
+        """
+        self.reply_with(
+            Reply(events=(7, 8, 9), confidence=10),
+            Reply(events=EVENTS, confidence=10),
+        )
+        answer = await self.ask(STREAM, extra=ANY_MODEL)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(self.models_asked(), ["large", "small"])
+
+    async def test_a_resumed_stream_stays_with_its_model(self):
+        """The large model's stream is cut after two events.
+        Two models' texts must not be joined: it is resumed with the large
+        one, though the small one answers sooner.
+        """
+        two_events = len(WHOLE[0]) * 2
+        self.reply_with(
+            Reply(events=(7,), confidence=10),
+            Reply(events=EVENTS, confidence=10, send_bytes=two_events),
+            Reply(events=EVENTS, confidence=10),
+        )
+        answer = await self.ask(STREAM, extra=ANY_MODEL)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(self.models_asked(), ["large", "large", "small"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cover/test_users_platform_decoding.py
@@ -0,0 +1,182 @@
+"""Settings, configuration, list entries and orders of the platform."""
+
+import contextlib
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+
+from nutmeghook.internal.routes import model
+from nutmeghook.platform import configuration
+from nutmeghook.platform import headers
+from nutmeghook.platform import replicas
+from nutmeghook.platform import rollout_rows
+from nutmeghook.platform import settings
+
+GOOD_SETTINGS = """
+nodeName = "edge-1"
+ip = "10.1.0.40"
+zone = "hall"
+region = "centre"
+internalPorts = [7340, 7355]
+unknownField = { anything = 1 }
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+graceS = 8
+exposureShare = 0.15
+[platform]
+address = "10.200.1.7:8223"
+"""
+ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "prefix": "/a/",
+    "routeKind": "streaming",
+    "timeoutMs": 8000,
+    "sloMs": 1500,
+    "attempts": 3,
+    "priority": 1,
+    "sizes": ["small", "large"],
+    "resumable": True,
+    "gapTargetMs": 800,
+    "split": [
+        {"service": "one", "weight": 90},
+        {"service": "two", "weight": 10},
+    ],
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def test_good_settings_are_read_and_unknown_fields_ignored(self):
+        loaded = settings.load(GOOD_SETTINGS)
+        self.assertEqual(loaded.instance_id, "edge-1")
+        self.assertEqual(loaded.caller_address, "10.1.0.40:8227")
+        self.assertEqual(loaded.inner_address, "10.1.0.40:7340")
+        self.assertEqual(loaded.stop_time.total_seconds(), 8)
+        self.assertEqual(loaded.roll_outs.largest_share, 0.15)
+
+    def test_every_fault_is_named_at_once(self):
+        """An operator's file has several faults.
+        All come in one message; mending one at a time would take a start
+        each.
+        """
+        text = GOOD_SETTINGS.replace('ip = "10.1.0.40"', "ip = 7")
+        text = text.replace("10.200.1.7:8223", "somewhere")
+        text = text.replace("graceS = 8", 'graceS = "long"')
+        with self.assertRaises(ExceptionGroup) as caught:
+            settings.load(text)
+        faults = " ".join(str(f) for f in caught.exception.exceptions)
+        for part in ("ip is 7", "platform.address", "bounds.graceS"):
+            self.assertIn(part, faults)
+
+    def test_what_is_not_toml_is_one_fault(self):
+        with self.assertRaises(ExceptionGroup):
+            settings.load("nodeName = ")
+
+
+class ConfigurationTest(unittest.TestCase):
+    def decode(self, **changes) -> model.Configuration:
+        """Decodes a configuration of one route."""
+        return configuration.decode(
+            msgspec.json.encode(
+                {
+                    "version": 7,
+                    "routes": [ROUTE | changes],
+                    "services": [{"name": "one", "maxConns": 10}],
+                    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"]}],
+                    "unknown": 1,
+                }
+            )
+        )
+
+    def test_a_route_is_read(self):
+        read = self.decode()
+        route = read.find("a.example", "/a/b")
+        self.assertEqual(route.kind, model.RouteKind.STREAM)
+        self.assertEqual(route.models, ("small", "large"))
+        self.assertTrue(route.repeatable)
+        self.assertEqual([s.service for s in route.shares], ["one", "two"])
+        self.assertEqual(read.teams_by_key["k2"].name, "t")
+
+    def test_the_longest_prefix_is_taken(self):
+        longer = ROUTE | {"name": "longer", "prefix": "/a/b/"}
+        read = configuration.decode(
+            msgspec.json.encode({"version": 1, "routes": [ROUTE, longer]})
+        )
+        self.assertEqual(read.find("a.example", "/a/b/c").name, "longer")
+        self.assertEqual(read.find("a.example", "/a/bc").name, "r")
+        self.assertIsNone(read.find("b.example", "/a/b/c"))
+
+    def test_a_malformed_configuration_is_a_value_error(self):
+        for value in (b"{", b'{"version": "x"}', b'{"routes": []}'):
+            with self.subTest(value=value), self.assertRaises(ValueError):
+                configuration.decode(value)
+
+    def test_an_unknown_kind_is_a_value_error(self):
+        with self.assertRaises(ValueError):
+            self.decode(routeKind="new")
+
+    @given(strategies.binary(max_size=60))
+    def test_no_bytes_raise_anything_but_value_errors(self, value):
+        for decode in (
+            configuration.decode,
+            lambda v: replicas.decode("id", v),
+            lambda v: rollout_rows.decode_order(v, 1),
+        ):
+            with contextlib.suppress(ValueError):
+                decode(value)
+
+
+class ReplicaEntryTest(unittest.TestCase):
+    def test_an_unknown_state_takes_no_new_work(self):
+        for state, leaving in (
+            ("ready", False),
+            ("draining", True),
+            ("something new", True),
+        ):
+            entry = replicas.decode(
+                "id",
+                msgspec.json.encode(
+                    {"service": "s", "address": "a:1", "state": state}
+                ),
+            )
+            self.assertEqual(entry.leaving, leaving, state)
+
+
+class HeadersTest(unittest.TestCase):
+    def setUp(self):
+        self.format = headers.PlatformHeaders()
+
+    def test_a_prompt_is_read(self):
+        facts = self.format.read_caller(
+            [
+                ("x-token-counts", "1460,80"),
+                ("X-Prompt-Prefix", "5c:800, 91:410,junk"),
+            ]
+        )
+        self.assertEqual(facts.prompt.input_tokens, 1460)
+        self.assertEqual(
+            [(p.part_id, p.tokens) for p in facts.prompt.parts],
+            [("5c", 800), ("91", 410)],
+        )
+
+    def test_a_refusal_is_the_replica_s_own_word_only(self):
+        for status, sent, not_run in (
+            (503, [("X-Not-Executed", "1")], True),
+            (421, [], True),
+            (503, [], False),
+            (429, [], False),
+        ):
+            facts = self.format.read_answer(status, sent)
+            self.assertEqual(facts.not_run, not_run, (status, sent))
+
+    @given(strategies.text(max_size=20))
+    def test_no_load_header_raises(self, text):
+        self.format.read_answer(200, [("X-Replica-Load", text)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/relay_fixture.py
@@ -0,0 +1,242 @@
+"""A whole relay on loopback: callers, the path, stand-in replicas."""
+
+import asyncio
+import datetime
+import random
+import unittest
+
+import aiohttp
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import window_budget
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import attempts
+from nutmeghook.internal.relay import listener as listener_module
+from nutmeghook.internal.relay import model_choice
+from nutmeghook.internal.relay import path as path_module
+from nutmeghook.internal.relay import streams
+from nutmeghook.internal.relay import whole_answers
+from nutmeghook.internal.replicas import choice
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import pool as pool_module
+from nutmeghook.internal.upstream import sender as sender_module
+from nutmeghook.internal.version_plans import view
+from nutmeghook.platform import headers
+from nutmeghook.standins import users_replica
+
+HOST = "callers.example"
+KEY = "a-key"
+TEAM = "a-team"
+AUTHORIZATION = ("Authorization", f"Token {KEY}")
+_SECOND = datetime.timedelta(seconds=1)
+
+
+def route(kind: model.RouteKind, **changes) -> model.Route:
+    """Returns a route of a kind, named and prefixed after it."""
+    fields = {
+        "name": kind.value,
+        "host": HOST,
+        "prefix": f"/{kind.value}/",
+        "kind": kind,
+        "shares": (model.ServiceShare(service="service", weight=1.0),),
+        "time_limit": 5 * _SECOND,
+        "target": 1 * _SECOND,
+        "attempts": 3,
+        "priority": 1,
+        "resumable": kind is model.RouteKind.STREAM,
+    }
+    return model.Route(**(fields | changes))
+
+
+def configuration(
+    *routes: model.Route, version: int = 1, **changes
+) -> model.Configuration:
+    """Returns a configuration with one team and its key."""
+    fields = {
+        "version": version,
+        "routes": routes or tuple(route(kind) for kind in model.RouteKind),
+        "services": {},
+        "teams_by_key": {KEY: model.Team(name=TEAM)},
+        "limits": model.CallerLimits(),
+    }
+    return model.Configuration(**(fields | changes))
+
+
+class RelayCase(unittest.IsolatedAsyncioTestCase):
+    """Gives each test a relay and two replicas of one service."""
+
+    replica_count = 2
+
+    async def asyncSetUp(self):
+        self.clock = clock_module.SystemClock()
+        self.configuration = in_force_module.ConfigurationInForce()
+        self.configuration.offer(configuration(), source="test")
+        self.pool = pool_module.ConnectionPool(loop=asyncio.get_running_loop())
+        self.directory = directory_module.ReplicaDirectory(
+            clock=self.clock, on_gone=self.pool.forget
+        )
+        self.replicas = [
+            users_replica.StandInReplica(replica_id=f"replica-{number}")
+            for number in range(self.replica_count)
+        ]
+        for replica in self.replicas:
+            await replica.start()
+            self.directory.put(self.entry(replica))
+        self.listener = self.build_listener()
+        await self.listener.start(host="127.0.0.1", port=0)
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.listener.stop()
+        self.pool.close()
+        for replica in self.replicas:
+            await replica.stop()
+
+    def entry(self, replica, **changes) -> entries.ReplicaEntry:
+        """Returns the list's entry of a stand-in."""
+        fields = {
+            "replica_id": replica.replica_id,
+            "service": "service",
+            "address": replica.address,
+            "data_centre": "here",
+            "version": "v1",
+            "slots": 8,
+            "leaving": False,
+        }
+        return entries.ReplicaEntry(**(fields | changes))
+
+    def build_listener(self) -> listener_module.CallerListener:
+        """Returns the relay."""
+        wire_format = headers.PlatformHeaders()
+        planner = attempts.AttemptPlanner(
+            configuration=self.configuration,
+            chooser=choice.ReplicaChooser(
+                directory=self.directory,
+                data_centre="here",
+                clock=self.clock,
+            ),
+            versions=view.AnyVersion(),
+            budgets=window_budget.WindowRetryBudgets(
+                ratio=0.9,
+                window=10 * _SECOND,
+                burst=10,
+                clock=self.clock,
+            ),
+            wire_format=wire_format,
+            clock=self.clock,
+            random_source=random.Random(1),
+        )
+        sender = sender_module.Sender(
+            pool=self.pool, wire_format=wire_format, clock=self.clock
+        )
+        parts = {
+            "planner": planner,
+            "sender": sender,
+            "wire_format": wire_format,
+            "clock": self.clock,
+        }
+        return listener_module.CallerListener(
+            path=path_module.RequestPath(
+                configuration=self.configuration,
+                stream_path=streams.StreamPath(
+                    models=model_choice.FixedThreshold(), **parts
+                ),
+                whole_path=whole_answers.WholeAnswerPath(**parts),
+                metrics=metrics_module.Metrics(),
+                clock=self.clock,
+            ),
+            wire_format=wire_format,
+            limits=lambda: self.configuration.current.limits,
+            clock=self.clock,
+        )
+
+    def reply_with(self, *replies: users_replica.Reply) -> None:
+        """Lets all replicas together give these replies, one after another.
+
+        The last is repeated. Which replica is chosen first is the relay's
+        affair, so the order may not depend on it.
+        """
+        shared = list(replies)
+        for replica in self.replicas:
+            replica.reply_from(shared)
+
+    def seen(self) -> list[users_replica.SeenRequest]:
+        """Returns all requests that reached a replica."""
+        return [seen for replica in self.replicas for seen in replica.seen]
+
+    async def arrival(self) -> None:
+        """Waits until a request has reached any replica."""
+        waits = [
+            asyncio.create_task(replica.arrived.wait())
+            for replica in self.replicas
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+
+    async def raw(self, message: bytes) -> bytes:
+        """Sends bytes on a connection of their own; returns the answer.
+
+        Reads until the relay closes, so give `Connection: close` or a
+        request that the relay closes after.
+        """
+        host, _, port = self.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(message)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def ask(
+        self,
+        kind: model.RouteKind,
+        *,
+        request_id: str = "request-1",
+        extra: tuple[tuple[str, str], ...] = (AUTHORIZATION,),
+        body: bytes = b"",
+        method: str | None = None,
+        target: str | None = None,
+    ) -> bytes:
+        """Sends one request of a kind and returns all that comes back."""
+        method = method or (
+            "GET" if kind is model.RouteKind.IDEMPOTENT else "POST"
+        )
+        lines = [f"{method} {target or f'/{kind.value}/x'} HTTP/1.1"]
+        lines.append(f"Host: {HOST}")
+        lines.append(f"{headers.REQUEST_ID}: {request_id}")
+        lines.append("Connection: close")
+        lines.extend(f"{name}: {value}" for name, value in extra)
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        return await self.raw(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+
+def status_of(answer: bytes) -> int:
+    """Returns the status of an answer; 0 if there is none."""
+    return int(answer.split(b" ", 2)[1]) if answer else 0
+
+
+def body_of(answer: bytes) -> bytes:
+    """Returns the body of an answer with a length."""
+    return answer.partition(b"\r\n\r\n")[2]
+
+
+def events_of(answer: bytes) -> list[bytes]:
+    """Returns the whole events in an answer in chunks."""
+    rest = body_of(answer)
+    data = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        length = int(size, 16)
+        data += rest[:length]
+        rest = rest[length + 2 :]
+        if not length:
+            break
+    return [piece + b"\n\n" for piece in data.split(b"\n\n") if piece]
+
+
+def is_complete(answer: bytes) -> bool:
+    """Tells whether an answer in chunks was ended."""
+    return answer.endswith(b"0\r\n\r\n")
