--- /dev/null
+++ b/tests/cover/test_relay_parts.py
@@ -0,0 +1,220 @@
+"""Parts of the relay that need no network."""
+
+import asyncio
+import contextlib
+import datetime
+import json
+import os
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import window_budget
+from nutmeghook.internal.observe import log_writer
+from nutmeghook.internal.relay import events
+from nutmeghook.internal.replicas import choice
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.routes import in_force
+from tests import relay_fixture
+
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class EventSplitterTest(unittest.TestCase):
+    @given(
+        strategies.lists(strategies.integers(0, 999), max_size=8),
+        strategies.lists(strategies.integers(1, 30)),
+    )
+    def test_any_cut_gives_the_same_events(self, numbers, cuts):
+        """Packets end anywhere; events come out whole, in order, unchanged."""
+        whole = [b"id: %d\ndata: x\n\n" % number for number in numbers]
+        data = b"".join(whole)
+        splitter = events.EventSplitter()
+        found = []
+        for cut in [*cuts, len(data)]:
+            found.extend(splitter.feed(data[:cut]))
+            data = data[cut:]
+        self.assertEqual([event.raw for event in found], whole)
+        self.assertEqual(
+            [event.event_id for event in found], [str(n) for n in numbers]
+        )
+        self.assertFalse(splitter.has_rest)
+
+    def test_half_an_event_is_kept_back(self):
+        splitter = events.EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: half"), [])
+        self.assertTrue(splitter.has_rest)
+
+
+class WindowBudgetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_repeats_stay_under_the_ratio_in_every_window(self):
+        """Callers come steadily and every request wants two repeats.
+        In no span of the window's length are more repeats allowed than the
+        ratio of its requests and the burst.
+        """
+        clock = clock_module.FakeClock()
+        budget = window_budget.WindowRetryBudget(
+            ratio=0.5, window=10 * _SECOND, burst=2, clock=clock
+        )
+        spent = []
+        for step in range(400):
+            budget.note_request()
+            for _ in range(2):
+                if budget.try_spend():
+                    spent.append(step)
+            await clock.advance(_SECOND / 10)
+        for start in range(0, 300):
+            within = [s for s in spent if start <= s < start + 100]
+            self.assertLessEqual(len(within), 0.5 * 100 + 2 + 1)
+
+    async def test_what_was_saved_in_a_busy_time_is_not_kept(self):
+        clock = clock_module.FakeClock()
+        budget = window_budget.WindowRetryBudget(
+            ratio=1.0, window=10 * _SECOND, burst=0, clock=clock
+        )
+        for _ in range(50):
+            budget.note_request()
+        await clock.advance(11 * _SECOND)
+        self.assertFalse(budget.try_spend())
+
+
+def entry(number: int, **changes) -> entries.ReplicaEntry:
+    """Returns the entry of a replica."""
+    fields = {
+        "replica_id": f"r{number}",
+        "service": "s",
+        "address": f"10.0.0.{number}:80",
+        "data_centre": "here",
+        "version": "v1",
+        "slots": 8,
+        "leaving": False,
+    }
+    return entries.ReplicaEntry(**(fields | changes))
+
+
+class ChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock_module.FakeClock()
+        self.directory = directory_module.ReplicaDirectory(clock=self.clock)
+        self.chooser = choice.ReplicaChooser(
+            directory=self.directory, data_centre="here", clock=self.clock
+        )
+
+    def choose(self, *, affinity=None, exclude=()):
+        """Returns the id of the replica that is chosen."""
+        chosen = self.chooser.choose(
+            choice.Need(
+                service="s",
+                accepts=lambda entry: True,
+                affinity=affinity,
+                exclude=frozenset(exclude),
+            )
+        )
+        return chosen.entry.replica_id if chosen else None
+
+    def replica(self, replica_id: str):
+        """Returns a known replica."""
+        return self.directory._by_id[replica_id]
+
+    def test_leaving_and_tried_replicas_are_not_chosen(self):
+        self.directory.put(entry(1, leaving=True))
+        self.directory.put(entry(2))
+        self.assertEqual(self.choose(), "r2")
+        self.assertIsNone(self.choose(exclude=("r2",)))
+
+    def test_the_own_data_centre_goes_first_until_it_is_full(self):
+        self.directory.put(entry(1))
+        self.directory.put(entry(2, data_centre="there"))
+        self.assertEqual(self.choose(), "r1")
+        self.replica("r1").in_flight = 8
+        self.assertEqual(self.choose(), "r2")
+
+    def test_equal_prompts_go_to_one_replica_while_it_has_room(self):
+        for number in range(1, 5):
+            self.directory.put(entry(number))
+        first = self.choose(affinity="prompt")
+        self.assertEqual(self.choose(affinity="prompt"), first)
+        self.replica(first).in_flight = 8
+        self.assertNotEqual(self.choose(affinity="prompt"), first)
+
+    def test_an_unreachable_replica_is_left_alone_for_a_while(self):
+        self.directory.put(entry(1))
+        self.directory.put(entry(2))
+        self.replica("r1").health.note_unreachable(self.clock.monotonic())
+        self.assertEqual(self.choose(), "r2")
+
+    def test_a_service_that_fails_as_a_whole_is_still_tried(self):
+        """All replicas of a service were left alone for their failures.
+        Refusing all of its requests would be worse than trying one.
+        """
+        self.directory.put(entry(1))
+        self.replica("r1").health.note_unreachable(self.clock.monotonic())
+        self.assertEqual(self.choose(), "r1")
+
+    def test_a_replica_that_fails_more_is_chosen_less(self):
+        self.directory.put(entry(1))
+        self.directory.put(entry(2))
+        health = self.replica("r1").health
+        for _ in range(10):
+            health.note_success()
+            health.note_failure(self.clock.monotonic())
+        self.replica("r2").in_flight = 2
+        self.assertEqual(self.choose(), "r2")
+
+
+class ConfigurationInForceTest(unittest.TestCase):
+    @given(strategies.lists(strategies.integers(0, 50), min_size=1))
+    def test_versions_only_grow(self, versions):
+        """Peers and feeds offer versions in any order, old ones again."""
+        held = in_force.ConfigurationInForce()
+        newest = -1
+        for version in versions:
+            held.offer(
+                relay_fixture.configuration(version=version), source="test"
+            )
+            self.assertGreaterEqual(held.current.version, newest)
+            newest = held.current.version
+        self.assertEqual(newest, max(versions))
+
+
+class LogWriterTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.reader, self.writer_end = os.pipe()
+        self.writer = log_writer.BoundedLogWriter(
+            descriptor=self.writer_end, loop=asyncio.get_running_loop()
+        )
+
+    async def asyncTearDown(self):
+        os.close(self.reader)
+        os.close(self.writer_end)
+
+    async def test_a_reader_that_stops_reading_blocks_nothing(self):
+        """Whoever reads the output stops reading.
+        Lines are counted and left out instead of stopping all requests, and
+        the first line after the gap says how many were lost.
+        """
+        line = {"message_type": "x", "text": "y" * 1000}
+        for _ in range(3000):
+            self.writer(line)
+            self.writer.flush()
+        self.assertGreater(self.writer.dropped, 0)
+        self.assertLessEqual(
+            self.writer._waiting_bytes, log_writer.MAX_WAITING_BYTES
+        )
+        os.set_blocking(self.reader, False)
+        text = b""
+        for _ in range(2000):
+            with contextlib.suppress(BlockingIOError):
+                text += os.read(self.reader, 1 << 20)
+            self.writer.flush()
+        lines = [json.loads(part) for part in text.splitlines()]
+        kinds = {part["message_type"] for part in lines}
+        self.assertIn("log:dropped", kinds)
+        self.assertEqual(self.writer.dropped, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
