Run the router as a process of its own: metrics, reload, checked settings

Cause: SIGHUP would have ended the process, metrics were not served, and the settings file could not be checked before a start.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -6,20 +6,23 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
+from nutmeghook.internal.assembly import router_process
 from nutmeghook.internal.foundation import event_loop
-from nutmeghook.platform import router
 from nutmeghook.platform import settings
 
+EXIT_WRONG_SETTINGS = 2
+
 
 def main() -> int:
     """Serves until SIGTERM; prints every fault of the settings first."""
     try:
-        loaded = settings.load_file(os.environ)
+        return event_loop.run(
+            router_process.serve(lambda: settings.load_file(os.environ))
+        )
     except* settings.SettingError as faults:
         for fault in faults.exceptions:
             print(f"wrong setting: {fault}", file=sys.stderr)
-        sys.exit(2)
-    return event_loop.run(router.serve(loaded))
+    return EXIT_WRONG_SETTINGS
 
 
 if __name__ == "__main__":
--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.settings import flags as setting_flags
 from nutmeghook.internal.settings import loading
+from nutmeghook.platform import settings as platform_settings
 
 EXIT_WRONG_SETTINGS = 2
 
@@ -66,6 +67,28 @@
         print("\n".join(settings.printable_lines()))
         print("all settings are good")
 
+    @decorators.SetParseFn(str)
+    def check_platform_settings(self, file: str = "") -> None:
+        """Checks the settings file of the users' platform.
+
+        Prints every fault at once, with what is wanted; else what the router
+        would use. Fields that it doesn't know are ignored.
+
+        Args:
+            file: The file; else the one that NUTMEGHOOK_NODE_FILE names.
+        """
+        environment = dict(os.environ)
+        if file:
+            environment[platform_settings.FILE_VARIABLE] = file
+        try:
+            settings = platform_settings.load_file(environment)
+        except* platform_settings.SettingError as faults:
+            for fault in faults.exceptions:
+                print(f"wrong setting: {fault}", file=sys.stderr)
+            sys.exit(EXIT_WRONG_SETTINGS)
+        print("\n".join(platform_settings.printable_lines(settings)))
+        print("all settings are good")
+
     @decorators.SetParseFn(str)
     def timeline(
         self, about: str = "", html: str = "", url: str = "", token: str = ""
--- a/src/nutmeghook/platform/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -1,18 +1,19 @@
-"""Puts a router for the users' platform together and runs it."""
+"""Puts a router for the users' platform together."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import datetime
 import random
-import signal
-import sys
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp import web
+import aioprometheus
 
 from nutmeghook.internal.following import follower
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
-from nutmeghook.internal.observe import log_writer
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import attempts
@@ -37,6 +38,7 @@
 from nutmeghook.platform import store
 from nutmeghook.platform import tables
 
+METRICS_PATH = "/metrics"
 # Part of the fleet's retry ratio that instances use: what they count a little
 # differently from the platform must not lead over it.
 _RETRY_RATIO_USED = 0.9
@@ -48,9 +50,40 @@
 _STOP_RESERVE = datetime.timedelta(milliseconds=700)
 _POLL = datetime.timedelta(milliseconds=50)
 
+_Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
+
 
 class Router:
-    """One process between callers and replicas."""
+    """One process between callers and replicas.
+
+    Attributes:
+        configuration: The configuration in force.
+        directory: The replicas known.
+        leaving: It was told to stop.
+        metrics_address: Where metrics are served; empty before the start.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_pool",
+        "_random",
+        "_runners",
+        "_session",
+        "_settings",
+        "_store",
+        "_was_ready",
+        "_watch",
+        "_wire_format",
+        "budgets",
+        "configuration",
+        "directory",
+        "leaving",
+        "listener",
+        "metrics",
+        "metrics_address",
+        "orders",
+        "rollouts",
+    )
 
     def __init__(
         self,
@@ -87,7 +120,14 @@
             session_time=settings.session_time,
             clock=clock,
         )
+        self.budgets = window_budget.WindowRetryBudgets(
+            ratio=settings.retries.ratio * _RETRY_RATIO_USED,
+            window=settings.retries.window,
+            burst=_RETRY_BURST,
+            clock=clock,
+        )
         self.metrics = metrics_module.Metrics()
+        self.metrics_address = ""
         self.leaving = False
         self._was_ready = False
         self._wire_format = headers.PlatformHeaders()
@@ -100,21 +140,15 @@
         self._runners: list[web.ServerRunner] = []
 
     def _build_path(self) -> path_module.RequestPath:
-        settings = self._settings
         planner = attempts.AttemptPlanner(
             configuration=self.configuration,
             chooser=choice.ReplicaChooser(
                 directory=self.directory,
-                data_centre=settings.data_centre,
+                data_centre=self._settings.data_centre,
                 clock=self._clock,
             ),
             versions=self.rollouts,
-            budgets=window_budget.WindowRetryBudgets(
-                ratio=settings.retries.ratio * _RETRY_RATIO_USED,
-                window=settings.retries.window,
-                burst=_RETRY_BURST,
-                clock=self._clock,
-            ),
+            budgets=self.budgets,
             wire_format=self._wire_format,
             clock=self._clock,
             random_source=self._random,
@@ -161,27 +195,42 @@
 
     async def start(self) -> None:
         """Opens the listening sockets."""
-        host, _, port = self._settings.caller_address.rpartition(":")
-        await self.listener.start(host=host, port=int(port))
+        host, port = _split(self._settings.caller_address)
+        await self.listener.start(host=host, port=port)
         await self._serve_text(self._settings.ready_address, self._ready)
+        self.metrics_address = await self._serve_text(
+            f"{self._settings.ip}:{self._settings.metrics_port}",
+            self._show_metrics,
+        )
+
+    def apply(self, settings: settings_module.InstanceSettings) -> None:
+        """Puts changed settings in force, as far as a running process can.
+
+        Addresses that it listens on and its place stay as at the start; the
+        platform starts a process anew to change those.
+        """
+        self._settings = settings
+        self._store.address = settings.store_address
+        self.rollouts.schedule = schedule_module.Schedule(
+            largest_bad_share=settings.roll_outs.largest_share
+        )
+        self.budgets.change(
+            ratio=settings.retries.ratio * _RETRY_RATIO_USED,
+            window=settings.retries.window,
+        )
 
     async def run(self) -> None:
         """Follows the platform's tables until cancelled."""
+        operator_rows = tables.OperatorRows(
+            configuration=self.configuration, orders=self.orders
+        )
+        replica_rows = tables.ReplicaRows(directory=self.directory)
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(
-                self._follower(
-                    tables.OPERATOR_TABLE,
-                    tables.OperatorRows(
-                        configuration=self.configuration, orders=self.orders
-                    ),
-                ).run()
-            )
-            tasks.create_task(
-                self._follower(
-                    tables.REPLICA_TABLE,
-                    tables.ReplicaRows(directory=self.directory),
-                ).run()
-            )
+            for table, rows in (
+                (tables.OPERATOR_TABLE, operator_rows),
+                (tables.REPLICA_TABLE, replica_rows),
+            ):
+                tasks.create_task(self._follower(table, rows).run())
             tasks.create_task(self._rollout_driver().run())
 
     async def leave(self) -> None:
@@ -248,44 +297,25 @@
     async def _ready(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.is_ready else 503)
 
-    async def _serve_text(self, address: str, handler) -> None:
+    async def _show_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        body, content_headers = aioprometheus.render(
+            self.metrics.registry, request.headers.getall(hdrs.ACCEPT, [])
+        )
+        return web.Response(body=body, headers=content_headers)
+
+    async def _serve_text(self, address: str, handler: _Handler) -> str:
+        """Serves on an address; returns it with the port in use."""
         runner = web.ServerRunner(web.Server(handler, access_log=None))
         await runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port)).start()
+        host, port = _split(address)
+        await web.TCPSite(runner, host, port).start()
         self._runners.append(runner)
+        own_host, own_port = runner.addresses[0][:2]
+        return f"{own_host}:{own_port}"
 
 
-async def serve(settings: settings_module.InstanceSettings) -> int:
-    """Serves until SIGTERM; returns the process's exit status."""
-    loop = asyncio.get_running_loop()
-    writer = log_writer.BoundedLogWriter(
-        descriptor=sys.stdout.fileno(), loop=loop
-    )
-    logs.start_with(writer)
-    router = Router(
-        settings=settings, clock=clock_module.SystemClock(), loop=loop
-    )
-    told = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, told.set)
-    loop.add_signal_handler(signal.SIGINT, told.set)
-    await router.start()
-    logs.note(
-        "process:started",
-        instance=settings.instance_id,
-        data_centre=settings.data_centre,
-        address=router.listener.address,
-    )
-    running = asyncio.create_task(router.run())
-    waiting = asyncio.create_task(told.wait())
-    await asyncio.wait({running, waiting}, return_when=asyncio.FIRST_COMPLETED)
-    failure = running.exception() if running.done() else None
-    if failure is not None:
-        logs.note("process:part_failed", failure=repr(failure))
-    await router.leave()
-    running.cancel()
-    await asyncio.wait({running})
-    await router.close()
-    logs.note("process:ended", failed=failure is not None)
-    writer.flush()
-    return 1 if failure is not None else 0
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/nutmeghook/internal/limits/window_budget.py
+++ b/src/nutmeghook/internal/limits/window_budget.py
@@ -43,6 +43,11 @@
         )
         self._spent: collections.deque[datetime.timedelta] = collections.deque()
 
+    def change(self, *, ratio: float, window: datetime.timedelta) -> None:
+        """Changes the bounds; what was counted stays."""
+        self._ratio = ratio
+        self._window = window
+
     def note_request(self) -> None:
         """Counts a first attempt."""
         self._requests.append(self._clock.monotonic())
@@ -83,6 +88,13 @@
         self._clock = clock
         self._budgets: dict[str, WindowRetryBudget] = {}
 
+    def change(self, *, ratio: float, window: datetime.timedelta) -> None:
+        """Changes the bounds of all services."""
+        self._ratio = ratio
+        self._window = window
+        for budget in self._budgets.values():
+            budget.change(ratio=ratio, window=window)
+
     def budget_for(self, dependency: str) -> WindowRetryBudget:
         """Returns the service's budget; names come from the configuration."""
         budget = self._budgets.get(dependency)
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -26,7 +26,11 @@
 
 
 class RollOuts(view.VersionView):
-    """What this instance knows of all roll-outs."""
+    """What this instance knows of all roll-outs.
+
+    Attributes:
+        schedule: Which share a new version gets, and when.
+    """
 
     __slots__ = (
         "_clock",
@@ -36,9 +40,9 @@
         "_local_verdicts",
         "_orders",
         "_plans",
-        "_schedule",
         "_sessions",
         "_watch",
+        "schedule",
     )
 
     def __init__(
@@ -54,7 +58,7 @@
         self._orders = orders
         self._directory = directory
         self._watch = watch
-        self._schedule = schedule
+        self.schedule = schedule
         self._sessions = sessions_module.SessionVersions(
             session_time=session_time
         )
@@ -191,7 +195,7 @@
         if last is not None and part < schedule_module.MAY_MOVE_SESSIONS_AT:
             return False
         point = xxhash.xxh64_intdigest(f"{order.order_id}/{session}".encode())
-        return point / 2.0**64 < self._schedule.share_at(part)
+        return point / 2.0**64 < self.schedule.share_at(part)
 
     def _is_withdrawn(self, order: orders_module.RollOutOrder) -> bool:
         plan = self.plan_of(order)
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -1,12 +1,15 @@
 """The settings file that the platform gives a process."""
 
 from collections.abc import Mapping
+import dataclasses
 import datetime
 import pathlib
 import tomllib
 from typing import Any
 
 FILE_VARIABLE = "NUTMEGHOOK_NODE_FILE"
+METRICS_PORT_VARIABLE = "NUTMEGHOOK_METRICS_PORT"
+DEFAULT_METRICS_PORT = 9464
 DEFAULT_FILE = "/etc/nutmeghook/local.toml"
 
 
@@ -14,6 +17,7 @@
     """One value is missing or wrong; the text says what is needed."""
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class RollOutBounds:
     """How far a version that proves bad may reach.
 
@@ -23,20 +27,12 @@
         withdrawal_time: After it has proved bad, no request may reach it.
     """
 
-    __slots__ = ("allowance_requests", "largest_share", "withdrawal_time")
-
-    def __init__(
-        self,
-        *,
-        largest_share: float,
-        allowance_requests: int,
-        withdrawal_time: datetime.timedelta,
-    ):
-        self.largest_share = largest_share
-        self.allowance_requests = allowance_requests
-        self.withdrawal_time = withdrawal_time
+    largest_share: float
+    allowance_requests: int
+    withdrawal_time: datetime.timedelta
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class RetryBounds:
     """How many repeats a service may get from all instances together.
 
@@ -46,16 +42,12 @@
         allowance: Repeats beside the ratio, for the whole fleet.
     """
 
-    __slots__ = ("allowance", "ratio", "window")
-
-    def __init__(
-        self, *, ratio: float, window: datetime.timedelta, allowance: int
-    ):
-        self.ratio = ratio
-        self.window = window
-        self.allowance = allowance
+    ratio: float
+    window: datetime.timedelta
+    allowance: int
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class InstanceSettings:
     """What a process learns at its start.
 
@@ -64,62 +56,27 @@
         caller_address: Where callers connect, `ip:port`.
         ready_address: Where the balancer asks whether to send callers.
         inner_address: Where other instances connect.
-        metrics_port: Where metrics are served.
+        metrics_port: Where metrics are served; 0 for any free port.
         store_address: The platform's store.
         stop_time: From SIGTERM to SIGKILL.
         session_time: Requests of a session further apart are strangers.
         replica_heartbeat: How often replicas write their entry.
     """
 
-    __slots__ = (
-        "caller_address",
-        "data_centre",
-        "inner_address",
-        "instance_id",
-        "ip",
-        "metrics_port",
-        "ready_address",
-        "region",
-        "replica_heartbeat",
-        "retries",
-        "roll_outs",
-        "session_time",
-        "stop_time",
-        "store_address",
-    )
-
-    def __init__(
-        self,
-        *,
-        instance_id: str,
-        ip: str,
-        caller_address: str,
-        ready_address: str,
-        inner_address: str,
-        metrics_port: int,
-        store_address: str,
-        data_centre: str,
-        region: str,
-        stop_time: datetime.timedelta,
-        session_time: datetime.timedelta,
-        replica_heartbeat: datetime.timedelta,
-        roll_outs: RollOutBounds,
-        retries: RetryBounds,
-    ):
-        self.instance_id = instance_id
-        self.ip = ip
-        self.caller_address = caller_address
-        self.ready_address = ready_address
-        self.inner_address = inner_address
-        self.metrics_port = metrics_port
-        self.store_address = store_address
-        self.data_centre = data_centre
-        self.region = region
-        self.stop_time = stop_time
-        self.session_time = session_time
-        self.replica_heartbeat = replica_heartbeat
-        self.roll_outs = roll_outs
-        self.retries = retries
+    instance_id: str
+    ip: str
+    caller_address: str
+    ready_address: str
+    inner_address: str
+    metrics_port: int
+    store_address: str
+    data_centre: str
+    region: str
+    stop_time: datetime.timedelta
+    session_time: datetime.timedelta
+    replica_heartbeat: datetime.timedelta
+    roll_outs: RollOutBounds
+    retries: RetryBounds
 
 
 class _Reader:
@@ -157,6 +114,13 @@
             return default
         return float(value)
 
+    def port(self, name: str, text: str) -> int:
+        """Reads a port that is given as a text outside the file."""
+        if text.isdigit() and int(text) < 65536:
+            return int(text)
+        self._fault(name, text, "a port from 0 to 65535")
+        return 0
+
     def ports(self, path: str) -> tuple[int, int]:
         value = self._find(path)
         if (
@@ -182,9 +146,15 @@
         self.faults.append(SettingError(f"{path} is {shown}; give {wanted}"))
 
 
-def load(text: str) -> InstanceSettings:
+def load(
+    text: str, *, metrics_port: str = str(DEFAULT_METRICS_PORT)
+) -> InstanceSettings:
     """Reads the settings file's text; unknown fields are ignored.
 
+    Args:
+        text: The file's text.
+        metrics_port: A setting of our own, which the file doesn't hold.
+
     Raises:
         ExceptionGroup: One `SettingError` for each fault.
     """
@@ -195,7 +165,7 @@
             "settings are wrong", [SettingError(f"not TOML: {error}")]
         ) from error
     reader = _Reader(table=table)
-    first_inner_port, last_inner_port = reader.ports("internalPorts")
+    first_inner_port, _ = reader.ports("internalPorts")
     ip = reader.text("ip")
     settings = InstanceSettings(
         instance_id=reader.text("nodeName"),
@@ -203,7 +173,7 @@
         caller_address=reader.address("listen.front"),
         ready_address=reader.address("listen.ready"),
         inner_address=f"{ip}:{first_inner_port}",
-        metrics_port=last_inner_port,
+        metrics_port=reader.port(METRICS_PORT_VARIABLE, metrics_port),
         store_address=reader.address("platform.address"),
         data_centre=reader.text("zone"),
         region=reader.text("region"),
@@ -246,8 +216,28 @@
             "settings are wrong",
             [SettingError(f"{path} can't be read: {error}")],
         ) from error
-    return load(text)
+    return load(
+        text,
+        metrics_port=environment.get(
+            METRICS_PORT_VARIABLE, str(DEFAULT_METRICS_PORT)
+        ),
+    )
 
 
 def _seconds(number: float) -> datetime.timedelta:
     return datetime.timedelta(seconds=number)
+
+
+def printable_lines(settings: InstanceSettings) -> list[str]:
+    """Returns `name=value` lines of what is in force."""
+    lines = []
+    for field in dataclasses.fields(settings):
+        value = getattr(settings, field.name)
+        if not dataclasses.is_dataclass(value):
+            lines.append(f"{field.name}={value}")
+            continue
+        lines.extend(
+            f"{field.name}.{part.name}={getattr(value, part.name)}"
+            for part in dataclasses.fields(value)
+        )
+    return lines
--- a/src/nutmeghook/platform/store.py
+++ b/src/nutmeghook/platform/store.py
@@ -71,13 +71,18 @@
 
 
 class StoreClient:
-    """Calls to the store; one for the whole process."""
+    """Calls to the store; one for the whole process.
 
-    __slots__ = ("_address", "_session", "calls")
+    Attributes:
+        address: Where the store is, `ip:port`.
+        calls: How many calls were made.
+    """
+
+    __slots__ = ("_session", "address", "calls")
 
     def __init__(self, *, session: aiohttp.ClientSession, address: str):
         self._session = session
-        self._address = address
+        self.address = address
         self.calls = 0
 
     async def get(
@@ -122,7 +127,7 @@
         try:
             async with self._session.request(
                 method,
-                f"http://{self._address}{path}",
+                f"http://{self.address}{path}",
                 data=body,
                 headers={"Content-Type": "application/json"} if body else {},
                 timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -3,13 +3,22 @@
 import contextlib
 import io
 import os
+import tempfile
 import unittest
 from unittest import mock
 
 from nutmeghook import cli
 from nutmeghook.internal.administration import running
 
-COMMANDS = ("admin", "check_settings", "load", "serve", "timeline", "version")
+COMMANDS = (
+    "admin",
+    "check_platform_settings",
+    "check_settings",
+    "load",
+    "serve",
+    "timeline",
+    "version",
+)
 
 
 def printed(*arguments):
@@ -64,3 +73,15 @@
         self.assertEqual(status, cli.EXIT_WRONG_SETTINGS)
         self.assertIn("wrong setting: listen_address is 'nowhere'", text)
         self.assertIn("wrong setting: table_url is not set", text)
+
+    def test_a_wrong_settings_file_of_the_platform_is_explained(self):
+        """An operator checks a file with two faults before it goes out.
+        Both are named with what is wanted, and the status is 2.
+        """
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write('nodeName = 1\nip = "10.0.0.1"\n')
+            file.flush()
+            text, status = printed("check_platform_settings", file.name)
+        self.assertEqual(status, 2)
+        self.assertIn("nodeName is 1; give a text", text)
+        self.assertIn("platform.address is missing", text)
--- /dev/null
+++ b/tests/whole/test_router_process.py
@@ -0,0 +1,208 @@
+"""The router as a process, between stand-ins of the users' platform."""
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import signal
+import sys
+import tempfile
+import unittest
+
+import aiohttp
+import msgspec
+
+from nutmeghook.platform import headers
+from nutmeghook.platform import settings
+from nutmeghook.standins import users_replica
+from nutmeghook.standins import users_store
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SETTINGS = """
+nodeName = "edge-1"
+ip = "127.0.0.1"
+zone = "hall"
+region = "centre"
+internalPorts = [7340, 7355]
+[listen]
+front = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+[bounds]
+graceS = 8
+[platform]
+address = "{store}"
+"""
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "stream",
+            "host": "h.example",
+            "prefix": "/s/",
+            "routeKind": "streaming",
+            "timeoutMs": 9000,
+            "sloMs": 2000,
+            "service": "pool",
+            "attempts": 2,
+            "resumable": True,
+        }
+    ],
+    "services": [{"name": "pool"}],
+    "tenants": [{"name": "team", "apiKeys": ["key"]}],
+}
+
+
+class RouterProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = users_store.StandInStore()
+        await self.store.start()
+        self.replica = users_replica.StandInReplica(replica_id="id-1")
+        await self.replica.start()
+        self.store.put("op", "config", msgspec.json.encode(CONFIGURATION))
+        self.store.put(
+            "servers",
+            "id-1",
+            msgspec.json.encode(
+                {
+                    "service": "pool",
+                    "address": self.replica.address,
+                    "slots": 4,
+                    "zone": "hall",
+                }
+            ),
+        )
+        self.folder = tempfile.TemporaryDirectory()
+        self.file = pathlib.Path(self.folder.name) / "local.toml"
+        self.file.write_text(SETTINGS.format(store=self.store.address))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "serve.py"),
+            env=self.environment(),
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    def environment(self) -> dict[str, str]:
+        """Returns the process's variables; the system chooses its ports."""
+        return os.environ | {
+            settings.FILE_VARIABLE: str(self.file),
+            settings.METRICS_PORT_VARIABLE: "0",
+        }
+
+    async def asyncTearDown(self):
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        await self.replica.stop()
+        await self.store.stop()
+        self.folder.cleanup()
+
+    async def line(self, kind: str) -> dict:
+        """Reads the log up to the next line of a kind."""
+        async for raw in self.process.stdout:
+            line = json.loads(raw)
+            if line["message_type"] == kind:
+                return line
+        raise AssertionError(f"the process ended before {kind}")
+
+    async def served(self) -> str:
+        """Waits until the process knows enough to serve."""
+        self.started = await self.line("process:started")
+        await self.line("replica:listed")
+        return self.started["address"]
+
+    def stream_request(self, address: str):
+        """Returns a call for a stream; its answer is read as it comes."""
+        return aiohttp.request(
+            "POST",
+            f"http://{address}/s/x",
+            data=b"prompt",
+            headers={
+                "Host": "h.example",
+                "Authorization": "Token key",
+                headers.REQUEST_ID: "request-1",
+            },
+        )
+
+    async def test_a_stop_cuts_no_stream(self):
+        """SIGTERM comes while a stream is under way.
+        The stream ends whole, then the process ends by itself, status 0.
+        """
+        self.replica.reply_from(
+            [users_replica.Reply(events=tuple(range(20)), pause_s=0.05)]
+        )
+        address = await self.served()
+        async with self.stream_request(address) as answer:
+            first = await answer.content.readany()
+            self.process.send_signal(signal.SIGTERM)
+            body = first + await answer.read()
+        whole = b"".join(users_replica.event(n) for n in range(20))
+        self.assertEqual(body, whole)
+        await self.line("process:ended")
+        self.assertEqual(await self.process.wait(), 0)
+
+    async def test_a_request_s_log_leads_to_its_cause(self):
+        """A replica refuses, and an engineer has only the request's id.
+        The log says which replica, version and configuration it met, what
+        was heard back and how it ended.
+        """
+        self.replica.reply_from([users_replica.Reply(status=503, not_run=True)])
+        address = await self.served()
+        async with self.stream_request(address) as answer:
+            self.assertEqual(answer.status, 503)
+        sent = await self.line("attempt:sent")
+        failed = await self.line("attempt:failed")
+        ended = await self.line("request:ended")
+        for line in (sent, failed, ended):
+            self.assertEqual(line["request"], "request-1")
+        self.assertEqual(sent["replica"], "id-1")
+        self.assertEqual(sent["configuration"], 3)
+        self.assertEqual(failed["outcome"], "RefusedError")
+        self.assertIn("no replica", ended["outcome"])
+
+    async def test_changed_settings_are_applied_and_wrong_ones_named(self):
+        """The settings file changes under a running process, with a signal.
+        Wrong settings leave it running on those it has.
+        """
+        await self.served()
+        good = self.file.read_text()
+        self.file.write_text(good.replace('ip = "127.0.0.1"', "ip = 1"))
+        self.process.send_signal(signal.SIGHUP)
+        wrong = await self.line("settings:wrong")
+        self.assertIn("ip is 1", " ".join(wrong["faults"]))
+        self.file.write_text(good.replace("graceS = 8", "graceS = 6"))
+        self.process.send_signal(signal.SIGHUP)
+        await self.line("settings:applied")
+        self.assertIsNone(self.process.returncode)
+
+    async def test_wrong_settings_end_the_start(self):
+        self.process.kill()
+        await self.process.wait()
+        self.file.write_text("nodeName = 1")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "serve.py"),
+            env=self.environment(),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, text = await process.communicate()
+        self.assertEqual(process.returncode, 2)
+        self.assertIn("wrong setting: nodeName is 1", text.decode())
+
+    async def test_metrics_count_what_was_relayed(self):
+        address = await self.served()
+        async with self.stream_request(address) as answer:
+            await answer.read()
+        await self.line("request:ended")
+        url = f"http://{self.started['metrics_address']}/metrics"
+        async with aiohttp.request(
+            "GET", url, headers={"Accept": "text/plain"}
+        ) as page:
+            text = await page.text()
+        self.assertTrue(
+            re.search(r"nutmeghook_relayed_total{[^}]*} 1", text), text
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
