--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
+from nutmeghook.internal.version_plans import evidence as evidence_module
 from nutmeghook.internal.version_plans import view as view_module
 
 # Attempts of any outcome. Refusals cost little, but a request that several
@@ -32,16 +33,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Prepared:
-    """An attempt that is ready to be sent.
-
-    Attributes:
-        kind: Answers of one kind should take about as long.
-    """
+    """An attempt that is ready to be sent."""
 
     replica: directory_module.Replica
     outgoing: sender_module.Outgoing
     sent_at: datetime.timedelta
-    kind: str
+    route: model.Route
+    model: str
 
 
 class AttemptPlanner:
@@ -115,7 +113,8 @@
             replica=replica,
             outgoing=self._outgoing(job, replica),
             sent_at=self._clock.monotonic(),
-            kind=f"{route.name}/{_model_name(job) or ''}",
+            route=route,
+            model=_model_name(job) or "",
         )
 
     def note_answer(self, prepared: Prepared, *, failed: bool) -> None:
@@ -125,9 +124,13 @@
             prepared.replica.health.note_failure(now)
         self._versions.note_answer(
             prepared.replica.entry,
-            kind=prepared.kind,
-            failed=failed,
-            duration=now - prepared.sent_at,
+            evidence_module.AnswerSeen(
+                route=prepared.route.name,
+                model=prepared.model,
+                failed=failed,
+                duration_s=(now - prepared.sent_at).total_seconds(),
+                target_s=prepared.route.target.total_seconds(),
+            ),
         )
 
     def allow_repeat(
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -17,7 +17,6 @@
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
-from nutmeghook.internal.version_plans import schedule as schedule_module
 
 TABLE = "rollouts"
 PLAN_PREFIX = "plan/"
@@ -179,7 +178,7 @@
         reason = self._rollouts.judge(order)
         if reason is not None:
             await self._conclude(order, plan_module.Verdict.BAD, reason)
-        elif self._rollouts.part_of(plan) >= schedule_module.COMPLETE_AT:
+        elif self._rollouts.may_complete(plan):
             await self._conclude(
                 order, plan_module.Verdict.GOOD, "nothing bad was proven"
             )
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -1,23 +1,59 @@
 """Answers of a version in roll-out, counted and pooled over instances."""
 
+import dataclasses
 import math
 
 import msgspec
 
 from nutmeghook.internal.rollout import evidence as proof
 
-# A version may fail this share of its requests and still count as good:
-# services have failures of their own, and other faults hit its replicas too.
-TOLERATED_BAD_SHARE = 0.07
+# A version may fail this share of its requests beyond what the version in full
+# use fails, and still count as good: other faults hit its replicas too.
+TOLERATED_BEYOND_USUAL = 0.05
+# The usual share is an estimate of few answers; this much of it is allowed.
+USUAL_FACTOR = 1.6
+# What is taken for the usual share before there are answers, and how many
+# answers that guess is worth.
+_GUESSED_BAD = 0.6
+_GUESSED_ANSWERS = 12.0
+# Answers of the version in full use that count; older ones fade.
+_USUAL_MEMORY_ANSWERS = 60.0
 # A good version is reverted this rarely, for each route that it serves.
 FALSE_STOP_SHARE = 0.004
-# An answer is bad if it takes this many times as long as the old version's
-# on the same route. Bad versions are said to be several times slower; prompts
-# of one route differ by a factor of two to three in length.
-SLOW_FACTOR = 4.5
+# An answer is slow if it takes this many times as long as is usual on the same
+# route and model: bad versions are several times slower, and prompts of one
+# route differ by a factor of two to three in length.
+SLOW_FACTOR = 4.0
+# And if it uses up this part of the route's target: a fifth of it more or less
+# harms no caller, whatever the factor.
+SLOW_PART_OF_TARGET = 0.2
 _DURATION_WEIGHT = 0.05
-# The old version's answers on a route before slowness is judged there.
-_LEAST_OLD_ANSWERS = 12
+# The usual duration of a kind counts after so many answers.
+_LEAST_USUAL_ANSWERS = 6
+# Evidence over all routes, beside that of each.
+_ALL_ROUTES = "all routes"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class AnswerSeen:
+    """An answer, or a failure that the replica reported.
+
+    Attributes:
+        model: Answers of one route and model take about as long.
+        duration_s: From sending to the first sign of the answer.
+        target_s: Answers within it have their full worth.
+    """
+
+    route: str
+    model: str
+    failed: bool
+    duration_s: float
+    target_s: float
+
+    @property
+    def kind(self) -> str:
+        """What tells answers apart that take about as long."""
+        return f"{self.route}/{self.model}"
 
 
 class RouteCount(msgspec.Struct, kw_only=True):
@@ -37,30 +73,50 @@
     routes: dict[str, RouteCount] = {}
 
 
-class TypicalDurations:
-    """How long answers take, by kind; the logarithm's moving mean."""
+class UsualAnswers:
+    """How long answers of the version in full use take, and how many fail."""
 
-    __slots__ = ("_count", "_log")
+    __slots__ = ("_answers", "_bad", "_count", "_log")
 
     def __init__(self):
         self._log: dict[str, float] = {}
         self._count: dict[str, int] = {}
-
-    def note(self, kind: str, duration_s: float) -> None:
-        """Takes in an answer of a version in full use."""
-        value = math.log(max(duration_s, 1e-3))
-        count = self._count.get(kind, 0)
-        mean = self._log.get(kind, value)
+        self._answers: dict[str, float] = {}
+        self._bad: dict[str, float] = {}
+
+    def note(self, answer: AnswerSeen) -> None:
+        """Takes in an answer of the version in full use."""
+        bad = self.is_bad(answer)
+        for route in (answer.route, _ALL_ROUTES):
+            fade = 1.0 - 1.0 / _USUAL_MEMORY_ANSWERS
+            self._answers[route] = self._answers.get(route, 0.0) * fade + 1.0
+            self._bad[route] = self._bad.get(route, 0.0) * fade + bad
+        if answer.failed:
+            return
+        value = math.log(max(answer.duration_s, 1e-3))
+        count = self._count.get(answer.kind, 0)
+        mean = self._log.get(answer.kind, value)
         weight = max(_DURATION_WEIGHT, 1.0 / (count + 1))
-        self._log[kind] = mean + weight * (value - mean)
-        self._count[kind] = count + 1
-
-    def is_slow(self, kind: str, duration_s: float) -> bool:
-        """Tells whether an answer took far longer than is usual."""
-        if self._count.get(kind, 0) < _LEAST_OLD_ANSWERS:
+        self._log[answer.kind] = mean + weight * (value - mean)
+        self._count[answer.kind] = count + 1
+
+    def is_bad(self, answer: AnswerSeen) -> bool:
+        """Tells whether an answer failed or took far longer than usual."""
+        if answer.failed:
+            return True
+        if self._count.get(answer.kind, 0) < _LEAST_USUAL_ANSWERS:
+            return False
+        if answer.duration_s < SLOW_PART_OF_TARGET * answer.target_s:
             return False
-        typical_s = math.exp(self._log[kind])
-        return duration_s > SLOW_FACTOR * typical_s
+        usual_s = math.exp(self._log[answer.kind])
+        return answer.duration_s > SLOW_FACTOR * usual_s
+
+    def tolerated_share(self, route: str) -> float:
+        """Returns the share of bad answers that a good version may have."""
+        answers = self._answers.get(route, 0.0) + _GUESSED_ANSWERS
+        bad = self._bad.get(route, 0.0) + _GUESSED_BAD
+        share = TOLERATED_BEYOND_USUAL + USUAL_FACTOR * bad / answers
+        return min(0.6, share)
 
 
 class PooledEvidence:
@@ -68,18 +124,17 @@
 
     Counts only grow, so a row that is read twice or out of order adds
     nothing; an instance that restarts begins with a row of its own again.
+    Answers are kept in the order in which they were heard of, and folded
+    anew when what is usual has changed.
     """
 
-    __slots__ = ("_by_route", "_own", "_replicas", "_rule", "_seen", "order_id")
+    __slots__ = ("_answers", "_own", "_replicas", "_seen", "order_id")
 
     def __init__(self, *, order_id: int):
         self.order_id = order_id
-        self._rule = proof.RollOutRule(
-            tolerated_bad_share=TOLERATED_BAD_SHARE,
-            false_stop_share=FALSE_STOP_SHARE,
-        )
         self._own = EvidenceRow(order_id=order_id)
-        self._by_route: dict[str, proof.Evidence] = {}
+        # Whether each answer was bad, by route.
+        self._answers: dict[str, list[bool]] = {}
         self._replicas: dict[str, set[str]] = {}
         self._seen: dict[str, EvidenceRow] = {}
 
@@ -88,6 +143,11 @@
         """What this instance saw, to be published."""
         return self._own
 
+    @property
+    def answers(self) -> int:
+        """How many answers are known."""
+        return len(self._answers.get(_ALL_ROUTES, ()))
+
     def note(self, route: str, replica_id: str, *, bad: bool) -> None:
         """Takes in an answer of the new version seen here."""
         count = self._own.routes.setdefault(route, RouteCount())
@@ -96,9 +156,8 @@
             count.bad_replicas.add(replica_id)
         else:
             count.good += 1
-        self._fold(route, good=int(not bad), bad=int(bad))
-        if bad:
-            self._replicas.setdefault(route, set()).add(replica_id)
+        culprits = {replica_id} if bad else set()
+        self._add(route, [bad], culprits)
 
     def merge(self, instance_id: str, row: EvidenceRow) -> None:
         """Takes in what another instance saw."""
@@ -109,34 +168,38 @@
         for route, count in row.routes.items():
             old = before.routes.get(route) if before else None
             old = old or RouteCount()
-            self._fold(
-                route,
-                good=max(0, count.good - old.good),
-                bad=max(0, count.bad - old.bad),
-            )
-            self._replicas.setdefault(route, set()).update(count.bad_replicas)
+            good = max(0, count.good - old.good)
+            bad = max(0, count.bad - old.bad)
+            answers = [False] * good + [True] * bad
+            self._add(route, answers, count.bad_replicas)
 
-    def proven_bad(self, replicas: int) -> str | None:
+    def proven_bad(self, replicas: int, usual: UsualAnswers) -> str | None:
         """Returns why the version is bad, or None.
 
         Args:
             replicas: How many of the version's replicas are known.
+            usual: What the version in full use does.
         """
-        for route, folded in self._by_route.items():
-            culprits = len(self._replicas.get(route, ()))
-            if replicas > 1 and culprits < 2:
+        for route, answers in self._answers.items():
+            culprits = len(self._replicas[route])
+            # One failing replica is a fault of its own.
+            if culprits < min(2, replicas):
                 continue
-            if self._rule.proves_bad(folded):
+            rule = proof.RollOutRule(
+                tolerated_bad_share=usual.tolerated_share(route),
+                false_stop_share=FALSE_STOP_SHARE,
+            )
+            folded = proof.Evidence()
+            for bad in answers:
+                folded = rule.with_rating(folded, bad=bad)
+            if rule.proves_bad(folded):
                 return (
                     f"{folded.bad} of {folded.ratings} answers on {route}"
                     f" were bad, of {culprits} replicas"
                 )
         return None
 
-    def _fold(self, route: str, *, good: int, bad: int) -> None:
-        folded = self._by_route.get(route, proof.Evidence())
-        for _ in range(good):
-            folded = self._rule.with_rating(folded, bad=False)
-        for _ in range(bad):
-            folded = self._rule.with_rating(folded, bad=True)
-        self._by_route[route] = folded
+    def _add(self, route: str, answers: list[bool], culprits: set[str]) -> None:
+        for name in (route, _ALL_ROUTES):
+            self._answers.setdefault(name, []).extend(answers)
+            self._replicas.setdefault(name, set()).update(culprits)
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -35,12 +35,13 @@
     __slots__ = (
         "_clock",
         "_directory",
-        "_durations",
         "_evidence",
+        "_judged",
         "_local_verdicts",
         "_orders",
         "_plans",
         "_sessions",
+        "_usual",
         "_watch",
         "schedule",
     )
@@ -65,7 +66,9 @@
         self._clock = clock
         self._plans: dict[str, plan_module.PlanRow] = {}
         self._evidence: dict[str, evidence_module.PooledEvidence] = {}
-        self._durations = evidence_module.TypicalDurations()
+        self._usual = evidence_module.UsualAnswers()
+        # How many answers each order's evidence held when it was last judged.
+        self._judged: dict[int, int] = {}
         # Proofs found here act here at once, before the verdict is written.
         self._local_verdicts: dict[str, str] = {}
 
@@ -118,11 +121,15 @@
         """Returns why the version is bad, or None while it isn't proven."""
         if order.service in self._local_verdicts:
             return self._local_verdicts[order.service]
+        pooled = self.evidence_of(order)
+        if self._judged.get(order.order_id) == pooled.answers:
+            return None
+        self._judged[order.order_id] = pooled.answers
         replicas = sum(
             replica.entry.version == order.version
             for replica in self._directory.of_service(order.service)
         )
-        reason = self.evidence_of(order).proven_bad(replicas)
+        reason = pooled.proven_bad(replicas, self._usual)
         if reason is not None:
             self._local_verdicts[order.service] = reason
         return reason
@@ -132,6 +139,10 @@
         store_time = self._watch.store_time()
         return 0.0 if store_time is None else plan.part_at(store_time)
 
+    def may_complete(self, plan: plan_module.PlanRow) -> bool:
+        """Tells whether the old version's replicas may stop."""
+        return self.schedule.may_complete_at(self.part_of(plan), plan.within_s)
+
     def accepts(
         self, service: str, *, session: str
     ) -> Callable[[entries.ReplicaEntry], bool]:
@@ -160,23 +171,19 @@
     def note_answer(
         self,
         entry: entries.ReplicaEntry,
-        *,
-        kind: str,
-        failed: bool,
-        duration: datetime.timedelta,
+        answer: evidence_module.AnswerSeen,
     ) -> None:
-        """Takes in an answer, or a failure that the replica reports."""
+        """Takes in an answer of a replica."""
         order = self._orders.of_service(entry.service)
-        duration_s = duration.total_seconds()
         if order is None or entry.version != order.version:
-            if not failed:
-                self._durations.note(kind, duration_s)
+            self._usual.note(answer)
             return
         plan = self.plan_of(order)
         if plan is None or plan.verdict is not plan_module.Verdict.OPEN:
             return
-        bad = failed or self._durations.is_slow(kind, duration_s)
-        self.evidence_of(order).note(kind, entry.replica_id, bad=bad)
+        self.evidence_of(order).note(
+            answer.route, entry.replica_id, bad=self._usual.is_bad(answer)
+        )
 
     def _uses_new(
         self, order: orders_module.RollOutOrder, session: str
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -2,9 +2,9 @@
 
 import abc
 from collections.abc import Callable
-import datetime
 
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.version_plans import evidence
 
 
 class VersionView(abc.ABC):
@@ -31,19 +31,9 @@
     def note_answer(
         self,
         entry: entries.ReplicaEntry,
-        *,
-        kind: str,
-        failed: bool,
-        duration: datetime.timedelta,
+        answer: evidence.AnswerSeen,
     ) -> None:
-        """Takes in an answer, or a failure that the replica reports.
-
-        Args:
-            entry: Who answered.
-            kind: Answers of one kind should take about as long.
-            failed: The replica says that it failed.
-            duration: From sending to the first sign of the answer.
-        """
+        """Takes in an answer of a replica."""
 
 
 class AnyVersion(VersionView):
@@ -65,9 +55,6 @@
     def note_answer(
         self,
         entry: entries.ReplicaEntry,
-        *,
-        kind: str,
-        failed: bool,
-        duration: datetime.timedelta,
+        answer: evidence.AnswerSeen,
     ) -> None:
         """Ignores it."""
