Keep a new version on trial for nearly its whole time

Change: one small trial share, everything in a last stretch of 2.4 s or a tenth; at completion a suspicion (1 in 10) suffices to revert; nothing moves while the store is away. One log line for each answer of a replica.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -29,6 +29,7 @@
 _EARLIEST_RETURN_S = 0.25
 _LATEST_RETURN_S = 0.75
 _LEAST_URGENT = 9
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -117,9 +118,25 @@
             model=_model_name(job) or "",
         )
 
-    def note_answer(self, prepared: Prepared, *, failed: bool) -> None:
+    def note_answer(
+        self,
+        job: job_module.Job,
+        prepared: Prepared,
+        *,
+        status: int,
+        failed: bool,
+    ) -> None:
         """Takes in that a replica began to answer, or failed."""
         now = self._clock.monotonic()
+        logs.note(
+            "attempt:answered",
+            request=job.log_id,
+            attempt=job.tries,
+            replica=prepared.replica.entry.replica_id,
+            version=prepared.replica.entry.version,
+            status=status,
+            after_ms=round((now - prepared.sent_at) / _MILLISECOND),
+        )
         if failed:
             prepared.replica.health.note_failure(now)
         self._versions.note_answer(
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -88,7 +88,9 @@
                 return await self._failed_answer(job, prepared, answer)
             if not answer.facts.sealed or answer.facts.encoded:
                 raise outcomes.UnknownOutcomeError("the answer is not sealed")
-            self._planner.note_answer(prepared, failed=False)
+            self._planner.note_answer(
+                job, prepared, status=answer.head.status, failed=False
+            )
             if self._is_weak(job, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, answer)
@@ -105,7 +107,9 @@
         body = await self._bounded(
             job, answer.read_whole(), silence=job.route.target
         )
-        self._planner.note_answer(prepared, failed=True)
+        self._planner.note_answer(
+            job, prepared, status=answer.head.status, failed=True
+        )
         error = outcomes.UnknownOutcomeError(
             f"the replica answered {answer.head.status}"
         )
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -88,7 +88,9 @@
             self._planner.allow_repeat(job, error)
             return None
         job.runs += 1
-        self._planner.note_answer(prepared, failed=answer.failed)
+        self._planner.note_answer(
+            job, prepared, status=answer.status, failed=answer.failed
+        )
         if not answer.failed:
             prepared.replica.health.note_success()
         return answer
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -179,9 +179,7 @@
         if reason is not None:
             await self._conclude(order, plan_module.Verdict.BAD, reason)
         elif self._rollouts.may_complete(plan):
-            await self._conclude(
-                order, plan_module.Verdict.GOOD, "nothing bad was proven"
-            )
+            await self._complete(order)
 
     async def _begin(self, order: orders_module.RollOutOrder) -> None:
         """Writes the plan's start unless another instance has."""
@@ -204,6 +202,15 @@
         version = row.version if row else table_module.ABSENT_VERSION
         await self._write_plan(order, plan, version)
 
+    async def _complete(self, order: orders_module.RollOutOrder) -> None:
+        suspicion = self._rollouts.suspect(order)
+        if suspicion is not None:
+            await self._conclude(order, plan_module.Verdict.BAD, suspicion)
+            return
+        await self._conclude(
+            order, plan_module.Verdict.GOOD, "nothing speaks against it"
+        )
+
     async def _conclude(
         self,
         order: orders_module.RollOutOrder,
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -20,6 +20,8 @@
 _USUAL_MEMORY_ANSWERS = 60.0
 # A good version is reverted this rarely, for each route that it serves.
 FALSE_STOP_SHARE = 0.004
+# Before completion, which can't be taken back, this much less proof counts.
+SUSPICION_SHARE = 0.1
 # An answer is slow if it takes this many times as long as is usual on the same
 # route and model: bad versions are several times slower, and prompts of one
 # route differ by a factor of two to three in length.
@@ -173,12 +175,19 @@
             answers = [False] * good + [True] * bad
             self._add(route, answers, count.bad_replicas)
 
-    def proven_bad(self, replicas: int, usual: UsualAnswers) -> str | None:
+    def proven_bad(
+        self,
+        replicas: int,
+        usual: UsualAnswers,
+        *,
+        false_stop_share: float = FALSE_STOP_SHARE,
+    ) -> str | None:
         """Returns why the version is bad, or None.
 
         Args:
             replicas: How many of the version's replicas are known.
             usual: What the version in full use does.
+            false_stop_share: How rarely a good version is called bad.
         """
         for route, answers in self._answers.items():
             culprits = len(self._replicas[route])
@@ -187,7 +196,7 @@
                 continue
             rule = proof.RollOutRule(
                 tolerated_bad_share=usual.tolerated_share(route),
-                false_stop_share=FALSE_STOP_SHARE,
+                false_stop_share=false_stop_share,
             )
             folded = proof.Evidence()
             for bad in answers:
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -125,20 +125,45 @@
         if self._judged.get(order.order_id) == pooled.answers:
             return None
         self._judged[order.order_id] = pooled.answers
-        replicas = sum(
-            replica.entry.version == order.version
-            for replica in self._directory.of_service(order.service)
-        )
-        reason = pooled.proven_bad(replicas, self._usual)
+        reason = pooled.proven_bad(self._new_replicas(order), self._usual)
         if reason is not None:
             self._local_verdicts[order.service] = reason
         return reason
 
+    def suspect(self, order: orders_module.RollOutOrder) -> str | None:
+        """Returns what speaks against the version without proving it bad.
+
+        Looked at once, before completion, which can't be taken back.
+        """
+        return self.evidence_of(order).proven_bad(
+            self._new_replicas(order),
+            self._usual,
+            false_stop_share=evidence_module.SUSPICION_SHARE,
+        )
+
+    def _new_replicas(self, order: orders_module.RollOutOrder) -> int:
+        return sum(
+            replica.entry.version == order.version
+            for replica in self._directory.of_service(order.service)
+        )
+
     def part_of(self, plan: plan_module.PlanRow) -> float:
         """Returns which part of a plan's time has passed."""
         store_time = self._watch.store_time()
         return 0.0 if store_time is None else plan.part_at(store_time)
 
+    def _steady_part(self, plan: plan_module.PlanRow) -> float:
+        """Returns the time's part, held before the last stretch at need.
+
+        The failure: everything moves to the new version while the store is
+        out. Nobody can complete the roll-out, and a version that turns bad
+        now reaches every caller, with the others' evidence unheard.
+        """
+        part = self.part_of(plan)
+        if self._watch.away:
+            part = min(part, schedule_module.MAY_MOVE_SESSIONS_AT)
+        return part
+
     def may_complete(self, plan: plan_module.PlanRow) -> bool:
         """Tells whether the old version's replicas may stop."""
         return self.schedule.may_complete_at(self.part_of(plan), plan.within_s)
@@ -193,7 +218,7 @@
             return False
         if plan.verdict is plan_module.Verdict.GOOD:
             return True
-        part = self.part_of(plan)
+        part = self._steady_part(plan)
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
@@ -202,7 +227,7 @@
         if last is not None and part < schedule_module.MAY_MOVE_SESSIONS_AT:
             return False
         point = xxhash.xxh64_intdigest(f"{order.order_id}/{session}".encode())
-        return point / 2.0**64 < self.schedule.share_at(part)
+        return point / 2.0**64 < self.schedule.share_at(part, plan.within_s)
 
     def _is_withdrawn(self, order: orders_module.RollOutOrder) -> bool:
         plan = self.plan_of(order)
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -1,45 +1,56 @@
-"""Which share of a service's requests a new version gets, and when."""
+"""Which share of a service's requests a new version gets, and when.
+
+A version may turn bad late, or only once everything runs on it, and nothing
+can be taken back after completion, when the old version's replicas stop. So a
+small trial lasts nearly the whole time, and everything moves in a short last
+stretch, just long enough for requests on the old version to end.
+"""
 
 import dataclasses
 import datetime
 
 # Sessions may not move to the new version before this part of the time.
 MAY_MOVE_SESSIONS_AT = 0.5
-# All new requests go to the new version from this part of the time on.
-ALL_FROM = 0.68
-# Shares before that, as parts of what a bad version may get over the whole
-# time. They are small because the stretch with all requests counts too: what
-# is left of the allowance by then covers about two seconds of everything.
-_TRIAL_PARTS = ((0.0, 0.4), (MAY_MOVE_SESSIONS_AT, 0.8), (0.62, 2.0))
-# Requests on the old version, whose replicas stop at completion without
-# waiting for them, get this long to end. Streams that last longer are resumed.
-_LEAST_LAST_WAIT = datetime.timedelta(seconds=1.4)
-_LAST_WAIT_PART = 0.05
+# The last stretch: what a request on the old version needs to end, the spread
+# of the instances' steps, a store's call, and slack for a slow one.
+_LEAST_LAST_STRETCH = datetime.timedelta(seconds=2.4)
+_LAST_STRETCH_PART = 0.1
+# From the beginning of the last stretch to completion. Streams that last
+# longer are resumed on the new version.
+_LAST_WAIT = datetime.timedelta(seconds=1.3)
+# The trial's share is what the bound leaves beside the last stretch, within
+# these: with less, a version that fails half of its requests takes over ten
+# seconds to find at 50 requests a second; more finds nothing sooner that
+# matters.
+_LEAST_TRIAL_SHARE = 0.035
+_LARGEST_TRIAL_PART = 0.5
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Schedule:
-    """The shares over the time of one order.
+    """The shares over the time of an order.
 
     Attributes:
-        largest_bad_share: The most that a bad version may get.
+        largest_bad_share: The most that a bad version may get of all requests
+            from the order to the end of its time.
     """
 
     largest_bad_share: float
 
-    def share_at(self, part: float) -> float:
+    def share_at(self, part: float, within_s: float) -> float:
         """Returns the new version's share at a part of the time, from 0."""
-        if part >= ALL_FROM:
+        stretch = self._last_stretch_part(within_s)
+        if part >= 1.0 - stretch:
             return 1.0
-        share = 0.0
-        for start, trial in _TRIAL_PARTS:
-            if part >= start:
-                share = trial * self.largest_bad_share
-        return share
+        left = (self.largest_bad_share - stretch) / (1.0 - stretch)
+        most = _LARGEST_TRIAL_PART * self.largest_bad_share
+        return max(_LEAST_TRIAL_SHARE, min(left, most))
 
     def may_complete_at(self, part: float, within_s: float) -> bool:
         """Tells whether the old version's requests have had their time."""
-        last_wait_s = max(
-            _LEAST_LAST_WAIT.total_seconds(), _LAST_WAIT_PART * within_s
-        )
-        return (part - ALL_FROM) * within_s >= last_wait_s
+        full_from = 1.0 - self._last_stretch_part(within_s)
+        return (part - full_from) * within_s >= _LAST_WAIT.total_seconds()
+
+    def _last_stretch_part(self, within_s: float) -> float:
+        least = _LEAST_LAST_STRETCH.total_seconds() / max(within_s, 1.0)
+        return min(0.5, max(_LAST_STRETCH_PART, least))
