--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -150,6 +150,18 @@
             ),
         )
 
+    def note_pace(
+        self, prepared: Prepared, duration: datetime.timedelta, *, steps: int
+    ) -> None:
+        """Takes in how long an answer took, in so many equal steps."""
+        if steps < 1:
+            return
+        self._versions.note_pace(
+            prepared.replica.entry,
+            kind=f"{prepared.route.name}/{prepared.model}",
+            pace_s=duration.total_seconds() / steps,
+        )
+
     def allow_repeat(
         self, job: job_module.Job, error: outcomes.AttemptError
     ) -> None:
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -24,6 +24,8 @@
 _SILENT_TARGETS = 2.5
 _SILENT_PAUSES = 2.5
 _OK_STATUS = 200
+# With fewer events the time between them says little of a replica's pace.
+_LEAST_PACED_EVENTS = 4
 _T = TypeVar("_T")
 
 
@@ -93,7 +95,7 @@
             )
             if self._is_weak(job, answer):
                 return _Step.LARGER_MODEL
-            await self._pass_on(job, answer)
+            await self._pass_on(job, prepared, answer)
             prepared.replica.health.note_success()
             return _Step.DONE
 
@@ -159,7 +161,10 @@
         return True
 
     async def _pass_on(
-        self, job: job_module.Job, answer: sender_module.Answer
+        self,
+        job: job_module.Job,
+        prepared: attempts_module.Prepared,
+        answer: sender_module.Answer,
     ) -> None:
         """Passes whole events on until the stream is complete.
 
@@ -167,6 +172,8 @@
         are passed on, so that another replica can go on after the last one.
         """
         splitter = events_module.EventSplitter()
+        began_at = self._clock.monotonic()
+        events = 0
         silence = job.route.target * _SILENT_TARGETS
         while True:
             data = await self._bounded(
@@ -176,11 +183,15 @@
                 break
             for event in splitter.feed(data):
                 await self._pass_event(job, answer, event)
+                events += 1
             silence = job.route.longest_pause * _SILENT_PAUSES
         if splitter.has_rest:
             raise outcomes.UnknownOutcomeError("the stream ends in an event")
         await self._begin_once(job, answer)
         await job.sink.end()
+        if events >= _LEAST_PACED_EVENTS:
+            took = self._clock.monotonic() - began_at
+            self._planner.note_pace(prepared, took, steps=events - 1)
 
     async def _pass_event(
         self,
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -93,6 +93,8 @@
         )
         if not answer.failed:
             prepared.replica.health.note_success()
+            took = self._clock.monotonic() - prepared.sent_at
+            self._planner.note_pace(prepared, took, steps=1)
         return answer
 
     def _may_repeat_failure(self, job: job_module.Job) -> bool:
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -24,6 +24,8 @@
 # How often a verdict is looked for. A proof acts on this instance at once;
 # this only bounds how soon the others hear of it.
 _STEP = datetime.timedelta(milliseconds=200)
+# So many standard deviations of slowness are worth telling like a bad answer.
+_PACE_WORTH_TELLING = 2.0
 # Evidence is published this often at most, and only if it has grown by a bad
 # answer: a good version costs no writes.
 _PUBLISH_EVERY = datetime.timedelta(milliseconds=600)
@@ -101,8 +103,8 @@
         "_follower",
         "_instance_id",
         "_orders",
+        "_published",
         "_published_at",
-        "_published_bad",
         "_random",
         "_rollouts",
         "_status",
@@ -133,7 +135,7 @@
         self._random = random_source
         self._instance_id = instance_id
         self._published_at = datetime.timedelta()
-        self._published_bad: dict[int, int] = {}
+        self._published: dict[int, float] = {}
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -268,8 +270,9 @@
 
     async def _publish(self, order: orders_module.RollOutOrder) -> None:
         own = self._rollouts.evidence_of(order).own
-        bad = sum(count.bad for count in own.routes.values())
-        if bad <= self._published_bad.get(order.order_id, 0):
+        weight = sum(count.bad for count in own.routes.values())
+        weight += own.pace_sum / _PACE_WORTH_TELLING
+        if weight < self._published.get(order.order_id, 0.0) + 1.0:
             return
         now = self._clock.monotonic()
         if now - self._published_at < _PUBLISH_EVERY:
@@ -283,7 +286,7 @@
                 )
             )
         )
-        self._published_bad[order.order_id] = bad
+        self._published[order.order_id] = weight
 
 
 def _plan_key(service: str) -> str:
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -32,6 +32,15 @@
 _DURATION_WEIGHT = 0.05
 # The usual duration of a kind counts after so many answers.
 _LEAST_USUAL_ANSWERS = 6
+# The logarithm of paces of one kind is taken to vary by so much at least; with
+# less, a few equal answers would make any other look like an exception.
+_LEAST_PACE_SPREAD = 0.3
+# One answer counts for at most so many standard deviations.
+_MOST_DEVIATION = 3.0
+# A version is slow if its paces deviate by so many standard errors, over so
+# many answers. Chance alone does that to one good version in 30,000.
+_SLOW_DEVIATIONS = 4.0
+_LEAST_PACED = 6
 # Evidence over all routes, beside that of each.
 _ALL_ROUTES = "all routes"
 
@@ -69,10 +78,17 @@
 
 
 class EvidenceRow(msgspec.Struct, kw_only=True):
-    """What one instance saw in the course of one order."""
+    """What one instance saw in the course of one order.
+
+    Attributes:
+        paced: Answers whose pace was compared with what is usual.
+        pace_sum: Their deviations, in standard deviations, summed up.
+    """
 
     order_id: int
     routes: dict[str, RouteCount] = {}
+    paced: int = 0
+    pace_sum: float = 0.0
 
 
 class UsualAnswers:
@@ -121,6 +137,44 @@
         return min(0.6, share)
 
 
+class UsualPaces:
+    """How quickly answers of the version in full use go on, by kind.
+
+    Paces vary by a factor of two to ten with the load, so one slow answer
+    says little; but a version that is slow is slow in nearly all of them.
+    """
+
+    __slots__ = ("_count", "_mean", "_variance")
+
+    def __init__(self):
+        self._mean: dict[str, float] = {}
+        self._variance: dict[str, float] = {}
+        self._count: dict[str, int] = {}
+
+    def note(self, kind: str, pace_s: float) -> None:
+        """Takes in the pace of one answer."""
+        value = math.log(max(pace_s, 1e-4))
+        count = self._count.get(kind, 0)
+        mean = self._mean.get(kind, value)
+        weight = max(_DURATION_WEIGHT, 1.0 / (count + 1))
+        deviation = value - mean
+        self._mean[kind] = mean + weight * deviation
+        variance = self._variance.get(kind, 0.0)
+        self._variance[kind] = (1 - weight) * (
+            variance + weight * deviation * deviation
+        )
+        self._count[kind] = count + 1
+
+    def deviation(self, kind: str, pace_s: float) -> float | None:
+        """Returns by how many standard deviations a pace is slower."""
+        if self._count.get(kind, 0) < _LEAST_USUAL_ANSWERS:
+            return None
+        spread = max(_LEAST_PACE_SPREAD, math.sqrt(self._variance[kind]))
+        value = math.log(max(pace_s, 1e-4))
+        found = (value - self._mean[kind]) / spread
+        return max(-_MOST_DEVIATION, min(_MOST_DEVIATION, found))
+
+
 class PooledEvidence:
     """Folds all instances' counts of one order into a verdict.
 
@@ -147,8 +201,10 @@
 
     @property
     def answers(self) -> int:
-        """How many answers are known."""
-        return len(self._answers.get(_ALL_ROUTES, ()))
+        """How many answers and paces are known."""
+        rows = [self._own, *self._seen.values()]
+        paced = sum(row.paced for row in rows)
+        return len(self._answers.get(_ALL_ROUTES, ())) + paced
 
     def note(self, route: str, replica_id: str, *, bad: bool) -> None:
         """Takes in an answer of the new version seen here."""
@@ -161,6 +217,11 @@
         culprits = {replica_id} if bad else set()
         self._add(route, [bad], culprits)
 
+    def note_pace(self, deviation: float) -> None:
+        """Takes in how much slower than usual an answer went on."""
+        self._own.paced += 1
+        self._own.pace_sum += deviation
+
     def merge(self, instance_id: str, row: EvidenceRow) -> None:
         """Takes in what another instance saw."""
         if row.order_id != self.order_id:
@@ -189,6 +250,9 @@
             usual: What the version in full use does.
             false_stop_share: How rarely a good version is called bad.
         """
+        slowness = self._slowness()
+        if slowness is not None:
+            return slowness
         for route, answers in self._answers.items():
             culprits = len(self._replicas[route])
             # One failing replica is a fault of its own.
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -39,6 +39,7 @@
         "_judged",
         "_local_verdicts",
         "_orders",
+        "_paces",
         "_plans",
         "_sessions",
         "_usual",
@@ -67,6 +68,7 @@
         self._plans: dict[str, plan_module.PlanRow] = {}
         self._evidence: dict[str, evidence_module.PooledEvidence] = {}
         self._usual = evidence_module.UsualAnswers()
+        self._paces = evidence_module.UsualPaces()
         # How many answers each order's evidence held when it was last judged.
         self._judged: dict[int, int] = {}
         # Proofs found here act here at once, before the verdict is written.
@@ -210,6 +212,28 @@
             answer.route, entry.replica_id, bad=self._usual.is_bad(answer)
         )
 
+    def note_pace(
+        self, entry: entries.ReplicaEntry, *, kind: str, pace_s: float
+    ) -> None:
+        """Takes in how quickly an answer went on.
+
+        Only the trial is compared: in the last stretch the new version alone
+        carries the load, and nothing tells a busy minute from a slow version.
+        """
+        order = self._orders.of_service(entry.service)
+        if order is None or entry.version != order.version:
+            self._paces.note(kind, pace_s)
+            return
+        plan = self.plan_of(order)
+        if plan is None or plan.verdict is not plan_module.Verdict.OPEN:
+            return
+        part = self._steady_part(plan)
+        if self.schedule.share_at(part, plan.within_s) >= 1.0:
+            return
+        deviation = self._paces.deviation(kind, pace_s)
+        if deviation is not None:
+            self.evidence_of(order).note_pace(deviation)
+
     def _uses_new(
         self, order: orders_module.RollOutOrder, session: str
     ) -> bool:
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -35,6 +35,18 @@
     ) -> None:
         """Takes in an answer of a replica."""
 
+    @abc.abstractmethod
+    def note_pace(
+        self, entry: entries.ReplicaEntry, *, kind: str, pace_s: float
+    ) -> None:
+        """Takes in how quickly an answer went on.
+
+        Args:
+            entry: Who answered.
+            kind: Answers of one kind go on about as quickly.
+            pace_s: Time between two events, or until a whole answer.
+        """
+
 
 class AnyVersion(VersionView):
     """Lets every version run everything; for tests."""
@@ -58,3 +70,8 @@
         answer: evidence.AnswerSeen,
     ) -> None:
         """Ignores it."""
+
+    def note_pace(
+        self, entry: entries.ReplicaEntry, *, kind: str, pace_s: float
+    ) -> None:
+        """Ignores it."""
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -1,6 +1,7 @@
 """Roll-outs on a store that loses answers, with instances that race."""
 
 import datetime
+import math
 import random
 import unittest
 
@@ -245,6 +246,37 @@
             )
         self.assertIsNotNone(self.instance.rollouts.judge(ORDER))
 
+    async def test_a_version_whose_every_answer_is_slower_is_found(self):
+        """A version answers in time and goes on three times slower.
+        Paces differ as much by load, so no single answer is an exception;
+        all of them together are.
+        """
+        drawn = random.Random(1)
+        paces = [math.exp(drawn.gauss(-3.5, 0.5)) for _ in range(60)]
+        self.pace("v1", *paces)
+        self.instance.begin()
+        self.pace("v2", *paces[:12])
+        self.assertIsNone(self.instance.rollouts.judge(ORDER))
+        self.pace("v2", *[3 * pace for pace in paces[:25]])
+        self.assertIn("slower", self.instance.rollouts.judge(ORDER))
+
+    async def test_a_busy_last_stretch_is_not_a_slow_version(self):
+        """Everything runs on the new version and a burst comes.
+        Its answers go on slower than the old ones did before the burst.
+        """
+        self.pace("v1", *[0.02, 0.03] * 20)
+        self.instance.begin()
+        await self.advance(0.9)
+        self.pace("v2", *[0.09] * 40)
+        self.assertIsNone(self.instance.rollouts.judge(ORDER))
+
+    def pace(self, version: str, *paces_s: float) -> None:
+        """Takes in how quickly answers of a version went on."""
+        for pace_s in paces_s:
+            self.instance.rollouts.note_pace(
+                entry(1, version), kind="kind", pace_s=pace_s
+            )
+
     @given(strategies.integers(min_value=0, max_value=2**32))
     def test_a_good_version_is_not_reverted(self, seed):
         """A version fails 3 in 100 requests, as the old one does."""
