--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -272,6 +272,17 @@
                 )
         return None
 
+    def _slowness(self) -> str | None:
+        rows = [self._own, *self._seen.values()]
+        paced = sum(row.paced for row in rows)
+        total = sum(row.pace_sum for row in rows)
+        if paced < _LEAST_PACED or total < _SLOW_DEVIATIONS * paced**0.5:
+            return None
+        return (
+            f"{paced} answers went on slower than usual, by"
+            f" {total / paced:.1f} standard deviations"
+        )
+
     def _add(self, route: str, answers: list[bool], culprits: set[str]) -> None:
         for name in (route, _ALL_ROUTES):
             self._answers.setdefault(name, []).extend(answers)
