--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -153,12 +153,19 @@
     def note_pace(
         self, prepared: Prepared, duration: datetime.timedelta, *, steps: int
     ) -> None:
-        """Takes in how long an answer took, in so many equal steps."""
+        """Takes in how long an answer took, in so many equal steps.
+
+        A replica generates for all its streams in one batch, so events come
+        equally often on every route; whole answers differ by route.
+        """
         if steps < 1:
             return
+        is_stream = prepared.route.kind is model.RouteKind.STREAM
         self._versions.note_pace(
             prepared.replica.entry,
-            kind=f"{prepared.route.name}/{prepared.model}",
+            kind=prepared.replica.entry.service
+            if is_stream
+            else prepared.route.name,
             pace_s=duration.total_seconds() / steps,
         )
 
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -38,9 +38,12 @@
 # One answer counts for at most so many standard deviations.
 _MOST_DEVIATION = 3.0
 # A version is slow if its paces deviate by so many standard errors, over so
-# many answers. Chance alone does that to one good version in 30,000.
-_SLOW_DEVIATIONS = 4.0
+# many answers. Chance alone does that to one good version in 700; in fact it
+# is rarer, since replicas on trial carry less load than the others.
+_SLOW_DEVIATIONS = 3.0
 _LEAST_PACED = 6
+# As little as this is a suspicion: one good version in 40, by chance alone.
+_SUSPECT_DEVIATIONS = 2.0
 # Evidence over all routes, beside that of each.
 _ALL_ROUTES = "all routes"
 
@@ -250,7 +253,11 @@
             usual: What the version in full use does.
             false_stop_share: How rarely a good version is called bad.
         """
-        slowness = self._slowness()
+        slowness = self._slowness(
+            _SLOW_DEVIATIONS
+            if false_stop_share < SUSPICION_SHARE
+            else _SUSPECT_DEVIATIONS
+        )
         if slowness is not None:
             return slowness
         for route, answers in self._answers.items():
@@ -272,11 +279,11 @@
                 )
         return None
 
-    def _slowness(self) -> str | None:
+    def _slowness(self, deviations: float) -> str | None:
         rows = [self._own, *self._seen.values()]
         paced = sum(row.paced for row in rows)
         total = sum(row.pace_sum for row in rows)
-        if paced < _LEAST_PACED or total < _SLOW_DEVIATIONS * paced**0.5:
+        if paced < _LEAST_PACED or total < deviations * paced**0.5:
             return None
         return (
             f"{paced} answers went on slower than usual, by"
