Spread generations by fresher loads; let failures fade with time

Before, a data centre kept its work until its replicas were half a batch fuller than the others'. Change: failures fade within seconds and weigh less; old reports fade to the service's usual load; remote load 0.08, affinity slack 0.08.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -154,7 +154,10 @@
             random_source=self._random,
         )
         sender = sender_module.Sender(
-            pool=self._pool, wire_format=self._wire_format, clock=self._clock
+            pool=self._pool,
+            directory=self.directory,
+            wire_format=self._wire_format,
+            clock=self._clock,
         )
         return path_module.RequestPath(
             configuration=self.configuration,
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -136,6 +136,7 @@
             version=prepared.replica.entry.version,
             status=status,
             after_ms=round((now - prepared.sent_at) / _MILLISECOND),
+            replica_load=prepared.replica.reported_total,
         )
         if failed:
             prepared.replica.health.note_failure(now)
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -96,7 +96,7 @@
             if self._is_weak(job, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, prepared, answer)
-            prepared.replica.health.note_success()
+            prepared.replica.health.note_success(self._clock.monotonic())
             return _Step.DONE
 
     async def _failed_answer(
@@ -154,7 +154,7 @@
             model=job.route.models[job.model_index],
             next_model=job.route.models[larger],
         )
-        answer.replica.health.note_success()
+        answer.replica.health.note_success(self._clock.monotonic())
         job.model_index = larger
         job.runs += 1
         job.tried.clear()
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -92,7 +92,7 @@
             job, prepared, status=answer.status, failed=answer.failed
         )
         if not answer.failed:
-            prepared.replica.health.note_success()
+            prepared.replica.health.note_success(self._clock.monotonic())
             took = self._clock.monotonic() - prepared.sent_at
             self._planner.note_pace(prepared, took, steps=1)
         return answer
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -10,19 +10,23 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 
-# A replica's own count of its load is used for this long; afterwards only
-# what this instance has under way there.
-REPORT_AGE = datetime.timedelta(seconds=2)
-# Load per slot that is added for a replica in another data centre. Bytes
-# between data centres are dear, so a neighbour takes work only once the own
-# data centre's replicas are half a batch fuller.
-REMOTE_LOAD = 0.5
+# A replica's own count of its load comes with its answers. The older it is,
+# the more the service's usual load is taken instead. Dropped at some age, it
+# would leave what this instance has under way there, a seventh of the truth
+# or less, and all instances would turn to the replica heard of least.
+REPORT_LIFE = datetime.timedelta(seconds=1)
+# Load per slot that is added for a replica in another data centre: bytes
+# between data centres are dear for one user and cheap for the other, and this
+# serves both. With 0.5 instead, a data centre's replicas had four times the
+# load of another's, and over a tenth of the answers came late.
+REMOTE_LOAD = 0.08
 # A replica that holds the prompt's shared parts may be this much fuller per
-# slot than the emptiest: reading 6,000 tokens again costs about 75 ms of a
-# replica's time, which is less than the slow-down by a quarter batch.
-AFFINITY_SLACK = 0.25
-# Load per slot that a failure rate of 1 stands for.
-FAILURE_LOAD = 3.0
+# slot than the best one. Reading 6,000 tokens again takes 75 ms; five more
+# running requests of 64 add that to every answer's first second.
+AFFINITY_SLACK = 0.08
+# Load per slot that a failure rate of 1 stands for. A failed attempt costs a
+# repeat; replicas twice as full cost every request more than that.
+FAILURE_LOAD = 1.0
 
 
 class Need:
@@ -92,11 +96,14 @@
         self, replica: directory_module.Replica, now: datetime.timedelta
     ) -> float:
         """Returns the estimated load, 1 where all slots are taken."""
-        estimate = replica.in_flight
+        estimate = float(replica.in_flight)
         reported_at = replica.reported_at
-        if reported_at is not None and now - reported_at < REPORT_AGE:
+        if reported_at is not None:
+            weight = math.exp((reported_at - now) / REPORT_LIFE)
+            usual = self._directory.usual_load(replica.entry.service)
+            expected = weight * replica.reported_total + (1 - weight) * usual
             since = replica.in_flight - replica.in_flight_at_report
-            estimate = max(estimate, replica.reported_total + since)
+            estimate = max(estimate, expected + since)
         return estimate / replica.entry.slots
 
     def _best(
@@ -123,7 +130,7 @@
         self, replica: directory_module.Replica, now: datetime.timedelta
     ) -> float:
         score = self.load_per_slot(replica, now)
-        score += FAILURE_LOAD * replica.health.failure_rate
+        score += FAILURE_LOAD * replica.health.failure_rate(now)
         if replica.entry.data_centre != self._data_centre:
             score += REMOTE_LOAD
         return score
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -13,6 +13,10 @@
 # its return. Until then, and some slack, a missing entry proves nothing.
 LAPSE_GRACE = datetime.timedelta(milliseconds=2200)
 
+# Of each report in the usual load of its service: some ten reports, a second
+# or two of an instance's traffic.
+_USUAL_WEIGHT = 0.1
+
 
 class Replica:
     """One start of a replica.
@@ -69,6 +73,7 @@
         "_missing_since_return",
         "_on_gone",
         "_trusted_from",
+        "_usual_load",
         "known",
     )
 
@@ -84,6 +89,7 @@
         self._by_service: dict[str, dict[str, Replica]] = {}
         self._missing_since_return: set[str] = set()
         self._trusted_from = datetime.timedelta()
+        self._usual_load: dict[str, float] = {}
         self.known = False
 
     def of_service(self, service: str) -> Iterable[Replica]:
@@ -94,6 +100,17 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def note_load(self, replica: Replica, total: int) -> None:
+        """Takes in a replica's own count of its running and waiting work."""
+        replica.note_load(total, self._clock.monotonic())
+        service = replica.entry.service
+        usual = self._usual_load.get(service, float(total))
+        self._usual_load[service] = usual + _USUAL_WEIGHT * (total - usual)
+
+    def usual_load(self, service: str) -> float:
+        """Returns what replicas of a service have reported lately."""
+        return self._usual_load.get(service, 0.0)
+
     def distrust_deletions(self, until: datetime.timedelta) -> None:
         """Holds deletions back until a monotonic time."""
         self._trusted_from = max(self._trusted_from, until)
--- a/src/nutmeghook/internal/replicas/health.py
+++ b/src/nutmeghook/internal/replicas/health.py
@@ -1,7 +1,12 @@
 """What this instance's own attempts tell of a replica's health."""
 
 import datetime
+import math
 
+# What a replica did this long ago counts for a third. A replica that is chosen
+# less for its failures makes fewer attempts to show that it is well again: by
+# attempts alone its record would never fade, and the others are swamped.
+FAILURE_MEMORY = datetime.timedelta(seconds=3)
 FIRST_EJECTION = datetime.timedelta(seconds=1)
 LONGEST_EJECTION = datetime.timedelta(seconds=8)
 # Failures in a row after which a replica is left alone for a while. One alone
@@ -16,38 +21,39 @@
     """Counts failures, and leaves a failing replica alone for a while.
 
     Attributes:
-        failure_rate: Moving share of attempts that failed.
         ejected_until: Not chosen before this monotonic time if another can be.
     """
 
     __slots__ = (
+        "_counted_at",
         "_ejections",
+        "_failure_rate",
         "_in_a_row",
         "attempts",
         "ejected_until",
-        "failure_rate",
     )
 
     def __init__(self):
         self._in_a_row = 0
         self._ejections = 0
         self.attempts = 0
-        self.failure_rate = 0.0
+        self._failure_rate = 0.0
+        self._counted_at = datetime.timedelta()
         self.ejected_until = datetime.timedelta()
 
     def is_ejected(self, now: datetime.timedelta) -> bool:
         """Tells whether it is being left alone."""
         return now < self.ejected_until
 
-    def note_success(self) -> None:
+    def note_success(self, now: datetime.timedelta) -> None:
         """Takes in an answer."""
-        self._count(0.0)
+        self._count(0.0, now)
         self._in_a_row = 0
         self._ejections = 0
 
     def note_failure(self, now: datetime.timedelta) -> bool:
         """Takes in a failed attempt; returns whether it ejects."""
-        self._count(1.0)
+        self._count(1.0, now)
         self._in_a_row += 1
         if self._in_a_row >= FAILURES_IN_A_ROW:
             self._eject(now)
@@ -59,9 +65,16 @@
         self._in_a_row += 1
         self._eject(now)
 
-    def _count(self, failed: float) -> None:
+    def failure_rate(self, now: datetime.timedelta) -> float:
+        """Returns the share of recent attempts that failed."""
+        age = (now - self._counted_at) / FAILURE_MEMORY
+        return self._failure_rate * math.exp(-max(0.0, age))
+
+    def _count(self, failed: float, now: datetime.timedelta) -> None:
         self.attempts += 1
-        self.failure_rate += _RATE_WEIGHT * (failed - self.failure_rate)
+        rate = self.failure_rate(now)
+        self._failure_rate = rate + _RATE_WEIGHT * (failed - rate)
+        self._counted_at = now
 
     def _eject(self, now: datetime.timedelta) -> None:
         duration = min(FIRST_EJECTION * 2**self._ejections, LONGEST_EJECTION)
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -89,16 +89,18 @@
 class Sender:
     """Makes single attempts and keeps count of them."""
 
-    __slots__ = ("_clock", "_pool", "_wire_format")
+    __slots__ = ("_clock", "_directory", "_pool", "_wire_format")
 
     def __init__(
         self,
         *,
         pool: pool_module.ConnectionPool,
+        directory: directory_module.ReplicaDirectory,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._pool = pool
+        self._directory = directory
         self._wire_format = wire_format
         self._clock = clock
 
@@ -165,9 +167,8 @@
                 f"the answer is to request {facts.request_id!r}"
             )
         if facts.load is not None:
-            replica.note_load(
-                facts.load.running + facts.load.waiting,
-                self._clock.monotonic(),
+            self._directory.note_load(
+                replica, facts.load.running + facts.load.waiting
             )
         if facts.not_run:
             await answer.read_whole()
--- a/tests/cover/test_relay_parts.py
+++ b/tests/cover/test_relay_parts.py
@@ -132,6 +132,47 @@
         self.replica("r1").in_flight = 8
         self.assertEqual(self.choose(), "r2")
 
+    def test_a_replica_that_failed_is_not_left_out_for_long(self):
+        """Four of six replicas lost answers for some seconds.
+        They are chosen less, so they have few attempts to show that they are
+        well again; by attempts alone the other two carried everything for
+        half a minute and answered late.
+        """
+        for number in (1, 2):
+            self.directory.put(entry(number))
+        health = self.replica("r1").health
+        for _ in range(2):
+            health.note_failure(self.clock.monotonic())
+            health.note_success(self.clock.monotonic())
+        self.replica("r2").in_flight = 1
+        self.assertEqual(self.choose(), "r2")
+        self.clock._elapsed += 10 * _SECOND
+        self.assertEqual(self.choose(), "r1")
+
+    def test_an_old_report_fades_to_the_usual_load(self):
+        """A replica reported itself full some seconds ago, another empty.
+        Neither is believed any more: both are taken to be as full as usual,
+        instead of sending everything to the one heard of least.
+        """
+        for number in (1, 2, 3):
+            self.directory.put(entry(number, slots=64))
+            self.directory.note_load(self.replica(f"r{number}"), 20)
+        self.directory.note_load(self.replica("r1"), 60)
+        self.directory.note_load(self.replica("r2"), 0)
+        now = self.clock.monotonic()
+        full, empty = self.replica("r1"), self.replica("r2")
+        self.assertGreater(
+            self.chooser.load_per_slot(full, now)
+            - self.chooser.load_per_slot(empty, now),
+            0.9,
+        )
+        later = now + 10 * _SECOND
+        self.assertLess(
+            self.chooser.load_per_slot(full, later)
+            - self.chooser.load_per_slot(empty, later),
+            0.01,
+        )
+
     def test_equal_prompts_go_to_one_replica_while_it_has_room(self):
         for number in range(1, 5):
             self.directory.put(entry(number))
@@ -159,7 +200,7 @@
         self.directory.put(entry(2))
         health = self.replica("r1").health
         for _ in range(10):
-            health.note_success()
+            health.note_success(self.clock.monotonic())
             health.note_failure(self.clock.monotonic())
         self.replica("r2").in_flight = 2
         self.assertEqual(self.choose(), "r2")
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -131,7 +131,10 @@
             random_source=random.Random(1),
         )
         sender = sender_module.Sender(
-            pool=self.pool, wire_format=wire_format, clock=self.clock
+            pool=self.pool,
+            directory=self.directory,
+            wire_format=wire_format,
+            clock=self.clock,
         )
         parts = {
             "planner": planner,
