Leave dark replicas at once; give out what came before a break

A silence alone must not end an attempt sooner, as busy replicas are silent too. Change: after 0.6 s of silence a new connection is tried; only a dark replica accepts none within 0.35 s. Events that arrived before a reset are passed on before it counts, so that the stream goes on after them.

--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -1,6 +1,8 @@
 """Requests answered by a stream of events, passed on one by one."""
 
+import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import datetime
 import enum
@@ -23,6 +25,9 @@
 # still counts as on time.
 _SILENT_TARGETS = 2.5
 _SILENT_PAUSES = 2.5
+# After this much silence it is found out whether the replica is dark. Nine in
+# ten first events come sooner, and answers of a healthy replica pause less.
+_DOUBTFUL_SILENCE = datetime.timedelta(milliseconds=600)
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's pace.
 _LEAST_PACED_EVENTS = 4
@@ -79,13 +84,7 @@
         self, job: job_module.Job, prepared: attempts_module.Prepared
     ) -> _Step:
         async with contextlib.AsyncExitStack() as stack:
-            answer = await self._bounded(
-                job,
-                stack.enter_async_context(
-                    self._sender.attempt(prepared.replica, prepared.outgoing)
-                ),
-                silence=job.route.target * _SILENT_TARGETS,
-            )
+            answer = await self._head(job, prepared, stack)
             if answer.head.status != _OK_STATUS:
                 return await self._failed_answer(job, prepared, answer)
             if not answer.facts.sealed or answer.facts.encoded:
@@ -106,8 +105,9 @@
         answer: sender_module.Answer,
     ) -> _Step:
         """Passes a replica's failure on, if nothing better can be had."""
-        body = await self._bounded(
-            job, answer.read_whole(), silence=job.route.target
+        left = self._planner.time_left(job)
+        body = await self._at_most(
+            job, answer.read_whole(), left, may_move=False
         )
         self._planner.note_answer(
             job, prepared, status=answer.head.status, failed=True
@@ -177,7 +177,7 @@
         silence = job.route.target * _SILENT_TARGETS
         while True:
             data = await self._bounded(
-                job, answer.head.body.readany(), silence=silence
+                job, prepared, answer.head.read, silence=silence
             )
             if not data:
                 break
@@ -216,33 +216,88 @@
             self._wire_format.answer_headers(answer.head.headers),
         )
 
+    async def _head(
+        self,
+        job: job_module.Job,
+        prepared: attempts_module.Prepared,
+        stack: contextlib.AsyncExitStack,
+    ) -> sender_module.Answer:
+        """Sends, and returns the answer's head once it has come."""
+        sending = asyncio.ensure_future(
+            stack.enter_async_context(
+                self._sender.attempt(prepared.replica, prepared.outgoing)
+            )
+        )
+        try:
+            return await self._bounded(
+                job,
+                prepared,
+                lambda: asyncio.shield(sending),
+                silence=job.route.target * _SILENT_TARGETS,
+            )
+        except BaseException:
+            # Ends the attempt at its replica before another one begins.
+            sending.cancel()
+            await asyncio.wait({sending})
+            raise
+
     async def _bounded(
         self,
         job: job_module.Job,
-        work: Awaitable[_T],
+        prepared: attempts_module.Prepared,
+        wait: Callable[[], Awaitable[_T]],
         *,
         silence: datetime.timedelta,
     ) -> _T:
         """Awaits a replica's next sign of life.
 
+        Args:
+            job: The request.
+            prepared: Its attempt.
+            wait: Begins to wait, or goes on after a wait that was cancelled.
+            silence: The longest that a replica may be silent if another one
+                may take over.
+
         Raises:
             rejections.RejectedError: The time limit passed.
-            outcomes.UnknownOutcomeError: It was silent for too long, and
-                another replica may take over.
+            outcomes.UnknownOutcomeError: It was silent for too long, or is
+                dark, and another replica may take over.
         """
         left = self._planner.time_left(job)
         may_move = job.route.resumable and job.runs + 1 < job.route.attempts
-        patience = min(left, silence) if may_move else left
+        if not may_move or left <= _DOUBTFUL_SILENCE:
+            return await self._at_most(job, wait(), left, may_move=False)
+        try:
+            return await self._clock.wait_for(wait(), _DOUBTFUL_SILENCE)
+        except TimeoutError as error:
+            if await self._sender.is_dark(prepared.replica):
+                raise outcomes.UnknownOutcomeError("the replica is dark") from (
+                    error
+                )
+        left = self._planner.time_left(job)
+        patience = min(left, silence - _DOUBTFUL_SILENCE)
+        return await self._at_most(
+            job, wait(), patience, may_move=patience < left
+        )
+
+    async def _at_most(
+        self,
+        job: job_module.Job,
+        work: Awaitable[_T],
+        patience: datetime.timedelta,
+        *,
+        may_move: bool,
+    ) -> _T:
         try:
             return await self._clock.wait_for(work, patience)
         except TimeoutError as error:
-            if patience >= left:
-                raise rejections.RejectedError(
-                    wire.FixedResponse.LATE_PERHAPS_RUN,
-                    reason="the time limit passed during a run",
+            if may_move:
+                raise outcomes.UnknownOutcomeError(
+                    f"silent for {patience} and more"
                 ) from error
-            raise outcomes.UnknownOutcomeError(
-                f"silent for {patience}"
+            raise rejections.RejectedError(
+                wire.FixedResponse.LATE_PERHAPS_RUN,
+                reason="the time limit passed during a run",
             ) from error
 
 
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -30,7 +30,7 @@
 class AnswerHead:
     """Status and headers of an answer, with the reader of its body."""
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("_body", "_connection", "headers", "status")
 
     def __init__(
         self,
@@ -38,10 +38,29 @@
         status: int,
         headers: Iterable[tuple[str, str]],
         body: streams.StreamReader,
+        connection: "ReplicaConnection",
     ):
         self.status = status
         self.headers = tuple(headers)
-        self.body = body
+        self._body = body
+        self._connection = connection
+
+    async def read(self) -> bytes:
+        """Returns the next bytes of the body; none at its end.
+
+        What came before a failure is given out first: whole events of a
+        stream that breaks off still reach the caller.
+
+        Raises:
+            outcomes.UnknownOutcomeError: The body broke off here.
+        """
+        try:
+            data = await self._body.readany()
+        except http_exceptions.HttpProcessingError as error:
+            raise outcomes.UnknownOutcomeError(f"bad body: {error}") from error
+        if not data and self._connection.failure is not None:
+            raise self._connection.failure
+        return data
 
     def header(self, name: str) -> str | None:
         """Returns the first value of a header; the name in lower case."""
@@ -59,6 +78,7 @@
         sound: It may carry another exchange once this one is complete.
         idle_since_s: Loop time since which it has been idle.
         idle_limit_s: How long the replica keeps it open when idle.
+        failure: Why the present answer's body broke off.
     """
 
     __slots__ = (
@@ -66,6 +86,7 @@
         "_head",
         "_payload",
         "_reset",
+        "failure",
         "idle_limit_s",
         "idle_since_s",
         "sound",
@@ -78,6 +99,7 @@
         self._payload: streams.StreamReader | None = None
         self._reset: OSError | None = None
         self._answers = 0
+        self.failure: outcomes.UnknownOutcomeError | None = None
         self.written = False
         self.sound = True
         self.idle_since_s = 0.0
@@ -136,7 +158,7 @@
         """
         payload = self._payload
         complete = payload is not None and payload.is_eof()
-        if payload is not None and payload.exception() is not None:
+        if self.failure is not None:
             complete = False
         self._head = None
         self._payload = None
@@ -233,6 +255,7 @@
                         for name, value in message.raw_headers
                     ],
                     body=payload,
+                    connection=self,
                 )
             )
 
@@ -244,6 +267,7 @@
             self._head.exception()
         payload = self._payload
         if payload is not None and not payload.is_eof():
-            payload.set_exception(error)
+            self.failure = error
+            payload.feed_eof()
         if self.transport is not None:
             self.transport.abort()
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -12,6 +12,8 @@
 # lost first packet (sent again after 200 ms or more by most systems) fits;
 # beyond it another replica serves sooner.
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=600)
+# To tell a dark replica from a busy one; accepting takes 1 ms.
+PROBE_TIMEOUT = datetime.timedelta(milliseconds=350)
 # How long an idle connection is used again if the replica does not say how
 # long it keeps one.
 DEFAULT_IDLE_LIMIT_S = 2.0
@@ -75,11 +77,23 @@
             return
         stated_s = idle_limit_s or DEFAULT_IDLE_LIMIT_S / IDLE_SHARE
         connection.idle_limit_s = stated_s * IDLE_SHARE
-        kept = self._idle.setdefault(address, [])
-        if len(kept) >= MAX_IDLE_A_REPLICA:
-            connection.abort()
-            return
-        kept.append(connection)
+        self._keep(address, connection)
+
+    async def answers(self, address: str) -> bool:
+        """Tells whether a replica still accepts connections.
+
+        The failure: a replica goes dark. Its connections stay open and
+        silent, as those of a busy one do, but only a dark one accepts no new
+        connection. The connection made is kept for the next request.
+        """
+        try:
+            connection = await self._open(address, timeout=PROBE_TIMEOUT)
+        except outcomes.NotSentError:
+            return False
+        connection.idle_since_s = self._loop.time()
+        connection.idle_limit_s = DEFAULT_IDLE_LIMIT_S
+        self._keep(address, connection)
+        return True
 
     def forget(self, address: str) -> None:
         """Closes the idle connections of a replica that is gone."""
@@ -91,11 +105,22 @@
         for address in list(self._idle):
             self.forget(address)
 
-    async def _open(self, address: str) -> connection_module.ReplicaConnection:
+    def _keep(
+        self, address: str, connection: connection_module.ReplicaConnection
+    ) -> None:
+        kept = self._idle.setdefault(address, [])
+        if len(kept) >= MAX_IDLE_A_REPLICA:
+            connection.abort()
+            return
+        kept.append(connection)
+
+    async def _open(
+        self, address: str, *, timeout: datetime.timedelta = CONNECT_TIMEOUT
+    ) -> connection_module.ReplicaConnection:
         host, _, port = address.rpartition(":")
         self.opened += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()):
                 transport, protocol = await self._loop.create_connection(
                     lambda: connection_module.ReplicaConnection(
                         loop=self._loop
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -78,7 +78,7 @@
         """
         pieces = []
         left_bytes = MAX_WHOLE_ANSWER_BYTES
-        while piece := await self.head.body.readany():
+        while piece := await self.head.read():
             pieces.append(piece)
             left_bytes -= len(piece)
             if left_bytes < 0:
@@ -134,6 +134,13 @@
             if connection is not None:
                 self._give_back(address, connection, answer)
 
+    async def is_dark(self, replica: directory_module.Replica) -> bool:
+        """Tells whether a silent replica is gone, and notes it if so."""
+        if await self._pool.answers(replica.entry.address):
+            return False
+        replica.health.note_unreachable(self._clock.monotonic())
+        return True
+
     async def _connect(
         self, replica: directory_module.Replica, outgoing: Outgoing
     ) -> connection_module.ReplicaConnection:
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -122,6 +122,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def refuse_connections(self) -> None:
+        """Accepts no new connection; those open stay as they are."""
+        self._server.close()
+
     async def stop(self) -> None:
         """Stops listening and breaks all connections, as a crash does."""
         self._server.close()
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -104,6 +104,30 @@
         answer = await self.ask_stream()
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
 
+    async def test_a_dark_replica_s_stream_is_taken_up_at_once(self):
+        """A replica goes dark: its connections stay open and silent, and it
+        accepts no new one. Long before the silence itself would be too much,
+        the stream goes on at another replica.
+        """
+        self.configuration.offer(
+            relay_fixture.configuration(
+                relay_fixture.route(
+                    STREAM,
+                    target=1000 * relay_fixture._SECOND,
+                    time_limit=1000 * relay_fixture._SECOND,
+                ),
+                version=2,
+            ),
+            source="test",
+        )
+        self.reply_with(Reply(silent=True), Reply(events=EVENTS))
+        asking = asyncio.create_task(self.ask_stream())
+        await self.arrival()
+        (dark,) = [r for r in self.replicas if r.seen]
+        dark.refuse_connections()
+        answer = await asking
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
     async def test_a_caller_that_leaves_frees_the_replica(self):
         """The caller closes its connection in the middle of a stream.
         The replica's connection is dropped, so that it stops working.
