--- a/src/nutmeghook/internal/standin_http/http_engine.py
+++ b/src/nutmeghook/internal/standin_http/http_engine.py
@@ -1,4 +1,4 @@
-"""Model engines over HTTP; docs/PLATFORM.md has the contract."""
+"""Model engines over HTTP; docs/STANDIN_INTERFACES.md has the contract."""
 
 import asyncio
 from collections.abc import AsyncIterator
--- a/src/nutmeghook/internal/standin_http/http_instances.py
+++ b/src/nutmeghook/internal/standin_http/http_instances.py
@@ -1,4 +1,4 @@
-"""The instance list over HTTP; docs/PLATFORM.md has the contract.
+"""The instance list over HTTP; docs/STANDIN_INTERFACES.md has the contract.
 
 Every instance reads the list each second, and at the planned size it is
 720 KB. So a read names the last list's entity tag, and the answer is "not
--- a/src/nutmeghook/internal/standin_http/http_objects.py
+++ b/src/nutmeghook/internal/standin_http/http_objects.py
@@ -1,4 +1,4 @@
-"""The object store over HTTP; docs/PLATFORM.md has the contract."""
+"""The object store over HTTP; docs/STANDIN_INTERFACES.md has the contract."""
 
 import msgspec
 
--- a/src/nutmeghook/internal/standin_http/http_plain.py
+++ b/src/nutmeghook/internal/standin_http/http_plain.py
@@ -1,4 +1,4 @@
-"""Plain services over HTTP; docs/PLATFORM.md has the contract."""
+"""Plain services over HTTP; docs/STANDIN_INTERFACES.md has the contract."""
 
 from collections.abc import Collection
 import datetime
--- a/src/nutmeghook/internal/standin_http/http_ratings.py
+++ b/src/nutmeghook/internal/standin_http/http_ratings.py
@@ -1,4 +1,4 @@
-"""The rating service over HTTP; docs/PLATFORM.md has the contract."""
+"""The rating service over HTTP; docs/STANDIN_INTERFACES.md has the contract."""
 
 import msgspec
 
--- a/src/nutmeghook/internal/standin_http/http_table.py
+++ b/src/nutmeghook/internal/standin_http/http_table.py
@@ -1,4 +1,4 @@
-"""The table service over HTTP; docs/PLATFORM.md has the contract."""
+"""The table service over HTTP; docs/STANDIN_INTERFACES.md has the contract."""
 
 import msgspec
 
--- a/src/nutmeghook/standins/serving.py
+++ b/src/nutmeghook/standins/serving.py
@@ -13,7 +13,7 @@
 from nutmeghook.standins import faults as faults_module
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Longer than our side keeps idle connections; docs/PLATFORM.md says why.
+# Longer than our side keeps idle connections; docs/STANDIN_INTERFACES.md says why.
 KEEPALIVE_S = 30.0
 
 
@@ -45,7 +45,7 @@
 
     @abc.abstractmethod
     def routes(self) -> list[web.RouteDef]:
-        """Returns what docs/PLATFORM.md lists."""
+        """Returns what docs/STANDIN_INTERFACES.md lists."""
 
     @abc.abstractmethod
     def control_routes(self, base: str) -> list[web.RouteDef]:
