--- a/src/nutmeghook/internal/standin_http/http_exchange.py
+++ b/src/nutmeghook/internal/standin_http/http_exchange.py
@@ -18,8 +18,8 @@
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 ANSWER_TIMEOUT = datetime.timedelta(seconds=5)
 # Shorter than the other side's own (docs/STANDIN_INTERFACES.md asks for 20 s
-# or more), so that it is nearly always our side that drops an idle connection. A call
-# written to one that the other side just closed has an unknown outcome.
+# or more), so that it is nearly always our side that drops an idle connection.
+# A call written to one that the other side just closed has an unknown outcome.
 IDLE_CONNECTION_TIMEOUT = datetime.timedelta(seconds=10)
 JSON_HEADERS = {"Content-Type": "application/json"}
 # Reads that are made each second by every instance say no more than needed;
