Let a few instances read the store and tell the others

An instance that the store turned away learned nothing until it was let in again. Ways weighed: longer waits alone (a feed that is silent for good then shows too late); an appointed reader a data centre (nobody to appoint it, and its death is felt by all); readers by what each has just heard of its peers: chosen. Change: digests over the inner protocol, rows by pull, a credential and addresses by rows; an instance without fresh proof reads for itself.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -11,7 +11,10 @@
 from aiohttp import web
 import aioprometheus
 
+from nutmeghook.internal.assembly import router_peers
+from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import news
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
@@ -228,13 +231,35 @@
             configuration=self.configuration, orders=self.orders
         )
         replica_rows = tables.ReplicaRows(directory=self.directory)
+        plan_rows = driver.PlanRows(
+            rollouts=self.rollouts,
+            orders=self.orders,
+            instance_id=self._settings.instance_id,
+        )
+        shared = {
+            tables.OPERATOR_TABLE: self._shared(
+                tables.OPERATOR_TABLE, operator_rows
+            ),
+            tables.REPLICA_TABLE: self._shared(
+                tables.REPLICA_TABLE, replica_rows
+            ),
+            driver.TABLE: self._shared(driver.TABLE, plan_rows),
+        }
+        peers = router_peers.RouterPeers(
+            instance_id=self._settings.instance_id,
+            inner_address=self._settings.inner_address,
+            table=store.StoreRows(client=self._store),
+            tables=shared,
+            settling=self.directory,
+            clock=self._clock,
+            random_source=self._random,
+        )
+        plans = self._rollout_driver(shared[driver.TABLE], peers)
         async with asyncio.TaskGroup() as tasks:
-            for table, rows in (
-                (tables.OPERATOR_TABLE, operator_rows),
-                (tables.REPLICA_TABLE, replica_rows),
-            ):
-                tasks.create_task(self._follower(table, rows).run())
-            tasks.create_task(self._rollout_driver().run())
+            for table in (tables.OPERATOR_TABLE, tables.REPLICA_TABLE):
+                tasks.create_task(_follow_forever(table, peers))
+            tasks.create_task(peers.run())
+            tasks.create_task(plans.run())
 
     async def leave(self) -> None:
         """Finishes what is under way, as far as the time until SIGKILL lasts.
@@ -263,15 +288,13 @@
         self._pool.close()
         await self._session.close()
 
-    def _rollout_driver(self) -> driver.RollOutDriver:
-        rows = driver.PlanRows(
-            rollouts=self.rollouts,
-            orders=self.orders,
-            instance_id=self._settings.instance_id,
-        )
+    def _rollout_driver(
+        self, plans: news.SharedTable, peers: router_peers.RouterPeers
+    ) -> driver.RollOutDriver:
         return driver.RollOutDriver(
             table=store.StoreRows(client=self._store),
-            plans=self._follower(driver.TABLE, rows),
+            plans=plans.follower,
+            read_plans=lambda: peers.follow(driver.TABLE),
             rollouts=self.rollouts,
             orders=self.orders,
             status=rollout_rows.PlatformStatusRows(),
@@ -287,15 +310,20 @@
             self._clock.monotonic() + directory_module.LAPSE_GRACE
         )
 
-    def _follower(
+    def _shared(
         self, table: str, reader: follower.TableReader
-    ) -> follower.TableFollower:
-        return follower.TableFollower(
-            table=store.PlatformTable(client=self._store, name=table),
-            reader=reader,
-            watch=self._watch,
+    ) -> news.SharedTable:
+        copy = copies.TableCopy(reader=reader)
+        return news.SharedTable(
+            copy=copy,
+            table_follower=follower.TableFollower(
+                table=store.PlatformTable(client=self._store, name=table),
+                reader=copy,
+                watch=self._watch,
+                clock=self._clock,
+                random_source=self._random,
+            ),
             clock=self._clock,
-            random_source=self._random,
         )
 
     async def _ready(self, request: web.BaseRequest) -> web.Response:
@@ -320,6 +348,11 @@
         return f"{own_host}:{own_port}"
 
 
+async def _follow_forever(table: str, peers: router_peers.RouterPeers) -> None:
+    while True:
+        await peers.follow(table)
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/src/nutmeghook/internal/following/follower.py
+++ b/src/nutmeghook/internal/following/follower.py
@@ -24,8 +24,10 @@
     """Takes in what a follower reads."""
 
     @abc.abstractmethod
-    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
-        """Takes in the whole table; what is missing is gone."""
+    def replace(
+        self, rows: tuple[source.FollowedRow, ...], revision: int
+    ) -> None:
+        """Takes in the whole table as of a revision; all else is gone."""
 
     @abc.abstractmethod
     def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
@@ -143,15 +145,24 @@
             await self._clock.sleep(self._pause * jitter)
             self._pause = min(self._pause * 2, LONGEST_PAUSE)
 
+    def skip_to(self, revision: int) -> None:
+        """Goes on after a revision that the reader got from elsewhere."""
+        self.revision = max(self.revision, revision)
+
     async def _read(self) -> None:
-        if self.revision < 0:
+        began_at = self.revision
+        if began_at < 0:
             page = await self._table.read_all()
-            self._watch.note_answer(page.store_time)
-            self._reader.replace(page.rows)
         else:
-            page = await self._table.changes(self.revision, self._wait)
-            self._watch.note_answer(page.store_time)
-            if page.rows:
-                self._reader.change(page.rows)
+            page = await self._table.changes(began_at, self._wait)
+        self._watch.note_answer(page.store_time)
+        # A peer's news may have been taken in meanwhile. What is older would
+        # bring back rows whose deletion the news held.
+        if page.revision < self.revision:
+            return
+        if began_at < 0:
+            self._reader.replace(page.rows, page.revision)
+        elif page.rows:
+            self._reader.change(page.rows)
         self.revision = page.revision
         self.confirmed_at = self._clock.monotonic()
--- /dev/null
+++ b/src/nutmeghook/internal/following/introductions.py
@@ -0,0 +1,124 @@
+"""How instances find each other: one row each, and a shared credential."""
+
+import dataclasses
+import secrets
+
+import msgspec
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.observe import logs
+
+TABLE = "instances"
+_ADDRESS_PREFIX = f"{TABLE}/at/"
+_CREDENTIAL_KEY = f"{TABLE}/credential"
+_CREDENTIAL_BYTES = 24
+
+
+class _InstanceRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Where an instance listens for its peers."""
+
+    inner_address: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Introduction:
+    """What an instance learns by introducing itself.
+
+    Attributes:
+        credential: Known to all instances that reached the store.
+        peers: Inner addresses by instance id.
+    """
+
+    credential: str
+    peers: dict[str, str]
+
+
+class Introducer:
+    """Writes this instance's row and reads the others'.
+
+    Whoever is first writes the credential, insert-if-absent. A row is written
+    before the others are read, so that of two instances that start together
+    at least one sees the other, and tells it.
+    """
+
+    __slots__ = ("_inner_address", "_instance_id", "_table")
+
+    def __init__(
+        self,
+        *,
+        table: table_module.TableService,
+        instance_id: str,
+        inner_address: str,
+    ):
+        self._table = table
+        self._instance_id = instance_id
+        self._inner_address = inner_address
+
+    async def introduce(self) -> Introduction:
+        """Introduces this instance.
+
+        Raises:
+            failures.PlatformError: The store did not take it, or may not
+                have; it does no harm to try again.
+        """
+        await self._table.commit(
+            table_module.Transaction(
+                puts=(
+                    table_module.Put(
+                        key=_ADDRESS_PREFIX + self._instance_id,
+                        value=msgspec.json.encode(
+                            _InstanceRow(inner_address=self._inner_address)
+                        ),
+                    ),
+                )
+            )
+        )
+        rows = {
+            row.key: row for row in await self._table.scan(prefix=f"{TABLE}/")
+        }
+        credential = rows.get(_CREDENTIAL_KEY)
+        return Introduction(
+            credential=credential.value.decode()
+            if credential
+            else await self._new_credential(),
+            peers=self._peers(rows),
+        )
+
+    async def _new_credential(self) -> str:
+        proposed = secrets.token_urlsafe(_CREDENTIAL_BYTES)
+        result = await self._table.commit(
+            table_module.Transaction(
+                conditions=(
+                    table_module.Condition(
+                        key=_CREDENTIAL_KEY,
+                        version=table_module.ABSENT_VERSION,
+                    ),
+                ),
+                puts=(
+                    table_module.Put(
+                        key=_CREDENTIAL_KEY, value=proposed.encode()
+                    ),
+                ),
+            )
+        )
+        if result.committed:
+            return proposed
+        row = await self._table.read(_CREDENTIAL_KEY)
+        if row is None:
+            raise failures.NotDoneError("the credential's row is gone")
+        return row.value.decode()
+
+    def _peers(self, rows: dict[str, table_module.Row]) -> dict[str, str]:
+        peers = {}
+        for key, row in rows.items():
+            peer_id = key.removeprefix(_ADDRESS_PREFIX)
+            if peer_id == key or peer_id == self._instance_id:
+                continue
+            try:
+                found = msgspec.json.decode(row.value, type=_InstanceRow)
+            except msgspec.MsgspecError as error:
+                logs.note("peer:bad_row", key=key, error=str(error))
+                continue
+            peers[peer_id] = found.inner_address
+        return peers
--- /dev/null
+++ b/src/nutmeghook/internal/following/news.py
@@ -0,0 +1,383 @@
+"""Spreads what is new in the store's tables from peer to peer.
+
+Every instance needs the same few tables. If each read them from the store,
+often enough to notice a feed that is silent for good, the calls would grow
+with the fleet and be most of what the store is paid for. So some instances
+read, and small datagrams tell the others who knows more; they get the rows
+from a peer. The same way serves an instance that the store turns away.
+
+Nobody appoints readers. An instance reads unless it has just heard enough
+peers with smaller ids. At 7 instances that leaves three; at 73 some eleven and
+at 420 some sixty, as each hears only a part of the others.
+"""
+
+import abc
+import asyncio
+import dataclasses
+import datetime
+import random
+
+from nutmeghook.internal.following import copies
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import source
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner import datagrams as datagrams_module
+from nutmeghook.internal.inner import peers as peers_module
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.observe import logs
+
+# A change has to be in force 2 s after it was accepted. A push that is lost is
+# made good by the next digest, and a reader that died by another one within
+# `HEARD_RECENTLY` and a call.
+TELL_EVERY = datetime.timedelta(milliseconds=400)
+HEARD_RECENTLY = datetime.timedelta(milliseconds=1300)
+# Digests of 150 bytes to six peers, 2.5 times a second, are 2.2 KB/s.
+PEERS_TOLD = 6
+# Told at once of a change; the others hear of it a digest later.
+PEERS_PUSHED = 24
+ENOUGH_READERS = 3
+# Without proof for so long that what is known is the newest, an instance
+# reads for itself whatever it has heard. Readers prove it every 2 s, and
+# proofs take about a second through a large fleet.
+LONGEST_UNCONFIRMED = datetime.timedelta(seconds=4.5)
+# Between looks at whether to read.
+_IDLE = datetime.timedelta(milliseconds=100)
+# A reader's own feed usually brings a change by itself within this.
+_READER_DELAY = datetime.timedelta(milliseconds=250)
+_PULL_TIMEOUT = datetime.timedelta(milliseconds=600)
+_MOST_PEERS = 1000
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_NEVER_MS = -1
+
+
+class Settling(abc.ABC):
+    """Knows for how long missing rows are not taken for deletions."""
+
+    @abc.abstractmethod
+    def left(self) -> datetime.timedelta:
+        """Returns for how much longer, 0 at least."""
+
+    @abc.abstractmethod
+    def distrust_deletions(self, until: datetime.timedelta) -> None:
+        """Holds deletions back until a monotonic time."""
+
+
+class SharedTable:
+    """A table that instances tell each other of.
+
+    Attributes:
+        copy: Its rows, for peers.
+        follower: Reads it from the store.
+    """
+
+    __slots__ = ("_clock", "_confirmed_at", "copy", "follower")
+
+    def __init__(
+        self,
+        *,
+        copy: copies.TableCopy,
+        table_follower: follower.TableFollower,
+        clock: clock_module.Clock,
+    ):
+        self.copy = copy
+        self.follower = table_follower
+        self._clock = clock
+        self._confirmed_at: datetime.timedelta | None = None
+
+    @property
+    def revision(self) -> int:
+        """All changes up to here were taken in; -1 before the first."""
+        return self.follower.revision
+
+    def confirmed_at(self) -> datetime.timedelta | None:
+        """Returns when the revision was last known to be the newest."""
+        known = [
+            moment
+            for moment in (self._confirmed_at, self.follower.confirmed_at)
+            if moment is not None
+        ]
+        return max(known, default=None)
+
+    def confirmed_age_ms(self) -> int:
+        """Returns the age of that knowledge; -1 without any."""
+        confirmed_at = self.confirmed_at()
+        if confirmed_at is None:
+            return _NEVER_MS
+        return round((self._clock.monotonic() - confirmed_at) / _MILLISECOND)
+
+    def note_peer(self, revision: int, age_ms: int) -> None:
+        """Takes in a peer's proof; it holds if the peer knows no more."""
+        if age_ms == _NEVER_MS or revision != self.revision:
+            return
+        proven_at = self._clock.monotonic() - age_ms * _MILLISECOND
+        if self._confirmed_at is None or proven_at > self._confirmed_at:
+            self._confirmed_at = proven_at
+
+    def take(
+        self,
+        rows: tuple[source.FollowedRow, ...],
+        revision: int,
+        *,
+        whole: bool,
+    ) -> None:
+        """Takes in what a peer gave."""
+        if revision <= self.revision:
+            return
+        if whole:
+            self.copy.replace(rows, revision)
+        else:
+            self.copy.change(rows)
+        self.follower.skip_to(revision)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Ahead:
+    """A peer that knows more of a table, up to a revision."""
+
+    address: str
+    revision: int
+
+
+class TableNews:
+    """Tells peers, hears them, and fetches what they know more.
+
+    Attributes:
+        peers: Inner addresses of instances known, by id.
+    """
+
+    __slots__ = (
+        "_ahead",
+        "_caller",
+        "_clock",
+        "_datagrams",
+        "_heard_at",
+        "_inner_address",
+        "_instance_id",
+        "_random",
+        "_seal",
+        "_settling",
+        "_tables",
+        "_told",
+        "peers",
+    )
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        inner_address: str,
+        tables: dict[str, SharedTable],
+        datagrams: datagrams_module.Datagrams,
+        seal: datagrams_module.Seal,
+        caller: peers_module.PeerCaller,
+        handlers: peers_module.PeerHandlers,
+        settling: Settling,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+    ):
+        self._instance_id = instance_id
+        self._inner_address = inner_address
+        self._tables = tables
+        self._datagrams = datagrams
+        self._seal = seal
+        self._caller = caller
+        self._settling = settling
+        self._clock = clock
+        self._random = random_source
+        self._heard_at: dict[str, datetime.timedelta] = {}
+        self._ahead: dict[str, _Ahead] = {}
+        self._told: dict[str, int] = {}
+        self.peers: dict[str, str] = {}
+        handlers.register(ttypes.TablePull, self._give)
+        datagrams.set_receiver(self._receive)
+
+    async def run(self) -> None:
+        """Tells and catches up until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._tell_forever())
+            tasks.create_task(self._push_forever())
+            tasks.create_task(self._catch_up_forever())
+
+    def reads(self, table: SharedTable) -> bool:
+        """Tells whether this instance reads a table from the store."""
+        now = self._clock.monotonic()
+        confirmed_at = table.confirmed_at()
+        if confirmed_at is None or now - confirmed_at > LONGEST_UNCONFIRMED:
+            return True
+        smaller = sum(
+            peer_id < self._instance_id and now - heard_at <= HEARD_RECENTLY
+            for peer_id, heard_at in self._heard_at.items()
+        )
+        return smaller < ENOUGH_READERS
+
+    def _tell(self, most: int) -> None:
+        known = list(self.peers.values())
+        digest = ttypes.TablesDigest(
+            sender_address=self._inner_address,
+            sender_id=self._instance_id,
+            tables=list(self._tables),
+            revisions=[t.revision for t in self._tables.values()],
+            confirmed_age_ms=[
+                t.confirmed_age_ms() for t in self._tables.values()
+            ],
+        )
+        data = self._seal.close(codec.encode(digest, sequence=0).data)
+        for address in self._random.sample(known, min(most, len(known))):
+            self._datagrams.send(address, data)
+
+    def _receive(self, datagram: bytes) -> None:
+        """Takes in a peer's digest; anything else is dropped."""
+        try:
+            message = codec.decode(self._seal.open(datagram)).message
+        except codec.MalformedError as error:
+            logs.note("peer:bad_datagram", error=str(error))
+            return
+        if not isinstance(message, ttypes.TablesDigest):
+            return
+        self._note_peer(message.sender_id, message.sender_address)
+        for name, revision, age_ms in zip(
+            message.tables,
+            message.revisions,
+            message.confirmed_age_ms,
+            strict=False,
+        ):
+            table = self._tables.get(name)
+            if table is None:
+                continue
+            table.note_peer(revision, age_ms)
+            if revision > table.revision:
+                self._ahead[name] = _Ahead(
+                    address=message.sender_address, revision=revision
+                )
+
+    def _note_peer(self, peer_id: str, address: str) -> None:
+        if peer_id == self._instance_id:
+            return
+        if peer_id not in self.peers and len(self.peers) >= _MOST_PEERS:
+            return
+        self.peers[peer_id] = address
+        self._heard_at[peer_id] = self._clock.monotonic()
+
+    async def _tell_forever(self) -> None:
+        while True:
+            self._tell(PEERS_TOLD)
+            await self._clock.sleep(
+                TELL_EVERY * self._random.uniform(0.75, 1.25)
+            )
+
+    async def _push_forever(self) -> None:
+        """Tells many peers at once of what has just become known here."""
+        while True:
+            revisions = {n: t.revision for n, t in self._tables.items()}
+            if revisions != self._told:
+                self._told = revisions
+                self._tell(PEERS_PUSHED)
+            await self._clock.sleep(_IDLE / 4)
+
+    async def _catch_up_forever(self) -> None:
+        while True:
+            ahead, self._ahead = self._ahead, {}
+            for name, peer in ahead.items():
+                await self._catch_up(self._tables[name], name, peer)
+            await self._clock.sleep(_IDLE / 4)
+
+    async def _catch_up(
+        self, table: SharedTable, name: str, peer: _Ahead
+    ) -> None:
+        if self.reads(table):
+            await self._clock.sleep(_READER_DELAY)
+        before = table.revision
+        if before >= peer.revision:
+            return
+        try:
+            page = await self._caller.call(
+                peer.address,
+                ttypes.TablePull(table_name=name, after_revision=before),
+                timeout=_PULL_TIMEOUT,
+            )
+        except (
+            peers_module.PeerUnreachableError,
+            peers_module.PeerRefusedError,
+        ) as error:
+            logs.note("peer:pull_failed", peer=peer.address, error=str(error))
+            return
+        self._take(table, name, peer.address, page, before)
+
+    def _take(
+        self,
+        table: SharedTable,
+        name: str,
+        address: str,
+        page: ttypes.TablePage,
+        before: int,
+    ) -> None:
+        if not page.whole and table.revision != before:
+            # The store was quicker, and the page follows an older revision.
+            return
+        if page.settle_ms > 0:
+            settle = page.settle_ms * _MILLISECOND
+            self._settling.distrust_deletions(self._clock.monotonic() + settle)
+        table.take(_rows_of(page), page.revision, whole=page.whole)
+        logs.note(
+            "peer:caught_up",
+            table=name,
+            revision=page.revision,
+            before=before,
+            peer=address,
+        )
+
+    async def _give(self, request: ttypes.TablePull) -> ttypes.TablePage:
+        table = self._tables.get(request.table_name)
+        if table is None or table.revision < 0:
+            return _page((), revision=-1, whole=False, settle_ms=0)
+        changes = table.copy.changes_after(request.after_revision)
+        return _page(
+            table.copy.rows() if changes is None else changes,
+            revision=table.revision,
+            whole=changes is None,
+            settle_ms=round(self._settling.left() / _MILLISECOND),
+        )
+
+
+async def follow(
+    table: SharedTable, news: TableNews | None, clock: clock_module.Clock
+) -> None:
+    """Reads a table once, or waits a little if peers read it."""
+    if news is None or news.reads(table):
+        await table.follower.step()
+    else:
+        await clock.sleep(_IDLE)
+
+
+def _page(
+    rows: tuple[source.FollowedRow, ...],
+    *,
+    revision: int,
+    whole: bool,
+    settle_ms: int,
+) -> ttypes.TablePage:
+    return ttypes.TablePage(
+        revision=revision,
+        whole=whole,
+        row_keys=[row.key for row in rows],
+        row_values=[row.value for row in rows],
+        row_versions=[row.version for row in rows],
+        row_deleted=[row.deleted for row in rows],
+        settle_ms=settle_ms,
+    )
+
+
+def _rows_of(page: ttypes.TablePage) -> tuple[source.FollowedRow, ...]:
+    return tuple(
+        source.FollowedRow(
+            key=key, value=value, version=version, deleted=deleted
+        )
+        for key, value, version, deleted in zip(
+            page.row_keys,
+            page.row_values,
+            page.row_versions,
+            page.row_deleted,
+            strict=True,
+        )
+    )
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -146,6 +146,37 @@
   2: string detail,
 }
 
+// Up to which revision the sender has taken in each followed table; parallel
+// lists. The sender names itself so that a receiver can call it back.
+struct TablesDigest {
+  1: string sender_address,
+  2: string sender_id,
+  3: list<string> tables,
+  4: list<i64> revisions,
+  // Age of the newest proof that the revision was the store's newest; -1: none.
+  5: list<i64> confirmed_age_ms,
+}
+
+// Asks for a table's changes after a revision.
+struct TablePull {
+  1: string table_name,
+  2: i64 after_revision,
+}
+
+// Changed rows in order, or all of them where the sender keeps too few
+// changes; parallel lists.
+struct TablePage {
+  1: i64 revision,
+  2: bool whole,
+  3: list<string> row_keys,
+  4: list<binary> row_values,
+  5: list<i64> row_versions,
+  6: list<bool> row_deleted,
+  // For how much longer the sender takes no missing row for a deletion: the
+  // store was away, and entries lapse meanwhile.
+  7: i64 settle_ms,
+}
+
 union Body {
   1: Empty empty,
   2: Failure failure,
@@ -165,6 +196,9 @@
   16: MemberTable member_table,
   17: LoadedPull loaded_pull,
   18: LoadedPage loaded_page,
+  19: TablesDigest tables_digest,
+  20: TablePull table_pull,
+  21: TablePage table_page,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import datetime
 
+from nutmeghook.internal.following import news
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import entries
@@ -59,7 +60,7 @@
         self.in_flight_at_report = self.in_flight
 
 
-class ReplicaDirectory:
+class ReplicaDirectory(news.Settling):
     """Replicas by service; entries come from the list, in any order.
 
     Attributes:
@@ -111,6 +112,11 @@
         """Returns what replicas of a service have reported lately."""
         return self._usual_load.get(service, 0.0)
 
+    def left(self) -> datetime.timedelta:
+        """Returns for how much longer deletions are held back."""
+        left = self._trusted_from - self._clock.monotonic()
+        return max(left, datetime.timedelta())
+
     def distrust_deletions(self, until: datetime.timedelta) -> None:
         """Holds deletions back until a monotonic time."""
         self._trusted_from = max(self._trusted_from, until)
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -2,6 +2,8 @@
 
 import abc
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import datetime
 import random
 
@@ -57,7 +59,9 @@
         self._orders = orders
         self._instance_id = instance_id
 
-    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+    def replace(
+        self, rows: tuple[source.FollowedRow, ...], revision: int
+    ) -> None:
         """Takes in the whole table."""
         self.change(rows)
 
@@ -106,6 +110,7 @@
         "_published",
         "_published_at",
         "_random",
+        "_read_plans",
         "_rollouts",
         "_status",
         "_table",
@@ -117,6 +122,7 @@
         *,
         table: table_module.TableService,
         plans: follower.TableFollower,
+        read_plans: Callable[[], Awaitable[None]],
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderBook,
         status: StatusRows,
@@ -127,6 +133,7 @@
     ):
         self._table = table
         self._follower = plans
+        self._read_plans = read_plans
         self._rollouts = rollouts
         self._orders = orders
         self._status = status
@@ -147,7 +154,7 @@
         """Reads plans and evidence only while an order is open."""
         while True:
             if self._open_orders():
-                await self._follower.step()
+                await self._read_plans()
             else:
                 await self._clock.sleep(_STEP)
 
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -31,7 +31,9 @@
         self._configuration = configuration
         self._orders = orders
 
-    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+    def replace(
+        self, rows: tuple[source.FollowedRow, ...], revision: int
+    ) -> None:
         """Takes in the whole table."""
         self.change(rows)
 
@@ -66,7 +68,9 @@
     def __init__(self, *, directory: directory_module.ReplicaDirectory):
         self._directory = directory
 
-    def replace(self, rows: tuple[source.FollowedRow, ...]) -> None:
+    def replace(
+        self, rows: tuple[source.FollowedRow, ...], revision: int
+    ) -> None:
         """Takes in the whole list."""
         found = [_entry(row) for row in rows if not row.deleted]
         self._directory.replace(e for e in found if e is not None)
--- /dev/null
+++ b/tests/cover/test_table_news.py
@@ -0,0 +1,298 @@
+"""Instances that tell each other what is new in the store's tables."""
+
+import asyncio
+import datetime
+import random
+import unittest
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.following import copies
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import introductions
+from nutmeghook.internal.following import news as news_module
+from nutmeghook.internal.following import source
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import datagrams
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.platform import store
+from nutmeghook.platform import tables
+from nutmeghook.standins import users_store
+
+TABLE = tables.REPLICA_TABLE
+SEAL = datagrams.Seal(credential="shared")
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class Post(datagrams.Datagrams):
+    """Datagrams between the instances of a test; some are dropped."""
+
+    def __init__(self, *, receivers, dropped):
+        self._receivers = receivers
+        self._dropped = dropped
+        self._own = None
+
+    def bind(self, address: str) -> "Post":
+        """Returns the socket of an instance."""
+        self._own = address
+        return self
+
+    def set_receiver(self, receiver) -> None:
+        self._receivers[self._own] = receiver
+
+    def send(self, inner_address: str, data: bytes) -> None:
+        if (self._own, inner_address) not in self._dropped:
+            self._receivers[inner_address](data)
+
+
+class Calls(peers.PeerCaller):
+    """Calls between the instances of a test."""
+
+    def __init__(self, *, handlers):
+        self._handlers = handlers
+        self.made = 0
+
+    async def call(self, inner_address, request, *, timeout):
+        self.made += 1
+        handler = self._handlers[inner_address].handler_for(request)
+        return await handler(request)
+
+
+class NewsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = users_store.StandInStore()
+        await self.store.start()
+        self.session = aiohttp.ClientSession()
+        self.clock = clock_module.FakeClock()
+        self.receivers = {}
+        self.dropped = set()
+        self.handlers = {}
+        self.calls = Calls(handlers=self.handlers)
+        self.put("1")
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.store.stop()
+
+    def put(self, number: str) -> None:
+        """Writes the entry of a replica."""
+        value = {"service": "s", "address": f"10.0.0.{number}:80", "slots": 1}
+        self.store.put("servers", number, msgspec.json.encode(value))
+
+    def instance(self, name: str):
+        """Returns an instance's news and what it knows of replicas."""
+        directory = directory_module.ReplicaDirectory(clock=self.clock)
+        copy = copies.TableCopy(reader=tables.ReplicaRows(directory=directory))
+        table = news_module.SharedTable(
+            copy=copy,
+            table_follower=follower.TableFollower(
+                table=store.PlatformTable(
+                    client=store.StoreClient(
+                        session=self.session, address=self.store.address
+                    ),
+                    name=TABLE,
+                ),
+                reader=copy,
+                watch=follower.StoreWatch(clock=self.clock),
+                clock=self.clock,
+                random_source=random.Random(1),
+                wait=datetime.timedelta(),
+            ),
+            clock=self.clock,
+        )
+        self.handlers[name] = peers.PeerHandlers()
+        post = Post(receivers=self.receivers, dropped=self.dropped)
+        news = news_module.TableNews(
+            instance_id=name,
+            inner_address=name,
+            tables={TABLE: table},
+            datagrams=post.bind(name),
+            seal=SEAL,
+            caller=self.calls,
+            handlers=self.handlers[name],
+            settling=directory,
+            clock=self.clock,
+            random_source=random.Random(1),
+        )
+        return news, table, directory
+
+    def introduce(self, *everyone) -> None:
+        """Lets all instances know each other."""
+        names = [news._instance_id for news, _, _ in everyone]
+        for news, _, _ in everyone:
+            news.peers.update({n: n for n in names if n != news._instance_id})
+
+    async def catch_up(self, instance) -> None:
+        """Fetches what a peer was heard to know more."""
+        news, table, _ = instance
+        (peer,) = news._ahead.values()
+        waiting = asyncio.ensure_future(news._catch_up(table, TABLE, peer))
+        await self.clock.advance(_SECOND / 2)
+        await waiting
+
+    def listed(self, instance) -> list[str]:
+        """Returns the replicas that an instance knows."""
+        return sorted(r.entry.replica_id for r in instance[2].of_service("s"))
+
+    async def test_an_instance_that_the_store_turns_away_hears_the_news(self):
+        """The store refuses one instance and serves the others.
+        A replica joins and another leaves; by a peer's digest the refused one
+        learns of both.
+        """
+        served, refused = self.instance("a"), self.instance("b")
+        self.introduce(served, refused)
+        for instance in (served, refused):
+            await instance[1].follower.step()
+        self.put("2")
+        self.store.delete("servers", "1")
+        await served[1].follower.step()
+        served[0]._tell(5)
+        await self.catch_up(refused)
+        self.assertEqual(self.listed(refused), ["2"])
+
+    async def test_a_newcomer_gets_the_whole_table(self):
+        old, new = self.instance("a"), self.instance("b")
+        self.introduce(old, new)
+        await old[1].follower.step()
+        old[0]._tell(5)
+        await self.catch_up(new)
+        self.assertEqual(self.listed(new), ["1"])
+
+    async def test_a_late_answer_of_the_store_brings_nothing_back(self):
+        """A feed's answer is on its way while a peer's newer news is taken.
+        It holds a replica whose deletion the news held; taken in, a replica
+        that is gone would be sent requests until the next full read.
+        """
+        instance = self.instance("a")
+        await instance[1].follower.step()
+        table = instance[1].follower._table
+        late = source.Page(
+            rows=(
+                source.FollowedRow(
+                    key="2",
+                    value=self.store.value("servers", "1"),
+                    version=2,
+                ),
+            ),
+            revision=2,
+            store_time=datetime.timedelta(),
+        )
+
+        class LateTable(source.FollowedTable):
+            name = table.name
+
+            async def read_all(self):
+                raise NotImplementedError
+
+            async def changes(self, since, wait):
+                instance[1].take((), 9, whole=False)
+                return late
+
+        instance[1].follower._table = LateTable()
+        await instance[1].follower.step()
+        self.assertEqual(self.listed(instance), ["1"])
+        self.assertEqual(instance[1].revision, 9)
+
+    async def test_few_read_and_another_takes_over_from_a_dead_reader(self):
+        """Seven instances hear each other, and a reader dies.
+        Three read at first; when one of them falls silent the next one reads
+        instead, within the time in which a change has to be in force.
+        """
+        everyone = [self.instance(name) for name in "abcdefg"]
+        self.introduce(*everyone)
+        for instance in everyone:
+            await instance[1].follower.step()
+            instance[0]._tell(10)
+        for instance in everyone:
+            instance[0]._tell(10)
+        self.assertEqual(self.reading(everyone), ["a", "b", "c"])
+        await self.clock.advance(1.4 * _SECOND)
+        for instance in everyone[1:]:
+            await instance[1].follower.step()
+            instance[0]._tell(10)
+        self.assertEqual(self.reading(everyone[1:]), ["b", "c", "d"])
+
+    def reading(self, everyone) -> list[str]:
+        """Returns the instances that read the store."""
+        return [n._instance_id for n, t, _ in everyone if n.reads(t)]
+
+    async def test_without_proof_an_instance_reads_whatever_it_hears(self):
+        """All readers are cut off from the store and say so by silence of
+        their proofs. An instance that only listened would never know.
+        """
+        everyone = [self.instance(name) for name in "abcd"]
+        self.introduce(*everyone)
+        for instance in everyone:
+            await instance[1].follower.step()
+        for _ in range(12):
+            await self.clock.advance(_SECOND / 2)
+            for instance in everyone:
+                instance[0]._tell(10)
+        self.assertEqual(self.reading(everyone), ["a", "b", "c", "d"])
+
+    async def test_a_peer_s_wait_for_lapsed_entries_is_taken_over(self):
+        """The store was away, and on its return an entry has lapsed.
+        The reader waits for it; an instance that did not notice the outage
+        must not drop the replica because of the reader's rows.
+        """
+        reader, other = self.instance("a"), self.instance("b")
+        self.introduce(reader, other)
+        for instance in (reader, other):
+            await instance[1].follower.step()
+        reader[2].distrust_deletions(
+            self.clock.monotonic() + directory_module.LAPSE_GRACE
+        )
+        self.store.delete("servers", "1")
+        await reader[1].follower.step()
+        reader[0]._tell(5)
+        await self.catch_up(other)
+        self.assertEqual(self.listed(other), ["1"])
+        await self.clock.advance(3 * _SECOND)
+        self.assertEqual(self.listed(other), [])
+
+    async def test_a_datagram_without_the_credential_is_dropped(self):
+        instance = self.instance("a")
+        foreign = datagrams.Seal(credential="another")
+        self.receivers["a"](foreign.close(b"anything"))
+        self.receivers["a"](b"")
+        self.assertEqual(instance[0].peers, {})
+
+
+class IntroductionsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = users_store.StandInStore()
+        await self.store.start()
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.store.stop()
+
+    def introducer(self, name: str) -> introductions.Introducer:
+        """Returns the introducer of an instance."""
+        return introductions.Introducer(
+            table=store.StoreRows(
+                client=store.StoreClient(
+                    session=self.session, address=self.store.address
+                )
+            ),
+            instance_id=name,
+            inner_address=f"{name}:1",
+        )
+
+    async def test_instances_that_start_together_share_one_credential(self):
+        """Seven instances start in the same moment on an empty store.
+        All want to write the credential; one does, and all use that one.
+        """
+        found = await asyncio.gather(
+            *(self.introducer(name).introduce() for name in "abcdefg")
+        )
+        self.assertEqual(len({f.credential for f in found}), 1)
+        later = await self.introducer("h").introduce()
+        self.assertEqual(sorted(later.peers), list("abcdefg"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -389,6 +389,7 @@
         return instance, driver_module.RollOutDriver(
             table=store.StoreRows(client=client),
             plans=plans,
+            read_plans=plans.step,
             rollouts=instance.rollouts,
             orders=instance.orders,
             status=rollout_rows.PlatformStatusRows(),
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -6,6 +6,7 @@
 import pathlib
 import re
 import signal
+import socket
 import sys
 import tempfile
 import unittest
@@ -24,7 +25,7 @@
 ip = "127.0.0.1"
 zone = "hall"
 region = "centre"
-internalPorts = [7340, 7355]
+internalPorts = [{inner}, {last_inner}]
 [listen]
 front = "127.0.0.1:0"
 ready = "127.0.0.1:0"
@@ -53,6 +54,13 @@
 }
 
 
+def free_port() -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 class RouterProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = users_store.StandInStore()
@@ -74,7 +82,12 @@
         )
         self.folder = tempfile.TemporaryDirectory()
         self.file = pathlib.Path(self.folder.name) / "local.toml"
-        self.file.write_text(SETTINGS.format(store=self.store.address))
+        inner = free_port()
+        self.file.write_text(
+            SETTINGS.format(
+                store=self.store.address, inner=inner, last_inner=inner + 1
+            )
+        )
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(ROOT / "deploy" / "serve.py"),
