--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: setup demo test bench capacity binary format lint thrift clean
+.PHONY: setup demo platform-demo test bench capacity binary format lint thrift clean
 
 $(VENV)/.ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 demo: setup
 	$(RUN) -m nutmeghook demo
 
+platform-demo: setup
+	$(RUN) -m nutmeghook platform_demo
+
 test: setup
 	$(RUN) -m tests
 
--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -161,6 +161,18 @@
         demo = importlib.import_module("nutmeghook.experiment.demo")
         demo.main(folder=folder, works=works, seed=seed)
 
+    def platform_demo(self, seed: int = 1) -> None:
+        """Runs routers on a stand-in of the users' platform, with faults.
+
+        Ends with one JSON line, and with status 1 if something that must
+        hold did not.
+
+        Args:
+            seed: Of the load and the replicas' faults.
+        """
+        trial = importlib.import_module("nutmeghook.experiment.platform_trial")
+        sys.exit(trial.main(seed=seed))
+
 
 def _split(addresses: object) -> list[str]:
     """Reads a list with commas, which fire may have made a tuple."""
--- /dev/null
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -0,0 +1,423 @@
+"""Routers as processes on a stand-in of the users' platform, with faults.
+
+The store and the replicas are stand-ins in this process; the routers are the
+real program. Callers' histories are compared with the replicas' own logs.
+"""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import tempfile
+
+import aiohttp
+import msgspec
+
+from nutmeghook.experiment import platform_checks
+from nutmeghook.platform import headers
+from nutmeghook.platform import settings
+from nutmeghook.standins import users_replica
+from nutmeghook.standins import users_store
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
+HOST = "callers.example"
+SERVICE = "pool"
+KEYS = ("key-that-stays", "key-to-be-removed")
+ROLL_OUT_S = 12.0
+# Of a replica's answers, in the course of the whole trial.
+_RESETS = 0.03
+_REFUSALS = 0.03
+_BAD_VERSION_FAILURES = 0.5
+_CALL_TIMEOUT_S = 20.0
+_SETTINGS = """
+nodeName = "{name}"
+ip = "127.0.0.1"
+zone = "hall"
+region = "centre"
+internalPorts = [{inner}, {last_inner}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:0"
+[bounds]
+graceS = 8
+exposureShare = 0.15
+[platform]
+address = "{store}"
+"""
+
+
+class RouterProcess:
+    """One router.
+
+    Attributes:
+        address: Where callers connect.
+    """
+
+    __slots__ = ("_file", "_log", "address", "name", "process")
+
+    def __init__(self, *, name: str, folder: pathlib.Path, store: str):
+        self.name = name
+        front, inner = _free_port(), _free_port()
+        self.address = f"127.0.0.1:{front}"
+        self._file = folder / f"{name}.toml"
+        self._log = folder / f"{name}.log"
+        self._file.write_text(
+            _SETTINGS.format(
+                name=name,
+                front=front,
+                inner=inner,
+                last_inner=inner + 1,
+                store=store,
+            )
+        )
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "serve.py"),
+                env=os.environ
+                | {
+                    settings.FILE_VARIABLE: str(self._file),
+                    settings.METRICS_PORT_VARIABLE: "0",
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    async def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.process.kill()
+        await self.process.wait()
+
+    async def stop(self) -> int:
+        """Stops the process gracefully; returns its status."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+
+class PlatformTrial:
+    """A platform, routers and callers.
+
+    Attributes:
+        calls: What callers saw.
+        routers: The router processes.
+    """
+
+    def __init__(self, *, folder: pathlib.Path, seed: int, routers: int = 3):
+        self._folder = folder
+        self._random = random.Random(seed)
+        self._version = 1
+        self._numbers = 0
+        self._last_read_s = 0.0
+        self.store = users_store.StandInStore()
+        self.replicas: dict[str, users_replica.StandInReplica] = {}
+        self.routers_wanted = routers
+        self.routers: list[RouterProcess] = []
+        self.calls: list[platform_checks.CallSeen] = []
+        self.removed_at_s: float | None = None
+        self.stop_statuses: list[int] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Starts everything and waits until each router serves."""
+        await self.store.start()
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+        )
+        self.write_configuration(KEYS)
+        for number in range(3):
+            await self.add_replica(f"v1-{number}", "v1")
+        for number in range(self.routers_wanted):
+            router = RouterProcess(
+                name=f"router-{number}",
+                folder=self._folder,
+                store=self.store.address,
+            )
+            self.routers.append(router)
+            await router.start()
+        for router in self.routers:
+            await self.until_served(router)
+
+    async def end(self) -> None:
+        """Ends everything that was started here."""
+        for router in self.routers:
+            if router.process and router.process.returncode is None:
+                await router.kill()
+        for replica in self.replicas.values():
+            await replica.stop()
+        if self._session is not None:
+            await self._session.close()
+        await self.store.stop()
+
+    async def until_served(self, router: RouterProcess) -> None:
+        """Asks until a router answers a request."""
+        async with asyncio.timeout(_CALL_TIMEOUT_S):
+            while True:
+                seen = await self.call("probe", router=router)
+                if seen.status == 200:
+                    return
+                await asyncio.sleep(0.1)
+
+    def write_configuration(self, keys: tuple[str, ...]) -> None:
+        """Writes the next configuration, as the operator does."""
+        self._version += 1
+        common = {
+            "host": HOST,
+            "service": SERVICE,
+            "timeoutMs": 8000,
+            "sloMs": 1000,
+        }
+        routes = [
+            {
+                "name": "stream",
+                "prefix": "/stream/",
+                "routeKind": "streaming",
+                "resumable": True,
+                "attempts": 3,
+            },
+            {
+                "name": "once",
+                "prefix": "/once/",
+                "routeKind": "non_idempotent",
+                "attempts": 1,
+            },
+            {
+                "name": "probe",
+                "prefix": "/probe/",
+                "routeKind": "idempotent",
+                "attempts": 3,
+            },
+        ]
+        self._put(
+            "op",
+            "config",
+            {
+                "version": self._version,
+                "routes": [route | common for route in routes],
+                "services": [{"name": SERVICE}],
+                "tenants": [{"name": "team", "apiKeys": list(keys)}],
+            },
+        )
+
+    async def add_replica(self, replica_id: str, version: str) -> None:
+        """Starts a replica and lists it."""
+        replica = users_replica.StandInReplica(
+            replica_id=replica_id,
+            decide=lambda request: self._reply(request, version),
+        )
+        await replica.start()
+        self.replicas[replica_id] = replica
+        self._put(
+            "servers",
+            replica_id,
+            {
+                "service": SERVICE,
+                "address": replica.address,
+                "version": version,
+                "zone": "hall",
+                "slots": 64,
+            },
+        )
+
+    def order_bad_version(self) -> None:
+        """Orders a version that fails half of its requests."""
+        self._put(
+            "op",
+            f"rollout/{SERVICE}",
+            {"service": SERVICE, "to": "v2", "withinS": ROLL_OUT_S},
+        )
+
+    def remove_key(self) -> None:
+        """Takes a key away."""
+        self.write_configuration(KEYS[:1])
+        self.removed_at_s = asyncio.get_running_loop().time()
+
+    def roll_out_state(self) -> str | None:
+        """Returns what the operator reads of its order."""
+        value = self.store.value("status", f"rollout/{SERVICE}")
+        return msgspec.json.decode(value)["state"] if value else None
+
+    async def load(self, *, seconds: float, rate_per_s: float) -> None:
+        """Sends steady load of all kinds to all routers."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            while loop.time() < end_s:
+                kind = self._random.choice(("stream", "stream", "once"))
+                key = self._random.choice(KEYS)
+                tasks.create_task(self.call(kind, key=key))
+                await asyncio.sleep(1 / rate_per_s)
+
+    async def call(
+        self,
+        kind: str,
+        *,
+        key: str = KEYS[0],
+        router: RouterProcess | None = None,
+    ) -> platform_checks.CallSeen:
+        """Makes one request and notes what came of it."""
+        self._numbers += 1
+        request_id = f"{kind}-{self._numbers}"
+        router = router or self._random.choice(self.routers)
+        sent_s = asyncio.get_running_loop().time()
+        status, body, complete, sealed = 0, b"", False, False
+        try:
+            async with self._session.post(
+                f"http://{router.address}/{kind}/x",
+                data=b"prompt",
+                headers={
+                    "Host": HOST,
+                    headers.REQUEST_ID: request_id,
+                    headers.TIME_LEFT: "8000",
+                    headers.SESSION: f"session-{self._numbers % 40}",
+                    "Authorization": f"Token {key}",
+                },
+            ) as answer:
+                status = answer.status
+                sealed = headers.SEAL in answer.headers
+                async for piece in answer.content.iter_any():
+                    body += piece
+                complete = True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # The caller saw a broken connection: complete stays False.
+            pass
+        seen = platform_checks.CallSeen(
+            request_id=request_id,
+            kind=kind,
+            key=key,
+            status=status,
+            body=body,
+            complete=complete,
+            sealed=sealed,
+            sent_s=sent_s,
+        )
+        self.calls.append(seen)
+        return seen
+
+    def runs(self) -> dict[str, int]:
+        """Returns how often each request was run, by the replicas' logs."""
+        counts: dict[str, int] = {}
+        for replica in self.replicas.values():
+            for request_id in replica.ran:
+                counts[request_id] = counts.get(request_id, 0) + 1
+        return counts
+
+    def _reply(
+        self, request: users_replica.SeenRequest, version: str
+    ) -> users_replica.Reply:
+        drawn = self._random.random()
+        if version == "v2" and drawn < _BAD_VERSION_FAILURES:
+            return users_replica.Reply(status=500, body=b"bad version")
+        is_stream = request.target.startswith("/stream/")
+        events = platform_checks.STREAM_EVENTS if is_stream else ()
+        if drawn < _RESETS:
+            return users_replica.Reply(
+                events=events,
+                send_bytes=self._random.randrange(0, 60),
+                reset=self._random.random() < 0.5,
+            )
+        if drawn < _RESETS + _REFUSALS:
+            return users_replica.Reply(status=503, not_run=True)
+        return users_replica.Reply(events=events, pause_s=0.02)
+
+    def _put(self, table: str, key: str, value: dict[str, object]) -> None:
+        self.store.put(table, key, msgspec.json.encode(value))
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class TrialReport:
+    """What a trial came to."""
+
+    calls: int
+    answered: int
+    not_run: int
+    unknown: int
+    cut: int
+    exposed: int
+    roll_out: str
+    violations: list[str]
+
+
+async def run(*, folder: pathlib.Path, seed: int) -> TrialReport:
+    """Runs one trial: every fault once, overlapping, under load."""
+    trial = PlatformTrial(folder=folder, seed=seed)
+    try:
+        await trial.start()
+        load = asyncio.create_task(trial.load(seconds=16.0, rate_per_s=40.0))
+        await asyncio.sleep(1.0)
+        trial.order_bad_version()
+        for number in range(3):
+            await trial.add_replica(f"v2-{number}", "v2")
+        await _disturb(trial)
+        await load
+        return _report(trial)
+    finally:
+        await trial.end()
+
+
+async def _disturb(trial: PlatformTrial) -> None:
+    """Kills, stops, cuts off and changes, one over the other."""
+    await asyncio.sleep(1.0)
+    killed = trial.routers[0]
+    await killed.kill()
+    await killed.start()
+    trial.remove_key()
+    await asyncio.sleep(2.5)
+    trial.store.fault = users_store.StoreFault.REFUSING
+    stopped = trial.routers[1]
+    stopping = asyncio.create_task(stopped.stop())
+    await asyncio.sleep(2.0)
+    trial.store.fault = users_store.StoreFault.NONE
+    crashed = trial.replicas["v1-0"]
+    await crashed.stop()
+    trial.store.delete("servers", "v1-0")
+    trial.stop_statuses.append(await stopping)
+    await stopped.start()
+    await trial.until_served(stopped)
+
+
+def _report(trial: PlatformTrial) -> TrialReport:
+    calls = [call for call in trial.calls if call.kind != "probe"]
+    exposed = sum(
+        len(replica.ran)
+        for replica_id, replica in trial.replicas.items()
+        if replica_id.startswith("v2")
+    )
+    return TrialReport(
+        calls=len(calls),
+        answered=sum(c.status == 200 and c.complete for c in calls),
+        not_run=sum(c.status in (429, 503) for c in calls),
+        unknown=sum(c.status in (502, 504) for c in calls),
+        cut=sum(not c.complete for c in calls),
+        exposed=exposed,
+        roll_out=trial.roll_out_state() or "",
+        violations=platform_checks.violations(
+            calls=trial.calls,
+            runs=trial.runs(),
+            removed_key=KEYS[1],
+            removed_at_s=trial.removed_at_s,
+            stop_statuses=trial.stop_statuses,
+        ),
+    )
+
+
+def main(*, seed: int) -> int:
+    """Prints a trial's report as JSON; 1 if something did not hold."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = asyncio.run(run(folder=pathlib.Path(folder), seed=seed))
+    print(msgspec.json.encode(report).decode())
+    good = not report.violations and report.roll_out == "reverted"
+    return 0 if good else 1
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import socket
 import struct
@@ -78,6 +79,7 @@
     Attributes:
         address: Where it listens.
         seen: The requests that arrived.
+        ran: The ids of those that it began to work on.
         left: Requests whose caller left before the end of the answer.
         noticed: Set whenever `left` grows.
         arrived: Set whenever `seen` grows.
@@ -85,6 +87,7 @@
 
     __slots__ = (
         "_connections",
+        "_decide",
         "_replies",
         "_server",
         "_tasks",
@@ -93,19 +96,27 @@
         "arrived",
         "left",
         "noticed",
+        "ran",
         "replica_id",
         "seen",
     )
 
-    def __init__(self, *, replica_id: str, replies: list[Reply] | None = None):
+    def __init__(
+        self,
+        *,
+        replica_id: str,
+        decide: Callable[[SeenRequest], Reply] | None = None,
+    ):
         self.replica_id = replica_id
-        self._replies = replies or [Reply()]
+        self._decide = decide or self._next_reply
+        self._replies = [Reply()]
         self._server: asyncio.Server | None = None
         self._connections = 0
         self._writers: list[asyncio.StreamWriter] = []
         self._tasks: list[asyncio.Task] = []
         self.address = ""
         self.seen: list[SeenRequest] = []
+        self.ran: list[str] = []
         self.left: list[str] = []
         self.noticed = asyncio.Event()
         self.arrived = asyncio.Event()
@@ -157,18 +168,24 @@
         request = await _read_request(reader, connection)
         self.seen.append(request)
         self.arrived.set()
-        reply = self._replies[0]
-        if len(self._replies) > 1:
-            self._replies.pop(0)
+        reply = self._decide(request)
         expected = request.headers.get(headers.EXPECTED_REPLICA.lower())
         if expected != self.replica_id:
-            reply = Reply(status=421, body=b"")
+            reply = Reply(status=421, not_run=True, body=b"")
+        if not reply.not_run:
+            self.ran.append(request.request_id)
         if reply.silent:
             await reader.read(1)
             self._note_left(request)
             return False
         return await self._answer(reply, request, reader, writer)
 
+    def _next_reply(self, request: SeenRequest) -> Reply:
+        reply = self._replies[0]
+        if len(self._replies) > 1:
+            self._replies.pop(0)
+        return reply
+
     def _note_left(self, request: SeenRequest) -> None:
         self.left.append(request.request_id)
         self.noticed.set()
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -15,6 +15,7 @@
     "check_platform_settings",
     "check_settings",
     "load",
+    "platform_demo",
     "serve",
     "timeline",
     "version",
--- /dev/null
+++ b/tests/whole/test_platform_trial.py
@@ -0,0 +1,76 @@
+"""Routers as processes on a stand-in platform, with overlapping faults."""
+
+import asyncio
+import dataclasses
+import pathlib
+import tempfile
+import unittest
+
+from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import platform_trial
+
+SEED = 1
+GOOD = platform_checks.CallSeen(
+    request_id="id",
+    kind="stream",
+    key="key",
+    status=200,
+    body=platform_checks.WHOLE_STREAM,
+    complete=True,
+    sealed=True,
+    sent_s=10.0,
+)
+
+
+class TrialTest(unittest.TestCase):
+    def test_kill_stop_outage_removed_key_and_bad_version_together(self):
+        """Under load a bad version is ordered, one router is killed and
+        another stopped, the store refuses everybody, a replica crashes and a
+        key is taken away. Callers get whole answers or the truth, nothing
+        that may run once runs twice, and the version is reverted.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                platform_trial.run(folder=pathlib.Path(folder), seed=SEED)
+            )
+        self.assertEqual(report.violations, [])
+        self.assertEqual(report.roll_out, "reverted")
+        self.assertGreater(report.answered, 0)
+
+
+class ChecksCanFailTest(unittest.TestCase):
+    """Each check is shown a history with its own defect."""
+
+    def found(self, *, runs: int = 1, stop_status: int = 0, **changes):
+        """Returns what is found of one call."""
+        call = dataclasses.replace(GOOD, **changes)
+        return platform_checks.violations(
+            calls=[call],
+            runs={"id": runs},
+            removed_key="removed",
+            removed_at_s=5.0,
+            stop_statuses=[stop_status],
+        )
+
+    def test_a_good_history_has_no_violations(self):
+        self.assertEqual(self.found(), [])
+        cut = {"body": GOOD.body[:20], "complete": False}
+        self.assertEqual(self.found(**cut), [])
+
+    def test_each_defect_is_found(self):
+        defects = (
+            {"kind": "once", "body": b"done", "runs": 2},
+            {"status": 503},
+            {"body": GOOD.body[:-1]},
+            {"body": GOOD.body[10:]},
+            {"sealed": False},
+            {"key": "removed"},
+            {"stop_status": 1},
+        )
+        for defect in defects:
+            with self.subTest(defect=defect):
+                self.assertEqual(len(self.found(**defect)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
