--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -118,7 +118,7 @@
             directory=self.directory,
             watch=self._watch,
             schedule=schedule_module.Schedule(
-                largest_bad_share=settings.roll_outs.largest_share
+                largest_bad_share=settings.largest_bad_share
             ),
             session_time=settings.session_time,
             clock=clock,
@@ -218,7 +218,7 @@
         self._settings = settings
         self._store.address = settings.store_address
         self.rollouts.schedule = schedule_module.Schedule(
-            largest_bad_share=settings.roll_outs.largest_share
+            largest_bad_share=settings.largest_bad_share
         )
         self.budgets.change(
             ratio=settings.retries.ratio * _RETRY_RATIO_USED,
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -74,7 +74,6 @@
     """A connection and what is known of its exchange.
 
     Attributes:
-        written: A byte of the present exchange was handed to the system.
         sound: It may carry another exchange once this one is complete.
         idle_since_s: Loop time since which it has been idle.
         idle_limit_s: How long the replica keeps it open when idle.
@@ -90,7 +89,6 @@
         "idle_limit_s",
         "idle_since_s",
         "sound",
-        "written",
     )
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop):
@@ -100,7 +98,6 @@
         self._reset: OSError | None = None
         self._answers = 0
         self.failure: outcomes.UnknownOutcomeError | None = None
-        self.written = False
         self.sound = True
         self.idle_since_s = 0.0
         self.idle_limit_s = 0.0
@@ -144,7 +141,6 @@
         self._head = self._loop.create_future()
         self._payload = None
         self._answers = 0
-        self.written = True
         self.transport.write(message)
         return await self._head
 
@@ -166,7 +162,6 @@
         if not complete or not self.sound or self.unsent_bytes:
             self.abort()
             return False
-        self.written = False
         self.idle_since_s = self._loop.time()
         return self.is_open
 
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -17,21 +17,6 @@
     """One value is missing or wrong; the text says what is needed."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class RollOutBounds:
-    """How far a version that proves bad may reach.
-
-    Attributes:
-        largest_share: Of all requests of its service.
-        allowance_requests: Beside that share.
-        withdrawal_time: After it has proved bad, no request may reach it.
-    """
-
-    largest_share: float
-    allowance_requests: int
-    withdrawal_time: datetime.timedelta
-
-
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class RetryBounds:
     """How many repeats a service may get from all instances together.
@@ -39,12 +24,10 @@
     Attributes:
         ratio: Repeats per request.
         window: The span over which both are counted.
-        allowance: Repeats beside the ratio, for the whole fleet.
     """
 
     ratio: float
     window: datetime.timedelta
-    allowance: int
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -60,7 +43,8 @@
         store_address: The platform's store.
         stop_time: From SIGTERM to SIGKILL.
         session_time: Requests of a session further apart are strangers.
-        replica_heartbeat: How often replicas write their entry.
+        largest_bad_share: Of all requests of a service from an order to its
+            end, the most that a version which proves bad may get.
     """
 
     instance_id: str
@@ -74,8 +58,7 @@
     region: str
     stop_time: datetime.timedelta
     session_time: datetime.timedelta
-    replica_heartbeat: datetime.timedelta
-    roll_outs: RollOutBounds
+    largest_bad_share: float
     retries: RetryBounds
 
 
@@ -179,22 +162,10 @@
         region=reader.text("region"),
         stop_time=_seconds(reader.number("bounds.graceS", default=8)),
         session_time=_seconds(reader.number("bounds.sessionS", default=5)),
-        replica_heartbeat=_seconds(
-            reader.number("heartbeatMs", default=1200) / 1000
-        ),
-        roll_outs=RollOutBounds(
-            largest_share=reader.number("bounds.exposureShare", default=0.1),
-            allowance_requests=int(
-                reader.number("bounds.exposureAllowance", default=30)
-            ),
-            withdrawal_time=_seconds(
-                reader.number("bounds.rollbackMs", default=5000) / 1000
-            ),
-        ),
+        largest_bad_share=reader.number("bounds.exposureShare", default=0.1),
         retries=RetryBounds(
             ratio=reader.number("bounds.retryRatio", default=0.1),
             window=_seconds(reader.number("bounds.retryWindowS", default=10)),
-            allowance=int(reader.number("bounds.retryAllowance", default=0)),
         ),
     )
     if reader.faults:
--- a/tests/cover/test_users_platform_decoding.py
+++ b/tests/cover/test_users_platform_decoding.py
@@ -56,7 +56,7 @@
         self.assertEqual(loaded.caller_address, "10.1.0.40:8227")
         self.assertEqual(loaded.inner_address, "10.1.0.40:7340")
         self.assertEqual(loaded.stop_time.total_seconds(), 8)
-        self.assertEqual(loaded.roll_outs.largest_share, 0.15)
+        self.assertEqual(loaded.largest_bad_share, 0.15)
 
     def test_every_fault_is_named_at_once(self):
         """An operator's file has several faults.
