End relayed requests with numbered codes; keep error texts out of counters

Cause: the counter's label held the reason in words, which may quote an error: each text would be a counter of its own, without end. Change: relay/endings maps every end to a code; the log has code and words.

--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -107,8 +107,8 @@
     MetricSpec(
         name="relayed_total",
         kind=MetricKind.COUNTER,
-        meaning="Relayed requests that ended, by route and outcome.",
-        labels=("route", "outcome"),
+        meaning="Relayed requests that ended, by route and result code.",
+        labels=("route", "code"),
     ),
     MetricSpec(
         name="relayed_seconds",
--- /dev/null
+++ b/src/nutmeghook/internal/relay/attempt_facts.py
@@ -0,0 +1,54 @@
+"""What an attempt is derived from: its service, model, affinity, urgency."""
+
+import xxhash
+
+from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.routes import model
+
+_LEAST_URGENT = 9
+
+
+def service_for(route: model.Route, job: job_module.Job) -> str:
+    """Returns the request's service: the same at each attempt if it may."""
+    shares = [share for share in route.shares if share.weight > 0]
+    if any(share.service == job.service for share in shares):
+        return job.service
+    shares = shares or list(route.shares)
+    total = sum(share.weight for share in shares) or 1.0
+    digest = xxhash.xxh64_intdigest(job.log_id.encode())
+    point = digest / 2.0**64 * total
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
+
+
+def model_name(job: job_module.Job) -> str | None:
+    """Returns the model to name; None where the caller names it."""
+    if not job.route.models or not job.incoming.facts.any_model:
+        return None
+    return job.route.models[job.model_index]
+
+
+def affinity(job: job_module.Job) -> str | None:
+    """Returns what requests with the same shared prompt have in common.
+
+    The last part belongs to the request or its session alone, so the one
+    before it is the deepest that others share.
+    """
+    prompt = job.incoming.facts.prompt
+    if prompt is None or not prompt.parts:
+        return None
+    shared = prompt.parts[:-1] or prompt.parts
+    return f"{model_name(job)}/{shared[-1].part_id}"
+
+
+def urgency(job: job_module.Job) -> int | None:
+    """Returns a generation's rank among others; the team's goes first."""
+    if job.incoming.facts.prompt is None:
+        return None
+    rank = job.route.priority
+    if job.team is not None and job.team.priority is not None:
+        rank = job.team.priority
+    return max(0, min(_LEAST_URGENT, rank))
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -5,11 +5,10 @@
 import datetime
 import random
 
-import xxhash
-
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import wire
@@ -30,7 +29,6 @@
 # don't return together. Callers follow it up to a third of their time left.
 _EARLIEST_RETURN_S = 0.25
 _LATEST_RETURN_S = 0.75
-_LEAST_URGENT = 9
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -87,7 +85,7 @@
             rejections.RejectedError: There is to be no further attempt.
         """
         route = self._checked_route(job)
-        job.service = _service_for(route, job)
+        job.service = attempt_facts.service_for(route, job)
         replica = self._choose(job)
         if replica is None:
             raise self.given_up(job, reason="no replica can take it")
@@ -106,7 +104,7 @@
             request=job.log_id,
             replica=replica.entry.replica_id,
             version=replica.entry.version,
-            model=_model_name(job),
+            model=attempt_facts.model_name(job),
             configuration=self._configuration.current.version,
             in_flight=replica.in_flight,
             after_event=job.last_event_id,
@@ -117,7 +115,7 @@
             outgoing=self._outgoing(job, replica),
             sent_at=self._clock.monotonic(),
             route=route,
-            model=_model_name(job) or "",
+            model=attempt_facts.model_name(job) or "",
         )
 
     def note_answer(
@@ -271,7 +269,7 @@
             choice_module.Need(
                 service=job.service,
                 accepts=accepts,
-                affinity=_affinity(job),
+                affinity=attempt_facts.affinity(job),
                 exclude=frozenset(job.tried),
             )
         )
@@ -284,8 +282,8 @@
             replica_id=replica.entry.replica_id,
             time_left=self.time_left(job),
             team=job.team.name if job.team else None,
-            urgency=_urgency(job),
-            model=_model_name(job),
+            urgency=attempt_facts.urgency(job),
+            model=attempt_facts.model_name(job),
             last_event_id=job.last_event_id,
         )
         return sender_module.Outgoing(
@@ -301,47 +299,3 @@
 
 def _may_run_again(job: job_module.Job) -> bool:
     return job.route.repeatable and job.runs < job.route.attempts
-
-
-def _service_for(route: model.Route, job: job_module.Job) -> str:
-    """Returns the request's service: the same at each attempt if it may."""
-    shares = [share for share in route.shares if share.weight > 0]
-    if any(share.service == job.service for share in shares):
-        return job.service
-    shares = shares or list(route.shares)
-    total = sum(share.weight for share in shares) or 1.0
-    digest = xxhash.xxh64_intdigest(job.log_id.encode())
-    point = digest / 2.0**64 * total
-    for share in shares:
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return shares[-1].service
-
-
-def _model_name(job: job_module.Job) -> str | None:
-    if not job.route.models or not job.incoming.facts.any_model:
-        return None
-    return job.route.models[job.model_index]
-
-
-def _affinity(job: job_module.Job) -> str | None:
-    """Returns what requests with the same shared prompt have in common.
-
-    The last part belongs to the request or its session alone, so the one
-    before it is the deepest that others share.
-    """
-    prompt = job.incoming.facts.prompt
-    if prompt is None or not prompt.parts:
-        return None
-    shared = prompt.parts[:-1] or prompt.parts
-    return f"{_model_name(job)}/{shared[-1].part_id}"
-
-
-def _urgency(job: job_module.Job) -> int | None:
-    if job.incoming.facts.prompt is None:
-        return None
-    rank = job.route.priority
-    if job.team is not None and job.team.priority is not None:
-        rank = job.team.priority
-    return max(0, min(_LEAST_URGENT, rank))
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import endings
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import rejections
@@ -48,7 +49,7 @@
     ) -> None:
         """Answers a request, whatever happens to it."""
         route_name = ""
-        reason = "answered"
+        ending = endings.ANSWERED
         job: job_module.Job | None = None
         try:
             job = self._admit(incoming, sink)
@@ -58,21 +59,21 @@
             else:
                 await self._wholes.run(job)
         except rejections.RejectedError as rejection:
-            reason = rejection.reason
+            ending = endings.of_rejection(rejection)
             await _reject(sink, rejection)
         except asyncio.CancelledError:
-            reason = "the caller left"
+            ending = endings.CALLER_LEFT
             raise
         except ConnectionError as error:
-            reason = f"the caller's connection broke: {error}"
+            ending = endings.of_broken_connection(error)
             raise
         except Exception as error:
             # A fault of ours; the caller still gets an answer at once.
-            reason = f"internal fault: {error!r}"
+            ending = endings.of_fault(error)
             logs.note("request:fault", trace=traceback.format_exc())
             await _reject(sink, _fault(job))
         finally:
-            self._note_end(incoming, job, route_name, reason)
+            self._note_end(incoming, job, route_name, ending)
 
     def _admit(
         self,
@@ -108,18 +109,21 @@
         incoming: incoming_module.Incoming,
         job: job_module.Job | None,
         route_name: str,
-        reason: str,
+        ending: endings.Ending,
     ) -> None:
         duration = self._clock.monotonic() - incoming.arrived_at
         logs.note(
             "request:ended",
             request=incoming.facts.request_id,
             route=route_name,
-            outcome=reason,
+            code=ending.code.number,
+            outcome=ending.reason,
             attempts=job.tries if job else 0,
             duration_ms=round(duration / datetime.timedelta(milliseconds=1)),
         )
-        self._metrics.add("relayed_total", route=route_name, outcome=reason)
+        self._metrics.add(
+            "relayed_total", route=route_name, code=ending.code.name
+        )
         self._metrics.observe(
             "relayed_seconds", duration.total_seconds(), route=route_name
         )
