--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -91,8 +91,8 @@
             relay_fixture.configuration(
                 relay_fixture.route(
                     STREAM,
-                    target=relay_fixture._SECOND / 20,
-                    longest_pause=relay_fixture._SECOND / 50,
+                    target=relay_fixture.SECOND / 20,
+                    longest_pause=relay_fixture.SECOND / 50,
                 ),
                 version=2,
             ),
@@ -113,8 +113,8 @@
             relay_fixture.configuration(
                 relay_fixture.route(
                     STREAM,
-                    target=1000 * relay_fixture._SECOND,
-                    time_limit=1000 * relay_fixture._SECOND,
+                    target=1000 * relay_fixture.SECOND,
+                    time_limit=1000 * relay_fixture.SECOND,
                 ),
                 version=2,
             ),
--- a/tests/cover/test_relay_whole_answers.py
+++ b/tests/cover/test_relay_whole_answers.py
@@ -151,7 +151,7 @@
         self.configuration.offer(
             relay_fixture.configuration(
                 relay_fixture.route(
-                    IDEMPOTENT, target=relay_fixture._SECOND / 20
+                    IDEMPOTENT, target=relay_fixture.SECOND / 20
                 ),
                 version=2,
             ),
@@ -169,7 +169,7 @@
         """
         self.configuration.offer(
             relay_fixture.configuration(
-                relay_fixture.route(ONCE, time_limit=relay_fixture._SECOND / 5),
+                relay_fixture.route(ONCE, time_limit=relay_fixture.SECOND / 5),
                 version=2,
             ),
             source="test",
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -31,7 +31,7 @@
 KEY = "a-key"
 TEAM = "a-team"
 AUTHORIZATION = ("Authorization", f"Token {KEY}")
-_SECOND = datetime.timedelta(seconds=1)
+SECOND = datetime.timedelta(seconds=1)
 
 
 def route(kind: model.RouteKind, **changes) -> model.Route:
@@ -42,8 +42,8 @@
         "prefix": f"/{kind.value}/",
         "kind": kind,
         "shares": (model.ServiceShare(service="service", weight=1.0),),
-        "time_limit": 5 * _SECOND,
-        "target": 1 * _SECOND,
+        "time_limit": 5 * SECOND,
+        "target": 1 * SECOND,
         "attempts": 3,
         "priority": 1,
         "resumable": kind is model.RouteKind.STREAM,
@@ -122,7 +122,7 @@
             versions=view.AnyVersion(),
             budgets=window_budget.WindowRetryBudgets(
                 ratio=0.9,
-                window=10 * _SECOND,
+                window=10 * SECOND,
                 burst=10,
                 clock=self.clock,
             ),
