Pass a replica's word on the request on at once

Cause: on streams any status but 200 was tried again elsewhere, also a replica's answer that the request itself is wrong; each try costs the fleet's budget. Change: only a replica's own failures (500 and above) go to another replica.

--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -29,6 +29,7 @@
 # ten first events come sooner, and answers of a healthy replica pause less.
 _DOUBTFUL_SILENCE = datetime.timedelta(milliseconds=600)
 _OK_STATUS = 200
+_FIRST_FAILURE_STATUS = 500
 # With fewer events the time between them says little of a replica's pace.
 _LEAST_PACED_EVENTS = 4
 # A weak answer is kept if less time is left: the largest model's first event
@@ -89,7 +90,7 @@
         async with contextlib.AsyncExitStack() as stack:
             answer = await self._head(job, prepared, stack)
             if answer.head.status != _OK_STATUS:
-                return await self._failed_answer(job, prepared, answer)
+                return await self._other_answer(job, prepared, answer)
             if not answer.facts.sealed or answer.facts.encoded:
                 raise outcomes.UnknownOutcomeError("the answer is not sealed")
             self._planner.note_answer(
@@ -101,35 +102,47 @@
             prepared.replica.health.note_success(self._clock.monotonic())
             return _Step.DONE
 
-    async def _failed_answer(
+    async def _other_answer(
         self,
         job: job_module.Job,
         prepared: attempts_module.Prepared,
         answer: sender_module.Answer,
     ) -> _Step:
-        """Passes a replica's failure on, if nothing better can be had."""
+        """Passes on what is no stream, if nothing better can be had.
+
+        A replica's word that the request itself is wrong holds anywhere; only
+        its own failures are worth another replica.
+        """
         left = self._planner.time_left(job)
         body = await self._at_most(
             job, answer.read_whole(), left, may_move=False
         )
+        failed = answer.head.status >= _FIRST_FAILURE_STATUS
         self._planner.note_answer(
-            job, prepared, status=answer.head.status, failed=True
+            job, prepared, status=answer.head.status, failed=failed
         )
+        if failed and self._may_repeat(job, answer):
+            return _Step.AGAIN
+        if job.sink.begun:
+            raise self._planner.given_up(job, reason="a replica failed it")
+        await job.sink.send_whole(
+            answer.head.status,
+            self._wire_format.answer_headers(answer.head.headers),
+            body,
+        )
+        return _Step.DONE
+
+    def _may_repeat(
+        self, job: job_module.Job, answer: sender_module.Answer
+    ) -> bool:
         error = outcomes.UnknownOutcomeError(
             f"the replica answered {answer.head.status}"
         )
         try:
             self._planner.allow_repeat(job, error)
         except rejections.RejectedError:
-            if job.sink.begun:
-                raise
-            await job.sink.send_whole(
-                answer.head.status,
-                self._wire_format.answer_headers(answer.head.headers),
-                body,
-            )
-            return _Step.DONE
-        return _Step.AGAIN
+            return False
+        return True
 
     def _is_weak(
         self, job: job_module.Job, answer: sender_module.Answer
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -47,6 +47,21 @@
         ]
         self.assertEqual(set(resumed), {None, "1"})
 
+    async def test_a_replica_s_word_on_the_request_is_passed_on_at_once(self):
+        """A replica finds the request itself wrong.
+        Others would find the same; the caller gets the answer as it came.
+        """
+        self.reply_with(Reply(status=422, body=b"no such prompt"))
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.status_of(answer), 422)
+        self.assertEqual(relay_fixture.body_of(answer), b"no such prompt")
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_a_replica_s_failure_goes_to_another_replica(self):
+        self.reply_with(Reply(status=500), Reply(events=EVENTS))
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
     async def test_a_stream_that_may_not_be_resumed_is_cut(self):
         """A replica breaks off a stream that may run only once.
         What came is not ended as complete, and no other replica is asked.
