Pool all evidence before everything moves to a new version

Change: all that was seen is told once before the last stretch, and a suspicion counts from its beginning.

--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -114,6 +114,7 @@
         "_rollouts",
         "_status",
         "_table",
+        "_told_all",
         "_watch",
     )
 
@@ -143,6 +144,8 @@
         self._instance_id = instance_id
         self._published_at = datetime.timedelta()
         self._published: dict[int, float] = {}
+        # Orders of which all that was seen before the last stretch was told.
+        self._told_all: set[int] = set()
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -183,12 +186,18 @@
         if plan is None:
             await self._begin(order)
             return
-        await self._publish(order)
+        await self._publish(order, plan)
         reason = self._rollouts.judge(order)
+        if reason is None and self._rollouts.is_trial_over(plan):
+            reason = self._rollouts.suspect(order)
         if reason is not None:
             await self._conclude(order, plan_module.Verdict.BAD, reason)
         elif self._rollouts.may_complete(plan):
-            await self._complete(order)
+            await self._conclude(
+                order,
+                plan_module.Verdict.GOOD,
+                "nothing speaks against it",
+            )
 
     async def _begin(self, order: orders_module.RollOutOrder) -> None:
         """Writes the plan's start unless another instance has."""
@@ -211,15 +220,6 @@
         version = row.version if row else table_module.ABSENT_VERSION
         await self._write_plan(order, plan, version)
 
-    async def _complete(self, order: orders_module.RollOutOrder) -> None:
-        suspicion = self._rollouts.suspect(order)
-        if suspicion is not None:
-            await self._conclude(order, plan_module.Verdict.BAD, suspicion)
-            return
-        await self._conclude(
-            order, plan_module.Verdict.GOOD, "nothing speaks against it"
-        )
-
     async def _conclude(
         self,
         order: orders_module.RollOutOrder,
@@ -275,11 +275,17 @@
             reason=plan.reason,
         )
 
-    async def _publish(self, order: orders_module.RollOutOrder) -> None:
+    async def _publish(
+        self,
+        order: orders_module.RollOutOrder,
+        plan: plan_module.PlanRow,
+    ) -> None:
         own = self._rollouts.evidence_of(order).own
         weight = sum(count.bad for count in own.routes.values())
         weight += own.pace_sum / _PACE_WORTH_TELLING
-        if weight < self._published.get(order.order_id, 0.0) + 1.0:
+        if weight < self._published.get(
+            order.order_id, 0.0
+        ) + 1.0 and not self._owes_all(order, plan):
             return
         now = self._clock.monotonic()
         if now - self._published_at < _PUBLISH_EVERY:
@@ -294,6 +300,26 @@
             )
         )
         self._published[order.order_id] = weight
+        if self._rollouts.is_reckoning(plan):
+            self._told_all.add(order.order_id)
+
+    def _owes_all(
+        self,
+        order: orders_module.RollOutOrder,
+        plan: plan_module.PlanRow,
+    ) -> bool:
+        """Tells whether what was seen is to be told although none of it is bad.
+
+        The failure: a version is slower in every answer, and each of seven
+        instances has seen two or three: too little to be worth a write, and
+        together a proof.
+        """
+        own = self._rollouts.evidence_of(order).own
+        return (
+            self._rollouts.is_reckoning(plan)
+            and order.order_id not in self._told_all
+            and bool(own.paced or own.routes)
+        )
 
 
 def _plan_key(service: str) -> str:
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -135,7 +135,8 @@
     def suspect(self, order: orders_module.RollOutOrder) -> str | None:
         """Returns what speaks against the version without proving it bad.
 
-        Looked at once, before completion, which can't be taken back.
+        Asked once the trial is over: everything moves then, and completion
+        can't be taken back.
         """
         return self.evidence_of(order).proven_bad(
             self._new_replicas(order),
@@ -166,6 +167,16 @@
             part = min(part, schedule_module.MAY_MOVE_SESSIONS_AT)
         return part
 
+    def is_trial_over(self, plan: plan_module.PlanRow) -> bool:
+        """Tells whether everything moves to the new version now."""
+        return self.schedule.is_trial_over_at(
+            self._steady_part(plan), plan.within_s
+        )
+
+    def is_reckoning(self, plan: plan_module.PlanRow) -> bool:
+        """Tells whether all that was seen is to be told, good and bad."""
+        return self.schedule.is_reckoning_at(self.part_of(plan), plan.within_s)
+
     def may_complete(self, plan: plan_module.PlanRow) -> bool:
         """Tells whether the old version's replicas may stop."""
         return self.schedule.may_complete_at(self.part_of(plan), plan.within_s)
@@ -239,8 +250,7 @@
         plan = self.plan_of(order)
         if plan is None or plan.verdict is not plan_module.Verdict.OPEN:
             return
-        part = self._steady_part(plan)
-        if self.schedule.share_at(part, plan.within_s) >= 1.0:
+        if self.is_trial_over(plan):
             return
         deviation = self._paces.deviation(kind, pace_s)
         if deviation is not None:
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -18,6 +18,9 @@
 # From the beginning of the last stretch to completion. Streams that last
 # longer are resumed on the new version.
 _LAST_WAIT = datetime.timedelta(seconds=1.3)
+# Before the last stretch, so that all evidence is pooled when it begins: two
+# steps of the slowest instance, a write, and the news of it.
+_RECKONING = datetime.timedelta(seconds=1.5)
 # The trial's share is what the bound leaves beside the last stretch, within
 # these: with less, a version that fails half of its requests takes over ten
 # seconds to find at 50 requests a second; more finds nothing sooner that
@@ -40,12 +43,24 @@
     def share_at(self, part: float, within_s: float) -> float:
         """Returns the new version's share at a part of the time, from 0."""
         stretch = self._last_stretch_part(within_s)
-        if part >= 1.0 - stretch:
+        if self.is_trial_over_at(part, within_s):
             return 1.0
         left = (self.largest_bad_share - stretch) / (1.0 - stretch)
         most = _LARGEST_TRIAL_PART * self.largest_bad_share
         return max(_LEAST_TRIAL_SHARE, min(left, most))
 
+    def is_trial_over_at(self, part: float, within_s: float) -> bool:
+        """Tells whether everything moves to the new version now."""
+        return part >= 1.0 - self._last_stretch_part(within_s)
+
+    def is_reckoning_at(self, part: float, within_s: float) -> bool:
+        """Tells whether instances tell all they saw, good and bad."""
+        return part >= (
+            1.0
+            - self._last_stretch_part(within_s)
+            - _RECKONING.total_seconds() / max(within_s, 1.0)
+        )
+
     def may_complete_at(self, part: float, within_s: float) -> bool:
         """Tells whether the old version's requests have had their time."""
         full_from = 1.0 - self._last_stretch_part(within_s)
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -500,6 +500,31 @@
         self.store.do_late_writes()
         self.assertEqual(self.told(), "reverted")
 
+    async def test_little_that_each_instance_saw_adds_up_before_the_end(self):
+        """A version goes on slower in every answer, and each instance has seen
+        two. Neither is worth a write by itself; told before everything moves,
+        they prove it together.
+        """
+        drivers = [self.driver(f"instance-{n}") for n in range(4)]
+        for _, driver in drivers:
+            await self.step(driver)
+        for instance, _ in drivers:
+            for _ in range(10):
+                for pace_s in (0.015, 0.03):
+                    instance.rollouts.note_pace(
+                        entry(1, "v1"), kind="kind", pace_s=pace_s
+                    )
+            for _ in range(2):
+                instance.rollouts.note_pace(
+                    entry(1, "v2"), kind="kind", pace_s=0.035
+                )
+            self.assertIsNone(instance.rollouts.judge(ORDER))
+        await self.clock.advance(datetime.timedelta(seconds=0.83 * WITHIN_S))
+        for _ in range(2):
+            for _, driver in drivers:
+                await self.step(driver)
+        self.assertEqual(self.told(), "reverted")
+
     async def test_a_good_version_costs_no_evidence_writes(self):
         instance, driver = self.driver("only")
         await self.step(driver)
