--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -21,7 +21,7 @@
 # A good version is reverted this rarely, for each route that it serves.
 FALSE_STOP_SHARE = 0.004
 # Before completion, which can't be taken back, this much less proof counts.
-SUSPICION_SHARE = 0.1
+SUSPICION_SHARE = 0.05
 # An answer is slow if it takes this many times as long as is usual on the same
 # route and model: bad versions are several times slower, and prompts of one
 # route differ by a factor of two to three in length.
@@ -42,8 +42,8 @@
 # is rarer, since replicas on trial carry less load than the others.
 _SLOW_DEVIATIONS = 3.0
 _LEAST_PACED = 6
-# As little as this is a suspicion: one good version in 40, by chance alone.
-_SUSPECT_DEVIATIONS = 2.0
+# As little as this is a suspicion: one good version in 160, by chance alone.
+_SUSPECT_DEVIATIONS = 2.5
 # Evidence over all routes, beside that of each.
 _ALL_ROUTES = "all routes"
 
