--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -14,7 +14,7 @@
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
-from nutmeghook.internal.following import news
+from nutmeghook.internal.following import gossip
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
@@ -250,7 +250,7 @@
             inner_address=self._settings.inner_address,
             table=store.StoreRows(client=self._store),
             tables=shared,
-            settling=self.directory,
+            deletion_grace=self.directory,
             clock=self._clock,
             random_source=self._random,
         )
@@ -289,7 +289,7 @@
         await self._session.close()
 
     def _rollout_driver(
-        self, plans: news.SharedTable, peers: router_peers.RouterPeers
+        self, plans: gossip.SharedTable, peers: router_peers.RouterPeers
     ) -> driver.RollOutDriver:
         return driver.RollOutDriver(
             table=store.StoreRows(client=self._store),
@@ -312,9 +312,9 @@
 
     def _shared(
         self, table: str, reader: follower.TableReader
-    ) -> news.SharedTable:
+    ) -> gossip.SharedTable:
         copy = copies.TableCopy(reader=reader)
-        return news.SharedTable(
+        return gossip.SharedTable(
             copy=copy,
             table_follower=follower.TableFollower(
                 table=store.PlatformTable(client=self._store, name=table),
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -1,4 +1,4 @@
-"""A router's side towards its peers: introduction, sockets, news."""
+"""A router's side towards its peers: registration, sockets, gossip."""
 
 import asyncio
 import datetime
@@ -6,8 +6,8 @@
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import table as table_module
-from nutmeghook.internal.following import introductions
-from nutmeghook.internal.following import news as news_module
+from nutmeghook.internal.following import gossip as gossip_module
+from nutmeghook.internal.following import registration
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
 from nutmeghook.internal.inner import peers
@@ -21,7 +21,7 @@
 
 
 class RouterPeers:
-    """Exchanges news with the peers, once it has been introduced.
+    """Gossips with the peers, once this instance is registered.
 
     Without peers an instance is alone with the store, as it is until the
     store has answered it once: everything works, at more calls.
@@ -29,11 +29,11 @@
 
     __slots__ = (
         "_clock",
+        "_deletion_grace",
+        "_gossip",
         "_inner_address",
         "_instance_id",
-        "_news",
         "_random",
-        "_settling",
         "_table",
         "_tables",
     )
@@ -44,8 +44,8 @@
         instance_id: str,
         inner_address: str,
         table: table_module.TableService,
-        tables: dict[str, news_module.SharedTable],
-        settling: news_module.Settling,
+        tables: dict[str, gossip_module.SharedTable],
+        deletion_grace: gossip_module.DeletionGrace,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -53,52 +53,54 @@
         self._inner_address = inner_address
         self._table = table
         self._tables = tables
-        self._settling = settling
+        self._deletion_grace = deletion_grace
         self._clock = clock
         self._random = random_source
-        self._news: news_module.TableNews | None = None
+        self._gossip: gossip_module.TableGossip | None = None
 
     async def follow(self, name: str) -> None:
         """Reads a table once, or waits a little if peers read it."""
-        await news_module.follow(self._tables[name], self._news, self._clock)
+        await gossip_module.follow(
+            self._tables[name], self._gossip, self._clock
+        )
 
     async def run(self) -> None:
-        """Introduces this instance and exchanges news until cancelled."""
-        introduction = await self._introduced()
+        """Registers this instance and gossips until cancelled."""
+        registered = await self._registered()
         udp = datagrams.UdpDatagrams()
         handlers = peers.PeerHandlers()
         counts = traffic.Traffic()
         caller = tcp_client.TcpPeerCaller(
             clock=self._clock,
-            credential=introduction.credential,
+            credential=registered.credential,
             traffic=counts,
             random=self._random,
         )
         server = tcp_server.TcpServer(
             clock=self._clock,
             handlers=handlers,
-            credential=introduction.credential,
+            credential=registered.credential,
             traffic=counts,
         )
         host, _, port = self._inner_address.rpartition(":")
         await server.start(host=host, port=int(port))
         await udp.start(host=host, port=int(port))
-        self._news = news_module.TableNews(
+        self._gossip = gossip_module.TableGossip(
             instance_id=self._instance_id,
             inner_address=self._inner_address,
             tables=self._tables,
             datagrams=udp,
-            seal=datagrams.Seal(credential=introduction.credential),
+            seal=datagrams.Seal(credential=registered.credential),
             caller=caller,
             handlers=handlers,
-            settling=self._settling,
+            deletion_grace=self._deletion_grace,
             clock=self._clock,
             random_source=self._random,
         )
-        self._news.peers.update(introduction.peers)
-        logs.note("peer:introduced", peers=sorted(introduction.peers))
+        self._gossip.peers.update(registered.peers)
+        logs.note("peer:registered", peers=sorted(registered.peers))
         try:
-            await self._news.run()
+            await self._gossip.run()
         finally:
             udp.close()
             await asyncio.gather(
@@ -106,17 +108,17 @@
                 server.close(grace=_CLOSE_GRACE),
             )
 
-    async def _introduced(self) -> introductions.Introduction:
-        introducer = introductions.Introducer(
+    async def _registered(self) -> registration.Registration:
+        registry = registration.InstanceRegistry(
             table=self._table,
             instance_id=self._instance_id,
             inner_address=self._inner_address,
         )
         while True:
             try:
-                return await introducer.introduce()
+                return await registry.register()
             except failures.PlatformError as error:
-                logs.note("peer:not_introduced", error=str(error))
+                logs.note("peer:not_registered", error=str(error))
                 await self._clock.sleep(
                     _RETRY * self._random.uniform(0.75, 1.25)
                 )
--- a/src/nutmeghook/internal/following/follower.py
+++ b/src/nutmeghook/internal/following/follower.py
@@ -156,8 +156,8 @@
         else:
             page = await self._table.changes(began_at, self._wait)
         self._watch.note_answer(page.store_time)
-        # A peer's news may have been taken in meanwhile. What is older would
-        # bring back rows whose deletion the news held.
+        # A peer's rows may have been taken in meanwhile. What is older would
+        # bring back rows that those said are deleted.
         if page.revision < self.revision:
             return
         if began_at < 0:
--- a/src/nutmeghook/internal/following/news.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -51,7 +51,7 @@
 _NEVER_MS = -1
 
 
-class Settling(abc.ABC):
+class DeletionGrace(abc.ABC):
     """Knows for how long missing rows are not taken for deletions."""
 
     @abc.abstractmethod
@@ -139,7 +139,7 @@
     revision: int
 
 
-class TableNews:
+class TableGossip:
     """Tells peers, hears them, and fetches what they know more.
 
     Attributes:
@@ -151,12 +151,12 @@
         "_caller",
         "_clock",
         "_datagrams",
+        "_deletion_grace",
         "_heard_at",
         "_inner_address",
         "_instance_id",
         "_random",
         "_seal",
-        "_settling",
         "_tables",
         "_told",
         "peers",
@@ -172,7 +172,7 @@
         seal: datagrams_module.Seal,
         caller: peers_module.PeerCaller,
         handlers: peers_module.PeerHandlers,
-        settling: Settling,
+        deletion_grace: DeletionGrace,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -182,7 +182,7 @@
         self._datagrams = datagrams
         self._seal = seal
         self._caller = caller
-        self._settling = settling
+        self._deletion_grace = deletion_grace
         self._clock = clock
         self._random = random_source
         self._heard_at: dict[str, datetime.timedelta] = {}
@@ -317,7 +317,9 @@
             return
         if page.settle_ms > 0:
             settle = page.settle_ms * _MILLISECOND
-            self._settling.distrust_deletions(self._clock.monotonic() + settle)
+            self._deletion_grace.distrust_deletions(
+                self._clock.monotonic() + settle
+            )
         table.take(_rows_of(page), page.revision, whole=page.whole)
         logs.note(
             "peer:caught_up",
@@ -336,15 +338,15 @@
             table.copy.rows() if changes is None else changes,
             revision=table.revision,
             whole=changes is None,
-            settle_ms=round(self._settling.left() / _MILLISECOND),
+            settle_ms=round(self._deletion_grace.left() / _MILLISECOND),
         )
 
 
 async def follow(
-    table: SharedTable, news: TableNews | None, clock: clock_module.Clock
+    table: SharedTable, gossip: TableGossip | None, clock: clock_module.Clock
 ) -> None:
     """Reads a table once, or waits a little if peers read it."""
-    if news is None or news.reads(table):
+    if gossip is None or gossip.reads(table):
         await table.follower.step()
     else:
         await clock.sleep(_IDLE)
--- a/src/nutmeghook/internal/following/introductions.py
+++ b/src/nutmeghook/internal/following/registration.py
@@ -1,4 +1,4 @@
-"""How instances find each other: one row each, and a shared credential."""
+"""Registration of instances: a row for each, and a shared credential."""
 
 import dataclasses
 import secrets
@@ -22,8 +22,8 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Introduction:
-    """What an instance learns by introducing itself.
+class Registration:
+    """What an instance learns by registering.
 
     Attributes:
         credential: Known to all instances that reached the store.
@@ -34,7 +34,7 @@
     peers: dict[str, str]
 
 
-class Introducer:
+class InstanceRegistry:
     """Writes this instance's row and reads the others'.
 
     Whoever is first writes the credential, insert-if-absent. A row is written
@@ -55,8 +55,8 @@
         self._instance_id = instance_id
         self._inner_address = inner_address
 
-    async def introduce(self) -> Introduction:
-        """Introduces this instance.
+    async def register(self) -> Registration:
+        """Registers this instance.
 
         Raises:
             failures.PlatformError: The store did not take it, or may not
@@ -78,7 +78,7 @@
             row.key: row for row in await self._table.scan(prefix=f"{TABLE}/")
         }
         credential = rows.get(_CREDENTIAL_KEY)
-        return Introduction(
+        return Registration(
             credential=credential.value.decode()
             if credential
             else await self._new_credential(),
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -288,7 +288,7 @@
         try:
             return await self._clock.wait_for(wait(), _DOUBTFUL_SILENCE)
         except TimeoutError as error:
-            if await self._sender.is_dark(prepared.replica):
+            if await self._sender.is_unreachable(prepared.replica):
                 raise outcomes.UnknownOutcomeError("the replica is dark") from (
                     error
                 )
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 import datetime
 
-from nutmeghook.internal.following import news
+from nutmeghook.internal.following import gossip
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import entries
@@ -60,7 +60,7 @@
         self.in_flight_at_report = self.in_flight
 
 
-class ReplicaDirectory(news.Settling):
+class ReplicaDirectory(gossip.DeletionGrace):
     """Replicas by service; entries come from the list, in any order.
 
     Attributes:
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -134,7 +134,7 @@
             if connection is not None:
                 self._give_back(address, connection, answer)
 
-    async def is_dark(self, replica: directory_module.Replica) -> bool:
+    async def is_unreachable(self, replica: directory_module.Replica) -> bool:
         """Tells whether a silent replica is gone, and notes it if so."""
         if await self._pool.answers(replica.entry.address):
             return False
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -300,7 +300,7 @@
             )
         )
         self._published[order.order_id] = weight
-        if self._rollouts.is_reckoning(plan):
+        if self._rollouts.is_final_report_due(plan):
             self._told_all.add(order.order_id)
 
     def _owes_all(
@@ -316,7 +316,7 @@
         """
         own = self._rollouts.evidence_of(order).own
         return (
-            self._rollouts.is_reckoning(plan)
+            self._rollouts.is_final_report_due(plan)
             and order.order_id not in self._told_all
             and bool(own.paced or own.routes)
         )
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -173,9 +173,11 @@
             self._steady_part(plan), plan.within_s
         )
 
-    def is_reckoning(self, plan: plan_module.PlanRow) -> bool:
+    def is_final_report_due(self, plan: plan_module.PlanRow) -> bool:
         """Tells whether all that was seen is to be told, good and bad."""
-        return self.schedule.is_reckoning_at(self.part_of(plan), plan.within_s)
+        return self.schedule.is_final_report_due_at(
+            self.part_of(plan), plan.within_s
+        )
 
     def may_complete(self, plan: plan_module.PlanRow) -> bool:
         """Tells whether the old version's replicas may stop."""
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -19,8 +19,8 @@
 # longer are resumed on the new version.
 _LAST_WAIT = datetime.timedelta(seconds=1.3)
 # Before the last stretch, so that all evidence is pooled when it begins: two
-# steps of the slowest instance, a write, and the news of it.
-_RECKONING = datetime.timedelta(seconds=1.5)
+# steps of the slowest instance, a write, and word of it.
+_FINAL_REPORT = datetime.timedelta(seconds=1.5)
 # The trial's share is what the bound leaves beside the last stretch, within
 # these: with less, a version that fails half of its requests takes over ten
 # seconds to find at 50 requests a second; more finds nothing sooner that
@@ -53,12 +53,12 @@
         """Tells whether everything moves to the new version now."""
         return part >= 1.0 - self._last_stretch_part(within_s)
 
-    def is_reckoning_at(self, part: float, within_s: float) -> bool:
+    def is_final_report_due_at(self, part: float, within_s: float) -> bool:
         """Tells whether instances tell all they saw, good and bad."""
         return part >= (
             1.0
             - self._last_stretch_part(within_s)
-            - _RECKONING.total_seconds() / max(within_s, 1.0)
+            - _FINAL_REPORT.total_seconds() / max(within_s, 1.0)
         )
 
     def may_complete_at(self, part: float, within_s: float) -> bool:
--- a/tests/cover/test_table_news.py
+++ b/tests/cover/test_table_gossip.py
@@ -10,8 +10,8 @@
 
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
-from nutmeghook.internal.following import introductions
-from nutmeghook.internal.following import news as news_module
+from nutmeghook.internal.following import gossip as gossip_module
+from nutmeghook.internal.following import registration
 from nutmeghook.internal.following import source
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
@@ -82,10 +82,10 @@
         self.store.put("servers", number, msgspec.json.encode(value))
 
     def instance(self, name: str):
-        """Returns an instance's news and what it knows of replicas."""
+        """Returns an instance's gossip and what it knows of replicas."""
         directory = directory_module.ReplicaDirectory(clock=self.clock)
         copy = copies.TableCopy(reader=tables.ReplicaRows(directory=directory))
-        table = news_module.SharedTable(
+        table = gossip_module.SharedTable(
             copy=copy,
             table_follower=follower.TableFollower(
                 table=store.PlatformTable(
@@ -104,7 +104,7 @@
         )
         self.handlers[name] = peers.PeerHandlers()
         post = Post(receivers=self.receivers, dropped=self.dropped)
-        news = news_module.TableNews(
+        gossip = gossip_module.TableGossip(
             instance_id=name,
             inner_address=name,
             tables={TABLE: table},
@@ -112,23 +112,25 @@
             seal=SEAL,
             caller=self.calls,
             handlers=self.handlers[name],
-            settling=directory,
+            deletion_grace=directory,
             clock=self.clock,
             random_source=random.Random(1),
         )
-        return news, table, directory
+        return gossip, table, directory
 
-    def introduce(self, *everyone) -> None:
+    def connect(self, *everyone) -> None:
         """Lets all instances know each other."""
-        names = [news._instance_id for news, _, _ in everyone]
-        for news, _, _ in everyone:
-            news.peers.update({n: n for n in names if n != news._instance_id})
+        names = [gossip._instance_id for gossip, _, _ in everyone]
+        for gossip, _, _ in everyone:
+            gossip.peers.update(
+                {n: n for n in names if n != gossip._instance_id}
+            )
 
     async def catch_up(self, instance) -> None:
         """Fetches what a peer was heard to know more."""
-        news, table, _ = instance
-        (peer,) = news._ahead.values()
-        waiting = asyncio.ensure_future(news._catch_up(table, TABLE, peer))
+        gossip, table, _ = instance
+        (peer,) = gossip._ahead.values()
+        waiting = asyncio.ensure_future(gossip._catch_up(table, TABLE, peer))
         await self.clock.advance(_SECOND / 2)
         await waiting
 
@@ -142,7 +144,7 @@
         learns of both.
         """
         served, refused = self.instance("a"), self.instance("b")
-        self.introduce(served, refused)
+        self.connect(served, refused)
         for instance in (served, refused):
             await instance[1].follower.step()
         self.put("2")
@@ -154,15 +156,15 @@
 
     async def test_a_newcomer_gets_the_whole_table(self):
         old, new = self.instance("a"), self.instance("b")
-        self.introduce(old, new)
+        self.connect(old, new)
         await old[1].follower.step()
         old[0]._tell(5)
         await self.catch_up(new)
         self.assertEqual(self.listed(new), ["1"])
 
     async def test_a_late_answer_of_the_store_brings_nothing_back(self):
-        """A feed's answer is on its way while a peer's newer news is taken.
-        It holds a replica whose deletion the news held; taken in, a replica
+        """A feed's answer is on its way while a peer's newer rows are taken.
+        It holds a replica whose deletion they held; taken in, a replica
         that is gone would be sent requests until the next full read.
         """
         instance = self.instance("a")
@@ -201,7 +203,7 @@
         instead, within the time in which a change has to be in force.
         """
         everyone = [self.instance(name) for name in "abcdefg"]
-        self.introduce(*everyone)
+        self.connect(*everyone)
         for instance in everyone:
             await instance[1].follower.step()
             instance[0]._tell(10)
@@ -223,7 +225,7 @@
         their proofs. An instance that only listened would never know.
         """
         everyone = [self.instance(name) for name in "abcd"]
-        self.introduce(*everyone)
+        self.connect(*everyone)
         for instance in everyone:
             await instance[1].follower.step()
         for _ in range(12):
@@ -238,7 +240,7 @@
         must not drop the replica because of the reader's rows.
         """
         reader, other = self.instance("a"), self.instance("b")
-        self.introduce(reader, other)
+        self.connect(reader, other)
         for instance in (reader, other):
             await instance[1].follower.step()
         reader[2].distrust_deletions(
@@ -270,9 +272,9 @@
         await self.session.close()
         await self.store.stop()
 
-    def introducer(self, name: str) -> introductions.Introducer:
-        """Returns the introducer of an instance."""
-        return introductions.Introducer(
+    def registry(self, name: str) -> registration.InstanceRegistry:
+        """Returns the registry of an instance."""
+        return registration.InstanceRegistry(
             table=store.StoreRows(
                 client=store.StoreClient(
                     session=self.session, address=self.store.address
@@ -287,10 +289,10 @@
         All want to write the credential; one does, and all use that one.
         """
         found = await asyncio.gather(
-            *(self.introducer(name).introduce() for name in "abcdefg")
+            *(self.registry(name).register() for name in "abcdefg")
         )
         self.assertEqual(len({f.credential for f in found}), 1)
-        later = await self.introducer("h").introduce()
+        later = await self.registry("h").register()
         self.assertEqual(sorted(later.peers), list("abcdefg"))
 
 
