--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -20,6 +20,7 @@
 from nutmeghook.experiment import platform_checks
 from nutmeghook.platform import headers
 from nutmeghook.platform import settings
+from nutmeghook.standins import users_operator
 from nutmeghook.standins import users_replica
 from nutmeghook.standins import users_store
 
@@ -113,10 +114,11 @@
     def __init__(self, *, folder: pathlib.Path, seed: int, routers: int = 3):
         self._folder = folder
         self._random = random.Random(seed)
-        self._version = 1
         self._numbers = 0
-        self._last_read_s = 0.0
         self.store = users_store.StandInStore()
+        self.operator = users_operator.StandInOperator(
+            store=self.store, host=HOST, service=SERVICE
+        )
         self.replicas: dict[str, users_replica.StandInReplica] = {}
         self.routers_wanted = routers
         self.routers: list[RouterProcess] = []
@@ -131,7 +133,7 @@
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
         )
-        self.write_configuration(KEYS)
+        self.operator.write_configuration(KEYS)
         for number in range(3):
             await self.add_replica(f"v1-{number}", "v1")
         for number in range(self.routers_wanted):
@@ -165,47 +167,6 @@
                     return
                 await asyncio.sleep(0.1)
 
-    def write_configuration(self, keys: tuple[str, ...]) -> None:
-        """Writes the next configuration, as the operator does."""
-        self._version += 1
-        common = {
-            "host": HOST,
-            "service": SERVICE,
-            "timeoutMs": 8000,
-            "sloMs": 1000,
-        }
-        routes = [
-            {
-                "name": "stream",
-                "prefix": "/stream/",
-                "routeKind": "streaming",
-                "resumable": True,
-                "attempts": 3,
-            },
-            {
-                "name": "once",
-                "prefix": "/once/",
-                "routeKind": "non_idempotent",
-                "attempts": 1,
-            },
-            {
-                "name": "probe",
-                "prefix": "/probe/",
-                "routeKind": "idempotent",
-                "attempts": 3,
-            },
-        ]
-        self._put(
-            "op",
-            "config",
-            {
-                "version": self._version,
-                "routes": [route | common for route in routes],
-                "services": [{"name": SERVICE}],
-                "tenants": [{"name": "team", "apiKeys": list(keys)}],
-            },
-        )
-
     async def add_replica(self, replica_id: str, version: str) -> None:
         """Starts a replica and lists it."""
         replica = users_replica.StandInReplica(
@@ -214,36 +175,17 @@
         )
         await replica.start()
         self.replicas[replica_id] = replica
-        self._put(
-            "servers",
-            replica_id,
-            {
-                "service": SERVICE,
-                "address": replica.address,
-                "version": version,
-                "zone": "hall",
-                "slots": 64,
-            },
-        )
+        self.operator.list_replica(replica, version=version)
 
     def order_bad_version(self) -> None:
         """Orders a version that fails half of its requests."""
-        self._put(
-            "op",
-            f"rollout/{SERVICE}",
-            {"service": SERVICE, "to": "v2", "withinS": ROLL_OUT_S},
-        )
+        self.operator.order_roll_out("v2", within_s=ROLL_OUT_S)
 
     def remove_key(self) -> None:
         """Takes a key away."""
-        self.write_configuration(KEYS[:1])
+        self.operator.write_configuration(KEYS[:1])
         self.removed_at_s = asyncio.get_running_loop().time()
 
-    def roll_out_state(self) -> str | None:
-        """Returns what the operator reads of its order."""
-        value = self.store.value("status", f"rollout/{SERVICE}")
-        return msgspec.json.decode(value)["state"] if value else None
-
     async def load(self, *, seconds: float, rate_per_s: float) -> None:
         """Sends steady load of all kinds to all routers."""
         loop = asyncio.get_running_loop()
@@ -327,9 +269,6 @@
             return users_replica.Reply(status=503, not_run=True)
         return users_replica.Reply(events=events, pause_s=0.02)
 
-    def _put(self, table: str, key: str, value: dict[str, object]) -> None:
-        self.store.put(table, key, msgspec.json.encode(value))
-
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class TrialReport:
@@ -377,7 +316,7 @@
     trial.store.fault = users_store.StoreFault.NONE
     crashed = trial.replicas["v1-0"]
     await crashed.stop()
-    trial.store.delete("servers", "v1-0")
+    trial.operator.strike_replica("v1-0")
     trial.stop_statuses.append(await stopping)
     await stopped.start()
     await trial.until_served(stopped)
@@ -397,7 +336,7 @@
         unknown=sum(c.status in (502, 504) for c in calls),
         cut=sum(not c.complete for c in calls),
         exposed=exposed,
-        roll_out=trial.roll_out_state() or "",
+        roll_out=trial.operator.roll_out_state(),
         violations=platform_checks.violations(
             calls=trial.calls,
             runs=trial.runs(),
--- /dev/null
+++ b/src/nutmeghook/standins/users_operator.py
@@ -0,0 +1,103 @@
+"""The operator and the replicas' registration on a stand-in store.
+
+Writes rows as the users' platform spells them, so that trials speak of
+routes, keys and versions only.
+"""
+
+import msgspec
+
+from nutmeghook.platform import rollout_rows
+from nutmeghook.platform import tables
+from nutmeghook.standins import users_replica
+from nutmeghook.standins import users_store
+
+_COMMON = {"timeoutMs": 8000, "sloMs": 1000}
+_ROUTES = (
+    {
+        "name": "stream",
+        "prefix": "/stream/",
+        "routeKind": "streaming",
+        "resumable": True,
+        "attempts": 3,
+    },
+    {
+        "name": "once",
+        "prefix": "/once/",
+        "routeKind": "non_idempotent",
+        "attempts": 1,
+    },
+    {
+        "name": "probe",
+        "prefix": "/probe/",
+        "routeKind": "idempotent",
+        "attempts": 3,
+    },
+)
+
+
+class StandInOperator:
+    """Writes configurations and orders for one service and one team."""
+
+    __slots__ = ("_host", "_service", "_store", "_version")
+
+    def __init__(
+        self, *, store: users_store.StandInStore, host: str, service: str
+    ):
+        self._store = store
+        self._host = host
+        self._service = service
+        self._version = 0
+
+    def write_configuration(self, keys: tuple[str, ...]) -> None:
+        """Writes the next version: a route of each kind, and the keys."""
+        self._version += 1
+        common = _COMMON | {"host": self._host, "service": self._service}
+        self._put(
+            tables.OPERATOR_TABLE,
+            tables.CONFIGURATION_KEY,
+            {
+                "version": self._version,
+                "routes": [route | common for route in _ROUTES],
+                "services": [{"name": self._service}],
+                "tenants": [{"name": "team", "apiKeys": list(keys)}],
+            },
+        )
+
+    def list_replica(
+        self, replica: users_replica.StandInReplica, *, version: str
+    ) -> None:
+        """Writes a replica's entry."""
+        self._put(
+            tables.REPLICA_TABLE,
+            replica.replica_id,
+            {
+                "service": self._service,
+                "address": replica.address,
+                "version": version,
+                "zone": "hall",
+                "slots": 64,
+            },
+        )
+
+    def strike_replica(self, replica_id: str) -> None:
+        """Deletes a replica's entry."""
+        self._store.delete(tables.REPLICA_TABLE, replica_id)
+
+    def order_roll_out(self, version: str, *, within_s: float) -> None:
+        """Orders a version."""
+        self._put(
+            tables.OPERATOR_TABLE,
+            rollout_rows.ORDER_PREFIX + self._service,
+            {"service": self._service, "to": version, "withinS": within_s},
+        )
+
+    def roll_out_state(self) -> str:
+        """Returns how the order stands; empty before anything was written."""
+        value = self._store.value(
+            rollout_rows.STATUS_TABLE,
+            rollout_rows.ORDER_PREFIX + self._service,
+        )
+        return msgspec.json.decode(value)["state"] if value else ""
+
+    def _put(self, table: str, key: str, value: dict[str, object]) -> None:
+        self._store.put(table, key, msgspec.json.encode(value))
