--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -19,7 +19,7 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
-from nutmeghook.internal.version_plans import evidence as evidence_module
+from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.internal.version_plans import view as view_module
 
 # Attempts of any outcome. Refusals cost little, but a request that several
@@ -142,7 +142,7 @@
             prepared.replica.health.note_failure(now)
         self._versions.note_answer(
             prepared.replica.entry,
-            evidence_module.AnswerSeen(
+            usual_module.AnswerSeen(
                 route=prepared.route.name,
                 model=prepared.model,
                 failed=failed,
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -22,6 +22,7 @@
 from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
 from nutmeghook.internal.version_plans import sessions as sessions_module
+from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.internal.version_plans import view
 
 
@@ -67,8 +68,8 @@
         self._clock = clock
         self._plans: dict[str, plan_module.PlanRow] = {}
         self._evidence: dict[str, evidence_module.PooledEvidence] = {}
-        self._usual = evidence_module.UsualAnswers()
-        self._paces = evidence_module.UsualPaces()
+        self._usual = usual_module.UsualAnswers()
+        self._paces = usual_module.UsualPaces()
         # How many answers each order's evidence held when it was last judged.
         self._judged: dict[int, int] = {}
         # Proofs found here act here at once, before the verdict is written.
@@ -223,7 +224,7 @@
     def note_answer(
         self,
         entry: entries.ReplicaEntry,
-        answer: evidence_module.AnswerSeen,
+        answer: usual_module.AnswerSeen,
     ) -> None:
         """Takes in an answer of a replica."""
         order = self._orders.of_service(entry.service)
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from nutmeghook.internal.replicas import entries
-from nutmeghook.internal.version_plans import evidence
+from nutmeghook.internal.version_plans import usual as usual_module
 
 
 class VersionView(abc.ABC):
@@ -37,7 +37,7 @@
     def note_answer(
         self,
         entry: entries.ReplicaEntry,
-        answer: evidence.AnswerSeen,
+        answer: usual_module.AnswerSeen,
     ) -> None:
         """Takes in an answer of a replica."""
 
@@ -79,7 +79,7 @@
     def note_answer(
         self,
         entry: entries.ReplicaEntry,
-        answer: evidence.AnswerSeen,
+        answer: usual_module.AnswerSeen,
     ) -> None:
         """Ignores it."""
 
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -21,6 +21,7 @@
 from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
+from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import store
 from nutmeghook.platform import tables
@@ -49,9 +50,9 @@
 
 def seen(
     *, failed: bool = False, duration_s: float = 0.1, route: str = "route"
-) -> evidence_module.AnswerSeen:
+) -> usual_module.AnswerSeen:
     """Returns an answer."""
-    return evidence_module.AnswerSeen(
+    return usual_module.AnswerSeen(
         route=route,
         model="small",
         failed=failed,
@@ -241,7 +242,7 @@
             pooled.note("one", f"v2-{number % 3}", bad=False)
             pooled.note("two", f"v2-{number % 3}", bad=False)
             pooled.note("bad", f"v2-{number % 3}", bad=number % 2 == 0)
-        usual = evidence_module.UsualAnswers()
+        usual = usual_module.UsualAnswers()
         for _ in range(40):
             usual.note(seen(route="bad"))
         self.assertIn("on bad", pooled.proven_bad(3, usual))
@@ -297,7 +298,7 @@
                 f"replica-{drawn.randrange(6)}",
                 bad=drawn.random() < 0.02,
             )
-        self.assertIsNone(pooled.proven_bad(6, evidence_module.UsualAnswers()))
+        self.assertIsNone(pooled.proven_bad(6, usual_module.UsualAnswers()))
 
     async def test_failures_that_are_usual_prove_nothing(self):
         """A service fails one in seven requests by its nature.
