Test each safeguard of a connection by itself

Cause: with a safeguard taken out in a scratch copy, four tests still passed: the socket's error not asked (the tests' event loop reports resets as such), bytes on an idle connection kept and a second answer tolerated (each covered the other), a head without a time limit (the idle limit closed it), a caller's leaving ignored (a write failed instead). Change: a connection's packets are made by the test; a silent stream is left.

--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -163,7 +163,15 @@
         After the limit its connection is closed; some hundred of these would
         use up all descriptors.
         """
-        self.limit(header_time=datetime.timedelta(milliseconds=50))
+        self.limit(
+            header_time=datetime.timedelta(milliseconds=50),
+            idle_time=datetime.timedelta(hours=1),
+        )
+        connection = self.fake_connection()
+        await asyncio.sleep(0)
+        connection.data_received(b"POST /once/x HTTP/1.1\r\nHost: callers")
+        self.assertIsNotNone(connection._head_timer)
+        connection.connection_lost(None)
         answer = await self.raw(b"POST /once/x HTTP/1.1\r\nHost: callers")
         self.assertEqual(answer, b"")
 
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -148,6 +148,17 @@
         The replica's connection is dropped, so that it stops working.
         """
         self.reply_with(Reply(events=tuple(range(1000)), pause_s=0.01))
+        await self.leave_after(b"data: part 1")
+
+    async def test_a_caller_that_leaves_a_silent_stream_frees_it_too(self):
+        """The replica is silent when the caller goes, so nothing is written
+        that could fail: only the caller's close itself tells.
+        """
+        self.reply_with(Reply(silent=True))
+        await self.leave_after(b"")
+
+    async def leave_after(self, expected: bytes) -> None:
+        """Asks, reads up to some bytes, leaves; the replica must notice."""
         host, _, port = self.listener.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
@@ -156,7 +167,9 @@
             f"Authorization: Token {relay_fixture.KEY}\r\n"
             "Content-Length: 0\r\n\r\n".encode()
         )
-        await reader.readuntil(b"data: part 1")
+        await self.arrival()
+        if expected:
+            await reader.readuntil(expected)
         writer.close()
         noticed = [
             asyncio.create_task(replica.noticed.wait())
--- /dev/null
+++ b/tests/cover/test_replica_connection.py
@@ -0,0 +1,96 @@
+"""One connection to a replica, packet by packet, without a network."""
+
+import asyncio
+import errno
+import unittest
+from unittest import mock
+
+from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.internal.upstream import outcomes
+
+REQUEST = b"GET / HTTP/1.1\r\n\r\n"
+WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.socket = mock.Mock()
+        self.socket.getsockopt.return_value = 0
+        self.transport = mock.Mock(spec=asyncio.Transport)
+        self.transport.is_closing.return_value = False
+        self.transport.get_write_buffer_size.return_value = 0
+        self.transport.get_extra_info.return_value = self.socket
+        self.connection = connection_module.ReplicaConnection(
+            loop=asyncio.get_running_loop()
+        )
+        self.connection.connection_made(self.transport)
+
+    async def answer(self, data: bytes) -> connection_module.AnswerHead:
+        """Sends a request, lets an answer arrive and returns its head."""
+        sending = asyncio.ensure_future(
+            self.connection.exchange(REQUEST, has_body=True)
+        )
+        await asyncio.sleep(0)
+        self.connection.data_received(data)
+        return await sending
+
+    async def test_a_reset_that_is_reported_as_an_end_is_still_a_reset(self):
+        """Half an answer without length and a reset arrive in one moment.
+        The event loop reads the half and reports an end of file; only the
+        socket still knows of the reset. The half must not pass for all.
+        """
+        head = await self.answer(WITHOUT_LENGTH)
+        self.socket.getsockopt.return_value = errno.ECONNRESET
+        self.connection.eof_received()
+        self.connection.connection_lost(None)
+        self.assertEqual(await head.read(), b"half")
+        with self.assertRaises(outcomes.UnknownOutcomeError):
+            await head.read()
+
+    async def test_a_plain_end_completes_a_body_without_length(self):
+        head = await self.answer(WITHOUT_LENGTH)
+        self.connection.eof_received()
+        self.connection.connection_lost(None)
+        self.assertEqual(await head.read(), b"half")
+        self.assertEqual(await head.read(), b"")
+
+    async def test_bytes_on_an_idle_connection_end_it(self):
+        """A late answer arrives while the connection waits in the pool.
+        Kept, it would be read as the answer to the next request.
+        """
+        head = await self.answer(WHOLE)
+        self.assertEqual(await head.read(), b"whole")
+        self.assertTrue(self.connection.finish_exchange())
+        self.connection.data_received(WHOLE)
+        self.transport.abort.assert_called()
+        self.assertFalse(self.connection.sound)
+
+    async def test_a_second_answer_behind_the_first_ends_the_connection(self):
+        """Both arrive in one packet, before the first was read."""
+        head = await self.answer(WHOLE + WHOLE)
+        self.assertEqual(await head.read(), b"whole")
+        self.assertFalse(self.connection.finish_exchange())
+
+    async def test_an_answer_before_the_request_was_taken_ends_it_too(self):
+        """A replica answers early and reads the rest of the body later.
+        Another request written now would be read as that rest.
+        """
+        head = await self.answer(WHOLE)
+        await head.read()
+        self.transport.get_write_buffer_size.return_value = 100
+        self.assertFalse(self.connection.finish_exchange())
+
+    async def test_an_informational_answer_is_not_the_answer(self):
+        head = await self.answer(b"HTTP/1.1 103 Early Hints\r\n\r\n" + WHOLE)
+        self.assertEqual(head.status, 200)
+        self.assertEqual(await head.read(), b"whole")
+
+    async def test_what_is_not_http_ends_the_connection(self):
+        with self.assertRaises(outcomes.UnknownOutcomeError):
+            await self.answer(b"\x00\x01garbage\r\n\r\n")
+        self.transport.abort.assert_called()
+
+
+if __name__ == "__main__":
+    unittest.main()
