--- /dev/null
+++ b/tests/cover/test_followed_tables.py
@@ -0,0 +1,140 @@
+"""The replicas' rows, followed through faults of the store."""
+
+import datetime
+import random
+import unittest
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.platform import store
+from nutmeghook.platform import tables
+from nutmeghook.standins import users_store
+from tests import version_fixture
+
+
+class FollowedTablesTest(unittest.IsolatedAsyncioTestCase):
+    """The operator's and the replicas' rows, followed through faults."""
+
+    async def asyncSetUp(self):
+        self.store = users_store.StandInStore()
+        await self.store.start()
+        self.session = aiohttp.ClientSession()
+        self.clock = clock_module.FakeClock()
+        self.directory = directory_module.ReplicaDirectory(clock=self.clock)
+        self.watch = follower.StoreWatch(
+            clock=self.clock,
+            on_return=lambda: self.directory.distrust_deletions(
+                self.clock.monotonic() + directory_module.LAPSE_GRACE
+            ),
+        )
+        self.follower = follower.TableFollower(
+            table=store.PlatformTable(
+                client=store.StoreClient(
+                    session=self.session, address=self.store.address
+                ),
+                name=tables.REPLICA_TABLE,
+            ),
+            reader=tables.ReplicaRows(directory=self.directory),
+            watch=self.watch,
+            clock=self.clock,
+            random_source=random.Random(1),
+            wait=datetime.timedelta(),
+        )
+        for number in (1, 2):
+            self.put(number)
+        await self.follower.step()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.store.stop()
+
+    def put(self, number: int, state: str = "ready") -> None:
+        """Writes a replica's entry."""
+        self.store.put(
+            "servers",
+            f"id-{number}",
+            msgspec.json.encode(
+                {
+                    "service": version_fixture.SERVICE,
+                    "address": f"10.0.0.{number}:80",
+                    "state": state,
+                    "slots": 8,
+                }
+            ),
+        )
+
+    def listed(self) -> list[str]:
+        """Returns the ids of the replicas known."""
+        return sorted(
+            replica.entry.replica_id
+            for replica in self.directory.of_service(version_fixture.SERVICE)
+        )
+
+    async def fail_once(self, fault: users_store.StoreFault) -> None:
+        """Lets one read fail, as a step does, without the pause after it."""
+        self.store.fault = fault
+        with self.assertRaises(failures.NotDoneError) as caught:
+            await self.follower._read()
+        self.watch.note_failure(caught.exception)
+        self.store.fault = users_store.StoreFault.NONE
+
+    async def test_a_deletion_without_an_outage_counts_at_once(self):
+        self.store.delete("servers", "id-1")
+        await self.follower.step()
+        self.assertEqual(self.listed(), ["id-2"])
+
+    async def test_entries_that_lapsed_in_an_outage_are_waited_for(self):
+        """The store was away and an entry is missing on its return.
+        The replica lives and is back within two seconds; dropped at once,
+        the other one would be swamped.
+        """
+        await self.fail_once(users_store.StoreFault.REFUSING)
+        self.store.delete("servers", "id-1")
+        await self.follower.step()
+        self.assertEqual(self.listed(), ["id-1", "id-2"])
+        await self.clock.advance(datetime.timedelta(seconds=1))
+        self.put(1)
+        await self.follower.step()
+        await self.clock.advance(datetime.timedelta(seconds=5))
+        self.assertEqual(self.listed(), ["id-1", "id-2"])
+
+    async def test_what_is_still_missing_after_the_outage_is_gone(self):
+        await self.fail_once(users_store.StoreFault.BUSY)
+        self.store.delete("servers", "id-1")
+        await self.follower.step()
+        await self.clock.advance(datetime.timedelta(milliseconds=2300))
+        self.assertEqual(self.listed(), ["id-2"])
+
+    async def test_a_forgotten_history_is_read_anew(self):
+        """The store drops its history and a replica leaves in the gap.
+        The feed answers 410; the whole table is read and the replica gone.
+        """
+        self.store.delete("servers", "id-2")
+        self.store.forget_history()
+        await self.follower.step()
+        await self.follower.step()
+        self.assertEqual(self.listed(), ["id-1"])
+
+    async def test_a_malformed_entry_leaves_the_others(self):
+        self.store.put("servers", "id-3", b"{")
+        self.put(4)
+        await self.follower.step()
+        self.assertEqual(self.listed(), ["id-1", "id-2", "id-4"])
+
+    async def test_a_replica_that_leaves_gets_no_new_work(self):
+        self.put(1, state="draining")
+        await self.follower.step()
+        leaving = [
+            replica.entry.leaving
+            for replica in self.directory.of_service(version_fixture.SERVICE)
+        ]
+        self.assertEqual(sorted(leaving), [False, True])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cover/test_version_driver.py
@@ -0,0 +1,214 @@
+"""Roll-outs on a store that loses answers, with instances that race."""
+
+import datetime
+import random
+import unittest
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.version_plans import driver as driver_module
+from nutmeghook.internal.version_plans import plan as plan_module
+from nutmeghook.platform import rollout_rows
+from nutmeghook.platform import store
+from nutmeghook.standins import users_store
+from tests import version_fixture
+
+
+class DriverTest(unittest.IsolatedAsyncioTestCase):
+    """Drivers of several instances on one store."""
+
+    async def asyncSetUp(self):
+        self.store = users_store.StandInStore()
+        await self.store.start()
+        self.session = aiohttp.ClientSession()
+        self.clock = clock_module.FakeClock()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.store.stop()
+
+    def driver(self, name: str) -> tuple[version_fixture.Instance, object]:
+        """Returns an instance that has heard the order, and its driver."""
+        instance = version_fixture.Instance(clock=self.clock)
+        instance.orders.place(version_fixture.ORDER)
+        client = store.StoreClient(
+            session=self.session, address=self.store.address
+        )
+        plans = follower.TableFollower(
+            table=store.PlatformTable(client=client, name=driver_module.TABLE),
+            reader=driver_module.PlanRows(
+                rollouts=instance.rollouts,
+                orders=instance.orders,
+                instance_id=name,
+            ),
+            watch=instance.watch,
+            clock=self.clock,
+            random_source=random.Random(1),
+            wait=datetime.timedelta(),
+        )
+        return instance, driver_module.RollOutDriver(
+            table=store.StoreRows(client=client),
+            plans=plans,
+            read_plans=plans.step,
+            rollouts=instance.rollouts,
+            orders=instance.orders,
+            status=rollout_rows.PlatformStatusRows(),
+            watch=instance.watch,
+            clock=self.clock,
+            random_source=random.Random(1),
+            instance_id=name,
+        )
+
+    def told(self) -> str:
+        """Returns the state that the operator reads."""
+        value = self.store.value("status", f"rollout/{version_fixture.SERVICE}")
+        return msgspec.json.decode(value)["state"]
+
+    def plan(self) -> plan_module.PlanRow:
+        """Returns the plan's row."""
+        value = self.store.value("rollouts", f"plan/{version_fixture.SERVICE}")
+        return msgspec.json.decode(value, type=plan_module.PlanRow)
+
+    async def step(self, driver) -> None:
+        """Reads, then moves the order on once."""
+        await driver._follower.step()
+        await driver._step(version_fixture.ORDER)
+
+    async def test_the_first_instance_starts_the_plan_for_all(self):
+        """Two instances hear of an order; the second a while later.
+        There is one start, the first's, and both count from it.
+        """
+        _, first = self.driver("first")
+        late_instance, late = self.driver("late")
+        await self.step(first)
+        started_ms = self.plan().started_ms
+        await self.clock.advance(datetime.timedelta(seconds=3))
+        await self.step(late)
+        self.assertEqual(self.plan().started_ms, started_ms)
+        self.assertIsNotNone(
+            late_instance.rollouts.plan_of(version_fixture.ORDER)
+        )
+        self.assertEqual(self.told(), "in_progress")
+
+    async def test_bad_answers_of_several_instances_add_up(self):
+        """Each instance sees too few bad answers to prove anything.
+        Together they prove it; without pooling a large fleet would send
+        hundreds of requests to a bad version before one instance knew.
+        """
+        drivers = [self.driver(f"instance-{n}") for n in range(4)]
+        for _, driver in drivers:
+            await self.step(driver)
+        for position, (instance, _) in enumerate(drivers):
+            instance.answer("v1", times=60)
+            instance.answer("v2", number=1 + position % 3, failed=True, times=1)
+            self.assertIsNone(instance.rollouts.judge(version_fixture.ORDER))
+        await self.clock.advance(datetime.timedelta(seconds=1))
+        for _ in range(2):
+            for _, driver in drivers:
+                await self.step(driver)
+        self.assertEqual(self.told(), "reverted")
+        self.assertEqual(self.plan().verdict, plan_module.Verdict.BAD)
+
+    async def test_a_frozen_instance_does_not_undo_a_verdict(self):
+        """One instance proves the version bad while another is frozen.
+        It wakes after the order's time and would call the version good; its
+        write fails, and it reads the verdict instead.
+        """
+        prover, proving = self.driver("prover")
+        frozen_instance, frozen = self.driver("frozen")
+        await self.step(proving)
+        await self.step(frozen)
+        for number in (1, 2, 3, 1, 2, 3, 1, 2):
+            prover.answer("v2", number=number, failed=True)
+        await self.step(proving)
+        await self.clock.advance(
+            datetime.timedelta(seconds=version_fixture.WITHIN_S)
+        )
+        await frozen._step(version_fixture.ORDER)
+        self.assertEqual(self.told(), "reverted")
+        known = frozen_instance.rollouts.plan_of(version_fixture.ORDER)
+        self.assertEqual(known.verdict, plan_module.Verdict.BAD)
+
+    async def test_a_lost_answer_leaves_one_verdict(self):
+        """The store does the write and its answer is lost.
+        The next step reads the verdict, and the operator is told once.
+        """
+        _, driver = self.driver("only")
+        await self.step(driver)
+        await self.clock.advance(
+            datetime.timedelta(seconds=version_fixture.WITHIN_S)
+        )
+        self.store.fault = users_store.StoreFault.LOSING_ANSWERS
+        with self.assertRaises(failures.OutcomeUnknownError):
+            await driver._step(version_fixture.ORDER)
+        self.store.fault = users_store.StoreFault.NONE
+        await self.step(driver)
+        self.assertEqual(self.told(), "completed")
+        self.assertEqual(self.plan().verdict, plan_module.Verdict.GOOD)
+
+    async def test_a_late_write_does_not_beat_a_newer_verdict(self):
+        """A verdict's write is done seconds after it was sent, unanswered.
+        Meanwhile another instance has written the opposite; the late one's
+        condition no longer holds.
+        """
+        _, late = self.driver("late")
+        prover, proving = self.driver("prover")
+        await self.step(late)
+        await self.step(proving)
+        await self.clock.advance(
+            datetime.timedelta(seconds=version_fixture.WITHIN_S)
+        )
+        self.store.fault = users_store.StoreFault.LATE_WRITES
+        with self.assertRaises(failures.OutcomeUnknownError):
+            await late._step(version_fixture.ORDER)
+        self.store.fault = users_store.StoreFault.NONE
+        for number in (1, 2, 3, 1, 2, 3, 1, 2):
+            prover.answer("v2", number=number, failed=True)
+        await self.step(proving)
+        self.store.do_late_writes()
+        self.assertEqual(self.told(), "reverted")
+
+    async def test_little_that_each_instance_saw_adds_up_before_the_end(self):
+        """A version goes on slower in every answer, and each instance has seen
+        two. Neither is worth a write by itself; told before everything moves,
+        they prove it together.
+        """
+        drivers = [self.driver(f"instance-{n}") for n in range(4)]
+        for _, driver in drivers:
+            await self.step(driver)
+        for instance, _ in drivers:
+            for _ in range(10):
+                for pace_s in (0.015, 0.03):
+                    instance.rollouts.note_pace(
+                        version_fixture.entry(1, "v1"),
+                        kind="kind",
+                        pace_s=pace_s,
+                    )
+            for _ in range(2):
+                instance.rollouts.note_pace(
+                    version_fixture.entry(1, "v2"), kind="kind", pace_s=0.035
+                )
+            self.assertIsNone(instance.rollouts.judge(version_fixture.ORDER))
+        await self.clock.advance(
+            datetime.timedelta(seconds=0.83 * version_fixture.WITHIN_S)
+        )
+        for _ in range(2):
+            for _, driver in drivers:
+                await self.step(driver)
+        self.assertEqual(self.told(), "reverted")
+
+    async def test_a_good_version_costs_no_evidence_writes(self):
+        instance, driver = self.driver("only")
+        await self.step(driver)
+        instance.answer("v2", times=50)
+        writes = self.store.calls.count("/v1/rows-tx")
+        await self.step(driver)
+        self.assertEqual(self.store.calls.count("/v1/rows-tx"), writes)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/version_fixture.py
@@ -0,0 +1,99 @@
+"""An instance's view of a roll-out, on a clock that tests drive."""
+
+import datetime
+
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.version_plans import orders as orders_module
+from nutmeghook.internal.version_plans import plan as plan_module
+from nutmeghook.internal.version_plans import rollouts as rollouts_module
+from nutmeghook.internal.version_plans import schedule as schedule_module
+from nutmeghook.internal.version_plans import usual as usual_module
+
+SERVICE = "service"
+WITHIN_S = 20.0
+ORDER = orders_module.RollOutOrder(
+    service=SERVICE, version="v2", within_s=WITHIN_S, order_id=5
+)
+SESSION_TIME = datetime.timedelta(seconds=5)
+
+
+def entry(number: int, version: str) -> entries.ReplicaEntry:
+    """Returns the entry of a replica."""
+    return entries.ReplicaEntry(
+        replica_id=f"{version}-{number}",
+        service=SERVICE,
+        address=f"10.0.0.{number}:80",
+        data_centre="here",
+        version=version,
+        slots=8,
+        leaving=False,
+    )
+
+
+def seen(
+    *, failed: bool = False, duration_s: float = 0.1, route: str = "route"
+) -> usual_module.AnswerSeen:
+    """Returns an answer."""
+    return usual_module.AnswerSeen(
+        route=route,
+        model="small",
+        failed=failed,
+        duration_s=duration_s,
+        target_s=1.5,
+    )
+
+
+class Instance:
+    """The roll-out parts of one instance, on a clock that tests drive."""
+
+    def __init__(self, *, clock, orders=None):
+        self.clock = clock
+        self.orders = orders or orders_module.OrderBook()
+        self.watch = follower.StoreWatch(clock=clock)
+        self.directory = directory_module.ReplicaDirectory(clock=clock)
+        for number in (1, 2, 3):
+            self.directory.put(entry(number, "v1"))
+            self.directory.put(entry(number, "v2"))
+        self.rollouts = rollouts_module.RollOuts(
+            orders=self.orders,
+            directory=self.directory,
+            watch=self.watch,
+            schedule=schedule_module.Schedule(largest_bad_share=0.15),
+            session_time=SESSION_TIME,
+            clock=clock,
+        )
+
+    def begin(self) -> None:
+        """Places the order and its plan, as of now."""
+        self.orders.place(ORDER)
+        self.watch.note_answer(self.clock.monotonic())
+        self.rollouts.take_plan(
+            plan_module.PlanRow(
+                order_id=ORDER.order_id,
+                service=SERVICE,
+                version="v2",
+                started_ms=self.clock.monotonic()
+                / datetime.timedelta(milliseconds=1),
+                within_s=WITHIN_S,
+            )
+        )
+
+    def version_for(self, session: str) -> str:
+        """Sends a request of a session and returns its version."""
+        accepts = self.rollouts.accepts(SERVICE, session=session)
+        accepted = [
+            replica.entry
+            for replica in self.directory.of_service(SERVICE)
+            if accepts(replica.entry)
+        ]
+        self.rollouts.note_sent(SERVICE, session=session, entry=accepted[0])
+        return accepted[0].version
+
+    def answer(self, version: str, *, number=1, failed=False, times=1) -> None:
+        """Takes in answers of a replica."""
+        for _ in range(times):
+            self.rollouts.note_answer(
+                entry(number, version), seen(failed=failed)
+            )
