--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -62,7 +62,7 @@
 
     def __init__(self, *, name: str, folder: pathlib.Path, store: str):
         self.name = name
-        front, inner = _free_port(), _free_port()
+        front, inner = free_port(), free_port()
         self.address = f"127.0.0.1:{front}"
         self._file = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
@@ -356,7 +356,8 @@
     return 0 if good else 1
 
 
-def _free_port() -> int:
+def free_port() -> int:
+    """Returns a port that nobody listens on."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.following import gossip as gossip_module
 from nutmeghook.internal.following import registration
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import addresses
 from nutmeghook.internal.inner import datagrams
 from nutmeghook.internal.inner import peers
 from nutmeghook.internal.inner import tcp_client
@@ -82,9 +83,9 @@
             credential=registered.credential,
             traffic=counts,
         )
-        host, _, port = self._inner_address.rpartition(":")
-        await server.start(host=host, port=int(port))
-        await udp.start(host=host, port=int(port))
+        host, port = addresses.split(self._inner_address)
+        await server.start(host=host, port=port)
+        await udp.start(host=host, port=port)
         self._gossip = gossip_module.TableGossip(
             instance_id=self._instance_id,
             inner_address=self._inner_address,
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -229,9 +229,7 @@
         route = configuration.find(job.incoming.host_name, job.incoming.path)
         if route is None:
             raise self._withdrawn(job, wire.FixedResponse.NO_ROUTE)
-        key = job.incoming.facts.api_key
-        teams = configuration.teams_by_key
-        if route.needs_key and teams and teams.get(key or "") is None:
+        if not configuration.lets_in(route, job.incoming.facts.api_key):
             raise self._withdrawn(job, wire.FixedResponse.BAD_KEY)
         return route
 
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -132,14 +132,13 @@
 def _team(
     configuration: model.Configuration, route: model.Route, key: str | None
 ) -> model.Team | None:
-    if not route.needs_key or not configuration.teams_by_key:
-        return None
-    team = configuration.teams_by_key.get(key or "")
-    if team is None:
+    if not configuration.lets_in(route, key):
         raise rejections.RejectedError(
             wire.FixedResponse.BAD_KEY, reason="the key is unknown"
         )
-    return team
+    if not route.needs_key:
+        return None
+    return configuration.teams_by_key.get(key or "")
 
 
 def _fault(job: job_module.Job | None) -> rejections.RejectedError:
--- a/src/nutmeghook/internal/replicas/health.py
+++ b/src/nutmeghook/internal/replicas/health.py
@@ -12,8 +12,7 @@
 # Failures in a row after which a replica is left alone for a while. One alone
 # is common where a service fails some requests by its nature.
 FAILURES_IN_A_ROW = 3
-# An unreachable replica is left alone at once: the next try would cost a
-# caller the whole connection timeout.
+# Of one attempt in the failure rate.
 _RATE_WEIGHT = 0.12
 
 
@@ -29,14 +28,12 @@
         "_ejections",
         "_failure_rate",
         "_in_a_row",
-        "attempts",
         "ejected_until",
     )
 
     def __init__(self):
         self._in_a_row = 0
         self._ejections = 0
-        self.attempts = 0
         self._failure_rate = 0.0
         self._counted_at = datetime.timedelta()
         self.ejected_until = datetime.timedelta()
@@ -61,7 +58,11 @@
         return False
 
     def note_unreachable(self, now: datetime.timedelta) -> None:
-        """Takes in a connection that was not accepted."""
+        """Takes in a connection that was not accepted.
+
+        It is left alone at once: the next try would cost a caller the whole
+        connection timeout.
+        """
         self._in_a_row += 1
         self._eject(now)
 
@@ -71,7 +72,6 @@
         return self._failure_rate * math.exp(-max(0.0, age))
 
     def _count(self, failed: float, now: datetime.timedelta) -> None:
-        self.attempts += 1
         rate = self.failure_rate(now)
         self._failure_rate = rate + _RATE_WEIGHT * (failed - rate)
         self._counted_at = now
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -122,6 +122,12 @@
         for host_routes in self._by_host.values():
             host_routes.sort(key=lambda route: -len(route.prefix))
 
+    def lets_in(self, route: Route, key: str | None) -> bool:
+        """Tells whether a key, or none, may use a route."""
+        if not route.needs_key or not self.teams_by_key:
+            return True
+        return (key or "") in self.teams_by_key
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path."""
         for route in self._by_host.get(host, ()):
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -6,7 +6,6 @@
 import pathlib
 import re
 import signal
-import socket
 import sys
 import tempfile
 import unittest
@@ -14,6 +13,7 @@
 import aiohttp
 import msgspec
 
+from nutmeghook.experiment import platform_trial
 from nutmeghook.platform import headers
 from nutmeghook.platform import settings
 from nutmeghook.standins import users_replica
@@ -54,13 +54,6 @@
 }
 
 
-def free_port() -> int:
-    """Returns a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class RouterProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = users_store.StandInStore()
@@ -82,7 +75,7 @@
         )
         self.folder = tempfile.TemporaryDirectory()
         self.file = pathlib.Path(self.folder.name) / "local.toml"
-        inner = free_port()
+        inner = platform_trial.free_port()
         self.file.write_text(
             SETTINGS.format(
                 store=self.store.address, inner=inner, last_inner=inner + 1
