--- a/src/nutmeghook/internal/foundation/codes.py
+++ b/src/nutmeghook/internal/foundation/codes.py
@@ -78,7 +78,7 @@
         3005,
         503,
         RunState.NOT_RUN,
-        "The configuration is too old for what the template demands.",
+        "The configuration is too old for the template or the session.",
     )
     DEADLINE_BEFORE_RUN = (
         3006,
