Give a version on trial no sessions in the first half of its time

Weighed: telling peers of sessions under way (a race of seconds for each new one), rows (a write an instance and order), a pure hash from the start (moves all that are under way). Change: sessions take part in the second half only, by a pure hash, as many as before; requests without a session as before.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -250,9 +250,13 @@
         request that failed on a new version may go on with the one in full
         use.
         """
-        session = job.incoming.facts.session or job.log_id
         replica = self._best(
-            job, self._versions.accepts(job.service, session=session)
+            job,
+            self._versions.accepts(
+                job.service,
+                session=job.incoming.facts.session,
+                request_id=job.log_id,
+            ),
         )
         if replica is None and job.tried:
             replica = self._best(job, self._versions.in_full_use(job.service))
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -185,13 +185,13 @@
         return self.schedule.may_complete_at(self.part_of(plan), plan.within_s)
 
     def accepts(
-        self, service: str, *, session: str
+        self, service: str, *, session: str | None, request_id: str
     ) -> Callable[[entries.ReplicaEntry], bool]:
         """Returns a test for the replicas that may run a request."""
         order = self._orders.of_service(service)
         if order is None:
             return _any_version
-        if self._uses_new(order, session):
+        if self._uses_new(order, session, request_id):
             wanted = _is_version(order.version)
             if self._some(service, wanted):
                 return wanted
@@ -260,7 +260,10 @@
             self.evidence_of(order).note_pace(deviation)
 
     def _uses_new(
-        self, order: orders_module.RollOutOrder, session: str
+        self,
+        order: orders_module.RollOutOrder,
+        session: str | None,
+        request_id: str,
     ) -> bool:
         plan = self.plan_of(order)
         if plan is None or self._is_withdrawn(order):
@@ -268,15 +271,16 @@
         if plan.verdict is plan_module.Verdict.GOOD:
             return True
         part = self._steady_part(plan)
+        if session is None:
+            share = self.schedule.share_at(part, plan.within_s)
+            return _point_of(order, request_id) < share
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
         if last == order.version:
             return True
-        if last is not None and part < schedule_module.MAY_MOVE_SESSIONS_AT:
-            return False
-        point = xxhash.xxh64_intdigest(f"{order.order_id}/{session}".encode())
-        return point / 2.0**64 < self.schedule.share_at(part, plan.within_s)
+        share = self.schedule.session_share_at(part, plan.within_s)
+        return _point_of(order, session) < share
 
     def _is_withdrawn(self, order: orders_module.RollOutOrder) -> bool:
         plan = self.plan_of(order)
@@ -293,6 +297,12 @@
         )
 
 
+def _point_of(order: orders_module.RollOutOrder, key: str) -> float:
+    """Places a session or request between 0 and 1, the same everywhere."""
+    digest = xxhash.xxh64_intdigest(f"{order.order_id}/{key}".encode())
+    return digest / 2.0**64
+
+
 def _any_version(entry: entries.ReplicaEntry) -> bool:
     return True
 
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -4,13 +4,22 @@
 can be taken back after completion, when the old version's replicas stop. So a
 small trial lasts nearly the whole time, and everything moves in a short last
 stretch, just long enough for requests on the old version to end.
+
+Sessions may not change their version in the first half. A session goes from
+instance to instance, and none knows which sessions the others have under way:
+in one trial a session went to and fro four times, since one instance
+remembered that it was under way and the next did not. So requests of sessions
+stay on the old version until then, and as many take part in the trial in the
+time that is left. Which ones follows from the session alone, so all instances
+agree without asking.
 """
 
 import dataclasses
 import datetime
 
-# Sessions may not move to the new version before this part of the time.
-MAY_MOVE_SESSIONS_AT = 0.5
+# Sessions may not move to the new version before half of the time; instances
+# tell the time to some 10 ms, and orders take 16 s or more.
+MAY_MOVE_SESSIONS_AT = 0.52
 # The last stretch: what a request on the old version needs to end, the spread
 # of the instances' steps, a store's call, and slack for a slow one.
 _LEAST_LAST_STRETCH = datetime.timedelta(seconds=2.4)
@@ -27,6 +36,8 @@
 # matters.
 _LEAST_TRIAL_SHARE = 0.035
 _LARGEST_TRIAL_PART = 0.5
+# Sessions that take part at most, however little time their trial has left.
+_LARGEST_SESSION_SHARE = 0.25
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -41,7 +52,10 @@
     largest_bad_share: float
 
     def share_at(self, part: float, within_s: float) -> float:
-        """Returns the new version's share at a part of the time, from 0."""
+        """Returns the new version's share at a part of the time, from 0.
+
+        Of requests without a session; see `session_share_at`.
+        """
         stretch = self._last_stretch_part(within_s)
         if self.is_trial_over_at(part, within_s):
             return 1.0
@@ -49,6 +63,20 @@
         most = _LARGEST_TRIAL_PART * self.largest_bad_share
         return max(_LEAST_TRIAL_SHARE, min(left, most))
 
+    def session_share_at(self, part: float, within_s: float) -> float:
+        """Returns the new version's share of sessions at a part of the time.
+
+        It never falls, so a session that has moved does not move back.
+        """
+        if self.is_trial_over_at(part, within_s):
+            return 1.0
+        if part < MAY_MOVE_SESSIONS_AT:
+            return 0.0
+        trial_part = 1.0 - self._last_stretch_part(within_s)
+        later_part = trial_part - MAY_MOVE_SESSIONS_AT
+        share = self.share_at(part, within_s) * trial_part / later_part
+        return min(share, _LARGEST_SESSION_SHARE)
+
     def is_trial_over_at(self, part: float, within_s: float) -> bool:
         """Tells whether everything moves to the new version now."""
         return part >= 1.0 - self._last_stretch_part(within_s)
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -12,13 +12,15 @@
 
     @abc.abstractmethod
     def accepts(
-        self, service: str, *, session: str
+        self, service: str, *, session: str | None, request_id: str
     ) -> Callable[[entries.ReplicaEntry], bool]:
         """Returns a test for the replicas that may run a request.
 
         Args:
             service: The request's service.
-            session: Requests with the same one get the same version.
+            session: Requests with the same one get the same version; None if
+                the request belongs to none.
+            request_id: Tells requests without a session apart.
         """
 
     @abc.abstractmethod
@@ -60,7 +62,7 @@
     __slots__ = ()
 
     def accepts(
-        self, service: str, *, session: str
+        self, service: str, *, session: str | None, request_id: str
     ) -> Callable[[entries.ReplicaEntry], bool]:
         """Accepts all."""
         return lambda entry: True
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -50,13 +50,13 @@
         schedule = schedule_module.Schedule(largest_bad_share=bound)
         for within_s in (16.0, 20.0, 24.0, 60.0):
             steps = 1000
-            shares = [
-                schedule.share_at(step / steps, within_s)
-                for step in range(steps)
-            ]
             # What the platform allows beside the share, of 50 a second.
             allowance = 30 / (50 * within_s)
-            self.assertLessEqual(sum(shares) / steps, bound + allowance)
+            for share_at in (schedule.share_at, schedule.session_share_at):
+                shares = [
+                    share_at(step / steps, within_s) for step in range(steps)
+                ]
+                self.assertLessEqual(sum(shares) / steps, bound + allowance)
 
     async def test_everything_does_not_move_while_the_store_is_away(self):
         """The last stretch begins in a store outage.
@@ -68,27 +68,69 @@
         await self.advance(0.95)
         self.assertLess(self.new_share("away"), 0.11)
 
-    async def test_sessions_under_way_do_not_move_in_the_first_half(self):
-        """Sessions were under way on the old version before the order.
-        Moved by their hash alone, some would change versions in the middle.
+    async def test_sessions_do_not_move_in_the_first_half(self):
+        """Sessions go from instance to instance while a version is on trial.
+        Some were under way on the old version at one instance and are new to
+        the next. Where each went by what it remembered, one session changed
+        its version four times. In the first half none may, known or not.
         """
         before = [f"old-{number}" for number in range(400)]
         for session in before:
             self.assertEqual(self.instance.version_for(session), "v1")
         self.instance.begin()
+        for part in (0.0, 0.1, 0.5):
+            await self.advance(part)
+            elsewhere = [f"elsewhere-{part}-{n}" for n in range(400)]
+            self.assertEqual(
+                {self.instance.version_for(s) for s in before + elsewhere},
+                {"v1"},
+            )
+
+    async def test_a_session_that_moved_does_not_move_back(self):
+        """A session meets an instance that knows it, then one that does not,
+        over the whole second half. Once one of them has sent it to the new
+        version, the others do too.
+        """
+        self.instance.begin()
+        moved = set()
+        for part in (0.55, 0.6, 0.75, 0.89, 0.95):
+            await self.advance(part)
+            other = version_fixture.Instance(clock=self.clock)
+            other.begin(started=datetime.timedelta())
+            now = {
+                s
+                for s in (f"s-{n}" for n in range(400))
+                if other.version_for(s) == "v2"
+            }
+            self.assertLessEqual(moved, now, part)
+            moved = now
+        self.assertEqual(len(moved), 400)
+
+    async def test_requests_without_a_session_are_on_trial_from_the_start(self):
+        """A plain service has no sessions, and its version may be bad.
+        The sooner some requests meet it, the sooner it is found.
+        """
+        self.instance.begin()
         await self.advance(0.1)
-        self.assertEqual(
-            {self.instance.version_for(session) for session in before}, {"v1"}
-        )
+        accepted = [
+            self.instance.rollouts.accepts(
+                version_fixture.SERVICE, session=None, request_id=str(number)
+            )(version_fixture.entry(1, "v2"))
+            for number in range(1000)
+        ]
+        self.assertGreater(sum(accepted), 20)
+        self.assertLess(sum(accepted), 60)
 
     async def test_sessions_on_the_new_version_stay_there(self):
-        """A session began on the new version in the first half.
+        """A session moved to the new version during the trial.
         As long as the version isn't proven bad, it must not go back.
         """
         self.instance.begin()
+        await self.advance(0.53)
         sessions = [f"s-{number}" for number in range(400)]
         new = [s for s in sessions if self.instance.version_for(s) == "v2"]
-        for part in (0.2, 0.4, 0.55, 0.7, 0.95):
+        self.assertTrue(new)
+        for part in (0.55, 0.7, 0.95):
             await self.advance(part)
             versions = {self.instance.version_for(session) for session in new}
             self.assertEqual(versions, {"v2"}, part)
--- a/tests/version_fixture.py
+++ b/tests/version_fixture.py
@@ -65,8 +65,10 @@
             clock=clock,
         )
 
-    def begin(self) -> None:
-        """Places the order and its plan, as of now."""
+    def begin(self, *, started: datetime.timedelta | None = None) -> None:
+        """Places the order and its plan, as of now or of a given time."""
+        if started is None:
+            started = self.clock.monotonic()
         self.orders.place(ORDER)
         self.watch.note_answer(self.clock.monotonic())
         self.rollouts.take_plan(
@@ -74,15 +76,16 @@
                 order_id=ORDER.order_id,
                 service=SERVICE,
                 version="v2",
-                started_ms=self.clock.monotonic()
-                / datetime.timedelta(milliseconds=1),
+                started_ms=started / datetime.timedelta(milliseconds=1),
                 within_s=WITHIN_S,
             )
         )
 
     def version_for(self, session: str) -> str:
         """Sends a request of a session and returns its version."""
-        accepts = self.rollouts.accepts(SERVICE, session=session)
+        accepts = self.rollouts.accepts(
+            SERVICE, session=session, request_id=f"request of {session}"
+        )
         accepted = [
             replica.entry
             for replica in self.directory.of_service(SERVICE)
