--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: setup demo platform-demo test bench capacity binary format lint thrift clean
+.PHONY: setup demo platform-demo soak test bench capacity binary format lint thrift clean
 
 $(VENV)/.ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 platform-demo: setup
 	$(RUN) -m nutmeghook platform_demo
 
+soak: setup
+	$(RUN) -m tools.soaks $(SEEDS)
+
 test: setup
 	$(RUN) -m tests
 
--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -173,6 +173,29 @@
         trial = importlib.import_module("nutmeghook.experiment.platform_trial")
         sys.exit(trial.main(seed=seed))
 
+    def soak(
+        self,
+        seed: int = 1,
+        seconds: float = 12.0,
+        routers: int = 4,
+        keep: str = "",
+    ) -> None:
+        """Plays troubles drawn from a seed against routers as processes.
+
+        Ends with one JSON line, and with status 1 if something that must
+        hold did not.
+
+        Args:
+            seed: Of the troubles and of the load.
+            seconds: For how long troubles begin.
+            routers: Processes.
+            keep: A folder for the routers' logs; empty to drop them.
+        """
+        soak = importlib.import_module("nutmeghook.experiment.soak")
+        sys.exit(
+            soak.main(seed=seed, seconds=seconds, routers=routers, keep=keep)
+        )
+
 
 def _split(addresses: object) -> list[str]:
     """Reads a list with commas, which fire may have made a tuple."""
--- /dev/null
+++ b/src/nutmeghook/experiment/loopback_proxy.py
@@ -0,0 +1,129 @@
+"""A TCP proxy on loopback that harms the connections through it."""
+
+import asyncio
+import enum
+
+_READ_BYTES = 64 * 1024
+
+
+class LinkFault(enum.Enum):
+    """What happens to bytes and connections from now on.
+
+    A silent direction holds its bytes back; they go on when the fault ends,
+    as after a partition. New connections are accepted all the same.
+    """
+
+    NONE = "none"
+    DELAYED = "delayed"
+    SILENT = "silent"
+    SILENT_TO_TARGET = "silent to target"
+    SILENT_FROM_TARGET = "silent from target"
+    REFUSING = "refusing"
+
+
+_HOLDS_TO_TARGET = (LinkFault.SILENT, LinkFault.SILENT_TO_TARGET)
+_HOLDS_FROM_TARGET = (LinkFault.SILENT, LinkFault.SILENT_FROM_TARGET)
+
+
+class LoopbackProxy:
+    """Forwards to one address.
+
+    Attributes:
+        address: Where it listens.
+        delay_s: Of each piece while the fault is `DELAYED`.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_fault",
+        "_server",
+        "_target",
+        "_tasks",
+        "_writers",
+        "address",
+        "delay_s",
+    )
+
+    def __init__(self, *, target: str):
+        self._target = target
+        self._fault = LinkFault.NONE
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+        self.delay_s = 0.0
+
+    async def start(self) -> None:
+        """Listens on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening and breaks all connections."""
+        self._server.close()
+        self.reset_all()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_fault(self, fault: LinkFault, *, delay_s: float = 0.0) -> None:
+        """Changes what happens from now on."""
+        self._fault = fault
+        self.delay_s = delay_s
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def reset_all(self) -> None:
+        """Resets all connections that are open."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self._writers.add(writer)
+        upstream = None
+        try:
+            if self._fault is LinkFault.REFUSING:
+                return
+            host, _, port = self._target.rpartition(":")
+            upstream_reader, upstream = await asyncio.open_connection(
+                host, int(port)
+            )
+            self._writers.add(upstream)
+            async with asyncio.TaskGroup() as pumps:
+                pumps.create_task(
+                    self._pump(reader, upstream, _HOLDS_TO_TARGET)
+                )
+                pumps.create_task(
+                    self._pump(upstream_reader, writer, _HOLDS_FROM_TARGET)
+                )
+        except* (OSError, asyncio.IncompleteReadError):
+            # Either side broke off: the other one sees a reset below.
+            pass
+        finally:
+            for end in (writer, upstream):
+                if end is not None:
+                    end.transport.abort()
+                    self._writers.discard(end)
+            self._tasks.discard(task)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held_by: tuple[LinkFault, ...],
+    ) -> None:
+        while data := await reader.read(_READ_BYTES):
+            if self._fault is LinkFault.DELAYED:
+                await asyncio.sleep(self.delay_s)
+            while self._fault in held_by:
+                await self._changed.wait()
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
--- a/src/nutmeghook/experiment/platform_checks.py
+++ b/src/nutmeghook/experiment/platform_checks.py
@@ -9,6 +9,7 @@
 STREAM_EVENTS = tuple(range(6))
 WHOLE_STREAM = b"".join(users_replica.event(n) for n in STREAM_EVENTS)
 WHOLE_ANSWER = b"done"
+REQUEST_BODY = b"prompt"
 # After a key was removed it is served no more; what the users' platform asks.
 CONFIGURATION_BOUND_S = 2.0
 _NOT_RUN_STATUSES = (429, 503)
@@ -23,6 +24,8 @@
         status: 0 where the connection broke before an answer began.
         complete: The answer came to its end.
         sent_s: When it was sent, in the event loop's time.
+        ended_s: When the answer ended or the connection broke.
+        router: Who took it.
     """
 
     request_id: str
@@ -33,6 +36,8 @@
     complete: bool
     sealed: bool
     sent_s: float
+    ended_s: float = 0.0
+    router: str = ""
 
 
 def violations(
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -56,9 +56,10 @@
 
     Attributes:
         address: Where callers connect.
+        starts: How often it was started.
     """
 
-    __slots__ = ("_file", "_log", "address", "name", "process")
+    __slots__ = ("_file", "_log", "address", "name", "process", "starts")
 
     def __init__(self, *, name: str, folder: pathlib.Path, store: str):
         self.name = name
@@ -76,9 +77,11 @@
             )
         )
         self.process: asyncio.subprocess.Process | None = None
+        self.starts = 0
 
     async def start(self) -> None:
         """Starts the process."""
+        self.starts += 1
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -92,6 +95,14 @@
                 stderr=log,
             )
 
+    def pause(self) -> None:
+        """Freezes the process."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
     async def kill(self) -> None:
         """Kills the process and waits for its end."""
         self.process.kill()
@@ -137,10 +148,11 @@
         for number in range(3):
             await self.add_replica(f"v1-{number}", "v1")
         for number in range(self.routers_wanted):
+            name = f"router-{number}"
             router = RouterProcess(
-                name=f"router-{number}",
+                name=name,
                 folder=self._folder,
-                store=self.store.address,
+                store=await self.store_address(name),
             )
             self.routers.append(router)
             await router.start()
@@ -158,6 +170,16 @@
             await self._session.close()
         await self.store.stop()
 
+    async def store_address(self, router_name: str) -> str:
+        """Returns where a router finds the store."""
+        return self.store.address
+
+    async def replica_address(
+        self, replica: users_replica.StandInReplica
+    ) -> str:
+        """Returns where routers find a replica."""
+        return replica.address
+
     async def until_served(self, router: RouterProcess) -> None:
         """Asks until a router answers a request."""
         async with asyncio.timeout(_CALL_TIMEOUT_S):
@@ -171,11 +193,15 @@
         """Starts a replica and lists it."""
         replica = users_replica.StandInReplica(
             replica_id=replica_id,
-            decide=lambda request: self._reply(request, version),
+            decide=lambda request: self.reply(request, version),
         )
         await replica.start()
         self.replicas[replica_id] = replica
-        self.operator.list_replica(replica, version=version)
+        self.operator.list_replica(
+            replica_id,
+            address=await self.replica_address(replica),
+            version=version,
+        )
 
     def order_bad_version(self) -> None:
         """Orders a version that fails half of its requests."""
@@ -213,7 +239,7 @@
         try:
             async with self._session.post(
                 f"http://{router.address}/{kind}/x",
-                data=b"prompt",
+                data=platform_checks.REQUEST_BODY,
                 headers={
                     "Host": HOST,
                     headers.REQUEST_ID: request_id,
@@ -239,6 +265,8 @@
             complete=complete,
             sealed=sealed,
             sent_s=sent_s,
+            ended_s=asyncio.get_running_loop().time(),
+            router=f"{router.name}#{router.starts}",
         )
         self.calls.append(seen)
         return seen
@@ -251,9 +279,10 @@
                 counts[request_id] = counts.get(request_id, 0) + 1
         return counts
 
-    def _reply(
+    def reply(
         self, request: users_replica.SeenRequest, version: str
     ) -> users_replica.Reply:
+        """Returns what a replica does with a request."""
         drawn = self._random.random()
         if version == "v2" and drawn < _BAD_VERSION_FAILURES:
             return users_replica.Reply(status=500, body=b"bad version")
--- a/src/nutmeghook/standins/users_operator.py
+++ b/src/nutmeghook/standins/users_operator.py
@@ -8,7 +8,6 @@
 
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import tables
-from nutmeghook.standins import users_replica
 from nutmeghook.standins import users_store
 
 _COMMON = {"timeoutMs": 8000, "sloMs": 1000}
@@ -64,18 +63,24 @@
         )
 
     def list_replica(
-        self, replica: users_replica.StandInReplica, *, version: str
+        self,
+        replica_id: str,
+        *,
+        address: str,
+        version: str,
+        leaving: bool = False,
     ) -> None:
         """Writes a replica's entry."""
         self._put(
             tables.REPLICA_TABLE,
-            replica.replica_id,
+            replica_id,
             {
                 "service": self._service,
-                "address": replica.address,
+                "address": address,
                 "version": version,
                 "zone": "hall",
                 "slots": 64,
+                "state": "draining" if leaving else "ready",
             },
         )
 
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -17,13 +17,18 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class SeenRequest:
-    """A request as it arrived, and the connection it came on."""
+    """A request as it arrived, and the connection it came on.
+
+    Attributes:
+        arrived_s: In the event loop's time.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
     connection: int
+    arrived_s: float
 
     @property
     def request_id(self) -> str:
@@ -236,6 +241,7 @@
         headers=fields,
         body=body,
         connection=connection,
+        arrived_s=asyncio.get_running_loop().time(),
     )
 
 
--- /dev/null
+++ b/tests/cover/test_soak_checks.py
@@ -0,0 +1,154 @@
+"""Each check of the soak is shown a history with its own defect."""
+
+import dataclasses
+import unittest
+
+from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import soak_checks
+from nutmeghook.standins import users_replica
+
+CALL = platform_checks.CallSeen(
+    request_id="id",
+    kind="once",
+    key="key",
+    status=200,
+    body=platform_checks.WHOLE_ANSWER,
+    complete=True,
+    sealed=True,
+    sent_s=50.0,
+    ended_s=50.2,
+    router="router-1#1",
+)
+REQUEST = users_replica.SeenRequest(
+    method="POST",
+    target="/once/x",
+    headers={"x-attempt-id": "id", "x-tenant": "team"},
+    body=platform_checks.REQUEST_BODY,
+    connection=1,
+    arrived_s=50.1,
+)
+REMOVAL = soak_checks.KeyRemoval(key="key", from_s=45.0, to_s=60.0)
+
+
+def trouble(**changes) -> soak_checks.Trouble:
+    """Returns a trouble of the call's router at its time, changed."""
+    fields = {"kind": "k", "router": "router-1", "from_s": 49.0, "to_s": 51.0}
+    return soak_checks.Trouble(**(fields | changes))
+
+
+def history(**changes) -> soak_checks.History:
+    """Returns a history of one good call, changed."""
+    fields = {
+        "calls": [CALL],
+        "troubles": [],
+        "removals": [],
+        "seen": {"r": [REQUEST]},
+        "runs": {"id": 1},
+        "broken": set(),
+        "left_at_s": {},
+        "stop_statuses": [0],
+    }
+    return soak_checks.History(**(fields | changes))
+
+
+class SoakChecksTest(unittest.TestCase):
+    def assert_found(self, words: str, **changes) -> None:
+        """Checks that just one violation is found, and which."""
+        found = soak_checks.violations(history(**changes))
+        self.assertEqual(len(found), 1, found)
+        self.assertIn(words, found[0])
+
+    def assert_nothing(self, **changes) -> None:
+        """Checks that nothing is found."""
+        self.assertEqual(soak_checks.violations(history(**changes)), [])
+
+    def test_a_good_history_has_no_violations(self):
+        self.assert_nothing()
+
+    def test_a_second_run_of_what_may_run_once(self):
+        self.assert_found("ran 2 times", runs={"id": 2})
+
+    def test_a_refusal_that_is_not_true(self):
+        refused = dataclasses.replace(CALL, status=503)
+        self.assert_found("called not run", calls=[refused])
+
+    def test_a_part_as_if_it_were_whole(self):
+        part = dataclasses.replace(CALL, body=b"do")
+        self.assert_found("as if it were whole", calls=[part])
+
+    def test_an_answer_without_a_seal(self):
+        unsealed = dataclasses.replace(CALL, sealed=False)
+        self.assert_found("without a seal", calls=[unsealed])
+
+    def test_changed_requests(self):
+        changed = {
+            "nobody sent": {"headers": {"x-attempt-id": "other"}},
+            "changed": {"body": b"promp"},
+            "key was passed on": {
+                "headers": REQUEST.headers | {"authorization": "Token key"}
+            },
+            "without its team": {"headers": {"x-attempt-id": "id"}},
+        }
+        for words, fields in changed.items():
+            request = dataclasses.replace(REQUEST, **fields)
+            with self.subTest(words):
+                self.assert_found(words, seen={"r": [request]})
+
+    def test_a_removed_key_that_is_let_in(self):
+        self.assert_found("by a removed key", removals=[REMOVAL])
+        late = soak_checks.violations(
+            history(removals=[REMOVAL]), with_bounds=False
+        )
+        self.assertEqual(late, [])
+
+    def test_the_bound_holds_for_routers_without_trouble_only(self):
+        self.assert_nothing(removals=[REMOVAL], troubles=[trouble()])
+        self.assert_found(
+            "by a removed key",
+            removals=[REMOVAL],
+            troubles=[trouble(router="router-2")],
+        )
+
+    def test_a_key_that_comes_back_at_one_start_of_a_router(self):
+        """Trouble excuses a late change, never one that is taken back."""
+        refused = dataclasses.replace(
+            CALL, request_id="before", status=401, sent_s=46.0, ended_s=46.1
+        )
+        self.assert_found(
+            "after the key's refusal",
+            calls=[refused, CALL],
+            removals=[REMOVAL],
+            troubles=[trouble()],
+        )
+        elsewhere = dataclasses.replace(refused, router="router-1#2")
+        self.assert_nothing(
+            calls=[elsewhere, CALL], removals=[REMOVAL], troubles=[trouble()]
+        )
+
+    def test_a_request_at_a_replica_that_has_left(self):
+        self.assert_found("which had left", left_at_s={"r": 47.0})
+        self.assert_nothing(left_at_s={"r": 48.0})
+        self.assert_nothing(left_at_s={"r": 47.0}, troubles=[trouble()])
+
+    def test_a_request_cut_by_a_graceful_stop(self):
+        cut = dataclasses.replace(CALL, status=0, body=b"", complete=False)
+        stop = trouble(is_stop=True, from_s=50.1)
+        self.assert_found("graceful stop", calls=[cut], troubles=[stop])
+        self.assert_nothing(calls=[cut], troubles=[stop], broken={"id"})
+        self.assert_nothing(calls=[cut], troubles=[stop, trouble()])
+
+    def test_a_router_that_does_not_end_well(self):
+        self.assert_found("status 1", stop_statuses=[1])
+
+    def test_more_repeats_than_the_budget_allows(self):
+        self.assert_found("arrivals of", seen={"r": [REQUEST] * 60})
+
+    def test_a_bad_version_that_reaches_too_many(self):
+        self.assert_found("bad version ran", order_s=1.0, bad_runs=40)
+
+    def test_a_bad_version_that_is_completed(self):
+        self.assert_found("was completed", order_s=1.0, final_state="completed")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/soaks.py
@@ -0,0 +1,53 @@
+"""Plays a range of soak seeds, a few at a time.
+
+    python -m tools.soaks FIRST LAST [AT_ONCE]
+
+Prints each seed's report as a JSON line. The logs of seeds that found
+something are kept under out/soak; each of them goes into tests/whole/test_soak
+with a line on its cause. Exit status 1 if any did.
+"""
+
+import concurrent.futures
+import pathlib
+import shutil
+import subprocess
+import sys
+
+LOGS = pathlib.Path("out/soak")
+AT_ONCE = 3
+# A soak takes some 25 s; beyond this it hangs, which is a finding too.
+TIMEOUT_S = 180.0
+
+
+def main(arguments: list[str]) -> int:
+    """Plays the seeds and sums up."""
+    if len(arguments) not in (2, 3):
+        print(__doc__, file=sys.stderr)
+        return 2
+    first, last, *rest = (int(argument) for argument in arguments)
+    at_once = rest[0] if rest else AT_ONCE
+    with concurrent.futures.ThreadPoolExecutor(at_once) as pool:
+        held = list(pool.map(_play, range(first, last + 1)))
+    print(f"{sum(held)} passed, {len(held) - sum(held)} failed")
+    return 0 if all(held) else 1
+
+
+def _play(seed: int) -> bool:
+    logs = LOGS / str(seed)
+    command = [sys.executable, "-m", "nutmeghook", "soak"]
+    command += ["--seed", str(seed), "--keep", str(logs)]
+    try:
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=TIMEOUT_S
+        )
+    except subprocess.TimeoutExpired:
+        print(f"seed {seed} did not end within {TIMEOUT_S:.0f} s", flush=True)
+        return False
+    print(done.stdout + done.stderr, end="", flush=True)
+    if done.returncode == 0:
+        shutil.rmtree(logs, ignore_errors=True)
+    return done.returncode == 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
