Complete a roll-out only after its last stretch has gone on in touch

Cause: a soak (seed 8, its logs) had the store refuse everybody from 11.1 to 13.9 s of a run; the last stretch of a roll-out should have begun at 12.4 s and was held back, as meant. On the store's return the first router, 0.2 s after its start, found the order's time over and nothing against the version, and completed one that fails half of its requests: 286 of 732 requests reached it. Ruled out: lost evidence (there was none yet), a late write. Change: completion needs 1.3 s of the last stretch on the instance that writes it, with the store answering all the while; any failed call starts it anew. The test fails without the change. Three tests of the driver now step through the last stretch before they race for the verdict; what they assert is the same and one more.

--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -22,6 +22,8 @@
 from nutmeghook.standins import users_store
 
 REPLICAS = 4
+# For how long troubles begin.
+SECONDS = 12.0
 BAD_VERSION = "v2"
 ORDER_WITHIN_S = 12.0
 # After the last trouble, before every router is asked to serve.
@@ -132,9 +134,9 @@
 class Troubles:
     """Draws troubles and plays them, one over the other."""
 
-    def __init__(self, *, trial: SoakTrial):
+    def __init__(self, *, trial: SoakTrial, draw: random.Random):
         self._trial = trial
-        self._draw = trial.draw
+        self._draw = draw
         self._replicas = REPLICAS
         self._kinds = (
             self._kill_router,
@@ -158,10 +160,11 @@
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < end_s:
                 await asyncio.sleep(self._draw.uniform(0.2, 1.2))
-                tasks.create_task(self._draw.choice(self._kinds)())
-
-    def _while_s(self) -> float:
-        return self._draw.uniform(0.3, _LONGEST_TROUBLE_S)
+                kind = self._draw.choice(self._kinds)
+                # Each draws from a source of its own: what one draws does not
+                # depend on when the others come to it.
+                own_draw = random.Random(self._draw.getrandbits(64))
+                tasks.create_task(kind(own_draw))
 
     @contextlib.contextmanager
     def _noted(
@@ -192,7 +195,7 @@
             )
 
     @contextlib.contextmanager
-    def _one_router(self):
+    def _one_router(self, draw: random.Random):
         """Takes a router that no other trouble has; None if all are taken."""
         free = [
             router
@@ -203,16 +206,16 @@
         if len(free) < 2:
             yield None
             return
-        chosen = self._draw.choice(free)
+        chosen = draw.choice(free)
         self._trial.busy.add(chosen.name)
         try:
             yield chosen
         finally:
             self._trial.busy.discard(chosen.name)
 
-    async def _kill_router(self) -> None:
-        pause_s = self._while_s()
-        with self._one_router() as router:
+    async def _kill_router(self, draw: random.Random) -> None:
+        pause_s = _while_s(draw)
+        with self._one_router(draw) as router:
             if router is None:
                 return
             with self._noted("kill", router.name):
@@ -221,8 +224,8 @@
                 await router.start()
                 await self._trial.until_served(router)
 
-    async def _stop_router(self) -> None:
-        with self._one_router() as router:
+    async def _stop_router(self, draw: random.Random) -> None:
+        with self._one_router(draw) as router:
             if router is None:
                 return
             with self._noted("stop", router.name, is_stop=True):
@@ -231,9 +234,9 @@
                 await router.start()
                 await self._trial.until_served(router)
 
-    async def _freeze_router(self) -> None:
-        pause_s = self._while_s()
-        with self._one_router() as router:
+    async def _freeze_router(self, draw: random.Random) -> None:
+        pause_s = _while_s(draw)
+        with self._one_router(draw) as router:
             if router is None:
                 return
             with self._noted("freeze", router.name):
@@ -241,8 +244,8 @@
                 await asyncio.sleep(pause_s)
                 router.resume()
 
-    async def _harm_store(self) -> None:
-        fault, pause_s = self._draw.choice(_STORE_FAULTS), self._while_s()
+    async def _harm_store(self, draw: random.Random) -> None:
+        fault, pause_s = draw.choice(_STORE_FAULTS), _while_s(draw)
         store = self._trial.store
         if store.fault is not users_store.StoreFault.NONE:
             return
@@ -252,45 +255,45 @@
             store.fault = users_store.StoreFault.NONE
             store.do_late_writes()
 
-    async def _forget_history(self) -> None:
+    async def _forget_history(self, draw: random.Random) -> None:
         with self._noted("store forgets its history"):
             self._trial.store.forget_history()
 
-    async def _harm_way_to_store(self) -> None:
-        fault, pause_s = self._draw.choice(_LINK_FAULTS), self._while_s()
-        name = self._draw.choice(sorted(self._trial.store_proxies))
+    async def _harm_way_to_store(self, draw: random.Random) -> None:
+        fault, pause_s = draw.choice(_LINK_FAULTS), _while_s(draw)
+        name = draw.choice(sorted(self._trial.store_proxies))
         proxy = self._trial.store_proxies[name]
         with self._noted(f"way to store {fault.value}", name):
-            proxy.set_fault(fault, delay_s=self._draw.uniform(0.05, 0.4))
+            proxy.set_fault(fault, delay_s=draw.uniform(0.05, 0.4))
             await asyncio.sleep(pause_s)
             proxy.set_fault(_LinkFault.NONE)
 
-    async def _reset_way_to_store(self) -> None:
-        name = self._draw.choice(sorted(self._trial.store_proxies))
+    async def _reset_way_to_store(self, draw: random.Random) -> None:
+        name = draw.choice(sorted(self._trial.store_proxies))
         with self._noted("way to store reset", name):
             self._trial.store_proxies[name].reset_all()
 
-    async def _harm_way_to_replica(self) -> None:
-        fault, pause_s = self._draw.choice(_LINK_FAULTS), self._while_s()
-        proxy = self._trial.replica_proxies[self._some_replica()]
+    async def _harm_way_to_replica(self, draw: random.Random) -> None:
+        fault, pause_s = draw.choice(_LINK_FAULTS), _while_s(draw)
+        proxy = self._trial.replica_proxies[self._some_replica(draw)]
         with self._noted(f"way to replica {fault.value}"):
-            proxy.set_fault(fault, delay_s=self._draw.uniform(0.02, 0.2))
+            proxy.set_fault(fault, delay_s=draw.uniform(0.02, 0.2))
             await asyncio.sleep(pause_s)
             proxy.set_fault(_LinkFault.NONE)
 
-    async def _crash_replica(self) -> None:
-        replica_id = self._some_replica()
+    async def _crash_replica(self, draw: random.Random) -> None:
+        replica_id = self._some_replica(draw)
         with self._noted("replica crashes"):
             await self._trial.replicas[replica_id].stop()
             self._trial.replica_proxies[replica_id].reset_all()
-            await asyncio.sleep(self._while_s())
+            await asyncio.sleep(_while_s(draw))
             self._trial.operator.strike_replica(replica_id)
             self._forget(replica_id)
             await self._replace_replica()
 
-    async def _empty_replica(self) -> None:
+    async def _empty_replica(self, draw: random.Random) -> None:
         """Has a replica leave; its successor comes first."""
-        replica_id = self._some_replica()
+        replica_id = self._some_replica(draw)
         await self._replace_replica()
         replica = self._trial.replicas[replica_id]
         self._forget(replica_id)
@@ -306,8 +309,8 @@
         await asyncio.sleep(2 * soak_checks.DRAINED_S)
         self._trial.operator.strike_replica(replica_id)
 
-    def _some_replica(self) -> str:
-        return self._draw.choice(
+    def _some_replica(self, draw: random.Random) -> str:
+        return draw.choice(
             sorted(i for i in self._trial.replicas if i.startswith("v1"))
         )
 
@@ -320,7 +323,7 @@
         self._replicas += 1
         await self._trial.add_replica(f"v1-{self._replicas}", "v1")
 
-    async def _remove_key(self) -> None:
+    async def _remove_key(self, draw: random.Random) -> None:
         key = platform_trial.KEYS[1]
         trial = self._trial
         if key in trial.busy:
@@ -336,7 +339,7 @@
         trial.operator.write_configuration(platform_trial.KEYS)
         trial.busy.discard(key)
 
-    async def _order_bad_version(self) -> None:
+    async def _order_bad_version(self, draw: random.Random) -> None:
         trial = self._trial
         if trial.order_s is not None:
             return
@@ -346,6 +349,10 @@
             await trial.add_replica(f"{BAD_VERSION}-{number}", BAD_VERSION)
 
 
+def _while_s(draw: random.Random) -> float:
+    return draw.uniform(0.3, _LONGEST_TROUBLE_S)
+
+
 class SoakReport(msgspec.Struct, frozen=True, kw_only=True):
     """What a soak came to."""
 
@@ -361,7 +368,7 @@
     *,
     folder: pathlib.Path,
     seed: int,
-    seconds: float = 12.0,
+    seconds: float = SECONDS,
     routers: int = 4,
     rate_per_s: float = 40.0,
     with_bounds: bool = True,
@@ -374,7 +381,9 @@
             await trial.add_replica(f"v1-{number}", "v1")
         stop_load = asyncio.Event()
         load = asyncio.create_task(_load(trial, rate_per_s, stop_load))
-        await Troubles(trial=trial).run(seconds=seconds)
+        await Troubles(trial=trial, draw=random.Random(seed)).run(
+            seconds=seconds
+        )
         await asyncio.sleep(SETTLE_S)
         unserved = await _not_recovered(
             trial, RECOVERY_S if with_bounds else _PATIENT_RECOVERY_S
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -166,11 +166,13 @@
             # Spread, so that one instance writes and the others read of it.
             await self._clock.sleep(_STEP * self._random.uniform(0.5, 2.0))
             if self._watch.away:
+                self._rollouts.note_out_of_touch()
                 continue
             for order in self._open_orders():
                 try:
                     await self._step(order)
                 except failures.PlatformError as error:
+                    self._rollouts.note_out_of_touch()
                     logs.note("roll_out:store_failed", error=str(error))
 
     def _open_orders(self) -> list[orders_module.RollOutOrder]:
@@ -187,6 +189,7 @@
             await self._begin(order)
             return
         await self._publish(order, plan)
+        self._rollouts.note_in_touch(plan)
         reason = self._rollouts.judge(order)
         if reason is None and self._rollouts.is_trial_over(plan):
             reason = self._rollouts.suspect(order)
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -43,6 +43,7 @@
         "_paces",
         "_plans",
         "_sessions",
+        "_stretch_since",
         "_usual",
         "_watch",
         "schedule",
@@ -72,6 +73,9 @@
         self._paces = usual_module.UsualPaces()
         # How many answers each order's evidence held when it was last judged.
         self._judged: dict[int, int] = {}
+        # Since when an order's last stretch has gone on here, in touch with the
+        # store all the while.
+        self._stretch_since: dict[int, datetime.timedelta] = {}
         # Proofs found here act here at once, before the verdict is written.
         self._local_verdicts: dict[str, str] = {}
 
@@ -181,8 +185,30 @@
         )
 
     def may_complete(self, plan: plan_module.PlanRow) -> bool:
-        """Tells whether the old version's replicas may stop."""
-        return self.schedule.may_complete_at(self.part_of(plan), plan.within_s)
+        """Tells whether the old version's replicas may stop.
+
+        The failure: the store is away while the last stretch should begin, so
+        it does not, and nobody hears of the others' evidence. By the clock
+        alone the first instance that reached the store again, even one that
+        had just started, completed a version that failed half of its
+        requests. So the stretch has to have gone on here, in touch.
+        """
+        if not self.schedule.may_complete_at(self.part_of(plan), plan.within_s):
+            return False
+        since = self._stretch_since.get(plan.order_id)
+        if since is None:
+            return False
+        return self._clock.monotonic() - since >= schedule_module.LAST_WAIT
+
+    def note_in_touch(self, plan: plan_module.PlanRow) -> None:
+        """Takes in that the store answers while a plan is open."""
+        if self.is_trial_over(plan):
+            now = self._clock.monotonic()
+            self._stretch_since.setdefault(plan.order_id, now)
+
+    def note_out_of_touch(self) -> None:
+        """Takes in that the store does not answer."""
+        self._stretch_since.clear()
 
     def accepts(
         self, service: str, *, session: str | None, request_id: str
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -26,7 +26,7 @@
 _LAST_STRETCH_PART = 0.1
 # From the beginning of the last stretch to completion. Streams that last
 # longer are resumed on the new version.
-_LAST_WAIT = datetime.timedelta(seconds=1.3)
+LAST_WAIT = datetime.timedelta(seconds=1.3)
 # Before the last stretch, so that all evidence is pooled when it begins: two
 # steps of the slowest instance, a write, and word of it.
 _FINAL_REPORT = datetime.timedelta(seconds=1.5)
@@ -92,7 +92,7 @@
     def may_complete_at(self, part: float, within_s: float) -> bool:
         """Tells whether the old version's requests have had their time."""
         full_from = 1.0 - self._last_stretch_part(within_s)
-        return (part - full_from) * within_s >= _LAST_WAIT.total_seconds()
+        return (part - full_from) * within_s >= LAST_WAIT.total_seconds()
 
     def _last_stretch_part(self, within_s: float) -> float:
         least = _LEAST_LAST_STRETCH.total_seconds() / max(within_s, 1.0)
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -78,6 +78,41 @@
         await driver._follower.step()
         await driver._step(version_fixture.ORDER)
 
+    async def to_the_end(self, *drivers) -> None:
+        """Moves through the last stretch, with a step at its beginning."""
+        within = datetime.timedelta(seconds=version_fixture.WITHIN_S)
+        # The stand-in's steady time is the machine's, which hardly moves.
+        await self.clock.advance(0.93 * within)
+        for driver in drivers:
+            await self.step(driver)
+        await self.clock.advance(0.07 * within)
+
+    async def test_what_the_store_s_absence_hid_is_not_completed(self):
+        """The store is away while everything should move to the new version.
+        It comes back at the order's end. No instance has heard the others'
+        evidence since, and some have just started; a version that failed half
+        of its requests was completed so (a soak's seed 8). It has to serve
+        for a while in touch with the store first, and is found.
+        """
+        drivers = [self.driver(f"instance-{n}") for n in range(3)]
+        for _, driver in drivers:
+            await self.step(driver)
+        await self.clock.advance(
+            datetime.timedelta(seconds=version_fixture.WITHIN_S)
+        )
+        newcomer, starting = self.driver("newcomer")
+        for _, driver in [*drivers, (newcomer, starting)]:
+            await self.step(driver)
+        self.assertEqual(self.told(), "in_progress")
+        for position, (instance, _) in enumerate(drivers):
+            instance.answer("v1", times=60)
+            instance.answer("v2", number=1 + position, failed=True, times=2)
+        for _ in range(3):
+            await self.clock.advance(datetime.timedelta(seconds=0.7))
+            for _, driver in drivers:
+                await self.step(driver)
+        self.assertEqual(self.told(), "reverted")
+
     async def test_the_first_instance_starts_the_plan_for_all(self):
         """Two instances hear of an order; the second a while later.
         There is one start, the first's, and both count from it.
@@ -122,12 +157,12 @@
         frozen_instance, frozen = self.driver("frozen")
         await self.step(proving)
         await self.step(frozen)
+        await self.to_the_end(frozen)
         for number in (1, 2, 3, 1, 2, 3, 1, 2):
             prover.answer("v2", number=number, failed=True)
         await self.step(proving)
-        await self.clock.advance(
-            datetime.timedelta(seconds=version_fixture.WITHIN_S)
-        )
+        plan = frozen_instance.rollouts.plan_of(version_fixture.ORDER)
+        self.assertTrue(frozen_instance.rollouts.may_complete(plan))
         await frozen._step(version_fixture.ORDER)
         self.assertEqual(self.told(), "reverted")
         known = frozen_instance.rollouts.plan_of(version_fixture.ORDER)
@@ -139,9 +174,7 @@
         """
         _, driver = self.driver("only")
         await self.step(driver)
-        await self.clock.advance(
-            datetime.timedelta(seconds=version_fixture.WITHIN_S)
-        )
+        await self.to_the_end(driver)
         self.store.fault = users_store.StoreFault.LOSING_ANSWERS
         with self.assertRaises(failures.OutcomeUnknownError):
             await driver._step(version_fixture.ORDER)
@@ -159,9 +192,7 @@
         prover, proving = self.driver("prover")
         await self.step(late)
         await self.step(proving)
-        await self.clock.advance(
-            datetime.timedelta(seconds=version_fixture.WITHIN_S)
-        )
+        await self.to_the_end(late, proving)
         self.store.fault = users_store.StoreFault.LATE_WRITES
         with self.assertRaises(failures.OutcomeUnknownError):
             await late._step(version_fixture.ORDER)
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -7,9 +7,13 @@
 
 from nutmeghook.experiment import soak
 
-# Seeds that once failed, each with what it showed, and one more.
-SEEDS = (1,)
+SEED = 1
 SECONDS = 6.0
+# Seeds that found something, played in full. Their causes:
+# 8: the store was away while a bad version should have got everything; on its
+#    return a router that had just started completed the roll-out. See also
+#    cover/test_version_driver, what_the_store_s_absence_hid_is_not_completed.
+SEEDS_THAT_FOUND = (8,)
 
 
 class SoakTest(unittest.TestCase):
@@ -19,18 +23,26 @@
         comes back; a bad version is ordered. Callers get whole answers or the
         truth, and all routers serve again afterwards.
         """
-        for seed in SEEDS:
-            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as at:
-                report = asyncio.run(
-                    soak.run(
-                        folder=pathlib.Path(at),
-                        seed=seed,
-                        seconds=SECONDS,
-                        with_bounds=False,
-                    )
+        self.play(SEED, seconds=SECONDS)
+
+    def test_seeds_that_once_found_something_find_nothing(self):
+        for seed in SEEDS_THAT_FOUND:
+            with self.subTest(seed=seed):
+                self.play(seed, seconds=soak.SECONDS)
+
+    def play(self, seed: int, *, seconds: float) -> None:
+        """Plays a seed and checks that all held."""
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                soak.run(
+                    folder=pathlib.Path(folder),
+                    seed=seed,
+                    seconds=seconds,
+                    with_bounds=False,
                 )
-                self.assertEqual(report.violations, [])
-                self.assertGreater(report.answered, 0)
+            )
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.answered, 0)
 
 
 if __name__ == "__main__":
