--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -50,6 +50,10 @@
 # reads for itself whatever it has heard. Readers prove it every 2 s, and
 # proofs take about a second through a large fleet.
 LONGEST_UNCONFIRMED = datetime.timedelta(seconds=4.5)
+# After news. Replicas that start or leave come in series, and each change alone
+# is a call of every reader; together they are one. Well under the time in
+# which a change must be in force.
+GATHER_CHANGES = datetime.timedelta(milliseconds=200)
 # Between looks at whether to read.
 _IDLE = datetime.timedelta(milliseconds=100)
 # A reader's own feed usually brings a change by itself within this.
@@ -410,10 +414,13 @@
     table: SharedTable, gossip: TableGossip | None, clock: clock_module.Clock
 ) -> None:
     """Reads a table once, or waits a little if peers read it."""
-    if gossip is None or gossip.reads(table):
-        await table.follower.step()
-    else:
+    if gossip is not None and not gossip.reads(table):
         await clock.sleep(_IDLE)
+        return
+    before = table.revision
+    await table.follower.step()
+    if table.revision != before:
+        await clock.sleep(GATHER_CHANGES)
 
 
 def _page(
