Find a request's replicas on a ring, at a cost that does not grow with them

Cause: the choice hashed every replica of a service for each request: at the 4,400 to design for some 10 ms, a fifth of a core. Change: the directory keeps a ring for each service and data centre, and the choice walks the key's first ones; if none of them may run it, all are looked at. The ring is sorted at the next look-up, not at every addition.

--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 import datetime
-import heapq
+import itertools
 import math
 
 import xxhash
@@ -24,7 +24,7 @@
 # as one, 1.08 s.
 WAITING_WEIGHT = 5.0
 # Replicas that are compared for a request, in the own data centre and in the
-# others: the first ones for its key by rendezvous hashing. Counts are half a
+# others: the first ones for its key on a ring of hashes. Counts are half a
 # second old, and 73 instances send 200 requests in that time: when all of them
 # compared all replicas they ran after the one that was emptiest, and the queues
 # were longer than without knowing any count (a quiet day's work that came in
@@ -41,6 +41,8 @@
 # repeat; replicas twice as full cost every request more than that.
 FAILURE_LOAD = 1.0
 
+_Test = Callable[[directory_module.Replica], bool]
+
 
 class Need:
     """What a request asks of a replica.
@@ -68,6 +70,14 @@
         self.key = key
         self.exclude = exclude
 
+    def allows(self, replica: directory_module.Replica) -> bool:
+        """Tells whether a replica may run the request."""
+        return (
+            not replica.entry.leaving
+            and replica.entry.replica_id not in self.exclude
+            and self.accepts(replica.entry)
+        )
+
 
 class ReplicaChooser:
     """Chooses by load, distance, shared prompt parts and own evidence."""
@@ -93,19 +103,20 @@
         up.
         """
         now = self._clock.monotonic()
-        allowed = [
-            replica
-            for replica in self._directory.of_service(need.service)
-            if not replica.entry.leaving
-            and replica.entry.replica_id not in need.exclude
-            and need.accepts(replica.entry)
-        ]
-        sound = [r for r in allowed if not r.health.is_ejected(now)]
-        candidates = sound or allowed
-        if not candidates:
-            return None
-        compared = self._compared(candidates, need.key)
-        return min(compared, key=lambda replica: self._score(replica, now))
+
+        def is_sound(replica: directory_module.Replica) -> bool:
+            return need.allows(replica) and not replica.health.is_ejected(now)
+
+        compared = self._compared(need, is_sound) or self._compared(
+            need, need.allows
+        )
+        if not compared:
+            compared = self._all(need)
+        return min(
+            compared,
+            key=lambda replica: self._score(replica, now),
+            default=None,
+        )
 
     def usual_waiting(self, service: str) -> float:
         """Returns how many requests wait at a replica, on average."""
@@ -126,16 +137,34 @@
         return estimate / replica.entry.slots
 
     def _compared(
-        self, candidates: list[directory_module.Replica], key: str
+        self, need: Need, accepts: _Test
     ) -> list[directory_module.Replica]:
-        """Returns the few replicas that a key belongs to."""
-        near = []
-        far = []
-        for replica in candidates:
-            is_near = replica.entry.data_centre == self._data_centre
-            (near if is_near else far).append(replica)
-        return _first_for(key, near, NEAR_COMPARED) + _first_for(
-            key, far, FAR_COMPARED
+        """Returns the few replicas that a request's key belongs to."""
+        near = self._directory.in_order(
+            need.service, self._data_centre, need.key
+        )
+        found = list(itertools.islice(filter(accepts, near), NEAR_COMPARED))
+        for data_centre in self._others(need):
+            if len(found) >= NEAR_COMPARED + FAR_COMPARED:
+                break
+            far = self._directory.in_order(need.service, data_centre, need.key)
+            found.extend(itertools.islice(filter(accepts, far), FAR_COMPARED))
+        return found
+
+    def _others(self, need: Need) -> list[str]:
+        """Returns the other data centres, in an order that the key decides."""
+        others = sorted(self._directory.data_centres(need.service))
+        if self._data_centre in others:
+            others.remove(self._data_centre)
+        if not others:
+            return others
+        first = xxhash.xxh32_intdigest(need.key.encode()) % len(others)
+        return others[first:] + others[:first]
+
+    def _all(self, need: Need) -> list[directory_module.Replica]:
+        """Returns every replica that may run the request."""
+        return list(
+            filter(need.allows, self._directory.of_service(need.service))
         )
 
     def _score(
@@ -152,21 +181,3 @@
     load: directory_module.LoadReport | directory_module.UsualLoad,
 ) -> float:
     return load.running + WAITING_WEIGHT * load.waiting
-
-
-def _first_for(
-    key: str, replicas: list[directory_module.Replica], count: int
-) -> list[directory_module.Replica]:
-    return heapq.nlargest(
-        count, replicas, key=lambda replica: _weight(key, replica)
-    )
-
-
-def _weight(key: str, replica: directory_module.Replica) -> int:
-    """Returns the replica's rank for a key by rendezvous hashing.
-
-    All instances agree on it without talking, and a replica that goes gives
-    only its own keys away.
-    """
-    text = f"{key}@{replica.entry.replica_id}"
-    return xxhash.xxh64_intdigest(text.encode())
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import datetime
 import itertools
@@ -14,6 +15,7 @@
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
+from nutmeghook.internal.routing import affinity
 
 # Entries lapse while the store is away and are back within two seconds of
 # its return. Until then, and some slack, a missing entry proves nothing.
@@ -122,6 +124,7 @@
         "_missing_since_return",
         "_on_gone",
         "_reported",
+        "_rings",
         "_trusted_from",
         "_usual_load",
         "known",
@@ -138,6 +141,8 @@
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, dict[str, Replica]] = {}
         self._by_short_id: dict[int, Replica] = {}
+        # By service and data centre.
+        self._rings: dict[str, dict[str, affinity.AffinityRing]] = {}
         # Replicas whose load is known, the last heard of at the end.
         self._reported: collections.OrderedDict[str, Replica] = (
             collections.OrderedDict()
@@ -152,6 +157,27 @@
         self._drop_lapsed()
         return self._by_service.get(service, {}).values()
 
+    def data_centres(self, service: str) -> list[str]:
+        """Returns where a service's replicas run."""
+        return list(self._rings.get(service, {}))
+
+    def in_order(
+        self, service: str, data_centre: str, key: str
+    ) -> Iterator[Replica]:
+        """Yields replicas of a data centre, those that a key belongs to first.
+
+        All instances agree on the order without talking, and a replica that
+        goes gives only its own keys away. A few replicas cost the logarithm of
+        how many there are. The last ones in the order may be missing.
+        """
+        self._drop_lapsed()
+        ring = self._rings.get(service, {}).get(data_centre)
+        if ring is None:
+            return
+        known = self._by_service[service]
+        for replica_id in ring.owners(key, limit=len(known)):
+            yield known[replica_id]
+
     def __len__(self) -> int:
         return len(self._by_id)
 
@@ -223,6 +249,7 @@
             known = Replica(entry=entry, health=health_module.ReplicaHealth())
             self._by_id[entry.replica_id] = known
             self._by_short_id[known.short_id] = known
+            self._ring_of(entry).add(entry.replica_id)
             logs.note(
                 "replica:listed",
                 replica=entry.replica_id,
@@ -250,6 +277,10 @@
             return
         self._forget(replica_id)
 
+    def _ring_of(self, entry: entries.ReplicaEntry) -> affinity.AffinityRing:
+        rings = self._rings.setdefault(entry.service, {})
+        return rings.setdefault(entry.data_centre, affinity.AffinityRing())
+
     def _drop_lapsed(self) -> None:
         if not self._missing_since_return:
             return
@@ -265,6 +296,7 @@
             return
         self._by_service[gone.entry.service].pop(replica_id, None)
         self._by_short_id.pop(gone.short_id, None)
+        self._ring_of(gone.entry).remove(replica_id)
         self._reported.pop(replica_id, None)
         self._on_gone(gone.entry.address)
         logs.note("replica:gone", replica=replica_id)
--- a/src/nutmeghook/internal/routing/affinity.py
+++ b/src/nutmeghook/internal/routing/affinity.py
@@ -20,14 +20,17 @@
 class AffinityRing:
     """The addresses of backend servers, in an order that a key decides.
 
-    A look-up costs the logarithm of the number of points. Changes cost time
-    in proportion to it, and are made when a backend server comes or goes.
+    A look-up costs the logarithm of the number of points; the first one after
+    a change, and a removal, cost time in proportion to it.
     """
 
-    __slots__ = ("_hashes", "_owners")
+    __slots__ = ("_hashes", "_is_sorted", "_owners")
 
     def __init__(self):
         self._hashes: list[int] = []
+        # Sorted at the next look-up: a list of replicas that is read whole
+        # adds hundreds one after the other.
+        self._is_sorted = True
         self._owners: dict[int, str] = {}
 
     def add(self, address: str) -> None:
@@ -41,7 +44,7 @@
                 if point not in self._owners:
                     self._owners[point] = address
                     self._hashes.append(point)
-        self._hashes.sort()
+        self._is_sorted = False
 
     def remove(self, address: str) -> None:
         """Takes a backend server's points away."""
@@ -52,6 +55,9 @@
 
     def owners(self, key: str, *, limit: int) -> Iterator[str]:
         """Yields up to `limit` different addresses, the key's own first."""
+        if not self._is_sorted:
+            self._hashes.sort()
+            self._is_sorted = True
         seen: set[str] = set()
         start = bisect.bisect(
             self._hashes, xxhash.xxh64_intdigest(key.encode())
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -21,8 +21,8 @@
 class ComparesAll(choice_module.ReplicaChooser):
     """The baseline: the emptiest of all replicas by the counts known."""
 
-    def _compared(self, candidates, key):
-        return candidates
+    def _compared(self, need, accepts):
+        return list(filter(accepts, self._directory.of_service(need.service)))
 
 
 def load(**changes) -> fleet_emulator.Load:
--- a/tests/cover/test_relay_parts.py
+++ b/tests/cover/test_relay_parts.py
@@ -201,6 +201,43 @@
         self.assertGreater(chosen.count("r7"), 5)
         self.assertGreater(len(set(chosen)), 30)
 
+    def test_the_only_replica_that_may_run_it_is_found_among_many(self):
+        """A version has one replica among hundreds of the other one.
+        Only the first replicas of a key are looked at; it is none of them,
+        and the request would be refused though it can be served.
+        """
+        for number in range(400):
+            centre = "here" if number % 3 else "there"
+            self.directory.put(entry(number, data_centre=centre))
+        chosen = {
+            self.chooser.choose(
+                choice.Need(
+                    service="s",
+                    accepts=lambda entry: entry.replica_id == "r123",
+                    key=f"request {number}",
+                    exclude=frozenset(),
+                )
+            ).entry.replica_id
+            for number in range(50)
+        }
+        self.assertEqual(chosen, {"r123"})
+
+    def test_the_same_key_has_the_same_replicas_on_every_instance(self):
+        """Instances hear of replicas in any order, and some come and go."""
+        other = directory_module.ReplicaDirectory(clock=self.clock)
+        for number in range(40):
+            self.directory.put(entry(number))
+        for number in reversed(range(60)):
+            other.put(entry(number))
+        for number in range(40, 60):
+            other.remove(f"r{number}")
+        for key in ("one", "two", "three"):
+            orders = [
+                [r.entry.replica_id for r in known.in_order("s", "here", key)]
+                for known in (self.directory, other)
+            ]
+            self.assertEqual(orders[0][:5], orders[1][:5])
+
     def test_an_unreachable_replica_is_left_alone_for_a_while(self):
         self.directory.put(entry(1))
         self.directory.put(entry(2))
