--- /dev/null
+++ b/bench/plot_heavy_days.py
@@ -0,0 +1,130 @@
+"""Draws heavy loads in virtual time, for each way to choose models.
+
+    python -m bench.plot_heavy_days [FILE.png]
+
+Worth over time, who is answered by the largest model, and the queues, for the
+product's choice and the baselines beside it; three loads of a grown fleet's
+third. Prints the means as one JSON object a line.
+"""
+
+import json
+import pathlib
+import sys
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot
+
+from nutmeghook.experiment import fleet_emulator
+from nutmeghook.internal.relay import model_choice
+
+USUAL_PER_S = 72.0
+SECONDS = 24.0
+SEED = 1
+DEFAULT_FILE = pathlib.Path("docs/plots/heavy_days.png")
+WAYS = {
+    "weighed": model_choice.WeighedWorth,
+    "threshold 50": model_choice.FixedThreshold,
+    "smallest only": lambda: model_choice.FixedThreshold(least_confidence=0),
+    "largest only": lambda: model_choice.FixedThreshold(least_confidence=101),
+}
+
+
+def loads() -> dict[str, fleet_emulator.Load]:
+    """Returns the loads by their names."""
+    steady = {"per_s": lambda at_s: USUAL_PER_S, "duration_s": SECONDS}
+    return {
+        "usual load": fleet_emulator.Load(
+            **steady, replicas_at=lambda at_s: 12
+        ),
+        "half of the replicas gone from 6 s to 16 s": fleet_emulator.Load(
+            **steady, replicas_at=lambda at_s: 6 if 6 < at_s < 16 else 12
+        ),
+        "twice the callers from 6 s to 14 s": fleet_emulator.Load(
+            per_s=lambda at_s: USUAL_PER_S * (2 if 6 < at_s < 14 else 1),
+            duration_s=SECONDS,
+            replicas_at=lambda at_s: 12,
+        ),
+    }
+
+
+def main(arguments: list[str]) -> int:
+    """Plays all loads and writes the picture."""
+    file = pathlib.Path(arguments[0]) if arguments else DEFAULT_FILE
+    played = {name: _play(load) for name, load in loads().items()}
+    for load_name, outcomes in played.items():
+        for way, outcome in outcomes.items():
+            print(
+                json.dumps(
+                    {
+                        "load": load_name,
+                        "way": way,
+                        "worth_share": round(outcome.worth_share, 3),
+                        "larger_share": round(outcome.larger_share, 3),
+                        "wait_p90_s": round(outcome.wait_s(0.9), 2),
+                    }
+                )
+            )
+    _draw(played, file)
+    return 0
+
+
+def _play(load: fleet_emulator.Load) -> dict[str, fleet_emulator.Outcome]:
+    return {
+        way: fleet_emulator.FleetEmulator(
+            load=load, models=choice(), seed=SEED
+        ).run()
+        for way, choice in WAYS.items()
+    }
+
+
+def _draw(
+    played: dict[str, dict[str, fleet_emulator.Outcome]], file: pathlib.Path
+) -> None:
+    figure, grid = pyplot.subplots(
+        3, len(played), figsize=(15, 9), sharex=True, sharey="row"
+    )
+    for column, (load_name, outcomes) in enumerate(played.items()):
+        worth, larger, queues = (grid[row][column] for row in range(3))
+        worth.set_title(load_name)
+        for way, outcome in outcomes.items():
+            seconds, shares = _by_second(outcome, _worth_share)
+            worth.plot(seconds, shares, label=way)
+            seconds, shares = _by_second(outcome, _larger_share)
+            larger.plot(seconds, shares, label=way)
+            queues.plot(
+                [sample.at_s for sample in outcome.queues],
+                [sample.waiting for sample in outcome.queues],
+                label=way,
+            )
+        queues.set_xlabel("s")
+    grid[0][0].set_ylabel("worth, of what is owed")
+    grid[1][0].set_ylabel("answered by the largest model")
+    grid[2][0].set_ylabel("requests that wait")
+    grid[0][0].legend()
+    figure.tight_layout()
+    file.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(file, dpi=80)
+
+
+def _by_second(outcome, share) -> tuple[list[int], list[float]]:
+    seconds = list(range(int(SECONDS)))
+    answered = [
+        [a for a in outcome.answered if int(a.arrived_s) == second]
+        for second in seconds
+    ]
+    return seconds, [share(some) if some else 0.0 for some in answered]
+
+
+def _worth_share(answered: list[fleet_emulator.Answered]) -> float:
+    return sum(a.worth for a in answered) / sum(a.owed for a in answered)
+
+
+def _larger_share(answered: list[fleet_emulator.Answered]) -> float:
+    return sum(a.model_index > 0 for a in answered) / len(answered)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/nutmeghook/experiment/fleet_emulator.py
+++ b/src/nutmeghook/experiment/fleet_emulator.py
@@ -82,30 +82,53 @@
     prompt_tokens: int = 5000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Outcome:
-    """What callers got, as parts of what they could have got.
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Answered:
+    """What one request came to.
 
     Attributes:
+        owed: What a good answer in time is worth.
         worth: With late and poor answers counted for less.
-        in_time: Requests whose first event came within the target.
+        model_index: Of the model whose answer the caller got.
     """
 
-    requests: int = 0
-    owed: float = 0.0
-    worth: float = 0.0
-    in_time: int = 0
-    larger: int = 0
-    waits_s: list[float] = dataclasses.field(default_factory=list)
+    arrived_s: float
+    wait_s: float
+    owed: float
+    worth: float
+    model_index: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Queues:
+    """How many requests waited at all replicas together."""
+
+    at_s: float
+    waiting: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Outcome:
+    """What callers got, as parts of what they could have got."""
+
+    answered: list[Answered] = dataclasses.field(default_factory=list)
+    queues: list[Queues] = dataclasses.field(default_factory=list)
 
     @property
     def worth_share(self) -> float:
         """The worth that callers got of what they were owed."""
-        return self.worth / self.owed
+        owed = sum(answer.owed for answer in self.answered)
+        return sum(answer.worth for answer in self.answered) / owed
+
+    @property
+    def larger_share(self) -> float:
+        """The share of requests that the largest model answered."""
+        larger = sum(answer.model_index > 0 for answer in self.answered)
+        return larger / len(self.answered)
 
     def wait_s(self, quantile: float) -> float:
         """Returns a quantile of the times to the first event."""
-        ordered = sorted(self.waits_s)
+        ordered = sorted(answer.wait_s for answer in self.answered)
         return ordered[int(quantile * (len(ordered) - 1))]
 
 
@@ -231,6 +254,12 @@
         if self._clock.at_s > self._load.duration_s:
             return
         self._follow_list()
+        self.outcome.queues.append(
+            Queues(
+                at_s=self._clock.at_s,
+                waiting=sum(len(engine.queue) for engine in self._engines),
+            )
+        )
         if self._shares_loads:
             for instance in self._instances:
                 instance.gossip.tell()
@@ -330,7 +359,6 @@
         if request.model_index == 0 and self._is_replaced(instance, request):
             request.model_index = 1
             request.poor = False
-            self.outcome.larger += 1
             self._send(instance, request)
             return
         self._count(request)
@@ -361,15 +389,17 @@
         size_worth = 0.3 + 0.7 * request.tokens / self._load.prompt_tokens
         worth = model_choice.Worth()
         share = worth.poor if request.poor else 1.0
-        outcome = self.outcome
-        outcome.requests += 1
-        outcome.owed += size_worth
-        outcome.waits_s.append(wait_s)
-        if wait_s <= self._route.target.total_seconds():
-            outcome.in_time += 1
-        else:
+        if wait_s > self._route.target.total_seconds():
             share *= worth.late
-        outcome.worth += share * size_worth
+        self.outcome.answered.append(
+            Answered(
+                arrived_s=request.arrived_s,
+                wait_s=wait_s,
+                owed=size_worth,
+                worth=share * size_worth,
+                model_index=request.model_index,
+            )
+        )
 
 
 def _entry(number: int) -> entries.ReplicaEntry:
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -119,6 +119,7 @@
 
     Attributes:
         calls: What callers saw.
+        given_up: Ids of requests whose caller did not wait for the end.
         routers: The router processes.
     """
 
@@ -134,6 +135,7 @@
         self.routers_wanted = routers
         self.routers: list[RouterProcess] = []
         self.calls: list[platform_checks.CallSeen] = []
+        self.given_up: set[str] = set()
         self.removed_at_s: float | None = None
         self.stop_statuses: list[int] = []
         self._session: aiohttp.ClientSession | None = None
@@ -256,6 +258,10 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The caller saw a broken connection: complete stays False.
             pass
+        except asyncio.CancelledError:
+            # Whoever asked gave up, but a replica may have it.
+            self.given_up.add(request_id)
+            raise
         seen = platform_checks.CallSeen(
             request_id=request_id,
             kind=kind,
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 import dataclasses
 import pathlib
 import random
 import signal
 import tempfile
+from typing import Any
 
 import msgspec
 
@@ -64,6 +66,7 @@
         self.removals: list[soak_checks.KeyRemoval] = []
         self.order_s: float | None = None
         self.busy: set[str] = set()
+        self.unserved: list[str] = []
         self.ended_replicas: dict[str, users_replica.StandInReplica] = {}
 
     async def store_address(self, router_name: str) -> str:
@@ -119,6 +122,7 @@
             seen={i: replica.seen for i, replica in replicas.items()},
             runs=runs,
             broken=self.broken,
+            given_up=self.given_up,
             left_at_s=self.left_at_s,
             stop_statuses=self.stop_statuses,
             bad_runs=sum(
@@ -221,8 +225,17 @@
             with self._noted("kill", router.name):
                 await router.kill()
                 await asyncio.sleep(pause_s)
-                await router.start()
-                await self._trial.until_served(router)
+                await self._start_again(router)
+
+    async def _start_again(self, router: platform_trial.RouterProcess) -> None:
+        """Starts a router; notes it if it does not come to serve."""
+        await router.start()
+        try:
+            await self._trial.until_served(router)
+        except TimeoutError:
+            self._trial.unserved.append(
+                f"{router.name} does not serve after its start"
+            )
 
     async def _stop_router(self, draw: random.Random) -> None:
         with self._one_router(draw) as router:
@@ -231,8 +244,7 @@
             with self._noted("stop", router.name, is_stop=True):
                 self._trial.stop_statuses.append(await router.stop())
             with self._noted("start", router.name):
-                await router.start()
-                await self._trial.until_served(router)
+                await self._start_again(router)
 
     async def _freeze_router(self, draw: random.Random) -> None:
         pause_s = _while_s(draw)
@@ -398,6 +410,7 @@
             calls=len(trial.calls),
             answered=sum(c.status == 200 and c.complete for c in trial.calls),
             violations=soak_checks.violations(history, with_bounds=with_bounds)
+            + (trial.unserved if with_bounds else [])
             + unserved,
         )
     finally:
@@ -429,13 +442,25 @@
     return found
 
 
+async def _run_until_told_to_stop(
+    work: Coroutine[Any, Any, SoakReport],
+) -> SoakReport:
+    """Ends the routers too when this process is told to stop."""
+    task = asyncio.ensure_future(work)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def main(*, seed: int, seconds: float, routers: int, keep: str) -> int:
     """Prints a soak's report as JSON; 1 if something did not hold."""
     with tempfile.TemporaryDirectory() as folder:
         place = pathlib.Path(keep) if keep else pathlib.Path(folder)
         place.mkdir(parents=True, exist_ok=True)
         report = asyncio.run(
-            run(folder=place, seed=seed, seconds=seconds, routers=routers)
+            _run_until_told_to_stop(
+                run(folder=place, seed=seed, seconds=seconds, routers=routers)
+            )
         )
     print(msgspec.json.encode(report).decode())
     return 1 if report.violations else 0
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -58,6 +58,7 @@
     Attributes:
         seen: What reached replicas, by replica id.
         broken: Ids of requests whose answer a replica broke off.
+        given_up: Ids of requests whose caller did not wait for the end.
         left_at_s: When each leaving replica's word was accepted.
         bad_runs: Requests that the bad version ran.
         order_s: When the bad version was ordered; None if none was.
@@ -69,6 +70,7 @@
     seen: dict[str, list[users_replica.SeenRequest]]
     runs: dict[str, int]
     broken: set[str]
+    given_up: set[str]
     left_at_s: dict[str, float]
     stop_statuses: list[int]
     bad_runs: int = 0
@@ -110,6 +112,8 @@
     for requests in history.seen.values():
         for request in requests:
             call = sent.get(request.request_id)
+            if request.request_id in history.given_up:
+                continue
             if call is None:
                 yield f"nobody sent {request.request_id!r}"
             elif request.target != f"/{call.kind}/x" or (
--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -45,6 +45,7 @@
         "seen": {"r": [REQUEST]},
         "runs": {"id": 1},
         "broken": set(),
+        "given_up": set(),
         "left_at_s": {},
         "stop_statuses": [0],
     }
@@ -94,6 +95,9 @@
             with self.subTest(words):
                 self.assert_found(words, seen={"r": [request]})
 
+    def test_a_request_that_was_given_up_is_nobody_s_fault(self):
+        self.assert_nothing(calls=[], given_up={"id"})
+
     def test_a_removed_key_that_is_let_in(self):
         self.assert_found("by a removed key", removals=[REMOVAL])
         late = soak_checks.violations(
