--- a/bench/plot_heavy_days.py
+++ b/bench/plot_heavy_days.py
@@ -17,6 +17,7 @@
 
 from matplotlib import pyplot
 
+from nutmeghook.experiment import emulated_outcome
 from nutmeghook.experiment import fleet_emulator
 from nutmeghook.internal.relay import model_choice
 
@@ -71,7 +72,7 @@
     return 0
 
 
-def _play(load: fleet_emulator.Load) -> dict[str, fleet_emulator.Outcome]:
+def _play(load: fleet_emulator.Load) -> dict[str, emulated_outcome.Outcome]:
     return {
         way: fleet_emulator.FleetEmulator(
             load=load, models=choice(), seed=SEED
@@ -81,7 +82,7 @@
 
 
 def _draw(
-    played: dict[str, dict[str, fleet_emulator.Outcome]], file: pathlib.Path
+    played: dict[str, dict[str, emulated_outcome.Outcome]], file: pathlib.Path
 ) -> None:
     figure, grid = pyplot.subplots(
         3, len(played), figsize=(15, 9), sharex=True, sharey="row"
@@ -118,11 +119,11 @@
     return seconds, [share(some) if some else 0.0 for some in answered]
 
 
-def _worth_share(answered: list[fleet_emulator.Answered]) -> float:
+def _worth_share(answered: list[emulated_outcome.Answered]) -> float:
     return sum(a.worth for a in answered) / sum(a.owed for a in answered)
 
 
-def _larger_share(answered: list[fleet_emulator.Answered]) -> float:
+def _larger_share(answered: list[emulated_outcome.Answered]) -> float:
     return sum(a.model_index > 0 for a in answered) / len(answered)
 
 
--- a/src/nutmeghook/experiment/fleet_emulator.py
+++ b/src/nutmeghook/experiment/fleet_emulator.py
@@ -13,6 +13,7 @@
 import itertools
 import random
 
+from nutmeghook.experiment import emulated_outcome
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
 from nutmeghook.internal.inner import sealed_messages
@@ -82,56 +83,6 @@
     prompt_tokens: int = 5000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Answered:
-    """What one request came to.
-
-    Attributes:
-        owed: What a good answer in time is worth.
-        worth: With late and poor answers counted for less.
-        model_index: Of the model whose answer the caller got.
-    """
-
-    arrived_s: float
-    wait_s: float
-    owed: float
-    worth: float
-    model_index: int
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Queues:
-    """How many requests waited at all replicas together."""
-
-    at_s: float
-    waiting: int
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Outcome:
-    """What callers got, as parts of what they could have got."""
-
-    answered: list[Answered] = dataclasses.field(default_factory=list)
-    queues: list[Queues] = dataclasses.field(default_factory=list)
-
-    @property
-    def worth_share(self) -> float:
-        """The worth that callers got of what they were owed."""
-        owed = sum(answer.owed for answer in self.answered)
-        return sum(answer.worth for answer in self.answered) / owed
-
-    @property
-    def larger_share(self) -> float:
-        """The share of requests that the largest model answered."""
-        larger = sum(answer.model_index > 0 for answer in self.answered)
-        return larger / len(self.answered)
-
-    def wait_s(self, quantile: float) -> float:
-        """Returns a quantile of the times to the first event."""
-        ordered = sorted(answer.wait_s for answer in self.answered)
-        return ordered[int(quantile * (len(ordered) - 1))]
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Request:
     arrived_s: float
@@ -235,9 +186,9 @@
             priority=1,
             models=("small", "large"),
         )
-        self.outcome = Outcome()
+        self.outcome = emulated_outcome.Outcome()
 
-    def run(self) -> Outcome:
+    def run(self) -> emulated_outcome.Outcome:
         """Plays the load to its end and returns what callers got."""
         self._at(0.0, self._arrive)
         self._at(0.1, self._gossip)
@@ -255,7 +206,7 @@
             return
         self._follow_list()
         self.outcome.queues.append(
-            Queues(
+            emulated_outcome.Queues(
                 at_s=self._clock.at_s,
                 waiting=sum(len(engine.queue) for engine in self._engines),
             )
@@ -392,7 +343,7 @@
         if wait_s > self._route.target.total_seconds():
             share *= worth.late
         self.outcome.answered.append(
-            Answered(
+            emulated_outcome.Answered(
                 arrived_s=request.arrived_s,
                 wait_s=wait_s,
                 owed=size_worth,
--- /dev/null
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -0,0 +1,95 @@
+"""A platform behind loopback proxies, with routers that come and go."""
+
+import pathlib
+import random
+
+from nutmeghook.experiment import loopback_proxy
+from nutmeghook.experiment import platform_trial
+from nutmeghook.experiment import soak_checks
+from nutmeghook.standins import users_replica
+
+REPLICAS = 4
+BAD_VERSION = "v2"
+
+
+class SoakTrial(platform_trial.PlatformTrial):
+    """A platform behind proxies, with routers that come and go."""
+
+    def __init__(self, *, folder: pathlib.Path, seed: int, routers: int):
+        super().__init__(folder=folder, seed=seed, routers=routers)
+        self.draw = random.Random(seed)
+        self.store_proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
+        self.replica_proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
+        self.broken: set[str] = set()
+        self.left_at_s: dict[str, float] = {}
+        self.troubles: list[soak_checks.Trouble] = []
+        self.removals: list[soak_checks.KeyRemoval] = []
+        self.order_s: float | None = None
+        self.busy: set[str] = set()
+        self.unserved: list[str] = []
+        self.ended_replicas: dict[str, users_replica.StandInReplica] = {}
+
+    async def store_address(self, router_name: str) -> str:
+        """Puts a proxy between a router and the store."""
+        proxy = loopback_proxy.LoopbackProxy(target=self.store.address)
+        await proxy.start()
+        self.store_proxies[router_name] = proxy
+        return proxy.address
+
+    async def replica_address(
+        self, replica: users_replica.StandInReplica
+    ) -> str:
+        """Puts a proxy before a replica."""
+        proxy = loopback_proxy.LoopbackProxy(target=replica.address)
+        await proxy.start()
+        self.replica_proxies[replica.replica_id] = proxy
+        return proxy.address
+
+    def reply(
+        self, request: users_replica.SeenRequest, version: str
+    ) -> users_replica.Reply:
+        """Notes which answers the replica itself breaks off."""
+        reply = super().reply(request, version)
+        if reply.send_bytes is not None or reply.status >= 500:
+            self.broken.add(request.request_id)
+        return reply
+
+    async def end(self) -> None:
+        """Ends everything that was started here."""
+        for router in self.routers:
+            if router.process and router.process.returncode is None:
+                router.resume()
+        await super().end()
+        for replica in self.ended_replicas.values():
+            await replica.stop()
+        for proxy in (
+            *self.store_proxies.values(),
+            *self.replica_proxies.values(),
+        ):
+            await proxy.stop()
+
+    def history(self) -> soak_checks.History:
+        """Returns all that was seen."""
+        replicas = self.replicas | self.ended_replicas
+        runs: dict[str, int] = {}
+        for replica in replicas.values():
+            for request_id in replica.ran:
+                runs[request_id] = runs.get(request_id, 0) + 1
+        return soak_checks.History(
+            calls=self.calls,
+            troubles=self.troubles,
+            removals=self.removals,
+            seen={i: replica.seen for i, replica in replicas.items()},
+            runs=runs,
+            broken=self.broken,
+            given_up=self.given_up,
+            left_at_s=self.left_at_s,
+            stop_statuses=self.stop_statuses,
+            bad_runs=sum(
+                len(replica.ran)
+                for replica_id, replica in replicas.items()
+                if replica_id.startswith(BAD_VERSION)
+            ),
+            order_s=self.order_s,
+            final_state=self.operator.roll_out_state(),
+        )
--- /dev/null
+++ b/src/nutmeghook/experiment/soak_troubles.py
@@ -0,0 +1,265 @@
+"""Troubles of a soak: drawn from a seed, played one over the other."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import signal
+
+from nutmeghook.experiment import loopback_proxy
+from nutmeghook.experiment import platform_trial
+from nutmeghook.experiment import soak_checks
+from nutmeghook.experiment import soak_trial
+from nutmeghook.standins import users_store
+
+ORDER_WITHIN_S = 12.0
+_LONGEST_TROUBLE_S = 3.0
+_LinkFault = loopback_proxy.LinkFault
+_STORE_FAULTS = (
+    users_store.StoreFault.REFUSING,
+    users_store.StoreFault.BUSY,
+    users_store.StoreFault.SILENT,
+    users_store.StoreFault.LOSING_ANSWERS,
+    users_store.StoreFault.LATE_WRITES,
+)
+_LINK_FAULTS = (
+    _LinkFault.DELAYED,
+    _LinkFault.SILENT,
+    _LinkFault.SILENT_TO_TARGET,
+    _LinkFault.SILENT_FROM_TARGET,
+    _LinkFault.REFUSING,
+)
+
+
+class Troubles:
+    """Draws troubles and plays them, one over the other."""
+
+    def __init__(self, *, trial: soak_trial.SoakTrial, draw: random.Random):
+        self._trial = trial
+        self._draw = draw
+        self._replicas = soak_trial.REPLICAS
+        self._kinds = (
+            self._kill_router,
+            self._stop_router,
+            self._freeze_router,
+            self._harm_store,
+            self._forget_history,
+            self._harm_way_to_store,
+            self._reset_way_to_store,
+            self._harm_way_to_replica,
+            self._crash_replica,
+            self._empty_replica,
+            self._remove_key,
+            self._order_bad_version,
+        )
+
+    async def run(self, *, seconds: float) -> None:
+        """Plays troubles for a while, and waits for the last to end."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            while loop.time() < end_s:
+                await asyncio.sleep(self._draw.uniform(0.2, 1.2))
+                kind = self._draw.choice(self._kinds)
+                # Each draws from a source of its own: what one draws does not
+                # depend on when the others come to it.
+                own_draw = random.Random(self._draw.getrandbits(64))
+                tasks.create_task(kind(own_draw))
+
+    @contextlib.contextmanager
+    def _noted(
+        self,
+        kind: str,
+        router: str = soak_checks.ALL_ROUTERS,
+        *,
+        is_stop: bool = False,
+    ):
+        """Notes a trouble once it has ended."""
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        # Noted as lasting for ever until it ends: a check may come first.
+        position = len(self._trial.troubles)
+        trouble = soak_checks.Trouble(
+            kind=kind,
+            router=router,
+            from_s=from_s,
+            to_s=float("inf"),
+            is_stop=is_stop,
+        )
+        self._trial.troubles.append(trouble)
+        try:
+            yield
+        finally:
+            self._trial.troubles[position] = dataclasses.replace(
+                trouble, to_s=loop.time()
+            )
+
+    @contextlib.contextmanager
+    def _one_router(self, draw: random.Random):
+        """Takes a router that no other trouble has; None if all are taken."""
+        free = [
+            router
+            for router in self._trial.routers
+            if router.name not in self._trial.busy
+        ]
+        # One router at least is left alone, as callers retry elsewhere.
+        if len(free) < 2:
+            yield None
+            return
+        chosen = draw.choice(free)
+        self._trial.busy.add(chosen.name)
+        try:
+            yield chosen
+        finally:
+            self._trial.busy.discard(chosen.name)
+
+    async def _kill_router(self, draw: random.Random) -> None:
+        pause_s = _while_s(draw)
+        with self._one_router(draw) as router:
+            if router is None:
+                return
+            with self._noted("kill", router.name):
+                await router.kill()
+                await asyncio.sleep(pause_s)
+                await self._start_again(router)
+
+    async def _start_again(self, router: platform_trial.RouterProcess) -> None:
+        """Starts a router; notes it if it does not come to serve."""
+        await router.start()
+        try:
+            await self._trial.until_served(router)
+        except TimeoutError:
+            self._trial.unserved.append(
+                f"{router.name} does not serve after its start"
+            )
+
+    async def _stop_router(self, draw: random.Random) -> None:
+        with self._one_router(draw) as router:
+            if router is None:
+                return
+            with self._noted("stop", router.name, is_stop=True):
+                self._trial.stop_statuses.append(await router.stop())
+            with self._noted("start", router.name):
+                await self._start_again(router)
+
+    async def _freeze_router(self, draw: random.Random) -> None:
+        pause_s = _while_s(draw)
+        with self._one_router(draw) as router:
+            if router is None:
+                return
+            with self._noted("freeze", router.name):
+                router.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(pause_s)
+                router.resume()
+
+    async def _harm_store(self, draw: random.Random) -> None:
+        fault, pause_s = draw.choice(_STORE_FAULTS), _while_s(draw)
+        store = self._trial.store
+        if store.fault is not users_store.StoreFault.NONE:
+            return
+        with self._noted(f"store {fault.value}"):
+            store.fault = fault
+            await asyncio.sleep(pause_s)
+            store.fault = users_store.StoreFault.NONE
+            store.do_late_writes()
+
+    async def _forget_history(self, draw: random.Random) -> None:
+        with self._noted("store forgets its history"):
+            self._trial.store.forget_history()
+
+    async def _harm_way_to_store(self, draw: random.Random) -> None:
+        fault, pause_s = draw.choice(_LINK_FAULTS), _while_s(draw)
+        name = draw.choice(sorted(self._trial.store_proxies))
+        proxy = self._trial.store_proxies[name]
+        with self._noted(f"way to store {fault.value}", name):
+            proxy.set_fault(fault, delay_s=draw.uniform(0.05, 0.4))
+            await asyncio.sleep(pause_s)
+            proxy.set_fault(_LinkFault.NONE)
+
+    async def _reset_way_to_store(self, draw: random.Random) -> None:
+        name = draw.choice(sorted(self._trial.store_proxies))
+        with self._noted("way to store reset", name):
+            self._trial.store_proxies[name].reset_all()
+
+    async def _harm_way_to_replica(self, draw: random.Random) -> None:
+        fault, pause_s = draw.choice(_LINK_FAULTS), _while_s(draw)
+        proxy = self._trial.replica_proxies[self._some_replica(draw)]
+        with self._noted(f"way to replica {fault.value}"):
+            proxy.set_fault(fault, delay_s=draw.uniform(0.02, 0.2))
+            await asyncio.sleep(pause_s)
+            proxy.set_fault(_LinkFault.NONE)
+
+    async def _crash_replica(self, draw: random.Random) -> None:
+        replica_id = self._some_replica(draw)
+        with self._noted("replica crashes"):
+            await self._trial.replicas[replica_id].stop()
+            self._trial.replica_proxies[replica_id].reset_all()
+            await asyncio.sleep(_while_s(draw))
+            self._trial.operator.strike_replica(replica_id)
+            self._forget(replica_id)
+            await self._replace_replica()
+
+    async def _empty_replica(self, draw: random.Random) -> None:
+        """Has a replica leave; its successor comes first."""
+        replica_id = self._some_replica(draw)
+        await self._replace_replica()
+        replica = self._trial.replicas[replica_id]
+        self._forget(replica_id)
+        self._trial.operator.list_replica(
+            replica_id,
+            address=self._trial.replica_proxies[replica_id].address,
+            version="v1",
+            leaving=True,
+        )
+        self._trial.left_at_s[replica.replica_id] = (
+            asyncio.get_running_loop().time()
+        )
+        await asyncio.sleep(2 * soak_checks.DRAINED_S)
+        self._trial.operator.strike_replica(replica_id)
+
+    def _some_replica(self, draw: random.Random) -> str:
+        return draw.choice(
+            sorted(i for i in self._trial.replicas if i.startswith("v1"))
+        )
+
+    def _forget(self, replica_id: str) -> None:
+        replica = self._trial.replicas.pop(replica_id, None)
+        if replica is not None:
+            self._trial.ended_replicas[replica_id] = replica
+
+    async def _replace_replica(self) -> None:
+        self._replicas += 1
+        await self._trial.add_replica(f"v1-{self._replicas}", "v1")
+
+    async def _remove_key(self, draw: random.Random) -> None:
+        key = platform_trial.KEYS[1]
+        trial = self._trial
+        if key in trial.busy:
+            return
+        trial.busy.add(key)
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        trial.operator.write_configuration(platform_trial.KEYS[:1])
+        await asyncio.sleep(2 * soak_checks.IN_FORCE_S)
+        trial.removals.append(
+            soak_checks.KeyRemoval(key=key, from_s=from_s, to_s=loop.time())
+        )
+        trial.operator.write_configuration(platform_trial.KEYS)
+        trial.busy.discard(key)
+
+    async def _order_bad_version(self, draw: random.Random) -> None:
+        trial = self._trial
+        if trial.order_s is not None:
+            return
+        trial.order_s = asyncio.get_running_loop().time()
+        trial.operator.order_roll_out(
+            soak_trial.BAD_VERSION, within_s=ORDER_WITHIN_S
+        )
+        for number in range(soak_trial.REPLICAS):
+            await trial.add_replica(
+                f"{soak_trial.BAD_VERSION}-{number}", soak_trial.BAD_VERSION
+            )
+
+
+def _while_s(draw: random.Random) -> float:
+    return draw.uniform(0.3, _LONGEST_TROUBLE_S)
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -14,7 +14,7 @@
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
-from nutmeghook.internal.following import gossip
+from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
@@ -296,7 +296,7 @@
         await self._session.close()
 
     def _rollout_driver(
-        self, plans: gossip.SharedTable, peers: router_peers.RouterPeers
+        self, plans: shared_table.SharedTable, peers: router_peers.RouterPeers
     ) -> driver.RollOutDriver:
         return driver.RollOutDriver(
             table=store.StoreRows(client=self._store),
@@ -319,9 +319,9 @@
 
     def _shared(
         self, table: str, reader: follower.TableReader
-    ) -> gossip.SharedTable:
+    ) -> shared_table.SharedTable:
         copy = copies.TableCopy(reader=reader)
-        return gossip.SharedTable(
+        return shared_table.SharedTable(
             copy=copy,
             table_follower=follower.TableFollower(
                 table=store.PlatformTable(client=self._store, name=table),
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.following import gossip as gossip_module
 from nutmeghook.internal.following import registration
+from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import addresses
 from nutmeghook.internal.inner import datagrams
@@ -50,7 +51,7 @@
         inner_address: str,
         data_centre: str,
         table: table_module.TableService,
-        tables: dict[str, gossip_module.SharedTable],
+        tables: dict[str, shared_table.SharedTable],
         directory: directory_module.ReplicaDirectory,
         clock: clock_module.Clock,
         random_source: random.Random,
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -13,16 +13,13 @@
 of 73 read.
 """
 
-import abc
 import asyncio
 import dataclasses
 import datetime
 import random
 
-import xxhash
-
-from nutmeghook.internal.following import copies
-from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import reader_ranks
+from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.following import source
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers as peers_module
@@ -32,20 +29,12 @@
 
 # A change has to be in force 2 s after it was accepted. A push that is lost is
 # made good by the next digest, and a reader that died by another one within
-# `HEARD_RECENTLY` and a call; two others read meanwhile.
+# `reader_ranks.HEARD_RECENTLY` and a call; two others read meanwhile.
 TELL_EVERY = datetime.timedelta(milliseconds=400)
-HEARD_RECENTLY = datetime.timedelta(milliseconds=1300)
 # Digests of 180 bytes to six peers, 2.5 times a second, are 2.7 KB/s.
 PEERS_TOLD = 6
 # Told at once of a change; the others hear of it a digest later.
 PEERS_PUSHED = 24
-ENOUGH_READERS = 3
-# Ranks told: a few more than read, to replace one that dies.
-_RANKS_TOLD = 5
-# In a fleet of this size each instance hears all others within a second. In a
-# larger one word of a reader takes up to three digests to arrive.
-_SMALL_FLEET = 12
-_HEARD_RECENTLY_IN_A_LARGE_FLEET = datetime.timedelta(milliseconds=2200)
 # Without proof for so long that what is known is the newest, an instance
 # reads for itself whatever it has heard. Readers prove it every 2 s, and
 # proofs take about a second through a large fleet.
@@ -63,87 +52,6 @@
 # Each peer is heard about every five seconds at 73 instances.
 _SILENT_FOR_LONG = datetime.timedelta(seconds=15)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-_NEVER_MS = -1
-
-
-class DeletionGrace(abc.ABC):
-    """Knows for how long missing rows are not taken for deletions."""
-
-    @abc.abstractmethod
-    def left(self) -> datetime.timedelta:
-        """Returns for how much longer, 0 at least."""
-
-    @abc.abstractmethod
-    def distrust_deletions(self, until: datetime.timedelta) -> None:
-        """Holds deletions back until a monotonic time."""
-
-
-class SharedTable:
-    """A table that instances tell each other of.
-
-    Attributes:
-        copy: Its rows, for peers.
-        follower: Reads it from the store.
-    """
-
-    __slots__ = ("_clock", "_confirmed_at", "copy", "follower")
-
-    def __init__(
-        self,
-        *,
-        copy: copies.TableCopy,
-        table_follower: follower.TableFollower,
-        clock: clock_module.Clock,
-    ):
-        self.copy = copy
-        self.follower = table_follower
-        self._clock = clock
-        self._confirmed_at: datetime.timedelta | None = None
-
-    @property
-    def revision(self) -> int:
-        """All changes up to here were taken in; -1 before the first."""
-        return self.follower.revision
-
-    def confirmed_at(self) -> datetime.timedelta | None:
-        """Returns when the revision was last known to be the newest."""
-        known = [
-            moment
-            for moment in (self._confirmed_at, self.follower.confirmed_at)
-            if moment is not None
-        ]
-        return max(known, default=None)
-
-    def confirmed_age_ms(self) -> int:
-        """Returns the age of that knowledge; -1 without any."""
-        confirmed_at = self.confirmed_at()
-        if confirmed_at is None:
-            return _NEVER_MS
-        return round((self._clock.monotonic() - confirmed_at) / _MILLISECOND)
-
-    def note_peer(self, revision: int, age_ms: int) -> None:
-        """Takes in a peer's proof; it holds if the peer knows no more."""
-        if age_ms == _NEVER_MS or revision != self.revision:
-            return
-        proven_at = self._clock.monotonic() - age_ms * _MILLISECOND
-        if self._confirmed_at is None or proven_at > self._confirmed_at:
-            self._confirmed_at = proven_at
-
-    def take(
-        self,
-        rows: tuple[source.FollowedRow, ...],
-        revision: int,
-        *,
-        whole: bool,
-    ) -> None:
-        """Takes in what a peer gave."""
-        if revision <= self.revision:
-            return
-        if whole:
-            self.copy.replace(rows, revision)
-        else:
-            self.copy.change(rows)
-        self.follower.skip_to(revision)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -171,10 +79,9 @@
         "_heard_at",
         "_inner_address",
         "_instance_id",
-        "_lived_at",
         "_messages",
         "_random",
-        "_rank",
+        "_ranks",
         "_tables",
         "_told",
         "peers",
@@ -186,11 +93,11 @@
         instance_id: str,
         inner_address: str,
         data_centre: str,
-        tables: dict[str, SharedTable],
+        tables: dict[str, shared_table.SharedTable],
         messages: sealed_messages.SealedMessages,
         caller: peers_module.PeerCaller,
         handlers: peers_module.PeerHandlers,
-        deletion_grace: DeletionGrace,
+        deletion_grace: shared_table.DeletionGrace,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -206,9 +113,9 @@
         self._heard_at: dict[str, datetime.timedelta] = {}
         self._ahead: dict[str, _Ahead] = {}
         self._told: dict[str, int] = {}
-        self._rank = _rank_of(instance_id)
-        # When the instance of a rank was last known to live; the lowest only.
-        self._lived_at: dict[int, datetime.timedelta] = {}
+        self._ranks = reader_ranks.ReaderRanks(
+            instance_id=instance_id, clock=clock
+        )
         self._data_centres: dict[str, str] = {}
         self.peers: dict[str, str] = {}
         handlers.register(ttypes.TablePull, self._give)
@@ -221,14 +128,13 @@
             tasks.create_task(self._push_forever())
             tasks.create_task(self._catch_up_forever())
 
-    def reads(self, table: SharedTable) -> bool:
+    def reads(self, table: shared_table.SharedTable) -> bool:
         """Tells whether this instance reads a table from the store."""
         now = self._clock.monotonic()
         confirmed_at = table.confirmed_at()
         if confirmed_at is None or now - confirmed_at > LONGEST_UNCONFIRMED:
             return True
-        lower = sum(rank < self._rank for rank in self._living_ranks())
-        return lower < ENOUGH_READERS
+        return self._ranks.is_reader(fleet_size=len(self.peers) + 1)
 
     def near_addresses(self) -> list[str]:
         """Returns where instances of the own data centre listen.
@@ -247,7 +153,7 @@
     def _tell(self, most: int) -> None:
         known = list(self.peers.values())
         now = self._clock.monotonic()
-        low = self._living_ranks()
+        low = self._ranks.living(fleet_size=len(self.peers) + 1)
         digest = ttypes.TablesDigest(
             sender_address=self._inner_address,
             sender_id=self._instance_id,
@@ -290,38 +196,16 @@
         if peer_id not in self.peers and len(self.peers) >= _MOST_PEERS:
             return
         self.peers[peer_id] = digest.sender_address
-        self._note_ranks(digest)
+        self._ranks.note(
+            digest.sender_id,
+            digest.low_ranks or (),
+            digest.low_ages_ms or (),
+            fleet_size=len(self.peers) + 1,
+        )
         if digest.data_centre is not None:
             self._data_centres[peer_id] = digest.data_centre
         self._heard_at[peer_id] = self._clock.monotonic()
 
-    def _note_ranks(self, digest: ttypes.TablesDigest) -> None:
-        """Takes in which instances of low rank live."""
-        now = self._clock.monotonic()
-        self._note_living(_rank_of(digest.sender_id), now)
-        for rank, age_ms in zip(
-            digest.low_ranks or (), digest.low_ages_ms or (), strict=False
-        ):
-            if age_ms >= 0 and rank != self._rank:
-                self._note_living(rank, now - age_ms * _MILLISECOND)
-        self._lived_at = self._living_ranks()
-
-    def _note_living(self, rank: int, at: datetime.timedelta) -> None:
-        known = self._lived_at.get(rank)
-        if known is None or at > known:
-            self._lived_at[rank] = at
-
-    def _living_ranks(self) -> dict[int, datetime.timedelta]:
-        """Returns the lowest ranks known to live, lowest first."""
-        recently = HEARD_RECENTLY
-        if len(self.peers) >= _SMALL_FLEET:
-            recently = _HEARD_RECENTLY_IN_A_LARGE_FLEET
-        oldest = self._clock.monotonic() - recently
-        living = sorted(
-            (rank, at) for rank, at in self._lived_at.items() if at >= oldest
-        )
-        return dict(living[:_RANKS_TOLD])
-
     async def _tell_forever(self) -> None:
         while True:
             self._tell(PEERS_TOLD)
@@ -346,7 +230,7 @@
             await self._clock.sleep(_IDLE / 4)
 
     async def _catch_up(
-        self, table: SharedTable, name: str, peer: _Ahead
+        self, table: shared_table.SharedTable, name: str, peer: _Ahead
     ) -> None:
         if self.reads(table):
             await self._clock.sleep(_READER_DELAY)
@@ -369,7 +253,7 @@
 
     def _take(
         self,
-        table: SharedTable,
+        table: shared_table.SharedTable,
         name: str,
         address: str,
         page: ttypes.TablePage,
@@ -405,13 +289,10 @@
         )
 
 
-def _rank_of(instance_id: str) -> int:
-    """Places an instance among the others; neighbours by name lie apart."""
-    return xxhash.xxh32_intdigest(instance_id.encode()) >> 1
-
-
 async def follow(
-    table: SharedTable, gossip: TableGossip | None, clock: clock_module.Clock
+    table: shared_table.SharedTable,
+    gossip: TableGossip | None,
+    clock: clock_module.Clock,
 ) -> None:
     """Reads a table once, or waits a little if peers read it."""
     if gossip is not None and not gossip.reads(table):
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from nutmeghook.internal.following import gossip
+from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import entries
@@ -109,7 +109,7 @@
 _NO_LOAD = UsualLoad()
 
 
-class ReplicaDirectory(gossip.DeletionGrace):
+class ReplicaDirectory(shared_table.DeletionGrace):
     """Replicas by service; entries come from the list, in any order.
 
     Attributes:
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -9,6 +9,7 @@
 
 import unittest
 
+from nutmeghook.experiment import emulated_outcome
 from nutmeghook.experiment import fleet_emulator
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.replicas import choice as choice_module
@@ -47,7 +48,9 @@
     return fleet_emulator.Load(**(fields | changes))
 
 
-def play(pattern: fleet_emulator.Load, **parts) -> list[fleet_emulator.Outcome]:
+def play(
+    pattern: fleet_emulator.Load, **parts
+) -> list[emulated_outcome.Outcome]:
     """Returns what callers got, for each seed."""
     parts = {"models": model_choice.WeighedWorth()} | parts
     return [
@@ -56,7 +59,7 @@
     ]
 
 
-def worth(outcomes: list[fleet_emulator.Outcome]) -> float:
+def worth(outcomes: list[emulated_outcome.Outcome]) -> float:
     """Returns the mean share of the worth that callers got."""
     return sum(o.worth_share for o in outcomes) / len(outcomes)
 
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -11,7 +11,9 @@
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
 from nutmeghook.internal.following import gossip as gossip_module
+from nutmeghook.internal.following import reader_ranks
 from nutmeghook.internal.following import registration
+from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.following import source
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
@@ -86,7 +88,7 @@
         """Returns an instance's gossip and what it knows of replicas."""
         directory = directory_module.ReplicaDirectory(clock=self.clock)
         copy = copies.TableCopy(reader=tables.ReplicaRows(directory=directory))
-        table = gossip_module.SharedTable(
+        table = shared_table.SharedTable(
             copy=copy,
             table_follower=follower.TableFollower(
                 table=store.PlatformTable(
@@ -212,7 +214,7 @@
             instance[0]._tell(10)
         for instance in everyone:
             instance[0]._tell(10)
-        ranked = sorted("abcdefg", key=gossip_module._rank_of)
+        ranked = sorted("abcdefg", key=reader_ranks.rank_of)
         self.assertEqual(self.reading(everyone), sorted(ranked[:3]))
         living = [i for i in everyone if i[0]._instance_id != ranked[0]]
         await self.clock.advance(1.4 * _SECOND)
@@ -231,7 +233,7 @@
         await self.tell_for(everyone, rounds=12)
         self.assertLessEqual(len(self.reading(everyone)), 4)
         ranked = sorted(
-            (i[0]._instance_id for i in everyone), key=gossip_module._rank_of
+            (i[0]._instance_id for i in everyone), key=reader_ranks.rank_of
         )
         living = [i for i in everyone if i[0]._instance_id not in ranked[:3]]
         await self.tell_for(living, rounds=7)
