Read the store with eight of a large fleet, and count readers in touch only

With three readers of 73, all of them are among those turned away once in some 23 such outages, and to notice and replace them takes up to five seconds. Change: eight of a fleet over 12; a digest says whether its sender is out of touch with the store, and such a reader is replaced like a dead one. Tests: the turned away readers (fails without the flag), eight of seventy.

--- a/src/nutmeghook/internal/following/follower.py
+++ b/src/nutmeghook/internal/following/follower.py
@@ -126,6 +126,11 @@
         self.revision = -1
         self.confirmed_at: datetime.timedelta | None = None
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Tells whether the store answered the last call, or none was made."""
+        return not self._watch.away
+
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -8,9 +8,8 @@
 
 Nobody appoints readers. Each instance has a rank by a hash of its id, and
 reads unless it knows enough peers of lower rank to live. Digests carry the
-lowest ranks that their senders know, so three or four read at any size of the
-fleet, in several data centres. By the peers that each had heard by itself, 11
-of 73 read.
+lowest ranks that their senders know, so three of a small fleet and eight of a
+large one read, in several data centres.
 """
 
 import asyncio
@@ -163,6 +162,9 @@
                 t.confirmed_age_ms() for t in self._tables.values()
             ],
             data_centre=self._data_centre,
+            out_of_touch=not all(
+                t.follower.is_in_touch for t in self._tables.values()
+            ),
             low_ranks=list(low),
             low_ages_ms=[
                 round((now - at) / _MILLISECOND) for at in low.values()
@@ -197,7 +199,7 @@
             return
         self.peers[peer_id] = digest.sender_address
         self._ranks.note(
-            digest.sender_id,
+            None if digest.out_of_touch else digest.sender_id,
             digest.low_ranks or (),
             digest.low_ages_ms or (),
             fleet_size=len(self.peers) + 1,
--- a/src/nutmeghook/internal/following/reader_ranks.py
+++ b/src/nutmeghook/internal/following/reader_ranks.py
@@ -2,7 +2,7 @@
 
 Each instance has a rank by a hash of its id, and reads unless it knows enough
 peers of lower rank to live. Digests carry the lowest ranks that their senders
-know, so three or four read at any size of the fleet.
+know, so three of a small fleet read and eight of a large one.
 """
 
 from collections.abc import Iterable
@@ -19,8 +19,13 @@
 # larger one word of a reader takes up to three digests to arrive.
 _SMALL_FLEET = 12
 _HEARD_RECENTLY_IN_A_LARGE_FLEET = datetime.timedelta(milliseconds=2200)
+# More than in a small fleet. The store may turn a third of a large fleet away
+# at once, and it takes up to five seconds to replace readers that are all among
+# them: seen with three, when a removed key was let in for over three seconds.
+# With eight that is one such outage in some thousands.
+_READERS_IN_A_LARGE_FLEET = 8
 # Ranks told: a few more than read, to replace one that dies.
-_RANKS_TOLD = 5
+_RANKS_TOLD = 10
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -29,6 +34,13 @@
     return xxhash.xxh32_intdigest(instance_id.encode()) >> 1
 
 
+def enough_readers(fleet_size: int) -> int:
+    """Returns how many instances of a fleet read."""
+    if fleet_size > _SMALL_FLEET:
+        return _READERS_IN_A_LARGE_FLEET
+    return ENOUGH_READERS
+
+
 class ReaderRanks:
     """Knows which instances of low rank live."""
 
@@ -44,19 +56,26 @@
         """Tells whether too few of lower rank live."""
         living = self.living(fleet_size=fleet_size)
         lower = sum(rank < self._rank for rank in living)
-        return lower < ENOUGH_READERS
+        return lower < enough_readers(fleet_size)
 
     def note(
         self,
-        sender_id: str,
+        sender_id: str | None,
         ranks: Iterable[int],
         ages_ms: Iterable[int],
         *,
         fleet_size: int,
     ) -> None:
-        """Takes in a digest's sender, and whom the sender knows to live."""
+        """Takes in a digest's sender, and whom the sender knows to live.
+
+        The failure: the store turns the three readers away and serves the
+        others. They live, so nobody else would read, and a change would be in
+        force seconds late everywhere. A reader that is out of touch therefore
+        does not count (None), and is replaced like one that died.
+        """
         now = self._clock.monotonic()
-        self._note_living(rank_of(sender_id), now)
+        if sender_id is not None:
+            self._note_living(rank_of(sender_id), now)
         for rank, age_ms in zip(ranks, ages_ms, strict=False):
             if age_ms >= 0 and rank != self._rank:
                 self._note_living(rank, now - age_ms * _MILLISECOND)
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -161,6 +161,8 @@
   // ago each was heard by anyone; parallel lists.
   7: optional list<i32> low_ranks,
   8: optional list<i32> low_ages_ms,
+  // The sender's own calls to the store fail.
+  9: optional bool out_of_touch,
 }
 
 // Running and waiting requests of replicas by their own counts, as the sender
