Fetch each table's news by itself, from whoever replies

Change: a task for each table, the next peer at once after one that does not reply, 0.4 s for a reply. Tests: a peer that does not reply delays no news (fails before).

--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -46,7 +46,9 @@
 _IDLE = datetime.timedelta(milliseconds=100)
 # A reader's own feed usually brings a change by itself within this.
 _READER_DELAY = datetime.timedelta(milliseconds=250)
-_PULL_TIMEOUT = datetime.timedelta(milliseconds=600)
+# A page takes some ms; a peer that is slower is not worth waiting for, as
+# others know the same.
+_PULL_TIMEOUT = datetime.timedelta(milliseconds=400)
 _MOST_PEERS = 1000
 # Each peer is heard about every five seconds at 73 instances.
 _SILENT_FOR_LONG = datetime.timedelta(seconds=15)
@@ -110,7 +112,8 @@
         self._clock = clock
         self._random = random_source
         self._heard_at: dict[str, datetime.timedelta] = {}
-        self._ahead: dict[str, _Ahead] = {}
+        # By table: the revisions of peers that know more, by their address.
+        self._ahead: dict[str, dict[str, int]] = {n: {} for n in tables}
         self._told: dict[str, int] = {}
         self._ranks = reader_ranks.ReaderRanks(
             instance_id=instance_id, clock=clock
@@ -125,7 +128,8 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._tell_forever())
             tasks.create_task(self._push_forever())
-            tasks.create_task(self._catch_up_forever())
+            for name in self._tables:
+                tasks.create_task(self._catch_up_forever(name))
 
     def reads(self, table: shared_table.SharedTable) -> bool:
         """Tells whether this instance reads a table from the store."""
@@ -187,9 +191,7 @@
                 continue
             table.note_peer(revision, age_ms)
             if revision > table.revision:
-                self._ahead[name] = _Ahead(
-                    address=message.sender_address, revision=revision
-                )
+                self._ahead[name][message.sender_address] = revision
 
     def _note_peer(self, digest: ttypes.TablesDigest) -> None:
         peer_id = digest.sender_id
@@ -224,16 +226,28 @@
                 self._tell(PEERS_PUSHED)
             await self._clock.sleep(_IDLE / 4)
 
-    async def _catch_up_forever(self) -> None:
+    async def _catch_up_forever(self, name: str) -> None:
+        """Fetches one table's news from whoever is ahead, the latest first.
+
+        The failure: the ways to one data centre lose packets, and its peers'
+        digests come but their replies don't. Waiting for one after the other,
+        of each table in turn, an instance was seconds late with a change that
+        its neighbours had. A peer that fails is left out until it tells again,
+        and tables don't wait for each other.
+        """
+        ahead = self._ahead[name]
         while True:
-            ahead, self._ahead = self._ahead, {}
-            for name, peer in ahead.items():
+            while ahead:
+                address, revision = ahead.popitem()
+                peer = _Ahead(address=address, revision=revision)
                 await self._catch_up(self._tables[name], name, peer)
             await self._clock.sleep(_IDLE / 4)
 
     async def _catch_up(
         self, table: shared_table.SharedTable, name: str, peer: _Ahead
     ) -> None:
+        if table.revision >= peer.revision:
+            return
         if self.reads(table):
             await self._clock.sleep(_READER_DELAY)
         before = table.revision
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -59,6 +59,8 @@
 
     async def call(self, inner_address, request, *, timeout):
         self.made += 1
+        if inner_address not in self._handlers:
+            raise peers.PeerUnreachableError("no reply")
         handler = self._handlers[inner_address].handler_for(request)
         return await handler(request)
 
@@ -133,11 +135,11 @@
 
     async def catch_up(self, instance) -> None:
         """Fetches what a peer was heard to know more."""
-        gossip, table, _ = instance
-        (peer,) = gossip._ahead.values()
-        waiting = asyncio.ensure_future(gossip._catch_up(table, TABLE, peer))
+        gossip = instance[0]
+        self.assertTrue(gossip._ahead[TABLE])
+        catching_up = asyncio.ensure_future(gossip._catch_up_forever(TABLE))
         await self.clock.advance(_SECOND / 2)
-        await waiting
+        catching_up.cancel()
 
     def listed(self, instance) -> list[str]:
         """Returns the replicas that an instance knows."""
@@ -159,6 +161,22 @@
         await self.catch_up(refused)
         self.assertEqual(self.listed(refused), ["2"])
 
+    async def test_a_peer_that_does_not_reply_delays_no_news(self):
+        """Two peers tell of a key that was taken away. The last one's replies
+        are lost; the other one's news must not wait for its next digest.
+        """
+        silent, sound, late = (self.instance(name) for name in "abc")
+        self.connect(silent, sound, late)
+        for instance in (silent, sound, late):
+            await instance[1].follower.step()
+        self.put("2")
+        for instance in (sound, silent):
+            await instance[1].follower.step()
+            instance[0]._tell(5)
+        del self.handlers["a"]
+        await self.catch_up(late)
+        self.assertEqual(self.listed(late), ["1", "2"])
+
     async def test_a_newcomer_gets_the_whole_table(self):
         old, new = self.instance("a"), self.instance("b")
         self.connect(old, new)
