Count a trial's runs in one place; drop what nobody calls

Found at the last read: the soak counted runs by the same loop as the trial it extends (now PlatformTrial.runs over all_replicas), sent SIGSTOP beside RouterProcess.pause, and LoadReport.total had no caller left.

--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -277,10 +277,14 @@
         self.calls.append(seen)
         return seen
 
+    def all_replicas(self) -> dict[str, users_replica.StandInReplica]:
+        """Returns every replica that was started, by id."""
+        return self.replicas
+
     def runs(self) -> dict[str, int]:
         """Returns how often each request was run, by the replicas' logs."""
         counts: dict[str, int] = {}
-        for replica in self.replicas.values():
+        for replica in self.all_replicas().values():
             for request_id in replica.ran:
                 counts[request_id] = counts.get(request_id, 0) + 1
         return counts
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -68,19 +68,19 @@
         ):
             await proxy.stop()
 
+    def all_replicas(self) -> dict[str, users_replica.StandInReplica]:
+        """Returns every replica that was started, ended ones too."""
+        return self.replicas | self.ended_replicas
+
     def history(self) -> soak_checks.History:
         """Returns all that was seen."""
-        replicas = self.replicas | self.ended_replicas
-        runs: dict[str, int] = {}
-        for replica in replicas.values():
-            for request_id in replica.ran:
-                runs[request_id] = runs.get(request_id, 0) + 1
+        replicas = self.all_replicas()
         return soak_checks.History(
             calls=self.calls,
             troubles=self.troubles,
             removals=self.removals,
             seen={i: replica.seen for i, replica in replicas.items()},
-            runs=runs,
+            runs=self.runs(),
             broken=self.broken,
             given_up=self.given_up,
             left_at_s=self.left_at_s,
--- a/src/nutmeghook/experiment/soak_troubles.py
+++ b/src/nutmeghook/experiment/soak_troubles.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import random
-import signal
 
 from nutmeghook.experiment import loopback_proxy
 from nutmeghook.experiment import platform_trial
@@ -148,7 +147,7 @@
             if router is None:
                 return
             with self._noted("freeze", router.name):
-                router.process.send_signal(signal.SIGSTOP)
+                router.pause()
                 await asyncio.sleep(pause_s)
                 router.resume()
 
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -42,11 +42,6 @@
     waiting: int
     at: datetime.timedelta
 
-    @property
-    def total(self) -> int:
-        """Running and waiting requests."""
-        return self.running + self.waiting
-
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class UsualLoad:
