Take a replica's new start for a new replica, and no row on trust

A replica may start again under its old id. The directory kept its load, failures and connections, which are of a process that is gone, and an old row that came late replaced a new one. An entry that named another service or data centre stayed listed under the former one. A row without a state counted as ready, and place, version and slots had defaults, so a row of another writer could pass for a replica.

Entries carry the start's time; another start, service, place, address or version takes the place of all that was known; rows of an older start are dropped, also after the replica has gone; peers' load reports name the start. A row needs all its fields, of their types and within bounds, and a known state. One that fails names no replica at once, also while missing rows are waited for; the others hold.

--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -27,6 +27,9 @@
 # Of each report in the usual load of its service: some ten reports, a second
 # or two of an instance's traffic.
 _USUAL_WEIGHT = 0.1
+# Replicas whose last start is remembered after they have gone: more than twice
+# the largest fleet. It takes 100 bytes for each.
+_STARTS_REMEMBERED = 10_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -69,8 +72,9 @@
         health: What this instance's attempts tell of it.
         report: What it last said of its load; None if nothing yet.
         in_flight_at_report: `in_flight` when that was heard.
-        short_id: Names it in a few bytes. Of 4,400 replicas two share one in
-            once in 200 starts of the fleet; then one is told the other's load.
+        short_id: Names this start in a few bytes. Of 4,400 replicas two share
+            one once in 200 starts of the fleet; then one is told the other's
+            load.
     """
 
     __slots__ = (
@@ -93,7 +97,8 @@
         self.in_flight = 0
         self.report: LoadReport | None = None
         self.in_flight_at_report = 0
-        self.short_id = xxhash.xxh32_intdigest(entry.replica_id.encode()) >> 1
+        start = f"{entry.replica_id}/{entry.started_ms}"
+        self.short_id = xxhash.xxh32_intdigest(start.encode()) >> 1
 
     def note_load(self, report: LoadReport) -> None:
         """Takes in what it says of its load."""
@@ -116,6 +121,7 @@
         "_by_service",
         "_by_short_id",
         "_clock",
+        "_last_starts_ms",
         "_missing_since_return",
         "_on_gone",
         "_reported",
@@ -142,6 +148,10 @@
         self._reported: collections.OrderedDict[str, Replica] = (
             collections.OrderedDict()
         )
+        # When replicas last started, by id; the last heard of at the end.
+        self._last_starts_ms: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._missing_since_return: set[str] = set()
         self._trusted_from = datetime.timedelta()
         self._usual_load: dict[str, UsualLoad] = {}
@@ -179,7 +189,13 @@
     def note_load(
         self, replica: Replica, *, running: int, waiting: int
     ) -> None:
-        """Takes in what a replica has just said of its load."""
+        """Takes in what a replica has just said of its load.
+
+        An answer of a start that is over says nothing of the one that runs
+        under the same id now.
+        """
+        if self._by_id.get(replica.entry.replica_id) is not replica:
+            return
         self._take_load(
             replica,
             LoadReport(
@@ -237,26 +253,80 @@
             self.put(entry)
 
     def put(self, entry: entries.ReplicaEntry) -> None:
-        """Adds or updates a replica."""
+        """Adds or updates a replica.
+
+        The failure: a replica crashes and starts again under its old id. What
+        was known of it, its load, its failures and its connections, is of a
+        process that is gone, and its last words may still arrive after the
+        first ones of the new start. An entry of another start therefore takes
+        the place of all that was known, and one of an older start is dropped.
+        """
+        last_ms = self._last_starts_ms.get(entry.replica_id, 0)
+        if entry.started_ms < last_ms:
+            self._note_outdated(entry, last_ms)
+            return
         self._missing_since_return.discard(entry.replica_id)
         known = self._by_id.get(entry.replica_id)
+        if known is not None and not known.entry.is_same_start(entry):
+            self._forget(entry.replica_id)
+            known = None
         if known is None:
-            known = Replica(entry=entry, health=health_module.ReplicaHealth())
-            self._by_id[entry.replica_id] = known
-            self._by_short_id[known.short_id] = known
-            self._ring_of(entry).add(entry.replica_id)
-            logs.note(
-                "replica:listed",
-                replica=entry.replica_id,
-                service=entry.service,
-                address=entry.address,
-                version=entry.version,
-                leaving=entry.leaving,
-            )
-        elif entry.leaving and not known.entry.leaving:
+            self._add(entry)
+            return
+        if entry.leaving and not known.entry.leaving:
             logs.note("replica:leaving", replica=entry.replica_id)
         known.entry = entry
-        self._by_service.setdefault(entry.service, {})[entry.replica_id] = known
+
+    def reject(self, replica_id: str) -> None:
+        """Drops a replica whose entry can't be made sense of.
+
+        Nothing says that such a row still means the replica that wrote it
+        first. A replica that lives writes its own again within seconds.
+        """
+        if replica_id in self._by_id:
+            self._forget(replica_id)
+
+    def _note_outdated(self, entry: entries.ReplicaEntry, last_ms: int) -> None:
+        """Takes in an entry that is older than what its replica last said.
+
+        Whoever told its start once tells it always, so an entry without one
+        comes from another writer.
+        """
+        logs.note(
+            "replica:outdated_entry",
+            replica=entry.replica_id,
+            started_ms=entry.started_ms,
+            last_started_ms=last_ms,
+        )
+        if not entry.started_ms:
+            self.reject(entry.replica_id)
+
+    def _add(self, entry: entries.ReplicaEntry) -> None:
+        replica = Replica(entry=entry, health=health_module.ReplicaHealth())
+        self._by_id[entry.replica_id] = replica
+        self._by_service.setdefault(entry.service, {})[entry.replica_id] = (
+            replica
+        )
+        self._by_short_id[replica.short_id] = replica
+        self._ring_of(entry).add(entry.replica_id)
+        self._remember_start(entry)
+        logs.note(
+            "replica:listed",
+            replica=entry.replica_id,
+            service=entry.service,
+            address=entry.address,
+            version=entry.version,
+            leaving=entry.leaving,
+            started_ms=entry.started_ms,
+        )
+
+    def _remember_start(self, entry: entries.ReplicaEntry) -> None:
+        if not entry.started_ms:
+            return
+        self._last_starts_ms[entry.replica_id] = entry.started_ms
+        self._last_starts_ms.move_to_end(entry.replica_id)
+        if len(self._last_starts_ms) > _STARTS_REMEMBERED:
+            self._last_starts_ms.popitem(last=False)
 
     def remove(self, replica_id: str) -> None:
         """Takes a replica out, or waits for it while entries may lapse.
@@ -283,14 +353,15 @@
             return
         for replica_id in list(self._missing_since_return):
             self._forget(replica_id)
-        self._missing_since_return.clear()
 
     def _forget(self, replica_id: str) -> None:
         gone = self._by_id.pop(replica_id, None)
         if gone is None:
             return
         self._by_service[gone.entry.service].pop(replica_id, None)
-        self._by_short_id.pop(gone.short_id, None)
+        if self._by_short_id.get(gone.short_id) is gone:
+            del self._by_short_id[gone.short_id]
+        self._missing_since_return.discard(replica_id)
         self._ring_of(gone.entry).remove(replica_id)
         self._reported.pop(replica_id, None)
         self._on_gone(gone.entry.address)
--- a/src/nutmeghook/platform/replicas.py
+++ b/src/nutmeghook/platform/replicas.py
@@ -1,21 +1,49 @@
-"""Decodes entries of the replica list."""
+"""Decodes entries of the replica list.
+
+Anyone who may write to the store may write such a row, so nothing is taken on
+trust: a row that lacks a field, or in which one has another type or an absurd
+value, names no replica to use. No field has a default that would let a row
+pass for a replica that is ready.
+"""
+
+import re
+from typing import Annotated
 
 import msgspec
 
 from nutmeghook.internal.replicas import entries
 
 _READY = "ready"
+_STATES = frozenset({_READY, "draining"})
+_ADDRESS = re.compile(r"(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}", re.ASCII)
+_LAST_PORT = 65535
+# Far beyond any engine's batch. A load is divided by it: an absurd number
+# would make a replica look empty whatever it carries.
+_MOST_SLOTS = 1_000_000
+# A day. No replica is slow for as long after its start.
+_LONGEST_COLD_MS = 86_400_000.0
+# The year 2100. A start that is far ahead would let no later one take over.
+_LAST_START_MS = 4_102_444_800_000
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
-    address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 1
-    # "ready" or "draining"; anything unknown takes no new work.
-    state: str = _READY
-    cold_left_ms: float = 0.0
+    service: _Text
+    # "ip:port".
+    address: _Text
+    # The data centre.
+    zone: _Text
+    version: _Text
+    # Requests that it works on at once.
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    state: str
+    # How much longer it is slow after its start.
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_LONGEST_COLD_MS)]
+    # Counts its own words; not used, but whoever leaves it out is no replica.
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    # Unix milliseconds of its start; not every replica tells it.
+    born: Annotated[int, msgspec.Meta(ge=0, le=_LAST_START_MS)] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -25,19 +53,34 @@
     """Returns the entry.
 
     Raises:
-        ValueError: It is malformed.
+        ValueError: It names no replica to use; the text says why.
     """
     try:
         wire = _DECODER.decode(value)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ValueError(f"malformed entry {replica_id}: {error}") from error
+    if wire.state not in _STATES:
+        raise ValueError(f"entry {replica_id} has the state {wire.state!r}")
+    if not _is_address(wire.address):
+        raise ValueError(f"entry {replica_id} is at {wire.address!r}")
     return entries.ReplicaEntry(
         replica_id=replica_id,
         service=wire.service,
         address=wire.address,
         data_centre=wire.zone,
         version=wire.version,
-        slots=max(1, wire.slots),
+        slots=wire.slots,
         leaving=wire.state != _READY,
         cold_left_s=wire.cold_left_ms / 1000,
+        started_ms=wire.born or 0,
+    )
+
+
+def _is_address(text: str) -> bool:
+    if not _ADDRESS.fullmatch(text):
+        return False
+    ip, _, port = text.partition(":")
+    return (
+        all(int(part) <= 255 for part in ip.split("."))
+        and 1 <= int(port) <= _LAST_PORT
     )
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -72,7 +72,7 @@
         self, rows: tuple[source.FollowedRow, ...], revision: int
     ) -> None:
         """Takes in the whole list."""
-        found = [_entry(row) for row in rows if not row.deleted]
+        found = [self._entry(row) for row in rows if not row.deleted]
         self._directory.replace(e for e in found if e is not None)
 
     def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
@@ -81,14 +81,15 @@
             if row.deleted:
                 self._directory.remove(row.key)
                 continue
-            entry = _entry(row)
+            entry = self._entry(row)
             if entry is not None:
                 self._directory.put(entry)
 
-
-def _entry(row: source.FollowedRow) -> entries.ReplicaEntry | None:
-    try:
-        return replicas_wire.decode(row.key, row.value)
-    except ValueError as error:
-        logs.note("replica:bad_row", key=row.key, error=str(error))
-        return None
+    def _entry(self, row: source.FollowedRow) -> entries.ReplicaEntry | None:
+        """Decodes a row; one that names no replica costs only itself."""
+        try:
+            return replicas_wire.decode(row.key, row.value)
+        except ValueError as error:
+            logs.note("replica:bad_row", key=row.key, error=str(error))
+            self._directory.reject(row.key)
+            return None
--- a/src/nutmeghook/standins/users_operator.py
+++ b/src/nutmeghook/standins/users_operator.py
@@ -81,6 +81,8 @@
                 "zone": "hall",
                 "slots": 64,
                 "state": "draining" if leaving else "ready",
+                "coldLeftMs": 0,
+                "sequence": 1,
             },
         )
 
--- a/tests/cover/test_followed_tables.py
+++ b/tests/cover/test_followed_tables.py
@@ -5,7 +5,6 @@
 import unittest
 
 import aiohttp
-import msgspec
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.following import follower
@@ -14,6 +13,7 @@
 from nutmeghook.platform import store
 from nutmeghook.platform import tables
 from nutmeghook.standins import users_store
+from tests import platform_rows
 from tests import version_fixture
 
 
@@ -58,13 +58,10 @@
         self.store.put(
             "servers",
             f"id-{number}",
-            msgspec.json.encode(
-                {
-                    "service": version_fixture.SERVICE,
-                    "address": f"10.0.0.{number}:80",
-                    "state": state,
-                    "slots": 8,
-                }
+            platform_rows.replica_row(
+                service=version_fixture.SERVICE,
+                address=f"10.0.0.{number}:80",
+                state=state,
             ),
         )
 
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -6,7 +6,6 @@
 import unittest
 
 import aiohttp
-import msgspec
 
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
@@ -23,6 +22,7 @@
 from nutmeghook.platform import store
 from nutmeghook.platform import tables
 from nutmeghook.standins import users_store
+from tests import platform_rows
 
 TABLE = tables.REPLICA_TABLE
 SEAL = datagrams.Seal(credential="shared")
@@ -83,8 +83,13 @@
 
     def put(self, number: str) -> None:
         """Writes the entry of a replica."""
-        value = {"service": "s", "address": f"10.0.0.{number}:80", "slots": 1}
-        self.store.put("servers", number, msgspec.json.encode(value))
+        self.store.put(
+            "servers",
+            number,
+            platform_rows.replica_row(
+                service="s", address=f"10.0.0.{number}:80", slots=1
+            ),
+        )
 
     def instance(self, name: str):
         """Returns an instance's gossip and what it knows of replicas."""
--- a/tests/cover/test_users_platform_decoding.py
+++ b/tests/cover/test_users_platform_decoding.py
@@ -13,6 +13,7 @@
 from nutmeghook.platform import replicas
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import settings
+from tests import platform_rows
 
 GOOD_SETTINGS = """
 nodeName = "edge-1"
@@ -131,19 +132,61 @@
 
 
 class ReplicaEntryTest(unittest.TestCase):
-    def test_an_unknown_state_takes_no_new_work(self):
-        for state, leaving in (
-            ("ready", False),
-            ("draining", True),
-            ("something new", True),
-        ):
-            entry = replicas.decode(
-                "id",
-                msgspec.json.encode(
-                    {"service": "s", "address": "a:1", "state": state}
-                ),
-            )
-            self.assertEqual(entry.leaving, leaving, state)
+    """Only a whole row of a known state names a replica to use."""
+
+    def test_a_whole_row_is_read(self):
+        entry = replicas.decode(
+            "id", platform_rows.replica_row(born=1_700_000_000_123)
+        )
+        self.assertEqual(entry.address, "10.0.0.1:80")
+        self.assertEqual(entry.data_centre, "here")
+        self.assertEqual(entry.started_ms, 1_700_000_000_123)
+        self.assertFalse(entry.leaving)
+
+    def test_a_replica_need_not_tell_its_start(self):
+        entry = replicas.decode("id", platform_rows.replica_row())
+        self.assertEqual(entry.started_ms, 0)
+
+    def test_a_draining_replica_takes_no_new_work(self):
+        row = platform_rows.replica_row(state="draining")
+        self.assertTrue(replicas.decode("id", row).leaving)
+
+    def test_an_unknown_state_names_no_replica(self):
+        for state in ("something new", "", "READY"):
+            self.assert_refused(state=state)
+
+    def test_a_row_without_one_of_its_fields_names_no_replica(self):
+        """Another writer left a field out.
+        A default would let its row pass for a replica that is ready, and
+        callers' requests would be sent to wherever it points.
+        """
+        for name in platform_rows.REPLICA_FIELDS:
+            self.assert_refused(**{name: None})
+
+    def test_a_field_of_another_type_names_no_replica(self):
+        for name in platform_rows.REPLICA_FIELDS:
+            for value in ([], {}, True, [1]):
+                self.assert_refused(**{name: value})
+        for born in ("1700000000123", 1.5, -1, True, [], 10**13, 2**64):
+            self.assert_refused(born=born)
+
+    def test_absurd_numbers_name_no_replica(self):
+        for slots in (0, -1, 10**30, 1.5):
+            self.assert_refused(slots=slots)
+        for cold_left_ms in (-1, 1e300):
+            self.assert_refused(coldLeftMs=cold_left_ms)
+
+    def test_an_address_is_an_ip_and_a_port(self):
+        for address in ("a:1", "10.0.0.1", "10.0.0.1:0", "10.0.0.256:80"):
+            self.assert_refused(address=address)
+        for address in ("10.0.0.1:65536", "10.0.0.1:80\r\n", "1.2.3:4"):
+            self.assert_refused(address=address)
+
+    def assert_refused(self, **changes) -> None:
+        """Asserts that a row with these changes names no replica."""
+        row = platform_rows.replica_row(**changes)
+        with self.subTest(changes=changes), self.assertRaises(ValueError):
+            replicas.decode("id", row)
 
 
 class HeadersTest(unittest.TestCase):
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -18,6 +18,7 @@
 from nutmeghook.platform import settings
 from nutmeghook.standins import users_replica
 from nutmeghook.standins import users_store
+from tests import platform_rows
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SETTINGS = """
@@ -64,13 +65,11 @@
         self.store.put(
             "servers",
             "id-1",
-            msgspec.json.encode(
-                {
-                    "service": "pool",
-                    "address": self.replica.address,
-                    "slots": 4,
-                    "zone": "hall",
-                }
+            platform_rows.replica_row(
+                service="pool",
+                address=self.replica.address,
+                slots=4,
+                zone="hall",
             ),
         )
         self.folder = tempfile.TemporaryDirectory()
