Leave a silent replica only once another attempt is sure to follow

The number of runs a route allows was asked before already.

Leave for the further attempt is taken first, all of it at once; without it the wait goes on, and is asked again. A request that left a replica and finds no other goes back to one that it tried, if it may be repeated.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -202,11 +202,27 @@
             raise self.given_up(job, reason="its outcome is unknown")
         if job.tries >= MAX_TRIES:
             raise self.given_up(job, reason="too many attempts failed")
-        if isinstance(error, outcomes.NotSentError):
+        if isinstance(error, (outcomes.NotSentError, outcomes.AbandonedError)):
             return
         if not self.try_spend(job):
             raise self.given_up(job, reason="the retry budget is spent")
 
+    def try_move(self, job: job_module.Job) -> bool:
+        """Takes leave to go on at another replica than the one at work.
+
+        The failure: a replica falls silent under load and works on. Given up
+        at once, the request then found no leave for a further attempt, or no
+        replica to take it, and a caller's answer that would have come was cut.
+        So all that could forbid the further attempt is asked before.
+        """
+        return (
+            job.route.repeatable
+            and job.runs + 1 < job.route.attempts
+            and job.tries < MAX_TRIES
+            and self._choose_untried(job) is not None
+            and self.try_spend(job)
+        )
+
     def try_spend(self, job: job_module.Job) -> bool:
         """Takes leave for one more attempt from the service's budget."""
         return self._budgets.budget_for(job.service).try_spend()
@@ -254,6 +270,21 @@
         )
 
     def _choose(self, job: job_module.Job) -> directory_module.Replica | None:
+        """Returns the best replica for the next attempt.
+
+        The failure: a request left a silent replica for another one, and that
+        one refuses it. There is no third, the first works as before, and the
+        caller's answer would end for want of a replica. What has run already
+        and may be repeated goes back to one that was tried.
+        """
+        replica = self._choose_untried(job)
+        if replica is None and job.possibly_run and job.route.repeatable:
+            return self._best(job, self._accepts(job), tried=frozenset())
+        return replica
+
+    def _choose_untried(
+        self, job: job_module.Job
+    ) -> directory_module.Replica | None:
         """Returns the best replica that was not tried.
 
         The failure: a roll-out has just begun, the new version's only replica
@@ -261,29 +292,36 @@
         request that failed on a new version may go on with the one in full
         use.
         """
-        replica = self._best(
-            job,
-            self._versions.accepts(
-                job.service,
-                session=job.incoming.facts.session,
-                request_id=job.log_id,
-            ),
-        )
-        if replica is None and job.tried:
-            replica = self._best(job, self._versions.in_full_use(job.service))
+        tried = frozenset(job.tried)
+        replica = self._best(job, self._accepts(job), tried=tried)
+        if replica is None and tried:
+            in_full_use = self._versions.in_full_use(job.service)
+            replica = self._best(job, in_full_use, tried=tried)
         return replica
 
+    def _accepts(
+        self, job: job_module.Job
+    ) -> Callable[[entries.ReplicaEntry], bool]:
+        """Returns a test for the replicas whose version may run a request."""
+        return self._versions.accepts(
+            job.service,
+            session=job.incoming.facts.session,
+            request_id=job.log_id,
+        )
+
     def _best(
         self,
         job: job_module.Job,
         accepts: Callable[[entries.ReplicaEntry], bool],
+        *,
+        tried: frozenset[str],
     ) -> directory_module.Replica | None:
         return self._chooser.choose(
             choice_module.Need(
                 service=job.service,
                 accepts=accepts,
                 key=attempt_facts.affinity(job) or job.log_id,
-                exclude=frozenset(job.tried),
+                exclude=tried,
             )
         )
 
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -109,10 +109,7 @@
         A replica's word that the request itself is wrong holds anywhere; only
         its own failures are worth another replica.
         """
-        left = self._planner.time_left(job)
-        body = await self._at_most(
-            job, answer.read_whole(), left, may_move=False
-        )
+        body = await self._until_deadline(job, answer.read_whole())
         failed = answer.head.status >= _FIRST_FAILURE_STATUS
         self._planner.note_answer(
             job, prepared, status=answer.head.status, failed=failed
@@ -249,6 +246,9 @@
     ) -> _T:
         """Awaits a replica's next sign of life.
 
+        Silence alone ends no answer: a replica is left only once it is sure
+        that another attempt may follow.
+
         Args:
             job: The request.
             prepared: Its attempt.
@@ -258,41 +258,42 @@
 
         Raises:
             rejections.RejectedError: The time limit passed.
-            outcomes.UnknownOutcomeError: It was silent for too long, or is
-                dark, and another replica may take over.
+            outcomes.AbandonedError: It was silent for too long, or is dark,
+                and another replica takes over.
         """
-        left = self._planner.time_left(job)
-        may_move = job.route.resumable and job.runs + 1 < job.route.attempts
-        if not may_move or left <= _DOUBTFUL_SILENCE:
-            return await self._at_most(job, wait(), left, may_move=False)
-        try:
-            return await self._clock.wait_for(wait(), _DOUBTFUL_SILENCE)
-        except TimeoutError as error:
-            if await self._sender.is_unreachable(prepared.replica):
-                raise outcomes.UnknownOutcomeError("the replica is dark") from (
-                    error
-                )
-        left = self._planner.time_left(job)
-        patience = min(left, silence - _DOUBTFUL_SILENCE)
-        return await self._at_most(
-            job, wait(), patience, may_move=patience < left
-        )
+        silent = datetime.timedelta()
+        step = _DOUBTFUL_SILENCE
+        while job.route.resumable and step < self._planner.time_left(job):
+            try:
+                return await self._clock.wait_for(wait(), step)
+            except TimeoutError as error:
+                silent += step
+                if await self._leaves(job, prepared, silent >= silence):
+                    raise outcomes.AbandonedError(
+                        f"silent for {silent} and more"
+                    ) from error
+            step = max(silence - silent, _DOUBTFUL_SILENCE)
+        return await self._until_deadline(job, wait())
 
-    async def _at_most(
+    async def _leaves(
         self,
         job: job_module.Job,
-        work: Awaitable[_T],
-        patience: datetime.timedelta,
-        *,
-        may_move: bool,
+        prepared: attempts_module.Prepared,
+        is_too_long: bool,
+    ) -> bool:
+        """Tells whether a silent replica is left for another one."""
+        if not is_too_long:
+            is_too_long = await self._sender.is_unreachable(prepared.replica)
+        return is_too_long and self._planner.try_move(job)
+
+    async def _until_deadline(
+        self, job: job_module.Job, work: Awaitable[_T]
     ) -> _T:
         try:
-            return await self._clock.wait_for(work, patience)
+            return await self._clock.wait_for(
+                work, self._planner.time_left(job)
+            )
         except TimeoutError as error:
-            if may_move:
-                raise outcomes.UnknownOutcomeError(
-                    f"silent for {patience} and more"
-                ) from error
             raise rejections.RejectedError(
                 wire.FixedResponse.LATE_PERHAPS_RUN,
                 reason="the time limit passed during a run",
--- a/src/nutmeghook/internal/upstream/outcomes.py
+++ b/src/nutmeghook/internal/upstream/outcomes.py
@@ -25,3 +25,10 @@
 
 class UnknownOutcomeError(AttemptError):
     """The request was written and may have run; no whole answer came."""
+
+
+class AbandonedError(UnknownOutcomeError):
+    """The replica was silent for too long, and another one is to take over.
+
+    Raised only once leave for the further attempt was taken.
+    """
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -102,22 +102,68 @@
         Longer than any pause that counts as on time, the relay leaves it and
         resumes at another replica.
         """
+        await self.silence_is_short()
+        self.reply_with(
+            Reply(events=EVENTS, pause_s=30.0), Reply(events=EVENTS)
+        )
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def silence_is_short(self) -> None:
+        """Puts a route in force on which 0.1 s of silence is too much."""
         self.configuration.offer(
             relay_fixture.configuration(
                 relay_fixture.route(
                     STREAM,
                     target=relay_fixture.SECOND / 20,
                     longest_pause=relay_fixture.SECOND / 50,
+                    time_limit=1000 * relay_fixture.SECOND,
                 ),
                 version=2,
             ),
             source="test",
         )
+
+    async def test_silence_cuts_no_stream_when_the_retry_budget_is_spent(self):
+        """A replica pauses in the middle of a stream, then works on.
+        The fleet's retry budget is spent, so nobody else may take over. The
+        caller waits and gets the whole stream; it is not cut for a silence.
+        """
+        await self.silence_is_short()
+        while self.budgets.budget_for("service").try_spend():
+            pass
+        self.reply_with(Reply(events=EVENTS, pause_s=0.8))
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_silence_cuts_no_stream_when_no_other_replica_is_known(self):
+        """The only replica of a service pauses in the middle of a stream.
+        There is no other to go on with; the caller waits for this one.
+        """
+        await self.silence_is_short()
+        self.directory.remove(self.replicas[1].replica_id)
+        self.reply_with(Reply(events=EVENTS, pause_s=0.8))
+        answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_a_stream_goes_back_to_the_replica_that_it_left(self):
+        """A replica falls silent after two events, and another one is asked.
+        That one refuses, and there is no third. The first one is well, so
+        the stream goes on there instead of being cut.
+        """
+        await self.silence_is_short()
         self.reply_with(
-            Reply(events=EVENTS, pause_s=30.0), Reply(events=EVENTS)
+            Reply(events=(0, 1, 2), pause_s=0.8),
+            Reply(status=503, not_run=True),
+            Reply(events=EVENTS),
         )
         answer = await self.ask_stream()
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(len(self.seen()), 3)
 
     async def test_a_dark_replica_s_stream_is_taken_up_at_once(self):
         """A replica goes dark: its connections stay open and silent, and it
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -113,6 +113,12 @@
     def build_listener(self) -> listener_module.CallerListener:
         """Returns the relay."""
         wire_format = headers.PlatformHeaders()
+        self.budgets = window_budget.WindowRetryBudgets(
+            ratio=0.9,
+            window=10 * SECOND,
+            burst=10,
+            clock=self.clock,
+        )
         planner = attempts.AttemptPlanner(
             configuration=self.configuration,
             chooser=choice.ReplicaChooser(
@@ -121,12 +127,7 @@
                 clock=self.clock,
             ),
             versions=view.AnyVersion(),
-            budgets=window_budget.WindowRetryBudgets(
-                ratio=0.9,
-                window=10 * SECOND,
-                burst=10,
-                clock=self.clock,
-            ),
+            budgets=self.budgets,
             wire_format=wire_format,
             clock=self.clock,
             random_source=random.Random(1),
