Prove a bad version early: new sessions on trial, bad answers told at once

On the further customer every generation belongs to a session, and the trial left sessions out of the first half: the first answer of a new version came after 12 s of 24, the proof after 15 to 18 s, and a store outage that began at 18 s could hide it. Its share, what the bound leaves beside the last stretch, was 0.056 of 10 requests a second; the allowance of 30 beside it was not used. Evidence went through the store alone.

Sessions that begin in the first half are on trial, by a digest of the session, the same everywhere. Those that were under way before are held where they are until the second half: each instance tells the others those that the trial would take, twice. The plan's row carries the trial's share, which spends 0.45 of the allowance over the order's time at the rate that the writer sees; a rate that is half the true one stays within the bound. Evidence with bad answers goes to peers by datagram as well, so a version is withdrawn while the store is away; rows of one instance's runs are kept apart.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -119,9 +119,7 @@
             orders=self.orders,
             directory=self.directory,
             watch=self._watch,
-            schedule=schedule_module.Schedule(
-                largest_bad_share=settings.largest_bad_share
-            ),
+            schedule=_schedule(settings),
             session_time=settings.session_time,
             clock=clock,
         )
@@ -228,9 +226,7 @@
         """
         self._settings = settings
         self._store.address = settings.store_address
-        self.rollouts.schedule = schedule_module.Schedule(
-            largest_bad_share=settings.largest_bad_share
-        )
+        self.rollouts.schedule = _schedule(settings)
         self.budgets.change(
             ratio=settings.retries.ratio * _RETRY_RATIO_USED,
             window=settings.retries.window,
@@ -263,6 +259,8 @@
             table=store.StoreRows(client=self._store),
             tables=shared,
             directory=self.directory,
+            rollouts=self.rollouts,
+            orders=self.orders,
             clock=self._clock,
             random_source=self._random,
         )
@@ -310,6 +308,10 @@
             rollouts=self.rollouts,
             orders=self.orders,
             status=rollout_rows.PlatformStatusRows(),
+            fleet_rate_per_s=lambda service: (
+                self.budgets.budget_for(service).requests_per_s()
+                * peers.fleet_size
+            ),
             watch=self._watch,
             clock=self._clock,
             random_source=self._random,
@@ -360,6 +362,15 @@
         return f"{own_host}:{own_port}"
 
 
+def _schedule(
+    settings: settings_module.InstanceSettings,
+) -> schedule_module.Schedule:
+    return schedule_module.Schedule(
+        largest_bad_share=settings.largest_bad_share,
+        bad_allowance=settings.bad_allowance,
+    )
+
+
 async def _follow_forever(table: str, peers: router_peers.RouterPeers) -> None:
     while True:
         await peers.follow(table)
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -21,6 +21,9 @@
 from nutmeghook.internal.replicas import backlog_gossip
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
+from nutmeghook.internal.version_plans import news
+from nutmeghook.internal.version_plans import orders as orders_module
+from nutmeghook.internal.version_plans import rollouts as rollouts_module
 
 _RETRY = datetime.timedelta(seconds=1)
 _CLOSE_GRACE = datetime.timedelta(milliseconds=200)
@@ -40,7 +43,9 @@
         "_gossip",
         "_inner_address",
         "_instance_id",
+        "_orders",
         "_random",
+        "_rollouts",
         "_table",
         "_tables",
     )
@@ -54,6 +59,8 @@
         table: table_module.TableService,
         tables: dict[str, shared_table.SharedTable],
         directory: directory_module.ReplicaDirectory,
+        rollouts: rollouts_module.RollOuts,
+        orders: orders_module.OrderBook,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -63,10 +70,19 @@
         self._tables = tables
         self._data_centre = data_centre
         self._directory = directory
+        self._rollouts = rollouts
+        self._orders = orders
         self._clock = clock
         self._random = random_source
         self._gossip: gossip_module.TableGossip | None = None
 
+    @property
+    def fleet_size(self) -> int:
+        """How many instances were heard of lately, this one included."""
+        if self._gossip is None:
+            return 1
+        return len(self._gossip.living_addresses()) + 1
+
     async def follow(self, name: str) -> None:
         """Reads a table once, or waits a little if peers read it."""
         await gossip_module.follow(
@@ -115,25 +131,8 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._gossip.run())
-                tasks.create_task(
-                    load_gossip.ReplicaLoadGossip(
-                        directory=self._directory,
-                        messages=messages,
-                        near_addresses=self._gossip.near_addresses,
-                        clock=self._clock,
-                        random_source=self._random,
-                    ).run()
-                )
-                tasks.create_task(
-                    backlog_gossip.BacklogGossip(
-                        instance_id=self._instance_id,
-                        directory=self._directory,
-                        messages=messages,
-                        addresses=self._gossip.living_addresses,
-                        clock=self._clock,
-                        random_source=self._random,
-                    ).run()
-                )
+                for told in self._told_by(messages, self._gossip):
+                    tasks.create_task(told.run())
         finally:
             udp.close()
             await asyncio.gather(
@@ -141,6 +140,42 @@
                 server.close(grace=_CLOSE_GRACE),
             )
 
+    def _told_by(
+        self,
+        messages: sealed_messages.SealedMessages,
+        gossip: gossip_module.TableGossip,
+    ) -> tuple[
+        load_gossip.ReplicaLoadGossip,
+        backlog_gossip.BacklogGossip,
+        news.RollOutNews,
+    ]:
+        """Returns what tells peers of things that are not in tables."""
+        common = {
+            "messages": messages,
+            "clock": self._clock,
+            "random_source": self._random,
+        }
+        return (
+            load_gossip.ReplicaLoadGossip(
+                directory=self._directory,
+                near_addresses=gossip.near_addresses,
+                **common,
+            ),
+            backlog_gossip.BacklogGossip(
+                instance_id=self._instance_id,
+                directory=self._directory,
+                addresses=gossip.living_addresses,
+                **common,
+            ),
+            news.RollOutNews(
+                instance_id=self._instance_id,
+                rollouts=self._rollouts,
+                orders=self._orders,
+                addresses=lambda: list(gossip.peers.values()),
+                **common,
+            ),
+        )
+
     async def _registered(self) -> registration.Registration:
         registry = registration.InstanceRegistry(
             table=self._table,
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -183,6 +183,17 @@
   4: list<i32> later_ms,
 }
 
+// What an instance learnt in the course of an order to roll out.
+struct RollOutNews {
+  1: string sender_id,
+  2: string service_name,
+  3: i64 order_id,
+  // Digests of sessions that were under way on the old version.
+  4: list<i64> held_sessions,
+  // All that the sender saw of the new version's answers, as JSON.
+  5: optional binary evidence,
+}
+
 // Asks for a table's changes after a revision.
 struct TablePull {
   1: string table_name,
@@ -227,6 +238,7 @@
   21: TablePage table_page,
   22: ReplicaLoads replica_loads,
   23: ReplicaBacklogs replica_backlogs,
+  24: RollOutNews roll_out_news,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/limits/window_budget.py
+++ b/src/nutmeghook/internal/limits/window_budget.py
@@ -6,6 +6,9 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import admission
 
+# With fewer requests their rate is too rough to plan by.
+_LEAST_RATED = 5
+
 
 class WindowRetryBudget(admission.RetryBudget):
     """Allows further attempts up to a share of the window's requests.
@@ -52,12 +55,26 @@
         """Counts a first attempt."""
         self._requests.append(self._clock.monotonic())
 
-    def left(self) -> float:
-        """Returns how many further attempts may be made now."""
+    def requests_per_s(self) -> float:
+        """Returns the rate of first attempts; 0 if too few are known.
+
+        The window may not have passed since the first one of all.
+        """
+        self._forget_old()
+        if len(self._requests) < _LEAST_RATED:
+            return 0.0
+        span = self._clock.monotonic() - self._requests[0]
+        return len(self._requests) / max(span.total_seconds(), 1.0)
+
+    def _forget_old(self) -> None:
         oldest = self._clock.monotonic() - self._window
         for times in (self._requests, self._spent):
             while times and times[0] <= oldest:
                 times.popleft()
+
+    def left(self) -> float:
+        """Returns how many further attempts may be made now."""
+        self._forget_old()
         allowed = self._ratio * len(self._requests) + self._burst
         return allowed - len(self._spent)
 
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -111,7 +111,10 @@
         session = job.incoming.facts.session
         if session is not None:
             self._versions.note_sent(
-                job.service, session=session, entry=replica.entry
+                job.service,
+                session=session,
+                entry=replica.entry,
+                deadline=job.deadline,
             )
         logs.note(
             "attempt:sent",
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -26,8 +26,6 @@
 # How often a verdict is looked for. A proof acts on this instance at once;
 # this only bounds how soon the others hear of it.
 _STEP = datetime.timedelta(milliseconds=200)
-# So many standard deviations of slowness are worth telling like a bad answer.
-_PACE_WORTH_TELLING = 2.0
 # Evidence is published this often at most, and only if it has grown by a bad
 # answer: a good version costs no writes.
 _PUBLISH_EVERY = datetime.timedelta(milliseconds=600)
@@ -104,6 +102,7 @@
 
     __slots__ = (
         "_clock",
+        "_fleet_rate_per_s",
         "_follower",
         "_instance_id",
         "_orders",
@@ -127,6 +126,7 @@
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderBook,
         status: StatusRows,
+        fleet_rate_per_s: Callable[[str], float],
         watch: follower.StoreWatch,
         clock: clock_module.Clock,
         random_source: random.Random,
@@ -138,6 +138,7 @@
         self._rollouts = rollouts
         self._orders = orders
         self._status = status
+        self._fleet_rate_per_s = fleet_rate_per_s
         self._watch = watch
         self._clock = clock
         self._random = random_source
@@ -179,8 +180,7 @@
         return [
             order
             for order in self._orders.all()
-            if (plan := self._rollouts.plan_of(order)) is None
-            or plan.verdict is plan_module.Verdict.OPEN
+            if (plan := self._rollouts.plan_of(order)) is None or plan.is_open
         ]
 
     async def _step(self, order: orders_module.RollOutOrder) -> None:
@@ -219,6 +219,9 @@
             version=order.version,
             started_ms=store_time / datetime.timedelta(milliseconds=1),
             within_s=order.within_s,
+            trial_share=self._rollouts.schedule.trial_share(
+                order.within_s, self._fleet_rate_per_s(order.service)
+            ),
         )
         version = row.version if row else table_module.ABSENT_VERSION
         await self._write_plan(order, plan, version)
@@ -240,7 +243,7 @@
         plan = msgspec.json.decode(row.value, type=plan_module.PlanRow)
         if plan.order_id != order.order_id:
             return
-        if plan.verdict is not plan_module.Verdict.OPEN:
+        if not plan.is_open:
             self._rollouts.take_plan(plan)
             return
         plan = msgspec.structs.replace(plan, verdict=verdict, reason=reason)
@@ -284,8 +287,7 @@
         plan: plan_module.PlanRow,
     ) -> None:
         own = self._rollouts.evidence_of(order).own
-        weight = sum(count.bad for count in own.routes.values())
-        weight += own.pace_sum / _PACE_WORTH_TELLING
+        weight = own.weight
         if weight < self._published.get(
             order.order_id, 0.0
         ) + 1.0 and not self._owes_all(order, plan):
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -1,5 +1,7 @@
 """Answers of a version in roll-out, counted and pooled over instances."""
 
+import secrets
+
 import msgspec
 
 from nutmeghook.internal.rollout import evidence as proof
@@ -14,6 +16,10 @@
 # is rarer, since replicas on trial carry less load than the others.
 _SLOW_DEVIATIONS = 3.0
 _LEAST_PACED = 6
+# So many standard deviations of slowness are worth telling like a bad answer.
+_PACE_WORTH_TELLING = 2.0
+# Of one instance's few runs in the course of an order.
+_RUN_ID_BYTES = 4
 # As little as this is a suspicion: one good version in 160, by chance alone.
 _SUSPECT_DEVIATIONS = 2.5
 
@@ -34,12 +40,29 @@
     Attributes:
         paced: Answers whose pace was compared with what is usual.
         pace_sum: Their deviations, in standard deviations, summed up.
+        run_id: Tells rows of one instance's runs apart; each counts anew.
     """
 
     order_id: int
     routes: dict[str, RouteCount] = {}
     paced: int = 0
     pace_sum: float = 0.0
+    run_id: str = ""
+
+    @property
+    def weight(self) -> float:
+        """How much of it speaks against the version, in bad answers."""
+        bad = sum(count.bad for count in self.routes.values())
+        return bad + self.pace_sum / _PACE_WORTH_TELLING
+
+    def has_all_of(self, other: "EvidenceRow") -> bool:
+        """Tells whether it counts no less than an earlier row."""
+        return self.paced >= other.paced and all(
+            route in self.routes
+            and self.routes[route].good >= count.good
+            and self.routes[route].bad >= count.bad
+            for route, count in other.routes.items()
+        )
 
 
 class PooledEvidence:
@@ -55,11 +78,14 @@
 
     def __init__(self, *, order_id: int):
         self.order_id = order_id
-        self._own = EvidenceRow(order_id=order_id)
+        self._own = EvidenceRow(
+            order_id=order_id, run_id=secrets.token_hex(_RUN_ID_BYTES)
+        )
         # Whether each answer was bad, by route.
         self._answers: dict[str, list[bool]] = {}
         self._replicas: dict[str, set[str]] = {}
-        self._seen: dict[str, EvidenceRow] = {}
+        # By instance and run.
+        self._seen: dict[tuple[str, str], EvidenceRow] = {}
 
     @property
     def own(self) -> EvidenceRow:
@@ -93,8 +119,12 @@
         """Takes in what another instance saw."""
         if row.order_id != self.order_id:
             return
-        before = self._seen.get(instance_id)
-        self._seen[instance_id] = row
+        key = (instance_id, row.run_id)
+        before = self._seen.get(key)
+        if before is not None and not row.has_all_of(before):
+            # An older row that was overtaken on its way.
+            return
+        self._seen[key] = row
         for route, count in row.routes.items():
             old = before.routes.get(route) if before else None
             old = old or RouteCount()
--- a/src/nutmeghook/internal/version_plans/plan.py
+++ b/src/nutmeghook/internal/version_plans/plan.py
@@ -22,6 +22,8 @@
     Attributes:
         order_id: The order that it carries out.
         started_ms: The store's steady time when the first instance saw it.
+        trial_share: The new version's share of requests until the last
+            stretch; 0 where whoever wrote the row did not say.
         reason: What the verdict rests on.
     """
 
@@ -30,6 +32,7 @@
     version: str
     started_ms: float
     within_s: float
+    trial_share: float = 0.0
     verdict: Verdict = Verdict.OPEN
     reason: str = ""
 
@@ -39,6 +42,11 @@
         passed_s = (store_time - started).total_seconds()
         return max(0.0, passed_s / max(self.within_s, 1.0))
 
+    @property
+    def is_open(self) -> bool:
+        """Tells whether nothing was decided yet."""
+        return self.verdict is Verdict.OPEN
+
     @property
     def state(self) -> orders.OrderState:
         """What the operator is told."""
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -8,16 +8,16 @@
 frozen or cut off therefore holds nothing up, and its late writes fail.
 """
 
+import collections
 from collections.abc import Callable
 import datetime
 
-import xxhash
-
 from nutmeghook.internal.following import follower
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.version_plans import evidence as evidence_module
+from nutmeghook.internal.version_plans import held_sessions
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
@@ -37,6 +37,7 @@
         "_clock",
         "_directory",
         "_evidence",
+        "_held_sessions",
         "_judged",
         "_local_verdicts",
         "_orders",
@@ -69,6 +70,10 @@
         self._clock = clock
         self._plans: dict[str, plan_module.PlanRow] = {}
         self._evidence: dict[str, evidence_module.PooledEvidence] = {}
+        # By order.
+        self._held_sessions: dict[int, held_sessions.HeldSessions] = (
+            collections.defaultdict(held_sessions.HeldSessions)
+        )
         self._usual = usual_module.UsualAnswers()
         self._paces = usual_module.UsualPaces()
         # How many answers each order's evidence held when it was last judged.
@@ -113,6 +118,24 @@
         self._plans[plan.service] = plan
         if known is None or known.order_id != plan.order_id:
             self._local_verdicts.pop(plan.service, None)
+            self._hold_sessions(plan)
+
+    def held_sessions(
+        self, order: orders_module.RollOutOrder
+    ) -> held_sessions.HeldSessions:
+        """Returns the sessions that an order leaves where they are."""
+        return self._held_sessions[order.order_id]
+
+    def _hold_sessions(self, plan: plan_module.PlanRow) -> None:
+        """Holds the sessions under way that the trial would take."""
+        now = self._clock.monotonic()
+        for session in self._sessions.under_way(plan.service, now):
+            digest = held_sessions.digest_of(plan.order_id, session)
+            if held_sessions.point_of(digest) < self._trial_share(plan):
+                self._held_sessions[plan.order_id].hold(digest)
+
+    def _trial_share(self, plan: plan_module.PlanRow) -> float:
+        return plan.trial_share or self.schedule.trial_share(plan.within_s)
 
     def evidence_of(
         self, order: orders_module.RollOutOrder
@@ -240,12 +263,30 @@
         return _is_not_version(order.version)
 
     def note_sent(
-        self, service: str, *, session: str, entry: entries.ReplicaEntry
+        self,
+        service: str,
+        *,
+        session: str,
+        entry: entries.ReplicaEntry,
+        deadline: datetime.timedelta,
     ) -> None:
         """Takes in which version a request goes to."""
         self._sessions.note(
-            service, session, entry.version, self._clock.monotonic()
+            service,
+            session,
+            entry.version,
+            self._clock.monotonic(),
+            deadline,
         )
+        order = self._orders.of_service(service)
+        if order is None or entry.version == order.version:
+            return
+        plan = self.plan_of(order)
+        if plan is None or not plan.is_open:
+            return
+        digest = held_sessions.digest_of(order.order_id, session)
+        if held_sessions.point_of(digest) < self._trial_share(plan):
+            self._held_sessions[order.order_id].hold(digest)
 
     def note_answer(
         self,
@@ -258,7 +299,7 @@
             self._usual.note(answer)
             return
         plan = self.plan_of(order)
-        if plan is None or plan.verdict is not plan_module.Verdict.OPEN:
+        if plan is None or not plan.is_open:
             return
         self.evidence_of(order).note(
             answer.route, entry.replica_id, bad=self._usual.is_bad(answer)
@@ -277,7 +318,7 @@
             self._paces.note(kind, pace_s)
             return
         plan = self.plan_of(order)
-        if plan is None or plan.verdict is not plan_module.Verdict.OPEN:
+        if plan is None or not plan.is_open:
             return
         if self.is_trial_over(plan):
             return
@@ -296,17 +337,28 @@
             return False
         if plan.verdict is plan_module.Verdict.GOOD:
             return True
-        part = self._steady_part(plan)
+        if self.is_trial_over(plan):
+            return True
         if session is None:
-            share = self.schedule.share_at(part, plan.within_s)
-            return _point_of(order, request_id) < share
+            digest = held_sessions.digest_of(order.order_id, request_id)
+            return held_sessions.point_of(digest) < self._trial_share(plan)
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
-        if last == order.version:
+        return last == order.version or self._tries_session(plan, session)
+
+    def _tries_session(self, plan: plan_module.PlanRow, session: str) -> bool:
+        """Tells whether the trial takes a session now."""
+        digest = held_sessions.digest_of(plan.order_id, session)
+        if held_sessions.point_of(digest) >= self._trial_share(plan):
+            return False
+        part = self._steady_part(plan)
+        if part >= schedule_module.MAY_MOVE_SESSIONS_AT:
             return True
-        share = self.schedule.session_share_at(part, plan.within_s)
-        return _point_of(order, session) < share
+        passed = datetime.timedelta(seconds=part * plan.within_s)
+        if passed < schedule_module.SESSIONS_FROM:
+            return False
+        return not self._held_sessions[plan.order_id].holds(digest)
 
     def _is_withdrawn(self, order: orders_module.RollOutOrder) -> bool:
         plan = self.plan_of(order)
@@ -323,12 +375,6 @@
         )
 
 
-def _point_of(order: orders_module.RollOutOrder, key: str) -> float:
-    """Places a session or request between 0 and 1, the same everywhere."""
-    digest = xxhash.xxh64_intdigest(f"{order.order_id}/{key}".encode())
-    return digest / 2.0**64
-
-
 def _any_version(entry: entries.ReplicaEntry) -> bool:
     return True
 
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -5,13 +5,12 @@
 small trial lasts nearly the whole time, and everything moves in a short last
 stretch, just long enough for requests on the old version to end.
 
-Sessions may not change their version in the first half. A session goes from
-instance to instance, and none knows which sessions the others have under way:
-in one trial a session went to and fro four times, since one instance
-remembered that it was under way and the next did not. So requests of sessions
-stay on the old version until then, and as many take part in the trial in the
-time that is left. Which ones follows from the session alone, so all instances
-agree without asking.
+A session that is under way may not change its version in the first half. So
+the trial takes sessions that begin in it, once instances have told each other
+which ones had begun before (`held_sessions`). Which ones follows from the
+session alone, so all instances agree without asking. Left out of the first
+half altogether, sessions gave nine answers of the new version in 15 s of a
+roll-out of 24 s, and a store outage came before the proof.
 """
 
 import dataclasses
@@ -30,14 +29,20 @@
 # Before the last stretch, so that all evidence is pooled when it begins: two
 # steps of the slowest instance, a write, and word of it.
 _FINAL_REPORT = datetime.timedelta(seconds=1.5)
-# The trial's share is what the bound leaves beside the last stretch, within
-# these: with less, a version that fails half of its requests takes over ten
-# seconds to find at 50 requests a second; more finds nothing sooner that
-# matters.
+# From a roll-out's start until the trial takes sessions: instances hear of it
+# within some 0.5 s, and tell which sessions are under way twice in 0.5 s.
+SESSIONS_FROM = datetime.timedelta(seconds=1.5)
+# Bounds of the trial's share: with less, a version that fails half of its
+# requests takes over ten seconds to find at 50 requests a second; more finds
+# nothing sooner that matters, should the rate be much higher than known.
 _LEAST_TRIAL_SHARE = 0.035
-_LARGEST_TRIAL_PART = 0.5
-# Sessions that take part at most, however little time their trial has left.
-_LARGEST_SESSION_SHARE = 0.25
+_LARGEST_TRIAL_SHARE = 0.2
+# A trial that is so long in answers needs no larger share than that.
+_ENOUGH_ANSWERS = 30.0
+# Part of the allowance beside the share that the trial uses. The rate that
+# it is divided by is one instance's times their number, and may be half or
+# twice the true one.
+_ALLOWANCE_PART = 0.45
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -47,35 +52,32 @@
     Attributes:
         largest_bad_share: The most that a bad version may get of all requests
             from the order to the end of its time.
+        bad_allowance: So many requests it may get beside that share.
     """
 
     largest_bad_share: float
+    bad_allowance: float = 0.0
 
-    def share_at(self, part: float, within_s: float) -> float:
-        """Returns the new version's share at a part of the time, from 0.
+    def trial_share(self, within_s: float, per_s: float = 0.0) -> float:
+        """Returns the new version's share until the last stretch.
 
-        Of requests without a session; see `session_share_at`.
-        """
-        stretch = self._last_stretch_part(within_s)
-        if self.is_trial_over_at(part, within_s):
-            return 1.0
-        left = (self.largest_bad_share - stretch) / (1.0 - stretch)
-        most = _LARGEST_TRIAL_PART * self.largest_bad_share
-        return max(_LEAST_TRIAL_SHARE, min(left, most))
+        It is all that the bound leaves beside the last stretch: the proof has
+        to come before some trouble hides it, and needs a number of answers.
+        At 10 requests a second and 24 s the allowance is more than the share.
 
-    def session_share_at(self, part: float, within_s: float) -> float:
-        """Returns the new version's share of sessions at a part of the time.
-
-        It never falls, so a session that has moved does not move back.
+        Args:
+            within_s: The order's time.
+            per_s: Requests of the service in the whole fleet; 0 if unknown.
         """
-        if self.is_trial_over_at(part, within_s):
-            return 1.0
-        if part < MAY_MOVE_SESSIONS_AT:
-            return 0.0
-        trial_part = 1.0 - self._last_stretch_part(within_s)
-        later_part = trial_part - MAY_MOVE_SESSIONS_AT
-        share = self.share_at(part, within_s) * trial_part / later_part
-        return min(share, _LARGEST_SESSION_SHARE)
+        stretch = self._last_stretch_part(within_s)
+        share = self.largest_bad_share - stretch
+        least = _LEAST_TRIAL_SHARE
+        if per_s > 0:
+            requests = per_s * max(within_s, 1.0)
+            share += _ALLOWANCE_PART * self.bad_allowance / requests
+            least = min(least, _ENOUGH_ANSWERS / requests)
+        share /= 1.0 - stretch
+        return max(least, min(share, _LARGEST_TRIAL_SHARE))
 
     def is_trial_over_at(self, part: float, within_s: float) -> bool:
         """Tells whether everything moves to the new version now."""
--- a/src/nutmeghook/internal/version_plans/sessions.py
+++ b/src/nutmeghook/internal/version_plans/sessions.py
@@ -11,10 +11,16 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class LastUse:
-    """A session's last request."""
+    """A session's last request.
+
+    Attributes:
+        until: It may still be under way at this monotonic time, or another
+            one may follow it.
+    """
 
     version: str
     at: datetime.timedelta
+    until: datetime.timedelta
 
 
 class SessionVersions:
@@ -29,11 +35,18 @@
         )
 
     def note(
-        self, service: str, session: str, version: str, now: datetime.timedelta
+        self,
+        service: str,
+        session: str,
+        version: str,
+        now: datetime.timedelta,
+        deadline: datetime.timedelta,
     ) -> None:
         """Takes in that a session's request goes to a version."""
         key = (service, session)
-        self._last[key] = LastUse(version=version, at=now)
+        self._last[key] = LastUse(
+            version=version, at=now, until=deadline + self._session_time
+        )
         self._last.move_to_end(key)
         if len(self._last) > MOST_SESSIONS:
             self._last.popitem(last=False)
@@ -46,3 +59,11 @@
         if last is None or now - last.at > self._session_time:
             return None
         return last.version
+
+    def under_way(self, service: str, now: datetime.timedelta) -> list[str]:
+        """Returns the sessions that may go on."""
+        return [
+            session
+            for (known_service, session), last in self._last.items()
+            if known_service == service and now <= last.until
+        ]
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+import datetime
 
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.version_plans import usual as usual_module
@@ -31,9 +32,21 @@
 
     @abc.abstractmethod
     def note_sent(
-        self, service: str, *, session: str, entry: entries.ReplicaEntry
+        self,
+        service: str,
+        *,
+        session: str,
+        entry: entries.ReplicaEntry,
+        deadline: datetime.timedelta,
     ) -> None:
-        """Takes in which version a request goes to."""
+        """Takes in which version a request goes to.
+
+        Args:
+            service: The request's service.
+            session: Its session.
+            entry: The replica.
+            deadline: Monotonic time at which it has ended at last.
+        """
 
     @abc.abstractmethod
     def note_answer(
@@ -74,7 +87,12 @@
         return lambda entry: True
 
     def note_sent(
-        self, service: str, *, session: str, entry: entries.ReplicaEntry
+        self,
+        service: str,
+        *,
+        session: str,
+        entry: entries.ReplicaEntry,
+        deadline: datetime.timedelta,
     ) -> None:
         """Ignores it."""
 
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -45,6 +45,7 @@
         session_time: Requests of a session further apart are strangers.
         largest_bad_share: Of all requests of a service from an order to its
             end, the most that a version which proves bad may get.
+        bad_allowance: So many requests it may get beside that share.
     """
 
     instance_id: str
@@ -59,6 +60,7 @@
     stop_time: datetime.timedelta
     session_time: datetime.timedelta
     largest_bad_share: float
+    bad_allowance: float
     retries: RetryBounds
 
 
@@ -163,6 +165,7 @@
         stop_time=_seconds(reader.number("bounds.graceS", default=8)),
         session_time=_seconds(reader.number("bounds.sessionS", default=5)),
         largest_bad_share=reader.number("bounds.exposureShare", default=0.1),
+        bad_allowance=reader.number("bounds.exposureAllowance", default=0),
         retries=RetryBounds(
             ratio=reader.number("bounds.retryRatio", default=0.1),
             window=_seconds(reader.number("bounds.retryWindowS", default=10)),
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -57,6 +57,7 @@
             rollouts=instance.rollouts,
             orders=instance.orders,
             status=rollout_rows.PlatformStatusRows(),
+            fleet_rate_per_s=lambda service: 0.0,
             watch=instance.watch,
             clock=self.clock,
             random_source=random.Random(1),
