--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -151,11 +151,15 @@
         """Takes in that an attempt's answer begins now."""
         if prepared.forecast is None:
             return
+        took = self._clock.monotonic() - prepared.sent_at
+        waiting = prepared.forecast.waiting
+        tokens = attempt_facts.unkept_tokens(job, prepared.forecast.kept)
+        expected = self._times.first_event(
+            prepared.model, waiting=waiting, tokens=tokens
+        )
+        self._note_first_pace(prepared, took, expected)
         self._times.note_first_event(
-            prepared.model,
-            waiting=prepared.forecast.waiting,
-            tokens=attempt_facts.unkept_tokens(job, prepared.forecast.kept),
-            took=self._clock.monotonic() - prepared.sent_at,
+            prepared.model, waiting=waiting, tokens=tokens, took=took
         )
         key = attempt_facts.affinity(job)
         if key is not None:
@@ -196,6 +200,29 @@
             ),
         )
 
+    def _note_first_pace(
+        self,
+        prepared: Prepared,
+        took: datetime.timedelta,
+        expected: datetime.timedelta,
+    ) -> None:
+        """Takes in how much later than expected an answer began.
+
+        The failure: a version reads six times slower in half of its requests.
+        Prompts and queues differ by more than that, so its first events are
+        within what is usual. Measured by what was expected of each they are
+        not: their logarithms are 1.0 to 1.4 above the usual, which spread by
+        0.8. Those of good versions, on replicas that have nothing kept yet,
+        were not above it. All models count as one kind, since an instance of
+        a small fleet sees one first event a second.
+        """
+        self._versions.note_pace(
+            prepared.replica.entry,
+            measure=usual_module.Measure.BEGINNING,
+            kind=prepared.replica.entry.service,
+            pace_s=took / max(expected, _MILLISECOND),
+        )
+
     def note_pace(
         self, prepared: Prepared, duration: datetime.timedelta, *, steps: int
     ) -> None:
@@ -209,6 +236,7 @@
         is_stream = prepared.route.kind is model.RouteKind.STREAM
         self._versions.note_pace(
             prepared.replica.entry,
+            measure=usual_module.Measure.GOING_ON,
             kind=prepared.replica.entry.service
             if is_stream
             else prepared.route.name,
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -193,9 +193,7 @@
         candidates = self._candidates(need, self._homes)
         if not candidates:
             return None
-        home = next(
-            self._directory.in_order_everywhere(need.service, need.key), None
-        )
+        home = self._home(need)
         forecasts = [
             self._forecast_at(need, replica, is_home=replica is home)
             for replica in candidates
@@ -223,6 +221,19 @@
             or self._all(need)
         )
 
+    def _home(self, need: Need) -> directory_module.Replica | None:
+        """Returns the replica that has a key's shared parts, if any has.
+
+        The failure: while a version rolls out, half of the replicas run the
+        other one. Where they counted, half of the parts had no home, and were
+        read again wherever the shortest queue was.
+        """
+        everywhere = self._directory.in_order_everywhere(need.service, need.key)
+        return next(
+            (replica for replica in everywhere if need.accepts(replica.entry)),
+            None,
+        )
+
     def _homes(
         self, need: Need, accepts: _Test
     ) -> list[directory_module.Replica]:
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -15,7 +15,7 @@
 # many answers. Chance alone does that to one good version in 700; in fact it
 # is rarer, since replicas on trial carry less load than the others.
 _SLOW_DEVIATIONS = 3.0
-_LEAST_PACED = 6
+_LEAST_PACED = 4
 # So many standard deviations of slowness are worth telling like a bad answer.
 _PACE_WORTH_TELLING = 2.0
 # Of one instance's few runs in the course of an order.
@@ -34,26 +34,41 @@
     bad_replicas: set[str] = set()
 
 
+class PaceCount(msgspec.Struct, kw_only=True):
+    """Answers whose pace was compared with what is usual.
+
+    Attributes:
+        deviations: Theirs, in standard deviations, summed up.
+    """
+
+    answers: int = 0
+    deviations: float = 0.0
+
+
 class EvidenceRow(msgspec.Struct, kw_only=True):
     """What one instance saw in the course of one order.
 
     Attributes:
-        paced: Answers whose pace was compared with what is usual.
-        pace_sum: Their deviations, in standard deviations, summed up.
+        paces: By what was measured.
         run_id: Tells rows of one instance's runs apart; each counts anew.
     """
 
     order_id: int
     routes: dict[str, RouteCount] = {}
-    paced: int = 0
-    pace_sum: float = 0.0
+    paces: dict[usual_module.Measure, PaceCount] = {}
     run_id: str = ""
 
     @property
     def weight(self) -> float:
         """How much of it speaks against the version, in bad answers."""
         bad = sum(count.bad for count in self.routes.values())
-        return bad + self.pace_sum / _PACE_WORTH_TELLING
+        slow = sum(max(0.0, p.deviations) for p in self.paces.values())
+        return bad + slow / _PACE_WORTH_TELLING
+
+    @property
+    def paced(self) -> int:
+        """How many paces were compared."""
+        return sum(pace.answers for pace in self.paces.values())
 
     def has_all_of(self, other: "EvidenceRow") -> bool:
         """Tells whether it counts no less than an earlier row."""
@@ -110,10 +125,13 @@
         culprits = {replica_id} if bad else set()
         self._add(route, [bad], culprits)
 
-    def note_pace(self, deviation: float) -> None:
-        """Takes in how much slower than usual an answer went on."""
-        self._own.paced += 1
-        self._own.pace_sum += deviation
+    def note_pace(
+        self, measure: usual_module.Measure, deviation: float
+    ) -> None:
+        """Takes in how much slower than usual an answer was."""
+        count = self._own.paces.setdefault(measure, PaceCount())
+        count.answers += 1
+        count.deviations += deviation
 
     def merge(self, instance_id: str, row: EvidenceRow) -> None:
         """Takes in what another instance saw."""
@@ -174,14 +192,32 @@
         return None
 
     def _slowness(self, deviations: float) -> str | None:
+        for measure in usual_module.Measure:
+            found = self._slowness_by(measure, deviations)
+            if found is not None:
+                return found
+        return None
+
+    def _slowness_by(
+        self, measure: usual_module.Measure, deviations: float
+    ) -> str | None:
+        """Returns how slow answers were if chance hardly explains it.
+
+        What is usual is a mean of some answers itself, so that more answers
+        of the new version do not make any difference from it a proof.
+        """
         rows = [self._own, *self._seen.values()]
-        paced = sum(row.paced for row in rows)
-        total = sum(row.pace_sum for row in rows)
-        if paced < _LEAST_PACED or total < deviations * paced**0.5:
+        counts = [row.paces[measure] for row in rows if measure in row.paces]
+        answers = sum(count.answers for count in counts)
+        total = sum(count.deviations for count in counts)
+        if answers < _LEAST_PACED:
+            return None
+        of_usual = answers / usual_module.MEAN_PACE_ANSWERS
+        if total < deviations * (answers * (1.0 + of_usual)) ** 0.5:
             return None
         return (
-            f"{paced} answers went on slower than usual, by"
-            f" {total / paced:.1f} standard deviations"
+            f"{answers} answers were slower than usual in {measure.value}, by"
+            f" {total / answers:.1f} standard deviations"
         )
 
     def _add(self, route: str, answers: list[bool], culprits: set[str]) -> None:
--- a/src/nutmeghook/internal/version_plans/news.py
+++ b/src/nutmeghook/internal/version_plans/news.py
@@ -29,6 +29,8 @@
 # Bad answers are also written to the store, so of a large fleet a part is
 # told; sessions are told to all.
 PEERS_TOLD_EVIDENCE = 24
+# In bad answers. A slow one is about as much, and a datagram costs little.
+_WORTH_TELLING = 0.5
 
 
 class _Told:
@@ -122,7 +124,7 @@
         self, order: orders_module.RollOutOrder, told: _Told
     ) -> None:
         own = self._rollouts.evidence_of(order).own
-        if own.weight < told.weight + 1.0:
+        if own.weight < told.weight + _WORTH_TELLING:
             return
         told.weight = own.weight
         known = self._addresses()
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -306,7 +306,12 @@
         )
 
     def note_pace(
-        self, entry: entries.ReplicaEntry, *, kind: str, pace_s: float
+        self,
+        entry: entries.ReplicaEntry,
+        *,
+        measure: usual_module.Measure,
+        kind: str,
+        pace_s: float,
     ) -> None:
         """Takes in how quickly an answer went on.
 
@@ -315,16 +320,16 @@
         """
         order = self._orders.of_service(entry.service)
         if order is None or entry.version != order.version:
-            self._paces.note(kind, pace_s)
+            self._paces.note(f"{measure.value}/{kind}", pace_s)
             return
         plan = self.plan_of(order)
         if plan is None or not plan.is_open:
             return
         if self.is_trial_over(plan):
             return
-        deviation = self._paces.deviation(kind, pace_s)
+        deviation = self._paces.deviation(f"{measure.value}/{kind}", pace_s)
         if deviation is not None:
-            self.evidence_of(order).note_pace(deviation)
+            self.evidence_of(order).note_pace(measure, deviation)
 
     def _uses_new(
         self,
--- a/src/nutmeghook/internal/version_plans/usual.py
+++ b/src/nutmeghook/internal/version_plans/usual.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 import math
 
 # A version may fail this share of its requests beyond what the version in full
@@ -34,10 +35,26 @@
 _LEAST_PACE_SPREAD = 0.3
 # One answer counts for at most so many standard deviations.
 _MOST_DEVIATION = 3.0
+# Of each pace in the mean and spread that it is compared with: some 60 answers
+# count, since what is expected of each takes the load into account already.
+_PACE_WEIGHT = 0.033
+# So many answers the mean of paces is as sure as: 2 / weight - 1.
+MEAN_PACE_ANSWERS = 2.0 / _PACE_WEIGHT - 1.0
 # Answers of all routes together, beside those of each.
 ALL_ROUTES = "all routes"
 
 
+class Measure(enum.Enum):
+    """What is measured of an answer's pace.
+
+    A version may be slow in one of them only; added up, the other would hide
+    it.
+    """
+
+    BEGINNING = "beginning"
+    GOING_ON = "going on"
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class AnswerSeen:
     """An answer, or a failure that the replica reported.
@@ -125,7 +142,7 @@
         value = math.log(max(pace_s, 1e-4))
         count = self._count.get(kind, 0)
         mean = self._mean.get(kind, value)
-        weight = max(_DURATION_WEIGHT, 1.0 / (count + 1))
+        weight = max(_PACE_WEIGHT, 1.0 / (count + 1))
         deviation = value - mean
         self._mean[kind] = mean + weight * deviation
         variance = self._variance.get(kind, 0.0)
--- a/src/nutmeghook/internal/version_plans/view.py
+++ b/src/nutmeghook/internal/version_plans/view.py
@@ -58,14 +58,21 @@
 
     @abc.abstractmethod
     def note_pace(
-        self, entry: entries.ReplicaEntry, *, kind: str, pace_s: float
+        self,
+        entry: entries.ReplicaEntry,
+        *,
+        measure: usual_module.Measure,
+        kind: str,
+        pace_s: float,
     ) -> None:
         """Takes in how quickly an answer went on.
 
         Args:
             entry: Who answered.
-            kind: Answers of one kind go on about as quickly.
-            pace_s: Time between two events, or until a whole answer.
+            measure: What was measured.
+            kind: Answers of one kind are about as quick.
+            pace_s: Time between two events, or until a whole answer; or until
+                an answer's first event, as parts of what was expected.
         """
 
 
@@ -104,6 +111,11 @@
         """Ignores it."""
 
     def note_pace(
-        self, entry: entries.ReplicaEntry, *, kind: str, pace_s: float
+        self,
+        entry: entries.ReplicaEntry,
+        *,
+        measure: usual_module.Measure,
+        kind: str,
+        pace_s: float,
     ) -> None:
         """Ignores it."""
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.version_plans import driver as driver_module
 from nutmeghook.internal.version_plans import plan as plan_module
+from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import store
 from nutmeghook.standins import users_store
@@ -217,12 +218,16 @@
                 for pace_s in (0.015, 0.03):
                     instance.rollouts.note_pace(
                         version_fixture.entry(1, "v1"),
+                        measure=usual_module.Measure.GOING_ON,
                         kind="kind",
                         pace_s=pace_s,
                     )
             for _ in range(2):
                 instance.rollouts.note_pace(
-                    version_fixture.entry(1, "v2"), kind="kind", pace_s=0.035
+                    version_fixture.entry(1, "v2"),
+                    measure=usual_module.Measure.GOING_ON,
+                    kind="kind",
+                    pace_s=0.035,
                 )
             self.assertIsNone(instance.rollouts.judge(version_fixture.ORDER))
         await self.clock.advance(
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -315,6 +315,41 @@
             "slower", self.instance.rollouts.judge(version_fixture.ORDER)
         )
 
+    async def test_a_version_slow_in_some_first_events_is_found(self):
+        """A version begins answers five times later in 3 of 10 requests.
+        First events differ as much by prompt and queue; as parts of what was
+        expected of each they spread by a factor of two.
+        """
+        drawn = random.Random(3)
+        usual = [math.exp(drawn.gauss(-0.3, 0.8)) for _ in range(200)]
+        self.pace("v1", *usual)
+        self.instance.begin()
+        slow = [
+            math.exp(drawn.gauss(-0.3, 0.8)) * (5 if number % 10 < 3 else 1)
+            for number in range(80)
+        ]
+        self.pace("v2", *slow)
+        self.assertIsNotNone(
+            self.instance.rollouts.judge(version_fixture.ORDER)
+        )
+
+    async def test_a_version_whose_first_events_are_usual_is_not_called_slow(
+        self,
+    ):
+        """Twenty good versions, each seen eighty times."""
+        for seed in range(20):
+            drawn = random.Random(seed)
+            self.setUp()
+            self.pace(
+                "v1", *[math.exp(drawn.gauss(-0.3, 0.8)) for _ in range(200)]
+            )
+            self.instance.begin()
+            for _ in range(80):
+                self.pace("v2", math.exp(drawn.gauss(-0.3, 0.8)))
+                self.assertIsNone(
+                    self.instance.rollouts.judge(version_fixture.ORDER), seed
+                )
+
     async def test_a_busy_last_stretch_is_not_a_slow_version(self):
         """Everything runs on the new version and a burst comes.
         Its answers go on slower than the old ones did before the burst.
@@ -329,7 +364,10 @@
         """Takes in how quickly answers of a version went on."""
         for pace_s in paces_s:
             self.instance.rollouts.note_pace(
-                version_fixture.entry(1, version), kind="kind", pace_s=pace_s
+                version_fixture.entry(1, version),
+                measure=usual_module.Measure.GOING_ON,
+                kind="kind",
+                pace_s=pace_s,
             )
 
     @given(strategies.integers(min_value=0, max_value=2**32))
