--- /dev/null
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -0,0 +1,99 @@
+"""Puts the way of a request to a replica and back together."""
+
+import dataclasses
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import window_budget
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import attempts
+from nutmeghook.internal.relay import generation_times
+from nutmeghook.internal.relay import model_advice
+from nutmeghook.internal.relay import model_choice
+from nutmeghook.internal.relay import observations
+from nutmeghook.internal.relay import path as path_module
+from nutmeghook.internal.relay import replica_search
+from nutmeghook.internal.relay import streams
+from nutmeghook.internal.relay import whole_answers
+from nutmeghook.internal.relay import wire
+from nutmeghook.internal.replicas import choice
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.upstream import pool as pool_module
+from nutmeghook.internal.upstream import sender as sender_module
+from nutmeghook.internal.version_plans import view
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Surroundings:
+    """What a request's way rests on.
+
+    Attributes:
+        data_centre: Where this instance runs.
+    """
+
+    configuration: in_force_module.ConfigurationInForce
+    directory: directory_module.ReplicaDirectory
+    versions: view.VersionView
+    budgets: window_budget.WindowRetryBudgets
+    pool: pool_module.ConnectionPool
+    data_centre: str
+    wire_format: wire.WireFormat
+    metrics: metrics_module.Metrics
+    clock: clock_module.Clock
+    random_source: random.Random
+
+
+def build(around: Surroundings) -> path_module.RequestPath:
+    """Returns the way of requests, with all that decides on it."""
+    times = generation_times.GenerationTimes()
+    chooser = choice.ReplicaChooser(
+        directory=around.directory,
+        data_centre=around.data_centre,
+        clock=around.clock,
+    )
+    search = replica_search.ReplicaSearch(
+        chooser=chooser, versions=around.versions, times=times
+    )
+    parts = {
+        "planner": attempts.AttemptPlanner(
+            configuration=around.configuration,
+            search=search,
+            versions=around.versions,
+            budgets=around.budgets,
+            wire_format=around.wire_format,
+            clock=around.clock,
+            random_source=around.random_source,
+        ),
+        "observer": observations.AnswerObserver(
+            chooser=chooser,
+            versions=around.versions,
+            times=times,
+            clock=around.clock,
+        ),
+        "sender": sender_module.Sender(
+            pool=around.pool,
+            directory=around.directory,
+            wire_format=around.wire_format,
+            clock=around.clock,
+        ),
+        "wire_format": around.wire_format,
+        "clock": around.clock,
+    }
+    return path_module.RequestPath(
+        configuration=around.configuration,
+        stream_path=streams.StreamPath(
+            advice=model_advice.ModelAdvice(
+                choice=model_choice.WeighedWorth(),
+                search=search,
+                times=times,
+                configuration=around.configuration,
+                directory=around.directory,
+                clock=around.clock,
+            ),
+            **parts,
+        ),
+        whole_path=whole_answers.WholeAnswerPath(**parts),
+        metrics=around.metrics,
+        clock=around.clock,
+    )
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 import aioprometheus
 
+from nutmeghook.internal.assembly import relay_path
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
@@ -19,20 +20,12 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
-from nutmeghook.internal.relay import attempts
-from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import listener as listener_module
-from nutmeghook.internal.relay import model_advice
-from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import path as path_module
-from nutmeghook.internal.relay import streams
-from nutmeghook.internal.relay import whole_answers
-from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import pool as pool_module
-from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import driver
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
@@ -143,51 +136,19 @@
         self._runners: list[web.ServerRunner] = []
 
     def _build_path(self) -> path_module.RequestPath:
-        times = generation_times.GenerationTimes()
-        planner = attempts.AttemptPlanner(
-            times=times,
-            configuration=self.configuration,
-            chooser=choice.ReplicaChooser(
+        return relay_path.build(
+            relay_path.Surroundings(
+                configuration=self.configuration,
                 directory=self.directory,
+                versions=self.rollouts,
+                budgets=self.budgets,
+                pool=self._pool,
                 data_centre=self._settings.data_centre,
-                clock=self._clock,
-            ),
-            versions=self.rollouts,
-            budgets=self.budgets,
-            wire_format=self._wire_format,
-            clock=self._clock,
-            random_source=self._random,
-        )
-        sender = sender_module.Sender(
-            pool=self._pool,
-            directory=self.directory,
-            wire_format=self._wire_format,
-            clock=self._clock,
-        )
-        return path_module.RequestPath(
-            configuration=self.configuration,
-            stream_path=streams.StreamPath(
-                planner=planner,
-                sender=sender,
-                advice=model_advice.ModelAdvice(
-                    choice=model_choice.WeighedWorth(),
-                    planner=planner,
-                    times=times,
-                    configuration=self.configuration,
-                    directory=self.directory,
-                    clock=self._clock,
-                ),
-                wire_format=self._wire_format,
-                clock=self._clock,
-            ),
-            whole_path=whole_answers.WholeAnswerPath(
-                planner=planner,
-                sender=sender,
                 wire_format=self._wire_format,
+                metrics=self.metrics,
                 clock=self._clock,
-            ),
-            metrics=self.metrics,
-            clock=self._clock,
+                random_source=self._random,
+            )
         )
 
     def _caller_limits(self) -> model.CallerLimits:
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.inner import tcp_client
 from nutmeghook.internal.inner import tcp_server
+from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner import traffic
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import backlog_gossip
@@ -144,11 +145,7 @@
         self,
         messages: sealed_messages.SealedMessages,
         gossip: gossip_module.TableGossip,
-    ) -> tuple[
-        load_gossip.ReplicaLoadGossip,
-        backlog_gossip.BacklogGossip,
-        news.RollOutNews,
-    ]:
+    ) -> tuple[telling.PeriodicTeller, ...]:
         """Returns what tells peers of things that are not in tables."""
         common = {
             "messages": messages,
--- /dev/null
+++ b/src/nutmeghook/internal/inner/telling.py
@@ -0,0 +1,44 @@
+"""Tells peers something over and over, at times that spread."""
+
+import abc
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+
+# Around the period, so that instances which started together do not send
+# together.
+_SHORTEST_PART = 0.75
+_LONGEST_PART = 1.25
+
+
+class PeriodicTeller(abc.ABC):
+    """Tells peers until cancelled.
+
+    Args:
+        period: Between two tells, on average.
+    """
+
+    __slots__ = ("_clock", "_period", "_random")
+
+    def __init__(
+        self,
+        *,
+        period: datetime.timedelta,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+    ):
+        self._period = period
+        self._clock = clock
+        self._random = random_source
+
+    @abc.abstractmethod
+    def tell(self) -> None:
+        """Tells peers what there is to tell now."""
+
+    async def run(self) -> None:
+        """Tells peers until cancelled."""
+        while True:
+            part = self._random.uniform(_SHORTEST_PART, _LONGEST_PART)
+            await self._clock.sleep(part * self._period)
+            self.tell()
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -1,7 +1,5 @@
 """Prepares each attempt from the newest knowledge, and allows repeats."""
 
-from collections.abc import Callable
-import dataclasses
 import datetime
 import random
 
@@ -9,19 +7,17 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.relay import attempt_facts
-from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
+from nutmeghook.internal.relay import replica_search
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import choice as choice_module
-from nutmeghook.internal.replicas import directory as directory_module
-from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
-from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.internal.version_plans import view as view_module
 
 # Attempts of any outcome. Refusals cost little, but a request that several
@@ -34,35 +30,15 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Prepared:
-    """An attempt that is ready to be sent.
-
-    Attributes:
-        forecast: When its answer was expected to begin; None of a request
-            that is no generation.
-        after_event: The event after which it goes on; None from the start.
-    """
-
-    replica: directory_module.Replica
-    outgoing: sender_module.Outgoing
-    sent_at: datetime.timedelta
-    route: model.Route
-    model: str
-    forecast: choice_module.Forecast | None
-    after_event: str | None
-
-
 class AttemptPlanner:
     """Chooses where the next attempt of a request goes."""
 
     __slots__ = (
         "_budgets",
-        "_chooser",
         "_clock",
         "_configuration",
         "_random",
-        "_times",
+        "_search",
         "_versions",
         "_wire_format",
     )
@@ -71,24 +47,22 @@
         self,
         *,
         configuration: in_force_module.ConfigurationInForce,
-        chooser: choice_module.ReplicaChooser,
+        search: replica_search.ReplicaSearch,
         versions: view_module.VersionView,
         budgets: window_budget.WindowRetryBudgets,
-        times: generation_times.GenerationTimes,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
         self._configuration = configuration
-        self._chooser = chooser
+        self._search = search
         self._versions = versions
         self._budgets = budgets
-        self._times = times
         self._wire_format = wire_format
         self._clock = clock
         self._random = random_source
 
-    def prepare(self, job: job_module.Job) -> Prepared:
+    def prepare(self, job: job_module.Job) -> prepared_module.Prepared:
         """Returns the next attempt.
 
         Route and key are looked up again: a request may have waited, or been
@@ -99,7 +73,7 @@
         """
         route = self._checked_route(job)
         job.service = attempt_facts.service_for(route, job)
-        chosen = self._choose(job)
+        chosen = self._search.best(job)
         if chosen is None:
             raise self.given_up(job, reason="no replica can take it")
         replica = chosen.replica
@@ -128,7 +102,7 @@
             attempt=job.tries,
             **_logged(chosen.forecast),
         )
-        return Prepared(
+        return prepared_module.Prepared(
             replica=replica,
             outgoing=self._outgoing(job, chosen),
             sent_at=self._clock.monotonic(),
@@ -138,111 +112,6 @@
             after_event=job.last_event_id,
         )
 
-    def forecast(
-        self, job: job_module.Job, model_index: int
-    ) -> choice_module.Forecast | None:
-        """Returns when another model's answer would begin, sent now."""
-        need = self._need(
-            job, self._accepts(job), tried=frozenset(), model_index=model_index
-        )
-        return self._chooser.forecast(need) if need.prompt else None
-
-    def note_first_event(self, job: job_module.Job, prepared: Prepared) -> None:
-        """Takes in that an attempt's answer begins now."""
-        if prepared.forecast is None:
-            return
-        took = self._clock.monotonic() - prepared.sent_at
-        waiting = prepared.forecast.waiting
-        tokens = attempt_facts.unkept_tokens(job, prepared.forecast.kept)
-        expected = self._times.first_event(
-            prepared.model, waiting=waiting, tokens=tokens
-        )
-        self._note_first_pace(prepared, took, expected)
-        self._times.note_first_event(
-            prepared.model, waiting=waiting, tokens=tokens, took=took
-        )
-        key = attempt_facts.affinity(job)
-        if key is not None:
-            self._chooser.note_read(prepared.forecast, key)
-
-    def note_answer(
-        self,
-        job: job_module.Job,
-        prepared: Prepared,
-        *,
-        status: int,
-        failed: bool,
-    ) -> None:
-        """Takes in that a replica began to answer, or failed."""
-        now = self._clock.monotonic()
-        report = prepared.replica.report
-        logs.note(
-            "attempt:answered",
-            request=job.log_id,
-            attempt=job.tries,
-            replica=prepared.replica.entry.replica_id,
-            version=prepared.replica.entry.version,
-            status=status,
-            after_ms=round((now - prepared.sent_at) / _MILLISECOND),
-            replica_running=report.running if report else None,
-            replica_waiting=report.waiting if report else None,
-        )
-        if failed:
-            prepared.replica.health.note_failure(now)
-        self._versions.note_answer(
-            prepared.replica.entry,
-            usual_module.AnswerSeen(
-                route=prepared.route.name,
-                model=prepared.model,
-                failed=failed,
-                duration_s=(now - prepared.sent_at).total_seconds(),
-                target_s=prepared.route.target.total_seconds(),
-            ),
-        )
-
-    def _note_first_pace(
-        self,
-        prepared: Prepared,
-        took: datetime.timedelta,
-        expected: datetime.timedelta,
-    ) -> None:
-        """Takes in how much later than expected an answer began.
-
-        The failure: a version reads six times slower in half of its requests.
-        Prompts and queues differ by more than that, so its first events are
-        within what is usual. Measured by what was expected of each they are
-        not: their logarithms are 1.0 to 1.4 above the usual, which spread by
-        0.8. Those of good versions, on replicas that have nothing kept yet,
-        were not above it. All models count as one kind, since an instance of
-        a small fleet sees one first event a second.
-        """
-        self._versions.note_pace(
-            prepared.replica.entry,
-            measure=usual_module.Measure.BEGINNING,
-            kind=prepared.replica.entry.service,
-            pace_s=took / max(expected, _MILLISECOND),
-        )
-
-    def note_pace(
-        self, prepared: Prepared, duration: datetime.timedelta, *, steps: int
-    ) -> None:
-        """Takes in how long an answer took, in so many equal steps.
-
-        A replica generates for all its streams in one batch, so events come
-        equally often on every route; whole answers differ by route.
-        """
-        if steps < 1:
-            return
-        is_stream = prepared.route.kind is model.RouteKind.STREAM
-        self._versions.note_pace(
-            prepared.replica.entry,
-            measure=usual_module.Measure.GOING_ON,
-            kind=prepared.replica.entry.service
-            if is_stream
-            else prepared.route.name,
-            pace_s=duration.total_seconds() / steps,
-        )
-
     def allow_repeat(
         self, job: job_module.Job, error: outcomes.AttemptError
     ) -> None:
@@ -281,7 +150,7 @@
             job.route.repeatable
             and job.runs + 1 < job.route.attempts
             and job.tries < MAX_TRIES
-            and self._choose_untried(job) is not None
+            and self._search.untried(job) is not None
             and self.try_spend(job)
         )
 
@@ -331,88 +200,6 @@
             response, reason="route or key was taken away meanwhile"
         )
 
-    def _choose(self, job: job_module.Job) -> choice_module.Choice | None:
-        """Returns the best replica for the next attempt.
-
-        The failure: a request left a silent replica for another one, and that
-        one refuses it. There is no third, the first works as before, and the
-        caller's answer would end for want of a replica. What has run already
-        and may be repeated goes back to one that was tried.
-        """
-        chosen = self._choose_untried(job)
-        if chosen is None and job.possibly_run and job.route.repeatable:
-            return self._best(job, self._accepts(job), tried=frozenset())
-        return chosen
-
-    def _choose_untried(
-        self, job: job_module.Job
-    ) -> choice_module.Choice | None:
-        """Returns the best replica that was not tried.
-
-        The failure: a roll-out has just begun, the new version's only replica
-        fails a request, and there is no other of that version to turn to. A
-        request that failed on a new version may go on with the one in full
-        use.
-        """
-        tried = frozenset(job.tried)
-        chosen = self._best(job, self._accepts(job), tried=tried)
-        if chosen is None and tried:
-            in_full_use = self._versions.in_full_use(job.service)
-            chosen = self._best(job, in_full_use, tried=tried)
-        return chosen
-
-    def _accepts(
-        self, job: job_module.Job
-    ) -> Callable[[entries.ReplicaEntry], bool]:
-        """Returns a test for the replicas whose version may run a request."""
-        return self._versions.accepts(
-            job.service,
-            session=job.incoming.facts.session,
-            request_id=job.log_id,
-        )
-
-    def _best(
-        self,
-        job: job_module.Job,
-        accepts: Callable[[entries.ReplicaEntry], bool],
-        *,
-        tried: frozenset[str],
-    ) -> choice_module.Choice | None:
-        return self._chooser.choose(self._need(job, accepts, tried=tried))
-
-    def _need(
-        self,
-        job: job_module.Job,
-        accepts: Callable[[entries.ReplicaEntry], bool],
-        *,
-        tried: frozenset[str],
-        model_index: int | None = None,
-    ) -> choice_module.Need:
-        return choice_module.Need(
-            service=job.service,
-            accepts=accepts,
-            key=attempt_facts.affinity(job, model_index) or job.log_id,
-            exclude=tried,
-            prompt=self._prompt(job, model_index),
-        )
-
-    def _prompt(
-        self, job: job_module.Job, model_index: int | None
-    ) -> choice_module.Prompt | None:
-        """Returns what an engine has to read for the request."""
-        model_name = attempt_facts.model_name(job, model_index)
-        if job.incoming.facts.prompt is None and model_name is None:
-            return None
-        model_name = model_name or ""
-        shared_tokens = attempt_facts.shared_tokens(job)
-        own_tokens = job.input_tokens - shared_tokens
-        return choice_module.Prompt(
-            shared=self._times.reading(model_name, shared_tokens),
-            own=self._times.reading(model_name, own_tokens),
-            urgent=attempt_facts.is_urgent(job, model_index),
-            target=job.route.target,
-        )
-
     def _outgoing(
         self, job: job_module.Job, chosen: choice_module.Choice
     ) -> sender_module.Outgoing:
--- a/src/nutmeghook/internal/relay/model_advice.py
+++ b/src/nutmeghook/internal/relay/model_advice.py
@@ -6,10 +6,11 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.relay import attempt_facts
-from nutmeghook.internal.relay import attempts as attempts_module
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import model_choice
+from nutmeghook.internal.relay import prepared as prepared_module
+from nutmeghook.internal.relay import replica_search
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.routes import in_force as in_force_module
@@ -60,7 +61,7 @@
         "_clock",
         "_configuration",
         "_directory",
-        "_planner",
+        "_search",
         "_times",
         "_usual_prompts",
     )
@@ -69,7 +70,7 @@
         self,
         *,
         choice: model_choice.ModelChoice,
-        planner: attempts_module.AttemptPlanner,
+        search: replica_search.ReplicaSearch,
         times: generation_times.GenerationTimes,
         configuration: in_force_module.ConfigurationInForce,
         directory: directory_module.ReplicaDirectory,
@@ -79,7 +80,7 @@
         self._configuration = configuration
         self._directory = directory
         self._clock = clock
-        self._planner = planner
+        self._search = search
         self._times = times
         self._usual_prompts: dict[str, _UsualPrompt] = collections.defaultdict(
             _UsualPrompt
@@ -95,7 +96,7 @@
     def note_generation(
         self,
         job: job_module.Job,
-        prepared: attempts_module.Prepared,
+        prepared: prepared_module.Prepared,
         took: datetime.timedelta,
     ) -> None:
         """Takes in how long a whole answer went on after its first event."""
@@ -118,7 +119,7 @@
             return None
         if job.deadline - self._clock.monotonic() < _LEAST_TIME_FOR_LARGER:
             return None
-        forecast = self._planner.forecast(job, larger)
+        forecast = self._search.forecast(job, larger)
         if forecast is None:
             return None
         situation = self._situation(job, confidence, larger, forecast)
--- /dev/null
+++ b/src/nutmeghook/internal/relay/prepared.py
@@ -0,0 +1,28 @@
+"""An attempt that is ready to be sent."""
+
+import dataclasses
+import datetime
+
+from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import sender as sender_module
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Prepared:
+    """An attempt that is ready to be sent.
+
+    Attributes:
+        forecast: When its answer was expected to begin; None of a request
+            that is no generation.
+        after_event: The event after which it goes on; None from the start.
+    """
+
+    replica: replica_module.Replica
+    outgoing: sender_module.Outgoing
+    sent_at: datetime.timedelta
+    route: model.Route
+    model: str
+    forecast: choice_module.Forecast | None
+    after_event: str | None
--- /dev/null
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -0,0 +1,116 @@
+"""Which replica a request's next attempt goes to."""
+
+from collections.abc import Callable
+
+from nutmeghook.internal.relay import attempt_facts
+from nutmeghook.internal.relay import generation_times
+from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.version_plans import view as view_module
+
+
+class ReplicaSearch:
+    """Puts what a request needs to the chooser, by version and by tries."""
+
+    __slots__ = ("_chooser", "_times", "_versions")
+
+    def __init__(
+        self,
+        *,
+        chooser: choice_module.ReplicaChooser,
+        versions: view_module.VersionView,
+        times: generation_times.GenerationTimes,
+    ):
+        self._chooser = chooser
+        self._versions = versions
+        self._times = times
+
+    def best(self, job: job_module.Job) -> choice_module.Choice | None:
+        """Returns the best replica for the next attempt.
+
+        The failure: a request left a silent replica for another one, and that
+        one refuses it. There is no third, the first works as before, and the
+        caller's answer would end for want of a replica. What has run already
+        and may be repeated goes back to one that was tried.
+        """
+        chosen = self.untried(job)
+        if chosen is None and job.possibly_run and job.route.repeatable:
+            return self._best(job, self._accepts(job), tried=frozenset())
+        return chosen
+
+    def untried(self, job: job_module.Job) -> choice_module.Choice | None:
+        """Returns the best replica that was not tried.
+
+        The failure: a roll-out has just begun, the new version's only replica
+        fails a request, and there is no other of that version to turn to. A
+        request that failed on a new version may go on with the one in full
+        use.
+        """
+        tried = frozenset(job.tried)
+        chosen = self._best(job, self._accepts(job), tried=tried)
+        if chosen is None and tried:
+            in_full_use = self._versions.in_full_use(job.service)
+            chosen = self._best(job, in_full_use, tried=tried)
+        return chosen
+
+    def _accepts(
+        self, job: job_module.Job
+    ) -> Callable[[entries.ReplicaEntry], bool]:
+        """Returns a test for the replicas whose version may run a request."""
+        return self._versions.accepts(
+            job.service,
+            session=job.incoming.facts.session,
+            request_id=job.log_id,
+        )
+
+    def _best(
+        self,
+        job: job_module.Job,
+        accepts: Callable[[entries.ReplicaEntry], bool],
+        *,
+        tried: frozenset[str],
+    ) -> choice_module.Choice | None:
+        return self._chooser.choose(self._need(job, accepts, tried=tried))
+
+    def _need(
+        self,
+        job: job_module.Job,
+        accepts: Callable[[entries.ReplicaEntry], bool],
+        *,
+        tried: frozenset[str],
+        model_index: int | None = None,
+    ) -> choice_module.Need:
+        return choice_module.Need(
+            service=job.service,
+            accepts=accepts,
+            key=attempt_facts.affinity(job, model_index) or job.log_id,
+            exclude=tried,
+            prompt=self._prompt(job, model_index),
+        )
+
+    def _prompt(
+        self, job: job_module.Job, model_index: int | None
+    ) -> choice_module.Prompt | None:
+        """Returns what an engine has to read for the request."""
+        model_name = attempt_facts.model_name(job, model_index)
+        if job.incoming.facts.prompt is None and model_name is None:
+            return None
+        model_name = model_name or ""
+        shared_tokens = attempt_facts.shared_tokens(job)
+        own_tokens = job.input_tokens - shared_tokens
+        return choice_module.Prompt(
+            shared=self._times.reading(model_name, shared_tokens),
+            own=self._times.reading(model_name, own_tokens),
+            urgent=attempt_facts.is_urgent(job, model_index),
+            target=job.route.target,
+        )
+
+    def forecast(
+        self, job: job_module.Job, model_index: int
+    ) -> choice_module.Forecast | None:
+        """Returns when another model's answer would begin, sent now."""
+        need = self._need(
+            job, self._accepts(job), tried=frozenset(), model_index=model_index
+        )
+        return self._chooser.forecast(need) if need.prompt else None
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -13,6 +13,8 @@
 from nutmeghook.internal.relay import events as events_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import model_advice
+from nutmeghook.internal.relay import observations
+from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.upstream import outcomes
@@ -45,18 +47,27 @@
 class StreamPath:
     """Passes events on, resumes cut streams, and replaces weak answers."""
 
-    __slots__ = ("_advice", "_clock", "_planner", "_sender", "_wire_format")
+    __slots__ = (
+        "_advice",
+        "_clock",
+        "_observer",
+        "_planner",
+        "_sender",
+        "_wire_format",
+    )
 
     def __init__(
         self,
         *,
         planner: attempts_module.AttemptPlanner,
+        observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         advice: model_advice.ModelAdvice,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._planner = planner
+        self._observer = observer
         self._sender = sender
         self._advice = advice
         self._wire_format = wire_format
@@ -80,7 +91,7 @@
                 return
 
     async def _attempt(
-        self, job: job_module.Job, prepared: attempts_module.Prepared
+        self, job: job_module.Job, prepared: prepared_module.Prepared
     ) -> _Step:
         async with contextlib.AsyncExitStack() as stack:
             answer = await self._head(job, prepared, stack)
@@ -88,10 +99,10 @@
                 return await self._other_answer(job, prepared, answer)
             if not answer.facts.sealed or answer.facts.encoded:
                 raise outcomes.UnknownOutcomeError("the answer is not sealed")
-            self._planner.note_answer(
+            self._observer.note_answer(
                 job, prepared, status=answer.head.status, failed=False
             )
-            self._planner.note_first_event(job, prepared)
+            self._observer.note_first_event(job, prepared)
             if self._is_replaced(job, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, prepared, answer)
@@ -101,7 +112,7 @@
     async def _other_answer(
         self,
         job: job_module.Job,
-        prepared: attempts_module.Prepared,
+        prepared: prepared_module.Prepared,
         answer: sender_module.Answer,
     ) -> _Step:
         """Passes on what is no stream, if nothing better can be had.
@@ -111,7 +122,7 @@
         """
         body = await self._until_deadline(job, answer.read_whole())
         failed = answer.head.status >= _FIRST_FAILURE_STATUS
-        self._planner.note_answer(
+        self._observer.note_answer(
             job, prepared, status=answer.head.status, failed=failed
         )
         if failed and self._may_repeat(job, answer):
@@ -156,7 +167,7 @@
     async def _pass_on(
         self,
         job: job_module.Job,
-        prepared: attempts_module.Prepared,
+        prepared: prepared_module.Prepared,
         answer: sender_module.Answer,
     ) -> None:
         """Passes whole events on until the stream is complete.
@@ -186,7 +197,7 @@
         if prepared.after_event is None:
             self._advice.note_generation(job, prepared, took)
         if events >= _LEAST_PACED_EVENTS:
-            self._planner.note_pace(prepared, took, steps=events - 1)
+            self._observer.note_pace(prepared, took, steps=events - 1)
 
     async def _pass_event(
         self,
@@ -214,7 +225,7 @@
     async def _head(
         self,
         job: job_module.Job,
-        prepared: attempts_module.Prepared,
+        prepared: prepared_module.Prepared,
         stack: contextlib.AsyncExitStack,
     ) -> sender_module.Answer:
         """Sends, and returns the answer's head once it has come."""
@@ -239,7 +250,7 @@
     async def _bounded(
         self,
         job: job_module.Job,
-        prepared: attempts_module.Prepared,
+        prepared: prepared_module.Prepared,
         wait: Callable[[], Awaitable[_T]],
         *,
         silence: datetime.timedelta,
@@ -278,7 +289,7 @@
     async def _leaves(
         self,
         job: job_module.Job,
-        prepared: attempts_module.Prepared,
+        prepared: prepared_module.Prepared,
         is_too_long: bool,
     ) -> bool:
         """Tells whether a silent replica is left for another one."""
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -6,6 +6,8 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.relay import attempts as attempts_module
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import observations
+from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.upstream import outcomes
@@ -35,17 +37,19 @@
 class WholeAnswerPath:
     """Sends until there is an answer to pass on."""
 
-    __slots__ = ("_clock", "_planner", "_sender", "_wire_format")
+    __slots__ = ("_clock", "_observer", "_planner", "_sender", "_wire_format")
 
     def __init__(
         self,
         *,
         planner: attempts_module.AttemptPlanner,
+        observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._planner = planner
+        self._observer = observer
         self._sender = sender
         self._wire_format = wire_format
         self._clock = clock
@@ -88,13 +92,13 @@
             self._planner.allow_repeat(job, error)
             return None
         job.runs += 1
-        self._planner.note_answer(
+        self._observer.note_answer(
             job, prepared, status=answer.status, failed=answer.failed
         )
         if not answer.failed:
             prepared.replica.health.note_success(self._clock.monotonic())
             took = self._clock.monotonic() - prepared.sent_at
-            self._planner.note_pace(prepared, took, steps=1)
+            self._observer.note_pace(prepared, took, steps=1)
         return answer
 
     def _may_repeat_failure(self, job: job_module.Job) -> bool:
@@ -106,7 +110,7 @@
         )
 
     async def _send(
-        self, job: job_module.Job, prepared: attempts_module.Prepared
+        self, job: job_module.Job, prepared: prepared_module.Prepared
     ) -> WholeAnswer:
         patience, is_last = self._patience(job)
         try:
@@ -133,7 +137,7 @@
         return (left, True) if left <= patience else (patience, False)
 
     async def _exchange(
-        self, prepared: attempts_module.Prepared
+        self, prepared: prepared_module.Prepared
     ) -> WholeAnswer:
         async with self._sender.attempt(
             prepared.replica, prepared.outgoing
--- a/src/nutmeghook/internal/replicas/backlog_gossip.py
+++ b/src/nutmeghook/internal/replicas/backlog_gossip.py
@@ -18,6 +18,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
@@ -33,16 +34,14 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class BacklogGossip:
+class BacklogGossip(telling.PeriodicTeller):
     """Sends this instance's backlogs and takes in those of its peers."""
 
     __slots__ = (
         "_addresses",
-        "_clock",
         "_directory",
         "_instance_id",
         "_messages",
-        "_random",
         "_told_any",
     )
 
@@ -56,23 +55,16 @@
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
+        super().__init__(
+            period=TELL_EVERY, clock=clock, random_source=random_source
+        )
         self._instance_id = instance_id
         self._directory = directory
         self._messages = messages
         self._addresses = addresses
-        self._clock = clock
-        self._random = random_source
         self._told_any = False
         messages.register(ttypes.ReplicaBacklogs, self._receive)
 
-    async def run(self) -> None:
-        """Tells peers until cancelled."""
-        while True:
-            await self._clock.sleep(
-                TELL_EVERY * self._random.uniform(0.75, 1.25)
-            )
-            self.tell()
-
     def tell(self) -> None:
         """Tells peers what this instance has under way, if anything.
 
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import kept_parts
+from nutmeghook.internal.replicas import replica as replica_module
 
 # A replica's own count of its load comes with its answers, here or at a near
 # instance. The older it is, the more the service's usual load is taken
@@ -59,9 +60,9 @@
 FULL_BATCH_DELAY = datetime.timedelta(milliseconds=200)
 # By how much sooner a replica of another data centre has to be. It is what
 # the bytes between data centres are worth.
-REMOTE_DELAY = datetime.timedelta(milliseconds=50)
+REMOTE_DELAY = datetime.timedelta(milliseconds=150)
 
-_Test = Callable[[directory_module.Replica], bool]
+_Test = Callable[[replica_module.Replica], bool]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -91,7 +92,7 @@
         kept: How likely the shared parts of the prompt are kept.
     """
 
-    replica: directory_module.Replica
+    replica: replica_module.Replica
     waiting: datetime.timedelta
     reading: datetime.timedelta
     kept: float
@@ -105,7 +106,7 @@
         forecast: What speaks for it; None of a request that is no generation.
     """
 
-    replica: directory_module.Replica
+    replica: replica_module.Replica
     forecast: Forecast | None = None
 
 
@@ -138,7 +139,7 @@
         self.key = key
         self.exclude = exclude
 
-    def allows(self, replica: directory_module.Replica) -> bool:
+    def allows(self, replica: replica_module.Replica) -> bool:
         """Tells whether a replica may run the request."""
         return (
             not replica.entry.leaving
@@ -207,12 +208,12 @@
     def _candidates(
         self,
         need: Need,
-        compared: Callable[[Need, _Test], list[directory_module.Replica]],
-    ) -> list[directory_module.Replica]:
+        compared: Callable[[Need, _Test], list[replica_module.Replica]],
+    ) -> list[replica_module.Replica]:
         """Returns the replicas to choose from, sound ones if there are any."""
         now = self._clock.monotonic()
 
-        def is_sound(replica: directory_module.Replica) -> bool:
+        def is_sound(replica: replica_module.Replica) -> bool:
             return need.allows(replica) and not replica.health.is_ejected(now)
 
         return (
@@ -221,7 +222,7 @@
             or self._all(need)
         )
 
-    def _home(self, need: Need) -> directory_module.Replica | None:
+    def _home(self, need: Need) -> replica_module.Replica | None:
         """Returns the replica that has a key's shared parts, if any has.
 
         The failure: while a version rolls out, half of the replicas run the
@@ -236,7 +237,7 @@
 
     def _homes(
         self, need: Need, accepts: _Test
-    ) -> list[directory_module.Replica]:
+    ) -> list[replica_module.Replica]:
         """Returns the few replicas where a prompt's parts may be kept."""
         everywhere = self._directory.in_order_everywhere(need.service, need.key)
         near = self._directory.in_order(
@@ -253,7 +254,7 @@
         return found
 
     def _forecast_at(
-        self, need: Need, replica: directory_module.Replica, *, is_home: bool
+        self, need: Need, replica: replica_module.Replica, *, is_home: bool
     ) -> Forecast:
         prompt = need.prompt
         kept = HOME_KEPT if is_home else 0.0
@@ -280,7 +281,7 @@
         return delay
 
     def load_per_slot(
-        self, replica: directory_module.Replica, now: datetime.timedelta
+        self, replica: replica_module.Replica, now: datetime.timedelta
     ) -> float:
         """Returns the estimated load, 1 where all slots are taken."""
         estimate = float(replica.in_flight)
@@ -295,7 +296,7 @@
 
     def _compared(
         self, need: Need, accepts: _Test
-    ) -> list[directory_module.Replica]:
+    ) -> list[replica_module.Replica]:
         """Returns the few replicas that a request's key belongs to."""
         near = self._directory.in_order(
             need.service, self._data_centre, need.key
@@ -318,14 +319,14 @@
         first = xxhash.xxh32_intdigest(need.key.encode()) % len(others)
         return others[first:] + others[:first]
 
-    def _all(self, need: Need) -> list[directory_module.Replica]:
+    def _all(self, need: Need) -> list[replica_module.Replica]:
         """Returns every replica that may run the request."""
         return list(
             filter(need.allows, self._directory.of_service(need.service))
         )
 
     def _score(
-        self, replica: directory_module.Replica, now: datetime.timedelta
+        self, replica: replica_module.Replica, now: datetime.timedelta
     ) -> float:
         score = self.load_per_slot(replica, now)
         score += FAILURE_LOAD * replica.health.failure_rate(now)
@@ -335,6 +336,6 @@
 
 
 def _work(
-    load: directory_module.LoadReport | directory_module.UsualLoad,
+    load: replica_module.LoadReport | replica_module.UsualLoad,
 ) -> float:
     return load.running + WAITING_WEIGHT * load.waiting
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -4,12 +4,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import datetime
 import itertools
 
-import xxhash
-
 from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
@@ -17,6 +14,7 @@
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
 from nutmeghook.internal.replicas import peer_backlogs as peer_backlogs_module
+from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routing import affinity
 
 # Entries lapse while the store is away and are back within two seconds of
@@ -26,92 +24,12 @@
 # Ages are told in whole milliseconds and grow on the way, so a report that
 # comes back from a peer may look this much newer than it is.
 _SAME_REPORT = datetime.timedelta(milliseconds=20)
-# Of each report in the usual load of its service: some ten reports, a second
-# or two of an instance's traffic.
-_USUAL_WEIGHT = 0.1
 # Replicas whose last start is remembered after they have gone: more than twice
 # the largest fleet. It takes 100 bytes for each.
 _STARTS_REMEMBERED = 10_000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class LoadReport:
-    """A replica's own count of its requests, those of others included.
-
-    Attributes:
-        waiting: Requests that have not begun to run.
-        at: Monotonic time at which the replica told it.
-    """
-
-    running: int
-    waiting: int
-    at: datetime.timedelta
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class UsualLoad:
-    """What a service's replicas have reported lately, on average."""
-
-    running: float = 0.0
-    waiting: float = 0.0
-
-    def after(self, report: LoadReport) -> "UsualLoad":
-        """Returns the average with one more report."""
-        return UsualLoad(
-            running=self.running
-            + _USUAL_WEIGHT * (report.running - self.running),
-            waiting=self.waiting
-            + _USUAL_WEIGHT * (report.waiting - self.waiting),
-        )
-
-
-class Replica:
-    """One start of a replica.
-
-    Attributes:
-        entry: What the list says of it.
-        in_flight: Attempts of this instance that it works on.
-        health: What this instance's attempts tell of it.
-        own_backlog: The reading that this instance's attempts wait for.
-        report: What it last said of its load; None if nothing yet.
-        in_flight_at_report: `in_flight` when that was heard.
-        short_id: Names this start in a few bytes. Of 4,400 replicas two share
-            one once in 200 starts of the fleet; then one is told the other's
-            load.
-    """
-
-    __slots__ = (
-        "entry",
-        "health",
-        "in_flight",
-        "in_flight_at_report",
-        "own_backlog",
-        "report",
-        "short_id",
-    )
-
-    def __init__(
-        self,
-        *,
-        entry: entries.ReplicaEntry,
-        health: health_module.ReplicaHealth,
-    ):
-        self.entry = entry
-        self.health = health
-        self.in_flight = 0
-        self.own_backlog = backlog_module.Backlog()
-        self.report: LoadReport | None = None
-        self.in_flight_at_report = 0
-        start = f"{entry.replica_id}/{entry.started_ms}"
-        self.short_id = xxhash.xxh32_intdigest(start.encode()) >> 1
-
-    def note_load(self, report: LoadReport) -> None:
-        """Takes in what it says of its load."""
-        self.report = report
-        self.in_flight_at_report = self.in_flight
-
-
-_NO_LOAD = UsualLoad()
+_NO_LOAD = replica_module.UsualLoad()
 
 
 class ReplicaDirectory(shared_table.DeletionGrace):
@@ -148,9 +66,9 @@
     ):
         self._clock = clock
         self._on_gone = on_gone
-        self._by_id: dict[str, Replica] = {}
-        self._by_service: dict[str, dict[str, Replica]] = {}
-        self._by_short_id: dict[int, Replica] = {}
+        self._by_id: dict[str, replica_module.Replica] = {}
+        self._by_service: dict[str, dict[str, replica_module.Replica]] = {}
+        self._by_short_id: dict[int, replica_module.Replica] = {}
         # By service and data centre.
         self._rings: dict[str, dict[str, affinity.AffinityRing]] = {}
         # By service.
@@ -158,9 +76,9 @@
             collections.defaultdict(affinity.AffinityRing)
         )
         # Replicas that have something to read for this instance, by id.
-        self._loaded: dict[str, Replica] = {}
+        self._loaded: dict[str, replica_module.Replica] = {}
         # Replicas whose load is known, the last heard of at the end.
-        self._reported: collections.OrderedDict[str, Replica] = (
+        self._reported: collections.OrderedDict[str, replica_module.Replica] = (
             collections.OrderedDict()
         )
         # When replicas last started, by id; the last heard of at the end.
@@ -169,11 +87,11 @@
         )
         self._missing_since_return: set[str] = set()
         self._trusted_from = datetime.timedelta()
-        self._usual_load: dict[str, UsualLoad] = {}
+        self._usual_load: dict[str, replica_module.UsualLoad] = {}
         self.known = False
         self.peer_backlogs = peer_backlogs_module.PeerBacklogs(clock=clock)
 
-    def of_service(self, service: str) -> Iterable[Replica]:
+    def of_service(self, service: str) -> Iterable[replica_module.Replica]:
         """Returns the replicas of a service, leaving ones too."""
         self._drop_lapsed()
         return self._by_service.get(service, {}).values()
@@ -184,7 +102,7 @@
 
     def in_order(
         self, service: str, data_centre: str, key: str
-    ) -> Iterator[Replica]:
+    ) -> Iterator[replica_module.Replica]:
         """Yields replicas of a data centre, those that a key belongs to first.
 
         All instances agree on the order without talking, and a replica that
@@ -194,13 +112,15 @@
         ring = self._rings.get(service, {}).get(data_centre)
         return self._along(ring, service, key)
 
-    def in_order_everywhere(self, service: str, key: str) -> Iterator[Replica]:
+    def in_order_everywhere(
+        self, service: str, key: str
+    ) -> Iterator[replica_module.Replica]:
         """Yields replicas of all data centres, in an order like `in_order`."""
         return self._along(self._everywhere.get(service), service, key)
 
     def _along(
         self, ring: affinity.AffinityRing | None, service: str, key: str
-    ) -> Iterator[Replica]:
+    ) -> Iterator[replica_module.Replica]:
         self._drop_lapsed()
         if ring is None:
             return
@@ -212,7 +132,7 @@
         return len(self._by_id)
 
     def note_load(
-        self, replica: Replica, *, running: int, waiting: int
+        self, replica: replica_module.Replica, *, running: int, waiting: int
     ) -> None:
         """Takes in what a replica has just said of its load.
 
@@ -223,12 +143,14 @@
             return
         self._take_load(
             replica,
-            LoadReport(
+            replica_module.LoadReport(
                 running=running, waiting=waiting, at=self._clock.monotonic()
             ),
         )
 
-    def note_load_heard(self, short_id: int, report: LoadReport) -> None:
+    def note_load_heard(
+        self, short_id: int, report: replica_module.LoadReport
+    ) -> None:
         """Takes in what a peer heard of a replica's load, if it is news."""
         replica = self._by_short_id.get(short_id)
         if replica is None:
@@ -237,33 +159,37 @@
         if known is None or report.at - known.at > _SAME_REPORT:
             self._take_load(replica, report)
 
-    def _take_load(self, replica: Replica, report: LoadReport) -> None:
+    def _take_load(
+        self, replica: replica_module.Replica, report: replica_module.LoadReport
+    ) -> None:
         replica.note_load(report)
         self._reported[replica.entry.replica_id] = replica
         self._reported.move_to_end(replica.entry.replica_id)
         service = replica.entry.service
         usual = self._usual_load.get(service)
         if usual is None:
-            usual = UsualLoad(running=report.running, waiting=report.waiting)
+            usual = replica_module.UsualLoad(
+                running=report.running, waiting=report.waiting
+            )
         self._usual_load[service] = usual.after(report)
 
     def last_reported(
         self, most: int, *, age: datetime.timedelta
-    ) -> list[Replica]:
+    ) -> list[replica_module.Replica]:
         """Returns the replicas whose load was learnt last."""
         oldest = self._clock.monotonic() - age
         found = itertools.islice(reversed(self._reported.values()), most)
         return [replica for replica in found if replica.report.at >= oldest]
 
     def begin_reading(
-        self, replica: Replica, reading: backlog_module.Reading
+        self, replica: replica_module.Replica, reading: backlog_module.Reading
     ) -> None:
         """Takes in that an attempt waits for a replica to read its prompt."""
         replica.own_backlog = replica.own_backlog.with_reading(reading)
         self._loaded[replica.entry.replica_id] = replica
 
     def end_reading(
-        self, replica: Replica, reading: backlog_module.Reading
+        self, replica: replica_module.Replica, reading: backlog_module.Reading
     ) -> None:
         """Takes in its first event, or that it ended without one."""
         replica.own_backlog = replica.own_backlog.without(reading)
@@ -271,15 +197,17 @@
         if not replica.own_backlog and self._loaded.get(replica_id) is replica:
             del self._loaded[replica_id]
 
-    def with_own_backlog(self, most: int) -> list[Replica]:
+    def with_own_backlog(self, most: int) -> list[replica_module.Replica]:
         """Returns replicas that have something to read for this instance."""
         return list(itertools.islice(self._loaded.values(), most))
 
-    def backlog(self, replica: Replica) -> backlog_module.Backlog:
+    def backlog(
+        self, replica: replica_module.Replica
+    ) -> backlog_module.Backlog:
         """Returns what a replica has still to read for all instances."""
         return replica.own_backlog + self.peer_backlogs.at(replica.short_id)
 
-    def usual_load(self, service: str) -> UsualLoad:
+    def usual_load(self, service: str) -> replica_module.UsualLoad:
         """Returns what replicas of a service have reported lately."""
         return self._usual_load.get(service, _NO_LOAD)
 
@@ -351,7 +279,9 @@
             self.reject(entry.replica_id)
 
     def _add(self, entry: entries.ReplicaEntry) -> None:
-        replica = Replica(entry=entry, health=health_module.ReplicaHealth())
+        replica = replica_module.Replica(
+            entry=entry, health=health_module.ReplicaHealth()
+        )
         self._by_id[entry.replica_id] = replica
         self._by_service.setdefault(entry.service, {})[entry.replica_id] = (
             replica
--- a/src/nutmeghook/internal/replicas/load_gossip.py
+++ b/src/nutmeghook/internal/replicas/load_gossip.py
@@ -17,8 +17,10 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica as replica_module
 
 # A count goes through a data centre of 24 instances in three steps, so it is
 # known to all within 0.75 s, while a queue changes in 1 to 2 s. Messages of
@@ -32,15 +34,13 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class ReplicaLoadGossip:
+class ReplicaLoadGossip(telling.PeriodicTeller):
     """Sends and takes in counts of replicas' requests."""
 
     __slots__ = (
-        "_clock",
         "_directory",
         "_messages",
         "_near_addresses",
-        "_random",
     )
 
     def __init__(
@@ -52,21 +52,14 @@
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
+        super().__init__(
+            period=TELL_EVERY, clock=clock, random_source=random_source
+        )
         self._directory = directory
         self._messages = messages
         self._near_addresses = near_addresses
-        self._clock = clock
-        self._random = random_source
         messages.register(ttypes.ReplicaLoads, self._receive)
 
-    async def run(self) -> None:
-        """Tells peers until cancelled."""
-        while True:
-            await self._clock.sleep(
-                TELL_EVERY * self._random.uniform(0.75, 1.25)
-            )
-            self.tell()
-
     def tell(self) -> None:
         """Tells a few peers the counts that were learnt last."""
         near = self._near_addresses()
@@ -96,7 +89,7 @@
                 continue
             self._directory.note_load_heard(
                 short_id,
-                directory_module.LoadReport(
+                replica_module.LoadReport(
                     running=running,
                     waiting=waiting,
                     at=now - age_ms * _MILLISECOND,
--- /dev/null
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -0,0 +1,91 @@
+"""One replica, and what it said and shows of its load."""
+
+import dataclasses
+import datetime
+
+import xxhash
+
+from nutmeghook.internal.replicas import backlog as backlog_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import health as health_module
+
+# Of each report in the usual load of its service: some ten reports, a second
+# or two of an instance's traffic.
+_USUAL_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class LoadReport:
+    """A replica's own count of its requests, those of others included.
+
+    Attributes:
+        waiting: Requests that have not begun to run.
+        at: Monotonic time at which the replica told it.
+    """
+
+    running: int
+    waiting: int
+    at: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class UsualLoad:
+    """What a service's replicas have reported lately, on average."""
+
+    running: float = 0.0
+    waiting: float = 0.0
+
+    def after(self, report: LoadReport) -> "UsualLoad":
+        """Returns the average with one more report."""
+        return UsualLoad(
+            running=self.running
+            + _USUAL_WEIGHT * (report.running - self.running),
+            waiting=self.waiting
+            + _USUAL_WEIGHT * (report.waiting - self.waiting),
+        )
+
+
+class Replica:
+    """One start of a replica.
+
+    Attributes:
+        entry: What the list says of it.
+        in_flight: Attempts of this instance that it works on.
+        health: What this instance's attempts tell of it.
+        own_backlog: The reading that this instance's attempts wait for.
+        report: What it last said of its load; None if nothing yet.
+        in_flight_at_report: `in_flight` when that was heard.
+        short_id: Names this start in a few bytes. Of 4,400 replicas two share
+            one once in 200 starts of the fleet; then one is told the other's
+            load.
+    """
+
+    __slots__ = (
+        "entry",
+        "health",
+        "in_flight",
+        "in_flight_at_report",
+        "own_backlog",
+        "report",
+        "short_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        entry: entries.ReplicaEntry,
+        health: health_module.ReplicaHealth,
+    ):
+        self.entry = entry
+        self.health = health
+        self.in_flight = 0
+        self.own_backlog = backlog_module.Backlog()
+        self.report: LoadReport | None = None
+        self.in_flight_at_report = 0
+        start = f"{entry.replica_id}/{entry.started_ms}"
+        self.short_id = xxhash.xxh32_intdigest(start.encode()) >> 1
+
+    def note_load(self, report: LoadReport) -> None:
+        """Takes in what it says of its load."""
+        self.report = report
+        self.in_flight_at_report = self.in_flight
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
@@ -68,7 +69,7 @@
         *,
         head: connection_module.AnswerHead,
         facts: wire.AnswerFacts,
-        replica: directory_module.Replica,
+        replica: replica_module.Replica,
     ):
         self.head = head
         self.facts = facts
@@ -110,7 +111,7 @@
 
     @contextlib.asynccontextmanager
     async def attempt(
-        self, replica: directory_module.Replica, outgoing: Outgoing
+        self, replica: replica_module.Replica, outgoing: Outgoing
     ) -> AsyncIterator[Answer]:
         """Sends once; the answer's body is to be read inside the context.
 
@@ -142,7 +143,7 @@
     @contextlib.contextmanager
     def _reading(
         self,
-        replica: directory_module.Replica,
+        replica: replica_module.Replica,
         reading: backlog_module.Reading | None,
     ) -> Iterator[None]:
         """Counts a prompt among what a replica has still to read.
@@ -158,7 +159,7 @@
         finally:
             self._directory.end_reading(replica, reading)
 
-    async def is_unreachable(self, replica: directory_module.Replica) -> bool:
+    async def is_unreachable(self, replica: replica_module.Replica) -> bool:
         """Tells whether a silent replica is gone, and notes it if so."""
         if await self._pool.answers(replica.entry.address):
             return False
@@ -166,7 +167,7 @@
         return True
 
     async def _connect(
-        self, replica: directory_module.Replica, outgoing: Outgoing
+        self, replica: replica_module.Replica, outgoing: Outgoing
     ) -> connection_module.ReplicaConnection:
         longest_idle_s = (
             LONGEST_IDLE_S if outgoing.repeatable else LONGEST_IDLE_FOR_ONCE_S
@@ -182,7 +183,7 @@
     async def _exchange(
         self,
         connection: connection_module.ReplicaConnection,
-        replica: directory_module.Replica,
+        replica: replica_module.Replica,
         outgoing: Outgoing,
     ) -> Answer:
         head = await connection.exchange(
--- a/src/nutmeghook/internal/version_plans/news.py
+++ b/src/nutmeghook/internal/version_plans/news.py
@@ -14,6 +14,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.version_plans import evidence as evidence_module
@@ -49,16 +50,14 @@
         self.weight = 0.0
 
 
-class RollOutNews:
+class RollOutNews(telling.PeriodicTeller):
     """Sends and takes in news of open orders."""
 
     __slots__ = (
         "_addresses",
-        "_clock",
         "_instance_id",
         "_messages",
         "_orders",
-        "_random",
         "_rollouts",
         "_told",
     )
@@ -74,24 +73,17 @@
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
+        super().__init__(
+            period=TELL_EVERY, clock=clock, random_source=random_source
+        )
         self._instance_id = instance_id
         self._rollouts = rollouts
         self._orders = orders
         self._messages = messages
         self._addresses = addresses
-        self._clock = clock
-        self._random = random_source
         self._told: dict[str, _Told] = {}
         messages.register(ttypes.RollOutNews, self._receive)
 
-    async def run(self) -> None:
-        """Tells peers until cancelled."""
-        while True:
-            await self._clock.sleep(
-                TELL_EVERY * self._random.uniform(0.75, 1.25)
-            )
-            self.tell()
-
     def tell(self) -> None:
         """Tells peers what is new of each open order."""
         for order in self._orders.all():
