--- a/src/nutmeghook/internal/replicas/backlog.py
+++ b/src/nutmeghook/internal/replicas/backlog.py
@@ -46,17 +46,19 @@
             urgent=self.urgent + other.urgent, later=self.later + other.later
         )
 
+    def __sub__(self, other: "Backlog") -> "Backlog":
+        return Backlog(
+            urgent=max(_ZERO, self.urgent - other.urgent),
+            later=max(_ZERO, self.later - other.later),
+        )
+
     def with_reading(self, reading: Reading) -> "Backlog":
         """Returns the backlog with one more prompt."""
         return self + _of(reading)
 
     def without(self, reading: Reading) -> "Backlog":
         """Returns the backlog with one prompt less."""
-        less = _of(reading)
-        return Backlog(
-            urgent=max(_ZERO, self.urgent - less.urgent),
-            later=max(_ZERO, self.later - less.later),
-        )
+        return self - _of(reading)
 
 
 def _of(reading: Reading) -> Backlog:
--- a/src/nutmeghook/internal/replicas/peer_backlogs.py
+++ b/src/nutmeghook/internal/replicas/peer_backlogs.py
@@ -1,5 +1,6 @@
 """What other instances have under way at replicas, as they last told."""
 
+import collections
 import dataclasses
 import datetime
 
@@ -20,34 +21,55 @@
 
 
 class PeerBacklogs:
-    """Sums up what peers told of each replica, by the replicas' short ids."""
+    """Sums up what peers told of each replica, by the replicas' short ids.
 
-    __slots__ = ("_by_peer", "_clock")
+    Sums are kept as words come, so that asking costs the same whatever the
+    number of peers.
+    """
+
+    __slots__ = ("_by_peer", "_clock", "_totals")
 
     def __init__(self, *, clock: clock_module.Clock):
         self._clock = clock
-        self._by_peer: dict[str, _Told] = {}
+        # The last heard of at the end.
+        self._by_peer: collections.OrderedDict[str, _Told] = (
+            collections.OrderedDict()
+        )
+        self._totals: dict[int, backlog_module.Backlog] = {}
 
     def note(
         self, peer_id: str, by_replica: dict[int, backlog_module.Backlog]
     ) -> None:
         """Takes in all that a peer has under way; it told no more than this."""
+        self._drop(peer_id)
         if not by_replica:
-            self._by_peer.pop(peer_id, None)
             return
         self._by_peer[peer_id] = _Told(
             at=self._clock.monotonic(), by_replica=by_replica
         )
+        for short_id, backlog in by_replica.items():
+            self._totals[short_id] = self._totals.get(short_id, _NONE) + backlog
 
     def at(self, short_id: int) -> backlog_module.Backlog:
         """Returns the sum for a replica."""
         self._drop_old()
-        total = _NONE
-        for told in self._by_peer.values():
-            total += told.by_replica.get(short_id, _NONE)
-        return total
+        return self._totals.get(short_id, _NONE)
 
     def _drop_old(self) -> None:
         oldest = self._clock.monotonic() - BACKLOG_LIFE
-        for peer_id in [p for p, t in self._by_peer.items() if t.at < oldest]:
-            del self._by_peer[peer_id]
+        while self._by_peer:
+            peer_id, told = next(iter(self._by_peer.items()))
+            if told.at >= oldest:
+                return
+            self._drop(peer_id)
+
+    def _drop(self, peer_id: str) -> None:
+        told = self._by_peer.pop(peer_id, None)
+        if told is None:
+            return
+        for short_id, backlog in told.by_replica.items():
+            left = self._totals[short_id] - backlog
+            if left:
+                self._totals[short_id] = left
+            else:
+                del self._totals[short_id]
--- a/tests/cover/test_backlogs.py
+++ b/tests/cover/test_backlogs.py
@@ -4,6 +4,9 @@
 import random
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
 from nutmeghook.internal.inner import sealed_messages
@@ -174,6 +177,41 @@
         self.advance(peer_backlogs.BACKLOG_LIFE + MS)
         self.assertEqual(self.two.waiting(replica.entry.replica_id), 0 * MS)
 
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(("one", "two", "three")),
+                strategies.dictionaries(
+                    strategies.integers(0, 3), strategies.integers(1, 50)
+                ),
+                strategies.integers(0, 1500),
+            )
+        )
+    )
+    def test_sums_are_those_of_what_each_peer_told_last(self, told):
+        """Peers tell in any order and fall silent for any time."""
+        clock = clock_module.FakeClock()
+        known = peer_backlogs.PeerBacklogs(clock=clock)
+        last = {}
+        for peer, backlogs_ms, pause_ms in told:
+            clock._elapsed += pause_ms * MS
+            last[peer] = (clock.monotonic(), backlogs_ms)
+            known.note(
+                peer,
+                {
+                    r: backlog.Backlog(later=ms * MS)
+                    for r, ms in backlogs_ms.items()
+                },
+            )
+            oldest = clock.monotonic() - peer_backlogs.BACKLOG_LIFE
+            for replica in range(4):
+                expected_ms = sum(
+                    counts.get(replica, 0)
+                    for at, counts in last.values()
+                    if at >= oldest
+                )
+                self.assertEqual(known.at(replica).later, expected_ms * MS)
+
     def test_nothing_is_told_while_there_is_nothing_to_tell(self):
         heard = []
         self.receivers["two"] = heard.append
