--- a/src/nutmeghook/internal/version_plans/held_sessions.py
+++ b/src/nutmeghook/internal/version_plans/held_sessions.py
@@ -29,9 +29,10 @@
 class HeldSessions:
     """Digests of the sessions that one order leaves where they are."""
 
-    __slots__ = ("_known", "_own")
+    __slots__ = ("_known", "_own", "order_id")
 
-    def __init__(self):
+    def __init__(self, *, order_id: int):
+        self.order_id = order_id
         self._known: set[int] = set()
         self._own: list[int] = []
 
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -8,7 +8,6 @@
 frozen or cut off therefore holds nothing up, and its late writes fail.
 """
 
-import collections
 from collections.abc import Callable
 import datetime
 
@@ -17,7 +16,9 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.version_plans import evidence as evidence_module
-from nutmeghook.internal.version_plans import held_sessions
+from nutmeghook.internal.version_plans import (
+    held_sessions as held_sessions_module,
+)
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
@@ -37,7 +38,7 @@
         "_clock",
         "_directory",
         "_evidence",
-        "_held_sessions",
+        "_held",
         "_judged",
         "_local_verdicts",
         "_orders",
@@ -70,10 +71,8 @@
         self._clock = clock
         self._plans: dict[str, plan_module.PlanRow] = {}
         self._evidence: dict[str, evidence_module.PooledEvidence] = {}
-        # By order.
-        self._held_sessions: dict[int, held_sessions.HeldSessions] = (
-            collections.defaultdict(held_sessions.HeldSessions)
-        )
+        # By service; of its newest order.
+        self._held: dict[str, held_sessions_module.HeldSessions] = {}
         self._usual = usual_module.UsualAnswers()
         self._paces = usual_module.UsualPaces()
         # How many answers each order's evidence held when it was last judged.
@@ -122,17 +121,29 @@
 
     def held_sessions(
         self, order: orders_module.RollOutOrder
-    ) -> held_sessions.HeldSessions:
+    ) -> held_sessions_module.HeldSessions:
         """Returns the sessions that an order leaves where they are."""
-        return self._held_sessions[order.order_id]
+        return self._held_by(order.service, order.order_id)
+
+    def _held_by(
+        self, service: str, order_id: int
+    ) -> held_sessions_module.HeldSessions:
+        held = self._held.get(service)
+        if held is None or held.order_id != order_id:
+            held = held_sessions_module.HeldSessions(order_id=order_id)
+            self._held[service] = held
+        return held
 
     def _hold_sessions(self, plan: plan_module.PlanRow) -> None:
         """Holds the sessions under way that the trial would take."""
         now = self._clock.monotonic()
         for session in self._sessions.under_way(plan.service, now):
-            digest = held_sessions.digest_of(plan.order_id, session)
-            if held_sessions.point_of(digest) < self._trial_share(plan):
-                self._held_sessions[plan.order_id].hold(digest)
+            self._hold_session(plan, session)
+
+    def _hold_session(self, plan: plan_module.PlanRow, session: str) -> None:
+        digest = held_sessions_module.digest_of(plan.order_id, session)
+        if held_sessions_module.point_of(digest) < self._trial_share(plan):
+            self._held_by(plan.service, plan.order_id).hold(digest)
 
     def _trial_share(self, plan: plan_module.PlanRow) -> float:
         return plan.trial_share or self.schedule.trial_share(plan.within_s)
@@ -284,9 +295,7 @@
         plan = self.plan_of(order)
         if plan is None or not plan.is_open:
             return
-        digest = held_sessions.digest_of(order.order_id, session)
-        if held_sessions.point_of(digest) < self._trial_share(plan):
-            self._held_sessions[order.order_id].hold(digest)
+        self._hold_session(plan, session)
 
     def note_answer(
         self,
@@ -345,8 +354,10 @@
         if self.is_trial_over(plan):
             return True
         if session is None:
-            digest = held_sessions.digest_of(order.order_id, request_id)
-            return held_sessions.point_of(digest) < self._trial_share(plan)
+            digest = held_sessions_module.digest_of(order.order_id, request_id)
+            return held_sessions_module.point_of(digest) < self._trial_share(
+                plan
+            )
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
@@ -354,8 +365,8 @@
 
     def _tries_session(self, plan: plan_module.PlanRow, session: str) -> bool:
         """Tells whether the trial takes a session now."""
-        digest = held_sessions.digest_of(plan.order_id, session)
-        if held_sessions.point_of(digest) >= self._trial_share(plan):
+        digest = held_sessions_module.digest_of(plan.order_id, session)
+        if held_sessions_module.point_of(digest) >= self._trial_share(plan):
             return False
         part = self._steady_part(plan)
         if part >= schedule_module.MAY_MOVE_SESSIONS_AT:
@@ -363,7 +374,8 @@
         passed = datetime.timedelta(seconds=part * plan.within_s)
         if passed < schedule_module.SESSIONS_FROM:
             return False
-        return not self._held_sessions[plan.order_id].holds(digest)
+        held = self._held_by(plan.service, plan.order_id)
+        return not held.holds(digest)
 
     def _is_withdrawn(self, order: orders_module.RollOutOrder) -> bool:
         plan = self.plan_of(order)
