--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -115,7 +115,8 @@
             if request.request_id in history.given_up:
                 continue
             if call is None:
-                yield f"nobody sent {request.request_id!r}"
+                sent_line = f"{request.method} {request.target}"
+                yield f"nobody sent {request.request_id!r}: {sent_line}"
             elif request.target != f"/{call.kind}/x" or (
                 request.body != platform_checks.REQUEST_BODY
             ):
