Use one lossy socket in the tests of gossips

tests/version_fixture and tests/cover/test_backlogs each had a class of their own that delivers datagrams at once or loses them; tests/lossy_post serves both. Assertions stay.

--- a/tests/cover/test_backlogs.py
+++ b/tests/cover/test_backlogs.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import peer_backlogs
+from tests import lossy_post
 
 MS = datetime.timedelta(milliseconds=1)
 SECOND = datetime.timedelta(seconds=1)
@@ -56,22 +57,6 @@
     )
 
 
-class Wire(datagrams.Datagrams):
-    """Delivers at once, or loses everything."""
-
-    def __init__(self, receivers: dict, own: str):
-        self._receivers = receivers
-        self._own = own
-        self.loses = False
-
-    def set_receiver(self, receiver) -> None:
-        self._receivers[self._own] = receiver
-
-    def send(self, inner_address: str, data: bytes) -> None:
-        if not self.loses:
-            self._receivers[inner_address](data)
-
-
 class Instance:
     """The parts of one instance that choose replicas."""
 
@@ -82,7 +67,7 @@
         self.chooser = choice.ReplicaChooser(
             directory=self.directory, data_centre=HERE, clock=clock
         )
-        self.wire = Wire(receivers, name)
+        self.wire = lossy_post.LossyPost(receivers=receivers, own=name)
         self.gossip = backlog_gossip.BacklogGossip(
             instance_id=name,
             directory=self.directory,
--- a/tests/version_fixture.py
+++ b/tests/version_fixture.py
@@ -14,6 +14,7 @@
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
 from nutmeghook.internal.version_plans import usual as usual_module
+from tests import lossy_post
 
 SERVICE = "service"
 WITHIN_S = 20.0
@@ -111,22 +112,6 @@
             )
 
 
-class Post(datagrams.Datagrams):
-    """One instance's socket; delivers at once, or loses everything."""
-
-    def __init__(self, *, receivers: dict, own: str):
-        self._receivers = receivers
-        self._own = own
-        self.loses = False
-
-    def set_receiver(self, receiver) -> None:
-        self._receivers[self._own] = receiver
-
-    def send(self, inner_address: str, data: bytes) -> None:
-        if not self.loses:
-            self._receivers[inner_address](data)
-
-
 def fleet(count: int, *, clock) -> list[Instance]:
     """Returns instances that tell each other news of roll-outs."""
     receivers: dict = {}
@@ -134,7 +119,7 @@
     for number in range(count):
         instance = Instance(clock=clock)
         name = f"instance-{number}"
-        instance.post = Post(receivers=receivers, own=name)
+        instance.post = lossy_post.LossyPost(receivers=receivers, own=name)
         instance.news = news.RollOutNews(
             instance_id=name,
             rollouts=instance.rollouts,
