Read the store by five of a large fleet; read for oneself within the bound

An instance without proof that it knows the newest read for itself after 4.5 s, later than the 2 to 4 s within which a change has to be in force. So a store that left all readers without an answer made every instance late. Twelve readers were to make that rare (a guess, "one in some hundred thousands"), and each costs a call every two seconds for each of three tables.

The limit follows from the settings: the time in which a change or a replica's leaving has to be in force, less 1 s for noticing and one call, and not below a feed's wait. Proofs are young enough for it: a table's revision now is the same on all instances between changes, so that one reader's proof holds for everybody.

Left: on fleets with a bound of 2 s the limit is 2.25 s.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -218,6 +218,7 @@
             inner_address=self._settings.inner_address,
             data_centre=self._settings.data_centre,
             link_mbit_per_s=self._settings.link_mbit_per_s,
+            change_time=self._settings.change_time,
             table=store.StoreRows(client=self._store),
             tables=shared,
             directory=self.directory,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -39,6 +39,7 @@
     """
 
     __slots__ = (
+        "_change_time",
         "_clock",
         "_data_centre",
         "_directory",
@@ -60,6 +61,7 @@
         inner_address: str,
         data_centre: str,
         link_mbit_per_s: float,
+        change_time: datetime.timedelta,
         table: table_module.TableService,
         tables: dict[str, shared_table.SharedTable],
         directory: directory_module.ReplicaDirectory,
@@ -74,6 +76,7 @@
         self._tables = tables
         self._data_centre = data_centre
         self._link_mbit_per_s = link_mbit_per_s
+        self._change_time = change_time
         self._directory = directory
         self._rollouts = rollouts
         self._orders = orders
@@ -131,6 +134,7 @@
             allowance=link_allowance.LinkAllowance(
                 link_mbit_per_s=self._link_mbit_per_s, clock=self._clock
             ),
+            change_time=self._change_time,
             clock=self._clock,
             random_source=self._random,
         )
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -8,7 +8,7 @@
 
 Nobody appoints readers. Each instance has a rank by a hash of its id, and
 reads unless it knows enough peers of lower rank to live. Digests carry the
-lowest ranks that their senders know, so three of a small fleet and twelve of a
+lowest ranks that their senders know, so three of a small fleet and five of a
 large one read, in several data centres.
 """
 
@@ -16,6 +16,7 @@
 import datetime
 import random
 
+from nutmeghook.internal.following import follower
 from nutmeghook.internal.following import giving
 from nutmeghook.internal.following import link_allowance
 from nutmeghook.internal.following import reader_ranks
@@ -34,10 +35,16 @@
 PEERS_TOLD = 6
 # Told at once of a change; the others hear of it a digest later.
 PEERS_PUSHED = 24
-# Without proof for so long that what is known is the newest, an instance
-# reads for itself whatever it has heard. Readers prove it every 2 s, and
-# proofs take about a second through a large fleet.
-LONGEST_UNCONFIRMED = datetime.timedelta(seconds=4.5)
+# An instance that has no younger proof that what it knows is the newest reads
+# for itself, whatever it has heard, so that a change that no reader hears of
+# is still in force in time. What is left of that time is for noticing, one
+# call and a slow store. Of a fleet of 7 to 420 one instance in a thousand has
+# a proof older than 1.8 s at a given moment (simulated, with the readers,
+# digests and feeds as they are here), so such reads are rare.
+_KEPT_FOR_READING = datetime.timedelta(seconds=1)
+# Each reader proves it once a feed's wait; below it all would read for
+# themselves where readers' feeds happen to return together.
+_LEAST_UNCONFIRMED = follower.FEED_WAIT + datetime.timedelta(milliseconds=250)
 # After news. Replicas that start or leave come in series, and each change alone
 # is a call of every reader; together they are one. Well under the time in
 # which a change must be in force.
@@ -58,6 +65,9 @@
 class TableGossip:
     """Tells peers, hears them, and fetches what they know more.
 
+    Args:
+        change_time: Within it a change has to be in force everywhere.
+
     Attributes:
         peers: Inner addresses of instances known, by id.
     """
@@ -72,6 +82,7 @@
         "_heard_at",
         "_inner_address",
         "_instance_id",
+        "_longest_unproven",
         "_messages",
         "_random",
         "_ranks",
@@ -92,6 +103,7 @@
         handlers: peers_module.PeerHandlers,
         deletion_grace: shared_table.DeletionGrace,
         allowance: link_allowance.LinkAllowance,
+        change_time: datetime.timedelta,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -104,6 +116,9 @@
         self._deletion_grace = deletion_grace
         self._clock = clock
         self._random = random_source
+        self._longest_unproven = max(
+            change_time - _KEPT_FOR_READING, _LEAST_UNCONFIRMED
+        )
         self._heard_at: dict[str, datetime.timedelta] = {}
         # By table: the revisions of peers that know more, by their address.
         self._ahead: dict[str, dict[str, int]] = {n: {} for n in tables}
@@ -131,7 +146,7 @@
         """Tells whether this instance reads a table from the store."""
         now = self._clock.monotonic()
         confirmed_at = table.confirmed_at()
-        if confirmed_at is None or now - confirmed_at > LONGEST_UNCONFIRMED:
+        if confirmed_at is None or now - confirmed_at > self._longest_unproven:
             return True
         return self._ranks.is_reader(fleet_size=len(self.peers) + 1)
 
--- a/src/nutmeghook/internal/following/reader_ranks.py
+++ b/src/nutmeghook/internal/following/reader_ranks.py
@@ -2,7 +2,7 @@
 
 Each instance has a rank by a hash of its id, and reads unless it knows enough
 peers of lower rank to live. Digests carry the lowest ranks that their senders
-know, so three of a small fleet read and twelve of a large one.
+know, so three of a small fleet read and five of a large one.
 """
 
 from collections.abc import Iterable
@@ -19,13 +19,13 @@
 # larger one word of a reader takes up to three digests to arrive.
 _SMALL_FLEET = 12
 _HEARD_RECENTLY_IN_A_LARGE_FLEET = datetime.timedelta(milliseconds=2200)
-# More than in a small fleet. The store may turn a third of a large fleet away
-# at once, and it takes up to five seconds to replace readers that are all among
-# them: seen with three, when a removed key was let in for over three seconds.
-# With twelve that is one such outage in some hundred thousands.
-_READERS_IN_A_LARGE_FLEET = 12
-# Ranks told: a few more than read, to replace one that dies.
-_RANKS_TOLD = 14
+# Each reader is a call every two seconds for each table, so no more than news
+# and proofs need: with five, one instance in a thousand has a proof older than
+# 1.8 s. The store may turn all of them away at once; then their proofs grow old
+# and others read for themselves in time (see `gossip`).
+_READERS_IN_A_LARGE_FLEET = 5
+# Ranks told: a few more than read, to replace those that die.
+_RANKS_TOLD = 8
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -44,6 +44,8 @@
         metrics_port: Where metrics are served; 0 for any free port.
         store_address: The platform's store.
         link_mbit_per_s: What the instance's network link carries.
+        change_time: Within it a change of the configuration, or the leaving of
+            a replica, has to be in force on all instances.
         stop_time: From SIGTERM to SIGKILL.
         session_time: Requests of a session further apart are strangers.
         largest_bad_share: Of all requests of a service from an order to its
@@ -61,6 +63,7 @@
     data_centre: str
     region: str
     link_mbit_per_s: float
+    change_time: datetime.timedelta
     stop_time: datetime.timedelta
     session_time: datetime.timedelta
     largest_bad_share: float
@@ -169,6 +172,10 @@
         link_mbit_per_s=reader.number(
             "limits.linkMbps", default=_DEFAULT_LINK_MBIT_PER_S, least=0.1
         ),
+        change_time=min(
+            _milliseconds(reader.number("bounds.configApplyMs", default=2000)),
+            _milliseconds(reader.number("bounds.drainMs", default=2000)),
+        ),
         stop_time=_seconds(reader.number("bounds.graceS", default=8)),
         session_time=_seconds(reader.number("bounds.sessionS", default=5)),
         largest_bad_share=reader.number("bounds.exposureShare", default=0.1),
@@ -209,6 +216,10 @@
     return datetime.timedelta(seconds=number)
 
 
+def _milliseconds(number: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=number)
+
+
 def printable_lines(settings: InstanceSettings) -> list[str]:
     """Returns `name=value` lines of what is in force."""
     lines = []
--- a/tests/cover/test_large_changes.py
+++ b/tests/cover/test_large_changes.py
@@ -7,204 +7,19 @@
 """
 
 import asyncio
-import collections
 import datetime
-import random
 import unittest
 import zlib
 
 from bench import _virtual_time
-from nutmeghook.internal.following import copies
-from nutmeghook.internal.following import follower
-from nutmeghook.internal.following import gossip as gossip_module
-from nutmeghook.internal.following import link_allowance
-from nutmeghook.internal.following import shared_table
-from nutmeghook.internal.following import source
-from nutmeghook.internal.inner import codec
-from nutmeghook.internal.inner import datagrams
-from nutmeghook.internal.inner import peers
-from nutmeghook.internal.inner import sealed_messages
-from nutmeghook.internal.inner import serving
 from tests import configuration_rows
+from tests import gossip_fleet
 
-TABLE = "op"
-SEAL = datagrams.Seal(credential="shared")
-_BYTES_PER_MBIT = 125_000
-# One way between two instances.
-_DELAY_S = 0.001
-# Longer than any call waits.
-_FOREVER_S = 60.0
 _SECOND = datetime.timedelta(seconds=1)
 
 
-class Links:
-    """The instances' links, each with a queue in either direction."""
-
-    def __init__(self):
-        self._free_at_s = collections.defaultdict(float)
-        self.mbit_per_s: dict[str, float] = {}
-        self.receivers = {}
-        self.handlers: dict[str, peers.PeerHandlers] = {}
-        self.dead: set[str] = set()
-        self.sent_bytes = 0
-
-    async def carry(self, sender: str, receiver: str, size: int) -> None:
-        """Returns once so many bytes have arrived; never at a dead one."""
-        self.sent_bytes += size
-        for queue in ((sender, "out"), (receiver, "in")):
-            now = asyncio.get_running_loop().time()
-            busy_s = size / (self.mbit_per_s[queue[0]] * _BYTES_PER_MBIT)
-            done_s = max(now, self._free_at_s[queue]) + busy_s
-            self._free_at_s[queue] = done_s
-            await asyncio.sleep(done_s - now + _DELAY_S)
-        if self.dead & {sender, receiver}:
-            await asyncio.sleep(_FOREVER_S)
-
-
-class Post(datagrams.Datagrams):
-    """One instance's datagrams; small, so they pass the queues by."""
-
-    def __init__(self, *, links: Links, own: str):
-        self._links = links
-        self._own = own
-
-    def set_receiver(self, receiver) -> None:
-        self._links.receivers[self._own] = receiver
-
-    def send(self, inner_address: str, data: bytes) -> None:
-        if not self._links.dead & {self._own, inner_address}:
-            asyncio.get_running_loop().call_later(
-                _DELAY_S, self._links.receivers[inner_address], data
-            )
-
-
-class Calls(peers.PeerCaller):
-    """One instance's calls, along the links."""
-
-    def __init__(self, *, links: Links, own: str, clock):
-        self._links = links
-        self._own = own
-        self._clock = clock
-
-    async def call(self, inner_address, request, *, timeout):
-        # What was sent arrives, and takes its place on the links, also when
-        # the caller has given up; so it does on a real connection.
-        work = asyncio.ensure_future(self._exchange(inner_address, request))
-        try:
-            reply = await self._clock.wait_for(asyncio.shield(work), timeout)
-        except TimeoutError as error:
-            raise peers.PeerUnreachableError("no reply") from error
-        return serving.result_of(reply)
-
-    async def _exchange(self, inner_address, request):
-        data = codec.encode(request, sequence=1, wants_reply=True).data
-        await self._links.carry(self._own, inner_address, len(data))
-        reply = await serving.reply_to(
-            codec.decode(data), handlers=self._links.handlers[inner_address]
-        )
-        await self._links.carry(inner_address, self._own, len(reply.data))
-        return codec.decode(reply.data).message
-
-
-class Kept(follower.TableReader):
-    """Keeps the newest value."""
-
-    value = b""
-
-    def replace(self, rows, revision) -> None:
-        self.change(rows)
-
-    def change(self, rows) -> None:
-        for row in rows:
-            self.value = row.value
-
-
-class Fleet:
-    """Instances that hear of the configuration from each other."""
-
-    def __init__(self, *, size: int, seed: int, fits=(5.0, 20.0, 100.0)):
-        self.random = random.Random(seed)
-        self.clock = _virtual_time.LoopClock()
-        self.links = Links()
-        self.names = [f"i{number}" for number in range(size)]
-        self.tables = {}
-        self.kept = {}
-        self.gossips = []
-        for name in self.names:
-            self.links.mbit_per_s[name] = self.random.choice(fits)
-            self._add(name)
-        for gossip in self.gossips:
-            others = {n: n for n in self.names if n != gossip._instance_id}
-            gossip.peers.update(others)
-
-    def _add(self, name: str) -> None:
-        self.kept[name] = Kept()
-        copy = copies.TableCopy(reader=self.kept[name])
-        watch = follower.StoreWatch(clock=self.clock)
-        table = shared_table.SharedTable(
-            copy=copy,
-            table_follower=follower.TableFollower(
-                table=None,
-                reader=copy,
-                watch=watch,
-                clock=self.clock,
-                random_source=self.random,
-            ),
-            clock=self.clock,
-        )
-        self.tables[name] = table
-        self.links.handlers[name] = peers.PeerHandlers()
-        self.gossips.append(
-            gossip_module.TableGossip(
-                instance_id=name,
-                inner_address=name,
-                data_centre="here",
-                tables={TABLE: table},
-                messages=sealed_messages.SealedMessages(
-                    datagrams=Post(links=self.links, own=name), seal=SEAL
-                ),
-                caller=Calls(links=self.links, own=name, clock=self.clock),
-                handlers=self.links.handlers[name],
-                deletion_grace=NoGrace(),
-                allowance=link_allowance.LinkAllowance(
-                    link_mbit_per_s=self.links.mbit_per_s[name],
-                    clock=self.clock,
-                ),
-                clock=self.clock,
-                random_source=random.Random(name),
-            )
-        )
-
-    def put(self, names, value: bytes, version: int) -> None:
-        """Has instances learn a value, as from the store."""
-        row = source.FollowedRow(key="config", value=value, version=version)
-        for name in names:
-            table = self.tables[name]
-            table.take((row,), version, whole=table.revision < 0)
-            table.note_peer(version, 0)
-
-    def behind(self, version: int) -> list[str]:
-        """Returns the living instances that have not got a version."""
-        return [
-            name
-            for name in self.names
-            if name not in self.links.dead
-            and self.tables[name].revision < version
-        ]
-
-
-class NoGrace(shared_table.DeletionGrace):
-    """The store was never away."""
-
-    def left(self) -> datetime.timedelta:
-        return datetime.timedelta()
-
-    def distrust_deletions(self, until: datetime.timedelta) -> None:
-        pass
-
-
 async def _spread(
-    fleet: Fleet, *, limit: datetime.timedelta, vanish: int = 0
+    fleet: gossip_fleet.Fleet, *, limit: datetime.timedelta, vanish: int = 0
 ) -> datetime.timedelta:
     """Runs a fleet until all have version 2; returns how long that took."""
     tasks = [asyncio.ensure_future(g.run()) for g in fleet.gossips]
@@ -219,20 +34,12 @@
             fleet.links.dead.update(fleet.random.sample(readers, vanish))
             vanish = 0
     took = fleet.clock.monotonic() - began_at
-    await _stop(tasks)
+    await gossip_fleet.stop(tasks)
     return took
 
 
-async def _stop(tasks: list[asyncio.Task]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    # Lets calls to instances that vanished end.
-    await asyncio.sleep(2 * _FOREVER_S)
-
-
-def _fleet_with_small_configuration(size: int, seed: int) -> Fleet:
-    fleet = Fleet(size=size, seed=seed)
+def _fleet_with_small_configuration(size: int, seed: int) -> gossip_fleet.Fleet:
+    fleet = gossip_fleet.Fleet(size=size, seed=seed)
     small = configuration_rows.configuration(routes=40)
     fleet.put(fleet.names, small, 1)
     return fleet
@@ -256,7 +63,7 @@
         needed_bytes = size * len(zlib.compress(wanted))
         self.assertLess(fleet.links.sent_bytes, 1.5 * needed_bytes)
 
-    def living(self, fleet: Fleet) -> list[str]:
+    def living(self, fleet: gossip_fleet.Fleet) -> list[str]:
         """Returns the instances that did not vanish."""
         return [n for n in fleet.names if n not in fleet.links.dead]
 
@@ -284,7 +91,7 @@
         _virtual_time.run(self.series())
 
     async def series(self) -> None:
-        fleet = Fleet(size=60, seed=4)
+        fleet = gossip_fleet.Fleet(size=60, seed=4)
         fleet.put(fleet.names, configuration_rows.configuration(routes=1400), 1)
         tasks = [asyncio.ensure_future(g.run()) for g in fleet.gossips]
         await fleet.clock.sleep(_SECOND)
@@ -296,7 +103,7 @@
         await fleet.clock.sleep(_SECOND)
         self.assertEqual(fleet.behind(21), [])
         self.assertLess(fleet.links.sent_bytes / 60, 20_000)
-        await _stop(tasks)
+        await gossip_fleet.stop(tasks)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/cover/test_readers_lost.py
@@ -0,0 +1,83 @@
+"""The store turns away all instances that read it, and serves the others.
+
+The pattern: a large fleet in which a few instances read the store for all; a
+third of the fleet, all of these among them, gets no answer for seconds, and an
+operator changes the configuration in that moment. The grounds: with five
+readers one outage in 200 that turns a third away hits all of them.
+"""
+
+import asyncio
+import datetime
+import unittest
+
+from bench import _virtual_time
+from nutmeghook.internal.following import gossip as gossip_module
+from tests import gossip_fleet
+
+_SECOND = datetime.timedelta(seconds=1)
+_TURNED_AWAY_SHARE = 0.35
+
+
+class ReadersLostTest(unittest.TestCase):
+    def check(self, *, size: int, bound: datetime.timedelta, outages: int):
+        worst = _virtual_time.run(self.worst(size, bound, outages))
+        self.assertLess(worst, bound)
+
+    async def worst(
+        self, size: int, bound: datetime.timedelta, outages: int
+    ) -> datetime.timedelta:
+        """Returns the longest time until all have a change."""
+        fleet = gossip_fleet.Fleet(size=size, seed=size, change_time=bound)
+        fleet.store.put(b"first")
+        tasks = [asyncio.ensure_future(g.run()) for g in fleet.gossips]
+        tasks += [
+            asyncio.ensure_future(_follow_forever(fleet, gossip))
+            for gossip in fleet.gossips
+        ]
+        worst = datetime.timedelta()
+        for _ in range(outages):
+            await fleet.clock.sleep(5 * _SECOND)
+            worst = max(worst, await self.outage(fleet))
+        await gossip_fleet.stop(tasks)
+        return worst
+
+    async def outage(self, fleet) -> datetime.timedelta:
+        readers = [
+            g._instance_id
+            for g in fleet.gossips
+            if g.reads(fleet.tables[g._instance_id])
+        ]
+        others = [name for name in fleet.names if name not in readers]
+        more = max(0, round(_TURNED_AWAY_SHARE * len(fleet.names)))
+        fleet.store.turned_away = {
+            *readers,
+            *fleet.random.sample(others, min(len(others) - 1, more)),
+        }
+        version = fleet.store.put(b"changed")
+        began_at = fleet.clock.monotonic()
+        while fleet.behind(version):
+            await fleet.clock.sleep(_SECOND / 50)
+            if fleet.clock.monotonic() - began_at > 10 * _SECOND:
+                break
+        fleet.store.turned_away = set()
+        return fleet.clock.monotonic() - began_at
+
+    def test_a_change_is_in_force_in_time_on_73_instances(self):
+        """A key is taken away while the store answers none of the readers.
+        They live and hold their feeds open, so nobody replaces them; until
+        the others' proofs were 4.5 s old the key was let in everywhere.
+        """
+        self.check(size=73, bound=3 * _SECOND, outages=6)
+
+    def test_a_change_is_in_force_in_time_on_200_instances(self):
+        self.check(size=200, bound=4 * _SECOND, outages=2)
+
+
+async def _follow_forever(fleet, gossip) -> None:
+    table = fleet.tables[gossip._instance_id]
+    while True:
+        await gossip_module.follow(table, gossip, fleet.clock)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -129,6 +129,7 @@
             allowance=link_allowance.LinkAllowance(
                 link_mbit_per_s=100.0, clock=self.clock
             ),
+            change_time=3 * _SECOND,
             clock=self.clock,
             random_source=random.Random(name),
         )
--- /dev/null
+++ b/tests/gossip_fleet.py
@@ -0,0 +1,294 @@
+"""Many instances that tell each other what is new, in virtual time."""
+
+import asyncio
+import collections
+import datetime
+import random
+
+from bench import _virtual_time
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.following import copies
+from nutmeghook.internal.following import follower
+from nutmeghook.internal.following import gossip as gossip_module
+from nutmeghook.internal.following import link_allowance
+from nutmeghook.internal.following import shared_table
+from nutmeghook.internal.following import source
+from nutmeghook.internal.inner import codec
+from nutmeghook.internal.inner import datagrams
+from nutmeghook.internal.inner import peers
+from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.inner import serving
+
+TABLE = "op"
+SEAL = datagrams.Seal(credential="shared")
+_BYTES_PER_MBIT = 125_000
+# One way between two instances.
+_DELAY_S = 0.001
+# Longer than any call waits.
+FOREVER_S = 60.0
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class Store:
+    """The platform's store, with one table.
+
+    Attributes:
+        turned_away: Instances whose calls it leaves without an answer.
+        calls: How many it has answered.
+    """
+
+    def __init__(self):
+        self._rows: list[source.FollowedRow] = []
+        self._news = asyncio.Event()
+        self.turned_away: set[str] = set()
+        self.calls = 0
+
+    @property
+    def revision(self) -> int:
+        """The newest row's version."""
+        return self._rows[-1].version if self._rows else 0
+
+    def put(self, value: bytes) -> int:
+        """Writes the one row, and returns its version."""
+        self._rows.append(
+            source.FollowedRow(
+                key="config", value=value, version=self.revision + 1
+            )
+        )
+        self._news.set()
+        self._news = asyncio.Event()
+        return self.revision
+
+    def page(self, since: int) -> source.Page:
+        """Returns what changed."""
+        self.calls += 1
+        return source.Page(
+            rows=tuple(row for row in self._rows if row.version > since),
+            revision=self.revision,
+            store_time=datetime.timedelta(
+                seconds=asyncio.get_running_loop().time()
+            ),
+        )
+
+    async def until_news(self, wait: datetime.timedelta) -> None:
+        """Waits for a write, `wait` at most."""
+        news = self._news.wait()
+        try:
+            await asyncio.wait_for(news, wait.total_seconds())
+        except TimeoutError:
+            return
+
+
+class StoreView(source.FollowedTable):
+    """The store as one instance reaches it."""
+
+    _ANSWER_S = 0.004
+    _TIMEOUT_SLACK_S = 0.6
+
+    def __init__(self, *, store: Store, instance: str):
+        self._store = store
+        self._instance = instance
+
+    @property
+    def name(self) -> str:
+        return TABLE
+
+    async def read_all(self) -> source.Page:
+        await self._answer(datetime.timedelta())
+        return self._store.page(-1)
+
+    async def changes(self, since, wait) -> source.Page:
+        if self._store.revision <= since:
+            await self._store.until_news(wait)
+        await self._answer(wait)
+        return self._store.page(since)
+
+    async def _answer(self, wait: datetime.timedelta) -> None:
+        await asyncio.sleep(self._ANSWER_S)
+        if self._instance in self._store.turned_away:
+            await asyncio.sleep(wait.total_seconds() + self._TIMEOUT_SLACK_S)
+            raise failures.OutcomeUnknownError("no answer")
+
+
+class Links:
+    """The instances' links, each with a queue in either direction."""
+
+    def __init__(self):
+        self._free_at_s = collections.defaultdict(float)
+        self.mbit_per_s: dict[str, float] = {}
+        self.receivers = {}
+        self.handlers: dict[str, peers.PeerHandlers] = {}
+        self.dead: set[str] = set()
+        self.sent_bytes = 0
+
+    async def carry(self, sender: str, receiver: str, size: int) -> None:
+        """Returns once so many bytes have arrived; never at a dead one."""
+        self.sent_bytes += size
+        for queue in ((sender, "out"), (receiver, "in")):
+            now = asyncio.get_running_loop().time()
+            busy_s = size / (self.mbit_per_s[queue[0]] * _BYTES_PER_MBIT)
+            done_s = max(now, self._free_at_s[queue]) + busy_s
+            self._free_at_s[queue] = done_s
+            await asyncio.sleep(done_s - now + _DELAY_S)
+        if self.dead & {sender, receiver}:
+            await asyncio.sleep(FOREVER_S)
+
+
+class Post(datagrams.Datagrams):
+    """One instance's datagrams; small, so they pass the queues by."""
+
+    def __init__(self, *, links: Links, own: str):
+        self._links = links
+        self._own = own
+
+    def set_receiver(self, receiver) -> None:
+        self._links.receivers[self._own] = receiver
+
+    def send(self, inner_address: str, data: bytes) -> None:
+        if not self._links.dead & {self._own, inner_address}:
+            asyncio.get_running_loop().call_later(
+                _DELAY_S, self._links.receivers[inner_address], data
+            )
+
+
+class Calls(peers.PeerCaller):
+    """One instance's calls, along the links."""
+
+    def __init__(self, *, links: Links, own: str, clock):
+        self._links = links
+        self._own = own
+        self._clock = clock
+
+    async def call(self, inner_address, request, *, timeout):
+        # What was sent arrives, and takes its place on the links, also when
+        # the caller has given up; so it does on a real connection.
+        work = asyncio.ensure_future(self._exchange(inner_address, request))
+        try:
+            reply = await self._clock.wait_for(asyncio.shield(work), timeout)
+        except TimeoutError as error:
+            raise peers.PeerUnreachableError("no reply") from error
+        return serving.result_of(reply)
+
+    async def _exchange(self, inner_address, request):
+        data = codec.encode(request, sequence=1, wants_reply=True).data
+        await self._links.carry(self._own, inner_address, len(data))
+        reply = await serving.reply_to(
+            codec.decode(data), handlers=self._links.handlers[inner_address]
+        )
+        await self._links.carry(inner_address, self._own, len(reply.data))
+        return codec.decode(reply.data).message
+
+
+class Kept(follower.TableReader):
+    """Keeps the newest value."""
+
+    value = b""
+
+    def replace(self, rows, revision) -> None:
+        self.change(rows)
+
+    def change(self, rows) -> None:
+        for row in rows:
+            self.value = row.value
+
+
+class Fleet:
+    """Instances that hear of the configuration from each other."""
+
+    def __init__(
+        self,
+        *,
+        size: int,
+        seed: int,
+        links_mbit_per_s: tuple[float, ...] = (5.0, 20.0, 100.0),
+        change_time: datetime.timedelta = 4 * _SECOND,
+    ):
+        self.random = random.Random(seed)
+        self.change_time = change_time
+        self.store = Store()
+        self.clock = _virtual_time.LoopClock()
+        self.links = Links()
+        self.names = [f"i{number}" for number in range(size)]
+        self.tables = {}
+        self.kept = {}
+        self.gossips = []
+        for name in self.names:
+            self.links.mbit_per_s[name] = self.random.choice(links_mbit_per_s)
+            self._add(name)
+        for gossip in self.gossips:
+            others = {n: n for n in self.names if n != gossip._instance_id}
+            gossip.peers.update(others)
+
+    def _add(self, name: str) -> None:
+        self.kept[name] = Kept()
+        copy = copies.TableCopy(reader=self.kept[name])
+        watch = follower.StoreWatch(clock=self.clock)
+        table = shared_table.SharedTable(
+            copy=copy,
+            table_follower=follower.TableFollower(
+                table=StoreView(store=self.store, instance=name),
+                reader=copy,
+                watch=watch,
+                clock=self.clock,
+                random_source=self.random,
+            ),
+            clock=self.clock,
+        )
+        self.tables[name] = table
+        self.links.handlers[name] = peers.PeerHandlers()
+        self.gossips.append(
+            gossip_module.TableGossip(
+                instance_id=name,
+                inner_address=name,
+                data_centre="here",
+                tables={TABLE: table},
+                messages=sealed_messages.SealedMessages(
+                    datagrams=Post(links=self.links, own=name), seal=SEAL
+                ),
+                caller=Calls(links=self.links, own=name, clock=self.clock),
+                handlers=self.links.handlers[name],
+                deletion_grace=NoGrace(),
+                allowance=link_allowance.LinkAllowance(
+                    link_mbit_per_s=self.links.mbit_per_s[name],
+                    clock=self.clock,
+                ),
+                change_time=self.change_time,
+                clock=self.clock,
+                random_source=random.Random(name),
+            )
+        )
+
+    def put(self, names, value: bytes, version: int) -> None:
+        """Has instances learn a value, as from the store."""
+        row = source.FollowedRow(key="config", value=value, version=version)
+        for name in names:
+            table = self.tables[name]
+            table.take((row,), version, whole=table.revision < 0)
+            table.note_peer(version, 0)
+
+    def behind(self, version: int) -> list[str]:
+        """Returns the living instances that have not got a version."""
+        return [
+            name
+            for name in self.names
+            if name not in self.links.dead
+            and self.tables[name].revision < version
+        ]
+
+
+class NoGrace(shared_table.DeletionGrace):
+    """The store was never away."""
+
+    def left(self) -> datetime.timedelta:
+        return datetime.timedelta()
+
+    def distrust_deletions(self, until: datetime.timedelta) -> None:
+        pass
+
+
+async def stop(tasks: list[asyncio.Task]) -> None:
+    """Ends tasks, and lets calls to instances that vanished end."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(2 * FOREVER_S)
