Give each trial its own loopback address; stop instances under load

whole.test_guarantees_leaving, cuts_no_stream. Cause: its load of 8 s began before three successors were started, and on a busy machine they took longer than the load lasted, so that an instance was told to end with no long stream left. The load begins once the successors are ready, and the stops 2 s into it.

Requests without an id are what instances of the other entry send when they poll engines. Their engines and the soak's replicas took ports of one address, and a port that one trial gives back is another one's next. Each process's stand-ins have an address of their own of the loopback network now, so this can't happen. Not shown: that it was what happened then; it was not seen again in play.

--- a/src/nutmeghook/experiment/loopback_proxy.py
+++ b/src/nutmeghook/experiment/loopback_proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import enum
 
+from nutmeghook.standins import loopback_host
+
 _READ_BYTES = 64 * 1024
 
 
@@ -56,7 +58,9 @@
 
     async def start(self) -> None:
         """Listens on a port that the system chooses."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._serve, loopback_host.own_host(), 0
+        )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -20,6 +20,7 @@
 from nutmeghook.experiment import platform_checks
 from nutmeghook.platform import headers
 from nutmeghook.platform import settings
+from nutmeghook.standins import loopback_host
 from nutmeghook.standins import users_operator
 from nutmeghook.standins import users_replica
 from nutmeghook.standins import users_store
@@ -36,13 +37,13 @@
 _CALL_TIMEOUT_S = 20.0
 _SETTINGS = """
 nodeName = "{name}"
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "hall"
 region = "centre"
 internalPorts = [{inner}, {last_inner}]
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:0"
+front = "{host}:{front}"
+ready = "{host}:0"
 [bounds]
 graceS = 8
 exposureShare = 0.15
@@ -64,12 +65,14 @@
     def __init__(self, *, name: str, folder: pathlib.Path, store: str):
         self.name = name
         front, inner = free_port(), free_port()
-        self.address = f"127.0.0.1:{front}"
+        host = loopback_host.own_host()
+        self.address = f"{host}:{front}"
         self._file = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._file.write_text(
             _SETTINGS.format(
                 name=name,
+                host=host,
                 front=front,
                 inner=inner,
                 last_inner=inner + 1,
@@ -398,5 +401,5 @@
 def free_port() -> int:
     """Returns a port that nobody listens on."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((loopback_host.own_host(), 0))
         return probe.getsockname()[1]
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -11,6 +11,7 @@
 import struct
 
 from nutmeghook.platform import headers
+from nutmeghook.standins import loopback_host
 
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -133,7 +134,7 @@
     async def start(self) -> None:
         """Listens on a port that the system chooses."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=1024 * 1024
+            self._serve, loopback_host.own_host(), 0, limit=1024 * 1024
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
--- a/src/nutmeghook/standins/users_store.py
+++ b/src/nutmeghook/standins/users_store.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 import msgspec
 
+from nutmeghook.standins import loopback_host
+
 # Feeds that wait are broken off when the stand-in stops.
 _CLOSE_TIMEOUT_S = 0.05
 
@@ -63,7 +65,7 @@
             application, access_log=None, shutdown_timeout=_CLOSE_TIMEOUT_S
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        await web.TCPSite(self._runner, loopback_host.own_host(), 0).start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
 
--- a/tests/cover/test_loopback_host.py
+++ b/tests/cover/test_loopback_host.py
@@ -1,6 +1,6 @@
 """Where stand-ins listen, so that trials side by side don't meet."""
 
-import subprocess
+import asyncio
 import sys
 import unittest
 
@@ -22,15 +22,16 @@
         replica = users_replica.StandInReplica(replica_id="id-1")
         await replica.start()
         self.addAsyncCleanup(replica.stop)
-        other = subprocess.run(
-            [sys.executable, "-c", _PRINT_HOST],
-            capture_output=True,
-            text=True,
-            check=True,
+        other = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            _PRINT_HOST,
+            stdout=asyncio.subprocess.PIPE,
         )
+        printed, _ = await other.communicate()
         host = replica.address.rpartition(":")[0]
         self.assertEqual(host, loopback_host.own_host())
-        self.assertNotIn(other.stdout.strip(), (host, "127.0.0.1"))
+        self.assertNotIn(printed.decode().strip(), (host, "127.0.0.1"))
 
 
 if __name__ == "__main__":
--- a/tests/whole/test_guarantees_leaving.py
+++ b/tests/whole/test_guarantees_leaving.py
@@ -20,6 +20,8 @@
 DRAIN_WORKS = 150
 DRAIN_WORKS_PER_S = 18.0
 DRAIN_APART_S = 0.5
+# By then each of six instances has some six streams under way.
+DRAIN_AFTER_S = 2.0
 TEAM = "inspectors-north"
 KIND = workload.AGENCY_WORK[0]
 WAITING_WORKS = 60
@@ -132,12 +134,15 @@
     async def _replace_all(self, trial: trial_module.Trial) -> None:
         await faults.engines_give_long_answers(trial)
         first = list(trial.running())
-        load = asyncio.create_task(
-            trial.load(works=DRAIN_WORKS, rate_per_s=DRAIN_WORKS_PER_S)
-        )
+        # Before the load begins: on a busy machine a start takes longer than
+        # all of the load, and no stream would be left to cut.
         successors = [await trial.add_instance() for _ in first]
         for successor in successors:
             await trial.system.until_ready(successor)
+        load = asyncio.create_task(
+            trial.load(works=DRAIN_WORKS, rate_per_s=DRAIN_WORKS_PER_S)
+        )
+        await asyncio.sleep(DRAIN_AFTER_S)
         self.told_ms = {}
         async with asyncio.TaskGroup() as tasks:
             for instance in first:
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -16,6 +16,7 @@
 from nutmeghook.experiment import platform_trial
 from nutmeghook.platform import headers
 from nutmeghook.platform import settings
+from nutmeghook.standins import loopback_host
 from nutmeghook.standins import users_replica
 from nutmeghook.standins import users_store
 from tests import platform_rows
@@ -23,13 +24,13 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SETTINGS = """
 nodeName = "edge-1"
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "hall"
 region = "centre"
 internalPorts = [{inner}, {last_inner}]
 [listen]
-front = "127.0.0.1:0"
-ready = "127.0.0.1:0"
+front = "{host}:0"
+ready = "{host}:0"
 [bounds]
 graceS = 8
 [platform]
@@ -77,7 +78,10 @@
         inner = platform_trial.free_port()
         self.file.write_text(
             SETTINGS.format(
-                store=self.store.address, inner=inner, last_inner=inner + 1
+                host=loopback_host.own_host(),
+                store=self.store.address,
+                inner=inner,
+                last_inner=inner + 1,
             )
         )
         self.process = await asyncio.create_subprocess_exec(
@@ -171,7 +175,9 @@
         """
         await self.served()
         good = self.file.read_text()
-        self.file.write_text(good.replace('ip = "127.0.0.1"', "ip = 1"))
+        self.file.write_text(
+            good.replace(f'ip = "{loopback_host.own_host()}"', "ip = 1")
+        )
         self.process.send_signal(signal.SIGHUP)
         wrong = await self.line("settings:wrong")
         self.assertIn("ip is 1", " ".join(wrong["faults"]))
