--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -187,7 +187,7 @@
         """
         self._settings = settings
         self._store.address = settings.store_address
-        self.rollouts.schedule = _schedule(settings)
+        self.rollouts.progress.schedule = _schedule(settings)
         self.budgets.change(
             ratio=settings.retries.ratio * _RETRY_RATIO_USED,
             window=settings.retries.window,
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -167,15 +167,20 @@
             # Spread, so that one instance writes and the others read of it.
             await self._clock.sleep(_STEP * self._random.uniform(0.5, 2.0))
             if self._watch.away:
-                self._rollouts.note_out_of_touch()
+                self._note_out_of_touch()
                 continue
             for order in self._open_orders():
                 try:
                     await self._step(order)
                 except failures.PlatformError as error:
-                    self._rollouts.note_out_of_touch()
+                    self._note_out_of_touch()
                     logs.note("roll_out:store_failed", error=str(error))
 
+    def _note_out_of_touch(self) -> None:
+        self._rollouts.progress.note_out_of_touch(
+            order.order_id for order in self._orders.all()
+        )
+
     def _open_orders(self) -> list[orders_module.RollOutOrder]:
         return [
             order
@@ -189,13 +194,13 @@
             await self._begin(order)
             return
         await self._publish(order, plan)
-        self._rollouts.note_in_touch(plan)
+        self._rollouts.progress.note_in_touch(plan)
         reason = self._rollouts.judge(order)
-        if reason is None and self._rollouts.is_trial_over(plan):
+        if reason is None and self._rollouts.progress.is_trial_over(plan):
             reason = self._rollouts.suspect(order)
         if reason is not None:
             await self._conclude(order, plan_module.Verdict.BAD, reason)
-        elif self._rollouts.may_complete(plan):
+        elif self._rollouts.progress.may_complete(plan):
             await self._conclude(
                 order,
                 plan_module.Verdict.GOOD,
@@ -219,7 +224,7 @@
             version=order.version,
             started_ms=store_time / datetime.timedelta(milliseconds=1),
             within_s=order.within_s,
-            trial_share=self._rollouts.schedule.trial_share(
+            trial_share=self._rollouts.progress.schedule.trial_share(
                 order.within_s, self._fleet_rate_per_s(order.service)
             ),
         )
@@ -305,7 +310,7 @@
             )
         )
         self._published[order.order_id] = weight
-        if self._rollouts.is_final_report_due(plan):
+        if self._rollouts.progress.is_final_report_due(plan):
             self._told_all.add(order.order_id)
 
     def _owes_all(
@@ -321,7 +326,7 @@
         """
         own = self._rollouts.evidence_of(order).own
         return (
-            self._rollouts.is_final_report_due(plan)
+            self._rollouts.progress.is_final_report_due(plan)
             and order.order_id not in self._told_all
             and bool(own.paced or own.routes)
         )
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -22,34 +22,24 @@
 )
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import plan as plan_module
+from nutmeghook.internal.version_plans import progress as progress_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
 from nutmeghook.internal.version_plans import sessions as sessions_module
 from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.internal.version_plans import view
 
-# A version that begins its answers six times later in 6 of 10 requests is found
-# after 8 answers at the median and 18 in nine of ten (simulated).
-ENOUGH_AFTER_ABSENCE = 16
-# Shorter ones leave most of an order's time for a proof; it is 16 s or more.
-LONG_ABSENCE = datetime.timedelta(seconds=3)
-# A store that has answered nobody for so long is taken to be out. Feeds of its
-# readers return every 2 s; one word of it in a thousand is 1.9 s old or more.
-_STORE_SILENT = datetime.timedelta(seconds=2.5)
-
 
 class RollOuts(view.VersionView):
     """What this instance knows of all roll-outs.
 
     Attributes:
-        schedule: Which share a new version gets, and when.
+        progress: How far each order is.
     """
 
     __slots__ = (
-        "_away_since",
         "_clock",
         "_directory",
         "_evidence",
-        "_had_absence",
         "_held",
         "_judged",
         "_local_verdicts",
@@ -57,10 +47,8 @@
         "_paces",
         "_plans",
         "_sessions",
-        "_stretch_since",
         "_usual",
-        "_watch",
-        "schedule",
+        "progress",
     )
 
     def __init__(
@@ -75,8 +63,12 @@
     ):
         self._orders = orders
         self._directory = directory
-        self._watch = watch
-        self.schedule = schedule
+        self.progress = progress_module.RollOutProgress(
+            schedule=schedule,
+            watch=watch,
+            answers_seen=self._answers_seen,
+            clock=clock,
+        )
         self._sessions = sessions_module.SessionVersions(
             session_time=session_time
         )
@@ -89,12 +81,6 @@
         self._paces = usual_module.UsualPaces()
         # How many answers each order's evidence held when it was last judged.
         self._judged: dict[int, int] = {}
-        # Since when an order's last stretch has gone on here, in touch with the
-        # store all the while.
-        self._stretch_since: dict[int, datetime.timedelta] = {}
-        self._away_since: datetime.timedelta | None = None
-        # Orders in the course of which the store was away for long.
-        self._had_absence: set[int] = set()
         # Proofs found here act here at once, before the verdict is written.
         self._local_verdicts: dict[str, str] = {}
 
@@ -161,7 +147,9 @@
             self._held_by(plan.service, plan.order_id).hold(digest)
 
     def _trial_share(self, plan: plan_module.PlanRow) -> float:
-        return plan.trial_share or self.schedule.trial_share(plan.within_s)
+        return plan.trial_share or self.progress.schedule.trial_share(
+            plan.within_s
+        )
 
     def evidence_of(
         self, order: orders_module.RollOutOrder
@@ -173,6 +161,10 @@
             self._evidence[order.service] = pooled
         return pooled
 
+    def _answers_seen(self, plan: plan_module.PlanRow) -> int:
+        seen = self._evidence.get(plan.service)
+        return 0 if seen is None else seen.answers_seen
+
     def judge(self, order: orders_module.RollOutOrder) -> str | None:
         """Returns why the version is bad, or None while it isn't proven."""
         if order.service in self._local_verdicts:
@@ -204,84 +196,6 @@
             for replica in self._directory.of_service(order.service)
         )
 
-    def part_of(self, plan: plan_module.PlanRow) -> float:
-        """Returns which part of a plan's time has passed."""
-        store_time = self._watch.store_time()
-        return 0.0 if store_time is None else plan.part_at(store_time)
-
-    def _steady_part(self, plan: plan_module.PlanRow) -> float:
-        """Returns the time's part, held before the last stretch at need.
-
-        The failure: everything moves to the new version while the store is
-        out. Nobody can complete the roll-out, and a version that turns bad
-        now reaches every caller, with the others' evidence unheard. An
-        instance that reads nothing itself goes by what readers tell: waiting
-        for an own call to fail, it moved everything for seconds.
-        """
-        part = self.part_of(plan)
-        silent = self._watch.silent_for() > _STORE_SILENT
-        if self._watch.away or silent or self._is_thin(plan):
-            part = min(part, schedule_module.MAY_MOVE_SESSIONS_AT)
-        return part
-
-    def _is_thin(self, plan: plan_module.PlanRow) -> bool:
-        """Tells whether too little was seen of a version for its last stretch.
-
-        The failure: the store is away for half of an order. On its return the
-        order ends, and a version six times slower is completed after nine
-        answers, which prove nothing. The order is late either way; the trial
-        goes on until there are enough. Without an absence the time decides,
-        since some services get nine requests in all.
-        """
-        if plan.order_id not in self._had_absence:
-            return False
-        seen = self._evidence.get(plan.service)
-        return seen is None or seen.answers_seen < ENOUGH_AFTER_ABSENCE
-
-    def is_trial_over(self, plan: plan_module.PlanRow) -> bool:
-        """Tells whether everything moves to the new version now."""
-        return self.schedule.is_trial_over_at(
-            self._steady_part(plan), plan.within_s
-        )
-
-    def is_final_report_due(self, plan: plan_module.PlanRow) -> bool:
-        """Tells whether all that was seen is to be told, good and bad."""
-        return self.schedule.is_final_report_due_at(
-            self.part_of(plan), plan.within_s
-        )
-
-    def may_complete(self, plan: plan_module.PlanRow) -> bool:
-        """Tells whether the old version's replicas may stop.
-
-        The failure: the store is away while the last stretch should begin, so
-        it does not, and nobody hears of the others' evidence. By the clock
-        alone the first instance that reached the store again, even one that
-        had just started, completed a version that failed half of its
-        requests. So the stretch has to have gone on here, in touch.
-        """
-        if not self.schedule.may_complete_at(self.part_of(plan), plan.within_s):
-            return False
-        since = self._stretch_since.get(plan.order_id)
-        if since is None:
-            return False
-        return self._clock.monotonic() - since >= schedule_module.LAST_WAIT
-
-    def note_in_touch(self, plan: plan_module.PlanRow) -> None:
-        """Takes in that the store answers while a plan is open."""
-        self._away_since = None
-        if self.is_trial_over(plan):
-            now = self._clock.monotonic()
-            self._stretch_since.setdefault(plan.order_id, now)
-
-    def note_out_of_touch(self) -> None:
-        """Takes in that the store does not answer."""
-        self._stretch_since.clear()
-        now = self._clock.monotonic()
-        if self._away_since is None:
-            self._away_since = now
-        if now - self._away_since >= LONG_ABSENCE:
-            self._had_absence = {order.order_id for order in self._orders.all()}
-
     def accepts(
         self, service: str, *, session: str | None, request_id: str
     ) -> Callable[[entries.ReplicaEntry], bool]:
@@ -372,7 +286,7 @@
         plan = self.plan_of(order)
         if plan is None or not plan.is_open:
             return
-        if self.is_trial_over(plan):
+        if self.progress.is_trial_over(plan):
             return
         deviation = self._paces.deviation(f"{measure.value}/{kind}", pace_s)
         if deviation is not None:
@@ -389,7 +303,7 @@
             return False
         if plan.verdict is plan_module.Verdict.GOOD:
             return True
-        if self.is_trial_over(plan):
+        if self.progress.is_trial_over(plan):
             return True
         if session is None:
             digest = held_sessions_module.digest_of(order.order_id, request_id)
@@ -406,7 +320,7 @@
         digest = held_sessions_module.digest_of(plan.order_id, session)
         if held_sessions_module.point_of(digest) >= self._trial_share(plan):
             return False
-        part = self._steady_part(plan)
+        part = self.progress.steady_part(plan)
         if part >= schedule_module.MAY_MOVE_SESSIONS_AT:
             return True
         passed = datetime.timedelta(seconds=part * plan.within_s)
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -12,7 +12,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.version_plans import driver as driver_module
 from nutmeghook.internal.version_plans import plan as plan_module
-from nutmeghook.internal.version_plans import rollouts as rollouts_module
+from nutmeghook.internal.version_plans import progress as progress_module
 from nutmeghook.internal.version_plans import usual as usual_module
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import store
@@ -127,8 +127,10 @@
         instance, driver = self.driver("only")
         await self.step(driver)
         for _ in range(2):
-            instance.rollouts.note_out_of_touch()
-            await self.clock.advance(rollouts_module.LONG_ABSENCE)
+            instance.rollouts.progress.note_out_of_touch(
+                [version_fixture.ORDER.order_id]
+            )
+            await self.clock.advance(progress_module.LONG_ABSENCE)
         instance.answer("v2", times=9)
         await self.to_the_end(driver)
         for _ in range(4):
@@ -136,11 +138,11 @@
             await self.step(driver)
         self.assertEqual(self.told(), "in_progress")
         self.assertFalse(
-            instance.rollouts.is_trial_over(
+            instance.rollouts.progress.is_trial_over(
                 instance.rollouts.plan_of(version_fixture.ORDER)
             )
         )
-        instance.answer("v2", times=rollouts_module.ENOUGH_AFTER_ABSENCE)
+        instance.answer("v2", times=progress_module.ENOUGH_AFTER_ABSENCE)
         for _ in range(4):
             await self.clock.advance(datetime.timedelta(seconds=0.7))
             await self.step(driver)
@@ -195,7 +197,7 @@
             prover.answer("v2", number=number, failed=True)
         await self.step(proving)
         plan = frozen_instance.rollouts.plan_of(version_fixture.ORDER)
-        self.assertTrue(frozen_instance.rollouts.may_complete(plan))
+        self.assertTrue(frozen_instance.rollouts.progress.may_complete(plan))
         await frozen._step(version_fixture.ORDER)
         self.assertEqual(self.told(), "reverted")
         known = frozen_instance.rollouts.plan_of(version_fixture.ORDER)
