--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -63,6 +63,7 @@
 
     __slots__ = (
         "_clock",
+        "_peers",
         "_pool",
         "_random",
         "_runners",
@@ -134,6 +135,8 @@
             clock=clock,
         )
         self._runners: list[web.ServerRunner] = []
+        # Set once `run` has built what it takes to have peers.
+        self._peers: router_peers.RouterPeers | None = None
 
     def _build_path(self) -> path_module.RequestPath:
         return relay_path.build(
@@ -227,6 +230,7 @@
             clock=self._clock,
             random_source=self._random,
         )
+        self._peers = peers
         plans = self._rollout_driver(shared[driver.TABLE], peers)
         async with asyncio.TaskGroup() as tasks:
             for table in (tables.OPERATOR_TABLE, tables.REPLICA_TABLE):
@@ -309,11 +313,18 @@
     async def _show_metrics(self, request: web.BaseRequest) -> web.Response:
         if request.path != METRICS_PATH:
             return web.Response(status=404)
+        self._refresh_gauges()
         body, content_headers = aioprometheus.render(
             self.metrics.registry, request.headers.getall(hdrs.ACCEPT, [])
         )
         return web.Response(body=body, headers=content_headers)
 
+    def _refresh_gauges(self) -> None:
+        if self._peers is None:
+            return
+        for kind, counted in self._peers.traffic.kinds().items():
+            self.metrics.set("peer_sent_bytes", counted.sent_bytes, kind=kind)
+
     async def _serve_text(self, address: str, handler: _Handler) -> str:
         """Serves on an address; returns it with the port in use."""
         runner = web.ServerRunner(web.Server(handler, access_log=None))
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -28,6 +28,8 @@
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
 
 _RETRY = datetime.timedelta(seconds=1)
+# One line of log; seldom enough to be nothing beside requests' own lines.
+_TELL_TRAFFIC_EVERY = datetime.timedelta(seconds=10)
 _CLOSE_GRACE = datetime.timedelta(milliseconds=200)
 
 
@@ -36,6 +38,9 @@
 
     Without peers an instance is alone with the store, as it is until the
     store has answered it once: everything works, at more calls.
+
+    Attributes:
+        traffic: What went between this instance and its peers.
     """
 
     __slots__ = (
@@ -52,6 +57,7 @@
         "_rollouts",
         "_table",
         "_tables",
+        "traffic",
     )
 
     def __init__(
@@ -83,6 +89,7 @@
         self._clock = clock
         self._random = random_source
         self._gossip: gossip_module.TableGossip | None = None
+        self.traffic = traffic.Traffic()
 
     @property
     def fleet_size(self) -> int:
@@ -102,18 +109,17 @@
         registered = await self._registered()
         udp = datagrams.UdpDatagrams()
         handlers = peers.PeerHandlers()
-        counts = traffic.Traffic()
         caller = tcp_client.TcpPeerCaller(
             clock=self._clock,
             credential=registered.credential,
-            traffic=counts,
+            traffic=self.traffic,
             random=self._random,
         )
         server = tcp_server.TcpServer(
             clock=self._clock,
             handlers=handlers,
             credential=registered.credential,
-            traffic=counts,
+            traffic=self.traffic,
         )
         host, port = addresses.split(self._inner_address)
         await server.start(host=host, port=port)
@@ -121,6 +127,7 @@
         messages = sealed_messages.SealedMessages(
             datagrams=udp,
             seal=datagrams.Seal(credential=registered.credential),
+            traffic=self.traffic,
         )
         self._gossip = gossip_module.TableGossip(
             instance_id=self._instance_id,
@@ -143,6 +150,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._gossip.run())
+                tasks.create_task(self._note_traffic())
                 for told in self._told_by(messages, self._gossip):
                     tasks.create_task(told.run())
         finally:
@@ -152,6 +160,16 @@
                 server.close(grace=_CLOSE_GRACE),
             )
 
+    async def _note_traffic(self) -> None:
+        """Logs from time to time what was sent to peers, until cancelled."""
+        while True:
+            await self._clock.sleep(_TELL_TRAFFIC_EVERY)
+            kinds = self.traffic.kinds()
+            logs.note(
+                "peer:traffic",
+                sent_bytes={k: c.sent_bytes for k, c in kinds.items()},
+            )
+
     def _told_by(
         self,
         messages: sealed_messages.SealedMessages,
--- a/src/nutmeghook/internal/inner/sealed_messages.py
+++ b/src/nutmeghook/internal/inner/sealed_messages.py
@@ -5,6 +5,7 @@
 
 from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner import datagrams as datagrams_module
+from nutmeghook.internal.inner import traffic as traffic_module
 from nutmeghook.internal.observe import logs
 
 Handler = Callable[[Any], None]
@@ -17,16 +18,18 @@
     (a newer version may send it), is dropped.
     """
 
-    __slots__ = ("_datagrams", "_handlers", "_seal")
+    __slots__ = ("_datagrams", "_handlers", "_seal", "_traffic")
 
     def __init__(
         self,
         *,
         datagrams: datagrams_module.Datagrams,
         seal: datagrams_module.Seal,
+        traffic: traffic_module.Traffic | None = None,
     ):
         self._datagrams = datagrams
         self._seal = seal
+        self._traffic = traffic or traffic_module.Traffic()
         self._handlers: dict[type, Handler] = {}
         datagrams.set_receiver(self._receive)
 
@@ -36,16 +39,22 @@
 
     def send(self, inner_addresses: list[str], message: Any) -> None:
         """Sends one message to several instances."""
-        data = self._seal.close(codec.encode(message, sequence=0).data)
+        encoded = codec.encode(message, sequence=0)
+        data = self._seal.close(encoded.data)
+        size_bytes = datagrams_module.HEADER_BYTES + len(data)
         for inner_address in inner_addresses:
+            self._traffic.count_sent(encoded.kind, size_bytes)
             self._datagrams.send(inner_address, data)
 
     def _receive(self, datagram: bytes) -> None:
         try:
-            message = codec.decode(self._seal.open(datagram)).message
+            received = codec.decode(self._seal.open(datagram))
         except codec.MalformedError as error:
             logs.note("peer:bad_datagram", error=str(error))
             return
-        handler = self._handlers.get(type(message))
+        self._traffic.count_received(
+            received.kind, datagrams_module.HEADER_BYTES + len(datagram)
+        )
+        handler = self._handlers.get(type(received.message))
         if handler is not None:
-            handler(message)
+            handler(received.message)
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -153,6 +153,15 @@
         kind=MetricKind.GAUGE,
         meaning="Ledger partitions that this instance writes.",
     ),
+    MetricSpec(
+        name="peer_sent_bytes",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Sent to other instances since the start, headers of datagrams"
+            " included, by kind of message."
+        ),
+        labels=("kind",),
+    ),
 )
 
 
