Read by three with short feeds; read at once for a missing proof

And an instance without proof asked with a wait of 2 s, so that where nothing changes the proof that it needs came 2 s later.

Without proof the store is asked with no wait.

--- a/src/nutmeghook/internal/following/follower.py
+++ b/src/nutmeghook/internal/following/follower.py
@@ -174,10 +174,14 @@
         while True:
             await self.step()
 
-    async def step(self) -> None:
-        """Reads once; after a failure it waits a little instead."""
+    async def step(self, wait: datetime.timedelta | None = None) -> None:
+        """Reads once; after a failure it waits a little instead.
+
+        Args:
+            wait: For a change; the follower's own where it is None.
+        """
         try:
-            await self._read()
+            await self._read(self._wait if wait is None else wait)
             self._pause = FIRST_PAUSE
         except source.HistoryGoneError:
             logs.note("store:history_gone", table=self._table.name)
@@ -193,12 +197,12 @@
         self.revision = max(self.revision, revision)
         self._feed_position = max(self._feed_position, revision)
 
-    async def _read(self) -> None:
+    async def _read(self, wait: datetime.timedelta) -> None:
         began_at = self._feed_position
         if began_at < 0:
             page = await self._table.read_all()
         else:
-            page = await self._table.changes(began_at, self._wait)
+            page = await self._table.changes(began_at, wait)
         self._watch.note_answer(page.store_time)
         # A peer's rows may have been taken in meanwhile. What is older would
         # bring back rows that those said are deleted.
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -8,8 +8,7 @@
 
 Nobody appoints readers. Each instance has a rank by a hash of its id, and
 reads unless it knows enough peers of lower rank to live. Digests carry the
-lowest ranks that their senders know, so three of a small fleet and five of a
-large one read, in several data centres.
+lowest ranks that their senders know, so three of a fleet of any size read.
 """
 
 import asyncio
@@ -52,6 +51,10 @@
 # Each reader proves it once a feed's wait; below it all would read for
 # themselves where readers' feeds happen to return together.
 _LEAST_UNCONFIRMED = follower.FEED_WAIT + datetime.timedelta(milliseconds=250)
+# A feed's wait in a large fleet. Three readers with this cost as many calls as
+# five with the usual one while nothing changes, prove as often, and make three
+# calls for each change in place of five.
+_LARGE_FLEET_WAIT = datetime.timedelta(milliseconds=1200)
 # After news. Replicas that start or leave come in series, and each change alone
 # is a call of every reader; together they are one. Well under the time in
 # which a change must be in force.
@@ -155,11 +158,32 @@
 
     def reads(self, table: shared_table.SharedTable) -> bool:
         """Tells whether this instance reads a table from the store."""
-        now = self._clock.monotonic()
+        return self._is_unproven(table) or self._ranks.is_reader(
+            fleet_size=self._fleet_size
+        )
+
+    def feed_wait(self, table: shared_table.SharedTable) -> datetime.timedelta:
+        """Returns for how long a read of a table may wait for a change.
+
+        Without a proof an answer is wanted at once, and it is a proof for the
+        peers too.
+        """
+        if self._is_unproven(table):
+            return datetime.timedelta()
+        if reader_ranks.is_large(self._fleet_size):
+            return _LARGE_FLEET_WAIT
+        return follower.FEED_WAIT
+
+    @property
+    def _fleet_size(self) -> int:
+        return len(self.peers) + 1
+
+    def _is_unproven(self, table: shared_table.SharedTable) -> bool:
         confirmed_at = table.confirmed_at()
-        if confirmed_at is None or now - confirmed_at > self._longest_unproven:
+        if confirmed_at is None:
             return True
-        return self._ranks.is_reader(fleet_size=len(self.peers) + 1)
+        age = self._clock.monotonic() - confirmed_at
+        return age > self._longest_unproven
 
     def near_addresses(self) -> list[str]:
         """Returns where instances of the own data centre listen.
@@ -194,7 +218,7 @@
 
     def _tell(self, *, near: int, far: float) -> None:
         now = self._clock.monotonic()
-        low = self._ranks.living(fleet_size=len(self.peers) + 1)
+        low = self._ranks.living(fleet_size=self._fleet_size)
         digest = ttypes.TablesDigest(
             sender_address=self._inner_address,
             sender_id=self._instance_id,
@@ -244,7 +268,7 @@
             None if digest.out_of_touch else digest.sender_id,
             digest.low_ranks or (),
             digest.low_ages_ms or (),
-            fleet_size=len(self.peers) + 1,
+            fleet_size=self._fleet_size,
         )
         if digest.data_centre is not None:
             self._data_centres[peer_id] = digest.data_centre
@@ -323,6 +347,7 @@
         await clock.sleep(_IDLE)
         return
     before = table.revision
-    await table.follower.step()
+    wait = follower.FEED_WAIT if gossip is None else gossip.feed_wait(table)
+    await table.follower.step(wait)
     if table.revision != before:
         await clock.sleep(GATHER_CHANGES)
--- a/src/nutmeghook/internal/following/reader_ranks.py
+++ b/src/nutmeghook/internal/following/reader_ranks.py
@@ -2,7 +2,7 @@
 
 Each instance has a rank by a hash of its id, and reads unless it knows enough
 peers of lower rank to live. Digests carry the lowest ranks that their senders
-know, so three of a small fleet read and five of a large one.
+know, so three of a fleet of any size read.
 """
 
 from collections.abc import Iterable
@@ -12,18 +12,16 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 
-# One that dies is replaced within `HEARD_RECENTLY`; two others read meanwhile.
+# Each is a call for each change and each wait of its feed. One that dies is
+# replaced within `HEARD_RECENTLY`; two others read meanwhile. The store may
+# turn all of them away at once; then their proofs grow old, and others read
+# for themselves in time (see `gossip`).
 ENOUGH_READERS = 3
 HEARD_RECENTLY = datetime.timedelta(milliseconds=1300)
 # In a fleet of this size each instance hears all others within a second. In a
 # larger one word of a reader takes up to three digests to arrive.
 _SMALL_FLEET = 12
 _HEARD_RECENTLY_IN_A_LARGE_FLEET = datetime.timedelta(milliseconds=2200)
-# Each reader is a call every two seconds for each table, so no more than news
-# and proofs need: with five, one instance in a thousand has a proof older than
-# 1.8 s. The store may turn all of them away at once; then their proofs grow old
-# and others read for themselves in time (see `gossip`).
-_READERS_IN_A_LARGE_FLEET = 5
 # Ranks told: a few more than read, to replace those that die.
 _RANKS_TOLD = 8
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -34,11 +32,9 @@
     return xxhash.xxh32_intdigest(instance_id.encode()) >> 1
 
 
-def enough_readers(fleet_size: int) -> int:
-    """Returns how many instances of a fleet read."""
-    if fleet_size > _SMALL_FLEET:
-        return _READERS_IN_A_LARGE_FLEET
-    return ENOUGH_READERS
+def is_large(fleet_size: int) -> bool:
+    """Tells whether each instance hears the others by hearsay only."""
+    return fleet_size > _SMALL_FLEET
 
 
 class ReaderRanks:
@@ -56,7 +52,7 @@
         """Tells whether too few of lower rank live."""
         living = self.living(fleet_size=fleet_size)
         lower = sum(rank < self._rank for rank in living)
-        return lower < enough_readers(fleet_size)
+        return lower < ENOUGH_READERS
 
     def note(
         self,
@@ -84,7 +80,7 @@
     def living(self, *, fleet_size: int) -> dict[int, datetime.timedelta]:
         """Returns the lowest ranks known to live and when, lowest first."""
         recently = HEARD_RECENTLY
-        if fleet_size > _SMALL_FLEET:
+        if is_large(fleet_size):
             recently = _HEARD_RECENTLY_IN_A_LARGE_FLEET
         oldest = self._clock.monotonic() - recently
         living = sorted(
--- a/src/nutmeghook/internal/version_plans/progress.py
+++ b/src/nutmeghook/internal/version_plans/progress.py
@@ -15,7 +15,8 @@
 # Shorter ones leave most of an order's time for a proof; it is 16 s or more.
 LONG_ABSENCE = datetime.timedelta(seconds=3)
 # A store that has answered nobody for so long is taken to be out. Feeds of its
-# readers return every 2 s; one word of it in a thousand is 1.9 s old or more.
+# readers return every 2 s at least; one word of it in a thousand is 1.9 s old
+# or more.
 _STORE_SILENT = datetime.timedelta(seconds=2.5)
 
 
