Note callers that leave a stand-in replica by a reset

With all tasks printed in one that hung: the router has no request under way, the replica's connection has ended, and the replica has not noted that the caller left. The router drops a connection with unread bytes, which is a reset; the stand-in noted an end of file only. On an idle machine there are no unread bytes.

The router is right; the stand-in notes a reset too. Its test fails first.

--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -180,11 +180,16 @@
             reply = Reply(status=421, not_run=True, body=b"")
         if not reply.not_run:
             self.ran.append(request.request_id)
-        if reply.silent:
-            await reader.read(1)
+        try:
+            if reply.silent:
+                await reader.read(1)
+                self._note_left(request)
+                return False
+            return await self._answer(reply, request, reader, writer)
+        except ConnectionError:
+            # A caller that leaves with unread bytes resets the connection.
             self._note_left(request)
-            return False
-        return await self._answer(reply, request, reader, writer)
+            raise
 
     def _next_reply(self, request: SeenRequest) -> Reply:
         reply = self._replies[0]
@@ -215,7 +220,7 @@
             writer.write(_chunk(piece) if _is_chunked(reply) else piece)
             if reply.send_bytes is not None and sent >= reply.send_bytes:
                 await writer.drain()
-                _break_off(writer, reset=reply.reset)
+                break_off(writer, reset=reply.reset)
                 return False
         if _is_chunked(reply):
             writer.write(b"0\r\n\r\n")
@@ -288,7 +293,8 @@
         return False
 
 
-def _break_off(writer: asyncio.StreamWriter, *, reset: bool) -> None:
+def break_off(writer: asyncio.StreamWriter, *, reset: bool) -> None:
+    """Closes a connection, by a reset where asked."""
     raw = writer.get_extra_info("socket")
     if reset:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
--- /dev/null
+++ b/tests/cover/test_standins_replica.py
@@ -0,0 +1,43 @@
+"""What the stand-in of a replica notes of callers that leave."""
+
+import asyncio
+import unittest
+
+from nutmeghook.platform import headers
+from nutmeghook.standins import users_replica
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_caller_that_resets_its_connection_has_left_too(self):
+        """A router drops a connection on which it has not read everything, so
+        the replica meets a reset and no end of file. Only an end of file was
+        noted, and on a busy machine tests that wait for the note never ended.
+        """
+        for reply in (
+            users_replica.Reply(silent=True),
+            users_replica.Reply(events=tuple(range(1000)), pause_s=0.01),
+        ):
+            with self.subTest(reply=reply):
+                replica = users_replica.StandInReplica(replica_id="id-1")
+                replica.reply_from([reply])
+                await replica.start()
+                await self.reset_in_the_middle(replica)
+                async with asyncio.timeout(20):
+                    await replica.noticed.wait()
+                self.assertEqual(replica.left, ["gone"])
+                await replica.stop()
+
+    async def reset_in_the_middle(self, replica) -> None:
+        """Asks, and resets the connection once the replica works."""
+        host, _, port = replica.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST /x HTTP/1.1\r\n{headers.REQUEST_ID}: gone\r\n"
+            f"{headers.EXPECTED_REPLICA}: id-1\r\n\r\n".encode()
+        )
+        await replica.arrived.wait()
+        users_replica.break_off(writer, reset=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
