Deny nothing while a newer configuration is known to exist

An instance that a change had not reached answered 404 and 401 by the old configuration, also when peers' digests had already told it of the change; a caller does not come back after those.

Where a peer was heard within 3 s to know more of the operator's table, such a request is answered 503, "not run", to be tried again in 0.2 s.

Test: fails first (404 and 401 for 503). Not measured: with changes in differences an instance is behind for some 0.1 s.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -231,6 +231,9 @@
             random_source=self._random,
         )
         self._peers = peers
+        self.configuration.newer_exists = lambda: peers.is_behind(
+            tables.OPERATOR_TABLE
+        )
         plans = self._rollout_driver(shared[driver.TABLE], peers)
         async with asyncio.TaskGroup() as tasks:
             for table in (tables.OPERATOR_TABLE, tables.REPLICA_TABLE):
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -98,6 +98,10 @@
             return 1
         return len(self._gossip.living_addresses()) + 1
 
+    def is_behind(self, name: str) -> bool:
+        """Tells whether a peer was heard lately to know more of a table."""
+        return self._gossip is not None and self._gossip.is_behind(name)
+
     async def follow(self, name: str) -> None:
         """Reads a table once, or waits a little if peers read it."""
         await gossip_module.follow(
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import dataclasses
 import datetime
 import random
 
@@ -69,9 +70,19 @@
 _MOST_PEERS = 1000
 # Each peer is heard about every five seconds at 73 instances.
 _SILENT_FOR_LONG = datetime.timedelta(seconds=15)
+# Nobody that knew more can be reached any longer, or was mistaken.
+_HEARSAY_LIFE = datetime.timedelta(seconds=3)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Heard:
+    """That someone knows a table up to a revision, and when it was heard."""
+
+    revision: int
+    at: datetime.timedelta
+
+
 class TableGossip:
     """Tells peers, hears them, and fetches what they know more.
 
@@ -95,6 +106,7 @@
         "_instance_id",
         "_longest_unproven",
         "_messages",
+        "_newest_heard",
         "_random",
         "_ranks",
         "_tables",
@@ -137,6 +149,8 @@
         # By table: the revisions of peers that know more, by their address.
         self._ahead: dict[str, dict[str, int]] = {n: {} for n in tables}
         self._told: dict[str, int] = {}
+        # By table; the last word of a peer that knew more than this instance.
+        self._newest_heard: dict[str, _Heard] = {}
         self._ranks = reader_ranks.ReaderRanks(
             instance_id=instance_id, clock=clock
         )
@@ -185,6 +199,13 @@
         age = self._clock.monotonic() - confirmed_at
         return age > self._longest_unproven
 
+    def is_behind(self, name: str) -> bool:
+        """Tells whether a peer was heard lately to know more of a table."""
+        heard = self._newest_heard.get(name)
+        if heard is None or heard.revision <= self._tables[name].revision:
+            return False
+        return self._clock.monotonic() - heard.at <= _HEARSAY_LIFE
+
     def near_addresses(self) -> list[str]:
         """Returns where instances of the own data centre listen.
 
@@ -255,6 +276,9 @@
                 continue
             table.note_peer(revision, age_ms)
             if revision > table.revision:
+                self._newest_heard[name] = _Heard(
+                    revision=revision, at=self._clock.monotonic()
+                )
                 self._ahead[name][message.sender_address] = revision
 
     def _note_peer(self, digest: ttypes.TablesDigest) -> None:
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -20,6 +20,8 @@
 # An instance that knows no configuration yet learns one within a second
 # unless the store is out.
 _RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(milliseconds=500)
+# A large change is on its way for some 0.1 s on the slowest links.
+_RETRY_WHILE_BEHIND = datetime.timedelta(milliseconds=200)
 
 
 class RequestPath:
@@ -89,10 +91,11 @@
             )
         route = configuration.find(incoming.host_name, incoming.path)
         if route is None:
-            raise rejections.RejectedError(
-                wire.FixedResponse.NO_ROUTE, reason="no route matches"
-            )
-        team = _team(configuration, route, incoming.facts.api_key)
+            raise self._denial(wire.FixedResponse.NO_ROUTE, "no route matches")
+        api_key = incoming.facts.api_key
+        if not configuration.lets_in(route, api_key):
+            raise self._denial(wire.FixedResponse.BAD_KEY, "the key is unknown")
+        team = _team(configuration, route, api_key)
         limit = route.time_limit
         if incoming.facts.time_left is not None:
             limit = min(limit, incoming.facts.time_left)
@@ -104,6 +107,23 @@
             deadline=incoming.arrived_at + limit,
         )
 
+    def _denial(
+        self, response: wire.FixedResponse, reason: str
+    ) -> rejections.RejectedError:
+        """Returns the end of a request that the configuration does not allow.
+
+        The failure: a team gets a route and calls it at once. On an instance
+        that the change has not reached, it heard 404 and did not come back.
+        One that knows itself to be behind says so instead.
+        """
+        if not self._configuration.newer_exists():
+            return rejections.RejectedError(response, reason=reason)
+        return rejections.RejectedError(
+            wire.FixedResponse.NOT_RUN,
+            reason=f"{reason}, in a configuration that is being replaced",
+            retry_after=_RETRY_WHILE_BEHIND,
+        )
+
     def _note_end(
         self,
         incoming: incoming_module.Incoming,
@@ -132,10 +152,6 @@
 def _team(
     configuration: model.Configuration, route: model.Route, key: str | None
 ) -> model.Team | None:
-    if not configuration.lets_in(route, key):
-        raise rejections.RejectedError(
-            wire.FixedResponse.BAD_KEY, reason="the key is unknown"
-        )
     if not route.needs_key:
         return None
     return configuration.teams_by_key.get(key or "")
--- a/src/nutmeghook/internal/routes/in_force.py
+++ b/src/nutmeghook/internal/routes/in_force.py
@@ -1,5 +1,7 @@
 """The configuration in force in this process; it never goes back."""
 
+from collections.abc import Callable
+
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.routes import model
 
@@ -9,12 +11,15 @@
 
     Attributes:
         current: None until the first one is heard of.
+        newer_exists: Tells whether a peer was heard to know a newer one that
+            has not come here yet.
     """
 
-    __slots__ = ("current",)
+    __slots__ = ("current", "newer_exists")
 
     def __init__(self):
         self.current: model.Configuration | None = None
+        self.newer_exists: Callable[[], bool] = _nobody_knows_more
 
     def offer(self, configuration: model.Configuration, *, source: str) -> bool:
         """Puts a configuration in force if it is newer.
@@ -33,3 +38,7 @@
             source=source,
         )
         return True
+
+
+def _nobody_knows_more() -> bool:
+    return False
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -49,6 +49,19 @@
                 self.assertEqual(relay_fixture.status_of(answer), status)
         self.assertEqual(self.seen(), [])
 
+    async def test_an_instance_that_knows_it_is_behind_denies_nothing(self):
+        """A team gets a route and calls it at once. The change has not come to
+        this instance, but a peer has told that there is one. 404 would be
+        final; "not run, come back" is true.
+        """
+        self.configuration.newer_exists = lambda: True
+        for options in ({"target": "/nowhere/x"}, {"extra": ()}):
+            with self.subTest(options=options):
+                answer = await self.ask(ONCE, **options)
+                self.assertEqual(relay_fixture.status_of(answer), 503)
+                self.assertIn(b"Retry-After", answer)
+        self.assertEqual(self.seen(), [])
+
     async def test_a_key_that_is_taken_away_is_refused_on_a_kept_connection(
         self,
     ):
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -187,6 +187,32 @@
         await self.catch_up(late)
         self.assertEqual(self.listed(late), ["1", "2"])
 
+    async def test_an_instance_knows_that_it_is_behind_until_it_caught_up(self):
+        ahead, behind = self.instance("a"), self.instance("b")
+        self.connect(ahead, behind)
+        for instance in (ahead, behind):
+            await instance[1].follower.step()
+        self.put("2")
+        await ahead[1].follower.step()
+        self.assertFalse(behind[0].is_behind(TABLE))
+        ahead[0]._tell(near=5, far=0)
+        self.assertTrue(behind[0].is_behind(TABLE))
+        await self.catch_up(behind)
+        self.assertFalse(behind[0].is_behind(TABLE))
+
+    async def test_word_of_a_revision_that_nobody_gives_is_forgotten(self):
+        """A peer tells of a change and dies with it. Refusing by its word
+        for good, an instance would serve no unknown path an answer again.
+        """
+        dead, instance = self.instance("a"), self.instance("b")
+        self.connect(dead, instance)
+        await instance[1].follower.step()
+        dead[1].follower.revision = 99
+        dead[0]._tell(near=5, far=0)
+        self.assertTrue(instance[0].is_behind(TABLE))
+        await self.clock.advance(4 * _SECOND)
+        self.assertFalse(instance[0].is_behind(TABLE))
+
     async def test_a_newcomer_gets_the_whole_table(self):
         old, new = self.instance("a"), self.instance("b")
         self.connect(old, new)
