--- a/src/nutmeghook/internal/following/audience.py
+++ b/src/nutmeghook/internal/following/audience.py
@@ -9,9 +9,7 @@
 import math
 import random
 
-# Up to this size everybody tells everybody within a round or two, and data
-# centres have so few instances that a word must not depend on one crossing.
-SMALL_FLEET = 12
+from nutmeghook.internal.following import reader_ranks
 
 
 class Audience:
@@ -45,7 +43,9 @@
                 take their place, first those of which it is not known.
             far: How many others besides, on average.
         """
-        if len(peers) < SMALL_FLEET:
+        if not reader_ranks.is_large(len(peers) + 1):
+            # Everybody is told within a round or two, and a data centre has so
+            # few instances that a word must not depend on one crossing.
             most = min(len(peers), near + math.ceil(far))
             return self._random.sample(list(peers.values()), most)
         ranked: tuple[list[str], list[str], list[str]] = ([], [], [])
--- a/src/nutmeghook/internal/following/copies.py
+++ b/src/nutmeghook/internal/following/copies.py
@@ -1,6 +1,7 @@
 """A followed table's rows as they stand, for peers that ask for them."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 
 from nutmeghook.internal.following import differences
@@ -152,5 +153,7 @@
             self._complete_after = max(self._complete_after, dropped.version)
 
 
-def _in_order(rows) -> tuple[source.FollowedRow, ...]:
+def _in_order(
+    rows: Iterable[source.FollowedRow],
+) -> tuple[source.FollowedRow, ...]:
     return tuple(sorted(rows, key=lambda row: (row.version, row.key)))
