Ask a store that is out seldom, from instances of a large fleet

After a failed call an instance of a large fleet that is no reader asks again after 4 s, give or take a quarter. Its first call is as soon as before, so that one which the store does serve is not late.

--- a/src/nutmeghook/internal/following/follower.py
+++ b/src/nutmeghook/internal/following/follower.py
@@ -174,11 +174,17 @@
         while True:
             await self.step()
 
-    async def step(self, wait: datetime.timedelta | None = None) -> None:
+    async def step(
+        self,
+        wait: datetime.timedelta | None = None,
+        *,
+        pause: datetime.timedelta | None = None,
+    ) -> None:
         """Reads once; after a failure it waits a little instead.
 
         Args:
             wait: For a change; the follower's own where it is None.
+            pause: After a failure; one that grows with each where it is None.
         """
         try:
             await self._read(self._wait if wait is None else wait)
@@ -189,7 +195,7 @@
         except failures.PlatformError as error:
             self._watch.note_failure(error)
             jitter = 0.75 + 0.5 * self._random.random()
-            await self._clock.sleep(self._pause * jitter)
+            await self._clock.sleep((pause or self._pause) * jitter)
             self._pause = min(self._pause * 2, LONGEST_PAUSE)
 
     def skip_to(self, revision: int) -> None:
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -64,6 +64,12 @@
 _IDLE = datetime.timedelta(milliseconds=100)
 # A reader's own feed usually brings a change by itself within this.
 _READER_DELAY = datetime.timedelta(milliseconds=250)
+# After a failed call, of an instance of a large fleet that is no reader. The
+# failure: the store is out, no proof is young, and all instances ask it again
+# and again; of 200, some 400 calls a second, which are paid for and meet the
+# store on its return. Whoever is answered first tells the others, and readers
+# go on asking every second, so one in four seconds from each is plenty.
+_PAUSE_OF_OTHERS = datetime.timedelta(seconds=4)
 # Before a peer whose link was busy is asked again. Its share of a slow link
 # refills by a piece within this.
 _BUSY_PAUSE = datetime.timedelta(milliseconds=50)
@@ -188,6 +194,13 @@
             return _LARGE_FLEET_WAIT
         return follower.FEED_WAIT
 
+    def failure_pause(self) -> datetime.timedelta | None:
+        """Returns how long to wait after a failed call; None: as usual."""
+        is_reader = self._ranks.is_reader(fleet_size=self._fleet_size)
+        if is_reader or not reader_ranks.is_large(self._fleet_size):
+            return None
+        return _PAUSE_OF_OTHERS
+
     @property
     def _fleet_size(self) -> int:
         return len(self.peers) + 1
@@ -371,7 +384,11 @@
         await clock.sleep(_IDLE)
         return
     before = table.revision
-    wait = follower.FEED_WAIT if gossip is None else gossip.feed_wait(table)
-    await table.follower.step(wait)
+    if gossip is None:
+        await table.follower.step()
+    else:
+        await table.follower.step(
+            gossip.feed_wait(table), pause=gossip.failure_pause()
+        )
     if table.revision != before:
         await clock.sleep(GATHER_CHANGES)
--- a/tests/cover/test_readers_lost.py
+++ b/tests/cover/test_readers_lost.py
@@ -72,6 +72,37 @@
     def test_a_change_is_in_force_in_time_on_200_instances(self):
         self.check(size=200, bound=4 * _SECOND, outages=2)
 
+    def test_a_store_that_is_out_is_not_asked_by_everybody_all_the_time(self):
+        """The store answers nobody for eight seconds. No instance has a young
+        proof any more, and 73 asked again and again, each some ten times. On
+        its return all hear of a change in time nevertheless.
+        """
+        asked, took = _virtual_time.run(self.out_for_all())
+        self.assertLess(asked / 73, 3.5)
+        self.assertLess(took, 3 * _SECOND)
+
+    async def out_for_all(self) -> tuple[int, datetime.timedelta]:
+        fleet = gossip_fleet.Fleet(size=73, seed=3, change_time=3 * _SECOND)
+        fleet.store.put(b"first")
+        tasks = [asyncio.ensure_future(g.run()) for g in fleet.gossips]
+        tasks += [
+            asyncio.ensure_future(_follow_forever(fleet, gossip))
+            for gossip in fleet.gossips
+        ]
+        await fleet.clock.sleep(5 * _SECOND)
+        fleet.store.turned_away = set(fleet.names)
+        fleet.store.asked = 0
+        await fleet.clock.sleep(8 * _SECOND)
+        asked = fleet.store.asked
+        fleet.store.turned_away = set()
+        version = fleet.store.put(b"changed")
+        began_at = fleet.clock.monotonic()
+        while fleet.behind(version):
+            await fleet.clock.sleep(_SECOND / 50)
+        took = fleet.clock.monotonic() - began_at
+        await gossip_fleet.stop(tasks)
+        return asked, took
+
 
 async def _follow_forever(fleet, gossip) -> None:
     table = fleet.tables[gossip._instance_id]
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -34,14 +34,14 @@
 
     Attributes:
         turned_away: Instances whose calls it leaves without an answer.
-        calls: How many it has answered.
+        asked: How many calls came, answered or not.
     """
 
     def __init__(self):
         self._rows: list[source.FollowedRow] = []
         self._news = asyncio.Event()
         self.turned_away: set[str] = set()
-        self.calls = 0
+        self.asked = 0
 
     @property
     def revision(self) -> int:
@@ -61,7 +61,6 @@
 
     def page(self, since: int) -> source.Page:
         """Returns what changed."""
-        self.calls += 1
         return source.Page(
             rows=tuple(row for row in self._rows if row.version > since),
             revision=self.revision,
@@ -104,6 +103,7 @@
         return self._store.page(since)
 
     async def _answer(self, wait: datetime.timedelta) -> None:
+        self._store.asked += 1
         await asyncio.sleep(self._ANSWER_S)
         if self._instance in self._store.turned_away:
             await asyncio.sleep(wait.total_seconds() + self._TIMEOUT_SLACK_S)
