Tidy what the new tables' code repeats; behaviour as before

Found on reading the whole change: copies assigned a row twice and called an empty result None, audience copied lists it was given, taking logged a failed pull in two branches.

--- a/src/nutmeghook/internal/following/audience.py
+++ b/src/nutmeghook/internal/following/audience.py
@@ -5,7 +5,6 @@
 on inside; so it need cross seldom, as long as it crosses from everywhere.
 """
 
-from collections.abc import Iterable
 import math
 import random
 
@@ -62,8 +61,7 @@
             return 1
         return 0 if data_centre == self._data_centre else 2
 
-    def _some(self, addresses: Iterable[str], most: int) -> list[str]:
-        addresses = list(addresses)
+    def _some(self, addresses: list[str], most: int) -> list[str]:
         count = max(0, min(most, len(addresses)))
         return self._random.sample(addresses, count)
 
--- a/src/nutmeghook/internal/following/copies.py
+++ b/src/nutmeghook/internal/following/copies.py
@@ -106,7 +106,7 @@
     def steps_after(self, key: str, revision: int) -> tuple[RowStep, ...]:
         """Returns the steps from a row's version at a revision to its newest.
 
-        None where they are not kept. The base of the first may be another
+        Empty where they are not kept. The base of the first may be another
         version than the one that a peer at that revision has, where this
         instance skipped one; the peer has to compare.
         """
@@ -119,10 +119,9 @@
 
     def _put(self, row: source.FollowedRow) -> None:
         former = self._rows.get(row.key)
+        self._rows[row.key] = row
         if former is None or former.version == row.version:
-            self._rows[row.key] = row
             return
-        self._rows[row.key] = row
         if min(len(former.value), len(row.value)) < _LEAST_COMPARED_BYTES:
             self._steps.pop(row.key, None)
             return
--- a/src/nutmeghook/internal/following/taking.py
+++ b/src/nutmeghook/internal/following/taking.py
@@ -87,14 +87,14 @@
             piece = await self._next_piece(address)
             while not self._is_complete(piece):
                 piece = await self._next_piece(address)
-        except peers_module.PeerRefusedError as error:
-            if error.code_number == codes.Code.OVERLOADED.number:
+        except (
+            peers_module.PeerRefusedError,
+            peers_module.PeerUnreachableError,
+        ) as error:
+            if _is_busy(error):
                 return Outcome.TRY_AGAIN
             logs.note("peer:pull_failed", peer=address, error=str(error))
             return Outcome.FAILED
-        except peers_module.PeerUnreachableError as error:
-            logs.note("peer:pull_failed", peer=address, error=str(error))
-            return Outcome.FAILED
         return self._take(piece, address, before)
 
     async def _next_piece(self, address: str) -> ttypes.TablePiece:
@@ -160,3 +160,11 @@
             bytes=len(partial.data),
         )
         return Outcome.CAUGHT_UP
+
+
+def _is_busy(error: Exception) -> bool:
+    """Tells whether a peer refused only because its link was busy."""
+    return (
+        isinstance(error, peers_module.PeerRefusedError)
+        and error.code_number == codes.Code.OVERLOADED.number
+    )
