Tell why a begun answer was cut, and let a short page tell it

Cause: of the lost requests' last seconds nothing was collected. A collector keeps the first 4,000 bytes of a metrics page, which were descriptions of metrics without a value and a histogram's buckets, and the end of each log, of whose lines a third were two fields that say nothing here. Change: answers that were begun and cut are counted by route and reason, silent replicas that are left by whether they were dark; the end of a request says whether its answer had begun and which configuration let it in; a line attempt:left. Metrics without a value are left out, counts stand before histograms; lines without eliot's task fields. No change of any decision.

--- a/src/nutmeghook/internal/assembly/observation.py
+++ b/src/nutmeghook/internal/assembly/observation.py
@@ -2,7 +2,6 @@
 
 from aiohttp import hdrs
 from aiohttp import web
-import aioprometheus
 import msgspec
 
 from nutmeghook.internal.administration import principals as principals_module
@@ -27,9 +26,7 @@
 
     async def show_metrics(request: web.Request) -> web.Response:
         gauges.refresh()
-        body, headers = aioprometheus.render(
-            metrics.registry, request.headers.getall(hdrs.ACCEPT, [])
-        )
+        body, headers = metrics.render(request.headers.getall(hdrs.ACCEPT, []))
         return web.Response(body=body, headers=headers)
 
     async def show_events(request: web.Request) -> web.Response:
--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -69,6 +69,7 @@
             chooser=chooser,
             versions=around.versions,
             times=times,
+            metrics=around.metrics,
             clock=around.clock,
         ),
         "sender": sender_module.Sender(
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -9,7 +9,6 @@
 import aiohttp
 from aiohttp import hdrs
 from aiohttp import web
-import aioprometheus
 
 from nutmeghook.internal.assembly import relay_path
 from nutmeghook.internal.assembly import router_peers
@@ -317,8 +316,8 @@
         if request.path != METRICS_PATH:
             return web.Response(status=404)
         self._refresh_gauges()
-        body, content_headers = aioprometheus.render(
-            self.metrics.registry, request.headers.getall(hdrs.ACCEPT, [])
+        body, content_headers = self.metrics.render(
+            request.headers.getall(hdrs.ACCEPT, [])
         )
         return web.Response(body=body, headers=content_headers)
 
--- a/src/nutmeghook/internal/observe/log_writer.py
+++ b/src/nutmeghook/internal/observe/log_writer.py
@@ -12,6 +12,10 @@
 # than the lines themselves.
 _FLUSH_EVERY_S = 0.05
 _MAX_WRITE_BYTES = 64 * 1024
+# Each line is an event by itself, not part of a nested task. These two fields
+# are a third of a line, and a collector that keeps the end of a log then kept
+# too little of it to see what became of a request.
+_UNUSED_FIELDS = frozenset({"task_uuid", "task_level"})
 
 
 class BoundedLogWriter:
@@ -45,7 +49,12 @@
 
     def __call__(self, message: dict[str, object]) -> None:
         """Takes in one message."""
-        line = msgspec.json.encode(message, enc_hook=repr) + b"\n"
+        kept = {
+            name: value
+            for name, value in message.items()
+            if name not in _UNUSED_FIELDS
+        }
+        line = msgspec.json.encode(kept, enc_hook=repr) + b"\n"
         if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
             self.dropped += 1
             return
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -3,6 +3,8 @@
 docs/METRICS.md is checked against `PAGE_ROWS`.
 """
 
+from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import enum
 
@@ -117,6 +119,21 @@
         labels=("route",),
         buckets=_LATENCY_BUCKETS_S,
     ),
+    MetricSpec(
+        name="answers_cut_total",
+        kind=MetricKind.COUNTER,
+        meaning="Relayed answers that were begun and cut, by why.",
+        labels=("route", "reason"),
+    ),
+    MetricSpec(
+        name="attempts_left_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Attempts given up for another replica while theirs was silent,"
+            " by whether that one accepted connections."
+        ),
+        labels=("replica",),
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
@@ -168,13 +185,12 @@
 class Metrics:
     """The collectors of one instance, found by name."""
 
-    __slots__ = ("_by_name", "registry")
+    __slots__ = ("_by_name",)
 
     def __init__(self):
-        self.registry = aioprometheus.Registry()
-        self._by_name: dict[str, collectors.Collector] = {}
-        for spec in SPECS:
-            self._by_name[spec.name] = _collector(spec, self.registry)
+        self._by_name: dict[str, collectors.Collector] = {
+            spec.name: _collector(spec) for spec in SPECS
+        }
 
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds to a counter."""
@@ -188,12 +204,30 @@
         """Adds one value to a histogram."""
         self._by_name[name].observe(labels, value)
 
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Returns the page for a collector, and its headers.
 
-def _collector(
-    spec: MetricSpec, registry: aioprometheus.Registry
-) -> collectors.Collector:
-    """Returns the collector, which registers itself."""
+        The failure: a collector kept the first 4,000 bytes of each page, all
+        of them descriptions of metrics without a value and buckets of
+        histograms, and no count of how requests ended. So metrics without a
+        value are left out, and what is counted stands before histograms.
+
+        Args:
+            accepts: The request's Accept headers.
+        """
+        with_values = [c for c in self._by_name.values() if c.get_all()]
+        counted = [c for c in with_values if not _is_histogram(c)]
+        timed = [c for c in with_values if _is_histogram(c)]
+        first, headers = aioprometheus.render(_registry(counted), accepts)
+        second, _ = aioprometheus.render(_registry(timed), accepts)
+        return first + second, headers
+
+
+def _collector(spec: MetricSpec) -> collectors.Collector:
     name = PREFIX + spec.name
+    # Without a registry of their own, collectors of one name could exist only
+    # once in a process.
+    registry = aioprometheus.Registry()
     if spec.kind is MetricKind.COUNTER:
         return aioprometheus.Counter(name, spec.meaning, registry=registry)
     if spec.kind is MetricKind.GAUGE:
@@ -203,6 +237,19 @@
     )
 
 
+def _is_histogram(collector: collectors.Collector) -> bool:
+    return isinstance(collector, aioprometheus.Histogram)
+
+
+def _registry(
+    of_collectors: Iterable[collectors.Collector],
+) -> aioprometheus.Registry:
+    registry = aioprometheus.Registry()
+    for collector in of_collectors:
+        registry.register(collector)
+    return registry
+
+
 _HEAD = """# Metrics
 
 Each instance serves these at `/metrics` in the Prometheus text format. Names
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -11,6 +11,7 @@
     """A request that was let in, and its attempts so far.
 
     Attributes:
+        admitted_under: Version of the configuration that let it in.
         deadline: Monotonic time at which it gets its final answer at last.
         service: The service chosen for it; None before its first attempt.
         model_index: Index into the route's models.
@@ -21,6 +22,7 @@
     """
 
     __slots__ = (
+        "admitted_under",
         "deadline",
         "incoming",
         "last_event_id",
@@ -42,7 +44,9 @@
         route: model.Route,
         team: model.Team | None,
         deadline: datetime.timedelta,
+        admitted_under: int,
     ):
+        self.admitted_under = admitted_under
         self.incoming = incoming
         self.sink = sink
         self.route = route
--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -4,6 +4,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import job as job_module
@@ -19,7 +20,7 @@
 class AnswerObserver:
     """Takes in answers of replicas as they begin and end."""
 
-    __slots__ = ("_chooser", "_clock", "_times", "_versions")
+    __slots__ = ("_chooser", "_clock", "_metrics", "_times", "_versions")
 
     def __init__(
         self,
@@ -27,8 +28,10 @@
         chooser: choice_module.ReplicaChooser,
         versions: view_module.VersionView,
         times: generation_times.GenerationTimes,
+        metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
+        self._metrics = metrics
         self._chooser = chooser
         self._versions = versions
         self._times = times
@@ -89,6 +92,33 @@
             ),
         )
 
+    def note_left(
+        self,
+        job: job_module.Job,
+        prepared: prepared_module.Prepared,
+        *,
+        is_dark: bool,
+    ) -> None:
+        """Takes in that a silent replica is left for another one.
+
+        Args:
+            job: The request.
+            prepared: The attempt that is given up.
+            is_dark: The replica accepts no connection; else it is only silent.
+        """
+        logs.note(
+            "attempt:left",
+            request=job.log_id,
+            attempt=job.tries,
+            replica=prepared.replica.entry.replica_id,
+            dark=is_dark,
+            begun=job.sink.begun,
+            after_event=job.last_event_id,
+        )
+        self._metrics.add(
+            "attempts_left_total", replica="dark" if is_dark else "silent"
+        )
+
     def _note_first_pace(
         self,
         prepared: prepared_module.Prepared,
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -62,7 +62,7 @@
                 await self._wholes.run(job)
         except rejections.RejectedError as rejection:
             ending = endings.of_rejection(rejection)
-            await _reject(sink, rejection)
+            await self._reject(sink, rejection, route_name)
         except asyncio.CancelledError:
             ending = endings.CALLER_LEFT
             raise
@@ -73,7 +73,7 @@
             # A fault of ours; the caller still gets an answer at once.
             ending = endings.of_fault(error)
             logs.note("request:fault", trace=traceback.format_exc())
-            await _reject(sink, _fault(job))
+            await self._reject(sink, _fault(job), route_name)
         finally:
             self._note_end(incoming, job, route_name, ending)
 
@@ -105,6 +105,7 @@
             route=route,
             team=team,
             deadline=incoming.arrived_at + limit,
+            admitted_under=configuration.version,
         )
 
     def _denial(
@@ -124,6 +125,25 @@
             retry_after=_RETRY_WHILE_BEHIND,
         )
 
+    async def _reject(
+        self,
+        sink: incoming_module.AnswerSink,
+        rejection: rejections.RejectedError,
+        route_name: str,
+    ) -> None:
+        if sink.begun:
+            # The head promised success: only a cut tells the caller otherwise.
+            sink.cut()
+            self._metrics.add(
+                "answers_cut_total", route=route_name, reason=rejection.reason
+            )
+            return
+        await sink.refuse(
+            rejection.response,
+            detail=rejection.reason,
+            retry_after=rejection.retry_after,
+        )
+
     def _note_end(
         self,
         incoming: incoming_module.Incoming,
@@ -139,6 +159,8 @@
             code=ending.code.number,
             outcome=ending.reason,
             attempts=job.tries if job else 0,
+            begun=job.sink.begun if job else False,
+            configuration=job.admitted_under if job else None,
             duration_ms=round(duration / datetime.timedelta(milliseconds=1)),
         )
         self._metrics.add(
@@ -167,17 +189,3 @@
         reason="internal fault",
         retry_after=_RETRY_WITHOUT_CONFIGURATION if not_sent else None,
     )
-
-
-async def _reject(
-    sink: incoming_module.AnswerSink, rejection: rejections.RejectedError
-) -> None:
-    if sink.begun:
-        # The head promised success: only a cut tells the caller otherwise.
-        sink.cut()
-        return
-    await sink.refuse(
-        rejection.response,
-        detail=rejection.reason,
-        retry_after=rejection.retry_after,
-    )
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -293,9 +293,13 @@
         is_too_long: bool,
     ) -> bool:
         """Tells whether a silent replica is left for another one."""
+        is_dark = False
         if not is_too_long:
-            is_too_long = await self._sender.is_unreachable(prepared.replica)
-        return is_too_long and self._planner.try_move(job)
+            is_dark = await self._sender.is_unreachable(prepared.replica)
+        if not (is_too_long or is_dark) or not self._planner.try_move(job):
+            return False
+        self._observer.note_left(job, prepared, is_dark=is_dark)
+        return True
 
     async def _until_deadline(
         self, job: job_module.Job, work: Awaitable[_T]
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -57,6 +57,7 @@
         extra: Bytes after the whole answer.
         silent: No byte is sent until the caller leaves.
         pause_s: Before each event.
+        stall_after: No byte follows this many events until the caller leaves.
     """
 
     status: int = 200
@@ -72,6 +73,7 @@
     extra: bytes = b""
     silent: bool = False
     pause_s: float = 0.0
+    stall_after: int | None = None
 
 
 def event(number: int) -> bytes:
@@ -131,6 +133,10 @@
         """Takes replies from a list that it may share with others."""
         self._replies = replies
 
+    def decide_by(self, decide: Callable[[SeenRequest], Reply]) -> None:
+        """Takes each reply from a function of the request."""
+        self._decide = decide
+
     async def start(self) -> None:
         """Listens on a port that the system chooses."""
         self._server = await asyncio.start_server(
@@ -210,7 +216,11 @@
     ) -> bool:
         writer.write(_head(reply, request))
         sent = 0
-        for piece in _pieces(reply, request):
+        for number, piece in enumerate(_pieces(reply, request)):
+            if number == reply.stall_after:
+                await reader.read(1)
+                self._note_left(request)
+                return False
             if reply.pause_s and await _left_within(reader, reply.pause_s):
                 self._note_left(request)
                 return False
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -64,8 +64,13 @@
 
     replica_count = 2
 
+    def build_clock(self) -> clock_module.Clock:
+        """Returns the relay's clock."""
+        return clock_module.SystemClock()
+
     async def asyncSetUp(self):
-        self.clock = clock_module.SystemClock()
+        self.clock = self.build_clock()
+        self.metrics = metrics_module.Metrics()
         self.configuration = in_force_module.ConfigurationInForce()
         self.configuration.offer(configuration(), source="test")
         self.pool = pool_module.ConnectionPool(loop=asyncio.get_running_loop())
@@ -122,7 +127,7 @@
                     pool=self.pool,
                     data_centre="here",
                     wire_format=wire_format,
-                    metrics=metrics_module.Metrics(),
+                    metrics=self.metrics,
                     clock=self.clock,
                     random_source=random.Random(1),
                 )
