--- /dev/null
+++ b/tests/cover/test_relay_taken_away.py
@@ -0,0 +1,270 @@
+"""Requests under way whose key or route the operator takes away.
+
+Seen on a large deployment: two streams that had begun were cut in the middle,
+three seconds after a key was taken away, though both replicas were at work. A
+stream's replica paused for longer than the relay waits. The relay made sure
+of another replica and of the retry budget, left the one at work, and only
+then looked up route and key once more. Both streams had come with the key that
+was gone: the further attempt was refused, and there was nobody to go back to.
+Shown by the reason logged for requests that ended so; the first test here
+brings it about.
+"""
+
+import asyncio
+import datetime
+import unittest
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.routes import model
+from nutmeghook.platform import headers
+from nutmeghook.standins import users_replica
+from tests import relay_fixture
+
+IDEMPOTENT = model.RouteKind.IDEMPOTENT
+STREAM = model.RouteKind.STREAM
+Reply = users_replica.Reply
+EVENTS = (0, 1, 2, 3)
+WHOLE = [users_replica.event(number) for number in EVENTS]
+MODELS = ("small", "middle", "large")
+ANY_MODEL = (relay_fixture.AUTHORIZATION, ("X-Model", "*"))
+# Far beyond all silences, so that none of these requests ends by its limit.
+LONG = 100_000 * relay_fixture.SECOND
+STEP = datetime.timedelta(milliseconds=20)
+
+
+class TakenAwayCase(relay_fixture.RelayCase):
+    """Gives each test a relay whose clock the test drives."""
+
+    def build_clock(self) -> clock_module.Clock:
+        return clock_module.FakeClock()
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.version = 1
+        self.put_in_force()
+
+    def put_in_force(self, *routes: model.Route, **changes) -> None:
+        """Puts a configuration in force, with patient routes by default."""
+        self.version += 1
+        routes = routes or tuple(
+            relay_fixture.route(kind, time_limit=LONG)
+            for kind in model.RouteKind
+        )
+        self.configuration.offer(
+            relay_fixture.configuration(
+                *routes, version=self.version, **changes
+            ),
+            source="test",
+        )
+
+    def take_key_away(self) -> None:
+        """Takes the callers' key away; another team keeps its own."""
+        others = {"another-key": model.Team(name="another-team")}
+        self.put_in_force(teams_by_key=others)
+
+    async def answer_of(self, asking: asyncio.Task[bytes]) -> bytes:
+        """Lets time pass until a request has its final answer."""
+        while not asking.done():
+            await self.clock.advance(STEP)
+            # Sockets are real: what is on the way must get its turn.
+            await asyncio.sleep(0.001)
+        return await asking
+
+    def seen_after(self, event_id: str) -> list[users_replica.SeenRequest]:
+        """Returns the requests that went on after an event."""
+        name = headers.LAST_EVENT.lower()
+        return [s for s in self.seen() if s.headers.get(name) == event_id]
+
+
+class BegunStreamCase(TakenAwayCase):
+    async def begun(self) -> asyncio.Task[bytes]:
+        """Asks for a stream whose replica stalls after two events.
+
+        Returns:
+            The rest of the answer, once the caller has the two.
+        """
+        self.reply_with(
+            Reply(events=EVENTS, stall_after=2), Reply(events=EVENTS)
+        )
+        host, _, port = self.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            f"POST /stream/x HTTP/1.1\r\nHost: {relay_fixture.HOST}\r\n"
+            f"{headers.REQUEST_ID}: request-1\r\n"
+            f"Authorization: Token {relay_fixture.KEY}\r\n"
+            "Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
+        )
+        begun = await reader.readuntil(b"data: part 1\n\n\r\n")
+
+        async def rest() -> bytes:
+            return begun + await reader.read()
+
+        return asyncio.create_task(rest())
+
+    async def assert_goes_on(self, asking: asyncio.Task[bytes]) -> None:
+        """Checks that the answer comes whole, by a second replica."""
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(len(self.seen_after("1")), 1)
+
+
+class BegunStreamsTest(BegunStreamCase):
+    async def test_a_begun_stream_is_not_cut_when_its_key_is_taken_away(self):
+        """The caller has two events when its key is taken away.
+        Its replica then stays silent for longer than the relay waits, and
+        another one is asked to go on. The stream was let in with a key that
+        was good, so it goes on to its end.
+        """
+        asking = await self.begun()
+        self.take_key_away()
+        await self.assert_goes_on(asking)
+
+    async def test_nor_when_its_replica_goes_dark(self):
+        """The same, but the replica accepts no connection any more, and is
+        left long before the silence itself is too much.
+        """
+        asking = await self.begun()
+        (dark,) = [r for r in self.replicas if r.seen]
+        dark.refuse_connections()
+        self.take_key_away()
+        await self.assert_goes_on(asking)
+
+    async def test_nor_when_its_replica_breaks_off(self):
+        """The same, but the replica crashes: nobody chose to leave it."""
+        asking = await self.begun()
+        self.take_key_away()
+        (crashed,) = [r for r in self.replicas if r.seen]
+        await crashed.stop()
+        await self.assert_goes_on(asking)
+
+    async def test_nor_when_its_route_is_taken_away(self):
+        """The operator removes the route of a stream that has begun."""
+        asking = await self.begun()
+        self.put_in_force(
+            relay_fixture.route(model.RouteKind.IDEMPOTENT, time_limit=LONG)
+        )
+        await self.assert_goes_on(asking)
+
+    async def test_a_new_request_with_a_key_that_was_taken_away_is_denied(self):
+        """What was let in before goes on; what comes after is refused."""
+        asking = await self.begun()
+        self.take_key_away()
+        denied = await self.ask(STREAM, request_id="request-2")
+        self.assertEqual(relay_fixture.status_of(denied), 401)
+        await self.assert_goes_on(asking)
+
+
+class MovedRoutesTest(BegunStreamCase):
+    replica_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.other = self.replicas[2]
+        self.directory.put(self.entry(self.other, service="other"))
+
+    async def test_a_begun_stream_stays_with_its_service(self):
+        """The operator moves a stream's route to another service while its
+        replica is silent. Two services' texts must not be joined, so the
+        stream goes on at another replica of its own.
+        """
+        asking = await self.begun()
+        self.put_in_force(
+            relay_fixture.route(
+                STREAM,
+                time_limit=LONG,
+                shares=(model.ServiceShare(service="other", weight=1.0),),
+            )
+        )
+        await self.assert_goes_on(asking)
+        self.assertEqual(self.other.seen, [])
+
+
+class AnswersInHandTest(TakenAwayCase):
+    def on_arrival(self, act, *replies: users_replica.Reply) -> None:
+        """Replies in turn, and acts as the first request arrives."""
+        left = list(replies)
+
+        def decide(_: users_replica.SeenRequest) -> users_replica.Reply:
+            if len(left) == len(replies):
+                act()
+            return left.pop(0) if len(left) > 1 else left[0]
+
+        for replica in self.replicas:
+            replica.decide_by(decide)
+
+    def ask_later(self, kind: model.RouteKind, **options) -> asyncio.Task:
+        return asyncio.create_task(self.ask(kind, **options))
+
+    async def test_a_weak_answer_is_not_dropped_for_a_refusal(self):
+        """The small model's answer is weak, and the key was taken away while
+        it was made. The weak answer is dropped only if the larger model is
+        really asked; the caller is not left with neither.
+        """
+        self.put_in_force(
+            relay_fixture.route(STREAM, time_limit=LONG, models=MODELS)
+        )
+        self.on_arrival(
+            self.take_key_away,
+            Reply(events=EVENTS, confidence=10),
+            Reply(events=EVENTS, confidence=10),
+        )
+        answer = await self.answer_of(self.ask_later(STREAM, extra=ANY_MODEL))
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(answer))
+
+    async def test_a_whole_answer_is_not_lost_with_its_key(self):
+        """A replica is silent beyond the relay's patience, and the key was
+        taken away meanwhile. Another replica's answer comes, not a failure.
+        """
+        self.on_arrival(
+            self.take_key_away, Reply(silent=True), Reply(body=b"from another")
+        )
+        answer = await self.answer_of(self.ask_later(IDEMPOTENT))
+        self.assertEqual(relay_fixture.body_of(answer), b"from another")
+
+    async def test_patience_ends_no_answer_when_the_retry_budget_is_spent(self):
+        """A replica takes longer than the relay's patience and works on.
+        The retry budget is spent, so nobody else may be asked: the caller
+        waits and gets the answer that is being made.
+        """
+        while self.budgets.budget_for("service").try_spend():
+            pass
+        self.reply_with(Reply(body=b"at last", pause_s=0.3))
+        asking = self.ask_later(IDEMPOTENT)
+        await self.arrival()
+        await self.clock.advance(20 * relay_fixture.SECOND)
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.body_of(answer), b"at last")
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_a_replicas_own_failure_is_not_replaced_by_a_refusal(self):
+        """A replica fails a stream before its first event, and all others
+        refuse it. The caller gets the failure as the replica gave it: it
+        says more than that nobody could take it.
+        """
+        self.reply_with(
+            Reply(status=500, body=b"out of order"),
+            Reply(status=503, not_run=True),
+        )
+        answer = await self.answer_of(self.ask_later(STREAM))
+        self.assertEqual(relay_fixture.status_of(answer), 500)
+        self.assertEqual(relay_fixture.body_of(answer), b"out of order")
+
+    async def test_what_was_not_run_yet_is_not_let_in_late(self):
+        """A replica refuses a request, which has waited in its queue, and
+        the key was taken away meanwhile. Nothing has run: the caller hears
+        that its key is unknown, and no other replica is asked.
+        """
+        self.on_arrival(
+            self.take_key_away, Reply(status=503, not_run=True), Reply()
+        )
+        answer = await self.answer_of(self.ask_later(IDEMPOTENT))
+        self.assertEqual(relay_fixture.status_of(answer), 401)
+        self.assertEqual(len(self.seen()), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
