Give up work in hand only for an attempt that was granted whole

Cause: what could forbid a further attempt was asked in two places. try_move asked attempts, budget and an untried replica, and the replica at work was left; prepare then looked route and key up once more, found the service anew and searched again. A key that was taken away since the request was let in refused the attempt, and a caller's begun answer was cut. The same gap stood at the weak answer that is dropped for a larger model (budget only), at a replica's own failure, and at a whole answer that takes long (nothing asked at all). Ruled out by the tests: that the silence or the replica's state matters; a dark, a crashed and a merely silent replica end the same way. Change: one function grants a further attempt whole, replica included, and prepare uses the grant. Route and key are looked up until something may have run; then admission holds to the request's end, and a begun stream stays with its service (docs/design/admission-holds.md). A replica's own failure is kept for the caller if nothing better comes, in one place for both paths.

--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -95,6 +95,7 @@
             **parts,
         ),
         whole_path=whole_answers.WholeAnswerPath(**parts),
+        wire_format=around.wire_format,
         metrics=around.metrics,
         clock=around.clock,
     )
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -1,5 +1,6 @@
-"""Prepares each attempt from the newest knowledge, and allows repeats."""
+"""Prepares each attempt from the newest knowledge, and grants further ones."""
 
+from collections.abc import Callable
 import datetime
 import random
 
@@ -7,6 +8,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.relay import attempt_facts
+from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
@@ -15,7 +17,6 @@
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.routes import in_force as in_force_module
-from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view as view_module
@@ -38,6 +39,7 @@
         "_clock",
         "_configuration",
         "_random",
+        "_routes",
         "_search",
         "_versions",
         "_wire_format",
@@ -55,6 +57,9 @@
         random_source: random.Random,
     ):
         self._configuration = configuration
+        self._routes = followed_routes.FollowedRoutes(
+            configuration=configuration
+        )
         self._search = search
         self._versions = versions
         self._budgets = budgets
@@ -63,19 +68,14 @@
         self._random = random_source
 
     def prepare(self, job: job_module.Job) -> prepared_module.Prepared:
-        """Returns the next attempt.
-
-        Route and key are looked up again: a request may have waited, or been
-        sent before, while the operator took one of them away.
+        """Returns the next attempt: the one granted before, if there is one.
 
         Raises:
             rejections.RejectedError: There is to be no further attempt.
         """
-        route = self._checked_route(job)
-        job.service = attempt_facts.service_for(route, job)
-        chosen = self._search.best(job)
-        if chosen is None:
-            raise self.given_up(job, reason="no replica can take it")
+        grant, job.grant = job.grant or self._found(job), None
+        job.service = grant.service
+        chosen = grant.choice
         replica = chosen.replica
         first = not job.tries
         if first:
@@ -106,7 +106,7 @@
             replica=replica,
             outgoing=self._outgoing(job, chosen),
             sent_at=self._clock.monotonic(),
-            route=route,
+            route=job.route,
             model=attempt_facts.model_name(job) or "",
             forecast=chosen.forecast,
             after_event=job.last_event_id,
@@ -141,19 +141,60 @@
     def try_move(self, job: job_module.Job) -> bool:
         """Takes leave to go on at another replica than the one at work.
 
-        The failure: a replica falls silent under load and works on. Given up
-        at once, the request then found no leave for a further attempt, or no
-        replica to take it, and a caller's answer that would have come was cut.
-        So all that could forbid the further attempt is asked before.
+        The failure: a replica falls silent under load and works on. It was
+        left before everything that could forbid the further attempt had been
+        asked: budget and replicas once, the caller's key another time. The
+        attempt was then refused, and an answer that would have come was cut.
+        So the attempt is granted whole, replica included, before any work is
+        given up, and `prepare` asks nothing again.
         """
-        return (
-            job.route.repeatable
-            and job.runs + 1 < job.route.attempts
-            and job.tries < MAX_TRIES
-            and self._search.untried(job) is not None
-            and self.try_spend(job)
+        return job.route.repeatable and self._try_grant(
+            job, lambda service: self._search.untried(job, service)
         )
 
+    def try_repeat(self, job: job_module.Job) -> bool:
+        """Takes leave to send a request again, to the same replica at last.
+
+        The answer may have been lost, and then its replica is as good as any.
+        """
+        return job.route.repeatable and self._try_grant(
+            job,
+            lambda service: self._search.best(job, service, may_have_run=True),
+        )
+
+    def try_larger(self, job: job_module.Job, model_index: int) -> bool:
+        """Takes leave to drop an answer for a larger model's."""
+        return self._try_grant(
+            job,
+            lambda service: self._search.for_model(job, service, model_index),
+        )
+
+    def _try_grant(
+        self,
+        job: job_module.Job,
+        find: Callable[[str], choice_module.Choice | None],
+    ) -> bool:
+        """Takes leave for a further attempt while one is at work."""
+        if job.runs + 1 >= job.route.attempts or job.tries >= MAX_TRIES:
+            return False
+        service = self._routes.service_for(job, may_have_run=True)
+        chosen = find(service)
+        if chosen is None:
+            return False
+        if not self._budgets.budget_for(service).try_spend():
+            return False
+        job.grant = job_module.Grant(service=service, choice=chosen)
+        return True
+
+    def _found(self, job: job_module.Job) -> job_module.Grant:
+        """Returns where an attempt goes when none is at work."""
+        may_have_run = job.possibly_run
+        service = self._routes.service_for(job, may_have_run=may_have_run)
+        chosen = self._search.best(job, service, may_have_run=may_have_run)
+        if chosen is None:
+            raise self.given_up(job, reason="no replica can take it")
+        return job_module.Grant(service=service, choice=chosen)
+
     def try_spend(self, job: job_module.Job) -> bool:
         """Takes leave for one more attempt from the service's budget."""
         return self._budgets.budget_for(job.service).try_spend()
@@ -182,24 +223,6 @@
         """Returns the time until the request's deadline."""
         return job.deadline - self._clock.monotonic()
 
-    def _checked_route(self, job: job_module.Job) -> model.Route:
-        configuration = self._configuration.current
-        route = configuration.find(job.incoming.host_name, job.incoming.path)
-        if route is None:
-            raise self._withdrawn(job, wire.FixedResponse.NO_ROUTE)
-        if not configuration.lets_in(route, job.incoming.facts.api_key):
-            raise self._withdrawn(job, wire.FixedResponse.BAD_KEY)
-        return route
-
-    def _withdrawn(
-        self, job: job_module.Job, response: wire.FixedResponse
-    ) -> rejections.RejectedError:
-        if job.possibly_run:
-            response = wire.FixedResponse.FAILED_PERHAPS_RUN
-        return rejections.RejectedError(
-            response, reason="route or key was taken away meanwhile"
-        )
-
     def _outgoing(
         self, job: job_module.Job, chosen: choice_module.Choice
     ) -> sender_module.Outgoing:
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -1,11 +1,38 @@
 """What is known of a request while it is under way."""
 
+import dataclasses
 import datetime
 
 from nutmeghook.internal.relay import incoming as incoming_module
+from nutmeghook.internal.relay import wire
+from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 
+_FIRST_FAILURE_STATUS = 500
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Grant:
+    """Leave for one further attempt, all that it needs included."""
+
+    service: str
+    choice: choice_module.Choice
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class WholeAnswer:
+    """A replica's answer with its whole body."""
+
+    status: int
+    headers: wire.Headers
+    body: bytes
+
+    @property
+    def failed(self) -> bool:
+        """Tells whether the replica reports a failure of its own."""
+        return self.status >= _FIRST_FAILURE_STATUS
+
 
 class Job:
     """A request that was let in, and its attempts so far.
@@ -13,6 +40,8 @@
     Attributes:
         admitted_under: Version of the configuration that let it in.
         deadline: Monotonic time at which it gets its final answer at last.
+        failure: A replica's own failure, the caller's if nothing better comes.
+        grant: Leave for its next attempt, if it was taken before.
         service: The service chosen for it; None before its first attempt.
         model_index: Index into the route's models.
         tried: Ids of the replicas that were tried.
@@ -24,6 +53,8 @@
     __slots__ = (
         "admitted_under",
         "deadline",
+        "failure",
+        "grant",
         "incoming",
         "last_event_id",
         "model_index",
@@ -52,6 +83,8 @@
         self.route = route
         self.team = team
         self.deadline = deadline
+        self.failure: WholeAnswer | None = None
+        self.grant: Grant | None = None
         self.service: str | None = None
         self.model_index = 0
         self.tried: set[str] = set()
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -27,7 +27,14 @@
 class RequestPath:
     """Serves one request after the other, each in its own task."""
 
-    __slots__ = ("_clock", "_configuration", "_metrics", "_streams", "_wholes")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_metrics",
+        "_streams",
+        "_wholes",
+        "_wire_format",
+    )
 
     def __init__(
         self,
@@ -35,12 +42,14 @@
         configuration: in_force_module.ConfigurationInForce,
         stream_path: streams.StreamPath,
         whole_path: whole_answers.WholeAnswerPath,
+        wire_format: wire.WireFormat,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
         self._configuration = configuration
         self._streams = stream_path
         self._wholes = whole_path
+        self._wire_format = wire_format
         self._metrics = metrics
         self._clock = clock
 
@@ -56,10 +65,7 @@
         try:
             job = self._admit(incoming, sink)
             route_name = job.route.name
-            if job.route.kind is model.RouteKind.STREAM:
-                await self._streams.run(job)
-            else:
-                await self._wholes.run(job)
+            await self._answer(job)
         except rejections.RejectedError as rejection:
             ending = endings.of_rejection(rejection)
             await self._reject(sink, rejection, route_name)
@@ -77,6 +83,20 @@
         finally:
             self._note_end(incoming, job, route_name, ending)
 
+    async def _answer(self, job: job_module.Job) -> None:
+        is_stream = job.route.kind is model.RouteKind.STREAM
+        try:
+            await (self._streams if is_stream else self._wholes).run(job)
+        except rejections.RejectedError:
+            if job.failure is None or job.sink.begun:
+                raise
+            # A replica's own failure says more than ours.
+            await job.sink.send_whole(
+                job.failure.status,
+                self._wire_format.answer_headers(job.failure.headers),
+                job.failure.body,
+            )
+
     def _admit(
         self,
         incoming: incoming_module.Incoming,
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -26,21 +26,25 @@
         self._versions = versions
         self._times = times
 
-    def best(self, job: job_module.Job) -> choice_module.Choice | None:
-        """Returns the best replica for the next attempt.
+    def best(
+        self, job: job_module.Job, service: str, *, may_have_run: bool
+    ) -> choice_module.Choice | None:
+        """Returns the best replica of a service for the next attempt.
 
         The failure: a request left a silent replica for another one, and that
         one refuses it. There is no third, the first works as before, and the
         caller's answer would end for want of a replica. What has run already
         and may be repeated goes back to one that was tried.
         """
-        chosen = self.untried(job)
-        if chosen is None and job.possibly_run and job.route.repeatable:
-            return self._best(job, self._accepts(job), tried=frozenset())
+        chosen = self.untried(job, service)
+        if chosen is None and may_have_run and job.route.repeatable:
+            return self._best(job, service, tried=frozenset())
         return chosen
 
-    def untried(self, job: job_module.Job) -> choice_module.Choice | None:
-        """Returns the best replica that was not tried.
+    def untried(
+        self, job: job_module.Job, service: str
+    ) -> choice_module.Choice | None:
+        """Returns the best replica of a service that was not tried.
 
         The failure: a roll-out has just begun, the new version's only replica
         fails a request, and there is no other of that version to turn to. A
@@ -48,18 +52,34 @@
         use.
         """
         tried = frozenset(job.tried)
-        chosen = self._best(job, self._accepts(job), tried=tried)
+        chosen = self._best(job, service, tried=tried)
         if chosen is None and tried:
-            in_full_use = self._versions.in_full_use(job.service)
-            chosen = self._best(job, in_full_use, tried=tried)
+            need = self._need(
+                job,
+                service,
+                accepts=self._versions.in_full_use(service),
+                tried=tried,
+            )
+            chosen = self._chooser.choose(need)
         return chosen
 
+    def for_model(
+        self, job: job_module.Job, service: str, model_index: int
+    ) -> choice_module.Choice | None:
+        """Returns the best replica for another model's answer.
+
+        One that gave a smaller model's answer may give a larger one's.
+        """
+        return self._best(
+            job, service, tried=frozenset(), model_index=model_index
+        )
+
     def _accepts(
-        self, job: job_module.Job
+        self, job: job_module.Job, service: str
     ) -> Callable[[entries.ReplicaEntry], bool]:
         """Returns a test for the replicas whose version may run a request."""
         return self._versions.accepts(
-            job.service,
+            service,
             session=job.incoming.facts.session,
             request_id=job.log_id,
         )
@@ -67,22 +87,31 @@
     def _best(
         self,
         job: job_module.Job,
-        accepts: Callable[[entries.ReplicaEntry], bool],
+        service: str,
         *,
         tried: frozenset[str],
+        model_index: int | None = None,
     ) -> choice_module.Choice | None:
-        return self._chooser.choose(self._need(job, accepts, tried=tried))
+        need = self._need(
+            job,
+            service,
+            accepts=self._accepts(job, service),
+            tried=tried,
+            model_index=model_index,
+        )
+        return self._chooser.choose(need)
 
     def _need(
         self,
         job: job_module.Job,
-        accepts: Callable[[entries.ReplicaEntry], bool],
+        service: str,
         *,
+        accepts: Callable[[entries.ReplicaEntry], bool],
         tried: frozenset[str],
         model_index: int | None = None,
     ) -> choice_module.Need:
         return choice_module.Need(
-            service=job.service,
+            service=service,
             accepts=accepts,
             key=attempt_facts.affinity(job, model_index) or job.log_id,
             exclude=tried,
@@ -111,6 +140,10 @@
     ) -> choice_module.Forecast | None:
         """Returns when another model's answer would begin, sent now."""
         need = self._need(
-            job, self._accepts(job), tried=frozenset(), model_index=model_index
+            job,
+            job.service,
+            accepts=self._accepts(job, job.service),
+            tried=frozenset(),
+            model_index=model_index,
         )
         return self._chooser.forecast(need) if need.prompt else None
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -30,7 +30,6 @@
 # ten first events come sooner, and answers of a healthy replica pause less.
 _DOUBTFUL_SILENCE = datetime.timedelta(milliseconds=600)
 _OK_STATUS = 200
-_FIRST_FAILURE_STATUS = 500
 # With fewer events the time between them says little of a replica's pace.
 _LEAST_PACED_EVENTS = 4
 _T = TypeVar("_T")
@@ -120,27 +119,31 @@
         A replica's word that the request itself is wrong holds anywhere; only
         its own failures are worth another replica.
         """
-        body = await self._until_deadline(job, answer.read_whole())
-        failed = answer.head.status >= _FIRST_FAILURE_STATUS
+        whole = job_module.WholeAnswer(
+            status=answer.head.status,
+            headers=answer.head.headers,
+            body=await self._until_deadline(job, answer.read_whole()),
+        )
         self._observer.note_answer(
-            job, prepared, status=answer.head.status, failed=failed
+            job, prepared, status=whole.status, failed=whole.failed
         )
-        if failed and self._may_repeat(job, answer):
+        if whole.failed and self._may_repeat(job, whole):
+            job.failure = whole
             return _Step.AGAIN
         if job.sink.begun:
             raise self._planner.given_up(job, reason="a replica failed it")
         await job.sink.send_whole(
-            answer.head.status,
-            self._wire_format.answer_headers(answer.head.headers),
-            body,
+            whole.status,
+            self._wire_format.answer_headers(whole.headers),
+            whole.body,
         )
         return _Step.DONE
 
     def _may_repeat(
-        self, job: job_module.Job, answer: sender_module.Answer
+        self, job: job_module.Job, answer: job_module.WholeAnswer
     ) -> bool:
         error = outcomes.UnknownOutcomeError(
-            f"the replica answered {answer.head.status}"
+            f"the replica answered {answer.status}"
         )
         try:
             self._planner.allow_repeat(job, error)
@@ -156,7 +159,7 @@
         The dropped attempt counts as run.
         """
         larger = self._advice.larger_for(job, answer.facts.confidence)
-        if larger is None or not self._planner.try_spend(job):
+        if larger is None or not self._planner.try_larger(job, larger):
             return False
         answer.replica.health.note_success(self._clock.monotonic())
         job.model_index = larger
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -1,6 +1,6 @@
 """Requests whose answer is passed on whole, after it was checked."""
 
-import dataclasses
+import asyncio
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -13,27 +13,12 @@
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
 
-_FIRST_FAILURE_STATUS = 500
 # A repeatable request is given to another replica if this many times its
 # target passes without an answer: work that is 5 times as long as usual is
 # one in a hundred, and a replica that never answers would use up all the time.
 _PATIENCE_TARGETS = 3.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class WholeAnswer:
-    """A replica's answer with its whole body."""
-
-    status: int
-    headers: wire.Headers
-    body: bytes
-
-    @property
-    def failed(self) -> bool:
-        """Tells whether the replica reports a failure of its own."""
-        return self.status >= _FIRST_FAILURE_STATUS
-
-
 class WholeAnswerPath:
     """Sends until there is an answer to pass on."""
 
@@ -60,30 +45,22 @@
         Raises:
             rejections.RejectedError: There is no answer of a replica.
         """
-        answer = await self._answer(job)
+        while True:
+            answer = await self._try_once(job)
+            if answer is None:
+                continue
+            if not answer.failed or not self._may_repeat_failure(job):
+                break
+            job.failure = answer
         await job.sink.send_whole(
             answer.status,
             self._wire_format.answer_headers(answer.headers),
             answer.body,
         )
 
-    async def _answer(self, job: job_module.Job) -> WholeAnswer:
-        failed: WholeAnswer | None = None
-        while True:
-            try:
-                answer = await self._try_once(job)
-            except rejections.RejectedError:
-                # A replica's own failure says more than ours.
-                if failed is not None:
-                    return failed
-                raise
-            if answer is None:
-                continue
-            if not answer.failed or not self._may_repeat_failure(job):
-                return answer
-            failed = answer
-
-    async def _try_once(self, job: job_module.Job) -> WholeAnswer | None:
+    async def _try_once(
+        self, job: job_module.Job
+    ) -> job_module.WholeAnswer | None:
         """Returns an answer, or None if another attempt may follow."""
         prepared = self._planner.prepare(job)
         try:
@@ -111,39 +88,64 @@
 
     async def _send(
         self, job: job_module.Job, prepared: prepared_module.Prepared
-    ) -> WholeAnswer:
-        patience, is_last = self._patience(job)
+    ) -> job_module.WholeAnswer:
+        exchange = asyncio.ensure_future(self._exchange(prepared))
+        try:
+            return await self._patiently(job, prepared, exchange)
+        finally:
+            if not exchange.done():
+                # Ends the attempt at its replica before another one begins.
+                exchange.cancel()
+                await asyncio.wait({exchange})
+
+    async def _patiently(
+        self,
+        job: job_module.Job,
+        prepared: prepared_module.Prepared,
+        exchange: asyncio.Future[job_module.WholeAnswer],
+    ) -> job_module.WholeAnswer:
+        """Awaits an answer, which is given up only for a further attempt.
+
+        Raises:
+            rejections.RejectedError: The time limit passed.
+            outcomes.AbandonedError: It took too long, and leave to send the
+                request again was taken.
+        """
+        patience = job.route.target * _PATIENCE_TARGETS
+        while patience < self._planner.time_left(job):
+            try:
+                return await self._clock.wait_for(
+                    asyncio.shield(exchange), patience
+                )
+            except TimeoutError as error:
+                self._note_slow(prepared)
+                if self._planner.try_repeat(job):
+                    self._observer.note_left(job, prepared, is_dark=False)
+                    raise outcomes.AbandonedError(
+                        f"no answer within {patience}"
+                    ) from error
         try:
             return await self._clock.wait_for(
-                self._exchange(prepared), patience
+                asyncio.shield(exchange), self._planner.time_left(job)
             )
         except TimeoutError as error:
-            prepared.replica.health.note_failure(self._clock.monotonic())
-            if is_last:
-                raise rejections.RejectedError(
-                    wire.FixedResponse.LATE_PERHAPS_RUN,
-                    reason="the time limit passed during a run",
-                ) from error
-            raise outcomes.UnknownOutcomeError(
-                f"no answer within {patience}"
+            self._note_slow(prepared)
+            raise rejections.RejectedError(
+                wire.FixedResponse.LATE_PERHAPS_RUN,
+                reason="the time limit passed during a run",
             ) from error
 
-    def _patience(self, job: job_module.Job) -> tuple[datetime.timedelta, bool]:
-        """Returns how long to wait, and whether the request ends then."""
-        left = self._planner.time_left(job)
-        if not job.route.repeatable or job.runs + 1 >= job.route.attempts:
-            return left, True
-        patience = job.route.target * _PATIENCE_TARGETS
-        return (left, True) if left <= patience else (patience, False)
+    def _note_slow(self, prepared: prepared_module.Prepared) -> None:
+        prepared.replica.health.note_failure(self._clock.monotonic())
 
     async def _exchange(
         self, prepared: prepared_module.Prepared
-    ) -> WholeAnswer:
+    ) -> job_module.WholeAnswer:
         async with self._sender.attempt(
             prepared.replica, prepared.outgoing
         ) as answer:
             body = await answer.read_whole()
-            whole = WholeAnswer(
+            whole = job_module.WholeAnswer(
                 status=answer.head.status,
                 headers=answer.head.headers,
                 body=body,
--- a/tests/cover/test_relay_taken_away.py
+++ b/tests/cover/test_relay_taken_away.py
@@ -235,8 +235,8 @@
         self.reply_with(Reply(body=b"at last", pause_s=0.3))
         asking = self.ask_later(IDEMPOTENT)
         await self.arrival()
-        await self.clock.advance(20 * relay_fixture.SECOND)
-        answer = await self.answer_of(asking)
+        await self.clock.advance(4 * relay_fixture.SECOND)
+        answer = await asking
         self.assertEqual(relay_fixture.body_of(answer), b"at last")
         self.assertEqual(len(self.seen()), 1)
 
