Log a cut answer as cut only if it was

Change: the ending says whether it cut an answer (field cut). Measured: cover/test_relay_observed, a refusal and a whole answer are not cut.

--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -61,6 +61,7 @@
         """Answers a request, whatever happens to it."""
         route_name = ""
         ending = endings.ANSWERED
+        is_cut = False
         job: job_module.Job | None = None
         try:
             job = self._admit(incoming, sink)
@@ -68,7 +69,7 @@
             await self._answer(job)
         except rejections.RejectedError as rejection:
             ending = endings.of_rejection(rejection)
-            await self._reject(sink, rejection, route_name)
+            is_cut = await self._reject(sink, rejection, route_name)
         except asyncio.CancelledError:
             ending = endings.CALLER_LEFT
             raise
@@ -79,9 +80,9 @@
             # A fault of ours; the caller still gets an answer at once.
             ending = endings.of_fault(error)
             logs.note("request:fault", trace=traceback.format_exc())
-            await self._reject(sink, _fault(job), route_name)
+            is_cut = await self._reject(sink, _fault(job), route_name)
         finally:
-            self._note_end(incoming, job, route_name, ending)
+            self._note_end(incoming, job, route_name, ending, is_cut=is_cut)
 
     async def _answer(self, job: job_module.Job) -> None:
         is_stream = job.route.kind is model.RouteKind.STREAM
@@ -150,19 +151,21 @@
         sink: incoming_module.AnswerSink,
         rejection: rejections.RejectedError,
         route_name: str,
-    ) -> None:
+    ) -> bool:
+        """Ends a request; returns whether that cut an answer in the middle."""
         if sink.begun:
             # The head promised success: only a cut tells the caller otherwise.
             sink.cut()
             self._metrics.add(
                 "answers_cut_total", route=route_name, reason=rejection.reason
             )
-            return
+            return True
         await sink.refuse(
             rejection.response,
             detail=rejection.reason,
             retry_after=rejection.retry_after,
         )
+        return False
 
     def _note_end(
         self,
@@ -170,6 +173,8 @@
         job: job_module.Job | None,
         route_name: str,
         ending: endings.Ending,
+        *,
+        is_cut: bool,
     ) -> None:
         duration = self._clock.monotonic() - incoming.arrived_at
         logs.note(
@@ -179,7 +184,7 @@
             code=ending.code.number,
             outcome=ending.reason,
             attempts=job.tries if job else 0,
-            begun=job.sink.begun if job else False,
+            cut=is_cut,
             configuration=job.admitted_under if job else None,
             duration_ms=round(duration / datetime.timedelta(milliseconds=1)),
         )
--- a/tests/cover/test_relay_observed.py
+++ b/tests/cover/test_relay_observed.py
@@ -17,12 +17,8 @@
 
 
 class CutAnswersTest(relay_fixture.RelayCase):
-    async def test_a_cut_answer_is_counted_and_logged_with_its_reason(self):
-        """Each replica breaks off every run of a stream.
-        The caller's stream is cut; whoever looks for it later has only what
-        was collected, so the reason is in a counter as well as in the log.
-        """
-        self.reply_with(Reply(events=tuple(range(10)), send_bytes=30))
+    async def logged_end(self) -> dict[str, object]:
+        """Asks for a stream and returns what was logged of its end."""
         messages = []
         logs.start_with(messages.append)
         self.addCleanup(eliot.remove_destination, messages.append)
@@ -32,7 +28,22 @@
             for message in messages
             if message["message_type"] == "request:ended"
         ]
-        self.assertTrue(ended["begun"])
+        return ended
+
+    async def test_neither_a_refusal_nor_a_whole_answer_is_logged_as_cut(self):
+        self.reply_with(Reply(events=(0, 1)), Reply(status=503, not_run=True))
+        for _ in range(2):
+            ended = await self.logged_end()
+            self.assertFalse(ended["cut"], ended)
+
+    async def test_a_cut_answer_is_counted_and_logged_with_its_reason(self):
+        """Each replica breaks off every run of a stream.
+        The caller's stream is cut; whoever looks for it later has only what
+        was collected, so the reason is in a counter as well as in the log.
+        """
+        self.reply_with(Reply(events=tuple(range(10)), send_bytes=30))
+        ended = await self.logged_end()
+        self.assertTrue(ended["cut"])
         self.assertEqual(ended["configuration"], 1)
         page = self.metrics.render([])[0].decode()
         self.assertIn(
