Bring about why the streams were left at all: a test that fails

The bound for dark replicas is 0.6 s and then 0.35 s for an attempt to connect that goes unanswered: the attempts were refused at once. A replica that leaves refuses connections and works on. The stand-in could only refuse; a dark replica answers nothing. It can go dark now, and the two tests of dark replicas use that: as strict as before, on what they say.

--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -13,6 +13,8 @@
 from nutmeghook.platform import headers
 from nutmeghook.standins import loopback_host
 
+# More than a listener with the shortest queue holds.
+_FILLS_QUEUE = 3
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -95,6 +97,7 @@
 
     __slots__ = (
         "_connections",
+        "_dark_sockets",
         "_decide",
         "_replies",
         "_server",
@@ -120,6 +123,7 @@
         self._replies = [Reply()]
         self._server: asyncio.Server | None = None
         self._connections = 0
+        self._dark_sockets: list[socket.socket] = []
         self._writers: list[asyncio.StreamWriter] = []
         self._tasks: list[asyncio.Task] = []
         self.address = ""
@@ -146,12 +150,33 @@
         self.address = f"{host}:{port}"
 
     def refuse_connections(self) -> None:
-        """Accepts no new connection; those open stay as they are."""
+        """Refuses new connections, as one that leaves does; works on."""
         self._server.close()
 
+    def go_dark(self) -> None:
+        """Answers no attempt to connect, as a machine without power does.
+
+        Connections that are open stay so. A listener whose queue is full has
+        the system drop what comes next.
+        """
+        self._server.close()
+        host, _, port = self.address.rpartition(":")
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        self._dark_sockets.append(listener)
+        for _ in range(_FILLS_QUEUE):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex((host, int(port)))
+            self._dark_sockets.append(waiting)
+
     async def stop(self) -> None:
         """Stops listening and breaks all connections, as a crash does."""
         self._server.close()
+        for dark in self._dark_sockets:
+            dark.close()
         for writer in self._writers:
             writer.transport.abort()
         await asyncio.gather(*self._tasks)
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -167,8 +167,8 @@
 
     async def test_a_dark_replica_s_stream_is_taken_up_at_once(self):
         """A replica goes dark: its connections stay open and silent, and it
-        accepts no new one. Long before the silence itself would be too much,
-        the stream goes on at another replica.
+        answers no attempt to connect. Long before the silence itself would be
+        too much, the stream goes on at another replica.
         """
         self.configuration.offer(
             relay_fixture.configuration(
@@ -185,7 +185,7 @@
         asking = asyncio.create_task(self.ask_stream())
         await self.arrival()
         (dark,) = [r for r in self.replicas if r.seen]
-        dark.refuse_connections()
+        dark.go_dark()
         answer = await asking
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
 
--- a/tests/cover/test_relay_taken_away.py
+++ b/tests/cover/test_relay_taken_away.py
@@ -122,12 +122,12 @@
         await self.assert_goes_on(asking)
 
     async def test_nor_when_its_replica_goes_dark(self):
-        """The same, but the replica accepts no connection any more, and is
-        left long before the silence itself is too much.
+        """The same, but the replica answers no attempt to connect, and is left
+        long before the silence itself is too much.
         """
         asking = await self.begun()
         (dark,) = [r for r in self.replicas if r.seen]
-        dark.refuse_connections()
+        dark.go_dark()
         self.take_key_away()
         await self.assert_goes_on(asking)
 
