Take a replica that refuses connections for alive

Cause: a silent replica was taken for dark when an attempt to connect failed in any way. A replica that leaves, or has as many connections as it takes, refuses at once and works on at what it has; its streams were given up and their prompts read again elsewhere, all those of a version that is replaced at once. Change: only an attempt to connect that goes unanswered tells of a dark replica. A refusal still keeps new requests away from it.

--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -130,7 +130,7 @@
         kind=MetricKind.COUNTER,
         meaning=(
             "Attempts given up for another replica while theirs was silent,"
-            " by whether that one accepted connections."
+            " by whether it answered attempts to connect."
         ),
         labels=("replica",),
     ),
--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -104,7 +104,7 @@
         Args:
             job: The request.
             prepared: The attempt that is given up.
-            is_dark: The replica accepts no connection; else it is only silent.
+            is_dark: Attempts to connect go unanswered; else it is only silent.
         """
         logs.note(
             "attempt:left",
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -298,7 +298,7 @@
         """Tells whether a silent replica is left for another one."""
         is_dark = False
         if not is_too_long:
-            is_dark = await self._sender.is_unreachable(prepared.replica)
+            is_dark = await self._sender.is_dark(prepared.replica)
         if not (is_too_long or is_dark) or not self._planner.try_move(job):
             return False
         self._observer.note_left(job, prepared, is_dark=is_dark)
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import enum
 import socket
 
 from nutmeghook.internal.upstream import connection as connection_module
@@ -24,6 +25,14 @@
 MAX_IDLE_A_REPLICA = 24
 
 
+class Reachability(enum.Enum):
+    """How a replica meets a new connection."""
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    DARK = "dark"
+
+
 class ConnectionPool:
     """Opens connections, lends them, and keeps the sound ones."""
 
@@ -79,21 +88,20 @@
         connection.idle_limit_s = stated_s * IDLE_SHARE
         self._keep(address, connection)
 
-    async def answers(self, address: str) -> bool:
-        """Tells whether a replica still accepts connections.
+    async def probe(self, address: str) -> Reachability:
+        """Tells how a replica meets a new connection.
 
-        The failure: a replica goes dark. Its connections stay open and
-        silent, as those of a busy one do, but only a dark one accepts no new
-        connection. The connection made is kept for the next request.
+        The connection made, if any, is kept for the next request.
         """
         try:
             connection = await self._open(address, timeout=PROBE_TIMEOUT)
-        except outcomes.NotSentError:
-            return False
+        except outcomes.NotSentError as error:
+            refused = isinstance(error.__cause__, ConnectionError)
+            return Reachability.REFUSES if refused else Reachability.DARK
         connection.idle_since_s = self._loop.time()
         connection.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._keep(address, connection)
-        return True
+        return Reachability.ACCEPTS
 
     def forget(self, address: str) -> None:
         """Closes the idle connections of a replica that is gone."""
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -159,12 +159,21 @@
         finally:
             self._directory.end_reading(replica, reading)
 
-    async def is_unreachable(self, replica: replica_module.Replica) -> bool:
-        """Tells whether a silent replica is gone, and notes it if so."""
-        if await self._pool.answers(replica.entry.address):
-            return False
-        replica.health.note_unreachable(self._clock.monotonic())
-        return True
+    async def is_dark(self, replica: replica_module.Replica) -> bool:
+        """Tells whether a silent replica is gone.
+
+        The failure: a replica goes dark. Its connections stay open and
+        silent, as those of a busy one do, but an attempt to connect goes
+        unanswered. One that refuses it is alive: it leaves, or has as many
+        connections as it takes, and works on at what it has. Taken for dark,
+        all streams of a version that was replaced were given up, each prompt
+        was read again, and some answers ended for want of a place. New
+        requests have no business at either.
+        """
+        met = await self._pool.probe(replica.entry.address)
+        if met is not pool_module.Reachability.ACCEPTS:
+            replica.health.note_unreachable(self._clock.monotonic())
+        return met is pool_module.Reachability.DARK
 
     async def _connect(
         self, replica: replica_module.Replica, outgoing: Outgoing
