Show that a late refusal's code says "not run" of what may have run

A request whose first attempt may have run and whose template, model or route is taken away before the repeat is told run state unknown in the body, but by 403 or 404, whose rows say "not run"; the time line shows it as refused. The request of the plain tests moves to a module of its own, unchanged, and the fake chooser can refuse everything.

--- /dev/null
+++ b/tests/cover/plain_requests.py
@@ -0,0 +1,29 @@
+"""Calls of the plain service `crew`, for tests."""
+
+import datetime
+
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.dispatch import requests
+from nutmeghook.internal.ledger import ledger
+from tests import fakes
+
+
+def plain_request(
+    fixture: fakes.Fixture, *, repeatable: bool = False, key: str = ""
+) -> requests.PlainRequest:
+    """A call by the team's route that may be repeated, or by the other."""
+    team = fixture.config.snapshot.teams["agency"]
+    arrived = fixture.clock.monotonic()
+    return requests.PlainRequest(
+        identity=ledger.RequestIdentity(
+            team="agency", key=key or "req-1", given_by_caller=bool(key)
+        ),
+        team=team,
+        route=team.plain_routes[int(repeatable)],
+        call=plain.PlainCall(
+            request_id="req-1", method="POST", path="/bookings"
+        ),
+        priority=5,
+        arrived=arrived,
+        deadline=arrived + datetime.timedelta(seconds=10),
+    )
--- a/tests/cover/test_dispatch_plain.py
+++ b/tests/cover/test_dispatch_plain.py
@@ -9,15 +9,13 @@
 import msgspec
 
 from nutmeghook.internal.dependencies import failures
-from nutmeghook.internal.dependencies import plain
-from nutmeghook.internal.dispatch import requests
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.ledger import ledger
 from nutmeghook.internal.limits import concurrency_limit
 from nutmeghook.internal.limits import following_limit
 from nutmeghook.internal.limits import retry_budget
 from tests import fakes
+from tests.cover import plain_requests
 
 OUTCOMES = {
     "refused": failures.NotDoneError("connection refused"),
@@ -27,26 +25,6 @@
 }
 
 
-def plain_request(
-    fixture: fakes.Fixture, *, repeatable: bool = False, key: str = ""
-) -> requests.PlainRequest:
-    team = fixture.config.snapshot.teams["agency"]
-    arrived = fixture.clock.monotonic()
-    return requests.PlainRequest(
-        identity=ledger.RequestIdentity(
-            team="agency", key=key or "req-1", given_by_caller=bool(key)
-        ),
-        team=team,
-        route=team.plain_routes[int(repeatable)],
-        call=plain.PlainCall(
-            request_id="req-1", method="POST", path="/bookings"
-        ),
-        priority=5,
-        arrived=arrived,
-        deadline=arrived + datetime.timedelta(seconds=10),
-    )
-
-
 class PlainCallTest(unittest.TestCase):
     """Properties over all ways in which sends can end."""
 
@@ -75,7 +53,9 @@
         fixture.services.outcomes.extend(OUTCOMES[name] for name in names)
 
         async def scenario():
-            request = plain_request(fixture, repeatable=repeatable, key=key)
+            request = plain_requests.plain_request(
+                fixture, repeatable=repeatable, key=key
+            )
             try:
                 return await fakes.to_end(
                     fixture.clock, fixture.dispatcher().call_plain(request)
@@ -118,7 +98,7 @@
         """
         dispatcher = self.fixture.dispatcher()
         calling = asyncio.ensure_future(
-            dispatcher.call_plain(plain_request(self.fixture))
+            dispatcher.call_plain(plain_requests.plain_request(self.fixture))
         )
         await fakes.settle()
         calling.cancel()
@@ -136,7 +116,9 @@
         services = self.fixture.services
         services.outcomes.append(OUTCOMES["refused"])
         calling = asyncio.ensure_future(
-            self.fixture.dispatcher().call_plain(plain_request(self.fixture))
+            self.fixture.dispatcher().call_plain(
+                plain_requests.plain_request(self.fixture)
+            )
         )
         await fakes.settle()
         snapshot = self.fixture.config.snapshot
@@ -172,7 +154,9 @@
         gate = self.fixture.services.gate = asyncio.Event()
         calls = [
             asyncio.ensure_future(
-                dispatcher.call_plain(plain_request(self.fixture))
+                dispatcher.call_plain(
+                    plain_requests.plain_request(self.fixture)
+                )
             )
             for _ in range(8)
         ]
@@ -199,7 +183,9 @@
         dispatcher = self.fixture.dispatcher()
         calls = [
             asyncio.ensure_future(
-                dispatcher.call_plain(plain_request(self.fixture))
+                dispatcher.call_plain(
+                    plain_requests.plain_request(self.fixture)
+                )
             )
             for _ in range(12)
         ]
@@ -247,7 +233,9 @@
             with self.assertRaises(errors.CodedError):
                 await fakes.to_end(
                     self.fixture.clock,
-                    dispatcher.call_plain(plain_request(self.fixture)),
+                    dispatcher.call_plain(
+                        plain_requests.plain_request(self.fixture)
+                    ),
                 )
         self.fixture.engines["e1:1"].scripts.append(fakes.Script(fails=down))
         self.assertEqual(await self.generated(dispatcher), "The boiler holds.")
--- /dev/null
+++ b/tests/cover/test_dispatch_taken_away.py
@@ -0,0 +1,114 @@
+"""Requests under way that lose their template, their route or their repeat."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.observe import events
+from tests import fakes
+from tests.cover import dispatch_errors
+from tests.cover import plain_requests
+
+
+class TakenAwayCase(unittest.IsolatedAsyncioTestCase):
+    """Starts requests, and changes the configuration under them."""
+
+    def setUp(self):
+        self.fixture = fakes.Fixture()
+        self.gate = asyncio.Event()
+        self.sink = fakes.RecordingSink()
+        self.first = self.fixture.engines["e1:1"]
+        self.second = self.fixture.engines["e2:1"]
+
+    def configure(self, **changes) -> None:
+        """Puts a changed configuration in force."""
+        config = self.fixture.config
+        config.current = msgspec.structs.replace(config.snapshot, **changes)
+
+    def change_team(self, **changes) -> None:
+        team = self.fixture.config.snapshot.teams["agency"]
+        team = msgspec.structs.replace(team, **changes)
+        self.configure(teams={"agency": team})
+
+    async def started(self, work) -> asyncio.Task:
+        """Starts a request, which then waits for `gate` at its server."""
+        asking = asyncio.ensure_future(work)
+        await fakes.settle()
+        return asking
+
+    async def ended(self, asking: asyncio.Task):
+        """Lets the server go on; returns the answer."""
+        self.gate.set()
+        return await fakes.to_end(self.fixture.clock, asking)
+
+    async def refused(self, asking: asyncio.Task) -> errors.CodedError:
+        with self.assertRaises(errors.CodedError) as caught:
+            await self.ended(asking)
+        return caught.exception
+
+    def generate(self, **request_fields):
+        return self.fixture.dispatcher().generate(
+            fakes.generation_request(self.fixture, **request_fields),
+            self.sink,
+        )
+
+    def call_plain(self, **request_fields):
+        self.fixture.services.gate = self.gate
+        return self.fixture.dispatcher().call_plain(
+            plain_requests.plain_request(self.fixture, **request_fields)
+        )
+
+    def assert_told_unknown(self, error: errors.CodedError) -> None:
+        self.assertIs(error.run_state, codes.RunState.UNKNOWN)
+        self.assertIs(error.code, codes.Code.BACKEND_FAILED)
+        ends = [event.kind for event in self.fixture.events.since(0)]
+        self.assertIn(events.EventKind.REQUEST_UNKNOWN, ends)
+        self.assertNotIn(events.EventKind.REQUEST_REFUSED, ends)
+
+
+class ToldTrulyTest(TakenAwayCase):
+    """A request that may have run is never answered as one that was refused.
+
+    The body's run state was true before; status, code and time line were the
+    late step's own, and said "not run".
+    """
+
+    async def test_a_route_taken_away_after_a_possible_run(self):
+        """The caller hears 502 and `unknown`, not 403.
+
+        Its call may be repeated. The first send is lost after it was written;
+        before the repeat the operator takes the route away.
+        """
+        self.fixture.services.outcomes.append(dispatch_errors.lost())
+        asking = await self.started(self.call_plain(repeatable=True))
+        self.change_team(plain_routes=())
+        self.assert_told_unknown(await self.refused(asking))
+        self.assertEqual(len(self.fixture.services.calls), 1)
+
+    async def test_a_template_removed_after_a_possible_run(self):
+        """The caller hears 502 and `unknown`, not 404.
+
+        The engine's connection breaks after the request was written. Before
+        the repeat the operator removes the template; nothing may go out by a
+        template that is gone, but what went out may have run.
+        """
+        self.first.scripts.append(
+            fakes.Script(gate=self.gate, fails=dispatch_errors.lost())
+        )
+        asking = await self.started(self.generate())
+        self.configure(templates={})
+        self.assert_told_unknown(await self.refused(asking))
+        self.assertEqual(self.second.generations, [])
+
+    async def test_a_model_taken_away_after_a_possible_run(self):
+        """The caller hears 502 and `unknown`, not 403."""
+        self.first.scripts.append(
+            fakes.Script(gate=self.gate, fails=dispatch_errors.lost())
+        )
+        asking = await self.started(self.generate())
+        self.fixture.versions.refusal = codes.Code.NOT_ALLOWED
+        self.assert_told_unknown(await self.refused(asking))
+        self.assertEqual(self.second.generations, [])
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -154,15 +154,20 @@
 
 
 class FakeVersions(versions.VersionChooser):
-    """Chooses a stage's first version that is not in `withdrawn`."""
+    """Chooses a stage's first version that is not in `withdrawn`.
+
+    `refusal`, if set, is what every choice and check ends with.
+    """
 
     def __init__(self):
+        self.refusal: codes.Code | None = None
         self.withdrawn: set[engine.ModelVersion] = set()
         self.rolling_out = False
         self.chosen: list[engine.ModelVersion] = []
         self.given_back: list[engine.ModelVersion] = []
 
     async def choose(self, *, template, stage_index, session, request_id):
+        self._refuse()
         stage = template.stages[stage_index]
         for entry in stage.versions:
             version = engine.ModelVersion(
@@ -176,12 +181,17 @@
         raise errors.CodedError(code=codes.Code.NO_CANDIDATE)
 
     def check_dispatch(self, *, template, choice):
+        self._refuse()
         if choice.model_version in self.withdrawn:
             raise errors.CodedError(code=codes.Code.NOT_ALLOWED)
 
     def give_back(self, *, template, choice):
         self.given_back.append(choice.model_version)
 
+    def _refuse(self):
+        if self.refusal is not None:
+            raise errors.CodedError(code=self.refusal)
+
 
 class FakeCascade(cascade.CascadePolicy):
     """Starts where told and accepts what it is told to."""
