Tell of what may have run by a code that says so

Cause: Progress.final_error corrected the run state of a late refusal, but the code only of three; NOT_ALLOWED, UNKNOWN_TEMPLATE, STALE_CONFIG and STORE_OUT kept their own, whose status and time line say "refused, not run". Ruled out: that the run state in the body was false; it was unknown before. Change: any code of "not run" becomes BACKEND_FAILED once an attempt may have run, since a further step is taken only after a failed one; the reason stays in the message.

--- a/src/nutmeghook/internal/dispatch/progress.py
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -71,19 +71,28 @@
         """
         if not self.possibly_run:
             return error
-        state = error.run_state
+        code, state = error.code, error.run_state
+        if code.run_state is codes.RunState.NOT_RUN:
+            code = _once_sent(code)
         if state is codes.RunState.NOT_RUN:
             state = codes.RunState.UNKNOWN
         return errors.CodedError(
-            code=_CODES_ONCE_SENT.get(error.code, error.code),
+            code=code,
             detail=error.detail,
             retry_after=error.retry_after if may_be_sent_again else None,
             run_state=state,
         )
 
 
-_CODES_ONCE_SENT = {
-    codes.Code.DEADLINE_BEFORE_RUN: codes.Code.DEADLINE_DURING_RUN,
-    codes.Code.BACKEND_REFUSED: codes.Code.BACKEND_FAILED,
-    codes.Code.NO_CANDIDATE: codes.Code.BACKEND_FAILED,
-}
+def _once_sent(code: codes.Code) -> codes.Code:
+    """Returns what a refusal is called once something may have run.
+
+    The failure: a repeat is refused because the team lost its route. The body
+    said `unknown`, but the status, 403, and the time line said "refused", and
+    callers that go by the status took the call for not run. A further step is
+    taken only after a backend server failed, so that is what they are told,
+    whatever refused the step.
+    """
+    if code is codes.Code.DEADLINE_BEFORE_RUN:
+        return codes.Code.DEADLINE_DURING_RUN
+    return codes.Code.BACKEND_FAILED
