Show that any change of a plain route counts as its loss

A call waits for its second send while the operator changes its route's time limit: 403, "not allowed", though the team may call the service as before. The other way round, a narrower route that forbids repeats of just this path is not seen, and a call that may have run is sent again. The tests' calls now have a path that their route covers.

--- a/tests/cover/plain_requests.py
+++ b/tests/cover/plain_requests.py
@@ -9,19 +9,24 @@
 
 
 def plain_request(
-    fixture: fakes.Fixture, *, repeatable: bool = False, key: str = ""
+    fixture: fakes.Fixture,
+    *,
+    repeatable: bool = False,
+    key: str = "",
+    path: str = "",
 ) -> requests.PlainRequest:
     """A call by the team's route that may be repeated, or by the other."""
     team = fixture.config.snapshot.teams["agency"]
+    route = team.plain_routes[int(repeatable)]
     arrived = fixture.clock.monotonic()
     return requests.PlainRequest(
         identity=ledger.RequestIdentity(
             team="agency", key=key or "req-1", given_by_caller=bool(key)
         ),
         team=team,
-        route=team.plain_routes[int(repeatable)],
+        route=route,
         call=plain.PlainCall(
-            request_id="req-1", method="POST", path="/bookings"
+            request_id="req-1", method="POST", path=path or route.path_prefix
         ),
         priority=5,
         arrived=arrived,
--- a/tests/cover/test_dispatch_taken_away.py
+++ b/tests/cover/test_dispatch_taken_away.py
@@ -112,3 +112,83 @@
         self.fixture.versions.refusal = codes.Code.NOT_ALLOWED
         self.assert_told_unknown(await self.refused(asking))
         self.assertEqual(self.second.generations, [])
+
+
+class ChangedRouteTest(TakenAwayCase):
+    """What a change of its route means for a call under way."""
+
+    def change_routes(self, **changes) -> None:
+        routes = self.fixture.config.snapshot.teams["agency"].plain_routes
+        self.change_team(
+            plain_routes=tuple(
+                msgspec.structs.replace(route, **changes) for route in routes
+            )
+        )
+
+    async def test_a_changed_time_limit_takes_no_route_away(self):
+        """The caller gets its answer.
+
+        The first backend server refuses; before the second is tried, an
+        operator changes the route's time limit and priority. The team may
+        call the service as before, but the caller was told 403.
+        """
+        for repeatable in (False, True):
+            services = self.fixture.services
+            services.outcomes.append(dispatch_errors.refused())
+            asking = await self.started(self.call_plain(repeatable=repeatable))
+            self.change_routes(deadline_ms=20_000, priority=6)
+            answer = await self.ended(asking)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(len(services.calls), 2)
+            self.setUp()
+
+    async def test_what_may_have_run_goes_on_by_a_changed_route(self):
+        """The caller gets its answer: its call may be repeated, as before."""
+        self.fixture.services.outcomes.append(dispatch_errors.lost())
+        asking = await self.started(self.call_plain(repeatable=True))
+        self.change_routes(deadline_ms=20_000)
+        self.assertEqual((await self.ended(asking)).status, 200)
+
+    async def test_what_may_no_longer_be_repeated_is_not(self):
+        """The caller hears `unknown` and not to come again.
+
+        The first send is lost. Before the repeat the operator says that the
+        route's calls may not be sent twice: this one may have run.
+        """
+        self.fixture.services.outcomes.append(dispatch_errors.lost())
+        asking = await self.started(self.call_plain(repeatable=True))
+        self.change_routes(repeatable=False)
+        error = await self.refused(asking)
+        self.assert_told_unknown(error)
+        self.assertIsNone(error.retry_after)
+        self.assertEqual(len(self.fixture.services.calls), 1)
+
+    async def test_a_narrower_route_takes_the_call_over(self):
+        """The caller hears `unknown`: its path's own route forbids repeats.
+
+        The first send is lost. Before the repeat the operator adds a route
+        for just this path, whose calls may not be sent twice.
+        """
+        self.fixture.services.outcomes.append(dispatch_errors.lost())
+        asking = await self.started(
+            self.call_plain(repeatable=True, path="/bookings/open/7?day=1")
+        )
+        routes = self.fixture.config.snapshot.teams["agency"].plain_routes
+        narrower = msgspec.structs.replace(
+            routes[1], path_prefix="/bookings/open/7", repeatable=False
+        )
+        self.change_team(plain_routes=(*routes, narrower))
+        self.assert_told_unknown(await self.refused(asking))
+        self.assertEqual(len(self.fixture.services.calls), 1)
+
+    async def test_a_call_taken_for_not_repeatable_stays_so(self):
+        """The caller hears `unknown`: it was promised a call at most once.
+
+        The send is lost. Meanwhile the operator allows repeats of the
+        route's calls; this one was accepted as one that runs once.
+        """
+        self.fixture.services.outcomes.append(dispatch_errors.lost())
+        asking = await self.started(self.call_plain())
+        self.change_routes(repeatable=True)
+        self.assert_told_unknown(await self.refused(asking))
+        self.assertEqual(len(self.fixture.services.calls), 1)
