Look a plain call's route up anew instead of comparing it whole

Cause: before each send the whole route was compared with the one of the arrival. Any changed field made the further send "not allowed", and what the comparison was to find out, whether the team may still call this path and send it twice, was not asked. Change: Team.plain_route finds the route of a path for the entry and before each send; a call is repeated only if both the route of its arrival and the one in force allow it.

--- a/src/nutmeghook/internal/config/documents.py
+++ b/src/nutmeghook/internal/config/documents.py
@@ -124,6 +124,13 @@
     deadline_ms: int = 10_000
     priority: int = 5
 
+    def covers(self, path: str) -> bool:
+        """Matches whole segments: `/book` does not cover `/bookings`."""
+        if not path.startswith(self.path_prefix):
+            return False
+        rest = path[len(self.path_prefix) :]
+        return not rest or self.path_prefix.endswith("/") or rest[0] == "/"
+
 
 class Role(enum.Enum):
     """What a token lets its holder do."""
@@ -156,6 +163,18 @@
     plain_routes: tuple[PlainRoute, ...] = ()
     weight: float = 1.0
 
+    def plain_route(self, service: str, path: str) -> PlainRoute | None:
+        """Returns the route with the longest prefix of a path, if any has."""
+        return max(
+            (
+                route
+                for route in self.plain_routes
+                if route.service == service and route.covers(path)
+            ),
+            key=lambda route: len(route.path_prefix),
+            default=None,
+        )
+
 
 class ModelEntry(msgspec.Struct, frozen=True, kw_only=True):
     """A model in the fleet's catalogue; costs are in millionths of a euro."""
--- a/src/nutmeghook/internal/dispatch/plain_calls.py
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -103,8 +103,9 @@
     ) -> plain.PlainAnswer:
         tried: set[str] = set()
         while True:
-            self._check_route(request)
+            repeatable = self._check_route(request, progress)
             backend = self._choose_backend(request, tried)
+            progress.must_finish = not repeatable
             try:
                 return await self._send(request, progress, backend)
             except failures.NotDoneError as error:
@@ -112,7 +113,7 @@
             except failures.OutcomeUnknownError as error:
                 # The failure: the connection broke after the call was
                 # written. A second send could book the same crew twice.
-                if not request.route.repeatable:
+                if not repeatable:
                     raise errors.CodedError(
                         code=codes.Code.BACKEND_FAILED, detail=str(error)
                     ) from error
@@ -126,15 +127,39 @@
             f"service {request.route.service}"
         )
 
-    def _check_route(self, request: requests.PlainRequest) -> None:
-        """Checks just before sending that the team still has the route."""
+    def _check_route(
+        self,
+        request: requests.PlainRequest,
+        progress: progress_module.Progress,
+    ) -> bool:
+        """Checks just before sending that the team may still call the path.
+
+        The route is looked up anew: a change of its time limit is no loss of
+        it. That it may be repeated must hold then and now.
+
+        Returns:
+            Whether the call may be sent again should its outcome be lost.
+
+        Raises:
+            errors.CodedError: The team may not send the call (any more).
+        """
         team = self._config.snapshot.teams.get(request.team.name)
-        if team is None or request.route not in team.plain_routes:
+        path = request.call.path.partition("?")[0]
+        route = team and team.plain_route(request.route.service, path)
+        if route is None:
             raise errors.CodedError(
                 code=codes.Code.NOT_ALLOWED,
                 detail=f"the team's route to {request.route.service!r} was"
-                " changed meanwhile; send the request again",
+                " taken away meanwhile",
+            )
+        repeatable = request.route.repeatable and route.repeatable
+        if progress.possibly_run and not repeatable:
+            raise errors.CodedError(
+                code=codes.Code.BACKEND_FAILED,
+                detail="the call may have run, and its route's calls may no"
+                " longer be repeated",
             )
+        return repeatable
 
     def _choose_backend(
         self, request: requests.PlainRequest, tried: set[str]
@@ -164,7 +189,6 @@
             backend=backend.address,
         )
         progress.start_attempt(request.call.request_id)
-        progress.must_finish = not request.route.repeatable
         started = self._clock.monotonic()
         self._backends.started(backend)
         outcome = backends_module.AttemptOutcome.CANCELLED
--- a/src/nutmeghook/internal/entry/paths.py
+++ b/src/nutmeghook/internal/entry/paths.py
@@ -76,19 +76,14 @@
     Raises:
         errors.CodedError: `NOT_ALLOWED`: the team has none.
     """
-    routes = [
-        route
-        for route in team.plain_routes
-        if route.service == target.service
-        and _is_under(target.path, route.path_prefix)
-    ]
-    if not routes:
+    route = team.plain_route(target.service, target.path)
+    if route is None:
         raise errors.CodedError(
             code=codes.Code.NOT_ALLOWED,
             detail=f"the team has no route to {target.service[:50]!a} at"
             f" {target.path[:100]!a}",
         )
-    return max(routes, key=lambda route: len(route.path_prefix))
+    return route
 
 
 def forwarded_headers(
@@ -109,11 +104,3 @@
     return tuple(
         (name, value) for name, value in headers if name.lower() not in dropped
     )
-
-
-def _is_under(path: str, prefix: str) -> bool:
-    """Matches whole segments: `/book` does not cover `/bookings`."""
-    if not path.startswith(prefix):
-        return False
-    rest = path[len(prefix) :]
-    return not rest or prefix.endswith("/") or rest.startswith("/")
