Show that a held answer is dropped before a better one has begun

A cascade's whole answer was judged weak; the next stage has no backend server, refuses, is lost, is taken away, or has said nothing by the deadline. The caller gets 502 or 504 though the instance had a whole answer for it, and spent the model's time on it.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -132,14 +132,19 @@
 
 
 class FakeBackends(backends.BackendChooser):
-    """Gives the first backend server that is not excluded."""
+    """Gives the first backend server that is not excluded.
+
+    Models in `model_addresses` have these backend servers only.
+    """
 
     def __init__(self, addresses=("e1:1", "e2:1")):
         self.addresses = list(addresses)
+        self.model_addresses: dict[str, tuple[str, ...]] = {}
         self.outcomes: list[tuple[str, backends.AttemptOutcome]] = []
 
     def choose(self, need):
-        for address in self.addresses:
+        model = need.model_version.model if need.model_version else ""
+        for address in self.model_addresses.get(model, self.addresses):
             if address not in need.exclude:
                 return backends.Backend(
                     address=address, region="r", data_centre="r-1", service="s"
