Keep a weak answer until a better one has begun

Cause: a stage's whole answer that was judged weak was dropped at once; whether the next stage may begin (template, permission, version, session's pin, backend server, retry budget, deadline) was asked afterwards. Any refusal, a failed engine or silence to the deadline ended the request with an error, with a whole answer thrown away. Change: the latest weak answer stays with the request until the next stage's text begins to go out, and is given, billed as what it is, if that stage ends in an error before. The time line tells it and its reason. Ruled out: asking all of it before the drop; a stage can still fail after it began, and keeping a whole text costs only memory.

--- a/src/nutmeghook/internal/dispatch/dispatcher.py
+++ b/src/nutmeghook/internal/dispatch/dispatcher.py
@@ -155,6 +155,21 @@
         """
         progress = progress_module.Progress()
 
+        async def produce() -> answers.GeneratedAnswer:
+            try:
+                return await self._within_deadline(
+                    request,
+                    progress,
+                    self._generations.produce(request, progress, sink),
+                )
+            except errors.CodedError as error:
+                held = await self._generations.give_held(
+                    request, progress, sink, error
+                )
+                if held is None:
+                    raise
+                return held
+
         async def finish(answer: answers.GeneratedAnswer) -> None:
             kept = None
             if request.identity.given_by_caller:
@@ -167,9 +182,7 @@
             self._settled(
                 request,
                 progress,
-                produce=lambda: self._generations.produce(
-                    request, progress, sink
-                ),
+                produce=produce,
                 finish=finish,
             ),
             on_detach=sink.detach,
@@ -194,7 +207,11 @@
             self._settled(
                 request,
                 progress,
-                produce=lambda: self._plain_calls.produce(request, progress),
+                produce=lambda: self._within_deadline(
+                    request,
+                    progress,
+                    self._plain_calls.produce(request, progress),
+                ),
                 finish=finish,
             ),
             on_detach=lambda: None,
@@ -268,7 +285,7 @@
         if kept is not None:
             return kept
         try:
-            answer = await self._within_deadline(request, progress, produce)
+            answer = await produce()
         except BaseException:
             self._settle_failed(request, progress)
             raise
@@ -280,12 +297,10 @@
         self,
         request: _Request,
         progress: progress_module.Progress,
-        produce: Callable[[], Awaitable[_Answer]],
+        work: Awaitable[_Answer],
     ) -> _Answer:
         try:
-            return await self._clock.wait_for(
-                produce(), self._remaining(request)
-            )
+            return await self._clock.wait_for(work, self._remaining(request))
         except TimeoutError as error:
             sent = progress.possibly_run > 0
             raise errors.CodedError(
--- a/src/nutmeghook/internal/dispatch/generations.py
+++ b/src/nutmeghook/internal/dispatch/generations.py
@@ -79,6 +79,52 @@
                     asked, used_tokens=progress.used_tokens
                 )
 
+    async def give_held(
+        self,
+        request: requests.GenerationRequest,
+        progress: progress_module.Progress,
+        sink: answers.AnswerSink,
+        error: errors.CodedError,
+    ) -> answers.GeneratedAnswer | None:
+        """Gives an earlier stage's answer, for want of a better one.
+
+        The failure: a cheap answer was judged weak and dropped; then the next
+        stage had no backend server, or nothing to say by the deadline. The
+        caller heard an error, though there was a whole answer for it. So the
+        answer is kept until the next stage's text begins to go out; from then
+        on it can't be given, since one text must not follow another.
+
+        Args:
+            request: What was asked.
+            progress: Has the answer, if there is one.
+            sink: Takes its text.
+            error: Why there is no better one; told on the time line.
+
+        Returns:
+            The answer, whose text the sink has; None if there is none to give.
+        """
+        if progress.held is None or progress.relayed:
+            return None
+        self._events.record(
+            events_module.EventKind.HELD_ANSWER_GIVEN,
+            request.request_id,
+            version=str(progress.held.model_version),
+            reason=str(error),
+        )
+        return await self._given(request, progress, sink, progress.held)
+
+    async def _given(
+        self,
+        request: requests.GenerationRequest,
+        progress: progress_module.Progress,
+        sink: answers.AnswerSink,
+        answer: answers.GeneratedAnswer,
+    ) -> answers.GeneratedAnswer:
+        relay = self._relay(request, progress, sink, answer.model_version)
+        if answer.text:
+            await relay.take(answer.text)
+        return answer
+
     async def _cascade_stages(
         self,
         request: requests.GenerationRequest,
@@ -99,12 +145,7 @@
                     request, progress, question, stage_index
                 )
                 if answer is not None:
-                    relay = self._relay(
-                        request, progress, sink, answer.model_version
-                    )
-                    if answer.text:
-                        await relay.take(answer.text)
-                    return answer
+                    return await self._given(request, progress, sink, answer)
                 stage_index += 1
         return await self._relayed(
             request, progress, question, stage_index, sink
@@ -119,6 +160,8 @@
     ) -> answers.GeneratedAnswer | None:
         """Runs a stage that is not the last; None if the next is to run.
 
+        An answer that was judged too weak stays in `progress.held`.
+
         The caller must not see a cheap answer that is then replaced: so not
         a byte is sent before the judgement. A stage that can't run at all is
         passed over, for the next one is no worse.
@@ -139,7 +182,10 @@
         accepted = self._cascade.accepts(
             question, stage_index=stage_index, answer=_as_judged(answer)
         )
-        return answer if accepted else None
+        if accepted:
+            return answer
+        progress.held = answer
+        return None
 
     async def _relayed(
         self,
--- a/src/nutmeghook/internal/dispatch/progress.py
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 
@@ -29,6 +30,8 @@
         relayed: Some text of the answer is on its way to the caller.
         delivered: How much, as of the attempts that have ended.
         must_finish: Work that no cancelling would undo is under way.
+        held: The latest whole answer that was judged too weak; given if
+            nothing better begins.
         caller_left: The request was cancelled because nobody waits for it.
     """
 
@@ -39,6 +42,7 @@
     relayed: bool = False
     delivered: Delivered | None = None
     must_finish: bool = False
+    held: answers.GeneratedAnswer | None = None
     caller_left: bool = False
 
     def start_attempt(self, request_id: str) -> str:
--- a/src/nutmeghook/internal/observe/events.py
+++ b/src/nutmeghook/internal/observe/events.py
@@ -18,6 +18,7 @@
     REQUEST_ADMITTED = "request admitted"
     REQUEST_DISPATCHED = "request dispatched"
     REQUEST_RETRIED = "request retried"
+    HELD_ANSWER_GIVEN = "held answer given"
     FIRST_TOKEN = "first token"
     REQUEST_ANSWERED = "request answered"
     REQUEST_REFUSED = "request refused"
--- a/tests/cover/test_dispatch_taken_away.py
+++ b/tests/cover/test_dispatch_taken_away.py
@@ -214,6 +214,8 @@
         [bill] = self.fixture.ledger.bills
         self.assertEqual(bill.model_version, str(fakes.SMALL))
         self.assertEqual(self.fixture.ledger.unknown, [])
+        ends = [event.kind for event in self.fixture.events.since(0)]
+        self.assertIn(events.EventKind.HELD_ANSWER_GIVEN, ends)
 
     async def test_no_backend_server_for_the_next_stage(self):
         """The caller gets the cheap answer that the instance has in hand.
