Show that a begun answer's engine is left before another may follow

An engine that can't be reached for 0.75 s is left after the third resume in vain, some 0.3 s after the cut. Only then it is asked whether another attempt may follow. With the retry budget spent, no other backend server, or template, model or version taken away, the caller's answer is cut, though the engine keeps the attempt for 10 s and could have been asked again.

--- a/tests/cover/test_dispatch_taken_away.py
+++ b/tests/cover/test_dispatch_taken_away.py
@@ -1,6 +1,7 @@
 """Requests under way that lose their template, their route or their repeat."""
 
 import asyncio
+import datetime
 import unittest
 
 import msgspec
@@ -332,3 +333,95 @@
         answer = await self.ended(await self.started(self.generate()))
         self.assertEqual(answer.model_version, fakes.LARGE)
         self.assertEqual(self.sink.text, "The boiler holds.")
+
+
+class BegunStreamTest(TakenAwayCase):
+    """A begun answer's engine is left only for an attempt that may follow.
+
+    Its connection breaks after a word, and four more are refused: the engine
+    can't be reached for some 0.75 s. It keeps the attempt for longer. The
+    third try used to be the last, whatever came then.
+    """
+
+    def setUp(self):
+        super().setUp()
+        refused = fakes.Script(fails=dispatch_errors.refused())
+        self.first.scripts.append(fakes.Script(gate=self.gate, cut_after=1))
+        self.first.scripts.extend([refused] * 4)
+
+    async def assert_goes_on(self, asking: asyncio.Task) -> None:
+        answer = await self.ended(asking)
+        self.assertEqual(answer.text, "The boiler holds.")
+        self.assertEqual(self.sink.text, answer.text)
+        self.assertEqual(self.second.generations, [])
+        self.assertEqual(
+            {g.attempt_id for g in self.first.generations}, {"req-1/1"}
+        )
+        self.assertEqual(self.first.generations[-1].resume_at_token, 1)
+        self.assertEqual(len(self.fixture.ledger.bills), 1)
+
+    async def test_no_leave_for_a_further_attempt(self):
+        """The caller reads on; the retry budget is spent."""
+        self.fixture.budget.leave = 0
+        await self.assert_goes_on(await self.started(self.generate()))
+
+    async def test_no_other_backend_server(self):
+        """The caller reads on; there is nobody else to ask."""
+        self.fixture.backends.addresses = ["e1:1"]
+        await self.assert_goes_on(await self.started(self.generate()))
+        self.assertEqual(self.fixture.budget.leave, 100)
+
+    async def test_its_template_or_model_is_taken_away(self):
+        """The caller reads on: its engine has had the work for long.
+
+        No new work may go out for it, so it is not left for another engine,
+        which would have been refused in mid-answer.
+        """
+        for refusal in (codes.Code.NOT_ALLOWED, codes.Code.NO_CANDIDATE):
+            asking = await self.started(self.generate())
+            self.fixture.versions.refusal = refusal
+            await self.assert_goes_on(asking)
+            self.assertEqual(self.fixture.budget.leave, 100)
+            self.setUp()
+        asking = await self.started(self.generate())
+        self.configure(templates={})
+        await self.assert_goes_on(asking)
+
+    async def test_it_is_left_once_another_attempt_is_granted(self):
+        """The caller reads on from another engine, asked for once.
+
+        The budget is spent at first; a little later it has leave for one.
+        """
+        self.first.scripts.extend(
+            [fakes.Script(fails=dispatch_errors.refused())] * 20
+        )
+        self.fixture.budget.leave = 0
+        asking = await self.started(self.generate())
+        self.gate.set()
+        await self.fixture.clock.advance(datetime.timedelta(milliseconds=500))
+        self.assertEqual(self.sink.text, "The ")
+        self.assertFalse(asking.done())
+        self.fixture.budget.leave = 1
+        answer = await self.ended(asking)
+        self.assertEqual(answer.text, "The boiler holds.")
+        self.assertEqual(self.sink.text, answer.text)
+        [repeat] = self.second.generations
+        self.assertEqual(repeat.attempt_id, "req-1/2")
+        self.assertEqual(self.fixture.budget.leave, 0)
+
+    async def test_an_engine_that_is_gone_ends_the_request(self):
+        """The caller hears `unknown` in 7 s, long before its deadline.
+
+        Nothing may replace the engine, and it does not come back; engines
+        keep an attempt for some 10 s.
+        """
+        self.first.scripts.extend(
+            [fakes.Script(fails=dispatch_errors.refused())] * 20
+        )
+        self.fixture.budget.leave = 0
+        asking = await self.started(self.generate(deadline_s=600))
+        error = await self.refused(asking)
+        self.assertIs(error.run_state, codes.RunState.UNKNOWN)
+        self.assertLess(
+            self.fixture.clock.monotonic(), datetime.timedelta(seconds=7)
+        )
