Leave a begun answer's engine only for a granted attempt

Cause: the engine was left after three resumes in vain, and cancelled; what could forbid the attempt that was to follow (attempts, template, permission, version, retry budget, another backend server) was asked afterwards, in _allow_retry, _settle_choice and _choose_backend, with a delay between. Change: AttemptLeave asks all of it in one place, the budget last; a begun attempt is given up once that grants the next one, which is sent without delay and without asking again. Else the engine is asked up to 7 times, 3 to 6 s, for what it still has: a resume is no new work. Hedges use the same question. Ruled out: the same before the first token. Nothing shows there that the engine has begun, and asking it again may start the work a second time without leave.

--- a/src/nutmeghook/internal/dispatch/attempts.py
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -1,6 +1,7 @@
 """One attempt on one engine: its chunks checked, its cuts resumed."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import datetime
@@ -19,6 +20,10 @@
 from nutmeghook.internal.routing import backends as backends_module
 
 MAX_RESUMES_WITHOUT_PROGRESS = 3
+# Where nothing may follow: 3 to 6 s, so that the last one still finds what
+# engines keep for about 10 s after a cut, and a caller whose engine is gone
+# does not wait for its deadline.
+MAX_RESUMES_WITHOUT_LEAVE = 7
 FIRST_RESUME_DELAY = datetime.timedelta(milliseconds=50)
 CANCEL_TIMEOUT = datetime.timedelta(seconds=2)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -58,6 +63,8 @@
     """One attempt under way.
 
     Attributes:
+        try_leave: Takes leave for another attempt to follow this one; asked
+            before a begun answer is given up.
         next_token: Index of the first token not yet received.
         last: The last chunk, once it came.
     """
@@ -65,6 +72,7 @@
     backend: backends_module.Backend
     generation: engine_module.Generation
     deadline: datetime.timedelta
+    try_leave: Callable[[], bool]
     next_token: int = 0
     last: engine_module.Chunk | None = None
 
@@ -176,9 +184,7 @@
                 _CutError,
             ) as error:
                 resumes = 0 if attempt.next_token > seen else resumes
-                if not attempt.next_token or (
-                    resumes >= MAX_RESUMES_WITHOUT_PROGRESS
-                ):
+                if _try_give_up(attempt, resumes):
                     raise _attempt_error(error, attempt) from error
             resumes += 1
             await self._clock.sleep(self._resume_delay(resumes))
@@ -227,6 +233,18 @@
         return longest * self._random.uniform(0.5, 1.0)
 
 
+def _try_give_up(attempt: Attempt, resumes: int) -> bool:
+    """Tells whether to leave an engine after so many resumes in vain.
+
+    Leave for the attempt that follows is taken on the way, if need be. Before
+    the first token there is nothing in hand: asking the same engine again
+    could start the work a second time, which is a repeat like any other.
+    """
+    if not attempt.next_token or resumes >= MAX_RESUMES_WITHOUT_LEAVE:
+        return True
+    return resumes >= MAX_RESUMES_WITHOUT_PROGRESS and attempt.try_leave()
+
+
 def _checked_last(chunk: engine_module.Chunk) -> engine_module.Chunk:
     if chunk.finish in _WHOLE:
         return chunk
--- a/src/nutmeghook/internal/dispatch/stage_calls.py
+++ b/src/nutmeghook/internal/dispatch/stage_calls.py
@@ -25,6 +25,9 @@
         choice: The version chosen last.
         consumer: The consumer of the attempt to come.
         tried: Addresses that failed.
+        failed_attempts: Attempts that gave no answer.
+        granted: Where the next attempt goes, if leave for it was taken while
+            the one before was at work.
     """
 
     request: requests.GenerationRequest
@@ -34,6 +37,8 @@
     choice: versions_module.VersionChoice | None = None
     consumer: consumers.Consumer | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
+    failed_attempts: int = 0
+    granted: backends_module.Backend | None = None
 
 
 def need(call: StageCall, exclude: str = "") -> backends_module.BackendNeed:
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -4,7 +4,6 @@
 import functools
 import random
 
-from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
@@ -12,6 +11,7 @@
 from nutmeghook.internal.dispatch import billing
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import hedge
+from nutmeghook.internal.dispatch import leave as leave_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import stage_calls
@@ -23,7 +23,6 @@
 from nutmeghook.internal.routing import backends as backends_module
 from nutmeghook.internal.routing import versions as versions_module
 
-MAX_ATTEMPTS_PER_STAGE = 4
 MAX_CHOICES_PER_SEND = 3
 FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=10)
 RETRY_WITHOUT_BACKEND = datetime.timedelta(seconds=1)
@@ -38,9 +37,9 @@
         "_clock",
         "_config",
         "_events",
+        "_leave",
         "_meter",
         "_random",
-        "_retry_budgets",
         "_versions",
     )
 
@@ -59,10 +58,15 @@
     ):
         self._clock = clock
         self._config = config
+        self._leave = leave_module.AttemptLeave(
+            config=config,
+            versions=versions,
+            backends=backends,
+            retry_budgets=retry_budgets,
+        )
         self._versions = versions
         self._backends = backends
         self._attempts = attempts
-        self._retry_budgets = retry_budgets
         self._events = events
         self._meter = meter
         self._random = random_source
@@ -83,19 +87,18 @@
     async def _until_answered(
         self, call: stage_calls.StageCall
     ) -> answers.GeneratedAnswer:
-        failed_attempts = 0
         while True:
-            await self._settle_choice(call)
-            if not failed_attempts:
-                # Of each stage: it is one more first attempt at its model.
-                self._retry_budget(call).note_request()
-            backend = self._choose_backend(call)
+            backend, call.granted = call.granted, None
+            if backend is None:
+                backend = await self._next_backend(call)
             try:
                 last = await self._send(call, backend)
                 return stage_calls.answer(call, last)
             except attempts_module.AttemptError as error:
-                failed_attempts += 1
-                await self._allow_retry(call, error, failed_attempts)
+                call.failed_attempts += 1
+                if call.granted is None:
+                    await self._allow_retry(call, error)
+                self._note_repeat(call, str(error), hedged=False)
             except consumers.TextMismatchError as error:
                 raise errors.CodedError(
                     code=codes.Code.BACKEND_FAILED,
@@ -105,6 +108,16 @@
             call.tried.add(backend.address)
             call.consumer = call.consumer.for_repeat()
 
+    async def _next_backend(
+        self, call: stage_calls.StageCall
+    ) -> backends_module.Backend:
+        """Returns where an attempt goes that was not granted before."""
+        await self._settle_choice(call)
+        if not call.failed_attempts:
+            # Of each stage: it is one more first attempt at its model.
+            self._leave.budget(call).note_request()
+        return self._choose_backend(call)
+
     async def _settle_choice(self, call: stage_calls.StageCall) -> None:
         """Leaves a version in the call that may be sent to right now.
 
@@ -114,7 +127,7 @@
         but not once the caller has text: another version's may not follow.
         """
         for _ in range(MAX_CHOICES_PER_SEND):
-            template = self._template_now(call)
+            template = self._leave.template_now(call)
             if call.choice is None:
                 call.choice = await self._versions.choose(
                     template=template,
@@ -124,9 +137,7 @@
                 )
                 call.consumer = call.consumer_for(call.choice.model_version)
             try:
-                self._versions.check_dispatch(
-                    template=self._template_now(call), choice=call.choice
-                )
+                self._leave.check_version(call)
                 return
             except errors.CodedError:
                 if call.progress.relayed:
@@ -152,23 +163,6 @@
             )
             call.choice = None
 
-    def _retry_budget(
-        self, call: stage_calls.StageCall
-    ) -> admission_module.RetryBudget:
-        return self._retry_budgets.budget_for(
-            f"model {call.choice.model_version.model}"
-        )
-
-    def _template_now(self, call: stage_calls.StageCall) -> documents.Template:
-        asked = call.request.template
-        template = self._config.snapshot.template(asked.team, asked.name)
-        if template is None:
-            raise errors.CodedError(
-                code=codes.Code.UNKNOWN_TEMPLATE,
-                detail=f"template {asked.name!r} was removed meanwhile",
-            )
-        return template
-
     def _choose_backend(
         self, call: stage_calls.StageCall
     ) -> backends_module.Backend:
@@ -207,17 +201,10 @@
         consumer: consumers.Consumer,
     ) -> hedge.LaneWork | None:
         """Starts a hedge on another backend server, if that may be."""
-        try:
-            self._versions.check_dispatch(
-                template=self._template_now(call), choice=call.choice
-            )
-        except errors.CodedError:
-            return None
-        backend = self._backends.choose(stage_calls.need(call, first.address))
-        if backend is None or not self._retry_budget(call).try_spend():
+        backend = self._leave.try_beside(call, first)
+        if backend is None:
             return None
-        self._meter.attempt_repeated(hedged=True)
-        self._record_retry(call, "hedge")
+        self._note_repeat(call, "hedge", hedged=True)
         return self._attempt(call, backend, consumer)
 
     async def _attempt(
@@ -231,6 +218,7 @@
             backend=backend,
             generation=stage_calls.generation(call),
             deadline=request.deadline,
+            try_leave=functools.partial(self._leave.try_grant, call, backend),
         )
         self._events.record(
             events_module.EventKind.REQUEST_DISPATCHED,
@@ -284,7 +272,6 @@
         self,
         call: stage_calls.StageCall,
         error: attempts_module.AttemptError,
-        failed_attempts: int,
     ) -> None:
         """Waits a little before the next attempt, or gives up.
 
@@ -292,8 +279,8 @@
             errors.CodedError: No further attempt is allowed.
         """
         if (
-            failed_attempts >= MAX_ATTEMPTS_PER_STAGE
-            or not self._retry_budget(call).try_spend()
+            call.failed_attempts >= leave_module.MAX_ATTEMPTS_PER_STAGE
+            or not self._leave.budget(call).try_spend()
         ):
             raise errors.CodedError(
                 code=codes.Code.BACKEND_FAILED
@@ -302,12 +289,13 @@
                 detail=str(error),
                 retry_after=error.retry_after or RETRY_WITHOUT_BACKEND,
             ) from error
-        self._meter.attempt_repeated(hedged=False)
-        self._record_retry(call, str(error))
-        longest = FIRST_RETRY_DELAY * 2 ** (failed_attempts - 1)
+        longest = FIRST_RETRY_DELAY * 2 ** (call.failed_attempts - 1)
         await self._clock.sleep(longest * self._random.uniform(0.5, 1.0))
 
-    def _record_retry(self, call: stage_calls.StageCall, reason: str) -> None:
+    def _note_repeat(
+        self, call: stage_calls.StageCall, reason: str, *, hedged: bool
+    ) -> None:
+        self._meter.attempt_repeated(hedged=hedged)
         self._events.record(
             events_module.EventKind.REQUEST_RETRIED,
             call.request.request_id,
