Show that a request is let in late by a token that is gone

A request waits for a place, or was refused by each server tried so far, while the operator takes its token away. Nothing of it has run, and it is run all the same, up to ten minutes after the token went: the token is asked for on arrival only.

--- a/tests/cover/test_dispatch_taken_away.py
+++ b/tests/cover/test_dispatch_taken_away.py
@@ -9,7 +9,9 @@
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.limits import concurrency_limit
 from nutmeghook.internal.observe import events
+from tests import fake_config
 from tests import fakes
 from tests.cover import dispatch_errors
 from tests.cover import plain_requests
@@ -425,3 +427,99 @@
         self.assertLess(
             self.fixture.clock.monotonic(), datetime.timedelta(seconds=7)
         )
+
+
+class TokenTest(TakenAwayCase):
+    """What a token that is taken away means for requests let in with it."""
+
+    def take_token_away(self) -> None:
+        self.change_team(tokens=())
+
+    def assert_denied(self, error: errors.CodedError) -> None:
+        self.assertIs(error.code, codes.Code.BAD_TOKEN)
+        self.assertIs(error.run_state, codes.RunState.NOT_RUN)
+
+    async def test_what_waits_for_a_place_is_not_let_in_late(self):
+        """The caller hears 401, not run: its token went while it waited.
+
+        One request holds the only place; the next waits behind it. The
+        operator takes their token away, and then the place is free.
+        """
+        one_place = concurrency_limit.FixedLimit(places=1)
+        self.fixture.admission = self.fixture.plain_admission = (
+            fakes.fair_admission_with(self.fixture.clock, one_place)
+        )
+        self.first.scripts.append(fakes.Script(gate=self.gate))
+        dispatcher = self.fixture.dispatcher()
+        under_way = await self.started(
+            dispatcher.generate(
+                fakes.generation_request(self.fixture), self.sink
+            )
+        )
+        waiting = [
+            await self.started(work)
+            for work in (
+                dispatcher.generate(
+                    fakes.generation_request(self.fixture, key="finding-7"),
+                    fakes.RecordingSink(),
+                ),
+                dispatcher.call_plain(
+                    plain_requests.plain_request(self.fixture)
+                ),
+            )
+        ]
+        self.take_token_away()
+        self.assertEqual((await self.ended(under_way)).text, self.sink.text)
+        for asking in waiting:
+            self.assert_denied(await self.refused(asking))
+        self.assertEqual(len(self.first.generations), 1)
+        self.assertEqual(self.fixture.services.calls, [])
+        self.assertEqual(self.fixture.ledger.released, ["finding-7"])
+
+    async def test_what_was_refused_everywhere_is_not_let_in_late(self):
+        """The caller hears 401, not run: no server has begun its work."""
+        refused = fakes.Script(gate=self.gate, fails=dispatch_errors.refused())
+        self.first.scripts.append(refused)
+        self.fixture.services.outcomes.append(dispatch_errors.refused())
+        for work in (self.generate(), self.call_plain()):
+            asking = await self.started(work)
+            self.take_token_away()
+            self.assert_denied(await self.refused(asking))
+            self.give_token_back()
+        self.assertEqual(self.second.generations, [])
+        self.assertEqual(len(self.fixture.services.calls), 1)
+
+    def give_token_back(self) -> None:
+        """Gives the token back, and closes the gate."""
+        self.configure(teams=fake_config.snapshot().teams)
+        self.gate.clear()
+
+    async def test_what_may_have_run_is_answered(self):
+        """The caller gets its answer: it was let in, and work has begun.
+
+        Its first server is lost; the repeat is no new request.
+        """
+        self.first.scripts.append(
+            fakes.Script(gate=self.gate, fails=dispatch_errors.lost())
+        )
+        self.fixture.services.outcomes.append(dispatch_errors.lost())
+        for work in (self.generate(), self.call_plain(repeatable=True)):
+            asking = await self.started(work)
+            self.take_token_away()
+            await self.ended(asking)
+            self.give_token_back()
+        self.assertEqual(self.sink.text, "The boiler holds.")
+        self.assertEqual(len(self.fixture.services.calls), 2)
+
+    async def test_a_begun_answer_goes_on(self):
+        """The caller reads on, at another engine when its own is lost."""
+        self.first.scripts.append(fakes.Script(gate=self.gate, cut_after=2))
+        self.first.scripts.extend(
+            [fakes.Script(fails=dispatch_errors.refused())] * 20
+        )
+        asking = await self.started(self.generate())
+        self.take_token_away()
+        answer = await self.ended(asking)
+        self.assertEqual(answer.text, "The boiler holds.")
+        self.assertEqual(self.sink.text, answer.text)
+        self.assertEqual(len(self.second.generations), 1)
