Let nothing in late by a token that is gone

Cause: the token was asked for on arrival only. What waited for a place or a server, for up to its deadline, ran although its token had been taken away. Change: requests carry their token's digest, and callers.check_token asks for it just before a send as long as nothing may have run. After that admission holds, as in the relay: no attempt is refused for its token.

--- a/src/nutmeghook/internal/config/tokens.py
+++ b/src/nutmeghook/internal/config/tokens.py
@@ -13,6 +13,7 @@
 
     team: documents.Team
     token_name: str
+    token_sha256: str
     role: documents.Role
 
 
@@ -49,7 +50,10 @@
 def _index(snapshot: documents.Snapshot) -> dict[str, TokenHolder]:
     return {
         entry.sha256: TokenHolder(
-            team=team, token_name=entry.name, role=entry.role
+            team=team,
+            token_name=entry.name,
+            token_sha256=entry.sha256,
+            role=entry.role,
         )
         for team in snapshot.teams.values()
         for entry in team.tokens
--- a/src/nutmeghook/internal/dispatch/plain_calls.py
+++ b/src/nutmeghook/internal/dispatch/plain_calls.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import attempts as attempts_module
+from nutmeghook.internal.dispatch import callers
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import requests
@@ -132,7 +133,7 @@
         request: requests.PlainRequest,
         progress: progress_module.Progress,
     ) -> bool:
-        """Checks just before sending that the team may still call the path.
+        """Checks just before sending that the call may be made now.
 
         The route is looked up anew: a change of its time limit is no loss of
         it. That it may be repeated must hold then and now.
@@ -143,6 +144,7 @@
         Raises:
             errors.CodedError: The team may not send the call (any more).
         """
+        callers.check_token(self._config, request, progress)
         team = self._config.snapshot.teams.get(request.team.name)
         path = request.call.path.partition("?")[0]
         route = team and team.plain_route(request.route.service, path)
--- a/src/nutmeghook/internal/dispatch/requests.py
+++ b/src/nutmeghook/internal/dispatch/requests.py
@@ -16,6 +16,7 @@
     Attributes:
         identity: What a retry of it would have in common with it.
         team: The token's team, as the configuration had it at entry.
+        token_sha256: The token that it came with, as the team's entry has it.
         session: The caller's session id; empty for none.
         priority: 0 to 9, never above the template's.
         arrived: Monotonic time of arrival.
@@ -25,6 +26,7 @@
     request_id: str
     identity: ledger.RequestIdentity
     team: documents.Team
+    token_sha256: str
     template: documents.Template
     messages: tuple[engine.Message, ...]
     prompt_chars: int
@@ -59,12 +61,14 @@
     """A request for a plain service's answer.
 
     Attributes:
+        token_sha256: The token that it came with, as the team's entry has it.
         arrived: Monotonic time of arrival.
         deadline: Monotonic time at which the answer is useless.
     """
 
     identity: ledger.RequestIdentity
     team: documents.Team
+    token_sha256: str
     route: documents.PlainRoute
     call: plain.PlainCall
     priority: int
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import billing
+from nutmeghook.internal.dispatch import callers
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import hedge
 from nutmeghook.internal.dispatch import leave as leave_module
@@ -113,6 +114,7 @@
     ) -> backends_module.Backend:
         """Returns where an attempt goes that was not granted before."""
         await self._settle_choice(call)
+        callers.check_token(self._config, call.request, call.progress)
         if not call.failed_attempts:
             # Of each stage: it is one more first attempt at its model.
             self._leave.budget(call).note_request()
--- a/src/nutmeghook/internal/entry/application.py
+++ b/src/nutmeghook/internal/entry/application.py
@@ -7,7 +7,6 @@
 import eliot
 import msgspec
 
-from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dispatch import answers
@@ -28,7 +27,7 @@
 _WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 _Handler = Callable[[web.Request, str], Awaitable[web.StreamResponse]]
 _WorkHandler = Callable[
-    [web.Request, str, documents.Team], Awaitable[web.StreamResponse]
+    [web.Request, str, tokens_module.TokenHolder], Awaitable[web.StreamResponse]
 ]
 
 
@@ -106,17 +105,20 @@
         async def handle(
             request: web.Request, request_id: str
         ) -> web.StreamResponse:
-            team = self._intake.team(request)
+            caller = self._intake.caller(request)
             with self._drain.request(), self._bodies.reserved(request):
-                return await handler(request, request_id, team)
+                return await handler(request, request_id, caller)
 
         return self._coded(handle)
 
     async def _chat(
-        self, request: web.Request, request_id: str, team: documents.Team
+        self,
+        request: web.Request,
+        request_id: str,
+        caller: tokens_module.TokenHolder,
     ) -> web.StreamResponse:
         chat = await self._intake.chat(
-            request, request_id=request_id, team=team
+            request, request_id=request_id, caller=caller
         )
         created_s = int(self._clock.now().timestamp())
         model = chat.generation.template.name
@@ -147,10 +149,13 @@
             return await sink.fail(error)
 
     async def _plain(
-        self, request: web.Request, request_id: str, team: documents.Team
+        self,
+        request: web.Request,
+        request_id: str,
+        caller: tokens_module.TokenHolder,
     ) -> web.StreamResponse:
         call = await self._intake.plain(
-            request, request_id=request_id, team=team
+            request, request_id=request_id, caller=caller
         )
         answer = await self._dispatcher.call_plain(call)
         if isinstance(answer, ledger.KeptAnswer):
@@ -164,7 +169,7 @@
     async def _models(
         self, request: web.Request, request_id: str
     ) -> web.StreamResponse:
-        team = self._intake.team(request)
+        team = self._intake.caller(request).team
         names = sorted(
             template.name
             for template in self._config.snapshot.templates.values()
--- a/src/nutmeghook/internal/entry/intake.py
+++ b/src/nutmeghook/internal/entry/intake.py
@@ -51,8 +51,8 @@
         self._tokens = tokens
         self._chat_decoder = msgspec.json.Decoder(shapes.ChatRequest)
 
-    def team(self, request: web.Request) -> documents.Team:
-        """Returns the team whose caller sent the request.
+    def caller(self, request: web.Request) -> tokens_module.TokenHolder:
+        """Returns the holder of the token that the request came with.
 
         Raises:
             errors.CodedError: `STALE_CONFIG`, `BAD_TOKEN` or `NOT_ALLOWED`.
@@ -65,7 +65,7 @@
                 detail=f"a token of role {holder.role.value!r} can't send"
                 " requests; use one of role 'caller'",
             )
-        return holder.team
+        return holder
 
     def _check_configured(self) -> None:
         """Refuses for now where no configuration has come yet.
@@ -82,7 +82,11 @@
             )
 
     async def chat(
-        self, request: web.Request, *, request_id: str, team: documents.Team
+        self,
+        request: web.Request,
+        *,
+        request_id: str,
+        caller: tokens_module.TokenHolder,
     ) -> ChatCall:
         """Reads a chat request.
 
@@ -90,6 +94,7 @@
             errors.CodedError: Something in it is wrong.
         """
         arrived = self._clock.monotonic()
+        team = caller.team
         headers = headers_module.caller_headers(request.headers)
         body = await bodies.read_body(request, clock=self._clock)
         chat = self._decode_chat(body)
@@ -102,6 +107,7 @@
             request_id=request_id,
             identity=_identity(team, headers, request_id, (body,)),
             team=team,
+            token_sha256=caller.token_sha256,
             template=template,
             messages=messages,
             prompt_chars=sum(len(m.content) for m in messages),
@@ -121,7 +127,11 @@
         )
 
     async def plain(
-        self, request: web.Request, *, request_id: str, team: documents.Team
+        self,
+        request: web.Request,
+        *,
+        request_id: str,
+        caller: tokens_module.TokenHolder,
     ) -> requests.PlainRequest:
         """Reads a call of a plain service.
 
@@ -129,6 +139,7 @@
             errors.CodedError: Something in it is wrong.
         """
         arrived = self._clock.monotonic()
+        team = caller.team
         headers = headers_module.caller_headers(request.headers)
         target = paths.service_target(request.rel_url)
         route = paths.route_for(team, target)
@@ -154,6 +165,7 @@
         return requests.PlainRequest(
             identity=identity,
             team=team,
+            token_sha256=caller.token_sha256,
             route=route,
             call=call,
             priority=_priority(headers, route.priority),
--- a/tests/cover/plain_requests.py
+++ b/tests/cover/plain_requests.py
@@ -2,9 +2,11 @@
 
 import datetime
 
+from nutmeghook.internal.config import tokens
 from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import requests
 from nutmeghook.internal.ledger import ledger
+from tests import fake_config
 from tests import fakes
 
 
@@ -24,6 +26,7 @@
             team="agency", key=key or "req-1", given_by_caller=bool(key)
         ),
         team=team,
+        token_sha256=tokens.digest(fake_config.TOKEN),
         route=route,
         call=plain.PlainCall(
             request_id="req-1", method="POST", path=path or route.path_prefix
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 import datetime
 import random
 
+from nutmeghook.internal.config import tokens
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dispatch import answers
@@ -370,6 +371,7 @@
             team="agency", key=key or "req-1", given_by_caller=bool(key)
         ),
         team=fixture.config.snapshot.teams["agency"],
+        token_sha256=tokens.digest(fake_config.TOKEN),
         template=template,
         messages=(engine.Message(role="user", content="Does it hold?"),),
         prompt_chars=13,
