Hold in tests that no silent attempt is given up for an empty one

Looked for, and not there: a hedge's budget is asked after its backend server, a second attempt's failure leaves the first at work, and a template or model that is taken away keeps the second from starting but ends no first. Each of the first two tests was seen to fail with its safeguard taken out (budget asked first; a lane's fault ending the race).

--- a/tests/cover/test_dispatch_hedging.py
+++ b/tests/cover/test_dispatch_hedging.py
@@ -4,7 +4,12 @@
 import datetime
 import unittest
 
+import msgspec
+
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.foundation import codes
 from tests import fakes
+from tests.cover import dispatch_errors
 
 
 class HedgeTest(unittest.IsolatedAsyncioTestCase):
@@ -52,3 +57,77 @@
         answer = await self.ending
         self.assertEqual(self.sink.text, "Second text.")
         self.assertEqual(self.sink.text, answer.text)
+
+
+class FirstAttemptTest(unittest.IsolatedAsyncioTestCase):
+    """A silent attempt is not given up for one that has shown nothing."""
+
+    def setUp(self):
+        self.fixture = fakes.Fixture(hedge_after_ms=100)
+        self.sink = fakes.RecordingSink()
+        self.gate = asyncio.Event()
+        self.first = self.fixture.engines["e1:1"]
+        self.second = self.fixture.engines["e2:1"]
+        self.first.scripts.append(fakes.Script(gate=self.gate))
+
+    async def silent(self) -> asyncio.Task:
+        """Starts a request whose first engine is silent past the hedge."""
+        asking = asyncio.ensure_future(
+            self.fixture.dispatcher().generate(
+                fakes.generation_request(self.fixture), self.sink
+            )
+        )
+        await fakes.settle()
+        return asking
+
+    async def assert_first_answers(self, asking: asyncio.Task) -> None:
+        await self.fixture.clock.advance(datetime.timedelta(milliseconds=500))
+        self.assertFalse(asking.done())
+        self.assertEqual(self.first.cancelled, [])
+        self.gate.set()
+        await fakes.to_end(self.fixture.clock, asking)
+        self.assertEqual(self.sink.text, "The boiler holds.")
+        self.assertEqual(len(self.first.generations), 1)
+
+    async def test_a_second_that_fails_leaves_the_first_at_work(self):
+        """The caller reads the first engine's answer: the second has none.
+
+        It refuses, is lost, or ends before its first token.
+        """
+        for script in (
+            fakes.Script(fails=dispatch_errors.refused()),
+            fakes.Script(fails=dispatch_errors.lost()),
+            fakes.Script(cut_after=0),
+            fakes.Script(words=("",), finish=engine.FinishReason.FAILED),
+        ):
+            self.second.scripts.append(script)
+            await self.assert_first_answers(await self.silent())
+            self.assertEqual(len(self.second.generations), 1)
+            self.setUp()
+
+    async def test_no_leave_is_taken_without_a_backend_server(self):
+        """The caller reads the first engine's answer; there is no other.
+
+        The fleet's few repeats stay for requests that can use them.
+        """
+        self.fixture.backends.addresses = ["e1:1"]
+        await self.assert_first_answers(await self.silent())
+        self.assertEqual(self.fixture.budget.leave, 100)
+
+    async def test_what_is_taken_away_ends_no_attempt_at_work(self):
+        """The caller reads the first engine's answer, but gets no second.
+
+        While the engine is silent the team loses the model, or the operator
+        removes the template.
+        """
+        for code in (codes.Code.NOT_ALLOWED, None):
+            asking = await self.silent()
+            self.fixture.versions.refusal = code
+            if code is None:
+                self.fixture.config.current = msgspec.structs.replace(
+                    self.fixture.config.snapshot, templates={}
+                )
+            await self.assert_first_answers(asking)
+            self.assertEqual(self.second.generations, [])
+            self.assertEqual(self.fixture.budget.leave, 100)
+            self.setUp()
