--- a/src/nutmeghook/internal/dispatch/progress.py
+++ b/src/nutmeghook/internal/dispatch/progress.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 
@@ -29,6 +30,8 @@
         relayed: Some text of the answer is on its way to the caller.
         delivered: How much, as of the attempts that have ended.
         must_finish: Work that no cancelling would undo is under way.
+        held: The latest whole answer that was judged too weak; given if
+            nothing better begins.
         caller_left: The request was cancelled because nobody waits for it.
     """
 
@@ -39,6 +42,7 @@
     relayed: bool = False
     delivered: Delivered | None = None
     must_finish: bool = False
+    held: answers.GeneratedAnswer | None = None
     caller_left: bool = False
 
     def start_attempt(self, request_id: str) -> str:
@@ -71,19 +75,28 @@
         """
         if not self.possibly_run:
             return error
-        state = error.run_state
+        code, state = error.code, error.run_state
+        if code.run_state is codes.RunState.NOT_RUN:
+            code = _once_sent(code)
         if state is codes.RunState.NOT_RUN:
             state = codes.RunState.UNKNOWN
         return errors.CodedError(
-            code=_CODES_ONCE_SENT.get(error.code, error.code),
+            code=code,
             detail=error.detail,
             retry_after=error.retry_after if may_be_sent_again else None,
             run_state=state,
         )
 
 
-_CODES_ONCE_SENT = {
-    codes.Code.DEADLINE_BEFORE_RUN: codes.Code.DEADLINE_DURING_RUN,
-    codes.Code.BACKEND_REFUSED: codes.Code.BACKEND_FAILED,
-    codes.Code.NO_CANDIDATE: codes.Code.BACKEND_FAILED,
-}
+def _once_sent(code: codes.Code) -> codes.Code:
+    """Returns what a refusal is called once something may have run.
+
+    The failure: a repeat is refused because the team lost its route. The body
+    said `unknown`, but the status, 403, and the time line said "refused", and
+    callers that go by the status took the call for not run. A further step is
+    taken only after a backend server failed, so that is what they are told,
+    whatever refused the step.
+    """
+    if code is codes.Code.DEADLINE_BEFORE_RUN:
+        return codes.Code.DEADLINE_DURING_RUN
+    return codes.Code.BACKEND_FAILED
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 import datetime
 import random
 
+from nutmeghook.internal.config import tokens
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dispatch import answers
@@ -132,14 +133,19 @@
 
 
 class FakeBackends(backends.BackendChooser):
-    """Gives the first backend server that is not excluded."""
+    """Gives the first backend server that is not excluded.
+
+    Models in `model_addresses` have these backend servers only.
+    """
 
     def __init__(self, addresses=("e1:1", "e2:1")):
         self.addresses = list(addresses)
+        self.model_addresses: dict[str, tuple[str, ...]] = {}
         self.outcomes: list[tuple[str, backends.AttemptOutcome]] = []
 
     def choose(self, need):
-        for address in self.addresses:
+        model = need.model_version.model if need.model_version else ""
+        for address in self.model_addresses.get(model, self.addresses):
             if address not in need.exclude:
                 return backends.Backend(
                     address=address, region="r", data_centre="r-1", service="s"
@@ -154,15 +160,20 @@
 
 
 class FakeVersions(versions.VersionChooser):
-    """Chooses a stage's first version that is not in `withdrawn`."""
+    """Chooses a stage's first version that is not in `withdrawn`.
+
+    `refusal`, if set, is what every choice and check ends with.
+    """
 
     def __init__(self):
+        self.refusal: codes.Code | None = None
         self.withdrawn: set[engine.ModelVersion] = set()
         self.rolling_out = False
         self.chosen: list[engine.ModelVersion] = []
         self.given_back: list[engine.ModelVersion] = []
 
     async def choose(self, *, template, stage_index, session, request_id):
+        self._refuse()
         stage = template.stages[stage_index]
         for entry in stage.versions:
             version = engine.ModelVersion(
@@ -176,12 +187,17 @@
         raise errors.CodedError(code=codes.Code.NO_CANDIDATE)
 
     def check_dispatch(self, *, template, choice):
+        self._refuse()
         if choice.model_version in self.withdrawn:
             raise errors.CodedError(code=codes.Code.NOT_ALLOWED)
 
     def give_back(self, *, template, choice):
         self.given_back.append(choice.model_version)
 
+    def _refuse(self):
+        if self.refusal is not None:
+            raise errors.CodedError(code=self.refusal)
+
 
 class FakeCascade(cascade.CascadePolicy):
     """Starts where told and accepts what it is told to."""
@@ -355,6 +371,7 @@
             team="agency", key=key or "req-1", given_by_caller=bool(key)
         ),
         team=fixture.config.snapshot.teams["agency"],
+        token_sha256=tokens.digest(fake_config.TOKEN),
         template=template,
         messages=(engine.Message(role="user", content="Does it hold?"),),
         prompt_chars=13,
