--- /dev/null
+++ b/tests/cover/test_review_relay.py
@@ -0,0 +1,323 @@
+"""Work in hand and further attempts: what else may end one too soon."""
+
+import asyncio
+from collections.abc import Awaitable
+import datetime
+import unittest
+from unittest import mock
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.relay import attempts
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import pool as pool_module
+from nutmeghook.standins import users_replica
+from tests import relay_fixture
+from tests.cover import test_relay_taken_away as taken_away
+
+IDEMPOTENT = model.RouteKind.IDEMPOTENT
+ONCE = model.RouteKind.ONCE
+STREAM = model.RouteKind.STREAM
+Reply = users_replica.Reply
+EVENTS = taken_away.EVENTS
+WHOLE = taken_away.WHOLE
+LONG = taken_away.LONG
+SECOND = relay_fixture.SECOND
+
+
+class BusyClock(clock_module.FakeClock):
+    """Lets a wait's time run out in the turn in which its result comes.
+
+    Attributes:
+        late_waits: How many of the next waits end so.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.late_waits = 0
+
+    async def wait_for(
+        self, awaitable: Awaitable, duration: datetime.timedelta
+    ):
+        """Awaits a result; the time may run out as it comes."""
+        if not self.late_waits:
+            return await super().wait_for(awaitable, duration)
+        self.late_waits -= 1
+        await asyncio.wait({asyncio.ensure_future(awaitable)})
+        raise TimeoutError
+
+
+class ReviewCase(taken_away.TakenAwayCase):
+    def spend_all(self, service: str = "service", *, but: int = 0) -> None:
+        """Spends a service's retry budget but for a few attempts."""
+        budget = self.budgets.budget_for(service)
+        while budget.left() >= 1 + but:
+            budget.try_spend()
+
+    def used_replica(self):
+        """Returns the relay's knowledge of the replica that was asked."""
+        (asked,) = {r.replica_id for r in self.replicas if r.seen}
+        (found,) = [
+            replica
+            for replica in self.directory.of_service("service")
+            if replica.entry.replica_id == asked
+        ]
+        return found
+
+
+class SlowAnswersTest(ReviewCase):
+    replica_count = 8
+
+    def build_clock(self) -> clock_module.Clock:
+        return BusyClock()
+
+    async def test_a_slow_replica_that_nobody_gives_up_is_not_ejected(self):
+        """A request that may run only once takes far longer than usual.
+        Nobody gives it up and its answer comes. The relay counted a failure
+        for each stretch of its patience, and left a sound replica alone.
+        """
+        self.reply_with(Reply(body=b"at last", pause_s=0.3))
+        asking = asyncio.create_task(self.ask(ONCE))
+        await self.arrival()
+        await self.clock.advance(10 * SECOND)
+        replica = self.used_replica()
+        now = self.clock.monotonic()
+        self.assertEqual(replica.health.failure_rate(now), 0.0)
+        self.assertFalse(replica.health.is_ejected(now))
+        answer = await asking
+        self.assertEqual(relay_fixture.body_of(answer), b"at last")
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_an_answer_that_comes_as_patience_ends_is_passed_on(self):
+        """The process is busy for a while, and the answer and the end of the
+        relay's patience come up in one turn of its loop. The whole answer was
+        dropped, and another replica asked for it.
+        """
+        self.clock.late_waits = 1
+        self.reply_with(Reply(body=b"in hand"), Reply(body=b"another"))
+        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+        self.assertEqual(relay_fixture.body_of(answer), b"in hand")
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_nor_is_one_that_comes_as_the_time_limit_ends(self):
+        """The same at the time limit: the answer is there."""
+        self.put_in_force(relay_fixture.route(IDEMPOTENT, time_limit=SECOND))
+        self.clock.late_waits = 1
+        self.reply_with(Reply(body=b"in hand"))
+        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+        self.assertEqual(relay_fixture.body_of(answer), b"in hand")
+
+    async def test_a_caller_that_leaves_ends_a_slow_answer(self):
+        """A caller leaves after its request was waited for beyond patience.
+        Its replica must not work on for nobody.
+        """
+        self.spend_all()
+        self.reply_with(Reply(silent=True))
+        host, _, port = self.listener.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"GET /idempotent/x HTTP/1.1\r\nHost: {relay_fixture.HOST}\r\n"
+            f"Authorization: Token {relay_fixture.KEY}\r\n\r\n".encode()
+        )
+        await self.arrival()
+        await self.clock.advance(4 * SECOND)
+        (replica,) = [r for r in self.replicas if r.seen]
+        writer.close()
+        async with asyncio.timeout(5):
+            await replica.noticed.wait()
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_own_failures_count_among_all_attempts(self):
+        """Replicas refuse a request, and then all fail it. There is one bound
+        on the attempts of a request, however each of them ended.
+        """
+        self.put_in_force(
+            relay_fixture.route(IDEMPOTENT, time_limit=LONG, attempts=5)
+        )
+        refusals = [Reply(status=503, not_run=True)] * (attempts.MAX_TRIES - 1)
+        self.reply_with(*refusals, Reply(status=500, body=b"out of order"))
+        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+        self.assertEqual(relay_fixture.status_of(answer), 500)
+        self.assertEqual(len(self.seen()), attempts.MAX_TRIES)
+
+
+class SilentStreamsTest(ReviewCase):
+    def probe_with(self, probe) -> None:
+        """Replaces the question whether a replica accepts connections."""
+        replaced = mock.patch.object(
+            pool_module.ConnectionPool, "answers", probe
+        )
+        replaced.start()
+        self.addCleanup(replaced.stop)
+
+    async def test_an_event_that_comes_during_the_probe_keeps_its_replica(self):
+        """A replica is silent for a moment. While it is asked whether it still
+        accepts connections its events come, and the question itself gets no
+        answer, as where a first packet is lost. The stream is at work, and
+        was left for another replica.
+        """
+
+        async def lost(_, address: str) -> bool:
+            await asyncio.sleep(0.6)
+            return False
+
+        self.probe_with(lost)
+        self.reply_with(Reply(events=EVENTS, pause_s=0.1), Reply(events=EVENTS))
+        asking = asyncio.create_task(self.ask(STREAM))
+        await self.arrival()
+        await self.clock.advance(0.7 * SECOND)
+        answer = await asking
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_no_attempt_begins_after_the_time_limit(self):
+        """A dark replica is found out as the request's time ends. Another
+        attempt could answer nobody any more.
+        """
+
+        async def slow(_, address: str) -> bool:
+            await self.clock.advance(0.35 * SECOND)
+            return False
+
+        self.probe_with(slow)
+        self.put_in_force(relay_fixture.route(STREAM, time_limit=0.7 * SECOND))
+        self.reply_with(Reply(silent=True), Reply(events=EVENTS))
+        answer = await self.answer_of(asyncio.create_task(self.ask(STREAM)))
+        self.assertEqual(relay_fixture.status_of(answer), 504)
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_a_failure_and_a_cut_are_not_joined(self):
+        """A replica fails a stream, and the next one breaks it off after it
+        has begun. No attempt is left: the caller's stream is cut, and the
+        first replica's failure is not put behind it.
+        """
+        self.put_in_force(
+            relay_fixture.route(STREAM, time_limit=LONG, attempts=2)
+        )
+        self.reply_with(
+            Reply(status=500, body=b"out of order"),
+            Reply(events=EVENTS, send_bytes=len(WHOLE[0]) * 2),
+        )
+        answer = await self.answer_of(asyncio.create_task(self.ask(STREAM)))
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertNotIn(b"out of order", answer)
+        self.assertFalse(relay_fixture.is_complete(answer))
+
+    async def test_a_weak_stream_that_may_run_once_is_kept(self):
+        """The small model's answer to a stream that may not be resumed, and
+        so may run only once, is weak. Asking a larger model is a second run.
+        """
+        self.put_in_force(
+            relay_fixture.route(
+                STREAM,
+                time_limit=LONG,
+                models=taken_away.MODELS,
+                resumable=False,
+            )
+        )
+        self.reply_with(Reply(events=EVENTS, confidence=10))
+        answer = await self.answer_of(
+            asyncio.create_task(self.ask(STREAM, extra=taken_away.ANY_MODEL))
+        )
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(len(self.seen()), 1)
+
+
+class GrantedAttemptsTest(taken_away.BegunStreamCase, ReviewCase):
+    replica_count = attempts.MAX_TRIES + 2
+
+    async def test_a_granted_attempt_that_is_refused_cuts_no_stream(self):
+        """A begun stream's replica falls silent, and another one is asked to
+        go on, with the last of the retry budget. That one refuses. The first
+        replica is as sound as before, but there is no leave to go back to it.
+        """
+        asking = await self.begun()
+        self.spend_all(but=1)
+        self.reply_with(Reply(status=503, not_run=True), Reply(events=EVENTS))
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def test_nor_does_one_that_can_not_be_sent(self):
+        """A begun stream's replica falls silent, and those that are asked to
+        go on have stopped, as at a roll-out's end. The relay tries them one
+        after the other, as often as it may, and never goes back to the first.
+        """
+        asking = await self.begun()
+        for replica in self.replicas:
+            if not replica.seen:
+                replica.refuse_connections()
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+
+class MovedBudgetsTest(ReviewCase):
+    replica_count = 2
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.other = self.replicas[1]
+        self.directory.put(self.entry(self.other, service="other"))
+
+    def move(self, *_) -> Reply:
+        """Moves the route as its request arrives, and fails the request."""
+        self.put_in_force(
+            relay_fixture.route(
+                IDEMPOTENT,
+                time_limit=LONG,
+                shares=(model.ServiceShare(service="other", weight=1.0),),
+            )
+        )
+        return self.first_reply
+
+    async def asked(self) -> bytes:
+        self.replicas[0].decide_by(self.move)
+        self.other.reply_from([Reply(body=b"from the other")])
+        return await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+
+    async def test_a_repeat_takes_from_the_budget_of_its_service(self):
+        """A route moves to another service while its request is under way,
+        and the replica at work crashes. The next attempt goes to the other
+        service, whose retry budget is spent: it must not be sent.
+        """
+        self.first_reply = Reply(send_bytes=0, reset=True)
+        self.spend_all("other")
+        self.assertEqual(relay_fixture.status_of(await self.asked()), 502)
+        self.assertEqual(self.other.seen, [])
+
+    async def test_and_not_from_that_of_the_service_it_leaves(self):
+        """The same, but the old service's budget is spent."""
+        self.first_reply = Reply(status=503, not_run=True)
+        self.spend_all("service")
+        answer = await self.asked()
+        self.assertEqual(relay_fixture.body_of(answer), b"from the other")
+
+    async def test_a_replica_s_failure_likewise(self):
+        """The same, after a failure of the replica's own."""
+        self.first_reply = Reply(status=500, body=b"out of order")
+        self.spend_all("other")
+        answer = await self.asked()
+        self.assertEqual(relay_fixture.status_of(answer), 500)
+        self.assertEqual(self.other.seen, [])
+
+
+class BehindInstanceTest(ReviewCase):
+    async def test_a_refused_request_is_not_denied_by_an_instance_behind(self):
+        """A replica refuses a request. Meanwhile its key was taken away, and
+        this instance has heard of a newer configuration that it has not got.
+        On arrival such a request is told to come back, since the newer one
+        may let it in; 401 would be the end of it.
+        """
+
+        def act(_) -> Reply:
+            self.take_key_away()
+            self.configuration.newer_exists = lambda: True
+            return Reply(status=503, not_run=True)
+
+        for replica in self.replicas:
+            replica.decide_by(act)
+        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertEqual(len(self.seen()), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
