Pass on a whole answer that is there, and eject nobody for being slow

Cause: patience is now asked again and again, also of requests that nobody gives up, and each time the replica's health noted a failure; three in a row eject it. An answer whose end came up in the same turn of the loop as the timeout was dropped: seen with asyncio and uvloop whenever the loop was busy in between. After a replica's own failure, MAX_TRIES was not asked. Ruled out: an exception never retrieved; the shield's callbacks fetch it. Change: the failure is noted when the attempt is left or its time ends; a done exchange is returned; the planner's try_again asks all bounds.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -169,6 +169,14 @@
             lambda service: self._search.for_model(job, service, model_index),
         )
 
+    def try_again(self, job: job_module.Job) -> bool:
+        """Takes leave for an attempt after a replica's own failure."""
+        return (
+            _may_run_again(job)
+            and job.tries < MAX_TRIES
+            and self.try_spend(job)
+        )
+
     def _try_grant(
         self,
         job: job_module.Job,
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -79,12 +79,9 @@
         return answer
 
     def _may_repeat_failure(self, job: job_module.Job) -> bool:
-        return (
-            job.route.repeatable
-            and job.runs < job.route.attempts
-            and self._planner.time_left(job) > datetime.timedelta()
-            and self._planner.try_spend(job)
-        )
+        return self._planner.time_left(
+            job
+        ) > datetime.timedelta() and self._planner.try_again(job)
 
     async def _send(
         self, job: job_module.Job, prepared: prepared_module.Prepared
@@ -106,6 +103,10 @@
     ) -> job_module.WholeAnswer:
         """Awaits an answer, which is given up only for a further attempt.
 
+        The failure: while the process is busy, the answer comes before the end
+        of the patience, and both come up in one turn of the event loop. A
+        whole answer was dropped. So it is looked for before it is given up.
+
         Raises:
             rejections.RejectedError: The time limit passed.
             outcomes.AbandonedError: It took too long, and leave to send the
@@ -118,8 +119,8 @@
                     asyncio.shield(exchange), patience
                 )
             except TimeoutError as error:
-                self._note_slow(prepared)
-                if self._planner.try_repeat(job):
+                if not exchange.done() and self._planner.try_repeat(job):
+                    self._note_slow(prepared)
                     self._observer.note_left(job, prepared, is_dark=False)
                     raise outcomes.AbandonedError(
                         f"no answer within {patience}"
@@ -129,6 +130,8 @@
                 asyncio.shield(exchange), self._planner.time_left(job)
             )
         except TimeoutError as error:
+            if exchange.done():
+                return exchange.result()
             self._note_slow(prepared)
             raise rejections.RejectedError(
                 wire.FixedResponse.LATE_PERHAPS_RUN,
