Keep a stream's replica whose event came while it was probed

Cause: a probe takes up to 0.35 s, and a busy loop turn as long as it takes. What came meanwhile was not looked for, and a replica at work was left; as with silence itself, a lost first packet is enough. A probe at the end of the time limit held the caller beyond it and then sent another attempt. Change: after a silence that is too long, or a probe, the stream is read once more without waiting; the probe ends with the time limit, and nothing is granted after it.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -185,6 +185,8 @@
         """Takes leave for a further attempt while one is at work."""
         if job.runs + 1 >= job.route.attempts or job.tries >= MAX_TRIES:
             return False
+        if self.time_left(job) <= datetime.timedelta():
+            return False
         service = self._routes.service_for(job, may_have_run=True)
         chosen = find(service)
         if chosen is None:
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -29,6 +29,7 @@
 # After this much silence it is found out whether the replica is dark. Nine in
 # ten first events come sooner, and answers of a healthy replica pause less.
 _DOUBTFUL_SILENCE = datetime.timedelta(milliseconds=600)
+_AT_ONCE = datetime.timedelta()
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's pace.
 _LEAST_PACED_EVENTS = 4
@@ -263,6 +264,11 @@
         Silence alone ends no answer: a replica is left only once it is sure
         that another attempt may follow.
 
+        The failure: the process is busy for a while, or a replica is asked
+        whether it still accepts connections, and its next event comes
+        meanwhile. By its time the wait is over, and a replica at work was
+        left. So what has come by now is looked for before.
+
         Args:
             job: The request.
             prepared: Its attempt.
@@ -280,26 +286,44 @@
         while job.route.resumable and step < self._planner.time_left(job):
             try:
                 return await self._clock.wait_for(wait(), step)
-            except TimeoutError as error:
+            except TimeoutError:
                 silent += step
-                if await self._leaves(job, prepared, silent >= silence):
-                    raise outcomes.AbandonedError(
-                        f"silent for {silent} and more"
-                    ) from error
+            is_dark = silent < silence and await self._is_dark(job, prepared)
+            if is_dark or silent >= silence:
+                try:
+                    return await self._clock.wait_for(wait(), _AT_ONCE)
+                except TimeoutError as error:
+                    if self._leaves(job, prepared, is_dark=is_dark):
+                        raise outcomes.AbandonedError(
+                            f"silent for {silent} and more"
+                        ) from error
             step = max(silence - silent, _DOUBTFUL_SILENCE)
         return await self._until_deadline(job, wait())
 
-    async def _leaves(
+    async def _is_dark(
+        self, job: job_module.Job, prepared: prepared_module.Prepared
+    ) -> bool:
+        """Tells whether a replica accepts no connection any more.
+
+        The caller is not held beyond the time limit for it.
+        """
+        try:
+            return await self._clock.wait_for(
+                self._sender.is_unreachable(prepared.replica),
+                self._planner.time_left(job),
+            )
+        except TimeoutError:
+            return False
+
+    def _leaves(
         self,
         job: job_module.Job,
         prepared: prepared_module.Prepared,
-        is_too_long: bool,
+        *,
+        is_dark: bool,
     ) -> bool:
         """Tells whether a silent replica is left for another one."""
-        is_dark = False
-        if not is_too_long:
-            is_dark = await self._sender.is_unreachable(prepared.replica)
-        if not (is_too_long or is_dark) or not self._planner.try_move(job):
+        if not self._planner.try_move(job):
             return False
         self._observer.note_left(job, prepared, is_dark=is_dark)
         return True
