Take a repeat from the budget of the service that it goes to

Cause: which service gets the next attempt was asked twice: the budget by the service that had failed, the send by the route as it is now. After a move the other service got repeats though its own budget was spent. Change: try_spend asks FollowedRoutes, as prepare does.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -206,8 +206,18 @@
         return job_module.Grant(service=service, choice=chosen)
 
     def try_spend(self, job: job_module.Job) -> bool:
-        """Takes leave for one more attempt from the service's budget."""
-        return self._budgets.budget_for(job.service).try_spend()
+        """Takes leave for one more attempt while none is at work.
+
+        The failure: a route moves while its requests are under way. Their
+        repeats took from the budget of the service that they left, and a
+        service whose own budget was spent got all of them.
+
+        Raises:
+            rejections.RejectedError: Nothing has run, and the request's route
+                or key was taken away.
+        """
+        service = self._routes.service_for(job, may_have_run=job.possibly_run)
+        return self._budgets.budget_for(service).try_spend()
 
     def given_up(
         self, job: job_module.Job, *, reason: str
