Keep the weak answer of a stream that may run only once

Change: try_larger asks it as try_move and try_repeat do. Not looked at: whether any deployment has models on streams that may not be resumed.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -163,8 +163,12 @@
         )
 
     def try_larger(self, job: job_module.Job, model_index: int) -> bool:
-        """Takes leave to drop an answer for a larger model's."""
-        return self._try_grant(
+        """Takes leave to drop an answer for a larger model's.
+
+        The dropped answer is a run, so a request that may run only once keeps
+        it, however weak it is.
+        """
+        return job.route.repeatable and self._try_grant(
             job,
             lambda service: self._search.for_model(job, service, model_index),
         )
