Tell a refused request to come back where the configuration is outdated

Cause: what a request without a valid key hears was decided in two places. On arrival an instance that knows itself to be behind says "come back"; between two attempts it said 401 or 404 for good. Change: one function, relay/denials, for both. Measured: BehindInstanceTest failed (401) and passes (503).

--- a/src/nutmeghook/internal/relay/followed_routes.py
+++ b/src/nutmeghook/internal/relay/followed_routes.py
@@ -14,6 +14,7 @@
 """
 
 from nutmeghook.internal.relay import attempt_facts
+from nutmeghook.internal.relay import denials
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import wire
@@ -57,16 +58,15 @@
     def _checked(self, job: job_module.Job) -> model.Route:
         route = self._found(job)
         if route is None:
-            raise rejections.RejectedError(
-                wire.FixedResponse.NO_ROUTE, reason=_TAKEN_AWAY
-            )
+            raise self._denial(wire.FixedResponse.NO_ROUTE)
         api_key = job.incoming.facts.api_key
         if not self._configuration.current.lets_in(route, api_key):
-            raise rejections.RejectedError(
-                wire.FixedResponse.BAD_KEY, reason=_TAKEN_AWAY
-            )
+            raise self._denial(wire.FixedResponse.BAD_KEY)
         return route
 
+    def _denial(self, response: wire.FixedResponse) -> rejections.RejectedError:
+        return denials.denial(self._configuration, response, reason=_TAKEN_AWAY)
+
     def _found(self, job: job_module.Job) -> model.Route | None:
         incoming = job.incoming
         return self._configuration.current.find(
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import denials
 from nutmeghook.internal.relay import endings
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import job as job_module
@@ -20,8 +21,6 @@
 # An instance that knows no configuration yet learns one within a second
 # unless the store is out.
 _RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(milliseconds=500)
-# A large change is on its way for some 0.1 s on the slowest links.
-_RETRY_WHILE_BEHIND = datetime.timedelta(milliseconds=200)
 
 
 class RequestPath:
@@ -131,19 +130,7 @@
     def _denial(
         self, response: wire.FixedResponse, reason: str
     ) -> rejections.RejectedError:
-        """Returns the end of a request that the configuration does not allow.
-
-        The failure: a team gets a route and calls it at once. On an instance
-        that the change has not reached, it heard 404 and did not come back.
-        One that knows itself to be behind says so instead.
-        """
-        if not self._configuration.newer_exists():
-            return rejections.RejectedError(response, reason=reason)
-        return rejections.RejectedError(
-            wire.FixedResponse.NOT_RUN,
-            reason=f"{reason}, in a configuration that is being replaced",
-            retry_after=_RETRY_WHILE_BEHIND,
-        )
+        return denials.denial(self._configuration, response, reason=reason)
 
     async def _reject(
         self,
