--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -163,12 +163,24 @@
         )
 
     def try_larger(self, job: job_module.Job, model_index: int) -> bool:
-        """Takes leave to drop an answer for a larger model's."""
-        return self._try_grant(
+        """Takes leave to drop an answer for a larger model's.
+
+        The dropped answer is a run, so a request that may run only once keeps
+        it, however weak it is.
+        """
+        return job.route.repeatable and self._try_grant(
             job,
             lambda service: self._search.for_model(job, service, model_index),
         )
 
+    def try_again(self, job: job_module.Job) -> bool:
+        """Takes leave for an attempt after a replica's own failure."""
+        return (
+            _may_run_again(job)
+            and job.tries < MAX_TRIES
+            and self.try_spend(job)
+        )
+
     def _try_grant(
         self,
         job: job_module.Job,
@@ -177,6 +189,8 @@
         """Takes leave for a further attempt while one is at work."""
         if job.runs + 1 >= job.route.attempts or job.tries >= MAX_TRIES:
             return False
+        if self.time_left(job) <= datetime.timedelta():
+            return False
         service = self._routes.service_for(job, may_have_run=True)
         chosen = find(service)
         if chosen is None:
@@ -196,8 +210,18 @@
         return job_module.Grant(service=service, choice=chosen)
 
     def try_spend(self, job: job_module.Job) -> bool:
-        """Takes leave for one more attempt from the service's budget."""
-        return self._budgets.budget_for(job.service).try_spend()
+        """Takes leave for one more attempt while none is at work.
+
+        The failure: a route moves while its requests are under way. Their
+        repeats took from the budget of the service that they left, and a
+        service whose own budget was spent got all of them.
+
+        Raises:
+            rejections.RejectedError: Nothing has run, and the request's route
+                or key was taken away.
+        """
+        service = self._routes.service_for(job, may_have_run=job.possibly_run)
+        return self._budgets.budget_for(service).try_spend()
 
     def given_up(
         self, job: job_module.Job, *, reason: str
