Take leave for the way back before work in hand is given up

Change: leave for two attempts is taken before a replica is left that is not dark; the second is for the way back, used when nothing else may be tried, and given back once another replica has begun. A route that moved and is then removed no longer sends its requests back to the first service. The first is replaced by two: with leave for two the stream goes back to its first replica; with leave for one it is not given up, and comes whole. It had expected a way back that nothing paid for.

--- a/src/nutmeghook/internal/limits/window_budget.py
+++ b/src/nutmeghook/internal/limits/window_budget.py
@@ -85,6 +85,11 @@
         self._spent.append(self._clock.monotonic())
         return True
 
+    def give_back(self) -> None:
+        """Gives back leave that was taken last and not used."""
+        if self._spent:
+            self._spent.pop()
+
 
 class WindowRetryBudgets(admission.RetryBudgets):
     """One window for each service."""
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -129,8 +129,8 @@
         name="attempts_left_total",
         kind=MetricKind.COUNTER,
         meaning=(
-            "Attempts given up for another replica while theirs was silent,"
-            " by whether it answered attempts to connect."
+            "Attempts given up for a further one: their replicas were dark, and"
+            " answered no attempt to connect, or only silent for too long."
         ),
         labels=("replica",),
     ),
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -133,12 +133,23 @@
             raise self.given_up(job, reason="its outcome is unknown")
         if job.tries >= MAX_TRIES:
             raise self.given_up(job, reason="too many attempts failed")
-        if isinstance(error, (outcomes.NotSentError, outcomes.AbandonedError)):
+        if isinstance(error, outcomes.AbandonedError):
             return
-        if not self.try_spend(job):
+        is_last = job.tries + 1 >= MAX_TRIES
+        if is_last and self._try_go_back(job):
+            return
+        if isinstance(error, outcomes.NotSentError) or self.try_spend(job):
+            return
+        if not self._try_go_back(job):
             raise self.given_up(job, reason="the retry budget is spent")
 
-    def try_move(self, job: job_module.Job) -> bool:
+    def try_move(
+        self,
+        job: job_module.Job,
+        prepared: prepared_module.Prepared,
+        *,
+        is_dark: bool,
+    ) -> bool:
         """Takes leave to go on at another replica than the one at work.
 
         The failure: a replica falls silent under load and works on. It was
@@ -147,12 +158,21 @@
         attempt was then refused, and an answer that would have come was cut.
         So the attempt is granted whole, replica included, before any work is
         given up, and `prepare` asks nothing again.
+
+        Args:
+            job: The request.
+            prepared: The attempt at work.
+            is_dark: Its replica is gone, so that there is no way back to it.
         """
         return job.route.repeatable and self._try_grant(
-            job, lambda service: self._search.untried(job, service)
+            job,
+            lambda service: self._search.untried(job, service),
+            left=None if is_dark else prepared,
         )
 
-    def try_repeat(self, job: job_module.Job) -> bool:
+    def try_repeat(
+        self, job: job_module.Job, prepared: prepared_module.Prepared
+    ) -> bool:
         """Takes leave to send a request again, to the same replica at last.
 
         The answer may have been lost, and then its replica is as good as any.
@@ -160,9 +180,15 @@
         return job.route.repeatable and self._try_grant(
             job,
             lambda service: self._search.best(job, service, may_have_run=True),
+            left=prepared,
         )
 
-    def try_larger(self, job: job_module.Job, model_index: int) -> bool:
+    def try_larger(
+        self,
+        job: job_module.Job,
+        prepared: prepared_module.Prepared,
+        model_index: int,
+    ) -> bool:
         """Takes leave to drop an answer for a larger model's.
 
         The dropped answer is a run, so a request that may run only once keeps
@@ -171,6 +197,7 @@
         return job.route.repeatable and self._try_grant(
             job,
             lambda service: self._search.for_model(job, service, model_index),
+            left=prepared,
         )
 
     def try_again(self, job: job_module.Job) -> bool:
@@ -185,21 +212,74 @@
         self,
         job: job_module.Job,
         find: Callable[[str], choice_module.Choice | None],
+        *,
+        left: prepared_module.Prepared | None,
     ) -> bool:
-        """Takes leave for a further attempt while one is at work."""
-        if job.runs + 1 >= job.route.attempts or job.tries >= MAX_TRIES:
+        """Takes leave for a further attempt while one is at work.
+
+        The failure: the replica that is to go on refuses, or can't be reached,
+        and the budget is spent by then or the tries are; the one that was left
+        is as well as before, and the caller's answer was cut. So leave to come
+        back to it is taken too, and given back once another one has begun.
+        """
+        attempts = 1 if left is None else 2
+        if job.runs + 1 >= job.route.attempts:
+            return False
+        if job.tries + attempts > MAX_TRIES:
             return False
         if self.time_left(job) <= datetime.timedelta():
             return False
         service = self._routes.service_for(job, may_have_run=True)
         chosen = find(service)
-        if chosen is None:
-            return False
-        if not self._budgets.budget_for(service).try_spend():
+        if chosen is None or not self._try_spend_for(service, left):
             return False
+        self.forget_way_back(job)
         job.grant = job_module.Grant(service=service, choice=chosen)
+        if left is not None:
+            job.way_back = job_module.WayBack(
+                service=left.replica.entry.service,
+                replica_id=left.replica.entry.replica_id,
+                model_index=job.model_index,
+            )
+        return True
+
+    def _try_spend_for(
+        self, service: str, left: prepared_module.Prepared | None
+    ) -> bool:
+        """Takes leave for an attempt, and for one that comes back to it."""
+        budget = self._budgets.budget_for(service)
+        if left is None:
+            return budget.try_spend()
+        budget_back = self._budgets.budget_for(left.replica.entry.service)
+        if not budget.try_spend():
+            return False
+        if budget_back.try_spend():
+            return True
+        budget.give_back()
+        return False
+
+    def _try_go_back(self, job: job_module.Job) -> bool:
+        """Has a request's next attempt go to the replica that was left."""
+        way_back = job.way_back
+        if way_back is None:
+            return False
+        chosen = self._search.particular(
+            job, way_back.service, way_back.replica_id
+        )
+        if chosen is None:
+            return False
+        # The leave that was taken for it is spent now.
+        job.way_back = None
+        job.model_index = way_back.model_index
+        job.grant = job_module.Grant(service=way_back.service, choice=chosen)
         return True
 
+    def forget_way_back(self, job: job_module.Job) -> None:
+        """Gives back leave that is no longer needed: another one has begun."""
+        if job.way_back is not None:
+            self._budgets.budget_for(job.way_back.service).give_back()
+            job.way_back = None
+
     def _found(self, job: job_module.Job) -> job_module.Grant:
         """Returns where an attempt goes when none is at work."""
         may_have_run = job.possibly_run
--- a/src/nutmeghook/internal/relay/followed_routes.py
+++ b/src/nutmeghook/internal/relay/followed_routes.py
@@ -45,15 +45,12 @@
         """
         if job.sink.begun:
             return job.service
-        route = self._kept(job) if may_have_run else self._checked(job)
-        return attempt_facts.service_for(route, job)
-
-    def _kept(self, job: job_module.Job) -> model.Route:
-        """Returns the request's route as it is, or as it was if it is gone."""
+        if not may_have_run:
+            return attempt_facts.service_for(self._checked(job), job)
         route = self._found(job)
         if route is None or route.name != job.route.name:
-            return job.route
-        return route
+            return job.service
+        return attempt_facts.service_for(route, job)
 
     def _checked(self, job: job_module.Job) -> model.Route:
         route = self._found(job)
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -20,6 +20,15 @@
     choice: choice_module.Choice
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class WayBack:
+    """Where work was given up, and leave to have it done there again."""
+
+    service: str
+    replica_id: str
+    model_index: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class WholeAnswer:
     """A replica's answer with its whole body."""
@@ -46,6 +55,7 @@
         model_index: Index into the route's models.
         tried: Ids of the replicas that were tried.
         tries: Attempts of any outcome.
+        way_back: To the replica that was left, until another one has begun.
         runs: Attempts that may have run.
         last_event_id: The last event passed on; None before the first.
     """
@@ -65,6 +75,7 @@
         "team",
         "tried",
         "tries",
+        "way_back",
     )
 
     def __init__(
@@ -85,6 +96,7 @@
         self.deadline = deadline
         self.failure: WholeAnswer | None = None
         self.grant: Grant | None = None
+        self.way_back: WayBack | None = None
         self.service: str | None = None
         self.model_index = 0
         self.tried: set[str] = set()
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -63,6 +63,18 @@
             chosen = self._chooser.choose(need)
         return chosen
 
+    def particular(
+        self, job: job_module.Job, service: str, replica_id: str
+    ) -> choice_module.Choice | None:
+        """Returns a replica of a service if it still takes requests."""
+        need = self._need(
+            job,
+            service,
+            accepts=lambda entry: entry.replica_id == replica_id,
+            tried=frozenset(),
+        )
+        return self._chooser.choose(need)
+
     def for_model(
         self, job: job_module.Job, service: str, model_index: int
     ) -> choice_module.Choice | None:
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -80,15 +80,19 @@
             rejections.RejectedError: It can't be begun, or can't go on.
         """
         self._advice.begin(job)
-        while True:
-            prepared = self._planner.prepare(job)
-            try:
-                step = await self._attempt(job, prepared)
-            except outcomes.AttemptError as error:
-                self._planner.allow_repeat(job, error)
-                continue
-            if step is _Step.DONE:
-                return
+        try:
+            while await self._try_once(job) is not _Step.DONE:
+                pass
+        finally:
+            self._planner.forget_way_back(job)
+
+    async def _try_once(self, job: job_module.Job) -> _Step:
+        prepared = self._planner.prepare(job)
+        try:
+            return await self._attempt(job, prepared)
+        except outcomes.AttemptError as error:
+            self._planner.allow_repeat(job, error)
+            return _Step.AGAIN
 
     async def _attempt(
         self, job: job_module.Job, prepared: prepared_module.Prepared
@@ -103,7 +107,8 @@
                 job, prepared, status=answer.head.status, failed=False
             )
             self._observer.note_first_event(job, prepared)
-            if self._is_replaced(job, answer):
+            self._planner.forget_way_back(job)
+            if self._is_replaced(job, prepared, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, prepared, answer)
             prepared.replica.health.note_success(self._clock.monotonic())
@@ -153,14 +158,19 @@
         return True
 
     def _is_replaced(
-        self, job: job_module.Job, answer: sender_module.Answer
+        self,
+        job: job_module.Job,
+        prepared: prepared_module.Prepared,
+        answer: sender_module.Answer,
     ) -> bool:
         """Decides whether a larger model is asked instead.
 
         The dropped attempt counts as run.
         """
         larger = self._advice.larger_for(job, answer.facts.confidence)
-        if larger is None or not self._planner.try_larger(job, larger):
+        if larger is None:
+            return False
+        if not self._planner.try_larger(job, prepared, larger):
             return False
         answer.replica.health.note_success(self._clock.monotonic())
         job.model_index = larger
@@ -323,7 +333,7 @@
         is_dark: bool,
     ) -> bool:
         """Tells whether a silent replica is left for another one."""
-        if not self._planner.try_move(job):
+        if not self._planner.try_move(job, prepared, is_dark=is_dark):
             return False
         self._observer.note_left(job, prepared, is_dark=is_dark)
         return True
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -45,18 +45,26 @@
         Raises:
             rejections.RejectedError: There is no answer of a replica.
         """
+        try:
+            answer = await self._until_answered(job)
+        finally:
+            self._planner.forget_way_back(job)
+        await job.sink.send_whole(
+            answer.status,
+            self._wire_format.answer_headers(answer.headers),
+            answer.body,
+        )
+
+    async def _until_answered(
+        self, job: job_module.Job
+    ) -> job_module.WholeAnswer:
         while True:
             answer = await self._try_once(job)
             if answer is None:
                 continue
             if not answer.failed or not self._may_repeat_failure(job):
-                break
+                return answer
             job.failure = answer
-        await job.sink.send_whole(
-            answer.status,
-            self._wire_format.answer_headers(answer.headers),
-            answer.body,
-        )
 
     async def _try_once(
         self, job: job_module.Job
@@ -119,7 +127,9 @@
                     asyncio.shield(exchange), patience
                 )
             except TimeoutError as error:
-                if not exchange.done() and self._planner.try_repeat(job):
+                if not exchange.done() and self._planner.try_repeat(
+                    job, prepared
+                ):
                     self._note_slow(prepared)
                     self._observer.note_left(job, prepared, is_dark=False)
                     raise outcomes.AbandonedError(
--- a/tests/cover/test_relay_work_in_hand.py
+++ b/tests/cover/test_relay_work_in_hand.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.relay import attempts
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import pool as pool_module
+from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
 from tests import relay_fixture
 from tests.cover import test_relay_taken_away as taken_away
@@ -53,6 +54,13 @@
         while budget.left() >= 1 + but:
             budget.try_spend()
 
+    def in_order_of_arrival(self) -> list[str]:
+        """Returns the ids of the replicas that requests reached."""
+        seen = [
+            (s.arrived_s, r.replica_id) for r in self.replicas for s in r.seen
+        ]
+        return [replica_id for _, replica_id in sorted(seen)]
+
     def used_replica(self):
         """Returns the relay's knowledge of the replica that was asked."""
         (asked,) = {r.replica_id for r in self.replicas if r.seen}
@@ -226,13 +234,40 @@
     async def test_a_granted_attempt_that_is_refused_cuts_no_stream(self):
         """A begun stream's replica falls silent, and another one is asked to
         go on, with the last of the retry budget. That one refuses. The first
-        replica is as sound as before, but there is no leave to go back to it.
+        replica is as sound as before, and the stream goes back to it.
         """
         asking = await self.begun()
-        self.spend_all(but=1)
+        self.spend_all(but=2)
         self.reply_with(Reply(status=503, not_run=True), Reply(events=EVENTS))
         answer = await self.answer_of(asking)
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        first, refusing, back = self.in_order_of_arrival()
+        self.assertNotEqual(first, refusing)
+        self.assertEqual(first, back)
+
+    async def test_the_last_leave_is_not_spent_on_leaving_a_replica(self):
+        """A begun stream's replica pauses, and there is leave for one further
+        attempt only. If that one were refused there would be no way back, so
+        the stream is left where it is, and comes whole.
+        """
+        self.reply_with(Reply(events=EVENTS, pause_s=0.2))
+        asking = asyncio.create_task(self.ask(STREAM))
+        await self.arrival()
+        self.spend_all(but=1)
+        await self.clock.advance(9 * SECOND)
+        answer = await asking
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(len(self.seen()), 1)
+
+    async def test_leave_to_come_back_is_given_back(self):
+        """A stream is left and goes on elsewhere. The leave that was taken to
+        come back serves others: one attempt was made, and one is paid for.
+        """
+        asking = await self.begun()
+        before = self.budgets.budget_for("service").left()
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(self.budgets.budget_for("service").left(), before - 1)
 
     async def test_nor_does_one_that_can_not_be_sent(self):
         """A begun stream's replica falls silent, and those that are asked to
@@ -245,6 +280,53 @@
                 replica.refuse_connections()
         answer = await self.answer_of(asking)
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        first, back = self.in_order_of_arrival()
+        self.assertEqual(first, back)
+
+
+class WayBackTest(ReviewCase):
+    """Other work that is given up, and an attempt that is then refused."""
+
+    async def test_a_slow_whole_answer_is_asked_for_again(self):
+        """A replica takes too long, and the next one refuses with the budget
+        spent. The caller gets the first one's answer after all, not 502.
+        """
+        self.spend_all(but=2)
+        self.reply_with(
+            Reply(silent=True),
+            Reply(status=503, not_run=True),
+            Reply(body=b"at last"),
+        )
+        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+        self.assertEqual(relay_fixture.body_of(answer), b"at last")
+        first, _, back = self.in_order_of_arrival()
+        self.assertEqual(first, back)
+
+    async def test_a_weak_answer_is_asked_for_again(self):
+        """The small model's answer is dropped for the large model's, whose
+        replica refuses with the budget spent. The caller gets the weak answer
+        after all: the small model is asked once more, not the large one.
+        """
+        self.put_in_force(
+            relay_fixture.route(
+                STREAM, time_limit=LONG, models=taken_away.MODELS
+            )
+        )
+        self.spend_all(but=2)
+        self.reply_with(
+            Reply(events=(7, 8), confidence=10),
+            Reply(status=503, not_run=True),
+            Reply(events=EVENTS, confidence=10),
+        )
+        answer = await self.answer_of(
+            asyncio.create_task(self.ask(STREAM, extra=taken_away.ANY_MODEL))
+        )
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        name = headers.MODEL.lower()
+        asked = sorted((s.arrived_s, s.headers[name]) for s in self.seen())
+        self.assertEqual(
+            [model_name for _, model_name in asked], ["small", "large", "small"]
+        )
 
 
 class MovedBudgetsTest(ReviewCase):
