Read the log lines of all instances as typed records

Cause: the relay's JSON lines could only be searched by hand, over 86 files. Change: one type for each kind of line, decoded at the border; files or folders of them, an instance a file, whatever a collector put before the lines. Broken lines are counted, files that can't be read are named, neither ends the reading.

--- /dev/null
+++ b/src/nutmeghook/internal/observe/belief_records.py
@@ -0,0 +1,71 @@
+"""The log lines about what an instance believes, as typed records."""
+
+from nutmeghook.internal.observe import log_records
+
+Record = log_records.Record
+
+
+class ConfigurationInForce(Record, frozen=True, kw_only=True):
+    """A configuration was put in force."""
+
+    version: int
+    before: int | None = None
+    source: str | None = None
+
+
+class ReplicaChange(Record, frozen=True, kw_only=True):
+    """What is believed of a replica changed."""
+
+    replica: str
+    service: str | None = None
+    address: str | None = None
+    version: str | None = None
+    leaving: bool | None = None
+    started_ms: float | None = None
+    last_started_ms: float | None = None
+
+
+class RollOutChange(Record, frozen=True, kw_only=True):
+    """Something became known of a roll-out."""
+
+    service: str | None = None
+    order: int | str | None = None
+    version: str | None = None
+    within_s: float | None = None
+    verdict: str | None = None
+    reason: str | None = None
+    key: str | None = None
+    error: str | None = None
+
+
+class StoreChange(Record, frozen=True, kw_only=True):
+    """The store was lost, found again, or has dropped changes."""
+
+    error: str | None = None
+    table: str | None = None
+
+
+class ProcessChange(Record, frozen=True, kw_only=True):
+    """The process started, stops, or got new settings."""
+
+    instance: str | None = None
+    data_centre: str | None = None
+    address: str | None = None
+    metrics_address: str | None = None
+    in_flight: int | None = None
+    failed: bool | None = None
+    failure: str | None = None
+    signalled: bool | None = None
+    faults: list[str] | None = None
+
+
+class RequestFault(Record, frozen=True, kw_only=True):
+    """A fault of the program; the line does not name its request."""
+
+    trace: str | None = None
+
+
+class LinesDropped(Record, frozen=True, kw_only=True):
+    """Lines found no room since the last report of it."""
+
+    lines: int
--- /dev/null
+++ b/src/nutmeghook/internal/observe/log_reading.py
@@ -0,0 +1,166 @@
+"""Reads log files of many instances, line by line."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import pathlib
+import re
+
+from nutmeghook.internal.observe import belief_records
+from nutmeghook.internal.observe import log_decoding
+from nutmeghook.internal.observe import log_records
+
+# Collectors put a time and the instance's name before the object, often with
+# marks around them: `26.39 edge-1 {`, `router-1 | {`, `[pod/router-1] {`.
+_MARKS = "[]|: \t"
+_NAME = re.compile(r"[A-Za-z][\w./-]*")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class Source:
+    """Whose lines these are.
+
+    One file holds one instance's lines. Where a collector put several
+    instances into a file, the names before their lines tell them apart.
+
+    Attributes:
+        path: The file.
+        name: The instance's name before the line; empty if there is none.
+    """
+
+    path: str
+    name: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Line:
+    """One readable line.
+
+    Attributes:
+        number: Its place in the file.
+        at_s: The instance's wall clock; of a line without a time, that of the
+            one before.
+    """
+
+    source: Source
+    number: int
+    at_s: float
+    record: log_records.Record
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Summary:
+    """What is known of a source as a whole.
+
+    Attributes:
+        first_s: The time of its first line.
+        last_s: The time of its last line.
+        dropped_lines: Lines that the instance reports to have left out.
+    """
+
+    first_s: float
+    last_s: float
+    dropped_lines: int = 0
+
+
+class LogFiles:
+    """Files of log lines; they may be read more than once.
+
+    Attributes:
+        unreadable_lines: How many by file, as of its last reading.
+        faults: Files and folders that could not be read, and why.
+        summaries: Of the sources read so far.
+    """
+
+    __slots__ = ("_paths", "faults", "summaries", "unreadable_lines")
+
+    def __init__(self, *, paths: Iterable[str]):
+        self.unreadable_lines: dict[str, int] = {}
+        self.faults: dict[str, str] = {}
+        self.summaries: dict[Source, Summary] = {}
+        self._paths = self._found(paths)
+
+    def _found(self, paths: Iterable[str]) -> list[pathlib.Path]:
+        """Returns all files, each once, in an order of its own."""
+        found: dict[pathlib.Path, pathlib.Path] = {}
+        for path in sorted({pathlib.Path(path) for path in paths}):
+            files = [path]
+            if path.is_dir():
+                files = [file for file in path.rglob("*") if file.is_file()]
+            for file in sorted(files):
+                found.setdefault(file.resolve(), file)
+        return sorted(found.values())
+
+    def lines(self, paths: Iterable[str] | None = None) -> Iterator[Line]:
+        """Reads the files one after the other.
+
+        Args:
+            paths: Only these of them; all if None.
+        """
+        wanted = None if paths is None else set(paths)
+        for path in self._paths:
+            if wanted is None or str(path) in wanted:
+                yield from self._lines_of(path)
+
+    def _lines_of(self, path: pathlib.Path) -> Iterator[Line]:
+        unreadable = 0
+        summaries: dict[Source, Summary] = {}
+        try:
+            with path.open("rb") as file:
+                for number, raw in enumerate(file, start=1):
+                    if not raw.strip():
+                        continue
+                    try:
+                        line = _read(raw, number, str(path), summaries)
+                    except log_decoding.UnreadableLineError:
+                        unreadable += 1
+                        continue
+                    yield line
+        except OSError as error:
+            self.faults[str(path)] = error.strerror or str(error)
+        self.unreadable_lines[str(path)] = unreadable
+        self.summaries.update(summaries)
+
+    def names(self) -> dict[Source, str]:
+        """Returns a short name for each source; its path where names clash."""
+        shortest = {
+            source: source.name or pathlib.Path(source.path).stem
+            for source in self.summaries
+        }
+        taken = collections.Counter(shortest.values())
+        return {
+            source: name
+            if taken[name] == 1
+            else f"{source.path} {source.name}".rstrip()
+            for source, name in shortest.items()
+        }
+
+
+def _read(
+    raw: bytes, number: int, path: str, summaries: dict[Source, Summary]
+) -> Line:
+    prefix, brace, _ = raw.partition(b"{")
+    if not brace:
+        raise log_decoding.UnreadableLineError("no object")
+    record = log_decoding.decode(raw[len(prefix) :])
+    source = Source(path=path, name=_name_in(prefix))
+    known = summaries.get(source)
+    at_s = record.timestamp_s
+    if at_s is None:
+        at_s = known.last_s if known else 0.0
+    if known is None or not known.first_s:
+        known = summaries.setdefault(source, Summary(first_s=0.0, last_s=0.0))
+        known.first_s = at_s
+    known.last_s = at_s
+    if isinstance(record, belief_records.LinesDropped):
+        known.dropped_lines += record.lines
+    return Line(source=source, number=number, at_s=at_s, record=record)
+
+
+def _name_in(prefix: bytes) -> str:
+    """Returns the instance's name before an object; empty if there is none."""
+    words = prefix.decode(errors="replace").split()
+    named = [word.strip(_MARKS) for word in words]
+    names = [word for word in named if _NAME.fullmatch(word)]
+    return names[-1] if names else ""
--- /dev/null
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -0,0 +1,111 @@
+"""The relay's log lines about requests, as typed records.
+
+Fields are named as the code that logs them names them. Those that a line may
+lack, or that older programs did not log, are None.
+"""
+
+import msgspec
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True):
+    """Any line.
+
+    Attributes:
+        event: What happened.
+        timestamp_s: The instance's wall clock; the one line that the log's
+            writer adds by itself has none.
+    """
+
+    event: str = msgspec.field(name="message_type")
+    timestamp_s: float | None = msgspec.field(name="timestamp", default=None)
+
+
+class RequestRecord(Record, frozen=True, kw_only=True):
+    """A line about a request."""
+
+    request: str
+
+
+class AttemptRecord(RequestRecord, frozen=True, kw_only=True):
+    """A line about one attempt of a request."""
+
+    attempt: int
+
+
+class AttemptSent(AttemptRecord, frozen=True, kw_only=True):
+    """An attempt was sent, and what was expected of it."""
+
+    replica: str
+    version: str | None = None
+    model: str | None = None
+    configuration: int | None = None
+    in_flight: int | None = None
+    after_event: str | None = None
+    waiting_ms: float | None = None
+    reading_ms: float | None = None
+    kept: float | None = None
+
+
+class AttemptAnswered(AttemptRecord, frozen=True, kw_only=True):
+    """A replica began to answer."""
+
+    replica: str
+    version: str | None = None
+    status: int | None = None
+    after_ms: float | None = None
+    replica_running: int | None = None
+    replica_waiting: int | None = None
+
+
+class AttemptWeak(RequestRecord, frozen=True, kw_only=True):
+    """A weak answer was dropped for a larger model's."""
+
+    confidence: float | None = None
+    model: str | None = None
+    next_model: str | None = None
+    waiting: float | None = None
+    first_event_ms: float | None = None
+    generation_ms: float | None = None
+    price: float | None = None
+
+
+class AttemptFailed(AttemptRecord, frozen=True, kw_only=True):
+    """An attempt gave no answer."""
+
+    outcome: str
+    error: str | None = None
+
+
+class AttemptLeft(AttemptRecord, frozen=True, kw_only=True):
+    """A silent replica was given up for another one."""
+
+    replica: str
+    dark: bool | None = None
+    begun: bool | None = None
+    after_event: str | None = None
+
+
+class RequestEnded(RequestRecord, frozen=True, kw_only=True):
+    """A request's end.
+
+    Attributes:
+        cut: An answer that had begun was broken off.
+    """
+
+    route: str
+    code: int
+    outcome: str
+    attempts: int | None = None
+    cut: bool | None = None
+    configuration: int | None = None
+    duration_ms: float | None = None
+
+
+class OtherRequestRecord(RequestRecord, frozen=True, kw_only=True):
+    """A line about a request that this program has no type for.
+
+    Attributes:
+        text: The line as it was logged.
+    """
+
+    text: str
