Tell a request's story from the logs of all instances

Cause: two cut streams had to be explained from lines that were found by hand, and collectors had kept the logs' ends only. Control characters that callers or replicas wrote are shown escaped.

--- /dev/null
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -0,0 +1,125 @@
+"""What log records say, in words."""
+
+import datetime
+import functools
+
+import msgspec
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.observe import belief_records
+from nutmeghook.internal.observe import log_records
+
+_CODE_NAMES = {code.number: code.name for code in codes.Code}
+_OF_ALL = frozenset({"event", "timestamp_s"})
+
+
+def wall_time(at_s: float) -> str:
+    """Returns a wall clock's time in UTC."""
+    try:
+        moment = datetime.datetime.fromtimestamp(at_s, tz=datetime.UTC)
+    except (ValueError, OverflowError, OSError):
+        return f"{at_s} s"
+    return moment.isoformat(sep=" ", timespec="milliseconds")
+
+
+def printable(text: str) -> str:
+    """Returns a text on one line that moves no terminal's cursor.
+
+    The failure: request ids come from callers, errors from replicas. A
+    control sequence in one of them would write over what an operator reads.
+    """
+    if text.isprintable():
+        return text
+    return "".join(
+        char if char.isprintable() else ascii(char)[1:-1] for char in text
+    )
+
+
+def code_name(number: int) -> str:
+    """Returns a result code's name; empty if there is none of this number."""
+    return _CODE_NAMES.get(number, "")
+
+
+@functools.singledispatch
+def of(record: log_records.Record) -> str:
+    """Returns what a record says; of any type, its fields as they are."""
+    return f"{record.event}{_details(record)}"
+
+
+@of.register
+def _sent(record: log_records.AttemptSent) -> str:
+    detail = _details(record, "request", "attempt", "replica")
+    return f"attempt {record.attempt} sent to {record.replica}{detail}"
+
+
+@of.register
+def _answered(record: log_records.AttemptAnswered) -> str:
+    detail = _details(record, "request", "attempt", "replica")
+    return f"attempt {record.attempt} answered by {record.replica}{detail}"
+
+
+@of.register
+def _weak(record: log_records.AttemptWeak) -> str:
+    detail = _details(record, "request", "model", "next_model")
+    return (
+        f"answer of {record.model} was weak, {record.next_model} is asked"
+        f"{detail}"
+    )
+
+
+@of.register
+def _failed(record: log_records.AttemptFailed) -> str:
+    return f"attempt {record.attempt} failed, {record.outcome}: {record.error}"
+
+
+@of.register
+def _left(record: log_records.AttemptLeft) -> str:
+    state = "accepts no connection" if record.dark else "is silent"
+    text = f"attempt {record.attempt} left: {record.replica} {state}"
+    if record.begun:
+        text += ", the answer had begun"
+    if record.after_event is not None:
+        text += f", goes on after event {record.after_event}"
+    return text
+
+
+@of.register
+def _ended(record: log_records.RequestEnded) -> str:
+    detail = _details(record, "request", "code", "outcome", "cut")
+    code = f"{record.code} {code_name(record.code)}".rstrip()
+    state = _answer_state(record)
+    return f"ended {code}: {record.outcome}; {state}{detail}"
+
+
+@of.register
+def _other(record: log_records.OtherRequestRecord) -> str:
+    return f"{record.event} {record.text.strip()}"
+
+
+@of.register
+def _in_force(record: belief_records.ConfigurationInForce) -> str:
+    detail = _details(record, "version")
+    return f"configuration {record.version} put in force{detail}"
+
+
+def _answer_state(record: log_records.RequestEnded) -> str:
+    if record.cut is None:
+        return "not logged whether an answer was cut"
+    return "the answer had begun and was CUT" if record.cut else "not cut"
+
+
+def _details(record: log_records.Record, *left_out: str) -> str:
+    """Returns a record's other fields that have a value, in parentheses."""
+    fields = [
+        f"{name}={_short(value)}"
+        for name, value in msgspec.structs.asdict(record).items()
+        if value is not None and name not in _OF_ALL and name not in left_out
+    ]
+    return f" ({' '.join(fields)})" if fields else ""
+
+
+def _short(value: object) -> object:
+    """Returns whole numbers without a decimal point."""
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    return value
