--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -14,6 +14,7 @@
 import nutmeghook
 from nutmeghook.internal.administration import commands as admin_commands
 from nutmeghook.internal.assembly import serving
+from nutmeghook.internal.commands import log_reports
 from nutmeghook.internal.commands import timeline
 from nutmeghook.internal.foundation import event_loop
 from nutmeghook.internal.observe import logs
@@ -28,8 +29,9 @@
     """A model-aware router for versions and cascades.
 
     Start an instance with `serve`, administer it with `admin`, and read what
-    happened over all instances with `timeline`. Every command explains
-    itself: `nutmeghook COMMAND --help`.
+    happened over all instances with `timeline`, or from their log files with
+    `endings` and `story`. Every command explains itself: `nutmeghook COMMAND
+    --help`.
     """
 
     # fire shows a class as a group of commands, with its own help.
@@ -106,6 +108,31 @@
         """
         timeline.run(about=about, html=html, url=url, token=token)
 
+    @decorators.SetParseFn(str)
+    def story(self, request: str, *log_files: str) -> None:
+        """Prints a request's whole way, from the log lines of all instances.
+
+        What each instance believed meanwhile stands beside what it did,
+        behind a bar. Lines may have a time and the instance's name in front.
+
+        Args:
+            request: The request's id.
+            log_files: Log files or folders of them, one instance a file.
+        """
+        log_reports.tell_story(request=request, logs=log_files)
+
+    @decorators.SetParseFn(str)
+    def endings(self, *log_files: str) -> None:
+        """Prints what became of requests, by route, code and reason.
+
+        Answers that were cut come first. Each row names one request, whose
+        way `story` tells.
+
+        Args:
+            log_files: Log files or folders of them, one instance a file.
+        """
+        log_reports.tell_endings(logs=log_files)
+
     def load(
         self,
         template: str,
--- /dev/null
+++ b/src/nutmeghook/internal/commands/log_reports.py
@@ -0,0 +1,50 @@
+"""`nutmeghook story` and `nutmeghook endings`: what log files tell."""
+
+from collections.abc import Sequence
+import sys
+
+from nutmeghook.internal.observe import endings_table
+from nutmeghook.internal.observe import log_reading
+from nutmeghook.internal.observe import story as story_module
+from nutmeghook.internal.observe import story_text
+
+EXIT_NOTHING_FOUND = 1
+EXIT_NO_LOGS = 2
+
+
+def tell_story(*, request: str, logs: Sequence[str]) -> None:
+    """Prints a request's way; ends with status 1 if no line names it."""
+    files = _files(logs)
+    story = story_module.gather(files, request)
+    _print_faults(files)
+    if not story.visits:
+        print(f"no line names request {request!r}", file=sys.stderr)
+        sys.exit(EXIT_NOTHING_FOUND)
+    print("\n".join(story_text.lines_of(story)))
+
+
+def tell_endings(*, logs: Sequence[str]) -> None:
+    """Prints what became of requests; status 1 if none is in the logs."""
+    files = _files(logs)
+    endings = endings_table.count(files.lines())
+    _print_faults(files)
+    if not endings.rows and not endings.open_requests:
+        print("no line tells of a request", file=sys.stderr)
+        sys.exit(EXIT_NOTHING_FOUND)
+    print("\n".join(endings_table.text_lines(endings)))
+
+
+def _files(logs: Sequence[str]) -> log_reading.LogFiles:
+    if not logs:
+        print("name log files, or folders of them", file=sys.stderr)
+        sys.exit(EXIT_NO_LOGS)
+    return log_reading.LogFiles(paths=logs)
+
+
+def _print_faults(files: log_reading.LogFiles) -> None:
+    """Says what could not be read; the rest is told all the same."""
+    for path, fault in sorted(files.faults.items()):
+        print(f"# {path}: {fault}", file=sys.stderr)
+    for path, count in sorted(files.unreadable_lines.items()):
+        if count:
+            print(f"# {path}: {count} lines unreadable", file=sys.stderr)
--- /dev/null
+++ b/src/nutmeghook/internal/observe/endings_table.py
@@ -0,0 +1,172 @@
+"""What became of requests, counted by route, result code and reason."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.observe import log_reading
+from nutmeghook.internal.observe import log_records
+from nutmeghook.internal.observe import record_text
+
+_HEADINGS = (
+    "route",
+    "code",
+    "reason",
+    "requests",
+    "cut",
+    "first",
+    "last",
+    "one of them",
+)
+_NOTHING = "-"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class Kind:
+    """What requests of one row have in common."""
+
+    route: str
+    code: int
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class Example:
+    """A request to tell the story of; the first of the cut ones is best."""
+
+    whole: bool
+    at_s: float
+    request: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Row:
+    """One kind of ending.
+
+    Attributes:
+        requests: How many ended so.
+        cut: How many of them with an answer that had begun and broke off.
+        unsaid: Of how many the log doesn't say so.
+        first_s: When the first of them ended.
+        last_s: When the last of them ended.
+    """
+
+    kind: Kind
+    requests: int = 0
+    cut: int = 0
+    unsaid: int = 0
+    first_s: float
+    last_s: float
+    example: Example
+
+    def add(self, record: log_records.RequestEnded, at_s: float) -> None:
+        """Counts one more."""
+        self.requests += 1
+        self.cut += bool(record.cut)
+        self.unsaid += record.cut is None
+        self.first_s = min(self.first_s, at_s)
+        self.last_s = max(self.last_s, at_s)
+        self.example = min(self.example, _example(record, at_s))
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Endings:
+    """All endings.
+
+    Attributes:
+        rows: Those with cut answers first, then by what else went wrong.
+        open_requests: Requests with a line of an attempt but none of an end.
+    """
+
+    rows: list[Row]
+    open_requests: list[str]
+
+
+def count(lines: Iterable[log_reading.Line]) -> Endings:
+    """Counts the endings among the lines of all logs."""
+    rows: dict[Kind, Row] = {}
+    still_open: set[tuple[log_reading.Source, str]] = set()
+    for line in lines:
+        record = line.record
+        if not isinstance(record, log_records.RequestRecord):
+            continue
+        if isinstance(record, log_records.RequestEnded):
+            _row(rows, record, line.at_s).add(record, line.at_s)
+            still_open.discard((line.source, record.request))
+        else:
+            still_open.add((line.source, record.request))
+    return Endings(
+        rows=sorted(rows.values(), key=_rank),
+        open_requests=sorted({request for _, request in still_open}),
+    )
+
+
+def text_lines(endings: Endings) -> list[str]:
+    """Returns the table, columns aligned, and what is to be known of it."""
+    cells = [_HEADINGS, *(_cells(row) for row in endings.rows)]
+    cells = [[record_text.printable(cell) for cell in row] for row in cells]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*cells, strict=True)
+    ]
+    lines = [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    ]
+    if any(row.unsaid for row in endings.rows):
+        lines.append("# ?: not all of these lines say if an answer was cut")
+    if endings.open_requests:
+        first = record_text.printable(endings.open_requests[0])
+        lines.append(
+            f"# {len(endings.open_requests)} requests with attempts have no end"
+            f" in these logs, one of them {first}"
+        )
+    return lines
+
+
+def _row(
+    rows: dict[Kind, Row], record: log_records.RequestEnded, at_s: float
+) -> Row:
+    kind = Kind(route=record.route, code=record.code, reason=record.outcome)
+    row = rows.get(kind)
+    if row is None:
+        row = rows[kind] = Row(
+            kind=kind,
+            first_s=at_s,
+            last_s=at_s,
+            example=_example(record, at_s),
+        )
+    return row
+
+
+def _example(record: log_records.RequestEnded, at_s: float) -> Example:
+    return Example(
+        whole=not record.cut,
+        at_s=at_s,
+        request=record.request,
+    )
+
+
+def _rank(row: Row) -> tuple[int, bool, bool, int, Kind]:
+    return (
+        -row.cut,
+        row.kind.code == codes.Code.OK.number,
+        row.kind.code == codes.Code.CALLER_GONE.number,
+        -row.requests,
+        row.kind,
+    )
+
+
+def _cells(row: Row) -> tuple[str, ...]:
+    unsure = "?" if row.unsaid else ""
+    return (
+        row.kind.route or _NOTHING,
+        f"{row.kind.code} {record_text.code_name(row.kind.code)}".rstrip(),
+        row.kind.reason,
+        str(row.requests),
+        f"{row.cut}{unsure}",
+        record_text.wall_time(row.first_s),
+        record_text.wall_time(row.last_s),
+        row.example.request or _NOTHING,
+    )
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -9,14 +9,18 @@
 
 from nutmeghook import cli
 from nutmeghook.internal.administration import running
+from nutmeghook.internal.commands import log_reports
+from tests import log_lines
 
 COMMANDS = (
     "admin",
     "check_platform_settings",
     "check_settings",
+    "endings",
     "load",
     "platform_demo",
     "serve",
+    "story",
     "timeline",
     "version",
 )
@@ -86,3 +90,40 @@
         self.assertEqual(status, 2)
         self.assertIn("nodeName is 1; give a text", text)
         self.assertIn("platform.address is missing", text)
+
+
+class LogCommandsTest(log_lines.LogCase):
+    """What `story` and `endings` print, and their exit statuses."""
+
+    def test_a_request_id_that_looks_like_a_number_stays_as_it_is(self):
+        """A request's id is 1e5. Read as a number it would be looked for as
+        100000.0, and its story not be found.
+        """
+        path = self.write("edge-1.log", [log_lines.ended(9.0, request="1e5")])
+        text, status = printed("story", "1e5", path)
+        self.assertFalse(status)
+        self.assertIn("ended 1000 OK: answered", text)
+
+    def test_endings_are_printed_beside_unreadable_lines_and_files(self):
+        """One log was cut in the middle of a line, another one is not there.
+        Both are told, and so is what the rest holds.
+        """
+        path = self.write("edge-1.log", [log_lines.ended(9.0), '{"request":"'])
+        text, status = printed("endings", path, f"{path}.missing")
+        self.assertFalse(status)
+        self.assertIn("answered", text)
+        self.assertIn(f"{path}: 1 lines unreadable", text)
+        self.assertIn(f"{path}.missing: No such file", text)
+
+    def test_nothing_found_ends_with_a_status_of_its_own(self):
+        path = self.write("edge-1.log", [log_lines.ended(9.0)])
+        empty = self.write("empty.log", [])
+        for arguments, wanted in (
+            (("story", "unheard", path), log_reports.EXIT_NOTHING_FOUND),
+            (("endings", empty), log_reports.EXIT_NOTHING_FOUND),
+            (("story", "unheard"), log_reports.EXIT_NO_LOGS),
+            (("endings",), log_reports.EXIT_NO_LOGS),
+        ):
+            with self.subTest(arguments=arguments):
+                _, status = printed(*arguments)
+                self.assertEqual(status, wanted)
--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -84,7 +84,8 @@
 
     def test_every_command_named_exists(self):
         found = 0
-        for page in [*sorted(OPERATORS.glob("*.md")), ROOT / "README.md"]:
+        pages = sorted(OPERATORS.glob("*.md"))
+        for page in [*pages, ROOT / "README.md", DOCS / "OPERATIONS.md"]:
             for name, verb in commands_in(page):
                 found += 1
                 with self.subTest(page=page.name, command=f"{name} {verb}"):
