--- a/tests/cover/test_story.py
+++ b/tests/cover/test_story.py
@@ -174,6 +174,23 @@
         )
         self.assertIn("0.090 s before: store:away", "\n".join(told(path)))
 
+    def test_what_a_former_process_believed_is_not_told(self):
+        """The instance started again before the request came. The replica
+        was listed by the process before, which is gone with all it knew.
+        """
+        path = self.write(
+            "edge-1.log",
+            [
+                line("replica:listed", -90.0, replica="i-1", service="s"),
+                line("process:started", -50.0, instance="edge-1"),
+                sent(0.0),
+                ended(20.0),
+            ],
+        )
+        text = "\n".join(told(path))
+        self.assertIn("0.050 s before: process:started", text)
+        self.assertNotIn("replica:listed", text)
+
     def test_no_line_of_the_request_is_no_story(self):
         path = self.write("edge-1.log", CUT_STREAM)
         self.assertEqual(told(path, request="unheard"), [])
