--- a/bench/plot_heavy_days.py
+++ b/bench/plot_heavy_days.py
@@ -17,6 +17,7 @@
 
 from matplotlib import pyplot
 
+from nutmeghook.experiment import emulated_fleet
 from nutmeghook.experiment import emulated_outcome
 from nutmeghook.experiment import fleet_emulator
 from nutmeghook.internal.relay import model_choice
@@ -33,17 +34,17 @@
 }
 
 
-def loads() -> dict[str, fleet_emulator.Load]:
+def loads() -> dict[str, emulated_fleet.Load]:
     """Returns the loads by their names."""
     steady = {"per_s": lambda at_s: USUAL_PER_S, "duration_s": SECONDS}
     return {
-        "usual load": fleet_emulator.Load(
+        "usual load": emulated_fleet.Load(
             **steady, replicas_at=lambda at_s: 12
         ),
-        "half of the replicas gone from 6 s to 16 s": fleet_emulator.Load(
+        "half of the replicas gone from 6 s to 16 s": emulated_fleet.Load(
             **steady, replicas_at=lambda at_s: 6 if 6 < at_s < 16 else 12
         ),
-        "twice the callers from 6 s to 14 s": fleet_emulator.Load(
+        "twice the callers from 6 s to 14 s": emulated_fleet.Load(
             per_s=lambda at_s: USUAL_PER_S * (2 if 6 < at_s < 14 else 1),
             duration_s=SECONDS,
             replicas_at=lambda at_s: 12,
@@ -72,7 +73,7 @@
     return 0
 
 
-def _play(load: fleet_emulator.Load) -> dict[str, emulated_outcome.Outcome]:
+def _play(load: emulated_fleet.Load) -> dict[str, emulated_outcome.Outcome]:
     return {
         way: fleet_emulator.FleetEmulator(
             load=load, models=choice(), seed=SEED
--- /dev/null
+++ b/src/nutmeghook/experiment/emulated_fleet.py
@@ -0,0 +1,159 @@
+"""What the emulated fleet is made of: a clock, engines, and instances.
+
+Everything that decides in an instance is the product's own.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import datagrams
+from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.relay import generation_times
+from nutmeghook.internal.replicas import backlog_gossip
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import load_gossip
+
+SERVICE = "models"
+_SEAL = datagrams.Seal(credential="emulated")
+
+
+class VirtualClock(clock_module.Clock):
+    """A clock that the emulator sets.
+
+    Attributes:
+        at_s: Seconds since its start.
+    """
+
+    __slots__ = ("at_s",)
+
+    def __init__(self):
+        self.at_s = 0.0
+
+    def now(self) -> datetime.datetime:
+        """Returns a fixed start plus the time since."""
+        return datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC) + (
+            self.monotonic()
+        )
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time since the start."""
+        return datetime.timedelta(seconds=self.at_s)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Not to be called: nothing waits here."""
+        raise RuntimeError("the emulator has no tasks that could wait")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Load:
+    """What happens to the fleet.
+
+    Attributes:
+        per_s: Requests a second at a moment.
+        replicas_at: Replicas that live at a moment.
+        read_tokens_per_s: Of each model, small to large, by one engine.
+        model_prices: Of each model, for 1,000 read tokens.
+        prompt_tokens: Usual length of a prompt.
+        data_centres: Instances of one tell each other replicas' counts.
+    """
+
+    per_s: Callable[[float], float]
+    replicas_at: Callable[[float], int]
+    duration_s: float
+    instances: int = 24
+    replicas: int = 12
+    read_tokens_per_s: tuple[float, float] = (273_000.0, 27_300.0)
+    model_prices: tuple[float, float] = (0.005, 0.07)
+    prompt_tokens: int = 5000
+    data_centres: int = 1
+
+
+class Engine:
+    """Reads prompts one after the other, urgent ones first.
+
+    Attributes:
+        read_s: Time spent reading, or about to be; what it generates stands
+            still meanwhile.
+    """
+
+    __slots__ = ("busy_until_s", "queue", "read_s", "running")
+
+    def __init__(self):
+        self.busy_until_s = 0.0
+        self.read_s = 0.0
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.running = 0
+
+
+class Instance:
+    """The deciding parts of one instance."""
+
+    def __init__(self, *, number, load, clock, post, draw, chooser_type):
+        self.directory = directory_module.ReplicaDirectory(clock=clock)
+        for replica in range(load.replicas):
+            self.directory.put(replica_entry(replica))
+        self.chooser = chooser_type(
+            directory=self.directory, data_centre="here", clock=clock
+        )
+        self.times = generation_times.GenerationTimes()
+        messages = sealed_messages.SealedMessages(
+            datagrams=_Post(post, str(number)), seal=_SEAL
+        )
+        self.gossip = load_gossip.ReplicaLoadGossip(
+            directory=self.directory,
+            messages=messages,
+            near_addresses=lambda: [
+                a
+                for a in post
+                if a != str(number)
+                and (int(a) - number) % load.data_centres == 0
+            ],
+            clock=clock,
+            random_source=draw,
+        )
+        self.backlogs = backlog_gossip.BacklogGossip(
+            instance_id=str(number),
+            directory=self.directory,
+            messages=messages,
+            audience=lambda: _some_others(post, number, draw),
+            clock=clock,
+            random_source=draw,
+        )
+
+
+def _some_others(post: dict, number: int, draw: random.Random) -> list[str]:
+    """Returns the addresses that an instance tells of its backlogs."""
+    others = [address for address in post if address != str(number)]
+    most = backlog_gossip.NEAR_TOLD + round(backlog_gossip.FAR_TOLD)
+    return draw.sample(others, min(most, len(others)))
+
+
+class _Post(datagrams.Datagrams):
+    """Delivers at once."""
+
+    def __init__(self, receivers, own):
+        self._receivers = receivers
+        self._own = own
+
+    def set_receiver(self, receiver):
+        self._receivers[self._own] = receiver
+
+    def send(self, inner_address, data):
+        self._receivers[inner_address](data)
+
+
+def replica_entry(number: int) -> entries.ReplicaEntry:
+    """Returns what the list says of a replica."""
+    return entries.ReplicaEntry(
+        replica_id=str(number),
+        service=SERVICE,
+        address=f"10.0.0.{number}:80",
+        data_centre="here",
+        version="v1",
+        slots=32,
+        leaving=False,
+    )
--- a/src/nutmeghook/experiment/fleet_emulator.py
+++ b/src/nutmeghook/experiment/fleet_emulator.py
@@ -13,78 +13,19 @@
 import itertools
 import random
 
+from nutmeghook.experiment import emulated_fleet
 from nutmeghook.experiment import emulated_outcome
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.inner import datagrams
-from nutmeghook.internal.inner import sealed_messages
-from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.replicas import backlog as backlog_module
-from nutmeghook.internal.replicas import backlog_gossip
 from nutmeghook.internal.replicas import choice as choice_module
-from nutmeghook.internal.replicas import directory as directory_module
-from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import load_gossip
 from nutmeghook.internal.routes import model
 
-SERVICE = "models"
 # Between an instance and a replica, one way; a first event also takes a step.
 _WIRE_S = 0.001
 _FIRST_STEP_S = 0.04
 # How long an answer generates after its first event.
 _GENERATION_S = 0.8
-_SEAL = datagrams.Seal(credential="emulated")
-
-
-class VirtualClock(clock_module.Clock):
-    """A clock that the emulator sets.
-
-    Attributes:
-        at_s: Seconds since its start.
-    """
-
-    __slots__ = ("at_s",)
-
-    def __init__(self):
-        self.at_s = 0.0
-
-    def now(self) -> datetime.datetime:
-        """Returns a fixed start plus the time since."""
-        return datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC) + (
-            self.monotonic()
-        )
-
-    def monotonic(self) -> datetime.timedelta:
-        """Returns the time since the start."""
-        return datetime.timedelta(seconds=self.at_s)
-
-    async def sleep(self, duration: datetime.timedelta) -> None:
-        """Not to be called: nothing waits here."""
-        raise RuntimeError("the emulator has no tasks that could wait")
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Load:
-    """What happens to the fleet.
-
-    Attributes:
-        per_s: Requests a second at a moment.
-        replicas_at: Replicas that live at a moment.
-        read_tokens_per_s: Of each model, small to large, by one engine.
-        model_prices: Of each model, for 1,000 read tokens.
-        prompt_tokens: Usual length of a prompt.
-        data_centres: Instances of one tell each other replicas' counts.
-    """
-
-    per_s: Callable[[float], float]
-    replicas_at: Callable[[float], int]
-    duration_s: float
-    instances: int = 24
-    replicas: int = 12
-    read_tokens_per_s: tuple[float, float] = (273_000.0, 27_300.0)
-    model_prices: tuple[float, float] = (0.005, 0.07)
-    prompt_tokens: int = 5000
-    data_centres: int = 1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -97,87 +38,13 @@
     model_index: int = 0
 
 
-class _Engine:
-    """Reads prompts one after the other, urgent ones first.
-
-    Attributes:
-        read_s: Time spent reading, or about to be; what it generates stands
-            still meanwhile.
-    """
-
-    __slots__ = ("busy_until_s", "queue", "read_s", "running")
-
-    def __init__(self):
-        self.busy_until_s = 0.0
-        self.read_s = 0.0
-        self.queue: list[tuple[int, int, Callable[[], None]]] = []
-        self.running = 0
-
-
-class _Instance:
-    """The deciding parts of one instance."""
-
-    def __init__(self, *, number, load, clock, post, draw, chooser_type):
-        self.directory = directory_module.ReplicaDirectory(clock=clock)
-        for replica in range(load.replicas):
-            self.directory.put(_entry(replica))
-        self.chooser = chooser_type(
-            directory=self.directory, data_centre="here", clock=clock
-        )
-        self.times = generation_times.GenerationTimes()
-        messages = sealed_messages.SealedMessages(
-            datagrams=_Post(post, str(number)), seal=_SEAL
-        )
-        self.gossip = load_gossip.ReplicaLoadGossip(
-            directory=self.directory,
-            messages=messages,
-            near_addresses=lambda: [
-                a
-                for a in post
-                if a != str(number)
-                and (int(a) - number) % load.data_centres == 0
-            ],
-            clock=clock,
-            random_source=draw,
-        )
-        self.backlogs = backlog_gossip.BacklogGossip(
-            instance_id=str(number),
-            directory=self.directory,
-            messages=messages,
-            audience=lambda: _some_others(post, number, draw),
-            clock=clock,
-            random_source=draw,
-        )
-
-
-def _some_others(post: dict, number: int, draw: random.Random) -> list[str]:
-    """Returns the addresses that an instance tells of its backlogs."""
-    others = [address for address in post if address != str(number)]
-    most = backlog_gossip.NEAR_TOLD + round(backlog_gossip.FAR_TOLD)
-    return draw.sample(others, min(most, len(others)))
-
-
-class _Post(datagrams.Datagrams):
-    """Delivers at once."""
-
-    def __init__(self, receivers, own):
-        self._receivers = receivers
-        self._own = own
-
-    def set_receiver(self, receiver):
-        self._receivers[self._own] = receiver
-
-    def send(self, inner_address, data):
-        self._receivers[inner_address](data)
-
-
 class FleetEmulator:
     """Plays one load against one choice of models and of replicas."""
 
     def __init__(
         self,
         *,
-        load: Load,
+        load: emulated_fleet.Load,
         models: model_choice.ModelChoice,
         seed: int,
         chooser_type: type[
@@ -188,14 +55,14 @@
         self._load = load
         self._models = models
         self._draw = random.Random(seed)
-        self._clock = VirtualClock()
+        self._clock = emulated_fleet.VirtualClock()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._engines = [_Engine() for _ in range(load.replicas)]
+        self._engines = [emulated_fleet.Engine() for _ in range(load.replicas)]
         self._shares_loads = shares_loads
         post: dict = {}
         self._instances = [
-            _Instance(
+            emulated_fleet.Instance(
                 number=number,
                 load=load,
                 clock=self._clock,
@@ -210,7 +77,9 @@
             host="h",
             prefix="/",
             kind=model.RouteKind.STREAM,
-            shares=(model.ServiceShare(service=SERVICE, weight=1.0),),
+            shares=(
+                model.ServiceShare(service=emulated_fleet.SERVICE, weight=1.0),
+            ),
             time_limit=datetime.timedelta(seconds=8),
             target=datetime.timedelta(milliseconds=1500),
             attempts=3,
@@ -254,9 +123,11 @@
         for instance in self._instances:
             for number in range(self._load.replicas):
                 if number < living:
-                    instance.directory.put(_entry(number))
+                    instance.directory.put(emulated_fleet.replica_entry(number))
                 else:
-                    instance.directory.remove(_entry(number).replica_id)
+                    instance.directory.remove(
+                        emulated_fleet.replica_entry(number).replica_id
+                    )
 
     def _arrive(self) -> None:
         now_s = self._clock.at_s
@@ -276,7 +147,9 @@
         gap_s = self._draw.expovariate(self._load.per_s(now_s))
         self._at(now_s + gap_s, self._arrive)
 
-    def _send(self, instance: _Instance, request: _Request) -> None:
+    def _send(
+        self, instance: emulated_fleet.Instance, request: _Request
+    ) -> None:
         model_name = self._route.models[request.model_index]
         chosen = instance.chooser.choose(self._need(instance, request))
         replica = chosen.replica
@@ -322,14 +195,14 @@
 
     def _need(
         self,
-        instance: _Instance,
+        instance: emulated_fleet.Instance,
         request: _Request,
         model_index: int | None = None,
     ) -> choice_module.Need:
         index = request.model_index if model_index is None else model_index
         name = self._route.models[index]
         return choice_module.Need(
-            service=SERVICE,
+            service=emulated_fleet.SERVICE,
             accepts=lambda entry: True,
             key=f"{index}/{request.key}",
             exclude=frozenset(),
@@ -343,7 +216,7 @@
 
     def _queue(
         self,
-        engine: _Engine,
+        engine: emulated_fleet.Engine,
         urgency: int,
         request: _Request,
         begin: Callable[[], None],
@@ -362,11 +235,13 @@
         if engine.busy_until_s <= self._clock.at_s:
             self._read_next(engine)
 
-    def _read_next(self, engine: _Engine) -> None:
+    def _read_next(self, engine: emulated_fleet.Engine) -> None:
         if engine.queue and engine.busy_until_s <= self._clock.at_s:
             heapq.heappop(engine.queue)[2]()
 
-    def _answered(self, instance: _Instance, request: _Request) -> None:
+    def _answered(
+        self, instance: emulated_fleet.Instance, request: _Request
+    ) -> None:
         if request.model_index == 0 and self._is_replaced(instance, request):
             request.model_index = 1
             request.poor = False
@@ -374,9 +249,11 @@
             return
         self._count(request)
 
-    def _is_replaced(self, instance: _Instance, request: _Request) -> bool:
+    def _is_replaced(
+        self, instance: emulated_fleet.Instance, request: _Request
+    ) -> bool:
         larger = self._route.models[1]
-        waiting = instance.directory.usual_load(SERVICE).waiting
+        waiting = instance.directory.usual_load(emulated_fleet.SERVICE).waiting
         forecast = instance.chooser.forecast(self._need(instance, request, 1))
         return self._models.prefers_larger(
             self._route,
@@ -412,15 +289,3 @@
                 model_index=request.model_index,
             )
         )
-
-
-def _entry(number: int) -> entries.ReplicaEntry:
-    return entries.ReplicaEntry(
-        replica_id=str(number),
-        service=SERVICE,
-        address=f"10.0.0.{number}:80",
-        data_centre="here",
-        version="v1",
-        slots=32,
-        leaving=False,
-    )
--- a/tests/cover/test_load_replicas.py
+++ b/tests/cover/test_load_replicas.py
@@ -3,6 +3,7 @@
 import datetime
 import unittest
 
+from nutmeghook.experiment import emulated_fleet
 from nutmeghook.experiment import fleet_emulator
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.replicas import choice as choice_module
@@ -90,7 +91,7 @@
             self.longer_wait_s(pattern, shares_loads=False),
         )
 
-    def longer_wait_s(self, pattern: fleet_emulator.Load, **parts) -> float:
+    def longer_wait_s(self, pattern: emulated_fleet.Load, **parts) -> float:
         """Returns the wait that nine in ten first events stay under."""
         outcome = fleet_emulator.FleetEmulator(
             load=pattern, seed=1, models=model_choice.FixedThreshold(), **parts
--- a/tests/load_scene.py
+++ b/tests/load_scene.py
@@ -7,6 +7,7 @@
 makes no difference, a third of them is played.
 """
 
+from nutmeghook.experiment import emulated_fleet
 from nutmeghook.experiment import emulated_outcome
 from nutmeghook.experiment import fleet_emulator
 from nutmeghook.internal.relay import model_choice
@@ -16,17 +17,17 @@
 USUAL_PER_S = 72.0
 
 
-def load(**changes) -> fleet_emulator.Load:
+def load(**changes) -> emulated_fleet.Load:
     """Returns a steady load, changed."""
     fields = {
         "per_s": lambda at_s: USUAL_PER_S,
         "replicas_at": lambda at_s: 12,
         "duration_s": 20.0,
     }
-    return fleet_emulator.Load(**(fields | changes))
+    return emulated_fleet.Load(**(fields | changes))
 
 
-def whole_load(**changes) -> fleet_emulator.Load:
+def whole_load(**changes) -> emulated_fleet.Load:
     """Returns the load of a whole grown fleet, changed."""
     fields = {
         "per_s": lambda at_s: 3 * USUAL_PER_S,
@@ -35,10 +36,10 @@
         "instances": 73,
         "replicas": 36,
     }
-    return fleet_emulator.Load(**(fields | changes))
+    return emulated_fleet.Load(**(fields | changes))
 
 
-def small_fleet_load() -> fleet_emulator.Load:
+def small_fleet_load() -> emulated_fleet.Load:
     """Returns the load of few instances with long prompts."""
     return load(
         per_s=lambda at_s: 8.0,
@@ -53,7 +54,7 @@
 
 
 def play(
-    pattern: fleet_emulator.Load, **parts
+    pattern: emulated_fleet.Load, **parts
 ) -> list[emulated_outcome.Outcome]:
     """Returns what callers got, for each seed."""
     parts = {"models": model_choice.WeighedWorth()} | parts
