Split the platform trial: router processes get a module of their own

RouterProcess, its settings and free_port move to trial_routers.py. The settings file that tests/whole/test_router_process wrote by hand was the same one but for the exposure bound, so both now come from settings_text.

--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -6,26 +6,20 @@
 
 import asyncio
 import dataclasses
-import os
 import pathlib
 import random
-import signal
-import socket
-import sys
 import tempfile
 
 import aiohttp
 import msgspec
 
 from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import trial_routers
 from nutmeghook.platform import headers
-from nutmeghook.platform import settings
-from nutmeghook.standins import loopback_host
 from nutmeghook.standins import users_operator
 from nutmeghook.standins import users_replica
 from nutmeghook.standins import users_store
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 HOST = "callers.example"
 SERVICE = "pool"
 KEYS = ("key-that-stays", "key-to-be-removed")
@@ -35,86 +29,6 @@
 _REFUSALS = 0.03
 _BAD_VERSION_FAILURES = 0.5
 _CALL_TIMEOUT_S = 20.0
-_SETTINGS = """
-nodeName = "{name}"
-ip = "{host}"
-zone = "hall"
-region = "centre"
-internalPorts = [{inner}, {last_inner}]
-[listen]
-front = "{host}:{front}"
-ready = "{host}:0"
-[bounds]
-graceS = 8
-exposureShare = 0.15
-[platform]
-address = "{store}"
-"""
-
-
-class RouterProcess:
-    """One router.
-
-    Attributes:
-        address: Where callers connect.
-        starts: How often it was started.
-    """
-
-    __slots__ = ("_file", "_log", "address", "name", "process", "starts")
-
-    def __init__(self, *, name: str, folder: pathlib.Path, store: str):
-        self.name = name
-        front, inner = free_port(), free_port()
-        host = loopback_host.own_host()
-        self.address = f"{host}:{front}"
-        self._file = folder / f"{name}.toml"
-        self._log = folder / f"{name}.log"
-        self._file.write_text(
-            _SETTINGS.format(
-                name=name,
-                host=host,
-                front=front,
-                inner=inner,
-                last_inner=inner + 1,
-                store=store,
-            )
-        )
-        self.process: asyncio.subprocess.Process | None = None
-        self.starts = 0
-
-    async def start(self) -> None:
-        """Starts the process."""
-        self.starts += 1
-        with self._log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(ROOT / "deploy" / "serve.py"),
-                env=os.environ
-                | {
-                    settings.FILE_VARIABLE: str(self._file),
-                    settings.METRICS_PORT_VARIABLE: "0",
-                },
-                stdout=log,
-                stderr=log,
-            )
-
-    def pause(self) -> None:
-        """Freezes the process."""
-        self.process.send_signal(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Lets a frozen process go on."""
-        self.process.send_signal(signal.SIGCONT)
-
-    async def kill(self) -> None:
-        """Kills the process and waits for its end."""
-        self.process.kill()
-        await self.process.wait()
-
-    async def stop(self) -> int:
-        """Stops the process gracefully; returns its status."""
-        self.process.send_signal(signal.SIGTERM)
-        return await self.process.wait()
 
 
 class PlatformTrial:
@@ -136,7 +50,7 @@
         )
         self.replicas: dict[str, users_replica.StandInReplica] = {}
         self.routers_wanted = routers
-        self.routers: list[RouterProcess] = []
+        self.routers: list[trial_routers.RouterProcess] = []
         self.calls: list[platform_checks.CallSeen] = []
         self.given_up: set[str] = set()
         self.removed_at_s: float | None = None
@@ -154,7 +68,7 @@
             await self.add_replica(f"v1-{number}", "v1")
         for number in range(self.routers_wanted):
             name = f"router-{number}"
-            router = RouterProcess(
+            router = trial_routers.RouterProcess(
                 name=name,
                 folder=self._folder,
                 store=await self.store_address(name),
@@ -185,7 +99,7 @@
         """Returns where routers find a replica."""
         return replica.address
 
-    async def until_served(self, router: RouterProcess) -> None:
+    async def until_served(self, router: trial_routers.RouterProcess) -> None:
         """Asks until a router answers a request."""
         async with asyncio.timeout(_CALL_TIMEOUT_S):
             while True:
@@ -233,7 +147,7 @@
         kind: str,
         *,
         key: str = KEYS[0],
-        router: RouterProcess | None = None,
+        router: trial_routers.RouterProcess | None = None,
     ) -> platform_checks.CallSeen:
         """Makes one request and notes what came of it."""
         self._numbers += 1
@@ -396,10 +310,3 @@
     print(msgspec.json.encode(report).decode())
     good = not report.violations and report.roll_out == "reverted"
     return 0 if good else 1
-
-
-def free_port() -> int:
-    """Returns a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((loopback_host.own_host(), 0))
-        return probe.getsockname()[1]
--- a/src/nutmeghook/experiment/soak_troubles.py
+++ b/src/nutmeghook/experiment/soak_troubles.py
@@ -9,6 +9,7 @@
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
 from nutmeghook.experiment import soak_trial
+from nutmeghook.experiment import trial_routers
 from nutmeghook.standins import users_store
 
 ORDER_WITHIN_S = 12.0
@@ -122,7 +123,7 @@
                 await asyncio.sleep(pause_s)
                 await self._start_again(router)
 
-    async def _start_again(self, router: platform_trial.RouterProcess) -> None:
+    async def _start_again(self, router: trial_routers.RouterProcess) -> None:
         """Starts a router; notes it if it does not come to serve."""
         await router.start()
         try:
--- /dev/null
+++ b/src/nutmeghook/experiment/trial_routers.py
@@ -0,0 +1,120 @@
+"""Routers as processes: their settings, their ports, and signals to them."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+from nutmeghook.platform import settings
+from nutmeghook.standins import loopback_host
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
+_SETTINGS = """
+nodeName = "{name}"
+ip = "{host}"
+zone = "hall"
+region = "centre"
+internalPorts = [{inner}, {last_inner}]
+[listen]
+front = "{host}:{front}"
+ready = "{host}:0"
+[bounds]
+graceS = 8
+{bounds}
+[platform]
+address = "{store}"
+"""
+
+
+class RouterProcess:
+    """One router.
+
+    Attributes:
+        address: Where callers connect.
+        starts: How often it was started.
+    """
+
+    __slots__ = ("_file", "_log", "address", "name", "process", "starts")
+
+    def __init__(self, *, name: str, folder: pathlib.Path, store: str):
+        self.name = name
+        front_port = free_port()
+        self.address = f"{loopback_host.own_host()}:{front_port}"
+        self._file = folder / f"{name}.toml"
+        self._log = folder / f"{name}.log"
+        self._file.write_text(
+            settings_text(
+                name=name,
+                front_port=front_port,
+                store=store,
+                bounds="exposureShare = 0.15",
+            )
+        )
+        self.process: asyncio.subprocess.Process | None = None
+        self.starts = 0
+
+    async def start(self) -> None:
+        """Starts the process."""
+        self.starts += 1
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "serve.py"),
+                env=os.environ
+                | {
+                    settings.FILE_VARIABLE: str(self._file),
+                    settings.METRICS_PORT_VARIABLE: "0",
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def pause(self) -> None:
+        """Freezes the process."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.process.kill()
+        await self.process.wait()
+
+    async def stop(self) -> int:
+        """Stops the process gracefully; returns its status."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+
+def free_port() -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((loopback_host.own_host(), 0))
+        return probe.getsockname()[1]
+
+
+def settings_text(
+    *, name: str, front_port: int, store: str, bounds: str = ""
+) -> str:
+    """Returns a router's settings file.
+
+    Args:
+        name: The router's.
+        store: Where it finds the store.
+        front_port: Where callers connect; 0 lets the system choose.
+        bounds: Further lines on the bounds it has to keep.
+    """
+    inner = free_port()
+    return _SETTINGS.format(
+        name=name,
+        host=loopback_host.own_host(),
+        front=front_port,
+        inner=inner,
+        last_inner=inner + 1,
+        store=store,
+        bounds=bounds,
+    )
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -13,7 +13,7 @@
 import aiohttp
 import msgspec
 
-from nutmeghook.experiment import platform_trial
+from nutmeghook.experiment import trial_routers
 from nutmeghook.platform import headers
 from nutmeghook.platform import settings
 from nutmeghook.standins import loopback_host
@@ -22,20 +22,6 @@
 from tests import platform_rows
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-SETTINGS = """
-nodeName = "edge-1"
-ip = "{host}"
-zone = "hall"
-region = "centre"
-internalPorts = [{inner}, {last_inner}]
-[listen]
-front = "{host}:0"
-ready = "{host}:0"
-[bounds]
-graceS = 8
-[platform]
-address = "{store}"
-"""
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -75,13 +61,9 @@
         )
         self.folder = tempfile.TemporaryDirectory()
         self.file = pathlib.Path(self.folder.name) / "local.toml"
-        inner = platform_trial.free_port()
         self.file.write_text(
-            SETTINGS.format(
-                host=loopback_host.own_host(),
-                store=self.store.address,
-                inner=inner,
-                last_inner=inner + 1,
+            trial_routers.settings_text(
+                name="edge-1", front_port=0, store=self.store.address
             )
         )
         self.process = await asyncio.create_subprocess_exec(
