Merge what both stores in memory share: limits, counts and faults

memory_objects and memory_table had the same constructor parameters, the same two rate limits and the same two counts, letter for letter: both stand in for services with a limit on reads and one on writes. Now limited_calls holds them.

--- a/src/nutmeghook/standins/memory_objects.py
+++ b/src/nutmeghook/standins/memory_objects.py
@@ -3,47 +3,19 @@
 import bisect
 
 from nutmeghook.internal.dependencies import objects
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.standins import faults as faults_module
-from nutmeghook.standins import rate_limit
+from nutmeghook.standins import limited_calls
 
-WRITES_PER_S = 400
-READS_PER_S = 2000
 
-
-class MemoryObjects(objects.ObjectStore):
+class MemoryObjects(limited_calls.LimitedCalls, objects.ObjectStore):
     """Blobs in a dict; each call counts as one read or one write."""
 
-    __slots__ = ("_blobs", "_keys", "_read_limit", "_write_limit", "faults")
+    __slots__ = ("_blobs", "_keys")
 
-    def __init__(
-        self,
-        *,
-        clock: clock_module.Clock,
-        faults: faults_module.Faults | None = None,
-        writes_per_s: float = WRITES_PER_S,
-        reads_per_s: float = READS_PER_S,
-    ):
-        self.faults = faults or faults_module.Faults(clock=clock)
-        self._write_limit = rate_limit.RateLimit(
-            clock=clock, name="writes", per_s=writes_per_s
-        )
-        self._read_limit = rate_limit.RateLimit(
-            clock=clock, name="reads", per_s=reads_per_s
-        )
+    def __init__(self, **limits):
+        super().__init__(**limits)
         self._blobs: dict[str, bytes] = {}
         self._keys: list[str] = []
 
-    @property
-    def writes(self) -> int:
-        """Writes counted against the limit so far."""
-        return self._write_limit.used
-
-    @property
-    def reads(self) -> int:
-        """Reads counted against the limit so far."""
-        return self._read_limit.used
-
     async def put_if_absent(self, key: str, content: bytes) -> bool:
         """Stores the blob; returns False where the key exists already."""
         return await self.faults.write(lambda: self._put(key, content))
--- a/src/nutmeghook/standins/memory_table.py
+++ b/src/nutmeghook/standins/memory_table.py
@@ -3,16 +3,12 @@
 import bisect
 
 from nutmeghook.internal.dependencies import table
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.standins import faults as faults_module
-from nutmeghook.standins import rate_limit
+from nutmeghook.standins import limited_calls
 
-WRITES_PER_S = 400
-READS_PER_S = 2000
 ROWS_PER_READ = 100
 
 
-class MemoryTable(table.TableService):
+class MemoryTable(limited_calls.LimitedCalls, table.TableService):
     """Rows in a dict; a commit happens in one step of the event loop.
 
     A commit counts one write for each put and delete, whether its conditions
@@ -23,46 +19,15 @@
         commits: Commits that took effect.
     """
 
-    __slots__ = (
-        "_keys",
-        "_last_version",
-        "_read_limit",
-        "_rows",
-        "_write_limit",
-        "commits",
-        "faults",
-    )
-
-    def __init__(
-        self,
-        *,
-        clock: clock_module.Clock,
-        faults: faults_module.Faults | None = None,
-        writes_per_s: float = WRITES_PER_S,
-        reads_per_s: float = READS_PER_S,
-    ):
-        self.faults = faults or faults_module.Faults(clock=clock)
-        self._write_limit = rate_limit.RateLimit(
-            clock=clock, name="writes", per_s=writes_per_s
-        )
-        self._read_limit = rate_limit.RateLimit(
-            clock=clock, name="reads", per_s=reads_per_s
-        )
+    __slots__ = ("_keys", "_last_version", "_rows", "commits")
+
+    def __init__(self, **limits):
+        super().__init__(**limits)
         self._rows: dict[str, table.Row] = {}
         self._keys: list[str] = []
         self._last_version = table.ABSENT_VERSION
         self.commits = 0
 
-    @property
-    def writes(self) -> int:
-        """Writes counted against the limit so far."""
-        return self._write_limit.used
-
-    @property
-    def reads(self) -> int:
-        """Reads counted against the limit so far."""
-        return self._read_limit.used
-
     async def read(self, key: str) -> table.Row | None:
         """Returns the row, or None where there is none."""
         await self.faults.before_read()
