Merge the constructors of the gossips of replicas

Loads and backlogs both kept the messages, registered one kind with their _receive and handed clock, period and draws on: the same steps, with another type. MessageTeller does so for both.

--- a/src/nutmeghook/internal/inner/telling.py
+++ b/src/nutmeghook/internal/inner/telling.py
@@ -3,8 +3,10 @@
 import abc
 import datetime
 import random
+from typing import Any
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import sealed_messages
 
 # Around the period, so that instances which started together do not send
 # together.
@@ -42,3 +44,28 @@
             part = self._random.uniform(_SHORTEST_PART, _LONGEST_PART)
             await self._clock.sleep(part * self._period)
             self.tell()
+
+
+class MessageTeller(PeriodicTeller):
+    """Tells peers by messages of one kind, and takes in theirs.
+
+    Args:
+        message_type: The kind of message that is told and taken in.
+    """
+
+    __slots__ = ("_messages",)
+
+    def __init__(
+        self,
+        *,
+        message_type: type,
+        messages: sealed_messages.SealedMessages,
+        **timing,
+    ):
+        super().__init__(**timing)
+        self._messages = messages
+        messages.register(message_type, self._receive)
+
+    @abc.abstractmethod
+    def _receive(self, message: Any) -> None:
+        """Takes in what a peer tells."""
--- a/src/nutmeghook/internal/replicas/backlog_gossip.py
+++ b/src/nutmeghook/internal/replicas/backlog_gossip.py
@@ -14,10 +14,7 @@
 
 from collections.abc import Callable
 import datetime
-import random
 
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.replicas import backlog as backlog_module
@@ -38,7 +35,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class BacklogGossip(telling.PeriodicTeller):
+class BacklogGossip(telling.MessageTeller):
     """Sends this instance's backlogs and takes in those of its peers.
 
     Args:
@@ -49,7 +46,6 @@
         "_audience",
         "_directory",
         "_instance_id",
-        "_messages",
         "_told_any",
     )
 
@@ -58,20 +54,18 @@
         *,
         instance_id: str,
         directory: directory_module.ReplicaDirectory,
-        messages: sealed_messages.SealedMessages,
         audience: Callable[[], list[str]],
-        clock: clock_module.Clock,
-        random_source: random.Random,
+        **telling_parts,
     ):
         super().__init__(
-            period=TELL_EVERY, clock=clock, random_source=random_source
+            period=TELL_EVERY,
+            message_type=ttypes.ReplicaBacklogs,
+            **telling_parts,
         )
         self._instance_id = instance_id
         self._directory = directory
-        self._messages = messages
         self._audience = audience
         self._told_any = False
-        messages.register(ttypes.ReplicaBacklogs, self._receive)
 
     def tell(self) -> None:
         """Tells peers what this instance has under way, if anything.
--- a/src/nutmeghook/internal/replicas/load_gossip.py
+++ b/src/nutmeghook/internal/replicas/load_gossip.py
@@ -13,10 +13,7 @@
 
 from collections.abc import Callable
 import datetime
-import random
 
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.replicas import directory as directory_module
@@ -34,12 +31,11 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class ReplicaLoadGossip(telling.PeriodicTeller):
+class ReplicaLoadGossip(telling.MessageTeller):
     """Sends and takes in counts of replicas' requests."""
 
     __slots__ = (
         "_directory",
-        "_messages",
         "_near_addresses",
     )
 
@@ -47,18 +43,16 @@
         self,
         *,
         directory: directory_module.ReplicaDirectory,
-        messages: sealed_messages.SealedMessages,
         near_addresses: Callable[[], list[str]],
-        clock: clock_module.Clock,
-        random_source: random.Random,
+        **telling_parts,
     ):
         super().__init__(
-            period=TELL_EVERY, clock=clock, random_source=random_source
+            period=TELL_EVERY,
+            message_type=ttypes.ReplicaLoads,
+            **telling_parts,
         )
         self._directory = directory
-        self._messages = messages
         self._near_addresses = near_addresses
-        messages.register(ttypes.ReplicaLoads, self._receive)
 
     def tell(self) -> None:
         """Tells a few peers the counts that were learnt last."""
