Merge set-ups of ledger tests and loads of order tests

Four test classes began with the same cluster, its instances, a holder and the two others, and ended with the same stop: ClusterCase does both; what differed, names and settings, are its attributes. Two order tests loaded a version on every engine by the same eleven lines: Floor.load_everywhere. No test or assertion changed.

--- a/tests/cover/orders_floor.py
+++ b/tests/cover/orders_floor.py
@@ -164,6 +164,22 @@
             task.result()
         task.cancel()
 
+    async def load_everywhere(self, model_version):
+        """Has each engine load a version, one a second, by earlier orders."""
+        for one in self.engines.values():
+            await one.order(
+                engine.Order(
+                    order_id="before",
+                    kind=engine.OrderKind.LOAD,
+                    target=str(model_version),
+                    fencing_token=1,
+                    ticket=await self.weights.grant_download(
+                        model_version, "any"
+                    ),
+                )
+            )
+            await self.clock.advance(SECOND)
+
     async def replicas(self, model_version):
         reports = {
             address: await one.load_report()
--- a/tests/cover/test_ledger_bills.py
+++ b/tests/cover/test_ledger_bills.py
@@ -1,7 +1,6 @@
 """One bill a finished request, whatever happens to stores and instances."""
 
 import asyncio
-import unittest
 
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
@@ -15,19 +14,9 @@
 SECOND = ledger_cluster.SECOND
 
 
-class BillTest(unittest.IsolatedAsyncioTestCase):
+class BillTest(ledger_cluster.ClusterCase):
     """Bills of requests without a caller's key, from several instances."""
 
-    async def asyncSetUp(self):
-        self.cluster = ledger_cluster.Cluster()
-        for name in "abc":
-            self.cluster.start(name)
-        self.holder = await self.cluster.until_held()
-        self.one, self.other = self.cluster.others(self.holder)
-
-    async def asyncTearDown(self):
-        await self.cluster.stop()
-
     def finishing(self, instance, key, *, given=False, patience=20):
         return asyncio.ensure_future(
             instance.client.finish(
@@ -201,17 +190,11 @@
         self.fail("bills stay in the object store")
 
 
-class RetentionTest(unittest.IsolatedAsyncioTestCase):
+class RetentionTest(ledger_cluster.ClusterCase):
     """Rows are written over, and bills outlast them."""
 
-    async def asyncSetUp(self):
-        self.cluster = ledger_cluster.Cluster(window=60 * SECOND)
-        for name in "ab":
-            self.cluster.start(name)
-        self.holder = await self.cluster.until_held()
-
-    async def asyncTearDown(self):
-        await self.cluster.stop()
+    names = "ab"
+    settings = {"window": 60 * SECOND}
 
     async def finish(self, key):
         await self.cluster.drive(
--- a/tests/cover/test_ledger_claims.py
+++ b/tests/cover/test_ledger_claims.py
@@ -1,7 +1,6 @@
 """One run a key, whatever happens to the instances and the store."""
 
 import asyncio
-import unittest
 
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
@@ -18,18 +17,10 @@
 UNKNOWN = ledger.ClaimState.UNKNOWN
 
 
-class ClaimTest(unittest.IsolatedAsyncioTestCase):
+class ClaimTest(ledger_cluster.ClusterCase):
     """Claims of one key from several instances."""
 
-    async def asyncSetUp(self):
-        self.cluster = ledger_cluster.Cluster(max_entries=5)
-        for name in "abc":
-            self.cluster.start(name)
-        self.holder = await self.cluster.until_held()
-        self.one, self.other = self.cluster.others(self.holder)
-
-    async def asyncTearDown(self):
-        await self.cluster.stop()
+    settings = {"max_entries": 5}
 
     def claiming(
         self, instance, request_id, *, digest="d", key="k", patience=2
--- a/tests/cover/test_ledger_pins.py
+++ b/tests/cover/test_ledger_pins.py
@@ -1,7 +1,6 @@
 """A session keeps its version, on every instance and through outages."""
 
 import asyncio
-import unittest
 
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import codes
@@ -15,18 +14,10 @@
 V3 = engine.ModelVersion(model="small", version="3")
 
 
-class PinTest(unittest.IsolatedAsyncioTestCase):
+class PinTest(ledger_cluster.ClusterCase):
     """Pins asked for on several instances."""
 
-    async def asyncSetUp(self):
-        self.cluster = ledger_cluster.Cluster(window=120 * SECOND)
-        for name in "abc":
-            self.cluster.start(name)
-        self.holder = await self.cluster.until_held()
-        self.one, self.other = self.cluster.others(self.holder)
-
-    async def asyncTearDown(self):
-        await self.cluster.stop()
+    settings = {"window": 120 * SECOND}
 
     def pinning(
         self, instance, proposed, *, unusable=(), session="s", revision=1
--- a/tests/cover/test_orders_pages.py
+++ b/tests/cover/test_orders_pages.py
@@ -131,17 +131,7 @@
 
         async def scenario():
             floor = orders_floor.Floor(3)
-            for one in floor.engines.values():
-                await one.order(
-                    engine.Order(
-                        order_id="before",
-                        kind=engine.OrderKind.LOAD,
-                        target=str(V2),
-                        fencing_token=1,
-                        ticket=await floor.weights.grant_download(V2, "any"),
-                    )
-                )
-                await floor.clock.advance(SECOND)
+            await floor.load_everywhere(V2)
             pages = LatePages(floor, lag_s=20)
             await pages.gather()
             await floor.clock.advance(30 * SECOND)
--- a/tests/cover/test_orders_unloads.py
+++ b/tests/cover/test_orders_unloads.py
@@ -84,17 +84,7 @@
 
         async def scenario():
             floor = orders_floor.Floor()
-            for one in floor.engines.values():
-                await one.order(
-                    engine.Order(
-                        order_id="before",
-                        kind=engine.OrderKind.LOAD,
-                        target=str(V2),
-                        fencing_token=1,
-                        ticket=await floor.weights.grant_download(V2, "any"),
-                    )
-                )
-                await floor.clock.advance(1 * SECOND)
+            await floor.load_everywhere(V2)
             await floor.clock.advance(20 * SECOND)
             config = planning_case.snapshot(v1="serving:100", v2="serving:0")
             holder = floor.holder(orders_floor.FakeLease(2), config=config)
--- a/tests/ledger_cluster.py
+++ b/tests/ledger_cluster.py
@@ -5,6 +5,8 @@
 import copy
 import datetime
 import random
+from typing import Any
+import unittest
 
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
@@ -245,6 +247,29 @@
         return [record for batch in batches for record in batch.records]
 
 
+class ClusterCase(unittest.IsolatedAsyncioTestCase):
+    """Gives each test a cluster whose only partition is held.
+
+    Attributes:
+        names: Its instances.
+        settings: Of its ledgers.
+    """
+
+    names = "abc"
+    settings: dict[str, Any] = {}
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster(**self.settings)
+        for name in self.names:
+            self.cluster.start(name)
+        self.holder = await self.cluster.until_held()
+        self.one, *others = self.cluster.others(self.holder)
+        self.other = others[0] if others else None
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+
+
 def identity(
     key: str, *, digest: str = "d", team: str = "agency", given: bool = True
 ) -> ledger.RequestIdentity:
