--- /dev/null
+++ b/tests/cover/test_registration.py
@@ -0,0 +1,48 @@
+"""Instances that write themselves into the store and find their peers."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from nutmeghook.internal.following import registration
+from nutmeghook.platform import store
+from nutmeghook.standins import users_store
+
+
+class IntroductionsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = users_store.StandInStore()
+        await self.store.start()
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.store.stop()
+
+    def registry(self, name: str) -> registration.InstanceRegistry:
+        """Returns the registry of an instance."""
+        return registration.InstanceRegistry(
+            table=store.StoreRows(
+                client=store.StoreClient(
+                    session=self.session, address=self.store.address
+                )
+            ),
+            instance_id=name,
+            inner_address=f"{name}:1",
+        )
+
+    async def test_instances_that_start_together_share_one_credential(self):
+        """Seven instances start in the same moment on an empty store.
+        All want to write the credential; one does, and all use that one.
+        """
+        found = await asyncio.gather(
+            *(self.registry(name).register() for name in "abcdefg")
+        )
+        self.assertEqual(len({f.credential for f in found}), 1)
+        later = await self.registry("h").register()
+        self.assertEqual(sorted(later.peers), list("abcdefg"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -12,7 +12,6 @@
 from nutmeghook.internal.following import gossip as gossip_module
 from nutmeghook.internal.following import link_allowance
 from nutmeghook.internal.following import reader_ranks
-from nutmeghook.internal.following import registration
 from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.following import source
 from nutmeghook.internal.foundation import clock as clock_module
@@ -375,39 +374,5 @@
         self.assertEqual(instance[0].peers, {})
 
 
-class IntroductionsTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.store = users_store.StandInStore()
-        await self.store.start()
-        self.session = aiohttp.ClientSession()
-
-    async def asyncTearDown(self):
-        await self.session.close()
-        await self.store.stop()
-
-    def registry(self, name: str) -> registration.InstanceRegistry:
-        """Returns the registry of an instance."""
-        return registration.InstanceRegistry(
-            table=store.StoreRows(
-                client=store.StoreClient(
-                    session=self.session, address=self.store.address
-                )
-            ),
-            instance_id=name,
-            inner_address=f"{name}:1",
-        )
-
-    async def test_instances_that_start_together_share_one_credential(self):
-        """Seven instances start in the same moment on an empty store.
-        All want to write the credential; one does, and all use that one.
-        """
-        found = await asyncio.gather(
-            *(self.registry(name).register() for name in "abcdefg")
-        )
-        self.assertEqual(len({f.credential for f in found}), 1)
-        later = await self.registry("h").register()
-        self.assertEqual(sorted(later.peers), list("abcdefg"))
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -1,43 +1,13 @@
-"""Which version a session gets, and what proves a version bad."""
+"""Which version a session gets while a new one is rolled out."""
 
 import datetime
-import math
-import random
 import unittest
 
-from hypothesis import given
-from hypothesis import strategies
-
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.version_plans import evidence as evidence_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
-from nutmeghook.internal.version_plans import usual as usual_module
 from tests import version_fixture
 
 
-class SharesTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self):
-        self.clock = clock_module.FakeClock()
-        self.instance = version_fixture.Instance(clock=self.clock)
-
-    async def advance(self, part: float) -> None:
-        """Moves to a part of the order's time; the store answers readers."""
-        await self.advance_in_silence(part)
-        self.instance.watch.note_answered(self.clock.monotonic())
-
-    async def advance_in_silence(self, part: float) -> None:
-        """Moves to a part of the order's time, with no word of the store."""
-        wanted = datetime.timedelta(seconds=part * version_fixture.WITHIN_S)
-        await self.clock.advance(wanted - self.clock.monotonic())
-
-    def new_share(self, sessions: str) -> float:
-        """Returns the new version's share of 400 sessions."""
-        versions = [
-            self.instance.version_for(f"{sessions}-{number}")
-            for number in range(400)
-        ]
-        return versions.count("v2") / len(versions)
-
+class SharesTest(version_fixture.PlanCase):
     async def test_the_share_stays_small_until_the_last_stretch(self):
         self.instance.begin()
         for part in (0.0, 0.45, 0.8):
@@ -280,20 +250,6 @@
         self.assertEqual(self.new_share("any"), 0.0)
         self.assertFalse(self.instance.rollouts.is_ready)
 
-    async def test_a_proof_acts_at_once_and_for_good(self):
-        """The new version fails half of its requests.
-        After a handful of bad answers of two replicas nothing goes there, and
-        a plan read late, still open, doesn't bring it back.
-        """
-        self.instance.answer("v1", times=60)
-        self.instance.begin()
-        for number in (1, 2, 1, 2, 1, 2, 1, 2):
-            self.instance.answer("v2", number=number, failed=True)
-            self.instance.answer("v2", number=number)
-        self.assertEqual(self.new_share("after"), 0.0)
-        self.instance.begin()
-        self.assertEqual(self.new_share("later"), 0.0)
-
     async def test_a_request_that_failed_on_trial_may_go_on_with_the_old(self):
         """The new version's only replica fails a request.
         There is no other of it; the caller would get the failure.
@@ -303,203 +259,6 @@
         self.assertTrue(accepts(version_fixture.entry(1, "v1")))
         self.assertFalse(accepts(version_fixture.entry(1, "v2")))
 
-    async def test_one_failing_replica_is_not_a_bad_version(self):
-        """One replica of the new version is broken, the others are fine.
-        The version would be reverted for a fault of one machine.
-        """
-        self.instance.begin()
-        self.instance.answer("v2", number=1, failed=True, times=20)
-        self.assertIsNone(self.instance.rollouts.judge(version_fixture.ORDER))
-
-    async def test_a_version_bad_on_one_route_only_is_found(self):
-        """A version fails on one of three routes.
-        In the sum of all its failures are few; by route they are a half.
-        """
-        self.instance.begin()
-        pooled = self.instance.rollouts.evidence_of(version_fixture.ORDER)
-        for number in range(12):
-            pooled.note("one", f"v2-{number % 3}", bad=False)
-            pooled.note("two", f"v2-{number % 3}", bad=False)
-            pooled.note("bad", f"v2-{number % 3}", bad=number % 2 == 0)
-        usual = usual_module.UsualAnswers()
-        for _ in range(40):
-            usual.note(version_fixture.seen(route="bad"))
-        self.assertIn("on bad", pooled.proven_bad(3, usual))
-
-    async def test_a_version_that_is_several_times_slower_is_found(self):
-        self.instance.begin()
-        self.instance.answer("v1", times=30)
-        for number in (1, 2, 3, 1, 2, 3, 1, 2):
-            self.instance.rollouts.note_answer(
-                version_fixture.entry(number, "v2"),
-                version_fixture.seen(duration_s=0.8),
-            )
-        self.assertIsNotNone(
-            self.instance.rollouts.judge(version_fixture.ORDER)
-        )
-
-    async def test_a_version_whose_every_answer_is_slower_is_found(self):
-        """A version answers in time and goes on three times slower.
-        Paces differ as much by load, so no single answer is an exception;
-        all of them together are.
-        """
-        drawn = random.Random(1)
-        paces = [math.exp(drawn.gauss(-3.5, 0.5)) for _ in range(60)]
-        self.pace("v1", *paces)
-        self.instance.begin()
-        self.pace("v2", *paces[:12])
-        self.assertIsNone(self.instance.rollouts.judge(version_fixture.ORDER))
-        self.pace("v2", *[3 * pace for pace in paces[:25]])
-        self.assertIn(
-            "slower", self.instance.rollouts.judge(version_fixture.ORDER)
-        )
-
-    async def test_a_version_slow_in_some_first_events_is_found(self):
-        """A version begins answers five times later in 3 of 10 requests.
-        First events differ as much by prompt and queue; as parts of what was
-        expected of each they spread by a factor of two.
-        """
-        drawn = random.Random(3)
-        usual = [math.exp(drawn.gauss(-0.3, 0.8)) for _ in range(200)]
-        self.pace("v1", *usual)
-        self.instance.begin()
-        slow = [
-            math.exp(drawn.gauss(-0.3, 0.8)) * (5 if number % 10 < 3 else 1)
-            for number in range(80)
-        ]
-        self.pace("v2", *slow)
-        self.assertIsNotNone(
-            self.instance.rollouts.judge(version_fixture.ORDER)
-        )
-
-    async def test_a_version_whose_first_events_are_usual_is_not_called_slow(
-        self,
-    ):
-        """A hundred good versions, each looked at after eighty answers."""
-        for seed in range(100):
-            drawn = random.Random(seed)
-            self.setUp()
-            self.pace(
-                "v1", *[math.exp(drawn.gauss(-0.3, 0.8)) for _ in range(200)]
-            )
-            self.instance.begin()
-            for _ in range(80):
-                self.pace("v2", math.exp(drawn.gauss(-0.3, 0.8)))
-                self.assertIsNone(
-                    self.instance.rollouts.judge(version_fixture.ORDER), seed
-                )
-
-    async def test_a_busy_last_stretch_is_not_a_slow_version(self):
-        """Everything runs on the new version and a burst comes.
-        Its answers go on slower than the old ones did before the burst.
-        """
-        self.pace("v1", *[0.02, 0.03] * 20)
-        self.instance.begin()
-        await self.advance(0.9)
-        self.pace("v2", *[0.09] * 40)
-        self.assertIsNone(self.instance.rollouts.judge(version_fixture.ORDER))
-
-    def pace(self, version: str, *paces_s: float) -> None:
-        """Takes in how quickly answers of a version went on."""
-        for pace_s in paces_s:
-            self.instance.rollouts.note_pace(
-                version_fixture.entry(1, version),
-                measure=usual_module.Measure.GOING_ON,
-                kind="kind",
-                pace_s=pace_s,
-            )
-
-    @given(strategies.integers(min_value=0, max_value=2**32))
-    def test_a_good_version_is_not_reverted(self, seed):
-        """A version fails 3 in 100 requests, as the old one does."""
-        drawn = random.Random(seed)
-        pooled = evidence_module.PooledEvidence(order_id=1)
-        for _ in range(300):
-            pooled.note(
-                "route",
-                f"replica-{drawn.randrange(6)}",
-                bad=drawn.random() < 0.02,
-            )
-        self.assertIsNone(pooled.proven_bad(6, usual_module.UsualAnswers()))
-
-    async def test_failures_that_are_usual_prove_nothing(self):
-        """A service fails one in seven requests by its nature.
-        The new version does the same; it would be reverted for it.
-        """
-        for number in range(70):
-            self.instance.answer("v1", failed=number % 7 == 0)
-        self.instance.begin()
-        for number in range(70):
-            self.instance.answer(
-                "v2", number=1 + number % 3, failed=number % 7 == 0
-            )
-        self.assertIsNone(self.instance.rollouts.judge(version_fixture.ORDER))
-
-    async def test_slowness_that_all_suffer_proves_nothing(self):
-        """A burst makes every answer ten times slower, on both versions.
-        The new one is compared with the old as it is now, not as it was.
-        """
-        self.instance.answer("v1", times=20)
-        self.instance.begin()
-        for number in range(40):
-            slow = version_fixture.seen(duration_s=1.0)
-            self.instance.rollouts.note_answer(
-                version_fixture.entry(1, "v1"), slow
-            )
-            if number % 4 == 0:
-                self.instance.rollouts.note_answer(
-                    version_fixture.entry(1 + number % 3, "v2"), slow
-                )
-        self.assertIsNone(self.instance.rollouts.judge(version_fixture.ORDER))
-
-
-class PooledEvidenceTest(unittest.TestCase):
-    def test_counts_read_twice_or_out_of_order_add_nothing(self):
-        """A row of another instance is read again after a 410.
-        Counted twice, a few bad answers would look like many.
-        """
-        row = evidence_module.EvidenceRow(
-            order_id=1,
-            routes={
-                "r": evidence_module.RouteCount(
-                    good=4, bad=2, bad_replicas={"a", "b"}
-                )
-            },
-        )
-        once = evidence_module.PooledEvidence(order_id=1)
-        once.merge("other", row)
-        often = evidence_module.PooledEvidence(order_id=1)
-        for _ in range(50):
-            often.merge("other", row)
-        self.assertEqual(once._answers, often._answers)
-
-    def test_a_row_that_was_overtaken_adds_nothing(self):
-        """Two datagrams of one instance arrive in the wrong order, then the
-        later one's row comes from the store too.
-        """
-        pooled = evidence_module.PooledEvidence(order_id=1)
-        for bad in (2, 1, 2, 1, 2):
-            pooled.merge("other", _row_of(bad=bad))
-        self.assertEqual(pooled._answers["r"], [True, True])
-
-    def test_an_instance_that_starts_again_is_counted_with_both_runs(self):
-        pooled = evidence_module.PooledEvidence(order_id=1)
-        pooled.merge("other", _row_of(bad=2, run_id="first"))
-        pooled.merge("other", _row_of(bad=1, run_id="second"))
-        self.assertEqual(pooled._answers["r"], [True, True, True])
-
-    def test_evidence_of_another_order_is_left_out(self):
-        pooled = evidence_module.PooledEvidence(order_id=2)
-        pooled.merge("other", evidence_module.EvidenceRow(order_id=1))
-        self.assertEqual(pooled._seen, {})
-
-
-def _row_of(*, bad: int, run_id: str = "") -> evidence_module.EvidenceRow:
-    count = evidence_module.RouteCount(bad=bad, bad_replicas={"a", "b"})
-    return evidence_module.EvidenceRow(
-        order_id=1, routes={"r": count}, run_id=run_id
-    )
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/version_fixture.py
+++ b/tests/version_fixture.py
@@ -2,8 +2,10 @@
 
 import datetime
 import random
+import unittest
 
 from nutmeghook.internal.following import follower
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.replicas import directory as directory_module
@@ -134,3 +136,29 @@
         )
         instances.append(instance)
     return instances
+
+
+class PlanCase(unittest.IsolatedAsyncioTestCase):
+    """Gives each test an instance and moves it through an order's time."""
+
+    def setUp(self):
+        self.clock = clock_module.FakeClock()
+        self.instance = Instance(clock=self.clock)
+
+    async def advance(self, part: float) -> None:
+        """Moves to a part of the order's time; the store answers readers."""
+        await self.advance_in_silence(part)
+        self.instance.watch.note_answered(self.clock.monotonic())
+
+    async def advance_in_silence(self, part: float) -> None:
+        """Moves to a part of the order's time, with no word of the store."""
+        wanted = datetime.timedelta(seconds=part * WITHIN_S)
+        await self.clock.advance(wanted - self.clock.monotonic())
+
+    def new_share(self, sessions: str) -> float:
+        """Returns the new version's share of 400 sessions."""
+        versions = [
+            self.instance.version_for(f"{sessions}-{number}")
+            for number in range(400)
+        ]
+        return versions.count("v2") / len(versions)
