See every step of a configuration, however short it lasted

Sampling faster only narrows the gap, so it was ruled out. Change: each move of a replica goes through one function, which records what it replaced; routers' configuration:in_force said so already. experiment/configuration_steps judges the chain of one start: a step that falls, a gap before the next one, or an end that differs is a violation, and so is a ring that has lost events. config_machine judges all starts of a history by it, besides asking.

--- a/src/nutmeghook/experiment/checks.py
+++ b/src/nutmeghook/experiment/checks.py
@@ -32,6 +32,7 @@
     CROSSED = "crossed"
     CUT_SHORT = "cut_short"
     REVERTED = "reverted"
+    STEP_NOT_NOTED = "step_not_noted"
     NOT_IN_FORCE = "not_in_force"
     AFTER_LEAVING = "after_leaving"
 
--- a/src/nutmeghook/internal/config/replica.py
+++ b/src/nutmeghook/internal/config/replica.py
@@ -81,24 +81,23 @@
         A gap is left for the next exchange to fill: applying past it would
         skip another operator's change for good.
         """
-        moved = False
+        state = self._state
         for change in changes:
-            if change.revision != self.revision + 1:
+            if change.revision != state.revision + 1:
                 continue
-            self._state = self._state.with_change(change)
+            state = state.with_change(change)
             self._kept.append(change)
-            moved = True
-        if moved:
-            self._note_move()
-        return moved
+        if state is self._state:
+            return False
+        self._put_in_force(state)
+        return True
 
     def apply_state(self, state: state_module.ConfigState) -> bool:
         """Takes in a whole state; returns whether it was newer."""
         if state.revision <= self.revision:
             return False
-        self._state = state
         self._kept.clear()
-        self._note_move()
+        self._put_in_force(state)
         return True
 
     def apply_catch_up(self, catch_up: store_module.CatchUp) -> None:
@@ -136,9 +135,18 @@
         """Waits until the revision is higher than at the call."""
         await self._moved.wait()
 
-    def _note_move(self) -> None:
+    def _put_in_force(self, state: state_module.ConfigState) -> None:
+        """Moves to a state; the only place that does.
+
+        Each move is recorded with what it replaced, so that a step back which
+        lasted for an instant could still be told from the events.
+        """
+        before = self.revision
+        self._state = state
         self._moved.set()
         self._moved = asyncio.Event()
         self._events.record(
-            events_module.EventKind.CONFIG_APPLIED, str(self.revision)
+            events_module.EventKind.CONFIG_APPLIED,
+            str(self.revision),
+            before=str(before),
         )
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -5,6 +5,8 @@
 import datetime
 import random
 
+from nutmeghook.experiment import checks
+from nutmeghook.experiment import configuration_steps
 from nutmeghook.internal.config import assembly
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
@@ -67,6 +69,8 @@
         self.table = memory_table.MemoryTable(clock=self.clock)
         self.network = local.LocalNetwork(clock=self.clock)
         self.parts: dict[str, assembly.ConfigParts] = {}
+        # Of every start, also of those that ended.
+        self.rings: list[tuple[str, events.EventRing]] = []
         self.members = [
             members_module.Member(
                 inner_address=f"10.0.{centre}.{number}:7000",
@@ -89,13 +93,15 @@
         for address in addresses or self.addresses:
             clock = self.network.clock_of(address)
             handlers = peers.PeerHandlers()
+            ring = events.EventRing(clock=clock)
+            self.rings.append((address, ring))
             self.parts[address] = assembly.build(
                 table=self.table,
                 members=self._view(address),
                 caller=self.network.attach(address, handlers),
                 handlers=handlers,
                 clock=clock,
-                events=events.EventRing(clock=clock),
+                events=ring,
                 random=random.Random(address),
             )
             if run:
@@ -132,6 +138,19 @@
         """Returns the revision in force on each started instance."""
         return [parts.replica.revision for parts in self.parts.values()]
 
+    def violations(self) -> list[checks.Violation]:
+        """Judges every step that any instance ever made, however short."""
+        steps = []
+        now = {}
+        for number, (address, ring) in enumerate(self.rings):
+            holder = f"{address} as start {number}"
+            noted = configuration_steps.steps_of_events(holder, ring.since(0))
+            steps.extend(noted)
+            # Of an ended instance nobody can ask any more.
+            if dict(self.rings)[address] is ring:
+                now[holder] = self.parts[address].replica.revision
+        return list(configuration_steps.check_steps(steps, now=now))
+
     def _view(self, address: str) -> members_module.MemberView:
         myself = next(m for m in self.members if m.inner_address == address)
         others = tuple(m for m in self.members if m is not myself)
--- a/tests/config_machine.py
+++ b/tests/config_machine.py
@@ -185,6 +185,7 @@
             self.run(self._heal())
             self.run(self._advance(10 * SECOND))
             self.never_goes_back()
+            assert not self.fleet.violations(), "stepped back"
             self.run(self._judge())
         finally:
             self.run(self.fleet.stop())
--- a/tests/slow/test_config_defects.py
+++ b/tests/slow/test_config_defects.py
@@ -68,6 +68,27 @@
         with mock.patch.object(attempts, "_acceptance", headless):
             self.assert_found("lost", "untrue outcome", "went back")
 
+    def test_replica_that_takes_in_changes_it_has(self):
+        """A late answer brings changes that have come another way meanwhile.
+
+        Taken in, they undo the newer ones until the next news, mostly before
+        anyone has asked. Only each instance's own events tell of that.
+        """
+
+        def apply(replica, changes):
+            for change in changes:
+                replica._put_in_force(
+                    replica.state.with_replacement(
+                        change.replacement, revision=change.revision
+                    )
+                )
+            return bool(changes)
+
+        with mock.patch.object(
+            replica_module.ConfigReplica, "apply_changes", apply
+        ):
+            self.assert_found("stepped back")
+
     def test_replica_that_takes_in_older_states(self):
         # Over three instances the store's readers repair this within half a
         # second, so it is the replica's own property that has to show it.
