Judge every step of routers' configurations in the trial and the soak

The trial and the soak judged keys that come back by callers' answers alone. Now each router's own log is read as well: a step back at any start, however short, is a violation, and so is a router that noted nothing.

--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -13,6 +13,7 @@
 import aiohttp
 import msgspec
 
+from nutmeghook.experiment import configuration_steps
 from nutmeghook.experiment import platform_checks
 from nutmeghook.experiment import trial_routers
 from nutmeghook.platform import headers
@@ -206,6 +207,19 @@
                 counts[request_id] = counts.get(request_id, 0) + 1
         return counts
 
+    def reverts(self) -> list[str]:
+        """Returns where a router's configuration went back, by its log."""
+        found = []
+        for router in self.routers:
+            steps = configuration_steps.steps_of_log(
+                router.name, router.log_lines()
+            )
+            if not steps:
+                found.append(f"{router.name} noted no configuration")
+            for violation in configuration_steps.check_steps(steps):
+                found.append(f"{violation.marker}: {violation.detail}")
+        return found
+
     def reply(
         self, request: users_replica.SeenRequest, version: str
     ) -> users_replica.Reply:
@@ -299,7 +313,8 @@
             removed_key=KEYS[1],
             removed_at_s=trial.removed_at_s,
             stop_statuses=trial.stop_statuses,
-        ),
+        )
+        + trial.reverts(),
     )
 
 
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -75,6 +75,7 @@
             calls=len(trial.calls),
             answered=sum(c.status == 200 and c.complete for c in trial.calls),
             violations=soak_checks.violations(history, with_bounds=with_bounds)
+            + trial.reverts()
             + (trial.unserved if with_bounds else [])
             + unserved,
         )
--- a/src/nutmeghook/experiment/trial_routers.py
+++ b/src/nutmeghook/experiment/trial_routers.py
@@ -71,6 +71,10 @@
                 stderr=log,
             )
 
+    def log_lines(self) -> list[bytes]:
+        """Returns what all its starts have logged."""
+        return self._log.read_bytes().splitlines()
+
     def pause(self) -> None:
         """Freezes the process."""
         self.process.send_signal(signal.SIGSTOP)
