--- a/src/nutmeghook/experiment/platform_checks.py
+++ b/src/nutmeghook/experiment/platform_checks.py
@@ -59,13 +59,15 @@
     """
     found = []
     for call in calls:
-        found.extend(_of_runs(call, runs.get(call.request_id, 0)))
+        ran = runs.get(call.request_id, 0)
+        found.extend(_of_runs(call, ran))
         found.extend(_of_answer(call))
         late = (
             removed_at_s is not None
             and call.sent_s > removed_at_s + CONFIGURATION_BOUND_S
         )
-        if late and call.key == removed_key and call.status == 200:
+        let_in = call.status == 200 or ran
+        if late and call.key == removed_key and let_in:
             found.append(f"{call.request_id} was let in by a removed key")
     found.extend(
         f"a stopped router ended with status {status}"
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -130,7 +130,8 @@
 def _removed_keys(history: History) -> Iterator[str]:
     for call, removal in _calls_with_removed_keys(history):
         in_force_s = removal.from_s + IN_FORCE_S + SLACK_S
-        if call.status != 200 or call.sent_s <= in_force_s:
+        let_in = call.status == 200 or history.runs.get(call.request_id)
+        if not let_in or call.sent_s <= in_force_s:
             continue
         if history.is_calm(call.router, removal.from_s, call.sent_s):
             yield f"{call.request_id} was let in by a removed key"
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import operations
+from nutmeghook.internal.config import partners
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
@@ -88,6 +89,14 @@
         """The inner addresses of all members, started or not."""
         return [member.inner_address for member in self.members]
 
+    def listeners(self) -> list[str]:
+        """Returns the members that leave reading the store to others."""
+        return [
+            address
+            for address in self.addresses
+            if not partners.is_reader(self._view(address))
+        ]
+
     def start(self, *addresses: str, run: bool = True) -> None:
         """Starts instances, or starts them anew; all of them if not named."""
         for address in addresses or self.addresses:
--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -105,6 +105,15 @@
         )
         self.assertEqual(late, [])
 
+    def test_a_removed_key_whose_request_reached_a_replica(self):
+        denied = dataclasses.replace(CALL, status=401)
+        self.assert_found(
+            "by a removed key", calls=[denied], removals=[REMOVAL]
+        )
+        self.assert_nothing(
+            calls=[denied], removals=[REMOVAL], runs={}, seen={}
+        )
+
     def test_the_bound_holds_for_routers_without_trouble_only(self):
         self.assert_nothing(removals=[REMOVAL], troubles=[trouble()])
         self.assert_found(
--- /dev/null
+++ b/tests/seeing_servers.py
@@ -0,0 +1,95 @@
+"""Stand-in backend servers that note what reaches them, and when."""
+
+import dataclasses
+import datetime
+import random
+
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.routing import backends
+from nutmeghook.standins import memory_engine
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Seen:
+    """Something that reached a backend server.
+
+    Attributes:
+        needs_right: It needs what the team loses.
+    """
+
+    request_id: str
+    at: datetime.timedelta
+    needs_right: bool = True
+
+
+class SeeingEngine(memory_engine.MemoryEngine):
+    """An engine that notes each generation as it is sent there.
+
+    Args:
+        right: The version that a team has to have the right for.
+    """
+
+    def __init__(
+        self, *, seen: list[Seen], right: engine.ModelVersion, **parts
+    ):
+        super().__init__(**parts)
+        self._seen = seen
+        self._right = right
+
+    async def generate(self, generation):
+        request_id = generation.attempt_id.partition("/")[0]
+        self._seen.append(
+            Seen(
+                request_id=request_id,
+                at=self._clock.monotonic(),
+                needs_right=generation.model_version == self._right,
+            )
+        )
+        async for chunk in super().generate(generation):
+            yield chunk
+
+
+class SeeingService(plain.PlainServiceConnector):
+    """A plain service that notes each call, and takes its time for it."""
+
+    def __init__(self, *, seen: list[Seen], takes: datetime.timedelta, clock):
+        self._seen = seen
+        self._takes = takes
+        self._clock = clock
+        self.called: set[str] = set()
+
+    async def call(self, address, call):
+        self._seen.append(
+            Seen(request_id=call.request_id, at=self._clock.monotonic())
+        )
+        self.called.add(call.request_id)
+        await self._clock.sleep(self._takes)
+        return plain.PlainAnswer(
+            status=200, headers=(), body=call.request_id.encode()
+        )
+
+
+class AnyBackend(backends.BackendChooser):
+    """Draws among the backend servers that were not tried."""
+
+    def __init__(self, *, addresses: list[str], draw: random.Random):
+        self._addresses = addresses
+        self._draw = draw
+
+    def choose(self, need):
+        left = [a for a in self._addresses if a not in need.exclude]
+        if not left:
+            return None
+        return backends.Backend(
+            address=self._draw.choice(left),
+            region="r",
+            data_centre="dc0",
+            service="pool",
+        )
+
+    def started(self, backend):
+        pass
+
+    def finished(self, backend, *, outcome, duration, report=None):
+        pass
--- a/tests/whole/test_platform_trial.py
+++ b/tests/whole/test_platform_trial.py
@@ -65,6 +65,7 @@
             {"body": GOOD.body[10:]},
             {"sealed": False},
             {"key": "removed"},
+            {"key": "removed", "status": 401},
             {"stop_status": 1},
         )
         for defect in defects:
