Judge every step of instances' configurations in the whole-system race

The trial asks each instance ten times a second. At its end it now fetches the events of all living instances by the time line, and judges every step that they noted; the killed one's events die with it.

--- a/tests/whole/test_guarantees_versions.py
+++ b/tests/whole/test_guarantees_versions.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from nutmeghook.experiment import checks
+from nutmeghook.experiment import configuration_steps
 from nutmeghook.experiment import example_fleet
 from nutmeghook.experiment import faults
 from nutmeghook.experiment import processes
 from nutmeghook.experiment import trial as trial_module
 from nutmeghook.experiment import workload
+from nutmeghook.internal.commands import timeline
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
 from tests.whole import guarantee_case
@@ -148,6 +150,19 @@
             self.seen, self.accepted, frozen=frozenset({self.frozen})
         )
         self.assertEqual(list(found), [])
+        # What ten questions a second can't see: steps back in between.
+        steps = [
+            step
+            for process in self.noted
+            for step in configuration_steps.steps_of_events(
+                process.process, process.events
+            )
+        ]
+        holders = {step.holder for step in steps}
+        self.assertEqual(len(holders), guarantee_case.INSTANCES)
+        now = dict.fromkeys(holders, newest)
+        found = configuration_steps.check_steps(steps, now=now)
+        self.assertEqual(list(found), [])
 
     async def _race(self, trial: trial_module.Trial) -> None:
         self.frozen = trial.running()[1].name
@@ -167,6 +182,10 @@
             for task in watching:
                 task.cancel()
         self.seen = watch.seen
+        self.noted = await timeline.fetch(
+            f"http://{trial.running()[0].listen_address}",
+            trial.system.administrator_token,
+        )
         self.accepted = await guarantee_case.accepted_changes(
             trial, _raced_document()
         )
