Merge what both stores' stand-ins over HTTP share

Constructor and counters' path were the same letter for letter; the table's counters differ by its commits only.

--- a/src/nutmeghook/standins/platform_apps.py
+++ b/src/nutmeghook/standins/platform_apps.py
@@ -71,15 +71,31 @@
         }
 
 
-class TableStandIn(serving.LastingStandIn):
-    """The table service."""
-
-    role = "table"
+class _StoreStandIn(serving.LastingStandIn):
+    """What both stores' stand-ins share: faults and counters."""
 
-    def __init__(self, *, memory: memory_table.MemoryTable):
+    def __init__(
+        self, *, memory: memory_table.MemoryTable | memory_objects.MemoryObjects
+    ):
         self.memory = memory
         self.faults = memory.faults
 
+    def control_routes(self, base: str) -> list[web.RouteDef]:
+        """Returns the counters' path."""
+        return [web.get(f"{base}/counters", self._counters)]
+
+    def _counted(self) -> Counters:
+        return Counters(writes=self.memory.writes, reads=self.memory.reads)
+
+    async def _counters(self, request: web.Request) -> web.Response:
+        return serving.json_answer(self._counted())
+
+
+class TableStandIn(_StoreStandIn):
+    """The table service."""
+
+    role = "table"
+
     def routes(self) -> list[web.RouteDef]:
         """Returns the paths of `http_table`."""
         return [
@@ -88,10 +104,6 @@
             web.post(http_table.COMMIT_PATH, self._commit),
         ]
 
-    def control_routes(self, base: str) -> list[web.RouteDef]:
-        """Returns the counters' path."""
-        return [web.get(f"{base}/counters", self._counters)]
-
     async def _read(self, request: web.Request) -> web.Response:
         row = await self.memory.read(request.query["key"])
         return serving.json_answer(http_table.ReadAnswer(row=row))
@@ -109,25 +121,17 @@
         transaction = msgspec.json.decode(body, type=table.Transaction)
         return serving.json_answer(await self.memory.commit(transaction))
 
-    async def _counters(self, request: web.Request) -> web.Response:
-        return serving.json_answer(
-            Counters(
-                writes=self.memory.writes,
-                reads=self.memory.reads,
-                commits=self.memory.commits,
-            )
+    def _counted(self) -> Counters:
+        return msgspec.structs.replace(
+            super()._counted(), commits=self.memory.commits
         )
 
 
-class ObjectsStandIn(serving.LastingStandIn):
+class ObjectsStandIn(_StoreStandIn):
     """The object store."""
 
     role = "objects"
 
-    def __init__(self, *, memory: memory_objects.MemoryObjects):
-        self.memory = memory
-        self.faults = memory.faults
-
     def routes(self) -> list[web.RouteDef]:
         """Returns the paths of `http_objects`."""
         return [
@@ -137,10 +141,6 @@
             web.post(http_objects.DELETE_PATH, self._delete),
         ]
 
-    def control_routes(self, base: str) -> list[web.RouteDef]:
-        """Returns the counters' path."""
-        return [web.get(f"{base}/counters", self._counters)]
-
     async def _get(self, request: web.Request) -> web.Response:
         content = await self.memory.get(request.query["key"])
         if content is None:
@@ -165,11 +165,6 @@
         await self.memory.delete(request.query["key"])
         return serving.json_answer(http_objects.DeleteAnswer())
 
-    async def _counters(self, request: web.Request) -> web.Response:
-        return serving.json_answer(
-            Counters(writes=self.memory.writes, reads=self.memory.reads)
-        )
-
 
 class InstancesStandIn(serving.LastingStandIn):
     """The instance list."""
