Merge the parts that act where their instance holds a lease

Roll-outs, cascades and orders each built the preferred lease of a name, ran it beside their own tasks and released it at the end, in the same lines; leases/led_part does it for all three. Each now builds the lease first; no constructor among them draws at random.

--- a/src/nutmeghook/internal/assembly/cascades.py
+++ b/src/nutmeghook/internal/assembly/cascades.py
@@ -1,13 +1,14 @@
 """The cascades' part of an instance: the policy, and who learns for all."""
 
-import asyncio
+from collections.abc import Coroutine
 import random
+from typing import Any
 
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dependencies import ratings as ratings_module
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.leases import preferred
+from nutmeghook.internal.leases import led_part
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.routing import cascade_learned
@@ -18,14 +19,14 @@
 LEASE_NAME = "cascades"
 
 
-class Cascades:
+class Cascades(led_part.LedPart):
     """Reads plans on every instance; learns where the lease is held.
 
     Attributes:
         policy: For the dispatcher.
     """
 
-    __slots__ = ("_lease", "_publisher", "_reader", "policy")
+    __slots__ = ("_publisher", "_reader", "policy")
 
     def __init__(
         self,
@@ -38,6 +39,14 @@
         events: events_module.EventRing,
         random_source: random.Random,
     ):
+        super().__init__(
+            lease_name=LEASE_NAME,
+            members=members,
+            table=table,
+            clock=clock,
+            events=events,
+            random_source=random_source,
+        )
         self.policy = cascade_learned.LearnedCascade(
             clock=clock, scorer=cascade_scorer.TextAnswerScorer()
         )
@@ -47,14 +56,6 @@
             clock=clock,
             random_source=random_source,
         )
-        self._lease = preferred.preferred_keeper(
-            LEASE_NAME,
-            members=members,
-            table=table,
-            clock=clock,
-            events=events,
-            random_source=random_source,
-        )
         self._publisher = cascade_publisher.CascadePublisher(
             view=view,
             lease=self._lease,
@@ -63,13 +64,5 @@
             clock=clock,
         )
 
-    async def run(self) -> None:
-        """Takes part until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._lease.run())
-            tasks.create_task(self._reader.run())
-            tasks.create_task(self._publisher.run())
-
-    async def release(self) -> None:
-        """Gives the lease up, so that another instance goes on at once."""
-        await self._lease.release()
+    def _tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        return (self._reader.run(), self._publisher.run())
--- a/src/nutmeghook/internal/assembly/rollouts.py
+++ b/src/nutmeghook/internal/assembly/rollouts.py
@@ -1,14 +1,15 @@
 """The roll-outs' part of an instance: leave, and the controller's lease."""
 
-import asyncio
+from collections.abc import Coroutine
 import random
+from typing import Any
 
 from nutmeghook.internal.config import assembly as config_assembly
 from nutmeghook.internal.dependencies import ratings as ratings_module
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers
-from nutmeghook.internal.leases import preferred
+from nutmeghook.internal.leases import led_part
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.rollout import config_editor
@@ -17,14 +18,14 @@
 from nutmeghook.internal.rollout import leave as leave_module
 
 
-class RollOuts:
+class RollOuts(led_part.LedPart):
     """Runs roll-outs where this instance holds their lease.
 
     Attributes:
         gate: For the choice of versions, on every instance.
     """
 
-    __slots__ = ("_controller", "_lease", "gate")
+    __slots__ = ("_controller", "gate")
 
     def __init__(
         self,
@@ -39,18 +40,18 @@
         events: events_module.EventRing,
         random_source: random.Random,
     ):
-        self.gate = gate_module.GrantedExposureGate(
-            caller=caller,
+        super().__init__(
+            lease_name=gate_module.LEASE_NAME,
             members=members,
+            table=table,
             clock=clock,
+            events=events,
             random_source=random_source,
         )
-        self._lease = preferred.preferred_keeper(
-            gate_module.LEASE_NAME,
+        self.gate = gate_module.GrantedExposureGate(
+            caller=caller,
             members=members,
-            table=table,
             clock=clock,
-            events=events,
             random_source=random_source,
         )
         leave = leave_module.LeaveKeeper(lease=self._lease, members=members)
@@ -68,12 +69,5 @@
             events=events,
         )
 
-    async def run(self) -> None:
-        """Takes part until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._lease.run())
-            tasks.create_task(self._controller.run())
-
-    async def release(self) -> None:
-        """Gives the lease up, so that another instance goes on at once."""
-        await self._lease.release()
+    def _tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        return (self._controller.run(),)
--- a/src/nutmeghook/internal/orders/service.py
+++ b/src/nutmeghook/internal/orders/service.py
@@ -1,7 +1,8 @@
 """The orders' part of an instance: the controller and its lease."""
 
-import asyncio
+from collections.abc import Coroutine
 import random
+from typing import Any
 
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dependencies import engine
@@ -9,7 +10,7 @@
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.dependencies import weights as weights_module
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.leases import preferred
+from nutmeghook.internal.leases import led_part
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import events as events_module
 from nutmeghook.internal.orders import cell_reports
@@ -18,10 +19,10 @@
 from nutmeghook.internal.orders import weight_grants
 
 
-class Orders:
+class Orders(led_part.LedPart):
     """Gives orders to engines where this instance holds the lease."""
 
-    __slots__ = ("_controller", "_lease")
+    __slots__ = ("_controller",)
 
     def __init__(
         self,
@@ -38,8 +39,8 @@
         secret: str,
         reports: cell_reports.ReportSource | None = None,
     ):
-        self._lease = preferred.preferred_keeper(
-            controller_module.LEASE_NAME,
+        super().__init__(
+            lease_name=controller_module.LEASE_NAME,
             members=members,
             table=table,
             clock=clock,
@@ -64,12 +65,5 @@
             secret=secret,
         )
 
-    async def run(self) -> None:
-        """Takes part until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._lease.run())
-            tasks.create_task(self._controller.run())
-
-    async def release(self) -> None:
-        """Gives the lease up, so that another instance goes on at once."""
-        await self._lease.release()
+    def _tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        return (self._controller.run(),)
