--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -5,10 +5,13 @@
 import datetime
 import random
 
+from nutmeghook.experiment import checks
+from nutmeghook.experiment import configuration_steps
 from nutmeghook.internal.config import assembly
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
 from nutmeghook.internal.config import operations
+from nutmeghook.internal.config import partners
 from nutmeghook.internal.config import rows
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.foundation import clock as clock_module
@@ -67,6 +70,8 @@
         self.table = memory_table.MemoryTable(clock=self.clock)
         self.network = local.LocalNetwork(clock=self.clock)
         self.parts: dict[str, assembly.ConfigParts] = {}
+        # Of every start, also of those that ended.
+        self.rings: list[tuple[str, events.EventRing]] = []
         self.members = [
             members_module.Member(
                 inner_address=f"10.0.{centre}.{number}:7000",
@@ -84,18 +89,28 @@
         """The inner addresses of all members, started or not."""
         return [member.inner_address for member in self.members]
 
+    def listeners(self) -> list[str]:
+        """Returns the members that leave reading the store to others."""
+        return [
+            address
+            for address in self.addresses
+            if not partners.is_reader(self._view(address))
+        ]
+
     def start(self, *addresses: str, run: bool = True) -> None:
         """Starts instances, or starts them anew; all of them if not named."""
         for address in addresses or self.addresses:
             clock = self.network.clock_of(address)
             handlers = peers.PeerHandlers()
+            ring = events.EventRing(clock=clock)
+            self.rings.append((address, ring))
             self.parts[address] = assembly.build(
                 table=self.table,
                 members=self._view(address),
                 caller=self.network.attach(address, handlers),
                 handlers=handlers,
                 clock=clock,
-                events=events.EventRing(clock=clock),
+                events=ring,
                 random=random.Random(address),
             )
             if run:
@@ -132,6 +147,19 @@
         """Returns the revision in force on each started instance."""
         return [parts.replica.revision for parts in self.parts.values()]
 
+    def violations(self) -> list[checks.Violation]:
+        """Judges every step that any instance ever made, however short."""
+        steps = []
+        now = {}
+        for number, (address, ring) in enumerate(self.rings):
+            holder = f"{address} as start {number}"
+            noted = configuration_steps.steps_of_events(holder, ring.since(0))
+            steps.extend(noted)
+            # Of an ended instance nobody can ask any more.
+            if dict(self.rings)[address] is ring:
+                now[holder] = self.parts[address].replica.revision
+        return list(configuration_steps.check_steps(steps, now=now))
+
     def _view(self, address: str) -> members_module.MemberView:
         myself = next(m for m in self.members if m.inner_address == address)
         others = tuple(m for m in self.members if m is not myself)
