--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -7,7 +7,9 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import attempts
+from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import generation_times
+from nutmeghook.internal.relay import leave as leave_module
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import observations
@@ -55,16 +57,26 @@
     search = replica_search.ReplicaSearch(
         chooser=chooser, versions=around.versions, times=times
     )
+    routes = followed_routes.FollowedRoutes(configuration=around.configuration)
+    leave = leave_module.AttemptLeave(
+        routes=routes,
+        search=search,
+        budgets=around.budgets,
+        clock=around.clock,
+        random_source=around.random_source,
+    )
     parts = {
         "planner": attempts.AttemptPlanner(
             configuration=around.configuration,
+            routes=routes,
+            leave=leave,
             search=search,
             versions=around.versions,
             budgets=around.budgets,
             wire_format=around.wire_format,
             clock=around.clock,
-            random_source=around.random_source,
         ),
+        "leave": leave,
         "observer": observations.AnswerObserver(
             chooser=chooser,
             versions=around.versions,
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -1,8 +1,6 @@
-"""Prepares each attempt from the newest knowledge, and grants further ones."""
+"""Prepares each attempt from the newest knowledge."""
 
-from collections.abc import Callable
 import datetime
-import random
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
@@ -10,24 +8,16 @@
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import leave as leave_module
 from nutmeghook.internal.relay import prepared as prepared_module
-from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import replica_search
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.routes import in_force as in_force_module
-from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view as view_module
 
-# Attempts of any outcome. Refusals cost little, but a request that several
-# replicas refused is better sent back than tried on all of a large fleet.
-MAX_TRIES = 6
-# When a refused caller is to come back, spread so that those refused together
-# don't return together. Callers follow it up to a third of their time left.
-_EARLIEST_RETURN_S = 0.25
-_LATEST_RETURN_S = 0.75
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -38,7 +28,7 @@
         "_budgets",
         "_clock",
         "_configuration",
-        "_random",
+        "_leave",
         "_routes",
         "_search",
         "_versions",
@@ -49,23 +39,22 @@
         self,
         *,
         configuration: in_force_module.ConfigurationInForce,
+        routes: followed_routes.FollowedRoutes,
+        leave: leave_module.AttemptLeave,
         search: replica_search.ReplicaSearch,
         versions: view_module.VersionView,
         budgets: window_budget.WindowRetryBudgets,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
-        random_source: random.Random,
     ):
         self._configuration = configuration
-        self._routes = followed_routes.FollowedRoutes(
-            configuration=configuration
-        )
+        self._routes = routes
+        self._leave = leave
         self._search = search
         self._versions = versions
         self._budgets = budgets
         self._wire_format = wire_format
         self._clock = clock
-        self._random = random_source
 
     def prepare(self, job: job_module.Job) -> prepared_module.Prepared:
         """Returns the next attempt: the one granted before, if there is one.
@@ -112,228 +101,22 @@
             after_event=job.last_event_id,
         )
 
-    def allow_repeat(
-        self, job: job_module.Job, error: outcomes.AttemptError
-    ) -> None:
-        """Returns if another attempt may follow a failed one.
-
-        Raises:
-            rejections.RejectedError: None may.
-        """
-        job.note_failure(error)
-        logs.note(
-            "attempt:failed",
-            request=job.log_id,
-            attempt=job.tries,
-            outcome=type(error).__name__,
-            error=str(error),
-        )
-        may_have_run = isinstance(error, outcomes.UnknownOutcomeError)
-        if may_have_run and not _may_run_again(job):
-            raise self.given_up(job, reason="its outcome is unknown")
-        if job.tries >= MAX_TRIES:
-            raise self.given_up(job, reason="too many attempts failed")
-        if isinstance(error, outcomes.AbandonedError):
-            return
-        is_last = job.tries + 1 >= MAX_TRIES
-        if is_last and self._try_go_back(job):
-            return
-        if isinstance(error, outcomes.NotSentError) or self.try_spend(job):
-            return
-        if not self._try_go_back(job):
-            raise self.given_up(job, reason="the retry budget is spent")
-
-    def try_move(
-        self,
-        job: job_module.Job,
-        prepared: prepared_module.Prepared,
-        *,
-        is_dark: bool,
-    ) -> bool:
-        """Takes leave to go on at another replica than the one at work.
-
-        The failure: a replica falls silent under load and works on. It was
-        left before everything that could forbid the further attempt had been
-        asked: budget and replicas once, the caller's key another time. The
-        attempt was then refused, and an answer that would have come was cut.
-        So the attempt is granted whole, replica included, before any work is
-        given up, and `prepare` asks nothing again.
-
-        Args:
-            job: The request.
-            prepared: The attempt at work.
-            is_dark: Its replica is gone, so that there is no way back to it.
-        """
-        return job.route.repeatable and self._try_grant(
-            job,
-            lambda service: self._search.untried(job, service),
-            left=None if is_dark else prepared,
-        )
-
-    def try_repeat(
-        self, job: job_module.Job, prepared: prepared_module.Prepared
-    ) -> bool:
-        """Takes leave to send a request again, to the same replica at last.
-
-        The answer may have been lost, and then its replica is as good as any.
-        """
-        return job.route.repeatable and self._try_grant(
-            job,
-            lambda service: self._search.best(job, service, may_have_run=True),
-            left=prepared,
-        )
-
-    def try_larger(
-        self,
-        job: job_module.Job,
-        prepared: prepared_module.Prepared,
-        model_index: int,
-    ) -> bool:
-        """Takes leave to drop an answer for a larger model's.
-
-        The dropped answer is a run, so a request that may run only once keeps
-        it, however weak it is.
-        """
-        return job.route.repeatable and self._try_grant(
-            job,
-            lambda service: self._search.for_model(job, service, model_index),
-            left=prepared,
-        )
-
-    def try_again(self, job: job_module.Job) -> bool:
-        """Takes leave for an attempt after a replica's own failure."""
-        return (
-            _may_run_again(job)
-            and job.tries < MAX_TRIES
-            and self.try_spend(job)
-        )
-
-    def _try_grant(
-        self,
-        job: job_module.Job,
-        find: Callable[[str], choice_module.Choice | None],
-        *,
-        left: prepared_module.Prepared | None,
-    ) -> bool:
-        """Takes leave for a further attempt while one is at work.
-
-        The failure: the replica that is to go on refuses, or can't be reached,
-        and the budget is spent by then or the tries are; the one that was left
-        is as well as before, and the caller's answer was cut. So leave to come
-        back to it is taken too, and given back once another one has begun.
-        """
-        attempts = 1 if left is None else 2
-        if job.runs + 1 >= job.route.attempts:
-            return False
-        if job.tries + attempts > MAX_TRIES:
-            return False
-        if self.time_left(job) <= datetime.timedelta():
-            return False
-        service = self._routes.service_for(job, may_have_run=True)
-        chosen = find(service)
-        if chosen is None or not self._try_spend_for(service, left):
-            return False
-        self.forget_way_back(job)
-        job.grant = job_module.Grant(service=service, choice=chosen)
-        if left is not None:
-            job.way_back = job_module.WayBack(
-                service=left.replica.entry.service,
-                replica_id=left.replica.entry.replica_id,
-                model_index=job.model_index,
-            )
-        return True
-
-    def _try_spend_for(
-        self, service: str, left: prepared_module.Prepared | None
-    ) -> bool:
-        """Takes leave for an attempt, and for one that comes back to it."""
-        budget = self._budgets.budget_for(service)
-        if left is None:
-            return budget.try_spend()
-        budget_back = self._budgets.budget_for(left.replica.entry.service)
-        if not budget.try_spend():
-            return False
-        if budget_back.try_spend():
-            return True
-        budget.give_back()
-        return False
-
-    def _try_go_back(self, job: job_module.Job) -> bool:
-        """Has a request's next attempt go to the replica that was left."""
-        way_back = job.way_back
-        if way_back is None:
-            return False
-        chosen = self._search.particular(
-            job, way_back.service, way_back.replica_id
-        )
-        if chosen is None:
-            return False
-        # The leave that was taken for it is spent now.
-        job.way_back = None
-        job.model_index = way_back.model_index
-        job.grant = job_module.Grant(service=way_back.service, choice=chosen)
-        return True
-
-    def forget_way_back(self, job: job_module.Job) -> None:
-        """Gives back leave that is no longer needed: another one has begun."""
-        if job.way_back is not None:
-            self._budgets.budget_for(job.way_back.service).give_back()
-            job.way_back = None
-
     def _found(self, job: job_module.Job) -> job_module.Grant:
         """Returns where an attempt goes when none is at work."""
         may_have_run = job.possibly_run
         service = self._routes.service_for(job, may_have_run=may_have_run)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is None:
-            raise self.given_up(job, reason="no replica can take it")
+            raise self._leave.given_up(job, reason="no replica can take it")
         return job_module.Grant(service=service, choice=chosen)
 
-    def try_spend(self, job: job_module.Job) -> bool:
-        """Takes leave for one more attempt while none is at work.
-
-        The failure: a route moves while its requests are under way. Their
-        repeats took from the budget of the service that they left, and a
-        service whose own budget was spent got all of them.
-
-        Raises:
-            rejections.RejectedError: Nothing has run, and the request's route
-                or key was taken away.
-        """
-        service = self._routes.service_for(job, may_have_run=job.possibly_run)
-        return self._budgets.budget_for(service).try_spend()
-
-    def given_up(
-        self, job: job_module.Job, *, reason: str
-    ) -> rejections.RejectedError:
-        """Returns the end of a request that gets no further attempt."""
-        if job.possibly_run:
-            return rejections.RejectedError(
-                wire.FixedResponse.FAILED_PERHAPS_RUN, reason=reason
-            )
-        return rejections.RejectedError(
-            wire.FixedResponse.NOT_RUN,
-            reason=reason,
-            retry_after=self.return_after(),
-        )
-
-    def return_after(self) -> datetime.timedelta:
-        """Returns when a refused caller is to come back."""
-        return datetime.timedelta(
-            seconds=self._random.uniform(_EARLIEST_RETURN_S, _LATEST_RETURN_S)
-        )
-
-    def time_left(self, job: job_module.Job) -> datetime.timedelta:
-        """Returns the time until the request's deadline."""
-        return job.deadline - self._clock.monotonic()
-
     def _outgoing(
         self, job: job_module.Job, chosen: choice_module.Choice
     ) -> sender_module.Outgoing:
         incoming = job.incoming
         attempt = wire.AttemptFacts(
             replica_id=chosen.replica.entry.replica_id,
-            time_left=self.time_left(job),
+            time_left=self._leave.time_left(job),
             team=job.team.name if job.team else None,
             urgency=attempt_facts.urgency(job),
             model=attempt_facts.model_name(job),
@@ -370,7 +153,3 @@
         "reading_ms": round(forecast.reading / _MILLISECOND),
         "kept": forecast.kept,
     }
-
-
-def _may_run_again(job: job_module.Job) -> bool:
-    return job.route.repeatable and job.runs < job.route.attempts
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.relay import attempts as attempts_module
 from nutmeghook.internal.relay import events as events_module
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import leave as leave_module
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
@@ -50,6 +51,7 @@
     __slots__ = (
         "_advice",
         "_clock",
+        "_leave",
         "_observer",
         "_planner",
         "_sender",
@@ -60,6 +62,7 @@
         self,
         *,
         planner: attempts_module.AttemptPlanner,
+        leave: leave_module.AttemptLeave,
         observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         advice: model_advice.ModelAdvice,
@@ -67,6 +70,7 @@
         clock: clock_module.Clock,
     ):
         self._planner = planner
+        self._leave = leave
         self._observer = observer
         self._sender = sender
         self._advice = advice
@@ -84,14 +88,14 @@
             while await self._try_once(job) is not _Step.DONE:
                 pass
         finally:
-            self._planner.forget_way_back(job)
+            self._leave.forget_way_back(job)
 
     async def _try_once(self, job: job_module.Job) -> _Step:
         prepared = self._planner.prepare(job)
         try:
             return await self._attempt(job, prepared)
         except outcomes.AttemptError as error:
-            self._planner.allow_repeat(job, error)
+            self._leave.allow_repeat(job, error)
             return _Step.AGAIN
 
     async def _attempt(
@@ -107,7 +111,7 @@
                 job, prepared, status=answer.head.status, failed=False
             )
             self._observer.note_first_event(job, prepared)
-            self._planner.forget_way_back(job)
+            self._leave.forget_way_back(job)
             if self._is_replaced(job, prepared, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, prepared, answer)
@@ -137,7 +141,7 @@
             job.failure = whole
             return _Step.AGAIN
         if job.sink.begun:
-            raise self._planner.given_up(job, reason="a replica failed it")
+            raise self._leave.given_up(job, reason="a replica failed it")
         await job.sink.send_whole(
             whole.status,
             self._wire_format.answer_headers(whole.headers),
@@ -152,7 +156,7 @@
             f"the replica answered {answer.status}"
         )
         try:
-            self._planner.allow_repeat(job, error)
+            self._leave.allow_repeat(job, error)
         except rejections.RejectedError:
             return False
         return True
@@ -170,7 +174,7 @@
         larger = self._advice.larger_for(job, answer.facts.confidence)
         if larger is None:
             return False
-        if not self._planner.try_larger(job, prepared, larger):
+        if not self._leave.try_larger(job, prepared, larger):
             return False
         answer.replica.health.note_success(self._clock.monotonic())
         job.model_index = larger
@@ -293,7 +297,7 @@
         """
         silent = datetime.timedelta()
         step = _DOUBTFUL_SILENCE
-        while job.route.resumable and step < self._planner.time_left(job):
+        while job.route.resumable and step < self._leave.time_left(job):
             try:
                 return await self._clock.wait_for(wait(), step)
             except TimeoutError:
@@ -320,7 +324,7 @@
         try:
             return await self._clock.wait_for(
                 self._sender.is_dark(prepared.replica),
-                self._planner.time_left(job),
+                self._leave.time_left(job),
             )
         except TimeoutError:
             return False
@@ -333,7 +337,7 @@
         is_dark: bool,
     ) -> bool:
         """Tells whether a silent replica is left for another one."""
-        if not self._planner.try_move(job, prepared, is_dark=is_dark):
+        if not self._leave.try_move(job, prepared, is_dark=is_dark):
             return False
         self._observer.note_left(job, prepared, is_dark=is_dark)
         return True
@@ -342,9 +346,7 @@
         self, job: job_module.Job, work: Awaitable[_T]
     ) -> _T:
         try:
-            return await self._clock.wait_for(
-                work, self._planner.time_left(job)
-            )
+            return await self._clock.wait_for(work, self._leave.time_left(job))
         except TimeoutError as error:
             raise rejections.RejectedError(
                 wire.FixedResponse.LATE_PERHAPS_RUN,
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.relay import attempts as attempts_module
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import leave as leave_module
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
@@ -22,18 +23,27 @@
 class WholeAnswerPath:
     """Sends until there is an answer to pass on."""
 
-    __slots__ = ("_clock", "_observer", "_planner", "_sender", "_wire_format")
+    __slots__ = (
+        "_clock",
+        "_leave",
+        "_observer",
+        "_planner",
+        "_sender",
+        "_wire_format",
+    )
 
     def __init__(
         self,
         *,
         planner: attempts_module.AttemptPlanner,
+        leave: leave_module.AttemptLeave,
         observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._planner = planner
+        self._leave = leave
         self._observer = observer
         self._sender = sender
         self._wire_format = wire_format
@@ -48,7 +58,7 @@
         try:
             answer = await self._until_answered(job)
         finally:
-            self._planner.forget_way_back(job)
+            self._leave.forget_way_back(job)
         await job.sink.send_whole(
             answer.status,
             self._wire_format.answer_headers(answer.headers),
@@ -74,7 +84,7 @@
         try:
             answer = await self._send(job, prepared)
         except outcomes.AttemptError as error:
-            self._planner.allow_repeat(job, error)
+            self._leave.allow_repeat(job, error)
             return None
         job.runs += 1
         self._observer.note_answer(
@@ -87,9 +97,9 @@
         return answer
 
     def _may_repeat_failure(self, job: job_module.Job) -> bool:
-        return self._planner.time_left(
+        return self._leave.time_left(
             job
-        ) > datetime.timedelta() and self._planner.try_again(job)
+        ) > datetime.timedelta() and self._leave.try_again(job)
 
     async def _send(
         self, job: job_module.Job, prepared: prepared_module.Prepared
@@ -121,13 +131,13 @@
                 request again was taken.
         """
         patience = job.route.target * _PATIENCE_TARGETS
-        while patience < self._planner.time_left(job):
+        while patience < self._leave.time_left(job):
             try:
                 return await self._clock.wait_for(
                     asyncio.shield(exchange), patience
                 )
             except TimeoutError as error:
-                if not exchange.done() and self._planner.try_repeat(
+                if not exchange.done() and self._leave.try_repeat(
                     job, prepared
                 ):
                     self._note_slow(prepared)
@@ -137,7 +147,7 @@
                     ) from error
         try:
             return await self._clock.wait_for(
-                asyncio.shield(exchange), self._planner.time_left(job)
+                asyncio.shield(exchange), self._leave.time_left(job)
             )
         except TimeoutError as error:
             if exchange.done():
--- a/tests/cover/test_relay_work_in_hand.py
+++ b/tests/cover/test_relay_work_in_hand.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.relay import attempts
+from nutmeghook.internal.relay import leave
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.platform import headers
@@ -141,11 +141,11 @@
         self.put_in_force(
             relay_fixture.route(IDEMPOTENT, time_limit=LONG, attempts=5)
         )
-        refusals = [Reply(status=503, not_run=True)] * (attempts.MAX_TRIES - 1)
+        refusals = [Reply(status=503, not_run=True)] * (leave.MAX_TRIES - 1)
         self.reply_with(*refusals, Reply(status=500, body=b"out of order"))
         answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
         self.assertEqual(relay_fixture.status_of(answer), 500)
-        self.assertEqual(len(self.seen()), attempts.MAX_TRIES)
+        self.assertEqual(len(self.seen()), leave.MAX_TRIES)
 
 
 class SilentStreamsTest(ReviewCase):
@@ -229,7 +229,7 @@
 
 
 class GrantedAttemptsTest(taken_away.BegunStreamCase, ReviewCase):
-    replica_count = attempts.MAX_TRIES + 2
+    replica_count = leave.MAX_TRIES + 2
 
     async def test_a_granted_attempt_that_is_refused_cuts_no_stream(self):
         """A begun stream's replica falls silent, and another one is asked to
