--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -1,12 +1,8 @@
 """Requests answered by a stream of events, passed on one by one."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import contextlib
-import datetime
 import enum
-from typing import TypeVar
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.relay import attempts as attempts_module
@@ -17,6 +13,7 @@
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
+from nutmeghook.internal.relay import silence as silence_module
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
@@ -27,14 +24,9 @@
 # still counts as on time.
 _SILENT_TARGETS = 2.5
 _SILENT_PAUSES = 2.5
-# After this much silence it is found out whether the replica is dark. Nine in
-# ten first events come sooner, and answers of a healthy replica pause less.
-_DOUBTFUL_SILENCE = datetime.timedelta(milliseconds=600)
-_AT_ONCE = datetime.timedelta()
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's pace.
 _LEAST_PACED_EVENTS = 4
-_T = TypeVar("_T")
 
 
 class _Step(enum.Enum):
@@ -55,6 +47,7 @@
         "_observer",
         "_planner",
         "_sender",
+        "_wait",
         "_wire_format",
     )
 
@@ -73,6 +66,9 @@
         self._leave = leave
         self._observer = observer
         self._sender = sender
+        self._wait = silence_module.ReplicaWait(
+            leave=leave, observer=observer, sender=sender, clock=clock
+        )
         self._advice = advice
         self._wire_format = wire_format
         self._clock = clock
@@ -132,7 +128,7 @@
         whole = job_module.WholeAnswer(
             status=answer.head.status,
             headers=answer.head.headers,
-            body=await self._until_deadline(job, answer.read_whole()),
+            body=await self._wait.until_deadline(job, answer.read_whole()),
         )
         self._observer.note_answer(
             job, prepared, status=whole.status, failed=whole.failed
@@ -198,7 +194,7 @@
         events = 0
         silence = job.route.target * _SILENT_TARGETS
         while True:
-            data = await self._bounded(
+            data = await self._wait.for_sign(
                 job, prepared, answer.head.read, silence=silence
             )
             if not data:
@@ -253,7 +249,7 @@
             )
         )
         try:
-            return await self._bounded(
+            return await self._wait.for_sign(
                 job,
                 prepared,
                 lambda: asyncio.shield(sending),
@@ -265,94 +261,6 @@
             await asyncio.wait({sending})
             raise
 
-    async def _bounded(
-        self,
-        job: job_module.Job,
-        prepared: prepared_module.Prepared,
-        wait: Callable[[], Awaitable[_T]],
-        *,
-        silence: datetime.timedelta,
-    ) -> _T:
-        """Awaits a replica's next sign of life.
-
-        Silence alone ends no answer: a replica is left only once it is sure
-        that another attempt may follow.
-
-        The failure: the process is busy for a while, or a replica is asked
-        whether it still accepts connections, and its next event comes
-        meanwhile. By its time the wait is over, and a replica at work was
-        left. So what has come by now is looked for before.
-
-        Args:
-            job: The request.
-            prepared: Its attempt.
-            wait: Begins to wait, or goes on after a wait that was cancelled.
-            silence: The longest that a replica may be silent if another one
-                may take over.
-
-        Raises:
-            rejections.RejectedError: The time limit passed.
-            outcomes.AbandonedError: It was silent for too long, or is dark,
-                and another replica takes over.
-        """
-        silent = datetime.timedelta()
-        step = _DOUBTFUL_SILENCE
-        while job.route.resumable and step < self._leave.time_left(job):
-            try:
-                return await self._clock.wait_for(wait(), step)
-            except TimeoutError:
-                silent += step
-            is_dark = silent < silence and await self._is_dark(job, prepared)
-            if is_dark or silent >= silence:
-                try:
-                    return await self._clock.wait_for(wait(), _AT_ONCE)
-                except TimeoutError as error:
-                    if self._leaves(job, prepared, is_dark=is_dark):
-                        raise outcomes.AbandonedError(
-                            f"silent for {silent} and more"
-                        ) from error
-            step = max(silence - silent, _DOUBTFUL_SILENCE)
-        return await self._until_deadline(job, wait())
-
-    async def _is_dark(
-        self, job: job_module.Job, prepared: prepared_module.Prepared
-    ) -> bool:
-        """Tells whether a replica's attempts to connect go unanswered.
-
-        The caller is not held beyond the time limit for it.
-        """
-        try:
-            return await self._clock.wait_for(
-                self._sender.is_dark(prepared.replica),
-                self._leave.time_left(job),
-            )
-        except TimeoutError:
-            return False
-
-    def _leaves(
-        self,
-        job: job_module.Job,
-        prepared: prepared_module.Prepared,
-        *,
-        is_dark: bool,
-    ) -> bool:
-        """Tells whether a silent replica is left for another one."""
-        if not self._leave.try_move(job, prepared, is_dark=is_dark):
-            return False
-        self._observer.note_left(job, prepared, is_dark=is_dark)
-        return True
-
-    async def _until_deadline(
-        self, job: job_module.Job, work: Awaitable[_T]
-    ) -> _T:
-        try:
-            return await self._clock.wait_for(work, self._leave.time_left(job))
-        except TimeoutError as error:
-            raise rejections.RejectedError(
-                wire.FixedResponse.LATE_PERHAPS_RUN,
-                reason="the time limit passed during a run",
-            ) from error
-
 
 def _is_repeated(event_id: str | None, last_passed: str | None) -> bool:
     """Tells whether an event came already; ids are numbers that grow."""
