Count leave for the way back until it is used or given back

Cause: it was entered in the window as it was taken. Giving it back dropped the newest entry, another request's as a rule; used when its window was over, it was counted nowhere. The property's own example: up to twice the budget in a window. Ruled out: to drop the entry of its own moment. Leave that is used late would still be missing from the window that its attempt falls in. Change: leave that is held counts beside the window's entries, without end, and is entered at the moment of its attempt. It isn't asked for again as it is used, so that requests that left the window meanwhile can't cut a stream.

--- a/src/nutmeghook/internal/limits/window_budget.py
+++ b/src/nutmeghook/internal/limits/window_budget.py
@@ -23,7 +23,15 @@
             instance may be tried again.
     """
 
-    __slots__ = ("_burst", "_clock", "_ratio", "_requests", "_spent", "_window")
+    __slots__ = (
+        "_burst",
+        "_clock",
+        "_held",
+        "_ratio",
+        "_requests",
+        "_spent",
+        "_window",
+    )
 
     def __init__(
         self,
@@ -45,6 +53,7 @@
             collections.deque()
         )
         self._spent: collections.deque[datetime.timedelta] = collections.deque()
+        self._held = 0
 
     def change(self, *, ratio: float, window: datetime.timedelta) -> None:
         """Changes the bounds; what was counted stays."""
@@ -76,7 +85,7 @@
         """Returns how many further attempts may be made now."""
         self._forget_old()
         allowed = self._ratio * len(self._requests) + self._burst
-        return allowed - len(self._spent)
+        return allowed - len(self._spent) - self._held
 
     def try_spend(self) -> bool:
         """Takes leave for one more attempt."""
@@ -85,10 +94,28 @@
         self._spent.append(self._clock.monotonic())
         return True
 
+    def try_hold(self) -> bool:
+        """Takes leave for an attempt that may be made later, or never.
+
+        The failure: leave was counted at the moment at which it was taken.
+        Used when its window was over it counted nowhere, and given back it
+        took another request's attempt with it: twice as many were sent in a
+        window as may be. So it counts until it is used or given back, and then
+        like any attempt.
+        """
+        if self.left() < 1:
+            return False
+        self._held += 1
+        return True
+
+    def spend_held(self) -> None:
+        """Uses leave that was held; it is not asked for again."""
+        self._held -= 1
+        self._spent.append(self._clock.monotonic())
+
     def give_back(self) -> None:
-        """Gives back leave that was taken last and not used."""
-        if self._spent:
-            self._spent.pop()
+        """Gives back leave that was held and is not used."""
+        self._held -= 1
 
 
 class WindowRetryBudgets(admission.RetryBudgets):
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -251,11 +251,11 @@
         if left is None:
             return budget.try_spend()
         budget_back = self._budgets.budget_for(left.replica.entry.service)
-        if not budget.try_spend():
+        if not budget_back.try_hold():
             return False
-        if budget_back.try_spend():
+        if budget.try_spend():
             return True
-        budget.give_back()
+        budget_back.give_back()
         return False
 
     def _try_go_back(self, job: job_module.Job) -> bool:
@@ -268,7 +268,7 @@
         )
         if chosen is None:
             return False
-        # The leave that was taken for it is spent now.
+        self._budgets.budget_for(way_back.service).spend_held()
         job.way_back = None
         job.model_index = way_back.model_index
         job.grant = job_module.Grant(service=way_back.service, choice=chosen)
