Keep, and use, the way back that was paid for

Causes, each by its test: to leave a dark replica replaced the way back by none; a further move asked for leave for two beside what was in hand; only a refusal or an attempt without an answer led back, not a whole answer's failure or a list without another replica; versions weren't asked; the forecast was the dropped model's. Ruled out: a way back past a route's attempts. A dark replica that is also the one to go back to ends the way back. With one try left, a dark replica is left for the way back.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -135,12 +135,8 @@
             raise self.given_up(job, reason="too many attempts failed")
         if isinstance(error, outcomes.AbandonedError):
             return
-        is_last = job.tries + 1 >= MAX_TRIES
-        if is_last and self._try_go_back(job):
-            return
-        if isinstance(error, outcomes.NotSentError) or self.try_spend(job):
-            return
-        if not self._try_go_back(job):
+        was_sent = not isinstance(error, outcomes.NotSentError)
+        if not self._try_follow(job, was_sent=was_sent):
             raise self.given_up(job, reason="the retry budget is spent")
 
     def try_move(
@@ -164,6 +160,10 @@
             prepared: The attempt at work.
             is_dark: Its replica is gone, so that there is no way back to it.
         """
+        way_back = job.way_back
+        replica_id = prepared.replica.entry.replica_id
+        if is_dark and way_back and way_back.replica_id == replica_id:
+            self.forget_way_back(job)
         return job.route.repeatable and self._try_grant(
             job,
             lambda service: self._search.untried(job, service),
@@ -205,9 +205,24 @@
         return (
             _may_run_again(job)
             and job.tries < MAX_TRIES
-            and self.try_spend(job)
+            and self._try_follow(job)
         )
 
+    def _try_follow(
+        self, job: job_module.Job, *, was_sent: bool = True
+    ) -> bool:
+        """Takes leave for an attempt after one that failed.
+
+        The last attempt goes back to the replica that was left, if there is
+        one: its work was given up for this.
+        """
+        is_last = job.tries + 1 >= MAX_TRIES
+        if is_last and self._try_go_back(job):
+            return True
+        if not was_sent or self.try_spend(job):
+            return True
+        return self._try_go_back(job)
+
     def _try_grant(
         self,
         job: job_module.Job,
@@ -221,19 +236,22 @@
         and the budget is spent by then or the tries are; the one that was left
         is as well as before, and the caller's answer was cut. So leave to come
         back to it is taken too, and given back once another one has begun.
+        Leave to go back to an earlier one stays while a dark one is left.
         """
-        attempts = 1 if left is None else 2
         if job.runs + 1 >= job.route.attempts:
             return False
-        if job.tries + attempts > MAX_TRIES:
-            return False
         if self.time_left(job) <= datetime.timedelta():
             return False
+        is_last = job.tries + 1 == MAX_TRIES
+        if left is None and is_last and self._try_go_back(job):
+            return True
+        attempts = 1 if left is None else 2
+        if job.tries + attempts > MAX_TRIES:
+            return False
         service = self._routes.service_for(job, may_have_run=True)
         chosen = find(service)
-        if chosen is None or not self._try_spend_for(service, left):
+        if chosen is None or not self._try_spend_for(job, service, left):
             return False
-        self.forget_way_back(job)
         job.grant = job_module.Grant(service=service, choice=chosen)
         if left is not None:
             job.way_back = job_module.WayBack(
@@ -244,28 +262,39 @@
         return True
 
     def _try_spend_for(
-        self, service: str, left: prepared_module.Prepared | None
+        self,
+        job: job_module.Job,
+        service: str,
+        left: prepared_module.Prepared | None,
     ) -> bool:
-        """Takes leave for an attempt, and for one that comes back to it."""
+        """Takes leave for an attempt, and for one that comes back to it.
+
+        Leave for an earlier way back is used for the new one, so that a
+        request asks for no more than it needs.
+        """
         budget = self._budgets.budget_for(service)
         if left is None:
             return budget.try_spend()
-        budget_back = self._budgets.budget_for(left.replica.entry.service)
-        if not budget_back.try_hold():
+        service_back = left.replica.entry.service
+        budget_back = self._budgets.budget_for(service_back)
+        former = job.way_back
+        is_held = former is not None and former.service == service_back
+        if not is_held and not budget_back.try_hold():
             return False
-        if budget.try_spend():
-            return True
-        budget_back.give_back()
-        return False
+        if not budget.try_spend():
+            if not is_held:
+                budget_back.give_back()
+            return False
+        if not is_held:
+            self.forget_way_back(job)
+        return True
 
     def _try_go_back(self, job: job_module.Job) -> bool:
         """Has a request's next attempt go to the replica that was left."""
         way_back = job.way_back
         if way_back is None:
             return False
-        chosen = self._search.particular(
-            job, way_back.service, way_back.replica_id
-        )
+        chosen = self._search.way_back(job, way_back)
         if chosen is None:
             return False
         self._budgets.budget_for(way_back.service).spend_held()
@@ -285,9 +314,11 @@
         may_have_run = job.possibly_run
         service = self._routes.service_for(job, may_have_run=may_have_run)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
-        if chosen is None:
-            raise self.given_up(job, reason="no replica can take it")
-        return job_module.Grant(service=service, choice=chosen)
+        if chosen is not None:
+            return job_module.Grant(service=service, choice=chosen)
+        if self._try_go_back(job):
+            return job.grant
+        raise self.given_up(job, reason="no replica can take it")
 
     def try_spend(self, job: job_module.Job) -> bool:
         """Takes leave for one more attempt while none is at work.
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -63,15 +63,28 @@
             chosen = self._chooser.choose(need)
         return chosen
 
-    def particular(
-        self, job: job_module.Job, service: str, replica_id: str
+    def way_back(
+        self, job: job_module.Job, to: job_module.WayBack
     ) -> choice_module.Choice | None:
-        """Returns a replica of a service if it still takes requests."""
+        """Returns the replica that was left if it may still be sent to.
+
+        The failure: a replica's version is withdrawn after a request has left
+        it. The request went back, and the bad version got one more.
+        """
+        accepts = self._accepts(job, to.service)
+        in_full_use = self._versions.in_full_use(to.service)
+
+        def is_allowed(entry: entries.ReplicaEntry) -> bool:
+            return entry.replica_id == to.replica_id and (
+                accepts(entry) or in_full_use(entry)
+            )
+
         need = self._need(
             job,
-            service,
-            accepts=lambda entry: entry.replica_id == replica_id,
+            to.service,
+            accepts=is_allowed,
             tried=frozenset(),
+            model_index=to.model_index,
         )
         return self._chooser.choose(need)
 
