Show two more cuts after an attempt that was refused

- relay: the replica that was left is closed to a way back (it leaves, as all old ones do at a roll-out's end, or its version was withdrawn).
Leave for one attempt is in hand, another replica would go on, and the stream is cut.
- OpenAI entry: an engine is left with leave for one attempt, the next one refuses with the budget spent, and the answer is cut with the first engine back.

--- a/tests/cover/test_dispatch_taken_away.py
+++ b/tests/cover/test_dispatch_taken_away.py
@@ -411,6 +411,21 @@
         self.assertEqual(repeat.attempt_id, "req-1/2")
         self.assertEqual(self.fixture.budget.leave, 0)
 
+    async def test_a_granted_attempt_that_is_refused_cuts_no_answer(self):
+        """The caller reads on.
+
+        Its engine can't be reached for a moment, and is left for another one
+        with the last of the retry budget. That one refuses. The first is back
+        by then, and would have kept the attempt for 10 s.
+        """
+        self.fixture.budget.leave = 1
+        self.second.scripts.append(
+            fakes.Script(fails=dispatch_errors.refused())
+        )
+        answer = await self.ended(await self.started(self.generate()))
+        self.assertEqual(answer.text, "The boiler holds.")
+        self.assertEqual(self.sink.text, answer.text)
+
     async def test_an_engine_that_is_gone_ends_the_request(self):
         """The caller hears `unknown` in 7 s, long before its deadline.
 
--- a/tests/cover/test_relay_second_review.py
+++ b/tests/cover/test_relay_second_review.py
@@ -235,6 +235,27 @@
         self.assertFalse(relay_fixture.is_complete(answer))
         self.assertEqual(len(first.seen), 1)
 
+    async def test_leave_for_the_way_back_serves_where_that_is_closed(self):
+        """A begun stream is left, and its replica then says that it leaves,
+        as all do at a roll-out's end. The next one refuses with the budget
+        spent. There is no way back any more, but leave for one attempt is in
+        hand, and others would go on. The stream was cut.
+        """
+        asking = await self.begun()
+        (first,) = [r for r in self.replicas if r.seen]
+        self.spend_all(but=2)
+
+        def refuse(_) -> Reply:
+            self.directory.put(self.entry(first, leaving=True))
+            return REFUSAL
+
+        self.answer_in_turn(refuse, lambda _: Reply(events=EVENTS))
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(len(first.seen), 1)
+        self.assertEqual(len(self.seen()), 3)
+        self.assertLess(self.budgets.budget_for("service").left(), 1)
+
     async def test_the_way_back_is_known_though_nobody_else_is(self):
         """A begun stream is left. The replica that is to go on refuses, and it
         and all others are then gone from the list; the first one's version is
