Use leave for a way back that is closed for another replica

Cause: leave for two attempts is asked, and where the second can't go back, since its replica leaves or its version was withdrawn, it was not used at all: the incident's own scene, a replica that leaves at a roll-out's end. Ruled out: to ask before a replica is left whether it leaves. It may say so later. Change: the leave serves for an attempt elsewhere in the same service; another service's budget is its own.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -221,7 +221,19 @@
             return True
         if not was_sent or self.try_spend(job):
             return True
-        return self._try_go_back(job)
+        return self._try_go_back(job) or self._try_spend_held(job)
+
+    def _try_spend_held(self, job: job_module.Job) -> bool:
+        """Uses leave for a way back that is closed for an attempt elsewhere."""
+        way_back = job.way_back
+        if way_back is None:
+            return False
+        service = self._routes.service_for(job, may_have_run=True)
+        if service != way_back.service:
+            return False
+        self._budgets.budget_for(service).spend_held()
+        job.way_back = None
+        return True
 
     def _try_grant(
         self,
