Test that held leave is given back at every end

Leave that is held counts without end, so that a leak would starve a service's repeats for good. At the time limit and when the caller hangs up.

--- a/tests/cover/test_relay_second_review.py
+++ b/tests/cover/test_relay_second_review.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.version_plans import view
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
+from tests import fakes
 from tests import relay_fixture
 from tests.cover import test_relay_taken_away as taken_away
 from tests.cover import test_relay_work_in_hand as work_in_hand
@@ -285,6 +286,58 @@
         self.assertEqual(len(first.seen), 2)
 
 
+class LeaveGivenBackTest(taken_away.BegunStreamCase, WayBackCase):
+    """Leave that is held counts without end, so each end gives it back."""
+
+    replica_count = 8
+
+    async def moved(self) -> float:
+        """Has a begun stream left for a replica that then says nothing.
+
+        Returns:
+            What is left of the budget with the one attempt paid for.
+        """
+        self.limit(attempts=2, time_limit=9 * SECOND)
+        opened = asyncio.open_connection
+
+        async def kept(host: str, port: int):
+            reader, self.writer = await opened(host, port)
+            return reader, self.writer
+
+        with mock.patch.object(asyncio, "open_connection", kept):
+            self.asking = await self.begun()
+        before = self.budgets.budget_for("service").left()
+        self.answer_in_turn(lambda _: Reply(silent=True))
+        while len(self.seen()) < 2:
+            await self.clock.advance(taken_away.STEP)
+            await asyncio.sleep(0.001)
+        self.assertEqual(self.budgets.budget_for("service").left(), before - 2)
+        return before - 1
+
+    async def test_at_the_time_limit(self):
+        """The second replica is silent until the time limit cuts the stream."""
+        paid_for = await self.moved()
+        answer = await self.answer_of(self.asking)
+        self.assertFalse(relay_fixture.is_complete(answer))
+        self.assertEqual(self.budgets.budget_for("service").left(), paid_for)
+
+    async def test_when_the_caller_leaves(self):
+        """The caller hangs up while the second replica is silent."""
+        paid_for = await self.moved()
+        (silent,) = [
+            replica
+            for replica in self.replicas
+            if replica.seen and not replica.left
+        ]
+        self.asking.cancel()
+        self.writer.close()
+        async with asyncio.timeout(5):
+            await silent.noticed.wait()
+        await fakes.settle()
+        self.assertEqual(self.listener.in_flight, 0)
+        self.assertEqual(self.budgets.budget_for("service").left(), paid_for)
+
+
 class OtherWorkTest(WayBackCase):
     async def test_a_failure_does_not_replace_a_slow_answer(self):
         """A replica takes too long, and the next one fails the request with
