--- a/tests/cover/test_relay_second_review.py
+++ b/tests/cover/test_relay_second_review.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import errno
 import socket
 import unittest
 from unittest import mock
@@ -13,6 +14,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
@@ -426,6 +428,36 @@
 
 
 class ConnectionsTest(relay_fixture.RelayCase):
+    async def dark_by(self, error: OSError) -> tuple[bool, bool]:
+        """Tells whether a replica is taken for dark, and whether ejected."""
+        (replica, *_) = self.directory.of_service("service")
+        sender = sender_module.Sender(
+            pool=self.pool,
+            directory=self.directory,
+            wire_format=headers.PlatformHeaders(),
+            clock=self.clock,
+        )
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_connection", side_effect=error):
+            is_dark = await sender.is_dark(replica)
+        now = self.clock.monotonic()
+        return is_dark, replica.health.is_ejected(now)
+
+    async def test_a_shortage_of_this_side_tells_of_no_replica(self):
+        """This process has no file or port left for a connection. All silent
+        streams' replicas were taken for dark at once, and left for others,
+        though none had been asked.
+        """
+        for number in (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL):
+            answer = await self.dark_by(OSError(number, "shortage"))
+            self.assertEqual(answer, (False, False), number)
+
+    async def test_no_way_to_a_machine_is_darkness(self):
+        """The network says that there is no way to a replica's machine."""
+        for number in (errno.EHOSTUNREACH, errno.ENETUNREACH):
+            answer = await self.dark_by(OSError(number, "no way"))
+            self.assertEqual(answer, (True, True), number)
+
     async def test_a_connection_that_nobody_acknowledges_breaks(self):
         """A replica's machine is gone and another one has its address, which
         refuses connections. That no longer tells of darkness, so only the
