Take no replica for dark that was not asked

Cause: any failure to connect but a refusal was darkness, also this process's want of a file, a port or a buffer. Ruled out: to count it as accepted; the probe then says what it doesn't know. Change: such a probe says "not asked": the replica is neither left nor ejected. An attempt that can't be sent for want of a file still ejects its replica.

--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import enum
+import errno
 import socket
 
 from nutmeghook.internal.upstream import connection as connection_module
@@ -23,6 +24,10 @@
 IDLE_SHARE = 0.6
 # Idle connections kept a replica. More than a few are left over from a burst.
 MAX_IDLE_A_REPLICA = 24
+# Shortages of this process or machine: a connection was not even tried.
+_OWN_SHORTAGES = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS}
+)
 
 
 class Reachability(enum.Enum):
@@ -31,6 +36,7 @@
     ACCEPTS = "accepts"
     REFUSES = "refuses"
     DARK = "dark"
+    NOT_ASKED = "not asked"
 
 
 class ConnectionPool:
@@ -96,8 +102,7 @@
         try:
             connection = await self._open(address, timeout=PROBE_TIMEOUT)
         except outcomes.NotSentError as error:
-            refused = isinstance(error.__cause__, ConnectionError)
-            return Reachability.REFUSES if refused else Reachability.DARK
+            return _reachability(error.__cause__)
         connection.idle_since_s = self._loop.time()
         connection.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._keep(address, connection)
@@ -144,6 +149,15 @@
         return protocol
 
 
+def _reachability(error: OSError | TimeoutError) -> Reachability:
+    """Returns what an attempt to connect that failed tells of a replica."""
+    if isinstance(error, ConnectionError):
+        return Reachability.REFUSES
+    if error.errno in _OWN_SHORTAGES:
+        return Reachability.NOT_ASKED
+    return Reachability.DARK
+
+
 def _bound_silence(transport: asyncio.BaseTransport) -> None:
     """Lets the system notice a peer that no longer acknowledges.
 
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -22,6 +22,9 @@
 # Whole answers are held in memory until they are checked. Those of plain
 # services have some kilobytes; this bounds what a faulty one can use.
 MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+_TAKES_NOTHING_NEW = frozenset(
+    {pool_module.Reachability.REFUSES, pool_module.Reachability.DARK}
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -171,7 +174,7 @@
         requests have no business at either.
         """
         met = await self._pool.probe(replica.entry.address)
-        if met is not pool_module.Reachability.ACCEPTS:
+        if met in _TAKES_NOTHING_NEW:
             replica.health.note_unreachable(self._clock.monotonic())
         return met is pool_module.Reachability.DARK
 
