--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -106,9 +106,11 @@
         may_have_run = job.possibly_run
         service = self._routes.service_for(job, may_have_run=may_have_run)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
-        if chosen is None:
-            raise self._leave.given_up(job, reason="no replica can take it")
-        return job_module.Grant(service=service, choice=chosen)
+        if chosen is not None:
+            return job_module.Grant(service=service, choice=chosen)
+        if self._leave.try_go_back(job):
+            return job.grant
+        raise self._leave.given_up(job, reason="no replica can take it")
 
     def _outgoing(
         self, job: job_module.Job, chosen: choice_module.Choice
--- a/tests/cover/test_guarantees_permission.py
+++ b/tests/cover/test_guarantees_permission.py
@@ -6,8 +6,8 @@
 
 from nutmeghook.internal.config import distribution
 from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dispatch import leave as leave_module
 from nutmeghook.internal.dispatch import plain_calls
-from nutmeghook.internal.dispatch import stages
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.internal.routing import versions
 from tests import permission_scene
@@ -123,7 +123,7 @@
     def test_a_request_s_own_copy_is_trusted(self):
         """What waited when the right went is sent as it was let in."""
 
-        def copy(runner, call):
+        def copy(leave, call):
             return call.request.template
 
         async def choose(chooser, *, template, **_):
@@ -139,7 +139,7 @@
             pass
 
         with (
-            mock.patch.object(stages.StageRunner, "_template_now", copy),
+            mock.patch.object(leave_module.AttemptLeave, "template_now", copy),
             mock.patch.multiple(
                 version_choice.ConfiguredVersionChooser,
                 choose=choose,
--- a/tests/permission_scene.py
+++ b/tests/permission_scene.py
@@ -19,6 +19,7 @@
 from nutmeghook.experiment import trial as trial_module
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.config import tokens
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.dispatch import requests
@@ -257,6 +258,7 @@
                 request_id=call.request_id,
                 identity=_identity(call),
                 team=snapshot.teams[call.team],
+                token_sha256=_token_sha256(call.team),
                 template=template,
                 messages=(engine.Message(role="user", content=text),),
                 prompt_chars=len(text),
@@ -280,6 +282,7 @@
             requests.PlainRequest(
                 identity=_identity(call),
                 team=team,
+                token_sha256=_token_sha256(call.team),
                 route=_ROUTE,
                 call=plain.PlainCall(
                     request_id=call.request_id, method="POST", path="/bookings"
@@ -388,9 +391,20 @@
         name=name,
         allowed_models=models if allowed else models[1:],
         plain_routes=(_ROUTE,) if allowed else (),
+        tokens=(
+            documents.TokenEntry(
+                name="calls",
+                role=documents.Role.CALLER,
+                sha256=_token_sha256(name),
+            ),
+        ),
     )
 
 
+def _token_sha256(team: str) -> str:
+    return tokens.digest(f"token of {team}")
+
+
 def _template(team: str, version: engine.ModelVersion) -> documents.Template:
     stage = documents.Stage(
         model=version.model,
