Say on completion how much was known of the version

The log of a completed bad version didn't tell whether its failures had been known to the instance that completed it. One step of the driver is a method of its own, so that tests can drive it on a fake clock.

--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -166,15 +166,19 @@
         while True:
             # Spread, so that one instance writes and the others read of it.
             await self._clock.sleep(_STEP * self._random.uniform(0.5, 2.0))
-            if self._watch.away:
+            await self.step_all()
+
+    async def step_all(self) -> None:
+        """Moves every open order on by a step."""
+        if self._watch.away:
+            self._note_out_of_touch()
+            return
+        for order in self._open_orders():
+            try:
+                await self._step(order)
+            except failures.PlatformError as error:
                 self._note_out_of_touch()
-                continue
-            for order in self._open_orders():
-                try:
-                    await self._step(order)
-                except failures.PlatformError as error:
-                    self._note_out_of_touch()
-                    logs.note("roll_out:store_failed", error=str(error))
+                logs.note("roll_out:store_failed", error=str(error))
 
     def _note_out_of_touch(self) -> None:
         self._rollouts.progress.note_out_of_touch(
@@ -201,10 +205,12 @@
         if reason is not None:
             await self._conclude(order, plan_module.Verdict.BAD, reason)
         elif self._rollouts.progress.may_complete(plan):
+            known = self._rollouts.evidence_of(order)
             await self._conclude(
                 order,
                 plan_module.Verdict.GOOD,
-                "nothing speaks against it",
+                f"nothing speaks against it: {known.bad_seen} of"
+                f" {known.answers_seen} answers known here were bad",
             )
 
     async def _begin(self, order: orders_module.RollOutOrder) -> None:
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -120,6 +120,11 @@
         """How many answers of the version are known, of all instances."""
         return len(self._answers.get(usual_module.ALL_ROUTES, ()))
 
+    @property
+    def bad_seen(self) -> int:
+        """How many of them were bad."""
+        return sum(self._answers.get(usual_module.ALL_ROUTES, ()))
+
     def note(self, route: str, replica_id: str, *, bad: bool) -> None:
         """Takes in an answer of the new version seen here."""
         count = self._own.routes.setdefault(route, RouteCount())
