Do not complete a version of which more answers are bad than may be

At the end of a trial the rule asked was the one that may be looked at after each answer; of 16 answers it takes 6 bad ones at a tolerated 6.3 in 100. Nothing lay between that and completion, and good answers of instances without the store were not counted at all.

Change: before completion one look asks how likely chance gives so many bad answers (5 in 100, the share of suspicions as it was); while more is bad than tolerated, of two replicas, completion waits, at the full share; once the final report is due, peers are told good answers too. No new constant.

--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -204,7 +204,9 @@
             reason = self._rollouts.suspect(order)
         if reason is not None:
             await self._conclude(order, plan_module.Verdict.BAD, reason)
-        elif self._rollouts.progress.may_complete(plan):
+        elif self._rollouts.progress.may_complete(plan) and not (
+            self._rollouts.is_in_doubt(order)
+        ):
             known = self._rollouts.evidence_of(order)
             await self._conclude(
                 order,
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from nutmeghook.internal.rollout import evidence as proof
+from nutmeghook.internal.version_plans import tails
 from nutmeghook.internal.version_plans import usual as usual_module
 
 # A good version is reverted this rarely, for each route that it serves.
@@ -71,6 +72,12 @@
         """How many paces were compared."""
         return sum(pace.answers for pace in self.paces.values())
 
+    @property
+    def size(self) -> int:
+        """How much there is to tell of it; it only grows."""
+        answers = sum(count.good + count.bad for count in self.routes.values())
+        return answers + self.paced
+
     def has_all_of(self, other: "EvidenceRow") -> bool:
         """Tells whether it counts no less than an earlier row."""
         return self.paced >= other.paced and all(
@@ -202,6 +209,48 @@
                 )
         return None
 
+    def suspect(
+        self, replicas: int, usual: usual_module.UsualAnswers
+    ) -> str | None:
+        """Returns what speaks against the version at the end of its trial.
+
+        The failure: four of sixteen answers failed, where a good version fails
+        one, and it was completed. A test that may be looked at after each
+        answer pays for looking all the time. Here a good version has only the
+        few looks of the last stretch to fail at.
+        """
+        found = self.proven_bad(
+            replicas, usual, false_stop_share=SUSPICION_SHARE
+        )
+        if found is not None:
+            return found
+        if not self.has_more_bad(replicas, usual):
+            return None
+        chance = tails.at_least(
+            self.bad_seen,
+            of=self.answers_seen,
+            share=usual.tolerated_share(usual_module.ALL_ROUTES),
+        )
+        if chance > SUSPICION_SHARE:
+            return None
+        return (
+            f"{self.bad_seen} of {self.answers_seen} answers were bad at the"
+            " end of the trial"
+        )
+
+    def has_more_bad(
+        self, replicas: int, usual: usual_module.UsualAnswers
+    ) -> bool:
+        """Tells whether more is bad than a good version may have.
+
+        One failing replica is a fault of its own, however often it fails.
+        """
+        culprits = len(self._replicas.get(usual_module.ALL_ROUTES, ()))
+        if culprits < min(2, replicas):
+            return False
+        tolerated = usual.tolerated_share(usual_module.ALL_ROUTES)
+        return self.bad_seen > tolerated * self.answers_seen
+
     def _slowness(self, deviations: float) -> str | None:
         for measure in usual_module.Measure:
             found = self._slowness_by(measure, deviations)
--- a/src/nutmeghook/internal/version_plans/news.py
+++ b/src/nutmeghook/internal/version_plans/news.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.version_plans import evidence as evidence_module
 from nutmeghook.internal.version_plans import orders as orders_module
+from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
 
 # Sessions may move 1.5 s after a roll-out's start; a word of one that may not
@@ -39,15 +40,17 @@
 
     Attributes:
         positions: In the list of held sessions, after each of the last ticks.
+        size: Of the evidence.
         weight: Of the evidence.
     """
 
-    __slots__ = ("order_id", "positions", "weight")
+    __slots__ = ("order_id", "positions", "size", "weight")
 
     def __init__(self, *, order_id: int):
         self.order_id = order_id
         self.positions = [0] * TIMES_TOLD
         self.weight = 0.0
+        self.size = 0
 
 
 class RollOutNews(telling.PeriodicTeller):
@@ -89,15 +92,19 @@
         for order in self._orders.all():
             plan = self._rollouts.plan_of(order)
             if plan is not None and plan.is_open:
-                self._tell_of(order)
+                self._tell_of(order, plan)
 
-    def _tell_of(self, order: orders_module.RollOutOrder) -> None:
+    def _tell_of(
+        self, order: orders_module.RollOutOrder, plan: plan_module.PlanRow
+    ) -> None:
         told = self._told.get(order.service)
         if told is None or told.order_id != order.order_id:
             told = _Told(order_id=order.order_id)
             self._told[order.service] = told
         self._tell_sessions(order, told)
-        self._tell_evidence(order, told)
+        own = self._rollouts.evidence_of(order).own
+        if self._is_news(own, told, plan):
+            self._tell_evidence(order, own, told)
 
     def _tell_sessions(
         self, order: orders_module.RollOutOrder, told: _Told
@@ -112,13 +119,31 @@
                 self._addresses(), self._news(order, sessions=part)
             )
 
+    def _is_news(
+        self,
+        own: evidence_module.EvidenceRow,
+        told: _Told,
+        plan: plan_module.PlanRow,
+    ) -> bool:
+        """Tells whether peers are to hear now what was seen here.
+
+        Before the last stretch that is all of it, good answers too: an
+        instance without the store can't write its final report, and those
+        that decide would count none of what it saw.
+        """
+        if own.weight >= told.weight + _WORTH_TELLING:
+            return True
+        is_due = self._rollouts.progress.is_final_report_due(plan)
+        return is_due and own.size > told.size
+
     def _tell_evidence(
-        self, order: orders_module.RollOutOrder, told: _Told
+        self,
+        order: orders_module.RollOutOrder,
+        own: evidence_module.EvidenceRow,
+        told: _Told,
     ) -> None:
-        own = self._rollouts.evidence_of(order).own
-        if own.weight < told.weight + _WORTH_TELLING:
-            return
         told.weight = own.weight
+        told.size = own.size
         known = self._addresses()
         peers = self._random.sample(known, min(PEERS_TOLD_EVIDENCE, len(known)))
         self._messages.send(
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -184,10 +184,18 @@
         Asked once the trial is over: everything moves then, and completion
         can't be taken back.
         """
-        return self.evidence_of(order).proven_bad(
-            self._new_replicas(order),
-            self._usual,
-            false_stop_share=evidence_module.SUSPICION_SHARE,
+        return self.evidence_of(order).suspect(
+            self._new_replicas(order), self._usual
+        )
+
+    def is_in_doubt(self, order: orders_module.RollOutOrder) -> bool:
+        """Tells whether more of the version's answers are bad than may be.
+
+        Too few for a suspicion, they are no ground for completion either.
+        Everything moves meanwhile, so a few more answers settle it.
+        """
+        return self.evidence_of(order).has_more_bad(
+            self._new_replicas(order), self._usual
         )
 
     def _new_replicas(self, order: orders_module.RollOutOrder) -> int:
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -182,6 +182,9 @@
         plan = instance.rollouts.plan_of(version_fixture.ORDER)
         self.assertTrue(instance.rollouts.progress.is_trial_over(plan))
         instance.answer("v2", times=40)
+        # The stand-in's steady time stands still, and each step believes it
+        # a little more.
+        await self.clock.advance(datetime.timedelta(seconds=1))
         await self.step(driver)
         self.assertEqual(self.told(), "completed")
 
