Count no earlier order's answers as enough for the next

Evidence is replaced at the first request of a new order; until then the trial of a plan was judged thin or not by what was seen of the order before. The test fails on the code before.

--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -163,7 +163,9 @@
 
     def _answers_seen(self, plan: plan_module.PlanRow) -> int:
         seen = self._evidence.get(plan.service)
-        return 0 if seen is None else seen.answers_seen
+        if seen is None or seen.order_id != plan.order_id:
+            return 0
+        return seen.answers_seen
 
     def judge(self, order: orders_module.RollOutOrder) -> str | None:
         """Returns why the version is bad, or None while it isn't proven."""
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -1,5 +1,6 @@
 """Which version a session gets, and what proves a version bad."""
 
+import dataclasses
 import datetime
 import math
 import random
@@ -10,6 +11,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.version_plans import evidence as evidence_module
+from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
 from nutmeghook.internal.version_plans import usual as usual_module
 from tests import version_fixture
@@ -138,6 +140,33 @@
         await self.advance_in_silence(0.95)
         self.assertLess(self.new_share("silent"), 0.11)
 
+    async def test_an_earlier_order_s_answers_are_not_enough_for_the_next(
+        self,
+    ):
+        """Twenty answers of an order's version are known, and a new order
+        comes. The store is away for long, and nothing was seen of the new
+        version. What was seen of the one before doesn't end its trial.
+        """
+        self.instance.begin()
+        self.instance.answer("v2", times=20)
+        self.instance.orders.place(
+            dataclasses.replace(version_fixture.ORDER, order_id=6)
+        )
+        plan = plan_module.PlanRow(
+            order_id=6,
+            service=version_fixture.SERVICE,
+            version="v2",
+            started_ms=0.0,
+            within_s=version_fixture.WITHIN_S,
+        )
+        self.instance.rollouts.take_plan(plan)
+        progress = self.instance.rollouts.progress
+        progress.note_out_of_touch([6])
+        await self.advance(0.2)
+        progress.note_out_of_touch([6])
+        await self.advance(0.95)
+        self.assertFalse(progress.is_trial_over(plan))
+
     async def test_sessions_under_way_do_not_move_in_the_first_half(self):
         """Sessions are under way when a roll-out begins, some go on after.
         They go from instance to instance. Where each went by what it
