--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -143,13 +143,15 @@
 
     def _hold_session(self, plan: plan_module.PlanRow, session: str) -> None:
         digest = held_sessions_module.digest_of(plan.order_id, session)
-        if held_sessions_module.point_of(digest) < self._trial_share(plan):
+        if self._is_of_trial(plan, digest):
             self._held_by(plan.service, plan.order_id).hold(digest)
 
-    def _trial_share(self, plan: plan_module.PlanRow) -> float:
-        return plan.trial_share or self.progress.schedule.trial_share(
+    def _is_of_trial(self, plan: plan_module.PlanRow, digest: int) -> bool:
+        """Tells whether the trial's share takes a session or request."""
+        share = plan.trial_share or self.progress.schedule.trial_share(
             plan.within_s
         )
+        return held_sessions_module.point_of(digest) < share
 
     def evidence_of(
         self, order: orders_module.RollOutOrder
@@ -317,9 +319,7 @@
             return True
         if session is None:
             digest = held_sessions_module.digest_of(order.order_id, request_id)
-            return held_sessions_module.point_of(digest) < self._trial_share(
-                plan
-            )
+            return self._is_of_trial(plan, digest)
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
@@ -328,7 +328,7 @@
     def _tries_session(self, plan: plan_module.PlanRow, session: str) -> bool:
         """Tells whether the trial takes a session now."""
         digest = held_sessions_module.digest_of(plan.order_id, session)
-        if held_sessions_module.point_of(digest) >= self._trial_share(plan):
+        if not self._is_of_trial(plan, digest):
             return False
         part = self.progress.steady_part(plan)
         if part >= schedule_module.MAY_MOVE_SESSIONS_AT:
