--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -143,13 +143,15 @@
 
     def _hold_session(self, plan: plan_module.PlanRow, session: str) -> None:
         digest = held_sessions_module.digest_of(plan.order_id, session)
-        if held_sessions_module.point_of(digest) < self._trial_share(plan):
+        if self._is_of_trial(plan, digest):
             self._held_by(plan.service, plan.order_id).hold(digest)
 
-    def _trial_share(self, plan: plan_module.PlanRow) -> float:
-        return plan.trial_share or self.progress.schedule.trial_share(
+    def _is_of_trial(self, plan: plan_module.PlanRow, digest: int) -> bool:
+        """Tells whether the trial's share takes a session or request."""
+        share = plan.trial_share or self.progress.schedule.trial_share(
             plan.within_s
         )
+        return held_sessions_module.point_of(digest) < share
 
     def evidence_of(
         self, order: orders_module.RollOutOrder
@@ -163,7 +165,9 @@
 
     def _answers_seen(self, plan: plan_module.PlanRow) -> int:
         seen = self._evidence.get(plan.service)
-        return 0 if seen is None else seen.answers_seen
+        if seen is None or seen.order_id != plan.order_id:
+            return 0
+        return seen.answers_seen
 
     def judge(self, order: orders_module.RollOutOrder) -> str | None:
         """Returns why the version is bad, or None while it isn't proven."""
@@ -184,10 +188,18 @@
         Asked once the trial is over: everything moves then, and completion
         can't be taken back.
         """
-        return self.evidence_of(order).proven_bad(
-            self._new_replicas(order),
-            self._usual,
-            false_stop_share=evidence_module.SUSPICION_SHARE,
+        return self.evidence_of(order).suspect(
+            self._new_replicas(order), self._usual
+        )
+
+    def is_in_doubt(self, order: orders_module.RollOutOrder) -> bool:
+        """Tells whether more of the version's answers are bad than may be.
+
+        Too few for a suspicion, they are no ground for completion either.
+        Everything moves meanwhile, so a few more answers settle it.
+        """
+        return self.evidence_of(order).has_more_bad(
+            self._new_replicas(order), self._usual
         )
 
     def _new_replicas(self, order: orders_module.RollOutOrder) -> int:
@@ -307,9 +319,7 @@
             return True
         if session is None:
             digest = held_sessions_module.digest_of(order.order_id, request_id)
-            return held_sessions_module.point_of(digest) < self._trial_share(
-                plan
-            )
+            return self._is_of_trial(plan, digest)
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
@@ -318,7 +328,7 @@
     def _tries_session(self, plan: plan_module.PlanRow, session: str) -> bool:
         """Tells whether the trial takes a session now."""
         digest = held_sessions_module.digest_of(plan.order_id, session)
-        if held_sessions_module.point_of(digest) >= self._trial_share(plan):
+        if not self._is_of_trial(plan, digest):
             return False
         part = self.progress.steady_part(plan)
         if part >= schedule_module.MAY_MOVE_SESSIONS_AT:
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -1,8 +1,10 @@
 """Which version a session gets while a new one is rolled out."""
 
+import dataclasses
 import datetime
 import unittest
 
+from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
 from tests import version_fixture
 
@@ -108,6 +110,33 @@
         await self.advance_in_silence(0.95)
         self.assertLess(self.new_share("silent"), 0.11)
 
+    async def test_an_earlier_order_s_answers_are_not_enough_for_the_next(
+        self,
+    ):
+        """Twenty answers of an order's version are known, and a new order
+        comes. The store is away for long, and nothing was seen of the new
+        version. What was seen of the one before doesn't end its trial.
+        """
+        self.instance.begin()
+        self.instance.answer("v2", times=20)
+        self.instance.orders.place(
+            dataclasses.replace(version_fixture.ORDER, order_id=6)
+        )
+        plan = plan_module.PlanRow(
+            order_id=6,
+            service=version_fixture.SERVICE,
+            version="v2",
+            started_ms=0.0,
+            within_s=version_fixture.WITHIN_S,
+        )
+        self.instance.rollouts.take_plan(plan)
+        progress = self.instance.rollouts.progress
+        progress.note_out_of_touch([6])
+        await self.advance(0.2)
+        progress.note_out_of_touch([6])
+        await self.advance(0.95)
+        self.assertFalse(progress.is_trial_over(plan))
+
     async def test_sessions_under_way_do_not_move_in_the_first_half(self):
         """Sessions are under way when a roll-out begins, some go on after.
         They go from instance to instance. Where each went by what it
@@ -193,6 +222,24 @@
             versions = {instance.version_for(f"s-{n}") for n in range(400)}
             self.assertEqual(versions, {"v1"})
 
+    async def test_good_answers_are_told_before_the_last_stretch(self):
+        """An instance without the store has seen ten good answers.
+        It can't write its final report, and whoever decides counted only the
+        bad ones. Peers hear of them; before, they are worth no message.
+        """
+        here, there = version_fixture.fleet(2, clock=self.clock)
+        for instance in (here, there):
+            instance.begin(started=datetime.timedelta())
+        here.answer("v2", times=10)
+        known = there.rollouts.evidence_of(version_fixture.ORDER)
+        await self.advance(0.5)
+        here.watch.note_failure(ValueError("no answer"))
+        here.news.tell()
+        self.assertEqual(known.answers_seen, 0)
+        await self.advance(0.87)
+        here.news.tell()
+        self.assertEqual(known.answers_seen, 10)
+
     async def test_a_session_that_moved_does_not_move_back(self):
         """A session meets an instance that knows it, then one that does not,
         over the whole second half. Once one of them has sent it to the new
