Ask again in the step that sends whether a generation may be sent

Cause: version, backend server and standstill were asked at the choice only. Up to the first byte a task starts, a connection is made (up to 1 s), the library starts a task that writes the body, and uvloop keeps what is written until the other callbacks of its turn have run. A process that is stopped in there, or hears of a withdrawal in there, sent by what it knew before. Change: the adapter of engines asks in the step in which it writes head and body, with the transport told to send at once. What may not leave any more is withheld: not counted against the engine, nor taken from the retry budget, and chosen for anew, which at a standstill ends as "not run". Left: a stop between that check and the system call; plain services' calls. Not run: the cost of the check on the hot path.

--- a/src/nutmeghook/internal/dependencies/engine.py
+++ b/src/nutmeghook/internal/dependencies/engine.py
@@ -2,11 +2,15 @@
 
 import abc
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import enum
 
 import msgspec
 
+# Raises `failures.WithheldError` where the request may not be sent any more.
+SendCheck = Callable[[], None]
+
 
 class ModelVersion(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """A model and one of its versions; written `model@version`."""
@@ -170,13 +174,20 @@
         """Runs the generation and yields its chunks as they come."""
 
     async def generate_batches(
-        self, generation: Generation
+        self, generation: Generation, *, check_send: SendCheck | None = None
     ) -> AsyncIterator[list[Chunk]]:
         """Does the same, with chunks that come at once in one list.
 
         For adapters whose connection hands over several chunks together: it
         saves the relay a step and a write for each of them.
+
+        Args:
+            generation: What to generate.
+            check_send: Called once all that takes time is done, in the very
+                step that hands the request's first byte over.
         """
+        if check_send is not None:
+            check_send()
         async with contextlib.aclosing(self.generate(generation)) as chunks:
             async for chunk in chunks:
                 yield [chunk]
--- a/src/nutmeghook/internal/dependencies/failures.py
+++ b/src/nutmeghook/internal/dependencies/failures.py
@@ -38,5 +38,9 @@
         self.leaving = leaving
 
 
+class WithheldError(NotDoneError):
+    """This side did not send the call: it may not be sent any more."""
+
+
 class OutcomeUnknownError(PlatformError):
     """The call may have taken effect, or may still take effect later."""
--- a/src/nutmeghook/internal/dispatch/attempts.py
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -34,6 +34,7 @@
 
     Attributes:
         ran: False only if it provably did not run.
+        withheld: This instance did not send it after all.
         refusal: How it refused, if it did.
         retry_after: When the engine asked to be called again, if it did.
     """
@@ -50,6 +51,7 @@
     ):
         super().__init__(message)
         self.ran = ran
+        self.withheld = refusal is backends_module.AttemptOutcome.WITHHELD
         self.refusal = refusal
         self.retry_after = retry_after
 
@@ -65,6 +67,7 @@
     Attributes:
         try_leave: Takes leave for another attempt to follow this one; asked
             before a begun answer is given up.
+        check_send: Asked as the first byte is about to leave.
         next_token: Index of the first token not yet received.
         last: The last chunk, once it came.
     """
@@ -73,6 +76,7 @@
     generation: engine_module.Generation
     deadline: datetime.timedelta
     try_leave: Callable[[], bool]
+    check_send: engine_module.SendCheck
     next_token: int = 0
     last: engine_module.Chunk | None = None
 
@@ -198,8 +202,10 @@
     ) -> engine_module.Chunk:
         """Reads one connection's chunks; this loop is the hot path."""
         generation = self._generation_from_here(attempt)
+        # Resuming is no new work: the engine has it, or refuses.
+        check_send = None if attempt.next_token else attempt.check_send
         async with contextlib.aclosing(
-            engine.generate_batches(generation)
+            engine.generate_batches(generation, check_send=check_send)
         ) as batches:
             async for batch in batches:
                 received = chunks_module.receive(
@@ -275,6 +281,8 @@
     error: failures.NotDoneError,
 ) -> backends_module.AttemptOutcome:
     """Returns what a refusal tells of the backend server."""
+    if isinstance(error, failures.WithheldError):
+        return backends_module.AttemptOutcome.WITHHELD
     if error.leaving:
         return backends_module.AttemptOutcome.REFUSED_LEAVING
     if error.overloaded:
--- a/src/nutmeghook/internal/dispatch/leave.py
+++ b/src/nutmeghook/internal/dispatch/leave.py
@@ -2,6 +2,7 @@
 
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dispatch import stage_calls
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
@@ -55,6 +56,33 @@
             template=self.template_now(call), choice=call.choice
         )
 
+    def check_send(
+        self,
+        call: stage_calls.StageCall,
+        choice: versions_module.VersionChoice,
+        backend: backends_module.Backend,
+    ) -> None:
+        """Checks as an attempt's first byte is about to leave.
+
+        The failure: version and backend server were chosen, then a connection
+        had to be made, or the process was stopped for seconds. Meanwhile the
+        version was withdrawn or the server left, and it got the work after
+        the bound all the same.
+
+        Raises:
+            failures.WithheldError: It may not leave; choose anew.
+        """
+        try:
+            self._versions.check_dispatch(
+                template=self.template_now(call), choice=choice
+            )
+        except errors.CodedError as error:
+            raise failures.WithheldError(str(error)) from error
+        if not self._backends.may_send(backend):
+            raise failures.WithheldError(
+                f"{backend.address} left, or this instance stood still"
+            )
+
     def budget(
         self, call: stage_calls.StageCall
     ) -> admission_module.RetryBudget:
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -97,6 +97,7 @@
                 return stage_calls.answer(call, last)
             except attempts_module.AttemptError as error:
                 call.failed_attempts += 1
+                withheld = error.withheld
                 if call.granted is None:
                     await self._allow_retry(call, error)
                 self._note_repeat(call, str(error), hedged=False)
@@ -106,7 +107,8 @@
                     detail="the backend server was lost in mid-answer and"
                     " another one's answer is worded otherwise",
                 ) from error
-            call.tried.add(backend.address)
+            if not withheld:
+                call.tried.add(backend.address)
             call.consumer = call.consumer.for_repeat()
 
     async def _next_backend(
@@ -221,6 +223,9 @@
             generation=stage_calls.generation(call),
             deadline=request.deadline,
             try_leave=functools.partial(self._leave.try_grant, call, backend),
+            check_send=functools.partial(
+                self._leave.check_send, call, call.choice, backend
+            ),
         )
         self._events.record(
             events_module.EventKind.REQUEST_DISPATCHED,
@@ -280,9 +285,9 @@
         Raises:
             errors.CodedError: No further attempt is allowed.
         """
-        if (
-            call.failed_attempts >= leave_module.MAX_ATTEMPTS_PER_STAGE
-            or not self._leave.budget(call).try_spend()
+        # What never left loads nobody, so the budget has no say.
+        if call.failed_attempts >= leave_module.MAX_ATTEMPTS_PER_STAGE or not (
+            error.withheld or self._leave.budget(call).try_spend()
         ):
             raise errors.CodedError(
                 code=codes.Code.BACKEND_FAILED
--- a/src/nutmeghook/internal/routing/backends.py
+++ b/src/nutmeghook/internal/routing/backends.py
@@ -96,6 +96,7 @@
     UNREACHABLE = "unreachable"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    WITHHELD = "withheld"
 
 
 class BackendChooser(abc.ABC):
@@ -105,6 +106,15 @@
     def choose(self, need: BackendNeed) -> Backend | None:
         """Returns a backend server that may take new work now, or None."""
 
+    def may_send(self, backend: Backend) -> bool:
+        """Tells whether work may still go to a backend server chosen before.
+
+        Asked as the work leaves. A chooser that learns of nothing in between
+        has nothing to say.
+        """
+        del backend
+        return True
+
     @abc.abstractmethod
     def started(self, backend: Backend) -> None:
         """Notes that an attempt was sent."""
--- a/src/nutmeghook/internal/routing/chooser.py
+++ b/src/nutmeghook/internal/routing/chooser.py
@@ -76,6 +76,17 @@
                 return owner
         return self._least_loaded(pool, need)
 
+    def may_send(self, backend: backends.Backend) -> bool:
+        """Tells whether work may still go to a backend server chosen before.
+
+        It may have left since, or this process may have stood still and not
+        know yet that it did.
+        """
+        if self._standstill is not None and not self._standstill.may_send():
+            return False
+        known = self._directory.find(backend.address)
+        return known is backend and not backend.leaving
+
     def started(self, backend: backends.Backend) -> None:
         """Notes that an attempt was sent."""
         self._note_own(backend, 1)
--- a/src/nutmeghook/internal/routing/standstill.py
+++ b/src/nutmeghook/internal/routing/standstill.py
@@ -29,8 +29,9 @@
     the first question after it, before any timer or socket was served; the
     callers are refused as not run for the little time that catching up takes.
 
-    A request whose backend server was chosen before the pause, and that was
-    not written yet, still goes out.
+    It is asked at the choice and once more as a generation is handed to the
+    connection. What is left is a process that is stopped between that and the
+    system call. Calls to plain services are asked for at the choice only.
     """
 
     __slots__ = ("_clock", "_events", "_last_tick", "_may_send_at")
--- a/src/nutmeghook/internal/standin_http/http_engine.py
+++ b/src/nutmeghook/internal/standin_http/http_engine.py
@@ -10,6 +10,7 @@
 
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.standin_http import checked_body
 from nutmeghook.internal.standin_http import http_exchange
 
 GENERATE_PATH = "/v1/generate"
@@ -104,7 +105,10 @@
                     yield chunk
 
     async def generate_batches(
-        self, generation: engine.Generation
+        self,
+        generation: engine.Generation,
+        *,
+        check_send: engine.SendCheck | None = None,
     ) -> AsyncIterator[list[engine.Chunk]]:
         """Yields the chunks of each piece that the connection hands over.
 
@@ -114,11 +118,14 @@
         """
         response = None
         watch = None
+        body = checked_body.CheckedBody(
+            content=_encoder.encode(generation), check_send=check_send
+        )
         try:
             async with asyncio.timeout(self._silence_s):
                 response = await self._session.post(
                     self._url,
-                    data=_encoder.encode(generation),
+                    data=body,
                     headers=http_exchange.JSON_HEADERS,
                     timeout=self._timeout,
                     allow_redirects=False,
@@ -144,7 +151,7 @@
                 f"{self._address}: the stream ended before its last chunk"
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise http_exchange.sorted_failure(error, self._address) from error
+            raise body.sorted_failure(error, self._address) from error
         except msgspec.DecodeError as error:
             raise failures.OutcomeUnknownError(
                 f"{self._address}: a chunk can't be read: {error}"
--- a/tests/cover/test_guarantees_send.py
+++ b/tests/cover/test_guarantees_send.py
@@ -4,13 +4,19 @@
 import contextlib
 import datetime
 import random
+import socket
 import unittest
 
 import aiohttp
+from aiohttp import base_protocol
 from aiohttp import web
 import msgspec
+import multidict
+import uvloop
 
+from nutmeghook.internal.config import documents
 from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.foundation import codes
@@ -21,10 +27,12 @@
 from nutmeghook.internal.routing import ejection
 from nutmeghook.internal.routing import load_book
 from nutmeghook.internal.routing import standstill
+from nutmeghook.internal.standin_http import checked_body
 from nutmeghook.internal.standin_http import http_engine
 from tests import fakes
 
 MS = datetime.timedelta(milliseconds=1)
+NEXT = engine.ModelVersion(model=fakes.SMALL.model, version="2")
 MYSELF = "10.0.0.1:7000"
 # From before a withdrawal until after its bound.
 PAUSE = datetime.timedelta(seconds=5)
@@ -48,7 +56,7 @@
     """One instance with its real choice, watch and adapter of engines."""
 
     async def asyncSetUp(self):
-        self.ran: list[str] = []
+        self.ran: list[engine.ModelVersion] = []
         application = web.Application()
         application.router.add_post(http_engine.GENERATE_PATH, self.generate)
         application.router.add_post(http_engine.CANCEL_PATH, self.cancel)
@@ -58,7 +66,16 @@
         self.held = HeldConnector()
         session = aiohttp.ClientSession(connector=self.held)
         self.addAsyncCleanup(session.close)
-        self.fixture = fakes.Fixture()
+        stage = documents.Stage(
+            model=fakes.SMALL.model,
+            versions=(
+                documents.VersionEntry(version=fakes.SMALL.version),
+                documents.VersionEntry(version=NEXT.version),
+            ),
+        )
+        self.fixture = fakes.Fixture(stages=(stage,))
+        # What never left is no repeat, so it needs no leave of the budget.
+        self.fixture.budget.leave = 0
         self.sink = fakes.RecordingSink()
         self.network = local.LocalNetwork(clock=self.fixture.clock)
         own = self.network.clock_of(MYSELF)
@@ -79,7 +96,7 @@
         self.directory.note_report(
             self.directory.find(self.listener.address),
             engine.LoadReport(
-                loaded=(fakes.SMALL, fakes.LARGE),
+                loaded=(fakes.SMALL, NEXT),
                 running=0,
                 waiting=0,
                 capacity=16,
@@ -116,7 +133,7 @@
         wanted = msgspec.json.decode(
             await request.read(), type=engine.Generation
         )
-        self.ran.append(wanted.attempt_id)
+        self.ran.append(wanted.model_version)
         chunk = engine.Chunk(
             attempt_id=wanted.attempt_id,
             token_index=0,
@@ -177,7 +194,96 @@
         self.held.let_go.set()
         await self.ended(work)
         self.assertEqual(self.sink.text, "It does.")
-        self.assertEqual(self.ran, ["req-1/1"])
+        self.assertEqual(self.ran, [fakes.SMALL])
+
+    async def test_a_version_withdrawn_meanwhile_gets_no_work(self):
+        """The caller gets the other version's answer, from the same server.
+
+        The instance hears of the withdrawal while the request's connection is
+        made, which may take a second. News may come just before the bound, so
+        the work would begin after it.
+        """
+        work = await self.asked()
+        self.fixture.versions.withdrawn.add(fakes.SMALL)
+        self.held.let_go.set()
+        await self.ended(work)
+        self.assertEqual(self.sink.text, "It does.")
+        self.assertEqual(self.ran, [NEXT])
+
+    async def test_a_server_that_left_meanwhile_gets_no_work(self):
+        """The caller hears "not run": there is no other server here."""
+        work = await self.asked()
+        self.list_engine(instances.InstanceState.LEAVING)
+        self.held.let_go.set()
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.ended(work)
+        self.assertIs(raised.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertEqual(self.ran, [])
+
+    async def test_what_is_withheld_each_time_ends(self):
+        """Versions are withdrawn one after the other: "not run" in the end."""
+        work = await self.asked()
+        check = self.fixture.versions.check_dispatch
+        asked = []
+
+        def refuse_each_second_time(*, template, choice):
+            asked.append(choice)
+            check(template=template, choice=choice)
+            if len(asked) % 2:
+                raise errors.CodedError(code=codes.Code.NO_CANDIDATE)
+
+        self.fixture.versions.check_dispatch = refuse_each_second_time
+        self.held.let_go.set()
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.ended(work)
+        self.assertIs(raised.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertEqual(self.ran, [])
+
+
+class CheckedBodyTest(unittest.TestCase):
+    """A body on a connection of the event loop that all processes run on."""
+
+    def sent_in_one_step(self, check_send: engine.SendCheck) -> bytes:
+        """Returns what has left before the event loop has its next turn."""
+        return uvloop.run(self.write(check_send))
+
+    async def write(self, check_send: engine.SendCheck) -> bytes:
+        mine, peer = socket.socketpair()
+        peer.setblocking(False)
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(
+            lambda: base_protocol.BaseProtocol(loop), sock=mine
+        )
+        writer = aiohttp.http.StreamWriter(protocol, loop)
+        await writer.write_headers("POST / HTTP/1.1", multidict.CIMultiDict())
+        body = checked_body.CheckedBody(
+            content=b"content", check_send=check_send
+        )
+        with peer, contextlib.closing(transport):
+            with contextlib.suppress(failures.WithheldError):
+                await body.write_with_length(writer, None)
+            try:
+                return peer.recv(1000)
+            except BlockingIOError:
+                return b""
+
+    def test_nothing_leaves_before_the_check_and_all_in_the_same_step(self):
+        """A process that is stopped after the check has sent it already.
+
+        Otherwise the request goes out when the process goes on, seconds
+        later: after the bound of a withdrawal that it has not heard of.
+        """
+        sent = self.sent_in_one_step(lambda: None)
+        self.assertTrue(sent.startswith(b"POST /"), sent)
+        self.assertTrue(sent.endswith(b"content"), sent)
+
+    def test_what_is_withheld_has_not_left_in_part(self):
+        """Its caller hears "not run", so not even its head may be out."""
+
+        def refuse() -> None:
+            raise failures.WithheldError("it was withdrawn")
+
+        self.assertEqual(self.sent_in_one_step(refuse), b"")
 
 
 if __name__ == "__main__":
