--- /dev/null
+++ b/tests/cover/test_guarantees_send.py
@@ -0,0 +1,290 @@
+"""What is decided before a request is sent still holds as its bytes leave."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+import socket
+import unittest
+
+import aiohttp
+from aiohttp import base_protocol
+from aiohttp import web
+import msgspec
+import multidict
+import uvloop
+
+from nutmeghook.internal.config import documents
+from nutmeghook.internal.dependencies import engine
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import instances
+from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.foundation import codes
+from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.inner import local
+from nutmeghook.internal.routing import chooser as chooser_module
+from nutmeghook.internal.routing import directory as directory_module
+from nutmeghook.internal.routing import ejection
+from nutmeghook.internal.routing import load_book
+from nutmeghook.internal.routing import standstill
+from nutmeghook.internal.standin_http import checked_body
+from nutmeghook.internal.standin_http import http_engine
+from tests import fakes
+
+MS = datetime.timedelta(milliseconds=1)
+NEXT = engine.ModelVersion(model=fakes.SMALL.model, version="2")
+MYSELF = "10.0.0.1:7000"
+# From before a withdrawal until after its bound.
+PAUSE = datetime.timedelta(seconds=5)
+
+
+class HeldConnector(aiohttp.TCPConnector):
+    """Makes connections when the test lets it."""
+
+    def __init__(self):
+        super().__init__(limit=0)
+        self.asked = asyncio.Event()
+        self.let_go = asyncio.Event()
+
+    async def connect(self, *arguments, **parameters):
+        self.asked.set()
+        await self.let_go.wait()
+        return await super().connect(*arguments, **parameters)
+
+
+class PauseBeforeTheWriteTest(unittest.IsolatedAsyncioTestCase):
+    """One instance with its real choice, watch and adapter of engines."""
+
+    async def asyncSetUp(self):
+        self.ran: list[engine.ModelVersion] = []
+        application = web.Application()
+        application.router.add_post(http_engine.GENERATE_PATH, self.generate)
+        application.router.add_post(http_engine.CANCEL_PATH, self.cancel)
+        self.listener = listener_module.Listener(application=application)
+        await self.listener.start(host="127.0.0.1", port=0)
+        self.addAsyncCleanup(self.listener.stop)
+        self.held = HeldConnector()
+        session = aiohttp.ClientSession(connector=self.held)
+        self.addAsyncCleanup(session.close)
+        stage = documents.Stage(
+            model=fakes.SMALL.model,
+            versions=(
+                documents.VersionEntry(version=fakes.SMALL.version),
+                documents.VersionEntry(version=NEXT.version),
+            ),
+        )
+        self.fixture = fakes.Fixture(stages=(stage,))
+        # What never left is no repeat, so it needs no leave of the budget.
+        self.fixture.budget.leave = 0
+        self.sink = fakes.RecordingSink()
+        self.network = local.LocalNetwork(clock=self.fixture.clock)
+        own = self.network.clock_of(MYSELF)
+        self.watch = standstill.StandstillWatch(
+            clock=own, events=self.fixture.events
+        )
+        self.fixture.backends = self.chooser(own)
+        connector = http_engine.HttpEngineConnector(session=session)
+        self.fixture.connect = connector.connect
+
+    def chooser(self, own) -> chooser_module.LeastLoadedChooser:
+        events = self.fixture.events
+        book = load_book.LoadBook(clock=own)
+        self.directory = directory_module.BackendDirectory(
+            clock=own, events=events, book=book
+        )
+        self.list_engine(instances.InstanceState.LIVE)
+        self.directory.note_report(
+            self.directory.find(self.listener.address),
+            engine.LoadReport(
+                loaded=(fakes.SMALL, NEXT),
+                running=0,
+                waiting=0,
+                capacity=16,
+            ),
+            measured_at=own.monotonic(),
+        )
+        return chooser_module.LeastLoadedChooser(
+            directory=self.directory,
+            book=book,
+            ejector=ejection.OutlierEjector(
+                directory=self.directory, clock=own, events=events
+            ),
+            sharer=None,
+            clock=own,
+            rng=random.Random(7),
+            standstill=self.watch,
+        )
+
+    def list_engine(self, state: instances.InstanceState) -> None:
+        self.directory.apply_list(
+            [
+                instances.ListedInstance(
+                    address=self.listener.address,
+                    role=instances.InstanceRole.MODEL_ENGINE,
+                    state=state,
+                    region="r",
+                    data_centre="r-1",
+                    service="engines",
+                )
+            ]
+        )
+
+    async def generate(self, request: web.Request) -> web.Response:
+        wanted = msgspec.json.decode(
+            await request.read(), type=engine.Generation
+        )
+        self.ran.append(wanted.model_version)
+        chunk = engine.Chunk(
+            attempt_id=wanted.attempt_id,
+            token_index=0,
+            tokens=1,
+            text="It does.",
+            finish=engine.FinishReason.STOP,
+        )
+        return web.Response(body=msgspec.json.encode(chunk) + b"\n")
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response({})
+
+    async def asked(self) -> asyncio.Task:
+        """Sends a request up to the connection that it needs."""
+        work = asyncio.ensure_future(
+            self.fixture.dispatcher().generate(
+                fakes.generation_request(self.fixture), self.sink
+            )
+        )
+        await self.held.asked.wait()
+        return work
+
+    async def ended(self, work: asyncio.Task):
+        """Awaits work that waits for the clock and for loopback sockets."""
+        while not work.done():
+            await asyncio.sleep(0.001)
+            await self.fixture.clock.advance(10 * MS)
+        return await work
+
+    async def test_a_request_chosen_before_a_pause_is_not_sent_after_it(self):
+        """The caller hears "not run", and no backend server gets the work.
+
+        Version and backend server were chosen; the connection is still being
+        made when the process is stopped, and made when it goes on 5 s later.
+        By then the version may be withdrawn and the server have left, which
+        this instance can't know yet. Sending by the choice would run work on
+        a withdrawn version after the bound.
+        """
+        ticking = asyncio.create_task(self.watch.run())
+        work = await self.asked()
+        self.network.freeze(MYSELF)
+        await self.fixture.clock.advance(PAUSE)
+        self.network.thaw(MYSELF)
+        self.held.let_go.set()
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.ended(work)
+        self.assertIs(raised.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertIsNotNone(raised.exception.retry_after)
+        self.assertEqual(self.ran, [])
+        ticking.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await ticking
+
+    async def test_without_a_pause_it_is_sent(self):
+        """The same connection, made at once: the caller has its answer."""
+        work = await self.asked()
+        self.held.let_go.set()
+        await self.ended(work)
+        self.assertEqual(self.sink.text, "It does.")
+        self.assertEqual(self.ran, [fakes.SMALL])
+
+    async def test_a_version_withdrawn_meanwhile_gets_no_work(self):
+        """The caller gets the other version's answer, from the same server.
+
+        The instance hears of the withdrawal while the request's connection is
+        made, which may take a second. News may come just before the bound, so
+        the work would begin after it.
+        """
+        work = await self.asked()
+        self.fixture.versions.withdrawn.add(fakes.SMALL)
+        self.held.let_go.set()
+        await self.ended(work)
+        self.assertEqual(self.sink.text, "It does.")
+        self.assertEqual(self.ran, [NEXT])
+
+    async def test_a_server_that_left_meanwhile_gets_no_work(self):
+        """The caller hears "not run": there is no other server here."""
+        work = await self.asked()
+        self.list_engine(instances.InstanceState.LEAVING)
+        self.held.let_go.set()
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.ended(work)
+        self.assertIs(raised.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertEqual(self.ran, [])
+
+    async def test_what_is_withheld_each_time_ends(self):
+        """Versions are withdrawn one after the other: "not run" in the end."""
+        work = await self.asked()
+        check = self.fixture.versions.check_dispatch
+        asked = []
+
+        def refuse_each_second_time(*, template, choice):
+            asked.append(choice)
+            check(template=template, choice=choice)
+            if len(asked) % 2:
+                raise errors.CodedError(code=codes.Code.NO_CANDIDATE)
+
+        self.fixture.versions.check_dispatch = refuse_each_second_time
+        self.held.let_go.set()
+        with self.assertRaises(errors.CodedError) as raised:
+            await self.ended(work)
+        self.assertIs(raised.exception.run_state, codes.RunState.NOT_RUN)
+        self.assertEqual(self.ran, [])
+
+
+class CheckedBodyTest(unittest.TestCase):
+    """A body on a connection of the event loop that all processes run on."""
+
+    def sent_in_one_step(self, check_send: engine.SendCheck) -> bytes:
+        """Returns what has left before the event loop has its next turn."""
+        return uvloop.run(self.write(check_send))
+
+    async def write(self, check_send: engine.SendCheck) -> bytes:
+        mine, peer = socket.socketpair()
+        peer.setblocking(False)
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(
+            lambda: base_protocol.BaseProtocol(loop), sock=mine
+        )
+        writer = aiohttp.http.StreamWriter(protocol, loop)
+        await writer.write_headers("POST / HTTP/1.1", multidict.CIMultiDict())
+        body = checked_body.CheckedBody(
+            content=b"content", check_send=check_send
+        )
+        with peer, contextlib.closing(transport):
+            with contextlib.suppress(failures.WithheldError):
+                await body.write_with_length(writer, None)
+            try:
+                return peer.recv(1000)
+            except BlockingIOError:
+                return b""
+
+    def test_nothing_leaves_before_the_check_and_all_in_the_same_step(self):
+        """A process that is stopped after the check has sent it already.
+
+        Otherwise the request goes out when the process goes on, seconds
+        later: after the bound of a withdrawal that it has not heard of.
+        """
+        sent = self.sent_in_one_step(lambda: None)
+        self.assertTrue(sent.startswith(b"POST /"), sent)
+        self.assertTrue(sent.endswith(b"content"), sent)
+
+    def test_what_is_withheld_has_not_left_in_part(self):
+        """Its caller hears "not run", so not even its head may be out."""
+
+        def refuse() -> None:
+            raise failures.WithheldError("it was withdrawn")
+
+        self.assertEqual(self.sent_in_one_step(refuse), b"")
+
+
+if __name__ == "__main__":
+    unittest.main()
