Resume the engine that was left if the next one never begins

Cause: a begun answer's engine can't be reached for a moment and is left for another one with the last of the retry budget. The first attempt was cancelled at once. If the other engine then refused, was lost, or worded the answer otherwise, the caller's answer was cut, though the first was back and had it.

Ruled out: leave for two, as in the relay. The budget's bucket holds 2 and starts with 1, so leave for two is there only while it is full; a begun answer whose engine is gone would mostly wait for all 7 resumes. It would also buy a new run, whose text must fit word for word.

Change: the attempt that was left is kept, neither cancelled nor counted, until the next one has begun (its text covers what the caller has). Then it is cancelled, as it is at every other end. If the next one never begins, the first is resumed: an engine runs an attempt id once at most, so that is no further run and needs no leave. Its resumes are counted on, up to 7. After an answer that was worded otherwise no third engine is tried, as before. What an attempt adds to the account moved from stages.py to spent.py unchanged.

--- a/src/nutmeghook/internal/dispatch/attempts.py
+++ b/src/nutmeghook/internal/dispatch/attempts.py
@@ -66,6 +66,10 @@
         try_leave: Takes leave for another attempt to follow this one; asked
             before a begun answer is given up.
         next_token: Index of the first token not yet received.
+        resumes: Resumes since the last token that came.
+        started_at: Monotonic time of its first send.
+        is_left: Another attempt is to follow it; until that has begun this
+            one may be run again, which resumes it, or is dropped.
         last: The last chunk, once it came.
     """
 
@@ -74,6 +78,9 @@
     deadline: datetime.timedelta
     try_leave: Callable[[], bool]
     next_token: int = 0
+    resumes: int = 0
+    started_at: datetime.timedelta | None = None
+    is_left: bool = False
     last: engine_module.Chunk | None = None
 
 
@@ -114,11 +121,18 @@
     ) -> engine_module.Chunk:
         """Runs an attempt to its last chunk, which is returned.
 
+        One that was left is resumed. An engine runs an attempt id once at
+        most, and refuses what it has forgotten; so this is never a second run.
+
         Raises:
             AttemptError: It gave no whole answer.
             consumers.TextMismatchError: The consumer won't have its text.
         """
-        started = self._clock.monotonic()
+        if attempt.started_at is None:
+            attempt.started_at = self._clock.monotonic()
+        if attempt.is_left:
+            attempt.is_left = False
+            self._note_resume(attempt)
         self._backends.started(attempt.backend)
         outcome = backends_module.AttemptOutcome.CANCELLED
         try:
@@ -135,14 +149,16 @@
             outcome = _outcome_of(error)
             raise
         finally:
-            self._ended(attempt, outcome, self._clock.monotonic() - started)
+            self._ended(attempt, outcome)
+
+    def drop(self, attempt: Attempt) -> None:
+        """Cancels an attempt that was left: it won't be resumed."""
+        self._background.start(self._cancel(attempt))
 
     def _ended(
-        self,
-        attempt: Attempt,
-        outcome: backends_module.AttemptOutcome,
-        duration: datetime.timedelta,
+        self, attempt: Attempt, outcome: backends_module.AttemptOutcome
     ) -> None:
+        duration = self._clock.monotonic() - attempt.started_at
         self._backends.finished(
             attempt.backend,
             outcome=outcome,
@@ -157,7 +173,7 @@
                 is backends_module.AttemptOutcome.REFUSED_OVERLOAD,
                 work_tokens=max(1, attempt.next_token),
             )
-        if outcome in _MAY_STILL_RUN:
+        if outcome in _MAY_STILL_RUN and not attempt.is_left:
             self._background.start(self._cancel(attempt))
 
     async def _cancel(self, attempt: Attempt) -> None:
@@ -173,7 +189,6 @@
         self, attempt: Attempt, consumer: consumers.Consumer
     ) -> engine_module.Chunk:
         engine = self._connector.connect(attempt.backend.address)
-        resumes = 0
         while True:
             seen = attempt.next_token
             try:
@@ -183,12 +198,16 @@
                 failures.OutcomeUnknownError,
                 _CutError,
             ) as error:
-                resumes = 0 if attempt.next_token > seen else resumes
-                if _try_give_up(attempt, resumes):
+                if attempt.next_token > seen:
+                    attempt.resumes = 0
+                if _try_give_up(attempt):
                     raise _attempt_error(error, attempt) from error
-            resumes += 1
-            await self._clock.sleep(self._resume_delay(resumes))
-            self._meter.stream_resumed()
+            await self._clock.sleep(self._resume_delay(attempt.resumes + 1))
+            self._note_resume(attempt)
+
+    def _note_resume(self, attempt: Attempt) -> None:
+        attempt.resumes += 1
+        self._meter.stream_resumed()
 
     async def _read(
         self,
@@ -233,16 +252,19 @@
         return longest * self._random.uniform(0.5, 1.0)
 
 
-def _try_give_up(attempt: Attempt, resumes: int) -> bool:
-    """Tells whether to leave an engine after so many resumes in vain.
+def _try_give_up(attempt: Attempt) -> bool:
+    """Tells whether to leave an engine after its resumes in vain.
 
     Leave for the attempt that follows is taken on the way, if need be. Before
     the first token there is nothing in hand: asking the same engine again
     could start the work a second time, which is a repeat like any other.
     """
-    if not attempt.next_token or resumes >= MAX_RESUMES_WITHOUT_LEAVE:
+    if not attempt.next_token or attempt.resumes >= MAX_RESUMES_WITHOUT_LEAVE:
         return True
-    return resumes >= MAX_RESUMES_WITHOUT_PROGRESS and attempt.try_leave()
+    attempt.is_left = (
+        attempt.resumes >= MAX_RESUMES_WITHOUT_PROGRESS and attempt.try_leave()
+    )
+    return attempt.is_left
 
 
 def _checked_last(chunk: engine_module.Chunk) -> engine_module.Chunk:
--- a/src/nutmeghook/internal/dispatch/consumers.py
+++ b/src/nutmeghook/internal/dispatch/consumers.py
@@ -24,29 +24,45 @@
         """Returns all of the text so far."""
 
     @abc.abstractmethod
-    def for_repeat(self) -> "Consumer":
-        """Returns the consumer for an attempt that starts from the front."""
+    def has_begun(self) -> bool:
+        """Tells whether an attempt that gave its text here is the answer's."""
+
+    @abc.abstractmethod
+    def for_repeat(self, on_begun: Callable[[], None]) -> "Consumer":
+        """Returns the consumer for an attempt that starts from the front.
+
+        Args:
+            on_begun: Called once, before the first text that such an attempt
+                adds to the answer; from then on the answer is its own.
+        """
 
 
 class Holder(Consumer):
     """Holds a stage's text back: the answer may yet be judged too weak."""
 
-    __slots__ = ("_pieces",)
+    __slots__ = ("_on_begun", "_pieces")
 
-    def __init__(self):
+    def __init__(self, *, on_begun: Callable[[], None] | None = None):
+        self._on_begun = on_begun
         self._pieces: list[str] = []
 
     async def take(self, text: str) -> None:
         """Keeps the piece."""
+        if not self._pieces and self._on_begun is not None:
+            self._on_begun()
         self._pieces.append(text)
 
     def text(self) -> str:
         """Returns all of the text so far."""
         return "".join(self._pieces)
 
-    def for_repeat(self) -> "Consumer":
+    def has_begun(self) -> bool:
+        """Tells whether it holds any text."""
+        return bool(self._pieces)
+
+    def for_repeat(self, on_begun: Callable[[], None]) -> "Consumer":
         """Returns an empty holder: nobody saw the earlier text."""
-        return Holder()
+        return Holder(on_begun=on_begun)
 
 
 class Relay(Consumer):
@@ -80,11 +96,15 @@
         """Returns all of the text so far."""
         return "".join(self._pieces)
 
-    def for_repeat(self) -> "Consumer":
+    def has_begun(self) -> bool:
+        """Tells whether the caller was sent any text."""
+        return bool(self._pieces)
+
+    def for_repeat(self, on_begun: Callable[[], None]) -> "Consumer":
         """Returns a consumer that goes on where the caller's text ends."""
         if not self._pieces:
             return self
-        return PrefixCheck(relay=self)
+        return PrefixCheck(relay=self, on_begun=on_begun)
 
 
 class PrefixCheck(Consumer):
@@ -97,9 +117,10 @@
     on only if it begins with exactly that.
     """
 
-    __slots__ = ("_caught_up", "_expected", "_held", "_relay")
+    __slots__ = ("_caught_up", "_expected", "_held", "_on_begun", "_relay")
 
-    def __init__(self, *, relay: Relay):
+    def __init__(self, *, relay: Relay, on_begun: Callable[[], None]):
+        self._on_begun = on_begun
         self._relay = relay
         self._expected = relay.text()
         self._held = ""
@@ -119,6 +140,7 @@
             raise TextMismatchError
         if len(self._held) >= len(self._expected):
             self._caught_up = True
+            self._on_begun()
             rest = self._held[len(self._expected) :]
             if rest:
                 await self._relay.take(rest)
@@ -133,9 +155,13 @@
             raise TextMismatchError
         return self._relay.text()
 
-    def for_repeat(self) -> Consumer:
+    def has_begun(self) -> bool:
+        """Tells whether the repeat covers what the caller had."""
+        return self._caught_up
+
+    def for_repeat(self, on_begun: Callable[[], None]) -> Consumer:
         """Returns a fresh check against all that the caller has by now."""
-        return self._relay.for_repeat()
+        return self._relay.for_repeat(on_begun)
 
     def _matches(self) -> bool:
         return self._held.startswith(self._expected) or (
--- a/src/nutmeghook/internal/dispatch/hedge.py
+++ b/src/nutmeghook/internal/dispatch/hedge.py
@@ -70,9 +70,13 @@
         """Returns the shared consumer's text."""
         return self._consumer.text()
 
-    def for_repeat(self) -> consumers.Consumer:
+    def has_begun(self) -> bool:
+        """Tells whether the answer so far is this lane's."""
+        return self._race.winner is self and self._consumer.has_begun()
+
+    def for_repeat(self, on_begun: Callable[[], None]) -> consumers.Consumer:
         """Returns the shared consumer's own."""
-        return self._consumer.for_repeat()
+        return self._consumer.for_repeat(on_begun)
 
 
 async def run_hedged(
--- a/src/nutmeghook/internal/dispatch/stage_calls.py
+++ b/src/nutmeghook/internal/dispatch/stage_calls.py
@@ -5,6 +5,7 @@
 
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
+from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import requests
@@ -16,6 +17,14 @@
 _PREFIX_CHARS = 256
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class WayBack:
+    """An attempt that was left, and the consumer that has its text."""
+
+    attempt: attempts_module.Attempt
+    consumer: consumers.Consumer
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StageCall:
     """One stage of one request.
@@ -28,6 +37,8 @@
         failed_attempts: Attempts that gave no answer.
         granted: Where the next attempt goes, if leave for it was taken while
             the one before was at work.
+        way_back: To the attempt whose text the answer has so far, from when
+            it is left until another one has begun.
     """
 
     request: requests.GenerationRequest
@@ -39,6 +50,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     failed_attempts: int = 0
     granted: backends_module.Backend | None = None
+    way_back: WayBack | None = None
 
 
 def need(call: StageCall, exclude: str = "") -> backends_module.BackendNeed:
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -8,13 +8,12 @@
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import attempts as attempts_module
-from nutmeghook.internal.dispatch import billing
 from nutmeghook.internal.dispatch import callers
 from nutmeghook.internal.dispatch import consumers
 from nutmeghook.internal.dispatch import hedge
 from nutmeghook.internal.dispatch import leave as leave_module
 from nutmeghook.internal.dispatch import meter as meter_module
-from nutmeghook.internal.dispatch import progress as progress_module
+from nutmeghook.internal.dispatch import spent
 from nutmeghook.internal.dispatch import stage_calls
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
@@ -84,6 +83,8 @@
             if not call.progress.relayed:
                 self._give_back(call)
             raise
+        finally:
+            self._forget_way_back(call)
 
     async def _until_answered(
         self, call: stage_calls.StageCall
@@ -93,8 +94,7 @@
             if backend is None:
                 backend = await self._next_backend(call)
             try:
-                last = await self._send(call, backend)
-                return stage_calls.answer(call, last)
+                return await self._answer_from(call, backend)
             except attempts_module.AttemptError as error:
                 call.failed_attempts += 1
                 if call.granted is None:
@@ -107,7 +107,45 @@
                     " another one's answer is worded otherwise",
                 ) from error
             call.tried.add(backend.address)
-            call.consumer = call.consumer.for_repeat()
+            call.consumer = call.consumer.for_repeat(
+                functools.partial(self._forget_way_back, call)
+            )
+
+    async def _answer_from(
+        self, call: stage_calls.StageCall, backend: backends_module.Backend
+    ) -> answers.GeneratedAnswer:
+        """Returns the answer of a backend server, or of the one left for it.
+
+        The failure: an engine couldn't be reached for a moment, and was left
+        for another one with the last of the retry budget. That one refused,
+        and the caller's answer was cut, though the first was back and had it.
+        So the attempt that was left is kept until the other one has begun,
+        and is resumed if that never does. A resume is no further run, so it
+        needs no leave. After an answer that is worded otherwise it is the
+        last resort: yet another engine's would hardly fit.
+        """
+        try:
+            last = await self._send(call, backend)
+            return stage_calls.answer(call, last)
+        except (
+            attempts_module.AttemptError,
+            consumers.TextMismatchError,
+        ) as error:
+            way_back = call.way_back
+            if call.granted is not None or way_back is None:
+                raise
+            self._events.record(
+                events_module.EventKind.REQUEST_RETRIED,
+                call.request.request_id,
+                reason=str(error) or "worded otherwise",
+            )
+            if isinstance(error, consumers.TextMismatchError):
+                call.failed_attempts = leave_module.MAX_ATTEMPTS_PER_STAGE
+        call.tried.add(backend.address)
+        call.way_back = None
+        call.consumer = way_back.consumer
+        last = await self._run(call, way_back.attempt, way_back.consumer)
+        return stage_calls.answer(call, last)
 
     async def _next_backend(
         self, call: stage_calls.StageCall
@@ -222,11 +260,19 @@
             deadline=request.deadline,
             try_leave=functools.partial(self._leave.try_grant, call, backend),
         )
+        return await self._run(call, attempt, consumer)
+
+    async def _run(
+        self,
+        call: stage_calls.StageCall,
+        attempt: attempts_module.Attempt,
+        consumer: consumers.Consumer,
+    ) -> engine.Chunk:
         self._events.record(
             events_module.EventKind.REQUEST_DISPATCHED,
-            request.request_id,
-            backend=backend.address,
-            version=str(call.choice.model_version),
+            call.request.request_id,
+            backend=attempt.backend.address,
+            version=str(attempt.generation.model_version),
         )
         ran = True
         try:
@@ -235,40 +281,30 @@
             ran = error.ran
             raise
         finally:
-            self._account(call, attempt, ran=ran)
+            if attempt.is_left and consumer.has_begun():
+                call.way_back = stage_calls.WayBack(
+                    attempt=attempt, consumer=call.consumer
+                )
+            else:
+                self._close(call, attempt, ran=ran)
 
-    def _account(
+    def _forget_way_back(self, call: stage_calls.StageCall) -> None:
+        """Gives up the attempt that was left: another one has begun."""
+        way_back, call.way_back = call.way_back, None
+        if way_back is not None:
+            self._close(call, way_back.attempt, ran=True)
+
+    def _close(
         self,
         call: stage_calls.StageCall,
         attempt: attempts_module.Attempt,
         *,
         ran: bool,
     ) -> None:
-        progress = call.progress
-        if not ran:
-            progress.attempt_not_run()
-            return
-        last = attempt.last
-        prompt_tokens = (
-            last.prompt_tokens if last else call.request.prompt_tokens_estimate
-        )
-        version = attempt.generation.model_version
-        progress.used_tokens += prompt_tokens + attempt.next_token
-        progress.spent_micros += billing.cost_micros(
-            self._config,
-            version,
-            prompt_tokens=prompt_tokens,
-            output_tokens=attempt.next_token,
-        )
-        delivered = progress.delivered
-        if progress.relayed and (
-            delivered is None or delivered.output_tokens < attempt.next_token
-        ):
-            progress.delivered = progress_module.Delivered(
-                model_version=version,
-                prompt_tokens=prompt_tokens,
-                output_tokens=attempt.next_token,
-            )
+        """Counts an attempt that won't be resumed any more."""
+        if attempt.is_left:
+            self._attempts.drop(attempt)
+        spent.count(self._config, call, attempt, ran=ran)
 
     async def _allow_retry(
         self,
--- a/tests/cover/test_dispatch_generation.py
+++ b/tests/cover/test_dispatch_generation.py
@@ -118,7 +118,7 @@
         """
         gone = [fakes.Script(cut_after=2)] + [
             fakes.Script(fails=dispatch_errors.refused())
-        ] * 3
+        ] * 20
         self.first.scripts.extend(gone)
         self.second.scripts.append(
             fakes.Script(words=("The boi", "ler holds", "."))
@@ -134,6 +134,7 @@
         self.assertEqual(self.sink.text, "The boiler ")
         self.assertEqual(caught.exception.code, codes.Code.BACKEND_FAILED)
         self.assertEqual(self.fixture.ledger.bills, [])
+        self.assertEqual(len(self.second.generations), 1)
 
     async def test_a_refusal_tells_what_it_was(self):
         """The caller is served elsewhere; the refusal counts as evidence.
