Find slow replicas in the logs of all instances

Cause: on a large fleet a caller waited while others were answered at once, and nobody could tell which replicas were slow, when, and under which configuration, though each instance logs what it expected and what came.

Change: waits are joined from lines in any order, measured by forecast and the route's usual against the other replicas in the same stretch of time, and spells are kept where chance is ruled out. Instances and versions that are slow everywhere are told apart. Nothing that is logged changes.

--- /dev/null
+++ b/src/nutmeghook/internal/observe/attempt_waits.py
@@ -0,0 +1,225 @@
+"""How long attempts waited for their replicas, joined from log lines.
+
+A line of an attempt's sending says what was expected, another one of the same
+instance what came of it. Neither files nor lines need to be in any order.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+from typing import TypeVar
+
+from nutmeghook.internal.observe import belief_records
+from nutmeghook.internal.observe import log_reading
+from nutmeghook.internal.observe import log_records
+
+# Answers from here on are refusals and failures, which may come at once.
+_FIRST_FAILED_STATUS = 400
+# Nothing was written, so that nothing waited for the replica.
+_NOT_SENT = "NotSentError"
+
+_Key = tuple[log_reading.Source, str]
+_RecordT = TypeVar("_RecordT", bound=log_records.AttemptRecord)
+_AttemptKey = tuple[log_reading.Source, str, int]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Wait:
+    """One attempt that was answered, or waited without an answer.
+
+    Attributes:
+        instance: The one that sent it.
+        service: The replica's, as far as some log says so.
+        model: The model asked for; empty for plain services.
+        route: The request's; empty if its end is not in the log.
+        sent_s: When it was sent, by the instance's wall clock.
+        forecast_ms: What the instance expected; 0 for plain services, of
+            which it expects nothing.
+        waited_ms: Until the answer began; at least that if there was none.
+        is_answered: An answer began.
+        is_left: The replica was given up as silent or dark.
+        running: What the replica said that it runs.
+        waiting: What it said that it has waiting.
+    """
+
+    instance: log_reading.Source
+    request: str
+    attempt: int
+    replica: str
+    version: str
+    service: str
+    model: str
+    route: str
+    configuration: int | None
+    sent_s: float
+    forecast_ms: float
+    waited_ms: float
+    is_answered: bool
+    is_left: bool
+    running: int | None
+    waiting: int | None
+
+    @property
+    def group(self) -> tuple[str, str]:
+        """What it may be compared within: the service and the model."""
+        return self.service, self.model
+
+
+@dataclasses.dataclass(slots=True)
+class _Gathered:
+    """Lines by what they are about."""
+
+    attempts: dict[_AttemptKey, list[tuple[float, log_records.AttemptRecord]]]
+    ends: dict[_Key, list[tuple[float, str]]]
+    services: dict[str, str]
+
+
+def gather(lines: Iterable[log_reading.Line]) -> list[Wait]:
+    """Returns all waits, by when they began."""
+    gathered = _gathered(lines)
+    waits = [
+        wait
+        for (source, request, _), events in gathered.attempts.items()
+        for wait in _waits(
+            source, events, sorted(gathered.ends.get((source, request), []))
+        )
+    ]
+    waits = _with_services(waits, gathered.services)
+    return sorted(waits, key=_order)
+
+
+def _order(wait: Wait) -> tuple[float, log_reading.Source, str, int]:
+    return wait.sent_s, wait.instance, wait.request, wait.attempt
+
+
+def _gathered(lines: Iterable[log_reading.Line]) -> _Gathered:
+    gathered = _Gathered({}, {}, {})
+    for line in lines:
+        record = line.record
+        if isinstance(record, log_records.AttemptRecord):
+            key = line.source, record.request, record.attempt
+            events = gathered.attempts.setdefault(key, [])
+            events.append((line.at_s, record))
+        elif isinstance(record, log_records.RequestEnded):
+            ends = gathered.ends.setdefault((line.source, record.request), [])
+            ends.append((line.at_s, record.route))
+        elif (
+            isinstance(record, belief_records.ReplicaChange)
+            and record.service is not None
+        ):
+            known = gathered.services.get(record.replica, record.service)
+            gathered.services[record.replica] = min(known, record.service)
+    return gathered
+
+
+def _waits(
+    source: log_reading.Source,
+    events: list[tuple[float, log_records.AttemptRecord]],
+    ends: list[tuple[float, str]],
+) -> Iterator[Wait]:
+    """Yields an attempt's wait; several if callers gave one id repeatedly."""
+    sents = sorted(
+        (
+            (at_s, record)
+            for at_s, record in events
+            if isinstance(record, log_records.AttemptSent)
+        ),
+        key=lambda sent: (sent[0], sent[1].replica),
+    )
+    for number, (at_s, sent) in enumerate(sents):
+        next_s = sents[number + 1][0] if number + 1 < len(sents) else None
+        later = sorted(
+            (event for event in events if _is_within(event[0], at_s, next_s)),
+            key=lambda event: (event[0], event[1].event),
+        )
+        end = next((end for end in ends if end[0] >= at_s), None)
+        wait = _wait(source, at_s, sent, later, end)
+        if wait is not None:
+            yield wait
+
+
+def _is_within(at_s: float, from_s: float, until_s: float | None) -> bool:
+    return from_s <= at_s and (until_s is None or at_s < until_s)
+
+
+def _wait(
+    source: log_reading.Source,
+    sent_s: float,
+    sent: log_records.AttemptSent,
+    later: list[tuple[float, log_records.AttemptRecord]],
+    end: tuple[float, str] | None,
+) -> Wait | None:
+    """Returns a wait; None if nothing is known of its length."""
+    answer = _first(later, log_records.AttemptAnswered)
+    left = _first(later, log_records.AttemptLeft)
+    failed = _first(later, log_records.AttemptFailed)
+    running, waiting = None, None
+    if answer is not None:
+        record = answer[1]
+        waited_ms = record.after_ms
+        if (record.status or 0) >= _FIRST_FAILED_STATUS:
+            return None
+        running, waiting = record.replica_running, record.replica_waiting
+    else:
+        if failed is not None and failed[1].outcome == _NOT_SENT:
+            return None
+        over = left or failed or end
+        waited_ms = (over[0] - sent_s) * 1000.0 if over else None
+    if waited_ms is None:
+        return None
+    return Wait(
+        instance=source,
+        request=sent.request,
+        attempt=sent.attempt,
+        replica=sent.replica,
+        version=sent.version or "",
+        service="",
+        model=sent.model or "",
+        route=end[1] if end is not None else "",
+        configuration=sent.configuration,
+        sent_s=sent_s,
+        forecast_ms=(sent.waiting_ms or 0.0) + (sent.reading_ms or 0.0),
+        waited_ms=waited_ms,
+        is_answered=answer is not None,
+        is_left=left is not None,
+        running=running,
+        waiting=waiting,
+    )
+
+
+def _first(
+    events: list[tuple[float, log_records.AttemptRecord]],
+    wanted: type[_RecordT],
+) -> tuple[float, _RecordT] | None:
+    for at_s, record in events:
+        if isinstance(record, wanted):
+            return at_s, record
+    return None
+
+
+def _with_services(waits: list[Wait], services: dict[str, str]) -> list[Wait]:
+    """Fills in services; of replicas no log lists, by what is asked there.
+
+    The failure: collectors keep a log's end, where only the replicas that
+    came late are listed. Told apart from the others by that, they would have
+    nothing to be compared with.
+    """
+    by_work: dict[tuple[str, str], set[str]] = {}
+    for wait in waits:
+        if wait.replica in services:
+            names = by_work.setdefault(_work(wait), set())
+            names.add(services[wait.replica])
+    only = {
+        work: min(names) for work, names in by_work.items() if len(names) == 1
+    }
+    return [
+        dataclasses.replace(
+            wait,
+            service=services.get(wait.replica) or only.get(_work(wait), ""),
+        )
+        for wait in waits
+    ]
+
+
+def _work(wait: Wait) -> tuple[str, str]:
+    return wait.model, "" if wait.model else wait.route
--- /dev/null
+++ b/src/nutmeghook/internal/observe/slow_replicas_text.py
@@ -0,0 +1,155 @@
+"""Tells in words which replicas were slow."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+import statistics
+
+from nutmeghook.internal.observe import log_reading
+from nutmeghook.internal.observe import record_text
+from nutmeghook.internal.observe import relative_waits
+from nutmeghook.internal.observe import slow_replicas
+
+RelativeWait = relative_waits.RelativeWait
+
+# As many ids as fit a line; the longest waits tell most.
+_REQUESTS_NAMED = 5
+
+
+def lines_of(
+    report: slow_replicas.Report, names: Mapping[log_reading.Source, str]
+) -> list[str]:
+    """Returns the report, a spell in a few lines each.
+
+    Args:
+        report: What was found.
+        names: A short name for each instance.
+    """
+    lines: list[str] = []
+    for spell in report.slow:
+        lines += _replica(spell, names)
+    for spell in report.of_versions:
+        lines += _replica(spell, names)
+        lines.append(
+            "  not this replica alone: the others of its version were"
+            f" {spell.others_factor:.1f} times the usual"
+        )
+    for spell in report.instances:
+        lines += _instance(spell, names)
+    if not lines:
+        lines.append("no replica was slow")
+    lines += _notes(report)
+    return [record_text.printable(line) for line in lines]
+
+
+def _replica(
+    spell: slow_replicas.ReplicaSpell,
+    names: Mapping[log_reading.Source, str],
+) -> Iterator[str]:
+    first = spell.waits[0].wait
+    models = sorted({wait.wait.model for wait in spell.waits} - {""})
+    models_text = f" ({_joined(models)})" if models else ""
+    yield (
+        f"replica {spell.replica} of {first.service or '-'}{models_text} was"
+        f" slow, {_when(spell.waits)}, {_how_much(spell.waits)}"
+    )
+    if spell.others_factor is None:
+        yield "  too few answers of other replicas of its version to compare"
+    yield from _details(spell.waits, names)
+    yield (
+        f"  its load by its own word: {_load(spell.waits)}; the others':"
+        f" {_load(spell.others)}"
+    )
+
+
+def _instance(
+    spell: slow_replicas.InstanceSpell,
+    names: Mapping[log_reading.Source, str],
+) -> Iterator[str]:
+    replicas = {wait.wait.replica for wait in spell.waits}
+    yield (
+        f"instance {names.get(spell.instance, spell.instance.path)} saw all"
+        f" replicas slow ({len(replicas)}), {_when(spell.waits)},"
+        f" {_how_much(spell.waits)}"
+    )
+    yield from _details(spell.waits, names)
+
+
+def _when(waits: Sequence[RelativeWait]) -> str:
+    first_s, last_s = waits[0].wait.sent_s, waits[-1].wait.sent_s
+    return (
+        f"{record_text.wall_time(first_s)} to {record_text.wall_time(last_s)}"
+        f" ({last_s - first_s:.1f} s)"
+    )
+
+
+def _how_much(waits: Sequence[RelativeWait]) -> str:
+    factor = statistics.median(wait.factor for wait in waits)
+    waited_ms = statistics.median(wait.wait.waited_ms for wait in waits)
+    expected_ms = statistics.median(wait.expected_ms for wait in waits)
+    return (
+        f"{factor:.1f} times the usual (waited {waited_ms:.0f} ms,"
+        f" {expected_ms:.0f} ms expected)"
+    )
+
+
+def _details(
+    waits: Sequence[RelativeWait], names: Mapping[log_reading.Source, str]
+) -> Iterator[str]:
+    inner = [wait.wait for wait in waits]
+    seen_by = sorted({names.get(w.instance, w.instance.path) for w in inner})
+    left = sum(wait.is_left for wait in inner)
+    unanswered = sum(not wait.is_answered for wait in inner)
+    yield (
+        f"  {len(inner)} requests in that time, {unanswered} without an answer,"
+        f" {left} left it as silent or dark; seen by {len(seen_by)} instances,"
+        f" one of them {seen_by[0]}"
+    )
+    versions = sorted({wait.version for wait in inner})
+    configurations = sorted(
+        {w.configuration for w in inner if w.configuration is not None}
+    )
+    yield (
+        f"  configuration {_joined(configurations)};"
+        f" version {_joined(versions)}"
+    )
+    longest = sorted(waits, key=_by_delay)[:_REQUESTS_NAMED]
+    yield f"  waited there: {' '.join(_requests(longest))}"
+
+
+def _by_delay(wait: RelativeWait) -> tuple[float, float, str]:
+    delay_ms = wait.wait.waited_ms - wait.expected_ms
+    return -delay_ms, wait.wait.sent_s, wait.wait.request
+
+
+def _requests(waits: Iterable[RelativeWait]) -> list[str]:
+    return list(dict.fromkeys(wait.wait.request for wait in waits))
+
+
+def _load(waits: Sequence[RelativeWait]) -> str:
+    """Returns the median of what replicas say they run and have waiting."""
+    running = [w.wait.running for w in waits if w.wait.running is not None]
+    waiting = [w.wait.waiting for w in waits if w.wait.waiting is not None]
+    if not running or not waiting:
+        return "not said"
+    return (
+        f"{statistics.median(running):.0f} running,"
+        f" {statistics.median(waiting):.0f} waiting"
+    )
+
+
+def _joined(values: Iterable[object]) -> str:
+    return ", ".join(str(value) for value in values) or "-"
+
+
+def _notes(report: slow_replicas.Report) -> Iterator[str]:
+    yield f"# {report.compared} of {report.waits} waits could be compared"
+    if report.too_few:
+        counts = " ".join(
+            f"{replica} ({count})" for replica, count in report.too_few.items()
+        )
+        yield (
+            f"# too few answers to tell of {len(report.too_few)} replicas:"
+            f" {counts}"
+        )
--- /dev/null
+++ b/tests/cover/test_slow_replicas.py
@@ -0,0 +1,391 @@
+"""Slow replicas are found in logs, and nothing else is called one."""
+
+import dataclasses
+import random
+import statistics
+import tempfile
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from nutmeghook.internal.observe import log_decoding
+from nutmeghook.internal.observe import log_reading
+from nutmeghook.internal.observe import relative_waits
+from nutmeghook.internal.observe import slow_replicas
+from nutmeghook.internal.observe import slow_replicas_text
+from tests import log_lines
+from tests import slow_replica_logs
+
+Fleet = slow_replica_logs.Fleet
+Sent = slow_replica_logs.Sent
+Limits = relative_waits.Limits
+
+SPELL_S = 6.5
+SEEDS = strategies.integers(0, 2**32)
+# A fleet's logs take about half a second each, and no seed is simpler than
+# another: to look for a smaller one only takes long.
+FEW = hypothesis.settings(
+    max_examples=8,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+)
+
+
+def slow_between(begin_s: float, end_s: float, *, times: float, replica: int):
+    """Returns the slowness of a fleet in which one replica is slow."""
+
+    def slowness(sent: Sent) -> float:
+        is_slow = sent.replica == replica and begin_s <= sent.at_s < end_s
+        return times if is_slow else 1.0
+
+    return slowness
+
+
+class SlowReplicasCase(log_lines.LogCase):
+    """Checks for reports."""
+
+    def assert_found(
+        self,
+        report: slow_replicas.Report,
+        replica: int,
+        begin_s: float,
+        end_s: float,
+    ) -> None:
+        """Checks that this spell was found within a second, and no other."""
+        self.assertEqual(
+            [spell.replica for spell in report.slow], [f"i-{replica}"]
+        )
+        (spell,) = report.slow
+        first_s = spell.waits[0].wait.sent_s - log_lines.START_S
+        last_s = spell.waits[-1].wait.sent_s - log_lines.START_S
+        self.assertLess(abs(first_s - begin_s), 1.0)
+        self.assertLess(abs(last_s - end_s), 1.0)
+        self.assertEqual((report.of_versions, report.instances), ([], []))
+
+    def assert_calm(self, report: slow_replicas.Report) -> None:
+        """Checks that nothing is called slow, though all is compared."""
+        self.assertEqual(
+            (report.slow, report.of_versions, report.instances), ([], [], [])
+        )
+        self.assertGreater(report.compared, 0.99 * report.waits)
+
+
+class FoundTest(SlowReplicasCase):
+    @FEW
+    @hypothesis.given(
+        SEEDS, strategies.integers(0, 30), strategies.floats(3.0, 7.0)
+    )
+    def test_a_slow_replica_is_found_within_a_second(
+        self, seed, replica, begin_s
+    ):
+        """One replica of 31 takes five times as long for 6.5 seconds. It is
+        named with the spell's ends, and no other one is. Sixteen requests a
+        second each: with eight, one time in a hundred none or only quick ones
+        are sent there for a second (docs/OPERATIONS.md has the figures).
+        """
+        end_s = begin_s + SPELL_S
+        fleet = Fleet(
+            seed=seed,
+            answers_per_replica_s=16.0,
+            duration_s=16.0,
+            slowness=slow_between(begin_s, end_s, times=5.0, replica=replica),
+        )
+        report = slow_replicas.report(fleet.lines())
+        self.assert_found(report, replica, begin_s, end_s)
+        spell = report.slow[0].waits
+        factor = statistics.median(wait.factor for wait in spell)
+        self.assertTrue(3.5 < factor < 7.0, factor)
+
+    def test_limits_are_flat_at_half_and_double(self):
+        """Whoever doubts a constant halves or doubles it: the same spell is
+        found, and calm logs stay calm. A replica that takes eight times as
+        long, as the doubled factor is five.
+        """
+        usual = Limits()
+        slow = Fleet(
+            seed=1, slowness=slow_between(8.0, 14.5, times=8.0, replica=4)
+        ).lines()
+        calm = Fleet(seed=2).lines()
+        for field in dataclasses.fields(Limits):
+            value = getattr(usual, field.name)
+            for times in (0.5, 1.0, 2.0):
+                changed = type(value)(value * times)
+                limits = dataclasses.replace(usual, **{field.name: changed})
+                with self.subTest(field=field.name, value=changed):
+                    self.assert_calm(slow_replicas.report(calm, limits))
+                    report = slow_replicas.report(slow, limits)
+                    self.assert_found(report, 4, 8.0, 14.5)
+
+    def test_a_slow_plain_replica_is_found(self):
+        """Of plain services nothing is forecast; the route's usual is what
+        one of four replicas is measured by.
+        """
+        fleet = Fleet(
+            seed=3,
+            replicas=4,
+            plain=True,
+            slowness=slow_between(8.0, 14.5, times=5.0, replica=2),
+        )
+        self.assert_found(slow_replicas.report(fleet.lines()), 2, 8.0, 14.5)
+
+    def test_whoever_asks_a_slow_replica_most_is_not_slow(self):
+        """An instance is nearest to a slow replica, and asks little else. By
+        most of its answers it would be called slow itself.
+        """
+        fleet = Fleet(
+            seed=13,
+            asked_by=lambda replica, instance: 4 if replica == 2 else instance,
+            slowness=slow_between(8.0, 14.5, times=5.0, replica=2),
+        )
+        self.assert_found(slow_replicas.report(fleet.lines()), 2, 8.0, 14.5)
+
+    def test_a_replica_slow_during_an_overload_of_all_is_found(self):
+        slow = slow_between(8.0, 14.5, times=5.0, replica=2)
+        fleet = Fleet(
+            seed=4,
+            slowness=lambda sent: (
+                slow(sent) * (4.0 if 5.0 < sent.at_s < 18.0 else 1.0)
+            ),
+        )
+        self.assert_found(slow_replicas.report(fleet.lines()), 2, 8.0, 14.5)
+
+    def test_replicas_left_as_silent_count_with_what_was_waited(self):
+        """A replica answers nothing more; each request leaves it after three
+        seconds. Counted by answers alone it would not be in the logs at all.
+        """
+        fleet = Fleet(
+            seed=5, slowness=slow_between(8.0, 14.5, times=20.0, replica=2)
+        )
+        lines = []
+        for line in fleet.lines():
+            at_s = line.at_s - log_lines.START_S
+            record = line.record
+            is_answer = record.event == "attempt:answered"
+            if is_answer and record.replica == "i-2" and record.after_ms > 900:
+                text = log_lines.line(
+                    "attempt:left",
+                    at_s * 1000.0,
+                    request=record.request,
+                    attempt=1,
+                    replica="i-2",
+                    dark=False,
+                    begun=False,
+                )
+                record = log_decoding.decode(text.encode())
+                line = dataclasses.replace(line, record=record)
+            lines.append(line)
+        report = slow_replicas.report(lines)
+        self.assert_found(report, 2, 8.0, 14.5)
+        inner = [wait.wait for wait in report.slow[0].waits]
+        self.assertGreater(sum(wait.is_left for wait in inner), 20)
+        self.assertGreater(sum(not wait.is_answered for wait in inner), 20)
+
+    @FEW
+    @hypothesis.given(strategies.randoms(use_true_random=False))
+    def test_the_order_of_files_and_lines_does_not_matter(self, source):
+        fleet = Fleet(
+            seed=6,
+            replicas=6,
+            instances=5,
+            duration_s=10.0,
+            slowness=slow_between(3.0, 8.0, times=6.0, replica=2),
+        )
+        in_order = slow_replicas.report(fleet.lines())
+        with tempfile.TemporaryDirectory() as folder:
+            paths = []
+            for name, texts in fleet.texts().items():
+                source.shuffle(texts)
+                paths.append(f"{folder}/{name}.log")
+                with open(paths[-1], "w") as file:
+                    file.write("\n".join(texts))
+            source.shuffle(paths)
+            files = log_reading.LogFiles(paths=paths)
+            report = slow_replicas.report(files.lines())
+            text = slow_replicas_text.lines_of(report, files.names())
+        self.assert_found(report, 2, 3.0, 8.0)
+        plain_names = {
+            log_reading.Source(path=f"edge-{n}.log", name=""): f"edge-{n}"
+            for n in range(5)
+        }
+        self.assertEqual(
+            text, slow_replicas_text.lines_of(in_order, plain_names)
+        )
+
+
+class NotFoundTest(SlowReplicasCase):
+    @FEW
+    @hypothesis.given(SEEDS, strategies.sampled_from([0.3, 0.5, 1.0]))
+    def test_calm_logs_name_nothing(self, seed, spread):
+        fleet = Fleet(seed=seed, spread=spread)
+        self.assert_calm(slow_replicas.report(fleet.lines()))
+
+    @FEW
+    @hypothesis.given(SEEDS)
+    def test_an_overload_of_all_is_no_slow_replica(self, seed):
+        """All replicas take six times as long for some seconds. To name them
+        all, or some, would send the operators after the wrong thing.
+        """
+        fleet = Fleet(
+            seed=seed,
+            slowness=lambda sent: 6.0 if 8.3 < sent.at_s < 15.1 else 1.0,
+        )
+        self.assert_calm(slow_replicas.report(fleet.lines()))
+
+    @FEW
+    @hypothesis.given(SEEDS)
+    def test_long_prompts_make_no_replica_slow(self, seed):
+        """One replica gets prompts ten times as long, and one of a new
+        version reads everything anew. Their forecasts say so.
+        """
+        fleet = Fleet(
+            seed=seed,
+            version=lambda replica: "v2" if replica == 7 else "v1",
+            prompt_factor=lambda sent: 10.0 if sent.replica in (3, 7) else 1.0,
+        )
+        self.assert_calm(slow_replicas.report(fleet.lines()))
+
+    @FEW
+    @hypothesis.given(SEEDS)
+    def test_a_far_replica_of_a_quick_service_is_not_slow(self, seed):
+        """Lookups take 2 ms, and 12 ms where the replica is in another data
+        centre. It is six times the usual, and nobody has waited.
+        """
+        fleet = Fleet(
+            seed=seed,
+            replicas=4,
+            plain=True,
+            base_ms=2.0,
+            answers_per_replica_s=20.0,
+            slowness=lambda sent: 6.0 if sent.replica == 3 else 1.0,
+        )
+        self.assert_calm(slow_replicas.report(fleet.lines()))
+
+    @FEW
+    @hypothesis.given(SEEDS)
+    def test_an_instance_slow_itself_is_told_as_such(self, seed):
+        """One of ten instances is starved and sees every answer late. It is
+        nearest to three replicas, which few others ask. They are as quick as
+        ever; by most of their answers they would be called slow.
+        """
+
+        def asked_by(replica: int, instance: int) -> int:
+            return 4 if replica < 3 and instance < 8 else instance
+
+        fleet = Fleet(
+            seed=seed,
+            instances=10,
+            asked_by=asked_by,
+            slowness=lambda sent: 6.0 if sent.instance == 4 else 1.0,
+        )
+        report = slow_replicas.report(fleet.lines())
+        self.assertEqual((report.slow, report.of_versions), ([], []))
+        self.assertEqual(
+            {spell.instance.path for spell in report.instances},
+            {"edge-4.log"},
+        )
+
+    def test_a_slow_version_is_told_apart_from_a_slow_replica(self):
+        """A new version takes five times as long on each of its replicas.
+        No one of them is at fault.
+        """
+        fleet = Fleet(
+            seed=8,
+            version=lambda replica: "v2" if replica < 4 else "v1",
+            slowness=lambda sent: 5.0 if sent.version == "v2" else 1.0,
+        )
+        report = slow_replicas.report(fleet.lines())
+        self.assertEqual(report.slow, [])
+        self.assertEqual(
+            {spell.replica for spell in report.of_versions},
+            {f"i-{replica}" for replica in range(4)},
+        )
+        text = "\n".join(slow_replicas_text.lines_of(report, {}))
+        self.assertIn("not this replica alone", text)
+
+    def test_few_answers_prove_nothing(self):
+        """Two requests waited a hundred times too long on a replica that was
+        asked little else. It may have been slow; two answers don't say so.
+        """
+        fleet = Fleet(seed=9, replicas=8, duration_s=5.0)
+        lines = fleet.lines()
+        few = Fleet(
+            seed=10,
+            replicas=1,
+            instances=1,
+            answers_per_replica_s=0.4,
+            duration_s=5.0,
+            slowness=lambda _sent: 100.0,
+        )
+        for line in few.lines():
+            record = line.record
+            if "replica" in record.__struct_fields__:
+                record = msgspec.structs.replace(record, replica="i-few")
+            source = log_reading.Source(path="edge-few.log", name="")
+            lines.append(
+                dataclasses.replace(line, source=source, record=record)
+            )
+        report = slow_replicas.report(lines)
+        self.assertEqual(report.slow, [])
+        self.assertEqual(report.too_few, {"i-few": 2})
+        self.assertIn(
+            "# too few answers to tell of 1 replicas: i-few (2)",
+            slow_replicas_text.lines_of(report, {}),
+        )
+
+
+class TextTest(SlowReplicasCase):
+    def test_a_spell_tells_all_that_leads_further(self):
+        fleet = Fleet(
+            seed=11,
+            replicas=6,
+            instances=4,
+            duration_s=12.0,
+            slowness=slow_between(3.0, 9.0, times=6.0, replica=2),
+        )
+        for name, texts in fleet.texts().items():
+            self.write(f"{name}.log", texts)
+        files = log_reading.LogFiles(paths=[str(self.folder)])
+        report = slow_replicas.report(files.lines())
+        text = slow_replicas_text.lines_of(report, files.names())
+        self.assertRegex(
+            text[0],
+            r"replica i-2 of s \(large, small\) was slow, 2023-11-14 22:13:2\d"
+            r"\.\d{3}\+00:00 to 2023-11-14 22:13:2\d\.\d{3}\+00:00 \(\d\.\d s\)"
+            r", \d\.\d times the usual \(waited \d+ ms, \d+ ms expected\)",
+        )
+        self.assertRegex(
+            text[1],
+            r"  \d+ requests in that time, 0 without an answer, 0 left it as"
+            r" silent or dark; seen by 4 instances, one of them edge-0",
+        )
+        self.assertEqual(text[2], "  configuration 36; version v1")
+        self.assertRegex(text[3], r"  waited there: r-\d+( r-\d+){4}$")
+        self.assertEqual(
+            text[4],
+            "  its load by its own word: 3 running, 0 waiting; the others':"
+            " 3 running, 0 waiting",
+        )
+
+    def test_replicas_that_no_log_lists_are_compared_with_listed_ones(self):
+        """Collectors kept the logs' ends, with the listing of two replicas.
+        All are of one service still, by the models that are asked there.
+        """
+        fleet = Fleet(
+            seed=12, slowness=slow_between(8.0, 14.5, times=5.0, replica=2)
+        )
+        source = random.Random(0)
+        lines = [
+            line
+            for line in fleet.lines()
+            if line.record.event != "replica:listed"
+            or line.record.replica in ("i-2", "i-3")
+        ]
+        source.shuffle(lines)
+        report = slow_replicas.report(lines)
+        self.assert_found(report, 2, 8.0, 14.5)
+        self.assertEqual(report.slow[0].waits[0].wait.service, "s")
+
+
+if __name__ == "__main__":
+    unittest.main()
