Add `nutmeghook slow_replicas`

Cause: the operators' pages lead from a failed request to its cause, not from a slow one to its replica.

--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -30,8 +30,8 @@
 
     Start an instance with `serve`, administer it with `admin`, and read what
     happened over all instances with `timeline`, or from their log files with
-    `endings` and `story`. Every command explains itself: `nutmeghook COMMAND
-    --help`.
+    `endings`, `story` and `slow_replicas`. Every command explains itself:
+    `nutmeghook COMMAND --help`.
     """
 
     # fire shows a class as a group of commands, with its own help.
@@ -133,6 +133,19 @@
         """
         log_reports.tell_endings(logs=log_files)
 
+    @decorators.SetParseFn(str)
+    def slow_replicas(self, *log_files: str) -> None:
+        """Prints which replicas were slow, from when to when, and how much.
+
+        Each is compared with the others of its service and model at the same
+        time. Names the requests that waited there, whose way `story` tells,
+        and instances that saw all replicas slow.
+
+        Args:
+            log_files: Log files or folders of them, one instance a file.
+        """
+        log_reports.tell_slow_replicas(logs=log_files)
+
     def load(
         self,
         template: str,
--- a/src/nutmeghook/internal/commands/log_reports.py
+++ b/src/nutmeghook/internal/commands/log_reports.py
@@ -1,10 +1,12 @@
-"""`nutmeghook story` and `nutmeghook endings`: what log files tell."""
+"""What log files tell: `nutmeghook story`, `endings` and `slow_replicas`."""
 
 from collections.abc import Sequence
 import sys
 
 from nutmeghook.internal.observe import endings_table
 from nutmeghook.internal.observe import log_reading
+from nutmeghook.internal.observe import slow_replicas
+from nutmeghook.internal.observe import slow_replicas_text
 from nutmeghook.internal.observe import story as story_module
 from nutmeghook.internal.observe import story_text
 
@@ -34,6 +36,17 @@
     print("\n".join(endings_table.text_lines(endings)))
 
 
+def tell_slow_replicas(*, logs: Sequence[str]) -> None:
+    """Prints which replicas were slow; status 1 if no line tells of waits."""
+    files = _files(logs)
+    report = slow_replicas.report(files.lines())
+    _print_faults(files)
+    if not report.waits:
+        print("no line tells of an attempt's length", file=sys.stderr)
+        sys.exit(EXIT_NOTHING_FOUND)
+    print("\n".join(slow_replicas_text.lines_of(report, files.names())))
+
+
 def _files(logs: Sequence[str]) -> log_reading.LogFiles:
     if not logs:
         print("name log files, or folders of them", file=sys.stderr)
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -20,6 +20,7 @@
     "load",
     "platform_demo",
     "serve",
+    "slow_replicas",
     "story",
     "timeline",
     "version",
@@ -93,7 +94,7 @@
 
 
 class LogCommandsTest(log_lines.LogCase):
-    """What `story` and `endings` print, and their exit statuses."""
+    """What commands about log files print, and their exit statuses."""
 
     def test_a_request_id_that_looks_like_a_number_stays_as_it_is(self):
         """A request's id is 1e5. Read as a number it would be looked for as
@@ -115,6 +116,32 @@
         self.assertIn(f"{path}: 1 lines unreadable", text)
         self.assertIn(f"{path}.missing: No such file", text)
 
+    def test_slow_replicas_are_told_beside_unreadable_lines(self):
+        """A log was cut in the middle of a line. What it still tells is
+        little, and little proves nothing.
+        """
+        path = self.write(
+            "edge-1.log",
+            [
+                log_lines.sent(1.0, waiting_ms=3, reading_ms=20, kept=0.0),
+                log_lines.line(
+                    "attempt:answered",
+                    900.0,
+                    request=log_lines.REQUEST,
+                    attempt=1,
+                    replica="i-1",
+                    after_ms=899,
+                ),
+                log_lines.ended(901.0),
+                '{"request":"',
+            ],
+        )
+        text, status = printed("slow_replicas", path)
+        self.assertFalse(status)
+        self.assertIn("no replica was slow", text)
+        self.assertIn("too few answers to tell of 1 replicas: i-1 (0)", text)
+        self.assertIn(f"{path}: 1 lines unreadable", text)
+
     def test_nothing_found_ends_with_a_status_of_its_own(self):
         path = self.write("edge-1.log", [log_lines.ended(9.0)])
         empty = self.write("empty.log", [])
@@ -123,6 +150,9 @@
             (("endings", empty), log_reports.EXIT_NOTHING_FOUND),
             (("story", "unheard"), log_reports.EXIT_NO_LOGS),
             (("endings",), log_reports.EXIT_NO_LOGS),
+            (("slow_replicas", empty), log_reports.EXIT_NOTHING_FOUND),
+            (("slow_replicas", path), log_reports.EXIT_NOTHING_FOUND),
+            (("slow_replicas",), log_reports.EXIT_NO_LOGS),
         ):
             with self.subTest(arguments=arguments):
                 _, status = printed(*arguments)
