--- a/tests/cover/test_relay_taken_away.py
+++ b/tests/cover/test_relay_taken_away.py
@@ -11,106 +11,22 @@
 """
 
 import asyncio
-import datetime
 import unittest
 
-from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.routes import model
-from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
+from tests import driven_relay
 from tests import relay_fixture
 
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
 STREAM = model.RouteKind.STREAM
 Reply = users_replica.Reply
-EVENTS = (0, 1, 2, 3)
-WHOLE = [users_replica.event(number) for number in EVENTS]
-MODELS = ("small", "middle", "large")
-ANY_MODEL = (relay_fixture.AUTHORIZATION, ("X-Model", "*"))
-# Far beyond all silences, so that none of these requests ends by its limit.
-LONG = 100_000 * relay_fixture.SECOND
-STEP = datetime.timedelta(milliseconds=20)
+EVENTS = driven_relay.EVENTS
+WHOLE = driven_relay.WHOLE
+LONG = driven_relay.LONG
 
 
-class TakenAwayCase(relay_fixture.RelayCase):
-    """Gives each test a relay whose clock the test drives."""
-
-    def build_clock(self) -> clock_module.Clock:
-        return clock_module.FakeClock()
-
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.version = 1
-        self.put_in_force()
-
-    def put_in_force(self, *routes: model.Route, **changes) -> None:
-        """Puts a configuration in force, with patient routes by default."""
-        self.version += 1
-        routes = routes or tuple(
-            relay_fixture.route(kind, time_limit=LONG)
-            for kind in model.RouteKind
-        )
-        self.configuration.offer(
-            relay_fixture.configuration(
-                *routes, version=self.version, **changes
-            ),
-            source="test",
-        )
-
-    def take_key_away(self) -> None:
-        """Takes the callers' key away; another team keeps its own."""
-        others = {"another-key": model.Team(name="another-team")}
-        self.put_in_force(teams_by_key=others)
-
-    async def answer_of(self, asking: asyncio.Task[bytes]) -> bytes:
-        """Lets time pass until a request has its final answer."""
-        while not asking.done():
-            await self.clock.advance(STEP)
-            # Sockets are real: what is on the way must get its turn.
-            await asyncio.sleep(0.001)
-        return await asking
-
-    def seen_after(self, event_id: str) -> list[users_replica.SeenRequest]:
-        """Returns the requests that went on after an event."""
-        name = headers.LAST_EVENT.lower()
-        return [s for s in self.seen() if s.headers.get(name) == event_id]
-
-
-class BegunStreamCase(TakenAwayCase):
-    async def begun(self) -> asyncio.Task[bytes]:
-        """Asks for a stream whose replica stalls after two events.
-
-        Returns:
-            The rest of the answer, once the caller has the two.
-        """
-        self.reply_with(
-            Reply(events=EVENTS, stall_after=2), Reply(events=EVENTS)
-        )
-        host, _, port = self.listener.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        self.addCleanup(writer.close)
-        writer.write(
-            f"POST /stream/x HTTP/1.1\r\nHost: {relay_fixture.HOST}\r\n"
-            f"{headers.REQUEST_ID}: request-1\r\n"
-            f"Authorization: Token {relay_fixture.KEY}\r\n"
-            "Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
-        )
-        begun = await reader.readuntil(b"data: part 1\n\n\r\n")
-
-        async def rest() -> bytes:
-            return begun + await reader.read()
-
-        return asyncio.create_task(rest())
-
-    async def assert_goes_on(self, asking: asyncio.Task[bytes]) -> None:
-        """Checks that the answer comes whole, by a second replica."""
-        answer = await self.answer_of(asking)
-        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
-        self.assertTrue(relay_fixture.is_complete(answer))
-        self.assertEqual(len(self.seen_after("1")), 1)
-
-
-class BegunStreamsTest(BegunStreamCase):
+class BegunStreamsTest(driven_relay.BegunStreamCase):
     async def test_a_begun_stream_is_not_cut_when_its_key_is_taken_away(self):
         """The caller has two events when its key is taken away.
         Its replica then stays silent for longer than the relay waits, and
@@ -156,7 +72,7 @@
         await self.assert_goes_on(asking)
 
 
-class MovedRoutesTest(BegunStreamCase):
+class MovedRoutesTest(driven_relay.BegunStreamCase):
     replica_count = 3
 
     async def asyncSetUp(self):
@@ -181,7 +97,7 @@
         self.assertEqual(self.other.seen, [])
 
 
-class AnswersInHandTest(TakenAwayCase):
+class AnswersInHandTest(driven_relay.DrivenRelayCase):
     def on_arrival(self, act, *replies: users_replica.Reply) -> None:
         """Replies in turn, and acts as the first request arrives."""
         left = list(replies)
@@ -203,14 +119,18 @@
         really asked; the caller is not left with neither.
         """
         self.put_in_force(
-            relay_fixture.route(STREAM, time_limit=LONG, models=MODELS)
+            relay_fixture.route(
+                STREAM, time_limit=LONG, models=driven_relay.MODELS
+            )
         )
         self.on_arrival(
             self.take_key_away,
             Reply(events=EVENTS, confidence=10),
             Reply(events=EVENTS, confidence=10),
         )
-        answer = await self.answer_of(self.ask_later(STREAM, extra=ANY_MODEL))
+        answer = await self.answer_of(
+            self.ask_later(STREAM, extra=driven_relay.ANY_MODEL)
+        )
         self.assertEqual(relay_fixture.status_of(answer), 200)
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
         self.assertTrue(relay_fixture.is_complete(answer))
--- a/tests/cover/test_relay_second_review.py
+++ b/tests/cover/test_relay_way_back.py
@@ -1,136 +1,29 @@
 """Leave for the way back: that it is kept, paid for, and used where it may."""
 
 import asyncio
-import datetime
-import errno
-import socket
 import unittest
 from unittest import mock
 
-import hypothesis
-from hypothesis import strategies
-
-from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.routes import model
-from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
+from tests import driven_relay
 from tests import fakes
 from tests import relay_fixture
-from tests.cover import test_relay_taken_away as taken_away
-from tests.cover import test_relay_work_in_hand as work_in_hand
 
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
 STREAM = model.RouteKind.STREAM
 Reply = users_replica.Reply
-EVENTS = taken_away.EVENTS
-WHOLE = taken_away.WHOLE
-LONG = taken_away.LONG
+EVENTS = driven_relay.EVENTS
+WHOLE = driven_relay.WHOLE
+LONG = driven_relay.LONG
 SECOND = relay_fixture.SECOND
 REFUSAL = Reply(status=503, not_run=True)
-BURST = 4
-WINDOW = 10 * SECOND
-
-
-def take_way_back(budget: window_budget.WindowRetryBudget) -> bool:
-    """Takes leave for an attempt that may be made later."""
-    return budget.try_hold()
-
-
-def go_back(budget: window_budget.WindowRetryBudget) -> None:
-    """Makes the attempt that leave was taken for."""
-    budget.spend_held()
-
-
-def give_back(budget: window_budget.WindowRetryBudget) -> None:
-    """Gives leave back that was not used."""
-    budget.give_back()
 
 
-class BudgetTest(unittest.IsolatedAsyncioTestCase):
-    def budget(self, clock) -> window_budget.WindowRetryBudget:
-        """Returns a budget that does not depend on requests."""
-        return window_budget.WindowRetryBudget(
-            ratio=0.0, window=WINDOW, burst=BURST, clock=clock
-        )
-
-    async def test_what_is_given_back_is_not_another_request_s(self):
-        """A request takes leave for the way back, and gives it back when its
-        window is over. An attempt made meanwhile by another request was
-        forgotten for it, and one too many could be sent.
-        """
-        clock = clock_module.FakeClock()
-        budget = self.budget(clock)
-        self.assertTrue(take_way_back(budget))
-        await clock.advance(WINDOW)
-        sent = 0
-        while budget.try_spend():
-            sent += 1
-        give_back(budget)
-        self.assertEqual(budget.left(), BURST - sent)
-
-    async def test_nor_is_it_forgotten_sooner(self):
-        """The same within the window: the other attempt counts for as long as
-        any. The older moment of the leave given back stood for it.
-        """
-        clock = clock_module.FakeClock()
-        budget = self.budget(clock)
-        self.assertTrue(take_way_back(budget))
-        await clock.advance(WINDOW / 2)
-        self.assertTrue(budget.try_spend())
-        give_back(budget)
-        await clock.advance(WINDOW * 0.6)
-        self.assertEqual(budget.left(), BURST - 1)
-
-    @hypothesis.settings(max_examples=300)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.sampled_from(
-                ["spend", "take", "take", "use", "give back", "wait", "wait"]
-            ),
-            min_size=12,
-            max_size=60,
-        )
-    )
-    def test_no_window_gets_more_attempts_than_are_allowed(self, steps):
-        """Requests take leave for the way back, wait, and use it or give it
-        back, others are tried again meanwhile. Leave that was used long after
-        it was taken was counted in a window that is over.
-        """
-        sent_s = asyncio.run(self.sent_s(steps))
-        for last_s in sent_s:
-            within = [s for s in sent_s if last_s - WINDOW.total_seconds() < s]
-            within = [s for s in within if s <= last_s]
-            self.assertLessEqual(len(within), BURST, sent_s)
-
-    async def sent_s(self, steps: list[str]) -> list[float]:
-        """Plays steps and returns when further attempts were made."""
-        clock = clock_module.FakeClock()
-        budget = self.budget(clock)
-        taken = 0
-        sent_s = []
-        for step in steps:
-            now_s = clock.monotonic().total_seconds()
-            if step == "wait":
-                await clock.advance(3 * SECOND)
-            elif step == "spend" and budget.try_spend():
-                sent_s.append(now_s)
-            elif step == "take" and take_way_back(budget):
-                taken += 1
-            elif step == "use" and taken:
-                taken -= 1
-                go_back(budget)
-                sent_s.append(now_s)
-            elif step == "give back" and taken:
-                taken -= 1
-                give_back(budget)
-        return sent_s
-
-
-class WayBackCase(work_in_hand.ReviewCase):
+class WayBackCase(driven_relay.BudgetedRelayCase):
     def answer_in_turn(self, *acts) -> None:
         """Lets all replicas together answer by these functions, in turn.
 
@@ -159,7 +52,7 @@
         )
 
 
-class BegunStreamsTest(taken_away.BegunStreamCase, WayBackCase):
+class BegunStreamsTest(driven_relay.BegunStreamCase, WayBackCase):
     replica_count = 8
 
     async def test_the_way_back_outlasts_a_dark_replica(self):
@@ -288,7 +181,7 @@
         self.assertEqual(len(first.seen), 2)
 
 
-class LeaveGivenBackTest(taken_away.BegunStreamCase, WayBackCase):
+class LeaveGivenBackTest(driven_relay.BegunStreamCase, WayBackCase):
     """Leave that is held counts without end, so each end gives it back."""
 
     replica_count = 8
@@ -311,7 +204,7 @@
         before = self.budgets.budget_for("service").left()
         self.answer_in_turn(lambda _: Reply(silent=True))
         while len(self.seen()) < 2:
-            await self.clock.advance(taken_away.STEP)
+            await self.clock.advance(driven_relay.STEP)
             await asyncio.sleep(0.001)
         self.assertEqual(self.budgets.budget_for("service").left(), before - 2)
         return before - 1
@@ -340,6 +233,51 @@
         self.assertEqual(self.budgets.budget_for("service").left(), paid_for)
 
 
+class WayBackTest(WayBackCase):
+    """Other work that is given up, and an attempt that is then refused."""
+
+    async def test_a_slow_whole_answer_is_asked_for_again(self):
+        """A replica takes too long, and the next one refuses with the budget
+        spent. The caller gets the first one's answer after all, not 502.
+        """
+        self.spend_all(but=2)
+        self.reply_with(
+            Reply(silent=True),
+            Reply(status=503, not_run=True),
+            Reply(body=b"at last"),
+        )
+        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
+        self.assertEqual(relay_fixture.body_of(answer), b"at last")
+        first, _, back = self.in_order_of_arrival()
+        self.assertEqual(first, back)
+
+    async def test_a_weak_answer_is_asked_for_again(self):
+        """The small model's answer is dropped for the large model's, whose
+        replica refuses with the budget spent. The caller gets the weak answer
+        after all: the small model is asked once more, not the large one.
+        """
+        self.put_in_force(
+            relay_fixture.route(
+                STREAM, time_limit=LONG, models=driven_relay.MODELS
+            )
+        )
+        self.spend_all(but=2)
+        self.reply_with(
+            Reply(events=(7, 8), confidence=10),
+            Reply(status=503, not_run=True),
+            Reply(events=EVENTS, confidence=10),
+        )
+        answer = await self.answer_of(
+            asyncio.create_task(self.ask(STREAM, extra=driven_relay.ANY_MODEL))
+        )
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        name = headers.MODEL.lower()
+        asked = sorted((s.arrived_s, s.headers[name]) for s in self.seen())
+        self.assertEqual(
+            [model_name for _, model_name in asked], ["small", "large", "small"]
+        )
+
+
 class OtherWorkTest(WayBackCase):
     async def test_a_failure_does_not_replace_a_slow_answer(self):
         """A replica takes too long, and the next one fails the request with
@@ -362,7 +300,7 @@
         goes dark. The next one refuses with the budget spent. The small model
         is asked once more; the caller got nothing.
         """
-        self.limit(models=taken_away.MODELS)
+        self.limit(models=driven_relay.MODELS)
         self.spend_all(but=3)
 
         def go_dark(replica) -> Reply:
@@ -381,7 +319,7 @@
             lambda _: Reply(events=EVENTS, confidence=10),
         )
         answer = await self.answer_of(
-            asyncio.create_task(self.ask(STREAM, extra=taken_away.ANY_MODEL))
+            asyncio.create_task(self.ask(STREAM, extra=driven_relay.ANY_MODEL))
         )
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
         asked = sorted(
@@ -396,7 +334,7 @@
         refused. What the attempt was expected to take was reckoned for the
         large model, and told of the replica's pace and reading by that.
         """
-        self.limit(models=taken_away.MODELS)
+        self.limit(models=driven_relay.MODELS)
         self.spend_all(but=2)
         self.reply_with(
             Reply(events=EVENTS, confidence=10),
@@ -416,7 +354,7 @@
                     self.ask(
                         STREAM,
                         extra=(
-                            *taken_away.ANY_MODEL,
+                            *driven_relay.ANY_MODEL,
                             (headers.TOKEN_COUNTS, "100,10"),
                             (headers.PROMPT_PARTS, "5c1e07a2:80"),
                         ),
@@ -427,61 +365,5 @@
         self.assertEqual(keys[0], keys[-1])
 
 
-class ConnectionsTest(relay_fixture.RelayCase):
-    async def dark_by(self, error: OSError) -> tuple[bool, bool]:
-        """Tells whether a replica is taken for dark, and whether ejected."""
-        (replica, *_) = self.directory.of_service("service")
-        sender = sender_module.Sender(
-            pool=self.pool,
-            directory=self.directory,
-            wire_format=headers.PlatformHeaders(),
-            clock=self.clock,
-        )
-        loop = asyncio.get_running_loop()
-        with mock.patch.object(loop, "create_connection", side_effect=error):
-            is_dark = await sender.is_dark(replica)
-        now = self.clock.monotonic()
-        return is_dark, replica.health.is_ejected(now)
-
-    async def test_a_shortage_of_this_side_tells_of_no_replica(self):
-        """This process has no file or port left for a connection. All silent
-        streams' replicas were taken for dark at once, and left for others,
-        though none had been asked.
-        """
-        for number in (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL):
-            answer = await self.dark_by(OSError(number, "shortage"))
-            self.assertEqual(answer, (False, False), number)
-
-    async def test_no_way_to_a_machine_is_darkness(self):
-        """The network says that there is no way to a replica's machine."""
-        for number in (errno.EHOSTUNREACH, errno.ENETUNREACH):
-            answer = await self.dark_by(OSError(number, "no way"))
-            self.assertEqual(answer, (True, True), number)
-
-    async def test_a_connection_that_nobody_acknowledges_breaks(self):
-        """A replica's machine is gone and another one has its address, which
-        refuses connections. That no longer tells of darkness, so only the
-        system's own checks end a stream that has begun: within 4 s.
-        """
-        connection = await self.pool.acquire(
-            self.replicas[0].address, longest_idle_s=0.0
-        )
-        self.addCleanup(connection.abort)
-        raw = connection.transport.get_extra_info("socket")
-        self.assertTrue(raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
-
-        def option(name: int) -> int:
-            return raw.getsockopt(socket.IPPROTO_TCP, name)
-
-        unacknowledged = datetime.timedelta(
-            milliseconds=option(socket.TCP_USER_TIMEOUT)
-        )
-        self.assertLessEqual(unacknowledged, 4 * SECOND)
-        self.assertGreater(unacknowledged, datetime.timedelta())
-        idle_s = option(socket.TCP_KEEPIDLE)
-        checks_s = option(socket.TCP_KEEPINTVL) * option(socket.TCP_KEEPCNT)
-        self.assertLessEqual(idle_s + checks_s, 4)
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/cover/test_relay_work_in_hand.py
+++ b/tests/cover/test_relay_work_in_hand.py
@@ -10,18 +10,17 @@
 from nutmeghook.internal.relay import leave
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import pool as pool_module
-from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
+from tests import driven_relay
 from tests import relay_fixture
-from tests.cover import test_relay_taken_away as taken_away
 
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
 ONCE = model.RouteKind.ONCE
 STREAM = model.RouteKind.STREAM
 Reply = users_replica.Reply
-EVENTS = taken_away.EVENTS
-WHOLE = taken_away.WHOLE
-LONG = taken_away.LONG
+EVENTS = driven_relay.EVENTS
+WHOLE = driven_relay.WHOLE
+LONG = driven_relay.LONG
 SECOND = relay_fixture.SECOND
 
 
@@ -47,32 +46,7 @@
         raise TimeoutError
 
 
-class ReviewCase(taken_away.TakenAwayCase):
-    def spend_all(self, service: str = "service", *, but: int = 0) -> None:
-        """Spends a service's retry budget but for a few attempts."""
-        budget = self.budgets.budget_for(service)
-        while budget.left() >= 1 + but:
-            budget.try_spend()
-
-    def in_order_of_arrival(self) -> list[str]:
-        """Returns the ids of the replicas that requests reached."""
-        seen = [
-            (s.arrived_s, r.replica_id) for r in self.replicas for s in r.seen
-        ]
-        return [replica_id for _, replica_id in sorted(seen)]
-
-    def used_replica(self):
-        """Returns the relay's knowledge of the replica that was asked."""
-        (asked,) = {r.replica_id for r in self.replicas if r.seen}
-        (found,) = [
-            replica
-            for replica in self.directory.of_service("service")
-            if replica.entry.replica_id == asked
-        ]
-        return found
-
-
-class SlowAnswersTest(ReviewCase):
+class SlowAnswersTest(driven_relay.BudgetedRelayCase):
     replica_count = 8
 
     def build_clock(self) -> clock_module.Clock:
@@ -148,7 +122,7 @@
         self.assertEqual(len(self.seen()), leave.MAX_TRIES)
 
 
-class SilentStreamsTest(ReviewCase):
+class SilentStreamsTest(driven_relay.BudgetedRelayCase):
     def probe_with(self, probe) -> None:
         """Replaces the question how a replica meets a connection."""
         replaced = mock.patch.object(pool_module.ConnectionPool, "probe", probe)
@@ -216,19 +190,21 @@
             relay_fixture.route(
                 STREAM,
                 time_limit=LONG,
-                models=taken_away.MODELS,
+                models=driven_relay.MODELS,
                 resumable=False,
             )
         )
         self.reply_with(Reply(events=EVENTS, confidence=10))
         answer = await self.answer_of(
-            asyncio.create_task(self.ask(STREAM, extra=taken_away.ANY_MODEL))
+            asyncio.create_task(self.ask(STREAM, extra=driven_relay.ANY_MODEL))
         )
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
         self.assertEqual(len(self.seen()), 1)
 
 
-class GrantedAttemptsTest(taken_away.BegunStreamCase, ReviewCase):
+class GrantedAttemptsTest(
+    driven_relay.BegunStreamCase, driven_relay.BudgetedRelayCase
+):
     replica_count = leave.MAX_TRIES + 2
 
     async def test_a_granted_attempt_that_is_refused_cuts_no_stream(self):
@@ -284,52 +260,7 @@
         self.assertEqual(first, back)
 
 
-class WayBackTest(ReviewCase):
-    """Other work that is given up, and an attempt that is then refused."""
-
-    async def test_a_slow_whole_answer_is_asked_for_again(self):
-        """A replica takes too long, and the next one refuses with the budget
-        spent. The caller gets the first one's answer after all, not 502.
-        """
-        self.spend_all(but=2)
-        self.reply_with(
-            Reply(silent=True),
-            Reply(status=503, not_run=True),
-            Reply(body=b"at last"),
-        )
-        answer = await self.answer_of(asyncio.create_task(self.ask(IDEMPOTENT)))
-        self.assertEqual(relay_fixture.body_of(answer), b"at last")
-        first, _, back = self.in_order_of_arrival()
-        self.assertEqual(first, back)
-
-    async def test_a_weak_answer_is_asked_for_again(self):
-        """The small model's answer is dropped for the large model's, whose
-        replica refuses with the budget spent. The caller gets the weak answer
-        after all: the small model is asked once more, not the large one.
-        """
-        self.put_in_force(
-            relay_fixture.route(
-                STREAM, time_limit=LONG, models=taken_away.MODELS
-            )
-        )
-        self.spend_all(but=2)
-        self.reply_with(
-            Reply(events=(7, 8), confidence=10),
-            Reply(status=503, not_run=True),
-            Reply(events=EVENTS, confidence=10),
-        )
-        answer = await self.answer_of(
-            asyncio.create_task(self.ask(STREAM, extra=taken_away.ANY_MODEL))
-        )
-        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
-        name = headers.MODEL.lower()
-        asked = sorted((s.arrived_s, s.headers[name]) for s in self.seen())
-        self.assertEqual(
-            [model_name for _, model_name in asked], ["small", "large", "small"]
-        )
-
-
-class MovedBudgetsTest(ReviewCase):
+class MovedBudgetsTest(driven_relay.BudgetedRelayCase):
     replica_count = 2
 
     async def asyncSetUp(self):
@@ -379,7 +310,7 @@
         self.assertEqual(self.other.seen, [])
 
 
-class BehindInstanceTest(ReviewCase):
+class BehindInstanceTest(driven_relay.BudgetedRelayCase):
     async def test_a_refused_request_is_not_denied_by_an_instance_behind(self):
         """A replica refuses a request. Meanwhile its key was taken away, and
         this instance has heard of a newer configuration that it has not got.
--- /dev/null
+++ b/tests/cover/test_window_budget.py
@@ -0,0 +1,114 @@
+"""Retry budgets over a window: leave that is held for later."""
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import window_budget
+from tests import relay_fixture
+
+SECOND = relay_fixture.SECOND
+BURST = 4
+WINDOW = 10 * SECOND
+
+
+def take_way_back(budget: window_budget.WindowRetryBudget) -> bool:
+    """Takes leave for an attempt that may be made later."""
+    return budget.try_hold()
+
+
+def go_back(budget: window_budget.WindowRetryBudget) -> None:
+    """Makes the attempt that leave was taken for."""
+    budget.spend_held()
+
+
+def give_back(budget: window_budget.WindowRetryBudget) -> None:
+    """Gives leave back that was not used."""
+    budget.give_back()
+
+
+class BudgetTest(unittest.IsolatedAsyncioTestCase):
+    def budget(self, clock) -> window_budget.WindowRetryBudget:
+        """Returns a budget that does not depend on requests."""
+        return window_budget.WindowRetryBudget(
+            ratio=0.0, window=WINDOW, burst=BURST, clock=clock
+        )
+
+    async def test_what_is_given_back_is_not_another_request_s(self):
+        """A request takes leave for the way back, and gives it back when its
+        window is over. An attempt made meanwhile by another request was
+        forgotten for it, and one too many could be sent.
+        """
+        clock = clock_module.FakeClock()
+        budget = self.budget(clock)
+        self.assertTrue(take_way_back(budget))
+        await clock.advance(WINDOW)
+        sent = 0
+        while budget.try_spend():
+            sent += 1
+        give_back(budget)
+        self.assertEqual(budget.left(), BURST - sent)
+
+    async def test_nor_is_it_forgotten_sooner(self):
+        """The same within the window: the other attempt counts for as long as
+        any. The older moment of the leave given back stood for it.
+        """
+        clock = clock_module.FakeClock()
+        budget = self.budget(clock)
+        self.assertTrue(take_way_back(budget))
+        await clock.advance(WINDOW / 2)
+        self.assertTrue(budget.try_spend())
+        give_back(budget)
+        await clock.advance(WINDOW * 0.6)
+        self.assertEqual(budget.left(), BURST - 1)
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(
+                ["spend", "take", "take", "use", "give back", "wait", "wait"]
+            ),
+            min_size=12,
+            max_size=60,
+        )
+    )
+    def test_no_window_gets_more_attempts_than_are_allowed(self, steps):
+        """Requests take leave for the way back, wait, and use it or give it
+        back, others are tried again meanwhile. Leave that was used long after
+        it was taken was counted in a window that is over.
+        """
+        sent_s = asyncio.run(self.sent_s(steps))
+        for last_s in sent_s:
+            within = [s for s in sent_s if last_s - WINDOW.total_seconds() < s]
+            within = [s for s in within if s <= last_s]
+            self.assertLessEqual(len(within), BURST, sent_s)
+
+    async def sent_s(self, steps: list[str]) -> list[float]:
+        """Plays steps and returns when further attempts were made."""
+        clock = clock_module.FakeClock()
+        budget = self.budget(clock)
+        taken = 0
+        sent_s = []
+        for step in steps:
+            now_s = clock.monotonic().total_seconds()
+            if step == "wait":
+                await clock.advance(3 * SECOND)
+            elif step == "spend" and budget.try_spend():
+                sent_s.append(now_s)
+            elif step == "take" and take_way_back(budget):
+                taken += 1
+            elif step == "use" and taken:
+                taken -= 1
+                go_back(budget)
+                sent_s.append(now_s)
+            elif step == "give back" and taken:
+                taken -= 1
+                give_back(budget)
+        return sent_s
+
+
+if __name__ == "__main__":
+    unittest.main()
