Reckon the chance of bad answers in logarithms

Cause: the number of ways to choose hundreds of bad answers of thousands is beyond a float's range. The new look at the end of a roll-out's trial raised OverflowError then, which ends the process.

--- a/src/nutmeghook/internal/version_plans/tails.py
+++ b/src/nutmeghook/internal/version_plans/tails.py
@@ -12,7 +12,19 @@
         share: Each is bad with this probability.
     """
     fewer = sum(
-        math.comb(of, count) * share**count * (1.0 - share) ** (of - count)
-        for count in range(bad)
+        math.exp(_log_chance(count, of=of, share=share)) for count in range(bad)
     )
     return max(0.0, 1.0 - fewer)
+
+
+def _log_chance(bad: int, *, of: int, share: float) -> float:
+    """Returns the logarithm of the probability of just so many.
+
+    The numbers of ways to choose are beyond a float's range from some
+    thousand answers on, and ended the process that looked; their logarithms
+    are not.
+    """
+    ways = (
+        math.lgamma(of + 1) - math.lgamma(bad + 1) - math.lgamma(of - bad + 1)
+    )
+    return ways + bad * math.log(share) + (of - bad) * math.log1p(-share)
