--- a/src/nutmeghook/internal/assembly/router_process.py
+++ b/src/nutmeghook/internal/assembly/router_process.py
@@ -5,6 +5,7 @@
 import datetime
 import signal
 import sys
+import traceback
 
 from nutmeghook.internal.assembly import router as router_module
 from nutmeghook.internal.foundation import clock as clock_module
@@ -58,13 +59,23 @@
     )
     failure = _failure_of(running) or _failure_of(reloading)
     if failure is not None:
-        logs.note("process:part_failed", failure=repr(failure))
+        logs.note(
+            "process:part_failed",
+            failure=repr(failure),
+            trace="".join(traceback.format_exception(failure)),
+        )
     await router.leave()
     for task in (running, reloading, stopping):
         task.cancel()
     await asyncio.wait({running, reloading, stopping})
     await router.close()
-    logs.note("process:ended", failed=failure is not None)
+    # Once more: what ended it was logged seconds before, ahead of all that was
+    # still under way, and a collector that keeps the end of a log lost it.
+    logs.note(
+        "process:ended",
+        failed=failure is not None,
+        failure=None if failure is None else repr(failure),
+    )
     writer.flush()
     return 1 if failure is not None else 0
 
--- a/src/nutmeghook/internal/observe/belief_records.py
+++ b/src/nutmeghook/internal/observe/belief_records.py
@@ -55,6 +55,7 @@
     in_flight: int | None = None
     failed: bool | None = None
     failure: str | None = None
+    trace: str | None = None
     signalled: bool | None = None
     faults: list[str] | None = None
 
