--- a/tests/cover/test_window_budget.py
+++ b/tests/cover/test_window_budget.py
@@ -15,21 +15,6 @@
 WINDOW = 10 * SECOND
 
 
-def take_way_back(budget: window_budget.WindowRetryBudget) -> bool:
-    """Takes leave for an attempt that may be made later."""
-    return budget.try_hold()
-
-
-def go_back(budget: window_budget.WindowRetryBudget) -> None:
-    """Makes the attempt that leave was taken for."""
-    budget.spend_held()
-
-
-def give_back(budget: window_budget.WindowRetryBudget) -> None:
-    """Gives leave back that was not used."""
-    budget.give_back()
-
-
 class BudgetTest(unittest.IsolatedAsyncioTestCase):
     def budget(self, clock) -> window_budget.WindowRetryBudget:
         """Returns a budget that does not depend on requests."""
@@ -44,12 +29,12 @@
         """
         clock = clock_module.FakeClock()
         budget = self.budget(clock)
-        self.assertTrue(take_way_back(budget))
+        self.assertTrue(budget.try_hold())
         await clock.advance(WINDOW)
         sent = 0
         while budget.try_spend():
             sent += 1
-        give_back(budget)
+        budget.give_back()
         self.assertEqual(budget.left(), BURST - sent)
 
     async def test_nor_is_it_forgotten_sooner(self):
@@ -58,10 +43,10 @@
         """
         clock = clock_module.FakeClock()
         budget = self.budget(clock)
-        self.assertTrue(take_way_back(budget))
+        self.assertTrue(budget.try_hold())
         await clock.advance(WINDOW / 2)
         self.assertTrue(budget.try_spend())
-        give_back(budget)
+        budget.give_back()
         await clock.advance(WINDOW * 0.6)
         self.assertEqual(budget.left(), BURST - 1)
 
@@ -98,15 +83,15 @@
                 await clock.advance(3 * SECOND)
             elif step == "spend" and budget.try_spend():
                 sent_s.append(now_s)
-            elif step == "take" and take_way_back(budget):
+            elif step == "take" and budget.try_hold():
                 taken += 1
             elif step == "use" and taken:
                 taken -= 1
-                go_back(budget)
+                budget.spend_held()
                 sent_s.append(now_s)
             elif step == "give back" and taken:
                 taken -= 1
-                give_back(budget)
+                budget.give_back()
         return sent_s
 
 
