--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -97,9 +97,9 @@
         return answer
 
     def _may_repeat_failure(self, job: job_module.Job) -> bool:
-        return self._leave.time_left(
-            job
-        ) > datetime.timedelta() and self._leave.try_again(job)
+        if self._leave.time_left(job) <= datetime.timedelta():
+            return False
+        return self._leave.try_again(job)
 
     async def _send(
         self, job: job_module.Job, prepared: prepared_module.Prepared
