Log which attempts are of one request, and whether its replica ended

Callers saw: nothing differs. Of a lost connection the log told the caller's id of the attempt, which differs at each copy of a request, and not whether the replica had ended. So it could not tell apart whether nobody knows a request beyond one attempt, or a lost replica is never held against the request.

Change: requests have an identity (host and path, team, body; a length-prefixed BLAKE2b of 16 bytes) in attempt:lost and request:ended. After a lost connection the replica is asked once, for all requests lost to it, how it meets a new connection: a process that ended refuses. What is sent where is unchanged; a lost connection now costs one attempt to connect.

--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import leave as leave_module
+from nutmeghook.internal.relay import lost_replicas
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import observations
@@ -77,6 +78,9 @@
             clock=around.clock,
         ),
         "leave": leave,
+        "lost": lost_replicas.LostReplicas(
+            pool=around.pool, metrics=around.metrics
+        ),
         "observer": observations.AnswerObserver(
             chooser=chooser,
             versions=around.versions,
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -134,6 +134,16 @@
         ),
         labels=("replica",),
     ),
+    MetricSpec(
+        name="connections_lost_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Connections lost in the middle of an exchange, by how the replica"
+            " meets a new one: it accepts, refuses (its process ended), or is"
+            " dark."
+        ),
+        labels=("replica",),
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.foundation import identities
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import choice as choice_module
@@ -49,6 +50,7 @@
     Attributes:
         admitted_under: Version of the configuration that let it in.
         deadline: Monotonic time at which it gets its final answer at last.
+        answered_try: The last attempt whose answer's head has come.
         failure: A replica's own failure, the caller's if nothing better comes.
         grant: Leave for its next attempt, if it was taken before.
         service: The service chosen for it; None before its first attempt.
@@ -61,7 +63,9 @@
     """
 
     __slots__ = (
+        "_identity",
         "admitted_under",
+        "answered_try",
         "deadline",
         "failure",
         "grant",
@@ -88,7 +92,9 @@
         deadline: datetime.timedelta,
         admitted_under: int,
     ):
+        self._identity: bytes | None = None
         self.admitted_under = admitted_under
+        self.answered_try = 0
         self.incoming = incoming
         self.sink = sink
         self.route = route
@@ -109,6 +115,22 @@
         """Tells whether a replica may have begun to work on it."""
         return self.runs > 0
 
+    @property
+    def identity(self) -> bytes:
+        """What the request is, the same at each of its caller's attempts."""
+        if self._identity is None:
+            self._identity = identities.identity_of(
+                path=self.incoming.host_name + self.incoming.target,
+                caller=self.team.name if self.team else "",
+                body=self.incoming.body,
+            )
+        return self._identity
+
+    @property
+    def is_answered(self) -> bool:
+        """Tells whether the head of its present attempt's answer has come."""
+        return self.answered_try == self.tries
+
     @property
     def log_id(self) -> str:
         """The caller's id of the request, for logs."""
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -167,6 +167,7 @@
         logs.note(
             "request:ended",
             request=incoming.facts.request_id,
+            identity=job.identity.hex() if job else None,
             route=route_name,
             code=ending.code.number,
             outcome=ending.reason,
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.relay import events as events_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import leave as leave_module
+from nutmeghook.internal.relay import lost_replicas
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
@@ -44,6 +45,7 @@
         "_advice",
         "_clock",
         "_leave",
+        "_lost",
         "_observer",
         "_planner",
         "_sender",
@@ -56,6 +58,7 @@
         *,
         planner: attempts_module.AttemptPlanner,
         leave: leave_module.AttemptLeave,
+        lost: lost_replicas.LostReplicas,
         observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         advice: model_advice.ModelAdvice,
@@ -64,6 +67,7 @@
     ):
         self._planner = planner
         self._leave = leave
+        self._lost = lost
         self._observer = observer
         self._sender = sender
         self._wait = silence_module.ReplicaWait(
@@ -91,6 +95,7 @@
         try:
             return await self._attempt(job, prepared)
         except outcomes.AttemptError as error:
+            self._lost.note(job, prepared, error)
             self._leave.allow_repeat(job, error)
             return _Step.AGAIN
 
@@ -99,6 +104,7 @@
     ) -> _Step:
         async with contextlib.AsyncExitStack() as stack:
             answer = await self._head(job, prepared, stack)
+            job.answered_try = job.tries
             if answer.head.status != _OK_STATUS:
                 return await self._other_answer(job, prepared, answer)
             if not answer.facts.sealed or answer.facts.encoded:
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -223,7 +223,7 @@
             except Exception as error:  # the parser's types vary by framing
                 exc = error
         reason = str(exc) if exc is not None else "closed by the replica"
-        self._fail(outcomes.UnknownOutcomeError(f"connection lost: {reason}"))
+        self._fail(outcomes.ConnectionLostError(f"connection lost: {reason}"))
         self._parser = None
         super().connection_lost(exc)
 
--- a/src/nutmeghook/internal/upstream/outcomes.py
+++ b/src/nutmeghook/internal/upstream/outcomes.py
@@ -27,6 +27,13 @@
     """The request was written and may have run; no whole answer came."""
 
 
+class ConnectionLostError(UnknownOutcomeError):
+    """The connection ended before the answer did.
+
+    The path to the replica may have broken, or the replica itself ended.
+    """
+
+
 class AbandonedError(UnknownOutcomeError):
     """The replica was silent for too long, and another one is to take over.
 
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -55,6 +55,7 @@
         framed: The length is told, or chunks are used.
         send_bytes: Break off after so many bytes of the body.
         reset: Break off by a reset and not by closing.
+        crash: The replica ends for everybody where the answer breaks off.
         answer_id: Another request's id instead of the echo.
         extra: Bytes after the whole answer.
         silent: No byte is sent until the caller leaves.
@@ -71,6 +72,7 @@
     framed: bool = True
     send_bytes: int | None = None
     reset: bool = False
+    crash: bool = False
     answer_id: str | None = None
     extra: bytes = b""
     silent: bool = False
@@ -143,8 +145,11 @@
 
     async def start(self) -> None:
         """Listens on a port that the system chooses."""
+        await self._listen(loopback_host.own_host(), 0)
+
+    async def _listen(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(
-            self._serve, loopback_host.own_host(), 0, limit=1024 * 1024
+            self._serve, host, port, limit=1024 * 1024
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -172,13 +177,23 @@
             waiting.connect_ex((host, int(port)))
             self._dark_sockets.append(waiting)
 
-    async def stop(self) -> None:
-        """Stops listening and breaks all connections, as a crash does."""
+    def crash(self) -> None:
+        """Ends for everybody on it, as a process does."""
         self._server.close()
         for dark in self._dark_sockets:
             dark.close()
         for writer in self._writers:
             writer.transport.abort()
+
+    async def come_back(self, *, replica_id: str) -> None:
+        """Listens at the old address after a crash, as another start."""
+        host, _, port = self.address.rpartition(":")
+        self.replica_id = replica_id
+        await self._listen(host, int(port))
+
+    async def stop(self) -> None:
+        """Stops listening and breaks all connections, as a crash does."""
+        self.crash()
         await asyncio.gather(*self._tasks)
 
     async def _serve(
@@ -255,7 +270,10 @@
             writer.write(_chunk(piece) if _is_chunked(reply) else piece)
             if reply.send_bytes is not None and sent >= reply.send_bytes:
                 await writer.drain()
-                break_off(writer, reset=reply.reset)
+                if reply.crash:
+                    self.crash()
+                else:
+                    break_off(writer, reset=reply.reset)
                 return False
         if _is_chunked(reply):
             writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/cover/test_relay_lost_replicas.py
@@ -0,0 +1,63 @@
+"""What the log tells of a connection that was lost in the middle."""
+
+import asyncio
+
+import eliot
+
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.routes import model
+from nutmeghook.standins import users_replica
+from tests import relay_fixture
+
+STREAM = model.RouteKind.STREAM
+Reply = users_replica.Reply
+BROKEN = {"events": (0, 1), "send_bytes": 30}
+
+
+class LostConnectionsTest(relay_fixture.RelayCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.messages = []
+        self.noticed = asyncio.Event()
+        logs.start_with(self._collect)
+        self.addCleanup(eliot.remove_destination, self._collect)
+
+    def _collect(self, message: dict[str, object]) -> None:
+        self.messages.append(message)
+        if message["message_type"] == "attempt:lost":
+            self.noticed.set()
+
+    def logged(self, message_type: str) -> list[dict[str, object]]:
+        """Returns the lines of a type."""
+        return [m for m in self.messages if m["message_type"] == message_type]
+
+    async def lost_to(self, reply: Reply) -> dict[str, object]:
+        """Breaks one stream off so; returns what is logged of it."""
+        self.reply_with(reply, Reply(events=(0, 1)))
+        await self.ask(STREAM, body=b"prompt")
+        # The replica is asked beside the request's further way.
+        await self.noticed.wait()
+        (lost,) = self.logged("attempt:lost")
+        self.assertTrue(lost["answered"])
+        return lost
+
+    async def test_a_crashed_replica_refuses_connections(self):
+        lost = await self.lost_to(Reply(crash=True, **BROKEN))
+        self.assertEqual(lost["replica_now"], "refuses")
+
+    async def test_a_replica_whose_connection_was_reset_accepts_others(self):
+        lost = await self.lost_to(Reply(reset=True, **BROKEN))
+        self.assertEqual(lost["replica_now"], "accepts")
+
+    async def test_a_request_is_named_alike_at_each_of_its_copies(self):
+        """A request comes again with another id of its caller's attempt, on
+        another connection. Nothing in the log told that it was the same one.
+        """
+        self.reply_with(Reply(events=(0, 1)))
+        for request_id, body in (("1", b"a"), ("2", b"a"), ("3", b"b")):
+            await self.ask(STREAM, request_id=request_id, body=body)
+        first, copy, other = (
+            line["identity"] for line in self.logged("request:ended")
+        )
+        self.assertEqual(first, copy)
+        self.assertNotEqual(first, other)
