Show that copies of a request end replica after replica

Callers saw: a request that ends each replica that begins to run it comes again and again, and takes everybody else's work on those replicas with it: waves of refusals and cut answers on all routes of the model service.

The stand-in replica can now end under a request, for everybody on it, and come back as another start; the trial brings such replicas back after a second.

--- a/src/nutmeghook/experiment/platform_checks.py
+++ b/src/nutmeghook/experiment/platform_checks.py
@@ -10,6 +10,8 @@
 WHOLE_STREAM = b"".join(users_replica.event(n) for n in STREAM_EVENTS)
 WHOLE_ANSWER = b"done"
 REQUEST_BODY = b"prompt"
+# Ends each replica that begins to run it.
+CRASHING_BODY = b"prompt that no replica survives"
 # After a key was removed it is served no more; what the users' platform asks.
 CONFIGURATION_BOUND_S = 2.0
 _NOT_RUN_STATUSES = (429, 503)
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -30,6 +30,21 @@
 _REFUSALS = 0.03
 _BAD_VERSION_FAILURES = 0.5
 _CALL_TIMEOUT_S = 20.0
+# From a replica's end until another start of it is listed.
+RESTART_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ReplicaCrash:
+    """A replica ended under a request.
+
+    Attributes:
+        at_s: In the event loop's time.
+    """
+
+    replica_id: str
+    body: bytes
+    at_s: float
 
 
 class PlatformTrial:
@@ -37,6 +52,7 @@
 
     Attributes:
         calls: What callers saw.
+        crashes: Replicas that ended under a request.
         given_up: Ids of requests whose caller did not wait for the end.
         routers: The router processes.
     """
@@ -54,6 +70,8 @@
         self.routers: list[trial_routers.RouterProcess] = []
         self.calls: list[platform_checks.CallSeen] = []
         self.given_up: set[str] = set()
+        self.crashes: list[ReplicaCrash] = []
+        self._returns: set[asyncio.Task[None]] = set()
         self.removed_at_s: float | None = None
         self.stop_statuses: list[int] = []
         self._session: aiohttp.ClientSession | None = None
@@ -81,6 +99,8 @@
 
     async def end(self) -> None:
         """Ends everything that was started here."""
+        for returning in self._returns:
+            returning.cancel()
         for router in self.routers:
             if router.process and router.process.returncode is None:
                 await router.kill()
@@ -117,12 +137,35 @@
         )
         await replica.start()
         self.replicas[replica_id] = replica
+        returning = asyncio.create_task(self._return(replica, version))
+        self._returns.add(returning)
+        returning.add_done_callback(self._returns.discard)
         self.operator.list_replica(
             replica_id,
             address=await self.replica_address(replica),
             version=version,
         )
 
+    async def _return(
+        self, replica: users_replica.StandInReplica, version: str
+    ) -> None:
+        """Has a replica that ended under a request come back as a new one."""
+        await replica.crashed.wait()
+        if not replica.crashes:
+            return
+        self.crashes.append(
+            ReplicaCrash(
+                replica_id=replica.replica_id,
+                body=replica.crashes[0],
+                at_s=asyncio.get_running_loop().time(),
+            )
+        )
+        await asyncio.sleep(RESTART_S)
+        self.operator.strike_replica(replica.replica_id)
+        await self.add_replica(
+            f"{version}-after-crash-{len(self.crashes)}", version
+        )
+
     def order_bad_version(self) -> None:
         """Orders a version that fails half of its requests."""
         self.operator.order_roll_out("v2", within_s=ROLL_OUT_S)
@@ -149,17 +192,18 @@
         *,
         key: str = KEYS[0],
         router: trial_routers.RouterProcess | None = None,
+        body: bytes = platform_checks.REQUEST_BODY,
     ) -> platform_checks.CallSeen:
         """Makes one request and notes what came of it."""
         self._numbers += 1
         request_id = f"{kind}-{self._numbers}"
         router = router or self._random.choice(self.routers)
         sent_s = asyncio.get_running_loop().time()
-        status, body, complete, sealed = 0, b"", False, False
+        status, received, complete, sealed = 0, b"", False, False
         try:
             async with self._session.post(
                 f"http://{router.address}/{kind}/x",
-                data=platform_checks.REQUEST_BODY,
+                data=body,
                 headers={
                     "Host": HOST,
                     headers.REQUEST_ID: request_id,
@@ -171,7 +215,7 @@
                 status = answer.status
                 sealed = headers.SEAL in answer.headers
                 async for piece in answer.content.iter_any():
-                    body += piece
+                    received += piece
                 complete = True
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The caller saw a broken connection: complete stays False.
@@ -185,7 +229,7 @@
             kind=kind,
             key=key,
             status=status,
-            body=body,
+            body=received,
             complete=complete,
             sealed=sealed,
             sent_s=sent_s,
@@ -229,6 +273,8 @@
             return users_replica.Reply(status=500, body=b"bad version")
         is_stream = request.target.startswith("/stream/")
         events = platform_checks.STREAM_EVENTS if is_stream else ()
+        if request.body == platform_checks.CRASHING_BODY:
+            return users_replica.Reply(events=events, send_bytes=0, crash=True)
         if drawn < _RESETS:
             return users_replica.Reply(
                 events=events,
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -93,8 +93,10 @@
         seen: The requests that arrived.
         ran: The ids of those that it began to work on.
         left: Requests whose caller left before the end of the answer.
+        crashes: The bodies of the requests that it ended under.
         noticed: Set whenever `left` grows.
         arrived: Set whenever `seen` grows.
+        crashed: Set once it has ended under a request.
     """
 
     __slots__ = (
@@ -107,6 +109,8 @@
         "_writers",
         "address",
         "arrived",
+        "crashed",
+        "crashes",
         "left",
         "noticed",
         "ran",
@@ -134,6 +138,8 @@
         self.left: list[str] = []
         self.noticed = asyncio.Event()
         self.arrived = asyncio.Event()
+        self.crashed = asyncio.Event()
+        self.crashes: list[bytes] = []
 
     def reply_from(self, replies: list[Reply]) -> None:
         """Takes replies from a list that it may share with others."""
@@ -179,6 +185,7 @@
 
     def crash(self) -> None:
         """Ends for everybody on it, as a process does."""
+        self.crashed.set()
         self._server.close()
         for dark in self._dark_sockets:
             dark.close()
@@ -189,6 +196,7 @@
         """Listens at the old address after a crash, as another start."""
         host, _, port = self.address.rpartition(":")
         self.replica_id = replica_id
+        self.crashed.clear()
         await self._listen(host, int(port))
 
     async def stop(self) -> None:
@@ -271,6 +279,7 @@
             if reply.send_bytes is not None and sent >= reply.send_bytes:
                 await writer.drain()
                 if reply.crash:
+                    self.crashes.append(request.body)
                     self.crash()
                 else:
                     break_off(writer, reset=reply.reset)
--- /dev/null
+++ b/tests/whole/test_crashing_requests.py
@@ -0,0 +1,91 @@
+"""Copies of a crashing request at several routers, as processes."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import platform_trial
+from nutmeghook.experiment import soak_checks
+from nutmeghook.experiment import trial_routers
+
+REPLICAS = 6
+# What the users' rule allows the fleet once three have ended under a request.
+RETRIES_AFTER_THREE = 3
+# Within this a router knows a replica that was listed.
+LISTED_S = 0.5
+# Other work, without which the retry budget allows next to nothing.
+RATE_PER_S = 30.0
+# Copies to each router, from long enough after the third end on.
+COPIES = 2
+
+
+class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.trial = platform_trial.PlatformTrial(
+            folder=pathlib.Path(self.folder.name), seed=1
+        )
+        self.addAsyncCleanup(self.trial.end)
+        await self.trial.start()
+        for number in range(3, REPLICAS):
+            await self.trial.add_replica(f"v1-{number}", "v1")
+
+    async def copy(self, router: trial_routers.RouterProcess) -> None:
+        """Sends the request that no replica survives.
+
+        Waits until whichever replicas it ended are back.
+        """
+        await self.trial.call(
+            "stream", router=router, body=platform_checks.CRASHING_BODY
+        )
+        await asyncio.sleep(platform_trial.RESTART_S + LISTED_S)
+
+    @staticmethod
+    async def end_of(load: asyncio.Task[None]) -> None:
+        """Ends the load."""
+        load.cancel()
+        await asyncio.wait({load})
+
+    def arrivals_after(self, from_s: float) -> int:
+        """Returns how often it has reached a replica since."""
+        return sum(
+            seen.body == platform_checks.CRASHING_BODY
+            and seen.arrived_s > from_s
+            for replica in self.trial.all_replicas().values()
+            for seen in replica.seen
+        )
+
+    async def test_the_fleet_knows_a_request_that_ended_three_replicas(self):
+        """Copies of a request that ends its replicas come to each router, one
+        of which was started only after three had ended. No router saw more
+        than some of the ends, and each sent its copies to replica after
+        replica: what one learnt of the request the others did not know.
+        """
+        load = asyncio.create_task(
+            self.trial.load(seconds=60.0, rate_per_s=RATE_PER_S)
+        )
+        self.addAsyncCleanup(self.end_of, load)
+        await asyncio.sleep(1.0)
+        await self.copy(self.trial.routers[0])
+        await self.copy(self.trial.routers[1])
+        self.assertGreaterEqual(len(self.trial.crashes), 3)
+        third_s = self.trial.crashes[2].at_s
+        killed = self.trial.routers[0]
+        await killed.kill()
+        await killed.start()
+        await self.trial.until_served(killed)
+        # Replicas are back by then, and each router has been in touch.
+        await asyncio.sleep(soak_checks.CONTACT_S)
+        bound_s = asyncio.get_running_loop().time()
+        self.assertGreater(bound_s, third_s + soak_checks.CONTACT_S)
+        for _ in range(COPIES):
+            for router in self.trial.routers:
+                await self.copy(router)
+        self.assertLessEqual(self.arrivals_after(bound_s), RETRIES_AFTER_THREE)
+
+
+if __name__ == "__main__":
+    unittest.main()
