--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -20,6 +20,7 @@
     "attempt:weak": log_records.AttemptWeak,
     "attempt:failed": log_records.AttemptFailed,
     "attempt:left": log_records.AttemptLeft,
+    "attempt:lost": log_records.AttemptLost,
     "request:ended": log_records.RequestEnded,
     "request:fault": belief_records.RequestFault,
     "configuration:in_force": belief_records.ConfigurationInForce,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -85,16 +85,33 @@
     after_event: str | None = None
 
 
+class AttemptLost(AttemptRecord, frozen=True, kw_only=True):
+    """An attempt's connection was lost, and its replica asked if it ended.
+
+    Attributes:
+        identity: The same for all copies of a request.
+        begun: The replica was at work on it.
+        replica_now: How the replica met a new connection.
+    """
+
+    identity: str
+    replica: str
+    begun: bool | None = None
+    replica_now: str | None = None
+
+
 class RequestEnded(RequestRecord, frozen=True, kw_only=True):
     """A request's end.
 
     Attributes:
         cut: An answer that had begun was broken off.
+        identity: The same for all copies of a request.
     """
 
     route: str
     code: int
     outcome: str
+    identity: str | None = None
     attempts: int | None = None
     cut: bool | None = None
     configuration: int | None = None
--- a/src/nutmeghook/internal/observe/record_text.py
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -83,6 +83,15 @@
     return text
 
 
+@of.register
+def _lost(record: log_records.AttemptLost) -> str:
+    detail = _details(record, "request", "attempt", "replica", "replica_now")
+    return (
+        f"attempt {record.attempt} lost {record.replica}, which now "
+        f"{record.replica_now}{detail}"
+    )
+
+
 @of.register
 def _ended(record: log_records.RequestEnded) -> str:
     detail = _details(record, "request", "code", "outcome", "cut")
