Send a request under which replicas end to no further one

Callers saw: a request that ends each replica that begins to run it came again and again, at any instance, and each copy ended as many replicas as its route allows attempts, with everybody else's work there.

Cause: what was seen of a request was held against the replicas that worked on it (their health, their new starts) and forgotten with the caller's attempt. Nothing knew what a request is beyond its caller's id, which differs each time.

Change: the end of a replica (a lost connection whose replica then refuses connections) is held against the requests that it had, by their identity, in a book that all instances share by gossip: news at once, the gravest again twice a second. Three replicas that were at work on it, or six that may have been, put a request into quarantine for an hour: it is refused at once, 503 with the time until it may come back. An answer anywhere clears it, and protects it for 30 s. After a minute one copy, of the whole fleet, is sent on trial.

--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -7,10 +7,10 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import attempts
+from nutmeghook.internal.relay import crash_watch
 from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import leave as leave_module
-from nutmeghook.internal.relay import lost_replicas
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import observations
@@ -22,6 +22,7 @@
 from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.suspects import book as book_module
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view
@@ -39,6 +40,7 @@
     directory: directory_module.ReplicaDirectory
     versions: view.VersionView
     budgets: window_budget.WindowRetryBudgets
+    suspects: book_module.SuspectBook
     pool: pool_module.ConnectionPool
     data_centre: str
     wire_format: wire.WireFormat
@@ -59,10 +61,14 @@
         chooser=chooser, versions=around.versions, times=times
     )
     routes = followed_routes.FollowedRoutes(configuration=around.configuration)
+    crashes = crash_watch.CrashWatch(
+        book=around.suspects, pool=around.pool, metrics=around.metrics
+    )
     leave = leave_module.AttemptLeave(
         routes=routes,
         search=search,
         budgets=around.budgets,
+        crashes=crashes,
         clock=around.clock,
         random_source=around.random_source,
     )
@@ -78,9 +84,7 @@
             clock=around.clock,
         ),
         "leave": leave,
-        "lost": lost_replicas.LostReplicas(
-            pool=around.pool, metrics=around.metrics
-        ),
+        "crashes": crashes,
         "observer": observations.AnswerObserver(
             chooser=chooser,
             versions=around.versions,
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -24,6 +24,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
+from nutmeghook.internal.suspects import book as book_module
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.version_plans import driver
 from nutmeghook.internal.version_plans import orders as orders_module
@@ -81,6 +82,7 @@
         "metrics_address",
         "orders",
         "rollouts",
+        "suspects",
     )
 
     def __init__(
@@ -122,6 +124,7 @@
             burst=_RETRY_BURST,
             clock=clock,
         )
+        self.suspects = book_module.SuspectBook(clock=clock)
         self.metrics = metrics_module.Metrics()
         self.metrics_address = ""
         self.leaving = False
@@ -144,6 +147,7 @@
                 directory=self.directory,
                 versions=self.rollouts,
                 budgets=self.budgets,
+                suspects=self.suspects,
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
                 wire_format=self._wire_format,
@@ -226,6 +230,7 @@
             directory=self.directory,
             rollouts=self.rollouts,
             orders=self.orders,
+            suspects=self.suspects,
             clock=self._clock,
             random_source=self._random,
         )
@@ -322,6 +327,9 @@
         return web.Response(body=body, headers=content_headers)
 
     def _refresh_gauges(self) -> None:
+        self.metrics.set(
+            "quarantined_requests", len(self.suspects.quarantined())
+        )
         if self._peers is None:
             return
         for kind, counted in self._peers.traffic.kinds().items():
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -23,6 +23,8 @@
 from nutmeghook.internal.replicas import backlog_gossip
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
+from nutmeghook.internal.suspects import book as book_module
+from nutmeghook.internal.suspects import gossip as suspect_gossip
 from nutmeghook.internal.version_plans import news
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
@@ -55,6 +57,7 @@
         "_orders",
         "_random",
         "_rollouts",
+        "_suspects",
         "_table",
         "_tables",
         "traffic",
@@ -73,6 +76,7 @@
         directory: directory_module.ReplicaDirectory,
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderBook,
+        suspects: book_module.SuspectBook,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -86,6 +90,7 @@
         self._directory = directory
         self._rollouts = rollouts
         self._orders = orders
+        self._suspects = suspects
         self._clock = clock
         self._random = random_source
         self._gossip: gossip_module.TableGossip | None = None
@@ -178,7 +183,7 @@
         self,
         messages: sealed_messages.SealedMessages,
         gossip: gossip_module.TableGossip,
-    ) -> tuple[telling.PeriodicTeller, ...]:
+    ) -> tuple[telling.Teller, ...]:
         """Returns what tells peers of things that are not in tables."""
         common = {
             "messages": messages,
@@ -206,6 +211,9 @@
                 addresses=lambda: list(gossip.peers.values()),
                 **common,
             ),
+            suspect_gossip.SuspectGossip(
+                book=self._suspects, audience=gossip.some_living, **common
+            ),
         )
 
     async def _registered(self) -> registration.Registration:
--- a/src/nutmeghook/internal/foundation/codes.py
+++ b/src/nutmeghook/internal/foundation/codes.py
@@ -93,6 +93,13 @@
         "The same idempotency key is running now; this copy was not run.",
     )
 
+    QUARANTINED = (
+        3008,
+        503,
+        RunState.NOT_RUN,
+        "Backend servers ended under copies of this request.",
+    )
+
     BACKEND_FAILED = (
         4000,
         502,
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -220,6 +220,25 @@
   7: binary data,
 }
 
+// A request under which replicas have ended; ends are parallel lists. A replica
+// is named as in ReplicaLoads.
+struct CrashSuspect {
+  // Of path, caller and body.
+  1: binary identity,
+  2: list<i32> replica_hashes,
+  // The replica's answer had begun.
+  3: list<bool> begun,
+  4: list<i32> ages_ms,
+  // Since a replica last answered it; absent if none has.
+  5: optional i32 cleared_age_ms,
+  // Since it was sent on trial; absent if it was not.
+  6: optional i32 tried_age_ms,
+}
+
+struct CrashSuspects {
+  1: list<CrashSuspect> suspects,
+}
+
 union Body {
   1: Empty empty,
   2: Failure failure,
@@ -246,6 +265,7 @@
   23: ReplicaBacklogs replica_backlogs,
   24: RollOutNews roll_out_news,
   25: TablePiece table_piece,
+  26: CrashSuspects crash_suspects,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/inner/telling.py
+++ b/src/nutmeghook/internal/inner/telling.py
@@ -14,8 +14,18 @@
 _LONGEST_PART = 1.25
 
 
-class PeriodicTeller(abc.ABC):
-    """Tells peers until cancelled.
+class Teller(abc.ABC):
+    """Tells peers something."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Tells peers until cancelled."""
+
+
+class PeriodicTeller(Teller):
+    """Tells peers until cancelled, over and over.
 
     Args:
         period: Between two tells, on average.
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -144,6 +144,11 @@
         ),
         labels=("replica",),
     ),
+    MetricSpec(
+        name="quarantined_requests",
+        kind=MetricKind.GAUGE,
+        meaning="Requests sent to no replica, since replicas end under them.",
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -103,6 +103,7 @@
 
     def _found(self, job: job_module.Job) -> job_module.Grant:
         """Returns where an attempt goes when none is at work."""
+        self._leave.stop_quarantined(job)
         may_have_run = job.possibly_run
         service = self._routes.service_for(job, may_have_run=may_have_run)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
--- a/src/nutmeghook/internal/relay/crash_watch.py
+++ b/src/nutmeghook/internal/relay/crash_watch.py
@@ -1,65 +1,83 @@
-"""Whether a replica has ended when a connection to it is lost."""
+"""Under which requests replicas end, and which of them to stop."""
 
 import asyncio
+import datetime
 
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.suspects import book as book_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
 
 
-class LostReplicas:
-    """Asks a replica once for all requests that it was lost to.
+class CrashWatch:
+    """Holds the end of a replica against the requests that it had.
 
     A lost connection alone says little: a reset on the way, a garbled answer
     and a process that ended look alike. A process that ended also refuses new
-    connections, until another start of it listens there seconds later.
+    connections, until another start of it listens there seconds later. So the
+    replica is asked, once for all requests that lost it.
     """
 
-    __slots__ = ("_asking", "_metrics", "_pool")
+    __slots__ = ("_asking", "_book", "_metrics", "_pool")
 
     def __init__(
         self,
         *,
+        book: book_module.SuspectBook,
         pool: pool_module.ConnectionPool,
         metrics: metrics_module.Metrics,
     ):
+        self._book = book
         self._pool = pool
         self._metrics = metrics
         self._asking: dict[str, asyncio.Task[pool_module.Reachability]] = {}
 
-    def note(
+    def is_quarantined(self, job: job_module.Job) -> bool:
+        """Tells whether a request is to be sent to no replica."""
+        return self._book.is_quarantined(job.identity)
+
+    def try_trial(self, job: job_module.Job) -> bool:
+        """Takes leave to send a quarantined request to one replica."""
+        return self._book.try_trial(job.identity)
+
+    def refused_for(self, job: job_module.Job) -> datetime.timedelta:
+        """Returns for how long a quarantined request is sent to no replica."""
+        return self._book.refused_for(job.identity)
+
+    def note_answered(self, job: job_module.Job) -> None:
+        """Takes in that a replica ran a request to its end."""
+        self._book.note_answered(job.identity)
+
+    async def note_lost(
         self,
         job: job_module.Job,
         prepared: prepared_module.Prepared,
         error: outcomes.AttemptError,
     ) -> None:
-        """Finds out, beside the request's further way, what was lost."""
+        """Takes in how an attempt ended that gave no answer.
+
+        A request under which no replica has ended goes on at once; for
+        another one it is found out first whether this was the next.
+        """
         if not isinstance(error, outcomes.ConnectionLostError):
             return
-        replica = prepared.replica
+        asking = self._ask(prepared.replica)
+        begun = _had_begun(job)
         attempt = job.tries
-        is_answered = job.is_answered
-
-        def conclude(asking: asyncio.Task[pool_module.Reachability]) -> None:
-            if asking.cancelled():
-                return
-            met = asking.result()
-            self._metrics.add("connections_lost_total", replica=met.value)
-            logs.note(
-                "attempt:lost",
-                request=job.log_id,
-                identity=job.identity.hex(),
-                attempt=attempt,
-                replica=replica.entry.replica_id,
-                answered=is_answered,
-                replica_now=met.value,
-            )
 
-        self._ask(replica).add_done_callback(conclude)
+        def conclude(_: asyncio.Task[pool_module.Reachability]) -> None:
+            if not asking.cancelled():
+                met = asking.result()
+                self._conclude(job, attempt, prepared.replica, met, begun=begun)
+
+        asking.add_done_callback(conclude)
+        if self._book.is_suspect(job.identity):
+            await asyncio.wait({asking})
 
     def _ask(
         self, replica: replica_module.Replica
@@ -73,3 +91,42 @@
             self._asking[replica_id] = asking
             asking.add_done_callback(lambda _: self._asking.pop(replica_id))
         return asking
+
+    def _conclude(
+        self,
+        job: job_module.Job,
+        attempt: int,
+        replica: replica_module.Replica,
+        met: pool_module.Reachability,
+        *,
+        begun: bool,
+    ) -> None:
+        """Takes in how a lost replica meets a new connection.
+
+        One that was to leave has ended as it was told to.
+        """
+        self._metrics.add("connections_lost_total", replica=met.value)
+        logs.note(
+            "attempt:lost",
+            request=job.log_id,
+            identity=job.identity.hex(),
+            attempt=attempt,
+            replica=replica.entry.replica_id,
+            begun=begun,
+            replica_now=met.value,
+        )
+        has_ended = met is pool_module.Reachability.REFUSES
+        if has_ended and not replica.entry.leaving:
+            self._book.note_end(
+                job.identity, replica_hash=replica.short_id, begun=begun
+            )
+
+
+def _had_begun(job: job_module.Job) -> bool:
+    """Tells whether a replica was certainly at work on a request.
+
+    An engine sends an answer's head with its first event, and what waits in
+    its queue has none. A plain service sends its whole answer at its end, so
+    there the head tells nothing.
+    """
+    return job.route.kind is not model.RouteKind.STREAM or job.is_answered
--- a/src/nutmeghook/internal/relay/endings.py
+++ b/src/nutmeghook/internal/relay/endings.py
@@ -37,7 +37,10 @@
 
 def of_rejection(rejection: rejections.RejectedError) -> Ending:
     """Returns the ending of a request that got a response of our own."""
-    return Ending(code=_CODES[rejection.response], reason=rejection.reason)
+    return Ending(
+        code=rejection.code or _CODES[rejection.response],
+        reason=rejection.reason,
+    )
 
 
 def of_broken_connection(error: ConnectionError) -> Ending:
--- a/src/nutmeghook/internal/relay/leave.py
+++ b/src/nutmeghook/internal/relay/leave.py
@@ -5,8 +5,10 @@
 import random
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import crash_watch
 from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import prepared as prepared_module
@@ -28,7 +30,14 @@
 class AttemptLeave:
     """Grants further attempts, each with all that it needs."""
 
-    __slots__ = ("_budgets", "_clock", "_random", "_routes", "_search")
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_crashes",
+        "_random",
+        "_routes",
+        "_search",
+    )
 
     def __init__(
         self,
@@ -36,12 +45,14 @@
         routes: followed_routes.FollowedRoutes,
         search: replica_search.ReplicaSearch,
         budgets: window_budget.WindowRetryBudgets,
+        crashes: crash_watch.CrashWatch,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
         self._routes = routes
         self._search = search
         self._budgets = budgets
+        self._crashes = crashes
         self._clock = clock
         self._random = random_source
 
@@ -61,6 +72,7 @@
             outcome=type(error).__name__,
             error=str(error),
         )
+        self.stop_quarantined(job)
         may_have_run = isinstance(error, outcomes.UnknownOutcomeError)
         if may_have_run and not _may_run_again(job):
             raise self.given_up(job, reason="its outcome is unknown")
@@ -72,6 +84,30 @@
         if not self._try_follow(job, was_sent=was_sent):
             raise self.given_up(job, reason="the retry budget is spent")
 
+    def stop_quarantined(self, job: job_module.Job) -> None:
+        """Ends a request under which replicas end, before its next attempt.
+
+        The failure: each of its attempts ends another replica, for everybody
+        on it. It gets none, whatever its route and the budget allow, but for
+        the one of a copy that is sent on trial.
+
+        Raises:
+            rejections.RejectedError: It is quarantined.
+        """
+        if not self._crashes.is_quarantined(job):
+            return
+        if not job.tries and self._crashes.try_trial(job):
+            return
+        reason = "replicas end under this request"
+        if job.possibly_run:
+            raise self.given_up(job, reason=reason)
+        raise rejections.RejectedError(
+            wire.FixedResponse.NOT_RUN,
+            code=codes.Code.QUARANTINED,
+            reason=reason,
+            retry_after=self._crashes.refused_for(job),
+        )
+
     def try_move(
         self,
         job: job_module.Job,
@@ -187,6 +223,8 @@
             return False
         if self.time_left(job) <= datetime.timedelta():
             return False
+        if self._crashes.is_quarantined(job):
+            return False
         is_last = job.tries + 1 == MAX_TRIES
         if left is None and is_last and self.try_go_back(job):
             return True
--- a/src/nutmeghook/internal/relay/rejections.py
+++ b/src/nutmeghook/internal/relay/rejections.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.relay import wire
 
 
@@ -11,6 +12,7 @@
     Attributes:
         response: What the caller is told, and whether the work may have run.
         reason: A short name for logs and counters.
+        code: Numbered result; None for the usual one of the response.
         retry_after: When to come back.
     """
 
@@ -20,8 +22,10 @@
         *,
         reason: str,
         retry_after: datetime.timedelta | None = None,
+        code: codes.Code | None = None,
     ):
         super().__init__(reason)
+        self.code = code
         self.response = response
         self.reason = reason
         self.retry_after = retry_after
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -6,10 +6,10 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.relay import attempts as attempts_module
+from nutmeghook.internal.relay import crash_watch
 from nutmeghook.internal.relay import events as events_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import leave as leave_module
-from nutmeghook.internal.relay import lost_replicas
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
@@ -44,8 +44,8 @@
     __slots__ = (
         "_advice",
         "_clock",
+        "_crashes",
         "_leave",
-        "_lost",
         "_observer",
         "_planner",
         "_sender",
@@ -58,7 +58,7 @@
         *,
         planner: attempts_module.AttemptPlanner,
         leave: leave_module.AttemptLeave,
-        lost: lost_replicas.LostReplicas,
+        crashes: crash_watch.CrashWatch,
         observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         advice: model_advice.ModelAdvice,
@@ -67,7 +67,7 @@
     ):
         self._planner = planner
         self._leave = leave
-        self._lost = lost
+        self._crashes = crashes
         self._observer = observer
         self._sender = sender
         self._wait = silence_module.ReplicaWait(
@@ -95,7 +95,7 @@
         try:
             return await self._attempt(job, prepared)
         except outcomes.AttemptError as error:
-            self._lost.note(job, prepared, error)
+            await self._crashes.note_lost(job, prepared, error)
             self._leave.allow_repeat(job, error)
             return _Step.AGAIN
 
@@ -117,6 +117,7 @@
             if self._is_replaced(job, prepared, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, prepared, answer)
+            self._crashes.note_answered(job)
             prepared.replica.health.note_success(self._clock.monotonic())
             return _Step.DONE
 
@@ -136,6 +137,7 @@
             headers=answer.head.headers,
             body=await self._wait.until_deadline(job, answer.read_whole()),
         )
+        self._crashes.note_answered(job)
         self._observer.note_answer(
             job, prepared, status=whole.status, failed=whole.failed
         )
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -5,9 +5,9 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.relay import attempts as attempts_module
+from nutmeghook.internal.relay import crash_watch
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import leave as leave_module
-from nutmeghook.internal.relay import lost_replicas
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
@@ -26,8 +26,8 @@
 
     __slots__ = (
         "_clock",
+        "_crashes",
         "_leave",
-        "_lost",
         "_observer",
         "_planner",
         "_sender",
@@ -39,7 +39,7 @@
         *,
         planner: attempts_module.AttemptPlanner,
         leave: leave_module.AttemptLeave,
-        lost: lost_replicas.LostReplicas,
+        crashes: crash_watch.CrashWatch,
         observer: observations.AnswerObserver,
         sender: sender_module.Sender,
         wire_format: wire.WireFormat,
@@ -47,7 +47,7 @@
     ):
         self._planner = planner
         self._leave = leave
-        self._lost = lost
+        self._crashes = crashes
         self._observer = observer
         self._sender = sender
         self._wire_format = wire_format
@@ -88,10 +88,11 @@
         try:
             answer = await self._send(job, prepared)
         except outcomes.AttemptError as error:
-            self._lost.note(job, prepared, error)
+            await self._crashes.note_lost(job, prepared, error)
             self._leave.allow_repeat(job, error)
             return None
         job.runs += 1
+        self._crashes.note_answered(job)
         self._observer.note_answer(
             job, prepared, status=answer.status, failed=answer.failed
         )
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -1,13 +1,21 @@
 """A request that ends each replica that begins to run it, and its copies."""
 
+import asyncio
+
 from nutmeghook.internal.routes import model
+from nutmeghook.internal.suspects import book as book_module
 from nutmeghook.standins import users_replica
+from tests import driven_relay
 from tests import relay_fixture
 
 STREAM = model.RouteKind.STREAM
+IDEMPOTENT = model.RouteKind.IDEMPOTENT
 Reply = users_replica.Reply
 CRASHING = b"no replica survives this"
+ALSO_CRASHING = b"nor this"
+INNOCENT = b"this is nothing to them"
 EVENTS = (0, 1)
+SECOND = relay_fixture.SECOND
 # What the users' rule allows once three replicas have ended under a request.
 RETRIES_AFTER_THREE = 3
 
@@ -23,9 +31,11 @@
 
     @staticmethod
     def _reply(request: users_replica.SeenRequest) -> Reply:
-        if request.body == CRASHING:
-            return Reply(events=EVENTS, send_bytes=0, crash=True)
-        return Reply(events=EVENTS)
+        is_stream = request.target.startswith(f"/{STREAM.value}/")
+        events = EVENTS if is_stream else ()
+        if request.body in (CRASHING, ALSO_CRASHING):
+            return Reply(events=events, send_bytes=0, crash=True)
+        return Reply(events=events)
 
     async def bring_back(self) -> None:
         """Lists each replica that has ended as another start of it."""
@@ -57,3 +67,98 @@
             await self.bring_back()
             await self.ask(STREAM, request_id=f"copy-{number}", body=CRASHING)
         self.assertLessEqual(self.arrivals() - after_three, RETRIES_AFTER_THREE)
+
+    async def test_a_copy_is_refused_at_once_and_truly_not_run(self):
+        await self.ask(STREAM, body=CRASHING)
+        await self.bring_back()
+        before = self.arrivals()
+        answer = await self.ask(STREAM, request_id="copy", body=CRASHING)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertIn(b"Retry-After: ", answer)
+        self.assertEqual(self.arrivals(), before)
+
+    async def test_two_at_once_are_each_stopped(self):
+        bodies = (CRASHING, ALSO_CRASHING)
+        for number in range(6):
+            await asyncio.gather(
+                *(
+                    self.ask(STREAM, request_id=f"{number}-{i}", body=body)
+                    for i, body in enumerate(bodies)
+                )
+            )
+            await self.bring_back()
+        for body in bodies:
+            self.assertLessEqual(self.arrivals(body), 3 + RETRIES_AFTER_THREE)
+
+    async def test_one_to_a_plain_service_is_stopped_too(self):
+        for number in range(6):
+            await self.ask(
+                IDEMPOTENT, request_id=f"copy-{number}", body=CRASHING
+            )
+            await self.bring_back()
+        self.assertLessEqual(self.arrivals(), 3 + RETRIES_AFTER_THREE)
+
+
+class InnocentRequestsTest(CrashingRequestCase):
+    async def test_one_beside_it_is_answered_and_cleared(self):
+        """A stream is under way at a replica that ends under another request.
+        It is a suspect as well, goes on at the next replica, and is answered.
+        """
+        begun = [Reply(events=EVENTS, stall_after=1)]
+
+        def decide(request: users_replica.SeenRequest) -> Reply:
+            return begun.pop() if begun else self._reply(request)
+
+        for replica in self.replicas:
+            replica.decide_by(decide)
+        asking = asyncio.create_task(self.ask(STREAM, body=INNOCENT))
+        await self.arrival()
+        (first,) = [r for r in self.replicas if r.seen]
+        first.crash()
+        answer = await asking
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(self.suspects.grave(10, age=10 * SECOND), [])
+
+    async def test_resets_condemn_nobody(self):
+        """Links reset connections all day, of one request as of others. No
+        replica ends, and each copy is sent as often as the first one was.
+        """
+        for replica in self.replicas:
+            replica.decide_by(
+                lambda _: Reply(events=EVENTS, send_bytes=0, reset=True)
+            )
+        for number in range(5):
+            await self.ask(STREAM, request_id=f"copy-{number}", body=INNOCENT)
+            self.assertEqual(self.arrivals(INNOCENT), 3 * (number + 1))
+
+
+class TrialTest(driven_relay.DrivenRelayCase, CrashingRequestCase):
+    async def answer_to_copy(self) -> bytes:
+        """Returns the answer to one more copy of the crashing request."""
+        asking = asyncio.create_task(self.ask(STREAM, body=CRASHING))
+        return await self.answer_of(asking)
+
+    async def ended_three(self) -> None:
+        """Has three replicas end and come back, and time pass."""
+        await self.answer_to_copy()
+        await self.bring_back()
+        await self.clock.advance(book_module.TRIAL_AFTER + SECOND)
+
+    async def test_a_trial_ends_one_replica_at_most(self):
+        await self.ended_three()
+        await self.answer_to_copy()
+        self.assertEqual(self.arrivals(), 4)
+        await self.bring_back()
+        await self.clock.advance(book_module.TRIAL_AFTER + SECOND)
+        answer = await self.answer_to_copy()
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertEqual(self.arrivals(), 4)
+
+    async def test_one_that_is_answered_on_trial_is_free(self):
+        """What ended the replicas was mended, or was another request."""
+        await self.ended_three()
+        for replica in self.replicas:
+            replica.decide_by(lambda _: Reply(events=EVENTS))
+        for _ in range(3):
+            answer = await self.answer_to_copy()
+            self.assertTrue(relay_fixture.is_complete(answer))
--- a/tests/cover/test_relay_lost_replicas.py
+++ b/tests/cover/test_relay_lost_replicas.py
@@ -38,7 +38,7 @@
         # The replica is asked beside the request's further way.
         await self.noticed.wait()
         (lost,) = self.logged("attempt:lost")
-        self.assertTrue(lost["answered"])
+        self.assertTrue(lost["begun"])
         return lost
 
     async def test_a_crashed_replica_refuses_connections(self):
