Keep quarantines in the store, for when all instances are lost at once

Callers would see: after all instances were killed or lost power, copies of a request that had ended replicas end three more, each time it happens.

Cause: quarantines were known to instances alone, and those keep nothing. Ruled out: to follow a further table. Change: who begins, tries or ends a quarantine writes its row; each instance reads all rows once as it starts, and deletes those that are over. A failed call is tried again after some 4 s.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -25,6 +25,7 @@
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import book as book_module
+from nutmeghook.internal.suspects import rows
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.version_plans import driver
 from nutmeghook.internal.version_plans import orders as orders_module
@@ -244,6 +245,7 @@
                 tasks.create_task(_follow_forever(table, peers))
             tasks.create_task(peers.run())
             tasks.create_task(plans.run())
+            tasks.create_task(self._quarantine_rows().run())
 
     async def leave(self) -> None:
         """Finishes what is under way, as far as the time until SIGKILL lasts.
@@ -292,6 +294,14 @@
             instance_id=self._settings.instance_id,
         )
 
+    def _quarantine_rows(self) -> rows.QuarantineRows:
+        return rows.QuarantineRows(
+            book=self.suspects,
+            table=store.StoreRows(client=self._store),
+            clock=self._clock,
+            random_source=self._random,
+        )
+
     def _distrust_list(self) -> None:
         """Holds deletions back after a store outage; entries lapse in it."""
         self.directory.distrust_deletions(
--- a/src/nutmeghook/internal/suspects/book.py
+++ b/src/nutmeghook/internal/suspects/book.py
@@ -106,9 +106,19 @@
 
     Attributes:
         news: Set while there is something that peers were not told.
+        unwritten: Set while a quarantine was begun, tried or ended here and
+            the store does not know.
     """
 
-    __slots__ = ("_answered", "_clock", "_suspects", "_untold", "news")
+    __slots__ = (
+        "_answered",
+        "_clock",
+        "_suspects",
+        "_untold",
+        "_unwritten",
+        "news",
+        "unwritten",
+    )
 
     def __init__(self, *, clock: clock_module.Clock):
         self._clock = clock
@@ -118,7 +128,9 @@
             collections.OrderedDict()
         )
         self._untold: dict[bytes, None] = {}
+        self._unwritten: dict[bytes, None] = {}
         self.news = asyncio.Event()
+        self.unwritten = asyncio.Event()
 
     def note_end(
         self, identity: bytes, *, replica_hash: int, begun: bool
@@ -128,6 +140,8 @@
             replica_hash=replica_hash, begun=begun, at=self._clock.monotonic()
         )
         self.merge(Suspicion(identity=identity, ends=(end,)))
+        if self.is_quarantined(identity):
+            self.write_later(identity)
 
     def note_answered(self, identity: bytes) -> None:
         """Takes in that a replica ran a request to its end."""
@@ -138,6 +152,8 @@
             self._answered.popitem(last=False)
         known = self._suspects.get(identity)
         if known is not None and known.ends:
+            if self.is_quarantined(identity):
+                self.write_later(identity)
             self._clear(known, now)
 
     def merge(self, told: Suspicion) -> None:
@@ -173,17 +189,24 @@
                 replicas=[end.replica_hash for end in merged.ends],
             )
 
+    def suspicion(self, identity: bytes) -> Suspicion:
+        """Returns what counts against a request now."""
+        known = self._suspects.get(identity)
+        if known is None:
+            return Suspicion(identity=identity)
+        return known.since(self._clock.monotonic() - KEPT_FOR)
+
     def is_suspect(self, identity: bytes) -> bool:
         """Tells whether a replica has ended under a request."""
-        return bool(self._live(identity).ends)
+        return bool(self.suspicion(identity).ends)
 
     def is_quarantined(self, identity: bytes) -> bool:
         """Tells whether a request is to be sent to no replica."""
-        return self._live(identity).weight >= _QUARANTINE_WEIGHT
+        return self.suspicion(identity).weight >= _QUARANTINE_WEIGHT
 
     def try_trial(self, identity: bytes) -> bool:
         """Takes leave to send a quarantined request once, if it is time."""
-        suspicion = self._live(identity)
+        suspicion = self.suspicion(identity)
         now = self._clock.monotonic()
         if suspicion.tried_at is not None or not suspicion.ends:
             return False
@@ -192,11 +215,12 @@
         logs.note("suspect:on_trial", identity=identity.hex())
         self._put(dataclasses.replace(suspicion, tried_at=now))
         self._tell_later(identity)
+        self.write_later(identity)
         return True
 
     def refused_for(self, identity: bytes) -> datetime.timedelta:
         """Returns how long a quarantined request is sent nowhere from now."""
-        suspicion = self._live(identity)
+        suspicion = self.suspicion(identity)
         if not suspicion.ends:
             return datetime.timedelta()
         lasts = TRIAL_AFTER if suspicion.tried_at is None else KEPT_FOR
@@ -206,7 +230,7 @@
     def quarantined(self) -> list[Suspicion]:
         """Returns the requests in quarantine."""
         return [
-            self._live(identity)
+            self.suspicion(identity)
             for identity in self._suspects
             if self.is_quarantined(identity)
         ]
@@ -220,6 +244,21 @@
             self.news.clear()
         return [self._suspects[i] for i in taken if i in self._suspects]
 
+    def write_later(self, identity: bytes) -> None:
+        """Has the store be told of a request's quarantine."""
+        self._unwritten[identity] = None
+        self.unwritten.set()
+
+    def unwritten_identities(self) -> list[bytes]:
+        """Returns the requests whose quarantine the store does not know."""
+        return list(self._unwritten)
+
+    def note_written(self, identity: bytes) -> None:
+        """Takes in that the store knows of a request's quarantine."""
+        self._unwritten.pop(identity, None)
+        if not self._unwritten:
+            self.unwritten.clear()
+
     def grave(self, most: int, *, age: datetime.timedelta) -> list[Suspicion]:
         """Returns what peers should know, the most suspect first.
 
@@ -229,7 +268,7 @@
         """
         now = self._clock.monotonic()
         wanted = [
-            self._live(suspicion.identity)
+            self.suspicion(suspicion.identity)
             for suspicion in self._suspects.values()
             if len(suspicion.ends) > 1
             or (suspicion.ends and now - suspicion.last_at <= age)
@@ -271,13 +310,6 @@
         self._untold[identity] = None
         self.news.set()
 
-    def _live(self, identity: bytes) -> Suspicion:
-        """Returns what still counts against a request."""
-        known = self._suspects.get(identity)
-        if known is None:
-            return Suspicion(identity=identity)
-        return known.since(self._clock.monotonic() - KEPT_FOR)
-
 
 def _is_news(merged: Suspicion, known: Suspicion) -> bool:
     """Tells whether something was learnt that peers have to know.
--- /dev/null
+++ b/src/nutmeghook/internal/suspects/rows.py
@@ -0,0 +1,161 @@
+"""Quarantines in the platform's store, which outlives all instances.
+
+The failure: all instances are killed at once, or lose power. What they knew of
+a request that ends replicas is gone, and the next copies end replica after
+replica again, as often as that happens. So whoever puts a request into
+quarantine writes a row, and each instance reads the rows once, as it starts;
+from then on its peers tell it.
+"""
+
+import datetime
+import random
+
+import msgspec
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.suspects import book as book_module
+
+TABLE = "quarantine"
+_PREFIX = f"{TABLE}/"
+# After a failed call. Peers tell what the store can't, so there is no hurry,
+# and all instances of a large fleet may be without it at once.
+_PAUSE = datetime.timedelta(seconds=4)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class _Row(msgspec.Struct, frozen=True, kw_only=True):
+    """A quarantine.
+
+    Attributes:
+        replica_hashes: The replicas that ended.
+        ended_ms: Unix time of the last end.
+        tried_ms: Unix time of the trial; None if there was none.
+    """
+
+    replica_hashes: tuple[int, ...]
+    ended_ms: int
+    tried_ms: int | None = None
+
+
+class QuarantineRows:
+    """Reads all rows once, and writes those of this instance's doing."""
+
+    __slots__ = ("_book", "_clock", "_random", "_table")
+
+    def __init__(
+        self,
+        *,
+        book: book_module.SuspectBook,
+        table: table_module.TableService,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+    ):
+        self._book = book
+        self._table = table
+        self._clock = clock
+        self._random = random_source
+
+    async def run(self) -> None:
+        """Reads, and then writes whatever changes here, until cancelled."""
+        while not await self._try(self.read):
+            pass
+        while True:
+            await self._book.unwritten.wait()
+            await self._try(self.write)
+
+    async def read(self) -> None:
+        """Takes all rows into the book, and deletes those that are over.
+
+        Raises:
+            failures.PlatformError: The store did not answer.
+        """
+        over = []
+        for row in await self._table.scan(prefix=_PREFIX):
+            suspicion = self._suspicion(row)
+            if suspicion is None:
+                over.append(row.key)
+            else:
+                self._book.merge(suspicion)
+        if over:
+            await self._table.commit(
+                table_module.Transaction(deletes=tuple(over))
+            )
+
+    async def write(self) -> None:
+        """Writes what changed by this instance's doing.
+
+        Raises:
+            failures.PlatformError: The store did not take it, or may not
+                have; it does no harm to write it again.
+        """
+        for identity in self._book.unwritten_identities():
+            key = _PREFIX + identity.hex()
+            if self._book.is_quarantined(identity):
+                value = msgspec.json.encode(self._row(identity))
+                put = table_module.Put(key=key, value=value)
+                transaction = table_module.Transaction(puts=(put,))
+            else:
+                transaction = table_module.Transaction(deletes=(key,))
+            # What changes while the store is asked is to be written again.
+            self._book.note_written(identity)
+            try:
+                await self._table.commit(transaction)
+            except failures.PlatformError:
+                self._book.write_later(identity)
+                raise
+
+    async def _try(self, call) -> bool:
+        try:
+            await call()
+        except failures.PlatformError as error:
+            logs.note("quarantine:store_failed", error=str(error))
+            await self._clock.sleep(_PAUSE * self._random.uniform(0.5, 1.5))
+            return False
+        return True
+
+    def _row(self, identity: bytes) -> _Row:
+        suspicion = self._book.suspicion(identity)
+        return _Row(
+            replica_hashes=tuple(end.replica_hash for end in suspicion.ends),
+            ended_ms=self._unix_ms(suspicion.last_at),
+            tried_ms=None
+            if suspicion.tried_at is None
+            else self._unix_ms(suspicion.tried_at),
+        )
+
+    def _suspicion(self, row: table_module.Row) -> book_module.Suspicion | None:
+        """Returns what a row says; None of one that is over or unreadable."""
+        try:
+            found = msgspec.json.decode(row.value, type=_Row)
+            identity = bytes.fromhex(row.key.removeprefix(_PREFIX))
+        except (msgspec.MsgspecError, ValueError) as error:
+            logs.note("quarantine:bad_row", key=row.key, error=str(error))
+            return None
+        at = self._moment(found.ended_ms)
+        if self._clock.monotonic() - at >= book_module.KEPT_FOR:
+            return None
+        return book_module.Suspicion(
+            identity=identity,
+            ends=tuple(
+                book_module.ReplicaEnd(replica_hash=h, begun=True, at=at)
+                for h in found.replica_hashes
+            ),
+            tried_at=None
+            if found.tried_ms is None
+            else self._moment(found.tried_ms),
+        )
+
+    def _unix_ms(self, moment: datetime.timedelta) -> int:
+        at = self._clock.now() - (self._clock.monotonic() - moment)
+        return round(at.timestamp() * 1000)
+
+    def _moment(self, unix_ms: int) -> datetime.timedelta:
+        """Returns a row's time on this clock; not in the future.
+
+        The time of day may differ between instances, and jump.
+        """
+        now_ms = self._clock.now().timestamp() * 1000
+        return self._clock.monotonic() - max(0, now_ms - unix_ms) * _MILLISECOND
