Soak with copies of a request that ends its replicas

The soak knew no request that ends what runs it. Copies of one now come to any router while other troubles go on, and twice to each router once all is calm; at most three may reach replicas from 3 s after the third end, at routers in touch. They are drawn from a source of their own, so that a seed's other troubles stay what they were; seeds that once found something are played without copies. Replicas that have ended are no longer listed among those that run.

--- a/src/nutmeghook/experiment/loopback_proxy.py
+++ b/src/nutmeghook/experiment/loopback_proxy.py
@@ -64,10 +64,14 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
-    async def stop(self) -> None:
-        """Stops listening and breaks all connections."""
+    def close_door(self) -> None:
+        """Stops listening and breaks all connections, as a process's end."""
         self._server.close()
         self.reset_all()
+
+    async def stop(self) -> None:
+        """Ends whatever is under way."""
+        self.close_door()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/nutmeghook/experiment/platform_checks.py
+++ b/src/nutmeghook/experiment/platform_checks.py
@@ -28,6 +28,7 @@
         sent_s: When it was sent, in the event loop's time.
         ended_s: When the answer ended or the connection broke.
         router: Who took it.
+        sent_body: What the caller sent.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     sent_s: float
     ended_s: float = 0.0
     router: str = ""
+    sent_body: bytes = REQUEST_BODY
 
 
 def violations(
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -66,6 +66,7 @@
             store=self.store, host=HOST, service=SERVICE
         )
         self.replicas: dict[str, users_replica.StandInReplica] = {}
+        self.ended_replicas: dict[str, users_replica.StandInReplica] = {}
         self.routers_wanted = routers
         self.routers: list[trial_routers.RouterProcess] = []
         self.calls: list[platform_checks.CallSeen] = []
@@ -104,7 +105,7 @@
         for router in self.routers:
             if router.process and router.process.returncode is None:
                 await router.kill()
-        for replica in self.replicas.values():
+        for replica in self.all_replicas().values():
             await replica.stop()
         if self._session is not None:
             await self._session.close()
@@ -160,7 +161,9 @@
                 at_s=asyncio.get_running_loop().time(),
             )
         )
+        self.close_door(replica.replica_id)
         await asyncio.sleep(RESTART_S)
+        self.forget(replica.replica_id)
         self.operator.strike_replica(replica.replica_id)
         await self.add_replica(
             f"{version}-after-crash-{len(self.crashes)}", version
@@ -228,6 +231,7 @@
             request_id=request_id,
             kind=kind,
             key=key,
+            sent_body=body,
             status=status,
             body=received,
             complete=complete,
@@ -240,8 +244,17 @@
         return seen
 
     def all_replicas(self) -> dict[str, users_replica.StandInReplica]:
-        """Returns every replica that was started, by id."""
-        return self.replicas
+        """Returns every replica that was started, ended ones too."""
+        return self.replicas | self.ended_replicas
+
+    def forget(self, replica_id: str) -> None:
+        """Counts a replica among those that have ended."""
+        replica = self.replicas.pop(replica_id, None)
+        if replica is not None:
+            self.ended_replicas[replica_id] = replica
+
+    def close_door(self, replica_id: str) -> None:
+        """Has nobody listen any more where a replica was."""
 
     def runs(self) -> dict[str, int]:
         """Returns how often each request was run, by the replicas' logs."""
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -49,8 +49,19 @@
     routers: int = 4,
     rate_per_s: float = 40.0,
     with_bounds: bool = True,
+    with_crashing: bool = True,
 ) -> SoakReport:
-    """Plays one seed and judges what was seen."""
+    """Plays one seed and judges what was seen.
+
+    Args:
+        folder: For settings and logs.
+        seed: Of the troubles.
+        seconds: For how long troubles begin.
+        routers: How many.
+        rate_per_s: Of requests.
+        with_bounds: Judge bounds in time too.
+        with_crashing: A request that ends its replicas comes again and again.
+    """
     trial = soak_trial.SoakTrial(folder=folder, seed=seed, routers=routers)
     try:
         await trial.start()
@@ -58,10 +69,20 @@
             await trial.add_replica(f"v1-{number}", "v1")
         stop_load = asyncio.Event()
         load = asyncio.create_task(_load(trial, rate_per_s, stop_load))
-        await soak_troubles.Troubles(trial=trial, draw=random.Random(seed)).run(
-            seconds=seconds
-        )
+        troubles = soak_troubles.Troubles(trial=trial, draw=random.Random(seed))
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(troubles.run(seconds=seconds))
+            if with_crashing:
+                # Drawn from a source of its own, so that seeds stay what they
+                # were.
+                tasks.create_task(
+                    troubles.send_crashing_copies(
+                        random.Random(seed), seconds=seconds
+                    )
+                )
         await asyncio.sleep(SETTLE_S)
+        if with_crashing:
+            await troubles.send_last_copies()
         unserved = await _not_recovered(
             trial, RECOVERY_S if with_bounds else _PATIENT_RECOVERY_S
         )
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import platform_trial
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
 
@@ -24,6 +25,11 @@
 EXPOSURE_SHARE = 0.15
 EXPOSURE_ALLOWANCE = 30
 ALL_ROUTERS = ""
+# The users' bound on sends of a request that has ended so many replicas.
+CRASHED_REPLICAS = 3
+CRASHING_RETRIES = 3
+# Disturbs everybody else, and not what is known of the request itself.
+CRASHING_COPY = "copy of a crashing request"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -60,6 +66,7 @@
         broken: Ids of requests whose answer a replica broke off.
         given_up: Ids of requests whose caller did not wait for the end.
         left_at_s: When each leaving replica's word was accepted.
+        crashes: Replicas that ended under a request, in order.
         bad_runs: Requests that the bad version ran.
         order_s: When the bad version was ordered; None if none was.
     """
@@ -73,6 +80,9 @@
     given_up: set[str]
     left_at_s: dict[str, float]
     stop_statuses: list[int]
+    crashes: list[platform_trial.ReplicaCrash] = dataclasses.field(
+        default_factory=list
+    )
     bad_runs: int = 0
     order_s: float | None = None
     final_state: str = ""
@@ -118,7 +128,7 @@
                 sent_line = f"{request.method} {request.target}"
                 yield f"nobody sent {request.request_id!r}: {sent_line}"
             elif request.target != f"/{call.kind}/x" or (
-                request.body != platform_checks.REQUEST_BODY
+                request.body != call.sent_body
             ):
                 yield f"{call.request_id} reached a replica changed"
             elif "authorization" in request.headers:
@@ -216,6 +226,31 @@
         yield f"{arrived} arrivals of {distinct} requests"
 
 
+def _crashing_requests(history: History) -> Iterator[str]:
+    if len(history.crashes) < CRASHED_REPLICAS:
+        return
+    bound_s = history.crashes[CRASHED_REPLICAS - 1].at_s + CONTACT_S
+    sent = {call.request_id: call for call in history.calls}
+    others = [t for t in history.troubles if t.kind != CRASHING_COPY]
+    alone = dataclasses.replace(history, troubles=others)
+    late = 0
+    for request in _arrivals(history):
+        call = sent.get(request.request_id)
+        if request.body != platform_checks.CRASHING_BODY or call is None:
+            continue
+        is_late = request.arrived_s > bound_s
+        late += is_late and alone.is_calm(
+            call.router, request.arrived_s, request.arrived_s
+        )
+    if late > CRASHING_RETRIES:
+        yield f"a request that had ended three replicas was sent {late} times"
+
+
+def _arrivals(history: History) -> Iterator[users_replica.SeenRequest]:
+    for requests in history.seen.values():
+        yield from requests
+
+
 def _exposure(history: History) -> Iterator[str]:
     if history.order_s is None:
         return
@@ -238,5 +273,6 @@
     _cut_by_a_stop,
     _budget,
     _exposure,
+    _crashing_requests,
 )
 _CHECKS_OF_BOUNDS = (_removed_keys, _drained_replicas)
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -27,7 +27,6 @@
         self.order_s: float | None = None
         self.busy: set[str] = set()
         self.unserved: list[str] = []
-        self.ended_replicas: dict[str, users_replica.StandInReplica] = {}
 
     async def store_address(self, router_name: str) -> str:
         """Puts a proxy between a router and the store."""
@@ -60,17 +59,15 @@
             if router.process and router.process.returncode is None:
                 router.resume()
         await super().end()
-        for replica in self.ended_replicas.values():
-            await replica.stop()
         for proxy in (
             *self.store_proxies.values(),
             *self.replica_proxies.values(),
         ):
             await proxy.stop()
 
-    def all_replicas(self) -> dict[str, users_replica.StandInReplica]:
-        """Returns every replica that was started, ended ones too."""
-        return self.replicas | self.ended_replicas
+    def close_door(self, replica_id: str) -> None:
+        """Has the proxy of a replica that has ended refuse connections."""
+        self.replica_proxies[replica_id].close_door()
 
     def history(self) -> soak_checks.History:
         """Returns all that was seen."""
@@ -85,6 +82,7 @@
             given_up=self.given_up,
             left_at_s=self.left_at_s,
             stop_statuses=self.stop_statuses,
+            crashes=self.crashes,
             bad_runs=sum(
                 len(replica.ran)
                 for replica_id, replica in replicas.items()
--- a/src/nutmeghook/experiment/soak_troubles.py
+++ b/src/nutmeghook/experiment/soak_troubles.py
@@ -6,6 +6,7 @@
 import random
 
 from nutmeghook.experiment import loopback_proxy
+from nutmeghook.experiment import platform_checks
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
 from nutmeghook.experiment import soak_trial
@@ -14,6 +15,8 @@
 
 ORDER_WITHIN_S = 12.0
 _LONGEST_TROUBLE_S = 3.0
+_LAST_COPIES = 2
+_LISTED_WITHIN_S = 0.3
 _LinkFault = loopback_proxy.LinkFault
 _STORE_FAULTS = (
     users_store.StoreFault.REFUSING,
@@ -66,6 +69,33 @@
                 own_draw = random.Random(self._draw.getrandbits(64))
                 tasks.create_task(kind(own_draw))
 
+    async def send_last_copies(self) -> None:
+        """Sends some to each router, as replicas come back.
+
+        Nothing else is wrong by now, so that the bound holds for all.
+        """
+        for router in self._trial.routers * _LAST_COPIES:
+            await self._send_crashing_copy(router)
+            await asyncio.sleep(platform_trial.RESTART_S + _LISTED_WITHIN_S)
+
+    async def send_crashing_copies(
+        self, draw: random.Random, *, seconds: float
+    ) -> None:
+        """Sends copies of a request that ends its replicas to any router."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        while loop.time() < end_s:
+            await asyncio.sleep(draw.uniform(0.2, 1.5))
+            await self._send_crashing_copy(draw.choice(self._trial.routers))
+
+    async def _send_crashing_copy(
+        self, router: trial_routers.RouterProcess
+    ) -> None:
+        with self._noted(soak_checks.CRASHING_COPY):
+            await self._trial.call(
+                "stream", router=router, body=platform_checks.CRASHING_BODY
+            )
+
     @contextlib.contextmanager
     def _noted(
         self,
@@ -196,7 +226,7 @@
             self._trial.replica_proxies[replica_id].reset_all()
             await asyncio.sleep(_while_s(draw))
             self._trial.operator.strike_replica(replica_id)
-            self._forget(replica_id)
+            self._trial.forget(replica_id)
             await self._replace_replica()
 
     async def _empty_replica(self, draw: random.Random) -> None:
@@ -204,7 +234,7 @@
         replica_id = self._some_replica(draw)
         await self._replace_replica()
         replica = self._trial.replicas[replica_id]
-        self._forget(replica_id)
+        self._trial.forget(replica_id)
         self._trial.operator.list_replica(
             replica_id,
             address=self._trial.replica_proxies[replica_id].address,
@@ -222,11 +252,6 @@
             sorted(i for i in self._trial.replicas if i.startswith("v1"))
         )
 
-    def _forget(self, replica_id: str) -> None:
-        replica = self._trial.replicas.pop(replica_id, None)
-        if replica is not None:
-            self._trial.ended_replicas[replica_id] = replica
-
     async def _replace_replica(self) -> None:
         self._replicas += 1
         await self._trial.add_replica(f"v1-{self._replicas}", "v1")
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -20,7 +20,8 @@
     def test_troubles_that_overlap_break_nothing_that_must_hold(self):
         """Routers are killed, frozen and stopped; the store, the ways to it
         and to replicas fail in turn; replicas crash and leave; a key goes and
-        comes back; a bad version is ordered. Callers get whole answers or the
+        comes back; a bad version is ordered; copies of a request that ends
+        its replicas come to any router. Callers get whole answers or the
         truth, and all routers serve again afterwards.
         """
         self.play(SEED, seconds=SECONDS)
@@ -28,9 +29,11 @@
     def test_seeds_that_once_found_something_find_nothing(self):
         for seed in SEEDS_THAT_FOUND:
             with self.subTest(seed=seed):
-                self.play(seed, seconds=soak.SECONDS)
+                self.play(seed, seconds=soak.SECONDS, with_crashing=False)
 
-    def play(self, seed: int, *, seconds: float) -> None:
+    def play(
+        self, seed: int, *, seconds: float, with_crashing: bool = True
+    ) -> None:
         """Plays a seed and checks that all held."""
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(
@@ -39,6 +42,7 @@
                     seed=seed,
                     seconds=seconds,
                     with_bounds=False,
+                    with_crashing=with_crashing,
                 )
             )
         self.assertEqual(report.violations, [])
