Quarantine generations that end engines, in the OpenAI entry too

Callers would see: a generation that ends each engine that begins to run it took up to four engines with each copy, and all that they generated for others.

Change: the same book, told to members on their kept connections and kept in the same rows. An engine is asked for its report after an attempt that ran and gave no whole answer; one that refuses has ended. What an engine has ended under is not hedged, and no further attempt is granted to what is quarantined; its copies hear 3008 QUARANTINED, "not run".

Not mended: plain services of this entry, which have nothing that could be asked.

--- a/src/nutmeghook/internal/assembly/gauges.py
+++ b/src/nutmeghook/internal/assembly/gauges.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.ledger import factory as ledger_factory
 from nutmeghook.internal.membership import members as members_module
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.suspects import book as book_module
 
 # Shown while the revision was never known to be the newest, as after a start
 # during an outage; an alarm on age then fires as it should.
@@ -15,7 +16,7 @@
 class Gauges:
     """Reads the state of the parts; nothing is measured between scrapes."""
 
-    __slots__ = ("_config", "_ledger", "_members", "_metrics")
+    __slots__ = ("_config", "_ledger", "_members", "_metrics", "_suspects")
 
     def __init__(
         self,
@@ -24,7 +25,9 @@
         config: view_module.ConfigView,
         members: members_module.MemberView,
         ledger: ledger_factory.InstanceLedger,
+        suspects: book_module.SuspectBook,
     ):
+        self._suspects = suspects
         self._metrics = metrics
         self._config = config
         self._members = members
@@ -50,4 +53,7 @@
             )
         self._metrics.set("store_out", int(self._ledger.table_health.is_out))
         self._metrics.set("bills_waiting", self._ledger.bills_waiting())
+        self._metrics.set(
+            "quarantined_requests", len(self._suspects.quarantined())
+        )
         self._metrics.set("leases_held", self._ledger.service.held())
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -22,8 +22,10 @@
 from nutmeghook.internal.entry import drain as drain_module
 from nutmeghook.internal.entry import listener as listener_module
 from nutmeghook.internal.entry import shutdown
+from nutmeghook.internal.following import audience
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identifiers
+from nutmeghook.internal.inner import peer_messages
 from nutmeghook.internal.ledger import factory as ledger_factory
 from nutmeghook.internal.ledger import settings as ledger_settings
 from nutmeghook.internal.limits import ceiling
@@ -43,6 +45,9 @@
 from nutmeghook.internal.routing import service as routing_service
 from nutmeghook.internal.routing import version_choice
 from nutmeghook.internal.settings import loading
+from nutmeghook.internal.suspects import book as book_module
+from nutmeghook.internal.suspects import gossip as suspect_gossip
+from nutmeghook.internal.suspects import rows
 
 # One read of the platform's list serves all parts; these take one this old.
 _MEMBERSHIP_LIST_AGE = datetime.timedelta(seconds=3)
@@ -75,6 +80,7 @@
         "identifiers",
         "members",
         "metrics",
+        "suspects",
     )
 
     def __init__(
@@ -88,6 +94,7 @@
             clock=clock, capacity_events=settings.count("event_ring_events")
         )
         self.metrics = metrics_module.Metrics()
+        self.suspects = book_module.SuspectBook(clock=clock)
         self._clients = platform_clients.open_clients(settings)
         self._instances = shared_instances.SharedInstanceList(
             instance_list=self._clients.instance_list, clock=clock
@@ -206,6 +213,7 @@
             ),
             retry_budgets=retry_budget.RetryBudgets(),
             ledger=self._ledger.client,
+            suspects=self.suspects,
             ratings=self._rating_queue,
             events=self.events,
             meter=meter,
@@ -246,6 +254,7 @@
                 config=self.config.replica,
                 members=self.members,
                 ledger=self._ledger,
+                suspects=self.suspects,
             ),
             gatherer=gathering.EventsGatherer(
                 ring=self.events,
@@ -327,6 +336,41 @@
             tasks.create_task(self._routing.run())
             tasks.create_task(self._rating_queue.run())
             tasks.create_task(self._ceiling.run())
+            tasks.create_task(self._suspect_gossip().run())
+            tasks.create_task(self._quarantine_rows().run())
+
+    def _suspect_gossip(self) -> suspect_gossip.SuspectGossip:
+        return suspect_gossip.SuspectGossip(
+            book=self.suspects,
+            messages=peer_messages.PeerMessages(
+                caller=self._inner.caller, handlers=self._inner.handlers
+            ),
+            audience=self._some_members,
+            clock=self._clock,
+            random_source=self._random,
+        )
+
+    def _some_members(self, *, near: int, far: float) -> list[str]:
+        """Returns where some other instances listen."""
+        others = [m for m in self.members.members() if m != self.members.myself]
+        told = audience.Audience(
+            data_centre=self._settings.text("data_centre"),
+            random_source=self._random,
+        )
+        return told.choose(
+            {m.incarnation: m.inner_address for m in others},
+            {m.incarnation: m.data_centre for m in others},
+            near=near,
+            far=far,
+        )
+
+    def _quarantine_rows(self) -> rows.QuarantineRows:
+        return rows.QuarantineRows(
+            book=self.suspects,
+            table=self._ledger.table,
+            clock=self._clock,
+            random_source=self._random,
+        )
 
     async def leave(self) -> None:
         """Stops taking requests, finishes all, hands over what it held."""
--- a/src/nutmeghook/internal/dispatch/dispatcher.py
+++ b/src/nutmeghook/internal/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.dispatch import bills as bills_module
 from nutmeghook.internal.dispatch import claims as claims_module
 from nutmeghook.internal.dispatch import endings
+from nutmeghook.internal.dispatch import engine_ends
 from nutmeghook.internal.dispatch import generations as generations_module
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import plain_calls as plain_calls_module
@@ -34,6 +35,7 @@
 from nutmeghook.internal.routing import backends as backends_module
 from nutmeghook.internal.routing import cascade as cascade_module
 from nutmeghook.internal.routing import versions as versions_module
+from nutmeghook.internal.suspects import book as book_module
 
 _Answer = TypeVar("_Answer")
 _Request = requests.GenerationRequest | requests.PlainRequest
@@ -74,6 +76,7 @@
         plain_admission: admission_module.Admission,
         retry_budgets: admission_module.RetryBudgets,
         ledger: ledger_module.Ledger,
+        suspects: book_module.SuspectBook,
         ratings: ratings_module.RatingQueue,
         events: events_module.EventRing,
         meter: meter_module.Meter,
@@ -105,12 +108,16 @@
             background=self._background,
             random_source=random_source,
         )
+        ends = engine_ends.EngineEnds(
+            book=suspects, connector=engines, clock=clock
+        )
         stages = stages_module.StageRunner(
             clock=clock,
             config=config,
             versions=versions,
             backends=backends,
             attempts=attempts,
+            ends=ends,
             retry_budgets=retry_budgets,
             events=events,
             meter=meter,
@@ -121,6 +128,7 @@
             admission=admission,
             cascade=cascade,
             stages=stages,
+            ends=ends,
             ratings=ratings,
             events=events,
             meter=meter,
--- a/src/nutmeghook/internal/dispatch/generations.py
+++ b/src/nutmeghook/internal/dispatch/generations.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.dependencies import ratings as rating_service
 from nutmeghook.internal.dispatch import answers
 from nutmeghook.internal.dispatch import consumers
+from nutmeghook.internal.dispatch import engine_ends
 from nutmeghook.internal.dispatch import meter as meter_module
 from nutmeghook.internal.dispatch import progress as progress_module
 from nutmeghook.internal.dispatch import ratings as ratings_module
@@ -27,6 +28,7 @@
         "_admission",
         "_cascade",
         "_clock",
+        "_ends",
         "_events",
         "_meter",
         "_ratings",
@@ -40,6 +42,7 @@
         admission: admission_module.Admission,
         cascade: cascade_module.CascadePolicy,
         stages: stages_module.StageRunner,
+        ends: engine_ends.EngineEnds,
         ratings: ratings_module.RatingQueue,
         events: events_module.EventRing,
         meter: meter_module.Meter,
@@ -48,6 +51,7 @@
         self._admission = admission
         self._cascade = cascade
         self._stages = stages
+        self._ends = ends
         self._ratings = ratings
         self._events = events
         self._meter = meter
@@ -63,6 +67,7 @@
         Raises:
             errors.CodedError: There is none.
         """
+        self._ends.check(request, progress)
         asked = _admission_request(request)
         async with self._admission.admitted(asked):
             self._events.record(
--- a/src/nutmeghook/internal/dispatch/leave.py
+++ b/src/nutmeghook/internal/dispatch/leave.py
@@ -3,6 +3,7 @@
 from nutmeghook.internal.config import documents
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dispatch import engine_ends
 from nutmeghook.internal.dispatch import stage_calls
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
@@ -16,7 +17,7 @@
 class AttemptLeave:
     """Asks configuration, backend servers and retry budget for an attempt."""
 
-    __slots__ = ("_backends", "_config", "_retry_budgets", "_versions")
+    __slots__ = ("_backends", "_config", "_ends", "_retry_budgets", "_versions")
 
     def __init__(
         self,
@@ -25,7 +26,9 @@
         versions: versions_module.VersionChooser,
         backends: backends_module.BackendChooser,
         retry_budgets: admission_module.RetryBudgets,
+        ends: engine_ends.EngineEnds,
     ):
+        self._ends = ends
         self._config = config
         self._versions = versions
         self._backends = backends
@@ -99,6 +102,8 @@
         The budget is asked last: leave that is taken for nothing would be
         missing where a request needs it.
         """
+        if self._ends.is_quarantined(call.request):
+            return None
         try:
             self.check_version(call)
         except errors.CodedError:
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.dispatch import attempts as attempts_module
 from nutmeghook.internal.dispatch import callers
 from nutmeghook.internal.dispatch import consumers
+from nutmeghook.internal.dispatch import engine_ends
 from nutmeghook.internal.dispatch import hedge
 from nutmeghook.internal.dispatch import leave as leave_module
 from nutmeghook.internal.dispatch import meter as meter_module
@@ -36,6 +37,7 @@
         "_backends",
         "_clock",
         "_config",
+        "_ends",
         "_events",
         "_leave",
         "_meter",
@@ -51,6 +53,7 @@
         versions: versions_module.VersionChooser,
         backends: backends_module.BackendChooser,
         attempts: attempts_module.AttemptRunner,
+        ends: engine_ends.EngineEnds,
         retry_budgets: admission_module.RetryBudgets,
         events: events_module.EventRing,
         meter: meter_module.Meter,
@@ -58,11 +61,13 @@
     ):
         self._clock = clock
         self._config = config
+        self._ends = ends
         self._leave = leave_module.AttemptLeave(
             config=config,
             versions=versions,
             backends=backends,
             retry_budgets=retry_budgets,
+            ends=ends,
         )
         self._versions = versions
         self._backends = backends
@@ -94,7 +99,9 @@
             if backend is None:
                 backend = await self._next_backend(call)
             try:
-                return await self._answer_from(call, backend)
+                answer = await self._answer_from(call, backend)
+                self._ends.note_answered(call.request)
+                return answer
             except attempts_module.AttemptError as error:
                 call.failed_attempts += 1
                 withheld = error.withheld
@@ -153,6 +160,8 @@
         self, call: stage_calls.StageCall
     ) -> backends_module.Backend:
         """Returns where an attempt goes that was not granted before."""
+        if call.progress.attempts:
+            self._ends.check(call.request, call.progress)
         await self._settle_choice(call)
         callers.check_token(self._config, call.request, call.progress)
         if not call.failed_attempts:
@@ -242,7 +251,12 @@
         first: backends_module.Backend,
         consumer: consumers.Consumer,
     ) -> hedge.LaneWork | None:
-        """Starts a hedge on another backend server, if that may be."""
+        """Starts a hedge on another backend server, if that may be.
+
+        What an engine has ended under is not given to two at a time.
+        """
+        if self._ends.is_suspect(call.request):
+            return None
         backend = self._leave.try_beside(call, first)
         if backend is None:
             return None
@@ -284,6 +298,7 @@
             return await self._attempts.run(attempt, consumer)
         except attempts_module.AttemptError as error:
             ran = error.ran
+            await self._ends.note_failed(call.request, attempt, error)
             raise
         finally:
             if attempt.is_left and consumer.has_begun():
--- a/src/nutmeghook/internal/inner/sealed_messages.py
+++ b/src/nutmeghook/internal/inner/sealed_messages.py
@@ -1,17 +1,15 @@
 """Messages in sealed datagrams, each given to whoever takes its kind."""
 
-from collections.abc import Callable
 from typing import Any
 
 from nutmeghook.internal.inner import codec
 from nutmeghook.internal.inner import datagrams as datagrams_module
+from nutmeghook.internal.inner import messages
 from nutmeghook.internal.inner import traffic as traffic_module
 from nutmeghook.internal.observe import logs
 
-Handler = Callable[[Any], None]
 
-
-class SealedMessages:
+class SealedMessages(messages.Messages):
     """Sends messages that may be lost, and hands over those that arrive.
 
     A datagram without the fleet's seal, or of a kind that nobody here takes
@@ -30,10 +28,10 @@
         self._datagrams = datagrams
         self._seal = seal
         self._traffic = traffic or traffic_module.Traffic()
-        self._handlers: dict[type, Handler] = {}
+        self._handlers: dict[type, messages.Handler] = {}
         datagrams.set_receiver(self._receive)
 
-    def register(self, message_type: type, handler: Handler) -> None:
+    def register(self, message_type: type, handler: messages.Handler) -> None:
         """Has messages of a type given to a handler."""
         self._handlers[message_type] = handler
 
--- a/src/nutmeghook/internal/suspects/gossip.py
+++ b/src/nutmeghook/internal/suspects/gossip.py
@@ -13,7 +13,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identities
-from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.inner import messages as messages_module
 from nutmeghook.internal.inner import telling
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.suspects import book as book_module
@@ -47,7 +47,7 @@
         self,
         *,
         book: book_module.SuspectBook,
-        messages: sealed_messages.SealedMessages,
+        messages: messages_module.Messages,
         audience: Callable[..., list[str]],
         clock: clock_module.Clock,
         random_source: random.Random,
--- a/tests/cover/test_dispatch_crashing.py
+++ b/tests/cover/test_dispatch_crashing.py
@@ -1,11 +1,13 @@
 """A generation that ends each engine that runs it, in the OpenAI entry."""
 
-import contextlib
+import datetime
 import unittest
 
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
+from nutmeghook.internal.suspects import book as book_module
 from tests import fakes
 from tests.cover import dispatch_errors
 
@@ -38,30 +40,71 @@
         return engine.LoadReport(loaded=(), running=0, waiting=0, capacity=8)
 
 
-class CrashingGenerationTest(unittest.IsolatedAsyncioTestCase):
+class CrashingGenerationCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.fixture = fakes.Fixture()
+        addresses = [f"e{number}:1" for number in range(ENGINES)]
+        self.fixture.backends.addresses = addresses
+        for address in addresses:
+            self.fixture.engines[address] = EndingEngine()
+        self.dispatcher = self.fixture.dispatcher()
+
+    async def copy(self) -> errors.CodedError | None:
+        """Sends a copy once all engines are back; returns its failure."""
+        for ended in self.fixture.engines.values():
+            ended.is_up = True
+        request = fakes.generation_request(self.fixture)
+        try:
+            await fakes.to_end(
+                self.fixture.clock,
+                self.dispatcher.generate(request, fakes.RecordingSink()),
+            )
+        except errors.CodedError as error:
+            return error
+        return None
+
+    def arrivals(self) -> int:
+        """Returns how often an engine was given a generation."""
+        return sum(len(e.generations) for e in self.fixture.engines.values())
+
+
+class CrashingGenerationTest(CrashingGenerationCase):
     async def test_copies_of_a_request_that_ended_three_engines(self):
         """A caller's request ends each engine that begins to run it, and all
         that the engine generates for others. The caller hears that its outcome
         is unknown, and sends the same again. Each copy was new to the instance,
         and ended up to four engines more.
         """
-        fixture = fakes.Fixture()
-        addresses = [f"e{number}:1" for number in range(ENGINES)]
-        fixture.backends.addresses = addresses
-        for address in addresses:
-            fixture.engines[address] = EndingEngine()
-        dispatcher = fixture.dispatcher()
         for _ in range(COPIES):
-            for ended in fixture.engines.values():
-                ended.is_up = True
-            request = fakes.generation_request(fixture)
-            with contextlib.suppress(errors.CodedError):
-                await fakes.to_end(
-                    fixture.clock,
-                    dispatcher.generate(request, fakes.RecordingSink()),
-                )
-        arrivals = sum(len(e.generations) for e in fixture.engines.values())
-        self.assertLessEqual(arrivals, 3 + RETRIES_AFTER_THREE)
+            await self.copy()
+        self.assertLessEqual(self.arrivals(), 3 + RETRIES_AFTER_THREE)
+
+    async def test_a_copy_is_refused_as_not_run(self):
+        await self.copy()
+        before = self.arrivals()
+        error = await self.copy()
+        self.assertIs(error.code, codes.Code.QUARANTINED)
+        self.assertIs(error.run_state, codes.RunState.NOT_RUN)
+        self.assertGreater(error.retry_after, datetime.timedelta())
+        self.assertEqual(self.arrivals(), before)
+
+    async def test_a_trial_ends_one_engine_at_most(self):
+        await self.copy()
+        before = self.arrivals()
+        await self.fixture.clock.advance(book_module.TRIAL_AFTER)
+        await self.copy()
+        self.assertEqual(self.arrivals(), before + 1)
+
+    async def test_lost_connections_condemn_nobody(self):
+        """Connections break all day, and no engine ends."""
+        for address in self.fixture.backends.addresses:
+            self.fixture.engines[address] = fakes.FakeEngine()
+            self.fixture.engines[address].default = fakes.Script(
+                fails=dispatch_errors.lost()
+            )
+        for _ in range(COPIES):
+            error = await self.copy()
+            self.assertIs(error.code, codes.Code.BACKEND_FAILED)
 
 
 if __name__ == "__main__":
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -27,6 +27,7 @@
 from nutmeghook.internal.routing import backends
 from nutmeghook.internal.routing import cascade
 from nutmeghook.internal.routing import versions
+from nutmeghook.internal.suspects import book as book_module
 from tests import fake_config
 from tests import fake_platform
 
@@ -93,7 +94,7 @@
         self.cancelled.append(attempt_id)
 
     async def load_report(self):
-        raise NotImplementedError
+        return engine.LoadReport(loaded=(), running=0, waiting=0, capacity=8)
 
     async def order(self, order):
         raise NotImplementedError
@@ -327,6 +328,7 @@
             admission=self.admission,
             plain_admission=self.plain_admission,
             retry_budgets=self.budget,
+            suspects=book_module.SuspectBook(clock=self.clock),
             ledger=self.ledger,
             ratings=self.ratings,
             events=self.events,
