Give trials' routers ports of their own; tell of those that ended

Cause: a router's ports came from the range that the system gives to outgoing connections, one of which may have had it when the router was started again; a signal to a process that is gone raised an error. Change: ports below that range, each given once; a router that ended by itself is told among the soak's violations.

--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -97,6 +97,7 @@
             answered=sum(c.status == 200 and c.complete for c in trial.calls),
             violations=soak_checks.violations(history, with_bounds=with_bounds)
             + trial.reverts()
+            + trial.ended_routers()
             + (trial.unserved if with_bounds else [])
             + unserved,
         )
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -69,6 +69,14 @@
         """Has the proxy of a replica that has ended refuse connections."""
         self.replica_proxies[replica_id].close_door()
 
+    def ended_routers(self) -> list[str]:
+        """Returns which routers ended by themselves."""
+        return [
+            f"{router.name} ended by itself with status {status}"
+            for router in self.routers
+            for status in router.ended
+        ]
+
     def history(self) -> soak_checks.History:
         """Returns all that was seen."""
         replicas = self.all_replicas()
--- a/src/nutmeghook/experiment/trial_routers.py
+++ b/src/nutmeghook/experiment/trial_routers.py
@@ -27,16 +27,29 @@
 address = "{store}"
 """
 
+# Below those that the system gives to outgoing connections. Two at a time are
+# taken by a router, one after the other.
+_PORTS = iter(range(12_000, 32_000, 2))
+
 
 class RouterProcess:
     """One router.
 
     Attributes:
         address: Where callers connect.
+        ended: Statuses of starts that ended by themselves.
         starts: How often it was started.
     """
 
-    __slots__ = ("_file", "_log", "address", "name", "process", "starts")
+    __slots__ = (
+        "_file",
+        "_log",
+        "address",
+        "ended",
+        "name",
+        "process",
+        "starts",
+    )
 
     def __init__(self, *, name: str, folder: pathlib.Path, store: str):
         self.name = name
@@ -54,6 +67,7 @@
         )
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
+        self.ended: list[int] = []
 
     async def start(self) -> None:
         """Starts the process."""
@@ -77,28 +91,46 @@
 
     def pause(self) -> None:
         """Freezes the process."""
-        self.process.send_signal(signal.SIGSTOP)
+        self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Lets a frozen process go on."""
-        self.process.send_signal(signal.SIGCONT)
+        self._signal(signal.SIGCONT)
 
     async def kill(self) -> None:
         """Kills the process and waits for its end."""
-        self.process.kill()
+        self._signal(signal.SIGKILL)
         await self.process.wait()
 
     async def stop(self) -> int:
         """Stops the process gracefully; returns its status."""
-        self.process.send_signal(signal.SIGTERM)
+        self._signal(signal.SIGTERM)
         return await self.process.wait()
 
+    def _signal(self, number: signal.Signals) -> None:
+        """Sends a signal, or notes that nobody is there to get it."""
+        status = self.process.returncode
+        if status is None:
+            self.process.send_signal(number)
+        elif len(self.ended) < self.starts:
+            self.ended.append(status)
+
 
 def free_port() -> int:
-    """Returns a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((loopback_host.own_host(), 0))
-        return probe.getsockname()[1]
+    """Returns a port that nobody listens on.
+
+    The failure: a router that is started again finds its port taken, by an
+    outgoing connection that got it from the system meanwhile. So it is none
+    of those that the system gives, and each is given once.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((loopback_host.own_host(), port))
+            except OSError:
+                continue
+            return port
 
 
 def settings_text(
