--- a/tests/cover/test_quarantine_rows.py
+++ b/tests/cover/test_quarantine_rows.py
@@ -51,6 +51,25 @@
         async with self.instance() as book:
             self.assertTrue(book.is_quarantined(REQUEST))
 
+    async def test_it_is_written_though_nobody_saw_all_of_it(self):
+        """Three instances see one replica's end each, in the same moment, and
+        know of the others by their peers only. None of them had put the
+        request into quarantine itself, and no row was written.
+        """
+        async with contextlib.AsyncExitStack() as fleet:
+            books = [
+                await fleet.enter_async_context(self.instance())
+                for _ in range(3)
+            ]
+            for replica, book in enumerate(books):
+                book.note_end(REQUEST, replica_hash=replica, begun=True)
+            for book in books:
+                for told in book.take_news(1):
+                    for other in books:
+                        other.merge(told)
+        async with self.instance() as book:
+            self.assertTrue(book.is_quarantined(REQUEST))
+
     async def test_its_trial_is_known_as_well(self):
         """All instances are lost again and again. Each time the fleet would
         send the request on trial once more, and a replica would end.
