Write a quarantine whose ends were each seen by another instance

Callers would see: after all instances were lost at once, copies of such a request end three more replicas. Cause: a row was written by whoever's own notice completed the quarantine. If ends come in one moment, each instance completes it by what peers tell. Change: whoever noticed one of the ends writes the row, however it completed; some write the same.

--- a/src/nutmeghook/internal/suspects/book.py
+++ b/src/nutmeghook/internal/suspects/book.py
@@ -113,6 +113,7 @@
     __slots__ = (
         "_answered",
         "_clock",
+        "_noticed",
         "_suspects",
         "_untold",
         "_unwritten",
@@ -127,6 +128,8 @@
         self._answered: collections.OrderedDict[bytes, datetime.timedelta] = (
             collections.OrderedDict()
         )
+        # Under which a replica of this instance's ended.
+        self._noticed: set[bytes] = set()
         self._untold: dict[bytes, None] = {}
         self._unwritten: dict[bytes, None] = {}
         self.news = asyncio.Event()
@@ -139,6 +142,7 @@
         end = ReplicaEnd(
             replica_hash=replica_hash, begun=begun, at=self._clock.monotonic()
         )
+        self._noticed.add(identity)
         self.merge(Suspicion(identity=identity, ends=(end,)))
         if self.is_quarantined(identity):
             self.write_later(identity)
@@ -188,6 +192,10 @@
                 identity=identity.hex(),
                 replicas=[end.replica_hash for end in merged.ends],
             )
+            # Each end may have been seen by another instance, so that none
+            # has come to this by itself.
+            if identity in self._noticed:
+                self.write_later(identity)
 
     def suspicion(self, identity: bytes) -> Suspicion:
         """Returns what counts against a request now."""
@@ -305,6 +313,7 @@
             self._suspects = {
                 s.identity: s for s in gravest[:_KEPT_OF_TOO_MANY]
             }
+            self._noticed &= self._suspects.keys()
 
     def _tell_later(self, identity: bytes) -> None:
         self._untold[identity] = None
