--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """A request that ends each replica that begins to run it, and its copies."""
 
 import asyncio
+from collections.abc import Callable
 
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import book as book_module
@@ -26,8 +27,14 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.starts = 0
+        self.decide_by(self._reply)
+
+    def decide_by(
+        self, decide: Callable[[users_replica.SeenRequest], Reply]
+    ) -> None:
+        """Lets all replicas answer by a function of the request."""
         for replica in self.replicas:
-            replica.decide_by(self._reply)
+            replica.decide_by(decide)
 
     @staticmethod
     def _reply(request: users_replica.SeenRequest) -> Reply:
@@ -77,6 +84,20 @@
         self.assertIn(b"Retry-After: ", answer)
         self.assertEqual(self.arrivals(), before)
 
+    async def test_a_replica_s_own_failure_clears_nobody(self):
+        """Some replicas fail part of what they get, before they run it. One of
+        them failed a copy of the request: that was taken for an answer, which
+        cleared it and protected it for half a minute, and further copies ended
+        replica after replica.
+        """
+        ends = Reply(events=EVENTS, send_bytes=0, crash=True)
+        replies = [ends, ends, Reply(status=500)]
+        self.decide_by(lambda _: replies.pop(0) if replies else ends)
+        for number in range(6):
+            await self.ask(STREAM, request_id=f"copy-{number}", body=CRASHING)
+            await self.bring_back()
+        self.assertLessEqual(self.arrivals(), 3 + RETRIES_AFTER_THREE)
+
     async def test_two_at_once_are_each_stopped(self):
         bodies = (CRASHING, ALSO_CRASHING)
         for number in range(6):
@@ -109,8 +130,7 @@
         def decide(request: users_replica.SeenRequest) -> Reply:
             return begun.pop() if begun else self._reply(request)
 
-        for replica in self.replicas:
-            replica.decide_by(decide)
+        self.decide_by(decide)
         asking = asyncio.create_task(self.ask(STREAM, body=INNOCENT))
         await self.arrival()
         (first,) = [r for r in self.replicas if r.seen]
@@ -123,10 +143,7 @@
         """Links reset connections all day, of one request as of others. No
         replica ends, and each copy is sent as often as the first one was.
         """
-        for replica in self.replicas:
-            replica.decide_by(
-                lambda _: Reply(events=EVENTS, send_bytes=0, reset=True)
-            )
+        self.decide_by(lambda _: Reply(events=EVENTS, send_bytes=0, reset=True))
         for number in range(5):
             await self.ask(STREAM, request_id=f"copy-{number}", body=INNOCENT)
             self.assertEqual(self.arrivals(INNOCENT), 3 * (number + 1))
@@ -157,8 +174,7 @@
     async def test_one_that_is_answered_on_trial_is_free(self):
         """What ended the replicas was mended, or was another request."""
         await self.ended_three()
-        for replica in self.replicas:
-            replica.decide_by(lambda _: Reply(events=EVENTS))
+        self.decide_by(lambda _: Reply(events=EVENTS))
         for _ in range(3):
             answer = await self.answer_to_copy()
             self.assertTrue(relay_fixture.is_complete(answer))
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -14,6 +14,11 @@
 #    return a router that had just started completed the roll-out. See also
 #    cover/test_version_driver, what_the_store_s_absence_hid_is_not_completed.
 SEEDS_THAT_FOUND = (8,)
+# The same, with copies of a request that ends its replicas:
+# 14: a replica of the bad version failed a copy before it ran it, which was
+#    taken for an answer and cleared the request. See also
+#    cover/test_crashing_requests, a_replica_s_own_failure_clears_nobody.
+CRASHING_SEEDS_THAT_FOUND = (14,)
 
 
 class SoakTest(unittest.TestCase):
@@ -30,6 +35,9 @@
         for seed in SEEDS_THAT_FOUND:
             with self.subTest(seed=seed):
                 self.play(seed, seconds=soak.SECONDS, with_crashing=False)
+        for seed in CRASHING_SEEDS_THAT_FOUND:
+            with self.subTest(seed=seed):
+                self.play(seed, seconds=soak.SECONDS)
 
     def play(
         self, seed: int, *, seconds: float, with_crashing: bool = True
