Take only a success for a sign that a replica survived a request

Cause: any whole answer cleared a request, also a replica's own failure, which may come before it begins to run; that one failed half of what it got. Change: only answers below 300 clear. A replica's word that the request is wrong is none either: it may have come without a run. Ruled out: to clear without the protection of 30 s. The next ends would count, but a pool with one failing replica would clear the request again and again.

--- a/src/nutmeghook/internal/relay/crash_watch.py
+++ b/src/nutmeghook/internal/relay/crash_watch.py
@@ -49,10 +49,22 @@
         """Returns for how long a quarantined request is sent to no replica."""
         return self._book.refused_for(job.identity)
 
-    def note_answered(self, job: job_module.Job) -> None:
-        """Takes in that a replica ran a request to its end."""
+    def note_stream_ended(self, job: job_module.Job) -> None:
+        """Takes in that a replica has run a stream to its end."""
         self._book.note_answered(job.identity)
 
+    def note_answer(
+        self, job: job_module.Job, answer: job_module.WholeAnswer
+    ) -> None:
+        """Takes in a replica's whole answer.
+
+        Only a success shows that it survived the request. The failure: a
+        replica fails part of what it gets before it runs it, and one failure
+        cleared a request that ended all others.
+        """
+        if answer.succeeded:
+            self._book.note_answered(job.identity)
+
     async def note_lost(
         self,
         job: job_module.Job,
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 
+_FIRST_OTHER_STATUS = 300
 _FIRST_FAILURE_STATUS = 500
 
 
@@ -38,6 +39,11 @@
     headers: wire.Headers
     body: bytes
 
+    @property
+    def succeeded(self) -> bool:
+        """Tells whether the replica did what it was asked."""
+        return self.status < _FIRST_OTHER_STATUS
+
     @property
     def failed(self) -> bool:
         """Tells whether the replica reports a failure of its own."""
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -117,7 +117,7 @@
             if self._is_replaced(job, prepared, answer):
                 return _Step.LARGER_MODEL
             await self._pass_on(job, prepared, answer)
-            self._crashes.note_answered(job)
+            self._crashes.note_stream_ended(job)
             prepared.replica.health.note_success(self._clock.monotonic())
             return _Step.DONE
 
@@ -137,7 +137,7 @@
             headers=answer.head.headers,
             body=await self._wait.until_deadline(job, answer.read_whole()),
         )
-        self._crashes.note_answered(job)
+        self._crashes.note_answer(job, whole)
         self._observer.note_answer(
             job, prepared, status=whole.status, failed=whole.failed
         )
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -92,7 +92,7 @@
             self._leave.allow_repeat(job, error)
             return None
         job.runs += 1
-        self._crashes.note_answered(job)
+        self._crashes.note_answer(job, answer)
         self._observer.note_answer(
             job, prepared, status=answer.status, failed=answer.failed
         )
