Show that a trial is lost while nothing can take it

Found by reading the mend again, cold: a quarantined request's one trial is taken before a replica, or a place, is looked for. Both tests fail.

--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -178,3 +178,18 @@
         for _ in range(3):
             answer = await self.answer_to_copy()
             self.assertTrue(relay_fixture.is_complete(answer))
+
+    async def test_a_trial_waits_for_a_replica_that_can_take_it(self):
+        """The minute is over, and no replica is there just then. The copy that
+        came was refused for that, and the one trial was taken all the same:
+        an innocent request stayed out for an hour.
+        """
+        await self.ended_three()
+        for replica in self.replicas:
+            self.directory.remove(replica.replica_id)
+        await self.answer_to_copy()
+        self.decide_by(lambda _: Reply(events=EVENTS))
+        for replica in self.replicas:
+            self.directory.put(self.entry(replica))
+        answer = await self.answer_to_copy()
+        self.assertTrue(relay_fixture.is_complete(answer))
--- a/tests/cover/test_dispatch_crashing.py
+++ b/tests/cover/test_dispatch_crashing.py
@@ -95,6 +95,20 @@
         await self.copy()
         self.assertEqual(self.arrivals(), before + 1)
 
+    async def test_a_trial_waits_for_a_place(self):
+        """The minute is over, and there is no place for the copy just then.
+        It was refused for that, and the one trial was taken all the same.
+        """
+        await self.copy()
+        before = self.arrivals()
+        await self.fixture.clock.advance(book_module.TRIAL_AFTER)
+        addresses = list(self.fixture.backends.addresses)
+        self.fixture.backends.addresses.clear()
+        await self.copy()
+        self.fixture.backends.addresses.extend(addresses)
+        await self.copy()
+        self.assertEqual(self.arrivals(), before + 1)
+
     async def test_lost_connections_condemn_nobody(self):
         """Connections break all day, and no engine ends."""
         for address in self.fixture.backends.addresses:
