Take a quarantined request's trial as it is sent, not before

Callers would see: an innocent request in quarantine stays out for an hour, since the one copy that might have freed it came while no replica, or no place, could take it. Cause: the trial was taken as the request was let in. Change: whether it is due is asked then, and it is taken in the step that chooses where it goes.

--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -77,6 +77,7 @@
             configuration=around.configuration,
             routes=routes,
             leave=leave,
+            crashes=crashes,
             search=search,
             versions=around.versions,
             budgets=around.budgets,
--- a/src/nutmeghook/internal/dispatch/engine_ends.py
+++ b/src/nutmeghook/internal/dispatch/engine_ends.py
@@ -64,19 +64,25 @@
         identity = _identity(request)
         if not self._book.is_quarantined(identity):
             return
+        if not progress.attempts and self._book.is_trial_due(identity):
+            return
         detail = "backend servers end under this request"
         if progress.possibly_run:
             raise errors.CodedError(
                 code=codes.Code.BACKEND_FAILED, detail=detail
             )
-        if not progress.attempts and self._book.try_trial(identity):
-            return
         raise errors.CodedError(
             code=codes.Code.QUARANTINED,
             detail=detail,
             retry_after=self._book.refused_for(identity),
         )
 
+    def note_sent(self, request: requests.GenerationRequest) -> None:
+        """Takes in that a request is sent: on trial, if it is quarantined."""
+        identity = _identity(request)
+        if self._book.is_quarantined(identity):
+            self._book.try_trial(identity)
+
     def note_answered(self, request: requests.GenerationRequest) -> None:
         """Takes in that an engine ran a request to its end."""
         self._book.note_answered(_identity(request))
--- a/src/nutmeghook/internal/dispatch/stages.py
+++ b/src/nutmeghook/internal/dispatch/stages.py
@@ -160,14 +160,16 @@
         self, call: stage_calls.StageCall
     ) -> backends_module.Backend:
         """Returns where an attempt goes that was not granted before."""
-        if call.progress.attempts:
-            self._ends.check(call.request, call.progress)
         await self._settle_choice(call)
         callers.check_token(self._config, call.request, call.progress)
+        self._ends.check(call.request, call.progress)
         if not call.failed_attempts:
             # Of each stage: it is one more first attempt at its model.
             self._leave.budget(call).note_request()
-        return self._choose_backend(call)
+        backend = self._choose_backend(call)
+        if not call.progress.attempts:
+            self._ends.note_sent(call.request)
+        return backend
 
     async def _settle_choice(self, call: stage_calls.StageCall) -> None:
         """Leaves a version in the call that may be sent to right now.
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.relay import attempt_facts
+from nutmeghook.internal.relay import crash_watch
 from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import leave as leave_module
@@ -28,6 +29,7 @@
         "_budgets",
         "_clock",
         "_configuration",
+        "_crashes",
         "_leave",
         "_routes",
         "_search",
@@ -41,6 +43,7 @@
         configuration: in_force_module.ConfigurationInForce,
         routes: followed_routes.FollowedRoutes,
         leave: leave_module.AttemptLeave,
+        crashes: crash_watch.CrashWatch,
         search: replica_search.ReplicaSearch,
         versions: view_module.VersionView,
         budgets: window_budget.WindowRetryBudgets,
@@ -50,6 +53,7 @@
         self._configuration = configuration
         self._routes = routes
         self._leave = leave
+        self._crashes = crashes
         self._search = search
         self._versions = versions
         self._budgets = budgets
@@ -68,6 +72,7 @@
         replica = chosen.replica
         first = not job.tries
         if first:
+            self._crashes.note_sent(job)
             self._budgets.budget_for(job.service).note_request()
         job.tries += 1
         job.tried.add(replica.entry.replica_id)
--- a/src/nutmeghook/internal/relay/crash_watch.py
+++ b/src/nutmeghook/internal/relay/crash_watch.py
@@ -41,9 +41,14 @@
         """Tells whether a request is to be sent to no replica."""
         return self._book.is_quarantined(job.identity)
 
-    def try_trial(self, job: job_module.Job) -> bool:
-        """Takes leave to send a quarantined request to one replica."""
-        return self._book.try_trial(job.identity)
+    def is_trial_due(self, job: job_module.Job) -> bool:
+        """Tells whether a quarantined request may be sent to one replica."""
+        return not job.tries and self._book.is_trial_due(job.identity)
+
+    def note_sent(self, job: job_module.Job) -> None:
+        """Takes in that a request is sent: on trial, if it is quarantined."""
+        if self.is_quarantined(job):
+            self._book.try_trial(job.identity)
 
     def refused_for(self, job: job_module.Job) -> datetime.timedelta:
         """Returns for how long a quarantined request is sent to no replica."""
--- a/src/nutmeghook/internal/relay/leave.py
+++ b/src/nutmeghook/internal/relay/leave.py
@@ -96,7 +96,7 @@
         """
         if not self._crashes.is_quarantined(job):
             return
-        if not job.tries and self._crashes.try_trial(job):
+        if self._crashes.is_trial_due(job):
             return
         reason = "replicas end under this request"
         if job.possibly_run:
--- a/src/nutmeghook/internal/suspects/book.py
+++ b/src/nutmeghook/internal/suspects/book.py
@@ -212,14 +212,22 @@
         """Tells whether a request is to be sent to no replica."""
         return self.suspicion(identity).weight >= _QUARANTINE_WEIGHT
 
-    def try_trial(self, identity: bytes) -> bool:
-        """Takes leave to send a quarantined request once, if it is time."""
+    def is_trial_due(self, identity: bytes) -> bool:
+        """Tells whether a quarantined request may be sent once."""
         suspicion = self.suspicion(identity)
-        now = self._clock.monotonic()
         if suspicion.tried_at is not None or not suspicion.ends:
             return False
-        if now < suspicion.last_at + TRIAL_AFTER:
+        return self._clock.monotonic() >= suspicion.last_at + TRIAL_AFTER
+
+    def try_trial(self, identity: bytes) -> bool:
+        """Takes leave to send a quarantined request once, if it is time.
+
+        Taken as it is about to be sent: there is only one.
+        """
+        if not self.is_trial_due(identity):
             return False
+        suspicion = self.suspicion(identity)
+        now = self._clock.monotonic()
         logs.note("suspect:on_trial", identity=identity.hex())
         self._put(dataclasses.replace(suspicion, tried_at=now))
         self._tell_later(identity)
