--- a/tests/cover/test_relay_observed.py
+++ b/tests/cover/test_relay_observed.py
@@ -1,11 +1,13 @@
 """What logs and metrics tell of a relayed request that ended badly."""
 
 import unittest
+from unittest import mock
 
 import eliot
 
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import observations
 from nutmeghook.internal.routes import model
 from nutmeghook.standins import users_replica
 from tests import relay_fixture
@@ -16,20 +18,22 @@
 KEPT_BYTES = 4000
 
 
-class CutAnswersTest(relay_fixture.RelayCase):
+class LoggedEndCase(relay_fixture.RelayCase):
     async def logged_end(self) -> dict[str, object]:
         """Asks for a stream and returns what was logged of its end."""
-        messages = []
-        logs.start_with(messages.append)
-        self.addCleanup(eliot.remove_destination, messages.append)
+        self.messages = []
+        logs.start_with(self.messages.append)
+        self.addCleanup(eliot.remove_destination, self.messages.append)
         await self.ask(STREAM, body=b"prompt")
-        (ended,) = [
-            message
-            for message in messages
-            if message["message_type"] == "request:ended"
-        ]
+        (ended,) = self.logged("request:ended")
         return ended
 
+    def logged(self, message_type: str) -> list[dict[str, object]]:
+        """Returns the lines of a type."""
+        return [m for m in self.messages if m["message_type"] == message_type]
+
+
+class CutAnswersTest(LoggedEndCase):
     async def test_neither_a_refusal_nor_a_whole_answer_is_logged_as_cut(self):
         self.reply_with(Reply(events=(0, 1)), Reply(status=503, not_run=True))
         for _ in range(2):
@@ -53,6 +57,23 @@
         )
 
 
+class FaultsTest(LoggedEndCase):
+    async def test_the_trace_of_a_fault_names_its_request(self):
+        """A fault of the program ends a request. Its trace was logged without
+        the request's id: of several that ended in one second, nobody could
+        tell whose it was.
+        """
+        self.reply_with(Reply(events=(0, 1)))
+        with mock.patch.object(
+            observations.AnswerObserver,
+            "note_first_event",
+            side_effect=ZeroDivisionError,
+        ):
+            await self.logged_end()
+        (fault,) = self.logged("request:fault")
+        self.assertEqual(fault["request"], "request-1")
+
+
 class MetricsPageTest(unittest.TestCase):
     def test_the_beginning_of_a_page_tells_how_requests_ended(self):
         """A collector keeps the first 4,000 bytes of a page.
