Name the request in a fault's trace

Cause: the line was logged with its trace alone. A story showed it for every request of its instance; it is the request's own line now. Measured: the listed test passes, off the list; log reading, story, endings and docs modules pass.

--- a/src/nutmeghook/internal/observe/belief_records.py
+++ b/src/nutmeghook/internal/observe/belief_records.py
@@ -60,12 +60,6 @@
     faults: list[str] | None = None
 
 
-class RequestFault(Record, frozen=True, kw_only=True):
-    """A fault of the program; the line does not name its request."""
-
-    trace: str | None = None
-
-
 class LinesDropped(Record, frozen=True, kw_only=True):
     """Lines found no room since the last report of it."""
 
--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -22,7 +22,7 @@
     "attempt:left": log_records.AttemptLeft,
     "attempt:lost": log_records.AttemptLost,
     "request:ended": log_records.RequestEnded,
-    "request:fault": belief_records.RequestFault,
+    "request:fault": log_records.RequestFault,
     "configuration:in_force": belief_records.ConfigurationInForce,
     "replica:listed": belief_records.ReplicaChange,
     "replica:leaving": belief_records.ReplicaChange,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -100,6 +100,12 @@
     replica_now: str | None = None
 
 
+class RequestFault(RequestRecord, frozen=True, kw_only=True):
+    """A fault of the program ended the request."""
+
+    trace: str | None = None
+
+
 class RequestEnded(RequestRecord, frozen=True, kw_only=True):
     """A request's end.
 
--- a/src/nutmeghook/internal/observe/story.py
+++ b/src/nutmeghook/internal/observe/story.py
@@ -16,7 +16,6 @@
     belief_records.ConfigurationInForce,
     belief_records.LinesDropped,
     belief_records.ProcessChange,
-    belief_records.RequestFault,
     belief_records.RollOutChange,
     belief_records.StoreChange,
 )
--- a/src/nutmeghook/internal/relay/path.py
+++ b/src/nutmeghook/internal/relay/path.py
@@ -78,7 +78,11 @@
         except Exception as error:
             # A fault of ours; the caller still gets an answer at once.
             ending = endings.of_fault(error)
-            logs.note("request:fault", trace=traceback.format_exc())
+            logs.note(
+                "request:fault",
+                request=incoming.facts.request_id,
+                trace=traceback.format_exc(),
+            )
             is_cut = await self._reject(sink, _fault(job), route_name)
         finally:
             self._note_end(incoming, job, route_name, ending, is_cut=is_cut)
