--- a/tests/cover/test_inner_tcp.py
+++ b/tests/cover/test_inner_tcp.py
@@ -7,6 +7,7 @@
 import struct
 import tracemalloc
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -106,6 +107,17 @@
             await asyncio.sleep(0.01)
 
 
+def kept(open_connection, connections):
+    """Returns the same function, which notes the writers that it made."""
+
+    async def open_and_keep(*arguments, **options):
+        reader, writer = await open_connection(*arguments, **options)
+        connections.append(writer)
+        return reader, writer
+
+    return open_and_keep
+
+
 def raw_frame(data):
     return struct.pack(">I", len(data)) + data
 
@@ -201,6 +213,28 @@
             await pair.server.start(host=host, port=int(port))
             self.assertEqual((await eventually_pull(pair, 4)).revision, 4)
 
+    async def test_a_call_as_its_connection_ends_finds_no_peer(self):
+        """A connection to a peer ends, and a call is made before its reader
+        has had its turn. The transport refuses with an error that nobody takes
+        for a broken connection: it ended the instance.
+        """
+        for turns in range(4):
+            with self.subTest(turns=turns):
+                async with running_pair() as pair:
+                    connections = []
+                    with mock.patch.object(
+                        asyncio,
+                        "open_connection",
+                        kept(asyncio.open_connection, connections),
+                    ):
+                        await pair.pull(2)
+                    (writer,) = connections
+                    writer.transport.abort()
+                    for _ in range(turns):
+                        await asyncio.sleep(0)
+                    with self.assertRaises(peers.PeerUnreachableError):
+                        await pair.pull(3)
+
     async def test_a_graceful_close_answers_what_runs(self):
         async with running_pair() as pair:
             running = pair.pull(1)
