Take a write to a connection that has ended for a broken connection

Callers saw: an instance ends by itself, and what it has under way with it. Cause: between the end of a connection to a peer and its reader's turn, a call writes to it. The event loop in use refuses with a RuntimeError, which is none of the errors of a connection, and a background part ended with it. Change: frames are not written to a connection that has ended, which is an error of a connection; the call fails as its reader takes the end in. Ruled out: to catch RuntimeError in each caller; it is the error of faults.

--- a/src/nutmeghook/internal/inner/frames.py
+++ b/src/nutmeghook/internal/inner/frames.py
@@ -51,7 +51,17 @@
     *,
     traffic: traffic_module.Traffic,
 ) -> None:
-    """Queues an envelope; the caller awaits `drain`."""
+    """Queues an envelope; the caller awaits `drain`.
+
+    The failure: a connection has ended, and whoever reads from it has not had
+    its turn. Some event loops refuse to write with an error that is none of a
+    connection; it went up through a background part, and ended the process.
+
+    Raises:
+        ConnectionResetError: The connection has ended.
+    """
+    if writer.is_closing():
+        raise ConnectionResetError("the connection has ended")
     writer.write(_LENGTH.pack(len(envelope.data)) + envelope.data)
     traffic.count_sent(envelope.kind, _LENGTH.size + len(envelope.data))
 
--- a/src/nutmeghook/internal/inner/tcp_client.py
+++ b/src/nutmeghook/internal/inner/tcp_client.py
@@ -209,8 +209,9 @@
             self._unsent[sequence] = envelope
             self._wanted.set()
             return
-        frames.write(self._writer, envelope, traffic=self._traffic)
+        # The reader of a connection that has ended fails all that is pending.
         with contextlib.suppress(ConnectionError):
+            frames.write(self._writer, envelope, traffic=self._traffic)
             await self._writer.drain()
 
     def _withdraw(self, sequence: int) -> None:
