--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -137,13 +137,15 @@
             decide=lambda request: self.reply(request, version),
         )
         await replica.start()
+        address = await self.replica_address(replica)
+        # Troubles may choose it from now on.
         self.replicas[replica_id] = replica
         returning = asyncio.create_task(self._return(replica, version))
         self._returns.add(returning)
         returning.add_done_callback(self._returns.discard)
         self.operator.list_replica(
             replica_id,
-            address=await self.replica_address(replica),
+            address=address,
             version=version,
         )
 
@@ -161,13 +163,12 @@
                 at_s=asyncio.get_running_loop().time(),
             )
         )
+        number = len(self.crashes)
         self.close_door(replica.replica_id)
         await asyncio.sleep(RESTART_S)
         self.forget(replica.replica_id)
         self.operator.strike_replica(replica.replica_id)
-        await self.add_replica(
-            f"{version}-after-crash-{len(self.crashes)}", version
-        )
+        await self.add_replica(f"{version}-after-crash-{number}", version)
 
     def order_bad_version(self) -> None:
         """Orders a version that fails half of its requests."""
