--- a/src/nutmeghook/internal/suspects/gossip.py
+++ b/src/nutmeghook/internal/suspects/gossip.py
@@ -18,8 +18,8 @@
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.suspects import book as book_module
 
-# An instance that comes back has to know within its first three seconds; it
-# hears two of these from each peer's two in a second.
+# Each instance reminds two others as often as this, so that one that comes back
+# hears some four reminders in a second.
 REPEAT_EVERY = datetime.timedelta(milliseconds=500)
 NEAR_TOLD = 8
 FAR_TOLD = 1.0
