Don't work out a generation's identity while nothing is suspect

Read again: in the OpenAI entry the whole prompt was encoded and hashed three to five times for each generation (at entry, before each send, at a hedge, at the answer), though hardly ever anything is held against any request. An empty book answers without it; the answer's own note still needs it, once. Behaviour stays.

--- a/src/nutmeghook/internal/dispatch/engine_ends.py
+++ b/src/nutmeghook/internal/dispatch/engine_ends.py
@@ -41,11 +41,18 @@
 
     def is_suspect(self, request: requests.GenerationRequest) -> bool:
         """Tells whether an engine has ended under a request."""
-        return self._book.is_suspect(_identity(request))
+        return not self._book.is_empty and self._book.is_suspect(
+            _identity(request)
+        )
 
     def is_quarantined(self, request: requests.GenerationRequest) -> bool:
-        """Tells whether a request is to be sent to no engine."""
-        return self._book.is_quarantined(_identity(request))
+        """Tells whether a request is to be sent to no engine.
+
+        Its identity takes its whole prompt, and there is seldom a suspect.
+        """
+        return not self._book.is_empty and self._book.is_quarantined(
+            _identity(request)
+        )
 
     def check(
         self,
@@ -61,9 +68,9 @@
         Raises:
             errors.CodedError: It is quarantined.
         """
-        identity = _identity(request)
-        if not self._book.is_quarantined(identity):
+        if not self.is_quarantined(request):
             return
+        identity = _identity(request)
         if not progress.attempts and self._book.is_trial_due(identity):
             return
         detail = "backend servers end under this request"
@@ -79,9 +86,8 @@
 
     def note_sent(self, request: requests.GenerationRequest) -> None:
         """Takes in that a request is sent: on trial, if it is quarantined."""
-        identity = _identity(request)
-        if self._book.is_quarantined(identity):
-            self._book.try_trial(identity)
+        if self.is_quarantined(request):
+            self._book.try_trial(_identity(request))
 
     def note_answered(self, request: requests.GenerationRequest) -> None:
         """Takes in that an engine ran a request to its end."""
--- a/src/nutmeghook/internal/suspects/book.py
+++ b/src/nutmeghook/internal/suspects/book.py
@@ -204,6 +204,11 @@
             return Suspicion(identity=identity)
         return known.since(self._clock.monotonic() - KEPT_FOR)
 
+    @property
+    def is_empty(self) -> bool:
+        """Tells whether nothing is held against any request."""
+        return not self._suspects
+
     def is_suspect(self, identity: bytes) -> bool:
         """Tells whether a replica has ended under a request."""
         return bool(self.suspicion(identity).ends)
