Red: evacuations go unheard and cold backend servers are swamped

What callers saw: nothing yet; op/evacuate rows and coldLeftMs are read by nobody. On three router processes 37 requests of three kinds reached a data centre 2 s after its evacuation, and one cold replica got 93 requests in one second where its service bears 8 x 1.5 + 5 = 17.

The stand-in operator writes evacuations, cold entries and the service's limits.

--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -130,7 +130,14 @@
                     return
                 await asyncio.sleep(0.1)
 
-    async def add_replica(self, replica_id: str, version: str) -> None:
+    async def add_replica(
+        self,
+        replica_id: str,
+        version: str,
+        *,
+        data_centre: str = "hall",
+        cold_left_s: float = 0.0,
+    ) -> None:
         """Starts a replica and lists it."""
         replica = users_replica.StandInReplica(
             replica_id=replica_id,
@@ -147,6 +154,8 @@
             replica_id,
             address=address,
             version=version,
+            data_centre=data_centre,
+            cold_left_s=cold_left_s,
         )
 
     async def _return(
--- a/src/nutmeghook/experiment/trial_routers.py
+++ b/src/nutmeghook/experiment/trial_routers.py
@@ -26,6 +26,9 @@
 [platform]
 address = "{store}"
 """
+_BOUNDS = """exposureShare = 0.15
+coldOverrun = 1.5
+coldAllowance = 5"""
 
 # Below those that the system gives to outgoing connections. Two at a time are
 # taken by a router, one after the other.
@@ -62,7 +65,7 @@
                 name=name,
                 front_port=front_port,
                 store=store,
-                bounds="exposureShare = 0.15",
+                bounds=_BOUNDS,
             )
         )
         self.process: asyncio.subprocess.Process | None = None
--- a/src/nutmeghook/standins/users_operator.py
+++ b/src/nutmeghook/standins/users_operator.py
@@ -10,6 +10,7 @@
 from nutmeghook.platform import tables
 from nutmeghook.standins import users_store
 
+_EVACUATION_PREFIX = "evacuate/"
 _COMMON = {"timeoutMs": 8000, "sloMs": 1000}
 _ROUTES = (
     {
@@ -35,9 +36,14 @@
 
 
 class StandInOperator:
-    """Writes configurations and orders for one service and one team."""
+    """Writes configurations and orders for one service and one team.
 
-    __slots__ = ("_host", "_service", "_store", "_version")
+    Attributes:
+        cold_limits: Fields of the service that bound what its cold replicas
+            may get; none where they may get anything.
+    """
+
+    __slots__ = ("_host", "_service", "_store", "_version", "cold_limits")
 
     def __init__(
         self, *, store: users_store.StandInStore, host: str, service: str
@@ -46,6 +52,7 @@
         self._host = host
         self._service = service
         self._version = 0
+        self.cold_limits: dict[str, float] = {}
 
     def write_configuration(self, keys: tuple[str, ...]) -> None:
         """Writes the next version: a route of each kind, and the keys."""
@@ -57,7 +64,7 @@
             {
                 "version": self._version,
                 "routes": [route | common for route in _ROUTES],
-                "services": [{"name": self._service}],
+                "services": [{"name": self._service} | self.cold_limits],
                 "tenants": [{"name": "team", "apiKeys": list(keys)}],
             },
         )
@@ -69,6 +76,8 @@
         address: str,
         version: str,
         leaving: bool = False,
+        data_centre: str = "hall",
+        cold_left_s: float = 0.0,
     ) -> None:
         """Writes a replica's entry."""
         self._put(
@@ -78,10 +87,10 @@
                 "service": self._service,
                 "address": address,
                 "version": version,
-                "zone": "hall",
+                "zone": data_centre,
                 "slots": 64,
                 "state": "draining" if leaving else "ready",
-                "coldLeftMs": 0,
+                "coldLeftMs": 1000 * cold_left_s,
                 "sequence": 1,
             },
         )
@@ -90,6 +99,16 @@
         """Deletes a replica's entry."""
         self._store.delete(tables.REPLICA_TABLE, replica_id)
 
+    def evacuate(self, data_centre: str) -> None:
+        """Asks for nothing more to be sent to a data centre's replicas."""
+        self._put(tables.OPERATOR_TABLE, _EVACUATION_PREFIX + data_centre, {})
+
+    def take_back(self, data_centre: str) -> None:
+        """Ends an evacuation."""
+        self._store.delete(
+            tables.OPERATOR_TABLE, _EVACUATION_PREFIX + data_centre
+        )
+
     def order_roll_out(self, version: str, *, within_s: float) -> None:
         """Orders a version."""
         self._put(
