Obey evacuations, and share out what cold replicas bear

What callers saw: work sent to data centres that were being emptied, and cold replicas that got more than they bear and would crash.

Cause: op/evacuate rows were read by nobody; coldLeftMs was decoded and used by nothing; coldS, coldPerS, X-Cold-Ms and the bounds were not decoded.

One gate is asked when a replica is chosen and again as the request is written, after its connection was made. Places count from the choice until the write, so no second holds more. A data centre that is taken back counts as cold for the service's cold time. A version on trial takes over sessions only where this instance may send to one of its replicas.

A whole read of the operator's table now ends evacuations and roll-out orders whose rows are missing: shown for both by tests that failed on the old code (withdrawn orders were lost the same way).

--- a/src/nutmeghook/experiment/emulated_fleet.py
+++ b/src/nutmeghook/experiment/emulated_fleet.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import load_gossip
+from nutmeghook.internal.replicas import send_gate
 
 SERVICE = "models"
 _SEAL = datagrams.Seal(credential="emulated")
@@ -97,7 +98,10 @@
         for replica in range(load.replicas):
             self.directory.put(replica_entry(replica))
         self.chooser = chooser_type(
-            directory=self.directory, data_centre="here", clock=clock
+            gate=send_gate.OpenGate(),
+            directory=self.directory,
+            data_centre="here",
+            clock=clock,
         )
         self.times = generation_times.GenerationTimes()
         messages = sealed_messages.SealedMessages(
--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -21,6 +21,7 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import book as book_module
 from nutmeghook.internal.upstream import pool as pool_module
@@ -38,6 +39,7 @@
 
     configuration: in_force_module.ConfigurationInForce
     directory: directory_module.ReplicaDirectory
+    gate: send_gate.SendGate
     versions: view.VersionView
     budgets: window_budget.WindowRetryBudgets
     suspects: book_module.SuspectBook
@@ -54,6 +56,7 @@
     times = generation_times.GenerationTimes()
     chooser = choice.ReplicaChooser(
         directory=around.directory,
+        gate=around.gate,
         data_centre=around.data_centre,
         clock=around.clock,
     )
@@ -79,6 +82,7 @@
             leave=leave,
             crashes=crashes,
             search=search,
+            gate=around.gate,
             versions=around.versions,
             budgets=around.budgets,
             wire_format=around.wire_format,
@@ -96,6 +100,7 @@
         "sender": sender_module.Sender(
             pool=around.pool,
             directory=around.directory,
+            gate=around.gate,
             wire_format=around.wire_format,
             clock=around.clock,
         ),
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -12,6 +12,7 @@
 
 from nutmeghook.internal.assembly import relay_path
 from nutmeghook.internal.assembly import router_peers
+from nutmeghook.internal.assembly import send_limits as send_limits_module
 from nutmeghook.internal.following import copies
 from nutmeghook.internal.following import follower
 from nutmeghook.internal.following import shared_table
@@ -83,6 +84,7 @@
         "metrics_address",
         "orders",
         "rollouts",
+        "send_limits",
         "suspects",
     )
 
@@ -111,9 +113,16 @@
         self.directory = directory_module.ReplicaDirectory(
             clock=clock, on_gone=self._pool.forget
         )
+        self.send_limits = send_limits_module.SendLimits(
+            settings=lambda: self._settings,
+            configuration=self.configuration,
+            directory=self.directory,
+            clock=clock,
+        )
         self.rollouts = rollouts_module.RollOuts(
             orders=self.orders,
             directory=self.directory,
+            gate=self.send_limits.gate,
             watch=self._watch,
             schedule=_schedule(settings),
             session_time=settings.session_time,
@@ -146,6 +155,7 @@
             relay_path.Surroundings(
                 configuration=self.configuration,
                 directory=self.directory,
+                gate=self.send_limits.gate,
                 versions=self.rollouts,
                 budgets=self.budgets,
                 suspects=self.suspects,
@@ -203,7 +213,9 @@
     async def run(self) -> None:
         """Follows the platform's tables until cancelled."""
         operator_rows = tables.OperatorRows(
-            configuration=self.configuration, orders=self.orders
+            configuration=self.configuration,
+            orders=self.orders,
+            evacuations=self.send_limits.evacuations,
         )
         replica_rows = tables.ReplicaRows(directory=self.directory)
         plan_rows = driver.PlanRows(
@@ -229,6 +241,7 @@
             table=store.StoreRows(client=self._store),
             tables=shared,
             directory=self.directory,
+            cold_senders=self.send_limits.cold_senders,
             rollouts=self.rollouts,
             orders=self.orders,
             suspects=self.suspects,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -21,6 +21,7 @@
 from nutmeghook.internal.inner import traffic
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import backlog_gossip
+from nutmeghook.internal.replicas import cold_senders as cold_senders_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
 from nutmeghook.internal.suspects import book as book_module
@@ -48,6 +49,7 @@
     __slots__ = (
         "_change_time",
         "_clock",
+        "_cold_senders",
         "_data_centre",
         "_directory",
         "_gossip",
@@ -74,6 +76,7 @@
         table: table_module.TableService,
         tables: dict[str, shared_table.SharedTable],
         directory: directory_module.ReplicaDirectory,
+        cold_senders: cold_senders_module.ColdSenders,
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderBook,
         suspects: book_module.SuspectBook,
@@ -88,6 +91,7 @@
         self._link_mbit_per_s = link_mbit_per_s
         self._change_time = change_time
         self._directory = directory
+        self._cold_senders = cold_senders
         self._rollouts = rollouts
         self._orders = orders
         self._suspects = suspects
@@ -155,6 +159,7 @@
             random_source=self._random,
         )
         self._gossip.peers.update(registered.peers)
+        self._cold_senders.register(registered.peers, self._gossip.heard_within)
         logs.note("peer:registered", peers=sorted(registered.peers))
         try:
             async with asyncio.TaskGroup() as tasks:
--- /dev/null
+++ b/src/nutmeghook/internal/assembly/send_limits.py
@@ -0,0 +1,80 @@
+"""Puts together what keeps requests from replicas."""
+
+from collections.abc import Callable
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.replicas import cold_limits
+from nutmeghook.internal.replicas import cold_senders
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import evacuations
+from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.routes import model
+from nutmeghook.platform import settings as settings_module
+
+
+class SendLimits:
+    """What this instance may not send, and where it learns that.
+
+    Args:
+        settings: Returns the settings in force.
+        configuration: The configuration in force.
+        directory: The replicas known.
+        clock: Measures time.
+
+    Attributes:
+        evacuations: The data centres that are being emptied.
+        cold_senders: Tells where this instance may send to cold replicas.
+        gate: Asked before each request is sent.
+    """
+
+    __slots__ = (
+        "_configuration",
+        "_directory",
+        "_settings",
+        "cold_senders",
+        "evacuations",
+        "gate",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: Callable[[], settings_module.InstanceSettings],
+        configuration: in_force_module.ConfigurationInForce,
+        directory: directory_module.ReplicaDirectory,
+        clock: clock_module.Clock,
+    ):
+        self._settings = settings
+        self._configuration = configuration
+        self._directory = directory
+        self.evacuations = evacuations.EvacuationBook(
+            on_taken_back=self._note_taken_back
+        )
+        self.cold_senders = cold_senders.ColdSenders(
+            instance_id=settings().instance_id, clock=clock
+        )
+        self.gate = send_gate.LimitingGate(
+            evacuations=self.evacuations,
+            senders=self.cold_senders,
+            service=self._service,
+            share=self._cold_share,
+            clock=clock,
+        )
+
+    def _service(self, name: str) -> model.Service | None:
+        current = self._configuration.current
+        return current.services.get(name) if current else None
+
+    def _cold_share(
+        self, service: model.Service
+    ) -> cold_limits.ColdShare | None:
+        settings = self._settings()
+        return cold_limits.share_of(
+            per_s=service.cold_per_s,
+            overrun=settings.cold_overrun,
+            allowance=settings.cold_allowance,
+        )
+
+    def _note_taken_back(self, data_centre: str) -> None:
+        self.gate.note_taken_back(self._directory.in_data_centre(data_centre))
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -243,12 +243,12 @@
         return [self.peers[peer_id] for peer_id in self._living()]
 
     def _living(self) -> list[str]:
-        now = self._clock.monotonic()
-        return [
-            peer_id
-            for peer_id, heard_at in self._heard_at.items()
-            if now - heard_at <= _SILENT_FOR_LONG
-        ]
+        return self.heard_within(_SILENT_FOR_LONG)
+
+    def heard_within(self, span: datetime.timedelta) -> list[str]:
+        """Returns the ids of peers that were heard of within a time."""
+        oldest = self._clock.monotonic() - span
+        return [i for i, at in self._heard_at.items() if at >= oldest]
 
     def _tell(self, *, near: int, far: float) -> None:
         now = self._clock.monotonic()
--- a/src/nutmeghook/internal/observe/belief_records.py
+++ b/src/nutmeghook/internal/observe/belief_records.py
@@ -23,6 +23,13 @@
     leaving: bool | None = None
     started_ms: float | None = None
     last_started_ms: float | None = None
+    cold_left_s: float | None = None
+
+
+class EvacuationChange(Record, frozen=True, kw_only=True):
+    """A data centre is emptied, or in use again."""
+
+    data_centre: str
 
 
 class RollOutChange(Record, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -13,6 +13,7 @@
 STARTED = "process:started"
 STORE_AWAY = "store:away"
 STORE_BACK = "store:back"
+REPLICA_COLD = "replica:cold"
 
 TYPES: dict[str, type[log_records.Record]] = {
     "attempt:sent": log_records.AttemptSent,
@@ -28,6 +29,9 @@
     "replica:leaving": belief_records.ReplicaChange,
     "replica:gone": belief_records.ReplicaChange,
     "replica:outdated_entry": belief_records.ReplicaChange,
+    REPLICA_COLD: belief_records.ReplicaChange,
+    "data_centre:evacuated": belief_records.EvacuationChange,
+    "data_centre:taken_back": belief_records.EvacuationChange,
     "roll_out:ordered": belief_records.RollOutChange,
     "roll_out:order_withdrawn": belief_records.RollOutChange,
     "roll_out:plan": belief_records.RollOutChange,
--- a/src/nutmeghook/internal/observe/story.py
+++ b/src/nutmeghook/internal/observe/story.py
@@ -14,6 +14,7 @@
 # Lines that bear on every request of their instance.
 _BEARS_ON_ALL = (
     belief_records.ConfigurationInForce,
+    belief_records.EvacuationChange,
     belief_records.LinesDropped,
     belief_records.ProcessChange,
     belief_records.RollOutChange,
@@ -220,8 +221,12 @@
         return "configuration"
     if record.event in (log_decoding.STORE_AWAY, log_decoding.STORE_BACK):
         return "store"
+    if record.event == log_decoding.REPLICA_COLD:
+        return f"{record.event} {record.replica}"
     if isinstance(record, belief_records.ReplicaChange):
         return f"replica {record.replica}"
+    if isinstance(record, belief_records.EvacuationChange):
+        return f"data centre {record.data_centre}"
     if isinstance(record, belief_records.ProcessChange):
         return record.event.partition(":")[0]
     if isinstance(record, belief_records.RollOutChange) and record.service:
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view as view_module
@@ -30,6 +31,7 @@
         "_clock",
         "_configuration",
         "_crashes",
+        "_gate",
         "_leave",
         "_routes",
         "_search",
@@ -45,6 +47,7 @@
         leave: leave_module.AttemptLeave,
         crashes: crash_watch.CrashWatch,
         search: replica_search.ReplicaSearch,
+        gate: send_gate.SendGate,
         versions: view_module.VersionView,
         budgets: window_budget.WindowRetryBudgets,
         wire_format: wire.WireFormat,
@@ -55,6 +58,7 @@
         self._leave = leave
         self._crashes = crashes
         self._search = search
+        self._gate = gate
         self._versions = versions
         self._budgets = budgets
         self._wire_format = wire_format
@@ -139,6 +143,7 @@
             body=incoming.body,
             repeatable=job.route.repeatable,
             reading=_reading(job, chosen.forecast),
+            place=self._gate.take(chosen.replica),
         )
 
 
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -109,6 +109,7 @@
         encoded: The body is not as the replica made it.
         confidence: The model's opinion of its answer, 0 to 100.
         idle_limit_s: How long the replica keeps the connection.
+        cold_left: How long it stays cold; None if it does not say.
     """
 
     request_id: str | None
@@ -118,6 +119,7 @@
     confidence: int | None
     load: ReportedLoad | None
     idle_limit_s: float | None
+    cold_left: datetime.timedelta | None = None
 
 
 class WireFormat(abc.ABC):
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -13,6 +13,7 @@
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import kept_parts
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import send_gate
 
 # A replica's own count of its load comes with its answers, here or at a near
 # instance. The older it is, the more the service's usual load is taken
@@ -156,16 +157,24 @@
 class ReplicaChooser:
     """Chooses by load, distance, shared prompt parts and own evidence."""
 
-    __slots__ = ("_clock", "_data_centre", "_directory", "_kept_parts")
+    __slots__ = (
+        "_clock",
+        "_data_centre",
+        "_directory",
+        "_gate",
+        "_kept_parts",
+    )
 
     def __init__(
         self,
         *,
         directory: directory_module.ReplicaDirectory,
+        gate: send_gate.SendGate,
         data_centre: str,
         clock: clock_module.Clock,
     ):
         self._directory = directory
+        self._gate = gate
         self._data_centre = data_centre
         self._clock = clock
         self._kept_parts = kept_parts.KeptParts()
@@ -218,13 +227,16 @@
         """Returns the replicas to choose from, sound ones if there are any."""
         now = self._clock.monotonic()
 
+        def may_take(replica: replica_module.Replica) -> bool:
+            return need.allows(replica) and self._gate.is_open(replica)
+
         def is_sound(replica: replica_module.Replica) -> bool:
-            return need.allows(replica) and not replica.health.is_ejected(now)
+            return may_take(replica) and not replica.health.is_ejected(now)
 
         return (
             compared(need, is_sound)
-            or compared(need, need.allows)
-            or self._all(need)
+            or compared(need, may_take)
+            or list(filter(may_take, self._directory.of_service(need.service)))
         )
 
     def _home(self, need: Need) -> replica_module.Replica | None:
@@ -236,7 +248,11 @@
         """
         everywhere = self._directory.in_order_everywhere(need.service, need.key)
         return next(
-            (replica for replica in everywhere if need.accepts(replica.entry)),
+            (
+                replica
+                for replica in everywhere
+                if need.accepts(replica.entry) and self._gate.is_open(replica)
+            ),
             None,
         )
 
@@ -332,12 +348,6 @@
         first = xxhash.xxh32_intdigest(need.key.encode()) % len(others)
         return others[first:] + others[:first]
 
-    def _all(self, need: Need) -> list[replica_module.Replica]:
-        """Returns every replica that may run the request."""
-        return list(
-            filter(need.allows, self._directory.of_service(need.service))
-        )
-
     def _score(
         self, replica: replica_module.Replica, now: datetime.timedelta
     ) -> float:
--- /dev/null
+++ b/src/nutmeghook/internal/replicas/cold_senders.py
@@ -0,0 +1,110 @@
+"""Which instances may send to a cold replica.
+
+A cold replica bears few requests a second from all instances together, and
+nobody has the time to ask the others. So each instance works out by itself
+which few of them may send to it: those that come first by a hash of both ids.
+Whoever is not among them sends elsewhere, and each of them its part.
+
+An instance that knows fewer members than there are takes itself for a sender
+too often. So a member counts for a minute after it was last heard of, dead or
+not, and a new instance sends nothing to cold replicas until it is known.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+import heapq
+
+import xxhash
+
+from nutmeghook.internal.foundation import clock as clock_module
+
+# At 420 instances a member is heard of about every 28 s.
+MEMBER_LIFE = datetime.timedelta(seconds=60)
+# After its registration an instance sends nothing to cold replicas for so long,
+# since others still take themselves for senders in its place. Of 77 instances
+# each hears of another one about every five seconds.
+SETTLING = datetime.timedelta(seconds=10)
+# Ranks are worked out again this often at most.
+_RANKS_LIFE = datetime.timedelta(seconds=1)
+
+
+class ColdSenders:
+    """Tells whether this instance is a sender of a cold replica."""
+
+    __slots__ = (
+        "_clock",
+        "_heard_within",
+        "_instance_id",
+        "_ranked",
+        "_ranked_at",
+        "_registered",
+        "_registered_at",
+    )
+
+    def __init__(self, *, instance_id: str, clock: clock_module.Clock):
+        self._instance_id = instance_id
+        self._clock = clock
+        self._registered: frozenset[str] = frozenset()
+        self._registered_at: datetime.timedelta | None = None
+        self._heard_within: Callable[[datetime.timedelta], Iterable[str]] = (
+            lambda span: ()
+        )
+        # By replica id and number of senders.
+        self._ranked: dict[tuple[str, int], bool] = {}
+        self._ranked_at = datetime.timedelta()
+
+    def register(
+        self,
+        others: Iterable[str],
+        heard_within: Callable[[datetime.timedelta], Iterable[str]],
+    ) -> None:
+        """Takes in that this instance is registered.
+
+        Args:
+            others: The instances that were registered before.
+            heard_within: Returns those that were heard of within a time.
+        """
+        self._registered = frozenset(others)
+        self._registered_at = self._clock.monotonic()
+        self._heard_within = heard_within
+
+    def includes_this(self, replica_id: str, senders: int) -> bool:
+        """Tells whether this instance may send to a cold replica.
+
+        Args:
+            replica_id: The replica.
+            senders: How many instances may.
+        """
+        if self._registered_at is None:
+            return False
+        now = self._clock.monotonic()
+        if now - self._registered_at < SETTLING:
+            return False
+        if now - self._ranked_at > _RANKS_LIFE:
+            self._ranked.clear()
+            self._ranked_at = now
+        key = (replica_id, senders)
+        if key not in self._ranked:
+            first = first_senders(self._members(now), replica_id, senders)
+            self._ranked[key] = self._instance_id in first
+        return self._ranked[key]
+
+    def _members(self, now: datetime.timedelta) -> set[str]:
+        members = {self._instance_id, *self._heard_within(MEMBER_LIFE)}
+        if now - self._registered_at < MEMBER_LIFE:
+            members |= self._registered
+        return members
+
+
+def first_senders(
+    members: Iterable[str], replica_id: str, senders: int
+) -> list[str]:
+    """Returns the members that come first for a replica."""
+    return heapq.nsmallest(
+        senders,
+        members,
+        key=lambda member: xxhash.xxh64_intdigest(
+            f"{member}/{replica_id}".encode()
+        ),
+    )
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -96,6 +96,14 @@
         self._drop_lapsed()
         return self._by_service.get(service, {}).values()
 
+    def in_data_centre(
+        self, data_centre: str
+    ) -> Iterator[replica_module.Replica]:
+        """Yields the replicas of a data centre, leaving ones too."""
+        for replica in self._by_id.values():
+            if replica.entry.data_centre == data_centre:
+                yield replica
+
     def data_centres(self, service: str) -> list[str]:
         """Returns where a service's replicas run."""
         return list(self._rings.get(service, {}))
@@ -173,6 +181,19 @@
             )
         self._usual_load[service] = usual.after(report)
 
+    def note_cold(
+        self, replica: replica_module.Replica, left: datetime.timedelta
+    ) -> None:
+        """Takes in a replica's word that it stays cold for some time."""
+        now = self._clock.monotonic()
+        if not replica.is_cold(now):
+            logs.note(
+                "replica:cold",
+                replica=replica.entry.replica_id,
+                cold_left_s=left.total_seconds(),
+            )
+        replica.note_cold(now + left)
+
     def last_reported(
         self, most: int, *, age: datetime.timedelta
     ) -> list[replica_module.Replica]:
@@ -248,11 +269,12 @@
             self._forget(entry.replica_id)
             known = None
         if known is None:
-            self._add(entry)
-            return
+            known = self._add(entry)
         if entry.leaving and not known.entry.leaving:
             logs.note("replica:leaving", replica=entry.replica_id)
         known.entry = entry
+        if entry.cold_left_s > 0:
+            self.note_cold(known, datetime.timedelta(seconds=entry.cold_left_s))
 
     def reject(self, replica_id: str) -> None:
         """Drops a replica whose entry can't be made sense of.
@@ -278,7 +300,7 @@
         if not entry.started_ms:
             self.reject(entry.replica_id)
 
-    def _add(self, entry: entries.ReplicaEntry) -> None:
+    def _add(self, entry: entries.ReplicaEntry) -> replica_module.Replica:
         replica = replica_module.Replica(
             entry=entry, health=health_module.ReplicaHealth()
         )
@@ -298,7 +320,9 @@
             version=entry.version,
             leaving=entry.leaving,
             started_ms=entry.started_ms,
+            cold_left_s=entry.cold_left_s,
         )
+        return replica
 
     def _remember_start(self, entry: entries.ReplicaEntry) -> None:
         if not entry.started_ms:
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
+from nutmeghook.internal.replicas import send_window
 
 # Of each report in the usual load of its service: some ten reports, a second
 # or two of an instance's traffic.
@@ -55,18 +56,21 @@
         own_backlog: The reading that this instance's attempts wait for.
         report: What it last said of its load; None if nothing yet.
         in_flight_at_report: `in_flight` when that was heard.
+        sends: What was sent to it lately from here.
         short_id: Names this start in a few bytes. Of 4,400 replicas two share
             one once in 200 starts of the fleet; then one is told the other's
             load.
     """
 
     __slots__ = (
+        "_cold_until",
         "entry",
         "health",
         "in_flight",
         "in_flight_at_report",
         "own_backlog",
         "report",
+        "sends",
         "short_id",
     )
 
@@ -82,9 +86,19 @@
         self.own_backlog = backlog_module.Backlog()
         self.report: LoadReport | None = None
         self.in_flight_at_report = 0
+        self.sends = send_window.SendWindow()
+        self._cold_until = datetime.timedelta()
         start = f"{entry.replica_id}/{entry.started_ms}"
         self.short_id = xxhash.xxh32_intdigest(start.encode()) >> 1
 
+    def is_cold(self, now: datetime.timedelta) -> bool:
+        """Tells whether it bears few requests only, as far as it said."""
+        return now < self._cold_until
+
+    def note_cold(self, until: datetime.timedelta) -> None:
+        """Takes in that it is cold; a word that came late shortens nothing."""
+        self._cold_until = max(self._cold_until, until)
+
     def note_load(self, report: LoadReport) -> None:
         """Takes in what it says of its load."""
         self.report = report
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -67,12 +67,16 @@
     Attributes:
         max_connections: What one replica accepts from all callers together.
         model_costs: Price of each model for 1,000 generated tokens.
+        cold_time: For how long a replica is cold after it has started.
+        cold_per_s: Requests that a cold replica bears; 0 for any number.
     """
 
     name: str
     health_path: str
     max_connections: int
     model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_time: datetime.timedelta = datetime.timedelta()
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -10,6 +10,8 @@
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import send_window
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
@@ -35,6 +37,7 @@
         target: Path and query exactly as the caller sent them.
         repeatable: It may run more than once.
         reading: Of its prompt; None of a request without one.
+        place: At a replica whose requests are counted.
     """
 
     request_id: str
@@ -45,6 +48,7 @@
     body: bytes
     repeatable: bool
     reading: backlog_module.Reading | None = None
+    place: send_window.Place | None = None
 
     def encoded(self) -> bytes:
         """Returns the whole message."""
@@ -97,18 +101,20 @@
 class Sender:
     """Makes single attempts and keeps count of them."""
 
-    __slots__ = ("_clock", "_directory", "_pool", "_wire_format")
+    __slots__ = ("_clock", "_directory", "_gate", "_pool", "_wire_format")
 
     def __init__(
         self,
         *,
         pool: pool_module.ConnectionPool,
         directory: directory_module.ReplicaDirectory,
+        gate: send_gate.SendGate,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._pool = pool
         self._directory = directory
+        self._gate = gate
         self._wire_format = wire_format
         self._clock = clock
 
@@ -198,6 +204,10 @@
         replica: replica_module.Replica,
         outgoing: Outgoing,
     ) -> Answer:
+        if not self._gate.may_write(replica, outgoing.place):
+            raise outcomes.NotSentError(
+                f"{replica.entry.replica_id} may not be sent to any more"
+            )
         head = await connection.exchange(
             outgoing.encoded(), has_body=outgoing.method != "HEAD"
         )
@@ -216,6 +226,8 @@
                 running=facts.load.running,
                 waiting=facts.load.waiting,
             )
+        if facts.cold_left:
+            self._directory.note_cold(replica, facts.cold_left)
         if facts.not_run:
             await answer.read_whole()
             raise outcomes.RefusedError(
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -15,6 +15,8 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.version_plans import evidence as evidence_module
 from nutmeghook.internal.version_plans import filters
 from nutmeghook.internal.version_plans import (
@@ -40,6 +42,7 @@
         "_clock",
         "_directory",
         "_evidence",
+        "_gate",
         "_held",
         "_judged",
         "_local_verdicts",
@@ -56,6 +59,7 @@
         *,
         orders: orders_module.OrderBook,
         directory: directory_module.ReplicaDirectory,
+        gate: send_gate.SendGate,
         watch: follower.StoreWatch,
         schedule: schedule_module.Schedule,
         session_time: datetime.timedelta,
@@ -63,6 +67,7 @@
     ):
         self._orders = orders
         self._directory = directory
+        self._gate = gate
         self.progress = progress_module.RollOutProgress(
             schedule=schedule,
             watch=watch,
@@ -217,7 +222,9 @@
             return filters.any_version
         if self._uses_new(order, session, request_id):
             wanted = filters.is_version(order.version)
-            if self._some(service, wanted):
+            if self._some(service, wanted, self._gate.is_open):
+                return wanted
+            if self._is_on(order, session) and self._some(service, wanted):
                 return wanted
             return filters.any_version
         wanted = filters.is_not_version(order.version)
@@ -320,10 +327,18 @@
         if session is None:
             digest = held_sessions_module.digest_of(order.order_id, request_id)
             return self._is_of_trial(plan, digest)
+        return self._is_on(order, session) or self._tries_session(plan, session)
+
+    def _is_on(
+        self, order: orders_module.RollOutOrder, session: str | None
+    ) -> bool:
+        """Tells whether a session's last request ran on the order's version."""
+        if session is None:
+            return False
         last = self._sessions.version_of(
             order.service, session, self._clock.monotonic()
         )
-        return last == order.version or self._tries_session(plan, session)
+        return last == order.version
 
     def _tries_session(self, plan: plan_module.PlanRow, session: str) -> bool:
         """Tells whether the trial takes a session now."""
@@ -346,9 +361,14 @@
         return self.judge(order) is not None
 
     def _some(
-        self, service: str, wanted: Callable[[entries.ReplicaEntry], bool]
+        self,
+        service: str,
+        wanted: Callable[[entries.ReplicaEntry], bool],
+        may_take: Callable[[replica_module.Replica], bool] = lambda _: True,
     ) -> bool:
         return any(
-            wanted(replica.entry) and not replica.entry.leaving
+            wanted(replica.entry)
+            and not replica.entry.leaving
+            and may_take(replica)
             for replica in self._directory.of_service(service)
         )
--- a/src/nutmeghook/platform/configuration.py
+++ b/src/nutmeghook/platform/configuration.py
@@ -1,11 +1,14 @@
 """Decodes the operator's configuration."""
 
 import datetime
+from typing import Annotated
 
 import msgspec
 
 from nutmeghook.internal.routes import model
 
+# A day. No replica is slow for as long after its start.
+_LONGEST_COLD_S = 86_400.0
 _KINDS = {
     "idempotent": model.RouteKind.IDEMPOTENT,
     "non_idempotent": model.RouteKind.ONCE,
@@ -51,6 +54,8 @@
     name: str
     health_path: str = "/health"
     max_conns: int = 100
+    cold_s: Annotated[float, msgspec.Meta(ge=0.0, le=_LONGEST_COLD_S)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
     engine: _Engine | None = None
 
 
@@ -133,6 +138,8 @@
         health_path=wire.health_path,
         max_connections=wire.max_conns,
         model_costs={entry.name: entry.cost for entry in models},
+        cold_time=datetime.timedelta(seconds=wire.cold_s),
+        cold_per_s=wire.cold_per_s,
     )
 
 
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -25,6 +25,7 @@
 NOT_RUN = "X-Not-Executed"
 LOAD = "X-Replica-Load"
 CONFIDENCE = "X-Confidence"
+COLD_LEFT = "X-Cold-Ms"
 SESSION = "Session"
 ANY_MODEL = "*"
 KEY_SCHEME = "token"
@@ -47,6 +48,8 @@
 }
 # Of one connection, or wrong once the body is framed anew.
 _NOT_RETURNED = http_headers.CONNECTION_FIELDS | {"x-replica-load"}
+# A day. No replica is slow for as long after its start.
+_LONGEST_COLD_MS = 86_400_000
 _IDLE_LIMIT = re.compile(r"timeout=(\d+)", re.IGNORECASE)
 
 
@@ -108,6 +111,7 @@
             confidence=_whole(values.get(CONFIDENCE.lower())),
             load=_load(values.get(LOAD.lower())),
             idle_limit_s=_idle_limit_s(values.get("keep-alive")),
+            cold_left=_cold_left(values.get(COLD_LEFT.lower())),
         )
 
     def answer_headers(self, headers: wire.Headers) -> wire.Headers:
@@ -190,6 +194,13 @@
     return datetime.timedelta(milliseconds=min(number, 86_400_000))
 
 
+def _cold_left(text: str | None) -> datetime.timedelta | None:
+    number = _whole(text)
+    if number is None:
+        return None
+    return datetime.timedelta(milliseconds=min(number, _LONGEST_COLD_MS))
+
+
 def _whole_ms(duration: datetime.timedelta) -> int:
     return int(duration / datetime.timedelta(milliseconds=1))
 
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -51,6 +51,9 @@
         largest_bad_share: Of all requests of a service from an order to its
             end, the most that a version which proves bad may get.
         bad_allowance: So many requests it may get beside that share.
+        cold_overrun: In one second a cold replica may get so many times what
+            it bears,
+        cold_allowance: and so many requests more.
     """
 
     instance_id: str
@@ -68,6 +71,8 @@
     session_time: datetime.timedelta
     largest_bad_share: float
     bad_allowance: float
+    cold_overrun: float
+    cold_allowance: float
     retries: RetryBounds
 
 
@@ -180,6 +185,8 @@
         session_time=_seconds(reader.number("bounds.sessionS", default=5)),
         largest_bad_share=reader.number("bounds.exposureShare", default=0.1),
         bad_allowance=reader.number("bounds.exposureAllowance", default=0),
+        cold_overrun=reader.number("bounds.coldOverrun", default=1),
+        cold_allowance=reader.number("bounds.coldAllowance", default=0),
         retries=RetryBounds(
             ratio=reader.number("bounds.retryRatio", default=0.1),
             window=_seconds(reader.number("bounds.retryWindowS", default=10)),
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -5,6 +5,7 @@
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import evacuations as evacuations_module
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.platform import configuration as configuration_wire
@@ -14,27 +15,40 @@
 OPERATOR_TABLE = "op"
 REPLICA_TABLE = "servers"
 CONFIGURATION_KEY = "config"
+# Before the name of the data centre; the row's value says nothing.
+EVACUATION_PREFIX = "evacuate/"
 _FROM_STORE = "store"
 
 
 class OperatorRows(follower.TableReader):
-    """Takes in the operator's configuration and orders."""
+    """Takes in the operator's configuration, orders and evacuations."""
 
-    __slots__ = ("_configuration", "_orders")
+    __slots__ = ("_configuration", "_evacuations", "_orders")
 
     def __init__(
         self,
         *,
         configuration: in_force_module.ConfigurationInForce,
         orders: orders_module.OrderBook,
+        evacuations: evacuations_module.EvacuationBook,
     ):
         self._configuration = configuration
         self._orders = orders
+        self._evacuations = evacuations
 
     def replace(
         self, rows: tuple[source.FollowedRow, ...], revision: int
     ) -> None:
-        """Takes in the whole table."""
+        """Takes in the whole table; an order that is not in it has ended."""
+        present = {row.key for row in rows if not row.deleted}
+        for order in self._orders.all():
+            if rollout_rows.ORDER_PREFIX + order.service not in present:
+                self._orders.withdraw(order.service)
+        self._evacuations.replace(
+            key.removeprefix(EVACUATION_PREFIX)
+            for key in present
+            if key.startswith(EVACUATION_PREFIX)
+        )
         self.change(rows)
 
     def change(self, rows: tuple[source.FollowedRow, ...]) -> None:
@@ -58,6 +72,12 @@
                 self._orders.place(
                     rollout_rows.decode_order(row.value, row.version)
                 )
+        elif row.key.startswith(EVACUATION_PREFIX):
+            data_centre = row.key.removeprefix(EVACUATION_PREFIX)
+            if row.deleted:
+                self._evacuations.take_back(data_centre)
+            else:
+                self._evacuations.evacuate(data_centre)
 
 
 class ReplicaRows(follower.TableReader):
--- a/src/nutmeghook/standins/users_operator.py
+++ b/src/nutmeghook/standins/users_operator.py
@@ -10,7 +10,6 @@
 from nutmeghook.platform import tables
 from nutmeghook.standins import users_store
 
-_EVACUATION_PREFIX = "evacuate/"
 _COMMON = {"timeoutMs": 8000, "sloMs": 1000}
 _ROUTES = (
     {
@@ -101,12 +100,14 @@
 
     def evacuate(self, data_centre: str) -> None:
         """Asks for nothing more to be sent to a data centre's replicas."""
-        self._put(tables.OPERATOR_TABLE, _EVACUATION_PREFIX + data_centre, {})
+        self._put(
+            tables.OPERATOR_TABLE, tables.EVACUATION_PREFIX + data_centre, {}
+        )
 
     def take_back(self, data_centre: str) -> None:
         """Ends an evacuation."""
         self._store.delete(
-            tables.OPERATOR_TABLE, _EVACUATION_PREFIX + data_centre
+            tables.OPERATOR_TABLE, tables.EVACUATION_PREFIX + data_centre
         )
 
     def order_roll_out(self, version: str, *, within_s: float) -> None:
--- a/tests/cover/test_backlogs.py
+++ b/tests/cover/test_backlogs.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import peer_backlogs
+from nutmeghook.internal.replicas import send_gate
 from tests import lossy_post
 
 MS = datetime.timedelta(milliseconds=1)
@@ -65,7 +66,10 @@
         for number in range(replicas):
             self.directory.put(entry(number))
         self.chooser = choice.ReplicaChooser(
-            directory=self.directory, data_centre=HERE, clock=clock
+            gate=send_gate.OpenGate(),
+            directory=self.directory,
+            data_centre=HERE,
+            clock=clock,
         )
         self.wire = lossy_post.LossyPost(receivers=receivers, own=name)
         self.gossip = backlog_gossip.BacklogGossip(
--- /dev/null
+++ b/tests/cover/test_evacuations.py
@@ -0,0 +1,218 @@
+"""Data centres that the operator empties, and takes back."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from nutmeghook.internal.following import source
+from nutmeghook.internal.replicas import cold_senders
+from nutmeghook.internal.replicas import evacuations
+from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.routes import in_force
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.version_plans import orders
+from nutmeghook.platform import rollout_rows
+from nutmeghook.platform import tables
+from nutmeghook.standins import users_replica
+from tests import relay_fixture
+
+
+def row(key: str, version: int, **changes) -> source.FollowedRow:
+    """Returns a row of the operator's table."""
+    fields = {"key": key, "value": b"{}", "version": version}
+    return source.FollowedRow(**(fields | changes))
+
+
+class OperatorRowsTest(unittest.TestCase):
+    def setUp(self):
+        self.taken_back: list[str] = []
+        self.book = evacuations.EvacuationBook(
+            on_taken_back=self.taken_back.append
+        )
+        self.orders = orders.OrderBook()
+        self.rows = tables.OperatorRows(
+            configuration=in_force.ConfigurationInForce(),
+            orders=self.orders,
+            evacuations=self.book,
+        )
+
+    def evacuate(self, name: str, version: int) -> None:
+        self.rows.change((row(f"evacuate/{name}", version),))
+
+    def test_two_evacuations_overlap_and_each_ends_by_itself(self):
+        self.evacuate("pest", 1)
+        self.evacuate("buda", 2)
+        self.rows.change((row("evacuate/pest", 3, deleted=True),))
+        self.assertEqual(self.book.all(), {"buda"})
+        self.assertEqual(self.taken_back, ["pest"])
+
+    def test_one_placed_again_before_the_first_is_forgotten(self):
+        self.evacuate("pest", 1)
+        self.rows.change(
+            (
+                row("evacuate/pest", 2, deleted=True),
+                row("evacuate/pest", 3),
+            )
+        )
+        self.assertTrue(self.book.is_evacuated("pest"))
+
+    def test_a_removal_that_only_a_whole_read_shows(self):
+        """The store forgets its history, and with it that a row was removed.
+        A data centre would stay empty for good.
+        """
+        self.evacuate("pest", 1)
+        self.evacuate("buda", 2)
+        self.rows.replace((row("evacuate/buda", 2),), 9)
+        self.assertEqual(self.book.all(), {"buda"})
+        self.assertEqual(self.taken_back, ["pest"])
+
+    def test_an_order_s_removal_that_only_a_whole_read_shows(self):
+        """The same of a roll-out: it would go on without an order."""
+        order = {"service": "pool", "to": "v2", "withinS": 20.0}
+        key = rollout_rows.ORDER_PREFIX + "pool"
+        self.rows.change((row(key, 1, value=msgspec.json.encode(order)),))
+        self.assertIsNotNone(self.orders.of_service("pool"))
+        self.rows.replace((), 9)
+        self.assertIsNone(self.orders.of_service("pool"))
+
+    def test_an_order_that_is_malformed_now_is_not_taken_for_removed(self):
+        """A row that can't be read leaves what is in force."""
+        order = {"service": "pool", "to": "v2", "withinS": 20.0}
+        key = rollout_rows.ORDER_PREFIX + "pool"
+        self.rows.change((row(key, 1, value=msgspec.json.encode(order)),))
+        self.rows.replace((row(key, 8, value=b"{"),), 9)
+        self.assertIsNotNone(self.orders.of_service("pool"))
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abc"),
+                strategies.sampled_from(("place", "remove", "read all")),
+            )
+        )
+    )
+    def test_the_book_holds_what_the_table_holds(self, steps):
+        """Any series of changes and whole reads ends with the table's rows."""
+        self.setUp()
+        present: dict[str, int] = {}
+        for version, (name, step) in enumerate(steps, 1):
+            key = f"evacuate/{name}"
+            if step == "place":
+                present[name] = version
+                self.rows.change((row(key, version),))
+            elif step == "remove":
+                present.pop(name, None)
+                self.rows.change((row(key, version, deleted=True),))
+            else:
+                whole = [row(f"evacuate/{n}", v) for n, v in present.items()]
+                self.rows.replace(tuple(whole), version)
+            self.assertEqual(self.book.all(), set(present))
+
+
+def reply_to(request: users_replica.SeenRequest) -> users_replica.Reply:
+    """Returns a stream or a whole answer, by the route."""
+    is_stream = request.target.startswith(f"/{model.RouteKind.STREAM.value}/")
+    return users_replica.Reply(events=(1, 2) if is_stream else ())
+
+
+class EvacuatedRequestsTest(relay_fixture.RelayCase):
+    """One replica is here and one is far."""
+
+    def build_gate(self) -> send_gate.SendGate:
+        self.book = evacuations.EvacuationBook()
+        return send_gate.LimitingGate(
+            evacuations=self.book,
+            senders=cold_senders.ColdSenders(
+                instance_id="edge-1", clock=self.clock
+            ),
+            service=lambda name: None,
+            share=lambda service: None,
+            clock=self.clock,
+        )
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.here, self.far = self.replicas
+        self.directory.put(self.entry(self.far, data_centre="far"))
+        for replica in self.replicas:
+            replica.decide_by(reply_to)
+
+    async def test_every_kind_of_request_stays_away(self):
+        self.book.evacuate("here")
+        for number, kind in enumerate(model.RouteKind):
+            answer = await self.ask(kind, request_id=f"request-{number}")
+            self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertEqual(self.here.seen, [])
+
+    async def test_a_repeat_stays_away_too(self):
+        """The far replica refuses, and the next one is being emptied.
+        The caller hears that it was not run, and when to come back.
+        """
+        self.book.evacuate("here")
+        refusal = users_replica.Reply(status=503, not_run=True)
+        self.far.decide_by(lambda request: refusal)
+        answer = await self.ask(model.RouteKind.IDEMPOTENT)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertIn(b"retry-after", answer.lower())
+        self.assertEqual(self.here.seen, [])
+
+    async def test_what_runs_goes_on_to_its_end(self):
+        self.book.evacuate("far")
+        events = tuple(range(6))
+        slow = users_replica.Reply(events=events, pause_s=0.02)
+        self.here.decide_by(lambda request: slow)
+        asking = asyncio.create_task(self.ask(model.RouteKind.STREAM))
+        await self.arrival()
+        self.book.evacuate("here")
+        answer = await asking
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(len(relay_fixture.events_of(answer)), len(events))
+
+    async def test_what_waits_for_a_connection_is_chosen_for_anew(self):
+        """The order comes between a replica's choice and the request's write.
+        It reached the data centre after all.
+        """
+        self.book.evacuate("far")
+        acquire = self.pool.acquire
+
+        async def slow_acquire(address, *, longest_idle_s):
+            connection = await acquire(address, longest_idle_s=longest_idle_s)
+            if address == self.here.address:
+                self.book.evacuate("here")
+                self.book.take_back("far")
+            return connection
+
+        self.pool_acquire(slow_acquire)
+        answer = await self.ask(model.RouteKind.ONCE)
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertEqual(self.here.seen, [])
+        self.assertEqual(len(self.far.seen), 1)
+
+    def pool_acquire(self, function) -> None:
+        patched = mock.patch.object(
+            type(self.pool),
+            "acquire",
+            lambda pool, address, **arguments: function(address, **arguments),
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    async def test_all_evacuated_is_refused_at_once(self):
+        """Nothing can be served until the operator takes one back."""
+        self.book.evacuate("here")
+        self.book.evacuate("far")
+        answer = await self.ask(model.RouteKind.STREAM)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertIn(b"retry-after", answer.lower())
+        self.assertEqual(self.seen(), [])
+        self.book.take_back("far")
+        answer = await self.ask(model.RouteKind.STREAM)
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cover/test_relay_parts.py
+++ b/tests/cover/test_relay_parts.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.routes import in_force
 from tests import relay_fixture
 
@@ -100,7 +101,10 @@
         self.clock = clock_module.FakeClock()
         self.directory = directory_module.ReplicaDirectory(clock=self.clock)
         self.chooser = choice.ReplicaChooser(
-            directory=self.directory, data_centre="here", clock=self.clock
+            gate=send_gate.OpenGate(),
+            directory=self.directory,
+            data_centre="here",
+            clock=self.clock,
         )
 
     def choose(self, *, key="request", exclude=()):
--- a/tests/cover/test_replica_probing.py
+++ b/tests/cover/test_replica_probing.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest import mock
 
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.platform import headers
 from tests import relay_fixture
@@ -19,6 +20,7 @@
         """Tells whether a replica is taken for dark, and whether ejected."""
         (replica, *_) = self.directory.of_service("service")
         sender = sender_module.Sender(
+            gate=send_gate.OpenGate(),
             pool=self.pool,
             directory=self.directory,
             wire_format=headers.PlatformHeaders(),
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -14,6 +14,7 @@
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import book as book_module
@@ -122,6 +123,7 @@
         return listener_module.CallerListener(
             path=relay_path.build(
                 relay_path.Surroundings(
+                    gate=self.build_gate(),
                     configuration=self.configuration,
                     directory=self.directory,
                     versions=view.AnyVersion(),
@@ -140,6 +142,10 @@
             clock=self.clock,
         )
 
+    def build_gate(self) -> send_gate.SendGate:
+        """Returns what keeps requests from replicas."""
+        return send_gate.OpenGate()
+
     def reply_with(self, *replies: users_replica.Reply) -> None:
         """Lets all replicas together give these replies, one after another.
 
--- a/tests/version_fixture.py
+++ b/tests/version_fixture.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.version_plans import news
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import plan as plan_module
@@ -64,6 +65,7 @@
             self.directory.put(entry(number, "v1"))
             self.directory.put(entry(number, "v2"))
         self.rollouts = rollouts_module.RollOuts(
+            gate=send_gate.OpenGate(),
             orders=self.orders,
             directory=self.directory,
             watch=self.watch,
--- a/tests/whole/test_cold_and_evacuated.py
+++ b/tests/whole/test_cold_and_evacuated.py
@@ -7,6 +7,7 @@
 
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import trial_routers
+from nutmeghook.internal.replicas import cold_senders
 
 IN_FORCE_S = 2.0
 # The service's own limit on a cold replica, and what RouterProcess settings
@@ -80,8 +81,8 @@
         """
         for replica_id in list(self.trial.replicas):
             self.trial.operator.strike_replica(replica_id)
-        await self.trial.add_replica("cold-1", "v1", cold_left_s=30.0)
-        await asyncio.sleep(IN_FORCE_S)
+        await self.trial.add_replica("cold-1", "v1", cold_left_s=60.0)
+        await asyncio.sleep(cold_senders.SETTLING.total_seconds())
         await self.calls(150)
         arrived_s = self.seen("cold-1")
         worst = max(
