Keep requests in the home regions of their route and team

What callers would have seen: homeRegions was not decoded, so a request with homes ran anywhere. Regions of data centres come from the settings' zones table. Route's and team's homes both bind; every choice goes through one test: first attempts, repeats, larger models, the way back. No home reachable: 503, not run, come back. Bodies are handed to no other instance, so nothing else can leave.

--- a/src/nutmeghook/internal/assembly/relay_path.py
+++ b/src/nutmeghook/internal/assembly/relay_path.py
@@ -1,5 +1,6 @@
 """Puts the way of a request to a replica and back together."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -10,6 +11,7 @@
 from nutmeghook.internal.relay import crash_watch
 from nutmeghook.internal.relay import followed_routes
 from nutmeghook.internal.relay import generation_times
+from nutmeghook.internal.relay import home_regions
 from nutmeghook.internal.relay import leave as leave_module
 from nutmeghook.internal.relay import model_advice
 from nutmeghook.internal.relay import model_choice
@@ -35,6 +37,7 @@
 
     Attributes:
         data_centre: Where this instance runs.
+        region_of: Returns a data centre's region; None if it is not known.
     """
 
     configuration: in_force_module.ConfigurationInForce
@@ -45,6 +48,7 @@
     suspects: book_module.SuspectBook
     pool: pool_module.ConnectionPool
     data_centre: str
+    region_of: Callable[[str], str | None]
     wire_format: wire.WireFormat
     metrics: metrics_module.Metrics
     clock: clock_module.Clock
@@ -61,7 +65,10 @@
         clock=around.clock,
     )
     search = replica_search.ReplicaSearch(
-        chooser=chooser, versions=around.versions, times=times
+        chooser=chooser,
+        versions=around.versions,
+        times=times,
+        homes=home_regions.HomeRegions(region_of=around.region_of),
     )
     routes = followed_routes.FollowedRoutes(configuration=around.configuration)
     crashes = crash_watch.CrashWatch(
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -161,6 +161,7 @@
                 suspects=self.suspects,
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
+                region_of=lambda name: self._settings.regions.get(name),
                 wire_format=self._wire_format,
                 metrics=self.metrics,
                 clock=self._clock,
--- /dev/null
+++ b/src/nutmeghook/internal/relay/home_regions.py
@@ -0,0 +1,44 @@
+"""Regions that a request may not leave, by its route and its team."""
+
+from collections.abc import Callable
+
+from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.replicas import entries
+
+_Test = Callable[[entries.ReplicaEntry], bool]
+
+
+class HomeRegions:
+    """Keeps requests with home regions on replicas there.
+
+    Args:
+        region_of: Returns a data centre's region; None if it is not known.
+    """
+
+    __slots__ = ("_region_of",)
+
+    def __init__(self, *, region_of: Callable[[str], str | None]):
+        self._region_of = region_of
+
+    def restrict(self, job: job_module.Job, accepts: _Test) -> _Test:
+        """Returns a test that a replica outside the homes does not pass."""
+        homes = homes_of(job)
+        if homes is None:
+            return accepts
+        return lambda entry: (
+            self._region_of(entry.data_centre) in homes and accepts(entry)
+        )
+
+
+def homes_of(job: job_module.Job) -> frozenset[str] | None:
+    """Returns the regions where a request may run; None for any.
+
+    The route's homes and the team's both bind.
+    """
+    found = [job.route.home_regions]
+    if job.team is not None:
+        found.append(job.team.home_regions)
+    binding = [homes for homes in found if homes]
+    if not binding:
+        return None
+    return frozenset.intersection(*binding)
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -4,6 +4,7 @@
 
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import generation_times
+from nutmeghook.internal.relay import home_regions as home_regions_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import entries
@@ -13,7 +14,7 @@
 class ReplicaSearch:
     """Puts what a request needs to the chooser, by version and by tries."""
 
-    __slots__ = ("_chooser", "_times", "_versions")
+    __slots__ = ("_chooser", "_homes", "_times", "_versions")
 
     def __init__(
         self,
@@ -21,8 +22,10 @@
         chooser: choice_module.ReplicaChooser,
         versions: view_module.VersionView,
         times: generation_times.GenerationTimes,
+        homes: home_regions_module.HomeRegions,
     ):
         self._chooser = chooser
+        self._homes = homes
         self._versions = versions
         self._times = times
 
@@ -137,7 +140,7 @@
     ) -> choice_module.Need:
         return choice_module.Need(
             service=service,
-            accepts=accepts,
+            accepts=self._homes.restrict(job, accepts),
             key=attempt_facts.affinity(job, model_index) or job.log_id,
             exclude=tried,
             prompt=self._prompt(job, model_index),
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -36,6 +36,7 @@
         models: The models to choose from, smallest first; empty if callers
             name the model themselves.
         needs_key: Only teams' keys are let in.
+        home_regions: Where its requests may run; empty for anywhere.
     """
 
     name: str
@@ -51,6 +52,7 @@
     longest_pause: datetime.timedelta = datetime.timedelta(seconds=1)
     models: tuple[str, ...] = ()
     needs_key: bool = True
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -81,10 +83,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Team:
-    """A team and its rank; the rank goes before the route's."""
+    """A team and its rank; the rank goes before the route's.
+
+    Attributes:
+        home_regions: Where its requests may run; empty for anywhere.
+    """
 
     name: str
     priority: int | None = None
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/platform/configuration.py
+++ b/src/nutmeghook/platform/configuration.py
@@ -39,6 +39,7 @@
     sizes: list[str] = []
     # True where no key is asked for.
     anonymous: bool = False
+    home_regions: list[str] = []
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -70,6 +71,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    home_regions: list[str] = []
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -99,9 +101,10 @@
         routes=routes,
         services={s.name: _service(s) for s in wire.services},
         teams_by_key={
-            key: model.Team(name=team.name, priority=team.priority)
-            for team in wire.tenants
-            for key in team.api_keys
+            key: team
+            for wire_team in wire.tenants
+            for team in (_team(wire_team),)
+            for key in wire_team.api_keys
         },
         limits=_limits(wire.limits),
     )
@@ -128,6 +131,15 @@
         longest_pause=_milliseconds(wire.gap_target_ms),
         models=tuple(wire.sizes),
         needs_key=not wire.anonymous,
+        home_regions=frozenset(wire.home_regions),
+    )
+
+
+def _team(wire: _Team) -> model.Team:
+    return model.Team(
+        name=wire.name,
+        priority=wire.priority,
+        home_regions=frozenset(wire.home_regions),
     )
 
 
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -43,6 +43,7 @@
         inner_address: Where other instances connect.
         metrics_port: Where metrics are served; 0 for any free port.
         store_address: The platform's store.
+        regions: The regions of data centres, this instance's among them.
         link_mbit_per_s: What the instance's network link carries.
         change_time: Within it a change of the configuration, or the leaving of
             a replica, has to be in force on all instances.
@@ -65,6 +66,7 @@
     store_address: str
     data_centre: str
     region: str
+    regions: dict[str, str]
     link_mbit_per_s: float
     change_time: datetime.timedelta
     stop_time: datetime.timedelta
@@ -92,6 +94,18 @@
         self._fault(path, value, "a text that is not empty")
         return ""
 
+    def texts(self, path: str) -> dict[str, str]:
+        """Reads a table of texts; none where it is missing."""
+        value = self._find(path)
+        if value is None:
+            return {}
+        if isinstance(value, Mapping) and all(
+            isinstance(text, str) for text in value.values()
+        ):
+            return dict(value)
+        self._fault(path, value, "a table of texts")
+        return {}
+
     def address(self, path: str) -> str:
         text = self.text(path)
         host, _, port = text.rpartition(":")
@@ -164,6 +178,8 @@
     reader = _Reader(table=table)
     first_inner_port, _ = reader.ports("internalPorts")
     ip = reader.text("ip")
+    data_centre = reader.text("zone")
+    region = reader.text("region")
     settings = InstanceSettings(
         instance_id=reader.text("nodeName"),
         ip=ip,
@@ -172,8 +188,9 @@
         inner_address=f"{ip}:{first_inner_port}",
         metrics_port=reader.port(METRICS_PORT_VARIABLE, metrics_port),
         store_address=reader.address("platform.address"),
-        data_centre=reader.text("zone"),
-        region=reader.text("region"),
+        data_centre=data_centre,
+        region=region,
+        regions=reader.texts("zones") | {data_centre: region},
         link_mbit_per_s=reader.number(
             "limits.linkMbps", default=_DEFAULT_LINK_MBIT_PER_S, least=0.1
         ),
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -65,6 +65,8 @@
     """Gives each test a relay and two replicas of one service."""
 
     replica_count = 2
+    # By data centre.
+    regions = {"here": "region", "far": "other-region"}
 
     def build_clock(self) -> clock_module.Clock:
         """Returns the relay's clock."""
@@ -131,6 +133,7 @@
                     suspects=self.suspects,
                     pool=self.pool,
                     data_centre="here",
+                    region_of=self.regions.get,
                     wire_format=wire_format,
                     metrics=self.metrics,
                     clock=self.clock,
