Soak and model evacuations and cold returns; say how on-call sees them

The soak empties a data centre for longer than its bound and has its replicas come back cold, from a source of its own, so that seeds stay what they were; two checks judge it, each shown to fail.

--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -17,6 +17,7 @@
 
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
+from nutmeghook.experiment import soak_evacuations
 from nutmeghook.experiment import soak_trial
 from nutmeghook.experiment import soak_troubles
 
@@ -50,6 +51,7 @@
     rate_per_s: float = 40.0,
     with_bounds: bool = True,
     with_crashing: bool = True,
+    with_evacuation: bool = True,
 ) -> SoakReport:
     """Plays one seed and judges what was seen.
 
@@ -61,12 +63,22 @@
         rate_per_s: Of requests.
         with_bounds: Judge bounds in time too.
         with_crashing: A request that ends its replicas comes again and again.
+        with_evacuation: A data centre is emptied, and returns cold.
     """
     trial = soak_trial.SoakTrial(folder=folder, seed=seed, routers=routers)
+    if with_evacuation:
+        trial.operator.cold_limits = soak_evacuations.COLD_LIMITS
     try:
         await trial.start()
         for number in range(3, soak_trial.REPLICAS):
             await trial.add_replica(f"v1-{number}", "v1")
+        if with_evacuation:
+            for number in range(soak_evacuations.REPLICAS):
+                await trial.add_replica(
+                    f"v1-annex-{number}",
+                    "v1",
+                    data_centre=soak_evacuations.DATA_CENTRE,
+                )
         stop_load = asyncio.Event()
         load = asyncio.create_task(_load(trial, rate_per_s, stop_load))
         troubles = soak_troubles.Troubles(trial=trial, draw=random.Random(seed))
@@ -80,6 +92,10 @@
                         random.Random(seed), seconds=seconds
                     )
                 )
+            if with_evacuation:
+                tasks.create_task(
+                    soak_evacuations.play(trial, random.Random(seed))
+                )
         await asyncio.sleep(SETTLE_S)
         if with_crashing:
             await troubles.send_last_copies()
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -24,6 +24,9 @@
 RETRY_ALLOWANCE = 54
 EXPOSURE_SHARE = 0.15
 EXPOSURE_ALLOWANCE = 30
+EVACUATED_S = 5.0
+# The soak's service and its routers' settings.
+MOST_COLD_IN_ONE_SECOND = 6.0 * 1.5 + 5.0
 ALL_ROUTERS = ""
 # The users' bound on sends of a request that has ended so many replicas.
 CRASHED_REPLICAS = 3
@@ -57,6 +60,24 @@
     to_s: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Evacuation:
+    """A data centre was emptied, and taken back."""
+
+    data_centre: str
+    from_s: float
+    to_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ColdTime:
+    """When a replica was cold."""
+
+    replica_id: str
+    from_s: float
+    to_s: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class History:
     """All that was seen of a soak.
@@ -68,6 +89,9 @@
         left_at_s: When each leaving replica's word was accepted.
         crashes: Replicas that ended under a request, in order.
         bad_runs: Requests that the bad version ran.
+        evacuations: What the operator emptied.
+        cold: When replicas were cold.
+        data_centres: Of replicas, by their ids.
         order_s: When the bad version was ordered; None if none was.
     """
 
@@ -84,6 +108,9 @@
         default_factory=list
     )
     bad_runs: int = 0
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
+    cold: list[ColdTime] = dataclasses.field(default_factory=list)
+    data_centres: dict[str, str] = dataclasses.field(default_factory=dict)
     order_s: float | None = None
     final_state: str = ""
 
@@ -189,6 +216,43 @@
                 yield f"{call.request_id} reached {replica_id}, which had left"
 
 
+def _evacuated_replicas(history: History) -> Iterator[str]:
+    sent = {call.request_id: call for call in history.calls}
+    for evacuation in history.evacuations:
+        in_force_s = evacuation.from_s + EVACUATED_S + SLACK_S
+        for replica_id, requests in history.seen.items():
+            if history.data_centres.get(replica_id) != evacuation.data_centre:
+                continue
+            for request in requests:
+                call = sent.get(request.request_id)
+                if call is None or not (
+                    in_force_s < request.arrived_s < evacuation.to_s
+                ):
+                    continue
+                # What the router sends it may have been told of long before.
+                from_s = request.arrived_s - CONTACT_S
+                if history.is_calm(call.router, from_s, request.arrived_s):
+                    yield f"{call.request_id} reached an evacuated {replica_id}"
+
+
+def _cold_replicas(history: History) -> Iterator[str]:
+    for cold in history.cold:
+        arrived_s = sorted(
+            request.arrived_s
+            for request in history.seen.get(cold.replica_id, ())
+            if cold.from_s <= request.arrived_s < cold.to_s
+        )
+        most = max(
+            (
+                sum(begin <= at < begin + 1.0 for at in arrived_s)
+                for begin in arrived_s
+            ),
+            default=0,
+        )
+        if most > MOST_COLD_IN_ONE_SECOND:
+            yield f"cold {cold.replica_id} got {most} requests in one second"
+
+
 def _cut_by_a_stop(history: History) -> Iterator[str]:
     stops = [trouble for trouble in history.troubles if trouble.is_stop]
     others = [trouble for trouble in history.troubles if not trouble.is_stop]
@@ -274,5 +338,6 @@
     _budget,
     _exposure,
     _crashing_requests,
+    _cold_replicas,
 )
-_CHECKS_OF_BOUNDS = (_removed_keys, _drained_replicas)
+_CHECKS_OF_BOUNDS = (_removed_keys, _drained_replicas, _evacuated_replicas)
--- /dev/null
+++ b/src/nutmeghook/experiment/soak_evacuations.py
@@ -0,0 +1,60 @@
+"""A data centre is emptied, taken back, and its replicas return cold."""
+
+import asyncio
+import random
+
+from nutmeghook.experiment import soak_checks
+from nutmeghook.experiment import soak_trial
+
+COLD_S = 3.0
+COLD_PER_S = 6.0
+# What the operator's service says of its cold replicas.
+COLD_LIMITS = {"coldS": COLD_S, "coldPerS": COLD_PER_S}
+DATA_CENTRE = "annex"
+# Of them at the start.
+REPLICAS = 2
+
+
+async def play(trial: soak_trial.SoakTrial, draw: random.Random) -> None:
+    """Empties a data centre for longer than the bound, then restarts it."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(draw.uniform(0.2, 2.0))
+    from_s = loop.time()
+    trial.operator.evacuate(DATA_CENTRE)
+    await asyncio.sleep(soak_checks.EVACUATED_S + draw.uniform(1.5, 3.0))
+    trial.evacuations.append(
+        soak_checks.Evacuation(
+            data_centre=DATA_CENTRE, from_s=from_s, to_s=loop.time()
+        )
+    )
+    trial.operator.take_back(DATA_CENTRE)
+    await asyncio.sleep(draw.uniform(0.0, 2.0))
+    with trial.noted("cold return"):
+        await _return_cold(trial, draw)
+    await asyncio.sleep(COLD_S)
+
+
+async def _return_cold(
+    trial: soak_trial.SoakTrial, draw: random.Random
+) -> None:
+    """Ends all replicas of the data centre and starts others there."""
+    ended = [
+        replica_id
+        for replica_id in list(trial.replicas)
+        if trial.data_centres[replica_id] == DATA_CENTRE
+        and not replica_id.startswith(soak_trial.BAD_VERSION)
+    ]
+    for replica_id in ended:
+        replica = trial.replicas[replica_id]
+        trial.forget(replica_id)
+        await replica.stop()
+        trial.replica_proxies[replica_id].reset_all()
+        trial.operator.strike_replica(replica_id)
+    await asyncio.sleep(draw.uniform(0.2, 1.0))
+    for number in range(len(ended)):
+        await trial.add_replica(
+            f"v1-cold-{number}",
+            "v1",
+            data_centre=DATA_CENTRE,
+            cold_left_s=COLD_S,
+        )
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -1,5 +1,8 @@
 """A platform behind loopback proxies, with routers that come and go."""
 
+import asyncio
+import contextlib
+import dataclasses
 import pathlib
 import random
 
@@ -24,10 +27,39 @@
         self.left_at_s: dict[str, float] = {}
         self.troubles: list[soak_checks.Trouble] = []
         self.removals: list[soak_checks.KeyRemoval] = []
+        self.evacuations: list[soak_checks.Evacuation] = []
+        self.cold: list[soak_checks.ColdTime] = []
+        self.data_centres: dict[str, str] = {}
         self.order_s: float | None = None
         self.busy: set[str] = set()
         self.unserved: list[str] = []
 
+    async def add_replica(
+        self,
+        replica_id: str,
+        version: str,
+        *,
+        data_centre: str = "hall",
+        cold_left_s: float = 0.0,
+    ) -> None:
+        """Starts a replica and notes where, and until when it is cold."""
+        self.data_centres[replica_id] = data_centre
+        if cold_left_s:
+            listed_s = asyncio.get_running_loop().time()
+            self.cold.append(
+                soak_checks.ColdTime(
+                    replica_id=replica_id,
+                    from_s=listed_s,
+                    to_s=listed_s + cold_left_s,
+                )
+            )
+        await super().add_replica(
+            replica_id,
+            version,
+            data_centre=data_centre,
+            cold_left_s=cold_left_s,
+        )
+
     async def store_address(self, router_name: str) -> str:
         """Puts a proxy between a router and the store."""
         proxy = loopback_proxy.LoopbackProxy(target=self.store.address)
@@ -65,6 +97,34 @@
         ):
             await proxy.stop()
 
+    @contextlib.contextmanager
+    def noted(
+        self,
+        kind: str,
+        router: str = soak_checks.ALL_ROUTERS,
+        *,
+        is_stop: bool = False,
+    ):
+        """Notes a trouble once it has ended."""
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        # Noted as lasting for ever until it ends: a check may come first.
+        position = len(self.troubles)
+        trouble = soak_checks.Trouble(
+            kind=kind,
+            router=router,
+            from_s=from_s,
+            to_s=float("inf"),
+            is_stop=is_stop,
+        )
+        self.troubles.append(trouble)
+        try:
+            yield
+        finally:
+            self.troubles[position] = dataclasses.replace(
+                trouble, to_s=loop.time()
+            )
+
     def close_door(self, replica_id: str) -> None:
         """Has the proxy of a replica that has ended refuse connections."""
         self.replica_proxies[replica_id].close_door()
@@ -97,5 +157,8 @@
                 if replica_id.startswith(BAD_VERSION)
             ),
             order_s=self.order_s,
+            evacuations=self.evacuations,
+            cold=self.cold,
+            data_centres=self.data_centres,
             final_state=self.operator.roll_out_state(),
         )
--- a/src/nutmeghook/experiment/soak_troubles.py
+++ b/src/nutmeghook/experiment/soak_troubles.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import random
 
 from nutmeghook.experiment import loopback_proxy
@@ -91,39 +90,11 @@
     async def _send_crashing_copy(
         self, router: trial_routers.RouterProcess
     ) -> None:
-        with self._noted(soak_checks.CRASHING_COPY):
+        with self._trial.noted(soak_checks.CRASHING_COPY):
             await self._trial.call(
                 "stream", router=router, body=platform_checks.CRASHING_BODY
             )
 
-    @contextlib.contextmanager
-    def _noted(
-        self,
-        kind: str,
-        router: str = soak_checks.ALL_ROUTERS,
-        *,
-        is_stop: bool = False,
-    ):
-        """Notes a trouble once it has ended."""
-        loop = asyncio.get_running_loop()
-        from_s = loop.time()
-        # Noted as lasting for ever until it ends: a check may come first.
-        position = len(self._trial.troubles)
-        trouble = soak_checks.Trouble(
-            kind=kind,
-            router=router,
-            from_s=from_s,
-            to_s=float("inf"),
-            is_stop=is_stop,
-        )
-        self._trial.troubles.append(trouble)
-        try:
-            yield
-        finally:
-            self._trial.troubles[position] = dataclasses.replace(
-                trouble, to_s=loop.time()
-            )
-
     @contextlib.contextmanager
     def _one_router(self, draw: random.Random):
         """Takes a router that no other trouble has; None if all are taken."""
@@ -148,7 +119,7 @@
         with self._one_router(draw) as router:
             if router is None:
                 return
-            with self._noted("kill", router.name):
+            with self._trial.noted("kill", router.name):
                 await router.kill()
                 await asyncio.sleep(pause_s)
                 await self._start_again(router)
@@ -167,9 +138,9 @@
         with self._one_router(draw) as router:
             if router is None:
                 return
-            with self._noted("stop", router.name, is_stop=True):
+            with self._trial.noted("stop", router.name, is_stop=True):
                 self._trial.stop_statuses.append(await router.stop())
-            with self._noted("start", router.name):
+            with self._trial.noted("start", router.name):
                 await self._start_again(router)
 
     async def _freeze_router(self, draw: random.Random) -> None:
@@ -177,7 +148,7 @@
         with self._one_router(draw) as router:
             if router is None:
                 return
-            with self._noted("freeze", router.name):
+            with self._trial.noted("freeze", router.name):
                 router.pause()
                 await asyncio.sleep(pause_s)
                 router.resume()
@@ -187,41 +158,41 @@
         store = self._trial.store
         if store.fault is not users_store.StoreFault.NONE:
             return
-        with self._noted(f"store {fault.value}"):
+        with self._trial.noted(f"store {fault.value}"):
             store.fault = fault
             await asyncio.sleep(pause_s)
             store.fault = users_store.StoreFault.NONE
             store.do_late_writes()
 
     async def _forget_history(self, draw: random.Random) -> None:
-        with self._noted("store forgets its history"):
+        with self._trial.noted("store forgets its history"):
             self._trial.store.forget_history()
 
     async def _harm_way_to_store(self, draw: random.Random) -> None:
         fault, pause_s = draw.choice(_LINK_FAULTS), _while_s(draw)
         name = draw.choice(sorted(self._trial.store_proxies))
         proxy = self._trial.store_proxies[name]
-        with self._noted(f"way to store {fault.value}", name):
+        with self._trial.noted(f"way to store {fault.value}", name):
             proxy.set_fault(fault, delay_s=draw.uniform(0.05, 0.4))
             await asyncio.sleep(pause_s)
             proxy.set_fault(_LinkFault.NONE)
 
     async def _reset_way_to_store(self, draw: random.Random) -> None:
         name = draw.choice(sorted(self._trial.store_proxies))
-        with self._noted("way to store reset", name):
+        with self._trial.noted("way to store reset", name):
             self._trial.store_proxies[name].reset_all()
 
     async def _harm_way_to_replica(self, draw: random.Random) -> None:
         fault, pause_s = draw.choice(_LINK_FAULTS), _while_s(draw)
         proxy = self._trial.replica_proxies[self._some_replica(draw)]
-        with self._noted(f"way to replica {fault.value}"):
+        with self._trial.noted(f"way to replica {fault.value}"):
             proxy.set_fault(fault, delay_s=draw.uniform(0.02, 0.2))
             await asyncio.sleep(pause_s)
             proxy.set_fault(_LinkFault.NONE)
 
     async def _crash_replica(self, draw: random.Random) -> None:
         replica_id = self._some_replica(draw)
-        with self._noted("replica crashes"):
+        with self._trial.noted("replica crashes"):
             await self._trial.replicas[replica_id].stop()
             self._trial.replica_proxies[replica_id].reset_all()
             await asyncio.sleep(_while_s(draw))
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -354,11 +354,22 @@
         self.metrics.set(
             "quarantined_requests", len(self.suspects.quarantined())
         )
+        self._refresh_send_limits()
         if self._peers is None:
             return
         for kind, counted in self._peers.traffic.kinds().items():
             self.metrics.set("peer_sent_bytes", counted.sent_bytes, kind=kind)
 
+    def _refresh_send_limits(self) -> None:
+        self.metrics.set(
+            "evacuated_data_centres", len(self.send_limits.evacuations.all())
+        )
+        now = self._clock.monotonic()
+        cold = [r for r in self.directory.all() if r.is_cold(now)]
+        opened = sum(map(self.send_limits.gate.is_open, cold))
+        self.metrics.set("cold_replicas", opened, open="yes")
+        self.metrics.set("cold_replicas", len(cold) - opened, open="no")
+
     async def _serve_text(self, address: str, handler: _Handler) -> str:
         """Serves on an address; returns it with the port in use."""
         runner = web.ServerRunner(web.Server(handler, access_log=None))
--- a/src/nutmeghook/internal/assembly/send_limits.py
+++ b/src/nutmeghook/internal/assembly/send_limits.py
@@ -77,4 +77,8 @@
         )
 
     def _note_taken_back(self, data_centre: str) -> None:
-        self.gate.note_taken_back(self._directory.in_data_centre(data_centre))
+        self.gate.note_taken_back(
+            replica
+            for replica in self._directory.all()
+            if replica.entry.data_centre == data_centre
+        )
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -149,6 +149,20 @@
         kind=MetricKind.GAUGE,
         meaning="Requests sent to no replica, since replicas end under them.",
     ),
+    MetricSpec(
+        name="evacuated_data_centres",
+        kind=MetricKind.GAUGE,
+        meaning="Data centres to which nothing is sent, by the operator.",
+    ),
+    MetricSpec(
+        name="cold_replicas",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Replicas that bear few requests, since they have just started, by"
+            " whether this instance may send to them now."
+        ),
+        labels=("open",),
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -96,13 +96,9 @@
         self._drop_lapsed()
         return self._by_service.get(service, {}).values()
 
-    def in_data_centre(
-        self, data_centre: str
-    ) -> Iterator[replica_module.Replica]:
-        """Yields the replicas of a data centre, leaving ones too."""
-        for replica in self._by_id.values():
-            if replica.entry.data_centre == data_centre:
-                yield replica
+    def all(self) -> Iterable[replica_module.Replica]:
+        """Returns the replicas of all services, leaving ones too."""
+        return self._by_id.values()
 
     def data_centres(self, service: str) -> list[str]:
         """Returns where a service's replicas run."""
--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -143,6 +143,28 @@
         self.assert_nothing(left_at_s={"r": 48.0})
         self.assert_nothing(left_at_s={"r": 47.0}, troubles=[trouble()])
 
+    def test_a_request_at_an_evacuated_replica(self):
+        place = {"data_centres": {"r": "annex"}}
+
+        def emptied(from_s: float) -> dict:
+            evacuation = soak_checks.Evacuation(
+                data_centre="annex", from_s=from_s, to_s=60.0
+            )
+            return place | {"evacuations": [evacuation]}
+
+        self.assert_found("an evacuated r", **emptied(40.0))
+        self.assert_nothing(**emptied(48.0))
+        self.assert_nothing(**emptied(40.0), troubles=[trouble()])
+
+    def test_a_cold_replica_that_gets_too_much(self):
+        cold = soak_checks.ColdTime(replica_id="r", from_s=40.0, to_s=60.0)
+        self.assert_found(
+            "cold r got 20",
+            cold=[cold],
+            seen={"r": [REQUEST] * 20},
+        )
+        self.assert_nothing(cold=[cold])
+
     def test_a_request_cut_by_a_graceful_stop(self):
         cut = dataclasses.replace(CALL, status=0, body=b"", complete=False)
         stop = trouble(is_stop=True, from_s=50.1)
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -26,7 +26,8 @@
         """Routers are killed, frozen and stopped; the store, the ways to it
         and to replicas fail in turn; replicas crash and leave; a key goes and
         comes back; a bad version is ordered; copies of a request that ends
-        its replicas come to any router. Callers get whole answers or the
+        its replicas come to any router; a data centre is emptied and its
+        replicas return cold. Callers get whole answers or the
         truth, and all routers serve again afterwards.
         """
         self.play(SEED, seconds=SECONDS)
@@ -34,13 +35,23 @@
     def test_seeds_that_once_found_something_find_nothing(self):
         for seed in SEEDS_THAT_FOUND:
             with self.subTest(seed=seed):
-                self.play(seed, seconds=soak.SECONDS, with_crashing=False)
+                self.play(
+                    seed,
+                    seconds=soak.SECONDS,
+                    with_crashing=False,
+                    with_evacuation=False,
+                )
         for seed in CRASHING_SEEDS_THAT_FOUND:
             with self.subTest(seed=seed):
-                self.play(seed, seconds=soak.SECONDS)
+                self.play(seed, seconds=soak.SECONDS, with_evacuation=False)
 
     def play(
-        self, seed: int, *, seconds: float, with_crashing: bool = True
+        self,
+        seed: int,
+        *,
+        seconds: float,
+        with_crashing: bool = True,
+        with_evacuation: bool = True,
     ) -> None:
         """Plays a seed and checks that all held."""
         with tempfile.TemporaryDirectory() as folder:
@@ -51,6 +62,7 @@
                     seconds=seconds,
                     with_bounds=False,
                     with_crashing=with_crashing,
+                    with_evacuation=with_evacuation,
                 )
             )
         self.assertEqual(report.violations, [])
