Drop an entry whose address another replica has taken since

Cause, by the logs of its instances: replicas return under new ids at their old addresses, and the old entries stay for three heartbeats. What is sent by them is refused with 421 and draws on the retry budget. It was so before; now an instance that has just started sends nothing to the new, cold ones, so more went by the old.

Ruled out: cold replicas in the other data centres (they were warm); a lack of candidates ('no replica can take it' did not occur).

Change: of entries at one address the one with the newest row is kept. Equal versions, or none, drop nothing, so the property that no strange row costs another holds as it is tested; a writer that names another's address in a newer row could cost it, but replicas alone write that table, each its own address.

Ruled out as well: ejecting a replica for a 421. A caller that names a wrong model gets one too, and could have any replica ejected.

--- a/src/nutmeghook/internal/observe/belief_records.py
+++ b/src/nutmeghook/internal/observe/belief_records.py
@@ -24,6 +24,7 @@
     started_ms: float | None = None
     last_started_ms: float | None = None
     cold_left_s: float | None = None
+    successor: str | None = None
 
 
 class EvacuationChange(Record, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -29,6 +29,7 @@
     "replica:leaving": belief_records.ReplicaChange,
     "replica:gone": belief_records.ReplicaChange,
     "replica:outdated_entry": belief_records.ReplicaChange,
+    "replica:replaced": belief_records.ReplicaChange,
     REPLICA_COLD: belief_records.ReplicaChange,
     "data_centre:evacuated": belief_records.EvacuationChange,
     "data_centre:taken_back": belief_records.EvacuationChange,
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.following import shared_table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.replicas import address_holders
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
@@ -46,6 +47,7 @@
         "_by_short_id",
         "_clock",
         "_everywhere",
+        "_holders",
         "_last_starts_ms",
         "_loaded",
         "_missing_since_return",
@@ -75,6 +77,7 @@
         self._everywhere: dict[str, affinity.AffinityRing] = (
             collections.defaultdict(affinity.AffinityRing)
         )
+        self._holders = address_holders.AddressHolders()
         # Replicas that have something to read for this instance, by id.
         self._loaded: dict[str, replica_module.Replica] = {}
         # Replicas whose load is known, the last heard of at the end.
@@ -254,11 +257,16 @@
         process that is gone, and its last words may still arrive after the
         first ones of the new start. An entry of another start therefore takes
         the place of all that was known, and one of an older start is dropped.
+        So is one whose address another replica has taken since: what is sent
+        there would be refused, and draw on the retry budget.
         """
         last_ms = self._last_starts_ms.get(entry.replica_id, 0)
         if entry.started_ms < last_ms:
             self._note_outdated(entry, last_ms)
             return
+        if self._holders.has_successor(entry):
+            self.reject(entry.replica_id)
+            return
         self._missing_since_return.discard(entry.replica_id)
         known = self._by_id.get(entry.replica_id)
         if known is not None and not known.entry.is_same_start(entry):
@@ -269,6 +277,14 @@
         if entry.leaving and not known.entry.leaving:
             logs.note("replica:leaving", replica=entry.replica_id)
         known.entry = entry
+        replaced = self._holders.take(entry)
+        if replaced is not None:
+            logs.note(
+                "replica:replaced",
+                replica=replaced,
+                successor=entry.replica_id,
+            )
+            self.reject(replaced)
         if entry.cold_left_s > 0:
             self.note_cold(known, datetime.timedelta(seconds=entry.cold_left_s))
 
@@ -361,6 +377,7 @@
         self._by_service[gone.entry.service].pop(replica_id, None)
         if self._by_short_id.get(gone.short_id) is gone:
             del self._by_short_id[gone.short_id]
+        self._holders.release(gone.entry)
         self._missing_since_return.discard(replica_id)
         self._ring_of(gone.entry).remove(replica_id)
         self._everywhere[gone.entry.service].remove(replica_id)
--- a/src/nutmeghook/internal/replicas/entries.py
+++ b/src/nutmeghook/internal/replicas/entries.py
@@ -13,6 +13,7 @@
         cold_left_s: How much longer it is slow after its start.
         started_ms: Unix time of its start, which tells starts under one id
             apart; 0 if it does not tell.
+        row_version: Grows with each word of any replica; 0 if not known.
     """
 
     replica_id: str
@@ -24,6 +25,7 @@
     leaving: bool
     cold_left_s: float = 0.0
     started_ms: int = 0
+    row_version: int = 0
 
     def is_same_start(self, other: "ReplicaEntry") -> bool:
         """Tells whether another entry is of the same start of the replica.
--- a/src/nutmeghook/platform/replicas.py
+++ b/src/nutmeghook/platform/replicas.py
@@ -49,7 +49,9 @@
 _DECODER = msgspec.json.Decoder(_Entry)
 
 
-def decode(replica_id: str, value: bytes) -> entries.ReplicaEntry:
+def decode(
+    replica_id: str, value: bytes, row_version: int = 0
+) -> entries.ReplicaEntry:
     """Returns the entry.
 
     Raises:
@@ -73,6 +75,7 @@
         leaving=wire.state != _READY,
         cold_left_s=wire.cold_left_ms / 1000,
         started_ms=wire.born or 0,
+        row_version=row_version,
     )
 
 
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -108,7 +108,7 @@
     def _entry(self, row: source.FollowedRow) -> entries.ReplicaEntry | None:
         """Decodes a row; one that names no replica costs only itself."""
         try:
-            return replicas_wire.decode(row.key, row.value)
+            return replicas_wire.decode(row.key, row.value, row.version)
         except ValueError as error:
             logs.note("replica:bad_row", key=row.key, error=str(error))
             self._directory.reject(row.key)
--- a/tests/cover/test_replica_directory.py
+++ b/tests/cover/test_replica_directory.py
@@ -202,6 +202,50 @@
         )
 
 
+class SuccessorTest(DirectoryCase):
+    """Several entries name one address; one process at most is there."""
+
+    def rows_at(self, address: str, *ids: str) -> list[source.FollowedRow]:
+        """Returns rows of one address, the later ones newer."""
+        value = platform_rows.replica_row(address=address)
+        return [_row(i, value, version) for version, i in enumerate(ids, 5)]
+
+    def test_the_newest_at_an_address_takes_the_place_of_the_others(self):
+        """A data centre loses power and its replicas return under new ids. The
+        old entries stay for seconds; what was sent by them was refused, and
+        the retry budget was spent on it.
+        """
+        old, new = self.rows_at("10.0.0.9:80", "old", "new")
+        self.rows.change((old,))
+        self.rows.change((new,))
+        self.assertEqual(set(self.known()), {"new"})
+        self.assertEqual(self.closed, ["10.0.0.9:80"])
+
+    def test_a_whole_read_brings_no_former_one_back(self):
+        old, new = self.rows_at("10.0.0.9:80", "old", "new")
+        for listed in ((old, new), (new, old)):
+            self.rows.replace(listed, 9)
+            self.assertEqual(set(self.known()), {"new"})
+
+    def test_another_service_s_replica_takes_an_address(self):
+        (old,) = self.rows_at("10.0.0.9:80", "old")
+        self.rows.change((old,))
+        value = platform_rows.replica_row(
+            address="10.0.0.9:80", service="other"
+        )
+        self.rows.change((_row("new", value, 8),))
+        self.assertEqual(self.known(), {})
+        self.assertEqual(set(self.known("other")), {"new"})
+
+    def test_the_former_one_s_removal_leaves_the_successor(self):
+        old, new = self.rows_at("10.0.0.9:80", "old", "new")
+        self.rows.change((old, new))
+        self.rows.change(
+            (source.FollowedRow(key="old", value=b"", version=9, deleted=True),)
+        )
+        self.assertEqual(set(self.known()), {"new"})
+
+
 class IndexTest(DirectoryCase):
     def test_a_replica_that_changes_leaves_nothing_behind(self):
         """A row of a known id names another service, data centre, address or
@@ -238,5 +282,5 @@
         self.assertEqual(len(self.directory), 0)
 
 
-def _row(replica_id: str, value: bytes) -> source.FollowedRow:
-    return source.FollowedRow(key=replica_id, value=value, version=1)
+def _row(replica_id: str, value: bytes, version: int = 1) -> source.FollowedRow:
+    return source.FollowedRow(key=replica_id, value=value, version=version)
