--- a/src/nutmeghook/internal/relay/leave.py
+++ b/src/nutmeghook/internal/relay/leave.py
@@ -87,9 +87,8 @@
     def stop_quarantined(self, job: job_module.Job) -> None:
         """Ends a request under which replicas end, before its next attempt.
 
-        The failure: each of its attempts ends another replica, for everybody
-        on it. It gets none, whatever its route and the budget allow, but for
-        the one of a copy that is sent on trial.
+        It gets no attempt, whatever its route and the budget allow, but for the
+        one of a copy that is sent on trial.
 
         Raises:
             rejections.RejectedError: It is quarantined.
@@ -117,12 +116,9 @@
     ) -> bool:
         """Takes leave to go on at another replica than the one at work.
 
-        The failure: a replica falls silent under load and works on. It was
-        left before everything that could forbid the further attempt had been
-        asked: budget and replicas once, the caller's key another time. The
-        attempt was then refused, and an answer that would have come was cut.
-        So the attempt is granted whole, replica included, before any work is
-        given up, and `prepare` asks nothing again.
+        The attempt is granted whole, replica included, before the work under
+        way is given up, since it may go on and end well; `prepare` asks nothing
+        again.
 
         Args:
             job: The request.
@@ -213,11 +209,10 @@
     ) -> bool:
         """Takes leave for a further attempt while one is at work.
 
-        The failure: the replica that is to go on refuses, or can't be reached,
-        and the budget is spent by then or the tries are; the one that was left
-        is as well as before, and the caller's answer was cut. So leave to come
-        back to it is taken too, and given back once another one has begun.
-        Leave to go back to an earlier one stays while a dark one is left.
+        The replica that is to go on may refuse, with the budget or the tries
+        spent by then. So leave to come back to the one that was left is taken
+        too, and given back once another one has begun. Leave to go back to an
+        earlier one stays while a dark one is left.
         """
         if job.runs + 1 >= job.route.attempts:
             return False
@@ -295,9 +290,8 @@
     def try_spend(self, job: job_module.Job) -> bool:
         """Takes leave for one more attempt while none is at work.
 
-        The failure: a route moves while its requests are under way. Their
-        repeats took from the budget of the service that they left, and a
-        service whose own budget was spent got all of them.
+        A route may have moved meanwhile, and a repeat draws on the budget of
+        the service that it goes to.
 
         Raises:
             rejections.RejectedError: Nothing has run, and the request's route
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -34,10 +34,8 @@
     ) -> choice_module.Choice | None:
         """Returns the best replica of a service for the next attempt.
 
-        The failure: a request left a silent replica for another one, and that
-        one refuses it. There is no third, the first works as before, and the
-        caller's answer would end for want of a replica. What has run already
-        and may be repeated goes back to one that was tried.
+        What has run already and may be repeated goes back to a replica that was
+        tried, if there is no other.
         """
         chosen = self.untried(job, service)
         if chosen is None and may_have_run and job.route.repeatable:
@@ -49,10 +47,8 @@
     ) -> choice_module.Choice | None:
         """Returns the best replica of a service that was not tried.
 
-        The failure: a roll-out has just begun, the new version's only replica
-        fails a request, and there is no other of that version to turn to. A
-        request that failed on a new version may go on with the one in full
-        use.
+        A request that failed on a new version may go on with the one in full
+        use, if no other replica has the new one.
         """
         tried = frozenset(job.tried)
         chosen = self._best(job, service, tried=tried)
@@ -71,8 +67,7 @@
     ) -> choice_module.Choice | None:
         """Returns the replica that was left if it may still be sent to.
 
-        The failure: a replica's version is withdrawn after a request has left
-        it. The request went back, and the bad version got one more.
+        Its version may have been withdrawn since the request left it.
         """
         accepts = self._accepts(job, to.service)
         in_full_use = self._versions.in_full_use(to.service)
--- a/src/nutmeghook/internal/relay/silence.py
+++ b/src/nutmeghook/internal/relay/silence.py
@@ -53,10 +53,9 @@
         Silence alone ends no answer: a replica is left only once it is sure
         that another attempt may follow.
 
-        The failure: the process is busy for a while, or a replica is asked
-        whether it still accepts connections, and its next event comes
-        meanwhile. By its time the wait is over, and a replica at work was
-        left. So what has come by now is looked for before.
+        Where the process was busy the next event may have come by the time at
+        which the wait ends, so what has come is looked for before a replica is
+        left.
 
         Args:
             job: The request.
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -194,8 +194,8 @@
     ) -> None:
         """Passes whole events on until the stream is complete.
 
-        The failure: a replica breaks off inside an event. Only whole events
-        are passed on, so that another replica can go on after the last one.
+        A replica may break off inside an event. Only whole events are passed
+        on, so that another replica can go on after the last one.
         """
         splitter = events_module.EventSplitter()
         began_at = self._clock.monotonic()
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -127,9 +127,9 @@
     ) -> job_module.WholeAnswer:
         """Awaits an answer, which is given up only for a further attempt.
 
-        The failure: while the process is busy, the answer comes before the end
-        of the patience, and both come up in one turn of the event loop. A
-        whole answer was dropped. So it is looked for before it is given up.
+        Where the process was busy the answer may come up in the same turn of
+        the event loop as the end of the patience, so it is looked for before it
+        is given up.
 
         Raises:
             rejections.RejectedError: The time limit passed.
--- a/src/nutmeghook/internal/replicas/backlog_gossip.py
+++ b/src/nutmeghook/internal/replicas/backlog_gossip.py
@@ -1,12 +1,8 @@
 """Tells other instances which prompts replicas have still to read.
 
-The failure: nine instances send to five replicas, and none knows what the
-others have sent. A replica with two prompts of the largest model gets a third
-while its neighbour is idle, and the first event that took a second takes
-three. What replicas tell of themselves comes too late to prevent it: known
-that way, the number of waiting requests has a correlation of 0.1 with what an
-answer then meets; with all instances' backlogs known, 0.8 to 0.9 of the
-variance of the largest model's first events is explained.
+Engines read prompts one after the other, so the time to a first event depends
+on what all instances have sent to a replica. What replicas tell of their load
+comes too late to foresee it.
 
 Each message holds all that the sender has under way, so a lost one is made
 good by the next, and one of an instance that died is soon too old to count.
@@ -20,15 +16,10 @@
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
 
-# A prompt takes 0.1 to 2 s to read, and two requests of a fleet of ten
-# instances are as far apart. Nothing is sent while there is nothing to tell.
+# Prompts take some 0.1 to 2 s to read. Nothing is sent while there is nothing
+# to tell.
 TELL_EVERY = datetime.timedelta(milliseconds=200)
-# A message of one replica is some 80 bytes; to 8 peers, 5 times a second while
-# something is under way, 3.2 KB/s at most. All of a small fleet are told. Of a
-# large one 8 of all were told; of 200 instances each then heard of a fifth of
-# what was under way, in five data centres alike. Near instances use the same
-# replicas most, since distance counts as time: told 7 of some 40, each hears
-# most of theirs within a second, at a sixth of the bytes between data centres.
+# Near instances use the same replicas most, since distance counts as time.
 NEAR_TOLD = 7
 FAR_TOLD = 1.0
 MOST_REPLICAS = 16
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -15,57 +15,37 @@
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import send_gate
 
-# A replica's own count of its load comes with its answers, here or at a near
-# instance. The older it is, the more the service's usual load is taken
-# instead. Dropped at some age, it would leave what this instance has under way
-# there, a seventh of the truth or less, and all instances would turn to the
-# replica heard of least.
+# Time constant with which a replica's own report gives way to the usual load of
+# its service. Dropped at once, it would leave this instance's own attempts
+# only, a small part of what runs there.
 REPORT_LIFE = datetime.timedelta(milliseconds=500)
-# A replica reads prompts one after the other and generates for all running
-# requests at once. So one that waits stands for as much delay as several that
-# run: some 50 ms, and one that runs slows each step by 1 in 50. Emulated with
-# a quarter of the replicas gone, nine in ten waits end within 0.93 s; counted
-# as one, 1.08 s.
+# Running requests that one waiting request counts as.
 WAITING_WEIGHT = 5.0
-# Replicas that are compared for a request, in the own data centre and in the
-# others: the first ones for its key on a ring of hashes. Counts are half a
-# second old, and 73 instances send 200 requests in that time: when all of them
-# compared all replicas they ran after the one that was emptiest, and the queues
-# were longer than without knowing any count (a quiet day's work that came in
-# time was 0.78 of its worth; 0.88 with few, which is as good as any spread,
-# and their prompts' shared parts are kept there).
+# Replicas that are compared for a request without a prompt, in the own data
+# centre and in the others. Comparing few spreads instances that know the same
+# reports, which are half a second old.
 NEAR_COMPARED = 2
 FAR_COMPARED = 1
-# Load per slot that is added for a replica in another data centre, with a
-# waiting request counted as `WAITING_WEIGHT`. Bytes between data centres are
-# dear for one user and cheap for the other; new connections, dear for the
-# other, are as many either way. With 0.6 and not 0.25, a quiet day's bytes
-# between them fall by a quarter and as much comes in time.
+# Load per slot that is added for a replica in another data centre.
 REMOTE_LOAD = 0.6
-# Load per slot that a failure rate of 1 stands for. A failed attempt costs a
-# repeat; replicas twice as full cost every request more than that.
+# Load per slot that a failure rate of 1 stands for.
 FAILURE_LOAD = 1.0
 
 # Replicas that are compared for a prompt: the first for its key of all, and of
-# the own data centre. The first of all is the same on every instance, so each
-# shared part is read there once and found kept by all that follow.
+# the own data centre. All instances agree on the first of all, so each shared
+# part is read there once.
 HOMES_COMPARED = 3
 NEAR_HOMES_COMPARED = 1
-# How likely the first replica for a key has its shared parts already. Parts
-# are asked for two to five times within their replica's memory of them.
+# Probability that the first replica for a key keeps its shared parts.
 HOME_KEPT = 0.5
 # Part of the reading of large models that a small one's prompt waits for,
 # although it goes first: engines read in chunks, those of all in turn.
 SHARE_OF_LATER = 0.5
-# While a replica reads a prompt, all that it generates stands still: streams of
-# the smallest model went on as slowly as those of the largest. Each running
-# request counts this part of the reading that holds it up. It keeps long
-# readings off replicas with many streams, and these off the others.
+# Part of a prompt's reading time that counts for each request that runs at its
+# replica, which generates nothing meanwhile.
 OTHERS_SHARE = 0.3
-# By how much sooner a replica of another data centre has to be. It is what
-# the bytes between data centres are worth, which no message tells. Where they
-# are cheap, 150 ms was no better or worse than 50; where they are dear it
-# brought 0.01 of the worth.
+# By how much sooner a replica of another data centre has to answer: the price
+# of the bytes between data centres, which no message tells.
 REMOTE_DELAY = datetime.timedelta(milliseconds=100)
 
 _Test = Callable[[replica_module.Replica], bool]
@@ -242,9 +222,8 @@
     def _home(self, need: Need) -> replica_module.Replica | None:
         """Returns the replica that has a key's shared parts, if any has.
 
-        The failure: while a version rolls out, half of the replicas run the
-        other one. Where they counted, half of the parts had no home, and were
-        read again wherever the shortest queue was.
+        Replicas of versions that may not run the request keep none of its
+        parts, and are passed over.
         """
         everywhere = self._directory.in_order_everywhere(need.service, need.key)
         return next(
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -252,13 +252,10 @@
     def put(self, entry: entries.ReplicaEntry) -> None:
         """Adds or updates a replica.
 
-        The failure: a replica crashes and starts again under its old id. What
-        was known of it, its load, its failures and its connections, is of a
-        process that is gone, and its last words may still arrive after the
-        first ones of the new start. An entry of another start therefore takes
-        the place of all that was known, and one of an older start is dropped.
-        So is one whose address another replica has taken since: what is sent
-        there would be refused, and draw on the retry budget.
+        An entry of another start under the same id takes the place of all that
+        was known, load, health and connections included; one of an older start
+        is dropped. So is one whose address another replica has taken since:
+        what is sent there would be refused, and draw on the retry budget.
         """
         last_ms = self._last_starts_ms.get(entry.replica_id, 0)
         if entry.started_ms < last_ms:
@@ -347,9 +344,8 @@
     def remove(self, replica_id: str) -> None:
         """Takes a replica out, or waits for it while entries may lapse.
 
-        The failure: the store was away for some seconds, and on its return
-        half the list is missing though the replicas live. Dropped at once,
-        the rest would be swamped, and requests refused for no reason.
+        Entries lapse during an outage of the store although their replicas
+        live.
         """
         if replica_id not in self._by_id:
             return
--- a/src/nutmeghook/internal/replicas/load_gossip.py
+++ b/src/nutmeghook/internal/replicas/load_gossip.py
@@ -1,13 +1,11 @@
 """Tells near instances what replicas said of their load.
 
-A replica's own count of its requests comes with its answers only. With 73
-instances before 36 replicas each hears a replica every nine seconds, while its
-queue changes within one: some replicas had nobody waiting and others sixty.
-Together the instances hear every replica some ten times a second. So each
-tells a few others, over and over, the counts that it learnt last, from
-replicas and from peers.
+A replica's own count of its requests comes with its answers only, and an
+instance of a large fleet hears each replica seldom. Together the instances hear
+every replica many times a second. So each tells a few others the counts that it
+learnt last, from replicas and from peers.
 
-Only instances of one data centre tell each other. All of them send to the same
+Only instances of one data centre tell each other: they send to the same
 replicas, and bytes between data centres are dear.
 """
 
@@ -19,10 +17,8 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
 
-# A count goes through a data centre of 24 instances in three steps, so it is
-# known to all within 0.75 s, while a queue changes in 1 to 2 s. Messages of
-# 16 counts, about 240 bytes with their headers, to 3 peers 4 times a second
-# are 2.9 KB/s.
+# A count passes through a data centre in three such steps, within the time in
+# which a replica's queue changes.
 TELL_EVERY = datetime.timedelta(milliseconds=250)
 PEERS_TOLD = 3
 MOST_COUNTS = 16
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -147,10 +147,9 @@
     def finish_exchange(self) -> bool:
         """Ends the exchange; returns whether another may follow.
 
-        The failure: the replica answers before it has read the whole
-        request, and reads on later. Another request written now would be
-        taken for the rest of the first one's body. So a connection is kept
-        only if the system has taken every byte of the request.
+        A replica may answer before it has read the whole request, and would
+        take what is written next for the rest of its body. So the connection is
+        kept only if the system has taken every byte of the request.
         """
         payload = self._payload
         complete = payload is not None and payload.is_eof()
@@ -174,9 +173,8 @@
     def data_received(self, data: bytes) -> None:
         """Parses what belongs to the exchange; anything else ends it all.
 
-        The failure: a faulty replica sends a second answer, or bytes after
-        the end of one. Kept, they would be read as the answer to the next
-        request, which is another caller's.
+        Bytes beyond the end of an answer belong to no request. Kept, they would
+        be read as the answer to the next one.
         """
         if self._parser is None:
             self.abort()
@@ -197,10 +195,9 @@
     def eof_received(self) -> None:
         """Lets the transport close, and notes if it was a reset in truth.
 
-        The failure: a replica sends part of an answer without length and
-        resets the connection. Where both arrive in one moment, the event loop
-        reads the part and reports an end of file; the part would pass for the
-        whole. The socket still holds the error.
+        Where data and a reset arrive together, the event loop reports an end of
+        file, and an answer without length would look complete. The socket still
+        holds the error.
         """
         raw = self.transport.get_extra_info("socket")
         if raw is not None:
@@ -211,9 +208,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only a clean close can complete a body.
 
-        The failure: an answer without length is reset half way. By the
-        library's parser it would end as complete, and a caller would file
-        half a finding as a whole one.
+        The library's parser would end a body without length as complete after a
+        reset too.
         """
         self.sound = False
         exc = exc or self._reset
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -161,9 +161,9 @@
 def _bound_silence(transport: asyncio.BaseTransport) -> None:
     """Lets the system notice a peer that no longer acknowledges.
 
-    The failure: the path to a replica is cut without a reset. Without this
-    the connection would look open for many minutes; with it, it breaks a few
-    seconds after the first byte that nobody acknowledges.
+    A path that is cut without a reset would leave the connection open for many
+    minutes; with these limits it breaks a few seconds after the first byte that
+    nobody acknowledges.
     """
     raw = transport.get_extra_info("socket")
     if raw is None:
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -171,13 +171,9 @@
     async def is_dark(self, replica: replica_module.Replica) -> bool:
         """Tells whether a silent replica is gone.
 
-        The failure: a replica goes dark. Its connections stay open and
-        silent, as those of a busy one do, but an attempt to connect goes
-        unanswered. One that refuses it is alive: it leaves, or has as many
-        connections as it takes, and works on at what it has. Taken for dark,
-        all streams of a version that was replaced were given up, each prompt
-        was read again, and some answers ended for want of a place. New
-        requests have no business at either.
+        A dark replica answers no attempt to connect. One that refuses them is
+        alive: it leaves, or has as many connections as it takes, and works on
+        at what it has. New requests have no business at either.
         """
         met = await self._pool.probe(replica.entry.address)
         if met in _TAKES_NOTHING_NEW:
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -93,8 +93,8 @@
     def is_ready(self) -> bool:
         """Tells whether every order's plan is known.
 
-        The failure: an instance restarts in the middle of a roll-out. Not
-        knowing how far it is, it would move sessions back.
+        An instance that does not know how far a roll-out is would move sessions
+        back.
         """
         return all(
             self.plan_of(order) is not None for order in self._orders.all()
