Keep a late place from refusing a warm replica's request

Found by reading: a place lapses a second after its replica was chosen. In a busy process a connection may take longer, and the request for a warm replica was taken for one that may not be sent any more: chosen for anew, a try spent. The lapse matters to cold replicas only; a warm one's request takes a new place, so that it still counts should the replica turn cold.

--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -111,7 +111,14 @@
         own_places = 0 if place is None else 1
         if not self._lets_in(replica, own_places=own_places):
             return False
-        return place is None or place.write(self._clock.monotonic())
+        now = self._clock.monotonic()
+        if place is None or place.write(now):
+            return True
+        # A busy process was late for its place, which only a cold one's request
+        # depends on.
+        if replica.is_cold(now):
+            return False
+        return replica.sends.take(now).write(now)
 
     def note_taken_back(
         self, replicas: Iterable[replica_module.Replica]
--- a/tests/cover/test_cold_replicas.py
+++ b/tests/cover/test_cold_replicas.py
@@ -272,6 +272,22 @@
         written = sum(self.gate.may_write(replica, p) for p in places)
         self.assertLessEqual(written, SHARE.each_per_s)
 
+    async def test_a_place_that_came_too_late_keeps_nothing_from_a_warm_one(
+        self,
+    ):
+        """The process was busy while a connection was made. The request was
+        taken for one that may not be sent any more.
+        """
+        replica = self.replica()
+        place = self.gate.take(replica)
+        await self.clock.advance(3 * SECOND)
+        self.assertTrue(self.gate.may_write(replica, place))
+        self.assertEqual(replica.sends.taken(self.clock.monotonic()), 1)
+        self.replica(coldLeftMs=3000)
+        late = self.gate.take(replica)
+        await self.clock.advance(2 * SECOND)
+        self.assertFalse(self.gate.may_write(replica, late))
+
     async def test_one_that_is_taken_back_counts_as_cold(self):
         """Its word that it is cold comes with its next heartbeat."""
         replica = self.replica()
