--- a/src/nutmeghook/internal/following/giving.py
+++ b/src/nutmeghook/internal/following/giving.py
@@ -40,13 +40,10 @@
 class PageGiver:
     """Answers peers that ask for a table's changes.
 
-    The failure: a configuration of some hundred kilobytes grows by a thousand
-    routes, and a hundred peers ask for it at once. Sent in full to all of
-    them, the copies share a slow link until each takes longer than its
-    receiver waits; the receiver asks the next peer, whose link fills as well,
-    and no copy arrives anywhere. So a copy goes in pieces, what is sent is
-    limited to a share of the link, and who asks beyond that hears at once that
-    another peer is the better one to ask.
+    Full copies for all that ask would share a slow link until each takes longer
+    than its receiver waits. So a copy goes in pieces, what is sent is limited
+    to a share of the link, and who asks beyond that hears at once that another
+    peer is the better one to ask.
     """
 
     __slots__ = ("_allowance", "_contents", "_deletion_grace", "_tables")
--- a/src/nutmeghook/internal/following/gossip.py
+++ b/src/nutmeghook/internal/following/gossip.py
@@ -330,11 +330,8 @@
     async def _catch_up_forever(self, name: str) -> None:
         """Fetches one table's news from whoever is ahead, the latest first.
 
-        The failure: the ways to one data centre lose packets, and its peers'
-        digests come but their replies don't. Waiting for one after the other,
-        of each table in turn, an instance was seconds late with a change that
-        its neighbours had. A peer that fails is left out until it tells again,
-        and tables don't wait for each other.
+        Digests may pass where replies are lost. So a peer that fails is left
+        out until it tells again, and tables do not wait for each other.
         """
         ahead = self._ahead[name]
         table = self._tables[name]
--- a/src/nutmeghook/internal/following/reader_ranks.py
+++ b/src/nutmeghook/internal/following/reader_ranks.py
@@ -64,10 +64,8 @@
     ) -> None:
         """Takes in a digest's sender, and whom the sender knows to live.
 
-        The failure: the store turns the three readers away and serves the
-        others. They live, so nobody else would read, and a change would be in
-        force seconds late everywhere. A reader that is out of touch therefore
-        does not count (None), and is replaced like one that died.
+        A reader that is out of touch with the store does not count (None), and
+        is replaced like one that died.
         """
         now = self._clock.monotonic()
         if sender_id is not None:
--- a/src/nutmeghook/internal/following/taking.py
+++ b/src/nutmeghook/internal/following/taking.py
@@ -46,10 +46,9 @@
 class PageTaker:
     """Catches up with one table.
 
-    The failure: a peer is killed, or its packets are lost, while it sends a
-    large change. Begun anew elsewhere each time, the change would never arrive
-    during rolling restarts; so the next peer goes on where the last one
-    stopped, as long as both have the same bytes to give.
+    A large change arrives even where each giver ends in the middle: the next
+    peer goes on where the last one stopped, as long as both have the same bytes
+    to give.
     """
 
     __slots__ = (
--- a/src/nutmeghook/internal/relay/crash_watch.py
+++ b/src/nutmeghook/internal/relay/crash_watch.py
@@ -63,9 +63,8 @@
     ) -> None:
         """Takes in a replica's whole answer.
 
-        Only a success shows that it survived the request. The failure: a
-        replica fails part of what it gets before it runs it, and one failure
-        cleared a request that ended all others.
+        Only a success shows that it survived the request: it may fail one
+        before it runs it.
         """
         if answer.succeeded:
             self._book.note_answered(job.identity)
--- a/src/nutmeghook/internal/relay/denials.py
+++ b/src/nutmeghook/internal/relay/denials.py
@@ -18,9 +18,8 @@
 ) -> rejections.RejectedError:
     """Returns the end of a request that the configuration does not allow.
 
-    The failure: a team gets a route and calls it at once. On an instance that
-    the change has not reached, it heard 404 and did not come back. One that
-    knows itself to be behind says so instead.
+    Callers do not come back after a denial, so an instance that knows itself to
+    be behind asks them to.
 
     Args:
         configuration: The one that does not allow it.
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -29,8 +29,8 @@
 class CallerConnection(web.RequestHandler):
     """One connection; a request's head has to arrive in time.
 
-    The failure: a caller sends half a head and stops. The library waits
-    without limit, and a few hundred of these use up all descriptors.
+    The library waits for the rest of a head without limit, and each wait holds
+    a descriptor.
     """
 
     __slots__ = ("_head_timer", "_limits")
--- a/src/nutmeghook/internal/relay/model_choice.py
+++ b/src/nutmeghook/internal/relay/model_choice.py
@@ -172,9 +172,8 @@
 def _chance_of_an_end(situation: Situation) -> float:
     """Returns how likely the larger model's answer is whole in time.
 
-    The failure: while an engine reads prompts it generates some 30 tokens a
-    second for each request. A long answer is cut by the deadline after its
-    first events, and the caller has nothing.
+    A long answer that is cut by the deadline after its first events is worth
+    nothing to its caller.
     """
     whole = situation.first_event + situation.generation
     return _chance_within(situation.time_left, whole)
--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -127,13 +127,9 @@
     ) -> None:
         """Takes in how much later than expected an answer began.
 
-        The failure: a version reads six times slower in half of its requests.
-        Prompts and queues differ by more than that, so its first events are
-        within what is usual. Measured by what was expected of each they are
-        not: their logarithms are 1.0 to 1.4 above the usual, which spread by
-        0.8. Those of good versions, on replicas that have nothing kept yet,
-        were not above it. All models count as one kind, since an instance of
-        a small fleet sees one first event a second.
+        Prompts and queues differ by more than a slow version's delay, so a
+        first event is measured by what was expected of it. All models count as
+        one kind, since an instance of a small fleet sees few first events.
         """
         self._versions.note_pace(
             prepared.replica.entry,
--- a/src/nutmeghook/internal/suspects/book.py
+++ b/src/nutmeghook/internal/suspects/book.py
@@ -1,10 +1,8 @@
 """Requests under which replicas have ended, and which of them to stop.
 
-The failure: a request ends each replica that begins to run it, and takes with
-it what the replica ran for others. It comes again, at any instance, under
-another id each time. What was seen of it was held against the replicas, which
-come back as other starts, and forgotten with the caller's attempt; so each
-copy ended as many replicas as its route allows attempts.
+A request that ends each replica that runs it comes again, at any instance,
+under another id each time, and takes with it what those replicas ran for
+others.
 
 So the end of a replica is held against the requests that it had. All of them
 are suspects, and beside the one that did it are many that only were there. An
@@ -34,8 +32,8 @@
 # Since the last one, until one copy is sent to see if it was innocent. One
 # more replica may end, so there is one trial, which all instances know of.
 TRIAL_AFTER = datetime.timedelta(minutes=1)
-# What was answered a moment ago ends no replicas. The failure: a rack loses
-# power, and each of its replicas had a copy of what everybody asks.
+# What was answered a moment ago ends no replicas, also where many of them had a
+# copy of it when they ended together.
 ANSWERED_LATELY = datetime.timedelta(seconds=30)
 # Bounds of memory. One end of a replica brings as many suspects as it had
 # requests; those that were there once, long ago, are dropped first.
@@ -336,8 +334,8 @@
 def _is_news(merged: Suspicion, known: Suspicion) -> bool:
     """Tells whether something was learnt that peers have to know.
 
-    The failure: two instances tell each other of one answer, each a moment
-    later by the other's word, and never stop. So a later time alone is none.
+    A later time alone is no news: two instances that tell each other of one
+    answer would never stop.
     """
     return (
         merged.ends != known.ends
--- a/src/nutmeghook/internal/suspects/rows.py
+++ b/src/nutmeghook/internal/suspects/rows.py
@@ -1,10 +1,8 @@
 """Quarantines in the platform's store, which outlives all instances.
 
-The failure: all instances are killed at once, or lose power. What they knew of
-a request that ends replicas is gone, and the next copies end replica after
-replica again, as often as that happens. So whoever puts a request into
-quarantine writes a row, and each instance reads the rows once, as it starts;
-from then on its peers tell it.
+What instances know is lost when all of them end at once. So whoever puts a
+request into quarantine writes a row, and each instance reads the rows once, as
+it starts; from then on its peers tell it.
 """
 
 import datetime
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -247,8 +247,8 @@
     ) -> None:
         """Writes a verdict, unless another instance has.
 
-        The failure: two instances conclude differently, one of them after a
-        freeze. The condition lets the first stand; the other reads it.
+        The condition lets the first of two verdicts stand; who comes later
+        reads it.
         """
         row = await self._table.read(_plan_key(order.service))
         if row is None:
@@ -270,8 +270,8 @@
     ) -> None:
         """Writes the plan and what the operator reads, both or neither.
 
-        The failure: the writer dies between the two, and the operator waits
-        for a roll-out that was decided long ago.
+        Both are written in one transaction, so that the operator hears of each
+        verdict.
         """
         key = _plan_key(plan.service)
         result = await self._table.commit(
@@ -328,8 +328,7 @@
     ) -> bool:
         """Tells whether what was seen is to be told although none of it is bad.
 
-        The failure: a version is slower in every answer, and each of seven
-        instances has seen two or three: too little to be worth a write, and
+        What each instance saw may be too little to be worth a write, and
         together a proof.
         """
         own = self._rollouts.evidence_of(order).own
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -214,10 +214,9 @@
     ) -> str | None:
         """Returns what speaks against the version at the end of its trial.
 
-        The failure: four of sixteen answers failed, where a good version fails
-        one, and it was completed. A test that may be looked at after each
-        answer pays for looking all the time. Here a good version has only the
-        few looks of the last stretch to fail at.
+        A test that may be looked at after each answer pays for looking all the
+        time. Here a good version has only the few looks of the last stretch to
+        fail at.
         """
         found = self.proven_bad(
             replicas, usual, false_stop_share=SUSPICION_SHARE
--- a/src/nutmeghook/internal/version_plans/news.py
+++ b/src/nutmeghook/internal/version_plans/news.py
@@ -1,9 +1,8 @@
 """Tells peers at once what an instance learns in the course of an order.
 
 Two things can't wait for the store, or do without it: which sessions were
-under way when the roll-out began, and bad answers. The failure: a store is
-away from before the proof to the end of the order, each instance knows of two
-bad answers, and none withdraws the version.
+under way when the roll-out began, and bad answers. While the store is
+away, each instance alone may know of too few to withdraw the version.
 """
 
 from collections.abc import Callable
--- a/src/nutmeghook/internal/version_plans/progress.py
+++ b/src/nutmeghook/internal/version_plans/progress.py
@@ -70,11 +70,9 @@
     def steady_part(self, plan: plan_module.PlanRow) -> float:
         """Returns the time's part, held before the last stretch at need.
 
-        The failure: everything moves to the new version while the store is
-        out. Nobody can complete the roll-out, and a version that turns bad
-        now reaches every caller, with the others' evidence unheard. An
-        instance that reads nothing itself goes by what readers tell: waiting
-        for an own call to fail, it moved everything for seconds.
+        Without the store nobody can complete the roll-out, and the others'
+        evidence is unheard. An instance that reads nothing itself goes by what
+        readers tell.
         """
         part = self.part_of(plan)
         silent = self._watch.silent_for() > _STORE_SILENT
@@ -85,11 +83,9 @@
     def _is_thin(self, plan: plan_module.PlanRow) -> bool:
         """Tells whether too little was seen of a version for its last stretch.
 
-        The failure: the store is away for half of an order. On its return the
-        order ends, and a version six times slower is completed after nine
-        answers, which prove nothing. The order is late either way; the trial
-        goes on until there are enough. Without an absence the time decides,
-        since some services get nine requests in all.
+        After an absence of the store the order is late either way, and the
+        trial goes on until enough answers are known. Without one the time
+        decides, since some services get few requests in all.
         """
         if plan.order_id not in self._had_absence:
             return False
@@ -110,11 +106,8 @@
     def may_complete(self, plan: plan_module.PlanRow) -> bool:
         """Tells whether the old version's replicas may stop.
 
-        The failure: the store is away while the last stretch should begin, so
-        it does not, and nobody hears of the others' evidence. By the clock
-        alone the first instance that reached the store again, even one that
-        had just started, completed a version that failed half of its
-        requests. So the stretch has to have gone on here, in touch.
+        The last stretch has to have gone on here, in touch with the store: the
+        clock alone says nothing of evidence that was told meanwhile.
         """
         if not self.schedule.may_complete_at(self.part_of(plan), plan.within_s):
             return False
