--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -25,8 +25,10 @@
 EXPOSURE_SHARE = 0.15
 EXPOSURE_ALLOWANCE = 30
 EVACUATED_S = 5.0
-# The soak's service and its routers' settings.
-MOST_COLD_IN_ONE_SECOND = 6.0 * 1.5 + 5.0
+# What a cold replica of the soak's service bears, and the bound that follows
+# from its routers' settings.
+COLD_PER_S = 6.0
+MOST_COLD_IN_ONE_SECOND = COLD_PER_S * 1.5 + 5.0
 ALL_ROUTERS = ""
 # The users' bound on sends of a request that has ended so many replicas.
 CRASHED_REPLICAS = 3
--- a/src/nutmeghook/experiment/soak_evacuations.py
+++ b/src/nutmeghook/experiment/soak_evacuations.py
@@ -7,9 +7,8 @@
 from nutmeghook.experiment import soak_trial
 
 COLD_S = 3.0
-COLD_PER_S = 6.0
 # What the operator's service says of its cold replicas.
-COLD_LIMITS = {"coldS": COLD_S, "coldPerS": COLD_PER_S}
+COLD_LIMITS = {"coldS": COLD_S, "coldPerS": soak_checks.COLD_PER_S}
 DATA_CENTRE = "annex"
 # Of them at the start.
 REPLICAS = 2
