Read the rate limit that a replica states, and log what is known of it

Cause looked into: two replicas stated a limit (Server-Limit) and went on getting their usual load; the logs can't tell an instance that does not know of the limit from one that knows it and sends all the same, nor what others sent.

Change: platform/headers reads the header (one decimal rate; anything else is reported and believed to be nothing), replicas/rate_limit orders statements (answers overtake each other: a stricter one counts at once, a looser one only from a request that was sent after the present one was heard), and replicas/signal_registry logs each change. No choice and no send depends on it.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -24,6 +24,7 @@
 from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.upstream import pool as pool_module
@@ -43,6 +44,7 @@
     configuration: in_force_module.ConfigurationInForce
     directory: directory_module.ReplicaDirectory
     gate: send_gate.SendGate
+    signals: signal_registry.SignalRegistry
     versions: view.VersionView
     budgets: window_budget.WindowRetryBudgets
     suspects: registry_module.SuspectRegistry
@@ -112,6 +114,7 @@
             pool=dependencies.pool,
             directory=dependencies.directory,
             gate=dependencies.gate,
+            signals=dependencies.signals,
             wire_format=dependencies.wire_format,
             clock=dependencies.clock,
         ),
--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -14,6 +14,8 @@
 STORE_AWAY = "store:away"
 STORE_BACK = "store:back"
 REPLICA_COLD = "replica:cold"
+REPLICA_RATE_LIMIT = "replica:rate_limit"
+REPLICA_UNREADABLE_SIGNAL = "replica:unreadable_signal"
 
 TYPES: dict[str, type[log_records.Record]] = {
     "attempt:sent": log_records.AttemptSent,
@@ -31,6 +33,8 @@
     "replica:outdated_entry": state_records.ReplicaChange,
     "replica:replaced": state_records.ReplicaChange,
     REPLICA_COLD: state_records.ReplicaChange,
+    REPLICA_RATE_LIMIT: state_records.ReplicaChange,
+    REPLICA_UNREADABLE_SIGNAL: state_records.ReplicaChange,
     "data_centre:evacuated": state_records.EvacuationChange,
     "data_centre:taken_back": state_records.EvacuationChange,
     "roll_out:ordered": state_records.RollOutChange,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -36,6 +36,8 @@
     """An attempt was sent, with its forecast.
 
     Attributes:
+        rate_limit_per_s: The rate limit that its replica had stated, for all
+            instances together.
         waiting_ms: Forecast time in the replica's queue.
         reading_ms: Forecast time of prefill.
         kept: Probability that the replica has the prompt prefix cached.
@@ -46,6 +48,7 @@
     model: str | None = None
     configuration: int | None = None
     in_flight: int | None = None
+    rate_limit_per_s: float | None = None
     after_event: str | None = None
     waiting_ms: float | None = None
     reading_ms: float | None = None
--- a/src/nutmeghook/internal/observe/state_records.py
+++ b/src/nutmeghook/internal/observe/state_records.py
@@ -24,6 +24,11 @@
     started_ms: float | None = None
     last_started_ms: float | None = None
     cold_left_s: float | None = None
+    per_s: float | None = None
+    before_per_s: float | None = None
+    source: str | None = None
+    age_ms: float | None = None
+    signal: str | None = None
     successor: str | None = None
 
 
--- a/src/nutmeghook/internal/observe/story.py
+++ b/src/nutmeghook/internal/observe/story.py
@@ -27,6 +27,13 @@
     log_records.AttemptLeft,
 )
 
+# States of a replica that hold beside its entry in the list.
+_OWN_SUBJECTS = (
+    log_decoding.REPLICA_COLD,
+    log_decoding.REPLICA_RATE_LIMIT,
+    log_decoding.REPLICA_UNREADABLE_SIGNAL,
+)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class InstanceTrace:
@@ -235,7 +242,7 @@
         return "configuration"
     if record.event in (log_decoding.STORE_AWAY, log_decoding.STORE_BACK):
         return "store"
-    if record.event == log_decoding.REPLICA_COLD:
+    if record.event in _OWN_SUBJECTS:
         return f"{record.event} {record.replica}"
     if isinstance(record, state_records.ReplicaChange):
         return f"replica {record.replica}"
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -98,6 +98,7 @@
             in_flight=replica.in_flight,
             after_event=job.last_event_id,
             attempt=job.tries,
+            rate_limit_per_s=replica.rate_limit_per_s,
             **_logged(chosen.forecast),
         )
         return prepared_module.PreparedAttempt(
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -11,6 +11,8 @@
 import datetime
 import enum
 
+from nutmeghook.internal.replicas import signals as signals_module
+
 Headers = Sequence[tuple[str, str]]
 
 
@@ -110,6 +112,7 @@
         confidence: The model's own rating of its answer, 0 to 100.
         idle_limit_s: How long the replica keeps an idle connection open.
         cold_left: How long the replica stays cold; None if it does not say.
+        signals: What the replica asks of its senders.
     """
 
     request_id: str | None
@@ -120,6 +123,7 @@
     load: ReportedLoad | None
     idle_limit_s: float | None
     cold_left: datetime.timedelta | None = None
+    signals: signals_module.ReplicaSignals = signals_module.NONE
 
 
 class WireFormat(abc.ABC):
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -139,6 +139,10 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def is_current(self, replica: replica_module.Replica) -> bool:
+        """Tells whether a replica is listed and has not started again."""
+        return self._by_id.get(replica.entry.replica_id) is replica
+
     def note_load(
         self, replica: replica_module.Replica, *, running: int, waiting: int
     ) -> None:
@@ -147,7 +151,7 @@
         A report of a former start is ignored: it says nothing about the process
         that runs under the same id now.
         """
-        if self._by_id.get(replica.entry.replica_id) is not replica:
+        if not self.is_current(replica):
             return
         self._apply_report(
             replica,
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
+from nutmeghook.internal.replicas import rate_limit as rate_limit_module
 from nutmeghook.internal.replicas import send_window
 
 # Weight of one report in the moving average of its service's load: some ten
@@ -57,6 +58,8 @@
         own_backlog: Prefill time that this instance's attempts wait for.
         report: Its last load report; None if there was none yet.
         in_flight_at_report: `in_flight` when the report was received.
+        rate_limit: Its last known statement on its rate limit; None if it has
+            made none.
         sends: Recent and reserved sends of this instance to it.
         short_id: 31-bit hash that identifies this start in messages. Among
             4,400 replicas two collide once in 200 starts of the fleet; then one
@@ -70,6 +73,7 @@
         "in_flight",
         "in_flight_at_report",
         "own_backlog",
+        "rate_limit",
         "report",
         "sends",
         "short_id",
@@ -87,11 +91,17 @@
         self.own_backlog = backlog_module.Backlog()
         self.report: LoadReport | None = None
         self.in_flight_at_report = 0
+        self.rate_limit: rate_limit_module.RateLimit | None = None
         self.sends = send_window.SendWindow()
         self._cold_until = datetime.timedelta()
         start = f"{entry.replica_id}/{entry.started_ms}"
         self.short_id = xxhash.xxh32_intdigest(start.encode()) >> 1
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Requests a second that it takes from all; None for no limit."""
+        return None if self.rate_limit is None else self.rate_limit.per_s
+
     def is_cold(self, now: datetime.timedelta) -> bool:
         """Returns whether it is cold by its own reports."""
         return now < self._cold_until
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import send_window
+from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
@@ -24,6 +25,8 @@
 # Whole answers are held in memory until they are checked. Those of plain
 # services have some kilobytes; this bounds the memory that a faulty one uses.
 MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+# Misdirected request: another replica has the address.
+_WRONG_REPLICA_STATUS = 421
 _NOT_ACCEPTING = frozenset(
     {pool_module.Reachability.REFUSES, pool_module.Reachability.DARK}
 )
@@ -101,7 +104,14 @@
 class Sender:
     """Makes single attempts and keeps count of them."""
 
-    __slots__ = ("_clock", "_directory", "_gate", "_pool", "_wire_format")
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_gate",
+        "_pool",
+        "_signals",
+        "_wire_format",
+    )
 
     def __init__(
         self,
@@ -109,12 +119,14 @@
         pool: pool_module.ConnectionPool,
         directory: directory_module.ReplicaDirectory,
         gate: send_gate.SendGate,
+        signals: signal_registry.SignalRegistry,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._pool = pool
         self._directory = directory
         self._gate = gate
+        self._signals = signals
         self._wire_format = wire_format
         self._clock = clock
 
@@ -203,6 +215,7 @@
             raise outcomes.NotSentError(
                 f"{replica.entry.replica_id} may not be sent to any more"
             )
+        sent_at = self._clock.monotonic()
         head = await connection.exchange(
             outgoing.encoded(), has_body=outgoing.method != "HEAD"
         )
@@ -223,12 +236,15 @@
             )
         if facts.cold_left:
             self._directory.note_cold(replica, facts.cold_left)
+        wrong_replica = head.status == _WRONG_REPLICA_STATUS
+        if facts.sealed or (facts.not_run and not wrong_replica):
+            self._signals.note_answer(replica, facts.signals, sent_at=sent_at)
         if facts.not_run:
             await answer.read_whole()
             raise outcomes.RefusedError(
                 f"{replica.entry.replica_id} refused with {head.status}",
                 status=head.status,
-                wrong_replica=head.status == 421,
+                wrong_replica=wrong_replica,
             )
         return answer
 
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -10,6 +10,7 @@
 
 from nutmeghook.internal.foundation import http_headers
 from nutmeghook.internal.relay import wire
+from nutmeghook.internal.replicas import signals as signals_module
 
 REQUEST_ID = "X-Attempt-Id"
 TIME_LEFT = "X-Deadline-Ms"
@@ -26,6 +27,8 @@
 LOAD = "X-Replica-Load"
 CONFIDENCE = "X-Confidence"
 COLD_LEFT = "X-Cold-Ms"
+# Requests a second that the replica takes from all instances together.
+RATE_LIMIT = "Server-Limit"
 SESSION = "Session"
 ANY_MODEL = "*"
 KEY_SCHEME = "token"
@@ -51,6 +54,10 @@
 _NOT_RETURNED = http_headers.CONNECTION_FIELDS | {"x-replica-load"}
 # One day; no replica stays cold for that long after its start.
 _MAX_COLD_MS = 86_400_000
+# A decimal number without sign or exponent.
+_RATE = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+# Beyond any replica's capacity, so not meant as a limit.
+_MAX_RATE_PER_S = 1_000_000
 _IDLE_LIMIT = re.compile(r"timeout=(\d+)", re.IGNORECASE)
 
 
@@ -113,6 +120,7 @@
             load=_load(values.get(LOAD.lower())),
             idle_limit_s=_idle_limit_s(values.get("keep-alive")),
             cold_left=_cold_left(values.get(COLD_LEFT.lower())),
+            signals=_signals(headers),
         )
 
     def answer_headers(self, headers: wire.Headers) -> wire.Headers:
@@ -202,6 +210,31 @@
     return datetime.timedelta(milliseconds=min(number, _MAX_COLD_MS))
 
 
+def _signals(headers: wire.Headers) -> signals_module.ReplicaSignals:
+    limits = _values(headers, RATE_LIMIT)
+    if not limits:
+        return signals_module.NONE
+    per_s = _rate_per_s(limits)
+    if per_s is None:
+        return signals_module.ReplicaSignals(
+            unreadable=(f"{RATE_LIMIT} is {limits!r}; give one rate above 0",)
+        )
+    return signals_module.ReplicaSignals(rate_limit_per_s=per_s)
+
+
+def _values(headers: wire.Headers, name: str) -> list[str]:
+    """Returns all values of a header that may be given more than once."""
+    return [value for key, value in headers if key.lower() == name.lower()]
+
+
+def _rate_per_s(texts: list[str]) -> float | None:
+    """Returns a rate; None unless there is exactly one usable value."""
+    if len(texts) != 1 or not _RATE.fullmatch(texts[0].strip()):
+        return None
+    per_s = float(texts[0])
+    return per_s if 0 < per_s <= _MAX_RATE_PER_S else None
+
+
 def _whole_ms(duration: datetime.timedelta) -> int:
     return int(duration / datetime.timedelta(milliseconds=1))
 
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -96,6 +96,7 @@
         abandoned: The ids of requests whose caller disconnected before the
             end of the answer.
         crashes: The bodies of the requests that crashed it.
+        signals: Headers that its own answers carry in addition.
         request_abandoned: Set whenever `abandoned` grows.
         request_received: Set whenever `received` grows.
         crashed: Set once it has crashed or stopped; `restart` clears it.
@@ -118,6 +119,7 @@
         "replica_id",
         "request_abandoned",
         "request_received",
+        "signals",
     )
 
     def __init__(
@@ -142,6 +144,7 @@
         self.request_received = asyncio.Event()
         self.crashed = asyncio.Event()
         self.crashes: list[bytes] = []
+        self.signals: tuple[tuple[str, str], ...] = ()
 
     def reply_from(self, replies: list[Reply]) -> None:
         """Takes replies from a list that replicas may share."""
@@ -264,7 +267,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        writer.write(_head(reply, request))
+        is_own = reply.status != headers.WRONG_REPLICA_STATUS
+        writer.write(_head(reply, request, self.signals if is_own else ()))
         sent = 0
         for number, piece in enumerate(_pieces(reply, request)):
             if number == reply.stall_after:
@@ -315,8 +319,13 @@
     )
 
 
-def _head(reply: Reply, request: ReceivedRequest) -> bytes:
+def _head(
+    reply: Reply,
+    request: ReceivedRequest,
+    signals: tuple[tuple[str, str], ...],
+) -> bytes:
     lines = [f"HTTP/1.1 {reply.status} Stand-in"]
+    lines.extend(f"{name}: {value}" for name, value in signals)
     lines.append(
         f"{headers.REQUEST_ID}: {reply.answer_id or request.request_id}"
     )
--- a/tests/cover/test_replica_probing.py
+++ b/tests/cover/test_replica_probing.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.platform import headers
 from tests import relay_fixture
@@ -25,6 +26,9 @@
             gate=send_gate.OpenGate(),
             pool=self.pool,
             directory=self.directory,
+            signals=signal_registry.SignalRegistry(
+                directory=self.directory, clock=self.clock
+            ),
             wire_format=headers.PlatformHeaders(),
             clock=self.clock,
         )
