Tests of a replica's rate limit over all instances, which fail

What callers and replicas see: a replica states a limit for all instances together and gets its usual load. The bound is the users': one and a half times what the limit allows in 4 s, and five.

--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -30,6 +30,11 @@
 # follows from its routers' settings coldOverrun (1.5) and coldAllowance (5).
 MAX_COLD_RATE_PER_S = 6.0
 MAX_COLD_IN_ONE_SECOND = MAX_COLD_RATE_PER_S * 1.5 + 5.0
+# The users' bound on a replica that states a rate limit: within any such span
+# it gets at most so many times what the limit allows, and some requests more.
+RATE_LIMIT_SPAN_S = 4.0
+RATE_LIMIT_OVERRUN = 1.5
+RATE_LIMIT_ALLOWANCE = 5
 ALL_ROUTERS = ""
 # The users' bound: a request that has crashed so many replicas is sent at most
 # so many times more.
@@ -245,11 +250,23 @@
 
 def max_in_one_second(moments_s: Iterable[float]) -> int:
     """Returns the largest number of moments within one second."""
-    known_s = list(moments_s)
-    return max(
-        (sum(begin <= at < begin + 1.0 for at in known_s) for begin in known_s),
-        default=0,
-    )
+    return max_within(moments_s, 1.0)
+
+
+def max_within(moments_s: Iterable[float], span_s: float) -> int:
+    """Returns the largest number of moments within a span of this length."""
+    known_s = sorted(moments_s)
+    worst = first = 0
+    for last, moment_s in enumerate(known_s):
+        while moment_s - known_s[first] >= span_s:
+            first += 1
+        worst = max(worst, last - first + 1)
+    return worst
+
+
+def rate_limit_bound(per_s: float) -> float:
+    """Returns the most requests that a stated limit allows within its span."""
+    return RATE_LIMIT_OVERRUN * RATE_LIMIT_SPAN_S * per_s + RATE_LIMIT_ALLOWANCE
 
 
 def _cold_replicas(history: History) -> Iterator[str]:
--- /dev/null
+++ b/tests/cover/test_rate_limits.py
@@ -0,0 +1,216 @@
+"""Rate limits of replicas, kept by all instances together.
+
+A replica in need states in its answers how many requests a second it takes
+from all instances together. If each instance knew only its own sends, a fleet
+would send many times the limit.
+"""
+
+import collections
+import datetime
+import random
+import unittest
+
+from nutmeghook.experiment import soak_checks
+from nutmeghook.internal.assembly import send_limits
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.replicas import cold_senders
+from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import signal_registry
+from nutmeghook.internal.replicas import signals
+from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.routes import model
+from nutmeghook.platform import headers
+from nutmeghook.platform import replicas as replicas_wire
+from nutmeghook.platform import settings
+from nutmeghook.standins import users_replica
+from tests import platform_rows
+from tests import relay_fixture
+
+SECOND = datetime.timedelta(seconds=1)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+# Requests of an instance count from this long after it was told.
+TOLD_S = 0.5
+SETTINGS = """
+nodeName = "{name}"
+ip = "10.1.0.40"
+zone = "here"
+region = "centre"
+internalPorts = [7340, 7355]
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+graceS = 8
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+class Instance:
+    """What one instance knows, and its gate before the replica."""
+
+    def __init__(self, *, name: str, clock: clock_module.Clock):
+        self.clock = clock
+        self.directory = directory_module.ReplicaDirectory(clock=clock)
+        self.directory.put(
+            replicas_wire.decode("i-1", platform_rows.replica_row())
+        )
+        loaded = settings.load(SETTINGS.format(name=name))
+        self.limits = send_limits.SendLimits(
+            settings=lambda: loaded,
+            configuration=in_force_module.ConfigurationInForce(),
+            directory=self.directory,
+            clock=clock,
+        )
+        self.registry = signal_registry.SignalRegistry(
+            directory=self.directory, clock=clock
+        )
+        self.told_at: datetime.timedelta | None = None
+
+    @property
+    def replica(self) -> replica_module.Replica:
+        """The replica, as this instance knows it."""
+        (replica,) = self.directory.of_service("service")
+        return replica
+
+    def send(self) -> bool:
+        """Sends a request to the replica if the gate allows it."""
+        gate, replica = self.limits.gate, self.replica
+        return gate.is_open(replica) and gate.may_write(
+            replica, gate.reserve(replica)
+        )
+
+    def hear(self, per_s: float | None) -> None:
+        """Receives an answer of the replica to a request sent just now."""
+        if per_s is not None and self.told_at is None:
+            self.told_at = self.clock.monotonic()
+        self.registry.note_answer(
+            self.replica,
+            signals.ReplicaSignals(rate_limit_per_s=per_s),
+            sent_at=self.clock.monotonic(),
+        )
+
+    def is_told(self) -> bool:
+        """Tells whether its requests count towards the bound."""
+        if self.told_at is None:
+            return False
+        return self.clock.monotonic() - self.told_at >= TOLD_S * SECOND
+
+
+class Fleet:
+    """Instances that all want to send to one replica, and know each other."""
+
+    def __init__(self, *, instances: int, clock: clock_module.FakeClock):
+        self.clock = clock
+        names = [f"edge-{number}" for number in range(instances)]
+        self.instances = []
+        for name in names:
+            others = [other for other in names if other != name]
+            instance = Instance(name=name, clock=clock)
+            instance.limits.cold_senders.register(
+                others, lambda span, others=others: others
+            )
+            self.instances.append(instance)
+        self.draw = random.Random(instances)
+        self.counted_s: list[float] = []
+        self.all_s: list[float] = []
+
+    async def run(
+        self, *, seconds: float, per_s: float | None, wanted_per_s: float
+    ) -> None:
+        """Lets instances send as often as they may while the limit holds."""
+        steps = int(seconds * 20)
+        for _ in range(steps):
+            self._step(per_s, wanted_per_s / 20)
+            await self.clock.advance(50 * MILLISECOND)
+
+    def _step(self, per_s: float | None, wanted: float) -> None:
+        now_s = self.clock.monotonic().total_seconds()
+        tries = collections.Counter(
+            self.draw.choices(
+                range(len(self.instances)),
+                k=int(wanted) + (self.draw.random() < wanted % 1),
+            )
+        )
+        for number, count in tries.items():
+            instance = self.instances[number]
+            for _ in range(count):
+                if not instance.send():
+                    continue
+                self.all_s.append(now_s)
+                if instance.is_told():
+                    self.counted_s.append(now_s)
+                instance.hear(per_s)
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    async def settled(self, instances: int) -> Fleet:
+        """Returns instances that started long ago."""
+        fleet = Fleet(instances=instances, clock=clock_module.FakeClock())
+        await fleet.clock.advance(2 * cold_senders.SETTLING_TIME)
+        return fleet
+
+    async def test_all_instances_together_keep_a_limit(self):
+        """Each instance that was told sends as if the others did not, and the
+        replica gets several times its limit.
+        """
+        for instances in (7, 77, 195):
+            for per_s in (0.4, 2.3, 20.0):
+                with self.subTest(instances=instances, per_s=per_s):
+                    fleet = await self.settled(instances)
+                    await fleet.run(
+                        seconds=12,
+                        per_s=per_s,
+                        wanted_per_s=max(80.0, 2 * instances),
+                    )
+                    self.assertLessEqual(
+                        soak_checks.max_within(
+                            fleet.counted_s, soak_checks.RATE_LIMIT_SPAN_S
+                        ),
+                        soak_checks.rate_limit_bound(per_s),
+                    )
+
+
+class RelayTest(relay_fixture.RelayCase):
+    """One of two replicas states a limit; the relay has both."""
+
+    PER_S = 0.5
+
+    def build_gate(self):
+        loaded = settings.load(SETTINGS.format(name="edge-1"))
+        limits = send_limits.SendLimits(
+            settings=lambda: loaded,
+            configuration=self.configuration,
+            directory=self.directory,
+            clock=self.clock,
+        )
+        limits.cold_senders.register((), lambda span: ())
+        return limits.gate
+
+    async def test_requests_of_every_kind_go_elsewhere_beyond_the_limit(self):
+        """All callers are answered, by the replica that has no limit."""
+        limited, other = self.replicas
+        limited.signals = ((headers.RATE_LIMIT, str(self.PER_S)),)
+        for replica in self.replicas:
+            replica.decide_by(reply_to)
+        kinds = list(model.RouteKind)
+        for number in range(60):
+            answer = await self.ask(
+                kinds[number % len(kinds)], request_id=f"request-{number}"
+            )
+            self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertLessEqual(
+            len(limited.received), soak_checks.rate_limit_bound(self.PER_S)
+        )
+        self.assertGreater(len(other.received), 0)
+
+
+def reply_to(request: users_replica.ReceivedRequest) -> users_replica.Reply:
+    """Returns a stream or a whole answer, depending on the route."""
+    is_stream = request.target.startswith(f"/{model.RouteKind.STREAM.value}/")
+    return users_replica.Reply(events=(1, 2) if is_stream else ())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/whole/test_rate_limits.py
@@ -0,0 +1,57 @@
+"""Router processes before a replica that states a rate limit."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from nutmeghook.experiment import platform_trial
+from nutmeghook.experiment import soak_checks
+from nutmeghook.platform import headers
+
+PER_S = 1.0
+# The bound applies from this long after the limit was first stated.
+IN_FORCE_S = 3.0
+ROUNDS = 80
+
+
+class RateLimitTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.trial = platform_trial.PlatformTrial(
+            folder=pathlib.Path(folder.name), seed=1, routers=3
+        )
+        self.addAsyncCleanup(self.trial.end)
+        await self.trial.start()
+
+    async def test_routers_together_keep_the_limit_of_a_replica(self):
+        """One of three replicas states a limit; each router that was told goes
+        on as if it were alone, and the replica gets its usual load.
+        """
+        limited = self.trial.replicas["v1-0"]
+        limited.signals = ((headers.RATE_LIMIT, str(PER_S)),)
+        stated_s = asyncio.get_running_loop().time()
+        statuses = []
+        for _ in range(ROUNDS):
+            calls = await asyncio.gather(
+                *(
+                    self.trial.call("stream", router=router)
+                    for router in self.trial.routers
+                )
+            )
+            statuses += [call.status for call in calls]
+        arrived_s = [
+            request.arrived_s
+            for request in limited.received
+            if request.arrived_s >= stated_s + IN_FORCE_S
+        ]
+        self.assertLessEqual(
+            soak_checks.max_within(arrived_s, soak_checks.RATE_LIMIT_SPAN_S),
+            soak_checks.rate_limit_bound(PER_S),
+        )
+        self.assertGreater(statuses.count(200), 0.9 * len(statuses))
+
+
+if __name__ == "__main__":
+    unittest.main()
