Divide what a replica takes by window and rank, for any limited replica

Preparation, so that a limit that a replica states is kept by the mechanism that keeps the rate of cold replicas: one notion of what a replica takes from all instances together.

Change: cold_limits becomes send_shares, cold_senders sender_election. A share has a window and a total; its senders divide the total by their rank, so that nothing is lost by rounding (15 requests among 8 senders were 8, and are 15; at the one deployment with a cold rate it is 16 either way). Slots count at all replicas, since any may state a limit at any moment. Cold replicas get what they got.

--- a/bench/models/cold_fleet.py
+++ b/bench/models/cold_fleet.py
@@ -11,8 +11,8 @@
 import dataclasses
 import random
 
-from nutmeghook.internal.replicas import cold_limits
-from nutmeghook.internal.replicas import cold_senders
+from nutmeghook.internal.replicas import send_shares
+from nutmeghook.internal.replicas import sender_election
 
 RATE_PER_S = 18.0
 MAX_IN_ONE_SECOND = 1.5 * RATE_PER_S + 5.0
@@ -61,14 +61,14 @@
 class ElectedSenders(RatePolicy):
     """Only a few instances send, elected by rendezvous hash."""
 
-    def __init__(self, *, senders: int = cold_limits.SENDERS):
+    def __init__(self, *, senders: int = send_shares.SENDERS):
         self._senders = senders
 
     def send_interval_s(
         self, name: str, known_members: Sequence[str], replica_id: str
     ) -> float | None:
         """Returns the time between sends of an elected sender."""
-        first = cold_senders.elect_senders(
+        first = sender_election.elect_senders(
             known_members, replica_id, self._senders
         )
         if name not in first:
@@ -86,7 +86,7 @@
         self, name: str, known_members: Sequence[str], replica_id: str
     ) -> float | None:
         """Returns the time between two grants."""
-        first = cold_senders.elect_senders(known_members, replica_id, 1)
+        first = sender_election.elect_senders(known_members, replica_id, 1)
         return 1 / RATE_PER_S if name in first else None
 
 
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -248,7 +248,7 @@
             table=store.StoreRows(client=self._store),
             tables=shared,
             directory=self.directory,
-            cold_senders=self.send_limits.cold_senders,
+            senders=self.send_limits.senders,
             rollouts=self.rollouts,
             orders=self.orders,
             suspects=self.suspects,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -17,9 +17,9 @@
 from nutmeghook.internal.inner import traffic
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import backlog_gossip
-from nutmeghook.internal.replicas import cold_senders as cold_senders_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
+from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.suspects import gossip as suspect_gossip
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import bandwidth_limiter
@@ -49,7 +49,6 @@
     __slots__ = (
         "_change_time",
         "_clock",
-        "_cold_senders",
         "_data_centre",
         "_directory",
         "_gossip",
@@ -59,6 +58,7 @@
         "_orders",
         "_random",
         "_rollouts",
+        "_senders",
         "_suspects",
         "_table",
         "_tables",
@@ -76,7 +76,7 @@
         table: table_module.TableService,
         tables: dict[str, shared_table.SharedTable],
         directory: directory_module.ReplicaDirectory,
-        cold_senders: cold_senders_module.ColdSenders,
+        senders: sender_election.SenderElection,
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderRegistry,
         suspects: registry_module.SuspectRegistry,
@@ -91,7 +91,7 @@
         self._link_mbit_per_s = link_mbit_per_s
         self._change_time = change_time
         self._directory = directory
-        self._cold_senders = cold_senders
+        self._senders = senders
         self._rollouts = rollouts
         self._orders = orders
         self._suspects = suspects
@@ -159,9 +159,7 @@
             random_source=self._random,
         )
         self._gossip.peers.update(registered.peers)
-        self._cold_senders.register(
-            registered.peers, self._gossip.peers_seen_within
-        )
+        self._senders.register(registered.peers, self._gossip.peers_seen_within)
         logs.note("peer:registered", peers=sorted(registered.peers))
         try:
             async with asyncio.TaskGroup() as tasks:
--- a/src/nutmeghook/internal/assembly/send_limits.py
+++ b/src/nutmeghook/internal/assembly/send_limits.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.replicas import cold_limits
-from nutmeghook.internal.replicas import cold_senders
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import evacuations
 from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import send_shares
+from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import settings as settings_module
@@ -24,7 +24,7 @@
 
     Attributes:
         evacuations: The data centres that are being evacuated.
-        cold_senders: Tells where this instance may send to cold replicas.
+        senders: Tells which limited replicas this instance may send to.
         gate: Asked before each request is sent.
     """
 
@@ -32,9 +32,9 @@
         "_configuration",
         "_directory",
         "_settings",
-        "cold_senders",
         "evacuations",
         "gate",
+        "senders",
     )
 
     def __init__(
@@ -51,14 +51,14 @@
         self.evacuations = evacuations.EvacuationRegistry(
             on_restored=self._note_restored
         )
-        self.cold_senders = cold_senders.ColdSenders(
+        self.senders = sender_election.SenderElection(
             instance_id=settings().instance_id, clock=clock
         )
         self.gate = send_gate.LimitingGate(
             evacuations=self.evacuations,
-            senders=self.cold_senders,
+            senders=self.senders,
             service=self._service,
-            share=self._cold_share,
+            cold_share=self._cold_share,
             clock=clock,
         )
 
@@ -68,9 +68,9 @@
 
     def _cold_share(
         self, service: model.Service
-    ) -> cold_limits.ColdShare | None:
+    ) -> send_shares.SendShare | None:
         settings = self._settings()
-        return cold_limits.cold_share(
+        return send_shares.cold_share(
             per_s=service.cold_per_s,
             overrun=settings.cold_overrun,
             allowance=settings.cold_allowance,
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -7,13 +7,14 @@
 import abc
 from collections.abc import Callable
 from collections.abc import Iterable
+import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.replicas import cold_limits
-from nutmeghook.internal.replicas import cold_senders as cold_senders_module
 from nutmeghook.internal.replicas import evacuations as evacuations_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import send_window
+from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.routes import model
 
 
@@ -63,47 +64,50 @@
 
 
 class LimitingGate(SendGate):
-    """Keeps requests away from evacuated and overloaded cold replicas.
+    """Keeps requests away from evacuated and limited replicas.
 
     Args:
         evacuations: The data centres under evacuation.
-        senders: Decides whether this instance may send to a cold replica.
+        senders: Tells whether this instance may send to a limited replica.
         service: Returns a service by its name; None if it is not known.
-        share: Returns how the rate of a service's cold replicas is divided.
+        cold_share: Returns how the rate of a service's cold replicas is
+            divided.
         clock: Measures time.
     """
 
-    __slots__ = ("_clock", "_evacuations", "_senders", "_service", "_share")
+    __slots__ = (
+        "_clock",
+        "_cold_share",
+        "_evacuations",
+        "_senders",
+        "_service",
+    )
 
     def __init__(
         self,
         *,
         evacuations: evacuations_module.EvacuationRegistry,
-        senders: cold_senders_module.ColdSenders,
+        senders: sender_election.SenderElection,
         service: Callable[[str], model.Service | None],
-        share: Callable[[model.Service], cold_limits.ColdShare | None],
+        cold_share: Callable[[model.Service], send_shares.SendShare | None],
         clock: clock_module.Clock,
     ):
         self._evacuations = evacuations
         self._senders = senders
         self._service = service
-        self._share = share
+        self._cold_share = cold_share
         self._clock = clock
 
     def is_open(self, replica: replica_module.Replica) -> bool:
         """Returns whether one more request may be sent to a replica."""
         return self._admits(replica, own_slots=0)
 
-    def reserve(
-        self, replica: replica_module.Replica
-    ) -> send_window.SendSlot | None:
-        """Reserves a slot at a replica; None if slots are not counted.
+    def reserve(self, replica: replica_module.Replica) -> send_window.SendSlot:
+        """Reserves a slot at a replica.
 
-        Slots at warm replicas count too: a replica may turn cold at any moment,
-        and what it got in the second before counts towards its limit.
+        Slots at unlimited replicas count too: a replica may turn cold or state
+        a limit at any moment, and what it got before counts towards it.
         """
-        if self._share_at(replica) is None:
-            return None
         return replica.sends.reserve(self._clock.monotonic())
 
     def may_write(
@@ -116,11 +120,11 @@
         if not self._admits(replica, own_slots=own_slots):
             return False
         now = self._clock.monotonic()
-        if slot is None or slot.try_use(now):
+        if slot is not None and slot.try_use(now):
             return True
-        # The slot expired because this process was busy. Only a cold replica
-        # needs a valid one.
-        if replica.is_cold(now):
+        # The slot expired because this process was busy. Only a limited
+        # replica needs a valid one.
+        if self._shares(replica, now):
             return False
         return replica.sends.reserve(now).try_use(now)
 
@@ -142,19 +146,40 @@
         if self._evacuations.is_evacuated(replica.entry.data_centre):
             return False
         now = self._clock.monotonic()
-        if not replica.is_cold(now):
-            return True
-        share = self._share_at(replica)
-        if share is None:
-            return True
-        if not self._senders.includes_this(
-            replica.entry.replica_id, share.senders
-        ):
+        return all(
+            self._has_room(replica, share, now, own_slots=own_slots)
+            for share in self._shares(replica, now)
+        )
+
+    def _has_room(
+        self,
+        replica: replica_module.Replica,
+        share: send_shares.SendShare,
+        now: datetime.timedelta,
+        *,
+        own_slots: int,
+    ) -> bool:
+        """Tells whether this instance may send one more within its share."""
+        rank = self._senders.rank(replica.entry.replica_id, share.senders)
+        if rank is None:
             return False
-        return replica.sends.count(now) - own_slots < share.each_per_s
+        sent = replica.sends.count(now, share.window) - own_slots
+        return sent < share.of_rank(rank)
+
+    def _shares(
+        self, replica: replica_module.Replica, now: datetime.timedelta
+    ) -> list[send_shares.SendShare]:
+        """Returns the divisions of what the replica takes; none if unlimited.
+
+        All of them bind.
+        """
+        shares = []
+        if replica.is_cold(now):
+            shares.append(self._cold_share_at(replica))
+        return [share for share in shares if share is not None]
 
-    def _share_at(
+    def _cold_share_at(
         self, replica: replica_module.Replica
-    ) -> cold_limits.ColdShare | None:
+    ) -> send_shares.SendShare | None:
         service = self._service(replica.entry.service)
-        return None if service is None else self._share(service)
+        return None if service is None else self._cold_share(service)
--- /dev/null
+++ b/src/nutmeghook/internal/replicas/send_shares.py
@@ -0,0 +1,68 @@
+"""Divides the requests that a replica takes among a few instances."""
+
+import dataclasses
+import datetime
+import math
+
+# Instances that may send to one replica whose rate is limited. With fewer, it
+# gets requests from few instances; with more, each may send less than one
+# request a second to a cold replica.
+SENDERS = 8
+# Requests arrive closer together than they were sent, by this much at most.
+_ARRIVAL_JITTER = datetime.timedelta(milliseconds=100)
+_COLD_WINDOW = datetime.timedelta(seconds=1) + _ARRIVAL_JITTER
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SendShare:
+    """How the requests that a replica takes are divided among instances.
+
+    Attributes:
+        window: Requests are counted over any span of this length.
+        total: Requests of all senders together within a window; at least 1.
+    """
+
+    window: datetime.timedelta
+    total: int
+
+    @property
+    def senders(self) -> int:
+        """Number of instances that may send to the replica."""
+        return min(SENDERS, self.total)
+
+    def of_rank(self, rank: int) -> int:
+        """Returns what a sender may send within a window.
+
+        Args:
+            rank: The sender's place among the senders, from 0.
+        """
+        each, left_over = divmod(self.total, self.senders)
+        return each + (1 if rank < left_over else 0)
+
+
+def cold_share(
+    *, per_s: float, overrun: float, allowance: float
+) -> SendShare | None:
+    """Returns the division for a service's cold replicas; None if unlimited.
+
+    Args:
+        per_s: Requests a second that a cold replica can handle; 0 for no limit.
+        overrun: The bound on requests in a second is `per_s` times this
+        allowance: plus this many requests.
+    """
+    if per_s <= 0:
+        return None
+    return SendShare(
+        window=_COLD_WINDOW,
+        total=_safe_total(per_s, bound=per_s * overrun + allowance),
+    )
+
+
+def _safe_total(target: float, *, bound: float) -> int:
+    """Returns how many requests all senders together may send.
+
+    At most half of the bound: for some seconds after a change of membership,
+    instances may disagree on who the senders are, so that there are two sets
+    of them.
+    """
+    return max(1, math.floor(min(target, bound / 2)))
--- a/src/nutmeghook/internal/replicas/send_window.py
+++ b/src/nutmeghook/internal/replicas/send_window.py
@@ -1,4 +1,4 @@
-"""Limits what this instance sends to one replica within any second.
+"""Counts what this instance sends to one replica within a span of time.
 
 A request is written up to a connection timeout after its replica was chosen,
 and the replica's load depends on when it is written. So each request reserves a
@@ -8,10 +8,10 @@
 
 import datetime
 
-# The second of the limit, and 100 ms for varying network delay.
-_WINDOW = datetime.timedelta(milliseconds=1100)
 # Longer than the connection timeout.
 _SLOT_LIFETIME = datetime.timedelta(seconds=1)
+# Longer than the window of any limit that allows more than one request in it.
+_RETENTION = datetime.timedelta(seconds=5)
 
 
 class SendSlot:
@@ -36,22 +36,36 @@
 
 
 class SendWindow:
-    """The slots at one replica that may fall into the same second."""
+    """The recent slots at one replica."""
 
     __slots__ = ("_slots",)
 
     def __init__(self):
         self._slots: list[SendSlot] = []
 
-    def count(self, now: datetime.timedelta) -> int:
-        """Returns how many slots count now."""
-        oldest = now - _WINDOW
-        self._slots = [p for p in self._slots if p.written_by > oldest]
-        return len(self._slots)
+    def count(self, now: datetime.timedelta, window: datetime.timedelta) -> int:
+        """Returns how many slots count within the window that ends now."""
+        oldest = now - window
+        return sum(slot.written_by > oldest for slot in self._slots)
 
     def reserve(self, now: datetime.timedelta) -> SendSlot:
         """Reserves a slot."""
-        self.count(now)
+        self._drop_old(now)
         slot = SendSlot(written_by=now + _SLOT_LIFETIME)
         self._slots.append(slot)
         return slot
+
+    def _drop_old(self, now: datetime.timedelta) -> None:
+        """Drops slots that no limit counts, but never the latest one.
+
+        A limit of one request in a longer window needs the latest only.
+        """
+        oldest = now - _RETENTION
+        latest = max(
+            self._slots, key=lambda slot: slot.written_by, default=None
+        )
+        self._slots = [
+            slot
+            for slot in self._slots
+            if slot.written_by > oldest or slot is latest
+        ]
--- a/src/nutmeghook/internal/replicas/cold_senders.py
+++ b/src/nutmeghook/internal/replicas/sender_election.py
@@ -1,13 +1,14 @@
-"""Elects the instances that may send to a cold replica.
+"""Elects the instances that may send to a replica whose rate is limited.
 
-A cold replica can handle few requests a second from all instances together,
-and there is no time to coordinate. So each instance computes by rendezvous
-hashing, from the ids of members and replica, which few of them may send to it.
-Each sender sends its share; the other instances send elsewhere.
+A cold replica, or one that states a rate limit, takes few requests a second
+from all instances together, and there is no time to coordinate. So each
+instance computes by rendezvous hashing, from the ids of members and replica,
+which few of them may send to it. Each sender sends its share; the other
+instances send elsewhere.
 
 An instance that knows too few members elects itself too often. So a member
 counts for a minute after its last contact, dead or not, and a new instance
-sends nothing to cold replicas until the others know it.
+sends nothing to such replicas until the others know it.
 """
 
 from collections.abc import Callable
@@ -21,16 +22,16 @@
 
 # With 420 instances, each hears from a given other one about every 28 s.
 MEMBER_RETENTION = datetime.timedelta(seconds=60)
-# For so long after its registration an instance sends nothing to cold replicas,
-# since others that do not know it yet have elected themselves instead. With 77
-# instances, each hears from a given other one about every five seconds.
+# For so long after its registration an instance is no sender, since others that
+# do not know it yet have elected themselves instead. With 77 instances, each
+# hears from a given other one about every five seconds.
 SETTLING_TIME = datetime.timedelta(seconds=10)
 # Elections are recomputed this often at most.
 _ELECTION_LIFETIME = datetime.timedelta(seconds=1)
 
 
-class ColdSenders:
-    """Decides whether this instance is a sender of a cold replica."""
+class SenderElection:
+    """Decides whether this instance is one of a replica's senders."""
 
     __slots__ = (
         "_clock",
@@ -51,7 +52,7 @@
             [datetime.timedelta], Iterable[str]
         ] = lambda span: ()
         # By replica id and number of senders.
-        self._elected: dict[tuple[str, int], bool] = {}
+        self._elected: dict[tuple[str, int], int | None] = {}
         self._elected_at = datetime.timedelta()
 
     def register(
@@ -70,25 +71,32 @@
         self._registered_at = self._clock.monotonic()
         self._contacted_within = contacted_within
 
-    def includes_this(self, replica_id: str, senders: int) -> bool:
-        """Returns whether this instance may send to a cold replica.
+    def rank(self, replica_id: str, senders: int) -> int | None:
+        """Returns this instance's place among a replica's senders.
 
         Args:
             replica_id: Id of the replica.
-            senders: Number of instances that may.
+            senders: Number of instances that may send to it.
+
+        Returns:
+            A number from 0, or None if this instance is not one of them.
         """
         if self._registered_at is None:
-            return False
+            return None
         now = self._clock.monotonic()
         if now - self._registered_at < SETTLING_TIME:
-            return False
+            return None
         if now - self._elected_at > _ELECTION_LIFETIME:
             self._elected.clear()
             self._elected_at = now
         key = (replica_id, senders)
         if key not in self._elected:
             first = elect_senders(self._members(now), replica_id, senders)
-            self._elected[key] = self._instance_id in first
+            self._elected[key] = (
+                first.index(self._instance_id)
+                if self._instance_id in first
+                else None
+            )
         return self._elected[key]
 
     def _members(self, now: datetime.timedelta) -> set[str]:
--- a/tests/cover/test_cold_replicas.py
+++ b/tests/cover/test_cold_replicas.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies
 
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.replicas import cold_limits
-from nutmeghook.internal.replicas import cold_senders
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import evacuations
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import send_window
+from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import replicas as replicas_wire
 from tests import platform_rows
@@ -24,9 +24,11 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 PER_S, OVERRUN, ALLOWANCE = 18.0, 1.5, 5.0
 BOUND = PER_S * OVERRUN + ALLOWANCE
-SHARE = cold_limits.cold_share(
+SHARE = send_shares.cold_share(
     per_s=PER_S, overrun=OVERRUN, allowance=ALLOWANCE
 )
+# Of the only sender, which is the first.
+FIRST_SHARE = SHARE.of_rank(0)
 SERVICE = model.Service(
     name="service",
     health_path="/health",
@@ -57,16 +59,17 @@
         self, per_s, overrun, allowance
     ):
         """Instances disagree on the membership, so two sets of senders send."""
-        share = cold_limits.cold_share(
+        share = send_shares.cold_share(
             per_s=per_s, overrun=overrun, allowance=allowance
         )
-        together = share.senders * share.each_per_s
+        together = sum(map(share.of_rank, range(share.senders)))
+        self.assertEqual(together, share.total)
         self.assertLessEqual(together, max(1.0, per_s))
         self.assertLessEqual(2 * together, per_s * overrun + allowance)
 
     def test_a_service_without_a_cold_rate_is_not_limited(self):
         self.assertIsNone(
-            cold_limits.cold_share(per_s=0.0, overrun=1.5, allowance=5.0)
+            send_shares.cold_share(per_s=0.0, overrun=1.5, allowance=5.0)
         )
 
 
@@ -92,7 +95,7 @@
         written = []
         for step, passed_ms in steps:
             now += passed_ms * MILLISECOND
-            if step == "choose" and window.count(now) < most:
+            if step == "choose" and window.count(now, SHARE.window) < most:
                 waiting.append(window.reserve(now))
             elif step == "write" and waiting and waiting.pop().try_use(now):
                 written.append(now)
@@ -103,8 +106,8 @@
     def test_an_unused_slot_is_released(self):
         window = send_window.SendWindow()
         window.reserve(SECOND)
-        self.assertEqual(window.count(2 * SECOND), 1)
-        self.assertEqual(window.count(4 * SECOND), 0)
+        self.assertEqual(window.count(2 * SECOND, SHARE.window), 1)
+        self.assertEqual(window.count(4 * SECOND, SHARE.window), 0)
 
 
 class Fleet:
@@ -121,7 +124,9 @@
 
     def join(self, name: str, others: list[str]) -> None:
         """Registers an instance, with the instances that it finds."""
-        senders = cold_senders.ColdSenders(instance_id=name, clock=self.clock)
+        senders = sender_election.SenderElection(
+            instance_id=name, clock=self.clock
+        )
         senders.register(others, lambda span: self.contacts_of(name, span))
         self.senders[name] = senders
 
@@ -135,17 +140,18 @@
 
     def permitted_per_s(self, replica_id: str) -> int:
         """Returns the replica's rate if every sender sends its share."""
-        return SHARE.each_per_s * sum(
-            senders.includes_this(replica_id, SHARE.senders)
+        ranks = (
+            senders.rank(replica_id, SHARE.senders)
             for senders in self.senders.values()
         )
+        return sum(SHARE.of_rank(rank) for rank in ranks if rank is not None)
 
 
-class ColdSendersTest(unittest.IsolatedAsyncioTestCase):
+class SenderElectionTest(unittest.IsolatedAsyncioTestCase):
     async def settled(self, *, instances: int, seed: int) -> Fleet:
         """Returns instances that started long ago."""
         fleet = Fleet(instances=instances, seed=seed)
-        await fleet.clock.advance(2 * cold_senders.SETTLING_TIME)
+        await fleet.clock.advance(2 * sender_election.SETTLING_TIME)
         return fleet
 
     def replica_ids(self, count: int = 40) -> list[str]:
@@ -179,7 +185,7 @@
             fleet.unreached[name] |= (
                 set(fleet.names) - half if name in half else half
             )
-        await fleet.clock.advance(2 * cold_senders.MEMBER_RETENTION)
+        await fleet.clock.advance(2 * sender_election.MEMBER_RETENTION)
         for replica_id in self.replica_ids():
             self.assertLessEqual(fleet.permitted_per_s(replica_id), BOUND)
 
@@ -196,7 +202,7 @@
             fleet.join(name, [*old, *[f"new-{n}" for n in range(number)]])
         for replica_id in self.replica_ids():
             self.assertLessEqual(fleet.permitted_per_s(replica_id), PER_S)
-        await fleet.clock.advance(cold_senders.SETTLING_TIME)
+        await fleet.clock.advance(sender_election.SETTLING_TIME)
         for unreached in fleet.unreached.values():
             kept = fleet.draw.sample(sorted(unreached), len(unreached) // 4)
             unreached.intersection_update(kept)
@@ -205,26 +211,26 @@
 
     async def test_an_unregistered_instance_sends_nothing(self):
         """It started during an outage of the store and knows no members."""
-        senders = cold_senders.ColdSenders(
+        senders = sender_election.SenderElection(
             instance_id="edge-1", clock=clock_module.FakeClock()
         )
-        self.assertFalse(senders.includes_this("i-1", SHARE.senders))
+        self.assertIsNone(senders.rank("i-1", SHARE.senders))
 
 
 class GateTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock = clock_module.FakeClock()
         self.directory = directory_module.ReplicaDirectory(clock=self.clock)
-        self.senders = cold_senders.ColdSenders(
+        self.senders = sender_election.SenderElection(
             instance_id="edge-1", clock=self.clock
         )
         self.senders.register((), lambda span: ())
-        await self.clock.advance(2 * cold_senders.SETTLING_TIME)
+        await self.clock.advance(2 * sender_election.SETTLING_TIME)
         self.gate = send_gate.LimitingGate(
             evacuations=evacuations.EvacuationRegistry(),
             senders=self.senders,
             service=lambda name: SERVICE,
-            share=lambda service: SHARE,
+            cold_share=lambda service: SHARE,
             clock=self.clock,
         )
 
@@ -250,16 +256,16 @@
         self,
     ):
         replica = self.replica(coldLeftMs=3000)
-        self.assertEqual(self.sent(replica), SHARE.each_per_s)
+        self.assertEqual(self.sent(replica), FIRST_SHARE)
         await self.clock.advance(1.2 * SECOND)
-        self.assertEqual(self.sent(replica), SHARE.each_per_s)
+        self.assertEqual(self.sent(replica), FIRST_SHARE)
         await self.clock.advance(2 * SECOND)
         self.assertEqual(self.sent(replica), 20)
 
     async def test_a_late_report_does_not_shorten_the_cold_time(self):
         replica = self.replica(coldLeftMs=3000)
         self.replica(coldLeftMs=0)
-        self.assertEqual(self.sent(replica), SHARE.each_per_s)
+        self.assertEqual(self.sent(replica), FIRST_SHARE)
 
     async def test_requests_sent_while_warm_count_once_it_is_cold(self):
         replica = self.replica()
@@ -275,7 +281,7 @@
         slots = [self.gate.reserve(replica) for _ in range(20)]
         self.replica(coldLeftMs=3000)
         written = sum(self.gate.may_write(replica, p) for p in slots)
-        self.assertLessEqual(written, SHARE.each_per_s)
+        self.assertLessEqual(written, FIRST_SHARE)
 
     async def test_an_expired_slot_still_allows_a_write_to_a_warm_replica(
         self,
@@ -287,7 +293,9 @@
         slot = self.gate.reserve(replica)
         await self.clock.advance(3 * SECOND)
         self.assertTrue(self.gate.may_write(replica, slot))
-        self.assertEqual(replica.sends.count(self.clock.monotonic()), 1)
+        self.assertEqual(
+            replica.sends.count(self.clock.monotonic(), SHARE.window), 1
+        )
         self.replica(coldLeftMs=3000)
         late = self.gate.reserve(replica)
         await self.clock.advance(2 * SECOND)
@@ -297,14 +305,14 @@
         """It reports that it is cold only with its next heartbeat."""
         replica = self.replica()
         self.gate.note_restored([replica])
-        self.assertEqual(self.sent(replica), SHARE.each_per_s)
+        self.assertEqual(self.sent(replica), FIRST_SHARE)
         await self.clock.advance(SERVICE.cold_time + SECOND)
         self.assertEqual(self.sent(replica), 20)
 
     async def test_an_answer_reports_that_it_is_cold(self):
         replica = self.replica()
         self.directory.note_cold(replica, 2 * SECOND)
-        self.assertEqual(self.sent(replica), SHARE.each_per_s)
+        self.assertEqual(self.sent(replica), FIRST_SHARE)
 
 
 if __name__ == "__main__":
--- a/tests/cover/test_evacuations.py
+++ b/tests/cover/test_evacuations.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 import msgspec
 
-from nutmeghook.internal.replicas import cold_senders
 from nutmeghook.internal.replicas import evacuations
 from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.routes import in_force
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.table_replication import source
@@ -126,11 +126,11 @@
         self.registry = evacuations.EvacuationRegistry()
         return send_gate.LimitingGate(
             evacuations=self.registry,
-            senders=cold_senders.ColdSenders(
+            senders=sender_election.SenderElection(
                 instance_id="edge-1", clock=self.clock
             ),
             service=lambda name: None,
-            share=lambda service: None,
+            cold_share=lambda service: None,
             clock=self.clock,
         )
 
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -13,9 +13,9 @@
 from nutmeghook.experiment import soak_checks
 from nutmeghook.internal.assembly import send_limits
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.replicas import cold_senders
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.replicas import signals
 from nutmeghook.internal.routes import in_force as in_force_module
@@ -108,7 +108,7 @@
         for name in names:
             others = [other for other in names if other != name]
             instance = Instance(name=name, clock=clock)
-            instance.limits.cold_senders.register(
+            instance.limits.senders.register(
                 others, lambda span, others=others: others
             )
             self.instances.append(instance)
@@ -148,7 +148,7 @@
     async def settled(self, instances: int) -> Fleet:
         """Returns instances that started long ago."""
         fleet = Fleet(instances=instances, clock=clock_module.FakeClock())
-        await fleet.clock.advance(2 * cold_senders.SETTLING_TIME)
+        await fleet.clock.advance(2 * sender_election.SETTLING_TIME)
         return fleet
 
     async def test_all_instances_together_keep_a_limit(self):
@@ -185,7 +185,7 @@
             directory=self.directory,
             clock=self.clock,
         )
-        limits.cold_senders.register((), lambda span: ())
+        limits.senders.register((), lambda span: ())
         return limits.gate
 
     async def test_requests_of_every_kind_go_elsewhere_beyond_the_limit(self):
--- a/tests/whole/test_cold_and_evacuated.py
+++ b/tests/whole/test_cold_and_evacuated.py
@@ -8,7 +8,7 @@
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
 from nutmeghook.experiment import trial_routers
-from nutmeghook.internal.replicas import cold_senders
+from nutmeghook.internal.replicas import sender_election
 
 IN_FORCE_S = 2.0
 # The service's rate limit on a cold replica, and the most requests that the
@@ -85,7 +85,7 @@
         for replica_id in list(self.trial.replicas):
             self.trial.operator.delist_replica(replica_id)
         await self.trial.add_replica("cold-1", "v1", cold_left_s=60.0)
-        await asyncio.sleep(cold_senders.SETTLING_TIME.total_seconds())
+        await asyncio.sleep(sender_election.SETTLING_TIME.total_seconds())
         await self.calls(150)
         arrived_s = self.arrivals_s("cold-1")
         worst = soak_checks.max_in_one_second(arrived_s)
