Keep the rate limit that a replica states, over all instances

What callers and replicas saw: two replicas that took 2.3 and 2.5 requests a second from all instances together got 29 and 37 in 4 s (allowed 19 and 20), for minutes.

Cause: nothing held sends against the limit: neither the choice of a replica nor the gate before the write knew of it (hypothesis 1). Held by each instance for itself it would be broken as well (hypothesis 2): 7 instances at 2.3 a second each send 64 in 4 s. Ruled out as a cause of its own: requests chosen before (hypothesis 3); the gate is asked at the write too, and a slot reserved before counts.

Change: replicas/send_gate takes a stated limit for one more division of what a replica takes. Its senders are those that the hash elects, as for a cold replica; together they send at most half of the users' bound in 4.1 s, so that two sets of senders, on a disagreement about the members, stay within it. Up to 1.36 a second one sender uses the whole limit at even intervals.

Property: for any limit, two sets that send all at once stay within the bound, and one uses 0.73 to 1.0 of the limit (0.73 at limits of hundreds).

--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -176,6 +176,10 @@
         shares = []
         if replica.is_cold(now):
             shares.append(self._cold_share_at(replica))
+        if replica.rate_limit_per_s is not None:
+            shares.append(
+                send_shares.rate_limit_share(replica.rate_limit_per_s)
+            )
         return [share for share in shares if share is not None]
 
     def _cold_share_at(
--- a/src/nutmeghook/internal/replicas/send_shares.py
+++ b/src/nutmeghook/internal/replicas/send_shares.py
@@ -10,6 +10,11 @@
 SENDERS = 8
 # Requests arrive closer together than they were sent, by this much at most.
 _ARRIVAL_JITTER = datetime.timedelta(milliseconds=100)
+# The bound on a replica that states a rate limit: within any such span, so many
+# times what the limit allows and some requests more.
+_RATE_LIMIT_SPAN = datetime.timedelta(seconds=4)
+_RATE_LIMIT_OVERRUN = 1.5
+_RATE_LIMIT_ALLOWANCE = 5
 _COLD_WINDOW = datetime.timedelta(seconds=1) + _ARRIVAL_JITTER
 
 
@@ -58,6 +63,24 @@
     )
 
 
+def rate_limit_share(per_s: float) -> SendShare:
+    """Returns the division of a limit that a replica states.
+
+    A low limit is used by one sender at even intervals: of the few requests
+    within the span, a division among several would lose one to rounding.
+
+    Args:
+        per_s: Requests a second from all instances together, above 0.
+    """
+    allowed = per_s * _RATE_LIMIT_SPAN.total_seconds()
+    bound = allowed * _RATE_LIMIT_OVERRUN + _RATE_LIMIT_ALLOWANCE
+    window = _RATE_LIMIT_SPAN + _ARRIVAL_JITTER
+    spaced_evenly = window.total_seconds() * per_s + 1
+    if spaced_evenly <= bound / 2:
+        return SendShare(window=datetime.timedelta(seconds=1 / per_s), total=1)
+    return SendShare(window=window, total=_safe_total(allowed, bound=bound))
+
+
 def _safe_total(target: float, *, bound: float) -> int:
     """Returns how many requests all senders together may send.
 
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -7,14 +7,19 @@
 
 import collections
 import datetime
+import math
 import random
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from nutmeghook.experiment import soak_checks
 from nutmeghook.internal.assembly import send_limits
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.replicas import signals
@@ -144,6 +149,34 @@
                 instance.hear(per_s)
 
 
+class ShareTest(unittest.TestCase):
+    @hypothesis.given(strategies.floats(0.001, 5000.0))
+    def test_two_sets_of_senders_stay_within_the_bound(self, per_s):
+        """Instances disagree on the membership, so two sets of senders send as
+        early as they may: all of a window's requests at once.
+        """
+        share = send_shares.rate_limit_share(per_s)
+        window_s = share.window.total_seconds()
+        bursts = math.ceil(soak_checks.RATE_LIMIT_SPAN_S / window_s)
+        self.assertLessEqual(
+            2 * bursts * share.total, soak_checks.rate_limit_bound(per_s)
+        )
+
+    @hypothesis.given(strategies.floats(0.001, 5000.0))
+    def test_one_set_of_senders_never_exceeds_the_limit(self, per_s):
+        share = send_shares.rate_limit_share(per_s)
+        used = share.total / share.window.total_seconds() / per_s
+        self.assertLessEqual(used, 1.0 + 1e-6)
+        self.assertGreaterEqual(used, 0.73)
+
+    @hypothesis.given(strategies.floats(0.01, 500.0))
+    def test_the_shares_of_all_senders_make_up_the_total(self, per_s):
+        share = send_shares.rate_limit_share(per_s)
+        shares = [share.of_rank(rank) for rank in range(share.senders)]
+        self.assertEqual(sum(shares), share.total)
+        self.assertGreaterEqual(min(shares), 1)
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def settled(self, instances: int) -> Fleet:
         """Returns instances that started long ago."""
