Tell all instances of the limits that replicas state

What is seen: an instance learnt of a limit by its own answers alone. With 195 instances that is 195 first requests beside the limit, and an instance that may not send there never hears that the limit has ended.

Change: replicas/signal_gossip sends a limit that begins, ends or falls by half to eight peers near and one far at once, each instance forwards it, and all known limits again to two peers each 0.5 s; the end of a limit for 30 s. By age, the latest word of the replica counts. Nothing is sent without a limit.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -251,6 +251,7 @@
             senders=self.send_limits.senders,
             rollouts=self.rollouts,
             orders=self.orders,
+            signals=self.signals,
             suspects=self.suspects,
             clock=self._clock,
             random_source=self._random,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -20,6 +20,8 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
 from nutmeghook.internal.replicas import sender_election
+from nutmeghook.internal.replicas import signal_gossip
+from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.suspects import gossip as suspect_gossip
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import bandwidth_limiter
@@ -59,6 +61,7 @@
         "_random",
         "_rollouts",
         "_senders",
+        "_signals",
         "_suspects",
         "_table",
         "_tables",
@@ -79,6 +82,7 @@
         senders: sender_election.SenderElection,
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderRegistry,
+        signals: signal_registry.SignalRegistry,
         suspects: registry_module.SuspectRegistry,
         clock: clock_module.Clock,
         random_source: random.Random,
@@ -94,6 +98,7 @@
         self._senders = senders
         self._rollouts = rollouts
         self._orders = orders
+        self._signals = signals
         self._suspects = suspects
         self._clock = clock
         self._random = random_source
@@ -217,6 +222,11 @@
                 addresses=lambda: list(gossip.peers.values()),
                 **common,
             ),
+            signal_gossip.SignalGossip(
+                registry=self._signals,
+                sample_peers=gossip.sample_live_addresses,
+                **common,
+            ),
             suspect_gossip.SuspectGossip(
                 registry=self._suspects,
                 sample_peers=gossip.sample_live_addresses,
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -239,6 +239,15 @@
   1: list<CrashSuspect> suspects,
 }
 
+// What replicas ask of all instances together, as the sender last heard of it;
+// parallel lists. A replica is named as in ReplicaLoads.
+struct ReplicaRateLimits {
+  1: list<i32> replica_hashes,
+  // Thousandths of a request a second; 0 where a former limit has ended.
+  2: list<i32> limits_milli_per_s,
+  3: list<i32> ages_ms,
+}
+
 union Body {
   1: Empty empty,
   2: Failure failure,
@@ -266,6 +275,7 @@
   24: RollOutNews roll_out_news,
   25: TablePiece table_piece,
   26: CrashSuspects crash_suspects,
+  27: ReplicaRateLimits replica_rate_limits,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -143,6 +143,10 @@
         """Tells whether a replica is listed and has not started again."""
         return self._by_id.get(replica.entry.replica_id) is replica
 
+    def by_short_id(self, short_id: int) -> replica_module.Replica | None:
+        """Returns the replica that peers' messages name by this hash."""
+        return self._by_short_id.get(short_id)
+
     def note_load(
         self, replica: replica_module.Replica, *, running: int, waiting: int
     ) -> None:
@@ -164,7 +168,7 @@
         self, short_id: int, report: replica_module.LoadReport
     ) -> None:
         """Records a peer's load report if it is newer than the known one."""
-        replica = self._by_short_id.get(short_id)
+        replica = self.by_short_id(short_id)
         if replica is None:
             return
         known = replica.report
--- /dev/null
+++ b/src/nutmeghook/internal/replicas/signal_gossip.py
@@ -0,0 +1,128 @@
+"""Gossips the rate limits of replicas to all instances.
+
+A limit concerns all instances together, but only those that send to its replica
+hear of it. A limit that begins, ends or falls by half is sent to many peers at
+once, and each instance forwards it. All known limits are sent again
+periodically, since a datagram may be lost, and an instance may have been
+started, suspended or partitioned meanwhile.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+import random
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import gossip_senders
+from nutmeghook.internal.inner import messages as messages_module
+from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.replicas import rate_limit
+from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import signal_registry
+
+REMINDER_PERIOD = datetime.timedelta(milliseconds=500)
+LOCAL_FANOUT = 8
+REMOTE_FANOUT = 1.0
+LOCAL_REMINDER_FANOUT = 1
+REMOTE_REMINDER_FANOUT = 1.0
+# Each takes some 10 bytes, and a datagram should fit into one packet.
+MAX_LIMITS_SENT = 64
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_MILLI = 1000
+
+
+class SignalGossip(gossip_senders.GossipSender):
+    """Sends and receives statements of replicas.
+
+    Args:
+        sample_peers: Returns the addresses of some peers: `local` ones in the
+            own data centre and on average `remote` others.
+    """
+
+    __slots__ = ("_clock", "_messages", "_random", "_registry", "_sample_peers")
+
+    def __init__(
+        self,
+        *,
+        registry: signal_registry.SignalRegistry,
+        messages: messages_module.Messages,
+        sample_peers: Callable[..., list[str]],
+        clock: clock_module.Clock,
+        random_source: random.Random,
+    ):
+        self._registry = registry
+        self._messages = messages
+        self._sample_peers = sample_peers
+        self._clock = clock
+        self._random = random_source
+        messages.register(ttypes.ReplicaRateLimits, self._receive)
+
+    async def run(self) -> None:
+        """Sends changes at once and reminders periodically until cancelled."""
+        while True:
+            pause = REMINDER_PERIOD * self._random.uniform(0.75, 1.25)
+            try:
+                await self._clock.wait_for(self._registry.changes.wait(), pause)
+            except TimeoutError:
+                self.send_reminder()
+            else:
+                self.send_changes()
+
+    def send_changes(self) -> None:
+        """Sends the pending changes to many peers."""
+        while changed := self._registry.take_changes(MAX_LIMITS_SENT):
+            self._send(changed, local=LOCAL_FANOUT, remote=REMOTE_FANOUT)
+
+    def send_reminder(self) -> None:
+        """Sends the latest statements to one or two peers again."""
+        stated = self._registry.latest(MAX_LIMITS_SENT)
+        if stated:
+            self._send(
+                stated,
+                local=LOCAL_REMINDER_FANOUT,
+                remote=REMOTE_REMINDER_FANOUT,
+            )
+
+    def _send(
+        self,
+        replicas: Iterable[replica_module.Replica],
+        *,
+        local: int,
+        remote: float,
+    ) -> None:
+        now = self._clock.monotonic()
+        limits = [(r.short_id, r.rate_limit) for r in replicas]
+        message = ttypes.ReplicaRateLimits(
+            replica_hashes=[short_id for short_id, _ in limits],
+            limits_milli_per_s=[_milli(limit.per_s) for _, limit in limits],
+            ages_ms=[
+                round((now - limit.heard_at) / _MILLISECOND)
+                for _, limit in limits
+            ],
+        )
+        self._messages.send(
+            self._sample_peers(local=local, remote=remote), message
+        )
+
+    def _receive(self, message: ttypes.ReplicaRateLimits) -> None:
+        now = self._clock.monotonic()
+        for short_id, milli_per_s, age_ms in zip(
+            message.replica_hashes,
+            message.limits_milli_per_s,
+            message.ages_ms,
+            strict=False,
+        ):
+            if min(milli_per_s, age_ms) < 0:
+                continue
+            self._registry.note_peer(
+                short_id,
+                rate_limit.RateLimit(
+                    per_s=milli_per_s / _MILLI if milli_per_s else None,
+                    heard_at=now - age_ms * _MILLISECOND,
+                ),
+            )
+
+
+def _milli(per_s: float | None) -> int:
+    """Returns a limit in thousandths, at least one; 0 for none."""
+    return 0 if per_s is None else max(1, round(per_s * _MILLI))
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -1,6 +1,8 @@
 """Records what replicas ask of their senders, and logs each change."""
 
+import asyncio
 import datetime
+import itertools
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
@@ -10,12 +12,21 @@
 from nutmeghook.internal.replicas import signals as signals_module
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# For so long the end of a limit is told to peers: enough for each instance of a
+# fleet of 420 to hear of it.
+_END_RETENTION = datetime.timedelta(seconds=30)
+# A fall of a limit to this share of it or less is told to peers at once.
+_SHARP_FALL = 0.5
 
 
 class SignalRegistry:
-    """Applies the signals of replicas to the directory's replicas."""
+    """Applies the signals of replicas to the directory's replicas.
 
-    __slots__ = ("_clock", "_directory")
+    Attributes:
+        changes: Set while `take_changes` has something to return.
+    """
+
+    __slots__ = ("_changed", "_clock", "_directory", "_stated", "changes")
 
     def __init__(
         self,
@@ -25,6 +36,11 @@
     ):
         self._directory = directory
         self._clock = clock
+        # Replicas with a statement, by id, and those whose change is to be
+        # told to peers.
+        self._stated: dict[str, replica_module.Replica] = {}
+        self._changed: dict[str, replica_module.Replica] = {}
+        self.changes = asyncio.Event()
 
     def note_answer(
         self,
@@ -58,6 +74,45 @@
         )
         self._set_rate_limit(replica, limit, source="answer")
 
+    def note_peer(self, short_id: int, reported: rate_limit.RateLimit) -> None:
+        """Records a peer's report of a statement."""
+        replica = self._directory.by_short_id(short_id)
+        if replica is None:
+            return
+        limit = rate_limit.after_peer(replica.rate_limit, reported)
+        self._set_rate_limit(replica, limit, source="peer")
+
+    def latest(self, max_count: int) -> list[replica_module.Replica]:
+        """Returns the replicas with the latest statements, the latest first."""
+        self._drop_old()
+        stated = sorted(
+            self._stated.values(),
+            key=lambda replica: replica.rate_limit.heard_at,
+            reverse=True,
+        )
+        return stated[:max_count]
+
+    def take_changes(self, max_count: int) -> list[replica_module.Replica]:
+        """Returns and forgets replicas whose change is to be told to peers."""
+        taken = list(itertools.islice(self._changed, max_count))
+        found = [self._changed.pop(replica_id) for replica_id in taken]
+        if not self._changed:
+            self.changes.clear()
+        return found
+
+    def _drop_old(self) -> None:
+        """Drops replicas that are gone or whose limit ended long ago."""
+        oldest = self._clock.monotonic() - _END_RETENTION
+        self._stated = {
+            replica_id: replica
+            for replica_id, replica in self._stated.items()
+            if self._directory.is_current(replica)
+            and (
+                replica.rate_limit_per_s is not None
+                or replica.rate_limit.heard_at > oldest
+            )
+        }
+
     def _set_rate_limit(
         self,
         replica: replica_module.Replica,
@@ -65,10 +120,16 @@
         *,
         source: str,
     ) -> None:
+        if limit is None:
+            return
         before_per_s = replica.rate_limit_per_s
         replica.rate_limit = limit
-        if replica.rate_limit_per_s == before_per_s:
+        self._stated[replica.entry.replica_id] = replica
+        if limit.per_s == before_per_s:
             return
+        if _is_urgent(before_per_s, limit.per_s):
+            self._changed[replica.entry.replica_id] = replica
+            self.changes.set()
         age = self._clock.monotonic() - limit.heard_at
         logs.note(
             "replica:rate_limit",
@@ -78,3 +139,10 @@
             source=source,
             age_ms=round(age / _MILLISECOND),
         )
+
+
+def _is_urgent(before_per_s: float | None, per_s: float | None) -> bool:
+    """Tells whether peers are told of a change at once."""
+    if before_per_s is None or per_s is None:
+        return True
+    return per_s <= _SHARP_FALL * before_per_s
