Tests that the end of a limit is heard, which fail

What is seen: a replica that no request prefers keeps a limit that it no longer states, on all instances. The registry of signals moves to assembly/send_limits, beside the gate.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -20,7 +20,6 @@
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.replicas import directory as directory_module
-from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
@@ -86,7 +85,6 @@
         "orders",
         "rollouts",
         "send_limits",
-        "signals",
         "suspects",
     )
 
@@ -115,9 +113,6 @@
         self.directory = directory_module.ReplicaDirectory(
             clock=clock, on_gone=self._pool.forget
         )
-        self.signals = signal_registry.SignalRegistry(
-            directory=self.directory, clock=clock
-        )
         self.send_limits = send_limits_module.SendLimits(
             settings=lambda: self._settings,
             configuration=self.configuration,
@@ -161,7 +156,7 @@
                 configuration=self.configuration,
                 directory=self.directory,
                 gate=self.send_limits.gate,
-                signals=self.signals,
+                signals=self.send_limits.signals,
                 versions=self.rollouts,
                 budgets=self.budgets,
                 suspects=self.suspects,
@@ -251,7 +246,7 @@
             senders=self.send_limits.senders,
             rollouts=self.rollouts,
             orders=self.orders,
-            signals=self.signals,
+            signals=self.send_limits.signals,
             suspects=self.suspects,
             clock=self._clock,
             random_source=self._random,
--- a/src/nutmeghook/internal/assembly/send_limits.py
+++ b/src/nutmeghook/internal/assembly/send_limits.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import sender_election
+from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import settings as settings_module
@@ -25,6 +26,7 @@
     Attributes:
         evacuations: The data centres that are being evacuated.
         senders: Tells which limited replicas this instance may send to.
+        signals: What replicas ask of their senders.
         gate: Asked before each request is sent.
     """
 
@@ -35,6 +37,7 @@
         "evacuations",
         "gate",
         "senders",
+        "signals",
     )
 
     def __init__(
@@ -54,6 +57,9 @@
         self.senders = sender_election.SenderElection(
             instance_id=settings().instance_id, clock=clock
         )
+        self.signals = signal_registry.SignalRegistry(
+            directory=directory, clock=clock
+        )
         self.gate = send_gate.LimitingGate(
             evacuations=self.evacuations,
             senders=self.senders,
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -17,11 +17,11 @@
 from nutmeghook.experiment import soak_checks
 from nutmeghook.internal.assembly import send_limits
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import sender_election
-from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.replicas import signals
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
@@ -68,9 +68,6 @@
             directory=self.directory,
             clock=clock,
         )
-        self.registry = signal_registry.SignalRegistry(
-            directory=self.directory, clock=clock
-        )
         self.told_at: datetime.timedelta | None = None
 
     @property
@@ -90,7 +87,7 @@
         """Receives an answer of the replica to a request sent just now."""
         if per_s is not None and self.told_at is None:
             self.told_at = self.clock.monotonic()
-        self.registry.note_answer(
+        self.limits.signals.note_answer(
             self.replica,
             signals.ReplicaSignals(rate_limit_per_s=per_s),
             sent_at=self.clock.monotonic(),
@@ -205,6 +202,93 @@
                     )
 
 
+class UnconfirmedLimitTest(unittest.IsolatedAsyncioTestCase):
+    """A limited replica among many that the choice prefers."""
+
+    REPLICAS = 12
+    KEYS = 3
+
+    async def asyncSetUp(self):
+        self.clock = clock_module.FakeClock()
+        self.instance = Instance(name="edge-1", clock=self.clock)
+        for number in range(2, self.REPLICAS + 1):
+            entry = replicas_wire.decode(
+                f"i-{number}",
+                platform_rows.replica_row(address=f"10.0.0.{number}:80"),
+            )
+            self.instance.directory.put(entry)
+        self.instance.limits.senders.register((), lambda span: ())
+        self.chooser = choice.ReplicaChooser(
+            directory=self.instance.directory,
+            gate=self.instance.limits.gate,
+            data_centre="here",
+            clock=self.clock,
+        )
+        await self.clock.advance(2 * sender_election.SETTLING_TIME)
+        self.limited = next(
+            replica
+            for replica in self.instance.directory.of_service("service")
+            if not self.is_chosen(replica)
+        )
+
+    def chosen(self, number: int) -> replica_module.Replica:
+        """Returns the replica that a request of one of a few kinds goes to."""
+        criteria = choice.ReplicaCriteria(
+            service="service",
+            accepts=lambda entry: True,
+            key=f"key-{number % self.KEYS}",
+            exclude=frozenset(),
+        )
+        return self.chooser.choose(criteria).replica
+
+    def is_chosen(self, replica: replica_module.Replica) -> bool:
+        """Tells whether requests of any kind go to a replica by themselves."""
+        return any(
+            self.chosen(number) is replica for number in range(self.KEYS)
+        )
+
+    def state(self, per_s: float | None) -> None:
+        """Has the replica answer a request that was sent just now."""
+        self.instance.limits.signals.note_answer(
+            self.limited,
+            signals.ReplicaSignals(rate_limit_per_s=per_s),
+            sent_at=self.clock.monotonic(),
+        )
+
+    async def test_the_end_of_a_limit_is_heard_without_a_request_of_its_own(
+        self,
+    ):
+        """No request prefers a replica whose limit has ended, so no answer says
+        so, and the other instances stay away from it for good.
+        """
+        self.state(2.0)
+        for number in range(40):
+            replica = self.chosen(number)
+            self.instance.limits.gate.reserve(replica).try_use(
+                self.clock.monotonic()
+            )
+            if replica is self.limited:
+                self.state(None)
+            await self.clock.advance(50 * MILLISECOND)
+        self.assertIsNone(self.limited.rate_limit_per_s)
+        self.assertFalse(self.is_chosen(self.limited))
+
+    async def test_a_limit_that_holds_is_asked_for_once_a_second(self):
+        self.state(2.0)
+        asked = 0
+        for number in range(200):
+            replica = self.chosen(number)
+            self.instance.limits.gate.reserve(replica).try_use(
+                self.clock.monotonic()
+            )
+            if replica is self.limited:
+                asked += 1
+                self.state(2.0)
+            await self.clock.advance(50 * MILLISECOND)
+        self.assertLessEqual(asked, 10)
+        self.assertGreaterEqual(asked, 5)
+
+
 class RelayTest(relay_fixture.RelayCase):
     """One of two replicas states a limit; the relay has both."""
 
