Let the instances of a small fleet use the whole of a limited rate

Cause: eight places of senders were counted also where there are fewer instances, so that three used three eighths of a replica's rate; and after the loss of most instances, when each replica is needed most, what is left used less still (for a minute the lost ones keep their places).

Change: the senders are as many as there are known members, eight at most, and divide the whole among them. Known members that are dead still count for their minute, so that nobody takes over beside one that is only cut off.

--- a/bench/models/cold_fleet.py
+++ b/bench/models/cold_fleet.py
@@ -73,7 +73,7 @@
         )
         if name not in first:
             return None
-        return self._senders / min(RATE_PER_S, MAX_IN_ONE_SECOND / 2)
+        return len(first) / min(RATE_PER_S, MAX_IN_ONE_SECOND / 2)
 
 
 class SingleGranter(RatePolicy):
--- a/src/nutmeghook/internal/replicas/send_shares.py
+++ b/src/nutmeghook/internal/replicas/send_shares.py
@@ -4,6 +4,8 @@
 import datetime
 import math
 
+from nutmeghook.internal.replicas import sender_election
+
 # Instances that may send to one replica whose rate is limited. With fewer, it
 # gets requests from few instances; with more, each may send less than one
 # request a second to a cold replica.
@@ -31,18 +33,14 @@
     total: int
 
     @property
-    def senders(self) -> int:
-        """Number of instances that may send to the replica."""
+    def max_senders(self) -> int:
+        """Number of instances that may send to the replica, at most."""
         return min(SENDERS, self.total)
 
-    def of_rank(self, rank: int) -> int:
-        """Returns what a sender may send within a window.
-
-        Args:
-            rank: The sender's place among the senders, from 0.
-        """
-        each, left_over = divmod(self.total, self.senders)
-        return each + (1 if rank < left_over else 0)
+    def of_sender(self, place: sender_election.SenderPlace) -> int:
+        """Returns what one sender may send within a window."""
+        each, left_over = divmod(self.total, place.senders)
+        return each + (1 if place.rank < left_over else 0)
 
 
 def cold_share(
--- a/src/nutmeghook/internal/replicas/sender_election.py
+++ b/src/nutmeghook/internal/replicas/sender_election.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import datetime
 import heapq
 
@@ -30,6 +31,19 @@
 _ELECTION_LIFETIME = datetime.timedelta(seconds=1)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SenderPlace:
+    """An instance's place among a replica's senders.
+
+    Attributes:
+        rank: From 0.
+        senders: How many there are.
+    """
+
+    rank: int
+    senders: int
+
+
 class SenderElection:
     """Decides whether this instance is one of a replica's senders."""
 
@@ -52,7 +66,7 @@
             [datetime.timedelta], Iterable[str]
         ] = lambda span: ()
         # By replica id and number of senders.
-        self._elected: dict[tuple[str, int], int | None] = {}
+        self._elected: dict[tuple[str, int], SenderPlace | None] = {}
         self._elected_at = datetime.timedelta()
 
     def register(
@@ -71,15 +85,13 @@
         self._registered_at = self._clock.monotonic()
         self._contacted_within = contacted_within
 
-    def rank(self, replica_id: str, senders: int) -> int | None:
-        """Returns this instance's place among a replica's senders.
+    def place(self, replica_id: str, max_senders: int) -> SenderPlace | None:
+        """Returns this instance's place among a replica's senders, if any.
 
         Args:
             replica_id: Id of the replica.
-            senders: Number of instances that may send to it.
-
-        Returns:
-            A number from 0, or None if this instance is not one of them.
+            max_senders: Number of instances that may send to it, if there are
+                so many.
         """
         if self._registered_at is None:
             return None
@@ -89,16 +101,19 @@
         if now - self._elected_at > _ELECTION_LIFETIME:
             self._elected.clear()
             self._elected_at = now
-        key = (replica_id, senders)
+        key = (replica_id, max_senders)
         if key not in self._elected:
-            first = elect_senders(self._members(now), replica_id, senders)
-            self._elected[key] = (
-                first.index(self._instance_id)
-                if self._instance_id in first
-                else None
-            )
+            elected = elect_senders(self._members(now), replica_id, max_senders)
+            self._elected[key] = self._place_among(elected)
         return self._elected[key]
 
+    def _place_among(self, elected: list[str]) -> SenderPlace | None:
+        if self._instance_id not in elected:
+            return None
+        return SenderPlace(
+            rank=elected.index(self._instance_id), senders=len(elected)
+        )
+
     def _members(self, now: datetime.timedelta) -> set[str]:
         members = {self._instance_id, *self._contacted_within(MEMBER_RETENTION)}
         if now - self._registered_at < MEMBER_RETENTION:
