Confirm a limit that was not stated for a second by a request

What is seen: a replica that no request prefers is limited for good after its limit has ended, on all instances: its senders send there by choice only, and the others wait for their word.

Change: a replica whose limit was heard over a second ago, and to which nothing was sent since, is the choice of a next request that it may run, as far as this instance's part of the limit allows.

--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -215,8 +215,10 @@
         def is_healthy(replica: replica_module.Replica) -> bool:
             return is_eligible(replica) and not replica.health.is_ejected(now)
 
+        unconfirmed = self._gate.unconfirmed(criteria.service)
         return (
-            select(criteria, is_healthy)
+            list(filter(is_healthy, unconfirmed))
+            or select(criteria, is_healthy)
             or select(criteria, is_eligible)
             or list(
                 filter(
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -17,6 +17,10 @@
 from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.routes import model
 
+# A limit that was not stated for so long is confirmed by a request, so that its
+# end is known within a second or two.
+_CONFIRMATION_PERIOD = datetime.timedelta(seconds=1)
+
 
 class SendGate(abc.ABC):
     """Decides which replicas may be sent to."""
@@ -41,6 +45,14 @@
     ) -> bool:
         """Returns whether a request may be written now; then it counts."""
 
+    @abc.abstractmethod
+    def unconfirmed(self, service: str) -> list[replica_module.Replica]:
+        """Returns the open replicas that should get a request soon.
+
+        Their limit was last heard a while ago, and only an answer tells whether
+        it still holds.
+        """
+
 
 class OpenGate(SendGate):
     """Admits every request; for emulators and tests."""
@@ -62,6 +74,10 @@
         """Admits every request."""
         return True
 
+    def unconfirmed(self, service: str) -> list[replica_module.Replica]:
+        """Knows of no limit."""
+        return []
+
 
 class LimitingGate(SendGate):
     """Keeps requests away from evacuated and limited replicas.
@@ -70,6 +86,7 @@
         evacuations: The data centres under evacuation.
         senders: Tells whether this instance may send to a limited replica.
         service: Returns a service by its name; None if it is not known.
+        limited: Returns the replicas that state a limit.
         cold_share: Returns how the rate of a service's cold replicas is
             divided.
         clock: Measures time.
@@ -79,6 +96,7 @@
         "_clock",
         "_cold_share",
         "_evacuations",
+        "_limited",
         "_senders",
         "_service",
     )
@@ -88,12 +106,14 @@
         *,
         evacuations: evacuations_module.EvacuationRegistry,
         senders: sender_election.SenderElection,
+        limited: Callable[[], Iterable[replica_module.Replica]],
         service: Callable[[str], model.Service | None],
         cold_share: Callable[[model.Service], send_shares.SendShare | None],
         clock: clock_module.Clock,
     ):
         self._evacuations = evacuations
         self._senders = senders
+        self._limited = limited
         self._service = service
         self._cold_share = cold_share
         self._clock = clock
@@ -128,6 +148,19 @@
             return False
         return replica.sends.reserve(now).try_use(now)
 
+    def unconfirmed(self, service: str) -> list[replica_module.Replica]:
+        """Returns the open replicas that should get a request soon."""
+        now = self._clock.monotonic()
+        oldest = now - _CONFIRMATION_PERIOD
+        return [
+            replica
+            for replica in self._limited()
+            if replica.entry.service == service
+            and replica.rate_limit.heard_at <= oldest
+            and not replica.sends.count(now, _CONFIRMATION_PERIOD)
+            and self._admits(replica, own_slots=0)
+        ]
+
     def note_restored(self, replicas: Iterable[replica_module.Replica]) -> None:
         """Treats replicas as cold when their evacuation has ended.
 
@@ -160,11 +193,11 @@
         own_slots: int,
     ) -> bool:
         """Tells whether this instance may send one more within its share."""
-        rank = self._senders.rank(replica.entry.replica_id, share.senders)
-        if rank is None:
+        place = self._senders.place(replica.entry.replica_id, share.max_senders)
+        if place is None:
             return False
         sent = replica.sends.count(now, share.window) - own_slots
-        return sent < share.of_rank(rank)
+        return sent < share.of_sender(place)
 
     def _shares(
         self, replica: replica_module.Replica, now: datetime.timedelta
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -82,6 +82,17 @@
         limit = rate_limit.after_peer(replica.rate_limit, reported)
         self._set_rate_limit(replica, limit, source="peer")
 
+    def limited(self) -> list[replica_module.Replica]:
+        """Returns the replicas that state a limit."""
+        if not self._stated:
+            return []
+        return [
+            replica
+            for replica in self._stated.values()
+            if replica.rate_limit_per_s is not None
+            and self._directory.is_current(replica)
+        ]
+
     def latest(self, max_count: int) -> list[replica_module.Replica]:
         """Returns the replicas with the latest statements, the latest first."""
         self._drop_old()
--- a/tests/cover/test_cold_replicas.py
+++ b/tests/cover/test_cold_replicas.py
@@ -237,6 +237,7 @@
             evacuations=evacuations.EvacuationRegistry(),
             senders=self.senders,
             service=lambda name: SERVICE,
+            limited=list,
             cold_share=lambda service: SHARE,
             clock=self.clock,
         )
