Test of Retry-After while all replicas are at their limits, which fails

What callers see: 503, not run, and 0.25 to 0.75 s to come back, while no replica takes a request for 5 s; nothing in the log of such a request names the replicas that asked for less.

--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -9,7 +9,9 @@
 import datetime
 import math
 import random
+import re
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -17,6 +19,7 @@
 from nutmeghook.experiment import soak_checks
 from nutmeghook.internal.assembly import send_limits
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import choice
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
@@ -295,10 +298,13 @@
         self.assertGreaterEqual(asked, 5)
 
 
-class RelayTest(relay_fixture.RelayCase):
-    """One of two replicas states a limit; the relay has both."""
+class GatedRelayCase(relay_fixture.RelayCase):
+    """A relay of the only instance, with two replicas."""
 
-    PER_S = 0.5
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for replica in self.replicas:
+            replica.decide_by(reply_to)
 
     def build_gate(self):
         loaded = settings.load(SETTINGS.format(name="edge-1"))
@@ -311,17 +317,27 @@
         limits.senders.register((), lambda span: ())
         return limits.gate
 
+    async def ask_all_kinds(self, count: int) -> list[bytes]:
+        """Sends requests of all kinds in turn; returns the answers."""
+        kinds = list(model.RouteKind)
+        return [
+            await self.ask(
+                kinds[number % len(kinds)], request_id=f"request-{number}"
+            )
+            for number in range(count)
+        ]
+
+
+class RelayTest(GatedRelayCase):
+    """One of two replicas states a limit."""
+
+    PER_S = 0.5
+
     async def test_requests_of_every_kind_go_elsewhere_beyond_the_limit(self):
         """All callers are answered, by the replica that has no limit."""
         limited, other = self.replicas
         limited.signals = ((headers.RATE_LIMIT, str(self.PER_S)),)
-        for replica in self.replicas:
-            replica.decide_by(reply_to)
-        kinds = list(model.RouteKind)
-        for number in range(60):
-            answer = await self.ask(
-                kinds[number % len(kinds)], request_id=f"request-{number}"
-            )
+        for answer in await self.ask_all_kinds(60):
             self.assertEqual(relay_fixture.status_of(answer), 200)
         self.assertLessEqual(
             len(limited.received), soak_checks.rate_limit_bound(self.PER_S)
@@ -329,6 +345,40 @@
         self.assertGreater(len(other.received), 0)
 
 
+class NobodyLeftTest(GatedRelayCase):
+    """All replicas are at their limit."""
+
+    PER_S = 0.2
+
+    async def test_a_refusal_tells_when_the_first_place_is_expected(self):
+        """A caller that is told to come back sooner is refused again. The log
+        names the replicas that the request was held back from.
+        """
+        for replica in self.replicas:
+            replica.signals = ((headers.RATE_LIMIT, str(self.PER_S)),)
+        with (
+            mock.patch.object(sender_election, "SETTLING_TIME", SECOND * 0),
+            mock.patch.object(logs, "note", wraps=logs.note) as note,
+        ):
+            answers = await self.ask_all_kinds(8)
+        refused = [a for a in answers if relay_fixture.status_of(a) == 503]
+        self.assertGreaterEqual(len(refused), 2)
+        for answer in refused:
+            found = re.search(rb"(?i)retry-after: ([\d.]+)", answer)
+            self.assertGreater(float(found[1]), 1 / self.PER_S - 1.0)
+            self.assertLess(float(found[1]), 1 / self.PER_S + 2.0)
+        held = [
+            call.kwargs
+            for call in note.call_args_list
+            if call.args == ("request:held_back",)
+        ]
+        self.assertEqual(len(held), len(refused))
+        self.assertEqual(held[0]["signals"], ["rate_limit"] * 2)
+        self.assertEqual(
+            set(held[0]["replicas"]), {r.replica_id for r in self.replicas}
+        )
+
+
 def reply_to(request: users_replica.ReceivedRequest) -> users_replica.Reply:
     """Returns a stream or a whole answer, depending on the route."""
     is_stream = request.target.startswith(f"/{model.RouteKind.STREAM.value}/")
