Tell refused callers when a limited replica takes requests again

What callers saw: while all replicas of a service are at their limits, 503, not run, with 0.25 to 0.75 s to come back, whatever the limit; those who obey are refused again and again.

Cause: the refusal knew nothing of why no replica could take the request.

Change: the gate tells which replicas it holds back and when this instance may send to the first of them again; Retry-After is that and the usual spread. The log line request:held_back names the replicas and what each asked for, nutmeghook story shows what was known of them, two metrics count.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -99,6 +99,7 @@
             versions=dependencies.versions,
             budgets=dependencies.budgets,
             wire_format=dependencies.wire_format,
+            metrics=dependencies.metrics,
             clock=dependencies.clock,
         ),
         "permission": permission,
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -20,6 +20,7 @@
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
@@ -367,9 +368,15 @@
         )
         now = self._clock.monotonic()
         cold = [r for r in self.directory.all() if r.is_cold(now)]
-        opened = sum(map(self.send_limits.gate.is_open, cold))
-        self.metrics.set("cold_replicas", opened, open="yes")
-        self.metrics.set("cold_replicas", len(cold) - opened, open="no")
+        self._set_open("cold_replicas", cold)
+        self._set_open("limited_replicas", self.send_limits.signals.limited())
+
+    def _set_open(
+        self, name: str, replicas: list[replica_module.Replica]
+    ) -> None:
+        opened = sum(map(self.send_limits.gate.is_open, replicas))
+        self.metrics.set(name, opened, open="yes")
+        self.metrics.set(name, len(replicas) - opened, open="no")
 
     async def _serve_text(self, address: str, handler: _Handler) -> str:
         """Serves on an address; returns it with the port in use."""
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -115,6 +115,19 @@
     replica_now: str | None = None
 
 
+class RequestHeldBack(RequestRecord, frozen=True, kw_only=True):
+    """A request was rejected while replicas asked for fewer requests.
+
+    Attributes:
+        replicas: Those that asked.
+        signals: What each of them asked for.
+    """
+
+    service: str | None = None
+    replicas: list[str] | None = None
+    signals: list[str] | None = None
+
+
 class RequestFault(RequestRecord, frozen=True, kw_only=True):
     """An internal error ended the request."""
 
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -163,6 +163,24 @@
         ),
         labels=("open",),
     ),
+    MetricSpec(
+        name="limited_replicas",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Replicas that state a rate limit, by whether this instance may"
+            " send to them now."
+        ),
+        labels=("open",),
+    ),
+    MetricSpec(
+        name="requests_held_back_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Requests rejected while replicas asked for fewer, by what they"
+            " asked for."
+        ),
+        labels=("signal",),
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/observe/record_text.py
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -67,6 +67,13 @@
     )
 
 
+@describe.register
+def _held_back(record: log_records.RequestHeldBack) -> str:
+    asked = zip(record.replicas or (), record.signals or (), strict=False)
+    reasons = ", ".join(f"{replica} ({signal})" for replica, signal in asked)
+    return f"held back from {reasons}"
+
+
 @describe.register
 def _failed(record: log_records.AttemptFailed) -> str:
     return f"attempt {record.attempt} failed, {record.outcome}: {record.error}"
--- a/src/nutmeghook/internal/observe/story.py
+++ b/src/nutmeghook/internal/observe/story.py
@@ -42,7 +42,8 @@
     Attributes:
         instance: The instance's name.
         request_lines: The lines about the request, in the order logged.
-        replicas: The replicas of the request's attempts.
+        replicas: The replicas of the request's attempts, and those that it was
+            held back from.
         arrived_s: When the request arrived; if not known, the time of its
             first line.
         until_s: The time of the request's last line. For a request without an
@@ -213,9 +214,9 @@
         instance=name,
         request_lines=request_lines,
         replicas=frozenset(
-            line.record.replica
+            replica
             for line in request_lines
-            if isinstance(line.record, _REPLICA_RECORDS)
+            for replica in _named_replicas(line.record)
         ),
         arrived_s=min([*arrivals, request_lines[0].at_s]),
         until_s=request_lines[-1].at_s,
@@ -226,6 +227,13 @@
     return trace
 
 
+def _named_replicas(record: log_records.Record) -> list[str]:
+    """Returns the replicas that a request's line is about."""
+    if isinstance(record, log_records.RequestHeldBack):
+        return record.replicas or []
+    return [record.replica] if isinstance(record, _REPLICA_RECORDS) else []
+
+
 def _add_state_changes(
     traces: dict[log_reading.Source, InstanceTrace],
     lines: Iterable[Line],
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -5,6 +5,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import crash_detector
 from nutmeghook.internal.relay import current_routes
@@ -32,6 +33,7 @@
         "_configuration",
         "_crashes",
         "_gate",
+        "_metrics",
         "_permission",
         "_routes",
         "_search",
@@ -51,6 +53,7 @@
         versions: view_module.VersionView,
         budgets: window_budget.WindowRetryBudgets,
         wire_format: wire.WireFormat,
+        metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
         self._configuration = configuration
@@ -62,6 +65,7 @@
         self._versions = versions
         self._budgets = budgets
         self._wire_format = wire_format
+        self._metrics = metrics
         self._clock = clock
 
     def prepare(self, job: job_module.Job) -> prepared_module.PreparedAttempt:
@@ -122,7 +126,34 @@
         if self._permission.try_fall_back(job):
             return job.grant
         raise self._permission.final_rejection(
-            job, reason="no replica can take it"
+            job,
+            reason="no replica can take it",
+            room_at=self._note_held_back(job, service),
+        )
+
+    def _note_held_back(
+        self, job: job_module.Job, service: str
+    ) -> datetime.timedelta | None:
+        """Logs which replicas asked for fewer requests, if any.
+
+        Returns:
+            When the first of them takes requests again; None if not known.
+        """
+        held = self._gate.held_back(service)
+        if not held:
+            return None
+        logs.note(
+            "request:held_back",
+            request=job.log_id,
+            service=service,
+            replicas=[replica.replica_id for replica in held],
+            signals=[replica.signal for replica in held],
+        )
+        for signal in {replica.signal for replica in held}:
+            self._metrics.add("requests_held_back_total", signal=signal)
+        return min(
+            (replica.until for replica in held if replica.until is not None),
+            default=None,
         )
 
     def _outgoing(
--- a/src/nutmeghook/internal/relay/retry_permission.py
+++ b/src/nutmeghook/internal/relay/retry_permission.py
@@ -306,9 +306,20 @@
         return self._budgets.budget_for(service).try_spend()
 
     def final_rejection(
-        self, job: job_module.Job, *, reason: str
+        self,
+        job: job_module.Job,
+        *,
+        reason: str,
+        room_at: datetime.timedelta | None = None,
     ) -> rejections.RejectedError:
-        """Returns the rejection of a request that gets no further attempt."""
+        """Returns the rejection of a request that gets no further attempt.
+
+        Args:
+            job: The request.
+            reason: For logs.
+            room_at: Monotonic time at which a replica is expected to take
+                requests again; None if that is not known.
+        """
         if job.may_have_run:
             return rejections.RejectedError(
                 wire.FixedResponse.FAILED_PERHAPS_RUN, reason=reason
@@ -316,14 +327,22 @@
         return rejections.RejectedError(
             wire.FixedResponse.NOT_RUN,
             reason=reason,
-            retry_after=self.retry_delay(),
+            retry_after=self.retry_delay(room_at),
         )
 
-    def retry_delay(self) -> datetime.timedelta:
-        """Returns the Retry-After of a rejected caller."""
-        return datetime.timedelta(
+    def retry_delay(
+        self, room_at: datetime.timedelta | None = None
+    ) -> datetime.timedelta:
+        """Returns the Retry-After of a rejected caller.
+
+        Args:
+            room_at: Monotonic time before which it would be rejected again.
+        """
+        delay = datetime.timedelta(
             seconds=self._random.uniform(_MIN_RETRY_DELAY_S, _MAX_RETRY_DELAY_S)
         )
+        now = self._clock.monotonic()
+        return delay if room_at is None else delay + max(room_at, now) - now
 
     def time_left(self, job: job_module.Job) -> datetime.timedelta:
         """Returns the time until the request's deadline."""
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -7,6 +7,7 @@
 import abc
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -22,6 +23,21 @@
 _CONFIRMATION_PERIOD = datetime.timedelta(seconds=1)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class HeldBack:
+    """A replica that asked for fewer requests, and gets none now.
+
+    Attributes:
+        signal: What it asked for, as a short name for logs and counters.
+        until: Monotonic time at which this instance may send to it again; None
+            if that is not known.
+    """
+
+    replica_id: str
+    signal: str
+    until: datetime.timedelta | None
+
+
 class SendGate(abc.ABC):
     """Decides which replicas may be sent to."""
 
@@ -53,6 +69,10 @@
         it still holds.
         """
 
+    @abc.abstractmethod
+    def held_back(self, service: str) -> list[HeldBack]:
+        """Returns the replicas that get no requests at their own wish."""
+
 
 class OpenGate(SendGate):
     """Admits every request; for emulators and tests."""
@@ -78,6 +98,10 @@
         """Knows of no limit."""
         return []
 
+    def held_back(self, service: str) -> list[HeldBack]:
+        """Holds nothing back."""
+        return []
+
 
 class LimitingGate(SendGate):
     """Keeps requests away from evacuated and limited replicas.
@@ -161,6 +185,36 @@
             and self._admits(replica, own_slots=0)
         ]
 
+    def held_back(self, service: str) -> list[HeldBack]:
+        """Returns the replicas that get no requests at their own wish."""
+        now = self._clock.monotonic()
+        found = []
+        for replica in self._limited():
+            if replica.entry.service != service:
+                continue
+            share = send_shares.rate_limit_share(replica.rate_limit_per_s)
+            if not self._has_room(replica, share, now, own_slots=0):
+                found.append(
+                    HeldBack(
+                        replica_id=replica.entry.replica_id,
+                        signal="rate_limit",
+                        until=self._room_at(replica, share, now),
+                    )
+                )
+        return found
+
+    def _room_at(
+        self,
+        replica: replica_module.Replica,
+        share: send_shares.SendShare,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta | None:
+        """Returns when this instance may send one more within its share."""
+        place = self._place(replica, share)
+        if place is None:
+            return None
+        return replica.sends.room_at(now, share.window, share.of_sender(place))
+
     def note_restored(self, replicas: Iterable[replica_module.Replica]) -> None:
         """Treats replicas as cold when their evacuation has ended.
 
@@ -193,12 +247,19 @@
         own_slots: int,
     ) -> bool:
         """Tells whether this instance may send one more within its share."""
-        place = self._senders.place(replica.entry.replica_id, share.max_senders)
+        place = self._place(replica, share)
         if place is None:
             return False
         sent = replica.sends.count(now, share.window) - own_slots
         return sent < share.of_sender(place)
 
+    def _place(
+        self,
+        replica: replica_module.Replica,
+        share: send_shares.SendShare,
+    ) -> sender_election.SenderPlace | None:
+        return self._senders.place(replica.entry.replica_id, share.max_senders)
+
     def _shares(
         self, replica: replica_module.Replica, now: datetime.timedelta
     ) -> list[send_shares.SendShare]:
--- a/src/nutmeghook/internal/replicas/send_window.py
+++ b/src/nutmeghook/internal/replicas/send_window.py
@@ -48,6 +48,18 @@
         oldest = now - window
         return sum(slot.written_by > oldest for slot in self._slots)
 
+    def room_at(
+        self, now: datetime.timedelta, window: datetime.timedelta, most: int
+    ) -> datetime.timedelta:
+        """Returns when fewer than `most` slots will count, if none is added."""
+        oldest = now - window
+        counted = sorted(
+            slot.written_by for slot in self._slots if slot.written_by > oldest
+        )
+        if len(counted) < most:
+            return now
+        return counted[-most] + window
+
     def reserve(self, now: datetime.timedelta) -> SendSlot:
         """Reserves a slot."""
         self._drop_old(now)
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -315,8 +315,12 @@
             clock=self.clock,
         )
         limits.senders.register((), lambda span: ())
+        self.signals = limits.signals
         return limits.gate
 
+    def build_signals(self):
+        return self.signals
+
     async def ask_all_kinds(self, count: int) -> list[bytes]:
         """Sends requests of all kinds in turn; returns the answers."""
         kinds = list(model.RouteKind)
--- a/tests/cover/test_story.py
+++ b/tests/cover/test_story.py
@@ -120,6 +120,42 @@
             ],
         )
 
+    def test_a_refused_request_leads_to_the_replica_that_asked_for_less(self):
+        """No attempt was made, so only the replicas that the request was held
+        back from tell why it was refused.
+        """
+        path = self.write(
+            "edge-1.log",
+            [
+                line("process:started", -9000.0, instance="edge-1"),
+                line(
+                    "replica:rate_limit",
+                    -700.0,
+                    replica="i-1",
+                    per_s=2.5,
+                    source="peer",
+                    age_ms=40,
+                ),
+                line("replica:rate_limit", -600.0, replica="i-9", per_s=1.0),
+                line(
+                    "request:held_back",
+                    1.0,
+                    request=REQUEST,
+                    replicas=["i-1"],
+                    signals=["rate_limit"],
+                ),
+                ended(2.0, code=3000, outcome="no replica", duration_ms=2),
+            ],
+        )
+        text = "\n".join(story_lines(path))
+        self.assertIn(
+            "0.700 s before: replica:rate_limit (replica=i-1 per_s=2.5"
+            " source=peer age_ms=40)",
+            text,
+        )
+        self.assertIn("held back from i-1 (rate_limit)", text)
+        self.assertNotIn("i-9", text)
+
     def test_a_log_that_begins_too_late_is_noted(self):
         """A collector kept only the end of the log: the request's arrival and
         the sending of its first attempt are missing.
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -127,9 +127,7 @@
             relay=relay_assembly.build(
                 relay_assembly.RelayDependencies(
                     gate=self.build_gate(),
-                    signals=signal_registry.SignalRegistry(
-                        directory=self.directory, clock=self.clock
-                    ),
+                    signals=self.build_signals(),
                     configuration=self.configuration,
                     directory=self.directory,
                     versions=view.AnyVersion(),
@@ -153,6 +151,12 @@
         """Returns the gate that decides which replicas may be sent to."""
         return send_gate.OpenGate()
 
+    def build_signals(self) -> signal_registry.SignalRegistry:
+        """Returns the registry of what replicas ask; after `build_gate`."""
+        return signal_registry.SignalRegistry(
+            directory=self.directory, clock=self.clock
+        )
+
     def reply_with(self, *replies: users_replica.Reply) -> None:
         """Lets all replicas together give these replies, one after another.
 
