Read from answers that a replica leaves or wants rest, and log it

Cause looked into: requests reached replicas that had said in an answer that they leave (DRAIN) or want rest (BUDGET); the logs don't show that an answer said so.

Change: platform/headers reads Server-Leaving of any answer and Retry-After of a refusal with 503; signals that have no usable value are logged, and each alone (an unreadable limit hid the others). No choice and no send depends on it.

--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -15,6 +15,7 @@
 STORE_BACK = "store:back"
 REPLICA_COLD = "replica:cold"
 REPLICA_RATE_LIMIT = "replica:rate_limit"
+REPLICA_REST = "replica:rest"
 REPLICA_UNREADABLE_SIGNAL = "replica:unreadable_signal"
 
 TYPES: dict[str, type[log_records.Record]] = {
@@ -35,6 +36,7 @@
     "replica:replaced": state_records.ReplicaChange,
     REPLICA_COLD: state_records.ReplicaChange,
     REPLICA_RATE_LIMIT: state_records.ReplicaChange,
+    REPLICA_REST: state_records.ReplicaChange,
     REPLICA_UNREADABLE_SIGNAL: state_records.ReplicaChange,
     "data_centre:evacuated": state_records.EvacuationChange,
     "data_centre:taken_back": state_records.EvacuationChange,
--- a/src/nutmeghook/internal/observe/state_records.py
+++ b/src/nutmeghook/internal/observe/state_records.py
@@ -29,6 +29,7 @@
     source: str | None = None
     age_ms: float | None = None
     signal: str | None = None
+    rest_s: float | None = None
     successor: str | None = None
 
 
--- a/src/nutmeghook/internal/observe/story.py
+++ b/src/nutmeghook/internal/observe/story.py
@@ -31,6 +31,7 @@
 _OWN_SUBJECTS = (
     log_decoding.REPLICA_COLD,
     log_decoding.REPLICA_RATE_LIMIT,
+    log_decoding.REPLICA_REST,
     log_decoding.REPLICA_UNREADABLE_SIGNAL,
 )
 
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -60,6 +60,7 @@
         in_flight_at_report: `in_flight` when the report was received.
         rate_limit: Its last known statement on its rate limit; None if it has
             made none.
+        said_leaving: An answer of it said that it leaves.
         sends: Recent and reserved sends of this instance to it.
         short_id: 31-bit hash that identifies this start in messages. Among
             4,400 replicas two collide once in 200 starts of the fleet; then one
@@ -68,6 +69,7 @@
 
     __slots__ = (
         "_cold_until",
+        "_rest_until",
         "entry",
         "health",
         "in_flight",
@@ -75,6 +77,7 @@
         "own_backlog",
         "rate_limit",
         "report",
+        "said_leaving",
         "sends",
         "short_id",
     )
@@ -93,7 +96,9 @@
         self.in_flight_at_report = 0
         self.rate_limit: rate_limit_module.RateLimit | None = None
         self.sends = send_window.SendWindow()
+        self.said_leaving = False
         self._cold_until = datetime.timedelta()
+        self._rest_until = datetime.timedelta()
         start = f"{entry.replica_id}/{entry.started_ms}"
         self.short_id = xxhash.xxh32_intdigest(start.encode()) >> 1
 
@@ -102,6 +107,28 @@
         """Requests a second that it takes from all; None for no limit."""
         return None if self.rate_limit is None else self.rate_limit.per_s
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tells whether it leaves, by its entry or by its own answers.
+
+        The entry may be older than the answers: the list is not updated while
+        the store is away.
+        """
+        return self.entry.leaving or self.said_leaving
+
+    def is_resting(self, now: datetime.timedelta) -> bool:
+        """Tells whether it has asked this instance for no requests now."""
+        return now < self._rest_until
+
+    @property
+    def rest_until(self) -> datetime.timedelta:
+        """Monotonic time until which it wants no requests."""
+        return self._rest_until
+
+    def note_rest(self, until: datetime.timedelta) -> None:
+        """Records a rest; a shorter one never shortens it."""
+        self._rest_until = max(self._rest_until, until)
+
     def is_cold(self, now: datetime.timedelta) -> bool:
         """Returns whether it is cold by its own reports."""
         return now < self._cold_until
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -64,15 +64,18 @@
                 replica=replica.entry.replica_id,
                 signal=description,
             )
-        if signals.unreadable:
-            return
-        limit = rate_limit.after_answer(
-            replica.rate_limit,
-            signals.rate_limit_per_s,
-            sent_at=sent_at,
-            now=self._clock.monotonic(),
-        )
-        self._set_rate_limit(replica, limit, source="answer")
+        if signals.is_rate_limit_readable:
+            limit = rate_limit.after_answer(
+                replica.rate_limit,
+                signals.rate_limit_per_s,
+                sent_at=sent_at,
+                now=self._clock.monotonic(),
+            )
+            self._set_rate_limit(replica, limit, source="answer")
+        if signals.leaving:
+            self._note_leaving(replica, source="answer")
+        if signals.rest is not None:
+            self._note_rest(replica, signals.rest)
 
     def note_peer(self, short_id: int, reported: rate_limit.RateLimit) -> None:
         """Records a peer's report of a statement."""
@@ -124,6 +127,30 @@
             )
         }
 
+    def _note_leaving(
+        self, replica: replica_module.Replica, *, source: str
+    ) -> None:
+        if replica.is_leaving:
+            return
+        replica.said_leaving = True
+        logs.note(
+            "replica:leaving",
+            replica=replica.entry.replica_id,
+            source=source,
+        )
+
+    def _note_rest(
+        self, replica: replica_module.Replica, rest: datetime.timedelta
+    ) -> None:
+        now = self._clock.monotonic()
+        if not replica.is_resting(now):
+            logs.note(
+                "replica:rest",
+                replica=replica.entry.replica_id,
+                rest_s=rest.total_seconds(),
+            )
+        replica.note_rest(now + rest)
+
     def _set_rate_limit(
         self,
         replica: replica_module.Replica,
--- a/src/nutmeghook/internal/replicas/signals.py
+++ b/src/nutmeghook/internal/replicas/signals.py
@@ -1,6 +1,7 @@
 """What a replica asks of its senders, as its answers state it."""
 
 import dataclasses
+import datetime
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -10,12 +11,18 @@
     Attributes:
         rate_limit_per_s: Requests a second that it takes from all instances
             together; None if it states no limit.
-        unreadable: Descriptions of signals that have no usable value. Nothing
-            is known of their subject: an unreadable limit neither sets nor
-            lifts one.
+        is_rate_limit_readable: False if it states a limit of no usable value,
+            which neither sets nor lifts one.
+        leaving: It is about to stop, and takes no new requests.
+        rest: For so long it wants no requests from this instance; None if it
+            does not say.
+        unreadable: Descriptions of signals that have no usable value.
     """
 
     rate_limit_per_s: float | None = None
+    is_rate_limit_readable: bool = True
+    leaving: bool = False
+    rest: datetime.timedelta | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -29,10 +29,13 @@
 COLD_LEFT = "X-Cold-Ms"
 # Requests a second that the replica takes from all instances together.
 RATE_LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
+REST = "Retry-After"
 SESSION = "Session"
 ANY_MODEL = "*"
 KEY_SCHEME = "token"
 WRONG_REPLICA_STATUS = 421
+REFUSED_STATUS = 503
 
 # Set only by the router, or meant only for it.
 _NEVER_FORWARDED = http_headers.CONNECTION_FIELDS | {
@@ -55,9 +58,12 @@
 # One day; no replica stays cold for that long after its start.
 _MAX_COLD_MS = 86_400_000
 # A decimal number without sign or exponent.
-_RATE = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # Beyond any replica's capacity, so not meant as a limit.
 _MAX_RATE_PER_S = 1_000_000
+# A replica that is to stay away for longer leaves.
+_MAX_REST_S = 3600
+_IS_LEAVING = "1"
 _IDLE_LIMIT = re.compile(r"timeout=(\d+)", re.IGNORECASE)
 
 
@@ -120,7 +126,7 @@
             load=_load(values.get(LOAD.lower())),
             idle_limit_s=_idle_limit_s(values.get("keep-alive")),
             cold_left=_cold_left(values.get(COLD_LEFT.lower())),
-            signals=_signals(headers),
+            signals=_signals(status, headers),
         )
 
     def answer_headers(self, headers: wire.Headers) -> wire.Headers:
@@ -210,16 +216,30 @@
     return datetime.timedelta(milliseconds=min(number, _MAX_COLD_MS))
 
 
-def _signals(headers: wire.Headers) -> signals_module.ReplicaSignals:
+def _signals(
+    status: int, headers: wire.Headers
+) -> signals_module.ReplicaSignals:
+    unreadable = []
     limits = _values(headers, RATE_LIMIT)
-    if not limits:
-        return signals_module.NONE
-    per_s = _rate_per_s(limits)
-    if per_s is None:
-        return signals_module.ReplicaSignals(
-            unreadable=(f"{RATE_LIMIT} is {limits!r}; give one rate above 0",)
+    per_s = _number(limits, _MAX_RATE_PER_S)
+    if limits and per_s is None:
+        unreadable.append(f"{RATE_LIMIT} is {limits!r}; give one rate above 0")
+    leaving = set(_values(headers, LEAVING))
+    if leaving - {_IS_LEAVING}:
+        unreadable.append(f"{LEAVING} is {sorted(leaving)!r}; give 1")
+    rests = _values(headers, REST) if status == REFUSED_STATUS else []
+    rest_s = _number(rests, _MAX_REST_S)
+    if rests and rest_s is None:
+        unreadable.append(
+            f"{REST} is {rests!r}; give seconds up to {_MAX_REST_S}"
         )
-    return signals_module.ReplicaSignals(rate_limit_per_s=per_s)
+    return signals_module.ReplicaSignals(
+        rate_limit_per_s=per_s,
+        is_rate_limit_readable=not limits or per_s is not None,
+        leaving=leaving == {_IS_LEAVING},
+        rest=None if rest_s is None else datetime.timedelta(seconds=rest_s),
+        unreadable=tuple(unreadable),
+    )
 
 
 def _values(headers: wire.Headers, name: str) -> list[str]:
@@ -227,12 +247,12 @@
     return [value for key, value in headers if key.lower() == name.lower()]
 
 
-def _rate_per_s(texts: list[str]) -> float | None:
-    """Returns a rate; None unless there is exactly one usable value."""
-    if len(texts) != 1 or not _RATE.fullmatch(texts[0].strip()):
+def _number(texts: list[str], largest: float) -> float | None:
+    """Returns a number above 0; None unless there is one usable value."""
+    if len(texts) != 1 or not _DECIMAL.fullmatch(texts[0].strip()):
         return None
-    per_s = float(texts[0])
-    return per_s if 0 < per_s <= _MAX_RATE_PER_S else None
+    number = float(texts[0])
+    return number if 0 < number <= largest else None
 
 
 def _whole_ms(duration: datetime.timedelta) -> int:
--- a/tests/cover/test_replica_signals.py
+++ b/tests/cover/test_replica_signals.py
@@ -76,6 +76,54 @@
             self.assertGreater(read.rate_limit_per_s, 0)
 
 
+class LeavingAndRestHeadersTest(unittest.TestCase):
+    def read(self, status: int, *fields) -> signals.ReplicaSignals:
+        """Returns the signals of an answer."""
+        return headers.PlatformHeaders().read_answer(status, fields).signals
+
+    def test_a_leaving_replica_says_so_in_any_answer(self):
+        for status in (200, 500, 503):
+            read = self.read(status, ("server-leaving", "1"))
+            self.assertTrue(read.leaving)
+            self.assertEqual(read.unreadable, ())
+        twice = self.read(200, ("Server-Leaving", "1"), ("Server-Leaving", "1"))
+        self.assertTrue(twice.leaving)
+
+    def test_another_value_is_reported_and_closes_nothing(self):
+        for value in ("0", "", "true", "11", "nan"):
+            read = self.read(200, ("Server-Leaving", value))
+            self.assertFalse(read.leaving)
+            self.assertEqual(len(read.unreadable), 1)
+
+    def test_a_refusal_may_ask_for_rest(self):
+        for text, rest_s in (("3", 3.0), ("0.25", 0.25), ("3600", 3600.0)):
+            read = self.read(503, ("Retry-After", text))
+            self.assertEqual(read.rest, rest_s * SECOND)
+
+    def test_only_a_refusal_asks_for_rest(self):
+        for status in (200, 429, 500):
+            self.assertIsNone(self.read(status, ("Retry-After", "3")).rest)
+
+    def test_an_unusable_rest_is_reported(self):
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        for text in (*UNUSABLE_RATES, "3601", date):
+            with self.subTest(text=text):
+                read = self.read(503, ("Retry-After", text))
+                self.assertIsNone(read.rest)
+                self.assertEqual(len(read.unreadable), 1)
+
+    def test_one_unreadable_signal_does_not_hide_the_others(self):
+        read = self.read(
+            503,
+            ("Server-Limit", "nan"),
+            ("Server-Leaving", "1"),
+            ("Retry-After", "3"),
+        )
+        self.assertFalse(read.is_rate_limit_readable)
+        self.assertTrue(read.leaving)
+        self.assertEqual(read.rest, 3 * SECOND)
+
+
 class StatementOrderTest(unittest.TestCase):
     """Which of a replica's statements is in force."""
 
@@ -174,7 +222,11 @@
     async def test_an_unreadable_limit_changes_nothing(self):
         self.answer(self.replica, rate_limit_per_s=2.0)
         await self.clock.advance(SECOND)
-        self.answer(self.replica, unreadable=("a limit of nothing",))
+        self.answer(
+            self.replica,
+            is_rate_limit_readable=False,
+            unreadable=("a limit of nothing",),
+        )
         self.assertEqual(self.replica.rate_limit_per_s, 2.0)
 
     async def test_a_former_start_says_nothing_of_the_present_one(self):
