--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -27,11 +27,10 @@
 from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.replicas import signals
 from nutmeghook.internal.routes import in_force as in_force_module
-from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
 from nutmeghook.platform import replicas as replicas_wire
 from nutmeghook.platform import settings
-from nutmeghook.standins import users_replica
+from tests import gated_relay
 from tests import platform_rows
 from tests import relay_fixture
 
@@ -39,20 +38,6 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 # Requests of an instance count from this long after it was told.
 TOLD_S = 0.5
-SETTINGS = """
-nodeName = "{name}"
-ip = "10.1.0.40"
-zone = "here"
-region = "centre"
-internalPorts = [7340, 7355]
-[listen]
-front = "10.1.0.40:8227"
-ready = "10.1.0.40:8220"
-[bounds]
-graceS = 8
-[platform]
-address = "10.200.1.7:8223"
-"""
 
 
 class Instance:
@@ -64,7 +49,7 @@
         self.directory.put(
             replicas_wire.decode("i-1", platform_rows.replica_row())
         )
-        loaded = settings.load(SETTINGS.format(name=name))
+        loaded = settings.load(gated_relay.SETTINGS.format(name=name))
         self.limits = send_limits.SendLimits(
             settings=lambda: loaded,
             configuration=in_force_module.ConfigurationInForce(),
@@ -298,41 +283,7 @@
         self.assertGreaterEqual(asked, 5)
 
 
-class GatedRelayCase(relay_fixture.RelayCase):
-    """A relay of the only instance, with two replicas."""
-
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        for replica in self.replicas:
-            replica.decide_by(reply_to)
-
-    def build_gate(self):
-        loaded = settings.load(SETTINGS.format(name="edge-1"))
-        limits = send_limits.SendLimits(
-            settings=lambda: loaded,
-            configuration=self.configuration,
-            directory=self.directory,
-            clock=self.clock,
-        )
-        limits.senders.register((), lambda span: ())
-        self.signals = limits.signals
-        return limits.gate
-
-    def build_signals(self):
-        return self.signals
-
-    async def ask_all_kinds(self, count: int) -> list[bytes]:
-        """Sends requests of all kinds in turn; returns the answers."""
-        kinds = list(model.RouteKind)
-        return [
-            await self.ask(
-                kinds[number % len(kinds)], request_id=f"request-{number}"
-            )
-            for number in range(count)
-        ]
-
-
-class RelayTest(GatedRelayCase):
+class RelayTest(gated_relay.GatedRelayCase):
     """One of two replicas states a limit."""
 
     PER_S = 0.5
@@ -349,7 +300,7 @@
         self.assertGreater(len(other.received), 0)
 
 
-class NobodyLeftTest(GatedRelayCase):
+class NobodyLeftTest(gated_relay.GatedRelayCase):
     """All replicas are at their limit."""
 
     PER_S = 0.2
@@ -383,11 +334,5 @@
         )
 
 
-def reply_to(request: users_replica.ReceivedRequest) -> users_replica.Reply:
-    """Returns a stream or a whole answer, depending on the route."""
-    is_stream = request.target.startswith(f"/{model.RouteKind.STREAM.value}/")
-    return users_replica.Reply(events=(1, 2) if is_stream else ())
-
-
 if __name__ == "__main__":
     unittest.main()
