Ignore peers' reports of a replica's former start

What is seen: a replica starts again under its old id; where entries don't state the start, both have the same hash in messages, and a peer's reminder of the former one's limit limits the new one until its first answer.

Change: a replica knows when it replaced a former start, and reports heard before then are dropped.

Measured: cover/test_replica_signals, a_peers_report_of_a_former_start_is_ ignored, fails without the change (2.0 is not None) and passes.

--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -282,7 +282,8 @@
         known = self._by_id.get(entry.replica_id)
         if known is not None and not known.entry.is_same_start(entry):
             self._forget(entry.replica_id)
-            known = None
+            known = self._add(entry)
+            known.replaced_at = self._clock.monotonic()
         if known is None:
             known = self._add(entry)
         if entry.leaving and not known.entry.leaving:
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -60,6 +60,8 @@
         in_flight_at_report: `in_flight` when the report was received.
         rate_limit: Its last known statement on its rate limit; None if it has
             made none.
+        replaced_at: Monotonic time at which it replaced a former start under
+            its id; None if it is the first one known.
         said_leaving: An answer of it said that it leaves.
         sends: Recent and reserved sends of this instance to it.
         short_id: 31-bit hash that identifies this start in messages. Among
@@ -76,6 +78,7 @@
         "in_flight_at_report",
         "own_backlog",
         "rate_limit",
+        "replaced_at",
         "report",
         "said_leaving",
         "sends",
@@ -96,6 +99,7 @@
         self.in_flight_at_report = 0
         self.rate_limit: rate_limit_module.RateLimit | None = None
         self.sends = send_window.SendWindow()
+        self.replaced_at: datetime.timedelta | None = None
         self.said_leaving = False
         self._cold_until = datetime.timedelta()
         self._rest_until = datetime.timedelta()
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -79,12 +79,28 @@
 
     def note_peer(self, short_id: int, reported: rate_limit.RateLimit) -> None:
         """Records a peer's report of a statement."""
-        replica = self._directory.by_short_id(short_id)
+        replica = self._reported_replica(short_id, reported.heard_at)
         if replica is None:
             return
         limit = rate_limit.after_peer(replica.rate_limit, reported)
         self._set_rate_limit(replica, limit, source="peer")
 
+    def _reported_replica(
+        self, short_id: int, heard_at: datetime.timedelta
+    ) -> replica_module.Replica | None:
+        """Returns the replica of a peer's report; None if it is of none.
+
+        Where entries do not state their start, all starts under one id have the
+        same hash, and a report from before the present one is of a former one.
+        """
+        replica = self._directory.by_short_id(short_id)
+        if replica is None:
+            return None
+        is_of_former = (
+            replica.replaced_at is not None and heard_at < replica.replaced_at
+        )
+        return None if is_of_former else replica
+
     def limited(self) -> list[replica_module.Replica]:
         """Returns the replicas that state a limit."""
         if not self._stated:
--- a/tests/cover/test_replica_signals.py
+++ b/tests/cover/test_replica_signals.py
@@ -240,6 +240,20 @@
         self.answer(self.replica, rate_limit_per_s=2.0)
         self.assertIsNone(self.put(version="v2").rate_limit_per_s)
 
+    async def test_a_peers_report_of_a_former_start_is_ignored(self):
+        """Entries without a start give all starts under one id the same hash,
+        and peers go on telling what the former one stated.
+        """
+        heard_at = self.clock.monotonic()
+        await self.clock.advance(SECOND)
+        restarted = self.put(version="v2")
+        self.assertEqual(restarted.short_id, self.replica.short_id)
+        for at, per_s in ((heard_at, None), (self.clock.monotonic(), 2.0)):
+            self.registry.note_peer(
+                restarted.short_id, rate_limit.RateLimit(per_s=2.0, heard_at=at)
+            )
+            self.assertEqual(restarted.rate_limit_per_s, per_s)
+
     async def test_a_new_row_of_the_same_start_keeps_the_limit(self):
         self.answer(self.replica, rate_limit_per_s=2.0)
         self.assertEqual(self.put(slots=9).rate_limit_per_s, 2.0)
