Send nothing more to a replica that says in an answer that it leaves

What callers and replicas saw: a replica that left while the store was away said so in all its answers and got its usual load for 12 s (3040 and 2450 ms after the word; bound 2000); it cut a stream at its end.

Cause: only the list's entry made a replica leaving (hypothesis 1), and the list stood still. Requests under way from before (hypothesis 2) come within milliseconds; ejection (3) doesn't apply, since its answers were successes.

Change: the word of an answer counts for good for that start, whatever its row says; the gate asks for it at the choice and at the write; all instances are told, at once and by reminders. A replica that leaves by its word and refuses connections isn't held against a request (relay/crash_detector), and a roll-out counts it as leaving.

--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -248,6 +248,13 @@
   3: list<i32> ages_ms,
 }
 
+// Replicas that said in an answer that they leave, and how long ago that was
+// heard; parallel lists. A replica is named as in ReplicaLoads.
+struct LeavingReplicas {
+  1: list<i32> replica_hashes,
+  2: list<i32> ages_ms,
+}
+
 union Body {
   1: Empty empty,
   2: Failure failure,
@@ -276,6 +283,7 @@
   25: TablePiece table_piece,
   26: CrashSuspects crash_suspects,
   27: ReplicaRateLimits replica_rate_limits,
+  28: LeavingReplicas leaving_replicas,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -138,7 +138,7 @@
             replica_now=reachability.value,
         )
         has_ended = reachability is pool_module.Reachability.REFUSES
-        if has_ended and not replica.entry.leaving:
+        if has_ended and not replica.is_leaving:
             self._registry.note_crash(
                 job.identity, replica_hash=replica.short_id, begun=begun
             )
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -129,7 +129,7 @@
     def allows(self, replica: replica_module.Replica) -> bool:
         """Returns whether a replica may run the request."""
         return (
-            not replica.entry.leaving
+            not replica.is_leaving
             and replica.entry.replica_id not in self.exclude
             and self.accepts(replica.entry)
         )
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -62,7 +62,8 @@
             made none.
         replaced_at: Monotonic time at which it replaced a former start under
             its id; None if it is the first one known.
-        said_leaving: An answer of it said that it leaves.
+        said_leaving_at: Monotonic time at which an instance heard in one of its
+            answers that it leaves; None if none has.
         sends: Recent and reserved sends of this instance to it.
         short_id: 31-bit hash that identifies this start in messages. Among
             4,400 replicas two collide once in 200 starts of the fleet; then one
@@ -80,7 +81,7 @@
         "rate_limit",
         "replaced_at",
         "report",
-        "said_leaving",
+        "said_leaving_at",
         "sends",
         "short_id",
     )
@@ -100,7 +101,7 @@
         self.rate_limit: rate_limit_module.RateLimit | None = None
         self.sends = send_window.SendWindow()
         self.replaced_at: datetime.timedelta | None = None
-        self.said_leaving = False
+        self.said_leaving_at: datetime.timedelta | None = None
         self._cold_until = datetime.timedelta()
         self._rest_until = datetime.timedelta()
         start = f"{entry.replica_id}/{entry.started_ms}"
@@ -118,7 +119,7 @@
         The entry may be older than the answers: the list is not updated while
         the store is away.
         """
-        return self.entry.leaving or self.said_leaving
+        return self.entry.leaving or self.said_leaving_at is not None
 
     def is_resting(self, now: datetime.timedelta) -> bool:
         """Tells whether it has asked this instance for no requests now."""
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -104,7 +104,7 @@
 
 
 class LimitingGate(SendGate):
-    """Keeps requests away from evacuated and limited replicas.
+    """Keeps requests away from leaving, evacuated and limited replicas.
 
     Args:
         evacuations: The data centres under evacuation.
@@ -230,6 +230,8 @@
     def _admits(
         self, replica: replica_module.Replica, *, own_slots: int
     ) -> bool:
+        if replica.is_leaving:
+            return False
         if self._evacuations.is_evacuated(replica.entry.data_centre):
             return False
         now = self._clock.monotonic()
--- a/src/nutmeghook/internal/replicas/signal_gossip.py
+++ b/src/nutmeghook/internal/replicas/signal_gossip.py
@@ -1,14 +1,13 @@
-"""Gossips the rate limits of replicas to all instances.
+"""Gossips to all instances which replicas state a rate limit, or leave.
 
-A limit concerns all instances together, but only those that send to its replica
-hear of it. A limit that begins, ends or falls by half is sent to many peers at
-once, and each instance forwards it. All known limits are sent again
+Both concern all instances, but only those that send to a replica hear of it. A
+replica that leaves, and a limit that begins, ends or falls by half, are sent to
+many peers at once, and each instance forwards them. All are sent again
 periodically, since a datagram may be lost, and an instance may have been
 started, suspended or partitioned meanwhile.
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 import datetime
 import random
 
@@ -26,7 +25,7 @@
 LOCAL_REMINDER_FANOUT = 1
 REMOTE_REMINDER_FANOUT = 1.0
 # Each takes some 10 bytes, and a datagram should fit into one packet.
-MAX_LIMITS_SENT = 64
+MAX_REPLICAS_SENT = 64
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _MILLI = 1000
 
@@ -55,7 +54,8 @@
         self._sample_peers = sample_peers
         self._clock = clock
         self._random = random_source
-        messages.register(ttypes.ReplicaRateLimits, self._receive)
+        messages.register(ttypes.ReplicaRateLimits, self._receive_limits)
+        messages.register(ttypes.LeavingReplicas, self._receive_leaving)
 
     async def run(self) -> None:
         """Sends changes at once and reminders periodically until cancelled."""
@@ -70,12 +70,12 @@
 
     def send_changes(self) -> None:
         """Sends the pending changes to many peers."""
-        while changed := self._registry.take_changes(MAX_LIMITS_SENT):
+        while changed := self._registry.take_changes(MAX_REPLICAS_SENT):
             self._send(changed, local=LOCAL_FANOUT, remote=REMOTE_FANOUT)
 
     def send_reminder(self) -> None:
         """Sends the latest statements to one or two peers again."""
-        stated = self._registry.latest(MAX_LIMITS_SENT)
+        stated = self._registry.latest(MAX_REPLICAS_SENT)
         if stated:
             self._send(
                 stated,
@@ -85,26 +85,51 @@
 
     def _send(
         self,
-        replicas: Iterable[replica_module.Replica],
+        replicas: list[replica_module.Replica],
         *,
         local: int,
         remote: float,
     ) -> None:
-        now = self._clock.monotonic()
-        limits = [(r.short_id, r.rate_limit) for r in replicas]
-        message = ttypes.ReplicaRateLimits(
-            replica_hashes=[short_id for short_id, _ in limits],
-            limits_milli_per_s=[_milli(limit.per_s) for _, limit in limits],
-            ages_ms=[
-                round((now - limit.heard_at) / _MILLISECOND)
-                for _, limit in limits
-            ],
+        peers = self._sample_peers(local=local, remote=remote)
+        limited = [r for r in replicas if r.rate_limit is not None]
+        leaving = [r for r in replicas if r.said_leaving_at is not None]
+        if limited:
+            self._messages.send(peers, self._limits_message(limited))
+        if leaving:
+            self._messages.send(peers, self._leaving_message(leaving))
+
+    def _limits_message(
+        self, replicas: list[replica_module.Replica]
+    ) -> ttypes.ReplicaRateLimits:
+        limits = [replica.rate_limit for replica in replicas]
+        return ttypes.ReplicaRateLimits(
+            replica_hashes=[replica.short_id for replica in replicas],
+            limits_milli_per_s=[_milli(limit.per_s) for limit in limits],
+            ages_ms=[self._age_ms(limit.heard_at) for limit in limits],
         )
-        self._messages.send(
-            self._sample_peers(local=local, remote=remote), message
+
+    def _leaving_message(
+        self, replicas: list[replica_module.Replica]
+    ) -> ttypes.LeavingReplicas:
+        return ttypes.LeavingReplicas(
+            replica_hashes=[replica.short_id for replica in replicas],
+            ages_ms=[self._age_ms(r.said_leaving_at) for r in replicas],
         )
 
-    def _receive(self, message: ttypes.ReplicaRateLimits) -> None:
+    def _age_ms(self, heard_at: datetime.timedelta) -> int:
+        return round((self._clock.monotonic() - heard_at) / _MILLISECOND)
+
+    def _receive_leaving(self, message: ttypes.LeavingReplicas) -> None:
+        now = self._clock.monotonic()
+        for short_id, age_ms in zip(
+            message.replica_hashes, message.ages_ms, strict=False
+        ):
+            if age_ms >= 0:
+                self._registry.note_peer_leaving(
+                    short_id, now - age_ms * _MILLISECOND
+                )
+
+    def _receive_limits(self, message: ttypes.ReplicaRateLimits) -> None:
         now = self._clock.monotonic()
         for short_id, milli_per_s, age_ms in zip(
             message.replica_hashes,
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -73,7 +73,9 @@
             )
             self._set_rate_limit(replica, limit, source="answer")
         if signals.leaving:
-            self._note_leaving(replica, source="answer")
+            self._note_leaving(
+                replica, self._clock.monotonic(), source="answer"
+            )
         if signals.rest is not None:
             self._note_rest(replica, signals.rest)
 
@@ -85,6 +87,14 @@
         limit = rate_limit.after_peer(replica.rate_limit, reported)
         self._set_rate_limit(replica, limit, source="peer")
 
+    def note_peer_leaving(
+        self, short_id: int, heard_at: datetime.timedelta
+    ) -> None:
+        """Records a peer's report that a replica said it leaves."""
+        replica = self._reported_replica(short_id, heard_at)
+        if replica is not None:
+            self._note_leaving(replica, heard_at, source="peer")
+
     def _reported_replica(
         self, short_id: int, heard_at: datetime.timedelta
     ) -> replica_module.Replica | None:
@@ -115,11 +125,7 @@
     def latest(self, max_count: int) -> list[replica_module.Replica]:
         """Returns the replicas with the latest statements, the latest first."""
         self._drop_old()
-        stated = sorted(
-            self._stated.values(),
-            key=lambda replica: replica.rate_limit.heard_at,
-            reverse=True,
-        )
+        stated = sorted(self._stated.values(), key=_last_heard_at, reverse=True)
         return stated[:max_count]
 
     def take_changes(self, max_count: int) -> list[replica_module.Replica]:
@@ -138,22 +144,33 @@
             for replica_id, replica in self._stated.items()
             if self._directory.is_current(replica)
             and (
-                replica.rate_limit_per_s is not None
+                replica.said_leaving_at is not None
+                or replica.rate_limit_per_s is not None
                 or replica.rate_limit.heard_at > oldest
             )
         }
 
     def _note_leaving(
-        self, replica: replica_module.Replica, *, source: str
+        self,
+        replica: replica_module.Replica,
+        heard_at: datetime.timedelta,
+        *,
+        source: str,
     ) -> None:
-        if replica.is_leaving:
+        """Records that a replica leaves, which no later statement undoes."""
+        if replica.said_leaving_at is not None:
             return
-        replica.said_leaving = True
-        logs.note(
-            "replica:leaving",
-            replica=replica.entry.replica_id,
-            source=source,
-        )
+        was_known = replica.is_leaving
+        replica.said_leaving_at = heard_at
+        self._stated[replica.entry.replica_id] = replica
+        self._note_change(replica)
+        if not was_known:
+            logs.note(
+                "replica:leaving",
+                replica=replica.entry.replica_id,
+                source=source,
+                age_ms=self._age_ms(heard_at),
+            )
 
     def _note_rest(
         self, replica: replica_module.Replica, rest: datetime.timedelta
@@ -182,21 +199,35 @@
         if limit.per_s == before_per_s:
             return
         if _is_urgent(before_per_s, limit.per_s):
-            self._changed[replica.entry.replica_id] = replica
-            self.changes.set()
-        age = self._clock.monotonic() - limit.heard_at
+            self._note_change(replica)
         logs.note(
             "replica:rate_limit",
             replica=replica.entry.replica_id,
             per_s=limit.per_s,
             before_per_s=before_per_s,
             source=source,
-            age_ms=round(age / _MILLISECOND),
+            age_ms=self._age_ms(limit.heard_at),
         )
 
+    def _note_change(self, replica: replica_module.Replica) -> None:
+        """Has a change told to peers."""
+        self._changed[replica.entry.replica_id] = replica
+        self.changes.set()
+
+    def _age_ms(self, heard_at: datetime.timedelta) -> int:
+        return round((self._clock.monotonic() - heard_at) / _MILLISECOND)
+
 
 def _is_urgent(before_per_s: float | None, per_s: float | None) -> bool:
     """Tells whether peers are told of a change at once."""
     if before_per_s is None or per_s is None:
         return True
     return per_s <= _SHARP_FALL * before_per_s
+
+
+def _last_heard_at(replica: replica_module.Replica) -> datetime.timedelta:
+    """Returns when a replica's latest statement was heard."""
+    heard_at = [replica.said_leaving_at]
+    if replica.rate_limit is not None:
+        heard_at.append(replica.rate_limit.heard_at)
+    return max(at for at in heard_at if at is not None)
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -380,7 +380,7 @@
     ) -> bool:
         return any(
             wanted(replica.entry)
-            and not replica.entry.leaving
+            and not replica.is_leaving
             and may_take(replica)
             for replica in self._directory.of_service(service)
         )
--- a/tests/cover/test_leaving_answers.py
+++ b/tests/cover/test_leaving_answers.py
@@ -73,7 +73,7 @@
 
         async def slow_acquire(address, *, max_idle_s):
             connection = await acquire(address, max_idle_s=max_idle_s)
-            known.said_leaving = True
+            known.said_leaving_at = self.clock.monotonic()
             return connection
 
         with mock.patch.object(
--- a/tests/cover/test_replica_signals.py
+++ b/tests/cover/test_replica_signals.py
@@ -254,6 +254,24 @@
             )
             self.assertEqual(restarted.rate_limit_per_s, per_s)
 
+    async def test_a_former_start_that_left_does_not_close_the_present_one(
+        self,
+    ):
+        heard_at = self.clock.monotonic()
+        await self.clock.advance(SECOND)
+        restarted = self.put(version="v2")
+        self.answer(self.replica, leaving=True)
+        self.registry.note_peer_leaving(restarted.short_id, heard_at)
+        self.assertFalse(restarted.is_leaving)
+        self.registry.note_peer_leaving(
+            restarted.short_id, self.clock.monotonic()
+        )
+        self.assertTrue(restarted.is_leaving)
+
+    async def test_a_row_that_says_ready_does_not_outweigh_an_answer(self):
+        self.answer(self.replica, leaving=True)
+        self.assertTrue(self.put(slots=9).is_leaving)
+
     async def test_a_new_row_of_the_same_start_keeps_the_limit(self):
         self.answer(self.replica, rate_limit_per_s=2.0)
         self.assertEqual(self.put(slots=9).rate_limit_per_s, 2.0)
--- a/tests/cover/test_signal_gossip.py
+++ b/tests/cover/test_signal_gossip.py
@@ -143,6 +143,18 @@
         await fleet.rounds(100)
         self.assertEqual(fleet.knowing(None), INSTANCES)
 
+    async def test_all_instances_know_a_leaving_replica_within_a_second(self):
+        """One instance of 420 hears in an answer that a replica leaves."""
+        fleet = Fleet(INSTANCES)
+        fleet.instances[0].registry.note_answer(
+            fleet.instances[0].replica,
+            signals.ReplicaSignals(leaving=True),
+            sent_at=fleet.clock.monotonic(),
+        )
+        await fleet.rounds(2)
+        leaving = [i.replica.is_leaving for i in fleet.instances]
+        self.assertEqual(leaving.count(True), INSTANCES)
+
     async def test_an_instance_that_was_cut_off_is_told_by_reminders(self):
         fleet = Fleet(12)
         fleet.instances[7].socket.is_cut = True
@@ -180,7 +192,7 @@
         fleet = Fleet(1)
         (instance,) = fleet.instances
         for limit, age in ((-1, 0), (1000, -5)):
-            instance.gossip._receive(
+            instance.gossip._receive_limits(
                 ttypes.ReplicaRateLimits(
                     replica_hashes=[instance.replica.short_id],
                     limits_milli_per_s=[limit],
