Leave a replica that asks for rest alone until its time ends

What callers and replicas saw: replicas that turned requests away with 503 and wanted nothing for 3 s got 7 and 8 requests from one instance in that time (allowed 2), 36 and 43 from all; their refusals spent the retry budget, and a caller was refused while four replicas were free.

Nothing waits and nothing runs at a replica that refuses, so the choice took it for idle, and the keys that prefer it were offered to it again and again.

Change: the gate is closed for that replica at this instance until the time is over, at the choice and at the write; other instances are not told, since it asked this one. While all replicas rest, callers are told when the first ends.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -369,7 +369,11 @@
         now = self._clock.monotonic()
         cold = [r for r in self.directory.all() if r.is_cold(now)]
         self._set_open("cold_replicas", cold)
-        self._set_open("limited_replicas", self.send_limits.signals.limited())
+        asking = self.send_limits.signals.asking()
+        self._set_open(
+            "limited_replicas",
+            [r for r in asking if r.rate_limit_per_s is not None],
+        )
 
     def _set_open(
         self, name: str, replicas: list[replica_module.Replica]
--- a/src/nutmeghook/internal/assembly/send_limits.py
+++ b/src/nutmeghook/internal/assembly/send_limits.py
@@ -63,7 +63,7 @@
         self.gate = send_gate.LimitingGate(
             evacuations=self.evacuations,
             senders=self.senders,
-            limited=self.signals.limited,
+            asking=self.signals.asking,
             service=self._service,
             cold_share=self._cold_share,
             clock=clock,
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -110,17 +110,17 @@
         evacuations: The data centres under evacuation.
         senders: Tells whether this instance may send to a limited replica.
         service: Returns a service by its name; None if it is not known.
-        limited: Returns the replicas that state a limit.
+        asking: Returns the replicas that ask their senders for something.
         cold_share: Returns how the rate of a service's cold replicas is
             divided.
         clock: Measures time.
     """
 
     __slots__ = (
+        "_asking",
         "_clock",
         "_cold_share",
         "_evacuations",
-        "_limited",
         "_senders",
         "_service",
     )
@@ -130,14 +130,14 @@
         *,
         evacuations: evacuations_module.EvacuationRegistry,
         senders: sender_election.SenderElection,
-        limited: Callable[[], Iterable[replica_module.Replica]],
+        asking: Callable[[], Iterable[replica_module.Replica]],
         service: Callable[[str], model.Service | None],
         cold_share: Callable[[model.Service], send_shares.SendShare | None],
         clock: clock_module.Clock,
     ):
         self._evacuations = evacuations
         self._senders = senders
-        self._limited = limited
+        self._asking = asking
         self._service = service
         self._cold_share = cold_share
         self._clock = clock
@@ -178,8 +178,9 @@
         oldest = now - _CONFIRMATION_PERIOD
         return [
             replica
-            for replica in self._limited()
+            for replica in self._asking()
             if replica.entry.service == service
+            and replica.rate_limit_per_s is not None
             and replica.rate_limit.heard_at <= oldest
             and not replica.sends.count(now, _CONFIRMATION_PERIOD)
             and self._admits(replica, own_slots=0)
@@ -188,20 +189,29 @@
     def held_back(self, service: str) -> list[HeldBack]:
         """Returns the replicas that get no requests at their own wish."""
         now = self._clock.monotonic()
-        found = []
-        for replica in self._limited():
-            if replica.entry.service != service:
-                continue
-            share = send_shares.rate_limit_share(replica.rate_limit_per_s)
-            if not self._has_room(replica, share, now, own_slots=0):
-                found.append(
-                    HeldBack(
-                        replica_id=replica.entry.replica_id,
-                        signal="rate_limit",
-                        until=self._room_at(replica, share, now),
-                    )
-                )
-        return found
+        held = (
+            self._reason_held(replica, now)
+            for replica in self._asking()
+            if replica.entry.service == service
+        )
+        return [found for found in held if found is not None]
+
+    def _reason_held(
+        self, replica: replica_module.Replica, now: datetime.timedelta
+    ) -> HeldBack | None:
+        """Returns why a replica gets no requests; None if it may get some."""
+        if replica.is_leaving:
+            return _held_back(replica, "leaving", until=None)
+        if replica.is_resting(now):
+            return _held_back(replica, "rest", until=replica.rest_until)
+        if replica.rate_limit_per_s is None:
+            return None
+        share = send_shares.rate_limit_share(replica.rate_limit_per_s)
+        if self._has_room(replica, share, now, own_slots=0):
+            return None
+        return _held_back(
+            replica, "rate_limit", until=self._room_at(replica, share, now)
+        )
 
     def _room_at(
         self,
@@ -235,6 +245,8 @@
         if self._evacuations.is_evacuated(replica.entry.data_centre):
             return False
         now = self._clock.monotonic()
+        if replica.is_resting(now):
+            return False
         return all(
             self._has_room(replica, share, now, own_slots=own_slots)
             for share in self._shares(replica, now)
@@ -283,3 +295,14 @@
     ) -> send_shares.SendShare | None:
         service = self._service(replica.entry.service)
         return None if service is None else self._cold_share(service)
+
+
+def _held_back(
+    replica: replica_module.Replica,
+    signal: str,
+    *,
+    until: datetime.timedelta | None,
+) -> HeldBack:
+    return HeldBack(
+        replica_id=replica.entry.replica_id, signal=signal, until=until
+    )
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -26,7 +26,14 @@
         changes: Set while `take_changes` has something to return.
     """
 
-    __slots__ = ("_changed", "_clock", "_directory", "_stated", "changes")
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_directory",
+        "_resting",
+        "_stated",
+        "changes",
+    )
 
     def __init__(
         self,
@@ -36,10 +43,11 @@
     ):
         self._directory = directory
         self._clock = clock
-        # Replicas with a statement, by id, and those whose change is to be
-        # told to peers.
+        # By id: replicas with a statement for all instances, those whose change
+        # is to be told to peers, and those that rest from this instance.
         self._stated: dict[str, replica_module.Replica] = {}
         self._changed: dict[str, replica_module.Replica] = {}
+        self._resting: dict[str, replica_module.Replica] = {}
         self.changes = asyncio.Event()
 
     def note_answer(
@@ -111,15 +119,20 @@
         )
         return None if is_of_former else replica
 
-    def limited(self) -> list[replica_module.Replica]:
-        """Returns the replicas that state a limit."""
-        if not self._stated:
+    def asking(self) -> list[replica_module.Replica]:
+        """Returns the replicas that ask their senders for something."""
+        if not self._stated and not self._resting:
             return []
+        now = self._clock.monotonic()
         return [
             replica
-            for replica in self._stated.values()
-            if replica.rate_limit_per_s is not None
-            and self._directory.is_current(replica)
+            for replica in (self._stated | self._resting).values()
+            if self._directory.is_current(replica)
+            and (
+                replica.rate_limit_per_s is not None
+                or replica.is_leaving
+                or replica.is_resting(now)
+            )
         ]
 
     def latest(self, max_count: int) -> list[replica_module.Replica]:
@@ -176,6 +189,12 @@
         self, replica: replica_module.Replica, rest: datetime.timedelta
     ) -> None:
         now = self._clock.monotonic()
+        self._resting = {
+            replica_id: known
+            for replica_id, known in self._resting.items()
+            if known.is_resting(now)
+        }
+        self._resting[replica.entry.replica_id] = replica
         if not replica.is_resting(now):
             logs.note(
                 "replica:rest",
--- a/tests/cover/test_cold_replicas.py
+++ b/tests/cover/test_cold_replicas.py
@@ -237,7 +237,7 @@
             evacuations=evacuations.EvacuationRegistry(),
             senders=self.senders,
             service=lambda name: SERVICE,
-            limited=list,
+            asking=list,
             cold_share=lambda service: SHARE,
             clock=self.clock,
         )
--- a/tests/cover/test_evacuations.py
+++ b/tests/cover/test_evacuations.py
@@ -130,7 +130,7 @@
                 instance_id="edge-1", clock=self.clock
             ),
             service=lambda name: None,
-            limited=list,
+            asking=list,
             cold_share=lambda service: None,
             clock=self.clock,
         )
