--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -19,6 +19,8 @@
 from nutmeghook.experiment import soak_checks
 from nutmeghook.experiment import soak_evacuations
 from nutmeghook.experiment import soak_faults
+from nutmeghook.experiment import soak_signal_checks
+from nutmeghook.experiment import soak_signals
 from nutmeghook.experiment import soak_trial
 
 # For how long new faults begin.
@@ -52,6 +54,7 @@
     with_bounds: bool = True,
     with_crashing: bool = True,
     with_evacuation: bool = True,
+    with_signals: bool = True,
 ) -> SoakReport:
     """Runs one seed and checks the history.
 
@@ -64,21 +67,14 @@
         with_bounds: Check time bounds too.
         with_crashing: Send copies of a request that crashes its replicas.
         with_evacuation: Evacuate a data centre; its replicas return cold.
+        with_signals: Replicas state limits, ask for rest, and leave.
     """
     trial = soak_trial.SoakTrial(folder=folder, seed=seed, routers=routers)
     if with_evacuation:
         trial.operator.cold_limits = soak_evacuations.COLD_LIMITS
     try:
         await trial.start()
-        for number in range(3, soak_trial.REPLICAS):
-            await trial.add_replica(f"v1-{number}", "v1")
-        if with_evacuation:
-            for number in range(soak_evacuations.REPLICAS):
-                await trial.add_replica(
-                    f"v1-annex-{number}",
-                    "v1",
-                    data_centre=soak_evacuations.DATA_CENTRE,
-                )
+        await _add_replicas(trial, with_evacuation=with_evacuation)
         stop_load = asyncio.Event()
         load = asyncio.create_task(_load(trial, rate_per_s, stop_load))
         injector = soak_faults.FaultInjector(
@@ -86,9 +82,8 @@
         )
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(injector.run(seconds=seconds))
+            # Separate random sources leave a seed's other faults unchanged.
             if with_crashing:
-                # A separate random source leaves the other faults of a seed
-                # unchanged.
                 tasks.create_task(
                     injector.send_crashing_requests(
                         random.Random(seed), seconds=seconds
@@ -98,6 +93,12 @@
                 tasks.create_task(
                     soak_evacuations.play(trial, random.Random(seed))
                 )
+            if with_signals:
+                tasks.create_task(
+                    soak_signals.play(
+                        trial, random.Random(seed), seconds=seconds
+                    )
+                )
         await asyncio.sleep(SETTLE_S)
         if with_crashing:
             await injector.send_final_copies()
@@ -117,12 +118,28 @@
             + trial.reverts()
             + trial.unexpected_exits()
             + (trial.not_serving if with_bounds else [])
+            + (soak_signal_checks.violations(history) if with_bounds else [])
             + unrecovered,
         )
     finally:
         await trial.end()
 
 
+async def _add_replicas(
+    trial: soak_trial.SoakTrial, *, with_evacuation: bool
+) -> None:
+    for number in range(3, soak_trial.REPLICAS):
+        await trial.add_replica(f"v1-{number}", "v1")
+    if not with_evacuation:
+        return
+    for number in range(soak_evacuations.REPLICAS):
+        await trial.add_replica(
+            f"v1-annex-{number}",
+            "v1",
+            data_centre=soak_evacuations.DATA_CENTRE,
+        )
+
+
 async def _load(
     trial: soak_trial.SoakTrial, rate_per_s: float, stop: asyncio.Event
 ) -> None:
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -88,6 +88,16 @@
     to_s: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class StatedLimit:
+    """When a replica stated a rate limit in all its answers."""
+
+    replica_id: str
+    per_s: float
+    from_s: float
+    to_s: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class History:
     """The history of a soak.
@@ -102,6 +112,7 @@
         evacuations: Of data centres, by the operator.
         cold: When replicas were cold.
         data_centres: Of replicas, by their ids.
+        stated_limits: Rate limits that replicas stated.
         ordered_at_s: When the bad version was ordered; None if it was not.
     """
 
@@ -121,6 +132,7 @@
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     cold: list[ColdTime] = dataclasses.field(default_factory=list)
     data_centres: dict[str, str] = dataclasses.field(default_factory=dict)
+    stated_limits: list[StatedLimit] = dataclasses.field(default_factory=list)
     ordered_at_s: float | None = None
     final_state: str = ""
 
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -30,6 +30,7 @@
         self.evacuations: list[soak_checks.Evacuation] = []
         self.cold: list[soak_checks.ColdTime] = []
         self.data_centres: dict[str, str] = {}
+        self.stated_limits: list[soak_checks.StatedLimit] = []
         self.ordered_at_s: float | None = None
         self.busy: set[str] = set()
         self.not_serving: list[str] = []
@@ -160,5 +161,6 @@
             evacuations=self.evacuations,
             cold=self.cold,
             data_centres=self.data_centres,
+            stated_limits=self.stated_limits,
             final_state=self.operator.roll_out_state(),
         )
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -150,6 +150,11 @@
         """Takes replies from a list that replicas may share."""
         self._replies = replies
 
+    @property
+    def decide(self) -> Callable[[ReceivedRequest], Reply]:
+        """Computes each reply."""
+        return self._decide
+
     def decide_by(self, decide: Callable[[ReceivedRequest], Reply]) -> None:
         """Computes each reply from the request."""
         self._decide = decide
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -26,7 +26,8 @@
         """Routers are killed, frozen and stopped; the store and the links to
         it and to replicas fail; replicas crash and leave; an API key is removed
         and restored; a bad version is ordered; a crashing request is repeated;
-        a data centre is evacuated and returns cold. Callers get complete
+        a data centre is evacuated and returns cold; replicas state rate limits,
+        ask for rest and say that they leave. Callers get complete
         answers or true errors, and all routers serve again afterwards.
         """
         self.play(SEED, seconds=SECONDS)
@@ -39,10 +40,16 @@
                     seconds=soak.SECONDS,
                     with_crashing=False,
                     with_evacuation=False,
+                    with_signals=False,
                 )
         for seed in CRASHING_SEEDS_THAT_FOUND:
             with self.subTest(seed=seed):
-                self.play(seed, seconds=soak.SECONDS, with_evacuation=False)
+                self.play(
+                    seed,
+                    seconds=soak.SECONDS,
+                    with_evacuation=False,
+                    with_signals=False,
+                )
 
     def play(
         self,
@@ -51,6 +58,7 @@
         seconds: float,
         with_crashing: bool = True,
         with_evacuation: bool = True,
+        with_signals: bool = True,
     ) -> None:
         """Runs a seed and expects no violation."""
         with tempfile.TemporaryDirectory() as folder:
@@ -62,6 +70,7 @@
                     with_bounds=False,
                     with_crashing=with_crashing,
                     with_evacuation=with_evacuation,
+                    with_signals=with_signals,
                 )
             )
         self.assertEqual(report.violations, [])
