Soak: replicas ask for rest, and say in answers that they leave

Checks in the users' words: at most two requests of a router during the rest it was asked for; none over 2 s after an answer told it that a replica leaves.

--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -98,6 +98,16 @@
     to_s: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class RestingRefusal:
+    """A request that a replica turned away, asking for rest."""
+
+    replica_id: str
+    request_id: str
+    at_s: float
+    rest_s: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class History:
     """The history of a soak.
@@ -113,6 +123,8 @@
         cold: When replicas were cold.
         data_centres: Of replicas, by their ids.
         stated_limits: Rate limits that replicas stated.
+        refusals: Requests turned away by replicas that asked for rest.
+        said_leaving_since_s: When each replica began to say that it leaves.
         ordered_at_s: When the bad version was ordered; None if it was not.
     """
 
@@ -133,6 +145,10 @@
     cold: list[ColdTime] = dataclasses.field(default_factory=list)
     data_centres: dict[str, str] = dataclasses.field(default_factory=dict)
     stated_limits: list[StatedLimit] = dataclasses.field(default_factory=list)
+    refusals: list[RestingRefusal] = dataclasses.field(default_factory=list)
+    said_leaving_since_s: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     ordered_at_s: float | None = None
     final_state: str = ""
 
--- a/src/nutmeghook/experiment/soak_signal_checks.py
+++ b/src/nutmeghook/experiment/soak_signal_checks.py
@@ -7,14 +7,18 @@
 
 from nutmeghook.experiment import soak_checks
 
-# The users' bounds on requests count from so long after a router was told.
+# The users' bounds on requests count from so long after a router was told; a
+# replica that asked for rest gets at most so many in that time.
 TOLD_S = 0.5
+MAX_IN_REST = 2
 
 
 def violations(history: soak_checks.History) -> list[str]:
     """Returns all violations."""
     return [
         *_stated_limits(history),
+        *_resting_replicas(history),
+        *_leaving_replicas(history),
     ]
 
 
@@ -45,3 +49,63 @@
                 f"{limit.replica_id}, which takes {limit.per_s} a second, got"
                 f" {most} requests in {soak_checks.RATE_LIMIT_SPAN_S} s"
             )
+
+
+def _resting_replicas(history: soak_checks.History) -> Iterator[str]:
+    """Requests of a router during the rest that it was asked for."""
+    sent = {call.request_id: call for call in history.calls}
+    arrivals: dict[tuple[str, str], list[float]] = {}
+    for replica_id, requests in history.received.items():
+        for request in requests:
+            call = sent.get(request.request_id)
+            if call is not None:
+                arrivals.setdefault((replica_id, call.router), []).append(
+                    request.arrived_s
+                )
+    for refusal in history.refusals:
+        call = sent.get(refusal.request_id)
+        if call is None:
+            continue
+        from_s = refusal.at_s + TOLD_S
+        to_s = refusal.at_s + refusal.rest_s
+        found = [
+            arrived_s
+            for arrived_s in arrivals[refusal.replica_id, call.router]
+            if from_s <= arrived_s < to_s
+        ]
+        if len(found) > MAX_IN_REST and history.is_undisturbed(
+            call.router, refusal.at_s, to_s
+        ):
+            yield (
+                f"{refusal.replica_id} had asked {call.router} for"
+                f" {refusal.rest_s} s of rest and got {len(found)} requests"
+            )
+
+
+def _leaving_replicas(
+    history: soak_checks.History,
+) -> Iterator[str]:
+    """Requests of a router long after an answer has told it."""
+    sent = {call.request_id: call for call in history.calls}
+    for replica_id, said_s in history.said_leaving_since_s.items():
+        told_s: dict[str, float] = {}
+        for request in history.received.get(replica_id, ()):
+            call = sent.get(request.request_id)
+            if call is None or request.arrived_s < said_s:
+                continue
+            known_s = told_s.get(call.router, float("inf"))
+            if (
+                call.sent_s
+                > known_s + soak_checks.DRAIN_BOUND_S + soak_checks.SLACK_S
+                and (
+                    history.is_undisturbed(
+                        call.router, known_s, request.arrived_s
+                    )
+                )
+            ):
+                yield (
+                    f"{call.request_id} reached {replica_id}, which had told"
+                    f" {call.router} that it leaves"
+                )
+            if call.status and call.request_id not in history.broken:
+                told_s.setdefault(call.router, call.ended_s)
--- a/src/nutmeghook/experiment/soak_signals.py
+++ b/src/nutmeghook/experiment/soak_signals.py
@@ -1,4 +1,7 @@
-"""Replicas of a soak that state a rate limit, under all other faults."""
+"""Replicas of a soak that state a rate limit, ask for rest, or leave.
+
+Signals overlap with each other and with all other faults, also at one replica.
+"""
 
 import asyncio
 import random
@@ -9,6 +12,8 @@
 from nutmeghook.standins import users_replica
 
 _LIMITS_PER_S = (0.4, 1.0, 2.5, 6.0)
+_RESTS_S = (0.5, 1.0, 3.0)
+_REFUSAL = users_replica.Reply(status=503, not_run=True)
 
 
 async def play(
@@ -31,7 +36,7 @@
         """Begins signals for a time and waits until the last has ended."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
-        kinds = (self._state_limit,)
+        kinds = (self._state_limit, self._state_limit, self._rest, self._leave)
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < end_s:
                 await asyncio.sleep(self._draw.uniform(0.5, 2.0))
@@ -78,3 +83,45 @@
             )
         )
         self._set(replica, headers.RATE_LIMIT, None)
+
+    async def _rest(self, draw: random.Random) -> None:
+        """Has a replica turn all requests away and ask for rest."""
+        replica = self._random_replica(draw)
+        rest_s = draw.choice(_RESTS_S)
+        if headers.REST in self._headers.get(replica.replica_id, {}):
+            return
+        self._set(replica, headers.REST, str(rest_s))
+        answer = replica.decide
+
+        def refuse(
+            request: users_replica.ReceivedRequest,
+        ) -> users_replica.Reply:
+            self._trial.refusals.append(
+                soak_checks.RestingRefusal(
+                    replica_id=replica.replica_id,
+                    request_id=request.request_id,
+                    at_s=request.arrived_s,
+                    rest_s=rest_s,
+                )
+            )
+            return _REFUSAL
+
+        replica.decide_by(refuse)
+        await asyncio.sleep(rest_s + draw.uniform(0.0, 2.0))
+        replica.decide_by(answer)
+        self._set(replica, headers.REST, None)
+
+    async def _leave(self, draw: random.Random) -> None:
+        """Has a replica say that it leaves, and end some seconds later."""
+        replica = self._random_replica(draw)
+        replica_id = replica.replica_id
+        if headers.LEAVING in self._headers.get(replica_id, {}):
+            return
+        await self._trial.add_replica(f"{replica_id}-next", "v1")
+        self._set(replica, headers.LEAVING, "1")
+        self._trial.said_leaving_since_s[replica_id] = (
+            asyncio.get_running_loop().time()
+        )
+        await asyncio.sleep(2 * soak_checks.DRAIN_BOUND_S)
+        self._trial.mark_ended(replica_id)
+        self._trial.operator.delist_replica(replica_id)
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -31,6 +31,8 @@
         self.cold: list[soak_checks.ColdTime] = []
         self.data_centres: dict[str, str] = {}
         self.stated_limits: list[soak_checks.StatedLimit] = []
+        self.refusals: list[soak_checks.RestingRefusal] = []
+        self.said_leaving_since_s: dict[str, float] = {}
         self.ordered_at_s: float | None = None
         self.busy: set[str] = set()
         self.not_serving: list[str] = []
@@ -162,5 +164,7 @@
             cold=self.cold,
             data_centres=self.data_centres,
             stated_limits=self.stated_limits,
+            refusals=self.refusals,
+            said_leaving_since_s=self.said_leaving_since_s,
             final_state=self.operator.roll_out_state(),
         )
--- a/tests/cover/test_soak_signal_checks.py
+++ b/tests/cover/test_soak_signal_checks.py
@@ -14,6 +14,9 @@
 LIMIT = soak_checks.StatedLimit(
     replica_id=REPLICA, per_s=PER_S, from_s=40.0, to_s=60.0
 )
+REFUSAL = soak_checks.RestingRefusal(
+    replica_id=REPLICA, request_id="id-0", at_s=50.0, rest_s=3.0
+)
 
 
 def call_at(number: int, sent_s: float) -> platform_checks.ObservedCall:
@@ -62,6 +65,36 @@
         moments_s = [45.0 + 0.01 * n for n in range(40)]
         self.assertEqual(self.found(moments_s, stated_limits=[LIMIT]), [])
 
+    def test_requests_during_a_rest(self):
+        moments_s = [50.0, 50.2, 50.6, 51.0]
+        self.assertEqual(self.found(moments_s, refusals=[REFUSAL]), [])
+        found = self.found([*moments_s, 52.9], refusals=[REFUSAL])
+        self.assertEqual(len(found), 1)
+        self.assertIn("rest and got 3 requests", found[0])
+
+    def test_a_request_long_after_a_replica_said_that_it_leaves(self):
+        left = {REPLICA: 49.0}
+        self.assertEqual(
+            self.found([50.0, 52.0], said_leaving_since_s=left), []
+        )
+        found = self.found([50.0, 53.0], said_leaving_since_s=left)
+        self.assertEqual(len(found), 1)
+        self.assertIn("that it leaves", found[0])
+
+    def test_a_router_with_a_fault_is_excused(self):
+        fault = test_soak_checks.injected_fault(from_s=49.0, to_s=54.0)
+        changes = {"injected_faults": [fault]}
+        moments_s = [50.0, 50.6, 51.0, 52.9, 53.0]
+        self.assertEqual(
+            self.found(
+                moments_s,
+                refusals=[REFUSAL],
+                said_leaving_since_s={REPLICA: 49.0},
+                **changes,
+            ),
+            [],
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
