Test that a lapsed entry forgets no word of its replica, which fails

What is seen: an entry expires while the store is away and is written again; the replica is taken for one about which nothing is known, although it had said that it leaves. Found on reading the change again.

--- a/tests/cover/test_replica_signals.py
+++ b/tests/cover/test_replica_signals.py
@@ -272,6 +272,30 @@
         self.answer(self.replica, leaving=True)
         self.assertTrue(self.put(slots=9).is_leaving)
 
+    async def test_an_entry_that_lapses_and_returns_forgets_nothing(self):
+        """Entries expire while the store is away, and live replicas write them
+        again. A replica that had said it leaves would get requests once more.
+        """
+        self.answer(
+            self.replica,
+            rate_limit_per_s=2.0,
+            leaving=True,
+            rest=30 * SECOND,
+        )
+        self.directory.remove("i-1")
+        await self.clock.advance(3 * SECOND)
+        returned = self.put()
+        self.assertTrue(returned.is_leaving)
+        self.assertEqual(returned.rate_limit_per_s, 2.0)
+        self.assertTrue(returned.is_resting(self.clock.monotonic()))
+
+    async def test_a_new_start_after_a_lapse_begins_clean(self):
+        self.answer(self.replica, rate_limit_per_s=2.0, leaving=True)
+        self.directory.remove("i-1")
+        restarted = self.put(version="v2")
+        self.assertFalse(restarted.is_leaving)
+        self.assertIsNone(restarted.rate_limit_per_s)
+
     async def test_a_new_row_of_the_same_start_keeps_the_limit(self):
         self.answer(self.replica, rate_limit_per_s=2.0)
         self.assertEqual(self.put(slots=9).rate_limit_per_s, 2.0)
