Keep what a replica stated while its entry lapses

What replicas would see: entries expire while the store is away and are written again within seconds; the replica began anew, so that one that had said it leaves, wants rest or takes few requests got its usual load once more.

Cause: the directory made a new replica of each entry that it did not hold.

A new start begins clean as before.

--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -13,6 +13,7 @@
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
+from nutmeghook.internal.replicas import lapsed_replicas
 from nutmeghook.internal.replicas import peer_backlogs as peer_backlogs_module
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routing import affinity
@@ -28,8 +29,6 @@
 # Replicas whose last start is remembered, also after they are gone: more than
 # twice the largest fleet, at 100 bytes each.
 _MAX_STARTS = 10_000
-
-
 _NO_LOAD = replica_module.BaselineLoad()
 
 
@@ -50,6 +49,7 @@
         "_deletions_held_until",
         "_global_rings",
         "_holders",
+        "_lapsed",
         "_last_starts_ms",
         "_on_gone",
         "_pending_removals",
@@ -88,6 +88,7 @@
         self._last_starts_ms: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self._lapsed = lapsed_replicas.LapsedReplicas()
         self._pending_removals: set[str] = set()
         self._deletions_held_until = datetime.timedelta()
         self._baseline_load: dict[str, replica_module.BaselineLoad] = {}
@@ -326,7 +327,7 @@
             self.reject(entry.replica_id)
 
     def _add(self, entry: entries.ReplicaEntry) -> replica_module.Replica:
-        replica = replica_module.Replica(
+        replica = self._lapsed.take(entry) or replica_module.Replica(
             entry=entry, health=health_module.ReplicaHealth()
         )
         self._by_id[entry.replica_id] = replica
@@ -394,5 +395,6 @@
         self._global_rings[gone.entry.service].remove(replica_id)
         self._with_backlog.pop(replica_id, None)
         self._reported.pop(replica_id, None)
+        self._lapsed.remember(gone)
         self._on_gone(gone.entry.address)
         logs.note("replica:gone", replica=replica_id)
