One loop for gossip that sends updates at once and reminders between

replicas/signal_gossip had the loop and the constructor of suspects/gossip again. inner/gossip_senders.UpdateGossipSender holds them; the registry of signals uses the other's names (updates, take_updates).

--- a/src/nutmeghook/internal/inner/gossip_senders.py
+++ b/src/nutmeghook/internal/inner/gossip_senders.py
@@ -1,11 +1,14 @@
 """Periodic gossip to peers, with jitter."""
 
 import abc
+import asyncio
+from collections.abc import Callable
 import datetime
 import random
 from typing import Any
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.inner import messages as messages_module
 from nutmeghook.internal.inner import sealed_messages
 
 # As shares of the period, so that instances that started together do not send
@@ -79,3 +82,64 @@
     @abc.abstractmethod
     def _receive(self, message: Any) -> None:
         """Handles a peer's message."""
+
+
+class UpdateGossipSender(GossipSender):
+    """Sends updates to many peers at once, and reminders to a few.
+
+    A datagram may be lost, and an instance may have been started, suspended or
+    partitioned meanwhile; so what still holds is sent again periodically.
+
+    Args:
+        updates: Set while there are updates to send.
+        period: Mean time between two reminders.
+        sample_peers: Returns the addresses of some peers: `local` ones in the
+            own data centre and on average `remote` others.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_messages",
+        "_period",
+        "_random",
+        "_sample_peers",
+        "_updates",
+    )
+
+    def __init__(
+        self,
+        *,
+        updates: asyncio.Event,
+        period: datetime.timedelta,
+        messages: messages_module.Messages,
+        sample_peers: Callable[..., list[str]],
+        clock: clock_module.Clock,
+        random_source: random.Random,
+    ):
+        self._updates = updates
+        self._period = period
+        self._messages = messages
+        self._sample_peers = sample_peers
+        self._clock = clock
+        self._random = random_source
+
+    @abc.abstractmethod
+    def send_updates(self) -> None:
+        """Sends the pending updates to many peers, until none is left."""
+
+    @abc.abstractmethod
+    def send_reminder(self) -> None:
+        """Sends what still holds to one or two peers again."""
+
+    async def run(self) -> None:
+        """Sends until cancelled."""
+        while True:
+            jitter = self._random.uniform(_MIN_JITTER, _MAX_JITTER)
+            try:
+                await self._clock.wait_for(
+                    self._updates.wait(), jitter * self._period
+                )
+            except TimeoutError:
+                self.send_reminder()
+            else:
+                self.send_updates()
--- a/src/nutmeghook/internal/replicas/signal_gossip.py
+++ b/src/nutmeghook/internal/replicas/signal_gossip.py
@@ -7,13 +7,9 @@
 started, suspended or partitioned meanwhile.
 """
 
-from collections.abc import Callable
 import datetime
-import random
 
-from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import gossip_senders
-from nutmeghook.internal.inner import messages as messages_module
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.replicas import rate_limit
 from nutmeghook.internal.replicas import replica as replica_module
@@ -30,47 +26,26 @@
 _MILLI = 1000
 
 
-class SignalGossip(gossip_senders.GossipSender):
-    """Sends and receives statements of replicas.
+class SignalGossip(gossip_senders.UpdateGossipSender):
+    """Sends and receives statements of replicas."""
 
-    Args:
-        sample_peers: Returns the addresses of some peers: `local` ones in the
-            own data centre and on average `remote` others.
-    """
-
-    __slots__ = ("_clock", "_messages", "_random", "_registry", "_sample_peers")
+    __slots__ = ("_registry",)
 
     def __init__(
-        self,
-        *,
-        registry: signal_registry.SignalRegistry,
-        messages: messages_module.Messages,
-        sample_peers: Callable[..., list[str]],
-        clock: clock_module.Clock,
-        random_source: random.Random,
+        self, *, registry: signal_registry.SignalRegistry, **sender_arguments
     ):
+        super().__init__(
+            updates=registry.updates,
+            period=REMINDER_PERIOD,
+            **sender_arguments,
+        )
         self._registry = registry
-        self._messages = messages
-        self._sample_peers = sample_peers
-        self._clock = clock
-        self._random = random_source
-        messages.register(ttypes.ReplicaRateLimits, self._receive_limits)
-        messages.register(ttypes.LeavingReplicas, self._receive_leaving)
-
-    async def run(self) -> None:
-        """Sends changes at once and reminders periodically until cancelled."""
-        while True:
-            pause = REMINDER_PERIOD * self._random.uniform(0.75, 1.25)
-            try:
-                await self._clock.wait_for(self._registry.changes.wait(), pause)
-            except TimeoutError:
-                self.send_reminder()
-            else:
-                self.send_changes()
-
-    def send_changes(self) -> None:
+        self._messages.register(ttypes.ReplicaRateLimits, self._receive_limits)
+        self._messages.register(ttypes.LeavingReplicas, self._receive_leaving)
+
+    def send_updates(self) -> None:
         """Sends the pending changes to many peers."""
-        while changed := self._registry.take_changes(MAX_REPLICAS_SENT):
+        while changed := self._registry.take_updates(MAX_REPLICAS_SENT):
             self._send(changed, local=LOCAL_FANOUT, remote=REMOTE_FANOUT)
 
     def send_reminder(self) -> None:
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -23,7 +23,7 @@
     """Applies the signals of replicas to the directory's replicas.
 
     Attributes:
-        changes: Set while `take_changes` has something to return.
+        updates: Set while `take_updates` has something to return.
     """
 
     __slots__ = (
@@ -32,7 +32,7 @@
         "_directory",
         "_resting",
         "_stated",
-        "changes",
+        "updates",
     )
 
     def __init__(
@@ -48,7 +48,7 @@
         self._stated: dict[str, replica_module.Replica] = {}
         self._changed: dict[str, replica_module.Replica] = {}
         self._resting: dict[str, replica_module.Replica] = {}
-        self.changes = asyncio.Event()
+        self.updates = asyncio.Event()
 
     def note_answer(
         self,
@@ -141,12 +141,12 @@
         stated = sorted(self._stated.values(), key=_last_heard_at, reverse=True)
         return stated[:max_count]
 
-    def take_changes(self, max_count: int) -> list[replica_module.Replica]:
+    def take_updates(self, max_count: int) -> list[replica_module.Replica]:
         """Returns and forgets replicas whose change is to be told to peers."""
         taken = list(itertools.islice(self._changed, max_count))
         found = [self._changed.pop(replica_id) for replica_id in taken]
         if not self._changed:
-            self.changes.clear()
+            self.updates.clear()
         return found
 
     def _drop_old(self) -> None:
@@ -231,7 +231,7 @@
     def _note_change(self, replica: replica_module.Replica) -> None:
         """Has a change told to peers."""
         self._changed[replica.entry.replica_id] = replica
-        self.changes.set()
+        self.updates.set()
 
     def _age_ms(self, heard_at: datetime.timedelta) -> int:
         return round((self._clock.monotonic() - heard_at) / _MILLISECOND)
--- a/src/nutmeghook/internal/suspects/gossip.py
+++ b/src/nutmeghook/internal/suspects/gossip.py
@@ -7,14 +7,10 @@
 so the most suspect requests are sent again for as long as they are suspects.
 """
 
-from collections.abc import Callable
 import datetime
-import random
 
-from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identities
 from nutmeghook.internal.inner import gossip_senders
-from nutmeghook.internal.inner import messages as messages_module
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.suspects import registry as registry_module
 
@@ -33,42 +29,21 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class SuspectGossip(gossip_senders.GossipSender):
-    """Sends and receives suspicions.
+class SuspectGossip(gossip_senders.UpdateGossipSender):
+    """Sends and receives suspicions."""
 
-    Args:
-        sample_peers: Returns the addresses of some peers: `local` ones in the
-            own data centre and on average `remote` others.
-    """
-
-    __slots__ = ("_clock", "_messages", "_random", "_registry", "_sample_peers")
+    __slots__ = ("_registry",)
 
     def __init__(
-        self,
-        *,
-        registry: registry_module.SuspectRegistry,
-        messages: messages_module.Messages,
-        sample_peers: Callable[..., list[str]],
-        clock: clock_module.Clock,
-        random_source: random.Random,
+        self, *, registry: registry_module.SuspectRegistry, **sender_arguments
     ):
+        super().__init__(
+            updates=registry.updates,
+            period=REMINDER_PERIOD,
+            **sender_arguments,
+        )
         self._registry = registry
-        self._messages = messages
-        self._sample_peers = sample_peers
-        self._clock = clock
-        self._random = random_source
-        messages.register(ttypes.CrashSuspects, self._receive)
-
-    async def run(self) -> None:
-        """Sends updates at once and reminders periodically until cancelled."""
-        while True:
-            pause = REMINDER_PERIOD * self._random.uniform(0.75, 1.25)
-            try:
-                await self._clock.wait_for(self._registry.updates.wait(), pause)
-            except TimeoutError:
-                self.send_reminder()
-            else:
-                self.send_updates()
+        self._messages.register(ttypes.CrashSuspects, self._receive)
 
     def send_updates(self) -> None:
         """Sends the pending updates to many peers."""
--- a/tests/cover/test_signal_gossip.py
+++ b/tests/cover/test_signal_gossip.py
@@ -113,7 +113,7 @@
         """Lets each instance send its changes, then a reminder."""
         for _ in range(count):
             for instance in self.instances:
-                instance.gossip.send_changes()
+                instance.gossip.send_updates()
                 instance.gossip.send_reminder()
             await self.clock.advance(signal_gossip.REMINDER_PERIOD)
 
