Soak: faults of others excuse no router from what replicas ask

Cause: a copy of a crashing request, a fault of the store and the like are recorded as faults of all routers, and the checks of limits, rests and leaving excused each router for three seconds after one. Found on reading the change again.

Change: only a router's own faults and those of links to replicas, which delay arrivals, excuse it, as the users' rules have it. The checks are stricter.

--- a/src/nutmeghook/experiment/soak_signal_checks.py
+++ b/src/nutmeghook/experiment/soak_signal_checks.py
@@ -1,9 +1,11 @@
 """Checks of a soak on what replicas ask in their answers.
 
-Like the other time bounds, they apply to routers without a fault.
+A router's own faults excuse it, and faults of the links to replicas, which
+delay arrivals. Faults of the store and crashes of replicas excuse nobody.
 """
 
 from collections.abc import Iterator
+import dataclasses
 
 from nutmeghook.experiment import soak_checks
 
@@ -11,10 +13,18 @@
 # replica that asked for rest gets at most so many in that time.
 TOLD_S = 0.5
 MAX_IN_REST = 2
+_REPLICA_LINK = "link to replica"
 
 
 def violations(history: soak_checks.History) -> list[str]:
     """Returns all violations."""
+    excusing = [
+        fault
+        for fault in history.injected_faults
+        if fault.router != soak_checks.ALL_ROUTERS
+        or fault.kind.startswith(_REPLICA_LINK)
+    ]
+    history = dataclasses.replace(history, injected_faults=excusing)
     return [
         *_stated_limits(history),
         *_resting_replicas(history),
--- a/src/nutmeghook/experiment/soak_signals.py
+++ b/src/nutmeghook/experiment/soak_signals.py
@@ -65,7 +65,7 @@
         replica.signals = tuple(fields.items())
 
     async def _state_limit(self, draw: random.Random) -> None:
-        """Has a replica state a limit that changes once, then ends."""
+        """Has a replica state a limit for some seconds."""
         replica = self._random_replica(draw)
         if headers.RATE_LIMIT in self._headers.get(replica.replica_id, {}):
             return
--- a/tests/cover/test_soak_signal_checks.py
+++ b/tests/cover/test_soak_signal_checks.py
@@ -95,6 +95,34 @@
             [],
         )
 
+    def test_faults_of_others_excuse_no_router(self):
+        """Crashing requests, which are sent all the time, are recorded as
+        faults of all routers. If they excused one, nothing would be checked.
+        """
+        moments_s = [50.0, 50.6, 51.0, 52.9]
+        for kind, found in (
+            (soak_checks.CRASHING_REQUEST, 1),
+            ("store silent", 1),
+            ("link to replica delayed", 0),
+        ):
+            fault = test_soak_checks.injected_fault(
+                kind=kind,
+                router=soak_checks.ALL_ROUTERS,
+                from_s=49.0,
+                to_s=54.0,
+            )
+            with self.subTest(kind=kind):
+                self.assertEqual(
+                    len(
+                        self.found(
+                            moments_s,
+                            refusals=[REFUSAL],
+                            injected_faults=[fault],
+                        )
+                    ),
+                    found,
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
