Log a stream's events, times and pace where its request ends

A request that ended at its time limit while a replica ran it logged its duration only, so the logs could not tell a replica that was slow from one that fell silent. request:ended now has the number of forwarded events, the times of the first and the latest one and the mean interval.

--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 _FIRST_OTHER_STATUS = 300
 _FIRST_FAILURE_STATUS = 500
 
@@ -50,6 +51,50 @@
         return self.status >= _FIRST_FAILURE_STATUS
 
 
+class StreamProgress:
+    """The events of a stream that were forwarded to its caller.
+
+    Attributes:
+        events: How many.
+        first_at: Monotonic time of the first one; None before it.
+        last_at: Monotonic time of the latest one; None before the first.
+    """
+
+    __slots__ = ("events", "first_at", "last_at")
+
+    def __init__(self):
+        self.events = 0
+        self.first_at: datetime.timedelta | None = None
+        self.last_at: datetime.timedelta | None = None
+
+    def note_event(self, now: datetime.timedelta) -> None:
+        """Records that an event was forwarded."""
+        self.events += 1
+        self.last_at = now
+        if self.first_at is None:
+            self.first_at = now
+
+    def logged(self, arrived_at: datetime.timedelta) -> dict[str, int]:
+        """Returns the fields of a log line; none before the first event.
+
+        Args:
+            arrived_at: Monotonic time at which the request arrived.
+        """
+        if self.first_at is None or self.last_at is None:
+            return {}
+        fields = {
+            "events": self.events,
+            "first_event_ms": round(
+                (self.first_at - arrived_at) / _MILLISECOND
+            ),
+            "last_event_ms": round((self.last_at - arrived_at) / _MILLISECOND),
+        }
+        if self.events > 1:
+            pace = (self.last_at - self.first_at) / (self.events - 1)
+            fields["event_interval_ms"] = round(pace / _MILLISECOND)
+        return fields
+
+
 class Job:
     """An admitted request and its attempts so far.
 
@@ -66,6 +111,7 @@
         fallback: The abandoned replica, until another one begins to answer.
         runs: Attempts that may have run.
         last_event_id: The last event forwarded; None before the first.
+        progress: The events of its stream that were forwarded.
     """
 
     __slots__ = (
@@ -79,6 +125,7 @@
         "incoming",
         "last_event_id",
         "model_index",
+        "progress",
         "route",
         "runs",
         "service",
@@ -115,6 +162,7 @@
         self.tries = 0
         self.runs = 0
         self.last_event_id: str | None = None
+        self.progress = StreamProgress()
 
     @property
     def may_have_run(self) -> bool:
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -180,6 +180,7 @@
             cut=is_cut,
             configuration=job.admitted_under if job else None,
             duration_ms=round(duration / datetime.timedelta(milliseconds=1)),
+            **(job.progress.logged(incoming.arrived_at) if job else {}),
         )
         self._metrics.add(
             "relayed_total", route=route_name, code=ending.code.name
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -233,6 +233,7 @@
             return
         await self._begin_once(job, answer)
         await job.sink.write(event.raw)
+        job.progress.note_event(self._clock.monotonic())
         if event.event_id is not None:
             job.last_event_id = event.event_id
 
