Say of a listed failure that was not run that it was not run

Ruled out: that the entry is malformed; the list may hold what is no test.

Change: an entry that names no test is printed as not run here, with its command. 'Passed now' is said only of a test that ran. A listed test that does not exist fails a whole run; before, it was reported as passing.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,8 +1,6 @@
 """Runs each test module in its own process and prints a summary.
 
-A failure listed in KNOWN-RED.txt is printed but does not fail the run. A
-listed test that passes fails the run, so that its line is removed, unless the
-first word of the line's cause is "sometimes".
+KNOWN-RED.txt lists what is known to fail (`tests.known_red`).
 """
 
 import concurrent.futures
@@ -12,21 +10,31 @@
 import subprocess
 import sys
 
+from tests import known_red
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MAX_PARALLEL_MODULES = max(2, (os.cpu_count() or 2) // 2)
 MODULE_TIMEOUT_S = 240
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\w+) \(([\w.]+)\)", re.MULTILINE)
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
+_STARTED = re.compile(r"^\w+ \(([\w.]+)\)", re.MULTILINE)
 
 
 class ModuleResult:
-    """The output and the counts of one test module's run."""
+    """The output and the tests of one test module's run."""
 
-    __slots__ = ("failed", "module", "output", "passed")
+    __slots__ = ("failed", "module", "output", "passed", "started")
 
     def __init__(
-        self, *, module: str, output: str, passed: int, failed: set[str]
+        self,
+        *,
+        module: str,
+        output: str,
+        passed: int,
+        failed: set[str],
+        started: frozenset[str] = frozenset(),
     ):
+        self.started = started
         self.module = module
         self.output = output
         self.passed = passed
@@ -79,44 +87,29 @@
         output=output,
         passed=max(0, ran - len(failed)),
         failed=failed,
+        started=frozenset(m[1] for m in _STARTED.finditer(done.stderr)),
     )
 
 
-def _known_red() -> dict[str, bool]:
-    """Returns the tests that are known to fail.
-
-    The value tells whether a test fails only sometimes.
-    """
-    path = ROOT / "KNOWN-RED.txt"
-    if not path.exists():
-        return {}
-    known = {}
-    for line in path.read_text().splitlines():
-        test, _, cause = line.partition(",")
-        if test.strip():
-            known[test.strip()] = cause.strip().startswith("sometimes")
-    return known
-
-
 def _sum_up(results: list[ModuleResult], *, complete: bool) -> int:
-    known = _known_red()
     failed = set().union(*(result.failed for result in results))
     for result in results:
         verdict = "FAILED" if result.failed else "ok"
         print(f"{verdict:6} {result.module}: {result.passed} passed")
         if result.failed:
             print(result.output)
-    for test in sorted(failed & known.keys()):
-        print(f"known red: {test}")
-    always = {test for test, sometimes in known.items() if not sometimes}
-    mended = always - failed if complete else set()
-    for test in sorted(known.keys() - always - failed) if complete else ():
-        print(f"known red sometimes, passed now: {test}")
-    for test in sorted(mended):
-        print(f"listed in KNOWN-RED.txt but passes: {test}")
+    path = ROOT / "KNOWN-RED.txt"
+    report = known_red.compare(
+        known_red.parse(path.read_text() if path.exists() else ""),
+        started=frozenset().union(*(result.started for result in results)),
+        failed=failed,
+        complete=complete,
+    )
+    for line in report.lines:
+        print(line)
     passed = sum(result.passed for result in results)
     print(f"{passed} passed, {len(failed)} failed")
-    return 1 if (failed - known.keys()) or mended else 0
+    return 0 if report.is_accepted else 1
 
 
 if __name__ == "__main__":
