Count and log values on the wire that can't be read

Cause: headers of answers, parts of prompts, rows and datagrams that can't be read were dropped, most of them without a word. So nobody noticed that no load was known of replicas that share their machines: these state a work time as a fourth figure, and the reader took three figures or nothing. Ruled out: that such replicas state no load.

Change: a load of four figures is read; a work time that can't be read leaves its counts in place. Each ignored value is counted by field, and one of each field and source is logged a minute.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import attempts
 from nutmeghook.internal.relay import crash_detector
 from nutmeghook.internal.relay import current_routes
@@ -60,6 +61,9 @@
 def build(dependencies: RelayDependencies) -> request_relay.RequestRelay:
     """Returns the relay with all its parts."""
     times = generation_times.GenerationTimes()
+    unreadable = unreadable_values.UnreadableValues(
+        metrics=dependencies.metrics, clock=dependencies.clock
+    )
     chooser = choice.ReplicaChooser(
         directory=dependencies.directory,
         gate=dependencies.gate,
@@ -116,6 +120,7 @@
             directory=dependencies.directory,
             gate=dependencies.gate,
             signals=dependencies.signals,
+            unreadable=unreadable,
             wire_format=dependencies.wire_format,
             clock=dependencies.clock,
         ),
@@ -136,6 +141,7 @@
             **parts,
         ),
         whole_answer_relay=whole_answers.WholeAnswerRelay(**parts),
+        unreadable=unreadable,
         wire_format=dependencies.wire_format,
         metrics=dependencies.metrics,
         clock=dependencies.clock,
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.replicas import directory as directory_module
@@ -215,12 +216,18 @@
 
     async def run(self) -> None:
         """Replicates the platform's tables until cancelled."""
+        unreadable = unreadable_values.UnreadableValues(
+            metrics=self.metrics, clock=self._clock
+        )
         operator_rows = tables.OperatorRows(
             configuration=self.configuration,
             orders=self.orders,
             evacuations=self.send_limits.evacuations,
+            unreadable=unreadable,
+        )
+        replica_rows = tables.ReplicaRows(
+            directory=self.directory, unreadable=unreadable
         )
-        replica_rows = tables.ReplicaRows(directory=self.directory)
         plan_rows = driver.PlanRowReader(
             rollouts=self.rollouts,
             orders=self.orders,
--- a/src/nutmeghook/internal/assembly/router_gauges.py
+++ b/src/nutmeghook/internal/assembly/router_gauges.py
@@ -38,6 +38,7 @@
     _set_open(metrics, "limited_replicas", send_limits, limited)
     if peers is None:
         return
+    metrics.set("peer_unreadable_datagrams", peers.traffic.unreadable)
     for kind, counted in peers.traffic.kinds().items():
         metrics.set("peer_sent_bytes", counted.sent_bytes, kind=kind)
 
--- a/src/nutmeghook/internal/inner/sealed_messages.py
+++ b/src/nutmeghook/internal/inner/sealed_messages.py
@@ -48,7 +48,7 @@
         try:
             received = codec.decode(self._seal.unwrap(datagram))
         except codec.MalformedError as error:
-            logs.note("peer:bad_datagram", error=str(error))
+            self._note_unreadable(error)
             return
         self._traffic.count_received(
             received.kind, datagrams_module.HEADER_BYTES + len(datagram)
@@ -56,3 +56,14 @@
         handler = self._handlers.get(type(received.message))
         if handler is not None:
             handler(received.message)
+
+    def _note_unreadable(self, error: codec.MalformedError) -> None:
+        """Counts a datagram, and logs it while there are few.
+
+        Anyone who reaches the port can send such datagrams at any rate, so only
+        the counts that are powers of two are logged.
+        """
+        self._traffic.unreadable += 1
+        count = self._traffic.unreadable
+        if count & (count - 1) == 0:
+            logs.note("peer:bad_datagram", error=str(error), count=count)
--- a/src/nutmeghook/internal/inner/traffic.py
+++ b/src/nutmeghook/internal/inner/traffic.py
@@ -14,11 +14,16 @@
 
 
 class Traffic:
-    """Counts of one process since its start; replies have their own kinds."""
+    """Counts of one process since its start; replies have their own kinds.
 
-    __slots__ = ("_kinds",)
+    Attributes:
+        unreadable: Datagrams that were dropped unread.
+    """
+
+    __slots__ = ("_kinds", "unreadable")
 
     def __init__(self):
+        self.unreadable = 0
         self._kinds: dict[str, KindTraffic] = {}
 
     def count_sent(self, kind: str, size_bytes: int) -> None:
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -181,6 +181,23 @@
         ),
         labels=("signal",),
     ),
+    MetricSpec(
+        name="unreadable_values_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Values of headers and rows that can't be read and were ignored,"
+            " by field."
+        ),
+        labels=("field",),
+    ),
+    MetricSpec(
+        name="peer_unreadable_datagrams",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Datagrams to the inner address that can't be read, or were not"
+            " sealed by a peer, since the start."
+        ),
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import denials
 from nutmeghook.internal.relay import endings
 from nutmeghook.internal.relay import incoming as incoming_module
@@ -31,6 +32,7 @@
         "_configuration",
         "_metrics",
         "_streams",
+        "_unreadable",
         "_whole_answers",
         "_wire_format",
     )
@@ -41,6 +43,7 @@
         configuration: in_force_module.ConfigurationInForce,
         stream_relay: streams.StreamRelay,
         whole_answer_relay: whole_answers.WholeAnswerRelay,
+        unreadable: unreadable_values.UnreadableValues,
         wire_format: wire.WireFormat,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
@@ -48,6 +51,7 @@
         self._configuration = configuration
         self._streams = stream_relay
         self._whole_answers = whole_answer_relay
+        self._unreadable = unreadable
         self._wire_format = wire_format
         self._metrics = metrics
         self._clock = clock
@@ -62,6 +66,10 @@
         ending = endings.ANSWERED
         is_cut = False
         job: job_module.Job | None = None
+        for ignored in incoming.facts.unreadable:
+            self._unreadable.note(
+                ignored.field, ignored.value, source="callers"
+            )
         try:
             job = self._admit(incoming, sink)
             route_name = job.route.name
@@ -174,6 +182,7 @@
             request=incoming.facts.request_id,
             identity=job.identity.hex() if job else None,
             route=route_name,
+            team=job.team.name if job and job.team else None,
             code=ending.code.number,
             outcome=ending.reason,
             attempts=job.tries if job else 0,
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -47,6 +47,18 @@
     parts: tuple[PromptPart, ...] = ()
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class UnreadableValue:
+    """A header whose value can't be read and is ignored.
+
+    Attributes:
+        field: The header's name.
+    """
+
+    field: str
+    value: str
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class CallerFacts:
     """What a caller's headers say.
@@ -59,6 +71,7 @@
         any_model: The caller leaves the choice of the model to the router.
         last_event_id: The stream resumes after this event.
         forwarded: The headers that are passed to the replica unchanged.
+        unreadable: Headers that are ignored.
     """
 
     request_id: str
@@ -69,6 +82,7 @@
     prompt: Prompt | None
     last_event_id: str | None
     forwarded: Headers
+    unreadable: tuple[UnreadableValue, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -93,11 +107,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class ReportedLoad:
-    """A replica's own count of its work."""
+    """A replica's own count of its work.
+
+    Attributes:
+        work_time_percent: How long work takes there at this moment, 100 as
+            usual; None if the replica does not say, as on a machine of its own.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -113,6 +133,7 @@
         idle_limit_s: How long the replica keeps an idle connection open.
         cold_left: How long the replica stays cold; None if it does not say.
         signals: What the replica asks of its senders.
+        unreadable: Headers that are ignored, except for signals.
     """
 
     request_id: str | None
@@ -124,6 +145,7 @@
     idle_limit_s: float | None
     cold_left: datetime.timedelta | None = None
     signals: signals_module.ReplicaSignals = signals_module.NONE
+    unreadable: tuple[UnreadableValue, ...] = ()
 
 
 class WireFormat(abc.ABC):
--- a/src/nutmeghook/internal/replicas/signal_registry.py
+++ b/src/nutmeghook/internal/replicas/signal_registry.py
@@ -5,6 +5,7 @@
 import itertools
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import log_limiter
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import rate_limit
@@ -30,6 +31,7 @@
         "_changed",
         "_clock",
         "_directory",
+        "_limiter",
         "_resting",
         "_stated",
         "updates",
@@ -43,6 +45,7 @@
     ):
         self._directory = directory
         self._clock = clock
+        self._limiter = log_limiter.LogLimiter(clock=clock)
         # By id: replicas with a statement for all instances, those whose change
         # is to be told to peers, and those that rest from this instance.
         self._stated: dict[str, replica_module.Replica] = {}
@@ -67,6 +70,10 @@
         if not self._directory.is_current(replica):
             return
         for description in signals.unreadable:
+            if not self._limiter.is_due(
+                (replica.entry.replica_id, description)
+            ):
+                continue
             logs.note(
                 "replica:unreadable_signal",
                 replica=replica.entry.replica_id,
--- a/src/nutmeghook/internal/replicas/signals.py
+++ b/src/nutmeghook/internal/replicas/signals.py
@@ -16,7 +16,8 @@
         leaving: It is about to stop, and takes no new requests.
         rest: For so long it wants no requests from this instance; None if it
             does not say.
-        unreadable: Descriptions of signals that have no usable value.
+        unreadable: Descriptions of signals that have no usable value, each
+            beginning with the header's name.
     """
 
     rate_limit_per_s: float | None = None
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -4,8 +4,10 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
@@ -85,6 +87,11 @@
         self.facts = facts
         self.replica = replica
 
+    @property
+    def is_of_wrong_replica(self) -> bool:
+        """Tells whether another replica has the address."""
+        return self.head.status == _WRONG_REPLICA_STATUS
+
     async def read_whole(self) -> bytes:
         """Returns the whole body.
 
@@ -110,6 +117,7 @@
         "_gate",
         "_pool",
         "_signals",
+        "_unreadable",
         "_wire_format",
     )
 
@@ -120,9 +128,11 @@
         directory: directory_module.ReplicaDirectory,
         gate: send_gate.SendGate,
         signals: signal_registry.SignalRegistry,
+        unreadable: unreadable_values.UnreadableValues,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
+        self._unreadable = unreadable
         self._pool = pool
         self._directory = directory
         self._gate = gate
@@ -228,6 +238,31 @@
             raise outcomes.UnknownOutcomeError(
                 f"the answer is to request {facts.request_id!r}"
             )
+        self._note_facts(replica, answer, sent_at=sent_at)
+        if facts.not_run:
+            await answer.read_whole()
+            raise outcomes.RefusedError(
+                f"{replica.entry.replica_id} refused with {head.status}",
+                status=head.status,
+                wrong_replica=answer.is_of_wrong_replica,
+            )
+        return answer
+
+    def _note_facts(
+        self,
+        replica: replica_module.Replica,
+        answer: Answer,
+        *,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        """Records what an answer's head says of its replica."""
+        facts = answer.facts
+        for ignored in facts.unreadable:
+            self._unreadable.note(
+                ignored.field, ignored.value, source=replica.entry.replica_id
+            )
+        for description in facts.signals.unreadable:
+            self._unreadable.count(description.partition(" ")[0])
         if facts.load is not None:
             self._directory.note_load(
                 replica,
@@ -236,17 +271,8 @@
             )
         if facts.cold_left:
             self._directory.note_cold(replica, facts.cold_left)
-        wrong_replica = head.status == _WRONG_REPLICA_STATUS
-        if facts.sealed or (facts.not_run and not wrong_replica):
+        if facts.sealed or (facts.not_run and not answer.is_of_wrong_replica):
             self._signals.note_answer(replica, facts.signals, sent_at=sent_at)
-        if facts.not_run:
-            await answer.read_whole()
-            raise outcomes.RefusedError(
-                f"{replica.entry.replica_id} refused with {head.status}",
-                status=head.status,
-                wrong_replica=wrong_replica,
-            )
-        return answer
 
     def _release(
         self,
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -32,6 +32,7 @@
 LEAVING = "Server-Leaving"
 REST = "Retry-After"
 SESSION = "Session"
+IDLE_LIMIT = "Keep-Alive"
 ANY_MODEL = "*"
 KEY_SCHEME = "token"
 WRONG_REPLICA_STATUS = 421
@@ -61,6 +62,8 @@
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # Beyond any replica's capacity, so not meant as a limit.
 _MAX_RATE_PER_S = 1_000_000
+# A thousand times as long as usual; beyond that the figure is no speed.
+_MAX_WORK_TIME_PERCENT = 100_000
 # A replica that is to stay away for longer leaves.
 _MAX_REST_S = 3600
 _IS_LEAVING = "1"
@@ -75,15 +78,17 @@
     def read_caller(self, headers: wire.Headers) -> wire.CallerFacts:
         """Reads a request's headers."""
         values = {name.lower(): value for name, value in headers}
+        unreadable: list[wire.UnreadableValue] = []
         return wire.CallerFacts(
             request_id=values.get(REQUEST_ID.lower(), ""),
             time_left=_milliseconds(values.get(TIME_LEFT.lower())),
             api_key=_key(values.get("authorization")),
             session=values.get(SESSION.lower()),
             any_model=values.get(MODEL.lower()) == ANY_MODEL,
-            prompt=_prompt(values),
+            prompt=_prompt(values, unreadable),
             last_event_id=values.get(LAST_EVENT.lower()),
             forwarded=_forwarded(headers, _NEVER_FORWARDED),
+            unreadable=tuple(unreadable),
         )
 
     def attempt_headers(
@@ -117,16 +122,20 @@
     ) -> wire.AnswerFacts:
         """Reads an answer's headers."""
         values = {name.lower(): value for name, value in headers}
+        unreadable: list[wire.UnreadableValue] = []
         return wire.AnswerFacts(
             request_id=values.get(REQUEST_ID.lower()),
             not_run=NOT_RUN.lower() in values or status == WRONG_REPLICA_STATUS,
             sealed=bool(values.get(SEAL.lower())),
             encoded="content-encoding" in values,
-            confidence=_whole_number(values.get(CONFIDENCE.lower())),
-            load=_load(values.get(LOAD.lower())),
-            idle_limit_s=_idle_limit_s(values.get("keep-alive")),
-            cold_left=_cold_left(values.get(COLD_LEFT.lower())),
+            confidence=_optional_number(values, CONFIDENCE, unreadable),
+            load=_load(values.get(LOAD.lower()), unreadable),
+            idle_limit_s=_idle_limit_s(
+                values.get(IDLE_LIMIT.lower()), unreadable
+            ),
+            cold_left=_cold_left(values, unreadable),
             signals=_signals(status, headers),
+            unreadable=tuple(unreadable),
         )
 
     def answer_headers(self, headers: wire.Headers) -> wire.Headers:
@@ -158,7 +167,9 @@
     return key.strip() if scheme.lower() == KEY_SCHEME else None
 
 
-def _prompt(values: dict[str, str]) -> wire.Prompt | None:
+def _prompt(
+    values: dict[str, str], unreadable: list[wire.UnreadableValue]
+) -> wire.Prompt | None:
     counts = values.get(TOKEN_COUNTS.lower())
     if counts is None:
         return None
@@ -170,29 +181,64 @@
     return wire.Prompt(
         input_tokens=numbers[0],
         max_output_tokens=numbers[1],
-        parts=_parts(values.get(PROMPT_PARTS.lower(), "")),
+        parts=_parts(values.get(PROMPT_PARTS.lower(), ""), unreadable),
     )
 
 
-def _parts(text: str) -> tuple[wire.PromptPart, ...]:
+def _parts(
+    text: str, unreadable: list[wire.UnreadableValue]
+) -> tuple[wire.PromptPart, ...]:
     parts = []
-    for entry in text.split(","):
+    for entry in text.split(",") if text.strip() else ():
         part_id, _, tokens = entry.strip().partition(":")
         count = _whole_number(tokens)
         if part_id and count is not None:
             parts.append(wire.PromptPart(part_id=part_id, tokens=count))
+        else:
+            unreadable.append(_unreadable(PROMPT_PARTS, entry))
     return tuple(parts)
 
 
-def _load(text: str | None) -> wire.ReportedLoad | None:
-    numbers = [_whole_number(part) for part in (text or "").split(",")]
-    if len(numbers) != 3 or None in numbers:
+def _load(
+    text: str | None, unreadable: list[wire.UnreadableValue]
+) -> wire.ReportedLoad | None:
+    """Reads running, waiting, slots, and for some replicas the work time.
+
+    Counts are of use without the work time, so one that can't be read does not
+    hide them.
+    """
+    if text is None:
+        return None
+    parts = text.split(",")
+    numbers, rest = [_whole_number(part) for part in parts[:3]], parts[3:]
+    if len(numbers) != 3 or None in numbers or len(rest) > 1:
+        unreadable.append(_unreadable(LOAD, text))
         return None
+    work_time_percent = _number(rest, _MAX_WORK_TIME_PERCENT)
+    if rest and work_time_percent is None:
+        unreadable.append(_unreadable(LOAD, text))
     return wire.ReportedLoad(
-        running=numbers[0], waiting=numbers[1], slots=numbers[2]
+        running=numbers[0],
+        waiting=numbers[1],
+        slots=numbers[2],
+        work_time_percent=work_time_percent,
     )
 
 
+def _unreadable(field: str, value: str) -> wire.UnreadableValue:
+    return wire.UnreadableValue(field=field, value=value)
+
+
+def _optional_number(
+    values: dict[str, str], name: str, unreadable: list[wire.UnreadableValue]
+) -> int | None:
+    text = values.get(name.lower())
+    number = _whole_number(text)
+    if text is not None and number is None:
+        unreadable.append(_unreadable(name, text))
+    return number
+
+
 def _whole_number(text: str | None) -> int | None:
     if text is None:
         return None
@@ -209,8 +255,10 @@
     return datetime.timedelta(milliseconds=min(number, 86_400_000))
 
 
-def _cold_left(text: str | None) -> datetime.timedelta | None:
-    number = _whole_number(text)
+def _cold_left(
+    values: dict[str, str], unreadable: list[wire.UnreadableValue]
+) -> datetime.timedelta | None:
+    number = _optional_number(values, COLD_LEFT, unreadable)
     if number is None:
         return None
     return datetime.timedelta(milliseconds=min(number, _MAX_COLD_MS))
@@ -259,6 +307,13 @@
     return int(duration / datetime.timedelta(milliseconds=1))
 
 
-def _idle_limit_s(text: str | None) -> float | None:
-    found = _IDLE_LIMIT.search(text or "")
-    return float(found[1]) if found else None
+def _idle_limit_s(
+    text: str | None, unreadable: list[wire.UnreadableValue]
+) -> float | None:
+    if text is None:
+        return None
+    found = _IDLE_LIMIT.search(text)
+    if found is None:
+        unreadable.append(_unreadable(IDLE_LIMIT, text))
+        return None
+    return float(found[1])
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -1,6 +1,7 @@
 """Applies rows of the platform's tables to the router's state."""
 
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import evacuations as evacuations_module
@@ -23,7 +24,7 @@
 class OperatorRows(follower.TableListener):
     """Applies the operator's configuration, orders and evacuations."""
 
-    __slots__ = ("_configuration", "_evacuations", "_orders")
+    __slots__ = ("_configuration", "_evacuations", "_orders", "_unreadable")
 
     def __init__(
         self,
@@ -31,7 +32,9 @@
         configuration: in_force_module.ConfigurationInForce,
         orders: orders_module.OrderRegistry,
         evacuations: evacuations_module.EvacuationRegistry,
+        unreadable: unreadable_values.UnreadableValues,
     ):
+        self._unreadable = unreadable
         self._configuration = configuration
         self._orders = orders
         self._evacuations = evacuations
@@ -58,6 +61,7 @@
                 self._apply(row)
             except ValueError as error:
                 logs.note("operator:bad_row", key=row.key, error=str(error))
+                self._unreadable.count("operator row")
 
     def _apply(self, row: source.FollowedRow) -> None:
         if row.key == CONFIGURATION_KEY and not row.deleted:
@@ -83,10 +87,16 @@
 class ReplicaRows(follower.TableListener):
     """Applies the replica list."""
 
-    __slots__ = ("_directory",)
+    __slots__ = ("_directory", "_unreadable")
 
-    def __init__(self, *, directory: directory_module.ReplicaDirectory):
+    def __init__(
+        self,
+        *,
+        directory: directory_module.ReplicaDirectory,
+        unreadable: unreadable_values.UnreadableValues,
+    ):
         self._directory = directory
+        self._unreadable = unreadable
 
     def replace(
         self, rows: tuple[source.FollowedRow, ...], revision: int
@@ -111,5 +121,6 @@
             return replicas_wire.decode(row.key, row.value, row.version)
         except ValueError as error:
             logs.note("replica:bad_row", key=row.key, error=str(error))
+            self._unreadable.count("replica row")
             self._directory.reject(row.key)
             return None
--- a/tests/cover/test_evacuations.py
+++ b/tests/cover/test_evacuations.py
@@ -18,6 +18,7 @@
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import tables
 from nutmeghook.standins import users_replica
+from tests import platform_rows
 from tests import relay_fixture
 
 
@@ -38,6 +39,7 @@
             configuration=in_force.ConfigurationInForce(),
             orders=self.orders,
             evacuations=self.registry,
+            unreadable=platform_rows.unreadable_values(),
         )
 
     def evacuate(self, name: str, version: int) -> None:
--- a/tests/cover/test_followed_tables.py
+++ b/tests/cover/test_followed_tables.py
@@ -39,7 +39,10 @@
                 ),
                 name=tables.REPLICA_TABLE,
             ),
-            listener=tables.ReplicaRows(directory=self.directory),
+            listener=tables.ReplicaRows(
+                directory=self.directory,
+                unreadable=platform_rows.unreadable_values(),
+            ),
             store_monitor=self.store_monitor,
             clock=self.clock,
             random_source=random.Random(1),
--- a/tests/cover/test_replica_directory.py
+++ b/tests/cover/test_replica_directory.py
@@ -40,7 +40,10 @@
         self.directory = directory_module.ReplicaDirectory(
             clock=self.clock, on_gone=self.closed.append
         )
-        self.rows = tables.ReplicaRows(directory=self.directory)
+        self.rows = tables.ReplicaRows(
+            directory=self.directory,
+            unreadable=platform_rows.unreadable_values(),
+        )
 
     def put(self, replica_id: str = "r1", **changes) -> None:
         """Feeds a row; field names are those of the stored row."""
--- a/tests/cover/test_replica_probing.py
+++ b/tests/cover/test_replica_probing.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.platform import headers
+from tests import platform_rows
 from tests import relay_fixture
 
 SECOND = relay_fixture.SECOND
@@ -29,6 +30,7 @@
             signals=signal_registry.SignalRegistry(
                 directory=self.directory, clock=self.clock
             ),
+            unreadable=platform_rows.unreadable_values(),
             wire_format=headers.PlatformHeaders(),
             clock=self.clock,
         )
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -95,7 +95,10 @@
         """Returns an instance's gossip, table and replica directory."""
         directory = directory_module.ReplicaDirectory(clock=self.clock)
         copy = table_copy.TableCopy(
-            listener=tables.ReplicaRows(directory=directory)
+            listener=tables.ReplicaRows(
+                directory=directory,
+                unreadable=platform_rows.unreadable_values(),
+            )
         )
         table = shared_table.SharedTable(
             copy=copy,
--- a/tests/platform_rows.py
+++ b/tests/platform_rows.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import metrics
+from nutmeghook.internal.observe import unreadable_values as unreadable_module
+
 REPLICA_FIELDS = {
     "service": "service",
     "address": "10.0.0.1:80",
@@ -23,3 +27,10 @@
     return msgspec.json.encode(
         {name: value for name, value in fields.items() if value is not None}
     )
+
+
+def unreadable_values() -> unreadable_module.UnreadableValues:
+    """Returns a count of rows and headers that can't be read."""
+    return unreadable_module.UnreadableValues(
+        metrics=metrics.Metrics(), clock=clock_module.FakeClock()
+    )
