Tell peers the work times of replicas, and which services are uneven

A replica that shares its machine states how long work takes there at this moment. The messages for speeds and team demands are defined; nothing sends them yet.

Measured: nothing; no decision uses it yet.

--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -172,6 +172,30 @@
   2: list<i32> running,
   3: list<i32> waiting,
   4: list<i32> ages_ms,
+  // How long work takes on the replica's machine, 100 as usual; 0 where the
+  // replica does not say. Absent if none does.
+  5: optional list<i32> work_times_percent,
+}
+
+// How much longer work takes at replicas than at an average one of its service
+// and version; parallel lists. A replica is named as in ReplicaLoads.
+struct ReplicaSpeeds {
+  1: list<i32> replica_hashes,
+  // Hundredths of the natural logarithm of the factor.
+  2: list<i32> slowness_centilog,
+  // Hundredths of an answer, after decay at the time of sending.
+  3: list<i32> weight_centi,
+  4: list<i32> ages_ms,
+}
+
+// What teams ask for and get at the sender: all of it, in parallel lists. A
+// team is named by 31 bits of a hash.
+struct TeamDemands {
+  1: string sender_id,
+  2: list<i32> team_hashes,
+  // Thousandths of a unit of cost a second.
+  3: list<i32> asked_milli_per_s,
+  4: list<i32> admitted_milli_per_s,
 }
 
 // The reading of prompts that the sender waits for at replicas: all of it, in
@@ -284,6 +308,8 @@
   26: CrashSuspects crash_suspects,
   27: ReplicaRateLimits replica_rate_limits,
   28: LeavingReplicas leaving_replicas,
+  29: ReplicaSpeeds replica_speeds,
+  30: TeamDemands team_demands,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -55,6 +55,7 @@
         "_pending_removals",
         "_reported",
         "_rings",
+        "_uneven",
         "_with_backlog",
         "known",
         "peer_backlogs",
@@ -92,6 +93,8 @@
         self._pending_removals: set[str] = set()
         self._deletions_held_until = datetime.timedelta()
         self._baseline_load: dict[str, replica_module.BaselineLoad] = {}
+        # Services of which a replica has stated its work time.
+        self._uneven: set[str] = set()
         self.known = False
         self.peer_backlogs = peer_backlogs_module.PeerBacklogs(clock=clock)
 
@@ -148,8 +151,21 @@
         """Returns the replica that peers' messages name by this hash."""
         return self._by_short_id.get(short_id)
 
+    def is_uneven(self, service: str) -> bool:
+        """Tells whether replicas of a service share their machines.
+
+        Such a replica states how long work takes there at this moment, and the
+        replicas of one service differ in speed.
+        """
+        return service in self._uneven
+
     def note_load(
-        self, replica: replica_module.Replica, *, running: int, waiting: int
+        self,
+        replica: replica_module.Replica,
+        *,
+        running: int,
+        waiting: int,
+        work_time_percent: float | None = None,
     ) -> None:
         """Records a load report that a replica has just sent.
 
@@ -161,7 +177,10 @@
         self._apply_report(
             replica,
             replica_module.LoadReport(
-                running=running, waiting=waiting, at=self._clock.monotonic()
+                running=running,
+                waiting=waiting,
+                at=self._clock.monotonic(),
+                work_time_percent=work_time_percent,
             ),
         )
 
@@ -180,6 +199,8 @@
         self, replica: replica_module.Replica, report: replica_module.LoadReport
     ) -> None:
         replica.note_load(report)
+        if report.work_time_percent is not None:
+            self._uneven.add(replica.entry.service)
         self._reported[replica.entry.replica_id] = replica
         self._reported.move_to_end(replica.entry.replica_id)
         service = replica.entry.service
--- a/src/nutmeghook/internal/replicas/load_gossip.py
+++ b/src/nutmeghook/internal/replicas/load_gossip.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 import datetime
+import itertools
 
 from nutmeghook.internal.inner import gossip_senders
 from nutmeghook.internal.inner.generated import ttypes
@@ -66,17 +67,20 @@
             ages_ms=[
                 round((now - r.report.at) / _MILLISECOND) for r in reported
             ],
+            work_times_percent=_work_times(reported),
         )
         chosen = self._random.sample(local, min(FANOUT, len(local)))
         self._messages.send(chosen, message)
 
     def _receive(self, message: ttypes.ReplicaLoads) -> None:
         now = self._clock.monotonic()
-        for short_id, running, waiting, age_ms in zip(
+        work_times = message.work_times_percent or itertools.repeat(0)
+        for short_id, running, waiting, age_ms, work_time in zip(
             message.replica_hashes,
             message.running,
             message.waiting,
             message.ages_ms,
+            work_times,
             strict=False,
         ):
             if min(running, waiting, age_ms) < 0:
@@ -87,5 +91,16 @@
                     running=running,
                     waiting=waiting,
                     at=now - age_ms * _MILLISECOND,
+                    work_time_percent=work_time if work_time > 0 else None,
                 ),
             )
+
+
+def _work_times(
+    reported: list[replica_module.Replica],
+) -> list[int] | None:
+    """Returns the work times in per cent; None if no replica states one."""
+    work_times = [replica.report.work_time_percent for replica in reported]
+    if not any(work_times):
+        return None
+    return [round(time or 0) for time in work_times]
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health as health_module
 from nutmeghook.internal.replicas import rate_limit as rate_limit_module
+from nutmeghook.internal.replicas import replica_speed
 from nutmeghook.internal.replicas import send_window
 
 # Weight of one report in the moving average of its service's load: some ten
@@ -24,11 +25,14 @@
         running: Requests that it runs.
         waiting: Requests in its queue.
         at: Monotonic time at which the replica reported it.
+        work_time_percent: How long work takes on its machine, 100 as usual;
+            None if it does not say.
     """
 
     running: int
     waiting: int
     at: datetime.timedelta
+    work_time_percent: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -64,6 +68,7 @@
             its id; None if it is the first one known.
         said_leaving_at: Monotonic time at which an instance heard in one of its
             answers that it leaves; None if none has.
+        speed: Its speed relative to an average replica.
         sends: Recent and reserved sends of this instance to it.
         short_id: 31-bit hash that identifies this start in messages. Among
             4,400 replicas two collide once in 200 starts of the fleet; then one
@@ -84,6 +89,7 @@
         "said_leaving_at",
         "sends",
         "short_id",
+        "speed",
     )
 
     def __init__(
@@ -100,6 +106,7 @@
         self.in_flight_at_report = 0
         self.rate_limit: rate_limit_module.RateLimit | None = None
         self.sends = send_window.SendWindow()
+        self.speed = replica_speed.ReplicaSpeed()
         self.replaced_at: datetime.timedelta | None = None
         self.said_leaving_at: datetime.timedelta | None = None
         self._cold_until = datetime.timedelta()
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -268,6 +268,7 @@
                 replica,
                 running=facts.load.running,
                 waiting=facts.load.waiting,
+                work_time_percent=facts.load.work_time_percent,
             )
         if facts.cold_left:
             self._directory.note_cold(replica, facts.cold_left)
