Choose among replicas of an uneven service by what runs there

Cause: an engine serves its requests in turn, and the number that runs decides most of a first event's time and of the interval between events, but no forecast knew it. Four replicas were compared by the backlog of prompts that an eighth of the instances had told. At full size replicas of 12 slots had up to 27 requests while others had none.

Change: the expected number at a replica comes from its own last count, told among instances, and the own sends since; first events and token times are fitted with it; the first eight of a prompt's affinity order and four of the own data centre are compared by expected end. Services whose replicas state no work time are chosen among as before.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -199,4 +199,6 @@
         "waiting_ms": round(forecast.waiting / _MILLISECOND),
         "reading_ms": round(forecast.prefill / _MILLISECOND),
         "kept": forecast.cached,
+        "running": round(forecast.running, 1),
+        "slowness": round(forecast.slowness, 2),
     }
--- a/src/nutmeghook/internal/relay/generation_times.py
+++ b/src/nutmeghook/internal/relay/generation_times.py
@@ -9,6 +9,7 @@
 _PRIOR_FIRST_MS = 60.0
 _PRIOR_PER_WAITING = 1.0
 _PRIOR_PER_KILOTOKEN_MS = 40.0
+_PRIOR_PER_RUNNING_MS = 10.0
 _PRIOR_WEIGHT = 1.0
 # No engine prefills 1,000 tokens faster. At 0, prompts would seem to cost
 # nothing.
@@ -16,6 +17,7 @@
 # Typical sizes, which bring the three inputs to the same scale.
 _TYPICAL_WAITING_MS = 500.0
 _TYPICAL_KILOTOKENS = 5.0
+_TYPICAL_RUNNING = 6.0
 # Factor of an observation's weight at each later one. At one or two
 # first events a second per instance, this averages over half a minute.
 _DECAY = 0.98
@@ -25,6 +27,8 @@
 _MAX_MS = 5000.0
 # Longer prompts count as this long.
 _MAX_KILOTOKENS = 100.0
+# More running requests count as this many.
+_MAX_RUNNING = 200.0
 
 
 class _FirstEventModel:
@@ -39,6 +43,7 @@
         first_ms: Constant time of each request.
         per_waiting: Time per millisecond of prefill queued before it.
         per_kilotoken_ms: Time per 1,000 tokens of its prompt.
+        per_running_ms: Time per request that runs at the replica.
     """
 
     __slots__ = (
@@ -46,6 +51,7 @@
         "_targets",
         "first_ms",
         "per_kilotoken_ms",
+        "per_running_ms",
         "per_waiting",
     )
 
@@ -53,25 +59,32 @@
         self.first_ms = _PRIOR_FIRST_MS
         self.per_waiting = _PRIOR_PER_WAITING
         self.per_kilotoken_ms = _PRIOR_PER_KILOTOKEN_MS
-        self._moments = [[0.0] * 3 for _ in range(3)]
-        self._targets = [0.0] * 3
+        self.per_running_ms = _PRIOR_PER_RUNNING_MS
+        self._moments = [[0.0] * 4 for _ in range(4)]
+        self._targets = [0.0] * 4
 
-    def at(self, waiting_ms: float, kilotokens: float) -> float:
+    def at(self, waiting_ms: float, kilotokens: float, running: float) -> float:
         """Returns the expected time in ms."""
         return (
             self.first_ms
             + self.per_waiting * waiting_ms
             + self.per_kilotoken_ms * kilotokens
+            + self.per_running_ms * running
         )
 
     def learn(
-        self, waiting_ms: float, kilotokens: float, took_ms: float
+        self,
+        waiting_ms: float,
+        kilotokens: float,
+        running: float,
+        took_ms: float,
     ) -> None:
         """Adds one observation."""
         inputs = (
             1.0,
             min(waiting_ms, _MAX_MS) / _TYPICAL_WAITING_MS,
             min(kilotokens, _MAX_KILOTOKENS) / _TYPICAL_KILOTOKENS,
+            min(running, _MAX_RUNNING) / _TYPICAL_RUNNING,
         )
         took_ms = min(took_ms, _MAX_MS)
         for row, left in zip(self._moments, inputs, strict=True):
@@ -87,18 +100,20 @@
             _PRIOR_FIRST_MS,
             _PRIOR_PER_WAITING * _TYPICAL_WAITING_MS,
             _PRIOR_PER_KILOTOKEN_MS * _TYPICAL_KILOTOKENS,
+            _PRIOR_PER_RUNNING_MS * _TYPICAL_RUNNING,
         )
         matrix = [list(row) for row in self._moments]
         wanted = list(self._targets)
         for position, value in enumerate(prior):
             matrix[position][position] += _PRIOR_WEIGHT
             wanted[position] += _PRIOR_WEIGHT * value
-        first_ms, waiting_ms, kilotokens_ms = _solve(matrix, wanted)
+        first_ms, waiting_ms, kilotokens_ms, running_ms = _solve(matrix, wanted)
         self.first_ms = max(0.0, first_ms)
         self.per_waiting = max(0.0, waiting_ms / _TYPICAL_WAITING_MS)
         self.per_kilotoken_ms = max(
             _MIN_PER_KILOTOKEN_MS, kilotokens_ms / _TYPICAL_KILOTOKENS
         )
+        self.per_running_ms = max(0.0, running_ms / _TYPICAL_RUNNING)
 
 
 def _solve(matrix: list[list[float]], wanted: list[float]) -> list[float]:
@@ -119,16 +134,57 @@
     return [row[-1] for row in rows]
 
 
+class _TokenTimeModel:
+    """Linear model of one model's time per token, by the requests running.
+
+    Attributes:
+        idle_ms: Time per token at a replica that runs nothing else.
+        per_running_ms: Time per token for each request that runs there.
+    """
+
+    __slots__ = ("_moments", "_targets", "idle_ms", "per_running_ms")
+
+    def __init__(self, token_ms: float):
+        self.idle_ms = token_ms
+        self.per_running_ms = 0.0
+        self._moments = [[0.0, 0.0], [0.0, 0.0]]
+        self._targets = [0.0, 0.0]
+
+    def learn(self, running: float, token_ms: float) -> None:
+        """Adds one answer."""
+        inputs = (1.0, min(running, _MAX_RUNNING) / _TYPICAL_RUNNING)
+        for row, left in zip(self._moments, inputs, strict=True):
+            for column, right in enumerate(inputs):
+                row[column] = _DECAY * row[column] + left * right
+        for position, value in enumerate(inputs):
+            decayed = _DECAY * self._targets[position]
+            self._targets[position] = decayed + value * token_ms
+        matrix = [list(row) for row in self._moments]
+        matrix[0][0] += _TOKEN_WEIGHT
+        matrix[1][1] += _PRIOR_WEIGHT
+        wanted = list(self._targets)
+        wanted[0] += _TOKEN_WEIGHT * self.idle_ms
+        idle_ms, running_ms = _solve(matrix, wanted)
+        self.per_running_ms = max(0.0, running_ms / _TYPICAL_RUNNING)
+        self.idle_ms = max(0.0, idle_ms)
+
+
 class GenerationTimes:
-    """Expected times by model: to the first event, and from it to the end."""
+    """Expected times by model: to the first event, and from it to the end.
+
+    They are those of an average replica; a caller multiplies them by the
+    slowness of the one it means, and divides what it saw there.
+    """
 
-    __slots__ = ("_first_event_models", "_token_ms")
+    __slots__ = ("_first_event_models", "_loaded_token_models", "_token_ms")
 
     def __init__(self):
         self._first_event_models: dict[str, _FirstEventModel] = (
             collections.defaultdict(_FirstEventModel)
         )
         self._token_ms: dict[str, float] = {}
+        # Only of services whose load is known.
+        self._loaded_token_models: dict[str, _TokenTimeModel] = {}
 
     def note_first_event(
         self,
@@ -137,6 +193,7 @@
         waiting: datetime.timedelta,
         tokens: float,
         took: datetime.timedelta,
+        running: float = 0.0,
     ) -> None:
         """Records a time to first event.
 
@@ -145,9 +202,14 @@
             waiting: Prefill time queued at its replica before it.
             tokens: Prompt tokens that were not cached.
             took: From sending to the first event.
+            running: Requests that ran at its replica; 0 where that is not
+                taken into account.
         """
         self._first_event_models[model].learn(
-            waiting / _MILLISECOND, tokens / 1000.0, took / _MILLISECOND
+            waiting / _MILLISECOND,
+            tokens / 1000.0,
+            running,
+            took / _MILLISECOND,
         )
 
     def prefill_time(self, model: str, tokens: float) -> datetime.timedelta:
@@ -155,25 +217,74 @@
         pace_ms = self._first_event_models[model].per_kilotoken_ms
         return pace_ms * tokens / 1000.0 * _MILLISECOND
 
+    def delay_per_running(self, model: str) -> datetime.timedelta:
+        """Returns by how much each running request delays a first event."""
+        return self._first_event_models[model].per_running_ms * _MILLISECOND
+
     def note_generation(
-        self, model: str, *, tokens: int, took: datetime.timedelta
+        self,
+        model: str,
+        *,
+        tokens: int,
+        took: datetime.timedelta,
+        running: float | None = None,
     ) -> None:
-        """Records the time from an answer's first event to its end."""
+        """Records the time from an answer's first event to its end.
+
+        Args:
+            model: The model that answered.
+            tokens: The most tokens that it could have.
+            took: From its first event to its end.
+            running: Requests that ran at its replica; None where that is not
+                taken into account.
+        """
         if tokens < 1:
             return
         token_ms = took / _MILLISECOND / tokens
+        if running is not None:
+            known = self._loaded_token_models.get(model)
+            if known is None:
+                known = _TokenTimeModel(token_ms)
+                self._loaded_token_models[model] = known
+            known.learn(running, token_ms)
         known_ms = self._token_ms.get(model, token_ms)
         self._token_ms[model] = known_ms + _TOKEN_WEIGHT * (token_ms - known_ms)
 
-    def generation_time(self, model: str, tokens: int) -> datetime.timedelta:
-        """Returns the expected time from the first event to the end."""
-        return self._token_ms.get(model, 0.0) * tokens * _MILLISECOND
+    def generation_time(
+        self, model: str, tokens: int, *, running: float | None = None
+    ) -> datetime.timedelta:
+        """Returns the expected time from the first event to the end.
+
+        Args:
+            model: The model that answers.
+            tokens: The most tokens that it may have.
+            running: Requests that run at its replica; None for a usual load.
+        """
+        loaded = self._loaded_token_models.get(model)
+        if running is None or loaded is None:
+            return self._token_ms.get(model, 0.0) * tokens * _MILLISECOND
+        token_ms = loaded.idle_ms + loaded.per_running_ms * running
+        return token_ms * tokens * _MILLISECOND
+
+    def generation_per_running(
+        self, model: str, tokens: int
+    ) -> datetime.timedelta:
+        """Returns by how much each running request delays the end."""
+        loaded = self._loaded_token_models.get(model)
+        if loaded is None:
+            return datetime.timedelta()
+        return loaded.per_running_ms * tokens * _MILLISECOND
 
     def time_to_first_event(
-        self, model: str, *, waiting: datetime.timedelta, tokens: float
+        self,
+        model: str,
+        *,
+        waiting: datetime.timedelta,
+        tokens: float,
+        running: float = 0.0,
     ) -> datetime.timedelta:
         """Returns the expected time to first event."""
         at_ms = self._first_event_models[model].at(
-            waiting / _MILLISECOND, tokens / 1000.0
+            waiting / _MILLISECOND, tokens / 1000.0, running
         )
         return at_ms * _MILLISECOND
--- a/src/nutmeghook/internal/relay/model_selector.py
+++ b/src/nutmeghook/internal/relay/model_selector.py
@@ -101,8 +101,13 @@
         took: datetime.timedelta,
     ) -> None:
         """Records the time from a whole answer's first event to its end."""
+        forecast = prepared.forecast
+        is_uneven = self._directory.is_uneven(prepared.replica.entry.service)
         self._times.note_generation(
-            prepared.model, tokens=job.output_tokens, took=took
+            prepared.model,
+            tokens=job.output_tokens,
+            took=took / forecast.slowness if forecast else took,
+            running=forecast.running if forecast and is_uneven else None,
         )
 
     def larger_for(
@@ -149,6 +154,7 @@
         tokens = job.input_tokens
         baseline = self._baseline_prompts[job.route.name]
         waiting = self._directory.baseline_load(job.service).waiting
+        is_uneven = self._directory.is_uneven(job.service)
         return model_choice.EscalationContext(
             confidence=confidence,
             elapsed=self._clock.monotonic() - job.incoming.arrived_at,
@@ -158,8 +164,15 @@
                 name,
                 waiting=forecast.waiting,
                 tokens=attempt_facts.uncached_tokens(job, forecast.cached),
-            ),
-            generation=self._times.generation_time(name, job.output_tokens),
+                running=forecast.running,
+            )
+            * forecast.slowness,
+            generation=self._times.generation_time(
+                name,
+                job.output_tokens,
+                running=forecast.running if is_uneven else None,
+            )
+            * forecast.slowness,
             time_left=job.deadline - self._clock.monotonic(),
             waiting=waiting,
         )
--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -46,12 +46,20 @@
         took = self._clock.monotonic() - prepared.sent_at
         waiting = prepared.forecast.waiting
         tokens = attempt_facts.uncached_tokens(job, prepared.forecast.cached)
+        forecast = prepared.forecast
         expected = self._times.time_to_first_event(
-            prepared.model, waiting=waiting, tokens=tokens
+            prepared.model,
+            waiting=waiting,
+            tokens=tokens,
+            running=forecast.running,
         )
         self._note_first_pace(prepared, took, expected)
         self._times.note_first_event(
-            prepared.model, waiting=waiting, tokens=tokens, took=took
+            prepared.model,
+            waiting=waiting,
+            tokens=tokens,
+            took=took / forecast.slowness,
+            running=forecast.running,
         )
         key = attempt_facts.affinity(job)
         if key is not None:
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -156,6 +156,13 @@
             suffix=self._times.prefill_time(model_name, own_tokens),
             urgent=attempt_facts.is_urgent(job, model_index),
             target=job.route.target,
+            delay_per_running=self._times.delay_per_running(model_name),
+            generation=self._times.generation_time(
+                model_name, job.output_tokens, running=0.0
+            ),
+            generation_per_running=self._times.generation_per_running(
+                model_name, job.output_tokens
+            ),
         )
 
     def forecast(
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -13,6 +13,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import running_requests
 from nutmeghook.internal.replicas import send_gate
 
 # Time constant with which a replica's load report decays to the baseline load
@@ -36,6 +37,11 @@
 # same owner, so that each prompt prefix is processed there once.
 OWNERS_COMPARED = 3
 LOCAL_OWNERS_COMPARED = 1
+# The same for a service whose replicas differ in speed and load. Loads are
+# known a quarter of a second late, so an instance compares a part of the
+# replicas only, a different one for each key.
+UNEVEN_OWNERS_COMPARED = 8
+UNEVEN_LOCAL_OWNERS_COMPARED = 4
 # Assumed probability that the owner of a key has its prompt prefix cached.
 OWNER_CACHE_PROBABILITY = 0.5
 # Share of the normal backlog that an urgent prompt waits for. It goes first,
@@ -48,6 +54,7 @@
 # cost of traffic between data centres.
 REMOTE_DELAY = datetime.timedelta(milliseconds=100)
 
+_ZERO = datetime.timedelta()
 _Predicate = Callable[[replica_module.Replica], bool]
 
 
@@ -61,12 +68,20 @@
         suffix: Prefill time of the rest.
         urgent: Engines process it before prompts that are not urgent.
         target: An answer within this time has its full utility.
+        delay_per_running: By how much each request that runs at a replica
+            delays the first event.
+        generation: From the first event to the end at an idle replica.
+        generation_per_running: By how much each request that runs there
+            delays the end.
     """
 
     prefix: datetime.timedelta
     suffix: datetime.timedelta
     urgent: bool
     target: datetime.timedelta
+    delay_per_running: datetime.timedelta = _ZERO
+    generation: datetime.timedelta = _ZERO
+    generation_per_running: datetime.timedelta = _ZERO
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -77,12 +92,18 @@
         waiting: Time spent on the backlog before the prompt.
         prefill: Prefill time of the prompt, less the expected cached part.
         cached: Probability that the prompt prefix is cached.
+        running: Expected number of requests that run at the replica; 0 where
+            the service is not uneven.
+        slowness: Factor by which its work takes longer than an average
+            replica's; 1 where the service is not uneven.
     """
 
     replica: replica_module.Replica
     waiting: datetime.timedelta
     prefill: datetime.timedelta
     cached: float
+    running: float = 0.0
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -258,10 +279,12 @@
         local = self._directory.affinity_order(
             criteria.service, self._data_centre, criteria.key
         )
-        found = list(itertools.islice(filter(accepts, owners), OWNERS_COMPARED))
-        for replica in itertools.islice(
-            filter(accepts, local), LOCAL_OWNERS_COMPARED
-        ):
+        compared, local_compared = OWNERS_COMPARED, LOCAL_OWNERS_COMPARED
+        if self._directory.is_uneven(criteria.service):
+            compared = UNEVEN_OWNERS_COMPARED
+            local_compared = UNEVEN_LOCAL_OWNERS_COMPARED
+        found = list(itertools.islice(filter(accepts, owners), compared))
+        for replica in itertools.islice(filter(accepts, local), local_compared):
             if replica not in found:
                 found.append(replica)
         return found
@@ -279,21 +302,46 @@
             cached = 1.0
         backlog = self._directory.backlog(replica)
         share = NORMAL_WAIT_SHARE if prompt.urgent else 1.0
+        running, slowness = self._condition(replica)
         return Forecast(
             replica=replica,
             waiting=backlog.urgent + share * backlog.normal,
             prefill=prompt.suffix + (1.0 - cached) * prompt.prefix,
             cached=cached,
+            running=running,
+            slowness=slowness,
         )
 
+    def _condition(
+        self, replica: replica_module.Replica
+    ) -> tuple[float, float]:
+        """Returns the requests at a replica and its slowness, if uneven."""
+        service = replica.entry.service
+        if not self._directory.is_uneven(service):
+            return 0.0, 1.0
+        now = self._clock.monotonic()
+        running = running_requests.expected_running(
+            replica, baseline=self._directory.baseline_load(service), now=now
+        )
+        return running, replica.speed.slowness(now)
+
     def _cost(
         self, criteria: ReplicaCriteria, forecast: Forecast
     ) -> datetime.timedelta:
-        """Returns the expected time to first token plus penalties."""
+        """Returns the expected time plus penalties.
+
+        That is the time to the first token, and in an uneven service the time
+        to the end: a loaded or slow replica is late with every event.
+        """
         now = self._clock.monotonic()
         replica = forecast.replica
+        prompt = criteria.prompt
         delay = forecast.waiting + forecast.prefill
+        delay += forecast.running * prompt.delay_per_running
+        delay += prompt.generation
+        delay += forecast.running * prompt.generation_per_running
         delay += self._blocking_cost(forecast, now)
+        delay *= forecast.slowness
         delay += criteria.prompt.target * replica.health.failure_rate(now)
         if replica.entry.data_centre != self._data_centre:
             delay += REMOTE_DELAY
@@ -356,6 +404,8 @@
         self, replica: replica_module.Replica, now: datetime.timedelta
     ) -> float:
         score = self.load_per_slot(replica, now)
+        if self._directory.is_uneven(replica.entry.service):
+            score *= replica.speed.slowness(now)
         score += FAILURE_LOAD * replica.health.failure_rate(now)
         if replica.entry.data_centre != self._data_centre:
             score += REMOTE_LOAD
