--- a/src/nutmeghook/internal/relay/attempt_facts.py
+++ b/src/nutmeghook/internal/relay/attempt_facts.py
@@ -45,6 +45,17 @@
     return job.route.models[index]
 
 
+def other_models(job: job_module.Job) -> list[int]:
+    """Returns the models that the router might choose instead."""
+    if not job.route.models or not job.incoming.facts.any_model:
+        return []
+    return [
+        index
+        for index in range(len(job.route.models))
+        if index != job.model_index
+    ]
+
+
 def affinity(job: job_module.Job, model_index: int | None = None) -> str | None:
     """Returns the affinity key of the request's prompt prefix.
 
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -74,6 +74,13 @@
         if self.first_at is None:
             self.first_at = now
 
+    @property
+    def interval(self) -> datetime.timedelta | None:
+        """The mean time between events; None before the second one."""
+        if self.events <= 1:
+            return None
+        return (self.last_at - self.first_at) / (self.events - 1)
+
     def logged(self, arrived_at: datetime.timedelta) -> dict[str, int]:
         """Returns the fields of a log line; none before the first event.
 
@@ -89,9 +96,8 @@
             ),
             "last_event_ms": round((self.last_at - arrived_at) / _MILLISECOND),
         }
-        if self.events > 1:
-            pace = (self.last_at - self.first_at) / (self.events - 1)
-            fields["event_interval_ms"] = round(pace / _MILLISECOND)
+        if self.interval is not None:
+            fields["event_interval_ms"] = round(self.interval / _MILLISECOND)
         return fields
 
 
--- a/src/nutmeghook/internal/relay/prepared.py
+++ b/src/nutmeghook/internal/relay/prepared.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.relay import expected_times
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routes import model
@@ -17,6 +18,7 @@
         forecast: When its answer is expected to begin; None for a request that
             is no generation.
         after_event: The event after which it resumes; None from the start.
+        expected: How long it is expected to take; None if that is not known.
     """
 
     replica: replica_module.Replica
@@ -26,3 +28,4 @@
     model: str
     forecast: choice_module.Forecast | None
     after_event: str | None
+    expected: expected_times.ExpectedTimes | None = None
