Estimate the speed of each replica from its answers and statements

Replicas of an uneven service differ in speed by a factor of three, and a quarter of them becomes four times slower at times. Nothing knew of it.

No decision uses it yet.

--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -153,3 +153,5 @@
         """Records a load report."""
         self.report = report
         self.in_flight_at_report = self.in_flight
+        if report.work_time_percent is not None:
+            self.speed.note_stated(report.work_time_percent, report.at)
