Record speeds of replicas, tell peers, and show them to operators

One instance of a large fleet gets less than one answer from a replica in ten seconds (docs/hard-load.md), too few to see that it has become slow.

SpeedRegistry records the successful answers of uneven services, as seen by AnswerObserver: times to first event over the forecast, intervals between events, and times of whole answers, the last two against the mean of their version. SpeedGossip sends the 8 estimates with the latest answers to two peers of the own data centre and at times to one elsewhere, twice a second. Estimates of former starts, values out of range and services that are not uneven change nothing. New: the log event replica:speed and the gauge nutmeghook_slow_replicas.

Answers with a status from 400 are not counted: a refusal takes a fraction of the time of an answer.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -26,6 +26,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import signal_registry
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.upstream import pool as pool_module
@@ -46,6 +47,7 @@
     directory: directory_module.ReplicaDirectory
     gate: send_gate.SendGate
     signals: signal_registry.SignalRegistry
+    speeds: speed_registry.SpeedRegistry
     versions: view.VersionView
     budgets: window_budget.WindowRetryBudgets
     suspects: registry_module.SuspectRegistry
@@ -112,6 +114,7 @@
             chooser=chooser,
             versions=dependencies.versions,
             times=times,
+            speeds=dependencies.speeds,
             metrics=dependencies.metrics,
             clock=dependencies.clock,
         ),
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -22,6 +22,7 @@
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
@@ -87,6 +88,7 @@
         "orders",
         "rollouts",
         "send_limits",
+        "speeds",
         "suspects",
     )
 
@@ -121,6 +123,9 @@
             directory=self.directory,
             clock=clock,
         )
+        self.speeds = speed_registry.SpeedRegistry(
+            directory=self.directory, clock=clock
+        )
         self.rollouts = rollouts_module.RollOuts(
             orders=self.orders,
             directory=self.directory,
@@ -159,6 +164,7 @@
                 directory=self.directory,
                 gate=self.send_limits.gate,
                 signals=self.send_limits.signals,
+                speeds=self.speeds,
                 versions=self.rollouts,
                 budgets=self.budgets,
                 suspects=self.suspects,
@@ -255,6 +261,7 @@
             rollouts=self.rollouts,
             orders=self.orders,
             signals=self.send_limits.signals,
+            speeds=self.speeds,
             suspects=self.suspects,
             clock=self._clock,
             random_source=self._random,
@@ -357,6 +364,7 @@
             self.metrics,
             suspects=self.suspects,
             send_limits=self.send_limits,
+            speeds=self.speeds,
             directory=self.directory,
             peers=self._peers,
             clock=self._clock,
--- a/src/nutmeghook/internal/assembly/router_gauges.py
+++ b/src/nutmeghook/internal/assembly/router_gauges.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.suspects import registry as registry_module
 
 
@@ -14,6 +15,7 @@
     *,
     suspects: registry_module.SuspectRegistry,
     send_limits: send_limits_module.SendLimits,
+    speeds: speed_registry.SpeedRegistry,
     directory: directory_module.ReplicaDirectory,
     peers: router_peers.RouterPeers | None,
     clock: clock_module.Clock,
@@ -24,6 +26,7 @@
         metrics: Whose gauges are set.
         suspects: The quarantined requests.
         send_limits: The limits on what may be sent.
+        speeds: The estimated speeds of replicas.
         directory: The known replicas.
         peers: The peers; None before the router runs.
         clock: Measures time.
@@ -36,6 +39,7 @@
     asking = send_limits.signals.asking()
     limited = [r for r in asking if r.rate_limit_per_s is not None]
     _set_open(metrics, "limited_replicas", send_limits, limited)
+    metrics.set("slow_replicas", speeds.slow_count())
     if peers is None:
         return
     metrics.set("peer_unreadable_datagrams", peers.traffic.unreadable)
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -22,6 +22,8 @@
 from nutmeghook.internal.replicas import sender_election
 from nutmeghook.internal.replicas import signal_gossip
 from nutmeghook.internal.replicas import signal_registry
+from nutmeghook.internal.replicas import speed_gossip
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.suspects import gossip as suspect_gossip
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import bandwidth_limiter
@@ -62,6 +64,7 @@
         "_rollouts",
         "_senders",
         "_signals",
+        "_speeds",
         "_suspects",
         "_table",
         "_tables",
@@ -83,6 +86,7 @@
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderRegistry,
         signals: signal_registry.SignalRegistry,
+        speeds: speed_registry.SpeedRegistry,
         suspects: registry_module.SuspectRegistry,
         clock: clock_module.Clock,
         random_source: random.Random,
@@ -99,6 +103,7 @@
         self._rollouts = rollouts
         self._orders = orders
         self._signals = signals
+        self._speeds = speeds
         self._suspects = suspects
         self._clock = clock
         self._random = random_source
@@ -227,6 +232,14 @@
                 sample_peers=gossip.sample_live_addresses,
                 **common,
             ),
+            speed_gossip.SpeedGossip(
+                registry=self._speeds,
+                sample_peers=lambda: gossip.sample_live_addresses(
+                    local=speed_gossip.LOCAL_FANOUT,
+                    remote=speed_gossip.REMOTE_FANOUT,
+                ),
+                **common,
+            ),
             suspect_gossip.SuspectGossip(
                 registry=self._suspects,
                 sample_peers=gossip.sample_live_addresses,
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -172,6 +172,14 @@
         ),
         labels=("open",),
     ),
+    MetricSpec(
+        name="slow_replicas",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Replicas believed to take over 1.5 times as long as an average one"
+            " of their version, by the answers to all instances."
+        ),
+    ),
     MetricSpec(
         name="requests_held_back_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.version_plans import baseline as baseline_module
 from nutmeghook.internal.version_plans import view as view_module
@@ -20,7 +21,14 @@
 class AnswerObserver:
     """Records answers of replicas as they begin and end."""
 
-    __slots__ = ("_chooser", "_clock", "_metrics", "_times", "_versions")
+    __slots__ = (
+        "_chooser",
+        "_clock",
+        "_metrics",
+        "_speeds",
+        "_times",
+        "_versions",
+    )
 
     def __init__(
         self,
@@ -28,6 +36,7 @@
         chooser: choice_module.ReplicaChooser,
         versions: view_module.VersionView,
         times: generation_times.GenerationTimes,
+        speeds: speed_registry.SpeedRegistry,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
@@ -35,6 +44,7 @@
         self._chooser = chooser
         self._versions = versions
         self._times = times
+        self._speeds = speeds
         self._clock = clock
 
     def note_first_event(
@@ -139,6 +149,11 @@
             kind=prepared.replica.entry.service,
             pace_s=took / max(expected, _MILLISECOND),
         )
+        self._note_speed(
+            prepared,
+            took / max(expected, _MILLISECOND),
+            measure=baseline_module.LatencyMeasure.FIRST_EVENT,
+        )
 
     def note_pace(
         self,
@@ -146,6 +161,7 @@
         duration: datetime.timedelta,
         *,
         steps: int,
+        is_success: bool = True,
     ) -> None:
         """Records how long an answer took, as a time per step.
 
@@ -153,6 +169,13 @@
 
         A replica generates for all its streams in one batch, so events have the
         same interval on every route; whole answers differ by route.
+
+        Args:
+            prepared: The attempt that was answered.
+            duration: The time that the steps took together.
+            steps: Their number.
+            is_success: The replica did what was asked. Refusing a request takes
+                a fraction of the time, which says nothing of a replica's speed.
         """
         if steps < 1:
             return
@@ -165,3 +188,29 @@
             else prepared.route.name,
             pace_s=duration.total_seconds() / steps,
         )
+        if is_success:
+            self._note_speed(
+                prepared,
+                duration.total_seconds() / steps,
+                measure=baseline_module.LatencyMeasure.EVENT_INTERVAL,
+            )
+
+    def _note_speed(
+        self,
+        prepared: prepared_module.PreparedAttempt,
+        pace: float,
+        *,
+        measure: baseline_module.LatencyMeasure,
+    ) -> None:
+        """Records an answer's time over what is expected at any replica.
+
+        Times that no expectation is known of are taken as they are: the mean
+        of the replica's service, version, model and route is divided by.
+        """
+        is_stream = prepared.route.kind is model.RouteKind.STREAM
+        self._speeds.note_pace(
+            prepared.replica,
+            pace,
+            measure.name,
+            prepared.model if is_stream else prepared.route.name,
+        )
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -19,6 +19,7 @@
 # without an answer: one request in a hundred takes 5 times its usual time, and
 # a replica that never answers would use up the whole time limit.
 _RESEND_AFTER_TARGETS = 3.0
+_FIRST_ERROR_STATUS = 400
 
 
 class WholeAnswerRelay:
@@ -99,7 +100,12 @@
         if not answer.failed:
             prepared.replica.health.note_success(self._clock.monotonic())
             took = self._clock.monotonic() - prepared.sent_at
-            self._observer.note_pace(prepared, took, steps=1)
+            self._observer.note_pace(
+                prepared,
+                took,
+                steps=1,
+                is_success=answer.status < _FIRST_ERROR_STATUS,
+            )
         return answer
 
     def _may_retry_failure(self, job: job_module.Job) -> bool:
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import signal_registry
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
@@ -128,6 +129,9 @@
                 relay_assembly.RelayDependencies(
                     gate=self.build_gate(),
                     signals=self.build_signals(),
+                    speeds=speed_registry.SpeedRegistry(
+                        directory=self.directory, clock=self.clock
+                    ),
                     configuration=self.configuration,
                     directory=self.directory,
                     versions=view.AnyVersion(),
