Tell in a story why a request was refused under load, and replica speeds

Cause: docs/hard-load.md names events for refusals under load, for callers that do not read and for replica speeds. A story showed the first three as raw JSON and the last not at all; `team` and the times of a stream's events in `request:ended` were ignored.

Change: the events have types.

--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -16,6 +16,7 @@
 REPLICA_COLD = "replica:cold"
 REPLICA_RATE_LIMIT = "replica:rate_limit"
 REPLICA_REST = "replica:rest"
+REPLICA_SPEED = "replica:speed"
 REPLICA_UNREADABLE_SIGNAL = "replica:unreadable_signal"
 
 TYPES: dict[str, type[log_records.Record]] = {
@@ -28,6 +29,9 @@
     "request:ended": log_records.RequestEnded,
     "request:fault": log_records.RequestFault,
     "request:held_back": log_records.RequestHeldBack,
+    "request:no_room": log_records.RequestNoRoom,
+    "request:cannot_end": log_records.RequestCannotEnd,
+    "caller:not_reading": log_records.CallerNotReading,
     "configuration:in_force": state_records.ConfigurationInForce,
     "replica:listed": state_records.ReplicaChange,
     "replica:leaving": state_records.ReplicaChange,
@@ -37,6 +41,7 @@
     REPLICA_COLD: state_records.ReplicaChange,
     REPLICA_RATE_LIMIT: state_records.ReplicaChange,
     REPLICA_REST: state_records.ReplicaChange,
+    REPLICA_SPEED: state_records.ReplicaChange,
     REPLICA_UNREADABLE_SIGNAL: state_records.ReplicaChange,
     "data_centre:evacuated": state_records.EvacuationChange,
     "data_centre:taken_back": state_records.EvacuationChange,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -41,6 +41,8 @@
         waiting_ms: Forecast time in the replica's queue.
         reading_ms: Forecast time of prefill.
         kept: Probability that the replica has the prompt prefix cached.
+        expected_first_ms: Expected time to the first event.
+        expected_end_ms: Expected time to the end of the answer.
     """
 
     replica: str
@@ -53,6 +55,8 @@
     waiting_ms: float | None = None
     reading_ms: float | None = None
     kept: float | None = None
+    expected_first_ms: float | None = None
+    expected_end_ms: float | None = None
 
 
 class AttemptAnswered(AttemptRecord, frozen=True, kw_only=True):
@@ -128,6 +132,40 @@
     signals: list[str] | None = None
 
 
+class RequestNoRoom(RequestRecord, frozen=True, kw_only=True):
+    """A request was refused for lack of capacity.
+
+    Attributes:
+        share: The team's fair share of its service, as cost per second.
+        asked_per_s: What the team asks for, as cost per second.
+    """
+
+    team: str | None = None
+    share: float | None = None
+    asked_per_s: float | None = None
+    expected_wait_ms: float | None = None
+    retry_after_ms: float | None = None
+
+
+class RequestCannotEnd(RequestRecord, frozen=True, kw_only=True):
+    """A run was not begun because it is not expected to end in time."""
+
+    expected_ms: float | None = None
+    left_ms: float | None = None
+
+
+class CallerNotReading(RequestRecord, frozen=True, kw_only=True):
+    """An answer was cut because its caller does not read it.
+
+    Attributes:
+        held_bytes: What was held for the caller.
+        unread_ms: How long the caller had read nothing.
+    """
+
+    held_bytes: int | None = None
+    unread_ms: float | None = None
+
+
 class RequestFault(RequestRecord, frozen=True, kw_only=True):
     """An internal error ended the request."""
 
@@ -138,18 +176,29 @@
     """A request ended.
 
     Attributes:
+        team: None if the request was refused before its team was known, or
+            its route needs no key.
         cut: An answer that had begun was broken off.
         identity: The same for all copies of a request.
+        events: How many events of a stream were forwarded.
+        first_event_ms: When the first of them was.
+        last_event_ms: When the last of them was.
+        event_interval_ms: The mean time between two of them.
     """
 
     route: str
     code: int
     outcome: str
+    team: str | None = None
     identity: str | None = None
     attempts: int | None = None
     cut: bool | None = None
     configuration: int | None = None
     duration_ms: float | None = None
+    events: int | None = None
+    first_event_ms: float | None = None
+    last_event_ms: float | None = None
+    event_interval_ms: float | None = None
 
 
 class OtherRequestRecord(RequestRecord, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/observe/record_text.py
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -74,6 +74,24 @@
     return f"held back from {reasons}"
 
 
+@describe.register
+def _no_room(record: log_records.RequestNoRoom) -> str:
+    detail = _details(record, "request", "team")
+    return f"refused, no capacity for team {record.team}{detail}"
+
+
+@describe.register
+def _cannot_end(record: log_records.RequestCannotEnd) -> str:
+    detail = _details(record, "request")
+    return f"a run is not expected to end in time{detail}"
+
+
+@describe.register
+def _not_reading(record: log_records.CallerNotReading) -> str:
+    detail = _details(record, "request")
+    return f"the caller does not read its answer{detail}"
+
+
 @describe.register
 def _failed(record: log_records.AttemptFailed) -> str:
     return f"attempt {record.attempt} failed, {record.outcome}: {record.error}"
--- a/src/nutmeghook/internal/observe/state_records.py
+++ b/src/nutmeghook/internal/observe/state_records.py
@@ -14,7 +14,13 @@
 
 
 class ReplicaChange(Record, frozen=True, kw_only=True):
-    """The instance's view of a replica changed."""
+    """The instance's view of a replica changed.
+
+    Attributes:
+        slowness: The factor by which its work is believed to take longer than
+            an average replica's.
+        weight: The answers that the slowness was learnt from, after decay.
+    """
 
     replica: str
     service: str | None = None
@@ -31,6 +37,8 @@
     signal: str | None = None
     rest_s: float | None = None
     successor: str | None = None
+    slowness: float | None = None
+    weight: float | None = None
 
 
 class EvacuationChange(Record, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/observe/story.py
+++ b/src/nutmeghook/internal/observe/story.py
@@ -32,6 +32,7 @@
     log_decoding.REPLICA_COLD,
     log_decoding.REPLICA_RATE_LIMIT,
     log_decoding.REPLICA_REST,
+    log_decoding.REPLICA_SPEED,
     log_decoding.REPLICA_UNREADABLE_SIGNAL,
 )
 
@@ -118,6 +119,22 @@
                 known.add(record.attempts or 0)
         return [n for n in range(1, max(known, default=0) + 1) if n not in sent]
 
+    def believed_speed(self, sending: Line) -> Line | None:
+        """Returns the last line about a replica's speed before a sending.
+
+        None if none is logged: the replica was taken for an average one, or
+        the line is missing.
+        """
+        known = [*self.earlier_state.values(), *self.state_changes]
+        lines = [
+            line
+            for line in known
+            if line.record.event == log_decoding.REPLICA_SPEED
+            and line.record.replica == sending.record.replica
+            and line.number < sending.number
+        ]
+        return max(lines, key=lambda line: line.number, default=None)
+
     def lines(self) -> list[Line]:
         """Returns all lines from the arrival on, in the order logged."""
         return sorted(
--- a/src/nutmeghook/internal/observe/story_text.py
+++ b/src/nutmeghook/internal/observe/story_text.py
@@ -39,7 +39,7 @@
         if trace.has_arrival
     )
     entries = [
-        (line.at_s, trace.instance, _text(trace, line.record))
+        (line.at_s, trace.instance, _text(trace, line))
         for trace, line in story.lines()
     ]
     width = max(len(trace.instance) for trace in story.traces)
@@ -57,7 +57,10 @@
     return f"arrived, let in by configuration {trace.admitted_by}"
 
 
-def _text(trace: story_module.InstanceTrace, record: log_records.Record) -> str:
+def _text(trace: story_module.InstanceTrace, line: story_module.Line) -> str:
+    record = line.record
+    if isinstance(record, log_records.AttemptSent):
+        return record_text.describe(record) + _belief(trace, line)
     if isinstance(record, log_records.RequestRecord):
         return record_text.describe(record)
     text = _STATE_PREFIX + record_text.describe(record)
@@ -71,6 +74,20 @@
     return f"{text}; another than {admitted}, which let the request in"
 
 
+def _belief(
+    trace: story_module.InstanceTrace, sending: story_module.Line
+) -> str:
+    """Returns what was believed of the replica's speed, if it is logged."""
+    believed = trace.believed_speed(sending)
+    if believed is None or believed.record.slowness is None:
+        return ""
+    age_s = sending.at_s - believed.at_s
+    return (
+        f"; believed {believed.record.slowness:.2f} times as slow as an"
+        f" average replica since {_span(age_s)} before"
+    )
+
+
 def _gaps(trace: story_module.InstanceTrace) -> Iterator[str]:
     """Yields notes on what a trace lacks, and why."""
     ahead_s = trace.arrived_s - trace.log.first_s
