Soak: uneven replicas, a surging team and slow readers in some seeds

Cause: no soak had replicas that state their work time, so that nothing of docs/hard-load.md was played under faults.

New checks: a slow reader gets its whole answer unless its router or a replica failed, and a request reaches replicas under its own team. That a refusal as "not run" is true, and that an answer is whole, was checked before for all callers. The report counts long answers that arrived whole, so that a soak that reads none is seen. Seeds that found earlier defects run without these faults.

Tried first: a receive buffer of 16 KiB, below the loopback's segments. The connection stalled, 3 MB were read in 8 s, and no long answer was whole.

--- a/src/nutmeghook/experiment/platform_checks.py
+++ b/src/nutmeghook/experiment/platform_checks.py
@@ -10,6 +10,11 @@
 WHOLE_STREAM = b"".join(users_replica.event(n) for n in STREAM_EVENTS)
 WHOLE_ANSWER = b"done"
 REQUEST_BODY = b"prompt"
+# A long stream, more than what the sockets between a replica and its caller
+# hold, for callers that read slowly.
+LONG_BODY = b"prompt with a long answer"
+LONG_EVENTS = tuple(range(96))
+LONG_PADDING = 64 * 1024
 # Crashes each replica that begins to run it.
 CRASHING_BODY = b"prompt that no replica survives"
 # The users' bound on serving an API key after its removal.
@@ -81,6 +86,17 @@
     return found
 
 
+def whole_answer(call: ObservedCall) -> bytes:
+    """Returns the whole answer to a request."""
+    if call.kind != "stream":
+        return WHOLE_ANSWER
+    if call.sent_body == LONG_BODY:
+        return b"".join(
+            users_replica.event(n, LONG_PADDING) for n in LONG_EVENTS
+        )
+    return WHOLE_STREAM
+
+
 def _run_violations(call: ObservedCall, ran: int) -> Iterator[str]:
     if call.kind == "once" and ran > 1:
         yield f"{call.request_id} ran {ran} times"
@@ -91,7 +107,7 @@
 def _answer_violations(call: ObservedCall) -> Iterator[str]:
     if call.status != 200:
         return
-    expected = WHOLE_STREAM if call.kind == "stream" else WHOLE_ANSWER
+    expected = whole_answer(call)
     if not expected.startswith(call.body):
         yield f"{call.request_id} got {call.body[:80]!r}"
     elif call.complete and call.body != expected:
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -8,6 +8,7 @@
 import dataclasses
 import pathlib
 import random
+import socket
 import tempfile
 
 import aiohttp
@@ -30,6 +31,12 @@
 _REFUSALS = 0.03
 _BAD_VERSION_FAILURES = 0.5
 _CALL_TIMEOUT_S = 20.0
+# Of a long answer, so that it takes half a second.
+_LONG_PAUSE_S = 0.005
+_READ_BYTES = 64 * 1024
+# The receive buffer of a slow reader. One below the loopback's segments of
+# 64 KiB stalls the connection: with 16 KiB, 3 MB were read in 8 s.
+_SLOW_READ_BYTES = 256 * 1024
 # From a replica's crash until its replacement is listed.
 RESTART_S = 1.0
 
@@ -211,8 +218,18 @@
         key: str = KEYS[0],
         router: trial_routers.RouterProcess | None = None,
         body: bytes = platform_checks.REQUEST_BODY,
+        read_pause_s: float = 0.0,
     ) -> platform_checks.ObservedCall:
-        """Sends one request and records its outcome."""
+        """Sends one request and records its outcome.
+
+        Args:
+            kind: The route.
+            key: The API key.
+            router: Any if None.
+            body: The request's body.
+            read_pause_s: Pause after each 64 KiB of the answer, which are
+                read with a small receive buffer.
+        """
         self._call_count += 1
         request_id = f"{kind}-{self._call_count}"
         router = router or self._random.choice(self.routers)
@@ -232,8 +249,15 @@
             ) as answer:
                 status = answer.status
                 sealed = headers.SEAL in answer.headers
-                async for piece in answer.content.iter_any():
+                # A short answer has given its connection back already.
+                if read_pause_s and answer.connection is not None:
+                    raw = answer.connection.transport.get_extra_info("socket")
+                    raw.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_RCVBUF, _SLOW_READ_BYTES
+                    )
+                async for piece in answer.content.iter_chunked(_READ_BYTES):
                     received += piece
+                    await asyncio.sleep(read_pause_s * len(piece) / _READ_BYTES)
                 complete = True
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The connection broke: complete stays False.
@@ -301,6 +325,12 @@
             return users_replica.Reply(status=500, body=b"bad version")
         is_stream = request.target.startswith("/stream/")
         events = platform_checks.STREAM_EVENTS if is_stream else ()
+        if request.body == platform_checks.LONG_BODY:
+            return users_replica.Reply(
+                events=platform_checks.LONG_EVENTS,
+                padding=platform_checks.LONG_PADDING,
+                pause_s=_LONG_PAUSE_S,
+            )
         if request.body == platform_checks.CRASHING_BODY:
             return users_replica.Reply(events=events, send_bytes=0, crash=True)
         if drawn < _RESETS:
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from nutmeghook.experiment import platform_checks
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
 from nutmeghook.experiment import soak_evacuations
@@ -22,6 +23,7 @@
 from nutmeghook.experiment import soak_signal_checks
 from nutmeghook.experiment import soak_signals
 from nutmeghook.experiment import soak_trial
+from nutmeghook.experiment import soak_uneven
 
 # For how long new faults begin.
 SECONDS = 12.0
@@ -34,13 +36,18 @@
 
 
 class SoakReport(msgspec.Struct, frozen=True, kw_only=True):
-    """A soak's outcome."""
+    """A soak's outcome.
+
+    Attributes:
+        read_slowly: How many long answers slow readers got whole.
+    """
 
     seed: int
     routers: int
     troubles: int
     calls: int
     answered: int
+    read_slowly: int
     violations: list[str]
 
 
@@ -55,6 +62,7 @@
     with_crashing: bool = True,
     with_evacuation: bool = True,
     with_signals: bool = True,
+    with_uneven: bool = True,
 ) -> SoakReport:
     """Runs one seed and checks the history.
 
@@ -68,10 +76,16 @@
         with_crashing: Send copies of a request that crashes its replicas.
         with_evacuation: Evacuate a data centre; its replicas return cold.
         with_signals: Replicas state limits, ask for rest, and leave.
+        with_uneven: In some seeds, replicas differ in speed, a team's load
+            surges, and callers read slowly.
     """
+    uneven_draw = random.Random(f"uneven {seed}")
+    is_uneven = with_uneven and soak_uneven.is_drawn(uneven_draw)
     trial = soak_trial.SoakTrial(folder=folder, seed=seed, routers=routers)
     if with_evacuation:
         trial.operator.cold_limits = soak_evacuations.COLD_LIMITS
+    if is_uneven:
+        soak_uneven.add_team(trial)
     try:
         await trial.start()
         await _add_replicas(trial, with_evacuation=with_evacuation)
@@ -99,6 +113,10 @@
                         trial, random.Random(seed), seconds=seconds
                     )
                 )
+            if is_uneven:
+                tasks.create_task(
+                    soak_uneven.play(trial, uneven_draw, seconds=seconds)
+                )
         await asyncio.sleep(SETTLE_S)
         if with_crashing:
             await injector.send_final_copies()
@@ -114,6 +132,12 @@
             troubles=len(trial.injected_faults),
             calls=len(trial.calls),
             answered=sum(c.status == 200 and c.complete for c in trial.calls),
+            read_slowly=sum(
+                c.sent_body == platform_checks.LONG_BODY
+                and c.status == 200
+                and c.complete
+                for c in trial.calls
+            ),
             violations=soak_checks.violations(history, with_bounds=with_bounds)
             + trial.reverts()
             + trial.unexpected_exits()
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -36,6 +36,9 @@
 RATE_LIMIT_OVERRUN = 1.5
 RATE_LIMIT_ALLOWANCE = 5
 ALL_ROUTERS = ""
+# The team that at times sends several times its usual load, and its API key.
+SURGING_TEAM = "surging"
+SURGING_KEY = "key-of-surging-team"
 # The users' bound: a request that has crashed so many replicas is sent at most
 # so many times more.
 CRASHED_REPLICAS = 3
@@ -198,10 +201,14 @@
                 yield f"{call.request_id} reached a replica changed"
             elif "authorization" in request.headers:
                 yield f"{call.request_id}'s key was forwarded"
-            elif request.headers.get(headers.TEAM.lower()) != "team":
+            elif request.headers.get(headers.TEAM.lower()) != _team(call):
                 yield f"{call.request_id} reached a replica without its team"
 
 
+def _team(call: platform_checks.ObservedCall) -> str:
+    return SURGING_TEAM if call.key == SURGING_KEY else "team"
+
+
 def _removed_keys(history: History) -> Iterator[str]:
     for call, removal in _calls_with_removed_keys(history):
         in_force_s = removal.from_s + CONFIGURATION_BOUND_S + SLACK_S
@@ -371,6 +378,36 @@
         yield from requests
 
 
+def _slow_readers(history: History) -> Iterator[str]:
+    """Long answers of callers that read slowly, but never stop reading.
+
+    Faults of the router or the replicas may cut an answer, and so may a crash
+    of a replica, if the retry budget is spent; faults of the store excuse
+    nobody.
+    """
+    excusing = [
+        fault
+        for fault in history.injected_faults
+        if fault.router != ALL_ROUTERS or "replica" in fault.kind
+    ]
+    alone = dataclasses.replace(history, injected_faults=excusing)
+    for call in history.calls:
+        if call.sent_body != platform_checks.LONG_BODY or call.status != 200:
+            continue
+        if call.complete or call.request_id in history.broken:
+            continue
+        if any(
+            call.sent_s <= crash.at_s <= call.ended_s + SLACK_S
+            for crash in history.crashes
+        ):
+            continue
+        if alone.is_undisturbed(call.router, call.sent_s, call.ended_s):
+            yield (
+                f"{call.request_id}, read slowly, was cut after"
+                f" {len(call.body)} bytes"
+            )
+
+
 def _exposure(history: History) -> Iterator[str]:
     if history.ordered_at_s is None:
         return
@@ -396,4 +433,9 @@
     _crashing_requests,
     _cold_replicas,
 )
-_CHECKS_OF_BOUNDS = (_removed_keys, _drained_replicas, _evacuated_replicas)
+_CHECKS_OF_BOUNDS = (
+    _removed_keys,
+    _drained_replicas,
+    _evacuated_replicas,
+    _slow_readers,
+)
--- a/src/nutmeghook/standins/users_operator.py
+++ b/src/nutmeghook/standins/users_operator.py
@@ -40,9 +40,17 @@
     Attributes:
         cold_limits: Fields of the service that limit the load of its cold
             replicas; empty for no limit.
+        further_teams: API keys of further teams, by the team's name.
     """
 
-    __slots__ = ("_host", "_service", "_store", "_version", "cold_limits")
+    __slots__ = (
+        "_host",
+        "_service",
+        "_store",
+        "_version",
+        "cold_limits",
+        "further_teams",
+    )
 
     def __init__(
         self, *, store: users_store.StandInStore, host: str, service: str
@@ -52,10 +60,15 @@
         self._service = service
         self._version = 0
         self.cold_limits: dict[str, float] = {}
+        self.further_teams: dict[str, str] = {}
 
     def write_configuration(self, keys: tuple[str, ...]) -> None:
         """Writes the next version with a route of each kind and the keys."""
         self._version += 1
+        teams = [{"name": "team", "apiKeys": list(keys)}] + [
+            {"name": name, "apiKeys": [key]}
+            for name, key in self.further_teams.items()
+        ]
         common = _COMMON | {"host": self._host, "service": self._service}
         self._put(
             tables.OPERATOR_TABLE,
@@ -64,7 +77,7 @@
                 "version": self._version,
                 "routes": [route | common for route in _ROUTES],
                 "services": [{"name": self._service} | self.cold_limits],
-                "tenants": [{"name": "team", "apiKeys": list(keys)}],
+                "tenants": teams,
             },
         )
 
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -60,6 +60,7 @@
         extra: Bytes that follow the whole answer.
         silent: No byte is sent until the caller closes the connection.
         pause_s: Pause before each event.
+        padding: Bytes of filler in each event.
         stall_after: No byte follows this many events until the caller closes
             the connection.
     """
@@ -78,12 +79,14 @@
     extra: bytes = b""
     silent: bool = False
     pause_s: float = 0.0
+    padding: int = 0
     stall_after: int | None = None
 
 
-def event(number: int) -> bytes:
+def event(number: int, padding: int = 0) -> bytes:
     """Returns the bytes of the event with a number."""
-    return b"id: %d\ndata: part %d\n\n" % (number, number)
+    filler = b"." * padding
+    return b"id: %d\ndata: part %d%b\n\n" % (number, number, filler)
 
 
 class StandInReplica:
@@ -97,6 +100,10 @@
             end of the answer.
         crashes: The bodies of the requests that crashed it.
         signals: Headers that its own answers carry in addition.
+        slots: How many requests it says to run at once.
+        work_time_percent: How long its work takes, in percent of the usual. Its
+            own answers state its load with it, and pauses are longer by it.
+            None for a replica that states no load.
         request_abandoned: Set whenever `abandoned` grows.
         request_received: Set whenever `received` grows.
         crashed: Set once it has crashed or stopped; `restart` clears it.
@@ -106,6 +113,7 @@
         "_connections",
         "_decide",
         "_replies",
+        "_running",
         "_server",
         "_tasks",
         "_unreachable_sockets",
@@ -120,6 +128,8 @@
         "request_abandoned",
         "request_received",
         "signals",
+        "slots",
+        "work_time_percent",
     )
 
     def __init__(
@@ -133,6 +143,7 @@
         self._replies = [Reply()]
         self._server: asyncio.Server | None = None
         self._connections = 0
+        self._running = 0
         self._unreachable_sockets: list[socket.socket] = []
         self._writers: list[asyncio.StreamWriter] = []
         self._tasks: list[asyncio.Task] = []
@@ -145,6 +156,8 @@
         self.crashed = asyncio.Event()
         self.crashes: list[bytes] = []
         self.signals: tuple[tuple[str, str], ...] = ()
+        self.slots = 64
+        self.work_time_percent: int | None = None
 
     def reply_from(self, replies: list[Reply]) -> None:
         """Takes replies from a list that replicas may share."""
@@ -244,6 +257,10 @@
             reply = Reply(status=421, not_run=True, body=b"")
         if not reply.not_run:
             self.ran.append(request.request_id)
+        if self.work_time_percent is not None:
+            pause_s = reply.pause_s * self.work_time_percent / 100
+            reply = dataclasses.replace(reply, pause_s=pause_s)
+        self._running += 1
         try:
             if reply.silent:
                 await reader.read(1)
@@ -254,6 +271,17 @@
             # A caller that closes a connection with unread bytes resets it.
             self._record_abandoned(request)
             raise
+        finally:
+            self._running -= 1
+
+    def _stated(self) -> tuple[tuple[str, str], ...]:
+        """Returns the headers of its own answers."""
+        if self.work_time_percent is None:
+            return self.signals
+        running = min(self._running, self.slots)
+        counts = (running, self._running - running, self.slots)
+        load = ",".join(str(n) for n in (*counts, self.work_time_percent))
+        return (*self.signals, (headers.LOAD, load))
 
     def _next_reply(self, request: ReceivedRequest) -> Reply:
         reply = self._replies[0]
@@ -273,7 +301,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         is_own = reply.status != headers.WRONG_REPLICA_STATUS
-        writer.write(_head(reply, request, self.signals if is_own else ()))
+        writer.write(_head(reply, request, self._stated() if is_own else ()))
         sent = 0
         for number, piece in enumerate(_pieces(reply, request)):
             if number == reply.stall_after:
@@ -287,6 +315,8 @@
                 piece = piece[: reply.send_bytes - sent]
             sent += len(piece)
             writer.write(_chunk(piece) if _is_chunked(reply) else piece)
+            # Waits for a router that does not read.
+            await writer.drain()
             if reply.send_bytes is not None and sent >= reply.send_bytes:
                 await writer.drain()
                 if reply.crash:
@@ -355,7 +385,9 @@
     if not reply.events:
         return [reply.body]
     last = int(request.headers.get(headers.LAST_EVENT.lower(), "-1"))
-    return [event(number) for number in reply.events if number > last]
+    return [
+        event(number, reply.padding) for number in reply.events if number > last
+    ]
 
 
 def _chunk(piece: bytes) -> bytes:
--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -4,6 +4,7 @@
 import unittest
 
 from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
 from nutmeghook.standins import users_replica
 
@@ -183,6 +184,55 @@
     def test_a_router_that_exits_with_an_error(self):
         self.assert_found("status 1", stop_statuses=[1])
 
+    def test_a_slow_reader_that_is_cut(self):
+        """It reads slowly, but never stops: only faults of its router or of
+        replicas excuse that it does not get its whole answer.
+        """
+        whole = dataclasses.replace(
+            CALL, kind="stream", sent_body=platform_checks.LONG_BODY
+        )
+        whole = dataclasses.replace(
+            whole, body=platform_checks.whole_answer(whole)
+        )
+        cut = dataclasses.replace(whole, body=whole.body[:9000], complete=False)
+        received = dataclasses.replace(
+            REQUEST, target="/stream/x", body=whole.sent_body
+        )
+        fields = {"received": {"r": [received]}}
+        self.assert_nothing(calls=[whole], **fields)
+        for fault in ([], [injected_fault(kind="store busy", router="")]):
+            self.assert_found(
+                "read slowly, was cut after 9000 bytes",
+                calls=[cut],
+                injected_faults=fault,
+                **fields,
+            )
+        self.assert_nothing(calls=[cut], broken={"id"}, **fields)
+        crash = platform_trial.ReplicaCrash(
+            replica_id="r", body=b"", at_s=CALL.ended_s
+        )
+        self.assert_nothing(calls=[cut], crashes=[crash], **fields)
+        early = dataclasses.replace(crash, at_s=CALL.sent_s - 1.0)
+        self.assert_found("read slowly", calls=[cut], crashes=[early], **fields)
+        for fault in (
+            injected_fault(),
+            injected_fault(kind="replica crashes", router=""),
+        ):
+            self.assert_nothing(calls=[cut], injected_faults=[fault], **fields)
+        self.assert_found(
+            "partial answer that ended normally",
+            calls=[dataclasses.replace(cut, complete=True)],
+            **fields,
+        )
+
+    def test_a_request_of_the_surging_team_under_another_teams_name(self):
+        """Its requests would count against the other team's share."""
+        call = dataclasses.replace(CALL, key=soak_checks.SURGING_KEY)
+        self.assert_found("without its team", calls=[call])
+        named = REQUEST.headers | {"x-tenant": soak_checks.SURGING_TEAM}
+        request = dataclasses.replace(REQUEST, headers=named)
+        self.assert_nothing(calls=[call], received={"r": [request]})
+
     def test_more_retries_than_the_budget_allows(self):
         self.assert_found("arrivals of", received={"r": [REQUEST] * 60})
 
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -41,6 +41,7 @@
                     with_crashing=False,
                     with_evacuation=False,
                     with_signals=False,
+                    with_uneven=False,
                 )
         for seed in CRASHING_SEEDS_THAT_FOUND:
             with self.subTest(seed=seed):
@@ -49,6 +50,7 @@
                     seconds=soak.SECONDS,
                     with_evacuation=False,
                     with_signals=False,
+                    with_uneven=False,
                 )
 
     def play(
@@ -59,6 +61,7 @@
         with_crashing: bool = True,
         with_evacuation: bool = True,
         with_signals: bool = True,
+        with_uneven: bool = True,
     ) -> None:
         """Runs a seed and expects no violation."""
         with tempfile.TemporaryDirectory() as folder:
@@ -71,6 +74,7 @@
                     with_crashing=with_crashing,
                     with_evacuation=with_evacuation,
                     with_signals=with_signals,
+                    with_uneven=with_uneven,
                 )
             )
         self.assertEqual(report.violations, [])
