Soak: bear a connection that breaks before its buffer is limited

Cause: a broken connection has no transport, so that a slow reader's call would have ended the whole soak with an AttributeError. Found by mypy, not seen in a run.

--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -249,12 +249,8 @@
             ) as answer:
                 status = answer.status
                 sealed = headers.SEAL in answer.headers
-                # A short answer has given its connection back already.
-                if read_pause_s and answer.connection is not None:
-                    raw = answer.connection.transport.get_extra_info("socket")
-                    raw.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_RCVBUF, _SLOW_READ_BYTES
-                    )
+                if read_pause_s:
+                    _limit_receive_buffer(answer)
                 async for piece in answer.content.iter_chunked(_READ_BYTES):
                     received += piece
                     await asyncio.sleep(read_pause_s * len(piece) / _READ_BYTES)
@@ -344,6 +340,17 @@
         return users_replica.Reply(events=events, pause_s=0.02)
 
 
+def _limit_receive_buffer(answer: aiohttp.ClientResponse) -> None:
+    """Limits what the socket reads ahead of a slow reader."""
+    # A short answer has given its connection back already, and a broken
+    # connection has no transport.
+    transport = answer.connection and answer.connection.transport
+    if transport is not None:
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _SLOW_READ_BYTES
+        )
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class TrialReport:
     """A trial's outcome."""
