--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -192,6 +192,7 @@
 // team is named by 31 bits of a hash.
 struct TeamDemands {
   1: string sender_id,
+  // 31-bit hashes of service, priority and team.
   2: list<i32> team_hashes,
   // Thousandths of a unit of cost a second.
   3: list<i32> asked_milli_per_s,
--- /dev/null
+++ b/src/nutmeghook/internal/limits/occupancy.py
@@ -0,0 +1,50 @@
+"""How many places of a service's replicas are taken."""
+
+import dataclasses
+
+# Below this part of the slots known from fresh counts, nothing is concluded.
+# On the smaller side of a network partition, only one data centre's replicas
+# of three are known.
+MIN_KNOWN_SHARE = 0.3
+# Below this part of the slots taken, places count as free: counts are up to
+# two seconds old, and requests are not spread evenly.
+FULL_SHARE = 0.9
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Occupancy:
+    """Places of some replicas, by the replicas' own counts.
+
+    Attributes:
+        slots: Slots of all the replicas.
+        known_slots: Slots of those with fresh counts.
+        taken: Slots of those that are taken.
+        requests: Requests that run or wait there.
+        has_free: One of them runs fewer than its slots, and nothing waits.
+    """
+
+    slots: int = 0
+    known_slots: int = 0
+    taken: int = 0
+    requests: int = 0
+    has_free: bool = False
+
+    @property
+    def is_known(self) -> bool:
+        """Tells whether enough counts are fresh to judge by."""
+        known = self.known_slots
+        return known > 0 and known >= MIN_KNOWN_SHARE * self.slots
+
+    @property
+    def is_short(self) -> bool:
+        """Tells whether no place is free."""
+        return (
+            self.is_known
+            and not self.has_free
+            and self.taken >= FULL_SHARE * self.known_slots
+        )
+
+    @property
+    def load(self) -> float:
+        """Requests that run or wait for each known slot."""
+        return self.requests / self.known_slots if self.known_slots else 0.0
