Refuse requests beyond a team's share while a service has no free place

Cause: a caller beside a team at nine times its usual load learns at its deadline that there was no capacity for its request.

Change: `relay/admission` is asked before the first attempt of each request of an uneven service. While a replica open to the request has a free place, or the replicas' counts are unknown, it admits. Otherwise a team above its share is refused at once, 503 and not run, with a Retry-After of at most a third of the time left. A request that was sent is not judged again. The result has a code of its own (3009), since 3002 calls somebody at night for replicas that are gone. `request:no_room` and `nutmeghook_no_room_total` tell of it. The rates are gossiped like load reports.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -5,9 +5,11 @@
 import random
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import team_shares
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import unreadable_values
+from nutmeghook.internal.relay import admission
 from nutmeghook.internal.relay import attempts
 from nutmeghook.internal.relay import crash_detector
 from nutmeghook.internal.relay import current_routes
@@ -48,6 +50,7 @@
     signals: signal_registry.SignalRegistry
     versions: view.VersionView
     budgets: window_budget.WindowRetryBudgets
+    team_shares: team_shares.TeamShares
     suspects: registry_module.SuspectRegistry
     pool: pool_module.ConnectionPool
     data_centre: str
@@ -97,6 +100,14 @@
             configuration=dependencies.configuration,
             routes=routes,
             permission=permission,
+            admission=admission.TeamAdmission(
+                configuration=dependencies.configuration,
+                directory=dependencies.directory,
+                search=search,
+                shares=dependencies.team_shares,
+                metrics=dependencies.metrics,
+                clock=dependencies.clock,
+            ),
             crashes=crashes,
             search=search,
             gate=dependencies.gate,
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.assembly import send_limits as send_limits_module
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import team_shares as team_shares_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
@@ -88,6 +89,7 @@
         "rollouts",
         "send_limits",
         "suspects",
+        "team_shares",
     )
 
     def __init__(
@@ -136,6 +138,9 @@
             burst=_RETRY_BURST,
             clock=clock,
         )
+        self.team_shares = team_shares_module.TeamShares(
+            clock=clock, random_source=self._random
+        )
         self.suspects = registry_module.SuspectRegistry(clock=clock)
         self.metrics = metrics_module.Metrics()
         self.metrics_address = ""
@@ -161,6 +166,7 @@
                 signals=self.send_limits.signals,
                 versions=self.rollouts,
                 budgets=self.budgets,
+                team_shares=self.team_shares,
                 suspects=self.suspects,
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
@@ -256,6 +262,7 @@
             orders=self.orders,
             signals=self.send_limits.signals,
             suspects=self.suspects,
+            team_shares=self.team_shares,
             clock=self._clock,
             random_source=self._random,
         )
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -15,7 +15,10 @@
 from nutmeghook.internal.inner import tcp_client
 from nutmeghook.internal.inner import tcp_server
 from nutmeghook.internal.inner import traffic
+from nutmeghook.internal.limits import share_gossip
+from nutmeghook.internal.limits import team_shares as team_shares_module
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import admission
 from nutmeghook.internal.replicas import backlog_gossip
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
@@ -65,6 +68,7 @@
         "_suspects",
         "_table",
         "_tables",
+        "_team_shares",
         "traffic",
     )
 
@@ -84,6 +88,7 @@
         orders: orders_module.OrderRegistry,
         signals: signal_registry.SignalRegistry,
         suspects: registry_module.SuspectRegistry,
+        team_shares: team_shares_module.TeamShares,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
@@ -100,6 +105,8 @@
         self._orders = orders
         self._signals = signals
         self._suspects = suspects
+        self._team_shares = team_shares
+        team_shares.fleet_size = lambda: self.fleet_size
         self._clock = clock
         self._random = random_source
         self._gossip: gossip_module.TableGossip | None = None
@@ -215,6 +222,20 @@
                 ),
                 **common,
             ),
+            share_gossip.ShareGossip(
+                instance_id=self._instance_id,
+                shares=self._team_shares,
+                sample_peers=lambda: gossip.sample_live_addresses(
+                    local=share_gossip.LOCAL_FANOUT,
+                    remote=share_gossip.REMOTE_FANOUT,
+                ),
+                observe=admission.ServiceOccupancy(
+                    directory=self._directory,
+                    shares=self._team_shares,
+                    clock=self._clock,
+                ).observe_all,
+                **common,
+            ),
             rollout_gossip.RollOutGossip(
                 instance_id=self._instance_id,
                 rollouts=self._rollouts,
--- a/src/nutmeghook/internal/foundation/codes.py
+++ b/src/nutmeghook/internal/foundation/codes.py
@@ -99,6 +99,12 @@
         RunState.NOT_RUN,
         "Backend servers ended under copies of this request.",
     )
+    NO_ROOM = (
+        3009,
+        503,
+        RunState.NOT_RUN,
+        "All places are taken, and the team asks for more than its share.",
+    )
 
     BACKEND_FAILED = (
         4000,
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -181,6 +181,15 @@
         ),
         labels=("signal",),
     ),
+    MetricSpec(
+        name="no_room_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Requests refused, not run, since their service was short of"
+            " capacity and their team asked for more than its share."
+        ),
+        labels=("team",),
+    ),
     MetricSpec(
         name="unreadable_values_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import admission as admission_module
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import crash_detector
 from nutmeghook.internal.relay import current_routes
@@ -28,6 +29,7 @@
     """Chooses where the next attempt of a request goes."""
 
     __slots__ = (
+        "_admission",
         "_budgets",
         "_clock",
         "_configuration",
@@ -47,6 +49,7 @@
         configuration: in_force_module.ConfigurationInForce,
         routes: current_routes.CurrentRoutes,
         permission: retry_permission.RetryPermission,
+        admission: admission_module.TeamAdmission,
         crashes: crash_detector.CrashDetector,
         search: replica_search.ReplicaSearch,
         gate: send_gate.SendGate,
@@ -59,6 +62,7 @@
         self._configuration = configuration
         self._routes = routes
         self._permission = permission
+        self._admission = admission
         self._crashes = crashes
         self._search = search
         self._gate = gate
@@ -120,6 +124,8 @@
         self._permission.reject_quarantined(job)
         may_have_run = job.may_have_run
         service = self._routes.service_for(job, may_have_run=may_have_run)
+        if not job.tries:
+            self._admission.require_room(job, service)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is not None:
             return job_module.Grant(service=service, choice=chosen)
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -1,6 +1,7 @@
 """Finds the replica for a request's next attempt."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import generation_times
@@ -8,6 +9,7 @@
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.version_plans import view as view_module
 
 
@@ -62,6 +64,19 @@
             chosen = self._chooser.choose(criteria)
         return chosen
 
+    def open_replicas(
+        self, job: job_module.Job, service: str
+    ) -> Iterator[replica_module.Replica]:
+        """Yields all replicas that a request may be sent to now."""
+        return self._chooser.open_replicas(
+            self._criteria(
+                job,
+                service,
+                accepts=self._accepts(job, service),
+                tried=frozenset(),
+            )
+        )
+
     def fallback(
         self, job: job_module.Job, to: job_module.FallbackReplica
     ) -> choice_module.Choice | None:
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -1,6 +1,7 @@
 """Chooses the replica that a request goes to."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 import datetime
 import itertools
@@ -195,6 +196,19 @@
         ]
         return min(forecasts, key=lambda found: self._cost(criteria, found))
 
+    def open_replicas(
+        self, criteria: ReplicaCriteria
+    ) -> Iterator[replica_module.Replica]:
+        """Yields all replicas that a request may be sent to now."""
+        now = self._clock.monotonic()
+        for replica in self._directory.of_service(criteria.service):
+            if (
+                criteria.allows(replica)
+                and self._gate.is_open(replica)
+                and not replica.health.is_ejected(now)
+            ):
+                yield replica
+
     def note_prefilled(self, forecast: Forecast, key: str) -> None:
         """Records that a replica has processed a key's prompt prefix."""
         self._cached_prefixes.note(forecast.replica.short_id, key)
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -1,5 +1,6 @@
 """Contents of a configuration: routes, services, teams and limits."""
 
+from collections.abc import Iterator
 import dataclasses
 import datetime
 import enum
@@ -141,6 +142,11 @@
             return True
         return (key or "") in self.teams_by_key
 
+    def routes(self) -> Iterator[Route]:
+        """Yields all routes."""
+        for host_routes in self._by_host.values():
+            yield from host_routes
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path."""
         for route in self._by_host.get(host, ()):
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -9,6 +9,7 @@
 
 from nutmeghook.internal.assembly import relay_assembly
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import team_shares
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import listener as listener_module
@@ -123,6 +124,9 @@
             burst=10,
             clock=self.clock,
         )
+        self.team_shares = team_shares.TeamShares(
+            clock=self.clock, random_source=random.Random(1)
+        )
         return listener_module.CallerListener(
             relay=relay_assembly.build(
                 relay_assembly.RelayDependencies(
@@ -132,6 +136,7 @@
                     directory=self.directory,
                     versions=view.AnyVersion(),
                     budgets=self.budgets,
+                    team_shares=self.team_shares,
                     suspects=self.suspects,
                     pool=self.pool,
                     data_centre="here",
