Test that a team is admitted whole up to its share by an independent sum

The property compared teams with each other only. It now also works out from the drawn rates whether a team's demand fits into what the capacity leaves for its priority, and expects that nothing of it is refused.

--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -152,8 +152,15 @@
         if what each asks for isn't looked at.
         """
         shares = shares_with(asked, admitted_part=part)
+        # Full replicas whose queues don't grow do what is admitted.
+        capacity = part * sum(asked.values())
+        noted = {k: rate + 0.5 for k, rate in asked.items()}
         for own in asked:
             same = [k for k in asked if k.priority == own.priority]
+            wanted = sum(min(noted[k], noted[own]) for k in same)
+            wanted += sum(noted[k] for k in asked if k.priority < own.priority)
+            if wanted <= capacity:
+                self.assertEqual(shares.admitted_part(own), 1.0)
             smallest = min(same, key=lambda k: asked[k])
             parts = {k: shares.admitted_part(k) for k in same}
             if own == smallest and parts[own] < 1:
@@ -270,8 +277,8 @@
         self, arrives, team_rates, rng
     ):
         """Each instance hears other peers, so each divides by another view of
-        the demand. If instances scaled by what is listed instead of what they
-        hear, those that hear little would admit several times their part.
+        the demand. If the capacity were counted over other instances than the
+        demand, those that hear little would admit several times their part.
         """
         own_rates = [
             {
