Leave no rounding error of the capacity to less urgent requests

What more urgent requests use up could leave 1e-11 of the capacity. A less urgent team then counted as having a share, and within a standard deviation of it, so that its first requests were admitted beside more urgent ones that were refused. The property now asks for exactly zero.

--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -37,6 +37,9 @@
 # while they are fewer than this part of the capacity: some are admitted in
 # each moment in which a place is free.
 _TRICKLE_SHARE = 0.01
+# What is left below this part of the capacity is an error of rounding; the less
+# urgent would be taken to have a share.
+_ROUNDING = 1e-9
 # Weight of one request in a service's mean cost.
 _COST_WEIGHT = 0.05
 # Longest Retry-After, before the bound by the caller's time left.
@@ -400,6 +403,8 @@
         for key, rate in of_priority.items():
             shares[key] = min(rate, level)
             left = max(0.0, left - shares[key])
+        if left <= _ROUNDING * (1.0 + capacity):
+            left = 0.0
     return shares
 
 
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -142,7 +142,7 @@
                 continue
             for other in asked:
                 if other.priority > short.priority:
-                    self.assertLess(shares[other], 1e-6 * max(1.0, capacity))
+                    self.assertEqual(shares[other], 0.0)
 
 
 class RefusalTest(unittest.TestCase):
