--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.assembly import send_limits as send_limits_module
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.limits import team_shares as team_shares_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
@@ -90,6 +91,7 @@
         "send_limits",
         "speeds",
         "suspects",
+        "team_shares",
     )
 
     def __init__(
@@ -141,6 +143,9 @@
             burst=_RETRY_BURST,
             clock=clock,
         )
+        self.team_shares = team_shares_module.TeamShares(
+            clock=clock, random_source=self._random
+        )
         self.suspects = registry_module.SuspectRegistry(clock=clock)
         self.metrics = metrics_module.Metrics()
         self.metrics_address = ""
@@ -167,6 +172,7 @@
                 speeds=self.speeds,
                 versions=self.rollouts,
                 budgets=self.budgets,
+                team_shares=self.team_shares,
                 suspects=self.suspects,
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
@@ -263,6 +269,7 @@
             signals=self.send_limits.signals,
             speeds=self.speeds,
             suspects=self.suspects,
+            team_shares=self.team_shares,
             clock=self._clock,
             random_source=self._random,
         )
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -143,6 +143,8 @@
     """
 
     team: str | None = None
+    service: str | None = None
+    priority: int | None = None
     share: float | None = None
     asked_per_s: float | None = None
     expected_wait_ms: float | None = None
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -6,6 +6,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import admission as admission_module
 from nutmeghook.internal.relay import attempt_facts
 from nutmeghook.internal.relay import completion as completion_module
 from nutmeghook.internal.relay import crash_detector
@@ -33,6 +34,7 @@
     """Chooses where the next attempt of a request goes."""
 
     __slots__ = (
+        "_admission",
         "_budgets",
         "_clock",
         "_completion",
@@ -53,6 +55,7 @@
         configuration: in_force_module.ConfigurationInForce,
         routes: current_routes.CurrentRoutes,
         permission: retry_permission.RetryPermission,
+        admission: admission_module.TeamAdmission,
         crashes: crash_detector.CrashDetector,
         search: replica_search.ReplicaSearch,
         completion: completion_module.CompletionForecast,
@@ -66,6 +69,7 @@
         self._configuration = configuration
         self._routes = routes
         self._permission = permission
+        self._admission = admission
         self._crashes = crashes
         self._search = search
         self._completion = completion
@@ -131,6 +135,8 @@
         self._permission.reject_quarantined(job)
         may_have_run = job.may_have_run
         service = self._routes.service_for(job, may_have_run=may_have_run)
+        if not job.tries:
+            self._admission.require_room(job, service)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is not None:
             self._require_end_in_time(job, service, chosen)
