Read the instance's memory limit from the settings

Cause: what may be held for callers and replicas has to follow from the memory above which the platform kills the process, and the setting was ignored.

Change: `limits.memoryMb`, 300 MB where it is missing. Nothing uses it yet.

--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -13,6 +13,8 @@
 DEFAULT_FILE = "/etc/nutmeghook/local.toml"
 # Used if the file names no rate: that of Fast Ethernet.
 _DEFAULT_LINK_MBIT_PER_S = 100.0
+# Used if the file names no memory limit.
+_DEFAULT_MEMORY_MB = 300.0
 
 
 class SettingError(ValueError):
@@ -45,6 +47,7 @@
         store_address: The platform's store.
         regions: The regions of data centres, this instance's among them.
         link_mbit_per_s: What the instance's network link carries.
+        memory_mb: The memory above which the platform kills the process.
         change_time: The time within which a change of the configuration, or
             the leaving of a replica, must be in force on all instances.
         stop_time: From SIGTERM to SIGKILL.
@@ -69,6 +72,7 @@
     region: str
     regions: dict[str, str]
     link_mbit_per_s: float
+    memory_mb: float
     change_time: datetime.timedelta
     stop_time: datetime.timedelta
     session_time: datetime.timedelta
@@ -197,6 +201,9 @@
         link_mbit_per_s=reader.number(
             "limits.linkMbps", default=_DEFAULT_LINK_MBIT_PER_S, minimum=0.1
         ),
+        memory_mb=reader.number(
+            "limits.memoryMb", default=_DEFAULT_MEMORY_MB, minimum=1.0
+        ),
         change_time=min(
             _milliseconds(reader.number("bounds.configApplyMs", default=2000)),
             _milliseconds(reader.number("bounds.drainMs", default=2000)),
--- a/tests/cover/test_users_platform_decoding.py
+++ b/tests/cover/test_users_platform_decoding.py
@@ -59,6 +59,11 @@
         self.assertEqual(loaded.stop_time.total_seconds(), 8)
         self.assertEqual(loaded.largest_bad_share, 0.15)
 
+    def test_the_memory_limit_is_read(self):
+        self.assertEqual(settings.load(GOOD_SETTINGS).memory_mb, 300)
+        text = GOOD_SETTINGS + "[limits]\nmemoryMb = 160\n"
+        self.assertEqual(settings.load(text).memory_mb, 160)
+
     def test_every_fault_is_named_at_once(self):
         """Several faults in a file are reported together.
 
