Bound what is held for callers, and end requests whose callers don't read

Cause: nothing bounded the sum of the bodies and answers that an instance holds, and a write to a caller had no time limit.

Change: `relay/held_bytes` accounts for bodies, whole answers and buffers of each request. Beyond a quarter of `limits.memoryMb` requests are refused before anything is sent (503, not run), and callers that have read nothing for 2 s are cut, those that hold most first; over half of the bound the same after 4 s. A write ends 0.5 s after the deadline. Whole answers wait for room. Buffers for callers are 16 KB, a request ends when the system has accepted its answer, and an event that is not complete is held up to 1 MB.

Ruled out: that aiohttp's own flow control suffices. It waits once in 64 KB, and without limit.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import unreadable_values
+from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.replicas import directory as directory_module
@@ -61,6 +62,7 @@
     Attributes:
         configuration: The configuration in force.
         directory: The known replicas.
+        held: The bytes held for requests.
         leaving: The process was asked to stop.
         metrics_address: Where metrics are served; empty before the start.
     """
@@ -80,6 +82,7 @@
         "budgets",
         "configuration",
         "directory",
+        "held",
         "leaving",
         "listener",
         "metrics",
@@ -138,6 +141,11 @@
         )
         self.suspects = registry_module.SuspectRegistry(clock=clock)
         self.metrics = metrics_module.Metrics()
+        self.held = held_bytes.HeldBytes(
+            bound_bytes=held_bytes.bound_for(settings.memory_mb),
+            metrics=self.metrics,
+            clock=clock,
+        )
         self.metrics_address = ""
         self.leaving = False
         self._was_ready = False
@@ -146,6 +154,8 @@
             relay=self._build_relay(),
             wire_format=self._wire_format,
             limits=self._caller_limits,
+            held=self.held,
+            metrics=self.metrics,
             clock=clock,
         )
         self._runners: list[web.ServerRunner] = []
@@ -208,6 +218,7 @@
         """
         self._settings = settings
         self._store.address = settings.store_address
+        self.held.bound_bytes = held_bytes.bound_for(settings.memory_mb)
         self.rollouts.progress.schedule = _schedule(settings)
         self.budgets.change(
             ratio=settings.retries.ratio * _RETRY_RATIO_FACTOR,
@@ -359,6 +370,7 @@
             send_limits=self.send_limits,
             directory=self.directory,
             peers=self._peers,
+            held=self.held,
             clock=self._clock,
         )
         body, content_headers = self.metrics.render(
--- a/src/nutmeghook/internal/assembly/router_gauges.py
+++ b/src/nutmeghook/internal/assembly/router_gauges.py
@@ -4,6 +4,7 @@
 from nutmeghook.internal.assembly import send_limits as send_limits_module
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.suspects import registry as registry_module
@@ -16,6 +17,7 @@
     send_limits: send_limits_module.SendLimits,
     directory: directory_module.ReplicaDirectory,
     peers: router_peers.RouterPeers | None,
+    held: held_bytes.HeldBytes,
     clock: clock_module.Clock,
 ) -> None:
     """Sets all gauges.
@@ -26,10 +28,12 @@
         send_limits: The limits on what may be sent.
         directory: The known replicas.
         peers: The peers; None before the router runs.
+        held: The bytes held for requests.
         clock: Measures time.
     """
     metrics.set("quarantined_requests", len(suspects.quarantined()))
     metrics.set("evacuated_data_centres", len(send_limits.evacuations.all()))
+    metrics.set("held_bytes", held.total_bytes)
     now = clock.monotonic()
     cold = [r for r in directory.all() if r.is_cold(now)]
     _set_open(metrics, "cold_replicas", send_limits, cold)
--- a/src/nutmeghook/internal/foundation/codes.py
+++ b/src/nutmeghook/internal/foundation/codes.py
@@ -150,6 +150,13 @@
         "The caller closed its connection before the answer's end.",
     )
 
+    CALLER_NOT_READING = (
+        4008,
+        499,
+        RunState.UNKNOWN,
+        "The caller did not read its answer, and its connection was closed.",
+    )
+
     CONFLICT = (
         5000,
         409,
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -125,6 +125,30 @@
         meaning="Relayed answers that were begun and cut, by why.",
         labels=("route", "reason"),
     ),
+    MetricSpec(
+        name="callers_not_reading_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Requests ended because their callers did not read, with memory"
+            " short or the deadline past."
+        ),
+    ),
+    MetricSpec(
+        name="no_memory_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Requests refused, and not run, because the memory for bodies and"
+            " answers was used up."
+        ),
+    ),
+    MetricSpec(
+        name="held_bytes",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Bytes of bodies and answers held for callers and replicas; the"
+            " bound is a quarter of the instance's memory."
+        ),
+    ),
     MetricSpec(
         name="attempts_left_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/endings.py
+++ b/src/nutmeghook/internal/relay/endings.py
@@ -32,6 +32,9 @@
 
 
 ANSWERED = Ending(code=codes.Code.OK, reason="answered")
+CALLER_NOT_READING = Ending(
+    code=codes.Code.CALLER_NOT_READING, reason="the caller does not read"
+)
 CALLER_LEFT = Ending(code=codes.Code.CALLER_GONE, reason="the caller left")
 
 
--- a/src/nutmeghook/internal/relay/events.py
+++ b/src/nutmeghook/internal/relay/events.py
@@ -30,6 +30,11 @@
         """Tells whether the bytes so far end inside an event."""
         return bool(self._rest)
 
+    @property
+    def rest_bytes(self) -> int:
+        """How many bytes of an incomplete event are kept."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes and returns the events that they complete."""
         self._rest += data
--- a/src/nutmeghook/internal/relay/incoming.py
+++ b/src/nutmeghook/internal/relay/incoming.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 
+from nutmeghook.internal.relay import held_bytes as held_bytes_module
 from nutmeghook.internal.relay import wire
 
 
@@ -14,6 +15,7 @@
     Attributes:
         target: Path and query exactly as sent.
         arrived_at: Monotonic time of its head's arrival.
+        held: The bytes held for it.
     """
 
     method: str
@@ -22,6 +24,7 @@
     facts: wire.CallerFacts
     body: bytes
     arrived_at: datetime.timedelta
+    held: held_bytes_module.RequestBytes
 
     @property
     def path(self) -> str:
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -1,13 +1,21 @@
 """Callers' HTTP connections: aiohttp's parser with the relay's own limits."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
+import fcntl
+import socket
+import struct
+import termios
 
 from aiohttp import web
+import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import held_bytes as held_bytes_module
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.relay import wire
@@ -24,6 +32,21 @@
 # request sent just before the close is still read.
 _IDLE_SLACK_S = 1.0
 _BACKLOG = 1024
+# Above this many unsent bytes of an answer, writes wait for the caller. Events
+# have some hundred bytes, so it holds what a stream sends in a second or more.
+WRITE_BUFFER_BYTES = 16 * 1024
+# What the system takes for a caller's connection; it books twice as much. It
+# would take up to 4 MB otherwise, which counts as this instance's memory, and a
+# caller that stopped reading would be noticed only after that. Over a round
+# trip of 50 ms it still carries more than 1 MB/s.
+_SEND_BUFFER_BYTES = 64 * 1024
+# What is left of an answer that is cut is given this long to be sent. The
+# connection of a caller that does not read would otherwise never be closed.
+_CUT_LINGERING_S = 0.5
+# Retry-After of a request that is refused for lack of memory.
+_MIN_RETRY_DELAY_S = 0.25
+_MAX_RETRY_DELAY_S = 0.75
+_RETRY_SHARE_OF_TIME_LEFT = 1 / 3
 
 
 class CallerConnection(web.RequestHandler):
@@ -31,9 +54,12 @@
 
     aiohttp waits for the rest of a head without limit, and each wait holds a
     file descriptor.
+
+    Attributes:
+        on_full: Called when the write buffer is full, before a write waits.
     """
 
-    __slots__ = ("_head_timer", "_limits")
+    __slots__ = ("_head_timer", "_limits", "on_full")
 
     def __init__(
         self,
@@ -55,6 +81,17 @@
         )
         self._limits = limits
         self._head_timer: asyncio.TimerHandle | None = None
+        self.on_full: Callable[[], None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Also bounds the buffers of what is sent."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
+            )
 
     def data_received(self, data: bytes) -> None:
         """Starts the time limit with a head's first byte.
@@ -71,6 +108,12 @@
                 self._limits.header_time.total_seconds(), self._head_is_late
             )
 
+    def pause_writing(self) -> None:
+        """Also reports that the write buffer is full."""
+        super().pause_writing()
+        if self.on_full is not None:
+            self.on_full()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Also cancels the time limit."""
         self._stop_timer()
@@ -110,16 +153,37 @@
 
 
 class CallerSink(incoming_module.AnswerSink):
-    """Writes one answer to a caller's connection."""
+    """Writes one answer to a caller's connection.
 
-    __slots__ = ("_closing", "_request", "_response", "status")
+    Attributes:
+        held: The bytes held for the request.
+    """
+
+    __slots__ = (
+        "_closing",
+        "_request",
+        "_response",
+        "_watch",
+        "held",
+        "status",
+    )
 
     def __init__(
-        self, *, request: web.BaseRequest, closing: Callable[[], bool]
+        self,
+        *,
+        request: web.BaseRequest,
+        account: held_bytes_module.HeldBytes,
+        watch: held_bytes_module.HeldBytesWatch,
+        closing: Callable[[], bool],
     ):
         self._request = request
+        self._watch = watch
         self._closing = closing
         self._response: StreamedAnswer | None = None
+        self.held = account.begin(
+            measure_writes=self._progress, cut=self._abort
+        )
+        request.protocol.on_full = self._note_unsent
         self.status = 0
 
     @property
@@ -133,10 +197,14 @@
         """Sends a whole answer."""
         response = self._new_response(status, headers)
         response.content_length = len(body)
+        self.held.note_write()
         await response.prepare(self._request)
+        if len(body) > WRITE_BUFFER_BYTES:
+            # Sent together with its head, a body would be copied.
+            self._request.writer.send_headers()
         if body:
-            await response.write(body)
-        await response.write_eof()
+            await self._drain_after(response.write(body))
+        await self._finish(response)
 
     async def begin(self, status: int, headers: wire.Headers) -> None:
         """Sends the head of an answer of unknown length."""
@@ -146,17 +214,22 @@
 
     async def write(self, data: bytes) -> None:
         """Sends a piece of the body."""
-        await self._response.write(data)
+        self.held.note_write()
+        await self._drain_after(self._response.write(data))
 
     async def end(self) -> None:
         """Ends the body as complete."""
-        await self._response.write_eof()
+        self.held.note_write()
+        await self._finish(self._response)
 
     def cut(self) -> None:
         """Closes the connection so that the answer can't look complete."""
         transport = self._request.transport
         if transport is not None:
             transport.close()
+            asyncio.get_running_loop().call_later(
+                _CUT_LINGERING_S, transport.abort
+            )
 
     async def refuse(
         self,
@@ -177,6 +250,53 @@
         """The response for aiohttp to finish; None if nothing was sent."""
         return self._response
 
+    async def _drain_after(self, write: Awaitable[None]) -> None:
+        """Writes, and waits while the write buffer is full.
+
+        aiohttp itself waits only once in 64 KB.
+        """
+        await write
+        self._note_unsent()
+        await self._request.writer.drain()
+
+    async def _finish(self, response: StreamedAnswer) -> None:
+        """Ends the body, and waits until the system has accepted all of it.
+
+        A request that ended before would leave bytes that nobody accounts for.
+        """
+        transport = self._request.transport
+        if transport is not None:
+            transport.set_write_buffer_limits(high=0)
+        await self._drain_after(response.write_eof())
+        if transport is not None:
+            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    def _note_unsent(self) -> None:
+        self.held.sample()
+        if self.held.has_unread:
+            self._watch.ensure()
+
+    def _progress(self) -> held_bytes_module.WriteProgress:
+        transport = self._request.transport
+        if self._response is None or transport is None:
+            return held_bytes_module.WriteProgress(read_bytes=0, unsent_bytes=0)
+        unsent_bytes = transport.get_write_buffer_size()
+        if not unsent_bytes:
+            return held_bytes_module.WriteProgress(
+                read_bytes=self._request.writer.output_size, unsent_bytes=0
+            )
+        return held_bytes_module.WriteProgress(
+            read_bytes=self._request.writer.output_size
+            - unsent_bytes
+            - _unacknowledged_bytes(transport),
+            unsent_bytes=unsent_bytes,
+        )
+
+    def _abort(self) -> None:
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
     def _new_response(
         self, status: int, headers: wire.Headers
     ) -> StreamedAnswer:
@@ -201,10 +321,13 @@
 
     __slots__ = (
         "_clock",
+        "_held",
         "_limits",
+        "_metrics",
         "_relay",
         "_server",
         "_socket",
+        "_watch",
         "_wire_format",
         "address",
         "closing",
@@ -217,8 +340,15 @@
         relay: request_relay.RequestRelay,
         wire_format: wire.WireFormat,
         limits: Callable[[], model.CallerLimits],
+        held: held_bytes_module.HeldBytes,
+        metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
+        self._held = held
+        self._watch = held_bytes_module.HeldBytesWatch(
+            account=held, clock=clock
+        )
+        self._metrics = metrics
         self._relay = relay
         self._wire_format = wire_format
         self._limits = limits
@@ -273,14 +403,21 @@
         """Closes all connections."""
         self.stop_accepting()
         await self._server.shutdown(timeout=0.1)
+        self._watch.stop()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        sink = CallerSink(request=request, closing=lambda: self.closing)
+        sink = CallerSink(
+            request=request,
+            account=self._held,
+            watch=self._watch,
+            closing=lambda: self.closing,
+        )
         self.in_flight += 1
         try:
             await self._serve(request, sink)
         finally:
             self.in_flight -= 1
+            sink.held.end()
         if sink.response is None:
             raise ConnectionResetError("no answer was begun")
         if self.closing:
@@ -298,7 +435,11 @@
         except ValueError as error:
             await sink.refuse(wire.FixedResponse.BAD_REQUEST, detail=str(error))
             return
-        body = await self._read_body(request, sink)
+        sink.held.request_id = facts.request_id
+        if not self._held.make_room(WRITE_BUFFER_BYTES):
+            await self._refuse_for_memory(sink, facts)
+            return
+        body = await self._read_body(request, sink, facts)
         if body is None:
             return
         await self._relay.serve(
@@ -309,12 +450,16 @@
                 facts=facts,
                 body=body,
                 arrived_at=arrived_at,
+                held=sink.held,
             ),
             sink,
         )
 
     async def _read_body(
-        self, request: web.BaseRequest, sink: CallerSink
+        self,
+        request: web.BaseRequest,
+        sink: CallerSink,
+        facts: wire.CallerFacts,
     ) -> bytes | None:
         """Returns the body, or None once the request was refused."""
         if request.headers.get("Expect", "").lower() == "100-continue":
@@ -330,4 +475,57 @@
                     detail="the body is too large",
                 )
                 return None
+            if not sink.held.try_hold_body(len(piece)):
+                await self._refuse_for_memory(sink, facts)
+                return None
         return b"".join(pieces)
+
+    async def _refuse_for_memory(
+        self, sink: CallerSink, facts: wire.CallerFacts
+    ) -> None:
+        """Refuses a request for which no bytes may be held.
+
+        Nothing of it was sent to a replica, so it was truly not run.
+        """
+        logs.note(
+            "request:no_memory",
+            request=facts.request_id,
+            held_bytes=self._held.total_bytes,
+            bound_bytes=self._held.bound_bytes,
+        )
+        self._metrics.add("no_memory_total")
+        await sink.refuse(
+            wire.FixedResponse.NOT_RUN,
+            detail="the memory for requests is used up",
+            retry_after=_retry_delay(facts),
+        )
+
+
+def _unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Returns how many bytes the caller's system has not acknowledged.
+
+    A full send buffer takes further bytes only once a third of it is free. By
+    the write buffer alone, a caller that reads 1 KB a second would appear to
+    read nothing for many seconds.
+    """
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return 0
+    try:
+        counted = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", counted)[0]
+
+
+def _retry_delay(facts: wire.CallerFacts) -> datetime.timedelta:
+    """Returns a Retry-After that differs among callers.
+
+    Callers wait for a third of their remaining time at most.
+    """
+    point = xxhash.xxh64_intdigest(facts.request_id.encode()) / 2.0**64
+    span = _MAX_RETRY_DELAY_S - _MIN_RETRY_DELAY_S
+    delay = datetime.timedelta(seconds=_MIN_RETRY_DELAY_S + point * span)
+    if facts.time_left is None:
+        return delay
+    return min(delay, facts.time_left * _RETRY_SHARE_OF_TIME_LEFT)
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -93,6 +93,9 @@
             )
             is_cut = await self._reject(sink, _fault(job), route_name)
         finally:
+            if incoming.held.is_cut:
+                ending = endings.CALLER_NOT_READING
+                is_cut = self._note_cut(sink, route_name, ending.reason)
             self._note_end(incoming, job, route_name, ending, is_cut=is_cut)
 
     async def _answer(self, job: job_module.Job) -> None:
@@ -131,6 +134,7 @@
         limit = route.time_limit
         if incoming.facts.time_left is not None:
             limit = min(limit, incoming.facts.time_left)
+        incoming.held.deadline = incoming.arrived_at + limit
         return job_module.Job(
             incoming=incoming,
             sink=sink,
@@ -156,10 +160,7 @@
             # The head reported success: only closing the connection tells the
             # caller of the failure.
             sink.cut()
-            self._metrics.add(
-                "answers_cut_total", route=route_name, reason=rejection.reason
-            )
-            return True
+            return self._note_cut(sink, route_name, rejection.reason)
         await sink.refuse(
             rejection.response,
             detail=rejection.reason,
@@ -167,6 +168,19 @@
         )
         return False
 
+    def _note_cut(
+        self,
+        sink: incoming_module.AnswerSink,
+        route_name: str,
+        reason: str,
+    ) -> bool:
+        """Counts a cut answer; returns whether it had begun."""
+        if sink.begun:
+            self._metrics.add(
+                "answers_cut_total", route=route_name, reason=reason
+            )
+        return sink.begun
+
     def _note_end(
         self,
         incoming: incoming_module.Incoming,
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.relay import replica_wait
 from nutmeghook.internal.relay import retry_permission
 from nutmeghook.internal.relay import wire
+from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import sender as sender_module
 
@@ -28,6 +29,9 @@
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's speed.
 _MIN_PACED_EVENTS = 4
+# An event is held until it is complete. Events have some hundred bytes; this
+# bounds the memory that a faulty replica uses.
+_MAX_EVENT_BYTES = 1024 * 1024
 
 
 class _Step(enum.Enum):
@@ -38,6 +42,37 @@
     LARGER_MODEL = "larger model"
 
 
+class _ReadBuffer:
+    """Counts what was received of a stream and not forwarded."""
+
+    __slots__ = ("_head", "_splitter", "_unforwarded")
+
+    def __init__(
+        self,
+        *,
+        head: connection_module.AnswerHead,
+        splitter: events_module.EventSplitter,
+    ):
+        self._head = head
+        self._splitter = splitter
+        self._unforwarded = 0
+
+    def feed(self, data: bytes) -> list[events_module.StreamEvent]:
+        """Returns the events that the bytes complete."""
+        events = self._splitter.feed(data)
+        self._unforwarded = sum(len(event.raw) for event in events)
+        return events
+
+    def note_forwarded(self, event: events_module.StreamEvent) -> None:
+        """Removes an event that was written to the caller."""
+        self._unforwarded -= len(event.raw)
+
+    def size(self) -> int:
+        """Returns the number of bytes."""
+        received = self._head.unread_bytes + self._splitter.rest_bytes
+        return received + self._unforwarded
+
+
 class StreamRelay:
     """Forwards events, resumes cut streams, replaces low-confidence answers."""
 
@@ -135,7 +170,9 @@
         whole = job_module.WholeAnswer(
             status=answer.head.status,
             headers=answer.head.headers,
-            body=await self._wait.until_deadline(job, answer.read_whole()),
+            body=await self._wait.until_deadline(
+                job, answer.read_whole(job.incoming.held)
+            ),
         )
         self._crashes.note_answer(job, whole)
         self._observer.note_answer(
@@ -203,16 +240,21 @@
         began_at = self._clock.monotonic()
         events = 0
         silence = job.route.target * _SILENT_TARGETS
-        while True:
-            data = await self._wait.for_progress(
-                job, prepared, answer.head.read, silence=silence
-            )
-            if not data:
-                break
-            for event in splitter.feed(data):
-                await self._forward_event(job, answer, event)
-                events += 1
-            silence = job.route.longest_pause * _SILENT_PAUSES
+        buffer = _ReadBuffer(head=answer.head, splitter=splitter)
+        with job.incoming.held.reading(buffer.size):
+            while True:
+                data = await self._wait.for_progress(
+                    job, prepared, answer.head.read, silence=silence
+                )
+                if not data:
+                    break
+                for event in buffer.feed(data):
+                    await self._forward_event(job, answer, event)
+                    buffer.note_forwarded(event)
+                    events += 1
+                if splitter.rest_bytes > _MAX_EVENT_BYTES:
+                    raise outcomes.UnknownOutcomeError("an event is too large")
+                silence = job.route.longest_pause * _SILENT_PAUSES
         if splitter.has_rest:
             raise outcomes.UnknownOutcomeError("the stream ends in an event")
         await self._begin_once(job, answer)
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -110,7 +110,7 @@
     async def _send(
         self, job: job_module.Job, prepared: prepared_module.PreparedAttempt
     ) -> job_module.WholeAnswer:
-        exchange = asyncio.ensure_future(self._exchange(prepared))
+        exchange = asyncio.ensure_future(self._exchange(job, prepared))
         try:
             return await self._await_answer(job, prepared, exchange)
         finally:
@@ -169,12 +169,12 @@
         prepared.replica.health.note_failure(self._clock.monotonic())
 
     async def _exchange(
-        self, prepared: prepared_module.PreparedAttempt
+        self, job: job_module.Job, prepared: prepared_module.PreparedAttempt
     ) -> job_module.WholeAnswer:
         async with self._sender.attempt(
             prepared.replica, prepared.outgoing
         ) as answer:
-            body = await answer.read_whole()
+            body = await answer.read_whole(job.incoming.held)
             whole = job_module.WholeAnswer(
                 status=answer.head.status,
                 headers=answer.head.headers,
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -8,6 +8,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import unreadable_values
+from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
@@ -55,14 +56,14 @@
     prefill: backlog_module.Prefill | None = None
     send_slot: send_window.SendSlot | None = None
 
-    def encoded(self) -> bytes:
-        """Returns the whole message."""
+    def encoded_head(self) -> bytes:
+        """Returns the message up to its body."""
         lines = [f"{self.method} {self.target} HTTP/1.1", f"Host: {self.host}"]
         lines.extend(f"{name}: {value}" for name, value in self.headers)
         if self.body or self.method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(self.body)}")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("latin-1") + self.body
+        return head.encode("latin-1")
 
 
 class Answer:
@@ -92,21 +93,54 @@
         """Tells whether another replica has the address."""
         return self.head.status == _WRONG_REPLICA_STATUS
 
-    async def read_whole(self) -> bytes:
+    async def read_whole(
+        self, held: held_bytes.RequestBytes | None = None
+    ) -> bytes:
         """Returns the whole body.
 
+        If the answer states its length, room for all of it is awaited before it
+        is read: two answers that each wait for the room that the other has
+        would both end at their deadline.
+
+        Args:
+            held: What is held for the request; counts the body from now on.
+                None for the body of a refusal, which is dropped at once.
+
         Raises:
             outcomes.UnknownOutcomeError: It is incomplete or too large.
         """
         pieces = []
-        left_bytes = MAX_WHOLE_ANSWER_BYTES
-        while piece := await self.head.read():
-            pieces.append(piece)
-            left_bytes -= len(piece)
-            if left_bytes < 0:
-                raise outcomes.UnknownOutcomeError("the answer is too large")
+        read_bytes = 0
+        held_bytes_here = 0
+        try:
+            if held is not None:
+                stated = self._stated_length()
+                await held.hold_answer(stated)
+                held_bytes_here = stated
+            while piece := await self.head.read():
+                pieces.append(piece)
+                read_bytes += len(piece)
+                if read_bytes > MAX_WHOLE_ANSWER_BYTES:
+                    raise outcomes.UnknownOutcomeError(
+                        "the answer is too large"
+                    )
+                if held is not None and read_bytes > held_bytes_here:
+                    await held.hold_answer(read_bytes - held_bytes_here)
+                    held_bytes_here = read_bytes
+        except BaseException:
+            if held is not None:
+                held.release_answer(held_bytes_here)
+            raise
+        if held is not None:
+            held.release_answer(held_bytes_here - read_bytes)
         return b"".join(pieces)
 
+    def _stated_length(self) -> int:
+        stated = self.head.header("content-length") or ""
+        if not stated.isdecimal():
+            return 0
+        return min(int(stated), MAX_WHOLE_ANSWER_BYTES)
+
 
 class Sender:
     """Makes single attempts and keeps count of them."""
@@ -227,7 +261,9 @@
             )
         sent_at = self._clock.monotonic()
         head = await connection.exchange(
-            outgoing.encoded(), has_body=outgoing.method != "HEAD"
+            outgoing.encoded_head(),
+            body=outgoing.body,
+            has_body=outgoing.method != "HEAD",
         )
         facts = self._wire_format.read_answer(head.status, head.headers)
         answer = Answer(head=head, facts=facts, replica=replica)
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
@@ -66,6 +67,7 @@
     """Gives each test a relay and two replicas of one service."""
 
     replica_count = 2
+    memory_mb = 160.0
     # By data centre.
     regions = {"here": "region", "far": "other-region"}
 
@@ -73,6 +75,10 @@
         """Returns the relay's clock."""
         return clock_module.SystemClock()
 
+    def build_replica(self, replica_id: str) -> users_replica.StandInReplica:
+        """Returns a stand-in that has not started."""
+        return users_replica.StandInReplica(replica_id=replica_id)
+
     async def asyncSetUp(self):
         self.clock = self.build_clock()
         self.metrics = metrics_module.Metrics()
@@ -83,7 +89,7 @@
             clock=self.clock, on_gone=self.pool.forget
         )
         self.replicas = [
-            users_replica.StandInReplica(replica_id=f"replica-{number}")
+            self.build_replica(f"replica-{number}")
             for number in range(self.replica_count)
         ]
         for replica in self.replicas:
@@ -116,6 +122,11 @@
     def build_listener(self) -> listener_module.CallerListener:
         """Returns the relay."""
         wire_format = headers.PlatformHeaders()
+        self.held = held_bytes.HeldBytes(
+            bound_bytes=held_bytes.bound_for(self.memory_mb),
+            metrics=self.metrics,
+            clock=self.clock,
+        )
         self.suspects = registry_module.SuspectRegistry(clock=self.clock)
         self.budgets = window_budget.WindowRetryBudgets(
             ratio=0.9,
@@ -144,6 +155,8 @@
             ),
             wire_format=wire_format,
             limits=lambda: self.configuration.current.limits,
+            held=self.held,
+            metrics=self.metrics,
             clock=self.clock,
         )
 
