Tell a closed caller's connection from a fault, and time replicas without it

Cause: the end of an answer waits until the system has accepted it. uvloop's closed transports refuse new write limits with a RuntimeError, which would be logged as an internal fault; and the wait was counted as the replica's time.

Change: limits are left alone on a closing connection, and the duration of a stream is taken before its end is written. A connection kept open lets go of the answered request.

Measured: held bytes, relay, story, router process and replica connection modules, 160 passed; test_held_bytes also passes on uvloop (20).

--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -245,6 +245,11 @@
             headers.append(("Retry-After", seconds))
         await self.send_whole(response.value, headers, f"{detail}\n".encode())
 
+    def close(self) -> None:
+        """Ends the account of the request."""
+        self._request.protocol.on_full = None
+        self.held.end()
+
     @property
     def response(self) -> web.StreamResponse | None:
         """The response for aiohttp to finish; None if nothing was sent."""
@@ -264,12 +269,18 @@
 
         A request that ended before would leave bytes that nobody accounts for.
         """
-        transport = self._request.transport
-        if transport is not None:
-            transport.set_write_buffer_limits(high=0)
+        self._limit_write_buffer(0)
         await self._drain_after(response.write_eof())
-        if transport is not None:
-            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._limit_write_buffer(WRITE_BUFFER_BYTES)
+
+    def _limit_write_buffer(self, high_bytes: int) -> None:
+        """Sets above how many unsent bytes a write waits.
+
+        uvloop's closed transports refuse it; a write then tells the error.
+        """
+        transport = self._request.transport
+        if transport is not None and not transport.is_closing():
+            transport.set_write_buffer_limits(high=high_bytes)
 
     def _note_unsent(self) -> None:
         self.held.sample()
@@ -417,7 +428,7 @@
             await self._serve(request, sink)
         finally:
             self.in_flight -= 1
-            sink.held.end()
+            sink.close()
         if sink.response is None:
             raise ConnectionResetError("no answer was begun")
         if self.closing:
@@ -513,7 +524,7 @@
         return 0
     try:
         counted = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(4))
-    except OSError:
+    except (OSError, ValueError):  # it was closed
         return 0
     return struct.unpack("i", counted)[0]
 
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -257,9 +257,10 @@
                 silence = job.route.longest_pause * _SILENT_PAUSES
         if splitter.has_rest:
             raise outcomes.UnknownOutcomeError("the stream ends in an event")
+        # The end waits for the caller, which says nothing of the replica.
+        took = self._clock.monotonic() - began_at
         await self._begin_once(job, answer)
         await job.sink.end()
-        took = self._clock.monotonic() - began_at
         if prepared.after_event is None:
             self._selector.note_generation(job, prepared, took)
         if events >= _MIN_PACED_EVENTS:
