--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -31,6 +31,7 @@
     "request:cannot_end": log_records.RequestCannotEnd,
     "request:held_back": log_records.RequestHeldBack,
     "request:no_room": log_records.RequestNoRoom,
+    "request:no_memory": log_records.RequestNoMemory,
     "caller:not_reading": log_records.CallerNotReading,
     "configuration:in_force": state_records.ConfigurationInForce,
     "replica:listed": state_records.ReplicaChange,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -163,6 +163,18 @@
     left_ms: float | None = None
 
 
+class RequestNoMemory(RequestRecord, frozen=True, kw_only=True):
+    """A request was refused because too many bytes were held.
+
+    Attributes:
+        held_bytes: What was held for all callers and replicas.
+        bound_bytes: How many may be held.
+    """
+
+    held_bytes: int | None = None
+    bound_bytes: int | None = None
+
+
 class CallerNotReading(RequestRecord, frozen=True, kw_only=True):
     """An answer was cut because its caller does not read it.
 
--- a/src/nutmeghook/internal/observe/record_text.py
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -86,6 +86,12 @@
     return f"refused before it was sent, for its expected end{detail}"
 
 
+@describe.register
+def _no_memory(record: log_records.RequestNoMemory) -> str:
+    detail = _details(record, "request")
+    return f"refused, too many bytes held for callers{detail}"
+
+
 @describe.register
 def _not_reading(record: log_records.CallerNotReading) -> str:
     detail = _details(record, "request")
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -129,6 +129,7 @@
                 facts=facts,
                 body=b"",
                 arrived_at=self.clock.monotonic(),
+                held=mock.Mock(),
             ),
             sink=mock.create_autospec(incoming.AnswerSink, instance=True),
             route=route,
