Ignore request counts of replicas that no replica can have

Cause: the counts of X-Replica-Load were read without an upper bound. One beyond 31 bits makes the next ReplicaLoads message impossible to encode, which ends the sender's gossip; one of over 4,300 digits raises an error while the answer is read. Peers' counts up to 2^31 - 1 were taken as they are.

Change: a count above a million is unreadable in the header, as are slots above a million in the list, and is ignored in a peer's message.

Measured: cover.test_load_header and cover.test_load_gossip, 7 passed and 2 failed before, 9 passed now.

--- a/src/nutmeghook/internal/replicas/load_gossip.py
+++ b/src/nutmeghook/internal/replicas/load_gossip.py
@@ -85,6 +85,8 @@
         ):
             if min(running, waiting, age_ms) < 0:
                 continue
+            if max(running, waiting) > replica_module.MAX_REPORTED_REQUESTS:
+                continue
             self._directory.note_peer_report(
                 short_id,
                 replica_module.LoadReport(
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -15,6 +15,9 @@
 # Weight of one report in the moving average of its service's load: some ten
 # reports count, a second or two of an instance's traffic.
 _BASELINE_WEIGHT = 0.1
+# No replica runs or queues more. Larger counts are errors, and those beyond 31
+# bits do not fit peer messages.
+MAX_REPORTED_REQUESTS = 1_000_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -10,6 +10,7 @@
 
 from nutmeghook.internal.foundation import http_headers
 from nutmeghook.internal.relay import wire
+from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import signals as signals_module
 
 REQUEST_ID = "X-Attempt-Id"
@@ -62,6 +63,7 @@
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # Beyond any replica's capacity, so not meant as a limit.
 _MAX_RATE_PER_S = 1_000_000
+_MAX_COUNT_DIGITS = 9
 # A thousand times as long as usual; beyond that the figure is no speed.
 _MAX_WORK_TIME_PERCENT = 100_000
 # A replica that is to stay away for longer leaves.
@@ -210,7 +212,7 @@
     if text is None:
         return None
     parts = text.split(",")
-    numbers, rest = [_whole_number(part) for part in parts[:3]], parts[3:]
+    numbers, rest = [_request_count(part) for part in parts[:3]], parts[3:]
     if len(numbers) != 3 or None in numbers or len(rest) > 1:
         unreadable.append(_unreadable(LOAD, text))
         return None
@@ -246,6 +248,17 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def _request_count(text: str) -> int | None:
+    text = text.strip()
+    # `int` raises an error for thousands of digits.
+    if len(text) > _MAX_COUNT_DIGITS:
+        return None
+    number = _whole_number(text)
+    if number is None or number > replica_module.MAX_REPORTED_REQUESTS:
+        return None
+    return number
+
+
 def _milliseconds(text: str | None) -> datetime.timedelta | None:
     if text is None:
         return None
--- a/tests/cover/test_load_gossip.py
+++ b/tests/cover/test_load_gossip.py
@@ -154,16 +154,16 @@
         self,
     ):
         """A peer reports a replica that is not listed here yet, and a faulty
-        one sends negative counts and ages.
+        one sends absurd counts and negative ages.
         """
         first = self.instances[0]
         replica = first.replica(1)
         first.gossip._receive(
             ttypes.ReplicaLoads(
-                replica_hashes=[12345, replica.short_id, replica.short_id],
-                running=[5, -1, 5],
-                waiting=[5, 5, 5],
-                ages_ms=[10, 10, -10],
+                replica_hashes=[12345] + 3 * [replica.short_id],
+                running=[5, -1, 5, 2**31 - 1],
+                waiting=[5, 5, 5, 5],
+                ages_ms=[10, 10, -10, 10],
             )
         )
         self.assertIsNone(replica.report)
--- a/tests/cover/test_load_header.py
+++ b/tests/cover/test_load_header.py
@@ -23,3 +23,12 @@
     def test_a_load_without_a_work_time_is_read(self):
         load = read("3,1,12").load
         self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 12))
+
+    def test_counts_beyond_any_replica_are_unreadable(self):
+        """A count that doesn't fit a peer message ended the gossip of the
+        instance that read it, and one of 5,000 digits failed the answer.
+        """
+        for text in ("3000000000,0,12", f"3,{'9' * 5000},12,140"):
+            facts = read(text)
+            self.assertIsNone(facts.load)
+            self.assertEqual(len(facts.unreadable), 1)
