Judge a request by one reading of the shares

Cause: the shares were looked up once for the part that is admitted and once for the refusal. If a period ended between the two readings of the clock and nothing admitted was left in the window, the second look-up found none, and the request ended with an internal error.

Change: both use the same shares.

Measured: cover.test_team_shares, 27 passed and the new test failed with an AttributeError before, 28 passed now.

--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -221,10 +221,10 @@
             cost: Its cost.
             time_left: Time until its deadline.
         """
-        part = self.admitted_part(key)
+        shares = self._shares(key)
+        part = self._admitted_part(key, shares)
         if part >= 1 or self._random.random() < part:
             return None
-        shares = self._shares(key)
         own = shares.by_key[key]
         return Refusal(
             share_per_s=own.share,
@@ -241,7 +241,11 @@
         It is 1 for a team that asks for no more than its share, while a less
         urgent request is admitted, and as long as too little is known.
         """
-        shares = self._shares(key)
+        return self._admitted_part(key, self._shares(key))
+
+    def _admitted_part(
+        self, key: demand_rates.DemandKey, shares: _ServiceShares | None
+    ) -> float:
         own = shares.by_key.get(key) if shares else None
         if own is None or not self._is_above(own, shares, key.service):
             return 1.0
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 import unittest
+import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
@@ -262,6 +263,31 @@
         )
         self.assertEqual(shares.admitted_part(key("large")), 1.0)
 
+    def test_rates_that_end_while_a_request_is_judged_raise_no_error(self):
+        """Time passes between two readings of the clock. The last admitted
+        request leaves the window between them.
+        """
+        clock = team_demand.StepClock()
+        shares = team_shares.TeamShares(
+            clock=clock, random_source=random.Random(1)
+        )
+        asking = key("large")
+        shares.rates.configure([asking])
+        shares.note_asked(asking, 1.0)
+        shares.note_admitted(asking, 1.0)
+        clock.elapsed += 1.9 * SECOND
+        for _ in range(100):
+            shares.note_asked(asking, 1.0)
+        shares.note_occupancy(SERVICE, FULL)
+
+        def step() -> float:
+            clock.elapsed += 0.3 * SECOND
+            return 1.0
+
+        with unittest.mock.patch.object(shares._random, "random", step):
+            refusal = shares.refusal(asking, 1.0, time_left=SECOND)
+        self.assertEqual(refusal.asked_per_s, 50.5)
+
 
 class LostMessagesTest(unittest.TestCase):
     @hypothesis.given(
