Bound the time that queues are expected to take

Cause: the time to work off the queues is computed from the replicas' counts. With absurd ones it exceeds what a Python duration holds, and the request ended with an internal error.

Change: it is an hour at most. Retry-After is 10 s at most in any case.

Measured: cover.test_team_shares, 28 passed and the new test failed with an OverflowError before, 29 passed now.

--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -42,6 +42,8 @@
 _ROUNDING = 1e-9
 # Weight of one request in a service's mean cost.
 _COST_WEIGHT = 0.05
+# Replicas' counts can make queues seem longer than a duration can hold.
+_MAX_WAIT_S = 3600.0
 # Longest Retry-After, before the bound by the caller's time left.
 _MAX_RETRY_DELAY = datetime.timedelta(seconds=10)
 # A refused caller returns within this part of the time that it has left, so
@@ -344,7 +346,7 @@
             },
             scale=fleet.scale,
             wait=datetime.timedelta(
-                seconds=seen * _queued_cost(state) / capacity
+                seconds=min(seen * _queued_cost(state) / capacity, _MAX_WAIT_S)
             ),
         )
 
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -263,6 +263,27 @@
         )
         self.assertEqual(shares.admitted_part(key("large")), 1.0)
 
+    def test_absurd_counts_of_replicas_raise_no_error(self):
+        """A queue that seems to take millions of years is none that a Python
+        duration holds; the request would end with an internal error.
+        """
+        shares = shares_with({key("large"): 0.1}, admitted_part=0.1)
+        for _ in range(100):
+            shares.note_asked(key("large"), 1e6)
+        requests = 70 * 2**32
+        shares.note_occupancy(
+            SERVICE,
+            occupancy_module.Occupancy(
+                slots=840,
+                known_slots=840,
+                taken=840,
+                requests=requests,
+                own_requests=requests,
+            ),
+        )
+        for _ in range(50):
+            shares.refusal(key("large"), 1.0, time_left=SECOND)
+
     def test_rates_that_end_while_a_request_is_judged_raise_no_error(self):
         """Time passes between two readings of the clock. The last admitted
         request leaves the window between them.
