Bound what one request counts in the shares of teams

Cause: callers state how many tokens they ask for. What was admitted in the last two seconds is taken for the capacity, and the mean cost for the spread of the rates. One request of millions of tokens raised both, and nobody was refused until it had left the window and the mean.

Change: a request counts as 20 times the mean cost of its service at most.

--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -42,6 +42,12 @@
 _ROUNDING = 1e-9
 # Weight of one request in a service's mean cost.
 _COST_WEIGHT = 0.05
+# Callers state the costs of their requests. A larger one counts as this many
+# times the mean: what is admitted in the window is the capacity, so a single
+# absurd cost would make it look endless.
+_MAX_RELATIVE_COST = 20.0
+# The first request sets the mean.
+_MAX_COST = 1e6
 # Replicas' counts can make queues seem longer than a duration can hold.
 _MAX_WAIT_S = 3600.0
 # Longest Retry-After, before the bound by the caller's time left.
@@ -123,6 +129,11 @@
         self.short_at: datetime.timedelta | None = None
         self.shares: _ServiceShares | None = None
 
+    def bounded_cost(self, cost: float) -> float:
+        """Returns a request's cost as far as it counts."""
+        largest = _MAX_RELATIVE_COST * self.mean_cost or _MAX_COST
+        return min(cost, largest, _MAX_COST)
+
 
 class TeamShares:
     """Decides which requests are refused while no place is free.
@@ -159,14 +170,16 @@
 
     def note_asked(self, key: demand_rates.DemandKey, cost: float) -> None:
         """Counts a request that has arrived."""
-        self.rates.note_asked(key, cost)
         state = self._services[key.service]
-        known = state.mean_cost or cost
-        state.mean_cost = known + _COST_WEIGHT * (cost - known)
+        bounded = state.bounded_cost(cost)
+        self.rates.note_asked(key, bounded)
+        known = state.mean_cost or bounded
+        state.mean_cost = known + _COST_WEIGHT * (bounded - known)
 
     def note_admitted(self, key: demand_rates.DemandKey, cost: float) -> None:
         """Counts a request that is sent to a replica."""
-        self.rates.note_admitted(key, cost)
+        state = self._services[key.service]
+        self.rates.note_admitted(key, state.bounded_cost(cost))
 
     def needs_sample(self, service: str) -> bool:
         """Tells whether a service's occupancy is to be measured again."""
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -309,6 +309,17 @@
             refusal = shares.refusal(asking, 1.0, time_left=SECOND)
         self.assertEqual(refusal.asked_per_s, 50.5)
 
+    def test_one_absurd_cost_hides_no_shortage(self):
+        """Callers state their costs. One that states millions of tokens made
+        the capacity, as what was admitted, look endless.
+        """
+        rates = {key(f"small-{n}"): 10.0 for n in range(20)}
+        shares = shares_with(rates | {key("large"): 1000.0})
+        shares.note_asked(key("small-1"), 1e7)
+        shares.note_admitted(key("small-1"), 1e7)
+        self.assertLess(shares.admitted_part(key("large")), 0.6)
+        self.assertEqual(shares.admitted_part(key("small-2")), 1.0)
+
 
 class LostMessagesTest(unittest.TestCase):
     @hypothesis.given(
