Bound the token counts that callers state

Cause: the counts were read without an upper bound. The prefill time of a prompt of 10**12 tokens does not fit the message about backlogs, and the error ended the gossip of the instance. 10**400 tokens are no float, so the cost of the request raised an error.

Change: counts above ten million count as ten million, and a backlog in a message as 31 bits of milliseconds at most.

--- a/src/nutmeghook/internal/replicas/backlog_gossip.py
+++ b/src/nutmeghook/internal/replicas/backlog_gossip.py
@@ -24,6 +24,7 @@
 REMOTE_FANOUT = 1.0
 MAX_REPLICAS = 16
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_MAX_I32 = 2**31 - 1
 
 
 class BacklogGossip(gossip_senders.MessageGossipSender):
@@ -92,4 +93,4 @@
 
 
 def _milliseconds(duration: datetime.timedelta) -> int:
-    return round(duration / _MILLISECOND)
+    return min(round(duration / _MILLISECOND), _MAX_I32)
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -64,6 +64,9 @@
 # Beyond any replica's capacity, so not meant as a limit.
 _MAX_RATE_PER_S = 1_000_000
 _MAX_COUNT_DIGITS = 9
+# Beyond any model's context. Times and costs of larger ones would not fit
+# messages to peers.
+_MAX_TOKENS = 10_000_000
 # A thousand times as long as usual; beyond that the figure is no speed.
 _MAX_WORK_TIME_PERCENT = 100_000
 # A replica that is to stay away for longer leaves.
@@ -175,7 +178,7 @@
     counts = values.get(TOKEN_COUNTS.lower())
     if counts is None:
         return None
-    numbers = [_whole_number(part) for part in counts.split(",")]
+    numbers = [_token_count(part) for part in counts.split(",")]
     if len(numbers) != 2 or None in numbers:
         raise ValueError(
             f"{TOKEN_COUNTS} is {counts!r}; give two whole numbers"
@@ -193,7 +196,7 @@
     parts = []
     for entry in text.split(",") if text.strip() else ():
         part_id, _, tokens = entry.strip().partition(":")
-        count = _whole_number(tokens)
+        count = _token_count(tokens)
         if part_id and count is not None:
             parts.append(wire.PromptPart(part_id=part_id, tokens=count))
         else:
@@ -248,6 +251,11 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def _token_count(text: str) -> int | None:
+    number = _whole_number(text)
+    return None if number is None else min(number, _MAX_TOKENS)
+
+
 def _request_count(text: str) -> int | None:
     text = text.strip()
     # `int` raises an error for thousands of digits.
--- a/tests/cover/test_backlogs.py
+++ b/tests/cover/test_backlogs.py
@@ -219,6 +219,13 @@
             self.one.gossip.send_update()
         self.assertEqual(len(received), 2)
 
+    def test_a_backlog_of_weeks_ends_no_gossip(self):
+        """An error while a message is built ends the sender's gossip."""
+        replica, _ = self.one.send(criteria(suffix=datetime.timedelta(days=60)))
+        self.one.gossip.send_update()
+        waiting = self.two.waiting(replica.entry.replica_id)
+        self.assertEqual(waiting, (2**31 - 1) * MS)
+
     def test_a_restarted_replica_has_no_backlog(self):
         """A replica crashes with a backlog and restarts under the same id."""
         replica, prefill = self.one.send(criteria())
--- a/tests/cover/test_users_platform_decoding.py
+++ b/tests/cover/test_users_platform_decoding.py
@@ -212,6 +212,23 @@
             [("5c", 800), ("91", 410)],
         )
 
+    def test_absurd_token_counts_are_bounded(self):
+        """With 10**12 tokens, the prefill that an instance waits for did not
+        fit its message to peers, and the instance's gossip ended. With 10**400,
+        no float holds the cost of the request.
+        """
+        for tokens in (10**12, 10**400):
+            facts = self.format.read_caller(
+                [
+                    ("X-Token-Counts", f"{tokens},{tokens}"),
+                    ("X-Prompt-Prefix", f"5c:{tokens}"),
+                ]
+            )
+            prompt = facts.prompt
+            self.assertEqual(prompt.input_tokens, 10_000_000)
+            self.assertEqual(prompt.max_output_tokens, 10_000_000)
+            self.assertEqual(prompt.parts[0].tokens, 10_000_000)
+
     def test_only_a_replica_s_own_refusal_counts_as_not_run(self):
         for status, sent, not_run in (
             (503, [("X-Not-Executed", "1")], True),
