Drop the shares' state of removed services and teams

Cause: the occupancy of a service and a team's next time to return were kept for as long as the process ran, also after the configuration no longer had them.

Change: a new configuration drops both, as it dropped the rates.

--- a/src/nutmeghook/internal/limits/retry_after_schedule.py
+++ b/src/nutmeghook/internal/limits/retry_after_schedule.py
@@ -1,5 +1,6 @@
 """The Retry-After of refused callers."""
 
+from collections.abc import Set
 import datetime
 import random
 
@@ -65,6 +66,11 @@
             self._free_at[team] = start + datetime.timedelta(seconds=seconds)
         return self.jittered(start - now)
 
+    def keep(self, teams: Set[str]) -> None:
+        """Drops the schedules of all other teams."""
+        for team in self._free_at.keys() - teams:
+            del self._free_at[team]
+
     def jittered(self, wait: datetime.timedelta) -> datetime.timedelta:
         """Returns the wait with jitter, which only lengthens it."""
         return wait * (1 + _JITTER_SHARE * self._random.random())
--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -168,6 +168,15 @@
         self.fleet_size: Callable[[], int] = lambda: 1
         self.rates = demand_rates.DemandRates(clock=clock)
 
+    def configure(self, keys: Iterable[demand_rates.DemandKey]) -> None:
+        """Sets the keys that there are; the state of others is dropped."""
+        known = set(keys)
+        self.rates.configure(known)
+        self._schedule.keep({key.text for key in known})
+        services = {key.service for key in known}
+        for service in self._services.keys() - services:
+            del self._services[service]
+
     def note_asked(self, key: demand_rates.DemandKey, cost: float) -> None:
         """Counts a request that has arrived."""
         state = self._services[key.service]
--- a/src/nutmeghook/internal/relay/admission.py
+++ b/src/nutmeghook/internal/relay/admission.py
@@ -142,7 +142,7 @@
             return
         self._version = current.version
         teams = {team.name: team for team in current.teams_by_key.values()}
-        self._shares.rates.configure(
+        self._shares.configure(
             demand_rates.DemandKey(
                 service=share.service,
                 priority=_priority(route, team),
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -320,6 +320,17 @@
         self.assertLess(shares.admitted_part(key("large")), 0.6)
         self.assertEqual(shares.admitted_part(key("small-2")), 1.0)
 
+    def test_state_of_removed_services_and_teams_is_dropped(self):
+        """Services and teams come and go over months of one process."""
+        shares = shares_with({key("large"): 1000.0})
+        while shares.refusal(key("large"), 1.0, time_left=SECOND) is None:
+            pass
+        self.assertEqual(len(shares._schedule._free_at), 1)
+        other = demand_rates.DemandKey(service="other", priority=1, team="t")
+        shares.configure([other])
+        self.assertEqual(list(shares._services), [])
+        self.assertEqual(len(shares._schedule._free_at), 0)
+
 
 class LostMessagesTest(unittest.TestCase):
     @hypothesis.given(
