Count a request as admitted when its replica is chosen

Cause: a request counted as admitted once its team was allowed it, also if it then was refused since no replica took it or none could end it in time. What is admitted and does not stay at the replicas is taken for their capacity, so the capacity looked greater by what was sent nowhere.

Change: it counts when the replica of its first attempt is chosen.

--- a/src/nutmeghook/internal/relay/admission.py
+++ b/src/nutmeghook/internal/relay/admission.py
@@ -116,7 +116,6 @@
                 key, cost, time_left=job.deadline - self._clock.monotonic()
             )
         if refusal is None:
-            self._shares.note_admitted(key, cost)
             return
         self._note_refused(job, key, refusal)
         raise rejections.RejectedError(
@@ -126,6 +125,11 @@
             code=codes.Code.NO_ROOM,
         )
 
+    def note_sent(self, job: job_module.Job, service: str) -> None:
+        """Counts a request that passed, when its replica is chosen."""
+        if self._directory.is_uneven(service):
+            self._shares.note_admitted(_key_of(job, service), _cost_of(job))
+
     def _is_short(self, job: job_module.Job, service: str) -> bool:
         """Tells whether no replica open to a request has a free place."""
         measured = occupancy.measure(
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -140,6 +140,8 @@
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is not None:
             self._require_end_in_time(job, service, chosen)
+            if not job.tries:
+                self._admission.note_sent(job, service)
             return job_module.Grant(service=service, choice=chosen)
         if self._permission.try_fall_back(job):
             return job.grant
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -682,6 +682,19 @@
         answer, *_ = await self.ask_all()
         self.assertEqual(relay_fixture.status_of(answer), 200)
 
+    async def test_what_no_replica_takes_does_not_count_as_admitted(self):
+        """What is admitted and does not stay at the replicas is taken for
+        their capacity. Requests that are sent nowhere raised it.
+        """
+        self.offer_routes()
+        self.state_load("8,3,8,150")
+        for known in self.directory.of_service(SERVICE):
+            known.said_leaving_at = self.clock.monotonic()
+        answer = await self.ask(model.RouteKind.IDEMPOTENT)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        (rates,) = self.team_shares.rates.own().values()
+        self.assertEqual((rates.asked, rates.admitted), (0.5, 0.0))
+
     async def test_a_request_that_was_sent_is_not_judged_again(self):
         """Its replica refuses it, and while it ran the places were taken. Its
         caller holds an admitted request and would lose it.
