Read messages about speeds and demands without some fields

Cause: a field that a peer does not send is None. The handlers of ReplicaSpeeds and TeamDemands raised an error then, which the event loop logs with its stack, and a message without a sender counted as one from an instance.

Change: a missing list is an empty one, and a message without a sender is ignored.

--- a/src/nutmeghook/internal/limits/share_gossip.py
+++ b/src/nutmeghook/internal/limits/share_gossip.py
@@ -89,13 +89,14 @@
         return told
 
     def _receive(self, message: ttypes.TeamDemands) -> None:
-        if message.sender_id == self._instance_id:
+        # A peer may omit any field, which is None then.
+        if message.sender_id in (None, self._instance_id):
             return
         rates = {}
         for short_id, asked, admitted in zip(
-            message.team_hashes[:MAX_ENTRIES],
-            message.asked_milli_per_s,
-            message.admitted_milli_per_s,
+            (message.team_hashes or ())[:MAX_ENTRIES],
+            message.asked_milli_per_s or (),
+            message.admitted_milli_per_s or (),
             strict=False,
         ):
             if min(asked, admitted) >= 0:
--- a/src/nutmeghook/internal/replicas/speed_gossip.py
+++ b/src/nutmeghook/internal/replicas/speed_gossip.py
@@ -71,11 +71,12 @@
 
     def _receive(self, message: ttypes.ReplicaSpeeds) -> None:
         now = self._clock.monotonic()
+        # A peer may omit any field, which is None then.
         for short_id, centilog, weight_centi, age_ms in zip(
-            message.replica_hashes,
-            message.slowness_centilog,
-            message.weight_centi,
-            message.ages_ms,
+            message.replica_hashes or (),
+            message.slowness_centilog or (),
+            message.weight_centi or (),
+            message.ages_ms or (),
             strict=False,
         ):
             weight = weight_centi / _CENTI
--- a/tests/cover/test_replica_speeds.py
+++ b/tests/cover/test_replica_speeds.py
@@ -293,6 +293,30 @@
             speed = instance.replica().speed
             self.assertEqual(speed.slowness(self.clock.monotonic()), 1.0, wrong)
 
+    async def test_a_message_without_its_fields_raises_no_error(self):
+        """Fields that a peer doesn't send are None, and lists may differ in
+        length. An error of each such message would be logged with its stack.
+        """
+        instance = Instance(self.clock)
+        short_id = instance.replica().short_id
+        for message in (
+            ttypes.ReplicaSpeeds(),
+            ttypes.ReplicaSpeeds(
+                replica_hashes=[short_id],
+                slowness_centilog=[100],
+                weight_centi=[100],
+            ),
+            ttypes.ReplicaSpeeds(
+                replica_hashes=[short_id],
+                slowness_centilog=[100],
+                weight_centi=[],
+                ages_ms=[10, 10],
+            ),
+        ):
+            instance.gossip._receive(message)
+        speed = instance.replica().speed
+        self.assertEqual(speed.slowness(self.clock.monotonic()), 1.0)
+
     async def test_services_that_are_not_uneven_have_no_speeds(self):
         """Earlier deployments are served as before."""
         instance = Instance(self.clock, is_uneven=False)
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -556,6 +556,36 @@
         wanted = sum(self.asked.values()) + 24 / 2
         self.assertAlmostEqual(mean / wanted, 1.0, delta=0.02)
 
+    def test_a_message_without_its_fields_raises_no_error(self):
+        """Fields that a peer doesn't send are None. An error of each such
+        message would be logged with its stack.
+        """
+        shares = shares_with({key("large"): 1.0})
+        gossip = self.gossip(shares)
+        gossip._receive(ttypes.TeamDemands())
+        self.assertEqual(shares.rates.fleet(2).scale, 2.0)
+        gossip._receive(ttypes.TeamDemands(sender_id="edge-1"))
+        gossip._receive(
+            ttypes.TeamDemands(
+                sender_id="edge-1", team_hashes=[key("large").short_id]
+            )
+        )
+        self.assertEqual(shares.rates.fleet(2).scale, 1.0)
+        self.assertEqual(shares.rates.fleet(2).by_key[key("large")].asked, 1.5)
+
+    def test_a_message_in_the_own_name_is_ignored(self):
+        """A former process with the same id may still run."""
+        shares = shares_with({key("large"): 1.0})
+        self.gossip(shares)._receive(
+            ttypes.TeamDemands(
+                sender_id="i-0123456789abcdef0",
+                team_hashes=[key("large").short_id],
+                asked_milli_per_s=[5000],
+                admitted_milli_per_s=[5000],
+            )
+        )
+        self.assertEqual(shares.rates.fleet(1).by_key[key("large")].asked, 1.5)
+
     def test_impossible_numbers_of_a_peer_are_ignored(self):
         shares = shares_with({key("large"): 1.0})
         self.gossip(shares)._receive(
