Know of a shortage before the first request

Cause: the shares learnt the services and teams with the first request to an uneven service. Until then an instance measured nothing and sent peers nothing, so it was missing in the sums that they scale by the instances heard. The same held for what a new configuration added.

Change: the occupancy passes the configuration on, also when gossip asks for it.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -273,6 +273,7 @@
             change_time=self._settings.change_time,
             table=store.StoreRows(client=self._store),
             tables=shared,
+            configuration=self.configuration,
             directory=self.directory,
             senders=self.send_limits.senders,
             rollouts=self.rollouts,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -27,6 +27,7 @@
 from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.replicas import speed_gossip
 from nutmeghook.internal.replicas import speed_registry
+from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import gossip as suspect_gossip
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import bandwidth_limiter
@@ -56,6 +57,7 @@
     __slots__ = (
         "_change_time",
         "_clock",
+        "_configuration",
         "_data_centre",
         "_directory",
         "_gossip",
@@ -85,6 +87,7 @@
         change_time: datetime.timedelta,
         table: table_module.TableService,
         tables: dict[str, shared_table.SharedTable],
+        configuration: in_force_module.ConfigurationInForce,
         directory: directory_module.ReplicaDirectory,
         senders: sender_election.SenderElection,
         rollouts: rollouts_module.RollOuts,
@@ -103,6 +106,7 @@
         self._data_centre = data_centre
         self._link_mbit_per_s = link_mbit_per_s
         self._change_time = change_time
+        self._configuration = configuration
         self._directory = directory
         self._senders = senders
         self._rollouts = rollouts
@@ -235,6 +239,7 @@
                     remote=share_gossip.REMOTE_FANOUT,
                 ),
                 observe=admission.ServiceOccupancy(
+                    configuration=self._configuration,
                     directory=self._directory,
                     shares=self._team_shares,
                     clock=self._clock,
--- a/src/nutmeghook/internal/relay/admission.py
+++ b/src/nutmeghook/internal/relay/admission.py
@@ -27,21 +27,51 @@
 class ServiceOccupancy:
     """Measures the occupancy of uneven services for the shares of teams."""
 
-    __slots__ = ("_clock", "_directory", "_shares")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_directory",
+        "_shares",
+        "_version",
+    )
 
     def __init__(
         self,
         *,
+        configuration: in_force_module.ConfigurationInForce,
         directory: directory_module.ReplicaDirectory,
         shares: team_shares.TeamShares,
         clock: clock_module.Clock,
     ):
+        self._configuration = configuration
         self._directory = directory
         self._shares = shares
         self._clock = clock
+        # Version of the configuration that was last passed to the shares.
+        self._version: int | None = None
+
+    def configure(self) -> None:
+        """Tells the shares the services, priorities and teams there are."""
+        current = self._configuration.current
+        if current is None or current.version == self._version:
+            return
+        self._version = current.version
+        teams = {team.name: team for team in current.teams_by_key.values()}
+        self._shares.configure(
+            demand_rates.DemandKey(
+                service=share.service,
+                priority=_priority(route, team),
+                team=team.name if team else "",
+            )
+            for route, team in itertools.product(
+                current.routes(), [*teams.values(), None]
+            )
+            for share in route.shares
+        )
 
     def observe_all(self) -> None:
         """Measures all configured services that are uneven."""
+        self.configure()
         for service in self._shares.rates.services():
             if self._directory.is_uneven(service):
                 self.observe(service)
@@ -65,13 +95,11 @@
 
     __slots__ = (
         "_clock",
-        "_configuration",
         "_directory",
         "_metrics",
         "_occupancy",
         "_search",
         "_shares",
-        "_version",
     )
 
     def __init__(
@@ -84,17 +112,17 @@
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
-        self._configuration = configuration
         self._directory = directory
         self._search = search
         self._shares = shares
         self._metrics = metrics
         self._clock = clock
         self._occupancy = ServiceOccupancy(
-            directory=directory, shares=shares, clock=clock
+            configuration=configuration,
+            directory=directory,
+            shares=shares,
+            clock=clock,
         )
-        # Version of the configuration that the shares know.
-        self._version: int | None = None
 
     def require_room(self, job: job_module.Job, service: str) -> None:
         """Counts a request, and checks that there is capacity for it.
@@ -104,7 +132,7 @@
         """
         if not self._directory.is_uneven(service):
             return
-        self._configure()
+        self._occupancy.configure()
         key = _key_of(job, service)
         cost = _cost_of(job)
         self._shares.note_asked(key, cost)
@@ -139,25 +167,6 @@
         )
         return measured.is_short
 
-    def _configure(self) -> None:
-        """Tells the shares the services, priorities and teams there are."""
-        current = self._configuration.current
-        if current.version == self._version:
-            return
-        self._version = current.version
-        teams = {team.name: team for team in current.teams_by_key.values()}
-        self._shares.configure(
-            demand_rates.DemandKey(
-                service=share.service,
-                priority=_priority(route, team),
-                team=team.name if team else "",
-            )
-            for route, team in itertools.product(
-                current.routes(), [*teams.values(), None]
-            )
-            for share in route.shares
-        )
-
     def _note_refused(
         self,
         job: job_module.Job,
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.limits import share_gossip
 from nutmeghook.internal.limits import team_shares
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import admission
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import health
 from nutmeghook.internal.replicas import occupancy
@@ -731,6 +732,20 @@
         answer, *_ = await self.ask_all()
         self.assertEqual(relay_fixture.status_of(answer), 200)
 
+    async def test_an_instance_without_requests_knows_of_a_shortage(self):
+        """It knew the services from its first request on only, sent peers
+        nothing until then, and was missing in their sums.
+        """
+        self.offer_routes()
+        self.state_load("8,3,8,150")
+        admission.ServiceOccupancy(
+            configuration=self.configuration,
+            directory=self.directory,
+            shares=self.team_shares,
+            clock=self.clock,
+        ).observe_all()
+        self.assertTrue(self.team_shares.is_any_short())
+
     async def test_what_no_replica_takes_does_not_count_as_admitted(self):
         """What is admitted and does not stay at the replicas is taken for
         their capacity. Requests that are sent nowhere raised it.
