Rank what is told of teams by their part of each service

Cause: the 12 largest rates of an instance are told, and 4 drawn from the rest stand for all of it. Rates were compared across services by cost, and a generation costs hundreds of times what a plain call does. So each team of plain calls, also a large one, was told of by chance, at several times its rate.

Change: rates are ranked by their part of their service's total.

Measured: cover.test_team_shares, 36 passed and the new test failed before, 37 passed now.

--- a/src/nutmeghook/internal/limits/share_gossip.py
+++ b/src/nutmeghook/internal/limits/share_gossip.py
@@ -4,6 +4,7 @@
 next one, and the last message of an instance that died expires.
 """
 
+import collections
 from collections.abc import Callable
 import datetime
 
@@ -76,11 +77,18 @@
 
     def _told(self) -> dict[int, demand_rates.Rates]:
         """Returns the rates to send, by the hashes of their keys."""
+        found = self._shares.rates.own()
+        if len(found) <= MAX_ENTRIES:
+            return {key.short_id: rates for key, rates in found.items()}
+        # Costs of different services have no common unit.
+        totals: dict[str, float] = collections.defaultdict(float)
+        for key, rates in found.items():
+            totals[key.service] += rates.asked
         own = sorted(
-            self._shares.rates.own().items(), key=lambda item: -item[1].asked
+            found.items(),
+            key=lambda item: item[1].asked / totals[item[0].service],
+            reverse=True,
         )
-        if len(own) <= MAX_ENTRIES:
-            return {key.short_id: rates for key, rates in own}
         told = {key.short_id: rates for key, rates in own[:_LARGEST_ENTRIES]}
         rest = own[_LARGEST_ENTRIES:]
         drawn = self._random.sample(rest, MAX_ENTRIES - _LARGEST_ENTRIES)
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -576,6 +576,21 @@
         wanted = sum(self.asked.values()) + 24 / 2
         self.assertAlmostEqual(mean / wanted, 1.0, delta=0.02)
 
+    def test_the_largest_team_of_each_service_is_always_told(self):
+        """A generation costs hundreds of times what a plain call does. Ranked
+        by cost, all teams of plain calls were told of by chance only.
+        """
+        plain = demand_rates.DemandKey(
+            service="plain", priority=1, team="large"
+        )
+        rates = {key(f"team-{n}"): 1000.0 + n for n in range(20)}
+        rates |= {plain._replace(team=f"team-{n}"): 1.0 for n in range(6)}
+        rates[plain] = 60.0
+        gossip = self.gossip(shares_with(rates))
+        for _ in range(50):
+            told = gossip._told()
+            self.assertEqual(told[plain.short_id].asked, 60.5)
+
     def test_a_message_without_its_fields_raises_no_error(self):
         """Fields that a peer doesn't send are None. An error of each such
         message would be logged with its stack.
