Split the shares of teams by concern

Change: limits/fair_shares.py divides a capacity, limits/service_load.py works out the capacity from the load of the replicas, and limits/team_shares.py decides on requests. No behaviour changes.

--- a/bench/models/team_demand.py
+++ b/bench/models/team_demand.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import messages as messages_module
 from nutmeghook.internal.limits import demand_rates
+from nutmeghook.internal.limits import fair_shares
 from nutmeghook.internal.limits import occupancy
 from nutmeghook.internal.limits import share_gossip
 from nutmeghook.internal.limits import team_shares
@@ -189,7 +190,7 @@
     def _divide(self) -> None:
         asked = {k: rates.asked for k, rates in self._rates.own().items()}
         part = self._place.capacity_per_s / len(self._place.known)
-        shares = team_shares.allocate(asked, part)
+        shares = fair_shares.allocate(asked, part)
         self._chances = {key: shares[key] / asked[key] for key in asked}
 
 
@@ -246,7 +247,7 @@
             for key, rate in report.items():
                 totals[key] += rate
         part = len(self._reports) / len(self._place.known)
-        shares = team_shares.allocate(totals, part * self._place.capacity_per_s)
+        shares = fair_shares.allocate(totals, part * self._place.capacity_per_s)
         self._decided = {
             key: shares[key] / rate for key, rate in totals.items() if rate > 0
         }
--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -9,7 +9,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import datetime
 import math
@@ -17,39 +16,20 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import demand_rates
+from nutmeghook.internal.limits import fair_shares
 from nutmeghook.internal.limits import occupancy as occupancy_module
 from nutmeghook.internal.limits import retry_after_schedule
+from nutmeghook.internal.limits import service_load
 
 # How often a service's occupancy is measured and its shares are worked out,
 # which takes half a millisecond with 24 teams. A report arrives as often.
 _SAMPLE_PERIOD = datetime.timedelta(milliseconds=200)
 # How long a shortage counts.
 _SHORTAGE_LIFETIME = datetime.timedelta(seconds=2)
-# Requests beyond the slots are worked off within this time. With 2 s the
-# capacity was corrected again before counts and rates showed the last
-# correction: in bench/team_shares.py 0.941 of the other teams' requests were
-# served on two islands of 90 instances, and 0.985 with 4 s.
-_DRAIN_TIME = datetime.timedelta(seconds=4)
-# Bounds of the capacity relative to what was admitted, against wrong counts.
-_MIN_CAPACITY_SHARE = 0.5
-_MAX_CAPACITY_SHARE = 2.0
 # Less urgent requests that are admitted do not protect the more urgent ones
 # while they are fewer than this part of the capacity: some are admitted in
 # each moment in which a place is free.
 _TRICKLE_SHARE = 0.01
-# What is left below this part of the capacity is an error of rounding; the less
-# urgent would be taken to have a share.
-_ROUNDING = 1e-9
-# Weight of one request in a service's mean cost.
-_COST_WEIGHT = 0.05
-# Callers state the costs of their requests. A larger one counts as this many
-# times the mean: what is admitted in the window is the capacity, so a single
-# absurd cost would make it look endless.
-_MAX_RELATIVE_COST = 20.0
-# The first request sets the mean.
-_MAX_COST = 1e6
-# Replicas' counts can make queues seem longer than a duration can hold.
-_MAX_WAIT_S = 3600.0
 # Longest Retry-After, before the bound by the caller's time left.
 _MAX_RETRY_DELAY = datetime.timedelta(seconds=10)
 # A refused caller returns within this part of the time that it has left, so
@@ -96,46 +76,22 @@
     wait: datetime.timedelta
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _Sample:
-    """Occupancy of a service at a moment.
-
-    Attributes:
-        load: Requests that run or wait for each slot.
-        own_part: The part of these that is from this instance.
-    """
-
-    at: datetime.timedelta
-    load: float
-    slots: int
-    own_part: float
-
-
 class _ServiceState:
     """What is known of one service.
 
     Attributes:
-        mean_cost: Moving average of the cost of its requests here.
-        samples: Occupancy over the last `demand_rates.WINDOW`.
-        sampled_at: When it was last measured; None if never.
+        load: What its replicas have to do.
         short_at: When it was last short of capacity; None if never.
         shares: The shares last worked out; None if none were.
     """
 
-    __slots__ = ("mean_cost", "sampled_at", "samples", "shares", "short_at")
+    __slots__ = ("load", "shares", "short_at")
 
     def __init__(self):
-        self.mean_cost = 0.0
-        self.samples: collections.deque[_Sample] = collections.deque()
-        self.sampled_at: datetime.timedelta | None = None
+        self.load = service_load.ServiceLoad()
         self.short_at: datetime.timedelta | None = None
         self.shares: _ServiceShares | None = None
 
-    def bounded_cost(self, cost: float) -> float:
-        """Returns a request's cost as far as it counts."""
-        largest = _MAX_RELATIVE_COST * self.mean_cost or _MAX_COST
-        return min(cost, largest, _MAX_COST)
-
 
 class TeamShares:
     """Decides which requests are refused while no place is free.
@@ -181,20 +137,18 @@
 
     def note_asked(self, key: demand_rates.DemandKey, cost: float) -> None:
         """Counts a request that has arrived."""
-        state = self._services[key.service]
-        bounded = state.bounded_cost(cost)
-        self.rates.note_asked(key, bounded)
-        known = state.mean_cost or bounded
-        state.mean_cost = known + _COST_WEIGHT * (bounded - known)
+        load = self._services[key.service].load
+        self.rates.note_asked(key, load.bounded_cost(cost))
+        load.note_cost(cost)
 
     def note_admitted(self, key: demand_rates.DemandKey, cost: float) -> None:
         """Counts a request that is sent to a replica."""
-        state = self._services[key.service]
-        self.rates.note_admitted(key, state.bounded_cost(cost))
+        load = self._services[key.service].load
+        self.rates.note_admitted(key, load.bounded_cost(cost))
 
     def needs_sample(self, service: str) -> bool:
         """Tells whether a service's occupancy is to be measured again."""
-        sampled_at = self._services[service].sampled_at
+        sampled_at = self._services[service].load.sampled_at
         if sampled_at is None:
             return True
         return self._clock.monotonic() - sampled_at >= _SAMPLE_PERIOD
@@ -205,22 +159,9 @@
         """Records the occupancy of all replicas of a service."""
         now = self._clock.monotonic()
         state = self._services[service]
-        state.sampled_at = now
-        if not occupancy.is_known:
-            state.samples.clear()
-            return
+        state.load.note_occupancy(occupancy, now)
         if occupancy.is_short:
             state.short_at = now
-        state.samples.append(
-            _Sample(
-                at=now,
-                load=occupancy.load,
-                slots=occupancy.slots,
-                own_part=occupancy.own_requests / max(1, occupancy.requests),
-            )
-        )
-        while state.samples[0].at < now - demand_rates.WINDOW:
-            state.samples.popleft()
 
     def note_short(self, service: str) -> None:
         """Records that a request found no free place."""
@@ -291,7 +232,7 @@
         """
         if own.share <= 0:
             return own.asked > 0
-        quantum = self._services[service].mean_cost * shares.scale
+        quantum = self._services[service].load.mean_cost * shares.scale
         variance = own.asked * quantum / demand_rates.WINDOW.total_seconds()
         return own.asked - math.sqrt(variance) > own.share
 
@@ -332,7 +273,7 @@
     def _work_out(
         self, service: str, state: _ServiceState
     ) -> _ServiceShares | None:
-        if not state.samples or not state.mean_cost:
+        if not state.load.is_known:
             return None
         fleet = self.rates.fleet(self.fleet_size())
         rates = {
@@ -343,9 +284,9 @@
         admitted = sum(found.admitted for found in rates.values())
         if admitted <= 0:
             return None
-        seen = _seen_part(state, self.fleet_size())
-        capacity = _capacity(admitted, state, seen)
-        shares = allocate(
+        seen = state.load.seen_part(self.fleet_size())
+        capacity = state.load.capacity(admitted, seen)
+        shares = fair_shares.allocate(
             {key: found.asked for key, found in rates.items()}, capacity
         )
         # Admitted cost of less urgent requests, by priority.
@@ -370,85 +311,5 @@
                 for key, found in rates.items()
             },
             scale=fleet.scale,
-            wait=datetime.timedelta(
-                seconds=min(seen * _queued_cost(state) / capacity, _MAX_WAIT_S)
-            ),
+            wait=state.load.wait(capacity, seen),
         )
-
-
-def _queued_cost(state: _ServiceState) -> float:
-    """Returns the cost of the requests beyond the slots."""
-    newest = state.samples[-1]
-    return max(0.0, newest.load - 1.0) * newest.slots * state.mean_cost
-
-
-def _seen_part(state: _ServiceState, fleet_size: int) -> float:
-    """Returns the part of the replicas' requests that is from known instances.
-
-    Behind a network partition, the replicas' counts hold the requests of all
-    instances, and the rates only those of some. If each side corrected for the
-    whole queue, it would refuse too much: in the model of
-    bench/team_shares.py, 0.984 of the other teams' requests were served on two
-    islands of 90 instances, and 0.999 with this.
-
-    Args:
-        state: The service's.
-        fleet_size: Number of known instances.
-    """
-    own = [sample.own_part for sample in state.samples]
-    return min(1.0, fleet_size * sum(own) / len(own))
-
-
-def _capacity(admitted: float, state: _ServiceState, seen: float) -> float:
-    """Returns the cost a second that the replicas can take now.
-
-    What was admitted and has not stayed at the replicas was served. Requests
-    beyond the slots are worked off, and slots that are not taken are filled.
-    """
-    oldest, newest = state.samples[0], state.samples[-1]
-    slots_cost = newest.slots * state.mean_cost * seen
-    growth = slots_cost * (newest.load - oldest.load)
-    served = admitted - growth / demand_rates.WINDOW.total_seconds()
-    excess = slots_cost * (newest.load - 1.0) / _DRAIN_TIME.total_seconds()
-    least = _MIN_CAPACITY_SHARE * admitted
-    most = _MAX_CAPACITY_SHARE * admitted
-    return min(max(served - excess, least), most)
-
-
-def allocate(
-    asked: Mapping[demand_rates.DemandKey, float], capacity: float
-) -> dict[demand_rates.DemandKey, float]:
-    """Returns what each key of one service gets of a capacity.
-
-    More urgent keys come first. Those of one priority share what is left by
-    max-min fairness: none gets more than it asks for, and none that gets less
-    than that gets less than another.
-    """
-    shares: dict[demand_rates.DemandKey, float] = {}
-    left = max(0.0, capacity)
-    for priority in sorted({key.priority for key in asked}):
-        of_priority = {
-            key: rate for key, rate in asked.items() if key.priority == priority
-        }
-        level = fair_level(of_priority.values(), left)
-        for key, rate in of_priority.items():
-            shares[key] = min(rate, level)
-            left = max(0.0, left - shares[key])
-        if left <= _ROUNDING * (1.0 + capacity):
-            left = 0.0
-    return shares
-
-
-def fair_level(rates: Iterable[float], capacity: float) -> float:
-    """Returns the most that one team gets under max-min fairness.
-
-    It is infinite if the capacity is enough for all.
-    """
-    left = capacity
-    ascending = sorted(rates)
-    for position, rate in enumerate(ascending):
-        level = left / (len(ascending) - position)
-        if rate > level:
-            return level
-        left -= rate
-    return math.inf
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -14,6 +14,7 @@
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.limits import demand_rates
+from nutmeghook.internal.limits import fair_shares
 from nutmeghook.internal.limits import occupancy as occupancy_module
 from nutmeghook.internal.limits import share_gossip
 from nutmeghook.internal.limits import team_shares
@@ -113,7 +114,7 @@
         """Shares beyond the capacity overload the replicas; shares below it
         refuse work that could be done.
         """
-        shares = team_shares.allocate(asked, capacity)
+        shares = fair_shares.allocate(asked, capacity)
         total = sum(shares.values())
         self.assertLessEqual(total, capacity * ROUNDING + 1e-9)
         wanted = min(capacity, sum(asked.values()))
@@ -123,7 +124,7 @@
     def test_no_team_gets_less_than_it_asks_for_while_another_gets_more(
         self, asked, capacity
     ):
-        shares = team_shares.allocate(asked, capacity)
+        shares = fair_shares.allocate(asked, capacity)
         for short in asked:
             self.assertLessEqual(shares[short], asked[short])
             if shares[short] == asked[short]:
@@ -138,7 +139,7 @@
     def test_less_urgent_requests_get_what_the_more_urgent_leave(
         self, asked, capacity
     ):
-        shares = team_shares.allocate(asked, capacity)
+        shares = fair_shares.allocate(asked, capacity)
         for short in asked:
             if shares[short] >= asked[short]:
                 continue
