Take no more of a peer's demand for admitted than is asked for

Cause: a peer's message may state any admitted rate, and what is admitted is taken for the capacity.

Change: the admitted rate is the one asked for at most.

--- a/src/nutmeghook/internal/limits/share_gossip.py
+++ b/src/nutmeghook/internal/limits/share_gossip.py
@@ -14,7 +14,8 @@
 from nutmeghook.internal.limits import team_shares
 
 # An instance hears six messages a second, so 18 peers within the lifetime of
-# a report, for some 1.5 KB a second of the 3 KB that control may use.
+# a report. With 16 entries that is up to 1.9 KB a second of the 3 KB that
+# control may use.
 GOSSIP_PERIOD = datetime.timedelta(milliseconds=500)
 LOCAL_FANOUT = 2
 REMOTE_FANOUT = 1.0
@@ -66,16 +67,16 @@
         self._observe()
         if not self._shares.is_any_short():
             return
-        told = self._told()
+        sent = self._rates_to_send()
         message = ttypes.TeamDemands(
             sender_id=self._instance_id,
-            team_hashes=list(told),
-            asked_milli_per_s=[_milli(r.asked) for r in told.values()],
-            admitted_milli_per_s=[_milli(r.admitted) for r in told.values()],
+            team_hashes=list(sent),
+            asked_milli_per_s=[_milli(r.asked) for r in sent.values()],
+            admitted_milli_per_s=[_milli(r.admitted) for r in sent.values()],
         )
         self._messages.send(self._sample_peers(), message)
 
-    def _told(self) -> dict[int, demand_rates.Rates]:
+    def _rates_to_send(self) -> dict[int, demand_rates.Rates]:
         """Returns the rates to send, by the hashes of their keys."""
         found = self._shares.rates.own()
         if len(found) <= MAX_ENTRIES:
@@ -89,12 +90,12 @@
             key=lambda item: item[1].asked / totals[item[0].service],
             reverse=True,
         )
-        told = {key.short_id: rates for key, rates in own[:_LARGEST_ENTRIES]}
+        sent = {key.short_id: rates for key, rates in own[:_LARGEST_ENTRIES]}
         rest = own[_LARGEST_ENTRIES:]
         drawn = self._random.sample(rest, MAX_ENTRIES - _LARGEST_ENTRIES)
         for key, rates in drawn:
-            told[key.short_id] = rates.times(len(rest) / len(drawn))
-        return told
+            sent[key.short_id] = rates.times(len(rest) / len(drawn))
+        return sent
 
     def _receive(self, message: ttypes.TeamDemands) -> None:
         # A peer may omit any field, which is None then.
@@ -108,8 +109,11 @@
             strict=False,
         ):
             if min(asked, admitted) >= 0:
+                # A request may be asked for just before what the window still
+                # holds and admitted just after.
                 rates[short_id] = demand_rates.Rates(
-                    asked=asked / _MILLI, admitted=admitted / _MILLI
+                    asked=asked / _MILLI,
+                    admitted=min(asked, admitted) / _MILLI,
                 )
         self._shares.rates.note_report(message.sender_id, rates)
 
--- a/tests/cover/test_team_shares.py
+++ b/tests/cover/test_team_shares.py
@@ -569,7 +569,7 @@
         gossip = self.gossip(shares_with(self.asked))
         totals = []
         for _ in range(200):
-            told = gossip._told()
+            told = gossip._rates_to_send()
             self.assertLessEqual(len(told), share_gossip.MAX_ENTRIES)
             totals.append(sum(rates.asked for rates in told.values()))
         mean = sum(totals) / len(totals)
@@ -589,7 +589,7 @@
         rates[plain] = 60.0
         gossip = self.gossip(shares_with(rates))
         for _ in range(50):
-            told = gossip._told()
+            told = gossip._rates_to_send()
             self.assertEqual(told[plain.short_id].asked, 60.5)
 
     def test_a_message_without_its_fields_raises_no_error(self):
@@ -623,19 +623,24 @@
         self.assertEqual(shares.rates.fleet(1).by_key[key("large")].asked, 1.5)
 
     def test_impossible_numbers_of_a_peer_are_ignored(self):
+        """More admitted than asked for would make the capacity look endless."""
         shares = shares_with({key("large"): 1.0})
+        shares.configure([key("large"), key("small")])
         self.gossip(shares)._receive(
             ttypes.TeamDemands(
                 sender_id="edge-1",
-                team_hashes=[key("large").short_id, 17],
-                asked_milli_per_s=[-5, 7],
-                admitted_milli_per_s=[5, 7],
+                team_hashes=[key("large").short_id, 17, key("small").short_id],
+                asked_milli_per_s=[-5, 7, 5],
+                admitted_milli_per_s=[5, 7, 2**31 - 1],
             )
         )
         shares.fleet_size = lambda: 2
         fleet = shares.rates.fleet(2)
-        self.assertEqual(list(fleet.by_key), [key("large")])
         self.assertEqual(fleet.by_key[key("large")].asked, 1.5)
+        small = demand_rates.Rates(asked=0.005, admitted=0.005)
+        self.assertEqual(
+            fleet.by_key, {key("large"): unittest.mock.ANY, key("small"): small}
+        )
 
 
 class RelayAdmissionTest(relay_fixture.RelayCase):
