Learn no replica's speed from a stream that its caller reads slowly

Cause: the interval between events includes the time for which writes wait for the caller. Each slow caller made the replica look slower, by as much as the caller was slow.

Change: the interval does not count towards the replica's speed if the caller kept events waiting for over a tenth of the stream's time. What versions are judged by is as before.

--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -172,7 +172,7 @@
         duration: datetime.timedelta,
         *,
         steps: int,
-        is_success: bool = True,
+        shows_speed: bool = True,
     ) -> None:
         """Records how long an answer took, as a time per step.
 
@@ -185,8 +185,9 @@
             prepared: The attempt that was answered.
             duration: The time that the steps took together.
             steps: Their number.
-            is_success: The replica did what was asked. Refusing a request takes
-                a fraction of the time, which says nothing of a replica's speed.
+            shows_speed: The replica did what was asked, and its caller kept
+                up. Refusing a request takes a fraction of the time, and a
+                stream takes as long as its caller takes to read it.
         """
         if steps < 1:
             return
@@ -200,7 +201,7 @@
             pace_s=duration.total_seconds() / steps,
         )
         expected_ms = self._expected_token_ms(prepared)
-        if is_success and expected_ms > 0:
+        if shows_speed and expected_ms > 0:
             self._note_speed(
                 prepared,
                 duration / _MILLISECOND / steps / expected_ms,
@@ -232,8 +233,8 @@
     ) -> None:
         """Records an answer's time over what is expected at any replica.
 
-        Times that no expectation is known of are taken as they are: the mean
-        of the replica's service, version, model and route is divided by.
+        The registry compares it with the mean of the replica's service,
+        version and model or route, so a time without an expectation counts too.
         """
         is_stream = prepared.route.kind is model.RouteKind.STREAM
         self._speeds.note_pace(
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -31,6 +31,11 @@
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's speed.
 _MIN_PACED_EVENTS = 4
+# A stream whose caller kept events waiting for a larger part of its time shows
+# the caller's speed, not the replica's.
+_MAX_UNREAD_SHARE = 0.1
+# Writing an event takes less than this while its caller keeps up.
+_WRITE_TIME = datetime.timedelta(milliseconds=1)
 # An event is held until it is complete. Events have some hundred bytes; this
 # bounds the memory that a faulty replica uses.
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -247,6 +252,8 @@
         """
         splitter = events_module.EventSplitter()
         began_at = self._clock.monotonic()
+        # How long the caller kept events waiting.
+        unread = datetime.timedelta()
         events = 0
         silence = self._first_silence(job, prepared)
         buffer = _ReadBuffer(head=answer.head, splitter=splitter)
@@ -258,7 +265,9 @@
                 if not data:
                     break
                 for event in buffer.feed(data):
+                    forwarded_at = self._clock.monotonic()
                     await self._forward_event(job, answer, event)
+                    unread += self._clock.monotonic() - forwarded_at
                     buffer.note_forwarded(event)
                     events += 1
                 if splitter.rest_bytes > _MAX_EVENT_BYTES:
@@ -278,7 +287,13 @@
             self._selector.note_generation(job, prepared, took)
             self._completion.note_generation(job, prepared, events=events)
         if events >= _MIN_PACED_EVENTS:
-            self._observer.note_pace(prepared, took, steps=events - 1)
+            self._observer.note_pace(
+                prepared,
+                took,
+                steps=events - 1,
+                shows_speed=unread
+                <= max(_MAX_UNREAD_SHARE * took, events * _WRITE_TIME),
+            )
 
     async def _forward_event(
         self,
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -108,7 +108,7 @@
                 prepared,
                 took,
                 steps=1,
-                is_success=answer.status < _FIRST_ERROR_STATUS,
+                shows_speed=answer.status < _FIRST_ERROR_STATUS,
             )
             if answer.succeeded:
                 self._completion.note_whole(prepared, took)
--- a/tests/cover/test_replica_speeds.py
+++ b/tests/cover/test_replica_speeds.py
@@ -1,10 +1,12 @@
 """Estimates of replicas' speeds: own answers, peers' messages, statements."""
 
+import asyncio
 import datetime
 import itertools
 import math
 import random
 import unittest
+import unittest.mock
 
 import eliot
 import hypothesis
@@ -16,6 +18,7 @@
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.relay import listener
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica_speed
@@ -403,6 +406,43 @@
         ):
             self.assertGreater(await self.weight_after(kind, reply), 0.0)
 
+    async def measures_noted(self, write_s: float) -> set[str]:
+        """Returns what is measured of a stream whose caller reads slowly.
+
+        Args:
+            write_s: The time that each write to the caller takes.
+        """
+        reply = users_replica.Reply(events=(0, 1, 2, 3, 4, 5))
+        write = listener.CallerSink.write
+
+        async def slow_write(sink, data: bytes) -> None:
+            await asyncio.sleep(write_s)
+            await write(sink, data)
+
+        noted = set()
+
+        def note_pace(registry, replica, pace, measure, kind) -> None:
+            noted.add(measure)
+
+        with (
+            unittest.mock.patch.object(
+                listener.CallerSink, "write", slow_write
+            ),
+            unittest.mock.patch.object(
+                speed_registry.SpeedRegistry, "note_pace", note_pace
+            ),
+        ):
+            for _ in range(3):
+                await self.weight_after(model.RouteKind.STREAM, reply)
+        return noted
+
+    async def test_a_slow_caller_says_nothing_of_a_replicas_speed(self):
+        """The replica was believed to be as slow as the callers that read its
+        streams slowly.
+        """
+        self.assertEqual(await self.measures_noted(0.02), set())
+        self.assertEqual(await self.measures_noted(0.0), {"EVENT_INTERVAL"})
+
     async def test_refused_requests_say_nothing_of_a_replicas_speed(self):
         """A replica that answers 404 within a millisecond isn't a fast one."""
         weight = await self.weight_after(
