Take a plain answer into its route's mean before its replica's speed

The answer's time was divided by the replica's slowness after the same answer had changed that slowness, so a late answer counted as a nearly usual one and the expected time of the route was too short.

An answer that takes four times as long as usual was divided by 2.52 at a replica of which nothing was known (now by 1.0); tests.cover.test_completion fails without the change.

--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -104,14 +104,15 @@
         if not answer.failed:
             prepared.replica.health.note_success(self._clock.monotonic())
             took = self._clock.monotonic() - prepared.sent_at
+            # Before the replica's speed takes this answer into account.
+            if answer.succeeded:
+                self._completion.note_whole(prepared, took)
             self._observer.note_pace(
                 prepared,
                 took,
                 steps=1,
                 is_success=answer.status < _FIRST_ERROR_STATUS,
             )
-            if answer.succeeded:
-                self._completion.note_whole(prepared, took)
         return answer
 
     def _may_retry_failure(self, job: job_module.Job) -> bool:
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -24,6 +24,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica_speed
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
@@ -739,6 +740,40 @@
         self.assertEqual(len(self.received_requests()), 1)
 
 
+class PlainTimesTest(RelayedCase):
+    async def test_an_answer_is_not_divided_by_the_slowness_it_shows(self):
+        """A call takes four times as long as usual, and its replica is now
+        believed to be slow. Divided by that, the call would count as a usual
+        one in the mean of its route, and expected times would be too short.
+        """
+        self.offer(IDEMPOTENT)
+        divided_by = []
+
+        def note_pace(_, replica, *__):
+            replica.speed.note(4.0, self.clock.monotonic())
+
+        def note_whole(_, prepared, __):
+            now = self.clock.monotonic()
+            divided_by.append(prepared.replica.speed.slowness(now))
+
+        self.forget_speeds()
+        with (
+            mock.patch.object(
+                speed_registry.SpeedRegistry, "note_pace", note_pace
+            ),
+            mock.patch.object(
+                completion.CompletionForecast, "note_whole", note_whole
+            ),
+        ):
+            await self.ask(IDEMPOTENT)
+        self.assertAlmostEqual(divided_by[0], 1.0, delta=0.01)
+
+    def forget_speeds(self) -> None:
+        """Lets nothing be known of the speeds of replicas."""
+        for replica in self.directory.of_service("service"):
+            replica.speed = replica_speed.ReplicaSpeed()
+
+
 class ReadyAnswersTest(RelayedCase):
     def build_clock(self) -> clock_module.Clock:
         return test_relay_further_attempts.BusyClock()
