Don't cut a stream that its caller resumed by the time of a whole one

A request for the rest of a stream was sent without a forecast, but after a loss the router expected the whole answer again and cut the stream, although what is left is not known. The rule now stands in the forecast, for first and further attempts and for moves.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -158,13 +158,12 @@
         """Checks that a request's first attempt may end in time.
 
         Models of which too little is known are not counted, or a model that is
-        never chosen would let every request pass. A stream that its caller
-        resumes passes, since what is left of it is not known.
+        never chosen would let every request pass.
 
         Raises:
             rejections.RejectedError: By no model of its route that is known.
         """
-        if job.tries or job.incoming.facts.last_event_id is not None:
+        if job.tries:
             return
         shortest = self._completion.hopeless(job, chosen)
         if shortest is None:
--- a/src/nutmeghook/internal/relay/completion.py
+++ b/src/nutmeghook/internal/relay/completion.py
@@ -96,7 +96,7 @@
         events: int,
     ) -> None:
         """Records that a generation has run from its start to its end."""
-        if job.incoming.facts.last_event_id is not None:
+        if _is_resumed_by_caller(job):
             return
         per_token = events / job.output_tokens if job.output_tokens else 1.0
         known = self._generations.setdefault(prepared.model, _KnownAnswers())
@@ -252,7 +252,7 @@
     ) -> expected_times.ExpectedTimes | None:
         if not self.applies_to(choice.replica.entry.service):
             return None
-        if not self.is_known(job, model_index):
+        if _is_resumed_by_caller(job) or not self.is_known(job, model_index):
             return None
         expected = self.expected(job, choice, model_index=model_index)
         if expected is None or expected.whole * share <= self._left(job):
@@ -351,3 +351,11 @@
 
     def _left(self, job: job_module.Job) -> datetime.timedelta:
         return job.deadline - self._clock.monotonic()
+
+
+def _is_resumed_by_caller(job: job_module.Job) -> bool:
+    """Tells whether a caller asks for the rest of a stream.
+
+    How much that is, is not known, so its expected end isn't either.
+    """
+    return job.incoming.facts.last_event_id is not None
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -596,6 +596,25 @@
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
         self.assertTrue(relay_fixture.is_complete(answer))
 
+    async def test_a_stream_that_its_caller_resumed_is_not_cut(self):
+        """The rest of a stream that its caller resumed breaks off. How much is
+        left is not known, and a replica could end it in time; judged by the
+        time of a whole stream, it would be cut.
+        """
+        self.offer(STREAM)
+        await self.know_answers()
+        self.slow_down()
+        two_events = len(WHOLE[0]) * 2
+        self.reply_with(
+            Reply(events=EVENTS, send_bytes=two_events, reset=True),
+            Reply(events=EVENTS),
+        )
+        answer = await self.ask_stream(
+            extra=(*PLAIN_STREAM, (headers.LAST_EVENT, "0"))
+        )
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE[1:])
+        self.assertTrue(relay_fixture.is_complete(answer))
+
     async def test_a_service_that_is_not_uneven_resumes_as_before(self):
         self.offer(STREAM)
         await self.know_answers()
