Judge by the recent answers of a request's own route and model

Nothing is refused unless an answer came in the last 5 s, so that a wrong forecast ends by itself. Answers of any route of the model counted: a route of short answers kept a wrong forecast of another's long ones alive, and all requests of that one stayed refused. The count of 20 answers and the events per token are now those of the route too.

In the test a route without answers for 5 s stayed refused beside another route's answers; now it is sent again.

--- a/src/nutmeghook/internal/relay/completion.py
+++ b/src/nutmeghook/internal/relay/completion.py
@@ -16,8 +16,8 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.routes import model as model_module
 
-# Nothing is refused for its expected end with fewer answers: until then the
-# forecasts are mostly priors.
+# Nothing is refused for its expected end with fewer answers of its route and
+# model: until then the forecasts are mostly priors.
 KNOWN_ANSWERS = 20
 # Nothing is refused if the latest answer is older. Requests that are all
 # refused give no answers, so a wrong forecast would otherwise be kept forever.
@@ -46,7 +46,7 @@
 
 
 class _KnownAnswers:
-    """What is known of the answers of a model or plain route.
+    """What is known of the answers of a route, by model of a stream's.
 
     Attributes:
         count: Whole answers so far.
@@ -83,8 +83,10 @@
         self._times = times
         self._directory = directory
         self._clock = clock
-        # By model; the figure is events per token asked for.
-        self._generations: dict[str, _KnownAnswers] = {}
+        # By route and model; the figure is events per token asked for. Routes
+        # differ in length, and a route whose requests are all refused must not
+        # be judged by another's answers for ever.
+        self._generations: dict[tuple[str, str], _KnownAnswers] = {}
         # By route; the figure is the time in seconds at an average replica.
         self._plain: dict[str, _KnownAnswers] = {}
 
@@ -99,7 +101,9 @@
         if _is_resumed_by_caller(job):
             return
         per_token = events / job.output_tokens if job.output_tokens else 1.0
-        known = self._generations.setdefault(prepared.model, _KnownAnswers())
+        known = self._generations.setdefault(
+            (job.route.name, prepared.model), _KnownAnswers()
+        )
         known.note(self._clock.monotonic(), per_token)
 
     def note_whole(
@@ -181,7 +185,7 @@
 
     def _events(self, job: job_module.Job, name: str) -> float:
         """Returns the expected number of events of a whole answer."""
-        known = self._generations.get(name)
+        known = self._generations.get((job.route.name, name))
         per_token = known.mean if known is not None else 1.0
         return max(1.0, job.output_tokens * per_token)
 
@@ -265,7 +269,7 @@
         """Tells whether enough recent answers of a request's kind are known."""
         if job.route.kind is model_module.RouteKind.STREAM:
             name = attempt_facts.model_name(job, model_index) or ""
-            known = self._generations.get(name)
+            known = self._generations.get((job.route.name, name))
         else:
             known = self._plain.get(job.route.name)
         if known is None or known.count < KNOWN_ANSWERS:
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -152,9 +152,9 @@
             expected=self.forecast.expected(job, choice),
         )
 
-    def know(self, count: int, *, events: int = 100) -> None:
-        """Lets some generations of 100 tokens end."""
-        job = self.job()
+    def know(self, count: int, *, events: int = 100, **changes) -> None:
+        """Lets some generations of 100 tokens end, of a route with changes."""
+        job = self.job(**changes)
         for _ in range(count):
             self.forecast.note_generation(
                 job, self.prepared(job), events=events
@@ -198,6 +198,21 @@
         )
         self.assertFalse(self.is_hopeless(self.job()))
 
+    def test_answers_of_another_route_keep_no_wrong_forecast_alive(self):
+        """One route's long generations are all refused for a wrong forecast,
+        while another route's short ones are answered by the same model. Did
+        those count as recent answers, the long ones would be refused for ever.
+        """
+        self.become_uneven()
+        self.know(completion.KNOWN_ANSWERS)
+        self.know(completion.KNOWN_ANSWERS, name="other")
+        self.assertTrue(self.is_hopeless(self.job()))
+        age = completion.MAX_ANSWER_AGE + SECOND / 1000
+        asyncio.run(self.clock.advance(age))
+        self.know(1, name="other")
+        self.assertFalse(self.is_hopeless(self.job()))
+        self.assertTrue(self.is_hopeless(self.job(name="other")))
+
     def test_a_service_that_is_not_uneven_refuses_nothing(self):
         self.know(completion.KNOWN_ANSWERS)
         self.assertFalse(self.is_hopeless(self.job()))
@@ -475,7 +490,7 @@
 
     def know_large(self) -> None:
         """Records answers of the large model."""
-        job = mock.Mock(output_tokens=4)
+        job = mock.Mock(output_tokens=4, route=relay_fixture.route(STREAM))
         job.incoming.facts.last_event_id = None
         for _ in range(completion.KNOWN_ANSWERS):
             self.forecast.note_generation(
