Expect of generations that are answered whole what their route's answers took

In the test a request whose route answers in 400 ms was refused for an expected 11 s; now it is sent.

--- a/src/nutmeghook/internal/relay/completion.py
+++ b/src/nutmeghook/internal/relay/completion.py
@@ -135,7 +135,8 @@
         Returns:
             None while nothing is known.
         """
-        if choice.forecast is not None:
+        is_stream = job.route.kind is model_module.RouteKind.STREAM
+        if is_stream and choice.forecast is not None:
             return self.of_generation(job, choice.forecast, model_index)
         known = self._plain.get(job.route.name)
         if known is None or known.count < KNOWN_ANSWERS:
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -775,6 +775,22 @@
 
 
 class PlainTimesTest(RelayedCase):
+    async def test_a_generation_answered_whole_is_judged_by_its_answers(self):
+        """A route's generations are answered whole, so no first event corrects
+        their prior. Its answers come fast; judged by the prior, all requests
+        with long prompts would be refused for ever.
+        """
+        self.offer(IDEMPOTENT)
+        self.know_plain(IDEMPOTENT, 400 * MS)
+        self.times.first_ms[""] = 11_000.0
+        self.reply_with(Reply(body=b"answer"))
+        answer = await self.answer_of(
+            asyncio.create_task(self.ask(IDEMPOTENT, extra=PLAIN_STREAM))
+        )
+        self.assertEqual(relay_fixture.body_of(answer), b"answer")
+        (sent,) = self.logged("attempt:sent")
+        self.assertEqual(sent["expected_end_ms"], 400)
+
     async def test_an_answer_is_not_divided_by_the_slowness_it_shows(self):
         """A call takes four times as long as usual, and its replica is now
         believed to be slow. Divided by that, the call would count as a usual
