Learn no times from answers that their callers held up

While a caller doesn't read, the router reads nothing from the replica. The time of such an answer raised the expected times of its model and the believed slowness of its replica, and requests that could end in time would be refused. Answers held up for more than a tenth of their time are left out, for uneven services only.

In the test an answer read with pauses of 200 ms counted; now it does not, and one that is read at once, or of an even service, still does.

--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -31,6 +31,9 @@
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's speed.
 _MIN_PACED_EVENTS = 4
+# An answer whose caller held it up for a larger share of its time says little of
+# its replica.
+_MAX_HELD_UP_SHARE = 0.1
 # An event is held until it is complete. Events have some hundred bytes; this
 # bounds the memory that a faulty replica uses.
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -248,6 +251,7 @@
         splitter = events_module.EventSplitter()
         began_at = self._clock.monotonic()
         events = 0
+        held_up = datetime.timedelta()
         silence = self._first_silence(job, prepared)
         buffer = _ReadBuffer(head=answer.head, splitter=splitter)
         with job.incoming.held.reading(buffer.size):
@@ -257,10 +261,12 @@
                 )
                 if not data:
                     break
+                received_at = self._clock.monotonic()
                 for event in buffer.feed(data):
                     await self._forward_event(job, answer, event)
                     buffer.note_forwarded(event)
                     events += 1
+                held_up += self._clock.monotonic() - received_at
                 if splitter.rest_bytes > _MAX_EVENT_BYTES:
                     raise outcomes.UnknownOutcomeError("an event is too large")
                 silence = self._completion.pause(
@@ -275,11 +281,29 @@
         await self._begin_once(job, answer)
         await job.sink.end()
         if prepared.after_event is None:
-            self._selector.note_generation(job, prepared, took)
             self._completion.note_generation(job, prepared, events=events)
+        if self._is_held_up(prepared, held_up, took):
+            return
+        if prepared.after_event is None:
+            self._selector.note_generation(job, prepared, took)
         if events >= _MIN_PACED_EVENTS:
             self._observer.note_pace(prepared, took, steps=events - 1)
 
+    def _is_held_up(
+        self,
+        prepared: prepared_module.PreparedAttempt,
+        held_up: datetime.timedelta,
+        took: datetime.timedelta,
+    ) -> bool:
+        """Tells whether an answer's time is rather its caller's.
+
+        While a caller doesn't read, nothing is read from the replica either.
+        """
+        return (
+            self._completion.applies_to(prepared.replica.entry.service)
+            and held_up > took * _MAX_HELD_UP_SHARE
+        )
+
     async def _forward_event(
         self,
         job: job_module.Job,
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -18,6 +18,8 @@
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import incoming
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import listener
+from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import choice as choice_module
@@ -774,6 +776,50 @@
         self.assertEqual(len(self.received_requests()), 1)
 
 
+class SlowCallerTest(RelayedCase):
+    async def measured(self, *, pause: datetime.timedelta) -> tuple[int, int]:
+        """Returns how many generation times and paces a stream counted for.
+
+        Args:
+            pause: How long its caller takes to read each event.
+        """
+        write = listener.CallerSink.write
+
+        async def write_slowly(sink: listener.CallerSink, data: bytes):
+            await self.clock.sleep(pause)
+            await write(sink, data)
+
+        self.offer(STREAM)
+        self.reply_with(Reply(events=EVENTS))
+        with (
+            mock.patch.object(listener.CallerSink, "write", write_slowly),
+            mock.patch.object(
+                generation_times.GenerationTimes, "note_generation"
+            ) as times,
+            mock.patch.object(
+                observations.AnswerObserver, "note_pace"
+            ) as paces,
+        ):
+            answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        return times.call_count, paces.call_count
+
+    async def test_a_slow_caller_does_not_make_its_replica_seem_slow(self):
+        """A caller reads slowly, so the router does. The time that this takes
+        would raise what is expected of all replicas, and requests that could
+        end in time would be refused.
+        """
+        self.assertEqual(await self.measured(pause=200 * MS), (0, 0))
+
+    async def test_a_caller_that_reads_at_once_is_measured(self):
+        self.assertEqual(await self.measured(pause=0 * MS), (1, 1))
+
+    async def test_a_service_that_is_not_uneven_is_measured_as_before(self):
+        with self.even():
+            measured = await self.measured(pause=200 * MS)
+        self.assertEqual(measured, (1, 1))
+
+
 class PlainTimesTest(RelayedCase):
     async def test_a_generation_answered_whole_is_judged_by_its_answers(self):
         """A route's generations are answered whole, so no first event corrects
