Don't take the rest of a stream that a caller resumed for a whole answer

Its time was divided by all the tokens asked for, so the model's time per token came out too short. For uneven services it is left out; others are as before.

The test failed before (1 generation time noted, 0 now).

--- a/src/nutmeghook/internal/relay/model_selector.py
+++ b/src/nutmeghook/internal/relay/model_selector.py
@@ -103,9 +103,15 @@
         prepared: prepared_module.PreparedAttempt,
         took: datetime.timedelta,
     ) -> None:
-        """Records the time from a whole answer's first event to its end."""
+        """Records the time from a whole answer's first event to its end.
+
+        In an uneven service, requests are refused by these times, so the rest
+        of a stream that a caller resumed is not taken for a whole answer.
+        """
         forecast = prepared.forecast
         is_uneven = self._directory.is_uneven(prepared.replica.entry.service)
+        if is_uneven and job.incoming.facts.last_event_id is not None:
+            return
         self._times.note_generation(
             prepared.model,
             tokens=job.output_tokens,
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -776,13 +776,17 @@
         self.assertEqual(len(self.received_requests()), 1)
 
 
-class SlowCallerTest(RelayedCase):
-    async def measured(self, *, pause: datetime.timedelta) -> tuple[int, int]:
+class MeasuredTest(RelayedCase):
+    async def measured(
+        self, *, pause: datetime.timedelta = 0 * MS, after: str | None = None
+    ) -> tuple[int, int]:
         """Returns how many generation times and paces a stream counted for.
 
         Args:
             pause: How long its caller takes to read each event.
+            after: The event after which its caller resumes it.
         """
+        resumed = () if after is None else ((headers.LAST_EVENT, after),)
         write = listener.CallerSink.write
 
         async def write_slowly(sink: listener.CallerSink, data: bytes):
@@ -800,8 +804,8 @@
                 observations.AnswerObserver, "note_pace"
             ) as paces,
         ):
-            answer = await self.ask_stream()
-        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+            answer = await self.ask_stream(extra=(*PLAIN_STREAM, *resumed))
+        self.assertTrue(relay_fixture.is_complete(answer))
         return times.call_count, paces.call_count
 
     async def test_a_slow_caller_does_not_make_its_replica_seem_slow(self):
@@ -812,7 +816,14 @@
         self.assertEqual(await self.measured(pause=200 * MS), (0, 0))
 
     async def test_a_caller_that_reads_at_once_is_measured(self):
-        self.assertEqual(await self.measured(pause=0 * MS), (1, 1))
+        self.assertEqual(await self.measured(), (1, 1))
+
+    async def test_a_rest_is_not_taken_for_a_whole_answer(self):
+        """A caller resumes a stream. The time of the rest, divided by all the
+        tokens asked for, would make the model seem faster than it is.
+        """
+        generations, _ = await self.measured(after="0")
+        self.assertEqual(generations, 0)
 
     async def test_a_service_that_is_not_uneven_is_measured_as_before(self):
         with self.even():
