Look elsewhere before refusing for a replica that is to be confirmed

A replica whose limit is to be confirmed is chosen before all others. If it is slow, the request was refused for its expected end, the replica stayed unconfirmed, and so did all further requests of the service until its believed slowness had faded. Now the replica chosen without confirmation is judged too, and gets the request if it can end it. What other models can do is judged there as well. Also parts the recording of a stream's times from forwarding it.

The test's request was refused before; now the other replica answers it.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -139,7 +139,7 @@
             self._admission.require_room(job, service)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is not None:
-            self._require_end_in_time(job, service, chosen)
+            chosen = self._require_end_in_time(job, service, chosen)
             return job_module.Grant(service=service, choice=chosen)
         if self._permission.try_fall_back(job):
             return job.grant
@@ -154,8 +154,11 @@
         job: job_module.Job,
         service: str,
         chosen: choice_module.Choice,
-    ) -> None:
-        """Checks that a request's first attempt may end in time.
+    ) -> choice_module.Choice:
+        """Returns where a request's first attempt may end in time.
+
+        That is the chosen replica, or another one if the choice was made only
+        to confirm a replica's limit.
 
         Models of which too little is known are not counted, or a model that is
         never chosen would let every request pass.
@@ -164,19 +167,19 @@
             rejections.RejectedError: By no model of its route that is known.
         """
         if job.tries:
-            return
+            return chosen
         shortest = self._completion.hopeless(job, chosen)
         if shortest is None:
-            return
-        for index in attempt_facts.other_models(job):
+            return chosen
+        for index in (job.model_index, *attempt_facts.other_models(job)):
             if not self._completion.is_known(job, index):
                 continue
-            other = self._search.for_model(job, service, index)
+            other = self._search.for_model(job, service, index, confirms=False)
             if other is None:
                 continue
             expected = self._completion.hopeless(job, other, model_index=index)
             if expected is None:
-                return
+                return other if index == job.model_index else chosen
             shortest = min(shortest, expected, key=lambda times: times.whole)
         raise self._cannot_end(job, shortest)
 
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -102,14 +102,29 @@
         return self._chooser.choose(criteria)
 
     def for_model(
-        self, job: job_module.Job, service: str, model_index: int
+        self,
+        job: job_module.Job,
+        service: str,
+        model_index: int,
+        *,
+        confirms: bool = True,
     ) -> choice_module.Choice | None:
-        """Returns the best replica for another model's answer.
+        """Returns the best replica for a model's answer.
 
         Replicas that were tried with a smaller model are not excluded.
+
+        Args:
+            job: The request.
+            service: Whose replicas may be chosen.
+            model_index: Into its route's models.
+            confirms: A replica whose limit is to be confirmed comes first.
         """
         return self._best(
-            job, service, tried=frozenset(), model_index=model_index
+            job,
+            service,
+            tried=frozenset(),
+            model_index=model_index,
+            confirms=confirms,
         )
 
     def _accepts(
@@ -129,6 +144,7 @@
         *,
         tried: frozenset[str],
         model_index: int | None = None,
+        confirms: bool = True,
     ) -> choice_module.Choice | None:
         criteria = self._criteria(
             job,
@@ -136,6 +152,7 @@
             accepts=self._accepts(job, service),
             tried=tried,
             model_index=model_index,
+            confirms=confirms,
         )
         return self._chooser.choose(criteria)
 
@@ -147,6 +164,7 @@
         accepts: Callable[[entries.ReplicaEntry], bool],
         tried: frozenset[str],
         model_index: int | None = None,
+        confirms: bool = True,
     ) -> choice_module.ReplicaCriteria:
         return choice_module.ReplicaCriteria(
             service=service,
@@ -154,6 +172,7 @@
             key=attempt_facts.affinity(job, model_index) or job.log_id,
             exclude=tried,
             prompt=self._prompt(job, model_index),
+            confirms=confirms,
         )
 
     def _prompt(
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -31,8 +31,8 @@
 _OK_STATUS = 200
 # With fewer events the time between them says little of a replica's speed.
 _MIN_PACED_EVENTS = 4
-# An answer whose caller held it up for a larger share of its time says little of
-# its replica.
+# An answer whose caller held it up for a larger share of its time says little
+# of its replica.
 _MAX_HELD_UP_SHARE = 0.1
 # An event is held until it is complete. Events have some hundred bytes; this
 # bounds the memory that a faulty replica uses.
@@ -280,6 +280,18 @@
         took = self._clock.monotonic() - began_at
         await self._begin_once(job, answer)
         await job.sink.end()
+        self._note_times(job, prepared, took, held_up=held_up, events=events)
+
+    def _note_times(
+        self,
+        job: job_module.Job,
+        prepared: prepared_module.PreparedAttempt,
+        took: datetime.timedelta,
+        *,
+        held_up: datetime.timedelta,
+        events: int,
+    ) -> None:
+        """Records how long a stream took from its first event to its end."""
         if prepared.after_event is None:
             self._completion.note_generation(job, prepared, events=events)
         if self._is_held_up(prepared, held_up, took):
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -129,9 +129,17 @@
             replicas, which have their common prompt prefix cached.
         exclude: Ids of replicas that were tried.
         prompt: None for a request that is not a generation.
+        confirms: Goes first to replicas whose limits are to be confirmed.
     """
 
-    __slots__ = ("accepts", "exclude", "key", "prompt", "service")
+    __slots__ = (
+        "accepts",
+        "confirms",
+        "exclude",
+        "key",
+        "prompt",
+        "service",
+    )
 
     def __init__(
         self,
@@ -141,8 +149,10 @@
         key: str,
         exclude: frozenset[str],
         prompt: Prompt | None = None,
+        confirms: bool = True,
     ):
         self.prompt = prompt
+        self.confirms = confirms
         self.service = service
         self.accepts = accepts
         self.key = key
@@ -250,7 +260,9 @@
         def is_healthy(replica: replica_module.Replica) -> bool:
             return is_eligible(replica) and not replica.health.is_ejected(now)
 
-        unconfirmed = self._gate.unconfirmed(criteria.service)
+        unconfirmed = []
+        if criteria.confirms:
+            unconfirmed = self._gate.unconfirmed(criteria.service)
         return (
             list(filter(is_healthy, unconfirmed))
             or select(criteria, is_healthy)
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -26,6 +26,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica_speed
+from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
@@ -499,6 +500,27 @@
                 job, mock.Mock(model="large"), events=4
             )
 
+    async def test_a_request_for_a_slow_unconfirmed_replica_goes_elsewhere(
+        self,
+    ):
+        """A slow replica's limit is to be confirmed by the next request. Were
+        that request refused, so would be all others until the replica counts
+        as fast, although every other replica could end them.
+        """
+        self.offer(STREAM)
+        await self.know_answers()
+        self.times.first_ms[""] = 2_000.0
+        slow, other = self.directory.of_service("service")
+        slow.speed = mock.Mock(slowness=lambda _: 8.0)
+        other.speed = mock.Mock(slowness=lambda _: 1.0)
+        with mock.patch.object(
+            send_gate.OpenGate, "unconfirmed", return_value=[slow]
+        ):
+            answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        (sent,) = self.logged("attempt:sent")
+        self.assertEqual(sent["replica"], other.entry.replica_id)
+
     async def test_a_stream_that_its_caller_resumes_is_not_refused(self):
         """A caller asks for the rest of a stream. How much that is, is not
         known, so the expected end of a whole one says nothing.
