Part the forecast of a replica from the choice among replicas

What a prompt is, when a replica begins its answer and what that costs are now in replicas/replica_forecast.py. Behaviour is the same; the tests' baselines override the forecaster in place of the chooser.

--- a/src/nutmeghook/experiment/fleet_emulator.py
+++ b/src/nutmeghook/experiment/fleet_emulator.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import load_gossip
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.routes import model
 
 # One way between an instance and a replica.
@@ -212,7 +213,7 @@
             accepts=lambda entry: True,
             key=f"{index}/{request.key}",
             exclude=frozenset(),
-            prompt=choice_module.Prompt(
+            prompt=replica_forecast.Prompt(
                 prefix=datetime.timedelta(),
                 suffix=instance.times.prefill_time(name, request.tokens),
                 urgent=index == 0,
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -20,6 +20,7 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.upstream import sender as sender_module
@@ -255,7 +256,7 @@
 
 
 def _prefill(
-    job: job_module.Job, forecast: choice_module.Forecast | None
+    job: job_module.Job, forecast: replica_forecast.Forecast | None
 ) -> backlog.Prefill | None:
     if forecast is None:
         return None
@@ -264,7 +265,7 @@
     )
 
 
-def _logged(forecast: choice_module.Forecast | None) -> dict[str, float]:
+def _logged(forecast: replica_forecast.Forecast | None) -> dict[str, float]:
     """Returns the forecast behind a choice of replica, for the log."""
     if forecast is None:
         return {}
--- a/src/nutmeghook/internal/relay/completion.py
+++ b/src/nutmeghook/internal/relay/completion.py
@@ -14,6 +14,7 @@
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.routes import model as model_module
 
 # Nothing is refused for its expected end with fewer answers of its route and
@@ -151,7 +152,7 @@
     def of_generation(
         self,
         job: job_module.Job,
-        forecast: choice_module.Forecast,
+        forecast: replica_forecast.Forecast,
         model_index: int | None,
     ) -> expected_times.ExpectedTimes:
         """Returns the expected times of a generation.
@@ -202,7 +203,7 @@
     def is_likely_in_time(
         self,
         job: job_module.Job,
-        forecast: choice_module.Forecast,
+        forecast: replica_forecast.Forecast,
         model_index: int,
     ) -> bool:
         """Tells whether a model's answer is likely to end in time."""
--- a/src/nutmeghook/internal/relay/model_selector.py
+++ b/src/nutmeghook/internal/relay/model_selector.py
@@ -11,8 +11,8 @@
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import replica_search
-from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.routes import in_force as in_force_module
 
 # A low-confidence answer is kept if less time is left: the largest model's
@@ -159,7 +159,7 @@
         job: job_module.Job,
         confidence: int | None,
         larger: int,
-        forecast: choice_module.Forecast,
+        forecast: replica_forecast.Forecast,
     ) -> model_choice.EscalationContext:
         name = job.route.models[larger]
         expected = self._completion.of_generation(job, forecast, larger)
--- a/src/nutmeghook/internal/relay/prepared.py
+++ b/src/nutmeghook/internal/relay/prepared.py
@@ -4,8 +4,8 @@
 import datetime
 
 from nutmeghook.internal.relay import expected_times
-from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import sender as sender_module
 
@@ -26,6 +26,6 @@
     sent_at: datetime.timedelta
     route: model.Route
     model: str
-    forecast: choice_module.Forecast | None
+    forecast: replica_forecast.Forecast | None
     after_event: str | None
     expected: expected_times.ExpectedTimes | None = None
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.version_plans import view as view_module
 
 
@@ -177,7 +178,7 @@
 
     def _prompt(
         self, job: job_module.Job, model_index: int | None
-    ) -> choice_module.Prompt | None:
+    ) -> replica_forecast.Prompt | None:
         """Returns the prompt that an engine has to prefill."""
         model_name = attempt_facts.model_name(job, model_index)
         if job.incoming.facts.prompt is None and model_name is None:
@@ -185,7 +186,7 @@
         model_name = model_name or ""
         shared_tokens = attempt_facts.shared_tokens(job)
         own_tokens = job.input_tokens - shared_tokens
-        return choice_module.Prompt(
+        return replica_forecast.Prompt(
             prefix=self._times.prefill_time(model_name, shared_tokens),
             suffix=self._times.prefill_time(model_name, own_tokens),
             urgent=attempt_facts.is_urgent(job, model_index),
@@ -201,7 +202,7 @@
 
     def forecast(
         self, job: job_module.Job, model_index: int
-    ) -> choice_module.Forecast | None:
+    ) -> replica_forecast.Forecast | None:
         """Returns the forecast for another model's answer, if sent now."""
         criteria = self._criteria(
             job,
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -5,24 +5,16 @@
 import dataclasses
 import datetime
 import itertools
-import math
 
 import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.replicas import cached_prefixes
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica as replica_module
-from nutmeghook.internal.replicas import running_requests
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.replicas import send_gate
 
-# Time constant with which a replica's load report decays to the baseline load
-# of its service. Were an old report dropped, only this instance's own attempts
-# would count, a small part of the replica's load.
-REPORT_TIME_CONSTANT = datetime.timedelta(milliseconds=500)
-# Number of running requests that one waiting request counts as.
-WAITING_WEIGHT = 5.0
 # Replicas compared for a request without a prompt, in the own data centre and
 # in the others. Reports are half a second old and known to all instances, so
 # with many candidates all instances would pick the same replica.
@@ -43,68 +35,8 @@
 # replicas only, a different one for each key.
 UNEVEN_OWNERS_COMPARED = 8
 UNEVEN_LOCAL_OWNERS_COMPARED = 4
-# Assumed probability that the owner of a key has its prompt prefix cached.
-OWNER_CACHE_PROBABILITY = 0.5
-# Share of the normal backlog that an urgent prompt waits for. It goes first,
-# but engines process prompts in chunks and take turns between them.
-NORMAL_WAIT_SHARE = 0.5
-# Share of a prompt's prefill time added for each request that runs at the
-# replica, because the engine generates no tokens for them during prefill.
-BLOCKING_SHARE = 0.3
-# By how much sooner a replica in another data centre has to answer, for the
-# cost of traffic between data centres.
-REMOTE_DELAY = datetime.timedelta(milliseconds=100)
-
-_ZERO = datetime.timedelta()
-_Predicate = Callable[[replica_module.Replica], bool]
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Prompt:
-    """The prompt of a request, as prefill time.
-
-    Attributes:
-        prefix: Prefill time of the prefix shared with other requests, if it is
-            not cached.
-        suffix: Prefill time of the rest.
-        urgent: Engines process it before prompts that are not urgent.
-        target: An answer within this time has its full utility.
-        delay_per_running: By how much each request that runs at a replica
-            delays the first event.
-        generation: From the first event to the end at an idle replica.
-        generation_per_running: By how much each request that runs there
-            delays the end.
-    """
-
-    prefix: datetime.timedelta
-    suffix: datetime.timedelta
-    urgent: bool
-    target: datetime.timedelta
-    delay_per_running: datetime.timedelta = _ZERO
-    generation: datetime.timedelta = _ZERO
-    generation_per_running: datetime.timedelta = _ZERO
-
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Forecast:
-    """When a replica is expected to begin its answer.
-
-    Attributes:
-        waiting: Time spent on the backlog before the prompt.
-        prefill: Prefill time of the prompt, less the expected cached part.
-        cached: Probability that the prompt prefix is cached.
-        running: Expected number of requests that run at the replica; 0 where
-            the service is not uneven.
-        slowness: Factor by which its work takes longer than an average
-            replica's; 1 where the service is not uneven.
-    """
-
-    replica: replica_module.Replica
-    waiting: datetime.timedelta
-    prefill: datetime.timedelta
-    cached: float
-    running: float = 0.0
-    slowness: float = 1.0
+_Predicate = Callable[[replica_module.Replica], bool]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -116,7 +48,7 @@
     """
 
     replica: replica_module.Replica
-    forecast: Forecast | None = None
+    forecast: replica_forecast.Forecast | None = None
 
 
 class ReplicaCriteria:
@@ -148,7 +80,7 @@
         accepts: Callable[[entries.ReplicaEntry], bool],
         key: str,
         exclude: frozenset[str],
-        prompt: Prompt | None = None,
+        prompt: replica_forecast.Prompt | None = None,
         confirms: bool = True,
     ):
         self.prompt = prompt
@@ -171,10 +103,10 @@
     """Chooses by load, locality, cached prefixes and failure rate."""
 
     __slots__ = (
-        "_cached_prefixes",
         "_clock",
         "_data_centre",
         "_directory",
+        "_forecaster",
         "_gate",
     )
 
@@ -190,7 +122,9 @@
         self._gate = gate
         self._data_centre = data_centre
         self._clock = clock
-        self._cached_prefixes = cached_prefixes.CachedPrefixes()
+        self._forecaster = replica_forecast.ReplicaForecaster(
+            directory=directory, data_centre=data_centre, clock=clock
+        )
 
     def choose(self, criteria: ReplicaCriteria) -> Choice | None:
         """Returns the best replica, or None if none may run the request.
@@ -211,7 +145,9 @@
         )
         return Choice(replica=replica) if replica else None
 
-    def forecast(self, criteria: ReplicaCriteria) -> Forecast | None:
+    def forecast(
+        self, criteria: ReplicaCriteria
+    ) -> replica_forecast.Forecast | None:
         """Returns the forecast of the replica with the lowest cost.
 
         Cached prefixes count as much as backlogs: the prefill of a long prefix
@@ -222,10 +158,18 @@
             return None
         owner = self._first_owner(criteria)
         forecasts = [
-            self._forecast_at(criteria, replica, is_owner=replica is owner)
+            self._forecaster.forecast(
+                criteria.prompt,
+                replica,
+                key=criteria.key,
+                is_owner=replica is owner,
+            )
             for replica in candidates
         ]
-        return min(forecasts, key=lambda found: self._cost(criteria, found))
+        return min(
+            forecasts,
+            key=lambda found: self._forecaster.cost(criteria.prompt, found),
+        )
 
     def open_replicas(
         self, criteria: ReplicaCriteria
@@ -240,9 +184,17 @@
             ):
                 yield replica
 
-    def note_prefilled(self, forecast: Forecast, key: str) -> None:
+    def note_prefilled(
+        self, forecast: replica_forecast.Forecast, key: str
+    ) -> None:
         """Records that a replica has processed a key's prompt prefix."""
-        self._cached_prefixes.note(forecast.replica.short_id, key)
+        self._forecaster.note_prefilled(forecast, key)
+
+    def load_per_slot(
+        self, replica: replica_module.Replica, now: datetime.timedelta
+    ) -> float:
+        """Returns the estimated load; 1 if all slots are taken."""
+        return self._forecaster.load_per_slot(replica, now)
 
     def _candidates(
         self,
@@ -315,88 +267,6 @@
                 found.append(replica)
         return found
 
-    def _forecast_at(
-        self,
-        criteria: ReplicaCriteria,
-        replica: replica_module.Replica,
-        *,
-        is_owner: bool,
-    ) -> Forecast:
-        prompt = criteria.prompt
-        cached = OWNER_CACHE_PROBABILITY if is_owner else 0.0
-        if self._cached_prefixes.holds(replica.short_id, criteria.key):
-            cached = 1.0
-        backlog = self._directory.backlog(replica)
-        share = NORMAL_WAIT_SHARE if prompt.urgent else 1.0
-        running, slowness = self._condition(replica)
-        return Forecast(
-            replica=replica,
-            waiting=backlog.urgent + share * backlog.normal,
-            prefill=prompt.suffix + (1.0 - cached) * prompt.prefix,
-            cached=cached,
-            running=running,
-            slowness=slowness,
-        )
-
-    def _condition(
-        self, replica: replica_module.Replica
-    ) -> tuple[float, float]:
-        """Returns the requests at a replica and its slowness, if uneven."""
-        service = replica.entry.service
-        if not self._directory.is_uneven(service):
-            return 0.0, 1.0
-        now = self._clock.monotonic()
-        running = running_requests.expected_running(
-            replica, baseline=self._directory.baseline_load(service), now=now
-        )
-        return running, replica.speed.slowness(now)
-
-    def _cost(
-        self, criteria: ReplicaCriteria, forecast: Forecast
-    ) -> datetime.timedelta:
-        """Returns the expected time plus penalties.
-
-        That is the time to the first token, and in an uneven service the time
-        to the end: a loaded or slow replica is late with every event.
-        """
-        now = self._clock.monotonic()
-        replica = forecast.replica
-        prompt = criteria.prompt
-        delay = forecast.waiting + forecast.prefill
-        delay += forecast.running * prompt.delay_per_running
-        delay += prompt.generation
-        delay += forecast.running * prompt.generation_per_running
-        delay += self._blocking_cost(forecast, now)
-        delay *= forecast.slowness
-        delay += criteria.prompt.target * replica.health.failure_rate(now)
-        if replica.entry.data_centre != self._data_centre:
-            delay += REMOTE_DELAY
-        return delay
-
-    def _blocking_cost(
-        self, forecast: Forecast, now: datetime.timedelta
-    ) -> datetime.timedelta:
-        """Returns what a prefill costs the requests running at the replica."""
-        replica = forecast.replica
-        running = self.load_per_slot(replica, now) * replica.entry.slots
-        return BLOCKING_SHARE * running * forecast.prefill
-
-    def load_per_slot(
-        self, replica: replica_module.Replica, now: datetime.timedelta
-    ) -> float:
-        """Returns the estimated load; 1 if all slots are taken."""
-        estimate = float(replica.in_flight)
-        report = replica.report
-        if report is not None:
-            weight = math.exp((report.at - now) / REPORT_TIME_CONSTANT)
-            baseline = self._directory.baseline_load(replica.entry.service)
-            expected = weight * _weighted_load(report) + (
-                1 - weight
-            ) * _weighted_load(baseline)
-            since = replica.in_flight - replica.in_flight_at_report
-            estimate = max(estimate, expected + since)
-        return estimate / replica.entry.slots
-
     def _affinity_candidates(
         self, criteria: ReplicaCriteria, accepts: _Predicate
     ) -> list[replica_module.Replica]:
@@ -436,9 +306,3 @@
         if replica.entry.data_centre != self._data_centre:
             score += REMOTE_LOAD
         return score
-
-
-def _weighted_load(
-    load: replica_module.LoadReport | replica_module.BaselineLoad,
-) -> float:
-    return load.running + WAITING_WEIGHT * load.waiting
--- a/tests/cover/test_backlogs.py
+++ b/tests/cover/test_backlogs.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import peer_backlogs
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.replicas import send_gate
 from tests import lossy_datagrams
 
@@ -54,7 +55,7 @@
         accepts=lambda known: True,
         key=key,
         exclude=frozenset(),
-        prompt=choice.Prompt(**(prompt | changes)),
+        prompt=replica_forecast.Prompt(**(prompt | changes)),
     )
 
 
@@ -239,12 +240,17 @@
         key = "part"
         waits = {}
         for urgent in (True, False):
-            forecast = self.one.chooser._forecast_at(
-                criteria(key, urgent=urgent), replica, is_owner=False
+            forecast = self.one.chooser._forecaster.forecast(
+                criteria(key, urgent=urgent).prompt,
+                replica,
+                key=key,
+                is_owner=False,
             )
             waits[urgent] = forecast.waiting
         self.assertEqual(waits[False], prefill.time)
-        self.assertEqual(waits[True], choice.NORMAL_WAIT_SHARE * prefill.time)
+        self.assertEqual(
+            waits[True], replica_forecast.NORMAL_WAIT_SHARE * prefill.time
+        )
 
 
 if __name__ == "__main__":
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -25,6 +25,7 @@
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.replicas import replica_speed
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import speed_registry
@@ -104,7 +105,7 @@
     def choice(self) -> choice_module.Choice:
         return choice_module.Choice(
             replica=self.replica,
-            forecast=choice_module.Forecast(
+            forecast=replica_forecast.Forecast(
                 replica=self.replica,
                 waiting=0 * MS,
                 prefill=0 * MS,
--- a/tests/cover/test_load_replicas.py
+++ b/tests/cover/test_load_replicas.py
@@ -7,6 +7,7 @@
 from nutmeghook.experiment import fleet_emulator
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import replica_forecast
 from tests import load_scene
 
 
@@ -28,16 +29,29 @@
             self._candidates(criteria, self._affinity_candidates),
             key=lambda candidate: self._score(candidate, now),
         )
-        return self._forecast_at(criteria, replica, is_owner=False)
+        return self._forecaster.forecast(
+            criteria.prompt, replica, key=criteria.key, is_owner=False
+        )
 
 
-class OwnDelayOnly(choice_module.ReplicaChooser):
-    """Baseline: without the cost of a prefill to running requests."""
+class OwnDelayForecaster(replica_forecast.ReplicaForecaster):
+    """Leaves out the cost of a prefill to running requests."""
 
     def _blocking_cost(self, forecast, now):
         return datetime.timedelta()
 
 
+class OwnDelayOnly(choice_module.ReplicaChooser):
+    """Baseline: without the cost of a prefill to running requests."""
+
+    def __init__(self, *, directory, data_centre, clock, **parts):
+        parts |= {"directory": directory, "data_centre": data_centre}
+        super().__init__(clock=clock, **parts)
+        self._forecaster = OwnDelayForecaster(
+            directory=directory, data_centre=data_centre, clock=clock
+        )
+
+
 class LoadReplicasTest(unittest.TestCase):
     def test_instances_do_not_all_choose_the_emptiest_replica(self):
         """All instances know the same backlogs, a fifth of a second old. If
