--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -20,6 +20,7 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.upstream import sender as sender_module
@@ -139,7 +140,7 @@
             self._admission.require_room(job, service)
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is not None:
-            self._require_end_in_time(job, service, chosen)
+            chosen = self._require_end_in_time(job, service, chosen)
             if not job.tries:
                 self._admission.note_sent(job, service)
             return job_module.Grant(service=service, choice=chosen)
@@ -156,30 +157,32 @@
         job: job_module.Job,
         service: str,
         chosen: choice_module.Choice,
-    ) -> None:
-        """Checks that a request's first attempt may end in time.
+    ) -> choice_module.Choice:
+        """Returns where a request's first attempt may end in time.
+
+        That is the chosen replica, or another one if the choice was made only
+        to confirm a replica's limit.
 
         Models of which too little is known are not counted, or a model that is
-        never chosen would let every request pass. A stream that its caller
-        resumes passes, since what is left of it is not known.
+        never chosen would let every request pass.
 
         Raises:
             rejections.RejectedError: By no model of its route that is known.
         """
-        if job.tries or job.incoming.facts.last_event_id is not None:
-            return
+        if job.tries:
+            return chosen
         shortest = self._completion.hopeless(job, chosen)
         if shortest is None:
-            return
-        for index in attempt_facts.other_models(job):
+            return chosen
+        for index in (job.model_index, *attempt_facts.other_models(job)):
             if not self._completion.is_known(job, index):
                 continue
-            other = self._search.for_model(job, service, index)
+            other = self._search.for_model(job, service, index, confirms=False)
             if other is None:
                 continue
             expected = self._completion.hopeless(job, other, model_index=index)
             if expected is None:
-                return
+                return other if index == job.model_index else chosen
             shortest = min(shortest, expected, key=lambda times: times.whole)
         raise self._cannot_end(job, shortest)
 
@@ -255,7 +258,7 @@
 
 
 def _prefill(
-    job: job_module.Job, forecast: choice_module.Forecast | None
+    job: job_module.Job, forecast: replica_forecast.Forecast | None
 ) -> backlog.Prefill | None:
     if forecast is None:
         return None
@@ -264,7 +267,7 @@
     )
 
 
-def _logged(forecast: choice_module.Forecast | None) -> dict[str, float]:
+def _logged(forecast: replica_forecast.Forecast | None) -> dict[str, float]:
     """Returns the forecast behind a choice of replica, for the log."""
     if forecast is None:
         return {}
--- a/src/nutmeghook/internal/relay/completion.py
+++ b/src/nutmeghook/internal/relay/completion.py
@@ -14,10 +14,11 @@
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.routes import model as model_module
 
-# Nothing is refused for its expected end with fewer answers: until then the
-# forecasts are mostly priors.
+# Nothing is refused for its expected end with fewer answers of its route and
+# model: until then the forecasts are mostly priors.
 KNOWN_ANSWERS = 20
 # Nothing is refused if the latest answer is older. Requests that are all
 # refused give no answers, so a wrong forecast would otherwise be kept forever.
@@ -46,7 +47,7 @@
 
 
 class _KnownAnswers:
-    """What is known of the answers of a model or plain route.
+    """What is known of the answers of a route, by model of a stream's.
 
     Attributes:
         count: Whole answers so far.
@@ -83,8 +84,10 @@
         self._times = times
         self._directory = directory
         self._clock = clock
-        # By model; the figure is events per token asked for.
-        self._generations: dict[str, _KnownAnswers] = {}
+        # By route and model; the figure is events per token asked for. Routes
+        # differ in length, and a route whose requests are all refused must not
+        # be judged by another's answers for ever.
+        self._generations: dict[tuple[str, str], _KnownAnswers] = {}
         # By route; the figure is the time in seconds at an average replica.
         self._plain: dict[str, _KnownAnswers] = {}
 
@@ -96,10 +99,12 @@
         events: int,
     ) -> None:
         """Records that a generation has run from its start to its end."""
-        if job.incoming.facts.last_event_id is not None:
+        if _is_resumed_by_caller(job):
             return
         per_token = events / job.output_tokens if job.output_tokens else 1.0
-        known = self._generations.setdefault(prepared.model, _KnownAnswers())
+        known = self._generations.setdefault(
+            (job.route.name, prepared.model), _KnownAnswers()
+        )
         known.note(self._clock.monotonic(), per_token)
 
     def note_whole(
@@ -131,7 +136,8 @@
         Returns:
             None while nothing is known.
         """
-        if choice.forecast is not None:
+        is_stream = job.route.kind is model_module.RouteKind.STREAM
+        if is_stream and choice.forecast is not None:
             return self.of_generation(job, choice.forecast, model_index)
         known = self._plain.get(job.route.name)
         if known is None or known.count < KNOWN_ANSWERS:
@@ -146,7 +152,7 @@
     def of_generation(
         self,
         job: job_module.Job,
-        forecast: choice_module.Forecast,
+        forecast: replica_forecast.Forecast,
         model_index: int | None,
     ) -> expected_times.ExpectedTimes:
         """Returns the expected times of a generation.
@@ -181,7 +187,7 @@
 
     def _events(self, job: job_module.Job, name: str) -> float:
         """Returns the expected number of events of a whole answer."""
-        known = self._generations.get(name)
+        known = self._generations.get((job.route.name, name))
         per_token = known.mean if known is not None else 1.0
         return max(1.0, job.output_tokens * per_token)
 
@@ -197,7 +203,7 @@
     def is_likely_in_time(
         self,
         job: job_module.Job,
-        forecast: choice_module.Forecast,
+        forecast: replica_forecast.Forecast,
         model_index: int,
     ) -> bool:
         """Tells whether a model's answer is likely to end in time."""
@@ -252,7 +258,7 @@
     ) -> expected_times.ExpectedTimes | None:
         if not self.applies_to(choice.replica.entry.service):
             return None
-        if not self.is_known(job, model_index):
+        if _is_resumed_by_caller(job) or not self.is_known(job, model_index):
             return None
         expected = self.expected(job, choice, model_index=model_index)
         if expected is None or expected.whole * share <= self._left(job):
@@ -265,7 +271,7 @@
         """Tells whether enough recent answers of a request's kind are known."""
         if job.route.kind is model_module.RouteKind.STREAM:
             name = attempt_facts.model_name(job, model_index) or ""
-            known = self._generations.get(name)
+            known = self._generations.get((job.route.name, name))
         else:
             known = self._plain.get(job.route.name)
         if known is None or known.count < KNOWN_ANSWERS:
@@ -351,3 +357,11 @@
 
     def _left(self, job: job_module.Job) -> datetime.timedelta:
         return job.deadline - self._clock.monotonic()
+
+
+def _is_resumed_by_caller(job: job_module.Job) -> bool:
+    """Tells whether a caller asks for the rest of a stream.
+
+    How much that is, is not known, so its expected end isn't either.
+    """
+    return job.incoming.facts.last_event_id is not None
--- a/src/nutmeghook/internal/relay/model_selector.py
+++ b/src/nutmeghook/internal/relay/model_selector.py
@@ -11,8 +11,8 @@
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import replica_search
-from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.routes import in_force as in_force_module
 
 # A low-confidence answer is kept if less time is left: the largest model's
@@ -103,9 +103,15 @@
         prepared: prepared_module.PreparedAttempt,
         took: datetime.timedelta,
     ) -> None:
-        """Records the time from a whole answer's first event to its end."""
+        """Records the time from a whole answer's first event to its end.
+
+        In an uneven service, requests are refused by these times, so the rest
+        of a stream that a caller resumed is not taken for a whole answer.
+        """
         forecast = prepared.forecast
         is_uneven = self._directory.is_uneven(prepared.replica.entry.service)
+        if is_uneven and job.incoming.facts.last_event_id is not None:
+            return
         self._times.note_generation(
             prepared.model,
             tokens=job.output_tokens,
@@ -153,7 +159,7 @@
         job: job_module.Job,
         confidence: int | None,
         larger: int,
-        forecast: choice_module.Forecast,
+        forecast: replica_forecast.Forecast,
     ) -> model_choice.EscalationContext:
         name = job.route.models[larger]
         expected = self._completion.of_generation(job, forecast, larger)
--- a/src/nutmeghook/internal/relay/replica_search.py
+++ b/src/nutmeghook/internal/relay/replica_search.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica as replica_module
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.version_plans import view as view_module
 
 
@@ -102,14 +103,29 @@
         return self._chooser.choose(criteria)
 
     def for_model(
-        self, job: job_module.Job, service: str, model_index: int
+        self,
+        job: job_module.Job,
+        service: str,
+        model_index: int,
+        *,
+        confirms: bool = True,
     ) -> choice_module.Choice | None:
-        """Returns the best replica for another model's answer.
+        """Returns the best replica for a model's answer.
 
         Replicas that were tried with a smaller model are not excluded.
+
+        Args:
+            job: The request.
+            service: Whose replicas may be chosen.
+            model_index: Into its route's models.
+            confirms: A replica whose limit is to be confirmed comes first.
         """
         return self._best(
-            job, service, tried=frozenset(), model_index=model_index
+            job,
+            service,
+            tried=frozenset(),
+            model_index=model_index,
+            confirms=confirms,
         )
 
     def _accepts(
@@ -129,6 +145,7 @@
         *,
         tried: frozenset[str],
         model_index: int | None = None,
+        confirms: bool = True,
     ) -> choice_module.Choice | None:
         criteria = self._criteria(
             job,
@@ -136,6 +153,7 @@
             accepts=self._accepts(job, service),
             tried=tried,
             model_index=model_index,
+            confirms=confirms,
         )
         return self._chooser.choose(criteria)
 
@@ -147,6 +165,7 @@
         accepts: Callable[[entries.ReplicaEntry], bool],
         tried: frozenset[str],
         model_index: int | None = None,
+        confirms: bool = True,
     ) -> choice_module.ReplicaCriteria:
         return choice_module.ReplicaCriteria(
             service=service,
@@ -154,11 +173,12 @@
             key=attempt_facts.affinity(job, model_index) or job.log_id,
             exclude=tried,
             prompt=self._prompt(job, model_index),
+            confirms=confirms,
         )
 
     def _prompt(
         self, job: job_module.Job, model_index: int | None
-    ) -> choice_module.Prompt | None:
+    ) -> replica_forecast.Prompt | None:
         """Returns the prompt that an engine has to prefill."""
         model_name = attempt_facts.model_name(job, model_index)
         if job.incoming.facts.prompt is None and model_name is None:
@@ -166,7 +186,7 @@
         model_name = model_name or ""
         shared_tokens = attempt_facts.shared_tokens(job)
         own_tokens = job.input_tokens - shared_tokens
-        return choice_module.Prompt(
+        return replica_forecast.Prompt(
             prefix=self._times.prefill_time(model_name, shared_tokens),
             suffix=self._times.prefill_time(model_name, own_tokens),
             urgent=attempt_facts.is_urgent(job, model_index),
@@ -182,7 +202,7 @@
 
     def forecast(
         self, job: job_module.Job, model_index: int
-    ) -> choice_module.Forecast | None:
+    ) -> replica_forecast.Forecast | None:
         """Returns the forecast for another model's answer, if sent now."""
         criteria = self._criteria(
             job,
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -18,12 +18,17 @@
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import incoming
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import listener
+from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import choice as choice_module
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
+from nutmeghook.internal.replicas import replica_forecast
 from nutmeghook.internal.replicas import replica_speed
+from nutmeghook.internal.replicas import send_gate
+from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
@@ -100,7 +105,7 @@
     def choice(self) -> choice_module.Choice:
         return choice_module.Choice(
             replica=self.replica,
-            forecast=choice_module.Forecast(
+            forecast=replica_forecast.Forecast(
                 replica=self.replica,
                 waiting=0 * MS,
                 prefill=0 * MS,
@@ -151,9 +156,9 @@
             expected=self.forecast.expected(job, choice),
         )
 
-    def know(self, count: int, *, events: int = 100) -> None:
-        """Lets some generations of 100 tokens end."""
-        job = self.job()
+    def know(self, count: int, *, events: int = 100, **changes) -> None:
+        """Lets some generations of 100 tokens end, of a route with changes."""
+        job = self.job(**changes)
         for _ in range(count):
             self.forecast.note_generation(
                 job, self.prepared(job), events=events
@@ -197,6 +202,21 @@
         )
         self.assertFalse(self.is_hopeless(self.job()))
 
+    def test_answers_of_another_route_keep_no_wrong_forecast_alive(self):
+        """One route's long generations are all refused for a wrong forecast,
+        while another route's short ones are answered by the same model. Did
+        those count as recent answers, the long ones would be refused for ever.
+        """
+        self.become_uneven()
+        self.know(completion.KNOWN_ANSWERS)
+        self.know(completion.KNOWN_ANSWERS, name="other")
+        self.assertTrue(self.is_hopeless(self.job()))
+        age = completion.MAX_ANSWER_AGE + SECOND / 1000
+        asyncio.run(self.clock.advance(age))
+        self.know(1, name="other")
+        self.assertFalse(self.is_hopeless(self.job()))
+        self.assertTrue(self.is_hopeless(self.job(name="other")))
+
     def test_a_service_that_is_not_uneven_refuses_nothing(self):
         self.know(completion.KNOWN_ANSWERS)
         self.assertFalse(self.is_hopeless(self.job()))
@@ -474,13 +494,34 @@
 
     def know_large(self) -> None:
         """Records answers of the large model."""
-        job = mock.Mock(output_tokens=4)
+        job = mock.Mock(output_tokens=4, route=relay_fixture.route(STREAM))
         job.incoming.facts.last_event_id = None
         for _ in range(completion.KNOWN_ANSWERS):
             self.forecast.note_generation(
                 job, mock.Mock(model="large"), events=4
             )
 
+    async def test_a_request_for_a_slow_unconfirmed_replica_goes_elsewhere(
+        self,
+    ):
+        """A slow replica's limit is to be confirmed by the next request. Were
+        that request refused, so would be all others until the replica counts
+        as fast, although every other replica could end them.
+        """
+        self.offer(STREAM)
+        await self.know_answers()
+        self.times.first_ms[""] = 2_000.0
+        slow, other = self.directory.of_service("service")
+        slow.speed = mock.Mock(slowness=lambda _: 8.0)
+        other.speed = mock.Mock(slowness=lambda _: 1.0)
+        with mock.patch.object(
+            send_gate.OpenGate, "unconfirmed", return_value=[slow]
+        ):
+            answer = await self.ask_stream()
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        (sent,) = self.logged("attempt:sent")
+        self.assertEqual(sent["replica"], other.entry.replica_id)
+
     async def test_a_stream_that_its_caller_resumes_is_not_refused(self):
         """A caller asks for the rest of a stream. How much that is, is not
         known, so the expected end of a whole one says nothing.
@@ -595,6 +636,25 @@
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
         self.assertTrue(relay_fixture.is_complete(answer))
 
+    async def test_a_stream_that_its_caller_resumed_is_not_cut(self):
+        """The rest of a stream that its caller resumed breaks off. How much is
+        left is not known, and a replica could end it in time; judged by the
+        time of a whole stream, it would be cut.
+        """
+        self.offer(STREAM)
+        await self.know_answers()
+        self.slow_down()
+        two_events = len(WHOLE[0]) * 2
+        self.reply_with(
+            Reply(events=EVENTS, send_bytes=two_events, reset=True),
+            Reply(events=EVENTS),
+        )
+        answer = await self.ask_stream(
+            extra=(*PLAIN_STREAM, (headers.LAST_EVENT, "0"))
+        )
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE[1:])
+        self.assertTrue(relay_fixture.is_complete(answer))
+
     async def test_a_service_that_is_not_uneven_resumes_as_before(self):
         self.offer(STREAM)
         await self.know_answers()
@@ -739,6 +799,111 @@
         self.assertEqual(len(self.received_requests()), 1)
 
 
+class MeasuredTest(RelayedCase):
+    async def measured(
+        self, *, pause: datetime.timedelta = 0 * MS, after: str | None = None
+    ) -> tuple[int, int]:
+        """Returns how many generation times and paces a stream counted for.
+
+        Args:
+            pause: How long its caller takes to read each event.
+            after: The event after which its caller resumes it.
+        """
+        resumed = () if after is None else ((headers.LAST_EVENT, after),)
+        write = listener.CallerSink.write
+
+        async def write_slowly(sink: listener.CallerSink, data: bytes):
+            await self.clock.sleep(pause)
+            await write(sink, data)
+
+        self.offer(STREAM)
+        self.reply_with(Reply(events=EVENTS))
+        with (
+            mock.patch.object(listener.CallerSink, "write", write_slowly),
+            mock.patch.object(
+                generation_times.GenerationTimes, "note_generation"
+            ) as times,
+            mock.patch.object(
+                observations.AnswerObserver, "note_pace"
+            ) as paces,
+        ):
+            answer = await self.ask_stream(extra=(*PLAIN_STREAM, *resumed))
+        self.assertTrue(relay_fixture.is_complete(answer))
+        return times.call_count, paces.call_count
+
+    async def test_a_slow_caller_does_not_make_its_replica_seem_slow(self):
+        """A caller reads slowly, so the router does. The time that this takes
+        would raise what is expected of all replicas, and requests that could
+        end in time would be refused.
+        """
+        self.assertEqual(await self.measured(pause=200 * MS), (0, 0))
+
+    async def test_a_caller_that_reads_at_once_is_measured(self):
+        self.assertEqual(await self.measured(), (1, 1))
+
+    async def test_a_rest_is_not_taken_for_a_whole_answer(self):
+        """A caller resumes a stream. The time of the rest, divided by all the
+        tokens asked for, would make the model seem faster than it is.
+        """
+        generations, _ = await self.measured(after="0")
+        self.assertEqual(generations, 0)
+
+    async def test_a_service_that_is_not_uneven_is_measured_as_before(self):
+        with self.even():
+            measured = await self.measured(pause=200 * MS)
+        self.assertEqual(measured, (1, 1))
+
+
+class PlainTimesTest(RelayedCase):
+    async def test_a_generation_answered_whole_is_judged_by_its_answers(self):
+        """A route's generations are answered whole, so no first event corrects
+        their prior. Its answers come fast; judged by the prior, all requests
+        with long prompts would be refused for ever.
+        """
+        self.offer(IDEMPOTENT)
+        self.know_plain(IDEMPOTENT, 400 * MS)
+        self.times.first_ms[""] = 11_000.0
+        self.reply_with(Reply(body=b"answer"))
+        answer = await self.answer_of(
+            asyncio.create_task(self.ask(IDEMPOTENT, extra=PLAIN_STREAM))
+        )
+        self.assertEqual(relay_fixture.body_of(answer), b"answer")
+        (sent,) = self.logged("attempt:sent")
+        self.assertEqual(sent["expected_end_ms"], 400)
+
+    async def test_an_answer_is_not_divided_by_the_slowness_it_shows(self):
+        """A call takes four times as long as usual, and its replica is now
+        believed to be slow. Divided by that, the call would count as a usual
+        one in the mean of its route, and expected times would be too short.
+        """
+        self.offer(IDEMPOTENT)
+        divided_by = []
+
+        def note_pace(_, replica, *__):
+            replica.speed.note(4.0, self.clock.monotonic())
+
+        def note_whole(_, prepared, __):
+            now = self.clock.monotonic()
+            divided_by.append(prepared.replica.speed.slowness(now))
+
+        self.forget_speeds()
+        with (
+            mock.patch.object(
+                speed_registry.SpeedRegistry, "note_pace", note_pace
+            ),
+            mock.patch.object(
+                completion.CompletionForecast, "note_whole", note_whole
+            ),
+        ):
+            await self.ask(IDEMPOTENT)
+        self.assertAlmostEqual(divided_by[0], 1.0, delta=0.01)
+
+    def forget_speeds(self) -> None:
+        """Lets nothing be known of the speeds of replicas."""
+        for replica in self.directory.of_service("service"):
+            replica.speed = replica_speed.ReplicaSpeed()
+
+
 class ReadyAnswersTest(RelayedCase):
     def build_clock(self) -> clock_module.Clock:
         return test_relay_further_attempts.BusyClock()
