Don't take a slow reader behind a full send buffer for one that reads nothing

Cause: while the system accepts all of an answer, all of it counts as read. When the system's buffer then fills, what the caller has read falls below that figure, and the account kept the higher one. A caller that read on appeared to read nothing until it had read some 100 KB more, and was cut after 2 or 4 s. The same held for an answer behind another one's unacknowledged bytes on its connection.

Change: progress is compared with the last measurement, not with the highest.

--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -195,7 +195,9 @@
             self.unread_time = _NO_TIME
         elif self._unread:
             self.unread_time += elapsed
-        self._read = max(self._read, writes.read_bytes)
+        # It falls where the system, which had accepted all, holds bytes that
+        # the caller's system has not acknowledged.
+        self._read = writes.read_bytes
         self._unread = writes.unsent_bytes
         if self._unread:
             self._late_time += min(elapsed, self._late_by())
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -137,6 +137,30 @@
         self.assertFalse(reader.was_cut)
         self.assertEqual(self.account.total_bytes, reader.held.size)
 
+    async def test_a_slow_reader_behind_a_full_send_buffer_is_kept(self):
+        """The system accepts an answer's first bytes at once, and holds them.
+        If those counted as read for good, a caller that reads slowly would
+        appear to read nothing until it has read that many, and would be cut.
+        """
+        accepted, unacknowledged = 100 * KB, 0
+        unsent = 0
+        held = self.account.begin(
+            measure_writes=lambda: held_bytes.WriteProgress(
+                read_bytes=accepted - unacknowledged, unsent_bytes=unsent
+            ),
+            cut=lambda: None,
+        )
+        held.deadline = 100 * SECOND
+        held.sample()
+        unacknowledged, unsent = accepted, self.account.bound_bytes
+        held.sample()
+        for _ in range(10):
+            unacknowledged -= KB
+            await self.sweep_for(1 * SECOND)
+        self.assertFalse(held.is_cut)
+        await self.sweep_for(4 * SECOND)
+        self.assertTrue(held.is_cut)
+
     async def test_at_the_bound_the_largest_is_cut_after_two_seconds(self):
         """The bound is reached by callers that don't read. A new request is
         refused until one of them has read nothing for 2 s; then the one that
@@ -414,6 +438,19 @@
         self.assertEqual(self.held.total_bytes, 0)
         self.assertEqual(len(self.received_requests()), 1)
 
+    async def test_over_half_of_the_bound_a_slow_reader_is_kept(self):
+        """A caller reads 4 KB a second while more than half of the bound is
+        held. Only callers that read nothing may be cut. Its system
+        acknowledges some 6 KB at a time.
+        """
+        (caller,) = await self.ask_slowly()
+        await self.until_blocked()
+        self.held.bound_bytes = self.account_size() * 3 // 2
+        for _ in range(12):
+            await caller.read(4 * KB)
+            await self.pass_time(1 * SECOND)
+        self.assertEqual(self.listener.in_flight, 1)
+
     async def test_at_the_bound_requests_are_refused_and_then_served(self):
         """Callers that don't read hold all that may be held. Another request is
         refused as not run, which must be true; 2 s later one of them is cut and
