Bear a system that refuses socket options

Cause: options of a replica's connection were set without a guard. A refused one (a connection that was just reset, a system without the option) became an internal fault, told to the caller as perhaps run though nothing was written. The buffer of a caller's connection was set in the same way.

Change: an option that is refused or unknown is left unset.

--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import held_bytes as held_bytes_module
@@ -87,11 +88,9 @@
         """Also bounds the buffers of what is sent."""
         super().connection_made(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        raw = transport.get_extra_info("socket")
-        if raw is not None:
-            raw.setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
-            )
+        socket_options.try_set(
+            transport, socket.SOL_SOCKET, "SO_SNDBUF", _SEND_BUFFER_BYTES
+        )
 
     def data_received(self, data: bytes) -> None:
         """Starts the time limit with a head's first byte.
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 
+from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 
@@ -28,6 +29,14 @@
 # the system's default, a stalled stream took 185 KB instead of 97 KB. Over a
 # round trip of 60 ms it still carries some 0.5 MB/s.
 _RECEIVE_BUFFER_BYTES = 32 * 1024
+_KEEPALIVE_OPTIONS = (
+    (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
+    (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
+    (socket.IPPROTO_TCP, "TCP_KEEPIDLE", 2),
+    (socket.IPPROTO_TCP, "TCP_KEEPINTVL", 1),
+    (socket.IPPROTO_TCP, "TCP_KEEPCNT", 2),
+    (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", 3000),
+)
 # Shortages of this process or machine: no connection was attempted.
 _LOCAL_SHORTAGES = frozenset(
     {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS}
@@ -177,20 +186,11 @@
     minutes; with these limits it breaks a few seconds after the first
     unacknowledged byte.
     """
-    raw = transport.get_extra_info("socket")
-    if raw is None:
-        return
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000)
+    for level, name, value in _KEEPALIVE_OPTIONS:
+        socket_options.try_set(transport, level, name, value)
 
 
 def _bound_receive_buffer(transport: asyncio.BaseTransport) -> None:
-    raw = transport.get_extra_info("socket")
-    if raw is not None:
-        raw.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-        )
+    socket_options.try_set(
+        transport, socket.SOL_SOCKET, "SO_RCVBUF", _RECEIVE_BUFFER_BYTES
+    )
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import datetime
+import errno
+import fcntl
+import socket
 import unittest
 from unittest import mock
 
@@ -503,6 +506,33 @@
         self.assertEqual(len(self.received_requests()), 4)
 
 
+class SocketOptionsTest(driven_relay.DrivenRelayCase):
+    async def test_a_system_that_refuses_options(self):
+        """Systems refuse options of a connection that was just reset, and some
+        lack them. A request must not fail for it, and least of all as perhaps
+        run, since nothing was written.
+        """
+        refused = []
+
+        def refuse(_, level: int, option: int, value: int) -> None:
+            if (level, option) in (
+                (socket.SOL_SOCKET, socket.SO_SNDBUF),
+                (socket.SOL_SOCKET, socket.SO_RCVBUF),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            ):
+                refused.append(value)
+                raise OSError(errno.EINVAL, "Invalid argument")
+
+        error = OSError(errno.ENOTTY, "Inappropriate ioctl for device")
+        with (
+            mock.patch("asyncio.trsock.TransportSocket.setsockopt", refuse),
+            mock.patch.object(fcntl, "ioctl", side_effect=error),
+        ):
+            answer = await asyncio.wait_for(self.ask(ONCE), 5.0)
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertEqual(len(refused), 3)
+
+
 class EndlessEventsTest(driven_relay.DrivenRelayCase):
     def build_replica(self, replica_id):
         return slow_peers.EndlessEventReplica(replica_id=replica_id)
