Leave room for answers beside the bodies that are held

Cause: bodies could fill the whole bound. A request holds its body until its whole answer has come, and the answer waits for room. Once bodies alone filled the bound, all these requests waited for each other until their deadlines, though their replicas had answered. 40 bodies of 1 MB on an instance of 160 MB were enough.

Change: bodies take at most the bound less 8 MiB, the largest whole answer (or half of a smaller bound); the request that brings more is refused as not run. The smallest bound is 16.8 MB instead of 16 MB, so that both fit.

--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -21,9 +21,13 @@
 # The rest of the memory is for the interpreter, the tables, and the copies
 # that exist while a body is joined or written.
 _MEMORY_SHARE = 0.25
-# The largest body (4 MB) and the largest whole answer (8 MiB) fit into this,
-# so that a single request can always be served.
-_MIN_BOUND_BYTES = 16 * _MEGABYTE
+# The largest whole answer. Bodies leave room for it: they are held until their
+# answers have come, so bodies that filled the bound would keep out the answers
+# that they wait for.
+_ANSWER_RESERVE_BYTES = 8 * 1024 * 1024
+# The largest body (4 MB) and the largest whole answer fit into this, so that a
+# single request can always be served.
+_MIN_BOUND_BYTES = 2 * _ANSWER_RESERVE_BYTES
 WATCH_INTERVAL = datetime.timedelta(milliseconds=200)
 # Longest stretch that one sweep counts as time without a byte read. After the
 # process stood still, callers' systems get the chance to take bytes first.
@@ -129,7 +133,7 @@
 
     def try_hold_body(self, count: int) -> bool:
         """Adds bytes of the request's body, unless the bound forbids it."""
-        if self.is_ended or not self._account.make_room(count):
+        if self.is_ended or not self._account.try_add_body(count):
             return False
         self._body += count
         self._update()
@@ -221,7 +225,7 @@
         if self.is_ended:
             return
         self.is_ended = True
-        self._account.remove(self)
+        self._account.remove(self, body_bytes=self._body)
 
     def _late_by(self) -> datetime.timedelta:
         """Returns the time since both the deadline and the write's begin."""
@@ -247,6 +251,7 @@
     """
 
     __slots__ = (
+        "_body_bytes",
         "_clock",
         "_metrics",
         "_requests",
@@ -268,6 +273,7 @@
         self._requests: dict[RequestBytes, None] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._swept_at = clock.monotonic()
+        self._body_bytes = 0
         self.bound_bytes = bound_bytes
         self.total_bytes = 0
 
@@ -309,6 +315,16 @@
         self._cut_unread(self.bound_bytes - count, FULL_PATIENCE)
         return self.total_bytes + count <= self.bound_bytes
 
+    def try_add_body(self, count: int) -> bool:
+        """Counts bytes of bodies if they may be held; for `RequestBytes`."""
+        reserve = min(_ANSWER_RESERVE_BYTES, self.bound_bytes // 2)
+        if self._body_bytes + count > self.bound_bytes - reserve:
+            return False
+        if not self.make_room(count):
+            return False
+        self._body_bytes += count
+        return True
+
     def sweep(self) -> None:
         """Reads the sizes of all buffers, and cuts callers where needed."""
         now = self._clock.monotonic()
@@ -345,9 +361,15 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    def remove(self, request: RequestBytes) -> None:
-        """Removes a request that has ended; `RequestBytes` calls this."""
+    def remove(self, request: RequestBytes, *, body_bytes: int) -> None:
+        """Removes a request that has ended; `RequestBytes` calls this.
+
+        Args:
+            request: The request.
+            body_bytes: What is held of its body.
+        """
         del self._requests[request]
+        self._body_bytes -= body_bytes
         self.change(-request.size)
 
     def _cut_unread(
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -236,6 +236,20 @@
         await waiting
         self.assertEqual(self.account.total_bytes, 1000)
 
+    def test_bodies_leave_room_for_an_answer(self):
+        """Requests with large bodies arrive until they are refused. Each holds
+        its body until its answer has come, so bodies that filled the bound
+        would all wait for room for their answers until their deadlines.
+        """
+        callers = [FakeCaller(self.account) for _ in range(50)]
+        taken = [c for c in callers if c.held.try_hold_body(1_000_000)]
+        self.assertTrue(taken[0].held.try_hold_answer(8 * KB * KB))
+        self.assertEqual(len(taken), 31)
+        for caller in callers:
+            caller.end()
+        another = FakeCaller(self.account)
+        self.assertTrue(another.held.try_hold_body(31_000_000))
+
     async def test_a_thousand_callers_that_stop_reading(self):
         """A thousand callers stop reading on the smallest instance. All their
         buffers fill; the bound must hold, and others must be served again
