--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import datetime
+import errno
+import fcntl
+import socket
 import unittest
 from unittest import mock
 
@@ -137,6 +140,30 @@
         self.assertFalse(reader.was_cut)
         self.assertEqual(self.account.total_bytes, reader.held.size)
 
+    async def test_a_slow_reader_behind_a_full_send_buffer_is_kept(self):
+        """The system accepts an answer's first bytes at once, and holds them.
+        If those counted as read for good, a caller that reads slowly would
+        appear to read nothing until it has read that many, and would be cut.
+        """
+        accepted, unacknowledged = 100 * KB, 0
+        unsent = 0
+        held = self.account.begin(
+            measure_writes=lambda: held_bytes.WriteProgress(
+                read_bytes=accepted - unacknowledged, unsent_bytes=unsent
+            ),
+            cut=lambda: None,
+        )
+        held.deadline = 100 * SECOND
+        held.sample()
+        unacknowledged, unsent = accepted, self.account.bound_bytes
+        held.sample()
+        for _ in range(10):
+            unacknowledged -= KB
+            await self.sweep_for(1 * SECOND)
+        self.assertFalse(held.is_cut)
+        await self.sweep_for(4 * SECOND)
+        self.assertTrue(held.is_cut)
+
     async def test_at_the_bound_the_largest_is_cut_after_two_seconds(self):
         """The bound is reached by callers that don't read. A new request is
         refused until one of them has read nothing for 2 s; then the one that
@@ -209,6 +236,20 @@
         await waiting
         self.assertEqual(self.account.total_bytes, 1000)
 
+    def test_bodies_leave_room_for_an_answer(self):
+        """Requests with large bodies arrive until they are refused. Each holds
+        its body until its answer has come, so bodies that filled the bound
+        would all wait for room for their answers until their deadlines.
+        """
+        callers = [FakeCaller(self.account) for _ in range(50)]
+        taken = [c for c in callers if c.held.try_hold_body(1_000_000)]
+        self.assertTrue(taken[0].held.try_hold_answer(8 * KB * KB))
+        self.assertEqual(len(taken), 31)
+        for caller in callers:
+            caller.end()
+        another = FakeCaller(self.account)
+        self.assertTrue(another.held.try_hold_body(31_000_000))
+
     async def test_a_thousand_callers_that_stop_reading(self):
         """A thousand callers stop reading on the smallest instance. All their
         buffers fill; the bound must hold, and others must be served again
@@ -414,6 +455,19 @@
         self.assertEqual(self.held.total_bytes, 0)
         self.assertEqual(len(self.received_requests()), 1)
 
+    async def test_over_half_of_the_bound_a_slow_reader_is_kept(self):
+        """A caller reads 4 KB a second while more than half of the bound is
+        held. Only callers that read nothing may be cut. Its system
+        acknowledges some 6 KB at a time.
+        """
+        (caller,) = await self.ask_slowly()
+        await self.until_blocked()
+        self.held.bound_bytes = self.account_size() * 3 // 2
+        for _ in range(12):
+            await caller.read(4 * KB)
+            await self.pass_time(1 * SECOND)
+        self.assertEqual(self.listener.in_flight, 1)
+
     async def test_at_the_bound_requests_are_refused_and_then_served(self):
         """Callers that don't read hold all that may be held. Another request is
         refused as not run, which must be true; 2 s later one of them is cut and
@@ -466,6 +520,33 @@
         self.assertEqual(len(self.received_requests()), 4)
 
 
+class SocketOptionsTest(driven_relay.DrivenRelayCase):
+    async def test_a_system_that_refuses_options(self):
+        """Systems refuse options of a connection that was just reset, and some
+        lack them. A request must not fail for it, and least of all as perhaps
+        run, since nothing was written.
+        """
+        refused = []
+
+        def refuse(_, level: int, option: int, value: int) -> None:
+            if (level, option) in (
+                (socket.SOL_SOCKET, socket.SO_SNDBUF),
+                (socket.SOL_SOCKET, socket.SO_RCVBUF),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            ):
+                refused.append(value)
+                raise OSError(errno.EINVAL, "Invalid argument")
+
+        error = OSError(errno.ENOTTY, "Inappropriate ioctl for device")
+        with (
+            mock.patch("asyncio.trsock.TransportSocket.setsockopt", refuse),
+            mock.patch.object(fcntl, "ioctl", side_effect=error),
+        ):
+            answer = await asyncio.wait_for(self.ask(ONCE), 5.0)
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertEqual(len(refused), 3)
+
+
 class EndlessEventsTest(driven_relay.DrivenRelayCase):
     def build_replica(self, replica_id):
         return slow_peers.EndlessEventReplica(replica_id=replica_id)
