Believe of a replica's speed what answers show beyond their noise

What was believed was mostly noise, all instances shared it, and larger models were asked less.

Change: the prior weighs four answers, and twenty count at most.

--- a/src/nutmeghook/internal/replicas/replica_speed.py
+++ b/src/nutmeghook/internal/replicas/replica_speed.py
@@ -16,9 +16,12 @@
 HALF_LIFE = datetime.timedelta(seconds=5)
 # Bounds the weight of busy replicas, so that a recovered replica is believed to
 # have recovered after about so many answers (design/replica-speeds.md).
-MAX_WEIGHT = 3.0
-# Weight of the prior belief that a replica is an average one, in answers.
-PRIOR_WEIGHT = 0.5
+MAX_WEIGHT = 20.0
+# Weight of the prior belief that a replica is an average one, in answers. The
+# log ratios of one replica's answers have a standard deviation of 0.85 to 1.06,
+# replicas of one of 0.47 to 0.50: less than the square of their ratio, and what
+# is believed of replicas is mostly noise, to which all instances crowd.
+PRIOR_WEIGHT = 4.0
 # Time constant with which a stated work time loses its influence. Stated times
 # vary with a period of several hundred milliseconds; bench/replica_speeds.py
 # shows the age from which one no longer helps.
