--- a/src/nutmeghook/internal/limits/demand_rates.py
+++ b/src/nutmeghook/internal/limits/demand_rates.py
@@ -165,7 +165,7 @@
         """
         self._expire_reports()
         scale = max(1.0, size / (1 + len(self._reports)))
-        # Plain sums: this runs ten times a second over hundreds of rates.
+        # Plain sums: this runs several times a second over hundreds of rates.
         asked: dict[DemandKey, float] = collections.defaultdict(float)
         admitted: dict[DemandKey, float] = collections.defaultdict(float)
         for key, rates in self.own().items():
--- a/src/nutmeghook/internal/limits/service_load.py
+++ b/src/nutmeghook/internal/limits/service_load.py
@@ -9,8 +9,8 @@
 
 # Requests beyond the slots are worked off within this time. With 2 s the
 # capacity was corrected again before counts and rates showed the last
-# correction: in bench/team_shares.py 0.941 of the other teams' requests were
-# served on two islands of 90 instances, and 0.985 with 4 s.
+# correction: 0.941 of the other teams' requests were served in two network
+# partitions of the model, and 0.985 with 4 s (design/team-shares.md).
 _DRAIN_TIME = datetime.timedelta(seconds=4)
 # Bounds of the capacity relative to what was admitted, against wrong counts.
 _MIN_CAPACITY_SHARE = 0.5
@@ -98,9 +98,7 @@
 
         Behind a network partition, the replicas' counts hold the requests of
         all instances, and the rates only those of some. If each side corrected
-        for the whole queue, it would refuse too much: in the model of
-        bench/team_shares.py, 0.984 of the other teams' requests were served on
-        two islands of 90 instances, and 0.999 with this.
+        for the whole queue, it would refuse too much.
 
         Args:
             fleet_size: Number of known instances.
--- a/src/nutmeghook/internal/replicas/replica_speed.py
+++ b/src/nutmeghook/internal/replicas/replica_speed.py
@@ -19,9 +19,8 @@
 MAX_WEIGHT = 3.0
 # Weight of the prior belief that a replica is an average one, in answers.
 PRIOR_WEIGHT = 0.5
-# Time constant with which a stated work time loses its influence. Stated times
-# vary with a period of several hundred milliseconds; bench/replica_speeds.py
-# shows the age from which one no longer helps.
+# Time constant with which a stated work time loses its influence: stated times
+# vary with a period of several hundred milliseconds.
 STATED_TIME_CONSTANT = datetime.timedelta(milliseconds=60)
 
 
@@ -41,11 +40,7 @@
 
 
 class ReplicaSpeed:
-    """The believed speed of one start of a replica.
-
-    Attributes:
-        is_from_peer: The estimate began with one that a peer sent.
-    """
+    """The believed speed of one start of a replica."""
 
     __slots__ = (
         "_answered_at",
@@ -55,7 +50,6 @@
         "_stated_mean_log",
         "_weighed_at",
         "_weight",
-        "is_from_peer",
     )
 
     def __init__(self):
@@ -67,7 +61,6 @@
         self._stated_log = 0.0
         self._stated_mean_log = 0.0
         self._stated_at: datetime.timedelta | None = None
-        self.is_from_peer = False
 
     def note(self, ratio: float, now: datetime.timedelta) -> None:
         """Records an answer.
@@ -108,7 +101,6 @@
         self._weight = weight
         self._weighed_at = now
         self._answered_at = estimate.answered_at
-        self.is_from_peer = True
         return True
 
     def note_stated(
--- a/src/nutmeghook/internal/replicas/speed_registry.py
+++ b/src/nutmeghook/internal/replicas/speed_registry.py
@@ -112,7 +112,7 @@
             (
                 tracked.replica
                 for tracked in updated
-                if self._is_told(tracked.replica, now)
+                if self._is_worth_sending(tracked.replica, now)
             ),
             key=lambda replica: replica.speed.estimate(now).answered_at,
         )
@@ -126,7 +126,7 @@
             if self._directory.is_current(tracked.replica)
         )
 
-    def _is_told(
+    def _is_worth_sending(
         self, replica: replica_module.Replica, now: datetime.timedelta
     ) -> bool:
         return (
@@ -137,7 +137,7 @@
     def _drop_faded(self, now: datetime.timedelta) -> None:
         while self._tracked:
             short_id, tracked = next(iter(self._tracked.items()))
-            if self._is_told(tracked.replica, now):
+            if self._is_worth_sending(tracked.replica, now):
                 return
             if self._directory.is_current(tracked.replica):
                 self._log_change(tracked, now, source="faded")
