Read messages about loads, backlogs and signals without some fields

Change: a missing list is an empty one.

Measured: cover.test_load_gossip, test_backlogs and test_signal_gossip, one new test each, which failed before; 26 passed now.

--- a/src/nutmeghook/internal/replicas/backlog_gossip.py
+++ b/src/nutmeghook/internal/replicas/backlog_gossip.py
@@ -80,9 +80,9 @@
     def _receive(self, message: ttypes.ReplicaBacklogs) -> None:
         backlogs = {}
         for short_id, urgent_ms, later_ms in zip(
-            message.replica_hashes,
-            message.urgent_ms,
-            message.later_ms,
+            message.replica_hashes or (),
+            message.urgent_ms or (),
+            message.later_ms or (),
             strict=False,
         ):
             backlogs[short_id] = backlog_module.Backlog(
--- a/src/nutmeghook/internal/replicas/load_gossip.py
+++ b/src/nutmeghook/internal/replicas/load_gossip.py
@@ -76,10 +76,10 @@
         now = self._clock.monotonic()
         work_times = message.work_times_percent or itertools.repeat(0)
         for short_id, running, waiting, age_ms, work_time in zip(
-            message.replica_hashes,
-            message.running,
-            message.waiting,
-            message.ages_ms,
+            message.replica_hashes or (),
+            message.running or (),
+            message.waiting or (),
+            message.ages_ms or (),
             work_times,
             strict=False,
         ):
--- a/src/nutmeghook/internal/replicas/signal_gossip.py
+++ b/src/nutmeghook/internal/replicas/signal_gossip.py
@@ -97,7 +97,7 @@
     def _receive_leaving(self, message: ttypes.LeavingReplicas) -> None:
         now = self._clock.monotonic()
         for short_id, age_ms in zip(
-            message.replica_hashes, message.ages_ms, strict=False
+            message.replica_hashes or (), message.ages_ms or (), strict=False
         ):
             if age_ms >= 0:
                 self._registry.note_peer_leaving(
@@ -107,9 +107,9 @@
     def _receive_limits(self, message: ttypes.ReplicaRateLimits) -> None:
         now = self._clock.monotonic()
         for short_id, milli_per_s, age_ms in zip(
-            message.replica_hashes,
-            message.limits_milli_per_s,
-            message.ages_ms,
+            message.replica_hashes or (),
+            message.limits_milli_per_s or (),
+            message.ages_ms or (),
             strict=False,
         ):
             if min(milli_per_s, age_ms) < 0:
--- a/tests/cover/test_backlogs.py
+++ b/tests/cover/test_backlogs.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import datagrams
 from nutmeghook.internal.inner import sealed_messages
+from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.replicas import backlog
 from nutmeghook.internal.replicas import backlog_gossip
 from nutmeghook.internal.replicas import choice
@@ -226,6 +227,14 @@
         waiting = self.two.waiting(replica.entry.replica_id)
         self.assertEqual(waiting, (2**31 - 1) * MS)
 
+    def test_a_message_without_its_fields_raises_no_error(self):
+        """Fields that a peer doesn't send are None."""
+        self.two.gossip._receive(ttypes.ReplicaBacklogs())
+        self.two.gossip._receive(
+            ttypes.ReplicaBacklogs(sender_id="one", replica_hashes=[1])
+        )
+        self.assertEqual(self.two.waiting("r1"), 0 * MS)
+
     def test_a_restarted_replica_has_no_backlog(self):
         """A replica crashes with a backlog and restarts under the same id."""
         replica, prefill = self.one.send(criteria())
--- a/tests/cover/test_load_gossip.py
+++ b/tests/cover/test_load_gossip.py
@@ -168,6 +168,18 @@
         )
         self.assertIsNone(replica.report)
 
+    async def test_a_message_without_its_fields_raises_no_error(self):
+        """Fields that a peer doesn't send are None. An error of each such
+        message would be logged with its stack.
+        """
+        first = self.instances[0]
+        replica = first.replica(1)
+        first.gossip._receive(ttypes.ReplicaLoads())
+        first.gossip._receive(
+            ttypes.ReplicaLoads(replica_hashes=[replica.short_id], running=[1])
+        )
+        self.assertIsNone(replica.report)
+
     async def test_reports_of_a_removed_replica_are_not_sent(self):
         first, *others = self.instances
         first.receive_report(7, waiting=60)
--- a/tests/cover/test_signal_gossip.py
+++ b/tests/cover/test_signal_gossip.py
@@ -188,6 +188,13 @@
         await fleet.rounds(10)
         self.assertEqual([i.socket.sent_bytes for i in fleet.instances], before)
 
+    async def test_a_message_without_its_fields_raises_no_error(self):
+        """Fields that a peer doesn't send are None."""
+        (instance,) = Fleet(1).instances
+        instance.gossip._receive_limits(ttypes.ReplicaRateLimits())
+        instance.gossip._receive_leaving(ttypes.LeavingReplicas())
+        self.assertEqual(list(instance.registry.asking()), [])
+
     async def test_reports_that_make_no_sense_are_ignored(self):
         fleet = Fleet(1)
         (instance,) = fleet.instances
