--- a/src/nutmeghook/internal/replicas/replica_speed.py
+++ b/src/nutmeghook/internal/replicas/replica_speed.py
@@ -19,12 +19,11 @@
 MAX_WEIGHT = 20.0
 # Weight of the prior belief that a replica is an average one, in answers. The
 # log ratios of one replica's answers have a standard deviation of 0.85 to 1.06,
-# replicas of one of 0.47 to 0.50: less than the square of their ratio, and what
-# is believed of replicas is mostly noise, to which all instances crowd.
+# replicas differ by 0.47 to 0.50. With a smaller weight what is believed is
+# mostly noise, which all instances share.
 PRIOR_WEIGHT = 4.0
-# Time constant with which a stated work time loses its influence. Stated times
-# vary with a period of several hundred milliseconds; bench/replica_speeds.py
-# shows the age from which one no longer helps.
+# Time constant with which a stated work time loses its influence: stated times
+# vary with a period of several hundred milliseconds.
 STATED_TIME_CONSTANT = datetime.timedelta(milliseconds=60)
 
 
@@ -44,11 +43,7 @@
 
 
 class ReplicaSpeed:
-    """The believed speed of one start of a replica.
-
-    Attributes:
-        is_from_peer: The estimate began with one that a peer sent.
-    """
+    """The believed speed of one start of a replica."""
 
     __slots__ = (
         "_answered_at",
@@ -58,7 +53,6 @@
         "_stated_mean_log",
         "_weighed_at",
         "_weight",
-        "is_from_peer",
     )
 
     def __init__(self):
@@ -70,7 +64,6 @@
         self._stated_log = 0.0
         self._stated_mean_log = 0.0
         self._stated_at: datetime.timedelta | None = None
-        self.is_from_peer = False
 
     def note(self, ratio: float, now: datetime.timedelta) -> None:
         """Records an answer.
@@ -111,7 +104,6 @@
         self._weight = weight
         self._weighed_at = now
         self._answered_at = estimate.answered_at
-        self.is_from_peer = True
         return True
 
     def note_stated(
