Let own attempts that ended fade with the count that contains them

The expected number of requests at a replica fades from its last count to the service's average, but own attempts that ended since were subtracted in full for ever. A replica that fell silent, whose attempts were abandoned, so seemed the emptiest, and a prompt sent there brought no newer count. In uneven services they now fade too, also in the load that prefills are judged by; others are as before.

--- a/src/nutmeghook/internal/replicas/replica_forecast.py
+++ b/src/nutmeghook/internal/replicas/replica_forecast.py
@@ -179,11 +179,15 @@
         report = replica.report
         if report is not None:
             weight = math.exp((report.at - now) / REPORT_TIME_CONSTANT)
-            baseline = self._directory.baseline_load(replica.entry.service)
+            service = replica.entry.service
+            baseline = self._directory.baseline_load(service)
             expected = weight * _weighted_load(report) + (
                 1 - weight
             ) * _weighted_load(baseline)
             since = replica.in_flight - replica.in_flight_at_report
+            if since < 0 and self._directory.is_uneven(service):
+                # See `running_requests`.
+                since *= weight
             estimate = max(estimate, expected + since)
         return estimate / replica.entry.slots
 
--- a/src/nutmeghook/internal/replicas/running_requests.py
+++ b/src/nutmeghook/internal/replicas/running_requests.py
@@ -35,5 +35,8 @@
     weight = math.exp(min(0.0, (report.at - now) / TIME_CONSTANT))
     reported = report.running + report.waiting
     since = replica.in_flight - replica.in_flight_at_report
+    if since < 0:
+        # Own attempts that ended are in the report's count and fade with it.
+        since *= weight
     expected = weight * reported + (1 - weight) * average + since
     return max(expected, float(replica.in_flight))
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -72,6 +72,24 @@
         self.report(owner, 2)
         self.assertIs(self.chosen(), owner)
 
+    async def test_a_silent_replica_is_not_taken_for_an_empty_one(self):
+        """A replica falls silent, and its attempts are abandoned. Did these
+        still lower its estimate once its last count has faded, it would seem
+        the emptiest and get every prompt.
+        """
+        self.report_all(6)
+        silent = self.chosen("other part")
+        silent.in_flight = 6
+        self.report(silent, 6)
+        silent.in_flight = 0
+        await self.clock.advance(5 * SECOND)
+        for replica in self.directory.of_service(SERVICE):
+            if replica is not silent:
+                self.report(replica, 6)
+        keys = [f"part {number}" for number in range(100)]
+        chosen = [self.chosen(key) for key in keys]
+        self.assertLess(chosen.count(silent), 25)
+
     async def test_an_old_count_fades(self):
         """Without requests a replica states no newer count; an old one must
         not keep requests away for good.
