Await no room for the stated length of an answer without a body

Cause: the answer to HEAD states the length of a body that never comes. Room for all of it was awaited, so on a full instance a HEAD of a large resource ended with 504 at its deadline, and on others it kept out up to 8 MiB for a moment.

Change: a stated length counts only while a body is still to come.

Measured: the new test failed with 504 and passes now.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -66,6 +66,11 @@
         self._connection.note_read(len(data))
         return data
 
+    @property
+    def is_received(self) -> bool:
+        """Tells whether no more of the body follows, or it has none."""
+        return self._body.is_eof()
+
     @property
     def unread_bytes(self) -> int:
         """Bytes of the answer that were received and not read."""
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -136,6 +136,12 @@
         return b"".join(pieces)
 
     def _stated_length(self) -> int:
+        """Returns the stated length of a body that is still to come.
+
+        Answers to HEAD, and some others, state a length and have no body.
+        """
+        if self.head.is_received:
+            return 0
         stated = self.head.header("content-length") or ""
         if not stated.isdecimal():
             return 0
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -519,6 +519,19 @@
         self.assertEqual(self.held.total_bytes, 0)
         self.assertEqual(len(self.received_requests()), 4)
 
+    async def test_the_answer_to_head_needs_no_room_for_its_stated_length(self):
+        """The answer to HEAD states the length of a body that never comes. If
+        room for it were awaited, the request would wait until its deadline.
+        """
+        self.held.bound_bytes = 100 * KB
+        reply = users_replica.Reply(body=b"y" * 300 * KB, send_bytes=0)
+        self.reply_with(reply)
+        self.put_in_force(relay_fixture.route(IDEMPOTENT))
+        asking = asyncio.create_task(self.ask(IDEMPOTENT, method="HEAD"))
+        answer = await self.answer_of(asking)
+        self.assertEqual(relay_fixture.status_of(answer), 200)
+        self.assertEqual(self.held.total_bytes, 0)
+
 
 class SocketOptionsTest(driven_relay.DrivenRelayCase):
     async def test_a_system_that_refuses_options(self):
