Refuse nothing where less than half of a service's slots are known

Cause: counts are told within a data centre, and three in ten of the slots were enough to judge by. One full replica of three made the service look short while the other two were idle; found in review. Change: half of the slots have to be known.

--- a/src/nutmeghook/internal/limits/occupancy.py
+++ b/src/nutmeghook/internal/limits/occupancy.py
@@ -3,9 +3,9 @@
 import dataclasses
 
 # Below this part of the slots known from fresh counts, nothing is concluded.
-# On the smaller side of a network partition, only one data centre's replicas
-# of three are known.
-MIN_KNOWN_SHARE = 0.3
+# Counts are told within a data centre. Where one full replica of three is known,
+# the others may have free places.
+MIN_KNOWN_SHARE = 0.5
 # Below this part of the slots taken, places count as free: counts are up to
 # two seconds old, and requests are not spread evenly.
 FULL_SHARE = 0.9
