Abandon no working replica because the route had no recent answer

Without an answer in the last 5 s the forecast was not asked at all, and every move was permitted. Under overload, when answers are late, working replicas lost their runs for others that could not end. A refusal needs a recent answer, since it keeps a wrong forecast alive; a denied move does not, as the attempt goes on and its answer corrects the forecast. Unreachable replicas are left as before.

The test failed before: a move for a run expected to end too late was permitted 5 s after the latest answer.

--- a/src/nutmeghook/internal/relay/completion.py
+++ b/src/nutmeghook/internal/relay/completion.py
@@ -239,6 +239,9 @@
     ) -> bool:
         """Tells whether a replica may be abandoned for another one.
 
+        An attempt that stays may give the answer that corrects a wrong
+        forecast, so answers need not be recent to keep it.
+
         Args:
             job: The request.
             choice: Where it would go.
@@ -246,7 +249,10 @@
                 elsewhere is better.
         """
         share = _HOPELESS_SHARE if is_unreachable else _MOVE_SHARE
-        return self._too_long(job, choice, share=share) is None
+        too_long = self._too_long(
+            job, choice, share=share, needs_recent=is_unreachable
+        )
+        return too_long is None
 
     def _too_long(
         self,
@@ -255,10 +261,13 @@
         *,
         share: float,
         model_index: int | None = None,
+        needs_recent: bool = True,
     ) -> expected_times.ExpectedTimes | None:
         if not self.applies_to(choice.replica.entry.service):
             return None
-        if _is_resumed_by_caller(job) or not self.is_known(job, model_index):
+        if _is_resumed_by_caller(job):
+            return None
+        if not self.is_known(job, model_index, needs_recent=needs_recent):
             return None
         expected = self.expected(job, choice, model_index=model_index)
         if expected is None or expected.whole * share <= self._left(job):
@@ -266,9 +275,19 @@
         return expected
 
     def is_known(
-        self, job: job_module.Job, model_index: int | None = None
+        self,
+        job: job_module.Job,
+        model_index: int | None = None,
+        *,
+        needs_recent: bool = True,
     ) -> bool:
-        """Tells whether enough recent answers of a request's kind are known."""
+        """Tells whether enough answers of a request's kind are known.
+
+        Args:
+            job: The request.
+            model_index: Into its route's models; None for its present one.
+            needs_recent: The latest one must not be old.
+        """
         if job.route.kind is model_module.RouteKind.STREAM:
             name = attempt_facts.model_name(job, model_index) or ""
             known = self._generations.get((job.route.name, name))
@@ -276,7 +295,8 @@
             known = self._plain.get(job.route.name)
         if known is None or known.count < KNOWN_ANSWERS:
             return False
-        return self._clock.monotonic() - known.latest_at <= MAX_ANSWER_AGE
+        age = self._clock.monotonic() - known.latest_at
+        return not needs_recent or age <= MAX_ANSWER_AGE
 
     def silence(
         self,
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -236,6 +236,22 @@
                 is_unreachable,
             )
 
+    def test_without_recent_answers_no_working_replica_is_abandoned(self):
+        """Under overload a route gets no answer for 5 s. Were all moves
+        permitted then, replicas would lose work for runs that can't end.
+        """
+        self.become_uneven()
+        self.know(completion.KNOWN_ANSWERS)
+        age = completion.MAX_ANSWER_AGE + SECOND / 1000
+        asyncio.run(self.clock.advance(age))
+        for is_unreachable in (False, True):
+            self.assertIs(
+                self.forecast.may_move(
+                    self.job(), self.choice(), is_unreachable=is_unreachable
+                ),
+                is_unreachable,
+            )
+
     def test_a_slow_replica_is_not_expected_to_end_in_time(self):
         """A replica takes four times as long as others. Its expected end must
         be its own, or requests are sent there in vain.
