Multiply a replica's slowness by a load that contains the request itself

For requests without a prompt the score of an uneven replica was its load times its slowness, so an idle replica scored 0 however slow it was, before a fast one with a single request. The request's own place is now part of the load. Other services are as before.

The test's call went to a replica four times as slow before and goes to the other now.

--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -301,6 +301,8 @@
     ) -> float:
         score = self.load_per_slot(replica, now)
         if self._directory.is_uneven(replica.entry.service):
+            # With the request itself, or an idle replica would never seem slow.
+            score += 1.0 / replica.entry.slots
             score *= replica.speed.slowness(now)
         score += FAILURE_LOAD * replica.health.failure_rate(now)
         if replica.entry.data_centre != self._data_centre:
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -131,6 +131,33 @@
         self.assertGreater(counts.get(slow.entry.replica_id, 0), 0)
         self.assertLess(counts[slow.entry.replica_id], min(others))
 
+    def test_a_plain_call_avoids_an_idle_replica_that_is_slow(self):
+        """A replica that runs nothing takes four times as long as one that runs
+        a single request. Its load of 0 would make up for any slowness.
+        """
+        self.report_all(0)
+        slow = self.chosen_for_call()
+        for replica in self.directory.of_service(SERVICE):
+            if replica is not slow:
+                self.report(replica, 1)
+        with mock.patch.object(
+            replica_speed.ReplicaSpeed,
+            "slowness",
+            lambda speed, now: 4.0 if speed is slow.speed else 1.0,
+        ):
+            self.assertIsNot(self.chosen_for_call(), slow)
+        self.assertIs(self.chosen_for_call(), slow)
+
+    def chosen_for_call(self) -> replica_module.Replica:
+        """Returns where a request without a prompt goes."""
+        wanted = choice.ReplicaCriteria(
+            service=SERVICE,
+            accepts=lambda _: True,
+            key="call",
+            exclude=frozenset(),
+        )
+        return self.chooser.choose(wanted).replica
+
     def test_a_service_of_dedicated_machines_is_served_as_before(self):
         """Its replicas state no work time, so counts move no prompt."""
         self.report_all(2, work_time_percent=None)
