Take the writing of an event for no wait of its caller

Streams whose events come at once spend most of their time on writing them, and were left out as held up by their callers, so a replica's speed was not learnt from them. A millisecond for each event is now allowed.

tests.cover.test_replica_speeds failed since answers held up by callers were left out, and passes now.

--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -34,6 +34,8 @@
 # An answer whose caller held it up for a larger share of its time says little
 # of its replica.
 _MAX_HELD_UP_SHARE = 0.1
+# Writing an event takes less than this while its caller keeps up.
+_WRITE_TIME = datetime.timedelta(milliseconds=1)
 # An event is held until it is complete. Events have some hundred bytes; this
 # bounds the memory that a faulty replica uses.
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -294,7 +296,8 @@
         """Records how long a stream took from its first event to its end."""
         if prepared.after_event is None:
             self._completion.note_generation(job, prepared, events=events)
-        if self._is_held_up(prepared, held_up, took):
+        waits = held_up - events * _WRITE_TIME
+        if self._is_held_up(prepared, waits, took):
             return
         if prepared.after_event is None:
             self._selector.note_generation(job, prepared, took)
@@ -304,7 +307,7 @@
     def _is_held_up(
         self,
         prepared: prepared_module.PreparedAttempt,
-        held_up: datetime.timedelta,
+        waits: datetime.timedelta,
         took: datetime.timedelta,
     ) -> bool:
         """Tells whether an answer's time is rather its caller's.
@@ -313,7 +316,7 @@
         """
         return (
             self._completion.applies_to(prepared.replica.entry.service)
-            and held_up > took * _MAX_HELD_UP_SHARE
+            and waits > took * _MAX_HELD_UP_SHARE
         )
 
     async def _forward_event(
