--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -296,17 +296,29 @@
         """Records how long a stream took from its first event to its end."""
         if prepared.after_event is None:
             self._completion.note_generation(job, prepared, events=events)
-        longest = max(took * _MAX_HELD_UP_SHARE, events * _WRITE_TIME)
-        if held_up > longest and self._completion.applies_to(
-            prepared.replica.entry.service
-        ):
-            # While a caller doesn't read, nothing is read from the replica.
+        waits = held_up - events * _WRITE_TIME
+        if self._is_held_up(prepared, waits, took):
             return
         if prepared.after_event is None:
             self._selector.note_generation(job, prepared, took)
         if events >= _MIN_PACED_EVENTS:
             self._observer.note_pace(prepared, took, steps=events - 1)
 
+    def _is_held_up(
+        self,
+        prepared: prepared_module.PreparedAttempt,
+        waits: datetime.timedelta,
+        took: datetime.timedelta,
+    ) -> bool:
+        """Tells whether an answer's time is rather its caller's.
+
+        While a caller doesn't read, nothing is read from the replica either.
+        """
+        return (
+            self._completion.applies_to(prepared.replica.entry.service)
+            and waits > took * _MAX_HELD_UP_SHARE
+        )
+
     async def _forward_event(
         self,
         job: job_module.Job,
