--- a/src/nutmeghook/internal/limits/occupancy.py
+++ b/src/nutmeghook/internal/limits/occupancy.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 # Below this part of the slots known from fresh counts, nothing is concluded.
-# Counts are told within a data centre. Where one full replica of three is known,
-# the others may have free places.
+# Counts are told within a data centre. Where one full replica of three is
+# known, the others may have free places.
 MIN_KNOWN_SHARE = 0.5
 # Below this part of the slots taken, places count as free: counts are up to
 # two seconds old, and requests are not spread evenly.
