Don't measure by a system call at each event what callers have read

Cause: uvloop sends at the end of its turn, so each event is unsent for a moment after its write, and what the caller has read was measured by an ioctl each time.

The new test fails without the method, which is new; test_held_bytes passes (26).

--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -186,6 +186,21 @@
         self._write_began_at = self._account.now()
         self._late_time = _NO_TIME
 
+    def note_unsent(self, count: int) -> None:
+        """Records how many bytes the system has not accepted after a write.
+
+        What the caller has read is left to the sweeps: to measure it takes a
+        system call, which is too much for each event.
+        """
+        if self.is_ended:
+            return
+        self._unread = count
+        if not count:
+            self.unread_time = _NO_TIME
+        if self._measure_read_buffer is not None:
+            self._read_buffer = self._measure_read_buffer()
+        self._update()
+
     def sample(self, elapsed: datetime.timedelta = _NO_TIME) -> None:
         """Reads the sizes of the buffers.
 
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -282,7 +282,10 @@
             transport.set_write_buffer_limits(high=high_bytes)
 
     def _note_unsent(self) -> None:
-        self.held.sample()
+        transport = self._request.transport
+        if transport is None:
+            return
+        self.held.note_unsent(transport.get_write_buffer_size())
         if self.held.has_unread:
             self._watch.ensure()
 
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -236,6 +236,18 @@
         await waiting
         self.assertEqual(self.account.total_bytes, 1000)
 
+    def test_a_write_does_not_measure_what_is_read(self):
+        """The production event loop writes at the end of its turn, so each
+        event is unsent for a moment. To measure what its caller has read takes
+        a system call, which would be made for every event.
+        """
+        measure = mock.Mock()
+        held = self.account.begin(measure_writes=measure, cut=mock.Mock())
+        held.note_unsent(100)
+        measure.assert_not_called()
+        self.assertEqual(self.account.total_bytes, 100)
+        self.assertTrue(self.account.has_unread)
+
     def test_bodies_leave_room_for_an_answer(self):
         """Requests with large bodies arrive until they are refused. Each holds
         its body until its answer has come, so bodies that filled the bound
