Move the writing of answers to callers into a module of its own

Names of time-outs and of a stand-in that reads nothing are the field's terms. No behaviour changed.

--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -35,13 +35,13 @@
 # A caller that reads nothing is cut after this long beyond the bound. It is as
 # short as the pauses of a reader behind a lossy path, which retransmits within
 # a second.
-FULL_PATIENCE = datetime.timedelta(seconds=2)
+FULL_UNREAD_TIMEOUT = datetime.timedelta(seconds=2)
 # The same while more than half of the bound is held. Replicas cut answers that
 # are not read for some seconds; this is to end the request first.
-HALF_PATIENCE = datetime.timedelta(seconds=4)
+HALF_UNREAD_TIMEOUT = datetime.timedelta(seconds=4)
 # A write may outlast the deadline by 0.5 s. The sweep that notices it comes up
 # to one interval later.
-_LATE_PATIENCE = datetime.timedelta(milliseconds=300)
+_LATE_WRITE_TIMEOUT = datetime.timedelta(milliseconds=300)
 
 
 def bound_for(memory_mb: float) -> int:
@@ -227,7 +227,7 @@
     @property
     def is_late(self) -> bool:
         """Tells whether a write has outlasted the deadline."""
-        return self._late_time >= _LATE_PATIENCE
+        return self._late_time >= _LATE_WRITE_TIMEOUT
 
     def cut(self) -> None:
         """Ends the request because its caller does not read."""
@@ -324,10 +324,10 @@
     def make_room(self, count: int) -> bool:
         """Tells whether so many more bytes may be held.
 
-        Cuts callers that have read nothing for `FULL_PATIENCE` if that is
+        Cuts callers that have read nothing for `FULL_UNREAD_TIMEOUT` if that is
         needed, those that hold most first.
         """
-        self._cut_unread(self.bound_bytes - count, FULL_PATIENCE)
+        self._cut_unread(self.bound_bytes - count, FULL_UNREAD_TIMEOUT)
         return self.total_bytes + count <= self.bound_bytes
 
     def try_add_body(self, count: int) -> bool:
@@ -349,8 +349,8 @@
             request.sample(elapsed)
         for request in [r for r in self._requests if r.is_late]:
             self._cut(request)
-        self._cut_unread(self.bound_bytes // 2, HALF_PATIENCE)
-        self._cut_unread(self.bound_bytes, FULL_PATIENCE)
+        self._cut_unread(self.bound_bytes // 2, HALF_UNREAD_TIMEOUT)
+        self._cut_unread(self.bound_bytes, FULL_UNREAD_TIMEOUT)
 
     def restart_sweeps(self) -> None:
         """Counts no time before this moment as time without a byte read."""
@@ -388,12 +388,12 @@
         self.change(-request.size)
 
     def _cut_unread(
-        self, limit_bytes: int, patience: datetime.timedelta
+        self, limit_bytes: int, timeout: datetime.timedelta
     ) -> None:
         """Cuts callers that don't read until the limit is kept."""
         if self.total_bytes <= limit_bytes:
             return
-        unread = [r for r in self._requests if r.unread_time >= patience]
+        unread = [r for r in self._requests if r.unread_time >= timeout]
         unread.sort(key=lambda request: request.size, reverse=True)
         for request in unread:
             if self.total_bytes <= limit_bytes:
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -25,9 +25,9 @@
 # Maximum of idle connections per replica; only bursts need more than a few.
 MAX_IDLE_PER_REPLICA = 24
 # What the system may hold of an answer that is not read; it books twice as
-# much. All of it can arrive in one read, which this instance then holds: with
-# the system's default, a stalled stream took 185 KB instead of 97 KB. Over a
-# round trip of 60 ms it still carries some 0.5 MB/s.
+# much. All of it can arrive in one read, which this instance then holds: a
+# stalled stream takes 97 KB, and 185 KB with the system's default. Over a round
+# trip of 60 ms it still carries some 0.5 MB/s.
 _RECEIVE_BUFFER_BYTES = 32 * 1024
 _KEEPALIVE_OPTIONS = (
     (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -13,12 +13,12 @@
 from nutmeghook.internal.observe import log_decoding
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import record_text
+from nutmeghook.internal.relay import caller_sink
 from nutmeghook.internal.relay import completion
 from nutmeghook.internal.relay import expected_times
 from nutmeghook.internal.relay import generation_times
 from nutmeghook.internal.relay import incoming
 from nutmeghook.internal.relay import job as job_module
-from nutmeghook.internal.relay import listener
 from nutmeghook.internal.relay import observations
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import wire
@@ -826,16 +826,16 @@
             after: The event after which its caller resumes it.
         """
         resumed = () if after is None else ((headers.LAST_EVENT, after),)
-        write = listener.CallerSink.write
+        write = caller_sink.CallerSink.write
 
-        async def write_slowly(sink: listener.CallerSink, data: bytes):
+        async def write_slowly(sink: caller_sink.CallerSink, data: bytes):
             await self.clock.sleep(pause)
             await write(sink, data)
 
         self.offer(STREAM)
         self.reply_with(Reply(events=EVENTS))
         with (
-            mock.patch.object(listener.CallerSink, "write", write_slowly),
+            mock.patch.object(caller_sink.CallerSink, "write", write_slowly),
             mock.patch.object(
                 generation_times.GenerationTimes, "note_generation"
             ) as times,
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -15,8 +15,8 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import caller_sink
 from nutmeghook.internal.relay import held_bytes
-from nutmeghook.internal.relay import listener as listener_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.standins import users_replica
@@ -29,7 +29,7 @@
 STREAM = model.RouteKind.STREAM
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
 ONCE = model.RouteKind.ONCE
-WRITE_BUFFER = listener_module.WRITE_BUFFER_BYTES
+WRITE_BUFFER = caller_sink.WRITE_BUFFER_BYTES
 READ_BUFFER = 2 * connection_module.READ_BUFFER_BYTES
 # The largest read of a socket, which the parser may hold back.
 SOCKET_READ = 256 * KB
@@ -628,12 +628,12 @@
         self.assertLess(len(await caller.read_all()), size)
 
 
-class DeafReplicasTest(driven_relay.DrivenRelayCase):
+class NonReadingReplicasTest(driven_relay.DrivenRelayCase):
     BODY = b"z" * 4 * KB * KB
 
     def build_replica(self, replica_id):
         if replica_id == "replica-0":
-            return slow_peers.DeafReplica(replica_id=replica_id)
+            return slow_peers.NonReadingReplica(replica_id=replica_id)
         return users_replica.StandInReplica(replica_id=replica_id)
 
     async def sent_to_the_deaf_one(self, kind) -> asyncio.Task[bytes]:
--- a/tests/cover/test_replica_speeds.py
+++ b/tests/cover/test_replica_speeds.py
@@ -18,7 +18,7 @@
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.inner.generated import ttypes
 from nutmeghook.internal.observe import logs
-from nutmeghook.internal.relay import listener
+from nutmeghook.internal.relay import caller_sink
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import replica_speed
@@ -417,7 +417,7 @@
             write_s: The time that each write to the caller takes.
         """
         reply = users_replica.Reply(events=(0, 1, 2, 3, 4, 5))
-        write = listener.CallerSink.write
+        write = caller_sink.CallerSink.write
 
         async def slow_write(sink, data: bytes) -> None:
             await asyncio.sleep(write_s)
@@ -430,7 +430,7 @@
 
         with (
             unittest.mock.patch.object(
-                listener.CallerSink, "write", slow_write
+                caller_sink.CallerSink, "write", slow_write
             ),
             unittest.mock.patch.object(
                 speed_registry.SpeedRegistry, "note_pace", note_pace
--- a/tests/slow_peers.py
+++ b/tests/slow_peers.py
@@ -58,7 +58,7 @@
         return False
 
 
-class DeafReplica(users_replica.StandInReplica):
+class NonReadingReplica(users_replica.StandInReplica):
     """Accepts connections and reads nothing from them."""
 
     async def _serve_one(self, reader, writer, connection) -> bool:
