--- a/src/nutmeghook/experiment/processes.py
+++ b/src/nutmeghook/experiment/processes.py
@@ -54,8 +54,18 @@
         self._process.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Sends SIGCONT."""
-        self._process.send_signal(signal.SIGCONT)
+        """Sends SIGCONT.
+
+        Raises:
+            ProcessLookupError: It has ended; the text has the end of its log.
+        """
+        try:
+            self._process.send_signal(signal.SIGCONT)
+        except ProcessLookupError as error:
+            raise ProcessLookupError(
+                f"{self.name} has ended with status {self.exit_status}:"
+                f" {self.log_tail()}"
+            ) from error
 
     def terminate(self) -> None:
         """Sends SIGTERM, for a graceful shutdown."""
