Fit both time models by one least squares

The time to the first event and the time per token were fitted by two copies of the same decayed sums. They share one class now; a comment on what shows a replica's speed names only what is still passed. No behaviour changed.

--- a/src/nutmeghook/internal/relay/generation_times.py
+++ b/src/nutmeghook/internal/relay/generation_times.py
@@ -31,6 +31,41 @@
 _MAX_RUNNING = 200.0
 
 
+class _RecentLeastSquares:
+    """Least squares over recent observations, with a prior."""
+
+    __slots__ = ("_moments", "_targets")
+
+    def __init__(self, *, inputs: int):
+        self._moments = [[0.0] * inputs for _ in range(inputs)]
+        self._targets = [0.0] * inputs
+
+    def add(self, inputs: tuple[float, ...], target: float) -> None:
+        """Adds one observation; each one before it loses weight."""
+        for row, left in zip(self._moments, inputs, strict=True):
+            for column, right in enumerate(inputs):
+                row[column] = _DECAY * row[column] + left * right
+        for position, value in enumerate(inputs):
+            decayed = _DECAY * self._targets[position]
+            self._targets[position] = decayed + value * target
+
+    def coefficients(
+        self, prior: tuple[float, ...], weights: tuple[float, ...]
+    ) -> list[float]:
+        """Returns the fitted coefficients.
+
+        Args:
+            prior: Those expected without observations.
+            weights: Of each of them, in observations.
+        """
+        matrix = [list(row) for row in self._moments]
+        wanted = list(self._targets)
+        for position, weight in enumerate(weights):
+            matrix[position][position] += weight
+            wanted[position] += weight * prior[position]
+        return _solve(matrix, wanted)
+
+
 class _FirstEventModel:
     """Linear model of one model's time to first event.
 
@@ -47,8 +82,7 @@
     """
 
     __slots__ = (
-        "_moments",
-        "_targets",
+        "_fit",
         "first_ms",
         "per_kilotoken_ms",
         "per_running_ms",
@@ -60,8 +94,7 @@
         self.per_waiting = _PRIOR_PER_WAITING
         self.per_kilotoken_ms = _PRIOR_PER_KILOTOKEN_MS
         self.per_running_ms = _PRIOR_PER_RUNNING_MS
-        self._moments = [[0.0] * 4 for _ in range(4)]
-        self._targets = [0.0] * 4
+        self._fit = _RecentLeastSquares(inputs=4)
 
     def at(self, waiting_ms: float, kilotokens: float, running: float) -> float:
         """Returns the expected time in ms."""
@@ -86,28 +119,16 @@
             min(kilotokens, _MAX_KILOTOKENS) / _TYPICAL_KILOTOKENS,
             min(running, _MAX_RUNNING) / _TYPICAL_RUNNING,
         )
-        took_ms = min(took_ms, _MAX_MS)
-        for row, left in zip(self._moments, inputs, strict=True):
-            for column, right in enumerate(inputs):
-                row[column] = _DECAY * row[column] + left * right
-        for position, value in enumerate(inputs):
-            decayed = _DECAY * self._targets[position]
-            self._targets[position] = decayed + value * took_ms
-        self._fit()
-
-    def _fit(self) -> None:
+        self._fit.add(inputs, min(took_ms, _MAX_MS))
         prior = (
             _PRIOR_FIRST_MS,
             _PRIOR_PER_WAITING * _TYPICAL_WAITING_MS,
             _PRIOR_PER_KILOTOKEN_MS * _TYPICAL_KILOTOKENS,
             _PRIOR_PER_RUNNING_MS * _TYPICAL_RUNNING,
         )
-        matrix = [list(row) for row in self._moments]
-        wanted = list(self._targets)
-        for position, value in enumerate(prior):
-            matrix[position][position] += _PRIOR_WEIGHT
-            wanted[position] += _PRIOR_WEIGHT * value
-        first_ms, waiting_ms, kilotokens_ms, running_ms = _solve(matrix, wanted)
+        first_ms, waiting_ms, kilotokens_ms, running_ms = (
+            self._fit.coefficients(prior, (_PRIOR_WEIGHT,) * len(prior))
+        )
         self.first_ms = max(0.0, first_ms)
         self.per_waiting = max(0.0, waiting_ms / _TYPICAL_WAITING_MS)
         self.per_kilotoken_ms = max(
@@ -142,29 +163,20 @@
         per_running_ms: Time per token for each request that runs there.
     """
 
-    __slots__ = ("_moments", "_targets", "idle_ms", "per_running_ms")
+    __slots__ = ("_fit", "idle_ms", "per_running_ms")
 
     def __init__(self, token_ms: float):
         self.idle_ms = token_ms
         self.per_running_ms = 0.0
-        self._moments = [[0.0, 0.0], [0.0, 0.0]]
-        self._targets = [0.0, 0.0]
+        self._fit = _RecentLeastSquares(inputs=2)
 
     def learn(self, running: float, token_ms: float) -> None:
         """Adds one answer."""
         inputs = (1.0, min(running, _MAX_RUNNING) / _TYPICAL_RUNNING)
-        for row, left in zip(self._moments, inputs, strict=True):
-            for column, right in enumerate(inputs):
-                row[column] = _DECAY * row[column] + left * right
-        for position, value in enumerate(inputs):
-            decayed = _DECAY * self._targets[position]
-            self._targets[position] = decayed + value * token_ms
-        matrix = [list(row) for row in self._moments]
-        matrix[0][0] += _TOKEN_WEIGHT
-        matrix[1][1] += _PRIOR_WEIGHT
-        wanted = list(self._targets)
-        wanted[0] += _TOKEN_WEIGHT * self.idle_ms
-        idle_ms, running_ms = _solve(matrix, wanted)
+        self._fit.add(inputs, token_ms)
+        idle_ms, running_ms = self._fit.coefficients(
+            (self.idle_ms, 0.0), (_TOKEN_WEIGHT, _PRIOR_WEIGHT)
+        )
         self.per_running_ms = max(0.0, running_ms / _TYPICAL_RUNNING)
         self.idle_ms = max(0.0, idle_ms)
 
--- a/src/nutmeghook/internal/relay/observations.py
+++ b/src/nutmeghook/internal/relay/observations.py
@@ -185,9 +185,8 @@
             prepared: The attempt that was answered.
             duration: The time that the steps took together.
             steps: Their number.
-            shows_speed: The replica did what was asked, and its caller kept
-                up. Refusing a request takes a fraction of the time, and a
-                stream takes as long as its caller takes to read it.
+            shows_speed: The replica did what was asked. Refusing a request
+                takes a fraction of the time.
         """
         if steps < 1:
             return
