Log the shared prompt parts of a lost attempt

An attempt that was lost names its request by one digest of path, caller and body. No choice depends on it.

tests.cover.test_relay_lost_replicas and test_log_*: pass.

--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -122,12 +122,14 @@
 
     Attributes:
         identity: The same for all copies of a request.
+        prompt_parts: Parts of its prompt that other requests may have, too.
         begun: The replica had begun to work on it.
         replica_now: How the replica responded to a new connection.
     """
 
     identity: str
     replica: str
+    prompt_parts: list[str] | None = None
     begun: bool | None = None
     replica_now: str | None = None
 
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -133,6 +133,7 @@
             "attempt:lost",
             request=job.log_id,
             identity=job.identity.hex(),
+            prompt_parts=job.shared_part_ids,
             attempt=attempt,
             replica=replica.entry.replica_id,
             begun=begun,
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -186,6 +186,14 @@
             )
         return self._identity
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts but the last, which is its own."""
+        prompt = self.incoming.facts.prompt
+        if prompt is None:
+            return ()
+        return tuple(part.part_id for part in prompt.parts[:-1])
+
     @property
     def is_answered(self) -> bool:
         """Tells whether the head of its last attempt's answer has arrived."""
