Red tests: parts of prompts that crash replicas

Requests that share one part and nothing else crash replica after replica.

The stand-in replica and the trial learn prompt parts.

--- a/src/nutmeghook/experiment/platform_checks.py
+++ b/src/nutmeghook/experiment/platform_checks.py
@@ -17,6 +17,8 @@
 LONG_PADDING = 64 * 1024
 # Crashes each replica that begins to run it.
 CRASHING_BODY = b"prompt that no replica survives"
+# Crashes each replica that answers a prompt with it.
+CRASHING_PART = "badbadbad"
 # The users' bound on serving an API key after its removal.
 CONFIGURATION_BOUND_S = 2.0
 _NOT_RUN_STATUSES = (429, 503)
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -37,6 +37,7 @@
 # The receive buffer of a slow reader. One below the loopback's segments of
 # 64 KiB stalls the connection: with 16 KiB, 3 MB were read in 8 s.
 _SLOW_READ_BYTES = 256 * 1024
+_PART_TOKENS = 100
 # From a replica's crash until its replacement is listed.
 RESTART_S = 1.0
 
@@ -225,6 +226,7 @@
         key: str = KEYS[0],
         router: trial_routers.RouterProcess | None = None,
         body: bytes = platform_checks.REQUEST_BODY,
+        parts: tuple[str, ...] = (),
         read_pause_s: float = 0.0,
     ) -> platform_checks.ObservedCall:
         """Sends one request and records its outcome.
@@ -234,6 +236,7 @@
             key: The API key.
             router: Any if None.
             body: The request's body.
+            parts: Ids of the parts that its prompt shares with others.
             read_pause_s: Pause after each 64 KiB of the answer, which are
                 read with a small receive buffer.
         """
@@ -252,6 +255,7 @@
                     headers.TIME_LEFT: "8000",
                     headers.SESSION: f"session-{self._call_count % 40}",
                     "Authorization": f"Token {key}",
+                    **self._prompt_headers(parts),
                 },
             ) as answer:
                 status = answer.status
@@ -285,6 +289,18 @@
         self.calls.append(observed)
         return observed
 
+    def _prompt_headers(self, parts: tuple[str, ...]) -> dict[str, str]:
+        """Returns the headers of a prompt with a last part of its own."""
+        if not parts:
+            return {}
+        listed = (*parts, f"{self._call_count:x}")
+        return {
+            headers.TOKEN_COUNTS: f"{_PART_TOKENS * len(listed)},40",
+            headers.PROMPT_PARTS: ",".join(
+                f"{part}:{_PART_TOKENS}" for part in listed
+            ),
+        }
+
     def all_replicas(self) -> dict[str, users_replica.StandInReplica]:
         """Returns every replica that was started, ended ones too."""
         return self.replicas | self.ended_replicas
@@ -345,7 +361,10 @@
                 padding=platform_checks.LONG_PADDING,
                 pause_s=_LONG_PAUSE_S,
             )
-        if request.body == platform_checks.CRASHING_BODY:
+        if (
+            request.body == platform_checks.CRASHING_BODY
+            or platform_checks.CRASHING_PART in request.prompt_part_ids
+        ):
             return users_replica.Reply(events=events, send_bytes=0, crash=True)
         if drawn < _RESETS:
             return users_replica.Reply(
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -42,6 +42,12 @@
         """The request id that the caller sent; empty if none."""
         return self.headers.get(headers.REQUEST_ID.lower(), "")
 
+    @property
+    def prompt_part_ids(self) -> list[str]:
+        """The ids of its prompt's parts."""
+        listed = self.headers.get(headers.PROMPT_PARTS.lower(), "")
+        return [part.partition(":")[0] for part in listed.split(",")]
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Reply:
--- a/tests/cover/test_dispatch_crashing.py
+++ b/tests/cover/test_dispatch_crashing.py
@@ -1,5 +1,6 @@
 """Generations of the OpenAI entry that crash each engine that runs them."""
 
+import dataclasses
 import datetime
 import unittest
 
@@ -49,11 +50,17 @@
             self.fixture.engines[address] = CrashingEngine()
         self.dispatcher = self.fixture.dispatcher()
 
-    async def copy(self) -> errors.CodedError | None:
-        """Sends a copy once all engines have restarted; returns its error."""
+    async def copy(self, *messages: engine.Message) -> errors.CodedError | None:
+        """Sends a copy once all engines have restarted; returns its error.
+
+        Args:
+            messages: Its conversation; none for the same one each time.
+        """
         for ended in self.fixture.engines.values():
             ended.is_up = True
         request = fakes.generation_request(self.fixture)
+        if messages:
+            request = dataclasses.replace(request, messages=messages)
         try:
             await fakes.to_end(
                 self.fixture.clock,
@@ -78,6 +85,16 @@
             await self.copy()
         self.assertLessEqual(self.arrivals(), 3 + RETRIES_AFTER_THREE)
 
+    async def test_a_message_that_crashes_engines_is_stopped(self):
+        """Requests have one earlier message in common and differ in the last,
+        so that none is a copy of another.
+        """
+        cause = engine.Message(role="system", content="no engine survives")
+        for number in range(COPIES):
+            turn = engine.Message(role="user", content=f"turn {number}")
+            await self.copy(cause, turn)
+        self.assertLessEqual(self.arrivals(), 5 + RETRIES_AFTER_THREE)
+
     async def test_a_copy_is_refused_as_not_run(self):
         await self.copy()
         before = self.arrivals()
