Look for a crash after a stream that ends inside an event

Callers saw: replicas whose answers have neither a length nor chunks crashed one after the other under one prompt part. Where such an answer ends with its connection, the system of a crashed replica closes it like one that has ended. The relay took the rest of an event for a garbled answer (UnknownOutcomeError), for which nobody asks whether the replica still runs, so it was no evidence.

Now it counts as a lost connection: the replica is asked by a new connection, as after a reset. A replica that garbles its answers accepts it, and nothing is held against the request; the connection is kept for the next one.

--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -282,7 +282,7 @@
                     longest=job.route.longest_pause * _SILENT_PAUSES,
                 )
         if splitter.has_rest:
-            raise outcomes.UnknownOutcomeError("the stream ends in an event")
+            raise outcomes.ConnectionLostError("the stream ends in an event")
         # The end waits for the caller, which says nothing of the replica.
         took = self._clock.monotonic() - began_at
         await self._begin_once(job, answer)
