Go by the measured part of the requests before brittle replicas

Callers saw, while most new connections went to one of seven routers: 46 in 100 first tries served before brittle replicas at 0.8 of their slots, 81 before.

Cause: a router takes its own sends times the number of instances for what all send, and 1/n for its part of the refusals that may be risked. At the router with nine tenths of the connections the first is six times too high, so replicas seemed about to be full. Class: an equal part of the fleet where the parts differ. Now its part is what it had in flight of the requests that replicas last reported, averaged over half a second; an equal part where they report too few, since a report always counts the request that it answers.

--- a/src/nutmeghook/internal/replicas/brittle_replicas.py
+++ b/src/nutmeghook/internal/replicas/brittle_replicas.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import directory as directory_module
+from nutmeghook.internal.replicas import own_traffic
 from nutmeghook.internal.replicas import refusal_risk
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import send_shares
@@ -21,6 +22,11 @@
 # How often a service's traffic is measured, and over how long.
 _TRAFFIC_LIFETIME = datetime.timedelta(milliseconds=100)
 _TRAFFIC_WINDOW = datetime.timedelta(seconds=2)
+# Weight of one measurement in the average of this instance's part.
+_PART_WEIGHT = 0.2
+# An instance with few requests counts at least this part of an equal one's, as
+# its requests may come back at any moment.
+_MIN_RELATIVE_PART = 0.25
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -39,6 +45,7 @@
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class _MeasuredTraffic:
     traffic: refusal_risk.ServiceTraffic
+    own_part: float
     at: datetime.timedelta
 
 
@@ -267,14 +274,24 @@
             replica.sends.count(now, _TRAFFIC_WINDOW) for replica in replicas
         )
         sent_per_s = sent / _TRAFFIC_WINDOW.total_seconds()
-        instances = max(1, self.fleet_size())
+        equal_part = 1 / max(1, self.fleet_size())
+        own_part = own_traffic.measured_part(replicas, now)
+        if own_part is None:
+            own_part = equal_part
+        elif known is not None:
+            own_part = known.own_part + _PART_WEIGHT * (
+                own_part - known.own_part
+            )
+        counted_part = max(own_part, equal_part * _MIN_RELATIVE_PART)
         load = self._directory.baseline_load(service)
         traffic = refusal_risk.ServiceTraffic(
-            instances=instances,
-            per_s=sent_per_s * instances / max(1, len(replicas)),
+            own_part=counted_part,
+            per_s=sent_per_s / counted_part / max(1, len(replicas)),
             occupancy=load.running + load.waiting,
         )
-        self._traffic[service] = _MeasuredTraffic(traffic=traffic, at=now)
+        self._traffic[service] = _MeasuredTraffic(
+            traffic=traffic, own_part=own_part, at=now
+        )
         return traffic
 
 
--- a/src/nutmeghook/internal/replicas/refusal_risk.py
+++ b/src/nutmeghook/internal/replicas/refusal_risk.py
@@ -36,12 +36,12 @@
     """What all instances together send to one replica of a service.
 
     Attributes:
-        instances: How many there are.
+        own_part: The part of it that this instance sends; above 0.
         per_s: Requests a second to an average replica.
         occupancy: How many requests an average replica has.
     """
 
-    instances: int
+    own_part: float
     per_s: float
     occupancy: float
 
@@ -92,7 +92,7 @@
         refusals_per_s: How many the replica bears from all instances.
         traffic: What is sent to its service.
     """
-    return safe_mean(refusals_per_s) / max(1, traffic.instances)
+    return safe_mean(refusals_per_s) * traffic.own_part
 
 
 @functools.lru_cache(maxsize=256)
@@ -152,7 +152,7 @@
     known = report.running + report.waiting + own
     if report.waiting or known >= slots:
         return 1.0
-    others_share = 1 - 1 / max(1, traffic.instances)
+    others_share = 1 - traffic.own_part
     # A request takes a slot from others for as long as it runs.
     held_s = 0.0
     if traffic.per_s > 0:
--- a/tests/cover/test_brittle_replicas.py
+++ b/tests/cover/test_brittle_replicas.py
@@ -18,7 +18,7 @@
 
 SECOND = datetime.timedelta(seconds=1)
 SLOTS = 8
-TRAFFIC = refusal_risk.ServiceTraffic(instances=7, per_s=20.0, occupancy=5.0)
+TRAFFIC = refusal_risk.ServiceTraffic(own_part=1 / 7, per_s=20.0, occupancy=5.0)
 counts = strategies.integers(0, SLOTS)
 
 
