Lend unused shares of a replica's stated limit

Callers saw, while most new connections went to one of seven routers: 34 in 100 first tries served before replicas that state a limit, 98 before, at 0.6 of it.

Cause: each sender has a fixed part of a limit, whoever its callers connect to. Class: an equal part of the fleet where the parts differ, as before brittle replicas. A router that has to refuse for a limit now asks the replica's other senders, four times a second, and each lends what it doesn't use but one request. A loan lasts a second unless asked for again; the lender goes without until the borrower's requests no longer count in the limit's window, whatever became of the message, so that all together never send more than before.

Other ways weighed: parts by demand told among instances (exceeds the limit while views differ: a burst after a calm gives each the whole), parts by the replicas' own counts (at low limits a report counts little but the request that it answers). Nothing is sent unless a limit is short.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -313,6 +313,7 @@
             configuration=self.configuration,
             directory=self.directory,
             senders=self.send_limits.senders,
+            loans=self.send_limits.loans,
             rollouts=self.rollouts,
             orders=self.orders,
             signals=self.send_limits.signals,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -23,7 +23,9 @@
 from nutmeghook.internal.replicas import backlog_gossip
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import load_gossip
+from nutmeghook.internal.replicas import loan_gossip
 from nutmeghook.internal.replicas import sender_election
+from nutmeghook.internal.replicas import share_loans
 from nutmeghook.internal.replicas import signal_gossip
 from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.replicas import speed_gossip
@@ -67,6 +69,7 @@
         "_inner_address",
         "_instance_id",
         "_link_mbit_per_s",
+        "_loans",
         "_orders",
         "_random",
         "_rollouts",
@@ -93,6 +96,7 @@
         configuration: in_force_module.ConfigurationInForce,
         directory: directory_module.ReplicaDirectory,
         senders: sender_election.SenderElection,
+        loans: share_loans.ShareLoans,
         rollouts: rollouts_module.RollOuts,
         orders: orders_module.OrderRegistry,
         signals: signal_registry.SignalRegistry,
@@ -119,6 +123,7 @@
         self._configuration = configuration
         self._directory = directory
         self._senders = senders
+        self._loans = loans
         self._rollouts = rollouts
         self._orders = orders
         self._signals = signals
@@ -288,6 +293,14 @@
                 ),
                 **common,
             ),
+            loan_gossip.LoanGossip(
+                instance_id=self._instance_id,
+                loans=self._loans,
+                senders=self._senders,
+                directory=self._directory,
+                addresses=lambda: gossip.peers,
+                **common,
+            ),
             suspect_gossip.SuspectGossip(
                 registry=self._suspects,
                 sample_peers=gossip.sample_live_addresses,
--- a/src/nutmeghook/internal/assembly/send_limits.py
+++ b/src/nutmeghook/internal/assembly/send_limits.py
@@ -8,6 +8,7 @@
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import sender_election
+from nutmeghook.internal.replicas import share_loans
 from nutmeghook.internal.replicas import signal_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
@@ -27,6 +28,7 @@
         evacuations: The data centres that are being evacuated.
         senders: Tells which limited replicas this instance may send to.
         signals: What replicas ask of their senders.
+        loans: Shares lent among the senders of limited replicas.
         gate: Asked before each request is sent.
     """
 
@@ -36,6 +38,7 @@
         "_settings",
         "evacuations",
         "gate",
+        "loans",
         "senders",
         "signals",
     )
@@ -63,6 +66,7 @@
             directory=directory, clock=clock
         )
         self.signals.brittle.senders = self.senders
+        self.loans = share_loans.ShareLoans(senders=self.senders, clock=clock)
         self.gate = send_gate.LimitingGate(
             evacuations=self.evacuations,
             senders=self.senders,
@@ -71,6 +75,7 @@
             cold_share=self._cold_share,
             clock=clock,
             brittle=self.signals.brittle,
+            loans=self.loans,
         )
 
     def _service(self, name: str) -> model.Service | None:
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -307,6 +307,21 @@
   1: i32 outcome,
 }
 
+// Asks the senders of some limited replicas for what they don't use of their
+// shares. A replica is named as in ReplicaLoads.
+struct ShareAsk {
+  1: string instance_id,
+  2: list<i32> replica_hashes,
+}
+
+// How many requests within a share's window the receiver may send in place of
+// the sender, for a second; parallel lists.
+struct ShareGrant {
+  1: string instance_id,
+  2: list<i32> replica_hashes,
+  3: list<i32> requests,
+}
+
 union Body {
   1: Empty empty,
   2: Failure failure,
@@ -340,6 +355,8 @@
   30: TeamDemands team_demands,
   31: TunnelOpen tunnel_open,
   32: TunnelReply tunnel_reply,
+  33: ShareAsk share_ask,
+  34: ShareGrant share_grant,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.replicas import send_shares
 from nutmeghook.internal.replicas import send_window
 from nutmeghook.internal.replicas import sender_election
+from nutmeghook.internal.replicas import share_loans
 from nutmeghook.internal.routes import model
 
 # A limit that was not stated for so long is confirmed by a request, so that its
@@ -116,6 +117,7 @@
             divided.
         clock: Measures time.
         brittle: The brittle replicas; None if there never are any.
+        loans: Shares lent among senders; None for none.
     """
 
     __slots__ = (
@@ -124,6 +126,7 @@
         "_clock",
         "_cold_share",
         "_evacuations",
+        "_loans",
         "_senders",
         "_service",
     )
@@ -138,7 +141,9 @@
         cold_share: Callable[[model.Service], send_shares.SendShare | None],
         clock: clock_module.Clock,
         brittle: brittle_replicas.BrittleReplicas | None = None,
+        loans: share_loans.ShareLoans | None = None,
     ):
+        self._loans = loans
         self._brittle = brittle
         self._evacuations = evacuations
         self._senders = senders
@@ -231,6 +236,8 @@
         share = send_shares.rate_limit_share(replica.rate_limit_per_s)
         if self._has_room(replica, share, now, own_slots=0):
             return None
+        if self._loans is not None:
+            self._loans.note_short(replica)
         return _held_back(
             replica, "rate_limit", until=self._room_at(replica, share, now)
         )
@@ -242,10 +249,10 @@
         now: datetime.timedelta,
     ) -> datetime.timedelta | None:
         """Returns when this instance may send one more within its share."""
-        place = self._place(replica, share)
-        if place is None:
+        allowed = self._allowed(replica, share)
+        if not allowed:
             return None
-        return replica.sends.room_at(now, share.window, share.of_sender(place))
+        return replica.sends.room_at(now, share.window, allowed)
 
     def note_restored(self, replicas: Iterable[replica_module.Replica]) -> None:
         """Treats replicas as cold when their evacuation has ended.
@@ -287,11 +294,27 @@
         own_slots: int,
     ) -> bool:
         """Tells whether this instance may send one more within its share."""
-        place = self._place(replica, share)
-        if place is None:
-            return False
         sent = replica.sends.count(now, share.window) - own_slots
-        return sent < share.of_sender(place)
+        allowed = self._allowed(replica, share)
+        own = self._own_share(replica, share)
+        if own <= sent < allowed:
+            self._loans.note_short(replica)
+        return sent < allowed
+
+    def _allowed(
+        self, replica: replica_module.Replica, share: send_shares.SendShare
+    ) -> int:
+        """Returns what this instance may send within a share's window."""
+        if self._loans is None or not share.is_lent:
+            return self._own_share(replica, share)
+        return self._loans.allowed(replica, share)
+
+    def _own_share(
+        self, replica: replica_module.Replica, share: send_shares.SendShare
+    ) -> int:
+        """Returns this instance's share, without loans."""
+        place = self._place(replica, share)
+        return 0 if place is None else share.of_sender(place)
 
     def _place(
         self,
--- a/src/nutmeghook/internal/replicas/send_shares.py
+++ b/src/nutmeghook/internal/replicas/send_shares.py
@@ -27,10 +27,12 @@
     Attributes:
         window: Requests are counted over any span of this length.
         total: Requests of all senders together within a window; at least 1.
+        is_lent: Senders lend what they don't use.
     """
 
     window: datetime.timedelta
     total: int
+    is_lent: bool = False
 
     @property
     def max_senders(self) -> int:
@@ -76,7 +78,9 @@
     spaced_evenly = window.total_seconds() * per_s + 1
     if spaced_evenly <= bound / 2:
         return SendShare(window=datetime.timedelta(seconds=1 / per_s), total=1)
-    return SendShare(window=window, total=_safe_total(allowed, bound=bound))
+    return SendShare(
+        window=window, total=_safe_total(allowed, bound=bound), is_lent=True
+    )
 
 
 def occupancy_share(slots: int) -> SendShare:
--- a/src/nutmeghook/internal/replicas/sender_election.py
+++ b/src/nutmeghook/internal/replicas/sender_election.py
@@ -100,7 +100,7 @@
         self._registered_at: datetime.timedelta | None = None
         self._members: MemberView | None = None
         # By replica id and number of senders.
-        self._elected: dict[tuple[str, int], SenderPlace | None] = {}
+        self._elected: dict[tuple[str, int], list[str]] = {}
         self._elected_at = datetime.timedelta()
         # The last place that was logged; replicas as in `_elected`.
         self._logged: dict[tuple[str, int], SenderPlace] = {}
@@ -127,23 +127,39 @@
         """
         if self._registered_at is None:
             return None
-        now = self._clock.monotonic()
-        if now - self._registered_at < SETTLING_TIME:
+        if self._clock.monotonic() - self._registered_at < SETTLING_TIME:
             return None
+        return self._place_among(
+            self.senders(replica_id, data_centre, max_senders)
+        )
+
+    def senders(
+        self, replica_id: str, data_centre: str, max_senders: int
+    ) -> list[str]:
+        """Returns the ids of a replica's senders, as far as known here.
+
+        Args:
+            replica_id: Id of the replica.
+            data_centre: Where it is.
+            max_senders: Number of instances that may send to it, if there are
+                so many.
+        """
+        if self._registered_at is None:
+            return []
+        now = self._clock.monotonic()
         if now - self._elected_at > _ELECTION_LIFETIME:
             self._elected.clear()
             self._elected_at = now
         key = (replica_id, max_senders)
         if key not in self._elected:
             members = self._electorate(replica_id, data_centre)
-            elected = elect_senders(members, replica_id, max_senders)
-            self._elected[key] = self._place_among(elected)
+            self._elected[key] = elect_senders(members, replica_id, max_senders)
             self._log_change(key, member_count=len(members))
         return self._elected[key]
 
     def _log_change(self, key: tuple[str, int], *, member_count: int) -> None:
         """Logs that this instance became a sender, or is none any more."""
-        place = self._elected[key]
+        place = self._place_among(self._elected[key])
         if place == self._logged.get(key):
             return
         if len(self._logged) >= _MAX_LOGGED:
