Let single requests explain the crashes of their parts

Cause: of the crashing part one request was lost, so it didn't count; of the common part two, that request and a sound one beside it. A request that has all crashes of a part now explains them, as a more specific part does, and the rule of two different requests follows from it.

--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -138,25 +138,21 @@
 def crashing_parts(suspicions: Iterable[Suspicion]) -> list[Suspicion]:
     """Returns the prompt parts that are held to crash replicas.
 
-    Different requests with the part must have been lost: what one request did
-    is held against that request. A crash is also evidence against all else that
-    its replica had, such as a part that all prompts begin with. So a part is
-    left out if a more specific one, with which fewer requests were lost, has
-    all its crashes.
+    A crash is evidence against all that its replica had, such as a part that
+    all prompts begin with. So a part is left out if a more specific suspect has
+    all its crashes: a single request, or a part with which fewer requests were
+    lost.
     """
-    parts = [
-        suspicion
-        for suspicion in suspicions
-        if suspicion.is_part
-        and suspicion.is_conclusive
-        and len(suspicion.request_hashes) > 1
-    ]
+    conclusive = [s for s in suspicions if s.is_conclusive]
+    explanations = [s.replica_hashes for s in conclusive if not s.is_part]
+    parts = [s for s in conclusive if s.is_part]
     parts.sort(key=lambda part: (part.lost_requests, part.identity))
-    found: list[Suspicion] = []
+    found = []
     for part in parts:
         replicas = part.replica_hashes
-        if not any(replicas <= other.replica_hashes for other in found):
+        if not any(replicas <= explained for explained in explanations):
             found.append(part)
+            explanations.append(replicas)
     return found
 
 
--- a/tests/cover/test_suspect_registry.py
+++ b/tests/cover/test_suspect_registry.py
@@ -135,6 +135,23 @@
             )
         self.assertFalse(self.is_stopped(PART))
 
+    async def test_crashes_of_one_request_incriminate_no_common_part(self):
+        """The attempts of one request crash replicas, and with them end others
+        that share a part with it.
+        """
+        for replica in range(3):
+            self.registry.note_crash(
+                REQUEST,
+                replica_hash=replica,
+                begun=True,
+                parts=(COMMON, PART),
+            )
+            self.crash_with(replica, parts=(COMMON,))
+        self.assertFalse(self.is_stopped(COMMON))
+        self.crash_with(3, parts=(COMMON, PART))
+        self.assertFalse(self.is_stopped(COMMON))
+        self.assertTrue(self.is_stopped(PART))
+
     async def test_a_part_that_all_requests_have_is_not_held_to_be_bad(self):
         for replica in range(4):
             self.crash_with(replica, parts=(COMMON, PART))
