Take no crash for the end of an answer without length

Cause: the system of a process that ends closes its connections like the process would at an answer's end. Only a crash inside an event could be told. Class: an end that is inferred from the connection's. Now the replica is asked by a new connection before such an answer counts; one that refuses has crashed unless it leaves, and the attempt is lost: resumed after the last event, or cut. A crash that leaves the replica's machine silent, or a break on the way that closes cleanly, still can't be told.

--- a/src/nutmeghook/experiment/loopback_proxy.py
+++ b/src/nutmeghook/experiment/loopback_proxy.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import enum
+import socket
+import struct
 
 from nutmeghook.standins import loopback_host
 
 _READ_BYTES = 64 * 1024
+# Has the system reset a connection as it is closed.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class LinkFault(enum.Enum):
@@ -86,7 +90,7 @@
     def reset_all(self) -> None:
         """Resets all open connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -116,7 +120,7 @@
         finally:
             for end in (writer, upstream):
                 if end is not None:
-                    end.transport.abort()
+                    _reset(end)
                     self._writers.discard(end)
             self._tasks.discard(task)
 
@@ -135,3 +139,11 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection; an abort alone may close it like a clean end."""
+    raw = writer.get_extra_info("socket")
+    if raw is not None and not writer.transport.is_closing():
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -29,6 +29,7 @@
 # Shares of a replica's answers.
 _RESETS = 0.03
 _REFUSALS = 0.03
+_WITHOUT_LENGTH = 0.03
 _BAD_VERSION_FAILURES = 0.5
 _CALL_TIMEOUT_S = 20.0
 # Of a long answer, so that it takes half a second.
@@ -374,6 +375,8 @@
             )
         if drawn < _RESETS + _REFUSALS:
             return users_replica.Reply(status=503, not_run=True)
+        if drawn < _RESETS + _REFUSALS + _WITHOUT_LENGTH:
+            return users_replica.Reply(events=events, framed=False)
         return users_replica.Reply(events=events, pause_s=0.02)
 
 
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -22,6 +22,8 @@
 from nutmeghook.experiment import soak_cuts
 from nutmeghook.experiment import soak_evacuations
 from nutmeghook.experiment import soak_faults
+from nutmeghook.experiment import soak_parts
+from nutmeghook.experiment import soak_power
 from nutmeghook.experiment import soak_restores
 from nutmeghook.experiment import soak_signal_checks
 from nutmeghook.experiment import soak_signals
@@ -68,6 +70,8 @@
     with_crashing: bool = True,
     with_cuts: bool = True,
     with_evacuation: bool = True,
+    with_parts: bool = True,
+    with_power_loss: bool = True,
     with_restores: bool = True,
     with_signals: bool = True,
     with_uneven: bool = True,
@@ -85,6 +89,9 @@
         with_crashing: Send copies of a request that crashes its replicas.
         with_cuts: Cut routers off from all replicas.
         with_evacuation: Evacuate a data centre; its replicas return cold.
+        with_parts: In some seeds, send different requests that share a
+            crashing prompt part.
+        with_power_loss: In some seeds, lose all routers at the same moment.
         with_restores: The store is restored from an older copy.
         with_signals: Replicas state limits, ask for rest, and leave.
         with_uneven: In some seeds, replicas differ in speed, a team's load
@@ -121,6 +128,8 @@
             seed,
             seconds,
             with_evacuation=with_evacuation,
+            with_parts=with_parts,
+            with_power_loss=with_power_loss,
             with_restores=with_restores,
             with_signals=with_signals,
         )
@@ -159,6 +168,7 @@
             ),
             falls=sum(len(one.falls) for one in trial.brittle),
             violations=soak_checks.violations(history, with_bounds=with_bounds)
+            + list(soak_parts.violations(history))
             + trial.reverts()
             + trial.behind()
             + trial.unexpected_exits()
@@ -176,11 +186,19 @@
     seconds: float,
     *,
     with_evacuation: bool,
+    with_parts: bool,
+    with_power_loss: bool,
     with_restores: bool,
     with_signals: bool,
 ) -> list[Coroutine[Any, Any, None]]:
-    """Returns what the operator, store and replicas do beside faults."""
+    """Returns what the platform and callers do beside the other faults."""
     plays = []
+    parts_draw = random.Random(f"parts {seed}")
+    if with_parts and soak_parts.is_drawn(parts_draw):
+        plays.append(soak_parts.play(trial, parts_draw, seconds=seconds))
+    power_draw = random.Random(f"power {seed}")
+    if with_power_loss and soak_power.is_drawn(power_draw):
+        plays.append(soak_power.play(trial, power_draw))
     if with_evacuation:
         plays.append(soak_evacuations.play(trial, random.Random(seed)))
     if with_restores:
--- a/src/nutmeghook/experiment/soak_checks.py
+++ b/src/nutmeghook/experiment/soak_checks.py
@@ -422,9 +422,14 @@
 
 
 def _crashing_requests(history: History) -> Iterator[str]:
-    if len(history.crashes) < CRASHED_REPLICAS:
+    crashes = [
+        crash
+        for crash in history.crashes
+        if crash.body == platform_checks.CRASHING_BODY
+    ]
+    if len(crashes) < CRASHED_REPLICAS:
         return
-    bound_s = history.crashes[CRASHED_REPLICAS - 1].at_s + UNDISTURBED_S
+    bound_s = crashes[CRASHED_REPLICAS - 1].at_s + UNDISTURBED_S
     sent = {call.request_id: call for call in history.calls}
     others = [t for t in history.injected_faults if t.kind != CRASHING_REQUEST]
     alone = dataclasses.replace(history, injected_faults=others)
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
+from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import reachability as reachability_module
@@ -76,40 +77,44 @@
         """Returns for how long a quarantined request is sent to no replica."""
         return self._registry.refused_for(job.identity, job.part_identities)
 
+    def note_stream_ended(self, job: job_module.Job) -> None:
+        """Records that a replica has run a stream to its end."""
+        self._registry.note_answered(job.identity, job.part_identities)
+
     def note_answer(
-        self,
-        job: job_module.Job,
-        prepared: prepared_module.PreparedAttempt,
-        answer: job_module.WholeAnswer,
+        self, job: job_module.Job, answer: job_module.WholeAnswer
     ) -> None:
         """Records a replica's whole answer.
 
         Only a success shows that the replica survived the request: it may fail
         a request before running it.
         """
-        if answer.succeeded:
-            self.note_completed(
-                job,
-                prepared,
-                ends_with_connection=answer.ends_with_connection,
-            )
+        if answer.succeeded and answer.shows_survival:
+            self._registry.note_answered(job.identity, job.part_identities)
 
-    def note_completed(
+    async def confirm_end(
         self,
-        job: job_module.Job,
         prepared: prepared_module.PreparedAttempt,
-        *,
-        ends_with_connection: bool,
-    ) -> None:
-        """Records that an attempt's answer was received to its end.
+        head: connection_module.AnswerHead,
+    ) -> bool:
+        """Checks that an answer that was received is complete.
 
-        If the connection's end was the answer's, a crash looks like it, so the
+        If the connection's end is the answer's, a crash looks like it, so the
         replica is probed.
+
+        Returns:
+            Whether the replica is known to have survived the request.
+
+        Raises:
+            outcomes.ConnectionLostError: The replica has crashed.
         """
-        if ends_with_connection:
-            self._probe_after(job, prepared.replica, begun=True)
-        else:
-            self._registry.note_answered(job.identity, job.part_identities)
+        if not head.ends_with_connection:
+            return True
+        replica = prepared.replica
+        reachability = await asyncio.shield(self._probe_connection(replica))
+        if reachability is _REFUSES and not replica.is_leaving:
+            raise outcomes.ConnectionLostError("the replica ended")
+        return reachability in _ALIVE
 
     async def note_lost(
         self,
@@ -124,52 +129,27 @@
         """
         if not isinstance(error, outcomes.ConnectionLostError):
             return
-        probing = self._probe_after(
-            job, prepared.replica, begun=_had_begun(job), is_lost=True
-        )
-        if self._registry.is_suspect(job.identity, job.part_identities):
-            await asyncio.wait({probing})
-
-    def _probe_after(
-        self,
-        job: job_module.Job,
-        replica: replica_module.Replica,
-        *,
-        begun: bool,
-        is_lost: bool = False,
-    ) -> asyncio.Task[reachability_module.Reachability]:
-        """Probes the replica of an attempt, and records what that shows.
-
-        Args:
-            job: The request.
-            replica: The replica that it was sent to.
-            begun: The replica had begun to answer.
-            is_lost: The answer is not complete.
-        """
-        probing = self._probe_connection(replica)
+        probing = self._probe_connection(prepared.replica)
+        begun = _had_begun(job)
         attempt = job.tries
         begun_for = datetime.timedelta()
         if job.is_answered:
             begun_for = self._clock.monotonic() - job.answered_at
 
         def conclude(_: asyncio.Task[reachability_module.Reachability]) -> None:
-            if probing.cancelled():
-                return
-            reachability = probing.result()
-            if is_lost or reachability is _REFUSES:
+            if not probing.cancelled():
                 self._conclude(
                     job,
                     attempt,
-                    replica,
-                    reachability,
+                    prepared.replica,
+                    probing.result(),
                     begun=begun,
                     begun_for=begun_for,
                 )
-            elif reachability in _ALIVE:
-                self._registry.note_answered(job.identity, job.part_identities)
 
         probing.add_done_callback(conclude)
-        return probing
+        if self._registry.is_suspect(job.identity, job.part_identities):
+            await asyncio.wait({probing})
 
     def _probe_connection(
         self, replica: replica_module.Replica
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -39,13 +39,13 @@
     """A replica's answer with its whole body.
 
     Attributes:
-        ends_with_connection: The end of the connection was its end.
+        shows_survival: Its replica is known to have survived the request.
     """
 
     status: int
     headers: wire.Headers
     body: bytes
-    ends_with_connection: bool = False
+    shows_survival: bool = True
 
     @property
     def succeeded(self) -> bool:
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -165,12 +165,8 @@
             self._permission.release_fallback(job)
             if self._try_larger_model(job, prepared, answer):
                 return _Step.LARGER_MODEL
-            await self._forward(job, prepared, answer)
-            self._crashes.note_completed(
-                job,
-                prepared,
-                ends_with_connection=answer.head.ends_with_connection,
-            )
+            if await self._forward(job, prepared, answer):
+                self._crashes.note_stream_ended(job)
             prepared.replica.health.note_success(self._clock.monotonic())
             return _Step.DONE
 
@@ -191,9 +187,9 @@
             body=await self._wait.until_deadline(
                 job, answer.read_whole(job.incoming.held)
             ),
-            ends_with_connection=answer.head.ends_with_connection,
+            shows_survival=not answer.head.ends_with_connection,
         )
-        self._crashes.note_answer(job, prepared, whole)
+        self._crashes.note_answer(job, whole)
         self._observer.note_answer(
             job, prepared, status=whole.status, failed=whole.failed
         )
@@ -249,11 +245,14 @@
         job: job_module.Job,
         prepared: prepared_module.PreparedAttempt,
         answer: sender_module.Answer,
-    ) -> None:
+    ) -> bool:
         """Forwards complete events until the stream is complete.
 
         A replica may break off inside an event. Only complete events are
         forwarded, so that another replica can resume after the last one.
+
+        Returns:
+            Whether the replica is known to have survived the request.
         """
         splitter = events_module.EventSplitter()
         began_at = self._clock.monotonic()
@@ -283,11 +282,13 @@
                 )
         if splitter.has_rest:
             raise outcomes.ConnectionLostError("the stream ends in an event")
+        shows_survival = await self._crashes.confirm_end(prepared, answer.head)
         # The end waits for the caller, which says nothing of the replica.
         took = self._clock.monotonic() - began_at
         await self._begin_once(job, answer)
         await job.sink.end()
         self._note_times(job, prepared, took, held_up=held_up, events=events)
+        return shows_survival
 
     def _note_times(
         self,
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -97,7 +97,7 @@
             self._permission.require_retry(job, error)
             return None
         job.runs += 1
-        self._crashes.note_answer(job, prepared, answer)
+        self._crashes.note_answer(job, answer)
         self._observer.note_answer(
             job, prepared, status=answer.status, failed=answer.failed
         )
@@ -190,11 +190,14 @@
             prepared.replica, prepared.outgoing
         ) as answer:
             body = await answer.read_whole(job.incoming.held)
+            shows_survival = await self._crashes.confirm_end(
+                prepared, answer.head
+            )
             whole = job_module.WholeAnswer(
                 status=answer.head.status,
                 headers=answer.head.headers,
                 body=body,
-                ends_with_connection=answer.head.ends_with_connection,
+                shows_survival=shows_survival,
             )
             # Without the seal it is not this replica's answer. If encoded, it
             # is not the body that the replica made.
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -59,8 +59,8 @@
         self.headers = tuple(headers)
         self._body = body
         self._connection = connection
-        self.ends_with_connection = (
-            not is_chunked and self.header("content-length") is None
+        self.ends_with_connection = not (
+            is_chunked or self.header("content-length") or body.is_eof()
         )
 
     async def read(self) -> bytes:
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -29,8 +29,9 @@
         a data centre is evacuated and returns cold; replicas state rate limits,
         ask for rest and say that they leave; the store is restored from an
         older copy; routers are cut off from all replicas; replicas say that
-        they are brittle. Callers get complete
-        answers or true errors, and all routers serve again afterwards.
+        they are brittle; different requests share a crashing part; all routers
+        are lost at once. Callers get complete answers or true errors, and all
+        routers serve again afterwards.
         """
         self.play(SEED, seconds=SECONDS)
 
@@ -44,6 +45,8 @@
                     with_crashing=False,
                     with_cuts=False,
                     with_evacuation=False,
+                    with_parts=False,
+                    with_power_loss=False,
                     with_restores=False,
                     with_signals=False,
                     with_uneven=False,
@@ -56,6 +59,8 @@
                     with_brittle=False,
                     with_cuts=False,
                     with_evacuation=False,
+                    with_parts=False,
+                    with_power_loss=False,
                     with_restores=False,
                     with_signals=False,
                     with_uneven=False,
@@ -70,6 +75,8 @@
         with_crashing: bool = True,
         with_cuts: bool = True,
         with_evacuation: bool = True,
+        with_parts: bool = True,
+        with_power_loss: bool = True,
         with_restores: bool = True,
         with_signals: bool = True,
         with_uneven: bool = True,
@@ -86,6 +93,8 @@
                     with_crashing=with_crashing,
                     with_cuts=with_cuts,
                     with_evacuation=with_evacuation,
+                    with_parts=with_parts,
+                    with_power_loss=with_power_loss,
                     with_restores=with_restores,
                     with_signals=with_signals,
                     with_uneven=with_uneven,
