--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -154,6 +154,7 @@
         stop_load.set()
         await load
         history = trial.history()
+        _keep_faults(folder, history)
         return SoakReport(
             seed=seed,
             routers=routers,
@@ -180,6 +181,17 @@
         await trial.end()
 
 
+def _keep_faults(folder: pathlib.Path, history: soak_checks.History) -> None:
+    """Writes what was injected beside the routers' logs."""
+    kept = {
+        "faults": history.injected_faults,
+        "cuts": history.cuts,
+        "crashes": history.crashes,
+        "brittle": history.brittle,
+    }
+    (folder / "faults.json").write_bytes(msgspec.json.encode(kept))
+
+
 def _platform_plays(
     trial: soak_trial.SoakTrial,
     seed: int,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -122,14 +122,15 @@
 
     Attributes:
         identity: The same for all copies of a request.
-        prompt_parts: Parts of its prompt that other requests may have, too.
+        prompt_parts: Identities of the parts of its prompt that other requests
+            may have, too, by the callers' ids.
         begun: The replica had begun to work on it.
         replica_now: How the replica responded to a new connection.
     """
 
     identity: str
     replica: str
-    prompt_parts: list[str] | None = None
+    prompt_parts: dict[str, str] | None = None
     begun: bool | None = None
     replica_now: str | None = None
 
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -185,7 +185,12 @@
             "attempt:lost",
             request=job.log_id,
             identity=job.identity.hex(),
-            prompt_parts=job.shared_part_ids,
+            prompt_parts={
+                part_id: part.hex()
+                for part_id, part in zip(
+                    job.shared_part_ids, job.part_identities, strict=True
+                )
+            },
             attempt=attempt,
             replica=replica.entry.replica_id,
             begun=begun,
