--- a/src/nutmeghook/internal/suspects/registry.py
+++ b/src/nutmeghook/internal/suspects/registry.py
@@ -20,28 +20,12 @@
 from collections.abc import Sequence
 import dataclasses
 import datetime
-import math
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.suspects import evidence
+from nutmeghook.internal.suspects import probes
 
-# Time for which a crash counts. Copies come for as long as callers retry, but
-# after a fault is fixed its requests should not be refused for a day.
-SUSPICION_LIFETIME = datetime.timedelta(hours=1)
-# Time since the last crash until one copy is sent as a probe, to see whether
-# the request is innocent. As it may crash one more replica, there is only one
-# probe, which all instances know of.
-PROBE_DELAY = datetime.timedelta(minutes=1)
-# The same for a part, whose requests are many, so that a sound one has to be
-# found out soon; then the later probe.
-PART_PROBE_DELAYS = (datetime.timedelta(seconds=4), PROBE_DELAY)
-# Requests with a quarantined part come to all instances, and a probe is known
-# to all only after the gossip's delay. So each instance waits for a time of its
-# own, exponentially distributed: whatever their number, about one is due first,
-# two within the next step, then four.
-_PROBE_STEP = datetime.timedelta(milliseconds=400)
-_PROBE_STEPS = 10
 # A crashing part ends a replica as it begins to answer. After a longer time the
 # crash is weaker evidence against parts: something else has ended the replica.
 _BEGINNING = datetime.timedelta(seconds=1)
@@ -85,9 +69,7 @@
 
     def __init__(self, *, clock: clock_module.Clock, probe_rank: float = 0.0):
         self._clock = clock
-        self._probe_wait = _PROBE_STEP * max(
-            0.0, _PROBE_STEPS + math.log2(max(probe_rank, 2**-_PROBE_STEPS))
-        )
+        self._probe_wait = probes.own_wait(probe_rank)
         self._suspects: dict[bytes, evidence.Suspicion] = {}
         # When requests and parts were last answered here, the latest at the
         # end.
@@ -195,7 +177,7 @@
         known = self._suspects.get(identity)
         if known is None:
             return evidence.Suspicion(identity=identity)
-        return known.since(self._clock.monotonic() - SUSPICION_LIFETIME)
+        return known.since(self._clock.monotonic() - probes.SUSPICION_LIFETIME)
 
     @property
     def is_empty(self) -> bool:
@@ -221,10 +203,12 @@
         """Returns whether a quarantined request may be sent as a probe."""
         causes = self._causes(identity, parts)
         now = self._clock.monotonic()
+        # A request with several causes would spend the early probe of a sound
+        # part that is shared with crashing requests.
         return bool(causes) and all(
-            self._is_probe_left(cause)
-            and now >= self._refused_until(cause)
-            and (len(causes) == 1 or _is_last_probe(cause))
+            probes.is_left(cause)
+            and now >= probes.due_at(cause, self._probe_wait)
+            and (len(causes) == 1 or probes.is_last(cause))
             for cause in causes
         )
 
@@ -254,7 +238,7 @@
         causes = self._causes(identity, parts)
         if not causes:
             return datetime.timedelta()
-        until = max(self._refused_until(cause) for cause in causes)
+        until = max(probes.due_at(cause, self._probe_wait) for cause in causes)
         return max(datetime.timedelta(), until - self._clock.monotonic())
 
     def quarantined(self) -> list[evidence.Suspicion]:
@@ -343,21 +327,6 @@
             return False
         return suspicion.is_conclusive
 
-    @staticmethod
-    def _is_probe_left(suspicion: evidence.Suspicion) -> bool:
-        """Tells whether another probe may follow in time."""
-        return suspicion.probes < len(_probe_delays(suspicion))
-
-    def _refused_until(
-        self, suspicion: evidence.Suspicion
-    ) -> datetime.timedelta:
-        """Returns when a quarantined suspect is probed, or forgotten."""
-        if not self._is_probe_left(suspicion):
-            return suspicion.last_update_at + SUSPICION_LIFETIME
-        delay = _probe_delays(suspicion)[suspicion.probes]
-        since = evidence.latest(suspicion.last_update_at, suspicion.probed_at)
-        return since + delay + self._probe_wait
-
     def _is_in_grace(self, identity: bytes) -> bool:
         """Tells whether it was answered here so recently that none counts."""
         answered_at = self._answered.get(identity)
@@ -370,7 +339,7 @@
         self, cleared_at: datetime.timedelta | None
     ) -> datetime.timedelta:
         """Returns the time up to which crashes don't count."""
-        oldest = self._clock.monotonic() - SUSPICION_LIFETIME
+        oldest = self._clock.monotonic() - probes.SUSPICION_LIFETIME
         if cleared_at is None:
             return oldest
         return max(oldest, cleared_at + ANSWER_GRACE)
@@ -454,22 +423,6 @@
         self.updates.set()
 
 
-def _probe_delays(
-    suspicion: evidence.Suspicion,
-) -> tuple[datetime.timedelta, ...]:
-    """Returns the times after which a suspect is probed, one after another."""
-    return PART_PROBE_DELAYS if suspicion.is_part else (PROBE_DELAY,)
-
-
-def _is_last_probe(suspicion: evidence.Suspicion) -> bool:
-    """Tells whether no probe follows the next one.
-
-    A request with several causes would spend the early probe of a sound part
-    that is shared with crashing requests.
-    """
-    return suspicion.probes + 1 == len(_probe_delays(suspicion))
-
-
 def _is_update(merged: evidence.Suspicion, known: evidence.Suspicion) -> bool:
     """Returns whether a merge changed something that peers need.
 
--- a/src/nutmeghook/internal/suspects/rows.py
+++ b/src/nutmeghook/internal/suspects/rows.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.suspects import evidence
+from nutmeghook.internal.suspects import probes
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import restored_rows
 
@@ -159,7 +160,7 @@
             logs.note("quarantine:bad_row", key=row.key, error=str(error))
             return None
         at = self._moment(found.ended_ms)
-        if self._clock.monotonic() - at >= registry_module.SUSPICION_LIFETIME:
+        if self._clock.monotonic() - at >= probes.SUSPICION_LIFETIME:
             return None
         return evidence.Suspicion(
             identity=identity,
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -5,6 +5,7 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
+from tests import crashing_replicas
 from tests import relay_fixture
 
 STREAM = model.RouteKind.STREAM
@@ -17,15 +18,11 @@
 SENDS_AFTER_FIVE = 3
 
 
-class CrashingPartCase(relay_fixture.RelayCase):
-    replica_count = 6
-
+class CrashingPartCase(crashing_replicas.CrashingReplicasCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.sent = 0
-        self.starts = 0
-        for replica in self.replicas:
-            replica.decide_by(self._reply)
+        self.decide_by(self._reply)
 
     @staticmethod
     def _reply(request: users_replica.ReceivedRequest) -> Reply:
@@ -48,16 +45,6 @@
             ),
         )
 
-    async def restart_crashed(self) -> None:
-        """Restarts each crashed replica under a new id."""
-        for replica in self.replicas:
-            if not replica.crashed.is_set():
-                continue
-            self.directory.remove(replica.replica_id)
-            self.starts += 1
-            await replica.restart(replica_id=f"start-{self.starts}")
-            self.directory.put(self.entry(replica))
-
     def crashes(self) -> int:
         """Returns how many replicas have crashed."""
         return sum(len(replica.crashes) for replica in self.replicas)
@@ -92,12 +79,11 @@
         """A replica's process ends while it sends an answer without length:
         its system closes the connection as at the end of the answer.
         """
-        for replica in self.replicas:
-            replica.decide_by(
-                lambda _: Reply(
-                    events=EVENTS, framed=False, send_bytes=10, crash=True
-                )
+        self.decide_by(
+            lambda _: Reply(
+                events=EVENTS, framed=False, send_bytes=10, crash=True
             )
+        )
         await self.crash_with(CRASHING)
         self.assertLessEqual(self.crashes(), 5 + SENDS_AFTER_FIVE)
 
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -1,11 +1,11 @@
 """Requests that crash each replica that runs them, and their copies."""
 
 import asyncio
-from collections.abc import Callable
 
 from nutmeghook.internal.routes import model
-from nutmeghook.internal.suspects import registry as registry_module
+from nutmeghook.internal.suspects import probes
 from nutmeghook.standins import users_replica
+from tests import crashing_replicas
 from tests import driven_relay
 from tests import relay_fixture
 
@@ -21,21 +21,11 @@
 RETRIES_AFTER_THREE = 3
 
 
-class CrashingRequestCase(relay_fixture.RelayCase):
-    replica_count = 6
-
+class CrashingRequestCase(crashing_replicas.CrashingReplicasCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.starts = 0
         self.decide_by(self._reply)
 
-    def decide_by(
-        self, decide: Callable[[users_replica.ReceivedRequest], Reply]
-    ) -> None:
-        """Makes all replicas answer by a function of the request."""
-        for replica in self.replicas:
-            replica.decide_by(decide)
-
     @staticmethod
     def _reply(request: users_replica.ReceivedRequest) -> Reply:
         is_stream = request.target.startswith(f"/{STREAM.value}/")
@@ -44,16 +34,6 @@
             return Reply(events=events, send_bytes=0, crash=True)
         return Reply(events=events)
 
-    async def restart_crashed(self) -> None:
-        """Restarts each crashed replica under a new id."""
-        for replica in self.replicas:
-            if not replica.crashed.is_set():
-                continue
-            self.directory.remove(replica.replica_id)
-            self.starts += 1
-            await replica.restart(replica_id=f"start-{self.starts}")
-            self.directory.put(self.entry(replica))
-
     def arrivals(self, body: bytes = CRASHING) -> int:
         """Returns how often a request has reached replicas."""
         return sum(seen.body == body for seen in self.received_requests())
@@ -156,14 +136,14 @@
         """Crashes and restarts three replicas, and waits for the probe."""
         await self.answer_to_copy()
         await self.restart_crashed()
-        await self.clock.advance(registry_module.PROBE_DELAY + SECOND)
+        await self.clock.advance(probes.PROBE_DELAY + SECOND)
 
     async def test_a_probe_crashes_one_replica_at_most(self):
         await self.crash_three()
         await self.answer_to_copy()
         self.assertEqual(self.arrivals(), 4)
         await self.restart_crashed()
-        await self.clock.advance(registry_module.PROBE_DELAY + SECOND)
+        await self.clock.advance(probes.PROBE_DELAY + SECOND)
         answer = await self.answer_to_copy()
         self.assertEqual(relay_fixture.status_of(answer), 503)
         self.assertEqual(self.arrivals(), 4)
--- a/tests/cover/test_dispatch_crashing.py
+++ b/tests/cover/test_dispatch_crashing.py
@@ -8,7 +8,7 @@
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
-from nutmeghook.internal.suspects import registry as registry_module
+from nutmeghook.internal.suspects import probes
 from tests import fakes
 from tests.cover import dispatch_errors
 
@@ -110,7 +110,7 @@
     async def test_a_probe_crashes_one_engine_at_most(self):
         await self.copy()
         before = self.arrivals()
-        await self.fixture.clock.advance(registry_module.PROBE_DELAY)
+        await self.fixture.clock.advance(probes.PROBE_DELAY)
         await self.copy()
         self.assertEqual(self.arrivals(), before + 1)
 
@@ -120,7 +120,7 @@
         """
         await self.copy()
         before = self.arrivals()
-        await self.fixture.clock.advance(registry_module.PROBE_DELAY)
+        await self.fixture.clock.advance(probes.PROBE_DELAY)
         addresses = list(self.fixture.backends.addresses)
         self.fixture.backends.addresses.clear()
         await self.copy()
--- a/tests/cover/test_quarantine_rows.py
+++ b/tests/cover/test_quarantine_rows.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import table
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.suspects import probes
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.suspects import rows as rows_module
 from nutmeghook.standins import memory_table
@@ -103,7 +104,7 @@
         each time one more probe would crash one more replica.
         """
         await self.quarantine()
-        await self.clock.advance(registry_module.PROBE_DELAY)
+        await self.clock.advance(probes.PROBE_DELAY)
         async with self.instance() as registry:
             self.assertTrue(registry.try_probe(REQUEST))
         async with self.instance() as registry:
@@ -118,7 +119,7 @@
 
     async def test_an_expired_row_is_deleted(self):
         await self.quarantine()
-        await self.clock.advance(registry_module.SUSPICION_LIFETIME)
+        await self.clock.advance(probes.SUSPICION_LIFETIME)
         async with self.instance() as registry:
             self.assertFalse(registry.is_suspect(REQUEST))
         rows = await self.table.scan(prefix=rows_module.TABLE)
--- a/tests/cover/test_suspect_gossip.py
+++ b/tests/cover/test_suspect_gossip.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.inner import sealed_messages
 from nutmeghook.internal.suspects import evidence
 from nutmeghook.internal.suspects import gossip as gossip_module
+from nutmeghook.internal.suspects import probes
 from nutmeghook.internal.suspects import registry as registry_module
 from tests import lossy_datagrams
 
@@ -152,7 +153,7 @@
         fleet = Fleet(size=SMALL)
         self.crash_at_three(fleet)
         fleet.gossip_until_quiet()
-        await fleet.clock.advance(registry_module.PROBE_DELAY + SECOND)
+        await fleet.clock.advance(probes.PROBE_DELAY + SECOND)
         self.assertTrue(fleet.instances[0].registry.try_probe(REQUEST))
         fleet.gossip_until_quiet()
         probed = [i.registry.try_probe(REQUEST) for i in fleet.instances]
@@ -194,7 +195,7 @@
                 begun=True,
                 parts=parts,
             )
-        await fleet.clock.advance(registry_module.SUSPICION_LIFETIME / 2)
+        await fleet.clock.advance(probes.SUSPICION_LIFETIME / 2)
         sender.gossip.send_reminder()
         (data,) = sent
         self.assertLessEqual(len(data), datagrams.MAX_DATAGRAM_BYTES)
@@ -212,9 +213,9 @@
                 sender.registry.note_crash(
                     identity, replica_hash=2**31 - 1 - replica, begun=True
                 )
-            await fleet.clock.advance(registry_module.PROBE_DELAY)
+            await fleet.clock.advance(probes.PROBE_DELAY)
             sender.registry.try_probe(identity)
-        await fleet.clock.advance(registry_module.SUSPICION_LIFETIME / 2)
+        await fleet.clock.advance(probes.SUSPICION_LIFETIME / 2)
         sender.gossip.send_reminder()
         (data,) = sent
         self.assertLessEqual(len(data), datagrams.MAX_DATAGRAM_BYTES)
--- a/tests/cover/test_suspect_registry.py
+++ b/tests/cover/test_suspect_registry.py
@@ -9,6 +9,7 @@
 from bench.models import crashing_requests
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.suspects import evidence
+from nutmeghook.internal.suspects import probes
 from nutmeghook.internal.suspects import registry as registry_module
 
 REQUEST = b"r" * 16
@@ -91,7 +92,7 @@
 
     async def test_a_quarantine_expires(self):
         self.crash(1, 2, 3)
-        await self.clock.advance(registry_module.SUSPICION_LIFETIME)
+        await self.clock.advance(probes.SUSPICION_LIFETIME)
         self.assertFalse(self.registry.is_quarantined(REQUEST))
 
     async def test_the_most_suspect_are_kept_in_bounded_memory(self):
@@ -196,7 +197,7 @@
         self.crash_with(1, 2, 3, parts=(PART,))
         self.crash_with(1, 2, 3, 4, parts=(OTHER_PART,))
         self.assertTrue(self.is_stopped(PART))
-        await self.clock.advance(registry_module.PART_PROBE_DELAYS[0])
+        await self.clock.advance(probes.PART_PROBE_DELAYS[0])
         both = (PART, OTHER_PART)
         self.assertFalse(self.registry.try_probe(OTHER, both))
         self.assertTrue(self.registry.try_probe(OTHER, (OTHER_PART,)))
@@ -212,7 +213,7 @@
             if self.registry.try_probe(OTHER, (PART,)):
                 probed += 1
                 self.crash_with(replica)
-        self.assertEqual(probed, len(registry_module.PART_PROBE_DELAYS))
+        self.assertEqual(probed, len(probes.PART_PROBE_DELAYS))
 
     async def test_instances_probe_one_after_another(self):
         """Requests with a part come to all instances at any time, so all would
@@ -242,13 +243,13 @@
         self.assertTrue(self.registry.try_probe(REQUEST))
         self.assertFalse(self.registry.try_probe(REQUEST))
         self.crash(4)
-        await self.clock.advance(2 * registry_module.PROBE_DELAY)
+        await self.clock.advance(2 * probes.PROBE_DELAY)
         self.assertFalse(self.registry.try_probe(REQUEST))
         self.assertTrue(self.registry.is_quarantined(REQUEST))
 
     async def test_an_answered_probe_clears(self):
         self.crash(1, 2, 3)
-        await self.clock.advance(registry_module.PROBE_DELAY)
+        await self.clock.advance(probes.PROBE_DELAY)
         self.assertTrue(self.registry.try_probe(REQUEST))
         self.registry.note_answered(REQUEST)
         self.assertFalse(self.registry.is_quarantined(REQUEST))
--- a/tests/whole/platform_trial_case.py
+++ b/tests/whole/platform_trial_case.py
@@ -6,6 +6,7 @@
 import unittest
 
 from nutmeghook.experiment import platform_trial
+from nutmeghook.standins import users_replica
 
 
 class PlatformTrialCase(unittest.IsolatedAsyncioTestCase):
@@ -26,3 +27,17 @@
         )
         self.addAsyncCleanup(self.trial.end)
         await self.trial.start()
+
+    def list_slots(self, slots: int, *, work_s: float) -> None:
+        """Has all replicas list so many slots, and answer within a time."""
+        for replica in self.trial.replicas.values():
+            self.trial.operator.list_replica(
+                replica.replica_id,
+                address=replica.address,
+                version="v1",
+                slots=slots,
+            )
+            replica.slots = slots
+            replica.decide_by(
+                lambda _: users_replica.Reply(events=(0, 1), pause_s=work_s / 2)
+            )
--- a/tests/whole/test_brittle_replicas.py
+++ b/tests/whole/test_brittle_replicas.py
@@ -3,7 +3,6 @@
 import asyncio
 import unittest
 
-from nutmeghook.standins import users_replica
 from tests.whole import platform_trial_case
 
 ROUTERS = 4
@@ -24,19 +23,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.replicas = list(self.trial.replicas.values())
-        for replica in self.replicas:
-            self.trial.operator.list_replica(
-                replica.replica_id,
-                address=replica.address,
-                version="v1",
-                slots=ROOM,
-            )
-            replica.slots = ROOM
-            replica.decide_by(
-                lambda request: users_replica.Reply(
-                    events=(0, 1), pause_s=WORK_S / 2
-                )
-            )
+        self.list_slots(ROOM, work_s=WORK_S)
 
     async def served_at(self, load: float) -> float:
         """Returns the share of what replicas can do that is answered.
--- a/tests/whole/test_concentrated_connections.py
+++ b/tests/whole/test_concentrated_connections.py
@@ -4,7 +4,6 @@
 import random
 import unittest
 
-from nutmeghook.standins import users_replica
 from tests.whole import platform_trial_case
 
 ROUTERS = 7
@@ -33,17 +32,7 @@
         await super().asyncSetUp()
         self.draw = random.Random(1)
         self.replicas = list(self.trial.replicas.values())
-        for replica in self.replicas:
-            self.trial.operator.list_replica(
-                replica.replica_id,
-                address=replica.address,
-                version="v1",
-                slots=SLOTS,
-            )
-            replica.slots = SLOTS
-            replica.decide_by(
-                lambda _: users_replica.Reply(events=(0, 1), pause_s=WORK_S / 2)
-            )
+        self.list_slots(SLOTS, work_s=WORK_S)
         await asyncio.sleep(SETTLED_S)
 
     async def served(self, rate_per_s: float, concentration: float) -> float:
