Soak: judge crashing parts after all other faults have ended

Each router now gets two more such requests once the other faults have ended, as it does of the crashing request.

--- a/src/nutmeghook/experiment/loopback_proxy.py
+++ b/src/nutmeghook/experiment/loopback_proxy.py
@@ -69,9 +69,13 @@
         self.address = f"{host}:{port}"
 
     def close(self) -> None:
-        """Stops listening and resets all connections, as on a process exit."""
+        """Stops listening and closes all connections, as on a process exit.
+
+        What the system has taken to send still arrives.
+        """
         self._server.close()
-        self.reset_all()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def stop(self) -> None:
         """Stops listening and ends all connections and their tasks."""
@@ -99,6 +103,7 @@
         self._tasks.add(task)
         self._writers.add(writer)
         upstream = None
+        end_connection = _abort
         try:
             if self._fault is LinkFault.REFUSING:
                 return
@@ -115,12 +120,12 @@
                     self._pump(upstream_reader, writer, _BLOCKS_FROM_TARGET)
                 )
         except* (OSError, asyncio.IncompleteReadError):
-            # One side closed the connection; the other one is reset below.
-            pass
+            # One side was reset, so the other one is reset below.
+            end_connection = _reset
         finally:
             for end in (writer, upstream):
                 if end is not None:
-                    _reset(end)
+                    end_connection(end)
                     self._writers.discard(end)
             self._tasks.discard(task)
 
@@ -141,6 +146,10 @@
             writer.write_eof()
 
 
+def _abort(writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection; an abort alone may close it like a clean end."""
     raw = writer.get_extra_info("socket")
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -148,6 +148,7 @@
         await asyncio.sleep(SETTLE_S)
         if with_crashing:
             await injector.send_final_copies()
+        await soak_parts.send_last(trial)
         unrecovered = await _unrecovered_routers(
             trial, RECOVERY_S if with_bounds else _LENIENT_RECOVERY_S
         )
--- a/src/nutmeghook/experiment/soak_parts.py
+++ b/src/nutmeghook/experiment/soak_parts.py
@@ -6,6 +6,7 @@
 import random
 
 from nutmeghook.experiment import platform_checks
+from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
 from nutmeghook.experiment import soak_trial
 from nutmeghook.experiment import trial_routers
@@ -16,6 +17,9 @@
 # Sound requests have this part, too.
 _COMMON_PART = "feed"
 _REFUSED_STATUS = 503
+# To each router, after all other faults.
+_LAST_REQUESTS = 2
+_LISTED_WITHIN_S = 0.3
 _BODY = b"prompt with a crashing part "
 # The users' bound: once so many replicas have crashed under requests with a
 # part, so many more are sent.
@@ -45,6 +49,19 @@
             await asyncio.sleep(draw.expovariate(rate_per_s))
 
 
+async def send_last(trial: soak_trial.SoakTrial) -> None:
+    """Sends further requests with the part to each router, in such a seed.
+
+    All other faults have ended, so the bound applies to every router. Between
+    two requests a crashed replica has time to be replaced.
+    """
+    if not any(call.sent_body.startswith(_BODY) for call in trial.calls):
+        return
+    for number, router in enumerate(trial.routers * _LAST_REQUESTS):
+        await _send(trial, router, _BODY + b"last %d" % number)
+        await asyncio.sleep(platform_trial.RESTART_S + _LISTED_WITHIN_S)
+
+
 async def _send(
     trial: soak_trial.SoakTrial,
     router: trial_routers.RouterProcess,
