Soak: deliver what a replica had sent before it crashed

A process that ends does not take back what its system has accepted. The proxy now stops listening and lets the rest and the end through.

--- a/src/nutmeghook/experiment/loopback_proxy.py
+++ b/src/nutmeghook/experiment/loopback_proxy.py
@@ -69,17 +69,17 @@
         self.address = f"{host}:{port}"
 
     def close(self) -> None:
-        """Stops listening and closes all connections, as on a process exit.
+        """Stops listening, as on a process exit.
 
-        What the system has taken to send still arrives.
+        What the process had sent still arrives, then the end of its
+        connections.
         """
         self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
 
     async def stop(self) -> None:
         """Stops listening and ends all connections and their tasks."""
         self.close()
+        self.reset_all()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
