--- a/review/harness.py
+++ b/review/harness.py
@@ -238,8 +238,22 @@
         """Writes a row as the operator or a replica does."""
         self.store.put(table, key, json.dumps(value).encode())
 
-    def write_configuration(self, version: int, routes: list[dict]) -> None:
-        """Writes the operator's configuration."""
+    def write_configuration(
+        self,
+        version: int,
+        routes: list[dict],
+        *,
+        tenants: dict[str, list[str]] | None = None,
+    ) -> None:
+        """Writes the operator's configuration.
+
+        Args:
+            version: Its version.
+            routes: The routes, but for their host.
+            tenants: The API keys of each tenant; None for one with one key.
+        """
+        if tenants is None:
+            tenants = {TEAM: [KEY]}
         services = sorted({route["service"] for route in routes})
         self.put(
             "op",
@@ -257,7 +271,10 @@
                     "headerTimeoutMs": 3000,
                     "idleTimeoutMs": 15000,
                 },
-                "tenants": [{"name": TEAM, "apiKeys": [KEY]}],
+                "tenants": [
+                    {"name": name, "apiKeys": keys}
+                    for name, keys in tenants.items()
+                ],
             },
         )
 
@@ -268,18 +285,20 @@
     request_id: str,
     path: str,
     method: str = "POST",
+    key: str | None = KEY,
     body: bytes = b"",
     deadline_ms: int = 8000,
     headers: dict[str, str] | None = None,
 ) -> CallerAnswer:
     """Sends one request on a new connection and reads its answer."""
     answer = CallerAnswer(request_id=request_id)
+    credentials = {} if key is None else {"Authorization": f"Token {key}"}
     fields = {
         "Host": HOST,
         "X-Attempt-Id": request_id,
         "X-Deadline-Ms": str(deadline_ms),
-        "Authorization": f"Token {KEY}",
         "Content-Length": str(len(body)),
+        **credentials,
         **(headers or {}),
     }
     head = f"{method} {path} HTTP/1.1\r\n" + "".join(
