--- a/review/harness.py
+++ b/review/harness.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import struct
@@ -193,10 +194,11 @@
         self.process.send_signal(number)
 
     async def end(self) -> None:
-        """Kills the process if it runs."""
+        """Kills the process if it runs, and removes its files."""
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+        shutil.rmtree(self._folder)
 
 
 class Platform:
