--- a/review/2/play.py
+++ b/review/2/play.py
@@ -92,6 +92,7 @@
         for router in platform.routers:
             for kind, key in sent:
                 request_id = f"{phase}-{number}-{router.name}-{kind}-{key}"
+                platform.record.note(f"{request_id} is sent")
                 answer = await harness.call(
                     router, request_id=request_id, path="/status/x", key=key
                 )
