Take no reset behind a tunnel for the end of an answer

Hypotheses: (1) the peer's event loop reports the reset as an end of file; (2) the pieces of the tunnel lose it; (3) the probe after the end is at fault. The asking instance was then told of an end, so 2 is ruled out, and 3 is no cause: the replica accepted connections, which is true of a reset answer.

Direct connections asked the socket for its error at an end of file, the peer's side of a tunnel did not. Both ask now, by one function. A reset ends the tunnel without the last piece, as the end of a peer does, and what the replica had sent before is delivered first: it was dropped when the reset was seen as one.

The class is an end of file that is taken for a clean close. Reads of frames between instances and of JSON answers carry their own ends.

Before: both new tests fail (200 for 502; a stream of one event ends as complete). The log has tunnel:replica_ended with the failure.

--- a/src/nutmeghook/internal/foundation/socket_options.py
+++ b/src/nutmeghook/internal/foundation/socket_options.py
@@ -1,6 +1,7 @@
-"""Sets options of sockets where the system allows it."""
+"""Sets options of sockets where the system allows it; reads their errors."""
 
 import asyncio
+import os
 import socket
 
 # `TCP_USER_TIMEOUT` also decides when keep-alive probes give up, whatever their
@@ -39,6 +40,19 @@
         return
 
 
+def take_error(transport: asyncio.BaseTransport) -> OSError | None:
+    """Returns the error that a connection's socket holds, and clears it.
+
+    Where data and a reset arrive together, uvloop reports an end of file, as
+    for a clean close. Only the socket still holds the error.
+    """
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return None
+    number = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return OSError(number, os.strerror(number)) if number else None
+
+
 def detect_lost_peer(transport: asyncio.BaseTransport) -> None:
     """Makes the system detect a peer that no longer acknowledges.
 
--- a/src/nutmeghook/internal/tunnels/server.py
+++ b/src/nutmeghook/internal/tunnels/server.py
@@ -26,7 +26,6 @@
 from nutmeghook.internal.upstream import pieces
 
 _Outcome = outcomes.TunnelOutcome
-_Link = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 # Shorter together than a peer waits for the reply, so that it is told of a
 # replica that does not respond. Accepting takes 1 ms.
@@ -41,6 +40,56 @@
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
+class _ReplicaLink:
+    """A connection to a replica.
+
+    Attributes:
+        protocol: Tells how the connection ended.
+    """
+
+    __slots__ = ("protocol", "reader", "writer")
+
+    def __init__(
+        self,
+        *,
+        transport: asyncio.Transport,
+        protocol: "_ReplicaProtocol",
+        reader: asyncio.StreamReader,
+        loop: asyncio.AbstractEventLoop,
+    ):
+        self.protocol = protocol
+        self.reader = reader
+        self.writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+class _ReplicaProtocol(asyncio.StreamReaderProtocol):
+    """Feeds a reader all that a replica sent, also if its connection breaks.
+
+    Attributes:
+        failure: Why the connection broke; None if it was closed.
+    """
+
+    def __init__(self, *, reader: asyncio.StreamReader):
+        super().__init__(reader, loop=asyncio.get_running_loop())
+        self.failure: Exception | None = None
+        self._replica_transport: asyncio.BaseTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport, whose socket tells a reset from a close."""
+        self._replica_transport = transport
+        super().connection_made(transport)
+
+    def eof_received(self) -> bool | None:
+        """Ends the reader, and records whether it was a reset."""
+        self.failure = socket_options.take_error(self._replica_transport)
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the reader after what was received before."""
+        self.failure = self.failure or exc
+        super().connection_lost(None)
+
+
 class TunnelServer(peers.ConnectionHandler):
     """Opens tunnels for peers.
 
@@ -115,14 +164,14 @@
                 open=self.open_count,
             )
             if replica is not None:
-                await self._carry(reader, writer, *replica)
+                await self._carry(reader, writer, replica)
         except ConnectionError:
             # The peer has closed its side.
             return
         finally:
             self.open_count -= 1
             if replica is not None:
-                _reset(replica[1])
+                _reset(replica.writer)
 
     def _reply(
         self,
@@ -134,7 +183,9 @@
         encoded = codec.encode(reply, sequence=request.sequence)
         frames.write(writer, encoded, traffic=self._traffic)
 
-    async def _connect(self, address: str) -> tuple[_Outcome, _Link | None]:
+    async def _connect(
+        self, address: str
+    ) -> tuple[_Outcome, _ReplicaLink | None]:
         if not self.is_able or not self._is_replica(address):
             return _Outcome.UNABLE, None
         if self._paths.is_bypassed(address):
@@ -150,17 +201,21 @@
             outcome = _Outcome.UNABLE
         return outcome, None
 
-    async def _dial(self, address: str, timeout: datetime.timedelta) -> _Link:
+    async def _dial(
+        self, address: str, timeout: datetime.timedelta
+    ) -> _ReplicaLink:
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader(limit=_BUFFER_BYTES, loop=loop)
         transport, protocol = await self._clock.wait_for(
             self._dialer.dial(
                 address,
-                lambda: asyncio.StreamReaderProtocol(reader, loop=loop),
+                lambda: _ReplicaProtocol(reader=reader),
             ),
             timeout,
         )
-        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+        return _ReplicaLink(
+            transport=transport, protocol=protocol, reader=reader, loop=loop
+        )
 
     async def _reaches_another(self, address: str) -> bool:
         """Tells whether this instance connects to any other replica now."""
@@ -170,10 +225,10 @@
         if other is None:
             return False
         try:
-            _, writer = await self._dial(other, CONTROL_TIMEOUT)
+            replica = await self._dial(other, CONTROL_TIMEOUT)
         except (OSError, TimeoutError):
             return False
-        writer.transport.abort()
+        replica.writer.transport.abort()
         self._proven_until = self._clock.monotonic() + _CONTROL_TIME
         return True
 
@@ -181,26 +236,22 @@
         self,
         peer_reader: asyncio.StreamReader,
         peer_writer: asyncio.StreamWriter,
-        replica_reader: asyncio.StreamReader,
-        replica_writer: asyncio.StreamWriter,
+        replica: _ReplicaLink,
     ) -> None:
         """Carries bytes both ways until one side has ended."""
-        for writer in (peer_writer, replica_writer):
+        for writer in (peer_writer, replica.writer):
             if writer.is_closing():
                 raise ConnectionResetError("one side has closed already")
             socket_options.detect_lost_peer(writer.transport)
             writer.transport.set_write_buffer_limits(high=_BUFFER_BYTES)
-        to_replica = asyncio.create_task(_copy(peer_reader, replica_writer))
-        to_peer = asyncio.create_task(_copy_pieces(replica_reader, peer_writer))
+        to_replica = asyncio.create_task(_copy(peer_reader, replica.writer))
+        to_peer = asyncio.create_task(_copy_pieces(replica.reader, peer_writer))
         try:
             await asyncio.wait(
                 {to_replica, to_peer}, return_when=asyncio.FIRST_COMPLETED
             )
             if to_peer.done() and to_peer.exception() is None:
-                # The replica has closed its side; the peer is told so.
-                with contextlib.suppress(ConnectionError):
-                    peer_writer.write(pieces.END)
-                    await peer_writer.drain()
+                await self._end(peer_writer, replica.protocol.failure)
             else:
                 _reset(peer_writer)
         finally:
@@ -209,6 +260,22 @@
             # Which side broke, and how, makes no difference any more.
             await asyncio.gather(to_replica, to_peer, return_exceptions=True)
 
+    async def _end(
+        self, peer_writer: asyncio.StreamWriter, failure: Exception | None
+    ) -> None:
+        """Tells the peer that the replica has closed its side.
+
+        If the connection broke instead, the peer gets what was received, and
+        no sign of an end.
+        """
+        logs.note(
+            "tunnel:replica_ended", failure=repr(failure) if failure else None
+        )
+        if failure is None:
+            with contextlib.suppress(ConnectionError):
+                peer_writer.write(pieces.END)
+                await peer_writer.drain()
+
 
 async def _copy(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -9,14 +9,13 @@
 
 import asyncio
 from collections.abc import Iterable
-import os
-import socket
 
 from aiohttp import base_protocol
 from aiohttp import http_exceptions
 from aiohttp import http_parser
 from aiohttp import streams
 
+from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.upstream import outcomes
 
 # Above twice this many unread bytes of an answer, aiohttp's parser reads the
@@ -257,17 +256,8 @@
             self._framing_bytes = self._received_bytes - parsed
 
     def eof_received(self) -> None:
-        """Lets the transport close, and records whether it was a reset.
-
-        Where data and a reset arrive together, the event loop reports an end of
-        file, and an answer without length would look complete. The socket still
-        holds the error.
-        """
-        raw = self.transport.get_extra_info("socket")
-        if raw is not None:
-            error = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if error:
-                self._reset = OSError(error, os.strerror(error))
+        """Lets the transport close, and records whether it was a reset."""
+        self._reset = socket_options.take_error(self.transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only a clean close can complete a body.
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -3,12 +3,14 @@
 import asyncio
 import datetime
 import itertools
+import socket
 import struct
 import unittest
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import uvloop
 
 from nutmeghook.internal.inner import traffic as traffic_module
 from nutmeghook.internal.routes import model
@@ -17,6 +19,7 @@
 from nutmeghook.internal.upstream import reachability
 from nutmeghook.internal.upstream import tunnelled_connection
 from nutmeghook.platform import headers
+from nutmeghook.standins import loopback_host
 from nutmeghook.standins import users_replica
 from tests import relay_fixture
 from tests import tunnel_fixture
@@ -30,6 +33,50 @@
 RESTORED_WITHIN_S = 2.0
 
 
+def setUpModule():
+    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+
+
+class ResettingReplica:
+    """Resets an answer without a length in the same step as it sends it.
+
+    Attributes:
+        body: The part of the answer's body that it sends.
+    """
+
+    replica_id = "resetting"
+
+    def __init__(self):
+        self.body = b"half"
+        self._socket = socket.create_server((loopback_host.own_host(), 0))
+        self._socket.setblocking(False)
+        host, port = self._socket.getsockname()
+        self.address = f"{host}:{port}"
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._socket, self._accept)
+
+    def close(self) -> None:
+        self._loop.remove_reader(self._socket)
+        self._socket.close()
+
+    def _accept(self) -> None:
+        connection, _ = self._socket.accept()
+        self._loop.add_reader(connection, self._reset, connection)
+
+    def _reset(self, connection: socket.socket) -> None:
+        self._loop.remove_reader(connection)
+        with connection:
+            if connection.recv(65536):
+                connection.send(
+                    b"HTTP/1.1 200 OK\r\n"
+                    + f"{headers.SEAL}: seal\r\n\r\n".encode()
+                    + self.body
+                )
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+
+
 class TunnelsTest(tunnel_fixture.TunnelCase):
     async def test_events_pass_through_a_peer(self):
         self.dialer.refuses = True
@@ -130,6 +177,36 @@
         self.assertEqual(relay_fixture.status_of(answer), 200)
         self.assertEqual(relay_fixture.body_of(answer), b"all of it")
 
+    async def test_a_reset_answer_without_a_length_is_not_complete(self):
+        """The replica resets an answer midway, and uvloop reports to the peer
+        that the connection was closed.
+        """
+        self.dialer.refuses = True
+        self.list_resetting_replica()
+        answer = await self.ask(ONCE, body=b"order")
+        self.assertEqual(relay_fixture.status_of(answer), 502)
+
+    async def test_events_before_a_reset_pass_through_a_peer(self):
+        self.dialer.refuses = True
+        resetting = self.list_resetting_replica()
+        resetting.body = users_replica.event(0)
+        answer = await self.ask(STREAM, body=b"prompt")
+        self.assertEqual(
+            relay_fixture.events_of(answer), [users_replica.event(0)]
+        )
+        self.assertFalse(relay_fixture.is_complete(answer))
+
+    def list_resetting_replica(self) -> "ResettingReplica":
+        """Lists a replica that resets its answers, and no other."""
+        resetting = ResettingReplica()
+        self.addCleanup(resetting.close)
+        for replica in self.replicas:
+            self.directory.remove(replica.replica_id)
+        self.directory.put(self.entry(resetting))
+        for helper in self.helpers:
+            helper.listed = {resetting.address}
+        return resetting
+
     async def test_a_caller_that_leaves_ends_the_work_behind_a_peer(self):
         self.dialer.refuses = True
         self.reply_with(Reply(silent=True))
