Accept no key once the last one is revoked

Hypotheses: (1) the emptied configuration didn't reach the instances; (2) a request without a known key passes because the index of keys is empty. Requests with a key that no version ever held were accepted, and refused before, which rules 1 out: an older version refuses them too.

The configuration kept only an index of teams by key, which teams without keys leave as empty as no teams do, and admits_key took an empty index for "no teams". The decoder now says whether there are teams at all, from the presence of the field, and the model asks that. A missing key was looked up as an empty text, so a team with an empty key would have let all in; an empty key is nobody's now. Both checks, of new requests and of those under way, go through this function.

The OpenAI entry looks tokens up and refuses whatever it doesn't find, and home regions whose intersection is empty allow none. A list of teams that can't be read makes the whole configuration malformed, and the one before stays.

--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -112,10 +112,19 @@
 
     Attributes:
         version: Grows with each change.
-        teams_by_key: Teams by API key; empty if no team is configured.
+        requires_keys: Routes that need an API key accept only teams' keys. If
+            False, there are no teams, and every request is accepted.
+        teams_by_key: Teams by API key; empty while no team has a key.
     """
 
-    __slots__ = ("_by_host", "limits", "services", "teams_by_key", "version")
+    __slots__ = (
+        "_by_host",
+        "limits",
+        "requires_keys",
+        "services",
+        "teams_by_key",
+        "version",
+    )
 
     def __init__(
         self,
@@ -123,11 +132,13 @@
         version: int,
         routes: tuple[Route, ...],
         services: dict[str, Service],
+        requires_keys: bool,
         teams_by_key: dict[str, Team],
         limits: CallerLimits,
     ):
         self.version = version
         self.services = services
+        self.requires_keys = requires_keys
         self.teams_by_key = teams_by_key
         self.limits = limits
         self._by_host: dict[str, list[Route]] = {}
@@ -138,9 +149,9 @@
 
     def admits_key(self, route: Route, key: str | None) -> bool:
         """Returns whether a request with this key, or none, may use a route."""
-        if not route.needs_key or not self.teams_by_key:
+        if not route.needs_key or not self.requires_keys:
             return True
-        return (key or "") in self.teams_by_key
+        return bool(key) and key in self.teams_by_key
 
     def routes(self) -> Iterator[Route]:
         """Yields all routes."""
--- a/src/nutmeghook/platform/configuration.py
+++ b/src/nutmeghook/platform/configuration.py
@@ -79,7 +79,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
-    tenants: list[_Team] = []
+    # Without the field no request needs a key. An empty list admits none.
+    tenants: list[_Team] | msgspec.UnsetType = msgspec.UNSET
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
@@ -96,13 +97,15 @@
         routes = tuple(_route(route) for route in wire.routes)
     except (msgspec.MsgspecError, KeyError) as error:
         raise ValueError(f"malformed configuration: {error!r}") from error
+    has_teams = wire.tenants is not msgspec.UNSET
     return model.Configuration(
         version=wire.version,
         routes=routes,
         services={s.name: _service(s) for s in wire.services},
+        requires_keys=has_teams,
         teams_by_key={
             key: team
-            for wire_team in wire.tenants
+            for wire_team in (wire.tenants if has_teams else ())
             for team in (_team(wire_team),)
             for key in wire_team.api_keys
         },
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -90,6 +90,24 @@
         self.assertEqual(relay_fixture.status_of(first), 200)
         self.assertEqual(relay_fixture.status_of(second), 401)
 
+    async def test_no_key_is_accepted_once_the_last_one_is_revoked(self):
+        """No team has a key any more, which is not the same as no teams."""
+        self.configuration.offer(
+            relay_fixture.configuration(version=2, teams_by_key={}),
+            source="test",
+        )
+        credentials = (
+            (relay_fixture.AUTHORIZATION,),
+            (("Authorization", "Token "),),
+            (("Authorization", "Token unknown"),),
+            (),
+        )
+        for extra in credentials:
+            with self.subTest(extra=extra):
+                answer = await self.ask(ONCE, extra=extra)
+                self.assertEqual(relay_fixture.status_of(answer), 401)
+        self.assertEqual(self.received_requests(), [])
+
     async def test_what_only_the_router_may_set_is_dropped(self):
         """A caller sends headers that reserve memory or name a team. If they
         were forwarded, it would act as the router or as another team.
--- a/tests/cover/test_users_platform_decoding.py
+++ b/tests/cover/test_users_platform_decoding.py
@@ -107,6 +107,32 @@
         self.assertEqual([s.service for s in route.shares], ["one", "two"])
         self.assertEqual(read.teams_by_key["k2"].name, "t")
 
+    def test_a_revoked_last_key_opens_no_route(self):
+        """An index of keys alone can't tell teams without keys from no teams,
+        and an empty key would be that of each request without one.
+        """
+        for teams in ([], [{"name": "t"}], [{"name": "t", "apiKeys": [""]}]):
+            read = configuration.decode(
+                msgspec.json.encode(
+                    {"version": 8, "routes": [ROUTE], "tenants": teams}
+                )
+            )
+            route = read.find("a.example", "/a/b")
+            for key in (None, "", "k1"):
+                with self.subTest(teams=teams, key=key):
+                    self.assertFalse(read.admits_key(route, key))
+
+    def test_without_teams_no_key_is_needed(self):
+        read = configuration.decode(
+            msgspec.json.encode({"version": 8, "routes": [ROUTE]})
+        )
+        route = read.find("a.example", "/a/b")
+        self.assertTrue(read.admits_key(route, None))
+
+    def test_teams_that_cannot_be_read_are_a_value_error(self):
+        with self.assertRaises(ValueError):
+            configuration.decode(b'{"version": 8, "tenants": null}')
+
     def test_the_longest_prefix_is_taken(self):
         longer = ROUTE | {"name": "longer", "prefix": "/a/b/"}
         read = configuration.decode(
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -59,6 +59,7 @@
         "version": version,
         "routes": routes or tuple(route(kind) for kind in model.RouteKind),
         "services": {},
+        "requires_keys": True,
         "teams_by_key": {KEY: model.Team(name=TEAM)},
         "limits": model.CallerLimits(),
     }
