Take no answer of a plain service for whole that states no length

A caller got half of such an answer as a success, and so did readers of raw objects.

Engines' streams are not affected, as their last chunk says that it is the last, nor are JSON answers, which don't decode if they are cut.

Before: the new test fails, OutcomeUnknownError not raised.

--- a/src/nutmeghook/internal/standin_http/http_exchange.py
+++ b/src/nutmeghook/internal/standin_http/http_exchange.py
@@ -59,6 +59,7 @@
     retry_after_ms: float | None = None
 
 
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _refusal_decoder = msgspec.json.Decoder(Refusal)
 
 
@@ -85,6 +86,28 @@
     )
 
 
+def check_end(response: aiohttp.ClientResponse, peer: str) -> None:
+    """Checks that a body that was read can't be one that broke off.
+
+    aiohttp takes a reset for the end of a body with neither a length nor
+    chunks.
+
+    Raises:
+        failures.OutcomeUnknownError: It may have broken off.
+    """
+    encoding = response.headers.get("Transfer-Encoding", "")
+    if (
+        response.method == "HEAD"
+        or response.status in _STATUSES_WITHOUT_BODY
+        or "chunked" in encoding.lower()
+        or "Content-Length" in response.headers
+    ):
+        return
+    raise failures.OutcomeUnknownError(
+        f"{peer}: an answer without a length may be incomplete"
+    )
+
+
 def timeouts(
     *, connect: datetime.timedelta, answer: datetime.timedelta
 ) -> aiohttp.ClientTimeout:
@@ -249,6 +272,7 @@
                 allow_redirects=False,
             ) as response:
                 answer = await response.read()
+                check_end(response, self._peer + path)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise to_platform_error(error, self._peer + path) from error
         if response.status == 204:
--- a/src/nutmeghook/internal/standin_http/http_plain.py
+++ b/src/nutmeghook/internal/standin_http/http_plain.py
@@ -69,7 +69,7 @@
                 allow_redirects=False,
                 middlewares=(_send_once,),
             ) as response:
-                body = await self._read_body(response)
+                body = await self._read_body(response, address)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise http_exchange.to_platform_error(error, address) from error
         _raise_if_refused(address, response, body)
@@ -79,7 +79,9 @@
             body=body,
         )
 
-    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+    async def _read_body(
+        self, response: aiohttp.ClientResponse, address: str
+    ) -> bytes:
         pieces = []
         remaining_bytes = self._max_answer_bytes
         async for piece in response.content.iter_any():
@@ -90,6 +92,7 @@
                     f"the answer is over {self._max_answer_bytes} bytes"
                 )
             pieces.append(piece)
+        http_exchange.check_end(response, address)
         return b"".join(pieces)
 
 
--- a/tests/cover/test_platform_plain.py
+++ b/tests/cover/test_platform_plain.py
@@ -1,14 +1,25 @@
 """The adapter of plain services: at most one run, truthful refusals."""
 
+import asyncio
+
 import msgspec
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.standin_http import http_exchange
 from nutmeghook.internal.standin_http import http_plain
+from nutmeghook.standins import users_replica
 from tests.cover import platform_case
 
 
+async def _break_off(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    users_replica.close_connection(writer, reset=True)
+
+
 class PlainTest(platform_case.FleetCase):
     """Plain services run a call at most once, as their log shows."""
 
@@ -43,6 +54,15 @@
                 runs = [run["request_id"] for run in await self.log("registry")]
                 self.assertEqual(runs.count(method), 1)
 
+    async def test_an_answer_without_a_length_is_an_unknown_outcome(self):
+        """The service breaks off, and the HTTP library reports its end."""
+        server = await asyncio.start_server(_break_off, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        call = plain.PlainCall(request_id="1", method="POST", path="/x")
+        with self.assertRaises(failures.OutcomeUnknownError):
+            await self.services.call(f"{host}:{port}", call)
+
     async def test_a_refused_call_did_not_run(self):
         await self.control("registry", "refuse", refuse_next=1)
         with self.assertRaises(failures.NotDoneError) as caught:
