Complete no answer without length that its replica does not survive

Hypotheses: (a) a process that is being killed still accepts the probe's connection; (b) a probe that began before the answer's end is shared; (c) the probe gets no response. A trial that logged each check told them apart: both short streams had an accepted connection from a replica that wasn't leaving, one of them by a shared probe and one by its own. So (a); (b) alone is no cause, and is closed as well.

The system closes a killed process's connections one by one, and accepts new ones for it until its listening socket is closed. And whatever wasn't a refusal counted as alive: silence, a missing verdict of peers, a replica that leaves. The class is the absence of a bad sign taken for a good one.

A connection's end counts as an answer's now only if the replica answers a request that was sent after it, on the report of engines, which needs no slot, or the health path. One probe at a time runs for a replica; answers that end while it does share the next one. Else the answer is lost: it is sent on, resumed, or fails as one that may have run. The same probe judges lost connections, so a crash isn't overlooked while the dying process accepts. Failures in answer to streams are checked, too.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -32,6 +32,7 @@
 from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import registry as registry_module
+from nutmeghook.internal.upstream import liveness
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import sender as sender_module
 from nutmeghook.internal.version_plans import view
@@ -92,7 +93,13 @@
     )
     crashes = crash_detector.CrashDetector(
         registry=dependencies.suspects,
-        pool=dependencies.pool,
+        probes=liveness.LivenessProbes(
+            pool=dependencies.pool,
+            configuration=dependencies.configuration,
+            wire_format=dependencies.wire_format,
+            metrics=dependencies.metrics,
+            clock=dependencies.clock,
+        ),
         metrics=dependencies.metrics,
         clock=dependencies.clock,
     )
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -177,6 +177,15 @@
         ),
         labels=("replica",),
     ),
+    MetricSpec(
+        name="liveness_probes_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Liveness probes of replicas, by how the replica responded to a"
+            " connection and whether it answered."
+        ),
+        labels=("replica", "answered"),
+    ),
     MetricSpec(
         name="lost_paths",
         kind=MetricKind.GAUGE,
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -12,17 +12,11 @@
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.internal.upstream import liveness as liveness_module
 from nutmeghook.internal.upstream import outcomes
-from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import reachability as reachability_module
 
 _REFUSES = reachability_module.Reachability.REFUSES
-_ALIVE = frozenset(
-    {
-        reachability_module.Reachability.ACCEPTS,
-        reachability_module.Reachability.BYPASSED,
-    }
-)
 
 
 class CrashDetector:
@@ -30,15 +24,14 @@
 
     A lost connection alone is no evidence: a reset on the way, a garbled answer
     and a crash look alike. A crashed process also refuses new connections,
-    until it has restarted seconds later. So the replica is probed by a new
-    connection, once for all requests that lost theirs.
+    until it has restarted seconds later. So the replica is probed, once for all
+    requests that lost theirs.
     """
 
     __slots__ = (
         "_clock",
-        "_connection_probes",
         "_metrics",
-        "_pool",
+        "_probes",
         "_registry",
     )
 
@@ -46,17 +39,14 @@
         self,
         *,
         registry: registry_module.SuspectRegistry,
-        pool: pool_module.ConnectionPool,
+        probes: liveness_module.LivenessProbes,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
         self._registry = registry
-        self._pool = pool
+        self._probes = probes
         self._metrics = metrics
         self._clock = clock
-        self._connection_probes: dict[
-            str, asyncio.Task[reachability_module.Reachability]
-        ] = {}
 
     def is_quarantined(self, job: job_module.Job) -> bool:
         """Tells whether a request or a part of its prompt is quarantined."""
@@ -89,32 +79,36 @@
         Only a success shows that the replica survived the request: it may fail
         a request before running it.
         """
-        if answer.succeeded and answer.shows_survival:
+        if answer.succeeded:
             self._registry.note_answered(job.identity, job.part_identities)
 
     async def confirm_end(
         self,
         prepared: prepared_module.PreparedAttempt,
         head: connection_module.AnswerHead,
-    ) -> bool:
+    ) -> None:
         """Checks that an answer that was received is complete.
 
-        If the connection's end is the answer's, a crash looks like it, so the
-        replica is probed.
-
-        Returns:
-            Whether the replica is known to have survived the request.
+        If the connection's end is the answer's, the end of the replica's
+        process looks like it, so the replica is probed.
 
         Raises:
-            outcomes.ConnectionLostError: The replica has crashed.
+            outcomes.ConnectionLostError: The process has ended, or may have.
         """
         if not head.ends_with_connection:
-            return True
+            return
         replica = prepared.replica
-        reachability = await asyncio.shield(self._probe_connection(replica))
-        if reachability is _REFUSES and not replica.is_leaving:
-            raise outcomes.ConnectionLostError("the replica ended")
-        return reachability in _ALIVE
+        liveness = await asyncio.shield(self._probes.start(replica))
+        if liveness.has_answered:
+            return
+        logs.note(
+            "answer:end_unconfirmed",
+            request=prepared.outgoing.request_id,
+            replica=replica.entry.replica_id,
+            replica_now=liveness.reachability.value,
+            leaving=replica.is_leaving,
+        )
+        raise outcomes.ConnectionLostError("the replica may have ended")
 
     async def note_lost(
         self,
@@ -129,20 +123,20 @@
         """
         if not isinstance(error, outcomes.ConnectionLostError):
             return
-        probing = self._probe_connection(prepared.replica)
+        probing = self._probes.start(prepared.replica)
         begun = _had_begun(job)
         attempt = job.tries
         begun_for = datetime.timedelta()
         if job.is_answered:
             begun_for = self._clock.monotonic() - job.answered_at
 
-        def conclude(_: asyncio.Task[reachability_module.Reachability]) -> None:
+        def conclude(_: asyncio.Task[liveness_module.Liveness]) -> None:
             if not probing.cancelled():
                 self._conclude(
                     job,
                     attempt,
                     prepared.replica,
-                    probing.result(),
+                    probing.result().reachability,
                     begun=begun,
                     begun_for=begun_for,
                 )
@@ -151,21 +145,6 @@
         if self._registry.is_suspect(job.identity, job.part_identities):
             await asyncio.wait({probing})
 
-    def _probe_connection(
-        self, replica: replica_module.Replica
-    ) -> asyncio.Task[reachability_module.Reachability]:
-        replica_id = replica.entry.replica_id
-        probing = self._connection_probes.get(replica_id)
-        if probing is None:
-            probing = asyncio.ensure_future(
-                self._pool.probe(replica.entry.address)
-            )
-            self._connection_probes[replica_id] = probing
-            probing.add_done_callback(
-                lambda _: self._connection_probes.pop(replica_id)
-            )
-        return probing
-
     def _conclude(
         self,
         job: job_module.Job,
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -36,16 +36,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class WholeAnswer:
-    """A replica's answer with its whole body.
-
-    Attributes:
-        shows_survival: Its replica is known to have survived the request.
-    """
+    """A replica's answer with its whole body."""
 
     status: int
     headers: wire.Headers
     body: bytes
-    shows_survival: bool = True
 
     @property
     def succeeded(self) -> bool:
--- a/src/nutmeghook/internal/relay/streams.py
+++ b/src/nutmeghook/internal/relay/streams.py
@@ -165,8 +165,8 @@
             self._permission.release_fallback(job)
             if self._try_larger_model(job, prepared, answer):
                 return _Step.LARGER_MODEL
-            if await self._forward(job, prepared, answer):
-                self._crashes.note_stream_ended(job)
+            await self._forward(job, prepared, answer)
+            self._crashes.note_stream_ended(job)
             prepared.replica.health.note_success(self._clock.monotonic())
             return _Step.DONE
 
@@ -187,8 +187,8 @@
             body=await self._wait.until_deadline(
                 job, answer.read_whole(job.incoming.held)
             ),
-            shows_survival=not answer.head.ends_with_connection,
         )
+        await self._crashes.confirm_end(prepared, answer.head)
         self._crashes.note_answer(job, whole)
         self._observer.note_answer(
             job, prepared, status=whole.status, failed=whole.failed
@@ -245,14 +245,11 @@
         job: job_module.Job,
         prepared: prepared_module.PreparedAttempt,
         answer: sender_module.Answer,
-    ) -> bool:
+    ) -> None:
         """Forwards complete events until the stream is complete.
 
         A replica may break off inside an event. Only complete events are
         forwarded, so that another replica can resume after the last one.
-
-        Returns:
-            Whether the replica is known to have survived the request.
         """
         splitter = events_module.EventSplitter()
         began_at = self._clock.monotonic()
@@ -282,13 +279,12 @@
                 )
         if splitter.has_rest:
             raise outcomes.ConnectionLostError("the stream ends in an event")
-        shows_survival = await self._crashes.confirm_end(prepared, answer.head)
+        await self._crashes.confirm_end(prepared, answer.head)
         # The end waits for the caller, which says nothing of the replica.
         took = self._clock.monotonic() - began_at
         await self._begin_once(job, answer)
         await job.sink.end()
         self._note_times(job, prepared, took, held_up=held_up, events=events)
-        return shows_survival
 
     def _note_times(
         self,
--- a/src/nutmeghook/internal/relay/whole_answers.py
+++ b/src/nutmeghook/internal/relay/whole_answers.py
@@ -190,14 +190,11 @@
             prepared.replica, prepared.outgoing
         ) as answer:
             body = await answer.read_whole(job.incoming.held)
-            shows_survival = await self._crashes.confirm_end(
-                prepared, answer.head
-            )
+            await self._crashes.confirm_end(prepared, answer.head)
             whole = job_module.WholeAnswer(
                 status=answer.head.status,
                 headers=answer.head.headers,
                 body=body,
-                shows_survival=shows_survival,
             )
             # Without the seal it is not this replica's answer. If encoded, it
             # is not the body that the replica made.
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -165,6 +165,17 @@
     ) -> Headers:
         """Returns the headers of a request to a replica."""
 
+    @abc.abstractmethod
+    def probe_headers(
+        self, replica_id: str, *, time_left: datetime.timedelta
+    ) -> Headers:
+        """Returns the headers of a liveness probe.
+
+        Args:
+            replica_id: The replica meant; another one at its address refuses.
+            time_left: When it passes, the replica rejects the probe.
+        """
+
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
         """Reads an answer's headers."""
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -68,6 +68,8 @@
     """A group of interchangeable replicas.
 
     Attributes:
+        liveness_path: Path that each replica answers while it runs, without a
+            free slot if it has such a path.
         max_connections: Connections that one replica accepts in total.
         model_costs: Price of each model for 1,000 generated tokens.
         cold_time: For how long a replica is cold after its start.
@@ -76,7 +78,7 @@
     """
 
     name: str
-    health_path: str
+    liveness_path: str
     max_connections: int
     model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
     cold_time: datetime.timedelta = datetime.timedelta()
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import datetime
+import math
 import socket
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -79,7 +80,11 @@
         return self._connector.paths
 
     async def acquire(
-        self, address: str, *, max_idle_s: float
+        self,
+        address: str,
+        *,
+        max_idle_s: float,
+        timeout: datetime.timedelta = CONNECT_TIMEOUT,
     ) -> connection_module.ReplicaConnection:
         """Returns a connection, the one idle for the shortest time if any.
 
@@ -88,6 +93,7 @@
             max_idle_s: Use none that was idle for longer. Requests that may run
                 only once need a fresh one, because an idle one may break while
                 they are written.
+            timeout: How long the replica may take to accept a new one.
 
         Raises:
             outcomes.NotSentError: The replica did not accept.
@@ -106,7 +112,7 @@
             ):
                 return candidate
             candidate.abort()
-        return await self._open(address)
+        return await self._open(address, timeout=timeout)
 
     def release(
         self,
@@ -128,6 +134,18 @@
         connection.idle_limit_s = stated_s * IDLE_SHARE
         self._keep(address, connection)
 
+    async def acquire_for_probe(
+        self, address: str
+    ) -> connection_module.ReplicaConnection:
+        """Returns a connection, idle or new, for a request that may be lost.
+
+        Raises:
+            outcomes.NotSentError: The replica did not accept.
+        """
+        return await self.acquire(
+            address, max_idle_s=math.inf, timeout=PROBE_TIMEOUT
+        )
+
     async def probe(self, address: str) -> reachability_module.Reachability:
         """Tells how a replica responds to a new connection.
 
--- a/src/nutmeghook/platform/configuration.py
+++ b/src/nutmeghook/platform/configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from nutmeghook.internal.routes import model
+from nutmeghook.platform import headers
 
 # One day; no replica stays cold for that long after its start.
 _MAX_COLD_S = 86_400.0
@@ -53,7 +54,7 @@
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    health_path: str = "/health"
+    health_path: str = headers.HEALTH_PATH
     max_conns: int = 100
     cold_s: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_COLD_S)] = 0.0
     cold_per_s: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
@@ -150,7 +151,9 @@
     models = wire.engine.models if wire.engine else []
     return model.Service(
         name=wire.name,
-        health_path=wire.health_path,
+        liveness_path=(
+            headers.ENGINE_REPORT_PATH if wire.engine else wire.health_path
+        ),
         max_connections=wire.max_conns,
         model_costs={entry.name: entry.cost for entry in models},
         cold_time=datetime.timedelta(seconds=wire.cold_s),
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -38,6 +38,11 @@
 IDLE_LIMIT = "Keep-Alive"
 ANY_MODEL = "*"
 KEY_SCHEME = "token"
+# Paths that a replica answers while its process runs. An engine needs no free
+# slot for its report.
+HEALTH_PATH = "/health"
+ENGINE_REPORT_PATH = "/v1/report"
+PROBE_PATHS = frozenset({HEALTH_PATH, ENGINE_REPORT_PATH})
 WRONG_REPLICA_STATUS = 421
 REFUSED_STATUS = 503
 
@@ -124,6 +129,15 @@
         ]
         return kept + own
 
+    def probe_headers(
+        self, replica_id: str, *, time_left: datetime.timedelta
+    ) -> wire.Headers:
+        """Returns the headers of a liveness probe."""
+        return [
+            (TIME_LEFT, str(_whole_ms(time_left))),
+            (EXPECTED_REPLICA, replica_id),
+        ]
+
     def read_answer(
         self, status: int, headers: wire.Headers
     ) -> wire.AnswerFacts:
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -131,6 +131,9 @@
         work_time_percent: How long its work takes, in percent of the usual. Its
             own answers state its load with it, and pauses are longer by it.
             None for a replica that states no load.
+        answers_probes: It answers liveness probes. If False, it closes their
+            connections, as the system does for a process that ends.
+        probes: How many liveness probes it has received.
         request_abandoned: Set whenever `abandoned` grows.
         request_received: Set whenever `received` grows.
         crashed: Set once it has crashed or stopped; `restart` clears it.
@@ -148,10 +151,12 @@
         "_writers",
         "abandoned",
         "address",
+        "answers_probes",
         "brittle",
         "crashed",
         "crashes",
         "falls",
+        "probes",
         "ran",
         "received",
         "replica_id",
@@ -194,6 +199,8 @@
         # When requests were turned away lately, and their ids.
         self._refused: list[tuple[float, str]] = []
         self.work_time_percent: int | None = None
+        self.answers_probes = True
+        self.probes = 0
 
     def reply_from(self, replies: list[Reply]) -> None:
         """Takes replies from a list that replicas may share."""
@@ -285,6 +292,8 @@
         connection: int,
     ) -> bool:
         request = await _read_request(reader, connection)
+        if request.target in headers.PROBE_PATHS:
+            return await self._answer_probe(request, writer)
         self.received.append(request)
         self.request_received.set()
         reply = self._decide(request)
@@ -313,6 +322,18 @@
         finally:
             self._running -= 1
 
+    async def _answer_probe(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        self.probes += 1
+        expected = request.headers.get(headers.EXPECTED_REPLICA.lower())
+        status = 200 if expected in (None, self.replica_id) else 421
+        if not self.answers_probes:
+            return False
+        writer.write(_head(Reply(status=status, body=b""), request, ()))
+        await writer.drain()
+        return True
+
     def _stated(self) -> tuple[tuple[str, str], ...]:
         """Returns the headers of its own answers."""
         signals = self.signals
--- a/tests/cover/test_answers_without_length.py
+++ b/tests/cover/test_answers_without_length.py
@@ -1,5 +1,8 @@
 """Answers with neither a length nor chunks, which end with their connection."""
 
+import asyncio
+import functools
+
 from nutmeghook.internal.routes import model
 from nutmeghook.standins import users_replica
 from tests import relay_fixture
@@ -8,6 +11,7 @@
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
 Reply = users_replica.Reply
 EVENTS = (0, 1, 2)
+
 FIRST_EVENT_BYTES = len(users_replica.event(0))
 WHOLE = [users_replica.event(number) for number in EVENTS]
 
@@ -60,25 +64,75 @@
         answer = await self.ask(IDEMPOTENT)
         self.assertEqual(relay_fixture.body_of(answer), b"half and half")
 
-    async def test_a_leaving_replica_may_end_after_its_answer(self):
-        """A replica that leaves accepts no connections, and ends once it has
-        answered what it had.
+    async def test_a_leaving_replica_that_has_ended_completes_no_stream(self):
+        """A leaving replica exits in the middle of a stream. It no longer
+        answers, as after the whole stream.
         """
-        self.reply_with(
-            Reply(
-                events=EVENTS,
-                framed=False,
-                pause_s=0.05,
-            )
+        self.leave_in_the_first_answer(
+            Reply(events=EVENTS, framed=False, send_bytes=FIRST_EVENT_BYTES),
+            Reply(events=EVENTS),
+            exits=True,
+        )
+        answer = await self.ask(STREAM)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def test_a_leaving_replica_that_answers_completes_its_stream(self):
+        self.leave_in_the_first_answer(
+            Reply(events=EVENTS, framed=False), exits=False
         )
-        for replica in self.replicas:
-            replica.decide_by(self._leave_and_answer)
         answer = await self.ask(STREAM)
         self.assertTrue(relay_fixture.is_complete(answer))
         self.assertEqual(len(self.received_requests()), 1)
 
-    def _leave_and_answer(self, _: users_replica.ReceivedRequest) -> Reply:
+    def leave_in_the_first_answer(self, *replies: Reply, exits: bool) -> None:
+        """Gives these replies in order; the first one's replica leaves."""
+        remaining = list(replies)
+
+        def answer(replica, _: users_replica.ReceivedRequest) -> Reply:
+            if len(remaining) == len(replies):
+                self.directory.put(self.entry(replica, leaving=True))
+                if exits:
+                    replica.refuse_connections()
+            return remaining.pop(0)
+
         for replica in self.replicas:
-            replica.refuse_connections()
-            self.directory.put(self.entry(replica, leaving=True))
-        return Reply(events=EVENTS, framed=False)
+            replica.decide_by(functools.partial(answer, replica))
+
+    async def test_a_process_that_ends_still_accepts_connections(self):
+        """The system closes a killed process's connections one by one, and
+        accepts connections for it until its listening socket is closed.
+        """
+        for replica in self.replicas:
+            replica.answers_probes = False
+        self.reply_with(
+            Reply(events=EVENTS, framed=False, send_bytes=FIRST_EVENT_BYTES),
+            Reply(events=EVENTS),
+        )
+        answer = await self.ask(STREAM)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def test_an_unreachable_replica_completes_no_answer(self):
+        """Its machine loses power, and it answers no connection any more."""
+
+        def answer(_: users_replica.ReceivedRequest) -> Reply:
+            for replica in self.replicas:
+                replica.become_unreachable()
+            return Reply(body=b"half", framed=False, send_bytes=2)
+
+        for replica in self.replicas:
+            replica.decide_by(answer)
+        once = await self.ask(model.RouteKind.ONCE, body=b"order")
+        self.assertEqual(relay_fixture.status_of(once), 502)
+
+    async def test_answers_that_end_together_share_a_probe(self):
+        self.directory.remove(self.replicas[1].replica_id)
+        self.reply_with(Reply(body=b"whole", framed=False, pause_s=0.2))
+        answers = await asyncio.gather(
+            *(self.ask(IDEMPOTENT, request_id=f"{n}") for n in range(20))
+        )
+        self.assertEqual(
+            {relay_fixture.body_of(a) for a in answers}, {b"whole"}
+        )
+        self.assertLess(self.replicas[0].probes, 10)
--- a/tests/cover/test_signals_together.py
+++ b/tests/cover/test_signals_together.py
@@ -27,7 +27,7 @@
 COLD_PER_S, OVERRUN, ALLOWANCE = 6.0, 1.5, 5.0
 SERVICE = model.Service(
     name="service",
-    health_path="/health",
+    liveness_path="/health",
     max_connections=100,
     cold_time=3 * SECOND,
     cold_per_s=COLD_PER_S,
