Trace the sessions that change version after a completed roll-out

The known failure PINNED of roll-outs in a row had no trace, since the log of an attempt had no session. It has a digest of it now.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import xxhash
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
@@ -111,6 +113,7 @@
             request=job.log_id,
             replica=replica.entry.replica_id,
             version=replica.entry.version,
+            session=_logged_session(session),
             model=attempt_facts.model_name(job),
             configuration=self._configuration.current.version,
             in_flight=replica.in_flight,
@@ -267,6 +270,11 @@
     )
 
 
+def _logged_session(session: str | None) -> str | None:
+    """Returns a digest that tells a session's requests apart from others."""
+    return None if session is None else xxhash.xxh64_hexdigest(session)
+
+
 def _logged(forecast: replica_forecast.Forecast | None) -> dict[str, float]:
     """Returns the forecast behind a choice of replica, for the log."""
     if forecast is None:
