Encode the session before it is digested for the log

The new test ends in an error before, and passes with the session encoded; it also checks that one session has one digest.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -272,7 +272,7 @@
 
 def _logged_session(session: str | None) -> str | None:
     """Returns a digest that tells a session's requests apart from others."""
-    return None if session is None else xxhash.xxh64_hexdigest(session)
+    return None if session is None else xxhash.xxh64_hexdigest(session.encode())
 
 
 def _logged(forecast: replica_forecast.Forecast | None) -> dict[str, float]:
--- a/tests/cover/test_relay_lost_replicas.py
+++ b/tests/cover/test_relay_lost_replicas.py
@@ -6,6 +6,7 @@
 
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.routes import model
+from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
 from tests import relay_fixture
 
@@ -61,3 +62,18 @@
         )
         self.assertEqual(first, copy)
         self.assertNotEqual(first, other)
+
+    async def test_attempts_of_one_session_have_one_digest(self):
+        """The log must show that a session has changed its version."""
+        self.reply_with(Reply(events=(0, 1)))
+        for number, session in enumerate(("a", "a", "b")):
+            await self.ask(
+                STREAM,
+                request_id=f"{number}",
+                extra=(relay_fixture.AUTHORIZATION, (headers.SESSION, session)),
+            )
+        first, second, other = (
+            line["session"] for line in self.logged("attempt:sent")
+        )
+        self.assertEqual(first, second)
+        self.assertNotEqual(first, other)
