--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -28,6 +28,7 @@
     "attempt:left": log_records.AttemptLeft,
     "attempt:tunnelled": log_records.AttemptTunnelled,
     "attempt:lost": log_records.AttemptLost,
+    "answer:end_unconfirmed": log_records.AnswerEndUnconfirmed,
     "request:ended": log_records.RequestEnded,
     "request:fault": log_records.RequestFault,
     "request:cannot_end": log_records.RequestCannotEnd,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -36,6 +36,7 @@
     """An attempt was sent, with its forecast.
 
     Attributes:
+        session: Digest of the request's session.
         rate_limit_per_s: The rate limit that its replica had stated, for all
             instances together.
         waiting_ms: Forecast time in the replica's queue.
@@ -47,6 +48,7 @@
 
     replica: str
     version: str | None = None
+    session: str | None = None
     model: str | None = None
     configuration: int | None = None
     in_flight: int | None = None
@@ -135,6 +137,19 @@
     replica_now: str | None = None
 
 
+class AnswerEndUnconfirmed(RequestRecord, frozen=True, kw_only=True):
+    """An answer without a length is not known to be complete.
+
+    Attributes:
+        replica_now: How its replica responded to a new connection.
+        leaving: Its replica had announced that it leaves.
+    """
+
+    replica: str
+    replica_now: str | None = None
+    leaving: bool | None = None
+
+
 class RequestHeldBack(RequestRecord, frozen=True, kw_only=True):
     """A request was rejected while replicas asked for fewer requests.
 
--- a/src/nutmeghook/internal/observe/record_text.py
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -130,6 +130,15 @@
     )
 
 
+@describe.register
+def _end_unconfirmed(record: log_records.AnswerEndUnconfirmed) -> str:
+    detail = _details(record, "request", "replica", "replica_now")
+    return (
+        f"the answer of {record.replica} may be incomplete; the replica now "
+        f"{record.replica_now}{detail}"
+    )
+
+
 @describe.register
 def _ended(record: log_records.RequestEnded) -> str:
     detail = _details(record, "request", "code", "outcome", "cut")
