Probe on a new connection, and share only the own probe

Read in the diff, not seen: on a connection that was used before, a late second answer to an earlier request could be taken for the probe's, and a probe that was sent once more took the waiting one off the list, so that two could follow it.

--- a/src/nutmeghook/internal/upstream/liveness.py
+++ b/src/nutmeghook/internal/upstream/liveness.py
@@ -120,7 +120,7 @@
         pause = _FIRST_PAUSE
         while (left := end - self._clock.monotonic()) > datetime.timedelta():
             try:
-                connection = await self._pool.acquire_for_probe(
+                connection = await self._pool.open_for_probe(
                     replica.entry.address
                 )
             except outcomes.NotSentError as error:
@@ -131,7 +131,7 @@
             reachability = _Reachability.ACCEPTS
             if connection.helper is not None:
                 reachability = _Reachability.BYPASSED
-            self._unsent.pop(replica.entry.replica_id, None)
+            self._note_sent(replica.entry.replica_id)
             try:
                 status = await self._clock.wait_for(
                     self._exchange(replica, connection), left
@@ -148,6 +148,11 @@
             )
         return Liveness(reachability=reachability, has_answered=False)
 
+    def _note_sent(self, replica_id: str) -> None:
+        """Lets later callers have a probe of their own."""
+        if self._unsent.get(replica_id) is asyncio.current_task():
+            del self._unsent[replica_id]
+
     async def _exchange(
         self,
         replica: replica_module.Replica,
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import datetime
-import math
 import socket
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -80,11 +79,7 @@
         return self._connector.paths
 
     async def acquire(
-        self,
-        address: str,
-        *,
-        max_idle_s: float,
-        timeout: datetime.timedelta = CONNECT_TIMEOUT,
+        self, address: str, *, max_idle_s: float
     ) -> connection_module.ReplicaConnection:
         """Returns a connection, the one idle for the shortest time if any.
 
@@ -93,7 +88,6 @@
             max_idle_s: Use none that was idle for longer. Requests that may run
                 only once need a fresh one, because an idle one may break while
                 they are written.
-            timeout: How long the replica may take to accept a new one.
 
         Raises:
             outcomes.NotSentError: The replica did not accept.
@@ -112,7 +106,7 @@
             ):
                 return candidate
             candidate.abort()
-        return await self._open(address, timeout=timeout)
+        return await self._open(address)
 
     def release(
         self,
@@ -134,17 +128,18 @@
         connection.idle_limit_s = stated_s * IDLE_SHARE
         self._keep(address, connection)
 
-    async def acquire_for_probe(
+    async def open_for_probe(
         self, address: str
     ) -> connection_module.ReplicaConnection:
-        """Returns a connection, idle or new, for a request that may be lost.
+        """Returns a new connection.
+
+        On one that was used, a late second answer to an earlier request could
+        be taken for the probe's.
 
         Raises:
             outcomes.NotSentError: The replica did not accept.
         """
-        return await self.acquire(
-            address, max_idle_s=math.inf, timeout=PROBE_TIMEOUT
-        )
+        return await self._open(address, timeout=PROBE_TIMEOUT)
 
     async def probe(self, address: str) -> reachability_module.Reachability:
         """Tells how a replica responds to a new connection.
@@ -152,7 +147,7 @@
         The connection made, if any, is kept for the next request.
         """
         try:
-            connection = await self._open(address, timeout=PROBE_TIMEOUT)
+            connection = await self.open_for_probe(address)
         except outcomes.NotSentError as error:
             return error.reachability
         self._keep_unused(address, connection)
