Review stand-ins: ports that outgoing connections don't take

One of five runs of a case at once couldn't start its router, since a port that was free had become another run's outgoing connection.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # Python programs of the standard library alone; compiling them shows that they
 # can be read by the interpreter at hand.
 cd "$(dirname "$0")" || exit 1
-exec python3 -m compileall -q -f stand_ins_2 4 5 6 8
+exec python3 -m compileall -q -f stand_ins_2 4 5 6 7
--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -31,6 +31,7 @@
     "store:back",
     "suspect:on_trial",
 )
+_ROUTER_STARTS = 3
 # Of the settings of a router.
 CONTACT_S = 3.0
 
@@ -195,13 +196,25 @@
         self.note("replica killed", replica=name)
 
     async def start_router(self, name: str) -> router_module.Router:
-        """Starts a router and waits until it is ready."""
-        router = router_module.Router(
-            name=name, store=self.store.address, folder=self._folder
-        )
+        """Starts a router and waits until it is ready.
+
+        If one of its ports was taken meanwhile, it is started on others.
+        """
+        for tries_left in range(_ROUTER_STARTS - 1, -1, -1):
+            router = router_module.Router(
+                name=name, store=self.store.address, folder=self._folder
+            )
+            router.start()
+            try:
+                await router.until_ready()
+            except TimeoutError:
+                router.stop()
+                self.note("router did not start", router=name)
+                if not tries_left:
+                    raise
+            else:
+                break
         self.routers.append(router)
-        router.start()
-        await router.until_ready()
         self.note("router ready", router=name)
         return router
 
@@ -250,6 +263,22 @@
         )
         return answer
 
+    def lost_after(self, at: float, prefix: str) -> int:
+        """Returns how many requests failed or were cut off since a moment.
+
+        Args:
+            at: Monotonic time.
+            prefix: Of the ids of the requests that are counted.
+        """
+        noted = map(json.loads, self._lines)
+        return sum(
+            line["event"] == "answer"
+            and line["at"] > at
+            and line["request"].startswith(prefix)
+            and (line["status"] != 200 or not line["complete"])
+            for line in noted
+        )
+
     def replica_events(self, event: str) -> list[dict]:
         """Returns what the replicas have noted under a name."""
         lines = (self._folder / "replicas.log").read_text().splitlines()
--- a/review/stand_ins_2/replica.py
+++ b/review/stand_ins_2/replica.py
@@ -166,7 +166,7 @@
         if self._is_deadly(request):
             _note("crash", replica=self._options.id)
             os.kill(os.getpid(), signal.SIGKILL)
-        if not request.target.startswith("/draft/"):
+        if request.target.startswith(("/record/", "/note/")):
             return await self._run_plain(request, writer)
         request_id = request.headers.get("x-attempt-id", "")
         first = int(request.headers.get("last-event-id") or "0") + 1
--- a/review/stand_ins_2/router.py
+++ b/review/stand_ins_2/router.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -89,14 +90,19 @@
 """  # noqa: E501
 
 
+# Outside the range of outgoing connections, which would take them meanwhile.
+_PORTS = range(15_000, 32_000)
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports that are free now."""
     with contextlib.ExitStack() as stack:
         ports = []
-        for _ in range(count):
+        while len(ports) < count:
             one = stack.enter_context(socket.socket())
-            one.bind(("127.0.0.1", 0))
-            ports.append(one.getsockname()[1])
+            with contextlib.suppress(OSError):
+                one.bind(("127.0.0.1", random.choice(_PORTS)))
+                ports.append(one.getsockname()[1])
         return ports
 
 
@@ -154,7 +160,7 @@
             TimeoutError: It was not ready in time.
         """
         end = time.monotonic() + limit_s
-        while time.monotonic() < end:
+        while time.monotonic() < end and self.process.poll() is None:
             if await self._is_ready():
                 return
             await asyncio.sleep(0.1)
