--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -249,6 +249,7 @@
                 "X-Prompt-Prefix": f"5c1e07a2:150,{request_id}:50",
             }
         writer.write(http_messages.encode_request(method, path, headers, body))
+        self.note("sent", request=request_id, method=method, path=path)
         answer = await http_messages.read_answer(reader)
         writer.close()
         ids = event_ids(answer)
