Log how old the proof of a configuration is

The logs could not tell an instance that had no news from one that had some and did not act on them, nor either from one that took the store's word after a restore.

Change: requests' ends and configurations coming into force carry the age of the last proof that there is none newer, requests' ends also whether a peer had reported one; two gauges. No decision changes.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -328,6 +328,9 @@
         self.configuration.newer_exists = lambda: peers.is_behind(
             tables.OPERATOR_TABLE
         )
+        self.configuration.proof_age_ms = shared[
+            tables.OPERATOR_TABLE
+        ].confirmed_age_ms
         plans = self._rollout_driver(shared[driver.TABLE], peers)
         quarantines = self._quarantine_rows()
         async with asyncio.TaskGroup() as tasks:
@@ -456,6 +459,7 @@
             return web.Response(status=404)
         router_gauges.refresh(
             self.metrics,
+            configuration=self.configuration,
             suspects=self.suspects,
             send_limits=self.send_limits,
             speeds=self.speeds,
--- a/src/nutmeghook/internal/assembly/router_gauges.py
+++ b/src/nutmeghook/internal/assembly/router_gauges.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import speed_registry
+from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import gauges as suspect_gauges
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import follower
@@ -17,6 +18,7 @@
 def refresh(
     metrics: metrics_module.Metrics,
     *,
+    configuration: in_force_module.ConfigurationInForce,
     suspects: registry_module.SuspectRegistry,
     send_limits: send_limits_module.SendLimits,
     speeds: speed_registry.SpeedRegistry,
@@ -31,6 +33,7 @@
 
     Args:
         metrics: Whose gauges are set.
+        configuration: The configuration in force.
         suspects: The quarantined requests and prompt parts.
         send_limits: The limits on what may be sent.
         speeds: The estimated speeds of replicas.
@@ -41,6 +44,11 @@
         store_monitor: Knows the store's epoch.
         clock: Measures time.
     """
+    current = configuration.current
+    metrics.set("configuration_version", current.version if current else 0)
+    metrics.set(
+        "configuration_proof_age_seconds", configuration.proof_age_ms() / 1000
+    )
     suspect_gauges.set_gauges(metrics, suspects)
     metrics.set("evacuated_data_centres", len(send_limits.evacuations.all()))
     metrics.set("held_bytes", held.total_bytes)
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -229,6 +229,10 @@
         team: None if the request was refused before its team was known, or
             its route needs no key.
         cut: An answer that had begun was broken off.
+        configuration: The version that admitted it.
+        proof_age_ms: How old the last proof was then that there is no newer
+            one; -1 if there was none.
+        newer_known: A peer had reported a newer one by then.
         identity: The same for all copies of a request.
         events: How many events of a stream were forwarded.
         first_event_ms: When the first of them was.
@@ -244,6 +248,8 @@
     attempts: int | None = None
     cut: bool | None = None
     configuration: int | None = None
+    proof_age_ms: int | None = None
+    newer_known: bool | None = None
     duration_ms: float | None = None
     events: int | None = None
     first_event_ms: float | None = None
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -273,6 +273,20 @@
         ),
         labels=("team",),
     ),
+    MetricSpec(
+        name="configuration_version",
+        kind=MetricKind.GAUGE,
+        meaning="Version of the configuration in force here; 0 for none.",
+    ),
+    MetricSpec(
+        name="configuration_proof_age_seconds",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Time since the store last confirmed, to this instance or a peer,"
+            " that it has no newer configuration; negative before the first"
+            " time."
+        ),
+    ),
     MetricSpec(
         name="store_epoch",
         kind=MetricKind.GAUGE,
--- a/src/nutmeghook/internal/observe/state_records.py
+++ b/src/nutmeghook/internal/observe/state_records.py
@@ -6,11 +6,19 @@
 
 
 class ConfigurationInForce(Record, frozen=True, kw_only=True):
-    """A configuration was put in force."""
+    """A configuration was put in force.
+
+    Attributes:
+        before: The version in force until then.
+        source: The store, or the address of a peer.
+        proof_age_ms: How old the last proof was that there is no newer one than
+            that before; -1 if there was none.
+    """
 
     version: int
     before: int | None = None
     source: str | None = None
+    proof_age_ms: int | None = None
 
 
 class ReplicaChange(Record, frozen=True, kw_only=True):
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -7,6 +7,7 @@
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import choice as choice_module
+from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import outcomes
 
@@ -107,7 +108,7 @@
     """An admitted request and its attempts so far.
 
     Attributes:
-        admitted_under: Version of the configuration that admitted it.
+        admission: The configuration that admitted it.
         deadline: Monotonic time by which it gets its final answer.
         answered_at: Monotonic time at which the last head of an answer arrived.
         answered_try: The last attempt whose answer's head has arrived.
@@ -126,7 +127,7 @@
     __slots__ = (
         "_identity",
         "_part_identities",
-        "admitted_under",
+        "admission",
         "answered_at",
         "answered_try",
         "deadline",
@@ -154,11 +155,11 @@
         route: model.Route,
         team: model.Team | None,
         deadline: datetime.timedelta,
-        admitted_under: int,
+        admission: in_force_module.Admission,
     ):
         self._identity: bytes | None = None
         self._part_identities: tuple[bytes, ...] | None = None
-        self.admitted_under = admitted_under
+        self.admission = admission
         self.answered_at = datetime.timedelta()
         self.answered_try = 0
         self.incoming = incoming
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -141,7 +141,7 @@
             route=route,
             team=team,
             deadline=incoming.arrived_at + limit,
-            admitted_under=configuration.version,
+            admission=self._configuration.admission(),
         )
 
     def _denial(
@@ -201,7 +201,9 @@
             outcome=ending.reason,
             attempts=job.tries if job else 0,
             cut=is_cut,
-            configuration=job.admitted_under if job else None,
+            configuration=job.admission.version if job else None,
+            proof_age_ms=job.admission.proof_age_ms if job else None,
+            newer_known=(job.admission.newer_known if job else None) or None,
             duration_ms=round(duration / datetime.timedelta(milliseconds=1)),
             **(job.progress.logged(incoming.arrived_at) if job else {}),
         )
--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -29,6 +29,7 @@
 from nutmeghook.internal.replicas import replica_speed
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import speed_registry
+from nutmeghook.internal.routes import in_force
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
@@ -140,7 +141,7 @@
             route=route,
             team=None,
             deadline=self.clock.monotonic() + route.time_limit,
-            admitted_under=1,
+            admission=in_force.Admission(version=1),
         )
 
     def prepared(self, job: job_module.Job) -> prepared_module.PreparedAttempt:
