--- a/tests/cover/test_readers_lost.py
+++ b/tests/cover/test_readers_lost.py
@@ -76,6 +76,12 @@
     def test_a_change_is_in_force_in_time_on_200_instances(self):
         self.check_worst_delay(size=200, bound=4 * _SECOND, outages=2)
 
+    def test_a_change_is_in_force_in_time_on_7_instances(self):
+        """The others noticed the silence after 2.25 s, though a change has to
+        be in force after 2 s in small fleets.
+        """
+        self.check_worst_delay(size=7, bound=2 * _SECOND, outages=25)
+
     def test_instances_back_off_while_the_store_is_out(self):
         """The store answers nobody for eight seconds. All confirmations grow
         old, and 73 instances each called some ten times. On its return all get
