Readers' feeds return in turn, and silence is noticed in time

What callers saw: where the store fell silent for all three instances that read it, requests on the others ran by a configuration that had been replaced up to 2.6 s before, with a service that the new one no longer allows.

Cause: an instance reads for itself once nothing younger than 2.25 s proves that it knows the newest configuration, and a change has to be in force within 2 s. The bound could not be lower, since a change lets all readers' feeds return at once and they go on so, each 2 s.

Change: in fleets of up to 12 the readers' feeds return in turn by the store's clock, so proofs are at most some 1.1 s old; an instance reads once its own is 1.47 s old. A reader without a fresh proof doesn't wait for its own feed before it asks a peer.

--- a/src/nutmeghook/internal/table_replication/follower.py
+++ b/src/nutmeghook/internal/table_replication/follower.py
@@ -228,6 +228,10 @@
         """Returns for how long the store is known to have had no outage."""
         return self._store_monitor.steady_time()
 
+    def store_time(self) -> datetime.timedelta | None:
+        """Returns the store's monotonic time now, if known."""
+        return self._store_monitor.store_time()
+
     @property
     def is_store_reachable(self) -> bool:
         """Tells whether the last call succeeded, or none was made."""
--- a/src/nutmeghook/internal/table_replication/gossip.py
+++ b/src/nutmeghook/internal/table_replication/gossip.py
@@ -55,9 +55,17 @@
 # thousand has a confirmation older than 1.8 s at a given moment, so such reads
 # are rare.
 _READ_RESERVE = datetime.timedelta(seconds=1)
-# Each reader gets a confirmation once per wait of its feed. With a lower limit
-# all instances would read whenever the readers' feeds return together.
-_MIN_UNCONFIRMED = follower.FEED_WAIT + datetime.timedelta(milliseconds=250)
+# In a large fleet the readers' feeds may return together, once per wait. With a
+# lower limit all instances would read whenever they do.
+_LARGE_FLEET_MIN_UNCONFIRMED = follower.FEED_WAIT + datetime.timedelta(
+    milliseconds=250
+)
+# In a small fleet they return in turn, and each confirmation reaches all within
+# two digests. All readers may lose the store at once, and a change made then
+# has to be in force within 2 s all the same.
+_SMALL_FLEET_MIN_UNCONFIRMED = (
+    follower.FEED_WAIT / reader_election.READER_COUNT + 2 * GOSSIP_PERIOD
+)
 # How long a feed waits in a large fleet. While nothing changes, three readers
 # with this wait make as many calls and confirmations as five with
 # `follower.FEED_WAIT`, and they make three calls for each change instead of
@@ -114,6 +122,7 @@
 
     __slots__ = (
         "_caller",
+        "_change_time",
         "_clock",
         "_counter",
         "_data_centre",
@@ -123,7 +132,6 @@
         "_inner_address",
         "_instance_id",
         "_last_seen",
-        "_max_unconfirmed",
         "_messages",
         "_newest_report",
         "_opens_tunnels",
@@ -169,9 +177,7 @@
         self._peer_sampler = peer_sampling.PeerSampler(
             data_centre=data_centre, random_source=random_source
         )
-        self._max_unconfirmed = max(
-            change_time - _READ_RESERVE, _MIN_UNCONFIRMED
-        )
+        self._change_time = change_time
         self._counter = fleet_counter.FleetCounter(
             instance_id=instance_id, clock=clock
         )
@@ -227,9 +233,14 @@
         """
         if self._is_unconfirmed(table):
             return datetime.timedelta()
-        if reader_election.is_large(self._fleet_size):
+        if self.is_large():
             return _LARGE_FLEET_FEED_WAIT
-        return follower.FEED_WAIT
+        store_time = table.follower.store_time()
+        if store_time is None:
+            return follower.FEED_WAIT
+        return self._election.time_until_turn(
+            store_time, period=follower.FEED_WAIT, fleet_size=self._fleet_size
+        )
 
     def retry_delay(self) -> datetime.timedelta | None:
         """Returns the wait after a failed call; None for the back-off."""
@@ -246,8 +257,11 @@
         confirmed_at = table.confirmed_at()
         if confirmed_at is None:
             return True
+        least = _SMALL_FLEET_MIN_UNCONFIRMED
+        if self.is_large():
+            least = _LARGE_FLEET_MIN_UNCONFIRMED
         age = self._clock.monotonic() - confirmed_at
-        return age > self._max_unconfirmed
+        return age > max(self._change_time - _READ_RESERVE, least)
 
     def is_behind(self, name: str) -> bool:
         """Tells whether a peer recently reported a newer revision."""
@@ -462,7 +476,7 @@
         """Fetches from a peer if it is still ahead; False to retry it."""
         if table.revision >= revision:
             return True
-        if self.should_read(table):
+        if self.should_read(table) and not self._is_unconfirmed(table):
             await self._clock.sleep(_READER_DELAY)
             if table.revision >= revision:
                 return True
--- a/src/nutmeghook/internal/table_replication/reader_election.py
+++ b/src/nutmeghook/internal/table_replication/reader_election.py
@@ -52,9 +52,33 @@
 
     def is_reader(self, *, fleet_size: int) -> bool:
         """Tells whether too few instances with lower numbers are live."""
+        return self._rank(fleet_size) < READER_COUNT
+
+    def time_until_turn(
+        self,
+        store_time: datetime.timedelta,
+        *,
+        period: datetime.timedelta,
+        fleet_size: int,
+    ) -> datetime.timedelta:
+        """Returns how long until this instance's call is to return.
+
+        The readers' calls return in turn by the store's clock, which all of
+        them know. After a change all return together, and would go on so.
+
+        Args:
+            store_time: The store's monotonic time now.
+            period: In which each reader has one turn.
+            fleet_size: The number of instances.
+        """
+        turns = min(READER_COUNT, fleet_size)
+        phase = period * (self._rank(fleet_size) % turns) / turns
+        return period - (store_time - phase) % period
+
+    def _rank(self, fleet_size: int) -> int:
+        """Returns how many live instances have lower numbers."""
         live = self.live_priorities(fleet_size=fleet_size)
-        lower = sum(priority < self._priority for priority in live)
-        return lower < READER_COUNT
+        return sum(priority < self._priority for priority in live)
 
     def note_digest(
         self,
