Peers hand on the configuration that a restored store has lost

What callers saw: where the platform's store came back from a copy without a confirmed change, an instance that started before the operator had written again served by the copy's configuration: a removed key was let in for as long as that took. So did one that had stood still over the change and the restore.

Cause: instances order configurations by the operator's version, but exchange only the revision of the store's table, in which the copy is the newest. What they knew better stayed with each of them. Class of fault: a source that may go back is asked what is newest, though others are known to know more. Related: orders and evacuations that the copy lacks ended 2.2 s after the restore, by a clock, though the configuration told that nothing had been written again; an instance that knew of a newer configuration let in whom its own allowed, for as long as the newer one did not arrive.

Change: while the store has an older configuration than the one in force, instances tell a few peers, who fetch it. Orders and evacuations hold until the configuration is written again. An instance that knows for half of the time allowed that it is behind refuses, not run. A store without restores proves its configuration itself, so nothing changes there.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -40,6 +40,7 @@
 from nutmeghook.internal.version_plans import orders as orders_module
 from nutmeghook.internal.version_plans import rollouts as rollouts_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
+from nutmeghook.platform import configuration as configuration_wire
 from nutmeghook.platform import headers
 from nutmeghook.platform import rollout_rows
 from nutmeghook.platform import settings as settings_module
@@ -57,6 +58,10 @@
 # Reserved from the time until SIGKILL for closing connections and exiting.
 _STOP_RESERVE = datetime.timedelta(milliseconds=700)
 _POLL = datetime.timedelta(milliseconds=50)
+# An instance that knows for so long that it is behind, as part of the time in
+# which a change has to be in force, admits nobody by what it has. The change
+# was accepted somewhat earlier than it was heard of.
+_OVERDUE_PART = 0.5
 # How often tables that were held back after a restore of the store are settled.
 _SETTLE_PERIOD = datetime.timedelta(milliseconds=200)
 # Within these times after a restore instances write their rows again. The
@@ -139,7 +144,9 @@
                 * settings.heartbeat_interval
             ),
         )
-        self.configuration = in_force_module.ConfigurationInForce()
+        self.configuration = in_force_module.ConfigurationInForce(
+            needs_proof=True
+        )
         self.orders = orders_module.OrderRegistry()
         self.leaving = False
         self._access = replica_access.ReplicaAccess(
@@ -243,7 +250,7 @@
         gets stale, but equally so on all instances.
         """
         self._was_ready = self._was_ready or (
-            self.configuration.current is not None
+            self.configuration.is_proven
             and self.directory.known
             and self.rollouts.is_ready
         )
@@ -295,7 +302,13 @@
         )
         shared = {
             tables.OPERATOR_TABLE: self._shared(
-                tables.OPERATOR_TABLE, operator_rows
+                tables.OPERATOR_TABLE,
+                operator_rows,
+                # The configuration is only one of the operator's rows, but
+                # they were lost together and are written again together.
+                is_written_again=lambda: (
+                    not self.configuration.is_lost_by_store
+                ),
             ),
             tables.REPLICA_TABLE: self._shared(
                 tables.REPLICA_TABLE, replica_rows
@@ -311,6 +324,7 @@
             table=store.StoreRows(client=self._store),
             tables=shared,
             configuration=self.configuration,
+            decode_configuration=configuration_wire.decode,
             directory=self.directory,
             senders=self.send_limits.senders,
             loans=self.send_limits.loans,
@@ -325,8 +339,11 @@
             random_source=self._random,
         )
         self._peers = peers
-        self.configuration.newer_exists = lambda: peers.is_behind(
-            tables.OPERATOR_TABLE
+        self.configuration.newer_exists = lambda: (
+            peers.configuration_behind_for(tables.OPERATOR_TABLE) is not None
+        )
+        self.configuration.is_overdue = lambda: self._is_overdue(
+            peers.configuration_behind_for(tables.OPERATOR_TABLE)
         )
         self.configuration.proof_age_ms = shared[
             tables.OPERATOR_TABLE
@@ -427,16 +444,26 @@
             random_source=self._random,
         )
 
+    def _is_overdue(self, behind_for: datetime.timedelta | None) -> bool:
+        """Tells whether a newer configuration should have arrived by now."""
+        return behind_for is not None and (
+            behind_for > self._settings.change_time * _OVERDUE_PART
+        )
+
     def _hold_list_deletions(self) -> None:
         """Holds deletions after a store outage, in which entries expire."""
         self.directory.hold_after_outage(self._store_monitor.outage_ended_at)
 
     def _shared(
-        self, table: str, listener: follower.TableListener
+        self,
+        table: str,
+        listener: follower.TableListener,
+        is_written_again: Callable[[], bool] = lambda: True,
     ) -> shared_table.SharedTable:
         copy = table_copy.TableCopy(
             listener=listener,
             ordered_keys=tables.ORDERED_KEYS.get(table, frozenset()),
+            is_written_again=is_written_again,
             clock=self._clock,
         )
         return shared_table.SharedTable(
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -1,6 +1,7 @@
 """A router's connection to its peers: registration, sockets, gossip."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import random
 
@@ -31,6 +32,8 @@
 from nutmeghook.internal.replicas import speed_gossip
 from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import in_force as in_force_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.routes import peer_configurations
 from nutmeghook.internal.suspects import gossip as suspect_gossip
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.table_replication import bandwidth_limiter
@@ -63,7 +66,9 @@
         "_change_time",
         "_clock",
         "_configuration",
+        "_configurations",
         "_data_centre",
+        "_decode_configuration",
         "_directory",
         "_gossip",
         "_inner_address",
@@ -94,6 +99,7 @@
         table: table_module.TableService,
         tables: dict[str, shared_table.SharedTable],
         configuration: in_force_module.ConfigurationInForce,
+        decode_configuration: Callable[[bytes], model.Configuration],
         directory: directory_module.ReplicaDirectory,
         senders: sender_election.SenderElection,
         loans: share_loans.ShareLoans,
@@ -121,6 +127,10 @@
         self._link_mbit_per_s = link_mbit_per_s
         self._change_time = change_time
         self._configuration = configuration
+        self._decode_configuration = decode_configuration
+        self._configurations: peer_configurations.PeerConfigurations | None = (
+            None
+        )
         self._directory = directory
         self._senders = senders
         self._loans = loans
@@ -144,9 +154,22 @@
             return 1
         return self._gossip.live_fleet_size()
 
-    def is_behind(self, name: str) -> bool:
-        """Tells whether a peer recently reported a newer revision."""
-        return self._gossip is not None and self._gossip.is_behind(name)
+    def configuration_behind_for(self, name: str) -> datetime.timedelta | None:
+        """Returns for how long a newer configuration has been known.
+
+        Args:
+            name: The table of the configuration.
+
+        Returns:
+            None if no peer has one.
+        """
+        if self._gossip is None or self._configurations is None:
+            return None
+        lags = (
+            self._gossip.behind_for(name),
+            self._configurations.behind_for(),
+        )
+        return max((lag for lag in lags if lag is not None), default=None)
 
     async def follow_once(self, name: str) -> None:
         """Reads a table once, or waits briefly if peers read it."""
@@ -206,10 +229,26 @@
         self._senders.register(
             gossip_members.GossipMembers(gossip=self._gossip)
         )
+        self._configurations = peer_configurations.PeerConfigurations(
+            inner_address=self._inner_address,
+            configuration=self._configuration,
+            decode=self._decode_configuration,
+            registered_addresses=lambda: list(self._gossip.peers.values()),
+            sample_peers=lambda: self._gossip.sample_live_addresses(
+                local=peer_configurations.LOCAL_FANOUT,
+                remote=peer_configurations.REMOTE_FANOUT,
+            ),
+            caller=caller,
+            handlers=handlers,
+            messages=messages,
+            clock=self._clock,
+            random_source=self._random,
+        )
         logs.note("peer:registered", peers=sorted(registered.peers))
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._gossip.run())
+                tasks.create_task(self._configurations.run())
                 tasks.create_task(self._note_traffic())
                 for sender in self._build_senders(messages, self._gossip):
                     tasks.create_task(sender.run())
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -253,6 +253,28 @@
   7: binary data,
 }
 
+// The sender has a newer configuration in force than the store has.
+struct ConfigurationNews {
+  1: string sender_address,
+  2: i64 version,
+}
+
+// Asks for the configuration that the receiver has in force.
+struct ConfigurationPull {
+  // The one that the sender has; 0: none.
+  1: i64 known_version,
+}
+
+struct ConfigurationPage {
+  // 0: none.
+  1: i64 version,
+  // The sender admits requests by it.
+  2: bool proven,
+  // The operator's text, compressed; absent if it is not newer than the known
+  // one.
+  3: optional binary text,
+}
+
 // A request under which replicas have ended; ends are parallel lists. A replica
 // is named as in ReplicaLoads.
 struct CrashSuspect {
@@ -357,6 +379,9 @@
   32: TunnelReply tunnel_reply,
   33: ShareAsk share_ask,
   34: ShareGrant share_grant,
+  35: ConfigurationNews configuration_news,
+  36: ConfigurationPull configuration_pull,
+  37: ConfigurationPage configuration_page,
 }
 
 // One frame on a connection, or one datagram.
--- a/src/nutmeghook/internal/relay/current_routes.py
+++ b/src/nutmeghook/internal/relay/current_routes.py
@@ -53,6 +53,7 @@
         return attempt_facts.service_for(route, job)
 
     def _recheck(self, job: job_module.Job) -> model.Route:
+        denials.require_current(self._configuration)
         route = self._find_route(job)
         if route is None:
             raise self._denial(wire.FixedResponse.NO_ROUTE)
--- a/src/nutmeghook/internal/relay/denials.py
+++ b/src/nutmeghook/internal/relay/denials.py
@@ -1,4 +1,4 @@
-"""Refusals of what the configuration does not allow."""
+"""Refusals by the configuration, or for want of the newest one."""
 
 import datetime
 
@@ -8,6 +8,35 @@
 
 # A large change takes some 0.1 s to arrive over the slowest links.
 _RETRY_WHILE_BEHIND = datetime.timedelta(milliseconds=200)
+_RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(milliseconds=500)
+
+
+def require_current(
+    configuration: in_force_module.ConfigurationInForce,
+) -> None:
+    """Checks that requests may be admitted by the configuration.
+
+    Raises:
+        rejections.RejectedError: There is none, or a newer one is or may be
+            known to peers.
+    """
+    if configuration.current is None:
+        reason = "no configuration is known yet"
+    elif not configuration.is_proven:
+        reason = "peers have not yet told which configuration is the newest"
+    elif configuration.is_overdue():
+        reason = "a newer configuration has been known for long"
+    else:
+        return
+    raise rejections.RejectedError(
+        wire.FixedResponse.NOT_RUN,
+        reason=reason,
+        retry_after=(
+            _RETRY_WHILE_BEHIND
+            if configuration.is_proven
+            else _RETRY_WITHOUT_CONFIGURATION
+        ),
+    )
 
 
 def denial(
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -21,7 +21,7 @@
 
 # An instance that knows no configuration yet learns one within a second
 # unless the store is out.
-_RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(milliseconds=500)
+_RETRY_AFTER_FAULT = datetime.timedelta(milliseconds=500)
 
 
 class RequestRelay:
@@ -117,13 +117,8 @@
         incoming: incoming_module.Incoming,
         sink: incoming_module.AnswerSink,
     ) -> job_module.Job:
+        denials.require_current(self._configuration)
         configuration = self._configuration.current
-        if configuration is None:
-            raise rejections.RejectedError(
-                wire.FixedResponse.NOT_RUN,
-                reason="no configuration is known yet",
-                retry_after=_RETRY_WITHOUT_CONFIGURATION,
-            )
         route = configuration.find(incoming.host_name, incoming.path)
         if route is None:
             raise self._denial(wire.FixedResponse.NO_ROUTE, "no route matches")
@@ -231,5 +226,5 @@
         if not_sent
         else wire.FixedResponse.FAILED_PERHAPS_RUN,
         reason="internal fault",
-        retry_after=_RETRY_WITHOUT_CONFIGURATION if not_sent else None,
+        retry_after=_RETRY_AFTER_FAULT if not_sent else None,
     )
--- a/src/nutmeghook/internal/routes/in_force.py
+++ b/src/nutmeghook/internal/routes/in_force.py
@@ -28,34 +28,89 @@
 class ConfigurationInForce:
     """Holds the newest configuration received; versions never decrease.
 
+    The operator's version decides which configuration is the newest, whether
+    the store or a peer has it: a store that is restored from an older copy
+    loses configurations that it had accepted.
+
+    Args:
+        needs_proof: Requests are admitted only once something proves that no
+            newer configuration is known.
+
     Attributes:
         current: None until the first one is received.
+        text: The current one as the operator wrote it.
+        is_proven: Requests may be admitted by it. A store that was restored
+            proves nothing to an instance that starts; peers do.
         newer_exists: Returns whether a peer reported a newer version that has
             not been received here yet.
+        is_overdue: Returns whether that has been so for too long to go by the
+            current one.
         proof_age_ms: Returns how old the last proof is that the store has no
             newer version; -1 if there is none.
     """
 
-    __slots__ = ("current", "newer_exists", "proof_age_ms")
-
-    def __init__(self):
+    __slots__ = (
+        "_stored_version",
+        "current",
+        "is_overdue",
+        "is_proven",
+        "newer_exists",
+        "proof_age_ms",
+        "text",
+    )
+
+    def __init__(self, *, needs_proof: bool = False):
         self.current: model.Configuration | None = None
+        self.text = b""
+        self.is_proven = not needs_proof
         self.newer_exists: Callable[[], bool] = _no_newer_version
+        self.is_overdue: Callable[[], bool] = _no_newer_version
         self.proof_age_ms: Callable[[], int] = _no_proof
-
-    def offer(self, configuration: model.Configuration, *, source: str) -> bool:
+        # The newest version that the store was seen to have, since it was last
+        # restored.
+        self._stored_version = 0
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self.current.version if self.current else 0
+
+    @property
+    def is_lost_by_store(self) -> bool:
+        """Tells whether the store has an older configuration than this one."""
+        return self._stored_version < self.version
+
+    def offer(
+        self,
+        configuration: model.Configuration,
+        *,
+        text: bytes = b"",
+        source: str,
+    ) -> bool:
         """Puts a configuration in force if it is newer than the current one.
 
         A full read of the table or a lagging peer may offer an older one, with
         which a removed API key would work again.
 
+        Args:
+            configuration: What is offered.
+            text: It as the operator wrote it, to be handed to peers.
+            source: The store, or a peer's address; for the log.
+
         Returns:
             Whether it was put in force.
         """
         current = self.current
         if current is not None and configuration.version <= current.version:
+            if configuration.version == current.version and text != self.text:
+                logs.note(
+                    "configuration:conflicting",
+                    version=configuration.version,
+                    source=source,
+                )
             return False
         self.current = configuration
+        self.text = text
         logs.note(
             "configuration:in_force",
             version=configuration.version,
@@ -65,6 +120,25 @@
         )
         return True
 
+    def note_stored(self, version: int, *, is_whole_history: bool) -> None:
+        """Records the version that the store has.
+
+        Args:
+            version: Of the store's configuration.
+            is_whole_history: The store has never been restored, so that it has
+                lost nothing that it accepted.
+        """
+        was_lost = self.is_lost_by_store
+        self._stored_version = version
+        if is_whole_history:
+            self.is_proven = True
+        if self.is_lost_by_store and not was_lost:
+            logs.note(
+                "configuration:lost_by_store",
+                version=self.version,
+                stored=version,
+            )
+
     def admission(self) -> Admission:
         """Returns what is known now; a configuration must be in force."""
         return Admission(
--- a/src/nutmeghook/internal/table_replication/gossip.py
+++ b/src/nutmeghook/internal/table_replication/gossip.py
@@ -25,6 +25,7 @@
 from nutmeghook.internal.table_replication import bandwidth_limiter
 from nutmeghook.internal.table_replication import fleet_counter
 from nutmeghook.internal.table_replication import follower
+from nutmeghook.internal.table_replication import lag
 from nutmeghook.internal.table_replication import page_fetcher
 from nutmeghook.internal.table_replication import page_server
 from nutmeghook.internal.table_replication import peer_sampling
@@ -131,6 +132,7 @@
         "_election",
         "_inner_address",
         "_instance_id",
+        "_lags",
         "_last_seen",
         "_messages",
         "_newest_report",
@@ -187,6 +189,7 @@
         self._pushed_revisions: dict[str, int] = {}
         # By table: the last newer revision that a peer reported.
         self._newest_report: dict[str, _RevisionReport] = {}
+        self._lags = {name: lag.Lag() for name in tables}
         self._election = reader_election.ReaderElection(
             instance_id=instance_id, clock=clock
         )
@@ -270,6 +273,14 @@
             return False
         return self._clock.monotonic() - report.at <= _REPORT_LIFETIME
 
+    def behind_for(self, name: str) -> datetime.timedelta | None:
+        """Returns for how long a newer revision has been known; None if not."""
+        if not self.is_behind(name):
+            return None
+        return self._lags[name].duration(
+            own=self._tables[name].revision, now=self._clock.monotonic()
+        )
+
     def local_addresses(self) -> list[str]:
         """Returns the addresses of live instances of this data centre.
 
@@ -383,6 +394,11 @@
                 continue
             table.note_peer(revision, age_ms)
             if revision > table.revision:
+                self._lags[name].note_reported(
+                    revision,
+                    own=table.revision,
+                    now=self._clock.monotonic(),
+                )
                 self._newest_report[name] = _RevisionReport(
                     revision=revision, at=self._clock.monotonic()
                 )
--- a/src/nutmeghook/internal/table_replication/table_copy.py
+++ b/src/nutmeghook/internal/table_replication/table_copy.py
@@ -1,6 +1,7 @@
 """A copy of a replicated table's current rows, to be served to peers."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import datetime
@@ -50,12 +51,15 @@
     A store that was restored from an older copy lacks rows, and has others that
     were changed or deleted since the copy. The listener keeps what it knows,
     with the changes that follow, and gets the whole table once what was lost
-    has been written again.
+    has been written again: after a while, and not while something is known to
+    be missing.
 
     Args:
         listener: Gets the changes.
         ordered_keys: Rows whose values tell by themselves which is the newer.
             The listener gets them from a restored store at once.
+        is_written_again: Tells whether nothing is known to be missing still
+            from the table of a restored store.
         clock: Measures the time since a restore.
     """
 
@@ -63,6 +67,7 @@
         "_clock",
         "_complete_after",
         "_deletions",
+        "_is_written_again",
         "_listener",
         "_ordered_keys",
         "_revision",
@@ -76,9 +81,11 @@
         *,
         listener: follower.TableListener,
         ordered_keys: frozenset[str] = frozenset(),
+        is_written_again: Callable[[], bool] = lambda: True,
         clock: clock_module.Clock,
     ):
         self._listener = listener
+        self._is_written_again = is_written_again
         self._ordered_keys = ordered_keys
         self._clock = clock
         self._rows: dict[str, source.FollowedRow] = {}
@@ -122,9 +129,10 @@
     def settle(self) -> None:
         """Gives the listener the table that was held back after a restore.
 
-        Does nothing before its time, or if nothing is held back.
+        Does nothing before its time, if something is known to be missing, or
+        if nothing is held back.
         """
-        if self._settles_at is None:
+        if self._settles_at is None or not self._is_written_again():
             return
         if self._clock.monotonic() < self._settles_at:
             return
--- a/src/nutmeghook/platform/tables.py
+++ b/src/nutmeghook/platform/tables.py
@@ -1,5 +1,6 @@
 """Applies rows of the platform's tables to the router's state."""
 
+from nutmeghook.internal.dependencies import revisions
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.replicas import directory as directory_module
@@ -68,8 +69,13 @@
 
     def _apply(self, row: source.FollowedRow) -> None:
         if row.key == CONFIGURATION_KEY and not row.deleted:
+            configuration = configuration_wire.decode(row.value)
             self._configuration.offer(
-                configuration_wire.decode(row.value), source=_FROM_STORE
+                configuration, text=row.value, source=_FROM_STORE
+            )
+            self._configuration.note_stored(
+                configuration.version,
+                is_whole_history=not revisions.epoch_of(row.version),
             )
         elif row.key.startswith(rollout_rows.ORDER_PREFIX):
             service = row.key.removeprefix(rollout_rows.ORDER_PREFIX)
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -62,6 +62,16 @@
                 self.assertIn(b"Retry-After", answer)
         self.assertEqual(self.received_requests(), [])
 
+    async def test_an_instance_long_behind_admits_nobody(self):
+        """It reached neither the store nor the peer that told it of a newer
+        configuration, and went on by its own.
+        """
+        self.configuration.is_overdue = lambda: True
+        answer = await self.ask(ONCE)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertIn(b"Retry-After", answer)
+        self.assertEqual(self.received_requests(), [])
+
     async def test_a_revoked_key_is_refused_on_an_open_connection(
         self,
     ):
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -313,6 +313,27 @@
         self.assertFalse(reader.evacuations.is_evacuated("hall"))
         self.assertEqual(reader.listed(), ["i-1"])
 
+    async def test_what_the_copy_lacks_holds_however_late_it_is_written(self):
+        """After 2.2 s an order was withdrawn and an evacuated data centre got
+        requests, though the configuration told that nothing was written yet.
+        """
+        reader = self.instance("a")
+        copy = self.store.copy()
+        self.put_order("v2")
+        self.store.put(OPERATOR, "evacuate/hall", b"{}")
+        self.put_configuration(ROUTES + 1)
+        await reader.read()
+        lost = self.store.restore(copy)
+        for _ in range(3):
+            await self.settle(reader)
+            self.assertTrue(reader.evacuations.is_evacuated("hall"))
+            self.assertIsNotNone(reader.orders.of_service("service"))
+        lost[OPERATOR, "evacuate/hall"] = None
+        self.store.write_again(lost)
+        await self.settle(reader)
+        self.assertFalse(reader.evacuations.is_evacuated("hall"))
+        self.assertIsNotNone(reader.orders.of_service("service"))
+
     async def test_what_had_ended_does_not_begin_again(self):
         """A replica that was gone was sent requests, and one that had said that
         it leaves as well, until they were written and deleted again.
--- a/tests/restored_store_case.py
+++ b/tests/restored_store_case.py
@@ -101,6 +101,9 @@
         copy = table_copy.TableCopy(
             listener=listener,
             ordered_keys=tables.ORDERED_KEYS.get(table, frozenset()),
+            is_written_again=lambda: (
+                table != OPERATOR or not self.configuration.is_lost_by_store
+            ),
             clock=self.clock,
         )
         return shared_table.SharedTable(
