End what a server sends in place of an answer

What callers saw: a replica, an engine or the store that sends bytes for good, which are no answer, was read at full speed until the deadline, and the memory of an instance could fill with a body of the store.

Cause: aiohttp's parser skips empty lines, interim answers, a chunk's leading zeros and its extensions without keeping or counting them, and its client holds a whole body whatever its size. A refusal's body was read like an answer's, so that one without end made "may have run" of "not run".

Change: connections to replicas, engines, services and the store count the bytes that bring an answer no further (64 KB; 1 MB over the body's own size in all), and bodies held in memory have a bound. The heads of refusals and of liveness probes' answers count, their bodies get 64 KB and 0.2 s. Such bytes of a replica are counted and logged once a minute (wire:unreadable_value, field "answer").

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -16,6 +16,7 @@
 from nutmeghook.internal.assembly import router_gauges
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.assembly import send_limits as send_limits_module
+from nutmeghook.internal.foundation import bounded_http
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import team_shares as team_shares_module
 from nutmeghook.internal.limits import window_budget
@@ -131,7 +132,8 @@
         self._clock = clock
         self._random = random.Random()
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+            connector=bounded_http.BoundedConnector(limit=0),
+            auto_decompress=False,
         )
         self._store = store.StoreClient(
             session=self._session, address=settings.store_address
--- /dev/null
+++ b/src/nutmeghook/internal/foundation/bounded_http.py
@@ -0,0 +1,91 @@
+"""aiohttp's client, with bounds on what a server may send.
+
+The client itself keeps a whole body in memory, whatever its size, and reads on
+to the call's deadline where no further byte can make an answer.
+"""
+
+import functools
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import http_exceptions
+from aiohttp import http_parser
+from aiohttp import streams
+
+from nutmeghook.internal.foundation import answer_limits
+
+_FIRST_FINAL_STATUS = 200
+
+
+class AnswerTooLargeError(aiohttp.ClientError):
+    """A body is larger than any that the server is to send."""
+
+
+class _BoundedHandler(client_proto.ResponseHandler):
+    """Ends a connection whose bytes bring no answer any further."""
+
+    def __init__(self, **parts):
+        super().__init__(**parts)
+        self._framing_limit = answer_limits.FramingLimit()
+        self._body: streams.StreamReader | None = None
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Takes the head of an answer, or an interim one."""
+        message, body = data
+        if message.code >= _FIRST_FINAL_STATUS:
+            self._framing_limit = answer_limits.FramingLimit()
+            self._body = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes of an answer."""
+        super().data_received(data)
+        body_bytes = self._body.total_bytes if self._body else -1
+        try:
+            self._framing_limit.note(
+                len(data),
+                body_bytes=body_bytes,
+                is_parsed=not self._reading_paused,
+            )
+        except answer_limits.TooMuchFramingError as error:
+            self.set_exception(
+                http_exceptions.BadHttpMessage(str(error)), error
+            )
+            if self.transport is not None:
+                self.transport.abort()
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections that end if no answer comes of their bytes."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        # aiohttp has no public way to replace its protocol.
+        self._factory = functools.partial(_BoundedHandler, loop=self._loop)
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, *, most_bytes: int
+) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+        AnswerTooLargeError: It is larger, or states so. The connection is
+            closed.
+        aiohttp.ClientError: It broke off.
+    """
+    pieces = []
+    left_bytes = most_bytes
+    if (response.content_length or 0) > most_bytes:
+        left_bytes = -1
+    while left_bytes >= 0 and (piece := await response.content.readany()):
+        pieces.append(piece)
+        left_bytes -= len(piece)
+    if left_bytes < 0:
+        response.close()
+        raise AnswerTooLargeError(f"the body has over {most_bytes} bytes")
+    return b"".join(pieces)
--- a/src/nutmeghook/internal/standin_http/http_engine.py
+++ b/src/nutmeghook/internal/standin_http/http_engine.py
@@ -26,6 +26,9 @@
 # the connection reusable for the next generation.
 END_TIMEOUT = datetime.timedelta(seconds=1)
 MAX_LINE_BYTES = 1024 * 1024
+# Of one stream. A chunk takes some 150 bytes beside its text, and the longest
+# answers have some ten thousand tokens.
+MAX_STREAM_BYTES = 16 * 1024 * 1024
 
 
 class CancelBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -138,6 +141,7 @@
             rest = b""
             async for piece in response.content.iter_any():
                 read_timeout.record_data()
+                _check_size(response)
                 lines, rest = _whole_lines(rest + piece if rest else piece)
                 chunks = _chunk_decoder.decode_lines(lines)
                 if not chunks or chunks[-1].finish is None:
@@ -206,7 +210,7 @@
         return http_exchange.refusal_error(
             peer=self._address,
             status=response.status,
-            body=await response.read(),
+            body=await http_exchange.read_body(response),
         )
 
 
@@ -288,6 +292,14 @@
     return data[:end], data[end:]
 
 
+def _check_size(response: aiohttp.ClientResponse) -> None:
+    """Checks that a stream is not longer than any answer."""
+    if response.content.total_bytes > MAX_STREAM_BYTES:
+        raise failures.OutcomeUnknownError(
+            f"{response.url.authority}: over {MAX_STREAM_BYTES} bytes of chunks"
+        )
+
+
 async def _read_end(response: aiohttp.ClientResponse) -> None:
     """Reads the body's end, so that the connection can be reused."""
     if response.content.at_eof():
--- a/src/nutmeghook/internal/standin_http/http_exchange.py
+++ b/src/nutmeghook/internal/standin_http/http_exchange.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.foundation import bounded_http
 
 _T = TypeVar("_T")
 
@@ -22,6 +23,8 @@
 # connection. A call sent on one that the server just closed has an unknown
 # outcome.
 IDLE_CONNECTION_TIMEOUT = datetime.timedelta(seconds=10)
+# Objects of the object store, of 8 MB at most, are the largest bodies.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 JSON_HEADERS = {"Content-Type": "application/json"}
 # Every instance makes conditional reads each second, and aiohttp's default
 # headers would be half of their bytes.
@@ -71,11 +74,11 @@
             `http_plain` requires.
     """
     if reuse_connections:
-        connector = aiohttp.TCPConnector(
+        connector = bounded_http.BoundedConnector(
             limit=0, keepalive_timeout=IDLE_CONNECTION_TIMEOUT.total_seconds()
         )
     else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = bounded_http.BoundedConnector(limit=0, force_close=True)
     # All teams share the session, so a cookie that a backend server sets in an
     # answer to one team must not be sent with a call of another.
     return aiohttp.ClientSession(
@@ -86,6 +89,15 @@
     )
 
 
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the whole body of an answer that is held in memory.
+
+    Raises:
+        aiohttp.ClientError: It broke off, or is larger than `MAX_BODY_BYTES`.
+    """
+    return await bounded_http.read_body(response, most_bytes=MAX_BODY_BYTES)
+
+
 def check_end(response: aiohttp.ClientResponse, peer: str) -> None:
     """Checks that a body that was read can't be one that broke off.
 
@@ -225,7 +237,7 @@
                 timeout=self._timeout,
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise failures.NotDoneError(
                 f"{self._peer}{path}: {type(error).__name__}: {error}"
@@ -271,7 +283,7 @@
                 timeout=self._timeout,
                 allow_redirects=False,
             ) as response:
-                answer = await response.read()
+                answer = await read_body(response)
                 check_end(response, self._peer + path)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise to_platform_error(error, self._peer + path) from error
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -15,6 +15,7 @@
 from aiohttp import http_parser
 from aiohttp import streams
 
+from nutmeghook.internal.foundation import answer_limits
 from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.upstream import outcomes
 
@@ -27,6 +28,8 @@
 # Longest header line and field of an answer. Replicas send a few hundred
 # bytes; this only bounds the memory that a faulty one can use.
 MAX_HEADER_FIELD_BYTES = 16 * 1024
+# Of a body that nobody needs. Reading it takes less than a new connection.
+_MAX_DROPPED_BYTES = 64 * 1024
 
 
 class AnswerHead:
@@ -80,6 +83,15 @@
         self._connection.note_read(len(data))
         return data
 
+    async def drop_body(self) -> None:
+        """Reads a body of which nothing is needed, unless it is long."""
+        read_bytes = 0
+        while read_bytes <= _MAX_DROPPED_BYTES:
+            piece = await self.read()
+            if not piece:
+                return
+            read_bytes += len(piece)
+
     @property
     def is_received(self) -> bool:
         """Tells whether no more of the body follows, or it has none."""
@@ -113,6 +125,7 @@
     __slots__ = (
         "_answers",
         "_framing_bytes",
+        "_framing_limit",
         "_head",
         "_payload",
         "_read_bytes",
@@ -242,18 +255,31 @@
         try:
             messages, upgraded, tail = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
-            self._fail(outcomes.UnknownOutcomeError(f"not HTTP: {error}"))
+            self._fail(outcomes.NoAnswerError(f"not HTTP: {error}"))
             return
         except Exception as error:  # the parser raises the body's errors too
-            self._fail(outcomes.UnknownOutcomeError(f"bad answer: {error}"))
+            self._fail(outcomes.NoAnswerError(f"bad answer: {error}"))
             return
         if upgraded or tail:
             self.reusable = False
         for message, payload in messages:
             self._receive_answer(message, payload)
-        if self._payload is not None and not self._reading_paused:
-            parsed = self._payload.total_bytes
-            self._framing_bytes = self._received_bytes - parsed
+        self._note_received(len(data))
+
+    def _note_received(self, received_bytes: int) -> None:
+        """Ends the exchange if received bytes bring no answer any further."""
+        is_parsed = not self._reading_paused
+        body_bytes = -1
+        if self._payload is not None:
+            body_bytes = self._payload.total_bytes
+            if is_parsed:
+                self._framing_bytes = self._received_bytes - body_bytes
+        try:
+            self._framing_limit.note(
+                received_bytes, body_bytes=body_bytes, is_parsed=is_parsed
+            )
+        except answer_limits.TooMuchFramingError as error:
+            self._fail(outcomes.NoAnswerError(str(error)))
 
     def eof_received(self) -> None:
         """Lets the transport close, and records whether it was a reset."""
@@ -281,6 +307,7 @@
         self._received_bytes = 0
         self._read_bytes = 0
         self._framing_bytes = 0
+        self._framing_limit = answer_limits.FramingLimit()
 
     def _receive_answer(
         self,
--- a/src/nutmeghook/internal/upstream/liveness.py
+++ b/src/nutmeghook/internal/upstream/liveness.py
@@ -165,8 +165,8 @@
                 self._message(replica), has_body=True
             )
             # The connection is of use to the next request if it is read up.
-            while not head.ends_with_connection and await head.read():
-                pass
+            if not head.ends_with_connection:
+                await head.drop_body()
             return head.status
         finally:
             self._pool.release(address, connection, idle_limit_s=None)
--- a/src/nutmeghook/internal/upstream/outcomes.py
+++ b/src/nutmeghook/internal/upstream/outcomes.py
@@ -43,6 +43,10 @@
     """The request was written and may have run; no whole answer came."""
 
 
+class NoAnswerError(UnknownOutcomeError):
+    """Bytes came that are no answer, or more of them than any answer has."""
+
+
 class ConnectionLostError(UnknownOutcomeError):
     """The connection ended before the answer did.
 
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -30,6 +30,9 @@
 # Whole answers are held in memory until they are checked. Those of plain
 # services have some kilobytes; this bounds the memory that a faulty one uses.
 MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+# The body of a refusal, a few bytes long, is read so that its connection can be
+# used again.
+_MAX_REFUSAL_TIME = datetime.timedelta(milliseconds=200)
 # Misdirected request: another replica has the address.
 _WRONG_REPLICA_STATUS = 421
 _NOT_ACCEPTING = frozenset(
@@ -139,9 +142,7 @@
                 pieces.append(piece)
                 read_bytes += len(piece)
                 if read_bytes > MAX_WHOLE_ANSWER_BYTES:
-                    raise outcomes.UnknownOutcomeError(
-                        "the answer is too large"
-                    )
+                    raise outcomes.NoAnswerError("the answer is too large")
                 if held is not None and read_bytes > held_bytes_here:
                     await held.hold_answer(read_bytes - held_bytes_here)
                     held_bytes_here = read_bytes
@@ -157,13 +158,18 @@
         """Returns the stated length of a body that is still to come.
 
         Answers to HEAD, and some others, state a length and have no body.
+
+        Raises:
+            outcomes.NoAnswerError: It is too large.
         """
         if self.head.is_received:
             return 0
         stated = self.head.header("content-length") or ""
         if not stated.isdecimal():
             return 0
-        return min(int(stated), MAX_WHOLE_ANSWER_BYTES)
+        if int(stated) > MAX_WHOLE_ANSWER_BYTES:
+            raise outcomes.NoAnswerError("the answer is too large")
+        return int(stated)
 
 
 class Sender:
@@ -222,8 +228,12 @@
                 outgoing.carrier.connection = connection
                 answer = await self._exchange(connection, replica, outgoing)
             yield answer
-        except outcomes.UnknownOutcomeError:
+        except outcomes.UnknownOutcomeError as error:
             replica.health.note_failure(self._clock.monotonic())
+            if isinstance(error, outcomes.NoAnswerError):
+                self._unreadable.note(
+                    "answer", str(error), source=replica.entry.replica_id
+                )
             raise
         finally:
             replica.in_flight -= 1
@@ -327,7 +337,7 @@
             )
         self._note_facts(replica, answer, sent_at=sent_at)
         if facts.not_run:
-            await answer.read_whole()
+            await self._drop_body(answer)
             raise outcomes.RefusedError(
                 f"{replica.entry.replica_id} refused with {head.status}",
                 status=head.status,
@@ -335,6 +345,13 @@
             )
         return answer
 
+    async def _drop_body(self, answer: Answer) -> None:
+        """Reads the body of a refusal; its head alone says what it says."""
+        with contextlib.suppress(TimeoutError, outcomes.UnknownOutcomeError):
+            await self._clock.wait_for(
+                answer.head.drop_body(), _MAX_REFUSAL_TIME
+            )
+
     def _note_facts(
         self,
         replica: replica_module.Replica,
--- a/src/nutmeghook/platform/store.py
+++ b/src/nutmeghook/platform/store.py
@@ -9,6 +9,7 @@
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import revisions
 from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.foundation import bounded_http
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.table_replication import source
 from nutmeghook.platform import store_messages
@@ -18,6 +19,9 @@
 CALL_TIMEOUT = datetime.timedelta(milliseconds=1200)
 # Added to the time that a feed call is asked to wait.
 FEED_TIMEOUT_MARGIN = datetime.timedelta(milliseconds=600)
+# A page has 500 rows or 1 MB, and base64 makes that a third more. A feed may
+# have several pages' worth of changes.
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _ROWS_PER_PAGE = 500
 _HISTORY_GONE_STATUS = 410
 _CONDITION_FAILED_STATUS = 412
@@ -97,7 +101,9 @@
                 epoch = self._note_epoch(response.headers.get(_EPOCH))
                 return store_messages.Answer(
                     status=response.status,
-                    body=await response.read(),
+                    body=await bounded_http.read_body(
+                        response, most_bytes=_MAX_ANSWER_BYTES
+                    ),
                     epoch=epoch,
                 )
         except aiohttp.ClientConnectorError as error:
