Let only the same start of a replica confirm the end of an answer

What callers saw: streams without a length with 19 of 40 events, properly ended. Their replica had ended while the router stood still, and was back under its id and address when the router went on and probed it.

Cause: any answer to a liveness probe but 421 confirmed the end of an answer, and the probe names a replica by its id, which outlives its process. Evidence: the report in the probe's answer states a start 2 s after that of the list.

Change: the start that a probe's answer states is compared with the list's. Where none is stated, a standstill of this process since the attempt was sent leaves the end in doubt. A later start also counts as a crash for the requests whose connections were lost with the former one.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -5,6 +5,7 @@
 import random
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import standstill as standstill_module
 from nutmeghook.internal.limits import team_shares
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
@@ -56,6 +57,7 @@
     budgets: window_budget.WindowRetryBudgets
     team_shares: team_shares.TeamShares
     suspects: registry_module.SuspectRegistry
+    standstills: standstill_module.StandstillMonitor
     pool: pool_module.ConnectionPool
     data_centre: str
     region_of: Callable[[str], str | None]
@@ -100,6 +102,7 @@
             metrics=dependencies.metrics,
             clock=dependencies.clock,
         ),
+        standstills=dependencies.standstills,
         metrics=dependencies.metrics,
         clock=dependencies.clock,
     )
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.assembly import send_limits as send_limits_module
 from nutmeghook.internal.foundation import bounded_http
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import standstill as standstill_module
 from nutmeghook.internal.limits import team_shares as team_shares_module
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
@@ -116,6 +117,7 @@
         "rollouts",
         "send_limits",
         "speeds",
+        "standstills",
         "suspects",
         "team_shares",
     )
@@ -197,6 +199,7 @@
         self.suspects = registry_module.SuspectRegistry(
             clock=clock, probe_rank=self._random.random()
         )
+        self.standstills = standstill_module.StandstillMonitor(clock=clock)
         self.metrics = metrics_module.Metrics()
         self.held = held_bytes.HeldBytes(
             bound_bytes=held_bytes.bound_for(settings.memory_mb),
@@ -230,6 +233,7 @@
                 budgets=self.budgets,
                 team_shares=self.team_shares,
                 suspects=self.suspects,
+                standstills=self.standstills,
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
                 region_of=lambda name: self._settings.regions.get(name),
@@ -356,6 +360,7 @@
             for table in (tables.OPERATOR_TABLE, tables.REPLICA_TABLE):
                 tasks.create_task(_follow_forever(table, peers))
             tasks.create_task(self._settle_forever(shared.values()))
+            tasks.create_task(self.standstills.run())
             tasks.create_task(peers.run())
             tasks.create_task(self._pool.restore_paths())
             tasks.create_task(plans.run())
--- a/src/nutmeghook/internal/foundation/clock.py
+++ b/src/nutmeghook/internal/foundation/clock.py
@@ -27,6 +27,10 @@
     def monotonic(self) -> datetime.timedelta:
         """Returns the time since an arbitrary start; it never goes back."""
 
+    def elapsed(self) -> datetime.timedelta:
+        """Returns a monotonic time that counts suspensions of the machine."""
+        return self.monotonic()
+
     @abc.abstractmethod
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Waits until `duration` has passed on this clock."""
@@ -70,6 +74,12 @@
         """Returns the time since the machine's arbitrary start."""
         return datetime.timedelta(seconds=time.monotonic())
 
+    def elapsed(self) -> datetime.timedelta:
+        """Returns the time since the machine's start, suspensions included."""
+        return datetime.timedelta(
+            seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
+        )
+
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Waits until `duration` has passed."""
         await asyncio.sleep(duration.total_seconds())
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -128,10 +128,12 @@
             may have, too, by the callers' ids.
         begun: The replica had begun to work on it.
         replica_now: How the replica responded to a new connection.
+        restarted: A later start of the replica answered there.
     """
 
     identity: str
     replica: str
+    restarted: bool | None = None
     prompt_parts: dict[str, str] | None = None
     begun: bool | None = None
     replica_now: str | None = None
@@ -143,9 +145,11 @@
     Attributes:
         replica_now: How its replica responded to a new connection.
         leaving: Its replica had announced that it leaves.
+        restarted: A later start of its replica answered there.
     """
 
     replica: str
+    restarted: bool | None = None
     replica_now: str | None = None
     leaving: bool | None = None
 
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -4,6 +4,7 @@
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import standstill as standstill_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import job as job_module
@@ -33,6 +34,7 @@
         "_metrics",
         "_probes",
         "_registry",
+        "_standstills",
     )
 
     def __init__(
@@ -40,9 +42,11 @@
         *,
         registry: registry_module.SuspectRegistry,
         probes: liveness_module.LivenessProbes,
+        standstills: standstill_module.StandstillMonitor,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
+        self._standstills = standstills
         self._registry = registry
         self._probes = probes
         self._metrics = metrics
@@ -90,7 +94,8 @@
         """Checks that an answer that was received is complete.
 
         If the connection's end is the answer's, the end of the replica's
-        process looks like it, so the replica is probed.
+        process looks like it, so the replica is probed. Its next start may
+        answer under the same id, after a standstill of this process too.
 
         Raises:
             outcomes.ConnectionLostError: The process has ended, or may have.
@@ -99,17 +104,32 @@
             return
         replica = prepared.replica
         liveness = await asyncio.shield(self._probes.start(replica))
-        if liveness.has_answered:
+        if self._is_alive(prepared, liveness):
             return
         logs.note(
             "answer:end_unconfirmed",
             request=prepared.outgoing.request_id,
             replica=replica.entry.replica_id,
             replica_now=liveness.reachability.value,
+            restarted=liveness.has_restarted(replica) or None,
             leaving=replica.is_leaving,
         )
         raise outcomes.ConnectionLostError("the replica may have ended")
 
+    def _is_alive(
+        self,
+        prepared: prepared_module.PreparedAttempt,
+        liveness: liveness_module.Liveness,
+    ) -> bool:
+        """Tells whether a probe shows that an attempt's process still runs."""
+        replica = prepared.replica
+        if not liveness.has_answered or liveness.has_restarted(replica):
+            return False
+        if liveness.is_same_start(replica):
+            return True
+        # The replica may have ended and started again unnoticed meanwhile.
+        return not self._standstills.has_ended_since(prepared.sent_at)
+
     async def note_lost(
         self,
         job: job_module.Job,
@@ -136,7 +156,7 @@
                     job,
                     attempt,
                     prepared.replica,
-                    probing.result().reachability,
+                    probing.result(),
                     begun=begun,
                     begun_for=begun_for,
                 )
@@ -150,7 +170,7 @@
         job: job_module.Job,
         attempt: int,
         replica: replica_module.Replica,
-        reachability: reachability_module.Reachability,
+        liveness: liveness_module.Liveness,
         *,
         begun: bool,
         begun_for: datetime.timedelta,
@@ -159,6 +179,7 @@
 
         A leaving replica that refuses connections has not crashed.
         """
+        reachability = liveness.reachability
         self._metrics.add("connections_lost_total", replica=reachability.value)
         logs.note(
             "attempt:lost",
@@ -174,8 +195,10 @@
             replica=replica.entry.replica_id,
             begun=begun,
             replica_now=reachability.value,
+            restarted=liveness.has_restarted(replica) or None,
         )
-        if reachability is _REFUSES and not replica.is_leaving:
+        has_ended = reachability is _REFUSES or liveness.has_restarted(replica)
+        if has_ended and not replica.is_leaving:
             self._registry.note_crash(
                 job.identity,
                 replica_hash=replica.short_id,
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -176,6 +176,17 @@
             time_left: When it passes, the replica rejects the probe.
         """
 
+    @abc.abstractmethod
+    def read_start_ms(self, body: bytes) -> int:
+        """Returns the start of the replica that sent a probe's answer.
+
+        Args:
+            body: Of the answer, or the beginning of it.
+
+        Returns:
+            Unix time; 0 if it states none.
+        """
+
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
         """Reads an answer's headers."""
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -28,8 +28,9 @@
 # Longest header line and field of an answer. Replicas send a few hundred
 # bytes; this only bounds the memory that a faulty one can use.
 MAX_HEADER_FIELD_BYTES = 16 * 1024
-# Of a body that nobody needs. Reading it takes less than a new connection.
-_MAX_DROPPED_BYTES = 64 * 1024
+# Of a body of which little or nothing is needed. Reading so much takes less
+# than a new connection.
+_MAX_SHORT_BYTES = 64 * 1024
 
 
 class AnswerHead:
@@ -83,14 +84,14 @@
         self._connection.note_read(len(data))
         return data
 
-    async def drop_body(self) -> None:
-        """Reads a body of which nothing is needed, unless it is long."""
+    async def read_short(self) -> bytes:
+        """Returns the body, or only its beginning if it is long."""
+        pieces = []
         read_bytes = 0
-        while read_bytes <= _MAX_DROPPED_BYTES:
-            piece = await self.read()
-            if not piece:
-                return
+        while read_bytes <= _MAX_SHORT_BYTES and (piece := await self.read()):
+            pieces.append(piece)
             read_bytes += len(piece)
+        return b"".join(pieces)
 
     @property
     def is_received(self) -> bool:
--- a/src/nutmeghook/internal/upstream/liveness.py
+++ b/src/nutmeghook/internal/upstream/liveness.py
@@ -30,6 +30,9 @@
 # Each further pause is twice as long, so that a faulty replica gets few probes.
 _FIRST_PAUSE = datetime.timedelta(milliseconds=10)
 _DEFAULT_PATH = "/health"
+# Two statements of one start may differ a little. A replica takes longer than
+# this to start again.
+_SAME_START_MS = 500
 _WRONG_REPLICA_STATUS = 421
 
 
@@ -41,10 +44,25 @@
         reachability: How it responded to the last connection.
         has_answered: It has answered a request, so its process was running when
             the probe was sent.
+        started_ms: Unix time of the start of the process that answered; 0 if it
+            is not known.
     """
 
     reachability: _Reachability
     has_answered: bool
+    started_ms: int = 0
+
+    def has_restarted(self, replica: replica_module.Replica) -> bool:
+        """Tells whether a later start of the replica has answered."""
+        return (
+            self.started_ms > replica.entry.started_ms + _SAME_START_MS
+            and replica.entry.started_ms > 0
+        )
+
+    def is_same_start(self, replica: replica_module.Replica) -> bool:
+        """Tells whether the start that is listed has answered."""
+        distance_ms = abs(self.started_ms - replica.entry.started_ms)
+        return self.started_ms > 0 and distance_ms <= _SAME_START_MS
 
 
 class LivenessProbes:
@@ -133,7 +151,7 @@
                 reachability = _Reachability.BYPASSED
             self._note_sent(replica.entry.replica_id)
             try:
-                status = await self._clock.wait_for(
+                status, body = await self._clock.wait_for(
                     self._exchange(replica, connection), left
                 )
             except TimeoutError:
@@ -145,6 +163,7 @@
             return Liveness(
                 reachability=reachability,
                 has_answered=status != _WRONG_REPLICA_STATUS,
+                started_ms=self._wire_format.read_start_ms(body),
             )
         return Liveness(reachability=reachability, has_answered=False)
 
@@ -157,17 +176,17 @@
         self,
         replica: replica_module.Replica,
         connection: connection_module.ReplicaConnection,
-    ) -> int:
-        """Returns the status of the answer to one request."""
+    ) -> tuple[int, bytes]:
+        """Returns the status of the answer to one request, and its body."""
         address = replica.entry.address
         try:
             head = await connection.exchange(
                 self._message(replica), has_body=True
             )
             # The connection is of use to the next request if it is read up.
-            if not head.ends_with_connection:
-                await head.drop_body()
-            return head.status
+            if head.ends_with_connection:
+                return head.status, b""
+            return head.status, await head.read_short()
         finally:
             self._pool.release(address, connection, idle_limit_s=None)
 
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -349,7 +349,7 @@
         """Reads the body of a refusal; its head alone says what it says."""
         with contextlib.suppress(TimeoutError, outcomes.UnknownOutcomeError):
             await self._clock.wait_for(
-                answer.head.drop_body(), _MAX_REFUSAL_TIME
+                answer.head.read_short(), _MAX_REFUSAL_TIME
             )
 
     def _note_facts(
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import signals as signals_module
+from nutmeghook.platform import replicas
 
 REQUEST_ID = "X-Attempt-Id"
 TIME_LEFT = "X-Deadline-Ms"
@@ -138,6 +139,10 @@
             (EXPECTED_REPLICA, replica_id),
         ]
 
+    def read_start_ms(self, body: bytes) -> int:
+        """Returns the start that a replica's answer to a probe states."""
+        return replicas.decode_start_ms(body)
+
     def read_answer(
         self, status: int, headers: wire.Headers
     ) -> wire.AnswerFacts:
--- a/src/nutmeghook/platform/replicas.py
+++ b/src/nutmeghook/platform/replicas.py
@@ -47,7 +47,14 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_START_MS)] | None = None
 
 
+class _Report(msgspec.Struct, frozen=True):
+    """What a replica answers about itself, as far as it is used."""
+
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_START_MS)] = 0
+
+
 _DECODER = msgspec.json.Decoder(_Entry)
+_REPORT_DECODER = msgspec.json.Decoder(_Report)
 
 
 def decode(
@@ -80,6 +87,14 @@
     )
 
 
+def decode_start_ms(body: bytes) -> int:
+    """Returns the start that a replica states of itself; 0 if it does not."""
+    try:
+        return _REPORT_DECODER.decode(body).born
+    except (msgspec.MsgspecError, RecursionError):
+        return 0
+
+
 def _is_address(text: str) -> bool:
     if not _ADDRESS.fullmatch(text):
         return False
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -134,6 +134,8 @@
         answers_probes: It answers liveness probes. If False, it closes their
             connections, as the system does for a process that ends.
         probes: How many liveness probes it has received.
+        started_ms: The start that it states in its answers to probes; 0 for
+            none.
         request_abandoned: Set whenever `abandoned` grows.
         request_received: Set whenever `received` grows.
         crashed: Set once it has crashed or stopped; `restart` clears it.
@@ -165,6 +167,7 @@
         "room",
         "signals",
         "slots",
+        "started_ms",
         "work_time_percent",
     )
 
@@ -201,6 +204,7 @@
         self.work_time_percent: int | None = None
         self.answers_probes = True
         self.probes = 0
+        self.started_ms = 0
 
     def reply_from(self, replies: list[Reply]) -> None:
         """Takes replies from a list that replicas may share."""
@@ -330,7 +334,9 @@
         status = 200 if expected in (None, self.replica_id) else 421
         if not self.answers_probes:
             return False
-        writer.write(_head(Reply(status=status, body=b""), request, ()))
+        body = b'{"born":%d}' % self.started_ms if self.started_ms else b""
+        reply = Reply(status=status, body=body)
+        writer.write(_head(reply, request, ()) + body)
         await writer.drain()
         return True
 
--- a/tests/cover/test_answers_without_length.py
+++ b/tests/cover/test_answers_without_length.py
@@ -11,6 +11,7 @@
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
 Reply = users_replica.Reply
 EVENTS = (0, 1, 2)
+BORN_MS = 1_700_000_000_000
 
 FIRST_EVENT_BYTES = len(users_replica.event(0))
 WHOLE = [users_replica.event(number) for number in EVENTS]
@@ -56,6 +57,46 @@
         self.assertTrue(relay_fixture.is_complete(answer))
         self.assertEqual(relay_fixture.events_of(answer), WHOLE)
 
+    async def test_the_next_start_of_a_replica_does_not_end_its_streams(self):
+        """A replica had ended between two events, and its next start, under the
+        same id and address, answered the liveness probe.
+        """
+        for replica in self.replicas:
+            replica.started_ms = BORN_MS + 2000
+            self.directory.put(self.entry(replica, started_ms=BORN_MS))
+        self.reply_with(
+            Reply(events=EVENTS, framed=False, send_bytes=FIRST_EVENT_BYTES),
+            Reply(events=EVENTS),
+        )
+        answer = await self.ask(STREAM)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    async def test_a_stated_start_confirms_the_end_after_a_standstill(self):
+        for replica in self.replicas:
+            replica.started_ms = BORN_MS
+            self.directory.put(self.entry(replica, started_ms=BORN_MS))
+        self.stand_still()
+        self.reply_with(Reply(events=EVENTS, framed=False))
+        answer = await self.ask(STREAM)
+        self.assertTrue(relay_fixture.is_complete(answer))
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        self.assertEqual(len(self.received_requests()), 1)
+
+    async def test_after_a_standstill_only_a_stated_start_confirms_an_end(self):
+        """This process had slept while a replica ended and started again."""
+        self.stand_still()
+        self.reply_with(
+            Reply(events=EVENTS, framed=False, send_bytes=FIRST_EVENT_BYTES),
+            Reply(events=EVENTS),
+        )
+        answer = await self.ask(STREAM)
+        self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+
+    def stand_still(self) -> None:
+        """Has a standstill of this process end during the next request."""
+        later = self.clock.monotonic() + relay_fixture.SECOND
+        self.standstills._ended_at = later
+
     async def test_an_answer_whose_replica_crashed_is_not_passed_on(self):
         self.reply_with(
             Reply(body=b"half", framed=False, send_bytes=2, crash=True),
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -9,6 +9,7 @@
 
 from nutmeghook.internal.assembly import relay_assembly
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import standstill
 from nutmeghook.internal.limits import team_shares
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import metrics as metrics_module
@@ -136,6 +137,7 @@
             metrics=self.metrics,
             clock=self.clock,
         )
+        self.standstills = standstill.StandstillMonitor(clock=self.clock)
         self.suspects = registry_module.SuspectRegistry(clock=self.clock)
         self.budgets = window_budget.WindowRetryBudgets(
             ratio=0.9,
@@ -160,6 +162,7 @@
                     budgets=self.budgets,
                     team_shares=self.team_shares,
                     suspects=self.suspects,
+                    standstills=self.standstills,
                     pool=self.pool,
                     data_centre="here",
                     region_of=self.regions.get,
