Count crashes one after the other soon after an answer

What callers saw: a request that had been answered before crashed some twenty replicas in half a minute, and 14 to 22 requests of others were lost with them.

Cause: for 30 s after an answer no crash counted against a request, so that a rack that loses power under copies of a common request doesn't stop it. Evidence: the routers' logs have each loss with a refusing replica, and nothing of a suspect until 30 s after the last answer.

Change: in that time a crash counts if its replica was sent the request after the answer and after the last crash that counts. Times of sending go with the gossip, 2 to 4 bytes a crash by size.

Six replicas lost together after an answer still count as one; the property of merges has times of sending.

--- a/src/nutmeghook/internal/dispatch/engine_crashes.py
+++ b/src/nutmeghook/internal/dispatch/engine_crashes.py
@@ -121,6 +121,7 @@
                 _identity(request),
                 replica_hash=self._crash_hash(address),
                 begun=attempt.next_token > 0,
+                sent_at=attempt.started_at,
                 parts=_part_identities(request),
             )
 
--- a/src/nutmeghook/internal/inner/messages.thrift
+++ b/src/nutmeghook/internal/inner/messages.thrift
@@ -294,6 +294,8 @@
   8: optional list<i32> request_hashes,
   // How often it was sent on trial; absent for never.
   9: optional i32 tries,
+  // Since the replicas were sent it, parallel to `ages_ms`; -1: not known.
+  10: optional list<i32> sent_ages_ms,
 }
 
 struct CrashSuspects {
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -9,7 +9,6 @@
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import job as job_module
 from nutmeghook.internal.relay import prepared as prepared_module
-from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.suspects import registry as registry_module
 from nutmeghook.internal.upstream import connection as connection_module
@@ -155,7 +154,7 @@
                 self._conclude(
                     job,
                     attempt,
-                    prepared.replica,
+                    prepared,
                     probing.result(),
                     begun=begun,
                     begun_for=begun_for,
@@ -169,7 +168,7 @@
         self,
         job: job_module.Job,
         attempt: int,
-        replica: replica_module.Replica,
+        prepared: prepared_module.PreparedAttempt,
         liveness: liveness_module.Liveness,
         *,
         begun: bool,
@@ -179,6 +178,7 @@
 
         A leaving replica that refuses connections has not crashed.
         """
+        replica = prepared.replica
         reachability = liveness.reachability
         self._metrics.add("connections_lost_total", replica=reachability.value)
         logs.note(
@@ -204,6 +204,7 @@
                 replica_hash=replica.short_id,
                 begun=begun,
                 begun_for=begun_for,
+                sent_at=prepared.sent_at,
                 parts=job.part_identities,
             )
 
--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -18,6 +18,10 @@
 # instances keep the same ones, and their hashes tell how many there are.
 MAX_REQUEST_HASHES = 4
 REQUEST_HASH_RANGE = 2**31
+# After an answer a suspect's crashes need not be its own: a very common request
+# is at many replicas, and may lose several at once. For so long after an answer
+# crashes count only one after the other.
+ANSWER_GRACE = datetime.timedelta(seconds=30)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -28,11 +32,13 @@
         replica_hash: Identifies the start of the replica.
         begun: Its answer to the request had begun.
         at: Monotonic time at which the crash was noticed.
+        sent_at: When the replica was sent the request; None if not known.
     """
 
     replica_hash: int
     begun: bool
     at: datetime.timedelta
+    sent_at: datetime.timedelta | None = None
 
     @property
     def weight(self) -> int:
@@ -47,7 +53,7 @@
     Attributes:
         identity: Equal for all copies of the request, or uses of the part.
         is_part: It is a prompt part.
-        crashes: Of different replicas.
+        crashes: Of different replicas, the earliest first.
         request_hashes: Of the requests with the part that were lost in crashes,
             the smallest ones in ascending order; empty for a request.
         cleared_at: When a replica answered it; earlier crashes don't count.
@@ -66,7 +72,40 @@
     @property
     def weight(self) -> int:
         """Total weight of the evidence."""
-        return sum(crash.weight for crash in self.crashes)
+        return sum(crash.weight for crash in self.counted_crashes())
+
+    def counted_crashes(self) -> list[ReplicaCrash]:
+        """Returns the crashes that are evidence.
+
+        Soon after an answer, those of replicas that were sent the suspect after
+        the answer and after the last such crash. Several crashes of one cause,
+        such as a rack's loss of power, are one.
+        """
+        counted = []
+        counted_until = self.cleared_at
+        for crash in self.crashes:
+            if not self._is_soon_after_answer(crash):
+                counted.append(crash)
+            elif crash.sent_at is not None and crash.sent_at > counted_until:
+                counted.append(crash)
+                counted_until = crash.at
+        return counted
+
+    def _is_soon_after_answer(self, crash: ReplicaCrash) -> bool:
+        return (
+            self.cleared_at is not None
+            and crash.at <= self.cleared_at + ANSWER_GRACE
+        )
+
+    def without_answered(self) -> "Suspicion":
+        """Returns it without crashes that no later evidence can make count."""
+        crashes = tuple(
+            crash
+            for crash in self.crashes
+            if not self._is_soon_after_answer(crash)
+            or (crash.sent_at is not None and crash.sent_at > self.cleared_at)
+        )
+        return self._with_crashes(crashes)
 
     @property
     def is_conclusive(self) -> bool:
@@ -97,7 +136,11 @@
 
     def since(self, moment: datetime.timedelta) -> "Suspicion":
         """Returns it without older crashes; without any, also without probe."""
-        crashes = tuple(crash for crash in self.crashes if crash.at > moment)
+        return self._with_crashes(
+            tuple(crash for crash in self.crashes if crash.at > moment)
+        )
+
+    def _with_crashes(self, crashes: tuple[ReplicaCrash, ...]) -> "Suspicion":
         return dataclasses.replace(
             self,
             crashes=crashes,
@@ -173,9 +216,11 @@
         known = by_replica.get(crash.replica_hash)
         if known is None:
             by_replica[crash.replica_hash] = crash
-        elif crash.begun and not known.begun:
+        else:
             by_replica[crash.replica_hash] = dataclasses.replace(
-                known, begun=True
+                known,
+                begun=known.begun or crash.begun,
+                sent_at=latest(known.sent_at, crash.sent_at),
             )
     by_time = sorted(by_replica.values(), key=lambda crash: crash.at)
     return tuple(by_time[-MAX_CRASHES:])
--- a/src/nutmeghook/internal/suspects/gossip.py
+++ b/src/nutmeghook/internal/suspects/gossip.py
@@ -27,6 +27,8 @@
 # Older suspicions with a single crash are not sent in reminders: their callers
 # have retried since.
 _SINGLE_CRASH_MAX_AGE = datetime.timedelta(seconds=10)
+# In place of an age.
+_NOT_KNOWN = -1
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -98,9 +100,24 @@
         is_part=suspicion.is_part or None,
         tries=suspicion.probes or None,
         request_hashes=list(suspicion.request_hashes) or None,
+        sent_ages_ms=_sent_ages_ms(suspicion, now),
     )
 
 
+def _sent_ages_ms(
+    suspicion: evidence.Suspicion, now: datetime.timedelta
+) -> list[int] | None:
+    """Returns when the replicas were sent a suspect, if any is known."""
+    ages_ms = [_age_ms(crash.sent_at, now) for crash in suspicion.crashes]
+    if all(age is None for age in ages_ms):
+        return None
+    return [_NOT_KNOWN if age is None else age for age in ages_ms]
+
+
+def _sent_at(age_ms: int, now: datetime.timedelta) -> datetime.timedelta | None:
+    return None if age_ms == _NOT_KNOWN else _moment(age_ms, now)
+
+
 def _decoded(
     received: ttypes.CrashSuspect, now: datetime.timedelta
 ) -> evidence.Suspicion:
@@ -113,11 +130,14 @@
                 replica_hash=replica_hash,
                 begun=begun,
                 at=_moment(age_ms, now),
+                sent_at=_sent_at(sent_ms, now),
             )
-            for replica_hash, begun, age_ms in zip(
+            for replica_hash, begun, age_ms, sent_ms in zip(
                 received.replica_hashes,
                 received.begun,
                 received.ages_ms,
+                received.sent_ages_ms
+                or [_NOT_KNOWN] * len(received.replica_hashes),
                 strict=False,
             )
         ),
--- a/src/nutmeghook/internal/suspects/registry.py
+++ b/src/nutmeghook/internal/suspects/registry.py
@@ -29,9 +29,7 @@
 # A crashing part ends a replica as it begins to answer. After a longer time the
 # crash is weaker evidence against parts: something else has ended the replica.
 _BEGINNING = datetime.timedelta(seconds=1)
-# Crashes before this time after an answer don't count: a request that was just
-# answered crashes no replicas, even if many with a copy of it crash together.
-ANSWER_GRACE = datetime.timedelta(seconds=30)
+ANSWER_GRACE = evidence.ANSWER_GRACE
 # Memory limits. One crash adds as many suspects as the replica had requests;
 # those with the least weight and the oldest crashes are dropped first.
 MAX_SUSPECTS = 1000
@@ -94,6 +92,7 @@
         replica_hash: int,
         begun: bool,
         begun_for: datetime.timedelta = datetime.timedelta(),
+        sent_at: datetime.timedelta | None = None,
         parts: Sequence[bytes] = (),
     ) -> None:
         """Records that a replica crashed that had a request from here.
@@ -103,17 +102,21 @@
             replica_hash: Identifies the start of the replica.
             begun: Its answer to the request had begun.
             begun_for: For how long it had been answering.
+            sent_at: When the replica was sent the request; None if not known.
             parts: The parts of its prompt that others may have, too.
         """
         crash = evidence.ReplicaCrash(
-            replica_hash=replica_hash, begun=begun, at=self._clock.monotonic()
+            replica_hash=replica_hash,
+            begun=begun,
+            at=self._clock.monotonic(),
+            sent_at=sent_at,
         )
         self._note_suspect(
             evidence.Suspicion(identity=identity, crashes=(crash,))
         )
         request_hashes = (evidence.request_hash(identity),)
         part_crash = dataclasses.replace(
-            crash, begun=begun and begun_for < _BEGINNING
+            crash, begun=begun and begun_for < _BEGINNING, sent_at=None
         )
         for part in parts:
             if not self._is_in_grace(part):
@@ -158,11 +161,11 @@
         cleared_at = evidence.latest(
             merged.cleared_at, self._answered.get(identity)
         )
-        counted_from = self._counted_from(cleared_at)
         merged = dataclasses.replace(merged, cleared_at=cleared_at)
-        merged = merged.since(counted_from)
-        is_behind = (
-            cleared_at is not None and received.since(counted_from) != received
+        merged = self._without_old(merged)
+        is_behind = cleared_at is not None and any(
+            crash.replica_hash not in merged.replica_hashes
+            for crash in received.crashes
         )
         was_quarantined = self._is_cause(identity)
         if merged != known:
@@ -335,14 +338,10 @@
             and self._clock.monotonic() <= answered_at + ANSWER_GRACE
         )
 
-    def _counted_from(
-        self, cleared_at: datetime.timedelta | None
-    ) -> datetime.timedelta:
-        """Returns the time up to which crashes don't count."""
+    def _without_old(self, suspicion: evidence.Suspicion) -> evidence.Suspicion:
+        """Returns it without crashes that count no more."""
         oldest = self._clock.monotonic() - probes.SUSPICION_LIFETIME
-        if cleared_at is None:
-            return oldest
-        return max(oldest, cleared_at + ANSWER_GRACE)
+        return suspicion.without_answered().since(oldest)
 
     def _clear(
         self, known: evidence.Suspicion, now: datetime.timedelta
--- a/tests/cover/test_suspect_registry.py
+++ b/tests/cover/test_suspect_registry.py
@@ -21,11 +21,17 @@
 AGES_S = strategies.integers(min_value=0, max_value=200)
 # A replica crashes once, so all instances record the same time for it.
 CRASHES = strategies.builds(
-    lambda replica_hash, begun: evidence.ReplicaCrash(
-        replica_hash=replica_hash, begun=begun, at=-20 * replica_hash * SECOND
+    lambda replica_hash, begun, sent_s: evidence.ReplicaCrash(
+        replica_hash=replica_hash,
+        begun=begun,
+        at=-20 * replica_hash * SECOND,
+        sent_at=None
+        if sent_s is None
+        else (-20 * replica_hash - sent_s) * SECOND,
     ),
     strategies.integers(min_value=1, max_value=evidence.MAX_CRASHES),
     strategies.booleans(),
+    strategies.none() | strategies.integers(min_value=0, max_value=50),
 )
 SUSPICIONS = strategies.builds(
     lambda crashes, cleared_s: evidence.Suspicion(
@@ -81,6 +87,32 @@
         self.crash(1, 2, 3)
         self.assertFalse(self.registry.is_quarantined(REQUEST))
 
+    async def test_crashes_one_after_another_count_soon_after_an_answer(self):
+        """A request that was answered until now crashes each replica that runs
+        it, and was sent to some twenty more within half a minute.
+        """
+        self.registry.note_answered(REQUEST)
+        for replica in range(3):
+            await self.clock.advance(2 * SECOND)
+            self.registry.note_crash(
+                REQUEST,
+                replica_hash=replica,
+                begun=True,
+                sent_at=self.clock.monotonic() - SECOND,
+            )
+        self.assertTrue(self.registry.is_quarantined(REQUEST))
+
+    async def test_replicas_lost_together_after_an_answer_count_as_one(self):
+        self.registry.note_answered(REQUEST)
+        await self.clock.advance(SECOND)
+        sent_at = self.clock.monotonic()
+        for replica in range(6):
+            await self.clock.advance(SECOND / 10)
+            self.registry.note_crash(
+                REQUEST, replica_hash=replica, begun=True, sent_at=sent_at
+            )
+        self.assertFalse(self.registry.is_quarantined(REQUEST))
+
     async def test_an_old_answer_gives_no_grace(self):
         """A request was answered by an older version and crashes each replica
         of the newer one.
