Let the retry budget of a test outlast the silence that it plays

Cause: the test spends the budget and advances the clock by 10 s, the budget's window, after which a further attempt is permitted. It passed only if the stream's events, which come in real time, were read before the clock arrived.

Change: the budget's window in this test is 60 s. The silence, the answer and the number of attempts that are asked for stay the same.

--- a/tests/cover/test_completion.py
+++ b/tests/cover/test_completion.py
@@ -806,6 +806,8 @@
         self.offer(STREAM, target=20 * SECOND, time_limit=60 * SECOND)
         self.times.first_ms[""] = 100.0
         self.times.token_ms[""] = 9_900.0
+        # The budget stays spent for longer than the silence.
+        self.budgets.change(ratio=0.9, window=60 * SECOND)
         self.spend_all()
         self.reply_with(Reply(events=EVENTS, pause_s=0.05))
         asking = asyncio.create_task(self.ask(STREAM, extra=PLAIN_STREAM))
