Count a crash before the answer in full where nothing waited

What callers saw: a request under which replicas end before an answer's head ended six of them, and a seventh a minute later; streams of others that may not be resumed went with them.

Cause: without a head the request might have waited in the replica's queue, so that such a crash counted half, also where the replica had free slots.

Change: a request that is sent to a replica with a free slot, by its last report and what was sent since, counts as running.

One test failed before.

--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -132,6 +132,7 @@
             forecast=chosen.forecast,
             after_event=job.last_event_id,
             expected=expected,
+            begins_at_once=replica.has_free_slot(),
         )
 
     def _choose_attempt(self, job: job_module.Job) -> job_module.Grant:
--- a/src/nutmeghook/internal/relay/crash_detector.py
+++ b/src/nutmeghook/internal/relay/crash_detector.py
@@ -143,7 +143,7 @@
         if not isinstance(error, outcomes.ConnectionLostError):
             return
         probing = self._probes.start(prepared.replica)
-        begun = _had_begun(job)
+        begun = _had_begun(job) or prepared.begins_at_once
         attempt = job.tries
         begun_for = datetime.timedelta()
         if job.is_answered:
@@ -210,7 +210,7 @@
 
 
 def _had_begun(job: job_module.Job) -> bool:
-    """Tells whether a replica had begun to run a request.
+    """Tells whether a replica is known to have begun to run a request.
 
     An engine sends an answer's head with its first event, so a request that
     still waits in its queue has none. A plain service sends its whole answer at
--- a/src/nutmeghook/internal/relay/prepared.py
+++ b/src/nutmeghook/internal/relay/prepared.py
@@ -19,6 +19,7 @@
             is no generation.
         after_event: The event after which it resumes; None from the start.
         expected: How long it is expected to take; None if that is not known.
+        begins_at_once: The replica had a free slot for it.
     """
 
     replica: replica_module.Replica
@@ -29,3 +30,4 @@
     forecast: replica_forecast.Forecast | None
     after_event: str | None
     expected: expected_times.ExpectedTimes | None = None
+    begins_at_once: bool = False
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -131,6 +131,18 @@
         """
         return self.entry.leaving or self.said_leaving_at is not None
 
+    def has_free_slot(self) -> bool:
+        """Tells whether a request that is sent now begins to run at once.
+
+        By the last report, and what this instance has sent since. A replica
+        that has reported nothing has just started.
+        """
+        if self.report is None:
+            return self.in_flight < self.entry.slots
+        sent_since = max(0, self.in_flight - self.in_flight_at_report)
+        running = self.report.running + sent_since
+        return not self.report.waiting and running < self.entry.slots
+
     def is_resting(self, now: datetime.timedelta) -> bool:
         """Tells whether it has asked this instance for no requests now."""
         return now < self._rest_until
--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -5,8 +5,8 @@
 import datetime
 import functools
 
-# A replica that had begun to answer was running the request. One that had not
-# may only have had it in its queue, as under overload it has many.
+# A replica without a free slot may only have had the request in its queue, as
+# under overload it has many.
 _WEIGHT_BEGUN = 2
 _WEIGHT_QUEUED = 1
 # Three replicas that were running it, or six that may have been.
@@ -30,7 +30,8 @@
 
     Attributes:
         replica_hash: Identifies the start of the replica.
-        begun: Its answer to the request had begun.
+        begun: It was running the request: its answer had begun, or it had a
+            free slot when it was sent the request.
         at: Monotonic time at which the crash was noticed.
         sent_at: When the replica was sent the request; None if not known.
     """
--- a/src/nutmeghook/internal/suspects/registry.py
+++ b/src/nutmeghook/internal/suspects/registry.py
@@ -100,7 +100,7 @@
         Args:
             identity: The request.
             replica_hash: Identifies the start of the replica.
-            begun: Its answer to the request had begun.
+            begun: It was running the request.
             begun_for: For how long it had been answering.
             sent_at: When the replica was sent the request; None if not known.
             parts: The parts of its prompt that others may have, too.
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -62,6 +62,24 @@
         self.assertIn(b"Retry-After: ", answer)
         self.assertEqual(self.arrivals(), before)
 
+    async def test_crashes_before_an_answer_count_on_idle_replicas(
+        self,
+    ):
+        """Six replicas crashed, since the request might have waited in their
+        queues, though they had free slots.
+        """
+        self.decide_by(lambda _: Reply(silent=True))
+        asking = asyncio.create_task(self.ask(STREAM, body=CRASHING))
+        while not asking.done():
+            for replica in self.replicas:
+                if replica.received and not replica.crashed.is_set():
+                    replica.crash()
+            await asyncio.sleep(0.01)
+        await self.restart_crashed()
+        answer = await self.ask(STREAM, request_id="copy", body=CRASHING)
+        self.assertEqual(relay_fixture.status_of(answer), 503)
+        self.assertEqual(self.arrivals(), 3)
+
     async def test_an_error_response_clears_no_request(self):
         """Some replicas fail a share of requests before they run them. If such
         a failure counted as an answer, it would clear a crashing request and
