Ask replicas whether they are cold while the list can't tell

What callers saw: requests that may run only once answered 502, as a replica that had turned cold while the store was away got five times what it bears and ended.

Cause: that a replica turns cold was known by its entry alone, which can't change while the store is away, and by the answers to health checks, which were made only where a connection was lost. Evidence: no replica:cold in the routers' logs until it ended.

Change: while nothing young proves that the list is the newest, an instance that sends to a replica of a service with a limit for cold ones asks it for its health, at most twice a second, beside its requests.

Without an outage, or a limit, no check is made.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -33,6 +33,7 @@
 from nutmeghook.internal.replicas import speed_registry
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.suspects import registry as registry_module
+from nutmeghook.internal.upstream import cold_watch
 from nutmeghook.internal.upstream import liveness
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import sender as sender_module
@@ -46,6 +47,8 @@
     Attributes:
         data_centre: Where this instance runs.
         region_of: Returns a data centre's region, or None if it is unknown.
+        is_list_stale: Tells whether nothing proves that the list of replicas is
+            the newest.
     """
 
     configuration: in_force_module.ConfigurationInForce
@@ -65,6 +68,7 @@
     metrics: metrics_module.Metrics
     clock: clock_module.Clock
     random_source: random.Random
+    is_list_stale: Callable[[], bool] = lambda: False
 
 
 def build(dependencies: RelayDependencies) -> request_relay.RequestRelay:
@@ -155,6 +159,14 @@
             gate=dependencies.gate,
             signals=dependencies.signals,
             unreadable=unreadable,
+            cold_watch=cold_watch.ColdWatch(
+                is_list_stale=dependencies.is_list_stale,
+                configuration=dependencies.configuration,
+                directory=dependencies.directory,
+                pool=dependencies.pool,
+                wire_format=dependencies.wire_format,
+                clock=dependencies.clock,
+            ),
             wire_format=dependencies.wire_format,
             clock=dependencies.clock,
         ),
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -234,6 +234,10 @@
                 team_shares=self.team_shares,
                 suspects=self.suspects,
                 standstills=self.standstills,
+                is_list_stale=lambda: (
+                    self._peers is not None
+                    and self._peers.is_unconfirmed(tables.REPLICA_TABLE)
+                ),
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
                 region_of=lambda name: self._settings.regions.get(name),
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -154,6 +154,10 @@
             return 1
         return self._gossip.live_fleet_size()
 
+    def is_unconfirmed(self, name: str) -> bool:
+        """Tells whether nothing young proves that a table is the newest."""
+        return self._gossip is not None and self._gossip.is_unconfirmed(name)
+
     def configuration_behind_for(self, name: str) -> datetime.timedelta | None:
         """Returns for how long a newer configuration has been known.
 
--- a/src/nutmeghook/internal/relay/denials.py
+++ b/src/nutmeghook/internal/relay/denials.py
@@ -8,6 +8,8 @@
 
 # A large change takes some 0.1 s to arrive over the slowest links.
 _RETRY_WHILE_BEHIND = datetime.timedelta(milliseconds=200)
+# An instance that starts learns a configuration, and that it is the newest,
+# within a second, unless the store or all peers are out of reach.
 _RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(milliseconds=500)
 
 
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -19,8 +19,6 @@
 from nutmeghook.internal.routes import in_force as in_force_module
 from nutmeghook.internal.routes import model
 
-# An instance that knows no configuration yet learns one within a second
-# unless the store is out.
 _RETRY_AFTER_FAULT = datetime.timedelta(milliseconds=500)
 
 
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -11,6 +11,7 @@
 import datetime
 import enum
 
+from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import signals as signals_module
 
 Headers = Sequence[tuple[str, str]]
@@ -194,3 +195,24 @@
     @abc.abstractmethod
     def answer_headers(self, headers: Headers) -> Headers:
         """Returns the headers of the answer to the caller."""
+
+
+def encode_probe(
+    wire_format: WireFormat,
+    path: str,
+    entry: entries.ReplicaEntry,
+    *,
+    time_left: datetime.timedelta,
+) -> bytes:
+    """Returns a request that a replica answers without a caller.
+
+    Args:
+        wire_format: Names the headers.
+        path: What is asked for.
+        entry: The replica's.
+        time_left: When it passes, the replica rejects the request.
+    """
+    fields = wire_format.probe_headers(entry.replica_id, time_left=time_left)
+    lines = [f"GET {path} HTTP/1.1", f"Host: {entry.address}"]
+    lines.extend(f"{name}: {value}" for name, value in fields)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -70,6 +70,8 @@
     Attributes:
         liveness_path: Path that each replica answers while it runs, without a
             free slot if it has such a path.
+        health_path: Path whose answer says how the replica is; empty if it is
+            the liveness path.
         max_connections: Connections that one replica accepts in total.
         model_costs: Price of each model for 1,000 generated tokens.
         cold_time: For how long a replica is cold after its start.
@@ -83,6 +85,7 @@
     model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
     cold_time: datetime.timedelta = datetime.timedelta()
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/nutmeghook/internal/table_replication/gossip.py
+++ b/src/nutmeghook/internal/table_replication/gossip.py
@@ -273,6 +273,10 @@
             return False
         return self._clock.monotonic() - report.at <= _REPORT_LIFETIME
 
+    def is_unconfirmed(self, name: str) -> bool:
+        """Tells whether nothing young proves that a table is the newest."""
+        return self._is_unconfirmed(self._tables[name])
+
     def behind_for(self, name: str) -> datetime.timedelta | None:
         """Returns for how long a newer revision has been known; None if not."""
         if not self.is_behind(name):
--- a/src/nutmeghook/internal/upstream/liveness.py
+++ b/src/nutmeghook/internal/upstream/liveness.py
@@ -195,9 +195,6 @@
         configuration = self._configuration.current
         service = configuration and configuration.services.get(entry.service)
         path = service.liveness_path if service else _DEFAULT_PATH
-        fields = self._wire_format.probe_headers(
-            entry.replica_id, time_left=_STATED_TIME
+        return wire.encode_probe(
+            self._wire_format, path, entry, time_left=_STATED_TIME
         )
-        lines = [f"GET {path} HTTP/1.1", f"Host: {entry.address}"]
-        lines.extend(f"{name}: {value}" for name, value in fields)
-        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import send_window
 from nutmeghook.internal.replicas import signal_registry
+from nutmeghook.internal.upstream import cold_watch as cold_watch_module
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
@@ -177,6 +178,7 @@
 
     __slots__ = (
         "_clock",
+        "_cold_watch",
         "_directory",
         "_gate",
         "_pool",
@@ -193,10 +195,12 @@
         gate: send_gate.SendGate,
         signals: signal_registry.SignalRegistry,
         unreadable: unreadable_values.UnreadableValues,
+        cold_watch: cold_watch_module.ColdWatch,
         wire_format: wire.WireFormat,
         clock: clock_module.Clock,
     ):
         self._unreadable = unreadable
+        self._cold_watch = cold_watch
         self._pool = pool
         self._directory = directory
         self._gate = gate
@@ -222,6 +226,7 @@
         connection = None
         answer = None
         replica.in_flight += 1
+        self._cold_watch.note_send(replica)
         try:
             with self._prefill(replica, outgoing.prefill):
                 connection = await self._connect(replica, outgoing)
--- a/src/nutmeghook/platform/configuration.py
+++ b/src/nutmeghook/platform/configuration.py
@@ -158,6 +158,7 @@
         model_costs={entry.name: entry.cost for entry in models},
         cold_time=datetime.timedelta(seconds=wire.cold_s),
         cold_per_s=wire.cold_per_s,
+        health_path=wire.health_path,
     )
 
 
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -134,6 +134,8 @@
         answers_probes: It answers liveness probes. If False, it closes their
             connections, as the system does for a process that ends.
         probes: How many liveness probes it has received.
+        cold_ms: For how long it stays cold, by its answers to probes; 0 if it
+            is not.
         started_ms: The start that it states in its answers to probes; 0 for
             none.
         request_abandoned: Set whenever `abandoned` grows.
@@ -155,6 +157,7 @@
         "address",
         "answers_probes",
         "brittle",
+        "cold_ms",
         "crashed",
         "crashes",
         "falls",
@@ -204,6 +207,7 @@
         self.work_time_percent: int | None = None
         self.answers_probes = True
         self.probes = 0
+        self.cold_ms = 0
         self.started_ms = 0
 
     def reply_from(self, replies: list[Reply]) -> None:
@@ -336,7 +340,10 @@
             return False
         body = b'{"born":%d}' % self.started_ms if self.started_ms else b""
         reply = Reply(status=status, body=body)
-        writer.write(_head(reply, request, ()) + body)
+        stated = ()
+        if self.cold_ms:
+            stated = ((headers.COLD_LEFT, str(self.cold_ms)),)
+        writer.write(_head(reply, request, stated) + body)
         await writer.drain()
         return True
 
--- a/tests/cover/test_replica_probing.py
+++ b/tests/cover/test_replica_probing.py
@@ -32,6 +32,7 @@
                 directory=self.directory, clock=self.clock
             ),
             unreadable=platform_rows.unreadable_values(),
+            cold_watch=mock.Mock(),
             wire_format=headers.PlatformHeaders(),
             clock=self.clock,
         )
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -72,6 +72,7 @@
 
     replica_count = 2
     memory_mb = 160.0
+    is_list_stale = False
     # By data centre.
     regions = {"here": "region", "far": "other-region"}
 
@@ -170,6 +171,7 @@
                     metrics=self.metrics,
                     clock=self.clock,
                     random_source=random.Random(1),
+                    is_list_stale=lambda: self.is_list_stale,
                 )
             ),
             wire_format=wire_format,
