Let a second pass between crashes that count soon after an answer

Requests with a crashing part ended three replicas within 0.4 s; the common request was lost with each of them, sent again between, and so quarantined although it had just been answered. A quarantined request explains a part that has the same crashes, so a router that had started since let the part through.

Change: soon after an answer a crash counts if its replica was sent the request a second or more after the last crash that counts.

--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -22,6 +22,8 @@
 # is at many replicas, and may lose several at once. For so long after an answer
 # crashes count only one after the other.
 ANSWER_GRACE = datetime.timedelta(seconds=30)
+# Crashes closer together may have one cause that is another request.
+_SAME_CAUSE = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -79,8 +81,8 @@
         """Returns the crashes that are evidence.
 
         Soon after an answer, those of replicas that were sent the suspect after
-        the answer and after the last such crash. Several crashes of one cause,
-        such as a rack's loss of power, are one.
+        the answer, and well after the last such crash. Several crashes of one
+        cause, such as a rack's loss of power, are one.
         """
         counted = []
         counted_until = self.cleared_at
@@ -89,7 +91,7 @@
                 counted.append(crash)
             elif crash.sent_at is not None and crash.sent_at > counted_until:
                 counted.append(crash)
-                counted_until = crash.at
+                counted_until = crash.at + _SAME_CAUSE
         return counted
 
     def _is_soon_after_answer(self, crash: ReplicaCrash) -> bool:
