Take no later time for news in gossip about crashes

Peers send ages, so a time is later by its way with every hop. Where instances differed, the later time of sending won, and a changed time was an update that is sent on at once: instances told each other the same crash for good, some 280 KB/s each in place of 3, and its time of sending moved on. While there were updates no reminders were sent, so routers that had started since never heard of the part's quarantine. The time of an answer had moved in the same way before, with each reminder, until crashes after it counted no more.

Ruled out: the common request explains the part (it was not lost with the third replica); the rows (the write failed while the store was away, as it may).

Change: a time from a peer counts if it differs by over half a second; a crash has the earliest time of sending in place of the latest; times alone are no update; the answer is sent only to a peer that has an older one.

Two tests failed before.

--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -24,6 +24,9 @@
 ANSWER_GRACE = datetime.timedelta(seconds=30)
 # Crashes closer together may have one cause that is another request.
 _SAME_CAUSE = datetime.timedelta(seconds=1)
+# Peers send ages, which do not grow on the way, so a time is later with every
+# message that passes it on. Times that differ by less are taken for the same.
+_TIME_TOLERANCE = datetime.timedelta(milliseconds=500)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -35,7 +38,7 @@
         begun: It was running the request: its answer had begun, or it had a
             free slot when it was sent the request.
         at: Monotonic time at which the crash was noticed.
-        sent_at: When the replica was sent the request; None if not known.
+        sent_at: When the replica was first sent the request; None if not known.
     """
 
     replica_hash: int
@@ -161,15 +164,15 @@
 def merged(known: Suspicion, received: Suspicion) -> Suspicion:
     """Returns the evidence of both, of one request or part.
 
-    Commutative and idempotent, but for the recorded time of a crash.
+    Commutative and idempotent, but for times that differ little.
     """
     return Suspicion(
         identity=known.identity,
         is_part=known.is_part or received.is_part,
         crashes=_merged_crashes(known.crashes, received.crashes),
         request_hashes=_smallest(known.request_hashes, received.request_hashes),
-        cleared_at=latest(known.cleared_at, received.cleared_at),
-        probed_at=latest(known.probed_at, received.probed_at),
+        cleared_at=_clearly_later(known.cleared_at, received.cleared_at),
+        probed_at=_clearly_later(known.probed_at, received.probed_at),
         probes=max(known.probes, received.probes),
     )
 
@@ -181,6 +184,13 @@
     return max((at for at in moments if at is not None), default=None)
 
 
+def is_clearly_later(
+    moment: datetime.timedelta, other: datetime.timedelta | None
+) -> bool:
+    """Tells whether a moment is later than another, or there is no other."""
+    return other is None or moment > other + _TIME_TOLERANCE
+
+
 def crashing_parts(suspicions: Iterable[Suspicion]) -> list[Suspicion]:
     """Returns the prompt parts that are held to crash replicas.
 
@@ -202,6 +212,26 @@
     return found
 
 
+def _clearly_later(
+    known: datetime.timedelta | None, received: datetime.timedelta | None
+) -> datetime.timedelta | None:
+    """Returns a moment from a peer if it is clearly later, else the known."""
+    if received is None or not is_clearly_later(received, known):
+        return known
+    return received
+
+
+def _clearly_earlier(
+    known: datetime.timedelta | None, received: datetime.timedelta | None
+) -> datetime.timedelta | None:
+    """Returns a moment from a peer if it is clearly earlier, else the known."""
+    if received is None:
+        return known
+    if known is None or is_clearly_later(known, received):
+        return received
+    return known
+
+
 def _smallest(*hashes: tuple[int, ...]) -> tuple[int, ...]:
     different = functools.reduce(set.union, hashes, set())
     return tuple(sorted(different)[:MAX_REQUEST_HASHES])
@@ -223,7 +253,7 @@
             by_replica[crash.replica_hash] = dataclasses.replace(
                 known,
                 begun=known.begun or crash.begun,
-                sent_at=latest(known.sent_at, crash.sent_at),
+                sent_at=_clearly_earlier(known.sent_at, crash.sent_at),
             )
     by_time = sorted(by_replica.values(), key=lambda crash: crash.at)
     return tuple(by_time[-MAX_CRASHES:])
--- a/src/nutmeghook/internal/suspects/registry.py
+++ b/src/nutmeghook/internal/suspects/registry.py
@@ -163,9 +163,10 @@
         )
         merged = dataclasses.replace(merged, cleared_at=cleared_at)
         merged = self._without_old(merged)
-        is_behind = cleared_at is not None and any(
-            crash.replica_hash not in merged.replica_hashes
-            for crash in received.crashes
+        is_behind = (
+            cleared_at is not None
+            and evidence.is_clearly_later(cleared_at, received.cleared_at)
+            and not received.replica_hashes <= merged.replica_hashes
         )
         was_quarantined = self._is_cause(identity)
         if merged != known:
@@ -425,12 +426,17 @@
 def _is_update(merged: evidence.Suspicion, known: evidence.Suspicion) -> bool:
     """Returns whether a merge changed something that peers need.
 
-    A later time alone does not count: two instances that send each other the
-    same answer would never stop.
+    Times alone do not count: two instances that send each other the same
+    answer or crash would never stop.
     """
     return (
-        merged.crashes != known.crashes
+        _replicas(merged) != _replicas(known)
         or merged.request_hashes != known.request_hashes
         or (merged.cleared_at is None) != (known.cleared_at is None)
         or merged.probes != known.probes
     )
+
+
+def _replicas(suspicion: evidence.Suspicion) -> set[tuple[int, bool]]:
+    """Returns which replicas crashed, and whether they were running it."""
+    return {(crash.replica_hash, crash.begun) for crash in suspicion.crashes}
--- a/tests/cover/test_suspect_gossip.py
+++ b/tests/cover/test_suspect_gossip.py
@@ -18,6 +18,7 @@
 REQUEST = b"r" * 16
 PART = b"p" * 16
 SECOND = datetime.timedelta(seconds=1)
+MILLISECOND = datetime.timedelta(milliseconds=1)
 SMALL, LARGE = 7, 420
 # Time within which an instance that missed updates learns of a quarantine.
 LEARNT_WITHIN_S = 3.0
@@ -77,6 +78,15 @@
                 instance.gossip.send_updates()
         return rounds
 
+    async def deliver_after(self, delay: datetime.timedelta, send) -> None:
+        """Lets each instance send, and delivers it after a delay."""
+        for instance in self.instances:
+            instance.post.holds = True
+            send(instance.gossip)
+        await self.clock.advance(delay)
+        for instance in self.instances:
+            instance.post.deliver()
+
     def count_quarantining(self) -> int:
         """Returns how many instances have the request in quarantine."""
         return sum(i.registry.is_quarantined(REQUEST) for i in self.instances)
@@ -118,6 +128,42 @@
             passed_s += gossip_module.REMINDER_PERIOD.total_seconds()
         self.assertLessEqual(passed_s, LEARNT_WITHIN_S)
 
+    async def test_updates_stop_though_each_takes_time_to_arrive(self):
+        """Ages grow on the way, so every hop made the times of a crash later.
+        Instances took a later time for news, and never stopped sending it.
+        """
+        fleet = Fleet(size=SMALL)
+        for number, instance in enumerate(fleet.instances[:3]):
+            instance.registry.note_crash(
+                REQUEST,
+                replica_hash=number,
+                begun=True,
+                sent_at=fleet.clock.monotonic(),
+            )
+        for _ in range(5):
+            await fleet.deliver_after(
+                1.3 * MILLISECOND, lambda gossip: gossip.send_updates()
+            )
+        pending = [i.registry.updates.is_set() for i in fleet.instances]
+        self.assertFalse(any(pending))
+        self.assertEqual(fleet.count_quarantining(), SMALL)
+
+    async def test_reminders_move_no_answer_behind_later_crashes(self):
+        """The time of an answer became later with every reminder, until the
+        crashes after it counted no more.
+        """
+        fleet = Fleet(size=SMALL)
+        fleet.instances[0].registry.note_answered(REQUEST)
+        await fleet.clock.advance(evidence.ANSWER_GRACE + SECOND)
+        self.crash_at_three(fleet)
+        fleet.gossip_until_quiet()
+        self.assertEqual(fleet.count_quarantining(), SMALL)
+        for _ in range(60):
+            await fleet.deliver_after(
+                50 * MILLISECOND, lambda gossip: gossip.send_reminder()
+            )
+        self.assertEqual(fleet.count_quarantining(), SMALL)
+
     async def test_reminders_repair_lost_updates(self):
         fleet = Fleet(size=SMALL)
         silent = fleet.instances[0]
