Send reminders of gossip beside updates

A router that starts while others have updates to send all the time isn't told what they know.

Cause: the time until a reminder began anew with each update. The class: a periodic duty that any other event puts off. Gossip of crashing requests and of what replicas say share the loop; no other sender waits like this.

Change: a reminder has a due time of its own.

Without updates as many reminders are sent as before.

--- a/src/nutmeghook/internal/inner/gossip_senders.py
+++ b/src/nutmeghook/internal/inner/gossip_senders.py
@@ -132,14 +132,22 @@
         """Sends what still holds to one or two peers again."""
 
     async def run(self) -> None:
-        """Sends until cancelled."""
+        """Sends until cancelled; reminders also while there are updates."""
+        reminder_at = self._next_reminder_at()
         while True:
-            jitter = self._random.uniform(_MIN_JITTER, _MAX_JITTER)
+            left = reminder_at - self._clock.monotonic()
             try:
                 await self._clock.wait_for(
-                    self._updates.wait(), jitter * self._period
+                    self._updates.wait(), max(datetime.timedelta(), left)
                 )
             except TimeoutError:
-                self.send_reminder()
+                pass
             else:
                 self.send_updates()
+            if self._clock.monotonic() >= reminder_at:
+                self.send_reminder()
+                reminder_at = self._next_reminder_at()
+
+    def _next_reminder_at(self) -> datetime.timedelta:
+        jitter = self._random.uniform(_MIN_JITTER, _MAX_JITTER)
+        return self._clock.monotonic() + jitter * self._period
--- a/tests/cover/test_suspect_gossip.py
+++ b/tests/cover/test_suspect_gossip.py
@@ -1,5 +1,6 @@
 """Gossip among instances about requests that crash replicas."""
 
+import asyncio
 import datetime
 import random
 import unittest
@@ -16,6 +17,7 @@
 
 SEAL = datagrams.Seal(credential="shared")
 REQUEST = b"r" * 16
+OTHER = b"o" * 16
 PART = b"p" * 16
 SECOND = datetime.timedelta(seconds=1)
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -164,6 +166,29 @@
             )
         self.assertEqual(fleet.count_quarantining(), SMALL)
 
+    async def test_reminders_are_sent_beside_constant_updates(self):
+        """Reminders waited for a time without updates, so an instance that
+        started while there were many never heard of a quarantine.
+        """
+        fleet = Fleet(size=SMALL)
+        self.crash_at_three(fleet)
+        fleet.gossip_until_quiet()
+        late = fleet.join()
+        running = [
+            asyncio.create_task(instance.gossip.run())
+            for instance in fleet.instances
+        ]
+        for replica in range(round(LEARNT_WITHIN_S / 0.1)):
+            for instance in fleet.instances:
+                instance.registry.note_crash(
+                    OTHER, replica_hash=100 + replica, begun=True
+                )
+            await fleet.clock.advance(SECOND / 10)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        self.assertTrue(late.registry.is_quarantined(REQUEST))
+
     async def test_reminders_repair_lost_updates(self):
         fleet = Fleet(size=SMALL)
         silent = fleet.instances[0]
