Excuse a part only by crashes that count

A request that had just been answered and is lost with every replica that a part crashes is quarantined by three crashes that count, and then explained the part with all those that didn't, so that the part was let through.

Cause: the weight of a suspect leaves out crashes that count nothing, and the comparison with parts took all of them. The class: two readings of one evidence.

Change: crashes that count explain a part, no others.

--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -129,7 +129,7 @@
     @property
     def replica_hashes(self) -> frozenset[int]:
         """The replicas that crashed."""
-        return frozenset(crash.replica_hash for crash in self.crashes)
+        return _replica_hashes(self.crashes)
 
     @property
     def lost_requests(self) -> float:
@@ -156,6 +156,10 @@
         )
 
 
+def _replica_hashes(crashes: Iterable[ReplicaCrash]) -> frozenset[int]:
+    return frozenset(crash.replica_hash for crash in crashes)
+
+
 def request_hash(identity: bytes) -> int:
     """Returns the hash of a request in the evidence against its parts."""
     return int.from_bytes(identity[-4:], "big") % REQUEST_HASH_RANGE
@@ -195,12 +199,16 @@
     """Returns the prompt parts that are held to crash replicas.
 
     A crash is evidence against all that its replica had, such as a part that
-    all prompts begin with. So a part is left out if a more specific suspect has
-    all its crashes: a single request, or a part with which fewer requests were
-    lost.
+    all prompts begin with. So a part is left out if all its crashes count
+    against a more specific suspect: a single request, or a part with which
+    fewer requests were lost.
     """
     conclusive = [s for s in suspicions if s.is_conclusive]
-    explanations = [s.replica_hashes for s in conclusive if not s.is_part]
+    explanations = [
+        _replica_hashes(s.counted_crashes())
+        for s in conclusive
+        if not s.is_part
+    ]
     parts = [s for s in conclusive if s.is_part]
     parts.sort(key=lambda part: (part.lost_requests, part.identity))
     found = []
--- a/tests/cover/test_suspect_registry.py
+++ b/tests/cover/test_suspect_registry.py
@@ -200,6 +200,22 @@
         self.assertFalse(self.is_stopped(COMMON))
         self.assertTrue(self.is_stopped(PART))
 
+    async def test_crashes_that_count_nothing_excuse_no_part(self):
+        """A common request is lost with every replica that a part crashes.
+        Three of the crashes were held against it, and all explained the part.
+        """
+        self.registry.note_answered(REQUEST)
+        for replica in range(6):
+            await self.clock.advance(SECOND)
+            self.registry.note_crash(
+                REQUEST,
+                replica_hash=replica,
+                begun=True,
+                sent_at=self.clock.monotonic() - SECOND / 10,
+            )
+            self.crash_with(replica, parts=(PART,))
+        self.assertTrue(self.is_stopped(PART))
+
     async def test_a_part_that_all_requests_have_is_not_held_to_be_bad(self):
         for replica in range(4):
             self.crash_with(replica, parts=(COMMON, PART))
