Share the exchange of a probe, and the lag behind peers

The exchange of a liveness probe and of a health check is one method of the pool; how long peers have been ahead is asked once, and ConfigurationInForce tells both whether a newer configuration exists and whether it is overdue. The tests set that time in place of the two answers, to the same effect; 2 s, the whole time for a change, is overdue.

Behaviour is unchanged.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -60,10 +60,6 @@
 # Reserved from the time until SIGKILL for closing connections and exiting.
 _STOP_RESERVE = datetime.timedelta(milliseconds=700)
 _POLL = datetime.timedelta(milliseconds=50)
-# An instance that knows for so long that it is behind, as part of the time in
-# which a change has to be in force, admits nobody by what it has. The change
-# was accepted somewhat earlier than it was heard of.
-_OVERDUE_PART = 0.5
 # How often tables that were held back after a restore of the store are settled.
 _SETTLE_PERIOD = datetime.timedelta(milliseconds=200)
 # Within these times after a restore instances write their rows again. The
@@ -149,7 +145,7 @@
             ),
         )
         self.configuration = in_force_module.ConfigurationInForce(
-            needs_proof=True
+            needs_proof=True, change_time=settings.change_time
         )
         self.orders = orders_module.OrderRegistry()
         self.leaving = False
@@ -349,11 +345,8 @@
             random_source=self._random,
         )
         self._peers = peers
-        self.configuration.newer_exists = lambda: (
-            peers.configuration_behind_for(tables.OPERATOR_TABLE) is not None
-        )
-        self.configuration.is_overdue = lambda: self._is_overdue(
-            peers.configuration_behind_for(tables.OPERATOR_TABLE)
+        self.configuration.behind_for = lambda: peers.configuration_behind_for(
+            tables.OPERATOR_TABLE
         )
         self.configuration.proof_age_ms = shared[
             tables.OPERATOR_TABLE
@@ -455,12 +448,6 @@
             random_source=self._random,
         )
 
-    def _is_overdue(self, behind_for: datetime.timedelta | None) -> bool:
-        """Tells whether a newer configuration should have arrived by now."""
-        return behind_for is not None and (
-            behind_for > self._settings.change_time * _OVERDUE_PART
-        )
-
     def _hold_list_deletions(self) -> None:
         """Holds deletions after a store outage, in which entries expire."""
         self.directory.hold_after_outage(self._store_monitor.outage_ended_at)
--- a/src/nutmeghook/internal/assembly/router_gauges.py
+++ b/src/nutmeghook/internal/assembly/router_gauges.py
@@ -44,8 +44,7 @@
         store_monitor: Knows the store's epoch.
         clock: Measures time.
     """
-    current = configuration.current
-    metrics.set("configuration_version", current.version if current else 0)
+    metrics.set("configuration_version", configuration.version)
     metrics.set(
         "configuration_proof_age_seconds", configuration.proof_age_ms() / 1000
     )
--- a/src/nutmeghook/internal/relay/denials.py
+++ b/src/nutmeghook/internal/relay/denials.py
@@ -26,7 +26,7 @@
         reason = "no configuration is known yet"
     elif not configuration.is_proven:
         reason = "peers have not yet told which configuration is the newest"
-    elif configuration.is_overdue():
+    elif configuration.is_overdue:
         reason = "a newer configuration has been known for long"
     else:
         return
@@ -57,7 +57,7 @@
         response: The response if no newer configuration is known.
         reason: What is not allowed.
     """
-    if not configuration.newer_exists():
+    if not configuration.newer_exists:
         return rejections.RejectedError(response, reason=reason)
     return rejections.RejectedError(
         wire.FixedResponse.NOT_RUN,
--- a/src/nutmeghook/internal/routes/in_force.py
+++ b/src/nutmeghook/internal/routes/in_force.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Callable
 import dataclasses
+import datetime
 
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.routes import model
 
 _NO_PROOF_MS = -1
+# An instance that knows for so long that it is behind, as part of the time in
+# which a change has to be in force, admits nobody by what it has. The change
+# was accepted somewhat earlier than it was heard of.
+_OVERDUE_PART = 0.5
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -35,36 +40,40 @@
     Args:
         needs_proof: Requests are admitted only once something proves that no
             newer configuration is known.
+        change_time: Within it a change has to be in force; None without bound.
 
     Attributes:
         current: None until the first one is received.
         text: The current one as the operator wrote it.
         is_proven: Requests may be admitted by it. A store that was restored
             proves nothing to an instance that starts; peers do.
-        newer_exists: Returns whether a peer reported a newer version that has
-            not been received here yet.
-        is_overdue: Returns whether that has been so for too long to go by the
-            current one.
+        behind_for: Returns for how long peers have been known to have a newer
+            version that has not been received here yet; None if none has.
         proof_age_ms: Returns how old the last proof is that the store has no
             newer version; -1 if there is none.
     """
 
     __slots__ = (
+        "_change_time",
         "_stored_version",
+        "behind_for",
         "current",
-        "is_overdue",
         "is_proven",
-        "newer_exists",
         "proof_age_ms",
         "text",
     )
 
-    def __init__(self, *, needs_proof: bool = False):
+    def __init__(
+        self,
+        *,
+        needs_proof: bool = False,
+        change_time: datetime.timedelta | None = None,
+    ):
+        self._change_time = change_time
         self.current: model.Configuration | None = None
         self.text = b""
         self.is_proven = not needs_proof
-        self.newer_exists: Callable[[], bool] = _no_newer_version
-        self.is_overdue: Callable[[], bool] = _no_newer_version
+        self.behind_for: Callable[[], datetime.timedelta | None] = _not_behind
         self.proof_age_ms: Callable[[], int] = _no_proof
         # The newest version that the store was seen to have, since it was last
         # restored.
@@ -75,6 +84,19 @@
         """The version in force; 0 before the first."""
         return self.current.version if self.current else 0
 
+    @property
+    def newer_exists(self) -> bool:
+        """Tells whether a peer has a newer version than this instance."""
+        return self.behind_for() is not None
+
+    @property
+    def is_overdue(self) -> bool:
+        """Tells whether a newer version should have arrived by now."""
+        behind_for = self.behind_for()
+        if behind_for is None or self._change_time is None:
+            return False
+        return behind_for > self._change_time * _OVERDUE_PART
+
     @property
     def is_lost_by_store(self) -> bool:
         """Tells whether the store has an older configuration than this one."""
@@ -144,12 +166,12 @@
         return Admission(
             version=self.current.version,
             proof_age_ms=self.proof_age_ms(),
-            newer_known=self.newer_exists(),
+            newer_known=self.newer_exists,
         )
 
 
-def _no_newer_version() -> bool:
-    return False
+def _not_behind() -> datetime.timedelta | None:
+    return None
 
 
 def _no_proof() -> int:
--- a/src/nutmeghook/internal/suspects/registry.py
+++ b/src/nutmeghook/internal/suspects/registry.py
@@ -29,7 +29,6 @@
 # A crashing part ends a replica as it begins to answer. After a longer time the
 # crash is weaker evidence against parts: something else has ended the replica.
 _BEGINNING = datetime.timedelta(seconds=1)
-ANSWER_GRACE = evidence.ANSWER_GRACE
 # Memory limits. One crash adds as many suspects as the replica had requests;
 # those with the least weight and the oldest crashes are dropped first.
 MAX_SUSPECTS = 1000
@@ -336,7 +335,7 @@
         answered_at = self._answered.get(identity)
         return (
             answered_at is not None
-            and self._clock.monotonic() <= answered_at + ANSWER_GRACE
+            and self._clock.monotonic() <= answered_at + evidence.ANSWER_GRACE
         )
 
     def _without_old(self, suspicion: evidence.Suspicion) -> evidence.Suspicion:
--- a/src/nutmeghook/internal/upstream/cold_watch.py
+++ b/src/nutmeghook/internal/upstream/cold_watch.py
@@ -112,19 +112,12 @@
     ) -> wire.AnswerFacts:
         """Returns what the answer to one health check says."""
         address = replica.entry.address
+        message = wire.encode_probe(
+            self._wire_format,
+            service.health_path or service.liveness_path,
+            replica.entry,
+            time_left=_STATED_TIME,
+        )
         connection = await self._pool.open_for_probe(address)
-        try:
-            head = await connection.exchange(
-                wire.encode_probe(
-                    self._wire_format,
-                    service.health_path or service.liveness_path,
-                    replica.entry,
-                    time_left=_STATED_TIME,
-                ),
-                has_body=True,
-            )
-            if not head.ends_with_connection:
-                await head.read_short()
-            return self._wire_format.read_answer(head.status, head.headers)
-        finally:
-            self._pool.release(address, connection, idle_limit_s=None)
+        head, _ = await self._pool.exchange_probe(address, connection, message)
+        return self._wire_format.read_answer(head.status, head.headers)
--- a/src/nutmeghook/internal/upstream/liveness.py
+++ b/src/nutmeghook/internal/upstream/liveness.py
@@ -15,7 +15,6 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.routes import in_force as in_force_module
-from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.internal.upstream import pool as pool_module
 from nutmeghook.internal.upstream import reachability as reachability_module
@@ -151,8 +150,13 @@
                 reachability = _Reachability.BYPASSED
             self._note_sent(replica.entry.replica_id)
             try:
-                status, body = await self._clock.wait_for(
-                    self._exchange(replica, connection), left
+                head, body = await self._clock.wait_for(
+                    self._pool.exchange_probe(
+                        replica.entry.address,
+                        connection,
+                        self._message(replica),
+                    ),
+                    left,
                 )
             except TimeoutError:
                 break
@@ -162,7 +166,7 @@
                 continue
             return Liveness(
                 reachability=reachability,
-                has_answered=status != _WRONG_REPLICA_STATUS,
+                has_answered=head.status != _WRONG_REPLICA_STATUS,
                 started_ms=self._wire_format.read_start_ms(body),
             )
         return Liveness(reachability=reachability, has_answered=False)
@@ -172,24 +176,6 @@
         if self._unsent.get(replica_id) is asyncio.current_task():
             del self._unsent[replica_id]
 
-    async def _exchange(
-        self,
-        replica: replica_module.Replica,
-        connection: connection_module.ReplicaConnection,
-    ) -> tuple[int, bytes]:
-        """Returns the status of the answer to one request, and its body."""
-        address = replica.entry.address
-        try:
-            head = await connection.exchange(
-                self._message(replica), has_body=True
-            )
-            # The connection is of use to the next request if it is read up.
-            if head.ends_with_connection:
-                return head.status, b""
-            return head.status, await head.read_short()
-        finally:
-            self._pool.release(address, connection, idle_limit_s=None)
-
     def _message(self, replica: replica_module.Replica) -> bytes:
         entry = replica.entry
         configuration = self._configuration.current
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -141,6 +141,35 @@
         """
         return await self._open(address, timeout=PROBE_TIMEOUT)
 
+    async def exchange_probe(
+        self,
+        address: str,
+        connection: connection_module.ReplicaConnection,
+        message: bytes,
+    ) -> tuple[connection_module.AnswerHead, bytes]:
+        """Sends a probe on a new connection, which is kept if it stays usable.
+
+        Args:
+            address: Where the connection leads.
+            connection: From `open_for_probe`.
+            message: The probe.
+
+        Returns:
+            The answer's head, and its body or the beginning of a long one;
+            nothing of a body that ends with the connection.
+
+        Raises:
+            outcomes.AttemptError: There was no whole answer.
+        """
+        try:
+            head = await connection.exchange(message, has_body=True)
+            # The connection is of use to the next request if it is read up.
+            if head.ends_with_connection:
+                return head, b""
+            return head, await head.read_short()
+        finally:
+            self.release(address, connection, idle_limit_s=None)
+
     async def probe(self, address: str) -> reachability_module.Reachability:
         """Tells how a replica responds to a new connection.
 
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -54,7 +54,7 @@
         received the change but knows from a peer that there is one. 404 would
         be final, so it answers that the request was not run and may be retried.
         """
-        self.configuration.newer_exists = lambda: True
+        self.configuration.behind_for = datetime.timedelta
         for options in ({"target": "/nowhere/x"}, {"extra": ()}):
             with self.subTest(options=options):
                 answer = await self.ask(ONCE, **options)
@@ -66,7 +66,7 @@
         """It reached neither the store nor the peer that told it of a newer
         configuration, and went on by its own.
         """
-        self.configuration.is_overdue = lambda: True
+        self.configuration.behind_for = lambda: relay_fixture.CHANGE_TIME
         answer = await self.ask(ONCE)
         self.assertEqual(relay_fixture.status_of(answer), 503)
         self.assertIn(b"Retry-After", answer)
--- a/tests/cover/test_relay_further_attempts.py
+++ b/tests/cover/test_relay_further_attempts.py
@@ -326,7 +326,7 @@
 
         def act(_) -> Reply:
             self.revoke_key()
-            self.configuration.newer_exists = lambda: True
+            self.configuration.behind_for = datetime.timedelta
             return Reply(status=503, not_run=True)
 
         for replica in self.replicas:
--- a/tests/cover/test_suspect_registry.py
+++ b/tests/cover/test_suspect_registry.py
@@ -133,7 +133,7 @@
         of the newer one.
         """
         self.registry.note_answered(REQUEST)
-        await self.clock.advance(registry_module.ANSWER_GRACE + SECOND)
+        await self.clock.advance(evidence.ANSWER_GRACE + SECOND)
         self.crash(1, 2, 3)
         self.assertTrue(self.registry.is_quarantined(REQUEST))
 
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -33,6 +33,8 @@
 TEAM = "a-team"
 AUTHORIZATION = ("Authorization", f"Token {KEY}")
 SECOND = datetime.timedelta(seconds=1)
+# Within it a change of the configuration has to be in force.
+CHANGE_TIME = 2 * SECOND
 
 
 def route(kind: model.RouteKind, **changes) -> model.Route:
@@ -93,7 +95,9 @@
     async def asyncSetUp(self):
         self.clock = self.build_clock()
         self.metrics = metrics_module.Metrics()
-        self.configuration = in_force_module.ConfigurationInForce()
+        self.configuration = in_force_module.ConfigurationInForce(
+            change_time=CHANGE_TIME
+        )
         self.configuration.offer(configuration(), source="test")
         self.pool = self.build_pool()
         self.directory = directory_module.ReplicaDirectory(
