Keep requests off a version that an earlier order found bad

Cause: stable was whatever is not of the newest order's version, and an order's verdict was forgotten with the next order, in each instance and in the plan's row. Ruled out: a lost verdict, and a want of stable replicas. The answers of the bad version also counted as those of the stable one.

Change: a plan names the versions that earlier orders of its service found bad; they get no request and no retry, and measure nothing. Fallbacks to any version leave them out, too. A version that is ordered again has another trial.

--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -225,6 +225,7 @@
         store_time = self._store_monitor.store_time()
         if store_time is None or self._follower.revision < 0:
             return
+        withdrawn = self._rollouts.withdrawn_versions(order)
         row = await self._table.read(_plan_key(order.service))
         if row is not None:
             known = msgspec.json.decode(row.value, type=plan_module.PlanRow)
@@ -233,6 +234,7 @@
             ):
                 self._rollouts.apply_plan(known)
                 return
+            withdrawn = known.withdrawn_beside(order)
         plan = plan_module.PlanRow(
             order_id=order.order_id,
             service=order.service,
@@ -242,6 +244,7 @@
             trial_share=self._rollouts.progress.schedule.canary_share(
                 order.within_s, self._fleet_rate_per_s(order.service)
             ),
+            withdrawn=withdrawn,
         )
         version = row.version if row else table_module.ABSENT_VERSION
         await self._write_plan(order, plan, version)
--- a/src/nutmeghook/internal/version_plans/filters.py
+++ b/src/nutmeghook/internal/version_plans/filters.py
@@ -15,6 +15,8 @@
     return lambda entry: entry.version == version
 
 
-def is_not_version(version: str) -> Callable[[entries.ReplicaEntry], bool]:
+def is_none_of(
+    *versions: str,
+) -> Callable[[entries.ReplicaEntry], bool]:
     """Returns a predicate for all other versions."""
-    return lambda entry: entry.version != version
+    return lambda entry: entry.version not in versions
--- a/src/nutmeghook/internal/version_plans/plan.py
+++ b/src/nutmeghook/internal/version_plans/plan.py
@@ -7,6 +7,9 @@
 
 from nutmeghook.internal.version_plans import orders
 
+# Replicas of a bad version end soon after its verdict, so the latest suffice.
+_MAX_WITHDRAWN = 8
+
 
 class Verdict(enum.Enum):
     """Decision on the new version."""
@@ -27,6 +30,8 @@
         trial_share: The new version's share of requests before the final
             phase (the canary's share); 0 if the row's writer did not set it.
         reason: Grounds for the verdict.
+        withdrawn: Other versions that were found bad, the latest last. Their
+            replicas may still be listed.
     """
 
     order_id: int
@@ -37,6 +42,7 @@
     trial_share: float = 0.0
     verdict: Verdict = Verdict.OPEN
     reason: str = ""
+    withdrawn: tuple[str, ...] = ()
 
     def elapsed_fraction_at(self, store_time: datetime.timedelta) -> float:
         """Returns the elapsed fraction of the order's time; may exceed 1."""
@@ -52,6 +58,18 @@
             self.order.is_rewrite_of(other.order)
         )
 
+    def withdrawn_beside(self, order: orders.RollOutOrder) -> tuple[str, ...]:
+        """Returns versions found bad that must not run requests.
+
+        Args:
+            order: The service's newest order. A version that is ordered again
+                is given another trial.
+        """
+        found = self.withdrawn
+        if self.verdict is Verdict.BAD:
+            found = (*(v for v in found if v != self.version), self.version)
+        return tuple(v for v in found if v != order.version)[-_MAX_WITHDRAWN:]
+
     @property
     def order(self) -> orders.RollOutOrder:
         """The order that the plan carries out."""
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -143,6 +143,13 @@
             return None
         return plan
 
+    def withdrawn_versions(
+        self, order: orders_module.RollOutOrder
+    ) -> tuple[str, ...]:
+        """Returns versions that earlier orders of the service found bad."""
+        plan = self._plans.get(order.service)
+        return () if plan is None else plan.withdrawn_beside(order)
+
     def apply_plan(self, plan: plan_module.PlanRow) -> None:
         """Applies a plan's row; a verdict is never replaced."""
         self._orders.recognise(plan.order)
@@ -271,6 +278,7 @@
         order = self._orders.of_service(service)
         if order is None:
             return filters.any_version
+        withdrawn = self.withdrawn_versions(order)
         if self._uses_new(order, session, request_id):
             wanted = filters.is_version(order.version)
             if self._has_replica(service, wanted, self._gate.is_open):
@@ -279,11 +287,11 @@
                 service, wanted
             ):
                 return wanted
-            return filters.any_version
-        wanted = filters.is_not_version(order.version)
+            return filters.is_none_of(*withdrawn)
+        wanted = filters.is_none_of(order.version, *withdrawn)
         if self._has_replica(service, wanted) or self._is_withdrawn(order):
             return wanted
-        return filters.any_version
+        return filters.is_none_of(*withdrawn)
 
     def accepts_stable(
         self, service: str
@@ -292,10 +300,11 @@
         order = self._orders.of_service(service)
         if order is None:
             return filters.any_version
+        withdrawn = self.withdrawn_versions(order)
         plan = self.plan_of(order)
         if plan is not None and plan.verdict is plan_module.Verdict.GOOD:
-            return filters.any_version
-        return filters.is_not_version(order.version)
+            return filters.is_none_of(*withdrawn)
+        return filters.is_none_of(order.version, *withdrawn)
 
     def note_sent(
         self,
@@ -329,7 +338,8 @@
         """Records an answer of a replica."""
         order = self._orders.of_service(entry.service)
         if order is None or entry.version != order.version:
-            self._baseline.note(answer)
+            if not self._was_withdrawn(order, entry):
+                self._baseline.note(answer)
             return
         plan = self.plan_of(order)
         if plan is None or not plan.is_open:
@@ -355,8 +365,9 @@
         order = self._orders.of_service(entry.service)
         baseline = f"{measure.value}/{kind}"
         if order is None or entry.version != order.version:
-            self._baseline_paces.note(baseline, pace_s)
-            self._compare_waiting(baseline)
+            if not self._was_withdrawn(order, entry):
+                self._baseline_paces.note(baseline, pace_s)
+                self._compare_waiting(baseline)
             return
         plan = self.plan_of(order)
         if plan is None or not plan.is_open:
@@ -459,6 +470,19 @@
             return True
         return self.judge(order) is not None
 
+    def _was_withdrawn(
+        self,
+        order: orders_module.RollOutOrder | None,
+        entry: entries.ReplicaEntry,
+    ) -> bool:
+        """Tells whether a replica's version was found bad in an earlier order.
+
+        The answers of one are no measure for the next version.
+        """
+        return order is not None and entry.version in self.withdrawn_versions(
+            order
+        )
+
     def _has_replica(
         self,
         service: str,
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -164,6 +164,26 @@
         }
         self.assertEqual(verdicts, {plan_module.Verdict.BAD})
 
+    async def test_an_instance_that_starts_learns_which_versions_were_bad(self):
+        """It knows only the newest plan, in which the bad version was missing,
+        and sent requests to its replicas.
+        """
+        instance, driver = self.driver("one")
+        await self.step(driver)
+        instance.answer("v1", times=60)
+        for number in (1, 2, 3):
+            instance.answer("v2", number=number, failed=True, times=8)
+        await self.clock.advance(datetime.timedelta(seconds=1))
+        await self.step(driver)
+        self.assertEqual(self.operator_state(), "reverted")
+        order = version_fixture.NEXT_ORDER
+        instance.orders.place(order)
+        await driver._step(order)
+        newcomer, starting = self.driver("newcomer")
+        newcomer.orders.place(order)
+        await starting._follower.step()
+        self.assertEqual(newcomer.rollouts.withdrawn_versions(order), ("v2",))
+
     async def test_a_plan_that_was_lost_goes_before_one_begun_since(self):
         """An instance that started after the restore found no plan and began
         one, with the whole time of the order and another canary.
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -4,6 +4,8 @@
 import datetime
 import unittest
 
+import msgspec
+
 from nutmeghook.internal.version_plans import plan as plan_module
 from nutmeghook.internal.version_plans import schedule as schedule_module
 from tests import version_fixture
@@ -296,6 +298,69 @@
         self.assertEqual(self.new_share("any"), 0.0)
         self.assertFalse(self.instance.rollouts.is_ready)
 
+    async def test_a_bad_version_stays_out_once_the_next_one_is_ordered(self):
+        """The replicas of a version that was found bad were still listed, and
+        got requests again like those of the old version.
+        """
+        plan = self.order_next_after_a_bad_one()
+        self.assert_stays_out("before the plan")
+        self.instance.rollouts.apply_plan(plan)
+        self.assert_stays_out("in the canary")
+        for verdict in (plan_module.Verdict.GOOD, plan_module.Verdict.BAD):
+            self.instance.rollouts.apply_plan(
+                msgspec.structs.replace(plan, verdict=verdict)
+            )
+            self.assert_stays_out(verdict.value)
+
+    async def test_answers_of_a_bad_version_are_no_measure_for_the_next(self):
+        """Half of the next one's answers fail as well, so it was found no worse
+        than what was before it.
+        """
+        self.instance.rollouts.apply_plan(self.order_next_after_a_bad_one())
+        self.instance.answer("v1", times=60)
+        self.instance.answer("v2", failed=True, times=60)
+        for number in (1, 2, 3):
+            self.instance.answer("v3", number=number, failed=True, times=8)
+            self.instance.answer("v3", number=number, times=8)
+        self.assertIsNotNone(
+            self.instance.rollouts.judge(version_fixture.NEXT_ORDER)
+        )
+
+    def order_next_after_a_bad_one(self) -> plan_module.PlanRow:
+        """Orders v3 after v2 was found bad; returns the plan, not applied."""
+        rollouts = self.instance.rollouts
+        self.instance.begin()
+        former = rollouts.plan_of(version_fixture.ORDER)
+        rollouts.apply_plan(
+            msgspec.structs.replace(former, verdict=plan_module.Verdict.BAD)
+        )
+        order = version_fixture.NEXT_ORDER
+        for number in (1, 2, 3):
+            self.instance.directory.put(
+                version_fixture.entry(number, order.version)
+            )
+        self.instance.orders.place(order)
+        return plan_module.PlanRow(
+            order_id=order.order_id,
+            service=order.service,
+            version=order.version,
+            started_ms=0.0,
+            within_s=order.within_s,
+            withdrawn=rollouts.withdrawn_versions(order),
+        )
+
+    def assert_stays_out(self, when: str) -> None:
+        """Asserts that no request, nor a retry, may run on the bad version."""
+        bad = version_fixture.entry(1, "v2")
+        service = version_fixture.SERVICE
+        rollouts = self.instance.rollouts
+        self.assertFalse(rollouts.accepts_stable(service)(bad), when)
+        for number in range(50):
+            accepts = rollouts.accepts(
+                service, session=f"{when} {number}", request_id=str(number)
+            )
+            self.assertFalse(accepts(bad), when)
+
     async def test_a_request_that_failed_in_canary_may_use_the_old_version(
         self,
     ):
--- a/tests/version_fixture.py
+++ b/tests/version_fixture.py
@@ -24,6 +24,9 @@
 ORDER = orders_module.RollOutOrder(
     service=SERVICE, version="v2", within_s=WITHIN_S, order_id=5
 )
+NEXT_ORDER = orders_module.RollOutOrder(
+    service=SERVICE, version="v3", within_s=WITHIN_S, order_id=6
+)
 SESSION_TIME = datetime.timedelta(seconds=5)
 
 
