Recover bills from the object store one task at a time

What callers saw: make demo ended with status 2: an entry's IndexError in ledger/overflow as it was stopped.

Cause: the drain at a stop and the periodic recovery read the first entry of a list, wait for the stores, and take the first entry off. Of 13 other places that take from the front of a queue none waits in between, by reading.

Change: a lock; the second recovery goes on with what is left.

--- a/src/nutmeghook/internal/ledger/overflow.py
+++ b/src/nutmeghook/internal/ledger/overflow.py
@@ -53,6 +53,7 @@
         "_pending",
         "_put_rate",
         "_random",
+        "_recovering",
         "_sequence",
         "_should_sweep",
         "_stored",
@@ -94,6 +95,8 @@
             tuple[records.FinishRecord, asyncio.Future[bool]]
         ] = collections.deque()
         self._wake = asyncio.Event()
+        # A drain may come while the periodic recovery moves an object.
+        self._recovering = asyncio.Lock()
 
     @property
     def stored_objects(self) -> int:
@@ -120,15 +123,15 @@
 
     async def recover(self) -> None:
         """Appends this instance's stored bills to the log."""
-        while self._stored and not self._table_health.is_out:
-            key = self._stored[0]
-            try:
-                recovered = await self._recover_one(key)
-            except failures.PlatformError:
-                return
-            if not recovered:
-                return
-            self._stored.popleft()
+        async with self._recovering:
+            while self._stored and not self._table_health.is_out:
+                try:
+                    recovered = await self._recover_one(self._stored[0])
+                except failures.PlatformError:
+                    return
+                if not recovered:
+                    return
+                self._stored.popleft()
 
     async def sweep(self) -> None:
         """Appends the stored bills of instances that are gone."""
--- a/tests/cover/test_ledger_bills.py
+++ b/tests/cover/test_ledger_bills.py
@@ -177,6 +177,27 @@
         await self.until_overflow_is_empty()
         self.assertEqual(await self.billed_in_log(), ["k"])
 
+    async def test_drains_side_by_side_leave_no_bill_behind(self):
+        """Each took the same object off the list, and so one of them the next,
+        whose bills had not been moved; or there was none, and it failed.
+        """
+        await self.stop_table()
+        for key in ("k1", "k2", "k3"):
+            await self.finish(self.one, key)
+        self.cluster.objects.faults.delay = 20 * MS
+        self.cluster.table.faults.down = False
+        await self.cluster.until(
+            lambda: not self.one.ledger.table_health.is_out
+        )
+        await self.cluster.drive(
+            asyncio.gather(
+                self.one.ledger.drain(timeout=SECOND),
+                self.one.ledger.drain(timeout=SECOND),
+            )
+        )
+        await self.until_overflow_is_empty()
+        self.assertEqual(sorted(await self.billed_in_log()), ["k1", "k2", "k3"])
+
     async def until_overflow_is_empty(self):
         for _ in range(100):
             keys = await self.cluster.drive(
