Know of what is still missing after a part has arrived

For up to the time between two reports an instance would have answered 401 or 404, which are final, to what a configuration that it had been told of allows.

How long a newer version has been known was kept for one own version, and no time was taken for no lag, so that any change that arrived ended the knowledge of those beyond it.

Change: the time begins anew with the version received; whether there is a newer one follows from the newest report alone.

--- a/src/nutmeghook/internal/table_replication/lag.py
+++ b/src/nutmeghook/internal/table_replication/lag.py
@@ -6,7 +6,8 @@
 class Lag:
     """How long a newer version than the own one has been known.
 
-    Versions are whole numbers of any kind that grows.
+    Versions are whole numbers of any kind that grows. The time begins anew with
+    each version that is received.
     """
 
     __slots__ = ("_newest", "_own", "_since")
@@ -14,7 +15,7 @@
     def __init__(self):
         self._own = -1
         self._newest = -1
-        # When a newer version than `_own` was first reported.
+        # Since when `_own` has been known to be behind.
         self._since = datetime.timedelta()
 
     def note_reported(
@@ -29,9 +30,8 @@
         """
         if newest <= own:
             return
-        if own != self._own or self._newest <= self._own:
-            self._own = own
-            self._since = now
+        if self._newest <= own:
+            self._own, self._since = own, now
         self._newest = max(self._newest, newest)
 
     def duration(
@@ -39,8 +39,13 @@
     ) -> datetime.timedelta | None:
         """Returns for how long it has been behind; None if it is not known to.
 
-        The time begins anew with each version that is received.
+        Args:
+            own: What this instance has. The first call with another version
+                begins its time.
+            now: The monotonic time.
         """
-        if own != self._own or self._newest <= own:
+        if self._newest <= own:
             return None
+        if own != self._own:
+            self._own, self._since = own, now
         return now - self._since
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -171,6 +171,24 @@
         await self.catch_up(behind)
         self.assertFalse(behind[0].is_behind(TABLE))
 
+    async def test_an_instance_that_got_a_part_knows_that_it_lacks_more(self):
+        """It was taken for the newest once any change had arrived, and denied
+        for good what a change that it had been told of allows.
+        """
+        ahead, behind = self.instance("a"), self.instance("b")
+        self.connect(ahead, behind)
+        await behind[1].follower.step()
+        ahead[1].follower.revision = 99
+        ahead[0]._send_digest(local=5, remote=0)
+        await self.clock.advance(_SECOND)
+        self.assertEqual(behind[0].behind_for(TABLE), _SECOND)
+        self.put("2")
+        await behind[1].follower.step()
+        self.assertTrue(behind[0].is_behind(TABLE))
+        self.assertEqual(behind[0].behind_for(TABLE), 0 * _SECOND)
+        await self.clock.advance(_SECOND)
+        self.assertEqual(behind[0].behind_for(TABLE), _SECOND)
+
     async def test_a_reported_revision_that_nobody_serves_expires(self):
         """A peer reports a change and dies with it. If the report did not
         expire, the instance would refuse requests for unknown paths for good.
