Complete no body at a connection that this process dropped

The event loop then reports the loss without an error, as after a clean end, so that an answer without a length counted as whole; its replica answered a probe by another path. A reset by the network is reported as an error, so this needs an abort in the process; the tunnel's server had the same gap. The class: the absence of an error is taken for a sign.

Change: only an end that the other side has sent completes a body; connections through a peer have that of the tunnel's pieces.

The tunnel's server has no test of its own for it.

--- a/src/nutmeghook/internal/tunnels/server.py
+++ b/src/nutmeghook/internal/tunnels/server.py
@@ -72,6 +72,7 @@
     def __init__(self, *, reader: asyncio.StreamReader):
         super().__init__(reader, loop=asyncio.get_running_loop())
         self.failure: Exception | None = None
+        self._other_side_ended = False
         self._replica_transport: asyncio.BaseTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,11 +82,14 @@
 
     def eof_received(self) -> bool | None:
         """Ends the reader, and records whether it was a reset."""
+        self._other_side_ended = True
         self.failure = socket_options.take_error(self._replica_transport)
         return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the reader after what was received before."""
+        if exc is None and not self._other_side_ended:
+            exc = ConnectionAbortedError("dropped by this process")
         self.failure = self.failure or exc
         super().connection_lost(None)
 
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -128,6 +128,7 @@
         "_framing_bytes",
         "_framing_limit",
         "_head",
+        "_other_side_ended",
         "_payload",
         "_read_bytes",
         "_received_bytes",
@@ -144,6 +145,7 @@
         self._head: asyncio.Future[AnswerHead] | None = None
         self._payload: streams.StreamReader | None = None
         self._reset: OSError | None = None
+        self._other_side_ended = False
         self._answers = 0
         self.failure: outcomes.UnknownOutcomeError | None = None
         self.helper: str | None = None
@@ -284,16 +286,19 @@
 
     def eof_received(self) -> None:
         """Lets the transport close, and records whether it was a reset."""
+        self._other_side_ended = True
         self._reset = socket_options.take_error(self.transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only a clean close can complete a body.
 
         aiohttp's parser would also take a reset for the end of a body without
-        length.
+        length. The event loop reports no error if this process aborts.
         """
         self.reusable = False
         exc = exc or self._reset
+        if exc is None and not self._other_side_ended:
+            exc = ConnectionAbortedError("dropped by this process")
         if exc is None and self._parser is not None:
             try:
                 self._parser.feed_eof()
--- a/src/nutmeghook/internal/upstream/tunnelled_connection.py
+++ b/src/nutmeghook/internal/upstream/tunnelled_connection.py
@@ -59,6 +59,7 @@
                 self.reply.set_result(self._reply)
         if self._pieces.is_ended:
             self.reusable = False
+            self._other_side_ended = True
             if self.transport is not None:
                 self.transport.close()
 
--- a/tests/cover/test_replica_connection.py
+++ b/tests/cover/test_replica_connection.py
@@ -55,6 +55,16 @@
         self.assertEqual(await head.read(), b"half")
         self.assertEqual(await head.read(), b"")
 
+    async def test_a_connection_dropped_here_completes_no_body(self):
+        """The event loop reports no error for a connection that this process
+        aborts. Half an answer without length was taken for the whole.
+        """
+        head = await self.answer(WITHOUT_LENGTH)
+        self.connection.connection_lost(None)
+        self.assertEqual(await head.read(), b"half")
+        with self.assertRaises(outcomes.UnknownOutcomeError):
+            await head.read()
+
     async def test_bytes_on_an_idle_connection_end_it(self):
         """A late answer arrives while the connection is idle in the pool. If
         kept, it would be read as the answer to the next request.
