--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -83,6 +83,15 @@
         await driver._follower.step()
         await driver._step(version_fixture.ORDER)
 
+    async def find_bad(self, instance, driver) -> None:
+        """Lets the order's version fail until it is reverted."""
+        instance.answer("v1", times=60)
+        for number in (1, 2, 3):
+            instance.answer("v2", number=number, failed=True, times=8)
+        await self.clock.advance(datetime.timedelta(seconds=1))
+        await self.step(driver)
+        self.assertEqual(self.operator_state(), "reverted")
+
     async def to_the_end(self, *drivers) -> None:
         """Moves through the final phase, with a step at its start."""
         within = datetime.timedelta(seconds=version_fixture.WITHIN_S)
@@ -146,12 +155,7 @@
         )
         await self.step(driver)
         copy = self.store.copy()
-        instance.answer("v1", times=60)
-        for number in (1, 2, 3):
-            instance.answer("v2", number=number, failed=True, times=8)
-        await self.clock.advance(datetime.timedelta(seconds=1))
-        await self.step(driver)
-        self.assertEqual(self.operator_state(), "reverted")
+        await self.find_bad(instance, driver)
         await self.step(second)
         self.store.restore(copy)
         self.assertEqual(self.operator_state(), "in_progress")
@@ -170,12 +174,7 @@
         """
         instance, driver = self.driver("one")
         await self.step(driver)
-        instance.answer("v1", times=60)
-        for number in (1, 2, 3):
-            instance.answer("v2", number=number, failed=True, times=8)
-        await self.clock.advance(datetime.timedelta(seconds=1))
-        await self.step(driver)
-        self.assertEqual(self.operator_state(), "reverted")
+        await self.find_bad(instance, driver)
         order = version_fixture.NEXT_ORDER
         instance.orders.place(order)
         await driver._step(order)
