Record what a start costs and what it waits for

The logs could not tell a costly start from one that waits for the store, peers or a plan. process:started and process:ready now state the processor time, process:ready when each condition of readiness was first met, and process:not_ready what is still missing after 5 s; two gauges say the same.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -23,6 +23,7 @@
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.observe import start_record
 from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.relay import listener as listener_module
@@ -255,13 +256,20 @@
         Once ready it stays so until it leaves: during a store outage its state
         gets stale, but equally so on all instances.
         """
-        self._was_ready = self._was_ready or (
-            self.configuration.is_proven
-            and self.directory.known
-            and self.rollouts.is_ready
+        self._was_ready = self._was_ready or all(
+            is_met() for is_met in self._ready_conditions().values()
         )
         return self._was_ready and not self.leaving
 
+    def _ready_conditions(self) -> dict[str, Callable[[], bool]]:
+        """Returns what has to be met before callers should be sent here."""
+        return {
+            "configuration": lambda: self.configuration.current is not None,
+            "configuration_proof": lambda: self.configuration.is_proven,
+            "replica_list": lambda: self.directory.known,
+            "roll_out_plans": lambda: self.rollouts.is_ready,
+        }
+
     async def start(self) -> None:
         """Opens the listening sockets."""
         host, port = _split(self._settings.caller_address)
@@ -353,7 +361,13 @@
         ].confirmed_age_ms
         plans = self._rollout_driver(shared[driver.TABLE], peers)
         quarantines = self._quarantine_rows()
+        start = start_record.StartRecord(
+            conditions=self._ready_conditions(),
+            metrics=self.metrics,
+            clock=self._clock,
+        )
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(start.run())
             for table in (tables.OPERATOR_TABLE, tables.REPLICA_TABLE):
                 tasks.create_task(_follow_forever(table, peers))
             tasks.create_task(self._settle_forever(shared.values()))
--- a/src/nutmeghook/internal/assembly/router_process.py
+++ b/src/nutmeghook/internal/assembly/router_process.py
@@ -16,6 +16,7 @@
 
 # The settings file may change without a signal, and reading it is cheap.
 _SETTINGS_POLL_PERIOD = datetime.timedelta(seconds=2)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 LoadSettings = Callable[[], settings_module.InstanceSettings]
 
@@ -53,6 +54,7 @@
         data_centre=settings.data_centre,
         address=router.listener.address,
         metrics_address=router.metrics_address,
+        cpu_ms=round(clock.processor_time() / _MILLISECOND),
     )
     running = asyncio.create_task(router.run())
     reloading = asyncio.create_task(
--- a/src/nutmeghook/internal/foundation/clock.py
+++ b/src/nutmeghook/internal/foundation/clock.py
@@ -31,6 +31,10 @@
         """Returns a monotonic time that counts suspensions of the machine."""
         return self.monotonic()
 
+    def processor_time(self) -> datetime.timedelta:
+        """Returns the processor time of this process; 0 where not measured."""
+        return datetime.timedelta()
+
     @abc.abstractmethod
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Waits until `duration` has passed on this clock."""
@@ -80,6 +84,10 @@
             seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
         )
 
+    def processor_time(self) -> datetime.timedelta:
+        """Returns the processor time that this process has used."""
+        return datetime.timedelta(seconds=time.process_time())
+
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Waits until `duration` has passed."""
         await asyncio.sleep(duration.total_seconds())
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -312,6 +312,20 @@
             " sealed by a peer, since the start."
         ),
     ),
+    MetricSpec(
+        name="start_seconds",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "From when the listener opened until the instance first had what it"
+            " needs to serve, by condition."
+        ),
+        labels=("condition",),
+    ),
+    MetricSpec(
+        name="start_processor_seconds",
+        kind=MetricKind.GAUGE,
+        meaning="Processor time of the process until it was ready.",
+    ),
     MetricSpec(
         name="ratings_dropped_total",
         kind=MetricKind.COUNTER,
--- /dev/null
+++ b/src/nutmeghook/internal/observe/start_record.py
@@ -0,0 +1,74 @@
+"""Records when a starting instance has what it needs to serve."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import datetime
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import metrics as metrics_module
+
+_POLL_PERIOD = datetime.timedelta(milliseconds=50)
+# Between two lines about an instance that is not ready yet.
+_REMINDER_PERIOD = datetime.timedelta(seconds=5)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class StartRecord:
+    """Watches the conditions of readiness until all have been met once.
+
+    Args:
+        conditions: By name, whether the instance has what it waits for.
+        metrics: Gets the times.
+        clock: Measures time.
+    """
+
+    __slots__ = ("_began_at", "_clock", "_conditions", "_met_ms", "_metrics")
+
+    def __init__(
+        self,
+        *,
+        conditions: Mapping[str, Callable[[], bool]],
+        metrics: metrics_module.Metrics,
+        clock: clock_module.Clock,
+    ):
+        self._conditions = dict(conditions)
+        self._metrics = metrics
+        self._clock = clock
+        self._began_at = clock.monotonic()
+        # By condition: from the record's beginning until it was first met.
+        self._met_ms: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Watches until all conditions have been met, and logs that."""
+        reminded_at = self._began_at
+        while self._missing():
+            now = self._clock.monotonic()
+            if now - reminded_at >= _REMINDER_PERIOD:
+                reminded_at = now
+                self._note("process:not_ready", missing=self._missing())
+            await self._clock.sleep(_POLL_PERIOD)
+        self._note("process:ready")
+
+    def _missing(self) -> list[str]:
+        """Notes what has been met since; returns what never was."""
+        elapsed = self._clock.monotonic() - self._began_at
+        for name, is_met in self._conditions.items():
+            if name not in self._met_ms and is_met():
+                self._met_ms[name] = round(elapsed / _MILLISECOND)
+                self._metrics.set(
+                    "start_seconds", elapsed.total_seconds(), condition=name
+                )
+        return [name for name in self._conditions if name not in self._met_ms]
+
+    def _note(self, event: str, **fields: object) -> None:
+        processor_time = self._clock.processor_time()
+        self._metrics.set(
+            "start_processor_seconds", processor_time.total_seconds()
+        )
+        logs.note(
+            event,
+            met_after_ms=self._met_ms,
+            cpu_ms=round(processor_time / _MILLISECOND),
+            **fields,
+        )
