Load no certificates and collect nothing as a router starts

What callers saw: after all 88 instances had lost power, nobody served until nearly all of them had done their imports: 88 processes that start together share the cores, and each start took 0.6 s of processor time before its listener was open.

Cause: a seventh of it read the certificates of the machine's authorities, twice, as aiohttp was imported (instances speak no TLS); another seventh were garbage collections that found nothing to collect. Now neither happens in imports, and what they made is passed over by later collections.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -6,9 +6,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
-from nutmeghook.internal.assembly import router_process
-from nutmeghook.internal.foundation import event_loop
-from nutmeghook.platform import settings
+from nutmeghook.internal.foundation import cheap_imports
+
+with cheap_imports.cheap_imports():
+    from nutmeghook.internal.assembly import router_process
+    from nutmeghook.internal.foundation import event_loop
+    from nutmeghook.platform import settings
 
 EXIT_WRONG_SETTINGS = 2
 
