Wait for no ended peer before callers are admitted

What callers saw: a fleet that started again after the store had once been restored refused them for 5 s more, where rows of instances lay that are gone.

Cause: an instance that starts before such a store asks peers for a newer configuration, and a peer whose machine refuses the connection counted as one that may be cut off, which has to be waited for. A refused connection says that no instance runs there, so that nobody there knows anything. It is told apart now (PeerNotListeningError), also while calls back off. A peer that doesn't answer at all is waited for as before, at most 5 s: it may admit callers by a configuration that the store has lost.

--- a/src/nutmeghook/internal/inner/peers.py
+++ b/src/nutmeghook/internal/inner/peers.py
@@ -19,6 +19,10 @@
     """No reply arrived; the peer may have handled the request."""
 
 
+class PeerNotListeningError(PeerUnreachableError):
+    """The peer's machine refused the connection: no instance runs there."""
+
+
 class PeerRefusedError(Exception):
     """The peer replied with a failure.
 
--- a/src/nutmeghook/internal/inner/tcp_client.py
+++ b/src/nutmeghook/internal/inner/tcp_client.py
@@ -116,6 +116,7 @@
         "_credential",
         "_idle",
         "_inner_address",
+        "_is_listening",
         "_pending",
         "_random",
         "_sequences",
@@ -152,6 +153,8 @@
         self._idle.set()
         self._backoff = _FIRST_BACKOFF
         self._backoff_until = clock.monotonic()
+        # False after the last connection was refused.
+        self._is_listening = True
         self.task: asyncio.Task | None = None
 
     async def wait_until_idle(self) -> None:
@@ -162,9 +165,7 @@
         """Sends a request and waits for its reply, a failure included."""
         async with self._slots:
             if self._clock.monotonic() < self._backoff_until:
-                raise peers.PeerUnreachableError(
-                    f"{self._inner_address} could not be reached; backing off"
-                )
+                raise self._unreachable("could not be reached; backing off")
             sequence = next(self._sequences)
             reply = asyncio.get_running_loop().create_future()
             self._pending[sequence] = reply
@@ -184,6 +185,10 @@
             while await self._is_wanted():
                 try:
                     await self._run_connection()
+                except ConnectionRefusedError as error:
+                    self._is_listening = False
+                    self._back_off()
+                    self._fail_pending(self._unreachable(error))
                 except peers.PeerRefusedError as error:
                     self._back_off()
                     self._fail_pending(error)
@@ -250,6 +255,7 @@
             writer.transport.abort()
 
     def _start_connection(self, writer: asyncio.StreamWriter) -> None:
+        self._is_listening = True
         sockets.set_options(writer)
         frames.write(
             writer, frames.hello(self._credential), traffic=self._traffic
@@ -289,4 +295,7 @@
                 reply.set_exception(error)
 
     def _unreachable(self, reason: object) -> peers.PeerUnreachableError:
-        return peers.PeerUnreachableError(f"{self._inner_address}: {reason!r}")
+        error_type = peers.PeerUnreachableError
+        if not self._is_listening:
+            error_type = peers.PeerNotListeningError
+        return error_type(f"{self._inner_address}: {reason!r}")
--- a/src/nutmeghook/internal/routes/peer_configurations.py
+++ b/src/nutmeghook/internal/routes/peer_configurations.py
@@ -13,6 +13,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import enum
 import random
 import zlib
 
@@ -42,6 +43,22 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+class _Answer(enum.Enum):
+    """What a peer said of the configuration that it has.
+
+    Attributes:
+        PROVEN: It admits requests by it.
+        UNPROVEN: It is starting, and knows no better.
+        ENDED: No instance runs there; it knows nothing any more.
+        NONE: Nothing is known of it; it may have a newer one.
+    """
+
+    PROVEN = enum.auto()
+    UNPROVEN = enum.auto()
+    ENDED = enum.auto()
+    NONE = enum.auto()
+
+
 class PeerConfigurations(gossip_senders.MessageGossipSender):
     """Exchanges the configuration in force with peers.
 
@@ -130,13 +147,13 @@
     async def prove(self) -> None:
         """Asks peers for a newer configuration until one can tell.
 
-        If all peers that answer are starting themselves, or none answers for
+        If all peers are starting themselves or don't run, or none answers for
         long, what the store has is the newest that anyone knows.
         """
         began_at = self._clock.monotonic()
-        proven = unproven = failed = 0
+        proven = unproven = ended = failed = 0
         while not self._configuration.is_proven:
-            proven, unproven, failed = await self._ask_some()
+            proven, unproven, ended, failed = await self._ask_some()
             waited = self._clock.monotonic() - began_at
             is_answered = proven or not failed or waited >= LONGEST_PROOF
             if is_answered and self._configuration.version:
@@ -146,28 +163,22 @@
                     version=self._configuration.version,
                     by_peers=proven,
                     starting_peers=unproven,
+                    ended_peers=ended,
                     silent_peers=failed,
                     waited_ms=round(waited / _MILLISECOND),
                 )
                 return
             await self._clock.sleep(_ASK_AGAIN_DELAY)
 
-    async def _ask_some(self) -> tuple[int, int, int]:
-        """Asks some peers; returns how many could tell, could not, failed."""
+    async def _ask_some(self) -> tuple[int, ...]:
+        """Asks some peers; returns how many there are of each `_Answer`."""
         known = self._registered_addresses()
         asked = self._random.sample(known, min(len(known), _MAX_ASKED))
         answers = await asyncio.gather(*(self._ask(peer) for peer in asked))
-        return tuple(
-            sum(answer is wanted for answer in answers)
-            for wanted in (True, False, None)
-        )
+        return tuple(answers.count(kind) for kind in _Answer)
 
-    async def _ask(self, address: str) -> bool | None:
-        """Fetches from a peer what is newer there.
-
-        Returns:
-            Whether the peer admits requests by it; None if it did not answer.
-        """
+    async def _ask(self, address: str) -> "_Answer":
+        """Fetches from a peer what is newer there."""
         request = ttypes.ConfigurationPull(
             known_version=self._configuration.version
         )
@@ -178,13 +189,15 @@
         except peers_module.PeerRefusedError as error:
             # Earlier releases don't know the request.
             logs.note("configuration:not_told", peer=address, error=str(error))
-            return False
+            return _Answer.UNPROVEN
         except peers_module.PeerUnreachableError as error:
             logs.note("configuration:not_told", peer=address, error=str(error))
-            return None
+            if isinstance(error, peers_module.PeerNotListeningError):
+                return _Answer.ENDED
+            return _Answer.NONE
         if page.text:
             self._offer(page.text, address)
-        return bool(page.proven)
+        return _Answer.PROVEN if page.proven else _Answer.UNPROVEN
 
     def _offer(self, compressed: bytes, address: str) -> None:
         try:
--- a/tests/cover/test_inner_tcp.py
+++ b/tests/cover/test_inner_tcp.py
@@ -209,6 +209,23 @@
             await pair.server.start(host=host, port=int(port))
             self.assertEqual((await eventually_pull(pair, 4)).revision, 4)
 
+    async def test_a_refused_connection_tells_that_no_instance_runs(self):
+        """An ended instance can't be told from one that is cut off."""
+        async with running_pair() as pair:
+            await pair.server.close(grace=datetime.timedelta())
+            for number in range(2):
+                with self.assertRaises(peers.PeerNotListeningError):
+                    await pair.pull(number)
+            pair.server = pair.new_server()
+            host, port = pair.address.split(":")
+            await pair.server.start(host=host, port=int(port))
+            await eventually_pull(pair, 4)
+            with self.assertRaises(peers.PeerUnreachableError) as raised:
+                await pair.pull(1, timeout=SHORT)
+            self.assertNotIsInstance(
+                raised.exception, peers.PeerNotListeningError
+            )
+
     async def test_a_call_as_its_connection_ends_fails_as_unreachable(self):
         """A connection ends, and a call is made before its reader's next turn.
         The transport refuses the write with an exception that is no
--- a/tests/cover/test_peer_configurations.py
+++ b/tests/cover/test_peer_configurations.py
@@ -26,6 +26,7 @@
         self.handlers = {}
         self.receivers = {}
         self.dropped = set()
+        self.ended = set()
         self.exchanges = {}
         self.held = {a: self.instance(a) for a in ADDRESSES}
 
@@ -42,7 +43,9 @@
             decode=configuration.decode,
             registered_addresses=lambda: others,
             sample_peers=lambda: others,
-            caller=fake_peers.FakePeerCaller(handlers=self.handlers),
+            caller=fake_peers.FakePeerCaller(
+                handlers=self.handlers, ended=self.ended
+            ),
             handlers=self.handlers[name],
             messages=sealed_messages.SealedMessages(
                 datagrams=socket.bind(name),
@@ -89,6 +92,21 @@
         await self.run_for("a", _SECOND)
         self.assertTrue(self.held["a"].is_proven)
 
+    async def test_peers_that_no_longer_run_are_not_waited_for(self):
+        """Rows of ended instances cost a fleet that starts 5 s."""
+        self.ended.update("bc")
+        self.give("a", OLD)
+        await self.run_for("a", _SECOND)
+        self.assertTrue(self.held["a"].is_proven)
+
+    async def test_an_ended_peer_says_nothing_of_one_out_of_reach(self):
+        """The other one may admit callers by a newer configuration."""
+        self.ended.add("b")
+        del self.handlers["c"]
+        self.give("a", OLD)
+        await self.run_for("a", peer_configurations.LONGEST_PROOF - _SECOND)
+        self.assertFalse(self.held["a"].is_proven)
+
     async def test_an_instance_without_peers_in_reach_admits_nobody_at_first(
         self,
     ):
--- a/tests/fake_peers.py
+++ b/tests/fake_peers.py
@@ -28,12 +28,15 @@
 class FakePeerCaller(peers.PeerCaller):
     """Calls between the instances of a test."""
 
-    def __init__(self, *, handlers):
+    def __init__(self, *, handlers, ended=frozenset()):
         self._handlers = handlers
+        self._ended = ended
         self.made = 0
 
     async def call(self, inner_address, request, *, timeout):
         self.made += 1
+        if inner_address in self._ended:
+            raise peers.PeerNotListeningError("refused")
         if inner_address not in self._handlers:
             raise peers.PeerUnreachableError("no reply")
         handler = self._handlers[inner_address].handler_for(request)
