Read odd rows and messages as what they are: unreadable

What operators of such systems saw: one odd entry of another writer ended the instances that read it, again at each start.

Cause: decoders raise more than the one error that their callers handle. A deeply nested value raises RecursionError (the configuration, orders, plans, evidence, quarantines, peers, the store's answers), a time out of range OverflowError, a value that is no base64 binascii.Error, and an address without a valid port ValueError, but only when gossip is sent there. Each escaped into the router's task group and ended the process.

Now bytes from outside are decoded in one place (foundation/stored_json), which raises one error; numbers have bounds where they are decoded; the row counts as unreadable, and the others hold. An odd plan is replaced by the first instance that has the order. A credential that is none still gives all instances the same one. Ids and versions of replicas with control characters, which would end a header, are rejected. A datagram that its handler can't use is dropped: the transport would close its socket.

The log's record of process:started gets its new field cpu_ms.

--- a/src/nutmeghook/internal/dependencies/revisions.py
+++ b/src/nutmeghook/internal/dependencies/revisions.py
@@ -10,6 +10,7 @@
 
 # Versions of one epoch stay below 2 to this power.
 _VERSION_BITS = 40
+MAX_VERSION = (1 << _VERSION_BITS) - 1
 MAX_EPOCH = 1_000_000
 
 
--- a/src/nutmeghook/internal/inner/datagrams.py
+++ b/src/nutmeghook/internal/inner/datagrams.py
@@ -98,7 +98,11 @@
 
     def send(self, inner_address: str, data: bytes) -> None:
         """Sends to `ip:port`."""
-        address = addresses.split(inner_address)
+        try:
+            address = addresses.split(inner_address)
+        except ValueError:
+            # A peer or a row named it; the others' datagrams go on.
+            return
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
 
--- a/src/nutmeghook/internal/inner/sealed_messages.py
+++ b/src/nutmeghook/internal/inner/sealed_messages.py
@@ -54,10 +54,16 @@
             received.kind, datagrams_module.HEADER_BYTES + len(datagram)
         )
         handler = self._handlers.get(type(received.message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(received.message)
+        except Exception as error:
+            # Fields may be missing, or hold what no handler expects. The
+            # transport closes its socket on an exception.
+            self._note_unreadable(error)
 
-    def _note_unreadable(self, error: codec.MalformedError) -> None:
+    def _note_unreadable(self, error: Exception) -> None:
         """Counts a datagram, and logs it while there are few.
 
         Anyone who reaches the port can send such datagrams at any rate, so only
--- a/src/nutmeghook/internal/inner/tcp_client.py
+++ b/src/nutmeghook/internal/inner/tcp_client.py
@@ -64,7 +64,10 @@
             raise peers.PeerUnreachableError("this instance is closing")
         peer = self._peers.get(inner_address)
         if peer is None or peer.task.done():
-            peer = self._add(inner_address)
+            try:
+                peer = self._add(inner_address)
+            except ValueError as error:
+                raise peers.PeerUnreachableError(str(error)) from error
         try:
             reply = await self._clock.wait_for(peer.exchange(request), timeout)
         except TimeoutError as error:
--- a/src/nutmeghook/internal/observe/state_records.py
+++ b/src/nutmeghook/internal/observe/state_records.py
@@ -109,6 +109,7 @@
     data_centre: str | None = None
     address: str | None = None
     metrics_address: str | None = None
+    cpu_ms: int | None = None
     in_flight: int | None = None
     failed: bool | None = None
     failure: str | None = None
--- a/src/nutmeghook/internal/suspects/rows.py
+++ b/src/nutmeghook/internal/suspects/rows.py
@@ -7,12 +7,14 @@
 
 import datetime
 import random
+from typing import Annotated
 
 import msgspec
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.suspects import evidence
 from nutmeghook.internal.suspects import probes
@@ -25,6 +27,15 @@
 # and all instances of a large fleet may retry at the same time.
 _RETRY_DELAY = datetime.timedelta(seconds=4)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_MAX_PROBES = 1_000_000
+# A suspicion has to fit into one datagram.
+_MAX_HASHES = 100
+_MAX_IDENTITY_BYTES = 32
+# Up to the year 2100.
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=4_102_444_800_000)]
+# Peers are told them in 32 signed bits.
+_Hash = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
+_Hashes = Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_HASHES)]
 
 
 class _Row(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,12 +50,15 @@
         request_hashes: Of requests that were lost with the part.
     """
 
-    replica_hashes: tuple[int, ...]
-    ended_ms: int
-    tried_ms: int | None = None
-    probes: int = 0
+    replica_hashes: _Hashes
+    ended_ms: _UnixMs
+    tried_ms: _UnixMs | None = None
+    probes: Annotated[int, msgspec.Meta(ge=0, le=_MAX_PROBES)] = 0
     is_part: bool = False
-    request_hashes: tuple[int, ...] = ()
+    request_hashes: _Hashes = ()
+
+
+_DECODER = msgspec.json.Decoder(_Row)
 
 
 class QuarantineRows(restored_rows.RestorableRows):
@@ -154,9 +168,9 @@
     def _suspicion(self, row: table_module.Row) -> evidence.Suspicion | None:
         """Returns a row's suspicion; None if it is expired or malformed."""
         try:
-            found = msgspec.json.decode(row.value, type=_Row)
-            identity = bytes.fromhex(row.key.removeprefix(_PREFIX))
-        except (msgspec.MsgspecError, ValueError) as error:
+            found = stored_json.decode(row.value, _DECODER)
+            identity = _identity(row.key)
+        except ValueError as error:
             logs.note("quarantine:bad_row", key=row.key, error=str(error))
             return None
         at = self._moment(found.ended_ms)
@@ -187,3 +201,11 @@
         """
         now_ms = self._clock.now().timestamp() * 1000
         return self._clock.monotonic() - max(0, now_ms - unix_ms) * _MILLISECOND
+
+
+def _identity(key: str) -> bytes:
+    """Returns the identity that a row's key names; raises ValueError."""
+    identity = bytes.fromhex(key.removeprefix(_PREFIX))
+    if not 0 < len(identity) <= _MAX_IDENTITY_BYTES:
+        raise ValueError(f"an identity of {len(identity)} bytes")
+    return identity
--- a/src/nutmeghook/internal/table_replication/pages.py
+++ b/src/nutmeghook/internal/table_replication/pages.py
@@ -71,7 +71,7 @@
     try:
         data = inflater.decompress(content, MAX_BYTES)
         sent = _DECODER.decode(data)
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, msgspec.MsgspecError, RecursionError) as error:
         raise InvalidPageError(f"malformed: {error!r}") from error
     return tuple(_row(row, table=table) for row in sent)
 
--- a/src/nutmeghook/internal/table_replication/registration.py
+++ b/src/nutmeghook/internal/table_replication/registration.py
@@ -1,12 +1,16 @@
 """Registers instances in the store: a row each and a shared credential."""
 
 import dataclasses
+import hashlib
 import secrets
 
 import msgspec
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.foundation import stored_json
+from nutmeghook.internal.inner import addresses
+from nutmeghook.internal.inner import frames
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.table_replication import restored_rows
 
@@ -24,6 +28,9 @@
     data_centre: str | None = None
 
 
+_DECODER = msgspec.json.Decoder(_InstanceRow)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class RegisteredPeer:
     """A peer as its row describes it.
@@ -96,7 +103,7 @@
             proposed = secrets.token_urlsafe(_CREDENTIAL_BYTES)
             self._credential = await self._stored_credential(proposed)
         else:
-            self._credential = credential.value.decode()
+            self._credential = _credential_in(credential)
         return Registration(
             credential=self._credential, peers=self._peers(rows)
         )
@@ -148,7 +155,7 @@
         row = await self._table.read(_CREDENTIAL_KEY)
         if row is None:
             raise failures.NotDoneError("the credential row is missing")
-        return row.value.decode()
+        return _credential_in(row)
 
     def _peers(
         self, rows: dict[str, table_module.Row]
@@ -159,8 +166,9 @@
             if peer_id == key or peer_id == self._instance_id:
                 continue
             try:
-                found = msgspec.json.decode(row.value, type=_InstanceRow)
-            except msgspec.MsgspecError as error:
+                found = stored_json.decode(row.value, _DECODER)
+                addresses.split(found.inner_address)
+            except ValueError as error:
                 logs.note("peer:bad_row", key=key, error=str(error))
                 continue
             peers[peer_id] = RegisteredPeer(
@@ -168,3 +176,20 @@
                 data_centre=found.data_centre,
             )
         return peers
+
+
+def _credential_in(row: table_module.Row) -> str:
+    """Returns the credential of a row.
+
+    A row that holds none, by another writer, still gives all instances the
+    same one: without peers they would neither share limits nor hear of changes.
+    """
+    try:
+        credential = row.value.decode()
+        frames.check_credential(credential)
+    except ValueError as error:
+        logs.note("peer:bad_row", key=row.key, error=str(error))
+        return hashlib.blake2b(
+            row.value, digest_size=_CREDENTIAL_BYTES
+        ).hexdigest()
+    return credential
--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -72,12 +72,12 @@
                 continue
             try:
                 self._apply(row)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except ValueError as error:
                 logs.note("roll_out:bad_row", key=row.key, error=str(error))
 
     def _apply(self, row: source.FollowedRow) -> None:
         if row.key.startswith(PLAN_PREFIX):
-            plan = msgspec.json.decode(row.value, type=plan_module.PlanRow)
+            plan = plan_module.decode(row.value)
             self._rollouts.apply_plan(plan)
             logs.note(
                 "roll_out:plan",
@@ -93,9 +93,7 @@
         order = self._orders.of_service(service)
         if order is None or instance_id == self._instance_id:
             return
-        counted = msgspec.json.decode(
-            row.value, type=evidence_module.EvidenceRow
-        )
+        counted = evidence_module.decode(row.value)
         self._rollouts.evidence_of(order).merge(instance_id, counted)
 
 
@@ -227,8 +225,8 @@
             return
         withdrawn = self._rollouts.withdrawn_versions(order)
         row = await self._table.read(_plan_key(order.service))
-        if row is not None:
-            known = msgspec.json.decode(row.value, type=plan_module.PlanRow)
+        known = _readable_plan(row)
+        if known is not None:
             if known.order_id >= order.order_id or order.is_rewrite_of(
                 known.order
             ):
@@ -263,8 +261,8 @@
         row = await self._table.read(_plan_key(order.service))
         if row is None:
             return
-        plan = msgspec.json.decode(row.value, type=plan_module.PlanRow)
-        if plan.order_id != order.order_id:
+        plan = _readable_plan(row) or self._rollouts.plan_of(order)
+        if plan is None or plan.order_id != order.order_id:
             return
         if not plan.is_open:
             self._rollouts.apply_plan(plan)
@@ -335,10 +333,11 @@
         self, order: orders_module.RollOutOrder, plan: plan_module.PlanRow
     ) -> None:
         row = await self._table.read(_plan_key(order.service))
-        if row is None:
-            await self._write_plan(order, plan, table_module.ABSENT_VERSION)
+        stored = _readable_plan(row)
+        if stored is None:
+            version = row.version if row else table_module.ABSENT_VERSION
+            await self._write_plan(order, plan, version)
             return
-        stored = msgspec.json.decode(row.value, type=plan_module.PlanRow)
         if stored.order_id == plan.order_id:
             is_behind = stored.is_open and not plan.is_open
         else:
@@ -396,5 +395,16 @@
         )
 
 
+def _readable_plan(row: table_module.Row | None) -> plan_module.PlanRow | None:
+    """Returns a row's plan; None if there is none, which may be replaced."""
+    if row is None:
+        return None
+    try:
+        return plan_module.decode(row.value)
+    except ValueError as error:
+        logs.note("roll_out:bad_row", key=row.key, error=str(error))
+        return None
+
+
 def _plan_key(service: str) -> str:
     return f"{TABLE}/{PLAN_PREFIX}{service}"
--- a/src/nutmeghook/internal/version_plans/evidence.py
+++ b/src/nutmeghook/internal/version_plans/evidence.py
@@ -2,9 +2,11 @@
 
 import collections
 import secrets
+from typing import Annotated
 
 import msgspec
 
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.rollout import evidence as rating_evidence
 from nutmeghook.internal.version_plans import baseline as baseline_module
 from nutmeghook.internal.version_plans import binomial_tail
@@ -37,11 +39,19 @@
 _PRIOR_VARIANCE_ANSWERS = 4.0
 
 
+# No instance counts more answers of one order, and none of these sums can
+# exceed a float's range when they are squared.
+_MAX_COUNT = 10**12
+_MAX_SUM = 1e100
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Sum = Annotated[float, msgspec.Meta(ge=-_MAX_SUM, le=_MAX_SUM)]
+
+
 class RouteCount(msgspec.Struct, kw_only=True):
     """One instance's counts of the new version's answers on one route."""
 
-    good: int = 0
-    bad: int = 0
+    good: _Count = 0
+    bad: _Count = 0
     # Replicas that gave a bad answer. A bad version fails on several replicas;
     # a fault of one machine does not.
     bad_replicas: set[str] = set()
@@ -59,10 +69,10 @@
             row's writer did not set it.
     """
 
-    answers: int = 0
-    deviations: float = 0.0
-    squares: float = 0.0
-    baseline_variance: float = 0.0
+    answers: _Count = 0
+    deviations: _Sum = 0.0
+    squares: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_SUM)] = 0.0
+    baseline_variance: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_SUM)] = 0.0
 
     def add(self, other: "PaceCount") -> None:
         """Adds the paces of another instance."""
@@ -150,6 +160,18 @@
         )
 
 
+_DECODER = msgspec.json.Decoder(EvidenceRow)
+
+
+def decode(value: bytes) -> EvidenceRow:
+    """Returns the counts of a row or message.
+
+    Raises:
+        stored_json.UnreadableError: They are malformed.
+    """
+    return stored_json.decode(value, _DECODER)
+
+
 class PooledEvidence:
     """Combines all instances' counts of one order into a verdict.
 
--- a/src/nutmeghook/internal/version_plans/gossip.py
+++ b/src/nutmeghook/internal/version_plans/gossip.py
@@ -179,10 +179,8 @@
         if message.evidence is None:
             return
         try:
-            counted = msgspec.json.decode(
-                message.evidence, type=evidence_module.EvidenceRow
-            )
-        except msgspec.MsgspecError as error:
+            counted = evidence_module.decode(message.evidence)
+        except ValueError as error:
             logs.note("roll_out:bad_news", error=str(error))
             return
         self._rollouts.evidence_of(order).merge(message.sender_id, counted)
--- a/src/nutmeghook/internal/version_plans/plan.py
+++ b/src/nutmeghook/internal/version_plans/plan.py
@@ -2,13 +2,19 @@
 
 import datetime
 import enum
+from typing import Annotated
 
 import msgspec
 
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.version_plans import orders
 
 # Replicas of a bad version end soon after its verdict, so the latest suffice.
 _MAX_WITHDRAWN = 8
+# Ten years.
+MAX_WITHIN_S = 315_360_000.0
+# Some 30,000 years.
+_MAX_TIME_MS = 1e15
 
 
 class Verdict(enum.Enum):
@@ -37,9 +43,9 @@
     order_id: int
     service: str
     version: str
-    started_ms: float
-    within_s: float
-    trial_share: float = 0.0
+    started_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_TIME_MS)]
+    within_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WITHIN_S)]
+    trial_share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
     verdict: Verdict = Verdict.OPEN
     reason: str = ""
     withdrawn: tuple[str, ...] = ()
@@ -93,3 +99,15 @@
         if self.verdict is Verdict.GOOD:
             return orders.OrderState.COMPLETED
         return orders.OrderState.RUNNING
+
+
+_DECODER = msgspec.json.Decoder(PlanRow)
+
+
+def decode(value: bytes) -> PlanRow:
+    """Returns the plan of a row.
+
+    Raises:
+        stored_json.UnreadableError: It is none.
+    """
+    return stored_json.decode(value, _DECODER)
--- a/src/nutmeghook/platform/configuration.py
+++ b/src/nutmeghook/platform/configuration.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.routes import model
 from nutmeghook.platform import headers
 
@@ -76,7 +77,7 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=stored_json.MAX_NUMBER)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
@@ -93,15 +94,21 @@
     Raises:
         ValueError: It is malformed; the text says where.
     """
+    wire = stored_json.decode(value, _DECODER)
     try:
-        wire = _DECODER.decode(value)
-        routes = tuple(_route(route) for route in wire.routes)
-    except (msgspec.MsgspecError, KeyError) as error:
-        raise ValueError(f"malformed configuration: {error!r}") from error
+        return _configuration(wire)
+    except (KeyError, OverflowError) as error:
+        # An unknown kind of route, or a time beyond what can be represented.
+        raise stored_json.UnreadableError(
+            f"malformed configuration: {error!r}"
+        ) from error
+
+
+def _configuration(wire: _Configuration) -> model.Configuration:
     has_teams = wire.tenants is not msgspec.UNSET
     return model.Configuration(
         version=wire.version,
-        routes=routes,
+        routes=tuple(_route(route) for route in wire.routes),
         services={s.name: _service(s) for s in wire.services},
         requires_keys=has_teams,
         teams_by_key={
--- a/src/nutmeghook/platform/replicas.py
+++ b/src/nutmeghook/platform/replicas.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.replicas import entries
 
 _READY = "ready"
@@ -25,7 +26,14 @@
 # ignored, so one far in the future would hide all later entries of its replica.
 _MAX_START_MS = 4_102_444_800_000
 
-_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+# Ids and versions are written into headers of requests and into logs.
+_PRINTABLE = re.compile(r"[^\x00-\x1f\x7f]+")
+_Text = Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1, max_length=200, pattern=rf"^{_PRINTABLE.pattern}\Z"
+    ),
+]
 
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
@@ -65,10 +73,9 @@
     Raises:
         ValueError: The row is rejected; the text says why.
     """
-    try:
-        wire = _DECODER.decode(value)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise ValueError(f"malformed entry {replica_id}: {error}") from error
+    wire = stored_json.decode(value, _DECODER)
+    if not _PRINTABLE.fullmatch(replica_id):
+        raise ValueError(f"an entry has the id {replica_id!r}")
     if wire.state not in _STATES:
         raise ValueError(f"entry {replica_id} has the state {wire.state!r}")
     if not _is_address(wire.address):
@@ -90,8 +97,8 @@
 def decode_start_ms(body: bytes) -> int:
     """Returns the start that a replica states of itself; 0 if it does not."""
     try:
-        return _REPORT_DECODER.decode(body).born
-    except (msgspec.MsgspecError, RecursionError):
+        return stored_json.decode(body, _REPORT_DECODER).born
+    except stored_json.UnreadableError:
         return 0
 
 
--- a/src/nutmeghook/platform/rollout_rows.py
+++ b/src/nutmeghook/platform/rollout_rows.py
@@ -1,10 +1,14 @@
 """Decodes roll-out orders and encodes their status."""
 
+from typing import Annotated
+
 import msgspec
 
 from nutmeghook.internal.dependencies import table
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.version_plans import driver
 from nutmeghook.internal.version_plans import orders
+from nutmeghook.internal.version_plans import plan
 
 STATUS_TABLE = "status"
 ORDER_PREFIX = "rollout/"
@@ -20,7 +24,7 @@
     # The version that all replicas have at the end.
     to: str
     # Seconds from the order to the end of the roll-out.
-    within_s: float
+    within_s: Annotated[float, msgspec.Meta(ge=0.0, le=plan.MAX_WITHIN_S)]
 
 
 class _Status(msgspec.Struct, frozen=True):
@@ -38,10 +42,7 @@
     Raises:
         ValueError: It is malformed.
     """
-    try:
-        wire = _DECODER.decode(value)
-    except msgspec.MsgspecError as error:
-        raise ValueError(f"malformed order: {error}") from error
+    wire = stored_json.decode(value, _DECODER)
     return orders.RollOutOrder(
         service=wire.service,
         version=wire.to,
--- a/src/nutmeghook/platform/store_messages.py
+++ b/src/nutmeghook/platform/store_messages.py
@@ -6,15 +6,20 @@
 import base64
 import dataclasses
 import datetime
+from typing import Annotated
 
 import msgspec
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import revisions
 from nutmeghook.internal.dependencies import table as table_module
+from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.table_replication import source
 
 _MAX_EPOCH_DIGITS = 7
+# Some 30,000 years.
+_MAX_NOW_MS = 1e15
+_Version = Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_VERSION)]
 
 
 class Row(msgspec.Struct, frozen=True, rename="camel"):
@@ -24,7 +29,7 @@
     table: str = ""
     part: str = ""
     value: str = ""
-    row_version: int = 0
+    row_version: _Version = 0
     deleted: bool = False
 
 
@@ -33,8 +38,8 @@
 
     rows: list[Row] = []
     # The newest version of any row; the answer is complete up to it.
-    row_version: int = 0
-    now_ms: float = 0.0
+    row_version: _Version = 0
+    now_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_NOW_MS)] = 0.0
     has_more: bool = False
     # Stated in a header of the answer.
     epoch: int = 0
@@ -145,8 +150,8 @@
         failures.OutcomeUnknownError: It is malformed.
     """
     try:
-        rows = _ROWS.decode(answer.body)
-    except msgspec.MsgspecError as error:
+        rows = stored_json.decode(answer.body, _ROWS)
+    except stored_json.UnreadableError as error:
         raise failures.OutcomeUnknownError(
             f"malformed answer of the store: {error}"
         ) from error
@@ -157,7 +162,7 @@
     """Returns a row of an answer, for reads and writes."""
     return table_module.Row(
         key=f"{table}/{row.key}",
-        value=base64.b64decode(row.value),
+        value=_value(row),
         version=answer.revision_of(row),
     )
 
@@ -167,7 +172,7 @@
     return [
         source.FollowedRow(
             key=row.key,
-            value=base64.b64decode(row.value),
+            value=_value(row),
             version=answer.revision_of(row),
             deleted=row.deleted,
         )
@@ -175,6 +180,14 @@
     ]
 
 
+def _value(row: Row) -> bytes:
+    """Returns a row's value; empty if it can't be read, as no row's is."""
+    try:
+        return base64.b64decode(row.value)
+    except ValueError:
+        return b""
+
+
 def page(
     answer: Rows, rows: list[source.FollowedRow], revision: int
 ) -> source.Page:
--- a/tests/cover/test_registration.py
+++ b/tests/cover/test_registration.py
@@ -29,7 +29,7 @@
                 )
             ),
             instance_id=name,
-            inner_address=f"{name}:1",
+            inner_address=f"127.0.0.{ord(name)}:1",
             data_centre="here",
         )
 
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -168,6 +168,33 @@
         await self.line("settings:applied")
         self.assertIsNone(self.process.returncode)
 
+    async def test_odd_rows_end_no_start(self):
+        """Rows of another writer ended all instances, again at each start."""
+        deep = b"[" * 200_000
+        self.store.put("op", "rollout/pool", b'{"service":' + deep)
+        self.store.put("op", "rollout/other", b'{"service":"o","to":"v",')
+        self.store.put("servers", "odd", b'{"service":' + deep)
+        self.store.put("rollouts", "plan/pool", b'{"order_id":' + deep)
+        self.store.put("quarantine", "ab" * 16, b'{"ended_ms":' + deep)
+        self.store.put("instances", "at/odd", b'{"inner_address":"x:99999"}')
+        self.store.put("instances", "credential", b"\xff")
+        self.process.kill()
+        await self.process.wait()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "serve.py"),
+            env=self.environment(),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        address = await self.served()
+        await self.line("peer:registered")
+        self.store.put("op", "config", b'{"version":9,"routes":' + deep)
+        await self.line("operator:bad_row")
+        self.replica.reply_from([users_replica.Reply(events=(0,))])
+        async with self.stream_request(address) as answer:
+            self.assertEqual(answer.status, 200)
+        self.assertIsNone(self.process.returncode)
+
     async def test_wrong_settings_end_the_start(self):
         self.process.kill()
         await self.process.wait()
