--- a/src/nutmeghook/internal/assembly/waiting.py
+++ b/src/nutmeghook/internal/assembly/waiting.py
@@ -100,7 +100,11 @@
         try:
             row = await self._table.read(pool_module.ROW_KEY)
             pool = pool_module.decode(row.value) if row else pool_module.Pool()
-        except (failures.PlatformError, msgspec.MsgspecError):
+        except (
+            failures.PlatformError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ):
             return ["which roll-outs wait for ratings can't be read now"]
         snapshot = self._view.snapshot
         return [
--- a/src/nutmeghook/internal/config/exchange.py
+++ b/src/nutmeghook/internal/config/exchange.py
@@ -124,7 +124,7 @@
     def _apply_reply(self, update: ttypes.ConfigUpdate) -> None:
         try:
             self._apply(update)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise peers.PeerRefusedError(
                 code_number=codes.Code.INTERNAL.number,
                 detail=f"the peer's configuration can't be decoded: {error}",
--- a/src/nutmeghook/internal/config/store.py
+++ b/src/nutmeghook/internal/config/store.py
@@ -220,7 +220,7 @@
     # instance keeps its configuration, whose age then grows.
     try:
         return msgspec.json.decode(row.value, type=row_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise failures.NotDoneError(f"row {row.key}: {error}") from error
 
 
--- a/src/nutmeghook/internal/standin_http/http_exchange.py
+++ b/src/nutmeghook/internal/standin_http/http_exchange.py
@@ -157,7 +157,7 @@
     """Returns the platform error for an answer that is not a success."""
     try:
         refusal = _refusal_decoder.decode(body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         refusal = Refusal()
     message = f"{peer}: status {status}: {refusal.message or body[:200]!r}"
     if not refusal.not_run:
@@ -265,7 +265,7 @@
         answer = await self._call("POST", path, body, params)
         try:
             return decoder.decode(answer or b"")
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise failures.OutcomeUnknownError(
                 f"{self._peer}{path}: {error}"
             ) from error
@@ -308,7 +308,7 @@
     ) -> _T:
         try:
             return decoder.decode(body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise failures.NotDoneError(f"{self._peer}: {error}") from error
 
 
--- a/src/nutmeghook/internal/standin_http/http_instances.py
+++ b/src/nutmeghook/internal/standin_http/http_instances.py
@@ -85,7 +85,7 @@
             return known
         try:
             answer = _decoder.decode(tagged.body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise failures.NotDoneError(f"{LIST_PATH}: {error}") from error
         entries = _entries_after(known, answer)
         if entries is None:
--- a/src/nutmeghook/internal/table_replication/deltas.py
+++ b/src/nutmeghook/internal/table_replication/deltas.py
@@ -55,7 +55,7 @@
     """
     try:
         parts = _DECODER.decode(delta).parts
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise InvalidDeltaError(f"malformed: {error}") from error
     value = bytearray()
     for part in parts:
--- a/tests/cover/test_answers_cut_in_their_head.py
+++ b/tests/cover/test_answers_cut_in_their_head.py
@@ -81,7 +81,9 @@
                     ):
                         await self.received(answer[:end], error)
             status, body = await self.received(answer, 0)
-            self.assertIn((status, body[:6]), ((200, b"twelve"), (500, b"bad\n")))
+            self.assertIn(
+                (status, body[:6]), ((200, b"twelve"), (500, b"bad\n"))
+            )
 
 
 class CutServer:
--- a/tests/cover/test_platform_malformed.py
+++ b/tests/cover/test_platform_malformed.py
@@ -44,6 +44,7 @@
             (503, b'{"not_run": false}'),
             (500, b"{}"),
             (200, b"<p>welcome"),
+            (200, b'{"more":' + b"[" * 100_000),
             (307, b""),
         ):
 
@@ -67,7 +68,7 @@
                     )
                     got = await services.call(address, call)
                 self.assertEqual((got.status, got.body), (status, body))
-        self.assertEqual(calls, ["POST", "GET", "POST", "POST"] * 5)
+        self.assertEqual(calls, ["POST", "GET", "POST", "POST"] * 6)
 
     async def check_nothing_is_proved(self, address):
         """Checks a commit, a read and a generation against an address."""
