Say ready only while all conditions are met, and dark only where refused

Found while reading the change: the record of a start noted a condition once it had been met first, and the plans of open orders are met before any order is known, so that process:ready could be logged too early. And a peer that refused once and is dark since still counted as one that does not run.

--- a/src/nutmeghook/internal/inner/tcp_client.py
+++ b/src/nutmeghook/internal/inner/tcp_client.py
@@ -156,7 +156,7 @@
         self._idle.set()
         self._backoff = _FIRST_BACKOFF
         self._backoff_until = clock.monotonic()
-        # False after the last connection was refused.
+        # False while the last attempt to connect was refused.
         self._is_listening = True
         self.task: asyncio.Task | None = None
 
@@ -200,6 +200,7 @@
                     codec.MalformedError,
                     frames.StreamEndedError,
                 ) as error:
+                    self._is_listening = True
                     self._back_off()
                     self._fail_pending(self._unreachable(error))
         finally:
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -316,8 +316,8 @@
         name="start_seconds",
         kind=MetricKind.GAUGE,
         meaning=(
-            "From when the listener opened until the instance first had what it"
-            " needs to serve, by condition."
+            "From when the listener opened until the instance had what it needs"
+            " to serve, by condition."
         ),
         labels=("condition",),
     ),
--- a/src/nutmeghook/internal/observe/start_record.py
+++ b/src/nutmeghook/internal/observe/start_record.py
@@ -15,7 +15,9 @@
 
 
 class StartRecord:
-    """Watches the conditions of readiness until all have been met once.
+    """Watches the conditions of readiness until all are met.
+
+    One that is met may be missing again: an order that arrives needs a plan.
 
     Args:
         conditions: By name, whether the instance has what it waits for.
@@ -36,11 +38,11 @@
         self._metrics = metrics
         self._clock = clock
         self._began_at = clock.monotonic()
-        # By condition: from the record's beginning until it was first met.
+        # By condition that is met: since when, from the record's beginning.
         self._met_ms: dict[str, int] = {}
 
     async def run(self) -> None:
-        """Watches until all conditions have been met, and logs that."""
+        """Watches until all conditions are met, and logs that."""
         reminded_at = self._began_at
         while self._missing():
             now = self._clock.monotonic()
@@ -51,10 +53,12 @@
         self._note("process:ready")
 
     def _missing(self) -> list[str]:
-        """Notes what has been met since; returns what never was."""
+        """Notes what is met now; returns what is not."""
         elapsed = self._clock.monotonic() - self._began_at
         for name, is_met in self._conditions.items():
-            if name not in self._met_ms and is_met():
+            if not is_met():
+                self._met_ms.pop(name, None)
+            elif name not in self._met_ms:
                 self._met_ms[name] = round(elapsed / _MILLISECOND)
                 self._metrics.set(
                     "start_seconds", elapsed.total_seconds(), condition=name
