--- a/src/nutmeghook/internal/dependencies/revisions.py
+++ b/src/nutmeghook/internal/dependencies/revisions.py
@@ -12,6 +12,7 @@
 _VERSION_BITS = 40
 MAX_VERSION = (1 << _VERSION_BITS) - 1
 MAX_EPOCH = 1_000_000
+MAX_REVISION = (MAX_EPOCH << _VERSION_BITS) + MAX_VERSION
 
 
 def combine(epoch: int, version: int) -> int:
--- a/src/nutmeghook/internal/version_plans/plan.py
+++ b/src/nutmeghook/internal/version_plans/plan.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from nutmeghook.internal.dependencies import revisions
 from nutmeghook.internal.foundation import stored_json
 from nutmeghook.internal.version_plans import orders
 
@@ -40,7 +41,7 @@
             replicas may still be listed.
     """
 
-    order_id: int
+    order_id: Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_REVISION)]
     service: str
     version: str
     started_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_TIME_MS)]
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -53,7 +53,7 @@
         plan.decode,
         b'{"order_id":1,"service":"pool","version":"v2","started_ms":5,'
         b'"within_s":10}',
-        (b'"started_ms":', b'"within_s":'),
+        (b'"order_id":', b'"started_ms":', b'"within_s":'),
     ),
     "evidence": (
         evidence.decode,
