Play crowds of clients that don't behave against real processes

Cause: clients may now send anything. In a trial of the users they ended a process, which ran out of memory.

Change: tests.crowd starts a router or an instance of the OpenAI-compatible entry on a small machine (160 and 256 MB, 300 descriptors, by the tests' own settings) and lets crowds of 20 to 400 clients come to each listener: heads, empty lines, chunk extensions and trailers without end, bodies whole, short of their end, in tiny chunks and behind a request in progress, idle connections, answers that nobody reads. What is checked: the process lives, its memory (with the buffers of its sockets) and its descriptors stay within its machine's, a sender without end gets rid of 4 MB at most, ordinary callers are answered while the crowd is there and after it, and one of the largest size after it. The modules run one at a time, after all others.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,5 +1,8 @@
 """Runs each test module in its own process and prints a summary.
 
+The modules of `tests.crowd` measure whole processes, so they run one at a time
+after all others.
+
 KNOWN-RED.txt lists what is known to fail (`tests.known_red`).
 """
 
@@ -15,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MAX_PARALLEL_MODULES = max(2, (os.cpu_count() or 2) // 2)
 MODULE_TIMEOUT_S = 240
+ALONE_PACKAGE = "tests.crowd."
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\w+) \(([\w.]+)\)", re.MULTILINE)
 _RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 _STARTED = re.compile(r"^\w+ \(([\w.]+)\)", re.MULTILINE)
@@ -49,8 +53,11 @@
         for name in _modules()
         if not wanted or any(part in name for part in wanted)
     ]
+    alone = [name for name in modules if name.startswith(ALONE_PACKAGE)]
+    together = [name for name in modules if name not in alone]
     with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL_MODULES) as pool:
-        results = list(pool.map(_run_module, modules))
+        results = list(pool.map(_run_module, together))
+    results.extend(_run_module(module) for module in alone)
     return _sum_up(results, complete=not wanted)
 
 
