Play further crowds: long and small fields, mixtures, stops, compressed bodies

Change: on each HTTP listener fields of 60 KB, many small fields, a request line and a field name without end, bodies in pieces of 3 KB with uneven lengths, and a mixture of clients that come again up to three times. On the OpenAI-compatible entry compressed bodies. Crowds and bounds of the first tests are as they were.

--- a/tests/crowd/http_cases.py
+++ b/tests/crowd/http_cases.py
@@ -12,6 +12,8 @@
 IDLE_CROWD = 400
 TINY_CHUNKS = 16 * 1024
 REQUESTS_IN_A_ROW = 100
+LONG_HEADS_CROWD = 40
+COMES_AGAIN = 3
 # What an endless sender gets rid of, buffers of both systems included.
 TAKEN_BYTES = 4 * 1024 * 1024
 
@@ -43,6 +45,45 @@
 
         await self.withstand(self.crowd(CROWD, pieces))
 
+    async def test_long_fields(self):
+        """Heads of fields as long as the parser takes them took all memory."""
+
+        def pieces(number):
+            yield self.head(number)
+            yield from http_pieces.long_fields()
+
+        await self.withstand(self.crowd(LONG_HEADS_CROWD, pieces))
+
+    async def test_small_fields(self):
+        """The objects of many small fields took far more than their bytes."""
+
+        def pieces(number):
+            yield self.head(number) + b"".join(http_pieces.small_fields())
+
+        await self.withstand(self.crowd(CROWD, pieces))
+
+    async def test_a_request_line_without_end(self):
+        """A line that has not ended was counted nowhere."""
+
+        def pieces(number):
+            yield b"GET /"
+            yield from http_pieces.without_end(b"p")
+
+        crowd = self.crowd(CROWD, pieces)
+        await self.withstand(crowd)
+        self.assert_ended(crowd, most_bytes=TAKEN_BYTES)
+
+    async def test_a_field_name_without_end(self):
+        """A name that has not ended was counted nowhere."""
+
+        def pieces(number):
+            yield self.head(number)
+            yield from http_pieces.without_end(b"n")
+
+        crowd = self.crowd(CROWD, pieces)
+        await self.withstand(crowd)
+        self.assert_ended(crowd, most_bytes=TAKEN_BYTES)
+
     async def test_a_field_without_end(self):
         """A head of one endless field was read for good."""
 
@@ -93,6 +134,38 @@
             )
         )
 
+    async def test_bodies_piece_by_piece(self):
+        """Bodies in small pieces filled the bound to the last byte."""
+        await self.withstand(
+            self.crowd(
+                CROWD,
+                lambda number: http_pieces.uneven(
+                    self.head(number), number, BODY_BYTES
+                ),
+            )
+        )
+
+    async def test_a_mixture_that_comes_again(self):
+        """Clients came again as soon as they had been closed."""
+        kinds = (
+            lambda head: http_pieces.cut_short(head, BODY_BYTES),
+            lambda head: http_pieces.cut_short_in_chunks(head, 2, TINY_CHUNKS),
+            lambda head: [head, *http_pieces.fields()],
+            lambda head: http_pieces.without_end(b"\r\n"),
+            http_pieces.long_extension,
+            lambda head: (),
+        )
+        await self.withstand(
+            members.Crowd(
+                address=self.address,
+                count=CROWD,
+                pieces=lambda number: kinds[number % len(kinds)](
+                    self.head(number)
+                ),
+                comes_again=COMES_AGAIN,
+            )
+        )
+
     async def test_chunked_bodies_that_stop_short(self):
         """Chunked bodies without an end kept memory and kept others out."""
         await self.withstand(
--- a/tests/crowd/http_pieces.py
+++ b/tests/crowd/http_pieces.py
@@ -7,7 +7,10 @@
 # A member that sends without end offers this much.
 OFFERED_BYTES = 32 * 1024 * 1024
 BLOCK_BYTES = 32 * 1024
-TINY_CHUNK = b"2\r\nxx\r\n"
+LONG_FIELD_BYTES = 60_000
+LONG_FIELDS = 200
+SMALL_FIELDS = 20_000
+SMALL_PIECE_BYTES = 3_000
 
 
 def blocks(data: bytes) -> Iterable[bytes]:
@@ -29,6 +32,18 @@
         yield b"X-Field-%d: %b\r\n" % (number, b"v" * FIELD_BYTES)
 
 
+def long_fields() -> Iterable[bytes]:
+    """Yields fields as long as parsers take them."""
+    for number in range(LONG_FIELDS):
+        yield b"X-Field-%d: %b\r\n" % (number, b"v" * LONG_FIELD_BYTES)
+
+
+def small_fields() -> Iterable[bytes]:
+    """Yields fields of few bytes, whose objects are larger than they."""
+    for number in range(SMALL_FIELDS):
+        yield b"x%d: 1\r\n" % number
+
+
 def whole(head: bytes, size_bytes: int) -> Iterable[bytes]:
     """Yields a request with a body."""
     yield _sized(head, size_bytes)
@@ -41,6 +56,15 @@
     yield from blocks(b"b" * (size_bytes - 1))
 
 
+def uneven(head: bytes, number: int, most_bytes: int) -> Iterable[bytes]:
+    """Yields a request in small pieces, short of a length of its own."""
+    size_bytes = most_bytes - 997 * number
+    yield _sized(head, size_bytes)
+    for _ in range(size_bytes // SMALL_PIECE_BYTES - 1):
+        yield b"b" * SMALL_PIECE_BYTES
+    yield b"b" * (size_bytes % SMALL_PIECE_BYTES)
+
+
 def cut_short_in_chunks(head: bytes, chunk_bytes: int, chunks: int):
     """Yields a request in chunks, without the last chunk."""
     yield _chunked(head)
--- a/tests/crowd/members.py
+++ b/tests/crowd/members.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "_address",
+        "_comes_again",
         "_pieces",
         "_reading",
         "_reads",
@@ -39,8 +40,15 @@
     )
 
     def __init__(
-        self, *, number: int, address: str, pieces: Pieces, reads: bool
+        self,
+        *,
+        number: int,
+        address: str,
+        pieces: Pieces,
+        reads: bool,
+        comes_again: int,
     ):
+        self._comes_again = comes_again
         self.number = number
         self._address = address
         self._pieces = pieces
@@ -59,6 +67,7 @@
 
     async def open(self) -> None:
         """Connects."""
+        self.was_ended = False
         host, _, port = self._address.rpartition(":")
         try:
             reader, self._writer = await asyncio.open_connection(
@@ -75,6 +84,13 @@
 
     async def send(self) -> None:
         """Sends all pieces, as far as they are taken."""
+        await self._send()
+        for _ in range(self._comes_again):
+            if self.was_ended:
+                await self.open()
+                await self._send()
+
+    async def _send(self) -> None:
         if self._writer is None:
             return
         for piece in self._pieces(self.number):
@@ -110,6 +126,13 @@
 class Crowd:
     """Clients that send at the same time and stay open until the exit.
 
+    Args:
+        address: Where they connect, as `ip:port`.
+        count: How many there are.
+        pieces: Returns what a member sends, by its number.
+        reads: They read what they are sent.
+        comes_again: How often each connects and sends again once it was ended.
+
     Attributes:
         members: All of them.
     """
@@ -117,10 +140,22 @@
     __slots__ = ("members",)
 
     def __init__(
-        self, *, address: str, count: int, pieces: Pieces, reads: bool = True
+        self,
+        *,
+        address: str,
+        count: int,
+        pieces: Pieces,
+        reads: bool = True,
+        comes_again: int = 0,
     ):
         self.members = [
-            Member(number=number, address=address, pieces=pieces, reads=reads)
+            Member(
+                number=number,
+                address=address,
+                pieces=pieces,
+                reads=reads,
+                comes_again=comes_again,
+            )
             for number in range(count)
         ]
 
--- a/tests/crowd/platform_case.py
+++ b/tests/crowd/platform_case.py
@@ -21,6 +21,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 MEMORY_MB = 160
 DESCRIPTORS = 300
+HEAD_BYTES = 8 * 1024
 BODY_BYTES = 1024 * 1024
 HOST = "h.example"
 CONFIGURATION = {
@@ -40,7 +41,7 @@
     "services": [{"name": "pool"}],
     "tenants": [{"name": "team", "apiKeys": ["key"]}],
     "limits": {
-        "maxHeaderBytes": 8 * 1024,
+        "maxHeaderBytes": HEAD_BYTES,
         "maxBodyBytes": BODY_BYTES,
         "headerTimeoutMs": 60_000,
         "idleTimeoutMs": 60_000,
@@ -83,16 +84,18 @@
         self.store.put("servers", "id-1", row)
         self.folder = tempfile.TemporaryDirectory()
         self._start_files()
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "deploy" / "serve.py"),
-            env=os.environ
-            | {
-                settings.FILE_VARIABLE: str(self.file),
-                settings.METRICS_PORT_VARIABLE: "0",
-            },
-            stdout=self.log.open("wb"),
-        )
+        environment = os.environ | {
+            settings.FILE_VARIABLE: str(self.file),
+            settings.METRICS_PORT_VARIABLE: "0",
+        }
+        with self.log.open("wb") as log, self.errors.open("wb") as errors:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "serve.py"),
+                env=environment,
+                stdout=log,
+                stderr=errors,
+            )
         self.pid = self.process.pid
         self.metrics = (await self._logged("process:started"))[
             "metrics_address"
@@ -120,6 +123,7 @@
         self.file = pathlib.Path(self.folder.name) / "local.toml"
         self.file.write_text(text)
         self.log = pathlib.Path(self.folder.name) / "log"
+        self.errors = pathlib.Path(self.folder.name) / "errors"
 
     async def asyncTearDown(self):
         if self.process.returncode is None:
--- a/tests/crowd/test_openai_callers.py
+++ b/tests/crowd/test_openai_callers.py
@@ -1,5 +1,7 @@
 """Crowds at the OpenAI-compatible entry."""
 
+import zlib
+
 from tests.crowd import http_cases
 from tests.crowd import http_pieces
 from tests.crowd import openai_case
@@ -8,6 +10,7 @@
 SMALL_BODY_BYTES = 60 * 1024
 LARGE_BODY_BYTES = 9 * 1024 * 1024
 LARGE_CROWD = 60
+COMPRESSED_BYTES = 9 * 1024 * 1024
 
 
 class OpenAiCallersTest(http_cases.HttpCases, openai_case.InstanceCase):
@@ -39,3 +42,16 @@
                 ),
             )
         )
+
+    async def test_compressed_bodies_that_stop_short(self):
+        """Compressed bodies took a thousand times their declared size."""
+        packed = zlib.compress(b"b" * COMPRESSED_BYTES)
+
+        def pieces(number):
+            yield self.head(number) + (
+                b"Content-Encoding: deflate\r\n"
+                b"Content-Length: %d\r\n\r\n" % len(packed)
+            )
+            yield packed[:-1]
+
+        await self.withstand(self.crowd(http_cases.CROWD, pieces))
