Bound what clients' connections hold on a router's HTTP listeners

Cause: aiohttp bounds a header field and the buffer of a body that is read, but neither a head nor what comes between requests; maxHeaderBytes was decoded and used nowhere; a connection that sent nothing had its place for good; nothing summed over connections. The event loop read 256 KB of a connection up to 32 times in a row, so that one client's tiny chunks kept all others waiting. The ready and metrics ports had neither limits of a head nor of time. Each refused request left a trace in the log.

Change: clients/ holds one protocol for all HTTP listeners. It counts partial heads, requests behind the one that is handled, and unread bytes, with the objects made of them; refuses heads over the limit with 431; drops what goes on for 64 KB without a request or a byte of a body. A table of connections bounds their number and bytes: the one that has waited longest without a whole request goes first, then the one that has held bytes beside its request for longest. Connections are read 16 KB at a time; those whose slices are mostly framing take turns, one slice in each turn of the event loop. limits.maxFds is read. Closed connections are counted by reason, and logged once a minute for each.

Ruled out: refusing new connections when all places are taken (the crowd keeps its places, ordinary callers are the ones that come), and closing connections for tiny chunks (they are inside the limits).

A test counted three refused socket options; a caller's connection has one more now, so it expects four.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -1,7 +1,6 @@
 """Builds and runs a router for the users' platform."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
@@ -16,6 +15,9 @@
 from nutmeghook.internal.assembly import router_gauges
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.assembly import send_limits as send_limits_module
+from nutmeghook.internal.clients import bounds
+from nutmeghook.internal.clients import connection_table
+from nutmeghook.internal.clients import port
 from nutmeghook.internal.foundation import bounded_http
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import standstill as standstill_module
@@ -69,8 +71,6 @@
 # With 420 instances that write two rows each, 84 writes a second.
 _REWRITE_SPREAD = datetime.timedelta(seconds=10)
 
-_Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
-
 
 class Router:
     """One process between callers and replicas.
@@ -92,10 +92,11 @@
     __slots__ = (
         "_access",
         "_clock",
+        "_connections",
         "_peers",
         "_pool",
+        "_ports",
         "_random",
-        "_runners",
         "_session",
         "_settings",
         "_store",
@@ -203,6 +204,14 @@
             metrics=self.metrics,
             clock=clock,
         )
+        client_bounds = _client_bounds(settings)
+        self._connections = connection_table.ConnectionTable(
+            name="callers",
+            max_connections=client_bounds.callers,
+            bound_bytes=client_bounds.callers_bytes,
+            metrics=self.metrics,
+            clock=clock,
+        )
         self.metrics_address = ""
         self._was_ready = False
         self._wire_format = headers.PlatformHeaders()
@@ -211,10 +220,11 @@
             wire_format=self._wire_format,
             limits=self._caller_limits,
             held=self.held,
+            connections=self._connections,
             metrics=self.metrics,
             clock=clock,
         )
-        self._runners: list[web.ServerRunner] = []
+        self._ports: list[port.Port] = []
         # Set by `run`.
         self._peers: router_peers.RouterPeers | None = None
 
@@ -272,10 +282,13 @@
 
     async def start(self) -> None:
         """Opens the listening sockets."""
-        host, port = _split(self._settings.caller_address)
-        await self.listener.start(host=host, port=port)
-        await self._serve_text(self._settings.ready_address, self._ready)
+        host, number = _split(self._settings.caller_address)
+        await self.listener.start(host=host, port=number)
+        await self._serve_text(
+            "ready", self._settings.ready_address, self._ready
+        )
         self.metrics_address = await self._serve_text(
+            "metrics",
             f"{self._settings.ip}:{self._settings.metrics_port}",
             self._show_metrics,
         )
@@ -289,6 +302,9 @@
         self._settings = settings
         self._store.address = settings.store_address
         self.held.bound_bytes = held_bytes.bound_for(settings.memory_mb)
+        client_bounds = _client_bounds(settings)
+        self._connections.max_connections = client_bounds.callers
+        self._connections.bound_bytes = client_bounds.callers_bytes
         self.rollouts.progress.schedule = _schedule(settings)
         self.budgets.change(
             ratio=settings.retries.ratio * _RETRY_RATIO_FACTOR,
@@ -403,8 +419,8 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for one in self._ports:
+            await one.stop()
         self._pool.close()
         await self._session.close()
 
@@ -514,15 +530,25 @@
         )
         return web.Response(body=body, headers=content_headers)
 
-    async def _serve_text(self, address: str, handler: _Handler) -> str:
+    async def _serve_text(
+        self, name: str, address: str, handler: port.Handler
+    ) -> str:
         """Serves on an address; returns it with the port in use."""
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
-        await runner.setup()
-        host, port = _split(address)
-        await web.TCPSite(runner, host, port).start()
-        self._runners.append(runner)
-        own_host, own_port = runner.addresses[0][:2]
-        return f"{own_host}:{own_port}"
+        one = port.Port(
+            name=name, handler=handler, metrics=self.metrics, clock=self._clock
+        )
+        self._ports.append(one)
+        host, number = _split(address)
+        return await one.start(host=host, port=number)
+
+
+def _client_bounds(
+    settings: settings_module.InstanceSettings,
+) -> bounds.ClientBounds:
+    return bounds.bounds_for(
+        memory_mb=settings.memory_mb,
+        max_descriptors=settings.max_descriptors,
+    )
 
 
 def _schedule(
--- /dev/null
+++ b/src/nutmeghook/internal/clients/__init__.py
@@ -0,0 +1,1 @@
+"""What an instance holds for its clients' connections, on every listener."""
--- /dev/null
+++ b/src/nutmeghook/internal/clients/connection_table.py
@@ -0,0 +1,174 @@
+"""The open connections of a listener's clients, and what is held for them.
+
+Clients may open connections, and send parts of requests, at any rate. Beyond
+its bounds an instance drops connections that have no whole request under way,
+those that have waited longest first.
+"""
+
+import abc
+import enum
+
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import log_limiter
+from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import metrics as metrics_module
+
+
+class CloseReason(enum.Enum):
+    """Why a client's connection was closed, for logs and metrics."""
+
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    TOO_MANY_BYTES = "too_many_bytes"
+    LARGE_HEAD = "large_head"
+    LATE_HEAD = "late_head"
+    NO_REQUEST = "no_request"
+    NOT_HTTP = "not_http"
+    NOT_READING = "not_reading"
+    SLOW_BODY = "slow_body"
+
+
+class ClientConnection(abc.ABC):
+    """A client's connection, as the table of connections sees it."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def drop(self) -> None:
+        """Closes the connection at once, with all that is held for it."""
+
+
+class ConnectionTable:
+    """Bounds connections and the bytes that they hold.
+
+    Args:
+        name: Of the listener, for logs and metrics.
+        max_connections: Most connections at a time.
+        bound_bytes: Most bytes held for all of them, beyond those of requests
+            that their handlers account for.
+        metrics: Counts connections that were closed.
+        clock: Measures time between log lines.
+
+    Attributes:
+        max_connections: Most connections at a time.
+        bound_bytes: Most bytes held for all of them.
+        held_bytes: Bytes held at present.
+    """
+
+    __slots__ = (
+        "_closed",
+        "_held",
+        "_log_limiter",
+        "_metrics",
+        "_name",
+        "_open",
+        "_waiting",
+        "bound_bytes",
+        "held_bytes",
+        "max_connections",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        max_connections: int,
+        bound_bytes: int,
+        metrics: metrics_module.Metrics,
+        clock: clock_module.Clock,
+    ):
+        self._name = name
+        self._metrics = metrics
+        self._log_limiter = log_limiter.LogLimiter(clock=clock)
+        self._closed = dict.fromkeys(CloseReason, 0)
+        self._open: set[ClientConnection] = set()
+        # Both in the order in which connections are dropped.
+        self._waiting: dict[ClientConnection, None] = {}
+        self._held: dict[ClientConnection, int] = {}
+        self.max_connections = max_connections
+        self.bound_bytes = bound_bytes
+        self.held_bytes = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections."""
+        return len(self._open)
+
+    def admit(self, connection: ClientConnection) -> bool:
+        """Adds a new connection, for which another one may be dropped.
+
+        Returns:
+            False if a whole request is under way on each connection, and
+            nothing is held for any beside it.
+        """
+        if len(self._open) >= self.max_connections:
+            reason = CloseReason.TOO_MANY_CONNECTIONS
+            victim = self._most_dispensable()
+            if victim is None:
+                self.note_closed(reason)
+                return False
+            self._drop(victim, reason)
+        self._open.add(connection)
+        self._waiting[connection] = None
+        return True
+
+    def _most_dispensable(self) -> ClientConnection | None:
+        for candidates in (self._waiting, self._held):
+            for connection in candidates:
+                return connection
+        return None
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Removes a connection; repeated calls do nothing."""
+        self._open.discard(connection)
+        self._waiting.pop(connection, None)
+        self.held_bytes -= self._held.pop(connection, 0)
+
+    def note_waiting(self, connection: ClientConnection) -> None:
+        """Records that a connection waits for a request or the rest of one."""
+        if connection in self._open:
+            self._waiting.pop(connection, None)
+            self._waiting[connection] = None
+
+    def note_busy(self, connection: ClientConnection) -> None:
+        """Records that a whole request is under way."""
+        self._waiting.pop(connection, None)
+
+    def hold(self, connection: ClientConnection, count: int) -> None:
+        """Records what is held for a connection.
+
+        Drops connections, perhaps this one, until the bound is kept.
+
+        Args:
+            connection: The connection.
+            count: Bytes held for it.
+        """
+        if connection not in self._open:
+            return
+        self.held_bytes += count - self._held.get(connection, 0)
+        if count:
+            self._held[connection] = count
+        else:
+            self._held.pop(connection, None)
+        while self.held_bytes > self.bound_bytes:
+            self._drop(next(iter(self._held)), CloseReason.TOO_MANY_BYTES)
+
+    def note_closed(self, reason: CloseReason) -> None:
+        """Counts a connection closed for its client's sake; logs some."""
+        self._closed[reason] += 1
+        self._metrics.add(
+            "clients_closed_total", listener=self._name, reason=reason.value
+        )
+        if self._log_limiter.is_due(reason):
+            logs.note(
+                "client:closed",
+                listener=self._name,
+                reason=reason.value,
+                closed=self._closed[reason],
+                connections=len(self._open),
+                held_bytes=self.held_bytes,
+            )
+
+    def _drop(self, connection: ClientConnection, reason: CloseReason) -> None:
+        self.forget(connection)
+        self.note_closed(reason)
+        connection.drop()
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -142,6 +142,23 @@
             " short or the deadline past."
         ),
     ),
+    MetricSpec(
+        name="clients_closed_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Connections closed because of what their clients sent, or did not"
+            " send or read, or to make room for others, by listener and reason."
+        ),
+        labels=("listener", "reason"),
+    ),
+    MetricSpec(
+        name="slow_bodies_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Requests refused, and not run, because their bodies were not"
+            " complete at their deadline or gave up their room to others."
+        ),
+    ),
     MetricSpec(
         name="no_memory_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -3,13 +3,15 @@
 import asyncio
 from collections.abc import Callable
 import datetime
-import socket
 
 from aiohttp import web
 import xxhash
 
+from nutmeghook.internal.clients import connection_table
+from nutmeghook.internal.clients import http_connection
+from nutmeghook.internal.clients import reading_lane
+from nutmeghook.internal.clients import sliced_reads
 from nutmeghook.internal.foundation import clock as clock_module
-from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import caller_sink
@@ -19,17 +21,12 @@
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.routes import model
 
-# How long the rest of a refused body is read, so that the caller gets to read
-# the refusal and not a reset.
-_LINGERING_S = 0.5
-# The parser is set up before the configuration is known; this is what it
-# allows at most, and the configuration's own limit is applied afterwards.
-_MAX_HEADER_BYTES = 64 * 1024
-_MAX_HEADERS = 256
 # Connections stay open a little longer than callers are promised, so that a
 # request sent just before the close is still read.
-_IDLE_SLACK_S = 1.0
+_IDLE_SLACK = datetime.timedelta(seconds=1)
 _BACKLOG = 1024
+# What the system takes for a caller's unread bytes; it books twice as much.
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 # What the system takes for a caller's connection; it books twice as much. It
 # would take up to 4 MB otherwise, which counts as this instance's memory, and a
 # caller that stopped reading would be noticed only after that. Over a round
@@ -41,62 +38,38 @@
 _RETRY_SHARE_OF_TIME_LEFT = 1 / 3
 
 
-class CallerConnection(web.RequestHandler):
-    """One connection, with a time limit for each request's head.
-
-    aiohttp waits for the rest of a head without limit, and each wait holds a
-    file descriptor.
+class CallerConnection(http_connection.HttpConnection):
+    """One caller's connection.
 
     Attributes:
         on_full: Called when the write buffer is full, before a write waits.
     """
 
-    __slots__ = ("_head_timer", "_limits", "on_full")
+    __slots__ = ("on_full",)
 
     def __init__(
         self,
         *,
         server: web.Server,
         loop: asyncio.AbstractEventLoop,
-        limits: model.CallerLimits,
+        limits: Callable[[], http_connection.HttpLimits],
+        table: connection_table.ConnectionTable,
+        lane: reading_lane.ReadingLane,
     ):
         super().__init__(
-            server,
+            server=server,
             loop=loop,
-            access_log=None,
-            lingering_time=_LINGERING_S,
-            keepalive_timeout=limits.idle_time.total_seconds() + _IDLE_SLACK_S,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_field_size=_MAX_HEADER_BYTES,
-            max_headers=_MAX_HEADERS,
+            limits=limits,
+            table=table,
+            lane=lane,
             auto_decompress=False,
         )
-        self._limits = limits
-        self._head_timer: asyncio.TimerHandle | None = None
         self.on_full: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Also bounds the buffers of what is sent."""
+        """Also bounds the write buffer."""
         super().connection_made(transport)
         transport.set_write_buffer_limits(high=caller_sink.WRITE_BUFFER_BYTES)
-        socket_options.try_set(
-            transport, socket.SOL_SOCKET, "SO_SNDBUF", _SEND_BUFFER_BYTES
-        )
-
-    def data_received(self, data: bytes) -> None:
-        """Starts the time limit with a head's first byte.
-
-        A body's bytes start none: they may arrive before its request's handler
-        has begun, and the limit would cut that request off.
-        """
-        before = self._request_count
-        super().data_received(data)
-        if self._request_count > before:
-            self._stop_timer()
-        elif self._is_idle and self._head_timer is None:
-            self._head_timer = self._loop.call_later(
-                self._limits.header_time.total_seconds(), self._head_is_late
-            )
 
     def pause_writing(self) -> None:
         """Also reports that the write buffer is full."""
@@ -104,32 +77,6 @@
         if self.on_full is not None:
             self.on_full()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Also cancels the time limit."""
-        self._stop_timer()
-        super().connection_lost(exc)
-
-    def close_if_idle(self) -> None:
-        """Closes the connection unless a request is under way on it."""
-        if self._is_idle:
-            self.force_close()
-
-    @property
-    def _is_idle(self) -> bool:
-        """Tells whether the connection waits for a request."""
-        waits = self._waiter is not None and not self._waiter.done()
-        return waits and not self._messages
-
-    def _stop_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _head_is_late(self) -> None:
-        self._head_timer = None
-        logs.note("caller:slow_head", caller=str(self.peername))
-        self.force_close()
-
 
 class CallerListener:
     """The listening socket for callers.
@@ -142,7 +89,9 @@
 
     __slots__ = (
         "_clock",
+        "_connections",
         "_held",
+        "_lane",
         "_limits",
         "_metrics",
         "_relay",
@@ -162,9 +111,12 @@
         wire_format: wire.WireFormat,
         limits: Callable[[], model.CallerLimits],
         held: held_bytes_module.HeldBytes,
+        connections: connection_table.ConnectionTable,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
+        self._connections = connections
+        self._lane: reading_lane.ReadingLane | None = None
         self._held = held
         self._watch = held_bytes_module.HeldBytesWatch(
             account=held, clock=clock
@@ -183,10 +135,9 @@
     async def start(self, *, host: str, port: int) -> None:
         """Starts to listen; port 0 lets the system choose one."""
         loop = asyncio.get_running_loop()
+        self._lane = reading_lane.ReadingLane(loop=loop)
         self._socket = await loop.create_server(
-            lambda: CallerConnection(
-                server=self._server, loop=loop, limits=self._limits()
-            ),
+            lambda: sliced_reads.SlicedReads(protocol=self.new_connection()),
             host,
             port,
             backlog=_BACKLOG,
@@ -195,6 +146,27 @@
         own_host, own_port = self._socket.sockets[0].getsockname()[:2]
         self.address = f"{own_host}:{own_port}"
 
+    def new_connection(self) -> CallerConnection:
+        """Returns the protocol of a new connection."""
+        return CallerConnection(
+            server=self._server,
+            loop=asyncio.get_running_loop(),
+            limits=self._http_limits,
+            table=self._connections,
+            lane=self._lane,
+        )
+
+    def _http_limits(self) -> http_connection.HttpLimits:
+        limits = self._limits()
+        return http_connection.HttpLimits(
+            head_bytes=limits.header_bytes,
+            header_time=limits.header_time,
+            idle_time=limits.idle_time + _IDLE_SLACK,
+            write_time=None,
+            receive_buffer_bytes=_RECEIVE_BUFFER_BYTES,
+            send_buffer_bytes=_SEND_BUFFER_BYTES,
+        )
+
     def stop_accepting(self) -> None:
         """Accepts no new requests; those under way are completed.
 
--- a/src/nutmeghook/platform/settings.py
+++ b/src/nutmeghook/platform/settings.py
@@ -15,6 +15,8 @@
 _DEFAULT_LINK_MBIT_PER_S = 100.0
 # Used if the file names no memory limit.
 _DEFAULT_MEMORY_MB = 300.0
+# Used if the file names no limit of descriptors.
+_DEFAULT_DESCRIPTORS = 4096
 
 
 class SettingError(ValueError):
@@ -48,6 +50,7 @@
         regions: The regions of data centres, this instance's among them.
         link_mbit_per_s: What the instance's network link carries.
         memory_mb: The memory above which the platform kills the process.
+        max_descriptors: How many descriptors the process may have.
         change_time: The time within which a change of the configuration, or
             the leaving of a replica, must be in force on all instances.
         heartbeat_interval: The time between two heartbeats of a replica; its
@@ -75,6 +78,7 @@
     regions: dict[str, str]
     link_mbit_per_s: float
     memory_mb: float
+    max_descriptors: int
     change_time: datetime.timedelta
     heartbeat_interval: datetime.timedelta
     stop_time: datetime.timedelta
@@ -207,6 +211,11 @@
         memory_mb=reader.number(
             "limits.memoryMb", default=_DEFAULT_MEMORY_MB, minimum=1.0
         ),
+        max_descriptors=int(
+            reader.number(
+                "limits.maxFds", default=_DEFAULT_DESCRIPTORS, minimum=1
+            )
+        ),
         change_time=min(
             _milliseconds(reader.number("bounds.configApplyMs", default=2000)),
             _milliseconds(reader.number("bounds.drainMs", default=2000)),
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -569,7 +569,8 @@
         ):
             answer = await asyncio.wait_for(self.ask(ONCE), 5.0)
         self.assertEqual(relay_fixture.status_of(answer), 200)
-        self.assertEqual(len(refused), 3)
+        # Two of the caller's connection, two of the replica's.
+        self.assertEqual(len(refused), 4)
 
 
 class EndlessEventsTest(driven_relay.DrivenRelayCase):
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -256,12 +256,9 @@
 
     def fake_connection(self) -> listener_module.CallerConnection:
         """Returns a connection whose packets are made by the test."""
-        connection = listener_module.CallerConnection(
-            server=self.listener._server,
-            loop=asyncio.get_running_loop(),
-            limits=self.configuration.current.limits,
-        )
+        connection = self.listener.new_connection()
         transport = mock.Mock(spec=asyncio.Transport)
+        transport.get_write_buffer_size.return_value = 0
         transport.is_closing.return_value = False
         connection.connection_made(transport)
         return connection
--- a/tests/entry_fixture.py
+++ b/tests/entry_fixture.py
@@ -3,14 +3,36 @@
 import asyncio
 from collections.abc import Callable
 
+from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.config import tokens
 from nutmeghook.internal.dispatch import dispatcher
 from nutmeghook.internal.entry import application
 from nutmeghook.internal.entry import drain as drain_module
 from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identifiers
+from nutmeghook.internal.observe import metrics
 from tests import fakes
 
+MAX_CONNECTIONS = 1000
+MAX_BYTES = 32_000_000
+
+
+def connections(
+    clock: clock_module.Clock,
+    *,
+    max_connections: int = MAX_CONNECTIONS,
+    bound_bytes: int = MAX_BYTES,
+) -> connection_table.ConnectionTable:
+    """Returns a table of callers' connections."""
+    return connection_table.ConnectionTable(
+        name="callers",
+        max_connections=max_connections,
+        bound_bytes=bound_bytes,
+        metrics=metrics.Metrics(),
+        clock=clock,
+    )
+
 
 def listener(
     fixture: fakes.Fixture,
@@ -27,7 +49,7 @@
             dispatcher=on or fixture.dispatcher(),
             drain=drain or drain_module.Drain(events=fixture.events),
             identifiers=identifiers.IdentifierSource(),
-        )
+        ),
     )
 
 
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -27,6 +27,7 @@
 from nutmeghook.internal.version_plans import view
 from nutmeghook.platform import headers
 from nutmeghook.standins import users_replica
+from tests import entry_fixture
 
 HOST = "callers.example"
 KEY = "a-key"
@@ -179,6 +180,7 @@
                 )
             ),
             wire_format=wire_format,
+            connections=entry_fixture.connections(self.clock),
             limits=lambda: self.configuration.current.limits,
             held=self.held,
             metrics=self.metrics,
