Refuse bodies that stall, and count the objects made of a head

What callers saw: bodies that stopped short of their end held their bytes for as long as their clients stayed. What was left of the bound for everybody else was what happened to be smaller than a piece of theirs.

Cause: a body had no time limit, and gave up its room to nobody. The account counted payload: a body in pieces of two bytes took an object for each, a head with its fields and prompt parts was not counted at all.

Change: a body that is not complete at its caller's deadline, or after 60 s without one, is refused (408, not run). Where bodies need room, those that are not complete and a second old are refused, the slowest by their mean rate first. Bodies above 64 KB leave 512 KB to smaller ones. A body is collected in one buffer, and a head is held with what its fields and prompt parts take.

The body of a single request may still be as large as all room for bodies but 512 KB (test_bodies_leave_room_for_an_answer: 31 of 31.6 MB, as before; a first form that left an eighth of the room was ruled out by it).

--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -12,9 +12,11 @@
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import log_limiter
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 
+_SLOW_BODY = "request:slow_body"
 _MEGABYTE = 1_000_000
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _NO_TIME = datetime.timedelta()
@@ -39,6 +41,12 @@
 # The same while more than half of the bound is held. Replicas cut answers that
 # are not read for some seconds; this is to end the request first.
 HALF_UNREAD_TIMEOUT = datetime.timedelta(seconds=4)
+# Larger bodies leave some of the room to those below this size, so that stalled
+# ones keep no ordinary request out.
+_SMALL_BODY_BYTES = 64 * 1024
+_SMALL_BODIES_RESERVE_BYTES = 512 * 1024
+# A body that arrives may be refused for another one after this long.
+ARRIVAL_GRACE = datetime.timedelta(seconds=1)
 # A write may outlast the deadline by 0.5 s. The sweep that notices it comes up
 # to one interval later.
 _LATE_WRITE_TIMEOUT = datetime.timedelta(milliseconds=300)
@@ -65,6 +73,29 @@
         self.unsent_bytes = unsent_bytes
 
 
+class Arrival:
+    """A body that is not complete.
+
+    Attributes:
+        began_at: Monotonic time of its begin.
+        deadline: Monotonic time at which it is refused.
+        refuse: Ends the wait for the rest of it.
+    """
+
+    __slots__ = ("began_at", "deadline", "refuse")
+
+    def __init__(
+        self,
+        *,
+        began_at: datetime.timedelta,
+        deadline: datetime.timedelta,
+        refuse: Callable[[], None],
+    ):
+        self.began_at = began_at
+        self.deadline = deadline
+        self.refuse = refuse
+
+
 class RequestBytes:
     """The bytes held for one request.
 
@@ -73,6 +104,7 @@
 
     Attributes:
         request_id: The caller's id, for logs.
+        arrival: The arrival of its body; None if that is complete.
         deadline: Monotonic time after which no write may go on; None while it
             is not known.
         size: All bytes held.
@@ -86,6 +118,7 @@
         "_answer",
         "_body",
         "_cut",
+        "_head",
         "_late_time",
         "_measure_read_buffer",
         "_measure_writes",
@@ -93,6 +126,7 @@
         "_read_buffer",
         "_unread",
         "_write_began_at",
+        "arrival",
         "deadline",
         "is_cut",
         "is_ended",
@@ -112,6 +146,7 @@
         self._measure_writes = measure_writes
         self._cut = cut
         self._measure_read_buffer: Callable[[], int] | None = None
+        self._head = 0
         self._body = 0
         self._answer = 0
         self._unread = 0
@@ -120,6 +155,7 @@
         self._late_time = _NO_TIME
         self._write_began_at = _NO_TIME
         self.request_id = ""
+        self.arrival: Arrival | None = None
         self.deadline: datetime.timedelta | None = None
         self.size = 0
         self.unread_time = _NO_TIME
@@ -131,9 +167,49 @@
         """Tells whether bytes wait for the caller to read."""
         return self._unread > 0
 
+    def try_hold_head(self, count: int) -> bool:
+        """Adds the request's head and the objects made of it."""
+        if self.is_ended or not self._account.make_room(count):
+            return False
+        self._head += count
+        self._update()
+        return True
+
+    @contextlib.contextmanager
+    def arriving(
+        self, *, deadline: datetime.timedelta, refuse: Callable[[], None]
+    ) -> Iterator[None]:
+        """Lets the body be refused while it is not complete.
+
+        Args:
+            deadline: Monotonic time at which it is refused.
+            refuse: Ends the wait for the rest of it.
+        """
+        self.arrival = Arrival(
+            began_at=self._account.now(), deadline=deadline, refuse=refuse
+        )
+        try:
+            yield
+        finally:
+            self.arrival = None
+
+    def arrival_rate(self, now: datetime.timedelta) -> float:
+        """Returns the bytes a second at which the body has arrived so far."""
+        age = max(now - self.arrival.began_at, _MILLISECOND)
+        return self._body / age.total_seconds()
+
+    def refuse_body(self) -> None:
+        """Gives up the room of a body that is not complete."""
+        refuse = self.arrival.refuse
+        self.arrival = None
+        self.end()
+        refuse()
+
     def try_hold_body(self, count: int) -> bool:
         """Adds bytes of the request's body, unless the bound forbids it."""
-        if self.is_ended or not self._account.try_add_body(count):
+        if self.is_ended or not self._account.try_add_body(
+            count, body_bytes=self._body + count
+        ):
             return False
         self._body += count
         self._update()
@@ -252,7 +328,12 @@
             return
         # A whole answer is the object that the connection writes from, so its
         # unsent part is no further memory.
-        size = self._body + max(self._answer, self._unread) + self._read_buffer
+        size = (
+            self._head
+            + self._body
+            + max(self._answer, self._unread)
+            + self._read_buffer
+        )
         self._account.change(size - self.size)
         self.size = size
 
@@ -268,6 +349,7 @@
     __slots__ = (
         "_body_bytes",
         "_clock",
+        "_log_limiter",
         "_metrics",
         "_requests",
         "_swept_at",
@@ -285,6 +367,7 @@
     ):
         self._metrics = metrics
         self._clock = clock
+        self._log_limiter = log_limiter.LogLimiter(clock=clock)
         self._requests: dict[RequestBytes, None] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._swept_at = clock.monotonic()
@@ -330,16 +413,53 @@
         self._cut_unread(self.bound_bytes - count, FULL_UNREAD_TIMEOUT)
         return self.total_bytes + count <= self.bound_bytes
 
-    def try_add_body(self, count: int) -> bool:
-        """Counts bytes of bodies if they may be held; for `RequestBytes`."""
-        reserve = min(_ANSWER_RESERVE_BYTES, self.bound_bytes // 2)
-        if self._body_bytes + count > self.bound_bytes - reserve:
-            return False
-        if not self.make_room(count):
+    @property
+    def has_arriving(self) -> bool:
+        """Tells whether any body is not complete."""
+        return any(request.arrival for request in self._requests)
+
+    def try_add_body(self, count: int, *, body_bytes: int) -> bool:
+        """Counts bytes of a body if they may be held; for `RequestBytes`.
+
+        Refuses bodies that arrive slowly if that is needed.
+
+        Args:
+            count: How many bytes are added.
+            body_bytes: The size of the body so far, with them.
+        """
+        is_small = body_bytes <= _SMALL_BODY_BYTES
+        if not self._has_body_room(count, is_small=is_small):
+            self._refuse_slow_bodies(count, is_small=is_small)
+        if not self._has_body_room(count, is_small=is_small):
             return False
         self._body_bytes += count
         return True
 
+    def _has_body_room(self, count: int, *, is_small: bool) -> bool:
+        reserve = min(_ANSWER_RESERVE_BYTES, self.bound_bytes // 2)
+        limit_bytes = self.bound_bytes - reserve
+        if not is_small:
+            limit_bytes -= _SMALL_BODIES_RESERVE_BYTES
+        if self._body_bytes + count > limit_bytes:
+            return False
+        return self.make_room(count)
+
+    def _refuse_slow_bodies(self, count: int, *, is_small: bool) -> None:
+        """Refuses the bodies that arrive most slowly until there is room."""
+        now = self._clock.monotonic()
+        arriving = [
+            request
+            for request in self._requests
+            if request.arrival
+            and now - request.arrival.began_at > ARRIVAL_GRACE
+        ]
+        arriving.sort(key=lambda request: request.arrival_rate(now))
+        for request in arriving:
+            if self._has_body_room(count, is_small=is_small):
+                return
+            self._note_slow_body(request)
+            request.refuse_body()
+
     def sweep(self) -> None:
         """Reads the sizes of all buffers, and cuts callers where needed."""
         now = self._clock.monotonic()
@@ -349,6 +469,10 @@
             request.sample(elapsed)
         for request in [r for r in self._requests if r.is_late]:
             self._cut(request)
+        for request in [r for r in self._requests if r.arrival]:
+            if now >= request.arrival.deadline:
+                self._note_slow_body(request)
+                request.refuse_body()
         self._cut_unread(self.bound_bytes // 2, HALF_UNREAD_TIMEOUT)
         self._cut_unread(self.bound_bytes, FULL_UNREAD_TIMEOUT)
 
@@ -410,9 +534,18 @@
         self._metrics.add("callers_not_reading_total")
         request.cut()
 
+    def _note_slow_body(self, request: RequestBytes) -> None:
+        self._metrics.add("slow_bodies_total")
+        if self._log_limiter.is_due(_SLOW_BODY):
+            logs.note(
+                _SLOW_BODY,
+                request=request.request_id,
+                held_bytes=request.size,
+            )
+
 
 class HeldBytesWatch:
-    """Sweeps an account while callers have bytes to read."""
+    """Sweeps an account while callers have bytes to read or to send."""
 
     __slots__ = ("_account", "_clock", "_task")
 
@@ -433,6 +566,6 @@
             self._task.cancel()
 
     async def _sweep(self) -> None:
-        while self._account.has_unread:
+        while self._account.has_unread or self._account.has_arriving:
             await self._clock.sleep(WATCH_INTERVAL)
             self._account.sweep()
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import io
 
 from aiohttp import web
 import xxhash
@@ -32,6 +33,12 @@
 # caller that stopped reading would be noticed only after that. Over a round
 # trip of 50 ms it still carries more than 1 MB/s.
 _SEND_BUFFER_BYTES = 64 * 1024
+# Of a request without a deadline.
+_BODY_TIME = datetime.timedelta(seconds=60)
+# A head as bytes and text, as received and as forwarded.
+_HEAD_COPIES = 4
+_FIELD_OBJECTS_BYTES = 512
+_PART_OBJECTS_BYTES = 192
 # Retry-After of a request that is refused for lack of memory.
 _MIN_RETRY_DELAY_S = 0.25
 _MAX_RETRY_DELAY_S = 0.75
@@ -231,10 +238,13 @@
             await sink.refuse(wire.FixedResponse.BAD_REQUEST, detail=str(error))
             return
         sink.held.request_id = facts.request_id
-        if not self._held.make_room(caller_sink.WRITE_BUFFER_BYTES):
+        if not (
+            self._held.make_room(caller_sink.WRITE_BUFFER_BYTES)
+            and sink.held.try_hold_head(_head_cost_bytes(request, facts))
+        ):
             await self._refuse_for_memory(sink, facts)
             return
-        body = await self._read_body(request, sink, facts)
+        body = await self._read_body(request, sink, facts, arrived_at)
         if body is None:
             return
         await self._relay.serve(
@@ -255,14 +265,41 @@
         request: web.BaseRequest,
         sink: caller_sink.CallerSink,
         facts: wire.CallerFacts,
+        arrived_at: datetime.timedelta,
     ) -> bytes | None:
         """Returns the body, or None once the request was refused."""
         if request.headers.get("Expect", "").lower() == "100-continue":
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        pieces = []
+        content = request.content
+        if content.is_eof():
+            return await self._collect(request, sink, facts)
+        deadline = arrived_at + (facts.time_left or _BODY_TIME)
+        refusal = _SlowBodyError("the body has not come in time")
+        with sink.held.arriving(
+            deadline=deadline,
+            refuse=lambda: content.set_exception(refusal),
+        ):
+            self._watch.ensure()
+            try:
+                return await self._collect(request, sink, facts)
+            except _SlowBodyError as error:
+                await sink.refuse(
+                    wire.FixedResponse.SLOW_SENDER, detail=str(error)
+                )
+                return None
+
+    async def _collect(
+        self,
+        request: web.BaseRequest,
+        sink: caller_sink.CallerSink,
+        facts: wire.CallerFacts,
+    ) -> bytes | None:
+        """Reads the body; returns it, or None once the request was refused."""
+        # Pieces may be as small as a byte, and their objects are larger.
+        body = io.BytesIO()
         left_bytes = self._limits().body_bytes
         while piece := await request.content.readany():
-            pieces.append(piece)
+            body.write(piece)
             left_bytes -= len(piece)
             if left_bytes < 0:
                 await sink.refuse(
@@ -273,7 +310,7 @@
             if not sink.held.try_hold_body(len(piece)):
                 await self._refuse_for_memory(sink, facts)
                 return None
-        return b"".join(pieces)
+        return body.getvalue()
 
     async def _refuse_for_memory(
         self, sink: caller_sink.CallerSink, facts: wire.CallerFacts
@@ -296,6 +333,23 @@
         )
 
 
+class _SlowBodyError(TimeoutError):
+    """A body was not complete in time, or gave up its room to others."""
+
+
+def _head_cost_bytes(request: web.BaseRequest, facts: wire.CallerFacts) -> int:
+    """Returns what a head and the objects made of it take, nearly."""
+    head_bytes = sum(
+        len(name) + len(value) for name, value in request.raw_headers
+    )
+    parts = len(facts.prompt.parts) if facts.prompt else 0
+    return (
+        _HEAD_COPIES * (head_bytes + len(request.raw_path))
+        + _FIELD_OBJECTS_BYTES * len(request.raw_headers)
+        + _PART_OBJECTS_BYTES * parts
+    )
+
+
 def _retry_delay(facts: wire.CallerFacts) -> datetime.timedelta:
     """Returns a Retry-After that differs among callers.
 
