Bound the connections of the OpenAI-compatible entry

What callers saw: heads that never ended took 448 MB, idle connections 451 descriptors, and stayed for an hour; endless empty lines and extensions were read for good.

Cause: as on the router's listeners. Here a head had no time limit at all, and an answer that nobody read stayed with its connection.

Change: the entry uses the connections of clients/, for callers and operators. A head may have 64 KB and take 10 s, a connection may be idle for 75 s, and a client that reads nothing of an answer for 10 s is closed. The settings memory_mb (1,024) and max_descriptors (8,192) give the bounds; at the defaults callers may have 3,996 connections, more than generations and calls that may run and wait here.

--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -13,6 +13,8 @@
 from nutmeghook.internal.assembly import platform_clients
 from nutmeghook.internal.assembly import rollouts
 from nutmeghook.internal.assembly import waiting
+from nutmeghook.internal.clients import bounds
+from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.config import assembly as config_assembly
 from nutmeghook.internal.config import tokens as tokens_module
 from nutmeghook.internal.dependencies import shared_instances
@@ -103,7 +105,9 @@
             instance_list=self._clients.instance_list, clock=clock
         )
         self._inner = inner_endpoint.InnerEndpoint(
-            settings=settings, clock=clock, random_source=self._random
+            settings=settings,
+            clock=clock,
+            random_source=self._random,
         )
 
     @property
@@ -268,7 +272,23 @@
             ),
             principals=finder,
         )
-        self._listener = listener_module.Listener(application=application)
+        client_bounds = self._client_bounds()
+        self._listener = listener_module.Listener(
+            application=application,
+            connections=connection_table.ConnectionTable(
+                name="callers",
+                max_connections=client_bounds.callers,
+                bound_bytes=client_bounds.callers_bytes,
+                metrics=self.metrics,
+                clock=self._clock,
+            ),
+        )
+
+    def _client_bounds(self) -> bounds.ClientBounds:
+        return bounds.bounds_for(
+            memory_mb=self._settings.count("memory_mb"),
+            max_descriptors=self._settings.count("max_descriptors"),
+        )
 
     def _ready_gate(self) -> ready_gate.ReadyExposureGate:
         known = readiness.Readiness(
--- a/src/nutmeghook/internal/entry/listener.py
+++ b/src/nutmeghook/internal/entry/listener.py
@@ -1,21 +1,33 @@
 """Listens for callers; invalid HTTP is answered with a coded error."""
 
 import asyncio
+import datetime
 
 from aiohttp import web
 
+from nutmeghook.internal.clients import connection_table
+from nutmeghook.internal.clients import http_connection
+from nutmeghook.internal.clients import reading_lane
+from nutmeghook.internal.clients import sliced_reads
 from nutmeghook.internal.entry import replies
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 
-MAX_LINE_BYTES = 8190
+MAX_HEAD_BYTES = 64 * 1024
 _CLOSE_TIMEOUT_S = 5.0
-# How long the rest of a refused body is read and discarded, so that the caller
-# receives the refusal instead of a connection reset.
-_LINGERING_S = 0.5
-
-
-class CodedRequestHandler(web.RequestHandler):
+_BACKLOG = 256
+# Callers may be far away: over a round trip of 0.2 s, 1.3 MB/s.
+_BUFFER_BYTES = 256 * 1024
+_LIMITS = http_connection.HttpLimits(
+    head_bytes=MAX_HEAD_BYTES,
+    header_time=datetime.timedelta(seconds=10),
+    idle_time=datetime.timedelta(seconds=75),
+    receive_buffer_bytes=_BUFFER_BYTES,
+    send_buffer_bytes=_BUFFER_BYTES,
+)
+
+
+class CodedRequestHandler(http_connection.HttpConnection):
     """One connection; a request that can't be parsed gets a coded body.
 
     By default aiohttp answers bad header lines (control characters, header
@@ -35,6 +47,8 @@
         """Returns the answer to a request that could not be handled."""
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun; it can't be replaced")
+        if exc is not None:
+            self.log_exception("Error handling request", exc_info=exc)
         code = codes.Code.BAD_HEADER if status < 500 else codes.Code.INTERNAL
         response = replies.error_response(
             errors.CodedError(code=code, detail=_first_line(message)),
@@ -51,9 +65,15 @@
         address: The `ip:port` listened on; empty before the start.
     """
 
-    __slots__ = ("_runner", "_server", "address")
+    __slots__ = ("_connections", "_runner", "_server", "address")
 
-    def __init__(self, *, application: web.Application):
+    def __init__(
+        self,
+        *,
+        application: web.Application,
+        connections: connection_table.ConnectionTable,
+    ):
+        self._connections = connections
         self._runner = web.AppRunner(
             application,
             access_log=None,
@@ -67,17 +87,20 @@
         """Starts to listen; port 0 lets the system choose one."""
         await self._runner.setup()
         loop = asyncio.get_running_loop()
+        lane = reading_lane.ReadingLane(loop=loop)
         self._server = await loop.create_server(
-            lambda: CodedRequestHandler(
-                self._runner.server,
-                loop=loop,
-                access_log=None,
-                lingering_time=_LINGERING_S,
-                max_line_size=MAX_LINE_BYTES,
-                max_field_size=MAX_LINE_BYTES,
+            lambda: sliced_reads.SlicedReads(
+                protocol=CodedRequestHandler(
+                    server=self._runner.server,
+                    loop=loop,
+                    limits=lambda: _LIMITS,
+                    table=self._connections,
+                    lane=lane,
+                )
             ),
             host,
             port,
+            backlog=_BACKLOG,
             reuse_address=True,
         )
         own_host, own_port = self._server.sockets[0].getsockname()[:2]
--- a/src/nutmeghook/internal/settings/specs.py
+++ b/src/nutmeghook/internal/settings/specs.py
@@ -184,6 +184,23 @@
         default="3600",
         minimum=60,
     ),
+    Spec(
+        name="memory_mb",
+        kind=Kind.COUNT,
+        meaning="The instance's memory; an eighth is for callers' bytes.",
+        default="1024",
+        minimum=64,
+    ),
+    Spec(
+        name="max_descriptors",
+        kind=Kind.COUNT,
+        meaning=(
+            "Descriptors the process may have; beyond half of them idle"
+            " connections of callers are closed for new ones."
+        ),
+        default="8192",
+        minimum=64,
+    ),
     Spec(
         name="event_ring_events",
         kind=Kind.COUNT,
--- a/tests/cover/test_dispatch_silent_engine.py
+++ b/tests/cover/test_dispatch_silent_engine.py
@@ -10,8 +10,10 @@
 from nutmeghook.internal.dependencies import engine
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.standin_http import http_engine
 from nutmeghook.internal.standin_http import http_exchange
+from tests import entry_fixture
 
 GENERATION = engine.Generation(
     attempt_id="req-1/1",
@@ -29,7 +31,10 @@
     async def asyncSetUp(self):
         application = web.Application()
         application.router.add_post(http_engine.GENERATE_PATH, self.answer)
-        self.listener = listener_module.Listener(application=application)
+        self.listener = listener_module.Listener(
+            application=application,
+            connections=entry_fixture.connections(clock_module.FakeClock()),
+        )
         await self.listener.start(host="127.0.0.1", port=0)
         self.addAsyncCleanup(self.listener.stop)
         session = http_exchange.open_session()
--- a/tests/cover/test_entry_start.py
+++ b/tests/cover/test_entry_start.py
@@ -6,8 +6,10 @@
 from nutmeghook.internal.config import tokens
 from nutmeghook.internal.entry import application as entry_application
 from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import identifiers
+from tests import entry_fixture
 from tests import fake_config
 from tests.cover import test_entry_http
 
@@ -57,7 +59,10 @@
             identifiers=identifiers.IdentifierSource(),
             knows_backends=lambda: knows,
         )
-        listener = listener_module.Listener(application=application)
+        listener = listener_module.Listener(
+            application=application,
+            connections=entry_fixture.connections(clock_module.FakeClock()),
+        )
         await listener.start(host="127.0.0.1", port=0)
         self.addAsyncCleanup(listener.stop)
         url = f"http://{listener.address}/readyz"
--- a/tests/cover/test_guarantees_send.py
+++ b/tests/cover/test_guarantees_send.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.entry import listener as listener_module
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.foundation import errors
 from nutmeghook.internal.inner import local
@@ -29,6 +30,7 @@
 from nutmeghook.internal.routing import stall_detector
 from nutmeghook.internal.standin_http import checked_body
 from nutmeghook.internal.standin_http import http_engine
+from tests import entry_fixture
 from tests import fakes
 
 MS = datetime.timedelta(milliseconds=1)
@@ -60,7 +62,10 @@
         application = web.Application()
         application.router.add_post(http_engine.GENERATE_PATH, self.generate)
         application.router.add_post(http_engine.CANCEL_PATH, self.cancel)
-        self.listener = listener_module.Listener(application=application)
+        self.listener = listener_module.Listener(
+            application=application,
+            connections=entry_fixture.connections(clock_module.FakeClock()),
+        )
         await self.listener.start(host="127.0.0.1", port=0)
         self.addAsyncCleanup(self.listener.stop)
         self.delayed_connector = DelayedConnector()
--- a/tests/entry_fixture.py
+++ b/tests/entry_fixture.py
@@ -50,6 +50,7 @@
             drain=drain or drain_module.Drain(events=fixture.events),
             identifiers=identifiers.IdentifierSource(),
         ),
+        connections=connections(fixture.clock),
     )
 
 
