--- a/src/nutmeghook/internal/entry/application.py
+++ b/src/nutmeghook/internal/entry/application.py
@@ -56,7 +56,7 @@
         identifiers: identifiers_module.IdentifierSource,
         knows_backends: Callable[[], bool],
     ):
-        self._bodies = bodies.BodyBudget()
+        self._bodies = bodies.BodyBudget(clock=clock)
         self._clock = clock
         self._config = config
         self._dispatcher = dispatcher
