Keep places at the peers' port for those who present the credential

What callers saw: nothing at once. Connections that never said who they were took 450 descriptors of 300, and could take the 1,024 places of the port for 5 s each, again and again, while peers were refused.

Cause: a connection counted as a peer's before its first frame. Each refused or malformed one was a line in the log.

Change: of the connections that have not presented the credential the oldest is closed when there are too many (64, or half of the peers' places where an instance has few descriptors). Peers' places follow from the descriptors. What strangers can cause is logged once a minute for each kind.

Measured: the 4 tests of tests.crowd.test_router_peers and test_openai_peers that failed before pass (once each, no other load); frames over the limit and datagrams of strangers did no harm before.

--- a/src/nutmeghook/internal/assembly/inner_endpoint.py
+++ b/src/nutmeghook/internal/assembly/inner_endpoint.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+from nutmeghook.internal.clients import bounds
 from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import identifiers
@@ -29,6 +30,7 @@
     """
 
     __slots__ = (
+        "_bounds",
         "_clock",
         "_datagrams",
         "_server",
@@ -44,10 +46,12 @@
         self,
         *,
         settings: loading.Settings,
+        client_bounds: bounds.ClientBounds,
         clock: clock_module.Clock,
         random_source: random.Random,
     ):
         self._settings = settings
+        self._bounds = client_bounds
         self._clock = clock
         self.traffic = traffic.Traffic()
         self.handlers = peers.PeerHandlers()
@@ -100,6 +104,8 @@
                 handlers=self.handlers,
                 credential=self._settings.text("inner_credential"),
                 traffic=self.traffic,
+                max_connections=self._bounds.peers,
+                max_strangers=self._bounds.strangers,
             )
             self.address = await self._server.start(host=host, port=int(port))
             self._datagrams = datagrams.UdpDatagrams()
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -106,6 +106,7 @@
         )
         self._inner = inner_endpoint.InnerEndpoint(
             settings=settings,
+            client_bounds=self._client_bounds(),
             clock=clock,
             random_source=self._random,
         )
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -348,6 +348,7 @@
         peers = router_peers.RouterPeers(
             instance_id=self._settings.instance_id,
             inner_address=self._settings.inner_address,
+            client_bounds=_client_bounds(self._settings),
             data_centre=self._settings.data_centre,
             link_mbit_per_s=self._settings.link_mbit_per_s,
             change_time=self._settings.change_time,
--- a/src/nutmeghook/internal/assembly/router_peers.py
+++ b/src/nutmeghook/internal/assembly/router_peers.py
@@ -7,6 +7,7 @@
 
 from nutmeghook.internal.assembly import gossip_members
 from nutmeghook.internal.assembly import replica_access
+from nutmeghook.internal.clients import bounds
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import clock as clock_module
@@ -63,6 +64,7 @@
 
     __slots__ = (
         "_access",
+        "_bounds",
         "_change_time",
         "_clock",
         "_configuration",
@@ -93,6 +95,7 @@
         *,
         instance_id: str,
         inner_address: str,
+        client_bounds: bounds.ClientBounds,
         data_centre: str,
         link_mbit_per_s: float,
         change_time: datetime.timedelta,
@@ -114,6 +117,7 @@
         random_source: random.Random,
     ):
         self._access = access
+        self._bounds = client_bounds
         self._instance_id = instance_id
         self._inner_address = inner_address
         self.registry = registration.InstanceRegistry(
@@ -197,6 +201,8 @@
             handlers=handlers,
             credential=registered.credential,
             traffic=self.traffic,
+            max_connections=self._bounds.peers,
+            max_strangers=self._bounds.strangers,
             tunnels=self._access.server,
         )
         host, port = addresses.split(self._inner_address)
--- a/src/nutmeghook/internal/inner/tcp_server.py
+++ b/src/nutmeghook/internal/inner/tcp_server.py
@@ -1,6 +1,7 @@
 """The TCP server for calls from other instances."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 
 import eliot
@@ -14,12 +15,14 @@
 from nutmeghook.internal.inner import sockets
 from nutmeghook.internal.inner import traffic as traffic_module
 from nutmeghook.internal.inner.generated import ttypes
+from nutmeghook.internal.observe import log_limiter as log_limiter_module
 
 _HELLO_TIMEOUT = datetime.timedelta(seconds=5)
 # Longer than the callers' idle timeout, so that the caller closes first and no
 # request is sent while the server closes.
 _IDLE_TIMEOUT = datetime.timedelta(seconds=150)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=10)
+_DROPPED = object()
 
 
 class TcpServer:
@@ -31,6 +34,8 @@
         credential: Every peer presents it.
         traffic: Counts bytes.
         max_connections: More are closed at once.
+        max_strangers: Connections that have not presented the credential; the
+            oldest is closed for one more.
         max_in_flight: Requests of one connection that run at a time.
         tunnels: Serves connections that turn into tunnels; None if none do.
     """
@@ -41,9 +46,13 @@
         "_connections",
         "_credential",
         "_handlers",
+        "_known",
+        "_log_limiter",
         "_max_connections",
         "_max_in_flight",
+        "_max_strangers",
         "_server",
+        "_strangers",
         "_traffic",
         "_tunnels",
     )
@@ -56,9 +65,15 @@
         credential: str,
         traffic: traffic_module.Traffic,
         max_connections: int = 1024,
+        max_strangers: int = 64,
         max_in_flight: int = 64,
         tunnels: peers.ConnectionHandler | None = None,
     ):
+        self._max_strangers = max_strangers
+        # In the order of their arrival.
+        self._strangers: dict[_Connection, None] = {}
+        self._known: set[_Connection] = set()
+        self._log_limiter = log_limiter_module.LogLimiter(clock=clock)
         self._tunnels = tunnels
         frames.check_credential(credential)
         self._clock = clock
@@ -99,7 +114,11 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._closing or len(self._connections) >= self._max_connections:
+        if len(self._strangers) >= self._max_strangers:
+            oldest = next(iter(self._strangers))
+            del self._strangers[oldest]
+            oldest.drop()
+        if self._closing or len(self._known) >= self._max_connections:
             writer.close()
             return
         connection = _Connection(
@@ -111,14 +130,23 @@
             tunnels=self._tunnels,
             reader=reader,
             writer=writer,
+            log_limiter=self._log_limiter,
+            on_authenticated=self._note_known,
         )
         task = asyncio.current_task()
         self._connections[task] = connection
+        self._strangers[connection] = None
         try:
             await connection.run()
         finally:
+            self._strangers.pop(connection, None)
+            self._known.discard(connection)
             del self._connections[task]
 
+    def _note_known(self, connection: "_Connection") -> None:
+        if self._strangers.pop(connection, _DROPPED) is not _DROPPED:
+            self._known.add(connection)
+
 
 class _Connection:
     """A caller's connection."""
@@ -127,6 +155,8 @@
         "_clock",
         "_credential",
         "_handlers",
+        "_log_limiter",
+        "_on_authenticated",
         "_reader",
         "_reading",
         "_running",
@@ -147,7 +177,11 @@
         tunnels: peers.ConnectionHandler | None,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        log_limiter: log_limiter_module.LogLimiter,
+        on_authenticated: Callable[["_Connection"], None],
     ):
+        self._log_limiter = log_limiter
+        self._on_authenticated = on_authenticated
         self._tunnels = tunnels
         self._clock = clock
         self._handlers = handlers
@@ -164,6 +198,11 @@
         if self._reading is not None:
             self._reading.cancel()
 
+    def drop(self) -> None:
+        """Closes the connection at once."""
+        self._writer.transport.abort()
+        self.stop_reading()
+
     def abort(self) -> None:
         """Cancels the handlers too; their callers get no replies."""
         self.stop_reading()
@@ -191,14 +230,12 @@
         except frames.StreamEndedError:
             return
         except TimeoutError:
-            eliot.log_message("inner:connection_idle", peer=self._peer_name())
+            self._log("inner:connection_idle")
         # The sender may run another version or be no instance at all. Where its
         # next frame starts is unknown, so the connection is closed; others are
         # not affected.
         except codec.MalformedError as error:
-            eliot.log_message(
-                "inner:malformed", peer=self._peer_name(), reason=str(error)
-            )
+            self._log("inner:malformed", reason=str(error))
 
     async def _authenticate(self) -> bool:
         first = await self._clock.wait_for(
@@ -210,8 +247,9 @@
             _HELLO_TIMEOUT,
         )
         if frames.has_credential(first, self._credential):
+            self._on_authenticated(self)
             return True
-        eliot.log_message("inner:credential_refused", peer=self._peer_name())
+        self._log("inner:credential_refused")
         refusal = ttypes.Failure(
             code_number=codes.Code.BAD_TOKEN.number,
             detail="the inner credential differs; compare the settings",
@@ -260,5 +298,8 @@
             self._writer.transport.abort()
             self.stop_reading()
 
-    def _peer_name(self) -> str:
-        return str(self._writer.get_extra_info("peername"))
+    def _log(self, message_type: str, **fields: str) -> None:
+        """Logs what anyone who reaches the port can cause, now and then."""
+        if self._log_limiter.is_due(message_type):
+            peer = str(self._writer.get_extra_info("peername"))
+            eliot.log_message(message_type, peer=peer, **fields)
