Measure heads by the limits in force, and work them out once

Cause: a router without a configuration measured heads and bodies by defaults that the configuration may raise, and 431 and 413 are final. The limits of a connection were built anew for each request.

Change: before the first configuration heads may have 64 KB and bodies 64 MB; what is held stays bounded by the accounts, and the request is answered 503. The listener keeps the connection limits of the configuration in force.

Measured: cover.test_client_connections, new: the bounds of the table hold under any order of 60 steps (Hypothesis), heads of the largest size and just over it, turns of the reading lane. Its head of the largest size failed first with the test's own table of 1,000 bytes, in which no such head fits beside its objects.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -71,6 +71,12 @@
 # With 420 instances that write two rows each, 84 writes a second.
 _REWRITE_SPREAD = datetime.timedelta(seconds=10)
 
+# Of an instance without a configuration, which answers "not run": a refusal for
+# its size would be final. The account of held bytes bounds bodies all the same.
+_UNKNOWN_LIMITS = model.CallerLimits(
+    header_bytes=64 * 1024, body_bytes=64 * 1024 * 1024
+)
+
 
 class Router:
     """One process between callers and replicas.
@@ -257,7 +263,7 @@
 
     def _caller_limits(self) -> model.CallerLimits:
         current = self.configuration.current
-        return current.limits if current else model.CallerLimits()
+        return current.limits if current else _UNKNOWN_LIMITS
 
     @property
     def is_ready(self) -> bool:
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -98,6 +98,8 @@
         "_clock",
         "_connections",
         "_held",
+        "_known_http_limits",
+        "_known_limits",
         "_lane",
         "_limits",
         "_metrics",
@@ -132,6 +134,8 @@
         self._relay = relay
         self._wire_format = wire_format
         self._limits = limits
+        self._known_limits = model.CallerLimits()
+        self._known_http_limits = _http_limits(self._known_limits)
         self._clock = clock
         self._server = web.Server(self._handle, handler_cancellation=True)
         self._socket: asyncio.Server | None = None
@@ -164,15 +168,12 @@
         )
 
     def _http_limits(self) -> http_connection.HttpLimits:
+        """Returns the limits in force; each request asks for them."""
         limits = self._limits()
-        return http_connection.HttpLimits(
-            head_bytes=limits.header_bytes,
-            header_time=limits.header_time,
-            idle_time=limits.idle_time + _IDLE_SLACK,
-            write_time=None,
-            receive_buffer_bytes=_RECEIVE_BUFFER_BYTES,
-            send_buffer_bytes=_SEND_BUFFER_BYTES,
-        )
+        if limits is not self._known_limits:
+            self._known_limits = limits
+            self._known_http_limits = _http_limits(limits)
+        return self._known_http_limits
 
     def stop_accepting(self) -> None:
         """Accepts no new requests; those under way are completed.
@@ -333,6 +334,17 @@
         )
 
 
+def _http_limits(limits: model.CallerLimits) -> http_connection.HttpLimits:
+    return http_connection.HttpLimits(
+        head_bytes=limits.header_bytes,
+        header_time=limits.header_time,
+        idle_time=limits.idle_time + _IDLE_SLACK,
+        write_time=None,
+        receive_buffer_bytes=_RECEIVE_BUFFER_BYTES,
+        send_buffer_bytes=_SEND_BUFFER_BYTES,
+    )
+
+
 class _SlowBodyError(TimeoutError):
     """A body was not complete in time, or gave up its room to others."""
 
--- /dev/null
+++ b/tests/cover/test_client_connections.py
@@ -0,0 +1,182 @@
+"""Connections of clients: who has to go, and whose turn it is."""
+
+import asyncio
+import datetime
+import unittest
+from unittest import mock
+
+from aiohttp import web
+import hypothesis
+from hypothesis import strategies
+
+from nutmeghook.internal.clients import bounds
+from nutmeghook.internal.clients import connection_table
+from nutmeghook.internal.clients import http_connection
+from nutmeghook.internal.clients import reading_lane
+from nutmeghook.internal.foundation import clock as clock_module
+from tests import entry_fixture
+
+MAX_CONNECTIONS = 5
+BOUND_BYTES = 1000
+HEAD_BYTES = 1000
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["admit", "forget", "wait", "run", "hold"]),
+        strategies.integers(0, 9),
+        strategies.integers(0, 600),
+    ),
+    max_size=60,
+)
+
+
+class FakeConnection(connection_table.ClientConnection):
+    def __init__(self):
+        self.is_dropped = False
+
+    def drop(self) -> None:
+        self.is_dropped = True
+
+
+def small_table() -> connection_table.ConnectionTable:
+    return entry_fixture.connections(
+        clock_module.FakeClock(),
+        max_connections=MAX_CONNECTIONS,
+        bound_bytes=BOUND_BYTES,
+    )
+
+
+class ConnectionTableTest(unittest.TestCase):
+    def admitted(self, table, count):
+        connections = [FakeConnection() for _ in range(count)]
+        for connection in connections:
+            self.assertTrue(table.admit(connection))
+        return connections
+
+    def test_a_new_connection_takes_the_place_of_an_idle_one(self):
+        """A crowd that stayed kept out those who came after it."""
+        table = small_table()
+        busy, first, second, *_ = self.admitted(table, MAX_CONNECTIONS)
+        table.note_busy(busy)
+        table.note_waiting(first)
+        self.assertTrue(table.admit(FakeConnection()))
+        self.assertTrue(second.is_dropped)
+        self.assertFalse(busy.is_dropped or first.is_dropped)
+
+    def test_whole_requests_are_dropped_for_nobody(self):
+        """A new connection must not end a request that is under way."""
+        table = small_table()
+        for connection in self.admitted(table, MAX_CONNECTIONS):
+            table.note_busy(connection)
+        self.assertFalse(table.admit(FakeConnection()))
+        self.assertEqual(table.open_connections, MAX_CONNECTIONS)
+
+    @hypothesis.given(steps=STEPS)
+    def test_its_bounds_hold(self, steps):
+        """Whatever clients do, in any order."""
+        table = small_table()
+        connections = [FakeConnection() for _ in range(10)]
+        for step, number, count in steps:
+            connection = connections[number]
+            if step == "admit" and not connection.is_dropped:
+                table.admit(connection)
+            elif step == "forget":
+                table.forget(connection)
+            elif step == "wait":
+                table.note_waiting(connection)
+            elif step == "run":
+                table.note_busy(connection)
+            else:
+                table.hold(connection, count)
+            self.assertLessEqual(table.open_connections, MAX_CONNECTIONS)
+            self.assertLessEqual(table.held_bytes, BOUND_BYTES)
+            self.assertGreaterEqual(table.held_bytes, 0)
+
+    @hypothesis.given(
+        descriptors=strategies.integers(64, 100_000),
+        memory_mb=strategies.integers(64, 10_000),
+    )
+    def test_shares_fit_into_the_descriptors(self, descriptors, memory_mb):
+        """Callers and peers must leave room for replicas and the store."""
+        shares = bounds.bounds_for(
+            memory_mb=memory_mb, max_descriptors=descriptors
+        )
+        self.assertGreater(shares.callers, 0)
+        self.assertGreater(shares.strangers, 0)
+        self.assertLess(shares.callers + shares.peers, descriptors)
+
+
+class ReadingLaneTest(unittest.IsolatedAsyncioTestCase):
+    async def test_one_reads_in_each_turn(self):
+        """Many clients' tiny chunks were parsed in one turn."""
+        lane = reading_lane.ReadingLane(loop=asyncio.get_running_loop())
+        members = [mock.Mock(spec=reading_lane.LaneMember) for _ in range(3)]
+        for member in members:
+            lane.add(member)
+        for turn in range(1, 4):
+            await asyncio.sleep(0)
+            continued = sum(m.continue_reading.call_count for m in members)
+            self.assertEqual(continued, turn)
+
+
+class HttpConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        async def answer(request: web.BaseRequest) -> web.Response:
+            return web.Response(text="done")
+
+        loop = asyncio.get_running_loop()
+        self.transport = mock.Mock(spec=asyncio.Transport)
+        self.transport.is_closing.return_value = False
+        self.transport.get_write_buffer_size.return_value = 0
+        self.connection = http_connection.HttpConnection(
+            server=web.Server(answer),
+            loop=loop,
+            limits=lambda: http_connection.HttpLimits(
+                head_bytes=HEAD_BYTES,
+                header_time=datetime.timedelta(seconds=3),
+                idle_time=datetime.timedelta(seconds=3),
+                write_time=datetime.timedelta(),
+            ),
+            table=entry_fixture.connections(clock_module.FakeClock()),
+            lane=reading_lane.ReadingLane(loop=loop),
+        )
+        self.connection.connection_made(self.transport)
+        self.addCleanup(self.connection.connection_lost, None)
+        await asyncio.sleep(0)
+
+    def written(self) -> bytes:
+        return b"".join(
+            bytes(piece)
+            for name, args, _ in self.transport.method_calls
+            if name in ("write", "writelines")
+            for piece in ([args[0]] if name == "write" else args[0])
+        )
+
+    async def test_a_head_over_the_limit_in_one_piece(self):
+        """A head that came at once was not measured."""
+        field = b"X-Field: " + b"v" * HEAD_BYTES
+        self.connection.data_received(
+            b"GET / HTTP/1.1\r\nHost: a\r\n" + field + b"\r\n\r\n"
+        )
+        await asyncio.sleep(0.01)
+        self.assertIn(b" 431 ", self.written())
+
+    async def test_a_head_of_the_largest_size_in_pieces(self):
+        """A head inside the limit must be served, however it comes."""
+        start = b"GET / HTTP/1.1\r\nHost: a\r\nX-Field: "
+        end = b"\r\n\r\n"
+        head = start + b"v" * (HEAD_BYTES - len(start) - len(end)) + end
+        for byte in head:
+            self.connection.data_received(bytes([byte]))
+        await asyncio.sleep(0.01)
+        self.assertIn(b" 200 ", self.written())
+
+    async def test_a_client_that_reads_nothing_is_dropped(self):
+        """An answer that nobody read stayed with its connection."""
+        self.transport.get_write_buffer_size.return_value = 500
+        self.connection.pause_writing()
+        await asyncio.sleep(0.01)
+        self.transport.abort.assert_called()
+
+
+if __name__ == "__main__":
+    unittest.main()
