Show callers' connections, and what is held for them, as gauges

Cause: the log and the counters tell what was closed, but not how near an instance is to its bounds.

--- a/src/nutmeghook/internal/assembly/gauges.py
+++ b/src/nutmeghook/internal/assembly/gauges.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.config import view as view_module
 from nutmeghook.internal.ledger import factory as ledger_factory
 from nutmeghook.internal.membership import members as members_module
@@ -17,7 +18,14 @@
 class Gauges:
     """Reads the instance's state; nothing is measured between scrapes."""
 
-    __slots__ = ("_config", "_ledger", "_members", "_metrics", "_suspects")
+    __slots__ = (
+        "_config",
+        "_connections",
+        "_ledger",
+        "_members",
+        "_metrics",
+        "_suspects",
+    )
 
     def __init__(
         self,
@@ -27,8 +35,10 @@
         members: members_module.MemberView,
         ledger: ledger_factory.InstanceLedger,
         suspects: registry_module.SuspectRegistry,
+        connections: connection_table.ConnectionTable,
     ):
         self._suspects = suspects
+        self._connections = connections
         self._metrics = metrics
         self._config = config
         self._members = members
@@ -55,4 +65,5 @@
         self._metrics.set("store_out", int(self._ledger.table_health.is_out))
         self._metrics.set("bills_waiting", self._ledger.bills_waiting())
         suspect_gauges.set_gauges(self._metrics, self._suspects)
+        self._connections.set_gauges()
         self._metrics.set("leases_held", self._ledger.service.held())
--- a/src/nutmeghook/internal/assembly/instance.py
+++ b/src/nutmeghook/internal/assembly/instance.py
@@ -254,6 +254,14 @@
                 bills=self._ledger.bill_reader,
             ),
         )
+        client_bounds = self._client_bounds()
+        connections = connection_table.ConnectionTable(
+            name="callers",
+            max_connections=client_bounds.callers,
+            bound_bytes=client_bounds.callers_bytes,
+            metrics=self.metrics,
+            clock=self._clock,
+        )
         observation.add_routes(
             application,
             metrics=self.metrics,
@@ -263,6 +271,7 @@
                 members=self.members,
                 ledger=self._ledger,
                 suspects=self.suspects,
+                connections=connections,
             ),
             gatherer=gathering.EventsGatherer(
                 ring=self.events,
@@ -273,16 +282,8 @@
             ),
             principals=finder,
         )
-        client_bounds = self._client_bounds()
         self._listener = listener_module.Listener(
-            application=application,
-            connections=connection_table.ConnectionTable(
-                name="callers",
-                max_connections=client_bounds.callers,
-                bound_bytes=client_bounds.callers_bytes,
-                metrics=self.metrics,
-                clock=self._clock,
-            ),
+            application=application, connections=connections
         )
 
     def _client_bounds(self) -> bounds.ClientBounds:
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -529,6 +529,7 @@
             access=self._access,
             peers=self._peers,
             held=self.held,
+            connections=self._connections,
             store_monitor=self._store_monitor,
             clock=self._clock,
         )
--- a/src/nutmeghook/internal/assembly/router_gauges.py
+++ b/src/nutmeghook/internal/assembly/router_gauges.py
@@ -3,6 +3,7 @@
 from nutmeghook.internal.assembly import replica_access
 from nutmeghook.internal.assembly import router_peers
 from nutmeghook.internal.assembly import send_limits as send_limits_module
+from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import held_bytes
@@ -26,6 +27,7 @@
     access: replica_access.ReplicaAccess,
     peers: router_peers.RouterPeers | None,
     held: held_bytes.HeldBytes,
+    connections: connection_table.ConnectionTable,
     store_monitor: follower.StoreMonitor,
     clock: clock_module.Clock,
 ) -> None:
@@ -41,6 +43,7 @@
         access: This instance's paths to replicas, and its tunnels.
         peers: The peers; None before the router runs.
         held: The bytes held for requests.
+        connections: The callers' connections.
         store_monitor: Knows the store's epoch.
         clock: Measures time.
     """
@@ -51,6 +54,7 @@
     suspect_gauges.set_gauges(metrics, suspects)
     metrics.set("evacuated_data_centres", len(send_limits.evacuations.all()))
     metrics.set("held_bytes", held.total_bytes)
+    connections.set_gauges()
     metrics.set("store_epoch", store_monitor.epoch or 0)
     now = clock.monotonic()
     cold = [r for r in directory.all() if r.is_cold(now)]
--- a/src/nutmeghook/internal/clients/connection_table.py
+++ b/src/nutmeghook/internal/clients/connection_table.py
@@ -93,6 +93,15 @@
         """Number of connections."""
         return len(self._open)
 
+    def set_gauges(self) -> None:
+        """Sets the gauges to the present state."""
+        self._metrics.set(
+            "client_connections", len(self._open), listener=self._name
+        )
+        self._metrics.set(
+            "client_held_bytes", self.held_bytes, listener=self._name
+        )
+
     def admit(self, connection: ClientConnection) -> bool:
         """Adds a new connection, for which another one may be dropped.
 
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -175,6 +175,21 @@
             " bound is a quarter of the instance's memory."
         ),
     ),
+    MetricSpec(
+        name="client_connections",
+        kind=MetricKind.GAUGE,
+        meaning="Open connections of callers.",
+        labels=("listener",),
+    ),
+    MetricSpec(
+        name="client_held_bytes",
+        kind=MetricKind.GAUGE,
+        meaning=(
+            "Bytes held for callers' connections before requests are handled;"
+            " the bound is an eighth of the instance's memory."
+        ),
+        labels=("listener",),
+    ),
     MetricSpec(
         name="attempts_left_total",
         kind=MetricKind.COUNTER,
