Move the account of one request out of the account of all

Change: relay/request_bytes has the account of one request and the interface of what it shares with the others; no change of behaviour.

--- a/src/nutmeghook/internal/relay/caller_sink.py
+++ b/src/nutmeghook/internal/relay/caller_sink.py
@@ -12,6 +12,7 @@
 
 from nutmeghook.internal.relay import held_bytes as held_bytes_module
 from nutmeghook.internal.relay import incoming as incoming_module
+from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.relay import wire
 
 # Above this many unsent bytes of an answer, writes wait for the caller. Events
@@ -171,16 +172,16 @@
         if self.held.has_unread:
             self._watch.ensure()
 
-    def _progress(self) -> held_bytes_module.WriteProgress:
+    def _progress(self) -> request_bytes.WriteProgress:
         transport = self._request.transport
         if self._response is None or transport is None:
-            return held_bytes_module.WriteProgress(read_bytes=0, unsent_bytes=0)
+            return request_bytes.WriteProgress(read_bytes=0, unsent_bytes=0)
         unsent_bytes = transport.get_write_buffer_size()
         if not unsent_bytes:
-            return held_bytes_module.WriteProgress(
+            return request_bytes.WriteProgress(
                 read_bytes=self._request.writer.output_size, unsent_bytes=0
             )
-        return held_bytes_module.WriteProgress(
+        return request_bytes.WriteProgress(
             read_bytes=self._request.writer.output_size
             - unsent_bytes
             - _unacknowledged_bytes(transport),
--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -7,14 +7,13 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 import datetime
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import log_limiter
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.relay import request_bytes
 
 _SLOW_BODY = "request:slow_body"
 _MEGABYTE = 1_000_000
@@ -47,9 +46,6 @@
 _SMALL_BODIES_RESERVE_BYTES = 512 * 1024
 # A body that arrives may be refused for another one after this long.
 ARRIVAL_GRACE = datetime.timedelta(seconds=1)
-# A write may outlast the deadline by 0.5 s. The sweep that notices it comes up
-# to one interval later.
-_LATE_WRITE_TIMEOUT = datetime.timedelta(milliseconds=300)
 
 
 def bound_for(memory_mb: float) -> int:
@@ -57,288 +53,7 @@
     return max(int(memory_mb * _MEGABYTE * _MEMORY_SHARE), _MIN_BOUND_BYTES)
 
 
-class WriteProgress:
-    """What was written to a caller's connection, and what is still held.
-
-    Attributes:
-        read_bytes: Of what was written for the request, how much the caller's
-            system has acknowledged.
-        unsent_bytes: How much this system has not accepted.
-    """
-
-    __slots__ = ("read_bytes", "unsent_bytes")
-
-    def __init__(self, *, read_bytes: int, unsent_bytes: int):
-        self.read_bytes = read_bytes
-        self.unsent_bytes = unsent_bytes
-
-
-class Arrival:
-    """A body that is not complete.
-
-    Attributes:
-        began_at: Monotonic time of its begin.
-        deadline: Monotonic time at which it is refused.
-        refuse: Ends the wait for the rest of it.
-    """
-
-    __slots__ = ("began_at", "deadline", "refuse")
-
-    def __init__(
-        self,
-        *,
-        began_at: datetime.timedelta,
-        deadline: datetime.timedelta,
-        refuse: Callable[[], None],
-    ):
-        self.began_at = began_at
-        self.deadline = deadline
-        self.refuse = refuse
-
-
-class RequestBytes:
-    """The bytes held for one request.
-
-    Bytes count as read by the caller once its system has acknowledged them:
-    nothing closer to the caller can be observed.
-
-    Attributes:
-        request_id: The caller's id, for logs.
-        arrival: The arrival of its body; None if that is complete.
-        deadline: Monotonic time after which no write may go on; None while it
-            is not known.
-        size: All bytes held.
-        unread_time: For how long the caller has read nothing of what is held
-            for it.
-        is_cut: The request was ended because its caller does not read.
-    """
-
-    __slots__ = (
-        "_account",
-        "_answer",
-        "_body",
-        "_cut",
-        "_head",
-        "_late_time",
-        "_measure_read_buffer",
-        "_measure_writes",
-        "_read",
-        "_read_buffer",
-        "_unread",
-        "_write_began_at",
-        "arrival",
-        "deadline",
-        "is_cut",
-        "is_ended",
-        "request_id",
-        "size",
-        "unread_time",
-    )
-
-    def __init__(
-        self,
-        *,
-        account: "HeldBytes",
-        measure_writes: Callable[[], WriteProgress],
-        cut: Callable[[], None],
-    ):
-        self._account = account
-        self._measure_writes = measure_writes
-        self._cut = cut
-        self._measure_read_buffer: Callable[[], int] | None = None
-        self._head = 0
-        self._body = 0
-        self._answer = 0
-        self._unread = 0
-        self._read_buffer = 0
-        self._read = 0
-        self._late_time = _NO_TIME
-        self._write_began_at = _NO_TIME
-        self.request_id = ""
-        self.arrival: Arrival | None = None
-        self.deadline: datetime.timedelta | None = None
-        self.size = 0
-        self.unread_time = _NO_TIME
-        self.is_cut = False
-        self.is_ended = False
-
-    @property
-    def has_unread(self) -> bool:
-        """Tells whether bytes wait for the caller to read."""
-        return self._unread > 0
-
-    def try_hold_head(self, count: int) -> bool:
-        """Adds the request's head and the objects made of it."""
-        if self.is_ended or not self._account.make_room(count):
-            return False
-        self._head += count
-        self._update()
-        return True
-
-    @contextlib.contextmanager
-    def arriving(
-        self, *, deadline: datetime.timedelta, refuse: Callable[[], None]
-    ) -> Iterator[None]:
-        """Lets the body be refused while it is not complete.
-
-        Args:
-            deadline: Monotonic time at which it is refused.
-            refuse: Ends the wait for the rest of it.
-        """
-        self.arrival = Arrival(
-            began_at=self._account.now(), deadline=deadline, refuse=refuse
-        )
-        try:
-            yield
-        finally:
-            self.arrival = None
-
-    def arrival_rate(self, now: datetime.timedelta) -> float:
-        """Returns the bytes a second at which the body has arrived so far."""
-        age = max(now - self.arrival.began_at, _MILLISECOND)
-        return self._body / age.total_seconds()
-
-    def refuse_body(self) -> None:
-        """Gives up the room of a body that is not complete."""
-        refuse = self.arrival.refuse
-        self.arrival = None
-        self.end()
-        refuse()
-
-    def try_hold_body(self, count: int) -> bool:
-        """Adds bytes of the request's body, unless the bound forbids it."""
-        if self.is_ended or not self._account.try_add_body(
-            count, body_bytes=self._body + count
-        ):
-            return False
-        self._body += count
-        self._update()
-        return True
-
-    def try_hold_answer(self, count: int) -> bool:
-        """Adds bytes of an answer that is held until it is whole."""
-        if self.is_ended or not self._account.make_room(count):
-            return False
-        self._answer += count
-        self._update()
-        return True
-
-    async def hold_answer(self, count: int) -> None:
-        """Waits until bytes of a whole answer may be held, and adds them.
-
-        The replica's connection is not read meanwhile.
-
-        Raises:
-            ConnectionResetError: The request has ended.
-        """
-        while not self.try_hold_answer(count):
-            if self.is_ended:
-                raise ConnectionResetError("the request has ended")
-            await self._account.released()
-
-    def release_answer(self, count: int) -> None:
-        """Removes bytes of an answer that is no longer held."""
-        if not self.is_ended:
-            self._answer = max(0, self._answer - count)
-            self._update()
-
-    @contextlib.contextmanager
-    def reading(self, measure: Callable[[], int]) -> Iterator[None]:
-        """Counts a replica's answer in its read buffer.
-
-        Args:
-            measure: Returns the bytes received and not yet forwarded.
-        """
-        self._measure_read_buffer = measure
-        try:
-            yield
-        finally:
-            self._measure_read_buffer = None
-            self._read_buffer = 0
-            self._update()
-
-    def note_write(self) -> None:
-        """Records that a write to the caller begins."""
-        self._write_began_at = self._account.now()
-        self._late_time = _NO_TIME
-
-    def note_unsent(self, count: int) -> None:
-        """Records how many bytes the system has not accepted after a write.
-
-        What the caller has read is left to the sweeps: to measure it takes a
-        system call, which is too much for each event.
-        """
-        if self.is_ended:
-            return
-        self._unread = count
-        if not count:
-            self.unread_time = _NO_TIME
-        if self._measure_read_buffer is not None:
-            self._read_buffer = self._measure_read_buffer()
-        self._update()
-
-    def sample(self, elapsed: datetime.timedelta = _NO_TIME) -> None:
-        """Reads the sizes of the buffers.
-
-        Args:
-            elapsed: The time that counts as passed since the last sweep.
-        """
-        if self.is_ended:
-            return
-        writes = self._measure_writes()
-        if writes.read_bytes > self._read or not writes.unsent_bytes:
-            self.unread_time = _NO_TIME
-        elif self._unread:
-            self.unread_time += elapsed
-        # It falls where the system, which had accepted all, holds bytes that
-        # the caller's system has not acknowledged.
-        self._read = writes.read_bytes
-        self._unread = writes.unsent_bytes
-        if self._unread:
-            self._late_time += min(elapsed, self._late_by())
-        if self._measure_read_buffer is not None:
-            self._read_buffer = self._measure_read_buffer()
-        self._update()
-
-    @property
-    def is_late(self) -> bool:
-        """Tells whether a write has outlasted the deadline."""
-        return self._late_time >= _LATE_WRITE_TIMEOUT
-
-    def cut(self) -> None:
-        """Ends the request because its caller does not read."""
-        self.is_cut = True
-        self._cut()
-        self.end()
-
-    def end(self) -> None:
-        """Ends the account of this request; repeated calls do nothing."""
-        if self.is_ended:
-            return
-        self.is_ended = True
-        self._account.remove(self, body_bytes=self._body)
-
-    def _late_by(self) -> datetime.timedelta:
-        """Returns the time since both the deadline and the write's begin."""
-        since = max(self.deadline or _NO_TIME, self._write_began_at)
-        return max(self._account.now() - since, _NO_TIME)
-
-    def _update(self) -> None:
-        if self.is_ended:
-            return
-        # A whole answer is the object that the connection writes from, so its
-        # unsent part is no further memory.
-        size = (
-            self._head
-            + self._body
-            + max(self._answer, self._unread)
-            + self._read_buffer
-        )
-        self._account.change(size - self.size)
-        self.size = size
-
-
-class HeldBytes:
+class HeldBytes(request_bytes.Account):
     """The bytes held for all requests of an instance.
 
     Attributes:
@@ -368,7 +83,7 @@
         self._metrics = metrics
         self._clock = clock
         self._log_limiter = log_limiter.LogLimiter(clock=clock)
-        self._requests: dict[RequestBytes, None] = {}
+        self._requests: dict[request_bytes.RequestBytes, None] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._swept_at = clock.monotonic()
         self._body_bytes = 0
@@ -382,16 +97,16 @@
     def begin(
         self,
         *,
-        measure_writes: Callable[[], WriteProgress],
+        measure_writes: Callable[[], request_bytes.WriteProgress],
         cut: Callable[[], None],
-    ) -> RequestBytes:
+    ) -> request_bytes.RequestBytes:
         """Begins the account of a request.
 
         Args:
             measure_writes: Returns the progress of writes to the caller.
             cut: Drops the caller's connection with all that is unsent.
         """
-        request = RequestBytes(
+        request = request_bytes.RequestBytes(
             account=self,
             measure_writes=measure_writes,
             cut=cut,
@@ -500,7 +215,9 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    def remove(self, request: RequestBytes, *, body_bytes: int) -> None:
+    def remove(
+        self, request: request_bytes.RequestBytes, *, body_bytes: int
+    ) -> None:
         """Removes a request that has ended; `RequestBytes` calls this.
 
         Args:
@@ -524,7 +241,7 @@
                 return
             self._cut(request)
 
-    def _cut(self, request: RequestBytes) -> None:
+    def _cut(self, request: request_bytes.RequestBytes) -> None:
         logs.note(
             "caller:not_reading",
             request=request.request_id,
@@ -534,7 +251,7 @@
         self._metrics.add("callers_not_reading_total")
         request.cut()
 
-    def _note_slow_body(self, request: RequestBytes) -> None:
+    def _note_slow_body(self, request: request_bytes.RequestBytes) -> None:
         self._metrics.add("slow_bodies_total")
         if self._log_limiter.is_due(_SLOW_BODY):
             logs.note(
--- a/src/nutmeghook/internal/relay/incoming.py
+++ b/src/nutmeghook/internal/relay/incoming.py
@@ -4,7 +4,7 @@
 import dataclasses
 import datetime
 
-from nutmeghook.internal.relay import held_bytes as held_bytes_module
+from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.relay import wire
 
 
@@ -24,7 +24,7 @@
     facts: wire.CallerFacts
     body: bytes
     arrived_at: datetime.timedelta
-    held: held_bytes_module.RequestBytes
+    held: request_bytes.RequestBytes
 
     @property
     def path(self) -> str:
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -9,7 +9,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import unreadable_values
-from nutmeghook.internal.relay import held_bytes
+from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.replicas import backlog as backlog_module
 from nutmeghook.internal.replicas import directory as directory_module
@@ -116,7 +116,7 @@
         return self.head.status == _WRONG_REPLICA_STATUS
 
     async def read_whole(
-        self, held: held_bytes.RequestBytes | None = None
+        self, held: request_bytes.RequestBytes | None = None
     ) -> bytes:
         """Returns the whole body.
 
--- a/tests/cover/test_arriving_bodies.py
+++ b/tests/cover/test_arriving_bodies.py
@@ -10,6 +10,7 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import held_bytes
+from nutmeghook.internal.relay import request_bytes
 
 SECOND = datetime.timedelta(seconds=1)
 MEGABYTE = 1_000_000
@@ -26,10 +27,10 @@
 
     def arriving(
         self, *, refuse=lambda: None, time_left=60 * SECOND
-    ) -> held_bytes.RequestBytes:
+    ) -> request_bytes.RequestBytes:
         """Returns a request whose body is not complete."""
         held = self.account.begin(
-            measure_writes=lambda: held_bytes.WriteProgress(
+            measure_writes=lambda: request_bytes.WriteProgress(
                 read_bytes=0, unsent_bytes=0
             ),
             cut=lambda: None,
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -17,6 +17,7 @@
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import caller_sink
 from nutmeghook.internal.relay import held_bytes
+from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.routes import model
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.standins import users_replica
@@ -44,7 +45,7 @@
         self.was_cut = False
         self.read_buffer = 0
         self.held = account.begin(
-            measure_writes=lambda: held_bytes.WriteProgress(
+            measure_writes=lambda: request_bytes.WriteProgress(
                 read_bytes=self.written - self.unsent,
                 unsent_bytes=self.unsent,
             ),
@@ -148,7 +149,7 @@
         accepted, unacknowledged = 100 * KB, 0
         unsent = 0
         held = self.account.begin(
-            measure_writes=lambda: held_bytes.WriteProgress(
+            measure_writes=lambda: request_bytes.WriteProgress(
                 read_bytes=accepted - unacknowledged, unsent_bytes=unsent
             ),
             cut=lambda: None,
