Accept clients' connections only while there are places for them

Cause: the event loop's server accepts all connections that wait, before it reads from any. Each beyond the places took that of one accepted just before, so that nobody's request was read.

Change: clients/acceptor accepts while the table has a place; the others wait in the system's queue, in their order. A connection keeps its place for a quarter of a second before it gives it up for another.

Also: a body whose client was lost while its handler was cancelled left a trace on standard error for each connection; nobody had asked for its failure (clock.wait_for).

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -547,7 +547,7 @@
         )
         self._ports.append(one)
         host, number = _split(address)
-        return await one.start(host=host, port=number)
+        return one.start(host=host, port=number)
 
 
 def _client_bounds(
--- a/src/nutmeghook/internal/clients/connection_table.py
+++ b/src/nutmeghook/internal/clients/connection_table.py
@@ -6,6 +6,8 @@
 """
 
 import abc
+from collections.abc import Callable
+import datetime
 import enum
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -13,6 +15,9 @@
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
 
+# How long a connection may take to send a request before it gives up its place.
+GRACE = datetime.timedelta(milliseconds=250)
+
 
 class CloseReason(enum.Enum):
     """Why a client's connection was closed, for logs and metrics."""
@@ -52,19 +57,23 @@
         max_connections: Most connections at a time.
         bound_bytes: Most bytes held for all of them.
         held_bytes: Bytes held at present.
+        on_place: Called when a connection has ended; None if nobody waits.
     """
 
     __slots__ = (
+        "_clock",
         "_closed",
         "_held",
         "_log_limiter",
         "_metrics",
         "_name",
         "_open",
+        "_reserved",
         "_waiting",
         "bound_bytes",
         "held_bytes",
         "max_connections",
+        "on_place",
     )
 
     def __init__(
@@ -77,12 +86,16 @@
         clock: clock_module.Clock,
     ):
         self._name = name
+        self._clock = clock
         self._metrics = metrics
         self._log_limiter = log_limiter.LogLimiter(clock=clock)
         self._closed = dict.fromkeys(CloseReason, 0)
         self._open: set[ClientConnection] = set()
-        # Both in the order in which connections are dropped.
-        self._waiting: dict[ClientConnection, None] = {}
+        self._reserved = 0
+        self.on_place: Callable[[], None] | None = None
+        # Both in the order in which connections are dropped; the first with the
+        # monotonic time since which each waits.
+        self._waiting: dict[ClientConnection, datetime.timedelta] = {}
         self._held: dict[ClientConnection, int] = {}
         self.max_connections = max_connections
         self.bound_bytes = bound_bytes
@@ -102,41 +115,53 @@
             "client_held_bytes", self.held_bytes, listener=self._name
         )
 
-    def admit(self, connection: ClientConnection) -> bool:
-        """Adds a new connection, for which another one may be dropped.
+    def reserve(self) -> bool:
+        """Reserves a place, for which a connection may be dropped.
 
         Returns:
-            False if a whole request is under way on each connection, and
-            nothing is held for any beside it.
+            False if each connection has a whole request under way, or came only
+            just now, and nothing is held for any beside it.
         """
-        if len(self._open) >= self.max_connections:
-            reason = CloseReason.TOO_MANY_CONNECTIONS
+        if len(self._open) + self._reserved >= self.max_connections:
             victim = self._most_dispensable()
             if victim is None:
-                self.note_closed(reason)
                 return False
-            self._drop(victim, reason)
-        self._open.add(connection)
-        self._waiting[connection] = None
+            self._drop(victim, CloseReason.TOO_MANY_CONNECTIONS)
+        self._reserved += 1
         return True
 
+    def end_reservation(self) -> None:
+        """Gives back a reserved place, which a connection may have taken."""
+        self._reserved -= 1
+
+    def admit(self, connection: ClientConnection) -> None:
+        """Adds a new connection, for which a place was reserved."""
+        self._open.add(connection)
+        self._waiting[connection] = self._clock.monotonic()
+
     def _most_dispensable(self) -> ClientConnection | None:
-        for candidates in (self._waiting, self._held):
-            for connection in candidates:
+        latest = self._clock.monotonic() - GRACE
+        for connection, since in self._waiting.items():
+            if since <= latest:
                 return connection
-        return None
+            break
+        return next(iter(self._held), None)
 
     def forget(self, connection: ClientConnection) -> None:
         """Removes a connection; repeated calls do nothing."""
+        if connection not in self._open:
+            return
         self._open.discard(connection)
         self._waiting.pop(connection, None)
         self.held_bytes -= self._held.pop(connection, 0)
+        if self.on_place is not None:
+            self.on_place()
 
     def note_waiting(self, connection: ClientConnection) -> None:
         """Records that a connection waits for a request or the rest of one."""
         if connection in self._open:
             self._waiting.pop(connection, None)
-            self._waiting[connection] = None
+            self._waiting[connection] = self._clock.monotonic()
 
     def note_busy(self, connection: ClientConnection) -> None:
         """Records that a whole request is under way."""
--- a/src/nutmeghook/internal/clients/http_connection.py
+++ b/src/nutmeghook/internal/clients/http_connection.py
@@ -145,8 +145,7 @@
             ("SO_SNDBUF", limits.send_buffer_bytes),
         ):
             socket_options.try_set(transport, socket.SOL_SOCKET, name, count)
-        if not self._table.admit(self):
-            self.drop()
+        self._table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Gives the place back."""
--- a/src/nutmeghook/internal/clients/port.py
+++ b/src/nutmeghook/internal/clients/port.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from nutmeghook.internal.clients import acceptor
 from nutmeghook.internal.clients import bounds
 from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.clients import http_connection
@@ -34,7 +35,7 @@
         clock: Measures time.
     """
 
-    __slots__ = ("_connections", "_server", "_socket")
+    __slots__ = ("_acceptor", "_connections", "_server")
 
     def __init__(
         self,
@@ -52,14 +53,15 @@
             clock=clock,
         )
         self._server = web.Server(handler, access_log=None)
-        self._socket: asyncio.Server | None = None
+        self._acceptor: acceptor.Acceptor | None = None
 
-    async def start(self, *, host: str, port: int) -> str:
+    def start(self, *, host: str, port: int) -> str:
         """Listens; returns `ip:port` with the port in use."""
         loop = asyncio.get_running_loop()
         lane = reading_lane.ReadingLane(loop=loop)
-        self._socket = await loop.create_server(
-            lambda: sliced_reads.SlicedReads(
+        self._acceptor = acceptor.Acceptor(
+            table=self._connections,
+            protocol=lambda: sliced_reads.SlicedReads(
                 protocol=http_connection.HttpConnection(
                     server=self._server,
                     loop=loop,
@@ -68,16 +70,14 @@
                     lane=lane,
                 )
             ),
-            host,
-            port,
-            backlog=bounds.PORT_CONNECTIONS,
-            reuse_address=True,
         )
-        own_host, own_port = self._socket.sockets[0].getsockname()[:2]
-        return f"{own_host}:{own_port}"
+        self._acceptor.start(
+            host=host, port=port, backlog=bounds.PORT_CONNECTIONS
+        )
+        return self._acceptor.address
 
     async def stop(self) -> None:
         """Closes the socket and its connections."""
-        if self._socket is not None:
-            self._socket.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
         await self._server.shutdown(timeout=0.1)
--- a/src/nutmeghook/internal/entry/listener.py
+++ b/src/nutmeghook/internal/entry/listener.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from nutmeghook.internal.clients import acceptor
 from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.clients import http_connection
 from nutmeghook.internal.clients import reading_lane
@@ -65,7 +66,7 @@
         address: The `ip:port` listened on; empty before the start.
     """
 
-    __slots__ = ("_connections", "_runner", "_server", "address")
+    __slots__ = ("_acceptor", "_connections", "_runner", "address")
 
     def __init__(
         self,
@@ -80,7 +81,7 @@
             handler_cancellation=True,
             shutdown_timeout=_CLOSE_TIMEOUT_S,
         )
-        self._server: asyncio.Server | None = None
+        self._acceptor: acceptor.Acceptor | None = None
         self.address = ""
 
     async def start(self, *, host: str, port: int) -> None:
@@ -88,8 +89,9 @@
         await self._runner.setup()
         loop = asyncio.get_running_loop()
         lane = reading_lane.ReadingLane(loop=loop)
-        self._server = await loop.create_server(
-            lambda: sliced_reads.SlicedReads(
+        self._acceptor = acceptor.Acceptor(
+            table=self._connections,
+            protocol=lambda: sliced_reads.SlicedReads(
                 protocol=CodedRequestHandler(
                     server=self._runner.server,
                     loop=loop,
@@ -98,18 +100,14 @@
                     lane=lane,
                 )
             ),
-            host,
-            port,
-            backlog=_BACKLOG,
-            reuse_address=True,
         )
-        own_host, own_port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{own_host}:{own_port}"
+        self._acceptor.start(host=host, port=port, backlog=_BACKLOG)
+        self.address = self._acceptor.address
 
     def stop_accepting(self) -> None:
         """Refuses new connections; existing ones stay open."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
 
     async def stop(self) -> None:
         """Closes the socket and the remaining connections."""
--- a/src/nutmeghook/internal/foundation/clock.py
+++ b/src/nutmeghook/internal/foundation/clock.py
@@ -63,6 +63,9 @@
                 # As with `asyncio.timeout`, the cancelled work cleans up before
                 # the caller continues.
                 await asyncio.wait({work})
+            if not work.cancelled():
+                # If the caller was cancelled, nobody else asks for its failure.
+                work.exception()
 
 
 class SystemClock(Clock):
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import xxhash
 
+from nutmeghook.internal.clients import acceptor
 from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.clients import http_connection
 from nutmeghook.internal.clients import reading_lane
@@ -95,6 +96,7 @@
     """
 
     __slots__ = (
+        "_acceptor",
         "_clock",
         "_connections",
         "_held",
@@ -105,7 +107,6 @@
         "_metrics",
         "_relay",
         "_server",
-        "_socket",
         "_watch",
         "_wire_format",
         "address",
@@ -138,7 +139,12 @@
         self._known_http_limits = _http_limits(self._known_limits)
         self._clock = clock
         self._server = web.Server(self._handle, handler_cancellation=True)
-        self._socket: asyncio.Server | None = None
+        self._acceptor = acceptor.Acceptor(
+            table=connections,
+            protocol=lambda: sliced_reads.SlicedReads(
+                protocol=self.new_connection()
+            ),
+        )
         self.address = ""
         self.closing = False
         self.in_flight = 0
@@ -147,15 +153,8 @@
         """Starts to listen; port 0 lets the system choose one."""
         loop = asyncio.get_running_loop()
         self._lane = reading_lane.ReadingLane(loop=loop)
-        self._socket = await loop.create_server(
-            lambda: sliced_reads.SlicedReads(protocol=self.new_connection()),
-            host,
-            port,
-            backlog=_BACKLOG,
-            reuse_address=True,
-        )
-        own_host, own_port = self._socket.sockets[0].getsockname()[:2]
-        self.address = f"{own_host}:{own_port}"
+        self._acceptor.start(host=host, port=port, backlog=_BACKLOG)
+        self.address = self._acceptor.address
 
     def new_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
@@ -181,8 +180,7 @@
         A request that arrives after the close was not read, so its caller may
         send it elsewhere, even if it may run only once.
         """
-        if self._socket is not None:
-            self._socket.close()
+        self._acceptor.close()
         self.close_idle()
 
     def close_idle(self) -> None:
