Close an idle connection only when another one has come

Cause: with all places taken, the acceptor made a place before it knew whether a further connection waited, so that each new one closed two.

Change: it asks whether there would be a place, accepts, and only then has the table make it.

--- a/src/nutmeghook/internal/clients/acceptor.py
+++ b/src/nutmeghook/internal/clients/acceptor.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "_connecting",
+        "_is_failing",
         "_is_paused",
         "_loop",
         "_protocol",
@@ -54,6 +55,7 @@
         self._socket: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_paused = False
+        self._is_failing = False
         self._connecting: set[asyncio.Task[None]] = set()
         self.address = ""
 
@@ -90,19 +92,21 @@
 
     def _accept(self) -> None:
         for _ in range(_BATCH):
-            if not self._table.reserve():
+            if not self._table.has_place:
                 self._pause(connection_table.GRACE.total_seconds())
                 return
             try:
                 connection, _ = self._socket.accept()
             except (BlockingIOError, ConnectionAbortedError):
-                self._table.end_reservation()
                 return
             except OSError as error:
-                self._table.end_reservation()
-                logs.note("client:not_accepted", error=str(error))
+                if not self._is_failing:
+                    logs.note("client:not_accepted", error=str(error))
+                self._is_failing = True
                 self._pause(_SYSTEM_PAUSE_S)
                 return
+            self._is_failing = False
+            self._table.reserve()
             connection.setblocking(False)
             task = self._loop.create_task(self._connect(connection))
             self._connecting.add(task)
--- a/src/nutmeghook/internal/clients/connection_table.py
+++ b/src/nutmeghook/internal/clients/connection_table.py
@@ -29,7 +29,6 @@
     NO_REQUEST = "no_request"
     NOT_HTTP = "not_http"
     NOT_READING = "not_reading"
-    SLOW_BODY = "slow_body"
 
 
 class ClientConnection(abc.ABC):
@@ -93,8 +92,8 @@
         self._open: set[ClientConnection] = set()
         self._reserved = 0
         self.on_place: Callable[[], None] | None = None
-        # Both in the order in which connections are dropped; the first with the
-        # monotonic time since which each waits.
+        # Both in the order in which connections are dropped: the monotonic time
+        # since which each waits, and the bytes held for each.
         self._waiting: dict[ClientConnection, datetime.timedelta] = {}
         self._held: dict[ClientConnection, int] = {}
         self.max_connections = max_connections
@@ -115,20 +114,21 @@
             "client_held_bytes", self.held_bytes, listener=self._name
         )
 
-    def reserve(self) -> bool:
-        """Reserves a place, for which a connection may be dropped.
+    @property
+    def has_place(self) -> bool:
+        """Tells whether `reserve` would find a place.
 
-        Returns:
-            False if each connection has a whole request under way, or came only
-            just now, and nothing is held for any beside it.
+        It would not if each connection has a whole request under way, or came
+        only just now, and nothing is held for any beside it.
         """
-        if len(self._open) + self._reserved >= self.max_connections:
-            victim = self._most_dispensable()
-            if victim is None:
-                return False
+        return not self._is_full or self._most_dispensable() is not None
+
+    def reserve(self) -> None:
+        """Reserves a place, for which a connection may be dropped."""
+        victim = self._most_dispensable() if self._is_full else None
+        if victim is not None:
             self._drop(victim, CloseReason.TOO_MANY_CONNECTIONS)
         self._reserved += 1
-        return True
 
     def end_reservation(self) -> None:
         """Gives back a reserved place, which a connection may have taken."""
@@ -139,6 +139,10 @@
         self._open.add(connection)
         self._waiting[connection] = self._clock.monotonic()
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self._open) + self._reserved >= self.max_connections
+
     def _most_dispensable(self) -> ClientConnection | None:
         latest = self._clock.monotonic() - GRACE
         for connection, since in self._waiting.items():
--- a/tests/cover/test_client_connections.py
+++ b/tests/cover/test_client_connections.py
@@ -9,6 +9,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from nutmeghook.internal.clients import acceptor
 from nutmeghook.internal.clients import bounds
 from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.clients import http_connection
@@ -51,8 +52,9 @@
     table: connection_table.ConnectionTable, connection: FakeConnection
 ) -> bool:
     """Tells whether a connection has got a place."""
-    if not table.reserve():
+    if not table.has_place:
         return False
+    table.reserve()
     table.admit(connection)
     table.end_reservation()
     return True
@@ -85,14 +87,14 @@
         for connection in self.admitted(table, MAX_CONNECTIONS):
             table.note_busy(connection)
         await self.clock.advance(connection_table.GRACE)
-        self.assertFalse(table.reserve())
+        self.assertFalse(table.has_place)
         self.assertEqual(table.open_connections, MAX_CONNECTIONS)
 
     def test_a_connection_that_has_just_come_is_dropped_for_nobody(self):
         """In a crowd nobody's request was read before the next one came."""
         table = small_table(self.clock)
         self.admitted(table, MAX_CONNECTIONS)
-        self.assertFalse(table.reserve())
+        self.assertFalse(table.has_place)
 
     @hypothesis.given(steps=STEPS)
     def test_its_bounds_hold(self, steps):
@@ -129,6 +131,35 @@
         self.assertLess(shares.callers + shares.peers, descriptors)
 
 
+class AcceptorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nobody_gives_up_a_place_before_another_comes(self):
+        """With all places taken, one idle connection was closed in vain."""
+        clock = clock_module.FakeClock()
+        table = small_table(clock)
+        accepted = []
+
+        def protocol() -> asyncio.Protocol:
+            connection = FakeConnection()
+            accepted.append(connection)
+            table.admit(connection)
+            return asyncio.Protocol()
+
+        listening = acceptor.Acceptor(table=table, protocol=protocol)
+        listening.start(host="127.0.0.1", port=0, backlog=10)
+        self.addCleanup(listening.close)
+        host, _, port = listening.address.rpartition(":")
+        for _ in range(MAX_CONNECTIONS):
+            _, writer = await asyncio.open_connection(host, int(port))
+            self.addCleanup(writer.close)
+        await entry_fixture.until(lambda: len(accepted) == MAX_CONNECTIONS)
+        await clock.advance(connection_table.GRACE)
+        self.assertFalse(any(one.is_dropped for one in accepted))
+        _, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        await entry_fixture.until(lambda: len(accepted) > MAX_CONNECTIONS)
+        self.assertEqual([one.is_dropped for one in accepted].count(True), 1)
+
+
 class ReadingLaneTest(unittest.IsolatedAsyncioTestCase):
     async def test_one_reads_in_each_turn(self):
         """Many clients' tiny chunks were parsed in one turn."""
