Count and log answers of replicas that belong to no request under way

Nothing showed how an answer too many was met: on an idle connection, behind the answer, or instead of it. The counter surplus_answers_total and the log line answer:surplus tell these apart, and the error of a refusal names the exchange of its connection.

No decision changes.

--- a/src/nutmeghook/internal/assembly/replica_access.py
+++ b/src/nutmeghook/internal/assembly/replica_access.py
@@ -7,6 +7,8 @@
 from nutmeghook.internal.assembly import gossip_members
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import traffic as traffic_module
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.observe import surplus_answers
 from nutmeghook.internal.table_replication import gossip as gossip_module
 from nutmeghook.internal.tunnels import client as client_module
 from nutmeghook.internal.tunnels import server as server_module
@@ -23,6 +25,7 @@
         data_centre: This instance's.
         region_of: Returns a data centre's region, or None if it is unknown.
         dialer: Opens connections to replicas; None for TCP connections.
+        metrics: Counts surplus answers.
         clock: Measures time.
         loop: The event loop.
 
@@ -49,6 +52,7 @@
         data_centre: str,
         region_of: Callable[[str], str | None],
         dialer: dialer_module.Dialer | None,
+        metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
         loop: asyncio.AbstractEventLoop,
     ):
@@ -58,7 +62,13 @@
         self.traffic = traffic_module.Traffic()
         self._client = client_module.PeerTunnels(loop=loop, clock=clock)
         self.pool = pool_module.ConnectionPool(
-            loop=loop, clock=clock, dialer=dialer, tunnels=self._client
+            loop=loop,
+            clock=clock,
+            dialer=dialer,
+            tunnels=self._client,
+            surplus=surplus_answers.SurplusAnswers(
+                metrics=metrics, clock=clock
+            ),
         )
         self.server = server_module.TunnelServer(
             is_replica=is_replica,
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -157,12 +157,14 @@
         )
         self.orders = orders_module.OrderRegistry()
         self.leaving = False
+        self.metrics = metrics_module.Metrics()
         self._access = replica_access.ReplicaAccess(
             is_replica=lambda address: self.directory.has_address(address),
             is_leaving=lambda: self.leaving,
             data_centre=settings.data_centre,
             region_of=settings.regions.get,
             dialer=dialer,
+            metrics=self.metrics,
             clock=clock,
             loop=loop,
         )
@@ -204,7 +206,6 @@
             clock=clock, probe_rank=self._random.random()
         )
         self.standstills = standstill_module.StandstillMonitor(clock=clock)
-        self.metrics = metrics_module.Metrics()
         self.held = held_bytes.HeldBytes(
             bound_bytes=held_bytes.bound_for(settings.memory_mb),
             metrics=self.metrics,
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -327,6 +327,16 @@
             " older copy."
         ),
     ),
+    MetricSpec(
+        name="surplus_answers_total",
+        kind=MetricKind.COUNTER,
+        meaning=(
+            "Answers of replicas that belong to no request under way, by how"
+            " they were found: on an idle connection, behind the answer, or"
+            " instead of it with another request's id or none."
+        ),
+        labels=("found",),
+    ),
     MetricSpec(
         name="unreadable_values_total",
         kind=MetricKind.COUNTER,
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -17,6 +17,7 @@
 
 from nutmeghook.internal.foundation import answer_limits
 from nutmeghook.internal.foundation import socket_options
+from nutmeghook.internal.observe import surplus_answers
 from nutmeghook.internal.upstream import outcomes
 
 # Above twice this many unread bytes of an answer, aiohttp's parser reads the
@@ -121,6 +122,9 @@
         failure: Why the present answer's body broke off.
         helper: The inner address of the peer that carries it; None if it is a
             direct one.
+        address: The replica's `ip:port`; empty until the pool has it.
+        surplus: Is told of answers that belong to no request under way.
+        exchanges: How many exchanges it has begun to carry.
     """
 
     __slots__ = (
@@ -133,11 +137,14 @@
         "_read_bytes",
         "_received_bytes",
         "_reset",
+        "address",
+        "exchanges",
         "failure",
         "helper",
         "idle_limit_s",
         "idle_since_s",
         "reusable",
+        "surplus",
     )
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop):
@@ -152,6 +159,11 @@
         self.reusable = True
         self.idle_since_s = 0.0
         self.idle_limit_s = 0.0
+        self.address = ""
+        self.surplus: surplus_answers.SurplusObserver = (
+            surplus_answers.IgnoredSurplus()
+        )
+        self.exchanges = 0
         self._count_from_zero()
 
     @property
@@ -196,6 +208,7 @@
         self._head = self._loop.create_future()
         self._payload = None
         self._answers = 0
+        self.exchanges += 1
         self._count_from_zero()
         if len(body) > _COPIED_BODY_BYTES:
             self.transport.write(message)
@@ -252,6 +265,8 @@
         would be read as the answer to the next one.
         """
         if self._parser is None:
+            if self.reusable:
+                self._note_surplus(surplus_answers.SurplusKind.IDLE)
             self.abort()
             return
         self._received_bytes += len(data)
@@ -324,6 +339,7 @@
             return
         self._answers += 1
         if self._answers > 1 or self._head is None:
+            self._note_surplus(surplus_answers.SurplusKind.BEHIND)
             self.reusable = False
             return
         self._payload = payload
@@ -343,6 +359,9 @@
                 )
             )
 
+    def _note_surplus(self, kind: surplus_answers.SurplusKind) -> None:
+        self.surplus.note(kind, address=self.address)
+
     def _fail(self, error: outcomes.UnknownOutcomeError) -> None:
         self.reusable = False
         if self._head is not None and not self._head.done():
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -7,6 +7,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import socket_options
+from nutmeghook.internal.observe import surplus_answers
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import connector as connector_module
 from nutmeghook.internal.upstream import dialer as dialer_module
@@ -47,12 +48,14 @@
         clock: Measures time.
         dialer: Opens the connections; None for TCP connections.
         tunnels: Opens connections through peers; None for no peers.
+        surplus: Is told of answers that belong to no request under way; None
+            if nobody is.
 
     Attributes:
         opened: How many connections it has tried to open.
     """
 
-    __slots__ = ("_clock", "_connector", "_idle", "_loop", "opened")
+    __slots__ = ("_clock", "_connector", "_idle", "_loop", "_surplus", "opened")
 
     def __init__(
         self,
@@ -61,6 +64,7 @@
         clock: clock_module.Clock,
         dialer: dialer_module.Dialer | None = None,
         tunnels: tunnelled_connection.Tunnels | None = None,
+        surplus: surplus_answers.SurplusObserver | None = None,
     ):
         self._loop = loop
         self._clock = clock
@@ -71,6 +75,7 @@
             clock=clock,
         )
         self._idle: dict[str, list[connection_module.ReplicaConnection]] = {}
+        self._surplus = surplus or surplus_answers.IgnoredSurplus()
         self.opened = 0
 
     @property
@@ -206,7 +211,7 @@
         connection = await self._connector.dial(address, timeout=PROBE_TIMEOUT)
         if connection is None:
             return False
-        self._prepare(connection)
+        self._prepare(address, connection)
         self._keep_unused(address, connection)
         return True
 
@@ -235,14 +240,18 @@
     ) -> connection_module.ReplicaConnection:
         self.opened += 1
         connection = await self._connector.connect(address, timeout=timeout)
-        self._prepare(connection)
+        self._prepare(address, connection)
         return connection
 
-    def _prepare(self, connection: connection_module.ReplicaConnection) -> None:
+    def _prepare(
+        self, address: str, connection: connection_module.ReplicaConnection
+    ) -> None:
         """Sets the options of a new connection.
 
         A replica at its connection limit may have reset it by now.
         """
+        connection.address = address
+        connection.surplus = self._surplus
         if connection.transport is None:
             return
         socket_options.detect_lost_peer(connection.transport)
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -8,6 +8,7 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
+from nutmeghook.internal.observe import surplus_answers
 from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.relay import wire
@@ -337,14 +338,25 @@
         # one's. The echoed id tells them apart; this request may have run.
         if facts.request_id not in (None, outgoing.request_id):
             connection.reusable = False
+            connection.surplus.note(
+                surplus_answers.SurplusKind.OTHER_REQUEST,
+                address=connection.address,
+                answered_id=facts.request_id,
+            )
             raise outcomes.UnknownOutcomeError(
                 f"the answer is to request {facts.request_id!r}"
             )
+        if facts.request_id is None and outgoing.request_id:
+            connection.surplus.note(
+                surplus_answers.SurplusKind.NO_REQUEST,
+                address=connection.address,
+            )
         self._note_facts(replica, answer, sent_at=sent_at)
         if facts.not_run:
             await self._drop_body(answer)
             raise outcomes.RefusedError(
-                f"{replica.entry.replica_id} refused with {head.status}",
+                f"{replica.entry.replica_id} refused with {head.status} in"
+                f" exchange {connection.exchanges} of its connection",
                 status=head.status,
                 wrong_replica=answer.is_of_wrong_replica,
             )
