--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -67,6 +67,8 @@
         crash: It ends by a crash of the replica.
         answer_id: Another request's id instead of the echoed one.
         extra: Bytes that follow the whole answer.
+        late_copy: The head and body follow once more, as the next request on
+            the connection arrives; not for a stream.
         silent: No byte is sent until the caller closes the connection.
         pause_s: Pause before each event.
         padding: Bytes of filler in each event.
@@ -86,6 +88,7 @@
     crash: bool = False
     answer_id: str | None = None
     extra: bytes = b""
+    late_copy: bool = False
     silent: bool = False
     pause_s: float = 0.0
     padding: int = 0
@@ -133,6 +136,8 @@
             None for a replica that states no load.
         answers_probes: It answers liveness probes. If False, it closes their
             connections, as the system does for a process that ends.
+        probe_reply: Its answer to liveness probes, with another body if it
+            states its start.
         probes: How many liveness probes it has received.
         cold_ms: For how long it stays cold, by its answers to probes; 0 if it
             is not.
@@ -146,6 +151,7 @@
     __slots__ = (
         "_connections",
         "_decide",
+        "_late_copies",
         "_refused",
         "_replies",
         "_running",
@@ -161,6 +167,7 @@
         "crashed",
         "crashes",
         "falls",
+        "probe_reply",
         "probes",
         "ran",
         "received",
@@ -185,6 +192,8 @@
         self._replies = [Reply()]
         self._server: asyncio.Server | None = None
         self._connections = 0
+        # By the number of the connection.
+        self._late_copies: dict[int, bytes] = {}
         self._running = 0
         self._unreachable_sockets: list[socket.socket] = []
         self._writers: list[asyncio.StreamWriter] = []
@@ -206,6 +215,7 @@
         self._refused: list[tuple[float, str]] = []
         self.work_time_percent: int | None = None
         self.answers_probes = True
+        self.probe_reply = Reply(body=b"")
         self.probes = 0
         self.cold_ms = 0
         self.started_ms = 0
@@ -300,6 +310,7 @@
         connection: int,
     ) -> bool:
         request = await _read_request(reader, connection)
+        writer.write(self._late_copies.pop(connection, b""))
         if request.target in headers.PROBE_PATHS:
             return await self._answer_probe(request, writer)
         self.received.append(request)
@@ -335,15 +346,22 @@
     ) -> bool:
         self.probes += 1
         expected = request.headers.get(headers.EXPECTED_REPLICA.lower())
-        status = 200 if expected in (None, self.replica_id) else 421
         if not self.answers_probes:
             return False
-        body = b'{"born":%d}' % self.started_ms if self.started_ms else b""
-        reply = Reply(status=status, body=body)
+        reply = self.probe_reply
+        if expected not in (None, self.replica_id):
+            reply = Reply(status=421, body=b"")
+        elif self.started_ms:
+            reply = dataclasses.replace(
+                reply, body=b'{"born":%d}' % self.started_ms
+            )
         stated = ()
         if self.cold_ms:
             stated = ((headers.COLD_LEFT, str(self.cold_ms)),)
-        writer.write(_head(reply, request, stated) + body)
+        answer = _head(reply, request, stated) + reply.body
+        if reply.late_copy:
+            self._late_copies[request.connection] = answer
+        writer.write(answer)
         await writer.drain()
         return True
 
@@ -379,6 +397,14 @@
         await asyncio.sleep(FALL_S)
         await self.restart(replica_id=self.replica_id)
 
+    def _begin_answer(self, reply: Reply, request: ReceivedRequest) -> bytes:
+        """Returns an answer's head; keeps the copy that is to follow later."""
+        is_own = reply.status != headers.WRONG_REPLICA_STATUS
+        head = _head(reply, request, self._stated() if is_own else ())
+        if reply.late_copy:
+            self._late_copies[request.connection] = head + reply.body
+        return head
+
     def _next_reply(self, request: ReceivedRequest) -> Reply:
         reply = self._replies[0]
         if len(self._replies) > 1:
@@ -396,8 +422,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        is_own = reply.status != headers.WRONG_REPLICA_STATUS
-        writer.write(_head(reply, request, self._stated() if is_own else ()))
+        writer.write(self._begin_answer(reply, request))
         sent = 0
         for number, piece in enumerate(_pieces(reply, request)):
             if number == reply.stall_after:
@@ -457,9 +482,9 @@
 ) -> bytes:
     lines = [f"HTTP/1.1 {reply.status} Stand-in"]
     lines.extend(f"{name}: {value}" for name, value in signals)
-    lines.append(
-        f"{headers.REQUEST_ID}: {reply.answer_id or request.request_id}"
-    )
+    answer_id = reply.answer_id or request.request_id
+    if answer_id:
+        lines.append(f"{headers.REQUEST_ID}: {answer_id}")
     if reply.sealed and not reply.not_run:
         lines.append(f"{headers.SEAL}: seal-of-{request.request_id}")
     if reply.not_run:
