Send no request id twice on one connection to a replica

What callers saw: a request ran twice. Cause: which answer is a request's own was decided by the echoed id alone. A replica that sends an answer twice may send the copy of a refusal where the next answer is due; if that is to the same request, sent again on the same connection (by the relay once other replicas had failed, or since its caller came back with the same id), the copy ended the attempt as refused. The request went elsewhere, and its run went on on a connection that was returned to the pool as idle.

Now a connection keeps the ids of the requests that it has carried and carries none twice, so that an answer with a request's id can only be its own; it is closed after 128 exchanges, which bounds what it keeps. An answer without an id counts as the request's own only if no request without an id, such as a probe, was sent on the connection before.

--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -126,7 +126,6 @@
     """What an answer's headers say.
 
     Attributes:
-        request_id: The id that the replica echoes.
         not_run: The replica says that it did not run the request.
         sealed: It carries the replica's proof of origin.
         encoded: The body is not as the replica made it.
@@ -137,7 +136,6 @@
         unreadable: Headers that are ignored, except for signals.
     """
 
-    request_id: str | None
     not_run: bool
     sealed: bool
     encoded: bool
@@ -188,6 +186,10 @@
             Unix time; 0 if it states none.
         """
 
+    @abc.abstractmethod
+    def read_answered_id(self, headers: Headers) -> str | None:
+        """Returns the id of the request that an answer is to, if stated."""
+
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
         """Reads an answer's headers."""
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -18,6 +18,7 @@
 from nutmeghook.internal.foundation import answer_limits
 from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.observe import surplus_answers
+from nutmeghook.internal.upstream import answer_match
 from nutmeghook.internal.upstream import outcomes
 
 # Above twice this many unread bytes of an answer, aiohttp's parser reads the
@@ -32,6 +33,8 @@
 # Of a body of which little or nothing is needed. Reading so much takes less
 # than a new connection.
 _MAX_SHORT_BYTES = 64 * 1024
+# Requests of one connection, whose ids it keeps.
+_MAX_EXCHANGES = 128
 
 
 class AnswerHead:
@@ -128,7 +131,8 @@
     """
 
     __slots__ = (
-        "_answers",
+        "_carried",
+        "_expected",
         "_framing_bytes",
         "_framing_limit",
         "_head",
@@ -153,7 +157,8 @@
         self._payload: streams.StreamReader | None = None
         self._reset: OSError | None = None
         self._other_side_ended = False
-        self._answers = 0
+        self._carried = answer_match.CarriedRequests()
+        self._expected: answer_match.ExpectedAnswer | None = None
         self.failure: outcomes.UnknownOutcomeError | None = None
         self.helper: str | None = None
         self.reusable = True
@@ -178,8 +183,17 @@
             return 0
         return self.transport.get_write_buffer_size()
 
+    def has_carried(self, request_id: str) -> bool:
+        """Tells whether an answer to this id may come from an earlier one."""
+        return request_id in self._carried
+
     async def exchange(
-        self, message: bytes, *, body: bytes = b"", has_body: bool
+        self,
+        message: bytes,
+        *,
+        body: bytes = b"",
+        has_body: bool,
+        expected: answer_match.ExpectedAnswer | None = None,
     ) -> AnswerHead:
         """Sends a request and returns the head of its answer.
 
@@ -187,13 +201,19 @@
             message: The request as it goes on the wire, without `body`.
             body: What follows `message`.
             has_body: Answers to this method have one (not so for HEAD).
+            expected: Tells the request's own answer. None for a request without
+                an id on a connection that has carried none.
 
         Raises:
-            outcomes.NotSentError: The connection was closed before.
+            outcomes.NotSentError: The connection was closed before, or has
+                carried a request with this id.
             outcomes.UnknownOutcomeError: It broke afterwards.
         """
         if not self.is_open or not self.reusable:
             raise outcomes.NotSentError("the connection is closed")
+        request_id = expected.request_id if expected else answer_match.NO_ID
+        if self.has_carried(request_id):
+            raise outcomes.NotSentError("the connection has carried this id")
         self._parser = http_parser.HttpResponseParser(
             self,
             self._loop,
@@ -207,8 +227,11 @@
         )
         self._head = self._loop.create_future()
         self._payload = None
-        self._answers = 0
+        self._expected = expected
+        self._carried.add(request_id)
         self.exchanges += 1
+        if self.exchanges >= _MAX_EXCHANGES:
+            self.reusable = False
         self._count_from_zero()
         if len(body) > _COPIED_BODY_BYTES:
             self.transport.write(message)
@@ -337,30 +360,55 @@
     ) -> None:
         if 100 <= message.code < 200:
             return
-        self._answers += 1
-        if self._answers > 1 or self._head is None:
+        if self._head is None or self._head.done():
             self._note_surplus(surplus_answers.SurplusKind.BEHIND)
             self.reusable = False
             return
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in message.raw_headers
+        ]
+        if not self._is_own(headers):
+            self._fail(outcomes.UnknownOutcomeError("an answer to another"))
+            return
         self._payload = payload
         if message.should_close:
             self.reusable = False
-        if not self._head.done():
-            self._head.set_result(
-                AnswerHead(
-                    status=message.code,
-                    headers=[
-                        (name.decode("latin-1"), value.decode("latin-1"))
-                        for name, value in message.raw_headers
-                    ],
-                    body=payload,
-                    connection=self,
-                    is_chunked=message.chunked,
-                )
+        self._head.set_result(
+            AnswerHead(
+                status=message.code,
+                headers=headers,
+                body=payload,
+                connection=self,
+                is_chunked=message.chunked,
             )
+        )
+
+    def _is_own(self, headers: list[tuple[str, str]]) -> bool:
+        """Tells whether an answer is the request's own."""
+        if self._expected is None:
+            return True
+        answered_id = self._expected.answered_id(headers)
+        if self._carried.is_own_answer(self._expected, answered_id):
+            # Without an id, the copy of this answer could not be told from
+            # that of the next one.
+            if answered_id != self._expected.request_id:
+                self.reusable = False
+            return True
+        self._note_surplus(
+            surplus_answers.SurplusKind.OTHER_REQUEST
+            if answered_id
+            else surplus_answers.SurplusKind.NO_REQUEST,
+            answered_id,
+        )
+        return False
 
-    def _note_surplus(self, kind: surplus_answers.SurplusKind) -> None:
-        self.surplus.note(kind, address=self.address)
+    def _note_surplus(
+        self, kind: surplus_answers.SurplusKind, answered_id: str = ""
+    ) -> None:
+        self.surplus.note(
+            kind, address=self.address, answered_id=answered_id or None
+        )
 
     def _fail(self, error: outcomes.UnknownOutcomeError) -> None:
         self.reusable = False
--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -84,12 +84,13 @@
         return self._connector.paths
 
     async def acquire(
-        self, address: str, *, max_idle_s: float
+        self, address: str, *, request_id: str, max_idle_s: float
     ) -> connection_module.ReplicaConnection:
         """Returns a connection, the one idle for the shortest time if any.
 
         Args:
             address: The replica's `ip:port`.
+            request_id: Use none that has carried a request with this id.
             max_idle_s: Use none that was idle for longer. Requests that may run
                 only once need a fresh one, because an idle one may break while
                 they are written.
@@ -97,10 +98,12 @@
         Raises:
             outcomes.NotSentError: The replica did not accept.
         """
-        idle = self._idle.get(address)
+        idle = self._idle.get(address, [])
         now_s = self._loop.time()
-        while idle:
-            candidate = idle.pop()
+        for candidate in reversed(tuple(idle)):
+            if candidate.is_open and candidate.has_carried(request_id):
+                continue
+            idle.remove(candidate)
             idle_s = now_s - candidate.idle_since_s
             limit_s = min(candidate.idle_limit_s, max_idle_s)
             if (
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -8,7 +8,6 @@
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
-from nutmeghook.internal.observe import surplus_answers
 from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.relay import wire
@@ -18,6 +17,7 @@
 from nutmeghook.internal.replicas import send_gate
 from nutmeghook.internal.replicas import send_window
 from nutmeghook.internal.replicas import signal_registry
+from nutmeghook.internal.upstream import answer_match
 from nutmeghook.internal.upstream import cold_watch as cold_watch_module
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
@@ -302,7 +302,9 @@
         max_idle_s = MAX_IDLE_S if outgoing.repeatable else MAX_IDLE_FOR_ONCE_S
         try:
             connection = await self._pool.acquire(
-                replica.entry.address, max_idle_s=max_idle_s
+                replica.entry.address,
+                request_id=outgoing.request_id,
+                max_idle_s=max_idle_s,
             )
         except outcomes.NotSentError:
             replica.health.note_unreachable(self._clock.monotonic())
@@ -331,26 +333,13 @@
             outgoing.encoded_head(),
             body=outgoing.body,
             has_body=outgoing.method != "HEAD",
+            expected=answer_match.ExpectedAnswer(
+                request_id=outgoing.request_id,
+                read_id=self._wire_format.read_answered_id,
+            ),
         )
         facts = self._wire_format.read_answer(head.status, head.headers)
         answer = Answer(head=head, facts=facts, replica=replica)
-        # A late answer to an earlier request may arrive in place of this
-        # one's. The echoed id tells them apart; this request may have run.
-        if facts.request_id not in (None, outgoing.request_id):
-            connection.reusable = False
-            connection.surplus.note(
-                surplus_answers.SurplusKind.OTHER_REQUEST,
-                address=connection.address,
-                answered_id=facts.request_id,
-            )
-            raise outcomes.UnknownOutcomeError(
-                f"the answer is to request {facts.request_id!r}"
-            )
-        if facts.request_id is None and outgoing.request_id:
-            connection.surplus.note(
-                surplus_answers.SurplusKind.NO_REQUEST,
-                address=connection.address,
-            )
         self._note_facts(replica, answer, sent_at=sent_at)
         if facts.not_run:
             await self._drop_body(answer)
--- a/src/nutmeghook/platform/headers.py
+++ b/src/nutmeghook/platform/headers.py
@@ -143,6 +143,11 @@
         """Returns the start that a replica's answer to a probe states."""
         return replicas.decode_start_ms(body)
 
+    def read_answered_id(self, headers: wire.Headers) -> str | None:
+        """Returns the id of the request that an answer is to, if stated."""
+        stated = _values(headers, REQUEST_ID)
+        return stated[-1] if stated else None
+
     def read_answer(
         self, status: int, headers: wire.Headers
     ) -> wire.AnswerFacts:
@@ -150,7 +155,6 @@
         values = {name.lower(): value for name, value in headers}
         unreadable: list[wire.UnreadableValue] = []
         return wire.AnswerFacts(
-            request_id=values.get(REQUEST_ID.lower()),
             not_run=NOT_RUN.lower() in values or status == WRONG_REPLICA_STATUS,
             sealed=bool(values.get(SEAL.lower())),
             encoded="content-encoding" in values,
--- a/tests/cover/test_leaving_answers.py
+++ b/tests/cover/test_leaving_answers.py
@@ -71,8 +71,8 @@
         ]
         acquire = self.pool.acquire
 
-        async def slow_acquire(address, *, max_idle_s):
-            connection = await acquire(address, max_idle_s=max_idle_s)
+        async def slow_acquire(address, **options):
+            connection = await acquire(address, **options)
             known.said_leaving_at = self.clock.monotonic()
             return connection
 
--- a/tests/cover/test_replica_probing.py
+++ b/tests/cover/test_replica_probing.py
@@ -84,7 +84,7 @@
         system's keep-alive and timeout end a stream that has begun: within 4 s.
         """
         connection = await self.pool.acquire(
-            self.replicas[0].address, max_idle_s=0.0
+            self.replicas[0].address, request_id="", max_idle_s=0.0
         )
         self.addCleanup(connection.abort)
         raw = connection.transport.get_extra_info("socket")
--- a/tests/cover/test_silent_replicas.py
+++ b/tests/cover/test_silent_replicas.py
@@ -36,7 +36,7 @@
         silence would be the last.
         """
         connection = await self.pool.acquire(
-            self.replicas[0].address, max_idle_s=0.0
+            self.replicas[0].address, request_id="", max_idle_s=0.0
         )
         self.addCleanup(connection.abort)
         raw = connection.transport.get_extra_info("socket")
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -151,7 +151,9 @@
         """
         for helper in self.helpers:
             helper.dialer.refuses = True
-        await self.pool.acquire(self.replicas[1].address, max_idle_s=0)
+        await self.pool.acquire(
+            self.replicas[1].address, request_id="", max_idle_s=0
+        )
         self.replicas[0].crash()
         self.assertEqual(
             await self.pool.probe(self.replicas[0].address),
@@ -280,10 +282,10 @@
             helper.dialer.answers.clear()
         address = self.replicas[0].address
         with self.assertRaises(outcomes.NotSentError):
-            await self.pool.acquire(address, max_idle_s=0)
+            await self.pool.acquire(address, request_id="", max_idle_s=0)
         dialled = len(self.dialer.dialled)
         with self.assertRaises(outcomes.NotSentError):
-            await self.pool.acquire(address, max_idle_s=0)
+            await self.pool.acquire(address, request_id="", max_idle_s=0)
         self.assertEqual(len(self.dialer.dialled), dialled)
 
 
