--- a/tests/cover/test_replica_connection.py
+++ b/tests/cover/test_replica_connection.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from nutmeghook.internal.upstream import answer_match
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 
@@ -26,10 +27,16 @@
         )
         self.connection.connection_made(self.transport)
 
-    async def answer(self, data: bytes) -> connection_module.AnswerHead:
+    async def answer(
+        self, data: bytes, *, request_id: str = ""
+    ) -> connection_module.AnswerHead:
         """Sends a request, delivers an answer and returns its head."""
+        expected = answer_match.ExpectedAnswer(
+            request_id=request_id,
+            read_id=lambda headers: dict(headers).get("Id"),
+        )
         sending = asyncio.ensure_future(
-            self.connection.exchange(REQUEST, has_body=True)
+            self.connection.exchange(REQUEST, has_body=True, expected=expected)
         )
         await asyncio.sleep(0)
         self.connection.data_received(data)
@@ -82,6 +89,32 @@
         self.assertEqual(await head.read(), b"whole")
         self.assertFalse(self.connection.finish_exchange())
 
+    async def test_answers_to_others_without_end_are_no_answer(self):
+        """Each is skipped, so they would be read until the deadline."""
+        other = WHOLE.replace(b"Content", b"Id: other\r\nContent")
+        sending = asyncio.ensure_future(
+            self.answer(other * 100, request_id="request")
+        )
+        self.addCleanup(sending.cancel)
+        for _ in range(4):
+            await asyncio.sleep(0)
+        self.transport.abort.assert_called()
+        with self.assertRaises(outcomes.NoAnswerError):
+            await sending
+
+    async def test_a_connection_keeps_a_bounded_number_of_ids(self):
+        """It is closed before the ids that it keeps take much memory."""
+        for number in range(10_000):
+            name = b"Id: %d\r\nContent" % number
+            head = await self.answer(
+                WHOLE.replace(b"Content", name), request_id=str(number)
+            )
+            await head.read()
+            if not self.connection.finish_exchange():
+                break
+        self.assertLess(number, 200)
+        self.transport.abort.assert_called()
+
     async def test_an_answer_before_the_request_s_end_closes_it(self):
         """A replica answers early and reads the rest of the body later. The
         next request on this connection would be read as that rest.
