End an idle client connection on which bytes arrive

What callers see: nothing at once. The entry reads a load report, a list or a row that is the copy of an earlier call's answer, or a write's outcome that another write had, if a server sends an answer twice and the copy arrives while the connection is idle.

Cause: aiohttp parses and queues what arrives on a kept connection, and takes it for the answer to the next call; it looks for bytes behind an answer only as the answer ends. Those that follow the body in one read after the head was taken come too late for that look as well.

Ruled out: bytes in one write with a whole answer; aiohttp closes that connection by itself.

Now the handler of a connection knows that the answer's body has ended, and any further byte or message closes the connection, so that it is not handed out again.

--- a/src/nutmeghook/internal/foundation/bounded_http.py
+++ b/src/nutmeghook/internal/foundation/bounded_http.py
@@ -2,6 +2,9 @@
 
 The client itself keeps a whole body in memory, whatever its size, and reads on
 to the call's deadline where no further byte can make an answer.
+
+Nor does it notice bytes that arrive on an idle connection: they become the
+answer to the next call.
 """
 
 import functools
@@ -36,6 +39,9 @@
     ) -> None:
         """Takes the head of an answer, or an interim one."""
         message, body = data
+        if self._body is not None:
+            self._end()
+            return
         if message.code >= _FIRST_FINAL_STATUS:
             self._framing_limit = answer_limits.FramingLimit()
             self._body = body
@@ -43,6 +49,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes of an answer."""
+        # Resumed reading passes no bytes.
+        if data and self._body is not None and self._body.is_eof():
+            self._end()
+            return
         super().data_received(data)
         body_bytes = self._body.total_bytes if self._body else -1
         try:
@@ -58,6 +68,20 @@
             if self.transport is not None:
                 self.transport.abort()
 
+    def set_response_params(self, **options) -> None:
+        """Begins a call."""
+        self._body = None
+        super().set_response_params(**options)
+
+    def _end(self) -> None:
+        """Ends a connection on which bytes follow the whole answer.
+
+        aiohttp looks for them when an answer ends, but not later.
+        """
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Opens connections that end if no answer comes of their bytes."""
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -133,6 +133,7 @@
         handler = bounded_http.BoundedConnector()._factory()
         body = asyncio.StreamReader()
         for _ in range(40):
+            handler.set_response_params()
             handler.feed_data((_Head(code=200), body))
             handler._framing_limit.note(60_000, body_bytes=0, is_parsed=True)
 
