Give each call to a service a connection of its own

What callers see, at the OpenAI-compatible entry: a generation that runs counts as refused and runs at a second engine; an order counts as done, a bill's row as written, another prompt's cache as this one's. In the router: a lease taken that another instance holds, a table read up to a version of which it has unread changes.

Cause: answers of engines, of the table service and of the platform's store bear nothing that ties them to their call (a refusal has no attempt's id), and the client takes the first answer on a kept connection for that to the latest call. A server that sends an answer twice, the copy as the next request arrives, decides that call.

Weighed: checking answers against their call. Rows show their table and key, but "none", "committed", "done" and a refusal show nothing, and an empty answer of the store's feed moves the reader of any table on to its version. The store's clock in its answers would order them, at the cost of a state a connection, of a call made twice where two answers have the same millisecond, and of aiohttp's private parts. An echoed id in refusals would change what engines have to speak, and say nothing about writes.

Now BoundedConnector opens a connection for each call and closes it behind the answer, so that nothing of an earlier call can arrive on it.

--- a/src/nutmeghook/internal/foundation/bounded_http.py
+++ b/src/nutmeghook/internal/foundation/bounded_http.py
@@ -3,21 +3,30 @@
 The client itself keeps a whole body in memory, whatever its size, and reads on
 to the call's deadline where no further byte can make an answer.
 
-Nor does it notice bytes that arrive on an idle connection: they become the
-answer to the next call.
+A faulty server may send an answer twice, at any time. The client takes the copy
+for the answer to the next call on the connection, also if it arrives between
+the two. So connections end as soon as bytes follow an answer, and a call has
+one of its own unless a copy of another call's answer would do no harm.
 """
 
+from collections.abc import Awaitable
 import functools
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import connector
 from aiohttp import http_exceptions
 from aiohttp import http_parser
 from aiohttp import streams
+from aiohttp import tracing
 
 from nutmeghook.internal.foundation import answer_limits
 
 _FIRST_FINAL_STATUS = 200
+_KEEP_ALIVE = "keep-alive"
+# Headers of a call that may share a connection with others that have them. Its
+# answer may be a copy of that to one of these.
+SHARES_CONNECTION = {"Connection": _KEEP_ALIVE}
 
 
 class AnswerTooLargeError(aiohttp.ClientError):
@@ -83,7 +92,7 @@
             self.transport.abort()
 
 
-class BoundedConnector(aiohttp.TCPConnector):
+class _Connector(aiohttp.TCPConnector):
     """Opens connections that end if no answer comes of their bytes."""
 
     def __init__(self, **options):
@@ -92,6 +101,32 @@
         self._factory = functools.partial(_BoundedHandler, loop=self._loop)
 
 
+class BoundedConnector(_Connector):
+    """Gives each call a connection of its own, with bounds on its answer.
+
+    Calls with `SHARES_CONNECTION` share connections.
+    """
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._single_use = _Connector(limit=self.limit, force_close=True)
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> connector.Connection:
+        """Returns a connection for a call."""
+        if req.headers.get("Connection") == _KEEP_ALIVE:
+            return await super().connect(req, traces, timeout)
+        return await self._single_use.connect(req, traces, timeout)
+
+    def _close(self, *, abort_ssl: bool = False) -> list[Awaitable[object]]:
+        closing = super()._close(abort_ssl=abort_ssl)
+        return closing + self._single_use._close(abort_ssl=abort_ssl)
+
+
 async def read_body(
     response: aiohttp.ClientResponse, *, most_bytes: int
 ) -> bytes:
