Give each call to the administration API a connection of its own

What operators see: a change reported as in force, or refused, by the outcome of another operation, if something before the instance that they call sends an answer twice. Cause: as for other services; the answer names its operation, but nothing compares it, and a refusal names none. One client makes several calls on a connection, as `submit` repeats them.

Change: the client's connector. A command makes a few calls a minute at most, so their connections cost nothing that counts.

test_an_operation_s_outcome_is_its_own failed before at three of the four times of the copy.

--- a/src/nutmeghook/internal/administration/client.py
+++ b/src/nutmeghook/internal/administration/client.py
@@ -11,6 +11,7 @@
 from nutmeghook.internal.administration import bodies
 from nutmeghook.internal.administration import status as status_module
 from nutmeghook.internal.config import edits
+from nutmeghook.internal.foundation import bounded_http
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import codes
 
@@ -58,6 +59,7 @@
     async def __aenter__(self) -> "AdministrationClient":
         """Opens the session."""
         self._session = aiohttp.ClientSession(
+            connector=bounded_http.BoundedConnector(),
             headers=self._headers,
             timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT.total_seconds()),
         )
--- a/tests/cover/test_answers_to_earlier_calls.py
+++ b/tests/cover/test_answers_to_earlier_calls.py
@@ -10,11 +10,15 @@
 import aiohttp
 import msgspec
 
+from nutmeghook.internal.administration import bodies
+from nutmeghook.internal.administration import client as administration
+from nutmeghook.internal.config import rows as config_rows
 from nutmeghook.internal.dependencies import engine as engine_module
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import instances
 from nutmeghook.internal.dependencies import table as table_module
 from nutmeghook.internal.foundation import bounded_http
+from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.standin_http import http_engine
 from nutmeghook.internal.standin_http import http_exchange
 from nutmeghook.internal.standin_http import http_instances
@@ -41,6 +45,17 @@
     return copying_server.answer(200, body)
 
 
+def outcome_of(operation_id: str) -> bytes:
+    """Returns an answer of the administration API."""
+    operation = config_rows.OperationRecord(
+        operation_id=operation_id,
+        outcome=config_rows.Outcome.ACCEPTED,
+        author=config_rows.Author(team="t", name="n"),
+        settled_at=datetime.datetime.fromtimestamp(0, datetime.UTC),
+    )
+    return ok(msgspec.json.encode(bodies.OperationAnswer(operation=operation)))
+
+
 class EarlierCallsTest(unittest.IsolatedAsyncioTestCase):
     """Makes two calls, the first of which is answered twice."""
 
@@ -229,6 +244,22 @@
             copy_times=WHILE_IDLE,
         )
 
+    async def test_an_operation_s_outcome_is_its_own(self):
+        """An operator was told that a change is in force that was not."""
+        async with administration.AdministrationClient(
+            base_url=f"http://{self.address}",
+            token="t",
+            clock=clock_module.SystemClock(),
+        ) as client:
+
+            async def outcome():
+                answer = await client.known_outcome("any")
+                return answer.operation.operation_id
+
+            await self.check(
+                outcome, outcome_of("1"), outcome_of("2"), expected="2"
+            )
+
     async def test_polls_share_a_connection(self):
         """A connection for each poll costs nearly three times the time."""
         await self.server.begin([ok(REPORT % 1)] * 4, None)
