Play the loss of the store and of replicas with the loss of all routers

nutmeghook fleet_restart knew one loss: routers killed, all else running. It can now have the store away (refusing, busy or silent) until some seconds after the start, back from a copy of the time before the last configuration, all replicas crash and come back under new ids, and all routers lost a second time within their return. The report has the longest wait for each condition of readiness and the calls to the store by second.

--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -269,6 +269,12 @@
         cores: int = 0,
         ended_peers: int = 0,
         is_restored: bool = False,
+        store_away_s: float = 0.0,
+        store_fault: str = "refusing",
+        is_store_older: bool = False,
+        are_replicas_lost: bool = False,
+        second_loss_s: float = 0.0,
+        keep: str = "",
     ) -> None:
         """Loses all router processes at once and starts them together.
 
@@ -280,14 +286,29 @@
             cores: How many cores the routers share; 0 for all.
             ended_peers: Rows of instances that are gone for good.
             is_restored: The store was restored from an older copy before.
+            store_away_s: The store is away until so long after the start.
+            store_fault: How calls end meanwhile: refusing, busy or silent.
+            is_store_older: The store is back from an older copy.
+            are_replicas_lost: All replicas crash too, and get new ids.
+            second_loss_s: All routers are lost again so long after the start.
+            keep: A folder for the routers' logs; empty to drop them.
         """
         restart = importlib.import_module("nutmeghook.experiment.fleet_restart")
+        store = importlib.import_module("nutmeghook.standins.users_store")
         sys.exit(
             restart.main(
                 routers=routers,
                 cores=cores,
                 ended_peers=ended_peers,
                 is_restored=is_restored,
+                loss=restart.Loss(
+                    store_away_s=store_away_s,
+                    store_fault=store.StoreFault(store_fault),
+                    is_store_older=is_store_older,
+                    are_replicas_lost=are_replicas_lost,
+                    second_loss_s=second_loss_s,
+                ),
+                keep=keep,
             )
         )
 
--- a/src/nutmeghook/experiment/fleet_restart.py
+++ b/src/nutmeghook/experiment/fleet_restart.py
@@ -6,6 +6,9 @@
 """
 
 import asyncio
+import contextlib
+import dataclasses
+import datetime
 import os
 import pathlib
 import statistics
@@ -18,6 +21,7 @@
 from nutmeghook.experiment import trial_routers
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.table_replication import registration
+from nutmeghook.standins import users_store
 
 REPLICAS = 6
 RATE_PER_S = 40.0
@@ -29,9 +33,51 @@
 _JUDGED_S = 5.0
 # Of the calls then, at least so many are to be served.
 LEAST_SERVED = 0.25
+# From the store's return until the operator writes again what it had lost.
+_WRITTEN_AGAIN_S = 1.0
 _READY_EVENT = "process:ready"
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Loss:
+    """What is lost, and what comes back when.
+
+    Attributes:
+        down_s: From the loss until the processes are started.
+        store_away_s: The store is away from the loss until so long after the
+            start; 0 if it is not lost.
+        store_fault: How calls to it end meanwhile.
+        is_store_older: The store comes back from a copy of the time before the
+            last configuration, which the operator writes again a second later.
+        are_replicas_lost: All replicas crash at the loss and are back at the
+            start under new ids.
+        second_loss_s: From the start until all routers are lost again; 0 for
+            one loss. Times of the report then count from the second start.
+    """
+
+    down_s: float = 0.7
+    store_away_s: float = 0.0
+    store_fault: users_store.StoreFault = users_store.StoreFault.REFUSING
+    is_store_older: bool = False
+    are_replicas_lost: bool = False
+    second_loss_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Start:
+    """A common start of all routers.
+
+    Attributes:
+        at_s: In the event loop's time.
+        time: The time of day.
+        log_lines: How many lines each router had logged before.
+    """
+
+    at_s: float
+    time: datetime.datetime
+    log_lines: list[int]
+
+
 class RestartReport(msgspec.Struct, frozen=True, kw_only=True):
     """A restart's outcome; times in seconds from the common start.
 
@@ -39,6 +85,9 @@
         ready_s: When the first, the median and the last router was ready; fewer
             than `routers` may have been.
         processor_s: Median processor time of a router until it was ready.
+        met_s: Condition of readiness to the longest time that a router waited
+            for it after its listener had opened.
+        store_calls_per_s: Calls to the store, by second of the start.
         served_before: Share of the calls before the loss that were answered.
         served_after: The same of the calls sent after the time to recover.
         served_by_second: Answered calls and calls, by second of the start.
@@ -49,6 +98,8 @@
     ready: int
     ready_s: list[float]
     processor_s: float
+    met_s: dict[str, float]
+    store_calls_per_s: list[int]
     served_before: float
     served_after: float
     served_by_second: list[tuple[int, int]]
@@ -61,6 +112,7 @@
     message_type: str
     timestamp: float = 0.0
     cpu_ms: float = 0.0
+    met_after_ms: dict[str, float] = {}
 
 
 _LINE_DECODER = msgspec.json.Decoder(_ReadyLine)
@@ -71,9 +123,9 @@
     folder: pathlib.Path,
     routers: int,
     cores: int = 0,
-    down_s: float = 0.7,
     ended_peers: int = 0,
     is_restored: bool = False,
+    loss: Loss | None = None,
 ) -> RestartReport:
     """Runs one loss of all routers under load.
 
@@ -81,9 +133,9 @@
         folder: For settings and logs.
         routers: Number of router processes.
         cores: Of this machine, that all routers share; 0 for all it has.
-        down_s: From the loss until the processes are started.
         ended_peers: Rows of instances that are gone for good.
         is_restored: The store was restored from an older copy before.
+        loss: What is lost; only the routers if None.
     """
     trial = platform_trial.PlatformTrial(folder=folder, seed=1, routers=routers)
     for number in range(ended_peers):
@@ -96,49 +148,97 @@
         trial.store.restore(trial.store.copy())
     try:
         await trial.start()
-        for number in range(3, REPLICAS):
+        for number in range(len(trial.replicas), REPLICAS):
             await trial.add_replica(f"v1-{number}", "v1")
-        return await _lose_all(trial, cores=cores, down_s=down_s)
+        return await _lose_all(trial, cores=cores, loss=loss or Loss())
     finally:
         await trial.end()
 
 
 async def _lose_all(
-    trial: platform_trial.PlatformTrial, *, cores: int, down_s: float
+    trial: platform_trial.PlatformTrial, *, cores: int, loss: Loss
 ) -> RestartReport:
     loop = asyncio.get_running_loop()
     first_call = len(trial.calls)
-    total_s = BEFORE_S + down_s + RECOVERY_S + _JUDGED_S
+    total_s = BEFORE_S + loss.down_s + RECOVERY_S + _JUDGED_S
+    if loss.second_loss_s:
+        total_s += loss.second_loss_s + loss.down_s
     load = asyncio.create_task(
         trial.load(seconds=total_s, rate_per_s=RATE_PER_S)
     )
-    await asyncio.sleep(BEFORE_S)
+    older = trial.store.copy()
+    await asyncio.sleep(BEFORE_S / 2)
+    trial.operator.write_configuration(platform_trial.KEYS)
+    await asyncio.sleep(BEFORE_S / 2)
     lost_s = loop.time()
-    await asyncio.gather(*(router.kill() for router in trial.routers))
-    await asyncio.sleep(down_s)
-    started_s = loop.time()
-    lines_before = [len(router.log_lines()) for router in trial.routers]
-    started_at = clock_module.SystemClock().now()
-    await asyncio.gather(
-        *(_start(router, cores=cores) for router in trial.routers)
-    )
+    if loss.store_away_s:
+        trial.store.fault = loss.store_fault
+    start = await _restart_all(trial, cores=cores, loss=loss)
+    if loss.second_loss_s:
+        await asyncio.sleep(loss.second_loss_s)
+        start = await _restart_all(trial, cores=cores, loss=loss)
+    store_calls_per_s: list[int] = []
+    counting = asyncio.create_task(_count_calls(trial.store, store_calls_per_s))
+    if loss.store_away_s:
+        await asyncio.sleep(loss.store_away_s)
+        lost_rows = trial.store.restore(older) if loss.is_store_older else {}
+        trial.store.fault = users_store.StoreFault.NONE
+        await asyncio.sleep(_WRITTEN_AGAIN_S)
+        trial.store.write_again(lost_rows)
     await load
+    counting.cancel()
     ready = [
         line
-        for router, count in zip(trial.routers, lines_before, strict=True)
+        for router, count in zip(trial.routers, start.log_lines, strict=True)
         for line in _ready_lines(router.log_lines()[count:])
     ]
     calls = trial.calls[first_call:]
     return _report(
         routers=len(trial.routers),
         ready_s=sorted(
-            line.timestamp - started_at.timestamp() for line in ready
+            line.timestamp - start.time.timestamp() for line in ready
         ),
-        processor_s=[line.cpu_ms / 1000 for line in ready],
+        ready=ready,
+        store_calls_per_s=store_calls_per_s,
         before=[call for call in calls if call.ended_s < lost_s],
-        after=[call for call in calls if call.sent_s >= started_s],
-        started_s=started_s,
+        after=[call for call in calls if call.sent_s >= start.at_s],
+        started_s=start.at_s,
+    )
+
+
+async def _restart_all(
+    trial: platform_trial.PlatformTrial, *, cores: int, loss: Loss
+) -> _Start:
+    await asyncio.gather(*(router.kill() for router in trial.routers))
+    replica_count = len(trial.replicas)
+    if loss.are_replicas_lost:
+        for replica_id, replica in list(trial.replicas.items()):
+            trial.mark_ended(replica_id)
+            replica.crash()
+            trial.operator.delist_replica(replica_id)
+    await asyncio.sleep(loss.down_s)
+    start = _Start(
+        at_s=asyncio.get_running_loop().time(),
+        time=clock_module.SystemClock().now(),
+        log_lines=[len(router.log_lines()) for router in trial.routers],
+    )
+    await asyncio.gather(
+        *(_start(router, cores=cores) for router in trial.routers)
     )
+    for number in range(len(trial.replicas), replica_count):
+        replica_id = f"v1-{number}-at-{start.at_s:.0f}"
+        await trial.add_replica(replica_id, "v1")
+    return start
+
+
+async def _count_calls(
+    store: users_store.StandInStore, per_s: list[int]
+) -> None:
+    """Appends the number of calls of each second, until cancelled."""
+    while True:
+        before = len(store.calls)
+        await asyncio.sleep(1.0)
+        per_s.append(len(store.calls) - before)
 
 
 async def _start(router: trial_routers.RouterProcess, *, cores: int) -> None:
@@ -159,7 +259,8 @@
     *,
     routers: int,
     ready_s: list[float],
-    processor_s: list[float],
+    ready: list[_ReadyLine],
+    store_calls_per_s: list[int],
     before: list[platform_checks.ObservedCall],
     after: list[platform_checks.ObservedCall],
     started_s: float,
@@ -179,13 +280,18 @@
         )
     return RestartReport(
         routers=routers,
-        ready=len(ready_s),
+        ready=len(ready),
         ready_s=[
             round(ready_s[position], 2)
             for position in (0, len(ready_s) // 2, -1)
             if ready_s
         ],
-        processor_s=round(statistics.median(processor_s or [0.0]), 2),
+        processor_s=round(
+            statistics.median([line.cpu_ms / 1000 for line in ready] or [0.0]),
+            2,
+        ),
+        met_s=_longest_waits(ready),
+        store_calls_per_s=store_calls_per_s,
         served_before=round(_share(before), 3),
         served_after=round(served_after, 3),
         served_by_second=[by_second[second] for second in sorted(by_second)],
@@ -193,6 +299,16 @@
     )
 
 
+def _longest_waits(ready: list[_ReadyLine]) -> dict[str, float]:
+    longest: dict[str, float] = {}
+    for line in ready:
+        for condition, after_ms in line.met_after_ms.items():
+            longest[condition] = max(
+                longest.get(condition, 0.0), round(after_ms / 1000, 2)
+            )
+    return longest
+
+
 def _is_answered(call: platform_checks.ObservedCall) -> bool:
     return call.status == 200 and call.complete
 
@@ -202,17 +318,28 @@
 
 
 def main(
-    *, routers: int, cores: int, ended_peers: int, is_restored: bool
+    *,
+    routers: int,
+    cores: int,
+    ended_peers: int,
+    is_restored: bool,
+    loss: Loss,
+    keep: str,
 ) -> int:
     """Prints the report as JSON; returns 1 if a bound was broken."""
-    with tempfile.TemporaryDirectory() as folder:
+    with contextlib.ExitStack() as stack:
+        if keep:
+            pathlib.Path(keep).mkdir(parents=True, exist_ok=True)
+        else:
+            keep = stack.enter_context(tempfile.TemporaryDirectory())
         report = asyncio.run(
             run(
-                folder=pathlib.Path(folder),
+                folder=pathlib.Path(keep),
                 routers=routers,
                 cores=cores,
                 ended_peers=ended_peers,
                 is_restored=is_restored,
+                loss=loss,
             )
         )
     print(msgspec.json.encode(report).decode())
