--- a/tests/cover/test_start_cost.py
+++ b/tests/cover/test_start_cost.py
@@ -1,9 +1,13 @@
 """What the imports of a starting instance cost."""
 
 import json
+import os
 import pathlib
+import py_compile
 import subprocess
 import sys
+import tempfile
+import tomllib
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -32,6 +36,9 @@
 }))
 """
 
+# In a compiled file's head: its source is not looked at.
+_UNCHECKED_HASH = 0b01
+
 
 class StartCostTest(unittest.TestCase):
     def test_a_start_does_no_work_for_nothing(self):
@@ -48,3 +55,29 @@
         self.assertEqual(cost["loaded"], 0)
         self.assertGreater(cost["frozen"], 0)
         self.assertTrue(cost["is_enabled"])
+
+    def test_a_build_compiles_packages_that_were_carried_over(self):
+        """Each start compiled all packages, as a copy had changed times."""
+        text = (ROOT / "deploy" / "system.toml").read_text()
+        build = tomllib.loads(text)["build"]
+        with tempfile.TemporaryDirectory() as folder:
+            checkout = pathlib.Path(folder)
+            for name in ("deploy", "src", "target/deps"):
+                (checkout / name).mkdir(parents=True)
+            requirements = checkout / "deploy" / "requirements.txt"
+            requirements.touch()
+            os.utime(requirements, (1, 1))
+            module = checkout / "target" / "deps" / "package.py"
+            module.write_text("")
+            compiled = pathlib.Path(py_compile.compile(str(module)))
+            os.utime(module, (2, 2))
+            interpreters = pathlib.Path(sys.executable).parent
+            subprocess.run(
+                build,
+                shell=True,
+                cwd=checkout,
+                env=os.environ | {"PATH": f"{interpreters}:{os.defpath}"},
+                check=True,
+            )
+            flags = int.from_bytes(compiled.read_bytes()[4:8], "little")
+        self.assertEqual(flags, _UNCHECKED_HASH)
