Skip copies that are larger than the read buffer

What callers saw: a request whose own answer followed a copy of more than 32 KB lost it, "the connection is lost". Cause: reading the copy's body makes aiohttp's parser go on at once, which calls data_received again; the inner call emptied the buffer that the outer one was walking (IndexError in data_received, upon which the event loop closes the connection). Where that did not happen, the inner call told the framing limit of the body before the outer one told it of the bytes, so that they counted as framing.

The limit is told first, and the body is read until nothing is left, which holds whatever is added meanwhile.

test_a_copy_larger_than_the_read_buffer_is_skipped failed with IndexError in both cases (large chunks, 30,000 small ones) and passes.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -315,9 +315,20 @@
             self.reusable = False
         for message, payload in messages:
             self._receive_answer(message, payload)
-        if self._skipped is not None:
-            self._skipped.read_nowait()
         self._note_received(len(data))
+        self._drop_skipped()
+
+    def _drop_skipped(self) -> None:
+        """Drops what has come of the body of a skipped answer.
+
+        Reading from it makes the parser go on, so that more of it, or the next
+        answer, may come meanwhile.
+        """
+        skipped = self._skipped
+        if skipped is None:
+            return
+        while skipped.read_nowait(READ_BUFFER_BYTES):
+            pass
 
     def _note_received(self, received_bytes: int) -> None:
         """Ends the exchange if received bytes bring no answer any further."""
--- /dev/null
+++ b/tests/cover/test_answer_matching.py
@@ -0,0 +1,115 @@
+"""Copies of earlier answers on a connection, packet by packet."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from nutmeghook.internal.upstream import answer_match
+from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.platform import headers
+
+REQUEST = b"POST / HTTP/1.1\r\n\r\n"
+
+
+def answer_to(
+    request_id: str,
+    *,
+    status: int = 200,
+    body: bytes = b"whole",
+    framing: str = "length",
+) -> bytes:
+    """Returns an answer; a refusal if its status is 503."""
+    lines = [f"HTTP/1.1 {status} Stand-in", f"{headers.REQUEST_ID}: "]
+    lines[-1] += request_id
+    if status == 503:
+        lines.append(f"{headers.NOT_RUN}: 1")
+    if framing == "chunked":
+        lines.append("Transfer-Encoding: chunked")
+        middle = len(body) // 2
+        pieces = [piece for piece in (body[:middle], body[middle:]) if piece]
+        body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces)
+        body += b"0\r\n\r\n"
+    elif framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "empty":
+        lines.append("Content-Length: 0")
+        body = b""
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Peer:
+    """A connection without a network."""
+
+    def __init__(self):
+        self.transport = mock.Mock(spec=asyncio.Transport)
+        self.transport.is_closing.return_value = False
+        self.transport.get_write_buffer_size.return_value = 0
+        self.transport.abort.side_effect = self._close
+        self.connection = connection_module.ReplicaConnection(
+            loop=asyncio.get_running_loop()
+        )
+        self.connection.connection_made(self.transport)
+
+    def _close(self) -> None:
+        self.transport.is_closing.return_value = True
+
+    async def send(
+        self, request_id: str, *, has_body: bool = True
+    ) -> asyncio.Future[connection_module.AnswerHead]:
+        """Sends a request."""
+        sending = asyncio.ensure_future(
+            self.connection.exchange(
+                REQUEST,
+                has_body=has_body,
+                expected=answer_match.ExpectedAnswer(
+                    request_id=request_id,
+                    read_id=headers.PlatformHeaders().read_answered_id,
+                ),
+            )
+        )
+        await asyncio.sleep(0)
+        return sending
+
+    def receive(self, *packets: bytes) -> None:
+        """Receives packets, up to the end of the connection."""
+        for packet in packets:
+            if self.connection.is_open:
+                self.connection.data_received(packet)
+
+    async def answered(self, data: bytes, *, request_id: str) -> bool:
+        """Has one exchange; returns whether another may follow."""
+        sending = await self.send(request_id)
+        self.receive(data)
+        head = await sending
+        while await head.read():
+            pass
+        return self.connection.finish_exchange()
+
+
+class AnswerMatchingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.peer = Peer()
+
+    async def test_a_copy_larger_than_the_read_buffer_is_skipped(self):
+        """Reading its body resumes the parser, which adds to what is read."""
+        chunks = b"".join(
+            b"%x\r\n%s\r\n" % (size, b"x" * size)
+            for size in (20_000, 8_000, 9_000, 30_000) * 3
+        )
+        copy = answer_to("first", body=b"", framing="chunked")
+        copy = copy.removesuffix(b"0\r\n\r\n") + chunks + b"0\r\n\r\n"
+        small = answer_to("first", body=b"", framing="chunked")
+        small = small.removesuffix(b"0\r\n\r\n") + b"1\r\nx\r\n" * 30_000
+        small += b"0\r\n\r\n"
+        for number, one in enumerate((copy, small)):
+            with self.subTest(number):
+                self.peer = Peer()
+                sending = await self.peer.send("own")
+                self.peer.receive(one + answer_to("own"))
+                head = await sending
+                self.assertEqual(await head.read(), b"whole")
+                self.assertEqual(head.unread_bytes, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
