Believe no head that two answers make up together

What callers saw: a request that may run once counted as refused, and was sent elsewhere, while it ran. Cause: if the copy of a refusal is cut off within a header's value, or in its reason phrase, the own answer's status line becomes part of that line, and its headers follow. The head then has the copy's status and its "not run", and the own id, which of two ids is the one that counts. So an id that a connection carries once is not enough.

A head with a status line inside its reason phrase or one of its values is no answer; the outcome is unknown.

test_a_copy_cut_off_in_its_head_decides_nothing cuts a copied refusal at every byte.

--- a/src/nutmeghook/internal/upstream/answer_match.py
+++ b/src/nutmeghook/internal/upstream/answer_match.py
@@ -8,12 +8,28 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import re
 
 Headers = Iterable[tuple[str, str]]
 # Returns the id that an answer echoes, or None.
 ReadId = Callable[[Headers], str | None]
 # A request without an id.
 NO_ID = ""
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}(?!\d)")
+
+
+def is_joined(reason: str, headers: Headers) -> bool:
+    """Tells whether a head begins with one answer and ends with another.
+
+    If a replica cuts an answer off within a line, the next one's status line
+    becomes part of that line, and its headers follow those of the first.
+
+    Args:
+        reason: The reason phrase.
+        headers: The headers.
+    """
+    values = [reason, *(value for _, value in headers)]
+    return _STATUS_LINE.search("\n".join(values)) is not None
 
 
 class ExpectedAnswer:
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -383,16 +383,19 @@
         message: http_parser.RawResponseMessage,
         payload: streams.StreamReader,
     ) -> None:
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in message.raw_headers
+        ]
+        if answer_match.is_joined(message.reason, headers):
+            self._fail(outcomes.NoAnswerError("two answers in one head"))
+            return
         if 100 <= message.code < 200:
             return
         if self._head is None or self._head.done():
             self._note_surplus(surplus_answers.SurplusKind.BEHIND)
             self.reusable = False
             return
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in message.raw_headers
-        ]
         if not self._is_own(headers):
             self._skip(payload)
             return
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -6,6 +6,7 @@
 
 from nutmeghook.internal.upstream import answer_match
 from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.internal.upstream import outcomes
 from nutmeghook.platform import headers
 
 REQUEST = b"POST / HTTP/1.1\r\n\r\n"
@@ -110,6 +111,20 @@
                 self.assertEqual(await head.read(), b"whole")
                 self.assertEqual(head.unread_bytes, 0)
 
+    async def test_a_copy_cut_off_in_its_head_decides_nothing(self):
+        """The own answer's first line became part of the copy's last header,
+        its id that of both: a request that ran counted as refused.
+        """
+        copy = answer_to("first", status=503, framing="empty")
+        for cut in range(1, len(copy)):
+            with self.subTest(copy[:cut]):
+                self.peer = Peer()
+                sending = await self.peer.send("own")
+                self.peer.receive(copy[:cut] + answer_to("own"))
+                self.peer.connection.connection_lost(ConnectionResetError())
+                with self.assertRaises(outcomes.UnknownOutcomeError):
+                    await sending
+
 
 if __name__ == "__main__":
     unittest.main()
