Keep no connection behind whose answer another one has begun

What callers saw: a request that may run once failed with 502 though it ran and was answered. Cause: where an answer and the beginning of its copy arrive together, the parser holds the beginning back without a word, and the connection went back to the pool. The rest arrived where the next answer was due, and is no HTTP.

When an exchange ends, the parser is given a whole answer to read: only if it reads just that does it hold nothing, and is the connection kept.

test_a_copy_begun_behind_an_answer_ends_the_connection cuts the copy at every byte. Before, the connection was kept for each cut within the head; a copy whose head was whole ended it already.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -38,6 +38,9 @@
 _MAX_SKIPPED_ANSWERS = 8
 # Requests of one connection, whose ids it keeps.
 _MAX_EXCHANGES = 128
+# An answer like no other, and what the parser reads it as.
+_WHOLE_ANSWER = b"HTTP/1.1 299 Whole\r\nContent-Length: 0\r\n\r\n"
+_WHOLE_ANSWER_READ = [(299, ((b"Content-Length", b"0"),))]
 
 
 class AnswerHead:
@@ -276,15 +279,35 @@
         complete = payload is not None and payload.is_eof()
         if self.failure is not None:
             complete = False
+        may_follow = (
+            complete
+            and self.reusable
+            and not self.unsent_bytes
+            and self._is_between_answers()
+        )
         self._head = None
         self._payload = None
         self._parser = None
-        if not complete or not self.reusable or self.unsent_bytes:
+        if not may_follow:
             self.abort()
             return False
         self.idle_since_s = self._loop.time()
         return self.is_open
 
+    def _is_between_answers(self) -> bool:
+        """Tells whether nothing has come of another answer.
+
+        The parser does not tell what it holds, but reads a whole answer as such
+        only if it holds nothing.
+        """
+        try:
+            messages, _, _ = self._parser.feed_data(_WHOLE_ANSWER)
+        except http_exceptions.HttpProcessingError:
+            return False
+        return [
+            (message.code, message.raw_headers) for message, _ in messages
+        ] == _WHOLE_ANSWER_READ
+
     def abort(self) -> None:
         """Drops the connection at once, with whatever is under way."""
         self.reusable = False
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -125,6 +125,18 @@
                 with self.assertRaises(outcomes.UnknownOutcomeError):
                     await sending
 
+    async def test_a_copy_begun_behind_an_answer_ends_the_connection(self):
+        """The rest of it would be no answer where the next one is due."""
+        copy = answer_to("first", status=503)
+        for cut in range(1, len(copy)):
+            with self.subTest(cut):
+                self.peer = Peer()
+                self.assertFalse(
+                    await self.peer.answered(
+                        answer_to("first") + copy[:cut], request_id="first"
+                    )
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
