Await nothing behind a copy that ends with the connection

What callers saw: a request that may be repeated was not, but waited until its time was up. Cause: an answer to another request without a length was skipped, and the own one awaited; but such an answer ends with its connection. A faulty replica that keeps the connection open held the request.

The exchange now ends as unknown at once, as it did before answers were skipped. test_nothing_is_awaited_behind_a_copy_without_a_length failed (still waiting after 5 s) and passes.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -419,22 +419,21 @@
             self._note_surplus(surplus_answers.SurplusKind.BEHIND)
             self.reusable = False
             return
+        head = AnswerHead(
+            status=message.code,
+            headers=headers,
+            body=payload,
+            connection=self,
+            is_chunked=message.chunked,
+        )
         if not self._is_own(headers):
-            self._skip(payload)
+            self._skip(head, payload)
             return
         self._skipped = None
         self._payload = payload
         if message.should_close:
             self.reusable = False
-        self._head.set_result(
-            AnswerHead(
-                status=message.code,
-                headers=headers,
-                body=payload,
-                connection=self,
-                is_chunked=message.chunked,
-            )
-        )
+        self._head.set_result(head)
 
     def _is_own(self, headers: list[tuple[str, str]]) -> bool:
         """Tells whether an answer is the request's own."""
@@ -455,9 +454,12 @@
         )
         return False
 
-    def _skip(self, payload: streams.StreamReader) -> None:
+    def _skip(self, head: AnswerHead, payload: streams.StreamReader) -> None:
         """Drops an answer; the request's own may still follow."""
         self.reusable = False
+        if head.ends_with_connection:
+            self._fail(outcomes.NoAnswerError("an answer to another, no end"))
+            return
         self._skipped_answers += 1
         if self._skipped_answers > _MAX_SKIPPED_ANSWERS:
             self._fail(outcomes.NoAnswerError("too many answers to others"))
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -137,6 +137,13 @@
                     )
                 )
 
+    async def test_nothing_is_awaited_behind_a_copy_without_a_length(self):
+        """It ends with the connection, so no answer can follow."""
+        sending = await self.peer.send("own")
+        self.peer.receive(answer_to("first", framing="none"))
+        with self.assertRaises(outcomes.UnknownOutcomeError):
+            await asyncio.wait_for(sending, 5)
+
 
 if __name__ == "__main__":
     unittest.main()
