Count no bytes of a skipped answer as held

What callers saw: nothing yet; a long answer behind the copy of another one counted as held with the copy's bytes, too, so that other requests could wait for room that was free. Cause: all bytes received and not parsed count as held back while reading is paused, and those of the copy never became framing.

test_skipped_bytes_are_not_held: 400,138 bytes for an answer of 100,000 before; now no more than what has come of it.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -363,6 +363,8 @@
                 self._framing_bytes = self._received_bytes - body_bytes
         elif self._skipped is not None:
             body_bytes = self._skipped.total_bytes
+            if is_parsed:
+                self._framing_bytes = self._received_bytes
         try:
             self._framing_limit.note(
                 received_bytes, body_bytes=body_bytes, is_parsed=is_parsed
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -144,6 +144,18 @@
         with self.assertRaises(outcomes.UnknownOutcomeError):
             await asyncio.wait_for(sending, 5)
 
+    async def test_skipped_bytes_are_not_held(self):
+        """The bytes of a skipped copy counted as unread ones of a long answer
+        behind it.
+        """
+        sending = await self.peer.send("own")
+        self.peer.receive(
+            answer_to("first", body=b"x" * 300_000),
+            answer_to("own", body=b"x" * 100_000),
+        )
+        head = await sending
+        self.assertLess(head.unread_bytes, 110_000)
+
 
 if __name__ == "__main__":
     unittest.main()
