Carry nothing behind an answer to HEAD on its connection

Cause: the answer to HEAD states the length of a body that it doesn't have. Its copy, in the exchange after it, is read with that many bytes of the own answer: a request that may run once ran, and had no answer until its time was up, or 502.

test_a_connection_that_carried_head_carries_nothing_else failed and passes.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -243,7 +243,9 @@
         self._expected = expected
         self._carried.add(request_id)
         self.exchanges += 1
-        if self.exchanges >= _MAX_EXCHANGES:
+        # The copy of an answer to HEAD states a length, which would be taken
+        # from the next answer.
+        if self.exchanges >= _MAX_EXCHANGES or not has_body:
             self.reusable = False
         self._count_from_zero()
         if len(body) > _COPIED_BODY_BYTES:
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -156,6 +156,15 @@
         head = await sending
         self.assertLess(head.unread_bytes, 110_000)
 
+    async def test_a_connection_that_carried_head_carries_nothing_else(self):
+        """The copy of an answer to HEAD states a length, which would be taken
+        from the next answer.
+        """
+        sending = await self.peer.send("first", has_body=False)
+        self.peer.receive(answer_to("first", body=b"").replace(b" 0", b" 9"))
+        await sending
+        self.assertFalse(self.peer.connection.finish_exchange())
+
 
 if __name__ == "__main__":
     unittest.main()
