Keep hashes of the ids that a connection has carried

Cause: callers choose their ids, of up to 64 KB, and a connection keeps those of 128 requests: 8 MB for each of up to 24 idle connections a replica, for a caller that wants it. Nothing of the kind was seen.

Hashes of 64 bits, which differ from process to process, take the same for any id. Two that are equal by chance cost a new connection; which answer is a request's own is still decided by the ids themselves.

--- a/src/nutmeghook/internal/upstream/answer_match.py
+++ b/src/nutmeghook/internal/upstream/answer_match.py
@@ -52,23 +52,24 @@
 
 
 class CarriedRequests:
-    """The requests whose answers, or copies of them, a connection may bring."""
+    """The requests whose answers, or copies of them, a connection may bring.
 
-    __slots__ = ("_ids",)
+    Ids are kept as hashes, since callers choose their length. Two that are
+    equal by chance cost a new connection.
+    """
 
-    def __init__(self):
-        self._ids: set[str] = set()
+    __slots__ = ("_hashes",)
 
-    def __len__(self) -> int:
-        return len(self._ids)
+    def __init__(self):
+        self._hashes: set[int] = set()
 
     def __contains__(self, request_id: str) -> bool:
         """Tells whether a request with this id was sent before."""
-        return request_id in self._ids
+        return hash(request_id) in self._hashes
 
     def add(self, request_id: str) -> None:
         """Records a request that is sent."""
-        self._ids.add(request_id)
+        self._hashes.add(hash(request_id))
 
     def is_own_answer(self, expected: ExpectedAnswer, answered_id: str) -> bool:
         """Tells whether an answer can only be that to the latest request.
@@ -81,4 +82,4 @@
         """
         if answered_id == expected.request_id:
             return True
-        return answered_id == NO_ID and NO_ID not in self._ids
+        return answered_id == NO_ID and NO_ID not in self
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -1,6 +1,7 @@
 """Copies of earlier answers on a connection, packet by packet."""
 
 import asyncio
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -165,6 +166,16 @@
         await sending
         self.assertFalse(self.peer.connection.finish_exchange())
 
+    async def test_what_was_carried_takes_little_memory(self):
+        """Callers choose their ids: a connection would hold megabytes."""
+        carried = answer_match.CarriedRequests()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(128):
+            carried.add(f"{number}".ljust(60_000, "x"))
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, 64 * 1024)
+
 
 if __name__ == "__main__":
     unittest.main()
