Send nothing to a replaced version's replicas after the next order

What callers saw: right after an order that follows a completed one, requests were sent to replicas that had stopped at the completion. They were refused or ran into the connect timeout, some four times in a row, and each retry counted against the service's budget. The longest waited 0.97 s for the connection.

Cause: a good verdict sends everything to the completed version. The next order replaces it, and from then on every version but the one ordered counted as the old one: the completed version, and those before it, whose replicas are listed for up to a second after they stopped.

Ruled out: replicas that leave in a regular way. Of those sends that were printed with their outcome all failed to connect, and all came after the next order, but one of 192, by an instance that had not heard of the verdict.

Change: a plan's row has the version that the order moves the service from: the one that the order before completed, or that it went back to. While that is listed no version but it and the ordered one gets requests. Before the plan is known, the former plan says it. If it isn't known (a row of an earlier release, an order before without a verdict) or has no replica, all is as before.

How it failed before: the test of the replaced version accepted v1 "before the plan", that of the sessions found v1 beside v2; the driver's test found no such function.

--- a/src/nutmeghook/internal/version_plans/driver.py
+++ b/src/nutmeghook/internal/version_plans/driver.py
@@ -224,6 +224,7 @@
         if store_time is None or self._follower.revision < 0:
             return
         withdrawn = self._rollouts.withdrawn_versions(order)
+        old_version = self._rollouts.old_version(order)
         row = await self._table.read(_plan_key(order.service))
         known = _readable_plan(row)
         if known is not None:
@@ -233,6 +234,7 @@
                 self._rollouts.apply_plan(known)
                 return
             withdrawn = known.withdrawn_beside(order)
+            old_version = known.old_version_beside(order)
         plan = plan_module.PlanRow(
             order_id=order.order_id,
             service=order.service,
@@ -243,6 +245,7 @@
                 order.within_s, self._fleet_rate_per_s(order.service)
             ),
             withdrawn=withdrawn,
+            old_version=old_version,
         )
         version = row.version if row else table_module.ABSENT_VERSION
         await self._write_plan(order, plan, version)
--- a/src/nutmeghook/internal/version_plans/filters.py
+++ b/src/nutmeghook/internal/version_plans/filters.py
@@ -15,6 +15,13 @@
     return lambda entry: entry.version == version
 
 
+def is_one_of(
+    *versions: str,
+) -> Callable[[entries.ReplicaEntry], bool]:
+    """Returns a predicate for some versions."""
+    return lambda entry: entry.version in versions
+
+
 def is_none_of(
     *versions: str,
 ) -> Callable[[entries.ReplicaEntry], bool]:
--- a/src/nutmeghook/internal/version_plans/plan.py
+++ b/src/nutmeghook/internal/version_plans/plan.py
@@ -39,6 +39,8 @@
         reason: Grounds for the verdict.
         withdrawn: Other versions that were found bad, the latest last. Their
             replicas may still be listed.
+        old_version: Version that the order moves the service from; empty if it
+            isn't known.
     """
 
     order_id: Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_REVISION)]
@@ -50,6 +52,7 @@
     verdict: Verdict = Verdict.OPEN
     reason: str = ""
     withdrawn: tuple[str, ...] = ()
+    old_version: str = ""
 
     def elapsed_fraction_at(self, store_time: datetime.timedelta) -> float:
         """Returns the elapsed fraction of the order's time; may exceed 1."""
@@ -77,6 +80,23 @@
             found = (*(v for v in found if v != self.version), self.version)
         return tuple(v for v in found if v != order.version)[-_MAX_WITHDRAWN:]
 
+    def old_version_beside(self, order: orders.RollOutOrder) -> str:
+        """Returns the version that an order moves the service from.
+
+        It is known if the order before moved the service to it, or back to it;
+        empty otherwise.
+
+        Args:
+            order: The service's newest order.
+        """
+        if self.order_id == order.order_id or self.verdict is Verdict.BAD:
+            old = self.old_version
+        elif self.verdict is Verdict.GOOD:
+            old = self.version
+        else:
+            old = ""
+        return "" if old == order.version else old
+
     @property
     def order(self) -> orders.RollOutOrder:
         """The order that the plan carries out."""
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -150,6 +150,14 @@
         plan = self._plans.get(order.service)
         return () if plan is None else plan.withdrawn_beside(order)
 
+    def old_version(self, order: orders_module.RollOutOrder) -> str:
+        """Returns the version that an order moves the service from.
+
+        Empty if it isn't known.
+        """
+        plan = self._plans.get(order.service)
+        return "" if plan is None else plan.old_version_beside(order)
+
     def apply_plan(self, plan: plan_module.PlanRow) -> None:
         """Applies a plan's row; a verdict is never replaced."""
         self._orders.recognise(plan.order)
@@ -278,7 +286,6 @@
         order = self._orders.of_service(service)
         if order is None:
             return filters.any_version
-        withdrawn = self.withdrawn_versions(order)
         if self._uses_new(order, session, request_id):
             wanted = filters.is_version(order.version)
             if self._has_replica(service, wanted, self._gate.is_open):
@@ -287,11 +294,11 @@
                 service, wanted
             ):
                 return wanted
-            return filters.is_none_of(*withdrawn)
-        wanted = filters.is_none_of(order.version, *withdrawn)
+            return self._is_usable(order)
+        wanted = self._is_old(order)
         if self._has_replica(service, wanted) or self._is_withdrawn(order):
             return wanted
-        return filters.is_none_of(*withdrawn)
+        return self._is_usable(order)
 
     def accepts_stable(
         self, service: str
@@ -300,11 +307,41 @@
         order = self._orders.of_service(service)
         if order is None:
             return filters.any_version
-        withdrawn = self.withdrawn_versions(order)
         plan = self.plan_of(order)
         if plan is not None and plan.verdict is plan_module.Verdict.GOOD:
-            return filters.is_none_of(*withdrawn)
-        return filters.is_none_of(order.version, *withdrawn)
+            return self._is_usable(order)
+        return self._is_old(order)
+
+    def _is_old(
+        self, order: orders_module.RollOutOrder
+    ) -> Callable[[entries.ReplicaEntry], bool]:
+        """Returns a predicate for the version that an order moves from."""
+        old = self._listed_old_version(order)
+        if old:
+            return filters.is_version(old)
+        return filters.is_none_of(
+            order.version, *self.withdrawn_versions(order)
+        )
+
+    def _is_usable(
+        self, order: orders_module.RollOutOrder
+    ) -> Callable[[entries.ReplicaEntry], bool]:
+        """Returns a predicate for the versions that may run requests at all."""
+        old = self._listed_old_version(order)
+        if old:
+            return filters.is_one_of(order.version, old)
+        return filters.is_none_of(*self.withdrawn_versions(order))
+
+    def _listed_old_version(self, order: orders_module.RollOutOrder) -> str:
+        """Returns the old version if it is known and has a replica.
+
+        Replicas of versions before it stopped when it was completed, and may
+        still be listed.
+        """
+        old = self.old_version(order)
+        if old and self._has_replica(order.service, filters.is_version(old)):
+            return old
+        return ""
 
     def note_sent(
         self,
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -183,6 +183,25 @@
         await starting._follower.step()
         self.assertEqual(newcomer.rollouts.withdrawn_versions(order), ("v2",))
 
+    async def test_an_instance_that_starts_learns_which_version_is_the_old_one(
+        self,
+    ):
+        """It knows only the newest plan, and sent requests to replicas that had
+        stopped when the order before was completed.
+        """
+        instance, driver = self.driver("one")
+        await self.step(driver)
+        await self.to_the_end(driver)
+        await self.step(driver)
+        self.assertEqual(self.operator_state(), "completed")
+        order = version_fixture.NEXT_ORDER
+        instance.orders.place(order)
+        await driver._step(order)
+        newcomer, starting = self.driver("newcomer")
+        newcomer.orders.place(order)
+        await starting._follower.step()
+        self.assertEqual(newcomer.rollouts.old_version(order), "v2")
+
     async def test_a_plan_that_was_lost_goes_before_one_begun_since(self):
         """An instance that started after the restore found no plan and began
         one, with the whole time of the order and another canary.
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -302,7 +302,7 @@
         """The replicas of a version that was found bad were still listed, and
         got requests again like those of the old version.
         """
-        plan = self.order_next_after_a_bad_one()
+        plan = self.order_next_after(plan_module.Verdict.BAD)
         self.assert_stays_out("before the plan")
         self.instance.rollouts.apply_plan(plan)
         self.assert_stays_out("in the canary")
@@ -312,11 +312,53 @@
             )
             self.assert_stays_out(verdict.value)
 
+    async def test_a_replaced_version_stays_out_once_the_next_one_is_ordered(
+        self,
+    ):
+        """A version's replicas stop as the roll-out to the next completes, and
+        got requests again with the order after that, until they were unlisted.
+        """
+        plan = self.order_next_after(plan_module.Verdict.GOOD)
+        self.assert_stays_out("before the plan", "v1")
+        self.instance.rollouts.apply_plan(plan)
+        self.assert_stays_out("in the canary", "v1")
+        for verdict in (plan_module.Verdict.GOOD, plan_module.Verdict.BAD):
+            self.instance.rollouts.apply_plan(
+                msgspec.structs.replace(plan, verdict=verdict)
+            )
+            self.assert_stays_out(verdict.value, "v1")
+
+    async def test_sessions_stay_on_the_completed_version_in_the_next_canary(
+        self,
+    ):
+        """Sessions on the version completed last are under way on the old
+        version of the next order, and must not move in its first half.
+        """
+        plan = self.order_next_after(plan_module.Verdict.GOOD)
+        sessions = [f"session {number}" for number in range(100)]
+        for when in ("before the plan", "in the canary"):
+            versions = {self.instance.version_for(s) for s in sessions}
+            self.assertEqual(versions, {"v2"}, when)
+            self.instance.rollouts.apply_plan(plan)
+
+    async def test_only_a_listed_version_takes_an_old_one_s_requests(self):
+        """All replicas of the version completed last are unlisted; the others
+        that are listed must be tried, or every request would be refused.
+        """
+        self.instance.rollouts.apply_plan(
+            self.order_next_after(plan_module.Verdict.GOOD)
+        )
+        for number in (1, 2, 3):
+            self.instance.directory.remove(f"v2-{number}")
+        self.assertEqual(self.instance.version_for("session"), "v1")
+
     async def test_answers_of_a_bad_version_are_no_measure_for_the_next(self):
         """Half of the next one's answers fail as well, so it was found no worse
         than what was before it.
         """
-        self.instance.rollouts.apply_plan(self.order_next_after_a_bad_one())
+        self.instance.rollouts.apply_plan(
+            self.order_next_after(plan_module.Verdict.BAD)
+        )
         self.instance.answer("v1", times=60)
         self.instance.answer("v2", failed=True, times=60)
         for number in (1, 2, 3):
@@ -326,14 +368,14 @@
             self.instance.rollouts.judge(version_fixture.NEXT_ORDER)
         )
 
-    def order_next_after_a_bad_one(self) -> plan_module.PlanRow:
-        """Orders v3 after v2 was found bad; returns the plan, not applied."""
+    def order_next_after(
+        self, verdict: plan_module.Verdict
+    ) -> plan_module.PlanRow:
+        """Orders v3 after the verdict on v2; returns the plan, not applied."""
         rollouts = self.instance.rollouts
         self.instance.begin()
         former = rollouts.plan_of(version_fixture.ORDER)
-        rollouts.apply_plan(
-            msgspec.structs.replace(former, verdict=plan_module.Verdict.BAD)
-        )
+        rollouts.apply_plan(msgspec.structs.replace(former, verdict=verdict))
         order = version_fixture.NEXT_ORDER
         for number in (1, 2, 3):
             self.instance.directory.put(
@@ -347,19 +389,20 @@
             started_ms=0.0,
             within_s=order.within_s,
             withdrawn=rollouts.withdrawn_versions(order),
+            old_version=rollouts.old_version(order),
         )
 
-    def assert_stays_out(self, when: str) -> None:
-        """Asserts that no request, nor a retry, may run on the bad version."""
-        bad = version_fixture.entry(1, "v2")
+    def assert_stays_out(self, when: str, version: str = "v2") -> None:
+        """Asserts that no request, nor a retry, may run on a version."""
+        excluded = version_fixture.entry(1, version)
         service = version_fixture.SERVICE
         rollouts = self.instance.rollouts
-        self.assertFalse(rollouts.accepts_stable(service)(bad), when)
+        self.assertFalse(rollouts.accepts_stable(service)(excluded), when)
         for number in range(50):
             accepts = rollouts.accepts(
                 service, session=f"{when} {number}", request_id=str(number)
             )
-            self.assertFalse(accepts(bad), when)
+            self.assertFalse(accepts(excluded), when)
 
     async def test_a_request_that_failed_in_canary_may_use_the_old_version(
         self,
