Refuse requests that may not end before a stopping router does

Cause: a stop bounded when connections were taken, not when requests were passed on. A body that came after the listening socket had closed, or a retry, was planned against the request's deadline only; and at the end all handlers were cancelled, which the relay took for callers that had left.

Ruled out: idle connections and half a head, which are closed unread; new connections, which the kernel refuses; tunnels for peers.

Change: PlannedStop holds when the instance ends. From SIGTERM on an attempt is made only if its expected time fits, with a margin; otherwise the request is refused as not run, or with 502 if it may have run. Bodies that are incomplete when the listening socket closes are refused then. What is under way at the end gets 502. Nothing is passed on any more that is likely to be cut, and what is cut all the same has a final status.

Before, whole.test_router_process with a request half of whose body was there at SIGTERM and one at a silent replica: both ran, both got no bytes, and were logged as "the caller left". After: 503 with Retry-After at once, never run, and 502.

The relay_callers test of a stop sets the stop by begin_stop, as the flag that it set is gone; its checks are the same.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -20,6 +20,7 @@
 from nutmeghook.internal.relay import model_choice
 from nutmeghook.internal.relay import model_selector
 from nutmeghook.internal.relay import observations
+from nutmeghook.internal.relay import planned_stop
 from nutmeghook.internal.relay import replica_search
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.relay import retry_permission
@@ -61,6 +62,7 @@
     team_shares: team_shares.TeamShares
     suspects: registry_module.SuspectRegistry
     standstills: standstill_module.StandstillMonitor
+    stop: planned_stop.PlannedStop
     pool: pool_module.ConnectionPool
     data_centre: str
     region_of: Callable[[str], str | None]
@@ -135,6 +137,7 @@
             crashes=crashes,
             search=search,
             completion=completion,
+            stop=dependencies.stop,
             gate=dependencies.gate,
             versions=dependencies.versions,
             budgets=dependencies.budgets,
@@ -188,6 +191,7 @@
             **parts,
         ),
         whole_answer_relay=whole_answers.WholeAnswerRelay(**parts),
+        stop=dependencies.stop,
         unreadable=unreadable,
         wire_format=dependencies.wire_format,
         metrics=dependencies.metrics,
--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -29,6 +29,7 @@
 from nutmeghook.internal.observe import unreadable_values
 from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.relay import listener as listener_module
+from nutmeghook.internal.relay import planned_stop
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import speed_registry
@@ -62,6 +63,8 @@
 _BALANCER_LAG = datetime.timedelta(seconds=2.4)
 # Reserved from the time until SIGKILL for closing connections and exiting.
 _STOP_RESERVE = datetime.timedelta(milliseconds=700)
+# The part of it for the answers to requests that were ended.
+_LAST_ANSWERS_TIME = datetime.timedelta(milliseconds=200)
 _POLL = datetime.timedelta(milliseconds=50)
 # How often tables that were held back after a restore of the store are settled.
 _SETTLE_PERIOD = datetime.timedelta(milliseconds=200)
@@ -105,6 +108,7 @@
         "_random",
         "_session",
         "_settings",
+        "_stop",
         "_store",
         "_store_monitor",
         "_was_ready",
@@ -157,6 +161,7 @@
         )
         self.orders = orders_module.OrderRegistry()
         self.leaving = False
+        self._stop = planned_stop.PlannedStop(clock=clock)
         self.metrics = metrics_module.Metrics()
         self._access = replica_access.ReplicaAccess(
             is_replica=lambda address: self.directory.has_address(address),
@@ -228,6 +233,7 @@
             limits=self._caller_limits,
             held=self.held,
             connections=self._connections,
+            stop=self._stop,
             metrics=self.metrics,
             clock=clock,
         )
@@ -252,6 +258,7 @@
                     self._peers is not None
                     and self._peers.is_unconfirmed(tables.REPLICA_TABLE)
                 ),
+                stop=self._stop,
                 pool=self._pool,
                 data_centre=self._settings.data_centre,
                 region_of=lambda name: self._settings.regions.get(name),
@@ -410,10 +417,12 @@
         The balancer sends callers here until two of its checks have failed, so
         new requests are served for that long; each answer closes its
         connection. A request accepted later could be cut off by SIGKILL.
+        Whatever its time of arrival, a request is refused as "not run" instead
+        of passed on if it may not end in time.
         """
         end = self._clock.monotonic() + self._settings.stop_time - _STOP_RESERVE
         self.leaving = True
-        self.listener.closing = True
+        self.listener.begin_stop(ends_at=end)
         logs.note("process:leaving", in_flight=self.listener.in_flight)
         await self._clock.sleep(_BALANCER_LAG)
         self.listener.stop_accepting()
@@ -423,6 +432,10 @@
             await self._clock.sleep(_POLL)
             self.listener.close_idle()
         logs.note("process:closing", in_flight=self.listener.in_flight)
+        self.listener.end_requests()
+        end += _LAST_ANSWERS_TIME
+        while self.listener.open_connections and self._clock.monotonic() < end:
+            await self._clock.sleep(_POLL)
         await self.listener.stop()
 
     async def close(self) -> None:
--- a/src/nutmeghook/internal/observe/log_decoding.py
+++ b/src/nutmeghook/internal/observe/log_decoding.py
@@ -35,6 +35,7 @@
     "request:held_back": log_records.RequestHeldBack,
     "request:no_room": log_records.RequestNoRoom,
     "request:no_memory": log_records.RequestNoMemory,
+    "request:incomplete_at_stop": log_records.RequestIncompleteAtStop,
     "caller:not_reading": log_records.CallerNotReading,
     "configuration:in_force": state_records.ConfigurationInForce,
     "replica:listed": state_records.ReplicaChange,
--- a/src/nutmeghook/internal/observe/log_records.py
+++ b/src/nutmeghook/internal/observe/log_records.py
@@ -208,6 +208,10 @@
     bound_bytes: int | None = None
 
 
+class RequestIncompleteAtStop(RequestRecord, frozen=True, kw_only=True):
+    """A request was refused as its body had not come before the stop."""
+
+
 class CallerNotReading(RequestRecord, frozen=True, kw_only=True):
     """An answer was cut because its caller does not read it.
 
--- a/src/nutmeghook/internal/observe/record_text.py
+++ b/src/nutmeghook/internal/observe/record_text.py
@@ -92,6 +92,12 @@
     return f"refused, too many bytes held for callers{detail}"
 
 
+@describe.register
+def _incomplete_at_stop(record: log_records.RequestIncompleteAtStop) -> str:
+    detail = _details(record, "request")
+    return f"refused, its body had not come before the stop{detail}"
+
+
 @describe.register
 def _not_reading(record: log_records.CallerNotReading) -> str:
     detail = _details(record, "request")
--- a/src/nutmeghook/internal/relay/attempts.py
+++ b/src/nutmeghook/internal/relay/attempts.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.limits import window_budget
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import metrics as metrics_module
@@ -15,6 +16,7 @@
 from nutmeghook.internal.relay import current_routes
 from nutmeghook.internal.relay import expected_times
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import planned_stop
 from nutmeghook.internal.relay import prepared as prepared_module
 from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import replica_search
@@ -48,6 +50,7 @@
         "_permission",
         "_routes",
         "_search",
+        "_stop",
         "_versions",
         "_wire_format",
     )
@@ -62,6 +65,7 @@
         crashes: crash_detector.CrashDetector,
         search: replica_search.ReplicaSearch,
         completion: completion_module.CompletionForecast,
+        stop: planned_stop.PlannedStop,
         gate: send_gate.SendGate,
         versions: view_module.VersionView,
         budgets: window_budget.WindowRetryBudgets,
@@ -76,6 +80,7 @@
         self._crashes = crashes
         self._search = search
         self._completion = completion
+        self._stop = stop
         self._gate = gate
         self._versions = versions
         self._budgets = budgets
@@ -145,6 +150,7 @@
         chosen = self._search.best(job, service, may_have_run=may_have_run)
         if chosen is not None:
             chosen = self._require_end_in_time(job, service, chosen)
+            self._require_end_before_stop(job, chosen)
             if not job.tries:
                 self._admission.note_sent(job, service)
             return job_module.Grant(service=service, choice=chosen)
@@ -190,6 +196,31 @@
             shortest = min(shortest, expected, key=lambda times: times.whole)
         raise self._cannot_end(job, shortest)
 
+    def _require_end_before_stop(
+        self, job: job_module.Job, chosen: choice_module.Choice
+    ) -> None:
+        """Checks that a request is likely to end before this instance does.
+
+        Raises:
+            rejections.RejectedError: It is not.
+        """
+        if self._stop.ends_at is None or self._stop.allows(
+            deadline=job.deadline,
+            expected=self._completion.expected(job, chosen),
+            target=job.route.target,
+            may_have_run=job.may_have_run,
+        ):
+            return
+        reason = "it can't end before this instance stops"
+        if job.may_have_run:
+            raise self._permission.final_rejection(job, reason=reason)
+        raise rejections.RejectedError(
+            wire.FixedResponse.NOT_RUN,
+            reason=reason,
+            retry_after=planned_stop.RETRY_AFTER,
+            code=codes.Code.DRAINING,
+        )
+
     def _cannot_end(
         self, job: job_module.Job, expected: expected_times.ExpectedTimes
     ) -> rejections.RejectedError:
--- a/src/nutmeghook/internal/relay/held_bytes.py
+++ b/src/nutmeghook/internal/relay/held_bytes.py
@@ -175,6 +175,11 @@
             self._note_slow_body(request)
             request.refuse_body()
 
+    def refuse_arriving(self) -> None:
+        """Refuses all bodies that are not complete."""
+        for request in [r for r in self._requests if r.arrival]:
+            request.refuse_body()
+
     def sweep(self) -> None:
         """Reads the sizes of all buffers, and cuts callers where needed."""
         now = self._clock.monotonic()
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -19,6 +19,7 @@
 from nutmeghook.internal.relay import caller_sink
 from nutmeghook.internal.relay import held_bytes as held_bytes_module
 from nutmeghook.internal.relay import incoming as incoming_module
+from nutmeghook.internal.relay import planned_stop
 from nutmeghook.internal.relay import request_relay
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.routes import model
@@ -90,8 +91,6 @@
 
     Attributes:
         address: The `ip:port` listened on; empty before the start.
-        closing: Answers close their connections from now on.
-        in_flight: Requests being served.
     """
 
     __slots__ = (
@@ -106,11 +105,11 @@
         "_metrics",
         "_relay",
         "_server",
+        "_stop",
+        "_under_way",
         "_watch",
         "_wire_format",
         "address",
-        "closing",
-        "in_flight",
     )
 
     def __init__(
@@ -121,6 +120,7 @@
         limits: Callable[[], model.CallerLimits],
         held: held_bytes_module.HeldBytes,
         connections: connection_table.ConnectionTable,
+        stop: planned_stop.PlannedStop,
         metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ):
@@ -132,6 +132,9 @@
         )
         self._metrics = metrics
         self._relay = relay
+        self._stop = stop
+        # The tasks of requests being served.
+        self._under_way: set[asyncio.Task[None]] = set()
         self._wire_format = wire_format
         self._limits = limits
         self._known_limits = model.CallerLimits()
@@ -145,8 +148,6 @@
             ),
         )
         self.address = ""
-        self.closing = False
-        self.in_flight = 0
 
     async def start(self, *, host: str, port: int) -> None:
         """Starts to listen; port 0 lets the system choose one."""
@@ -175,14 +176,36 @@
             self._known_http_limits = _http_limits(limits)
         return self._known_http_limits
 
+    def begin_stop(self, *, ends_at: datetime.timedelta) -> None:
+        """Has each answer close its connection from now on.
+
+        Args:
+            ends_at: Monotonic time at which requests under way are ended.
+        """
+        self._stop.ends_at = ends_at
+
     def stop_accepting(self) -> None:
         """Accepts no new requests; those under way are completed.
 
         A request that arrives after the close was not read, so its caller may
-        send it elsewhere, even if it may run only once.
+        send it elsewhere, even if it may run only once. One whose body has not
+        come whole is refused: there may be no time left for it when it has.
         """
+        self._stop.is_closed = True
         self._acceptor.close()
         self.close_idle()
+        self._held.refuse_arriving()
+
+    def end_requests(self) -> None:
+        """Ends the requests under way, with a final status where possible."""
+        self._stop.has_ended = True
+        for task in self._under_way:
+            task.cancel()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests being served."""
+        return len(self._under_way)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request is under way."""
@@ -210,20 +233,26 @@
             request=request,
             account=self._held,
             watch=self._watch,
-            closing=lambda: self.closing,
+            closing=lambda: self._is_closing,
         )
-        self.in_flight += 1
+        task = asyncio.current_task()
+        self._under_way.add(task)
         try:
             await self._serve(request, sink)
         finally:
-            self.in_flight -= 1
+            self._under_way.discard(task)
             sink.close()
         if sink.response is None:
             raise ConnectionResetError("no answer was begun")
-        if self.closing:
+        if self._is_closing:
             sink.response.force_close()
         return sink.response
 
+    @property
+    def _is_closing(self) -> bool:
+        """Tells whether an answer begun now closes its connection."""
+        return self._stop.ends_at is not None
+
     async def _serve(
         self, request: web.BaseRequest, sink: caller_sink.CallerSink
     ) -> None:
@@ -268,9 +297,12 @@
         arrived_at: datetime.timedelta,
     ) -> bytes | None:
         """Returns the body, or None once the request was refused."""
+        content = request.content
+        if self._stop.is_closed and not content.is_eof():
+            await self._refuse_for_stop(sink, facts)
+            return None
         if request.headers.get("Expect", "").lower() == "100-continue":
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        content = request.content
         if content.is_eof():
             return await self._collect(request, sink, facts)
         deadline = arrived_at + (facts.time_left or _BODY_TIME)
@@ -283,6 +315,9 @@
             try:
                 return await self._collect(request, sink, facts)
             except _SlowBodyError as error:
+                if self._stop.is_closed:
+                    await self._refuse_for_stop(sink, facts)
+                    return None
                 await sink.refuse(
                     wire.FixedResponse.SLOW_SENDER, detail=str(error)
                 )
@@ -312,6 +347,17 @@
                 return None
         return body.getvalue()
 
+    async def _refuse_for_stop(
+        self, sink: caller_sink.CallerSink, facts: wire.CallerFacts
+    ) -> None:
+        """Refuses a request whose body has not come before the close."""
+        logs.note("request:incomplete_at_stop", request=facts.request_id)
+        await sink.refuse(
+            wire.FixedResponse.NOT_RUN,
+            detail="this instance stops",
+            retry_after=planned_stop.RETRY_AFTER,
+        )
+
     async def _refuse_for_memory(
         self, sink: caller_sink.CallerSink, facts: wire.CallerFacts
     ) -> None:
--- a/src/nutmeghook/internal/relay/request_relay.py
+++ b/src/nutmeghook/internal/relay/request_relay.py
@@ -12,6 +12,7 @@
 from nutmeghook.internal.relay import endings
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import job as job_module
+from nutmeghook.internal.relay import planned_stop
 from nutmeghook.internal.relay import rejections
 from nutmeghook.internal.relay import streams
 from nutmeghook.internal.relay import whole_answers
@@ -29,6 +30,7 @@
         "_clock",
         "_configuration",
         "_metrics",
+        "_stop",
         "_streams",
         "_unreadable",
         "_whole_answers",
@@ -41,6 +43,7 @@
         configuration: in_force_module.ConfigurationInForce,
         stream_relay: streams.StreamRelay,
         whole_answer_relay: whole_answers.WholeAnswerRelay,
+        stop: planned_stop.PlannedStop,
         unreadable: unreadable_values.UnreadableValues,
         wire_format: wire.WireFormat,
         metrics: metrics_module.Metrics,
@@ -49,6 +52,7 @@
         self._configuration = configuration
         self._streams = stream_relay
         self._whole_answers = whole_answer_relay
+        self._stop = stop
         self._unreadable = unreadable
         self._wire_format = wire_format
         self._metrics = metrics
@@ -76,8 +80,14 @@
             ending = endings.of_rejection(rejection)
             is_cut = await self._reject(sink, rejection, route_name)
         except asyncio.CancelledError:
-            ending = endings.CALLER_LEFT
-            raise
+            if not self._stop.has_ended:
+                ending = endings.CALLER_LEFT
+                raise
+            # By the stop, and the caller still gets a final status.
+            asyncio.current_task().uncancel()
+            rejection = _stopped()
+            ending = endings.of_rejection(rejection)
+            is_cut = await self._reject(sink, rejection, route_name)
         except ConnectionError as error:
             ending = endings.of_broken_connection(error)
             raise
@@ -216,6 +226,14 @@
     return configuration.teams_by_key.get(key or "")
 
 
+def _stopped() -> rejections.RejectedError:
+    """Returns the rejection of a request that the instance's stop has ended."""
+    return rejections.RejectedError(
+        wire.FixedResponse.FAILED_PERHAPS_RUN,
+        reason="this instance stopped during a run",
+    )
+
+
 def _fault(job: job_module.Job | None) -> rejections.RejectedError:
     """Returns the rejection of a request that met an internal error."""
     not_sent = job is None or not job.tries
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -13,6 +13,7 @@
 
 ONCE = model.RouteKind.ONCE
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
+HOUR = datetime.timedelta(hours=1)
 
 
 class CallersTest(relay_fixture.RelayCase):
@@ -286,7 +287,7 @@
             self.ask(model.RouteKind.STREAM, body=b"prompt")
         )
         await self.arrival()
-        self.listener.closing = True
+        self.listener.begin_stop(ends_at=self.clock.monotonic() + HOUR)
         self.listener.stop_accepting()
         self.assertEqual(await idle.read(), b"")
         idle_writer.close()
--- a/tests/relay_fixture.py
+++ b/tests/relay_fixture.py
@@ -15,6 +15,7 @@
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import held_bytes
 from nutmeghook.internal.relay import listener as listener_module
+from nutmeghook.internal.relay import planned_stop
 from nutmeghook.internal.replicas import directory as directory_module
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import send_gate
@@ -143,6 +144,7 @@
             metrics=self.metrics,
             clock=self.clock,
         )
+        self.stop = planned_stop.PlannedStop(clock=self.clock)
         self.standstills = standstill.StandstillMonitor(clock=self.clock)
         self.suspects = registry_module.SuspectRegistry(clock=self.clock)
         self.budgets = window_budget.WindowRetryBudgets(
@@ -169,6 +171,7 @@
                     team_shares=self.team_shares,
                     suspects=self.suspects,
                     standstills=self.standstills,
+                    stop=self.stop,
                     pool=self.pool,
                     data_centre="here",
                     region_of=self.regions.get,
@@ -183,6 +186,7 @@
             connections=entry_fixture.connections(self.clock),
             limits=lambda: self.configuration.current.limits,
             held=self.held,
+            stop=self.stop,
             metrics=self.metrics,
             clock=self.clock,
         )
--- a/tests/whole/test_router_process.py
+++ b/tests/whole/test_router_process.py
@@ -35,7 +35,17 @@
             "service": "pool",
             "attempts": 2,
             "resumable": True,
-        }
+        },
+        {
+            "name": "once",
+            "host": "h.example",
+            "prefix": "/o/",
+            "routeKind": "non_idempotent",
+            "timeoutMs": 60000,
+            "sloMs": 1000,
+            "service": "pool",
+            "attempts": 1,
+        },
     ],
     "services": [{"name": "pool"}],
     "tenants": [{"name": "team", "apiKeys": ["key"]}],
@@ -132,6 +142,53 @@
         await self.line("process:ended")
         self.assertEqual(await self.process.wait(), 0)
 
+    async def open_request(self, address: str, body: bytes):
+        """Sends a request that may run once, with this part of 8 bytes."""
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            b"POST /o/x HTTP/1.1\r\nHost: h.example\r\n"
+            b"Authorization: Token key\r\nContent-Length: 8\r\n"
+            + f"{headers.REQUEST_ID}: {body.decode()}\r\n\r\n".encode()
+            + body
+        )
+        return reader, writer
+
+    async def test_a_stop_closes_no_request_without_an_answer(self):
+        """SIGTERM finds a request with half of its body, and one that a silent
+        replica works on. The first is refused as not run while its caller can
+        still go elsewhere, and the second gets a final status: it was passed
+        on at the end of the grace, and both were closed with no answer.
+        """
+        self.replica.reply_from([users_replica.Reply(silent=True)])
+        address = await self.served()
+        begun, _ = await self.open_request(address, b"complete")
+        await self.line("attempt:sent")
+        arriving, writer = await self.open_request(address, b"half")
+        # Connections are accepted in order, so this one's answer shows that the
+        # others were read.
+        async with aiohttp.request("GET", f"http://{address}/") as answer:
+            await answer.read()
+        self.process.send_signal(signal.SIGTERM)
+        await self.line("process:leaving")
+        with self.assertRaises(ConnectionError):
+            while True:
+                _, probe = await asyncio.open_connection(
+                    *address.rsplit(":", 1)
+                )
+                probe.close()
+                await asyncio.sleep(0.05)
+        writer.write(b"rest")
+        refused = (await arriving.read()).lower()
+        ended = (await begun.read()).lower()
+        self.assertEqual(await self.process.wait(), 0)
+        self.assertTrue(refused.startswith(b"http/1.1 503 "), refused)
+        self.assertIn(b"\r\nretry-after: ", refused)
+        self.assertIn(b"\r\nconnection: close\r\n", refused)
+        self.assertTrue(ended.startswith(b"http/1.1 502 "), ended)
+        self.assertEqual(self.replica.ran, ["complete"])
+
     async def test_the_log_of_a_request_gives_the_cause_of_its_failure(self):
         """A replica refuses, and an engineer has only the request's id. The
         log must give the replica, version and configuration, the response and
