Answer all requests that were read together during a stop

A caller that sent two requests in one go to a stopping router got one answer; the connection closed up to 0.6 s later with the second request read and unanswered.

Cause: each answer during a stop says `close`, and the HTTP server drops what is queued behind such an answer.

Ruled out: answering what comes behind an answer that has said `close`; a client may not send it, and it must not be answered.

Change: an answer closes its connection only if no request was read behind the one that it belongs to. The queued request is then served or refused like any other of the stop, and its own answer says `close`.

With the queue ignored, as before, both new tests of cover.test_planned_stop fail: one answer instead of two, and one 502 without the 503 behind it.

--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -74,6 +74,11 @@
         )
         self.on_full: Callable[[], None] | None = None
 
+    @property
+    def has_queued(self) -> bool:
+        """Tells whether another request was read behind the present one."""
+        return bool(self._messages)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Also bounds the write buffer."""
         super().connection_made(transport)
@@ -233,7 +238,7 @@
             request=request,
             account=self._held,
             watch=self._watch,
-            closing=lambda: self._is_closing,
+            closing=lambda: self._is_last(request),
         )
         task = asyncio.current_task()
         self._under_way.add(task)
@@ -244,14 +249,18 @@
             sink.close()
         if sink.response is None:
             raise ConnectionResetError("no answer was begun")
-        if self._is_closing:
+        if self._is_last(request):
             sink.response.force_close()
         return sink.response
 
-    @property
-    def _is_closing(self) -> bool:
-        """Tells whether an answer begun now closes its connection."""
-        return self._stop.ends_at is not None
+    def _is_last(self, request: web.BaseRequest) -> bool:
+        """Tells whether an answer begun now closes its connection.
+
+        Not before another request that was read, which would get no answer.
+        """
+        return (
+            self._stop.ends_at is not None and not request.protocol.has_queued
+        )
 
     async def _serve(
         self, request: web.BaseRequest, sink: caller_sink.CallerSink
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -156,6 +156,35 @@
         self.assertEqual(relay_fixture.status_of(answer), 200)
         self.assertFalse(relay_fixture.is_complete(answer))
 
+    async def test_requests_sent_in_one_go_are_all_answered(self):
+        """The first answer said `close`, and the second request, which had been
+        read, was closed without one.
+        """
+        self.begin_stop(HOUR)
+        reader, _ = await self.send(
+            message("1") + b"complete" + message("2") + b"complete"
+        )
+        answer = await reader.read()
+        self.assertEqual(answer.count(b"HTTP/1.1 200 OK"), 2)
+        self.assertEqual(answer.count(b"Connection: close"), 1)
+        first, _, second = answer.partition(b"done")
+        self.assertNotIn(b"Connection: close", first)
+        self.assertIn(b"Connection: close", second)
+
+    async def test_requests_behind_one_that_is_ended_are_refused(self):
+        """Both had been read, and were closed without an answer."""
+        self.reply_with(SILENT)
+        reader, _ = await self.send(
+            message("1") + b"complete" + message("2") + b"complete"
+        )
+        await self.arrival()
+        self.begin_stop(datetime.timedelta())
+        self.listener.end_requests()
+        first, _, second = (await reader.read()).partition(b"run\n")
+        self.assertEqual(relay_fixture.status_of(first), 502)
+        self.assert_refused(second)
+        self.assertEqual(len(self.received_requests()), 1)
+
 
 class AllowedAttemptsTest(unittest.TestCase):
     @hypothesis.given(
