Answer what is behind an answer that a shutdown finds in writing

A caller of the OpenAI-compatible entry that sent two requests in one go and read the first, large answer slowly got no answer to the second one from an instance that shut down; and an answer that took over 10 s to read was cut.

Cause: a whole answer is written after its request has left the drain. The shutdown then closed the connections; the HTTP server drops what is queued behind the answer in writing, and cancels what lasts longer than twice 5 s.

Ruled out: a body that comes late, which the drain counts from its head and waits for; two requests in one go without a large answer, where the second one's handler begins before the connections are closed (tried, it got its 503); streams, which are written within the drain.

Change: a connection of the entry closes once all requests read on it are answered; the listener waits 60 s for that. A client that reads nothing is dropped after 10 s, as ever, and one that sends requests without end at the end of the 60 s.

Before, the new test of cover.test_entry_http: the first answer, and no byte of the second. After: 503 DRAINING.

--- a/src/nutmeghook/internal/entry/listener.py
+++ b/src/nutmeghook/internal/entry/listener.py
@@ -15,7 +15,11 @@
 from nutmeghook.internal.foundation import errors
 
 MAX_HEAD_BYTES = 64 * 1024
-_CLOSE_TIMEOUT_S = 5.0
+# For callers that read their answers slowly. The connections of those that read
+# nothing are dropped sooner.
+_CLOSE_TIMEOUT_S = 60.0
+# For what is left after it.
+_CUT_TIMEOUT_S = 0.1
 # Callers may be far away: over a round trip of 0.2 s, 1.3 MB/s.
 _BUFFER_BYTES = 256 * 1024
 _LIMITS = http_connection.HttpLimits(
@@ -35,7 +39,35 @@
     """
 
     # aiohttp's class has slots too.
-    __slots__ = ()
+    __slots__ = ("_is_closing",)
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._is_closing = False
+
+    def close(self) -> None:
+        """Closes the connection once all requests read on it are answered.
+
+        aiohttp drops those that are behind the one that is handled.
+        """
+        self._is_closing = True
+        if not (self._request_in_progress or self._messages):
+            super().close()
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Closes the connection, and waits for its answers."""
+        self.close()
+        if self._task_handler is not None:
+            await asyncio.wait({self._task_handler}, timeout=timeout)
+        await super().shutdown(_CUT_TIMEOUT_S)
+
+    async def _handle_request(self, *parts: object) -> object:
+        """Handles a request; the last one of a connection closes it."""
+        try:
+            return await super()._handle_request(*parts)
+        finally:
+            if self._is_closing and not self._messages:
+                super().close()
 
     def handle_error(
         self,
--- a/tests/cover/test_entry_http.py
+++ b/tests/cover/test_entry_http.py
@@ -20,6 +20,8 @@
 
 # Ends a test that would otherwise hang.
 HANG_TIMEOUT_S = 30
+# More than the buffers of both ends hold.
+LARGE_ANSWER_BYTES = 16 * 1024 * 1024
 CHAT = "/v1/chat/completions"
 HEADERS = {"Authorization": f"Bearer {fake_config.TOKEN}"}
 QUESTION = {
@@ -361,3 +363,39 @@
         self.assertTrue(text.endswith("data: [DONE]\n\n"))
         self.assertIn("holds.", text)
         await leaving
+
+    async def test_a_shutdown_answers_what_is_behind_an_answer_in_writing(self):
+        """A whole answer that is read slowly no longer counts as in flight.
+
+        Its connection was closed after it, with the request behind it read and
+        unanswered; an answer that took over 10 s was cut.
+        """
+        self.fixture.services.body = b"b" * LARGE_ANSWER_BYTES
+        message = (
+            "POST /services/crew/bookings/7 HTTP/1.1\r\nHost: a\r\n"
+            f"Authorization: Bearer {fake_config.TOKEN}\r\n"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+        host, port = self.listener.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(message + message)
+        await entry_fixture.until(
+            lambda: self.fixture.services.calls and not self.drain.in_flight
+        )
+        leaving = asyncio.ensure_future(
+            shutdown.shut_down(
+                clock=self.fixture.clock,
+                drain=self.drain,
+                listener=self.listener,
+                dispatcher=self.dispatcher,
+                lag=datetime.timedelta(),
+            )
+        )
+        await fakes.settle()
+        self.assertEqual(len(self.fixture.services.calls), 1)
+        answer = await reader.read()
+        self.assertEqual(answer.count(b"HTTP/1.1 200 OK"), 1)
+        self.assertEqual(answer.count(b"b" * LARGE_ANSWER_BYTES), 1)
+        self.assertEqual(answer.count(b"HTTP/1.1 503 "), 1)
+        await leaving
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -16,6 +16,7 @@
         self.calls: list[tuple[str, plain.PlainCall]] = []
         self.outcomes: collections.deque = collections.deque()
         self.gate: asyncio.Event | None = None
+        self.body = b"ok"
 
     async def call(self, address, call):
         self.calls.append((address, call))
@@ -25,7 +26,9 @@
         if isinstance(outcome, Exception):
             raise outcome
         headers = (("Content-Type", "text/plain"), ("X-Crew", "7"))
-        return plain.PlainAnswer(status=outcome, headers=headers, body=b"ok")
+        return plain.PlainAnswer(
+            status=outcome, headers=headers, body=self.body
+        )
 
 
 class FakeLedger(ledger.Ledger):
