Test any sequence of exchanges and copies on a connection

A property: whatever copies of earlier answers come before, behind or between the own answers, whole, cut or late, in whatever packets, an exchange gets its own answer; if the bytes before it were cut, it gets that or none.

It holds for the code as it is.

--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -1,15 +1,22 @@
 """Copies of earlier answers on a connection, packet by packet."""
 
 import asyncio
+from collections.abc import Iterator
+import dataclasses
 import tracemalloc
 import unittest
 from unittest import mock
 
+from hypothesis import given
+from hypothesis import strategies
+
 from nutmeghook.internal.upstream import answer_match
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.platform import headers
 
+# Of an exchange that waits for good.
+_TIMEOUT_S = 60
 REQUEST = b"POST / HTTP/1.1\r\n\r\n"
 
 
@@ -39,6 +46,67 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Exchange:
+    """A request, its answer, and copies of earlier answers.
+
+    Attributes:
+        copied: Which earlier answers of the connection come before the own one.
+        cut_bytes: Missing at the end of the last one.
+        behind_bytes: Of a copy that come with the own answer; the rest comes
+            when the next request has been sent, or while there is none.
+        packet_bytes: Where packets end.
+    """
+
+    request_id: str
+    status: int
+    framing: str
+    body_bytes: int
+    copied: tuple[int, ...]
+    cut_bytes: int
+    behind_bytes: int
+    is_rest_idle: bool
+    packet_bytes: tuple[int, ...]
+
+    def answer(self, number: int) -> bytes:
+        """Returns the answer to the exchange with a number."""
+        return answer_to(
+            self.request_id,
+            status=self.status,
+            framing=self.framing,
+            body=self.body(number),
+        )
+
+    def body(self, number: int) -> bytes:
+        """Returns the body of that answer, like no other one's."""
+        if self.framing == "empty":
+            return b""
+        return str(number).encode() * self.body_bytes
+
+    def packets(self, data: bytes) -> Iterator[bytes]:
+        """Divides bytes into packets."""
+        for size in self.packet_bytes:
+            yield data[:size]
+            data = data[size:]
+        yield data
+
+
+EXCHANGES = strategies.builds(
+    Exchange,
+    request_id=strategies.sampled_from("abcde"),
+    status=strategies.sampled_from((200, 421, 500, 503)),
+    framing=strategies.sampled_from(("length", "chunked", "empty")),
+    body_bytes=strategies.sampled_from((1, 7, 90_000)),
+    copied=strategies.lists(strategies.integers(0, 4), max_size=3).map(tuple),
+    cut_bytes=strategies.just(0) | strategies.integers(0, 120),
+    behind_bytes=strategies.integers(0, 150),
+    is_rest_idle=strategies.booleans(),
+    packet_bytes=strategies.lists(
+        strategies.integers(1, 60) | strategies.integers(1, 50_000), max_size=4
+    ).map(tuple),
+)
+
+
 class Peer:
     """A connection without a network."""
 
@@ -177,5 +245,64 @@
         self.assertLess(held_bytes, 64 * 1024)
 
 
+class AnyCopiesTest(unittest.TestCase):
+    @given(exchanges=strategies.lists(EXCHANGES, min_size=2, max_size=6))
+    def test_no_copy_is_taken_for_an_answer(self, exchanges):
+        """Whatever comes of earlier answers, whole, cut or late, an exchange
+        gets its own answer, or none if the bytes before that were cut.
+        """
+        asyncio.run(asyncio.wait_for(self._play(exchanges), _TIMEOUT_S))
+
+    async def _play(self, exchanges: list[Exchange]) -> None:
+        peer, answers, rest = Peer(), [], b""
+        for number, exchange in enumerate(exchanges):
+            connection = peer.connection
+            if not connection.is_open or connection.has_carried(
+                exchange.request_id
+            ):
+                peer, answers, rest = Peer(), [], b""
+            own = exchange.answer(number)
+            copies = [
+                answers[index % len(answers)]
+                for index in exchange.copied
+                if answers
+            ]
+            cut_bytes = 0
+            if copies:
+                cut_bytes = min(exchange.cut_bytes, len(copies[-1]))
+                copies[-1] = copies[-1][: len(copies[-1]) - cut_bytes]
+            data = rest + b"".join(copies) + own + own[: exchange.behind_bytes]
+            rest = own[exchange.behind_bytes :]
+            outcome = await self._exchange(peer, exchange, data)
+            expected = (exchange.status, exchange.body(number))
+            if outcome is not None or not cut_bytes:
+                self.assertEqual(outcome, expected)
+            answers.append(own)
+            if exchange.is_rest_idle and rest:
+                peer.receive(rest)
+                self.assertFalse(peer.connection.is_open)
+
+    async def _exchange(
+        self, peer: Peer, exchange: Exchange, data: bytes
+    ) -> tuple[int, bytes] | None:
+        """Returns the status and the body; None if there was no answer."""
+        sending = await peer.send(exchange.request_id)
+        peer.receive(*exchange.packets(data))
+        if not sending.done():
+            await asyncio.sleep(0)
+        if not sending.done():
+            peer.connection.connection_lost(ConnectionResetError())
+        body = b""
+        try:
+            head = await sending
+            while piece := await head.read():
+                body += piece
+        except outcomes.UnknownOutcomeError:
+            return None
+        finally:
+            peer.connection.finish_exchange()
+        return head.status, body
+
+
 if __name__ == "__main__":
     unittest.main()
