Create what a router imports as structs, which compile nothing

What callers saw: nobody is served until nearly all instances that start together on few cores are up.

They are structs of msgspec now, whose classes are created in C. Both are slotted, keyword-only and compared by value; dataclasses.replace becomes msgspec.structs.replace in four modules and four files of tests. Settings stay dataclasses, since they are printed by field, and so do four mutable ones.

test_a_start_does_no_work_for_nothing now also names the frozen dataclasses that a router may import, which failed before.

--- a/src/nutmeghook/internal/assembly/relay_assembly.py
+++ b/src/nutmeghook/internal/assembly/relay_assembly.py
@@ -1,9 +1,10 @@
 """Builds the relay of requests to replicas."""
 
 from collections.abc import Callable
-import dataclasses
 import random
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.foundation import standstill as standstill_module
 from nutmeghook.internal.limits import team_shares
@@ -41,8 +42,7 @@
 from nutmeghook.internal.version_plans import view
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class RelayDependencies:
+class RelayDependencies(msgspec.Struct, frozen=True, kw_only=True):
     """The components that the relay uses.
 
     Attributes:
--- a/src/nutmeghook/internal/clients/bounds.py
+++ b/src/nutmeghook/internal/clients/bounds.py
@@ -1,6 +1,6 @@
 """Shares of an instance's memory and descriptors for its clients."""
 
-import dataclasses
+import msgspec
 
 _MEGABYTE = 1_000_000
 # Files, and the sockets that an instance can't work without.
@@ -17,8 +17,7 @@
 PORT_BYTES = 1_000_000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ClientBounds:
+class ClientBounds(msgspec.Struct, frozen=True, kw_only=True):
     """What the clients of an instance may take.
 
     Attributes:
--- a/src/nutmeghook/internal/clients/http_connection.py
+++ b/src/nutmeghook/internal/clients/http_connection.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import datetime
 import socket
 
@@ -11,6 +10,7 @@
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
+import msgspec
 
 from nutmeghook.internal.clients import connection_table
 from nutmeghook.internal.clients import reading_lane
@@ -42,8 +42,7 @@
 _HEAD_TOO_LARGE_STATUS = 431
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class HttpLimits:
+class HttpLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits on a client's connection.
 
     Attributes:
--- a/src/nutmeghook/internal/inner/codec.py
+++ b/src/nutmeghook/internal/inner/codec.py
@@ -4,9 +4,9 @@
 it holds, so that a message is identified by its type.
 """
 
-import dataclasses
 from typing import Any
 
+import msgspec
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
@@ -26,8 +26,7 @@
     """The bytes are not an envelope with exactly one known message."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Encoded:
+class Encoded(msgspec.Struct, frozen=True, kw_only=True):
     """An envelope's bytes.
 
     Attributes:
@@ -38,8 +37,7 @@
     data: bytes
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Received:
+class Received(msgspec.Struct, frozen=True, kw_only=True):
     """A received envelope.
 
     Attributes:
--- a/src/nutmeghook/internal/limits/admission.py
+++ b/src/nutmeghook/internal/limits/admission.py
@@ -3,12 +3,12 @@
 import abc
 from collections.abc import AsyncIterator
 import contextlib
-import dataclasses
 import datetime
 
+import msgspec
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class AdmissionRequest:
+
+class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What admission control needs to know of a request.
 
     Attributes:
--- a/src/nutmeghook/internal/limits/demand_rates.py
+++ b/src/nutmeghook/internal/limits/demand_rates.py
@@ -3,10 +3,10 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import datetime
 import typing
 
+import msgspec
 import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -46,8 +46,7 @@
         return xxhash.xxh32_intdigest(self.text.encode()) >> 1
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Rates:
+class Rates(msgspec.Struct, frozen=True, kw_only=True):
     """Cost a second that is asked for, and that is admitted."""
 
     asked: float = 0.0
@@ -58,8 +57,7 @@
         return Rates(asked=factor * self.asked, admitted=factor * self.admitted)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class FleetRates:
+class FleetRates(msgspec.Struct, frozen=True, kw_only=True):
     """Rates of the whole fleet, estimated from the instances heard.
 
     Attributes:
@@ -101,8 +99,7 @@
             self._buckets.popleft()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _PeerReport:
+class _PeerReport(msgspec.Struct, frozen=True, kw_only=True):
     at: datetime.timedelta
     rates: dict[int, Rates]
 
--- a/src/nutmeghook/internal/limits/occupancy.py
+++ b/src/nutmeghook/internal/limits/occupancy.py
@@ -1,6 +1,6 @@
 """How many places of a service's replicas are taken."""
 
-import dataclasses
+import msgspec
 
 # Below this part of the slots known from fresh counts, nothing is concluded.
 # Counts are told within a data centre. Where one full replica of three is
@@ -11,8 +11,7 @@
 FULL_SHARE = 0.9
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Occupancy:
+class Occupancy(msgspec.Struct, frozen=True, kw_only=True):
     """Places of some replicas, by the replicas' own counts.
 
     Attributes:
--- a/src/nutmeghook/internal/limits/service_load.py
+++ b/src/nutmeghook/internal/limits/service_load.py
@@ -1,9 +1,10 @@
 """The load of a service's replicas, and the capacity that follows from it."""
 
 import collections
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.limits import demand_rates
 from nutmeghook.internal.limits import occupancy as occupancy_module
 
@@ -27,8 +28,7 @@
 _MAX_WAIT_S = 3600.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _Sample:
+class _Sample(msgspec.Struct, frozen=True, kw_only=True):
     """Occupancy of a service at a moment.
 
     Attributes:
--- a/src/nutmeghook/internal/limits/team_shares.py
+++ b/src/nutmeghook/internal/limits/team_shares.py
@@ -9,11 +9,12 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import datetime
 import math
 import random
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.limits import demand_rates
 from nutmeghook.internal.limits import fair_shares
@@ -37,8 +38,7 @@
 _MAX_DELAY_SHARE = 1 / 3
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
     """Why a request is refused, and when its caller may return.
 
     Attributes:
@@ -53,15 +53,13 @@
     retry_after: datetime.timedelta
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _Share:
+class _Share(msgspec.Struct, frozen=True, kw_only=True):
     asked: float
     share: float
     less_urgent: float
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _ServiceShares:
+class _ServiceShares(msgspec.Struct, frozen=True, kw_only=True):
     """The shares in one service at a moment.
 
     Attributes:
--- a/src/nutmeghook/internal/observe/metrics.py
+++ b/src/nutmeghook/internal/observe/metrics.py
@@ -5,11 +5,11 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
-import dataclasses
 import enum
 
 import aioprometheus
 from aioprometheus import collectors
+import msgspec
 
 PREFIX = "nutmeghook_"
 
@@ -22,8 +22,7 @@
     HISTOGRAM = "histogram"
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class MetricSpec:
+class MetricSpec(msgspec.Struct, frozen=True, kw_only=True):
     """One metric's name, kind and meaning; the unit ends the name."""
 
     name: str
--- a/src/nutmeghook/internal/relay/endings.py
+++ b/src/nutmeghook/internal/relay/endings.py
@@ -1,6 +1,6 @@
 """How a relayed request ended, for logs and counters."""
 
-import dataclasses
+import msgspec
 
 from nutmeghook.internal.foundation import codes
 from nutmeghook.internal.relay import rejections
@@ -19,8 +19,7 @@
 }
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Ending:
+class Ending(msgspec.Struct, frozen=True, kw_only=True):
     """Numbered result and reason of a request's end.
 
     Metrics are labelled by the code only: the reason may hold an error's text,
--- a/src/nutmeghook/internal/relay/events.py
+++ b/src/nutmeghook/internal/relay/events.py
@@ -1,12 +1,11 @@
 """Splits a stream of server-sent events into events."""
 
-import dataclasses
+import msgspec
 
 _ENDS = (b"\n\n", b"\r\n\r\n")
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
     """One complete event as received, with its final empty line.
 
     Attributes:
--- a/src/nutmeghook/internal/relay/expected_times.py
+++ b/src/nutmeghook/internal/relay/expected_times.py
@@ -1,11 +1,11 @@
 """How long an attempt is expected to take."""
 
-import dataclasses
 import datetime
 
+import msgspec
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ExpectedTimes:
+
+class ExpectedTimes(msgspec.Struct, frozen=True, kw_only=True):
     """How long an attempt is expected to take.
 
     Attributes:
--- a/src/nutmeghook/internal/relay/incoming.py
+++ b/src/nutmeghook/internal/relay/incoming.py
@@ -1,15 +1,15 @@
 """A caller's request, and the interface for answering it."""
 
 import abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.relay import request_bytes
 from nutmeghook.internal.relay import wire
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Incoming:
+class Incoming(msgspec.Struct, frozen=True, kw_only=True):
     """A request with its whole body.
 
     Attributes:
--- a/src/nutmeghook/internal/relay/job.py
+++ b/src/nutmeghook/internal/relay/job.py
@@ -1,8 +1,9 @@
 """State of a request under way."""
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import identities
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import wire
@@ -18,16 +19,14 @@
 _MAX_SHARED_PARTS = 16
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True, kw_only=True):
     """Permission for one further attempt, with its replica chosen."""
 
     service: str
     choice: choice_module.Choice
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class FallbackReplica:
+class FallbackReplica(msgspec.Struct, frozen=True, kw_only=True):
     """Replica of an abandoned attempt; a retry is reserved for it."""
 
     service: str
@@ -35,8 +34,7 @@
     model_index: int
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class WholeAnswer:
+class WholeAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """A replica's answer with its whole body."""
 
     status: int
--- a/src/nutmeghook/internal/relay/model_choice.py
+++ b/src/nutmeghook/internal/relay/model_choice.py
@@ -1,17 +1,17 @@
 """Decides which model answers, and when a larger one replaces it."""
 
 import abc
-import dataclasses
 import datetime
 import math
 
+import msgspec
+
 from nutmeghook.internal.routes import model
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class EscalationContext:
+class EscalationContext(msgspec.Struct, frozen=True, kw_only=True):
     """What is known when a smaller model's answer begins.
 
     Attributes:
@@ -92,8 +92,7 @@
         return context.confidence < self._least_confidence
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Utility:
+class Utility(msgspec.Struct, frozen=True, kw_only=True):
     """Utility of answers to callers, relative to a good one in time.
 
     Attributes:
--- a/src/nutmeghook/internal/relay/prepared.py
+++ b/src/nutmeghook/internal/relay/prepared.py
@@ -1,8 +1,9 @@
 """An attempt that is ready to be sent."""
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.relay import expected_times
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import replica_forecast
@@ -10,8 +11,7 @@
 from nutmeghook.internal.upstream import sender as sender_module
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class PreparedAttempt:
+class PreparedAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """An attempt that is ready to be sent.
 
     Attributes:
--- a/src/nutmeghook/internal/relay/wire.py
+++ b/src/nutmeghook/internal/relay/wire.py
@@ -7,10 +7,11 @@
 
 import abc
 from collections.abc import Sequence
-import dataclasses
 import datetime
 import enum
 
+import msgspec
+
 from nutmeghook.internal.replicas import entries
 from nutmeghook.internal.replicas import signals as signals_module
 
@@ -31,16 +32,14 @@
     LATE_PERHAPS_RUN = 504
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True, kw_only=True):
     """A leading part of a prompt; equal ids mean equal text."""
 
     part_id: str
     tokens: int
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Prompt:
+class Prompt(msgspec.Struct, frozen=True, kw_only=True):
     """Size of a generation, and the prompt parts shared with others."""
 
     input_tokens: int
@@ -48,8 +47,7 @@
     parts: tuple[PromptPart, ...] = ()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class UnreadableValue:
+class UnreadableValue(msgspec.Struct, frozen=True, kw_only=True):
     """A header whose value can't be read and is ignored.
 
     Attributes:
@@ -60,8 +58,7 @@
     value: str
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class CallerFacts:
+class CallerFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What a caller's headers say.
 
     Attributes:
@@ -86,8 +83,7 @@
     unreadable: tuple[UnreadableValue, ...] = ()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class AttemptFacts:
+class AttemptFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What an attempt's headers say in addition to the caller's own.
 
     Attributes:
@@ -106,8 +102,7 @@
     last_event_id: str | None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ReportedLoad:
+class ReportedLoad(msgspec.Struct, frozen=True, kw_only=True):
     """A replica's own count of its work.
 
     Attributes:
@@ -121,8 +116,7 @@
     work_time_percent: float | None = None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class AnswerFacts:
+class AnswerFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What an answer's headers say.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/backlog.py
+++ b/src/nutmeghook/internal/replicas/backlog.py
@@ -7,14 +7,14 @@
 instances have sent and got no first event for.
 """
 
-import dataclasses
 import datetime
 
+import msgspec
+
 _ZERO = datetime.timedelta()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Prefill:
+class Prefill(msgspec.Struct, frozen=True, kw_only=True):
     """The prefill of one prompt.
 
     Attributes:
@@ -26,8 +26,7 @@
     urgent: bool
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Backlog:
+class Backlog(msgspec.Struct, frozen=True, kw_only=True):
     """Total prefill time of several prompts.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/brittle_replicas.py
+++ b/src/nutmeghook/internal/replicas/brittle_replicas.py
@@ -5,9 +5,10 @@
 for those of its service that it has not heard lately.
 """
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import directory as directory_module
@@ -29,8 +30,7 @@
 _MIN_RELATIVE_PART = 0.25
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _Statement:
+class _Statement(msgspec.Struct, frozen=True, kw_only=True):
     """What a brittle replica said.
 
     Attributes:
@@ -42,8 +42,7 @@
     heard_at: datetime.timedelta
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _MeasuredTraffic:
+class _MeasuredTraffic(msgspec.Struct, frozen=True, kw_only=True):
     traffic: refusal_risk.ServiceTraffic
     own_part: float
     at: datetime.timedelta
--- a/src/nutmeghook/internal/replicas/choice.py
+++ b/src/nutmeghook/internal/replicas/choice.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import dataclasses
 import datetime
 import itertools
 
+import msgspec
 import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -39,8 +39,7 @@
 _Predicate = Callable[[replica_module.Replica], bool]
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True, kw_only=True):
     """Where a request goes.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/directory.py
+++ b/src/nutmeghook/internal/replicas/directory.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import datetime
 import itertools
 
+import msgspec
+
 from nutmeghook.internal.dependencies import revisions
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
@@ -456,4 +457,4 @@
     )
     if not (known.leaving and is_restored):
         return entry
-    return dataclasses.replace(entry, leaving=True)
+    return msgspec.structs.replace(entry, leaving=True)
--- a/src/nutmeghook/internal/replicas/entries.py
+++ b/src/nutmeghook/internal/replicas/entries.py
@@ -1,10 +1,9 @@
 """Entries of the replica list."""
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ReplicaEntry:
+class ReplicaEntry(msgspec.Struct, frozen=True, kw_only=True):
     """One start of a replica.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/peer_backlogs.py
+++ b/src/nutmeghook/internal/replicas/peer_backlogs.py
@@ -1,9 +1,10 @@
 """Backlogs that peers have at replicas, as they last reported."""
 
 import collections
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import backlog as backlog_module
 
@@ -13,8 +14,7 @@
 _NONE = backlog_module.Backlog()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _PeerReport:
+class _PeerReport(msgspec.Struct, frozen=True, kw_only=True):
     at: datetime.timedelta
     by_replica: dict[int, backlog_module.Backlog]
 
--- a/src/nutmeghook/internal/replicas/rate_limit.py
+++ b/src/nutmeghook/internal/replicas/rate_limit.py
@@ -6,16 +6,16 @@
 present limit was heard, since that answer was certainly made later.
 """
 
-import dataclasses
 import datetime
 
+import msgspec
+
 # Peers give ages in whole milliseconds and without the network delay, so a
 # statement that they send back may look this much newer than it is.
 _AGE_ERROR = datetime.timedelta(milliseconds=20)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class RateLimit:
+class RateLimit(msgspec.Struct, frozen=True, kw_only=True):
     """A replica's statement on its limit.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/refusal_risk.py
+++ b/src/nutmeghook/internal/replicas/refusal_risk.py
@@ -8,11 +8,12 @@
 send without risk costs nothing.
 """
 
-import dataclasses
 import datetime
 import functools
 import math
 
+import msgspec
+
 from nutmeghook.internal.replicas import replica as replica_module
 
 _SECOND = datetime.timedelta(seconds=1)
@@ -31,8 +32,7 @@
 _NO_RISK = 0.005
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceTraffic:
+class ServiceTraffic(msgspec.Struct, frozen=True, kw_only=True):
     """What all instances together send to one replica of a service.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/replica.py
+++ b/src/nutmeghook/internal/replicas/replica.py
@@ -1,8 +1,8 @@
 """A replica, its reported load and its observed health."""
 
-import dataclasses
 import datetime
 
+import msgspec
 import xxhash
 
 from nutmeghook.internal.replicas import backlog as backlog_module
@@ -20,8 +20,7 @@
 MAX_REPORTED_REQUESTS = 1_000_000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """A replica's own count of its requests from all instances.
 
     Attributes:
@@ -38,8 +37,7 @@
     work_time_percent: float | None = None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class BaselineLoad:
+class BaselineLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Moving average of the load reports of a service's replicas."""
 
     running: float = 0.0
--- a/src/nutmeghook/internal/replicas/replica_forecast.py
+++ b/src/nutmeghook/internal/replicas/replica_forecast.py
@@ -1,9 +1,10 @@
 """Forecasts when replicas begin their answers, and what a request loses."""
 
-import dataclasses
 import datetime
 import math
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import cached_prefixes
 from nutmeghook.internal.replicas import directory as directory_module
@@ -31,8 +32,7 @@
 _ZERO = datetime.timedelta()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Prompt:
+class Prompt(msgspec.Struct, frozen=True, kw_only=True):
     """The prompt of a request, as prefill time.
 
     Attributes:
@@ -57,8 +57,7 @@
     generation_per_running: datetime.timedelta = _ZERO
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Forecast:
+class Forecast(msgspec.Struct, frozen=True, kw_only=True):
     """When a replica is expected to begin its answer.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/replica_speed.py
+++ b/src/nutmeghook/internal/replicas/replica_speed.py
@@ -6,10 +6,11 @@
 and a peer's estimate replaces that one as a whole or not at all.
 """
 
-import dataclasses
 import datetime
 import math
 
+import msgspec
+
 # Slowness stays between 1 / MAX_SLOWNESS and MAX_SLOWNESS.
 MAX_SLOWNESS = 8.0
 MAX_LOG = math.log(MAX_SLOWNESS)
@@ -27,8 +28,7 @@
 STATED_TIME_CONSTANT = datetime.timedelta(milliseconds=60)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class SpeedEstimate:
+class SpeedEstimate(msgspec.Struct, frozen=True, kw_only=True):
     """What answers say of a replica's speed.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/send_gate.py
+++ b/src/nutmeghook/internal/replicas/send_gate.py
@@ -7,9 +7,10 @@
 import abc
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import brittle_replicas
 from nutmeghook.internal.replicas import evacuations as evacuations_module
@@ -25,8 +26,7 @@
 _CONFIRMATION_PERIOD = datetime.timedelta(seconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class HeldBack:
+class HeldBack(msgspec.Struct, frozen=True, kw_only=True):
     """A replica that asked for fewer requests, and gets none now.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/send_shares.py
+++ b/src/nutmeghook/internal/replicas/send_shares.py
@@ -1,9 +1,10 @@
 """Divides the requests that a replica takes among a few instances."""
 
-import dataclasses
 import datetime
 import math
 
+import msgspec
+
 from nutmeghook.internal.replicas import sender_election
 
 # Instances that may send to one replica whose rate is limited. With fewer, it
@@ -20,8 +21,7 @@
 _COLD_WINDOW = datetime.timedelta(seconds=1) + _ARRIVAL_JITTER
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class SendShare:
+class SendShare(msgspec.Struct, frozen=True, kw_only=True):
     """How the requests that a replica takes are divided among instances.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/sender_election.py
+++ b/src/nutmeghook/internal/replicas/sender_election.py
@@ -16,10 +16,10 @@
 import abc
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import datetime
 import heapq
 
+import msgspec
 import xxhash
 
 from nutmeghook.internal.foundation import clock as clock_module
@@ -38,8 +38,7 @@
 _MAX_LOGGED = 1000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class SenderPlace:
+class SenderPlace(msgspec.Struct, frozen=True, kw_only=True):
     """An instance's place among a replica's senders.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/share_loans.py
+++ b/src/nutmeghook/internal/replicas/share_loans.py
@@ -9,9 +9,10 @@
 """
 
 import asyncio
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.replicas import replica as replica_module
 from nutmeghook.internal.replicas import send_shares
@@ -28,8 +29,7 @@
 _KEPT_REQUESTS = 1
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Loan:
+class Loan(msgspec.Struct, frozen=True, kw_only=True):
     """Requests within a share's window that another instance may send.
 
     Attributes:
--- a/src/nutmeghook/internal/replicas/signals.py
+++ b/src/nutmeghook/internal/replicas/signals.py
@@ -1,11 +1,11 @@
 """What a replica asks of its senders, as its answers state it."""
 
-import dataclasses
 import datetime
 
+import msgspec
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ReplicaSignals:
+
+class ReplicaSignals(msgspec.Struct, frozen=True, kw_only=True):
     """The requests of a replica in the head of one answer.
 
     Attributes:
--- a/src/nutmeghook/internal/routes/in_force.py
+++ b/src/nutmeghook/internal/routes/in_force.py
@@ -1,9 +1,10 @@
 """The configuration in force in this process."""
 
 from collections.abc import Callable
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.routes import model
 
@@ -14,8 +15,7 @@
 _OVERDUE_PART = 0.5
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Admission:
+class Admission(msgspec.Struct, frozen=True, kw_only=True):
     """What was known of the configuration when a request was admitted.
 
     Attributes:
--- a/src/nutmeghook/internal/routes/model.py
+++ b/src/nutmeghook/internal/routes/model.py
@@ -1,10 +1,11 @@
 """Contents of a configuration: routes, services, teams and limits."""
 
 from collections.abc import Iterator
-import dataclasses
 import datetime
 import enum
 
+import msgspec
+
 
 class RouteKind(enum.Enum):
     """Kind of a route's requests, which decides whether they may be retried."""
@@ -14,16 +15,14 @@
     STREAM = "stream"
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceShare:
+class ServiceShare(msgspec.Struct, frozen=True, kw_only=True):
     """A service that gets a share of a route's requests."""
 
     service: str
     weight: float
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Route:
+class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Requests to one host below one path prefix.
 
     Attributes:
@@ -63,8 +62,7 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Service:
+class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A group of interchangeable replicas.
 
     Attributes:
@@ -82,14 +80,13 @@
     name: str
     liveness_path: str
     max_connections: int
-    model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
+    model_costs: dict[str, float] = msgspec.field(default_factory=dict)
     cold_time: datetime.timedelta = datetime.timedelta()
     cold_per_s: float = 0.0
     health_path: str = ""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Team:
+class Team(msgspec.Struct, frozen=True, kw_only=True):
     """A team.
 
     Attributes:
@@ -102,8 +99,7 @@
     home_regions: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits on the size and duration of callers' requests."""
 
     header_bytes: int = 16 * 1024
--- a/src/nutmeghook/internal/suspects/evidence.py
+++ b/src/nutmeghook/internal/suspects/evidence.py
@@ -1,10 +1,11 @@
 """Evidence that a request, or a part of its prompt, crashes replicas."""
 
 from collections.abc import Iterable
-import dataclasses
 import datetime
 import functools
 
+import msgspec
+
 # A replica without a free slot may only have had the request in its queue, as
 # under overload it has many.
 _WEIGHT_BEGUN = 2
@@ -29,8 +30,7 @@
 _TIME_TOLERANCE = datetime.timedelta(milliseconds=500)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ReplicaCrash:
+class ReplicaCrash(msgspec.Struct, frozen=True, kw_only=True):
     """The crash of a replica that had a request.
 
     Attributes:
@@ -52,8 +52,7 @@
         return _WEIGHT_BEGUN if self.begun else _WEIGHT_QUEUED
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Suspicion:
+class Suspicion(msgspec.Struct, frozen=True, kw_only=True):
     """The evidence against a request or a prompt part; times are monotonic.
 
     Attributes:
@@ -147,7 +146,7 @@
         )
 
     def _with_crashes(self, crashes: tuple[ReplicaCrash, ...]) -> "Suspicion":
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             self,
             crashes=crashes,
             request_hashes=self.request_hashes if crashes else (),
@@ -258,7 +257,7 @@
         if known is None:
             by_replica[crash.replica_hash] = crash
         else:
-            by_replica[crash.replica_hash] = dataclasses.replace(
+            by_replica[crash.replica_hash] = msgspec.structs.replace(
                 known,
                 begun=known.begun or crash.begun,
                 sent_at=_clearly_earlier(known.sent_at, crash.sent_at),
--- a/src/nutmeghook/internal/suspects/registry.py
+++ b/src/nutmeghook/internal/suspects/registry.py
@@ -18,9 +18,10 @@
 import asyncio
 import collections
 from collections.abc import Sequence
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.suspects import evidence
@@ -114,7 +115,7 @@
             evidence.Suspicion(identity=identity, crashes=(crash,))
         )
         request_hashes = (evidence.request_hash(identity),)
-        part_crash = dataclasses.replace(
+        part_crash = msgspec.structs.replace(
             crash, begun=begun and begun_for < _BEGINNING, sent_at=None
         )
         for part in parts:
@@ -160,7 +161,7 @@
         cleared_at = evidence.latest(
             merged.cleared_at, self._answered.get(identity)
         )
-        merged = dataclasses.replace(merged, cleared_at=cleared_at)
+        merged = msgspec.structs.replace(merged, cleared_at=cleared_at)
         merged = self._without_old(merged)
         is_behind = (
             cleared_at is not None
@@ -226,7 +227,7 @@
         for cause in self._causes(identity, parts):
             logs.note("suspect:on_trial", identity=cause.identity.hex())
             self._put(
-                dataclasses.replace(
+                msgspec.structs.replace(
                     cause, probed_at=now, probes=cause.probes + 1
                 )
             )
--- a/src/nutmeghook/internal/table_replication/gossip.py
+++ b/src/nutmeghook/internal/table_replication/gossip.py
@@ -13,11 +13,12 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
-import dataclasses
 import datetime
 import itertools
 import random
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.inner import peers as peers_module
 from nutmeghook.internal.inner import sealed_messages
@@ -102,8 +103,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _RevisionReport:
+class _RevisionReport(msgspec.Struct, frozen=True, kw_only=True):
     """A peer's revision of a table and when its digest arrived."""
 
     revision: int
--- a/src/nutmeghook/internal/table_replication/page_server.py
+++ b/src/nutmeghook/internal/table_replication/page_server.py
@@ -1,9 +1,9 @@
 """Serves peers the rows that they lack, in pieces."""
 
 import collections
-import dataclasses
 import datetime
 
+import msgspec
 import xxhash
 
 from nutmeghook.internal.dependencies import revisions
@@ -23,8 +23,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _Content:
+class _Content(msgspec.Struct, frozen=True, kw_only=True):
     """A page's bytes.
 
     Attributes:
--- a/src/nutmeghook/internal/table_replication/registration.py
+++ b/src/nutmeghook/internal/table_replication/registration.py
@@ -1,6 +1,5 @@
 """Registers instances in the store: a row each and a shared credential."""
 
-import dataclasses
 import datetime
 import hashlib
 import random
@@ -38,8 +37,7 @@
 _DECODER = msgspec.json.Decoder(_InstanceRow)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class RegisteredPeer:
+class RegisteredPeer(msgspec.Struct, frozen=True, kw_only=True):
     """A peer as its row describes it.
 
     Attributes:
@@ -51,8 +49,7 @@
     data_centre: str | None = None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Registration:
+class Registration(msgspec.Struct, frozen=True, kw_only=True):
     """The result of registering.
 
     Attributes:
--- a/src/nutmeghook/internal/table_replication/table_copy.py
+++ b/src/nutmeghook/internal/table_replication/table_copy.py
@@ -3,9 +3,9 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import datetime
 
+import msgspec
 import xxhash
 
 from nutmeghook.internal.dependencies import revisions
@@ -28,8 +28,7 @@
 _MAX_DELTAS = 32
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class RowDelta:
+class RowDelta(msgspec.Struct, frozen=True, kw_only=True):
     """The change of a row from one version to a later one.
 
     Attributes:
--- a/src/nutmeghook/internal/upstream/liveness.py
+++ b/src/nutmeghook/internal/upstream/liveness.py
@@ -7,9 +7,10 @@
 """
 
 import asyncio
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.relay import wire
@@ -35,8 +36,7 @@
 _WRONG_REPLICA_STATUS = 421
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Liveness:
+class Liveness(msgspec.Struct, frozen=True, kw_only=True):
     """How a replica responded to a probe.
 
     Attributes:
--- a/src/nutmeghook/internal/upstream/sender.py
+++ b/src/nutmeghook/internal/upstream/sender.py
@@ -6,6 +6,8 @@
 import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.observe import unreadable_values
@@ -56,8 +58,7 @@
     connection: connection_module.ReplicaConnection | None = None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Outgoing:
+class Outgoing(msgspec.Struct, frozen=True, kw_only=True):
     """A request as it is sent to a replica.
 
     Attributes:
@@ -77,7 +78,7 @@
     repeatable: bool
     prefill: backlog_module.Prefill | None = None
     send_slot: send_window.SendSlot | None = None
-    carrier: Carrier = dataclasses.field(default_factory=Carrier)
+    carrier: Carrier = msgspec.field(default_factory=Carrier)
 
     def encoded_head(self) -> bytes:
         """Returns the message up to its body."""
--- a/src/nutmeghook/internal/version_plans/baseline.py
+++ b/src/nutmeghook/internal/version_plans/baseline.py
@@ -5,10 +5,11 @@
 requests does not count against the new version.
 """
 
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 # A version may fail this share of its requests more than the stable version and
 # still count as good, since other faults hit its replicas too.
 TOLERATED_BEYOND_BASELINE = 0.05
@@ -57,8 +58,7 @@
     EVENT_INTERVAL = "going on"
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class ObservedAnswer:
+class ObservedAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """An answer, or a failure that the replica reported.
 
     Attributes:
--- a/src/nutmeghook/internal/version_plans/orders.py
+++ b/src/nutmeghook/internal/version_plans/orders.py
@@ -1,8 +1,9 @@
 """Operators' orders to roll out a version, and their states."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from nutmeghook.internal.dependencies import revisions
 from nutmeghook.internal.observe import logs
 
@@ -15,8 +16,7 @@
     REVERTED = "reverted"
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class RollOutOrder:
+class RollOutOrder(msgspec.Struct, frozen=True, kw_only=True):
     """An operator's order to move a service to a version.
 
     Attributes:
@@ -38,7 +38,7 @@
         """
         return revisions.epoch_of(former.order_id) < revisions.epoch_of(
             self.order_id
-        ) and self == dataclasses.replace(former, order_id=self.order_id)
+        ) and self == msgspec.structs.replace(former, order_id=self.order_id)
 
 
 class OrderRegistry:
--- a/src/nutmeghook/internal/version_plans/rollouts.py
+++ b/src/nutmeghook/internal/version_plans/rollouts.py
@@ -11,9 +11,10 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
 import datetime
 
+import msgspec
+
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
 from nutmeghook.internal.replicas import directory as directory_module
@@ -39,8 +40,7 @@
 _MAX_UNCOMPARED = 64
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _UncomparedPace:
+class _UncomparedPace(msgspec.Struct, frozen=True, kw_only=True):
     """The pace of an answer of a new version."""
 
     order: orders_module.RollOutOrder
--- a/src/nutmeghook/internal/version_plans/schedule.py
+++ b/src/nutmeghook/internal/version_plans/schedule.py
@@ -14,9 +14,10 @@
 before the proof.
 """
 
-import dataclasses
 import datetime
 
+import msgspec
+
 # Sessions may not move to the new version before half of the time. The margin
 # covers the clock error of some 10 ms, as orders take 16 s or more.
 MAY_MOVE_SESSIONS_AT = 0.52
@@ -60,8 +61,7 @@
 _CANARY_PART_OF_ALLOWANCE = 0.45
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Schedule:
+class Schedule(msgspec.Struct, frozen=True, kw_only=True):
     """The new version's shares over the time of an order.
 
     Attributes:
--- a/src/nutmeghook/internal/version_plans/sessions.py
+++ b/src/nutmeghook/internal/version_plans/sessions.py
@@ -1,16 +1,16 @@
 """The version that this instance last sent each session to."""
 
 import collections
-import dataclasses
 import datetime
 
+import msgspec
+
 # At 20 requests a second per instance this covers some 1,000 s, minutes more
 # than a session's time.
 MAX_SESSIONS = 20_000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class LastUse:
+class LastUse(msgspec.Struct, frozen=True, kw_only=True):
     """A session's last request.
 
     Attributes:
--- a/src/nutmeghook/platform/store_messages.py
+++ b/src/nutmeghook/platform/store_messages.py
@@ -4,7 +4,6 @@
 """
 
 import base64
-import dataclasses
 import datetime
 from typing import Annotated
 
@@ -54,8 +53,7 @@
         return revisions.combine(self.epoch, row.row_version)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
     """An answer of the store, in the epoch that it states."""
 
     status: int
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
-import dataclasses
 import random
 import unittest
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import revisions
@@ -114,7 +114,7 @@
         and never heard of the others' verdict.
         """
         instance = version_fixture.Instance(clock=clock_module.FakeClock())
-        rewritten = dataclasses.replace(
+        rewritten = msgspec.structs.replace(
             version_fixture.ORDER,
             order_id=revisions.combine(1, version_fixture.ORDER.order_id),
         )
--- a/tests/cover/test_start_cost.py
+++ b/tests/cover/test_start_cost.py
@@ -28,7 +28,18 @@
 sys.path.insert(0, "deploy")
 import serve
 after = sum(generation["collections"] for generation in gc.get_stats()[1:])
+slow_classes = sorted(
+    f"{module}.{name}"
+    for module, loaded in sys.modules.items()
+    for name, value in vars(loaded).items()
+    if isinstance(value, type)
+    and value.__module__ == module
+    and module.startswith("nutmeghook.")
+    and "__dataclass_fields__" in vars(value)
+    and value.__dataclass_params__.frozen
+)
 print(json.dumps({
+    "slow_classes": slow_classes,
     "collections": after - before,
     "loaded": sum(loads),
     "frozen": gc.get_freeze_count(),
@@ -36,6 +47,12 @@
 }))
 """
 
+# Each frozen dataclass compiles six functions as it is created; structs of
+# msgspec compile none. Settings are printed by field.
+_READ_BY_FIELD = [
+    "nutmeghook.platform.settings.InstanceSettings",
+    "nutmeghook.platform.settings.RetryBounds",
+]
 # In a compiled file's head: its source is not looked at.
 _UNCHECKED_HASH = 0b01
 
@@ -55,6 +72,7 @@
         self.assertEqual(cost["loaded"], 0)
         self.assertGreater(cost["frozen"], 0)
         self.assertTrue(cost["is_enabled"])
+        self.assertEqual(cost["slow_classes"], _READ_BY_FIELD)
 
     def test_a_build_compiles_packages_that_were_carried_over(self):
         """Each start compiled all packages, as a copy had changed times."""
--- a/tests/cover/test_version_driver.py
+++ b/tests/cover/test_version_driver.py
@@ -1,6 +1,5 @@
 """Roll-outs on a store that loses answers, with instances that race."""
 
-import dataclasses
 import datetime
 import random
 import unittest
@@ -214,7 +213,7 @@
         newcomer, starting = self.driver("newcomer")
         newcomer.orders.withdraw(version_fixture.SERVICE)
         newcomer.orders.place(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 version_fixture.ORDER,
                 order_id=revisions.combine(1, version_fixture.ORDER.order_id),
             )
--- a/tests/cover/test_version_plans.py
+++ b/tests/cover/test_version_plans.py
@@ -1,6 +1,5 @@
 """Which version a session gets during a roll-out."""
 
-import dataclasses
 import datetime
 import unittest
 
@@ -123,7 +122,7 @@
         self.instance.begin()
         self.instance.answer("v2", times=20)
         self.instance.orders.place(
-            dataclasses.replace(version_fixture.ORDER, order_id=6)
+            msgspec.structs.replace(version_fixture.ORDER, order_id=6)
         )
         plan = plan_module.PlanRow(
             order_id=6,
--- a/tests/version_outages.py
+++ b/tests/version_outages.py
@@ -96,7 +96,7 @@
         self._step_at = []
         self._gossip_at = []
         for number, instance in enumerate(self._instances):
-            instance.rollouts.progress.schedule = dataclasses.replace(
+            instance.rollouts.progress.schedule = msgspec.structs.replace(
                 instance.rollouts.progress.schedule,
                 bad_allowance=scene.bad_allowance,
             )
