Limit the time of a head that comes at the moment of its connection

What callers saw: nothing; a connection with half a head could stay open until its caller left, and takes a descriptor of the router's. Found as test_half_a_head_is_not_waited_for hung, once, in a run of 99 modules of tests on a busy machine; 13 runs of its module alone passed.

Cause: the timer starts with bytes that come while the connection waits for a request, which it does once its task has run. Bytes that were there before that started none, and later ones may never come. Now bytes before the first request count as bytes of a head whether the task has run or not.

The new test failed before (no timer) and passes; it needs no load. It is the likely cause of the hang, which wasn't seen again.

--- a/src/nutmeghook/internal/clients/http_connection.py
+++ b/src/nutmeghook/internal/clients/http_connection.py
@@ -243,6 +243,14 @@
         waits = self._waiter is not None and not self._waiter.done()
         return waits and not self._messages
 
+    @property
+    def _awaits_head(self) -> bool:
+        """Tells whether bytes that come now begin or continue a head.
+
+        The first ones may come before the task that waits for requests runs.
+        """
+        return self._is_idle or not self._request_count
+
     def _take_requests(self, count: int, received_bytes: int) -> None:
         """Takes new requests, the last of them perhaps without its body."""
         most_bytes = self._unproductive_bytes + received_bytes
@@ -281,7 +289,7 @@
             else:
                 self._table.note_closed(_Reason.LARGE_HEAD)
                 self.drop()
-        elif data and self._is_idle and self._head_timer is None:
+        elif data and self._awaits_head and self._head_timer is None:
             self._head_timer = self._loop.call_later(
                 self._limits().header_time.total_seconds(), self._head_is_late
             )
--- a/tests/cover/test_relay_callers.py
+++ b/tests/cover/test_relay_callers.py
@@ -217,6 +217,15 @@
         answer = await self.raw(b"POST /once/x HTTP/1.1\r\nHost: callers")
         self.assertEqual(answer, b"")
 
+    async def test_half_a_head_that_comes_at_once_is_not_waited_for(self):
+        """It came before the connection's task had begun to wait for requests,
+        and the connection stayed open until its caller left.
+        """
+        connection = self.fake_connection()
+        connection.data_received(b"POST /once/x HTTP/1.1\r\nHost: callers")
+        self.assertIsNotNone(connection._head_timer)
+        connection.connection_lost(None)
+
     async def test_a_body_that_comes_after_its_head_is_not_a_late_head(self):
         """A caller's body arrives in a packet of its own, before its request's
         handler has begun. If it counted as the beginning of another head, the
