Drop idle connections in time whichever ids they have carried

Cause: a connection that has carried a request's id is passed over for it, however long it has been idle. Where all requests of a replica have the same id, or none, up to 24 such connections stayed until the replica closed them, of the few that it has for all callers.

One that has been idle for longer than the replica allows is dropped, as before. test_idle_connections_end_whichever_ids_they_carried failed and passes.

--- a/src/nutmeghook/internal/upstream/pool.py
+++ b/src/nutmeghook/internal/upstream/pool.py
@@ -101,10 +101,14 @@
         idle = self._idle.get(address, [])
         now_s = self._loop.time()
         for candidate in reversed(tuple(idle)):
-            if candidate.is_open and candidate.has_carried(request_id):
+            idle_s = now_s - candidate.idle_since_s
+            if (
+                candidate.is_open
+                and idle_s < candidate.idle_limit_s
+                and candidate.has_carried(request_id)
+            ):
                 continue
             idle.remove(candidate)
-            idle_s = now_s - candidate.idle_since_s
             limit_s = min(candidate.idle_limit_s, max_idle_s)
             if (
                 candidate.is_open
--- a/tests/cover/test_surplus_answers.py
+++ b/tests/cover/test_surplus_answers.py
@@ -4,6 +4,7 @@
 
 from nutmeghook.internal.relay import wire
 from nutmeghook.internal.routes import model
+from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.standins import users_replica
 from tests import relay_fixture
 from tests import tunnel_fixture
@@ -24,6 +25,21 @@
         """Returns the ids of all runs, at whichever replica."""
         return sorted(one for replica in self.replicas for one in replica.ran)
 
+    async def probe(
+        self, replica: users_replica.StandInReplica
+    ) -> connection_module.ReplicaConnection:
+        """Sends a probe; returns its connection, which the pool has kept."""
+        entry = self.entry(replica)
+        connection = await self.pool.open_for_probe(entry.address)
+        message = wire.encode_probe(
+            relay_fixture.headers.PlatformHeaders(),
+            "/health",
+            entry,
+            time_left=relay_fixture.SECOND,
+        )
+        await self.pool.exchange_probe(entry.address, connection, message)
+        return connection
+
     async def test_a_copy_of_a_refusal_does_not_end_the_next_attempt(self):
         """A replica refuses a request, another one crashes under it, and it
         goes back to the first on the same connection. The copy of the refusal
@@ -46,15 +62,7 @@
         """
         for replica in self.replicas:
             replica.probe_reply = REFUSAL
-            entry = self.entry(replica)
-            connection = await self.pool.open_for_probe(entry.address)
-            message = wire.encode_probe(
-                relay_fixture.headers.PlatformHeaders(),
-                "/health",
-                entry,
-                time_left=relay_fixture.SECOND,
-            )
-            await self.pool.exchange_probe(entry.address, connection, message)
+            await self.probe(replica)
         answer = await self.ask(ONCE)
         self.assertEqual(relay_fixture.body_of(answer), b"done")
         self.assertEqual(self.ran(), ["request-1"])
@@ -79,6 +87,19 @@
 class DirectCopiesTest(CopiesCase, relay_fixture.RelayCase):
     """On this instance's own connections."""
 
+    async def test_idle_connections_end_whichever_ids_they_carried(self):
+        """Those that had carried a request's id were passed over for good, and
+        took a replica's connections where all requests have the same id.
+        """
+        replica = self.replicas[0]
+        kept = await self.probe(replica)
+        kept.idle_since_s -= 100.0
+        fresh = await self.pool.acquire(
+            replica.address, request_id="", max_idle_s=60.0
+        )
+        self.addCleanup(fresh.abort)
+        self.assertFalse(kept.is_open)
+
 
 class TunnelledCopiesTest(CopiesCase, tunnel_fixture.TunnelCase):
     """On connections that a peer carries."""
