Send answers twice in the soak, to callers that come again at once

The soak's replicas sent nothing twice, and its callers never came again with an id, so it could not find the fault. In half of the seeds replicas now turn away half of the requests of a kind that may run once, and send seven in ten of their answers, and a tenth of the whole answers to others, twice: where the next answer is due, or 5 to 100 ms later whoever is there by then. The callers come again at once with the same id, up to six times. The source of chance is a separate one, so that a seed's other faults stay.

--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -229,6 +229,7 @@
         body: bytes = platform_checks.REQUEST_BODY,
         parts: tuple[str, ...] = (),
         read_pause_s: float = 0.0,
+        request_id: str = "",
     ) -> platform_checks.ObservedCall:
         """Sends one request and records its outcome.
 
@@ -240,9 +241,11 @@
             parts: Ids of the parts that its prompt shares with others.
             read_pause_s: Pause after each 64 KiB of the answer, which are
                 read with a small receive buffer.
+            request_id: Of a request that was refused before; a new one if
+                empty.
         """
         self._call_count += 1
-        request_id = f"{kind}-{self._call_count}"
+        request_id = request_id or f"{kind}-{self._call_count}"
         router = router or self._random.choice(self.routers)
         sent_s = asyncio.get_running_loop().time()
         status, received, complete, sealed = 0, b"", False, False
--- a/src/nutmeghook/experiment/soak.py
+++ b/src/nutmeghook/experiment/soak.py
@@ -19,6 +19,7 @@
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_brittle
 from nutmeghook.experiment import soak_checks
+from nutmeghook.experiment import soak_copies
 from nutmeghook.experiment import soak_cuts
 from nutmeghook.experiment import soak_evacuations
 from nutmeghook.experiment import soak_faults
@@ -67,6 +68,7 @@
     rate_per_s: float = 40.0,
     with_bounds: bool = True,
     with_brittle: bool = True,
+    with_copies: bool = True,
     with_crashing: bool = True,
     with_cuts: bool = True,
     with_evacuation: bool = True,
@@ -86,6 +88,8 @@
         rate_per_s: Of requests.
         with_bounds: Check time bounds too.
         with_brittle: In some seeds, replicas say that they are brittle.
+        with_copies: In some seeds, replicas send answers twice, and callers
+            that were refused come again.
         with_crashing: Send copies of a request that crashes its replicas.
         with_cuts: Cut routers off from all replicas.
         with_evacuation: Evacuate a data centre; its replicas return cold.
@@ -127,6 +131,7 @@
             trial,
             seed,
             seconds,
+            with_copies=with_copies,
             with_evacuation=with_evacuation,
             with_parts=with_parts,
             with_power_loss=with_power_loss,
@@ -176,6 +181,7 @@
             + trial.unexpected_exits()
             + (trial.not_serving if with_bounds else [])
             + (soak_signal_checks.violations(history) if with_bounds else [])
+            + (list(soak_copies.violations(history)) if with_bounds else [])
             + unrecovered,
         )
     finally:
@@ -198,6 +204,7 @@
     seed: int,
     seconds: float,
     *,
+    with_copies: bool,
     with_evacuation: bool,
     with_parts: bool,
     with_power_loss: bool,
@@ -206,6 +213,9 @@
 ) -> list[Coroutine[Any, Any, None]]:
     """Returns what the platform and callers do beside the other faults."""
     plays = []
+    copies_draw = random.Random(f"copies {seed}")
+    if with_copies and soak_copies.is_drawn(copies_draw):
+        plays.append(soak_copies.play(trial, copies_draw, seconds=seconds))
     parts_draw = random.Random(f"parts {seed}")
     if with_parts and soak_parts.is_drawn(parts_draw):
         plays.append(soak_parts.play(trial, parts_draw, seconds=seconds))
--- a/src/nutmeghook/experiment/soak_trial.py
+++ b/src/nutmeghook/experiment/soak_trial.py
@@ -1,6 +1,7 @@
 """A platform trial with loopback proxies before the store and replicas."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import pathlib
@@ -13,6 +14,9 @@
 
 REPLICAS = 4
 BAD_VERSION = "v2"
+_ChangeReply = Callable[
+    [users_replica.ReceivedRequest, users_replica.Reply], users_replica.Reply
+]
 
 
 class SoakTrial(platform_trial.PlatformTrial):
@@ -38,6 +42,8 @@
         self.brittle: list[soak_checks.BrittleTime] = []
         # How long streams take; None for as long as usual.
         self.stream_s: float | None = None
+        # Changes replies; None leaves them as they are.
+        self.change_reply: _ChangeReply | None = None
         self.busy: set[str] = set()
         self.not_serving: list[str] = []
 
@@ -88,6 +94,8 @@
     ) -> users_replica.Reply:
         """Records which answers the replica itself breaks off."""
         reply = super().reply(request, version)
+        if self.change_reply is not None:
+            reply = self.change_reply(request, reply)
         if reply.send_bytes is not None or reply.status >= 500:
             self.broken.add(request.request_id)
         if self.stream_s is not None and reply.events:
--- a/src/nutmeghook/standins/users_replica.py
+++ b/src/nutmeghook/standins/users_replica.py
@@ -69,6 +69,9 @@
         extra: Bytes that follow the whole answer.
         late_copy: The head and body follow once more, as the next request on
             the connection arrives; not for a stream.
+        copy_delay_s: The copy follows after this time instead, or behind the
+            answer that is being sent by then. None for as the next request
+            arrives.
         silent: No byte is sent until the caller closes the connection.
         pause_s: Pause before each event.
         padding: Bytes of filler in each event.
@@ -89,6 +92,7 @@
     answer_id: str | None = None
     extra: bytes = b""
     late_copy: bool = False
+    copy_delay_s: float | None = None
     silent: bool = False
     pause_s: float = 0.0
     padding: int = 0
@@ -149,6 +153,7 @@
     """
 
     __slots__ = (
+        "_answering",
         "_connections",
         "_decide",
         "_late_copies",
@@ -192,6 +197,8 @@
         self._replies = [Reply()]
         self._server: asyncio.Server | None = None
         self._connections = 0
+        # Numbers of the connections on which an answer has begun.
+        self._answering: set[int] = set()
         # By the number of the connection.
         self._late_copies: dict[int, bytes] = {}
         self._running = 0
@@ -327,12 +334,23 @@
         if self.work_time_percent is not None:
             pause_s = reply.pause_s * self.work_time_percent / 100
             reply = dataclasses.replace(reply, pause_s=pause_s)
+        return await self._run(reply, request, reader, writer)
+
+    async def _run(
+        self,
+        reply: Reply,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Takes a slot and answers; returns whether the connection goes on."""
         self._running += 1
         try:
             if reply.silent:
                 await reader.read(1)
                 self._record_abandoned(request)
                 return False
+            self._answering.add(request.connection)
             return await self._answer(reply, request, reader, writer)
         except ConnectionError:
             # A caller that closes a connection with unread bytes resets it.
@@ -340,6 +358,21 @@
             raise
         finally:
             self._running -= 1
+            self._answering.discard(request.connection)
+            if reply.copy_delay_s is not None:
+                asyncio.get_running_loop().call_later(
+                    reply.copy_delay_s,
+                    self._send_late_copy,
+                    request.connection,
+                    writer,
+                )
+
+    def _send_late_copy(
+        self, connection: int, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends a copy, unless another answer has begun."""
+        if connection not in self._answering and not writer.is_closing():
+            writer.write(self._late_copies.pop(connection, b""))
 
     async def _answer_probe(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -6,6 +6,7 @@
 from nutmeghook.experiment import platform_checks
 from nutmeghook.experiment import platform_trial
 from nutmeghook.experiment import soak_checks
+from nutmeghook.experiment import soak_copies
 from nutmeghook.standins import users_replica
 
 CALL = platform_checks.ObservedCall(
@@ -74,6 +75,23 @@
         refused = dataclasses.replace(CALL, status=503)
         self.assert_found("refused as not run", calls=[refused])
 
+    def test_an_answer_lost_beside_copies(self):
+        lost = dataclasses.replace(CALL, sent_body=soak_copies.BODY, status=502)
+        found = soak_copies.violations(history(calls=[lost]))
+        self.assertEqual(list(found), ["id ended with 502 beside copies"])
+        cut = soak_checks.PathsCut(
+            kind="reset",
+            routers=frozenset({"router-1"}),
+            from_s=50.1,
+            to_s=55.0,
+        )
+        for changes in (
+            {"injected_faults": [injected_fault()]},
+            {"cuts": [cut]},
+        ):
+            excused = history(calls=[lost], **changes)
+            self.assertEqual(list(soak_copies.violations(excused)), [])
+
     def test_a_partial_answer_that_ends_normally(self):
         part = dataclasses.replace(CALL, body=b"do")
         self.assert_found("partial answer that ended normally", calls=[part])
--- a/tests/whole/test_soak.py
+++ b/tests/whole/test_soak.py
@@ -30,8 +30,8 @@
         ask for rest and say that they leave; the store is restored from an
         older copy; routers are cut off from all replicas; replicas say that
         they are brittle; different requests share a crashing part; all routers
-        are lost at once. Callers get complete answers or true errors, and all
-        routers serve again afterwards.
+        are lost at once; replicas send answers twice. Callers get complete
+        answers or true errors, and all routers serve again afterwards.
         """
         self.play(SEED, seconds=SECONDS)
 
@@ -42,6 +42,7 @@
                     seed,
                     seconds=soak.SECONDS,
                     with_brittle=False,
+                    with_copies=False,
                     with_crashing=False,
                     with_cuts=False,
                     with_evacuation=False,
@@ -57,6 +58,7 @@
                     seed,
                     seconds=soak.SECONDS,
                     with_brittle=False,
+                    with_copies=False,
                     with_cuts=False,
                     with_evacuation=False,
                     with_parts=False,
@@ -72,6 +74,7 @@
         *,
         seconds: float,
         with_brittle: bool = True,
+        with_copies: bool = True,
         with_crashing: bool = True,
         with_cuts: bool = True,
         with_evacuation: bool = True,
@@ -90,6 +93,7 @@
                     seconds=seconds,
                     with_bounds=False,
                     with_brittle=with_brittle,
+                    with_copies=with_copies,
                     with_crashing=with_crashing,
                     with_cuts=with_cuts,
                     with_evacuation=with_evacuation,
