--- a/tests/cover/test_evacuations.py
+++ b/tests/cover/test_evacuations.py
@@ -184,8 +184,10 @@
         self.registry.evacuate("far")
         acquire = self.pool.acquire
 
-        async def slow_acquire(address, *, max_idle_s):
-            connection = await acquire(address, max_idle_s=max_idle_s)
+        async def slow_acquire(address, *, request_id, max_idle_s):
+            connection = await acquire(
+                address, request_id=request_id, max_idle_s=max_idle_s
+            )
             if address == self.local.address:
                 self.registry.evacuate("here")
                 self.registry.restore("far")
