Believe answers to ids that look like answers

What callers saw: 502, "its outcome is unknown", for a request whose id has the form "HTTP/1.1 200". Replicas echo the id, and an answer with a status line in a header counts as two that were joined. Each such answer was also a failure of its replica, so that one caller could have all the replicas of a service ejected with a few requests.

The check for joined heads now passes over values that are ids which the connection has carried: the request's own, and that of an earlier one, whose copy is skipped like any other. A head that is truly joined has more in that line than an id, unless the line was empty and its caller chose the id for it, which concerns that caller's requests alone.

The test failed before with "two answers in one head"; so did a request through the whole relay, which was answered with 502.

--- a/src/nutmeghook/internal/upstream/answer_match.py
+++ b/src/nutmeghook/internal/upstream/answer_match.py
@@ -18,20 +18,6 @@
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}(?!\d)")
 
 
-def is_joined(reason: str, headers: Headers) -> bool:
-    """Tells whether a head begins with one answer and ends with another.
-
-    If a replica cuts an answer off within a line, the next one's status line
-    becomes part of that line, and its headers follow those of the first.
-
-    Args:
-        reason: The reason phrase.
-        headers: The headers.
-    """
-    values = [reason, *(value for _, value in headers)]
-    return _STATUS_LINE.search("\n".join(values)) is not None
-
-
 class ExpectedAnswer:
     """Which answers are a request's own.
 
@@ -83,3 +69,21 @@
         if answered_id == expected.request_id:
             return True
         return answered_id == NO_ID and NO_ID not in self
+
+    def is_joined(self, reason: str, headers: Headers) -> bool:
+        """Tells whether a head begins with one answer and ends with another.
+
+        If a replica cuts an answer off within a line, the next one's status
+        line becomes part of that line, and its headers follow those of the
+        first. An id may look like one: callers choose them.
+
+        Args:
+            reason: The reason phrase.
+            headers: The headers.
+        """
+        values = [reason, *(value for _, value in headers)]
+        if _STATUS_LINE.search("\n".join(values)) is None:
+            return False
+        return any(
+            _STATUS_LINE.search(value) and value not in self for value in values
+        )
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -414,7 +414,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in message.raw_headers
         ]
-        if answer_match.is_joined(message.reason, headers):
+        if self._carried.is_joined(message.reason, headers):
             self._fail(outcomes.NoAnswerError("two answers in one head"))
             return
         if 100 <= message.code < 200:
--- a/tests/cover/test_answer_matching.py
+++ b/tests/cover/test_answer_matching.py
@@ -194,6 +194,18 @@
                 with self.assertRaises(outcomes.UnknownOutcomeError):
                     await sending
 
+    async def test_an_id_that_looks_like_an_answer_is_no_other_one(self):
+        """Each answer to such an id counted as two, and as a failure of its
+        replica: one caller could have all replicas ejected.
+        """
+        request_id = "HTTP/1.1 200"
+        answer = answer_to(request_id)
+        self.assertTrue(await self.peer.answered(answer, request_id=request_id))
+        # A copy of it is skipped like any other.
+        sending = await self.peer.send("next")
+        self.peer.receive(answer + answer_to("next"))
+        self.assertEqual(await (await sending).read(), b"whole")
+
     async def test_a_copy_begun_behind_an_answer_ends_the_connection(self):
         """The rest of it would be no answer where the next one is due."""
         copy = answer_to("first", status=503)
