Pass on no request whose body was refused as it ended

What callers saw: 500 for a request that had run, which could as well have been refused as "not run". Cause: a body is refused by an exception on its reader, which does not reach a read that has already been woken. A piece of the body in that turn was refused for lack of memory, which counted in no_memory_total though there was enough.

Bodies with a stated length have no such gap: their end comes with their last piece, and the read behind it meets the exception.

Each read now checks for the refusal. The test got 500 before.

--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -342,7 +342,14 @@
         # Pieces may be as small as a byte, and their objects are larger.
         body = io.BytesIO()
         left_bytes = self._limits().body_bytes
-        while piece := await request.content.readany():
+        content = request.content
+        while True:
+            piece = await content.readany()
+            # A read that had ended before the body was refused does not raise.
+            if (refusal := content.exception()) is not None:
+                raise refusal
+            if not piece:
+                return body.getvalue()
             body.write(piece)
             left_bytes -= len(piece)
             if left_bytes < 0:
@@ -354,7 +361,6 @@
             if not sink.held.try_hold_body(len(piece)):
                 await self._refuse_for_memory(sink, facts)
                 return None
-        return body.getvalue()
 
     async def _refuse_for_stop(
         self, sink: caller_sink.CallerSink, facts: wire.CallerFacts
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -97,6 +97,19 @@
                 self.assert_refused(answer)
         self.assertEqual(self.received_requests(), [])
 
+    async def test_a_body_that_ends_as_it_is_refused_is_not_passed_on(self):
+        """Its end was read, and its room given up, in one turn of the event
+        loop: it ran, and its answer was dropped for want of that room.
+        """
+        chunked = message("1", fields="Transfer-Encoding: chunked")
+        reader, _ = await self.send(chunked + b"4\r\nhalf\r\n")
+        (connection,) = self.listener._server.connections
+        self.begin_stop(HOUR)
+        connection.data_received(b"0\r\n\r\n")
+        self.listener.stop_accepting()
+        self.assert_refused(await reader.read())
+        self.assertEqual(self.received_requests(), [])
+
     async def test_an_attempt_that_begins_too_late_is_refused(self):
         """A request that was read in the grace was passed on, whatever its
         replica needs, and cut at the end.
