Read what was held back of an answer from a tunnel

What callers saw: an answer through a peer that came whole and did not end before its deadline. Cause: the parser holds received bytes back while its buffer is full, and is told to go on by a call without bytes. A tunnel's connection takes pieces apart first, of which no bytes are none, so that the parser heard nothing until the next bytes came. There are none behind a whole answer.

Direct connections pass that call on, as tunnels' connections now do.

--- a/src/nutmeghook/internal/upstream/tunnelled_connection.py
+++ b/src/nutmeghook/internal/upstream/tunnelled_connection.py
@@ -50,6 +50,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes the bytes of pieces on as they come."""
+        # Resumed reading passes no bytes, and has the parser go on.
+        if not data:
+            super().data_received(data)
+            return
         for part in self._pieces.feed(data):
             if self.reply.done():
                 super().data_received(part)
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import settings
@@ -31,6 +32,8 @@
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=800)
 PROBED_WITHIN_S = 2.0
 RESTORED_WITHIN_S = 2.0
+# Of an answer that waits for good.
+_TIMEOUT_S = 5
 
 
 def setUpModule():
@@ -77,6 +80,37 @@
             )
 
 
+class TunnelledConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_large_answer_that_came_in_one_read_ends(self):
+        """What the parser held back while its buffer was full was parsed only
+        with the next bytes, so an answer without any waited for its deadline.
+        """
+        connection = tunnelled_connection.TunnelledConnection(
+            loop=asyncio.get_running_loop(), helper="peer"
+        )
+        transport = mock.Mock()
+        transport.is_closing.return_value = False
+        connection.connection_made(transport)
+        connection.data_received(pieces_module.encode(b"reply"))
+        sending = asyncio.ensure_future(
+            connection.exchange(b"GET / HTTP/1.1\r\n\r\n", has_body=True)
+        )
+        await asyncio.sleep(0)
+        body = b"x" * 60_000
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + body
+        connection.data_received(
+            b"".join(
+                pieces_module.encode(answer[begin : begin + 8_000])
+                for begin in range(0, len(answer), 8_000)
+            )
+        )
+        head = await sending
+        received = b""
+        while piece := await asyncio.wait_for(head.read(), _TIMEOUT_S):
+            received += piece
+        self.assertEqual(received, body)
+
+
 class TunnelsTest(tunnel_fixture.TunnelCase):
     async def test_events_pass_through_a_peer(self):
         self.dialer.refuses = True
