Take an answer with a status that is none for no answer

Callers saw an answer with the status 000, from a replica in trouble.

Cause: aiohttp's parser takes any three digits for a status, and each reader compared the number with the few that it knows. Below 500 nothing was a failure, so it was passed on. Ruled out: the router writes no such status itself.

Evidence: a stand-in that sends 000, 001, 099, 600 or 999.

Change: foundation/answer_heads holds what a head must be. The connection to replicas (direct, through peers, probes) and the client of the store, engines, services and operators ask it for each head, before anything is read from it. Such an answer now fails like bytes that are not HTTP, whose outcome is unknown: it is tried elsewhere where it may be, else it is 502.

--- /dev/null
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -0,0 +1,28 @@
+"""Tells which heads are those of an answer in HTTP/1.1.
+
+aiohttp's parser takes more than the protocol allows. What follows such a head
+can't be relied on: neither where its body ends, nor that the server meant to
+answer.
+"""
+
+from aiohttp import http_parser
+
+# RFC 9110, 15: others are invalid.
+_STATUSES = range(100, 600)
+
+
+class MalformedHeadError(ValueError):
+    """A head is not that of an answer in HTTP/1.1."""
+
+
+def check(message: http_parser.RawResponseMessage) -> None:
+    """Checks the head of an answer, or of an interim one.
+
+    Args:
+        message: The head as aiohttp's parser has read it.
+
+    Raises:
+        MalformedHeadError: It is none.
+    """
+    if message.code not in _STATUSES:
+        raise MalformedHeadError(f"the status is {message.code:03d}")
--- a/src/nutmeghook/internal/foundation/bounded_http.py
+++ b/src/nutmeghook/internal/foundation/bounded_http.py
@@ -20,6 +20,7 @@
 from aiohttp import streams
 from aiohttp import tracing
 
+from nutmeghook.internal.foundation import answer_heads
 from nutmeghook.internal.foundation import answer_limits
 
 _FIRST_FINAL_STATUS = 200
@@ -51,6 +52,11 @@
         if self._body is not None:
             self._end()
             return
+        try:
+            answer_heads.check(message)
+        except answer_heads.MalformedHeadError as error:
+            self._fail(error)
+            return
         if message.code >= _FIRST_FINAL_STATUS:
             self._framing_limit = answer_limits.FramingLimit()
             self._body = body
@@ -71,17 +77,19 @@
                 is_parsed=not self._reading_paused,
             )
         except answer_limits.TooMuchFramingError as error:
-            self.set_exception(
-                http_exceptions.BadHttpMessage(str(error)), error
-            )
-            if self.transport is not None:
-                self.transport.abort()
+            self._fail(error)
 
     def set_response_params(self, **options) -> None:
         """Begins a call."""
         self._body = None
         super().set_response_params(**options)
 
+    def _fail(self, error: ValueError) -> None:
+        """Ends a call whose answer is none."""
+        self.set_exception(http_exceptions.BadHttpMessage(str(error)), error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def _end(self) -> None:
         """Ends a connection on which bytes follow the whole answer.
 
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -15,6 +15,7 @@
 from aiohttp import http_parser
 from aiohttp import streams
 
+from nutmeghook.internal.foundation import answer_heads
 from nutmeghook.internal.foundation import answer_limits
 from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.observe import surplus_answers
@@ -410,6 +411,11 @@
         message: http_parser.RawResponseMessage,
         payload: streams.StreamReader,
     ) -> None:
+        try:
+            answer_heads.check(message)
+        except answer_heads.MalformedHeadError as error:
+            self._fail(outcomes.NoAnswerError(f"not HTTP: {error}"))
+            return
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in message.raw_headers
--- /dev/null
+++ b/tests/cover/test_malformed_answers.py
@@ -0,0 +1,252 @@
+"""What is no answer in HTTP/1.1 is none at any place where answers are read.
+
+Each server here sends what would be a good answer but for one part of it.
+"""
+
+import datetime
+import unittest
+
+import aiohttp
+import msgspec
+
+from nutmeghook.internal.administration import client as administration
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.foundation import bounded_http
+from nutmeghook.internal.foundation import clock as clock_module
+from nutmeghook.internal.observe import metrics as metrics_module
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.standin_http import http_engine
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_plain
+from nutmeghook.internal.upstream import liveness
+from nutmeghook.platform import headers
+from nutmeghook.platform import store
+from nutmeghook.platform import store_messages
+from nutmeghook.standins import users_replica
+from tests import malformed_answers
+from tests import raw_server
+from tests import relay_fixture
+from tests import tunnel_fixture
+from tests.cover import platform_case
+
+IDEMPOTENT = model.RouteKind.IDEMPOTENT
+ONCE = model.RouteKind.ONCE
+STREAM = model.RouteKind.STREAM
+Reply = users_replica.Reply
+EVENTS = (0, 1, 2)
+WHOLE = [users_replica.event(number) for number in EVENTS]
+SEAL = f"{headers.SEAL}: seal".encode()
+NOT_RUN = f"{headers.NOT_RUN}: 1".encode()
+ROWS = b'{"rows":[],"rowVersion":7,"nowMs":5}'
+EPOCH = b"Store-Era: 9"
+NO_CHANGES = store_messages.Transaction(expected_rev=[], write=[], remove=[])
+REFUSAL = b'{"not_run":true}'
+LISTING = b'{"configuration_revision":1,"documents":[]}'
+FINISHED = (
+    b'{"attempt_id":"req-1/1","token_index":0,"tokens":1,"text":"a",'
+    b'"finish":"stop"}\n'
+)
+_SECOND = datetime.timedelta(seconds=1)
+
+Answers = dict[str, malformed_answers.Malformed]
+
+
+class RelayChecks:
+    """What holds of answers that come directly and through peers."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server = raw_server.RawServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.asked = 0
+
+    def list_replicas(self, *, with_sound: bool) -> None:
+        """Lists the replica that is at fault, anew, and others further away."""
+        self.directory.replace([])
+        broken = self.entry(
+            self.replicas[0],
+            replica_id=f"broken-{self.asked}",
+            address=self.server.address,
+        )
+        sound = [
+            self.entry(replica, data_centre="far") for replica in self.replicas
+        ]
+        self.directory.replace([broken, *(sound if with_sound else [])])
+
+    async def ask_once_more(self, kind: model.RouteKind) -> bytes:
+        """Asks like no request before, so that none counts as its repeat."""
+        self.asked += 1
+        return await self.ask(kind, body=b"%d" % self.asked)
+
+    async def check_relay(self, answers: Answers) -> None:
+        """No caller gets such an answer, nor believes that nothing ran."""
+        self.reply_with(Reply(events=EVENTS))
+        for name, answer in answers.items():
+            for ending in raw_server.Ending:
+                with self.subTest(answer=name, ending=ending):
+                    self.server.ending = ending
+                    await self._check_once(answer)
+                    await self._check_elsewhere(answer)
+
+    async def _check_once(self, answer: malformed_answers.Malformed) -> None:
+        for claim in ((), (NOT_RUN,)):
+            self.list_replicas(with_sound=False)
+            self.server.answer = answer.encode(b"ran", SEAL, *claim)
+            given = await self.ask_once_more(ONCE)
+            self.assertEqual(relay_fixture.status_of(given), 502)
+
+    async def _check_elsewhere(
+        self, answer: malformed_answers.Malformed
+    ) -> None:
+        self.list_replicas(with_sound=True)
+        self.server.answer = answer.encode(users_replica.event(7), SEAL)
+        asked = self.server.requests
+        given = await self.ask_once_more(STREAM)
+        self.assertEqual(self.server.requests, asked + 1)
+        self.assertEqual(relay_fixture.events_of(given), WHOLE)
+        self.assertTrue(relay_fixture.is_complete(given))
+
+    async def check_probes(self, answers: Answers) -> None:
+        """Such an answer is no sign of life, and states nothing."""
+        self.list_replicas(with_sound=False)
+        (replica,) = self.directory.all()
+        probes = liveness.LivenessProbes(
+            pool=self.pool,
+            configuration=self.configuration,
+            wire_format=headers.PlatformHeaders(),
+            metrics=metrics_module.Metrics(),
+            clock=clock_module.SystemClock(),
+        )
+        self.server.ending = raw_server.Ending.KEEP
+        for name, answer in answers.items():
+            with self.subTest(answer=name):
+                self.server.answer = answer.encode(b"")
+                found = await probes.start(replica)
+                self.assertFalse(found.has_answered)
+
+    async def test_a_status_that_is_none(self):
+        """A caller got the status 000 as an answer."""
+        await self.check_relay(malformed_answers.STATUSES)
+
+    async def test_a_status_that_is_none_is_no_sign_of_life(self):
+        await self.check_probes(malformed_answers.STATUSES)
+
+
+class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
+    """On this instance's own connections."""
+
+
+class TunnelledAnswersTest(RelayChecks, tunnel_fixture.TunnelCase):
+    """On connections that a peer carries."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.dialer.refuses = True
+        for helper in self.helpers:
+            helper.listed.add(self.server.address)
+
+
+class ClientAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of the store, engines and services, and to operators."""
+
+    async def asyncSetUp(self):
+        self.server = raw_server.RawServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.session = http_exchange.open_session()
+        self.addAsyncCleanup(self.session.close)
+        self.plain_session = http_exchange.open_session(reuse_connections=False)
+        self.addAsyncCleanup(self.plain_session.close)
+        self.store_session = aiohttp.ClientSession(
+            connector=bounded_http.BoundedConnector(limit=0)
+        )
+        self.addAsyncCleanup(self.store_session.close)
+
+    async def check_clients(self, answers: Answers) -> None:
+        """No call succeeds, is refused, or counts as not run."""
+        checks = {
+            "store": self._check_store,
+            "exchange": self._check_exchange,
+            "engine": self._check_engine,
+            "plain service": self._check_plain,
+            "administration": self._check_administration,
+        }
+        for name, self.answer in answers.items():
+            for self.server.ending in raw_server.Ending:
+                for client, check in checks.items():
+                    with self.subTest(
+                        client, answer=name, ending=self.server.ending
+                    ):
+                        await check()
+
+    def send(self, body: bytes, *fields: bytes) -> None:
+        """Has the server answer with a body."""
+        self.server.answer = self.answer.encode(body, *fields)
+
+    async def _check_store(self) -> None:
+        client = store.StoreClient(
+            session=self.store_session, address=self.server.address
+        )
+        self.send(ROWS, EPOCH)
+        with self.assertRaises(failures.OutcomeUnknownError):
+            await client.get("/v1/rows-get", {}, timeout=_SECOND)
+        with self.assertRaises(failures.OutcomeUnknownError):
+            await client.post("/v1/rows-tx", NO_CHANGES)
+        self.assertEqual(client.epoch, 0)
+
+    async def _check_exchange(self) -> None:
+        exchange = http_exchange.HttpExchange(
+            session=self.session, address=self.server.address
+        )
+        decoder = msgspec.json.Decoder(dict)
+        for body in (b"{}", REFUSAL):
+            self.send(body)
+            for call in (
+                exchange.read("/", decoder),
+                exchange.poll("/", decoder),
+                exchange.read_if_changed("/", entity_tag=""),
+            ):
+                with self.assertRaises(failures.NotDoneError):
+                    await call
+            with self.assertRaises(failures.OutcomeUnknownError):
+                await exchange.write("/", b"{}", decoder)
+
+    async def _check_engine(self) -> None:
+        engine = http_engine.HttpEngineConnector(session=self.session).connect(
+            self.server.address
+        )
+        for body in (FINISHED, REFUSAL):
+            self.send(body)
+            with self.assertRaises(failures.OutcomeUnknownError):
+                async for _ in engine.generate(platform_case.GENERATION):
+                    pass
+
+    async def _check_plain(self) -> None:
+        services = http_plain.HttpPlainServices(session=self.plain_session)
+        for body in (b"done", REFUSAL):
+            self.send(body)
+            with self.assertRaises(failures.OutcomeUnknownError):
+                await services.call(
+                    self.server.address,
+                    plain.PlainCall(request_id="r", method="POST", path="/"),
+                )
+
+    async def _check_administration(self) -> None:
+        self.send(LISTING)
+        async with administration.AdministrationClient(
+            base_url=f"http://{self.server.address}",
+            token="t",
+            clock=clock_module.SystemClock(),
+        ) as client:
+            with self.assertRaises(administration.NoAnswerError):
+                await client.list_documents()
+
+    async def test_a_status_that_is_none(self):
+        """A call counted as not run, or a caller got the status 000."""
+        await self.check_clients(malformed_answers.STATUSES)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/malformed_answers.py
@@ -0,0 +1,46 @@
+"""Answers that are none in HTTP/1.1, by what is wrong with them."""
+
+import dataclasses
+import enum
+
+
+class Framing(enum.Enum):
+    """How the end of a body is told."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Malformed:
+    """An answer that is well formed apart from one part.
+
+    Attributes:
+        before: What precedes the status line.
+        fields: Lines of the head beside those that the framing needs.
+        trailers: Lines behind the last chunk.
+    """
+
+    before: bytes = b""
+    status_line: bytes = b"HTTP/1.1 200 OK"
+    fields: tuple[bytes, ...] = ()
+    framing: Framing = Framing.LENGTH
+    trailers: tuple[bytes, ...] = ()
+
+    def encode(self, body: bytes, *fields: bytes) -> bytes:
+        """Returns the answer with a body and further lines of the head."""
+        lines = [self.status_line, *fields]
+        if self.framing is Framing.LENGTH:
+            lines.append(b"Content-Length: %d" % len(body))
+        if self.framing is Framing.CHUNKS:
+            body = b"%x\r\n%b\r\n0\r\n" % (len(body), body)
+            body += b"".join(line + b"\r\n" for line in self.trailers) + b"\r\n"
+        head = b"\r\n".join([*lines, *self.fields])
+        return self.before + head + b"\r\n\r\n" + body
+
+
+STATUSES = {
+    status: Malformed(status_line=b"HTTP/1.1 %b Odd" % status.encode())
+    for status in ("000", "001", "099", "600", "999")
+}
