Take a head for none if a field's name is no token

What callers would see: a replica's line "Content-Length : 3", "Transfer-Encoding : chunked" or "Connection : close" as it was, beside the router's own Content-Length, so another body than the replica's.

Cause: aiohttp's parser lets a blank pass behind the names that it knows and keeps it as a part of the name. It obeys "Content-Length " as a length, and the router, which drops the fields of one connection by their names, passed the line on. Ruled out: that it lets any name pass; names with control bytes, eight bits, inner blanks, and lines without a colon were refused before. Their checks are kept.

Evidence, a caller's answer before:

HTTP/1.1 200 OK\r\nX-Replica-Seal: seal\r\nTransfer-Encoding : chunked \r\nContent-Length: 3\r\n ... \r\n\r\nran

Change: answer_heads asks that each name is a token (RFC 9110, 5.6.2). Since all readers of answers ask it, one rule decides for all, and no field can be read in two ways.

The checks of probes ask the pool, since a liveness probe waits for 350 ms; one liveness probe is kept.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -5,10 +5,15 @@
 answer.
 """
 
+import re
+
 from aiohttp import http_parser
 
 # RFC 9110, 15: others are invalid.
 _STATUSES = range(100, 600)
+# RFC 9110, 5.6.2. A blank before the colon is what the parser lets pass, at the
+# names that tell where a body ends among others.
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 
 
 class MalformedHeadError(ValueError):
@@ -26,3 +31,6 @@
     """
     if message.code not in _STATUSES:
         raise MalformedHeadError(f"the status is {message.code:03d}")
+    for name, _ in message.raw_headers:
+        if not _TOKEN.fullmatch(name):
+            raise MalformedHeadError(f"a field is named {name!r}")
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -3,6 +3,7 @@
 Each server here sends what would be a good answer but for one part of it.
 """
 
+import asyncio
 import datetime
 import unittest
 
@@ -20,6 +21,7 @@
 from nutmeghook.internal.standin_http import http_exchange
 from nutmeghook.internal.standin_http import http_plain
 from nutmeghook.internal.upstream import liveness
+from nutmeghook.internal.upstream import outcomes
 from nutmeghook.platform import headers
 from nutmeghook.platform import store
 from nutmeghook.platform import store_messages
@@ -47,6 +49,8 @@
     b'{"attempt_id":"req-1/1","token_index":0,"tokens":1,"text":"a",'
     b'"finish":"stop"}\n'
 )
+PROBE = b"GET /health HTTP/1.1\r\nHost: replica\r\n\r\n"
+MAX_TIME_S = 5.0
 _SECOND = datetime.timedelta(seconds=1)
 
 Answers = dict[str, malformed_answers.Malformed]
@@ -109,7 +113,25 @@
         self.assertTrue(relay_fixture.is_complete(given))
 
     async def check_probes(self, answers: Answers) -> None:
-        """Such an answer is no sign of life, and states nothing."""
+        """Such an answer to a probe states nothing."""
+        self.server.ending = raw_server.Ending.KEEP
+        address = self.server.address
+        for name, answer in answers.items():
+            self.server.answer = answer.encode(b"")
+            connection = await self.pool.open_for_probe(address)
+            exchanging = self.pool.exchange_probe(address, connection, PROBE)
+            with (
+                self.subTest(answer=name),
+                self.assertRaises(outcomes.NoAnswerError),
+            ):
+                await asyncio.wait_for(exchanging, MAX_TIME_S)
+
+    async def check_all(self, answers: Answers) -> None:
+        """Checks answers to requests and to probes."""
+        await self.check_relay(answers)
+        await self.check_probes(answers)
+
+    async def test_a_probe_s_answer_that_is_none_is_no_sign_of_life(self):
         self.list_replicas(with_sound=False)
         (replica,) = self.directory.all()
         probes = liveness.LivenessProbes(
@@ -119,19 +141,17 @@
             metrics=metrics_module.Metrics(),
             clock=clock_module.SystemClock(),
         )
-        self.server.ending = raw_server.Ending.KEEP
-        for name, answer in answers.items():
-            with self.subTest(answer=name):
-                self.server.answer = answer.encode(b"")
-                found = await probes.start(replica)
-                self.assertFalse(found.has_answered)
+        self.server.answer = malformed_answers.STATUSES["000"].encode(b"")
+        found = await probes.start(replica)
+        self.assertFalse(found.has_answered)
 
     async def test_a_status_that_is_none(self):
         """A caller got the status 000 as an answer."""
-        await self.check_relay(malformed_answers.STATUSES)
+        await self.check_all(malformed_answers.STATUSES)
 
-    async def test_a_status_that_is_none_is_no_sign_of_life(self):
-        await self.check_probes(malformed_answers.STATUSES)
+    async def test_a_field_name_that_is_none(self):
+        """A caller got the line as it was, or another body."""
+        await self.check_all(malformed_answers.FIELD_NAMES)
 
 
 class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
@@ -247,6 +267,10 @@
         """A call counted as not run, or a caller got the status 000."""
         await self.check_clients(malformed_answers.STATUSES)
 
+    async def test_a_field_name_that_is_none(self):
+        """A caller of a plain service got the line as it was."""
+        await self.check_clients(malformed_answers.FIELD_NAMES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -19,6 +19,7 @@
     Attributes:
         before: What precedes the status line.
         fields: Lines of the head beside those that the framing needs.
+        length_name: The name of the field that states a length.
         trailers: Lines behind the last chunk.
     """
 
@@ -26,13 +27,14 @@
     status_line: bytes = b"HTTP/1.1 200 OK"
     fields: tuple[bytes, ...] = ()
     framing: Framing = Framing.LENGTH
+    length_name: bytes = b"Content-Length"
     trailers: tuple[bytes, ...] = ()
 
     def encode(self, body: bytes, *fields: bytes) -> bytes:
         """Returns the answer with a body and further lines of the head."""
         lines = [self.status_line, *fields]
         if self.framing is Framing.LENGTH:
-            lines.append(b"Content-Length: %d" % len(body))
+            lines.append(b"%b: %d" % (self.length_name, len(body)))
         if self.framing is Framing.CHUNKS:
             body = b"%x\r\n%b\r\n0\r\n" % (len(body), body)
             body += b"".join(line + b"\r\n" for line in self.trailers) + b"\r\n"
@@ -44,3 +46,31 @@
     status: Malformed(status_line=b"HTTP/1.1 %b Odd" % status.encode())
     for status in ("000", "001", "099", "600", "999")
 }
+FIELD_NAMES = {
+    repr(name): Malformed(fields=(name + b": x",))
+    for name in (
+        b"",
+        b"X Y",
+        b"X ",
+        b" X",
+        b"X\tY",
+        b"X\x00Y",
+        b"X\x01Y",
+        b"X\x7fY",
+        b"X\xe9Y",
+        b"X(Y",
+        b"Connection ",
+        b"Proxy-Connection ",
+        b"Upgrade ",
+        b"X: 1\r\nno colon",
+    )
+} | {
+    "length with a blank": Malformed(length_name=b"Content-Length "),
+    "length with a tab": Malformed(length_name=b"Content-Length\t"),
+    "length with a NUL": Malformed(length_name=b"Content-Length\x00"),
+    "length with a blank in it": Malformed(length_name=b"Content Length"),
+    "coding with a blank": Malformed(
+        fields=(b"Transfer-Encoding : chunked",), framing=Framing.CHUNKS
+    ),
+    "interim": Malformed(before=b"HTTP/1.1 103 Hints\r\nUpgrade : x\r\n\r\n"),
+}
