Believe no end of file before the replica has received the request

What callers would see: the part of an answer without a length that a replica sent at once for a long upload, as the whole answer.

Evidence: a stand-in answers as soon as it has the head and reads no further. Where it resets, or closes with the rest unread, the part was no answer before either, on asyncio's and uvloop's event loop (960 and 640 direct tries). Where it closes its side first and resets 20 ms later, 16 of the new checks failed:

FAIL: DirectEarlyAnswersTest (size_bytes=400000, CLOSE_THEN_RESET) FAIL: TunnelledEarlyAnswersTest (size_bytes=400000 and 4000000) AssertionError: 200 != 502 (may run once) AssertionError: b'id: 0\ndata: part 0\n\n' != b'done' (repeatable) AssertionError: Lists differ: 1 event, 3 expected (stream) FAIL: EventLoopsTest.test_no_event_loop_completes_a_part AssertionError: UnknownOutcomeError not raised

Cause: the end of file arrives before the reset, and was taken for a clean end though a part of the request was still unsent, or held by the system. Ruled out: that the writing side meets a reset first and hides it; both loops then report the connection as lost.

Change: take_end_error, asked for replicas and behind tunnels, also takes an end of file for none while bytes are unsent or unacknowledged. Two tests that use a fake socket give it a descriptor now.

After: 0 fail.

--- a/src/nutmeghook/internal/foundation/socket_options.py
+++ b/src/nutmeghook/internal/foundation/socket_options.py
@@ -1,8 +1,11 @@
 """Sets options of sockets where the system allows it; reads their errors."""
 
 import asyncio
+import fcntl
 import os
 import socket
+import struct
+import termios
 
 # `TCP_USER_TIMEOUT` also decides when keep-alive probes give up, whatever their
 # count, so it is as long as the probes take. A peer may be silent for a second.
@@ -40,17 +43,39 @@
         return
 
 
-def take_error(transport: asyncio.BaseTransport) -> OSError | None:
-    """Returns the error that a connection's socket holds, and clears it.
+def take_end_error(transport: asyncio.Transport) -> OSError | None:
+    """Returns why an end of file completes nothing; None if it may.
 
     Where data and a reset arrive together, uvloop reports an end of file, as
-    for a clean close. Only the socket still holds the error.
+    for a clean close. Only the socket still holds the error, which is cleared.
+
+    A server that closes before it has received the whole request resets the
+    connection, but its system may first send the end of file.
     """
     raw = transport.get_extra_info("socket")
     if raw is None:
         return None
     number = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return OSError(number, os.strerror(number)) if number else None
+    if number:
+        return OSError(number, os.strerror(number))
+    if transport.get_write_buffer_size() or unacknowledged_bytes(transport):
+        return ConnectionAbortedError("closed before it had received all")
+    return None
+
+
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Returns how many written bytes the other system has not acknowledged.
+
+    Those that the transport itself still holds are not counted.
+    """
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return 0
+    try:
+        counted = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):  # it was closed
+        return 0
+    return struct.unpack("i", counted)[0]
 
 
 def detect_lost_peer(transport: asyncio.BaseTransport) -> None:
--- a/src/nutmeghook/internal/relay/caller_sink.py
+++ b/src/nutmeghook/internal/relay/caller_sink.py
@@ -4,12 +4,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
-import fcntl
-import struct
-import termios
 
 from aiohttp import web
 
+from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.relay import held_bytes as held_bytes_module
 from nutmeghook.internal.relay import incoming as incoming_module
 from nutmeghook.internal.relay import request_bytes
@@ -181,10 +179,13 @@
             return request_bytes.WriteProgress(
                 read_bytes=self._request.writer.output_size, unsent_bytes=0
             )
+        # A full send buffer takes further bytes only once a third of it is
+        # free. By the write buffer alone, a caller that reads 1 KB a second
+        # would appear to read nothing for many seconds.
         return request_bytes.WriteProgress(
             read_bytes=self._request.writer.output_size
             - unsent_bytes
-            - _unacknowledged_bytes(transport),
+            - socket_options.unacknowledged_bytes(transport),
             unsent_bytes=unsent_bytes,
         )
 
@@ -204,20 +205,3 @@
         self._response = response
         self.status = status
         return response
-
-
-def _unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
-    """Returns how many bytes the caller's system has not acknowledged.
-
-    A full send buffer takes further bytes only once a third of it is free. By
-    the write buffer alone, a caller that reads 1 KB a second would appear to
-    read nothing for many seconds.
-    """
-    raw = transport.get_extra_info("socket")
-    if raw is None:
-        return 0
-    try:
-        counted = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(4))
-    except (OSError, ValueError):  # it was closed
-        return 0
-    return struct.unpack("i", counted)[0]
--- a/src/nutmeghook/internal/tunnels/server.py
+++ b/src/nutmeghook/internal/tunnels/server.py
@@ -73,17 +73,17 @@
         super().__init__(reader, loop=asyncio.get_running_loop())
         self.failure: Exception | None = None
         self._other_side_ended = False
-        self._replica_transport: asyncio.BaseTransport | None = None
+        self._replica_transport: asyncio.Transport | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def connection_made(self, transport: asyncio.Transport) -> None:
         """Keeps the transport, whose socket tells a reset from a close."""
         self._replica_transport = transport
         super().connection_made(transport)
 
     def eof_received(self) -> bool | None:
-        """Ends the reader, and records whether it was a reset."""
+        """Ends the reader, and records what makes it no clean end."""
         self._other_side_ended = True
-        self.failure = socket_options.take_error(self._replica_transport)
+        self.failure = socket_options.take_end_error(self._replica_transport)
         return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -139,6 +139,7 @@
 
     __slots__ = (
         "_carried",
+        "_end_error",
         "_expected",
         "_framing_bytes",
         "_framing_limit",
@@ -147,7 +148,6 @@
         "_payload",
         "_read_bytes",
         "_received_bytes",
-        "_reset",
         "_skipped",
         "_skipped_answers",
         "address",
@@ -164,7 +164,7 @@
         super().__init__(loop)
         self._head: asyncio.Future[AnswerHead] | None = None
         self._payload: streams.StreamReader | None = None
-        self._reset: OSError | None = None
+        self._end_error: OSError | None = None
         self._other_side_ended = False
         self._carried = answer_match.CarriedRequests()
         self._expected: answer_match.ExpectedAnswer | None = None
@@ -376,9 +376,13 @@
             self._fail(outcomes.NoAnswerError(str(error)))
 
     def eof_received(self) -> None:
-        """Lets the transport close, and records whether it was a reset."""
+        """Lets the transport close, and records what makes it no clean end."""
+        self._note_end()
+
+    def _note_end(self) -> None:
+        """Records that the replica sends nothing more."""
         self._other_side_ended = True
-        self._reset = socket_options.take_error(self.transport)
+        self._end_error = socket_options.take_end_error(self.transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only a clean close can complete a body.
@@ -387,7 +391,7 @@
         length. The event loop reports no error if this process aborts.
         """
         self.reusable = False
-        exc = exc or self._reset
+        exc = exc or self._end_error
         if exc is None and not self._other_side_ended:
             exc = ConnectionAbortedError("dropped by this process")
         if exc is None and self._parser is not None:
--- a/src/nutmeghook/internal/upstream/tunnelled_connection.py
+++ b/src/nutmeghook/internal/upstream/tunnelled_connection.py
@@ -63,8 +63,8 @@
                 self.reply.set_result(self._reply)
         if self._pieces.is_ended:
             self.reusable = False
-            self._other_side_ended = True
             if self.transport is not None:
+                self._note_end()
                 self.transport.close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/tests/cover/test_answers_cut_in_their_head.py
+++ b/tests/cover/test_answers_cut_in_their_head.py
@@ -43,6 +43,7 @@
     def connected(self, error: int) -> connection_module.ReplicaConnection:
         socket = mock.Mock()
         socket.getsockopt.return_value = error
+        socket.fileno.return_value = -1
         transport = mock.Mock(spec=asyncio.Transport)
         transport.is_closing.return_value = False
         transport.get_write_buffer_size.return_value = 0
--- /dev/null
+++ b/tests/cover/test_early_answers.py
@@ -0,0 +1,192 @@
+"""Answers that come, and end, before a long request was taken whole.
+
+None of them states its length, so that only the end of the connection tells
+where it ends.
+"""
+
+import asyncio
+import unittest
+
+import uvloop
+
+from nutmeghook.internal.dependencies import failures
+from nutmeghook.internal.dependencies import plain
+from nutmeghook.internal.routes import model
+from nutmeghook.internal.standin_http import http_exchange
+from nutmeghook.internal.standin_http import http_plain
+from nutmeghook.internal.upstream import connection as connection_module
+from nutmeghook.internal.upstream import outcomes
+from nutmeghook.standins import users_replica
+from tests import raw_server
+from tests import relay_fixture
+from tests import tunnel_fixture
+
+ONCE = model.RouteKind.ONCE
+IDEMPOTENT = model.RouteKind.IDEMPOTENT
+STREAM = model.RouteKind.STREAM
+Reply = users_replica.Reply
+EVENTS = (0, 1, 2)
+WHOLE = [users_replica.event(number) for number in EVENTS]
+# The sender's system holds the rest of the first, and not of the second.
+SIZES_BYTES = (400_000, 4_000_000)
+BROKEN = (raw_server.Ending.RESET, raw_server.Ending.CLOSE_THEN_RESET)
+HEAD = b"HTTP/1.1 200 OK\r\nX-Replica-Seal: seal\r\n\r\n"
+# Most of it is held back while the first part is not read.
+LONG_PART = b"part" * 20_000
+
+
+class EarlyAnswersCase:
+    """What holds for direct connections and for those through peers."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server = raw_server.RawServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.asked = 0
+
+    async def given(
+        self, kind: model.RouteKind, size_bytes: int, *, with_sound: bool
+    ) -> bytes:
+        """Asks a replica that answers early, and returns the answer."""
+        self.asked += 1
+        early = self.entry(
+            self.replicas[0],
+            replica_id=f"early-{self.asked}",
+            address=self.server.address,
+        )
+        sound = [
+            self.entry(replica, data_centre="far") for replica in self.replicas
+        ]
+        self.directory.replace([early, *(sound if with_sound else [])])
+        received = self.server.requests
+        answer = await self.ask(
+            kind, method="POST", body=b"%d" % self.asked + bytes(size_bytes)
+        )
+        self.assertGreater(self.server.requests, received)
+        return answer
+
+    async def test_a_part_is_not_passed_on_as_the_whole(self):
+        """A caller got the part that came before the reset."""
+        for size_bytes in SIZES_BYTES:
+            for self.server.ending in BROKEN:
+                for part in (b"part", LONG_PART):
+                    self.server.answer = HEAD + part
+                    with self.subTest(
+                        size_bytes=size_bytes, ending=self.server.ending
+                    ):
+                        answer = await self.given(
+                            ONCE, size_bytes, with_sound=False
+                        )
+                        self.assertEqual(relay_fixture.status_of(answer), 502)
+
+    async def test_another_replica_gives_the_whole(self):
+        self.server.answer = HEAD + WHOLE[0]
+        for kind in (IDEMPOTENT, STREAM):
+            self.reply_with(Reply(events=EVENTS) if kind is STREAM else Reply())
+            for size_bytes in SIZES_BYTES:
+                for self.server.ending in BROKEN:
+                    with self.subTest(
+                        kind, size_bytes=size_bytes, ending=self.server.ending
+                    ):
+                        answer = await self.given(
+                            kind, size_bytes, with_sound=True
+                        )
+                        self._check_whole(kind, answer)
+
+    def _check_whole(self, kind: model.RouteKind, answer: bytes) -> None:
+        if kind is STREAM:
+            self.assertTrue(relay_fixture.is_complete(answer))
+            self.assertEqual(relay_fixture.events_of(answer), WHOLE)
+        else:
+            self.assertEqual(relay_fixture.body_of(answer), b"done")
+
+
+class DirectEarlyAnswersTest(EarlyAnswersCase, relay_fixture.RelayCase):
+    """On this instance's own connections."""
+
+
+class TunnelledEarlyAnswersTest(EarlyAnswersCase, tunnel_fixture.TunnelCase):
+    """On connections that a peer carries."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.dialer.refuses = True
+        for helper in self.helpers:
+            helper.listed.add(self.server.address)
+
+
+class EventLoopsTest(unittest.TestCase):
+    """The event loops report the end of a connection in different orders."""
+
+    def test_no_event_loop_completes_a_part(self):
+        for new_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
+            with asyncio.Runner(loop_factory=new_loop) as runner:
+                for size_bytes in SIZES_BYTES:
+                    for ending in BROKEN:
+                        for part in (b"part", LONG_PART):
+                            with (
+                                self.subTest(new_loop, ending=ending),
+                                self.assertRaises(outcomes.UnknownOutcomeError),
+                            ):
+                                runner.run(_read(size_bytes, ending, part))
+
+
+async def _read(
+    size_bytes: int, ending: raw_server.Ending, part: bytes
+) -> bytes:
+    """Returns a body that comes before the request was taken whole."""
+    server = raw_server.RawServer()
+    await server.start()
+    server.answer = HEAD + part
+    server.ending = ending
+    loop = asyncio.get_running_loop()
+    host, _, port = server.address.rpartition(":")
+    transport, connection = await loop.create_connection(
+        lambda: connection_module.ReplicaConnection(loop=loop), host, int(port)
+    )
+    body = b""
+    try:
+        head = await connection.exchange(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+            % size_bytes,
+            body=bytes(size_bytes),
+            has_body=True,
+        )
+        while piece := await head.read():
+            body += piece
+            await asyncio.sleep(0.001)
+    finally:
+        transport.abort()
+        await server.stop()
+    return body
+
+
+class PlainServicesTest(unittest.IsolatedAsyncioTestCase):
+    """Services behind the OpenAI-compatible entry."""
+
+    async def test_a_part_is_no_answer(self):
+        server = raw_server.RawServer()
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        session = http_exchange.open_session(reuse_connections=False)
+        self.addAsyncCleanup(session.close)
+        services = http_plain.HttpPlainServices(session=session)
+        server.answer = HEAD + b"part"
+        for size_bytes in SIZES_BYTES:
+            for server.ending in BROKEN:
+                call = plain.PlainCall(
+                    request_id="r",
+                    method="POST",
+                    path="/",
+                    body=bytes(size_bytes),
+                )
+                with (
+                    self.subTest(size_bytes=size_bytes, ending=server.ending),
+                    self.assertRaises(failures.OutcomeUnknownError),
+                ):
+                    await services.call(server.address, call)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -51,6 +51,11 @@
 )
 PROBE = b"GET /health HTTP/1.1\r\nHost: replica\r\n\r\n"
 MAX_TIME_S = 5.0
+ENDINGS = (
+    raw_server.Ending.KEEP,
+    raw_server.Ending.CLOSE,
+    raw_server.Ending.RESET,
+)
 _SECOND = datetime.timedelta(seconds=1)
 
 Answers = dict[str, malformed_answers.Malformed]
@@ -88,7 +93,7 @@
         """No caller gets such an answer, nor believes that nothing ran."""
         self.reply_with(Reply(events=EVENTS))
         for name, answer in answers.items():
-            for ending in raw_server.Ending:
+            for ending in ENDINGS:
                 with self.subTest(answer=name, ending=ending):
                     self.server.ending = ending
                     await self._check_once(answer)
@@ -194,7 +199,7 @@
             "administration": self._check_administration,
         }
         for name, self.answer in answers.items():
-            for self.server.ending in raw_server.Ending:
+            for self.server.ending in ENDINGS:
                 for client, check in checks.items():
                     with self.subTest(
                         client, answer=name, ending=self.server.ending
--- a/tests/cover/test_replica_connection.py
+++ b/tests/cover/test_replica_connection.py
@@ -18,6 +18,8 @@
     async def asyncSetUp(self):
         self.socket = mock.Mock()
         self.socket.getsockopt.return_value = 0
+        # None that the system knows, so nothing is unacknowledged.
+        self.socket.fileno.return_value = -1
         self.transport = mock.Mock(spec=asyncio.Transport)
         self.transport.is_closing.return_value = False
         self.transport.get_write_buffer_size.return_value = 0
@@ -72,6 +74,18 @@
         with self.assertRaises(outcomes.UnknownOutcomeError):
             await head.read()
 
+    async def test_an_end_before_the_request_was_taken_completes_no_body(self):
+        """A reset follows where the replica closes with the rest unread, which
+        may not have arrived yet.
+        """
+        head = await self.answer(WITHOUT_LENGTH)
+        self.transport.get_write_buffer_size.return_value = 100
+        self.connection.eof_received()
+        self.connection.connection_lost(None)
+        self.assertEqual(await head.read(), b"half")
+        with self.assertRaises(outcomes.UnknownOutcomeError):
+            await head.read()
+
     async def test_bytes_on_an_idle_connection_end_it(self):
         """A late answer arrives while the connection is idle in the pool. If
         kept, it would be read as the answer to the next request.
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -1,12 +1,16 @@
 """A server that answers with given bytes, whether they are HTTP or not."""
 
 import asyncio
+import contextlib
 import enum
 import socket
 import struct
 
 from nutmeghook.standins import loopback_host
 
+_PAUSE_S = 0.02
+# What the system takes of a request that is not read.
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -16,11 +20,14 @@
     KEEP = "keep"
     CLOSE = "close"
     RESET = "reset"
+    CLOSE_THEN_RESET = "close, then reset"
 
 
 class RawServer:
     """Sends the same bytes to each request, once its head has come.
 
+    It takes no more of a long body than its buffers hold.
+
     Attributes:
         answer: What is sent.
         ending: What follows it.
@@ -34,22 +41,27 @@
         self.address = ""
         self.requests = 0
         self._server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listens on a port that the system chooses."""
-        self._server = await asyncio.start_server(
-            self._serve, loopback_host.own_host(), 0
+        listening = socket.create_server((loopback_host.own_host(), 0))
+        listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
         )
-        host, port = self._server.sockets[0].getsockname()[:2]
+        self._server = await asyncio.start_server(self._serve, sock=listening)
+        host, port = listening.getsockname()
         self.address = f"{host}:{port}"
 
     async def stop(self) -> None:
-        """Listens no more."""
+        """Listens no more, and waits for the callers to leave."""
         self._server.close()
+        await asyncio.gather(*self._serving)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._serving.add(asyncio.current_task())
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
@@ -58,11 +70,22 @@
                 await writer.drain()
                 if self.ending is not Ending.KEEP:
                     break
+            if self.ending is Ending.CLOSE_THEN_RESET:
+                writer.write_eof()
+                # Lets the end be read before the reset.
+                await asyncio.sleep(_PAUSE_S)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            if self.ending is Ending.RESET:
-                raw = writer.get_extra_info("socket")
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-                writer.transport.abort()
+            if self.ending in (Ending.RESET, Ending.CLOSE_THEN_RESET):
+                _reset(writer)
             writer.close()
+            self._serving.discard(asyncio.current_task())
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    # The caller may have closed the connection.
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
