Take a head with a control byte for none

What callers would see: their connection closed without a byte, after the request had run at a replica whose head holds a control byte in a value.

Cause: aiohttp's parser lets all control bytes but NUL, CR and LF pass in a value, and also NUL in the reason. Its writer refuses them, after the answer to the caller counted as begun, and what has begun is cut.

Change: answer_heads asks it of each value and of the reason (RFC 9110, 5.5; RFC 9112, 4). Replacing the byte by a blank was weighed: what else a replica sent that sends one is as uncertain as that byte.

NUL and CR in a value were refused before; the checks are kept.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -14,6 +14,10 @@
 # RFC 9110, 5.6.2. A blank before the colon is what the parser lets pass, at the
 # names that tell where a body ends among others.
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+# RFC 9110, 5.5 and RFC 9112, 4.
+_CONTROL = r"[\x00-\x08\x0a-\x1f\x7f]"
+_CONTROL_BYTE = re.compile(_CONTROL.encode())
+_CONTROL_CHARACTER = re.compile(_CONTROL)
 
 
 class MalformedHeadError(ValueError):
@@ -31,6 +35,10 @@
     """
     if message.code not in _STATUSES:
         raise MalformedHeadError(f"the status is {message.code:03d}")
-    for name, _ in message.raw_headers:
+    if _CONTROL_CHARACTER.search(message.reason):
+        raise MalformedHeadError(f"the reason is {message.reason!r}")
+    for name, value in message.raw_headers:
         if not _TOKEN.fullmatch(name):
             raise MalformedHeadError(f"a field is named {name!r}")
+        if _CONTROL_BYTE.search(value):
+            raise MalformedHeadError(f"the field {name!r} has {value!r}")
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -158,6 +158,10 @@
         """A caller got the line as it was, or another body."""
         await self.check_all(malformed_answers.FIELD_NAMES)
 
+    async def test_a_control_byte_in_a_value(self):
+        """Its line could not be written, so the caller got no answer at all."""
+        await self.check_all(malformed_answers.CONTROL_BYTES)
+
 
 class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
     """On this instance's own connections."""
@@ -276,6 +280,10 @@
         """A caller of a plain service got the line as it was."""
         await self.check_clients(malformed_answers.FIELD_NAMES)
 
+    async def test_a_control_byte_in_a_value(self):
+        """The entry could not write a plain service's line."""
+        await self.check_clients(malformed_answers.CONTROL_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -74,3 +74,21 @@
     ),
     "interim": Malformed(before=b"HTTP/1.1 103 Hints\r\nUpgrade : x\r\n\r\n"),
 }
+CONTROL_BYTES = {
+    repr(value): Malformed(fields=(b"X-Field: a" + value + b"b",))
+    for value in (
+        b"\x00",
+        b"\x01",
+        b"\x07",
+        b"\x08",
+        b"\x0b",
+        b"\x1b",
+        b"\x1f",
+        b"\x7f",
+        b"\r",
+        b"\r\r\n",
+    )
+} | {
+    f"reason {value!r}": Malformed(status_line=b"HTTP/1.1 200 O" + value + b"K")
+    for value in (b"\x00", b"\x07", b"\x7f", b"\r")
+}
