Take a head that states a length of 2^64 - 1 for none

What callers would see: a success with an empty body from a replica whose head states this length, directly and through a peer.

Cause: aiohttp's parser marks an answer without a length by this number in the variable that holds the length. One part of it then sees no length and makes no body, the other sees a length, so the answer is complete.

Change: answer_heads refuses it, for all readers of answers.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -7,6 +7,7 @@
 
 import re
 
+from aiohttp import hdrs
 from aiohttp import http_parser
 
 # RFC 9110, 15: others are invalid.
@@ -18,6 +19,9 @@
 _CONTROL = r"[\x00-\x08\x0a-\x1f\x7f]"
 _CONTROL_BYTE = re.compile(_CONTROL.encode())
 _CONTROL_CHARACTER = re.compile(_CONTROL)
+# The parser's mark of an answer without a length. It takes an answer that
+# states it for one without a body.
+_NO_LENGTH = str(2**64 - 1)
 
 
 class MalformedHeadError(ValueError):
@@ -42,3 +46,5 @@
             raise MalformedHeadError(f"a field is named {name!r}")
         if _CONTROL_BYTE.search(value):
             raise MalformedHeadError(f"the field {name!r} has {value!r}")
+    if message.headers.get(hdrs.CONTENT_LENGTH, "").endswith(_NO_LENGTH):
+        raise MalformedHeadError("the length is too large")
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -162,6 +162,10 @@
         """Its line could not be written, so the caller got no answer at all."""
         await self.check_all(malformed_answers.CONTROL_BYTES)
 
+    async def test_a_length_that_is_none(self):
+        """A length of 2^64 - 1 made an empty answer the whole one."""
+        await self.check_all(malformed_answers.LENGTHS)
+
 
 class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
     """On this instance's own connections."""
@@ -284,6 +288,10 @@
         """The entry could not write a plain service's line."""
         await self.check_clients(malformed_answers.CONTROL_BYTES)
 
+    async def test_a_length_that_is_none(self):
+        """A call to a plain service succeeded without a body."""
+        await self.check_clients(malformed_answers.LENGTHS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -92,3 +92,23 @@
     f"reason {value!r}": Malformed(status_line=b"HTTP/1.1 200 O" + value + b"K")
     for value in (b"\x00", b"\x07", b"\x7f", b"\r")
 }
+LENGTHS = {
+    length: Malformed(
+        fields=(b"Content-Length: " + length.encode(),),
+        framing=Framing.CONNECTION,
+    )
+    for length in (
+        "18446744073709551615",
+        "18446744073709551616",
+        "-1",
+        "+3",
+        "0x3",
+        "3.0",
+        "3, 3",
+        "3 3",
+        "",
+        "3\r\nContent-Length: 3",
+        "3\r\nContent-Length: 4",
+        "3\r\nTransfer-Encoding: chunked",
+    )
+}
