Take a head with a transfer coding that nobody asked for, for none

What callers would see: a success with compressed bytes, or with the lengths of chunks among the body, and no field that says so.

Cause: aiohttp's parser undoes chunks and leaves every other coding in the body. The field concerns one connection, so it is not passed on, and no reader of answers looked at it.

Change: answer_heads allows chunks, once, in HTTP/1.1 (RFC 9112, 6.1 and 7.4). Ruled out: undoing the codings, which no server is asked for.

The tests give calls short time limits now, so that one that would wait fails soon.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -7,6 +7,7 @@
 
 import re
 
+import aiohttp
 from aiohttp import hdrs
 from aiohttp import http_parser
 
@@ -46,5 +47,21 @@
             raise MalformedHeadError(f"a field is named {name!r}")
         if _CONTROL_BYTE.search(value):
             raise MalformedHeadError(f"the field {name!r} has {value!r}")
+    _check_framing(message)
+
+
+def _check_framing(message: http_parser.RawResponseMessage) -> None:
+    """Checks what tells where the body ends.
+
+    Nobody here asks for another transfer coding than chunks, so that the body
+    would be passed on with its coding and without the field that names it.
+    """
     if message.headers.get(hdrs.CONTENT_LENGTH, "").endswith(_NO_LENGTH):
         raise MalformedHeadError("the length is too large")
+    codings = message.headers.getall(hdrs.TRANSFER_ENCODING, [])
+    if not codings:
+        return
+    if [coding.lower() for coding in codings] != ["chunked"]:
+        raise MalformedHeadError(f"the transfer codings are {codings}")
+    if message.version < aiohttp.HttpVersion11:
+        raise MalformedHeadError("a transfer coding in HTTP/1.0")
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -166,6 +166,10 @@
         """A length of 2^64 - 1 made an empty answer the whole one."""
         await self.check_all(malformed_answers.LENGTHS)
 
+    async def test_a_transfer_coding_that_nobody_asked_for(self):
+        """A caller got the coded bytes, or the chunks, as the body."""
+        await self.check_all(malformed_answers.CODINGS)
+
 
 class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
     """On this instance's own connections."""
@@ -231,7 +235,9 @@
 
     async def _check_exchange(self) -> None:
         exchange = http_exchange.HttpExchange(
-            session=self.session, address=self.server.address
+            session=self.session,
+            address=self.server.address,
+            answer_timeout=_SECOND * 2,
         )
         decoder = msgspec.json.Decoder(dict)
         for body in (b"{}", REFUSAL):
@@ -247,9 +253,9 @@
                 await exchange.write("/", b"{}", decoder)
 
     async def _check_engine(self) -> None:
-        engine = http_engine.HttpEngineConnector(session=self.session).connect(
-            self.server.address
-        )
+        engine = http_engine.HttpEngineConnector(
+            session=self.session, read_timeout=_SECOND
+        ).connect(self.server.address)
         for body in (FINISHED, REFUSAL):
             self.send(body)
             with self.assertRaises(failures.OutcomeUnknownError):
@@ -257,7 +263,9 @@
                     pass
 
     async def _check_plain(self) -> None:
-        services = http_plain.HttpPlainServices(session=self.plain_session)
+        services = http_plain.HttpPlainServices(
+            session=self.plain_session, answer_timeout=_SECOND * 2
+        )
         for body in (b"done", REFUSAL):
             self.send(body)
             with self.assertRaises(failures.OutcomeUnknownError):
@@ -292,6 +300,10 @@
         """A call to a plain service succeeded without a body."""
         await self.check_clients(malformed_answers.LENGTHS)
 
+    async def test_a_transfer_coding_that_nobody_asked_for(self):
+        """A call to a plain service succeeded with the coded bytes."""
+        await self.check_clients(malformed_answers.CODINGS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -112,3 +112,28 @@
         "3\r\nTransfer-Encoding: chunked",
     )
 }
+CODINGS = {
+    coding.decode(): Malformed(
+        fields=(b"Transfer-Encoding: " + coding,), framing=framing
+    )
+    for coding, framing in (
+        (b"gzip", Framing.CONNECTION),
+        (b"identity", Framing.CONNECTION),
+        (b"xchunked", Framing.CHUNKS),
+        (b"chunked;q=1", Framing.CHUNKS),
+        (b'"chunked"', Framing.CHUNKS),
+        (b"gzip, chunked", Framing.CHUNKS),
+        (b"chunked, gzip", Framing.CHUNKS),
+        (b"chunked, chunked", Framing.CHUNKS),
+        (b"chunked\r\nTransfer-Encoding: chunked", Framing.CHUNKS),
+        (b"gzip\r\nTransfer-Encoding: chunked", Framing.CHUNKS),
+        (b"", Framing.LENGTH),
+        (b"chunked", Framing.LENGTH),
+    )
+} | {
+    "chunks in HTTP/1.0": Malformed(
+        status_line=b"HTTP/1.0 200 OK",
+        fields=(b"Transfer-Encoding: chunked",),
+        framing=Framing.CHUNKS,
+    )
+}
