Take an answer in another protocol than HTTP/1 for none

What callers would see: a success from a server that answers RTSP/1.0, ICE/1.0, HTTP/2.0 or HTTP/0.9, or whose first field's line begins with a blank; and behind a 101 that nobody asked for, nothing until their limit.

Cause: aiohttp's parser reads several protocols and calls RTSP and ICE version 1.0. A 101 was skipped as an interim answer.

Evidence: with servers that close, 80 of the new checks failed before:

FAIL: DirectAnswersTest (answer='RTSP/1.0 200 OK') FAIL: TunnelledAnswersTest (answer='HTTP/1.1 200 OK\r\n X-Field: 1') AssertionError: 200 != 502 ERROR: ClientAnswersTest [store] (answer='HTTP/1.1 101 ...') NotDoneError: the store answered 101 to /v1/rows-get AssertionError: OutcomeUnknownError not raised

Change: answer_heads gets the bytes, too, and looks at how each head up to the final one begins; it refuses 101 and versions other than 1.0 and 1.1. Weighed: a check of the whole head by its bytes, which is a second parser. Folded lines, bare line feeds and empty lines before an answer, which the protocol lets a recipient accept, are accepted as before.

After: 0 fail.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -13,6 +13,12 @@
 
 # RFC 9110, 15: others are invalid.
 _STATUSES = range(100, 600)
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
+# A status line of HTTP/1, which no line follows that begins with a blank. The
+# parser also takes those of RTSP and ICE, and tells neither.
+_START = re.compile(rb"[\r\n]*HTTP/1\.[01] [^\n]*\n(?![ \t])")
+_END = re.compile(rb"\n\r?\n")
 # RFC 9110, 5.6.2. A blank before the colon is what the parser lets pass, at the
 # names that tell where a body ends among others.
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -29,25 +35,67 @@
     """A head is not that of an answer in HTTP/1.1."""
 
 
-def check(message: http_parser.RawResponseMessage) -> None:
-    """Checks the head of an answer, or of an interim one.
+class AnswerHeads:
+    """Checks the heads that one request is answered with.
 
-    Args:
-        message: The head as aiohttp's parser has read it.
-
-    Raises:
-        MalformedHeadError: It is none.
+    Those are any interim ones, and the first final one. How heads begin is not
+    checked of any behind that, as it is not known where they do.
     """
+
+    __slots__ = ("_is_in_heads", "_received")
+
+    def __init__(self):
+        self._is_in_heads = True
+        self._received = b""
+
+    def feed(self, data: bytes) -> None:
+        """Takes what was received, before the parser does."""
+        if self._is_in_heads:
+            self._received += data
+
+    def check(self, message: http_parser.RawResponseMessage) -> None:
+        """Checks the next head.
+
+        Args:
+            message: The head as aiohttp's parser has read it.
+
+        Raises:
+            MalformedHeadError: It is not that of an answer.
+        """
+        if self._is_in_heads:
+            self._check_start(is_final=message.code >= _FIRST_FINAL_STATUS)
+        _check_status(message)
+        _check_fields(message)
+        _check_framing(message)
+
+    def _check_start(self, *, is_final: bool) -> None:
+        """Checks how a head begins, and goes on to the next one."""
+        start = _START.match(self._received)
+        if start is None:
+            raise MalformedHeadError(f"it begins {self._received[:32]!r}")
+        end = _END.search(self._received, start.end() - 1)
+        if is_final or end is None:
+            self._is_in_heads = False
+            self._received = b""
+        else:
+            self._received = self._received[end.end() :]
+
+
+def _check_status(message: http_parser.RawResponseMessage) -> None:
     if message.code not in _STATUSES:
         raise MalformedHeadError(f"the status is {message.code:03d}")
+    if message.code == _SWITCHING_PROTOCOLS:
+        raise MalformedHeadError("it switches protocols, unasked")
     if _CONTROL_CHARACTER.search(message.reason):
         raise MalformedHeadError(f"the reason is {message.reason!r}")
+
+
+def _check_fields(message: http_parser.RawResponseMessage) -> None:
     for name, value in message.raw_headers:
         if not _TOKEN.fullmatch(name):
             raise MalformedHeadError(f"a field is named {name!r}")
         if _CONTROL_BYTE.search(value):
             raise MalformedHeadError(f"the field {name!r} has {value!r}")
-    _check_framing(message)
 
 
 def _check_framing(message: http_parser.RawResponseMessage) -> None:
--- a/src/nutmeghook/internal/foundation/bounded_http.py
+++ b/src/nutmeghook/internal/foundation/bounded_http.py
@@ -39,6 +39,7 @@
 
     def __init__(self, **parts):
         super().__init__(**parts)
+        self._heads = answer_heads.AnswerHeads()
         self._framing_limit = answer_limits.FramingLimit()
         self._body: streams.StreamReader | None = None
 
@@ -53,7 +54,7 @@
             self._end()
             return
         try:
-            answer_heads.check(message)
+            self._heads.check(message)
         except answer_heads.MalformedHeadError as error:
             self._fail(error)
             return
@@ -68,6 +69,7 @@
         if data and self._body is not None and self._body.is_eof():
             self._end()
             return
+        self._heads.feed(data)
         super().data_received(data)
         body_bytes = self._body.total_bytes if self._body else -1
         try:
@@ -82,6 +84,7 @@
     def set_response_params(self, **options) -> None:
         """Begins a call."""
         self._body = None
+        self._heads = answer_heads.AnswerHeads()
         super().set_response_params(**options)
 
     def _fail(self, error: ValueError) -> None:
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -144,6 +144,7 @@
         "_framing_bytes",
         "_framing_limit",
         "_head",
+        "_heads",
         "_other_side_ended",
         "_payload",
         "_read_bytes",
@@ -163,6 +164,7 @@
     def __init__(self, *, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self._head: asyncio.Future[AnswerHead] | None = None
+        self._heads = answer_heads.AnswerHeads()
         self._payload: streams.StreamReader | None = None
         self._end_error: OSError | None = None
         self._other_side_ended = False
@@ -238,6 +240,7 @@
             max_field_size=MAX_HEADER_FIELD_BYTES,
         )
         self._head = self._loop.create_future()
+        self._heads = answer_heads.AnswerHeads()
         self._payload = None
         self._skipped = None
         self._skipped_answers = 0
@@ -329,6 +332,7 @@
             self.abort()
             return
         self._received_bytes += len(data)
+        self._heads.feed(data)
         try:
             messages, upgraded, tail = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
@@ -416,7 +420,7 @@
         payload: streams.StreamReader,
     ) -> None:
         try:
-            answer_heads.check(message)
+            self._heads.check(message)
         except answer_heads.MalformedHeadError as error:
             self._fail(outcomes.NoAnswerError(f"not HTTP: {error}"))
             return
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -170,6 +170,10 @@
         """A caller got the coded bytes, or the chunks, as the body."""
         await self.check_all(malformed_answers.CODINGS)
 
+    async def test_another_protocol(self):
+        """A caller got the answer of a protocol that is not HTTP/1."""
+        await self.check_all(malformed_answers.PROTOCOLS)
+
 
 class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
     """On this instance's own connections."""
@@ -304,6 +308,10 @@
         """A call to a plain service succeeded with the coded bytes."""
         await self.check_clients(malformed_answers.CODINGS)
 
+    async def test_another_protocol(self):
+        """A call was answered in a protocol that is not HTTP/1."""
+        await self.check_clients(malformed_answers.PROTOCOLS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -137,3 +137,26 @@
         framing=Framing.CHUNKS,
     )
 }
+PROTOCOLS = {
+    line: Malformed(status_line=line.encode())
+    for line in (
+        "HTTP/0.9 200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/1.2 200 OK",
+        "HTTP/1.10 200 OK",
+        "http/1.1 200 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 200OK",
+        "RTSP/1.0 200 OK",
+        "ICE/1.0 200 OK",
+        "\r\nRTSP/1.0 200 OK",
+        "HTTP/1.1 103 Hints\r\n\r\nRTSP/1.0 200 OK",
+        "HTTP/1.1 200 OK\r\n X-Field: 1",
+        "HTTP/1.1 200 OK\r\n\tX-Field: 1",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade",
+        "HTTP/1.1 101 S\r\n\r\nHTTP/1.1 200 OK",
+    )
+}
