Take a head with a CR that ends no line for none

What callers would see: of a replica's "X-Field:" CR "Content-Length: 2" an answer of two bytes, and of "X-Field:" CR "X-Other: b" two fields.

Cause: aiohttp's parser refuses a CR without LF everywhere but behind a field's name that has no value, where it ends the line.

Change: answer_heads, which has the bytes of the heads, refuses it.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -17,8 +17,11 @@
 _FIRST_FINAL_STATUS = 200
 # A status line of HTTP/1, which no line follows that begins with a blank. The
 # parser also takes those of RTSP and ICE, and tells neither.
-_START = re.compile(rb"[\r\n]*HTTP/1\.[01] [^\n]*\n(?![ \t])")
+_START = re.compile(rb"[\r\n]*(HTTP/1\.[01]) [^\n]*\n(?![ \t])")
 _END = re.compile(rb"\n\r?\n")
+# RFC 9112, 2.2. The parser ends a line without a value there, so that the rest
+# of the line becomes another field.
+_BARE_CR = re.compile(rb"\r(?!\n)")
 # RFC 9110, 5.6.2. A blank before the colon is what the parser lets pass, at the
 # names that tell where a body ends among others.
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -63,22 +66,23 @@
             MalformedHeadError: It is not that of an answer.
         """
         if self._is_in_heads:
-            self._check_start(is_final=message.code >= _FIRST_FINAL_STATUS)
+            self._check_bytes(is_final=message.code >= _FIRST_FINAL_STATUS)
         _check_status(message)
         _check_fields(message)
         _check_framing(message)
 
-    def _check_start(self, *, is_final: bool) -> None:
-        """Checks how a head begins, and goes on to the next one."""
+    def _check_bytes(self, *, is_final: bool) -> None:
+        """Checks what the parser does not show; goes on to the next head."""
         start = _START.match(self._received)
         if start is None:
             raise MalformedHeadError(f"it begins {self._received[:32]!r}")
         end = _END.search(self._received, start.end() - 1)
-        if is_final or end is None:
-            self._is_in_heads = False
-            self._received = b""
-        else:
-            self._received = self._received[end.end() :]
+        if end is None or _BARE_CR.search(
+            self._received, start.start(1), end.end()
+        ):
+            raise MalformedHeadError("a CR without LF")
+        self._is_in_heads = not is_final
+        self._received = b"" if is_final else self._received[end.end() :]
 
 
 def _check_status(message: http_parser.RawResponseMessage) -> None:
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -174,6 +174,21 @@
         """A caller got the answer of a protocol that is not HTTP/1."""
         await self.check_all(malformed_answers.PROTOCOLS)
 
+    async def test_a_cr_that_ends_no_line(self):
+        """The rest of its line was taken for a field, even for a length."""
+        await self.check_all(malformed_answers.BARE_CRS)
+
+    async def test_an_odd_answer_that_is_one(self):
+        """Stricter rules must not refuse what HTTP/1.1 allows."""
+        for name, answer in malformed_answers.WELL_FORMED.items():
+            self.server.ending = raw_server.Ending.CLOSE
+            self.server.answer = answer.encode(b"done", SEAL)
+            self.list_replicas(with_sound=False)
+            with self.subTest(answer=name):
+                given = await self.ask_once_more(ONCE)
+                self.assertEqual(relay_fixture.status_of(given), 200)
+                self.assertEqual(relay_fixture.body_of(given), b"done")
+
 
 class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
     """On this instance's own connections."""
@@ -312,6 +327,10 @@
         """A call was answered in a protocol that is not HTTP/1."""
         await self.check_clients(malformed_answers.PROTOCOLS)
 
+    async def test_a_cr_that_ends_no_line(self):
+        """A call succeeded with a body of another length."""
+        await self.check_clients(malformed_answers.BARE_CRS)
+
     async def test_an_operator_s_answer_that_is_cut_short(self):
         """A change may be in force, and the command ended with a traceback."""
         self.answer = malformed_answers.Malformed(
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -1,4 +1,4 @@
-"""Answers that are none in HTTP/1.1, by what is wrong with them."""
+"""Answers that are none in HTTP/1.1, by what is wrong with them; and others."""
 
 import dataclasses
 import enum
@@ -45,7 +45,7 @@
 STATUSES = {
     status: Malformed(status_line=b"HTTP/1.1 %b Odd" % status.encode())
     for status in ("000", "001", "099", "600", "999")
-}
+} | {"interim 000": Malformed(before=b"HTTP/1.1 000 Odd\r\n\r\n")}
 FIELD_NAMES = {
     repr(name): Malformed(fields=(name + b": x",))
     for name in (
@@ -127,6 +127,8 @@
         (b"chunked, chunked", Framing.CHUNKS),
         (b"chunked\r\nTransfer-Encoding: chunked", Framing.CHUNKS),
         (b"gzip\r\nTransfer-Encoding: chunked", Framing.CHUNKS),
+        (b"odd, chunked", Framing.CHUNKS),
+        (b"\x0bchunked", Framing.CHUNKS),
         (b"", Framing.LENGTH),
         (b"chunked", Framing.LENGTH),
     )
@@ -160,3 +162,46 @@
         "HTTP/1.1 101 S\r\n\r\nHTTP/1.1 200 OK",
     )
 }
+BARE_CRS = {
+    repr(line): Malformed(fields=(line,))
+    for line in (
+        b"X-Field:\rX-Other: b",
+        b"X-Field:\r b",
+        b"X-Field: a\r b",
+        b"X-Field\r: b",
+        b"X-Field:\r",
+        b"X-Field: a\r\r\nX-Other: b",
+        b"X-Field: a\r\n\rX-Other: b",
+    )
+} | {
+    "length behind a CR": Malformed(
+        fields=(b"X-Field:\rContent-Length: 2",), framing=Framing.CONNECTION
+    )
+}
+# What looks odd and is an answer all the same.
+WELL_FORMED = {
+    "no reason": Malformed(status_line=b"HTTP/1.1 200"),
+    "an empty reason": Malformed(status_line=b"HTTP/1.1 200 "),
+    "a reason with bytes over 127": Malformed(
+        status_line=b"HTTP/1.1 200 O\xe9"
+    ),
+    "HTTP/1.0": Malformed(status_line=b"HTTP/1.0 200 OK"),
+    "a folded line": Malformed(fields=(b"X-Field: a\r\n b",)),
+    "a line folded by a tab": Malformed(fields=(b"X-Field: a\r\n\tb",)),
+    "a value with bytes over 127": Malformed(fields=(b"X-Field: a\xe9",)),
+    "a value with a tab": Malformed(fields=(b"X-Field: a\tb",)),
+    "an empty value": Malformed(fields=(b"X-Field:",)),
+    "blanks around a value": Malformed(fields=(b"X-Field: \t a \t",)),
+    "odd names": Malformed(fields=(b"!#$%&'*+-.^_`|~9: a",)),
+    "many fields": Malformed(fields=(b"X-Field: %b" % (b"x" * 400),) * 100),
+    "an empty line before": Malformed(before=b"\r\n"),
+    "interim": Malformed(before=b"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"),
+    "chunks": Malformed(
+        fields=(b"Transfer-Encoding: Chunked",), framing=Framing.CHUNKS
+    ),
+    "trailers": Malformed(
+        fields=(b"Transfer-Encoding: chunked",),
+        framing=Framing.CHUNKS,
+        trailers=(b"X-Sum: 1",),
+    ),
+}
