Drop a connection at once whose replica has ended too early

What callers would see: 504 at their deadline, or a stream resumed late, where a replica closes its side before it has taken a long request, and takes no more of it.

Cause: after an end of file the event loop's transport closes once all is written, and only then reports the loss, so what was known was not told.

Evidence: a stand-in that closes one side and stays; 4 checks before, on asyncio's and uvloop's loop:

ERROR: test_no_event_loop_completes_a_part (CLOSE_ONE_SIDE) TimeoutError

Change: an end of file that completes nothing drops the connection. An answer that is complete by its length is not concerned: a connection with unsent bytes was dropped before, too.

After: 0 fail; the module takes 1.2 s.

--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -384,9 +384,15 @@
         self._note_end()
 
     def _note_end(self) -> None:
-        """Records that the replica sends nothing more."""
+        """Records that the replica sends nothing more.
+
+        If it has not received the whole request it may never do so, and the
+        connection would stay open until it has.
+        """
         self._other_side_ended = True
         self._end_error = socket_options.take_end_error(self.transport)
+        if self._end_error is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only a clean close can complete a body.
--- a/tests/cover/test_early_answers.py
+++ b/tests/cover/test_early_answers.py
@@ -30,6 +30,7 @@
 # The sender's system holds the rest of the first, and not of the second.
 SIZES_BYTES = (400_000, 4_000_000)
 BROKEN = (raw_server.Ending.RESET, raw_server.Ending.CLOSE_THEN_RESET)
+MAX_TIME_S = 5.0
 HEAD = b"HTTP/1.1 200 OK\r\nX-Replica-Seal: seal\r\n\r\n"
 # Most of it is held back while the first part is not read.
 LONG_PART = b"part" * 20_000
@@ -120,16 +121,22 @@
     """The event loops report the end of a connection in different orders."""
 
     def test_no_event_loop_completes_a_part(self):
+        """Nor waits for the rest of the request to be taken, which a replica
+        that has closed its side may never do.
+        """
         for new_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
             with asyncio.Runner(loop_factory=new_loop) as runner:
                 for size_bytes in SIZES_BYTES:
-                    for ending in BROKEN:
+                    for ending in (*BROKEN, raw_server.Ending.CLOSE_ONE_SIDE):
                         for part in (b"part", LONG_PART):
                             with (
                                 self.subTest(new_loop, ending=ending),
                                 self.assertRaises(outcomes.UnknownOutcomeError),
                             ):
-                                runner.run(_read(size_bytes, ending, part))
+                                reading = _read(size_bytes, ending, part)
+                                runner.run(
+                                    asyncio.wait_for(reading, MAX_TIME_S)
+                                )
 
 
 async def _read(
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -21,6 +21,7 @@
     CLOSE = "close"
     RESET = "reset"
     CLOSE_THEN_RESET = "close, then reset"
+    CLOSE_ONE_SIDE = "close one side"
 
 
 class RawServer:
@@ -41,6 +42,7 @@
         self.address = ""
         self.requests = 0
         self._server: asyncio.Server | None = None
+        self._stopping = asyncio.Event()
         self._serving: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -56,6 +58,7 @@
     async def stop(self) -> None:
         """Listens no more, and waits for the callers to leave."""
         self._server.close()
+        self._stopping.set()
         await asyncio.gather(*self._serving)
 
     async def _serve(
@@ -70,6 +73,9 @@
                 await writer.drain()
                 if self.ending is not Ending.KEEP:
                     break
+            if self.ending is Ending.CLOSE_ONE_SIDE:
+                writer.write_eof()
+                await self._stopping.wait()
             if self.ending is Ending.CLOSE_THEN_RESET:
                 writer.write_eof()
                 # Lets the end be read before the reset.
