Read the time line by the client that checks answers

What operators would see: the body of an answer with the status 000, or with any other head that is none, as the time line.

Cause: "nutmeghook timeline" opens aiohttp's client itself, without the checks that the clients of the store, engines, services and operators have in common.

Evidence: with the command among the readers in test_malformed_answers, 47 of its checks failed before, with servers that close, and no other's:

FAIL: ClientAnswersTest [time line] (answer='000') AssertionError: ClientError not raised

Change: it uses bounded_http's connector.

After: 0 fail.

--- a/src/nutmeghook/internal/commands/timeline.py
+++ b/src/nutmeghook/internal/commands/timeline.py
@@ -10,6 +10,7 @@
 
 from nutmeghook.internal.administration import command_runner
 from nutmeghook.internal.assembly import observation
+from nutmeghook.internal.foundation import bounded_http
 from nutmeghook.internal.observe import timeline
 
 EXIT_NO_ANSWER = 3
@@ -20,7 +21,8 @@
     """Asks an instance for the events of all instances that it can reach."""
     async with (
         aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S)
+            connector=bounded_http.BoundedConnector(),
+            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
         ) as http,
         http.get(
             url.rstrip("/") + observation.TIMELINE_PATH,
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from nutmeghook.internal.administration import client as administration
+from nutmeghook.internal.commands import timeline
 from nutmeghook.internal.dependencies import failures
 from nutmeghook.internal.dependencies import plain
 from nutmeghook.internal.foundation import bounded_http
@@ -228,6 +229,7 @@
             "engine": self._check_engine,
             "plain service": self._check_plain,
             "administration": self._check_administration,
+            "time line": self._check_timeline,
         }
         for name, self.answer in answers.items():
             for self.server.ending in ENDINGS:
@@ -303,6 +305,11 @@
             with self.assertRaises(administration.NoAnswerError):
                 await client.list_documents()
 
+    async def _check_timeline(self) -> None:
+        self.send(b"[]")
+        with self.assertRaises(aiohttp.ClientError):
+            await timeline.fetch(f"http://{self.server.address}", "t")
+
     async def test_a_status_that_is_none(self):
         """A call counted as not run, or a caller got the status 000."""
         await self.check_clients(malformed_answers.STATUSES)
