Say what a length is, for either of aiohttp's parsers

It takes a length that is stated twice, of any number of digits, and two blanks in a status line.

Evidence: test_malformed_answers and test_answer_heads with AIOHTTP_NO_EXTENSIONS=1, before 80 checks failed:

FAIL: (answer='3\r\nContent-Length: 4') 200 != 502 FAIL: (answer='HTTP/1.1 200 OK') 200 != 502 FAIL: (answer='') OutcomeUnknownError not raised

Change: one length, in digits, below the parser's mark of none; one blank between version, status and reason.

After: 2 fail with it, which want an empty line before an answer to be passed over, as the compiled parser does; it refuses that. None fails with the compiled parser, which x86-64 and arm64 get from the registry.

--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -17,7 +17,7 @@
 _FIRST_FINAL_STATUS = 200
 # A status line of HTTP/1, which no line follows that begins with a blank. The
 # parser also takes those of RTSP and ICE, and tells neither.
-_START = re.compile(rb"[\r\n]*(HTTP/1\.[01]) [^\n]*\n(?![ \t])")
+_START = re.compile(rb"[\r\n]*(HTTP/1\.[01]) \d{3}(?: [^\n]*|\r?)\n(?![ \t])")
 _END = re.compile(rb"\n\r?\n")
 # RFC 9112, 2.2. The parser ends a line without a value there, so that the rest
 # of the line becomes another field.
@@ -29,9 +29,12 @@
 _CONTROL = r"[\x00-\x08\x0a-\x1f\x7f]"
 _CONTROL_BYTE = re.compile(_CONTROL.encode())
 _CONTROL_CHARACTER = re.compile(_CONTROL)
+_DIGITS = re.compile(r"[0-9]+")
 # The parser's mark of an answer without a length. It takes an answer that
 # states it for one without a body.
-_NO_LENGTH = str(2**64 - 1)
+_NO_LENGTH_BYTES = 2**64 - 1
+# More digits than any length has, which `int` need not read.
+_MAX_LENGTH_DIGITS = 20
 
 
 class MalformedHeadError(ValueError):
@@ -108,8 +111,9 @@
     Nobody here asks for another transfer coding than chunks, so that the body
     would be passed on with its coding and without the field that names it.
     """
-    if message.headers.get(hdrs.CONTENT_LENGTH, "").endswith(_NO_LENGTH):
-        raise MalformedHeadError("the length is too large")
+    lengths = message.headers.getall(hdrs.CONTENT_LENGTH, [])
+    if lengths and not _is_length(lengths):
+        raise MalformedHeadError(f"the length is {lengths}")
     codings = message.headers.getall(hdrs.TRANSFER_ENCODING, [])
     if not codings:
         return
@@ -117,3 +121,14 @@
         raise MalformedHeadError(f"the transfer codings are {codings}")
     if message.version < aiohttp.HttpVersion11:
         raise MalformedHeadError("a transfer coding in HTTP/1.0")
+
+
+def _is_length(lengths: list[str]) -> bool:
+    """Tells whether the values of Content-Length state one length."""
+    stated = lengths[0]
+    return (
+        len(lengths) == 1
+        and _DIGITS.fullmatch(stated) is not None
+        and len(stated) <= _MAX_LENGTH_DIGITS
+        and int(stated) < _NO_LENGTH_BYTES
+    )
