--- a/src/nutmeghook/internal/foundation/answer_heads.py
+++ b/src/nutmeghook/internal/foundation/answer_heads.py
@@ -16,14 +16,14 @@
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 # A status line of HTTP/1, which no line follows that begins with a blank. The
-# parser also takes those of RTSP and ICE, and tells neither.
+# parser also reads RTSP and ICE, and does not tell which protocol it was.
 _START = re.compile(rb"[\r\n]*(HTTP/1\.[01]) \d{3}(?: [^\n]*|\r?)\n(?![ \t])")
 _END = re.compile(rb"\n\r?\n")
 # RFC 9112, 2.2. The parser ends a line without a value there, so that the rest
 # of the line becomes another field.
 _BARE_CR = re.compile(rb"\r(?!\n)")
-# RFC 9110, 5.6.2. A blank before the colon is what the parser lets pass, at the
-# names that tell where a body ends among others.
+# RFC 9110, 5.6.2. The parser lets a blank pass before the colon, also behind
+# the names that tell where a body ends.
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 # RFC 9110, 5.5 and RFC 9112, 4.
 _CONTROL = r"[\x00-\x08\x0a-\x1f\x7f]"
@@ -44,8 +44,8 @@
 class AnswerHeads:
     """Checks the heads that one request is answered with.
 
-    Those are any interim ones, and the first final one. How heads begin is not
-    checked of any behind that, as it is not known where they do.
+    The bytes are looked at up to the end of the first final head: where a head
+    behind it begins is not known.
     """
 
     __slots__ = ("_is_in_heads", "_received")
