Let one case list the replica that sends given bytes

test_early_answers and test_malformed_answers each started the raw server, listed it before sound replicas further away, and cut the relay's own paths for their tunnelled half. tests/raw_replica_case does it for both; a name that nothing used is gone. All assertions stay; that the replica was asked is checked of each request now, also of those that may run once.

The two modules pass (32 tests), and the linter.

--- a/tests/cover/test_early_answers.py
+++ b/tests/cover/test_early_answers.py
@@ -17,9 +17,9 @@
 from nutmeghook.internal.upstream import connection as connection_module
 from nutmeghook.internal.upstream import outcomes
 from nutmeghook.standins import users_replica
+from tests import raw_replica_case
 from tests import raw_server
 from tests import relay_fixture
-from tests import tunnel_fixture
 
 ONCE = model.RouteKind.ONCE
 IDEMPOTENT = model.RouteKind.IDEMPOTENT
@@ -39,34 +39,6 @@
 class EarlyAnswersCase:
     """What holds for direct connections and for those through peers."""
 
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.server = raw_server.RawServer()
-        await self.server.start()
-        self.addAsyncCleanup(self.server.stop)
-        self.asked = 0
-
-    async def given(
-        self, kind: model.RouteKind, size_bytes: int, *, with_sound: bool
-    ) -> bytes:
-        """Asks a replica that answers early, and returns the answer."""
-        self.asked += 1
-        early = self.entry(
-            self.replicas[0],
-            replica_id=f"early-{self.asked}",
-            address=self.server.address,
-        )
-        sound = [
-            self.entry(replica, data_centre="far") for replica in self.replicas
-        ]
-        self.directory.replace([early, *(sound if with_sound else [])])
-        received = self.server.requests
-        answer = await self.ask(
-            kind, method="POST", body=b"%d" % self.asked + bytes(size_bytes)
-        )
-        self.assertGreater(self.server.requests, received)
-        return answer
-
     async def test_a_part_is_not_passed_on_as_the_whole(self):
         """A caller got the part that came before the reset."""
         for size_bytes in SIZES_BYTES:
@@ -76,8 +48,8 @@
                     with self.subTest(
                         size_bytes=size_bytes, ending=self.server.ending
                     ):
-                        answer = await self.given(
-                            ONCE, size_bytes, with_sound=False
+                        answer = await self.ask_once_more(
+                            ONCE, with_sound=False, size_bytes=size_bytes
                         )
                         self.assertEqual(relay_fixture.status_of(answer), 502)
 
@@ -90,8 +62,8 @@
                     with self.subTest(
                         kind, size_bytes=size_bytes, ending=self.server.ending
                     ):
-                        answer = await self.given(
-                            kind, size_bytes, with_sound=True
+                        answer = await self.ask_once_more(
+                            kind, with_sound=True, size_bytes=size_bytes
                         )
                         self._check_whole(kind, answer)
 
@@ -103,19 +75,17 @@
             self.assertEqual(relay_fixture.body_of(answer), b"done")
 
 
-class DirectEarlyAnswersTest(EarlyAnswersCase, relay_fixture.RelayCase):
+class DirectEarlyAnswersTest(
+    EarlyAnswersCase, raw_replica_case.RawReplicaCase, relay_fixture.RelayCase
+):
     """On this instance's own connections."""
 
 
-class TunnelledEarlyAnswersTest(EarlyAnswersCase, tunnel_fixture.TunnelCase):
+class TunnelledEarlyAnswersTest(
+    EarlyAnswersCase, raw_replica_case.TunnelledRawReplicaCase
+):
     """On connections that a peer carries."""
 
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.dialer.refuses = True
-        for helper in self.helpers:
-            helper.listed.add(self.server.address)
-
 
 class EventLoopsTest(unittest.TestCase):
     """The event loops report the end of a connection in different orders."""
--- a/tests/cover/test_malformed_answers.py
+++ b/tests/cover/test_malformed_answers.py
@@ -28,12 +28,11 @@
 from nutmeghook.platform import store_messages
 from nutmeghook.standins import users_replica
 from tests import malformed_answers
+from tests import raw_replica_case
 from tests import raw_server
 from tests import relay_fixture
-from tests import tunnel_fixture
 from tests.cover import platform_case
 
-IDEMPOTENT = model.RouteKind.IDEMPOTENT
 ONCE = model.RouteKind.ONCE
 STREAM = model.RouteKind.STREAM
 Reply = users_replica.Reply
@@ -65,31 +64,6 @@
 class RelayChecks:
     """What holds of answers that come directly and through peers."""
 
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.server = raw_server.RawServer()
-        await self.server.start()
-        self.addAsyncCleanup(self.server.stop)
-        self.asked = 0
-
-    def list_replicas(self, *, with_sound: bool) -> None:
-        """Lists the replica that is at fault, anew, and others further away."""
-        self.directory.replace([])
-        broken = self.entry(
-            self.replicas[0],
-            replica_id=f"broken-{self.asked}",
-            address=self.server.address,
-        )
-        sound = [
-            self.entry(replica, data_centre="far") for replica in self.replicas
-        ]
-        self.directory.replace([broken, *(sound if with_sound else [])])
-
-    async def ask_once_more(self, kind: model.RouteKind) -> bytes:
-        """Asks like no request before, so that none counts as its repeat."""
-        self.asked += 1
-        return await self.ask(kind, body=b"%d" % self.asked)
-
     async def check_relay(self, answers: Answers) -> None:
         """No caller gets such an answer, nor believes that nothing ran."""
         self.reply_with(Reply(events=EVENTS))
@@ -102,19 +76,15 @@
 
     async def _check_once(self, answer: malformed_answers.RawAnswer) -> None:
         for claim in ((), (NOT_RUN,)):
-            self.list_replicas(with_sound=False)
             self.server.answer = answer.encode(b"ran", SEAL, *claim)
-            given = await self.ask_once_more(ONCE)
+            given = await self.ask_once_more(ONCE, with_sound=False)
             self.assertEqual(relay_fixture.status_of(given), 502)
 
     async def _check_elsewhere(
         self, answer: malformed_answers.RawAnswer
     ) -> None:
-        self.list_replicas(with_sound=True)
         self.server.answer = answer.encode(users_replica.event(7), SEAL)
-        asked = self.server.requests
-        given = await self.ask_once_more(STREAM)
-        self.assertGreater(self.server.requests, asked)
+        given = await self.ask_once_more(STREAM, with_sound=True)
         self.assertEqual(relay_fixture.events_of(given), WHOLE)
         self.assertTrue(relay_fixture.is_complete(given))
 
@@ -184,26 +154,23 @@
         for name, answer in malformed_answers.WELL_FORMED.items():
             self.server.ending = raw_server.Ending.CLOSE
             self.server.answer = answer.encode(b"done", SEAL)
-            self.list_replicas(with_sound=False)
             with self.subTest(answer=name):
-                given = await self.ask_once_more(ONCE)
+                given = await self.ask_once_more(ONCE, with_sound=False)
                 self.assertEqual(relay_fixture.status_of(given), 200)
                 self.assertEqual(relay_fixture.body_of(given), b"done")
 
 
-class DirectAnswersTest(RelayChecks, relay_fixture.RelayCase):
+class DirectAnswersTest(
+    RelayChecks, raw_replica_case.RawReplicaCase, relay_fixture.RelayCase
+):
     """On this instance's own connections."""
 
 
-class TunnelledAnswersTest(RelayChecks, tunnel_fixture.TunnelCase):
+class TunnelledAnswersTest(
+    RelayChecks, raw_replica_case.TunnelledRawReplicaCase
+):
     """On connections that a peer carries."""
 
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.dialer.refuses = True
-        for helper in self.helpers:
-            helper.listed.add(self.server.address)
-
 
 class ClientAnswersTest(unittest.IsolatedAsyncioTestCase):
     """Answers of the store, engines and services, and to operators."""
