Play a return under a load that does not wait

`nutmeghook fleet_restart` asked for 40 calls a second that nobody repeated, and did not say what the routers used. So no run could tell a start that costs too much from a load that keeps the fleet from returning.

It now takes the rate and the share of failed calls that are sent again at once, and reports the routers' processor time by second and the seconds from which on half and nine tenths of the calls are answered.

--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -256,6 +256,8 @@
             seed: The random seed of the faults and of the load.
             seconds: How long faults are started.
             routers: The number of router processes.
+            rate_per_s: New calls of callers.
+            repeated_share: Share of the failed calls that are sent again.
             keep: A folder for the routers' logs; empty to drop them.
         """
         soak = importlib.import_module("nutmeghook.experiment.soak")
@@ -274,6 +276,8 @@
         is_store_older: bool = False,
         are_replicas_lost: bool = False,
         second_loss_s: float = 0.0,
+        rate_per_s: float = 40.0,
+        repeated_share: float = 0.0,
         keep: str = "",
     ) -> None:
         """Loses all router processes at once and starts them together.
@@ -291,6 +295,8 @@
             is_store_older: The store is back from an older copy.
             are_replicas_lost: All replicas crash too, and get new ids.
             second_loss_s: All routers are lost again so long after the start.
+            rate_per_s: New calls of callers.
+            repeated_share: Share of the failed calls that are sent again.
             keep: A folder for the routers' logs; empty to drop them.
         """
         restart = importlib.import_module("nutmeghook.experiment.fleet_restart")
@@ -308,6 +314,9 @@
                     are_replicas_lost=are_replicas_lost,
                     second_loss_s=second_loss_s,
                 ),
+                load=restart.Load(
+                    rate_per_s=rate_per_s, repeated_share=repeated_share
+                ),
                 keep=keep,
             )
         )
--- a/src/nutmeghook/experiment/fleet_restart.py
+++ b/src/nutmeghook/experiment/fleet_restart.py
@@ -24,7 +24,6 @@
 from nutmeghook.standins import users_store
 
 REPLICAS = 6
-RATE_PER_S = 40.0
 # Of steady load before the loss.
 BEFORE_S = 4.0
 # From the start on, calls are judged that were sent later than this and before
@@ -36,6 +35,21 @@
 # From the store's return until the operator writes again what it had lost.
 _WRITTEN_AGAIN_S = 1.0
 _READY_EVENT = "process:ready"
+_NANOSECONDS_PER_S = 1e9
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Load:
+    """What callers ask for; none waits for the fleet.
+
+    Attributes:
+        rate_per_s: New calls.
+        repeated_share: Of the calls that fail, so many are sent again at once,
+            to any router, until they are answered.
+    """
+
+    rate_per_s: float = 40.0
+    repeated_share: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -88,6 +102,10 @@
         met_s: Condition of readiness to the longest time that a router waited
             for it after its listener had opened.
         store_calls_per_s: Calls to the store, by second of the start.
+        processor_s_per_s: Processor time of all routers, by second of the
+            start; the last ones are what a fleet that is back needs.
+        half_served_s: The second from which on half of the calls were answered.
+        most_served_s: The same for nine tenths.
         served_before: Share of the calls before the loss that were answered.
         served_after: The same of the calls sent after the time to recover.
         served_by_second: Answered calls and calls, by second of the start.
@@ -100,6 +118,9 @@
     processor_s: float
     met_s: dict[str, float]
     store_calls_per_s: list[int]
+    processor_s_per_s: list[float]
+    half_served_s: int
+    most_served_s: int
     served_before: float
     served_after: float
     served_by_second: list[tuple[int, int]]
@@ -126,6 +147,7 @@
     ended_peers: int = 0,
     is_restored: bool = False,
     loss: Loss | None = None,
+    load: Load | None = None,
 ) -> RestartReport:
     """Runs one loss of all routers under load.
 
@@ -136,6 +158,7 @@
         ended_peers: Rows of instances that are gone for good.
         is_restored: The store was restored from an older copy before.
         loss: What is lost; only the routers if None.
+        load: What callers ask for; a light load if None.
     """
     trial = platform_trial.PlatformTrial(folder=folder, seed=1, routers=routers)
     for number in range(ended_peers):
@@ -150,21 +173,31 @@
         await trial.start()
         for number in range(len(trial.replicas), REPLICAS):
             await trial.add_replica(f"v1-{number}", "v1")
-        return await _lose_all(trial, cores=cores, loss=loss or Loss())
+        return await _lose_all(
+            trial, cores=cores, loss=loss or Loss(), load=load or Load()
+        )
     finally:
         await trial.end()
 
 
 async def _lose_all(
-    trial: platform_trial.PlatformTrial, *, cores: int, loss: Loss
+    trial: platform_trial.PlatformTrial,
+    *,
+    cores: int,
+    loss: Loss,
+    load: Load,
 ) -> RestartReport:
     loop = asyncio.get_running_loop()
     first_call = len(trial.calls)
     total_s = BEFORE_S + loss.down_s + RECOVERY_S + _JUDGED_S
     if loss.second_loss_s:
         total_s += loss.second_loss_s + loss.down_s
-    load = asyncio.create_task(
-        trial.load(seconds=total_s, rate_per_s=RATE_PER_S)
+    callers = asyncio.create_task(
+        trial.load(
+            seconds=total_s,
+            rate_per_s=load.rate_per_s,
+            repeated_share=load.repeated_share,
+        )
     )
     older = trial.store.copy()
     await asyncio.sleep(BEFORE_S / 2)
@@ -177,15 +210,15 @@
     if loss.second_loss_s:
         await asyncio.sleep(loss.second_loss_s)
         start = await _restart_all(trial, cores=cores, loss=loss)
-    store_calls_per_s: list[int] = []
-    counting = asyncio.create_task(_count_calls(trial.store, store_calls_per_s))
+    usage = _Usage(trial=trial)
+    counting = asyncio.create_task(usage.count())
     if loss.store_away_s:
         await asyncio.sleep(loss.store_away_s)
         lost_rows = trial.store.restore(older) if loss.is_store_older else {}
         trial.store.fault = users_store.StoreFault.NONE
         await asyncio.sleep(_WRITTEN_AGAIN_S)
         trial.store.write_again(lost_rows)
-    await load
+    await callers
     counting.cancel()
     ready = [
         line
@@ -199,7 +232,7 @@
             line.timestamp - start.time.timestamp() for line in ready
         ),
         ready=ready,
-        store_calls_per_s=store_calls_per_s,
+        usage=usage,
         before=[call for call in calls if call.ended_s < lost_s],
         after=[call for call in calls if call.sent_s >= start.at_s],
         started_s=start.at_s,
@@ -231,14 +264,49 @@
     return start
 
 
-async def _count_calls(
-    store: users_store.StandInStore, per_s: list[int]
-) -> None:
-    """Appends the number of calls of each second, until cancelled."""
-    while True:
-        before = len(store.calls)
-        await asyncio.sleep(1.0)
-        per_s.append(len(store.calls) - before)
+class _Usage:
+    """What the routers use, by second.
+
+    Attributes:
+        store_calls_per_s: Their calls to the store.
+        processor_s_per_s: Their processor time.
+    """
+
+    __slots__ = ("_trial", "processor_s_per_s", "store_calls_per_s")
+
+    def __init__(self, *, trial: platform_trial.PlatformTrial):
+        self._trial = trial
+        self.store_calls_per_s: list[int] = []
+        self.processor_s_per_s: list[float] = []
+
+    async def count(self) -> None:
+        """Counts until cancelled."""
+        calls = len(self._trial.store.calls)
+        processor_s = self._processor_s()
+        while True:
+            await asyncio.sleep(1.0)
+            calls_now = len(self._trial.store.calls)
+            processor_s_now = self._processor_s()
+            self.store_calls_per_s.append(calls_now - calls)
+            self.processor_s_per_s.append(
+                round(processor_s_now - processor_s, 2)
+            )
+            calls, processor_s = calls_now, processor_s_now
+
+    def _processor_s(self) -> float:
+        return sum(
+            _thread_processor_s(router.process.pid)
+            for router in self._trial.routers
+        )
+
+
+def _thread_processor_s(pid: int) -> float:
+    """Returns the processor time of a process's first thread."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    except FileNotFoundError:  # it has ended
+        return 0.0
+    return int(text.split()[0]) / _NANOSECONDS_PER_S
 
 
 async def _start(router: trial_routers.RouterProcess, *, cores: int) -> None:
@@ -260,7 +328,7 @@
     routers: int,
     ready_s: list[float],
     ready: list[_ReadyLine],
-    store_calls_per_s: list[int],
+    usage: _Usage,
     before: list[platform_checks.ObservedCall],
     after: list[platform_checks.ObservedCall],
     started_s: float,
@@ -291,7 +359,10 @@
             2,
         ),
         met_s=_longest_waits(ready),
-        store_calls_per_s=store_calls_per_s,
+        store_calls_per_s=usage.store_calls_per_s,
+        processor_s_per_s=usage.processor_s_per_s,
+        half_served_s=_served_from(by_second, least_share=0.5),
+        most_served_s=_served_from(by_second, least_share=0.9),
         served_before=round(_share(before), 3),
         served_after=round(served_after, 3),
         served_by_second=[by_second[second] for second in sorted(by_second)],
@@ -299,6 +370,23 @@
     )
 
 
+def _served_from(
+    by_second: dict[int, tuple[int, int]], *, least_share: float
+) -> int:
+    """Returns the second from which on such a share of the calls is answered.
+
+    Args:
+        by_second: Second to answered calls and calls.
+        least_share: Of the calls of each second.
+    """
+    too_few = [
+        second
+        for second, (answered, calls) in by_second.items()
+        if answered < least_share * calls
+    ]
+    return max(too_few, default=-1) + 1
+
+
 def _longest_waits(ready: list[_ReadyLine]) -> dict[str, float]:
     longest: dict[str, float] = {}
     for line in ready:
@@ -324,6 +412,7 @@
     ended_peers: int,
     is_restored: bool,
     loss: Loss,
+    load: Load,
     keep: str,
 ) -> int:
     """Prints the report as JSON; returns 1 if a bound was broken."""
@@ -340,6 +429,7 @@
                 ended_peers=ended_peers,
                 is_restored=is_restored,
                 loss=loss,
+                load=load,
             )
         )
     print(msgspec.json.encode(report).decode())
