Restart the program that is deployed, not the one whose paths can be cut

The routers of `nutmeghook fleet_restart` read a file 50 times a second that tells them whether their paths are cut. That is a part of what an idle router costs there, and none of what the deployed program costs.

--- a/src/nutmeghook/experiment/fleet_restart.py
+++ b/src/nutmeghook/experiment/fleet_restart.py
@@ -160,7 +160,12 @@
         loss: What is lost; only the routers if None.
         load: What callers ask for; a light load if None.
     """
-    trial = platform_trial.PlatformTrial(folder=folder, seed=1, routers=routers)
+    trial = platform_trial.PlatformTrial(
+        folder=folder,
+        seed=1,
+        routers=routers,
+        router_program=trial_routers.DEPLOYED_PROGRAM,
+    )
     for number in range(ended_peers):
         trial.store.put(
             registration.TABLE,
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -62,6 +62,12 @@
 class PlatformTrial:
     """A platform, routers and callers.
 
+    Args:
+        folder: For settings and logs.
+        seed: Of what is random.
+        routers: Their number.
+        router_program: What Python runs as a router.
+
     Attributes:
         calls: What callers observed.
         crashes: Replicas that crashed while they ran a request.
@@ -70,8 +76,16 @@
         listed_slots: The slots of replicas in their entries.
     """
 
-    def __init__(self, *, folder: pathlib.Path, seed: int, routers: int = 3):
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        seed: int,
+        routers: int = 3,
+        router_program: tuple[str, ...] = trial_routers.CUTTABLE_PROGRAM,
+    ):
         self._folder = folder
+        self._router_program = router_program
         self._random = random.Random(seed)
         self._call_count = 0
         self.store = users_store.StandInStore()
@@ -106,6 +120,7 @@
                 name=name,
                 folder=self._folder,
                 store=await self.store_address(name),
+                program=self._router_program,
             )
             self.routers.append(router)
             await router.start()
--- a/src/nutmeghook/experiment/trial_routers.py
+++ b/src/nutmeghook/experiment/trial_routers.py
@@ -31,6 +31,11 @@
 coldOverrun = 1.5
 coldAllowance = 5"""
 
+# Obeys `RouterProcess.cut`.
+CUTTABLE_PROGRAM = ("-m", cut_paths.__name__)
+# What is deployed.
+DEPLOYED_PROGRAM = (str(ROOT / "deploy" / "serve.py"),)
+
 # Below the ephemeral ports of outgoing connections. In steps of two, since a
 # router uses the next port as well.
 _PORTS = iter(range(12_000, 32_000, 2))
@@ -39,6 +44,12 @@
 class RouterProcess:
     """One router.
 
+    Args:
+        name: Its instance id.
+        folder: For its settings and log.
+        store: The store's address.
+        program: What Python runs.
+
     Attributes:
         address: Where callers connect.
         starts: How often it was started.
@@ -49,6 +60,7 @@
         "_cut_file",
         "_file",
         "_log",
+        "_program",
         "address",
         "name",
         "process",
@@ -56,8 +68,16 @@
         "unexpected_exits",
     )
 
-    def __init__(self, *, name: str, folder: pathlib.Path, store: str):
+    def __init__(
+        self,
+        *,
+        name: str,
+        folder: pathlib.Path,
+        store: str,
+        program: tuple[str, ...] = CUTTABLE_PROGRAM,
+    ):
         self.name = name
+        self._program = program
         front_port = free_port()
         self.address = f"{loopback_host.own_host()}:{front_port}"
         self._file = folder / f"{name}.toml"
@@ -82,8 +102,7 @@
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                cut_paths.__name__,
+                *self._program,
                 env=os.environ
                 | {
                     cut_paths.CUT_FILE_VARIABLE: str(self._cut_file),
