Push and fetch changes of tables when they come, not 40 times a second

Callers of a fleet that returns are answered later the more processor time the routers take that are up already. An idle router looked 40 times a second whether a revision had changed, and 40 times a second for each of its three tables whether a peer was ahead: 160 of its some 240 wake-ups a second. The cost doesn't depend on the fleet's size (27 ms a second at 7, 24 and 88 routers), but those that share cores pay it together. The class: polling where an event is at hand, unnoticed in one process, times the fleet.

A change of a revision and a peer's report now wake the task that waits for them. Pushes stay 25 ms apart, and a busy peer is asked again after the same pause; a report is acted on at once instead of within 12 to 37 ms.

The new test fails before: "819 not less than 50.0" wake-ups of the gossip in ten seconds.

--- a/src/nutmeghook/internal/table_replication/follower.py
+++ b/src/nutmeghook/internal/table_replication/follower.py
@@ -185,8 +185,9 @@
     kept separately.
 
     Attributes:
-        revision: All changes up to here were applied; -1 before the first.
-        confirmed_at: When the store last confirmed that this is the newest.
+        confirmed_at: When the store last confirmed that the revision is the
+            newest.
+        on_revision: Called after each change of the revision.
     """
 
     __slots__ = (
@@ -195,11 +196,12 @@
         "_listener",
         "_random",
         "_retry_delay",
+        "_revision",
         "_store_monitor",
         "_table",
         "_wait",
         "confirmed_at",
-        "revision",
+        "on_revision",
     )
 
     def __init__(
@@ -221,8 +223,14 @@
         self._retry_delay = INITIAL_RETRY_DELAY
         # The store's counter up to which its feed was read; -1: read all.
         self._feed_position = -1
-        self.revision = -1
+        self._revision = -1
         self.confirmed_at: datetime.timedelta | None = None
+        self.on_revision: Callable[[], None] = lambda: None
+
+    @property
+    def revision(self) -> int:
+        """All changes up to here were applied; -1 before the first."""
+        return self._revision
 
     def note_contact(self, at: datetime.timedelta) -> None:
         """Records that the store answered a peer."""
@@ -279,9 +287,14 @@
     def skip_to(self, revision: int) -> None:
         """Continues after a revision that the listener got from a peer."""
         self._store_monitor.note_epoch(revisions.epoch_of(revision))
-        self.revision = max(self.revision, revision)
+        self._advance(revision)
         self._feed_position = max(self._feed_position, revision)
 
+    def _advance(self, revision: int) -> None:
+        if revision > self._revision:
+            self._revision = revision
+            self.on_revision()
+
     async def _read(self, wait: datetime.timedelta) -> None:
         start_position = self._feed_position
         start_revision = self.revision
@@ -305,10 +318,9 @@
             # A snapshot does not show recent deletions, so the newest row's
             # version is no safe revision: a peer at it may still have rows that
             # were deleted since.
-            self.revision = page.revision
+            self._advance(page.revision)
         elif page.rows:
             self._listener.change(page.rows)
-            newest = max(row.version for row in page.rows)
-            self.revision = max(self.revision, newest)
+            self._advance(max(row.version for row in page.rows))
         self._feed_position = max(self._feed_position, page.revision)
         self.confirmed_at = self._clock.monotonic()
--- a/src/nutmeghook/internal/table_replication/gossip.py
+++ b/src/nutmeghook/internal/table_replication/gossip.py
@@ -79,6 +79,8 @@
 CHANGE_BATCH_DELAY = datetime.timedelta(milliseconds=100)
 # How often an instance that does not read checks whether it has to.
 _POLL_INTERVAL = datetime.timedelta(milliseconds=100)
+# Changes within so long are pushed together.
+_PUSH_INTERVAL = datetime.timedelta(milliseconds=25)
 # A reader's own feed usually delivers a change within this time.
 _READER_DELAY = datetime.timedelta(milliseconds=250)
 # Wait after a failed call, in a large fleet, of an instance that is no reader.
@@ -139,10 +141,11 @@
         "_opens_tunnels",
         "_peer_sampler",
         "_peers_ahead",
-        "_pushed_revisions",
         "_random",
         "_registered",
         "_registered_at",
+        "_reported",
+        "_revision_changed",
         "_tables",
         "_tunnel_openers",
         "peers",
@@ -186,7 +189,11 @@
         self._last_seen: dict[str, datetime.timedelta] = {}
         # By table: newer revisions of peers, by the peers' address.
         self._peers_ahead: dict[str, dict[str, int]] = {n: {} for n in tables}
-        self._pushed_revisions: dict[str, int] = {}
+        # By table: set when a peer is ahead.
+        self._reported = {name: asyncio.Event() for name in tables}
+        self._revision_changed = asyncio.Event()
+        for table in tables.values():
+            table.follower.on_revision = self._revision_changed.set
         # By table: the last newer revision that a peer reported.
         self._newest_report: dict[str, _RevisionReport] = {}
         self._lags = {name: lag.Lag() for name in tables}
@@ -407,6 +414,7 @@
                     revision=revision, at=self._clock.monotonic()
                 )
                 self._peers_ahead[name][message.sender_address] = revision
+                self._reported[name].set()
 
     def _note_peer(self, digest: ttypes.TablesDigest) -> None:
         peer_id = digest.sender_id
@@ -449,13 +457,12 @@
     async def _push_changes(self) -> None:
         """Pushes a digest to many peers as soon as a revision changes."""
         while True:
-            revisions = {n: t.revision for n, t in self._tables.items()}
-            if revisions != self._pushed_revisions:
-                self._pushed_revisions = revisions
-                self._send_digest(
-                    local=LOCAL_PUSH_FANOUT, remote=REMOTE_PUSH_FANOUT
-                )
-            await self._clock.sleep(_POLL_INTERVAL / 4)
+            self._revision_changed.clear()
+            self._send_digest(
+                local=LOCAL_PUSH_FANOUT, remote=REMOTE_PUSH_FANOUT
+            )
+            await self._clock.sleep(_PUSH_INTERVAL)
+            await self._revision_changed.wait()
 
     async def _keep_caught_up(self, name: str) -> None:
         """Fetches a table's changes from peers ahead, last reported first.
@@ -465,6 +472,7 @@
         other.
         """
         ahead = self._peers_ahead[name]
+        reported = self._reported[name]
         table = self._tables[name]
         fetcher = page_fetcher.PageFetcher(
             name=name,
@@ -474,17 +482,20 @@
             clock=self._clock,
         )
         while True:
+            await reported.wait()
+            reported.clear()
             busy: dict[str, int] = {}
             while ahead:
                 address, revision = ahead.popitem()
                 if not await self._catch_up(table, fetcher, address, revision):
                     busy[address] = revision
-            retry_delay = _BUSY_RETRY_DELAY if busy else _POLL_INTERVAL / 4
-            await self._clock.sleep(
-                retry_delay * self._random.uniform(0.5, 1.5)
-            )
-            for address, revision in busy.items():
-                ahead.setdefault(address, revision)
+            if busy:
+                await self._clock.sleep(
+                    _BUSY_RETRY_DELAY * self._random.uniform(0.5, 1.5)
+                )
+                for address, revision in busy.items():
+                    ahead.setdefault(address, revision)
+                reported.set()
 
     async def _catch_up(
         self,
--- a/tests/cover/test_table_gossip.py
+++ b/tests/cover/test_table_gossip.py
@@ -4,6 +4,7 @@
 import datetime
 import random
 import unittest
+from unittest import mock
 
 import aiohttp
 
@@ -178,7 +179,7 @@
         ahead, behind = self.instance("a"), self.instance("b")
         self.connect(ahead, behind)
         await behind[1].follower.step()
-        ahead[1].follower.revision = 99
+        ahead[1].follower.skip_to(99)
         ahead[0]._send_digest(local=5, remote=0)
         await self.clock.advance(_SECOND)
         self.assertEqual(behind[0].behind_for(TABLE), _SECOND)
@@ -196,12 +197,27 @@
         dead, instance = self.instance("a"), self.instance("b")
         self.connect(dead, instance)
         await instance[1].follower.step()
-        dead[1].follower.revision = 99
+        dead[1].follower.skip_to(99)
         dead[0]._send_digest(local=5, remote=0)
         self.assertTrue(instance[0].is_behind(TABLE))
         await self.clock.advance(4 * _SECOND)
         self.assertFalse(instance[0].is_behind(TABLE))
 
+    async def test_an_idle_instance_wakes_only_for_its_digests(self):
+        """Guards against a fleet whose idle instances take the processor time
+        that those need which start.
+        """
+        gossip = self.instance("a")[0]
+        running = asyncio.create_task(gossip.run())
+        await self.clock.advance(_SECOND)
+        with mock.patch.object(
+            self.clock, "sleep", wraps=self.clock.sleep
+        ) as sleep:
+            await self.clock.advance(10 * _SECOND)
+        running.cancel()
+        digests = 10 * _SECOND / gossip_module.GOSSIP_PERIOD
+        self.assertLess(sleep.call_count, 2 * digests)
+
     async def test_a_new_instance_gets_the_whole_table(self):
         old, new = self.instance("a"), self.instance("b")
         self.connect(old, new)
