Wait for the reset behind an answer that began before its request was sent

A caller got the first byte of a 200 without a length as the whole answer: the replica answered at once while 3 MB were being uploaded, and closed. Its system had taken and acknowledged the whole upload, so that the rule of (an end of file counts for nothing while bytes are unacknowledged) held nothing against it; its process had read a part, and the reset that follows such a close came after the decision.

An answer without a length that began while its request was still being sent is now complete only if no reset comes within 100 ms of its end of file, on own connections and at the peer that carries one. Weighed: to end the own side and wait until that is acknowledged. It is acknowledged by the replica's system, too, and a replica that has got it resets no more, so it would hide the sign.

Only such answers wait: a sound one that begins early and has no length is 100 ms later, all others are as before.

--- a/src/nutmeghook/internal/foundation/socket_options.py
+++ b/src/nutmeghook/internal/foundation/socket_options.py
@@ -1,6 +1,7 @@
 """Sets options of sockets where the system allows it; reads their errors."""
 
 import asyncio
+import datetime
 import fcntl
 import os
 import socket
@@ -17,6 +18,9 @@
     (socket.IPPROTO_TCP, "TCP_KEEPCNT", 2),
     (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", 4000),
 )
+# A server that closes a connection with bytes of the request unread may send
+# its end of file first, and the reset a few turns of its event loop later.
+RESET_DELAY = datetime.timedelta(milliseconds=100)
 
 
 def try_set(
@@ -50,19 +54,31 @@
     for a clean close. Only the socket still holds the error, which is cleared.
 
     A server that closes before it has received the whole request resets the
-    connection, but its system may first send the end of file.
+    connection, but its system may first send the end of file. If its system has
+    received the request, only the reset tells, which comes within
+    `RESET_DELAY`.
     """
     raw = transport.get_extra_info("socket")
     if raw is None:
         return None
-    number = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    try:
+        number = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError as error:  # this process has closed it
+        return error
     if number:
         return OSError(number, os.strerror(number))
-    if transport.get_write_buffer_size() or unacknowledged_bytes(transport):
+    if is_still_sending(transport):
         return ConnectionAbortedError("closed before it had received all")
     return None
 
 
+def is_still_sending(transport: asyncio.Transport) -> bool:
+    """Tells whether the other system has not received all that was written."""
+    return bool(
+        transport.get_write_buffer_size() or unacknowledged_bytes(transport)
+    )
+
+
 def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
     """Returns how many written bytes the other system has not acknowledged.
 
--- a/src/nutmeghook/internal/tunnels/server.py
+++ b/src/nutmeghook/internal/tunnels/server.py
@@ -67,11 +67,14 @@
 
     Attributes:
         failure: Why the connection broke; None if it was closed.
+        is_early: The replica has sent something before it had received all
+            that was sent to it.
     """
 
     def __init__(self, *, reader: asyncio.StreamReader):
         super().__init__(reader, loop=asyncio.get_running_loop())
         self.failure: Exception | None = None
+        self.is_early = False
         self._other_side_ended = False
         self._replica_transport: asyncio.Transport | None = None
 
@@ -80,6 +83,19 @@
         self._replica_transport = transport
         super().connection_made(transport)
 
+    def data_received(self, data: bytes) -> None:
+        """Feeds the reader."""
+        self.is_early = self.is_early or socket_options.is_still_sending(
+            self._replica_transport
+        )
+        super().data_received(data)
+
+    def take_end_error(self) -> Exception | None:
+        """Returns why the connection has broken until now."""
+        return self.failure or socket_options.take_end_error(
+            self._replica_transport
+        )
+
     def eof_received(self) -> bool | None:
         """Ends the reader, and records what makes it no clean end."""
         self._other_side_ended = True
@@ -255,7 +271,7 @@
                 {to_replica, to_peer}, return_when=asyncio.FIRST_COMPLETED
             )
             if to_peer.done() and to_peer.exception() is None:
-                await self._end(peer_writer, replica.protocol.failure)
+                await self._end(peer_writer, await self._failure_of(replica))
             else:
                 _reset(peer_writer)
         finally:
@@ -264,6 +280,13 @@
             # Which side broke, and how, makes no difference any more.
             await asyncio.gather(to_replica, to_peer, return_exceptions=True)
 
+    async def _failure_of(self, replica: _ReplicaLink) -> Exception | None:
+        """Returns why a connection broke that has ended, or may be reset."""
+        if replica.protocol.failure is None and replica.protocol.is_early:
+            await self._clock.sleep(socket_options.RESET_DELAY)
+            return replica.protocol.take_end_error()
+        return replica.protocol.failure
+
     async def _end(
         self, peer_writer: asyncio.StreamWriter, failure: Exception | None
     ) -> None:
--- a/src/nutmeghook/internal/upstream/connection.py
+++ b/src/nutmeghook/internal/upstream/connection.py
@@ -139,12 +139,14 @@
 
     __slots__ = (
         "_carried",
+        "_end_check",
         "_end_error",
         "_expected",
         "_framing_bytes",
         "_framing_limit",
         "_head",
         "_heads",
+        "_is_early",
         "_other_side_ended",
         "_payload",
         "_read_bytes",
@@ -167,7 +169,10 @@
         self._heads = answer_heads.AnswerHeads()
         self._payload: streams.StreamReader | None = None
         self._end_error: OSError | None = None
+        self._end_check: asyncio.TimerHandle | None = None
         self._other_side_ended = False
+        # The answer has begun before the replica had received the request.
+        self._is_early = False
         self._carried = answer_match.CarriedRequests()
         self._expected: answer_match.ExpectedAnswer | None = None
         # The body of an answer to another request, as it is received.
@@ -241,6 +246,7 @@
         )
         self._head = self._loop.create_future()
         self._heads = answer_heads.AnswerHeads()
+        self._is_early = False
         self._payload = None
         self._skipped = None
         self._skipped_answers = 0
@@ -379,19 +385,38 @@
         except answer_limits.TooMuchFramingError as error:
             self._fail(outcomes.NoAnswerError(str(error)))
 
-    def eof_received(self) -> None:
-        """Lets the transport close, and records what makes it no clean end."""
-        self._note_end()
+    def eof_received(self) -> bool:
+        """Lets the transport close, unless a reset may follow.
 
-    def _note_end(self) -> None:
+        A replica that began to answer before it had received the request may
+        not have read all of it when it closed the connection.
+        """
+        error = socket_options.take_end_error(self.transport)
+        if error is not None or not self._is_early:
+            self._note_end(error)
+            return False
+        self.reusable = False
+        self._end_check = self._loop.call_later(
+            socket_options.RESET_DELAY.total_seconds(), self._check_end
+        )
+        return True
+
+    def _check_end(self) -> None:
+        self._note_end(socket_options.take_end_error(self.transport))
+        self.transport.close()
+
+    def _note_end(self, error: OSError | None) -> None:
         """Records that the replica sends nothing more.
 
         If it has not received the whole request it may never do so, and the
         connection would stay open until it has.
+
+        Args:
+            error: Why the end completes nothing; None if it may.
         """
         self._other_side_ended = True
-        self._end_error = socket_options.take_end_error(self.transport)
-        if self._end_error is not None:
+        self._end_error = error
+        if error is not None:
             self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -401,6 +426,8 @@
         length. The event loop reports no error if this process aborts.
         """
         self.reusable = False
+        if self._end_check is not None:
+            self._end_check.cancel()
         exc = exc or self._end_error
         if exc is None and not self._other_side_ended:
             exc = ConnectionAbortedError("dropped by this process")
@@ -455,6 +482,10 @@
             return
         self._skipped = None
         self._payload = payload
+        self._is_early = (
+            head.ends_with_connection
+            and socket_options.is_still_sending(self.transport)
+        )
         if message.should_close:
             self.reusable = False
         self._head.set_result(head)
--- a/src/nutmeghook/internal/upstream/tunnelled_connection.py
+++ b/src/nutmeghook/internal/upstream/tunnelled_connection.py
@@ -64,8 +64,7 @@
         if self._pieces.is_ended:
             self.reusable = False
             if self.transport is not None:
-                self._note_end()
-                self.transport.close()
+                self._check_end()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange; only the replica's own end is a clean one."""
--- a/tests/cover/test_early_answers.py
+++ b/tests/cover/test_early_answers.py
@@ -29,7 +29,11 @@
 WHOLE = [users_replica.event(number) for number in EVENTS]
 # The sender's system holds the rest of the first, and not of the second.
 SIZES_BYTES = (400_000, 4_000_000)
-BROKEN = (raw_server.Ending.RESET, raw_server.Ending.CLOSE_THEN_RESET)
+BROKEN = (
+    raw_server.Ending.RESET,
+    raw_server.Ending.CLOSE_THEN_RESET,
+    raw_server.Ending.TAKE_ALL_THEN_RESET,
+)
 MAX_TIME_S = 5.0
 HEAD = b"HTTP/1.1 200 OK\r\nX-Replica-Seal: seal\r\n\r\n"
 # Most of it is held back while the first part is not read.
@@ -90,6 +94,20 @@
 class EventLoopsTest(unittest.TestCase):
     """The event loops report the end of a connection in different orders."""
 
+    def test_the_whole_is_completed_though_it_began_early(self):
+        """Guards against an end that is believed of no early answer."""
+        for new_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
+            with (
+                self.subTest(new_loop),
+                asyncio.Runner(loop_factory=new_loop) as runner,
+            ):
+                for size_bytes in SIZES_BYTES:
+                    reading = _read(
+                        size_bytes, raw_server.Ending.TAKE_ALL, b"whole"
+                    )
+                    body = runner.run(asyncio.wait_for(reading, MAX_TIME_S))
+                    self.assertEqual(body, b"whole")
+
     def test_no_event_loop_completes_a_part(self):
         """Nor waits for the rest of the request to be taken, which a replica
         that has closed its side may never do.
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import re
 import socket
 import struct
 
@@ -22,12 +23,18 @@
     RESET = "reset"
     CLOSE_THEN_RESET = "close, then reset"
     CLOSE_ONE_SIDE = "close one side"
+    TAKE_ALL = "take the whole request, close"
+    TAKE_ALL_THEN_RESET = "take the whole request, close, then reset"
+
+
+_CLOSED_THEN_RESET = (Ending.CLOSE_THEN_RESET, Ending.TAKE_ALL_THEN_RESET)
 
 
 class RawServer:
     """Sends the same bytes to each request, once its head has come.
 
-    It takes no more of a long body than its buffers hold.
+    It takes no more of a long body than its buffers hold, unless its ending
+    says so.
 
     Attributes:
         answer: What is sent.
@@ -67,7 +74,7 @@
         self._serving.add(asyncio.current_task())
         try:
             while True:
-                await reader.readuntil(b"\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
                 self.requests += 1
                 writer.write(self.answer)
                 await writer.drain()
@@ -76,19 +83,29 @@
             if self.ending is Ending.CLOSE_ONE_SIDE:
                 writer.write_eof()
                 await self._stopping.wait()
-            if self.ending is Ending.CLOSE_THEN_RESET:
+            if self.ending in (Ending.TAKE_ALL, Ending.TAKE_ALL_THEN_RESET):
+                # The answer comes while the upload is under way.
+                await asyncio.sleep(_PAUSE_S)
+                await reader.readexactly(_length_in(head))
+            if self.ending in _CLOSED_THEN_RESET:
                 writer.write_eof()
                 # Lets the end be read before the reset.
                 await asyncio.sleep(_PAUSE_S)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            if self.ending in (Ending.RESET, Ending.CLOSE_THEN_RESET):
+            if self.ending in (Ending.RESET, *_CLOSED_THEN_RESET):
                 _reset(writer)
             writer.close()
             self._serving.discard(asyncio.current_task())
 
 
+def _length_in(head: bytes) -> int:
+    """Returns the length of a request's body."""
+    stated = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+    return int(stated[1]) if stated else 0
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     raw = writer.get_extra_info("socket")
     # The caller may have closed the connection.
