Send the callers of a restart to routers that are ready, and none waits

`nutmeghook fleet_restart` sent each call to any router, started or not, and its load slowed down with the process that sent it. On a platform a balancer sends all callers to the few instances that are ready first, at the rate at which they come. That is now so: the routers' ready addresses are asked once a second, calls are due at fixed times, and a failed one is sent again at once as often as `--repeats` says. The load has its own module.

--- a/src/nutmeghook/cli.py
+++ b/src/nutmeghook/cli.py
@@ -257,7 +257,7 @@
             seconds: How long faults are started.
             routers: The number of router processes.
             rate_per_s: New calls of callers.
-            repeated_share: Share of the failed calls that are sent again.
+            repeats: How often a failed call is sent again, at once.
             keep: A folder for the routers' logs; empty to drop them.
         """
         soak = importlib.import_module("nutmeghook.experiment.soak")
@@ -277,7 +277,7 @@
         are_replicas_lost: bool = False,
         second_loss_s: float = 0.0,
         rate_per_s: float = 40.0,
-        repeated_share: float = 0.0,
+        repeats: int = 0,
         keep: str = "",
     ) -> None:
         """Loses all router processes at once and starts them together.
@@ -296,10 +296,11 @@
             are_replicas_lost: All replicas crash too, and get new ids.
             second_loss_s: All routers are lost again so long after the start.
             rate_per_s: New calls of callers.
-            repeated_share: Share of the failed calls that are sent again.
+            repeats: How often a failed call is sent again, at once.
             keep: A folder for the routers' logs; empty to drop them.
         """
         restart = importlib.import_module("nutmeghook.experiment.fleet_restart")
+        load = importlib.import_module("nutmeghook.experiment.restart_load")
         store = importlib.import_module("nutmeghook.standins.users_store")
         sys.exit(
             restart.main(
@@ -314,9 +315,7 @@
                     are_replicas_lost=are_replicas_lost,
                     second_loss_s=second_loss_s,
                 ),
-                load=restart.Load(
-                    rate_per_s=rate_per_s, repeated_share=repeated_share
-                ),
+                load=load.Load(rate_per_s=rate_per_s, repeats=repeats),
                 keep=keep,
             )
         )
--- a/src/nutmeghook/experiment/fleet_restart.py
+++ b/src/nutmeghook/experiment/fleet_restart.py
@@ -18,6 +18,7 @@
 
 from nutmeghook.experiment import platform_checks
 from nutmeghook.experiment import platform_trial
+from nutmeghook.experiment import restart_load
 from nutmeghook.experiment import trial_routers
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.table_replication import registration
@@ -38,20 +39,6 @@
 _NANOSECONDS_PER_S = 1e9
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Load:
-    """What callers ask for; none waits for the fleet.
-
-    Attributes:
-        rate_per_s: New calls.
-        repeated_share: Of the calls that fail, so many are sent again at once,
-            to any router, until they are answered.
-    """
-
-    rate_per_s: float = 40.0
-    repeated_share: float = 0.0
-
-
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Loss:
     """What is lost, and what comes back when.
@@ -147,7 +134,7 @@
     ended_peers: int = 0,
     is_restored: bool = False,
     loss: Loss | None = None,
-    load: Load | None = None,
+    load: restart_load.Load | None = None,
 ) -> RestartReport:
     """Runs one loss of all routers under load.
 
@@ -179,7 +166,10 @@
         for number in range(len(trial.replicas), REPLICAS):
             await trial.add_replica(f"v1-{number}", "v1")
         return await _lose_all(
-            trial, cores=cores, loss=loss or Loss(), load=load or Load()
+            trial,
+            cores=cores,
+            loss=loss or Loss(),
+            load=load or restart_load.Load(),
         )
     finally:
         await trial.end()
@@ -190,7 +180,7 @@
     *,
     cores: int,
     loss: Loss,
-    load: Load,
+    load: restart_load.Load,
 ) -> RestartReport:
     loop = asyncio.get_running_loop()
     first_call = len(trial.calls)
@@ -198,11 +188,7 @@
     if loss.second_loss_s:
         total_s += loss.second_loss_s + loss.down_s
     callers = asyncio.create_task(
-        trial.load(
-            seconds=total_s,
-            rate_per_s=load.rate_per_s,
-            repeated_share=load.repeated_share,
-        )
+        restart_load.run(trial, load, seconds=total_s)
     )
     older = trial.store.copy()
     await asyncio.sleep(BEFORE_S / 2)
@@ -343,7 +329,10 @@
     for call in after:
         second = int(call.sent_s - started_s)
         answered, calls = by_second.get(second, (0, 0))
-        by_second[second] = (answered + _is_answered(call), calls + 1)
+        by_second[second] = (
+            answered + restart_load.is_answered(call),
+            calls + 1,
+        )
     served_after = _share(recovered)
     violations = []
     if served_after < LEAST_SERVED:
@@ -402,12 +391,8 @@
     return longest
 
 
-def _is_answered(call: platform_checks.ObservedCall) -> bool:
-    return call.status == 200 and call.complete
-
-
 def _share(calls: list[platform_checks.ObservedCall]) -> float:
-    return sum(map(_is_answered, calls)) / max(1, len(calls))
+    return sum(map(restart_load.is_answered, calls)) / max(1, len(calls))
 
 
 def main(
@@ -417,7 +402,7 @@
     ended_peers: int,
     is_restored: bool,
     loss: Loss,
-    load: Load,
+    load: restart_load.Load,
     keep: str,
 ) -> int:
     """Prints the report as JSON; returns 1 if a bound was broken."""
--- a/src/nutmeghook/experiment/platform_trial.py
+++ b/src/nutmeghook/experiment/platform_trial.py
@@ -39,8 +39,6 @@
 # 64 KiB stalls the connection: with 16 KiB, 3 MB were read in 8 s.
 _SLOW_READ_BYTES = 256 * 1024
 _PART_TOKENS = 100
-# A connection that is refused fails at once.
-_REPEAT_DELAY_S = 0.05
 # From a replica's crash until its replacement is listed.
 RESTART_S = 1.0
 
@@ -226,41 +224,22 @@
         self.operator.write_configuration(KEYS[:1])
         self.removed_at_s = asyncio.get_running_loop().time()
 
-    async def load(
-        self, *, seconds: float, rate_per_s: float, repeated_share: float = 0.0
-    ) -> None:
-        """Sends steady load of all kinds to all routers.
-
-        Args:
-            seconds: For how long.
-            rate_per_s: New calls.
-            repeated_share: Of the calls that fail, so many are sent again at
-                once.
-        """
+    async def load(self, *, seconds: float, rate_per_s: float) -> None:
+        """Sends steady load of all kinds to all routers."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < end_s:
-                kind = self._random.choice(("stream", "stream", "once"))
-                key = self._random.choice(KEYS)
-                tasks.create_task(
-                    self._call_until_served(
-                        kind, key=key, end_s=end_s, share=repeated_share
-                    )
-                )
+                tasks.create_task(self.call_any())
                 await asyncio.sleep(1 / rate_per_s)
 
-    async def _call_until_served(
-        self, kind: str, *, key: str, end_s: float, share: float
-    ) -> None:
-        """Sends a call, and a share of those that fail again and again."""
-        is_repeated = share > 0 and self._random.random() < share
-        while True:
-            observed = await self.call(kind, key=key)
-            is_over = asyncio.get_running_loop().time() >= end_s
-            if observed.status == 200 or not is_repeated or is_over:
-                return
-            await asyncio.sleep(_REPEAT_DELAY_S)
+    async def call_any(
+        self, *, router: trial_routers.RouterProcess | None = None
+    ) -> platform_checks.ObservedCall:
+        """Sends a request of any kind to a router, any if None."""
+        kind = self._random.choice(("stream", "stream", "once"))
+        key = self._random.choice(KEYS)
+        return await self.call(kind, key=key, router=router)
 
     async def call(
         self,
--- a/src/nutmeghook/experiment/trial_routers.py
+++ b/src/nutmeghook/experiment/trial_routers.py
@@ -20,7 +20,7 @@
 internalPorts = [{inner}, {last_inner}]
 [listen]
 front = "{host}:{front}"
-ready = "{host}:0"
+ready = "{host}:{ready}"
 [bounds]
 graceS = 8
 {bounds}
@@ -52,6 +52,7 @@
 
     Attributes:
         address: Where callers connect.
+        ready_address: Where a balancer asks whether to send callers.
         starts: How often it was started.
         unexpected_exits: Statuses of starts that exited by themselves.
     """
@@ -64,6 +65,7 @@
         "address",
         "name",
         "process",
+        "ready_address",
         "starts",
         "unexpected_exits",
     )
@@ -80,6 +82,8 @@
         self._program = program
         front_port = free_port()
         self.address = f"{loopback_host.own_host()}:{front_port}"
+        ready_port = free_port()
+        self.ready_address = f"{loopback_host.own_host()}:{ready_port}"
         self._file = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._cut_file = folder / f"{name}.cut"
@@ -88,6 +92,7 @@
             settings_text(
                 name=name,
                 front_port=front_port,
+                ready_port=ready_port,
                 store=store,
                 bounds=_BOUNDS,
             )
@@ -168,7 +173,12 @@
 
 
 def settings_text(
-    *, name: str, front_port: int, store: str, bounds: str = ""
+    *,
+    name: str,
+    front_port: int,
+    store: str,
+    ready_port: int = 0,
+    bounds: str = "",
 ) -> str:
     """Returns a router's settings file.
 
@@ -176,6 +186,7 @@
         name: The router's.
         store: The address of the store.
         front_port: Where callers connect; 0 lets the system choose.
+        ready_port: Where a balancer asks; 0 lets the system choose.
         bounds: Further lines of the section `[bounds]`.
     """
     inner = free_port()
@@ -183,6 +194,7 @@
         name=name,
         host=loopback_host.own_host(),
         front=front_port,
+        ready=ready_port,
         inner=inner,
         last_inner=inner + 1,
         store=store,
