Tell from a start's log how many modules it had to compile

Whether the modules are compiled is half of a start's processor time (users' measurement: 0.65 and 0.33 s of imports), and nothing in the logs told a start that compiled everything from one on a busy machine: both have a high `cpu_ms`. `process:ready` now counts the imported modules that have no compiled file, 0 after the build of deploy/system.toml and 209 in a checkout whose `src` was never compiled where PYTHONDONTWRITEBYTECODE is set. Counting takes 1.8 ms, once the instance is ready. The test fails without the field (KeyError).

--- a/src/nutmeghook/internal/observe/start_record.py
+++ b/src/nutmeghook/internal/observe/start_record.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import datetime
+import os
+import sys
 
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import logs
@@ -50,7 +52,7 @@
                 reminded_at = now
                 self._note("process:not_ready", missing=self._missing())
             await self._clock.sleep(_POLL_PERIOD)
-        self._note("process:ready")
+        self._note("process:ready", uncompiled_modules=_uncompiled_modules())
 
     def _missing(self) -> list[str]:
         """Notes what is met now; returns what is not."""
@@ -76,3 +78,18 @@
             cpu_ms=round(processor_time / _MILLISECOND),
             **fields,
         )
+
+
+def _uncompiled_modules() -> int:
+    """Returns how many imported modules have no compiled file.
+
+    Each was compiled by this start, and will be by the next one. Files that are
+    there but out of date are not seen.
+    """
+    compiled_files = [
+        getattr(module, "__cached__", None)
+        for module in list(sys.modules.values())
+    ]
+    return sum(
+        name is not None and not os.path.exists(name) for name in compiled_files
+    )
--- a/tests/cover/test_start_record.py
+++ b/tests/cover/test_start_record.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import datetime
+import pathlib
+import sys
+import types
 import unittest
+from unittest import mock
 
 import eliot
 
@@ -11,10 +15,29 @@
 from nutmeghook.internal.observe import metrics as metrics_module
 from nutmeghook.internal.observe import start_record
 
+ROOT = pathlib.Path(__file__).resolve().parent
 _SECOND = datetime.timedelta(seconds=1)
 
 
 class StartRecordTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_start_tells_how_much_it_compiled(self):
+        """Guards against a costly start that looks like a busy machine."""
+        lines: list[dict] = []
+        logs.start_with(lines.append)
+        self.addCleanup(eliot.remove_destination, lines.append)
+        record = start_record.StartRecord(
+            conditions={},
+            metrics=metrics_module.Metrics(),
+            clock=clock_module.FakeClock(),
+        )
+        await record.run()
+        before = lines[-1]["uncompiled_modules"]
+        never_compiled = types.ModuleType("never_compiled")
+        never_compiled.__cached__ = str(ROOT / "there-is-none.pyc")
+        with mock.patch.dict(sys.modules, never_compiled=never_compiled):
+            await record.run()
+        self.assertEqual(lines[-1]["uncompiled_modules"], before + 1)
+
     async def test_a_start_that_waits_names_what_is_missing(self):
         """Without the names, late instances can't be told from costly ones."""
         lines: list[dict] = []
