Import no part of aiohttp's web framework that a router doesn't use

A router uses aiohttp's HTTP server, its requests and its responses; `aiohttp.web` brings the framework above them, too, with its routes, file responses, runners and what those import.

The modules are imported one by one. `aiohttp.web` took 18.7 to 22.2 ms of processor time after the rest of aiohttp, the parts take 8.9 to 10.7 (five processes each). All imports of a router: median 211 ms before, 201 after, of 25 processes each on a core that others used.

cover/test_start_cost fails before: ['aiohttp.web', 'aiohttp.web_app'] are imported.

--- a/src/nutmeghook/internal/assembly/router.py
+++ b/src/nutmeghook/internal/assembly/router.py
@@ -8,7 +8,8 @@
 
 import aiohttp
 from aiohttp import hdrs
-from aiohttp import web
+from aiohttp import web_request
+from aiohttp import web_response
 
 from nutmeghook.internal.assembly import relay_assembly
 from nutmeghook.internal.assembly import replica_access
@@ -527,12 +528,16 @@
             clock=self._clock,
         )
 
-    async def _ready(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self.is_ready else 503)
+    async def _ready(
+        self, request: web_request.BaseRequest
+    ) -> web_response.Response:
+        return web_response.Response(status=200 if self.is_ready else 503)
 
-    async def _show_metrics(self, request: web.BaseRequest) -> web.Response:
+    async def _show_metrics(
+        self, request: web_request.BaseRequest
+    ) -> web_response.Response:
         if request.path != METRICS_PATH:
-            return web.Response(status=404)
+            return web_response.Response(status=404)
         router_gauges.refresh(
             self.metrics,
             configuration=self.configuration,
@@ -550,7 +555,7 @@
         body, content_headers = self.metrics.render(
             request.headers.getall(hdrs.ACCEPT, [])
         )
-        return web.Response(body=body, headers=content_headers)
+        return web_response.Response(body=body, headers=content_headers)
 
     async def _serve_text(
         self, name: str, address: str, handler: port.Handler
--- a/src/nutmeghook/internal/clients/http_connection.py
+++ b/src/nutmeghook/internal/clients/http_connection.py
@@ -8,8 +8,8 @@
 from aiohttp import http_exceptions
 from aiohttp import http_parser
 from aiohttp import streams
-from aiohttp import web
 from aiohttp import web_protocol
+from aiohttp import web_server
 import msgspec
 
 from nutmeghook.internal.clients import connection_table
@@ -64,7 +64,7 @@
 
 
 class HttpConnection(
-    web.RequestHandler,
+    web_protocol.RequestHandler,
     connection_table.ClientConnection,
     reading_lane.LaneMember,
 ):
@@ -95,7 +95,7 @@
     def __init__(
         self,
         *,
-        server: web.Server,
+        server: web_server.Server,
         loop: asyncio.AbstractEventLoop,
         limits: Callable[[], HttpLimits],
         table: connection_table.ConnectionTable,
--- a/src/nutmeghook/internal/clients/port.py
+++ b/src/nutmeghook/internal/clients/port.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 import datetime
 
-from aiohttp import web
+from aiohttp import web_request
+from aiohttp import web_response
+from aiohttp import web_server
 
 from nutmeghook.internal.clients import acceptor
 from nutmeghook.internal.clients import bounds
@@ -16,7 +18,9 @@
 from nutmeghook.internal.foundation import clock as clock_module
 from nutmeghook.internal.observe import metrics as metrics_module
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+Handler = Callable[
+    [web_request.BaseRequest], Awaitable[web_response.StreamResponse]
+]
 
 _LIMITS = http_connection.HttpLimits(
     head_bytes=16 * 1024,
@@ -52,7 +56,7 @@
             metrics=metrics,
             clock=clock,
         )
-        self._server = web.Server(handler, access_log=None)
+        self._server = web_server.Server(handler, access_log=None)
         self._acceptor: acceptor.Acceptor | None = None
 
     def start(self, *, host: str, port: int) -> str:
--- a/src/nutmeghook/internal/relay/caller_sink.py
+++ b/src/nutmeghook/internal/relay/caller_sink.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 import datetime
 
-from aiohttp import web
+from aiohttp import web_request
+from aiohttp import web_response
 
 from nutmeghook.internal.foundation import socket_options
 from nutmeghook.internal.relay import held_bytes as held_bytes_module
@@ -21,7 +22,7 @@
 _CUT_LINGERING_S = 0.5
 
 
-class StreamedAnswer(web.StreamResponse):
+class StreamedAnswer(web_response.StreamResponse):
     """An answer that keeps the replica's headers as they are."""
 
     async def _prepare_headers(self) -> None:
@@ -51,7 +52,7 @@
     def __init__(
         self,
         *,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         account: held_bytes_module.HeldBytes,
         watch: held_bytes_module.HeldBytesWatch,
         closing: Callable[[], bool],
@@ -131,7 +132,7 @@
         self.held.end()
 
     @property
-    def response(self) -> web.StreamResponse | None:
+    def response(self) -> web_response.StreamResponse | None:
         """The response for aiohttp to finish; None if nothing was sent."""
         return self._response
 
--- a/src/nutmeghook/internal/relay/listener.py
+++ b/src/nutmeghook/internal/relay/listener.py
@@ -5,7 +5,9 @@
 import datetime
 import io
 
-from aiohttp import web
+from aiohttp import web_request
+from aiohttp import web_response
+from aiohttp import web_server
 import xxhash
 
 from nutmeghook.internal.clients import acceptor
@@ -58,7 +60,7 @@
     def __init__(
         self,
         *,
-        server: web.Server,
+        server: web_server.Server,
         loop: asyncio.AbstractEventLoop,
         limits: Callable[[], http_connection.HttpLimits],
         table: connection_table.ConnectionTable,
@@ -145,7 +147,9 @@
         self._known_limits = model.CallerLimits()
         self._known_http_limits = _http_limits(self._known_limits)
         self._clock = clock
-        self._server = web.Server(self._handle, handler_cancellation=True)
+        self._server = web_server.Server(
+            self._handle, handler_cancellation=True
+        )
         self._acceptor = acceptor.Acceptor(
             table=connections,
             protocol=lambda: sliced_reads.SlicedReads(
@@ -233,7 +237,9 @@
         await self._server.shutdown(timeout=0.1)
         self._watch.stop()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         sink = caller_sink.CallerSink(
             request=request,
             account=self._held,
@@ -253,7 +259,7 @@
             sink.response.force_close()
         return sink.response
 
-    def _is_last(self, request: web.BaseRequest) -> bool:
+    def _is_last(self, request: web_request.BaseRequest) -> bool:
         """Tells whether an answer begun now closes its connection.
 
         Not before another request that was read, which would get no answer.
@@ -263,7 +269,7 @@
         )
 
     async def _serve(
-        self, request: web.BaseRequest, sink: caller_sink.CallerSink
+        self, request: web_request.BaseRequest, sink: caller_sink.CallerSink
     ) -> None:
         arrived_at = self._clock.monotonic()
         headers = [
@@ -300,7 +306,7 @@
 
     async def _read_body(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         sink: caller_sink.CallerSink,
         facts: wire.CallerFacts,
         arrived_at: datetime.timedelta,
@@ -334,7 +340,7 @@
 
     async def _collect(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         sink: caller_sink.CallerSink,
         facts: wire.CallerFacts,
     ) -> bytes | None:
@@ -409,7 +415,9 @@
     """A body was not complete in time, or gave up its room to others."""
 
 
-def _head_cost_bytes(request: web.BaseRequest, facts: wire.CallerFacts) -> int:
+def _head_cost_bytes(
+    request: web_request.BaseRequest, facts: wire.CallerFacts
+) -> int:
     """Returns what a head and the objects made of it take, nearly."""
     head_bytes = sum(
         len(name) + len(value) for name, value in request.raw_headers
--- a/tests/cover/test_start_cost.py
+++ b/tests/cover/test_start_cost.py
@@ -39,6 +39,7 @@
     and value.__dataclass_params__.frozen
 )
 print(json.dumps({
+    "unused": sorted(set(sys.modules) & {"aiohttp.web_app", "aiohttp.web"}),
     "slow_classes": slow_classes,
     "collections": after - before,
     "loaded": sum(loads),
@@ -73,6 +74,7 @@
         self.assertGreater(cost["frozen"], 0)
         self.assertTrue(cost["is_enabled"])
         self.assertEqual(cost["slow_classes"], _READ_BY_FIELD)
+        self.assertEqual(cost["unused"], [])
 
     def test_a_build_compiles_packages_that_were_carried_over(self):
         """Each start compiled all packages, as a copy had changed times."""
