Watch a start less often the longer it waits

An instance that waits for the store looked 20 times a second whether it is ready by now, to log the moment. Those that wait share cores with those that still start. It now looks every 50 ms in the first second and every twentieth of the time that it has waited after that, so that the logged times are at most 5 % late. Readiness itself is not concerned: it is computed when it is asked for.

--- a/src/nutmeghook/internal/observe/start_record.py
+++ b/src/nutmeghook/internal/observe/start_record.py
@@ -11,6 +11,9 @@
 from nutmeghook.internal.observe import metrics as metrics_module
 
 _POLL_PERIOD = datetime.timedelta(milliseconds=50)
+# Of the time that a start has waited: one that waits for long is watched less
+# often, as others may need the processor.
+_POLL_PART = 0.05
 # Between two lines about an instance that is not ready yet.
 _REMINDER_PERIOD = datetime.timedelta(seconds=5)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -51,7 +54,8 @@
             if now - reminded_at >= _REMINDER_PERIOD:
                 reminded_at = now
                 self._note("process:not_ready", missing=self._missing())
-            await self._clock.sleep(_POLL_PERIOD)
+            waited = now - self._began_at
+            await self._clock.sleep(max(_POLL_PERIOD, waited * _POLL_PART))
         self._note("process:ready", uncompiled_modules=_uncompiled_modules())
 
     def _missing(self) -> list[str]:
